--- /dev/null
+++ b/src/adapters/mod.ts
@@ -0,0 +1,8 @@
+/**
+ * The outside systems and the links between VMs, each behind an abstract class.
+ *
+ * @module
+ */
+
+export * from "./key_value.ts";
+export * from "./transport.ts";
--- /dev/null
+++ b/src/agreement/mod.ts
@@ -0,0 +1,8 @@
+/**
+ * What VMs agree on, as pure state machines: the table and its log, membership, leads, claims and fencing numbers.
+ *
+ * @module
+ */
+
+export * from "./rows.ts";
+export * from "./table.ts";
--- /dev/null
+++ b/src/agreement/table.ts
@@ -0,0 +1,154 @@
+/**
+ * The operators' table as an immutable value: each {@link Edit} makes a new {@link Table}. A request is decided on one
+ * `Table` from start to end.
+ *
+ * @module
+ */
+
+import {
+  type RegionRow,
+  rowKey,
+  type ServiceRow,
+  type TableRow,
+  type TrafficRow,
+  type UpstreamRow,
+  type WorkspaceRow,
+} from "./rows.ts";
+
+/** One change of one row. `ifVersion` is the row's version it was made on; 0 means that the row must not exist. */
+export type RowChange =
+  | {
+    readonly type: "put";
+    readonly row: TableRow;
+    readonly ifVersion?: number;
+  }
+  | {
+    readonly type: "delete";
+    readonly key: string;
+    readonly ifVersion?: number;
+  };
+
+/** An accepted edit: `version` is its place in the log, counted from 1 without gaps. */
+export interface Edit {
+  readonly version: number;
+  /** Made by the editor, to settle a write whose answer was lost. */
+  readonly id: string;
+  readonly author: string;
+  readonly atMs: number;
+  readonly changes: readonly RowChange[];
+}
+
+/** A row with the version of the edit that last changed it. */
+export interface VersionedRow {
+  readonly row: TableRow;
+  readonly version: number;
+}
+
+/** The table at one version. */
+export class Table {
+  static readonly empty: Table = new Table(0, new Map(), new Map());
+
+  readonly version: number;
+  readonly #rows: ReadonlyMap<string, VersionedRow>;
+  readonly #pools: ReadonlyMap<string, readonly UpstreamRow[]>;
+
+  private constructor(
+    version: number,
+    rows: ReadonlyMap<string, VersionedRow>,
+    pools: ReadonlyMap<string, readonly UpstreamRow[]>,
+  ) {
+    this.version = version;
+    this.#rows = rows;
+    this.#pools = pools;
+  }
+
+  /** A table from its rows, as a snapshot holds them. */
+  static of(version: number, rows: Iterable<VersionedRow>): Table {
+    const byKey = new Map<string, VersionedRow>();
+    for (const versioned of rows) byKey.set(rowKey(versioned.row), versioned);
+    return new Table(version, byKey, groupPools(byKey));
+  }
+
+  /** The table after one edit. Throws if the edit is not the next one: a gap would lose an edit without a trace. */
+  apply(edit: Edit): Table {
+    if (edit.version !== this.version + 1) {
+      throw new Error(
+        `edit ${edit.version} does not follow version ${this.version}`,
+      );
+    }
+    const rows = new Map(this.#rows);
+    let upstreamsChanged = false;
+    for (const change of edit.changes) {
+      const key = change.type === "put" ? rowKey(change.row) : change.key;
+      if (change.type === "put") {
+        rows.set(key, { row: change.row, version: edit.version });
+      } else rows.delete(key);
+      upstreamsChanged ||= key.startsWith("upstream/");
+    }
+    return new Table(
+      edit.version,
+      rows,
+      upstreamsChanged ? groupPools(rows) : this.#pools,
+    );
+  }
+
+  /** The row under this key with its version. */
+  get(key: string): VersionedRow | undefined {
+    return this.#rows.get(key);
+  }
+  /** All rows, in no stated order. */
+  rows(): IterableIterator<VersionedRow> {
+    return this.#rows.values();
+  }
+  /** The number of rows. */
+  get size(): number {
+    return this.#rows.size;
+  }
+  service(id: string): ServiceRow | undefined {
+    return this.get(`service/${id}`)?.row as ServiceRow | undefined;
+  }
+  region(id: string): RegionRow | undefined {
+    return this.get(`region/${id}`)?.row as RegionRow | undefined;
+  }
+  traffic(service: string, region: string): TrafficRow | undefined {
+    return this.get(`traffic/${service}/${region}`)?.row as
+      | TrafficRow
+      | undefined;
+  }
+  workspace(id: string): WorkspaceRow | undefined {
+    return this.get(`workspace/${id}`)?.row as WorkspaceRow | undefined;
+  }
+  /** The upstreams of a service in a region, sorted by id. */
+  upstreams(service: string, region: string): readonly UpstreamRow[] {
+    return this.#pools.get(`${service}/${region}`) ?? [];
+  }
+  /** The service whose id or model list holds this model name. */
+  serviceOfModel(model: string): ServiceRow | undefined {
+    const direct = this.service(model);
+    if (direct?.type === "model") return direct;
+    for (const { row } of this.#rows.values()) {
+      if (
+        row.kind === "service" && row.type === "model" &&
+        row.models.includes(model)
+      ) return row;
+    }
+    return undefined;
+  }
+}
+
+function groupPools(
+  rows: ReadonlyMap<string, VersionedRow>,
+): ReadonlyMap<string, readonly UpstreamRow[]> {
+  const pools = new Map<string, UpstreamRow[]>();
+  for (const { row } of rows.values()) {
+    if (row.kind !== "upstream") continue;
+    const key = `${row.service}/${row.region}`;
+    const pool = pools.get(key);
+    if (pool) pool.push(row);
+    else pools.set(key, [row]);
+  }
+  for (const pool of pools.values()) {
+    pool.sort((a, b) => (a.id < b.id ? -1 : 1));
+  }
+  return pools;
+}
--- /dev/null
+++ b/src/base/backoff.ts
@@ -0,0 +1,29 @@
+/**
+ * Waiting between attempts.
+ *
+ * @module
+ */
+
+import type { Random } from "./random.ts";
+
+/** Limits of a {@link backoffMs} sequence. */
+export interface BackoffLimits {
+  readonly firstMs: number;
+  readonly mostMs: number;
+}
+
+/**
+ * The wait before attempt `attempt` (counted from 0), with full jitter. After an outage all VMs return at once; without
+ * jitter their calls would arrive in the same instant and bring the store down again.
+ */
+export function backoffMs(
+  attempt: number,
+  limits: BackoffLimits,
+  random: Random,
+): number {
+  const ceilingMs = Math.min(
+    limits.mostMs,
+    limits.firstMs * 2 ** Math.min(attempt, 30),
+  );
+  return ceilingMs / 2 + (random.next() * ceilingMs) / 2;
+}
--- /dev/null
+++ b/src/base/clock.ts
@@ -0,0 +1,110 @@
+/**
+ * Time as the tasks see it, so that tests can move it. Decisions never read a clock: they are given `nowMs`.
+ *
+ * @module
+ */
+
+/** A timer that can be stopped. */
+export interface Timer {
+  close(): void;
+}
+
+/** A source of time and timers; {@link systemClock} is the real one, {@link ManualClock} the tests'. */
+export abstract class Clock {
+  /** Wall-clock time in ms since the epoch: for deadlines that cross processes. */
+  abstract nowMs(): number;
+  /** Monotonic time in ms: for promises and leases held inside this process. */
+  abstract monoMs(): number;
+  /** Calls `run` once, `delayMs` from now. */
+  abstract after(delayMs: number, run: () => void): Timer;
+  /** Calls `run` every `periodMs` until closed. */
+  abstract every(periodMs: number, run: () => void): Timer;
+
+  /** Resolves after `delayMs`. */
+  sleep(delayMs: number): Promise<void> {
+    return new Promise((resolve) => this.after(delayMs, resolve));
+  }
+}
+
+class SystemClock extends Clock {
+  nowMs(): number {
+    return Date.now();
+  }
+  monoMs(): number {
+    return performance.now();
+  }
+  after(delayMs: number, run: () => void): Timer {
+    const timer = setTimeout(run, delayMs);
+    return { close: () => clearTimeout(timer) };
+  }
+  every(periodMs: number, run: () => void): Timer {
+    const timer = setInterval(run, periodMs);
+    return { close: () => clearInterval(timer) };
+  }
+}
+
+/** The machine's clocks. */
+export const systemClock: Clock = new SystemClock();
+
+interface Pending {
+  dueMs: number;
+  readonly run: () => void;
+  readonly periodMs?: number;
+}
+
+/** A clock that moves only when {@link ManualClock.advance} is called. */
+export class ManualClock extends Clock {
+  #nowMs: number;
+  #pending: Pending[] = [];
+
+  constructor(startMs = 1_700_000_000_000) {
+    super();
+    this.#nowMs = startMs;
+  }
+  nowMs(): number {
+    return this.#nowMs;
+  }
+  monoMs(): number {
+    return this.#nowMs;
+  }
+  after(delayMs: number, run: () => void): Timer {
+    return this.#add({ dueMs: this.#nowMs + delayMs, run });
+  }
+  every(periodMs: number, run: () => void): Timer {
+    return this.#add({ dueMs: this.#nowMs + periodMs, run, periodMs });
+  }
+  /** Moves time on by `ms`, running what falls due, in order, and letting promises settle in between. */
+  async advance(ms: number): Promise<void> {
+    const endMs = this.#nowMs + ms;
+    for (;;) {
+      await settle();
+      const next = this.#next(endMs);
+      if (!next) break;
+      this.#nowMs = Math.max(this.#nowMs, next.dueMs);
+      if (next.periodMs) next.dueMs += next.periodMs;
+      else this.#pending = this.#pending.filter((p) => p !== next);
+      next.run();
+    }
+    this.#nowMs = endMs;
+    await settle();
+  }
+  #next(endMs: number): Pending | undefined {
+    let best: Pending | undefined;
+    for (const p of this.#pending) {
+      if (p.dueMs <= endMs && (!best || p.dueMs < best.dueMs)) best = p;
+    }
+    return best;
+  }
+  #add(pending: Pending): Timer {
+    this.#pending.push(pending);
+    return {
+      close: () =>
+        void (this.#pending = this.#pending.filter((p) => p !== pending)),
+    };
+  }
+}
+
+/** Lets queued microtasks and immediates run. */
+function settle(): Promise<void> {
+  return new Promise((resolve) => setImmediate(resolve));
+}
--- /dev/null
+++ b/src/base/hash.ts
@@ -0,0 +1,46 @@
+/**
+ * Stable hashing for placement by rendezvous (highest random weight), and digests for secrets.
+ *
+ * @module
+ */
+
+import { createHash, timingSafeEqual } from "node:crypto";
+import xxhash from "xxhash-wasm";
+
+const { h32 } = await xxhash();
+
+/** A 32-bit hash of a string, the same on every VM. */
+export function hash32(text: string): number {
+  return h32(text);
+}
+
+/**
+ * Orders `members` for `key` by rendezvous hashing, best first. When a member goes, only the keys it was best for
+ * move, each to its own next member; that is why leads and shard owners are chosen this way.
+ */
+export function rendezvous<T>(
+  key: string,
+  members: readonly T[],
+  idOf: (member: T) => string,
+): T[] {
+  return members
+    .map((member) => ({
+      member,
+      id: idOf(member),
+      score: h32(`${key}\u0000${idOf(member)}`),
+    }))
+    .sort((a, b) => b.score - a.score || (a.id < b.id ? -1 : 1))
+    .map((scored) => scored.member);
+}
+
+/** The SHA-256 digest of a secret, in hex: what settings and table hold in place of the secret. */
+export function secretDigest(secret: string): string {
+  return createHash("sha256").update(secret).digest("hex");
+}
+
+/** Whether the secret has this digest, compared in constant time. */
+export function secretMatches(secret: string, digest: string): boolean {
+  const wanted = Buffer.from(digest, "hex");
+  const actual = createHash("sha256").update(secret).digest();
+  return wanted.length === actual.length && timingSafeEqual(wanted, actual);
+}
--- /dev/null
+++ b/src/base/mod.ts
@@ -0,0 +1,11 @@
+/**
+ * What every folder may use: result codes, time, random numbers, hashing, backoff.
+ *
+ * @module
+ */
+
+export * from "./codes.ts";
+export * from "./clock.ts";
+export * from "./random.ts";
+export * from "./hash.ts";
+export * from "./backoff.ts";
--- /dev/null
+++ b/src/kernel/kernel.ts
@@ -0,0 +1,65 @@
+/**
+ * The micro-kernel: starts services by name, in order, and closes them in reverse.
+ *
+ * @module
+ */
+
+import type { Logger } from "winston";
+import type { Clock } from "../base/mod.ts";
+import type { Messages, Port, Task } from "./task.ts";
+
+/** Holds the daemon's services; see {@link Task}. */
+export class Kernel {
+  readonly clock: Clock;
+  readonly log: Logger;
+  readonly #tasks = new Map<string, Task>();
+
+  constructor(clock: Clock, log: Logger) {
+    this.clock = clock;
+    this.log = log;
+  }
+
+  /** Starts a service. If that fails, what was started before stays open for {@link Kernel.close}. */
+  async start<M extends Messages>(task: Task<M>): Promise<void> {
+    if (this.#tasks.has(task.name)) {
+      throw new Error(`service "${task.name}" is already started`);
+    }
+    this.#tasks.set(task.name, task as unknown as Task);
+    await task.start(this);
+    this.log.info("service started", { service: task.name });
+  }
+
+  /** The port of a started service. */
+  get<M extends Messages>(name: string): Port<M> {
+    const task = this.#tasks.get(name);
+    if (!task) throw new Error(`no service named "${name}"`);
+    return task as unknown as Port<M>;
+  }
+
+  /** Whether a service of this name was started. */
+  has(name: string): boolean {
+    return this.#tasks.has(name);
+  }
+
+  /** Every service's state by name. */
+  dump(): Record<string, unknown> {
+    const state: Record<string, unknown> = {};
+    for (const [name, task] of this.#tasks) state[name] = task.dump();
+    return state;
+  }
+
+  /** Closes all services in reverse order; each gets what is left until `deadlineMs`. */
+  async close(deadlineMs: number): Promise<void> {
+    for (const task of [...this.#tasks.values()].reverse()) {
+      try {
+        await task.close(deadlineMs);
+      } catch (error) {
+        this.log.error("service close failed", {
+          service: task.name,
+          error: String(error),
+        });
+      }
+    }
+    this.#tasks.clear();
+  }
+}
--- /dev/null
+++ b/src/kernel/mod.ts
@@ -0,0 +1,9 @@
+/**
+ * The micro-kernel, its tasks and its logs.
+ *
+ * @module
+ */
+
+export * from "./kernel.ts";
+export * from "./log.ts";
+export * from "./task.ts";
--- /dev/null
+++ b/src/kernel/task.ts
@@ -0,0 +1,46 @@
+/**
+ * A task owns its sockets, timers and state. Others reach it only by asking one of its typed messages.
+ *
+ * @module
+ */
+
+import type { Kernel } from "./kernel.ts";
+
+/** The messages of a task: the name of each, what goes in and what comes out. */
+export type Messages = Record<string, { in: unknown; out: unknown }>;
+
+/** How a task answers its messages. */
+export type Handlers<M extends Messages> = {
+  readonly [K in keyof M]: (
+    input: M[K]["in"],
+  ) => M[K]["out"] | Promise<M[K]["out"]>;
+};
+
+/** What others hold of a task; see {@link Kernel.get}. */
+export interface Port<M extends Messages> {
+  /** Sends one message and resolves with its answer. */
+  ask<K extends keyof M>(type: K, input: M[K]["in"]): Promise<M[K]["out"]>;
+}
+
+/** A service of the daemon. The {@link Kernel} starts services in order and closes them in reverse. */
+export abstract class Task<M extends Messages = Messages> implements Port<M> {
+  /** The name others find it by. */
+  abstract readonly name: string;
+  protected abstract readonly handlers: Handlers<M>;
+
+  /** Opens sockets and timers. Services started earlier can be found through `kernel`. */
+  abstract start(kernel: Kernel): Promise<void>;
+
+  /** Stops taking work, finishes what it holds until `deadlineMs` (wall clock), then frees everything. */
+  abstract close(deadlineMs: number): Promise<void>;
+
+  /** The task's state for `ibisgap dump`; never holds a secret. */
+  abstract dump(): unknown;
+
+  async ask<K extends keyof M>(
+    type: K,
+    input: M[K]["in"],
+  ): Promise<M[K]["out"]> {
+    return await this.handlers[type](input);
+  }
+}
--- /dev/null
+++ b/src/services/mod.ts
@@ -0,0 +1,7 @@
+/**
+ * The daemon's services: tasks with sockets, timers and state.
+ *
+ * @module
+ */
+
+export * from "./messages.ts";
