--- a/src/agreement/mod.ts
+++ b/src/agreement/mod.ts
@@ -6,3 +6,4 @@
 
 export * from "./rows.ts";
 export * from "./table.ts";
+export * from "./claim.ts";
--- /dev/null
+++ b/src/decisions/mod.ts
@@ -0,0 +1,8 @@
+/**
+ * Decisions under load, free of I/O: time, random numbers and messages come in as arguments.
+ *
+ * @module
+ */
+
+export * from "./slots.ts";
+export * from "./pool.ts";
--- /dev/null
+++ b/src/decisions/slots.ts
@@ -0,0 +1,60 @@
+/**
+ * Slots: what a VM asks of a pool's lead, what the lead answers, and what it is told afterwards.
+ *
+ * @module
+ */
+
+import type { Failure } from "../base/mod.ts";
+
+/** A request for a slot: what a pool's lead must know of a request, and nothing of its content. */
+export interface SlotRequest {
+  /** Unique for each attempt. */
+  readonly attemptId: string;
+  readonly service: string;
+  readonly workspace: string;
+  readonly priority: number;
+  readonly arrivedAtMs: number;
+  readonly deadlineMs: number;
+  /** Hashes of the prompt's leading blocks, longest last; a warm prefix shares the first ones. */
+  readonly prefixHashes: readonly number[];
+  readonly promptTokens: number;
+  readonly expectedOutputTokens: number;
+  /** Upstreams already tried for this request. */
+  readonly exclude: readonly string[];
+  /** The region it came from, when another sent it here. */
+  readonly sentFrom?: string;
+  readonly tableVersion: number;
+}
+
+/** A slot: the right to run one attempt at one upstream until `expiresAtMs`, unless renewed. */
+export interface SlotGrant {
+  readonly type: "grant";
+  readonly attemptId: string;
+  readonly upstreamId: string;
+  readonly url: string;
+  readonly expiresAtMs: number;
+  readonly queuedMs: number;
+}
+
+/** Advice to send the request to another region instead. */
+export interface SlotShift {
+  readonly type: "shift";
+  readonly region: string;
+}
+
+/** What a lead answers to a {@link SlotRequest}. */
+export type SlotAnswer = SlotGrant | SlotShift | {
+  readonly type: "refuse";
+  readonly failure: Failure;
+};
+
+/** What became of an attempt, told to the lead so that it learns and frees the slot. */
+export interface SlotReport {
+  readonly attemptId: string;
+  readonly service: string;
+  readonly upstreamId: string;
+  readonly outcome: "done" | "canceled" | "refused" | "failed" | "unreachable";
+  readonly firstTokenMs?: number;
+  readonly outputTokens: number;
+  readonly totalMs: number;
+}
--- a/src/services/messages.ts
+++ b/src/services/messages.ts
@@ -6,7 +6,13 @@
 
 import type { Result } from "neverthrow";
 import type { Failure } from "../base/mod.ts";
-import type { Table } from "../agreement/mod.ts";
+import type {
+  ClaimAnswer,
+  ClaimKey,
+  ClaimVerdict,
+  Table,
+} from "../agreement/mod.ts";
+import type { SlotAnswer, SlotReport, SlotRequest } from "../decisions/mod.ts";
 
 /** What the table service answers; its name is `table`. */
 export type TableMessages = {
@@ -44,59 +50,6 @@
   leave: { in: void; out: void };
 };
 
-/** A request for a slot: what a pool's lead must know of a request, and nothing of its content. */
-export interface SlotRequest {
-  /** Unique for each attempt. */
-  readonly attemptId: string;
-  readonly service: string;
-  readonly workspace: string;
-  readonly priority: number;
-  readonly arrivedAtMs: number;
-  readonly deadlineMs: number;
-  /** Hashes of the prompt's leading blocks, longest last; a warm prefix shares the first ones. */
-  readonly prefixHashes: readonly number[];
-  readonly promptTokens: number;
-  readonly expectedOutputTokens: number;
-  /** Upstreams already tried for this request. */
-  readonly exclude: readonly string[];
-  /** The region it came from, when another sent it here. */
-  readonly sentFrom?: string;
-  readonly tableVersion: number;
-}
-
-/** A slot: the right to run one attempt at one upstream until `expiresAtMs`, unless renewed. */
-export interface SlotGrant {
-  readonly type: "grant";
-  readonly attemptId: string;
-  readonly upstreamId: string;
-  readonly url: string;
-  readonly expiresAtMs: number;
-  readonly queuedMs: number;
-}
-
-/** Advice to send the request to another region instead. */
-export interface SlotShift {
-  readonly type: "shift";
-  readonly region: string;
-}
-
-/** What a lead answers to a {@link SlotRequest}. */
-export type SlotAnswer = SlotGrant | SlotShift | {
-  readonly type: "refuse";
-  readonly failure: Failure;
-};
-
-/** What became of an attempt, told to the lead so that it learns and frees the slot. */
-export interface SlotReport {
-  readonly attemptId: string;
-  readonly service: string;
-  readonly upstreamId: string;
-  readonly outcome: "done" | "canceled" | "refused" | "failed" | "unreachable";
-  readonly firstTokenMs?: number;
-  readonly outputTokens: number;
-  readonly totalMs: number;
-}
-
 /** What the slots service answers; its name is `slots`. It finds the lead of the pool, here or on another VM. */
 export type SlotsMessages = {
   acquire: { in: SlotRequest; out: SlotAnswer };
@@ -108,36 +61,6 @@
   };
 };
 
-/** Names a call that may not be repeated. */
-export interface ClaimKey {
-  readonly service: string;
-  readonly workspace: string;
-  /** The caller's Idempotency-Key. */
-  readonly key: string;
-}
-
-/** The stored answer of a call, bounded in size. */
-export interface ClaimAnswer {
-  readonly httpStatus: number;
-  readonly contentType: string;
-  readonly bodyBase64: string;
-  /** Whether the body was left out because it exceeds the bound. */
-  readonly truncated: boolean;
-}
-
-/** What a claim service answers to a claim. Only `granted` allows a dispatch, and only until `dispatchBeforeMonoMs`. */
-export type ClaimVerdict =
-  | {
-    readonly type: "granted";
-    readonly claimId: string;
-    readonly dispatchBeforeMonoMs: number;
-  }
-  | { readonly type: "running" }
-  | { readonly type: "answered"; readonly answer: ClaimAnswer }
-  | { readonly type: "unknown" }
-  | { readonly type: "mismatch" }
-  | { readonly type: "refused"; readonly failure: Failure };
-
 /** What the claims service answers; its name is `claims`. */
 export type ClaimsMessages = {
   /** Records the claim before a first byte goes to an upstream. `bodyDigest` tells a reused key from a repeat. */
