Platform adapters over etcd's gateway and HTTP, and one stand-in for both

Cause: the table, claims, fencing and membership need the platform's services, and their failures, before it is there. A small addition to key_value.ts: prefixEnd.

--- /dev/null
+++ b/src/adapters/etcd_codec.ts
@@ -0,0 +1,110 @@
+/**
+ * The messages of etcd v3's HTTP/JSON gateway that ibisgap uses: base64 keys and values, 64-bit integers as strings.
+ *
+ * @module
+ */
+
+import type { Entry, PutOptions, Write } from "./key_value.ts";
+
+/** A key-value pair as the gateway sends it. */
+export interface EtcdPair {
+  readonly key: string;
+  readonly value?: string;
+  readonly mod_revision?: string;
+}
+
+/** Every answer's header. */
+export interface EtcdHeader {
+  readonly revision?: string;
+}
+
+/** The answer of `/v3/kv/range`. */
+export interface RangeAnswer {
+  readonly header?: EtcdHeader;
+  readonly kvs?: readonly EtcdPair[];
+  readonly more?: boolean;
+}
+
+/** The answer of `/v3/kv/txn`. */
+export interface TxnAnswer {
+  readonly header?: EtcdHeader;
+  readonly succeeded?: boolean;
+  readonly responses?: readonly { readonly response_range?: RangeAnswer }[];
+}
+
+/** One line of the answer of `/v3/watch`. */
+export interface WatchAnswer {
+  readonly result?: {
+    readonly canceled?: boolean;
+    readonly compact_revision?: string;
+    readonly events?: readonly {
+      /** Left out for `PUT`, which is the default of the enumeration. */
+      readonly type?: "PUT" | "DELETE";
+      readonly kv: EtcdPair;
+    }[];
+  };
+  readonly error?: { readonly message?: string };
+}
+
+/** Text to base64. */
+export function encode(text: string): string {
+  return Buffer.from(text, "utf8").toString("base64");
+}
+
+/** Base64 to text. */
+export function decode(base64: string | undefined): string {
+  return Buffer.from(base64 ?? "", "base64").toString("utf8");
+}
+
+/** A pair as the contract's {@link Entry}. */
+export function toEntry(pair: EtcdPair): Entry {
+  return {
+    key: decode(pair.key),
+    value: decode(pair.value),
+    rev: Number(pair.mod_revision ?? 0),
+  };
+}
+
+/** A write as the contract has it, or one bound to a lease. */
+export type EtcdWrite = Write & Pick<PutOptions, "leaseId">;
+
+/** The request of `/v3/kv/txn`: on a failed compare it reads the compared keys, so that the loser sees what stands. */
+export function txnRequest(writes: readonly EtcdWrite[]): unknown {
+  const compared = writes.filter((write) => write.ifRev !== undefined);
+  return {
+    compare: compared.map((write) => ({
+      key: encode(write.key),
+      target: "MOD",
+      result: "EQUAL",
+      mod_revision: String(write.ifRev),
+    })),
+    success: writes.map((write) =>
+      write.type === "delete"
+        ? { request_delete_range: { key: encode(write.key) } }
+        : {
+          request_put: {
+            key: encode(write.key),
+            value: encode(write.value),
+            lease: write.leaseId ?? "0",
+          },
+        }
+    ),
+    failure: compared.map((write) => ({
+      request_range: { key: encode(write.key) },
+    })),
+  };
+}
+
+/** The entry whose compare failed, from the answer to {@link txnRequest}. */
+export function failedCompare(
+  writes: readonly EtcdWrite[],
+  answer: TxnAnswer,
+): { readonly key: string; readonly current?: Entry } {
+  const compared = writes.filter((write) => write.ifRev !== undefined);
+  for (const [i, write] of compared.entries()) {
+    const pair = answer.responses?.[i]?.response_range?.kvs?.[0];
+    const current = pair && toEntry(pair);
+    if ((current?.rev ?? 0) !== write.ifRev) return { key: write.key, current };
+  }
+  return { key: compared[0]?.key ?? "" };
+}
--- /dev/null
+++ b/src/adapters/etcd_key_value.ts
@@ -0,0 +1,239 @@
+/**
+ * The platform's key-value service through etcd v3's HTTP/JSON gateway.
+ *
+ * @module
+ */
+
+import { createInterface } from "node:readline";
+import { err, ok, type Result } from "neverthrow";
+import {
+  encode,
+  type EtcdWrite,
+  failedCompare,
+  type RangeAnswer,
+  toEntry,
+  type TxnAnswer,
+  txnRequest,
+  type WatchAnswer,
+} from "./etcd_codec.ts";
+import {
+  type Entry,
+  KeyValue,
+  type Listing,
+  prefixEnd,
+  type PutOptions,
+  type StoreError,
+  type StorePurpose,
+  type Watch,
+  type WatchEvent,
+  type Write,
+} from "./key_value.ts";
+import {
+  type PlatformAnswer,
+  PlatformClient,
+  type PlatformOptions,
+  refusal,
+} from "./platform_http.ts";
+
+/** A connection to etcd. No call is repeated: a lost answer is the caller's to settle. */
+export class EtcdKeyValue extends KeyValue {
+  readonly #client: PlatformClient;
+  readonly #watches = new Set<Watch>();
+  readonly #counts: Record<StorePurpose, number> = {
+    table: 0,
+    claims: 0,
+    fencing: 0,
+    membership: 0,
+    other: 0,
+  };
+
+  constructor(options: PlatformOptions) {
+    super();
+    this.#client = new PlatformClient(options);
+  }
+
+  async get(
+    key: string,
+    purpose: StorePurpose,
+  ): Promise<Result<Entry | undefined, StoreError>> {
+    const answer = await this.#call<RangeAnswer>(
+      "/v3/kv/range",
+      { key: encode(key) },
+      purpose,
+    );
+    return answer.map(({ kvs }) => kvs?.[0] && toEntry(kvs[0]));
+  }
+
+  async list(
+    prefix: string,
+    options: { readonly fromKey?: string; readonly limit?: number },
+    purpose: StorePurpose,
+  ): Promise<Result<Listing, StoreError>> {
+    const answer = await this.#call<RangeAnswer>("/v3/kv/range", {
+      key: encode(options.fromKey ?? prefix),
+      range_end: encode(prefixEnd(prefix)),
+      limit: String(options.limit ?? 0),
+    }, purpose);
+    return answer.map(({ header, kvs, more }) => ({
+      entries: (kvs ?? []).map(toEntry),
+      rev: Number(header?.revision ?? 0),
+      more: more ?? false,
+    }));
+  }
+
+  put(
+    key: string,
+    value: string,
+    options: PutOptions,
+    purpose: StorePurpose,
+  ): Promise<Result<number, StoreError>> {
+    return this.#transact([{ type: "put", key, value, ...options }], purpose);
+  }
+
+  transact(
+    writes: readonly Write[],
+    purpose: StorePurpose,
+  ): Promise<Result<number, StoreError>> {
+    return this.#transact(writes, purpose);
+  }
+
+  async grant(
+    ttlMs: number,
+    purpose: StorePurpose,
+  ): Promise<Result<string, StoreError>> {
+    const answer = await this.#call<{ ID: string }>("/v3/lease/grant", {
+      TTL: String(Math.ceil(ttlMs / 1000)),
+      ID: "0",
+    }, purpose);
+    return answer.map(({ ID }) => ID);
+  }
+
+  async keepAlive(
+    leaseId: string,
+    purpose: StorePurpose,
+  ): Promise<Result<void, StoreError>> {
+    const answer = await this.#call<{ result?: { TTL?: string } }>(
+      "/v3/lease/keepalive",
+      { ID: leaseId },
+      purpose,
+    );
+    // A lapsed lease is answered with a time to live of 0, which the gateway leaves out.
+    return answer.andThen(({ result }): Result<void, StoreError> =>
+      Number(result?.TTL ?? 0) > 0
+        ? ok(undefined)
+        : err({ kind: "leaseGone", message: `lease ${leaseId} has lapsed` })
+    );
+  }
+
+  async revoke(
+    leaseId: string,
+    purpose: StorePurpose,
+  ): Promise<Result<void, StoreError>> {
+    const answer = await this.#call(
+      "/v3/lease/revoke",
+      { ID: leaseId },
+      purpose,
+    );
+    return answer.map(() => undefined);
+  }
+
+  watch(
+    prefix: string,
+    fromRev: number,
+    onEvent: (event: WatchEvent) => void,
+    purpose: StorePurpose,
+  ): Watch {
+    this.#counts[purpose]++;
+    const stream = this.#client.stream("/v3/watch", {
+      create_request: {
+        key: encode(prefix),
+        range_end: encode(prefixEnd(prefix)),
+        start_revision: String(fromRev),
+      },
+    });
+    let open = true;
+    const end = (message?: string) => {
+      if (!open) return;
+      open = false;
+      this.#watches.delete(watch);
+      lines.close();
+      stream.destroy();
+      if (message !== undefined) onEvent({ type: "lost", message });
+    };
+    const lines = createInterface({ input: stream });
+    const watch = { close: () => end() };
+    this.#watches.add(watch);
+    lines.on("line", (line) => {
+      if (open) readWatchLine(line, onEvent, end);
+    });
+    lines.on("close", () => end("the stream ended"));
+    // The stream's error is emitted again by the reader of its lines; either one unheard would end the process.
+    for (const source of [stream, lines]) {
+      source.on("error", (error: Error) => end(error.message));
+    }
+    return watch;
+  }
+
+  counts(): Readonly<Record<StorePurpose, number>> {
+    return { ...this.#counts };
+  }
+
+  close(): Promise<void> {
+    for (const watch of [...this.#watches]) watch.close();
+    this.#client.close();
+    return Promise.resolve();
+  }
+
+  async #transact(
+    writes: readonly EtcdWrite[],
+    purpose: StorePurpose,
+  ): Promise<Result<number, StoreError>> {
+    const answer = await this.#call<TxnAnswer>(
+      "/v3/kv/txn",
+      txnRequest(writes),
+      purpose,
+    );
+    return answer.andThen((txn): Result<number, StoreError> => {
+      if (txn.succeeded) return ok(Number(txn.header?.revision ?? 0));
+      const { key, current } = failedCompare(writes, txn);
+      const message = `${key} has changed`;
+      return err({ kind: "conflict", message, current });
+    });
+  }
+
+  async #call<T>(
+    path: string,
+    body: unknown,
+    purpose: StorePurpose,
+  ): Promise<Result<T, StoreError>> {
+    this.#counts[purpose]++;
+    const answer = await this.#client.call("POST", path, body);
+    return answer.andThen((it: PlatformAnswer): Result<T, StoreError> =>
+      it.status === 200 ? ok(it.body as T) : err(refusal(it))
+    );
+  }
+}
+
+function readWatchLine(
+  line: string,
+  onEvent: (event: WatchEvent) => void,
+  end: (message: string) => void,
+): void {
+  if (line.trim() === "") return;
+  let answer: WatchAnswer;
+  try {
+    answer = JSON.parse(line) as WatchAnswer;
+  } catch {
+    return end("a line of the stream is not JSON");
+  }
+  if (!answer.result) return end(answer.error?.message ?? "no result");
+  for (const { type, kv } of answer.result.events ?? []) {
+    const entry = toEntry(kv);
+    if (type === "DELETE") {
+      onEvent({ type: "delete", key: entry.key, rev: entry.rev });
+    } else onEvent({ type: "put", entry });
+  }
+  if (answer.result.canceled) {
+    end(`canceled; compacted up to ${answer.result.compact_revision}`);
+  }
+}
--- /dev/null
+++ b/src/adapters/http_platform.ts
@@ -0,0 +1,111 @@
+/**
+ * The weight store, the callers' directory and the VM list over JSON and HTTP.
+ *
+ * @module
+ */
+
+import { err, ok, type Result } from "neverthrow";
+import { z } from "zod";
+import {
+  CallerDirectory,
+  type DirectoryEntry,
+  type ListedVm,
+  VmList,
+  type Weights,
+  WeightStore,
+} from "./platform.ts";
+import {
+  PlatformClient,
+  type PlatformError,
+  type PlatformOptions,
+  refusal,
+} from "./platform_http.ts";
+
+const listedVms = z.object({
+  vms: z.array(z.object({
+    id: z.string(),
+    region: z.string(),
+    failureDomain: z.string(),
+    peerAddress: z.string(),
+    state: z.enum(["live", "leaving"]),
+  })),
+});
+
+/** The VM list at `GET /vms`. */
+export class HttpVmList extends VmList {
+  readonly #client: PlatformClient;
+
+  constructor(options: PlatformOptions) {
+    super();
+    this.#client = new PlatformClient(options);
+  }
+  async list(): Promise<Result<readonly ListedVm[], PlatformError>> {
+    const answer = await this.#client.call("GET", "/vms");
+    if (answer.isErr()) return err(answer.error);
+    if (answer.value.status !== 200) return err(refusal(answer.value));
+    const parsed = listedVms.safeParse(answer.value.body);
+    if (parsed.success) return ok(parsed.data.vms);
+    return err({ kind: "unavailable", message: "the VM list is malformed" });
+  }
+  close(): Promise<void> {
+    this.#client.close();
+    return Promise.resolve();
+  }
+}
+
+/** The weight store at `PUT /weights/SERVICE/REGION`. */
+export class HttpWeightStore extends WeightStore {
+  readonly #client: PlatformClient;
+
+  constructor(options: PlatformOptions) {
+    super();
+    this.#client = new PlatformClient(options);
+  }
+  publish(
+    service: string,
+    region: string,
+    weights: Weights,
+  ): Promise<Result<void, PlatformError>> {
+    const path = `/weights/${encodeURIComponent(service)}/${
+      encodeURIComponent(region)
+    }`;
+    return replace(this.#client, path, { weights });
+  }
+  close(): Promise<void> {
+    this.#client.close();
+    return Promise.resolve();
+  }
+}
+
+/** The callers' directory at `PUT /directory/REGION`. */
+export class HttpCallerDirectory extends CallerDirectory {
+  readonly #client: PlatformClient;
+
+  constructor(options: PlatformOptions) {
+    super();
+    this.#client = new PlatformClient(options);
+  }
+  publish(
+    region: string,
+    entries: readonly DirectoryEntry[],
+  ): Promise<Result<void, PlatformError>> {
+    const path = `/directory/${encodeURIComponent(region)}`;
+    return replace(this.#client, path, { entries });
+  }
+  close(): Promise<void> {
+    this.#client.close();
+    return Promise.resolve();
+  }
+}
+
+async function replace(
+  client: PlatformClient,
+  path: string,
+  body: unknown,
+): Promise<Result<void, PlatformError>> {
+  const answer = await client.call("PUT", path, body);
+  if (answer.isErr()) return err(answer.error);
+  return answer.value.status === 200
+    ? ok(undefined)
+    : err(refusal(answer.value));
+}
--- a/src/adapters/key_value.ts
+++ b/src/adapters/key_value.ts
@@ -144,3 +144,10 @@
 
   abstract close(): Promise<void>;
 }
+
+/** The first key after all keys that start with `prefix`, in the byte order of ASCII keys. */
+export function prefixEnd(prefix: string): string {
+  if (prefix === "") return "\uffff";
+  const last = prefix.charCodeAt(prefix.length - 1);
+  return prefix.slice(0, -1) + String.fromCharCode(last + 1);
+}
--- a/src/adapters/mod.ts
+++ b/src/adapters/mod.ts
@@ -5,4 +5,8 @@
  */
 
 export * from "./key_value.ts";
+export * from "./etcd_key_value.ts";
+export * from "./platform.ts";
+export * from "./platform_http.ts";
+export * from "./http_platform.ts";
 export * from "./transport.ts";
--- /dev/null
+++ b/src/standins/memory_key_value.ts
@@ -0,0 +1,276 @@
+/**
+ * The key-value contract in memory, with injectable faults: for tests without sockets and for the embedded mode.
+ *
+ * @module
+ */
+
+import { err, ok, type Result } from "neverthrow";
+import {
+  type Entry,
+  KeyValue,
+  type Listing,
+  prefixEnd,
+  type PutOptions,
+  type StoreError,
+  type StorePurpose,
+  type Watch,
+  type WatchEvent,
+  type Write,
+} from "../adapters/key_value.ts";
+import { type Clock, systemClock } from "../base/mod.ts";
+import { Faults } from "./platform_faults.ts";
+import {
+  PlatformStore,
+  type StoreChange,
+  type StoredEntry,
+} from "./platform_store.ts";
+
+/** What a {@link MemoryKeyValue} shares with others, and who it is. */
+export interface MemoryOptions {
+  readonly clock?: Clock;
+  /** Several connections to one store see each other's writes. */
+  readonly store?: PlatformStore;
+  readonly faults?: Faults;
+  /** The VM that {@link Faults} match. */
+  readonly vmId?: string;
+}
+
+/** A connection to a store in this process. */
+export class MemoryKeyValue extends KeyValue {
+  readonly store: PlatformStore;
+  readonly faults: Faults;
+  readonly #clock: Clock;
+  readonly #vmId: string;
+  readonly #watches = new Set<Watch>();
+  readonly #counts: Record<StorePurpose, number> = {
+    table: 0,
+    claims: 0,
+    fencing: 0,
+    membership: 0,
+    other: 0,
+  };
+
+  constructor(options: MemoryOptions = {}) {
+    super();
+    this.#clock = options.clock ?? systemClock;
+    this.store = options.store ??
+      new PlatformStore(() => this.#clock.monoMs());
+    this.faults = options.faults ?? new Faults();
+    this.#vmId = options.vmId ?? "";
+  }
+
+  get(
+    key: string,
+    purpose: StorePurpose,
+  ): Promise<Result<Entry | undefined, StoreError>> {
+    return this.#call(key, false, purpose, () => {
+      const entry = this.store.get(key);
+      return ok(entry && asEntry(entry));
+    });
+  }
+
+  list(
+    prefix: string,
+    options: { readonly fromKey?: string; readonly limit?: number },
+    purpose: StorePurpose,
+  ): Promise<Result<Listing, StoreError>> {
+    return this.#call(prefix, false, purpose, () => {
+      const found = this.store.range(
+        options.fromKey ?? prefix,
+        prefixEnd(prefix),
+        options.limit ?? Infinity,
+      );
+      return ok({
+        entries: found.entries.map(asEntry),
+        rev: this.store.rev,
+        more: found.more,
+      });
+    });
+  }
+
+  put(
+    key: string,
+    value: string,
+    options: PutOptions,
+    purpose: StorePurpose,
+  ): Promise<Result<number, StoreError>> {
+    const { ifRev, leaseId } = options;
+    return this.#call(
+      key,
+      true,
+      purpose,
+      () =>
+        this.#transact(
+          ifRev === undefined ? [] : [{ key, rev: ifRev }],
+          [{ type: "put", key, value, leaseId }],
+        ),
+    );
+  }
+
+  transact(
+    writes: readonly Write[],
+    purpose: StorePurpose,
+  ): Promise<Result<number, StoreError>> {
+    const compares = writes.flatMap(({ key, ifRev }) =>
+      ifRev === undefined ? [] : [{ key, rev: ifRev }]
+    );
+    return this.#call(
+      writes[0]?.key ?? "",
+      true,
+      purpose,
+      () => this.#transact(compares, writes),
+    );
+  }
+
+  grant(
+    ttlMs: number,
+    purpose: StorePurpose,
+  ): Promise<Result<string, StoreError>> {
+    return this.#call("", true, purpose, () => ok(this.store.grant(ttlMs)));
+  }
+
+  keepAlive(
+    leaseId: string,
+    purpose: StorePurpose,
+  ): Promise<Result<void, StoreError>> {
+    return this.#call(
+      "",
+      true,
+      purpose,
+      () =>
+        this.store.keepAlive(leaseId)
+          ? ok(undefined)
+          : err(storeError("leaseGone")),
+    );
+  }
+
+  revoke(
+    leaseId: string,
+    purpose: StorePurpose,
+  ): Promise<Result<void, StoreError>> {
+    return this.#call(
+      "",
+      true,
+      purpose,
+      () =>
+        this.store.revoke(leaseId)
+          ? ok(undefined)
+          : err(storeError("leaseGone")),
+    );
+  }
+
+  watch(
+    prefix: string,
+    fromRev: number,
+    onEvent: (event: WatchEvent) => void,
+    purpose: StorePurpose,
+  ): Watch {
+    this.#counts[purpose]++;
+    const watch = new MemoryWatch(onEvent, () => this.#watches.delete(watch));
+    this.#watches.add(watch);
+    if (this.faults.isOut(this.#vmId, prefix)) {
+      watch.lose("the store is out of reach");
+      return watch;
+    }
+    watch.onClose(this.faults.onChange(() => {
+      if (this.faults.isOut(this.#vmId, prefix)) watch.lose("cut off");
+    }));
+    watch.onClose(this.store.watch(
+      prefix,
+      fromRev,
+      (change) => watch.report(change),
+      (message) => watch.lose(message),
+    ));
+    return watch;
+  }
+
+  counts(): Readonly<Record<StorePurpose, number>> {
+    return { ...this.#counts };
+  }
+
+  close(): Promise<void> {
+    for (const watch of [...this.#watches]) watch.close();
+    return Promise.resolve();
+  }
+
+  #transact(
+    compares: Parameters<PlatformStore["transact"]>[0],
+    writes: Parameters<PlatformStore["transact"]>[1],
+  ): Result<number, StoreError> {
+    const result = this.store.transact(compares, writes);
+    switch (result.type) {
+      case "done":
+        return ok(result.rev);
+      case "conflict": {
+        const current = this.store.get(result.key);
+        return err({
+          kind: "conflict",
+          message: `${result.key} has changed`,
+          current: current && asEntry(current),
+        });
+      }
+      default:
+        return err(storeError(result.type));
+    }
+  }
+
+  async #call<T>(
+    key: string,
+    write: boolean,
+    purpose: StorePurpose,
+    run: () => Result<T, StoreError>,
+  ): Promise<Result<T, StoreError>> {
+    this.#counts[purpose]++;
+    const fault = this.faults.take(this.#vmId, key, write);
+    if (fault.slowMs > 0) await this.#clock.sleep(fault.slowMs);
+    // Resolving later than the call, as a socket would, keeps tests from relying on the same turn.
+    else await Promise.resolve();
+    if (fault.outage === "cut") return err(storeError("lost"));
+    if (fault.outage === "refuse") return err(storeError("unavailable"));
+    const result = run();
+    return fault.loseAnswer ? err(storeError("lost")) : result;
+  }
+}
+
+class MemoryWatch implements Watch {
+  readonly #onEvent: (event: WatchEvent) => void;
+  readonly #cleanUps: (() => void)[] = [];
+  #closed = false;
+
+  constructor(onEvent: (event: WatchEvent) => void, onClosed: () => void) {
+    this.#onEvent = onEvent;
+    this.#cleanUps.push(onClosed);
+  }
+  onClose(cleanUp: () => void): void {
+    if (this.#closed) cleanUp();
+    else this.#cleanUps.push(cleanUp);
+  }
+  report(change: StoreChange): void {
+    const event: WatchEvent = change.type === "put"
+      ? { type: "put", entry: asEntry(change.entry) }
+      : change;
+    queueMicrotask(() => {
+      if (!this.#closed) this.#onEvent(event);
+    });
+  }
+  lose(message: string): void {
+    if (this.#closed) return;
+    this.close();
+    queueMicrotask(() => this.#onEvent({ type: "lost", message }));
+  }
+  close(): void {
+    if (this.#closed) return;
+    this.#closed = true;
+    for (const cleanUp of this.#cleanUps) cleanUp();
+  }
+}
+
+function asEntry({ key, value, rev }: StoredEntry): Entry {
+  return { key, value, rev };
+}
+
+function storeError(
+  kind: Exclude<StoreError["kind"], "conflict">,
+): StoreError {
+  return { kind, message: `the store answered: ${kind}` };
+}
--- /dev/null
+++ b/src/standins/platform.ts
@@ -0,0 +1,336 @@
+/**
+ * A small stand-in for the platform: the key-value service, the weight store, the callers' directory and the lagging
+ * VM list, with a fault control. It keeps nothing on disk.
+ *
+ * @module
+ */
+
+import { createServer, type IncomingMessage, type Server } from "node:http";
+import type { AddressInfo } from "node:net";
+import Router from "@koa/router";
+import Koa from "koa";
+import { z } from "zod";
+import { decode } from "../adapters/etcd_codec.ts";
+import type { ListedVm } from "../adapters/platform.ts";
+import {
+  type Fault,
+  Faults,
+  faultSchema,
+  RateLimit,
+} from "./platform_faults.ts";
+import {
+  Gateway,
+  type GatewayAnswer,
+  gatewayError,
+  type WatchRequest,
+} from "./platform_etcd.ts";
+import { PlatformStore, type StoreCopy } from "./platform_store.ts";
+
+/** Settings of the stand-in; every field has a default. */
+export interface PlatformSettings {
+  readonly port?: number;
+  readonly host?: string;
+  readonly writesPerS?: number;
+  /** A waiting watch uses up one read a second. */
+  readonly readsPerS?: number;
+  readonly weightWritesPerS?: number;
+  /** Age of what `GET /vms` answers. */
+  readonly listLagMs?: number;
+}
+
+/** How many calls the stand-in answered. */
+export interface PlatformCounts {
+  reads: number;
+  writes: number;
+  limited: number;
+  watchesOpened: number;
+}
+
+const MAX_BODY_BYTES = 4 * 1024 * 1024;
+
+interface CallKind {
+  readonly key: string;
+  readonly write: boolean;
+}
+
+/** The stand-in's server; see {@link openPlatform}. */
+export class Platform {
+  readonly store = new PlatformStore(() => performance.now());
+  readonly faults = new Faults();
+  readonly counts: PlatformCounts = {
+    reads: 0,
+    writes: 0,
+    limited: 0,
+    watchesOpened: 0,
+  };
+  readonly weights = new Map<string, unknown>();
+  readonly directory = new Map<string, unknown>();
+  readonly #settings: PlatformSettings;
+  readonly #gateway = new Gateway(this.store);
+  readonly #copies = new Map<string, StoreCopy>();
+  readonly #reads: RateLimit;
+  readonly #writes: RateLimit;
+  readonly #weightWrites: RateLimit;
+  readonly #server: Server;
+  readonly #leaseTimer;
+  #vms: readonly ListedVm[] = [];
+
+  constructor(settings: PlatformSettings) {
+    this.#settings = settings;
+    const nowMs = () => performance.now();
+    this.#reads = new RateLimit(settings.readsPerS ?? 2000, nowMs);
+    this.#writes = new RateLimit(settings.writesPerS ?? 400, nowMs);
+    this.#weightWrites = new RateLimit(settings.weightWritesPerS ?? 10, nowMs);
+    const app = new Koa();
+    app.silent = true;
+    app.use(this.#routes().routes());
+    this.#server = createServer(app.callback());
+    this.#leaseTimer = setInterval(() => this.store.expireLeases(), 50);
+  }
+
+  /** Base URL. */
+  get url(): string {
+    const { address, port } = this.#server.address() as AddressInfo;
+    return `http://${address}:${port}`;
+  }
+
+  listen(): Promise<void> {
+    const { port = 0, host = "127.0.0.1" } = this.#settings;
+    return new Promise((resolve, reject) => {
+      this.#server.once("error", reject);
+      this.#server.listen(port, host, resolve);
+    });
+  }
+
+  /** Replaces the VM list; it is shown after the list's lag. */
+  setVms(vms: readonly ListedVm[]): void {
+    const lagMs = this.#settings.listLagMs ?? 0;
+    if (lagMs === 0) this.#vms = vms;
+    else setTimeout(() => void (this.#vms = vms), lagMs).unref();
+  }
+
+  /** Keeps a copy of the key-value store under a name. */
+  save(name: string): void {
+    this.#copies.set(name, this.store.copy());
+  }
+
+  /** Puts a kept copy back; false if there is none of this name. */
+  restore(name: string): boolean {
+    const copy = this.#copies.get(name);
+    if (copy) this.store.restore(copy);
+    return copy !== undefined;
+  }
+
+  close(): Promise<void> {
+    clearInterval(this.#leaseTimer);
+    this.#server.closeAllConnections();
+    return new Promise((resolve) => this.#server.close(() => resolve()));
+  }
+
+  #routes(): Router {
+    const router = new Router();
+    this.#storeRoutes(router);
+    this.#platformRoutes(router);
+    this.#controlRoutes(router);
+    return router;
+  }
+
+  #storeRoutes(router: Router): void {
+    const gateway = this.#gateway;
+    this.#call(router, "/v3/kv/range", gateway.range.bind(gateway), readOf);
+    this.#call(router, "/v3/kv/txn", gateway.txn.bind(gateway), txnOf);
+    this.#call(router, "/v3/lease/grant", gateway.grant.bind(gateway));
+    this.#call(router, "/v3/lease/keepalive", gateway.keepAlive.bind(gateway));
+    this.#call(router, "/v3/lease/revoke", gateway.revoke.bind(gateway));
+    router.post("/v3/watch", async (context) => {
+      const request = await readJson(context.req) as WatchRequest;
+      const vmId = vmIdOf(context.req);
+      const prefix = decode(request.create_request.key);
+      if (this.faults.isOut(vmId, prefix)) return cut(context);
+      if (!this.#allow(false)) return answer(context, tooMany());
+      context.respond = false;
+      this.counts.watchesOpened++;
+      const end = this.#gateway.watch(request, context.res);
+      const endFaults = this.faults.onChange(() => {
+        if (this.faults.isOut(vmId, prefix)) context.res.destroy();
+      });
+      context.res.on("close", () => {
+        end();
+        endFaults();
+      });
+    });
+  }
+
+  #platformRoutes(router: Router): void {
+    router.get("/vms", async (context) => {
+      if (await this.#interfere(context, { key: "", write: false })) return;
+      context.body = { vms: this.#vms };
+    });
+    router.put("/weights/:service/:region", async (context) => {
+      const body = await readJson(context.req);
+      if (await this.#interfere(context, { key: "", write: false })) return;
+      if (!this.#weightWrites.take()) return answer(context, tooMany());
+      const { service, region } = context.params;
+      this.weights.set(`${service}/${region}`, body);
+      context.body = {};
+    });
+    router.put("/directory/:region", async (context) => {
+      const body = await readJson(context.req);
+      if (await this.#interfere(context, { key: "", write: false })) return;
+      this.directory.set(context.params.region, body);
+      context.body = {};
+    });
+    router.get("/directory", (context) => {
+      context.body = Object.fromEntries(this.directory);
+    });
+    router.get("/weights", (context) => {
+      context.body = Object.fromEntries(this.weights);
+    });
+  }
+
+  #controlRoutes(router: Router): void {
+    const faultsBody = z.strictObject({ faults: z.array(faultSchema) });
+    router.post("/faults", async (context) => {
+      const body = faultsBody.safeParse(await readJson(context.req));
+      if (!body.success) return answer(context, badRequest(body.error.message));
+      this.faults.set(body.data.faults);
+      context.body = {};
+    });
+    router.post("/save/:name", (context) => {
+      this.save(context.params.name);
+      context.body = {};
+    });
+    router.post("/restore/:name", (context) => {
+      context.status = this.restore(context.params.name) ? 200 : 404;
+      context.body = {};
+    });
+    router.post("/vms", async (context) => {
+      const { vms } = await readJson(context.req) as { vms: ListedVm[] };
+      this.setVms(vms);
+      context.body = {};
+    });
+    router.get("/counts", (context) => {
+      context.body = { ...this.counts, watches: this.store.watchCount };
+    });
+  }
+
+  #call<T>(
+    router: Router,
+    path: string,
+    run: (request: T) => GatewayAnswer,
+    kindOf: (request: T) => CallKind = () => ({ key: "", write: true }),
+  ): void {
+    router.post(path, async (context) => {
+      const request = await readJson(context.req) as T;
+      const kind = kindOf(request);
+      const fault = this.faults.take(
+        vmIdOf(context.req),
+        kind.key,
+        kind.write,
+      );
+      if (fault.outage === "cut") return cut(context);
+      if (fault.outage === "refuse") return answer(context, noLeader());
+      if (!this.#allow(kind.write)) return answer(context, tooMany());
+      if (fault.slowMs > 0) await sleep(fault.slowMs);
+      const result = run(request);
+      if (fault.loseAnswer) cut(context);
+      else answer(context, result);
+    });
+  }
+
+  /** Applies outage and slowness to a call without an effect on the store; true if it was answered. */
+  async #interfere(context: Koa.Context, kind: CallKind): Promise<boolean> {
+    const fault = this.faults.take(
+      vmIdOf(context.req),
+      kind.key,
+      kind.write,
+    );
+    if (fault.slowMs > 0) await sleep(fault.slowMs);
+    if (fault.outage === "cut") cut(context);
+    else if (fault.outage === "refuse") answer(context, noLeader());
+    return fault.outage !== undefined;
+  }
+
+  #allow(write: boolean): boolean {
+    if (write) this.counts.writes++;
+    else this.counts.reads++;
+    const allowed = write
+      ? this.#writes.take()
+      : this.#reads.take(this.store.watchCount);
+    if (!allowed) this.counts.limited++;
+    return allowed;
+  }
+}
+
+/** Starts a stand-in; port 0 takes a free one. */
+export async function openPlatform(
+  settings: PlatformSettings = {},
+): Promise<Platform> {
+  const platform = new Platform(settings);
+  await platform.listen();
+  return platform;
+}
+
+/** Sets the faults of a stand-in in another process. */
+export async function postFaults(
+  url: string,
+  faults: readonly Fault[],
+): Promise<void> {
+  const response = await fetch(`${url}/faults`, {
+    method: "POST",
+    headers: { "content-type": "application/json" },
+    body: JSON.stringify({ faults }),
+  });
+  if (!response.ok) throw new Error(`POST /faults: ${response.status}`);
+}
+
+function readOf(request: { readonly key: string }): CallKind {
+  return { key: decode(request.key), write: false };
+}
+
+function txnOf(
+  request: {
+    readonly success?: readonly {
+      readonly request_put?: { readonly key: string };
+      readonly request_delete_range?: { readonly key: string };
+    }[];
+  },
+): CallKind {
+  const first = request.success?.[0];
+  const key = first?.request_put?.key ?? first?.request_delete_range?.key;
+  return { key: decode(key), write: true };
+}
+
+function vmIdOf(request: IncomingMessage): string {
+  return /^ibisgapd\/(\S+)/.exec(request.headers["user-agent"] ?? "")?.[1] ??
+    "";
+}
+
+async function readJson(request: IncomingMessage): Promise<unknown> {
+  const chunks: Buffer[] = [];
+  let bytes = 0;
+  for await (const chunk of request) {
+    bytes += (chunk as Buffer).length;
+    if (bytes > MAX_BODY_BYTES) throw new Error("the body is too large");
+    chunks.push(chunk as Buffer);
+  }
+  return JSON.parse(Buffer.concat(chunks).toString("utf8"));
+}
+
+function cut(context: Koa.Context): void {
+  context.respond = false;
+  context.req.socket.destroy();
+}
+
+function answer(context: Koa.Context, { status, body }: GatewayAnswer): void {
+  context.status = status;
+  context.body = body;
+}
+
+const tooMany = () => gatewayError(429, 8, "etcdserver: too many requests");
+const noLeader = () => gatewayError(503, 14, "etcdserver: no leader");
+const badRequest = (message: string) => gatewayError(400, 3, message);
+
+function sleep(delayMs: number): Promise<void> {
+  return new Promise((resolve) => setTimeout(resolve, delayMs));
+}
--- /dev/null
+++ b/src/standins/platform_etcd.ts
@@ -0,0 +1,183 @@
+/**
+ * The subset of etcd v3's HTTP/JSON gateway that the stand-in serves.
+ *
+ * @module
+ */
+
+import type { ServerResponse } from "node:http";
+import { decode, encode } from "../adapters/etcd_codec.ts";
+import type {
+  PlatformStore,
+  StoreChange,
+  StoredEntry,
+} from "./platform_store.ts";
+
+/** An answer: an HTTP status with its JSON body. */
+export interface GatewayAnswer {
+  readonly status: number;
+  readonly body: unknown;
+}
+
+interface RangeRequest {
+  readonly key: string;
+  readonly range_end?: string;
+  readonly limit?: string;
+}
+
+interface TxnRequest {
+  readonly compare?: readonly {
+    readonly key: string;
+    readonly mod_revision: string;
+  }[];
+  readonly success?: readonly {
+    readonly request_put?: {
+      readonly key: string;
+      readonly value: string;
+      readonly lease?: string;
+    };
+    readonly request_delete_range?: { readonly key: string };
+  }[];
+  readonly failure?: readonly { readonly request_range?: RangeRequest }[];
+}
+
+/** The body of `/v3/watch`. */
+export interface WatchRequest {
+  readonly create_request: {
+    readonly key: string;
+    readonly start_revision?: string;
+  };
+}
+
+/** Makes a gateway error with its gRPC code. */
+export function gatewayError(
+  status: number,
+  code: number,
+  message: string,
+): GatewayAnswer {
+  return { status, body: { code, message, error: message } };
+}
+
+/** Most operations in one transaction, as etcd has it. */
+const MAX_TXN_OPERATIONS = 128;
+
+/** Answers the gateway's calls on a store. */
+export class Gateway {
+  readonly #store: PlatformStore;
+
+  constructor(store: PlatformStore) {
+    this.#store = store;
+  }
+
+  range(request: RangeRequest): GatewayAnswer {
+    const key = decode(request.key);
+    const limit = Number(request.limit ?? 0) || Infinity;
+    const end = request.range_end ? decode(request.range_end) : `${key}\0`;
+    const { entries, more } = this.#store.range(key, end, limit);
+    const kvs = entries.map(pairOf);
+    return this.#done({ kvs, more, count: String(kvs.length) });
+  }
+
+  txn(request: TxnRequest): GatewayAnswer {
+    const success = request.success ?? [];
+    if (success.length > MAX_TXN_OPERATIONS) {
+      return gatewayError(400, 3, "etcdserver: too many operations");
+    }
+    const compares = (request.compare ?? []).map((compare) => ({
+      key: decode(compare.key),
+      rev: Number(compare.mod_revision),
+    }));
+    const writes = success.map(({ request_put, request_delete_range }) =>
+      request_put
+        ? {
+          type: "put" as const,
+          key: decode(request_put.key),
+          value: decode(request_put.value),
+          leaseId: leaseOf(request_put.lease),
+        }
+        : { type: "delete" as const, key: decode(request_delete_range!.key) }
+    );
+    const result = this.#store.transact(compares, writes);
+    switch (result.type) {
+      case "done":
+        return this.#done({ succeeded: true });
+      case "conflict":
+        return this.#done({ responses: this.#failure(request) });
+      case "leaseGone":
+        return leaseNotFound();
+      case "tooLarge":
+        return gatewayError(400, 3, "etcdserver: request is too large");
+    }
+  }
+
+  grant(request: { readonly TTL: string }): GatewayAnswer {
+    const ID = this.#store.grant(Number(request.TTL) * 1000);
+    return this.#done({ ID, TTL: request.TTL });
+  }
+
+  keepAlive(request: { readonly ID: string }): GatewayAnswer {
+    const alive = this.#store.keepAlive(request.ID);
+    const result = { ID: request.ID, ...(alive ? { TTL: "1" } : {}) };
+    return { status: 200, body: { result } };
+  }
+
+  revoke(request: { readonly ID: string }): GatewayAnswer {
+    return this.#store.revoke(request.ID) ? this.#done({}) : leaseNotFound();
+  }
+
+  /** Streams changes to `response` as NDJSON until it closes; returns a function that ends the watch. */
+  watch(request: WatchRequest, response: ServerResponse): () => void {
+    const { key, start_revision } = request.create_request;
+    const prefix = decode(key);
+    const send = (result: unknown) =>
+      response.write(`${JSON.stringify({ result })}\n`);
+    const fromRev = Number(start_revision ?? 0) || this.#store.rev + 1;
+    response.writeHead(200, { "content-type": "application/json" });
+    send({ header: this.#header(), created: true });
+    return this.#store.watch(
+      prefix,
+      fromRev,
+      (change) => send({ header: this.#header(), events: [eventOf(change)] }),
+      () => {
+        const compact_revision = String(this.#store.rev);
+        send({ header: this.#header(), canceled: true, compact_revision });
+        response.end();
+      },
+    );
+  }
+
+  #failure(request: TxnRequest): unknown[] {
+    return (request.failure ?? []).map(({ request_range }) => ({
+      response_range: this.range(request_range!).body,
+    }));
+  }
+
+  #header() {
+    return { revision: String(this.#store.rev) };
+  }
+
+  #done(body: Record<string, unknown>): GatewayAnswer {
+    return { status: 200, body: { header: this.#header(), ...body } };
+  }
+}
+
+function leaseNotFound(): GatewayAnswer {
+  return gatewayError(404, 5, "etcdserver: requested lease not found");
+}
+
+function leaseOf(lease: string | undefined): string | undefined {
+  return lease === undefined || lease === "0" ? undefined : lease;
+}
+
+function pairOf(entry: StoredEntry) {
+  return {
+    key: encode(entry.key),
+    value: encode(entry.value),
+    mod_revision: String(entry.rev),
+  };
+}
+
+function eventOf(change: StoreChange) {
+  if (change.type === "put") return { kv: pairOf(change.entry) };
+  const kv = { key: encode(change.key), mod_revision: String(change.rev) };
+  return { type: "DELETE", kv };
+}
--- /dev/null
+++ b/src/standins/platform_store.ts
@@ -0,0 +1,279 @@
+/**
+ * The state of the platform's key-value service: revisions, compare-and-swap transactions, leases and watches. Shared
+ * by the stand-in server and by {@link MemoryKeyValue}, so that both keep the same contract.
+ *
+ * @module
+ */
+
+/** A stored value with its last revision and its lease, if it has one. */
+export interface StoredEntry {
+  readonly key: string;
+  readonly value: string;
+  readonly rev: number;
+  readonly leaseId?: string;
+}
+
+/** Succeeds if the key's revision is `rev`; 0 stands for a missing key. */
+export interface Compare {
+  readonly key: string;
+  readonly rev: number;
+}
+
+/** One write of a transaction. */
+export type StoreWrite =
+  | {
+    readonly type: "put";
+    readonly key: string;
+    readonly value: string;
+    readonly leaseId?: string;
+  }
+  | { readonly type: "delete"; readonly key: string };
+
+/** A change as watches report it. */
+export type StoreChange =
+  | { readonly type: "put"; readonly rev: number; readonly entry: StoredEntry }
+  | { readonly type: "delete"; readonly rev: number; readonly key: string };
+
+/** What a transaction came to. */
+export type TransactionResult =
+  | { readonly type: "done"; readonly rev: number }
+  | { readonly type: "conflict"; readonly key: string }
+  | { readonly type: "leaseGone" }
+  | { readonly type: "tooLarge" };
+
+/** A full copy of the store, for tests that restore an old one. */
+export interface StoreCopy {
+  readonly rev: number;
+  readonly entries: readonly StoredEntry[];
+}
+
+interface Lease {
+  readonly ttlMs: number;
+  expiresAtMs: number;
+}
+
+interface Watcher {
+  readonly prefix: string;
+  readonly onChange: (change: StoreChange) => void;
+  readonly onLost: (message: string) => void;
+}
+
+/** Limits of a {@link PlatformStore}. */
+export interface StoreLimits {
+  /** Largest value, in bytes. */
+  readonly valueBytes: number;
+  /** Changes kept for watches that start in the past. */
+  readonly historyLength: number;
+}
+
+const DEFAULT_LIMITS: StoreLimits = {
+  valueBytes: 1024 * 1024,
+  historyLength: 20_000,
+};
+
+/** The store. Time comes in through `nowMs`, so that a test can move it. */
+export class PlatformStore {
+  readonly limits: StoreLimits;
+  readonly #nowMs: () => number;
+  readonly #watchers = new Set<Watcher>();
+  readonly #leases = new Map<string, Lease>();
+  #entries = new Map<string, StoredEntry>();
+  #sortedKeys: string[] | undefined;
+  #history: StoreChange[] = [];
+  #compactedRev = 0;
+  #rev = 1;
+  #nextLease = 1;
+
+  constructor(nowMs: () => number, limits: Partial<StoreLimits> = {}) {
+    this.#nowMs = nowMs;
+    this.limits = { ...DEFAULT_LIMITS, ...limits };
+  }
+
+  /** The revision of the last change. */
+  get rev(): number {
+    return this.#rev;
+  }
+  /** The number of waiting watches. */
+  get watchCount(): number {
+    return this.#watchers.size;
+  }
+
+  get(key: string): StoredEntry | undefined {
+    this.expireLeases();
+    return this.#entries.get(key);
+  }
+
+  /** Entries with `fromKey` <= key < `endKey`, in key order. */
+  range(
+    fromKey: string,
+    endKey: string,
+    limit: number,
+  ): { readonly entries: StoredEntry[]; readonly more: boolean } {
+    this.expireLeases();
+    const keys = this.#sorted();
+    const entries: StoredEntry[] = [];
+    for (let i = lowerBound(keys, fromKey); i < keys.length; i++) {
+      if (keys[i] >= endKey) break;
+      if (entries.length === limit) return { entries, more: true };
+      entries.push(this.#entries.get(keys[i])!);
+    }
+    return { entries, more: false };
+  }
+
+  /** Applies all writes if every compare holds, under one new revision. */
+  transact(
+    compares: readonly Compare[],
+    writes: readonly StoreWrite[],
+  ): TransactionResult {
+    this.expireLeases();
+    for (const { key, rev } of compares) {
+      if ((this.#entries.get(key)?.rev ?? 0) !== rev) {
+        return { type: "conflict", key };
+      }
+    }
+    for (const write of writes) {
+      if (write.type !== "put") continue;
+      if (Buffer.byteLength(write.value) > this.limits.valueBytes) {
+        return { type: "tooLarge" };
+      }
+      if (write.leaseId && !this.#leases.has(write.leaseId)) {
+        return { type: "leaseGone" };
+      }
+    }
+    this.#rev++;
+    for (const write of writes) this.#write(write);
+    return { type: "done", rev: this.#rev };
+  }
+
+  grant(ttlMs: number): string {
+    const id = String(this.#nextLease++);
+    this.#leases.set(id, { ttlMs, expiresAtMs: this.#nowMs() + ttlMs });
+    return id;
+  }
+
+  /** Renews a lease; false if it has lapsed. */
+  keepAlive(id: string): boolean {
+    this.expireLeases();
+    const lease = this.#leases.get(id);
+    if (lease) lease.expiresAtMs = this.#nowMs() + lease.ttlMs;
+    return lease !== undefined;
+  }
+
+  /** Ends a lease and deletes its keys; false if it has lapsed. */
+  revoke(id: string): boolean {
+    if (!this.#leases.delete(id)) return false;
+    this.#dropKeysOf(id);
+    return true;
+  }
+
+  /** Deletes the keys of leases that have lapsed. */
+  expireLeases(): void {
+    for (const [id, lease] of this.#leases) {
+      if (lease.expiresAtMs > this.#nowMs()) continue;
+      this.#leases.delete(id);
+      this.#dropKeysOf(id);
+    }
+  }
+
+  /** Reports changes under `prefix` from `fromRev` on; returns a function that ends the watch. */
+  watch(
+    prefix: string,
+    fromRev: number,
+    onChange: (change: StoreChange) => void,
+    onLost: (message: string) => void,
+  ): () => void {
+    if (fromRev <= this.#compactedRev) {
+      onLost(`compacted up to ${this.#compactedRev}`);
+      return () => {};
+    }
+    for (const change of this.#history) {
+      if (change.rev >= fromRev && keyOf(change).startsWith(prefix)) {
+        onChange(change);
+      }
+    }
+    const watcher = { prefix, onChange, onLost };
+    this.#watchers.add(watcher);
+    return () => void this.#watchers.delete(watcher);
+  }
+
+  /** Forgets changes up to `rev`; a watch from there on is told `lost`. */
+  compact(rev: number): void {
+    this.#compactedRev = Math.max(this.#compactedRev, rev);
+    this.#history = this.#history.filter((change) => change.rev > rev);
+  }
+
+  copy(): StoreCopy {
+    return { rev: this.#rev, entries: [...this.#entries.values()] };
+  }
+
+  /** Puts an old copy in place, as a restore from a backup does: revisions go back, watches break. */
+  restore(copy: StoreCopy): void {
+    this.#rev = copy.rev;
+    this.#entries = new Map(copy.entries.map((entry) => [entry.key, entry]));
+    this.#sortedKeys = undefined;
+    this.#history = [];
+    this.#compactedRev = copy.rev;
+    for (const watcher of [...this.#watchers]) {
+      this.#watchers.delete(watcher);
+      watcher.onLost("the store was restored");
+    }
+  }
+
+  #write(write: StoreWrite): void {
+    if (write.type === "delete") {
+      if (!this.#entries.delete(write.key)) return;
+      this.#sortedKeys = undefined;
+      this.#record({ type: "delete", rev: this.#rev, key: write.key });
+      return;
+    }
+    const { key, value, leaseId } = write;
+    const entry = { key, value, rev: this.#rev, leaseId };
+    if (!this.#entries.has(key)) this.#insertKey(key);
+    this.#entries.set(key, entry);
+    this.#record({ type: "put", rev: this.#rev, entry });
+  }
+
+  #dropKeysOf(leaseId: string): void {
+    const keys = [...this.#entries.values()]
+      .filter((entry) => entry.leaseId === leaseId)
+      .map((entry) => entry.key);
+    if (keys.length === 0) return;
+    this.#rev++;
+    for (const key of keys) this.#write({ type: "delete", key });
+  }
+
+  #record(change: StoreChange): void {
+    this.#history.push(change);
+    if (this.#history.length > 2 * this.limits.historyLength) {
+      this.compact(this.#history[this.limits.historyLength].rev);
+    }
+    const key = keyOf(change);
+    for (const watcher of this.#watchers) {
+      if (key.startsWith(watcher.prefix)) watcher.onChange(change);
+    }
+  }
+
+  #sorted(): string[] {
+    this.#sortedKeys ??= [...this.#entries.keys()].sort();
+    return this.#sortedKeys;
+  }
+
+  #insertKey(key: string): void {
+    this.#sortedKeys?.splice(lowerBound(this.#sortedKeys, key), 0, key);
+  }
+}
+
+function keyOf(change: StoreChange): string {
+  return change.type === "put" ? change.entry.key : change.key;
+}
+
+function lowerBound(keys: readonly string[], key: string): number {
+  let low = 0;
+  let high = keys.length;
+  while (low < high) {
+    const middle = (low + high) >> 1;
+    if (keys[middle] < key) low = middle + 1;
+    else high = middle;
+  }
+  return low;
+}
