--- a/src/adapters/mod.ts
+++ b/src/adapters/mod.ts
@@ -6,3 +6,5 @@
 
 export * from "./key_value.ts";
 export * from "./transport.ts";
+export * from "./upstream.ts";
+export * from "./http_upstream.ts";
--- /dev/null
+++ b/src/base/describe.ts
@@ -0,0 +1,32 @@
+/**
+ * Nested blocks for `ava`, which has none: the names of the blocks are put before a test's title.
+ *
+ * @module
+ */
+
+import test, { type ExecutionContext } from "ava";
+
+const names: string[] = [];
+
+/** Opens a block; tests declared by {@link it} inside `body` carry its name. */
+export function describe(name: string, body: () => void): void {
+  names.push(name);
+  body();
+  names.pop();
+}
+
+/** Declares a test of the surrounding {@link describe} blocks. */
+export function it(
+  title: string,
+  run: (t: ExecutionContext) => void | Promise<void>,
+): void {
+  test([...names, title].join(" > "), run);
+}
+
+/** Like {@link it}, but run alone, after or before others of the file: for tests that share a process-wide resource. */
+export function itAlone(
+  title: string,
+  run: (t: ExecutionContext) => void | Promise<void>,
+): void {
+  test.serial([...names, title].join(" > "), run);
+}
