--- a/src/daemon/settings.ts
+++ b/src/daemon/settings.ts
@@ -32,6 +32,8 @@
   bodyWaitMs: z.number().int().min(10).max(600_000).default(30_000),
   /** A caller that takes nothing of its answer for this long is dropped. */
   stalledCallerMs: z.number().int().min(10).max(600_000).default(30_000),
+  /** An upstream that sends nothing for this long in the middle of an answer is given up. */
+  upstreamStallMs: z.number().int().min(10).max(600_000).default(15_000),
   /** Open requests at this VM; more are refused at once. */
   openRequests: z.number().int().min(1).max(1_000_000).default(10_000),
   /** Attempts for one request, the first included. */
--- a/src/decisions/slots.ts
+++ b/src/decisions/slots.ts
@@ -21,6 +21,8 @@
   readonly expectedOutputTokens: number;
   /** Upstreams already tried for this request. */
   readonly exclude: readonly string[];
+  /** Set when the caller itself bound the request to its home; the stricter of this and the table holds. */
+  readonly boundByCaller?: boolean;
   /** The region it came from, when another sent it here. */
   readonly sentFrom?: string;
   readonly tableVersion: number;
--- /dev/null
+++ b/src/edge/attempts.ts
@@ -0,0 +1,127 @@
+/**
+ * Attempts of one request: a slot from the pool's lead for each, and its report at the end.
+ *
+ * @module
+ */
+
+import { type Failure, failure } from "../base/mod.ts";
+import type { SlotGrant, SlotReport, SlotRequest } from "../decisions/mod.ts";
+import { err, ok, type Result } from "neverthrow";
+import { type Call, isBound } from "./call.ts";
+import type { EdgeContext } from "./context.ts";
+
+/** What placing a request needs, besides its {@link Call}. */
+export interface Demand {
+  readonly service: string;
+  readonly deadlineMs: number;
+  readonly promptTokens: number;
+  readonly expectedOutputTokens: number;
+  readonly prefixHashes: readonly number[];
+}
+
+/** A granted attempt; it must be ended by {@link Attempt.report} or {@link Attempt.cancel}, once. */
+export class Attempt {
+  readonly grant: SlotGrant;
+  readonly startedAtMs: number;
+  readonly #context: EdgeContext;
+  readonly #service: string;
+  #ended = false;
+
+  constructor(context: EdgeContext, service: string, grant: SlotGrant) {
+    this.#context = context;
+    this.#service = service;
+    this.grant = grant;
+    this.startedAtMs = context.clock.nowMs();
+  }
+
+  /** Frees the slot and tells the lead how the upstream did. */
+  report(
+    outcome: SlotReport["outcome"],
+    seen: { firstTokenAtMs?: number; outputTokens?: number } = {},
+  ): void {
+    if (this.#ended) return;
+    this.#ended = true;
+    const nowMs = this.#context.clock.nowMs();
+    void this.#context.slots.ask("report", {
+      attemptId: this.grant.attemptId,
+      service: this.#service,
+      upstreamId: this.grant.upstreamId,
+      outcome,
+      outputTokens: seen.outputTokens ?? 0,
+      totalMs: nowMs - this.startedAtMs,
+      ...(seen.firstTokenAtMs === undefined
+        ? {}
+        : { firstTokenMs: seen.firstTokenAtMs - this.startedAtMs }),
+    });
+  }
+
+  /** Gives the slot back unused. */
+  cancel(): void {
+    if (this.#ended) return;
+    this.#ended = true;
+    void this.#context.slots.ask("cancel", {
+      attemptId: this.grant.attemptId,
+      service: this.#service,
+    });
+  }
+}
+
+/** Asks for slots for one request, never for an upstream it was already at. */
+export class Attempts {
+  readonly #context: EdgeContext;
+  readonly #call: Call;
+  readonly #demand: Demand;
+  readonly #visited: string[] = [];
+
+  constructor(context: EdgeContext, call: Call, demand: Demand) {
+    this.#context = context;
+    this.#call = call;
+    this.#demand = demand;
+  }
+
+  /** Whether another attempt is allowed: a request that fails everywhere must not go round for ever. */
+  get left(): boolean {
+    return this.#visited.length < this.#context.limits.attempts &&
+      this.#context.clock.nowMs() < this.#demand.deadlineMs;
+  }
+
+  /** Waits for a slot. Fails with the lead's refusal, or `canceled` when the caller has gone. */
+  async next(): Promise<Result<Attempt, Failure>> {
+    const attemptId = this.#context.newAttemptId();
+    const service = this.#demand.service;
+    const giveUp = () =>
+      void this.#context.slots.ask("cancel", { attemptId, service });
+    this.#call.signal.addEventListener("abort", giveUp, { once: true });
+    const answer = await this.#context.slots.ask(
+      "acquire",
+      this.#request(attemptId),
+    );
+    this.#call.signal.removeEventListener("abort", giveUp);
+    if (answer.type === "grant") {
+      const attempt = new Attempt(this.#context, service, answer);
+      this.#visited.push(answer.upstreamId);
+      if (!this.#call.signal.aborted) return ok(attempt);
+      attempt.cancel();
+      return err(failure("canceled", { ran: "no" }));
+    }
+    if (answer.type === "refuse") return err(answer.failure);
+    return err(
+      failure("noUpstream", {
+        message: `no slot here; region ${answer.region} may have one`,
+      }),
+    );
+  }
+
+  #request(attemptId: string): SlotRequest {
+    return {
+      attemptId,
+      ...this.#demand,
+      workspace: this.#call.workspace.id,
+      priority: this.#call.headers.priority,
+      arrivedAtMs: this.#call.arrivedAtMs,
+      exclude: [...this.#visited],
+      boundByCaller: isBound(this.#call.workspace, this.#call.headers),
+      tableVersion: this.#call.table.version,
+    };
+  }
+}
--- /dev/null
+++ b/src/edge/body.ts
@@ -0,0 +1,63 @@
+/**
+ * Reading bodies within limits.
+ *
+ * @module
+ */
+
+import type { IncomingMessage } from "node:http";
+import { err, ok, type Result } from "neverthrow";
+import { type Clock, type Failure, failure } from "../base/mod.ts";
+
+/** Bounds on a caller's body. */
+export interface BodyLimits {
+  readonly bodyBytes: number;
+  readonly bodyWaitMs: number;
+}
+
+/**
+ * The whole body of a caller's request. A caller that sends it drop by drop would hold memory and a connection for
+ * ever; it is cut off when the wait is over.
+ */
+export function readBody(
+  request: IncomingMessage,
+  limits: BodyLimits,
+  clock: Clock,
+): Promise<Result<Buffer, Failure>> {
+  const declared = Number(request.headers["content-length"] ?? 0);
+  if (declared > limits.bodyBytes) return Promise.resolve(tooLarge(limits));
+  return new Promise((resolve) => {
+    const chunks: Buffer[] = [];
+    let size = 0;
+    const timer = clock.after(
+      limits.bodyWaitMs,
+      () => settle(err(failure("bodyTimeout"))),
+    );
+    const settle = (result: Result<Buffer, Failure>) => {
+      timer.close();
+      request.removeAllListeners("data");
+      resolve(result);
+    };
+    request.on("data", (chunk: Buffer) => {
+      size += chunk.length;
+      if (size > limits.bodyBytes) return settle(tooLarge(limits));
+      chunks.push(chunk);
+    });
+    request.once("end", () => settle(ok(Buffer.concat(chunks))));
+    request.once(
+      "close",
+      () => settle(err(failure("canceled", { ran: "no" }))),
+    );
+    request.once(
+      "error",
+      () => settle(err(failure("canceled", { ran: "no" }))),
+    );
+  });
+}
+
+function tooLarge(limits: BodyLimits): Result<never, Failure> {
+  return err(
+    failure("bodyTooLarge", {
+      message: `the body exceeds ${limits.bodyBytes} bytes`,
+    }),
+  );
+}
--- /dev/null
+++ b/src/edge/context.ts
@@ -0,0 +1,46 @@
+/**
+ * What the parts of the callers' edge share.
+ *
+ * @module
+ */
+
+import type { Logger } from "winston";
+import type { UpstreamClient } from "../adapters/mod.ts";
+import type { Clock } from "../base/mod.ts";
+import type { Port } from "../kernel/mod.ts";
+import type {
+  ClaimsMessages,
+  MembersMessages,
+  MetricsMessages,
+  SlotsMessages,
+  TableMessages,
+} from "../services/mod.ts";
+import type { Place } from "./answer.ts";
+
+/** Limits of the edge; the daemon's settings have the same fields. */
+export interface EdgeLimits {
+  readonly bodyBytes: number;
+  readonly headerBytes: number;
+  readonly bodyWaitMs: number;
+  readonly stalledCallerMs: number;
+  readonly upstreamStallMs: number;
+  readonly openRequests: number;
+  readonly attempts: number;
+  readonly drainMs: number;
+}
+
+/** The services, clients and limits that a request needs. */
+export interface EdgeContext {
+  readonly place: Place;
+  readonly limits: EdgeLimits;
+  readonly clock: Clock;
+  readonly log: Logger;
+  readonly upstreams: UpstreamClient;
+  readonly table: Port<TableMessages>;
+  readonly members: Port<MembersMessages>;
+  readonly slots: Port<SlotsMessages>;
+  readonly claims: Port<ClaimsMessages>;
+  readonly metrics: Port<MetricsMessages>;
+  /** A new id for an attempt, unlike any other's. */
+  newAttemptId(): string;
+}
--- /dev/null
+++ b/src/edge/prompt.ts
@@ -0,0 +1,116 @@
+/**
+ * What a model call asks for, as far as placing it needs.
+ *
+ * @module
+ */
+
+import { err, ok, type Result } from "neverthrow";
+import { z } from "zod";
+import { type Failure, failure, hash32 } from "../base/mod.ts";
+
+/** Characters of one prefix block. Engines cache blocks of about 16 tokens; a coarser block keeps the list short. */
+const BLOCK_CHARS = 512;
+/** Most blocks hashed: beyond this a longer shared prefix changes no placement. */
+const MOST_BLOCKS = 64;
+/** Characters a token stands for, on average, in the users' languages. */
+const CHARS_PER_TOKEN = 4;
+/** Expected output of a call that sets no limit. */
+const DEFAULT_OUTPUT_TOKENS = 256;
+
+const content = z.union([
+  z.string(),
+  z.null(),
+  z.array(z.looseObject({ type: z.string() })),
+]);
+const chatBody = z.looseObject({
+  model: z.string().min(1),
+  messages: z.array(
+    z.looseObject({ role: z.string(), content: content.optional() }),
+  ).min(1),
+  stream: z.boolean().nullish(),
+  max_tokens: z.number().int().min(1).nullish(),
+  max_completion_tokens: z.number().int().min(1).nullish(),
+});
+const completionBody = z.looseObject({
+  model: z.string().min(1),
+  prompt: z.union([
+    z.string(),
+    z.array(z.union([z.string(), z.number(), z.array(z.number())])),
+  ]),
+  stream: z.boolean().nullish(),
+  max_tokens: z.number().int().min(1).nullish(),
+});
+
+/** Which of the two model paths was called. */
+export type ModelPath = "/v1/chat/completions" | "/v1/completions";
+
+/** A checked model call. */
+export interface ModelRequest {
+  readonly model: string;
+  readonly stream: boolean;
+  readonly promptTokens: number;
+  readonly expectedOutputTokens: number;
+  readonly prefixHashes: readonly number[];
+}
+
+/** Checks the body of a model call. */
+export function readModelRequest(
+  path: ModelPath,
+  body: Uint8Array,
+): Result<ModelRequest, Failure> {
+  let value: unknown;
+  try {
+    value = JSON.parse(Buffer.from(body).toString("utf8"));
+  } catch {
+    return err(failure("badRequest", { message: "the body is not JSON" }));
+  }
+  const parsed = path === "/v1/chat/completions"
+    ? chatBody.safeParse(value)
+    : completionBody.safeParse(value);
+  if (!parsed.success) {
+    const issue = parsed.error.issues[0];
+    return err(
+      failure("badRequest", {
+        message: `${issue.path.join(".") || "body"}: ${issue.message}`,
+      }),
+    );
+  }
+  const text = promptText(parsed.data);
+  const asked = (parsed.data.max_completion_tokens as number | undefined) ??
+    parsed.data.max_tokens;
+  return ok({
+    model: parsed.data.model,
+    stream: parsed.data.stream === true,
+    promptTokens: Math.max(1, Math.ceil(text.length / CHARS_PER_TOKEN)),
+    expectedOutputTokens: asked ?? DEFAULT_OUTPUT_TOKENS,
+    prefixHashes: prefixHashes(text),
+  });
+}
+
+function promptText(
+  data: z.infer<typeof chatBody> | z.infer<typeof completionBody>,
+): string {
+  if ("messages" in data && Array.isArray(data.messages)) {
+    const messages = data.messages as z.infer<typeof chatBody>["messages"];
+    return messages.map((m) => `${m.role}\n${asText(m.content)}`).join("\n");
+  }
+  return asText((data as z.infer<typeof completionBody>).prompt);
+}
+
+function asText(value: unknown): string {
+  return typeof value === "string" ? value : JSON.stringify(value ?? "");
+}
+
+/** Hashes of the leading blocks, each over all text before it, so that equal hashes mean equal prefixes. */
+export function prefixHashes(text: string): number[] {
+  const hashes: number[] = [];
+  let previous = 0;
+  const blocks = Math.min(MOST_BLOCKS, Math.floor(text.length / BLOCK_CHARS));
+  for (let i = 0; i < blocks; i++) {
+    previous = hash32(
+      `${previous}:${text.slice(i * BLOCK_CHARS, (i + 1) * BLOCK_CHARS)}`,
+    );
+    hashes.push(previous);
+  }
+  return hashes;
+}
--- /dev/null
+++ b/src/edge/relay.ts
@@ -0,0 +1,138 @@
+/**
+ * Carries an engine's stream of events to the caller, with back-pressure from end to end.
+ *
+ * @module
+ */
+
+import type { ServerResponse } from "node:http";
+import type { Readable } from "node:stream";
+import { createParser } from "eventsource-parser";
+import type { Clock } from "../base/mod.ts";
+import type { StreamCheck, StreamEvent } from "./stream_check.ts";
+
+/** How the carrying of one attempt's stream ended. `broken` is the upstream's doing, `gone` the caller's. */
+export type RelayEnd =
+  | { readonly type: "whole" }
+  | { readonly type: "broken"; readonly reason: string }
+  | { readonly type: "gone" };
+
+/** What a relay needs to know besides the streams. */
+export interface RelayOptions {
+  readonly clock: Clock;
+  readonly check: StreamCheck;
+  readonly upstreamStallMs: number;
+  readonly stalledCallerMs: number;
+  /** Called before the first event is written, and for each one. */
+  onEvent(atMs: number): void;
+}
+
+/** Reads `body` to its end or first fault and writes what passes the check to the caller. */
+export async function relay(
+  body: Readable,
+  response: ServerResponse,
+  options: RelayOptions,
+): Promise<RelayEnd> {
+  const events: StreamEvent[] = [];
+  const parser = createParser({
+    onEvent: (event) => events.push({ id: event.id, data: event.data }),
+  });
+  const decoder = new TextDecoder();
+  const stall = watchStall(body, options);
+  try {
+    for await (const chunk of body) {
+      parser.feed(decoder.decode(chunk as Uint8Array, { stream: true }));
+      stall.restart();
+      const end = await passOn(events.splice(0), response, options);
+      if (end) return end;
+      // While the caller is slow this loop does not read, so the engine's connection fills and the engine waits too.
+      stall.restart();
+    }
+  } catch (error) {
+    if (response.destroyed) return { type: "gone" };
+    return {
+      type: "broken",
+      reason: stall.fired ? "the engine stalled" : (error as Error).message,
+    };
+  } finally {
+    stall.close();
+    body.destroy();
+  }
+  // An engine that dies may close its connection in good order; only its own end mark says that the answer is whole.
+  return response.destroyed
+    ? { type: "gone" }
+    : { type: "broken", reason: "the stream ended before its end mark" };
+}
+
+async function passOn(
+  events: readonly StreamEvent[],
+  response: ServerResponse,
+  options: RelayOptions,
+): Promise<RelayEnd | undefined> {
+  let text = "";
+  let end: RelayEnd | undefined;
+  for (const event of events) {
+    const verdict = options.check.next(event);
+    if (verdict.type === "skip") continue;
+    if (verdict.type === "broken") {
+      end = verdict;
+      break;
+    }
+    options.onEvent(options.clock.nowMs());
+    text += `data: ${event.data}\n\n`;
+    if (verdict.type === "end") {
+      end = { type: "whole" };
+      break;
+    }
+  }
+  if (text && !await write(response, text, options)) return { type: "gone" };
+  return end;
+}
+
+/** Writes and waits until the caller's connection takes more; false when the caller is gone or takes nothing. */
+function write(
+  response: ServerResponse,
+  text: string,
+  options: RelayOptions,
+): Promise<boolean> {
+  if (response.destroyed) return Promise.resolve(false);
+  if (response.write(text)) return Promise.resolve(true);
+  return new Promise((resolve) => {
+    const timer = options.clock.after(
+      options.stalledCallerMs,
+      () => done(false),
+    );
+    const done = (alive: boolean) => {
+      timer.close();
+      response.off("drain", onDrain);
+      response.off("close", onClose);
+      if (!alive) response.destroy();
+      resolve(alive);
+    };
+    const onDrain = () => done(true);
+    const onClose = () => done(false);
+    response.once("drain", onDrain);
+    response.once("close", onClose);
+  });
+}
+
+/** Destroys the body when the upstream sends nothing for too long; checked coarsely, to cost no timer per event. */
+function watchStall(body: Readable, options: RelayOptions) {
+  let lastMs = options.clock.monoMs();
+  const watch = {
+    fired: false,
+    restart: () => void (lastMs = options.clock.monoMs()),
+    close: () => timer.close(),
+  };
+  const timer = options.clock.every(
+    Math.max(5, options.upstreamStallMs / 4),
+    () => {
+      if (
+        body.isPaused() ||
+        options.clock.monoMs() - lastMs < options.upstreamStallMs
+      ) return;
+      watch.fired = true;
+      body.destroy(new Error("stalled"));
+    },
+  );
+  return watch;
+}
--- /dev/null
+++ b/src/edge/seen.ts
@@ -0,0 +1,91 @@
+/**
+ * What was seen of one request, for the lead's learning and for the metrics.
+ *
+ * @module
+ */
+
+import type { UpstreamRow } from "../agreement/mod.ts";
+import { codes, type Failure } from "../base/mod.ts";
+import { setPlace } from "./answer.ts";
+import type { Attempt } from "./attempts.ts";
+import type { Call } from "./call.ts";
+import type { EdgeContext } from "./context.ts";
+
+/** Gaps kept of one answer: enough for its percentiles, bounded for long answers. */
+const MOST_GAPS = 512;
+
+/** The record of one request. */
+export class Seen {
+  service = "";
+  outputTokens = 0;
+  firstTokenAtMs?: number;
+  readonly #context: EdgeContext;
+  readonly #call: Call;
+  readonly #gapsMs: number[] = [];
+  #lastAtMs = 0;
+  #queuedMs?: number;
+  #region: string;
+
+  constructor(context: EdgeContext, call: Call) {
+    this.#context = context;
+    this.#call = call;
+    this.#region = context.place.region;
+  }
+
+  /** Whether anything of an answer was passed on to the caller. */
+  get begun(): boolean {
+    return this.firstTokenAtMs !== undefined;
+  }
+
+  /** A slot was granted. */
+  granted(attempt: Attempt): void {
+    this.#queuedMs = attempt.grant.queuedMs;
+  }
+
+  /** The row of the attempt's upstream, in the version this request is decided on. */
+  upstreamRow(attempt: Attempt): UpstreamRow | undefined {
+    return this.#call.table.get(`upstream/${attempt.grant.upstreamId}`)?.row as
+      | UpstreamRow
+      | undefined;
+  }
+
+  /** Marks the answer with the region of the upstream that gives it. */
+  setServed(attempt: Attempt): void {
+    this.#region = this.upstreamRow(attempt)?.region ?? this.#region;
+    setPlace(this.#call.response, {
+      ...this.#context.place,
+      region: this.#region,
+    });
+  }
+
+  /** One event, or the whole answer, passes on. */
+  event(atMs: number): void {
+    if (this.firstTokenAtMs === undefined) this.firstTokenAtMs = atMs;
+    else if (this.#gapsMs.length < MOST_GAPS) {
+      this.#gapsMs.push(atMs - this.#lastAtMs);
+    }
+    this.#lastAtMs = atMs;
+    this.outputTokens++;
+  }
+
+  /** The request ended with a failure that the caller was told. */
+  fail(failed: Failure): void {
+    this.finish(codes[failed.code].code);
+  }
+
+  /** The request ended; `code` is 0 for success. */
+  finish(code: number): void {
+    void this.#context.metrics.ask("request", {
+      service: this.service || "none",
+      region: this.#region,
+      code,
+      outputTokens: this.outputTokens,
+      gapsMs: this.#gapsMs,
+      servedElsewhere: this.#region !== this.#context.place.region,
+      ...(this.#queuedMs === undefined ? {} : { queuedMs: this.#queuedMs }),
+      ...(this.firstTokenAtMs === undefined
+        ? {}
+        : { firstTokenMs: this.firstTokenAtMs - this.#call.arrivedAtMs }),
+    });
+  }
+}
--- a/src/services/mod.ts
+++ b/src/services/mod.ts
@@ -5,3 +5,4 @@
  */
 
 export * from "./messages.ts";
+export * from "./metrics.ts";
