Stand-in engine and plain service, with faults, records and orders

Change: src/standins: openEngine (OpenAI protocol as vLLM's, SSE, metrics, priorities, prefix cache, cancel by closing), openPlain, faults by code and by POST /faults on url or controlUrl, GET /records; upstreams_main as a process of its own. Extensions to vLLM's protocol: x-resume-from answered by x-resumed-from; refusals before running carry 'x-ran: no'; POST /orders with x-fencing-token.

--- /dev/null
+++ b/src/standins/engine.ts
@@ -0,0 +1,313 @@
+/**
+ * A stand-in model engine: the OpenAI-compatible protocol as vLLM publishes it, on a timing model, with faults and a
+ * record of what ran.
+ *
+ * Beyond vLLM's protocol, as the brief says the platform's engines do:
+ * - `x-resume-from: N` on a request (same body) continues its answer after token N, if the engine `resumes`; the answer
+ *   then carries `x-resumed-from: N`. An engine that does not resume answers from the start, without that header.
+ * - a refusal before running carries `x-ran: no`.
+ * - `POST /orders` with `x-fencing-token` takes `{"want": "active" | "parked"}` or `{"load": MODEL}`.
+ *
+ * @module
+ */
+
+import type { ServerResponse } from "node:http";
+import Router from "@koa/router";
+import Koa, { type Context } from "koa";
+import { FEWEST_TOKENS, nonceOf } from "./answer.ts";
+import { Batch, type BatchEvent, type BatchTiming } from "./batch.ts";
+import {
+  type AnswerRequest,
+  AnswerWriter,
+  type OtherRequest,
+} from "./engine_answer.ts";
+import { type EngineFault, engineFault, Faults } from "./faults.ts";
+import {
+  controlRoutes,
+  header,
+  listen,
+  listenControl,
+  type Listener,
+  type ListenOptions,
+  readJson,
+  refuse,
+} from "./http.ts";
+import { engineOrder, FENCING_HEADER, Orders } from "./orders.ts";
+import { type RunRecord, RunRecords } from "./records.ts";
+
+/** How the engine is and what it can do. */
+export interface EngineOptions extends ListenOptions, Partial<BatchTiming> {
+  readonly model?: string;
+  /** Whether it continues a broken stream. */
+  readonly resumes?: boolean;
+  /** Whether it refuses an order with an old fencing number. */
+  readonly checksFence?: boolean;
+  /** How old its reported load may be. */
+  readonly loadLagMs?: number;
+  /** How often the batch moves on. */
+  readonly stepMs?: number;
+}
+
+const defaultTiming: BatchTiming = {
+  slots: 16,
+  prefillTokensPerS: 8000,
+  decodeTokensPerS: 1500,
+  streamTokensPerS: 100,
+  cacheTokens: 200_000,
+};
+
+const DEFAULT_STEP_MS = 5;
+const DEFAULT_OUTPUT_TOKENS = 16;
+
+interface Job {
+  readonly record: RunRecord;
+  readonly writer: AnswerWriter;
+  readonly count: number;
+}
+
+interface Load {
+  readonly running: number;
+  readonly waiting: number;
+  readonly cacheUsage: number;
+}
+
+/** A running stand-in engine; see {@link openEngine}. */
+export class Engine {
+  readonly faults: Faults<EngineFault>;
+  readonly orders: Orders;
+  readonly #options: EngineOptions;
+  readonly #batch: Batch;
+  readonly #records = new RunRecords();
+  readonly #jobs = new Map<number, Job>();
+  readonly #reporter: NodeJS.Timeout | undefined;
+  #listener!: Listener;
+  #control!: Listener;
+  #timer: NodeJS.Timeout | undefined;
+  #reported: Load = { running: 0, waiting: 0, cacheUsage: 0 };
+  #last: OtherRequest = { requestId: "other", nonce: "other" };
+
+  /** Use {@link openEngine}. */
+  constructor(options: EngineOptions) {
+    this.#options = options;
+    this.#batch = new Batch({ ...defaultTiming, ...options });
+    this.orders = new Orders(this.model, options.checksFence ?? false);
+    this.faults = new Faults(
+      (input) => engineFault.parse(input),
+      () => this.#listener.setDead(this.faults.peek("dead") !== undefined),
+    );
+    if (options.loadLagMs) {
+      this.#reporter = setInterval(() => this.#report(), options.loadLagMs);
+    }
+  }
+
+  /** Base URL for the gateway. */
+  get url(): string {
+    return this.#listener.url;
+  }
+  /** Base URL of the control routes, which answer even while the engine is dead. */
+  get controlUrl(): string {
+    return this.#control.url;
+  }
+  /** The model it was started with. */
+  get model(): string {
+    return this.#options.model ?? "standin";
+  }
+
+  /** What arrived and ran. */
+  records(): readonly RunRecord[] {
+    return this.#records.list();
+  }
+
+  /** Listens. */
+  async open(): Promise<void> {
+    const control = controlRoutes(this.faults, this.#records);
+    const app = new Koa();
+    app.use(this.#routes().routes());
+    app.use(control.routes());
+    this.#listener = await listen(app, this.#options);
+    this.#control = await listenControl(control, this.#options);
+  }
+
+  /** Closes all connections, those with answers too. */
+  async close(): Promise<void> {
+    clearInterval(this.#reporter);
+    clearInterval(this.#timer);
+    await this.#listener.close();
+    await this.#control.close();
+  }
+
+  #routes(): Router {
+    const router = new Router();
+    router.post("/v1/chat/completions", (ctx) => this.#answer(ctx, "chat"));
+    router.post("/v1/completions", (ctx) => this.#answer(ctx, "completion"));
+    router.post("/orders", (ctx) => this.#order(ctx));
+    router.get("/orders", (ctx) => void (ctx.body = this.orders.log));
+    router.get("/health", (ctx) => void (ctx.body = ""));
+    router.get("/metrics", (ctx) => void (ctx.body = this.#metrics()));
+    router.get("/v1/models", (ctx) => {
+      const data = this.orders.models.map((id) => ({ id, object: "model" }));
+      ctx.body = { object: "list", data };
+    });
+    return router;
+  }
+
+  async #order(ctx: Context): Promise<void> {
+    const order = engineOrder.safeParse(await readJson(ctx.req));
+    const fence = Number(header(ctx, FENCING_HEADER) ?? 0);
+    if (!order.success) return refuse(ctx, 400, order.error.message);
+    if (!this.orders.give(order.data, fence)) {
+      return refuse(ctx, 409, "the fencing number is old");
+    }
+    ctx.body = { models: this.orders.models, active: this.orders.active };
+  }
+
+  async #answer(ctx: Context, kind: "chat" | "completion"): Promise<void> {
+    const body = await readJson(ctx.req);
+    const request = this.#parse(ctx, kind, body);
+    if (!request) return refuse(ctx, 400, "the body is not a valid request");
+    const faults = this.faults.take();
+    const record = this.#records.add({
+      method: ctx.method,
+      path: ctx.path,
+      requestId: request.requestId,
+      idempotencyKey: header(ctx, "idempotency-key"),
+      nonce: request.nonce,
+    });
+    if (request.resumeFrom > 0) record.resumedFrom = request.resumeFrom;
+    if (!this.orders.active || faults.get("refuse")) {
+      record.refused = true;
+      ctx.set("x-ran", "no");
+      ctx.set("x-request-id", request.requestId);
+      return refuse(ctx, 503, "the engine takes no requests now");
+    }
+    ctx.respond = false;
+    const writer = new AnswerWriter(request, ctx.res, faults, this.#last);
+    this.#last = request;
+    const priority = Number((body as { priority?: unknown }).priority ?? 0);
+    const job = { record, writer, count: request.count - request.resumeFrom };
+    const start = () => this.#start(job, request.prompt, priority, ctx.res);
+    const cancels = faults.get("late") === undefined;
+    ctx.res.on("close", () => this.#closed(record, ctx.res, cancels));
+    setTimeout(start, faults.get("delay")?.delayMs ?? 0);
+  }
+
+  #start(job: Job, prompt: string, priority: number, res: ServerResponse) {
+    if (res.destroyed) return;
+    const id = job.record.run;
+    this.#jobs.set(id, job);
+    this.#batch.submit(
+      { id, priority, prompt, outputTokens: job.count },
+      performance.now(),
+    );
+    this.#step();
+    this.#timer ??= setInterval(
+      () => this.#step(),
+      this.#options.stepMs ?? DEFAULT_STEP_MS,
+    );
+  }
+
+  #closed(record: RunRecord, res: ServerResponse, cancels: boolean): void {
+    if (res.writableFinished) return;
+    record.canceledAtMs = Date.now();
+    if (!cancels) return;
+    this.#batch.cancel(record.run);
+    this.#jobs.delete(record.run);
+  }
+
+  #step(): void {
+    const speed = 1 / (this.faults.peek("slow")?.factor ?? 1);
+    for (const event of this.#batch.step(performance.now(), speed)) {
+      this.#take(event);
+    }
+    if (this.#batch.running + this.#batch.waiting > 0) return;
+    clearInterval(this.#timer);
+    this.#timer = undefined;
+  }
+
+  #take(event: BatchEvent): void {
+    const job = this.#jobs.get(event.id);
+    if (!job) return;
+    if (event.type === "started") {
+      job.record.startedAtMs = Date.now();
+      job.record.warmTokens = event.warm;
+      return job.writer.setWarm(event.warm);
+    }
+    job.record.tokens += event.tokens;
+    if (job.record.tokens >= job.count) {
+      job.record.finishedAtMs = Date.now();
+      this.#jobs.delete(event.id);
+    }
+    job.writer.push(event.tokens);
+  }
+
+  #parse(
+    ctx: Context,
+    kind: "chat" | "completion",
+    input: unknown,
+  ): AnswerRequest | undefined {
+    if (typeof input !== "object" || input === null) return undefined;
+    const body = input as Record<string, unknown>;
+    const prompt = kind === "chat" ? chatPrompt(body.messages) : body.prompt;
+    if (typeof prompt !== "string") return undefined;
+    const asked = Number(
+      body.max_completion_tokens ?? body.max_tokens ?? DEFAULT_OUTPUT_TOKENS,
+    );
+    const count = Math.max(FEWEST_TOKENS, Math.floor(asked) || FEWEST_TOKENS);
+    const resume = Number(header(ctx, "x-resume-from") ?? 0);
+    const usage = body.stream_options as Record<string, unknown> | undefined;
+    return {
+      kind,
+      stream: body.stream === true,
+      includeUsage: usage?.include_usage === true,
+      continuousUsage: usage?.continuous_usage_stats === true,
+      requestId: header(ctx, "x-request-id") ?? `run-${Date.now()}`,
+      model: String(body.model ?? this.model),
+      prompt,
+      nonce: nonceOf(prompt),
+      count,
+      resumeFrom: this.#options.resumes && resume > 0 && resume < count
+        ? Math.floor(resume)
+        : 0,
+    };
+  }
+
+  #report(): void {
+    this.#reported = {
+      running: this.#batch.running,
+      waiting: this.#batch.waiting,
+      cacheUsage: this.#batch.cacheUsage,
+    };
+  }
+
+  #metrics(): string {
+    if (!this.#options.loadLagMs) this.#report();
+    const load = { ...this.#reported, ...this.faults.peek("lyingLoad") };
+    const labels = `{model_name="${this.model}"}`;
+    return [
+      "# TYPE vllm:num_requests_running gauge",
+      `vllm:num_requests_running${labels} ${load.running}`,
+      "# TYPE vllm:num_requests_waiting gauge",
+      `vllm:num_requests_waiting${labels} ${load.waiting}`,
+      "# TYPE vllm:kv_cache_usage_perc gauge",
+      `vllm:kv_cache_usage_perc${labels} ${load.cacheUsage}`,
+      "",
+    ].join("\n");
+  }
+}
+
+/** The text of chat messages, one a line; their parts of type `text` count. */
+function chatPrompt(messages: unknown): string | undefined {
+  if (!Array.isArray(messages)) return undefined;
+  return messages.map((message) => {
+    const content = message?.content;
+    if (!Array.isArray(content)) return String(content ?? "");
+    return content.map((part) => String(part?.text ?? "")).join("");
+  }).join("\n");
+}
+
+/** Opens a stand-in engine. */
+export async function openEngine(options: EngineOptions = {}): Promise<Engine> {
+  const engine = new Engine(options);
+  await engine.open();
+  return engine;
+}
--- /dev/null
+++ b/src/standins/mod.ts
@@ -0,0 +1,13 @@
+/**
+ * Stand-ins for what stands around the gateway, for tests, benchmarks and the embedded default.
+ *
+ * @module
+ */
+
+export * from "./answer.ts";
+export * from "./batch.ts";
+export * from "./engine.ts";
+export * from "./faults.ts";
+export * from "./orders.ts";
+export * from "./plain.ts";
+export * from "./records.ts";
--- /dev/null
+++ b/src/standins/plain.ts
@@ -0,0 +1,134 @@
+/**
+ * A stand-in plain service (a photo portal, a departure log): takes any path, method and body, and records each run.
+ *
+ * It answers `{"service", "run", "method", "path", "idempotencyKey", "bodyDigest", "bytes"}`; a caller compares the
+ * digest with that of what it sent.
+ *
+ * @module
+ */
+
+import Koa, { type Context } from "koa";
+import { secretDigest } from "../base/mod.ts";
+import { Faults, type PlainFault, plainFault } from "./faults.ts";
+import {
+  controlRoutes,
+  header,
+  listen,
+  listenControl,
+  type Listener,
+  type ListenOptions,
+  readBody,
+  refuse,
+} from "./http.ts";
+import { type RunRecord, RunRecords } from "./records.ts";
+
+/** How the service is. */
+export interface PlainOptions extends ListenOptions {
+  readonly name?: string;
+  /** How long a run takes. */
+  readonly runMs?: number;
+}
+
+const DEFAULT_RUN_MS = 5;
+
+/** A running stand-in service; see {@link openPlain}. */
+export class PlainService {
+  readonly faults: Faults<PlainFault>;
+  readonly #options: PlainOptions;
+  readonly #records = new RunRecords();
+  #listener!: Listener;
+  #control!: Listener;
+
+  /** Use {@link openPlain}. */
+  constructor(options: PlainOptions) {
+    this.#options = options;
+    this.faults = new Faults(
+      (input) => plainFault.parse(input),
+      () => this.#listener.setDead(this.faults.peek("dead") !== undefined),
+    );
+  }
+
+  /** Base URL for the gateway. */
+  get url(): string {
+    return this.#listener.url;
+  }
+  /** Base URL of the control routes, which answer even while the service is dead. */
+  get controlUrl(): string {
+    return this.#control.url;
+  }
+
+  /** What arrived and ran. */
+  records(): readonly RunRecord[] {
+    return this.#records.list();
+  }
+
+  /** Listens. */
+  async open(): Promise<void> {
+    const control = controlRoutes(this.faults, this.#records);
+    const app = new Koa();
+    app.use(control.routes());
+    app.use((ctx) => this.#serve(ctx));
+    this.#listener = await listen(app, this.#options);
+    this.#control = await listenControl(control, this.#options);
+  }
+
+  /** Closes all connections. */
+  async close(): Promise<void> {
+    await this.#listener.close();
+    await this.#control.close();
+  }
+
+  async #serve(ctx: Context): Promise<void> {
+    const body = await readBody(ctx.req);
+    const faults = this.faults.take();
+    const bodyDigest = secretDigest(body.toString("latin1"));
+    const record = this.#records.add({
+      method: ctx.method,
+      path: ctx.path,
+      requestId: header(ctx, "x-request-id") ?? "",
+      idempotencyKey: header(ctx, "idempotency-key"),
+      nonce: bodyDigest,
+    });
+    ctx.set("x-request-id", record.requestId);
+    if (faults.get("cutBeforeRun")) return reset(ctx);
+    if (faults.get("refuse")) {
+      record.refused = true;
+      ctx.set("x-ran", "no");
+      return refuse(ctx, 503, "the service takes no requests now");
+    }
+    await sleep(faults.get("delay")?.delayMs ?? 0);
+    record.startedAtMs = Date.now();
+    const factor = this.faults.peek("slow")?.factor ?? 1;
+    await sleep((this.#options.runMs ?? DEFAULT_RUN_MS) * factor);
+    record.finishedAtMs = Date.now();
+    if (faults.get("cutAfterRun")) return reset(ctx);
+    if (faults.get("failAfterRun")) return refuse(ctx, 500, "failed after run");
+    ctx.body = {
+      service: this.#options.name ?? "plain",
+      run: record.run,
+      method: record.method,
+      path: record.path,
+      idempotencyKey: record.idempotencyKey,
+      bodyDigest,
+      bytes: body.length,
+    };
+  }
+}
+
+function reset(ctx: Context): void {
+  ctx.respond = false;
+  ctx.req.socket.resetAndDestroy();
+}
+
+function sleep(waitMs: number): Promise<void> {
+  return new Promise((resolve) => setTimeout(resolve, waitMs));
+}
+
+/** Opens a stand-in plain service. */
+export async function openPlain(
+  options: PlainOptions = {},
+): Promise<PlainService> {
+  const service = new PlainService(options);
+  await service.open();
+  return service;
+}
--- /dev/null
+++ b/src/standins/upstreams_main.ts
@@ -0,0 +1,68 @@
+/**
+ * Stand-in upstreams as a process of their own: prints one JSON line `{"type", "id", "url", "controlUrl"}` for each,
+ * then serves until it is told to stop.
+ *
+ * @module
+ */
+
+import { defineCommand, runMain } from "citty";
+import { openEngine } from "./engine.ts";
+import { openPlain } from "./plain.ts";
+
+const command = defineCommand({
+  meta: { name: "upstreams", description: "Runs stand-in upstreams" },
+  args: {
+    engines: { type: "string", default: "1", description: "How many engines" },
+    plains: { type: "string", default: "0", description: "How many services" },
+    "port-base": {
+      type: "string",
+      default: "0",
+      description: "First port, the others follow; 0 lets the system choose",
+    },
+    options: {
+      type: "string",
+      default: "{}",
+      description: "Options of every engine, as JSON",
+    },
+    "plain-options": {
+      type: "string",
+      default: "{}",
+      description: "Options of every plain service, as JSON",
+    },
+  },
+  async run({ args }) {
+    let port = Number(args["port-base"]);
+    const nextPort = () => port === 0 ? 0 : port++;
+    const opened: Announced[] = [];
+    for (let i = 0; i < Number(args.engines); i++) {
+      const options = { ...JSON.parse(args.options), port: nextPort() };
+      opened.push(announce(`e${i}`, "engine", await openEngine(options)));
+    }
+    for (let i = 0; i < Number(args.plains); i++) {
+      const options = {
+        ...JSON.parse(args["plain-options"]),
+        port: nextPort(),
+      };
+      opened.push(announce(`p${i}`, "plain", await openPlain(options)));
+    }
+    const stop = () => {
+      void Promise.all(opened.map((upstream) => upstream.close()));
+    };
+    process.once("SIGTERM", stop);
+    process.once("SIGINT", stop);
+  },
+});
+
+interface Announced {
+  readonly url: string;
+  readonly controlUrl: string;
+  close(): Promise<void>;
+}
+
+function announce(id: string, type: string, upstream: Announced): Announced {
+  const { url, controlUrl } = upstream;
+  console.log(JSON.stringify({ type, id, url, controlUrl }));
+  return upstream;
+}
+
+await runMain(command);
