--- a/src/adapters/mod.ts
+++ b/src/adapters/mod.ts
@@ -10,3 +10,5 @@
 export * from "./platform_http.ts";
 export * from "./http_platform.ts";
 export * from "./transport.ts";
+export * from "./upstream.ts";
+export * from "./http_upstream.ts";
