--- a/src/agreement/mod.ts
+++ b/src/agreement/mod.ts
@@ -6,4 +6,8 @@
 
 export * from "./rows.ts";
 export * from "./table.ts";
+export * from "./table_checks.ts";
+export * from "./table_editor.ts";
+export * from "./table_log.ts";
+export * from "./table_records.ts";
 export * from "./claim.ts";
--- /dev/null
+++ b/src/agreement/table_log.ts
@@ -0,0 +1,199 @@
+/**
+ * A VM's copy of the table's log as a state machine: which edits it applies, which it holds back, and when the store
+ * has gone back in time.
+ *
+ * @module
+ */
+
+import { Table } from "./table.ts";
+import type {
+  EditRef,
+  LoggedEdit,
+  TableHead,
+  TableImage,
+} from "./table_records.ts";
+
+/** Edits kept to serve VMs that are a little behind; others get a whole image. */
+export const TAIL_LENGTH = 512;
+/** Edits held back while one before them is missing. */
+const PENDING_LIMIT = 1024;
+
+/** What is wrong with the store's log. */
+export interface Regression {
+  /** `older`: the store's head is below what is in force here. `forked`: same versions, other edits. */
+  readonly type: "older" | "forked";
+  /** The version the store shows. */
+  readonly storeVersion: number;
+  /** The version in force here when it was seen. */
+  readonly version: number;
+}
+
+/** What an offer of edits came to. */
+export interface OfferOutcome {
+  /** The edits applied, in order. */
+  readonly applied: readonly LoggedEdit[];
+  /** Whether edits before some of the offered ones are missing. */
+  readonly gap: boolean;
+}
+
+/** How the store's head stands to what is in force here. */
+export type HeadRelation = "same" | "ahead" | "older" | "forked";
+
+/** The log as one VM has it. It goes up one version at a time, or up to a whole image; never down. */
+export class TableLog {
+  #table = Table.empty;
+  #lastId = "";
+  #tail: LoggedEdit[] = [];
+  #recent: EditRef[] = [];
+  #pending = new Map<number, LoggedEdit>();
+  #regression: Regression | undefined;
+
+  /** The newest version in force. */
+  get table(): Table {
+    return this.#table;
+  }
+  /** The id of the newest edit. */
+  get lastId(): string {
+    return this.#lastId;
+  }
+  /** What is wrong with the store's log, as long as it is. */
+  get regression(): Regression | undefined {
+    return this.#regression;
+  }
+  /** How many edits wait for one before them. */
+  get pendingCount(): number {
+    return this.#pending.size;
+  }
+
+  /** The table with its last edit's id, for a snapshot or another VM. */
+  image(): TableImage {
+    const recent = this.#recent.slice(-TAIL_LENGTH);
+    return { table: this.#table, lastId: this.#lastId, recent };
+  }
+
+  /** Takes edits in any order, repeated or not, and applies those that follow. */
+  offer(edits: readonly LoggedEdit[]): OfferOutcome {
+    for (const edit of edits) this.#take(edit);
+    const applied: LoggedEdit[] = [];
+    for (;;) {
+      const next = this.nextPending(this.#pending);
+      if (!next) break;
+      this.#pending.delete(next.version);
+      if (this.follows(next)) {
+        this.#apply(next);
+        applied.push(next);
+      } else {
+        this.#alarm("forked", next.version);
+        break;
+      }
+    }
+    return { applied, gap: this.#pending.size > 0 };
+  }
+
+  /** Takes a whole table if it is newer; answers whether it was. */
+  load(image: TableImage): boolean {
+    if (!this.isNewer(image.table.version)) return false;
+    this.#table = image.table;
+    this.#lastId = image.lastId;
+    this.#tail = [];
+    this.#recent = [...image.recent];
+    this.#dropPendingUpTo(image.table.version);
+    return true;
+  }
+
+  /**
+   * Compares the store's head, `undefined` for an empty store. A store restored from an old copy shows a head below
+   * what was accepted; following it would take back an accepted edit, so it raises an alarm and changes nothing.
+   */
+  seeHead(head: TableHead | undefined): HeadRelation {
+    const relation = this.#relationTo(head);
+    if (relation === "older" || relation === "forked") {
+      this.#alarm(relation, head?.version ?? 0);
+    } else if (relation === "same") this.#regression = undefined;
+    return relation;
+  }
+
+  /** The edits after `version`; `undefined` if some are no longer kept. */
+  since(version: number): readonly LoggedEdit[] | undefined {
+    if (version >= this.#table.version) return [];
+    const first = this.#tail[0]?.version;
+    if (first === undefined || version + 1 < first) return undefined;
+    return this.#tail.slice(version + 1 - first);
+  }
+
+  /** The newest edits kept, oldest first. */
+  history(): readonly LoggedEdit[] {
+    return this.#tail;
+  }
+
+  /** The version that this edit made, if it is among the newest {@link TAIL_LENGTH}. */
+  versionOf(editId: string): number | undefined {
+    return this.#recent.findLast((edit) => edit.id === editId)?.version;
+  }
+
+  /** Whether {@link TableLog.versionOf} knows which edit made this version. */
+  knows(version: number): boolean {
+    const first = this.#recent[0]?.version ?? Infinity;
+    return version >= first && version <= this.#table.version;
+  }
+
+  /** The pending edit to apply next: only the one right after the version in force, else an edit would be lost. */
+  protected nextPending(
+    pending: ReadonlyMap<number, LoggedEdit>,
+  ): LoggedEdit | undefined {
+    return pending.get(this.#table.version + 1);
+  }
+
+  /** Whether an edit continues this history, and not that of a restored store which gave its version out again. */
+  protected follows(edit: LoggedEdit): boolean {
+    return edit.prevId === this.#lastId;
+  }
+
+  /** Whether a version may replace the one in force. */
+  protected isNewer(version: number): boolean {
+    return version > this.#table.version;
+  }
+
+  #take(edit: LoggedEdit): void {
+    if (this.isNewer(edit.version)) {
+      if (this.#pending.size < PENDING_LIMIT) {
+        this.#pending.set(edit.version, edit);
+      }
+      return;
+    }
+    const first = this.#tail[0]?.version ?? Infinity;
+    const known = this.#tail[edit.version - first];
+    if (known && known.id !== edit.id) this.#alarm("forked", edit.version);
+  }
+
+  #apply(edit: LoggedEdit): void {
+    this.#table = this.#table.apply(edit);
+    this.#lastId = edit.id;
+    this.#tail.push(edit);
+    this.#recent.push({ id: edit.id, version: edit.version });
+    // Cut at twice the length, so that the copy is made once in many edits.
+    if (this.#tail.length > 2 * TAIL_LENGTH) {
+      this.#tail = this.#tail.slice(-TAIL_LENGTH);
+    }
+    if (this.#recent.length > 2 * TAIL_LENGTH) {
+      this.#recent = this.#recent.slice(-TAIL_LENGTH);
+    }
+  }
+
+  #relationTo(head: TableHead | undefined): HeadRelation {
+    const storeVersion = head?.version ?? 0;
+    if (storeVersion < this.#table.version) return "older";
+    if (storeVersion > this.#table.version) return "ahead";
+    return (head?.id ?? "") === this.#lastId ? "same" : "forked";
+  }
+
+  #alarm(type: Regression["type"], storeVersion: number): void {
+    this.#regression = { type, storeVersion, version: this.#table.version };
+  }
+
+  #dropPendingUpTo(version: number): void {
+    for (const key of this.#pending.keys()) {
+      if (key <= version) this.#pending.delete(key);
+    }
+  }
+}
--- a/src/standins/key_value_contract_test.ts
+++ b/src/standins/key_value_contract_test.ts
@@ -1,13 +1,13 @@
-import test from "ava";
 import type { ExecutionContext } from "ava";
 import {
   EtcdKeyValue,
   type KeyValue,
   type WatchEvent,
 } from "../adapters/mod.ts";
+import { describe, it } from "../base/describe.ts";
 import { MemoryKeyValue } from "./memory_key_value.ts";
 import { openPlatform } from "./platform.ts";
-import type { Faults } from "./platform_faults.ts";
+import type { PlatformFaults } from "./platform_faults.ts";
 import type { PlatformStore } from "./platform_store.ts";
 
 /** One subject of the contract: two VMs' connections to one store. */
@@ -15,7 +15,7 @@
   readonly a: KeyValue;
   readonly b: KeyValue;
   readonly store: PlatformStore;
-  readonly faults: Faults;
+  readonly faults: PlatformFaults;
   close(): Promise<void>;
 }
 
@@ -190,41 +190,43 @@
 };
 
 for (const [subject, open] of Object.entries(subjects)) {
-  for (const [title, check] of Object.entries(contract)) {
-    test(`key-value contract > ${subject} > ${title}`, async (t) => {
-      const opened = await open();
-      t.teardown(() => opened.close());
-      await check(t, opened);
-    });
-  }
+  describe(`key-value contract of ${subject}`, () => {
+    for (const [title, check] of Object.entries(contract)) {
+      it(title, async (t) => {
+        const opened = await open();
+        t.teardown(() => opened.close());
+        await check(t, opened);
+      });
+    }
+  });
 }
 
-test("etcd adapter > a store that is not there is unavailable, and the next address is tried", async (t) => {
-  const gone = await openPlatform();
-  await gone.close();
-  const platform = await openPlatform();
-  t.teardown(() => platform.close());
-  const goneUrl = "http://127.0.0.1:1";
-  const alone = new EtcdKeyValue({ urls: [goneUrl], vmId: "a" });
-  const put = await alone.put("k", "1", {}, "other");
-  t.is(put._unsafeUnwrapErr().kind, "unavailable");
-  const both = new EtcdKeyValue({ urls: [goneUrl, platform.url], vmId: "a" });
-  t.teardown(() => both.close());
-  t.true((await both.put("k", "1", {}, "other")).isOk());
-});
+describe("etcd adapter", () => {
+  it("tells that a store is unavailable, and tries the next address", async (t) => {
+    const platform = await openPlatform();
+    t.teardown(() => platform.close());
+    const goneUrl = "http://127.0.0.1:1";
+    const alone = new EtcdKeyValue({ urls: [goneUrl], vmId: "a" });
+    const put = await alone.put("k", "1", {}, "other");
+    t.is(put._unsafeUnwrapErr().kind, "unavailable");
+    const both = new EtcdKeyValue({ urls: [goneUrl, platform.url], vmId: "a" });
+    t.teardown(() => both.close());
+    t.true((await both.put("k", "1", {}, "other")).isOk());
+  });
 
-test("etcd adapter > the rate limit is told as limited", async (t) => {
-  const platform = await openPlatform({ writesPerS: 2 });
-  t.teardown(() => platform.close());
-  const store = new EtcdKeyValue({ urls: [platform.url], vmId: "a" });
-  t.teardown(() => store.close());
-  const kinds: string[] = [];
-  for (let i = 0; i < 8; i++) {
-    const result = await store.put("k", "1", {}, "other");
-    kinds.push(result.isOk() ? "ok" : result.error.kind);
-  }
-  t.is(kinds[0], "ok");
-  t.true(kinds.includes("limited"));
+  it("tells the rate limit as limited", async (t) => {
+    const platform = await openPlatform({ writesPerS: 2 });
+    t.teardown(() => platform.close());
+    const store = new EtcdKeyValue({ urls: [platform.url], vmId: "a" });
+    t.teardown(() => store.close());
+    const kinds: string[] = [];
+    for (let i = 0; i < 8; i++) {
+      const result = await store.put("k", "1", {}, "other");
+      kinds.push(result.isOk() ? "ok" : result.error.kind);
+    }
+    t.is(kinds[0], "ok");
+    t.true(kinds.includes("limited"));
+  });
 });
 
 // A hang guard only: no verdict depends on how long it takes.
--- a/src/standins/memory_key_value.ts
+++ b/src/standins/memory_key_value.ts
@@ -18,7 +18,7 @@
   type Write,
 } from "../adapters/key_value.ts";
 import { type Clock, systemClock } from "../base/mod.ts";
-import { Faults } from "./platform_faults.ts";
+import { PlatformFaults } from "./platform_faults.ts";
 import {
   PlatformStore,
   type StoreChange,
@@ -30,15 +30,15 @@
   readonly clock?: Clock;
   /** Several connections to one store see each other's writes. */
   readonly store?: PlatformStore;
-  readonly faults?: Faults;
-  /** The VM that {@link Faults} match. */
+  readonly faults?: PlatformFaults;
+  /** The VM that {@link PlatformFaults} match. */
   readonly vmId?: string;
 }
 
 /** A connection to a store in this process. */
 export class MemoryKeyValue extends KeyValue {
   readonly store: PlatformStore;
-  readonly faults: Faults;
+  readonly faults: PlatformFaults;
   readonly #clock: Clock;
   readonly #vmId: string;
   readonly #watches = new Set<Watch>();
@@ -55,7 +55,7 @@
     this.#clock = options.clock ?? systemClock;
     this.store = options.store ??
       new PlatformStore(() => this.#clock.monoMs());
-    this.faults = options.faults ?? new Faults();
+    this.faults = options.faults ?? new PlatformFaults();
     this.#vmId = options.vmId ?? "";
   }
 
--- a/src/standins/mod.ts
+++ b/src/standins/mod.ts
@@ -11,3 +11,7 @@
 export * from "./orders.ts";
 export * from "./plain.ts";
 export * from "./records.ts";
+export * from "./memory_key_value.ts";
+export * from "./platform.ts";
+export * from "./platform_faults.ts";
+export * from "./platform_store.ts";
--- a/src/standins/platform.ts
+++ b/src/standins/platform.ts
@@ -13,9 +13,9 @@
 import { decode } from "../adapters/etcd_codec.ts";
 import type { ListedVm } from "../adapters/platform.ts";
 import {
-  type Fault,
-  Faults,
   faultSchema,
+  type PlatformFault,
+  PlatformFaults,
   RateLimit,
 } from "./platform_faults.ts";
 import {
@@ -56,7 +56,7 @@
 /** The stand-in's server; see {@link openPlatform}. */
 export class Platform {
   readonly store = new PlatformStore(() => performance.now());
-  readonly faults = new Faults();
+  readonly faults = new PlatformFaults();
   readonly counts: PlatformCounts = {
     reads: 0,
     writes: 0,
@@ -272,9 +272,9 @@
 }
 
 /** Sets the faults of a stand-in in another process. */
-export async function postFaults(
+export async function postPlatformFaults(
   url: string,
-  faults: readonly Fault[],
+  faults: readonly PlatformFault[],
 ): Promise<void> {
   const response = await fetch(`${url}/faults`, {
     method: "POST",
--- a/src/standins/platform_faults.ts
+++ b/src/standins/platform_faults.ts
@@ -1,5 +1,5 @@
 /**
- * Faults that tests put into the platform's stand-in, and its rate limits.
+ * PlatformFaults that tests put into the platform's stand-in, and its rate limits.
  *
  * @module
  */
@@ -21,7 +21,7 @@
 });
 
 /** A fault; see {@link faultSchema}. */
-export type Fault = z.infer<typeof faultSchema>;
+export type PlatformFault = z.infer<typeof faultSchema>;
 
 /** What happens to one call. */
 export interface CallFault {
@@ -31,12 +31,12 @@
 }
 
 /** The faults in force. */
-export class Faults {
-  #faults: Fault[] = [];
+export class PlatformFaults {
+  #faults: PlatformFault[] = [];
   readonly #listeners = new Set<() => void>();
 
   /** Replaces all faults. */
-  set(faults: readonly Fault[]): void {
+  set(faults: readonly PlatformFault[]): void {
     this.#faults = faults.map((fault) => ({ ...fault }));
     for (const listener of this.#listeners) listener();
   }
@@ -65,7 +65,7 @@
     return this.#matching(vmId, key).some((fault) => fault.outage);
   }
 
-  #matching(vmId: string, key: string): Fault[] {
+  #matching(vmId: string, key: string): PlatformFault[] {
     return this.#faults.filter((fault) =>
       (!fault.vm || new RegExp(fault.vm).test(vmId)) &&
       (!fault.keyPrefix || key.startsWith(fault.keyPrefix))
--- a/src/standins/platform_test.ts
+++ b/src/standins/platform_test.ts
@@ -1,11 +1,11 @@
-import test from "ava";
 import {
   HttpCallerDirectory,
   HttpVmList,
   HttpWeightStore,
   type ListedVm,
 } from "../adapters/mod.ts";
-import { openPlatform, postFaults } from "./platform.ts";
+import { describe, it } from "../base/describe.ts";
+import { openPlatform, postPlatformFaults } from "./platform.ts";
 
 const vm: ListedVm = {
   id: "a",
@@ -15,46 +15,48 @@
   state: "live",
 };
 
-test("platform > the VM list is read, and lags", async (t) => {
-  const platform = await openPlatform({ listLagMs: 100_000 });
-  t.teardown(() => platform.close());
-  const list = new HttpVmList({ urls: [platform.url], vmId: "a" });
-  t.teardown(() => list.close());
-  platform.setVms([vm]);
-  t.deepEqual((await list.list())._unsafeUnwrap(), []);
-  const prompt = await openPlatform();
-  t.teardown(() => prompt.close());
-  prompt.setVms([vm]);
-  const second = new HttpVmList({ urls: [prompt.url], vmId: "a" });
-  t.teardown(() => second.close());
-  t.deepEqual((await second.list())._unsafeUnwrap(), [vm]);
-});
+describe("platform stand-in", () => {
+  it("the VM list is read, and lags", async (t) => {
+    const platform = await openPlatform({ listLagMs: 100_000 });
+    t.teardown(() => platform.close());
+    const list = new HttpVmList({ urls: [platform.url], vmId: "a" });
+    t.teardown(() => list.close());
+    platform.setVms([vm]);
+    t.deepEqual((await list.list())._unsafeUnwrap(), []);
+    const prompt = await openPlatform();
+    t.teardown(() => prompt.close());
+    prompt.setVms([vm]);
+    const second = new HttpVmList({ urls: [prompt.url], vmId: "a" });
+    t.teardown(() => second.close());
+    t.deepEqual((await second.list())._unsafeUnwrap(), [vm]);
+  });
 
-test("platform > weights are published up to the rate", async (t) => {
-  const platform = await openPlatform({ weightWritesPerS: 1 });
-  t.teardown(() => platform.close());
-  const weights = new HttpWeightStore({ urls: [platform.url], vmId: "a" });
-  t.teardown(() => weights.close());
-  t.true((await weights.publish("plan", "agadir", { u1: 0.5 })).isOk());
-  t.deepEqual(platform.weights.get("plan/agadir"), { weights: { u1: 0.5 } });
-  const kinds: string[] = [];
-  for (let i = 0; i < 4; i++) {
-    const result = await weights.publish("plan", "agadir", {});
-    kinds.push(result.isOk() ? "ok" : result.error.kind);
-  }
-  t.true(kinds.includes("limited"));
-});
+  it("weights are published up to the rate", async (t) => {
+    const platform = await openPlatform({ weightWritesPerS: 1 });
+    t.teardown(() => platform.close());
+    const weights = new HttpWeightStore({ urls: [platform.url], vmId: "a" });
+    t.teardown(() => weights.close());
+    t.true((await weights.publish("plan", "agadir", { u1: 0.5 })).isOk());
+    t.deepEqual(platform.weights.get("plan/agadir"), { weights: { u1: 0.5 } });
+    const kinds: string[] = [];
+    for (let i = 0; i < 4; i++) {
+      const result = await weights.publish("plan", "agadir", {});
+      kinds.push(result.isOk() ? "ok" : result.error.kind);
+    }
+    t.true(kinds.includes("limited"));
+  });
 
-test("platform > directory entries are published, and not during an outage", async (t) => {
-  const platform = await openPlatform();
-  t.teardown(() => platform.close());
-  const options = { urls: [platform.url], vmId: "a" };
-  const directory = new HttpCallerDirectory(options);
-  t.teardown(() => directory.close());
-  const entries = [{ vmId: "a", url: "http://127.0.0.1:1", weight: 1 }];
-  t.true((await directory.publish("agadir", entries)).isOk());
-  await postFaults(platform.url, [{ outage: "refuse" }]);
-  const result = await directory.publish("agadir", []);
-  t.is(result._unsafeUnwrapErr().kind, "unavailable");
-  t.deepEqual(platform.directory.get("agadir"), { entries });
+  it("directory entries are published, and not during an outage", async (t) => {
+    const platform = await openPlatform();
+    t.teardown(() => platform.close());
+    const options = { urls: [platform.url], vmId: "a" };
+    const directory = new HttpCallerDirectory(options);
+    t.teardown(() => directory.close());
+    const entries = [{ vmId: "a", url: "http://127.0.0.1:1", weight: 1 }];
+    t.true((await directory.publish("agadir", entries)).isOk());
+    await postPlatformFaults(platform.url, [{ outage: "refuse" }]);
+    const result = await directory.publish("agadir", []);
+    t.is(result._unsafeUnwrapErr().kind, "unavailable");
+    t.deepEqual(platform.directory.get("agadir"), { entries });
+  });
 });
