--- /dev/null
+++ b/src/edge/headers.ts
@@ -0,0 +1,47 @@
+/**
+ * Which headers pass through the gateway.
+ *
+ * @module
+ */
+
+import type { IncomingHttpHeaders } from "node:http";
+
+/** Headers of one connection, by HTTP's definition, and those the edge sets anew. */
+const HOP_BY_HOP = new Set([
+  "connection",
+  "keep-alive",
+  "proxy-authenticate",
+  "proxy-authorization",
+  "proxy-connection",
+  "te",
+  "trailer",
+  "transfer-encoding",
+  "upgrade",
+  "host",
+  "expect",
+  "x-request-id",
+  "last-event-id",
+  // The caller's key is for the gateway; an upstream never sees it.
+  "authorization",
+]);
+
+/**
+ * The headers of `headers` that go on to the other side. Names that the gateway itself gives a meaning to are dropped:
+ * a caller that sends them must not pass for the gateway.
+ */
+export function endToEnd(
+  headers: IncomingHttpHeaders | Readonly<Record<string, string>>,
+): Record<string, string> {
+  const named = new Set(
+    (String(headers.connection ?? "")).toLowerCase().split(/\s*,\s*/),
+  );
+  const kept: Record<string, string> = {};
+  for (const [name, value] of Object.entries(headers)) {
+    if (
+      value === undefined || HOP_BY_HOP.has(name) || named.has(name) ||
+      name.startsWith("x-ibisgap-")
+    ) continue;
+    kept[name] = Array.isArray(value) ? value.join(", ") : value as string;
+  }
+  return kept;
+}
