--- /dev/null
+++ b/src/cli/client.ts
@@ -0,0 +1,97 @@
+/**
+ * The operators' tool's calls to a VM.
+ *
+ * @module
+ */
+
+import got, { RequestError } from "got";
+import { err, ok, type Result } from "neverthrow";
+
+/** Exit codes of `ibisgap`. */
+export const exitCodes = {
+  ok: 0,
+  failed: 1,
+  usage: 2,
+  unreachable: 3,
+} as const;
+
+/** Options that every command which calls a VM takes. */
+export const targetArgs = {
+  target: {
+    type: "string",
+    description: "base URL of any VM",
+    default: "http://127.0.0.1:7070",
+  },
+  token: {
+    type: "string",
+    description: "operator's token; else the environment's IBISGAP_TOKEN",
+  },
+  json: { type: "boolean", description: "print JSON", default: false },
+} as const;
+
+/** Where a call goes and as whom. */
+export interface Target {
+  readonly target: string;
+  readonly token?: string;
+}
+
+/** Why a call to a VM failed. */
+export interface CliError {
+  readonly exitCode: number;
+  readonly message: string;
+  /** The VM's own answer, if there was one. */
+  readonly body?: unknown;
+}
+
+/** Calls an operators' path. */
+export async function callVm(
+  target: Target,
+  method: "GET" | "POST" | "PUT" | "DELETE",
+  path: string,
+  json?: unknown,
+): Promise<Result<unknown, CliError>> {
+  const token = target.token ?? process.env.IBISGAP_TOKEN ?? "";
+  try {
+    const response = await got(target.target.replace(/\/$/, "") + path, {
+      method,
+      headers: { authorization: `Bearer ${token}` },
+      retry: { limit: 0 },
+      throwHttpErrors: false,
+      timeout: { request: 60_000 },
+      ...(json === undefined ? {} : { json }),
+    });
+    const body = parse(response.body);
+    if (response.statusCode < 400) return ok(body);
+    const error = (body as { error?: { message?: string; code?: number } })
+      ?.error;
+    const message = error
+      ? `${error.message} (code ${error.code})`
+      : `HTTP ${response.statusCode}`;
+    return err({ exitCode: exitCodes.failed, message, body });
+  } catch (error) {
+    const reason = error instanceof RequestError ? error.code : String(error);
+    return err({
+      exitCode: exitCodes.unreachable,
+      message: `cannot reach ${target.target}: ${reason}`,
+    });
+  }
+}
+
+function parse(text: string): unknown {
+  try {
+    return JSON.parse(text);
+  } catch {
+    return text;
+  }
+}
+
+/** Prints a failure to standard error and sets the exit code. */
+export function fail(error: CliError): void {
+  process.stderr.write(`ibisgap: ${error.message}\n`);
+  process.exitCode = error.exitCode;
+}
+
+/** Prints to standard output. */
+export function print(text: string): void {
+  process.stdout.write(text.endsWith("\n") ? text : text + "\n");
+}
--- /dev/null
+++ b/src/cli/ibisgap.ts
@@ -0,0 +1,21 @@
+#!/usr/bin/env node
+/**
+ * `ibisgap`, the operators' tool.
+ *
+ * @module
+ */
+
+import { defineCommand, runMain } from "citty";
+import { check } from "./check.ts";
+import { drain, dump, metrics, status } from "./vm.ts";
+
+const main = defineCommand({
+  meta: {
+    name: "ibisgap",
+    version: "0.1.0",
+    description: "Operate an ibisgap gateway",
+  },
+  subCommands: { status, dump, metrics, drain, check },
+});
+
+await runMain(main);
--- /dev/null
+++ b/src/edge/mod.ts
@@ -0,0 +1,12 @@
+/**
+ * The callers' edge: who calls, what they ask for, and how they are answered.
+ *
+ * @module
+ */
+
+export * from "./answer.ts";
+export * from "./context.ts";
+export * from "./edge.ts";
+export * from "./identity.ts";
+export * from "./prompt.ts";
+export * from "./stream_check.ts";
--- a/src/standins/engine.ts
+++ b/src/standins/engine.ts
@@ -3,7 +3,7 @@
  * record of what ran.
  *
  * Beyond vLLM's protocol, as the brief says the platform's engines do:
- * - `x-resume-from: N` on a request (same body) continues its answer after token N, if the engine `resumes`; the answer
+ * - `last-event-id: N` on a request (same body) continues its answer after the event numbered N, if the engine `resumes`; the answer
  *   then carries `x-resumed-from: N`. An engine that does not resume answers from the start, without that header.
  * - a refusal before running carries `x-ran: no`.
  * - `POST /orders` with `x-fencing-token` takes `{"want": "active" | "parked"}` or `{"load": MODEL}`.
@@ -253,7 +253,7 @@
       body.max_completion_tokens ?? body.max_tokens ?? DEFAULT_OUTPUT_TOKENS,
     );
     const count = Math.max(FEWEST_TOKENS, Math.floor(asked) || FEWEST_TOKENS);
-    const resume = Number(header(ctx, "x-resume-from") ?? 0);
+    const resume = Number(header(ctx, "last-event-id") ?? -1) + 1;
     const usage = body.stream_options as Record<string, unknown> | undefined;
     return {
       kind,
@@ -265,6 +265,7 @@
       prompt,
       nonce: nonceOf(prompt),
       count,
+      numbered: this.#options.resumes === true,
       resumeFrom: this.#options.resumes && resume > 0 && resume < count
         ? Math.floor(resume)
         : 0,
--- a/src/standins/engine_answer.ts
+++ b/src/standins/engine_answer.ts
@@ -24,6 +24,8 @@
   /** Tokens of the whole answer, those before a resume counted. */
   readonly count: number;
   readonly resumeFrom: number;
+  /** Whether each event carries its place in the answer as its `id`. */
+  readonly numbered: boolean;
 }
 
 /** Another request, whose answer a crossed one carries. */
@@ -37,6 +39,7 @@
   readonly #other: OtherRequest;
   readonly #created = Math.floor(Date.now() / 1000);
   #ready: number;
+  #place: number;
   #sent: number;
   #text = "";
   #held = false;
@@ -54,7 +57,7 @@
     this.#res = res;
     this.#faults = faults;
     this.#other = other;
-    this.#ready = this.#sent = request.resumeFrom;
+    this.#ready = this.#sent = this.#place = request.resumeFrom;
   }
 
   /** Prompt tokens that were warm, for the usage. */
@@ -170,6 +173,7 @@
       [{ index: 0, ...delta, logprobs: null, finish_reason: null }],
       this.#request.continuousUsage ? this.#usage(this.#sent + 1) : undefined,
     );
+    this.#place++;
     return this.#faults.get("duplicate") ? event + event : event;
   }
 
@@ -180,6 +184,7 @@
       [{ index: 0, ...end, logprobs: null, finish_reason: "stop" }],
       this.#request.continuousUsage ? usage : undefined,
     );
+    this.#place++;
     if (this.#request.includeUsage) out += this.#event([], usage);
     return `${out}data: [DONE]\n\n`;
   }
@@ -189,7 +194,8 @@
       ? "chat.completion.chunk"
       : "text_completion";
     const body = { ...this.#head(object), choices, usage };
-    return `data: ${JSON.stringify(body)}\n\n`;
+    const place = this.#request.numbered ? `id: ${this.#place}\n` : "";
+    return `${place}data: ${JSON.stringify(body)}\n\n`;
   }
 
   #head(object: string): Record<string, unknown> {
--- a/src/standins/engine_test.ts
+++ b/src/standins/engine_test.ts
@@ -175,7 +175,7 @@
   const engine = await openEngine({ ...fast, resumes: true });
   engine.faults.add({ type: "cut", afterTokens: 7, times: 1 });
   const first = await call(engine, body("r", 20));
-  const rest = await call(engine, body("r", 20), { "x-resume-from": "7" });
+  const rest = await call(engine, body("r", 20), { "last-event-id": "6" });
   t.is(rest.headers["x-resumed-from"], "7");
   t.is(first.text + rest.text, answerText("r", 20));
   t.deepEqual(engine.records().map((r) => r.resumedFrom), [undefined, 7]);
