Edge over fakes: whole answers or explicit errors under cuts, stalls, crossings

Cause: relay took a stream read by iteration for a paused one, so a stalled engine was never given up. Change: the wait for the engine is timed by itself, paused while the caller is slow.

--- a/src/edge/plain_call.ts
+++ b/src/edge/plain_call.ts
@@ -30,6 +30,9 @@
   prefixHashes: [],
 };
 
+/** Answers that mean "not run", but only where the service says so itself by `x-ran: no`. */
+const REFUSALS = new Set([429, 503]);
+
 type Step = "answered" | "retry";
 
 /** The claim a call runs under. */
@@ -237,6 +240,16 @@
         message: "the answer belongs to another attempt",
       });
     }
+    if (REFUSALS.has(answer.httpStatus) && answer.headers["x-ran"] === "no") {
+      answer.body.destroy();
+      attempt.report("refused");
+      this.#last = this.#worst(
+        failure("upstreamRefused", {
+          retryAtMs: this.#context.clock.nowMs() + 1000,
+        }),
+      );
+      return "retry";
+    }
     if (this.#claim) return await this.#passOnClaimed(attempt, answer);
     this.#begin(attempt, answer);
     try {
--- a/src/edge/relay.ts
+++ b/src/edge/relay.ts
@@ -41,11 +41,12 @@
   try {
     for await (const chunk of body) {
       parser.feed(decoder.decode(chunk as Uint8Array, { stream: true }));
-      stall.restart();
+      // While the caller is slow this loop does not read, so the engine's connection fills and the engine waits too;
+      // that wait is not the engine's stall.
+      stall.pause();
       const end = await passOn(events.splice(0), response, options);
       if (end) return end;
-      // While the caller is slow this loop does not read, so the engine's connection fills and the engine waits too.
-      stall.restart();
+      stall.resume();
     }
   } catch (error) {
     if (response.destroyed) return { type: "gone" };
@@ -117,18 +118,19 @@
 
 /** Destroys the body when the upstream sends nothing for too long; checked coarsely, to cost no timer per event. */
 function watchStall(body: Readable, options: RelayOptions) {
-  let lastMs = options.clock.monoMs();
+  let waitingSinceMs: number | undefined = options.clock.monoMs();
   const watch = {
     fired: false,
-    restart: () => void (lastMs = options.clock.monoMs()),
+    pause: () => void (waitingSinceMs = undefined),
+    resume: () => void (waitingSinceMs = options.clock.monoMs()),
     close: () => timer.close(),
   };
   const timer = options.clock.every(
     Math.max(5, options.upstreamStallMs / 4),
     () => {
       if (
-        body.isPaused() ||
-        options.clock.monoMs() - lastMs < options.upstreamStallMs
+        waitingSinceMs === undefined ||
+        options.clock.monoMs() - waitingSinceMs < options.upstreamStallMs
       ) return;
       watch.fired = true;
       body.destroy(new Error("stalled"));
--- a/src/kernel/kernel.ts
+++ b/src/kernel/kernel.ts
@@ -8,11 +8,14 @@
 import type { Clock } from "../base/mod.ts";
 import type { Messages, Port, Task } from "./task.ts";
 
+/** A {@link Task} whatever its messages are. */
+export type AnyTask = Pick<Task, "name" | "start" | "close" | "dump">;
+
 /** Holds the daemon's services; see {@link Task}. */
 export class Kernel {
   readonly clock: Clock;
   readonly log: Logger;
-  readonly #tasks = new Map<string, Task>();
+  readonly #tasks = new Map<string, AnyTask>();
 
   constructor(clock: Clock, log: Logger) {
     this.clock = clock;
@@ -20,11 +23,11 @@
   }
 
   /** Starts a service. If that fails, what was started before stays open for {@link Kernel.close}. */
-  async start<M extends Messages>(task: Task<M>): Promise<void> {
+  async start(task: AnyTask): Promise<void> {
     if (this.#tasks.has(task.name)) {
       throw new Error(`service "${task.name}" is already started`);
     }
-    this.#tasks.set(task.name, task as unknown as Task);
+    this.#tasks.set(task.name, task);
     await task.start(this);
     this.log.info("service started", { service: task.name });
   }
--- /dev/null
+++ b/test/edge_stream_test.ts
@@ -0,0 +1,259 @@
+import type { ExecutionContext } from "ava";
+import OpenAI from "openai";
+import { describe, it } from "../src/base/describe.ts";
+import {
+  answerText,
+  type Engine,
+  type EngineFault,
+  type EngineOptions,
+  openEngine,
+} from "../src/standins/mod.ts";
+import { driversKey, type EdgeBench, openEdge, upstreamRow } from "./fakes.ts";
+
+const FAST: EngineOptions = {
+  stepMs: 1,
+  streamTokensPerS: 5000,
+  decodeTokensPerS: 50_000,
+};
+const TOKENS = 20;
+
+interface Bench extends EdgeBench {
+  readonly engines: readonly Engine[];
+  readonly client: OpenAI;
+}
+
+async function open(
+  t: ExecutionContext,
+  count: number,
+  options: EngineOptions = {},
+  row: object = {},
+): Promise<Bench> {
+  const engines = await Promise.all(
+    Array.from({ length: count }, () => openEngine({ ...FAST, ...options })),
+  );
+  const edge = await openEdge(
+    engines.map((engine, i) => upstreamRow(`e${i}`, "plan", engine.url, row)),
+  );
+  t.teardown(async () => {
+    await edge.close();
+    for (const engine of engines) await engine.close();
+  });
+  const client = new OpenAI({
+    apiKey: driversKey,
+    baseURL: `${edge.url}/v1`,
+    maxRetries: 0,
+  });
+  return { ...edge, engines, client };
+}
+
+/** What a stock client makes of a streamed answer: its text, and the error it ended in. */
+async function ask(
+  client: OpenAI,
+  nonce: string,
+): Promise<{ text: string; error?: string; code?: unknown }> {
+  let text = "";
+  try {
+    const stream = await client.chat.completions.create({
+      model: "plan",
+      stream: true,
+      max_tokens: TOKENS,
+      messages: [{
+        role: "user",
+        content: `nonce:${nonce} which pass is open?`,
+      }],
+    });
+    for await (const chunk of stream) {
+      text += chunk.choices[0]?.delta?.content ?? "";
+    }
+    return { text };
+  } catch (error) {
+    return {
+      text,
+      error: (error as Error).message,
+      code: (error as { code?: unknown }).code,
+    };
+  }
+}
+
+describe("edge", () => {
+  describe("a stock client", () => {
+    it("gets a whole streamed answer", async (t) => {
+      const { client, slots } = await open(t, 1);
+      t.deepEqual(await ask(client, "n1"), { text: answerText("n1", TOKENS) });
+      t.is(slots.reports[0].outcome, "done");
+    });
+
+    it("gets a whole answer in one piece, and a legacy completion", async (t) => {
+      const { client } = await open(t, 1);
+      const chat = await client.chat.completions.create({
+        model: "plan",
+        max_tokens: TOKENS,
+        messages: [{ role: "user", content: "nonce:n2 hello" }],
+      });
+      t.is(chat.choices[0].message.content, answerText("n2", TOKENS));
+      const legacy = await client.completions.create({
+        model: "plan",
+        max_tokens: 5,
+        prompt: "nonce:n3 hello",
+      });
+      t.is(legacy.choices[0].text, answerText("n3", 5));
+    });
+
+    it("lists the models", async (t) => {
+      const { client } = await open(t, 1);
+      const ids = [];
+      for await (const model of client.models.list()) ids.push(model.id);
+      t.deepEqual(ids, ["plan"]);
+    });
+  });
+
+  describe("a stream that breaks", () => {
+    // The caller reads some tokens, then the engine goes away. It cannot resume, so the caller must see an error in the
+    // stream, with the tokens so far a true prefix: a clean end would pass for a short answer.
+    const breaks: { name: string; fault: EngineFault }[] = [
+      {
+        name: "cut connection",
+        fault: { type: "cut", afterTokens: 7, times: 1 },
+      },
+      {
+        name: "early but orderly end",
+        fault: { type: "truncate", afterTokens: 7, times: 1 },
+      },
+      {
+        name: "stall",
+        fault: { type: "stall", afterTokens: 7, stallMs: 60_000, times: 1 },
+      },
+      {
+        name: "crossed with another answer",
+        fault: { type: "crossed", afterTokens: 7, times: 1 },
+      },
+    ];
+    for (const { name, fault } of breaks) {
+      it(`ends in an explicit error: ${name}`, async (t) => {
+        const { client, engines, slots } = await open(t, 1);
+        engines[0].faults.add(fault);
+        const answer = await ask(client, "n4");
+        t.truthy(
+          answer.error,
+          `a clean end after ${JSON.stringify(answer.text)}`,
+        );
+        t.is(answer.code, 4004);
+        t.true(answerText("n4", TOKENS).startsWith(answer.text));
+        t.is(slots.reports[0].outcome, "failed");
+      });
+    }
+
+    // The engine resumes, as its row says. The caller sees one whole answer: nothing lost, nothing twice.
+    for (
+      const { name, fault } of breaks.filter((b) => b.fault.type !== "crossed")
+    ) {
+      it(`is resumed where the engine can: ${name}`, async (t) => {
+        const { client, engines } = await open(t, 1, { resumes: true }, {
+          resumes: true,
+        });
+        engines[0].faults.add(fault);
+        t.deepEqual(await ask(client, "n5"), {
+          text: answerText("n5", TOKENS),
+        });
+      });
+    }
+
+    // The first engine fails before any token reached the caller; another one answers from the start, so the caller
+    // sees nothing of it. The failed engine is not asked again.
+    for (
+      const fault of [
+        { type: "cut", afterTokens: 0, times: 1 },
+        { type: "crossed", afterTokens: 0, times: 1 },
+        { type: "refuse", times: 1 },
+        { type: "dead" },
+      ] as EngineFault[]
+    ) {
+      it(`goes to another engine before the first token: ${fault.type}`, async (t) => {
+        const { client, engines, slots } = await open(t, 2);
+        engines[0].faults.add(fault);
+        t.deepEqual(await ask(client, "n6"), {
+          text: answerText("n6", TOKENS),
+        });
+        t.deepEqual(slots.requests.map((r) => r.exclude), [[], ["e0"]]);
+        t.is(engines[1].records().length, 1);
+      });
+    }
+
+    it("passes a doubled event on once, where the engine numbers events", async (t) => {
+      const { client, engines } = await open(t, 1, { resumes: true }, {
+        resumes: true,
+      });
+      engines[0].faults.add({ type: "duplicate", times: 1 });
+      t.deepEqual(await ask(client, "n7"), { text: answerText("n7", TOKENS) });
+    });
+  });
+
+  // Many callers at once while one engine crosses answers and the other cuts. Each caller must end with its own whole
+  // answer, or with an error after a prefix of its own answer.
+  it("never hands one caller's answer to another", async (t) => {
+    const { client, engines } = await open(t, 2);
+    for (let i = 0; i < 5; i++) {
+      engines[0].faults.add({ type: "crossed", afterTokens: i, times: 2 });
+    }
+    engines[1].faults.add({ type: "cut", afterTokens: 3, times: 4 });
+    const nonces = Array.from({ length: 40 }, (_, i) => `own${i}`);
+    const answers = await Promise.all(
+      nonces.map((nonce) => ask(client, nonce)),
+    );
+    for (const [i, { text, error }] of answers.entries()) {
+      const whole = answerText(nonces[i], TOKENS);
+      if (error) t.true(whole.startsWith(text));
+      else t.is(text, whole);
+    }
+    t.true(answers.some((answer) => answer.error));
+  });
+
+  // The caller closes its connection in the middle of an answer. The engine must stop generating and the slot must come
+  // back, or abandoned answers would fill the engines.
+  it("cancels at the engine when the caller goes", async (t) => {
+    const { client, engines, slots } = await open(t, 1, {
+      streamTokensPerS: 50,
+    });
+    const stream = await client.chat.completions.create({
+      model: "plan",
+      stream: true,
+      max_tokens: 1000,
+      messages: [{ role: "user", content: "nonce:n8" }],
+    });
+    for await (const _ of stream) break;
+    stream.controller.abort();
+    while (
+      slots.reports.length === 0 || !engines[0].records()[0].canceledAtMs
+    ) await sleep(5);
+    t.is(slots.reports[0].outcome, "canceled");
+    t.true(engines[0].records()[0].tokens < 1000);
+  });
+
+  // The engine accepts and then says nothing. At the request's deadline the caller gets its final answer at once, and
+  // the engine's late answer goes nowhere.
+  it("answers at the deadline when no engine does", async (t) => {
+    const { engines, url } = await open(t, 1);
+    engines[0].faults.add({ type: "late", delayMs: 60_000, times: 1 });
+    const response = await fetch(`${url}/v1/chat/completions`, {
+      method: "POST",
+      headers: {
+        authorization: `Bearer ${driversKey}`,
+        "x-ibisgap-deadline": String(Date.now() + 200),
+      },
+      body: JSON.stringify({
+        model: "plan",
+        max_tokens: 5,
+        messages: [{ role: "user", content: "nonce:n9" }],
+      }),
+    });
+    t.is(response.status, 504);
+    const { error } = await response.json() as {
+      error: { code: number; ran: string };
+    };
+    t.deepEqual([error.code, error.ran], [4005, "unknown"]);
+  });
+});
+
+function sleep(waitMs: number): Promise<void> {
+  return new Promise((resolve) => setTimeout(resolve, waitMs));
+}
--- /dev/null
+++ b/test/fakes.ts
@@ -0,0 +1,265 @@
+/**
+ * Small fakes at the services' interfaces, for tests of one service.
+ *
+ * @module
+ */
+
+import { randomUUID } from "node:crypto";
+import { ok } from "neverthrow";
+import {
+  type ClaimAnswer,
+  type ClaimKey,
+  type ClaimVerdict,
+  Table,
+  type TableRow,
+} from "../src/agreement/mod.ts";
+import { failure, secretDigest, systemClock } from "../src/base/mod.ts";
+import type {
+  SlotAnswer,
+  SlotReport,
+  SlotRequest,
+} from "../src/decisions/mod.ts";
+import { Edge, type EdgeLimits } from "../src/edge/mod.ts";
+import { Kernel, openLog, Task } from "../src/kernel/mod.ts";
+import {
+  type ClaimsMessages,
+  type MembersMessages,
+  MetricsService,
+  type SlotsMessages,
+  type TableMessages,
+  type VmInfo,
+} from "../src/services/mod.ts";
+
+abstract class Fake<M extends Record<string, { in: unknown; out: unknown }>>
+  extends Task<M> {
+  start(): Promise<void> {
+    return Promise.resolve();
+  }
+  close(): Promise<void> {
+    return Promise.resolve();
+  }
+  dump(): unknown {
+    return {};
+  }
+}
+
+/** A table that a test sets. */
+export class FakeTable extends Fake<TableMessages> {
+  readonly name = "table";
+  table: Table | undefined;
+  protected readonly handlers = {
+    current: () => this.table,
+    waitFor: () => this.table,
+  };
+}
+
+/** Members that a test sets. */
+export class FakeMembers extends Fake<MembersMessages> {
+  readonly name = "members";
+  vms: VmInfo[] = [];
+  far = new Map<string, readonly VmInfo[]>();
+  protected readonly handlers = {
+    region: () => this.vms,
+    others: () => this.far,
+    leave: () => {},
+  } as never;
+}
+
+/** A lead that grants at once, in turn, and records what it is told. */
+export class FakeSlots extends Fake<SlotsMessages> {
+  readonly name = "slots";
+  readonly requests: SlotRequest[] = [];
+  readonly reports: SlotReport[] = [];
+  readonly canceled: string[] = [];
+  #next = 0;
+  readonly #table: FakeTable;
+
+  constructor(table: FakeTable) {
+    super();
+    this.#table = table;
+  }
+  protected readonly handlers = {
+    acquire: (request: SlotRequest) => this.#acquire(request),
+    report: (report: SlotReport) => void this.reports.push(report),
+    cancel: ({ attemptId }: { attemptId: string }) =>
+      void this.canceled.push(attemptId),
+  };
+  #acquire(request: SlotRequest): SlotAnswer {
+    this.requests.push(request);
+    const usable =
+      (this.#table.table?.upstreams(request.service, "agadir") ?? [])
+        .filter((upstream) => !request.exclude.includes(upstream.id));
+    if (usable.length === 0) {
+      return {
+        type: "refuse",
+        failure: failure("noUpstream", { retryAtMs: Date.now() + 500 }),
+      };
+    }
+    const upstream = usable[this.#next++ % usable.length];
+    return {
+      type: "grant",
+      attemptId: request.attemptId,
+      upstreamId: upstream.id,
+      url: upstream.url,
+      expiresAtMs: Date.now() + 5000,
+      queuedMs: 0,
+    };
+  }
+}
+
+/** Claims in this process's memory. */
+export class FakeClaims extends Fake<ClaimsMessages> {
+  readonly name = "claims";
+  readonly states = new Map<
+    string,
+    "running" | "unknown" | { answer: ClaimAnswer }
+  >();
+  refuse = false;
+  /** How long a granted claim allows the dispatch. */
+  dispatchMs = 5000;
+  protected readonly handlers = {
+    claim: (claim: ClaimKey): ClaimVerdict => {
+      if (this.refuse) {
+        return {
+          type: "refused",
+          failure: failure("claimUnavailable", { retryAtMs: Date.now() + 500 }),
+        };
+      }
+      const state = this.states.get(claim.key);
+      if (state === "running" || state === "unknown") return { type: state };
+      if (state) return { type: "answered", answer: state.answer };
+      this.states.set(claim.key, "running");
+      const dispatchBeforeMonoMs = systemClock.monoMs() + this.dispatchMs;
+      return { type: "granted", claimId: randomUUID(), dispatchBeforeMonoMs };
+    },
+    finish: ({ key, answer }: ClaimKey & { answer: ClaimAnswer }) =>
+      void this.states.set(key, { answer }),
+    release: ({ key }: ClaimKey) => void this.states.delete(key),
+    abandon: ({ key }: ClaimKey) => void this.states.set(key, "unknown"),
+    lookup: ({ key }: ClaimKey) => ok(this.states.get(key) ?? "none"),
+  } as never;
+}
+
+/** Limits short enough for tests; see {@link EdgeLimits}. */
+export const testLimits: EdgeLimits = {
+  bodyBytes: 1 << 20,
+  headerBytes: 16 << 10,
+  bodyWaitMs: 300,
+  stalledCallerMs: 500,
+  upstreamStallMs: 300,
+  openRequests: 1000,
+  attempts: 3,
+  drainMs: 5000,
+};
+
+/** The key of workspace `drivers`, whose home is Agadir, where the edge of {@link openEdge} stands. */
+export const driversKey = "drivers-key";
+/** The key of workspace `muscat`, bound to another region. */
+export const farKey = "far-key";
+/** The operator's token. */
+export const operatorToken = "operator-token";
+
+/** An edge over fakes. */
+export interface EdgeBench {
+  readonly url: string;
+  readonly kernel: Kernel;
+  readonly table: FakeTable;
+  readonly members: FakeMembers;
+  readonly slots: FakeSlots;
+  readonly claims: FakeClaims;
+  close(): Promise<void>;
+}
+
+/** Rows of one engine or plain service for {@link openEdge}. */
+export function upstreamRow(
+  id: string,
+  service: string,
+  url: string,
+  more: object = {},
+): TableRow {
+  return {
+    kind: "upstream",
+    id,
+    service,
+    region: "agadir",
+    failureDomain: "agadir-1",
+    url,
+    slots: 16,
+    prefillTokensPerS: 8000,
+    decodeTokensPerS: 1500,
+    state: "active",
+    checksFence: false,
+    resumes: false,
+    ...more,
+  } as TableRow;
+}
+
+function baseRows(): TableRow[] {
+  const service = {
+    kind: "service",
+    models: [] as string[],
+    atMostOnce: false,
+    objective: { latencyWeight: 1, costWeight: 0, awayWeight: 0 },
+    defaultDeadlineMs: 5000,
+    queueLimit: 100,
+    poolSize: 64,
+  } as const;
+  const workspace = { kind: "workspace", bound: true, weight: 1 } as const;
+  return [
+    { ...service, id: "plan", type: "model" },
+    { ...service, id: "ledger", type: "plain", atMostOnce: true },
+    { ...service, id: "notes", type: "plain" },
+    {
+      ...workspace,
+      id: "drivers",
+      home: "agadir",
+      keyDigests: [secretDigest(driversKey)],
+    },
+    {
+      ...workspace,
+      id: "muscat",
+      home: "muscat",
+      keyDigests: [secretDigest(farKey)],
+    },
+  ];
+}
+
+/** Opens an edge in region Agadir over fakes and these upstreams. */
+export async function openEdge(
+  rows: readonly TableRow[],
+  limits: Partial<EdgeLimits> = {},
+): Promise<EdgeBench> {
+  const kernel = new Kernel(systemClock, openLog("silent"));
+  const table = new FakeTable();
+  table.table = Table.of(
+    1,
+    [...baseRows(), ...rows].map((row) => ({ row, version: 1 })),
+  );
+  const members = new FakeMembers();
+  const slots = new FakeSlots(table);
+  const claims = new FakeClaims();
+  await kernel.start(new MetricsService());
+  for (const task of [table, members, slots, claims]) {
+    await kernel.start(task);
+  }
+  const edge = new Edge({
+    vmId: "vm-1",
+    region: "agadir",
+    host: "127.0.0.1",
+    port: 0,
+    limits: { ...testLimits, ...limits },
+    operatorTokenDigests: [secretDigest(operatorToken)],
+  });
+  await kernel.start(edge);
+  const { port } = await edge.ask("address", undefined);
+  const close = () => kernel.close(Date.now() + 500);
+  return {
+    url: `http://127.0.0.1:${port}`,
+    kernel,
+    table,
+    members,
+    slots,
+    claims,
+    close,
+  };
+}
