Pool's lead: slots, fair lanes, admission, placement, health, limits, shift

Contract, additive: SlotReport.outcome gains "started" (first token seen, slot stays held; send once). Without it a slow upstream is only known by its ends. FarRegion, PoolDigest and others moved to pool_messages.ts, still exported by mod.ts. mayRetry() is for the callers' edge.

--- /dev/null
+++ b/src/decisions/fair_queue.ts
@@ -0,0 +1,212 @@
+/**
+ * A queue that shares service between flows by weight and work (start-time fair queueing), O(log n) a step.
+ *
+ * @module
+ */
+
+import TinyQueue from "tinyqueue";
+
+/** An entry's place in a {@link FairQueue}. */
+export interface Ticket<T> {
+  readonly value: T;
+  readonly flow: string;
+  readonly work: number;
+  /** Order within the flow; least first. */
+  readonly rank: number;
+  state: "queued" | "gone";
+}
+
+interface Flow<T> {
+  readonly id: string;
+  weight: number;
+  items: TinyQueue<Ticket<T>>;
+  count: number;
+  work: number;
+  /** Virtual time at which its next entry starts. */
+  startTag: number;
+  /** Work it used beyond what it was charged for, or less; settled when its next entry starts. */
+  debt: number;
+  /** Whether it stands in the heap of flows; it may, with all its entries removed. */
+  inHeap: boolean;
+}
+
+const byRank = <T>(a: Ticket<T>, b: Ticket<T>) => a.rank - b.rank;
+const byTag = <T>(a: Flow<T>, b: Flow<T>) => a.startTag - b.startTag;
+
+/** Least number of flows remembered before those that are idle and owe nothing are swept. */
+const SWEEP_FLOWS = 256;
+/** Removed entries left inside the heaps before they are rebuilt: a storm of cancellations must not hold memory. */
+const GONE_SLACK = 64;
+
+/**
+ * Entries of many flows. Made for one workspace that sends far more than its share: each pop charges the flow its work
+ * divided by its weight, and the flow charged least goes next, so a burst waits behind itself and not before others.
+ */
+export class FairQueue<T> {
+  readonly #flows = new Map<string, Flow<T>>();
+  #active = new TinyQueue<Flow<T>>([], byTag);
+  #virtual = 0;
+  #size = 0;
+  #work = 0;
+  #gone = 0;
+  #activeWeight = 0;
+  #sweepAt = SWEEP_FLOWS;
+
+  get size(): number {
+    return this.#size;
+  }
+  /** Work queued. */
+  get work(): number {
+    return this.#work;
+  }
+  /** Sum of the weights of the flows that have entries. */
+  get activeWeight(): number {
+    return this.#activeWeight;
+  }
+  /** Entries and work this flow has queued. */
+  of(flow: string): { readonly count: number; readonly work: number } {
+    const found = this.#flows.get(flow);
+    return { count: found?.count ?? 0, work: found?.work ?? 0 };
+  }
+
+  push(
+    value: T,
+    entry: { flow: string; weight: number; work: number; rank: number },
+  ): Ticket<T> {
+    const flow = this.#flow(entry.flow);
+    const ticket: Ticket<T> = {
+      value,
+      flow: entry.flow,
+      work: entry.work,
+      rank: entry.rank,
+      state: "queued",
+    };
+    if (flow.count === 0) this.#activate(flow, entry.weight);
+    flow.items.push(ticket);
+    this.#count(flow, ticket, 1);
+    return ticket;
+  }
+
+  /** The entry that goes next. */
+  peek(): Ticket<T> | undefined {
+    for (;;) {
+      const flow = this.#active.peek();
+      if (!flow) return undefined;
+      dropGone(flow.items);
+      const ticket = flow.items.peek();
+      if (ticket) return ticket;
+      this.#active.pop();
+      flow.inHeap = false;
+    }
+  }
+
+  /** Takes out the entry that goes next and charges its flow. */
+  pop(): Ticket<T> | undefined {
+    const ticket = this.peek();
+    if (!ticket) return undefined;
+    const flow = this.#active.pop()!;
+    flow.inHeap = false;
+    flow.items.pop();
+    this.#virtual = Math.max(this.#virtual, flow.startTag);
+    flow.startTag += (ticket.work + flow.debt) / flow.weight;
+    flow.debt = 0;
+    ticket.state = "gone";
+    this.#count(flow, ticket, -1);
+    if (flow.count > 0) this.#enter(flow);
+    return ticket;
+  }
+
+  /** Takes out an entry without charging its flow. */
+  remove(ticket: Ticket<T>): void {
+    if (ticket.state === "gone") return;
+    ticket.state = "gone";
+    this.#count(this.#flow(ticket.flow), ticket, -1);
+    this.#gone++;
+    if (this.#gone > this.#size + GONE_SLACK) this.#rebuild();
+  }
+
+  /** Charges a flow for work that turned out larger than was told, or smaller if negative. */
+  charge(flowId: string, work: number): void {
+    const flow = this.#flows.get(flowId);
+    if (flow) flow.debt += work;
+  }
+
+  /** All entries, in no stated order. */
+  *tickets(): IterableIterator<Ticket<T>> {
+    for (const flow of this.#flows.values()) {
+      for (const ticket of flow.items.data) {
+        if (ticket.state === "queued") yield ticket;
+      }
+    }
+  }
+
+  #flow(id: string): Flow<T> {
+    let flow = this.#flows.get(id);
+    if (!flow) {
+      if (this.#flows.size >= this.#sweepAt) this.#sweep();
+      flow = {
+        id,
+        weight: 1,
+        items: new TinyQueue<Ticket<T>>([], byRank),
+        count: 0,
+        work: 0,
+        startTag: 0,
+        debt: 0,
+        inHeap: false,
+      };
+      this.#flows.set(id, flow);
+    }
+    return flow;
+  }
+
+  // A flow that comes back starts at the present virtual time at the earliest: time it spent idle earns it nothing,
+  // or a workspace silent all night would shut the others out in the morning.
+  #activate(flow: Flow<T>, weight: number): void {
+    flow.weight = Math.max(weight, 1e-6);
+    if (flow.inHeap) return;
+    flow.startTag = Math.max(this.#virtual, flow.startTag);
+    this.#enter(flow);
+  }
+
+  #enter(flow: Flow<T>): void {
+    flow.inHeap = true;
+    this.#active.push(flow);
+  }
+
+  #count(flow: Flow<T>, ticket: Ticket<T>, sign: 1 | -1): void {
+    const wasActive = flow.count > 0;
+    flow.count += sign;
+    flow.work += sign * ticket.work;
+    this.#size += sign;
+    this.#work += sign * ticket.work;
+    if (!wasActive) this.#activeWeight += flow.weight;
+    else if (flow.count === 0) this.#activeWeight -= flow.weight;
+    if (this.#size === 0) this.#activeWeight = 0;
+  }
+
+  // An idle flow whose tag lies in the past is no different from one never seen.
+  #sweep(): void {
+    for (const [id, flow] of this.#flows) {
+      if (flow.count === 0 && !flow.inHeap && flow.startTag <= this.#virtual) {
+        this.#flows.delete(id);
+      }
+    }
+    // Doubling spreads the cost: each sweep is paid by as many new flows as it visits.
+    this.#sweepAt = Math.max(SWEEP_FLOWS, 2 * this.#flows.size);
+  }
+
+  #rebuild(): void {
+    for (const flow of this.#flows.values()) {
+      const live = flow.items.data.filter((t) => t.state === "queued");
+      flow.items = new TinyQueue(live, byRank);
+      flow.inHeap = flow.count > 0;
+    }
+    const active = [...this.#flows.values()].filter((f) => f.count > 0);
+    this.#active = new TinyQueue(active, byTag);
+    this.#gone = 0;
+  }
+}
+
+function dropGone<T>(items: TinyQueue<Ticket<T>>): void {
+  while (items.peek()?.state === "gone") items.pop();
+}
--- /dev/null
+++ b/src/decisions/fleet.ts
@@ -0,0 +1,208 @@
+/**
+ * The upstreams of a pool, and the judgement of each against the others.
+ *
+ * @module
+ */
+
+import type { UpstreamRow } from "../agreement/mod.ts";
+import type { SlotReport } from "./slots.ts";
+import { type Held, Upstream } from "./upstream.ts";
+import { prefillMs } from "./work.ts";
+
+/**
+ * Most of a pool set aside for slowness or failures. The judgement compares an upstream with its peers and can be wrong
+ * for many at once (a slow link of one VM, a burst of long prompts); without the bound, the rest would be overloaded,
+ * look slow in turn and be set aside too. Unreachable ones are not bounded: placing on them serves nobody.
+ */
+const ASIDE_SHARE = 1 / 3;
+/** An upstream this many times slower than the pool's median is set aside; below this, it only gets less. */
+const ASIDE_RATIO = 4;
+/** A probe this close to the median brings it back. */
+const RETURN_RATIO = 2;
+/** An attempt without a first token is overdue after this many times its prediction, and this much more. */
+const OVERDUE_RATIO = 3;
+const OVERDUE_SLACK_MS = 150;
+
+/** A saved prefill shorter than this cannot be told from noise in first-token times. */
+const EVICTION_MS = 50;
+
+/** See the module. */
+export class Fleet {
+  #byId = new Map<string, Upstream>();
+  #list: readonly Upstream[] = [];
+  #active: readonly Upstream[] = [];
+  #hearsStarts = false;
+  #pressure = 0;
+  #usable = false;
+
+  get list(): readonly Upstream[] {
+    return this.#list;
+  }
+  get(id: string): Upstream | undefined {
+    return this.#byId.get(id);
+  }
+
+  /** Takes the rows in force. What is known of an upstream stays while its row does, whatever its state. */
+  configure(rows: readonly UpstreamRow[]): void {
+    const before = this.#byId;
+    this.#byId = new Map();
+    for (const row of rows) {
+      const known = before.get(row.id) ?? new Upstream(row);
+      known.row = row;
+      known.health.resize(row.slots);
+      this.#byId.set(row.id, known);
+    }
+    this.#list = [...this.#byId.values()];
+    this.#active = this.#list.filter((u) => u.row.state === "active");
+  }
+
+  /** Upstreams that may get new work, set aside or not. */
+  get active(): readonly Upstream[] {
+    return this.#active;
+  }
+
+  /** Slots in use, and slots there are. */
+  load(nowMs: number): { readonly running: number; readonly slots: number } {
+    let running = 0;
+    let slots = 0;
+    for (const upstream of this.#list) running += upstream.running;
+    for (const upstream of this.#active) {
+      slots += upstream.health.limit(nowMs);
+    }
+    return { running, slots };
+  }
+
+  /** Whether any upstream could take a request when last judged. */
+  get usable(): boolean {
+    return this.#usable;
+  }
+
+  /** Share of the slots in use when last judged. */
+  get pressure(): number {
+    return this.#pressure;
+  }
+
+  /** Work that the upstreams not set aside can take in a ms, by their rows and observed speeds. */
+  nominalPerMs(nowMs: number): number {
+    let sum = 0;
+    for (const { row, health, slowness } of this.#active) {
+      const part = health.limit(nowMs) / row.slots;
+      sum += (row.prefillTokensPerS / 1000 / slowness) * part;
+    }
+    return sum;
+  }
+
+  /** The first token of an attempt came. */
+  started(held: Held, firstTokenMs: number, nowMs: number): void {
+    this.#hearsStarts = true;
+    const { upstream } = held;
+    const ratio = lateness(held, firstTokenMs, nowMs);
+    upstream.start(held);
+    upstream.learn(ratio);
+    upstream.health.answered(ratio, nowMs);
+    if (!held.probe) return;
+    if (upstream.slowness <= RETURN_RATIO * this.medianSlowness()) {
+      upstream.health.restore(nowMs);
+    } else upstream.health.setAside(nowMs);
+  }
+
+  /** An attempt left its upstream. */
+  ended(held: Held, outcome: SlotReport["outcome"], nowMs: number): void {
+    const { upstream } = held;
+    const unjudged = held.probe && !held.started;
+    upstream.remove(held, nowMs);
+    if (held.probe) upstream.health.probeEnded();
+    if (outcome === "failed" || outcome === "unreachable") {
+      this.#failed(held, outcome === "unreachable", nowMs);
+    } else if (outcome === "refused") upstream.health.overloaded(nowMs);
+    else if (unjudged) upstream.health.setAside(nowMs);
+  }
+
+  /**
+   * Looks at every upstream. Made for one that turns slow or silent: its first tokens are late long before it answers,
+   * so an overdue attempt already counts as evidence, and new work goes elsewhere within a second.
+   */
+  judge(nowMs: number): void {
+    for (const upstream of this.#list) this.#watchOverdue(upstream, nowMs);
+    const median = this.medianSlowness();
+    for (const upstream of this.#list) {
+      const { health } = upstream;
+      if (health.state === "aside") continue;
+      if (upstream.slowness <= ASIDE_RATIO * median) continue;
+      if (this.#mayAside()) health.setAside(nowMs);
+    }
+    const { running, slots } = this.load(nowMs);
+    this.#usable = this.#active.some((u) => u.health.usable(nowMs));
+    this.#pressure = slots > 0 ? Math.min(1, running / slots) : 1;
+  }
+
+  /** The middle slowness of the upstreams not set aside. */
+  medianSlowness(): number {
+    const values = this.#active
+      .filter((upstream) => upstream.health.state !== "aside")
+      .map((upstream) => upstream.slowness)
+      .sort((a, b) => a - b);
+    return values[(values.length - 1) >> 1] ?? 1;
+  }
+
+  /** For people. */
+  dump(): unknown[] {
+    return this.#list.map((upstream) => ({
+      id: upstream.row.id,
+      state: upstream.row.state,
+      health: upstream.health.state,
+      running: upstream.running,
+      foreign: upstream.foreign,
+      slowness: Number(upstream.slowness.toFixed(2)),
+      warmBlocks: upstream.warm.size,
+    }));
+  }
+
+  #failed(held: Held, unreachable: boolean, nowMs: number): void {
+    const { upstream } = held;
+    const ill = upstream.health.failed(unreachable);
+    if (upstream.health.state === "aside") {
+      if (held.probe) upstream.health.setAside(nowMs);
+    } else if (ill && (unreachable || this.#mayAside())) {
+      upstream.health.setAside(nowMs);
+      // A restarted engine has lost its cache; believing otherwise would draw its old prompts to it cold.
+      upstream.warm.clear();
+    }
+  }
+
+  #watchOverdue(upstream: Upstream, nowMs: number): void {
+    // Without news of first tokens, every long answer would look overdue.
+    if (!this.#hearsStarts) return;
+    const oldest = upstream.oldestUnstarted();
+    if (!oldest) return;
+    const waitedMs = nowMs - oldest.grantedAtMs;
+    const expectedMs = Math.max(1, oldest.firstTokenDueMs - oldest.grantedAtMs);
+    if (waitedMs < OVERDUE_RATIO * expectedMs + OVERDUE_SLACK_MS) return;
+    upstream.atLeastSlow(oldest.slowness * (waitedMs / expectedMs));
+  }
+
+  #mayAside(): boolean {
+    const active = this.#active;
+    const aside = active.filter((u) => u.health.state === "aside").length;
+    return aside < Math.floor(Math.max(active.length * ASIDE_SHARE, 1)) &&
+      active.length > 1;
+  }
+}
+
+/**
+ * How many times later than predicted a first token came. Where a warm prefix was believed in and the time is nearer to
+ * that of a cold one, the belief was wrong and not the upstream slow: the engine had evicted the prefix.
+ */
+function lateness(held: Held, firstTokenMs: number, nowMs: number): number {
+  const { upstream } = held;
+  const warmMs = Math.max(1, held.firstTokenDueMs - held.grantedAtMs);
+  const saved = held.promptTokens - held.coldTokens;
+  const coldMs = warmMs + prefillMs(upstream.row, saved) * held.slowness;
+  const misled = coldMs - warmMs > EVICTION_MS &&
+    firstTokenMs * firstTokenMs > warmMs * coldMs;
+  if (!misled) return firstTokenMs / warmMs;
+  upstream.warm.forget(held.prefixHashes);
+  // Its prefill has just put the prompt back.
+  upstream.warm.touch(held.prefixHashes, nowMs);
+  return firstTokenMs / coldMs;
+}
--- /dev/null
+++ b/src/decisions/gate.ts
@@ -0,0 +1,353 @@
+/**
+ * What happens to a request on arrival: refused, sent to another region, or let into the queue.
+ *
+ * @module
+ */
+
+import { Table, type TrafficRow } from "../agreement/mod.ts";
+import { type CodeName, type Failure, failure } from "../base/mod.ts";
+import type { Random } from "../base/mod.ts";
+import { WAIT_MARGIN } from "./admission.ts";
+import type { Dispatcher } from "./dispatcher.ts";
+import type { Entry } from "./lanes.ts";
+import { LimitBook, type Use } from "./limits.ts";
+import { weigh } from "./placement.ts";
+import {
+  type FarRegion,
+  NEVER_MS,
+  type PoolDigest,
+  type PoolOptions,
+  type PoolOutput,
+} from "./pool_messages.ts";
+import { RetryBudget } from "./retry.ts";
+import { chooseRegion, mayLeave, ShiftLedger } from "./shift.ts";
+import type { SlotRequest } from "./slots.ts";
+import { type Held, Upstream } from "./upstream.ts";
+import { prefillMs, priceMicrocents, workTokens } from "./work.ts";
+
+/** A prompt that takes an engine longer than this to prefill is long: a question placed behind it would be late. */
+const LONG_PREFILL_MS = 250;
+/**
+ * A workspace may fill the queue up to its share, by weight, of this many times what is left free. One alone gets two
+ * thirds of the queue, and there is always room for the first requests of another.
+ */
+const QUEUE_ALPHA = 2;
+/** Queue limit where the table has no row of the service. */
+const DEFAULT_QUEUE = 1000;
+/** Earliest return of a refused caller. Sooner, and the same refusal would be all it gets. */
+const RETRY_MS = { least: 200, most: 30_000 };
+/** Callers refused together are spread over this part of their wait, or they would come back together. */
+const RETRY_SPREAD = 0.5;
+
+/** What became of an arrival. */
+export type Arrival =
+  | { readonly type: "queue"; readonly entry: Entry }
+  | { readonly type: "answered"; readonly output: PoolOutput };
+
+interface Forecast {
+  readonly long: boolean;
+  /** Time in the queue. */
+  readonly waitMs: number;
+  /** Time from leaving the queue to the first token. */
+  readonly firstMs: number;
+  readonly coldMs: number;
+  readonly work: number;
+  readonly use: Use;
+}
+
+/** See the module. */
+export class Gate {
+  readonly #options: PoolOptions;
+  readonly #dispatcher: Dispatcher;
+  readonly #random: Random;
+  readonly #limits: LimitBook;
+  readonly #retries = new RetryBudget(0);
+  readonly #ledger = new ShiftLedger();
+  #table = Table.empty;
+  #far: readonly FarRegion[] = [];
+
+  constructor(options: PoolOptions, dispatcher: Dispatcher, random: Random) {
+    this.#options = options;
+    this.#dispatcher = dispatcher;
+    this.#random = random;
+    this.#limits = new LimitBook(this.#table, { ...options, pools: 1 });
+  }
+
+  configure(table: Table, nowMs: number): void {
+    this.#table = table;
+    const { service, region } = this.#options;
+    const poolSize = table.service(service)?.poolSize ?? Infinity;
+    const upstreams = table.upstreams(service, region).length;
+    const pools = Math.max(1, Math.ceil(upstreams / poolSize));
+    this.#limits.configure(table, { service, region, pools }, nowMs);
+  }
+
+  setFar(regions: readonly FarRegion[]): void {
+    this.#far = regions;
+  }
+
+  arrive(request: SlotRequest, nowMs: number): Arrival {
+    const bound = this.#residency(request);
+    if (bound) return refused(request, bound);
+    if (request.sentFrom === undefined && request.exclude.length === 0) {
+      this.#ledger.arrived(nowMs);
+    }
+    if (request.deadlineMs <= nowMs) {
+      return refused(request, failure("deadlinePassed"));
+    }
+    const forecast = this.#forecast(request, nowMs);
+    const far = this.#chooseRegion(request, forecast, nowMs);
+    if (far) {
+      this.#ledger.sent(far, nowMs);
+      return {
+        type: "answered",
+        output: {
+          type: "answer",
+          attemptId: request.attemptId,
+          answer: { type: "shift", region: far.region },
+        },
+      };
+    }
+    const no = this.#refusal(request, forecast, nowMs);
+    if (no || !forecast) {
+      return refused(request, no ?? this.#noUpstream(nowMs));
+    }
+    return { type: "queue", entry: this.#enter(request, forecast, nowMs) };
+  }
+
+  /** Refuses what can no longer start in time, and everything queued once no upstream is left. */
+  refuseLate(nowMs: number): PoolOutput[] {
+    const { lanes, fleet } = this.#dispatcher;
+    const late = fleet.usable ? lanes.removeLate(nowMs) : lanes.clear();
+    return late.map((entry) => {
+      this.forget(entry);
+      const why = fleet.usable
+        ? this.#later(
+          "expiredInQueue",
+          this.#dispatcher.drainMs(lanes.work),
+          nowMs,
+        )
+        : this.#noUpstream(nowMs);
+      return answer(entry.request, why);
+    });
+  }
+
+  /** A queued request was given up: it used nothing. */
+  forget(entry: Entry): void {
+    const nothing = { workTokens: 0, microcents: 0 };
+    this.#limits.release(entry.request.workspace, entry.use, nothing);
+  }
+
+  /** A slot came back after an answer of this many tokens. */
+  release(held: Held, outputTokens: number): void {
+    if (!held.use) return;
+    const actual = this.#use(
+      workTokens({
+        promptTokens: held.coldTokens,
+        expectedOutputTokens: outputTokens,
+      }),
+      held.upstream,
+    );
+    this.#limits.release(held.workspace, held.use, actual);
+  }
+
+  digest(nowMs: number): PoolDigest {
+    const { lanes, fleet } = this.#dispatcher;
+    const { running, slots } = fleet.load(nowMs);
+    const usable = slots > 0;
+    return {
+      predictedWaitMs: usable ? this.#dispatcher.drainMs(lanes.work) : NEVER_MS,
+      takesIn: usable && this.#takesIn(nowMs),
+      queued: lanes.size,
+      running,
+      slots,
+    };
+  }
+
+  // Checked here too, although the VM that took the request checks it first: a version of the table older than the edit
+  // that bound a workspace may still be in force there.
+  #residency(request: SlotRequest): Failure | undefined {
+    const row = this.#table.workspace(request.workspace);
+    const { region } = this.#options;
+    if (request.sentFrom === undefined) {
+      const elsewhere = row?.bound && row.home !== region;
+      return elsewhere ? failure("homeElsewhere") : undefined;
+    }
+    return row?.bound === false ? undefined : failure("homeElsewhere");
+  }
+
+  #chooseRegion(
+    request: SlotRequest,
+    forecast: Forecast | undefined,
+    nowMs: number,
+  ): FarRegion | undefined {
+    const workspace = this.#table.workspace(request.workspace);
+    const { sentFrom } = request;
+    if (!mayLeave({ workspace, sentFrom })) return undefined;
+    const { service, region } = this.#options;
+    return chooseRegion(
+      {
+        workspace,
+        sentFrom,
+        service: this.#table.service(service),
+        traffic: this.#traffic(),
+        region,
+        homeMs: forecast ? forecast.waitMs + forecast.firstMs : Infinity,
+        coldMs: forecast?.coldMs ?? 0,
+        deadlineMs: request.deadlineMs,
+        nowMs,
+      },
+      this.#far,
+      this.#ledger,
+    );
+  }
+
+  #refusal(
+    request: SlotRequest,
+    forecast: Forecast | undefined,
+    nowMs: number,
+  ): Failure | undefined {
+    if (!forecast) return this.#noUpstream(nowMs);
+    if (request.sentFrom !== undefined && !this.#takesIn(nowMs)) {
+      return this.#later("receiverRefused", 0, nowMs);
+    }
+    const full = this.#queueFull(request, nowMs);
+    if (full) return full;
+    const slackMs = request.deadlineMs - nowMs;
+    const totalMs = forecast.waitMs * (1 + WAIT_MARGIN) + forecast.firstMs;
+    if (totalMs > slackMs) {
+      return this.#later("wouldMissDeadline", totalMs - slackMs, nowMs);
+    }
+    const limited = this.#limits.refusal(
+      request.workspace,
+      forecast.use,
+      nowMs,
+    );
+    if (limited) return limited;
+    return request.exclude.length > 0 ? this.#retryRefusal(nowMs) : undefined;
+  }
+
+  #retryRefusal(nowMs: number): Failure | undefined {
+    if (this.#retries.tryTake(nowMs)) return undefined;
+    return failure("noUpstream", {
+      retryAtMs: this.#retries.readyAtMs(nowMs),
+      message: "the retry budget is used up",
+    });
+  }
+
+  #queueFull(request: SlotRequest, nowMs: number): Failure | undefined {
+    const { lanes } = this.#dispatcher;
+    const { service } = this.#options;
+    const limit = this.#table.service(service)?.queueLimit ?? DEFAULT_QUEUE;
+    const free = Math.max(0, limit - lanes.size);
+    const weight = this.#weight(request.workspace);
+    const share = weight / Math.max(weight, lanes.activeWeight);
+    const allowed = Math.max(1, QUEUE_ALPHA * free * share);
+    if (free > 0 && lanes.countOf(request.workspace) < allowed) {
+      return undefined;
+    }
+    return this.#later(
+      "queueFull",
+      this.#dispatcher.drainMs(lanes.work),
+      nowMs,
+    );
+  }
+
+  #enter(request: SlotRequest, forecast: Forecast, nowMs: number): Entry {
+    if (request.exclude.length === 0) this.#retries.firstAttempt();
+    if (!forecast.long) this.#dispatcher.sawShort(nowMs);
+    this.#limits.take(request.workspace, forecast.use, nowMs);
+    return {
+      request,
+      lane: forecast.long ? "long" : "short",
+      weight: this.#weight(request.workspace),
+      work: forecast.work,
+      use: forecast.use,
+      queuedAtMs: nowMs,
+      latestStartMs: request.deadlineMs - forecast.firstMs,
+    };
+  }
+
+  #forecast(request: SlotRequest, nowMs: number): Forecast | undefined {
+    const view = this.#dispatcher.view(false, nowMs);
+    let best: ReturnType<typeof weigh> | undefined;
+    let bestMs = Infinity;
+    for (const upstream of view.upstreams) {
+      if (request.exclude.includes(upstream.row.id)) continue;
+      if (!upstream.health.usable(nowMs)) continue;
+      const found = weigh(request, upstream, view);
+      if (found.firstMs >= bestMs) continue;
+      best = found;
+      bestMs = found.firstMs;
+    }
+    if (!best) return undefined;
+    const { upstream, coldTokens, firstMs } = best;
+    const long = prefillMs(upstream.row, coldTokens) > LONG_PREFILL_MS;
+    const lane = long ? "long" : "short";
+    const weight = this.#weight(request.workspace);
+    const ahead = this.#dispatcher.lanes.ahead(lane, request.workspace, weight);
+    const work = workTokens(request, request.promptTokens - coldTokens);
+    return {
+      long,
+      waitMs: this.#dispatcher.drainMs(ahead),
+      firstMs,
+      coldMs: upstream.ownMs(request.promptTokens),
+      work,
+      use: this.#use(work, upstream),
+    };
+  }
+
+  #use(work: number, upstream: Upstream): Use {
+    const region = this.#table.region(this.#options.region);
+    const price = region?.upstreamHourMicrocents ?? 0;
+    return {
+      workTokens: work,
+      microcents: priceMicrocents(work, upstream.row, price),
+    };
+  }
+
+  // A region with a queue, or that sends away itself, has nothing to give; and part of its slots is kept for its own
+  // callers, who may come in the second that a digest is old.
+  #takesIn(nowMs: number): boolean {
+    if (this.#ledger.sending(nowMs)) return false;
+    const { lanes, fleet } = this.#dispatcher;
+    if (lanes.size > 0) return false;
+    const { running, slots } = fleet.load(nowMs);
+    const reserve = this.#traffic()?.reserveShare ?? 0.2;
+    return running < slots * (1 - reserve);
+  }
+
+  #traffic(): TrafficRow | undefined {
+    const { service, region } = this.#options;
+    return this.#table.traffic(service, region);
+  }
+
+  #weight(workspace: string): number {
+    return this.#table.workspace(workspace)?.weight ?? 1;
+  }
+
+  #noUpstream(nowMs: number): Failure {
+    return this.#later("noUpstream", 1000, nowMs);
+  }
+
+  #later(code: CodeName, waitMs: number, nowMs: number): Failure {
+    const spread = 1 + RETRY_SPREAD * this.#random.next();
+    const bounded = Math.min(
+      RETRY_MS.most,
+      Math.max(RETRY_MS.least, waitMs * spread),
+    );
+    return failure(code, { retryAtMs: Math.ceil(nowMs + bounded) });
+  }
+}
+
+function refused(request: SlotRequest, why: Failure): Arrival {
+  return { type: "answered", output: answer(request, why) };
+}
+
+function answer(request: SlotRequest, why: Failure): PoolOutput {
+  return {
+    type: "answer",
+    attemptId: request.attemptId,
+    answer: { type: "refuse", failure: why },
+  };
+}
--- a/src/decisions/mod.ts
+++ b/src/decisions/mod.ts
@@ -5,4 +5,6 @@
  */
 
 export * from "./slots.ts";
+export * from "./pool_messages.ts";
 export * from "./pool.ts";
+export { type FailedAttempt, mayRetry, MOST_ATTEMPTS } from "./retry.ts";
--- a/src/decisions/pool.ts
+++ b/src/decisions/pool.ts
@@ -4,170 +4,117 @@
  * @module
  */
 
-import type { Table, UpstreamRow } from "../agreement/mod.ts";
-import { failure } from "../base/mod.ts";
-import type { SlotAnswer, SlotReport, SlotRequest } from "./slots.ts";
-
-/** What the lead's task must do after a step: answer a request, or order an upstream to a state. */
-export type PoolOutput =
-  | {
-    readonly type: "answer";
-    readonly attemptId: string;
-    readonly answer: SlotAnswer;
-  }
-  | {
-    readonly type: "order";
-    readonly upstreamId: string;
-    readonly want: "active" | "parked";
-  };
-
-/** A load report of an upstream, as old as `atMs` says. */
-export interface LoadReport {
-  readonly upstreamId: string;
-  readonly running: number;
-  readonly waiting: number;
-  readonly atMs: number;
-}
-
-/** What another region's digest says of this service there. */
-export interface FarRegion {
-  readonly region: string;
-  /** One-way delay of the link. */
-  readonly linkMs: number;
-  /** Time until the first token for a request without a warm prefix, when its pool decides now. */
-  readonly predictedWaitMs: number;
-  /** Whether it takes requests of others now; never true while it sends away itself. */
-  readonly takesIn: boolean;
-  readonly seenAtMs: number;
-}
-
-/** What a region tells others of one of its pools. */
-export interface PoolDigest {
-  readonly predictedWaitMs: number;
-  readonly takesIn: boolean;
-  readonly queued: number;
-  readonly running: number;
-  readonly slots: number;
-}
-
-/** A slot that an entry VM says it holds, told to a new lead. */
-export interface HeldSlot {
-  readonly attemptId: string;
-  readonly upstreamId: string;
-  readonly expiresAtMs: number;
-  readonly promptTokens: number;
-  readonly expectedOutputTokens: number;
-  readonly workspace: string;
-}
-
-/** Who the pool is, and its seed for ties. */
-export interface PoolOptions {
-  readonly service: string;
-  readonly region: string;
-  readonly seed: number;
-}
-
-/** How long a slot is held without a renewal: a dead VM's slots are back after this. */
-export const SLOT_TTL_MS = 6000;
+import { Table, type UpstreamRow } from "../agreement/mod.ts";
+import { Random } from "../base/mod.ts";
+import { type Arrival, Gate } from "./gate.ts";
+import { Dispatcher } from "./dispatcher.ts";
+import {
+  type FarRegion,
+  type HeldSlot,
+  type LoadReport,
+  type PoolDigest,
+  type PoolOptions,
+  type PoolOutput,
+  SLOT_TTL_MS,
+} from "./pool_messages.ts";
+import type { SlotReport, SlotRequest } from "./slots.ts";
 
 /** The lead's state; each method is one step and returns what its task must do. */
 export class Pool {
   readonly options: PoolOptions;
-  #upstreams: readonly UpstreamRow[] = [];
-  #next = 0;
+  readonly #dispatcher: Dispatcher;
+  readonly #gate: Gate;
 
   constructor(options: PoolOptions) {
     this.options = options;
+    const random = new Random(options.seed);
+    this.#dispatcher = new Dispatcher(random);
+    this.#gate = new Gate(options, this.#dispatcher, random);
   }
 
   /** Takes the rows in force: the pool's upstreams and whatever else of the table decides. */
   configure(
-    _table: Table,
+    table: Table,
     upstreams: readonly UpstreamRow[],
-    _nowMs: number,
+    nowMs: number,
   ): PoolOutput[] {
-    this.#upstreams = upstreams.filter((upstream) =>
-      upstream.state === "active"
-    );
-    return [];
+    this.#dispatcher.configure(upstreams, nowMs);
+    this.#gate.configure(table, nowMs);
+    return this.tick(nowMs);
   }
 
-  /** A request asks for a slot: it is answered now or queued. */
+  /** A request asks for a slot: it is answered now or queued. Asked again, it is answered the same. */
   request(request: SlotRequest, nowMs: number): PoolOutput[] {
-    const usable = this.#upstreams.filter((upstream) =>
-      !request.exclude.includes(upstream.id)
-    );
-    if (usable.length === 0) {
-      return [{
-        type: "answer",
-        attemptId: request.attemptId,
-        answer: {
-          type: "refuse",
-          failure: failure("noUpstream", { retryAtMs: nowMs + 1000 }),
-        },
-      }];
-    }
-    const upstream = usable[this.#next++ % usable.length];
-    return [{
-      type: "answer",
-      attemptId: request.attemptId,
-      answer: {
-        type: "grant",
-        attemptId: request.attemptId,
-        upstreamId: upstream.id,
-        url: upstream.url,
-        expiresAtMs: nowMs + SLOT_TTL_MS,
-        queuedMs: 0,
-      },
-    }];
+    const granted = this.#dispatcher.grantOf(request.attemptId);
+    if (granted) return [granted];
+    if (this.#dispatcher.lanes.has(request.attemptId)) return [];
+    const arrival: Arrival = this.#gate.arrive(request, nowMs);
+    if (arrival.type === "answered") return [arrival.output];
+    this.#dispatcher.lanes.push(arrival.entry);
+    return this.#settle(nowMs);
   }
 
-  /** An attempt ended: frees its slot and learns from it. */
-  report(_report: SlotReport, _nowMs: number): PoolOutput[] {
-    return [];
+  /** An attempt got its first token or ended: learns from it, and frees its slot at the end. */
+  report(report: SlotReport, nowMs: number): PoolOutput[] {
+    const ended = this.#dispatcher.report(report, nowMs);
+    if (ended) this.#gate.release(ended, report.outputTokens);
+    return this.#settle(nowMs);
   }
 
   /** Holds these slots for another {@link SLOT_TTL_MS}; answers with those it does not know. */
-  renew(_attemptIds: readonly string[], _nowMs: number): readonly string[] {
-    return [];
+  renew(attemptIds: readonly string[], nowMs: number): readonly string[] {
+    const untilMs = nowMs + SLOT_TTL_MS;
+    return attemptIds.filter((id) => !this.#dispatcher.renew(id, untilMs));
   }
 
   /** The caller has gone: forgets a queued attempt or frees its slot. */
-  cancel(_attemptId: string, _nowMs: number): PoolOutput[] {
-    return [];
+  cancel(attemptId: string, nowMs: number): PoolOutput[] {
+    const queued = this.#dispatcher.lanes.remove(attemptId);
+    if (queued) this.#gate.forget(queued);
+    const held = this.#dispatcher.giveUp(attemptId, nowMs);
+    if (held) this.#gate.release(held, 0);
+    return this.#settle(nowMs);
   }
 
   /** An upstream's own report of its load. */
-  observe(_load: LoadReport, _nowMs: number): PoolOutput[] {
-    return [];
+  observe(load: LoadReport, nowMs: number): PoolOutput[] {
+    this.#dispatcher.observe(load, nowMs);
+    return this.#settle(nowMs);
   }
 
   /** What other regions say; replaces what they said before. */
-  setFar(_regions: readonly FarRegion[], _nowMs: number): void {}
+  setFar(regions: readonly FarRegion[], _nowMs: number): void {
+    this.#gate.setFar(regions);
+  }
 
   /** A new lead learns what entry VMs hold; it starts cautious until it has heard them. */
-  adopt(_held: readonly HeldSlot[], _nowMs: number): PoolOutput[] {
-    return [];
+  adopt(held: readonly HeldSlot[], nowMs: number): PoolOutput[] {
+    for (const slot of held) this.#dispatcher.adopt(slot, nowMs);
+    return this.#settle(nowMs);
   }
 
   /** Time passes: expired slots come back, late requests are refused, queued ones are placed. Every 50 ms or so. */
-  tick(_nowMs: number): PoolOutput[] {
-    return [];
+  tick(nowMs: number): PoolOutput[] {
+    for (const held of this.#dispatcher.expire(nowMs)) {
+      this.#gate.release(held, held.expectedOutputTokens);
+    }
+    this.#dispatcher.pass(nowMs);
+    return this.#settle(nowMs);
   }
 
   /** What other regions are told. */
-  digest(_nowMs: number): PoolDigest {
-    return {
-      predictedWaitMs: 0,
-      takesIn: true,
-      queued: 0,
-      running: 0,
-      slots: 0,
-    };
+  digest(nowMs: number): PoolDigest {
+    return this.#gate.digest(nowMs);
   }
 
   /** The pool's state for people. */
   dump(): unknown {
-    return { upstreams: this.#upstreams.map((upstream) => upstream.id) };
+    return { ...this.options, ...this.#dispatcher.dump() };
+  }
+
+  // Answers are given in the step in which they become known: a caller told early can still go elsewhere.
+  #settle(nowMs: number): PoolOutput[] {
+    const refused = this.#gate.refuseLate(nowMs);
+    return [...refused, ...this.#dispatcher.dispatch(nowMs)];
   }
 }
--- /dev/null
+++ b/src/decisions/pool_test.ts
@@ -0,0 +1,176 @@
+import type { ExecutionContext } from "ava";
+import { Table, type TableRow, tableRow } from "../agreement/mod.ts";
+import { describe, it } from "../base/describe.ts";
+import {
+  Pool,
+  type PoolOutput,
+  type SlotAnswer,
+  type SlotRequest,
+} from "./mod.ts";
+
+const rows = [
+  { kind: "service", id: "plan", type: "model", queueLimit: 20 },
+  { kind: "region", id: "agadir" },
+  { kind: "region", id: "marrakech" },
+  {
+    kind: "traffic",
+    service: "plan",
+    region: "agadir",
+    mayGoTo: ["marrakech"],
+  },
+  { kind: "workspace", id: "convoy", home: "agadir", bound: true },
+  { kind: "workspace", id: "road", home: "agadir", bound: false },
+];
+
+function upstream(id: string, more = {}) {
+  return {
+    kind: "upstream",
+    id,
+    service: "plan",
+    region: "agadir",
+    failureDomain: "a",
+    url: `http://${id}.test`,
+    slots: 2,
+    ...more,
+  };
+}
+
+function tableOf(...more: object[]): Table {
+  const parsed = [...rows, ...more].map((row) => tableRow.parse(row));
+  return Table.of(1, parsed.map((row: TableRow) => ({ row, version: 1 })));
+}
+
+function poolOf(table: Table): Pool {
+  const pool = new Pool({ service: "plan", region: "agadir", seed: 1 });
+  pool.configure(table, table.upstreams("plan", "agadir"), 0);
+  return pool;
+}
+
+let made = 0;
+function ask(more: Partial<SlotRequest> = {}): SlotRequest {
+  return {
+    attemptId: `a${made++}`,
+    service: "plan",
+    workspace: "road",
+    priority: 0,
+    arrivedAtMs: 0,
+    deadlineMs: 30_000,
+    prefixHashes: [],
+    promptTokens: 100,
+    expectedOutputTokens: 50,
+    exclude: [],
+    tableVersion: 1,
+    ...more,
+  };
+}
+
+function only(t: ExecutionContext, outputs: PoolOutput[]): SlotAnswer {
+  t.is(outputs.length, 1);
+  const [output] = outputs;
+  if (output.type !== "answer") throw new Error("not an answer");
+  return output.answer;
+}
+
+function codeOf(answer: SlotAnswer): string {
+  return answer.type === "refuse" ? answer.failure.code : answer.type;
+}
+
+const LATER = 2000;
+
+describe("pool", () => {
+  describe("slots", () => {
+    it("grants no more than there are and the rest when one comes back", (t) => {
+      const pool = poolOf(tableOf(upstream("u1")));
+      const first = ask();
+      t.is(only(t, pool.request(first, LATER)).type, "grant");
+      pool.request(ask(), LATER);
+      const third = ask();
+      t.deepEqual(pool.request(third, LATER), []);
+      const outputs = pool.report({
+        attemptId: first.attemptId,
+        service: "plan",
+        upstreamId: "u1",
+        outcome: "done",
+        outputTokens: 50,
+        totalMs: 400,
+      }, LATER + 400);
+      t.is(outputs.length, 1);
+      t.is(only(t, outputs).type, "grant");
+    });
+
+    // The caller of a dead entry VM is gone, and so is whoever would free its slot. Without an end by time the
+    // upstream would stay full for ever and later callers be refused.
+    it("come back when nobody renews them", (t) => {
+      const pool = poolOf(tableOf(upstream("u1", { slots: 1 })));
+      const lost = ask();
+      pool.request(lost, LATER);
+      pool.request(ask(), LATER);
+      t.deepEqual(pool.renew([lost.attemptId], LATER + 5000), []);
+      t.deepEqual(pool.tick(LATER + 7000), []);
+      t.is(only(t, pool.tick(LATER + 11_001)).type, "grant");
+      t.deepEqual(pool.renew([lost.attemptId], LATER + 11_001), [
+        lost.attemptId,
+      ]);
+    });
+
+    it("stay with a repeated request", (t) => {
+      const pool = poolOf(tableOf(upstream("u1")));
+      const request = ask();
+      const first = only(t, pool.request(request, LATER));
+      t.deepEqual(only(t, pool.request(request, LATER)), first);
+    });
+
+    it("adopted by a new lead count as taken", (t) => {
+      const pool = poolOf(tableOf(upstream("u1", { slots: 1 })));
+      pool.adopt([{
+        attemptId: "old",
+        upstreamId: "u1",
+        expiresAtMs: LATER + 6000,
+        promptTokens: 1,
+        expectedOutputTokens: 1,
+        workspace: "road",
+      }], LATER);
+      t.deepEqual(pool.request(ask(), LATER), []);
+      t.is(only(t, pool.cancel("old", LATER)).type, "grant");
+    });
+
+    it("of a leaving upstream are not given out", (t) => {
+      const pool = poolOf(tableOf(upstream("u1", { state: "leaving" })));
+      const answer = only(t, pool.request(ask(), LATER));
+      t.is(codeOf(answer), "noUpstream");
+    });
+  });
+
+  describe("refusal", () => {
+    it("comes at once when the start would miss the deadline", (t) => {
+      const pool = poolOf(tableOf(upstream("u1", { slots: 1 })));
+      for (let i = 0; i < 10; i++) {
+        pool.request(ask({ expectedOutputTokens: 2000 }), LATER);
+      }
+      const answer = only(
+        t,
+        pool.request(
+          ask({ deadlineMs: LATER + 300, expectedOutputTokens: 2000 }),
+          LATER,
+        ),
+      );
+      t.is(codeOf(answer), "wouldMissDeadline");
+      if (answer.type !== "refuse") return t.fail();
+      t.is(answer.failure.ran, "no");
+      t.true(answer.failure.retryAtMs! > LATER);
+    });
+
+    it("bounds the queue and leaves room in it for another workspace", (t) => {
+      const pool = poolOf(tableOf(upstream("u1", { slots: 1 })));
+      const deadlineMs = LATER + 1e7;
+      const answers = Array.from(
+        { length: 40 },
+        () => pool.request(ask({ deadlineMs }), LATER),
+      ).flat();
+      const codes = answers.map((o) => o.type === "answer" && codeOf(o.answer));
+      t.true(codes.includes("queueFull"));
+      const other = ask({ deadlineMs, workspace: "convoy" });
+      t.deepEqual(pool.request(other, LATER), []);
+    });
+  });
+});
--- /dev/null
+++ b/src/decisions/retry.ts
@@ -0,0 +1,68 @@
+/**
+ * Retries: when another attempt is allowed.
+ *
+ * @module
+ */
+
+import type { Ran } from "../base/mod.ts";
+import { Bucket } from "./bucket.ts";
+
+/**
+ * Retries per first attempt. When an upstream dies, a retry saves its requests; when all are overloaded, retries are
+ * more load and keep them so. A tenth covers the loss of one upstream in ten and adds a tenth at worst.
+ */
+const RETRY_SHARE = 0.1;
+/** Retries saved up: the requests in flight at one upstream that dies are retried at once. */
+const RETRY_BURST = 32;
+/** Retries a second allowed without any traffic, so that a quiet service still survives a failure. */
+const RETRY_TRICKLE_PER_S = 1;
+
+/** The retry budget of a pool. */
+export class RetryBudget {
+  readonly #bucket: Bucket;
+
+  constructor(nowMs: number) {
+    this.#bucket = new Bucket(RETRY_TRICKLE_PER_S / 1000, RETRY_BURST, nowMs);
+  }
+
+  firstAttempt(): void {
+    this.#bucket.refund(RETRY_SHARE);
+  }
+
+  /** Takes one retry from the budget, if there is one. */
+  tryTake(nowMs: number): boolean {
+    if (!this.#bucket.has(1, nowMs)) return false;
+    this.#bucket.take(1, nowMs);
+    return true;
+  }
+
+  /** When a retry is there at the latest. */
+  readyAtMs(nowMs: number): number {
+    return Math.ceil(this.#bucket.readyAtMs(1, nowMs));
+  }
+}
+
+/** What is known of a request whose attempt failed. */
+export interface FailedAttempt {
+  /** Whether the call may run at most once. */
+  readonly atMostOnce: boolean;
+  readonly ran: Ran;
+  /** Bytes of the answer that the caller has already got. */
+  readonly answerBytes: number;
+  readonly attempts: number;
+  readonly deadlineMs: number;
+}
+
+/** Attempts of one request in all: after three upstreams the fault is likely the request's. */
+export const MOST_ATTEMPTS = 3;
+
+/**
+ * Whether the request may be attempted again elsewhere. Never after the caller got a part of an answer, since a second
+ * answer would not continue the first; never if a call that must run at most once may have run.
+ */
+export function mayRetry(attempt: FailedAttempt, nowMs: number): boolean {
+  if (attempt.attempts >= MOST_ATTEMPTS) return false;
+  if (nowMs >= attempt.deadlineMs) return false;
+  if (attempt.answerBytes > 0) return false;
+  return !attempt.atMostOnce || attempt.ran === "no";
+}
--- a/src/decisions/slots.ts
+++ b/src/decisions/slots.ts
@@ -12,6 +12,7 @@
   readonly attemptId: string;
   readonly service: string;
   readonly workspace: string;
+  /** Higher goes first. */
   readonly priority: number;
   readonly arrivedAtMs: number;
   readonly deadlineMs: number;
@@ -53,7 +54,18 @@
   readonly attemptId: string;
   readonly service: string;
   readonly upstreamId: string;
-  readonly outcome: "done" | "canceled" | "refused" | "failed" | "unreachable";
+  /**
+   * `started`: the first token came and the slot stays held; sent once, so that a slow upstream is known by its next
+   * first token and not by its next end. `refused`: the upstream did not run it. `failed`: it may have run.
+   */
+  readonly outcome:
+    | "started"
+    | "done"
+    | "canceled"
+    | "refused"
+    | "failed"
+    | "unreachable";
+  /** From the grant to the first token (for a plain service, to the answer's headers). */
   readonly firstTokenMs?: number;
   readonly outputTokens: number;
   readonly totalMs: number;
--- /dev/null
+++ b/src/decisions/upstream.ts
@@ -0,0 +1,165 @@
+/**
+ * What a lead knows of one upstream: what it runs, how fast it is, and whether it can be trusted with more.
+ *
+ * @module
+ */
+
+import type { UpstreamRow } from "../agreement/mod.ts";
+import { Health } from "./health.ts";
+import type { Use } from "./limits.ts";
+import { WarmSet } from "./warm.ts";
+import { prefillMs } from "./work.ts";
+
+/** Time to a first token that no prompt is too short for: a queued pass of the engine and the network. */
+export const BASE_FIRST_MS = 30;
+
+/** Bounds of {@link Upstream.slowness}: one wild observation must not shut an upstream out for minutes. */
+const SLOWNESS_RANGE = { least: 0.25, most: 64 };
+/** Weight of one observation in {@link Upstream.slowness}: three of them move it most of the way. */
+const SLOWNESS_GAIN = 0.3;
+/** The same while an upstream is probed: probes are few, so each must count for much. */
+const PROBE_GAIN = 0.8;
+/** Bounds of one observation's ratio: a single request preempted by chance may show any figure. */
+const RATIO_RANGE = { least: 0.1, most: 10 };
+
+/** Reports that must agree on attempts of others; see {@link Upstream.observe}. */
+const EXCESS_REPORTS = 3;
+
+/** A granted attempt, as its lead remembers it. */
+export interface Held {
+  readonly attemptId: string;
+  readonly upstream: Upstream;
+  readonly workspace: string;
+  readonly work: number;
+  /** What its limits were charged; absent if another lead charged them. */
+  readonly use?: Use;
+  readonly promptTokens: number;
+  readonly expectedOutputTokens: number;
+  /** Tokens it has to prefill if the belief in its warm prefix is right. */
+  readonly coldTokens: number;
+  readonly prefixHashes: readonly number[];
+  readonly long: boolean;
+  /** Whether it tells if an upstream set aside may return. */
+  readonly probe: boolean;
+  readonly grantedAtMs: number;
+  /** When its first token was expected; a duration would need the grant's time beside it at each use. */
+  readonly firstTokenDueMs: number;
+  /** {@link Upstream.slowness} at the grant. */
+  readonly slowness: number;
+  expiresAtMs: number;
+  started: boolean;
+}
+
+/** One upstream of a pool. */
+export class Upstream {
+  row: UpstreamRow;
+  readonly health: Health;
+  readonly warm = new WarmSet();
+  /** Attempts without a first token yet, oldest first. */
+  readonly unstarted = new Map<string, Held>();
+  /** Attempts this lead granted or adopted and has not seen end. */
+  running = 0;
+  /** Long prompts among {@link unstarted}. */
+  longUnstarted = 0;
+  /** Attempts the upstream reports beyond those this lead knows of. */
+  foreign = 0;
+  /** How many times slower it is than its row says. */
+  slowness = 1;
+  /** When it has prefilled all that was placed on it. */
+  prefillDoneAtMs = 0;
+  #excess: number[] = [];
+
+  constructor(row: UpstreamRow) {
+    this.row = row;
+    this.health = new Health(row.slots);
+  }
+
+  /** Whether one more attempt may be placed on it now. */
+  hasRoom(nowMs: number, cautious: boolean): boolean {
+    const limit = this.health.limit(nowMs);
+    const most = cautious ? Math.ceil(limit / 2) : limit;
+    return this.running + this.foreign < most;
+  }
+
+  /**
+   * Takes its own report. A lagging report still counts attempts that have ended here since, so only an excess that
+   * every one of the last reports shows is real; a lead that has just begun takes the newest at its word, as it cannot
+   * know yet what its predecessor placed. A report of less than this lead placed is no news: an upstream that always
+   * says "idle" would draw all work to itself.
+   */
+  observe(reported: number, cautious: boolean): void {
+    this.#excess.push(Math.max(0, reported - this.running));
+    if (this.#excess.length > EXCESS_REPORTS) this.#excess.shift();
+    this.foreign = cautious
+      ? this.#excess[this.#excess.length - 1]
+      : Math.min(...this.#excess);
+    this.foreign = Math.min(this.foreign, this.row.slots);
+  }
+
+  /** How long what is placed on it already keeps it prefilling. */
+  backlogMs(nowMs: number): number {
+    return Math.max(0, this.prefillDoneAtMs - nowMs);
+  }
+
+  /** Time to prefill this many tokens at its observed speed. */
+  ownMs(tokens: number): number {
+    return (BASE_FIRST_MS + prefillMs(this.row, tokens)) * this.slowness;
+  }
+
+  /** Time to the first token of a request with this many tokens to prefill. */
+  predictFirstMs(tokens: number, nowMs: number): number {
+    return this.backlogMs(nowMs) + this.ownMs(tokens);
+  }
+
+  add(held: Held): void {
+    this.running++;
+    if (held.started) return;
+    this.unstarted.set(held.attemptId, held);
+    if (held.long) this.longUnstarted++;
+    const startMs = Math.max(held.grantedAtMs, this.prefillDoneAtMs);
+    this.prefillDoneAtMs = startMs +
+      prefillMs(this.row, held.coldTokens) * this.slowness;
+  }
+
+  /** The first token came. */
+  start(held: Held): void {
+    this.#unqueue(held);
+  }
+
+  /** Moves {@link slowness} by a first-token time's ratio to what was predicted. */
+  learn(ratio: number): void {
+    const gain = this.health.probing ? PROBE_GAIN : SLOWNESS_GAIN;
+    const bounded = clamp(ratio, RATIO_RANGE);
+    this.slowness = clamp(this.slowness * bounded ** gain, SLOWNESS_RANGE);
+  }
+
+  /** Raises {@link slowness} to what an unanswered attempt already proves. */
+  atLeastSlow(slowness: number): void {
+    this.slowness = clamp(Math.max(this.slowness, slowness), SLOWNESS_RANGE);
+  }
+
+  /** The attempt ended or was given up. */
+  remove(held: Held, nowMs: number): void {
+    this.running = Math.max(0, this.running - 1);
+    this.#unqueue(held);
+    if (this.unstarted.size === 0) {
+      this.prefillDoneAtMs = Math.min(this.prefillDoneAtMs, nowMs);
+    }
+  }
+
+  /** The attempt that has waited longest for its first token. */
+  oldestUnstarted(): Held | undefined {
+    return this.unstarted.values().next().value;
+  }
+
+  #unqueue(held: Held): void {
+    if (held.started) return;
+    held.started = true;
+    this.unstarted.delete(held.attemptId);
+    if (held.long) this.longUnstarted--;
+  }
+}
+
+function clamp(value: number, range: { least: number; most: number }): number {
+  return Math.min(range.most, Math.max(range.least, value));
+}
--- /dev/null
+++ b/src/decisions/work.ts
@@ -0,0 +1,52 @@
+/**
+ * The size of a request: tokens to prefill and to generate, in one unit.
+ *
+ * @module
+ */
+
+import type { UpstreamRow } from "../agreement/mod.ts";
+import type { SlotRequest } from "./slots.ts";
+
+/**
+ * A generated token counts as this many prefilled ones. Prefill batches hundreds of tokens into one pass and generation
+ * adds one token a pass, so counting both alike would let a workspace of short prompts and long answers take most of
+ * an engine while it seems to use little. 5 is the ratio of the default rates in the table.
+ */
+export const OUTPUT_COST = 5;
+
+/** Least work of a request. Calls of plain services bring no tokens; at zero they would escape fairness and limits. */
+export const MIN_WORK_TOKENS = 64;
+
+/** The work of a request whose first `warmTokens` are cached, in prefill-equivalent tokens. */
+export function workTokens(
+  size: Pick<SlotRequest, "promptTokens" | "expectedOutputTokens">,
+  warmTokens = 0,
+): number {
+  const prefill = Math.max(0, size.promptTokens - warmTokens);
+  return Math.max(
+    MIN_WORK_TOKENS,
+    prefill + size.expectedOutputTokens * OUTPUT_COST,
+  );
+}
+
+/** Tokens that a cached prefix of `matched` blocks saves; the blocks are taken as equal parts of the prompt. */
+export function warmTokens(request: SlotRequest, matched: number): number {
+  const blocks = request.prefixHashes.length;
+  if (blocks === 0) return 0;
+  return Math.floor((request.promptTokens * matched) / blocks);
+}
+
+/** Time an upstream of these rates needs to prefill that many tokens, alone and healthy. */
+export function prefillMs(row: UpstreamRow, tokens: number): number {
+  return (tokens / row.prefillTokensPerS) * 1000;
+}
+
+/** Price of this work at an upstream of these rates, in microcents. */
+export function priceMicrocents(
+  work: number,
+  row: UpstreamRow,
+  upstreamHourMicrocents: number,
+): number {
+  const hours = work / row.prefillTokensPerS / 3600;
+  return hours * upstreamHourMicrocents;
+}
