--- a/src/adapters/mod.ts
+++ b/src/adapters/mod.ts
@@ -5,6 +5,10 @@
  */
 
 export * from "./key_value.ts";
+export * from "./etcd_key_value.ts";
+export * from "./platform.ts";
+export * from "./platform_http.ts";
+export * from "./http_platform.ts";
 export * from "./transport.ts";
 export * from "./upstream.ts";
 export * from "./http_upstream.ts";
