--- /dev/null
+++ b/bench/bench.ts
@@ -0,0 +1,26 @@
+/**
+ * `npm run bench -- NAME [--json] [args]`: runs `bench/NAME.ts` and prints its rows, as JSON lines or as a table.
+ *
+ * @module
+ */
+
+import type { Bench, Row } from "./row.ts";
+
+function print(rows: readonly Row[], json: boolean): void {
+  for (const row of rows) {
+    if (json) {
+      console.log(JSON.stringify(row));
+      continue;
+    }
+    const name = `${row.case} | ${row.policy} | ${row.measure}`;
+    console.log(`${name.padEnd(64)} ${row.value} ${row.unit}`);
+  }
+}
+
+const [name, ...args] = process.argv.slice(2);
+if (!name || !/^[a-z_]+$/.test(name)) {
+  console.error("usage: npm run bench -- NAME [--json]");
+  process.exit(2);
+}
+const { run } = await import(`./${name}.js`) as { run: Bench };
+print(await run(args), args.includes("--json"));
--- /dev/null
+++ b/bench/decisions.ts
@@ -0,0 +1,370 @@
+/**
+ * The decision modules under load, in virtual time, beside other policies. Each case is seeded: the same figures on
+ * every run. See `docs/design/decisions.md`.
+ *
+ * @module
+ */
+
+import { Table, type TableRow, tableRow } from "../src/agreement/mod.ts";
+import { Engine } from "./engine.ts";
+import {
+  firstTokens,
+  goodWorkPerS,
+  inTime,
+  jain,
+  percentile,
+  rounded,
+  share,
+  workOf,
+} from "./measures.ts";
+import {
+  Alone,
+  Lead,
+  LeastRequests,
+  Oracle,
+  type Policy,
+  type PolicyContext,
+  PowerOfTwo,
+  RoundRobin,
+} from "./policies.ts";
+import type { Row } from "./row.ts";
+import { Sim } from "./sim.ts";
+import { type Ask, generate, type Stream } from "./workload.ts";
+import { type Outcome, World } from "./world.ts";
+
+const SEED = 7;
+const WARMUP_MS = 10_000;
+const END_MS = 60_000;
+const DRAIN_MS = 15_000;
+const RUNNERS = 13;
+const CACHE_BLOCKS = 600;
+/** Requests a second that 13 runners serve of the common mix when always full; measured by the case `capacity`. */
+const WORKSPACES = Array.from({ length: 20 }, (_, i) => `w${i}`);
+
+type Maker = (context: PolicyContext) => Policy;
+
+const POLICIES: Readonly<Record<string, Maker>> = {
+  "round-robin": (c) => new RoundRobin(c),
+  "least-requests": (c) => new LeastRequests(c),
+  "power-of-two": (c) => new PowerOfTwo(c),
+  "alone": (c) => new Alone(c),
+  "lead": (c) => new Lead(c),
+  "oracle": (c) => new Oracle(c),
+};
+
+interface Case {
+  readonly name: string;
+  readonly streams: readonly Stream[];
+  readonly policies?: readonly string[];
+  readonly runners?: number;
+  readonly lagMs?: number;
+  readonly regions?: readonly string[];
+  readonly objective?: object;
+  readonly during?: (world: World) => void;
+  readonly more?: (outcomes: readonly Outcome[]) => Record<string, number>;
+}
+
+function tableOf(
+  regions: readonly string[],
+  runners: number,
+  objective: object,
+): Table {
+  const rows: unknown[] = [{
+    kind: "service",
+    id: "plan",
+    type: "model",
+    objective,
+    queueLimit: 1000,
+  }];
+  for (const region of regions) {
+    rows.push({ kind: "region", id: region });
+    rows.push({
+      kind: "traffic",
+      service: "plan",
+      region,
+      mayGoTo: regions.filter((other) => other !== region),
+    });
+    for (let i = 0; i < runners; i++) {
+      rows.push({
+        kind: "upstream",
+        id: `${region}-${i}`,
+        service: "plan",
+        region,
+        failureDomain: `${region}-${i % 3}`,
+        url: `http://${region}-${i}.test`,
+      });
+    }
+    for (const workspace of WORKSPACES) {
+      for (const bound of [true, false]) {
+        rows.push({
+          kind: "workspace",
+          id: nameOf(region, workspace, bound),
+          home: region,
+          bound,
+        });
+      }
+    }
+  }
+  const parsed = rows.map((row) => tableRow.parse(row));
+  return Table.of(1, parsed.map((row: TableRow) => ({ row, version: 1 })));
+}
+
+function nameOf(region: string, workspace: string, bound: boolean): string {
+  return `${region}-${workspace}-${bound ? "bound" : "free"}`;
+}
+
+/** The common mix of a region: 38% bound to it, one long prompt in four. */
+function mix(
+  region: string,
+  perS: (atMs: number) => number,
+  longShare = 0.25,
+  workspaces: readonly string[] = WORKSPACES,
+): Stream[] {
+  return [true, false].map((bound) => ({
+    region,
+    workspaces: workspaces.map((w) => nameOf(region, w, bound)),
+    bound,
+    longShare,
+    perS: (atMs) => perS(atMs) * (bound ? 0.38 : 0.62),
+  }));
+}
+
+function rowsOf(
+  spec: Case,
+  policy: string,
+  outcomes: readonly Outcome[],
+  world: World,
+): Row[] {
+  const counted = outcomes.filter((o) => o.ask.atMs >= WARMUP_MS);
+  const all = firstTokens(counted);
+  const short = firstTokens(counted.filter((o) => o.ask.type === "short"));
+  const long = firstTokens(counted.filter((o) => o.ask.type === "long"));
+  const seconds = (END_MS - WARMUP_MS) / 1000;
+  const perWorkspace = new Map<string, number>();
+  for (const o of counted.filter(inTime)) {
+    const { workspace } = o.ask;
+    perWorkspace.set(workspace, (perWorkspace.get(workspace) ?? 0) + workOf(o));
+  }
+  const measures: Record<string, [number, string]> = {
+    first_p50: [percentile(all, 0.5), "ms"],
+    first_p95: [percentile(all, 0.95), "ms"],
+    first_p99: [percentile(all, 0.99), "ms"],
+    short_p99: [percentile(short, 0.99), "ms"],
+    long_p99: [percentile(long, 0.99), "ms"],
+    in_time: [share(counted, inTime), "share"],
+    short_in_time: [
+      share(counted.filter((o) => o.ask.type === "short"), inTime),
+      "share",
+    ],
+    good_work: [goodWorkPerS(counted, seconds), "tokens/s"],
+    refused: [share(counted, (o) => o.result === "refused"), "share"],
+    late: [share(counted, (o) => o.result === "late"), "share"],
+    refusal_p99: [
+      percentile(
+        counted.flatMap((o) => o.refusedAfterMs ?? []).sort((a, b) => a - b),
+        0.99,
+      ),
+      "ms",
+    ],
+    sent_away: [
+      share(counted, (o) => o.servedIn !== undefined && o.moves > 0),
+      "share",
+    ],
+    warm: [
+      counted.reduce((sum, o) => sum + o.warmTokens, 0) /
+      counted.reduce((sum, o) => sum + o.ask.promptTokens, 0),
+      "share",
+    ],
+    jain: [jain([...perWorkspace.values()]), ""],
+    broken_promises: [
+      [...world.broken.values()].reduce((a, b) => a + b, 0),
+      "",
+    ],
+  };
+  for (const [measure, value] of Object.entries(spec.more?.(counted) ?? {})) {
+    measures[measure] = [value, ""];
+  }
+  return Object.entries(measures)
+    .filter(([, [value]]) => Number.isFinite(value))
+    .map(([measure, [value, unit]]) => ({
+      bench: "decisions",
+      case: spec.name,
+      policy,
+      measure,
+      value: rounded(value),
+      unit,
+      seed: SEED,
+    }));
+}
+
+function runCase(spec: Case): Row[] {
+  const regions = spec.regions ?? ["agadir"];
+  const table = tableOf(
+    regions,
+    spec.runners ?? RUNNERS,
+    spec.objective ?? { latencyWeight: 1, costWeight: 0, awayWeight: 0 },
+  );
+  const asks = generate(spec.streams, END_MS, SEED);
+  const rows: Row[] = [];
+  for (const name of spec.policies ?? Object.keys(POLICIES)) {
+    const world = new World({
+      table,
+      service: "plan",
+      regions,
+      linkMs: 40,
+      lagMs: spec.lagMs ?? 1000,
+      seed: SEED,
+      cacheBlocks: CACHE_BLOCKS,
+      policy: POLICIES[name.replace(" latency-only", "")],
+      onlyLatency: name.endsWith("latency-only"),
+    });
+    spec.during?.(world);
+    world.run(asks, END_MS + DRAIN_MS);
+    rows.push(...rowsOf(spec, name, world.outcomes, world));
+  }
+  return rows;
+}
+
+/** Work and requests a second of one always full pool, each document at a home of its own. */
+function capacity(runners: number): { perS: number; workPerS: number } {
+  const sim = new Sim();
+  const asks = generate(mix("agadir", () => 500), END_MS, SEED);
+  const engines = Array.from(
+    { length: runners },
+    (_, i) =>
+      new Engine(sim, {
+        id: `e${i}`,
+        slots: 16,
+        prefillTokensPerS: 8000,
+        decodeTokensPerS: 1500,
+        cacheBlocks: CACHE_BLOCKS,
+      }),
+  );
+  let done = 0;
+  let work = 0;
+  const queues: Ask[][] = engines.map(() => []);
+  for (const ask of asks) {
+    queues[(ask.prefixHashes[0] ?? 0) % runners].push(ask);
+  }
+  const longest = () => queues.reduce((a, b) => (a.length > b.length ? a : b));
+  const feed = (engine: Engine, i: number): void => {
+    while (engine.running + engine.waiting < 16) {
+      const ask = queues[i].shift() ?? longest().shift();
+      if (!ask) return;
+      engine.submit({
+        id: ask.id,
+        promptTokens: ask.promptTokens,
+        outputTokens: ask.outputTokens,
+        prefixHashes: ask.prefixHashes,
+        onFirst: () => {},
+        onFail: () => {},
+        onDone: () => {
+          if (sim.nowMs >= WARMUP_MS) {
+            done++;
+            work += ask.promptTokens + 5 * ask.outputTokens;
+          }
+          feed(engine, i);
+        },
+      });
+    }
+  };
+  engines.forEach(feed);
+  sim.runUntil(END_MS);
+  const seconds = (END_MS - WARMUP_MS) / 1000;
+  return { perS: done / seconds, workPerS: work / seconds };
+}
+
+function cases(perS: number): Case[] {
+  const at = (load: number) => () => load * perS;
+  return [
+    { name: "steady", streams: mix("agadir", at(0.7)) },
+    {
+      name: "burst",
+      streams: mix(
+        "agadir",
+        (ms) => perS * (ms > 30_000 && ms < 35_000 ? 2.5 : 0.5),
+      ),
+    },
+    {
+      name: "skew",
+      streams: [
+        ...mix("agadir", at(0.3)),
+        ...mix("agadir", at(1.2), 0.25, ["hog"]),
+      ],
+      more: others,
+    },
+    { name: "skew-without", streams: mix("agadir", at(0.3)), more: others },
+    {
+      name: "one-slow",
+      streams: mix("agadir", at(0.6)),
+      during: (world) =>
+        world.sim.after(
+          15_000,
+          () => void (world.engines("agadir")[3].slow = 10),
+        ),
+    },
+    {
+      name: "one-dead",
+      streams: mix("agadir", at(0.6)),
+      during: (world) => {
+        const engine = world.engines("agadir")[3];
+        world.sim.after(15_000, () => engine.die());
+        world.sim.after(40_000, () => engine.revive());
+      },
+    },
+    {
+      name: "one-silent",
+      streams: mix("agadir", at(0.6)),
+      during: (world) =>
+        world.sim.after(
+          15_000,
+          () => void (world.engines("agadir")[3].silent = true),
+        ),
+    },
+    { name: "mix", streams: mix("agadir", at(0.55), 0.5) },
+    { name: "saturation-1.2", streams: mix("agadir", at(1.2)) },
+    { name: "saturation-2", streams: mix("agadir", at(2)) },
+    { name: "saturation-5", streams: mix("agadir", at(5)) },
+  ];
+}
+
+function others(outcomes: readonly Outcome[]): Record<string, number> {
+  const rest = outcomes.filter((o) => !o.ask.workspace.includes("hog"));
+  return {
+    others_p99: percentile(firstTokens(rest), 0.99),
+    others_in_time: share(rest, inTime),
+  };
+}
+
+/** See the module. `--case NAME` runs one case, `--policy NAME` one policy. */
+export function run(args: readonly string[]): Promise<readonly Row[]> {
+  const only = after(args, "--case");
+  const policy = after(args, "--policy");
+  const { perS, workPerS } = capacity(RUNNERS);
+  const rows: Row[] = [
+    figure("capacity", "requests", perS, "1/s"),
+    figure("capacity", "work", workPerS, "tokens/s"),
+  ];
+  for (const spec of cases(perS)) {
+    if (only && spec.name !== only) continue;
+    rows.push(...runCase(policy ? { ...spec, policies: [policy] } : spec));
+  }
+  return Promise.resolve(rows);
+}
+
+function figure(name: string, measure: string, value: number, unit: string) {
+  return {
+    bench: "decisions",
+    case: name,
+    policy: "-",
+    measure,
+    value: rounded(value),
+    unit,
+    seed: SEED,
+  };
+}
+
+function after(args: readonly string[], flag: string): string | undefined {
+  const index = args.indexOf(flag);
+  return index < 0 ? undefined : args[index + 1];
+}
--- /dev/null
+++ b/bench/policies.ts
@@ -0,0 +1,279 @@
+/**
+ * Policies under comparison: those of common proxies, ours, and an oracle.
+ *
+ * @module
+ */
+
+import type { Table } from "../src/agreement/mod.ts";
+import { Random } from "../src/base/mod.ts";
+import {
+  type FarRegion,
+  Pool,
+  type PoolDigest,
+  type PoolOutput,
+  type SlotAnswer,
+  type SlotReport,
+  type SlotRequest,
+} from "../src/decisions/mod.ts";
+import type { Engine } from "./engine.ts";
+
+/** What a policy may know of its region. */
+export interface PolicyContext {
+  readonly region: string;
+  readonly service: string;
+  readonly table: Table;
+  readonly engines: readonly Engine[];
+  readonly seed: number;
+  readonly answer: (attemptId: string, answer: SlotAnswer) => void;
+  readonly order: (upstreamId: string, want: "active" | "parked") => void;
+}
+
+/** A way to choose upstreams; the names stand in the rows of the bench. */
+export abstract class Policy {
+  readonly context: PolicyContext;
+
+  constructor(context: PolicyContext) {
+    this.context = context;
+  }
+  abstract ask(request: SlotRequest, nowMs: number): void;
+  cancel(_attemptId: string, _nowMs: number): void {}
+  report(_report: SlotReport, _nowMs: number): void {}
+  renew(_attemptIds: readonly string[], _nowMs: number): void {}
+  tick(_nowMs: number): void {}
+  observe(_loads: readonly LaggedLoad[], _nowMs: number): void {}
+  setFar(_regions: readonly FarRegion[], _nowMs: number): void {}
+  digest(_nowMs: number): PoolDigest | undefined {
+    return undefined;
+  }
+
+  protected grant(request: SlotRequest, engine: Engine): void {
+    this.context.answer(request.attemptId, {
+      type: "grant",
+      attemptId: request.attemptId,
+      upstreamId: engine.options.id,
+      url: "",
+      expiresAtMs: Infinity,
+      queuedMs: 0,
+    });
+  }
+  protected candidates(request: SlotRequest): readonly Engine[] {
+    const { engines } = this.context;
+    const fresh = engines.filter((e) =>
+      !request.exclude.includes(e.options.id)
+    );
+    return fresh.length > 0 ? fresh : engines;
+  }
+}
+
+/** A load report as old as the lag. */
+export interface LaggedLoad {
+  readonly upstreamId: string;
+  readonly running: number;
+  readonly waiting: number;
+  readonly atMs: number;
+}
+
+/** Each upstream in turn. */
+export class RoundRobin extends Policy {
+  #next = 0;
+  ask(request: SlotRequest): void {
+    const engines = this.candidates(request);
+    this.grant(request, engines[this.#next++ % engines.length]);
+  }
+}
+
+/** VMs that choose alone, as proxies do today. */
+const VMS = 6;
+
+/** What one VM knows: the last reports, and what it sent itself since. */
+class VmView {
+  readonly #reported = new Map<string, number>();
+  readonly #sent = new Map<string, number>();
+
+  load(engine: Engine): number {
+    const { id } = engine.options;
+    return (this.#reported.get(id) ?? 0) + (this.#sent.get(id) ?? 0);
+  }
+  sent(engine: Engine): void {
+    const { id } = engine.options;
+    this.#sent.set(id, (this.#sent.get(id) ?? 0) + 1);
+  }
+  observe(loads: readonly LaggedLoad[]): void {
+    this.#sent.clear();
+    for (const load of loads) {
+      this.#reported.set(load.upstreamId, load.running + load.waiting);
+    }
+  }
+}
+
+abstract class LoadPolicy extends Policy {
+  protected readonly random = new Random(this.context.seed);
+  readonly #views = Array.from({ length: VMS }, () => new VmView());
+
+  ask(request: SlotRequest): void {
+    const view = this.random.pick(this.#views);
+    const engine = this.choose(this.candidates(request), view);
+    view.sent(engine);
+    this.grant(request, engine);
+  }
+  override observe(loads: readonly LaggedLoad[]): void {
+    for (const view of this.#views) view.observe(loads);
+  }
+  protected abstract choose(engines: readonly Engine[], view: VmView): Engine;
+}
+
+/** The least loaded by reports that lag. */
+export class LeastRequests extends LoadPolicy {
+  protected choose(engines: readonly Engine[], view: VmView): Engine {
+    const least = Math.min(...engines.map((e) => view.load(e)));
+    return this.random.pick(engines.filter((e) => view.load(e) === least));
+  }
+}
+
+/** The less loaded of two drawn at random. */
+export class PowerOfTwo extends LoadPolicy {
+  protected choose(engines: readonly Engine[], view: VmView): Engine {
+    const a = this.random.pick(engines);
+    const b = this.random.pick(engines);
+    return view.load(a) <= view.load(b) ? a : b;
+  }
+}
+
+/** Our lead. */
+export class Lead extends Policy {
+  readonly pool: Pool;
+
+  constructor(context: PolicyContext, seed = context.seed) {
+    super(context);
+    const { service, region, table } = context;
+    this.pool = new Pool({ service, region, seed });
+    this.pool.configure(table, table.upstreams(service, region), 0);
+  }
+  ask(request: SlotRequest, nowMs: number): void {
+    this.#emit(this.pool.request(request, nowMs));
+  }
+  override cancel(attemptId: string, nowMs: number): void {
+    this.#emit(this.pool.cancel(attemptId, nowMs));
+  }
+  override report(report: SlotReport, nowMs: number): void {
+    this.#emit(this.pool.report(report, nowMs));
+  }
+  override renew(attemptIds: readonly string[], nowMs: number): void {
+    this.pool.renew(attemptIds, nowMs);
+  }
+  override tick(nowMs: number): void {
+    this.#emit(this.pool.tick(nowMs));
+  }
+  override observe(loads: readonly LaggedLoad[], nowMs: number): void {
+    for (const load of loads) this.#emit(this.pool.observe(load, nowMs));
+  }
+  override setFar(regions: readonly FarRegion[], nowMs: number): void {
+    this.pool.setFar(regions, nowMs);
+  }
+  override digest(nowMs: number): PoolDigest {
+    return this.pool.digest(nowMs);
+  }
+  #emit(outputs: readonly PoolOutput[]): void {
+    for (const output of outputs) {
+      if (output.type === "answer") {
+        this.context.answer(output.attemptId, output.answer);
+      } else this.context.order(output.upstreamId, output.want);
+    }
+  }
+}
+
+/** The same decisions made by each VM alone, with a sixth of every upstream's slots. */
+export class Alone extends Policy {
+  readonly #vms: Lead[];
+  readonly #random: Random;
+  readonly #vmOf = new Map<string, Lead>();
+
+  constructor(context: PolicyContext) {
+    super(context);
+    this.#random = new Random(context.seed);
+    this.#vms = Array.from(
+      { length: VMS },
+      (_, i) => new Lead({ ...context, table: context.table }, i),
+    );
+    const { service, region, table } = context;
+    const parts = table.upstreams(service, region).map((row) => ({
+      ...row,
+      slots: Math.ceil(row.slots / VMS),
+      prefillTokensPerS: row.prefillTokensPerS / VMS,
+    }));
+    for (const vm of this.#vms) vm.pool.configure(table, parts, 0);
+  }
+  ask(request: SlotRequest, nowMs: number): void {
+    const vm = this.#random.pick(this.#vms);
+    this.#vmOf.set(request.attemptId, vm);
+    vm.ask(request, nowMs);
+  }
+  override cancel(attemptId: string, nowMs: number): void {
+    this.#vmOf.get(attemptId)?.cancel(attemptId, nowMs);
+  }
+  override report(report: SlotReport, nowMs: number): void {
+    this.#vmOf.get(report.attemptId)?.report(report, nowMs);
+  }
+  override renew(attemptIds: readonly string[], nowMs: number): void {
+    for (const vm of this.#vms) vm.renew(attemptIds, nowMs);
+  }
+  override tick(nowMs: number): void {
+    for (const vm of this.#vms) vm.tick(nowMs);
+  }
+}
+
+/**
+ * Sees the engines themselves: speed, queue and cache, without a lag. It keeps a queue, starts what is shortest first,
+ * drops what can no longer be in time, and places where the first token comes soonest. No lead can know as much.
+ */
+export class Oracle extends Policy {
+  #queue: SlotRequest[] = [];
+
+  ask(request: SlotRequest, nowMs: number): void {
+    this.#queue.push(request);
+    this.#dispatch(nowMs);
+  }
+  override cancel(attemptId: string): void {
+    this.#queue = this.#queue.filter((r) => r.attemptId !== attemptId);
+  }
+  override report(_report: SlotReport, nowMs: number): void {
+    this.#dispatch(nowMs);
+  }
+  override tick(nowMs: number): void {
+    this.#dispatch(nowMs);
+  }
+  #dispatch(nowMs: number): void {
+    const left: SlotRequest[] = [];
+    this.#queue.sort((a, b) => a.promptTokens - b.promptTokens);
+    for (const request of this.#queue) {
+      const open = this.context.engines.filter((e) =>
+        !e.dead && !e.silent && e.running + e.waiting < e.options.slots &&
+        e.prefillLeft < 1200
+      );
+      const best = soonest(open, request);
+      if (!best) {
+        left.push(request);
+        continue;
+      }
+      if (nowMs + best.firstTokenMs(request) <= request.deadlineMs) {
+        this.grant(request, best);
+      }
+    }
+    this.#queue = left;
+  }
+}
+
+function soonest(
+  engines: readonly Engine[],
+  request: SlotRequest,
+): Engine | undefined {
+  let best: Engine | undefined;
+  let bestMs = Infinity;
+  for (const engine of engines) {
+    const ms = engine.firstTokenMs(request);
+    if (ms >= bestMs) continue;
+    best = engine;
+    bestMs = ms;
+  }
+  return best;
+}
--- /dev/null
+++ b/bench/sim.ts
@@ -0,0 +1,47 @@
+/**
+ * Virtual time: events in order of time, and of their making where times are equal.
+ *
+ * @module
+ */
+
+import TinyQueue from "tinyqueue";
+
+interface Event {
+  readonly atMs: number;
+  readonly order: number;
+  readonly run: () => void;
+}
+
+/** See the module. */
+export class Sim {
+  nowMs = 0;
+  #order = 0;
+  readonly #events = new TinyQueue<Event>(
+    [],
+    (a, b) => a.atMs - b.atMs || a.order - b.order,
+  );
+
+  after(delayMs: number, run: () => void): void {
+    this.#events.push({
+      atMs: this.nowMs + delayMs,
+      order: this.#order++,
+      run,
+    });
+  }
+  every(periodMs: number, run: () => void): void {
+    this.after(periodMs, () => {
+      run();
+      this.every(periodMs, run);
+    });
+  }
+  runUntil(endMs: number): void {
+    for (;;) {
+      const next = this.#events.peek();
+      if (!next || next.atMs > endMs) break;
+      this.#events.pop();
+      this.nowMs = next.atMs;
+      next.run();
+    }
+    this.nowMs = endMs;
+  }
+}
--- /dev/null
+++ b/bench/workload.ts
@@ -0,0 +1,124 @@
+/**
+ * Seeded traffic: workspaces that ask short questions and long plans about documents they share.
+ *
+ * @module
+ */
+
+import { Random } from "../src/base/mod.ts";
+import { BLOCK_TOKENS } from "./engine.ts";
+
+/** A request of the workload. */
+export interface Ask {
+  readonly id: string;
+  readonly atMs: number;
+  readonly region: string;
+  readonly workspace: string;
+  readonly bound: boolean;
+  readonly type: "short" | "long";
+  readonly promptTokens: number;
+  readonly outputTokens: number;
+  readonly prefixHashes: readonly number[];
+  readonly deadlineMs: number;
+}
+
+/** One stream of requests. */
+export interface Stream {
+  readonly region: string;
+  readonly workspaces: readonly string[];
+  readonly bound: boolean;
+  /** Share of long prompts. */
+  readonly longShare: number;
+  /** Requests a second at a time. */
+  readonly perS: (atMs: number) => number;
+}
+
+/** Documents of one workspace; each is the shared beginning of many prompts. */
+const DOCUMENTS = 6;
+/** Part of a long prompt that is the shared document. */
+const SHARED = 0.75;
+/** Time to the first token that callers allow. */
+export const DEADLINE_MS = { short: 3000, long: 8000 };
+
+/** The requests of some streams up to `endMs`, in order of time. */
+export function generate(
+  streams: readonly Stream[],
+  endMs: number,
+  seed: number,
+): Ask[] {
+  const asks = streams.flatMap((stream, index) =>
+    one(stream, endMs, new Random(seed * 1000 + index), index)
+  );
+  return asks.sort((a, b) => a.atMs - b.atMs || (a.id < b.id ? -1 : 1));
+}
+
+function one(
+  stream: Stream,
+  endMs: number,
+  random: Random,
+  index: number,
+): Ask[] {
+  const asks: Ask[] = [];
+  let atMs = 0;
+  for (;;) {
+    // Steps of at most 100 ms follow a rate that changes.
+    const perMs = stream.perS(atMs) / 1000;
+    const gapMs = perMs > 0 ? random.exponential(1 / perMs) : Infinity;
+    if (gapMs > 100) {
+      atMs += 100;
+      if (atMs >= endMs) return asks;
+      continue;
+    }
+    atMs += gapMs;
+    if (atMs >= endMs) return asks;
+    asks.push(ask(stream, atMs, random, `${index}-${asks.length}`));
+  }
+}
+
+function ask(stream: Stream, atMs: number, random: Random, id: string): Ask {
+  const type = random.next() < stream.longShare ? "long" : "short";
+  const workspace = random.pick(stream.workspaces);
+  const promptTokens = type === "long"
+    ? 4000 + random.int(8000)
+    : 150 + random.int(500);
+  const outputTokens = type === "long"
+    ? 150 + random.int(300)
+    : 20 + random.int(80);
+  return {
+    id,
+    atMs,
+    region: stream.region,
+    workspace,
+    bound: stream.bound,
+    type,
+    promptTokens,
+    outputTokens,
+    prefixHashes: prefix(type, workspace, promptTokens, random),
+    deadlineMs: atMs + DEADLINE_MS[type],
+  };
+}
+
+function prefix(
+  type: Ask["type"],
+  workspace: string,
+  promptTokens: number,
+  random: Random,
+): number[] {
+  const blocks = Math.floor(promptTokens / BLOCK_TOKENS);
+  // Squaring makes the first documents the popular ones.
+  const document = Math.floor(random.next() ** 2 * DOCUMENTS);
+  const shared = type === "long" ? Math.floor(blocks * SHARED) : 1;
+  const base = hashOf(`${workspace}/${type}/${document}`);
+  const own = random.int(2 ** 31);
+  return Array.from(
+    { length: blocks },
+    (_, i) => i < shared ? (base + i * 7919) >>> 0 : (own + i * 104729) >>> 0,
+  );
+}
+
+function hashOf(text: string): number {
+  let hash = 2166136261;
+  for (const char of text) {
+    hash = Math.imul(hash ^ char.charCodeAt(0), 16777619);
+  }
+  return hash >>> 0;
+}
--- /dev/null
+++ b/bench/world.ts
@@ -0,0 +1,420 @@
+/**
+ * Regions of engines, callers and links in virtual time, and what became of each request.
+ *
+ * @module
+ */
+
+import type { Table } from "../src/agreement/mod.ts";
+import {
+  type FarRegion,
+  mayRetry,
+  MOST_ATTEMPTS,
+  type SlotAnswer,
+  type SlotReport,
+} from "../src/decisions/mod.ts";
+import { Engine } from "./engine.ts";
+import type { Policy, PolicyContext } from "./policies.ts";
+import { Sim } from "./sim.ts";
+import type { Ask } from "./workload.ts";
+
+/** One-way time between VMs, and between a VM and an upstream, of one region. */
+const HOP_MS = 0.5;
+const TICK_MS = 50;
+const RENEW_MS = 2000;
+const DIGEST_MS = 1000;
+/** Time until a VM knows that a connection to another region cannot be made. */
+const CONNECT_TIMEOUT_MS = 300;
+
+/** How a world is made. */
+export interface WorldOptions {
+  readonly table: Table;
+  readonly service: string;
+  readonly regions: readonly string[];
+  readonly linkMs: number;
+  /** Age of load reports. */
+  readonly lagMs: number;
+  readonly seed: number;
+  readonly cacheBlocks: number;
+  readonly policy: (context: PolicyContext) => Policy;
+  /** Requests go wherever the digests show the shortest wait. */
+  readonly onlyLatency?: boolean;
+}
+
+/** What became of a request. */
+export interface Outcome {
+  readonly ask: Ask;
+  result: "open" | "served" | "late" | "refused" | "broken";
+  firstMs?: number;
+  /** Region that served it. */
+  servedIn?: string;
+  code?: string;
+  attempts: number;
+  moves: number;
+  warmTokens: number;
+  answers: number;
+  runs: number;
+  refusedAfterMs?: number;
+}
+
+interface Region {
+  readonly id: string;
+  readonly engines: readonly Engine[];
+  readonly byId: ReadonlyMap<string, Engine>;
+  readonly policy: Policy;
+  readonly far: Map<string, FarRegion>;
+  readonly held: Set<string>;
+}
+
+interface Attempt {
+  readonly id: string;
+  readonly outcome: Outcome;
+  readonly region: Region;
+  readonly home: Region;
+  readonly exclude: readonly string[];
+  readonly returned: boolean;
+  upstreamId?: string;
+  grantedAtMs: number;
+  state: "asked" | "granted" | "started" | "closed";
+}
+
+/** See the module. */
+export class World {
+  readonly sim = new Sim();
+  readonly outcomes: Outcome[] = [];
+  /** Promises of the brief that were broken, by name. */
+  readonly broken = new Map<string, number>();
+  readonly #options: WorldOptions;
+  readonly #regions = new Map<string, Region>();
+  readonly #attempts = new Map<string, Attempt>();
+  readonly #current = new WeakMap<Outcome, Attempt>();
+  /** Regions cut off from all others. */
+  readonly cut = new Set<string>();
+  #count = 0;
+
+  constructor(options: WorldOptions) {
+    this.#options = options;
+    for (const id of options.regions) this.#regions.set(id, this.#region(id));
+    this.sim.every(TICK_MS, () => this.#each((r) => r.policy.tick(this.now)));
+    this.sim.every(
+      RENEW_MS,
+      () => this.#each((r) => r.policy.renew([...r.held], this.now)),
+    );
+    this.sim.every(
+      Math.max(100, options.lagMs),
+      () => this.#each((r) => this.#sendLoads(r)),
+    );
+    this.sim.every(DIGEST_MS, () => this.#each((r) => this.#sendDigest(r)));
+  }
+
+  get now(): number {
+    return this.sim.nowMs;
+  }
+  engines(region: string): readonly Engine[] {
+    return this.#regions.get(region)!.engines;
+  }
+  policy(region: string): Policy {
+    return this.#regions.get(region)!.policy;
+  }
+
+  /** Runs the requests to their ends. */
+  run(asks: readonly Ask[], endMs: number): void {
+    for (const ask of asks) this.sim.after(ask.atMs, () => this.#arrive(ask));
+    this.sim.runUntil(endMs);
+  }
+
+  #region(id: string): Region {
+    const { table, service, seed, cacheBlocks } = this.#options;
+    const engines = table.upstreams(service, id).map((row) =>
+      new Engine(this.sim, { ...row, cacheBlocks })
+    );
+    const policy = this.#options.policy({
+      region: id,
+      service,
+      table,
+      engines,
+      seed,
+      answer: (attemptId, answer) => this.#answered(attemptId, answer),
+      order: (upstreamId, want) => {
+        const engine = this.#regions.get(id)!.byId.get(upstreamId)!;
+        this.sim.after(HOP_MS, () => void (engine.parked = want === "parked"));
+      },
+    });
+    const byId = new Map(engines.map((e) => [e.options.id, e]));
+    return { id, engines, byId, policy, far: new Map(), held: new Set() };
+  }
+
+  #each(run: (region: Region) => void): void {
+    for (const region of this.#regions.values()) run(region);
+  }
+
+  #sendLoads(region: Region): void {
+    const loads = region.engines.map((e) => ({
+      upstreamId: e.options.id,
+      running: e.running,
+      waiting: e.waiting,
+      atMs: this.now,
+    }));
+    this.sim.after(
+      this.#options.lagMs,
+      () => region.policy.observe(loads, this.now),
+    );
+  }
+
+  #sendDigest(from: Region): void {
+    const digest = from.policy.digest(this.now);
+    if (!digest) return;
+    const { linkMs } = this.#options;
+    this.#each((to) => {
+      if (to === from || this.#isCut(from, to)) return;
+      this.sim.after(linkMs, () => {
+        to.far.set(from.id, {
+          region: from.id,
+          linkMs,
+          ...digest,
+          seenAtMs: this.now,
+        });
+        to.policy.setFar([...to.far.values()], this.now);
+      });
+    });
+  }
+
+  #isCut(a: Region, b: Region): boolean {
+    return a !== b && (this.cut.has(a.id) || this.cut.has(b.id));
+  }
+
+  #arrive(ask: Ask): void {
+    const home = this.#regions.get(ask.region)!;
+    const outcome: Outcome = {
+      ask,
+      result: "open",
+      attempts: 0,
+      moves: 0,
+      warmTokens: 0,
+      answers: 0,
+      runs: 0,
+    };
+    this.outcomes.push(outcome);
+    this.sim.after(ask.deadlineMs - this.now, () => this.#leave(outcome));
+    const far = this.#options.onlyLatency && this.#nearest(home, ask);
+    if (far) this.#forward(outcome, home, far);
+    else this.#attempt(outcome, home, home, []);
+  }
+
+  /** The policy that weighs nothing but the digests' waits. */
+  #nearest(home: Region, ask: Ask): Region | undefined {
+    if (ask.bound) return undefined;
+    let bestMs = home.policy.digest(this.now)?.predictedWaitMs ?? Infinity;
+    let best: Region | undefined;
+    for (const far of home.far.values()) {
+      const ms = far.predictedWaitMs + 2 * far.linkMs;
+      if (ms >= bestMs) continue;
+      bestMs = ms;
+      best = this.#regions.get(far.region);
+    }
+    return best;
+  }
+
+  #attempt(
+    outcome: Outcome,
+    home: Region,
+    region: Region,
+    exclude: readonly string[],
+    returned = false,
+  ): void {
+    if (outcome.result !== "open") return;
+    const { ask } = outcome;
+    outcome.attempts++;
+    const attempt: Attempt = {
+      id: `${ask.id}#${this.#count++}`,
+      outcome,
+      region,
+      home,
+      exclude,
+      returned,
+      grantedAtMs: 0,
+      state: "asked",
+    };
+    this.#attempts.set(attempt.id, attempt);
+    this.#current.set(outcome, attempt);
+    const away = region !== home || returned;
+    this.sim.after(HOP_MS, () =>
+      region.policy.ask({
+        attemptId: attempt.id,
+        service: this.#options.service,
+        workspace: ask.workspace,
+        priority: 0,
+        arrivedAtMs: ask.atMs,
+        deadlineMs: ask.deadlineMs,
+        prefixHashes: ask.prefixHashes,
+        promptTokens: ask.promptTokens,
+        expectedOutputTokens: ask.outputTokens,
+        exclude,
+        ...(away ? { sentFrom: home.id } : {}),
+        tableVersion: 1,
+      }, this.now));
+  }
+
+  #answered(attemptId: string, answer: SlotAnswer): void {
+    const attempt = this.#attempts.get(attemptId);
+    if (!attempt) return;
+    if (attempt.state !== "asked") return this.#breach("answered twice");
+    const { outcome, region, home } = attempt;
+    if (answer.type === "grant") return this.#granted(attempt, answer);
+    attempt.state = "closed";
+    this.#attempts.delete(attemptId);
+    if (outcome.result !== "open") return;
+    if (answer.type === "shift") {
+      if (attempt.returned || region !== home) this.#breach("moved twice");
+      const far = this.#regions.get(answer.region)!;
+      this.#forward(outcome, home, far);
+      return;
+    }
+    if (region !== home) {
+      const back = this.#options.linkMs;
+      this.sim.after(back, () => this.#attempt(outcome, home, home, [], true));
+      return;
+    }
+    this.#refuse(outcome, answer.failure.code);
+  }
+
+  #refuse(outcome: Outcome, code: string): void {
+    outcome.result = "refused";
+    outcome.code = code;
+    outcome.refusedAfterMs = this.now - outcome.ask.atMs;
+  }
+
+  #forward(outcome: Outcome, home: Region, far: Region): void {
+    const { linkMs } = this.#options;
+    if (outcome.ask.bound) this.#breach("bound sent away");
+    outcome.moves++;
+    if (this.#isCut(home, far)) {
+      this.sim.after(
+        CONNECT_TIMEOUT_MS,
+        () => this.#attempt(outcome, home, home, [], true),
+      );
+      return;
+    }
+    this.sim.after(linkMs, () => this.#attempt(outcome, home, far, []));
+  }
+
+  #granted(
+    attempt: Attempt,
+    grant: SlotAnswer & { type: "grant" },
+  ): void {
+    const { outcome, region } = attempt;
+    attempt.state = "granted";
+    attempt.upstreamId = grant.upstreamId;
+    attempt.grantedAtMs = this.now;
+    region.held.add(attempt.id);
+    if (outcome.result !== "open") return this.#end(attempt, "canceled");
+    if (attempt.exclude.includes(grant.upstreamId)) {
+      this.#breach("visited again");
+    }
+    this.sim.after(2 * HOP_MS, () => this.#submit(attempt));
+  }
+
+  #submit(attempt: Attempt): void {
+    if (attempt.state !== "granted") return;
+    const engine = attempt.region.byId.get(attempt.upstreamId!)!;
+    const { ask } = attempt.outcome;
+    if (engine.dead || engine.parked) {
+      this.#end(attempt, "unreachable");
+      this.#retry(attempt, "no");
+      return;
+    }
+    attempt.outcome.runs++;
+    engine.submit({
+      id: attempt.id,
+      promptTokens: ask.promptTokens,
+      outputTokens: ask.outputTokens,
+      prefixHashes: ask.prefixHashes,
+      onFirst: (cached) => this.#first(attempt, cached),
+      onDone: () => this.#end(attempt, "done"),
+      onFail: () => {
+        const started = attempt.state === "started";
+        this.#end(attempt, "failed");
+        if (started) attempt.outcome.result = "broken";
+        else this.#retry(attempt, "unknown");
+      },
+    });
+  }
+
+  #first(attempt: Attempt, cached: number): void {
+    if (attempt.state !== "granted") return;
+    const { outcome, region, home } = attempt;
+    attempt.state = "started";
+    if (outcome.result !== "open") return;
+    outcome.answers++;
+    if (outcome.answers > 1) this.#breach("two answers");
+    const backMs = HOP_MS + (region === home ? 0 : this.#options.linkMs);
+    outcome.firstMs = this.now + backMs - outcome.ask.atMs;
+    outcome.result = "served";
+    outcome.servedIn = region.id;
+    outcome.warmTokens = cached;
+    this.#report(attempt, "started", this.now - attempt.grantedAtMs);
+  }
+
+  #end(attempt: Attempt, outcome: SlotReport["outcome"]): void {
+    if (attempt.state === "closed") return;
+    attempt.state = "closed";
+    attempt.region.held.delete(attempt.id);
+    this.#attempts.delete(attempt.id);
+    this.#report(attempt, outcome);
+  }
+
+  #report(
+    attempt: Attempt,
+    outcome: SlotReport["outcome"],
+    firstTokenMs?: number,
+  ): void {
+    const { ask } = attempt.outcome;
+    const report: SlotReport = {
+      attemptId: attempt.id,
+      service: this.#options.service,
+      upstreamId: attempt.upstreamId!,
+      outcome,
+      ...(firstTokenMs === undefined ? {} : { firstTokenMs }),
+      outputTokens: outcome === "done" ? ask.outputTokens : 0,
+      totalMs: this.now - attempt.grantedAtMs,
+    };
+    this.sim.after(
+      2 * HOP_MS,
+      () => attempt.region.policy.report(report, this.now),
+    );
+  }
+
+  #retry(attempt: Attempt, ran: "no" | "unknown"): void {
+    const { outcome, home, region } = attempt;
+    if (outcome.result !== "open") return;
+    const exclude = [...attempt.exclude, attempt.upstreamId!];
+    const allowed = mayRetry({
+      atMostOnce: false,
+      ran,
+      answerBytes: 0,
+      attempts: Math.min(exclude.length, MOST_ATTEMPTS),
+      deadlineMs: outcome.ask.deadlineMs,
+    }, this.now);
+    if (!allowed) return this.#refuse(outcome, "upstreamFailed");
+    this.#attempt(outcome, home, region, exclude, attempt.returned);
+  }
+
+  /** The caller's deadline: one without a first token goes away. */
+  #leave(outcome: Outcome): void {
+    if (outcome.result !== "open") return;
+    outcome.result = "late";
+    const attempt = this.#current.get(outcome);
+    if (!attempt || attempt.state === "closed") return;
+    if (attempt.state === "granted") {
+      attempt.region.byId.get(attempt.upstreamId!)!.cancel(attempt.id);
+      this.#end(attempt, "canceled");
+    } else {
+      attempt.state = "closed";
+      this.#attempts.delete(attempt.id);
+      attempt.region.policy.cancel(attempt.id, this.now);
+    }
+  }
+
+  #breach(promise: string): void {
+    this.broken.set(promise, (this.broken.get(promise) ?? 0) + 1);
+  }
+}
