Claims: shards, owners, group commit, outage promises, and the service

Cause: a call that may not be repeated must be on record before its first byte goes to an upstream, also while the store is away or its owner is replaced.

--- /dev/null
+++ b/src/agreement/claim_owner.ts
@@ -0,0 +1,524 @@
+/**
+ * The owner of a shard: it answers claims from its index, commits them in groups, and grants from memory in an outage
+ * of the store as long as its witnesses hold the grants and their promises.
+ *
+ * @module
+ */
+
+import type { Entry, StoreError } from "../adapters/mod.ts";
+import { backoffMs, type Random } from "../base/mod.ts";
+import type { Result } from "neverthrow";
+import {
+  type Batch,
+  type HeadAt,
+  makeBatch,
+  type ShardKeys,
+} from "./claim_batch.ts";
+import { parseHead } from "./claim_head.ts";
+import { ClaimLog, type LogEntry, type Ticket } from "./claim_log.ts";
+import type {
+  ClaimChange,
+  Now,
+  Outbox,
+  ShardLimits,
+  ShardReply,
+  ShardView,
+} from "./claim_machine.ts";
+import { ClaimOutage } from "./claim_outage.ts";
+import {
+  type ClaimAsk,
+  type ClaimEvent,
+  ClaimIndex,
+  sameVm,
+  type Standing,
+  type VmRef,
+} from "./claim_record.ts";
+import { isGone, type Owned } from "./claim_takeover.ts";
+
+/** Most events in one message to a witness. */
+const replicaEvents = 256;
+/** Most segments deleted in one write. */
+const expireSegments = 8;
+/** When a caller may come back that found the queue full. */
+const queueRetryMs = 1000;
+/** When a caller may come back that found the store and the promises away. */
+const outageRetryMs = 2000;
+
+/** See the module's comment. */
+export class ClaimOwner {
+  protected readonly limits: ShardLimits;
+  protected readonly index = new ClaimIndex();
+  protected readonly log = new ClaimLog();
+  readonly #me: VmRef;
+  readonly #keys: ShardKeys;
+  readonly #random: Random;
+  readonly #out: Outbox;
+  readonly #outage: ClaimOutage;
+  #view: ShardView;
+  #at: HeadAt;
+  #openBytes: number;
+  #okMonoMs: number;
+  #batch: Batch | undefined;
+  /** Lookups that wait for a write made after they came, and those that the batch under way will answer. */
+  #lookups: Ticket[] = [];
+  #batchLookups: Ticket[] = [];
+  #busySinceMonoMs: number | undefined;
+  #failures = 0;
+  #retryMonoMs = 0;
+  #nextWriteMonoMs = 0;
+  #nextN: number;
+  /** Wall clock of the newest event of each stored segment. */
+  #segmentTimes: number[];
+  #stopping = false;
+  #ended = false;
+
+  constructor(
+    me: VmRef,
+    keys: ShardKeys,
+    limits: ShardLimits,
+    random: Random,
+    out: Outbox,
+    view: ShardView,
+    owned: Owned,
+  ) {
+    this.#me = me;
+    this.#keys = keys;
+    this.limits = limits;
+    this.#random = random;
+    this.#out = out;
+    this.#view = view;
+    this.#at = owned.at;
+    this.#openBytes = owned.openBytes;
+    this.#okMonoMs = owned.okMonoMs;
+    this.#outage = new ClaimOutage(limits);
+    this.#segmentTimes = owned.segments.map((events) =>
+      Math.max(0, ...events.map((event) => event.atMs))
+    );
+    for (const event of owned.segments.flat()) this.index.apply(event);
+    for (const event of owned.at.head.open) this.index.apply(event);
+    for (const event of owned.carried) {
+      this.index.apply(event);
+      this.log.addSettled(event);
+    }
+    const carriedN = owned.carried.at(-1)?.n ?? -1;
+    this.#nextN = Math.max(owned.at.head.nextN, carriedN + 1);
+  }
+
+  get at(): HeadAt {
+    return this.#at;
+  }
+  /** Whether another VM owns the shard now, or the shard was handed over. */
+  get ended(): boolean {
+    return this.#ended;
+  }
+  get stopping(): boolean {
+    return this.#stopping;
+  }
+
+  state(): Record<string, unknown> {
+    return {
+      claims: this.index.size,
+      notInStore: this.log.size,
+      waiting: this.log.waiting,
+      failures: this.#failures,
+      storeOkMonoMs: this.#okMonoMs,
+      promisedUntilMonoMs: this.#outage.promisedUntilMonoMs,
+    };
+  }
+
+  /** A claim; replied to once it is settled. */
+  ask(now: Now, ask: ClaimAsk, ticket: Ticket): void {
+    const pending = this.log.pendingClaim(ask.key);
+    if (pending) {
+      pending.parked.push({ ask, ticket });
+      return;
+    }
+    const standing = this.#standing(now, ask);
+    if (standing.type === "free") return this.#admitOrRefuse(now, ask, ticket);
+    if (standing.type === "mine") return this.#grant(now, ask.claimId, ticket);
+    this.reply(ticket, asReply(standing));
+  }
+
+  /** A step of a granted claim; replied to once it is kept. A step of another claim id changes nothing. */
+  change(now: Now, change: ClaimChange, ticket: Ticket): void {
+    const pending = this.log.pendingClaim(change.key)?.event;
+    const known = pending ?? this.index.get(change.key);
+    const event = this.#nextEvent(now, change, known);
+    if (!event) return this.reply(ticket, { type: "done" });
+    // Believed before it is kept: if it is lost, the key stands "running" or "unknown" again, never free.
+    if (!pending) this.index.apply(event);
+    this.log.add(event, ticket, now.nowMs + this.limits.callerRetryMs);
+  }
+
+  /** The event of a step, if it changes anything. */
+  #nextEvent(
+    now: Now,
+    change: ClaimChange,
+    known: ClaimEvent | undefined,
+  ): ClaimEvent | undefined {
+    const { key, claimId, state, answer } = change;
+    const step = { state, answer, atMs: now.nowMs };
+    if (known?.claimId === claimId && known.state === "claimed") {
+      return { ...known, ...step, n: this.#nextN++ };
+    }
+    // A release that overtakes its claim: the claim, when it comes, must not hold the key for nobody.
+    if (state !== "released" || (known && known.state !== "released")) {
+      return undefined;
+    }
+    const claimer = { id: "", incarnation: 0, region: "" };
+    return { ...step, n: this.#nextN++, key, body: "", claimId, claimer };
+  }
+
+  /**
+   * How a key stands, without claiming it. "none" means that the call was not run, so it is said only after the next
+   * write: an owner that was replaced while it was paused would otherwise deny a claim that its successor granted.
+   */
+  lookup(now: Now, key: string, ticket: Ticket): void {
+    if (this.log.pendingClaim(key)) {
+      return this.reply(ticket, { type: "running" });
+    }
+    const body = this.index.get(key)?.body ?? "";
+    const standing = this.#standing(now, { key, body, claimId: "" });
+    if (standing.type !== "free" && standing.type !== "spent") {
+      return this.reply(ticket, asReply(standing));
+    }
+    if (this.#isFailing(now) && !this.#canOutlast(now)) {
+      const retryAtMs = now.nowMs + outageRetryMs;
+      return this.reply(ticket, { type: "unavailable", retryAtMs });
+    }
+    this.#lookups.push(ticket);
+  }
+
+  /** Time passes, or something has changed: sends what is due. */
+  pump(now: Now, view: ShardView): void {
+    this.#view = view;
+    if (this.#ended) return;
+    this.index.expire(now.nowMs - this.limits.retentionMs);
+    if (this.#inOutage(now)) this.#pumpOutage(now);
+    this.#refuseLate(now);
+    if (this.#busySinceMonoMs === undefined) this.#pumpStore(now);
+  }
+
+  /** Takes no more claims, and hands the shard over once everything is in the store. */
+  stop(): void {
+    this.#stopping = true;
+  }
+
+  onWritten(now: Now, result: Result<number, StoreError>): void {
+    this.#busySinceMonoMs = undefined;
+    if (result.isOk()) return this.#committed(now, result.value);
+    if (result.error.kind !== "conflict") return this.writeFailed(now);
+    if (result.error.current) this.#onHead(now, result.error.current);
+    else this.#read(now);
+  }
+
+  onRead(now: Now, result: Result<Entry | undefined, StoreError>): void {
+    this.#busySinceMonoMs = undefined;
+    if (result.isErr()) this.#fail(now);
+    else this.#onHead(now, result.value);
+  }
+
+  onReplicaAnswer(
+    from: VmRef,
+    accepted: boolean,
+    sent: { readonly uptoN: number; readonly sentMonoMs: number },
+  ): void {
+    this.#outage.answered(from, accepted, sent.uptoN, sent.sentMonoMs);
+  }
+
+  /** Queues a claim until it may be granted. */
+  protected admit(now: Now, ask: ClaimAsk, ticket: Ticket): void {
+    const { key, body, claimId, claimer, deadlineMs } = ask;
+    const n = this.#nextN++;
+    const atMs = now.nowMs;
+    this.log.add(
+      { n, key, body, claimId, claimer, state: "claimed", atMs },
+      ticket,
+      deadlineMs,
+    );
+  }
+
+  /**
+   * A write failed, or its answer was lost. The batch is sent again unchanged: if the first one took effect, the
+   * second conflicts with a head of this batch's own commit number, and that settles it as done.
+   */
+  protected writeFailed(now: Now): void {
+    this.#fail(now);
+  }
+
+  /** Whether grants may be made from memory at all, in this outage. */
+  protected promisesHold(now: Now): boolean {
+    return this.#outage.promisedUntilMonoMs > now.monoMs;
+  }
+
+  protected reply(ticket: Ticket | undefined, reply: ShardReply): void {
+    if (ticket !== undefined) this.#out.push({ type: "reply", ticket, reply });
+  }
+
+  #standing(
+    now: Now,
+    ask: Pick<ClaimAsk, "key" | "body" | "claimId">,
+  ): Standing {
+    const live = [...this.#view.live, this.#me];
+    const standing = this.index.standing(
+      ask,
+      (event) => this.#isOver(now, event, live),
+    );
+    const doubted = now.nowMs < this.#at.head.doubtUntilMs;
+    if (standing.type === "free" && doubted && !this.index.get(ask.key)) {
+      return { type: "unknown" };
+    }
+    return standing;
+  }
+
+  #isOver(now: Now, event: ClaimEvent, live: readonly VmRef[]): boolean {
+    if (event.claimer.region === this.#view.region) {
+      return isGone(event.claimer, live);
+    }
+    return now.nowMs - event.atMs > this.limits.remoteRunMs;
+  }
+
+  #admitOrRefuse(now: Now, ask: ClaimAsk, ticket: Ticket): void {
+    if (this.#stopping) {
+      return this.reply(ticket, { type: "notOwner" });
+    }
+    const retryAtMs = this.#refusal(now, ask.deadlineMs);
+    if (retryAtMs === undefined) return this.admit(now, ask, ticket);
+    this.reply(ticket, { type: "unavailable", retryAtMs });
+  }
+
+  /** When to come back, if a claim with this deadline can't be granted in time; refused at once rather than held. */
+  #refusal(now: Now, deadlineMs: number): number | undefined {
+    const { queueLimit, logLimit } = this.limits;
+    if (this.log.waiting >= queueLimit || this.log.size >= logLimit) {
+      return now.nowMs + queueRetryMs;
+    }
+    if (!this.#isFailing(now)) return undefined;
+    if (!this.#canOutlast(now)) return now.nowMs + outageRetryMs;
+    const waitMs = this.#okMonoMs + this.limits.outageAfterMs - now.monoMs;
+    const fromMs = now.nowMs + Math.max(0, waitMs);
+    return fromMs >= deadlineMs ? fromMs + 100 : undefined;
+  }
+
+  #isFailing(now: Now): boolean {
+    const busyMs = now.monoMs - (this.#busySinceMonoMs ?? now.monoMs);
+    return this.#failures > 0 || busyMs >= this.limits.slowMs ||
+      this.#inOutage(now);
+  }
+
+  #inOutage(now: Now): boolean {
+    return now.monoMs - this.#okMonoMs >= this.limits.outageAfterMs;
+  }
+
+  /** Whether grants from memory are possible while the store is away. */
+  #canOutlast(now: Now): boolean {
+    const endMonoMs = this.#okMonoMs + this.limits.outageLimitMs;
+    const lists = [this.#at.head.witnesses];
+    if (this.#batch) lists.push(this.#batch.head.witnesses);
+    const listed = this.#outage.require(lists, this.#view.live);
+    return listed && now.monoMs < endMonoMs &&
+      !this.#outage.isHopeless(now.monoMs);
+  }
+
+  #pumpOutage(now: Now): void {
+    const can = this.#canOutlast(now);
+    for (const { vm, fromN } of this.#outage.due(this.log.lastN, now.monoMs)) {
+      const events = this.log.events(fromN, replicaEvents);
+      this.#outage.sent(vm, now.monoMs);
+      this.#out.push({
+        type: "replicate",
+        to: vm,
+        message: {
+          epoch: this.#at.head.epoch,
+          headRev: this.#at.rev,
+          nextN: this.#at.head.nextN,
+          events,
+        },
+        uptoN: events.at(-1)?.n ?? fromN - 1,
+        sentMonoMs: now.monoMs,
+      });
+    }
+    if (!can) return this.#refuseAll(now, now.nowMs + outageRetryMs);
+    if (!this.promisesHold(now)) return;
+    this.#settle(now, this.log.unsettled(this.#outage.heldN));
+    this.#answerLookups({ type: "none" });
+  }
+
+  #pumpStore(now: Now): void {
+    if (now.monoMs < this.#retryMonoMs) return;
+    if (!this.#batch) {
+      if (now.monoMs < this.#nextWriteMonoMs || !this.#isDue(now)) return;
+      this.#batch = this.#makeBatch(now);
+      this.#batchLookups = this.#lookups.splice(0);
+    }
+    this.#nextWriteMonoMs = now.monoMs + 1000 / this.#view.writesPerS;
+    this.#busySinceMonoMs = now.monoMs;
+    this.#out.push({ type: "write", writes: this.#batch.writes });
+  }
+
+  #isDue(now: Now): boolean {
+    if (this.log.size > 0 || this.#lookups.length > 0) return true;
+    if (this.#stopping) return true;
+    if (now.monoMs - this.#okMonoMs >= this.limits.touchMs) return true;
+    const listed = this.#at.head.witnesses;
+    const wanted = this.#view.witnesses;
+    return listed.length !== wanted.length ||
+      listed.some((vm) => !wanted.some((other) => sameVm(vm, other)));
+  }
+
+  #makeBatch(now: Now): Batch {
+    const events = this.log.events(0, this.limits.batchEvents);
+    const hasAll = events.length === this.log.size;
+    const beforeMs = now.nowMs - this.limits.retentionMs;
+    let expired = 0;
+    for (const newestMs of this.#segmentTimes.slice(0, expireSegments)) {
+      if (newestMs >= beforeMs) break;
+      expired++;
+    }
+    return makeBatch({
+      keys: this.#keys,
+      base: this.#at,
+      baseOpenBytes: this.#openBytes,
+      events,
+      owner: this.#stopping && hasAll ? undefined : this.#me,
+      witnesses: this.#view.witnesses,
+      nowMs: now.nowMs,
+      monoMs: now.monoMs,
+      expiredSegments: expired,
+      segmentBytes: this.limits.segmentBytes,
+    });
+  }
+
+  #committed(now: Now, rev: number): void {
+    const batch = this.#batch;
+    if (!batch) return;
+    const before = this.#at.head;
+    this.#at = { head: batch.head, rev };
+    this.#openBytes = batch.openBytes;
+    this.#okMonoMs = batch.madeMonoMs;
+    this.#failures = 0;
+    this.#batch = undefined;
+    this.#segmentTimes.splice(0, batch.head.firstSegment - before.firstSegment);
+    if (batch.head.nextSegment > before.nextSegment) {
+      this.#segmentTimes.push(now.nowMs);
+    }
+    this.#outage.reset();
+    for (const ticket of this.#batchLookups.splice(0)) {
+      this.reply(ticket, { type: "none" });
+    }
+    this.#settle(now, this.log.dropBelow(batch.head.nextN));
+    if (!batch.head.owner) this.#end(now);
+  }
+
+  /** What stands in the store where another head was expected. */
+  #onHead(now: Now, entry: Entry | undefined): void {
+    const head = entry && parseHead(entry.value).unwrapOr(undefined);
+    const mine = this.#batch?.head ?? this.#at.head;
+    if (entry && head?.epoch === mine.epoch && head.commit === mine.commit) {
+      if (this.#batch) return this.#committed(now, entry.rev);
+      this.#at = { head, rev: entry.rev };
+      return;
+    }
+    const older = !head || head.epoch < mine.epoch ||
+      (head.epoch === mine.epoch && head.commit < this.#at.head.commit);
+    if (older) {
+      this.#out.push({
+        type: "log",
+        level: "error",
+        event: "claim shard regressed",
+        detail: `store has epoch=${head?.epoch} commit=${head?.commit}`,
+      });
+    }
+    if (entry && head) this.#at = { head, rev: entry.rev };
+    this.#end(now);
+  }
+
+  #end(now: Now): void {
+    this.#ended = true;
+    const retryAtMs = now.nowMs + 100;
+    for (const entry of this.log.clear()) this.#refuse(entry, retryAtMs);
+    this.#answerLookups({ type: "unavailable", retryAtMs });
+  }
+
+  #answerLookups(reply: ShardReply): void {
+    const waiting = [...this.#batchLookups.splice(0), ...this.#lookups];
+    this.#lookups = [];
+    for (const ticket of waiting) this.reply(ticket, reply);
+  }
+
+  /** Believes events, and grants the claims among them. */
+  #settle(now: Now, entries: readonly LogEntry[]): void {
+    for (const entry of entries) {
+      this.log.settle(entry);
+      this.index.apply(entry.event);
+      if (entry.event.state !== "claimed") {
+        this.reply(entry.ticket, { type: "done" });
+        continue;
+      }
+      this.#grant(now, entry.event.claimId, entry.ticket);
+      for (const { ask, ticket } of entry.parked) this.ask(now, ask, ticket);
+    }
+  }
+
+  #grant(now: Now, claimId: string, ticket: Ticket | undefined): void {
+    const dispatchBeforeMonoMs = now.monoMs + this.limits.dispatchMs;
+    this.reply(ticket, { type: "granted", claimId, dispatchBeforeMonoMs });
+  }
+
+  #refuseLate(now: Now): void {
+    const late = this.log.unsettled().filter((entry) =>
+      entry.event.state === "claimed" && entry.deadlineMs <= now.nowMs
+    );
+    for (const entry of late) this.#withdraw(now, entry, now.nowMs + 1000);
+  }
+
+  #refuseAll(now: Now, retryAtMs: number): void {
+    this.#answerLookups({ type: "unavailable", retryAtMs });
+    for (const entry of this.log.unsettled()) {
+      if (entry.event.state === "claimed") {
+        this.#withdraw(now, entry, retryAtMs);
+      }
+    }
+  }
+
+  /** Refuses a claim that may be on its way into the store: a release follows it there, so that the key is free. */
+  #withdraw(now: Now, entry: LogEntry, retryAtMs: number): void {
+    this.#refuse(entry, retryAtMs);
+    const { event } = entry;
+    const n = this.#nextN++;
+    const release: ClaimEvent = {
+      ...event,
+      n,
+      state: "released",
+      atMs: now.nowMs,
+    };
+    this.index.apply(release);
+    this.log.addSettled(release);
+  }
+
+  #refuse(entry: LogEntry, retryAtMs: number): void {
+    this.log.settle(entry);
+    const reply: ShardReply = { type: "unavailable", retryAtMs };
+    this.reply(entry.ticket, reply);
+    for (const { ticket } of entry.parked) this.reply(ticket, reply);
+  }
+
+  #read(now: Now): void {
+    this.#busySinceMonoMs = now.monoMs;
+    this.#out.push({ type: "read" });
+  }
+
+  #fail(now: Now): void {
+    const { backoff } = this.limits;
+    this.#retryMonoMs = now.monoMs +
+      backoffMs(this.#failures++, backoff, this.#random);
+  }
+}
+
+/** A standing that lets nothing run, as it is told to who asked. */
+function asReply(standing: Standing): ShardReply {
+  if (standing.type === "answered") return standing;
+  if (standing.type === "free") return { type: "none" };
+  if (standing.type === "mine") return { type: "running" };
+  return { type: standing.type };
+}
--- /dev/null
+++ b/src/services/claims.ts
@@ -0,0 +1,397 @@
+/**
+ * The claims service: a call that may not be repeated is recorded before its first byte goes to an upstream.
+ *
+ * A claim's shard lies in its workspace's home region, on one owner VM there; claims that arrive elsewhere are sent to
+ * it. Where the owner can't be had the caller is told at once, and truthfully, that its call was not run.
+ *
+ * @module
+ */
+
+import { err, ok } from "neverthrow";
+import type { KeyValue, Transport } from "../adapters/mod.ts";
+import {
+  type ClaimChange,
+  type ClaimKey,
+  type ClaimVerdict,
+  defaultShardLimits,
+  keyDigest,
+  type ReplicaMessage,
+  sameVm,
+  type ShardLimits,
+  type ShardReply,
+  type Table,
+  type VmRef,
+} from "../agreement/mod.ts";
+import {
+  backoffMs,
+  type Clock,
+  failure,
+  Random,
+  rendezvous,
+  secretDigest,
+  type Timer,
+} from "../base/mod.ts";
+import { type Handlers, type Kernel, type Port, Task } from "../kernel/mod.ts";
+import { ClaimsDriver, type Request } from "./claims_driver.ts";
+import { ClaimsRouter, type Routed } from "./claims_router.ts";
+import {
+  askMessage,
+  changeMessage,
+  claimsMethod,
+  lookupMessage,
+  replicateMessage,
+  toWire,
+  type WireReply,
+} from "./claims_wire.ts";
+import type {
+  ClaimsMessages,
+  MembersMessages,
+  TableMessages,
+  VmInfo,
+} from "./messages.ts";
+
+const TICK_MS = 20;
+const VIEW_MS = 250;
+const WITNESSES = 2;
+/** How long `finish`, `release` and `abandon` are tried for while the caller waits; then they go on behind. */
+const CHANGE_MS = 2000;
+/** How long a step is tried for behind the caller's back. */
+const CHANGE_TRIES = 12;
+const CHANGE_BACKOFF = { firstMs: 250, mostMs: 10_000 };
+const LOOKUP_MS = 3000;
+const REPLICATE_MS = 1500;
+/** When a caller may come back whose claim found no owner. */
+const RETRY_MS = 1000;
+/** Claims take at most this many writes a second in all regions together, unless the settings say otherwise. */
+const WRITES_PER_S = 60;
+/** Kept back from a caller's deadline, so that the refusal still reaches it. */
+const ANSWER_MARGIN_MS = 50;
+
+/** What a {@link ClaimsService} works with. */
+export interface ClaimsOptions {
+  readonly me: VmRef;
+  readonly region: string;
+  readonly store: KeyValue;
+  /** Absent where this VM is the only one. */
+  readonly transport?: Transport;
+  readonly members?: Port<MembersMessages>;
+  /** Says each workspace's home; without it every workspace is at home here. */
+  readonly table?: Port<TableMessages>;
+  readonly limits?: Partial<ShardLimits>;
+  /** Writes a second that the claims of all regions may take together. */
+  readonly writesPerS?: number;
+  readonly seed?: number;
+}
+
+/** See the module's comment. */
+export class ClaimsService extends Task<ClaimsMessages> {
+  readonly name = "claims";
+  readonly #options: ClaimsOptions;
+  readonly #limits: ShardLimits;
+  readonly #random: Random;
+  readonly #drivers: ClaimsDriver[] = [];
+  readonly #timers: Timer[] = [];
+  #router!: ClaimsRouter;
+  #clock!: Clock;
+  #here: readonly VmInfo[] = [];
+  #others: ReadonlyMap<string, readonly VmInfo[]> = new Map();
+  #table: Table | undefined;
+  #nextClaim = 0;
+  #closed = false;
+
+  protected readonly handlers: Handlers<ClaimsMessages> = {
+    claim: (input) => this.#claim(input),
+    finish: (input) =>
+      this.#change(input, { state: "finished", answer: input.answer }),
+    release: (input) => this.#change(input, { state: "released" }),
+    abandon: (input) => this.#change(input, { state: "abandoned" }),
+    lookup: (input) => this.#lookup(input),
+  };
+
+  constructor(options: ClaimsOptions) {
+    super();
+    this.#options = options;
+    this.#limits = { ...defaultShardLimits, ...options.limits };
+    this.#random = new Random(options.seed ?? options.me.incarnation);
+  }
+
+  async start(kernel: Kernel): Promise<void> {
+    const { me, region, store, transport } = this.#options;
+    this.#clock = kernel.clock;
+    for (let shard = 0; shard < this.#limits.shardCount; shard++) {
+      this.#drivers.push(
+        new ClaimsDriver({
+          me,
+          region,
+          shard,
+          limits: this.#limits,
+          store,
+          clock: this.#clock,
+          random: this.#random,
+          log: kernel.log,
+          replicate: (to, message) => this.#replicate(shard, to, message),
+        }),
+      );
+    }
+    this.#router = new ClaimsRouter({
+      me,
+      region,
+      clock: this.#clock,
+      transport,
+      drivers: this.#drivers,
+      members: () => ({ here: this.#here, others: this.#others }),
+    });
+    if (transport) this.#listen(transport);
+    await this.#refreshView();
+    this.#timers.push(
+      this.#clock.every(VIEW_MS, () => void this.#refreshView()),
+      this.#clock.every(TICK_MS, () => this.#tick()),
+    );
+    this.#tick();
+  }
+
+  /** Hands over the shards owned here, so that the next owner need not wait. */
+  async close(deadlineMs: number): Promise<void> {
+    for (const driver of this.#drivers) driver.stop();
+    while (
+      this.#drivers.some((driver) => !driver.isStopped) &&
+      this.#clock.nowMs() < deadlineMs
+    ) {
+      await this.#clock.sleep(TICK_MS);
+    }
+    this.#closed = true;
+    for (const timer of this.#timers) timer.close();
+    this.#router.close();
+    for (const driver of this.#drivers) driver.close();
+  }
+
+  dump(): unknown {
+    return {
+      me: this.#options.me,
+      shards: this.#drivers.map((driver) => driver.state()),
+      storeCalls: this.#options.store.counts().claims,
+    };
+  }
+
+  async #claim(
+    input: ClaimsMessages["claim"]["in"],
+  ): Promise<ClaimVerdict> {
+    const key = keyDigest(input);
+    const claimId = this.#newClaimId();
+    const home = await this.#homeOf(input.workspace);
+    const ask = {
+      key,
+      body: secretDigest(input.bodyDigest).slice(0, 16),
+      claimId,
+      claimer: { ...this.#options.me, region: this.#options.region },
+      deadlineMs: input.deadlineMs - ANSWER_MARGIN_MS,
+    };
+    const routed = await this.#router.send(home, { type: "ask", ask }, false);
+    const verdict = this.#verdict(routed);
+    // The owner may have recorded what is refused here; the key must be free again for the caller's next try.
+    if (verdict.type === "refused" && isRecordable(routed)) {
+      void this.#changeBehind(home, { key, claimId, state: "released" });
+    }
+    return verdict;
+  }
+
+  #verdict(routed: Routed): ClaimVerdict {
+    if (routed.type === "none") return this.#refuse();
+    const { reply } = routed;
+    switch (reply.type) {
+      case "granted":
+      case "answered":
+        return reply;
+      case "running":
+      case "unknown":
+      case "mismatch":
+        return { type: reply.type };
+      case "unavailable":
+        return this.#refuse(reply.retryAtMs);
+      default:
+        return this.#refuse();
+    }
+  }
+
+  #refuse(retryAtMs = this.#clock.nowMs() + RETRY_MS): ClaimVerdict {
+    return {
+      type: "refused",
+      failure: failure("claimUnavailable", { retryAtMs }),
+    };
+  }
+
+  /** Takes a step of a claim. The caller waits while it is tried for some time; after that it goes on behind. */
+  async #change(
+    input: ClaimKey & { readonly claimId: string },
+    step: Pick<ClaimChange, "state" | "answer">,
+  ): Promise<void> {
+    const home = await this.#homeOf(input.workspace);
+    const change = {
+      key: keyDigest(input),
+      claimId: input.claimId,
+      ...step,
+    };
+    if (await this.#tryChange(home, change)) return;
+    void this.#changeBehind(home, change);
+  }
+
+  async #tryChange(home: string, change: ClaimChange): Promise<boolean> {
+    const deadlineMs = this.#clock.nowMs() + CHANGE_MS;
+    const request = { type: "change", change, deadlineMs } as const;
+    const routed = await this.#router.send(home, request, false);
+    return routed.type === "reply" && routed.reply.type === "done";
+  }
+
+  async #changeBehind(home: string, change: ClaimChange): Promise<void> {
+    for (let attempt = 0; attempt < CHANGE_TRIES; attempt++) {
+      const waitMs = backoffMs(attempt, CHANGE_BACKOFF, this.#random);
+      await this.#clock.sleep(waitMs);
+      if (this.#closed || await this.#tryChange(home, change)) return;
+    }
+  }
+
+  async #lookup(key: ClaimKey): Promise<ClaimsMessages["lookup"]["out"]> {
+    const routed = await this.#router.send(await this.#homeOf(key.workspace), {
+      type: "lookup",
+      key: keyDigest(key),
+      deadlineMs: this.#clock.nowMs() + LOOKUP_MS,
+    }, false);
+    const reply = routed.type === "reply" ? routed.reply : undefined;
+    switch (reply?.type) {
+      case "none":
+      case "running":
+      case "unknown":
+        return ok(reply.type);
+      case "answered":
+        return ok({ answer: reply.answer });
+    }
+    const retryAtMs = this.#clock.nowMs() + RETRY_MS;
+    const message = "the record of this key cannot be read now";
+    // Nothing is known of the call itself, so "not run" would be a guess.
+    return err(
+      failure("claimUnavailable", { ran: "unknown", message, retryAtMs }),
+    );
+  }
+
+  #listen(transport: Transport): void {
+    const relay = async (
+      region: string,
+      relayed: boolean,
+      request: Request,
+    ): Promise<WireReply> => {
+      const routed = await this.#relay(region, relayed, request);
+      return toWire(routed, this.#clock.monoMs());
+    };
+    transport.handle(claimsMethod.ask, (params) => {
+      const { region, relayed, ask } = askMessage.parse(params);
+      return relay(region, relayed, { type: "ask", ask });
+    });
+    transport.handle(claimsMethod.change, (params) => {
+      const { region, relayed, ...rest } = changeMessage.parse(params);
+      return relay(region, relayed, { type: "change", ...rest });
+    });
+    transport.handle(claimsMethod.lookup, (params) => {
+      const { region, relayed, ...rest } = lookupMessage.parse(params);
+      return relay(region, relayed, { type: "lookup", ...rest });
+    });
+    transport.handle(claimsMethod.replicate, (params) => {
+      const { shard, to, message } = replicateMessage.parse(params);
+      const driver = this.#drivers[shard];
+      if (!driver || !sameVm(to, this.#options.me)) return { accepted: false };
+      return driver.replica(message);
+    });
+  }
+
+  /** A request of another VM: answered here, or, if it came from another region, sent on to this region's owner. */
+  async #relay(
+    region: string,
+    relayed: boolean,
+    request: Request,
+  ): Promise<ShardReply> {
+    if (region !== this.#options.region) return { type: "notOwner" };
+    if (!relayed) return await this.#router.sendOwn(request);
+    const routed = await this.#router.send(region, request, true);
+    return routed.type === "reply" ? routed.reply : { type: "notOwner" };
+  }
+
+  async #replicate(
+    shard: number,
+    to: VmRef,
+    message: ReplicaMessage,
+  ): Promise<boolean> {
+    const vm = this.#here.find((info) => sameVm(info, to));
+    const { transport } = this.#options;
+    if (!vm || !transport) return false;
+    const answer = await transport.call(
+      vm.peerAddress,
+      claimsMethod.replicate,
+      { shard, to, message },
+      this.#clock.nowMs() + REPLICATE_MS,
+    );
+    return answer.isOk() &&
+      (answer.value as { accepted?: unknown })?.accepted === true;
+  }
+
+  #tick(): void {
+    for (const driver of this.#drivers) driver.tick();
+  }
+
+  async #refreshView(): Promise<void> {
+    const { members, table, me } = this.#options;
+    if (members) {
+      this.#here = await members.ask("region", undefined);
+      this.#others = await members.ask("others", undefined);
+    }
+    if (table) this.#table = await table.ask("current", undefined);
+    const live = this.#here.filter((vm) => !sameVm(vm, me));
+    const places = Math.max(
+      1,
+      this.#limits.shardCount * (this.#others.size + 1),
+    );
+    const writesPerS = (this.#options.writesPerS ?? WRITES_PER_S) / places;
+    this.#drivers.forEach((driver, shard) => {
+      const order = rendezvous(
+        `claims/${this.#options.region}/${shard}`,
+        [me, ...live.filter((vm) => vm.state === "live")],
+        (vm) => `${vm.id}/${vm.incarnation}`,
+      );
+      driver.setView({
+        region: this.#options.region,
+        live: live.map(asRef),
+        witnesses: this.#witnesses(order.filter((vm) => !sameVm(vm, me))),
+        rank: order.findIndex((vm) => sameVm(vm, me)),
+        writesPerS,
+      });
+    });
+  }
+
+  /** The first in order, of another failure domain if there is one: a domain is lost as a whole. */
+  #witnesses(order: readonly VmRef[]): VmRef[] {
+    const domainOf = (vm: VmRef) =>
+      this.#here.find((info) => sameVm(info, vm))?.failureDomain;
+    const own = domainOf(this.#options.me);
+    const far = order.filter((vm) => domainOf(vm) !== own);
+    const near = order.filter((vm) => domainOf(vm) === own);
+    return [...far, ...near].slice(0, WITNESSES).map(asRef);
+  }
+
+  async #homeOf(workspace: string): Promise<string> {
+    const table = this.#table ??
+      await this.#options.table?.ask("current", undefined);
+    return table?.workspace(workspace)?.home ?? this.#options.region;
+  }
+
+  #newClaimId(): string {
+    const { id, incarnation } = this.#options.me;
+    return `${id}.${incarnation}.${this.#nextClaim++}`;
+  }
+}
+
+/** Whether an owner may have recorded a claim although the request was not granted. */
+function isRecordable(routed: Routed): boolean {
+  return routed.type === "none" ? routed.sent : true;
+}
+
+function asRef(vm: VmRef): VmRef {
+  return { id: vm.id, incarnation: vm.incarnation };
+}
--- /dev/null
+++ b/src/services/claims_driver.ts
@@ -0,0 +1,230 @@
+/**
+ * Runs one {@link ClaimShard}: carries its effects out and brings it the answers.
+ *
+ * @module
+ */
+
+import { err, ok, type Result } from "neverthrow";
+import type { Logger } from "winston";
+import type { KeyValue, StoreError } from "../adapters/mod.ts";
+import {
+  type ClaimAsk,
+  type ClaimChange,
+  type ClaimEvent,
+  ClaimShard,
+  type Effect,
+  type Now,
+  parseSegment,
+  type ReplicaAnswer,
+  type ReplicaMessage,
+  segmentKey,
+  type ShardKeys,
+  shardKeys,
+  type ShardLimits,
+  type ShardReply,
+  type ShardView,
+  type VmRef,
+} from "../agreement/mod.ts";
+import type { Clock, Random } from "../base/mod.ts";
+
+/** Most segments read in one call. */
+const SEGMENTS_PER_READ = 16;
+
+/** A message to an owner. */
+export type Request =
+  | { readonly type: "ask"; readonly ask: ClaimAsk }
+  | {
+    readonly type: "change";
+    readonly change: ClaimChange;
+    readonly deadlineMs: number;
+  }
+  | {
+    readonly type: "lookup";
+    readonly key: string;
+    readonly deadlineMs: number;
+  };
+
+/** What a driver works with. */
+export interface DriverOptions {
+  readonly me: VmRef;
+  readonly region: string;
+  readonly shard: number;
+  readonly limits: ShardLimits;
+  readonly store: KeyValue;
+  readonly clock: Clock;
+  readonly random: Random;
+  readonly log: Logger;
+  /** Sends to a witness; resolves with whether it accepted. Never rejects. */
+  readonly replicate: (to: VmRef, message: ReplicaMessage) => Promise<boolean>;
+}
+
+/** The shard's machine with its store and its links. */
+export class ClaimsDriver {
+  readonly #options: DriverOptions;
+  readonly #keys: ShardKeys;
+  readonly #shard: ClaimShard;
+  readonly #waiting = new Map<number, (reply: ShardReply) => void>();
+  #nextTicket = 0;
+  #closed = false;
+
+  constructor(options: DriverOptions) {
+    this.#options = options;
+    this.#keys = shardKeys(options.region, options.shard);
+    this.#shard = new ClaimShard({ ...options, keys: this.#keys });
+  }
+
+  get isOwner(): boolean {
+    return this.#shard.isOwner;
+  }
+  get owner(): VmRef | undefined {
+    return this.#shard.owner;
+  }
+  get isStopped(): boolean {
+    return this.#shard.isStopped;
+  }
+  state(): Record<string, unknown> {
+    return this.#shard.state();
+  }
+
+  setView(view: ShardView): void {
+    this.#shard.setView(view);
+  }
+  tick(): void {
+    this.#perform(this.#shard.tick(this.#now()));
+  }
+  /** Hands the shard over; {@link ClaimsDriver.isStopped} tells when that is done. */
+  stop(): void {
+    this.#perform(this.#shard.stop(this.#now()));
+  }
+
+  /** Resolves once the request is settled: a claim granted or refused, a step kept. */
+  send(request: Request): Promise<ShardReply> {
+    const ticket = this.#nextTicket++;
+    return new Promise((resolve) => {
+      this.#waiting.set(ticket, resolve);
+      this.#perform(this.#start(request, ticket));
+    });
+  }
+
+  /** An owner's grants, to this VM as a witness. */
+  replica(message: ReplicaMessage): ReplicaAnswer {
+    return this.#shard.onReplica(this.#now(), message);
+  }
+
+  /** Answers whoever still waits, and drops late answers. */
+  close(): void {
+    this.#closed = true;
+    for (const resolve of this.#waiting.values()) resolve({ type: "notOwner" });
+    this.#waiting.clear();
+  }
+
+  #now(): Now {
+    const { clock } = this.#options;
+    return { nowMs: clock.nowMs(), monoMs: clock.monoMs() };
+  }
+
+  #start(request: Request, ticket: number): Effect[] {
+    const now = this.#now();
+    switch (request.type) {
+      case "ask":
+        return this.#shard.ask(now, request.ask, ticket);
+      case "change":
+        return this.#shard.change(now, request.change, ticket);
+      case "lookup":
+        return this.#shard.lookup(now, request.key, ticket);
+    }
+  }
+
+  #perform(effects: readonly Effect[]): void {
+    for (const effect of effects) void this.#performOne(effect);
+  }
+
+  async #performOne(effect: Effect): Promise<void> {
+    const { store } = this.#options;
+    switch (effect.type) {
+      case "read": {
+        const found = await settled(store.get(this.#keys.head, "claims"));
+        return this.#then((now) => this.#shard.onRead(now, found));
+      }
+      case "load": {
+        const loaded = await this.#load(effect.from, effect.to);
+        return this.#then((now) => this.#shard.onLoaded(now, loaded));
+      }
+      case "write": {
+        const written = await settled(
+          store.transact(effect.writes, "claims"),
+        );
+        return this.#then((now) => this.#shard.onWritten(now, written));
+      }
+      case "replicate": {
+        const accepted = await this.#options.replicate(
+          effect.to,
+          effect.message,
+        );
+        return this.#then((now) =>
+          this.#shard.onReplicaAnswer(now, effect.to, accepted, effect)
+        );
+      }
+      case "reply":
+        this.#waiting.get(effect.ticket)?.(effect.reply);
+        this.#waiting.delete(effect.ticket);
+        return;
+      case "log": {
+        const { log, region, shard } = this.#options;
+        const fields = { region, shard, detail: effect.detail };
+        log.log(effect.level, effect.event, fields);
+        return;
+      }
+    }
+  }
+
+  #then(step: (now: Now) => Effect[]): void {
+    if (!this.#closed) this.#perform(step(this.#now()));
+  }
+
+  /** Reads segments `from` up to, but not including, `to`. */
+  async #load(
+    from: number,
+    to: number,
+  ): Promise<Result<ClaimEvent[][], StoreError>> {
+    const segments: ClaimEvent[][] = [];
+    let next = from;
+    while (next < to) {
+      const found = await settled(this.#options.store.list(
+        this.#keys.segments,
+        {
+          fromKey: segmentKey(this.#keys, next),
+          limit: Math.min(SEGMENTS_PER_READ, to - next),
+        },
+        "claims",
+      ));
+      if (found.isErr()) return err(found.error);
+      for (const entry of found.value.entries) {
+        const parsed = parseSegment(entry.value);
+        if (parsed.isErr()) return err(unreadable(entry.key, parsed.error));
+        segments.push(parsed.value);
+      }
+      // A gap would forget claims: their keys would run again.
+      const expected = segmentKey(this.#keys, from + segments.length - 1);
+      const last = found.value.entries.at(-1)?.key;
+      if (last !== expected) return err(unreadable(expected, "missing"));
+      next = from + segments.length;
+    }
+    return ok(segments);
+  }
+}
+
+function unreadable(key: string, message: string): StoreError {
+  return { kind: "unavailable", message: `segment ${key}: ${message}` };
+}
+
+/** A call that throws may have taken effect, like one whose answer was lost. */
+async function settled<T>(
+  call: Promise<Result<T, StoreError>>,
+): Promise<Result<T, StoreError>> {
+  try {
+    return await call;
+  } catch (error) {
+    return err({ kind: "lost", message: String(error) });
+  }
+}
--- /dev/null
+++ b/src/services/claims_router.ts
@@ -0,0 +1,177 @@
+/**
+ * Finds the owner of a claim's shard, on this VM or another, and asks it until it answers or the deadline is near.
+ *
+ * @module
+ */
+
+import type { z } from "zod";
+import type { Transport } from "../adapters/mod.ts";
+import {
+  sameVm,
+  shardOf,
+  type ShardReply,
+  type VmRef,
+} from "../agreement/mod.ts";
+import type { Clock } from "../base/mod.ts";
+import type { ClaimsDriver, Request } from "./claims_driver.ts";
+import {
+  type askMessage,
+  type changeMessage,
+  claimsMethod,
+  fromWire,
+  type lookupMessage,
+  wireReply,
+} from "./claims_wire.ts";
+import type { VmInfo } from "./messages.ts";
+
+/** Between tries while no owner is found: a take-over is under way. */
+const RETRY_MS = 100;
+/** Longest time that an owner is looked for: a dead one is missed and replaced well before. */
+const OWNER_MS = 6000;
+/** Longest time given to one call to another VM; an owner in an outage may hold an ask for some seconds. */
+const CALL_MS = 8000;
+
+/** What came of a request: a reply, or nothing that settles it; `sent` if an owner may have taken it in. */
+export type Routed =
+  | { readonly type: "reply"; readonly reply: ShardReply }
+  | { readonly type: "none"; readonly sent: boolean };
+
+/** What a router works with. */
+export interface RouterOptions {
+  readonly me: VmRef;
+  readonly region: string;
+  readonly clock: Clock;
+  readonly transport: Transport | undefined;
+  readonly drivers: readonly ClaimsDriver[];
+  /** The VMs of this region, and a few of each other one. */
+  readonly members: () => {
+    readonly here: readonly VmInfo[];
+    readonly others: ReadonlyMap<string, readonly VmInfo[]>;
+  };
+}
+
+/** See the module's comment. */
+export class ClaimsRouter {
+  readonly #options: RouterOptions;
+  #closed = false;
+
+  constructor(options: RouterOptions) {
+    this.#options = options;
+  }
+
+  close(): void {
+    this.#closed = true;
+  }
+
+  /** Sends a request to the owner in `region`. A relayed one came from another region and goes to no further one. */
+  async send(
+    region: string,
+    request: Request,
+    relayed: boolean,
+  ): Promise<Routed> {
+    if (region === this.#options.region) return await this.#sendHere(request);
+    if (relayed) return { type: "none", sent: false };
+    return await this.#sendAway(region, request);
+  }
+
+  /** Answers as this VM's own shard stands, without asking others. */
+  async sendOwn(request: Request): Promise<ShardReply> {
+    return await this.#driverOf(request).send(request);
+  }
+
+  #driverOf(request: Request): ClaimsDriver {
+    const { drivers } = this.#options;
+    return drivers[shardOf(keyOf(request), drivers.length)];
+  }
+
+  async #sendHere(request: Request): Promise<Routed> {
+    const { clock } = this.#options;
+    const driver = this.#driverOf(request);
+    const untilMs = Math.min(deadlineOf(request), clock.nowMs() + OWNER_MS);
+    let hint: VmRef | undefined;
+    let sent = false;
+    while (!this.#closed) {
+      const routed = driver.isOwner
+        ? { type: "reply" as const, reply: await driver.send(request) }
+        : await this.#remote(hint ?? driver.owner, request);
+      if (routed.type === "none") sent ||= routed.sent;
+      else if (routed.reply.type !== "notOwner") return routed;
+      const owner = routed.type === "reply" && routed.reply.type === "notOwner"
+        ? routed.reply.owner
+        : undefined;
+      const isNews = owner !== undefined && !(hint && sameVm(hint, owner));
+      hint = isNews ? owner : undefined;
+      if (isNews) continue;
+      if (clock.nowMs() + RETRY_MS >= untilMs) break;
+      await clock.sleep(RETRY_MS);
+    }
+    return { type: "none", sent };
+  }
+
+  async #remote(
+    owner: VmRef | undefined,
+    request: Request,
+  ): Promise<Routed> {
+    const { here } = this.#options.members();
+    const vm = here.find((info) => owner && sameVm(info, owner));
+    if (!vm || sameVm(vm, this.#options.me)) {
+      return { type: "none", sent: false };
+    }
+    return await this.#call(vm, this.#options.region, request, false);
+  }
+
+  async #sendAway(region: string, request: Request): Promise<Routed> {
+    const vms = this.#options.members().others.get(region) ?? [];
+    let sent = false;
+    for (const vm of vms) {
+      const routed = await this.#call(vm, region, request, true);
+      if (routed.type === "reply" && routed.reply.type !== "notOwner") {
+        return routed;
+      }
+      sent ||= routed.type === "none" && routed.sent;
+      if (this.#options.clock.nowMs() >= deadlineOf(request)) break;
+    }
+    return { type: "none", sent };
+  }
+
+  async #call(
+    vm: VmInfo,
+    region: string,
+    request: Request,
+    relayed: boolean,
+  ): Promise<Routed> {
+    const { transport, clock } = this.#options;
+    if (!transport) return { type: "none", sent: false };
+    const askedMonoMs = clock.monoMs();
+    const untilMs = Math.min(deadlineOf(request), clock.nowMs() + CALL_MS);
+    const answer = await transport.call(
+      vm.peerAddress,
+      claimsMethod[request.type],
+      message(region, relayed, request),
+      untilMs,
+    );
+    if (answer.isErr()) {
+      return { type: "none", sent: answer.error.kind === "lost" };
+    }
+    const parsed = wireReply.safeParse(answer.value);
+    if (!parsed.success) return { type: "none", sent: true };
+    return { type: "reply", reply: fromWire(parsed.data, askedMonoMs) };
+  }
+}
+
+function keyOf(request: Request): string {
+  if (request.type === "ask") return request.ask.key;
+  return request.type === "change" ? request.change.key : request.key;
+}
+
+function deadlineOf(request: Request): number {
+  return request.type === "ask" ? request.ask.deadlineMs : request.deadlineMs;
+}
+
+function message(region: string, relayed: boolean, request: Request):
+  | z.infer<typeof askMessage>
+  | z.infer<typeof changeMessage>
+  | z.infer<typeof lookupMessage> {
+  const { type: _type, ...rest } = request;
+  return { region, relayed, ...rest } as z.infer<typeof askMessage>;
+}
--- a/src/services/mod.ts
+++ b/src/services/mod.ts
@@ -5,4 +5,5 @@
  */
 
 export * from "./messages.ts";
+export * from "./claims.ts";
 export * from "./metrics.ts";
