Transport between VMs over WebSockets, with link faults that a test can set

Cause: services on different VMs had only an abstract transport. Change: WsTransport opens its own listener (host:port, apart from the callers' one), checks the VMs' secret, the protocol version and the peer's names in the handshake, bounds message size and buffer, reconnects with jittered backoff, tells unreachable (never sent) from lost, and counts bytes by service. LinkFaults cuts, slows or makes one-way the links of a VM, by address, VM or region.

--- a/src/adapters/mod.ts
+++ b/src/adapters/mod.ts
@@ -8,3 +8,5 @@
 export * from "./transport.ts";
 export * from "./upstream.ts";
 export * from "./http_upstream.ts";
+export * from "./link_faults.ts";
+export * from "./ws_transport.ts";
--- /dev/null
+++ b/src/adapters/ws_transport.ts
@@ -0,0 +1,295 @@
+/**
+ * Messages between VMs: `json-rpc-2.0` over persistent WebSockets by `ws`. It opens a listener of its own, apart from
+ * the callers' one, so that no caller can reach a method of the VMs.
+ *
+ * A connection carries the calls of the VM that opened it and their answers; two VMs that call each other hold two.
+ * Both ends hold the same secret; it is checked in the handshake and never logged.
+ *
+ * @module
+ */
+
+import { createServer, type IncomingMessage, type Server } from "node:http";
+import type { AddressInfo } from "node:net";
+import { JSONRPCServer } from "json-rpc-2.0";
+import { err, type Result } from "neverthrow";
+import type { Logger } from "winston";
+import { type WebSocket, WebSocketServer } from "ws";
+import {
+  type Clock,
+  hash32,
+  Random,
+  secretDigest,
+  secretMatches,
+  systemClock,
+  type Timer,
+} from "../base/mod.ts";
+import { LinkFaults } from "./link_faults.ts";
+import {
+  type CallError,
+  type Handler,
+  type Sender,
+  Transport,
+} from "./transport.ts";
+import { type LinkContext, WsLink } from "./ws_link.ts";
+import {
+  ByteCounter,
+  PROTOCOL,
+  REGION_HEADER,
+  VM_HEADER,
+  Wire,
+} from "./ws_wire.ts";
+
+/** Who this VM is and where it listens. */
+export interface WsTransportOptions {
+  readonly vmId: string;
+  readonly region: string;
+  /** The VMs' shared credential. */
+  readonly secret: string;
+  readonly host: string;
+  /** 0 takes any free port; see {@link WsTransport.address}. */
+  readonly port: number;
+  readonly faults?: LinkFaults;
+  readonly clock?: Clock;
+  readonly log?: Logger;
+  readonly mostMessageBytes?: number;
+  readonly mostBufferedBytes?: number;
+  readonly handshakeTimeoutMs?: number;
+}
+
+const IDLE_MS = 60_000;
+const SWEEP_MS = 15_000;
+const MEGABYTE = 1024 * 1024;
+
+/** The links of one VM. */
+export class WsTransport extends Transport {
+  readonly faults: LinkFaults;
+  readonly #options: WsTransportOptions;
+  readonly #context: LinkContext;
+  readonly #secretDigest: string;
+  readonly #http: Server;
+  readonly #sockets: WebSocketServer;
+  readonly #rpc: JSONRPCServer<Sender>;
+  readonly #links = new Map<string, WsLink>();
+  readonly #sweep: Timer;
+  #closed = false;
+
+  private constructor(options: WsTransportOptions) {
+    super();
+    this.#options = options;
+    this.faults = options.faults ?? new LinkFaults();
+    this.#context = contextOf(options, this.faults);
+    this.#secretDigest = secretDigest(options.secret);
+    this.#rpc = new JSONRPCServer({
+      errorListener: (message) =>
+        options.log?.warn("peer call failed", { error: message }),
+    });
+    this.#http = createServer((_request, response) => {
+      response.writeHead(426, { connection: "close" }).end();
+    });
+    this.#sockets = this.#listen();
+    this.#sweep = this.#context.clock.every(SWEEP_MS, () => this.#closeIdle());
+  }
+
+  /** Opens the listener; rejects if the port is taken. */
+  static async open(options: WsTransportOptions): Promise<WsTransport> {
+    const transport = new WsTransport(options);
+    await new Promise<void>((resolve, reject) => {
+      transport.#http.once("error", reject);
+      transport.#http.listen(options.port, options.host, resolve);
+    });
+    return transport;
+  }
+
+  /** `host:port` it listens on. */
+  get address(): string {
+    const { port } = this.#http.address() as AddressInfo;
+    return `${this.#options.host}:${port}`;
+  }
+
+  handle(method: string, handler: Handler): void {
+    this.#rpc.addMethod(method, (params, from) => handler(params, from));
+  }
+
+  async call(
+    address: string,
+    method: string,
+    params: unknown,
+    deadlineMs: number,
+  ): Promise<Result<unknown, CallError>> {
+    if (this.#closed) return err({ kind: "unreachable", message: "closed" });
+    return await this.#link(address).call(method, params, deadlineMs);
+  }
+
+  notify(address: string, method: string, params: unknown): void {
+    if (!this.#closed) this.#link(address).notify(method, params);
+  }
+
+  bytes(): { readonly sent: number; readonly received: number } {
+    return this.#context.bytes.total();
+  }
+
+  /** Bytes by service: the part of a method before its dot. */
+  bytesBySubject(): Record<string, { sent: number; received: number }> {
+    return this.#context.bytes.bySubject();
+  }
+
+  /** Open links and accepted connections, for a dump. */
+  dump(): unknown {
+    return {
+      address: this.#closed ? undefined : this.address,
+      links: [...this.#links.keys()],
+      accepted: this.#sockets.clients.size,
+      bytes: this.bytesBySubject(),
+      faults: this.faults.list(),
+    };
+  }
+
+  /** Ends every connection at once, as a crash would; for tests. */
+  terminate(): Promise<void> {
+    for (const link of this.#links.values()) link.terminate();
+    return this.close();
+  }
+
+  async close(): Promise<void> {
+    if (this.#closed) return;
+    this.#closed = true;
+    this.#sweep.close();
+    for (const link of this.#links.values()) link.close();
+    this.#links.clear();
+    const closed = new Promise<void>((resolve) =>
+      this.#http.close(() => resolve())
+    );
+    for (const socket of this.#sockets.clients) socket.terminate();
+    this.#sockets.close();
+    this.#http.closeAllConnections();
+    await closed;
+  }
+
+  #link(address: string): WsLink {
+    let link = this.#links.get(address);
+    if (!link) {
+      link = new WsLink(address, this.#context);
+      this.#links.set(address, link);
+    }
+    return link;
+  }
+
+  /** A link per VM ever seen would grow with the fleet; only those in use stay. */
+  #closeIdle(): void {
+    const idleSinceMs = this.#context.clock.monoMs() - IDLE_MS;
+    for (const [address, link] of this.#links) {
+      if (link.pending > 0 || link.lastUsedMonoMs > idleSinceMs) continue;
+      link.close();
+      this.#links.delete(address);
+    }
+  }
+
+  #listen(): WebSocketServer {
+    const sockets = new WebSocketServer({
+      server: this.#http,
+      maxPayload: this.#context.mostMessageBytes,
+      perMessageDeflate: false,
+      clientTracking: true,
+      handleProtocols: () => PROTOCOL,
+      verifyClient: ({ req }, answer) => {
+        const status = this.#admit(req);
+        answer(status === 101, status === 101 ? undefined : status);
+      },
+    });
+    sockets.on("headers", (headers) => {
+      headers.push(`${VM_HEADER}: ${this.#options.vmId}`);
+      headers.push(`${REGION_HEADER}: ${this.#options.region}`);
+    });
+    sockets.on("connection", (socket, request) => {
+      this.#accept(socket, request);
+    });
+    return sockets;
+  }
+
+  /** The status a handshake is answered with; 101 admits it. */
+  #admit(request: IncomingMessage): 101 | 400 | 401 | 426 {
+    const given = request.headers.authorization ?? "";
+    const secret = given.startsWith("Bearer ") ? given.slice(7) : "";
+    if (!secretMatches(secret, this.#secretDigest)) return 401;
+    const offered = request.headers["sec-websocket-protocol"]?.split(/,\s*/);
+    if (!offered?.includes(PROTOCOL)) return 426;
+    return senderOf(request) ? 101 : 400;
+  }
+
+  #accept(socket: WebSocket, request: IncomingMessage): void {
+    const from = senderOf(request)!;
+    socket.on("error", (error) => {
+      this.#options.log?.debug("peer connection failed", {
+        peer: from.vmId,
+        error: error.message,
+      });
+    });
+    const wire = new Wire(this.#context, socket, from, false, (text, bytes) => {
+      void this.#answer(wire, from, text, bytes);
+    });
+    if (this.faults.blocks(from)) wire.terminate();
+  }
+
+  async #answer(
+    wire: Wire,
+    from: Sender,
+    text: string,
+    bytes: number,
+  ): Promise<void> {
+    const request = parse(text);
+    if (!request) {
+      wire.terminate();
+      return;
+    }
+    const count = this.#context.bytes;
+    count.add(request.method, 0, bytes);
+    const response = await this.#rpc.receive(request, from);
+    if (!response) return;
+    const sent = wire.send(
+      JSON.stringify(response),
+      (size) => count.add(request.method, size, 0),
+    );
+    if (sent !== "tooLarge") return;
+    const error = { code: -32001, message: "the answer is too large" };
+    wire.send(
+      JSON.stringify({ jsonrpc: "2.0", id: request.id, error }),
+      (size) => count.add(request.method, size, 0),
+    );
+  }
+}
+
+function contextOf(
+  options: WsTransportOptions,
+  faults: LinkFaults,
+): LinkContext {
+  return {
+    vmId: options.vmId,
+    region: options.region,
+    secret: options.secret,
+    clock: options.clock ?? systemClock,
+    faults,
+    mostMessageBytes: options.mostMessageBytes ?? MEGABYTE,
+    mostBufferedBytes: options.mostBufferedBytes ?? 4 * MEGABYTE,
+    handshakeTimeoutMs: options.handshakeTimeoutMs ?? 2000,
+    random: new Random(hash32(options.vmId)),
+    bytes: new ByteCounter(),
+  };
+}
+
+function senderOf(request: IncomingMessage): Sender | undefined {
+  const vmId = request.headers[VM_HEADER];
+  const region = request.headers[REGION_HEADER];
+  if (typeof vmId !== "string" || typeof region !== "string") return undefined;
+  return vmId && region ? { vmId, region } : undefined;
+}
+
+type Request = { jsonrpc: "2.0"; id?: number; method: string };
+
+function parse(text: string): Request | undefined {
+  try {
+    const value = JSON.parse(text);
+    return typeof value?.method === "string" ? value : undefined;
+  } catch {
+    return undefined;
+  }
+}
--- /dev/null
+++ b/src/adapters/ws_transport_test.ts
@@ -0,0 +1,183 @@
+import type { ExecutionContext } from "ava";
+import { WebSocket } from "ws";
+import { describe, it } from "../base/describe.ts";
+import { WsTransport, type WsTransportOptions } from "./ws_transport.ts";
+
+async function open(
+  t: ExecutionContext,
+  vmId: string,
+  more: Partial<WsTransportOptions> = {},
+): Promise<WsTransport> {
+  const transport = await WsTransport.open({
+    vmId,
+    region: "agadir",
+    secret: "s3cret",
+    host: "127.0.0.1",
+    port: 0,
+    handshakeTimeoutMs: 300,
+    ...more,
+  });
+  t.teardown(() => transport.close());
+  return transport;
+}
+
+const soonMs = () => Date.now() + 10_000;
+const shortlyMs = () => Date.now() + 200;
+
+describe("transport", () => {
+  it("answers a call with the sender's names and counts bytes", async (t) => {
+    const a = await open(t, "a");
+    const b = await open(t, "b");
+    b.handle("echo.say", (params, from) => ({ params, from }));
+    const answer = await a.call(b.address, "echo.say", { x: 1 }, soonMs());
+    t.deepEqual(answer._unsafeUnwrap(), {
+      params: { x: 1 },
+      from: { vmId: "a", region: "agadir" },
+    });
+    t.is(a.bytes().sent, b.bytes().received);
+    t.is(a.bytes().received, b.bytes().sent);
+    t.deepEqual(Object.keys(b.bytesBySubject()), ["echo"]);
+  });
+
+  it("delivers a notification and an error of a handler", async (t) => {
+    const a = await open(t, "a");
+    const b = await open(t, "b");
+    const heard = new Promise((resolve) => b.handle("x.note", resolve));
+    b.handle("x.fail", () => {
+      throw new Error("no such thing");
+    });
+    a.notify(b.address, "x.note", [7]);
+    t.deepEqual(await heard, [7]);
+    const answer = await a.call(b.address, "x.fail", {}, soonMs());
+    t.like(answer._unsafeUnwrapErr(), {
+      kind: "failed",
+      message: "no such thing",
+    });
+  });
+
+  it("refuses a wrong secret, another version and a nameless peer", async (t) => {
+    const a = await open(t, "a", { secret: "wrong" });
+    const b = await open(t, "b");
+    const answer = await a.call(b.address, "echo.say", {}, soonMs());
+    t.is(answer._unsafeUnwrapErr().kind, "unreachable");
+    const status = (protocol: string, headers: Record<string, string>) =>
+      new Promise<number | undefined>((resolve) => {
+        const socket = new WebSocket(`ws://${b.address}`, protocol, {
+          headers,
+        });
+        socket.on("unexpected-response", (_request, response) => {
+          resolve(response.statusCode);
+          response.destroy();
+        });
+        socket.on("error", () => {});
+      });
+    const authorization = "Bearer s3cret";
+    t.is(await status("ibisgap.1", {}), 401);
+    t.is(await status("ibisgap.9", { authorization }), 426);
+    t.is(await status("ibisgap.1", { authorization }), 400);
+  });
+
+  describe("a peer that dies", () => {
+    // The caller's call is pending when the other VM's connections end. It may have been handled, so the caller is
+    // told `lost`, at once and not at its deadline; a later call finds no listener and was never sent: `unreachable`.
+    it("loses pending calls at once and makes later ones unreachable", async (t) => {
+      const a = await open(t, "a");
+      const b = await open(t, "b");
+      const arrived = new Promise<void>((resolve) =>
+        b.handle("x.hang", () => {
+          resolve();
+          return new Promise(() => {});
+        })
+      );
+      const farMs = Date.now() + 1_000_000;
+      const pending = a.call(b.address, "x.hang", {}, farMs);
+      await arrived;
+      const address = b.address;
+      await b.terminate();
+      t.is((await pending)._unsafeUnwrapErr().kind, "lost");
+      const later = await a.call(address, "x.hang", {}, farMs);
+      t.is(later._unsafeUnwrapErr().kind, "unreachable");
+    });
+
+    // A VM is replaced by a new process at the same address. The old connection is gone; calls fail until the
+    // reconnect, which the backoff delays by a second at most, and then reach the new process.
+    it("reconnects to its replacement under the same address", async (t) => {
+      const a = await open(t, "a");
+      const old = await open(t, "b");
+      old.handle("x.who", () => "old");
+      const port = Number(old.address.split(":")[1]);
+      t.is(
+        (await a.call(old.address, "x.who", {}, soonMs()))._unsafeUnwrap(),
+        "old",
+      );
+      const address = old.address;
+      await old.terminate();
+      const replacement = await open(t, "b", { port });
+      replacement.handle("x.who", () => "new");
+      let who: unknown;
+      while (who !== "new") {
+        await new Promise((resolve) => setTimeout(resolve, 20));
+        who = (await a.call(address, "x.who", {}, soonMs())).unwrapOr("");
+      }
+      t.is(who, "new");
+    });
+  });
+
+  describe("link faults", () => {
+    // A link is cut in one direction while a connection is up: the other VM handles the call and its answer never
+    // comes. The caller must read `lost`, not `unreachable`: the work may have been done.
+    it("loses the answer when only the way back is cut", async (t) => {
+      const a = await open(t, "a");
+      const b = await open(t, "b");
+      let handled = 0;
+      b.handle("x.count", () => ++handled);
+      await a.call(b.address, "x.count", {}, soonMs());
+      a.faults.set("deaf", { peer: { vmId: "b" }, direction: "in", cut: true });
+      const answer = await a.call(b.address, "x.count", {}, shortlyMs());
+      t.is(answer._unsafeUnwrapErr().kind, "lost");
+      t.is(handled, 2);
+      a.faults.clear();
+      t.true((await a.call(b.address, "x.count", {}, soonMs())).isOk());
+    });
+
+    // A cut link before any connection: the handshake hangs, as packets that are dropped make it, and the call ends
+    // at its deadline as never sent.
+    it("makes a peer unreachable when no connection can be made", async (t) => {
+      const a = await open(t, "a");
+      const b = await open(t, "b");
+      b.handle("x.count", () => 1);
+      b.faults.set("wall", { peer: { region: "agadir" }, cut: true });
+      const blocked = await a.call(b.address, "x.count", {}, shortlyMs());
+      t.true(blocked.isErr());
+      a.faults.set("wall", { peer: { address: b.address }, cut: true });
+      const unsent = await a.call(b.address, "x.count", {}, shortlyMs());
+      t.is(unsent._unsafeUnwrapErr().kind, "unreachable");
+    });
+
+    it("holds messages back on a slow link and keeps their order", async (t) => {
+      const a = await open(t, "a");
+      const b = await open(t, "b");
+      const seen: unknown[] = [];
+      b.handle("x.see", (params) => seen.push(params));
+      a.faults.set("slow", { peer: {}, direction: "out", delayMs: 40 });
+      const answers = [1, 2, 3].map((n) =>
+        a.call(b.address, "x.see", n, soonMs())
+      );
+      await Promise.all(answers);
+      t.deepEqual(seen, [1, 2, 3]);
+    });
+  });
+
+  it("keeps messages within the bound in both directions", async (t) => {
+    const a = await open(t, "a", { mostMessageBytes: 2000 });
+    const b = await open(t, "b", { mostMessageBytes: 2000 });
+    b.handle("x.big", (size) => "y".repeat(size as number));
+    const tooMuch = "y".repeat(3000);
+    const sent = await a.call(b.address, "x.big", tooMuch, soonMs());
+    t.is(sent._unsafeUnwrapErr().kind, "unreachable");
+    const answer = await a.call(b.address, "x.big", 3000, soonMs());
+    t.is(answer._unsafeUnwrapErr().kind, "failed");
+    const fits = await a.call(b.address, "x.big", 1000, soonMs());
+    t.is((fits._unsafeUnwrap() as string).length, 1000);
+  });
+});
--- /dev/null
+++ b/src/adapters/ws_wire.ts
@@ -0,0 +1,125 @@
+/**
+ * One WebSocket to another VM, at either end: faults, size bounds and byte counts are applied here and nowhere else.
+ *
+ * @module
+ */
+
+import type { RawData, WebSocket } from "ws";
+import type { Clock } from "../base/mod.ts";
+import type { LinkEffect, LinkFaults, Peer } from "./link_faults.ts";
+
+/** Header names of the handshake. */
+export const VM_HEADER = "x-ibisgap-vm";
+/** See {@link VM_HEADER}. */
+export const REGION_HEADER = "x-ibisgap-region";
+/** The WebSocket subprotocol: names the version of the messages. */
+export const PROTOCOL = "ibisgap.1";
+
+/** Bytes by the service that a message belongs to: the part of its method before the dot. */
+export class ByteCounter {
+  #sent = 0;
+  #received = 0;
+  readonly #bySubject = new Map<string, { sent: number; received: number }>();
+
+  add(method: string, sent: number, received: number): void {
+    this.#sent += sent;
+    this.#received += received;
+    const subject = method.split(".", 1)[0];
+    const counts = this.#bySubject.get(subject) ?? { sent: 0, received: 0 };
+    counts.sent += sent;
+    counts.received += received;
+    this.#bySubject.set(subject, counts);
+  }
+  total(): { readonly sent: number; readonly received: number } {
+    return { sent: this.#sent, received: this.#received };
+  }
+  bySubject(): Record<string, { sent: number; received: number }> {
+    return Object.fromEntries(this.#bySubject);
+  }
+}
+
+/** What a {@link Wire} needs of its transport. */
+export interface WireContext {
+  readonly clock: Clock;
+  readonly faults: LinkFaults;
+  readonly mostMessageBytes: number;
+  readonly mostBufferedBytes: number;
+}
+
+/** Whether a message went out; `full`: the buffer has no room, `tooLarge`: over the bound, `closed`: no connection. */
+export type SendResult = "sent" | "full" | "tooLarge" | "closed";
+
+/** A WebSocket with faults and bounds. */
+export class Wire {
+  peer: Peer;
+  /** Monotonic time of the last message received. */
+  lastReceivedMonoMs: number;
+  readonly #context: WireContext;
+  readonly #socket: WebSocket;
+  /** Client frames carry a mask of four bytes. */
+  readonly #masks: boolean;
+
+  constructor(
+    context: WireContext,
+    socket: WebSocket,
+    peer: Peer,
+    masks: boolean,
+    onText: (text: string, bytes: number) => void,
+  ) {
+    this.#context = context;
+    this.#socket = socket;
+    this.#masks = masks;
+    this.peer = peer;
+    this.lastReceivedMonoMs = context.clock.monoMs();
+    socket.on("message", (data) => this.#receive(data, onText));
+  }
+
+  get open(): boolean {
+    return this.#socket.readyState === 1;
+  }
+
+  /** Sends one text; `onBytes` gets its size on the wire. */
+  send(text: string, onBytes: (bytes: number) => void): SendResult {
+    if (!this.open) return "closed";
+    const payloadBytes = Buffer.byteLength(text);
+    if (payloadBytes > this.#context.mostMessageBytes) return "tooLarge";
+    const buffered = this.#socket.bufferedAmount + payloadBytes;
+    if (buffered > this.#context.mostBufferedBytes) return "full";
+    onBytes(frameBytes(payloadBytes, this.#masks));
+    const effect = this.#context.faults.effect(this.peer, "out");
+    this.#through(effect, () => {
+      if (this.open) this.#socket.send(text);
+    });
+    return "sent";
+  }
+
+  terminate(): void {
+    this.#socket.terminate();
+  }
+
+  close(): void {
+    this.#socket.close(1000);
+  }
+
+  #receive(data: RawData, onText: (text: string, bytes: number) => void): void {
+    const text = data.toString();
+    const bytes = frameBytes(Buffer.byteLength(text), !this.#masks);
+    const effect = this.#context.faults.effect(this.peer, "in");
+    this.#through(effect, () => {
+      this.lastReceivedMonoMs = this.#context.clock.monoMs();
+      onText(text, bytes);
+    });
+  }
+
+  #through(effect: LinkEffect, pass: () => void): void {
+    if (effect.cut) return;
+    if (effect.delayMs > 0) this.#context.clock.after(effect.delayMs, pass);
+    else pass();
+  }
+}
+
+/** The size of a frame with its header; headers of TCP and IP are not counted. */
+function frameBytes(payloadBytes: number, masked: boolean): number {
+  const lengthBytes = payloadBytes < 126 ? 0 : payloadBytes < 65_536 ? 2 : 8;
+  return payloadBytes + 2 + lengthBytes + (masked ? 4 : 0);
+}
