Slots service: finds the lead of a pool, leads its own, hands over

Cause: the pool's decisions had no task around them. Change: leads follow from the table and the live VMs by rendezvous hash; an entry VM asks the lead by one call that is answered once decided, or the next VM, which relays once; held slots are renewed by a digest per lead and listed only where the lead's book disagrees; a new lead collects what entry VMs hold for 400 ms before it decides; one that steps down sends waiting requests on and hands its book over. Alone, a VM leads everything. Contract, additive: members gains check, publish and topics.

--- a/src/agreement/mod.ts
+++ b/src/agreement/mod.ts
@@ -7,3 +7,5 @@
 export * from "./rows.ts";
 export * from "./table.ts";
 export * from "./claim.ts";
+export * from "./lead.ts";
+export * from "./lead_book.ts";
--- /dev/null
+++ b/src/services/lead_pool.ts
@@ -0,0 +1,295 @@
+/**
+ * A pool that this VM leads: the decisions of {@link Pool}, with the book of who holds what, the start of a new lead and
+ * the end of an old one. Free of I/O.
+ *
+ * @module
+ */
+
+import {
+  type HeldDigest,
+  LeadBook,
+  type PoolInfo,
+  type Table,
+} from "../agreement/mod.ts";
+import {
+  type HeldSlot,
+  type LoadReport,
+  Pool,
+  type PoolOutput,
+  SLOT_TTL_MS,
+  type SlotAnswer,
+  type SlotGrant,
+  type SlotReport,
+  type SlotRequest,
+} from "../decisions/mod.ts";
+
+/** What the task must do after a step. */
+export type LeadOutput =
+  | {
+    readonly type: "decided";
+    readonly attemptId: string;
+    readonly answer: SlotAnswer;
+  }
+  | { readonly type: "moved"; readonly attemptId: string }
+  | Extract<PoolOutput, { type: "order" }>;
+
+/** A granted slot as the lead must be able to hand it over. */
+interface Granted {
+  readonly held: HeldSlot;
+  readonly entry: string;
+  readonly grant?: SlotGrant;
+  expiresAtMs: number;
+}
+
+/**
+ * A new lead asks the VMs of its region what they hold. It decides nothing before all have answered or this much time
+ * has passed: placing at once would fill slots that are taken. VMs that answer in time are counted exactly; for the
+ * others the upstreams' own load reports are the floor.
+ */
+export const COLLECT_MS = 400;
+
+/** See the module's comment. */
+export class LeadPool {
+  readonly key: string;
+  readonly pool: Pool;
+  readonly #book = new LeadBook();
+  readonly #granted = new Map<string, Granted>();
+  readonly #waiting = new Map<
+    string,
+    { entry: string; request: SlotRequest }
+  >();
+  readonly #unheard: Set<string>;
+  readonly #collectUntilMs: number;
+  #collecting = true;
+  #stopped = false;
+
+  constructor(
+    info: PoolInfo,
+    vmIds: readonly string[],
+    seed: number,
+    nowMs: number,
+  ) {
+    this.key = info.key;
+    this.pool = new Pool({ service: info.service, region: info.region, seed });
+    this.#unheard = new Set(vmIds);
+    this.#collectUntilMs = nowMs + COLLECT_MS;
+  }
+
+  get collecting(): boolean {
+    return this.#collecting;
+  }
+
+  configure(table: Table, info: PoolInfo, nowMs: number): LeadOutput[] {
+    return this.#take(this.pool.configure(table, info.upstreams, nowMs), nowMs);
+  }
+
+  /** A VM of the region says what it holds. */
+  heard(
+    entry: string,
+    held: readonly HeldSlot[],
+    nowMs: number,
+  ): LeadOutput[] {
+    // The entry VM and the lead before this one may both name a slot; it is taken once.
+    const news = held.filter((slot) => !this.#granted.has(slot.attemptId));
+    const outputs = this.#adopt(entry, news, nowMs);
+    this.#unheard.delete(entry);
+    if (this.#unheard.size === 0) outputs.push(...this.#endCollecting(nowMs));
+    return outputs;
+  }
+
+  request(
+    request: SlotRequest,
+    entry: string,
+    nowMs: number,
+  ): LeadOutput[] {
+    const { attemptId } = request;
+    if (this.#stopped) return [{ type: "moved", attemptId }];
+    // The answer was lost and the entry VM asks again: a second slot for the same attempt would never be used.
+    const grant = this.#granted.get(attemptId)?.grant;
+    if (grant) return [{ type: "decided", attemptId, answer: grant }];
+    if (this.#waiting.has(attemptId)) return [];
+    this.#waiting.set(attemptId, { entry, request });
+    if (this.#collecting) return [];
+    return this.#take(this.pool.request(request, nowMs), nowMs);
+  }
+
+  report(report: SlotReport, nowMs: number): LeadOutput[] {
+    this.#forget(report.attemptId);
+    return this.#take(this.pool.report(report, nowMs), nowMs);
+  }
+
+  cancel(attemptId: string, nowMs: number): LeadOutput[] {
+    this.#waiting.delete(attemptId);
+    this.#forget(attemptId);
+    return this.#take(this.pool.cancel(attemptId, nowMs), nowMs);
+  }
+
+  /** Holds all slots of `entry` for another {@link SLOT_TTL_MS}, if the digest shows that both sides mean the same. */
+  renew(entry: string, digest: HeldDigest, nowMs: number): boolean {
+    if (!this.#book.agrees(entry, digest)) return false;
+    const unknown = this.#renew(this.#book.heldBy(entry), nowMs);
+    // The pool gave these up before the renewal came: the entry VM must list them.
+    for (const id of unknown) this.#forget(id);
+    return unknown.length === 0;
+  }
+
+  /** Takes the entry VM's own list for the truth about its slots. */
+  reconcile(
+    entry: string,
+    held: readonly HeldSlot[],
+    nowMs: number,
+  ): LeadOutput[] {
+    const ids = held.map((slot) => slot.attemptId);
+    const { renew, free } = this.#book.reconcile(entry, ids, nowMs);
+    const outputs: LeadOutput[] = [];
+    for (const id of free) outputs.push(...this.cancel(id, nowMs));
+    const unknown = new Set(this.#renew(renew, nowMs));
+    const adopted = held.filter((slot) =>
+      unknown.has(slot.attemptId) || !this.#granted.has(slot.attemptId)
+    );
+    outputs.push(...this.#adopt(entry, adopted, nowMs));
+    return outputs;
+  }
+
+  observe(load: LoadReport, nowMs: number): LeadOutput[] {
+    return this.#take(this.pool.observe(load, nowMs), nowMs);
+  }
+
+  tick(nowMs: number): LeadOutput[] {
+    const outputs: LeadOutput[] = [];
+    if (this.#collecting && nowMs >= this.#collectUntilMs) {
+      outputs.push(...this.#endCollecting(nowMs));
+    }
+    outputs.push(...this.#refuseLate(nowMs));
+    outputs.push(...this.#take(this.pool.tick(nowMs), nowMs));
+    for (const [id, granted] of this.#granted) {
+      if (granted.expiresAtMs <= nowMs) this.#forget(id);
+    }
+    return outputs;
+  }
+
+  /** Another VM leads from now on: what waits here is sent there, and nothing more is granted. */
+  stop(): LeadOutput[] {
+    this.#stopped = true;
+    const outputs: LeadOutput[] = [];
+    for (const attemptId of this.#waiting.keys()) {
+      outputs.push({ type: "moved", attemptId });
+    }
+    this.#waiting.clear();
+    return outputs;
+  }
+
+  /** What is granted, by entry VM, for the next lead. */
+  heldByEntry(): [string, HeldSlot[]][] {
+    const byEntry = new Map<string, HeldSlot[]>();
+    for (const { held, entry, expiresAtMs } of this.#granted.values()) {
+      const slots = byEntry.get(entry) ?? [];
+      slots.push({ ...held, expiresAtMs });
+      byEntry.set(entry, slots);
+    }
+    return [...byEntry];
+  }
+
+  dump(): unknown {
+    return {
+      collecting: this.#collecting,
+      waiting: this.#waiting.size,
+      granted: this.#granted.size,
+      pool: this.pool.dump(),
+    };
+  }
+
+  #endCollecting(nowMs: number): LeadOutput[] {
+    if (!this.#collecting) return [];
+    this.#collecting = false;
+    const outputs: LeadOutput[] = [];
+    for (const { request } of [...this.#waiting.values()]) {
+      outputs.push(...this.#take(this.pool.request(request, nowMs), nowMs));
+    }
+    return outputs;
+  }
+
+  /** The pool knows nothing yet of what waits while collecting, so that its deadlines are kept here. */
+  #refuseLate(nowMs: number): LeadOutput[] {
+    if (!this.#collecting) return [];
+    const outputs: LeadOutput[] = [];
+    for (const [attemptId, { request }] of this.#waiting) {
+      if (request.deadlineMs > nowMs) continue;
+      this.#waiting.delete(attemptId);
+      outputs.push({ type: "moved", attemptId });
+    }
+    return outputs;
+  }
+
+  #adopt(
+    entry: string,
+    held: readonly HeldSlot[],
+    nowMs: number,
+  ): LeadOutput[] {
+    for (const slot of held) {
+      this.#book.add(entry, slot.attemptId, nowMs);
+      this.#granted.set(slot.attemptId, {
+        held: slot,
+        entry,
+        expiresAtMs: nowMs + SLOT_TTL_MS,
+      });
+    }
+    return this.#take(this.pool.adopt(held, nowMs), nowMs);
+  }
+
+  #renew(attemptIds: readonly string[], nowMs: number): readonly string[] {
+    for (const id of attemptIds) {
+      const granted = this.#granted.get(id);
+      if (granted) granted.expiresAtMs = nowMs + SLOT_TTL_MS;
+    }
+    return this.pool.renew(attemptIds, nowMs);
+  }
+
+  #forget(attemptId: string): void {
+    this.#book.remove(attemptId);
+    this.#granted.delete(attemptId);
+  }
+
+  #take(outputs: readonly PoolOutput[], nowMs: number): LeadOutput[] {
+    const taken: LeadOutput[] = [];
+    for (const output of outputs) {
+      if (output.type === "order") {
+        taken.push(output);
+        continue;
+      }
+      const { attemptId, answer } = output;
+      const waiting = this.#waiting.get(attemptId);
+      if (!waiting) continue;
+      this.#waiting.delete(attemptId);
+      if (answer.type === "grant") this.#grant(waiting, answer, nowMs);
+      taken.push({ type: "decided", attemptId, answer });
+    }
+    return taken;
+  }
+
+  #grant(
+    waiting: { entry: string; request: SlotRequest },
+    grant: SlotGrant,
+    nowMs: number,
+  ): void {
+    this.#book.add(waiting.entry, grant.attemptId, nowMs);
+    this.#granted.set(grant.attemptId, {
+      held: heldSlot(waiting.request, grant),
+      entry: waiting.entry,
+      grant,
+      expiresAtMs: grant.expiresAtMs,
+    });
+  }
+}
+
+/** What a lead must know of a grant that another made. */
+export function heldSlot(request: SlotRequest, grant: SlotGrant): HeldSlot {
+  return {
+    attemptId: grant.attemptId,
+    upstreamId: grant.upstreamId,
+    expiresAtMs: grant.expiresAtMs,
+    promptTokens: request.promptTokens,
+    expectedOutputTokens: request.expectedOutputTokens,
+    workspace: request.workspace,
+  };
+}
--- /dev/null
+++ b/src/services/lead_router.ts
@@ -0,0 +1,200 @@
+/**
+ * Carries a message to the lead of a pool: here, on the VM that leads by this one's view, or through one other VM where
+ * the way there is cut or the views differ.
+ *
+ * @module
+ */
+
+import type { HeldDigest } from "../agreement/mod.ts";
+import type { Transport } from "../adapters/mod.ts";
+import type { Clock } from "../base/mod.ts";
+import type { HeldSlot, SlotReport, SlotRequest } from "../decisions/mod.ts";
+import type {
+  AcquireMessage,
+  AcquireReply,
+  CancelMessage,
+  HeldMessage,
+  RenewMessage,
+  RenewReply,
+  ReportMessage,
+  ToLead,
+} from "./lead_messages.ts";
+import type { LeadServer } from "./lead_server.ts";
+import type { LeadView } from "./lead_view.ts";
+import type { VmInfo } from "./messages.ts";
+
+/** A lead answers at the request's deadline at the latest; the answer needs this much more to arrive. */
+const ANSWER_GRACE_MS = 1000;
+const RENEW_CALL_MS = 1000;
+
+/** What a {@link LeadRouter} needs of its task. */
+export interface LeadRouterContext {
+  readonly clock: Clock;
+  readonly view: LeadView;
+  readonly server: LeadServer;
+  /** Absent where the VM runs alone. */
+  readonly transport: Transport | undefined;
+  /** A call to this VM failed. */
+  readonly suspect: (vmId: string) => void;
+}
+
+interface Waiting {
+  readonly vmId: string;
+  readonly abort: () => void;
+}
+
+/** See the module's comment. */
+export class LeadRouter {
+  readonly #context: LeadRouterContext;
+  readonly #waiting = new Set<Waiting>();
+
+  constructor(context: LeadRouterContext) {
+    this.#context = context;
+  }
+
+  /** Registers the messages that other VMs send. */
+  listen(heldOf: (message: HeldMessage) => HeldSlot[]): void {
+    const { transport, server } = this.#context;
+    if (!transport) return;
+    transport.handle(
+      "slots.acquire",
+      (p) => this.#acquire(p as AcquireMessage),
+    );
+    transport.handle("slots.renew", (p) => this.#renew(p as RenewMessage));
+    transport.handle("slots.report", (p) => {
+      const message = p as ReportMessage;
+      if (!this.#relay("slots.report", message)) server.report(message);
+    });
+    transport.handle("slots.cancel", (p) => {
+      const message = p as CancelMessage;
+      if (!this.#relay("slots.cancel", message)) server.cancel(message);
+    });
+    transport.handle("slots.held", (p) => heldOf(p as HeldMessage));
+    transport.handle(
+      "slots.handover",
+      (p) => server.handedOver(p as Parameters<LeadServer["handedOver"]>[0]),
+    );
+  }
+
+  acquire(pool: string, request: SlotRequest): Promise<AcquireReply> {
+    return this.#acquire({ ...this.#address(pool), request });
+  }
+
+  renew(
+    pool: string,
+    digest: HeldDigest,
+    held?: readonly HeldSlot[],
+  ): Promise<RenewReply | undefined> {
+    return this.#renew({ ...this.#address(pool), digest, held });
+  }
+
+  report(pool: string, report: SlotReport): void {
+    const message: ReportMessage = { ...this.#address(pool), report };
+    if (this.#context.server.leads(pool)) this.#context.server.report(message);
+    else this.#notifyLead("slots.report", message);
+  }
+
+  cancel(pool: string, attemptId: string): void {
+    const message: CancelMessage = { ...this.#address(pool), attemptId };
+    if (this.#context.server.leads(pool)) this.#context.server.cancel(message);
+    else this.#notifyLead("slots.cancel", message);
+  }
+
+  /**
+   * Gives up calls to VMs that are gone. A frozen lead, or one behind a cut, keeps its connection and never answers; a
+   * queued request would wait out its whole deadline for it.
+   */
+  vmsChanged(): void {
+    for (const waiting of this.#waiting) {
+      if (!this.#context.view.hasVm(waiting.vmId)) waiting.abort();
+    }
+  }
+
+  #address(pool: string): ToLead {
+    return { pool, entry: this.#context.view.self.id, relayed: false };
+  }
+
+  async #acquire(message: AcquireMessage): Promise<AcquireReply> {
+    if (this.#context.server.leads(message.pool)) {
+      return await this.#context.server.acquire(message);
+    }
+    const deadlineMs = message.request.deadlineMs + ANSWER_GRACE_MS;
+    const reply = await this.#forward("slots.acquire", message, deadlineMs);
+    return reply as AcquireReply | undefined ?? { type: "moved" };
+  }
+
+  async #renew(message: RenewMessage): Promise<RenewReply> {
+    if (this.#context.server.leads(message.pool)) {
+      return this.#context.server.renew(message);
+    }
+    const deadlineMs = this.#context.clock.nowMs() + RENEW_CALL_MS;
+    const reply = await this.#forward("slots.renew", message, deadlineMs);
+    return reply as RenewReply | undefined ?? { type: "moved" };
+  }
+
+  /**
+   * Calls the lead; where that fails, the next VM in order, which relays. A message that was relayed already goes no
+   * further: two VMs with different views would hand it to each other for ever.
+   */
+  async #forward(
+    method: string,
+    message: ToLead,
+    deadlineMs: number,
+  ): Promise<unknown> {
+    const { view } = this.#context;
+    if (message.relayed) return undefined;
+    const mine = message.entry === view.self.id;
+    const [lead, next] = view.order(message.pool);
+    if (lead.id === view.self.id) return undefined;
+    const relayed = !mine;
+    const first = await this.#call(
+      lead,
+      method,
+      { ...message, relayed },
+      deadlineMs,
+    );
+    if (first !== undefined || !mine) return first;
+    if (!next || next.id === view.self.id) return undefined;
+    return await this.#call(next, method, message, deadlineMs);
+  }
+
+  async #call(
+    vm: VmInfo,
+    method: string,
+    message: ToLead,
+    deadlineMs: number,
+  ): Promise<unknown> {
+    const { transport, suspect } = this.#context;
+    if (!transport) return undefined;
+    let abort = () => {};
+    const gone = new Promise<undefined>((resolve) => {
+      abort = () => resolve(undefined);
+    });
+    const waiting = { vmId: vm.id, abort };
+    this.#waiting.add(waiting);
+    const call = transport.call(vm.peerAddress, method, message, deadlineMs);
+    const result = await Promise.race([call, gone]);
+    this.#waiting.delete(waiting);
+    if (result === undefined) return undefined;
+    if (result.isOk()) return result.value;
+    if (result.error.kind !== "failed") suspect(vm.id);
+    return undefined;
+  }
+
+  #notifyLead(method: string, message: ToLead): void {
+    const { view, transport } = this.#context;
+    const lead = view.lead(message.pool);
+    if (lead.id === view.self.id) return;
+    transport?.notify(lead.peerAddress, method, message);
+  }
+
+  /** Sends on what is meant for another lead; answers whether it did. */
+  #relay(method: string, message: ToLead): boolean {
+    const { server, view, transport } = this.#context;
+    if (server.leads(message.pool) || message.relayed) return false;
+    const lead = view.lead(message.pool);
+    if (lead.id === view.self.id) return false;
+    transport?.notify(lead.peerAddress, method, { ...message, relayed: true });
+    return true;
+  }
+}
--- a/src/services/messages.ts
+++ b/src/services/messages.ts
@@ -40,6 +40,15 @@
   readonly tableVersion: number;
 }
 
+/** The newest value of a topic, as a VM of its region published it. */
+export interface TopicValue {
+  readonly topic: string;
+  readonly vmId: string;
+  readonly body: unknown;
+  /** When it was heard here. */
+  readonly seenAtMs: number;
+}
+
 /** What the membership service answers; its name is `members`. */
 export type MembersMessages = {
   /** The live and leaving VMs of this region, this one among them. */
@@ -48,6 +57,15 @@
   others: { in: void; out: ReadonlyMap<string, readonly VmInfo[]> };
   /** Starts to leave: told to all, and gone from the directory. */
   leave: { in: void; out: void };
+  /** A call to this VM failed: it is probed now, not at its turn. */
+  check: { in: { readonly vmId: string }; out: void };
+  /** Tells this region, and by its digest the others, the newest value of a topic; small, every second at most. */
+  publish: {
+    in: { readonly topic: string; readonly body: unknown };
+    out: void;
+  };
+  /** The newest values of the topics by region, this one among them. */
+  topics: { in: void; out: ReadonlyMap<string, readonly TopicValue[]> };
 };
 
 /** What the slots service answers; its name is `slots`. It finds the lead of the pool, here or on another VM. */
--- a/src/services/mod.ts
+++ b/src/services/mod.ts
@@ -6,3 +6,6 @@
 
 export * from "./messages.ts";
 export * from "./metrics.ts";
+export * from "./lead_load.ts";
+export * from "./slots.ts";
+export type { OrderSink } from "./lead_server.ts";
--- /dev/null
+++ b/src/services/slots.ts
@@ -0,0 +1,244 @@
+/**
+ * The slots service: finds the lead of a pool, here or on another VM of the region, and leads those pools that fall to
+ * this VM. Without other VMs it leads them all.
+ *
+ * @module
+ */
+
+import type { Transport } from "../adapters/mod.ts";
+import { type Clock, hash32, Random, type Timer } from "../base/mod.ts";
+import type { FarRegion, HeldSlot, PoolDigest } from "../decisions/mod.ts";
+import type { PoolInfo } from "../agreement/mod.ts";
+import { type Handlers, type Kernel, type Port, Task } from "../kernel/mod.ts";
+import { LeadClient, RENEW_MS } from "./lead_client.ts";
+import { LoadPoller, type LoadSource } from "./lead_load.ts";
+import type { HandoverMessage } from "./lead_messages.ts";
+import { COLLECT_MS } from "./lead_pool.ts";
+import { LeadRouter } from "./lead_router.ts";
+import { LeadServer, type OrderSink } from "./lead_server.ts";
+import { LeadView, LOAD_TOPIC } from "./lead_view.ts";
+import type {
+  MembersMessages,
+  SlotsMessages,
+  TableMessages,
+  TopicValue,
+  VmInfo,
+} from "./messages.ts";
+
+/** What the slots service needs beside the kernel. Without `transport` this VM runs alone. */
+export interface SlotsOptions {
+  readonly vmId: string;
+  readonly region: string;
+  readonly transport?: Transport;
+  readonly loadSource?: LoadSource;
+  /** Where a pool's orders to park or wake upstreams go; they are dropped if absent. */
+  readonly onOrder?: OrderSink;
+}
+
+const TICK_MS = 50;
+/** How often the VMs and the table are looked at: a small part of the time it takes to find a dead VM. */
+const FOLLOW_MS = 100;
+const DIGEST_MS = 1000;
+/** A digest that was not renewed for this long says nothing any more: its lead is gone or out of reach. */
+const STALE_DIGEST_MS = 10_000;
+
+/** Its name is `slots`; needs `table`, and uses `members` where there is one. */
+export class SlotsService extends Task<SlotsMessages> {
+  readonly name = "slots";
+  protected readonly handlers: Handlers<SlotsMessages> = {
+    acquire: (request) => this.#client.acquire(request),
+    report: (report) => this.#client.report(report),
+    cancel: ({ attemptId }) => this.#client.cancel(attemptId),
+  };
+  readonly #options: SlotsOptions;
+  readonly #view: LeadView;
+  readonly #timers: Timer[] = [];
+  #clock!: Clock;
+  #table!: Port<TableMessages>;
+  #members: Port<MembersMessages> | undefined;
+  #server!: LeadServer;
+  #router!: LeadRouter;
+  #client!: LeadClient;
+  #poller: LoadPoller | undefined;
+  #following = false;
+
+  constructor(options: SlotsOptions) {
+    super();
+    this.#options = options;
+    this.#view = new LeadView(alone(options));
+  }
+
+  async start(kernel: Kernel): Promise<void> {
+    this.#clock = kernel.clock;
+    this.#table = kernel.get<TableMessages>("table");
+    if (kernel.has("members")) {
+      this.#members = kernel.get<MembersMessages>("members");
+    }
+    this.#wire(kernel);
+    await this.#follow();
+    this.#every(TICK_MS, () => this.#server.tick());
+    this.#every(FOLLOW_MS, () => void this.#follow());
+    this.#every(RENEW_MS, () => this.#client.renewAll());
+    this.#every(DIGEST_MS, () => void this.#exchangeDigests());
+  }
+
+  /** Hands its pools over. What other VMs wait for here is sent on to the next leads at once. */
+  async close(_deadlineMs: number): Promise<void> {
+    for (const timer of this.#timers.splice(0)) timer.close();
+    await this.#members?.ask("leave", undefined);
+    await this.#follow();
+    this.#server.close();
+    await this.#options.loadSource?.close();
+  }
+
+  dump(): unknown {
+    return {
+      table: this.#view.table?.version,
+      vms: this.#view.vms.map((vm) => `${vm.id} ${vm.state}`),
+      leads: this.#server.dump(),
+      client: this.#client.dump(),
+    };
+  }
+
+  #wire(kernel: Kernel): void {
+    const { clock, log } = kernel;
+    const { transport, vmId, loadSource } = this.#options;
+    const view = this.#view;
+    this.#server = new LeadServer({
+      clock,
+      log,
+      view,
+      onOrder: this.#options.onOrder ?? (() => {}),
+      collect: (pool, heard) => this.#collect(pool, heard),
+      handOver: (message) => this.#handOver(message),
+    });
+    this.#router = new LeadRouter({
+      clock,
+      view,
+      server: this.#server,
+      transport,
+      suspect: (id) => void this.#members?.ask("check", { vmId: id }),
+    });
+    const random = new Random(hash32(vmId));
+    const router = this.#router;
+    this.#client = new LeadClient({ clock, log, random, view, router });
+    this.#router.listen(({ pool }) => this.#client.heldOf(pool));
+    if (!loadSource) return;
+    this.#poller = new LoadPoller(
+      clock,
+      loadSource,
+      (pool, load) => this.#server.observe(pool, load),
+    );
+  }
+
+  #every(periodMs: number, run: () => void): void {
+    this.#timers.push(this.#clock.every(periodMs, run));
+  }
+
+  async #follow(): Promise<void> {
+    if (this.#following) return;
+    this.#following = true;
+    try {
+      const tableChanged = this.#view.setTable(
+        await this.#table.ask("current", undefined),
+      );
+      const vms = await this.#members?.ask("region", undefined);
+      const vmsChanged = this.#view.setVms(vms ?? []);
+      if (vmsChanged) this.#router.vmsChanged();
+      if (tableChanged || vmsChanged) this.#server.follow(tableChanged);
+      this.#poller?.poll(this.#server.infos());
+    } finally {
+      this.#following = false;
+    }
+  }
+
+  #collect(
+    pool: string,
+    heard: (entry: string, held: readonly HeldSlot[]) => void,
+  ): void {
+    const { self, vms } = this.#view;
+    heard(self.id, this.#client.heldOf(pool));
+    const deadlineMs = this.#clock.nowMs() + COLLECT_MS;
+    for (const vm of vms) {
+      if (vm.id === self.id) continue;
+      const call = this.#options.transport?.call(
+        vm.peerAddress,
+        "slots.held",
+        { pool },
+        deadlineMs,
+      );
+      void call?.then((result) =>
+        result.map((held) => heard(vm.id, held as HeldSlot[]))
+      );
+    }
+  }
+
+  #handOver(message: HandoverMessage): void {
+    const next = this.#view.order(message.pool)
+      .find((vm) => vm.id !== this.#view.self.id);
+    if (!next) return;
+    this.#options.transport?.notify(
+      next.peerAddress,
+      "slots.handover",
+      message,
+    );
+  }
+
+  async #exchangeDigests(): Promise<void> {
+    if (!this.#members) return;
+    for (const [info, body] of this.#server.digests()) {
+      const topic = `${LOAD_TOPIC}${info.service}/${info.number}`;
+      await this.#members.ask("publish", { topic, body });
+    }
+    const topics = await this.#members.ask("topics", undefined);
+    this.#view.setDigests(topics.get(this.#view.self.region) ?? []);
+    this.#server.setFar((info) => this.#far(info, topics));
+  }
+
+  #far(
+    info: PoolInfo,
+    topics: ReadonlyMap<string, readonly TopicValue[]>,
+  ): FarRegion[] {
+    const links = this.#view.table?.region(info.region)?.linkMs ?? {};
+    const freshMs = this.#clock.nowMs() - STALE_DIGEST_MS;
+    const far: FarRegion[] = [];
+    for (const [region, values] of topics) {
+      if (region === info.region) continue;
+      const digests = values.filter((value) =>
+        value.seenAtMs >= freshMs &&
+        value.topic.startsWith(`${LOAD_TOPIC}${info.service}/`)
+      );
+      const best = bestPool(digests);
+      if (best) far.push({ region, linkMs: links[region] ?? 0, ...best });
+    }
+    return far;
+  }
+}
+
+/** A region's pool that takes requests in and starts them soonest; one that takes none in if all are so. */
+function bestPool(
+  values: readonly TopicValue[],
+): Pick<FarRegion, "predictedWaitMs" | "takesIn" | "seenAtMs"> | undefined {
+  const pools = values.map(({ body, seenAtMs }) => {
+    const { predictedWaitMs, takesIn } = body as PoolDigest;
+    return { predictedWaitMs, takesIn, seenAtMs };
+  });
+  pools.sort((a, b) =>
+    Number(b.takesIn) - Number(a.takesIn) ||
+    a.predictedWaitMs - b.predictedWaitMs
+  );
+  return pools[0];
+}
+
+function alone({ vmId, region }: SlotsOptions): VmInfo {
+  return {
+    id: vmId,
+    incarnation: 0,
+    region,
+    failureDomain: "",
+    peerAddress: "",
+    callerUrl: "",
+    state: "live",
+    tableVersion: 0,
+  };
+}
