Membership service: heartbeats in a region, digests between regions

Cause: nothing told which VMs are alive. The platform's list and the settings only seed it. Ruled out: full mesh heartbeats, whose cost grows with the region.

--- /dev/null
+++ b/src/agreement/member_news.ts
@@ -0,0 +1,122 @@
+/**
+ * News that VMs pass on with their heartbeats. Each item is sent a bounded number of times, newest first, and all but
+ * statements about VMs within a byte rate, so that the cost of a VM does not grow with the fleet.
+ *
+ * @module
+ */
+
+import type { MemberRecord } from "./member_record.ts";
+
+/** A value that a VM published for its region. */
+export interface TopicNews {
+  readonly type: "topic";
+  readonly topic: string;
+  readonly vmId: string;
+  /** The publisher's wall clock; the newer value of a topic wins. */
+  readonly atMs: number;
+  readonly body: unknown;
+}
+
+/** What a region tells another: some VMs to reach it by, and its topics. */
+export interface RegionNews {
+  readonly type: "region";
+  readonly region: string;
+  readonly atMs: number;
+  readonly contacts: readonly RegionContact[];
+  readonly topics: readonly TopicNews[];
+}
+
+/** A VM of another region. */
+export interface RegionContact {
+  readonly id: string;
+  readonly incarnation: number;
+  readonly failureDomain: string;
+  readonly peerAddress: string;
+  readonly callerUrl: string;
+  readonly tableVersion: number;
+}
+
+/** Anything that is passed on. */
+export type NewsItem =
+  | { readonly type: "member"; readonly record: MemberRecord }
+  | TopicNews
+  | RegionNews;
+
+interface Queued {
+  readonly item: NewsItem;
+  readonly bytes: number;
+  sends: number;
+}
+
+/** Bytes per second for topics and regions together, and the burst they may make. */
+const RATE_BYTES_PER_S = 400;
+const BURST_BYTES = 2000;
+/** Most statements about VMs in one message: a lost half of a region comes in several messages. */
+const MOST_MEMBER_ITEMS = 8;
+
+/** Items that wait to be passed on. */
+export class NewsQueue {
+  readonly #queued = new Map<string, Queued>();
+  #allowanceBytes = BURST_BYTES;
+  #filledAtMs: number | undefined;
+
+  /** Passes this item on, in place of an older one about the same thing. */
+  add(item: NewsItem): void {
+    const key = keyOf(item);
+    this.#queued.delete(key);
+    const bytes = JSON.stringify(item).length;
+    this.#queued.set(key, { item, bytes, sends: 0 });
+  }
+
+  /** Whether a statement about a VM waits. */
+  get hasMembers(): boolean {
+    for (const { item } of this.#queued.values()) {
+      if (item.type === "member") return true;
+    }
+    return false;
+  }
+
+  /** The items for the next message to one of `vms` VMs. */
+  take(vms: number, nowMs: number): NewsItem[] {
+    this.#fill(nowMs);
+    const log = Math.ceil(Math.log2(vms + 1));
+    const queued = [...this.#queued].sort(([, a], [, b]) => a.sends - b.sends);
+    const items: NewsItem[] = [];
+    let members = 0;
+    for (const [key, entry] of queued) {
+      const isMember = entry.item.type === "member";
+      if (isMember && members >= MOST_MEMBER_ITEMS) continue;
+      if (!isMember && this.#allowanceBytes <= 0) continue;
+      if (isMember) members++;
+      else this.#allowanceBytes -= entry.bytes;
+      items.push(entry.item);
+      entry.sends++;
+      if (entry.sends >= (isMember ? 3 * log : log + 1)) {
+        this.#queued.delete(key);
+      }
+    }
+    return items;
+  }
+
+  get size(): number {
+    return this.#queued.size;
+  }
+
+  #fill(nowMs: number): void {
+    const gainedMs = nowMs - (this.#filledAtMs ?? nowMs);
+    this.#filledAtMs = nowMs;
+    const gained = Math.max(0, gainedMs) * RATE_BYTES_PER_S / 1000;
+    this.#allowanceBytes = Math.min(BURST_BYTES, this.#allowanceBytes + gained);
+  }
+}
+
+function keyOf(item: NewsItem): string {
+  switch (item.type) {
+    case "member":
+      return `vm/${item.record.id}`;
+    case "topic":
+      return `topic/${item.topic}`;
+    case "region":
+      return `region/${item.region}`;
+  }
+}
--- /dev/null
+++ b/src/agreement/members.ts
@@ -0,0 +1,385 @@
+/**
+ * Membership of a region as a state machine, after SWIM: in each period a VM pings one other; where no answer comes it
+ * asks two more to ping it, then calls it suspect, then dead. News rides on the pings and their answers. Each VM sends
+ * and receives the same number of messages whatever the size of the region.
+ *
+ * @module
+ */
+
+import { hash32, Random } from "../base/mod.ts";
+import { type NewsItem, NewsQueue } from "./member_news.ts";
+import { type MemberRecord, replaces } from "./member_record.ts";
+
+/** Rides on each ping and answer. */
+export interface Gossip {
+  readonly vm: string;
+  readonly incarnation: number;
+  readonly beat: number;
+  readonly table: number;
+  /** Digest of the sender's view: where it keeps differing, the two exchange all they know. */
+  readonly view: number;
+  readonly versions: readonly TableVersion[];
+  readonly news: readonly NewsItem[];
+}
+
+/** The table version in force at a VM. */
+export type TableVersion = readonly [vmId: string, version: number];
+
+/** What the task must do after a step. */
+export type MembersOutput =
+  | { readonly type: "ping"; readonly target: MemberRecord }
+  | {
+    readonly type: "pingVia";
+    readonly target: MemberRecord;
+    readonly helpers: readonly MemberRecord[];
+  }
+  /** Exchange all records with this VM. */
+  | { readonly type: "sync"; readonly address: string }
+  /** Send the news to these at once, ahead of their turn. */
+  | { readonly type: "tell"; readonly targets: readonly MemberRecord[] };
+
+/** Times of the machine. */
+export interface MembersTimes {
+  /** One ping in this time. */
+  readonly periodMs: number;
+  /** A suspect has this long to answer, and a part more for each doubling of the region. */
+  readonly suspectMs: number;
+  readonly suspectPerDoublingMs: number;
+  /** How long a dead VM is remembered, so that old news does not bring it back and a healed link finds it. */
+  readonly rememberDeadMs: number;
+  /** How often a VM that is not live is tried: this heals partitions and joins strangers. */
+  readonly meetMs: number;
+}
+
+/** See {@link MembersTimes}. */
+export const MEMBERS_TIMES: MembersTimes = {
+  periodMs: 500,
+  suspectMs: 1000,
+  suspectPerDoublingMs: 200,
+  rememberDeadMs: 600_000,
+  meetMs: 2000,
+};
+
+/** Most VMs of a region that are kept, and VMs told at once when something must not wait for its turn. */
+const MOST_MEMBERS = 1024;
+const TELL_AT_ONCE = 8;
+const HELPERS = 2;
+const VERSIONS_PER_MESSAGE = 3;
+/** Two views differ while news is under way; after this many answers in a row that differ, something was lost. */
+const DIFFERENT_VIEWS = 4;
+
+interface Entry {
+  record: MemberRecord;
+  /** While suspect: dead from then on. While dead: forgotten from then on. */
+  deadlineMs: number;
+  tableVersion: number;
+  differences: number;
+}
+
+/** The machine of one VM. */
+export class Members {
+  #self: MemberRecord;
+  readonly #times: MembersTimes;
+  readonly #random: Random;
+  readonly #entries = new Map<string, Entry>();
+  readonly #news = new NewsQueue();
+  #tableVersion = 0;
+  #round: string[] = [];
+  #nextPingMs = 0;
+  #nextMeetMs = 0;
+  #lastTickMs: number | undefined;
+  #seeds: readonly string[] = [];
+
+  constructor(
+    self: Omit<MemberRecord, "beat" | "status" | "leaving">,
+    times: MembersTimes = MEMBERS_TIMES,
+  ) {
+    this.#self = { ...self, beat: 0, status: "live", leaving: false };
+    this.#times = times;
+    this.#random = new Random(hash32(`${self.id}/${self.incarnation}`));
+  }
+
+  get self(): MemberRecord {
+    return this.#self;
+  }
+
+  /** The VMs that answer or have time left to, this one first. */
+  present(): MemberRecord[] {
+    const present = [this.#self];
+    for (const { record } of this.#entries.values()) {
+      if (record.status !== "dead") present.push(record);
+    }
+    return present;
+  }
+
+  /** All records, the dead ones too, for an exchange. */
+  all(): MemberRecord[] {
+    const records = [...this.#entries.values()].map((entry) => entry.record);
+    return [this.#self, ...records];
+  }
+
+  /** The newest table version that `vmId` was heard to have. */
+  tableVersionOf(vmId: string): number {
+    if (vmId === this.#self.id) return this.#tableVersion;
+    return this.#entries.get(vmId)?.tableVersion ?? 0;
+  }
+
+  setTableVersion(version: number): void {
+    this.#tableVersion = version;
+  }
+
+  /** Addresses to try while their VMs are not known: from the settings and the platform's lagging list. */
+  setSeeds(addresses: readonly string[]): void {
+    this.#seeds = addresses;
+  }
+
+  /** Passes an item on with the next messages. */
+  spread(item: NewsItem): void {
+    this.#news.add(item);
+  }
+
+  /** This VM starts to leave, or is gone for good. Told at once: until it is known, others still send work here. */
+  leave(gone: boolean): MembersOutput[] {
+    if (this.#self.leaving && !gone) return [];
+    this.#raise({
+      leaving: true,
+      status: gone ? "dead" : this.#self.status,
+    });
+    return [this.#tellAtOnce()];
+  }
+
+  /** Time passes; called several times in a period. */
+  tick(nowMs: number): MembersOutput[] {
+    const outputs: MembersOutput[] = [];
+    this.#forgivePause(nowMs);
+    this.#passDeadlines(nowMs);
+    if (nowMs >= this.#nextPingMs) {
+      this.#nextPingMs = nowMs + this.#times.periodMs;
+      const target = this.#nextTarget();
+      if (target) outputs.push({ type: "ping", target });
+    }
+    if (nowMs >= this.#nextMeetMs) {
+      this.#nextMeetMs = nowMs + this.#times.meetMs;
+      const address = this.#stranger();
+      if (address) outputs.push({ type: "sync", address });
+    }
+    return outputs;
+  }
+
+  /** A call to this VM failed: ping it now. */
+  check(vmId: string): MembersOutput[] {
+    const entry = this.#entries.get(vmId);
+    if (!entry || entry.record.status !== "live") return [];
+    return [{ type: "ping", target: entry.record }];
+  }
+
+  /** What rides on the next message. */
+  gossip(nowMs: number): Gossip {
+    return {
+      vm: this.#self.id,
+      incarnation: this.#self.incarnation,
+      beat: this.#self.beat,
+      table: this.#tableVersion,
+      view: this.#view(),
+      versions: this.#someVersions(),
+      news: this.#news.take(this.present().length, nowMs),
+    };
+  }
+
+  /** Takes what rode on a ping or an answer. Items other than statements about VMs are the caller's. */
+  hear(gossip: Gossip, nowMs: number): MembersOutput[] {
+    const outputs: MembersOutput[] = [];
+    for (const item of gossip.news) {
+      if (item.type === "member") {
+        outputs.push(...this.learn(item.record, nowMs));
+      }
+    }
+    for (const [id, version] of gossip.versions) this.#hearVersion(id, version);
+    this.#hearVersion(gossip.vm, gossip.table);
+    if (this.#mustSync(gossip)) {
+      const address = this.#entries.get(gossip.vm)?.record.peerAddress;
+      if (address) outputs.push({ type: "sync", address });
+    }
+    return outputs;
+  }
+
+  /** No answer came to a ping. */
+  pingFailed(vmId: string): MembersOutput[] {
+    const entry = this.#entries.get(vmId);
+    if (!entry || entry.record.status === "dead") return [];
+    const others = this.#others().filter((record) =>
+      record.id !== vmId && record.status === "live"
+    );
+    const helpers = this.#sample(others, HELPERS);
+    return [{ type: "pingVia", target: entry.record, helpers }];
+  }
+
+  /** No helper had an answer either: the VM of this record has until its deadline to contradict. */
+  unanswered(record: MemberRecord, nowMs: number): MembersOutput[] {
+    const known = this.#entries.get(record.id)?.record;
+    if (!known || known.status !== "live") return [];
+    if (replaces(known, record)) return [];
+    return this.learn({ ...known, status: "suspect" }, nowMs);
+  }
+
+  /** Takes a statement about a VM, if it is news. */
+  learn(record: MemberRecord, nowMs: number): MembersOutput[] {
+    if (record.region !== this.#self.region) return [];
+    if (record.id === this.#self.id) return this.#hearOfSelf(record);
+    const known = this.#entries.get(record.id);
+    if (known && !replaces(record, known.record)) return [];
+    if (!known && this.#entries.size >= MOST_MEMBERS) return [];
+    const restarted = known?.record.incarnation !== record.incarnation;
+    this.#entries.set(record.id, {
+      record,
+      deadlineMs: this.#deadline(record, nowMs),
+      tableVersion: restarted ? 0 : known!.tableVersion,
+      differences: 0,
+    });
+    this.#news.add({ type: "member", record });
+    return [];
+  }
+
+  dump(): unknown {
+    return {
+      self: this.#self,
+      members: [...this.#entries.values()].map(({ record, tableVersion }) => ({
+        id: record.id,
+        incarnation: record.incarnation,
+        beat: record.beat,
+        status: record.status,
+        leaving: record.leaving,
+        peerAddress: record.peerAddress,
+        tableVersion,
+      })),
+      news: this.#news.size,
+    };
+  }
+
+  /**
+   * Another VM says that this one is suspect or dead, or that an older process with its id had a higher incarnation (its
+   * clock was ahead). The only one who can contradict is this VM, with a statement that replaces theirs.
+   */
+  #hearOfSelf(record: MemberRecord): MembersOutput[] {
+    if (!replaces(record, this.#self)) return [];
+    if (this.#self.status === "dead") return [];
+    const older = record.incarnation > this.#self.incarnation;
+    this.#self = {
+      ...this.#self,
+      incarnation: older ? record.incarnation + 1 : this.#self.incarnation,
+      beat: record.beat,
+    };
+    this.#raise({});
+    return [this.#tellAtOnce()];
+  }
+
+  #raise(change: Partial<Pick<MemberRecord, "leaving" | "status">>): void {
+    this.#self = { ...this.#self, beat: this.#self.beat + 1, ...change };
+    this.#news.add({ type: "member", record: this.#self });
+  }
+
+  #tellAtOnce(): MembersOutput {
+    return {
+      type: "tell",
+      targets: this.#sample(this.#others(), TELL_AT_ONCE),
+    };
+  }
+
+  /** This VM was paused, so the others had no chance to answer it: its suspicions start anew. */
+  #forgivePause(nowMs: number): void {
+    const gapMs = nowMs - (this.#lastTickMs ?? nowMs);
+    this.#lastTickMs = nowMs;
+    if (gapMs < 2 * this.#times.periodMs) return;
+    for (const entry of this.#entries.values()) {
+      if (entry.record.status !== "suspect") continue;
+      entry.deadlineMs = this.#deadline(entry.record, nowMs);
+    }
+  }
+
+  #passDeadlines(nowMs: number): void {
+    for (const [id, entry] of this.#entries) {
+      if (entry.record.status === "live" || nowMs < entry.deadlineMs) continue;
+      if (entry.record.status === "dead") this.#entries.delete(id);
+      else this.learn({ ...entry.record, status: "dead" }, nowMs);
+    }
+  }
+
+  #deadline(record: MemberRecord, nowMs: number): number {
+    if (record.status === "dead") return nowMs + this.#times.rememberDeadMs;
+    const doublings = Math.log2(this.present().length + 1);
+    return nowMs + this.#times.suspectMs +
+      this.#times.suspectPerDoublingMs * doublings;
+  }
+
+  /** Each VM once in a round of shuffled order: a dead one is found in a bounded time, not only on average. */
+  #nextTarget(): MemberRecord | undefined {
+    for (let tries = 0; tries < 2; tries++) {
+      while (this.#round.length > 0) {
+        const record = this.#entries.get(this.#round.pop()!)?.record;
+        if (record && record.status !== "dead") return record;
+      }
+      const ids = this.#others().map((record) => record.id);
+      this.#round = this.#sample(ids, ids.length);
+    }
+    return undefined;
+  }
+
+  /** An address whose VM is not known to be present. */
+  #stranger(): string | undefined {
+    const present = new Set(this.present().map((record) => record.peerAddress));
+    const strangers = new Set(this.#seeds);
+    for (const { record } of this.#entries.values()) {
+      if (record.status === "dead") strangers.add(record.peerAddress);
+    }
+    const addresses = [...strangers].filter((address) => !present.has(address));
+    return addresses.length > 0 ? this.#random.pick(addresses) : undefined;
+  }
+
+  #others(): MemberRecord[] {
+    return this.present().slice(1);
+  }
+
+  #sample<T>(items: readonly T[], most: number): T[] {
+    const rest = [...items];
+    const sample: T[] = [];
+    while (rest.length > 0 && sample.length < most) {
+      sample.push(rest.splice(this.#random.int(rest.length), 1)[0]);
+    }
+    return sample;
+  }
+
+  #hearVersion(vmId: string, version: number): void {
+    const entry = this.#entries.get(vmId);
+    if (entry && version > entry.tableVersion) entry.tableVersion = version;
+  }
+
+  #someVersions(): TableVersion[] {
+    const known = [...this.#entries.values()].filter((entry) =>
+      entry.record.status !== "dead" && entry.tableVersion > 0
+    );
+    return this.#sample(known, VERSIONS_PER_MESSAGE)
+      .map(({ record, tableVersion }) => [record.id, tableVersion]);
+  }
+
+  #mustSync(gossip: Gossip): boolean {
+    const entry = this.#entries.get(gossip.vm);
+    if (!entry) return false;
+    const { record } = entry;
+    const newer = gossip.incarnation !== record.incarnation ||
+      gossip.beat !== record.beat || record.status === "dead";
+    const differs = gossip.view !== this.#view() && !this.#news.hasMembers;
+    entry.differences = differs ? entry.differences + 1 : 0;
+    if (!newer && entry.differences < DIFFERENT_VIEWS) return false;
+    entry.differences = 0;
+    return true;
+  }
+
+  #view(): number {
+    let view = 0;
+    for (const record of this.present()) {
+      const { id, incarnation, beat } = record;
+      view = (view ^ hash32(`${id}/${incarnation}/${beat}`)) >>> 0;
+    }
+    return view;
+  }
+}
--- a/src/agreement/mod.ts
+++ b/src/agreement/mod.ts
@@ -9,3 +9,6 @@
 export * from "./claim.ts";
 export * from "./lead.ts";
 export * from "./lead_book.ts";
+export * from "./member_record.ts";
+export * from "./member_news.ts";
+export * from "./members.ts";
--- /dev/null
+++ b/src/services/member_regions.ts
@@ -0,0 +1,176 @@
+/**
+ * What this VM knows of topics in its own region and of other regions. Free of I/O.
+ *
+ * @module
+ */
+
+import type {
+  MemberRecord,
+  RegionContact,
+  RegionNews,
+  TopicNews,
+} from "../agreement/mod.ts";
+import { leadOrder } from "../agreement/mod.ts";
+import type { TopicValue, VmInfo } from "./messages.ts";
+
+/** VMs that a region names to another. */
+const CONTACTS = 3;
+/** A region's news is cut to this, in bytes of JSON of its topics. */
+const MOST_TOPIC_BYTES = 1000;
+/** A topic that nobody renewed for this long is dropped: its publisher is gone. */
+const TOPIC_TTL_MS = 15_000;
+/** A region that was not heard of for this long is out of reach; its VMs are not offered. */
+const REGION_TTL_MS = 30_000;
+/**
+ * News counts as newer by its publisher's wall clock. Should that have been ahead, nothing after it would count; so what
+ * was not renewed for this long gives way to anything.
+ */
+const CLOCK_SKEW_MS = 5000;
+
+interface Seen<T> {
+  readonly news: T;
+  readonly seenAtMs: number;
+}
+
+/** See the module's comment. */
+export class RegionBook {
+  readonly #region: string;
+  readonly #topics = new Map<string, Seen<TopicNews>>();
+  readonly #regions = new Map<string, Seen<RegionNews>>();
+
+  constructor(region: string) {
+    this.#region = region;
+  }
+
+  /** Takes a topic's value; answers whether it is newer than the one here. */
+  hearTopic(news: TopicNews, nowMs: number): boolean {
+    if (!isNewer(news, this.#topics.get(news.topic), nowMs)) return false;
+    this.#topics.set(news.topic, { news, seenAtMs: nowMs });
+    return true;
+  }
+
+  /** Takes another region's news; answers whether it is newer than what is here. */
+  hearRegion(news: RegionNews, nowMs: number): boolean {
+    if (news.region === this.#region) return false;
+    if (!isNewer(news, this.#regions.get(news.region), nowMs)) return false;
+    this.#regions.set(news.region, { news, seenAtMs: nowMs });
+    return true;
+  }
+
+  /** This region's news for the region `to`; each region is named other VMs, so that no VM is every other's contact. */
+  newsFor(
+    to: string,
+    present: readonly MemberRecord[],
+    versionOf: (vmId: string) => number,
+    nowMs: number,
+  ): RegionNews {
+    const candidates = present.map((record) => ({
+      id: record.id,
+      state: record.leaving ? "leaving" as const : "live" as const,
+      record,
+    }));
+    const contacts = leadOrder(`contact/${to}`, candidates)
+      .slice(0, CONTACTS)
+      .map(({ record }) => contactOf(record, versionOf(record.id)));
+    return {
+      type: "region",
+      region: this.#region,
+      atMs: nowMs,
+      contacts,
+      topics: this.#boundedTopics(nowMs),
+    };
+  }
+
+  /** The regions known, out of reach or not. */
+  regions(): string[] {
+    return [...this.#regions.keys()];
+  }
+
+  /** Addresses of VMs of another region, as it last named them. */
+  addresses(region: string): string[] {
+    const contacts = this.#regions.get(region)?.news.contacts ?? [];
+    return contacts.map((contact) => contact.peerAddress);
+  }
+
+  /** VMs of the regions that were heard of lately. */
+  others(nowMs: number): Map<string, VmInfo[]> {
+    const others = new Map<string, VmInfo[]>();
+    for (const [region, { news, seenAtMs }] of this.#regions) {
+      if (nowMs - seenAtMs > REGION_TTL_MS) continue;
+      others.set(region, news.contacts.map((c) => infoOf(region, c)));
+    }
+    return others;
+  }
+
+  /** The newest topics by region. */
+  topics(nowMs: number): Map<string, TopicValue[]> {
+    const topics = new Map<string, TopicValue[]>();
+    topics.set(
+      this.#region,
+      [...this.#topics.values()]
+        .filter(({ seenAtMs }) => nowMs - seenAtMs <= TOPIC_TTL_MS)
+        .map(({ news, seenAtMs }) => valueOf(news, seenAtMs)),
+    );
+    for (const [region, { news, seenAtMs }] of this.#regions) {
+      topics.set(region, news.topics.map((topic) => valueOf(topic, seenAtMs)));
+    }
+    return topics;
+  }
+
+  dump(nowMs: number): unknown {
+    const regions: Record<string, unknown> = {};
+    for (const [region, { news, seenAtMs }] of this.#regions) {
+      regions[region] = {
+        ageMs: nowMs - seenAtMs,
+        contacts: news.contacts.map((contact) => contact.id),
+        topics: news.topics.length,
+      };
+    }
+    return { topics: [...this.#topics.keys()], regions };
+  }
+
+  #boundedTopics(nowMs: number): TopicNews[] {
+    const topics: TopicNews[] = [];
+    let bytes = 0;
+    for (const [name, { news, seenAtMs }] of this.#topics) {
+      if (nowMs - seenAtMs > TOPIC_TTL_MS) {
+        this.#topics.delete(name);
+        continue;
+      }
+      bytes += JSON.stringify(news).length;
+      if (bytes > MOST_TOPIC_BYTES) break;
+      topics.push(news);
+    }
+    return topics;
+  }
+}
+
+function isNewer(
+  news: { readonly atMs: number },
+  seen: Seen<{ readonly atMs: number }> | undefined,
+  nowMs: number,
+): boolean {
+  if (!seen || news.atMs > seen.news.atMs) return true;
+  return news.atMs < seen.news.atMs && nowMs - seen.seenAtMs > CLOCK_SKEW_MS;
+}
+
+function contactOf(record: MemberRecord, tableVersion: number): RegionContact {
+  const { id, incarnation, failureDomain, peerAddress, callerUrl } = record;
+  return {
+    id,
+    incarnation,
+    failureDomain,
+    peerAddress,
+    callerUrl,
+    tableVersion,
+  };
+}
+
+function infoOf(region: string, contact: RegionContact): VmInfo {
+  return { ...contact, region, state: "live" };
+}
+
+function valueOf(news: TopicNews, seenAtMs: number): TopicValue {
+  const { topic, vmId, body } = news;
+  return { topic, vmId, body, seenAtMs };
+}
--- /dev/null
+++ b/src/services/members_test.ts
@@ -0,0 +1,153 @@
+import type { ExecutionContext } from "ava";
+import {
+  openRegion,
+  planTable,
+  until,
+  untilAgreed,
+  Vm,
+} from "../../test/vms.ts";
+import { describe, it } from "../base/describe.ts";
+
+const table = planTable(1, ["agadir"], 2, 8);
+
+async function region(t: ExecutionContext, count: number): Promise<Vm[]> {
+  const vms = await openRegion("agadir", count, { table });
+  t.teardown(() => Promise.all(vms.map((vm) => vm.crash())));
+  await untilAgreed(vms);
+  return vms;
+}
+
+const sees = async (vm: Vm, id: string) => (await vm.sees()).get(id);
+
+/** Every VM of `vms` finds `id` gone. */
+function untilGone(vms: readonly Vm[], id: string): Promise<void> {
+  return until(`${id} is gone`, async () => {
+    for (const vm of vms) if (await sees(vm, id)) return false;
+    return true;
+  });
+}
+
+describe("members", () => {
+  it("joins through any VM that is known and spreads table versions", async (t) => {
+    const vms = await region(t, 5);
+    vms[3].table.table = planTable(7, ["agadir"], 2, 8);
+    await until("all know the version of agadir-3", async () => {
+      for (const vm of vms) {
+        if ((await sees(vm, "agadir-3"))?.tableVersion !== 7) return false;
+      }
+      return true;
+    });
+    t.pass();
+  });
+
+  // A VM crashes: its connections break and nobody is told. Callers at the others see nothing, as long as the others
+  // find it dead and stop counting on it; nobody else may be taken for dead on the way.
+  it("finds a crashed VM and no other", async (t) => {
+    const vms = await region(t, 5);
+    const [lost, ...rest] = vms;
+    await lost.crash();
+    await untilGone(rest, lost.id);
+    await untilAgreed(rest);
+    t.pass();
+  });
+
+  // A VM is told to stop. It must get nothing new at once, so the others hear `leaving` from it, not from a deadline;
+  // after its end it is gone without being suspected first.
+  it("tells at once that it is leaving and then that it is gone", async (t) => {
+    const vms = await region(t, 4);
+    const [leaving, ...rest] = vms;
+    await leaving.members.ask("leave", undefined);
+    await until("all see it leave", async () => {
+      for (const vm of vms) {
+        if ((await sees(vm, leaving.id))?.state !== "leaving") return false;
+      }
+      return true;
+    });
+    await leaving.stop();
+    await untilGone(rest, leaving.id);
+    t.pass();
+  });
+
+  // A VM is killed and a new process with the same name starts at the same address before anyone noticed. The others
+  // must take the new one for a new one: what the old one held is gone with it.
+  it("tells a replacement under the same address from the VM before it", async (t) => {
+    const vms = await region(t, 4);
+    const [old, ...rest] = vms;
+    const before = (await sees(rest[0], old.id))!.incarnation;
+    const { id, port, region: name } = old;
+    await old.crash();
+    const seeds = rest.map((vm) => vm.address);
+    const replacement = await Vm.open({ id, port, region: name, table, seeds });
+    t.teardown(() => replacement.crash());
+    await untilAgreed([replacement, ...rest]);
+    for (const vm of rest) {
+      t.true((await sees(vm, id))!.incarnation > before);
+    }
+  });
+
+  // One direction of one link drops everything: A's pings to B are lost, while B and the others reach each other. B is
+  // healthy; the VM that cannot reach it asks two others to ping it, and nobody takes it for dead.
+  it("keeps a VM that only one other cannot reach", async (t) => {
+    const vms = await region(t, 4);
+    const [a, b] = vms;
+    a.transport.faults.set("deaf", {
+      peer: { vmId: b.id },
+      direction: "out",
+      cut: true,
+    });
+    const stillThere = Date.now() + 4000;
+    while (Date.now() < stillThere) {
+      for (const vm of vms) t.truthy(await sees(vm, b.id));
+      await new Promise((resolve) => setTimeout(resolve, 100));
+    }
+  });
+
+  // The region is cut into halves for longer than it takes to find a VM dead, then the cut heals. Each half goes on
+  // with the VMs it reaches; afterwards all must find each other again without any operator.
+  it("goes on in both halves of a cut and joins them again", async (t) => {
+    const vms = await region(t, 6);
+    const halves = [vms.slice(0, 3), vms.slice(3)];
+    for (const [mine, theirs] of [halves, [...halves].reverse()]) {
+      for (const vm of mine) {
+        for (const { id: vmId } of theirs) {
+          vm.transport.faults.set(vmId, { peer: { vmId }, cut: true });
+        }
+        for (const { address } of theirs) {
+          vm.transport.faults.set(address, { peer: { address }, cut: true });
+        }
+      }
+    }
+    await untilAgreed(halves[0]);
+    await untilAgreed(halves[1]);
+    for (const vm of vms) vm.transport.faults.clear();
+    await untilAgreed(vms);
+    t.pass();
+  });
+
+  // Two regions that know one address of each other. Each must learn of the other's VMs and topics by one digest, keep
+  // them through the death of the VM that spoke, and drop them when the other region is out of reach.
+  it("tells other regions its VMs and topics", async (t) => {
+    const agadir = await region(t, 3);
+    const casa = await openRegion("casablanca", 3, {
+      table,
+      seeds: [agadir[0].address],
+    });
+    t.teardown(() => Promise.all(casa.map((vm) => vm.crash())));
+    await casa[1].members.ask("publish", { topic: "load/x/0", body: { n: 5 } });
+    for (const vm of agadir) {
+      await until("a topic of the other region", async () => {
+        const topics = await vm.members.ask("topics", undefined);
+        const values = topics.get("casablanca") ?? [];
+        return values.some(({ topic }) => topic === "load/x/0");
+      });
+    }
+    for (const vm of [...agadir, ...casa]) {
+      const other = vm.region === "agadir" ? "casablanca" : "agadir";
+      await until("VMs of the other region", async () => {
+        const others = await vm.members.ask("others", undefined);
+        return (others.get(other)?.length ?? 0) === 3;
+      });
+    }
+    t.pass();
+  });
+});
--- a/src/services/mod.ts
+++ b/src/services/mod.ts
@@ -9,3 +9,4 @@
 export * from "./lead_load.ts";
 export * from "./slots.ts";
 export type { OrderSink } from "./lead_server.ts";
+export * from "./members.ts";
--- /dev/null
+++ b/test/vms.ts
@@ -0,0 +1,248 @@
+/**
+ * Several VMs in one process: kernel, transport, membership and slots of each over loopback, for tests and benchmarks.
+ *
+ * @module
+ */
+
+import { WsTransport } from "../src/adapters/mod.ts";
+import {
+  type MembersTimes,
+  Table,
+  type TableRow,
+  tableRow,
+} from "../src/agreement/mod.ts";
+import { systemClock } from "../src/base/mod.ts";
+import type { SlotRequest } from "../src/decisions/mod.ts";
+import { type Handlers, Kernel, openLog, Task } from "../src/kernel/mod.ts";
+import {
+  type LoadSource,
+  type MembersMessages,
+  MembersService,
+  type SlotsMessages,
+  SlotsService,
+  type TableMessages,
+  type VmInfo,
+} from "../src/services/mod.ts";
+
+/** A table service whose table is set by hand. */
+export class FixedTable extends Task<TableMessages> {
+  readonly name = "table";
+  table: Table | undefined;
+  protected readonly handlers: Handlers<TableMessages> = {
+    current: () => this.table,
+    waitFor: () => this.table,
+  };
+
+  constructor(table?: Table) {
+    super();
+    this.table = table;
+  }
+  async start(): Promise<void> {}
+  async close(): Promise<void> {}
+  dump(): unknown {
+    return { version: this.table?.version };
+  }
+}
+
+/** A table of these rows, with defaults filled in. */
+export function tableOf(version: number, rows: readonly unknown[]): Table {
+  const parsed: TableRow[] = rows.map((row) => tableRow.parse(row));
+  return Table.of(version, parsed.map((row) => ({ row, version })));
+}
+
+/** One service `plan` with this many upstreams of `slots` slots in each region. */
+export function planTable(
+  version: number,
+  regions: readonly string[],
+  upstreams: number,
+  slots: number,
+): Table {
+  const rows: unknown[] = [{ kind: "service", id: "plan", type: "model" }];
+  for (const region of regions) {
+    rows.push({ kind: "region", id: region });
+    for (let n = 0; n < upstreams; n++) {
+      rows.push({
+        kind: "upstream",
+        id: `${region}-u${n}`,
+        service: "plan",
+        region,
+        failureDomain: `${region}-1`,
+        url: `http://127.0.0.1:1/${region}-u${n}`,
+        slots,
+      });
+    }
+  }
+  return tableOf(version, rows);
+}
+
+/** A request for a slot of `plan`. */
+export function planRequest(
+  attemptId: string,
+  more: Partial<SlotRequest> = {},
+): SlotRequest {
+  const nowMs = Date.now();
+  return {
+    attemptId,
+    service: "plan",
+    workspace: "convoy",
+    priority: 0,
+    arrivedAtMs: nowMs,
+    deadlineMs: nowMs + 60_000,
+    prefixHashes: [],
+    promptTokens: 100,
+    expectedOutputTokens: 20,
+    exclude: [],
+    tableVersion: 1,
+    ...more,
+  };
+}
+
+/** How a {@link Vm} is started. */
+export interface VmOptions {
+  readonly id: string;
+  readonly region: string;
+  readonly table: Table;
+  readonly seeds: readonly string[];
+  /** 0 or absent: any free port. */
+  readonly port?: number;
+  readonly times?: MembersTimes;
+  readonly loadSource?: LoadSource;
+}
+
+/** One VM. */
+export class Vm {
+  readonly id: string;
+  readonly region: string;
+  readonly transport: WsTransport;
+  readonly kernel: Kernel;
+  readonly table: FixedTable;
+
+  private constructor(options: VmOptions, transport: WsTransport) {
+    this.id = options.id;
+    this.region = options.region;
+    this.transport = transport;
+    this.kernel = new Kernel(systemClock, openLog("silent"));
+    this.table = new FixedTable(options.table);
+  }
+
+  static async open(options: VmOptions): Promise<Vm> {
+    const { id, region, seeds, times, loadSource } = options;
+    const transport = await WsTransport.open({
+      vmId: id,
+      region,
+      secret: "vms-in-one-process",
+      host: "127.0.0.1",
+      port: options.port ?? 0,
+      handshakeTimeoutMs: 500,
+    });
+    const vm = new Vm(options, transport);
+    const peerAddress = transport.address;
+    await vm.kernel.start(vm.table);
+    await vm.kernel.start(
+      new MembersService({
+        vmId: id,
+        region,
+        failureDomain: `${region}-1`,
+        peerAddress,
+        callerUrl: `http://${peerAddress}`,
+        transport,
+        seeds,
+        times,
+      }),
+    );
+    await vm.kernel.start(
+      new SlotsService({ vmId: id, region, transport, loadSource }),
+    );
+    return vm;
+  }
+
+  get address(): string {
+    return this.transport.address;
+  }
+  get port(): number {
+    return Number(this.address.split(":")[1]);
+  }
+  get members() {
+    return this.kernel.get<MembersMessages>("members");
+  }
+  get slots() {
+    return this.kernel.get<SlotsMessages>("slots");
+  }
+
+  /** The VMs of its region as it sees them, by id. */
+  async sees(): Promise<Map<string, VmInfo>> {
+    const region = await this.members.ask("region", undefined);
+    return new Map(region.map((info) => [info.id, info]));
+  }
+
+  /** The pools that it leads, by key. */
+  leads(): string[] {
+    const { leads } = this.kernel.dump().slots as {
+      leads: { pools: Record<string, unknown> };
+    };
+    return Object.keys(leads.pools);
+  }
+
+  /** Ends as a crash does: connections break, nobody is told. */
+  async crash(): Promise<void> {
+    await this.transport.terminate();
+    await this.kernel.close(Date.now());
+  }
+
+  /** A planned stop. */
+  async stop(): Promise<void> {
+    await this.kernel.close(Date.now() + 5000);
+    await this.transport.close();
+  }
+}
+
+/** Opens `count` VMs of a region, `REGION-0` first; each is seeded with those before it, three at most. */
+export async function openRegion(
+  region: string,
+  count: number,
+  options: Omit<VmOptions, "id" | "region" | "seeds"> & {
+    readonly seeds?: readonly string[];
+  },
+): Promise<Vm[]> {
+  const vms: Vm[] = [];
+  for (let n = 0; n < count; n++) {
+    const known = vms.slice(0, 3).map((vm) => vm.address);
+    const seeds = [...known, ...options.seeds ?? []];
+    vms.push(
+      await Vm.open({ ...options, id: `${region}-${n}`, region, seeds }),
+    );
+  }
+  return vms;
+}
+
+/** Waits until `holds`; fails after 30 s, which only guards against a hang. */
+export async function until(
+  what: string,
+  holds: () => boolean | Promise<boolean>,
+): Promise<void> {
+  const giveUpMs = Date.now() + 30_000;
+  while (!await holds()) {
+    if (Date.now() > giveUpMs) throw new Error(`never came true: ${what}`);
+    await systemClock.sleep(20);
+  }
+}
+
+/** Waits until every VM sees exactly these VMs, all of them live. */
+export async function untilAgreed(vms: readonly Vm[]): Promise<void> {
+  const ids = vms.map((vm) => vm.id).sort().join();
+  await until(`all see ${ids}`, async () => {
+    for (const vm of vms) {
+      const seen = [...(await vm.sees()).values()];
+      const live = seen.filter((info) => info.state === "live");
+      if (live.map((info) => info.id).sort().join() !== ids) return false;
+    }
+    return true;
+  });
+}
+
+/** The one VM that leads this pool; waits until there is exactly one. */
+export async function leadOf(vms: readonly Vm[], pool: string): Promise<Vm> {
+  const leads = () => vms.filter((vm) => vm.leads().includes(pool));
+  await until(`one VM leads ${pool}`, () => leads().length === 1);
+  return leads()[0];
+}
