--- a/src/adapters/mod.ts
+++ b/src/adapters/mod.ts
@@ -12,3 +12,5 @@
 export * from "./transport.ts";
 export * from "./upstream.ts";
 export * from "./http_upstream.ts";
+export * from "./link_faults.ts";
+export * from "./ws_transport.ts";
--- a/src/agreement/mod.ts
+++ b/src/agreement/mod.ts
@@ -16,3 +16,8 @@
 export * from "./claim_shard.ts";
 export * from "./claim_takeover.ts";
 export * from "./claim_witness.ts";
+export * from "./lead.ts";
+export * from "./lead_book.ts";
+export * from "./member_record.ts";
+export * from "./member_news.ts";
+export * from "./members.ts";
--- a/src/services/mod.ts
+++ b/src/services/mod.ts
@@ -7,3 +7,7 @@
 export * from "./messages.ts";
 export * from "./claims.ts";
 export * from "./metrics.ts";
+export * from "./lead_load.ts";
+export * from "./slots.ts";
+export type { OrderSink } from "./lead_server.ts";
+export * from "./members.ts";
