--- a/src/standins/engine_test.ts
+++ b/src/standins/engine_test.ts
@@ -1,7 +1,7 @@
 import { once } from "node:events";
-import test from "ava";
 import got from "got";
 import OpenAI from "openai";
+import { describe, it } from "../base/describe.ts";
 import {
   answerText,
   checkAnswer,
@@ -68,187 +68,199 @@
   };
 }
 
-test("engine > a stock client gets its own answer, streamed and whole", async (t) => {
-  const engine = await openEngine(fast);
-  const client = new OpenAI({ baseURL: `${engine.url}/v1`, apiKey: "none" });
-  const whole = await client.chat.completions.create({
-    model: "standin",
-    messages: [{ role: "user", content: "nonce:a1" }],
-    max_tokens: 9,
-  });
-  t.is(checkAnswer(whole.choices[0].message.content ?? "", "a1"), "complete");
-  t.is(whole.usage?.completion_tokens, 9);
-  const stream = await client.chat.completions.create({
-    model: "standin",
-    messages: [{ role: "user", content: "nonce:a2" }],
-    max_tokens: 40,
-    stream: true,
-    stream_options: { include_usage: true },
-  });
-  let text = "";
-  let usage = 0;
-  for await (const chunk of stream) {
-    text += chunk.choices[0]?.delta.content ?? "";
-    usage = chunk.usage?.completion_tokens ?? usage;
-  }
-  t.is(checkAnswer(text, "a2"), "complete");
-  t.is(usage, 40);
-  t.deepEqual(engine.records().map((r) => r.tokens), [9, 40]);
-  await engine.close();
-});
-
-const faultCases: {
-  name: string;
-  fault: object;
-  check: ReturnType<typeof checkAnswer>;
-  done: boolean;
-  broken: boolean;
-}[] = [
-  {
-    name: "cut",
-    fault: { type: "cut", afterTokens: 5 },
-    check: "cut",
-    done: false,
-    broken: true,
-  },
-  {
-    name: "truncate",
-    fault: { type: "truncate", afterTokens: 5 },
-    check: "cut",
-    done: false,
-    broken: false,
-  },
-  {
-    name: "stall",
-    fault: { type: "stall", afterTokens: 5, stallMs: 30 },
-    check: "complete",
-    done: true,
-    broken: false,
-  },
-  {
-    name: "duplicate",
-    fault: { type: "duplicate" },
-    check: "foreign",
-    done: true,
-    broken: false,
-  },
-  {
-    name: "crossed",
-    fault: { type: "crossed" },
-    check: "foreign",
-    done: true,
-    broken: false,
-  },
-  {
-    name: "crossed in the middle",
-    fault: { type: "crossed", afterTokens: 19 },
-    check: "garbled",
-    done: true,
-    broken: false,
-  },
-  {
-    name: "late",
-    fault: { type: "late", delayMs: 30 },
-    check: "complete",
-    done: true,
-    broken: false,
-  },
-];
-
-for (const { name, fault, check, done, broken } of faultCases) {
-  test(`engine > faults > ${name}`, async (t) => {
+describe("a stand-in engine", () => {
+  it("a stock client gets its own answer, streamed and whole", async (t) => {
     const engine = await openEngine(fast);
-    engine.faults.add({ ...fault, times: 1 });
-    const struck = await call(engine, body("f1", 20), { "x-request-id": "r1" });
-    t.is(checkAnswer(struck.text, "f1"), check);
-    t.is(struck.done, done);
-    t.is(struck.broken, broken);
-    const next = await call(engine, body("f2", 20), { "x-request-id": "r2" });
-    t.is(checkAnswer(next.text, "f2"), "complete");
-    t.is(next.headers["x-request-id"], "r2");
-    t.true(next.ids.every((id) => id === "chatcmpl-r2"));
+    const client = new OpenAI({ baseURL: `${engine.url}/v1`, apiKey: "none" });
+    const whole = await client.chat.completions.create({
+      model: "standin",
+      messages: [{ role: "user", content: "nonce:a1" }],
+      max_tokens: 9,
+    });
+    t.is(checkAnswer(whole.choices[0].message.content ?? "", "a1"), "complete");
+    t.is(whole.usage?.completion_tokens, 9);
+    const stream = await client.chat.completions.create({
+      model: "standin",
+      messages: [{ role: "user", content: "nonce:a2" }],
+      max_tokens: 40,
+      stream: true,
+      stream_options: { include_usage: true },
+    });
+    let text = "";
+    let usage = 0;
+    for await (const chunk of stream) {
+      text += chunk.choices[0]?.delta.content ?? "";
+      usage = chunk.usage?.completion_tokens ?? usage;
+    }
+    t.is(checkAnswer(text, "a2"), "complete");
+    t.is(usage, 40);
+    t.deepEqual(engine.records().map((r) => r.tokens), [9, 40]);
     await engine.close();
   });
-}
 
-test("engine > a broken stream is continued where the engine resumes", async (t) => {
-  const engine = await openEngine({ ...fast, resumes: true });
-  engine.faults.add({ type: "cut", afterTokens: 7, times: 1 });
-  const first = await call(engine, body("r", 20));
-  const rest = await call(engine, body("r", 20), { "x-resume-from": "7" });
-  t.is(rest.headers["x-resumed-from"], "7");
-  t.is(first.text + rest.text, answerText("r", 20));
-  t.deepEqual(engine.records().map((r) => r.resumedFrom), [undefined, 7]);
-  await engine.close();
-});
+  const faultCases: {
+    name: string;
+    fault: object;
+    check: ReturnType<typeof checkAnswer>;
+    done: boolean;
+    broken: boolean;
+  }[] = [
+    {
+      name: "cut",
+      fault: { type: "cut", afterTokens: 5 },
+      check: "cut",
+      done: false,
+      broken: true,
+    },
+    {
+      name: "truncate",
+      fault: { type: "truncate", afterTokens: 5 },
+      check: "cut",
+      done: false,
+      broken: false,
+    },
+    {
+      name: "stall",
+      fault: { type: "stall", afterTokens: 5, stallMs: 30 },
+      check: "complete",
+      done: true,
+      broken: false,
+    },
+    {
+      name: "duplicate",
+      fault: { type: "duplicate" },
+      check: "foreign",
+      done: true,
+      broken: false,
+    },
+    {
+      name: "crossed",
+      fault: { type: "crossed" },
+      check: "foreign",
+      done: true,
+      broken: false,
+    },
+    {
+      name: "crossed in the middle",
+      fault: { type: "crossed", afterTokens: 19 },
+      check: "garbled",
+      done: true,
+      broken: false,
+    },
+    {
+      name: "late",
+      fault: { type: "late", delayMs: 30 },
+      check: "complete",
+      done: true,
+      broken: false,
+    },
+  ];
 
-test("engine > a closed connection cancels the request and frees its slot", async (t) => {
-  const engine = await openEngine({ ...fast, slots: 1, streamTokensPerS: 200 });
-  const stream = got.stream.post(`${engine.url}/v1/chat/completions`, {
-    json: body("gone", 100_000, { stream: true }),
-    retry: { limit: 0 },
+  for (const { name, fault, check, done, broken } of faultCases) {
+    it(`fault ${name}`, async (t) => {
+      const engine = await openEngine(fast);
+      engine.faults.add({ ...fault, times: 1 });
+      const struck = await call(engine, body("f1", 20), {
+        "x-request-id": "r1",
+      });
+      t.is(checkAnswer(struck.text, "f1"), check);
+      t.is(struck.done, done);
+      t.is(struck.broken, broken);
+      const next = await call(engine, body("f2", 20), { "x-request-id": "r2" });
+      t.is(checkAnswer(next.text, "f2"), "complete");
+      t.is(next.headers["x-request-id"], "r2");
+      t.true(next.ids.every((id) => id === "chatcmpl-r2"));
+      await engine.close();
+    });
+  }
+
+  it("a broken stream is continued where the engine resumes", async (t) => {
+    const engine = await openEngine({ ...fast, resumes: true });
+    engine.faults.add({ type: "cut", afterTokens: 7, times: 1 });
+    const first = await call(engine, body("r", 20));
+    const rest = await call(engine, body("r", 20), { "x-resume-from": "7" });
+    t.is(rest.headers["x-resumed-from"], "7");
+    t.is(first.text + rest.text, answerText("r", 20));
+    t.deepEqual(engine.records().map((r) => r.resumedFrom), [undefined, 7]);
+    await engine.close();
   });
-  await once(stream, "data");
-  stream.on("error", () => {});
-  stream.destroy();
-  const next = await call(engine, body("next", 5));
-  t.is(checkAnswer(next.text, "next"), "complete");
-  const [gone] = engine.records();
-  t.truthy(gone.canceledAtMs);
-  t.is(gone.finishedAtMs, undefined);
-  await engine.close();
-});
 
-test("engine > refusals say that nothing ran, and faults are set over HTTP", async (t) => {
-  const engine = await openEngine(fast);
-  const post = (path: string, json: object) =>
-    got.post(`${engine.controlUrl}${path}`, { json });
-  await post("/faults", { set: [{ type: "refuse", times: 1 }] });
-  const refused = await call(engine, body("x", 5));
-  t.is(refused.headers["x-ran"], "no");
-  t.is(engine.records()[0].startedAtMs, undefined);
-  await post("/faults", { set: [{ type: "dead" }] });
-  t.true((await call(engine, body("y", 5))).broken);
-  await post("/faults", { clear: true });
-  t.true((await call(engine, body("z", 5))).done);
-  const bad = await got.post(`${engine.controlUrl}/faults`, {
-    json: { add: { type: "nonsense" } },
-    throwHttpErrors: false,
+  it("a closed connection cancels the request and frees its slot", async (t) => {
+    const engine = await openEngine({
+      ...fast,
+      slots: 1,
+      streamTokensPerS: 200,
+    });
+    const stream = got.stream.post(`${engine.url}/v1/chat/completions`, {
+      json: body("gone", 100_000, { stream: true }),
+      retry: { limit: 0 },
+    });
+    await once(stream, "data");
+    stream.on("error", () => {});
+    stream.destroy();
+    const next = await call(engine, body("next", 5));
+    t.is(checkAnswer(next.text, "next"), "complete");
+    const [gone] = engine.records();
+    t.truthy(gone.canceledAtMs);
+    t.is(gone.finishedAtMs, undefined);
+    await engine.close();
   });
-  t.is(bad.statusCode, 400);
-  await engine.close();
-});
 
-test("engine > load is read from the metrics page, late or false on request", async (t) => {
-  const engine = await openEngine({ ...fast, slots: 1, streamTokensPerS: 50 });
-  const calls = [call(engine, body("a", 30)), call(engine, body("b", 3))];
-  while (engine.records().length < 2) await new Promise(setImmediate);
-  await new Promise((resolve) => setTimeout(resolve, 10));
-  const page = await got(`${engine.url}/metrics`).text();
-  t.regex(page, /vllm:num_requests_running\{[^}]*\} 1\n/);
-  t.regex(page, /vllm:num_requests_waiting\{[^}]*\} 1\n/);
-  engine.faults.add({ type: "lyingLoad", running: 0, waiting: 0 });
-  const lie = await got(`${engine.url}/metrics`).text();
-  t.regex(lie, /vllm:num_requests_running\{[^}]*\} 0\n/);
-  await Promise.all(calls);
-  await engine.close();
-});
+  it("refusals say that nothing ran, and faults are set over HTTP", async (t) => {
+    const engine = await openEngine(fast);
+    const post = (path: string, json: object) =>
+      got.post(`${engine.controlUrl}${path}`, { json });
+    await post("/faults", { set: [{ type: "refuse", times: 1 }] });
+    const refused = await call(engine, body("x", 5));
+    t.is(refused.headers["x-ran"], "no");
+    t.is(engine.records()[0].startedAtMs, undefined);
+    await post("/faults", { set: [{ type: "dead" }] });
+    t.true((await call(engine, body("y", 5))).broken);
+    await post("/faults", { clear: true });
+    t.true((await call(engine, body("z", 5))).done);
+    const bad = await got.post(`${engine.controlUrl}/faults`, {
+      json: { add: { type: "nonsense" } },
+      throwHttpErrors: false,
+    });
+    t.is(bad.statusCode, 400);
+    await engine.close();
+  });
 
-test("engine > orders with an old fencing number are refused where checked", async (t) => {
-  for (const checksFence of [true, false]) {
-    const engine = await openEngine({ ...fast, checksFence });
-    const order = async (want: string, fence: number) => {
-      const answer = await got.post(`${engine.url}/orders`, {
-        json: { want },
-        headers: { "x-fencing-token": String(fence) },
-        throwHttpErrors: false,
-      });
-      return answer.statusCode;
-    };
-    t.is(await order("parked", 2), 200);
-    t.is((await call(engine, body("p", 5))).headers["x-ran"], "no");
-    t.is(await order("active", 1), checksFence ? 409 : 200);
-    t.is(engine.orders.active, !checksFence);
+  it("load is read from the metrics page, late or false on request", async (t) => {
+    const engine = await openEngine({
+      ...fast,
+      slots: 1,
+      streamTokensPerS: 50,
+    });
+    const calls = [call(engine, body("a", 30)), call(engine, body("b", 3))];
+    while (engine.records().length < 2) await new Promise(setImmediate);
+    await new Promise((resolve) => setTimeout(resolve, 10));
+    const page = await got(`${engine.url}/metrics`).text();
+    t.regex(page, /vllm:num_requests_running\{[^}]*\} 1\n/);
+    t.regex(page, /vllm:num_requests_waiting\{[^}]*\} 1\n/);
+    engine.faults.add({ type: "lyingLoad", running: 0, waiting: 0 });
+    const lie = await got(`${engine.url}/metrics`).text();
+    t.regex(lie, /vllm:num_requests_running\{[^}]*\} 0\n/);
+    await Promise.all(calls);
     await engine.close();
-  }
+  });
+
+  it("orders with an old fencing number are refused where checked", async (t) => {
+    for (const checksFence of [true, false]) {
+      const engine = await openEngine({ ...fast, checksFence });
+      const order = async (want: string, fence: number) => {
+        const answer = await got.post(`${engine.url}/orders`, {
+          json: { want },
+          headers: { "x-fencing-token": String(fence) },
+          throwHttpErrors: false,
+        });
+        return answer.statusCode;
+      };
+      t.is(await order("parked", 2), 200);
+      t.is((await call(engine, body("p", 5))).headers["x-ran"], "no");
+      t.is(await order("active", 1), checksFence ? 409 : 200);
+      t.is(engine.orders.active, !checksFence);
+      await engine.close();
+    }
+  });
 });
--- a/src/standins/plain_test.ts
+++ b/src/standins/plain_test.ts
@@ -1,46 +1,48 @@
-import test from "ava";
 import got from "got";
+import { describe, it } from "../base/describe.ts";
 import { secretDigest } from "../base/mod.ts";
 import { openPlain } from "./mod.ts";
 
-const cases = [
-  { type: "cutBeforeRun", answered: false, ran: 0 },
-  { type: "cutAfterRun", answered: false, ran: 1 },
-  { type: "refuse", answered: true, ran: 0 },
-  { type: "failAfterRun", answered: true, ran: 1 },
-];
+describe("a stand-in plain service", () => {
+  const cases = [
+    { type: "cutBeforeRun", answered: false, ran: 0 },
+    { type: "cutAfterRun", answered: false, ran: 1 },
+    { type: "refuse", answered: true, ran: 0 },
+    { type: "failAfterRun", answered: true, ran: 1 },
+  ];
 
-for (const { type, answered, ran } of cases) {
-  test(`plain service > faults > ${type}`, async (t) => {
-    const service = await openPlain();
-    service.faults.add({ type, times: 1 });
-    const answer = await got.post(`${service.url}/orders/7`, {
-      body: "two prints",
-      headers: { "idempotency-key": "k1" },
-      retry: { limit: 0 },
-      throwHttpErrors: false,
-    }).catch(() => undefined);
-    t.is(answer !== undefined, answered);
-    const runs = service.records().filter((r) =>
-      r.idempotencyKey === "k1" && r.startedAtMs !== undefined
-    );
-    t.is(runs.length, ran);
-    await service.close();
-  });
-}
+  for (const { type, answered, ran } of cases) {
+    it(`fault ${type}`, async (t) => {
+      const service = await openPlain();
+      service.faults.add({ type, times: 1 });
+      const answer = await got.post(`${service.url}/orders/7`, {
+        body: "two prints",
+        headers: { "idempotency-key": "k1" },
+        retry: { limit: 0 },
+        throwHttpErrors: false,
+      }).catch(() => undefined);
+      t.is(answer !== undefined, answered);
+      const runs = service.records().filter((r) =>
+        r.idempotencyKey === "k1" && r.startedAtMs !== undefined
+      );
+      t.is(runs.length, ran);
+      await service.close();
+    });
+  }
 
-test("plain service > answers with the digest of the body it ran", async (t) => {
-  const service = await openPlain({ name: "portal" });
-  const answer = await got.put(`${service.url}/scans/a?b=c`, {
-    body: "scan",
-    headers: { "idempotency-key": "k2" },
-  }).json<Record<string, unknown>>();
-  t.like(answer, {
-    service: "portal",
-    method: "PUT",
-    path: "/scans/a",
-    idempotencyKey: "k2",
-    bodyDigest: secretDigest("scan"),
+  it("answers with the digest of the body it ran", async (t) => {
+    const service = await openPlain({ name: "portal" });
+    const answer = await got.put(`${service.url}/scans/a?b=c`, {
+      body: "scan",
+      headers: { "idempotency-key": "k2" },
+    }).json<Record<string, unknown>>();
+    t.like(answer, {
+      service: "portal",
+      method: "PUT",
+      path: "/scans/a",
+      idempotencyKey: "k2",
+      bodyDigest: secretDigest("scan"),
+    });
+    await service.close();
   });
-  await service.close();
 });
