--- /dev/null
+++ b/src/replay/attempt.ts
@@ -0,0 +1,194 @@
+/**
+ * One attempt of a replay's caller at one VM, by the protocol that any caller uses.
+ *
+ * @module
+ */
+
+import { createParser } from "eventsource-parser";
+import { Agent } from "node:http";
+import got, { type Request } from "got";
+import { type Ran, secretDigest } from "../base/mod.ts";
+import { checkAnswer } from "../standins/mod.ts";
+import { promptOf } from "./prompt.ts";
+import type { Attempt } from "./seen.ts";
+import type { TraceRequest } from "./trace.ts";
+
+/** What an attempt needs besides its request. */
+export interface AttemptOptions {
+  readonly url: string;
+  readonly key: string;
+  /** Tags the prompt; unique for each attempt. */
+  readonly nonce: string;
+  /** Wall clock. */
+  readonly deadlineMs: number;
+  /** When the caller hangs up, wall clock. */
+  readonly hangUpAtMs: number;
+}
+
+interface ErrorBody {
+  readonly code?: unknown;
+  readonly ran?: unknown;
+  readonly retryAtMs?: unknown;
+  readonly goTo?: unknown;
+}
+
+/** Connections of all callers, kept alive as real clients keep them. */
+const agent = new Agent({ keepAlive: true, maxSockets: Infinity });
+
+/** The body of a plain call: it follows from the key, so that a repeat has the same. */
+export function plainBody(request: TraceRequest): string {
+  const seed = request.idempotencyKey ?? `${request.arrivalMs}`;
+  return JSON.stringify({
+    entry: seed,
+    note: "x".repeat(request.promptTokens),
+  });
+}
+
+/** Makes one attempt; never throws. */
+export async function attempt(
+  request: TraceRequest,
+  options: AttemptOptions,
+): Promise<Attempt> {
+  const isChat = request.kind === "chat";
+  const body = isChat ? chatBody(request, options.nonce) : plainBody(request);
+  const result: Attempt = {
+    nonce: isChat ? options.nonce : secretDigest(body),
+    url: options.url,
+    sentAtMs: Date.now(),
+    endedAtMs: 0,
+    end: "broken",
+    httpStatus: 0,
+  };
+  const path = isChat
+    ? "/v1/chat/completions"
+    : `/services/${request.service}/entries`;
+  const stream = got.stream.post(options.url + path, {
+    body,
+    headers: headersOf(request, options),
+    agent: { http: agent },
+    retry: { limit: 0 },
+    throwHttpErrors: false,
+    followRedirect: false,
+    timeout: { connect: 1000 },
+  });
+  const hangUp = setTimeout(() => {
+    result.end = "timeout";
+    stream.destroy();
+  }, Math.max(1, options.hangUpAtMs - Date.now()));
+  try {
+    await read(stream, result);
+  } catch {
+    // The connection broke: `end` says so already.
+  }
+  clearTimeout(hangUp);
+  result.endedAtMs = Date.now();
+  return result;
+}
+
+function chatBody(request: TraceRequest, nonce: string): string {
+  return JSON.stringify({
+    model: request.service,
+    messages: [{ role: "user", content: promptOf(request, nonce) }],
+    max_tokens: request.outputTokens,
+    stream: true,
+  });
+}
+
+function headersOf(
+  request: TraceRequest,
+  options: AttemptOptions,
+): Record<string, string> {
+  return {
+    "content-type": "application/json",
+    authorization: `Bearer ${options.key}`,
+    "x-ibisgap-workspace": request.workspace,
+    "x-ibisgap-priority": String(request.priority),
+    "x-ibisgap-deadline": String(Math.round(options.deadlineMs)),
+    ...(request.idempotencyKey
+      ? { "idempotency-key": request.idempotencyKey }
+      : {}),
+  };
+}
+
+async function read(stream: Request, result: Attempt): Promise<void> {
+  stream.on("response", (response) => {
+    result.httpStatus = response.statusCode;
+    result.region = response.headers["x-ibisgap-region"];
+    result.vm = response.headers["x-ibisgap-vm"];
+  });
+  const events = new AnswerEvents(result);
+  let raw = "";
+  for await (const chunk of stream) {
+    const text = chunk.toString();
+    if (isEvents(stream)) events.feed(text);
+    else raw += text;
+  }
+  if (isEvents(stream)) events.end();
+  else readWhole(raw, result);
+}
+
+function isEvents(stream: Request): boolean {
+  const type = stream.response?.headers["content-type"] ?? "";
+  return type.startsWith("text/event-stream");
+}
+
+/** Reads an answer that came whole: a plain service's, or an error. */
+function readWhole(raw: string, result: Attempt): void {
+  const body = parse(raw);
+  if (result.httpStatus >= 400) return fail(body?.error as ErrorBody, result);
+  result.end = "answered";
+  result.firstTokenAtMs = Date.now();
+  result.check = body?.bodyDigest === result.nonce ? "complete" : "foreign";
+}
+
+function fail(error: ErrorBody | undefined, result: Attempt): void {
+  result.end = "failed";
+  result.code = Number(error?.code ?? 0);
+  if (error?.ran !== undefined) result.ran = error.ran as Ran;
+  if (typeof error?.retryAtMs === "number") result.retryAtMs = error.retryAtMs;
+  if (Array.isArray(error?.goTo)) result.goTo = error.goTo;
+}
+
+function parse(text: string): Record<string, unknown> | undefined {
+  try {
+    return JSON.parse(text);
+  } catch {
+    return undefined;
+  }
+}
+
+/** Reads a streamed answer. */
+class AnswerEvents {
+  readonly #result: Attempt;
+  readonly #parser = createParser({ onEvent: (e) => this.#take(e.data) });
+  #text = "";
+  #done = false;
+
+  constructor(result: Attempt) {
+    this.#result = result;
+  }
+
+  feed(text: string): void {
+    this.#parser.feed(text);
+  }
+
+  /** The connection ended cleanly; without `[DONE]` or an error event that is a break in disguise. */
+  end(): void {
+    if (this.#result.end === "failed") return;
+    this.#result.end = "answered";
+    const check = checkAnswer(this.#text, this.#result.nonce);
+    this.#result.check = this.#done || check === "foreign" ? check : "cut";
+  }
+
+  #take(data: string): void {
+    if (data === "[DONE]") return void (this.#done = true);
+    const event = parse(data);
+    if (event?.error) return fail(event.error as ErrorBody, this.#result);
+    const [choice] = (event?.choices ?? []) as {
+      delta?: { content?: string };
+    }[];
+    const content = choice?.delta?.content ?? "";
+    if (content !== "") this.#result.firstTokenAtMs ??= Date.now();
+    this.#text += content;
+  }
+}
