--- a/src/agreement/mod.ts
+++ b/src/agreement/mod.ts
@@ -6,6 +6,10 @@
 
 export * from "./rows.ts";
 export * from "./table.ts";
+export * from "./table_checks.ts";
+export * from "./table_editor.ts";
+export * from "./table_log.ts";
+export * from "./table_records.ts";
 export * from "./claim.ts";
 export * from "./claim_record.ts";
 export * from "./claim_head.ts";
