--- a/src/agreement/table_records.ts
+++ b/src/agreement/table_records.ts
@@ -128,7 +128,7 @@
   return z.array(rowChange).min(1).parse(input);
 }
 /** Checks a head; throws if it is malformed. */
-export function parseHead(input: unknown): TableHead {
+export function parseTableHead(input: unknown): TableHead {
   return tableHead.parse(input);
 }
 /** Checks a page of an image; throws if it is malformed. */
