--- /dev/null
+++ b/src/replay/mod.ts
@@ -0,0 +1,14 @@
+/**
+ * Replay of traces against stated outcomes, judged by what callers saw and what truly ran.
+ *
+ * @module
+ */
+
+export * from "./directory.ts";
+export * from "./outcomes.ts";
+export * from "./print.ts";
+export * from "./replay.ts";
+export * from "./report.ts";
+export * from "./runs.ts";
+export * from "./seen.ts";
+export * from "./trace.ts";
--- a/src/services/mod.ts
+++ b/src/services/mod.ts
@@ -5,6 +5,11 @@
  */
 
 export * from "./messages.ts";
+export * from "./claims.ts";
 export * from "./metrics.ts";
 export * from "./table_editor.ts";
 export * from "./table_service.ts";
+export * from "./lead_load.ts";
+export * from "./slots.ts";
+export type { OrderSink } from "./lead_server.ts";
+export * from "./members.ts";
--- a/src/services/table_store.ts
+++ b/src/services/table_store.ts
@@ -17,8 +17,8 @@
   pageKey,
   pagesOf,
   parseEdit,
-  parseHead,
   parsePage,
+  parseTableHead,
   type SeenHead,
   SNAP_PREFIX,
   type SnapshotRef,
@@ -59,7 +59,7 @@
       const [entry] = entries;
       if (!entry) return ok({ head: undefined, rev: 0, storeRev: rev });
       return parsed(() => ({
-        head: parseHead(JSON.parse(entry.value)),
+        head: parseTableHead(JSON.parse(entry.value)),
         rev: entry.rev,
         storeRev: rev,
       }));
