--- a/src/services/table_peers.ts
+++ b/src/services/table_peers.ts
@@ -43,14 +43,24 @@
 });
 
 const pullAnswer = z.discriminatedUnion("type", [
-  z.object({ type: z.literal("edits"), edits: z.array(z.unknown()) }),
+  z.object({
+    type: z.literal("edits"),
+    edits: z.array(z.unknown()),
+    /** The version in force at the VM that answers. */
+    version: z.number().int(),
+  }),
   z.object({ type: z.literal("page"), page: z.unknown() }),
   z.object({ type: z.literal("gone") }),
 ]);
 
 /** What a pull brought. */
 export type Pulled =
-  | { readonly type: "edits"; readonly edits: readonly LoggedEdit[] }
+  | {
+    readonly type: "edits";
+    readonly edits: readonly LoggedEdit[];
+    /** The version in force at the peer; 0 for none. */
+    readonly peerVersion: number;
+  }
   | { readonly type: "image"; readonly image: TableImage };
 
 /** What a {@link TablePeers} works with. */
@@ -95,7 +105,8 @@
     const first = await this.#call(address, { version });
     if (!first || first.type === "gone") return undefined;
     if (first.type === "edits") {
-      return { type: "edits", edits: first.edits.map(parseEdit) };
+      const { version: peerVersion } = first;
+      return { type: "edits", edits: first.edits.map(parseEdit), peerVersion };
     }
     const pages = [parsePage(first.page)];
     while (pages.length < pages[0].pages) {
@@ -161,7 +172,9 @@
       return page ? { type: "page", page } : { type: "gone" };
     }
     const edits = this.#editsSince(version);
-    if (edits) return { type: "edits", edits };
+    if (edits) {
+      return { type: "edits", edits, version: this.#options.log.table.version };
+    }
     return { type: "page", page: this.#pages()[0] };
   }
 
--- a/src/services/table_service.ts
+++ b/src/services/table_service.ts
@@ -7,35 +7,30 @@
  * @module
  */
 
-import { err, type Result } from "neverthrow";
-import type {
-  KeyValue,
-  StoreError,
-  Transport,
-  Watch,
-} from "../adapters/mod.ts";
+import type { Result } from "neverthrow";
+import type { KeyValue, StoreError, Transport } from "../adapters/mod.ts";
 import {
   type LoggedEdit,
   pushRoot,
-  type Regression,
   type Table,
   TableLog,
   watchersOf,
 } from "../agreement/mod.ts";
-import { backoffMs, codes, type Random, type Timer } from "../base/mod.ts";
+import type { Random, Timer } from "../base/mod.ts";
 import { type Kernel, type Port, Task } from "../kernel/mod.ts";
 import type { MembersMessages, TableMessages, VmInfo } from "./messages.ts";
-import type { MetricsMessages } from "./metrics.ts";
 import { TablePeers } from "./table_peers.ts";
 import { type StoreHead, TableStore } from "./table_store.ts";
+import { TableSync } from "./table_sync.ts";
+import { TableWaiters } from "./table_waiters.ts";
 
 /** Periods of the service, in ms. */
 export interface TablePeriods {
   /** Between looks at who is there and who is ahead. */
   readonly tickMs: number;
-  /** Between a watcher's looks at the head: finds a silent watch and a store that was restored. */
+  /** Between a watcher's looks at the store's head. */
   readonly headMs: number;
-  /** How long a VM that starts waits to hear of peers that may be ahead of the store. */
+  /** How long a VM that starts waits for an answer of a peer that may be ahead of the store. */
   readonly hearMs: number;
 }
 
@@ -45,8 +40,8 @@
   hearMs: 1000,
 };
 
-/** After an outage the watchers of all regions come back with jitter; see {@link backoffMs}. */
-const STORE_BACKOFF = { firstMs: 250, mostMs: 4000 };
+/** Peers that a starting VM asks for their version. */
+const PEERS_ASKED = 3;
 
 /** What a {@link TableService} is made of. */
 export interface TableServiceOptions {
@@ -58,20 +53,6 @@
   readonly periods?: Partial<TablePeriods>;
 }
 
-interface Waiter {
-  readonly version: number;
-  readonly resolve: (table: Table | undefined) => void;
-}
-
-/** Counts for the dump. */
-interface TableCounters {
-  editsApplied: number;
-  imagesLoaded: number;
-  pulls: number;
-  storeFailures: number;
-  regressions: number;
-}
-
 /** See {@link TableMessages}; its name is `table`. */
 export class TableService extends Task<TableMessages> {
   readonly name = "table";
@@ -80,27 +61,15 @@
   readonly store: TableStore;
   readonly #options: TableServiceOptions;
   readonly #periods: TablePeriods;
-  readonly #waiters = new Set<Waiter>();
-  readonly #counters: TableCounters = {
-    editsApplied: 0,
-    imagesLoaded: 0,
-    pulls: 0,
-    storeFailures: 0,
-    regressions: 0,
-  };
+  readonly #waiters = new TableWaiters();
+  readonly #counters = { editsApplied: 0, imagesLoaded: 0, pulls: 0 };
   #kernel!: Kernel;
+  #sync!: TableSync;
   #peers: TablePeers | undefined;
   #timer: Timer | undefined;
-  #watch: Watch | undefined;
-  #syncing: Promise<Result<StoreHead, StoreError>> | undefined;
-  #ticking = false;
   #closed = false;
   #ready = false;
   #hearUntilMs = 0;
-  #nextHeadAtMs = 0;
-  #storeError: StoreError | undefined;
-  #alarm: Regression["type"] | undefined;
-  #failures = 0;
 
   protected readonly handlers = {
     current: () => this.table,
@@ -125,9 +94,8 @@
   async start(kernel: Kernel): Promise<void> {
     this.#kernel = kernel;
     this.#hearUntilMs = kernel.clock.monoMs() + this.#periods.hearMs;
-    this.#openPeers();
-    await this.sync();
-    this.#nextHeadAtMs = 0;
+    this.#sync = this.#openSync();
+    this.#peers = this.#openPeers();
     await this.#tick();
     this.#schedule();
   }
@@ -135,9 +103,8 @@
   close(_deadlineMs: number): Promise<void> {
     this.#closed = true;
     this.#timer?.close();
-    this.#watch?.close();
-    for (const waiter of this.#waiters) waiter.resolve(undefined);
-    this.#waiters.clear();
+    this.#sync.close();
+    this.#waiters.close();
     return Promise.resolve();
   }
 
@@ -147,21 +114,16 @@
       rows: this.log.table.size,
       lastId: this.log.lastId,
       ready: this.#ready,
-      watching: this.#watch !== undefined,
       pending: this.log.pendingCount,
-      regression: this.log.regression,
-      storeError: this.#storeError,
-      storeCalls: this.store.calls,
       pushes: this.#peers?.pushes ?? 0,
       ...this.#counters,
+      ...this.#sync.dump(),
     };
   }
 
-  /** Reads the head and what is missing here; calls made meanwhile share one reading. */
+  /** Reads from the store what is missing here. */
   sync(): Promise<Result<StoreHead, StoreError>> {
-    this.#syncing ??= this.#readStore()
-      .finally(() => this.#syncing = undefined);
-    return this.#syncing;
+    return this.#sync.sync();
   }
 
   /** Edits were put in force here: wakes who waits for them, and pushes them if that is this VM's part. */
@@ -204,10 +166,24 @@
       .filter((vm) => vm.id !== this.#options.vm.id);
   }
 
-  #openPeers(): void {
+  #openSync(): TableSync {
+    return new TableSync({
+      kernel: this.#kernel,
+      log: this.log,
+      store: this.store,
+      random: this.#options.random,
+      headMs: this.#periods.headMs,
+      onEdits: (edits) => this.#offer(edits),
+      onCaughtUp: async (edits, imageLoaded) => {
+        if (imageLoaded) this.#counters.imagesLoaded++;
+        await this.noteApplied(edits);
+      },
+    });
+  }
+
+  #openPeers(): TablePeers | undefined {
     const { transport, vm } = this.#options;
-    if (!transport) return;
-    this.#peers = new TablePeers({
+    return transport && new TablePeers({
       vmId: vm.id,
       log: this.log,
       transport,
@@ -228,32 +204,13 @@
   }
 
   async #tick(): Promise<void> {
-    if (this.#ticking || this.#closed) return;
-    this.#ticking = true;
     try {
-      await this.#lookAtStore();
+      const wanted = this.log.table.version === 0;
+      await this.#sync.look(await this.#isWatcher(), wanted);
       await this.#pullIfBehind();
       await this.#becomeReady();
     } catch (error) {
       this.#kernel.log.error("table tick failed", { error: String(error) });
-    } finally {
-      this.#ticking = false;
-    }
-  }
-
-  /** A watcher keeps its watch open and looks at the head now and then; a VM without a table looks as well. */
-  async #lookAtStore(): Promise<void> {
-    const watcher = await this.#isWatcher();
-    if (!watcher) {
-      this.#watch?.close();
-      this.#watch = undefined;
-    }
-    const wanted = watcher || this.log.table.version === 0;
-    const { clock } = this.#kernel;
-    if (!wanted || clock.monoMs() < this.#nextHeadAtMs) return;
-    const seen = await this.sync();
-    if (seen.isOk() && watcher && !this.#watch && !this.#closed) {
-      this.#openWatch(seen.value.storeRev + 1);
     }
   }
 
@@ -261,90 +218,16 @@
     const { id, region } = this.#options.vm;
     const vms = await this.region();
     const ids = vms.filter((vm) => vm.state === "live").map((vm) => vm.id);
-    // A VM that knows of no other, or is leaving itself, must not be left without the store.
-    if (ids.length === 0) return true;
-    return watchersOf(region, ids).includes(id);
-  }
-
-  async #readStore(): Promise<Result<StoreHead, StoreError>> {
-    const seen = await this.store.head();
-    if (seen.isErr()) return this.#noteStore(seen);
-    const { head } = seen.value;
-    const before = this.log.table.version;
-    const relation = this.log.seeHead(head);
-    if (relation === "ahead") {
-      const applied = await this.store.catchUp(this.log, seen.value);
-      if (applied.isErr()) return this.#noteStore(err(applied.error));
-      const after = this.log.table.version;
-      if (after - before > applied.value.length) this.#counters.imagesLoaded++;
-      if (applied.value.length > 0) await this.noteApplied(applied.value);
-      else if (after > before) this.#onNewVersion();
-      if (after === head?.version) this.log.seeHead(head);
-    }
-    this.#noteAlarm();
-    return this.#noteStore(seen);
-  }
-
-  #noteStore<T>(result: Result<T, StoreError>): Result<T, StoreError> {
-    const { clock, log } = this.#kernel;
-    const { random } = this.#options;
-    if (result.isOk()) {
-      if (this.#storeError) log.info("table store is back");
-      this.#storeError = undefined;
-      this.#failures = 0;
-      const jitter = 0.75 + random.next() / 2;
-      this.#nextHeadAtMs = clock.monoMs() + this.#periods.headMs * jitter;
-      return result;
-    }
-    const { kind, message } = result.error;
-    if (!this.#storeError) log.warn("table store away", { kind, message });
-    this.#storeError = result.error;
-    this.#counters.storeFailures++;
-    const delayMs = backoffMs(this.#failures++, STORE_BACKOFF, random);
-    this.#nextHeadAtMs = clock.monoMs() + delayMs;
-    return result;
-  }
-
-  /**
-   * A store that shows an older or another log than is in force was restored from an old copy. Following it would take
-   * back accepted edits without anyone's will, so it is told once, in the log, the dump and a counter.
-   */
-  #noteAlarm(): void {
-    const { regression } = this.log;
-    if (this.#alarm === regression?.type) return;
-    this.#alarm = regression?.type;
-    const { log } = this.#kernel;
-    if (!regression) return void log.info("table store agrees again");
-    const { type, storeVersion, version } = regression;
-    const code = codes.storeRegressed.code;
-    this.#counters.regressions++;
-    log.error("table store regressed", { code, type, storeVersion, version });
-    if (!this.#kernel.has("metrics")) return;
-    const name = "table_store_regressed";
-    void this.#kernel.get<MetricsMessages>("metrics").ask("count", { name });
-  }
-
-  #openWatch(fromRev: number): void {
-    const watch = this.store.watch(
-      fromRev,
-      (edit) => this.#offer([edit]),
-      (message) => {
-        if (this.#watch === watch) this.#watch = undefined;
-        this.#kernel.log.warn("table watch lost", { message });
-        // What was missed is read before the next watch, after a wait that keeps all watchers from one instant.
-        const delayMs = backoffMs(0, STORE_BACKOFF, this.#options.random);
-        this.#nextHeadAtMs = this.#kernel.clock.monoMs() + delayMs;
-      },
-    );
-    this.#watch = watch;
+    // A VM that knows of no other must not be left without the store.
+    return ids.length === 0 || watchersOf(region, ids).includes(id);
   }
 
   #offer(edits: readonly LoggedEdit[]): void {
     const outcome = this.log.offer(edits);
-    this.#noteAlarm();
+    this.#sync.noteAlarm();
     if (outcome.applied.length > 0) void this.noteApplied(outcome.applied);
     // A watcher reads what is missing from the store; others find themselves behind at the next heartbeat.
-    if (outcome.gap) this.#nextHeadAtMs = 0;
+    if (outcome.gap) this.#sync.lookSoon();
   }
 
   /** Takes what a peer has in force and this VM has not: a missed push, or a store that is away. */
@@ -360,47 +243,57 @@
       : [];
     const ahead = near.length > 0 ? near : far;
     if (ahead.length === 0) return;
-    const peer = this.#options.random.pick(ahead);
+    await this.#pullFrom(this.#options.random.pick(ahead));
+  }
+
+  /** Takes what a peer has and this VM has not; answers whether the peer has a table. */
+  async #pullFrom(peer: VmInfo): Promise<boolean> {
     this.#counters.pulls++;
-    const pulled = await this.#peers.pull(peer.peerAddress);
-    if (!pulled) return;
-    if (pulled.type === "edits") return this.#offer(pulled.edits);
+    const pulled = await this.#peers!.pull(peer.peerAddress);
+    if (!pulled) return false;
+    if (pulled.type === "edits") {
+      this.#offer(pulled.edits);
+      return pulled.peerVersion > 0;
+    }
     if (this.log.load(pulled.image)) {
       this.#counters.imagesLoaded++;
       this.#onNewVersion();
     }
-    this.#noteAlarm();
+    this.#sync.noteAlarm();
+    return true;
   }
 
   /**
    * A VM that starts may find a store restored from an old copy, and would serve on a table that others have left
-   * behind. It waits a moment to hear of peers that are ahead, and takes their table first.
+   * behind. It asks a few peers first; their heartbeats may not tell their newest version yet. With none that answers
+   * it goes on alone after a moment.
    */
   async #becomeReady(): Promise<void> {
     if (this.#ready || this.log.table.version === 0) return;
-    const peers = await this.#allPeers();
-    const { version } = this.log.table;
-    const behind = peers.some((vm) => vm.tableVersion > version);
     const waited = this.#kernel.clock.monoMs() >= this.#hearUntilMs;
-    const alone = !this.#peers;
-    if (!alone && !waited && (behind || peers.length === 0)) return;
+    if (this.#peers && !waited && !await this.#askPeers()) return;
     this.#ready = true;
+    const { version } = this.log.table;
     this.#kernel.log.info("table in force", { version });
     this.#onNewVersion();
   }
 
+  async #askPeers(): Promise<boolean> {
+    const peers = await this.#allPeers();
+    const order = peers
+      .map((peer) => ({ peer, place: this.#options.random.next() }))
+      .sort((a, b) => a.place - b.place)
+      .slice(0, PEERS_ASKED);
+    const answers = await Promise.all(
+      order.map(({ peer }) => this.#pullFrom(peer)),
+    );
+    return answers.includes(true);
+  }
+
   #onNewVersion(): void {
-    const { table } = this;
-    if (!table) {
-      // The first table of a VM alone comes by an edit of its own.
-      if (!this.#ready) void this.#becomeReady();
-      return;
-    }
-    for (const waiter of this.#waiters) {
-      if (waiter.version > table.version) continue;
-      this.#waiters.delete(waiter);
-      waiter.resolve(table);
-    }
+    if (this.table) this.#waiters.resolve(this.table);
+    // The first table of a fleet comes by an edit: nobody can be ahead for long.
+    else if (!this.#ready) void this.#becomeReady();
   }
 
   #waitFor(
@@ -408,23 +301,8 @@
   ): Promise<Table | undefined> {
     const { table } = this;
     if (table && table.version >= version) return Promise.resolve(table);
-    const delayMs = deadlineMs - this.#kernel.clock.nowMs();
-    if (delayMs <= 0 || this.#closed) return Promise.resolve(undefined);
-    return new Promise((resolve) => {
-      const timer = this.#kernel.clock.after(delayMs, () => {
-        this.#waiters.delete(waiter);
-        resolve(undefined);
-      });
-      const waiter: Waiter = {
-        version,
-        resolve: (found) => {
-          timer.close();
-          resolve(found);
-        },
-      };
-      this.#waiters.add(waiter);
-      // A request that names a newer version must not wait for the next look.
-      if (this.#peers) void this.#pullIfBehind();
-    });
+    // Who names a newer version has seen it in force elsewhere: it is fetched now, not at the next look.
+    void this.#pullIfBehind();
+    return this.#waiters.wait(this.#kernel.clock, version, deadlineMs);
   }
 }
--- /dev/null
+++ b/src/services/table_sync.ts
@@ -0,0 +1,177 @@
+/**
+ * The store's side of the table service: reading what is missing, watching, backing off, and the alarm when the store
+ * shows an older or another log.
+ *
+ * @module
+ */
+
+import { err, type Result } from "neverthrow";
+import type { StoreError, Watch } from "../adapters/mod.ts";
+import type { LoggedEdit, Regression, TableLog } from "../agreement/mod.ts";
+import { backoffMs, codes, type Random } from "../base/mod.ts";
+import type { Kernel } from "../kernel/mod.ts";
+import type { MetricsMessages } from "./metrics.ts";
+import type { StoreHead, TableStore } from "./table_store.ts";
+
+/** After an outage the watchers of all regions come back with jitter; see {@link backoffMs}. */
+const STORE_BACKOFF = { firstMs: 250, mostMs: 4000 };
+
+/** What a {@link TableSync} works with. */
+export interface TableSyncOptions {
+  readonly kernel: Kernel;
+  readonly log: TableLog;
+  readonly store: TableStore;
+  readonly random: Random;
+  /** Between looks at the head: finds a silent watch and a store that was restored. */
+  readonly headMs: number;
+  /** Takes edits that the watch reports. */
+  readonly onEdits: (edits: readonly LoggedEdit[]) => void;
+  /** The log was brought up by these edits, after an image if `imageLoaded`. */
+  readonly onCaughtUp: (
+    edits: readonly LoggedEdit[],
+    imageLoaded: boolean,
+  ) => Promise<void>;
+}
+
+/** Keeps a log up with the store. */
+export class TableSync {
+  readonly #options: TableSyncOptions;
+  #watch: Watch | undefined;
+  #syncing: Promise<Result<StoreHead, StoreError>> | undefined;
+  #error: StoreError | undefined;
+  #alarm: Regression["type"] | undefined;
+  #failuresInRow = 0;
+  #failures = 0;
+  #alarms = 0;
+  #nextHeadAtMs = 0;
+  #retryAtMs = 0;
+  #closed = false;
+
+  constructor(options: TableSyncOptions) {
+    this.#options = options;
+  }
+
+  dump() {
+    return {
+      watching: this.#watch !== undefined,
+      storeError: this.#error,
+      storeFailures: this.#failures,
+      storeCalls: this.#options.store.calls,
+      regression: this.#options.log.regression,
+      regressions: this.#alarms,
+    };
+  }
+
+  close(): void {
+    this.#closed = true;
+    this.#unwatch();
+  }
+
+  /** Reads the head and what is missing here; calls made meanwhile share one reading. */
+  sync(): Promise<Result<StoreHead, StoreError>> {
+    this.#syncing ??= this.#read().finally(() => this.#syncing = undefined);
+    return this.#syncing;
+  }
+
+  /** Looks at the head at the next {@link TableSync.look}, whatever its period. */
+  lookSoon(): void {
+    this.#nextHeadAtMs = 0;
+  }
+
+  /** Holds a watch and looks at the head now and then, if `watcher`; otherwise looks only if `wanted`. */
+  async look(watcher: boolean, wanted: boolean): Promise<void> {
+    if (!watcher) this.#unwatch();
+    if (!watcher && !wanted) return;
+    const nowMs = this.#options.kernel.clock.monoMs();
+    if (nowMs < this.#retryAtMs) return;
+    const unwatched = watcher && !this.#watch;
+    if (!unwatched && nowMs < this.#nextHeadAtMs) return;
+    const seen = await this.sync();
+    if (seen.isErr() || !watcher || this.#watch || this.#closed) return;
+    this.#openWatch(seen.value.storeRev + 1);
+  }
+
+  /**
+   * A store that shows an older or another log than is in force was restored from an old copy. Following it would take
+   * back accepted edits without anyone's will, so it is told once, in the log, the dump and a counter.
+   */
+  noteAlarm(): void {
+    const { kernel, log } = this.#options;
+    const { regression } = log;
+    if (this.#alarm === regression?.type) return;
+    this.#alarm = regression?.type;
+    if (!regression) return void kernel.log.info("table store agrees again");
+    const { type, storeVersion, version } = regression;
+    const { code } = codes.storeRegressed;
+    this.#alarms++;
+    kernel.log.error("table store regressed", {
+      code,
+      type,
+      storeVersion,
+      version,
+    });
+    if (!kernel.has("metrics")) return;
+    const name = "table_store_regressed";
+    void kernel.get<MetricsMessages>("metrics").ask("count", { name });
+  }
+
+  async #read(): Promise<Result<StoreHead, StoreError>> {
+    const { log, store, onCaughtUp } = this.#options;
+    const seen = await store.head();
+    if (seen.isErr()) return this.#note(seen);
+    const { head } = seen.value;
+    const before = log.table.version;
+    if (log.seeHead(head) === "ahead") {
+      const applied = await store.catchUp(log, seen.value);
+      if (applied.isErr()) return this.#note(err(applied.error));
+      const risen = log.table.version - before;
+      const imageLoaded = risen > applied.value.length;
+      if (risen > 0) await onCaughtUp(applied.value, imageLoaded);
+      if (log.table.version === head?.version) log.seeHead(head);
+    }
+    this.noteAlarm();
+    return this.#note(seen);
+  }
+
+  #note<T>(result: Result<T, StoreError>): Result<T, StoreError> {
+    const { kernel, random, headMs } = this.#options;
+    const nowMs = kernel.clock.monoMs();
+    if (result.isOk()) {
+      if (this.#error) kernel.log.info("table store is back");
+      this.#error = undefined;
+      this.#failuresInRow = 0;
+      this.#nextHeadAtMs = nowMs + headMs * (0.75 + random.next() / 2);
+      return result;
+    }
+    const { kind, message } = result.error;
+    if (!this.#error) {
+      kernel.log.warn("table store away", { kind, message });
+    }
+    this.#error = result.error;
+    this.#failures++;
+    this.#retryAtMs = nowMs +
+      backoffMs(this.#failuresInRow++, STORE_BACKOFF, random);
+    return result;
+  }
+
+  #openWatch(fromRev: number): void {
+    const { kernel, store, random, onEdits } = this.#options;
+    const watch = store.watch(
+      fromRev,
+      (edit) => onEdits([edit]),
+      (message) => {
+        if (this.#watch === watch) this.#watch = undefined;
+        kernel.log.warn("table watch lost", { message });
+        // What was missed is read before the next watch, after a wait that keeps all watchers from one instant.
+        this.#retryAtMs = kernel.clock.monoMs() +
+          backoffMs(0, STORE_BACKOFF, random);
+      },
+    );
+    this.#watch = watch;
+  }
+
+  #unwatch(): void {
+    this.#watch?.close();
+    this.#watch = undefined;
+  }
+}
--- /dev/null
+++ b/src/services/table_waiters.ts
@@ -0,0 +1,54 @@
+/**
+ * Those who wait for a version of the table to be in force.
+ *
+ * @module
+ */
+
+import type { Table } from "../agreement/mod.ts";
+import type { Clock } from "../base/mod.ts";
+
+interface Waiter {
+  readonly version: number;
+  readonly resolve: (table: Table | undefined) => void;
+}
+
+/** Waiters, each with a deadline. */
+export class TableWaiters {
+  readonly #waiters = new Set<Waiter>();
+  #closed = false;
+
+  /** Resolves with the first table at `version` or newer, or with `undefined` at `deadlineMs` (wall clock). */
+  wait(
+    clock: Clock,
+    version: number,
+    deadlineMs: number,
+  ): Promise<Table | undefined> {
+    const delayMs = deadlineMs - clock.nowMs();
+    if (delayMs <= 0 || this.#closed) return Promise.resolve(undefined);
+    return new Promise((resolve) => {
+      const waiter: Waiter = {
+        version,
+        resolve: (table) => {
+          timer.close();
+          this.#waiters.delete(waiter);
+          resolve(table);
+        },
+      };
+      const timer = clock.after(delayMs, () => waiter.resolve(undefined));
+      this.#waiters.add(waiter);
+    });
+  }
+
+  /** A table has come in force. */
+  resolve(table: Table): void {
+    for (const waiter of this.#waiters) {
+      if (waiter.version <= table.version) waiter.resolve(table);
+    }
+  }
+
+  /** Ends all waiting. */
+  close(): void {
+    this.#closed = true;
+    for (const waiter of this.#waiters) waiter.resolve(undefined);
+  }
+}
