--- /dev/null
+++ b/src/adapters/engine_load.ts
@@ -0,0 +1,36 @@
+/**
+ * The load that engines report, by the gauges that vLLM publishes on its Prometheus page.
+ *
+ * @module
+ */
+
+import got from "got";
+
+/** An engine's own word on its load. It lags and may be wrong. */
+export interface EngineLoad {
+  readonly running: number;
+  readonly waiting: number;
+}
+
+const RUNNING = /^vllm:num_requests_running(?:\{[^}]*\})? ([\d.e+]+)$/m;
+const WAITING = /^vllm:num_requests_waiting(?:\{[^}]*\})? ([\d.e+]+)$/m;
+
+/** Reads `GET /metrics` of an engine; `undefined` if it does not answer in time or reports no load. */
+export async function readEngineLoad(
+  url: string,
+  waitMs: number,
+): Promise<EngineLoad | undefined> {
+  try {
+    const page = await got(`${url.replace(/\/$/, "")}/metrics`, {
+      retry: { limit: 0 },
+      timeout: { request: Math.max(1, waitMs) },
+    }).text();
+    const running = RUNNING.exec(page);
+    const waiting = WAITING.exec(page);
+    return running && waiting
+      ? { running: Number(running[1]), waiting: Number(waiting[1]) }
+      : undefined;
+  } catch {
+    return undefined;
+  }
+}
--- a/src/adapters/mod.ts
+++ b/src/adapters/mod.ts
@@ -14,3 +14,4 @@
 export * from "./http_upstream.ts";
 export * from "./link_faults.ts";
 export * from "./ws_transport.ts";
+export * from "./engine_load.ts";
--- a/src/edge/edge.ts
+++ b/src/edge/edge.ts
@@ -4,13 +4,7 @@
  * @module
  */
 
-import {
-  createServer,
-  type IncomingMessage,
-  type Server,
-  type ServerResponse,
-} from "node:http";
-import type { AddressInfo } from "node:net";
+import type { IncomingMessage, ServerResponse } from "node:http";
 import { randomUUID } from "node:crypto";
 import Router from "@koa/router";
 import Koa from "koa";
@@ -22,6 +16,7 @@
 import { type Call, isBound, readHeaders } from "./call.ts";
 import type { EdgeContext, EdgeLimits } from "./context.ts";
 import { bearer, identify } from "./identity.ts";
+import type { CallerListener } from "./listener.ts";
 import { ModelCall } from "./model_call.ts";
 import { PlainCall } from "./plain_call.ts";
 import type { ModelPath } from "./prompt.ts";
@@ -30,8 +25,7 @@
 export interface EdgeOptions {
   readonly vmId: string;
   readonly region: string;
-  readonly host: string;
-  readonly port: number;
+  readonly listener: CallerListener;
   readonly limits: EdgeLimits;
   readonly operatorTokenDigests: readonly string[];
   /** Further operators' routes, below `/admin`. */
@@ -47,8 +41,6 @@
 
 /** How often a drain looks whether it is done. */
 const DRAIN_STEP_MS = 20;
-/** A head must be whole by then; Node closes the connection otherwise. */
-const HEAD_WAIT_MS = 10_000;
 
 /** See {@link EdgeMessages}. */
 export class Edge extends Task<EdgeMessages> {
@@ -58,15 +50,11 @@
   readonly #open = new Set<AbortController>();
   #kernel!: Kernel;
   #context!: EdgeContext;
-  #server!: Server;
   #draining = false;
   #served = 0;
 
   protected readonly handlers = {
-    address: () => {
-      const { address, port } = this.#server.address() as AddressInfo;
-      return { host: address, port };
-    },
+    address: () => this.#options.listener.address,
     drain: ({ deadlineMs }: EdgeMessages["drain"]["in"]) =>
       this.#drain(deadlineMs),
   };
@@ -76,7 +64,7 @@
     this.#options = options;
   }
 
-  async start(kernel: Kernel): Promise<void> {
+  start(kernel: Kernel): Promise<void> {
     const { vmId, region, limits } = this.#options;
     this.#kernel = kernel;
     this.#context = {
@@ -92,26 +80,14 @@
       metrics: kernel.get("metrics"),
       newAttemptId: randomUUID,
     };
-    const app = this.#app();
-    const callback = app.callback();
-    this.#server = createServer({
-      maxHeaderSize: limits.headerBytes,
-      headersTimeout: HEAD_WAIT_MS,
-      requestTimeout: 0,
-      keepAliveTimeout: 65_000,
-    }, (request, response) => void callback(request, response));
-    this.#server.on("clientError", refuseHead);
-    await new Promise<void>((resolve, reject) => {
-      this.#server.once("error", reject);
-      this.#server.listen(this.#options.port, this.#options.host, resolve);
-    });
+    this.#options.listener.attach(this.#app().callback());
+    return Promise.resolve();
   }
 
   async close(deadlineMs: number): Promise<void> {
     await this.#drain(deadlineMs);
     for (const abort of this.#open) abort.abort();
-    this.#server.closeAllConnections();
-    await new Promise((resolve) => this.#server.close(resolve));
+    await this.#options.listener.close();
     await this.#upstreams.close();
   }
 
@@ -125,7 +101,7 @@
 
   async #drain(deadlineMs: number): Promise<number> {
     this.#draining = true;
-    this.#server.closeIdleConnections();
+    this.#options.listener.closeIdle();
     while (this.#open.size > 0 && this.#context.clock.nowMs() < deadlineMs) {
       await this.#context.clock.sleep(DRAIN_STEP_MS);
     }
@@ -403,25 +379,3 @@
     });
   }
 }
-
-/** A head that cannot be read gets a numbered answer too. */
-function refuseHead(
-  error: NodeJS.ErrnoException,
-  socket: import("node:stream").Duplex,
-): void {
-  if (!socket.writable) return void socket.destroy();
-  const tooLarge = error.code === "HPE_HEADER_OVERFLOW";
-  const status = tooLarge
-    ? "431 Request Header Fields Too Large"
-    : "400 Bad Request";
-  const code = tooLarge ? 2013 : 2001;
-  const body = JSON.stringify({
-    error: { message: error.message, code, ran: "no" },
-  });
-  socket.end(
-    `HTTP/1.1 ${status}\r\ncontent-type: application/json\r\nx-ibisgap-code: ${code}\r\n` +
-      `content-length: ${
-        Buffer.byteLength(body)
-      }\r\nconnection: close\r\n\r\n${body}`,
-  );
-}
--- /dev/null
+++ b/src/edge/listener.ts
@@ -0,0 +1,113 @@
+/**
+ * The callers' listener. It is open before the services start, so that its port can be told to other VMs; until the
+ * edge serves, it refuses truthfully.
+ *
+ * @module
+ */
+
+import { createServer, type RequestListener, type Server } from "node:http";
+import type { AddressInfo } from "node:net";
+import type { Duplex } from "node:stream";
+import { failure } from "../base/mod.ts";
+import { sendFailure } from "./answer.ts";
+
+/** A head must be whole by then; Node closes the connection otherwise. */
+const HEAD_WAIT_MS = 10_000;
+/** Longer than common clients keep idle connections, so that it is they who close: no request meets a closing end. */
+const IDLE_MS = 65_000;
+
+/** Where to listen, and for how large heads. */
+export interface ListenerOptions {
+  readonly host: string;
+  /** 0 takes any free port. */
+  readonly port: number;
+  readonly headerBytes: number;
+}
+
+/** An open listener; see {@link openListener}. */
+export class CallerListener {
+  readonly #server: Server;
+  #serve: RequestListener = (_request, response) => {
+    response.setHeader("connection", "close");
+    sendFailure(
+      response,
+      failure("noTable", { message: "this VM is starting" }),
+      Date.now(),
+    );
+  };
+
+  /** Use {@link openListener}. */
+  constructor(headerBytes: number) {
+    const settings = {
+      maxHeaderSize: headerBytes,
+      headersTimeout: HEAD_WAIT_MS,
+      requestTimeout: 0,
+      keepAliveTimeout: IDLE_MS,
+    };
+    this.#server = createServer(
+      settings,
+      (request, response) => this.#serve(request, response),
+    );
+    this.#server.on("clientError", refuseHead);
+  }
+
+  /** `host` and `port` it listens on. */
+  get address(): { readonly host: string; readonly port: number } {
+    const { address, port } = this.#server.address() as AddressInfo;
+    return { host: address, port };
+  }
+
+  /** From now on `serve` answers. */
+  attach(serve: RequestListener): void {
+    this.#serve = serve;
+  }
+
+  /** Closes connections on which no request is open. */
+  closeIdle(): void {
+    this.#server.closeIdleConnections();
+  }
+
+  /** Listens; use {@link openListener}. */
+  open(host: string, port: number): Promise<void> {
+    return new Promise((resolve, reject) => {
+      this.#server.once("error", reject);
+      this.#server.listen(port, host, resolve);
+    });
+  }
+
+  /** Closes all connections. */
+  async close(): Promise<void> {
+    if (!this.#server.listening) return;
+    const closed = new Promise((resolve) => this.#server.close(resolve));
+    this.#server.closeAllConnections();
+    await closed;
+  }
+}
+
+/** Opens the callers' listener. */
+export async function openListener(
+  options: ListenerOptions,
+): Promise<CallerListener> {
+  const listener = new CallerListener(options.headerBytes);
+  await listener.open(options.host, options.port);
+  return listener;
+}
+
+/** A head that cannot be read gets a numbered answer too. */
+function refuseHead(error: NodeJS.ErrnoException, socket: Duplex): void {
+  if (!socket.writable) return void socket.destroy();
+  const tooLarge = error.code === "HPE_HEADER_OVERFLOW";
+  const status = tooLarge
+    ? "431 Request Header Fields Too Large"
+    : "400 Bad Request";
+  const code = tooLarge ? 2013 : 2001;
+  const body = JSON.stringify({
+    error: { message: error.message, code, ran: "no" },
+  });
+  socket.end(
+    `HTTP/1.1 ${status}\r\ncontent-type: application/json\r\nx-ibisgap-code: ${code}\r\n` +
+      `content-length: ${
+        Buffer.byteLength(body)
+      }\r\nconnection: close\r\n\r\n${body}`,
+  );
+}
--- a/src/edge/mod.ts
+++ b/src/edge/mod.ts
@@ -8,5 +8,6 @@
 export * from "./context.ts";
 export * from "./edge.ts";
 export * from "./identity.ts";
+export * from "./listener.ts";
 export * from "./prompt.ts";
 export * from "./stream_check.ts";
--- a/test/fakes.ts
+++ b/test/fakes.ts
@@ -19,7 +19,7 @@
   SlotReport,
   SlotRequest,
 } from "../src/decisions/mod.ts";
-import { Edge, type EdgeLimits } from "../src/edge/mod.ts";
+import { Edge, type EdgeLimits, openListener } from "../src/edge/mod.ts";
 import { Kernel, openLog, Task } from "../src/kernel/mod.ts";
 import {
   type ClaimsMessages,
@@ -242,16 +242,21 @@
   for (const task of [table, members, slots, claims]) {
     await kernel.start(task);
   }
+  const allLimits = { ...testLimits, ...limits };
+  const listener = await openListener({
+    host: "127.0.0.1",
+    port: 0,
+    headerBytes: allLimits.headerBytes,
+  });
   const edge = new Edge({
     vmId: "vm-1",
     region: "agadir",
-    host: "127.0.0.1",
-    port: 0,
-    limits: { ...testLimits, ...limits },
+    listener,
+    limits: allLimits,
     operatorTokenDigests: [secretDigest(operatorToken)],
   });
   await kernel.start(edge);
-  const { port } = await edge.ask("address", undefined);
+  const { port } = listener.address;
   const close = () => kernel.close(Date.now() + 500);
   return {
     url: `http://127.0.0.1:${port}`,
