--- a/src/agreement/mod.ts
+++ b/src/agreement/mod.ts
@@ -9,6 +9,7 @@
 export * from "./table_checks.ts";
 export * from "./table_editor.ts";
 export * from "./table_log.ts";
+export * from "./table_push.ts";
 export * from "./table_records.ts";
 export * from "./claim.ts";
 export * from "./claim_record.ts";
