--- a/src/decisions/dispatcher.ts
+++ b/src/decisions/dispatcher.ts
@@ -8,7 +8,7 @@
 import type { Random } from "../base/mod.ts";
 import { DrainRate } from "./admission.ts";
 import { Fleet } from "./fleet.ts";
-import { type Entry, type LaneName, Lanes } from "./lanes.ts";
+import { type Entry, Lanes } from "./lanes.ts";
 import { type Place, place, type PlacementView } from "./placement.ts";
 import {
   type HeldSlot,
@@ -86,7 +86,7 @@
       promptTokens: held.coldTokens,
       expectedOutputTokens: report.outputTokens,
     });
-    this.lanes.charge(laneOf(held), held.workspace, actual - held.work);
+    this.lanes.charge(held.lane, held.workspace, actual - held.work);
     return held;
   }
 
@@ -117,6 +117,7 @@
       work: workTokens(slot),
       coldTokens: 0,
       prefixHashes: [],
+      lane: "short",
       long: false,
       probe: false,
       grantedAtMs: nowMs,
@@ -146,12 +147,11 @@
     return work / this.#rate.perMs(this.#nominalPerMs);
   }
 
-  view(long: boolean, nowMs: number): PlacementView {
+  view(nowMs: number): PlacementView {
     return {
       upstreams: this.fleet.active,
       nowMs,
       random: this.#random,
-      long,
       mixed: nowMs - this.#shortAtMs < MIXED_MS,
       pressure: this.fleet.pressure,
       cautious: nowMs < (this.#cautiousUntilMs ?? 0),
@@ -181,7 +181,7 @@
       for (;;) {
         const entry = this.lanes.peek(lane);
         if (!entry) break;
-        const found = place(entry.request, this.view(lane === "long", nowMs));
+        const found = place(entry.request, this.view(nowMs));
         if (found) {
           this.lanes.pop(lane);
           return { entry, found };
@@ -208,7 +208,8 @@
       expectedOutputTokens: request.expectedOutputTokens,
       coldTokens: found.coldTokens,
       prefixHashes: request.prefixHashes,
-      long: entry.lane === "long",
+      lane: entry.lane,
+      long: found.long,
       probe: found.probe,
       grantedAtMs: nowMs,
       firstTokenDueMs: nowMs + found.firstMs,
@@ -225,10 +226,6 @@
   }
 }
 
-function laneOf(held: Held): LaneName {
-  return held.long ? "long" : "short";
-}
-
 function grant(held: Held, queuedMs: number): PoolOutput {
   return {
     type: "answer",
--- a/src/decisions/gate.ts
+++ b/src/decisions/gate.ts
@@ -23,10 +23,8 @@
 import { chooseRegion, mayLeave, ShiftLedger } from "./shift.ts";
 import type { SlotRequest } from "./slots.ts";
 import { type Held, Upstream } from "./upstream.ts";
-import { prefillMs, priceMicrocents, workTokens } from "./work.ts";
+import { priceMicrocents, workTokens } from "./work.ts";
 
-/** A prompt that takes an engine longer than this to prefill is long: a question placed behind it would be late. */
-const LONG_PREFILL_MS = 250;
 /**
  * A workspace may fill the queue up to its share, by weight, of this many times what is left free. One alone gets two
  * thirds of the queue, and there is always room for the first requests of another.
@@ -269,7 +267,7 @@
   }
 
   #forecast(request: SlotRequest, nowMs: number): Forecast | undefined {
-    const view = this.#dispatcher.view(false, nowMs);
+    const view = this.#dispatcher.view(nowMs);
     let best: ReturnType<typeof weigh> | undefined;
     let bestMs = Infinity;
     for (const upstream of view.upstreams) {
@@ -281,8 +279,7 @@
       bestMs = found.firstMs;
     }
     if (!best) return undefined;
-    const { upstream, coldTokens, firstMs } = best;
-    const long = prefillMs(upstream.row, coldTokens) > LONG_PREFILL_MS;
+    const { upstream, coldTokens, firstMs, long } = best;
     const lane = long ? "long" : "short";
     const weight = this.#weight(request.workspace);
     const ahead = this.#dispatcher.lanes.ahead(lane, request.workspace, weight);
--- a/src/decisions/placement.ts
+++ b/src/decisions/placement.ts
@@ -12,7 +12,8 @@
 /**
  * Most prefill work waiting at an upstream when another request is placed there. What waits at the engine can no longer
  * be reordered, moved or refused, so all but the next few passes is kept in the lead's queue; below two ticks of the
- * lead (50 ms each) and a report's way, the engine would run dry in between.
+ * lead (50 ms each) and a report's way, the engine would run dry in between. A warm upstream may have as much more as
+ * the warmth saves: going elsewhere would cost the same time, and everyone there a prefill besides.
  */
 export const BACKLOG_MS = 150;
 /** Pools up to this size are looked through whole; in larger ones a sample is, so that a decision's cost stays flat. */
@@ -26,12 +27,21 @@
  */
 const LONG_SHARE = 0.75;
 
+/** A prompt that takes an engine longer than this to prefill is long: a question placed behind it would be late. */
+export const LONG_PREFILL_MS = 250;
+/** How much more a ms of prefill weighs than a ms of waiting when the pool is full; see `costOf`. */
+const PRESSURE_GAIN = 2;
+
 /** Where a request may go, and what is expected of it there. */
 export interface Place {
   readonly upstream: Upstream;
   /** Tokens left to prefill there. */
   readonly coldTokens: number;
+  /** Prefill time that the warm prefix saves. */
+  readonly savedMs: number;
   readonly firstMs: number;
+  /** Whether its prefill holds up what is placed beside it. */
+  readonly long: boolean;
   readonly probe: boolean;
 }
 
@@ -40,7 +50,6 @@
   readonly upstreams: readonly Upstream[];
   readonly nowMs: number;
   readonly random: Random;
-  readonly long: boolean;
   /** Whether short requests came lately. */
   readonly mixed: boolean;
   /** Share of the pool's slots in use, 0 to 1. */
@@ -54,14 +63,15 @@
   request: SlotRequest,
   view: PlacementView,
 ): Place | undefined {
-  const longAllowed = !view.long || longHasRoom(view);
+  const longAllowed = longHasRoom(view);
   let best: Place | undefined;
   let bestCost = Infinity;
   for (const upstream of candidates(view)) {
     if (request.exclude.includes(upstream.row.id)) continue;
-    const probe = upstream.health.probeDue(view.nowMs) && !view.long;
-    if (!probe && !mayTake(upstream, view, longAllowed)) continue;
+    const probe = upstream.health.probeDue(view.nowMs);
     const found = weigh(request, upstream, view, probe);
+    if (probe && found.long) continue;
+    if (!probe && !mayTake(found, view, longAllowed)) continue;
     const cost = probe ? -1 : costOf(found, view);
     if (cost < bestCost) {
       best = found;
@@ -81,7 +91,9 @@
   const matched = upstream.warm.matched(request.prefixHashes, view.nowMs);
   const coldTokens = request.promptTokens - warmTokens(request, matched);
   const firstMs = upstream.predictFirstMs(coldTokens, view.nowMs);
-  return { upstream, coldTokens, firstMs, probe };
+  const long = prefillMs(upstream.row, coldTokens) > LONG_PREFILL_MS;
+  const savedMs = prefillMs(upstream.row, request.promptTokens - coldTokens);
+  return { upstream, coldTokens, savedMs, firstMs, long, probe };
 }
 
 // A cold prefill delays more than its own request: it takes passes from everyone on that upstream, and its blocks push
@@ -89,18 +101,19 @@
 function costOf(found: Place, view: PlacementView): number {
   const prefill = prefillMs(found.upstream.row, found.coldTokens);
   const spread = view.random.next() * 1e-3;
-  return found.firstMs + prefill * view.pressure + spread +
+  return found.firstMs + prefill * PRESSURE_GAIN * view.pressure + spread +
     found.upstream.running / found.upstream.row.slots;
 }
 
 function mayTake(
-  upstream: Upstream,
+  found: Place,
   view: PlacementView,
   longAllowed: boolean,
 ): boolean {
+  const { upstream } = found;
   if (!upstream.hasRoom(view.nowMs, view.cautious)) return false;
-  if (upstream.backlogMs(view.nowMs) > BACKLOG_MS) return false;
-  return longAllowed || upstream.longUnstarted > 0;
+  if (upstream.backlogMs(view.nowMs) > BACKLOG_MS + found.savedMs) return false;
+  return !found.long || longAllowed || upstream.longUnstarted > 0;
 }
 
 function longHasRoom(view: PlacementView): boolean {
--- a/src/decisions/upstream.ts
+++ b/src/decisions/upstream.ts
@@ -6,6 +6,7 @@
 
 import type { UpstreamRow } from "../agreement/mod.ts";
 import { Health } from "./health.ts";
+import type { LaneName } from "./lanes.ts";
 import type { Use } from "./limits.ts";
 import { WarmSet } from "./warm.ts";
 import { prefillMs } from "./work.ts";
@@ -38,6 +39,7 @@
   /** Tokens it has to prefill if the belief in its warm prefix is right. */
   readonly coldTokens: number;
   readonly prefixHashes: readonly number[];
+  readonly lane: LaneName;
   readonly long: boolean;
   /** Whether it tells if an upstream set aside may return. */
   readonly probe: boolean;
