--- a/src/decisions/admission.ts
+++ b/src/decisions/admission.ts
@@ -67,26 +67,3 @@
     this.#expected = 0;
   }
 }
-
-/** A queue as a newcomer sees it. */
-export interface QueueView {
-  /** All work queued in the lane. */
-  readonly laneWork: number;
-  /** Work of the newcomer's own workspace in the lane. */
-  readonly ownWork: number;
-  /** Weights of the workspaces in the lane, the newcomer's included. */
-  readonly activeWeight: number;
-  readonly ownWeight: number;
-  /** Part of the pool's rate that the lane gets now. */
-  readonly laneShare: number;
-}
-
-/**
- * Work that will be started before the newcomer. Fair queueing serves the newcomer's workspace at its share of the rate,
- * so what it has queued itself counts by the inverse of that share, and what others have queued counts at most once.
- */
-export function workAhead(view: QueueView): number {
-  const share = view.ownWeight / Math.max(view.activeWeight, view.ownWeight);
-  const fair = view.ownWork / share;
-  return Math.min(view.laneWork, fair) / view.laneShare;
-}
--- a/src/decisions/dispatcher.ts
+++ b/src/decisions/dispatcher.ts
@@ -8,8 +8,8 @@
 import type { Random } from "../base/mod.ts";
 import { DrainRate } from "./admission.ts";
 import { Fleet } from "./fleet.ts";
-import { type Entry, Lanes } from "./lanes.ts";
-import { type Place, place, type PlacementView } from "./placement.ts";
+import { type Entry, type LaneName, LANES, Lanes } from "./lanes.ts";
+import { type Place, place, type PlacementView, weigh } from "./placement.ts";
 import {
   type HeldSlot,
   type LoadReport,
@@ -28,6 +28,8 @@
 const CAUTION_MS = 1000;
 /** Entries looked at behind one that can be placed nowhere yet, such as a retry that waits for one last upstream. */
 const LOOK_BEHIND = 4;
+/** Times a request may be bypassed by warmer ones: some 2 s of a busy upstream's work. */
+const MOST_BYPASSES = 8;
 /** Short requests within this time make the traffic mixed; see `LONG_SHARE` of the placement. */
 const MIXED_MS = 5000;
 
@@ -36,7 +38,7 @@
   readonly lanes = new Lanes();
   readonly fleet = new Fleet();
   readonly #slots = new SlotBook();
-  readonly #rate = new DrainRate();
+  readonly #rates = { short: new DrainRate(), long: new DrainRate() };
   readonly #random: Random;
   #nominalPerMs = 0;
   #cautiousUntilMs?: number;
@@ -139,12 +141,23 @@
   pass(nowMs: number): void {
     this.fleet.judge(nowMs);
     this.#nominalPerMs = this.fleet.nominalPerMs(nowMs);
-    this.#rate.pass(this.#nominalPerMs, this.lanes.size > 0, nowMs);
+    for (const lane of LANES) {
+      const busy = this.lanes.sizeOf(lane) > 0;
+      this.#rates[lane].pass(this.#nominalPerMs, busy, nowMs);
+    }
+  }
+
+  /** Time until this much queued work of a lane is started. */
+  drainMs(lane: LaneName, work: number): number {
+    return work / this.#rates[lane].perMs(this.#nominalPerMs);
   }
 
-  /** Time until this much queued work is started. */
-  drainMs(work: number): number {
-    return work / this.#rate.perMs(this.#nominalPerMs);
+  /** Time until all that is queued now is started. */
+  emptyMs(): number {
+    const waits = LANES.map((lane) =>
+      this.drainMs(lane, this.lanes.workOf(lane))
+    );
+    return Math.max(...waits);
   }
 
   view(nowMs: number): PlacementView {
@@ -168,7 +181,7 @@
       queued: this.lanes.size,
       queuedWork: Math.round(this.lanes.work),
       held: this.#slots.size,
-      rateFactor: this.#rate.factor,
+      rateFactors: LANES.map((lane) => this.#rates[lane].factor),
       upstreams: this.fleet.dump(),
     };
   }
@@ -182,10 +195,7 @@
         const entry = this.lanes.peek(lane);
         if (!entry) break;
         const found = place(entry.request, this.view(nowMs));
-        if (found) {
-          this.lanes.pop(lane);
-          return { entry, found };
-        }
+        if (found) return this.#prefer(entry, found, nowMs);
         // Only one that avoids upstreams can be stuck where the next one is not.
         const picky = entry.request.exclude.length > 0;
         if (!picky || skipped.length >= LOOK_BEHIND) break;
@@ -195,6 +205,33 @@
     return undefined;
   }
 
+  /**
+   * Where the next in turn is cold at its place and another in the queue is warm there, the other goes first. With a
+   * full queue most places would else go to prompts whose prefix lies elsewhere, and the pool would spend its time on
+   * prefilling again what it has; one bypassed often enough goes wherever there is room.
+   */
+  #prefer(
+    entry: Entry,
+    found: Place,
+    nowMs: number,
+  ): { entry: Entry; found: Place } {
+    const own = { entry, found };
+    if (found.probe || !found.long || entry.bypassed >= MOST_BYPASSES) {
+      this.lanes.pop(entry.lane);
+      return own;
+    }
+    const id = found.upstream.row.id;
+    const other = this.lanes.peekWarm(entry.lane, id);
+    if (!other || other === entry || other.request.exclude.includes(id)) {
+      this.lanes.pop(entry.lane);
+      return own;
+    }
+    const place = weigh(other.request, found.upstream, { nowMs });
+    this.lanes.take(other);
+    entry.bypassed++;
+    return { entry: other, found: place };
+  }
+
   #take(entry: Entry, found: Place, nowMs: number): Held {
     const { request } = entry;
     const { upstream } = found;
@@ -221,7 +258,7 @@
     upstream.add(held);
     upstream.warm.touch(request.prefixHashes, nowMs);
     this.#slots.add(held);
-    this.#rate.granted(entry.work);
+    this.#rates[entry.lane].granted(entry.work);
     return held;
   }
 }
--- a/src/decisions/fair_queue.ts
+++ b/src/decisions/fair_queue.ts
@@ -125,6 +125,33 @@
     if (this.#gone > this.#size + GONE_SLACK) this.#rebuild();
   }
 
+  /** Takes out an entry before its turn and charges its flow, which then waits for its next turn the longer. */
+  take(ticket: Ticket<T>): void {
+    this.remove(ticket);
+    this.charge(ticket.flow, ticket.work);
+  }
+
+  /** How far a flow's service runs ahead of the others', in work per weight. */
+  lead(flowId: string): number {
+    const flow = this.#flows.get(flowId);
+    if (!flow) return 0;
+    return Math.max(
+      0,
+      flow.startTag - this.#virtual + flow.debt / flow.weight,
+    );
+  }
+
+  /**
+   * Work that starts before a new entry of this flow: what all flows with entries get until it is this flow's turn
+   * again, and no more than there is.
+   */
+  ahead(flowId: string, weight: number): number {
+    const own = this.of(flowId);
+    const turn = this.lead(flowId) + own.work / weight;
+    const others = this.#activeWeight + (own.count > 0 ? 0 : weight);
+    return Math.min(this.#work, turn * others);
+  }
+
   /** Charges a flow for work that turned out larger than was told, or smaller if negative. */
   charge(flowId: string, work: number): void {
     const flow = this.#flows.get(flowId);
--- a/src/decisions/gate.ts
+++ b/src/decisions/gate.ts
@@ -9,7 +9,7 @@
 import type { Random } from "../base/mod.ts";
 import { WAIT_MARGIN } from "./admission.ts";
 import type { Dispatcher } from "./dispatcher.ts";
-import type { Entry } from "./lanes.ts";
+import type { Entry, LaneName } from "./lanes.ts";
 import { LimitBook, type Use } from "./limits.ts";
 import { weigh } from "./placement.ts";
 import {
@@ -43,7 +43,8 @@
   | { readonly type: "answered"; readonly output: PoolOutput };
 
 interface Forecast {
-  readonly long: boolean;
+  readonly lane: LaneName;
+  readonly warmAt: string | undefined;
   /** Time in the queue. */
   readonly waitMs: number;
   /** Time from leaving the queue to the first token. */
@@ -122,7 +123,7 @@
       const why = fleet.usable
         ? this.#later(
           "expiredInQueue",
-          this.#dispatcher.drainMs(lanes.work),
+          this.#dispatcher.emptyMs(),
           nowMs,
         )
         : this.#noUpstream(nowMs);
@@ -154,7 +155,7 @@
     const { running, slots } = fleet.load(nowMs);
     const usable = slots > 0;
     return {
-      predictedWaitMs: usable ? this.#dispatcher.drainMs(lanes.work) : NEVER_MS,
+      predictedWaitMs: usable ? this.#dispatcher.emptyMs() : NEVER_MS,
       takesIn: usable && this.#takesIn(nowMs),
       queued: lanes.size,
       running,
@@ -246,23 +247,25 @@
     }
     return this.#later(
       "queueFull",
-      this.#dispatcher.drainMs(lanes.work),
+      this.#dispatcher.emptyMs(),
       nowMs,
     );
   }
 
   #enter(request: SlotRequest, forecast: Forecast, nowMs: number): Entry {
     if (request.exclude.length === 0) this.#retries.firstAttempt();
-    if (!forecast.long) this.#dispatcher.sawShort(nowMs);
+    if (forecast.lane === "short") this.#dispatcher.sawShort(nowMs);
     this.#limits.take(request.workspace, forecast.use, nowMs);
     return {
       request,
-      lane: forecast.long ? "long" : "short",
+      lane: forecast.lane,
       weight: this.#weight(request.workspace),
       work: forecast.work,
       use: forecast.use,
       queuedAtMs: nowMs,
       latestStartMs: request.deadlineMs - forecast.firstMs,
+      warmAt: forecast.warmAt,
+      bypassed: 0,
     };
   }
 
@@ -279,14 +282,15 @@
       bestMs = found.firstMs;
     }
     if (!best) return undefined;
-    const { upstream, coldTokens, firstMs, long } = best;
+    const { upstream, coldTokens, savedMs, firstMs, long } = best;
     const lane = long ? "long" : "short";
     const weight = this.#weight(request.workspace);
     const ahead = this.#dispatcher.lanes.ahead(lane, request.workspace, weight);
     const work = workTokens(request, request.promptTokens - coldTokens);
     return {
-      long,
-      waitMs: this.#dispatcher.drainMs(ahead),
+      lane,
+      warmAt: savedMs > 0 ? upstream.row.id : undefined,
+      waitMs: this.#dispatcher.drainMs(lane, ahead),
       firstMs,
       coldMs: upstream.ownMs(request.promptTokens),
       work,
--- a/src/decisions/lanes.ts
+++ b/src/decisions/lanes.ts
@@ -6,7 +6,6 @@
 
 import TinyQueue from "tinyqueue";
 import { FairQueue, type Ticket } from "./fair_queue.ts";
-import { type QueueView, workAhead } from "./admission.ts";
 import type { Use } from "./limits.ts";
 import type { SlotRequest } from "./slots.ts";
 
@@ -18,8 +17,15 @@
 /** Priorities beyond these count as these: a caller must not outbid the ageing of all others. */
 const PRIORITY_RANGE = { least: -3, most: 3 };
 
+/**
+ * How far, in tokens per weight, a workspace may be ahead of its share and still go out of turn for being warm. A few
+ * long prompts: warm prefixes come in runs, and less would break them up; more would be felt as unfair.
+ */
+const BYPASS_LEAD = 40_000;
+
 /** The two lanes. */
 export type LaneName = "short" | "long";
+export const LANES: readonly LaneName[] = ["short", "long"];
 
 /** A queued request. */
 export interface Entry {
@@ -31,6 +37,10 @@
   readonly queuedAtMs: number;
   /** Starting later than this, its first token would miss the deadline. */
   readonly latestStartMs: number;
+  /** The upstream believed to hold most of its prefix, if any does. */
+  readonly warmAt: string | undefined;
+  /** Times another request went before it for being warm. */
+  bypassed: number;
 }
 
 const byLatestStart = (a: Entry, b: Entry) => a.latestStartMs - b.latestStartMs;
@@ -46,6 +56,11 @@
     short: new FairQueue<Entry>(),
     long: new FairQueue<Entry>(),
   };
+  /** Entries by the upstream that holds their prefix; those gone are dropped when they come up. */
+  readonly #warm = {
+    short: new Map<string, TinyQueue<Ticket<Entry>>>(),
+    long: new Map<string, TinyQueue<Ticket<Entry>>>(),
+  };
   readonly #served = { short: 0, long: 0 };
   readonly #tickets = new Map<string, Ticket<Entry>>();
   #latest = new TinyQueue<Entry>([], byLatestStart);
@@ -56,6 +71,12 @@
   get work(): number {
     return this.#lanes.short.work + this.#lanes.long.work;
   }
+  sizeOf(lane: LaneName): number {
+    return this.#lanes[lane].size;
+  }
+  workOf(lane: LaneName): number {
+    return this.#lanes[lane].work;
+  }
   has(attemptId: string): boolean {
     return this.#tickets.has(attemptId);
   }
@@ -82,6 +103,7 @@
       rank: rankOf(request),
     });
     this.#tickets.set(request.attemptId, ticket);
+    if (entry.warmAt !== undefined) this.#indexWarm(entry.warmAt, ticket);
     this.#latest.push(entry);
     if (this.#latest.length > 2 * this.size + LATEST_SLACK) this.#rebuild();
   }
@@ -106,6 +128,34 @@
     return entry;
   }
 
+  /**
+   * An entry of the lane whose prefix this upstream holds and whose workspace is not far ahead of its share: of many
+   * that wait, the one that costs the upstream least, as long as fairness allows.
+   */
+  peekWarm(lane: LaneName, upstreamId: string): Entry | undefined {
+    const waiting = this.#warm[lane].get(upstreamId);
+    while (waiting && waiting.length > 0) {
+      const ticket = waiting.peek()!;
+      if (ticket.state === "queued") {
+        const lead = this.#lanes[lane].lead(ticket.flow);
+        return lead <= BYPASS_LEAD ? ticket.value : undefined;
+      }
+      waiting.pop();
+    }
+    this.#warm[lane].delete(upstreamId);
+    return undefined;
+  }
+
+  /** Takes out an entry before its turn; it is charged all the same. */
+  take(entry: Entry): void {
+    const { attemptId } = entry.request;
+    const ticket = this.#tickets.get(attemptId);
+    if (!ticket) return;
+    this.#tickets.delete(attemptId);
+    this.#lanes[entry.lane].take(ticket);
+    this.#served[entry.lane] += entry.work;
+  }
+
   /** Takes out an entry that is given up. */
   remove(attemptId: string): Entry | undefined {
     const ticket = this.#tickets.get(attemptId);
@@ -134,6 +184,16 @@
     return [...this.#tickets.keys()].map((id) => this.remove(id)!);
   }
 
+  #indexWarm(upstreamId: string, ticket: Ticket<Entry>): void {
+    const lane = this.#warm[ticket.value.lane];
+    let waiting = lane.get(upstreamId);
+    if (!waiting) {
+      waiting = new TinyQueue<Ticket<Entry>>([], (a, b) => a.rank - b.rank);
+      lane.set(upstreamId, waiting);
+    }
+    waiting.push(ticket);
+  }
+
   #rebuild(): void {
     const queued = [...this.#tickets.values()].map((ticket) => ticket.value);
     this.#latest = new TinyQueue(queued, byLatestStart);
@@ -144,19 +204,9 @@
     this.#lanes[lane].charge(workspace, work);
   }
 
-  /** Work that is started before a newcomer to this lane. */
+  /** Work of this lane that starts before a newcomer. */
   ahead(lane: LaneName, workspace: string, weight: number): number {
-    const queue = this.#lanes[lane];
-    const other = this.#lanes[lane === "short" ? "long" : "short"];
-    const own = queue.of(workspace);
-    const view: QueueView = {
-      laneWork: queue.work,
-      ownWork: own.work,
-      activeWeight: queue.activeWeight + (own.count > 0 ? 0 : weight),
-      ownWeight: weight,
-      laneShare: other.size > 0 ? 0.5 : 1,
-    };
-    return workAhead(view);
+    return this.#lanes[lane].ahead(workspace, weight);
   }
 }
 
