Placement: wait for the warm upstream while that is cheaper than going cold

Cause: at 0.7 of capacity a warm upstream's slots were often full for some 100 ms, and the request went cold elsewhere: 54% of prompt tokens were cached somewhere, 33% at the place chosen. Change: the head of the queue waits for its warm upstream, charged as if it went, until waiting costs more than the cold prefill.

--- a/src/decisions/dispatcher.ts
+++ b/src/decisions/dispatcher.ts
@@ -9,7 +9,13 @@
 import { DrainRate } from "./admission.ts";
 import { Fleet } from "./fleet.ts";
 import { type Entry, type LaneName, LANES, Lanes } from "./lanes.ts";
-import { type Place, place, type PlacementView, weigh } from "./placement.ts";
+import {
+  type Place,
+  place,
+  placeAt,
+  type PlacementView,
+  weigh,
+} from "./placement.ts";
 import {
   type HeldSlot,
   type LoadReport,
@@ -33,6 +39,11 @@
 /** Short requests within this time make the traffic mixed; see `LONG_SHARE` of the placement. */
 const MIXED_MS = 5000;
 
+interface Choice {
+  readonly entry: Entry;
+  readonly found: Place;
+}
+
 /** See the module. */
 export class Dispatcher {
   readonly lanes = new Lanes();
@@ -60,15 +71,20 @@
     return held && grant(held, 0);
   }
 
-  /** Places what can be placed. */
+  /** Places what can be placed: first those that waited for a warm upstream, then in turn. */
   dispatch(nowMs: number): PoolOutput[] {
     const outputs: PoolOutput[] = [];
+    const view = this.view(nowMs);
+    const go = ({ entry, found }: Choice) => {
+      const held = this.#take(entry, found, nowMs);
+      outputs.push(grant(held, nowMs - entry.queuedAtMs));
+    };
+    this.#dispatchParked(view, go);
     const skipped: Entry[] = [];
     for (;;) {
-      const next = this.#next(nowMs, skipped);
+      const next = this.#next(view, skipped);
       if (!next) break;
-      const held = this.#take(next.entry, next.found, nowMs);
-      outputs.push(grant(held, nowMs - next.entry.queuedAtMs));
+      go(next);
     }
     for (const entry of skipped) this.lanes.push(entry);
     return outputs;
@@ -168,6 +184,7 @@
       mixed: nowMs - this.#shortAtMs < MIXED_MS,
       pressure: this.fleet.pressure,
       cautious: nowMs < (this.#cautiousUntilMs ?? 0),
+      waitingFor: (upstreamId) => this.lanes.parking.countAt(upstreamId),
     };
   }
 
@@ -186,16 +203,40 @@
     };
   }
 
-  #next(
-    nowMs: number,
-    skipped: Entry[],
-  ): { entry: Entry; found: Place } | undefined {
+  #dispatchParked(view: PlacementView, go: (choice: Choice) => void): void {
+    const { parking } = this.lanes;
+    for (const entry of parking.ready(view.nowMs)) {
+      const found = place(entry.request, view);
+      if (found.type !== "go") continue;
+      this.lanes.remove(entry.request.attemptId);
+      go({ entry, found: found.place });
+    }
+    for (const id of parking.upstreams()) {
+      const upstream = this.fleet.get(id);
+      for (;;) {
+        const entry = parking.firstAt(id);
+        const found = entry && upstream &&
+          placeAt(entry.request, upstream, view);
+        if (!found) break;
+        this.lanes.remove(entry.request.attemptId);
+        go({ entry, found });
+      }
+    }
+  }
+
+  #next(view: PlacementView, skipped: Entry[]): Choice | undefined {
     for (const lane of this.lanes.order()) {
       for (;;) {
         const entry = this.lanes.peek(lane);
         if (!entry) break;
-        const found = place(entry.request, this.view(nowMs));
-        if (found) return this.#prefer(entry, found, nowMs);
+        const found = place(entry.request, view);
+        if (found.type === "go") {
+          return this.#prefer(entry, found.place, view.nowMs);
+        }
+        if (found.type === "wait") {
+          this.lanes.park(lane, found.upstream.row.id, found.untilMs);
+          continue;
+        }
         // Only one that avoids upstreams can be stuck where the next one is not.
         const picky = entry.request.exclude.length > 0;
         if (!picky || skipped.length >= LOOK_BEHIND) break;
@@ -210,11 +251,7 @@
    * full queue most places would else go to prompts whose prefix lies elsewhere, and the pool would spend its time on
    * prefilling again what it has; one bypassed often enough goes wherever there is room.
    */
-  #prefer(
-    entry: Entry,
-    found: Place,
-    nowMs: number,
-  ): { entry: Entry; found: Place } {
+  #prefer(entry: Entry, found: Place, nowMs: number): Choice {
     const own = { entry, found };
     if (found.probe || !found.long || entry.bypassed >= MOST_BYPASSES) {
       this.lanes.pop(entry.lane);
--- a/src/decisions/lanes.ts
+++ b/src/decisions/lanes.ts
@@ -7,6 +7,7 @@
 import TinyQueue from "tinyqueue";
 import { FairQueue, type Ticket } from "./fair_queue.ts";
 import type { Use } from "./limits.ts";
+import { Parking } from "./parking.ts";
 import type { SlotRequest } from "./slots.ts";
 
 /**
@@ -52,6 +53,7 @@
  * only, as they rarely use up their half; a stream of them cannot shut out the long prompts, as these have theirs.
  */
 export class Lanes {
+  readonly parking = new Parking();
   readonly #lanes = {
     short: new FairQueue<Entry>(),
     long: new FairQueue<Entry>(),
@@ -128,6 +130,14 @@
     return entry;
   }
 
+  /** Charges the lane's next entry as if it went, and keeps it until `untilMs` for this upstream. */
+  park(lane: LaneName, upstreamId: string, untilMs: number): void {
+    const ticket = this.#lanes[lane].pop();
+    if (!ticket) return;
+    this.#served[lane] += ticket.work;
+    this.parking.park(ticket.value, upstreamId, untilMs);
+  }
+
   /**
    * An entry of the lane whose prefix this upstream holds and whose workspace is not far ahead of its share: of many
    * that wait, the one that costs the upstream least, as long as fairness allows.
@@ -162,6 +172,7 @@
     if (!ticket) return undefined;
     this.#tickets.delete(attemptId);
     this.#lanes[ticket.value.lane].remove(ticket);
+    this.parking.remove(attemptId);
     return ticket.value;
   }
 
--- a/src/decisions/placement.ts
+++ b/src/decisions/placement.ts
@@ -56,29 +56,68 @@
   readonly pressure: number;
   /** Whether the lead is new and may not know all that its upstreams run. */
   readonly cautious: boolean;
+  /** Requests that wait for this upstream already. */
+  readonly waitingFor: (upstreamId: string) => number;
 }
 
-/** The upstream for a request, or `undefined` while none has room. */
+/** What {@link place} found. */
+export type Placement =
+  | { readonly type: "go"; readonly place: Place }
+  /** Worth waiting for the upstream that holds its prefix, until that costs more than going elsewhere. */
+  | {
+    readonly type: "wait";
+    readonly upstream: Upstream;
+    readonly untilMs: number;
+  }
+  /** No upstream has room. */
+  | { readonly type: "full" };
+
+/** The upstream for a request. */
 export function place(
   request: SlotRequest,
   view: PlacementView,
-): Place | undefined {
+): Placement {
   const longAllowed = longHasRoom(view);
   let best: Place | undefined;
   let bestCost = Infinity;
+  let warm: Place | undefined;
+  let warmCost = Infinity;
   for (const upstream of candidates(view)) {
     if (request.exclude.includes(upstream.row.id)) continue;
     const probe = upstream.health.probeDue(view.nowMs);
+    if (!probe && upstream.health.state === "aside") continue;
     const found = weigh(request, upstream, view, probe);
     if (probe && found.long) continue;
-    if (!probe && !mayTake(found, view, longAllowed)) continue;
     const cost = probe ? -1 : costOf(found, view);
-    if (cost < bestCost) {
+    if (probe || mayTake(found, view, longAllowed)) {
+      if (cost >= bestCost) continue;
       best = found;
       bestCost = cost;
+    } else if (found.savedMs > 0 && cost < warmCost) {
+      warm = found;
+      warmCost = cost;
     }
   }
-  return best;
+  if (!best) return { type: "full" };
+  if (warm && !best.probe) {
+    const { upstream } = warm;
+    const slotMs = upstream.slotMs(view.waitingFor(upstream.row.id));
+    const patienceMs = bestCost - warmCost;
+    if (slotMs < patienceMs) {
+      return { type: "wait", upstream, untilMs: view.nowMs + patienceMs };
+    }
+  }
+  return { type: "go", place: best };
+}
+
+/** The place at one upstream, if it has room for the request. */
+export function placeAt(
+  request: SlotRequest,
+  upstream: Upstream,
+  view: PlacementView,
+): Place | undefined {
+  const found = weigh(request, upstream, view);
+  return mayTake(found, view, longHasRoom(view)) ? found : undefined;
 }
 
 /** What is expected of a request at an upstream, whether or not it has room. */
--- a/src/decisions/upstream.ts
+++ b/src/decisions/upstream.ts
@@ -26,6 +26,10 @@
 /** Reports that must agree on attempts of others; see {@link Upstream.observe}. */
 const EXCESS_REPORTS = 3;
 
+/** Starting value of the time a slot is held, and the weight of one observation. */
+const HOLD_FIRST_MS = 4000;
+const HOLD_GAIN = 0.05;
+
 /** A granted attempt, as its lead remembers it. */
 export interface Held {
   readonly attemptId: string;
@@ -69,6 +73,8 @@
   slowness = 1;
   /** When it has prefilled all that was placed on it. */
   prefillDoneAtMs = 0;
+  /** How long an attempt holds its slot. */
+  #holdMs = HOLD_FIRST_MS;
   #excess: number[] = [];
 
   constructor(row: UpstreamRow) {
@@ -98,6 +104,11 @@
     this.foreign = Math.min(this.foreign, this.row.slots);
   }
 
+  /** Time until it has room, when this many others wait for it. */
+  slotMs(others: number): number {
+    return (this.#holdMs / this.row.slots) * (others + 1);
+  }
+
   /** How long what is placed on it already keeps it prefilling. */
   backlogMs(nowMs: number): number {
     return Math.max(0, this.prefillDoneAtMs - nowMs);
@@ -142,6 +153,7 @@
 
   /** The attempt ended or was given up. */
   remove(held: Held, nowMs: number): void {
+    this.#holdMs += HOLD_GAIN * (nowMs - held.grantedAtMs - this.#holdMs);
     this.running = Math.max(0, this.running - 1);
     this.#unqueue(held);
     if (this.unstarted.size === 0) {
