--- a/src/agreement/mod.ts
+++ b/src/agreement/mod.ts
@@ -6,6 +6,10 @@
 
 export * from "./rows.ts";
 export * from "./table.ts";
+export * from "./table_checks.ts";
+export * from "./table_editor.ts";
+export * from "./table_log.ts";
+export * from "./table_records.ts";
 export * from "./claim.ts";
 export * from "./claim_record.ts";
 export * from "./claim_head.ts";
@@ -16,3 +20,8 @@
 export * from "./claim_shard.ts";
 export * from "./claim_takeover.ts";
 export * from "./claim_witness.ts";
+export * from "./lead.ts";
+export * from "./lead_book.ts";
+export * from "./member_record.ts";
+export * from "./member_news.ts";
+export * from "./members.ts";
--- /dev/null
+++ b/src/cli/replay.ts
@@ -0,0 +1,104 @@
+/**
+ * `ibisgap replay`: replays a trace against running VMs and judges stated outcomes.
+ *
+ * @module
+ */
+
+import { readFileSync } from "node:fs";
+import { defineCommand } from "citty";
+import {
+  defaultKey,
+  judge,
+  type Outcome,
+  parseTargets,
+  printReport,
+  type Progress,
+  readOutcomes,
+  readTrace,
+  type RecordSource,
+  replay,
+  reportJson,
+} from "../replay/mod.ts";
+
+/** Exit code when a stated outcome was not held. */
+const EXIT_OUTCOME = 1;
+/** Exit code when a file cannot be read. */
+const EXIT_USAGE = 2;
+
+/** The command; see docs/TRACE.md. */
+export const replayCommand = defineCommand({
+  meta: {
+    name: "replay",
+    description: "Replays a trace and checks what its callers got",
+  },
+  args: {
+    trace: { type: "positional", required: true, description: "Trace file" },
+    outcomes: { type: "string", description: "File of stated outcomes" },
+    target: {
+      type: "string",
+      default: "http://127.0.0.1:7070",
+      description: "Entry VMs: [REGION=]URL,...",
+    },
+    keys: {
+      type: "string",
+      description: "JSON file of keys by workspace; without it key-WORKSPACE",
+    },
+    records: {
+      type: "string",
+      description: "Stand-in upstreams to read records of: REGION=URL,...",
+    },
+    json: { type: "boolean", description: "Prints the report as JSON" },
+  },
+  async run({ args }) {
+    const trace = readTrace(args.trace);
+    if (trace.isErr()) return fail(trace.error);
+    const outcomes = args.outcomes ? readOutcomes(args.outcomes) : undefined;
+    if (outcomes?.isErr()) return fail(outcomes.error);
+    const stated: Outcome[] = outcomes?.isOk() ? outcomes.value : [];
+    const report = await replay(trace.value, {
+      targets: parseTargets(args.target),
+      keyOf: readKeys(args.keys),
+      records: args.records ? parseRecords(args.records) : undefined,
+      onProgress: process.stderr.isTTY ? showProgress : undefined,
+    });
+    const results = judge(report, stated);
+    console.log(
+      args.json
+        ? JSON.stringify(reportJson(trace.value, report, results), null, 2)
+        : printReport(trace.value, report, results),
+    );
+    if (results.some((result) => !result.held)) {
+      process.exitCode = EXIT_OUTCOME;
+    }
+  },
+});
+
+function fail(message: string): void {
+  console.error(`ibisgap replay: ${message}`);
+  process.exitCode = EXIT_USAGE;
+}
+
+function readKeys(path: string | undefined): (workspace: string) => string {
+  if (!path) return defaultKey;
+  const keys = JSON.parse(readFileSync(path, "utf8")) as Record<string, string>;
+  return (workspace) => keys[workspace] ?? defaultKey(workspace);
+}
+
+function parseRecords(text: string): RecordSource[] {
+  return parseTargets(text).map(({ url, region }) => ({
+    upstream: url,
+    region: region ?? "",
+    controlUrl: url,
+  }));
+}
+
+/** Shows one line that is written over, on a terminal. */
+export function showProgress(progress: Progress): void {
+  const { nowMs, endMs, sent, open, total } = progress;
+  const line =
+    `${(nowMs / 1000).toFixed(1)} of ${(endMs / 1000).toFixed(1)} s` +
+    `  sent ${sent}/${total}  open ${open}`;
+  process.stderr.write(
+    `\r${line.padEnd(60)}${sent === total && open === 0 ? "\n" : ""}`,
+  );
+}
