--- a/src/decisions/dispatcher.ts
+++ b/src/decisions/dispatcher.ts
@@ -8,8 +8,14 @@
 import type { Random } from "../base/mod.ts";
 import { DrainRate } from "./admission.ts";
 import { Fleet } from "./fleet.ts";
-import { type Entry, type LaneName, Lanes } from "./lanes.ts";
-import { type Place, place, type PlacementView } from "./placement.ts";
+import { type Entry, type LaneName, LANES, Lanes } from "./lanes.ts";
+import {
+  type Place,
+  place,
+  placeAt,
+  type PlacementView,
+  weigh,
+} from "./placement.ts";
 import {
   type HeldSlot,
   type LoadReport,
@@ -28,15 +34,22 @@
 const CAUTION_MS = 1000;
 /** Entries looked at behind one that can be placed nowhere yet, such as a retry that waits for one last upstream. */
 const LOOK_BEHIND = 4;
+/** Times a request may be bypassed by warmer ones: some 2 s of a busy upstream's work. */
+const MOST_BYPASSES = 8;
 /** Short requests within this time make the traffic mixed; see `LONG_SHARE` of the placement. */
 const MIXED_MS = 5000;
 
+interface Choice {
+  readonly entry: Entry;
+  readonly found: Place;
+}
+
 /** See the module. */
 export class Dispatcher {
   readonly lanes = new Lanes();
   readonly fleet = new Fleet();
   readonly #slots = new SlotBook();
-  readonly #rate = new DrainRate();
+  readonly #rates = { short: new DrainRate(), long: new DrainRate() };
   readonly #random: Random;
   #nominalPerMs = 0;
   #cautiousUntilMs?: number;
@@ -58,15 +71,20 @@
     return held && grant(held, 0);
   }
 
-  /** Places what can be placed. */
+  /** Places what can be placed: first those that waited for a warm upstream, then in turn. */
   dispatch(nowMs: number): PoolOutput[] {
     const outputs: PoolOutput[] = [];
+    const view = this.view(nowMs);
+    const go = ({ entry, found }: Choice) => {
+      const held = this.#take(entry, found, nowMs);
+      outputs.push(grant(held, nowMs - entry.queuedAtMs));
+    };
+    this.#dispatchParked(view, go);
     const skipped: Entry[] = [];
     for (;;) {
-      const next = this.#next(nowMs, skipped);
+      const next = this.#next(view, skipped);
       if (!next) break;
-      const held = this.#take(next.entry, next.found, nowMs);
-      outputs.push(grant(held, nowMs - next.entry.queuedAtMs));
+      go(next);
     }
     for (const entry of skipped) this.lanes.push(entry);
     return outputs;
@@ -86,7 +104,7 @@
       promptTokens: held.coldTokens,
       expectedOutputTokens: report.outputTokens,
     });
-    this.lanes.charge(laneOf(held), held.workspace, actual - held.work);
+    this.lanes.charge(held.lane, held.workspace, actual - held.work);
     return held;
   }
 
@@ -117,6 +135,7 @@
       work: workTokens(slot),
       coldTokens: 0,
       prefixHashes: [],
+      lane: "short",
       long: false,
       probe: false,
       grantedAtMs: nowMs,
@@ -138,23 +157,34 @@
   pass(nowMs: number): void {
     this.fleet.judge(nowMs);
     this.#nominalPerMs = this.fleet.nominalPerMs(nowMs);
-    this.#rate.pass(this.#nominalPerMs, this.lanes.size > 0, nowMs);
+    for (const lane of LANES) {
+      const busy = this.lanes.sizeOf(lane) > 0;
+      this.#rates[lane].pass(this.#nominalPerMs, busy, nowMs);
+    }
   }
 
-  /** Time until this much queued work is started. */
-  drainMs(work: number): number {
-    return work / this.#rate.perMs(this.#nominalPerMs);
+  /** Time until this much queued work of a lane is started. */
+  drainMs(lane: LaneName, work: number): number {
+    return work / this.#rates[lane].perMs(this.#nominalPerMs);
   }
 
-  view(long: boolean, nowMs: number): PlacementView {
+  /** Time until all that is queued now is started. */
+  emptyMs(): number {
+    const waits = LANES.map((lane) =>
+      this.drainMs(lane, this.lanes.workOf(lane))
+    );
+    return Math.max(...waits);
+  }
+
+  view(nowMs: number): PlacementView {
     return {
       upstreams: this.fleet.active,
       nowMs,
       random: this.#random,
-      long,
       mixed: nowMs - this.#shortAtMs < MIXED_MS,
       pressure: this.fleet.pressure,
       cautious: nowMs < (this.#cautiousUntilMs ?? 0),
+      waitingFor: (upstreamId) => this.lanes.parking.countAt(upstreamId),
     };
   }
 
@@ -168,23 +198,44 @@
       queued: this.lanes.size,
       queuedWork: Math.round(this.lanes.work),
       held: this.#slots.size,
-      rateFactor: this.#rate.factor,
+      rateFactors: LANES.map((lane) => this.#rates[lane].factor),
       upstreams: this.fleet.dump(),
     };
   }
 
-  #next(
-    nowMs: number,
-    skipped: Entry[],
-  ): { entry: Entry; found: Place } | undefined {
+  #dispatchParked(view: PlacementView, go: (choice: Choice) => void): void {
+    const { parking } = this.lanes;
+    for (const entry of parking.ready(view.nowMs)) {
+      const found = place(entry.request, view);
+      if (found.type !== "go") continue;
+      this.lanes.remove(entry.request.attemptId);
+      go({ entry, found: found.place });
+    }
+    for (const id of parking.upstreams()) {
+      const upstream = this.fleet.get(id);
+      for (;;) {
+        const entry = parking.firstAt(id);
+        const found = entry && upstream &&
+          placeAt(entry.request, upstream, view);
+        if (!found) break;
+        this.lanes.remove(entry.request.attemptId);
+        go({ entry, found });
+      }
+    }
+  }
+
+  #next(view: PlacementView, skipped: Entry[]): Choice | undefined {
     for (const lane of this.lanes.order()) {
       for (;;) {
         const entry = this.lanes.peek(lane);
         if (!entry) break;
-        const found = place(entry.request, this.view(lane === "long", nowMs));
-        if (found) {
-          this.lanes.pop(lane);
-          return { entry, found };
+        const found = place(entry.request, view);
+        if (found.type === "go") {
+          return this.#prefer(entry, found.place, view.nowMs);
+        }
+        if (found.type === "wait") {
+          this.lanes.park(lane, found.upstream.row.id, found.untilMs);
+          continue;
         }
         // Only one that avoids upstreams can be stuck where the next one is not.
         const picky = entry.request.exclude.length > 0;
@@ -195,6 +246,29 @@
     return undefined;
   }
 
+  /**
+   * Where the next in turn is cold at its place and another in the queue is warm there, the other goes first. With a
+   * full queue most places would else go to prompts whose prefix lies elsewhere, and the pool would spend its time on
+   * prefilling again what it has; one bypassed often enough goes wherever there is room.
+   */
+  #prefer(entry: Entry, found: Place, nowMs: number): Choice {
+    const own = { entry, found };
+    if (found.probe || !found.long || entry.bypassed >= MOST_BYPASSES) {
+      this.lanes.pop(entry.lane);
+      return own;
+    }
+    const id = found.upstream.row.id;
+    const other = this.lanes.peekWarm(entry.lane, id);
+    if (!other || other === entry || other.request.exclude.includes(id)) {
+      this.lanes.pop(entry.lane);
+      return own;
+    }
+    const place = weigh(other.request, found.upstream, { nowMs });
+    this.lanes.take(other);
+    entry.bypassed++;
+    return { entry: other, found: place };
+  }
+
   #take(entry: Entry, found: Place, nowMs: number): Held {
     const { request } = entry;
     const { upstream } = found;
@@ -208,7 +282,8 @@
       expectedOutputTokens: request.expectedOutputTokens,
       coldTokens: found.coldTokens,
       prefixHashes: request.prefixHashes,
-      long: entry.lane === "long",
+      lane: entry.lane,
+      long: found.long,
       probe: found.probe,
       grantedAtMs: nowMs,
       firstTokenDueMs: nowMs + found.firstMs,
@@ -220,15 +295,11 @@
     upstream.add(held);
     upstream.warm.touch(request.prefixHashes, nowMs);
     this.#slots.add(held);
-    this.#rate.granted(entry.work);
+    this.#rates[entry.lane].granted(entry.work);
     return held;
   }
 }
 
-function laneOf(held: Held): LaneName {
-  return held.long ? "long" : "short";
-}
-
 function grant(held: Held, queuedMs: number): PoolOutput {
   return {
     type: "answer",
--- a/src/decisions/gate.ts
+++ b/src/decisions/gate.ts
@@ -9,7 +9,7 @@
 import type { Random } from "../base/mod.ts";
 import { WAIT_MARGIN } from "./admission.ts";
 import type { Dispatcher } from "./dispatcher.ts";
-import type { Entry } from "./lanes.ts";
+import type { Entry, LaneName } from "./lanes.ts";
 import { LimitBook, type Use } from "./limits.ts";
 import { weigh } from "./placement.ts";
 import {
@@ -23,10 +23,8 @@
 import { chooseRegion, mayLeave, ShiftLedger } from "./shift.ts";
 import type { SlotRequest } from "./slots.ts";
 import { type Held, Upstream } from "./upstream.ts";
-import { prefillMs, priceMicrocents, workTokens } from "./work.ts";
+import { priceMicrocents, workTokens } from "./work.ts";
 
-/** A prompt that takes an engine longer than this to prefill is long: a question placed behind it would be late. */
-const LONG_PREFILL_MS = 250;
 /**
  * A workspace may fill the queue up to its share, by weight, of this many times what is left free. One alone gets two
  * thirds of the queue, and there is always room for the first requests of another.
@@ -45,7 +43,8 @@
   | { readonly type: "answered"; readonly output: PoolOutput };
 
 interface Forecast {
-  readonly long: boolean;
+  readonly lane: LaneName;
+  readonly warmAt: string | undefined;
   /** Time in the queue. */
   readonly waitMs: number;
   /** Time from leaving the queue to the first token. */
@@ -124,7 +123,7 @@
       const why = fleet.usable
         ? this.#later(
           "expiredInQueue",
-          this.#dispatcher.drainMs(lanes.work),
+          this.#dispatcher.emptyMs(),
           nowMs,
         )
         : this.#noUpstream(nowMs);
@@ -156,7 +155,7 @@
     const { running, slots } = fleet.load(nowMs);
     const usable = slots > 0;
     return {
-      predictedWaitMs: usable ? this.#dispatcher.drainMs(lanes.work) : NEVER_MS,
+      predictedWaitMs: usable ? this.#dispatcher.emptyMs() : NEVER_MS,
       takesIn: usable && this.#takesIn(nowMs),
       queued: lanes.size,
       running,
@@ -248,28 +247,30 @@
     }
     return this.#later(
       "queueFull",
-      this.#dispatcher.drainMs(lanes.work),
+      this.#dispatcher.emptyMs(),
       nowMs,
     );
   }
 
   #enter(request: SlotRequest, forecast: Forecast, nowMs: number): Entry {
     if (request.exclude.length === 0) this.#retries.firstAttempt();
-    if (!forecast.long) this.#dispatcher.sawShort(nowMs);
+    if (forecast.lane === "short") this.#dispatcher.sawShort(nowMs);
     this.#limits.take(request.workspace, forecast.use, nowMs);
     return {
       request,
-      lane: forecast.long ? "long" : "short",
+      lane: forecast.lane,
       weight: this.#weight(request.workspace),
       work: forecast.work,
       use: forecast.use,
       queuedAtMs: nowMs,
       latestStartMs: request.deadlineMs - forecast.firstMs,
+      warmAt: forecast.warmAt,
+      bypassed: 0,
     };
   }
 
   #forecast(request: SlotRequest, nowMs: number): Forecast | undefined {
-    const view = this.#dispatcher.view(false, nowMs);
+    const view = this.#dispatcher.view(nowMs);
     let best: ReturnType<typeof weigh> | undefined;
     let bestMs = Infinity;
     for (const upstream of view.upstreams) {
@@ -281,15 +282,15 @@
       bestMs = found.firstMs;
     }
     if (!best) return undefined;
-    const { upstream, coldTokens, firstMs } = best;
-    const long = prefillMs(upstream.row, coldTokens) > LONG_PREFILL_MS;
+    const { upstream, coldTokens, savedMs, firstMs, long } = best;
     const lane = long ? "long" : "short";
     const weight = this.#weight(request.workspace);
     const ahead = this.#dispatcher.lanes.ahead(lane, request.workspace, weight);
     const work = workTokens(request, request.promptTokens - coldTokens);
     return {
-      long,
-      waitMs: this.#dispatcher.drainMs(ahead),
+      lane,
+      warmAt: savedMs > 0 ? upstream.row.id : undefined,
+      waitMs: this.#dispatcher.drainMs(lane, ahead),
       firstMs,
       coldMs: upstream.ownMs(request.promptTokens),
       work,
