Daemon, embedded default, process harness: the thin path from caller to engine and ledger

Change: ibisgapd composes metrics, members, table, slots, claims and edge; plain services are no longer asked for load.

--- a/src/daemon/admin.ts
+++ b/src/daemon/admin.ts
@@ -4,7 +4,12 @@
  * @module
  */
 
+import type { IncomingMessage } from "node:http";
 import Router from "@koa/router";
+import { z } from "zod";
+import { systemClock } from "../base/mod.ts";
+import { readBody } from "../edge/mod.ts";
+import type { LinkFaults } from "../adapters/mod.ts";
 import type { Kernel } from "../kernel/mod.ts";
 import type {
   MembersMessages,
@@ -21,6 +26,8 @@
     readonly failureDomain: string;
   };
   readonly startedAtMs: number;
+  /** Links that a test may cut; absent unless the settings allow it. */
+  readonly linkFaults?: LinkFaults;
   /** Begins a planned stop, as SIGTERM does. */
   stop(): void;
 }
@@ -65,5 +72,50 @@
     // After the answer has left: the listener that carries it is about to close.
     ctx.res.once("finish", () => options.stop());
   });
+  if (options.linkFaults) linkRoutes(router, options.linkFaults);
   return router;
 }
+
+const linkFault = z.strictObject({
+  peer: z.strictObject({
+    address: z.string().optional(),
+    vmId: z.string().optional(),
+    region: z.string().optional(),
+  }),
+  direction: z.enum(["in", "out"]).optional(),
+  cut: z.boolean().optional(),
+  delayMs: z.number().min(0).optional(),
+});
+
+/** `PUT /admin/links` sets all faults of this VM's links by name: `{"NAME": {"peer": {"region": R}, "cut": true}}`. */
+function linkRoutes(router: Router, links: LinkFaults): void {
+  router.get("/links", (ctx) => void (ctx.body = links.list()));
+  router.put("/links", async (ctx) => {
+    const parsed = z.record(z.string(), linkFault).safeParse(
+      await json(ctx.req),
+    );
+    if (!parsed.success) {
+      ctx.status = 400;
+      ctx.body = { error: { message: parsed.error.issues[0].message } };
+      return;
+    }
+    links.clear();
+    for (const [name, fault] of Object.entries(parsed.data)) {
+      links.set(name, fault);
+    }
+    ctx.body = links.list();
+  });
+}
+
+/** A small JSON body of an operator; `undefined` if it is not JSON. */
+async function json(request: IncomingMessage): Promise<unknown> {
+  const body = await readBody(request, {
+    bodyBytes: 1 << 20,
+    bodyWaitMs: 10_000,
+  }, systemClock);
+  try {
+    return body.isOk() ? JSON.parse(body.value.toString("utf8")) : undefined;
+  } catch {
+    return undefined;
+  }
+}
--- /dev/null
+++ b/src/daemon/daemon.ts
@@ -0,0 +1,239 @@
+/**
+ * One VM's daemon: the services in their order, and their planned stop.
+ *
+ * @module
+ */
+
+import type { Logger } from "winston";
+import {
+  EtcdKeyValue,
+  HttpVmList,
+  type KeyValue,
+  LinkFaults,
+  readEngineLoad,
+  type VmList,
+  WsTransport,
+} from "../adapters/mod.ts";
+import type { UpstreamRow } from "../agreement/mod.ts";
+import { type Clock, hash32, Random, systemClock } from "../base/mod.ts";
+import type { LoadReport } from "../decisions/mod.ts";
+import { type CallerListener, Edge, openListener } from "../edge/mod.ts";
+import { Kernel, openLog } from "../kernel/mod.ts";
+import {
+  ClaimsService,
+  LoadSource,
+  MembersService,
+  MetricsService,
+  SlotsService,
+  TableService,
+} from "../services/mod.ts";
+import { adminRoutes } from "./admin.ts";
+import { readSecret, type Settings } from "./settings.ts";
+
+/** Loads of engines over HTTP; plain services report none. */
+class EngineLoads extends LoadSource {
+  readonly #clock: Clock;
+
+  constructor(clock: Clock) {
+    super();
+    this.#clock = clock;
+  }
+
+  async read(
+    upstream: UpstreamRow,
+    deadlineMs: number,
+  ): Promise<LoadReport | undefined> {
+    const nowMs = this.#clock.nowMs();
+    const load = await readEngineLoad(upstream.url, deadlineMs - nowMs);
+    return load && { upstreamId: upstream.id, ...load, atMs: nowMs };
+  }
+
+  close(): Promise<void> {
+    return Promise.resolve();
+  }
+}
+
+/** After the open requests have ended, the services get this long to say good-bye. */
+const GOODBYE_MS = 3000;
+
+/** A running daemon; see {@link openDaemon}. */
+export class Daemon {
+  readonly kernel: Kernel;
+  readonly url: string;
+  readonly peerAddress: string;
+  /** Links that a test cuts; only where the settings allow it. */
+  readonly linkFaults: LinkFaults;
+  readonly #settings: Settings;
+  readonly #owned: readonly { close(): Promise<void> }[];
+  #closing: Promise<void> | undefined;
+
+  /** Use {@link openDaemon}. */
+  constructor(parts: {
+    kernel: Kernel;
+    url: string;
+    peerAddress: string;
+    linkFaults: LinkFaults;
+    settings: Settings;
+    owned: readonly { close(): Promise<void> }[];
+  }) {
+    this.kernel = parts.kernel;
+    this.url = parts.url;
+    this.peerAddress = parts.peerAddress;
+    this.linkFaults = parts.linkFaults;
+    this.#settings = parts.settings;
+    this.#owned = parts.owned;
+  }
+
+  /** A planned stop: leaves the directory, refuses new work, finishes what is open, hands over, and closes. */
+  close(): Promise<void> {
+    this.#closing ??= this.#close();
+    return this.#closing;
+  }
+
+  async #close(): Promise<void> {
+    const { kernel } = this;
+    kernel.log.info("stopping");
+    await kernel.get("members").ask("leave", undefined);
+    const deadlineMs = kernel.clock.nowMs() + this.#settings.limits.drainMs;
+    const left = await kernel.get("edge").ask("drain", { deadlineMs });
+    if (left) {
+      kernel.log.error("requests cut off", {
+        count: Number(left),
+        drainMs: this.#settings.limits.drainMs,
+      });
+    }
+    await kernel.close(kernel.clock.nowMs() + GOODBYE_MS);
+    for (const part of this.#owned) await part.close();
+    kernel.log.info("stopped");
+  }
+}
+
+/** What the services of one VM are built from. */
+interface Parts {
+  readonly settings: Settings;
+  readonly kernel: Kernel;
+  readonly store: KeyValue;
+  readonly vmList: VmList | undefined;
+  readonly listener: CallerListener;
+  readonly transport: WsTransport;
+  readonly callerUrl: string;
+  readonly peerAddress: string;
+  readonly incarnation: number;
+  readonly linkFaults: LinkFaults;
+}
+
+/** Starts a VM's daemon; resolves when it serves. */
+export async function openDaemon(
+  settings: Settings,
+  stop: () => void = () => {},
+): Promise<Daemon> {
+  const { vm, listen, limits } = settings;
+  const log = openLog(settings.log.level, { vm: vm.id });
+  const kernel = new Kernel(systemClock, log);
+  const listener = await openListener({
+    ...listen.callers,
+    headerBytes: limits.headerBytes,
+  });
+  const linkFaults = new LinkFaults();
+  const transport = await openTransport(settings, linkFaults, log);
+  const callerUrl = settings.advertise.callerUrl ??
+    `http://${listener.address.host}:${listener.address.port}`;
+  const peerAddress = settings.advertise.peerAddress ?? transport.address;
+  const platform = { urls: settings.platform.storeUrls, vmId: vm.id };
+  const store = new EtcdKeyValue(platform);
+  const listUrl = settings.platform.vmListUrl;
+  const vmList = listUrl
+    ? new HttpVmList({ urls: [listUrl], vmId: vm.id })
+    : undefined;
+  const incarnation = Math.floor(kernel.clock.nowMs());
+  const parts = {
+    settings,
+    kernel,
+    store,
+    vmList,
+    listener,
+    transport,
+    callerUrl,
+    peerAddress,
+    incarnation,
+    linkFaults,
+  };
+  const owned = [transport, store, ...(vmList ? [vmList] : [])];
+  const daemon = new Daemon({
+    kernel,
+    url: callerUrl,
+    peerAddress,
+    linkFaults,
+    settings,
+    owned,
+  });
+  await startServices(parts, stop);
+  log.info("ready", { url: callerUrl, peers: peerAddress, region: vm.region });
+  return daemon;
+}
+
+async function openTransport(
+  settings: Settings,
+  faults: LinkFaults,
+  log: Logger,
+): Promise<WsTransport> {
+  const { vm, listen, peers } = settings;
+  const secret = readSecret(peers.credential);
+  return await WsTransport.open({
+    vmId: vm.id,
+    region: vm.region,
+    secret,
+    ...listen.peers,
+    faults,
+    log,
+  });
+}
+
+/** The order is that of their needs: each finds what it asks for already started. */
+async function startServices(parts: Parts, stop: () => void): Promise<void> {
+  const { settings, kernel, store, transport, incarnation } = parts;
+  const { vm, limits } = settings;
+  await kernel.start(new MetricsService());
+  await kernel.start(
+    new MembersService({
+      vmId: vm.id,
+      incarnation,
+      region: vm.region,
+      failureDomain: vm.failureDomain,
+      peerAddress: parts.peerAddress,
+      callerUrl: parts.callerUrl,
+      transport,
+      seeds: settings.peers.seeds,
+      ...(parts.vmList ? { vmList: parts.vmList } : {}),
+    }),
+  );
+  const random = new Random(hash32(`${vm.id}/${incarnation}`));
+  await kernel.start(new TableService({ vm, store, transport, random }));
+  const loadSource = new EngineLoads(kernel.clock);
+  await kernel.start(
+    new SlotsService({ vmId: vm.id, region: vm.region, transport, loadSource }),
+  );
+  await kernel.start(
+    new ClaimsService({
+      me: { id: vm.id, incarnation },
+      region: vm.region,
+      store,
+      transport,
+      members: kernel.get("members"),
+      table: kernel.get("table"),
+    }),
+  );
+  const linkFaults = settings.testing.linkFaults ? parts.linkFaults : undefined;
+  const startedAtMs = kernel.clock.nowMs();
+  await kernel.start(
+    new Edge({
+      vmId: vm.id,
+      region: vm.region,
+      listener: parts.listener,
+      limits,
+      operatorTokenDigests: settings.operators.tokenDigests,
+      adminRoutes:
+        () => [adminRoutes({ kernel, vm, startedAtMs, stop, linkFaults })],
+    }),
+  );
+}
--- /dev/null
+++ b/src/daemon/embedded.ts
@@ -0,0 +1,110 @@
+/**
+ * The embedded default: a daemon with a stand-in platform, an engine and a plain service in one process, to try things
+ * out. Nothing of it is for production.
+ *
+ * @module
+ */
+
+import { EtcdKeyValue } from "../adapters/mod.ts";
+import { type TableRow, tableRow } from "../agreement/mod.ts";
+import { Random, secretDigest, systemClock } from "../base/mod.ts";
+import { Kernel, openLog } from "../kernel/mod.ts";
+import { TableEditor, TableService } from "../services/mod.ts";
+import { openEngine, openPlain, openPlatform } from "../standins/mod.ts";
+import { type Daemon, openDaemon } from "./daemon.ts";
+import { checkSettings, type Settings } from "./settings.ts";
+
+/** The caller's key of the embedded default. */
+export const EMBEDDED_KEY = "try-ibisgap";
+/** The operator's token of the embedded default. */
+export const EMBEDDED_TOKEN = "operate-ibisgap";
+
+const REGION = "local";
+const SEED_MS = 10_000;
+
+/** An embedded gateway and what it stands before. */
+export interface Embedded {
+  readonly daemon: Daemon;
+  close(): Promise<void>;
+}
+
+/** Starts everything; `port` is the callers', 0 any free one. */
+export async function openEmbedded(
+  port: number,
+  stop: () => void = () => {},
+): Promise<Embedded> {
+  const platform = await openPlatform();
+  const engine = await openEngine({ model: "demo" });
+  const plain = await openPlain({ name: "ledger" });
+  await seedTable(platform.url, embeddedRows(engine.url, plain.url));
+  const daemon = await openDaemon(embeddedSettings(port, platform.url), stop);
+  const close = async () => {
+    await daemon.close();
+    for (const part of [engine, plain, platform]) await part.close();
+  };
+  return { daemon, close };
+}
+
+function embeddedSettings(port: number, storeUrl: string): Settings {
+  const settings = checkSettings({
+    vm: { id: "local-1", region: REGION, failureDomain: "local-a" },
+    listen: { callers: { port }, peers: { port: 0 } },
+    platform: { storeUrls: [storeUrl] },
+    peers: { credential: "embedded-only" },
+    operators: { tokenDigests: [secretDigest(EMBEDDED_TOKEN)] },
+  });
+  return settings._unsafeUnwrap();
+}
+
+function embeddedRows(engineUrl: string, plainUrl: string): TableRow[] {
+  const place = { kind: "upstream", region: REGION, failureDomain: "local-a" };
+  return [
+    { kind: "region", id: REGION },
+    { kind: "service", id: "demo", type: "model" },
+    { kind: "service", id: "ledger", type: "plain", atMostOnce: true },
+    {
+      kind: "workspace",
+      id: "guests",
+      home: REGION,
+      keyDigests: [secretDigest(EMBEDDED_KEY)],
+    },
+    { ...place, id: "engine-1", service: "demo", url: engineUrl },
+    { ...place, id: "ledger-1", service: "ledger", url: plainUrl },
+  ].map((row) => tableRow.parse(row));
+}
+
+/** Puts `rows` in force in a store, as `ibisgap table apply` would. */
+export async function seedTable(
+  storeUrl: string,
+  rows: readonly TableRow[],
+): Promise<void> {
+  const kernel = new Kernel(systemClock, openLog("silent"));
+  const store = new EtcdKeyValue({ urls: [storeUrl], vmId: "seed" });
+  const random = new Random(1);
+  const service = new TableService({
+    vm: { id: "seed", region: REGION },
+    store,
+    random,
+  });
+  await kernel.start(service);
+  const editor = new TableEditor({
+    service,
+    vmId: "seed",
+    clock: systemClock,
+    random,
+  });
+  const deadlineMs = systemClock.nowMs() + SEED_MS;
+  const applied = await editor.apply({
+    rows,
+    author: "seed",
+    dryRun: false,
+    deadlineMs,
+  });
+  await kernel.close(deadlineMs);
+  await store.close();
+  if (applied.isErr()) {
+    throw new Error(
+      `the table was not accepted: ${JSON.stringify(applied.error)}`,
+    );
+  }
+}
--- /dev/null
+++ b/src/daemon/ibisgapd.ts
@@ -0,0 +1,104 @@
+#!/usr/bin/env node
+/**
+ * `ibisgapd`, the daemon: `ibisgapd SETTINGS.json`, or `ibisgapd --embedded` to try it.
+ *
+ * @module
+ */
+
+import { defineCommand, runMain } from "citty";
+import { openDaemon } from "./daemon.ts";
+import { EMBEDDED_KEY, EMBEDDED_TOKEN, openEmbedded } from "./embedded.ts";
+import { readSettings } from "./settings.ts";
+
+const DEFAULT_PORT = 7070;
+const USAGE_EXIT = 2;
+
+/** Runs until a planned stop (SIGTERM, SIGINT, `ibisgap drain`), which ends with exit code 0. */
+async function serve(
+  open: (stop: () => void) => Promise<{ close(): Promise<void> }>,
+): Promise<void> {
+  let stopping = false;
+  const opening = open(() => stop());
+  const stop = () => {
+    if (stopping) return;
+    stopping = true;
+    void opening.then((opened) => opened.close()).then(() => process.exit(0));
+  };
+  process.on("SIGTERM", stop);
+  process.on("SIGINT", stop);
+  await opening;
+}
+
+function say(text: string): void {
+  process.stdout.write(text + "\n");
+}
+
+function refuse(lines: readonly string[]): never {
+  for (const line of lines) process.stderr.write(`ibisgapd: ${line}\n`);
+  process.exit(USAGE_EXIT);
+}
+
+async function embedded(stop: () => void) {
+  const port = Number(process.env.PORT ?? DEFAULT_PORT);
+  if (!Number.isInteger(port) || port < 0 || port > 65_535) {
+    refuse([`PORT must be 0 to 65535; found ${process.env.PORT}`]);
+  }
+  const opened = await openEmbedded(port, stop);
+  const { url } = opened.daemon;
+  say(`ready: ${url}`);
+  say(
+    `try: curl -N ${url}/v1/chat/completions -H 'authorization: Bearer ${EMBEDDED_KEY}' \\`,
+  );
+  say(
+    `  -d '{"model":"demo","stream":true,"messages":[{"role":"user","content":"Which pass is open?"}]}'`,
+  );
+  say(
+    `operate: IBISGAP_TOKEN=${EMBEDDED_TOKEN} npx ibisgap status --target ${url}`,
+  );
+  return opened;
+}
+
+async function fromSettings(path: string, stop: () => void) {
+  const settings = readSettings(path);
+  if (settings.isErr()) {
+    refuse(
+      settings.error.map((problem) =>
+        `${path}: ${problem.field}: ${problem.message}`
+      ),
+    );
+  }
+  const daemon = await openDaemon(settings.value, stop);
+  say(`ready: ${daemon.url} peers: ${daemon.peerAddress}`);
+  return daemon;
+}
+
+const main = defineCommand({
+  meta: {
+    name: "ibisgapd",
+    version: "0.1.0",
+    description: "Serve callers on this VM",
+  },
+  args: {
+    settings: {
+      type: "positional",
+      description: "settings file (JSON)",
+      required: false,
+    },
+    embedded: {
+      type: "boolean",
+      description: "one process with stand-ins, to try it; PORT sets the port",
+    },
+  },
+  async run({ args }) {
+    if (args.embedded === (args.settings !== undefined)) {
+      refuse(["name a settings file, or give --embedded"]);
+    }
+    await serve((stop) =>
+      args.embedded ? embedded(stop) : fromSettings(args.settings!, stop)
+    ).catch(
+      (error: Error) => refuse([error.message]),
+    );
+  },
+});
+
+await runMain(main);
--- a/src/edge/mod.ts
+++ b/src/edge/mod.ts
@@ -5,6 +5,7 @@
  */
 
 export * from "./answer.ts";
+export * from "./body.ts";
 export * from "./context.ts";
 export * from "./edge.ts";
 export * from "./identity.ts";
--- a/src/services/members.ts
+++ b/src/services/members.ts
@@ -31,6 +31,8 @@
 /** Who this VM is and whom it asks first. */
 export interface MembersOptions {
   readonly vmId: string;
+  /** Grows with each start under this id; the time of the start unless given. */
+  readonly incarnation?: number;
   readonly region: string;
   readonly failureDomain: string;
   /** `host:port` at which others reach its listener. */
@@ -92,7 +94,8 @@
     this.#log = kernel.log;
     const { vmId, region, failureDomain, peerAddress, callerUrl } =
       this.#options;
-    const incarnation = Math.floor(this.#clock.nowMs());
+    const incarnation = this.#options.incarnation ??
+      Math.floor(this.#clock.nowMs());
     this.#random = new Random(hash32(`${vmId}/${incarnation}`));
     this.#machine = new Members(
       { id: vmId, incarnation, region, failureDomain, peerAddress, callerUrl },
--- a/src/services/slots.ts
+++ b/src/services/slots.ts
@@ -139,14 +139,18 @@
     if (this.#following) return;
     this.#following = true;
     try {
-      const tableChanged = this.#view.setTable(
-        await this.#table.ask("current", undefined),
-      );
+      const table = await this.#table.ask("current", undefined);
+      const tableChanged = this.#view.setTable(table);
       const vms = await this.#members?.ask("region", undefined);
       const vmsChanged = this.#view.setVms(vms ?? []);
       if (vmsChanged) this.#router.vmsChanged();
       if (tableChanged || vmsChanged) this.#server.follow(tableChanged);
-      this.#poller?.poll(this.#server.infos());
+      // A plain service has no load page: asking it would be a call that its owner did not make.
+      this.#poller?.poll(
+        this.#server.infos().filter((info) =>
+          table?.service(info.service)?.type === "model"
+        ),
+      );
     } finally {
       this.#following = false;
     }
--- /dev/null
+++ b/test/cluster.ts
@@ -0,0 +1,337 @@
+/**
+ * Real processes for failure tests: a stand-in platform, stand-in upstreams and daemons, each its own process, on
+ * loopback. Processes are ended by their id at the end of the test.
+ *
+ * @module
+ */
+
+import { type ChildProcess, spawn } from "node:child_process";
+import { mkdtempSync, rmSync, writeFileSync } from "node:fs";
+import { tmpdir } from "node:os";
+import { join } from "node:path";
+import { fileURLToPath } from "node:url";
+import got, { type Response } from "got";
+import type { TableRow } from "../src/agreement/mod.ts";
+import { secretDigest } from "../src/base/mod.ts";
+
+const DIST = fileURLToPath(new URL("..", import.meta.url));
+const READY_MS = 30_000;
+
+/** The operators' token of every daemon here. */
+export const TOKEN = "test-operator-token";
+/** The VMs' credential. */
+const CREDENTIAL = "test-vm-credential";
+
+/** A child process that said that it is ready. */
+export class Proc {
+  readonly child: ChildProcess;
+  readonly name: string;
+  /** Its log: standard output and error. */
+  output = "";
+  exitCode: number | null | undefined;
+  readonly exited: Promise<number | null>;
+
+  constructor(name: string, script: string, args: readonly string[]) {
+    this.name = name;
+    this.child = spawn(process.execPath, [join(DIST, script), ...args], {
+      stdio: ["ignore", "pipe", "pipe"],
+    });
+    const append = (chunk: Buffer) => void (this.output += chunk.toString());
+    this.child.stdout!.on("data", append);
+    this.child.stderr!.on("data", append);
+    this.exited = new Promise((resolve) =>
+      this.child.once("exit", (code) => {
+        this.exitCode = code;
+        resolve(code);
+      })
+    );
+  }
+
+  /** The first match of `pattern` in its output, once it is there. */
+  async said(pattern: RegExp): Promise<RegExpExecArray> {
+    const endMs = Date.now() + READY_MS;
+    for (;;) {
+      const match = pattern.exec(this.output);
+      if (match) return match;
+      if (this.exitCode !== undefined || Date.now() > endMs) {
+        throw new Error(
+          `${this.name} did not say ${pattern}:\n${this.output.slice(-2000)}`,
+        );
+      }
+      await sleep(20);
+    }
+  }
+
+  signal(signal: NodeJS.Signals): void {
+    this.child.kill(signal);
+  }
+
+  async end(): Promise<void> {
+    if (this.exitCode !== undefined) return;
+    this.child.kill("SIGCONT");
+    this.child.kill("SIGKILL");
+    await this.exited;
+  }
+}
+
+/** A daemon's process. */
+export interface Vm {
+  readonly id: string;
+  readonly region: string;
+  readonly proc: Proc;
+  readonly url: string;
+  readonly peerAddress: string;
+}
+
+/** A stand-in upstream of the upstreams' process. */
+export interface StandIn {
+  readonly url: string;
+  readonly controlUrl: string;
+}
+
+/** One run's processes. */
+export class Cluster {
+  readonly #dir = mkdtempSync(join(tmpdir(), "ibisgap-test-"));
+  readonly #procs: Proc[] = [];
+  readonly vms = new Map<string, Vm>();
+  storeUrl = "";
+
+  /** Starts a process and remembers to end it. */
+  run(name: string, script: string, args: readonly string[]): Proc {
+    const proc = new Proc(name, script, args);
+    this.#procs.push(proc);
+    return proc;
+  }
+
+  async startPlatform(): Promise<void> {
+    const proc = this.run("platform", "src/standins/platform_main.js", [
+      "--port",
+      "0",
+    ]);
+    this.storeUrl = (await proc.said(/(http:\/\/[\d.]+:\d+)/))[1];
+  }
+
+  /** Starts stand-ins; the engines first, then the plain services. */
+  async startUpstreams(
+    engines: number,
+    plains: number,
+    more: readonly string[] = [],
+  ): Promise<StandIn[]> {
+    const args = [
+      "--engines",
+      String(engines),
+      "--plains",
+      String(plains),
+      "--port-base",
+      "0",
+      ...more,
+    ];
+    const proc = this.run("upstreams", "src/standins/upstreams_main.js", args);
+    const pattern = new RegExp(`(?:\\{.*\\}\\s+){${engines + plains}}`);
+    const [lines] = await proc.said(pattern);
+    return lines.trim().split("\n").map((line) => JSON.parse(line) as StandIn);
+  }
+
+  /** Starts a daemon; `seeds` are the peers' addresses it asks first. */
+  async startVm(
+    id: string,
+    region: string,
+    seeds: readonly string[],
+    more: object = {},
+  ): Promise<Vm> {
+    const path = join(this.#dir, `${id}-${this.#procs.length}.json`);
+    const settings = {
+      vm: { id, region, failureDomain: `${region}-a` },
+      listen: { callers: { port: 0 }, peers: { port: 0 } },
+      platform: { storeUrls: [this.storeUrl] },
+      peers: { seeds, credential: CREDENTIAL },
+      operators: { tokenDigests: [secretDigest(TOKEN)] },
+      testing: { linkFaults: true },
+      ...more,
+    };
+    writeFileSync(path, JSON.stringify(settings));
+    const proc = this.run(id, "src/daemon/ibisgapd.js", [path]);
+    const [, url, peerAddress] = await proc.said(/ready: (\S+) peers: (\S+)/);
+    const vm = { id, region, proc, url, peerAddress };
+    this.vms.set(id, vm);
+    return vm;
+  }
+
+  /** Starts `perRegion` daemons in each region; ids are `REGION-N`. */
+  async startRegions(
+    regions: readonly string[],
+    perRegion: number,
+    more: object = {},
+  ): Promise<void> {
+    const seeds: string[] = [];
+    for (const region of regions) {
+      const first = await this.startVm(`${region}-1`, region, seeds, more);
+      seeds.push(first.peerAddress);
+    }
+    const rest = [];
+    for (const region of regions) {
+      for (let n = 2; n <= perRegion; n++) {
+        rest.push(this.startVm(`${region}-${n}`, region, seeds, more));
+      }
+    }
+    await Promise.all(rest);
+  }
+
+  /** Puts `rows` in force through a VM's operators' interface. */
+  async apply(vm: Vm, rows: readonly object[]): Promise<number> {
+    const path = join(this.#dir, `rows-${this.#procs.length}.json`);
+    writeFileSync(path, JSON.stringify(rows));
+    const proc = this.run("apply", "src/cli/ibisgap.js", [
+      "table",
+      "apply",
+      path,
+      "--target",
+      vm.url,
+      "--token",
+      TOKEN,
+      "--json",
+    ]);
+    const code = await proc.exited;
+    if (code !== 0) throw new Error(`apply failed: ${proc.output}`);
+    return Number(/"version":\s*(\d+)/.exec(proc.output)?.[1]);
+  }
+
+  /** Cuts, slows or mends a VM's links; `{}` mends all. */
+  async setLinks(vm: Vm, faults: object): Promise<void> {
+    await operator(vm, "PUT", "/admin/links", faults);
+  }
+
+  /** Sets the platform's faults. */
+  async setPlatformFaults(faults: readonly object[]): Promise<void> {
+    await got.post(`${this.storeUrl}/faults`, { json: { faults } });
+  }
+
+  /** Waits until `vm` says of itself what `test` wants. */
+  async until(vm: Vm, test: (status: Status) => boolean): Promise<Status> {
+    const endMs = Date.now() + READY_MS;
+    for (;;) {
+      const status = JSON.parse(
+        (await operator(vm, "GET", "/admin/status")).body,
+      ) as Status;
+      if (test(status)) return status;
+      if (Date.now() > endMs) {
+        throw new Error(`${vm.id} stayed at ${JSON.stringify(status)}`);
+      }
+      await sleep(50);
+    }
+  }
+
+  async close(): Promise<void> {
+    for (const proc of this.#procs) await proc.end();
+    rmSync(this.#dir, { recursive: true, force: true });
+  }
+}
+
+/** What `GET /admin/status` answers, as far as tests look at it. */
+export interface Status {
+  readonly tableVersion: number | null;
+  readonly region: readonly {
+    readonly id: string;
+    readonly state: string;
+    readonly tableVersion: number;
+  }[];
+}
+
+/** Calls an operators' path of a VM. */
+export async function operator(
+  vm: Vm,
+  method: "GET" | "PUT" | "POST",
+  path: string,
+  json?: object,
+) {
+  return await got(vm.url + path, {
+    method,
+    headers: { authorization: `Bearer ${TOKEN}` },
+    throwHttpErrors: false,
+    retry: { limit: 0 },
+    ...(json === undefined ? {} : { json }),
+  });
+}
+
+/** Calls a VM as a caller with this key. */
+export async function caller(
+  vm: Vm,
+  key: string,
+  path: string,
+  options: {
+    method?: "GET" | "POST";
+    body?: unknown;
+    headers?: Record<string, string>;
+  } = {},
+): Promise<Response<string>> {
+  return await got(vm.url + path, {
+    method: options.method ?? (options.body === undefined ? "GET" : "POST"),
+    headers: { authorization: `Bearer ${key}`, ...options.headers },
+    throwHttpErrors: false,
+    retry: { limit: 0 },
+    followRedirect: false,
+    timeout: { request: 30_000 },
+    ...(options.body === undefined
+      ? {}
+      : { body: JSON.stringify(options.body) }),
+  });
+}
+
+/** An error's numbered code and what it says of the run, in an answer. */
+export function refusal(
+  response: Response<string>,
+): { code?: number; ran?: string; goTo?: string[] } {
+  return (JSON.parse(response.body) as {
+    error?: { code: number; ran: string };
+  }).error ?? {};
+}
+
+/** Rows of services `plan` (model) and `ledger` (at most once), regions, and a bound workspace for each region. */
+export function standardRows(
+  regions: readonly string[],
+  upstreams: readonly object[],
+): object[] {
+  return [
+    ...regions.map((id) => ({ kind: "region", id })),
+    { kind: "service", id: "plan", type: "model" },
+    { kind: "service", id: "ledger", type: "plain", atMostOnce: true },
+    ...regions.map((id) => ({
+      kind: "workspace",
+      id: `${id}-clerks`,
+      home: id,
+      keyDigests: [secretDigest(keyOf(id))],
+    })),
+    ...upstreams,
+  ];
+}
+
+/** The key of a region's workspace in {@link standardRows}. */
+export function keyOf(region: string): string {
+  return `key-of-${region}`;
+}
+
+/** A row of an upstream for {@link standardRows}. */
+export function upstream(
+  id: string,
+  service: string,
+  region: string,
+  url: string,
+  more: object = {},
+) {
+  return {
+    kind: "upstream",
+    id,
+    service,
+    region,
+    failureDomain: `${region}-a`,
+    url,
+    ...more,
+  } as const;
+}
+
+export function sleep(waitMs: number): Promise<void> {
+  return new Promise((resolve) => setTimeout(resolve, waitMs));
+}
+
+/** Rows as the table holds them. */
+export type Rows = readonly TableRow[];
