ibisgap table: get, edit, diff, apply, history, wait, republish

Cause: operators had no way to the table. Change: tableRoutes below /admin/table (mounted in daemon.ts, a small addition there), the tool's commands, in-force by region from one VM of each region.

--- a/src/cli/ibisgap.ts
+++ b/src/cli/ibisgap.ts
@@ -7,6 +7,7 @@
 
 import { defineCommand, runMain } from "citty";
 import { check } from "./check.ts";
+import { table } from "./table.ts";
 import { drain, dump, metrics, status } from "./vm.ts";
 
 const main = defineCommand({
@@ -15,7 +16,7 @@
     version: "0.1.0",
     description: "Operate an ibisgap gateway",
   },
-  subCommands: { status, dump, metrics, drain, check },
+  subCommands: { table, status, dump, metrics, drain, check },
 });
 
 await runMain(main);
--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -25,6 +25,8 @@
   MembersService,
   MetricsService,
   SlotsService,
+  TableEditor,
+  tableRoutes,
   TableService,
 } from "../services/mod.ts";
 import { adminRoutes } from "./admin.ts";
@@ -208,7 +210,14 @@
     }),
   );
   const random = new Random(hash32(`${vm.id}/${incarnation}`));
-  await kernel.start(new TableService({ vm, store, transport, random }));
+  const table = new TableService({ vm, store, transport, random });
+  await kernel.start(table);
+  const editor = new TableEditor({
+    service: table,
+    vmId: vm.id,
+    clock: kernel.clock,
+    random,
+  });
   const loadSource = new EngineLoads(kernel.clock);
   await kernel.start(
     new SlotsService({ vmId: vm.id, region: vm.region, transport, loadSource }),
@@ -232,8 +241,10 @@
       listener: parts.listener,
       limits,
       operatorTokenDigests: settings.operators.tokenDigests,
-      adminRoutes:
-        () => [adminRoutes({ kernel, vm, startedAtMs, stop, linkFaults })],
+      adminRoutes: () => [
+        adminRoutes({ kernel, vm, startedAtMs, stop, linkFaults }),
+        tableRoutes({ service: table, editor, clock: kernel.clock }),
+      ],
     }),
   );
 }
--- a/src/services/mod.ts
+++ b/src/services/mod.ts
@@ -13,3 +13,5 @@
 export * from "./slots.ts";
 export type { OrderSink } from "./lead_server.ts";
 export * from "./members.ts";
+export * from "./table_in_force.ts";
+export * from "./table_routes.ts";
--- a/src/services/table_editor.ts
+++ b/src/services/table_editor.ts
@@ -170,7 +170,7 @@
     const { service, clock, random } = this.#options;
     const attempt = new EditAttempt(proposal);
     for (let tries = 0;; tries++) {
-      const known = await service.knownVersion();
+      const known = await service.fleet.knownVersion();
       const seen = await this.#look();
       const step: EditStep = seen.isOk()
         ? attempt.next(service.log, seen.value, known, clock.nowMs())
@@ -273,7 +273,7 @@
 
   async #republish(): Promise<Result<EditAccepted, EditRefused>> {
     const { service, vmId } = this.#options;
-    const known = await service.knownVersion();
+    const known = await service.fleet.knownVersion();
     const seen = await service.sync();
     if (seen.isErr()) return err(storeAway(seen.error, false));
     const { version } = service.log.table;
--- /dev/null
+++ b/src/services/table_fleet.ts
@@ -0,0 +1,74 @@
+/**
+ * The other VMs as the table service sees them, by way of the membership service.
+ *
+ * @module
+ */
+
+import { watchersOf } from "../agreement/mod.ts";
+import type { Kernel, Port } from "../kernel/mod.ts";
+import type { MembersMessages, VmInfo } from "./messages.ts";
+
+/** A view of the fleet; empty in a daemon without a membership service. */
+export class TableFleet {
+  readonly #kernel: Kernel;
+  readonly #vm: { readonly id: string; readonly region: string };
+
+  constructor(
+    kernel: Kernel,
+    vm: { readonly id: string; readonly region: string },
+  ) {
+    this.#kernel = kernel;
+    this.#vm = vm;
+  }
+
+  /** The VMs of this region, this one among them. */
+  async region(): Promise<readonly VmInfo[]> {
+    return await this.#members?.ask("region", undefined) ?? [];
+  }
+
+  /** Some VMs of each other region. */
+  async others(): Promise<ReadonlyMap<string, readonly VmInfo[]>> {
+    return await this.#members?.ask("others", undefined) ?? new Map();
+  }
+
+  /** All other VMs known here. */
+  async peers(): Promise<VmInfo[]> {
+    const [region, others] = [await this.region(), await this.others()];
+    return [...region, ...[...others.values()].flat()]
+      .filter((vm) => vm.id !== this.#vm.id);
+  }
+
+  /** The newest version that any other VM is known to have in force. */
+  async knownVersion(): Promise<number> {
+    const peers = await this.peers();
+    return Math.max(0, ...peers.map((vm) => vm.tableVersion));
+  }
+
+  /** The ids of the watchers of this region. */
+  async watchers(): Promise<string[]> {
+    const vms = await this.region();
+    const ids = vms.filter((vm) => vm.state === "live").map((vm) => vm.id);
+    return watchersOf(this.#vm.region, ids);
+  }
+
+  /** Whether this VM watches the store. One that knows of no other must not be left without it. */
+  async isWatcher(): Promise<boolean> {
+    const watchers = await this.watchers();
+    return watchers.length === 0 || watchers.includes(this.#vm.id);
+  }
+
+  /** A VM from which to take a version newer than `version`, if one is known. */
+  async ahead(version: number): Promise<readonly VmInfo[]> {
+    const newer = (vm: VmInfo) => vm.tableVersion > version;
+    const near = (await this.region()).filter(newer);
+    // Between regions only watchers pull, so that links carry an edit once or twice, not once for each VM.
+    if (near.length > 0 || !await this.isWatcher()) return near;
+    return [...(await this.others()).values()].flat().filter(newer);
+  }
+
+  get #members(): Port<MembersMessages> | undefined {
+    return this.#kernel.has("members")
+      ? this.#kernel.get<MembersMessages>("members")
+      : undefined;
+  }
+}
--- /dev/null
+++ b/src/services/table_routes.ts
@@ -0,0 +1,209 @@
+/**
+ * Operators' HTTP routes of the table, below `/admin/table`. The edge has checked the operator's token before.
+ *
+ * @module
+ */
+
+import type { IncomingMessage } from "node:http";
+import Router from "@koa/router";
+import type { Context } from "koa";
+import { z } from "zod";
+import { rowKey, tableRow } from "../agreement/mod.ts";
+import { type Clock, codes, type Failure, failure } from "../base/mod.ts";
+import type { EditRefused, TableEditor } from "./table_editor.ts";
+import type { TableService } from "./table_service.ts";
+
+/** Largest body: about 20,000 rows. */
+const MAX_BODY_BYTES = 16 * 1024 * 1024;
+const DEFAULT_WAIT_MS = 5000;
+const MAX_HISTORY = 200;
+
+const version = z.number().int().min(0);
+const author = z.string().min(1).max(200);
+const waitMs = z.number().int().min(0).max(60_000).default(DEFAULT_WAIT_MS);
+
+const editBody = z.strictObject({
+  id: z.string().min(8).max(100),
+  author,
+  waitMs,
+  changes: z.array(z.discriminatedUnion("type", [
+    z.strictObject({
+      type: z.literal("put"),
+      row: tableRow,
+      ifVersion: version.optional(),
+    }),
+    z.strictObject({
+      type: z.literal("delete"),
+      key: z.string(),
+      ifVersion: version.optional(),
+    }),
+  ])).min(1),
+});
+
+const rowsBody = z.strictObject({ rows: z.array(tableRow) });
+
+const applyBody = z.strictObject({
+  author,
+  waitMs,
+  dryRun: z.boolean().default(false),
+  rows: z.array(tableRow),
+});
+
+const rowsQuery = z.object({
+  key: z.string().optional(),
+  kind: z.string().optional(),
+});
+
+const historyQuery = z.object({
+  before: z.coerce.number().int().min(1).optional(),
+  limit: z.coerce.number().int().min(1).max(MAX_HISTORY).default(20),
+});
+
+/** What the routes work on. */
+export interface TableRoutesOptions {
+  readonly service: TableService;
+  readonly editor: TableEditor;
+  readonly clock: Clock;
+}
+
+/** Makes the routes; see docs/TABLE.md for each. */
+export function tableRoutes(options: TableRoutesOptions): Router {
+  const { service, editor, clock } = options;
+  const router = new Router({ prefix: "/admin/table" });
+  router.get("/", (context) => getRows(context, service));
+  router.post("/edits", async (context) => {
+    const body = await readBody(context, editBody);
+    if (!body) return;
+    const { id, author, changes, waitMs } = body;
+    const proposal = { id, author, changes };
+    const result = await editor.submit(proposal, clock.nowMs() + waitMs);
+    result.match((accepted) => void (context.body = accepted), refuse(context));
+  });
+  router.post("/diff", async (context) => {
+    const body = await readBody(context, rowsBody);
+    if (!body) return;
+    const result = await editor.diff(body.rows);
+    result.match(
+      (changes) => void (context.body = { changes }),
+      refuse(context),
+    );
+  });
+  router.post("/apply", async (context) => {
+    const body = await readBody(context, applyBody);
+    if (!body) return;
+    const deadlineMs = clock.nowMs() + body.waitMs;
+    const result = await editor.apply({ ...body, deadlineMs });
+    result.match((applied) => void (context.body = applied), refuse(context));
+  });
+  router.get("/history", async (context) => {
+    const query = parseOr400(context, historyQuery, context.query);
+    if (!query) return;
+    const result = await editor.history(query.before, query.limit);
+    result.match((edits) => void (context.body = { edits }), refuse(context));
+  });
+  router.get("/in-force", async (context) => {
+    const version = service.table?.version ?? 0;
+    context.body = { version, regions: await service.inForce() };
+  });
+  router.post("/republish", async (context) => {
+    const result = await editor.republish();
+    result.match((accepted) => void (context.body = accepted), refuse(context));
+  });
+  return router;
+}
+
+function getRows(context: Context, service: TableService): void {
+  const query = parseOr400(context, rowsQuery, context.query);
+  if (!query) return;
+  const { table } = service;
+  if (!table) return refuse(context)({ failure: failure("noTable") });
+  const rows = [...table.rows()]
+    .map((it) => ({ key: rowKey(it.row), ...it }))
+    .filter((it) => query.key === undefined || it.key === query.key)
+    .filter((it) => query.kind === undefined || it.row.kind === query.kind)
+    .sort((a, b) => (a.key < b.key ? -1 : 1));
+  context.body = { version: table.version, rows };
+}
+
+/** Answers with the failure in the shape that callers get too, and what its author must look at. */
+function refuse(context: Context): (refused: EditRefused) => void {
+  return ({ failure, conflicts, faults, acceptedVersion }) => {
+    context.status = codes[failure.code].httpStatus;
+    context.set("x-ibisgap-code", String(codes[failure.code].code));
+    const error = errorOf(failure);
+    context.body = { error, conflicts, faults, acceptedVersion };
+  };
+}
+
+function errorOf({ code, message, ran }: Failure) {
+  return { message, type: code, code: codes[code].code, param: null, ran };
+}
+
+async function readBody<T>(
+  context: Context,
+  schema: z.ZodType<T>,
+): Promise<T | undefined> {
+  const json = await readJson(context.req);
+  return parseOr400(context, schema, json);
+}
+
+function parseOr400<T>(
+  context: Context,
+  schema: z.ZodType<T>,
+  input: unknown,
+): T | undefined {
+  const parsed = schema.safeParse(input);
+  if (parsed.success) return parsed.data;
+  const problems = parsed.error.issues.map((it) => problemOf(it, input));
+  const message = problems.map((it) => it.text).join("; ");
+  const code = problems.some((it) => it.inRow) ? "invalidEdit" : "badRequest";
+  refuse(context)({ failure: failure(code, { message }) });
+  return undefined;
+}
+
+/** Names the row by its key, as a path into a file of thousands of rows helps nobody. */
+function problemOf(
+  issue: z.core.$ZodIssue,
+  input: unknown,
+): { readonly text: string; readonly inRow: boolean } {
+  let value = input;
+  let key: string | undefined;
+  const field: PropertyKey[] = [];
+  for (const step of issue.path) {
+    value = (value as Record<PropertyKey, unknown> | undefined)?.[step];
+    field.push(step);
+    const rawKey = rawKeyOf(value);
+    if (rawKey === undefined) continue;
+    key = rawKey;
+    field.length = 0;
+  }
+  const place = [key, field.join(".")].filter(Boolean).join(": ") || "body";
+  const found = typeof value === "object" ? "" : ` is ${JSON.stringify(value)}`;
+  return {
+    text: `${place}${found}; ${issue.message}`,
+    inRow: key !== undefined,
+  };
+}
+
+function rawKeyOf(value: unknown): string | undefined {
+  if (typeof value !== "object" || value === null) return undefined;
+  if (!("kind" in value)) return undefined;
+  const row = value as Record<string, unknown>;
+  const id = row.id ?? `${row.service}/${row.region}`;
+  return `${row.kind}/${id}`;
+}
+
+async function readJson(request: IncomingMessage): Promise<unknown> {
+  const chunks: Buffer[] = [];
+  let bytes = 0;
+  for await (const chunk of request) {
+    bytes += (chunk as Buffer).length;
+    if (bytes > MAX_BODY_BYTES) return undefined;
+    chunks.push(chunk as Buffer);
+  }
+  try {
+    return JSON.parse(Buffer.concat(chunks).toString("utf8"));
+  } catch {
+    return undefined;
+  }
+}
--- a/src/services/table_service.ts
+++ b/src/services/table_service.ts
@@ -14,11 +14,12 @@
   pushRoot,
   type Table,
   TableLog,
-  watchersOf,
 } from "../agreement/mod.ts";
 import type { Random, Timer } from "../base/mod.ts";
-import { type Kernel, type Port, Task } from "../kernel/mod.ts";
-import type { MembersMessages, TableMessages, VmInfo } from "./messages.ts";
+import { type Kernel, Task } from "../kernel/mod.ts";
+import type { TableMessages, VmInfo } from "./messages.ts";
+import { TableFleet } from "./table_fleet.ts";
+import { type RegionInForce, TableInForce } from "./table_in_force.ts";
 import { TablePeers } from "./table_peers.ts";
 import { type StoreHead, TableStore } from "./table_store.ts";
 import { TableSync } from "./table_sync.ts";
@@ -64,6 +65,8 @@
   readonly #waiters = new TableWaiters();
   readonly #counters = { editsApplied: 0, imagesLoaded: 0, pulls: 0 };
   #kernel!: Kernel;
+  #fleet!: TableFleet;
+  #inForce!: TableInForce;
   #sync!: TableSync;
   #peers: TablePeers | undefined;
   #timer: Timer | undefined;
@@ -90,12 +93,25 @@
       : undefined;
   }
 
+  /** The other VMs. */
+  get fleet(): TableFleet {
+    return this.#fleet;
+  }
+
   /** Reads the store once; if it is away, goes on trying it and the peers in the background. */
   async start(kernel: Kernel): Promise<void> {
     this.#kernel = kernel;
     this.#hearUntilMs = kernel.clock.monoMs() + this.#periods.hearMs;
+    this.#fleet = new TableFleet(kernel, this.#options.vm);
     this.#sync = this.#openSync();
     this.#peers = this.#openPeers();
+    this.#inForce = new TableInForce({
+      vm: this.#options.vm,
+      fleet: this.#fleet,
+      transport: this.#options.transport,
+      nowMs: () => kernel.clock.nowMs(),
+      version: () => this.table?.version ?? 0,
+    });
     await this.#tick();
     this.#schedule();
   }
@@ -132,38 +148,13 @@
     this.#onNewVersion();
     const last = edits.at(-1);
     if (!last || !this.#peers) return;
-    const { vm } = this.#options;
-    const ids = (await this.region()).map(({ id }) => id);
-    const root = pushRoot(last.version, watchersOf(vm.region, ids));
-    if (root === vm.id) await this.#peers.push(edits);
-  }
-
-  /** The VMs of this region as the membership service sees them; empty without one. */
-  async region(): Promise<readonly VmInfo[]> {
-    return await this.#members?.ask("region", undefined) ?? [];
-  }
-
-  /** Some VMs of each other region; empty without a membership service. */
-  async others(): Promise<ReadonlyMap<string, readonly VmInfo[]>> {
-    return await this.#members?.ask("others", undefined) ?? new Map();
+    const root = pushRoot(last.version, await this.#fleet.watchers());
+    if (root === this.#options.vm.id) await this.#peers.push(edits);
   }
 
-  /** The newest version that any other VM is known to have in force. */
-  async knownVersion(): Promise<number> {
-    const vms = await this.#allPeers();
-    return Math.max(0, ...vms.map((vm) => vm.tableVersion));
-  }
-
-  get #members(): Port<MembersMessages> | undefined {
-    return this.#kernel.has("members")
-      ? this.#kernel.get<MembersMessages>("members")
-      : undefined;
-  }
-
-  async #allPeers(): Promise<VmInfo[]> {
-    const [region, others] = [await this.region(), await this.others()];
-    return [...region, ...[...others.values()].flat()]
-      .filter((vm) => vm.id !== this.#options.vm.id);
+  /** Which VMs have which version in force, by region. */
+  inForce(): Promise<RegionInForce[]> {
+    return this.#inForce.regions();
   }
 
   #openSync(): TableSync {
@@ -188,7 +179,7 @@
       log: this.log,
       transport,
       nowMs: () => this.#kernel.clock.nowMs(),
-      region: () => this.region(),
+      region: () => this.#fleet.region(),
       onPush: (edits) => this.#offer(edits),
     });
   }
@@ -206,7 +197,7 @@
   async #tick(): Promise<void> {
     try {
       const wanted = this.log.table.version === 0;
-      await this.#sync.look(await this.#isWatcher(), wanted);
+      await this.#sync.look(await this.#fleet.isWatcher(), wanted);
       await this.#pullIfBehind();
       await this.#becomeReady();
     } catch (error) {
@@ -214,14 +205,6 @@
     }
   }
 
-  async #isWatcher(): Promise<boolean> {
-    const { id, region } = this.#options.vm;
-    const vms = await this.region();
-    const ids = vms.filter((vm) => vm.state === "live").map((vm) => vm.id);
-    // A VM that knows of no other must not be left without the store.
-    return ids.length === 0 || watchersOf(region, ids).includes(id);
-  }
-
   #offer(edits: readonly LoggedEdit[]): void {
     const outcome = this.log.offer(edits);
     this.#sync.noteAlarm();
@@ -233,15 +216,7 @@
   /** Takes what a peer has in force and this VM has not: a missed push, or a store that is away. */
   async #pullIfBehind(): Promise<void> {
     if (!this.#peers) return;
-    const { version } = this.log.table;
-    const near = (await this.region())
-      .filter((vm) => vm.tableVersion > version);
-    // Between regions only watchers pull, so that links carry an edit once or twice, not once for each VM.
-    const far = near.length === 0 && await this.#isWatcher()
-      ? [...(await this.others()).values()].flat()
-        .filter((vm) => vm.tableVersion > version)
-      : [];
-    const ahead = near.length > 0 ? near : far;
+    const ahead = await this.#fleet.ahead(this.log.table.version);
     if (ahead.length === 0) return;
     await this.#pullFrom(this.#options.random.pick(ahead));
   }
@@ -279,7 +254,7 @@
   }
 
   async #askPeers(): Promise<boolean> {
-    const peers = await this.#allPeers();
+    const peers = await this.#fleet.peers();
     const order = peers
       .map((peer) => ({ peer, place: this.#options.random.next() }))
       .sort((a, b) => a.place - b.place)
--- a/src/services/table_service_test.ts
+++ b/src/services/table_service_test.ts
@@ -21,7 +21,7 @@
   t.teardown(() => Promise.all(vms.map((vm) => vm.crash())));
   await until("all know their region", async () => {
     for (const vm of vms) {
-      if ((await vm.table.region()).length < 3) return false;
+      if ((await vm.table.fleet.region()).length < 3) return false;
     }
     return true;
   });
