--- a/src/agreement/mod.ts
+++ b/src/agreement/mod.ts
@@ -11,6 +11,7 @@
 export * from "./table_log.ts";
 export * from "./table_push.ts";
 export * from "./table_records.ts";
+export * from "./table_schema.ts";
 export * from "./claim.ts";
 export * from "./claim_record.ts";
 export * from "./claim_head.ts";
--- a/src/agreement/table.ts
+++ b/src/agreement/table.ts
@@ -46,27 +46,27 @@
 
 /** The table at one version. */
 export class Table {
-  static readonly empty: Table = new Table(0, new Map(), new Map());
+  static readonly empty: Table = new Table(0, new Map(), indexOf(new Map()));
 
   readonly version: number;
   readonly #rows: ReadonlyMap<string, VersionedRow>;
-  readonly #pools: ReadonlyMap<string, readonly UpstreamRow[]>;
+  readonly #index: Index;
 
   private constructor(
     version: number,
     rows: ReadonlyMap<string, VersionedRow>,
-    pools: ReadonlyMap<string, readonly UpstreamRow[]>,
+    index: Index,
   ) {
     this.version = version;
     this.#rows = rows;
-    this.#pools = pools;
+    this.#index = index;
   }
 
   /** A table from its rows, as a snapshot holds them. */
   static of(version: number, rows: Iterable<VersionedRow>): Table {
     const byKey = new Map<string, VersionedRow>();
     for (const versioned of rows) byKey.set(rowKey(versioned.row), versioned);
-    return new Table(version, byKey, groupPools(byKey));
+    return new Table(version, byKey, indexOf(byKey));
   }
 
   /** The table after one edit. Throws if the edit is not the next one: a gap would lose an edit without a trace. */
@@ -77,19 +77,17 @@
       );
     }
     const rows = new Map(this.#rows);
-    let upstreamsChanged = false;
+    let indexed = false;
     for (const change of edit.changes) {
       const key = change.type === "put" ? rowKey(change.row) : change.key;
       if (change.type === "put") {
         rows.set(key, { row: change.row, version: edit.version });
       } else rows.delete(key);
-      upstreamsChanged ||= key.startsWith("upstream/");
+      indexed ||= /^(upstream|service)\//.test(key);
     }
-    return new Table(
-      edit.version,
-      rows,
-      upstreamsChanged ? groupPools(rows) : this.#pools,
-    );
+    // Most edits are of workspaces; the index is made again only for those that it depends on.
+    const index = indexed ? indexOf(rows) : this.#index;
+    return new Table(edit.version, rows, index);
   }
 
   /** The row under this key with its version. */
@@ -120,20 +118,40 @@
   }
   /** The upstreams of a service in a region, sorted by id. */
   upstreams(service: string, region: string): readonly UpstreamRow[] {
-    return this.#pools.get(`${service}/${region}`) ?? [];
+    return this.#index.pools.get(`${service}/${region}`) ?? [];
   }
   /** The service whose id or model list holds this model name. */
   serviceOfModel(model: string): ServiceRow | undefined {
-    const direct = this.service(model);
-    if (direct?.type === "model") return direct;
-    for (const { row } of this.#rows.values()) {
-      if (
-        row.kind === "service" && row.type === "model" &&
-        row.models.includes(model)
-      ) return row;
-    }
-    return undefined;
+    return this.#index.models.get(model);
+  }
+}
+
+/** What requests look up by other than the row's key. */
+interface Index {
+  /** Upstreams by `SERVICE/REGION`, sorted by id. */
+  readonly pools: ReadonlyMap<string, readonly UpstreamRow[]>;
+  /** Model services by their ids and model names. */
+  readonly models: ReadonlyMap<string, ServiceRow>;
+}
+
+function indexOf(rows: ReadonlyMap<string, VersionedRow>): Index {
+  return { pools: groupPools(rows), models: groupModels(rows) };
+}
+
+function groupModels(
+  rows: ReadonlyMap<string, VersionedRow>,
+): ReadonlyMap<string, ServiceRow> {
+  const models = new Map<string, ServiceRow>();
+  const services = [...rows.values()].map(({ row }) => row)
+    .filter((row): row is ServiceRow =>
+      row.kind === "service" && row.type === "model"
+    );
+  for (const service of services) {
+    for (const model of service.models) models.set(model, service);
   }
+  // A service's own id goes before another's model of that name.
+  for (const service of services) models.set(service.id, service);
+  return models;
 }
 
 function groupPools(
--- /dev/null
+++ b/src/agreement/table_test.ts
@@ -0,0 +1,205 @@
+import { readFileSync } from "node:fs";
+import { describe, it } from "../base/describe.ts";
+import {
+  checkChanges,
+  describeFault,
+  diffRows,
+  imageOf,
+  pagesOf,
+  PUSH_FANOUT,
+  pushRoot,
+  pushTargets,
+  type RowChange,
+  rowKey,
+  sameRow,
+  splitChanges,
+  Table,
+  tableRow,
+  tableSchema,
+  WATCHERS_PER_REGION,
+  watchersOf,
+} from "./mod.ts";
+
+const root = new URL("../../../", import.meta.url);
+
+function tableOf(...rows: unknown[]): Table {
+  const parsed = rows.map((row) => ({ row: tableRow.parse(row), version: 1 }));
+  return Table.of(1, parsed);
+}
+
+const region = (id: string, more = {}) => ({ kind: "region", id, ...more });
+const service = (id: string, more = {}) => ({
+  kind: "service",
+  id,
+  type: "model",
+  ...more,
+});
+const digest = "a".repeat(64);
+
+describe("table schema", () => {
+  it("is committed as it stands", (t) => {
+    const committed = readFileSync(new URL("table.schema.json", root), "utf8");
+    t.deepEqual(JSON.parse(committed), tableSchema());
+  });
+});
+
+describe("table checks", () => {
+  const stands = tableOf(
+    region("agadir"),
+    region("muscat"),
+    service("plan", { models: ["atlas-1"] }),
+    { kind: "workspace", id: "clerks", home: "agadir", keyDigests: [digest] },
+  );
+  const put = (row: unknown): RowChange => ({
+    type: "put",
+    row: tableRow.parse(row),
+  });
+  const traffic = (more = {}) =>
+    put({ kind: "traffic", service: "plan", region: "agadir", ...more });
+  const cases: Record<string, [RowChange, string | undefined]> = {
+    "a traffic row that fits": [traffic({ mayGoTo: ["muscat"] }), undefined],
+    "an unknown region to go to": [
+      traffic({ mayGoTo: ["oz"] }),
+      'traffic/plan/agadir: mayGoTo is "oz"; must be the id of a region row',
+    ],
+    "its own region to go to": [
+      traffic({ mayGoTo: ["agadir"] }),
+      'traffic/plan/agadir: mayGoTo is "agadir"; must be a region other than the row\'s own',
+    ],
+    "a model of two services": [
+      put(service("other", { models: ["atlas-1"] })),
+      'service/other: models is "atlas-1"; must not be served by service/plan too',
+    ],
+    "a key of two workspaces": [
+      put({
+        kind: "workspace",
+        id: "drivers",
+        home: "agadir",
+        keyDigests: [digest],
+      }),
+      `workspace/drivers: keyDigests is "${digest}"; must not be a key of workspace/clerks too`,
+    ],
+    "a home that a workspace needs": [
+      { type: "delete", key: "region/agadir" },
+      'region/agadir: workspace.home is "agadir"; delete or change workspace/clerks first',
+    ],
+    "a region nobody needs": [
+      { type: "delete", key: "region/muscat" },
+      undefined,
+    ],
+  };
+  for (const [title, [change, wanted]] of Object.entries(cases)) {
+    it(title, (t) => {
+      const edit = {
+        version: 2,
+        id: "e",
+        author: "a",
+        atMs: 0,
+        changes: [change],
+      };
+      const faults = checkChanges(stands.apply(edit), [change]);
+      t.deepEqual(faults.map(describeFault), wanted ? [wanted] : []);
+    });
+  }
+});
+
+describe("table diff", () => {
+  it("puts references first, deletes them last, and skips what stands", (t) => {
+    const table = tableOf(region("agadir"), region("oz"), service("old"));
+    const rows = [
+      { kind: "traffic", service: "plan", region: "agadir" },
+      region("agadir", { linkMs: {}, weight: 1 }),
+      service("plan"),
+    ].map((row) => tableRow.parse(row));
+    const changes = diffRows(table, rows).map((change) =>
+      change.type === "put"
+        ? `+${rowKey(change.row)}@${change.ifVersion}`
+        : `-${change.key}@${change.ifVersion}`
+    );
+    t.deepEqual(changes, [
+      "+service/plan@0",
+      "+traffic/plan/agadir@0",
+      "-region/oz@1",
+      "-service/old@1",
+    ]);
+  });
+
+  it("does not count the order of fields", (t) => {
+    const a = tableRow.parse(region("agadir", { linkMs: { x: 1, y: 2 } }));
+    const b = tableRow.parse({
+      linkMs: { y: 2, x: 1 },
+      id: "agadir",
+      kind: "region",
+    });
+    t.true(sameRow(a, b));
+  });
+
+  it("splits changes into parts in order and within their size", (t) => {
+    const changes = Array.from({ length: 50 }, (_, i): RowChange => ({
+      type: "delete",
+      key: `region/r${i}`,
+    }));
+    const parts = splitChanges(changes, 300);
+    t.deepEqual(parts.flat(), changes);
+    t.true(parts.every((part) => JSON.stringify(part).length <= 302));
+  });
+});
+
+describe("table images", () => {
+  const rows = Array.from({ length: 200 }, (_, i) => region(`r${i}`));
+  const recent = [{ id: "e1", version: 1 }];
+  const image = { table: tableOf(...rows), lastId: "e1", recent };
+
+  it("are the same after being cut into pages", (t) => {
+    const pages = pagesOf(image, 2000);
+    t.true(pages.length > 5);
+    const again = imageOf(JSON.parse(JSON.stringify(pages)))!;
+    t.is(again.lastId, "e1");
+    t.deepEqual(again.recent, recent);
+    t.deepEqual([...again.table.rows()], [...image.table.rows()]);
+  });
+
+  it("are refused with a page missing or of another version", (t) => {
+    const pages = pagesOf(image, 2000);
+    t.is(imageOf(pages.slice(0, -1)), undefined);
+    t.is(imageOf([]), undefined);
+    const mixed = pages.map((page, i) =>
+      i === 2 ? { ...page, version: 9 } : page
+    );
+    t.is(imageOf(mixed), undefined);
+  });
+});
+
+describe("table pushes", () => {
+  const ids = Array.from({ length: 67 }, (_, i) => `agadir-${i}`);
+
+  it("reach every VM of the region once, with bounded work for each", (t) => {
+    const watchers = watchersOf("agadir", ids);
+    t.is(watchers.length, WATCHERS_PER_REGION);
+    for (let version = 1; version <= 50; version++) {
+      const first = pushRoot(version, watchers)!;
+      const reached = [first];
+      for (const id of reached) {
+        const targets = pushTargets(version, first, id, ids);
+        t.true(targets.length <= PUSH_FANOUT);
+        reached.push(...targets);
+      }
+      t.deepEqual([...reached].sort(), [...ids].sort());
+    }
+  });
+
+  it("spread the inner nodes of the tree over the region", (t) => {
+    const sent = new Map<string, number>();
+    for (let version = 1; version <= 400; version++) {
+      const first = pushRoot(version, watchersOf("agadir", ids))!;
+      for (const id of ids) {
+        const { length } = pushTargets(version, first, id, ids);
+        sent.set(id, (sent.get(id) ?? 0) + length);
+      }
+    }
+    // A watcher is the root of every second tree; all others send about one message per edit.
+    const loads = [...sent.values()].sort((a, b) => b - a);
+    t.true(loads[0] <= 400 * PUSH_FANOUT * 0.7, String(loads[0]));
+    t.true(loads[2] <= 400 * 1.7, String(loads[2]));
+  });
+});
--- /dev/null
+++ b/src/services/table_store_test.ts
@@ -0,0 +1,144 @@
+import type { ExecutionContext } from "ava";
+import { describe, it } from "../base/describe.ts";
+import { Random, systemClock as clock } from "../base/mod.ts";
+import { Kernel, openLog } from "../kernel/mod.ts";
+import {
+  LOG_PREFIX,
+  type RowChange,
+  SNAP_PREFIX,
+  TableLog,
+  tableRow,
+} from "../agreement/mod.ts";
+import { MemoryKeyValue } from "../standins/mod.ts";
+import { TableEditor } from "./table_editor.ts";
+import { TableService } from "./table_service.ts";
+import { LOG_KEPT, TableStore } from "./table_store.ts";
+
+const put = (id: string, weight: number): RowChange => ({
+  type: "put",
+  row: tableRow.parse({ kind: "region", id, weight }),
+});
+
+/** A VM alone over a store in memory, and a way to edit. */
+async function openVm(t: ExecutionContext) {
+  const store = new MemoryKeyValue();
+  const kernel = new Kernel(clock, openLog("silent"));
+  const random = new Random(1);
+  const vm = { id: "a", region: "agadir" };
+  const service = new TableService({ vm, store, random });
+  await kernel.start(service);
+  t.teardown(() => kernel.close(clock.nowMs()));
+  const editor = new TableEditor({ service, vmId: "a", clock, random });
+  let next = 0;
+  const edit = async (changes: readonly RowChange[]) => {
+    const proposal = { id: `edit-${next++}`, author: "me", changes };
+    return await editor.submit(proposal, clock.nowMs() + 5000);
+  };
+  return { service, editor, edit, store };
+}
+
+/** A second reader, as a VM that starts has. */
+async function coldStart(store: MemoryKeyValue) {
+  const log = new TableLog();
+  const own = new MemoryKeyValue({ store: store.store });
+  const reader = new TableStore(own);
+  const seen = (await reader.head())._unsafeUnwrap();
+  const result = await reader.catchUp(log, seen);
+  return { log, result, calls: own.counts().table };
+}
+
+const keys = async (store: MemoryKeyValue, prefix: string) =>
+  (await store.list(prefix, {}, "other"))._unsafeUnwrap().entries
+    .map((entry) => entry.key);
+
+describe("table snapshots", () => {
+  it("bound the log and what a cold start reads", async (t) => {
+    const { edit, service, store } = await openVm(t);
+    for (let i = 1; i <= 1300; i++) {
+      t.true((await edit([put(`r${i % 40}`, i)])).isOk());
+    }
+    await clock.sleep(0);
+    const log = await keys(store, LOG_PREFIX);
+    t.true(log.length < 512 + LOG_KEPT + 20, String(log.length));
+    t.is((await keys(store, SNAP_PREFIX)).length, 1);
+    const cold = await coldStart(store);
+    t.is(cold.log.table.version, 1300);
+    t.is(cold.log.lastId, service.log.lastId);
+    const weights = (from: TableLog) =>
+      [...from.table.rows()].map((it) => JSON.stringify(it)).sort();
+    t.deepEqual(weights(cold.log), weights(service.log));
+    t.true(cold.calls < 20, String(cold.calls));
+  });
+
+  // A writer dies after its pages, before the head names them: the old snapshot stays in force for readers, and the
+  // next writer removes the orphaned pages.
+  it("outlive a writer that dies half-way", async (t) => {
+    const { edit, service, store } = await openVm(t);
+    for (let i = 1; i <= 10; i++) await edit([put(`r${i}`, i)]);
+    const writer = new TableStore(store);
+    t.true((await writer.writeSnapshot(service.log.image(), "a")).isOk());
+    await edit([put("r1", 99)]);
+    store.faults.set([{ keyPrefix: "table/head", outage: "cut" }]);
+    t.true((await writer.writeSnapshot(service.log.image(), "b")).isErr());
+    store.faults.clear();
+    t.is((await keys(store, SNAP_PREFIX)).length, 2);
+    t.is((await coldStart(store)).log.table.version, 11);
+    await edit([put("r2", 99)]);
+    t.true((await writer.writeSnapshot(service.log.image(), "c")).isOk());
+    const [left, ...more] = await keys(store, SNAP_PREFIX);
+    t.regex(left, /-c\//);
+    t.deepEqual(more, []);
+  });
+
+  // A reader learns of a snapshot, which is replaced before its pages are read. The reading fails whole and its next
+  // try finds the new one; a table of half the rows never comes in force.
+  it("that are replaced while they are read are read again", async (t) => {
+    const { edit, service, store } = await openVm(t);
+    for (let i = 1; i <= LOG_KEPT + 50; i++) await edit([put("r1", i)]);
+    const writer = new TableStore(store);
+    t.true((await writer.writeSnapshot(service.log.image(), "a")).isOk());
+    const late = (await writer.head())._unsafeUnwrap();
+    await edit([put("r1", 9999)]);
+    t.true((await writer.writeSnapshot(service.log.image(), "b")).isOk());
+    const log = new TableLog();
+    t.true((await writer.catchUp(log, late)).isErr());
+    t.is(log.table.version, 0);
+    const cold = await coldStart(store);
+    t.is(cold.log.table.region("r1")?.weight, 9999);
+  });
+});
+
+describe("table edits", () => {
+  it("that change nothing make no version", async (t) => {
+    const { edit, service } = await openVm(t);
+    await edit([put("r1", 1)]);
+    const again = (await edit([put("r1", 1)]))._unsafeUnwrap();
+    t.deepEqual(again, { version: 1, changed: false });
+    t.is(service.log.table.version, 1);
+  });
+
+  it("beyond the size of a record are refused, and applied in parts", async (t) => {
+    const { edit, editor, service } = await openVm(t);
+    const rows = Array.from(
+      { length: 4000 },
+      (_, i) => tableRow.parse({ kind: "region", id: `r${i}` }),
+    );
+    const changes = rows.map((row): RowChange => ({ type: "put", row }));
+    const refused = (await edit(changes))._unsafeUnwrapErr();
+    t.is(refused.failure.code, "invalidEdit");
+    const deadlineMs = clock.nowMs() + 1000;
+    const request = { rows, author: "git", dryRun: false, deadlineMs };
+    const applied = (await editor.apply(request))._unsafeUnwrap();
+    t.is(applied.changes.length, 4000);
+    t.true(applied.version! > 1);
+    t.is(service.log.table.size, 4000);
+  });
+
+  it("cost one store write each when no one else edits", async (t) => {
+    const { edit, store } = await openVm(t);
+    await edit([put("r1", 1)]);
+    const before = store.counts().table;
+    for (let i = 2; i <= 51; i++) await edit([put("r1", i)]);
+    t.is(store.counts().table - before, 50);
+  });
+});
