--- /dev/null
+++ b/bench/control_table.ts
@@ -0,0 +1,240 @@
+/**
+ * What the table costs: time until an edit is in force, store calls, watches, bytes between VMs, and memory and
+ * processor time by the table's size. `npm run bench -- control_table [--json] [--vms 6,24] [--edits 200]`
+ *
+ * @module
+ */
+
+import { setFlagsFromString } from "node:v8";
+import { runInNewContext } from "node:vm";
+import {
+  imageOf,
+  type LoggedEdit,
+  pagesOf,
+  parseEdit,
+  parsePage,
+  Table,
+  TableLog,
+  type TableRow,
+  tableRow,
+} from "../src/agreement/mod.ts";
+import { Random } from "../src/base/mod.ts";
+import { openPlatform, type Platform } from "../src/standins/mod.ts";
+import { openTableVms, regionRowOf, type TableVm } from "../test/table_vms.ts";
+import type { Row } from "./row.ts";
+
+const SEED = 1;
+const REGIONS = ["casablanca", "marrakech", "agadir"];
+const SIZES = [1000, 4500, 15_000, 30_000];
+const IDLE_MS = 10_000;
+/** Between two edits: many times the target's average of 0.75 a second. */
+const PAUSE_MS = 20;
+
+/** Runs all parts. */
+export async function run(args: readonly string[]): Promise<Row[]> {
+  const fleets = option(args, "--vms", "6,24").split(",").map(Number);
+  const edits = Number(option(args, "--edits", "200"));
+  const rows: Row[] = [];
+  for (const size of SIZES) rows.push(...measureSize(size));
+  for (const vms of fleets) rows.push(...await measureFleet(vms, edits));
+  return rows;
+}
+
+function option(
+  args: readonly string[],
+  name: string,
+  otherwise: string,
+): string {
+  const place = args.indexOf(name);
+  return place < 0 ? otherwise : args[place + 1];
+}
+
+async function measureFleet(count: number, edits: number): Promise<Row[]> {
+  const row = rowsOf(`${count} VMs in ${REGIONS.length} regions`);
+  const platform = await openPlatform();
+  const perRegion = count / REGIONS.length;
+  const vms = await openTableVms(platform.url, REGIONS, perRegion);
+  try {
+    await vms[0].put(...REGIONS.map((id) => regionRowOf(id)));
+    await settle(platform, vms);
+    const idle = await measureIdle(platform);
+    const busy = await measureEdits(platform, vms, edits);
+    return [
+      row("edit accepted p50", percentile(busy.acceptedMs, 0.5), "ms"),
+      row("edit accepted p99", percentile(busy.acceptedMs, 0.99), "ms"),
+      row("edit to in force p50", percentile(busy.inForceMs, 0.5), "ms"),
+      row("edit to in force p99", percentile(busy.inForceMs, 0.99), "ms"),
+      row("edit to in force max", percentile(busy.inForceMs, 1), "ms"),
+      row("store writes per edit", busy.writes / edits, "calls"),
+      row("store reads per edit", busy.reads / edits, "calls"),
+      row("store calls idle", idle, "calls/s"),
+      row(
+        "watches per region",
+        platform.store.watchCount / REGIONS.length,
+        "watches",
+      ),
+      row("bytes per edit and VM", busy.bytes / edits / count, "B"),
+      row("pulls", busy.pulls, "calls"),
+    ];
+  } finally {
+    for (const vm of vms) await vm.crash();
+    await platform.close();
+  }
+}
+
+/** Waits until all VMs know their region and its watchers watch. */
+async function settle(platform: Platform, vms: TableVm[]): Promise<void> {
+  const perRegion = vms.length / REGIONS.length;
+  const watches = Math.min(2, perRegion) * REGIONS.length;
+  for (;;) {
+    const known = await Promise.all(vms.map((vm) => vm.table.fleet.region()));
+    const whole = known.every((region) => region.length === perRegion);
+    const inForce = vms.every((vm) => vm.version >= 1);
+    if (whole && inForce && platform.store.watchCount === watches) return;
+    await sleep(50);
+  }
+}
+
+async function measureIdle(platform: Platform): Promise<number> {
+  const before = platform.counts.reads + platform.counts.writes;
+  await sleep(IDLE_MS);
+  const after = platform.counts.reads + platform.counts.writes;
+  return (after - before) / (IDLE_MS / 1000);
+}
+
+async function measureEdits(
+  platform: Platform,
+  vms: readonly TableVm[],
+  edits: number,
+) {
+  const random = new Random(SEED);
+  const before = { ...platform.counts };
+  const bytesBefore = tableBytes(vms);
+  const pullsBefore = pullsOf(vms);
+  const acceptedMs: number[] = [];
+  const inForceMs: number[] = [];
+  for (let i = 0; i < edits; i++) {
+    const startMs = performance.now();
+    const weight = i + 2;
+    const edit = await random.pick(vms)
+      .put(regionRowOf(random.pick(REGIONS), weight));
+    acceptedMs.push(performance.now() - startMs);
+    const { version } = edit._unsafeUnwrap();
+    while (!vms.every((vm) => vm.version >= version)) await sleep(1);
+    inForceMs.push(performance.now() - startMs);
+    await sleep(PAUSE_MS);
+  }
+  return {
+    acceptedMs,
+    inForceMs,
+    writes: platform.counts.writes - before.writes,
+    reads: platform.counts.reads - before.reads,
+    bytes: tableBytes(vms) - bytesBefore,
+    pulls: pullsOf(vms) - pullsBefore,
+  };
+}
+
+function tableBytes(vms: readonly TableVm[]): number {
+  return vms.reduce((sum, vm) => {
+    const table = vm.transport.bytesBySubject().table;
+    return sum + (table?.sent ?? 0);
+  }, 0);
+}
+
+function pullsOf(vms: readonly TableVm[]): number {
+  return vms.reduce((sum, vm) => sum + Number(vm.dump().pulls), 0);
+}
+
+/** Memory and processor time of one VM's table, by its number of rows. */
+function measureSize(size: number): Row[] {
+  const row = rowsOf(`${size} rows`);
+  collect();
+  const heapBefore = process.memoryUsage().heapUsed;
+  const log = new TableLog();
+  const recent: never[] = [];
+  log.load({ table: tableOfSize(size), lastId: "e1", recent });
+  collect();
+  const heapBytes = process.memoryUsage().heapUsed - heapBefore;
+  const applyUs = measureApply(log, size);
+  const pages = pagesOf(log.image());
+  const texts = pages.map((page) => JSON.stringify(page));
+  const startMs = performance.now();
+  imageOf(texts.map((text) => parsePage(JSON.parse(text))));
+  const loadMs = performance.now() - startMs;
+  const bytes = texts.reduce((sum, text) => sum + text.length, 0);
+  return [
+    row("memory per 1,000 rows", heapBytes / size, "KB"),
+    row("processor time per edit", applyUs, "us"),
+    row("image", bytes / 1000, "KB"),
+    row("image pages", pages.length, "pages"),
+    row("image load", loadMs, "ms"),
+  ];
+}
+
+function measureApply(log: TableLog, size: number): number {
+  const edits: string[] = [];
+  const { version } = log.table;
+  for (let i = 0; i < 200; i++) {
+    const edit: LoggedEdit = {
+      version: version + i + 1,
+      id: `bench-${i}`,
+      prevId: i === 0 ? log.lastId : `bench-${i - 1}`,
+      author: "bench",
+      atMs: 0,
+      changes: [{ type: "put", row: workspaceOf(i % size, i) }],
+    };
+    edits.push(JSON.stringify(edit));
+  }
+  const startMs = performance.now();
+  for (const text of edits) log.offer([parseEdit(JSON.parse(text))]);
+  return ((performance.now() - startMs) / edits.length) * 1000;
+}
+
+function tableOfSize(size: number): Table {
+  const rows = Array.from({ length: size }, (_, i) => ({
+    row: workspaceOf(i, 1),
+    version: 1,
+  }));
+  return Table.of(1, rows);
+}
+
+function workspaceOf(place: number, weight: number): TableRow {
+  return tableRow.parse({
+    kind: "workspace",
+    id: `workspace-${place}`,
+    home: REGIONS[place % REGIONS.length],
+    weight,
+    keyDigests: [String(place).padStart(64, "0")],
+    requestsPerS: 100,
+    tokensPerS: 10_000,
+  });
+}
+
+function collect(): void {
+  setFlagsFromString("--expose-gc");
+  const gc = runInNewContext("gc") as () => void;
+  gc();
+  gc();
+}
+
+function rowsOf(name: string) {
+  return (measure: string, value: number, unit: string): Row => ({
+    bench: "control_table",
+    case: name,
+    policy: "log, 2 watches, push tree",
+    measure,
+    value: Math.round(value * 100) / 100,
+    unit,
+    seed: SEED,
+  });
+}
+
+function percentile(values: readonly number[], share: number): number {
+  const sorted = [...values].sort((a, b) => a - b);
+  const place = Math.ceil(sorted.length * share) - 1;
+  return sorted[Math.max(0, place)];
+}
+
+function sleep(delayMs: number): Promise<void> {
+  return new Promise((resolve) => setTimeout(resolve, delayMs));
+}
