--- /dev/null
+++ b/test/path_test.ts
@@ -0,0 +1,130 @@
+import type { ExecutionContext } from "ava";
+import { describe, itAlone as it } from "../src/base/describe.ts";
+import { answerText } from "../src/standins/mod.ts";
+import {
+  caller,
+  Cluster,
+  keyOf,
+  refusal,
+  standardRows,
+  upstream,
+  type Vm,
+} from "./cluster.ts";
+
+const REGION = "agadir";
+const KEY = keyOf(REGION);
+
+/** Two VMs of one region, an engine and a ledger, each in a process of its own where it matters. */
+async function openRegion(
+  t: ExecutionContext,
+): Promise<{ cluster: Cluster; vms: Vm[] }> {
+  const cluster = new Cluster();
+  t.teardown(() => cluster.close());
+  await cluster.startPlatform();
+  const [engine, ledger] = await cluster.startUpstreams(1, 1);
+  await cluster.seed(standardRows([REGION], [
+    upstream("engine-1", "plan", REGION, engine.url),
+    upstream("ledger-1", "ledger", REGION, ledger.url),
+  ]));
+  await cluster.startRegions([REGION], 2);
+  const vms = [...cluster.vms.values()];
+  for (const vm of vms) {
+    await cluster.until(
+      vm,
+      (status) => status.tableVersion === 1 && status.region.length === 2,
+    );
+  }
+  return { cluster, vms };
+}
+
+describe("path, each part a process", () => {
+  it("serves models and the ledger through either VM, each call once", async (t) => {
+    const { vms } = await openRegion(t);
+    for (const vm of vms) {
+      const body = {
+        model: "plan",
+        max_tokens: 6,
+        messages: [{ role: "user", content: `nonce:${vm.id} pass?` }],
+      };
+      const answer = await caller(vm, KEY, "/v1/chat/completions", { body });
+      t.is(answer.statusCode, 200, answer.body);
+      t.is(
+        JSON.parse(answer.body).choices[0].message.content,
+        answerText(vm.id, 6),
+      );
+      t.is(answer.headers["x-ibisgap-region"], REGION);
+    }
+    const log = (vm: Vm, truck: number) =>
+      caller(vm, KEY, "/services/ledger/departures", {
+        body: { truck },
+        headers: { "idempotency-key": "dep-1" },
+      });
+    const first = await log(vms[0], 1);
+    const second = await log(vms[1], 1);
+    t.is(first.statusCode, 200, first.body);
+    t.is(second.body, first.body);
+    t.is(second.headers["x-ibisgap-repeated"], "true");
+    const other = await log(vms[1], 2);
+    t.deepEqual([other.statusCode, refusal(other).code, refusal(other).ran], [
+      422,
+      2010,
+      "no",
+    ]);
+  });
+
+  // A VM gets SIGTERM while a caller reads a stream from it. The stream must end whole, new requests are told where to
+  // go and that nothing ran, and the process ends by itself with code 0.
+  it("stops a VM in good order", async (t) => {
+    const { vms: [leaving, staying] } = await openRegion(t);
+    const body = {
+      model: "plan",
+      max_tokens: 150,
+      stream: true,
+      messages: [{ role: "user", content: "nonce:slow plan" }],
+    };
+    const open = await fetch(`${leaving.url}/v1/chat/completions`, {
+      method: "POST",
+      headers: { authorization: `Bearer ${KEY}` },
+      body: JSON.stringify(body),
+    });
+    const reader = open.body!.getReader();
+    const chunks = [(await reader.read()).value!];
+    leaving.proc.signal("SIGTERM");
+    await leaving.proc.said(/event=stopping/);
+    const refused = await caller(leaving, KEY, "/v1/chat/completions", {
+      body,
+    });
+    t.deepEqual([
+      refused.statusCode,
+      refusal(refused).code,
+      refusal(refused).ran,
+    ], [503, 3006, "no"]);
+    t.deepEqual(refusal(refused).goTo, [staying.url]);
+    for (;;) {
+      const { value, done } = await reader.read();
+      if (done) break;
+      chunks.push(value);
+    }
+    t.is(
+      streamedText(Buffer.concat(chunks).toString()),
+      answerText("slow", 150),
+    );
+    t.is(await leaving.proc.exited, 0);
+    const after = await caller(staying, KEY, "/v1/chat/completions", {
+      body: { ...body, stream: false, max_tokens: 5 },
+    });
+    t.is(after.statusCode, 200, after.body);
+  });
+});
+
+/** The answer's text; throws unless the stream ends with its end mark. */
+function streamedText(events: string): string {
+  const data = events.trim().split("\n\n").map((event) =>
+    event.slice("data: ".length)
+  );
+  if (data.pop() !== "[DONE]") {
+    throw new Error(`no end mark in ${events.slice(-300)}`);
+  }
+  return data.map((text) => JSON.parse(text).choices[0]?.delta?.content ?? "")
+    .join("");
+}
