Slots between VMs, tested over real sockets; relay first where the direct way failed

Cause: every request of a VM behind a cut waited for a handshake's timeout before it was relayed. Change: a VM that could not be reached is tried last for 5 s. Tests: lead crash, hand-over, isolated VM, one-way link, replacement, lost entry VM, with the real pool.

--- a/src/services/lead_router.ts
+++ b/src/services/lead_router.ts
@@ -26,6 +26,11 @@
 /** A lead answers at the request's deadline at the latest; the answer needs this much more to arrive. */
 const ANSWER_GRACE_MS = 1000;
 const RENEW_CALL_MS = 1000;
+/**
+ * A VM that could not be reached directly is tried last for this long. Behind a cut each try costs a handshake's
+ * timeout, which every request would wait out before it is relayed.
+ */
+const AVOID_MS = 5000;
 
 /** What a {@link LeadRouter} needs of its task. */
 export interface LeadRouterContext {
@@ -47,6 +52,7 @@
 export class LeadRouter {
   readonly #context: LeadRouterContext;
   readonly #waiting = new Set<Waiting>();
+  readonly #avoidUntilMs = new Map<string, number>();
 
   constructor(context: LeadRouterContext) {
     this.#context = context;
@@ -143,19 +149,27 @@
   ): Promise<unknown> {
     const { view } = this.#context;
     if (message.relayed) return undefined;
-    const mine = message.entry === view.self.id;
     const [lead, next] = view.order(message.pool);
     if (lead.id === view.self.id) return undefined;
-    const relayed = !mine;
-    const first = await this.#call(
-      lead,
-      method,
-      { ...message, relayed },
-      deadlineMs,
-    );
-    if (first !== undefined || !mine) return first;
-    if (!next || next.id === view.self.id) return undefined;
-    return await this.#call(next, method, message, deadlineMs);
+    if (message.entry !== view.self.id) {
+      const onwards = { ...message, relayed: true };
+      return await this.#call(lead, method, onwards, deadlineMs);
+    }
+    const ways = next && next.id !== view.self.id ? [lead, next] : [lead];
+    if (this.#isAvoided(lead.id)) ways.reverse();
+    for (const vm of ways) {
+      const reply = await this.#call(vm, method, message, deadlineMs);
+      if (reply !== undefined) return reply;
+    }
+    return undefined;
+  }
+
+  #isAvoided(vmId: string): boolean {
+    const untilMs = this.#avoidUntilMs.get(vmId);
+    if (untilMs === undefined) return false;
+    if (this.#context.clock.nowMs() < untilMs) return true;
+    this.#avoidUntilMs.delete(vmId);
+    return false;
   }
 
   async #call(
@@ -177,7 +191,9 @@
     this.#waiting.delete(waiting);
     if (result === undefined) return undefined;
     if (result.isOk()) return result.value;
-    if (result.error.kind !== "failed") suspect(vm.id);
+    if (result.error.kind === "failed") return undefined;
+    this.#avoidUntilMs.set(vm.id, this.#context.clock.nowMs() + AVOID_MS);
+    suspect(vm.id);
     return undefined;
   }
 
--- /dev/null
+++ b/src/services/slots_vms_test.ts
@@ -0,0 +1,223 @@
+import type { ExecutionContext } from "ava";
+import {
+  leadOf,
+  openRegion,
+  planRequest,
+  planTable,
+  until,
+  untilAgreed,
+  Vm,
+} from "../../test/vms.ts";
+import { describe, it } from "../base/describe.ts";
+import type { SlotAnswer } from "../decisions/mod.ts";
+
+const POOL = "plan/agadir/0";
+const UPSTREAMS = 2;
+const SLOTS = 4;
+const CAPACITY = UPSTREAMS * SLOTS;
+const table = planTable(1, ["agadir"], UPSTREAMS, SLOTS);
+
+async function region(t: ExecutionContext, count: number) {
+  const vms = await openRegion("agadir", count, { table });
+  t.teardown(() => Promise.all(vms.map((vm) => vm.crash())));
+  await untilAgreed(vms);
+  const lead = await leadOf(vms, POOL);
+  const others = vms.filter((vm) => vm !== lead);
+  return { vms, lead, others };
+}
+
+function acquire(vm: Vm, attemptId: string, deadlineMs?: number) {
+  const more = deadlineMs === undefined ? {} : { deadlineMs };
+  return vm.slots.ask("acquire", planRequest(attemptId, more));
+}
+
+async function fill(vm: Vm, count: number, prefix = "held"): Promise<void> {
+  for (let n = 0; n < count; n++) {
+    const answer = await acquire(vm, `${prefix}-${n}`);
+    if (answer.type !== "grant") throw new Error(JSON.stringify(answer));
+  }
+}
+
+function report(vm: Vm, answer: SlotAnswer): Promise<void> {
+  if (answer.type !== "grant") throw new Error(JSON.stringify(answer));
+  const { attemptId, upstreamId } = answer;
+  return vm.slots.ask("report", {
+    attemptId,
+    service: "plan",
+    upstreamId,
+    outcome: "done",
+    outputTokens: 20,
+    totalMs: 100,
+  });
+}
+
+/** Whether a request from `vm` finds no room: it is queued at the one lead among `vms`, and given up again. */
+async function isFull(vm: Vm, vms: readonly Vm[]): Promise<boolean> {
+  const attemptId = `probe-${vm.id}-${vms.length}`;
+  const asked = acquire(vm, attemptId).then(() => "answered" as const);
+  const queued = until("the request is queued", () =>
+    vms.some((other) => {
+      const pool = other.led(POOL);
+      return pool !== undefined && !pool.collecting && pool.waiting > 0;
+    }));
+  const first = await Promise.race([asked, queued]);
+  await vm.slots.ask("cancel", { attemptId, service: "plan" });
+  queued.catch(() => {});
+  return first !== "answered";
+}
+
+describe("slots between VMs", () => {
+  it("has one lead that counts the slots of all entry VMs", async (t) => {
+    const { vms, others: [a, b] } = await region(t, 4);
+    await fill(a, CAPACITY / 2, "a");
+    await fill(b, CAPACITY / 2, "b");
+    t.true(await isFull(a, vms));
+    t.true(await isFull(b, vms));
+  });
+
+  it("answers a queued request as soon as a slot is free", async (t) => {
+    const { others: [a, b] } = await region(t, 4);
+    const first = await acquire(a, "first");
+    await fill(a, CAPACITY - 1);
+    const queued = acquire(b, "queued");
+    await report(a, first);
+    t.like(await queued, { type: "grant", attemptId: "queued" });
+  });
+
+  // A caller closes its connection while its request waits in another VM's queue. Its slot must not be taken when its
+  // turn comes, and the entry VM is told at once.
+  it("gives up a queued request whose caller has gone", async (t) => {
+    const { others: [a, b] } = await region(t, 4);
+    const first = await acquire(a, "first");
+    await fill(a, CAPACITY - 1);
+    const gone = acquire(b, "gone");
+    const next = acquire(a, "next");
+    await b.slots.ask("cancel", { attemptId: "gone", service: "plan" });
+    t.like(await gone, { type: "refuse", failure: { ran: "no" } });
+    await report(a, first);
+    t.like(await next, { type: "grant" });
+  });
+
+  describe("the lead crashes", () => {
+    // All slots are held by another VM's running requests when the lead crashes. The next lead must learn of them from
+    // that VM: if it started from nothing it would send as much again to upstreams that are full.
+    it("is replaced by one that knows what entry VMs hold", async (t) => {
+      const { lead, others } = await region(t, 4);
+      const [a, b] = others;
+      await fill(a, CAPACITY);
+      await lead.crash();
+      await leadOf(others, POOL);
+      t.true(await isFull(a, others));
+      t.true(await isFull(b, others));
+    });
+
+    // A request waits in the lead's queue when the lead crashes. Its caller sees only that it waits longer: the entry
+    // VM asks the next lead, and the request is granted there when a slot is free.
+    it("costs a queued request time and no error", async (t) => {
+      const { lead, others } = await region(t, 4);
+      const [a, b] = others;
+      const first = await acquire(a, "first");
+      await fill(a, CAPACITY - 1);
+      const queued = acquire(b, "queued");
+      await lead.crash();
+      await leadOf(others, POOL);
+      await report(a, first);
+      t.like(await queued, { type: "grant", attemptId: "queued" });
+    });
+  });
+
+  // An entry VM crashes while it holds all slots. Nobody reports their end; they come back when their time has passed
+  // without a renewal, and not before, since its requests may still run.
+  it("takes back the slots of a crashed entry VM", async (t) => {
+    const { vms, others: [a, b] } = await region(t, 4);
+    await fill(a, CAPACITY);
+    await a.crash();
+    t.true(await isFull(b, vms));
+    t.like(await acquire(b, "later"), { type: "grant" });
+  });
+
+  // Held longer than a slot's time: renewals must keep it, or the lead would give it to a second request.
+  it("keeps slots that are renewed", async (t) => {
+    const { vms, others: [a, b] } = await region(t, 3);
+    await fill(a, CAPACITY);
+    await new Promise((resolve) => setTimeout(resolve, 8000));
+    t.true(await isFull(b, vms));
+  });
+
+  // The lead is stopped as planned while requests run and wait. No caller may see an error: the one that waits goes to
+  // the next lead at once, and that lead knows the slots of the running ones.
+  it("hands over at a planned stop", async (t) => {
+    const { lead, others } = await region(t, 4);
+    const [a, b] = others;
+    const first = await acquire(a, "first");
+    await fill(a, CAPACITY - 1);
+    const queued = acquire(b, "queued");
+    await lead.stop();
+    await leadOf(others, POOL);
+    t.true(await isFull(a, others));
+    await report(a, first);
+    t.like(await queued, { type: "grant", attemptId: "queued" });
+  });
+
+  // A VM is told to leave while it leads. New requests must be decided elsewhere before it stops.
+  it("gives a leaving VM nothing to lead", async (t) => {
+    const { lead, others } = await region(t, 4);
+    await lead.members.ask("leave", undefined);
+    await until(
+      "the leaving VM leads nothing",
+      () => lead.leads().length === 0,
+    );
+    const next = await leadOf(others, POOL);
+    t.not(next, lead);
+    t.like(await acquire(lead, "late"), { type: "grant" });
+  });
+
+  // One VM is cut off from all others. It must go on serving its own callers: it leads everything it can reach. The
+  // others go on with a lead of their own. After the cut there is one lead again.
+  it("lets an isolated VM lead alone and ends that afterwards", async (t) => {
+    const { vms, others } = await region(t, 4);
+    const [cut, ...rest] = [others[0], ...vms.filter((v) => v !== others[0])];
+    cut.transport.faults.set("isolated", { peer: {}, cut: true });
+    await until("it leads alone", () => cut.leads().includes(POOL));
+    t.like(await acquire(cut, "alone"), { type: "grant" });
+    await leadOf(rest, POOL);
+    t.like(await acquire(rest[0], "together"), { type: "grant" });
+    cut.transport.faults.clear();
+    await untilAgreed(vms);
+    await leadOf(vms, POOL);
+    t.like(await acquire(cut, "again"), { type: "grant" });
+  });
+
+  // The way from one entry VM to the lead is cut, in this direction only. Its callers must see no error: another VM
+  // relays its requests to the same lead, whose count stays exact.
+  it("relays around a link that is cut", async (t) => {
+    const { vms, lead, others: [a, b] } = await region(t, 4);
+    a.transport.faults.set("one-way", {
+      peer: { vmId: lead.id },
+      direction: "out",
+      cut: true,
+    });
+    a.transport.faults.set("no-dial", {
+      peer: { address: lead.address },
+      direction: "out",
+      cut: true,
+    });
+    await fill(a, CAPACITY);
+    t.true(await isFull(b, vms));
+  });
+
+  // A lead is replaced by a new process under the same name and address. It leads the same pools and knows nothing; it
+  // must collect what the entry VMs hold before it grants anything.
+  it("collects anew after a replacement under the same address", async (t) => {
+    const { lead, others } = await region(t, 4);
+    await fill(others[0], CAPACITY);
+    const { id, port, region: name } = lead;
+    await lead.crash();
+    const seeds = others.map((vm) => vm.address);
+    const replacement = await Vm.open({ id, port, region: name, table, seeds });
+    t.teardown(() => replacement.crash());
+    await untilAgreed([replacement, ...others]);
+    await leadOf([replacement, ...others], POOL);
+    t.true(await isFull(others[1], [replacement, ...others]));
+  });
+});
--- a/test/vms.ts
+++ b/test/vms.ts
@@ -97,6 +97,13 @@
   };
 }
 
+/** What a dump says of a led pool. */
+export interface LedPool {
+  readonly collecting: boolean;
+  readonly waiting: number;
+  readonly granted: number;
+}
+
 /** How a {@link Vm} is started. */
 export interface VmOptions {
   readonly id: string;
@@ -177,10 +184,19 @@
 
   /** The pools that it leads, by key. */
   leads(): string[] {
-    const { leads } = this.kernel.dump().slots as {
-      leads: { pools: Record<string, unknown> };
-    };
-    return Object.keys(leads.pools);
+    return Object.keys(this.#ledPools());
+  }
+
+  /** A pool that it leads. */
+  led(pool: string): LedPool | undefined {
+    return this.#ledPools()[pool];
+  }
+
+  #ledPools(): Record<string, LedPool> {
+    const slots = this.kernel.dump().slots as
+      | { leads: { pools: Record<string, LedPool> } }
+      | undefined;
+    return slots?.leads.pools ?? {};
   }
 
   /** Ends as a crash does: connections break, nobody is told. */
