Members: the list of VMs in a module of its own; leads learn lost reports after a change

Change: MemberList holds records and deadlines; after a change of VMs entry VMs renew at once, and an adopted slot that its VM no longer lists is freed without waiting.

--- a/src/agreement/lead_book.ts
+++ b/src/agreement/lead_book.ts
@@ -27,11 +27,14 @@
   readonly #byVm = new Map<string, Map<string, number>>();
   readonly #vmOf = new Map<string, string>();
 
-  /** Notes that `vmId` was granted this attempt. */
-  add(vmId: string, attemptId: string, nowMs: number): void {
+  /**
+   * Notes that `vmId` holds this attempt. `settledAtMs` is when the VM knows of it at the latest: now where it said so
+   * itself, else {@link GRANT_SETTLE_MS} from now.
+   */
+  add(vmId: string, attemptId: string, settledAtMs: number): void {
     this.remove(attemptId);
     const held = this.#byVm.get(vmId) ?? new Map<string, number>();
-    held.set(attemptId, nowMs);
+    held.set(attemptId, settledAtMs);
     this.#byVm.set(vmId, held);
     this.#vmOf.set(attemptId, vmId);
   }
@@ -76,9 +79,8 @@
     const renew = heldIds.filter((id) => own.has(id));
     const adopt = heldIds.filter((id) => !own.has(id));
     const free: string[] = [];
-    for (const [id, grantedMs] of own) {
-      const settled = nowMs - grantedMs >= GRANT_SETTLE_MS;
-      if (!held.has(id) && settled) free.push(id);
+    for (const [id, settledAtMs] of own) {
+      if (!held.has(id) && nowMs >= settledAtMs) free.push(id);
     }
     for (const id of free) this.remove(id);
     for (const id of adopt) this.add(vmId, id, nowMs);
--- a/src/agreement/members.ts
+++ b/src/agreement/members.ts
@@ -8,6 +8,13 @@
 
 import { hash32, Random } from "../base/mod.ts";
 import { type NewsItem, NewsQueue } from "./member_news.ts";
+import {
+  type MemberEntry,
+  MemberList,
+  MEMBERS_TIMES,
+  type MembersTimes,
+  viewDigest,
+} from "./member_list.ts";
 import { type MemberRecord, replaces } from "./member_record.ts";
 
 /** Rides on each ping and answer. */
@@ -38,50 +45,19 @@
   /** Send the news to these at once, ahead of their turn. */
   | { readonly type: "tell"; readonly targets: readonly MemberRecord[] };
 
-/** Times of the machine. */
-export interface MembersTimes {
-  /** One ping in this time. */
-  readonly periodMs: number;
-  /** A suspect has this long to answer, and a part more for each doubling of the region. */
-  readonly suspectMs: number;
-  readonly suspectPerDoublingMs: number;
-  /** How long a dead VM is remembered, so that old news does not bring it back and a healed link finds it. */
-  readonly rememberDeadMs: number;
-  /** How often a VM that is not live is tried: this heals partitions and joins strangers. */
-  readonly meetMs: number;
-}
-
-/** See {@link MembersTimes}. */
-export const MEMBERS_TIMES: MembersTimes = {
-  periodMs: 500,
-  suspectMs: 1000,
-  suspectPerDoublingMs: 200,
-  rememberDeadMs: 600_000,
-  meetMs: 2000,
-};
-
-/** Most VMs of a region that are kept, and VMs told at once when something must not wait for its turn. */
-const MOST_MEMBERS = 1024;
+/** VMs told at once when something must not wait for its turn. */
 const TELL_AT_ONCE = 8;
 const HELPERS = 2;
 const VERSIONS_PER_MESSAGE = 3;
 /** Two views differ while news is under way; after this many answers in a row that differ, something was lost. */
 const DIFFERENT_VIEWS = 4;
 
-interface Entry {
-  record: MemberRecord;
-  /** While suspect: dead from then on. While dead: forgotten from then on. */
-  deadlineMs: number;
-  tableVersion: number;
-  differences: number;
-}
-
 /** The machine of one VM. */
 export class Members {
   #self: MemberRecord;
   readonly #times: MembersTimes;
   readonly #random: Random;
-  readonly #entries = new Map<string, Entry>();
+  readonly #list: MemberList;
   readonly #news = new NewsQueue();
   #tableVersion = 0;
   #round: string[] = [];
@@ -96,6 +72,7 @@
   ) {
     this.#self = { ...self, beat: 0, status: "live", leaving: false };
     this.#times = times;
+    this.#list = new MemberList(times);
     this.#random = new Random(hash32(`${self.id}/${self.incarnation}`));
   }
 
@@ -105,23 +82,18 @@
 
   /** The VMs that answer or have time left to, this one first. */
   present(): MemberRecord[] {
-    const present = [this.#self];
-    for (const { record } of this.#entries.values()) {
-      if (record.status !== "dead") present.push(record);
-    }
-    return present;
+    return [this.#self, ...this.#list.present()];
   }
 
   /** All records, the dead ones too, for an exchange. */
   all(): MemberRecord[] {
-    const records = [...this.#entries.values()].map((entry) => entry.record);
-    return [this.#self, ...records];
+    return [this.#self, ...this.#list.all()];
   }
 
   /** The newest table version that `vmId` was heard to have. */
   tableVersionOf(vmId: string): number {
     if (vmId === this.#self.id) return this.#tableVersion;
-    return this.#entries.get(vmId)?.tableVersion ?? 0;
+    return this.#list.get(vmId)?.tableVersion ?? 0;
   }
 
   setTableVersion(version: number): void {
@@ -152,7 +124,9 @@
   tick(nowMs: number): MembersOutput[] {
     const outputs: MembersOutput[] = [];
     this.#forgivePause(nowMs);
-    this.#passDeadlines(nowMs);
+    for (const record of this.#list.expire(nowMs)) {
+      this.learn({ ...record, status: "dead" }, nowMs);
+    }
     if (nowMs >= this.#nextPingMs) {
       this.#nextPingMs = nowMs + this.#times.periodMs;
       const target = this.#nextTarget();
@@ -168,9 +142,9 @@
 
   /** A call to this VM failed: ping it now. */
   check(vmId: string): MembersOutput[] {
-    const entry = this.#entries.get(vmId);
-    if (!entry || entry.record.status !== "live") return [];
-    return [{ type: "ping", target: entry.record }];
+    const target = this.#list.get(vmId)?.record;
+    if (target?.status !== "live") return [];
+    return [{ type: "ping", target }];
   }
 
   /** What rides on the next message. */
@@ -180,8 +154,8 @@
       incarnation: this.#self.incarnation,
       beat: this.#self.beat,
       table: this.#tableVersion,
-      view: this.#view(),
-      versions: this.#someVersions(),
+      view: viewDigest(this.present()),
+      versions: this.#sample(this.#list.versions(), VERSIONS_PER_MESSAGE),
       news: this.#news.take(this.present().length, nowMs),
     };
   }
@@ -194,31 +168,33 @@
         outputs.push(...this.learn(item.record, nowMs));
       }
     }
-    for (const [id, version] of gossip.versions) this.#hearVersion(id, version);
-    this.#hearVersion(gossip.vm, gossip.table);
-    if (this.#mustSync(gossip)) {
-      const address = this.#entries.get(gossip.vm)?.record.peerAddress;
-      if (address) outputs.push({ type: "sync", address });
+    for (const [id, version] of gossip.versions) {
+      this.#list.hearVersion(id, version);
+    }
+    this.#list.hearVersion(gossip.vm, gossip.table);
+    const sender = this.#list.get(gossip.vm);
+    if (sender && this.#mustSync(sender, gossip)) {
+      outputs.push({ type: "sync", address: sender.record.peerAddress });
     }
     return outputs;
   }
 
   /** No answer came to a ping. */
   pingFailed(vmId: string): MembersOutput[] {
-    const entry = this.#entries.get(vmId);
-    if (!entry || entry.record.status === "dead") return [];
-    const others = this.#others().filter((record) =>
+    const target = this.#list.get(vmId)?.record;
+    if (!target || target.status === "dead") return [];
+    const others = this.#list.present().filter((record) =>
       record.id !== vmId && record.status === "live"
     );
     const helpers = this.#sample(others, HELPERS);
-    return [{ type: "pingVia", target: entry.record, helpers }];
+    return [{ type: "pingVia", target, helpers }];
   }
 
   /** No helper had an answer either: the VM of this record has until its deadline to contradict. */
   unanswered(record: MemberRecord, nowMs: number): MembersOutput[] {
-    const known = this.#entries.get(record.id)?.record;
-    if (!known || known.status !== "live") return [];
-    if (replaces(known, record)) return [];
+    const known = this.#list.get(record.id)?.record;
+    if (known?.status !== "live") return [];
+    if (this.replaces(known, record)) return [];
     return this.learn({ ...known, status: "suspect" }, nowMs);
   }
 
@@ -226,42 +202,36 @@
   learn(record: MemberRecord, nowMs: number): MembersOutput[] {
     if (record.region !== this.#self.region) return [];
     if (record.id === this.#self.id) return this.#hearOfSelf(record);
-    const known = this.#entries.get(record.id);
-    if (known && !replaces(record, known.record)) return [];
-    if (!known && this.#entries.size >= MOST_MEMBERS) return [];
-    const restarted = known?.record.incarnation !== record.incarnation;
-    this.#entries.set(record.id, {
-      record,
-      deadlineMs: this.#deadline(record, nowMs),
-      tableVersion: restarted ? 0 : known!.tableVersion,
-      differences: 0,
-    });
-    this.#news.add({ type: "member", record });
+    const known = this.#list.get(record.id);
+    if (known && !this.replaces(record, known.record)) return [];
+    if (this.#list.put(record, nowMs)) {
+      this.#news.add({ type: "member", record });
+    }
     return [];
   }
 
   dump(): unknown {
     return {
       self: this.#self,
-      members: [...this.#entries.values()].map(({ record, tableVersion }) => ({
-        id: record.id,
-        incarnation: record.incarnation,
-        beat: record.beat,
-        status: record.status,
-        leaving: record.leaving,
-        peerAddress: record.peerAddress,
-        tableVersion,
+      members: this.#list.all().map((record) => ({
+        ...record,
+        tableVersion: this.tableVersionOf(record.id),
       })),
       news: this.#news.size,
     };
   }
 
+  /** See {@link replaces}. */
+  protected replaces(a: MemberRecord, b: MemberRecord): boolean {
+    return replaces(a, b);
+  }
+
   /**
    * Another VM says that this one is suspect or dead, or that an older process with its id had a higher incarnation (its
    * clock was ahead). The only one who can contradict is this VM, with a statement that replaces theirs.
    */
   #hearOfSelf(record: MemberRecord): MembersOutput[] {
-    if (!replaces(record, this.#self)) return [];
+    if (!this.replaces(record, this.#self)) return [];
     if (this.#self.status === "dead") return [];
     const older = record.incarnation > this.#self.incarnation;
     this.#self = {
@@ -281,7 +251,7 @@
   #tellAtOnce(): MembersOutput {
     return {
       type: "tell",
-      targets: this.#sample(this.#others(), TELL_AT_ONCE),
+      targets: this.#sample(this.#list.present(), TELL_AT_ONCE),
     };
   }
 
@@ -290,35 +260,17 @@
     const gapMs = nowMs - (this.#lastTickMs ?? nowMs);
     this.#lastTickMs = nowMs;
     if (gapMs < 2 * this.#times.periodMs) return;
-    for (const entry of this.#entries.values()) {
-      if (entry.record.status !== "suspect") continue;
-      entry.deadlineMs = this.#deadline(entry.record, nowMs);
-    }
-  }
-
-  #passDeadlines(nowMs: number): void {
-    for (const [id, entry] of this.#entries) {
-      if (entry.record.status === "live" || nowMs < entry.deadlineMs) continue;
-      if (entry.record.status === "dead") this.#entries.delete(id);
-      else this.learn({ ...entry.record, status: "dead" }, nowMs);
-    }
-  }
-
-  #deadline(record: MemberRecord, nowMs: number): number {
-    if (record.status === "dead") return nowMs + this.#times.rememberDeadMs;
-    const doublings = Math.log2(this.present().length + 1);
-    return nowMs + this.#times.suspectMs +
-      this.#times.suspectPerDoublingMs * doublings;
+    this.#list.forgive(nowMs);
   }
 
   /** Each VM once in a round of shuffled order: a dead one is found in a bounded time, not only on average. */
   #nextTarget(): MemberRecord | undefined {
     for (let tries = 0; tries < 2; tries++) {
       while (this.#round.length > 0) {
-        const record = this.#entries.get(this.#round.pop()!)?.record;
+        const record = this.#list.get(this.#round.pop()!)?.record;
         if (record && record.status !== "dead") return record;
       }
-      const ids = this.#others().map((record) => record.id);
+      const ids = this.#list.present().map((record) => record.id);
       this.#round = this.#sample(ids, ids.length);
     }
     return undefined;
@@ -328,17 +280,13 @@
   #stranger(): string | undefined {
     const present = new Set(this.present().map((record) => record.peerAddress));
     const strangers = new Set(this.#seeds);
-    for (const { record } of this.#entries.values()) {
-      if (record.status === "dead") strangers.add(record.peerAddress);
+    for (const { status, peerAddress } of this.#list.all()) {
+      if (status === "dead") strangers.add(peerAddress);
     }
     const addresses = [...strangers].filter((address) => !present.has(address));
     return addresses.length > 0 ? this.#random.pick(addresses) : undefined;
   }
 
-  #others(): MemberRecord[] {
-    return this.present().slice(1);
-  }
-
   #sample<T>(items: readonly T[], most: number): T[] {
     const rest = [...items];
     const sample: T[] = [];
@@ -348,38 +296,15 @@
     return sample;
   }
 
-  #hearVersion(vmId: string, version: number): void {
-    const entry = this.#entries.get(vmId);
-    if (entry && version > entry.tableVersion) entry.tableVersion = version;
-  }
-
-  #someVersions(): TableVersion[] {
-    const known = [...this.#entries.values()].filter((entry) =>
-      entry.record.status !== "dead" && entry.tableVersion > 0
-    );
-    return this.#sample(known, VERSIONS_PER_MESSAGE)
-      .map(({ record, tableVersion }) => [record.id, tableVersion]);
-  }
-
-  #mustSync(gossip: Gossip): boolean {
-    const entry = this.#entries.get(gossip.vm);
-    if (!entry) return false;
-    const { record } = entry;
+  #mustSync(sender: MemberEntry, gossip: Gossip): boolean {
+    const { record } = sender;
     const newer = gossip.incarnation !== record.incarnation ||
       gossip.beat !== record.beat || record.status === "dead";
-    const differs = gossip.view !== this.#view() && !this.#news.hasMembers;
-    entry.differences = differs ? entry.differences + 1 : 0;
-    if (!newer && entry.differences < DIFFERENT_VIEWS) return false;
-    entry.differences = 0;
+    const differs = gossip.view !== viewDigest(this.present()) &&
+      !this.#news.hasMembers;
+    sender.differences = differs ? sender.differences + 1 : 0;
+    if (!newer && sender.differences < DIFFERENT_VIEWS) return false;
+    sender.differences = 0;
     return true;
   }
-
-  #view(): number {
-    let view = 0;
-    for (const record of this.present()) {
-      const { id, incarnation, beat } = record;
-      view = (view ^ hash32(`${id}/${incarnation}/${beat}`)) >>> 0;
-    }
-    return view;
-  }
 }
--- a/src/agreement/mod.ts
+++ b/src/agreement/mod.ts
@@ -23,5 +23,6 @@
 export * from "./lead.ts";
 export * from "./lead_book.ts";
 export * from "./member_record.ts";
+export * from "./member_list.ts";
 export * from "./member_news.ts";
 export * from "./members.ts";
--- a/src/services/lead_client.ts
+++ b/src/services/lead_client.ts
@@ -132,7 +132,10 @@
     const reply = await Promise.race([asked, canceled]);
     this.#pending.delete(attemptId);
     if (reply === "canceled") {
-      void asked.then(() => this.#context.router.cancel(pool, attemptId));
+      void asked.then((late) => {
+        if (late.type === "moved" || late.answer.type !== "grant") return;
+        this.#context.router.cancel(pool, attemptId);
+      });
       return { type: "refuse", failure: failure("canceled", { ran: "no" }) };
     }
     if (reply.type === "moved") return "moved";
--- a/src/services/lead_pool.ts
+++ b/src/services/lead_pool.ts
@@ -6,6 +6,7 @@
  */
 
 import {
+  GRANT_SETTLE_MS,
   type HeldDigest,
   LeadBook,
   type PoolInfo,
@@ -90,13 +91,22 @@
     nowMs: number,
   ): LeadOutput[] {
     // The entry VM and the lead before this one may both name a slot; it is taken once.
-    const news = held.filter((slot) => !this.#granted.has(slot.attemptId));
-    const outputs = this.#adopt(entry, news, nowMs);
+    const outputs = this.#adopt(entry, this.#unknown(held), nowMs, nowMs);
     this.#unheard.delete(entry);
     if (this.#unheard.size === 0) outputs.push(...this.#endCollecting(nowMs));
     return outputs;
   }
 
+  /** The lead before this one says what it granted. The entry VM may not have its answer yet. */
+  handedOver(
+    entry: string,
+    held: readonly HeldSlot[],
+    nowMs: number,
+  ): LeadOutput[] {
+    const settledAtMs = nowMs + GRANT_SETTLE_MS;
+    return this.#adopt(entry, this.#unknown(held), settledAtMs, nowMs);
+  }
+
   request(
     request: SlotRequest,
     entry: string,
@@ -147,7 +157,7 @@
     const adopted = held.filter((slot) =>
       unknown.has(slot.attemptId) || !this.#granted.has(slot.attemptId)
     );
-    outputs.push(...this.#adopt(entry, adopted, nowMs));
+    outputs.push(...this.#adopt(entry, adopted, nowMs, nowMs));
     return outputs;
   }
 
@@ -221,13 +231,18 @@
     return outputs;
   }
 
+  #unknown(held: readonly HeldSlot[]): HeldSlot[] {
+    return held.filter((slot) => !this.#granted.has(slot.attemptId));
+  }
+
   #adopt(
     entry: string,
     held: readonly HeldSlot[],
+    settledAtMs: number,
     nowMs: number,
   ): LeadOutput[] {
     for (const slot of held) {
-      this.#book.add(entry, slot.attemptId, nowMs);
+      this.#book.add(entry, slot.attemptId, settledAtMs);
       this.#granted.set(slot.attemptId, {
         held: slot,
         entry,
@@ -272,7 +287,7 @@
     grant: SlotGrant,
     nowMs: number,
   ): void {
-    this.#book.add(waiting.entry, grant.attemptId, nowMs);
+    this.#book.add(waiting.entry, grant.attemptId, nowMs + GRANT_SETTLE_MS);
     this.#granted.set(grant.attemptId, {
       held: heldSlot(waiting.request, grant),
       entry: waiting.entry,
--- a/src/services/lead_server.ts
+++ b/src/services/lead_server.ts
@@ -128,7 +128,7 @@
     if (!led) return;
     const nowMs = this.#context.clock.nowMs();
     for (const [entry, held] of message.held) {
-      this.#step(message.pool, led.heard(entry, held, nowMs));
+      this.#step(message.pool, led.handedOver(entry, held, nowMs));
     }
   }
 
--- a/src/services/slots.ts
+++ b/src/services/slots.ts
@@ -146,6 +146,8 @@
       const vmsChanged = this.#view.setVms(vms ?? []);
       if (vmsChanged) this.#router.vmsChanged();
       if (tableChanged || vmsChanged) this.#server.follow(tableChanged);
+      // Reports that were sent to a lost lead are lost with it: a new one learns now what is no longer held.
+      if (vmsChanged) this.#client.renewAll();
       this.#poller?.poll(this.#server.infos());
     } finally {
       this.#following = false;
