Engine priorities: short before long before a workspace over its share

Contract, additive: SlotGrant.enginePriority, to be passed to the engine; a plain service ignores it. Cause: what has left the queue was prefilled in order of arrival, so a short question waited for the manifests placed before it.

--- a/bench/decisions.ts
+++ b/bench/decisions.ts
@@ -280,6 +280,7 @@
         promptTokens: ask.promptTokens,
         outputTokens: ask.outputTokens,
         prefixHashes: ask.prefixHashes,
+        priority: 0,
         onFirst: (cached) => {
           warm += cached;
           prompt += ask.promptTokens;
--- a/bench/engine.ts
+++ b/bench/engine.ts
@@ -1,6 +1,6 @@
 /**
- * A model engine in virtual time: continuous batching with a token budget a step, chunked prefill in order of arrival,
- * and a bounded prefix cache that evicts what was used least recently.
+ * A model engine in virtual time: continuous batching with a token budget a step, chunked prefill in order of priority
+ * and arrival, and a bounded prefix cache that evicts what was used least recently.
  *
  * @module
  */
@@ -29,6 +29,8 @@
   readonly promptTokens: number;
   readonly outputTokens: number;
   readonly prefixHashes: readonly number[];
+  /** Higher is admitted and prefilled first. */
+  readonly priority: number;
   readonly onFirst: (cachedTokens: number) => void;
   readonly onDone: () => void;
   readonly onFail: () => void;
@@ -103,6 +105,7 @@
 
   submit(job: EngineJob): void {
     this.#waiting.push(job);
+    this.#waiting.sort((a, b) => b.priority - a.priority);
     if (!this.silent) this.#start();
   }
   cancel(id: string): void {
@@ -139,8 +142,10 @@
     const decoding = this.#running.filter((r) => r.prefillLeft === 0);
     let budget = Math.max(1, STEP_TOKENS - decoding.length);
     const chunks: [Running, number][] = [];
-    for (const r of this.#running) {
-      if (r.prefillLeft === 0 || budget === 0) continue;
+    const prefilling = this.#running.filter((r) => r.prefillLeft > 0)
+      .sort((a, b) => b.job.priority - a.job.priority);
+    for (const r of prefilling) {
+      if (budget === 0) break;
       const chunk = Math.min(budget, r.prefillLeft);
       chunks.push([r, chunk]);
       budget -= chunk;
--- a/bench/world.ts
+++ b/bench/world.ts
@@ -310,10 +310,13 @@
     if (attempt.exclude.includes(grant.upstreamId)) {
       this.#breach("visited again");
     }
-    this.sim.after(2 * HOP_MS, () => this.#submit(attempt));
+    this.sim.after(
+      2 * HOP_MS,
+      () => this.#submit(attempt, grant.enginePriority ?? 0),
+    );
   }
 
-  #submit(attempt: Attempt): void {
+  #submit(attempt: Attempt, priority: number): void {
     if (attempt.state !== "granted") return;
     const engine = attempt.region.byId.get(attempt.upstreamId!)!;
     const { ask } = attempt.outcome;
@@ -328,6 +331,7 @@
       promptTokens: ask.promptTokens,
       outputTokens: ask.outputTokens,
       prefixHashes: ask.prefixHashes,
+      priority,
       onFirst: (cached) => this.#first(attempt, cached),
       onDone: () => this.#end(attempt, "done"),
       onFail: () => {
--- a/src/decisions/dispatcher.ts
+++ b/src/decisions/dispatcher.ts
@@ -140,6 +140,7 @@
       prefixHashes: [],
       lane: "short",
       long: false,
+      enginePriority: 1,
       probe: false,
       grantedAtMs: nowMs,
       firstTokenDueMs: nowMs,
@@ -259,7 +260,11 @@
           return this.#prefer(entry, found.place, view.nowMs);
         }
         if (found.type === "wait") {
-          this.lanes.park(lane, found.upstream.row.id, found.untilMs);
+          const untilMs = Math.min(
+            found.untilMs,
+            (view.nowMs + entry.latestStartMs) / 2,
+          );
+          this.lanes.park(lane, found.upstream.row.id, untilMs);
           continue;
         }
         // Only these can be stuck where the next workspace is not.
@@ -288,7 +293,8 @@
       this.lanes.pop(entry.lane);
       return own;
     }
-    const place = weigh(other.request, found.upstream, { nowMs });
+    const over = this.#usage.isOver(other.request.workspace, nowMs);
+    const place = weigh(other.request, found.upstream, { nowMs, over });
     this.lanes.take(other);
     entry.bypassed++;
     return { entry: other, found: place };
@@ -309,6 +315,7 @@
       prefixHashes: request.prefixHashes,
       lane: entry.lane,
       long: found.long,
+      enginePriority: found.enginePriority,
       probe: found.probe,
       grantedAtMs: nowMs,
       firstTokenDueMs: nowMs + found.firstMs,
@@ -337,6 +344,7 @@
       url: held.upstream.row.url,
       expiresAtMs: held.expiresAtMs,
       queuedMs,
+      enginePriority: held.enginePriority,
     },
   };
 }
--- a/src/decisions/placement.ts
+++ b/src/decisions/placement.ts
@@ -6,7 +6,7 @@
 
 import type { Random } from "../base/mod.ts";
 import type { SlotRequest } from "./slots.ts";
-import type { Upstream } from "./upstream.ts";
+import type { EnginePriority, Upstream } from "./upstream.ts";
 import { prefillMs, warmTokens } from "./work.ts";
 
 /**
@@ -51,6 +51,7 @@
   readonly firstMs: number;
   /** Whether its prefill holds up what is placed beside it. */
   readonly long: boolean;
+  readonly enginePriority: EnginePriority;
   readonly probe: boolean;
 }
 
@@ -135,15 +136,29 @@
 export function weigh(
   request: SlotRequest,
   upstream: Upstream,
-  view: Pick<PlacementView, "nowMs">,
+  view: Pick<PlacementView, "nowMs" | "over">,
   probe = false,
 ): Place {
   const matched = upstream.warm.matched(request.prefixHashes, view.nowMs);
   const coldTokens = request.promptTokens - warmTokens(request, matched);
-  const firstMs = upstream.predictFirstMs(coldTokens, view.nowMs);
   const long = prefillMs(upstream.row, coldTokens) > LONG_PREFILL_MS;
-  const savedMs = prefillMs(upstream.row, request.promptTokens - coldTokens);
-  return { upstream, coldTokens, savedMs, firstMs, long, probe };
+  const enginePriority = priorityOf(long, view.over);
+  return {
+    upstream,
+    coldTokens,
+    savedMs: prefillMs(upstream.row, request.promptTokens - coldTokens),
+    firstMs: upstream.predictFirstMs(coldTokens, enginePriority, view.nowMs),
+    long,
+    enginePriority,
+    probe,
+  };
+}
+
+// An engine prefills higher priorities first, so a question passes a manifest that is being prefilled, and a workspace
+// within its share passes one that floods the pool, also after both have left the queue.
+function priorityOf(long: boolean, over: boolean): EnginePriority {
+  if (over) return 0;
+  return long ? 1 : 2;
 }
 
 // A cold prefill delays more than its own request: it takes passes from everyone on that upstream, and its blocks push
@@ -164,7 +179,7 @@
   const kept = view.over ? Math.ceil(upstream.row.slots * OTHERS_SHARE) : 0;
   if (!upstream.hasRoom(view.nowMs, view.cautious, kept)) return false;
   const most = view.over ? OVER_BACKLOG_MS : BACKLOG_MS + found.savedMs;
-  if (upstream.backlogMs(view.nowMs) > most) return false;
+  if (upstream.backlogMs(found.enginePriority, view.nowMs) > most) return false;
   return !found.long || longAllowed || upstream.longUnstarted > 0;
 }
 
--- a/src/decisions/slots.ts
+++ b/src/decisions/slots.ts
@@ -37,6 +37,8 @@
   readonly url: string;
   readonly expiresAtMs: number;
   readonly queuedMs: number;
+  /** The priority to ask of an engine; higher is prefilled first. A plain service ignores it. */
+  readonly enginePriority?: number;
 }
 
 /** Advice to send the request to another region instead. */
--- a/src/decisions/upstream.ts
+++ b/src/decisions/upstream.ts
@@ -30,6 +30,10 @@
 const HOLD_FIRST_MS = 4000;
 const HOLD_GAIN = 0.05;
 
+/** Priorities asked of engines: of a workspace far over its share, of long prompts, of short ones. */
+export type EnginePriority = 0 | 1 | 2;
+const ENGINE_PRIORITIES: readonly EnginePriority[] = [0, 1, 2];
+
 /** A granted attempt, as its lead remembers it. */
 export interface Held {
   readonly attemptId: string;
@@ -45,6 +49,7 @@
   readonly prefixHashes: readonly number[];
   readonly lane: LaneName;
   readonly long: boolean;
+  readonly enginePriority: EnginePriority;
   /** Whether it tells if an upstream set aside may return. */
   readonly probe: boolean;
   readonly grantedAtMs: number;
@@ -71,8 +76,8 @@
   foreign = 0;
   /** How many times slower it is than its row says. */
   slowness = 1;
-  /** When it has prefilled all that was placed on it. */
-  prefillDoneAtMs = 0;
+  /** When it has prefilled all that was placed on it at each priority or a higher one. */
+  readonly #prefillDoneAtMs: number[] = ENGINE_PRIORITIES.map(() => 0);
   /** How long an attempt holds its slot. */
   #holdMs = HOLD_FIRST_MS;
   #excess: number[] = [];
@@ -109,9 +114,9 @@
     return (this.#holdMs / this.row.slots) * (others + 1);
   }
 
-  /** How long what is placed on it already keeps it prefilling. */
-  backlogMs(nowMs: number): number {
-    return Math.max(0, this.prefillDoneAtMs - nowMs);
+  /** How long what is placed on it already is prefilled before a newcomer of this priority. */
+  backlogMs(priority: EnginePriority, nowMs: number): number {
+    return Math.max(0, this.#prefillDoneAtMs[priority] - nowMs);
   }
 
   /** Time to prefill this many tokens at its observed speed. */
@@ -120,8 +125,12 @@
   }
 
   /** Time to the first token of a request with this many tokens to prefill. */
-  predictFirstMs(tokens: number, nowMs: number): number {
-    return this.backlogMs(nowMs) + this.ownMs(tokens);
+  predictFirstMs(
+    tokens: number,
+    priority: EnginePriority,
+    nowMs: number,
+  ): number {
+    return this.backlogMs(priority, nowMs) + this.ownMs(tokens);
   }
 
   add(held: Held): void {
@@ -129,9 +138,13 @@
     if (held.started) return;
     this.unstarted.set(held.attemptId, held);
     if (held.long) this.longUnstarted++;
-    const startMs = Math.max(held.grantedAtMs, this.prefillDoneAtMs);
-    this.prefillDoneAtMs = startMs +
-      prefillMs(this.row, held.coldTokens) * this.slowness;
+    const ownMs = prefillMs(this.row, held.coldTokens) * this.slowness;
+    for (const level of ENGINE_PRIORITIES) {
+      if (level > held.enginePriority) break;
+      const doneAtMs = this.#prefillDoneAtMs[level];
+      this.#prefillDoneAtMs[level] = Math.max(held.grantedAtMs, doneAtMs) +
+        ownMs;
+    }
   }
 
   /** The first token came. */
@@ -156,8 +169,10 @@
     this.#holdMs += HOLD_GAIN * (nowMs - held.grantedAtMs - this.#holdMs);
     this.running = Math.max(0, this.running - 1);
     this.#unqueue(held);
-    if (this.unstarted.size === 0) {
-      this.prefillDoneAtMs = Math.min(this.prefillDoneAtMs, nowMs);
+    if (this.unstarted.size > 0) return;
+    for (const level of ENGINE_PRIORITIES) {
+      const doneAtMs = this.#prefillDoneAtMs[level];
+      this.#prefillDoneAtMs[level] = Math.min(doneAtMs, nowMs);
     }
   }
 
