--- a/src/decisions/placement.ts
+++ b/src/decisions/placement.ts
@@ -6,7 +6,7 @@
 
 import type { Random } from "../base/mod.ts";
 import type { SlotRequest } from "./slots.ts";
-import type { Upstream } from "./upstream.ts";
+import type { EnginePriority, Upstream } from "./upstream.ts";
 import { prefillMs, warmTokens } from "./work.ts";
 
 /**
@@ -27,6 +27,15 @@
  */
 const LONG_SHARE = 0.75;
 
+/**
+ * The same for a workspace far over its share, and the part of each upstream's slots that it leaves to the others. Fair
+ * order alone makes the others next in turn; they would still wait for a slot to come back and behind the prefills that
+ * the burst has already started. What is kept is used by whoever is within its share.
+ */
+const OVER_LONG_SHARE = 0.5;
+const OTHERS_SHARE = 0.125;
+const OVER_BACKLOG_MS = 50;
+
 /** A prompt that takes an engine longer than this to prefill is long: a question placed behind it would be late. */
 export const LONG_PREFILL_MS = 250;
 /** How much more a ms of prefill weighs than a ms of waiting when the pool is full; see `costOf`. */
@@ -42,6 +51,7 @@
   readonly firstMs: number;
   /** Whether its prefill holds up what is placed beside it. */
   readonly long: boolean;
+  readonly enginePriority: EnginePriority;
   readonly probe: boolean;
 }
 
@@ -56,6 +66,8 @@
   readonly pressure: number;
   /** Whether the lead is new and may not know all that its upstreams run. */
   readonly cautious: boolean;
+  /** Whether the request's workspace is far over its share. */
+  readonly over: boolean;
   /** Requests that wait for this upstream already. */
   readonly waitingFor: (upstreamId: string) => number;
 }
@@ -124,15 +136,29 @@
 export function weigh(
   request: SlotRequest,
   upstream: Upstream,
-  view: Pick<PlacementView, "nowMs">,
+  view: Pick<PlacementView, "nowMs" | "over">,
   probe = false,
 ): Place {
   const matched = upstream.warm.matched(request.prefixHashes, view.nowMs);
   const coldTokens = request.promptTokens - warmTokens(request, matched);
-  const firstMs = upstream.predictFirstMs(coldTokens, view.nowMs);
   const long = prefillMs(upstream.row, coldTokens) > LONG_PREFILL_MS;
-  const savedMs = prefillMs(upstream.row, request.promptTokens - coldTokens);
-  return { upstream, coldTokens, savedMs, firstMs, long, probe };
+  const enginePriority = priorityOf(long, view.over);
+  return {
+    upstream,
+    coldTokens,
+    savedMs: prefillMs(upstream.row, request.promptTokens - coldTokens),
+    firstMs: upstream.predictFirstMs(coldTokens, enginePriority, view.nowMs),
+    long,
+    enginePriority,
+    probe,
+  };
+}
+
+// An engine prefills higher priorities first, so a question passes a manifest that is being prefilled, and a workspace
+// within its share passes one that floods the pool, also after both have left the queue.
+function priorityOf(long: boolean, over: boolean): EnginePriority {
+  if (over) return 0;
+  return long ? 1 : 2;
 }
 
 // A cold prefill delays more than its own request: it takes passes from everyone on that upstream, and its blocks push
@@ -150,15 +176,19 @@
   longAllowed: boolean,
 ): boolean {
   const { upstream } = found;
-  if (!upstream.hasRoom(view.nowMs, view.cautious)) return false;
-  if (upstream.backlogMs(view.nowMs) > BACKLOG_MS + found.savedMs) return false;
+  const kept = view.over ? Math.ceil(upstream.row.slots * OTHERS_SHARE) : 0;
+  if (!upstream.hasRoom(view.nowMs, view.cautious, kept)) return false;
+  const most = view.over ? OVER_BACKLOG_MS : BACKLOG_MS + found.savedMs;
+  if (upstream.backlogMs(found.enginePriority, view.nowMs) > most) return false;
   return !found.long || longAllowed || upstream.longUnstarted > 0;
 }
 
 function longHasRoom(view: PlacementView): boolean {
-  if (!view.mixed || view.upstreams.length < 2) return true;
+  if (view.upstreams.length < 2) return true;
+  if (!view.mixed && !view.over) return true;
   const busy = view.upstreams.filter((u) => u.longUnstarted > 0).length;
-  return busy < Math.floor(view.upstreams.length * LONG_SHARE);
+  const share = view.over ? OVER_LONG_SHARE : LONG_SHARE;
+  return busy < Math.max(1, Math.floor(view.upstreams.length * share));
 }
 
 function candidates(view: PlacementView): readonly Upstream[] {
