Leads: adopted slots get their whole time, reports of a start keep the slot, cancels follow the question

Cause 2: the outcome 'started' freed the slot at entry VM and lead. Cause 3: a cancel went to the lead by the newest view, while another VM held the question; its ghost took a slot in its turn. Now it goes to both, and what waits for a VM that is gone is given up.

--- a/src/services/lead_client.ts
+++ b/src/services/lead_client.ts
@@ -73,11 +73,11 @@
     }
   }
 
-  /** An attempt ended: forgets it and tells its lead. */
+  /** An attempt started or ended: tells its lead, and forgets it at its end. */
   report(report: SlotReport): void {
     const held = this.#held.get(report.attemptId);
     if (!held) return;
-    this.#held.delete(report.attemptId);
+    if (report.outcome !== "started") this.#held.delete(report.attemptId);
     this.#context.router.report(held.pool, report);
   }
 
--- a/src/services/lead_pool.ts
+++ b/src/services/lead_pool.ts
@@ -124,7 +124,7 @@
   }
 
   report(report: SlotReport, nowMs: number): LeadOutput[] {
-    this.#forget(report.attemptId);
+    if (report.outcome !== "started") this.#forget(report.attemptId);
     return this.#take(this.pool.report(report, nowMs), nowMs);
   }
 
@@ -134,6 +134,18 @@
     return this.#take(this.pool.cancel(attemptId, nowMs), nowMs);
   }
 
+  /** Gives up what waits for VMs that are gone: a slot granted to one would come back only when its time has passed. */
+  dropEntries(
+    isThere: (entry: string) => boolean,
+    nowMs: number,
+  ): LeadOutput[] {
+    const outputs: LeadOutput[] = [];
+    for (const [attemptId, { entry }] of [...this.#waiting]) {
+      if (!isThere(entry)) outputs.push(...this.cancel(attemptId, nowMs));
+    }
+    return outputs;
+  }
+
   /** Holds all slots of `entry` for another {@link SLOT_TTL_MS}, if the digest shows that both sides mean the same. */
   renew(entry: string, digest: HeldDigest, nowMs: number): boolean {
     if (!this.#book.agrees(entry, digest)) return false;
@@ -241,15 +253,14 @@
     settledAtMs: number,
     nowMs: number,
   ): LeadOutput[] {
-    for (const slot of held) {
+    // Held now, so held for its whole time from now: what the slot says of its end is as old as its first grant.
+    const expiresAtMs = nowMs + SLOT_TTL_MS;
+    const renewed = held.map((slot) => ({ ...slot, expiresAtMs }));
+    for (const slot of renewed) {
       this.#book.add(entry, slot.attemptId, settledAtMs);
-      this.#granted.set(slot.attemptId, {
-        held: slot,
-        entry,
-        expiresAtMs: nowMs + SLOT_TTL_MS,
-      });
+      this.#granted.set(slot.attemptId, { held: slot, entry, expiresAtMs });
     }
-    return this.#take(this.pool.adopt(held, nowMs), nowMs);
+    return this.#take(this.pool.adopt(renewed, nowMs), nowMs);
   }
 
   #renew(attemptIds: readonly string[], nowMs: number): readonly string[] {
--- a/src/services/lead_router.ts
+++ b/src/services/lead_router.ts
@@ -53,6 +53,8 @@
   readonly #context: LeadRouterContext;
   readonly #waiting = new Set<Waiting>();
   readonly #avoidUntilMs = new Map<string, number>();
+  /** The VM that a pending attempt is asked at. */
+  readonly #asked = new Map<string, VmInfo>();
 
   constructor(context: LeadRouterContext) {
     this.#context = context;
@@ -71,10 +73,7 @@
       const message = p as ReportMessage;
       if (!this.#relay("slots.report", message)) server.report(message);
     });
-    transport.handle("slots.cancel", (p) => {
-      const message = p as CancelMessage;
-      if (!this.#relay("slots.cancel", message)) server.cancel(message);
-    });
+    transport.handle("slots.cancel", (p) => this.#cancel(p as CancelMessage));
     transport.handle("slots.held", (p) => heldOf(p as HeldMessage));
     transport.handle(
       "slots.handover",
@@ -101,9 +100,7 @@
   }
 
   cancel(pool: string, attemptId: string): void {
-    const message: CancelMessage = { ...this.#address(pool), attemptId };
-    if (this.#context.server.leads(pool)) this.#context.server.cancel(message);
-    else this.#notifyLead("slots.cancel", message);
+    this.#cancel({ ...this.#address(pool), attemptId });
   }
 
   /**
@@ -124,8 +121,14 @@
     if (this.#context.server.leads(message.pool)) {
       return await this.#context.server.acquire(message);
     }
-    const deadlineMs = message.request.deadlineMs + ANSWER_GRACE_MS;
-    const reply = await this.#forward("slots.acquire", message, deadlineMs);
+    const { attemptId, deadlineMs } = message.request;
+    const reply = await this.#forward(
+      "slots.acquire",
+      message,
+      deadlineMs + ANSWER_GRACE_MS,
+      (vm) => this.#asked.set(attemptId, vm),
+    );
+    this.#asked.delete(attemptId);
     return reply as AcquireReply | undefined ?? { type: "moved" };
   }
 
@@ -146,6 +149,7 @@
     method: string,
     message: ToLead,
     deadlineMs: number,
+    onAsk: (vm: VmInfo) => void = () => {},
   ): Promise<unknown> {
     const { view } = this.#context;
     if (message.relayed) return undefined;
@@ -153,11 +157,13 @@
     if (lead.id === view.self.id) return undefined;
     if (message.entry !== view.self.id) {
       const onwards = { ...message, relayed: true };
+      onAsk(lead);
       return await this.#call(lead, method, onwards, deadlineMs);
     }
     const ways = next && next.id !== view.self.id ? [lead, next] : [lead];
     if (this.#isAvoided(lead.id)) ways.reverse();
     for (const vm of ways) {
+      onAsk(vm);
       const reply = await this.#call(vm, method, message, deadlineMs);
       if (reply !== undefined) return reply;
     }
@@ -197,6 +203,24 @@
     return undefined;
   }
 
+  /**
+   * Goes to the lead, and to the VM that was asked: while the lead changes these differ, and a request that stays queued
+   * for a caller who has gone takes a slot when its turn comes.
+   */
+  #cancel(message: CancelMessage): void {
+    const { server, view, transport } = this.#context;
+    server.cancel(message);
+    const asked = this.#asked.get(message.attemptId);
+    const lead = view.lead(message.pool);
+    const relayed = message.entry !== view.self.id;
+    if (message.relayed) return;
+    for (const vm of new Set([lead, asked])) {
+      if (!vm || vm.id === view.self.id) continue;
+      const onwards = { ...message, relayed };
+      transport?.notify(vm.peerAddress, "slots.cancel", onwards);
+    }
+  }
+
   #notifyLead(method: string, message: ToLead): void {
     const { view, transport } = this.#context;
     const lead = view.lead(message.pool);
--- a/src/services/lead_server.ts
+++ b/src/services/lead_server.ts
@@ -74,6 +74,8 @@
       if (led && tableChanged) {
         this.#take(info, led.configure(view.table, info, clock.nowMs()));
       }
+      const gone = led?.dropEntries((id) => view.hasVm(id), clock.nowMs());
+      if (gone) this.#take(info, gone);
       if (!led && view.lead(info.key).id === view.self.id) this.#start(info);
     }
   }
--- a/src/services/slots_vms_test.ts
+++ b/src/services/slots_vms_test.ts
@@ -38,32 +38,42 @@
   }
 }
 
-function report(vm: Vm, answer: SlotAnswer): Promise<void> {
+function report(
+  vm: Vm,
+  answer: SlotAnswer,
+  outcome: "started" | "done" = "done",
+): Promise<void> {
   if (answer.type !== "grant") throw new Error(JSON.stringify(answer));
   const { attemptId, upstreamId } = answer;
   return vm.slots.ask("report", {
     attemptId,
     service: "plan",
     upstreamId,
-    outcome: "done",
+    outcome,
     outputTokens: 20,
     totalMs: 100,
   });
 }
 
+/** Requests in the queue of the pool's lead; one that still collects has none. */
+function waiting(vms: readonly Vm[]): number {
+  const leads = vms.map((vm) => vm.led(POOL));
+  const deciding = leads.filter((pool) => pool && !pool.collecting);
+  return deciding.reduce((sum, pool) => sum + pool!.waiting, 0);
+}
+
 /** Whether a request from `vm` finds no room: it is queued at the one lead among `vms`, and given up again. */
 async function isFull(vm: Vm, vms: readonly Vm[]): Promise<boolean> {
   const attemptId = `probe-${vm.id}-${vms.length}`;
+  const before = waiting(vms);
   const asked = acquire(vm, attemptId).then(() => "answered" as const);
-  const queued = until("the request is queued", () =>
-    vms.some((other) => {
-      const pool = other.led(POOL);
-      return pool !== undefined && !pool.collecting && pool.waiting > 0;
-    }));
+  const queued = until("it is queued", () => waiting(vms) > before);
   const first = await Promise.race([asked, queued]);
   await vm.slots.ask("cancel", { attemptId, service: "plan" });
   queued.catch(() => {});
-  return first !== "answered";
+  if (first === "answered") return false;
+  await until("it is given up", () => waiting(vms) === before);
+  return true;
 }
 
 describe("slots between VMs", () => {
@@ -76,10 +86,13 @@
   });
 
   it("answers a queued request as soon as a slot is free", async (t) => {
-    const { others: [a, b] } = await region(t, 4);
+    const { vms, others: [a, b] } = await region(t, 4);
     const first = await acquire(a, "first");
     await fill(a, CAPACITY - 1);
     const queued = acquire(b, "queued");
+    await until("it is queued", () => waiting(vms) === 1);
+    await report(a, first, "started");
+    t.true(await isFull(b, vms));
     await report(a, first);
     t.like(await queued, { type: "grant", attemptId: "queued" });
   });
