--- a/bench/engine.ts
+++ b/bench/engine.ts
@@ -73,6 +73,11 @@
   get waiting(): number {
     return this.#waiting.length;
   }
+  /** Time until a running answer ends, at the present speed. */
+  get slotMs(): number {
+    const left = Math.min(...this.#running.map((r) => r.outputLeft));
+    return left * (STEP_BASE_MS + this.running * this.#tokenMs) * this.slow;
+  }
   /** Tokens still to prefill, as the engine itself knows them. */
   get prefillLeft(): number {
     let sum = 0;
--- a/bench/world.ts
+++ b/bench/world.ts
@@ -5,6 +5,7 @@
  */
 
 import type { Table } from "../src/agreement/mod.ts";
+import { Random } from "../src/base/mod.ts";
 import {
   type FarRegion,
   mayRetry,
@@ -35,6 +36,8 @@
   readonly lagMs: number;
   readonly seed: number;
   readonly cacheBlocks: number;
+  /** Share of the answers whose usage tells what was cached. */
+  readonly usageShare: number;
   readonly policy: (context: PolicyContext) => Policy;
   /** Requests go wherever the digests show the shortest wait. */
   readonly onlyLatency?: boolean;
@@ -89,10 +92,12 @@
   readonly #current = new WeakMap<Outcome, Attempt>();
   /** Regions cut off from all others. */
   readonly cut = new Set<string>();
+  readonly #random: Random;
   #count = 0;
 
   constructor(options: WorldOptions) {
     this.#options = options;
+    this.#random = new Random(options.seed);
     for (const id of options.regions) this.#regions.set(id, this.#region(id));
     this.sim.every(TICK_MS, () => this.#each((r) => r.policy.tick(this.now)));
     this.sim.every(
@@ -378,6 +383,9 @@
       upstreamId: attempt.upstreamId!,
       outcome,
       ...(firstTokenMs === undefined ? {} : { firstTokenMs }),
+      ...(outcome === "done" && this.#tells()
+        ? { cachedTokens: attempt.outcome.warmTokens }
+        : {}),
       outputTokens: outcome === "done" ? ask.outputTokens : 0,
       totalMs: this.now - attempt.grantedAtMs,
     };
@@ -402,6 +410,11 @@
     this.#attempt(outcome, home, region, exclude, attempt.returned);
   }
 
+  /** Whether this answer's usage tells what was cached: some engines leave it out of some answers. */
+  #tells(): boolean {
+    return this.#random.next() < this.#options.usageShare;
+  }
+
   /** The caller's deadline: one without a first token goes away. */
   #leave(outcome: Outcome): void {
     if (outcome.result !== "open") return;
--- a/src/decisions/dispatcher.ts
+++ b/src/decisions/dispatcher.ts
@@ -102,7 +102,7 @@
     }
     if (report.outcome === "started") return undefined;
     this.#slots.remove(report.attemptId);
-    this.fleet.ended(held, report.outcome, nowMs);
+    this.fleet.ended(held, report.outcome, nowMs, report.cachedTokens);
     const actual = workTokens({
       promptTokens: held.coldTokens,
       expectedOutputTokens: report.outputTokens,
@@ -137,6 +137,7 @@
       upstream,
       work: workTokens(slot),
       coldTokens: 0,
+      beliefAgeMs: 0,
       prefixHashes: [],
       lane: "short",
       long: false,
@@ -312,6 +313,10 @@
       promptTokens: request.promptTokens,
       expectedOutputTokens: request.expectedOutputTokens,
       coldTokens: found.coldTokens,
+      beliefAgeMs: upstream.warm.ageMs(
+        request.prefixHashes[found.matched - 1],
+        nowMs,
+      ),
       prefixHashes: request.prefixHashes,
       lane: entry.lane,
       long: found.long,
--- a/src/decisions/fleet.ts
+++ b/src/decisions/fleet.ts
@@ -26,6 +26,12 @@
 /** A saved prefill shorter than this cannot be told from noise in first-token times. */
 const EVICTION_MS = 50;
 
+/** A belief in fewer cached tokens than this is not worth judging. */
+const LEAST_BELIEVED_TOKENS = 512;
+
+/** Time after which a placed prompt is in the cache unless it was evicted. */
+const SETTLED_BELIEF_MS = 5000;
+
 /** See the module. */
 export class Fleet {
   #byId = new Map<string, Upstream>();
@@ -96,7 +102,7 @@
   started(held: Held, firstTokenMs: number, nowMs: number): void {
     this.#hearsStarts = true;
     const { upstream } = held;
-    const ratio = lateness(held, firstTokenMs, nowMs);
+    const ratio = lateness(held, firstTokenMs);
     upstream.start(held);
     upstream.learn(ratio);
     upstream.health.answered(ratio, nowMs);
@@ -107,8 +113,14 @@
   }
 
   /** An attempt left its upstream. */
-  ended(held: Held, outcome: SlotReport["outcome"], nowMs: number): void {
+  ended(
+    held: Held,
+    outcome: SlotReport["outcome"],
+    nowMs: number,
+    cachedTokens?: number,
+  ): void {
     const { upstream } = held;
+    if (cachedTokens !== undefined) learnCache(held, cachedTokens);
     const unjudged = held.probe && !held.started;
     upstream.remove(held, nowMs);
     if (held.probe) upstream.health.probeEnded();
@@ -193,16 +205,22 @@
  * How many times later than predicted a first token came. Where a warm prefix was believed in and the time is nearer to
  * that of a cold one, the belief was wrong and not the upstream slow: the engine had evicted the prefix.
  */
-function lateness(held: Held, firstTokenMs: number, nowMs: number): number {
+function lateness(held: Held, firstTokenMs: number): number {
   const { upstream } = held;
   const warmMs = Math.max(1, held.firstTokenDueMs - held.grantedAtMs);
   const saved = held.promptTokens - held.coldTokens;
   const coldMs = warmMs + prefillMs(upstream.row, saved) * held.slowness;
   const misled = coldMs - warmMs > EVICTION_MS &&
     firstTokenMs * firstTokenMs > warmMs * coldMs;
-  if (!misled) return firstTokenMs / warmMs;
-  upstream.warm.forget(held.prefixHashes);
-  // Its prefill has just put the prompt back.
-  upstream.warm.touch(held.prefixHashes, nowMs);
-  return firstTokenMs / coldMs;
+  return firstTokenMs / (misled ? coldMs : warmMs);
+}
+
+// What the engine tells of its cache is exact, and late: it comes with the end of the answer. A prefix placed there just
+// before may not have been prefilled yet; that it was not cached says nothing of the cache's size.
+function learnCache(held: Held, cachedTokens: number): void {
+  const believed = held.promptTokens - held.coldTokens;
+  if (believed < LEAST_BELIEVED_TOKENS) return;
+  if (held.beliefAgeMs < SETTLED_BELIEF_MS) return;
+  if (cachedTokens < believed / 2) held.upstream.warm.wasCold();
+  else held.upstream.warm.wasWarm();
 }
--- a/src/decisions/placement.ts
+++ b/src/decisions/placement.ts
@@ -23,7 +23,8 @@
 /**
  * Share of a pool that may prefill long prompts at the same time when short ones come too. An engine works through
  * prompts in chunks, so a short question placed beside a manifest waits seconds for it; the rest of the pool stays open
- * to short ones. Without short ones, long prompts may use all.
+ * to short ones. Without short ones, long prompts may use all. Engines that honour priorities need it less: at 1, the mix
+ * is as fast and a flood of one workspace costs the others more.
  */
 const LONG_SHARE = 0.75;
 
@@ -46,6 +47,8 @@
   readonly upstream: Upstream;
   /** Tokens left to prefill there. */
   readonly coldTokens: number;
+  /** Leading blocks believed cached there. */
+  readonly matched: number;
   /** Prefill time that the warm prefix saves. */
   readonly savedMs: number;
   readonly firstMs: number;
@@ -146,6 +149,7 @@
   return {
     upstream,
     coldTokens,
+    matched,
     savedMs: prefillMs(upstream.row, request.promptTokens - coldTokens),
     firstMs: upstream.predictFirstMs(coldTokens, enginePriority, view.nowMs),
     long,
--- a/src/decisions/slots.ts
+++ b/src/decisions/slots.ts
@@ -71,6 +71,8 @@
     | "unreachable";
   /** From the grant to the first token (for a plain service, to the answer's headers). */
   readonly firstTokenMs?: number;
+  /** Prompt tokens that the engine says it had cached, where its answer's usage tells. */
+  readonly cachedTokens?: number;
   readonly outputTokens: number;
   readonly totalMs: number;
 }
--- a/src/decisions/upstream.ts
+++ b/src/decisions/upstream.ts
@@ -46,6 +46,8 @@
   readonly expectedOutputTokens: number;
   /** Tokens it has to prefill if the belief in its warm prefix is right. */
   readonly coldTokens: number;
+  /** How old that belief was at the grant. */
+  readonly beliefAgeMs: number;
   readonly prefixHashes: readonly number[];
   readonly lane: LaneName;
   readonly long: boolean;
--- a/src/decisions/warm.ts
+++ b/src/decisions/warm.ts
@@ -4,8 +4,15 @@
  * @module
  */
 
-/** Prefix blocks remembered for one upstream; more than an engine's cache holds, and about 200 KB here. */
+/** Prefix blocks remembered for one upstream at the start and at most, some 200 KB; and at least. */
 const MOST_BLOCKS = 2048;
+const LEAST_BLOCKS = 64;
+/**
+ * Factors of the bound when a belief proves wrong, and when one proves right: it settles where one in twenty is wrong,
+ * near what the engine's cache holds, which nobody tells the lead.
+ */
+const SHRINK = 0.9;
+const GROW = 1.005;
 /** A belief not renewed for this long counts nothing: the engine has evicted it, or will soon. */
 const BELIEF_MS = 300_000;
 
@@ -15,6 +22,7 @@
  */
 export class WarmSet {
   readonly #seenAtMs = new Map<number, number>();
+  #bound = MOST_BLOCKS;
 
   /** Leading blocks of the prompt believed cached. A prefix implies its own prefixes, so the search is binary. */
   matched(hashes: readonly number[], nowMs: number): number {
@@ -34,15 +42,24 @@
       this.#seenAtMs.delete(hashes[i]);
       this.#seenAtMs.set(hashes[i], nowMs);
     }
-    for (const oldest of this.#seenAtMs.keys()) {
-      if (this.#seenAtMs.size <= MOST_BLOCKS) break;
-      this.#seenAtMs.delete(oldest);
-    }
+    this.#evict();
+  }
+
+  /** A prompt believed warm turned out cold: it was evicted, and what was used before it surely was too. */
+  wasCold(): void {
+    this.#bound = Math.max(LEAST_BLOCKS, this.#bound * SHRINK);
+    this.#evict();
   }
 
-  /** The prompt turned out cold. */
-  forget(hashes: readonly number[]): void {
-    for (const hash of hashes) this.#seenAtMs.delete(hash);
+  /** A prompt believed warm was warm. */
+  wasWarm(): void {
+    this.#bound = Math.min(MOST_BLOCKS, this.#bound * GROW);
+  }
+
+  /** How long ago a block was last placed here. */
+  ageMs(hash: number | undefined, nowMs: number): number {
+    const seenAtMs = hash === undefined ? undefined : this.#seenAtMs.get(hash);
+    return seenAtMs === undefined ? Infinity : nowMs - seenAtMs;
   }
 
   clear(): void {
@@ -53,6 +70,13 @@
     return this.#seenAtMs.size;
   }
 
+  #evict(): void {
+    for (const oldest of this.#seenAtMs.keys()) {
+      if (this.#seenAtMs.size <= this.#bound) break;
+      this.#seenAtMs.delete(oldest);
+    }
+  }
+
   #has(hash: number, nowMs: number): boolean {
     const seenAtMs = this.#seenAtMs.get(hash);
     return seenAtMs !== undefined && nowMs - seenAtMs < BELIEF_MS;
