--- a/src/decisions/placement.ts
+++ b/src/decisions/placement.ts
@@ -36,6 +36,11 @@
 const OVER_LONG_SHARE = 0.5;
 const OTHERS_SHARE = 0.125;
 const OVER_BACKLOG_MS = 50;
+/**
+ * Part of each upstream's slots that long prompts leave to short ones while both come. Their long answers hold the slots,
+ * and a question that needs one pass would wait for a whole answer to end.
+ */
+const SHORT_SHARE = 0.0625;
 
 /** A prompt that takes an engine longer than this to prefill is long: a question placed behind it would be late. */
 export const LONG_PREFILL_MS = 250;
@@ -180,13 +185,23 @@
   longAllowed: boolean,
 ): boolean {
   const { upstream } = found;
-  const kept = view.over ? Math.ceil(upstream.row.slots * OTHERS_SHARE) : 0;
-  if (!upstream.hasRoom(view.nowMs, view.cautious, kept)) return false;
+  if (!upstream.hasRoom(view.nowMs, view.cautious, keptSlots(found, view))) {
+    return false;
+  }
   const most = view.over ? OVER_BACKLOG_MS : BACKLOG_MS + found.savedMs;
   if (upstream.backlogMs(found.enginePriority, view.nowMs) > most) return false;
   return !found.long || longAllowed || upstream.longUnstarted > 0;
 }
 
+function keptSlots(found: Place, view: PlacementView): number {
+  const { slots } = found.upstream.row;
+  if (view.over) return Math.ceil(slots * OTHERS_SHARE);
+  const last = found.upstream.row.slots > 1 ? 1 : 0;
+  return found.enginePriority < 2 && view.mixed
+    ? Math.max(last, Math.floor(slots * SHORT_SHARE))
+    : 0;
+}
+
 function longHasRoom(view: PlacementView): boolean {
   if (view.upstreams.length < 2) return true;
   if (!view.mixed && !view.over) return true;
