--- a/src/standins/engine_test.ts
+++ b/src/standins/engine_test.ts
@@ -55,7 +55,7 @@
   } catch {
     broken = true;
   }
-  const data = raw.split("\n\n").filter((line) => line.startsWith("data: "))
+  const data = raw.split("\n").filter((line) => line.startsWith("data: "))
     .map((line) => line.slice(6));
   const events = data.filter((line) => line !== "[DONE]")
     .map((line) => JSON.parse(line));
