--- /dev/null
+++ b/src/cli/trace.ts
@@ -0,0 +1,39 @@
+/**
+ * `ibisgap trace`: makes the traces that ship.
+ *
+ * @module
+ */
+
+import { writeFileSync } from "node:fs";
+import { defineCommand } from "citty";
+import { days, generateTrace, traceText } from "../replay/mod.ts";
+
+/** The command; see docs/TRACE.md. */
+export const traceCommand = defineCommand({
+  meta: { name: "trace", description: "Makes a seeded trace of a user's day" },
+  args: {
+    day: {
+      type: "positional",
+      required: true,
+      description: Object.keys(days).join(" or "),
+    },
+    seed: { type: "string", default: "1", description: "Seed of the arrivals" },
+    out: {
+      type: "string",
+      description: "File to write; standard output if absent",
+    },
+  },
+  run({ args }) {
+    const day = days[args.day];
+    if (!day) {
+      console.error(
+        `ibisgap trace: day is "${args.day}"; allowed: ${Object.keys(days)}`,
+      );
+      process.exitCode = 2;
+      return;
+    }
+    const text = traceText(generateTrace(day(), Number(args.seed)));
+    if (args.out) writeFileSync(args.out, text);
+    else process.stdout.write(text);
+  },
+});
--- /dev/null
+++ b/src/replay/generate.ts
@@ -0,0 +1,160 @@
+/**
+ * Makes traces from a description of a day: demand that follows the daylight of each region, bursts, and faults. The
+ * same description and seed give the same trace.
+ *
+ * @module
+ */
+
+import { Random } from "../base/mod.ts";
+import type { Trace, TraceFault, TraceHeader, TraceRequest } from "./trace.ts";
+
+/** A kind of request and how much of it there is. */
+export interface Demand {
+  readonly group: string;
+  readonly service: string;
+  readonly kind: "chat" | "plain";
+  /** Requests per second of one region at its peak. */
+  readonly peakPerS: number;
+  /** Callers of this kind belong to the workspace `WORKSPACE-REGION`. */
+  readonly workspace: string;
+  readonly bound: boolean;
+  readonly repeatable: boolean;
+  /** Mean tokens of the prompt without the shared prefix, and of the answer. */
+  readonly promptTokens: number;
+  readonly outputTokens: number;
+  /** Prompts share one of so many prefixes in each region. */
+  readonly prefixes: number;
+  readonly prefixTokens: number;
+  readonly priority: number;
+  readonly withinMs: number;
+}
+
+/** Extra demand of one group in one region. */
+export interface Burst {
+  readonly group: string;
+  readonly region: string;
+  readonly fromMs: number;
+  readonly toMs: number;
+  readonly factor: number;
+}
+
+/** A day, compressed to `durationMs`. */
+export interface Day {
+  readonly name: string;
+  readonly durationMs: number;
+  readonly topology: TraceHeader["topology"];
+  /** When each region has its peak, as a share of the day. */
+  readonly peakAt: Readonly<Record<string, number>>;
+  /** Regions that have a holiday: half the demand all day. */
+  readonly holiday: readonly string[];
+  readonly demands: readonly Demand[];
+  readonly bursts: readonly Burst[];
+  readonly faults: readonly TraceFault[];
+}
+
+const NIGHT_SHARE = 0.5;
+
+/** Makes the trace of a day. */
+export function generateTrace(day: Day, seed: number): Trace {
+  const random = new Random(seed);
+  const requests = day.topology.regions.flatMap(({ id }) =>
+    day.demands.flatMap((demand) => arrivals(day, id, demand, random))
+  );
+  requests.sort((a, b) => a.arrivalMs - b.arrivalMs);
+  const endMs = Math.max(...requests.map((request) => request.deadlineMs));
+  return {
+    header: {
+      type: "trace",
+      version: 1,
+      name: day.name,
+      seed,
+      endMs,
+      topology: day.topology,
+    },
+    requests,
+    faults: day.faults,
+  };
+}
+
+/** The trace as JSON lines. */
+export function traceText(trace: Trace): string {
+  const lines = [trace.header, ...trace.faults, ...trace.requests];
+  return lines.map((line) => JSON.stringify(line) + "\n").join("");
+}
+
+/** A Poisson process by thinning: drawn at the highest rate, kept with the share that the time of day has. */
+function arrivals(
+  day: Day,
+  region: string,
+  demand: Demand,
+  random: Random,
+): TraceRequest[] {
+  const factors = day.bursts.map((burst) => burst.factor);
+  const highest = demand.peakPerS * Math.max(1, ...factors);
+  const requests: TraceRequest[] = [];
+  let atMs = 0;
+  for (;;) {
+    atMs += random.exponential(1000 / highest);
+    if (atMs >= day.durationMs) return requests;
+    const rate = demand.peakPerS * factorAt(day, region, demand.group, atMs);
+    if (random.next() * highest >= rate) continue;
+    requests.push(
+      request(region, demand, Math.round(atMs), requests.length, random),
+    );
+  }
+}
+
+/** Demand at this time as a share of the peak. */
+function factorAt(
+  day: Day,
+  region: string,
+  group: string,
+  atMs: number,
+): number {
+  const turn = atMs / day.durationMs - (day.peakAt[region] ?? 0);
+  const daylight = (1 + Math.cos(2 * Math.PI * turn)) / 2;
+  const share = NIGHT_SHARE + (1 - NIGHT_SHARE) * daylight;
+  const burst = day.bursts.find((b) =>
+    b.group === group && b.region === region && atMs >= b.fromMs &&
+    atMs < b.toMs
+  );
+  const holiday = day.holiday.includes(region) ? NIGHT_SHARE : 1;
+  return share * holiday * (burst?.factor ?? 1);
+}
+
+function request(
+  region: string,
+  demand: Demand,
+  arrivalMs: number,
+  index: number,
+  random: Random,
+): TraceRequest {
+  const { group, service, kind, bound, repeatable, priority } = demand;
+  const own = around(demand.promptTokens, random);
+  const hasPrefix = demand.prefixes > 0;
+  const prefix = random.int(Math.max(1, demand.prefixes));
+  return {
+    type: "request",
+    arrivalMs,
+    workspace: `${demand.workspace}-${region}`,
+    home: region,
+    region,
+    service,
+    group,
+    kind,
+    bound,
+    promptTokens: own + (hasPrefix ? demand.prefixTokens : 0),
+    ...(hasPrefix ? { prefixId: `${group}-${region}-${prefix}` } : {}),
+    prefixTokens: hasPrefix ? demand.prefixTokens : 0,
+    outputTokens: kind === "chat" ? around(demand.outputTokens, random) : 0,
+    priority,
+    deadlineMs: arrivalMs + demand.withinMs,
+    repeatable,
+    ...(repeatable ? {} : { idempotencyKey: `${group}-${region}-${index}` }),
+  };
+}
+
+/** Between half and one and a half times the mean, at least 4. */
+function around(mean: number, random: Random): number {
+  return Math.max(4, Math.round(mean * (0.5 + random.next())));
+}
--- a/src/replay/mod.ts
+++ b/src/replay/mod.ts
@@ -4,7 +4,9 @@
  * @module
  */
 
+export * from "./days.ts";
 export * from "./directory.ts";
+export * from "./generate.ts";
 export * from "./outcomes.ts";
 export * from "./print.ts";
 export * from "./replay.ts";
