--- /dev/null
+++ b/src/decisions/placement.ts
@@ -0,0 +1,200 @@
+/**
+ * Placement: which upstream runs a request.
+ *
+ * @module
+ */
+
+import type { Random } from "../base/mod.ts";
+import type { SlotRequest } from "./slots.ts";
+import type { EnginePriority, Upstream } from "./upstream.ts";
+import { prefillMs, warmTokens } from "./work.ts";
+
+/**
+ * Most prefill work waiting at an upstream when another request is placed there. What waits at the engine can no longer
+ * be reordered, moved or refused, so all but the next few passes is kept in the lead's queue; below two ticks of the
+ * lead (50 ms each) and a report's way, the engine would run dry in between. A warm upstream may have as much more as
+ * the warmth saves: going elsewhere would cost the same time, and everyone there a prefill besides.
+ */
+export const BACKLOG_MS = 150;
+/** Pools up to this size are looked through whole; in larger ones a sample is, so that a decision's cost stays flat. */
+const SCAN_ALL = 32;
+/** Upstreams drawn at random in a large pool. With the warm ones, this many come close to the best of all. */
+const SAMPLE = 16;
+/**
+ * Share of a pool that may prefill long prompts at the same time when short ones come too. An engine works through
+ * prompts in chunks, so a short question placed beside a manifest waits seconds for it; the rest of the pool stays open
+ * to short ones. Without short ones, long prompts may use all.
+ */
+const LONG_SHARE = 0.75;
+
+/**
+ * The same for a workspace far over its share, and the part of each upstream's slots that it leaves to the others. Fair
+ * order alone makes the others next in turn; they would still wait for a slot to come back and behind the prefills that
+ * the burst has already started. What is kept is used by whoever is within its share.
+ */
+const OVER_LONG_SHARE = 0.5;
+const OTHERS_SHARE = 0.125;
+const OVER_BACKLOG_MS = 50;
+
+/** A prompt that takes an engine longer than this to prefill is long: a question placed behind it would be late. */
+export const LONG_PREFILL_MS = 250;
+/** How much more a ms of prefill weighs than a ms of waiting when the pool is full; see `costOf`. */
+const PRESSURE_GAIN = 2;
+
+/** Where a request may go, and what is expected of it there. */
+export interface Place {
+  readonly upstream: Upstream;
+  /** Tokens left to prefill there. */
+  readonly coldTokens: number;
+  /** Prefill time that the warm prefix saves. */
+  readonly savedMs: number;
+  readonly firstMs: number;
+  /** Whether its prefill holds up what is placed beside it. */
+  readonly long: boolean;
+  readonly enginePriority: EnginePriority;
+  readonly probe: boolean;
+}
+
+/** What a placement depends on besides the request. */
+export interface PlacementView {
+  readonly upstreams: readonly Upstream[];
+  readonly nowMs: number;
+  readonly random: Random;
+  /** Whether short requests came lately. */
+  readonly mixed: boolean;
+  /** Share of the pool's slots in use, 0 to 1. */
+  readonly pressure: number;
+  /** Whether the lead is new and may not know all that its upstreams run. */
+  readonly cautious: boolean;
+  /** Whether the request's workspace is far over its share. */
+  readonly over: boolean;
+  /** Requests that wait for this upstream already. */
+  readonly waitingFor: (upstreamId: string) => number;
+}
+
+/** What {@link place} found. */
+export type Placement =
+  | { readonly type: "go"; readonly place: Place }
+  /** Worth waiting for the upstream that holds its prefix, until that costs more than going elsewhere. */
+  | {
+    readonly type: "wait";
+    readonly upstream: Upstream;
+    readonly untilMs: number;
+  }
+  /** No upstream has room. */
+  | { readonly type: "full" };
+
+/** The upstream for a request. */
+export function place(
+  request: SlotRequest,
+  view: PlacementView,
+): Placement {
+  const longAllowed = longHasRoom(view);
+  let best: Place | undefined;
+  let bestCost = Infinity;
+  let warm: Place | undefined;
+  let warmCost = Infinity;
+  for (const upstream of candidates(view)) {
+    if (request.exclude.includes(upstream.row.id)) continue;
+    const probe = upstream.health.probeDue(view.nowMs);
+    if (!probe && upstream.health.state === "aside") continue;
+    const found = weigh(request, upstream, view, probe);
+    if (probe && found.long) continue;
+    const cost = probe ? -1 : costOf(found, view);
+    if (probe || mayTake(found, view, longAllowed)) {
+      if (cost >= bestCost) continue;
+      best = found;
+      bestCost = cost;
+    } else if (found.savedMs > 0 && cost < warmCost) {
+      warm = found;
+      warmCost = cost;
+    }
+  }
+  if (!best) return { type: "full" };
+  if (warm && !best.probe) {
+    const { upstream } = warm;
+    const slotMs = upstream.slotMs(view.waitingFor(upstream.row.id));
+    const patienceMs = bestCost - warmCost;
+    if (slotMs < patienceMs) {
+      return { type: "wait", upstream, untilMs: view.nowMs + patienceMs };
+    }
+  }
+  return { type: "go", place: best };
+}
+
+/** The place at one upstream, if it has room for the request. */
+export function placeAt(
+  request: SlotRequest,
+  upstream: Upstream,
+  view: PlacementView,
+): Place | undefined {
+  const found = weigh(request, upstream, view);
+  return mayTake(found, view, longHasRoom(view)) ? found : undefined;
+}
+
+/** What is expected of a request at an upstream, whether or not it has room. */
+export function weigh(
+  request: SlotRequest,
+  upstream: Upstream,
+  view: Pick<PlacementView, "nowMs" | "over">,
+  probe = false,
+): Place {
+  const matched = upstream.warm.matched(request.prefixHashes, view.nowMs);
+  const coldTokens = request.promptTokens - warmTokens(request, matched);
+  const long = prefillMs(upstream.row, coldTokens) > LONG_PREFILL_MS;
+  const enginePriority = priorityOf(long, view.over);
+  return {
+    upstream,
+    coldTokens,
+    savedMs: prefillMs(upstream.row, request.promptTokens - coldTokens),
+    firstMs: upstream.predictFirstMs(coldTokens, enginePriority, view.nowMs),
+    long,
+    enginePriority,
+    probe,
+  };
+}
+
+// An engine prefills higher priorities first, so a question passes a manifest that is being prefilled, and a workspace
+// within its share passes one that floods the pool, also after both have left the queue.
+function priorityOf(long: boolean, over: boolean): EnginePriority {
+  if (over) return 0;
+  return long ? 1 : 2;
+}
+
+// A cold prefill delays more than its own request: it takes passes from everyone on that upstream, and its blocks push
+// others out of the cache. The fuller the pool, the more of that is felt, so the same warmth is worth more.
+function costOf(found: Place, view: PlacementView): number {
+  const prefill = prefillMs(found.upstream.row, found.coldTokens);
+  const spread = view.random.next() * 1e-3;
+  return found.firstMs + prefill * PRESSURE_GAIN * view.pressure + spread +
+    found.upstream.running / found.upstream.row.slots;
+}
+
+function mayTake(
+  found: Place,
+  view: PlacementView,
+  longAllowed: boolean,
+): boolean {
+  const { upstream } = found;
+  const kept = view.over ? Math.ceil(upstream.row.slots * OTHERS_SHARE) : 0;
+  if (!upstream.hasRoom(view.nowMs, view.cautious, kept)) return false;
+  const most = view.over ? OVER_BACKLOG_MS : BACKLOG_MS + found.savedMs;
+  if (upstream.backlogMs(found.enginePriority, view.nowMs) > most) return false;
+  return !found.long || longAllowed || upstream.longUnstarted > 0;
+}
+
+function longHasRoom(view: PlacementView): boolean {
+  if (view.upstreams.length < 2) return true;
+  if (!view.mixed && !view.over) return true;
+  const busy = view.upstreams.filter((u) => u.longUnstarted > 0).length;
+  const share = view.over ? OVER_LONG_SHARE : LONG_SHARE;
+  return busy < Math.max(1, Math.floor(view.upstreams.length * share));
+}
+
+function candidates(view: PlacementView): readonly Upstream[] {
+  const { upstreams, random } = view;
+  if (upstreams.length <= SCAN_ALL) return upstreams;
+  const drawn = new Set<Upstream>();
+  for (let i = 0; i < SAMPLE; i++) drawn.add(random.pick(upstreams));
+  return [...drawn];
+}
--- /dev/null
+++ b/src/services/table_service.ts
@@ -0,0 +1,283 @@
+/**
+ * The table service: keeps the newest accepted table in force on this VM.
+ *
+ * A few VMs of a region watch the store; the others get edits pushed, and repair what they missed by the versions in
+ * the heartbeats. While the store is away the last version stays in force; a VM that starts then takes it from a peer.
+ *
+ * @module
+ */
+
+import type { Result } from "neverthrow";
+import type { KeyValue, StoreError, Transport } from "../adapters/mod.ts";
+import {
+  type LoggedEdit,
+  pushRoot,
+  type Table,
+  TableLog,
+} from "../agreement/mod.ts";
+import type { Random, Timer } from "../base/mod.ts";
+import { type Kernel, Task } from "../kernel/mod.ts";
+import type { TableMessages, VmInfo } from "./messages.ts";
+import { TableFleet } from "./table_fleet.ts";
+import { type RegionInForce, TableInForce } from "./table_in_force.ts";
+import { TablePeers } from "./table_peers.ts";
+import { type StoreHead, TableStore } from "./table_store.ts";
+import { TableSync } from "./table_sync.ts";
+import { TableWaiters } from "./table_waiters.ts";
+
+/** Periods of the service, in ms. */
+export interface TablePeriods {
+  /** Between looks at who is there and who is ahead. */
+  readonly tickMs: number;
+  /** Between a watcher's looks at the store's head. */
+  readonly headMs: number;
+  /** How long a VM that starts waits for an answer of a peer that may be ahead of the store. */
+  readonly hearMs: number;
+}
+
+const DEFAULT_PERIODS: TablePeriods = {
+  tickMs: 500,
+  headMs: 5000,
+  hearMs: 1000,
+};
+
+/** Peers that a starting VM asks for their version. */
+const PEERS_ASKED = 3;
+
+/** What a {@link TableService} is made of. */
+export interface TableServiceOptions {
+  readonly vm: { readonly id: string; readonly region: string };
+  readonly store: KeyValue;
+  /** Absent where there are no other VMs. */
+  readonly transport?: Transport;
+  readonly random: Random;
+  readonly periods?: Partial<TablePeriods>;
+}
+
+/** See {@link TableMessages}; its name is `table`. */
+export class TableService extends Task<TableMessages> {
+  readonly name = "table";
+  /** The log in force; the editor works on it. */
+  readonly log = new TableLog();
+  readonly store: TableStore;
+  readonly #options: TableServiceOptions;
+  readonly #periods: TablePeriods;
+  readonly #waiters = new TableWaiters();
+  readonly #counters = { editsApplied: 0, imagesLoaded: 0, pulls: 0 };
+  #kernel!: Kernel;
+  #fleet!: TableFleet;
+  #inForce!: TableInForce;
+  #sync!: TableSync;
+  #peers: TablePeers | undefined;
+  #timer: Timer | undefined;
+  #closed = false;
+  #ready = false;
+  #hearUntilMs = 0;
+
+  protected readonly handlers = {
+    current: () => this.table,
+    waitFor: (input: TableMessages["waitFor"]["in"]) => this.#waitFor(input),
+  };
+
+  constructor(options: TableServiceOptions) {
+    super();
+    this.#options = options;
+    this.#periods = { ...DEFAULT_PERIODS, ...options.periods };
+    this.store = new TableStore(options.store);
+  }
+
+  /** The table in force; `undefined` before the first, and until a starting VM has heard whether peers are ahead. */
+  get table(): Table | undefined {
+    return this.#ready && this.log.table.version > 0
+      ? this.log.table
+      : undefined;
+  }
+
+  /** The other VMs. */
+  get fleet(): TableFleet {
+    return this.#fleet;
+  }
+
+  /** Reads the store once; if it is away, goes on trying it and the peers in the background. */
+  async start(kernel: Kernel): Promise<void> {
+    this.#kernel = kernel;
+    this.#hearUntilMs = kernel.clock.monoMs() + this.#periods.hearMs;
+    this.#fleet = new TableFleet(kernel, this.#options.vm);
+    this.#sync = this.#openSync();
+    this.#peers = this.#openPeers();
+    this.#inForce = new TableInForce({
+      vm: this.#options.vm,
+      fleet: this.#fleet,
+      transport: this.#options.transport,
+      nowMs: () => kernel.clock.nowMs(),
+      version: () => this.table?.version ?? 0,
+    });
+    await this.#tick();
+    this.#schedule();
+  }
+
+  close(_deadlineMs: number): Promise<void> {
+    this.#closed = true;
+    this.#timer?.close();
+    this.#sync.close();
+    this.#waiters.close();
+    return Promise.resolve();
+  }
+
+  dump(): unknown {
+    return {
+      version: this.log.table.version,
+      rows: this.log.table.size,
+      lastId: this.log.lastId,
+      ready: this.#ready,
+      pending: this.log.pendingCount,
+      pushes: this.#peers?.pushes ?? 0,
+      ...this.#counters,
+      ...this.#sync.dump(),
+    };
+  }
+
+  /** Reads from the store what is missing here. */
+  sync(): Promise<Result<StoreHead, StoreError>> {
+    return this.#sync.sync();
+  }
+
+  /** Edits were put in force here: wakes who waits for them, and pushes them if that is this VM's part. */
+  async noteApplied(edits: readonly LoggedEdit[]): Promise<void> {
+    this.#counters.editsApplied += edits.length;
+    this.#onNewVersion();
+    const last = edits.at(-1);
+    if (!last || !this.#peers) return;
+    const root = pushRoot(last.version, await this.#fleet.watchers());
+    if (root === this.#options.vm.id) await this.#peers.push(edits);
+  }
+
+  /** Which VMs have which version in force, by region. */
+  inForce(): Promise<RegionInForce[]> {
+    return this.#inForce.regions();
+  }
+
+  #openSync(): TableSync {
+    return new TableSync({
+      kernel: this.#kernel,
+      log: this.log,
+      store: this.store,
+      random: this.#options.random,
+      headMs: this.#periods.headMs,
+      onEdits: (edits) => this.#offer(edits),
+      onCaughtUp: async (edits, imageLoaded) => {
+        if (imageLoaded) this.#counters.imagesLoaded++;
+        await this.noteApplied(edits);
+      },
+    });
+  }
+
+  #openPeers(): TablePeers | undefined {
+    const { transport, vm } = this.#options;
+    return transport && new TablePeers({
+      vmId: vm.id,
+      log: this.log,
+      transport,
+      nowMs: () => this.#kernel.clock.nowMs(),
+      region: () => this.#fleet.region(),
+      onPush: (edits) => this.#offer(edits),
+    });
+  }
+
+  #schedule(): void {
+    if (this.#closed) return;
+    // Jitter keeps the VMs of a region from looking, and pulling, in step.
+    const { tickMs } = this.#periods;
+    const delayMs = tickMs * (0.75 + this.#options.random.next() / 2);
+    this.#timer = this.#kernel.clock.after(delayMs, () => {
+      void this.#tick().finally(() => this.#schedule());
+    });
+  }
+
+  async #tick(): Promise<void> {
+    try {
+      const wanted = this.log.table.version === 0;
+      await this.#sync.look(await this.#fleet.isWatcher(), wanted);
+      await this.#pullIfBehind();
+      await this.#becomeReady();
+    } catch (error) {
+      this.#kernel.log.error("table tick failed", { error: String(error) });
+    }
+  }
+
+  #offer(edits: readonly LoggedEdit[]): void {
+    const outcome = this.log.offer(edits);
+    this.#sync.noteAlarm();
+    if (outcome.applied.length > 0) void this.noteApplied(outcome.applied);
+    // A watcher reads what is missing from the store; others find themselves behind at the next heartbeat.
+    if (outcome.gap) this.#sync.lookSoon();
+  }
+
+  /** Takes what a peer has in force and this VM has not: a missed push, or a store that is away. */
+  async #pullIfBehind(): Promise<void> {
+    if (!this.#peers) return;
+    const ahead = await this.#fleet.ahead(this.log.table.version);
+    if (ahead.length === 0) return;
+    await this.#pullFrom(this.#options.random.pick(ahead));
+  }
+
+  /** Takes what a peer has and this VM has not; answers whether the peer has a table. */
+  async #pullFrom(peer: VmInfo): Promise<boolean> {
+    this.#counters.pulls++;
+    const pulled = await this.#peers!.pull(peer.peerAddress);
+    if (!pulled) return false;
+    if (pulled.type === "edits") {
+      this.#offer(pulled.edits);
+      return pulled.peerVersion > 0;
+    }
+    if (this.log.load(pulled.image)) {
+      this.#counters.imagesLoaded++;
+      this.#onNewVersion();
+    }
+    this.#sync.noteAlarm();
+    return true;
+  }
+
+  /**
+   * A VM that starts may find a store restored from an old copy, and would serve on a table that others have left
+   * behind. It asks a few peers first; their heartbeats may not tell their newest version yet. With none that answers
+   * it goes on alone after a moment.
+   */
+  async #becomeReady(): Promise<void> {
+    if (this.#ready || this.log.table.version === 0) return;
+    const waited = this.#kernel.clock.monoMs() >= this.#hearUntilMs;
+    if (this.#peers && !waited && !await this.#askPeers()) return;
+    this.#ready = true;
+    const { version } = this.log.table;
+    this.#kernel.log.info("table in force", { version });
+    this.#onNewVersion();
+  }
+
+  async #askPeers(): Promise<boolean> {
+    const peers = await this.#fleet.peers();
+    const order = peers
+      .map((peer) => ({ peer, place: this.#options.random.next() }))
+      .sort((a, b) => a.place - b.place)
+      .slice(0, PEERS_ASKED);
+    const answers = await Promise.all(
+      order.map(({ peer }) => this.#pullFrom(peer)),
+    );
+    return answers.includes(true);
+  }
+
+  #onNewVersion(): void {
+    if (this.table) this.#waiters.resolve(this.table);
+    // The first table of a fleet comes by an edit: nobody can be ahead for long.
+    else if (!this.#ready) void this.#becomeReady();
+  }
+
+  #waitFor(
+    { version, deadlineMs }: TableMessages["waitFor"]["in"],
+  ): Promise<Table | undefined> {
+    const { table } = this;
+    if (table && table.version >= version) return Promise.resolve(table);
+    // Who names a newer version has seen it in force elsewhere: it is fetched now, not at the next look.
+    void this.#pullIfBehind();
+    return this.#waiters.wait(this.#kernel.clock, version, deadlineMs);
+  }
+}
