--- /dev/null
+++ b/bench/replay_lab.ts
@@ -0,0 +1,263 @@
+/**
+ * A system for a trace: the topology of its header as child processes on loopback (daemons, stand-in platform and
+ * upstreams), its table, and its faults.
+ *
+ * @module
+ */
+
+import got from "got";
+import { type TableRow, tableRow } from "../src/agreement/mod.ts";
+import { secretDigest } from "../src/base/mod.ts";
+import {
+  defaultKey,
+  FaultInjector,
+  type RecordSource,
+  type Target,
+  type Trace,
+  type TraceFault,
+  type TraceHeader,
+} from "../src/replay/mod.ts";
+import { Cluster, sleep, type StandIn, type Vm } from "../test/cluster.ts";
+
+type Service = TraceHeader["topology"]["services"][number];
+type VmFault = Extract<TraceFault, { target: "vm" }>;
+
+const SETTLE_MS = 30_000;
+
+/** The running system of one trace. */
+export class ReplayLab extends FaultInjector {
+  readonly #trace: Trace;
+  readonly #cluster = new Cluster();
+  readonly #upstreams = new Map<string, StandIn & { region: string }>();
+  readonly #cut = new Set<string>();
+  #storeDown = false;
+
+  private constructor(trace: Trace) {
+    super();
+    this.#trace = trace;
+  }
+
+  /** Starts all and waits until every VM knows its region and the table. */
+  static async open(trace: Trace): Promise<ReplayLab> {
+    const lab = new ReplayLab(trace);
+    try {
+      await lab.#start();
+    } catch (error) {
+      await lab.close();
+      throw error;
+    }
+    return lab;
+  }
+
+  /** Where callers start: every VM, as its region's. */
+  targets(): Target[] {
+    return [...this.#cluster.vms.values()].map(({ url, region }) => ({
+      url,
+      region,
+    }));
+  }
+
+  /** Where the records of what ran are read. */
+  records(): RecordSource[] {
+    return [...this.#upstreams].map(([upstream, { region, controlUrl }]) => ({
+      upstream,
+      region,
+      controlUrl,
+    }));
+  }
+
+  async inject(fault: TraceFault): Promise<void> {
+    switch (fault.target) {
+      case "upstream": {
+        const upstream = this.#upstreams.get(fault.upstream);
+        if (!upstream) throw new Error(`no upstream ${fault.upstream}`);
+        const json = { set: fault.faults };
+        await got.post(`${upstream.controlUrl}/faults`, { json });
+        return;
+      }
+      case "vm":
+        return await this.#vm(fault);
+      case "store":
+        this.#storeDown = fault.action === "down";
+        return await this.#setPlatform();
+      case "link":
+        if (fault.action === "cut") this.#cut.add(fault.region);
+        else this.#cut.delete(fault.region);
+        await this.#setPlatform();
+        return await this.#setLinks();
+    }
+  }
+
+  /** Ends all processes. */
+  async close(): Promise<void> {
+    await this.#cluster.close();
+  }
+
+  async #start(): Promise<void> {
+    await this.#cluster.startPlatform();
+    await this.#startUpstreams();
+    await this.#cluster.seed(this.#rows());
+    const seeds: string[] = [];
+    for (const { id, vms } of this.#trace.header.topology.regions) {
+      for (let n = 0; n < vms; n++) {
+        const vm = await this.#startVm(`${id}-${n}`, id, seeds);
+        if (n === 0) seeds.push(vm.peerAddress);
+      }
+    }
+    await this.#setLinks();
+    await this.#settle();
+  }
+
+  async #startVm(id: string, region: string, seeds: string[]): Promise<Vm> {
+    return await this.#cluster.startVm(id, region, seeds, {
+      log: { level: "warn" },
+    });
+  }
+
+  async #settle(): Promise<void> {
+    const { regions } = this.#trace.header.topology;
+    const size = new Map(regions.map(({ id, vms }) => [id, vms]));
+    for (const vm of this.#cluster.vms.values()) {
+      await this.#cluster.until(
+        vm,
+        ({ tableVersion, region }) =>
+          tableVersion !== null && region.length === size.get(vm.region),
+      );
+    }
+  }
+
+  async #startUpstreams(): Promise<void> {
+    for (const service of this.#trace.header.topology.services) {
+      for (const [region, count] of Object.entries(service.upstreams)) {
+        const standIns = await this.#startPool(service, count);
+        standIns.forEach((standIn, n) =>
+          this.#upstreams.set(`${service.row.id}-${region}-${n}`, {
+            ...standIn,
+            region,
+          })
+        );
+      }
+    }
+  }
+
+  async #startPool(service: Service, count: number): Promise<StandIn[]> {
+    if (service.row.type === "plain") {
+      return await this.#cluster.startUpstreams(0, count);
+    }
+    const { slots, prefillTokensPerS, decodeTokensPerS } = service;
+    const options = {
+      model: service.row.id,
+      slots,
+      prefillTokensPerS,
+      decodeTokensPerS,
+      streamTokensPerS: service.streamTokensPerS,
+      cacheTokens: service.cacheTokens,
+      resumes: service.resumes,
+    };
+    return await this.#cluster.startUpstreams(count, 0, [
+      "--options",
+      JSON.stringify(options),
+    ]);
+  }
+
+  #rows(): TableRow[] {
+    const { regions, services, workspaces } = this.#trace.header.topology;
+    const rows: object[] = [
+      ...regions.map(({ id, linkMs }) => ({ kind: "region", id, linkMs })),
+      ...services.map((service) => service.row),
+      ...workspaces.map(({ id, home, bound, weight }) => ({
+        kind: "workspace",
+        id,
+        home,
+        bound,
+        weight,
+        keyDigests: [secretDigest(defaultKey(id))],
+      })),
+      ...services.flatMap((service) => this.#poolRows(service)),
+    ];
+    return rows.map((row) => tableRow.parse(row));
+  }
+
+  #poolRows(service: Service): object[] {
+    const { row, slots, prefillTokensPerS, decodeTokensPerS, resumes } =
+      service;
+    const upstreams = [...this.#upstreams].filter(([id]) =>
+      id.startsWith(`${row.id}-`)
+    );
+    return [
+      ...Object.entries(service.mayGoTo).map(([region, mayGoTo]) => ({
+        kind: "traffic",
+        service: row.id,
+        region,
+        mayGoTo,
+      })),
+      ...upstreams.map(([id, { url, region }]) => ({
+        kind: "upstream",
+        id,
+        service: row.id,
+        region,
+        failureDomain: `${region}-a`,
+        url,
+        slots,
+        prefillTokensPerS,
+        decodeTokensPerS,
+        resumes,
+      })),
+    ];
+  }
+
+  async #vm({ vm: id, action }: VmFault): Promise<void> {
+    const vm = this.#cluster.vms.get(id);
+    if (!vm) throw new Error(`no VM ${id}`);
+    const signals = {
+      kill: "SIGKILL",
+      stop: "SIGTERM",
+      pause: "SIGSTOP",
+      resume: "SIGCONT",
+    } as const;
+    if (action !== "start") return vm.proc.signal(signals[action]);
+    const others = [...this.#cluster.vms.values()].filter((o) => o.id !== id);
+    const seeds = others.map((other) => other.peerAddress);
+    await this.#startVm(id, vm.region, seeds);
+    await this.#setLinks();
+  }
+
+  /** A region that is cut off does not reach the store either. */
+  async #setPlatform(): Promise<void> {
+    const faults = this.#storeDown
+      ? [{ outage: "cut" }]
+      : [...this.#cut].map((region) => ({ vm: `^${region}-`, outage: "cut" }));
+    await this.#cluster.setPlatformFaults(faults);
+  }
+
+  /** Sets the delays of all links, and the cuts in force. */
+  async #setLinks(): Promise<void> {
+    const { regions } = this.#trace.header.topology;
+    const running = [...this.#cluster.vms.values()].filter((vm) =>
+      vm.proc.exitCode === undefined
+    );
+    await Promise.all(running.map(async (vm) => {
+      const here = regions.find((region) => region.id === vm.region);
+      const faults = Object.entries(here?.linkMs ?? {}).map(
+        ([region, delayMs]) => {
+          const cut = this.#cut.has(region) !== this.#cut.has(vm.region);
+          return [region, { peer: { region }, cut, delayMs }];
+        },
+      );
+      await this.#cluster.setLinks(vm, Object.fromEntries(faults));
+    }));
+  }
+}
+
+/** Opens the system of a trace, waits for it to be at rest, and calls `use`. */
+export async function withLab<T>(
+  trace: Trace,
+  use: (lab: ReplayLab) => Promise<T>,
+): Promise<T> {
+  const lab = await ReplayLab.open(trace);
+  try {
+    return await use(lab);
+  } finally {
+    await Promise.race([lab.close(), sleep(SETTLE_MS)]);
+  }
+}
