Shifts: a host VM in the far region holds the slot, renewed by the home VM

Cause: a lead's advice to move a request had no one to carry it out; a caller's own binding did not stop a move.

--- a/src/decisions/gate.ts
+++ b/src/decisions/gate.ts
@@ -184,6 +184,7 @@
     const workspace = this.#table.workspace(request.workspace);
     const { sentFrom } = request;
     if (!mayLeave({ workspace, sentFrom })) return undefined;
+    if (request.boundByCaller || request.stayHome) return undefined;
     const { service, region } = this.#options;
     return chooseRegion(
       {
--- a/src/decisions/slots.ts
+++ b/src/decisions/slots.ts
@@ -24,6 +24,8 @@
   readonly exclude: readonly string[];
   /** Set when the caller itself bound the request to its home; the stricter of this and the table holds. */
   readonly boundByCaller?: boolean;
+  /** Set once the request was at another region, or that region refused it: it moves no second time. */
+  readonly stayHome?: boolean;
   /** The region it came from, when another sent it here. */
   readonly sentFrom?: string;
   readonly tableVersion: number;
--- a/src/edge/attempts.ts
+++ b/src/edge/attempts.ts
@@ -19,6 +19,13 @@
   readonly prefixHashes: readonly number[];
 }
 
+/** What was seen of an attempt. */
+export interface AttemptSeen {
+  readonly firstTokenAtMs?: number;
+  readonly outputTokens?: number;
+  readonly cachedTokens?: number;
+}
+
 /** A granted attempt; it must be ended by {@link Attempt.report} or {@link Attempt.cancel}, once. */
 export class Attempt {
   readonly grant: SlotGrant;
@@ -34,25 +41,19 @@
     this.startedAtMs = context.clock.nowMs();
   }
 
+  /** The first token came: the lead learns of a slow upstream now and not at the answer's end. */
+  started(firstTokenAtMs: number): void {
+    void this.#context.slots.ask(
+      "report",
+      this.#report("started", { firstTokenAtMs }),
+    );
+  }
+
   /** Frees the slot and tells the lead how the upstream did. */
-  report(
-    outcome: SlotReport["outcome"],
-    seen: { firstTokenAtMs?: number; outputTokens?: number } = {},
-  ): void {
+  report(outcome: SlotReport["outcome"], seen: AttemptSeen = {}): void {
     if (this.#ended) return;
     this.#ended = true;
-    const nowMs = this.#context.clock.nowMs();
-    void this.#context.slots.ask("report", {
-      attemptId: this.grant.attemptId,
-      service: this.#service,
-      upstreamId: this.grant.upstreamId,
-      outcome,
-      outputTokens: seen.outputTokens ?? 0,
-      totalMs: nowMs - this.startedAtMs,
-      ...(seen.firstTokenAtMs === undefined
-        ? {}
-        : { firstTokenMs: seen.firstTokenAtMs - this.startedAtMs }),
-    });
+    void this.#context.slots.ask("report", this.#report(outcome, seen));
   }
 
   /** Gives the slot back unused. */
@@ -64,6 +65,22 @@
       service: this.#service,
     });
   }
+
+  #report(outcome: SlotReport["outcome"], seen: AttemptSeen): SlotReport {
+    const { firstTokenAtMs, cachedTokens } = seen;
+    return {
+      attemptId: this.grant.attemptId,
+      service: this.#service,
+      upstreamId: this.grant.upstreamId,
+      outcome,
+      outputTokens: seen.outputTokens ?? 0,
+      totalMs: this.#context.clock.nowMs() - this.startedAtMs,
+      ...(cachedTokens === undefined ? {} : { cachedTokens }),
+      ...(firstTokenAtMs === undefined
+        ? {}
+        : { firstTokenMs: firstTokenAtMs - this.startedAtMs }),
+    };
+  }
 }
 
 /** Asks for slots for one request, never for an upstream it was already at. */
@@ -72,6 +89,7 @@
   readonly #call: Call;
   readonly #demand: Demand;
   readonly #visited: string[] = [];
+  #moved = false;
 
   constructor(context: EdgeContext, call: Call, demand: Demand) {
     this.#context = context;
@@ -100,6 +118,7 @@
     if (answer.type === "grant") {
       const attempt = new Attempt(this.#context, service, answer);
       this.#visited.push(answer.upstreamId);
+      this.#moved ||= this.#regionOf(answer) !== this.#context.place.region;
       if (!this.#call.signal.aborted) return ok(attempt);
       attempt.cancel();
       return err(failure("canceled", { ran: "no" }));
@@ -121,7 +140,13 @@
       arrivedAtMs: this.#call.arrivedAtMs,
       exclude: [...this.#visited],
       boundByCaller: isBound(this.#call.workspace, this.#call.headers),
+      ...(this.#moved ? { stayHome: true } : {}),
       tableVersion: this.#call.table.version,
     };
   }
+
+  #regionOf(grant: SlotGrant): string {
+    const row = this.#call.table.get(`upstream/${grant.upstreamId}`)?.row;
+    return row?.kind === "upstream" ? row.region : this.#context.place.region;
+  }
 }
--- a/src/edge/model_call.ts
+++ b/src/edge/model_call.ts
@@ -17,6 +17,7 @@
   type ModelPath,
   type ModelRequest,
   readModelRequest,
+  withPriority,
 } from "./prompt.ts";
 import { relay, type RelayEnd } from "./relay.ts";
 import { Seen } from "./seen.ts";
@@ -100,10 +101,11 @@
   /** Runs one attempt under a signal that the caller's going and the deadline of the first byte abort. */
   async #attempt(
     attempt: Attempt,
-    body: Buffer,
+    bytes: Buffer,
     model: ModelRequest,
     deadlineMs: number,
   ): Promise<Step> {
+    const body = withPriority(model, bytes, attempt.grant.enginePriority ?? 0);
     const abort = new AbortController();
     const stop = () => abort.abort();
     this.#call.signal.addEventListener("abort", stop, { once: true });
@@ -240,7 +242,10 @@
       upstreamStallMs: limits.upstreamStallMs,
       stalledCallerMs: limits.stalledCallerMs,
       onEvent: (atMs) => {
-        if (!this.#seen.begun) this.#beginStream(attempt);
+        if (!this.#seen.begun) {
+          this.#beginStream(attempt);
+          attempt.started(atMs);
+        }
         this.#seen.event(atMs);
       },
     });
@@ -316,7 +321,7 @@
       answer.headers["content-type"] ?? "application/json",
     );
     response.end(text);
-    this.#seen.outputTokens = usageTokens(text);
+    this.#seen.usage(JSON.parse(text.toString("utf8")).usage);
     this.#end(attempt, "done", 0);
     return "answered";
   }
@@ -364,8 +369,3 @@
     return false;
   }
 }
-
-function usageTokens(text: Buffer): number {
-  const tokens = JSON.parse(text.toString("utf8"))?.usage?.completion_tokens;
-  return typeof tokens === "number" ? tokens : 0;
-}
--- a/src/edge/prompt.ts
+++ b/src/edge/prompt.ts
@@ -51,6 +51,8 @@
   readonly promptTokens: number;
   readonly expectedOutputTokens: number;
   readonly prefixHashes: readonly number[];
+  /** The body as parsed, for {@link withPriority}. */
+  readonly body: Readonly<Record<string, unknown>>;
 }
 
 /** Checks the body of a model call. */
@@ -84,9 +86,20 @@
     promptTokens: Math.max(1, Math.ceil(text.length / CHARS_PER_TOKEN)),
     expectedOutputTokens: asked ?? DEFAULT_OUTPUT_TOKENS,
     prefixHashes: prefixHashes(text),
+    body: parsed.data,
   });
 }
 
+/** The body with the priority that the lead gives it. A caller's own `priority` would jump the engine's queue. */
+export function withPriority(
+  request: ModelRequest,
+  bytes: Buffer,
+  priority: number,
+): Buffer {
+  if (priority === 0 && !("priority" in request.body)) return bytes;
+  return Buffer.from(JSON.stringify({ ...request.body, priority }));
+}
+
 function promptText(
   data: z.infer<typeof chatBody> | z.infer<typeof completionBody>,
 ): string {
--- a/src/edge/seen.ts
+++ b/src/edge/seen.ts
@@ -19,6 +19,7 @@
   service = "";
   outputTokens = 0;
   firstTokenAtMs?: number;
+  cachedTokens?: number;
   readonly #context: EdgeContext;
   readonly #call: Call;
   readonly #gapsMs: number[] = [];
@@ -68,6 +69,19 @@
     this.outputTokens++;
   }
 
+  /** What the engine says of its answer's tokens, where it says it. */
+  usage(value: unknown): void {
+    const usage = value as {
+      completion_tokens?: unknown;
+      prompt_tokens_details?: { cached_tokens?: unknown };
+    } | undefined;
+    if (typeof usage?.completion_tokens === "number") {
+      this.outputTokens = usage.completion_tokens;
+    }
+    const cached = usage?.prompt_tokens_details?.cached_tokens;
+    if (typeof cached === "number") this.cachedTokens = cached;
+  }
+
   /** The request ended with a failure that the caller was told. */
   fail(failed: Failure): void {
     this.finish(codes[failed.code].code);
--- a/src/services/slots.ts
+++ b/src/services/slots.ts
@@ -7,9 +7,16 @@
 
 import type { Transport } from "../adapters/mod.ts";
 import { type Clock, hash32, Random, type Timer } from "../base/mod.ts";
-import type { FarRegion, HeldSlot, PoolDigest } from "../decisions/mod.ts";
+import type {
+  FarRegion,
+  HeldSlot,
+  PoolDigest,
+  SlotAnswer,
+  SlotRequest,
+} from "../decisions/mod.ts";
 import type { PoolInfo } from "../agreement/mod.ts";
 import { type Handlers, type Kernel, type Port, Task } from "../kernel/mod.ts";
+import { AwayClient, AwayHost } from "./away.ts";
 import { LeadClient, RENEW_MS } from "./lead_client.ts";
 import { LoadPoller, type LoadSource } from "./lead_load.ts";
 import type { HandoverMessage } from "./lead_messages.ts";
@@ -39,6 +46,7 @@
 /** How often the VMs and the table are looked at: a small part of the time it takes to find a dead VM. */
 const FOLLOW_MS = 100;
 const DIGEST_MS = 1000;
+const SWEEP_MS = 1000;
 /** A digest that was not renewed for this long says nothing any more: its lead is gone or out of reach. */
 const STALE_DIGEST_MS = 10_000;
 
@@ -46,9 +54,14 @@
 export class SlotsService extends Task<SlotsMessages> {
   readonly name = "slots";
   protected readonly handlers: Handlers<SlotsMessages> = {
-    acquire: (request) => this.#client.acquire(request),
-    report: (report) => this.#client.report(report),
-    cancel: ({ attemptId }) => this.#client.cancel(attemptId),
+    acquire: (request) => this.#acquire(request),
+    report: (report) => {
+      if (!this.#away?.report(report)) this.#client.report(report);
+    },
+    cancel: ({ attemptId }) => {
+      this.#away?.cancel(attemptId);
+      this.#client.cancel(attemptId);
+    },
   };
   readonly #options: SlotsOptions;
   readonly #view: LeadView;
@@ -60,6 +73,8 @@
   #router!: LeadRouter;
   #client!: LeadClient;
   #poller: LoadPoller | undefined;
+  #away: AwayClient | undefined;
+  #host: AwayHost | undefined;
   #following = false;
 
   constructor(options: SlotsOptions) {
@@ -78,7 +93,11 @@
     await this.#follow();
     this.#every(TICK_MS, () => this.#server.tick());
     this.#every(FOLLOW_MS, () => void this.#follow());
-    this.#every(RENEW_MS, () => this.#client.renewAll());
+    this.#every(RENEW_MS, () => {
+      this.#client.renewAll();
+      this.#away?.renewAll();
+    });
+    this.#every(SWEEP_MS, () => this.#host?.sweep());
     this.#every(DIGEST_MS, () => void this.#exchangeDigests());
   }
 
@@ -97,6 +116,7 @@
       vms: this.#view.vms.map((vm) => `${vm.id} ${vm.state}`),
       leads: this.#server.dump(),
       client: this.#client.dump(),
+      away: { held: this.#away?.holding, hosted: this.#host?.hosting },
     };
   }
 
@@ -123,6 +143,7 @@
     const router = this.#router;
     this.#client = new LeadClient({ clock, log, random, view, router });
     this.#router.listen(({ pool }) => this.#client.heldOf(pool));
+    this.#wireAway();
     if (!loadSource) return;
     this.#poller = new LoadPoller(
       clock,
@@ -190,6 +211,30 @@
     );
   }
 
+  #wireAway(): void {
+    const { transport, region } = this.#options;
+    const members = this.#members;
+    if (!transport || !members) return;
+    const table = this.#table;
+    const context = { clock: this.#clock, region, transport, members, table };
+    this.#away = new AwayClient(context);
+    this.#host = new AwayHost(context, {
+      acquire: (request) => this.#client.acquire(request),
+      report: (report) => this.#client.report(report),
+      cancel: (attemptId) => this.#client.cancel(attemptId),
+    });
+    this.#host.listen();
+  }
+
+  /** Where the lead sends the request away and that region gives no slot, the home lead decides again, for good. */
+  async #acquire(request: SlotRequest): Promise<SlotAnswer> {
+    const answer = await this.#client.acquire(request);
+    if (answer.type !== "shift") return answer;
+    const far = await this.#away?.acquire(answer.region, request);
+    if (far) return far;
+    return await this.#client.acquire({ ...request, stayHome: true });
+  }
+
   async #exchangeDigests(): Promise<void> {
     if (!this.#members) return;
     for (const [info, body] of this.#server.digests()) {
--- a/test/edge_stream_test.ts
+++ b/test/edge_stream_test.ts
@@ -81,6 +81,7 @@
       const { client, slots } = await open(t, 1);
       t.deepEqual(await ask(client, "n1"), { text: answerText("n1", TOKENS) });
       t.is(slots.reports[0].outcome, "done");
+      t.deepEqual(slots.started, [slots.reports[0].attemptId]);
     });
 
     it("gets a whole answer in one piece, and a legacy completion", async (t) => {
--- a/test/fakes.ts
+++ b/test/fakes.ts
@@ -69,7 +69,10 @@
 export class FakeSlots extends Fake<SlotsMessages> {
   readonly name = "slots";
   readonly requests: SlotRequest[] = [];
+  /** How attempts ended. */
   readonly reports: SlotReport[] = [];
+  /** Attempts whose first token was told. */
+  readonly started: string[] = [];
   readonly canceled: string[] = [];
   #next = 0;
   readonly #table: FakeTable;
@@ -80,7 +83,10 @@
   }
   protected readonly handlers = {
     acquire: (request: SlotRequest) => this.#acquire(request),
-    report: (report: SlotReport) => void this.reports.push(report),
+    report: (report: SlotReport) => {
+      if (report.outcome === "started") this.started.push(report.attemptId);
+      else this.reports.push(report);
+    },
     cancel: ({ attemptId }: { attemptId: string }) =>
       void this.canceled.push(attemptId),
   };
