--- a/src/decisions/slots.ts
+++ b/src/decisions/slots.ts
@@ -37,6 +37,8 @@
   readonly url: string;
   readonly expiresAtMs: number;
   readonly queuedMs: number;
+  /** The priority to ask of an engine; higher is prefilled first. A plain service ignores it. */
+  readonly enginePriority?: number;
 }
 
 /** Advice to send the request to another region instead. */
@@ -69,6 +71,8 @@
     | "unreachable";
   /** From the grant to the first token (for a plain service, to the answer's headers). */
   readonly firstTokenMs?: number;
+  /** Prompt tokens that the engine says it had cached, where its answer's usage tells. */
+  readonly cachedTokens?: number;
   readonly outputTokens: number;
   readonly totalMs: number;
 }
--- a/src/services/lead_client.ts
+++ b/src/services/lead_client.ts
@@ -73,11 +73,11 @@
     }
   }
 
-  /** An attempt ended: forgets it and tells its lead. */
+  /** An attempt started or ended: tells its lead, and forgets it at its end. */
   report(report: SlotReport): void {
     const held = this.#held.get(report.attemptId);
     if (!held) return;
-    this.#held.delete(report.attemptId);
+    if (report.outcome !== "started") this.#held.delete(report.attemptId);
     this.#context.router.report(held.pool, report);
   }
 
@@ -132,7 +132,10 @@
     const reply = await Promise.race([asked, canceled]);
     this.#pending.delete(attemptId);
     if (reply === "canceled") {
-      void asked.then(() => this.#context.router.cancel(pool, attemptId));
+      void asked.then((late) => {
+        if (late.type === "moved" || late.answer.type !== "grant") return;
+        this.#context.router.cancel(pool, attemptId);
+      });
       return { type: "refuse", failure: failure("canceled", { ran: "no" }) };
     }
     if (reply.type === "moved") return "moved";
--- a/src/services/lead_pool.ts
+++ b/src/services/lead_pool.ts
@@ -6,6 +6,7 @@
  */
 
 import {
+  GRANT_SETTLE_MS,
   type HeldDigest,
   LeadBook,
   type PoolInfo,
@@ -90,13 +91,22 @@
     nowMs: number,
   ): LeadOutput[] {
     // The entry VM and the lead before this one may both name a slot; it is taken once.
-    const news = held.filter((slot) => !this.#granted.has(slot.attemptId));
-    const outputs = this.#adopt(entry, news, nowMs);
+    const outputs = this.#adopt(entry, this.#unknown(held), nowMs, nowMs);
     this.#unheard.delete(entry);
     if (this.#unheard.size === 0) outputs.push(...this.#endCollecting(nowMs));
     return outputs;
   }
 
+  /** The lead before this one says what it granted. The entry VM may not have its answer yet. */
+  handedOver(
+    entry: string,
+    held: readonly HeldSlot[],
+    nowMs: number,
+  ): LeadOutput[] {
+    const settledAtMs = nowMs + GRANT_SETTLE_MS;
+    return this.#adopt(entry, this.#unknown(held), settledAtMs, nowMs);
+  }
+
   request(
     request: SlotRequest,
     entry: string,
@@ -114,7 +124,7 @@
   }
 
   report(report: SlotReport, nowMs: number): LeadOutput[] {
-    this.#forget(report.attemptId);
+    if (report.outcome !== "started") this.#forget(report.attemptId);
     return this.#take(this.pool.report(report, nowMs), nowMs);
   }
 
@@ -124,6 +134,18 @@
     return this.#take(this.pool.cancel(attemptId, nowMs), nowMs);
   }
 
+  /** Gives up what waits for VMs that are gone: a slot granted to one would come back only when its time has passed. */
+  dropEntries(
+    isThere: (entry: string) => boolean,
+    nowMs: number,
+  ): LeadOutput[] {
+    const outputs: LeadOutput[] = [];
+    for (const [attemptId, { entry }] of [...this.#waiting]) {
+      if (!isThere(entry)) outputs.push(...this.cancel(attemptId, nowMs));
+    }
+    return outputs;
+  }
+
   /** Holds all slots of `entry` for another {@link SLOT_TTL_MS}, if the digest shows that both sides mean the same. */
   renew(entry: string, digest: HeldDigest, nowMs: number): boolean {
     if (!this.#book.agrees(entry, digest)) return false;
@@ -147,7 +169,7 @@
     const adopted = held.filter((slot) =>
       unknown.has(slot.attemptId) || !this.#granted.has(slot.attemptId)
     );
-    outputs.push(...this.#adopt(entry, adopted, nowMs));
+    outputs.push(...this.#adopt(entry, adopted, nowMs, nowMs));
     return outputs;
   }
 
@@ -221,20 +243,24 @@
     return outputs;
   }
 
+  #unknown(held: readonly HeldSlot[]): HeldSlot[] {
+    return held.filter((slot) => !this.#granted.has(slot.attemptId));
+  }
+
   #adopt(
     entry: string,
     held: readonly HeldSlot[],
+    settledAtMs: number,
     nowMs: number,
   ): LeadOutput[] {
-    for (const slot of held) {
-      this.#book.add(entry, slot.attemptId, nowMs);
-      this.#granted.set(slot.attemptId, {
-        held: slot,
-        entry,
-        expiresAtMs: nowMs + SLOT_TTL_MS,
-      });
+    // Held now, so held for its whole time from now: what the slot says of its end is as old as its first grant.
+    const expiresAtMs = nowMs + SLOT_TTL_MS;
+    const renewed = held.map((slot) => ({ ...slot, expiresAtMs }));
+    for (const slot of renewed) {
+      this.#book.add(entry, slot.attemptId, settledAtMs);
+      this.#granted.set(slot.attemptId, { held: slot, entry, expiresAtMs });
     }
-    return this.#take(this.pool.adopt(held, nowMs), nowMs);
+    return this.#take(this.pool.adopt(renewed, nowMs), nowMs);
   }
 
   #renew(attemptIds: readonly string[], nowMs: number): readonly string[] {
@@ -272,7 +298,7 @@
     grant: SlotGrant,
     nowMs: number,
   ): void {
-    this.#book.add(waiting.entry, grant.attemptId, nowMs);
+    this.#book.add(waiting.entry, grant.attemptId, nowMs + GRANT_SETTLE_MS);
     this.#granted.set(grant.attemptId, {
       held: heldSlot(waiting.request, grant),
       entry: waiting.entry,
--- a/src/services/lead_router.ts
+++ b/src/services/lead_router.ts
@@ -26,6 +26,11 @@
 /** A lead answers at the request's deadline at the latest; the answer needs this much more to arrive. */
 const ANSWER_GRACE_MS = 1000;
 const RENEW_CALL_MS = 1000;
+/**
+ * A VM that could not be reached directly is tried last for this long. Behind a cut each try costs a handshake's
+ * timeout, which every request would wait out before it is relayed.
+ */
+const AVOID_MS = 5000;
 
 /** What a {@link LeadRouter} needs of its task. */
 export interface LeadRouterContext {
@@ -47,6 +52,9 @@
 export class LeadRouter {
   readonly #context: LeadRouterContext;
   readonly #waiting = new Set<Waiting>();
+  readonly #avoidUntilMs = new Map<string, number>();
+  /** The VM that a pending attempt is asked at. */
+  readonly #asked = new Map<string, VmInfo>();
 
   constructor(context: LeadRouterContext) {
     this.#context = context;
@@ -65,10 +73,7 @@
       const message = p as ReportMessage;
       if (!this.#relay("slots.report", message)) server.report(message);
     });
-    transport.handle("slots.cancel", (p) => {
-      const message = p as CancelMessage;
-      if (!this.#relay("slots.cancel", message)) server.cancel(message);
-    });
+    transport.handle("slots.cancel", (p) => this.#cancel(p as CancelMessage));
     transport.handle("slots.held", (p) => heldOf(p as HeldMessage));
     transport.handle(
       "slots.handover",
@@ -95,9 +100,7 @@
   }
 
   cancel(pool: string, attemptId: string): void {
-    const message: CancelMessage = { ...this.#address(pool), attemptId };
-    if (this.#context.server.leads(pool)) this.#context.server.cancel(message);
-    else this.#notifyLead("slots.cancel", message);
+    this.#cancel({ ...this.#address(pool), attemptId });
   }
 
   /**
@@ -118,8 +121,14 @@
     if (this.#context.server.leads(message.pool)) {
       return await this.#context.server.acquire(message);
     }
-    const deadlineMs = message.request.deadlineMs + ANSWER_GRACE_MS;
-    const reply = await this.#forward("slots.acquire", message, deadlineMs);
+    const { attemptId, deadlineMs } = message.request;
+    const reply = await this.#forward(
+      "slots.acquire",
+      message,
+      deadlineMs + ANSWER_GRACE_MS,
+      (vm) => this.#asked.set(attemptId, vm),
+    );
+    this.#asked.delete(attemptId);
     return reply as AcquireReply | undefined ?? { type: "moved" };
   }
 
@@ -140,22 +149,33 @@
     method: string,
     message: ToLead,
     deadlineMs: number,
+    onAsk: (vm: VmInfo) => void = () => {},
   ): Promise<unknown> {
     const { view } = this.#context;
     if (message.relayed) return undefined;
-    const mine = message.entry === view.self.id;
     const [lead, next] = view.order(message.pool);
     if (lead.id === view.self.id) return undefined;
-    const relayed = !mine;
-    const first = await this.#call(
-      lead,
-      method,
-      { ...message, relayed },
-      deadlineMs,
-    );
-    if (first !== undefined || !mine) return first;
-    if (!next || next.id === view.self.id) return undefined;
-    return await this.#call(next, method, message, deadlineMs);
+    if (message.entry !== view.self.id) {
+      const onwards = { ...message, relayed: true };
+      onAsk(lead);
+      return await this.#call(lead, method, onwards, deadlineMs);
+    }
+    const ways = next && next.id !== view.self.id ? [lead, next] : [lead];
+    if (this.#isAvoided(lead.id)) ways.reverse();
+    for (const vm of ways) {
+      onAsk(vm);
+      const reply = await this.#call(vm, method, message, deadlineMs);
+      if (reply !== undefined) return reply;
+    }
+    return undefined;
+  }
+
+  #isAvoided(vmId: string): boolean {
+    const untilMs = this.#avoidUntilMs.get(vmId);
+    if (untilMs === undefined) return false;
+    if (this.#context.clock.nowMs() < untilMs) return true;
+    this.#avoidUntilMs.delete(vmId);
+    return false;
   }
 
   async #call(
@@ -177,10 +197,30 @@
     this.#waiting.delete(waiting);
     if (result === undefined) return undefined;
     if (result.isOk()) return result.value;
-    if (result.error.kind !== "failed") suspect(vm.id);
+    if (result.error.kind === "failed") return undefined;
+    this.#avoidUntilMs.set(vm.id, this.#context.clock.nowMs() + AVOID_MS);
+    suspect(vm.id);
     return undefined;
   }
 
+  /**
+   * Goes to the lead, and to the VM that was asked: while the lead changes these differ, and a request that stays queued
+   * for a caller who has gone takes a slot when its turn comes.
+   */
+  #cancel(message: CancelMessage): void {
+    const { server, view, transport } = this.#context;
+    server.cancel(message);
+    const asked = this.#asked.get(message.attemptId);
+    const lead = view.lead(message.pool);
+    const relayed = message.entry !== view.self.id;
+    if (message.relayed) return;
+    for (const vm of new Set([lead, asked])) {
+      if (!vm || vm.id === view.self.id) continue;
+      const onwards = { ...message, relayed };
+      transport?.notify(vm.peerAddress, "slots.cancel", onwards);
+    }
+  }
+
   #notifyLead(method: string, message: ToLead): void {
     const { view, transport } = this.#context;
     const lead = view.lead(message.pool);
--- a/src/services/lead_server.ts
+++ b/src/services/lead_server.ts
@@ -74,6 +74,8 @@
       if (led && tableChanged) {
         this.#take(info, led.configure(view.table, info, clock.nowMs()));
       }
+      const gone = led?.dropEntries((id) => view.hasVm(id), clock.nowMs());
+      if (gone) this.#take(info, gone);
       if (!led && view.lead(info.key).id === view.self.id) this.#start(info);
     }
   }
@@ -128,7 +130,7 @@
     if (!led) return;
     const nowMs = this.#context.clock.nowMs();
     for (const [entry, held] of message.held) {
-      this.#step(message.pool, led.heard(entry, held, nowMs));
+      this.#step(message.pool, led.handedOver(entry, held, nowMs));
     }
   }
 
