Fencing numbers and leases for orders to engines (messages.ts: FencingMessages added)

Cause: two VMs may order the same engine, one of them with an old wish after a pause; some engines refuse an old number and others do not. Change: numbers per upstream by compare-and-swap, only up; for engines that do not check, a lease that others wait out and its holder ends early.

--- a/src/agreement/mod.ts
+++ b/src/agreement/mod.ts
@@ -28,3 +28,4 @@
 export * from "./member_list.ts";
 export * from "./member_news.ts";
 export * from "./members.ts";
+export * from "./fence.ts";
--- /dev/null
+++ b/src/services/fencing.ts
@@ -0,0 +1,213 @@
+/**
+ * The fencing service: sends orders to engines under numbers from the store. Orders state the wanted end, so that
+ * sending one again changes nothing.
+ *
+ * @module
+ */
+
+import { err, ok, type Result } from "neverthrow";
+import type { KeyValue, UpstreamClient } from "../adapters/mod.ts";
+import {
+  defaultFenceLimits,
+  fenceKey,
+  type FenceLimits,
+  type FenceRecord,
+  type HeldFence,
+  heldFence,
+  maySend,
+  nextFence,
+  parseFence,
+  type SeenFence,
+  type UpstreamRow,
+  type VmRef,
+} from "../agreement/mod.ts";
+import {
+  type Clock,
+  type CodeName,
+  type Failure,
+  failure,
+} from "../base/mod.ts";
+import { type Handlers, type Kernel, Task } from "../kernel/mod.ts";
+import type { EngineOrder, FencingMessages } from "./messages.ts";
+
+const FENCE_HEADER = "x-fencing-token";
+const RETRY_MS = 200;
+
+/** What a {@link FencingService} works with. */
+export interface FencingOptions {
+  readonly me: VmRef;
+  readonly store: KeyValue;
+  readonly upstreams: UpstreamClient;
+  readonly limits?: FenceLimits;
+}
+
+/** See the module's comment. */
+export class FencingService extends Task<FencingMessages> {
+  readonly name = "fencing";
+  readonly #options: FencingOptions;
+  readonly #limits: FenceLimits;
+  readonly #seen = new Map<string, SeenFence>();
+  readonly #held = new Map<string, HeldFence>();
+  #clock!: Clock;
+
+  protected readonly handlers: Handlers<FencingMessages> = {
+    order: (input) =>
+      this.#order(input.upstream, input.order, input.deadlineMs),
+  };
+
+  constructor(options: FencingOptions) {
+    super();
+    this.#options = options;
+    this.#limits = options.limits ?? defaultFenceLimits;
+  }
+
+  start(kernel: Kernel): Promise<void> {
+    this.#clock = kernel.clock;
+    return Promise.resolve();
+  }
+
+  /** Gives the leases back, so that the next VM need not wait for them to lapse. */
+  async close(deadlineMs: number): Promise<void> {
+    const held = [...this.#held];
+    this.#held.clear();
+    for (const [upstreamId, { record, rev }] of held) {
+      if (this.#clock.nowMs() >= deadlineMs) return;
+      const { holder: _holder, ...rest } = record;
+      await this.#put(upstreamId, { ...rest, beat: record.beat + 1 }, rev);
+    }
+  }
+
+  dump(): unknown {
+    return {
+      held: [...this.#held].map(([upstreamId, { number }]) => ({
+        upstreamId,
+        number,
+      })),
+    };
+  }
+
+  async #order(
+    upstream: UpstreamRow,
+    order: EngineOrder,
+    deadlineMs: number,
+  ): Promise<Result<{ readonly fence: number }, Failure>> {
+    while (this.#clock.nowMs() < deadlineMs) {
+      const held = await this.#hold(upstream);
+      if (held.isOk()) return await this.#send(upstream, order, held.value);
+      if (held.error.code === "storeUnavailable") return err(held.error);
+      await this.#clock.sleep(RETRY_MS);
+    }
+    return err(this.#refuse("staleFence", "another VM holds the number"));
+  }
+
+  /** A number that orders may be sent under now, taken or renewed in the store if need be. */
+  async #hold(upstream: UpstreamRow): Promise<Result<HeldFence, Failure>> {
+    const known = this.#held.get(upstream.id);
+    if (known && maySend(known, this.#clock.monoMs())) return ok(known);
+    const { id } = upstream;
+    const seen = await this.#look(id);
+    if (seen.isErr()) return err(seen.error);
+    const sentMonoMs = this.#clock.monoMs();
+    const step = nextFence(
+      seen.value,
+      this.#options.me,
+      upstream.checksFence,
+      sentMonoMs,
+      this.#limits,
+    );
+    if (step.type === "wait") {
+      return err(this.#refuse("staleFence", "another VM holds the number"));
+    }
+    const rev = await this.#put(id, step.record, seen.value.rev);
+    // A lost answer is settled by the next look: the record then names this VM, which renews it.
+    if (rev === undefined) {
+      return err(this.#refuse("staleFence", "the number is not settled"));
+    }
+    const held = heldFence(step.record, rev, sentMonoMs, this.#limits);
+    this.#held.set(id, held);
+    return ok(held);
+  }
+
+  async #look(upstreamId: string): Promise<Result<SeenFence, Failure>> {
+    const found = await this.#options.store.get(
+      fenceKey(upstreamId),
+      "fencing",
+    );
+    const parsed = found.isOk() && found.value
+      ? parseFence(found.value.value)
+      : undefined;
+    if (found.isErr()) {
+      return err(this.#refuse("storeUnavailable", found.error.message));
+    }
+    if (parsed?.isErr()) {
+      return err(this.#refuse("storeUnavailable", parsed.error));
+    }
+    const rev = found.value?.rev ?? 0;
+    const known = this.#seen.get(upstreamId);
+    const sinceMonoMs = known?.rev === rev
+      ? known.sinceMonoMs
+      : this.#clock.monoMs();
+    const record = parsed?.isOk() ? parsed.value : undefined;
+    const seen = { record, rev, sinceMonoMs };
+    this.#seen.set(upstreamId, seen);
+    return ok(seen);
+  }
+
+  async #put(
+    upstreamId: string,
+    record: FenceRecord,
+    ifRev: number,
+  ): Promise<number | undefined> {
+    const written = await this.#options.store.put(
+      fenceKey(upstreamId),
+      JSON.stringify(record),
+      { ifRev },
+      "fencing",
+    );
+    return written.isOk() ? written.value : undefined;
+  }
+
+  async #send(
+    upstream: UpstreamRow,
+    order: EngineOrder,
+    held: HeldFence,
+  ): Promise<Result<{ readonly fence: number }, Failure>> {
+    const { upstreams } = this.#options;
+    const abort = new AbortController();
+    // In the step that sends: a VM that was paused since it took the number must not act on it.
+    if (!maySend(held, this.#clock.monoMs())) {
+      return err(this.#refuse("staleFence", "the lease ran out"));
+    }
+    const timer = this.#clock.after(
+      this.#limits.orderMs,
+      () => abort.abort(),
+    );
+    const answer = await upstreams.open({
+      url: upstream.url,
+      path: "/orders",
+      method: "POST",
+      headers: {
+        "content-type": "application/json",
+        [FENCE_HEADER]: String(held.number),
+      },
+      body: Buffer.from(JSON.stringify(order)),
+    }, abort.signal);
+    timer.close();
+    if (answer.isErr()) {
+      return err(failure("upstreamFailed", { message: answer.error.message }));
+    }
+    const { httpStatus, body } = answer.value;
+    body.destroy();
+    if (httpStatus < 300) return ok({ fence: held.number });
+    if (httpStatus !== 409) {
+      return err(failure("upstreamRefused", { message: `${httpStatus}` }));
+    }
+    this.#held.delete(upstream.id);
+    return err(failure("staleFence"));
+  }
+
+  #refuse(code: CodeName, message: string): Failure {
+    const retryAtMs = this.#clock.nowMs() + RETRY_MS;
+    return failure(code, { message, retryAtMs });
+  }
+}
--- a/src/services/messages.ts
+++ b/src/services/messages.ts
@@ -11,6 +11,7 @@
   ClaimKey,
   ClaimVerdict,
   Table,
+  UpstreamRow,
 } from "../agreement/mod.ts";
 import type { SlotAnswer, SlotReport, SlotRequest } from "../decisions/mod.ts";
 
@@ -104,3 +105,22 @@
     >;
   };
 };
+
+/** An order to an engine. It states the wanted end, so that repeating it is harmless. */
+export type EngineOrder =
+  | { readonly want: "active" | "parked" | "stopped" }
+  | { readonly load: string }
+  | { readonly role: string };
+
+/** What the fencing service answers; its name is `fencing`. */
+export type FencingMessages = {
+  /** Sends an order under a fencing number; resolves once the engine has taken it, or by `deadlineMs`. */
+  order: {
+    in: {
+      readonly upstream: UpstreamRow;
+      readonly order: EngineOrder;
+      readonly deadlineMs: number;
+    };
+    out: Result<{ readonly fence: number }, Failure>;
+  };
+};
--- a/src/services/mod.ts
+++ b/src/services/mod.ts
@@ -15,3 +15,4 @@
 export * from "./members.ts";
 export * from "./table_in_force.ts";
 export * from "./table_routes.ts";
+export * from "./fencing.ts";
