--- a/bench/decisions.ts
+++ b/bench/decisions.ts
@@ -74,6 +74,7 @@
   regions: readonly string[],
   runners: number,
   objective: object,
+  shifts: boolean,
 ): Table {
   const rows: unknown[] = [{
     kind: "service",
@@ -88,7 +89,7 @@
       kind: "traffic",
       service: "plan",
       region,
-      mayGoTo: regions.filter((other) => other !== region),
+      mayGoTo: shifts ? regions.filter((other) => other !== region) : [],
     });
     for (let i = 0; i < runners; i++) {
       rows.push({
@@ -214,14 +215,16 @@
 
 function runCase(spec: Case): Row[] {
   const regions = spec.regions ?? ["agadir"];
-  const table = tableOf(
-    regions,
-    spec.runners ?? RUNNERS,
-    spec.objective ?? { latencyWeight: 1, costWeight: 0, awayWeight: 0 },
-  );
   const seeds = Array.from({ length: spec.seeds ?? 1 }, (_, i) => SEED + i);
   const rows: Row[] = [];
   for (const name of spec.policies ?? Object.keys(POLICIES)) {
+    const onlyLatency = name.endsWith("latency-only");
+    const table = tableOf(
+      regions,
+      spec.runners ?? RUNNERS,
+      spec.objective ?? { latencyWeight: 1, costWeight: 0, awayWeight: 0 },
+      !onlyLatency,
+    );
     const worlds = seeds.map((seed) => {
       const world = new World({
         table,
@@ -233,7 +236,7 @@
         cacheBlocks: CACHE_BLOCKS,
         usageShare: USAGE_SHARE,
         policy: POLICIES[name.replace(" latency-only", "")],
-        onlyLatency: name.endsWith("latency-only"),
+        onlyLatency,
       });
       spec.during?.(world);
       const asks = generate(spec.streams, END_MS, seed);
@@ -389,6 +392,72 @@
   ];
 }
 
+const REGIONS = ["casablanca", "marrakech", "agadir"];
+/** Runners of each region in the cases of three regions. */
+const REGION_RUNNERS = 5;
+const DIRECTORATE = { latencyWeight: 1, costWeight: 2, awayWeight: 2 };
+
+/** Cases of three regions; `perS` is what one of them serves. */
+function regionCases(perS: number): Case[] {
+  const flat = (load: number) =>
+    REGIONS.flatMap((region) => mix(region, () => load * perS));
+  // Each region's peak lasts a third of the run; the other two are quiet meanwhile.
+  const peaks = REGIONS.flatMap((region, i) =>
+    mix(region, (ms) => {
+      const phase = Math.floor(ms / 20_000) % REGIONS.length;
+      return perS * (phase === i ? 1.3 : 0.4);
+    })
+  );
+  const base = { regions: REGIONS, runners: REGION_RUNNERS };
+  const policies = ["lead", "lead latency-only"];
+  return [
+    {
+      ...base,
+      name: "region-loss",
+      streams: flat(0.5),
+      policies,
+      during: (world) => {
+        const engines = world.engines("agadir");
+        world.sim.after(20_000, () => engines.forEach((e) => e.die()));
+        world.sim.after(40_000, () => engines.forEach((e) => e.revive()));
+      },
+      more: bySelf,
+    },
+    {
+      ...base,
+      name: "partition",
+      streams: peaks,
+      policies,
+      during: (world) => {
+        world.sim.after(20_000, () => void world.cut.add("agadir"));
+        world.sim.after(40_000, () => world.cut.clear());
+      },
+      more: bySelf,
+    },
+    { ...base, name: "peaks", streams: peaks, policies, more: bySelf },
+    {
+      ...base,
+      name: "peaks-directorate",
+      streams: peaks,
+      policies,
+      objective: DIRECTORATE,
+      more: bySelf,
+    },
+  ];
+}
+
+/** How those fared that stayed, and that went. */
+function bySelf(outcomes: readonly Outcome[]): Record<string, number> {
+  const stayed = outcomes.filter((o) => o.moves === 0);
+  const moved = outcomes.filter((o) => o.moves > 0);
+  return {
+    stayed_p99: percentile(firstTokens(stayed), 0.99),
+    moved_p99: percentile(firstTokens(moved), 0.99),
+    moved_in_time: share(moved, inTime),
+    back: share(moved, (o) => o.attempts > 2),
+  };
+}
+
 function others(outcomes: readonly Outcome[]): Record<string, number> {
   const rest = outcomes.filter((o) => !o.ask.workspace.includes("hog"));
   return {
@@ -407,7 +476,8 @@
     figure("capacity", "work", workPerS, "tokens/s"),
     figure("capacity", "warm", warm, "share"),
   ];
-  for (const spec of cases(perS)) {
+  const region = capacity(REGION_RUNNERS);
+  for (const spec of [...cases(perS), ...regionCases(region.perS)]) {
     if (only && spec.name !== only) continue;
     rows.push(...runCase(policy ? { ...spec, policies: [policy] } : spec));
   }
--- a/bench/world.ts
+++ b/bench/world.ts
@@ -241,7 +241,8 @@
     };
     this.#attempts.set(attempt.id, attempt);
     this.#current.set(outcome, attempt);
-    const away = region !== home || returned;
+    // The policy that knows only latency takes what others send as its own.
+    const away = (region !== home || returned) && !this.#options.onlyLatency;
     this.sim.after(HOP_MS, () =>
       region.policy.ask({
         attemptId: attempt.id,
--- a/src/decisions/gate.ts
+++ b/src/decisions/gate.ts
@@ -36,6 +36,9 @@
 /** Callers refused together are spread over this part of their wait, or they would come back together. */
 const RETRY_SPREAD = 0.5;
 
+/** Longest queue of a region that takes requests of others: an instant's queue is no lack of room. */
+const MOST_WAIT_TO_TAKE_MS = 100;
+
 /** What became of an arrival. */
 export type Arrival =
   | { readonly type: "queue"; readonly entry: Entry }
@@ -309,12 +312,12 @@
     };
   }
 
-  // A region with a queue, or that sends away itself, has nothing to give; and part of its slots is kept for its own
+  // A region that waits itself, or that sends away, has nothing to give; and part of its slots is kept for its own
   // callers, who may come in the second that a digest is old.
   #takesIn(nowMs: number): boolean {
     if (this.#ledger.sending(nowMs)) return false;
-    const { lanes, fleet } = this.#dispatcher;
-    if (lanes.size > 0) return false;
+    const { fleet } = this.#dispatcher;
+    if (this.#dispatcher.emptyMs() > MOST_WAIT_TO_TAKE_MS) return false;
     const { running, slots } = fleet.load(nowMs);
     const reserve = this.#traffic()?.reserveShare ?? 0.2;
     return running < slots * (1 - reserve);
--- a/src/decisions/shift.ts
+++ b/src/decisions/shift.ts
@@ -9,8 +9,8 @@
 
 /** A digest older than this tells nothing: the link may be cut, and a request sent over it would be lost time. */
 export const FAR_STALE_MS = 3000;
-/** Least time saved: below this the gain is within the error of the predictions. */
-const LEAST_GAIN_MS = 50;
+/** Least time saved: below this the gain is within the error of the predictions, and a caller hardly feels it. */
+const LEAST_GAIN_MS = 200;
 /** Least part of the home wait saved. Small gains would send requests to and fro and cool the caches of both regions. */
 const LEAST_GAIN_SHARE = 0.25;
 /**
