--- a/bench/replay_lab.ts
+++ b/bench/replay_lab.ts
@@ -17,13 +17,11 @@
   type TraceFault,
   type TraceHeader,
 } from "../src/replay/mod.ts";
-import { Cluster, sleep, type StandIn, type Vm } from "../test/cluster.ts";
+import { Cluster, type StandIn, type Vm } from "../test/cluster.ts";
 
 type Service = TraceHeader["topology"]["services"][number];
 type VmFault = Extract<TraceFault, { target: "vm" }>;
 
-const SETTLE_MS = 30_000;
-
 /** The running system of one trace. */
 export class ReplayLab extends FaultInjector {
   readonly #trace: Trace;
@@ -258,6 +256,6 @@
   try {
     return await use(lab);
   } finally {
-    await Promise.race([lab.close(), sleep(SETTLE_MS)]);
+    await lab.close();
   }
 }
--- a/src/replay/report.ts
+++ b/src/replay/report.ts
@@ -126,6 +126,11 @@
     return [...new Set(this.#seen.map((s) => s.request.group))].sort();
   }
 
+  /** All requests with all that their callers saw. */
+  calls(): readonly Seen[] {
+    return this.#seen;
+  }
+
   /** How often each result code was an attempt's answer. */
   codeCounts(): Record<string, number> {
     const counts: Record<string, number> = {};
