--- /dev/null
+++ b/src/replay/replay_test.ts
@@ -0,0 +1,235 @@
+import { createServer, type IncomingMessage } from "node:http";
+import { once } from "node:events";
+import type { AddressInfo } from "node:net";
+import type { ExecutionContext } from "ava";
+import { describe, it } from "../base/describe.ts";
+import { secretDigest } from "../base/mod.ts";
+import { answerText, openEngine, openPlain } from "../standins/mod.ts";
+import {
+  cooperativeDay,
+  generateTrace,
+  judge,
+  type Measure,
+  parseTrace,
+  type RecordSource,
+  replay,
+  type Report,
+  type Trace,
+  traceText,
+} from "./mod.ts";
+
+/** What the gateway under test does wrong, if anything. */
+type Behavior =
+  | "honest"
+  | "wrongRegion"
+  | "runsTwice"
+  | "deniesARun"
+  | "endsEarly"
+  | "foreignAnswer"
+  | "inventsAnAnswer"
+  | "noAdvice";
+
+const header = generateTrace(cooperativeDay(), 1).header;
+
+function smallTrace(): Trace {
+  const common = {
+    type: "request",
+    workspace: "w",
+    home: "casablanca",
+    region: "casablanca",
+    bound: true,
+    promptTokens: 20,
+    outputTokens: 8,
+    deadlineMs: 20_000,
+  };
+  const lines = [header];
+  for (let n = 0; n < 4; n++) {
+    lines.push(
+      {
+        ...common,
+        arrivalMs: n * 5,
+        service: "route-plan",
+        group: "question",
+        kind: "chat",
+        repeatable: true,
+      } as never,
+      {
+        ...common,
+        arrivalMs: n * 5,
+        service: "ledger",
+        group: "entry",
+        kind: "plain",
+        repeatable: false,
+        idempotencyKey: `key-${n}`,
+      } as never,
+    );
+  }
+  return parseTrace(lines.map((line) => JSON.stringify(line)).join("\n"))
+    ._unsafeUnwrap();
+}
+
+/** Replays the small trace through a gateway with this behavior. */
+async function replayThrough(
+  t: ExecutionContext,
+  behavior: Behavior,
+): Promise<Report> {
+  const fast = { streamTokensPerS: 5000, decodeTokensPerS: 1e5, stepMs: 2 };
+  const home = await openEngine(fast);
+  const far = await openEngine(fast);
+  const ledger = await openPlain();
+  const engine = behavior === "wrongRegion" ? far : home;
+  const server = createServer((req, res) => {
+    void answer(behavior, req, engine.url, ledger.url).then((answered) => {
+      res.writeHead(answered.status, {
+        "content-type": answered.type,
+        "x-ibisgap-region": "casablanca",
+      });
+      res.end(answered.text);
+    });
+  });
+  server.listen(0, "127.0.0.1");
+  await once(server, "listening");
+  const { port } = server.address() as AddressInfo;
+  t.teardown(async () => {
+    server.closeAllConnections();
+    server.close();
+    for (const part of [home, far, ledger]) await part.close();
+  });
+  const records: RecordSource[] = [
+    { upstream: "home", region: "casablanca", controlUrl: home.controlUrl },
+    { upstream: "far", region: "agadir", controlUrl: far.controlUrl },
+    { upstream: "ledger", region: "casablanca", controlUrl: ledger.controlUrl },
+  ];
+  return await replay(smallTrace(), {
+    targets: [{ url: `http://127.0.0.1:${port}` }],
+    records,
+  });
+}
+
+interface Answered {
+  readonly status: number;
+  readonly type: string;
+  readonly text: string;
+}
+
+async function answer(
+  behavior: Behavior,
+  req: IncomingMessage,
+  engineUrl: string,
+  ledgerUrl: string,
+): Promise<Answered> {
+  const chunks: Buffer[] = [];
+  for await (const chunk of req) chunks.push(chunk);
+  const body = Buffer.concat(chunks).toString();
+  const isChat = req.url!.startsWith("/v1/chat");
+  if (req.method === "GET") return error(404, { code: 2005, ran: "no" });
+  if (behavior === "noAdvice") return error(503, { code: 3005, ran: "no" });
+  if (behavior === "inventsAnAnswer" && !isChat) {
+    return json(200, { bodyDigest: secretDigest(body) });
+  }
+  const forward = async () => {
+    const response = await fetch((isChat ? engineUrl : ledgerUrl) + req.url, {
+      method: "POST",
+      headers: {
+        "content-type": "application/json",
+        "idempotency-key": String(req.headers["idempotency-key"] ?? ""),
+      },
+      body,
+    });
+    const type = response.headers.get("content-type") ?? "";
+    return { status: response.status, type, text: await response.text() };
+  };
+  const answered = await forward();
+  if (behavior === "runsTwice") await forward();
+  if (behavior === "deniesARun") {
+    return error(503, { code: 3005, ran: "no", retryAtMs: Date.now() + 1e6 });
+  }
+  if (behavior === "endsEarly" && isChat) {
+    return { ...answered, text: answered.text.slice(0, -14) };
+  }
+  if (behavior === "foreignAnswer" && isChat) {
+    const content = answerText("someone-else", 8);
+    const event = JSON.stringify({ choices: [{ delta: { content } }] });
+    return { ...answered, text: `data: ${event}\n\ndata: [DONE]\n\n` };
+  }
+  return answered;
+}
+
+function json(status: number, body: unknown): Answered {
+  return { status, type: "application/json", text: JSON.stringify(body) };
+}
+
+function error(status: number, body: object): Answered {
+  return json(status, { error: { message: "", type: "", ...body } });
+}
+
+const promises: readonly Measure[] = [
+  "foreignAnswers",
+  "incompleteAnswers",
+  "residencyViolations",
+  "doubleRuns",
+  "notRunButRan",
+  "answeredNotRun",
+];
+
+/** Each fault of a gateway, and the measures that must show it. */
+const cases: readonly [Behavior, readonly Measure[]][] = [
+  ["honest", []],
+  ["wrongRegion", ["residencyViolations"]],
+  ["runsTwice", ["doubleRuns"]],
+  ["deniesARun", ["notRunButRan"]],
+  ["endsEarly", ["incompleteAnswers"]],
+  ["foreignAnswer", ["foreignAnswers"]],
+  ["inventsAnAnswer", ["answeredNotRun"]],
+];
+
+describe("replay", () => {
+  // A checker that catches nothing proves nothing: through an honest gateway no promise counts as broken, and through
+  // one that breaks a single promise just the measure of that promise rises.
+  for (const [behavior, shown] of cases) {
+    it(`finds what a gateway does wrong: ${behavior}`, async (t) => {
+      const report = await replayThrough(t, behavior);
+      const broken = promises.filter((name) => report.measure(name) !== 0);
+      t.deepEqual(broken, [...shown]);
+      t.is(report.measure("requests"), 8);
+    });
+  }
+
+  it("counts refusals without advice, and retries them until the deadline", async (t) => {
+    const report = await replayThrough(t, "noAdvice");
+    t.is(report.measure("refusedShare"), 1);
+    t.is(report.measure("adviceMissing"), 8);
+    t.true(report.measure("attemptsMean")! > 1);
+  });
+
+  it("holds no outcome that could not be measured", async (t) => {
+    const report = await replayThrough(t, "honest");
+    const [held, failed, missing] = judge(report, [
+      { measure: "completeShare", atLeast: 1 },
+      { measure: "completeShare", atMost: 0.5 },
+      { measure: "completeShare", group: "none", atLeast: 0 },
+    ]);
+    t.deepEqual(
+      [held.held, failed.held, missing.held],
+      [true, false, false],
+    );
+  });
+});
+
+describe("traces", () => {
+  it("are the same for the same seed and read back as written", (t) => {
+    const trace = generateTrace(cooperativeDay(), 7);
+    t.is(traceText(trace), traceText(generateTrace(cooperativeDay(), 7)));
+    t.not(traceText(trace), traceText(generateTrace(cooperativeDay(), 8)));
+    t.deepEqual(parseTrace(traceText(trace))._unsafeUnwrap(), trace);
+  });
+
+  it("with a mistake are refused by line and field", (t) => {
+    const [first, ...rest] = traceText(generateTrace(cooperativeDay(), 7))
+      .split("\n");
+    const broken = JSON.stringify({ ...JSON.parse(rest[12]), deadlineMs: -1 });
+    const refused = parseTrace([first, broken].join("\n"));
+    t.regex(refused._unsafeUnwrapErr(), /^line 2: deadlineMs: /);
+    t.true(parseTrace(rest.join("\n")).isErr());
+  });
+});
