--- a/src/decisions/placement.ts
+++ b/src/decisions/placement.ts
@@ -23,7 +23,8 @@
 /**
  * Share of a pool that may prefill long prompts at the same time when short ones come too. An engine works through
  * prompts in chunks, so a short question placed beside a manifest waits seconds for it; the rest of the pool stays open
- * to short ones. Without short ones, long prompts may use all.
+ * to short ones. Without short ones, long prompts may use all. Engines that honour priorities need it less: at 1, the mix
+ * is as fast and a flood of one workspace costs the others more.
  */
 const LONG_SHARE = 0.75;
 
@@ -35,6 +36,11 @@
 const OVER_LONG_SHARE = 0.5;
 const OTHERS_SHARE = 0.125;
 const OVER_BACKLOG_MS = 50;
+/**
+ * Part of each upstream's slots that long prompts leave to short ones while both come. Their long answers hold the slots,
+ * and a question that needs one pass would wait for a whole answer to end.
+ */
+const SHORT_SHARE = 0.0625;
 
 /** A prompt that takes an engine longer than this to prefill is long: a question placed behind it would be late. */
 export const LONG_PREFILL_MS = 250;
@@ -46,6 +52,8 @@
   readonly upstream: Upstream;
   /** Tokens left to prefill there. */
   readonly coldTokens: number;
+  /** Leading blocks believed cached there. */
+  readonly matched: number;
   /** Prefill time that the warm prefix saves. */
   readonly savedMs: number;
   readonly firstMs: number;
@@ -146,6 +154,7 @@
   return {
     upstream,
     coldTokens,
+    matched,
     savedMs: prefillMs(upstream.row, request.promptTokens - coldTokens),
     firstMs: upstream.predictFirstMs(coldTokens, enginePriority, view.nowMs),
     long,
@@ -176,13 +185,23 @@
   longAllowed: boolean,
 ): boolean {
   const { upstream } = found;
-  const kept = view.over ? Math.ceil(upstream.row.slots * OTHERS_SHARE) : 0;
-  if (!upstream.hasRoom(view.nowMs, view.cautious, kept)) return false;
+  if (!upstream.hasRoom(view.nowMs, view.cautious, keptSlots(found, view))) {
+    return false;
+  }
   const most = view.over ? OVER_BACKLOG_MS : BACKLOG_MS + found.savedMs;
   if (upstream.backlogMs(found.enginePriority, view.nowMs) > most) return false;
   return !found.long || longAllowed || upstream.longUnstarted > 0;
 }
 
+function keptSlots(found: Place, view: PlacementView): number {
+  const { slots } = found.upstream.row;
+  if (view.over) return Math.ceil(slots * OTHERS_SHARE);
+  const last = found.upstream.row.slots > 1 ? 1 : 0;
+  return found.enginePriority < 2 && view.mixed
+    ? Math.max(last, Math.floor(slots * SHORT_SHARE))
+    : 0;
+}
+
 function longHasRoom(view: PlacementView): boolean {
   if (view.upstreams.length < 2) return true;
   if (!view.mixed && !view.over) return true;
--- a/src/decisions/slots.ts
+++ b/src/decisions/slots.ts
@@ -24,6 +24,8 @@
   readonly exclude: readonly string[];
   /** Set when the caller itself bound the request to its home; the stricter of this and the table holds. */
   readonly boundByCaller?: boolean;
+  /** Set once the request was at another region, or that region refused it: it moves no second time. */
+  readonly stayHome?: boolean;
   /** The region it came from, when another sent it here. */
   readonly sentFrom?: string;
   readonly tableVersion: number;
@@ -71,6 +73,8 @@
     | "unreachable";
   /** From the grant to the first token (for a plain service, to the answer's headers). */
   readonly firstTokenMs?: number;
+  /** Prompt tokens that the engine says it had cached, where its answer's usage tells. */
+  readonly cachedTokens?: number;
   readonly outputTokens: number;
   readonly totalMs: number;
 }
