--- a/src/agreement/table_schema.ts
+++ b/src/agreement/table_schema.ts
@@ -53,7 +53,7 @@
       const text = field.description ?? "";
       return `| ${name} | ${allowedText(field)} | ${otherwise} | ${text} |`;
     });
-  const head = "| field | allowed | if left out | meaning |\n|-|-|-|-|";
+  const head = "| field | allowed | if left out | meaning |\n| - | - | - | - |";
   return `### ${properties.kind.const}\n\n${head}\n${lines.join("\n")}\n`;
 }
 
