A VM that starts has its table before the services after it start

Cause: path and shift tests of processes got code 3007 from a VM whose status showed version 1. Since VMs that are not watchers leave the store to the watchers, their table came in force after the slots service had looked for it. Ruled out: a table taken back; the edge's own view. (The slots view reads the table at its period and refuses with noTable until then; told to its owner.) Change: start() asks peers and store until the table is in force, up to 1 s, unless the store says that there is none.

--- a/src/services/table_service.ts
+++ b/src/services/table_service.ts
@@ -41,6 +41,8 @@
   hearMs: 1000,
 };
 
+/** Between two tries while the service starts. */
+const START_STEP_MS = 100;
 /** Peers that a starting VM asks for their version. */
 const PEERS_ASKED = 3;
 
@@ -98,7 +100,7 @@
     return this.#fleet;
   }
 
-  /** Reads the store once; if it is away, goes on trying it and the peers in the background. */
+  /** Tries store and peers for up to `hearMs`; if neither has a table, goes on trying in the background. */
   async start(kernel: Kernel): Promise<void> {
     this.#kernel = kernel;
     this.#hearUntilMs = kernel.clock.monoMs() + this.#periods.hearMs;
@@ -112,7 +114,7 @@
       nowMs: () => kernel.clock.nowMs(),
       version: () => this.table?.version ?? 0,
     });
-    await this.#tick();
+    await this.#startUp();
     this.#schedule();
   }
 
@@ -184,6 +186,19 @@
     });
   }
 
+  /** The services that start next find the table in force, where there is one to be had. */
+  async #startUp(): Promise<void> {
+    const { clock } = this.#kernel;
+    for (;;) {
+      await this.#tick();
+      // An installation without a table yet: the store says so, and no peer has one.
+      const none = this.log.table.version === 0 && this.#sync.reached;
+      if (this.#ready || none) return;
+      if (clock.monoMs() >= this.#hearUntilMs) return;
+      await clock.sleep(START_STEP_MS);
+    }
+  }
+
   #schedule(): void {
     if (this.#closed) return;
     // Jitter keeps the VMs of a region from looking, and pulling, in step.
@@ -244,9 +259,11 @@
    * it goes on alone after a moment.
    */
   async #becomeReady(): Promise<void> {
-    if (this.#ready || this.log.table.version === 0) return;
+    if (this.#ready) return;
     const waited = this.#kernel.clock.monoMs() >= this.#hearUntilMs;
-    if (this.#peers && !waited && !await this.#askPeers()) return;
+    const answered = this.#peers !== undefined && await this.#askPeers();
+    if (this.log.table.version === 0) return;
+    if (this.#peers && !waited && !answered) return;
     this.#ready = true;
     const { version } = this.log.table;
     this.#kernel.log.info("table in force", { version });
--- a/src/services/table_sync.ts
+++ b/src/services/table_sync.ts
@@ -52,12 +52,18 @@
   #nextHeadAtMs = 0;
   #retryAtMs = 0;
   #wantedAtMs = 0;
+  #reached = false;
   #closed = false;
 
   constructor(options: TableSyncOptions) {
     this.#options = options;
   }
 
+  /** Whether the last look at the store succeeded. */
+  get reached(): boolean {
+    return this.#reached;
+  }
+
   dump() {
     return {
       watching: this.#watch !== undefined,
@@ -168,6 +174,7 @@
   #note<T>(result: Result<T, StoreError>): Result<T, StoreError> {
     const { kernel, random, headMs } = this.#options;
     const nowMs = kernel.clock.monoMs();
+    this.#reached = result.isOk();
     if (result.isOk()) {
       if (this.#error) kernel.log.info("table store is back");
       this.#error = undefined;
