Slots catch up to the table version a request was accepted on

Ruled out: the table service, whose version was in force. Change: a request that names a newer version makes the entry VM and the lead look at once; a look in progress is waited for and followed by another. A cancel that comes meanwhile is kept.

--- a/src/services/lead_server.ts
+++ b/src/services/lead_server.ts
@@ -12,6 +12,7 @@
   HeldSlot,
   LoadReport,
   PoolDigest,
+  SlotRequest,
 } from "../decisions/mod.ts";
 import type {
   AcquireMessage,
@@ -37,6 +38,8 @@
   readonly log: Logger;
   readonly view: LeadView;
   readonly onOrder: OrderSink;
+  /** Resolves when the table that a request was accepted on is in force here, or soon after anyway. */
+  readonly catchUp: (request: SlotRequest) => Promise<void>;
   /** Asks every other VM of the region what it holds of a pool; `heard` is called for each that answers. */
   readonly collect: (
     poolKey: string,
@@ -51,6 +54,8 @@
   readonly #context: LeadServerContext;
   readonly #led = new Map<string, LeadPool>();
   readonly #resolvers = new Map<string, ((reply: AcquireReply) => void)[]>();
+  /** Attempts that wait for the table they were accepted on. */
+  readonly #arriving = new Set<string>();
   #closed = false;
 
   constructor(context: LeadServerContext) {
@@ -82,6 +87,20 @@
 
   /** Resolves once the request is decided, which may take until its deadline. */
   acquire(message: AcquireMessage): Promise<AcquireReply> {
+    const version = this.#context.view.table?.version ?? 0;
+    const behind = message.request.tableVersion > version;
+    return behind ? this.#decideLater(message) : this.#decide(message);
+  }
+
+  async #decideLater(message: AcquireMessage): Promise<AcquireReply> {
+    const { request } = message;
+    this.#arriving.add(request.attemptId);
+    await this.#context.catchUp(request);
+    const wanted = this.#arriving.delete(request.attemptId);
+    return wanted ? await this.#decide(message) : { type: "moved" };
+  }
+
+  #decide(message: AcquireMessage): Promise<AcquireReply> {
     const led = this.#led.get(message.pool);
     const info = this.#context.view.pools.get(message.pool);
     if (!led || !info) return Promise.resolve({ type: "moved" });
@@ -119,6 +138,7 @@
 
   cancel(message: CancelMessage): void {
     const { attemptId, pool } = message;
+    this.#arriving.delete(attemptId);
     const led = this.#led.get(pool);
     if (!led) return;
     this.#step(pool, led.cancel(attemptId, this.#context.clock.nowMs()));
--- a/src/services/slots.ts
+++ b/src/services/slots.ts
@@ -6,7 +6,13 @@
  */
 
 import type { Transport } from "../adapters/mod.ts";
-import { type Clock, hash32, Random, type Timer } from "../base/mod.ts";
+import {
+  type Clock,
+  failure,
+  hash32,
+  Random,
+  type Timer,
+} from "../base/mod.ts";
 import type {
   FarRegion,
   HeldSlot,
@@ -46,6 +52,8 @@
 /** How often the VMs and the table are looked at: a small part of the time it takes to find a dead VM. */
 const FOLLOW_MS = 100;
 const DIGEST_MS = 1000;
+/** How long a request waits for the table's version that it was accepted on. */
+const CATCH_UP_MS = 500;
 const SWEEP_MS = 1000;
 /** A digest that was not renewed for this long says nothing any more: its lead is gone or out of reach. */
 const STALE_DIGEST_MS = 10_000;
@@ -59,6 +67,7 @@
       if (!this.#away?.report(report)) this.#client.report(report);
     },
     cancel: ({ attemptId }) => {
+      this.#arriving.delete(attemptId);
       this.#away?.cancel(attemptId);
       this.#client.cancel(attemptId);
     },
@@ -75,7 +84,10 @@
   #poller: LoadPoller | undefined;
   #away: AwayClient | undefined;
   #host: AwayHost | undefined;
-  #following = false;
+  /** Attempts that wait for the table they were accepted on. */
+  readonly #arriving = new Set<string>();
+  #looking: Promise<void> | undefined;
+  #lookAgain: Promise<void> | undefined;
 
   constructor(options: SlotsOptions) {
     super();
@@ -129,6 +141,7 @@
       log,
       view,
       onOrder: this.#options.onOrder ?? (() => {}),
+      catchUp: (request) => this.#catchUp(request),
       collect: (pool, heard) => this.#collect(pool, heard),
       handOver: (message) => this.#handOver(message),
     });
@@ -156,27 +169,34 @@
     this.#timers.push(this.#clock.every(periodMs, run));
   }
 
-  async #follow(): Promise<void> {
-    if (this.#following) return;
-    this.#following = true;
-    try {
-      const table = await this.#table.ask("current", undefined);
-      const tableChanged = this.#view.setTable(table);
-      const vms = await this.#members?.ask("region", undefined);
-      const vmsChanged = this.#view.setVms(vms ?? []);
-      if (vmsChanged) this.#router.vmsChanged();
-      if (tableChanged || vmsChanged) this.#server.follow(tableChanged);
-      // Reports that were sent to a lost lead are lost with it: a new one learns now what is no longer held.
-      if (vmsChanged) this.#client.renewAll();
-      // A plain service has no load page: asking it would be a call that its owner did not make.
-      this.#poller?.poll(
-        this.#server.infos().filter((info) =>
-          table?.service(info.service)?.type === "model"
-        ),
-      );
-    } finally {
-      this.#following = false;
+  /** Looks at the table and the VMs; one look at a time, and whoever asks meanwhile waits for one that starts after. */
+  #follow(): Promise<void> {
+    if (this.#looking) {
+      this.#lookAgain ??= this.#looking.then(() => {
+        this.#lookAgain = undefined;
+        return this.#follow();
+      });
+      return this.#lookAgain;
     }
+    this.#looking = this.#look().finally(() => this.#looking = undefined);
+    return this.#looking;
+  }
+
+  async #look(): Promise<void> {
+    const table = await this.#table.ask("current", undefined);
+    const tableChanged = this.#view.setTable(table);
+    const vms = await this.#members?.ask("region", undefined);
+    const vmsChanged = this.#view.setVms(vms ?? []);
+    if (vmsChanged) this.#router.vmsChanged();
+    if (tableChanged || vmsChanged) this.#server.follow(tableChanged);
+    // Reports that were sent to a lost lead are lost with it: a new one learns now what is no longer held.
+    if (vmsChanged) this.#client.renewAll();
+    // A plain service has no load page: asking it would be a call that its owner did not make.
+    this.#poller?.poll(
+      this.#server.infos().filter((info) =>
+        table?.service(info.service)?.type === "model"
+      ),
+    );
   }
 
   #collect(
@@ -228,6 +248,9 @@
 
   /** Where the lead sends the request away and that region gives no slot, the home lead decides again, for good. */
   async #acquire(request: SlotRequest): Promise<SlotAnswer> {
+    if (this.#isBehind(request) && !await this.#arrive(request)) {
+      return { type: "refuse", failure: failure("canceled", { ran: "no" }) };
+    }
     const answer = await this.#client.acquire(request);
     if (answer.type !== "shift") return answer;
     const far = await this.#away?.acquire(answer.region, request);
@@ -235,6 +258,29 @@
     return await this.#client.acquire({ ...request, stayHome: true });
   }
 
+  #isBehind(request: SlotRequest): boolean {
+    return (this.#view.table?.version ?? 0) < request.tableVersion;
+  }
+
+  /** Catches up; answers whether the request is still wanted then. */
+  async #arrive(request: SlotRequest): Promise<boolean> {
+    this.#arriving.add(request.attemptId);
+    await this.#catchUp(request);
+    return this.#arriving.delete(request.attemptId);
+  }
+
+  /**
+   * The table is looked at now and then; a request that was accepted on a newer version would otherwise meet a lead that
+   * does not know its service, or still allows what an edit has just forbidden.
+   */
+  async #catchUp(request: SlotRequest): Promise<void> {
+    const { tableVersion } = request;
+    const untilMs = this.#clock.nowMs() + CATCH_UP_MS;
+    const deadlineMs = Math.min(request.deadlineMs, untilMs);
+    await this.#table.ask("waitFor", { version: tableVersion, deadlineMs });
+    await this.#follow();
+  }
+
   async #exchangeDigests(): Promise<void> {
     if (!this.#members) return;
     for (const [info, body] of this.#server.digests()) {
