Directory service: callers' ranking, and publication by one VM of a region

Cause: the directory answered all live VMs alike, and nothing was published on the platform. Change: ranking by workspace (rendezvous, second in another failure domain, weights 1/rank, six at most, no leaving VM, home's VMs for a bound workspace); one VM a region publishes upstream weights and entry VMs, one change a second, with backoff. Contract, additive: DirectoryMessages. The edge's route still has its own answer.

--- a/src/agreement/mod.ts
+++ b/src/agreement/mod.ts
@@ -27,3 +27,4 @@
 export * from "./member_list.ts";
 export * from "./member_news.ts";
 export * from "./members.ts";
+export * from "./directory.ts";
--- /dev/null
+++ b/src/services/directory.ts
@@ -0,0 +1,192 @@
+/**
+ * The directory service: answers which entry VMs a caller should use, and publishes the region on the platform.
+ *
+ * @module
+ */
+
+import type { CallerDirectory, WeightStore } from "../adapters/mod.ts";
+import { leadOrder, rankForWorkspace, type Table } from "../agreement/mod.ts";
+import {
+  backoffMs,
+  type Clock,
+  hash32,
+  Random,
+  type Timer,
+} from "../base/mod.ts";
+import { type Handlers, type Kernel, type Port, Task } from "../kernel/mod.ts";
+import type { Logger } from "winston";
+import type {
+  DirectoryAnswer,
+  DirectoryMessages,
+  MembersMessages,
+  TableMessages,
+  VmInfo,
+} from "./messages.ts";
+import {
+  directoryEntries,
+  type Publication,
+  PublicationQueue,
+  weightsOf,
+} from "./weights.ts";
+
+/** Which VM this is, and the platform's services where the settings name them. */
+export interface DirectoryOptions {
+  readonly vmId: string;
+  readonly region: string;
+  readonly weightStore?: WeightStore;
+  readonly callerDirectory?: CallerDirectory;
+}
+
+/**
+ * A caller asks again after this, less a random part. Long enough that 4,500 workspaces of callers cost little, short
+ * enough that a VM which leaves has few callers left when its requests have ended.
+ */
+const ASK_AGAIN_MS = 10_000;
+const ASK_AGAIN_JITTER = 0.3;
+
+/** At most one publication in this time, by one VM of the region: the platform's stores limit the rate of all. */
+const PUBLISH_PERIOD_MS = 1000;
+const PUBLISH_BACKOFF = { firstMs: 2000, mostMs: 60_000 };
+
+/** Its name is `directory`; needs `members` and `table`. */
+export class DirectoryService extends Task<DirectoryMessages> {
+  readonly name = "directory";
+  protected readonly handlers: Handlers<DirectoryMessages> = {
+    lookup: ({ workspace }) => this.#lookup(workspace),
+  };
+  readonly #options: DirectoryOptions;
+  readonly #random: Random;
+  readonly #queue = new PublicationQueue();
+  #clock!: Clock;
+  #log!: Logger;
+  #members!: Port<MembersMessages>;
+  #table!: Port<TableMessages>;
+  #timer: Timer | undefined;
+  #publishing = false;
+  #wasPublisher = false;
+  #failures = 0;
+  #notBeforeMs = 0;
+
+  constructor(options: DirectoryOptions) {
+    super();
+    this.#options = options;
+    this.#random = new Random(hash32(`directory/${options.vmId}`));
+  }
+
+  start(kernel: Kernel): Promise<void> {
+    this.#clock = kernel.clock;
+    this.#log = kernel.log;
+    this.#members = kernel.get<MembersMessages>("members");
+    this.#table = kernel.get<TableMessages>("table");
+    const { weightStore, callerDirectory } = this.#options;
+    if (weightStore || callerDirectory) {
+      this.#timer = this.#clock.every(
+        PUBLISH_PERIOD_MS,
+        () => void this.#publish(),
+      );
+    }
+    return Promise.resolve();
+  }
+
+  async close(_deadlineMs: number): Promise<void> {
+    this.#timer?.close();
+    await this.#options.weightStore?.close();
+    await this.#options.callerDirectory?.close();
+  }
+
+  dump(): unknown {
+    return {
+      publisher: this.#wasPublisher,
+      failures: this.#failures,
+    };
+  }
+
+  async #lookup(workspaceId: string): Promise<DirectoryAnswer> {
+    const table = await this.#table.ask("current", undefined);
+    const workspace = table?.workspace(workspaceId);
+    const bound = workspace?.bound === true;
+    const home = bound ? workspace.home : this.#options.region;
+    const vms = await this.#vmsOf(home);
+    const nowMs = this.#clock.nowMs();
+    const jitterMs = ASK_AGAIN_MS * ASK_AGAIN_JITTER * this.#random.next();
+    return {
+      vms: rankForWorkspace(workspaceId, vms).map(({ vm, weight }) => ({
+        id: vm.id,
+        url: vm.callerUrl,
+        region: vm.region,
+        weight,
+      })),
+      askAgainAtMs: Math.round(nowMs + ASK_AGAIN_MS - jitterMs),
+    };
+  }
+
+  /** VMs of another region are those that its digest named. Where none is known, this region's: they say where to go. */
+  async #vmsOf(region: string): Promise<readonly VmInfo[]> {
+    if (region !== this.#options.region) {
+      const others = await this.#members.ask("others", undefined);
+      const named = others.get(region);
+      if (named && named.length > 0) return named;
+    }
+    return await this.#members.ask("region", undefined);
+  }
+
+  async #publish(): Promise<void> {
+    const nowMs = this.#clock.nowMs();
+    if (this.#publishing || nowMs < this.#notBeforeMs) return;
+    this.#publishing = true;
+    try {
+      const vms = await this.#members.ask("region", undefined);
+      const publisher = leadOrder("publisher", vms)[0];
+      const isPublisher = publisher?.id === this.#options.vmId;
+      if (!isPublisher || !this.#wasPublisher) this.#queue.clear();
+      this.#wasPublisher = isPublisher;
+      if (!isPublisher) return;
+      const table = await this.#table.ask("current", undefined);
+      const next = this.#queue.next(this.#wanted(table, vms), nowMs);
+      if (next) await this.#send(next);
+    } finally {
+      this.#publishing = false;
+    }
+  }
+
+  #wanted(table: Table | undefined, vms: readonly VmInfo[]): Publication[] {
+    const { region, weightStore, callerDirectory } = this.#options;
+    const wanted: Publication[] = [];
+    if (callerDirectory) {
+      wanted.push({ name: DIRECTORY, content: directoryEntries(vms) });
+    }
+    if (!weightStore || !table) return wanted;
+    for (const { row } of table.rows()) {
+      if (row.kind !== "service") continue;
+      const content = weightsOf(table, row.id, region);
+      if (Object.keys(content).length > 0) {
+        wanted.push({ name: row.id, content });
+      }
+    }
+    return wanted;
+  }
+
+  async #send(publication: Publication): Promise<void> {
+    const { region, weightStore, callerDirectory } = this.#options;
+    const { name, content } = publication;
+    const result = name === DIRECTORY
+      ? await callerDirectory!.publish(region, content as never)
+      : await weightStore!.publish(name, region, content as never);
+    const nowMs = this.#clock.nowMs();
+    if (result.isOk()) {
+      this.#failures = 0;
+      this.#queue.done(publication, nowMs);
+      return;
+    }
+    this.#notBeforeMs = nowMs +
+      backoffMs(this.#failures++, PUBLISH_BACKOFF, this.#random);
+    this.#log.warn("publication failed", {
+      name,
+      kind: result.error.kind,
+      error: result.error.message,
+    });
+  }
+}
+
+/** The directory's name among publications; no service has it, as ids start with a letter or digit. */
+const DIRECTORY = "/directory";
--- a/src/services/messages.ts
+++ b/src/services/messages.ts
@@ -68,6 +68,24 @@
   topics: { in: void; out: ReadonlyMap<string, readonly TopicValue[]> };
 };
 
+/** Which entry VMs a caller should use, best first, until `askAgainAtMs`. */
+export interface DirectoryAnswer {
+  readonly vms: readonly {
+    readonly id: string;
+    /** Base URL for callers. */
+    readonly url: string;
+    readonly region: string;
+    /** Share of the caller's requests, 0 to 1. */
+    readonly weight: number;
+  }[];
+  readonly askAgainAtMs: number;
+}
+
+/** What the directory service answers; its name is `directory`. */
+export type DirectoryMessages = {
+  lookup: { in: { readonly workspace: string }; out: DirectoryAnswer };
+};
+
 /** What the slots service answers; its name is `slots`. It finds the lead of the pool, here or on another VM. */
 export type SlotsMessages = {
   acquire: { in: SlotRequest; out: SlotAnswer };
--- a/src/services/mod.ts
+++ b/src/services/mod.ts
@@ -13,3 +13,4 @@
 export * from "./slots.ts";
 export type { OrderSink } from "./lead_server.ts";
 export * from "./members.ts";
+export * from "./directory.ts";
--- a/src/services/slots_vms_test.ts
+++ b/src/services/slots_vms_test.ts
@@ -167,6 +167,7 @@
     const queued = acquire(b, "queued");
     await lead.stop();
     await leadOf(others, POOL);
+    await until("it is queued again", () => waiting(others) === 1);
     t.true(await isFull(a, others));
     await report(a, first);
     t.like(await queued, { type: "grant", attemptId: "queued" });
