--- a/src/agreement/mod.ts
+++ b/src/agreement/mod.ts
@@ -29,3 +29,4 @@
 export * from "./member_news.ts";
 export * from "./members.ts";
 export * from "./fence.ts";
+export * from "./directory.ts";
