Claims: the store's side of an owner apart, and an alarm for a store that went back

Change: ClaimCommit; a VM that has seen a newer head takes the shard with doubt and logs 'claim shard regressed'.

--- /dev/null
+++ b/bench/control_claims.ts
@@ -0,0 +1,203 @@
+/**
+ * Claims a second, added latency, store writes, CPU and memory, over the stand-in platform's HTTP, with group commit and
+ * with one write for each claim. `npm run bench -- control_claims [--json] [--seconds N] [--seed N]`.
+ *
+ * @module
+ */
+
+import { type ChildProcess, spawn } from "node:child_process";
+import { createInterface } from "node:readline";
+import { fileURLToPath } from "node:url";
+import { EtcdKeyValue } from "../src/adapters/mod.ts";
+import type { ShardLimits } from "../src/agreement/mod.ts";
+import { Random, systemClock } from "../src/base/mod.ts";
+import { Kernel, openLog } from "../src/kernel/mod.ts";
+import { ClaimsService } from "../src/services/mod.ts";
+import type { Bench, Row } from "./row.ts";
+
+/** Whether claims share writes, and how many writes a second they may take. */
+interface Policy {
+  readonly name: string;
+  readonly limits: Partial<ShardLimits>;
+  readonly writesPerS: number;
+}
+
+const single = { events: 1, bytes: 262_144 };
+const policies: readonly Policy[] = [
+  { name: "group commit, 60 writes/s", limits: {}, writesPerS: 60 },
+  { name: "group commit, 20 writes/s", limits: {}, writesPerS: 20 },
+  {
+    name: "one write each, 60 writes/s",
+    limits: { batch: single },
+    writesPerS: 60,
+  },
+  {
+    name: "one write each, unlimited",
+    limits: { batch: single },
+    writesPerS: 1e6,
+  },
+];
+const ratesPerS = [30, 100, 300, 1000];
+
+/** The platform runs in a process of its own, so that its CPU and memory are not counted here. */
+class PlatformProcess {
+  readonly #child: ChildProcess;
+
+  constructor() {
+    const script = new URL("../src/standins/platform_main.js", import.meta.url);
+    this.#child = spawn(process.execPath, [fileURLToPath(script)], {
+      stdio: ["ignore", "pipe", "inherit"],
+    });
+  }
+  /** The URL it listens at, once it does. */
+  async url(): Promise<string> {
+    for await (const line of createInterface({ input: this.#child.stdout! })) {
+      const match = /listening (\S+)/.exec(line);
+      if (match) return match[1];
+    }
+    throw new Error("the platform's stand-in did not start");
+  }
+  close(): void {
+    this.#child.kill();
+  }
+}
+
+interface Load {
+  readonly policy: Policy;
+  readonly perS: number;
+  readonly seconds: number;
+  readonly seed: number;
+}
+
+/** Claims arrive at random times at a mean rate; a third of them is finished at once with a short answer. */
+async function measure(load: Load): Promise<Row[]> {
+  const platform = new PlatformProcess();
+  const url = await platform.url();
+  const store = new EtcdKeyValue({ urls: [url], vmId: "bench" });
+  const kernel = new Kernel(systemClock, openLog("silent"));
+  const { policy, perS, seed } = load;
+  const claims = new ClaimsService({
+    me: { id: "bench", incarnation: 1 },
+    region: "r",
+    store,
+    limits: policy.limits,
+    writesPerS: policy.writesPerS,
+    seed,
+  });
+  await kernel.start(claims);
+  await systemClock.sleep(500);
+  globalThis.gc?.();
+  const before = {
+    cpu: process.cpuUsage(),
+    heap: process.memoryUsage().heapUsed,
+    calls: store.counts().claims,
+    monoMs: performance.now(),
+  };
+  const taken = await offer(claims, load);
+  const spent = process.cpuUsage(before.cpu);
+  const lastedS = (performance.now() - before.monoMs) / 1000;
+  const calls = store.counts().claims - before.calls;
+  globalThis.gc?.();
+  const heap = process.memoryUsage().heapUsed - before.heap;
+  const value = await storedBytes(store);
+  await kernel.close(Date.now() + 2000);
+  await store.close();
+  platform.close();
+  const { granted, latencyMs, refused } = taken;
+  const at = (q: number) =>
+    latencyMs[Math.min(latencyMs.length - 1, Math.floor(q * latencyMs.length))];
+  const row = (measure: string, value: number, unit: string): Row => ({
+    bench: "control_claims",
+    case: `${perS} claims/s offered`,
+    policy: policy.name,
+    measure,
+    value: Math.round(value * 100) / 100,
+    unit,
+    seed,
+  });
+  return [
+    row("granted", granted / lastedS, "claims/s"),
+    row("refused", refused / lastedS, "claims/s"),
+    row("added latency p50", at(0.5) ?? NaN, "ms"),
+    row("added latency p99", at(0.99) ?? NaN, "ms"),
+    row("store writes", calls / lastedS, "writes/s"),
+    row(
+      "CPU per claim",
+      (spent.user + spent.system) / (granted + refused),
+      "us",
+    ),
+    row("CPU", (spent.user + spent.system) / lastedS / 1e4, "% of a core"),
+    row("heap per claim kept", heap / granted, "bytes"),
+    row("stored per claim", value / granted, "bytes"),
+  ];
+}
+
+async function offer(claims: ClaimsService, load: Load) {
+  const random = new Random(load.seed);
+  const latencyMs: number[] = [];
+  const running: Promise<void>[] = [];
+  let granted = 0;
+  let refused = 0;
+  const one = async (n: number) => {
+    const key = { service: "ledger", workspace: `w${n % 50}`, key: `k${n}` };
+    const startMs = performance.now();
+    const verdict = await claims.ask("claim", {
+      ...key,
+      bodyDigest: `body${n}`,
+      deadlineMs: Date.now() + 3000,
+    });
+    if (verdict.type !== "granted") return void refused++;
+    granted++;
+    latencyMs.push(performance.now() - startMs);
+    if (n % 3 > 0) return;
+    const bodyBase64 = Buffer.from(`departure ${n} is logged`).toString(
+      "base64",
+    );
+    const answer = {
+      httpStatus: 200,
+      contentType: "application/json",
+      bodyBase64,
+      truncated: false,
+    };
+    await claims.ask("finish", { ...key, claimId: verdict.claimId, answer });
+  };
+  const endMs = performance.now() + load.seconds * 1000;
+  let dueMs = performance.now();
+  for (let n = 0; performance.now() < endMs; n++) {
+    running.push(one(n));
+    dueMs += random.exponential(1000 / load.perS);
+    const waitMs = dueMs - performance.now();
+    if (waitMs > 0) await systemClock.sleep(waitMs);
+  }
+  await Promise.all(running);
+  latencyMs.sort((a, b) => a - b);
+  return { granted, refused, latencyMs };
+}
+
+/** The bytes that the claims take in the store. */
+async function storedBytes(store: EtcdKeyValue): Promise<number> {
+  const listed = await store.list("claims/", {}, "other");
+  if (listed.isErr()) return NaN;
+  return listed.value.entries.reduce(
+    (sum, entry) => sum + entry.value.length,
+    0,
+  );
+}
+
+function option(args: readonly string[], name: string, value: number): number {
+  const at = args.indexOf(name);
+  return at < 0 ? value : Number(args[at + 1]);
+}
+
+/** Runs all policies at all rates. */
+export const run: Bench = async (args) => {
+  const seconds = option(args, "--seconds", 8);
+  const seed = option(args, "--seed", 1);
+  const rows: Row[] = [];
+  for (const perS of ratesPerS) {
+    for (const policy of policies) {
+      rows.push(...await measure({ policy, perS, seconds, seed }));
+    }
+  }
+  return rows;
+};
--- a/src/agreement/claim_head.ts
+++ b/src/agreement/claim_head.ts
@@ -114,6 +114,8 @@
   limits: TakeLimits,
 ): TakeDecision {
   if (!head?.owner) return "complete";
+  // This very run owned the shard and found the store gone back: what it granted since is not on record.
+  if (sameVm(head.owner, view.me)) return "lossy";
   // Without witnesses the owner never grants from memory: the swap of the head alone fences it.
   if (head.witnesses.length === 0) return "complete";
   if (head.witnesses.some((w) => sameVm(w, view.me))) {
--- a/src/agreement/claim_owner.ts
+++ b/src/agreement/claim_owner.ts
@@ -6,16 +6,12 @@
  */
 
 import type { Entry, StoreError } from "../adapters/mod.ts";
-import { backoffMs, type Random } from "../base/mod.ts";
+import type { Random } from "../base/mod.ts";
 import type { Result } from "neverthrow";
-import {
-  type Batch,
-  type HeadAt,
-  makeBatch,
-  type ShardKeys,
-} from "./claim_batch.ts";
+import type { HeadAt, ShardKeys } from "./claim_batch.ts";
 import type { ClaimAnswer } from "./claim.ts";
-import { parseHead } from "./claim_head.ts";
+import type { ShardHead } from "./claim_head.ts";
+import { ClaimCommit, type CommitOutcome } from "./claim_commit.ts";
 import { ClaimLog, type LogEntry, type Ticket } from "./claim_log.ts";
 import type {
   ClaimChange,
@@ -30,14 +26,11 @@
   type ClaimAsk,
   type ClaimEvent,
   ClaimIndex,
-  sameVm,
   type Standing,
   type VmRef,
 } from "./claim_record.ts";
 import { isGone, type Owned } from "./claim_takeover.ts";
 
-/** Most segments deleted in one write. */
-const expireSegments = 8;
 /** When a caller may come back that found the queue full. */
 const queueRetryMs = 1000;
 /** When a caller may come back that found the store and the promises away. */
@@ -49,25 +42,14 @@
   protected readonly index = new ClaimIndex();
   protected readonly log = new ClaimLog();
   readonly #me: VmRef;
-  readonly #keys: ShardKeys;
-  readonly #random: Random;
   readonly #out: Outbox;
   readonly #outage: ClaimOutage;
+  readonly #commit: ClaimCommit;
   #view: ShardView;
-  #at: HeadAt;
-  #openBytes: number;
-  #okMonoMs: number;
-  #batch: Batch | undefined;
   /** Lookups that wait for a write made after they came, and those that the batch under way will answer. */
   #lookups: Ticket[] = [];
   #batchLookups: Ticket[] = [];
-  #busySinceMonoMs: number | undefined;
-  #failures = 0;
-  #retryMonoMs = 0;
-  #nextWriteMonoMs = 0;
   #nextN: number;
-  /** Wall clock of the newest event of each stored segment. */
-  #segmentTimes: number[];
   #stopping = false;
   #ended = false;
 
@@ -79,27 +61,25 @@
     out: Outbox,
     view: ShardView,
     owned: Owned,
+    commit = new ClaimCommit(me, keys, limits, random, out, owned),
   ) {
     this.#me = me;
-    this.#keys = keys;
     this.limits = limits;
-    this.#random = random;
     this.#out = out;
     this.#view = view;
-    this.#at = owned.at;
-    this.#openBytes = owned.openBytes;
-    this.#okMonoMs = owned.okMonoMs;
+    this.#commit = commit;
     this.#outage = new ClaimOutage(limits);
-    this.#segmentTimes = owned.segments.map((events) =>
-      Math.max(0, ...events.map((event) => event.atMs))
-    );
     for (const event of owned.segments.flat()) this.index.apply(event);
     for (const event of owned.at.head.open) this.index.apply(event);
     this.#nextN = owned.at.head.nextN;
   }
 
   get at(): HeadAt {
-    return this.#at;
+    return this.#commit.at;
+  }
+  /** The newest head that this VM wrote. */
+  get newest(): ShardHead {
+    return this.#commit.newest;
   }
   /** Whether another VM owns the shard now, or the shard was handed over. */
   get ended(): boolean {
@@ -114,8 +94,8 @@
       claims: this.index.size,
       notInStore: this.log.size,
       waiting: this.log.waiting,
-      failures: this.#failures,
-      storeOkMonoMs: this.#okMonoMs,
+      failures: this.#commit.failures,
+      storeOkMonoMs: this.#commit.okMonoMs,
       promisedUntilMonoMs: this.#outage.promisedUntilMonoMs,
     };
   }
@@ -184,7 +164,7 @@
     if (standing.type !== "free" && standing.type !== "spent") {
       return this.reply(ticket, asReply(standing));
     }
-    if (this.#isFailing(now) && !this.#canOutlast(now)) {
+    if (this.#commit.isFailing(now) && !this.#canOutlast(now)) {
       const retryAtMs = now.nowMs + outageRetryMs;
       return this.reply(ticket, { type: "unavailable", retryAtMs });
     }
@@ -197,9 +177,12 @@
     this.#view = view;
     if (this.#ended) return;
     this.index.expire(now.nowMs - this.limits.retentionMs);
-    if (this.#inOutage(now)) this.#pumpOutage(now);
+    if (this.#commit.inOutage(now)) this.#pumpOutage(now);
     this.#refuseLate(now);
-    if (this.#busySinceMonoMs === undefined) this.#pumpStore(now);
+    const urgent = this.#lookups.length > 0;
+    if (this.#commit.pump(now, view, this.log, urgent, this.#stopping)) {
+      this.#batchLookups = this.#lookups.splice(0);
+    }
   }
 
   /** Takes no more claims, and hands the shard over once everything is in the store. */
@@ -208,19 +191,11 @@
   }
 
   onWritten(now: Now, result: Result<number, StoreError>): void {
-    this.#busySinceMonoMs = undefined;
-    if (result.isOk()) return this.committed(now, result.value);
-    if (result.error.kind !== "conflict") {
-      return this.writeFailed(now, result.error);
-    }
-    if (result.error.current) this.#onHead(now, result.error.current);
-    else this.#read(now);
+    this.#onOutcome(now, this.#commit.onWritten(now, result));
   }
 
   onRead(now: Now, result: Result<Entry | undefined, StoreError>): void {
-    this.#busySinceMonoMs = undefined;
-    if (result.isErr()) this.#fail(now);
-    else this.#onHead(now, result.value);
+    this.#onOutcome(now, this.#commit.onRead(now, result));
   }
 
   onReplicaAnswer(
@@ -243,14 +218,6 @@
     );
   }
 
-  /**
-   * A write failed, or its answer was lost. The batch is sent again unchanged: if the first one took effect, the
-   * second conflicts with a head of this batch's own commit number, and that settles it as done.
-   */
-  protected writeFailed(now: Now, _error: StoreError): void {
-    this.#fail(now);
-  }
-
   /** Whether grants may be made from memory at all, in this outage. */
   protected promisesHold(now: Now): boolean {
     return this.#outage.promisedUntilMonoMs > now.monoMs;
@@ -266,11 +233,6 @@
     return false;
   }
 
-  /** Forgets the write under way; only broken variants do. */
-  protected dropBatch(): void {
-    this.#batch = undefined;
-  }
-
   protected reply(ticket: Ticket | undefined, reply: ShardReply): void {
     if (ticket !== undefined) this.#out.push({ type: "reply", ticket, reply });
   }
@@ -285,7 +247,7 @@
       (event) => this.#isOver(now, event, live),
     );
     // Also for a key that was released: the grant that is not on record may have come after the release.
-    const doubted = now.nowMs < this.#at.head.doubtUntilMs;
+    const doubted = now.nowMs < this.#commit.at.head.doubtUntilMs;
     if (standing.type === "free" && doubted) return { type: "unknown" };
     return standing;
   }
@@ -312,30 +274,19 @@
     if (this.log.waiting >= queueLimit || this.log.bytes >= logBytes / 2) {
       return now.nowMs + queueRetryMs;
     }
-    if (!this.#isFailing(now)) return undefined;
+    if (!this.#commit.isFailing(now)) return undefined;
     if (!this.#canOutlast(now)) return now.nowMs + outageRetryMs;
-    const waitMs = this.#okMonoMs + this.limits.outageAfterMs - now.monoMs;
+    const waitMs = this.#commit.okMonoMs + this.limits.outageAfterMs -
+      now.monoMs;
     const fromMs = now.nowMs + Math.max(0, waitMs);
     return fromMs >= deadlineMs ? fromMs + 100 : undefined;
   }
 
-  #isFailing(now: Now): boolean {
-    const busyMs = now.monoMs - (this.#busySinceMonoMs ?? now.monoMs);
-    return this.#failures > 0 || busyMs >= this.limits.slowMs ||
-      this.#inOutage(now);
-  }
-
-  #inOutage(now: Now): boolean {
-    return now.monoMs - this.#okMonoMs >= this.limits.outageAfterMs;
-  }
-
   /** Whether grants from memory are possible while the store is away. */
   #canOutlast(now: Now): boolean {
-    const endMonoMs = this.#okMonoMs + this.limits.outageLimitMs;
-    const lists = [this.#at.head.witnesses];
-    if (this.#batch) lists.push(this.#batch.head.witnesses);
+    const endMonoMs = this.#commit.okMonoMs + this.limits.outageLimitMs;
     const listed = this.#outage.require(
-      lists,
+      this.#commit.witnessLists,
       this.#view.live,
       now.monoMs,
     );
@@ -345,6 +296,7 @@
 
   #pumpOutage(now: Now): void {
     const can = this.#canOutlast(now);
+    const { head, rev } = this.at;
     for (const { vm, fromN } of this.#outage.due(this.log.lastN, now.monoMs)) {
       const events = this.log.events(fromN, this.limits.batch);
       this.#outage.sent(vm, now.monoMs);
@@ -352,9 +304,9 @@
         type: "replicate",
         to: vm,
         message: {
-          epoch: this.#at.head.epoch,
-          headRev: this.#at.rev,
-          nextN: this.#at.head.nextN,
+          epoch: head.epoch,
+          headRev: rev,
+          nextN: head.nextN,
           events,
         },
         uptoN: events.at(-1)?.n ?? fromN - 1,
@@ -367,93 +319,16 @@
     this.#answerLookups({ type: "none" });
   }
 
-  #pumpStore(now: Now): void {
-    if (now.monoMs < this.#retryMonoMs) return;
-    if (!this.#batch) {
-      if (now.monoMs < this.#nextWriteMonoMs || !this.#isDue(now)) return;
-      this.#batch = this.#makeBatch(now);
-      this.#batchLookups = this.#lookups.splice(0);
-    }
-    this.#nextWriteMonoMs = now.monoMs + 1000 / this.#view.writesPerS;
-    this.#busySinceMonoMs = now.monoMs;
-    this.#out.push({ type: "write", writes: this.#batch.writes });
-  }
-
-  #isDue(now: Now): boolean {
-    if (this.log.size > 0 || this.#lookups.length > 0) return true;
-    if (this.#stopping) return true;
-    if (now.monoMs - this.#okMonoMs >= this.limits.touchMs) return true;
-    const listed = this.#at.head.witnesses;
-    const wanted = this.#view.witnesses;
-    return listed.length !== wanted.length ||
-      listed.some((vm) => !wanted.some((other) => sameVm(vm, other)));
-  }
-
-  #makeBatch(now: Now): Batch {
-    const events = this.log.events(0, this.limits.batch);
-    const hasAll = events.length === this.log.size;
-    const beforeMs = now.nowMs - this.limits.retentionMs;
-    let expired = 0;
-    for (const newestMs of this.#segmentTimes.slice(0, expireSegments)) {
-      if (newestMs >= beforeMs) break;
-      expired++;
-    }
-    return makeBatch({
-      keys: this.#keys,
-      base: this.#at,
-      baseOpenBytes: this.#openBytes,
-      events,
-      owner: this.#stopping && hasAll ? undefined : this.#me,
-      witnesses: this.#view.witnesses,
-      nowMs: now.nowMs,
-      monoMs: now.monoMs,
-      expiredSegments: expired,
-      segmentBytes: this.limits.segmentBytes,
-    });
-  }
-
-  protected committed(now: Now, rev: number): void {
-    const batch = this.#batch;
-    if (!batch) return;
-    const before = this.#at.head;
-    this.#at = { head: batch.head, rev };
-    this.#openBytes = batch.openBytes;
-    this.#okMonoMs = batch.madeMonoMs;
-    this.#failures = 0;
-    this.#batch = undefined;
-    this.#segmentTimes.splice(0, batch.head.firstSegment - before.firstSegment);
-    if (batch.head.nextSegment > before.nextSegment) {
-      this.#segmentTimes.push(now.nowMs);
-    }
+  #onOutcome(now: Now, outcome: CommitOutcome): void {
+    if (outcome === "open") return;
+    if (outcome === "replaced") return this.#end(now);
     this.#outage.reset();
     for (const ticket of this.#batchLookups.splice(0)) {
       this.reply(ticket, { type: "none" });
     }
-    this.#settle(now, this.log.dropBelow(batch.head.nextN));
-    if (!batch.head.owner) this.#end(now);
-  }
-
-  /** What stands in the store where another head was expected. */
-  #onHead(now: Now, entry: Entry | undefined): void {
-    const head = entry && parseHead(entry.value).unwrapOr(undefined);
-    const mine = this.#batch?.head ?? this.#at.head;
-    if (entry && head?.epoch === mine.epoch && head.commit === mine.commit) {
-      if (this.#batch) return this.committed(now, entry.rev);
-      this.#at = { head, rev: entry.rev };
-      return;
-    }
-    const older = !head || head.epoch < mine.epoch ||
-      (head.epoch === mine.epoch && head.commit < this.#at.head.commit);
-    if (older) {
-      this.#out.push({
-        type: "log",
-        level: "error",
-        event: "claim shard regressed",
-        detail: `store has epoch=${head?.epoch} commit=${head?.commit}`,
-      });
-    }
-    if (entry && head) this.#at = { head, rev: entry.rev };
-    this.#end(now);
+    const { head } = this.at;
+    this.#settle(now, this.log.dropBelow(head.nextN));
+    if (!head.owner) this.#end(now);
   }
 
   #end(now: Now): void {
@@ -525,17 +400,6 @@
     this.reply(entry.ticket, reply);
     for (const { ticket } of entry.parked) this.reply(ticket, reply);
   }
-
-  #read(now: Now): void {
-    this.#busySinceMonoMs = now.monoMs;
-    this.#out.push({ type: "read" });
-  }
-
-  #fail(now: Now): void {
-    const { backoff } = this.limits;
-    this.#retryMonoMs = now.monoMs +
-      backoffMs(this.#failures++, backoff, this.#random);
-  }
 }
 
 /** A standing that lets nothing run, as it is told to who asked. */
--- a/src/agreement/claim_shard.ts
+++ b/src/agreement/claim_shard.ts
@@ -203,7 +203,7 @@
     if (this.#owner && this.#stopped) this.#owner.stop();
     this.#owner?.pump(now, this.#view);
     if (this.#owner?.ended) {
-      this.#takeover.reset(this.#owner.at, now);
+      this.#takeover.reset(this.#owner.at, this.#owner.newest, now);
       this.#owner = undefined;
     }
     if (!this.#owner && !this.#stopped) this.#takeover.tick(now, this.#view);
--- a/src/agreement/claim_takeover.ts
+++ b/src/agreement/claim_takeover.ts
@@ -53,6 +53,8 @@
   #phase: Phase = "watching";
   #known = false;
   #at: HeadAt | undefined;
+  /** The newest head that this VM has seen; the store must not go back behind it. */
+  #newest: ShardHead | undefined;
   #unchangedSinceMonoMs = 0;
   #wanted: ShardHead | undefined;
   #writes: readonly Write[] = [];
@@ -88,7 +90,8 @@
   }
 
   /** Starts over from a head, after this VM's ownership has ended. */
-  reset(at: HeadAt | undefined, now: Now): void {
+  reset(at: HeadAt, newest: ShardHead, now: Now): void {
+    this.#newest = newest;
     this.#phase = "watching";
     this.#known = true;
     this.#wanted = undefined;
@@ -184,6 +187,23 @@
   #seeHead(at: HeadAt | undefined, now: Now): void {
     if (at?.rev !== this.#at?.rev) this.#unchangedSinceMonoMs = now.monoMs;
     this.#at = at;
+    if (this.#hasRegressed()) {
+      const detail =
+        `store has epoch=${at?.head.epoch} commit=${at?.head.commit}`;
+      this.#log("error", "claim shard regressed", detail);
+    } else if (at) this.#newest = at.head;
+  }
+
+  /**
+   * Whether the store holds an older head than this VM has seen: it was restored from a copy, and the claims since then
+   * are gone. Taking the shard over is lossy then, and an alarm.
+   */
+  #hasRegressed(): boolean {
+    const newest = this.#newest;
+    const head = this.#at?.head;
+    if (!newest || !head) return newest !== undefined;
+    return head.epoch < newest.epoch ||
+      (head.epoch === newest.epoch && head.commit < newest.commit);
   }
 
   /** Whether it is time to read the head with a view to taking over. */
@@ -251,7 +271,8 @@
 
   #take(now: Now, view: ShardView, decision: TakeDecision): void {
     const old = this.#at?.head;
-    const doubtUntilMs = decision === "lossy"
+    const isLossy = decision === "lossy" || this.#hasRegressed();
+    const doubtUntilMs = isLossy
       ? now.nowMs + this.#limits.callerRetryMs
       : old?.doubtUntilMs ?? 0;
     const carried = old ? this.#witness.missing(old.epoch, old.nextN) : [];
@@ -280,7 +301,8 @@
         putSegment(this.#keys, nextSegment + i, events)
       ),
     ];
-    this.#log("info", "claim shard take-over", decision);
+    const kind = isLossy ? "lossy" : "complete";
+    this.#log("info", "claim shard take-over", kind);
     this.#phase = "taking";
     // The first sending: the write may take effect from here on, and `touchedAtMs` states this moment.
     this.#sentMonoMs = now.monoMs;
--- a/src/agreement/mod.ts
+++ b/src/agreement/mod.ts
@@ -16,6 +16,7 @@
 export * from "./claim_record.ts";
 export * from "./claim_head.ts";
 export * from "./claim_batch.ts";
+export * from "./claim_commit.ts";
 export * from "./claim_machine.ts";
 export * from "./claim_outage.ts";
 export * from "./claim_owner.ts";
--- a/src/services/claims_region_test.ts
+++ b/src/services/claims_region_test.ts
@@ -114,6 +114,20 @@
     t.is((await regions.claim(owner, "k")).type, "running");
   });
 
+  /*
+   * The store is restored from a copy that is older than a claim. The claim's record is gone, but the call ran: a repeat
+   * must be told "unknown", as must every key that is not on record.
+   */
+  it("are doubted after the store went back", async (t) => {
+    const { regions, owner, other } = await startRegion("r-1", "r-2");
+    const copy = regions.platform.copy();
+    t.is((await regions.claim(owner, "k")).type, "granted");
+    regions.platform.restore(copy);
+    await regions.clock.advance(8000);
+    t.is((await regions.claim(other, "k", 8000)).type, "unknown");
+    t.is((await regions.claim(owner, "k2", 8000)).type, "unknown");
+  });
+
   /*
    * The owner cannot see the other VM but reaches the store, as does the other. They must not take the shard from each
    * other for ever, and the key is granted once.
--- a/test/claims_region.ts
+++ b/test/claims_region.ts
@@ -89,7 +89,7 @@
   readonly faults = new PlatformFaults();
   /** Homes of workspaces; others are at home wherever they arrive. */
   readonly homes = new Map<string, string>();
-  readonly #platform = new PlatformStore(() => this.clock.monoMs());
+  readonly platform = new PlatformStore(() => this.clock.monoMs());
   readonly #limits: Partial<ShardLimits>;
   readonly #vms = new Map<string, TestVm>();
   readonly #cut = new Set<string>();
@@ -114,7 +114,7 @@
     };
     const store = new MemoryKeyValue({
       clock: this.clock,
-      store: this.#platform,
+      store: this.platform,
       faults: this.faults,
       vmId: id,
     });
--- a/test/fuzz_claims_variants.ts
+++ b/test/fuzz_claims_variants.ts
@@ -4,12 +4,15 @@
  * @module
  */
 
+import { ok, type Result } from "neverthrow";
 import type { StoreError } from "../src/adapters/mod.ts";
 import {
   type ClaimAsk,
+  ClaimCommit,
   type ClaimEvent,
   ClaimOwner,
   ClaimWitness,
+  type CommitOutcome,
   type Now,
   type ReplicaAnswer,
   type ReplicaMessage,
@@ -25,17 +28,23 @@
   }
 }
 
-class TakesLostAsWritten extends ClaimOwner {
-  protected override writeFailed(now: Now, error: StoreError): void {
-    if (error.kind === "lost") this.committed(now, this.at.rev + 1);
-    else super.writeFailed(now, error);
+class TakesLostAsWritten extends ClaimCommit {
+  override onWritten(
+    now: Now,
+    result: Result<number, StoreError>,
+  ): CommitOutcome {
+    const isLost = result.isErr() && result.error.kind === "lost";
+    return super.onWritten(now, isLost ? ok(this.at.rev + 1) : result);
   }
 }
 
-class TakesLostAsNotWritten extends ClaimOwner {
-  protected override writeFailed(now: Now, error: StoreError): void {
-    if (error.kind === "lost") this.dropBatch();
-    super.writeFailed(now, error);
+class TakesLostAsNotWritten extends ClaimCommit {
+  override onWritten(
+    now: Now,
+    result: Result<number, StoreError>,
+  ): CommitOutcome {
+    if (result.isErr() && result.error.kind === "lost") this.dropBatch();
+    return super.onWritten(now, result);
   }
 }
 
@@ -90,10 +99,50 @@
     makeOwner: (...args) => new GrantsBeforeCommit(...args),
   },
   "a lost answer taken for written": {
-    makeOwner: (...args) => new TakesLostAsWritten(...args),
+    makeOwner: (...args) => {
+      const [me, keys, limits, random, out, , owned] = args;
+      const commit = new TakesLostAsWritten(
+        me,
+        keys,
+        limits,
+        random,
+        out,
+        owned,
+      );
+      return new ClaimOwner(
+        me,
+        keys,
+        limits,
+        random,
+        out,
+        args[5],
+        owned,
+        commit,
+      );
+    },
   },
   "a lost answer taken for not written": {
-    makeOwner: (...args) => new TakesLostAsNotWritten(...args),
+    makeOwner: (...args) => {
+      const [me, keys, limits, random, out, , owned] = args;
+      const commit = new TakesLostAsNotWritten(
+        me,
+        keys,
+        limits,
+        random,
+        out,
+        owned,
+      );
+      return new ClaimOwner(
+        me,
+        keys,
+        limits,
+        random,
+        out,
+        args[5],
+        owned,
+        commit,
+      );
+    },
   },
   "grants from memory without the promise": {
     makeOwner: (...args) => new GrantsWithoutPromise(...args),
