Shifts: sent on a queue at home, weighed by the objective; waits see one round

Cause 1: a workspace that comes back was told no wait, though one entry of each other workspace stood before it; neither admission nor shifts saw queues. Cause 2: regions sent away for one cold prompt and closed for 5 s to others. Cause 3: with every upstream set aside, a probe's request was refused by a stale flag. Cause 4: at most 3/4 of a small pool prefilled long prompts.

--- a/src/decisions/dispatcher.ts
+++ b/src/decisions/dispatcher.ts
@@ -37,7 +37,7 @@
 const MOST_SKIPS = 4;
 /** Times a request may be bypassed by warmer ones: some 2 s of a busy upstream's work. */
 const MOST_BYPASSES = 8;
-/** Short requests within this time make the traffic mixed; see `LONG_SHARE` of the placement. */
+/** Short requests within this time make the traffic mixed; see `SHORT_SHARE` of the placement. */
 const MIXED_MS = 5000;
 
 interface Choice {
--- a/src/decisions/fair_queue.ts
+++ b/src/decisions/fair_queue.ts
@@ -156,11 +156,14 @@
 
   /**
    * Work that starts before a new entry of this flow: what all flows with entries get until it is this flow's turn
-   * again, and no more than there is.
+   * again, and no more than there is. A flow that was idle comes in at the present virtual time, where up to one entry of
+   * each other flow stands already.
    */
   ahead(flowId: string, weight: number): number {
+    if (this.#size === 0) return 0;
     const own = this.of(flowId);
-    const turn = this.lead(flowId) + own.work / weight;
+    const round = this.#work / this.#size;
+    const turn = this.lead(flowId) + (own.work + round) / weight;
     const others = this.#activeWeight + (own.count > 0 ? 0 : weight);
     return Math.min(this.#work, turn * others);
   }
--- a/src/decisions/fleet.ts
+++ b/src/decisions/fleet.ts
@@ -39,7 +39,6 @@
   #active: readonly Upstream[] = [];
   #hearsStarts = false;
   #pressure = 0;
-  #usable = false;
 
   get list(): readonly Upstream[] {
     return this.#list;
@@ -78,9 +77,9 @@
     return { running, slots };
   }
 
-  /** Whether any upstream could take a request when last judged. */
-  get usable(): boolean {
-    return this.#usable;
+  /** Whether any upstream can take a request now or soon. */
+  usable(nowMs: number): boolean {
+    return this.#active.some((upstream) => upstream.health.usable(nowMs));
   }
 
   /** Share of the slots in use when last judged. */
@@ -144,7 +143,6 @@
       if (this.#mayAside()) health.setAside(nowMs);
     }
     const { running, slots } = this.load(nowMs);
-    this.#usable = this.#active.some((u) => u.health.usable(nowMs));
     this.#pressure = slots > 0 ? Math.min(1, running / slots) : 1;
   }
 
--- a/src/decisions/gate.ts
+++ b/src/decisions/gate.ts
@@ -37,7 +37,7 @@
 const RETRY_SPREAD = 0.5;
 
 /** Longest queue of a region that takes requests of others: an instant's queue is no lack of room. */
-const MOST_WAIT_TO_TAKE_MS = 100;
+const MOST_WAIT_TO_TAKE_MS = 500;
 
 /** What became of an arrival. */
 export type Arrival =
@@ -98,18 +98,8 @@
       return refused(request, failure("deadlinePassed"));
     }
     const forecast = this.#forecast(request, nowMs);
-    const far = this.#chooseRegion(request, forecast, nowMs);
-    if (far) {
-      this.#ledger.sent(far, nowMs);
-      return {
-        type: "answered",
-        output: {
-          type: "answer",
-          attemptId: request.attemptId,
-          answer: { type: "shift", region: far.region },
-        },
-      };
-    }
+    const sent = this.#send(request, forecast, nowMs);
+    if (sent) return { type: "answered", output: sent };
     const no = this.#refusal(request, forecast, nowMs);
     if (no || !forecast) {
       return refused(request, no ?? this.#noUpstream(nowMs));
@@ -117,20 +107,21 @@
     return { type: "queue", entry: this.#enter(request, forecast, nowMs) };
   }
 
-  /** Refuses what can no longer start in time, and everything queued once no upstream is left. */
+  /** Refuses what can no longer start in time; once no upstream is left, sends away or refuses all. */
   refuseLate(nowMs: number): PoolOutput[] {
     const { lanes, fleet } = this.#dispatcher;
-    const late = fleet.usable ? lanes.removeLate(nowMs) : lanes.clear();
-    return late.map((entry) => {
+    if (!fleet.usable(nowMs)) {
+      return lanes.clear().map((entry) => {
+        this.forget(entry);
+        return this.#send(entry.request, undefined, nowMs) ??
+          answer(entry.request, this.#noUpstream(nowMs));
+      });
+    }
+    return lanes.removeLate(nowMs).map((entry) => {
       this.forget(entry);
       this.#dispatcher.waited(entry, nowMs);
-      const why = fleet.usable
-        ? this.#later(
-          "expiredInQueue",
-          this.#dispatcher.emptyMs(),
-          nowMs,
-        )
-        : this.#noUpstream(nowMs);
+      const waitMs = this.#dispatcher.emptyMs();
+      const why = this.#later("expiredInQueue", waitMs, nowMs);
       return answer(entry.request, why);
     });
   }
@@ -179,6 +170,21 @@
     return row?.bound === false ? undefined : failure("homeElsewhere");
   }
 
+  #send(
+    request: SlotRequest,
+    forecast: Forecast | undefined,
+    nowMs: number,
+  ): PoolOutput | undefined {
+    const far = this.#chooseRegion(request, forecast, nowMs);
+    if (!far) return undefined;
+    this.#ledger.sent(far, nowMs);
+    return {
+      type: "answer",
+      attemptId: request.attemptId,
+      answer: { type: "shift", region: far.region },
+    };
+  }
+
   #chooseRegion(
     request: SlotRequest,
     forecast: Forecast | undefined,
@@ -196,6 +202,7 @@
         traffic: this.#traffic(),
         region,
         homeMs: forecast ? forecast.waitMs + forecast.firstMs : Infinity,
+        homeWaitMs: forecast?.waitMs ?? Infinity,
         coldMs: forecast?.coldMs ?? 0,
         deadlineMs: request.deadlineMs,
         nowMs,
--- a/src/decisions/placement.ts
+++ b/src/decisions/placement.ts
@@ -21,17 +21,10 @@
 /** Upstreams drawn at random in a large pool. With the warm ones, this many come close to the best of all. */
 const SAMPLE = 16;
 /**
- * Share of a pool that may prefill long prompts at the same time when short ones come too. An engine works through
- * prompts in chunks, so a short question placed beside a manifest waits seconds for it; the rest of the pool stays open
- * to short ones. Without short ones, long prompts may use all. Engines that honour priorities need it less: at 1, the mix
- * is as fast and a flood of one workspace costs the others more.
- */
-const LONG_SHARE = 0.75;
-
-/**
- * The same for a workspace far over its share, and the part of each upstream's slots that it leaves to the others. Fair
- * order alone makes the others next in turn; they would still wait for a slot to come back and behind the prefills that
- * the burst has already started. What is kept is used by whoever is within its share.
+ * Share of a pool where a workspace far over its share may prefill long prompts at one time, and the part of each
+ * upstream's slots that it leaves to the others. Fair order alone makes the others next in turn; they would still wait
+ * for a slot to come back and behind the prefills that the burst has already started. What is kept is used by whoever is
+ * within its share.
  */
 const OVER_LONG_SHARE = 0.5;
 const OTHERS_SHARE = 0.125;
@@ -203,11 +196,10 @@
 }
 
 function longHasRoom(view: PlacementView): boolean {
-  if (view.upstreams.length < 2) return true;
-  if (!view.mixed && !view.over) return true;
+  if (!view.over || view.upstreams.length < 2) return true;
   const busy = view.upstreams.filter((u) => u.longUnstarted > 0).length;
-  const share = view.over ? OVER_LONG_SHARE : LONG_SHARE;
-  return busy < Math.max(1, Math.floor(view.upstreams.length * share));
+  const most = Math.floor(view.upstreams.length * OVER_LONG_SHARE);
+  return busy < Math.max(1, most);
 }
 
 function candidates(view: PlacementView): readonly Upstream[] {
--- a/src/decisions/shift.ts
+++ b/src/decisions/shift.ts
@@ -9,10 +9,20 @@
 
 /** A digest older than this tells nothing: the link may be cut, and a request sent over it would be lost time. */
 export const FAR_STALE_MS = 3000;
-/** Least time saved: below this the gain is within the error of the predictions, and a caller hardly feels it. */
-const LEAST_GAIN_MS = 200;
-/** Least part of the home wait saved. Small gains would send requests to and fro and cool the caches of both regions. */
-const LEAST_GAIN_SHARE = 0.25;
+/** Least time saved: below this the gain is within the error of the predictions. */
+const LEAST_GAIN_MS = 50;
+/**
+ * Least time in the home queue. A region without one has room; sending from it because one prompt is cold or one place
+ * is busy would close it to others for {@link SENT_HOLD_MS}.
+ */
+const LEAST_HOME_WAIT_MS = 100;
+/**
+ * What the operators' weights against sending add, where nothing else weighs: the part of the home wait that must be
+ * saved, and the part of the time to the deadline that a request waits at home first. Where only latency weighs, both
+ * are zero; in between they grow with the weights. Larger parts send less and keep queues longer.
+ */
+const RELUCTANT_GAIN_SHARE = 0.25;
+const RELUCTANT_WAIT_SHARE = 0.25;
 /**
  * After sending away, a region takes nothing in for this long, or two regions would swap load: each would see the
  * other's queue fall by what it sent.
@@ -32,6 +42,8 @@
   readonly sentFrom: string | undefined;
   /** Predicted time to the first token at home; `Infinity` if no upstream can take it. */
   readonly homeMs: number;
+  /** Part of it spent in the queue. */
+  readonly homeWaitMs: number;
   /** Time to prefill the whole prompt, nothing being warm. */
   readonly coldMs: number;
   readonly deadlineMs: number;
@@ -94,7 +106,7 @@
  * Sends allowed to one region on one digest. A digest is a second or so old when the next comes; without a bound every
  * lead would send all its overflow to the region that looked idle, and drown it before it can say so.
  */
-const SENDS_PER_DIGEST = 8;
+const SENDS_PER_DIGEST = 16;
 
 /** The region to send the request to, if any. */
 export function chooseRegion(
@@ -149,17 +161,16 @@
   const slackMs = view.deadlineMs - view.nowMs;
   if (farWaitMs > slackMs) return false;
   if (!Number.isFinite(view.homeMs)) return true;
-  const gainMs = view.homeMs - farWaitMs;
-  const leastMs = Math.max(LEAST_GAIN_MS, view.homeMs * LEAST_GAIN_SHARE);
-  if (!(gainMs > leastMs)) return false;
-  return view.homeMs > tolerance(view.service) * slackMs;
+  if (view.homeWaitMs < LEAST_HOME_WAIT_MS) return false;
+  const against = reluctance(view.service);
+  const gainShare = against * RELUCTANT_GAIN_SHARE;
+  const leastMs = Math.max(LEAST_GAIN_MS, view.homeMs * gainShare);
+  if (view.homeMs - farWaitMs <= leastMs) return false;
+  return view.homeMs > against * RELUCTANT_WAIT_SHARE * slackMs;
 }
 
-/**
- * Part of the time to the deadline that a request waits at home before it may leave: 0 where only latency weighs, near 1
- * where cost and the share sent away weigh most, so that such a service sends only what it would else refuse.
- */
-export function tolerance(service: ServiceRow | undefined): number {
+/** How much the service's operators weigh cost and share sent away against latency, 0 to 1. */
+export function reluctance(service: ServiceRow | undefined): number {
   const { latencyWeight = 1, costWeight = 0, awayWeight = 0 } =
     service?.objective ?? {};
   const against = costWeight + awayWeight;
