--- a/src/decisions/lanes.ts
+++ b/src/decisions/lanes.ts
@@ -26,6 +26,7 @@
 
 /** The two lanes. */
 export type LaneName = "short" | "long";
+/** Both lanes, the one that is served first at the front. */
 export const LANES: readonly LaneName[] = ["short", "long"];
 
 /** A queued request. */
