--- /dev/null
+++ b/bench/path_load.ts
@@ -0,0 +1,167 @@
+/**
+ * The callers of the path bench: a number of streams in a closed loop, counted with as little work as can be.
+ *
+ * @module
+ */
+
+import { Agent, type IncomingMessage, request } from "node:http";
+import { build, type Histogram } from "hdr-histogram-js";
+
+/** What to load, and how. */
+export interface Load {
+  /** Base URLs, taken in turn. */
+  readonly urls: readonly string[];
+  readonly key: string;
+  readonly model: string;
+  readonly streams: number;
+  /** Tokens of each answer. */
+  readonly tokens: number;
+  /** Time in which the streams start, one after the other, so that their ends are spread too. */
+  readonly rampMs: number;
+  /** How long is counted, once all streams have started and the code is warm. */
+  readonly spanMs: number;
+  /** Called when the counting begins. */
+  readonly onCount?: () => void;
+}
+
+/** What the callers saw. */
+export interface Loaded {
+  /** Time from the call to the first event, in microseconds. */
+  readonly firstUs: Histogram;
+  readonly tokensPerS: number;
+  readonly requests: number;
+  readonly failed: number;
+}
+
+const END = Buffer.from("\n\n");
+const DONE = "data: [DONE]\n\n";
+/** An answer's last events, which are no tokens: its end and `[DONE]`. */
+const EXTRA_EVENTS = 2;
+const WARM_UP_MS = 2000;
+
+/** Calls until an answer is whole: a gateway that has just started may refuse at first. */
+export async function untilServed(load: Load): Promise<void> {
+  const callers = new Callers(load);
+  while (!await callers.tryOnce()) await sleep(100);
+}
+
+/** Runs the load once. */
+export async function runLoad(load: Load): Promise<Loaded> {
+  const callers = new Callers(load);
+  return await callers.run();
+}
+
+class Callers {
+  readonly #load: Load;
+  readonly #agent = new Agent({ keepAlive: true, maxSockets: Infinity });
+  readonly #firstUs = build({
+    lowestDiscernibleValue: 1,
+    highestTrackableValue: 60_000_000,
+    numberOfSignificantValueDigits: 3,
+  });
+  #counting = false;
+  #stopped = false;
+  #events = 0;
+  #requests = 0;
+  #failed = 0;
+  #calls = 0;
+
+  constructor(load: Load) {
+    this.#load = load;
+  }
+
+  async run(): Promise<Loaded> {
+    const { streams, rampMs, spanMs, onCount } = this.#load;
+    const loops = Array.from(
+      { length: streams },
+      (_, n) => this.#loop(n * rampMs / streams),
+    );
+    await sleep(rampMs + WARM_UP_MS);
+    this.#counting = true;
+    onCount?.();
+    const startMs = performance.now();
+    await sleep(spanMs);
+    this.#counting = false;
+    const countedS = (performance.now() - startMs) / 1000;
+    this.#stopped = true;
+    await Promise.all(loops);
+    this.#agent.destroy();
+    return {
+      firstUs: this.#firstUs,
+      tokensPerS: this.#events / countedS,
+      requests: this.#requests,
+      failed: this.#failed,
+    };
+  }
+
+  async tryOnce(): Promise<boolean> {
+    return await this.#call().catch(() => false);
+  }
+
+  async #loop(afterMs: number): Promise<void> {
+    await sleep(afterMs);
+    while (!this.#stopped) {
+      const whole = await this.#call().catch(() => false);
+      if (this.#counting) this.#requests++;
+      if (!whole) this.#failed++;
+    }
+  }
+
+  /** One call; whether its answer was whole. */
+  #call(): Promise<boolean> {
+    const { urls, key, model, tokens } = this.#load;
+    const url = urls[this.#calls++ % urls.length];
+    const startMs = performance.now();
+    const counted = this.#counting;
+    const call = request(`${url}/v1/chat/completions`, {
+      method: "POST",
+      agent: this.#agent,
+      headers: {
+        "content-type": "application/json",
+        authorization: `Bearer ${key}`,
+      },
+    });
+    const content = `nonce:n${this.#calls}`;
+    const messages = [{ role: "user", content }];
+    const body = { model, messages, max_tokens: tokens, stream: true };
+    return new Promise((resolve, reject) => {
+      call.on("error", reject);
+      call.on("response", (answer) => {
+        answer.once("data", () => {
+          if (!counted) return;
+          this.#firstUs.recordValue((performance.now() - startMs) * 1000);
+        });
+        resolve(this.#read(answer));
+      });
+      call.end(JSON.stringify(body));
+    });
+  }
+
+  async #read(answer: IncomingMessage): Promise<boolean> {
+    let events = 0;
+    let last = "";
+    for await (const chunk of answer as AsyncIterable<Buffer>) {
+      const found = countEvents(chunk);
+      events += found;
+      if (this.#counting) this.#events += found;
+      last = (last + chunk.toString("latin1", chunk.length - DONE.length))
+        .slice(-DONE.length);
+    }
+    return last === DONE && events === this.#load.tokens + EXTRA_EVENTS;
+  }
+}
+
+/** Ends of events in a chunk; one that is parted between two chunks is missed, at most one a chunk. */
+function countEvents(chunk: Buffer): number {
+  let count = 0;
+  for (
+    let at = chunk.indexOf(END);
+    at >= 0;
+    at = chunk.indexOf(END, at + END.length)
+  ) count++;
+  return count;
+}
+
+function sleep(waitMs: number): Promise<void> {
+  return new Promise((resolve) => setTimeout(resolve, waitMs));
+}
