--- a/bench/path.ts
+++ b/bench/path.ts
@@ -2,7 +2,8 @@
  * What the gateway adds to the path of a stream: the same callers and engines, directly, through a bare `node:http`
  * pipe, and through one daemon, one after the other in the same run.
  *
- * `npm run bench -- path [--json] [--streams 1,64,1024]`
+ * `npm run bench -- path [--json] [--streams 1,64,1024] [--mode paced|flat]`; with `PATH_PROFILE=DIR` the pipe's and
+ * the daemon's processor profiles are written to `DIR`.
  *
  * - `paced`: engines generate at a steady rate that all three carry: first-token time, memory, event-loop delay.
  * - `flat out`: engines offer more than one process can carry: tokens per second.
@@ -55,7 +56,9 @@
   const at = args.indexOf("--streams");
   const sizes = at < 0 ? [1, 64, 1024] : args[at + 1].split(",").map(Number);
   const rows: Row[] = [];
-  for (const mode of modes) {
+  const modeAt = args.indexOf("--mode");
+  const only = modeAt < 0 ? "" : args[modeAt + 1];
+  for (const mode of modes.filter(({ name }) => name.startsWith(only))) {
     for (const streams of sizes) {
       rows.push(...await measureCase(mode, streams));
     }
--- a/bench/path_probe.ts
+++ b/bench/path_probe.ts
@@ -1,10 +1,13 @@
 /**
  * Loaded into a measured process by `--import`: on SIGUSR2 it prints what the process used since the last time, as one
- * line `probe {...}`, so that every process is measured by the same instrument.
+ * line `probe {...}`, so that every process is measured by the same instrument. With `PATH_PROFILE=DIR` it also writes
+ * a processor profile of the time between the second and the third signal.
  *
  * @module
  */
 
+import { writeFileSync } from "node:fs";
+import { Session } from "node:inspector";
 import { monitorEventLoopDelay } from "node:perf_hooks";
 
 const RESOLUTION_MS = 1;
@@ -13,6 +16,22 @@
 let cpu = process.cpuUsage();
 let number = 0;
 
+const profileDir = process.env.PATH_PROFILE;
+const session = new Session();
+if (profileDir) session.connect();
+
+function profile(): void {
+  if (number === 2) {
+    session.post("Profiler.enable");
+    session.post("Profiler.start");
+  }
+  if (number !== 3) return;
+  session.post("Profiler.stop", (_error, { profile }) => {
+    const path = `${profileDir}/${process.pid}.cpuprofile`;
+    writeFileSync(path, JSON.stringify(profile));
+  });
+}
+
 process.on("SIGUSR2", () => {
   const used = process.cpuUsage(cpu);
   cpu = process.cpuUsage();
@@ -24,5 +43,6 @@
     cpuMs: (used.user + used.system) / 1000,
   };
   delay.reset();
+  if (profileDir) profile();
   console.log(`probe ${JSON.stringify(probe)}`);
 });
