--- a/src/services/mod.ts
+++ b/src/services/mod.ts
@@ -16,3 +16,4 @@
 export * from "./table_in_force.ts";
 export * from "./table_routes.ts";
 export * from "./fencing.ts";
+export * from "./directory.ts";
