--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -7,7 +7,9 @@
 import type { Logger } from "winston";
 import {
   EtcdKeyValue,
+  HttpCallerDirectory,
   HttpVmList,
+  HttpWeightStore,
   type KeyValue,
   LinkFaults,
   readEngineLoad,
@@ -24,6 +26,7 @@
   LoadSource,
   MembersService,
   MetricsService,
+  PublisherService,
   SlotsService,
   TableEditor,
   tableRoutes,
@@ -191,6 +194,24 @@
   });
 }
 
+/** Weights and directory go to the platform where the settings say where. */
+async function startPublisher(parts: Parts, random: Random): Promise<void> {
+  const { vm, platform } = parts.settings;
+  const at = (url: string) => ({ urls: [url], vmId: vm.id });
+  const { weightsUrl, directoryUrl } = platform;
+  if (!weightsUrl && !directoryUrl) return;
+  await parts.kernel.start(
+    new PublisherService({
+      vm,
+      weights: weightsUrl ? new HttpWeightStore(at(weightsUrl)) : undefined,
+      directory: directoryUrl
+        ? new HttpCallerDirectory(at(directoryUrl))
+        : undefined,
+      random,
+    }),
+  );
+}
+
 /** The order is that of their needs: each finds what it asks for already started. */
 async function startServices(parts: Parts, stop: () => void): Promise<void> {
   const { settings, kernel, store, transport, incarnation } = parts;
@@ -218,6 +239,7 @@
     clock: kernel.clock,
     random,
   });
+  await startPublisher(parts, random);
   const loadSource = new EngineLoads(kernel.clock);
   await kernel.start(
     new SlotsService({ vmId: vm.id, region: vm.region, transport, loadSource }),
--- a/src/services/mod.ts
+++ b/src/services/mod.ts
@@ -17,3 +17,4 @@
 export * from "./table_routes.ts";
 export * from "./fencing.ts";
 export * from "./directory.ts";
+export * from "./publisher.ts";
