--- a/src/services/table_service_test.ts
+++ b/src/services/table_service_test.ts
@@ -117,6 +117,24 @@
     t.deepEqual(history._unsafeUnwrap().map((it) => it.version), [3, 2, 1]);
   });
 
+  // The store holds a write back for longer than the VM waits. The VM reads back, finds nothing, and writes the same
+  // record again, which is accepted. The first write arrives after that and must not take effect a second time.
+  it("makes one edit of a write that arrives after its repeat", async (t) => {
+    const { platform, vms } = await fleet(t);
+    platform.faults.set([{ vm: `^${vms[0].id}$`, slowMs: 1500 }]);
+    const edit = vms[0].put(regionRowOf("agadir", 3));
+    await until("the write is under way", () => platform.counts.writes >= 2);
+    platform.faults.clear();
+    t.is((await edit)._unsafeUnwrap().version, 2);
+    const next = await vms[1].put(regionRowOf("agadir", 4));
+    t.is(next._unsafeUnwrap().version, 3);
+    const { rev } = platform.store;
+    await new Promise((resolve) => setTimeout(resolve, 1000));
+    t.is(platform.store.rev, rev);
+    await inForce(vms, 3);
+    for (const vm of vms) t.is(weightOf(vm, "agadir"), 4);
+  });
+
   // The store goes away, an operator edits, a VM crashes, another starts. Callers see no change: every VM serves on
   // version 1, the new one takes it from a peer. The operator is told that nothing was changed. The store returns, and
   // edits go on.
