--- a/bench/control_table.ts
+++ b/bench/control_table.ts
@@ -38,6 +38,7 @@
 /** Enough to include the merges of the layers of a table. */
 const MEASURED_EDITS = 1024;
 const OUTAGE_MS = 5000;
+const FAULT_EDITS = 10;
 
 /** Runs all parts. */
 export async function run(args: readonly string[]): Promise<Row[]> {
@@ -70,6 +71,11 @@
     const busy = await measureEdits(platform, vms, edits);
     const race = await measureRace(platform, vms);
     const back = await measureReturn(platform, vms);
+    const cutMs = await measureCutRegion(platform, vms);
+    const crashMs = [
+      await measureCrash(vms, REGIONS[2]),
+      await measureCrash(vms, REGIONS[1]),
+    ];
     return [
       row("edit accepted p50", percentile(busy.acceptedMs, 0.5), "ms"),
       row("edit accepted p99", percentile(busy.acceptedMs, 0.99), "ms"),
@@ -90,6 +96,13 @@
       row("race: store writes per edit", race.writesPerEdit, "calls"),
       row("race: refused", race.refused, "edits"),
       row("store back: edit to in force", back.inForceMs, "ms"),
+      row("region cut from store: in force p50", percentile(cutMs, 0.5), "ms"),
+      row("region cut from store: in force max", percentile(cutMs, 1), "ms"),
+      row(
+        "watchers of a region crash: in force max of 2",
+        Math.max(...crashMs),
+        "ms",
+      ),
       row("store back: most calls in 100 ms", back.mostCalls, "calls"),
     ];
   } finally {
@@ -193,6 +206,41 @@
   return { inForceMs, mostCalls };
 }
 
+/** One region cannot reach the store; edits are made in the others. */
+async function measureCutRegion(platform: Platform, vms: readonly TableVm[]) {
+  platform.faults.set([{ vm: `^${REGIONS[2]}-`, outage: "cut" }]);
+  await sleep(OUTAGE_MS);
+  const inForceMs: number[] = [];
+  for (let i = 0; i < FAULT_EDITS; i++) {
+    inForceMs.push(await timeEdit(vms[0], vms, 100 + i));
+    await sleep(100 * i);
+  }
+  platform.faults.clear();
+  await sleep(OUTAGE_MS);
+  return inForceMs;
+}
+
+/** Both watchers of a region crash, and an edit is made at once. */
+async function measureCrash(vms: readonly TableVm[], region: string) {
+  const live = vms.filter((vm) => !vm.closed);
+  const lost = live.filter((vm) => vm.region === region && vm.dump().watching);
+  await Promise.all(lost.map((vm) => vm.crash()));
+  const rest = live.filter((vm) => !lost.includes(vm));
+  return await timeEdit(vms[0], rest, Math.round(performance.now()));
+}
+
+async function timeEdit(
+  editor: TableVm,
+  vms: readonly TableVm[],
+  weight: number,
+): Promise<number> {
+  const startMs = performance.now();
+  const edit = await editor.put(regionRowOf(REGIONS[0], weight));
+  const { version } = edit._unsafeUnwrap();
+  while (!vms.every((vm) => vm.version >= version)) await sleep(1);
+  return performance.now() - startMs;
+}
+
 function tableBytes(vms: readonly TableVm[]): number {
   return vms.reduce((sum, vm) => {
     const table = vm.transport.bytesBySubject().table;
--- a/src/agreement/table_editor.ts
+++ b/src/agreement/table_editor.ts
@@ -56,6 +56,8 @@
   }
   | { readonly type: "invalid"; readonly faults: readonly RowFault[] }
   | { readonly type: "tooLarge" }
+  /** The proposal's id is that of another edit, which made this version. */
+  | { readonly type: "reusedId"; readonly version: number }
   /** Nothing to change: every row stands as wanted. */
   | { readonly type: "unchanged"; readonly version: number }
   /** The store's log is older than what is in force, or another's; `maybeAccepted`: a write's answer was lost. */
@@ -95,7 +97,7 @@
   ): EditStep {
     const { table } = log;
     const accepted = log.versionOf(this.proposal.id);
-    if (accepted !== undefined) return { type: "accepted", version: accepted };
+    if (accepted !== undefined) return this.#found(log, accepted);
     const relation = log.seeHead(seen.head, seen.readAtVersion);
     if (relation === "ahead" || relation === "stale") {
       return { type: "catchUp" };
@@ -141,6 +143,15 @@
     return this.#propose(log, seen, nowMs);
   }
 
+  /** An edit of this id is in the log: this one, sent again, or another's that must not pass for it. */
+  #found(log: TableLog, version: number): EditStep {
+    const stands = log.since(version - 1)?.[0];
+    const ours = new Set(this.proposal.changes.map((it) => canonical(it)));
+    const same = !stands ||
+      stands.changes.every((it) => ours.has(canonical(it)));
+    return { type: same ? "accepted" : "reusedId", version };
+  }
+
   #propose(log: TableLog, seen: SeenHead, nowMs: number): EditStep {
     const { table, lastId } = log;
     const conflicts = this.findConflicts(table);
--- a/src/services/table_editor.ts
+++ b/src/services/table_editor.ts
@@ -9,27 +9,25 @@
 import type { StoreError } from "../adapters/mod.ts";
 import {
   checkChanges,
-  describeFault,
   diffRows,
   EditAttempt,
   type EditStep,
   type LoggedEdit,
   type Proposal,
   type RowChange,
-  type RowConflict,
   type RowFault,
   rowKey,
   splitChanges,
   Table,
   type TableRow,
 } from "../agreement/mod.ts";
+import { backoffMs, type Clock, failure, type Random } from "../base/mod.ts";
 import {
-  backoffMs,
-  type Clock,
-  type Failure,
-  failure,
-  type Random,
-} from "../base/mod.ts";
+  type EditRefused,
+  invalid,
+  refusalOf,
+  storeAway,
+} from "./table_refusals.ts";
 import type { TableService } from "./table_service.ts";
 import type { StoreHead } from "./table_store.ts";
 
@@ -40,15 +38,6 @@
   readonly changed: boolean;
 }
 
-/** A refused edit, with what its author must look at. */
-export interface EditRefused {
-  readonly failure: Failure;
-  readonly conflicts?: readonly RowConflict[];
-  readonly faults?: readonly RowFault[];
-  /** For an apply in parts: the version that the parts before made. */
-  readonly acceptedVersion?: number;
-}
-
 /** A whole table to be put in force. */
 export interface ApplyRequest {
   readonly rows: readonly TableRow[];
@@ -222,31 +211,14 @@
     step: EditStep,
     attempt: EditAttempt,
   ): Result<EditAccepted, EditRefused> | undefined {
-    switch (step.type) {
-      case "write":
-      case "catchUp":
-        return undefined;
-      case "accepted":
-        return ok({ version: step.version, changed: true });
-      case "unchanged":
-        return ok({ version: step.version, changed: false });
-      case "conflict":
-        return err(conflict(step.conflicts));
-      case "invalid":
-        return err(invalid(step.faults));
-      case "tooLarge":
-        return err({
-          failure: failure("invalidEdit", {
-            message: "the edit is too large; split it, or use apply",
-          }),
-        });
-      case "regressed": {
-        const ran = step.maybeAccepted ? "unknown" : "no";
-        return err({ failure: failure("storeRegressed", { ran }) });
-      }
-      case "unknown":
-        return err(storeAway(undefined, attempt.unsettled));
+    if (step.type === "accepted") {
+      return ok({ version: step.version, changed: true });
     }
+    if (step.type === "unchanged") {
+      return ok({ version: step.version, changed: false });
+    }
+    const refused = refusalOf(step, attempt.unsettled);
+    return refused && err(refused);
   }
 
   #snapshotIfDue(step: Extract<EditStep, { type: "write" }>): void {
@@ -299,31 +271,3 @@
     return ok({ version, changed: true });
   }
 }
-
-function storeAway(
-  error: StoreError | undefined,
-  unsettled: boolean,
-): EditRefused {
-  const ran = unsettled ? "unknown" : "no";
-  const message = error
-    ? `the platform's store cannot be reached: ${error.message}`
-    : "the edit was not settled before its deadline";
-  return { failure: failure("storeUnavailable", { ran, message }) };
-}
-
-function conflict(conflicts: readonly RowConflict[]): EditRefused {
-  const said = conflicts.map(({ key, ifVersion, current }) =>
-    `${key} was to be at version ${ifVersion} and is ${
-      current ? `at ${current.version}` : "deleted"
-    }`
-  );
-  return {
-    failure: failure("editConflict", { message: said.join("; ") }),
-    conflicts,
-  };
-}
-
-function invalid(faults: readonly RowFault[]): EditRefused {
-  const message = faults.map(describeFault).join("; ");
-  return { failure: failure("invalidEdit", { message }), faults };
-}
--- a/src/services/table_fleet.ts
+++ b/src/services/table_fleet.ts
@@ -57,13 +57,16 @@
     return watchers.length === 0 || watchers.includes(this.#vm.id);
   }
 
-  /** A VM from which to take a version newer than `version`, if one is known. */
-  async ahead(version: number): Promise<readonly VmInfo[]> {
-    const newer = (vm: VmInfo) => vm.tableVersion > version;
-    const near = (await this.region()).filter(newer);
-    // Between regions only watchers pull, so that links carry an edit once or twice, not once for each VM.
-    if (near.length > 0 || !await this.isWatcher()) return near;
-    return [...(await this.others()).values()].flat().filter(newer);
+  /** VMs of this region that are known to have a version newer than `version` in force. */
+  async ahead(version: number): Promise<VmInfo[]> {
+    return (await this.region()).filter((vm) => vm.tableVersion > version);
+  }
+
+  /** VMs of other regions, those known to be ahead of `version` if there are any. */
+  async far(version: number): Promise<VmInfo[]> {
+    const far = [...(await this.others()).values()].flat();
+    const ahead = far.filter((vm) => vm.tableVersion > version);
+    return ahead.length > 0 ? ahead : far;
   }
 
   get #members(): Port<MembersMessages> | undefined {
--- a/src/services/table_peers.ts
+++ b/src/services/table_peers.ts
@@ -25,6 +25,7 @@
 /** Versions remembered as passed on, so that a push never runs in a circle while VMs disagree on who is there. */
 const PASSED_REMEMBERED = 64;
 const PULL_TIMEOUT_MS = 2000;
+const PUSH_TIMEOUT_MS = 300;
 /** Images kept for VMs that are in the middle of pulling them. */
 const IMAGES_KEPT = 2;
 
@@ -75,6 +76,16 @@
   readonly onPush: (edits: readonly LoggedEdit[]) => void;
 }
 
+/** One push on its way through a region. */
+interface PushTree {
+  readonly version: number;
+  readonly root: string;
+  readonly ids: readonly string[];
+  /** `host:port` by id. */
+  readonly addresses: ReadonlyMap<string, string>;
+  readonly message: unknown;
+}
+
 /** The table's messages to and from other VMs. */
 export class TablePeers {
   readonly #options: TablePeersOptions;
@@ -131,11 +142,12 @@
     return answer.isOk() ? pullAnswer.parse(answer.value) : undefined;
   }
 
-  #onPush(params: unknown): void {
+  #onPush(params: unknown): Record<string, never> {
     const { edits, root, hops } = pushMessage.parse(params);
     const parsed = edits.map(parseEdit);
     this.#options.onPush(parsed);
     if (hops < MAX_HOPS) void this.#pass(parsed, root, hops);
+    return {};
   }
 
   async #pass(
@@ -147,15 +159,38 @@
     if (version === undefined || this.#passed.has(version)) return;
     this.#remember(version);
     const vms = await this.#options.region();
-    const ids = vms.map((vm) => vm.id);
-    const { vmId, transport } = this.#options;
-    const targets = new Set(pushTargets(version, root, vmId, ids));
-    const message = { edits, root, hops: hops + 1 };
-    for (const vm of vms) {
-      if (!targets.has(vm.id)) continue;
-      this.#pushes++;
-      transport.notify(vm.peerAddress, "table.push", message);
-    }
+    const tree: PushTree = {
+      version,
+      root,
+      ids: vms.map((vm) => vm.id),
+      addresses: new Map(vms.map((vm) => [vm.id, vm.peerAddress])),
+      message: { edits, root, hops: hops + 1 },
+    };
+    await this.#sendToChildren(tree, this.#options.vmId);
+  }
+
+  async #sendToChildren(tree: PushTree, parent: string): Promise<void> {
+    const children = pushTargets(tree.version, tree.root, parent, tree.ids);
+    await Promise.all(children.map((child) => this.#send(tree, child)));
+  }
+
+  /**
+   * A child that is dead or frozen and not yet found so would leave all VMs below it without the edit until a
+   * heartbeat tells them, a second or two later. Its children get the push from here instead.
+   */
+  async #send(tree: PushTree, child: string): Promise<void> {
+    const { transport, nowMs } = this.#options;
+    const address = tree.addresses.get(child)!;
+    const deadlineMs = nowMs() + PUSH_TIMEOUT_MS;
+    this.#pushes++;
+    const { message } = tree;
+    const sent = await transport.call(
+      address,
+      "table.push",
+      message,
+      deadlineMs,
+    );
+    if (sent.isErr()) await this.#sendToChildren(tree, child);
   }
 
   #remember(version: number): void {
--- a/src/services/table_routes.ts
+++ b/src/services/table_routes.ts
@@ -10,7 +10,8 @@
 import { z } from "zod";
 import { rowKey, tableRow } from "../agreement/mod.ts";
 import { type Clock, codes, type Failure, failure } from "../base/mod.ts";
-import type { EditRefused, TableEditor } from "./table_editor.ts";
+import type { TableEditor } from "./table_editor.ts";
+import type { EditRefused } from "./table_refusals.ts";
 import type { TableService } from "./table_service.ts";
 
 /** Largest body: about 20,000 rows. */
--- a/src/services/table_service.ts
+++ b/src/services/table_service.ts
@@ -41,6 +41,8 @@
   hearMs: 1000,
 };
 
+/** VMs of a region, on average, that ask another region at each look. */
+const FAR_ASKS = 1;
 /** Between two tries while the service starts. */
 const START_STEP_MS = 100;
 /** Peers that a starting VM asks for their version. */
@@ -144,14 +146,18 @@
     return this.#sync.sync();
   }
 
-  /** Edits were put in force here: wakes who waits for them, and pushes them if that is this VM's part. */
-  async noteApplied(edits: readonly LoggedEdit[]): Promise<void> {
+  /** Edits were put in force here: wakes who waits for them, and pushes them if `spread` or that is this VM's part. */
+  async noteApplied(
+    edits: readonly LoggedEdit[],
+    spread = false,
+  ): Promise<void> {
     this.#counters.editsApplied += edits.length;
     this.#onNewVersion();
     const last = edits.at(-1);
     if (!last || !this.#peers) return;
     const root = pushRoot(last.version, await this.#fleet.watchers());
-    if (root === this.#options.vm.id) await this.#peers.push(edits);
+    // Not waited for: a child that does not answer must not hold up the operator's answer.
+    if (spread || root === this.#options.vm.id) void this.#peers.push(edits);
   }
 
   /** Which VMs have which version in force, by region. */
@@ -220,10 +226,12 @@
     }
   }
 
-  #offer(edits: readonly LoggedEdit[]): void {
+  #offer(edits: readonly LoggedEdit[], spread = false): void {
     const outcome = this.log.offer(edits);
     this.#sync.noteAlarm();
-    if (outcome.applied.length > 0) void this.noteApplied(outcome.applied);
+    if (outcome.applied.length > 0) {
+      void this.noteApplied(outcome.applied, spread);
+    }
     // A watcher reads what is missing from the store; others find themselves behind at the next heartbeat.
     if (outcome.gap) this.#sync.lookSoon();
   }
@@ -231,9 +239,26 @@
   /** Takes what a peer has in force and this VM has not: a missed push, or a store that is away. */
   async #pullIfBehind(): Promise<void> {
     if (!this.#peers) return;
-    const ahead = await this.#fleet.ahead(this.log.table.version);
-    if (ahead.length === 0) return;
-    await this.#pullFrom(this.#options.random.pick(ahead));
+    const { version } = this.log.table;
+    const near = await this.#fleet.ahead(version);
+    const peers = near.length > 0
+      ? near
+      : await this.#asksFar()
+      ? await this.#fleet.far(version)
+      : [];
+    if (peers.length === 0) return;
+    await this.#pullFrom(this.#options.random.pick(peers));
+  }
+
+  /**
+   * Whether to ask another region now. A watcher without the store does at each look. Beside that a few VMs of the
+   * region do, drawn anew each time: with both watchers lost, or their store silent, the region would hear of an edit
+   * only after they are found dead, later than the three seconds in which it is to be in force.
+   */
+  async #asksFar(): Promise<boolean> {
+    if (!this.#sync.reached && await this.#fleet.isWatcher()) return true;
+    const { length } = await this.#fleet.region();
+    return this.#options.random.next() * Math.max(1, length) < FAR_ASKS;
   }
 
   /** Takes what a peer has and this VM has not; answers whether the peer has a table. */
@@ -242,7 +267,8 @@
     const pulled = await this.#peers!.pull(peer.peerAddress);
     if (!pulled) return false;
     if (pulled.type === "edits") {
-      this.#offer(pulled.edits);
+      // What comes from afar is new to the whole region.
+      this.#offer(pulled.edits, peer.region !== this.#options.vm.region);
       return pulled.peerVersion > 0;
     }
     if (this.log.load(pulled.image)) {
--- a/src/services/table_store_test.ts
+++ b/src/services/table_store_test.ts
@@ -134,6 +134,20 @@
     t.is(service.log.table.size, 4000);
   });
 
+  it("are accepted once under one id, which no other edit may use", async (t) => {
+    const { editor, service } = await openVm(t);
+    const submit = (weight: number) => {
+      const changes = [put("r1", weight)];
+      const proposal = { id: "the-id", author: "me", changes };
+      return editor.submit(proposal, clock.nowMs() + 5000);
+    };
+    t.is((await submit(2))._unsafeUnwrap().version, 1);
+    t.is((await submit(2))._unsafeUnwrap().version, 1);
+    const other = (await submit(3))._unsafeUnwrapErr();
+    t.is(other.failure.code, "invalidEdit");
+    t.is(service.log.table.version, 1);
+  });
+
   it("cost one store write each when no one else edits", async (t) => {
     const { edit, store } = await openVm(t);
     await edit([put("r1", 1)]);
--- a/test/table_vms.ts
+++ b/test/table_vms.ts
@@ -93,6 +93,11 @@
     return vm;
   }
 
+  /** Whether it has crashed. */
+  get closed(): boolean {
+    return !this.#open;
+  }
+
   /** The version in force here; 0 for none. */
   get version(): number {
     return this.table.table?.version ?? 0;
