--- a/bench/control_table.ts
+++ b/bench/control_table.ts
@@ -68,6 +68,7 @@
     await vms[0].put(...REGIONS.map((id) => regionRowOf(id)));
     await settle(platform, vms);
     const idle = await measureIdle(platform);
+    const watches = platform.store.watchCount / REGIONS.length;
     const busy = await measureEdits(platform, vms, edits);
     const race = await measureRace(platform, vms);
     const back = await measureReturn(platform, vms);
@@ -85,11 +86,7 @@
       row("store writes per edit", busy.writes / edits, "calls"),
       row("store reads per edit", busy.reads / edits, "calls"),
       row("store calls idle", idle, "calls/s"),
-      row(
-        "watches per region",
-        platform.store.watchCount / REGIONS.length,
-        "watches",
-      ),
+      row("watches per region", watches, "watches"),
       row("bytes per edit and VM", busy.bytes / edits / count, "B"),
       row("pulls", busy.pulls, "calls"),
       row("race: accepted", race.perS, "edits/s"),
