--- a/src/cli/ibisgap.ts
+++ b/src/cli/ibisgap.ts
@@ -7,6 +7,7 @@
 
 import { defineCommand, runMain } from "citty";
 import { check } from "./check.ts";
+import { replayCommand } from "./replay.ts";
 import { table } from "./table.ts";
 import { drain, dump, metrics, status } from "./vm.ts";
 
@@ -16,7 +17,15 @@
     version: "0.1.0",
     description: "Operate an ibisgap gateway",
   },
-  subCommands: { table, status, dump, metrics, drain, check },
+  subCommands: {
+    status,
+    table,
+    dump,
+    metrics,
+    drain,
+    check,
+    replay: replayCommand,
+  },
 });
 
 await runMain(main);
--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -7,7 +7,10 @@
 import type { Logger } from "winston";
 import {
   EtcdKeyValue,
+  HttpCallerDirectory,
+  HttpUpstreamClient,
   HttpVmList,
+  HttpWeightStore,
   type KeyValue,
   LinkFaults,
   readEngineLoad,
@@ -21,9 +24,14 @@
 import { Kernel, openLog } from "../kernel/mod.ts";
 import {
   ClaimsService,
+  type DirectoryOptions,
+  DirectoryService,
+  type FencingMessages,
+  FencingService,
   LoadSource,
   MembersService,
   MetricsService,
+  type OrderSink,
   SlotsService,
   TableEditor,
   tableRoutes,
@@ -121,6 +129,8 @@
   readonly callerUrl: string;
   readonly peerAddress: string;
   readonly incarnation: number;
+  /** For orders; calls go through the edge's own. */
+  readonly upstreams: HttpUpstreamClient;
   readonly linkFaults: LinkFaults;
 }
 
@@ -147,6 +157,7 @@
   const vmList = listUrl
     ? new HttpVmList({ urls: [listUrl], vmId: vm.id })
     : undefined;
+  const upstreams = new HttpUpstreamClient();
   const incarnation = Math.floor(kernel.clock.nowMs());
   const parts = {
     settings,
@@ -158,9 +169,10 @@
     callerUrl,
     peerAddress,
     incarnation,
+    upstreams,
     linkFaults,
   };
-  const owned = [transport, store, ...(vmList ? [vmList] : [])];
+  const owned = [transport, store, upstreams, ...(vmList ? [vmList] : [])];
   const daemon = new Daemon({
     kernel,
     url: callerUrl,
@@ -191,6 +203,49 @@
   });
 }
 
+/** The platform's services that this region tells its weights and entry VMs, where the settings name them. */
+function publishers(
+  settings: Settings,
+): Pick<DirectoryOptions, "weightStore" | "callerDirectory"> {
+  const { weightsUrl, directoryUrl } = settings.platform;
+  const vmId = settings.vm.id;
+  return {
+    ...(weightsUrl
+      ? { weightStore: new HttpWeightStore({ urls: [weightsUrl], vmId }) }
+      : {}),
+    ...(directoryUrl
+      ? {
+        callerDirectory: new HttpCallerDirectory({
+          urls: [directoryUrl],
+          vmId,
+        }),
+      }
+      : {}),
+  };
+}
+
+/** An order that cannot be sent is dropped: it states a wanted end, and the lead gives it again while it is wanted. */
+const ORDER_MS = 5000;
+
+/** Carries leads' orders to engines under fencing numbers. Plain services take none. */
+function orderSink(kernel: Kernel): OrderSink {
+  return (pool, { upstreamId, want }) => {
+    const upstream = pool.upstreams.find((row) => row.id === upstreamId);
+    if (!upstream) return;
+    const deadlineMs = kernel.clock.nowMs() + ORDER_MS;
+    const fencing = kernel.get<FencingMessages>("fencing");
+    void fencing.ask("order", { upstream, order: { want }, deadlineMs }).then((
+      sent,
+    ) =>
+      kernel.log.info("order", {
+        upstream: upstreamId,
+        want,
+        outcome: sent.isOk() ? "sent" : sent.error.code,
+      })
+    );
+  };
+}
+
 /** The order is that of their needs: each finds what it asks for already started. */
 async function startServices(parts: Parts, stop: () => void): Promise<void> {
   const { settings, kernel, store, transport, incarnation } = parts;
@@ -218,13 +273,22 @@
     clock: kernel.clock,
     random,
   });
-  const loadSource = new EngineLoads(kernel.clock);
+  const me = { id: vm.id, incarnation };
   await kernel.start(
-    new SlotsService({ vmId: vm.id, region: vm.region, transport, loadSource }),
+    new FencingService({ me, store, upstreams: parts.upstreams }),
+  );
+  await kernel.start(
+    new SlotsService({
+      vmId: vm.id,
+      region: vm.region,
+      transport,
+      loadSource: new EngineLoads(kernel.clock),
+      onOrder: orderSink(kernel),
+    }),
   );
   await kernel.start(
     new ClaimsService({
-      me: { id: vm.id, incarnation },
+      me,
       region: vm.region,
       store,
       transport,
@@ -232,6 +296,13 @@
       table: kernel.get("table"),
     }),
   );
+  await kernel.start(
+    new DirectoryService({
+      vmId: vm.id,
+      region: vm.region,
+      ...publishers(settings),
+    }),
+  );
   const linkFaults = settings.testing.linkFaults ? parts.linkFaults : undefined;
   const startedAtMs = kernel.clock.nowMs();
   await kernel.start(
--- a/src/edge/context.ts
+++ b/src/edge/context.ts
@@ -10,6 +10,7 @@
 import type { Port } from "../kernel/mod.ts";
 import type {
   ClaimsMessages,
+  DirectoryMessages,
   MembersMessages,
   MetricsMessages,
   SlotsMessages,
@@ -40,6 +41,7 @@
   readonly members: Port<MembersMessages>;
   readonly slots: Port<SlotsMessages>;
   readonly claims: Port<ClaimsMessages>;
+  readonly directory: Port<DirectoryMessages>;
   readonly metrics: Port<MetricsMessages>;
   /** A new id for an attempt, unlike any other's. */
   newAttemptId(): string;
--- a/src/edge/edge.ts
+++ b/src/edge/edge.ts
@@ -77,6 +77,7 @@
       members: kernel.get("members"),
       slots: kernel.get("slots"),
       claims: kernel.get("claims"),
+      directory: kernel.get("directory"),
       metrics: kernel.get("metrics"),
       newAttemptId: randomUUID,
     };
@@ -365,17 +366,21 @@
     });
   }
 
+  /** Which VMs to use. The `workspace` query is that of the key; another is refused when the key is checked. */
   async #directory(call: Call): Promise<void> {
-    const vms = await this.#context.members.ask("region", undefined);
-    const live = vms.filter((vm) => vm.state === "live");
-    sendJson(call.response, 200, {
-      vms: live.map((vm) => ({
-        id: vm.id,
-        url: vm.callerUrl,
-        region: vm.region,
-        weight: 1,
-      })),
-      askAgainAtMs: this.#context.clock.nowMs() + 5000,
+    const named = new URL(call.request.url!, "http://vm").searchParams.get(
+      "workspace",
+    );
+    if (named !== null && named !== call.workspace.id) {
+      return sendFailure(
+        call.response,
+        failure("forbidden"),
+        this.#context.clock.nowMs(),
+      );
+    }
+    const answer = await this.#context.directory.ask("lookup", {
+      workspace: call.workspace.id,
     });
+    sendJson(call.response, 200, answer);
   }
 }
