--- a/bench/control_members.ts
+++ b/bench/control_members.ts
@@ -103,7 +103,9 @@
   rows.push(row("memory of the process", rssMB, "MB"));
   rows.push(row("memory per VM", rssMB / vms.length, "MB"));
   if (fleet.length > 1) {
-    rows.push(row("age of far digests, max", await farAgeMs(vms), "ms"));
+    const leads = vms.filter((vm) => vm.leads().length > 0);
+    rows.push(row("age of far digests at leads", await farAgeMs(leads), "ms"));
+    rows.push(row("age of far digests, any VM", await farAgeMs(vms), "ms"));
   }
   publishing.close();
   return rows;
--- a/bench/over_admission.ts
+++ b/bench/over_admission.ts
@@ -20,12 +20,18 @@
 const REPORT_MS = 1000;
 const REPORT_AGE_MS = 500;
 const RENEW_MS = 2000;
+/** A prompt that takes as long as the table says, so that no upstream looks slow. */
+const PROMPT_TOKENS = 400;
+const FIRST_TOKEN_MS = 50;
+const OUTPUT_TOKENS = 150;
 const SEED = 7;
 
 interface Running {
   readonly pool: number;
   readonly upstreamId: string;
+  readonly startsAtMs: number;
   readonly endsAtMs: number;
+  started: boolean;
 }
 
 interface Result {
@@ -88,8 +94,15 @@
     for (const output of outputs) {
       if (output.type !== "answer" || output.answer.type !== "grant") continue;
       const { attemptId, upstreamId } = output.answer;
-      const endsAtMs = nowMs + random.exponential(MEAN_HOLD_MS);
-      running.set(attemptId, { pool, upstreamId, endsAtMs });
+      const startsAtMs = nowMs + FIRST_TOKEN_MS;
+      const endsAtMs = startsAtMs + random.exponential(MEAN_HOLD_MS);
+      running.set(attemptId, {
+        pool,
+        upstreamId,
+        startsAtMs,
+        endsAtMs,
+        started: false,
+      });
       granted++;
     }
   };
@@ -97,18 +110,21 @@
   while (nowMs < endMs) {
     nowMs += STEP_MS;
     steps++;
-    for (const [attemptId, { pool, upstreamId, endsAtMs }] of running) {
-      if (endsAtMs > nowMs) continue;
-      running.delete(attemptId);
+    for (const [attemptId, attempt] of running) {
+      const outcome = nextOutcome(attempt, nowMs);
+      if (!outcome) continue;
+      attempt.started = true;
+      if (outcome === "done") running.delete(attemptId);
+      const { pool, upstreamId } = attempt;
       const report = {
         attemptId,
         service: "plan",
         upstreamId,
-        outcome: "done",
-        firstTokenMs: 50,
-        outputTokens: 20,
-        totalMs: MEAN_HOLD_MS,
-      } as const;
+        outcome,
+        firstTokenMs: FIRST_TOKEN_MS,
+        outputTokens: outcome === "done" ? OUTPUT_TOKENS : 0,
+        totalMs: nowMs - attempt.startsAtMs + FIRST_TOKEN_MS,
+      };
       take(pool, pools[pool].report(report, nowMs));
     }
     for (due += perStep; due >= 1; due--) {
@@ -117,6 +133,8 @@
         arrivedAtMs: nowMs,
         deadlineMs: nowMs + 3000,
         workspace: `w${random.int(20)}`,
+        promptTokens: PROMPT_TOKENS,
+        expectedOutputTokens: OUTPUT_TOKENS,
       });
       take(pool, pools[pool].request(request, nowMs));
     }
@@ -146,6 +164,14 @@
   return { peak, overShare: over / (steps * UPSTREAMS), granted };
 }
 
+function nextOutcome(
+  { started, startsAtMs, endsAtMs }: Running,
+  nowMs: number,
+): "started" | "done" | undefined {
+  if (endsAtMs <= nowMs) return "done";
+  return !started && startsAtMs <= nowMs ? "started" : undefined;
+}
+
 function countsOf(running: ReadonlyMap<string, Running>): Map<string, number> {
   const counts = new Map<string, number>();
   for (const { upstreamId } of running.values()) {
--- a/src/adapters/ws_wire.ts
+++ b/src/adapters/ws_wire.ts
@@ -34,7 +34,11 @@
     return { sent: this.#sent, received: this.#received };
   }
   bySubject(): Record<string, { sent: number; received: number }> {
-    return Object.fromEntries(this.#bySubject);
+    const copy: Record<string, { sent: number; received: number }> = {};
+    for (const [subject, counts] of this.#bySubject) {
+      copy[subject] = { ...counts };
+    }
+    return copy;
   }
 }
 
--- a/src/agreement/member_list.ts
+++ b/src/agreement/member_list.ts
@@ -22,7 +22,7 @@
 
 /** See {@link MembersTimes}. */
 export const MEMBERS_TIMES: MembersTimes = {
-  periodMs: 500,
+  periodMs: 600,
   suspectMs: 1000,
   suspectPerDoublingMs: 200,
   rememberDeadMs: 600_000,
@@ -32,12 +32,17 @@
 /** Bounds the memory that wrong records can take. */
 const MOST_MEMBERS = 1024;
 
+/** How long a VM's table version is passed on: all have heard it by then, and an idle table costs nothing. */
+const FRESH_VERSION_MS = 10_000;
+
 /** One known VM. */
 export interface MemberEntry {
   record: MemberRecord;
   /** While suspect: dead from then on. While dead: forgotten from then on. */
   deadlineMs: number;
   tableVersion: number;
+  /** When that version was first heard of. */
+  versionAtMs: number;
   /** Answers in a row whose view differed from this VM's. */
   differences: number;
 }
@@ -74,6 +79,7 @@
       record,
       deadlineMs: this.#deadline(record, nowMs),
       tableVersion: restarted ? 0 : known!.tableVersion,
+      versionAtMs: restarted ? 0 : known!.versionAtMs,
       differences: 0,
     });
     return true;
@@ -98,16 +104,20 @@
     }
   }
 
-  hearVersion(vmId: string, version: number): void {
+  hearVersion(vmId: string, version: number, nowMs: number): void {
     const entry = this.#entries.get(vmId);
-    if (entry && version > entry.tableVersion) entry.tableVersion = version;
+    if (!entry || version <= entry.tableVersion) return;
+    entry.tableVersion = version;
+    entry.versionAtMs = nowMs;
   }
 
-  /** The table versions heard of VMs that are present. */
-  versions(): [vmId: string, version: number][] {
+  /** The table versions of VMs that are present, where they are news. */
+  freshVersions(nowMs: number): [vmId: string, version: number][] {
     const versions: [string, number][] = [];
-    for (const { record, tableVersion } of this.#entries.values()) {
+    for (const entry of this.#entries.values()) {
+      const { record, tableVersion, versionAtMs } = entry;
       if (record.status === "dead" || tableVersion === 0) continue;
+      if (nowMs - versionAtMs > FRESH_VERSION_MS) continue;
       versions.push([record.id, tableVersion]);
     }
     return versions;
--- a/src/agreement/member_news.ts
+++ b/src/agreement/member_news.ts
@@ -17,15 +17,22 @@
   readonly body: unknown;
 }
 
-/** What a region tells another: some VMs to reach it by, and its topics. */
+/** What a region tells another of its topics. */
 export interface RegionNews {
   readonly type: "region";
   readonly region: string;
   readonly atMs: number;
-  readonly contacts: readonly RegionContact[];
   readonly topics: readonly TopicNews[];
 }
 
+/** Some VMs to reach a region by. Apart from {@link RegionNews}, as it changes seldom and is larger. */
+export interface ContactNews {
+  readonly type: "contacts";
+  readonly region: string;
+  readonly atMs: number;
+  readonly contacts: readonly RegionContact[];
+}
+
 /** A VM of another region. */
 export interface RegionContact {
   readonly id: string;
@@ -40,7 +47,8 @@
 export type NewsItem =
   | { readonly type: "member"; readonly record: MemberRecord }
   | TopicNews
-  | RegionNews;
+  | RegionNews
+  | ContactNews;
 
 interface Queued {
   readonly item: NewsItem;
@@ -49,7 +57,7 @@
 }
 
 /** Bytes per second for topics and regions together, and the burst they may make. */
-const RATE_BYTES_PER_S = 400;
+const RATE_BYTES_PER_S = 300;
 const BURST_BYTES = 2000;
 /** Most statements about VMs in one message: a lost half of a region comes in several messages. */
 const MOST_MEMBER_ITEMS = 8;
@@ -117,6 +125,7 @@
     case "topic":
       return `topic/${item.topic}`;
     case "region":
-      return `region/${item.region}`;
+    case "contacts":
+      return `${item.type}/${item.region}`;
   }
 }
--- a/src/agreement/members.ts
+++ b/src/agreement/members.ts
@@ -155,7 +155,10 @@
       beat: this.#self.beat,
       table: this.#tableVersion,
       view: viewDigest(this.present()),
-      versions: this.#sample(this.#list.versions(), VERSIONS_PER_MESSAGE),
+      versions: this.#sample(
+        this.#list.freshVersions(nowMs),
+        VERSIONS_PER_MESSAGE,
+      ),
       news: this.#news.take(this.present().length, nowMs),
     };
   }
@@ -169,9 +172,9 @@
       }
     }
     for (const [id, version] of gossip.versions) {
-      this.#list.hearVersion(id, version);
+      this.#list.hearVersion(id, version, nowMs);
     }
-    this.#list.hearVersion(gossip.vm, gossip.table);
+    this.#list.hearVersion(gossip.vm, gossip.table, nowMs);
     const sender = this.#list.get(gossip.vm);
     if (sender && this.#mustSync(sender, gossip)) {
       outputs.push({ type: "sync", address: sender.record.peerAddress });
--- a/src/decisions/gate.ts
+++ b/src/decisions/gate.ts
@@ -7,7 +7,6 @@
 import { Table, type TrafficRow } from "../agreement/mod.ts";
 import { type CodeName, type Failure, failure } from "../base/mod.ts";
 import type { Random } from "../base/mod.ts";
-import { WAIT_MARGIN } from "./admission.ts";
 import type { Dispatcher } from "./dispatcher.ts";
 import type { Entry, LaneName } from "./lanes.ts";
 import { LimitBook, type Use } from "./limits.ts";
@@ -37,6 +36,9 @@
 /** Callers refused together are spread over this part of their wait, or they would come back together. */
 const RETRY_SPREAD = 0.5;
 
+/** Longest queue of a region that takes requests of others: an instant's queue is no lack of room. */
+const MOST_WAIT_TO_TAKE_MS = 100;
+
 /** What became of an arrival. */
 export type Arrival =
   | { readonly type: "queue"; readonly entry: Entry }
@@ -45,8 +47,9 @@
 interface Forecast {
   readonly lane: LaneName;
   readonly warmAt: string | undefined;
-  /** Time in the queue. */
+  /** Time in the queue, and the same before it is corrected. */
   readonly waitMs: number;
+  readonly rawWaitMs: number;
   /** Time from leaving the queue to the first token. */
   readonly firstMs: number;
   readonly coldMs: number;
@@ -120,6 +123,7 @@
     const late = fleet.usable ? lanes.removeLate(nowMs) : lanes.clear();
     return late.map((entry) => {
       this.forget(entry);
+      this.#dispatcher.waited(entry, nowMs);
       const why = fleet.usable
         ? this.#later(
           "expiredInQueue",
@@ -183,6 +187,7 @@
     const workspace = this.#table.workspace(request.workspace);
     const { sentFrom } = request;
     if (!mayLeave({ workspace, sentFrom })) return undefined;
+    if (request.boundByCaller || request.stayHome) return undefined;
     const { service, region } = this.#options;
     return chooseRegion(
       {
@@ -213,7 +218,7 @@
     const full = this.#queueFull(request, nowMs);
     if (full) return full;
     const slackMs = request.deadlineMs - nowMs;
-    const totalMs = forecast.waitMs * (1 + WAIT_MARGIN) + forecast.firstMs;
+    const totalMs = forecast.waitMs + forecast.firstMs;
     if (totalMs > slackMs) {
       return this.#later("wouldMissDeadline", totalMs - slackMs, nowMs);
     }
@@ -263,6 +268,7 @@
       work: forecast.work,
       use: forecast.use,
       queuedAtMs: nowMs,
+      rawWaitMs: forecast.rawWaitMs,
       latestStartMs: request.deadlineMs - forecast.firstMs,
       warmAt: forecast.warmAt,
       bypassed: 0,
@@ -290,7 +296,7 @@
     return {
       lane,
       warmAt: savedMs > 0 ? upstream.row.id : undefined,
-      waitMs: this.#dispatcher.drainMs(lane, ahead),
+      ...this.#dispatcher.forecast(lane, ahead),
       firstMs,
       coldMs: upstream.ownMs(request.promptTokens),
       work,
@@ -307,12 +313,12 @@
     };
   }
 
-  // A region with a queue, or that sends away itself, has nothing to give; and part of its slots is kept for its own
+  // A region that waits itself, or that sends away, has nothing to give; and part of its slots is kept for its own
   // callers, who may come in the second that a digest is old.
   #takesIn(nowMs: number): boolean {
     if (this.#ledger.sending(nowMs)) return false;
-    const { lanes, fleet } = this.#dispatcher;
-    if (lanes.size > 0) return false;
+    const { fleet } = this.#dispatcher;
+    if (this.#dispatcher.emptyMs() > MOST_WAIT_TO_TAKE_MS) return false;
     const { running, slots } = fleet.load(nowMs);
     const reserve = this.#traffic()?.reserveShare ?? 0.2;
     return running < slots * (1 - reserve);
--- a/src/decisions/placement.ts
+++ b/src/decisions/placement.ts
@@ -6,7 +6,7 @@
 
 import type { Random } from "../base/mod.ts";
 import type { SlotRequest } from "./slots.ts";
-import type { Upstream } from "./upstream.ts";
+import type { EnginePriority, Upstream } from "./upstream.ts";
 import { prefillMs, warmTokens } from "./work.ts";
 
 /**
@@ -23,10 +23,25 @@
 /**
  * Share of a pool that may prefill long prompts at the same time when short ones come too. An engine works through
  * prompts in chunks, so a short question placed beside a manifest waits seconds for it; the rest of the pool stays open
- * to short ones. Without short ones, long prompts may use all.
+ * to short ones. Without short ones, long prompts may use all. Engines that honour priorities need it less: at 1, the mix
+ * is as fast and a flood of one workspace costs the others more.
  */
 const LONG_SHARE = 0.75;
 
+/**
+ * The same for a workspace far over its share, and the part of each upstream's slots that it leaves to the others. Fair
+ * order alone makes the others next in turn; they would still wait for a slot to come back and behind the prefills that
+ * the burst has already started. What is kept is used by whoever is within its share.
+ */
+const OVER_LONG_SHARE = 0.5;
+const OTHERS_SHARE = 0.125;
+const OVER_BACKLOG_MS = 50;
+/**
+ * Part of each upstream's slots that long prompts leave to short ones while both come. Their long answers hold the slots,
+ * and a question that needs one pass would wait for a whole answer to end.
+ */
+const SHORT_SHARE = 0.0625;
+
 /** A prompt that takes an engine longer than this to prefill is long: a question placed behind it would be late. */
 export const LONG_PREFILL_MS = 250;
 /** How much more a ms of prefill weighs than a ms of waiting when the pool is full; see `costOf`. */
@@ -37,11 +52,14 @@
   readonly upstream: Upstream;
   /** Tokens left to prefill there. */
   readonly coldTokens: number;
+  /** Leading blocks believed cached there. */
+  readonly matched: number;
   /** Prefill time that the warm prefix saves. */
   readonly savedMs: number;
   readonly firstMs: number;
   /** Whether its prefill holds up what is placed beside it. */
   readonly long: boolean;
+  readonly enginePriority: EnginePriority;
   readonly probe: boolean;
 }
 
@@ -56,6 +74,8 @@
   readonly pressure: number;
   /** Whether the lead is new and may not know all that its upstreams run. */
   readonly cautious: boolean;
+  /** Whether the request's workspace is far over its share. */
+  readonly over: boolean;
   /** Requests that wait for this upstream already. */
   readonly waitingFor: (upstreamId: string) => number;
 }
@@ -124,15 +144,30 @@
 export function weigh(
   request: SlotRequest,
   upstream: Upstream,
-  view: Pick<PlacementView, "nowMs">,
+  view: Pick<PlacementView, "nowMs" | "over">,
   probe = false,
 ): Place {
   const matched = upstream.warm.matched(request.prefixHashes, view.nowMs);
   const coldTokens = request.promptTokens - warmTokens(request, matched);
-  const firstMs = upstream.predictFirstMs(coldTokens, view.nowMs);
   const long = prefillMs(upstream.row, coldTokens) > LONG_PREFILL_MS;
-  const savedMs = prefillMs(upstream.row, request.promptTokens - coldTokens);
-  return { upstream, coldTokens, savedMs, firstMs, long, probe };
+  const enginePriority = priorityOf(long, view.over);
+  return {
+    upstream,
+    coldTokens,
+    matched,
+    savedMs: prefillMs(upstream.row, request.promptTokens - coldTokens),
+    firstMs: upstream.predictFirstMs(coldTokens, enginePriority, view.nowMs),
+    long,
+    enginePriority,
+    probe,
+  };
+}
+
+// An engine prefills higher priorities first, so a question passes a manifest that is being prefilled, and a workspace
+// within its share passes one that floods the pool, also after both have left the queue.
+function priorityOf(long: boolean, over: boolean): EnginePriority {
+  if (over) return 0;
+  return long ? 1 : 2;
 }
 
 // A cold prefill delays more than its own request: it takes passes from everyone on that upstream, and its blocks push
@@ -150,15 +185,29 @@
   longAllowed: boolean,
 ): boolean {
   const { upstream } = found;
-  if (!upstream.hasRoom(view.nowMs, view.cautious)) return false;
-  if (upstream.backlogMs(view.nowMs) > BACKLOG_MS + found.savedMs) return false;
+  if (!upstream.hasRoom(view.nowMs, view.cautious, keptSlots(found, view))) {
+    return false;
+  }
+  const most = view.over ? OVER_BACKLOG_MS : BACKLOG_MS + found.savedMs;
+  if (upstream.backlogMs(found.enginePriority, view.nowMs) > most) return false;
   return !found.long || longAllowed || upstream.longUnstarted > 0;
 }
 
+function keptSlots(found: Place, view: PlacementView): number {
+  const { slots } = found.upstream.row;
+  if (view.over) return Math.ceil(slots * OTHERS_SHARE);
+  const last = found.upstream.row.slots > 1 ? 1 : 0;
+  return found.enginePriority < 2 && view.mixed
+    ? Math.max(last, Math.floor(slots * SHORT_SHARE))
+    : 0;
+}
+
 function longHasRoom(view: PlacementView): boolean {
-  if (!view.mixed || view.upstreams.length < 2) return true;
+  if (view.upstreams.length < 2) return true;
+  if (!view.mixed && !view.over) return true;
   const busy = view.upstreams.filter((u) => u.longUnstarted > 0).length;
-  return busy < Math.floor(view.upstreams.length * LONG_SHARE);
+  const share = view.over ? OVER_LONG_SHARE : LONG_SHARE;
+  return busy < Math.max(1, Math.floor(view.upstreams.length * share));
 }
 
 function candidates(view: PlacementView): readonly Upstream[] {
--- a/src/services/member_regions.ts
+++ b/src/services/member_regions.ts
@@ -5,6 +5,7 @@
  */
 
 import type {
+  ContactNews,
   MemberRecord,
   RegionContact,
   RegionNews,
@@ -17,10 +18,14 @@
 const CONTACTS = 3;
 /** A region's news is cut to this, in bytes of JSON of its topics. */
 const MOST_TOPIC_BYTES = 1000;
+/** Unchanged contacts are told again this often: for VMs that came since, and for the table versions in them. */
+const REPEAT_CONTACTS_MS = 10_000;
 /** A topic that nobody renewed for this long is dropped: its publisher is gone. */
 const TOPIC_TTL_MS = 15_000;
+/** Those who do not act on a region's topics hear them no more often: each copy costs every VM bytes. */
+const SPREAD_MS = 5000;
 /** A region that was not heard of for this long is out of reach; its VMs are not offered. */
-const REGION_TTL_MS = 30_000;
+const REGION_TTL_MS = 60_000;
 /**
  * News counts as newer by its publisher's wall clock. Should that have been ahead, nothing after it would count; so what
  * was not renewed for this long gives way to anything.
@@ -37,6 +42,10 @@
   readonly #region: string;
   readonly #topics = new Map<string, Seen<TopicNews>>();
   readonly #regions = new Map<string, Seen<RegionNews>>();
+  readonly #contacts = new Map<string, Seen<ContactNews>>();
+  readonly #spreadAtMs = new Map<string, number>();
+  /** What each region was last told of this one's contacts. */
+  readonly #told = new Map<string, { text: string; atMs: number }>();
 
   constructor(region: string) {
     this.#region = region;
@@ -57,13 +66,47 @@
     return true;
   }
 
-  /** This region's news for the region `to`; each region is named other VMs, so that no VM is every other's contact. */
-  newsFor(
+  /** Whether news of this region is due to be passed on to all; see {@link SPREAD_MS}. */
+  spreads(region: string, nowMs: number): boolean {
+    if (nowMs - (this.#spreadAtMs.get(region) ?? 0) < SPREAD_MS) return false;
+    this.#spreadAtMs.set(region, nowMs);
+    return true;
+  }
+
+  /** The VMs that published topics lately. */
+  publishers(nowMs: number): Set<string> {
+    const publishers = new Set<string>();
+    for (const { news, seenAtMs } of this.#topics.values()) {
+      if (nowMs - seenAtMs <= TOPIC_TTL_MS) publishers.add(news.vmId);
+    }
+    return publishers;
+  }
+
+  /** Takes another region's contacts; answers whether they are newer than those here. */
+  hearContacts(news: ContactNews, nowMs: number): boolean {
+    if (news.region === this.#region) return false;
+    if (!isNewer(news, this.#contacts.get(news.region), nowMs)) return false;
+    this.#contacts.set(news.region, { news, seenAtMs: nowMs });
+    return true;
+  }
+
+  /** This region's news. */
+  news(nowMs: number): RegionNews {
+    return {
+      type: "region",
+      region: this.#region,
+      atMs: nowMs,
+      topics: this.#boundedTopics(nowMs),
+    };
+  }
+
+  /** This region's contacts for the region `to`; each is named other VMs, so that no VM is every region's contact. */
+  contacts(
     to: string,
     present: readonly MemberRecord[],
     versionOf: (vmId: string) => number,
     nowMs: number,
-  ): RegionNews {
+  ): ContactNews {
     const candidates = present.map((record) => ({
       id: record.id,
       state: record.leaving ? "leaving" as const : "live" as const,
@@ -72,31 +115,43 @@
     const contacts = leadOrder(`contact/${to}`, candidates)
       .slice(0, CONTACTS)
       .map(({ record }) => contactOf(record, versionOf(record.id)));
-    return {
-      type: "region",
-      region: this.#region,
-      atMs: nowMs,
-      contacts,
-      topics: this.#boundedTopics(nowMs),
-    };
+    return { type: "contacts", region: this.#region, atMs: nowMs, contacts };
+  }
+
+  /** Whether the region `to` is due these contacts. */
+  isDue(to: string, { contacts }: ContactNews, nowMs: number): boolean {
+    const told = this.#told.get(to);
+    const text = contacts.map(({ id, incarnation }) => `${id}/${incarnation}`)
+      .join();
+    if (told?.text === text && nowMs - told.atMs < REPEAT_CONTACTS_MS) {
+      return false;
+    }
+    this.#told.set(to, { text, atMs: nowMs });
+    return true;
+  }
+
+  /** A digest did not arrive: what it told must be told again. */
+  untold(to: string): void {
+    this.#told.delete(to);
   }
 
   /** The regions known, out of reach or not. */
   regions(): string[] {
-    return [...this.#regions.keys()];
+    return [...new Set([...this.#regions.keys(), ...this.#contacts.keys()])];
   }
 
   /** Addresses of VMs of another region, as it last named them. */
   addresses(region: string): string[] {
-    const contacts = this.#regions.get(region)?.news.contacts ?? [];
+    const contacts = this.#contacts.get(region)?.news.contacts ?? [];
     return contacts.map((contact) => contact.peerAddress);
   }
 
   /** VMs of the regions that were heard of lately. */
   others(nowMs: number): Map<string, VmInfo[]> {
     const others = new Map<string, VmInfo[]>();
-    for (const [region, { news, seenAtMs }] of this.#regions) {
-      if (nowMs - seenAtMs > REGION_TTL_MS) continue;
+    for (const [region, { news, seenAtMs }] of this.#contacts) {
+      const heardMs = this.#regions.get(region)?.seenAtMs ?? seenAtMs;
+      if (nowMs - Math.max(heardMs, seenAtMs) > REGION_TTL_MS) continue;
       others.set(region, news.contacts.map((c) => infoOf(region, c)));
     }
     return others;
@@ -120,9 +175,10 @@
   dump(nowMs: number): unknown {
     const regions: Record<string, unknown> = {};
     for (const [region, { news, seenAtMs }] of this.#regions) {
+      const contacts = this.#contacts.get(region)?.news.contacts ?? [];
       regions[region] = {
         ageMs: nowMs - seenAtMs,
-        contacts: news.contacts.map((contact) => contact.id),
+        contacts: contacts.map((contact) => contact.id),
         topics: news.topics.length,
       };
     }
--- a/src/services/members.ts
+++ b/src/services/members.ts
@@ -6,6 +6,7 @@
 
 import type { Transport, VmList } from "../adapters/mod.ts";
 import {
+  type ContactNews,
   type Gossip,
   leadOrder,
   type MemberRecord,
@@ -13,6 +14,7 @@
   MEMBERS_TIMES,
   type MembersOutput,
   type MembersTimes,
+  type TopicNews,
 } from "../agreement/mod.ts";
 import { type Clock, hash32, Random, type Timer } from "../base/mod.ts";
 import { type Handlers, type Kernel, Task } from "../kernel/mod.ts";
@@ -51,7 +53,11 @@
 const PING_VIA_CALL_MS = 600;
 const SYNC_CALL_MS = 1000;
 const REGION_CALL_MS = 1500;
-const REGION_PERIOD_MS = 2000;
+/** How often another region is told; with more regions than this, less often, so that the cost stays flat. */
+const REGION_PERIOD_MS = 1000;
+const REGIONS_PER_PERIOD = 6;
+/** A topic is told to this many speakers at once, to be in the next digest; the others hear it with the heartbeats. */
+const TOLD_SPEAKERS = 4;
 const LIST_PERIOD_MS = 30_000;
 /** How long a start waits for the first VM that knows the others; after that this VM goes on alone. */
 const JOIN_MS = 1500;
@@ -81,6 +87,7 @@
   #kernel!: Kernel;
   #random!: Random;
   #statuses = new Map<string, string>();
+  #nextRegionsMs = 0;
 
   constructor(options: MembersOptions) {
     super();
@@ -105,7 +112,7 @@
     await this.#readList();
     await this.#join();
     this.#every(TICK_MS, () => void this.#tick());
-    this.#every(REGION_PERIOD_MS, () => this.#tellRegions());
+    this.#every(TICK_MS, () => this.#tellRegions());
     this.#every(LIST_PERIOD_MS, () => void this.#readList());
   }
 
@@ -140,8 +147,11 @@
       return { answered } satisfies PingViaReply;
     });
     transport.handle("members.sync", (p) => this.#answerSync(p as SyncMessage));
-    transport.handle("members.region", (params) => {
-      this.#hearRegion(params as RegionMessage);
+    transport.handle("members.topic", (p) => this.#hearTopic(p as TopicNews));
+    transport.handle("members.region", (params, from) => {
+      const digest = params as RegionMessage;
+      this.#hearDigest(digest);
+      if (from.region !== this.#options.region) this.#passOn(digest);
     });
   }
 
@@ -226,25 +236,73 @@
   }
 
   #hear(gossip: Gossip): void {
-    const nowMs = this.#clock.nowMs();
-    this.#do(this.#machine.hear(gossip, nowMs));
+    this.#do(this.#machine.hear(gossip, this.#clock.nowMs()));
     for (const item of gossip.news) {
-      if (item.type === "topic") {
-        if (this.#book.hearTopic(item, nowMs)) this.#machine.spread(item);
-      } else if (item.type === "region") this.#hearRegion(item);
+      if (item.type === "topic") this.#hearTopic(item);
+      else if (item.type === "region") this.#hearDigest({ news: item });
+      else if (item.type === "contacts") this.#hearContacts(item);
     }
   }
 
-  #hearRegion(news: RegionMessage): void {
-    const isNews = this.#book.hearRegion(news, this.#clock.nowMs());
+  #hearTopic(news: TopicNews): void {
+    const isNews = this.#book.hearTopic(news, this.#clock.nowMs());
     if (isNews) this.#machine.spread(news);
   }
 
+  #hearDigest({ news, contacts }: RegionMessage): void {
+    const nowMs = this.#clock.nowMs();
+    const isNews = this.#book.hearRegion(news, nowMs);
+    if (isNews && this.#book.spreads(news.region, nowMs)) {
+      this.#machine.spread(news);
+    }
+    if (contacts) this.#hearContacts(contacts);
+  }
+
+  /**
+   * VMs that publish a topic are told what others publish at once, as they act on it: a lead does not send requests to a
+   * region that it has not heard of for some seconds. The rest hears with the heartbeats.
+   */
+  #passOn({ news }: RegionMessage): void {
+    const publishers = this.#book.publishers(this.#clock.nowMs());
+    for (const { id, peerAddress } of this.#machine.present()) {
+      if (id === this.#options.vmId || !publishers.has(id)) continue;
+      const digest: RegionMessage = { news };
+      this.#options.transport.notify(peerAddress, "members.region", digest);
+    }
+  }
+
+  #hearContacts(contacts: ContactNews): void {
+    const isNews = this.#book.hearContacts(contacts, this.#clock.nowMs());
+    if (isNews) this.#machine.spread(contacts);
+  }
+
   #publish(topic: string, body: unknown): void {
     const nowMs = this.#clock.nowMs();
     const { vmId } = this.#options;
     const news = { type: "topic", topic, vmId, atMs: nowMs, body } as const;
-    if (this.#book.hearTopic(news, nowMs)) this.#machine.spread(news);
+    if (!this.#book.hearTopic(news, nowMs)) return;
+    this.#machine.spread(news);
+    const speakers = new Map(
+      this.#farRegions().map((region) => this.#speaker(region))
+        .map((speaker) => [speaker.id, speaker]),
+    );
+    speakers.delete(vmId);
+    for (const speaker of [...speakers.values()].slice(0, TOLD_SPEAKERS)) {
+      const { transport } = this.#options;
+      transport.notify(speaker.peerAddress, "members.topic", news);
+    }
+  }
+
+  #farRegions(): string[] {
+    const regions = new Set([...this.#book.regions(), ...this.#listed.keys()]);
+    regions.delete(this.#options.region);
+    return [...regions];
+  }
+
+  /** Each pair of regions has one VM that speaks, chosen by hash, so that the digests are spread over the region. */
+  #speaker(region: string): VmInfo {
+    const vms = this.#machine.present().map((record) => this.#info(record));
+    return leadOrder(`speaker/${region}`, vms)[0];
   }
 
   async #sync(address: string): Promise<boolean> {
@@ -259,9 +317,9 @@
       this.#clock.nowMs() + SYNC_CALL_MS,
     );
     if (reply.isErr()) return false;
-    const { region, records, news } = reply.value as SyncReply;
+    const { region, records, digest } = reply.value as SyncReply;
     this.#learnAll(records);
-    this.#hearRegion(news);
+    this.#hearDigest(digest);
     if (region === this.#options.region) return true;
     this.#farSeeds.add(address);
     this.#setSeeds();
@@ -274,7 +332,7 @@
     return {
       region: this.#options.region,
       records: sameRegion ? this.#machine.all() : [],
-      news: this.#newsFor(message.region),
+      digest: this.#digestFor(message.region),
     };
   }
 
@@ -283,24 +341,27 @@
     for (const record of records) this.#do(this.#machine.learn(record, nowMs));
   }
 
-  #newsFor(region: string) {
-    return this.#book.newsFor(
+  #digestFor(region: string): RegionMessage {
+    const nowMs = this.#clock.nowMs();
+    const contacts = this.#book.contacts(
       region,
       this.#machine.present(),
       (vmId) => this.#machine.tableVersionOf(vmId),
-      this.#clock.nowMs(),
+      nowMs,
     );
+    return { news: this.#book.news(nowMs), contacts };
   }
 
-  /** Each pair of regions has one VM that speaks, chosen by hash, so that the digests are spread over the region. */
   #tellRegions(): void {
-    const vms = this.#machine.present().map((record) => this.#info(record));
-    for (
-      const region of new Set([...this.#book.regions(), ...this.#listed.keys()])
-    ) {
-      if (region === this.#options.region) continue;
-      const speaker = leadOrder(`speaker/${region}`, vms)[0];
-      if (speaker.id === this.#options.vmId) void this.#tellRegion(region);
+    const nowMs = this.#clock.nowMs();
+    if (nowMs < this.#nextRegionsMs) return;
+    const regions = this.#farRegions();
+    this.#nextRegionsMs = nowMs +
+      REGION_PERIOD_MS *
+        Math.max(1, Math.ceil(regions.length / REGIONS_PER_PERIOD));
+    for (const region of regions) {
+      const speaks = this.#speaker(region).id === this.#options.vmId;
+      if (speaks) void this.#tellRegion(region);
     }
   }
 
@@ -309,16 +370,18 @@
     const known = named.length > 0 ? named : this.#listed.get(region) ?? [];
     if (known.length === 0) return;
     const deadlineMs = this.#clock.nowMs() + REGION_CALL_MS;
-    const news = this.#newsFor(region);
+    const { news, contacts } = this.#digestFor(region);
+    const due = this.#book.isDue(region, contacts!, this.#clock.nowMs());
     const { transport } = this.#options;
     const address = this.#random.pick(known);
     const told = await transport.call(
       address,
       "members.region",
-      news,
+      { news, ...(due ? { contacts } : {}) } satisfies RegionMessage,
       deadlineMs,
     );
     if (told.isOk()) return;
+    this.#book.untold(region);
     // All VMs that the region named may have gone since; the platform's list and the seeds are asked for new ones.
     const { seeds } = this.#options;
     const others = [...this.#listed.get(region) ?? [], ...seeds]
--- a/src/services/mod.ts
+++ b/src/services/mod.ts
@@ -14,3 +14,6 @@
 export type { OrderSink } from "./lead_server.ts";
 export * from "./members.ts";
 export * from "./directory.ts";
+export * from "./table_in_force.ts";
+export * from "./table_routes.ts";
+export * from "./fencing.ts";
