Members: a region learns of all others from one

Cause: a region knew only those that its seeds or the platform's list named. Change: an exchange tells how to reach the regions known.

--- a/bench/control_members.ts
+++ b/bench/control_members.ts
@@ -28,6 +28,9 @@
 /** Topics that a region publishes beside the pool's own. */
 const PUBLISH_MS = 1000;
 const REPEATS = 5;
+/** So few items are those of topics; more are news of VMs that started. */
+const QUIET_NEWS = 8;
+const MOST_QUIET_MS = 90_000;
 const DEFAULT_CASES = "1x1,3x2,3x8,1x67,21x4,3x32";
 
 interface Shape {
@@ -89,7 +92,7 @@
       void first.members.ask("publish", { topic: "age", body });
     }
   });
-  await systemClock.sleep(5000);
+  const settledMs = await quiet(vms);
   const bytesBefore = vms.map((vm) => vm.transport.bytesBySubject());
   const cpuBefore = process.cpuUsage();
   const startMs = performance.now();
@@ -97,6 +100,7 @@
   const tookS = (performance.now() - startMs) / 1000;
   const cpu = process.cpuUsage(cpuBefore);
   const rows = bytesRows(vms, bytesBefore, tookS, row);
+  rows.push(row("all started to quiet", settledMs, "ms"));
   const cpuShare = (cpu.user + cpu.system) / 1e6 / tookS / vms.length;
   rows.push(row("cpu per VM", 100 * cpuShare, "% of a core"));
   const rssMB = process.memoryUsage().rss / 1e6;
@@ -111,6 +115,17 @@
   return rows;
 }
 
+/** Waits until the news of the start has been passed on; answers with how long that took. */
+async function quiet(vms: readonly Vm[]): Promise<number> {
+  const startMs = performance.now();
+  const news = (vm: Vm) => (vm.kernel.dump().members as { news: number }).news;
+  do await systemClock.sleep(1000); while (
+    performance.now() - startMs < MOST_QUIET_MS &&
+    vms.some((vm) => news(vm) > QUIET_NEWS)
+  );
+  return performance.now() - startMs;
+}
+
 async function hold(region: readonly Vm[]): Promise<void> {
   for (const vm of region) {
     for (let n = 0; n < HELD_PER_VM; n++) {
--- a/src/agreement/member_news.ts
+++ b/src/agreement/member_news.ts
@@ -91,7 +91,7 @@
       else this.#allowanceBytes -= entry.bytes;
       items.push(entry.item);
       entry.sends++;
-      if (entry.sends >= (isMember ? 3 * log : log + 1)) {
+      if (entry.sends >= (isMember ? 2 * log : log + 1)) {
         this.#queued.delete(key);
       }
     }
--- a/src/services/member_messages.ts
+++ b/src/services/member_messages.ts
@@ -34,6 +34,8 @@
 /** Across regions the records say nothing to the other; each answers with its region's news instead. */
 export interface SyncReply extends SyncMessage {
   readonly digest: RegionMessage;
+  /** How to reach the regions that it knows of: a region needs to be told of one other only. */
+  readonly regions: readonly ContactNews[];
 }
 
 /** `members.region`: one region tells another its news; answered so that the sender knows that the way is open. */
--- a/src/services/member_regions.ts
+++ b/src/services/member_regions.ts
@@ -135,6 +135,11 @@
     this.#told.delete(to);
   }
 
+  /** The contacts of all other regions. */
+  allContacts(): ContactNews[] {
+    return [...this.#contacts.values()].map(({ news }) => news);
+  }
+
   /** The regions known, out of reach or not. */
   regions(): string[] {
     return [...new Set([...this.#regions.keys(), ...this.#contacts.keys()])];
--- a/src/services/members.ts
+++ b/src/services/members.ts
@@ -317,9 +317,10 @@
       this.#clock.nowMs() + SYNC_CALL_MS,
     );
     if (reply.isErr()) return false;
-    const { region, records, digest } = reply.value as SyncReply;
+    const { region, records, digest, regions } = reply.value as SyncReply;
     this.#learnAll(records);
     this.#hearDigest(digest);
+    for (const contacts of regions) this.#hearContacts(contacts);
     if (region === this.#options.region) return true;
     this.#farSeeds.add(address);
     this.#setSeeds();
@@ -333,6 +334,7 @@
       region: this.#options.region,
       records: sameRegion ? this.#machine.all() : [],
       digest: this.#digestFor(message.region),
+      regions: this.#book.allContacts(),
     };
   }
 
