--- a/src/services/member_messages.ts
+++ b/src/services/member_messages.ts
@@ -4,7 +4,12 @@
  * @module
  */
 
-import type { Gossip, MemberRecord, RegionNews } from "../agreement/mod.ts";
+import type {
+  ContactNews,
+  Gossip,
+  MemberRecord,
+  RegionNews,
+} from "../agreement/mod.ts";
 
 /** `members.ping`, answered with the other's {@link Gossip}; `members.tell` carries the same without an answer. */
 export type PingMessage = Gossip;
@@ -28,8 +33,14 @@
 
 /** Across regions the records say nothing to the other; each answers with its region's news instead. */
 export interface SyncReply extends SyncMessage {
-  readonly news: RegionNews;
+  readonly digest: RegionMessage;
+  /** How to reach the regions that it knows of: a region needs to be told of one other only. */
+  readonly regions: readonly ContactNews[];
 }
 
 /** `members.region`: one region tells another its news; answered so that the sender knows that the way is open. */
-export type RegionMessage = RegionNews;
+export interface RegionMessage {
+  readonly news: RegionNews;
+  /** Only where they changed or were not told for a while. */
+  readonly contacts?: ContactNews;
+}
