--- a/bench/decisions.ts
+++ b/bench/decisions.ts
@@ -5,7 +5,6 @@
  * @module
  */
 
-import { Table, type TableRow, tableRow } from "../src/agreement/mod.ts";
 import { Engine } from "./engine.ts";
 import {
   firstTokens,
@@ -29,6 +28,7 @@
 } from "./policies.ts";
 import type { Row } from "./row.ts";
 import { Sim } from "./sim.ts";
+import { nameOf, tableOf } from "./tables.ts";
 import { type Ask, generate, type Stream } from "./workload.ts";
 import { type Outcome, World } from "./world.ts";
 
@@ -70,56 +70,6 @@
   readonly more?: (outcomes: readonly Outcome[]) => Record<string, number>;
 }
 
-function tableOf(
-  regions: readonly string[],
-  runners: number,
-  objective: object,
-  shifts: boolean,
-): Table {
-  const rows: unknown[] = [{
-    kind: "service",
-    id: "plan",
-    type: "model",
-    objective,
-    queueLimit: 1000,
-  }];
-  for (const region of regions) {
-    rows.push({ kind: "region", id: region });
-    rows.push({
-      kind: "traffic",
-      service: "plan",
-      region,
-      mayGoTo: shifts ? regions.filter((other) => other !== region) : [],
-    });
-    for (let i = 0; i < runners; i++) {
-      rows.push({
-        kind: "upstream",
-        id: `${region}-${i}`,
-        service: "plan",
-        region,
-        failureDomain: `${region}-${i % 3}`,
-        url: `http://${region}-${i}.test`,
-      });
-    }
-    for (const workspace of WORKSPACES) {
-      for (const bound of [true, false]) {
-        rows.push({
-          kind: "workspace",
-          id: nameOf(region, workspace, bound),
-          home: region,
-          bound,
-        });
-      }
-    }
-  }
-  const parsed = rows.map((row) => tableRow.parse(row));
-  return Table.of(1, parsed.map((row: TableRow) => ({ row, version: 1 })));
-}
-
-function nameOf(region: string, workspace: string, bound: boolean): string {
-  return `${region}-${workspace}-${bound ? "bound" : "free"}`;
-}
-
 /** The common mix of a region: 38% bound to it, one long prompt in four. */
 function mix(
   region: string,
@@ -174,7 +124,10 @@
       "ms",
     ],
     sent_away: [
-      share(counted, (o) => o.servedIn !== undefined && o.moves > 0),
+      share(
+        counted,
+        (o) => o.servedIn !== undefined && o.servedIn !== o.ask.region,
+      ),
       "share",
     ],
     warm: [
@@ -219,12 +172,13 @@
   const rows: Row[] = [];
   for (const name of spec.policies ?? Object.keys(POLICIES)) {
     const onlyLatency = name.endsWith("latency-only");
-    const table = tableOf(
+    const table = tableOf({
       regions,
-      spec.runners ?? RUNNERS,
-      spec.objective ?? { latencyWeight: 1, costWeight: 0, awayWeight: 0 },
-      !onlyLatency,
-    );
+      runners: spec.runners ?? RUNNERS,
+      objective: spec.objective ?? {},
+      workspaces: WORKSPACES,
+      shifts: !onlyLatency,
+    });
     const worlds = seeds.map((seed) => {
       const world = new World({
         table,
@@ -434,13 +388,21 @@
       },
       more: bySelf,
     },
-    { ...base, name: "peaks", streams: peaks, policies, more: bySelf },
+    {
+      ...base,
+      name: "peaks",
+      streams: peaks,
+      policies,
+      seeds: 3,
+      more: bySelf,
+    },
     {
       ...base,
       name: "peaks-directorate",
       streams: peaks,
       policies,
       objective: DIRECTORATE,
+      seeds: 3,
       more: bySelf,
     },
   ];
--- /dev/null
+++ b/bench/scenario.ts
@@ -0,0 +1,104 @@
+/**
+ * Small runs of the lead's decisions for tests: one or more regions of six upstreams in virtual time.
+ *
+ * @module
+ */
+
+import { firstTokens, inTime, percentile, share } from "./measures.ts";
+import { Lead } from "./policies.ts";
+import { tableOf } from "./tables.ts";
+import { generate, type Stream } from "./workload.ts";
+import { type Outcome, World } from "./world.ts";
+
+const RUNNERS = 6;
+const WORKSPACES = Array.from({ length: 8 }, (_, i) => `w${i}`);
+const DRAIN_MS = 10_000;
+
+/** A run; see the fields' uses in `outcomesOf`. */
+export interface Scenario {
+  /** Requests a second that arrive in a region at a time. */
+  readonly perS: (atMs: number, region: string) => number;
+  /** Requests a second of one more workspace in the first region. */
+  readonly floodPerS?: number;
+  readonly longShare?: number;
+  readonly regions?: readonly string[];
+  readonly objective?: object;
+  readonly endMs?: number;
+  readonly during?: (world: World) => void;
+}
+
+/** What became of each request; throws if a promise was broken. */
+export function outcomesOf(scenario: Scenario): readonly Outcome[] {
+  const regions = scenario.regions ?? ["agadir"];
+  const world = new World({
+    table: tableOf({
+      regions,
+      runners: RUNNERS,
+      objective: scenario.objective ?? {},
+      workspaces: WORKSPACES,
+      flood: scenario.floodPerS !== undefined,
+      shifts: true,
+    }),
+    service: "plan",
+    regions,
+    linkMs: 40,
+    lagMs: 1000,
+    seed: 3,
+    cacheBlocks: 600,
+    usageShare: 0.8,
+    policy: (context) => new Lead(context),
+  });
+  scenario.during?.(world);
+  const endMs = scenario.endMs ?? 25_000;
+  const asks = generate(streamsOf(scenario, regions), endMs, 3);
+  world.run(asks, endMs + DRAIN_MS);
+  if (world.broken.size > 0) {
+    throw new Error(`broken: ${[...world.broken.keys()].join(", ")}`);
+  }
+  return world.outcomes;
+}
+
+function streamsOf(
+  scenario: Scenario,
+  regions: readonly string[],
+): readonly Stream[] {
+  const longShare = scenario.longShare ?? 0.25;
+  const streams = regions.flatMap((region) =>
+    [true, false].map((bound): Stream => ({
+      region,
+      workspaces: WORKSPACES.map((w) =>
+        `${region}-${w}-${bound ? "bound" : "free"}`
+      ),
+      bound,
+      longShare,
+      perS: (atMs) => scenario.perS(atMs, region) * (bound ? 0.38 : 0.62),
+    }))
+  );
+  const flood = scenario.floodPerS;
+  if (flood === undefined) return streams;
+  return [...streams, {
+    region: regions[0],
+    workspaces: ["flood"],
+    bound: true,
+    longShare,
+    perS: () => flood,
+  }];
+}
+
+/** The part served by its deadline. */
+export function servedShare(outcomes: readonly Outcome[]): number {
+  return share(outcomes, inTime);
+}
+
+/** First-token time below which this part of the served lies. */
+export function percentileOf(
+  outcomes: readonly Outcome[],
+  part: number,
+): number {
+  return percentile(firstTokens(outcomes), part);
+}
+
+/** The upstream that a request was last placed on. */
+export function lastOf(outcome: Outcome): string | undefined {
+  return outcome.upstreamId;
+}
--- /dev/null
+++ b/bench/tables.ts
@@ -0,0 +1,81 @@
+/**
+ * Tables of one model service for benches and tests.
+ *
+ * @module
+ */
+
+import { Table, type TableRow, tableRow } from "../src/agreement/mod.ts";
+
+/** What a table holds. */
+export interface TableSpec {
+  readonly regions: readonly string[];
+  /** Upstreams of each region. */
+  readonly runners: number;
+  readonly objective: object;
+  /** Each becomes a bound and a free workspace in each region; see {@link nameOf}. */
+  readonly workspaces: readonly string[];
+  /** Whether there is a workspace `flood`, bound to the first region. */
+  readonly flood?: boolean;
+  /** Whether requests may be sent to other regions. */
+  readonly shifts: boolean;
+}
+
+/** The workspace's name in a region. */
+export function nameOf(
+  region: string,
+  workspace: string,
+  bound: boolean,
+): string {
+  return `${region}-${workspace}-${bound ? "bound" : "free"}`;
+}
+
+/** Makes the table, at version 1. */
+export function tableOf(spec: TableSpec): Table {
+  const rows: unknown[] = [{
+    kind: "service",
+    id: "plan",
+    type: "model",
+    objective: spec.objective,
+    queueLimit: 1000,
+  }];
+  for (const region of spec.regions) rows.push(...regionRows(spec, region));
+  if (spec.flood) {
+    rows.push({ kind: "workspace", id: "flood", home: spec.regions[0] });
+  }
+  const parsed = rows.map((row) => tableRow.parse(row));
+  return Table.of(1, parsed.map((row: TableRow) => ({ row, version: 1 })));
+}
+
+function regionRows(spec: TableSpec, region: string): unknown[] {
+  const others = spec.regions.filter((other) => other !== region);
+  const rows: unknown[] = [
+    { kind: "region", id: region },
+    {
+      kind: "traffic",
+      service: "plan",
+      region,
+      mayGoTo: spec.shifts ? others : [],
+    },
+  ];
+  for (let i = 0; i < spec.runners; i++) {
+    rows.push({
+      kind: "upstream",
+      id: `${region}-${i}`,
+      service: "plan",
+      region,
+      failureDomain: `${region}-${i % 3}`,
+      url: `http://${region}-${i}.test`,
+    });
+  }
+  for (const workspace of spec.workspaces) {
+    for (const bound of [true, false]) {
+      rows.push({
+        kind: "workspace",
+        id: nameOf(region, workspace, bound),
+        home: region,
+        bound,
+      });
+    }
+  }
+  return rows;
+}
--- a/bench/world.ts
+++ b/bench/world.ts
@@ -14,7 +14,7 @@
   type SlotReport,
 } from "../src/decisions/mod.ts";
 import { Engine } from "./engine.ts";
-import type { Policy, PolicyContext } from "./policies.ts";
+import { Lead, type Policy, type PolicyContext } from "./policies.ts";
 import { Sim } from "./sim.ts";
 import type { Ask } from "./workload.ts";
 
@@ -50,6 +50,8 @@
   firstMs?: number;
   /** Region that served it. */
   servedIn?: string;
+  /** The upstream it was last placed on. */
+  upstreamId?: string;
   code?: string;
   attempts: number;
   moves: number;
@@ -121,6 +123,13 @@
     return this.#regions.get(region)!.policy;
   }
 
+  /** The state of a region's lead. */
+  dump(region: string): { readonly upstreams: { health: string }[] } {
+    const policy = this.policy(region);
+    if (!(policy instanceof Lead)) throw new Error("only a lead has a dump");
+    return policy.pool.dump() as { upstreams: { health: string }[] };
+  }
+
   /** Runs the requests to their ends. */
   run(asks: readonly Ask[], endMs: number): void {
     for (const ask of asks) this.sim.after(ask.atMs, () => this.#arrive(ask));
@@ -242,7 +251,7 @@
     this.#attempts.set(attempt.id, attempt);
     this.#current.set(outcome, attempt);
     // The policy that knows only latency takes what others send as its own.
-    const away = (region !== home || returned) && !this.#options.onlyLatency;
+    const away = region !== home && !this.#options.onlyLatency;
     this.sim.after(HOP_MS, () =>
       region.policy.ask({
         attemptId: attempt.id,
@@ -256,6 +265,7 @@
         expectedOutputTokens: ask.outputTokens,
         exclude,
         ...(away ? { sentFrom: home.id } : {}),
+        ...(returned ? { stayHome: true } : {}),
         tableVersion: 1,
       }, this.now));
   }
@@ -310,6 +320,7 @@
     const { outcome, region } = attempt;
     attempt.state = "granted";
     attempt.upstreamId = grant.upstreamId;
+    outcome.upstreamId = grant.upstreamId;
     attempt.grantedAtMs = this.now;
     region.held.add(attempt.id);
     if (outcome.result !== "open") return this.#end(attempt, "canceled");
--- a/src/decisions/dispatcher.ts
+++ b/src/decisions/dispatcher.ts
@@ -6,16 +6,10 @@
 
 import type { UpstreamRow } from "../agreement/mod.ts";
 import type { Random } from "../base/mod.ts";
-import { DrainRate, WaitBias } from "./admission.ts";
+import { type Choice, Chooser } from "./chooser.ts";
 import { Fleet } from "./fleet.ts";
-import { type Entry, type LaneName, LANES, Lanes } from "./lanes.ts";
-import {
-  type Place,
-  place,
-  placeAt,
-  type PlacementView,
-  weigh,
-} from "./placement.ts";
+import { type Entry, Lanes } from "./lanes.ts";
+import type { PlacementView } from "./placement.ts";
 import {
   type HeldSlot,
   type LoadReport,
@@ -24,48 +18,25 @@
 } from "./pool_messages.ts";
 import { SlotBook } from "./slot_book.ts";
 import type { SlotReport } from "./slots.ts";
-import type { Held } from "./upstream.ts";
-import { Usage } from "./usage.ts";
+import { type Held, overdueAt } from "./upstream.ts";
+import { Waits } from "./waits.ts";
 import { workTokens } from "./work.ts";
 
-/**
- * A new lead takes load reports at their word and fills half of each upstream for this long. Its predecessor's slots are
- * unknown until the entry VMs have named them, which takes one of their renewals.
- */
-const CAUTION_MS = 1000;
-/** Workspaces passed over whose next request can be placed nowhere yet, such as a retry that waits for one upstream. */
-const MOST_SKIPS = 4;
-/** Times a request may be bypassed by warmer ones: some 2 s of a busy upstream's work. */
-const MOST_BYPASSES = 8;
-/** Short requests within this time make the traffic mixed; see `SHORT_SHARE` of the placement. */
-const MIXED_MS = 5000;
-
-interface Choice {
-  readonly entry: Entry;
-  readonly found: Place;
-}
-
 /** See the module. */
 export class Dispatcher {
   readonly lanes = new Lanes();
   readonly fleet = new Fleet();
+  readonly waits = new Waits(this.lanes);
   readonly #slots = new SlotBook();
-  readonly #rates = { short: new DrainRate(), long: new DrainRate() };
-  readonly #random: Random;
-  readonly #bias = { short: new WaitBias(), long: new WaitBias() };
-  readonly #usage = new Usage();
-  #nominalPerMs = 0;
-  #cautiousUntilMs?: number;
-  #shortAtMs = -Infinity;
+  readonly #chooser: Chooser;
 
   constructor(random: Random) {
-    this.#random = random;
+    this.#chooser = new Chooser(this.lanes, this.fleet, random);
   }
 
   configure(upstreams: readonly UpstreamRow[], nowMs: number): void {
     this.fleet.configure(upstreams);
-    this.#cautiousUntilMs ??= nowMs + CAUTION_MS;
-    this.#nominalPerMs = this.fleet.nominalPerMs(nowMs);
+    this.#chooser.begin(nowMs);
   }
 
   /** The grant given to this attempt before, if it still holds. */
@@ -77,15 +48,13 @@
   /** Places what can be placed: first those that waited for a warm upstream, then in turn. */
   dispatch(nowMs: number): PoolOutput[] {
     const outputs: PoolOutput[] = [];
-    const view = this.view(nowMs);
-    const go = ({ entry, found }: Choice) => {
-      this.waited(entry, nowMs);
-      const held = this.#take(entry, found, nowMs);
-      outputs.push(grant(held, nowMs - entry.queuedAtMs));
+    const go = (choice: Choice) => {
+      const held = this.#take(choice, nowMs);
+      outputs.push(grant(held, nowMs - choice.entry.queuedAtMs));
     };
-    this.#dispatchParked(view, go);
+    this.#chooser.parked(nowMs, go);
     for (;;) {
-      const next = this.#next(view);
+      const next = this.#chooser.next(nowMs);
       if (!next) break;
       go(next);
     }
@@ -145,6 +114,7 @@
       probe: false,
       grantedAtMs: nowMs,
       firstTokenDueMs: nowMs,
+      overdueAtMs: Infinity,
       slowness: 1,
       started: true,
     };
@@ -153,7 +123,7 @@
   }
 
   observe(load: LoadReport, nowMs: number): void {
-    const cautious = nowMs < (this.#cautiousUntilMs ?? 0);
+    const cautious = this.#chooser.isCautious(nowMs);
     this.fleet.get(load.upstreamId)
       ?.observe(load.running + load.waiting, cautious);
   }
@@ -161,57 +131,18 @@
   /** Time passes. */
   pass(nowMs: number): void {
     this.fleet.judge(nowMs);
-    this.#nominalPerMs = this.fleet.nominalPerMs(nowMs);
-    for (const lane of LANES) {
-      const busy = this.lanes.sizeOf(lane) > 0;
-      this.#rates[lane].pass(this.#nominalPerMs, busy, nowMs);
-    }
-  }
-
-  /** Time until this much queued work of a lane is started. */
-  drainMs(lane: LaneName, work: number): number {
-    return work / this.#rates[lane].perMs(this.#nominalPerMs);
-  }
-
-  /** Time in a lane behind this much work. */
-  forecast(
-    lane: LaneName,
-    work: number,
-  ): { readonly waitMs: number; readonly rawWaitMs: number } {
-    const rawWaitMs = this.drainMs(lane, work);
-    return { rawWaitMs, waitMs: this.#bias[lane].corrected(rawWaitMs) };
-  }
-
-  /** An entry's wait is over, well or not. */
-  waited(entry: Entry, nowMs: number): void {
-    if (entry.rawWaitMs <= 0) return;
-    this.#bias[entry.lane].learn(entry.rawWaitMs, nowMs - entry.queuedAtMs);
-  }
-
-  /** Time until all that is queued now is started. */
-  emptyMs(): number {
-    const waits = LANES.map((lane) =>
-      this.drainMs(lane, this.lanes.workOf(lane))
-    );
-    return Math.max(...waits);
+    this.waits.pass(this.fleet.nominalPerMs(nowMs), nowMs);
   }
 
+  /** What a placement is decided on now. */
   view(nowMs: number): PlacementView {
-    return {
-      upstreams: this.fleet.active,
-      nowMs,
-      random: this.#random,
-      mixed: nowMs - this.#shortAtMs < MIXED_MS,
-      pressure: this.fleet.pressure,
-      cautious: nowMs < (this.#cautiousUntilMs ?? 0),
-      over: false,
-      waitingFor: (upstreamId) => this.lanes.parking.countAt(upstreamId),
-    };
+    return this.#chooser.view(nowMs);
   }
 
-  /** A short request arrived. */
-  sawShort(nowMs: number): void {
-    this.#shortAtMs = nowMs;
+  /** A request was let into the queue. */
+  push(entry: Entry, nowMs: number): void {
+    if (entry.lane === "short") this.#chooser.sawShort(nowMs);
+    this.lanes.push(entry);
   }
 
   dump(): Record<string, unknown> {
@@ -219,89 +150,12 @@
       queued: this.lanes.size,
       queuedWork: Math.round(this.lanes.work),
       held: this.#slots.size,
-      rateFactors: LANES.map((lane) => this.#rates[lane].factor),
+      rateFactors: this.waits.dump(),
       upstreams: this.fleet.dump(),
     };
   }
 
-  #dispatchParked(view: PlacementView, go: (choice: Choice) => void): void {
-    const { parking } = this.lanes;
-    for (const entry of parking.ready(view.nowMs)) {
-      const found = place(entry.request, this.#viewOf(entry, view));
-      if (found.type !== "go") continue;
-      this.lanes.remove(entry.request.attemptId);
-      go({ entry, found: found.place });
-    }
-    for (const id of parking.upstreams()) {
-      const upstream = this.fleet.get(id);
-      for (;;) {
-        const entry = parking.firstAt(id);
-        const found = entry && upstream &&
-          placeAt(entry.request, upstream, this.#viewOf(entry, view));
-        if (!found) break;
-        this.lanes.remove(entry.request.attemptId);
-        go({ entry, found });
-      }
-    }
-  }
-
-  #viewOf(entry: Entry, view: PlacementView): PlacementView {
-    const over = this.#usage.isOver(entry.request.workspace, view.nowMs);
-    return over ? { ...view, over } : view;
-  }
-
-  #next(view: PlacementView): Choice | undefined {
-    for (const lane of this.lanes.order()) {
-      for (let skips = 0; skips <= MOST_SKIPS;) {
-        const entry = this.lanes.peek(lane);
-        if (!entry) break;
-        const own = this.#viewOf(entry, view);
-        const found = place(entry.request, own);
-        if (found.type === "go") {
-          return this.#prefer(entry, found.place, view.nowMs);
-        }
-        if (found.type === "wait") {
-          const untilMs = Math.min(
-            found.untilMs,
-            (view.nowMs + entry.latestStartMs) / 2,
-          );
-          this.lanes.park(lane, found.upstream.row.id, untilMs);
-          continue;
-        }
-        // Only these can be stuck where the next workspace is not.
-        if (!own.over && entry.request.exclude.length === 0) break;
-        this.lanes.skip(lane);
-        skips++;
-      }
-    }
-    return undefined;
-  }
-
-  /**
-   * Where the next in turn is cold at its place and another in the queue is warm there, the other goes first. With a
-   * full queue most places would else go to prompts whose prefix lies elsewhere, and the pool would spend its time on
-   * prefilling again what it has; one bypassed often enough goes wherever there is room.
-   */
-  #prefer(entry: Entry, found: Place, nowMs: number): Choice {
-    const own = { entry, found };
-    if (found.probe || !found.long || entry.bypassed >= MOST_BYPASSES) {
-      this.lanes.pop(entry.lane);
-      return own;
-    }
-    const id = found.upstream.row.id;
-    const other = this.lanes.peekWarm(entry.lane, id);
-    if (!other || other === entry || other.request.exclude.includes(id)) {
-      this.lanes.pop(entry.lane);
-      return own;
-    }
-    const over = this.#usage.isOver(other.request.workspace, nowMs);
-    const place = weigh(other.request, found.upstream, { nowMs, over });
-    this.lanes.take(other);
-    entry.bypassed++;
-    return { entry: other, found: place };
-  }
-
-  #take(entry: Entry, found: Place, nowMs: number): Held {
+  #take({ entry, found }: Choice, nowMs: number): Held {
     const { request } = entry;
     const { upstream } = found;
     const held: Held = {
@@ -324,6 +178,7 @@
       probe: found.probe,
       grantedAtMs: nowMs,
       firstTokenDueMs: nowMs + found.firstMs,
+      overdueAtMs: overdueAt(nowMs, found.firstMs),
       slowness: upstream.slowness,
       expiresAtMs: nowMs + SLOT_TTL_MS,
       started: false,
@@ -332,8 +187,8 @@
     upstream.add(held);
     upstream.warm.touch(request.prefixHashes, nowMs);
     this.#slots.add(held);
-    this.#rates[entry.lane].granted(entry.work);
-    this.#usage.add(request.workspace, entry.weight, entry.work, nowMs);
+    this.waits.granted(entry, nowMs);
+    this.#chooser.granted(entry, nowMs);
     return held;
   }
 }
--- a/src/decisions/fleet.ts
+++ b/src/decisions/fleet.ts
@@ -19,10 +19,6 @@
 const ASIDE_RATIO = 4;
 /** A probe this close to the median brings it back. */
 const RETURN_RATIO = 2;
-/** An attempt without a first token is overdue after this many times its prediction, and this much more. */
-const OVERDUE_RATIO = 3;
-const OVERDUE_SLACK_MS = 150;
-
 /** A saved prefill shorter than this cannot be told from noise in first-token times. */
 const EVICTION_MS = 50;
 
@@ -183,12 +179,11 @@
   #watchOverdue(upstream: Upstream, nowMs: number): void {
     // Without news of first tokens, every long answer would look overdue.
     if (!this.#hearsStarts) return;
-    const oldest = upstream.oldestUnstarted();
-    if (!oldest) return;
-    const waitedMs = nowMs - oldest.grantedAtMs;
-    const expectedMs = Math.max(1, oldest.firstTokenDueMs - oldest.grantedAtMs);
-    if (waitedMs < OVERDUE_RATIO * expectedMs + OVERDUE_SLACK_MS) return;
-    upstream.atLeastSlow(oldest.slowness * (waitedMs / expectedMs));
+    const late = upstream.overdue(nowMs);
+    if (!late) return;
+    const waitedMs = nowMs - late.grantedAtMs;
+    const expectedMs = Math.max(1, late.firstTokenDueMs - late.grantedAtMs);
+    upstream.atLeastSlow(late.slowness * (waitedMs / expectedMs));
   }
 
   #mayAside(): boolean {
--- a/src/decisions/gate.ts
+++ b/src/decisions/gate.ts
@@ -4,24 +4,18 @@
  * @module
  */
 
-import { Table, type TrafficRow } from "../agreement/mod.ts";
+import { Table } from "../agreement/mod.ts";
 import { type CodeName, type Failure, failure } from "../base/mod.ts";
 import type { Random } from "../base/mod.ts";
 import type { Dispatcher } from "./dispatcher.ts";
+import type { Exchange, HomeForecast } from "./exchange.ts";
 import type { Entry, LaneName } from "./lanes.ts";
 import { LimitBook, type Use } from "./limits.ts";
 import { weigh } from "./placement.ts";
-import {
-  type FarRegion,
-  NEVER_MS,
-  type PoolDigest,
-  type PoolOptions,
-  type PoolOutput,
-} from "./pool_messages.ts";
+import type { PoolOptions, PoolOutput } from "./pool_messages.ts";
 import { RetryBudget } from "./retry.ts";
-import { chooseRegion, mayLeave, ShiftLedger } from "./shift.ts";
 import type { SlotRequest } from "./slots.ts";
-import { type Held, Upstream } from "./upstream.ts";
+import type { Held, Upstream } from "./upstream.ts";
 import { priceMicrocents, workTokens } from "./work.ts";
 
 /**
@@ -36,23 +30,15 @@
 /** Callers refused together are spread over this part of their wait, or they would come back together. */
 const RETRY_SPREAD = 0.5;
 
-/** Longest queue of a region that takes requests of others: an instant's queue is no lack of room. */
-const MOST_WAIT_TO_TAKE_MS = 500;
-
 /** What became of an arrival. */
 export type Arrival =
   | { readonly type: "queue"; readonly entry: Entry }
   | { readonly type: "answered"; readonly output: PoolOutput };
 
-interface Forecast {
+interface Forecast extends HomeForecast {
   readonly lane: LaneName;
   readonly warmAt: string | undefined;
-  /** Time in the queue, and the same before it is corrected. */
-  readonly waitMs: number;
   readonly rawWaitMs: number;
-  /** Time from leaving the queue to the first token. */
-  readonly firstMs: number;
-  readonly coldMs: number;
   readonly work: number;
   readonly use: Use;
 }
@@ -63,13 +49,18 @@
   readonly #dispatcher: Dispatcher;
   readonly #random: Random;
   readonly #limits: LimitBook;
+  readonly #exchange: Exchange;
   readonly #retries = new RetryBudget(0);
-  readonly #ledger = new ShiftLedger();
   #table = Table.empty;
-  #far: readonly FarRegion[] = [];
 
-  constructor(options: PoolOptions, dispatcher: Dispatcher, random: Random) {
+  constructor(
+    options: PoolOptions,
+    dispatcher: Dispatcher,
+    exchange: Exchange,
+    random: Random,
+  ) {
     this.#options = options;
+    this.#exchange = exchange;
     this.#dispatcher = dispatcher;
     this.#random = random;
     this.#limits = new LimitBook(this.#table, { ...options, pools: 1 });
@@ -84,21 +75,15 @@
     this.#limits.configure(table, { service, region, pools }, nowMs);
   }
 
-  setFar(regions: readonly FarRegion[]): void {
-    this.#far = regions;
-  }
-
   arrive(request: SlotRequest, nowMs: number): Arrival {
     const bound = this.#residency(request);
     if (bound) return refused(request, bound);
-    if (request.sentFrom === undefined && request.exclude.length === 0) {
-      this.#ledger.arrived(nowMs);
-    }
+    this.#exchange.arrived(request, nowMs);
     if (request.deadlineMs <= nowMs) {
       return refused(request, failure("deadlinePassed"));
     }
     const forecast = this.#forecast(request, nowMs);
-    const sent = this.#send(request, forecast, nowMs);
+    const sent = this.#exchange.send(request, forecast, nowMs);
     if (sent) return { type: "answered", output: sent };
     const no = this.#refusal(request, forecast, nowMs);
     if (no || !forecast) {
@@ -113,14 +98,14 @@
     if (!fleet.usable(nowMs)) {
       return lanes.clear().map((entry) => {
         this.forget(entry);
-        return this.#send(entry.request, undefined, nowMs) ??
+        return this.#exchange.send(entry.request, undefined, nowMs) ??
           answer(entry.request, this.#noUpstream(nowMs));
       });
     }
     return lanes.removeLate(nowMs).map((entry) => {
       this.forget(entry);
-      this.#dispatcher.waited(entry, nowMs);
-      const waitMs = this.#dispatcher.emptyMs();
+      this.#dispatcher.waits.ended(entry, nowMs);
+      const waitMs = this.#dispatcher.waits.emptyMs();
       const why = this.#later("expiredInQueue", waitMs, nowMs);
       return answer(entry.request, why);
     });
@@ -145,19 +130,6 @@
     this.#limits.release(held.workspace, held.use, actual);
   }
 
-  digest(nowMs: number): PoolDigest {
-    const { lanes, fleet } = this.#dispatcher;
-    const { running, slots } = fleet.load(nowMs);
-    const usable = slots > 0;
-    return {
-      predictedWaitMs: usable ? this.#dispatcher.emptyMs() : NEVER_MS,
-      takesIn: usable && this.#takesIn(nowMs),
-      queued: lanes.size,
-      running,
-      slots,
-    };
-  }
-
   // Checked here too, although the VM that took the request checks it first: a version of the table older than the edit
   // that bound a workspace may still be in force there.
   #residency(request: SlotRequest): Failure | undefined {
@@ -170,56 +142,13 @@
     return row?.bound === false ? undefined : failure("homeElsewhere");
   }
 
-  #send(
-    request: SlotRequest,
-    forecast: Forecast | undefined,
-    nowMs: number,
-  ): PoolOutput | undefined {
-    const far = this.#chooseRegion(request, forecast, nowMs);
-    if (!far) return undefined;
-    this.#ledger.sent(far, nowMs);
-    return {
-      type: "answer",
-      attemptId: request.attemptId,
-      answer: { type: "shift", region: far.region },
-    };
-  }
-
-  #chooseRegion(
-    request: SlotRequest,
-    forecast: Forecast | undefined,
-    nowMs: number,
-  ): FarRegion | undefined {
-    const workspace = this.#table.workspace(request.workspace);
-    const { sentFrom } = request;
-    if (!mayLeave({ workspace, sentFrom })) return undefined;
-    if (request.boundByCaller || request.stayHome) return undefined;
-    const { service, region } = this.#options;
-    return chooseRegion(
-      {
-        workspace,
-        sentFrom,
-        service: this.#table.service(service),
-        traffic: this.#traffic(),
-        region,
-        homeMs: forecast ? forecast.waitMs + forecast.firstMs : Infinity,
-        homeWaitMs: forecast?.waitMs ?? Infinity,
-        coldMs: forecast?.coldMs ?? 0,
-        deadlineMs: request.deadlineMs,
-        nowMs,
-      },
-      this.#far,
-      this.#ledger,
-    );
-  }
-
   #refusal(
     request: SlotRequest,
     forecast: Forecast | undefined,
     nowMs: number,
   ): Failure | undefined {
     if (!forecast) return this.#noUpstream(nowMs);
-    if (request.sentFrom !== undefined && !this.#takesIn(nowMs)) {
+    if (request.sentFrom !== undefined && !this.#exchange.takesIn(nowMs)) {
       return this.#later("receiverRefused", 0, nowMs);
     }
     const full = this.#queueFull(request, nowMs);
@@ -259,14 +188,13 @@
     }
     return this.#later(
       "queueFull",
-      this.#dispatcher.emptyMs(),
+      this.#dispatcher.waits.emptyMs(),
       nowMs,
     );
   }
 
   #enter(request: SlotRequest, forecast: Forecast, nowMs: number): Entry {
     if (request.exclude.length === 0) this.#retries.firstAttempt();
-    if (forecast.lane === "short") this.#dispatcher.sawShort(nowMs);
     this.#limits.take(request.workspace, forecast.use, nowMs);
     return {
       request,
@@ -303,7 +231,7 @@
     return {
       lane,
       warmAt: savedMs > 0 ? upstream.row.id : undefined,
-      ...this.#dispatcher.forecast(lane, ahead),
+      ...this.#dispatcher.waits.forecast(lane, ahead),
       firstMs,
       coldMs: upstream.ownMs(request.promptTokens),
       work,
@@ -320,22 +248,6 @@
     };
   }
 
-  // A region that waits itself, or that sends away, has nothing to give; and part of its slots is kept for its own
-  // callers, who may come in the second that a digest is old.
-  #takesIn(nowMs: number): boolean {
-    if (this.#ledger.sending(nowMs)) return false;
-    const { fleet } = this.#dispatcher;
-    if (this.#dispatcher.emptyMs() > MOST_WAIT_TO_TAKE_MS) return false;
-    const { running, slots } = fleet.load(nowMs);
-    const reserve = this.#traffic()?.reserveShare ?? 0.2;
-    return running < slots * (1 - reserve);
-  }
-
-  #traffic(): TrafficRow | undefined {
-    const { service, region } = this.#options;
-    return this.#table.traffic(service, region);
-  }
-
   #weight(workspace: string): number {
     return this.#table.workspace(workspace)?.weight ?? 1;
   }
--- a/src/decisions/limits.ts
+++ b/src/decisions/limits.ts
@@ -10,6 +10,12 @@
 import type { Table, WorkspaceRow } from "../agreement/mod.ts";
 import { type Failure, failure } from "../base/mod.ts";
 import { Bucket } from "./bucket.ts";
+import {
+  type HomeWeights,
+  homeWeights,
+  limitPart,
+  type LimitPlace,
+} from "./limit_parts.ts";
 
 /** A rate's bucket holds this much of it: callers send in clumps, and a second smooths them. */
 const RATE_BURST_MS = 1000;
@@ -121,20 +127,12 @@
   });
 }
 
-/** Which part of the table's limits this lead holds. */
-export interface LimitPlace {
-  readonly service: string;
-  readonly region: string;
-  /** Pools that the service has in the region. */
-  readonly pools: number;
-}
-
 /** The meters of a lead. */
 export class LimitBook {
   readonly #meters = new Map<string, Meter>();
   #table: Table;
   #place: LimitPlace;
-  #weights: ReadonlyMap<string, number> = new Map();
+  #weights: ReadonlyMap<string, HomeWeights> = new Map();
   #traffic?: Meter;
 
   constructor(table: Table, place: LimitPlace) {
@@ -145,7 +143,7 @@
   configure(table: Table, place: LimitPlace, nowMs: number): void {
     this.#table = table;
     this.#place = place;
-    this.#weights = regionWeights(table);
+    this.#weights = homeWeights(table);
     for (const [id, meter] of this.#meters) this.#fit(id, meter, nowMs);
     const row = table.traffic(place.service, place.region);
     this.#traffic ??= new Meter();
@@ -216,46 +214,6 @@
   }
 }
 
-/**
- * The part of a workspace's limits that the lead at `place` holds: by the weights of the traffic rows of the regions and
- * services that may serve it. A bound workspace is served at home only, so home holds the whole. A service with a small
- * weight holds a small part even while the others rest: parts that grew with use would have to be agreed on, and would
- * add up to more than the limit while regions cannot reach each other.
- */
-export function limitPart(
-  table: Table,
-  workspace: WorkspaceRow,
-  place: LimitPlace,
-  weights: ReadonlyMap<string, number>,
-): number {
-  const regions = servingRegions(table, workspace, place.service);
-  if (!regions.includes(place.region)) return 0;
-  const own = table.traffic(place.service, place.region)?.weight ?? 1;
-  let sum = 0;
-  for (const region of regions) sum += weights.get(region) ?? 1;
-  return sum > 0 ? Math.min(1, own / sum) / place.pools : 0;
-}
-
-/** Sum of the weights of each region's traffic rows. */
-export function regionWeights(table: Table): ReadonlyMap<string, number> {
-  const weights = new Map<string, number>();
-  for (const { row } of table.rows()) {
-    if (row.kind !== "traffic") continue;
-    weights.set(row.region, (weights.get(row.region) ?? 0) + row.weight);
-  }
-  return weights;
-}
-
-function servingRegions(
-  table: Table,
-  workspace: WorkspaceRow,
-  service: string,
-): readonly string[] {
-  if (workspace.bound) return [workspace.home];
-  const home = table.traffic(service, workspace.home);
-  return [...new Set([workspace.home, ...(home?.mayGoTo ?? [])])];
-}
-
 // A part below one rounds up: with a limit of one, held in three parts, every lead would otherwise refuse for ever. The
 // limit may then be passed by at most the number of leads, which only matters to limits smaller than that.
 function concurrencyPart(limit: number, part: number): number {
--- /dev/null
+++ b/src/decisions/parts_test.ts
@@ -0,0 +1,284 @@
+import fc from "fast-check";
+import { Table, type TableRow, tableRow } from "../agreement/mod.ts";
+import { describe, it } from "../base/describe.ts";
+import { WaitBias } from "./admission.ts";
+import { FairQueue } from "./fair_queue.ts";
+import { Health } from "./health.ts";
+import { homeWeights, limitPart } from "./limit_parts.ts";
+import { LimitBook } from "./limits.ts";
+import { mayRetry, RetryBudget } from "./retry.ts";
+import { chooseRegion, ShiftLedger, type ShiftView } from "./shift.ts";
+import { Usage } from "./usage.ts";
+import { WarmSet } from "./warm.ts";
+
+function tableOf(...rows: object[]): Table {
+  const parsed = rows.map((row) => tableRow.parse(row));
+  return Table.of(1, parsed.map((row: TableRow) => ({ row, version: 1 })));
+}
+
+describe("fair queue", () => {
+  it("serves flows by weight, whatever they queue", (t) => {
+    const queue = new FairQueue<string>();
+    for (let i = 0; i < 300; i++) {
+      queue.push("a", { flow: "a", weight: 2, work: 10, rank: i });
+      queue.push("b", { flow: "b", weight: 1, work: 10, rank: i });
+    }
+    const first = Array.from({ length: 150 }, () => queue.pop()!.value);
+    t.true(Math.abs(first.filter((f) => f === "a").length - 100) <= 2);
+  });
+
+  it("gives a newcomer its turn before a backlog", (t) => {
+    const queue = new FairQueue<string>();
+    for (let i = 0; i < 100; i++) {
+      queue.push("hog", { flow: "hog", weight: 1, work: 1000, rank: i });
+    }
+    for (let i = 0; i < 10; i++) queue.pop();
+    queue.push("new", { flow: "new", weight: 1, work: 10, rank: 0 });
+    const next = [queue.pop()!.value, queue.pop()!.value];
+    t.true(next.includes("new"));
+  });
+
+  it("loses and doubles nothing", (t) => {
+    const step = fc.record({
+      type: fc.constantFrom("push", "pop", "remove", "take", "skip"),
+      flow: fc.constantFrom("a", "b", "c"),
+      work: fc.integer({ min: 1, max: 100 }),
+    });
+    fc.assert(fc.property(fc.array(step, { maxLength: 200 }), (steps) => {
+      const queue = new FairQueue<number>();
+      const live = new Map<number, ReturnType<typeof queue.push>>();
+      steps.forEach(({ type, flow, work }, i) => {
+        const any = live.values().next().value;
+        if (type === "push") {
+          live.set(i, queue.push(i, { flow, weight: 1, work, rank: i }));
+        } else if (type === "pop") {
+          const popped = queue.pop();
+          if ((popped === undefined) !== (live.size === 0)) throw new Error();
+          if (popped && !live.delete(popped.value)) throw new Error();
+        } else if (type === "skip") {
+          queue.skip();
+          queue.restore();
+        } else if (any) {
+          if (type === "take") queue.take(any);
+          else queue.remove(any);
+          live.delete(any.value);
+        }
+        if (queue.size !== live.size) throw new Error("size");
+      });
+      while (queue.pop()) { /* empties it */ }
+      if (queue.size !== 0 || queue.work !== 0) throw new Error("rest");
+    }));
+    t.pass();
+  });
+});
+
+describe("limits", () => {
+  const rows = [
+    { kind: "service", id: "plan", type: "model" },
+    { kind: "service", id: "ledger", type: "plain" },
+    { kind: "region", id: "agadir" },
+    { kind: "region", id: "marrakech" },
+    {
+      kind: "traffic",
+      service: "plan",
+      region: "agadir",
+      mayGoTo: ["marrakech"],
+    },
+    { kind: "traffic", service: "plan", region: "marrakech", weight: 3 },
+    { kind: "traffic", service: "ledger", region: "agadir" },
+    {
+      kind: "workspace",
+      id: "road",
+      home: "agadir",
+      bound: false,
+      requestsPerS: 10,
+    },
+    {
+      kind: "workspace",
+      id: "flour",
+      home: "agadir",
+      spendMicrocentsPerHour: 1200,
+    },
+  ];
+  const table = tableOf(...rows);
+
+  // Regions that cannot reach each other, and the leads in them, go on admitting. If each took the whole limit, a
+  // workspace would spend it once in each.
+  it("the parts of all leads never add up to more than the limit", (t) => {
+    const row = table.workspace("road")!;
+    const weights = homeWeights(table);
+    let sum = 0;
+    for (const service of ["plan", "ledger"]) {
+      for (const region of ["agadir", "marrakech"]) {
+        sum += limitPart(table, row, { service, region, pools: 1 }, weights);
+      }
+    }
+    t.true(sum <= 1 + 1e-9);
+  });
+
+  it("no sixty minutes cost more than the limit", (t) => {
+    const place = { service: "plan", region: "agadir", pools: 1 };
+    const book = new LimitBook(table, place);
+    book.configure(table, place, 0);
+    const use = { workTokens: 1, microcents: 5 };
+    const spends: number[] = [];
+    for (let nowMs = 0; nowMs < 3 * 3_600_000; nowMs += 2000) {
+      if (book.refusal("flour", use, nowMs)) continue;
+      book.take("flour", use, nowMs);
+      book.release("flour", use, use);
+      spends.push(nowMs);
+    }
+    t.true(spends.length > 300);
+    for (const from of spends) {
+      const hour = spends.filter((s) => s >= from && s < from + 3_600_000);
+      t.true(hour.length * use.microcents <= 1200 / 2 + use.microcents);
+    }
+  });
+
+  it("an edit hands out no second burst", (t) => {
+    const place = { service: "plan", region: "agadir", pools: 1 };
+    const book = new LimitBook(table, place);
+    book.configure(table, place, 0);
+    const use = { workTokens: 1, microcents: 50 };
+    while (!book.refusal("flour", use, 0)) book.take("flour", use, 0);
+    book.configure(table, place, 0);
+    t.is(book.refusal("flour", use, 0)?.code, "spendExhausted");
+  });
+});
+
+describe("retry", () => {
+  const attempt = {
+    atMostOnce: true,
+    ran: "unknown" as const,
+    answerBytes: 0,
+    attempts: 1,
+    deadlineMs: 100,
+  };
+  it("never repeats what may have run and runs at most once", (t) => {
+    t.false(mayRetry(attempt, 0));
+    t.true(mayRetry({ ...attempt, ran: "no" }, 0));
+    t.true(mayRetry({ ...attempt, atMostOnce: false }, 0));
+  });
+  it("never continues an answer by another, nor past the deadline", (t) => {
+    const free = { ...attempt, atMostOnce: false };
+    t.false(mayRetry({ ...free, answerBytes: 1 }, 0));
+    t.false(mayRetry(free, 100));
+  });
+  it("keeps to a part of the traffic", (t) => {
+    const budget = new RetryBudget(0);
+    let retries = 0;
+    for (let i = 0; i < 1000; i++) {
+      budget.firstAttempt();
+      if (budget.tryTake(0)) retries++;
+    }
+    t.true(retries <= 132);
+  });
+});
+
+describe("shift", () => {
+  const view: ShiftView = {
+    workspace: {
+      kind: "workspace",
+      id: "road",
+      home: "agadir",
+      bound: false,
+      weight: 1,
+      keyDigests: [],
+    },
+    service: undefined,
+    traffic: {
+      kind: "traffic",
+      service: "plan",
+      region: "agadir",
+      mayGoTo: ["marrakech"],
+      awayShareLimit: 1,
+      reserveShare: 0.2,
+      weight: 1,
+    },
+    region: "agadir",
+    sentFrom: undefined,
+    homeMs: 5000,
+    homeWaitMs: 4000,
+    coldMs: 300,
+    deadlineMs: 8000,
+    nowMs: 0,
+  };
+  const far = {
+    region: "marrakech",
+    linkMs: 40,
+    predictedWaitMs: 0,
+    takesIn: true,
+    seenAtMs: 0,
+  };
+  const sent = (more: Partial<ShiftView>, other = far) =>
+    chooseRegion({ ...view, ...more }, [other], new ShiftLedger())?.region;
+
+  it("goes where it is sooner", (t) => {
+    t.is(sent({}), "marrakech");
+  });
+  it("never leaves home if bound, or unknown, or sent here", (t) => {
+    t.is(sent({ workspace: { ...view.workspace!, bound: true } }), undefined);
+    t.is(sent({ workspace: undefined }), undefined);
+    t.is(sent({ sentFrom: "casablanca" }), undefined);
+    t.is(sent({ homeMs: Infinity, workspace: undefined }), undefined);
+  });
+  it("goes only where the table, the link and the receiver allow", (t) => {
+    const traffic = { ...view.traffic!, mayGoTo: [] };
+    t.is(sent({ traffic }), undefined);
+    t.is(sent({}, { ...far, takesIn: false }), undefined);
+    t.is(sent({ nowMs: 10_000, deadlineMs: 20_000 }), undefined);
+    t.is(sent({}, { ...far, linkMs: 4000 }), undefined);
+  });
+  it("keeps the share sent away under its limit", (t) => {
+    const ledger = new ShiftLedger();
+    const limited = {
+      ...view,
+      traffic: { ...view.traffic!, awayShareLimit: 0.1 },
+    };
+    let count = 0;
+    for (let i = 0; i < 200; i++) {
+      ledger.arrived(0);
+      const to = chooseRegion(limited, [{ ...far, seenAtMs: -i }], ledger);
+      if (!to) continue;
+      ledger.sent(to, 0);
+      count++;
+    }
+    t.true(count > 10 && count <= 21);
+  });
+});
+
+describe("judgements", () => {
+  it("a returning upstream is ramped", (t) => {
+    const health = new Health(16);
+    health.setAside(0);
+    t.is(health.limit(500), 0);
+    t.true(health.probeDue(1000));
+    health.restore(1000);
+    t.is(health.limit(1000), 2);
+    t.is(health.limit(2000), 8);
+    t.is(health.limit(3000), 16);
+  });
+  it("only one workspace can be far over its share, and only beside others", (t) => {
+    const usage = new Usage();
+    usage.add("hog", 1, 1000, 0);
+    t.false(usage.isOver("hog", 0));
+    for (let i = 0; i < 8; i++) usage.add(`w${i}`, 1, 20, 0);
+    t.true(usage.isOver("hog", 0));
+    t.false(usage.isOver("w1", 0));
+    t.false(usage.isOver("hog", 60_000));
+  });
+  it("belief in a prefix is bounded and ends", (t) => {
+    const warm = new WarmSet();
+    warm.touch([1, 2, 3], 0);
+    t.is(warm.matched([1, 2, 3, 4], 10), 3);
+    t.is(warm.matched([9, 2], 10), 0);
+    t.is(warm.matched([1, 2, 3], 400_000), 0);
+    warm.touch(Array.from({ length: 5000 }, (_, i) => i + 10), 0);
+    t.true(warm.size <= 2048);
+  });
+  it("the correction of waits follows their high quantile", (t) => {
+    const bias = new WaitBias();
+    for (let i = 0; i < 2000; i++) bias.learn(4000, i % 4 === 0 ? 8000 : 4000);
+    t.true(bias.corrected(1000) > 1500);
+  });
+});
--- a/src/decisions/placement.ts
+++ b/src/decisions/placement.ts
@@ -123,12 +123,13 @@
   return { type: "go", place: best };
 }
 
-/** The place at one upstream, if it has room for the request. */
+/** The place at one upstream, if it may still get work and has room for the request. */
 export function placeAt(
   request: SlotRequest,
   upstream: Upstream,
   view: PlacementView,
 ): Place | undefined {
+  if (upstream.row.state !== "active") return undefined;
   const found = weigh(request, upstream, view);
   return mayTake(found, view, longHasRoom(view)) ? found : undefined;
 }
--- a/src/decisions/pool.ts
+++ b/src/decisions/pool.ts
@@ -8,6 +8,7 @@
 import { Random } from "../base/mod.ts";
 import { type Arrival, Gate } from "./gate.ts";
 import { Dispatcher } from "./dispatcher.ts";
+import { Exchange } from "./exchange.ts";
 import {
   type FarRegion,
   type HeldSlot,
@@ -23,13 +24,15 @@
 export class Pool {
   readonly options: PoolOptions;
   readonly #dispatcher: Dispatcher;
+  readonly #exchange: Exchange;
   readonly #gate: Gate;
 
   constructor(options: PoolOptions) {
     this.options = options;
     const random = new Random(options.seed);
     this.#dispatcher = new Dispatcher(random);
-    this.#gate = new Gate(options, this.#dispatcher, random);
+    this.#exchange = new Exchange(options, this.#dispatcher);
+    this.#gate = new Gate(options, this.#dispatcher, this.#exchange, random);
   }
 
   /** Takes the rows in force: the pool's upstreams and whatever else of the table decides. */
@@ -40,6 +43,7 @@
   ): PoolOutput[] {
     this.#dispatcher.configure(upstreams, nowMs);
     this.#gate.configure(table, nowMs);
+    this.#exchange.configure(table);
     return this.tick(nowMs);
   }
 
@@ -50,7 +54,7 @@
     if (this.#dispatcher.lanes.has(request.attemptId)) return [];
     const arrival: Arrival = this.#gate.arrive(request, nowMs);
     if (arrival.type === "answered") return [arrival.output];
-    this.#dispatcher.lanes.push(arrival.entry);
+    this.#dispatcher.push(arrival.entry, nowMs);
     return this.#settle(nowMs);
   }
 
@@ -84,7 +88,7 @@
 
   /** What other regions say; replaces what they said before. */
   setFar(regions: readonly FarRegion[], _nowMs: number): void {
-    this.#gate.setFar(regions);
+    this.#exchange.setFar(regions);
   }
 
   /** A new lead learns what entry VMs hold; it starts cautious until it has heard them. */
@@ -104,7 +108,7 @@
 
   /** What other regions are told. */
   digest(nowMs: number): PoolDigest {
-    return this.#gate.digest(nowMs);
+    return this.#exchange.digest(nowMs);
   }
 
   /** The pool's state for people. */
--- a/src/decisions/shift.ts
+++ b/src/decisions/shift.ts
@@ -27,7 +27,7 @@
  * After sending away, a region takes nothing in for this long, or two regions would swap load: each would see the
  * other's queue fall by what it sent.
  */
-export const SENT_HOLD_MS = 5000;
+export const SENT_HOLD_MS = 3000;
 /** Time over which the share sent away is counted. */
 const SHARE_WINDOW_MS = 60_000;
 /** Requests counted before a limit of the share bites: a share of three requests means nothing. */
--- a/src/decisions/upstream.ts
+++ b/src/decisions/upstream.ts
@@ -4,6 +4,7 @@
  * @module
  */
 
+import TinyQueue from "tinyqueue";
 import type { UpstreamRow } from "../agreement/mod.ts";
 import { Health } from "./health.ts";
 import type { LaneName } from "./lanes.ts";
@@ -14,6 +15,18 @@
 /** Time to a first token that no prompt is too short for: a queued pass of the engine and the network. */
 export const BASE_FIRST_MS = 30;
 
+/**
+ * An attempt without a first token is overdue after this many times its prediction, and this much more. Each has a time
+ * of its own: a long prompt may take seconds, and would hide the questions beside it that got no answer.
+ */
+const OVERDUE_RATIO = 3;
+const OVERDUE_SLACK_MS = 150;
+
+/** When an attempt granted now is overdue. */
+export function overdueAt(nowMs: number, firstMs: number): number {
+  return nowMs + OVERDUE_RATIO * firstMs + OVERDUE_SLACK_MS;
+}
+
 /** Bounds of {@link Upstream.slowness}: one wild observation must not shut an upstream out for minutes. */
 const SLOWNESS_RANGE = { least: 0.25, most: 64 };
 /** Weight of one observation in {@link Upstream.slowness}: three of them move it most of the way. */
@@ -57,6 +70,8 @@
   readonly grantedAtMs: number;
   /** When its first token was expected; a duration would need the grant's time beside it at each use. */
   readonly firstTokenDueMs: number;
+  /** When its being late counts against the upstream. */
+  readonly overdueAtMs: number;
   /** {@link Upstream.slowness} at the grant. */
   readonly slowness: number;
   expiresAtMs: number;
@@ -68,8 +83,13 @@
   row: UpstreamRow;
   readonly health: Health;
   readonly warm = new WarmSet();
-  /** Attempts without a first token yet, oldest first. */
-  readonly unstarted = new Map<string, Held>();
+  /** Attempts without a first token yet. */
+  #unstarted = 0;
+  /** The same by the time at which they are overdue, with some that have their first token already. */
+  readonly #overdue = new TinyQueue<Held>(
+    [],
+    (a, b) => a.overdueAtMs - b.overdueAtMs,
+  );
   /** Attempts this lead granted or adopted and has not seen end. */
   running = 0;
   /** Long prompts among {@link unstarted}. */
@@ -138,7 +158,8 @@
   add(held: Held): void {
     this.running++;
     if (held.started) return;
-    this.unstarted.set(held.attemptId, held);
+    this.#unstarted++;
+    this.#overdue.push(held);
     if (held.long) this.longUnstarted++;
     const ownMs = prefillMs(this.row, held.coldTokens) * this.slowness;
     for (const level of ENGINE_PRIORITIES) {
@@ -171,22 +192,27 @@
     this.#holdMs += HOLD_GAIN * (nowMs - held.grantedAtMs - this.#holdMs);
     this.running = Math.max(0, this.running - 1);
     this.#unqueue(held);
-    if (this.unstarted.size > 0) return;
+    if (this.#unstarted > 0) return;
     for (const level of ENGINE_PRIORITIES) {
       const doneAtMs = this.#prefillDoneAtMs[level];
       this.#prefillDoneAtMs[level] = Math.min(doneAtMs, nowMs);
     }
   }
 
-  /** The attempt that has waited longest for its first token. */
-  oldestUnstarted(): Held | undefined {
-    return this.unstarted.values().next().value;
+  /** An attempt whose first token is overdue. */
+  overdue(nowMs: number): Held | undefined {
+    for (;;) {
+      const held = this.#overdue.peek();
+      if (!held || held.overdueAtMs > nowMs) return undefined;
+      if (!held.started) return held;
+      this.#overdue.pop();
+    }
   }
 
   #unqueue(held: Held): void {
     if (held.started) return;
     held.started = true;
-    this.unstarted.delete(held.attemptId);
+    this.#unstarted--;
     if (held.long) this.longUnstarted--;
   }
 }
--- a/src/decisions/usage.ts
+++ b/src/decisions/usage.ts
@@ -49,6 +49,7 @@
     if (!used || this.#used.size < 2) return false;
     const own = used.work * decay(nowMs - used.atMs);
     const all = this.#total * decay(nowMs - this.#totalAtMs);
+    if (all < 1) return false;
     const fair = used.weight / this.#weight;
     return own > all * Math.max(LEAST_OVER, OVER * fair);
   }
