--- a/bench/tables.ts
+++ b/bench/tables.ts
@@ -18,6 +18,7 @@
   readonly flood?: boolean;
   /** Whether requests may be sent to other regions. */
   readonly shifts: boolean;
+  readonly queueLimit?: number;
 }
 
 /** The workspace's name in a region. */
@@ -36,7 +37,7 @@
     id: "plan",
     type: "model",
     objective: spec.objective,
-    queueLimit: 1000,
+    queueLimit: spec.queueLimit ?? 1000,
   }];
   for (const region of spec.regions) rows.push(...regionRows(spec, region));
   if (spec.flood) {
--- a/src/decisions/chooser.ts
+++ b/src/decisions/chooser.ts
@@ -6,6 +6,7 @@
 
 import type { Random } from "../base/mod.ts";
 import type { Fleet } from "./fleet.ts";
+import { Holders } from "./holders.ts";
 import type { Entry, Lanes } from "./lanes.ts";
 import {
   type Place,
@@ -14,6 +15,7 @@
   type PlacementView,
   weigh,
 } from "./placement.ts";
+import type { Upstream } from "./upstream.ts";
 import { Usage } from "./usage.ts";
 
 /**
@@ -40,6 +42,7 @@
   readonly #fleet: Fleet;
   readonly #random: Random;
   readonly #usage = new Usage();
+  readonly #holders = new Holders<Upstream>();
   #cautiousUntilMs?: number;
   #shortAtMs = -Infinity;
 
@@ -63,8 +66,10 @@
   }
 
   /** An entry was given a place. */
-  granted({ request, weight, work }: Entry, nowMs: number): void {
+  granted({ entry, found }: Choice, nowMs: number): void {
+    const { request, weight, work } = entry;
     this.#usage.add(request.workspace, weight, work, nowMs);
+    this.#holders.placed(request.prefixHashes, found.upstream);
   }
 
   view(nowMs: number): PlacementView {
@@ -76,12 +81,17 @@
       pressure: this.#fleet.pressure,
       cautious: this.isCautious(nowMs),
       over: false,
+      holders: (hashes) => this.#holders.of(hashes),
       waitingFor: (upstreamId) => this.#lanes.parking.countAt(upstreamId),
     };
   }
 
-  /** Gives `go` those that waited for a warm upstream which has room, or waited long enough. */
-  parked(nowMs: number, go: (choice: Choice) => void): void {
+  /** Gives `go` those that waited long enough, and those that waited for one of these upstreams if it has room. */
+  parked(
+    nowMs: number,
+    upstreamIds: readonly string[],
+    go: (choice: Choice) => void,
+  ): void {
     const view = this.view(nowMs);
     const { parking } = this.#lanes;
     for (const entry of parking.ready(view.nowMs)) {
@@ -90,7 +100,7 @@
       this.#lanes.remove(entry.request.attemptId);
       go({ entry, found: found.place });
     }
-    for (const id of parking.upstreams()) {
+    for (const id of upstreamIds) {
       const upstream = this.#fleet.get(id);
       for (;;) {
         const entry = parking.firstAt(id);
--- a/src/decisions/dispatcher.ts
+++ b/src/decisions/dispatcher.ts
@@ -22,6 +22,9 @@
 import { Waits } from "./waits.ts";
 import { workTokens } from "./work.ts";
 
+/** Upstreams that may have got room since the last step. */
+export type Changed = "all" | readonly string[];
+
 /** See the module. */
 export class Dispatcher {
   readonly lanes = new Lanes();
@@ -45,14 +48,19 @@
     return held && grant(held, 0);
   }
 
-  /** Places what can be placed: first those that waited for a warm upstream, then in turn. */
-  dispatch(nowMs: number): PoolOutput[] {
+  /**
+   * Places what can be placed: first those that waited for a warm upstream, then in turn. `changed` names the one
+   * upstream that may have got room, or all: looking through them at each step would cost more in a larger pool.
+   */
+  dispatch(changed: Changed, nowMs: number): PoolOutput[] {
     const outputs: PoolOutput[] = [];
     const go = (choice: Choice) => {
       const held = this.#take(choice, nowMs);
       outputs.push(grant(held, nowMs - choice.entry.queuedAtMs));
     };
-    this.#chooser.parked(nowMs, go);
+    const { parking } = this.lanes;
+    const ids = changed === "all" ? parking.upstreams() : changed;
+    this.#chooser.parked(nowMs, ids, go);
     for (;;) {
       const next = this.#chooser.next(nowMs);
       if (!next) break;
@@ -188,7 +196,7 @@
     upstream.warm.touch(request.prefixHashes, nowMs);
     this.#slots.add(held);
     this.waits.granted(entry, nowMs);
-    this.#chooser.granted(entry, nowMs);
+    this.#chooser.granted({ entry, found }, nowMs);
     return held;
   }
 }
--- a/src/decisions/gate.ts
+++ b/src/decisions/gate.ts
@@ -11,7 +11,7 @@
 import type { Exchange, HomeForecast } from "./exchange.ts";
 import type { Entry, LaneName } from "./lanes.ts";
 import { LimitBook, type Use } from "./limits.ts";
-import { weigh } from "./placement.ts";
+import { candidates, weigh } from "./placement.ts";
 import type { PoolOptions, PoolOutput } from "./pool_messages.ts";
 import { RetryBudget } from "./retry.ts";
 import type { SlotRequest } from "./slots.ts";
@@ -214,7 +214,7 @@
     const view = this.#dispatcher.view(nowMs);
     let best: ReturnType<typeof weigh> | undefined;
     let bestMs = Infinity;
-    for (const upstream of view.upstreams) {
+    for (const upstream of candidates(request, view)) {
       if (request.exclude.includes(upstream.row.id)) continue;
       if (!upstream.health.usable(nowMs)) continue;
       const found = weigh(request, upstream, view);
--- a/src/decisions/placement.ts
+++ b/src/decisions/placement.ts
@@ -69,6 +69,8 @@
   readonly cautious: boolean;
   /** Whether the request's workspace is far over its share. */
   readonly over: boolean;
+  /** Upstreams that were given this prompt's prefix. */
+  readonly holders: (hashes: readonly number[]) => readonly Upstream[];
   /** Requests that wait for this upstream already. */
   readonly waitingFor: (upstreamId: string) => number;
 }
@@ -90,12 +92,13 @@
   request: SlotRequest,
   view: PlacementView,
 ): Placement {
-  const longAllowed = longHasRoom(view);
+  const open = candidates(request, view);
+  const longAllowed = longHasRoom(view, open);
   let best: Place | undefined;
   let bestCost = Infinity;
   let warm: Place | undefined;
   let warmCost = Infinity;
-  for (const upstream of candidates(view)) {
+  for (const upstream of open) {
     if (request.exclude.includes(upstream.row.id)) continue;
     const probe = upstream.health.probeDue(view.nowMs);
     if (!probe && upstream.health.state === "aside") continue;
@@ -131,7 +134,8 @@
 ): Place | undefined {
   if (upstream.row.state !== "active") return undefined;
   const found = weigh(request, upstream, view);
-  return mayTake(found, view, longHasRoom(view)) ? found : undefined;
+  const longAllowed = longHasRoom(view, candidates(request, view));
+  return mayTake(found, view, longAllowed) ? found : undefined;
 }
 
 /** What is expected of a request at an upstream, whether or not it has room. */
@@ -196,17 +200,23 @@
     : 0;
 }
 
-function longHasRoom(view: PlacementView): boolean {
-  if (!view.over || view.upstreams.length < 2) return true;
-  const busy = view.upstreams.filter((u) => u.longUnstarted > 0).length;
-  const most = Math.floor(view.upstreams.length * OVER_LONG_SHARE);
-  return busy < Math.max(1, most);
+function longHasRoom(
+  view: PlacementView,
+  open: readonly Upstream[],
+): boolean {
+  if (!view.over || open.length < 2) return true;
+  const busy = open.filter((u) => u.longUnstarted > 0).length;
+  return busy < Math.max(1, Math.floor(open.length * OVER_LONG_SHARE));
 }
 
-function candidates(view: PlacementView): readonly Upstream[] {
+/** The upstreams worth weighing for a request. */
+export function candidates(
+  request: SlotRequest,
+  view: PlacementView,
+): readonly Upstream[] {
   const { upstreams, random } = view;
   if (upstreams.length <= SCAN_ALL) return upstreams;
-  const drawn = new Set<Upstream>();
+  const drawn = new Set(view.holders(request.prefixHashes));
   for (let i = 0; i < SAMPLE; i++) drawn.add(random.pick(upstreams));
-  return [...drawn];
+  return [...drawn].filter((upstream) => upstream.row.state === "active");
 }
--- a/src/decisions/pool.ts
+++ b/src/decisions/pool.ts
@@ -7,7 +7,7 @@
 import { Table, type UpstreamRow } from "../agreement/mod.ts";
 import { Random } from "../base/mod.ts";
 import { type Arrival, Gate } from "./gate.ts";
-import { Dispatcher } from "./dispatcher.ts";
+import { type Changed, Dispatcher } from "./dispatcher.ts";
 import { Exchange } from "./exchange.ts";
 import {
   type FarRegion,
@@ -55,14 +55,15 @@
     const arrival: Arrival = this.#gate.arrive(request, nowMs);
     if (arrival.type === "answered") return [arrival.output];
     this.#dispatcher.push(arrival.entry, nowMs);
-    return this.#settle(nowMs);
+    return this.#settle([], nowMs);
   }
 
   /** An attempt got its first token or ended: learns from it, and frees its slot at the end. */
   report(report: SlotReport, nowMs: number): PoolOutput[] {
     const ended = this.#dispatcher.report(report, nowMs);
-    if (ended) this.#gate.release(ended, report.outputTokens);
-    return this.#settle(nowMs);
+    if (!ended) return this.#settle([], nowMs);
+    this.#gate.release(ended, report.outputTokens);
+    return this.#settle([ended.upstream.row.id], nowMs);
   }
 
   /** Holds these slots for another {@link SLOT_TTL_MS}; answers with those it does not know. */
@@ -77,13 +78,13 @@
     if (queued) this.#gate.forget(queued);
     const held = this.#dispatcher.giveUp(attemptId, nowMs);
     if (held) this.#gate.release(held, 0);
-    return this.#settle(nowMs);
+    return this.#settle("all", nowMs);
   }
 
   /** An upstream's own report of its load. */
   observe(load: LoadReport, nowMs: number): PoolOutput[] {
     this.#dispatcher.observe(load, nowMs);
-    return this.#settle(nowMs);
+    return this.#settle("all", nowMs);
   }
 
   /** What other regions say; replaces what they said before. */
@@ -94,7 +95,7 @@
   /** A new lead learns what entry VMs hold; it starts cautious until it has heard them. */
   adopt(held: readonly HeldSlot[], nowMs: number): PoolOutput[] {
     for (const slot of held) this.#dispatcher.adopt(slot, nowMs);
-    return this.#settle(nowMs);
+    return this.#settle("all", nowMs);
   }
 
   /** Time passes: expired slots come back, late requests are refused, queued ones are placed. Every 50 ms or so. */
@@ -103,7 +104,7 @@
       this.#gate.release(held, held.expectedOutputTokens);
     }
     this.#dispatcher.pass(nowMs);
-    return this.#settle(nowMs);
+    return this.#settle("all", nowMs);
   }
 
   /** What other regions are told. */
@@ -117,8 +118,8 @@
   }
 
   // Answers are given in the step in which they become known: a caller told early can still go elsewhere.
-  #settle(nowMs: number): PoolOutput[] {
+  #settle(changed: Changed, nowMs: number): PoolOutput[] {
     const refused = this.#gate.refuseLate(nowMs);
-    return [...refused, ...this.#dispatcher.dispatch(nowMs)];
+    return [...refused, ...this.#dispatcher.dispatch(changed, nowMs)];
   }
 }
