A paused VM drops the old messages in its sockets and learns its pools anew

Cause: a frozen lead that woke read the requests left in its sockets, granted them slots nobody used, and took its upstreams for silent; its own caller then waited behind them until the deadline (504 after 30.0 s). Test: promises_test, frozen lead, now with a deadline for the woken VM's caller; pause_watch_test.

--- a/src/adapters/ws_transport.ts
+++ b/src/adapters/ws_transport.ts
@@ -17,6 +17,7 @@
 import {
   type Clock,
   hash32,
+  PauseWatch,
   Random,
   secretDigest,
   secretMatches,
@@ -71,6 +72,7 @@
   readonly #rpc: JSONRPCServer<Sender>;
   readonly #links = new Map<string, WsLink>();
   readonly #sweep: Timer;
+  readonly #pause: PauseWatch;
   #closed = false;
 
   private constructor(options: WsTransportOptions) {
@@ -87,6 +89,7 @@
       response.writeHead(426, { connection: "close" }).end();
     });
     this.#sockets = this.#listen();
+    this.#pause = new PauseWatch(this.#context.clock);
     this.#sweep = this.#context.clock.every(SWEEP_MS, () => this.#closeIdle());
   }
 
@@ -154,6 +157,7 @@
     if (this.#closed) return;
     this.#closed = true;
     this.#sweep.close();
+    this.#pause.close();
     for (const link of this.#links.values()) link.close();
     this.#links.clear();
     const closed = new Promise<void>((resolve) =>
@@ -230,12 +234,26 @@
     if (this.faults.blocks(from)) wire.terminate();
   }
 
+  /**
+   * After a pause the accepted connections hold requests whose senders have long been served elsewhere. A frozen lead
+   * that woke granted them slots that nobody used, and its own callers waited 30 s behind them until their deadline.
+   * Peers connect anew; what they still want they ask again.
+   */
+  #dropAccepted(): void {
+    this.#options.log?.warn("paused; links dropped", {
+      accepted: this.#sockets.clients.size,
+    });
+    for (const socket of this.#sockets.clients) socket.terminate();
+  }
+
   async #answer(
     wire: Wire,
     from: Sender,
     text: string,
     bytes: number,
   ): Promise<void> {
+    if (this.#pause.takePause()) this.#dropAccepted();
+    if (!wire.open) return;
     const request = parse(text);
     if (!request) {
       wire.terminate();
--- a/src/base/mod.ts
+++ b/src/base/mod.ts
@@ -9,3 +9,4 @@
 export * from "./random.ts";
 export * from "./hash.ts";
 export * from "./backoff.ts";
+export * from "./pause_watch.ts";
--- /dev/null
+++ b/src/base/pause_watch_test.ts
@@ -0,0 +1,46 @@
+import { Clock, ManualClock, PauseWatch, type Timer } from "./mod.ts";
+import { describe, it } from "./describe.ts";
+
+/** A clock whose time can pass without its timers running, as when the process is frozen. */
+class FreezableClock extends Clock {
+  readonly inner = new ManualClock(0);
+  frozenMs = 0;
+  nowMs(): number {
+    return this.inner.nowMs() + this.frozenMs;
+  }
+  monoMs(): number {
+    return this.nowMs();
+  }
+  after(delayMs: number, run: () => void): Timer {
+    return this.inner.after(delayMs, run);
+  }
+  every(periodMs: number, run: () => void): Timer {
+    return this.inner.every(periodMs, run);
+  }
+}
+
+describe("pause watch", () => {
+  it("sees no pause while timers run", async (t) => {
+    const clock = new FreezableClock();
+    const watch = new PauseWatch(clock);
+    await clock.inner.advance(10_000);
+    t.false(watch.takePause());
+    watch.close();
+  });
+
+  // A VM is frozen for five seconds. The first thing that runs after it may be a message or a timer; either way the next
+  // question is answered with yes, once.
+  it("tells a pause once, whether a message or a timer comes first", async (t) => {
+    const clock = new FreezableClock();
+    const watch = new PauseWatch(clock);
+    await clock.inner.advance(1000);
+    clock.frozenMs += 5000;
+    t.true(watch.takePause());
+    t.false(watch.takePause());
+    clock.frozenMs += 5000;
+    await clock.inner.advance(1000);
+    t.true(watch.takePause());
+    t.false(watch.takePause());
+    watch.close();
+  });
+});
--- a/src/services/lead_router.ts
+++ b/src/services/lead_router.ts
@@ -195,7 +195,10 @@
     const call = transport.call(vm.peerAddress, method, message, deadlineMs);
     const result = await Promise.race([call, gone]);
     this.#waiting.delete(waiting);
-    if (result === undefined) return undefined;
+    if (result === undefined) {
+      this.#withdraw(vm, message);
+      return undefined;
+    }
     if (result.isOk()) return result.value;
     if (result.error.kind === "failed") return undefined;
     this.#avoidUntilMs.set(vm.id, this.#context.clock.nowMs() + AVOID_MS);
@@ -203,6 +206,19 @@
     return undefined;
   }
 
+  /**
+   * A frozen lead finds the requests in its sockets when it wakes, long after their callers were served elsewhere, and
+   * grants them slots that nobody uses; its own callers then wait for each of those to run out. The withdrawal lies in
+   * the same connection right behind the request, so that whoever reads the one reads the other.
+   */
+  #withdraw(vm: VmInfo, message: ToLead): void {
+    if (!("request" in message)) return;
+    const { pool, entry, request } = message as AcquireMessage;
+    const { attemptId } = request;
+    const cancel: CancelMessage = { pool, entry, attemptId, relayed: true };
+    this.#context.transport?.notify(vm.peerAddress, "slots.cancel", cancel);
+  }
+
   /**
    * Goes to the lead, and to the VM that was asked: while the lead changes these differ, and a request that stays queued
    * for a caller who has gone takes a slot when its turn comes.
--- a/src/services/lead_server.ts
+++ b/src/services/lead_server.ts
@@ -183,6 +183,15 @@
     return this.#pools().map(([info]) => info);
   }
 
+  /**
+   * After a pause: the book tells of slots that were given back elsewhere, and upstreams seem to have been silent for as
+   * long as this VM slept. The pools start anew and learn from the entry VMs what is held.
+   */
+  restart(): void {
+    for (const key of [...this.#led.keys()]) this.#drop(key);
+    this.follow(false);
+  }
+
   /** Steps down from all pools. */
   close(): void {
     this.#closed = true;
@@ -219,17 +228,19 @@
   }
 
   #stop(key: string): void {
+    const held = this.#drop(key).heldByEntry();
+    this.#context.handOver({ pool: key, held });
+  }
+
+  /** Stops leading; what waits here is asked anew elsewhere. */
+  #drop(key: string): LeadPool {
     const led = this.#led.get(key)!;
     this.#led.delete(key);
     for (const output of led.stop()) {
       if (output.type === "moved") this.#resolve(output.attemptId, output);
     }
-    const held = led.heldByEntry();
-    this.#context.log.info("lead stopped", {
-      pool: key,
-      entries: held.length,
-    });
-    this.#context.handOver({ pool: key, held });
+    this.#context.log.info("lead stopped", { pool: key });
+    return led;
   }
 
   #step(poolKey: string, outputs: readonly LeadOutput[]): void {
--- a/src/services/slots.ts
+++ b/src/services/slots.ts
@@ -10,6 +10,7 @@
   type Clock,
   failure,
   hash32,
+  PauseWatch,
   Random,
   type Timer,
 } from "../base/mod.ts";
@@ -92,6 +93,7 @@
   #host: AwayHost | undefined;
   /** Attempts that wait for the table they were accepted on. */
   readonly #arriving = new Set<string>();
+  #pause!: PauseWatch;
   #looking: Promise<void> | undefined;
   #lookAgain: Promise<void> | undefined;
   readonly #published = new Map<string, { text: string; atMs: number }>();
@@ -110,7 +112,8 @@
     }
     this.#wire(kernel);
     await this.#follow();
-    this.#every(TICK_MS, () => this.#server.tick());
+    this.#pause = new PauseWatch(this.#clock);
+    this.#every(TICK_MS, () => this.#tick());
     this.#every(FOLLOW_MS, () => void this.#follow());
     this.#every(RENEW_MS, () => {
       this.#client.renewAll();
@@ -123,6 +126,7 @@
   /** Hands its pools over. What other VMs wait for here is sent on to the next leads at once. */
   async close(_deadlineMs: number): Promise<void> {
     for (const timer of this.#timers.splice(0)) timer.close();
+    this.#pause.close();
     await this.#members?.ask("leave", undefined);
     await this.#follow();
     this.#server.close();
@@ -176,6 +180,11 @@
     this.#timers.push(this.#clock.every(periodMs, run));
   }
 
+  #tick(): void {
+    if (this.#pause.takePause()) this.#server.restart();
+    this.#server.tick();
+  }
+
   /** Looks at the table and the VMs; one look at a time, and whoever asks meanwhile waits for one that starts after. */
   #follow(): Promise<void> {
     if (this.#looking) {
--- a/test/promises_test.ts
+++ b/test/promises_test.ts
@@ -81,13 +81,22 @@
   return await got(`${standIn.controlUrl}/records`).json<RunRecord[]>();
 }
 
-async function ask(vm: Vm, key: string, nonce: string, tokens = 10) {
+async function ask(
+  vm: Vm,
+  key: string,
+  nonce: string,
+  tokens = 10,
+  headers: Record<string, string> = {},
+) {
   const body = {
     model: "plan",
     max_tokens: tokens,
     messages: [{ role: "user", content: `nonce:${nonce} route` }],
   };
-  const answer = await caller(vm, key, "/v1/chat/completions", { body });
+  const answer = await caller(vm, key, "/v1/chat/completions", {
+    body,
+    headers,
+  });
   const text = answer.statusCode === 200
     ? JSON.parse(answer.body).choices[0].message.content
     : undefined;
@@ -210,7 +219,8 @@
   });
 
   // Double fault: the VM that leads the pool is frozen while requests wait, and wakes later believing that it still
-  // leads. Callers of the other VM see a pause, not an error, and each gets its own whole answer.
+  // leads. Callers of the other VM see a pause, not an error, and each gets its own whole answer. Callers of the woken VM
+  // must not wait behind the requests that it finds in its sockets: they were served elsewhere.
   it("a frozen lead costs its callers a pause", async (t) => {
     const { vm } = await open(t, 2, 2);
     const leads = async (name: string) =>
@@ -230,13 +240,16 @@
     for (const [i, { answer, text }] of answers.entries()) {
       t.is(text, answerText(`frozen${i}`, 30), answer.body);
     }
-    await Promise.all([0, 1].map(async (i) => {
+    const deadline = { "x-ibisgap-deadline": String(Date.now() + 12_000) };
+    await Promise.all([lead, other].map(async (name) => {
       const { answer, text } = await ask(
-        vm(i ? lead : other),
+        vm(name),
         keyOf(HOME),
-        `woken${i}`,
+        `woken-${name}`,
+        10,
+        deadline,
       );
-      t.is(text, answerText(`woken${i}`, 10), answer.body);
+      t.is(text, answerText(`woken-${name}`, 10), answer.body);
     }));
   });
 
