Members: digests and topics in a module of their own; at most 8 VMs asked at a start

Change: MemberDigests holds topics, digests and contacts; Random gains sample; the bench waits for news of VMs only and counts bytes a request. No change of behaviour beside the bound.

--- a/bench/control_members.ts
+++ b/bench/control_members.ts
@@ -1,6 +1,7 @@
 /**
  * `npm run bench -- control_members [--cases 1x1,3x2,...]`: what membership and leads cost and how fast they are, with
- * many VMs in this process over loopback; and leads against each VM choosing alone. A case `RxN` is R regions of N VMs.
+ * many VMs in this process over loopback; and leads against each VM choosing alone. A case `RxN` is R regions of N VMs,
+ * `over` the comparison with VMs that choose alone.
  *
  * Times and bytes are of the real services. CPU and memory are those of the process divided by its VMs.
  *
@@ -28,10 +29,9 @@
 /** Topics that a region publishes beside the pool's own. */
 const PUBLISH_MS = 1000;
 const REPEATS = 5;
-/** So few items are those of topics; more are news of VMs that started. */
-const QUIET_NEWS = 8;
+const REQUESTS = 200;
 const MOST_QUIET_MS = 90_000;
-const DEFAULT_CASES = "1x1,3x2,3x8,1x67,21x4,3x32";
+const DEFAULT_CASES = "over,1x1,3x2,3x8,1x67,21x4,3x32";
 
 interface Shape {
   readonly name: string;
@@ -43,10 +43,11 @@
 export async function run(args: readonly string[]): Promise<Row[]> {
   const at = args.indexOf("--cases");
   const names = at >= 0 ? args[at + 1] : DEFAULT_CASES;
-  const rows: Row[] = [...overAdmission()];
-  for (const name of names.split(",").filter((text) => text !== "none")) {
+  const rows: Row[] = [];
+  for (const name of names.split(",")) {
     const [regions, vms] = name.split("x").map(Number);
-    rows.push(...await measure({ name, regions, vms }));
+    if (name === "over") rows.push(...overAdmission());
+    else rows.push(...await measure({ name, regions, vms }));
   }
   return rows;
 }
@@ -63,6 +64,7 @@
     seed: SEED,
   });
   const rows = await steady(fleet, row);
+  if (shape.vms > 1) rows.push(await requestBytes(fleet[0], row));
   if (shape.vms > 2) rows.push(...await deaths(fleet, row));
   await Promise.all(fleet.flat().map((vm) => vm.crash()));
   return rows;
@@ -115,13 +117,19 @@
   return rows;
 }
 
+/** What a dump says of news about VMs that waits to be passed on. */
+interface MembersDump {
+  readonly news: { readonly members: number };
+}
+
 /** Waits until the news of the start has been passed on; answers with how long that took. */
 async function quiet(vms: readonly Vm[]): Promise<number> {
   const startMs = performance.now();
-  const news = (vm: Vm) => (vm.kernel.dump().members as { news: number }).news;
+  const news = (vm: Vm) =>
+    (vm.kernel.dump().members as MembersDump).news.members;
   do await systemClock.sleep(1000); while (
     performance.now() - startMs < MOST_QUIET_MS &&
-    vms.some((vm) => news(vm) > QUIET_NEWS)
+    vms.some((vm) => news(vm) > 0)
   );
   return performance.now() - startMs;
 }
@@ -174,6 +182,34 @@
   return mostMs;
 }
 
+/** What one request costs between an entry VM and a lead that is another: a question, its answer, two reports. */
+async function requestBytes(region: readonly Vm[], row: MakeRow): Promise<Row> {
+  const entry = region.find((vm) => vm.leads().length === 0)!;
+  const total = () => {
+    const slots = entry.transport.bytesBySubject().slots;
+    return (slots?.sent ?? 0) + (slots?.received ?? 0);
+  };
+  const before = total();
+  for (let n = 0; n < REQUESTS; n++) {
+    const request = planRequest(`${entry.id}-request-${n}`);
+    const answer = await entry.slots.ask("acquire", request);
+    if (answer.type !== "grant") continue;
+    const { attemptId, upstreamId } = answer;
+    for (const outcome of ["started", "done"] as const) {
+      await entry.slots.ask("report", {
+        attemptId,
+        service: "plan",
+        upstreamId,
+        outcome,
+        firstTokenMs: 20,
+        outputTokens: 20,
+        totalMs: 200,
+      });
+    }
+  }
+  return row("bytes a request", (total() - before) / REQUESTS, "B");
+}
+
 /** Crashes the lead of the first region's pool several times, while it has VMs left. */
 async function deaths(fleet: Vm[][], row: MakeRow): Promise<Row[]> {
   const [region] = fleet;
--- a/src/agreement/member_news.ts
+++ b/src/agreement/member_news.ts
@@ -98,8 +98,13 @@
     return items;
   }
 
-  get size(): number {
-    return this.#queued.size;
+  /** How many items wait, and how many of them are statements about VMs. */
+  counts(): { readonly all: number; readonly members: number } {
+    let members = 0;
+    for (const { item } of this.#queued.values()) {
+      if (item.type === "member") members++;
+    }
+    return { all: this.#queued.size, members };
   }
 
   #fill(nowMs: number): void {
--- a/src/agreement/members.ts
+++ b/src/agreement/members.ts
@@ -155,7 +155,7 @@
       beat: this.#self.beat,
       table: this.#tableVersion,
       view: viewDigest(this.present()),
-      versions: this.#sample(
+      versions: this.#random.sample(
         this.#list.freshVersions(nowMs),
         VERSIONS_PER_MESSAGE,
       ),
@@ -189,7 +189,7 @@
     const others = this.#list.present().filter((record) =>
       record.id !== vmId && record.status === "live"
     );
-    const helpers = this.#sample(others, HELPERS);
+    const helpers = this.#random.sample(others, HELPERS);
     return [{ type: "pingVia", target, helpers }];
   }
 
@@ -220,7 +220,7 @@
         ...record,
         tableVersion: this.tableVersionOf(record.id),
       })),
-      news: this.#news.size,
+      news: this.#news.counts(),
     };
   }
 
@@ -254,7 +254,7 @@
   #tellAtOnce(): MembersOutput {
     return {
       type: "tell",
-      targets: this.#sample(this.#list.present(), TELL_AT_ONCE),
+      targets: this.#random.sample(this.#list.present(), TELL_AT_ONCE),
     };
   }
 
@@ -274,7 +274,7 @@
         if (record && record.status !== "dead") return record;
       }
       const ids = this.#list.present().map((record) => record.id);
-      this.#round = this.#sample(ids, ids.length);
+      this.#round = this.#random.sample(ids, ids.length);
     }
     return undefined;
   }
@@ -290,15 +290,6 @@
     return addresses.length > 0 ? this.#random.pick(addresses) : undefined;
   }
 
-  #sample<T>(items: readonly T[], most: number): T[] {
-    const rest = [...items];
-    const sample: T[] = [];
-    while (rest.length > 0 && sample.length < most) {
-      sample.push(rest.splice(this.#random.int(rest.length), 1)[0]);
-    }
-    return sample;
-  }
-
   #mustSync(
     { record }: MemberEntry,
     { incarnation, beat, view }: Gossip,
--- a/src/base/random.ts
+++ b/src/base/random.ts
@@ -25,6 +25,15 @@
   exponential(mean: number): number {
     return -mean * Math.log(1 - this.next());
   }
+  /** Up to `most` of the items, in random order. */
+  sample<T>(items: readonly T[], most: number): T[] {
+    const rest = [...items];
+    const sample: T[] = [];
+    while (rest.length > 0 && sample.length < most) {
+      sample.push(rest.splice(this.int(rest.length), 1)[0]);
+    }
+    return sample;
+  }
   /** One of the items. */
   pick<T>(items: readonly T[]): T {
     return items[this.int(items.length)];
--- a/src/services/members.ts
+++ b/src/services/members.ts
@@ -6,15 +6,12 @@
 
 import type { Transport, VmList } from "../adapters/mod.ts";
 import {
-  type ContactNews,
   type Gossip,
-  leadOrder,
   type MemberRecord,
   Members,
   MEMBERS_TIMES,
   type MembersOutput,
   type MembersTimes,
-  type TopicNews,
 } from "../agreement/mod.ts";
 import { type Clock, hash32, Random, type Timer } from "../base/mod.ts";
 import { type Handlers, type Kernel, Task } from "../kernel/mod.ts";
@@ -23,11 +20,10 @@
   PingMessage,
   PingViaMessage,
   PingViaReply,
-  RegionMessage,
   SyncMessage,
   SyncReply,
 } from "./member_messages.ts";
-import { RegionBook } from "./member_regions.ts";
+import { MemberDigests } from "./member_digests.ts";
 import type { MembersMessages, TableMessages, VmInfo } from "./messages.ts";
 
 /** Who this VM is and whom it asks first. */
@@ -52,29 +48,24 @@
 const PING_CALL_MS = 300;
 const PING_VIA_CALL_MS = 600;
 const SYNC_CALL_MS = 1000;
-const REGION_CALL_MS = 1500;
-/** How often another region is told; with more regions than this, less often, so that the cost stays flat. */
-const REGION_PERIOD_MS = 1000;
-const REGIONS_PER_PERIOD = 6;
-/** A topic is told to this many speakers at once, to be in the next digest; the others hear it with the heartbeats. */
-const TOLD_SPEAKERS = 4;
 const LIST_PERIOD_MS = 30_000;
 /** How long a start waits for the first VM that knows the others; after that this VM goes on alone. */
 const JOIN_MS = 1500;
+/** VMs asked at the start: one that answers is enough, and each answer is as long as the region. */
+const MOST_JOINS = 8;
 
 /** Its name is `members`. Start it before `slots`; it reads the version in force from `table` once that has started. */
 export class MembersService extends Task<MembersMessages> {
   readonly name = "members";
   protected readonly handlers: Handlers<MembersMessages> = {
     region: () => this.#machine.present().map((record) => this.#info(record)),
-    others: () => this.#book.others(this.#clock.nowMs()),
+    others: () => this.#digests.book.others(this.#clock.nowMs()),
     leave: () => this.#do(this.#machine.leave(false)),
     check: ({ vmId }) => this.#do(this.#machine.check(vmId)),
-    publish: ({ topic, body }) => this.#publish(topic, body),
-    topics: () => this.#book.topics(this.#clock.nowMs()),
+    publish: ({ topic, body }) => this.#digests.publish(topic, body),
+    topics: () => this.#digests.book.topics(this.#clock.nowMs()),
   };
   readonly #options: MembersOptions;
-  readonly #book: RegionBook;
   readonly #timers: Timer[] = [];
   readonly #pinging = new Set<string>();
   /** Addresses by region, from the platform's list. */
@@ -82,17 +73,16 @@
   /** Seeds that turned out to be VMs of other regions. */
   readonly #farSeeds = new Set<string>();
   #machine!: Members;
+  #digests!: MemberDigests;
   #clock!: Clock;
   #log!: Logger;
   #kernel!: Kernel;
   #random!: Random;
   #statuses = new Map<string, string>();
-  #nextRegionsMs = 0;
 
   constructor(options: MembersOptions) {
     super();
     this.#options = options;
-    this.#book = new RegionBook(options.region);
   }
 
   async start(kernel: Kernel): Promise<void> {
@@ -108,11 +98,21 @@
       { id: vmId, incarnation, region, failureDomain, peerAddress, callerUrl },
       this.#options.times ?? MEMBERS_TIMES,
     );
+    this.#digests = new MemberDigests({
+      region,
+      clock: this.#clock,
+      random: this.#random,
+      transport: this.#options.transport,
+      machine: this.#machine,
+      listed: this.#listed,
+      seeds: this.#options.seeds,
+      sync: (address) => this.#sync(address),
+    });
     this.#listen();
     await this.#readList();
     await this.#join();
     this.#every(TICK_MS, () => void this.#tick());
-    this.#every(TICK_MS, () => this.#tellRegions());
+    this.#every(TICK_MS, () => this.#digests.tellRegions());
     this.#every(LIST_PERIOD_MS, () => void this.#readList());
   }
 
@@ -126,7 +126,10 @@
   dump(): unknown {
     return {
       ...this.#machine.dump() as Record<string, unknown>,
-      ...this.#book.dump(this.#clock.nowMs()) as Record<string, unknown>,
+      ...this.#digests.book.dump(this.#clock.nowMs()) as Record<
+        string,
+        unknown
+      >,
     };
   }
 
@@ -147,12 +150,7 @@
       return { answered } satisfies PingViaReply;
     });
     transport.handle("members.sync", (p) => this.#answerSync(p as SyncMessage));
-    transport.handle("members.topic", (p) => this.#hearTopic(p as TopicNews));
-    transport.handle("members.region", (params, from) => {
-      const digest = params as RegionMessage;
-      this.#hearDigest(digest);
-      if (from.region !== this.#options.region) this.#passOn(digest);
-    });
+    this.#digests.listen();
   }
 
   async #tick(): Promise<void> {
@@ -237,72 +235,7 @@
 
   #hear(gossip: Gossip): void {
     this.#do(this.#machine.hear(gossip, this.#clock.nowMs()));
-    for (const item of gossip.news) {
-      if (item.type === "topic") this.#hearTopic(item);
-      else if (item.type === "region") this.#hearDigest({ news: item });
-      else if (item.type === "contacts") this.#hearContacts(item);
-    }
-  }
-
-  #hearTopic(news: TopicNews): void {
-    const isNews = this.#book.hearTopic(news, this.#clock.nowMs());
-    if (isNews) this.#machine.spread(news);
-  }
-
-  #hearDigest({ news, contacts }: RegionMessage): void {
-    const nowMs = this.#clock.nowMs();
-    const isNews = this.#book.hearRegion(news, nowMs);
-    if (isNews && this.#book.spreads(news.region, nowMs)) {
-      this.#machine.spread(news);
-    }
-    if (contacts) this.#hearContacts(contacts);
-  }
-
-  /**
-   * VMs that publish a topic are told what others publish at once, as they act on it: a lead does not send requests to a
-   * region that it has not heard of for some seconds. The rest hears with the heartbeats.
-   */
-  #passOn({ news }: RegionMessage): void {
-    const publishers = this.#book.publishers(this.#clock.nowMs());
-    for (const { id, peerAddress } of this.#machine.present()) {
-      if (id === this.#options.vmId || !publishers.has(id)) continue;
-      const digest: RegionMessage = { news };
-      this.#options.transport.notify(peerAddress, "members.region", digest);
-    }
-  }
-
-  #hearContacts(contacts: ContactNews): void {
-    const isNews = this.#book.hearContacts(contacts, this.#clock.nowMs());
-    if (isNews) this.#machine.spread(contacts);
-  }
-
-  #publish(topic: string, body: unknown): void {
-    const nowMs = this.#clock.nowMs();
-    const { vmId } = this.#options;
-    const news = { type: "topic", topic, vmId, atMs: nowMs, body } as const;
-    if (!this.#book.hearTopic(news, nowMs)) return;
-    this.#machine.spread(news);
-    const speakers = new Map(
-      this.#farRegions().map((region) => this.#speaker(region))
-        .map((speaker) => [speaker.id, speaker]),
-    );
-    speakers.delete(vmId);
-    for (const speaker of [...speakers.values()].slice(0, TOLD_SPEAKERS)) {
-      const { transport } = this.#options;
-      transport.notify(speaker.peerAddress, "members.topic", news);
-    }
-  }
-
-  #farRegions(): string[] {
-    const regions = new Set([...this.#book.regions(), ...this.#listed.keys()]);
-    regions.delete(this.#options.region);
-    return [...regions];
-  }
-
-  /** Each pair of regions has one VM that speaks, chosen by hash, so that the digests are spread over the region. */
-  #speaker(region: string): VmInfo {
-    const vms = this.#machine.present().map((record) => this.#info(record));
-    return leadOrder(`speaker/${region}`, vms)[0];
+    for (const item of gossip.news) this.#digests.hear(item);
   }
 
   async #sync(address: string): Promise<boolean> {
@@ -319,8 +252,8 @@
     if (reply.isErr()) return false;
     const { region, records, digest, regions } = reply.value as SyncReply;
     this.#learnAll(records);
-    this.#hearDigest(digest);
-    for (const contacts of regions) this.#hearContacts(contacts);
+    this.#digests.hearDigest(digest);
+    for (const contacts of regions) this.#digests.hearContacts(contacts);
     if (region === this.#options.region) return true;
     this.#farSeeds.add(address);
     this.#setSeeds();
@@ -333,8 +266,8 @@
     return {
       region: this.#options.region,
       records: sameRegion ? this.#machine.all() : [],
-      digest: this.#digestFor(message.region),
-      regions: this.#book.allContacts(),
+      digest: this.#digests.digestFor(message.region),
+      regions: this.#digests.book.allContacts(),
     };
   }
 
@@ -343,54 +276,6 @@
     for (const record of records) this.#do(this.#machine.learn(record, nowMs));
   }
 
-  #digestFor(region: string): RegionMessage {
-    const nowMs = this.#clock.nowMs();
-    const contacts = this.#book.contacts(
-      region,
-      this.#machine.present(),
-      (vmId) => this.#machine.tableVersionOf(vmId),
-      nowMs,
-    );
-    return { news: this.#book.news(nowMs), contacts };
-  }
-
-  #tellRegions(): void {
-    const nowMs = this.#clock.nowMs();
-    if (nowMs < this.#nextRegionsMs) return;
-    const regions = this.#farRegions();
-    this.#nextRegionsMs = nowMs +
-      REGION_PERIOD_MS *
-        Math.max(1, Math.ceil(regions.length / REGIONS_PER_PERIOD));
-    for (const region of regions) {
-      const speaks = this.#speaker(region).id === this.#options.vmId;
-      if (speaks) void this.#tellRegion(region);
-    }
-  }
-
-  async #tellRegion(region: string): Promise<void> {
-    const named = this.#book.addresses(region);
-    const known = named.length > 0 ? named : this.#listed.get(region) ?? [];
-    if (known.length === 0) return;
-    const deadlineMs = this.#clock.nowMs() + REGION_CALL_MS;
-    const { news, contacts } = this.#digestFor(region);
-    const due = this.#book.isDue(region, contacts!, this.#clock.nowMs());
-    const { transport } = this.#options;
-    const address = this.#random.pick(known);
-    const told = await transport.call(
-      address,
-      "members.region",
-      { news, ...(due ? { contacts } : {}) } satisfies RegionMessage,
-      deadlineMs,
-    );
-    if (told.isOk()) return;
-    this.#book.untold(region);
-    // All VMs that the region named may have gone since; the platform's list and the seeds are asked for new ones.
-    const { seeds } = this.#options;
-    const others = [...this.#listed.get(region) ?? [], ...seeds]
-      .filter((other) => other !== address);
-    if (others.length > 0) await this.#sync(this.#random.pick(others));
-  }
-
   async #readList(): Promise<void> {
     const { vmList, vmId } = this.#options;
     const listed = await vmList?.list();
@@ -417,7 +302,8 @@
     const { seeds, region, peerAddress } = this.#options;
     const addresses = [...seeds, ...this.#listed.get(region) ?? []]
       .filter((address) => address !== peerAddress);
-    const joins = [...new Set(addresses)].map((address) => this.#sync(address));
+    const asked = this.#random.sample([...new Set(addresses)], MOST_JOINS);
+    const joins = asked.map((address) => this.#sync(address));
     if (joins.length === 0) return;
     const late = this.#clock.sleep(JOIN_MS).then(() => []);
     const joined = await Promise.race([Promise.all(joins), late]);
