--- a/src/services/members_test.ts
+++ b/src/services/members_test.ts
@@ -51,6 +51,15 @@
     t.pass();
   });
 
+  // Half of a region goes at once, the helpers that would confirm a death among them. The rest must find all of them.
+  it("finds half of a region gone", async (t) => {
+    const vms = await region(t, 6);
+    const rest = vms.slice(3);
+    await Promise.all(vms.slice(0, 3).map((vm) => vm.crash()));
+    await untilAgreed(rest);
+    t.pass();
+  });
+
   // A VM is told to stop. It must get nothing new at once, so the others hear `leaving` from it, not from a deadline;
   // after its end it is gone without being suspected first.
   it("tells at once that it is leaving and then that it is gone", async (t) => {
--- a/src/services/slots_vms_test.ts
+++ b/src/services/slots_vms_test.ts
@@ -139,6 +139,21 @@
     });
   });
 
+  // The lead freezes while a request waits in its queue: its connections stay open and nothing answers. The entry VM must
+  // not wait out the request's deadline for it; once the others find it dead the request is asked at the next lead.
+  it("does not wait for a lead that froze", async (t) => {
+    const { vms, lead, others } = await region(t, 4);
+    const [a, b] = others;
+    const first = await acquire(a, "first");
+    await fill(a, CAPACITY - 1);
+    const queued = acquire(b, "queued");
+    await until("it is queued", () => waiting(vms) === 1);
+    lead.transport.faults.set("frozen", { peer: {}, cut: true });
+    await leadOf(others, POOL);
+    await report(a, first);
+    t.like(await queued, { type: "grant", attemptId: "queued" });
+  });
+
   // An entry VM crashes while it holds all slots. Nobody reports their end; they come back when their time has passed
   // without a renewal, and not before, since its requests may still run.
   it("takes back the slots of a crashed entry VM", async (t) => {
