--- a/bench/decisions.ts
+++ b/bench/decisions.ts
@@ -5,7 +5,6 @@
  * @module
  */
 
-import { Table, type TableRow, tableRow } from "../src/agreement/mod.ts";
 import { Engine } from "./engine.ts";
 import {
   firstTokens,
@@ -29,6 +28,7 @@
 } from "./policies.ts";
 import type { Row } from "./row.ts";
 import { Sim } from "./sim.ts";
+import { nameOf, tableOf } from "./tables.ts";
 import { type Ask, generate, type Stream } from "./workload.ts";
 import { type Outcome, World } from "./world.ts";
 
@@ -70,55 +70,6 @@
   readonly more?: (outcomes: readonly Outcome[]) => Record<string, number>;
 }
 
-function tableOf(
-  regions: readonly string[],
-  runners: number,
-  objective: object,
-): Table {
-  const rows: unknown[] = [{
-    kind: "service",
-    id: "plan",
-    type: "model",
-    objective,
-    queueLimit: 1000,
-  }];
-  for (const region of regions) {
-    rows.push({ kind: "region", id: region });
-    rows.push({
-      kind: "traffic",
-      service: "plan",
-      region,
-      mayGoTo: regions.filter((other) => other !== region),
-    });
-    for (let i = 0; i < runners; i++) {
-      rows.push({
-        kind: "upstream",
-        id: `${region}-${i}`,
-        service: "plan",
-        region,
-        failureDomain: `${region}-${i % 3}`,
-        url: `http://${region}-${i}.test`,
-      });
-    }
-    for (const workspace of WORKSPACES) {
-      for (const bound of [true, false]) {
-        rows.push({
-          kind: "workspace",
-          id: nameOf(region, workspace, bound),
-          home: region,
-          bound,
-        });
-      }
-    }
-  }
-  const parsed = rows.map((row) => tableRow.parse(row));
-  return Table.of(1, parsed.map((row: TableRow) => ({ row, version: 1 })));
-}
-
-function nameOf(region: string, workspace: string, bound: boolean): string {
-  return `${region}-${workspace}-${bound ? "bound" : "free"}`;
-}
-
 /** The common mix of a region: 38% bound to it, one long prompt in four. */
 function mix(
   region: string,
@@ -173,7 +124,10 @@
       "ms",
     ],
     sent_away: [
-      share(counted, (o) => o.servedIn !== undefined && o.moves > 0),
+      share(
+        counted,
+        (o) => o.servedIn !== undefined && o.servedIn !== o.ask.region,
+      ),
       "share",
     ],
     warm: [
@@ -214,14 +168,17 @@
 
 function runCase(spec: Case): Row[] {
   const regions = spec.regions ?? ["agadir"];
-  const table = tableOf(
-    regions,
-    spec.runners ?? RUNNERS,
-    spec.objective ?? { latencyWeight: 1, costWeight: 0, awayWeight: 0 },
-  );
   const seeds = Array.from({ length: spec.seeds ?? 1 }, (_, i) => SEED + i);
   const rows: Row[] = [];
   for (const name of spec.policies ?? Object.keys(POLICIES)) {
+    const onlyLatency = name.endsWith("latency-only");
+    const table = tableOf({
+      regions,
+      runners: spec.runners ?? RUNNERS,
+      objective: spec.objective ?? {},
+      workspaces: WORKSPACES,
+      shifts: !onlyLatency,
+    });
     const worlds = seeds.map((seed) => {
       const world = new World({
         table,
@@ -233,7 +190,7 @@
         cacheBlocks: CACHE_BLOCKS,
         usageShare: USAGE_SHARE,
         policy: POLICIES[name.replace(" latency-only", "")],
-        onlyLatency: name.endsWith("latency-only"),
+        onlyLatency,
       });
       spec.during?.(world);
       const asks = generate(spec.streams, END_MS, seed);
@@ -389,6 +346,80 @@
   ];
 }
 
+const REGIONS = ["casablanca", "marrakech", "agadir"];
+/** Runners of each region in the cases of three regions. */
+const REGION_RUNNERS = 5;
+const DIRECTORATE = { latencyWeight: 1, costWeight: 2, awayWeight: 2 };
+
+/** Cases of three regions; `perS` is what one of them serves. */
+function regionCases(perS: number): Case[] {
+  const flat = (load: number) =>
+    REGIONS.flatMap((region) => mix(region, () => load * perS));
+  // Each region's peak lasts a third of the run; the other two are quiet meanwhile.
+  const peaks = REGIONS.flatMap((region, i) =>
+    mix(region, (ms) => {
+      const phase = Math.floor(ms / 20_000) % REGIONS.length;
+      return perS * (phase === i ? 1.3 : 0.4);
+    })
+  );
+  const base = { regions: REGIONS, runners: REGION_RUNNERS };
+  const policies = ["lead", "lead latency-only"];
+  return [
+    {
+      ...base,
+      name: "region-loss",
+      streams: flat(0.5),
+      policies,
+      during: (world) => {
+        const engines = world.engines("agadir");
+        world.sim.after(20_000, () => engines.forEach((e) => e.die()));
+        world.sim.after(40_000, () => engines.forEach((e) => e.revive()));
+      },
+      more: bySelf,
+    },
+    {
+      ...base,
+      name: "partition",
+      streams: peaks,
+      policies,
+      during: (world) => {
+        world.sim.after(20_000, () => void world.cut.add("agadir"));
+        world.sim.after(40_000, () => world.cut.clear());
+      },
+      more: bySelf,
+    },
+    {
+      ...base,
+      name: "peaks",
+      streams: peaks,
+      policies,
+      seeds: 3,
+      more: bySelf,
+    },
+    {
+      ...base,
+      name: "peaks-directorate",
+      streams: peaks,
+      policies,
+      objective: DIRECTORATE,
+      seeds: 3,
+      more: bySelf,
+    },
+  ];
+}
+
+/** How those fared that stayed, and that went. */
+function bySelf(outcomes: readonly Outcome[]): Record<string, number> {
+  const stayed = outcomes.filter((o) => o.moves === 0);
+  const moved = outcomes.filter((o) => o.moves > 0);
+  return {
+    stayed_p99: percentile(firstTokens(stayed), 0.99),
+    moved_p99: percentile(firstTokens(moved), 0.99),
+    moved_in_time: share(moved, inTime),
+    back: share(moved, (o) => o.attempts > 2),
+  };
+}
+
 function others(outcomes: readonly Outcome[]): Record<string, number> {
   const rest = outcomes.filter((o) => !o.ask.workspace.includes("hog"));
   return {
@@ -407,7 +438,8 @@
     figure("capacity", "work", workPerS, "tokens/s"),
     figure("capacity", "warm", warm, "share"),
   ];
-  for (const spec of cases(perS)) {
+  const region = capacity(REGION_RUNNERS);
+  for (const spec of [...cases(perS), ...regionCases(region.perS)]) {
     if (only && spec.name !== only) continue;
     rows.push(...runCase(policy ? { ...spec, policies: [policy] } : spec));
   }
--- /dev/null
+++ b/bench/path_probe.ts
@@ -0,0 +1,48 @@
+/**
+ * Loaded into a measured process by `--import`: on SIGUSR2 it prints what the process used since the last time, as one
+ * line `probe {...}`, so that every process is measured by the same instrument. With `PATH_PROFILE=DIR` it also writes
+ * a processor profile of the time between the second and the third signal.
+ *
+ * @module
+ */
+
+import { writeFileSync } from "node:fs";
+import { Session } from "node:inspector";
+import { monitorEventLoopDelay } from "node:perf_hooks";
+
+const RESOLUTION_MS = 1;
+const delay = monitorEventLoopDelay({ resolution: RESOLUTION_MS });
+delay.enable();
+let cpu = process.cpuUsage();
+let number = 0;
+
+const profileDir = process.env.PATH_PROFILE;
+const session = new Session();
+if (profileDir) session.connect();
+
+function profile(): void {
+  if (number === 2) {
+    session.post("Profiler.enable");
+    session.post("Profiler.start");
+  }
+  if (number !== 3) return;
+  session.post("Profiler.stop", (_error, { profile }) => {
+    const path = `${profileDir}/${process.pid}.cpuprofile`;
+    writeFileSync(path, JSON.stringify(profile));
+  });
+}
+
+process.on("SIGUSR2", () => {
+  const used = process.cpuUsage(cpu);
+  cpu = process.cpuUsage();
+  const probe = {
+    number: ++number,
+    loopP99Ms: delay.percentile(99) / 1e6 - RESOLUTION_MS,
+    loopMostMs: delay.max / 1e6 - RESOLUTION_MS,
+    rssBytes: process.memoryUsage.rss(),
+    cpuMs: (used.user + used.system) / 1000,
+  };
+  delay.reset();
+  if (profileDir) profile();
+  console.log(`probe ${JSON.stringify(probe)}`);
+});
--- a/src/agreement/mod.ts
+++ b/src/agreement/mod.ts
@@ -30,3 +30,4 @@
 export * from "./member_news.ts";
 export * from "./members.ts";
 export * from "./fence.ts";
+export * from "./directory.ts";
--- a/src/decisions/fleet.ts
+++ b/src/decisions/fleet.ts
@@ -19,10 +19,6 @@
 const ASIDE_RATIO = 4;
 /** A probe this close to the median brings it back. */
 const RETURN_RATIO = 2;
-/** An attempt without a first token is overdue after this many times its prediction, and this much more. */
-const OVERDUE_RATIO = 3;
-const OVERDUE_SLACK_MS = 150;
-
 /** A saved prefill shorter than this cannot be told from noise in first-token times. */
 const EVICTION_MS = 50;
 
@@ -39,7 +35,6 @@
   #active: readonly Upstream[] = [];
   #hearsStarts = false;
   #pressure = 0;
-  #usable = false;
 
   get list(): readonly Upstream[] {
     return this.#list;
@@ -78,9 +73,9 @@
     return { running, slots };
   }
 
-  /** Whether any upstream could take a request when last judged. */
-  get usable(): boolean {
-    return this.#usable;
+  /** Whether any upstream can take a request now or soon. */
+  usable(nowMs: number): boolean {
+    return this.#active.some((upstream) => upstream.health.usable(nowMs));
   }
 
   /** Share of the slots in use when last judged. */
@@ -144,7 +139,6 @@
       if (this.#mayAside()) health.setAside(nowMs);
     }
     const { running, slots } = this.load(nowMs);
-    this.#usable = this.#active.some((u) => u.health.usable(nowMs));
     this.#pressure = slots > 0 ? Math.min(1, running / slots) : 1;
   }
 
@@ -185,12 +179,11 @@
   #watchOverdue(upstream: Upstream, nowMs: number): void {
     // Without news of first tokens, every long answer would look overdue.
     if (!this.#hearsStarts) return;
-    const oldest = upstream.oldestUnstarted();
-    if (!oldest) return;
-    const waitedMs = nowMs - oldest.grantedAtMs;
-    const expectedMs = Math.max(1, oldest.firstTokenDueMs - oldest.grantedAtMs);
-    if (waitedMs < OVERDUE_RATIO * expectedMs + OVERDUE_SLACK_MS) return;
-    upstream.atLeastSlow(oldest.slowness * (waitedMs / expectedMs));
+    const late = upstream.overdue(nowMs);
+    if (!late) return;
+    const waitedMs = nowMs - late.grantedAtMs;
+    const expectedMs = Math.max(1, late.firstTokenDueMs - late.grantedAtMs);
+    upstream.atLeastSlow(late.slowness * (waitedMs / expectedMs));
   }
 
   #mayAside(): boolean {
--- a/src/decisions/gate.ts
+++ b/src/decisions/gate.ts
@@ -4,24 +4,18 @@
  * @module
  */
 
-import { Table, type TrafficRow } from "../agreement/mod.ts";
+import { Table } from "../agreement/mod.ts";
 import { type CodeName, type Failure, failure } from "../base/mod.ts";
 import type { Random } from "../base/mod.ts";
 import type { Dispatcher } from "./dispatcher.ts";
+import type { Exchange, HomeForecast } from "./exchange.ts";
 import type { Entry, LaneName } from "./lanes.ts";
 import { LimitBook, type Use } from "./limits.ts";
-import { weigh } from "./placement.ts";
-import {
-  type FarRegion,
-  NEVER_MS,
-  type PoolDigest,
-  type PoolOptions,
-  type PoolOutput,
-} from "./pool_messages.ts";
+import { candidates, weigh } from "./placement.ts";
+import type { PoolOptions, PoolOutput } from "./pool_messages.ts";
 import { RetryBudget } from "./retry.ts";
-import { chooseRegion, mayLeave, ShiftLedger } from "./shift.ts";
 import type { SlotRequest } from "./slots.ts";
-import { type Held, Upstream } from "./upstream.ts";
+import type { Held, Upstream } from "./upstream.ts";
 import { priceMicrocents, workTokens } from "./work.ts";
 
 /**
@@ -41,15 +35,10 @@
   | { readonly type: "queue"; readonly entry: Entry }
   | { readonly type: "answered"; readonly output: PoolOutput };
 
-interface Forecast {
+interface Forecast extends HomeForecast {
   readonly lane: LaneName;
   readonly warmAt: string | undefined;
-  /** Time in the queue, and the same before it is corrected. */
-  readonly waitMs: number;
   readonly rawWaitMs: number;
-  /** Time from leaving the queue to the first token. */
-  readonly firstMs: number;
-  readonly coldMs: number;
   readonly work: number;
   readonly use: Use;
 }
@@ -60,13 +49,18 @@
   readonly #dispatcher: Dispatcher;
   readonly #random: Random;
   readonly #limits: LimitBook;
+  readonly #exchange: Exchange;
   readonly #retries = new RetryBudget(0);
-  readonly #ledger = new ShiftLedger();
   #table = Table.empty;
-  #far: readonly FarRegion[] = [];
 
-  constructor(options: PoolOptions, dispatcher: Dispatcher, random: Random) {
+  constructor(
+    options: PoolOptions,
+    dispatcher: Dispatcher,
+    exchange: Exchange,
+    random: Random,
+  ) {
     this.#options = options;
+    this.#exchange = exchange;
     this.#dispatcher = dispatcher;
     this.#random = random;
     this.#limits = new LimitBook(this.#table, { ...options, pools: 1 });
@@ -81,32 +75,16 @@
     this.#limits.configure(table, { service, region, pools }, nowMs);
   }
 
-  setFar(regions: readonly FarRegion[]): void {
-    this.#far = regions;
-  }
-
   arrive(request: SlotRequest, nowMs: number): Arrival {
     const bound = this.#residency(request);
     if (bound) return refused(request, bound);
-    if (request.sentFrom === undefined && request.exclude.length === 0) {
-      this.#ledger.arrived(nowMs);
-    }
+    this.#exchange.arrived(request, nowMs);
     if (request.deadlineMs <= nowMs) {
       return refused(request, failure("deadlinePassed"));
     }
     const forecast = this.#forecast(request, nowMs);
-    const far = this.#chooseRegion(request, forecast, nowMs);
-    if (far) {
-      this.#ledger.sent(far, nowMs);
-      return {
-        type: "answered",
-        output: {
-          type: "answer",
-          attemptId: request.attemptId,
-          answer: { type: "shift", region: far.region },
-        },
-      };
-    }
+    const sent = this.#exchange.send(request, forecast, nowMs);
+    if (sent) return { type: "answered", output: sent };
     const no = this.#refusal(request, forecast, nowMs);
     if (no || !forecast) {
       return refused(request, no ?? this.#noUpstream(nowMs));
@@ -114,20 +92,21 @@
     return { type: "queue", entry: this.#enter(request, forecast, nowMs) };
   }
 
-  /** Refuses what can no longer start in time, and everything queued once no upstream is left. */
+  /** Refuses what can no longer start in time; once no upstream is left, sends away or refuses all. */
   refuseLate(nowMs: number): PoolOutput[] {
     const { lanes, fleet } = this.#dispatcher;
-    const late = fleet.usable ? lanes.removeLate(nowMs) : lanes.clear();
-    return late.map((entry) => {
+    if (!fleet.usable(nowMs)) {
+      return lanes.clear().map((entry) => {
+        this.forget(entry);
+        return this.#exchange.send(entry.request, undefined, nowMs) ??
+          answer(entry.request, this.#noUpstream(nowMs));
+      });
+    }
+    return lanes.removeLate(nowMs).map((entry) => {
       this.forget(entry);
-      this.#dispatcher.waited(entry, nowMs);
-      const why = fleet.usable
-        ? this.#later(
-          "expiredInQueue",
-          this.#dispatcher.emptyMs(),
-          nowMs,
-        )
-        : this.#noUpstream(nowMs);
+      this.#dispatcher.waits.ended(entry, nowMs);
+      const waitMs = this.#dispatcher.waits.emptyMs();
+      const why = this.#later("expiredInQueue", waitMs, nowMs);
       return answer(entry.request, why);
     });
   }
@@ -151,19 +130,6 @@
     this.#limits.release(held.workspace, held.use, actual);
   }
 
-  digest(nowMs: number): PoolDigest {
-    const { lanes, fleet } = this.#dispatcher;
-    const { running, slots } = fleet.load(nowMs);
-    const usable = slots > 0;
-    return {
-      predictedWaitMs: usable ? this.#dispatcher.emptyMs() : NEVER_MS,
-      takesIn: usable && this.#takesIn(nowMs),
-      queued: lanes.size,
-      running,
-      slots,
-    };
-  }
-
   // Checked here too, although the VM that took the request checks it first: a version of the table older than the edit
   // that bound a workspace may still be in force there.
   #residency(request: SlotRequest): Failure | undefined {
@@ -176,39 +142,13 @@
     return row?.bound === false ? undefined : failure("homeElsewhere");
   }
 
-  #chooseRegion(
-    request: SlotRequest,
-    forecast: Forecast | undefined,
-    nowMs: number,
-  ): FarRegion | undefined {
-    const workspace = this.#table.workspace(request.workspace);
-    const { sentFrom } = request;
-    if (!mayLeave({ workspace, sentFrom })) return undefined;
-    const { service, region } = this.#options;
-    return chooseRegion(
-      {
-        workspace,
-        sentFrom,
-        service: this.#table.service(service),
-        traffic: this.#traffic(),
-        region,
-        homeMs: forecast ? forecast.waitMs + forecast.firstMs : Infinity,
-        coldMs: forecast?.coldMs ?? 0,
-        deadlineMs: request.deadlineMs,
-        nowMs,
-      },
-      this.#far,
-      this.#ledger,
-    );
-  }
-
   #refusal(
     request: SlotRequest,
     forecast: Forecast | undefined,
     nowMs: number,
   ): Failure | undefined {
     if (!forecast) return this.#noUpstream(nowMs);
-    if (request.sentFrom !== undefined && !this.#takesIn(nowMs)) {
+    if (request.sentFrom !== undefined && !this.#exchange.takesIn(nowMs)) {
       return this.#later("receiverRefused", 0, nowMs);
     }
     const full = this.#queueFull(request, nowMs);
@@ -248,14 +188,13 @@
     }
     return this.#later(
       "queueFull",
-      this.#dispatcher.emptyMs(),
+      this.#dispatcher.waits.emptyMs(),
       nowMs,
     );
   }
 
   #enter(request: SlotRequest, forecast: Forecast, nowMs: number): Entry {
     if (request.exclude.length === 0) this.#retries.firstAttempt();
-    if (forecast.lane === "short") this.#dispatcher.sawShort(nowMs);
     this.#limits.take(request.workspace, forecast.use, nowMs);
     return {
       request,
@@ -275,7 +214,7 @@
     const view = this.#dispatcher.view(nowMs);
     let best: ReturnType<typeof weigh> | undefined;
     let bestMs = Infinity;
-    for (const upstream of view.upstreams) {
+    for (const upstream of candidates(request, view)) {
       if (request.exclude.includes(upstream.row.id)) continue;
       if (!upstream.health.usable(nowMs)) continue;
       const found = weigh(request, upstream, view);
@@ -292,7 +231,7 @@
     return {
       lane,
       warmAt: savedMs > 0 ? upstream.row.id : undefined,
-      ...this.#dispatcher.forecast(lane, ahead),
+      ...this.#dispatcher.waits.forecast(lane, ahead),
       firstMs,
       coldMs: upstream.ownMs(request.promptTokens),
       work,
@@ -309,22 +248,6 @@
     };
   }
 
-  // A region with a queue, or that sends away itself, has nothing to give; and part of its slots is kept for its own
-  // callers, who may come in the second that a digest is old.
-  #takesIn(nowMs: number): boolean {
-    if (this.#ledger.sending(nowMs)) return false;
-    const { lanes, fleet } = this.#dispatcher;
-    if (lanes.size > 0) return false;
-    const { running, slots } = fleet.load(nowMs);
-    const reserve = this.#traffic()?.reserveShare ?? 0.2;
-    return running < slots * (1 - reserve);
-  }
-
-  #traffic(): TrafficRow | undefined {
-    const { service, region } = this.#options;
-    return this.#table.traffic(service, region);
-  }
-
   #weight(workspace: string): number {
     return this.#table.workspace(workspace)?.weight ?? 1;
   }
--- a/src/decisions/placement.ts
+++ b/src/decisions/placement.ts
@@ -21,17 +21,10 @@
 /** Upstreams drawn at random in a large pool. With the warm ones, this many come close to the best of all. */
 const SAMPLE = 16;
 /**
- * Share of a pool that may prefill long prompts at the same time when short ones come too. An engine works through
- * prompts in chunks, so a short question placed beside a manifest waits seconds for it; the rest of the pool stays open
- * to short ones. Without short ones, long prompts may use all. Engines that honour priorities need it less: at 1, the mix
- * is as fast and a flood of one workspace costs the others more.
- */
-const LONG_SHARE = 0.75;
-
-/**
- * The same for a workspace far over its share, and the part of each upstream's slots that it leaves to the others. Fair
- * order alone makes the others next in turn; they would still wait for a slot to come back and behind the prefills that
- * the burst has already started. What is kept is used by whoever is within its share.
+ * Share of a pool where a workspace far over its share may prefill long prompts at one time, and the part of each
+ * upstream's slots that it leaves to the others. Fair order alone makes the others next in turn; they would still wait
+ * for a slot to come back and behind the prefills that the burst has already started. What is kept is used by whoever is
+ * within its share.
  */
 const OVER_LONG_SHARE = 0.5;
 const OTHERS_SHARE = 0.125;
@@ -76,6 +69,8 @@
   readonly cautious: boolean;
   /** Whether the request's workspace is far over its share. */
   readonly over: boolean;
+  /** Upstreams that were given this prompt's prefix. */
+  readonly holders: (hashes: readonly number[]) => readonly Upstream[];
   /** Requests that wait for this upstream already. */
   readonly waitingFor: (upstreamId: string) => number;
 }
@@ -97,12 +92,13 @@
   request: SlotRequest,
   view: PlacementView,
 ): Placement {
-  const longAllowed = longHasRoom(view);
+  const open = candidates(request, view);
+  const longAllowed = longHasRoom(view, open);
   let best: Place | undefined;
   let bestCost = Infinity;
   let warm: Place | undefined;
   let warmCost = Infinity;
-  for (const upstream of candidates(view)) {
+  for (const upstream of open) {
     if (request.exclude.includes(upstream.row.id)) continue;
     const probe = upstream.health.probeDue(view.nowMs);
     if (!probe && upstream.health.state === "aside") continue;
@@ -130,14 +126,16 @@
   return { type: "go", place: best };
 }
 
-/** The place at one upstream, if it has room for the request. */
+/** The place at one upstream, if it may still get work and has room for the request. */
 export function placeAt(
   request: SlotRequest,
   upstream: Upstream,
   view: PlacementView,
 ): Place | undefined {
+  if (upstream.row.state !== "active") return undefined;
   const found = weigh(request, upstream, view);
-  return mayTake(found, view, longHasRoom(view)) ? found : undefined;
+  const longAllowed = longHasRoom(view, candidates(request, view));
+  return mayTake(found, view, longAllowed) ? found : undefined;
 }
 
 /** What is expected of a request at an upstream, whether or not it has room. */
@@ -202,18 +200,23 @@
     : 0;
 }
 
-function longHasRoom(view: PlacementView): boolean {
-  if (view.upstreams.length < 2) return true;
-  if (!view.mixed && !view.over) return true;
-  const busy = view.upstreams.filter((u) => u.longUnstarted > 0).length;
-  const share = view.over ? OVER_LONG_SHARE : LONG_SHARE;
-  return busy < Math.max(1, Math.floor(view.upstreams.length * share));
+function longHasRoom(
+  view: PlacementView,
+  open: readonly Upstream[],
+): boolean {
+  if (!view.over || open.length < 2) return true;
+  const busy = open.filter((u) => u.longUnstarted > 0).length;
+  return busy < Math.max(1, Math.floor(open.length * OVER_LONG_SHARE));
 }
 
-function candidates(view: PlacementView): readonly Upstream[] {
+/** The upstreams worth weighing for a request. */
+export function candidates(
+  request: SlotRequest,
+  view: PlacementView,
+): readonly Upstream[] {
   const { upstreams, random } = view;
   if (upstreams.length <= SCAN_ALL) return upstreams;
-  const drawn = new Set<Upstream>();
+  const drawn = new Set(view.holders(request.prefixHashes));
   for (let i = 0; i < SAMPLE; i++) drawn.add(random.pick(upstreams));
-  return [...drawn];
+  return [...drawn].filter((upstream) => upstream.row.state === "active");
 }
--- a/src/services/slots.ts
+++ b/src/services/slots.ts
@@ -6,17 +6,34 @@
  */
 
 import type { Transport } from "../adapters/mod.ts";
-import { type Clock, hash32, Random, type Timer } from "../base/mod.ts";
-import type { FarRegion, HeldSlot, PoolDigest } from "../decisions/mod.ts";
+import {
+  type Clock,
+  failure,
+  hash32,
+  Random,
+  type Timer,
+} from "../base/mod.ts";
+import type {
+  FarRegion,
+  HeldSlot,
+  SlotAnswer,
+  SlotRequest,
+} from "../decisions/mod.ts";
 import type { PoolInfo } from "../agreement/mod.ts";
 import { type Handlers, type Kernel, type Port, Task } from "../kernel/mod.ts";
+import { AwayClient, AwayHost } from "./away.ts";
 import { LeadClient, RENEW_MS } from "./lead_client.ts";
 import { LoadPoller, type LoadSource } from "./lead_load.ts";
 import type { HandoverMessage } from "./lead_messages.ts";
 import { COLLECT_MS } from "./lead_pool.ts";
 import { LeadRouter } from "./lead_router.ts";
 import { LeadServer, type OrderSink } from "./lead_server.ts";
-import { LeadView, LOAD_TOPIC } from "./lead_view.ts";
+import {
+  LeadView,
+  LOAD_TOPIC,
+  type LoadTopic,
+  loadTopic,
+} from "./lead_view.ts";
 import type {
   MembersMessages,
   SlotsMessages,
@@ -39,6 +56,11 @@
 /** How often the VMs and the table are looked at: a small part of the time it takes to find a dead VM. */
 const FOLLOW_MS = 100;
 const DIGEST_MS = 1000;
+/** How long a request waits for the table's version that it was accepted on. */
+const CATCH_UP_MS = 500;
+/** A digest that did not change is published again after this. */
+const REPEAT_DIGEST_MS = 4000;
+const SWEEP_MS = 1000;
 /** A digest that was not renewed for this long says nothing any more: its lead is gone or out of reach. */
 const STALE_DIGEST_MS = 10_000;
 
@@ -46,9 +68,15 @@
 export class SlotsService extends Task<SlotsMessages> {
   readonly name = "slots";
   protected readonly handlers: Handlers<SlotsMessages> = {
-    acquire: (request) => this.#client.acquire(request),
-    report: (report) => this.#client.report(report),
-    cancel: ({ attemptId }) => this.#client.cancel(attemptId),
+    acquire: (request) => this.#acquire(request),
+    report: (report) => {
+      if (!this.#away?.report(report)) this.#client.report(report);
+    },
+    cancel: ({ attemptId }) => {
+      this.#arriving.delete(attemptId);
+      this.#away?.cancel(attemptId);
+      this.#client.cancel(attemptId);
+    },
   };
   readonly #options: SlotsOptions;
   readonly #view: LeadView;
@@ -60,7 +88,13 @@
   #router!: LeadRouter;
   #client!: LeadClient;
   #poller: LoadPoller | undefined;
-  #following = false;
+  #away: AwayClient | undefined;
+  #host: AwayHost | undefined;
+  /** Attempts that wait for the table they were accepted on. */
+  readonly #arriving = new Set<string>();
+  #looking: Promise<void> | undefined;
+  #lookAgain: Promise<void> | undefined;
+  readonly #published = new Map<string, { text: string; atMs: number }>();
 
   constructor(options: SlotsOptions) {
     super();
@@ -78,7 +112,11 @@
     await this.#follow();
     this.#every(TICK_MS, () => this.#server.tick());
     this.#every(FOLLOW_MS, () => void this.#follow());
-    this.#every(RENEW_MS, () => this.#client.renewAll());
+    this.#every(RENEW_MS, () => {
+      this.#client.renewAll();
+      this.#away?.renewAll();
+    });
+    this.#every(SWEEP_MS, () => this.#host?.sweep());
     this.#every(DIGEST_MS, () => void this.#exchangeDigests());
   }
 
@@ -97,6 +135,7 @@
       vms: this.#view.vms.map((vm) => `${vm.id} ${vm.state}`),
       leads: this.#server.dump(),
       client: this.#client.dump(),
+      away: { held: this.#away?.holding, hosted: this.#host?.hosting },
     };
   }
 
@@ -109,6 +148,7 @@
       log,
       view,
       onOrder: this.#options.onOrder ?? (() => {}),
+      catchUp: (request) => this.#catchUp(request),
       collect: (pool, heard) => this.#collect(pool, heard),
       handOver: (message) => this.#handOver(message),
     });
@@ -123,6 +163,7 @@
     const router = this.#router;
     this.#client = new LeadClient({ clock, log, random, view, router });
     this.#router.listen(({ pool }) => this.#client.heldOf(pool));
+    this.#wireAway();
     if (!loadSource) return;
     this.#poller = new LoadPoller(
       clock,
@@ -135,27 +176,34 @@
     this.#timers.push(this.#clock.every(periodMs, run));
   }
 
-  async #follow(): Promise<void> {
-    if (this.#following) return;
-    this.#following = true;
-    try {
-      const table = await this.#table.ask("current", undefined);
-      const tableChanged = this.#view.setTable(table);
-      const vms = await this.#members?.ask("region", undefined);
-      const vmsChanged = this.#view.setVms(vms ?? []);
-      if (vmsChanged) this.#router.vmsChanged();
-      if (tableChanged || vmsChanged) this.#server.follow(tableChanged);
-      // Reports that were sent to a lost lead are lost with it: a new one learns now what is no longer held.
-      if (vmsChanged) this.#client.renewAll();
-      // A plain service has no load page: asking it would be a call that its owner did not make.
-      this.#poller?.poll(
-        this.#server.infos().filter((info) =>
-          table?.service(info.service)?.type === "model"
-        ),
-      );
-    } finally {
-      this.#following = false;
+  /** Looks at the table and the VMs; one look at a time, and whoever asks meanwhile waits for one that starts after. */
+  #follow(): Promise<void> {
+    if (this.#looking) {
+      this.#lookAgain ??= this.#looking.then(() => {
+        this.#lookAgain = undefined;
+        return this.#follow();
+      });
+      return this.#lookAgain;
     }
+    this.#looking = this.#look().finally(() => this.#looking = undefined);
+    return this.#looking;
+  }
+
+  async #look(): Promise<void> {
+    const table = await this.#table.ask("current", undefined);
+    const tableChanged = this.#view.setTable(table);
+    const vms = await this.#members?.ask("region", undefined);
+    const vmsChanged = this.#view.setVms(vms ?? []);
+    if (vmsChanged) this.#router.vmsChanged();
+    if (tableChanged || vmsChanged) this.#server.follow(tableChanged);
+    // Reports that were sent to a lost lead are lost with it: a new one learns now what is no longer held.
+    if (vmsChanged) this.#client.renewAll();
+    // A plain service has no load page: asking it would be a call that its owner did not make.
+    this.#poller?.poll(
+      this.#server.infos().filter((info) =>
+        table?.service(info.service)?.type === "model"
+      ),
+    );
   }
 
   #collect(
@@ -190,17 +238,80 @@
     );
   }
 
+  #wireAway(): void {
+    const { transport, region } = this.#options;
+    const members = this.#members;
+    if (!transport || !members) return;
+    const table = this.#table;
+    const context = { clock: this.#clock, region, transport, members, table };
+    this.#away = new AwayClient(context);
+    this.#host = new AwayHost(context, {
+      acquire: (request) => this.#client.acquire(request),
+      report: (report) => this.#client.report(report),
+      cancel: (attemptId) => this.#client.cancel(attemptId),
+    });
+    this.#host.listen();
+  }
+
+  /** Where the lead sends the request away and that region gives no slot, the home lead decides again, for good. */
+  async #acquire(request: SlotRequest): Promise<SlotAnswer> {
+    if (this.#isBehind(request) && !await this.#arrive(request)) {
+      return { type: "refuse", failure: failure("canceled", { ran: "no" }) };
+    }
+    const answer = await this.#client.acquire(request);
+    if (answer.type !== "shift") return answer;
+    const far = await this.#away?.acquire(answer.region, request);
+    if (far) return far;
+    return await this.#client.acquire({ ...request, stayHome: true });
+  }
+
+  #isBehind(request: SlotRequest): boolean {
+    return (this.#view.table?.version ?? 0) < request.tableVersion;
+  }
+
+  /** Catches up; answers whether the request is still wanted then. */
+  async #arrive(request: SlotRequest): Promise<boolean> {
+    this.#arriving.add(request.attemptId);
+    await this.#catchUp(request);
+    return this.#arriving.delete(request.attemptId);
+  }
+
+  /**
+   * The table is looked at now and then; a request that was accepted on a newer version would otherwise meet a lead that
+   * does not know its service, or still allows what an edit has just forbidden.
+   */
+  async #catchUp(request: SlotRequest): Promise<void> {
+    const { tableVersion } = request;
+    const untilMs = this.#clock.nowMs() + CATCH_UP_MS;
+    const deadlineMs = Math.min(request.deadlineMs, untilMs);
+    await this.#table.ask("waitFor", { version: tableVersion, deadlineMs });
+    await this.#follow();
+  }
+
   async #exchangeDigests(): Promise<void> {
     if (!this.#members) return;
-    for (const [info, body] of this.#server.digests()) {
+    for (const [info, digest] of this.#server.digests()) {
       const topic = `${LOAD_TOPIC}${info.service}/${info.number}`;
-      await this.#members.ask("publish", { topic, body });
+      const body = loadTopic(digest);
+      if (this.#isDue(topic, JSON.stringify(body))) {
+        await this.#members.ask("publish", { topic, body });
+      }
     }
     const topics = await this.#members.ask("topics", undefined);
     this.#view.setDigests(topics.get(this.#view.self.region) ?? []);
     this.#server.setFar((info) => this.#far(info, topics));
   }
 
+  #isDue(topic: string, text: string): boolean {
+    const nowMs = this.#clock.nowMs();
+    const last = this.#published.get(topic);
+    if (last?.text === text && nowMs - last.atMs < REPEAT_DIGEST_MS) {
+      return false;
+    }
+    this.#published.set(topic, { text, atMs: nowMs });
+    return true;
+  }
+
   #far(
     info: PoolInfo,
     topics: ReadonlyMap<string, readonly TopicValue[]>,
@@ -226,7 +337,7 @@
   values: readonly TopicValue[],
 ): Pick<FarRegion, "predictedWaitMs" | "takesIn" | "seenAtMs"> | undefined {
   const pools = values.map(({ body, seenAtMs }) => {
-    const { predictedWaitMs, takesIn } = body as PoolDigest;
+    const { predictedWaitMs, takesIn } = body as LoadTopic;
     return { predictedWaitMs, takesIn, seenAtMs };
   });
   pools.sort((a, b) =>
