Claims: who waits at a replaced owner goes on to the next one

Cause: callers that waited at an owner when it was replaced were refused, and each refusal left a release to be tried for behind; in an outage of many calls these tries would become a load of their own. Change: they are sent on under the same claim id; releases are tried for only where an answer was lost, and at most 500 at a time.

--- a/bench/control_claims.ts
+++ b/bench/control_claims.ts
@@ -8,7 +8,13 @@
 import { type ChildProcess, spawn } from "node:child_process";
 import { createInterface } from "node:readline";
 import { fileURLToPath } from "node:url";
-import { EtcdKeyValue } from "../src/adapters/mod.ts";
+import type { Result } from "neverthrow";
+import {
+  EtcdKeyValue,
+  type StoreError,
+  type StorePurpose,
+  type Write,
+} from "../src/adapters/mod.ts";
 import type { ShardLimits } from "../src/agreement/mod.ts";
 import { Random, systemClock } from "../src/base/mod.ts";
 import { Kernel, openLog } from "../src/kernel/mod.ts";
@@ -63,6 +69,21 @@
   }
 }
 
+/** Counts what is written. */
+class CountingStore extends EtcdKeyValue {
+  writtenBytes = 0;
+
+  override transact(
+    writes: readonly Write[],
+    purpose: StorePurpose,
+  ): Promise<Result<number, StoreError>> {
+    for (const write of writes) {
+      if (write.type === "put") this.writtenBytes += write.value.length;
+    }
+    return super.transact(writes, purpose);
+  }
+}
+
 interface Load {
   readonly policy: Policy;
   readonly perS: number;
@@ -74,7 +95,7 @@
 async function measure(load: Load): Promise<Row[]> {
   const platform = new PlatformProcess();
   const url = await platform.url();
-  const store = new EtcdKeyValue({ urls: [url], vmId: "bench" });
+  const store = new CountingStore({ urls: [url], vmId: "bench" });
   const kernel = new Kernel(systemClock, openLog("silent"));
   const { policy, perS, seed } = load;
   const claims = new ClaimsService({
@@ -92,12 +113,14 @@
     cpu: process.cpuUsage(),
     heap: process.memoryUsage().heapUsed,
     calls: store.counts().claims,
+    bytes: store.writtenBytes,
     monoMs: performance.now(),
   };
   const taken = await offer(claims, load);
   const spent = process.cpuUsage(before.cpu);
   const lastedS = (performance.now() - before.monoMs) / 1000;
   const calls = store.counts().claims - before.calls;
+  const bytes = store.writtenBytes - before.bytes;
   globalThis.gc?.();
   const heap = process.memoryUsage().heapUsed - before.heap;
   const value = await storedBytes(store);
@@ -122,6 +145,8 @@
     row("added latency p50", at(0.5) ?? NaN, "ms"),
     row("added latency p99", at(0.99) ?? NaN, "ms"),
     row("store writes", calls / lastedS, "writes/s"),
+    row("written to the store", bytes / lastedS / 1024, "KB/s"),
+    row("written per claim", bytes / granted, "bytes"),
     row(
       "CPU per claim",
       (spent.user + spent.system) / (granted + refused),
--- a/src/agreement/claim_owner.ts
+++ b/src/agreement/claim_owner.ts
@@ -321,21 +321,22 @@
 
   #onOutcome(now: Now, outcome: CommitOutcome): void {
     if (outcome === "open") return;
-    if (outcome === "replaced") return this.#end(now);
+    if (outcome === "replaced") return this.#end();
     this.#outage.reset();
     for (const ticket of this.#batchLookups.splice(0)) {
       this.reply(ticket, { type: "none" });
     }
     const { head } = this.at;
     this.#settle(now, this.log.dropBelow(head.nextN));
-    if (!head.owner) this.#end(now);
+    if (!head.owner) this.#end();
   }
 
-  #end(now: Now): void {
+  /** Who waits is sent to the next owner with the same claim id: a claim that is in the store already is theirs. */
+  #end(): void {
     this.#ended = true;
-    const retryAtMs = now.nowMs + 100;
-    for (const entry of this.log.clear()) this.#refuse(entry, retryAtMs);
-    this.#answerLookups({ type: "unavailable", retryAtMs });
+    const reply: ShardReply = { type: "notOwner" };
+    for (const entry of this.log.clear()) this.#refuse(entry, reply);
+    this.#answerLookups(reply);
   }
 
   #answerLookups(reply: ShardReply): void {
@@ -381,7 +382,7 @@
 
   /** Refuses a claim that may be on its way into the store: a release follows it there, so that the key is free. */
   #withdraw(now: Now, entry: LogEntry, retryAtMs: number): void {
-    this.#refuse(entry, retryAtMs);
+    this.#refuse(entry, { type: "unavailable", retryAtMs });
     const { event } = entry;
     const n = this.#nextN++;
     const release: ClaimEvent = {
@@ -394,9 +395,8 @@
     this.log.addSettled(release);
   }
 
-  #refuse(entry: LogEntry, retryAtMs: number): void {
+  #refuse(entry: LogEntry, reply: ShardReply): void {
     this.log.settle(entry);
-    const reply: ShardReply = { type: "unavailable", retryAtMs };
     this.reply(entry.ticket, reply);
     for (const { ticket } of entry.parked) this.reply(ticket, reply);
   }
--- a/src/services/claims.ts
+++ b/src/services/claims.ts
@@ -57,6 +57,8 @@
 const CHANGE_MS = 2000;
 /** How long a step is tried for behind the caller's back. */
 const CHANGE_TRIES = 12;
+/** Most steps that are tried for at the same time behind their callers' backs. */
+const MOST_BEHIND = 500;
 const CHANGE_BACKOFF = { firstMs: 250, mostMs: 10_000 };
 const LOOKUP_MS = 3000;
 const REPLICATE_MS = 1500;
@@ -97,6 +99,8 @@
   #others: ReadonlyMap<string, readonly VmInfo[]> = new Map();
   #table: Table | undefined;
   #nextClaim = 0;
+  /** Steps that are tried for behind their callers' backs. */
+  #behind = 0;
   #closed = false;
 
   protected readonly handlers: Handlers<ClaimsMessages> = {
@@ -169,6 +173,7 @@
     return {
       me: this.#options.me,
       shards: this.#drivers.map((driver) => driver.state()),
+      stepsBehind: this.#behind,
       storeCalls: this.#options.store.counts().claims,
     };
   }
@@ -188,8 +193,8 @@
     };
     const routed = await this.#router.send(home, { type: "ask", ask }, false);
     const verdict = this.#verdict(routed);
-    // The owner may have recorded what is refused here; the key must be free again for the caller's next try.
-    if (verdict.type === "refused" && isRecordable(routed)) {
+    // An owner whose answer was lost may have recorded it; the key must be free again for the caller's next try.
+    if (routed.type === "none" && routed.sent) {
       void this.#changeBehind(home, { key, claimId, state: "released" });
     }
     return verdict;
@@ -243,6 +248,14 @@
   }
 
   async #changeBehind(home: string, change: ClaimChange): Promise<void> {
+    // In an outage of many calls the steps themselves would become a load: the rest is left "running" or "unknown".
+    if (this.#behind >= MOST_BEHIND) return;
+    this.#behind++;
+    await this.#tryOften(home, change);
+    this.#behind--;
+  }
+
+  async #tryOften(home: string, change: ClaimChange): Promise<void> {
     for (let attempt = 0; attempt < CHANGE_TRIES; attempt++) {
       const waitMs = backoffMs(attempt, CHANGE_BACKOFF, this.#random);
       await this.#clock.sleep(waitMs);
@@ -387,11 +400,6 @@
   }
 }
 
-/** Whether an owner may have recorded a claim although the request was not granted. */
-function isRecordable(routed: Routed): boolean {
-  return routed.type === "none" ? routed.sent : true;
-}
-
 function asRef(vm: VmRef): VmRef {
   return { id: vm.id, incarnation: vm.incarnation };
 }
--- a/src/services/claims_router.ts
+++ b/src/services/claims_router.ts
@@ -103,6 +103,8 @@
       else if (routed.reply.type !== "notOwner") return routed;
       else {
         hint = routed.reply.owner;
+        // An owner that lost the shard while the ask waited names nobody; what it wrote last may have taken effect.
+        sent ||= hint === undefined;
         driver.recheck();
       }
       if (clock.nowMs() + RETRY_MS >= untilMs) break;
