--- /dev/null
+++ b/bench/control_claims_faults.ts
@@ -0,0 +1,121 @@
+/**
+ * How long a clerk waits for the first call that is served after a fault, at daemons of one region as processes.
+ * `npm run bench -- control_claims_faults [--json] [--runs N]`.
+ *
+ * @module
+ */
+
+import {
+  caller,
+  Cluster,
+  keyOf,
+  operator,
+  sleep,
+  standardRows,
+  upstream,
+  type Vm,
+} from "../test/cluster.ts";
+import type { Bench, Row } from "./row.ts";
+
+const REGION = "agadir";
+const MOST_MS = 60_000;
+
+/** A fault that is brought about at the shard's owner. */
+interface Fault {
+  readonly name: string;
+  strike(cluster: Cluster, owner: Vm): Promise<void>;
+}
+
+const faults: readonly Fault[] = [
+  {
+    name: "owner killed",
+    strike: (_, owner) => Promise.resolve(owner.proc.signal("SIGKILL")),
+  },
+  {
+    name: "owner frozen",
+    strike: (_, owner) => Promise.resolve(owner.proc.signal("SIGSTOP")),
+  },
+  {
+    name: "owner stopped in good order",
+    strike: (_, owner) => Promise.resolve(owner.proc.signal("SIGTERM")),
+  },
+  {
+    name: "store away",
+    strike: (cluster) => cluster.setPlatformFaults([{ outage: "cut" }]),
+  },
+];
+
+async function ownerOf(cluster: Cluster): Promise<Vm> {
+  const endMs = Date.now() + MOST_MS;
+  while (Date.now() < endMs) {
+    for (const vm of cluster.vms.values()) {
+      const answer = await operator(vm, "GET", "/admin/dump");
+      const [shard] = JSON.parse(answer.body).claims.shards;
+      if (shard.role === "owner" && shard.witnesses.length === 2) return vm;
+    }
+    await sleep(100);
+  }
+  throw new Error("no owner");
+}
+
+/** The wait at a VM that is not struck, and how many calls it refused before. */
+async function measure(fault: Fault, run: number) {
+  const cluster = new Cluster();
+  try {
+    await cluster.startPlatform();
+    const [ledger] = await cluster.startUpstreams(0, 1);
+    await cluster.seed(standardRows([REGION], [
+      upstream("ledger-1", "ledger", REGION, ledger.url),
+    ]));
+    await cluster.startRegions([REGION], 3);
+    const owner = await ownerOf(cluster);
+    const vm = [...cluster.vms.values()].find((other) => other !== owner)!;
+    await fault.strike(cluster, owner);
+    const startMs = performance.now();
+    let refused = 0;
+    while (performance.now() - startMs < MOST_MS) {
+      const answer = await caller(vm, keyOf(REGION), "/services/ledger/log", {
+        body: { run },
+        headers: { "idempotency-key": `run-${run}-${refused}` },
+      });
+      if (answer.statusCode === 200) break;
+      refused++;
+      await sleep(100);
+    }
+    return { waitMs: performance.now() - startMs, refused };
+  } finally {
+    await cluster.close();
+  }
+}
+
+/** Runs each fault several times. */
+export const run: Bench = async (args) => {
+  const at = args.indexOf("--runs");
+  const runs = at < 0 ? 3 : Number(args[at + 1]);
+  const rows: Row[] = [];
+  for (const fault of faults) {
+    const waits: number[] = [];
+    let refused = 0;
+    for (let n = 0; n < runs; n++) {
+      const one = await measure(fault, n);
+      waits.push(one.waitMs);
+      refused += one.refused;
+    }
+    waits.sort((a, b) => a - b);
+    const row = (measure: string, value: number, unit: string): Row => ({
+      bench: "control_claims_faults",
+      case: fault.name,
+      policy: "3 VMs",
+      measure,
+      value: Math.round(value),
+      unit,
+      seed: 0,
+    });
+    rows.push(
+      row("wait until served, median", waits[waits.length >> 1], "ms"),
+      row("wait until served, longest", waits[waits.length - 1], "ms"),
+      row("refused before", refused / runs, "calls"),
+    );
+  }
+  return rows;
+};
--- /dev/null
+++ b/src/agreement/claim_head_test.ts
@@ -0,0 +1,110 @@
+import { describe, it } from "../base/describe.ts";
+import {
+  defaultShardLimits,
+  mayTake,
+  type ShardHead,
+  type TakeDecision,
+  type TakeView,
+} from "./mod.ts";
+
+const vm = (id: string, incarnation = 1) => ({ id, incarnation });
+
+const head: ShardHead = {
+  format: 1,
+  shardCount: 1,
+  epoch: 3,
+  commit: 9,
+  owner: vm("a"),
+  witnesses: [vm("b"), vm("c")],
+  nextN: 5,
+  firstSegment: 0,
+  nextSegment: 0,
+  touchedAtMs: 1_000_000,
+  doubtUntilMs: 0,
+  open: [],
+};
+
+const view: TakeView = {
+  me: vm("b"),
+  live: [vm("c")],
+  nowMs: 1_060_000,
+  monoMs: 500_000,
+  promisedUntilMonoMs: -Infinity,
+  unchangedSinceMonoMs: 440_000,
+};
+
+interface Case {
+  readonly what: string;
+  readonly head?: ShardHead;
+  readonly view: Partial<TakeView>;
+  readonly decision: TakeDecision;
+}
+
+const cases: readonly Case[] = [
+  { what: "a witness, no promise given", view: {}, decision: "complete" },
+  {
+    what: "a witness whose promise runs",
+    view: { promisedUntilMonoMs: 500_001 },
+    decision: "no",
+  },
+  {
+    what: "a witness that was restarted since",
+    view: { me: vm("b", 2) },
+    decision: "no",
+  },
+  { what: "a VM that is not listed", view: { me: vm("d") }, decision: "no" },
+  {
+    what: "the owner restarted at once, before it could grant from memory",
+    view: { me: vm("a", 2), live: [vm("b"), vm("c")], nowMs: 1_004_000 },
+    decision: "complete",
+  },
+  {
+    what: "the owner restarted later, while a witness may hold its grants",
+    view: { me: vm("a", 2), live: [vm("b"), vm("c", 2)] },
+    decision: "no",
+  },
+  {
+    what: "owner and witnesses restarted",
+    view: { me: vm("a", 2), live: [vm("b", 2), vm("c", 2)] },
+    decision: "lossy",
+  },
+  {
+    what: "all gone for good, before the owner's limit",
+    view: { me: vm("d"), live: [], unchangedSinceMonoMs: -13_000_000 },
+    decision: "no",
+  },
+  {
+    what: "all gone for good, after the owner's limit",
+    view: { me: vm("d"), live: [], unchangedSinceMonoMs: -14_000_000 },
+    decision: "lossy",
+  },
+  {
+    what: "a head without witnesses",
+    head: { ...head, witnesses: [] },
+    view: { me: vm("d") },
+    decision: "complete",
+  },
+  {
+    what: "a head that was handed over",
+    head: { ...head, owner: undefined },
+    view: { me: vm("d") },
+    decision: "complete",
+  },
+  {
+    what: "a head that names this very run",
+    view: { me: vm("a") },
+    decision: "lossy",
+  },
+];
+
+describe("taking a shard over", () => {
+  for (const { what, head: other, view: more, decision } of cases) {
+    it(`${what}: ${decision}`, (t) => {
+      const seen = { ...view, ...more };
+      t.is(mayTake(other ?? head, seen, defaultShardLimits), decision);
+    });
+  }
+  it("a missing head: complete", (t) => {
+    t.is(mayTake(undefined, view, defaultShardLimits), "complete");
+  });
+});
