--- /dev/null
+++ b/bench/capacity.ts
@@ -0,0 +1,201 @@
+/**
+ * Slopes for docs/CAPACITY.md: runs the benches of the parts at several sizes, fits a line to each figure, and reads it
+ * at the letter's size. `npm run bench -- capacity --json [--parts pool,table,members,claims,path]`
+ *
+ * A fitted row's `case` names the role and what the figure grows with, its `policy` the sizes that were measured.
+ *
+ * @module
+ */
+
+import { measurePool } from "./capacity_pool.ts";
+import { run as runClaims } from "./control_claims.ts";
+import { run as runMembers } from "./control_members.ts";
+import { run as runTable } from "./control_table.ts";
+import { run as runPath } from "./path.ts";
+import type { Row } from "./row.ts";
+
+/** The letter's target, and what follows from it for one region or VM. */
+const TARGET = { vms: 1400, runners: 10_000, regions: 21, tokensPerS: 14e6 };
+/** Regions of one to ten sizes, evenly spread: the largest has 10 / 5.5 times the average. */
+const LARGEST = 10 / 5.5;
+const VMS_A_REGION = TARGET.vms / TARGET.regions;
+const TOKENS_A_VM = TARGET.tokensPerS / TARGET.vms;
+/** 23 requests/s of 440 tokens at 60 ms each are open at once on a VM. */
+const STREAMS_A_VM = 600;
+/** 4,500 workspaces, 10,000 upstreams, 21 x 5 traffic rows, regions and services. */
+const TABLE_ROWS = 14_700;
+const POOL_SIZE = 64;
+
+/** A figure that grows with a size. */
+interface Fit {
+  readonly role: string;
+  readonly growsWith: string;
+  readonly bench: string;
+  readonly measure: string;
+  readonly policy?: string;
+  /** The size that a row was measured at; undefined: the row does not belong here. */
+  readonly sizeOf: (row: Row, rows: readonly Row[]) => number | undefined;
+  readonly average: number;
+  readonly largest: number;
+}
+
+const fits: readonly Fit[] = [
+  {
+    role: "caller's edge",
+    growsWith: "tokens/s",
+    bench: "path",
+    measure: "processor time",
+    policy: "ibisgap",
+    sizeOf: (row, rows) =>
+      rows.find((other) =>
+        other.case === row.case && other.policy === row.policy &&
+        other.measure === "tokens"
+      )?.value,
+    average: TOKENS_A_VM,
+    largest: TOKENS_A_VM,
+  },
+  {
+    role: "caller's edge",
+    growsWith: "streams",
+    bench: "path",
+    measure: "memory above idle",
+    policy: "ibisgap",
+    sizeOf: (row) => numberIn(row.case, /(\d+) streams/),
+    average: STREAMS_A_VM,
+    largest: STREAMS_A_VM,
+  },
+  {
+    role: "pool lead",
+    growsWith: "upstreams",
+    bench: "capacity",
+    measure: "decision",
+    sizeOf: (row) => numberIn(row.case, /^(\d+) upstreams, 0 queued/),
+    average: POOL_SIZE,
+    largest: POOL_SIZE,
+  },
+  {
+    role: "pool lead",
+    growsWith: "queued requests",
+    bench: "capacity",
+    measure: "decision",
+    sizeOf: (row) => numberIn(row.case, /^64 upstreams, ([1-9]\d*) queued/),
+    average: 1000,
+    largest: 1000,
+  },
+  ...["memory per 1,000 rows", "processor time per edit", "image"].map(
+    (measure): Fit => ({
+      role: "table",
+      growsWith: "rows",
+      bench: "control_table",
+      measure,
+      sizeOf: (row) => numberIn(row.case, /^(\d+) rows/),
+      average: TABLE_ROWS,
+      largest: TABLE_ROWS,
+    }),
+  ),
+  ...["bytes per edit and VM", "store calls idle", "edit to in force p99"].map(
+    (measure): Fit => ({
+      role: "table watcher",
+      growsWith: "VMs of 3 regions",
+      bench: "control_table",
+      measure,
+      sizeOf: (row) => numberIn(row.case, /^(\d+) VMs/),
+      average: VMS_A_REGION * 3,
+      largest: VMS_A_REGION * 3 * LARGEST,
+    }),
+  ),
+  ...[
+    "members bytes sent, mean VM",
+    "members bytes sent, most loaded VM",
+    "slots bytes sent, mean VM",
+    "slots bytes sent, most loaded VM",
+    "cpu per VM",
+    "memory per VM",
+  ].map((measure): Fit => ({
+    role: "members and digests",
+    growsWith: "VMs a region",
+    bench: "control_members",
+    measure,
+    sizeOf: (row) => numberIn(row.case, /^3x(\d+)$/),
+    average: VMS_A_REGION,
+    largest: VMS_A_REGION * LARGEST,
+  })),
+  ...["CPU", "store writes", "added latency p99"].map((measure): Fit => ({
+    role: "claim owner",
+    growsWith: "claims/s",
+    bench: "control_claims",
+    policy: "group commit, 60 writes/s",
+    measure,
+    sizeOf: (row) => numberIn(row.case, /^(\d+) claims/),
+    average: 300,
+    largest: 300,
+  })),
+];
+
+/** Runs the parts and fits. */
+export async function run(args: readonly string[]): Promise<Row[]> {
+  const at = args.indexOf("--parts");
+  const parts = at < 0
+    ? ["pool", "table", "members", "claims", "path"]
+    : args[at + 1].split(",");
+  const rows: Row[] = [];
+  const take = async (part: string, run: () => Promise<readonly Row[]>) => {
+    if (parts.includes(part)) rows.push(...await run());
+  };
+  await take("pool", () => Promise.resolve(measurePool()));
+  await take("table", () => runTable(["--vms", "6,24,48", "--edits", "100"]));
+  await take("members", () => runMembers(["--cases", "3x2,3x8,3x32,21x4"]));
+  await take("claims", () => runClaims(["--seconds", "3"]));
+  await take("path", () => runPath(["--mode", "paced"]));
+  return [...rows, ...fits.flatMap((fit) => fitted(fit, rows))];
+}
+
+/** The line through the measured points, read at the target. */
+function fitted(fit: Fit, rows: readonly Row[]): Row[] {
+  const points: [size: number, value: number][] = [];
+  let unit = "";
+  for (const row of rows) {
+    const isMeant = row.bench === fit.bench && row.measure === fit.measure &&
+      (fit.policy === undefined || row.policy === fit.policy);
+    const size = isMeant ? fit.sizeOf(row, rows) : undefined;
+    if (size === undefined) continue;
+    points.push([size, row.value]);
+    unit = row.unit;
+  }
+  if (points.length < 2) return [];
+  const { slope, offset } = line(points);
+  const sizes = points.map(([size]) => size);
+  const most = Math.max(...sizes);
+  const make = (name: string, value: number, unit: string): Row => ({
+    bench: "capacity",
+    case: `${fit.role}, by ${fit.growsWith}`,
+    policy: `measured at ${sizes.map(Math.round).join(", ")}`,
+    measure: `${fit.measure}, ${name}`,
+    value: Number(value.toPrecision(3)),
+    unit,
+    seed: 0,
+  });
+  return [
+    make("slope", slope, `${unit} each`),
+    make("offset", offset, unit),
+    make("at the average", offset + slope * fit.average, unit),
+    make("at the largest", offset + slope * fit.largest, unit),
+    make("extrapolated by", Math.max(1, fit.largest / most), "times"),
+  ];
+}
+
+function line(points: readonly [number, number][]) {
+  const mean = (values: readonly number[]) =>
+    values.reduce((sum, value) => sum + value, 0) / values.length;
+  const x = mean(points.map(([size]) => size));
+  const y = mean(points.map(([, value]) => value));
+  const over = mean(points.map(([size, value]) => (size - x) * (value - y)));
+  const under = mean(points.map(([size]) => (size - x) ** 2));
+  const slope = under === 0 ? 0 : over / under;
+  return { slope, offset: y - slope * x };
+}
+
+function numberIn(text: string, pattern: RegExp): number | undefined {
+  const match = pattern.exec(text);
+  return match ? Number(match[1]) : undefined;
+}
--- a/bench/path.ts
+++ b/bench/path.ts
@@ -199,8 +199,10 @@
     add(policy, "requests", loaded.requests, "");
     add(policy, "failed", loaded.failed, "");
     if (!idle || !busy) continue;
-    const memory = (busy.rssBytes - idle.rssBytes) / streams / 1024;
-    add(policy, "memory per stream", memory, "KB");
+    const above = busy.rssBytes - idle.rssBytes;
+    add(policy, "memory", busy.rssBytes / 1e6, "MB");
+    add(policy, "memory above idle", above / 1e6, "MB");
+    add(policy, "memory per stream", above / streams / 1e3, "KB");
     add(policy, "event-loop delay p99", busy.loopP99Ms, "ms");
     add(policy, "event-loop delay most", busy.loopMostMs, "ms");
     add(policy, "processor time", busy.cpuMs / SPAN_MS, "cores");
--- a/src/cli/ibisgap.ts
+++ b/src/cli/ibisgap.ts
@@ -7,7 +7,9 @@
 
 import { defineCommand, runMain } from "citty";
 import { check } from "./check.ts";
+import { replayCommand } from "./replay.ts";
 import { table } from "./table.ts";
+import { traceCommand } from "./trace.ts";
 import { drain, dump, metrics, status } from "./vm.ts";
 
 const main = defineCommand({
@@ -16,7 +18,16 @@
     version: "0.1.0",
     description: "Operate an ibisgap gateway",
   },
-  subCommands: { table, status, dump, metrics, drain, check },
+  subCommands: {
+    table,
+    status,
+    dump,
+    metrics,
+    drain,
+    check,
+    replay: replayCommand,
+    trace: traceCommand,
+  },
 });
 
 await runMain(main);
