--- a/src/decisions/pool.ts
+++ b/src/decisions/pool.ts
@@ -7,7 +7,8 @@
 import { Table, type UpstreamRow } from "../agreement/mod.ts";
 import { Random } from "../base/mod.ts";
 import { type Arrival, Gate } from "./gate.ts";
-import { Dispatcher } from "./dispatcher.ts";
+import { type Changed, Dispatcher } from "./dispatcher.ts";
+import { Exchange } from "./exchange.ts";
 import {
   type FarRegion,
   type HeldSlot,
@@ -23,13 +24,15 @@
 export class Pool {
   readonly options: PoolOptions;
   readonly #dispatcher: Dispatcher;
+  readonly #exchange: Exchange;
   readonly #gate: Gate;
 
   constructor(options: PoolOptions) {
     this.options = options;
     const random = new Random(options.seed);
     this.#dispatcher = new Dispatcher(random);
-    this.#gate = new Gate(options, this.#dispatcher, random);
+    this.#exchange = new Exchange(options, this.#dispatcher);
+    this.#gate = new Gate(options, this.#dispatcher, this.#exchange, random);
   }
 
   /** Takes the rows in force: the pool's upstreams and whatever else of the table decides. */
@@ -40,6 +43,7 @@
   ): PoolOutput[] {
     this.#dispatcher.configure(upstreams, nowMs);
     this.#gate.configure(table, nowMs);
+    this.#exchange.configure(table);
     return this.tick(nowMs);
   }
 
@@ -50,15 +54,16 @@
     if (this.#dispatcher.lanes.has(request.attemptId)) return [];
     const arrival: Arrival = this.#gate.arrive(request, nowMs);
     if (arrival.type === "answered") return [arrival.output];
-    this.#dispatcher.lanes.push(arrival.entry);
-    return this.#settle(nowMs);
+    this.#dispatcher.push(arrival.entry, nowMs);
+    return this.#settle([], nowMs);
   }
 
   /** An attempt got its first token or ended: learns from it, and frees its slot at the end. */
   report(report: SlotReport, nowMs: number): PoolOutput[] {
     const ended = this.#dispatcher.report(report, nowMs);
-    if (ended) this.#gate.release(ended, report.outputTokens);
-    return this.#settle(nowMs);
+    if (!ended) return this.#settle([], nowMs);
+    this.#gate.release(ended, report.outputTokens);
+    return this.#settle([ended.upstream.row.id], nowMs);
   }
 
   /** Holds these slots for another {@link SLOT_TTL_MS}; answers with those it does not know. */
@@ -73,24 +78,24 @@
     if (queued) this.#gate.forget(queued);
     const held = this.#dispatcher.giveUp(attemptId, nowMs);
     if (held) this.#gate.release(held, 0);
-    return this.#settle(nowMs);
+    return this.#settle("all", nowMs);
   }
 
   /** An upstream's own report of its load. */
   observe(load: LoadReport, nowMs: number): PoolOutput[] {
     this.#dispatcher.observe(load, nowMs);
-    return this.#settle(nowMs);
+    return this.#settle("all", nowMs);
   }
 
   /** What other regions say; replaces what they said before. */
   setFar(regions: readonly FarRegion[], _nowMs: number): void {
-    this.#gate.setFar(regions);
+    this.#exchange.setFar(regions);
   }
 
   /** A new lead learns what entry VMs hold; it starts cautious until it has heard them. */
   adopt(held: readonly HeldSlot[], nowMs: number): PoolOutput[] {
     for (const slot of held) this.#dispatcher.adopt(slot, nowMs);
-    return this.#settle(nowMs);
+    return this.#settle("all", nowMs);
   }
 
   /** Time passes: expired slots come back, late requests are refused, queued ones are placed. Every 50 ms or so. */
@@ -99,12 +104,12 @@
       this.#gate.release(held, held.expectedOutputTokens);
     }
     this.#dispatcher.pass(nowMs);
-    return this.#settle(nowMs);
+    return this.#settle("all", nowMs);
   }
 
   /** What other regions are told. */
   digest(nowMs: number): PoolDigest {
-    return this.#gate.digest(nowMs);
+    return this.#exchange.digest(nowMs);
   }
 
   /** The pool's state for people. */
@@ -113,8 +118,8 @@
   }
 
   // Answers are given in the step in which they become known: a caller told early can still go elsewhere.
-  #settle(nowMs: number): PoolOutput[] {
+  #settle(changed: Changed, nowMs: number): PoolOutput[] {
     const refused = this.#gate.refuseLate(nowMs);
-    return [...refused, ...this.#dispatcher.dispatch(nowMs)];
+    return [...refused, ...this.#dispatcher.dispatch(changed, nowMs)];
   }
 }
--- a/src/services/lead_view.ts
+++ b/src/services/lead_view.ts
@@ -17,6 +17,14 @@
 /** Prefix of the topics under which leads publish the digests of their pools. */
 export const LOAD_TOPIC = "load/";
 
+/** What is published of a pool: no more than others decide on, as every VM of the region passes it on. */
+export type LoadTopic = Pick<PoolDigest, "predictedWaitMs" | "takesIn">;
+
+/** The digest as it is published: a wait to two digits, so that small changes are no news. */
+export function loadTopic({ predictedWaitMs, takesIn }: PoolDigest): LoadTopic {
+  return { predictedWaitMs: Number(predictedWaitMs.toPrecision(2)), takesIn };
+}
+
 /**
  * A workspace keeps to its pool, where its prompts are cached, until another would start it this much sooner. Less than
  * a cold prompt costs would only trade waiting for prefill.
@@ -31,7 +39,7 @@
   #pools: ReadonlyMap<string, PoolInfo> = new Map();
   #byService = new Map<string, PoolInfo[]>();
   #orders = new Map<string, readonly VmInfo[]>();
-  #digests = new Map<string, PoolDigest>();
+  #digests = new Map<string, LoadTopic>();
 
   constructor(self: VmInfo) {
     this.self = self;
@@ -75,7 +83,7 @@
     this.#digests = new Map();
     for (const { topic, body } of topics) {
       if (!topic.startsWith(LOAD_TOPIC)) continue;
-      this.#digests.set(topic.slice(LOAD_TOPIC.length), body as PoolDigest);
+      this.#digests.set(topic.slice(LOAD_TOPIC.length), body as LoadTopic);
     }
   }
 
--- a/src/services/slots.ts
+++ b/src/services/slots.ts
@@ -16,7 +16,6 @@
 import type {
   FarRegion,
   HeldSlot,
-  PoolDigest,
   SlotAnswer,
   SlotRequest,
 } from "../decisions/mod.ts";
@@ -29,7 +28,12 @@
 import { COLLECT_MS } from "./lead_pool.ts";
 import { LeadRouter } from "./lead_router.ts";
 import { LeadServer, type OrderSink } from "./lead_server.ts";
-import { LeadView, LOAD_TOPIC } from "./lead_view.ts";
+import {
+  LeadView,
+  LOAD_TOPIC,
+  type LoadTopic,
+  loadTopic,
+} from "./lead_view.ts";
 import type {
   MembersMessages,
   SlotsMessages,
@@ -54,6 +58,8 @@
 const DIGEST_MS = 1000;
 /** How long a request waits for the table's version that it was accepted on. */
 const CATCH_UP_MS = 500;
+/** A digest that did not change is published again after this. */
+const REPEAT_DIGEST_MS = 4000;
 const SWEEP_MS = 1000;
 /** A digest that was not renewed for this long says nothing any more: its lead is gone or out of reach. */
 const STALE_DIGEST_MS = 10_000;
@@ -88,6 +94,7 @@
   readonly #arriving = new Set<string>();
   #looking: Promise<void> | undefined;
   #lookAgain: Promise<void> | undefined;
+  readonly #published = new Map<string, { text: string; atMs: number }>();
 
   constructor(options: SlotsOptions) {
     super();
@@ -283,15 +290,28 @@
 
   async #exchangeDigests(): Promise<void> {
     if (!this.#members) return;
-    for (const [info, body] of this.#server.digests()) {
+    for (const [info, digest] of this.#server.digests()) {
       const topic = `${LOAD_TOPIC}${info.service}/${info.number}`;
-      await this.#members.ask("publish", { topic, body });
+      const body = loadTopic(digest);
+      if (this.#isDue(topic, JSON.stringify(body))) {
+        await this.#members.ask("publish", { topic, body });
+      }
     }
     const topics = await this.#members.ask("topics", undefined);
     this.#view.setDigests(topics.get(this.#view.self.region) ?? []);
     this.#server.setFar((info) => this.#far(info, topics));
   }
 
+  #isDue(topic: string, text: string): boolean {
+    const nowMs = this.#clock.nowMs();
+    const last = this.#published.get(topic);
+    if (last?.text === text && nowMs - last.atMs < REPEAT_DIGEST_MS) {
+      return false;
+    }
+    this.#published.set(topic, { text, atMs: nowMs });
+    return true;
+  }
+
   #far(
     info: PoolInfo,
     topics: ReadonlyMap<string, readonly TopicValue[]>,
@@ -317,7 +337,7 @@
   values: readonly TopicValue[],
 ): Pick<FarRegion, "predictedWaitMs" | "takesIn" | "seenAtMs"> | undefined {
   const pools = values.map(({ body, seenAtMs }) => {
-    const { predictedWaitMs, takesIn } = body as PoolDigest;
+    const { predictedWaitMs, takesIn } = body as LoadTopic;
     return { predictedWaitMs, takesIn, seenAtMs };
   });
   pools.sort((a, b) =>
