--- a/bench/bench.ts
+++ b/bench/bench.ts
@@ -6,6 +6,18 @@
 
 import type { Bench, Row } from "./row.ts";
 
+const NAMES = [
+  "capacity",
+  "control_claims",
+  "control_claims_faults",
+  "control_members",
+  "control_table",
+  "decision_cost",
+  "decisions",
+  "over_admission",
+  "path",
+];
+
 function print(rows: readonly Row[], json: boolean): void {
   for (const row of rows) {
     if (json) {
@@ -18,8 +30,9 @@
 }
 
 const [name, ...args] = process.argv.slice(2);
-if (!name || !/^[a-z_]+$/.test(name)) {
+if (!NAMES.includes(name)) {
   console.error("usage: npm run bench -- NAME [--json]");
+  console.error(`NAME: ${NAMES.join(", ")}`);
   process.exit(2);
 }
 const { run } = await import(`./${name}.js`) as { run: Bench };
--- a/src/adapters/ws_transport.ts
+++ b/src/adapters/ws_transport.ts
@@ -46,6 +46,8 @@
   readonly region: string;
   /** The VMs' shared credential. */
   readonly secret: string;
+  /** Another credential that others may show, so that it can be changed VM by VM. */
+  readonly alsoAccepted?: string;
   readonly host: string;
   /** 0 takes any free port; see {@link WsTransport.address}. */
   readonly port: number;
@@ -66,7 +68,7 @@
   readonly faults: LinkFaults;
   readonly #options: WsTransportOptions;
   readonly #context: LinkContext;
-  readonly #secretDigest: string;
+  readonly #secretDigests: readonly string[];
   readonly #http: Server;
   readonly #sockets: WebSocketServer;
   readonly #rpc: JSONRPCServer<Sender>;
@@ -80,7 +82,8 @@
     this.#options = options;
     this.faults = options.faults ?? new LinkFaults();
     this.#context = contextOf(options, this.faults);
-    this.#secretDigest = secretDigest(options.secret);
+    const secrets = [options.secret, options.alsoAccepted ?? options.secret];
+    this.#secretDigests = secrets.map(secretDigest);
     this.#rpc = new JSONRPCServer({
       errorListener: (message) =>
         options.log?.warn("peer call failed", { error: message }),
@@ -214,7 +217,10 @@
   #admit(request: IncomingMessage): 101 | 400 | 401 | 426 {
     const given = request.headers.authorization ?? "";
     const secret = given.startsWith("Bearer ") ? given.slice(7) : "";
-    if (!secretMatches(secret, this.#secretDigest)) return 401;
+    const known = this.#secretDigests.some((digest) =>
+      secretMatches(secret, digest)
+    );
+    if (!known) return 401;
     const offered = request.headers["sec-websocket-protocol"]?.split(/,\s*/);
     if (!offered?.includes(PROTOCOL)) return 426;
     return senderOf(request) ? 101 : 400;
--- a/src/adapters/ws_transport_test.ts
+++ b/src/adapters/ws_transport_test.ts
@@ -77,6 +77,15 @@
     t.is(await status("ibisgap.1", { authorization }), 400);
   });
 
+  // The credential is changed VM by VM: first all accept the new one too, then each shows it.
+  it("accepts a second credential while it is changed", async (t) => {
+    const changed = await open(t, "a", { secret: "new-one" });
+    const old = await open(t, "b", { alsoAccepted: "new-one" });
+    old.handle("echo.say", (params) => params);
+    const answer = await changed.call(old.address, "echo.say", {}, soonMs());
+    t.true(answer.isOk());
+  });
+
   describe("a peer that dies", () => {
     // The caller's call is pending when the other VM's connections end. It may have been handled, so the caller is
     // told `lost`, at once and not at its deadline; a later call finds no listener and was never sent: `unreachable`.
--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -193,10 +193,13 @@
 ): Promise<WsTransport> {
   const { vm, listen, peers } = settings;
   const secret = readSecret(peers.credential);
+  const also = peers.alsoAccepted;
+  const alsoAccepted = also === undefined ? undefined : readSecret(also);
   return await WsTransport.open({
     vmId: vm.id,
     region: vm.region,
     secret,
+    alsoAccepted,
     ...listen.peers,
     faults,
     log,
--- a/src/daemon/settings.ts
+++ b/src/daemon/settings.ts
@@ -61,6 +61,8 @@
     /** `host:port` of VMs to ask first; the platform's list adds to them. */
     seeds: z.array(z.string()).max(64).default([]),
     credential: secret,
+    /** Another credential that others may show, so that it can be changed VM by VM; see docs/operations/keys.md. */
+    alsoAccepted: secret.optional(),
   }),
   operators: z.strictObject({
     tokenDigests: z.array(digest).max(64).default([]),
@@ -98,8 +100,11 @@
   })));
 }
 
+/** Fields whose values are never printed. */
+const SECRETS = new Set(["credential", "alsoAccepted"]);
+
 function found(issue: z.core.$ZodIssue): string {
-  const secretField = issue.path.includes("credential");
+  const secretField = SECRETS.has(String(issue.path.at(-1)));
   if (!("input" in issue) || issue.input === undefined || secretField) {
     return "";
   }
