--- a/bench/control_members.ts
+++ b/bench/control_members.ts
@@ -65,7 +65,7 @@
   });
   const rows = await steady(fleet, row);
   if (shape.vms > 1) rows.push(await requestBytes(fleet[0], row));
-  if (shape.vms > 2) rows.push(...await deaths(fleet, row));
+  if (shape.vms > 1) rows.push(...await deaths(fleet, row));
   await Promise.all(fleet.flat().map((vm) => vm.crash()));
   return rows;
 }
@@ -217,7 +217,7 @@
   const replacedMs: number[] = [];
   const pool = `plan/${region[0].region}/0`;
   let rest = region;
-  for (let n = 0; n < REPEATS && rest.length > 2; n++) {
+  for (let n = 0; n < REPEATS && rest.length > 1; n++) {
     await until("a lead", () => rest.some((vm) => vm.leads().includes(pool)));
     const lead = rest.find((vm) => vm.leads().includes(pool))!;
     const others = rest.filter((vm) => vm !== lead);
