--- a/test/house_test.ts
+++ b/test/house_test.ts
@@ -201,6 +201,19 @@
     t.deepEqual(rows, wanted);
   });
 
+  it("PROOF.md names tests that exist", (t) => {
+    const page = readFileSync(join(ROOT, "docs/PROOF.md"), "utf8").replace(
+      /\s+/g,
+      " ",
+    );
+    const named = [...page.matchAll(/`([\w/]+_test\.ts)`: "([^"]+)"/g)];
+    t.true(named.length > 30);
+    for (const [, path, title] of named) {
+      const text = readFileSync(join(ROOT, path), "utf8");
+      t.true(text.includes(title), `${path} has no test "${title}"`);
+    }
+  });
+
   it("name no command that does not exist", (t) => {
     const { scripts } = JSON.parse(
       readFileSync(join(ROOT, "package.json"), "utf8"),
