--- a/src/services/claims.ts
+++ b/src/services/claims.ts
@@ -34,6 +34,7 @@
 import { type Handlers, type Kernel, type Port, Task } from "../kernel/mod.ts";
 import { ClaimsDriver, type Request } from "./claims_driver.ts";
 import { ClaimsRouter, type Routed } from "./claims_router.ts";
+import { asRef, chooseWitnesses } from "./claims_witnesses.ts";
 import {
   askMessage,
   changeMessage,
@@ -52,7 +53,6 @@
 
 const TICK_MS = 20;
 const VIEW_MS = 250;
-const WITNESSES = 2;
 /** How long `finish`, `release` and `abandon` are tried for while the caller waits; then they go on behind. */
 const CHANGE_MS = 2000;
 /** How long a step is tried for behind the caller's back. */
@@ -371,23 +371,13 @@
       driver.setView({
         region: this.#options.region,
         live: live.map(asRef),
-        witnesses: this.#witnesses(order.filter((vm) => !sameVm(vm, me))),
+        witnesses: chooseWitnesses(me, order, this.#here),
         rank: order.findIndex((vm) => sameVm(vm, me)),
         writesPerS,
       });
     });
   }
 
-  /** The first in order, of another failure domain if there is one: a domain is lost as a whole. */
-  #witnesses(order: readonly VmRef[]): VmRef[] {
-    const domainOf = (vm: VmRef) =>
-      this.#here.find((info) => sameVm(info, vm))?.failureDomain;
-    const own = domainOf(this.#options.me);
-    const far = order.filter((vm) => domainOf(vm) !== own);
-    const near = order.filter((vm) => domainOf(vm) === own);
-    return [...far, ...near].slice(0, WITNESSES).map(asRef);
-  }
-
   async #homeOf(workspace: string): Promise<string> {
     const table = this.#table ??
       await this.#options.table?.ask("current", undefined);
@@ -399,7 +389,3 @@
     return `${id}.${incarnation}.${this.#nextClaim++}`;
   }
 }
-
-function asRef(vm: VmRef): VmRef {
-  return { id: vm.id, incarnation: vm.incarnation };
-}
