--- a/src/agreement/members.ts
+++ b/src/agreement/members.ts
@@ -16,6 +16,7 @@
   viewDigest,
 } from "./member_list.ts";
 import { type MemberRecord, replaces } from "./member_record.ts";
+import { ViewCheck } from "./member_view.ts";
 
 /** Rides on each ping and answer. */
 export interface Gossip {
@@ -49,8 +50,6 @@
 const TELL_AT_ONCE = 8;
 const HELPERS = 2;
 const VERSIONS_PER_MESSAGE = 3;
-/** Two views differ while news is under way; after this many answers in a row that differ, something was lost. */
-const DIFFERENT_VIEWS = 4;
 
 /** The machine of one VM. */
 export class Members {
@@ -59,6 +58,7 @@
   readonly #random: Random;
   readonly #list: MemberList;
   readonly #news = new NewsQueue();
+  readonly #viewCheck = new ViewCheck();
   #tableVersion = 0;
   #round: string[] = [];
   #nextPingMs = 0;
@@ -155,7 +155,10 @@
       beat: this.#self.beat,
       table: this.#tableVersion,
       view: viewDigest(this.present()),
-      versions: this.#sample(this.#list.versions(), VERSIONS_PER_MESSAGE),
+      versions: this.#random.sample(
+        this.#list.freshVersions(nowMs),
+        VERSIONS_PER_MESSAGE,
+      ),
       news: this.#news.take(this.present().length, nowMs),
     };
   }
@@ -169,11 +172,11 @@
       }
     }
     for (const [id, version] of gossip.versions) {
-      this.#list.hearVersion(id, version);
+      this.#list.hearVersion(id, version, nowMs);
     }
-    this.#list.hearVersion(gossip.vm, gossip.table);
+    this.#list.hearVersion(gossip.vm, gossip.table, nowMs);
     const sender = this.#list.get(gossip.vm);
-    if (sender && this.#mustSync(sender, gossip)) {
+    if (sender && this.#mustSync(sender, gossip, nowMs)) {
       outputs.push({ type: "sync", address: sender.record.peerAddress });
     }
     return outputs;
@@ -186,7 +189,7 @@
     const others = this.#list.present().filter((record) =>
       record.id !== vmId && record.status === "live"
     );
-    const helpers = this.#sample(others, HELPERS);
+    const helpers = this.#random.sample(others, HELPERS);
     return [{ type: "pingVia", target, helpers }];
   }
 
@@ -217,7 +220,7 @@
         ...record,
         tableVersion: this.tableVersionOf(record.id),
       })),
-      news: this.#news.size,
+      news: this.#news.counts(),
     };
   }
 
@@ -251,7 +254,7 @@
   #tellAtOnce(): MembersOutput {
     return {
       type: "tell",
-      targets: this.#sample(this.#list.present(), TELL_AT_ONCE),
+      targets: this.#random.sample(this.#list.present(), TELL_AT_ONCE),
     };
   }
 
@@ -271,7 +274,7 @@
         if (record && record.status !== "dead") return record;
       }
       const ids = this.#list.present().map((record) => record.id);
-      this.#round = this.#sample(ids, ids.length);
+      this.#round = this.#random.sample(ids, ids.length);
     }
     return undefined;
   }
@@ -287,24 +290,17 @@
     return addresses.length > 0 ? this.#random.pick(addresses) : undefined;
   }
 
-  #sample<T>(items: readonly T[], most: number): T[] {
-    const rest = [...items];
-    const sample: T[] = [];
-    while (rest.length > 0 && sample.length < most) {
-      sample.push(rest.splice(this.#random.int(rest.length), 1)[0]);
+  #mustSync(
+    { record }: MemberEntry,
+    { incarnation, beat, view }: Gossip,
+    nowMs: number,
+  ): boolean {
+    const said = { ...record, incarnation, beat, status: "live" as const };
+    const unknown = this.replaces(said, record);
+    if (!unknown && view === viewDigest(this.present())) {
+      this.#viewCheck.same();
+      return false;
     }
-    return sample;
-  }
-
-  #mustSync(sender: MemberEntry, gossip: Gossip): boolean {
-    const { record } = sender;
-    const newer = gossip.incarnation !== record.incarnation ||
-      gossip.beat !== record.beat || record.status === "dead";
-    const differs = gossip.view !== viewDigest(this.present()) &&
-      !this.#news.hasMembers;
-    sender.differences = differs ? sender.differences + 1 : 0;
-    if (!newer && sender.differences < DIFFERENT_VIEWS) return false;
-    sender.differences = 0;
-    return true;
+    return this.#viewCheck.differs(nowMs);
   }
 }
--- a/src/services/members.ts
+++ b/src/services/members.ts
@@ -7,7 +7,6 @@
 import type { Transport, VmList } from "../adapters/mod.ts";
 import {
   type Gossip,
-  leadOrder,
   type MemberRecord,
   Members,
   MEMBERS_TIMES,
@@ -21,11 +20,10 @@
   PingMessage,
   PingViaMessage,
   PingViaReply,
-  RegionMessage,
   SyncMessage,
   SyncReply,
 } from "./member_messages.ts";
-import { RegionBook } from "./member_regions.ts";
+import { MemberDigests } from "./member_digests.ts";
 import type { MembersMessages, TableMessages, VmInfo } from "./messages.ts";
 
 /** Who this VM is and whom it asks first. */
@@ -50,25 +48,24 @@
 const PING_CALL_MS = 300;
 const PING_VIA_CALL_MS = 600;
 const SYNC_CALL_MS = 1000;
-const REGION_CALL_MS = 1500;
-const REGION_PERIOD_MS = 2000;
 const LIST_PERIOD_MS = 30_000;
 /** How long a start waits for the first VM that knows the others; after that this VM goes on alone. */
 const JOIN_MS = 1500;
+/** VMs asked at the start: one that answers is enough, and each answer is as long as the region. */
+const MOST_JOINS = 8;
 
 /** Its name is `members`. Start it before `slots`; it reads the version in force from `table` once that has started. */
 export class MembersService extends Task<MembersMessages> {
   readonly name = "members";
   protected readonly handlers: Handlers<MembersMessages> = {
     region: () => this.#machine.present().map((record) => this.#info(record)),
-    others: () => this.#book.others(this.#clock.nowMs()),
+    others: () => this.#digests.book.others(this.#clock.nowMs()),
     leave: () => this.#do(this.#machine.leave(false)),
     check: ({ vmId }) => this.#do(this.#machine.check(vmId)),
-    publish: ({ topic, body }) => this.#publish(topic, body),
-    topics: () => this.#book.topics(this.#clock.nowMs()),
+    publish: ({ topic, body }) => this.#digests.publish(topic, body),
+    topics: () => this.#digests.book.topics(this.#clock.nowMs()),
   };
   readonly #options: MembersOptions;
-  readonly #book: RegionBook;
   readonly #timers: Timer[] = [];
   readonly #pinging = new Set<string>();
   /** Addresses by region, from the platform's list. */
@@ -76,6 +73,7 @@
   /** Seeds that turned out to be VMs of other regions. */
   readonly #farSeeds = new Set<string>();
   #machine!: Members;
+  #digests!: MemberDigests;
   #clock!: Clock;
   #log!: Logger;
   #kernel!: Kernel;
@@ -85,7 +83,6 @@
   constructor(options: MembersOptions) {
     super();
     this.#options = options;
-    this.#book = new RegionBook(options.region);
   }
 
   async start(kernel: Kernel): Promise<void> {
@@ -101,11 +98,21 @@
       { id: vmId, incarnation, region, failureDomain, peerAddress, callerUrl },
       this.#options.times ?? MEMBERS_TIMES,
     );
+    this.#digests = new MemberDigests({
+      region,
+      clock: this.#clock,
+      random: this.#random,
+      transport: this.#options.transport,
+      machine: this.#machine,
+      listed: this.#listed,
+      seeds: this.#options.seeds,
+      sync: (address) => this.#sync(address),
+    });
     this.#listen();
     await this.#readList();
     await this.#join();
     this.#every(TICK_MS, () => void this.#tick());
-    this.#every(REGION_PERIOD_MS, () => this.#tellRegions());
+    this.#every(TICK_MS, () => this.#digests.tellRegions());
     this.#every(LIST_PERIOD_MS, () => void this.#readList());
   }
 
@@ -119,7 +126,10 @@
   dump(): unknown {
     return {
       ...this.#machine.dump() as Record<string, unknown>,
-      ...this.#book.dump(this.#clock.nowMs()) as Record<string, unknown>,
+      ...this.#digests.book.dump(this.#clock.nowMs()) as Record<
+        string,
+        unknown
+      >,
     };
   }
 
@@ -140,9 +150,7 @@
       return { answered } satisfies PingViaReply;
     });
     transport.handle("members.sync", (p) => this.#answerSync(p as SyncMessage));
-    transport.handle("members.region", (params) => {
-      this.#hearRegion(params as RegionMessage);
-    });
+    this.#digests.listen();
   }
 
   async #tick(): Promise<void> {
@@ -226,25 +234,8 @@
   }
 
   #hear(gossip: Gossip): void {
-    const nowMs = this.#clock.nowMs();
-    this.#do(this.#machine.hear(gossip, nowMs));
-    for (const item of gossip.news) {
-      if (item.type === "topic") {
-        if (this.#book.hearTopic(item, nowMs)) this.#machine.spread(item);
-      } else if (item.type === "region") this.#hearRegion(item);
-    }
-  }
-
-  #hearRegion(news: RegionMessage): void {
-    const isNews = this.#book.hearRegion(news, this.#clock.nowMs());
-    if (isNews) this.#machine.spread(news);
-  }
-
-  #publish(topic: string, body: unknown): void {
-    const nowMs = this.#clock.nowMs();
-    const { vmId } = this.#options;
-    const news = { type: "topic", topic, vmId, atMs: nowMs, body } as const;
-    if (this.#book.hearTopic(news, nowMs)) this.#machine.spread(news);
+    this.#do(this.#machine.hear(gossip, this.#clock.nowMs()));
+    for (const item of gossip.news) this.#digests.hear(item);
   }
 
   async #sync(address: string): Promise<boolean> {
@@ -259,9 +250,10 @@
       this.#clock.nowMs() + SYNC_CALL_MS,
     );
     if (reply.isErr()) return false;
-    const { region, records, news } = reply.value as SyncReply;
+    const { region, records, digest, regions } = reply.value as SyncReply;
     this.#learnAll(records);
-    this.#hearRegion(news);
+    this.#digests.hearDigest(digest);
+    for (const contacts of regions) this.#digests.hearContacts(contacts);
     if (region === this.#options.region) return true;
     this.#farSeeds.add(address);
     this.#setSeeds();
@@ -274,7 +266,8 @@
     return {
       region: this.#options.region,
       records: sameRegion ? this.#machine.all() : [],
-      news: this.#newsFor(message.region),
+      digest: this.#digests.digestFor(message.region),
+      regions: this.#digests.book.allContacts(),
     };
   }
 
@@ -283,49 +276,6 @@
     for (const record of records) this.#do(this.#machine.learn(record, nowMs));
   }
 
-  #newsFor(region: string) {
-    return this.#book.newsFor(
-      region,
-      this.#machine.present(),
-      (vmId) => this.#machine.tableVersionOf(vmId),
-      this.#clock.nowMs(),
-    );
-  }
-
-  /** Each pair of regions has one VM that speaks, chosen by hash, so that the digests are spread over the region. */
-  #tellRegions(): void {
-    const vms = this.#machine.present().map((record) => this.#info(record));
-    for (
-      const region of new Set([...this.#book.regions(), ...this.#listed.keys()])
-    ) {
-      if (region === this.#options.region) continue;
-      const speaker = leadOrder(`speaker/${region}`, vms)[0];
-      if (speaker.id === this.#options.vmId) void this.#tellRegion(region);
-    }
-  }
-
-  async #tellRegion(region: string): Promise<void> {
-    const named = this.#book.addresses(region);
-    const known = named.length > 0 ? named : this.#listed.get(region) ?? [];
-    if (known.length === 0) return;
-    const deadlineMs = this.#clock.nowMs() + REGION_CALL_MS;
-    const news = this.#newsFor(region);
-    const { transport } = this.#options;
-    const address = this.#random.pick(known);
-    const told = await transport.call(
-      address,
-      "members.region",
-      news,
-      deadlineMs,
-    );
-    if (told.isOk()) return;
-    // All VMs that the region named may have gone since; the platform's list and the seeds are asked for new ones.
-    const { seeds } = this.#options;
-    const others = [...this.#listed.get(region) ?? [], ...seeds]
-      .filter((other) => other !== address);
-    if (others.length > 0) await this.#sync(this.#random.pick(others));
-  }
-
   async #readList(): Promise<void> {
     const { vmList, vmId } = this.#options;
     const listed = await vmList?.list();
@@ -352,7 +302,8 @@
     const { seeds, region, peerAddress } = this.#options;
     const addresses = [...seeds, ...this.#listed.get(region) ?? []]
       .filter((address) => address !== peerAddress);
-    const joins = [...new Set(addresses)].map((address) => this.#sync(address));
+    const asked = this.#random.sample([...new Set(addresses)], MOST_JOINS);
+    const joins = asked.map((address) => this.#sync(address));
     if (joins.length === 0) return;
     const late = this.#clock.sleep(JOIN_MS).then(() => []);
     const joined = await Promise.race([Promise.all(joins), late]);
