Bench: time to find a frozen VM

Cause: only crashes, whose connections are refused at once, had a figure. Change: the last step of a case cuts all links of one VM.

--- a/bench/control_members.ts
+++ b/bench/control_members.ts
@@ -234,6 +234,7 @@
     ]);
     rest = others;
   }
+  const frozen = rest.length > 1 ? await freeze(rest) : undefined;
   const mid = (values: number[]) =>
     [...values].sort((a, b) => a - b)[Math.floor(values.length / 2)];
   return [
@@ -241,9 +242,21 @@
     row("dead VM found by all, max", Math.max(...foundMs), "ms"),
     row("lead crashed to next grant, p50", mid(replacedMs), "ms"),
     row("lead crashed to next grant, max", Math.max(...replacedMs), "ms"),
+    ...(frozen === undefined
+      ? []
+      : [row("frozen VM found by all, once", frozen, "ms")]),
   ];
 }
 
+/** A VM whose links stay open and carry nothing; answers with how long the others take to find it. */
+async function freeze(vms: readonly Vm[]): Promise<number> {
+  const [frozen, ...others] = vms;
+  const startMs = performance.now();
+  frozen.transport.faults.set("frozen", { peer: {}, cut: true });
+  await untilGone(others, frozen.id);
+  return performance.now() - startMs;
+}
+
 function untilGone(vms: readonly Vm[], id: string): Promise<void> {
   return until(`${id} is gone`, async () => {
     for (const vm of vms) if ((await vm.sees()).has(id)) return false;
