--- a/src/agreement/claim_machine.ts
+++ b/src/agreement/claim_machine.ts
@@ -61,7 +61,7 @@
   dispatchMs: 30_000,
   remoteRunMs: 600_000,
   rankDelayMs: 500,
-  segmentBytes: 32_768,
+  segmentBytes: 8192,
   batch: { events: 512, bytes: 262_144 },
   queueLimit: 2000,
   logBytes: 786_432,
--- a/src/services/claims_driver.ts
+++ b/src/services/claims_driver.ts
@@ -28,7 +28,7 @@
 import type { Clock, Random } from "../base/mod.ts";
 
 /** Most segments read in one call. */
-const SEGMENTS_PER_READ = 16;
+const SEGMENTS_PER_READ = 64;
 
 /** A message to an owner. */
 export type Request =
