--- a/src/cli/ibisgap.ts
+++ b/src/cli/ibisgap.ts
@@ -9,6 +9,7 @@
 import { check } from "./check.ts";
 import { replayCommand } from "./replay.ts";
 import { table } from "./table.ts";
+import { traceCommand } from "./trace.ts";
 import { drain, dump, metrics, status } from "./vm.ts";
 
 const main = defineCommand({
@@ -18,13 +19,14 @@
     description: "Operate an ibisgap gateway",
   },
   subCommands: {
-    status,
     table,
+    status,
     dump,
     metrics,
     drain,
     check,
     replay: replayCommand,
+    trace: traceCommand,
   },
 });
 
