--- a/src/cli/ibisgap.ts
+++ b/src/cli/ibisgap.ts
@@ -19,8 +19,8 @@
     description: "Operate an ibisgap gateway",
   },
   subCommands: {
-    status,
     table,
+    status,
     dump,
     metrics,
     drain,
--- a/src/services/claims.ts
+++ b/src/services/claims.ts
@@ -10,6 +10,7 @@
 import { err, ok } from "neverthrow";
 import type { KeyValue, Transport } from "../adapters/mod.ts";
 import {
+  bodyDigest,
   type ClaimChange,
   type ClaimKey,
   type ClaimVerdict,
@@ -28,12 +29,12 @@
   failure,
   Random,
   rendezvous,
-  secretDigest,
   type Timer,
 } from "../base/mod.ts";
 import { type Handlers, type Kernel, type Port, Task } from "../kernel/mod.ts";
 import { ClaimsDriver, type Request } from "./claims_driver.ts";
 import { ClaimsRouter, type Routed } from "./claims_router.ts";
+import { asRef, chooseWitnesses } from "./claims_witnesses.ts";
 import {
   askMessage,
   changeMessage,
@@ -52,11 +53,12 @@
 
 const TICK_MS = 20;
 const VIEW_MS = 250;
-const WITNESSES = 2;
 /** How long `finish`, `release` and `abandon` are tried for while the caller waits; then they go on behind. */
 const CHANGE_MS = 2000;
 /** How long a step is tried for behind the caller's back. */
 const CHANGE_TRIES = 12;
+/** Most steps that are tried for at the same time behind their callers' backs. */
+const MOST_BEHIND = 500;
 const CHANGE_BACKOFF = { firstMs: 250, mostMs: 10_000 };
 const LOOKUP_MS = 3000;
 const REPLICATE_MS = 1500;
@@ -97,6 +99,8 @@
   #others: ReadonlyMap<string, readonly VmInfo[]> = new Map();
   #table: Table | undefined;
   #nextClaim = 0;
+  /** Steps that are tried for behind their callers' backs. */
+  #behind = 0;
   #closed = false;
 
   protected readonly handlers: Handlers<ClaimsMessages> = {
@@ -169,6 +173,7 @@
     return {
       me: this.#options.me,
       shards: this.#drivers.map((driver) => driver.state()),
+      stepsBehind: this.#behind,
       storeCalls: this.#options.store.counts().claims,
     };
   }
@@ -181,15 +186,15 @@
     const home = await this.#homeOf(input.workspace);
     const ask = {
       key,
-      body: secretDigest(input.bodyDigest).slice(0, 16),
+      body: bodyDigest(input.bodyDigest),
       claimId,
       claimer: { ...this.#options.me, region: this.#options.region },
       deadlineMs: input.deadlineMs - ANSWER_MARGIN_MS,
     };
     const routed = await this.#router.send(home, { type: "ask", ask }, false);
     const verdict = this.#verdict(routed);
-    // The owner may have recorded what is refused here; the key must be free again for the caller's next try.
-    if (verdict.type === "refused" && isRecordable(routed)) {
+    // An owner whose answer was lost may have recorded it; the key must be free again for the caller's next try.
+    if (routed.type === "none" && routed.sent) {
       void this.#changeBehind(home, { key, claimId, state: "released" });
     }
     return verdict;
@@ -243,6 +248,14 @@
   }
 
   async #changeBehind(home: string, change: ClaimChange): Promise<void> {
+    // In an outage of many calls the steps themselves would become a load: the rest is left "running" or "unknown".
+    if (this.#behind >= MOST_BEHIND) return;
+    this.#behind++;
+    await this.#tryOften(home, change);
+    this.#behind--;
+  }
+
+  async #tryOften(home: string, change: ClaimChange): Promise<void> {
     for (let attempt = 0; attempt < CHANGE_TRIES; attempt++) {
       const waitMs = backoffMs(attempt, CHANGE_BACKOFF, this.#random);
       await this.#clock.sleep(waitMs);
@@ -358,23 +371,13 @@
       driver.setView({
         region: this.#options.region,
         live: live.map(asRef),
-        witnesses: this.#witnesses(order.filter((vm) => !sameVm(vm, me))),
+        witnesses: chooseWitnesses(me, order, this.#here),
         rank: order.findIndex((vm) => sameVm(vm, me)),
         writesPerS,
       });
     });
   }
 
-  /** The first in order, of another failure domain if there is one: a domain is lost as a whole. */
-  #witnesses(order: readonly VmRef[]): VmRef[] {
-    const domainOf = (vm: VmRef) =>
-      this.#here.find((info) => sameVm(info, vm))?.failureDomain;
-    const own = domainOf(this.#options.me);
-    const far = order.filter((vm) => domainOf(vm) !== own);
-    const near = order.filter((vm) => domainOf(vm) === own);
-    return [...far, ...near].slice(0, WITNESSES).map(asRef);
-  }
-
   async #homeOf(workspace: string): Promise<string> {
     const table = this.#table ??
       await this.#options.table?.ask("current", undefined);
@@ -386,12 +389,3 @@
     return `${id}.${incarnation}.${this.#nextClaim++}`;
   }
 }
-
-/** Whether an owner may have recorded a claim although the request was not granted. */
-function isRecordable(routed: Routed): boolean {
-  return routed.type === "none" ? routed.sent : true;
-}
-
-function asRef(vm: VmRef): VmRef {
-  return { id: vm.id, incarnation: vm.incarnation };
-}
