--- a/test/house_test.ts
+++ b/test/house_test.ts
@@ -12,7 +12,6 @@
   "bench/decisions.ts",
   "bench/world.ts",
   "src/agreement/claim_owner.ts",
-  "src/services/members.ts",
   "test/fuzz_claims_world.ts",
 ]);
 
