--- a/bench/measures.ts
+++ b/bench/measures.ts
@@ -47,6 +47,11 @@
   return squares === 0 ? 1 : (sum * sum) / (values.length * squares);
 }
 
+/** The mean of the values. */
+export function mean(values: readonly number[]): number {
+  return values.reduce((a, b) => a + b, 0) / values.length;
+}
+
 /** The part of the values for which this holds. */
 export function share<T>(
   values: readonly T[],
--- a/src/decisions/dispatcher.ts
+++ b/src/decisions/dispatcher.ts
@@ -4,7 +4,7 @@
  * @module
  */
 
-import type { UpstreamRow } from "../agreement/mod.ts";
+import type { ServiceRow, UpstreamRow } from "../agreement/mod.ts";
 import type { Random } from "../base/mod.ts";
 import { type Choice, Chooser } from "./chooser.ts";
 import { Fleet } from "./fleet.ts";
@@ -16,9 +16,10 @@
   type PoolOutput,
   SLOT_TTL_MS,
 } from "./pool_messages.ts";
+import { Release } from "./release.ts";
 import { SlotBook } from "./slot_book.ts";
 import type { SlotReport } from "./slots.ts";
-import { type Held, overdueAt } from "./upstream.ts";
+import { type Held, overdueAt, type Upstream } from "./upstream.ts";
 import { Waits } from "./waits.ts";
 import { workTokens } from "./work.ts";
 
@@ -32,6 +33,7 @@
   readonly waits = new Waits(this.lanes);
   readonly #slots = new SlotBook();
   readonly #chooser: Chooser;
+  readonly #release = new Release();
 
   constructor(random: Random) {
     this.#chooser = new Chooser(this.lanes, this.fleet, random);
@@ -142,6 +144,29 @@
     this.waits.pass(this.fleet.nominalPerMs(nowMs), nowMs);
   }
 
+  /** Orders that keep as many upstreams awake as the service needs. */
+  release(service: ServiceRow | undefined, nowMs: number): PoolOutput[] {
+    const { active } = this.fleet;
+    const [first] = active;
+    if (!first) return [];
+    const step = this.#release.plan({
+      service,
+      awake: active.length,
+      parked: this.fleet.released().length,
+      perUpstreamPerMs: first.row.prefillTokensPerS / 1000,
+      waitMs: this.waits.emptyMs(),
+      nowMs,
+    });
+    if (step.type === "park") this.fleet.drainOne();
+    const woken = step.type === "wake"
+      ? this.fleet.wake(step.count, nowMs)
+      : [];
+    return [
+      ...woken.map((upstream) => order(upstream, "active")),
+      ...this.fleet.park().map((upstream) => order(upstream, "parked")),
+    ];
+  }
+
   /** What a placement is decided on now. */
   view(nowMs: number): PlacementView {
     return this.#chooser.view(nowMs);
@@ -197,10 +222,15 @@
     this.#slots.add(held);
     this.waits.granted(entry, nowMs);
     this.#chooser.granted({ entry, found }, nowMs);
+    this.#release.granted(entry.work);
     return held;
   }
 }
 
+function order(upstream: Upstream, want: "active" | "parked"): PoolOutput {
+  return { type: "order", upstreamId: upstream.row.id, want };
+}
+
 function grant(held: Held, queuedMs: number): PoolOutput {
   return {
     type: "answer",
--- a/src/decisions/fleet.ts
+++ b/src/decisions/fleet.ts
@@ -54,7 +54,50 @@
       this.#byId.set(row.id, known);
     }
     this.#list = [...this.#byId.values()];
-    this.#active = this.#list.filter((u) => u.row.state === "active");
+    this.#refresh();
+  }
+
+  /** Upstreams that the lead took out of use for want of work. */
+  released(): Upstream[] {
+    return this.#list.filter((upstream) =>
+      upstream.row.state === "active" && upstream.release !== "awake"
+    );
+  }
+
+  /** Takes the least used upstream out of use; it is parked once it has ended what it runs. */
+  drainOne(): void {
+    const idlest = [...this.#active].sort((a, b) => a.running - b.running)[0];
+    if (!idlest) return;
+    idlest.release = "draining";
+    this.#refresh();
+  }
+
+  /** Upstreams that have ended what they ran since they were drained; they lose their caches. */
+  park(): Upstream[] {
+    const idle = this.#list.filter((upstream) =>
+      upstream.release === "draining" && upstream.running === 0
+    );
+    for (const upstream of idle) {
+      upstream.release = "parked";
+      upstream.warm.clear();
+    }
+    return idle;
+  }
+
+  /** Brings released upstreams back by a ramp, those first that are still warm; returns those to order awake. */
+  wake(count: number, nowMs: number): Upstream[] {
+    const released = this.released()
+      .sort((a, b) => b.running - a.running)
+      .slice(0, count);
+    const parked = released.filter((u) => u.release === "parked");
+    for (const upstream of released) upstream.release = "awake";
+    for (const upstream of parked) upstream.health.ramp(nowMs);
+    this.#refresh();
+    return parked;
+  }
+
+  #refresh(): void {
+    this.#active = this.#list.filter((upstream) => upstream.takesWork);
   }
 
   /** Upstreams that may get new work, set aside or not. */
--- a/src/decisions/health.ts
+++ b/src/decisions/health.ts
@@ -110,6 +110,11 @@
   /** The probe was answered as fast as by others. */
   restore(nowMs: number): void {
     if (this.#state !== "aside") return;
+    this.ramp(nowMs);
+  }
+
+  /** Gets work again little by little. */
+  ramp(nowMs: number): void {
     this.#state = "ramp";
     this.#rampFromMs = nowMs;
     this.#failures = 0;
--- a/src/decisions/placement.ts
+++ b/src/decisions/placement.ts
@@ -132,7 +132,7 @@
   upstream: Upstream,
   view: PlacementView,
 ): Place | undefined {
-  if (upstream.row.state !== "active") return undefined;
+  if (!upstream.takesWork) return undefined;
   const found = weigh(request, upstream, view);
   const longAllowed = longHasRoom(view, candidates(request, view));
   return mayTake(found, view, longAllowed) ? found : undefined;
@@ -218,5 +218,5 @@
   if (upstreams.length <= SCAN_ALL) return upstreams;
   const drawn = new Set(view.holders(request.prefixHashes));
   for (let i = 0; i < SAMPLE; i++) drawn.add(random.pick(upstreams));
-  return [...drawn].filter((upstream) => upstream.row.state === "active");
+  return [...drawn].filter((upstream) => upstream.takesWork);
 }
--- a/src/decisions/pool.ts
+++ b/src/decisions/pool.ts
@@ -4,7 +4,7 @@
  * @module
  */
 
-import { Table, type UpstreamRow } from "../agreement/mod.ts";
+import type { ServiceRow, Table, UpstreamRow } from "../agreement/mod.ts";
 import { Random } from "../base/mod.ts";
 import { type Arrival, Gate } from "./gate.ts";
 import { type Changed, Dispatcher } from "./dispatcher.ts";
@@ -26,6 +26,7 @@
   readonly #dispatcher: Dispatcher;
   readonly #exchange: Exchange;
   readonly #gate: Gate;
+  #service?: ServiceRow;
 
   constructor(options: PoolOptions) {
     this.options = options;
@@ -44,6 +45,7 @@
     this.#dispatcher.configure(upstreams, nowMs);
     this.#gate.configure(table, nowMs);
     this.#exchange.configure(table);
+    this.#service = table.service(this.options.service);
     return this.tick(nowMs);
   }
 
@@ -104,7 +106,8 @@
       this.#gate.release(held, held.expectedOutputTokens);
     }
     this.#dispatcher.pass(nowMs);
-    return this.#settle("all", nowMs);
+    const orders = this.#dispatcher.release(this.#service, nowMs);
+    return [...orders, ...this.#settle("all", nowMs)];
   }
 
   /** What other regions are told. */
--- a/src/decisions/upstream.ts
+++ b/src/decisions/upstream.ts
@@ -96,6 +96,8 @@
   longUnstarted = 0;
   /** Attempts the upstream reports beyond those this lead knows of. */
   foreign = 0;
+  /** Whether the lead ordered it parked, or will once it has ended what it runs. */
+  release: "awake" | "draining" | "parked" = "awake";
   /** How many times slower it is than its row says. */
   slowness = 1;
   /** When it has prefilled all that was placed on it at each priority or a higher one. */
@@ -109,6 +111,11 @@
     this.health = new Health(row.slots);
   }
 
+  /** Whether it may get new work at all. */
+  get takesWork(): boolean {
+    return this.row.state === "active" && this.release === "awake";
+  }
+
   /** Whether one more attempt may be placed on it now and leave `kept` slots. */
   hasRoom(nowMs: number, cautious: boolean, kept = 0): boolean {
     const limit = this.health.limit(nowMs) - kept;
