--- a/bench/decisions.ts
+++ b/bench/decisions.ts
@@ -441,16 +441,19 @@
     { name: "cooperative", runners: 13, objective: COOPERATIVE },
     { name: "directorate", runners: 8, objective: DIRECTORATE },
   ];
-  return users.map((user) => ({
-    name: `night-${user.name}`,
-    runners: user.runners,
-    objective: user.objective,
-    policies: ["lead"],
-    streams: mix("agadir", (ms) => {
-      const load = ms < DAY_AT_MS ? NIGHT_LOAD : 2 * NIGHT_LOAD;
-      return perS(user.runners) * load;
-    }),
-  }));
+  return users.map((user) => {
+    const full = perS(user.runners);
+    return {
+      name: `night-${user.name}`,
+      runners: user.runners,
+      objective: user.objective,
+      policies: ["lead"],
+      streams: mix("agadir", (ms) => {
+        const load = ms < DAY_AT_MS ? NIGHT_LOAD : 2 * NIGHT_LOAD;
+        return full * load;
+      }),
+    };
+  });
 }
 
 /** How those fared that stayed, and that went. */
