Calls share one abstract run; a plain answer that stalls is given up

Cause: model and plain calls held the same rules twice (what ran, refusals, ends); the body of a plain answer had no bound in time or size, so a hung upstream kept its caller, slot and claim for ever.

--- a/src/adapters/http_upstream.ts
+++ b/src/adapters/http_upstream.ts
@@ -27,16 +27,23 @@
 ]);
 
 const CONNECT_TIMEOUT_MS = 1000;
+const DEFAULT_STALL_MS = 15_000;
 
 /** The {@link UpstreamClient} for HTTP upstreams. */
 export class HttpUpstreamClient extends UpstreamClient {
-  // Deadlines and stalls are the edge's to find; one request at a time on a connection keeps answers apart.
-  readonly #agent = new Agent({
-    connect: { timeout: CONNECT_TIMEOUT_MS },
-    headersTimeout: 0,
-    bodyTimeout: 0,
-    pipelining: 1,
-  });
+  readonly #agent: Agent;
+
+  /** A body of which nothing comes for `stallMs` breaks off, or the slot of a hung upstream would never come back. */
+  constructor(stallMs = DEFAULT_STALL_MS) {
+    super();
+    // The wait for the head is the edge's to end; one request at a time on a connection keeps answers apart.
+    this.#agent = new Agent({
+      connect: { timeout: CONNECT_TIMEOUT_MS },
+      headersTimeout: 0,
+      bodyTimeout: stallMs,
+      pipelining: 1,
+    });
+  }
 
   async open(
     call: UpstreamCall,
--- a/src/edge/body.ts
+++ b/src/edge/body.ts
@@ -5,6 +5,7 @@
  */
 
 import type { IncomingMessage } from "node:http";
+import type { Readable } from "node:stream";
 import { err, ok, type Result } from "neverthrow";
 import { type Clock, type Failure, failure } from "../base/mod.ts";
 
@@ -61,3 +62,22 @@
     }),
   );
 }
+
+/** A whole answer that is not passed on as it comes may be this long. */
+const ANSWER_BYTES = 32 << 20;
+
+/** The whole body of an upstream's answer; `undefined` if it broke off or is too long to hold. */
+export async function readAnswer(body: Readable): Promise<Buffer | undefined> {
+  const chunks: Buffer[] = [];
+  let size = 0;
+  try {
+    for await (const chunk of body) {
+      size += (chunk as Buffer).length;
+      if (size > ANSWER_BYTES) return undefined;
+      chunks.push(chunk as Buffer);
+    }
+  } catch {
+    return undefined;
+  }
+  return Buffer.concat(chunks);
+}
--- a/src/edge/edge.ts
+++ b/src/edge/edge.ts
@@ -46,7 +46,7 @@
 export class Edge extends Task<EdgeMessages> {
   readonly name = "edge";
   readonly #options: EdgeOptions;
-  readonly #upstreams = new HttpUpstreamClient();
+  readonly #upstreams: HttpUpstreamClient;
   readonly #open = new Set<AbortController>();
   #kernel!: Kernel;
   #context!: EdgeContext;
@@ -62,6 +62,10 @@
   constructor(options: EdgeOptions) {
     super();
     this.#options = options;
+    // Streams are watched by the relay, which knows pauses; this bound is for all other answers.
+    this.#upstreams = new HttpUpstreamClient(
+      2 * options.limits.upstreamStallMs,
+    );
   }
 
   start(kernel: Kernel): Promise<void> {
--- a/src/edge/model_call.ts
+++ b/src/edge/model_call.ts
@@ -4,14 +4,14 @@
  * @module
  */
 
-import type { Readable } from "node:stream";
-import { type Failure, failure, type Ran } from "../base/mod.ts";
+import { failure } from "../base/mod.ts";
 import type { UpstreamAnswer, UpstreamError } from "../adapters/mod.ts";
 import type { ServiceRow } from "../agreement/mod.ts";
-import { failureBody, sendFailure } from "./answer.ts";
+import { failureBody } from "./answer.ts";
 import { type Attempt, Attempts } from "./attempts.ts";
-import { readBody } from "./body.ts";
+import { readAnswer, readBody } from "./body.ts";
 import { type Call, deadlineOf } from "./call.ts";
+import { CallRun, type Step } from "./call_run.ts";
 import type { EdgeContext } from "./context.ts";
 import {
   type ModelPath,
@@ -20,57 +20,43 @@
   withPriority,
 } from "./prompt.ts";
 import { relay, type RelayEnd } from "./relay.ts";
-import { Seen } from "./seen.ts";
 import { StreamCheck } from "./stream_check.ts";
 
-/** A whole answer that is not streamed may be this long. */
-const ANSWER_BYTES = 32 << 20;
 /** Reconnections to one engine for one broken stream: an engine that cuts again and again is not waited for. */
 const RESUMES = 3;
 /** Engines answer so when they take no more work; by their contract nothing was run. */
 const REFUSALS = new Set([429, 503]);
 
-/** What to do after an attempt: the caller has its answer, or another attempt may follow. */
-type Step = "answered" | "retry";
-
 /** See the module's comment; `run` once. */
-export class ModelCall {
-  readonly #context: EdgeContext;
-  readonly #call: Call;
+export class ModelCall extends CallRun {
   readonly #path: ModelPath;
   readonly #check = new StreamCheck();
-  readonly #seen: Seen;
-  /** What is known of the attempts so far, for the caller's "was it run?". */
-  #ran: Ran = "no";
-  #last: Failure = failure("noUpstream");
 
   constructor(context: EdgeContext, call: Call, path: ModelPath) {
-    this.#context = context;
-    this.#call = call;
+    super(context, call);
     this.#path = path;
-    this.#seen = new Seen(context, call);
   }
 
   /** Answers the caller. */
-  async run(): Promise<void> {
-    const { request, table } = this.#call;
+  override async run(): Promise<void> {
+    const { request, table } = this.call;
     const body = await readBody(
       request,
-      this.#context.limits,
-      this.#context.clock,
+      this.context.limits,
+      this.context.clock,
     );
-    if (body.isErr()) return this.#fail(body.error);
+    if (body.isErr()) return this.fail(body.error);
     const model = readModelRequest(this.#path, body.value);
-    if (model.isErr()) return this.#fail(model.error);
+    if (model.isErr()) return this.fail(model.error);
     const service = table.serviceOfModel(model.value.model);
     if (!service) {
-      return this.#fail(
+      return this.fail(
         failure("unknownService", {
           message: `there is no model "${model.value.model}"`,
         }),
       );
     }
-    this.#seen.service = service.id;
+    this.seen.service = service.id;
     await this.#tryAll(body.value, model.value, service);
   }
 
@@ -79,22 +65,22 @@
     model: ModelRequest,
     service: ServiceRow,
   ): Promise<void> {
-    const deadlineMs = deadlineOf(this.#call, service);
-    const attempts = new Attempts(this.#context, this.#call, {
+    const deadlineMs = deadlineOf(this.call, service);
+    const attempts = new Attempts(this.context, this.call, {
       ...model,
       service: service.id,
       deadlineMs,
     });
     while (attempts.left) {
       const attempt = await attempts.next();
-      if (attempt.isErr()) return this.#fail(this.#worst(attempt.error));
-      this.#seen.granted(attempt.value);
+      if (attempt.isErr()) return this.fail(this.worst(attempt.error));
+      this.seen.granted(attempt.value);
       const step = await this.#attempt(attempt.value, body, model, deadlineMs);
       if (step === "answered") return;
     }
-    const late = this.#context.clock.nowMs() >= deadlineMs;
-    this.#fail(
-      late ? failure("upstreamTimeout", { ran: this.#ran }) : this.#last,
+    const late = this.context.clock.nowMs() >= deadlineMs;
+    this.fail(
+      late ? failure("upstreamTimeout", { ran: this.ran }) : this.last,
     );
   }
 
@@ -108,11 +94,11 @@
     const body = withPriority(model, bytes, attempt.grant.enginePriority ?? 0);
     const abort = new AbortController();
     const stop = () => abort.abort();
-    this.#call.signal.addEventListener("abort", stop, { once: true });
-    const timer = this.#context.clock.after(
-      deadlineMs - this.#context.clock.nowMs(),
+    this.call.signal.addEventListener("abort", stop, { once: true });
+    const timer = this.context.clock.after(
+      deadlineMs - this.context.clock.nowMs(),
       () => {
-        if (!this.#seen.begun) stop();
+        if (!this.seen.begun) stop();
       },
     );
     try {
@@ -126,7 +112,7 @@
         : await this.#whole(attempt, answer.value);
     } finally {
       timer.close();
-      this.#call.signal.removeEventListener("abort", stop);
+      this.call.signal.removeEventListener("abort", stop);
     }
   }
 
@@ -136,10 +122,10 @@
       "content-type": "application/json",
       "x-request-id": attempt.grant.attemptId,
     };
-    if (this.#seen.begun && after !== undefined) {
+    if (this.seen.begun && after !== undefined) {
       headers["last-event-id"] = String(after);
     }
-    return this.#context.upstreams.open(
+    return this.context.upstreams.open(
       {
         url: attempt.grant.url,
         path: this.#path,
@@ -153,40 +139,28 @@
 
   #noAnswer(attempt: Attempt, error: UpstreamError): Step {
     if (error.kind === "unreachable") {
-      attempt.report("unreachable");
-      this.#last = this.#worst(
-        failure("upstreamUnreachable", {
-          retryAtMs: this.#context.clock.nowMs() + 1000,
-        }),
-      );
-      return "retry";
+      return this.notRun(attempt, "unreachable");
     }
-    this.#ran = "unknown";
-    this.#last = failure("upstreamFailed", { message: error.message });
+    this.ran = "unknown";
+    this.last = failure("upstreamFailed", { message: error.message });
     attempt.report(
-      error.kind === "canceled" && this.#call.signal.aborted
+      error.kind === "canceled" && this.call.signal.aborted
         ? "canceled"
         : "failed",
     );
-    return this.#call.signal.aborted ? "answered" : "retry";
+    return this.call.signal.aborted ? "answered" : "retry";
   }
 
   async #notOk(attempt: Attempt, answer: UpstreamAnswer): Promise<Step> {
     if (REFUSALS.has(answer.httpStatus)) {
       answer.body.destroy();
-      attempt.report("refused");
-      this.#last = this.#worst(
-        failure("upstreamRefused", {
-          retryAtMs: this.#context.clock.nowMs() + 1000,
-        }),
-      );
-      return "retry";
+      return this.notRun(attempt, "refused");
     }
     if (answer.httpStatus >= 500) {
       answer.body.destroy();
       attempt.report("failed");
-      this.#ran = "unknown";
-      this.#last = failure("upstreamFailed", {
+      this.ran = "unknown";
+      this.last = failure("upstreamFailed", {
         message: `the engine answered ${answer.httpStatus}`,
       });
       return "retry";
@@ -204,15 +178,15 @@
     for (let resumes = 0;; resumes++) {
       const end = await this.#relay(attempt, answer);
       if (end.type === "whole") {
-        this.#call.response.end();
-        this.#end(attempt, "done", 0);
+        this.call.response.end();
+        this.end(attempt, "done", 0);
         return "answered";
       }
-      if (end.type === "gone" || this.#call.signal.aborted) {
-        this.#end(attempt, "canceled", 4007);
+      if (end.type === "gone" || this.call.signal.aborted) {
+        this.end(attempt, "canceled", 4007);
         return "answered";
       }
-      this.#context.log.warn("stream broken", {
+      this.context.log.warn("stream broken", {
         attempt: attempt.grant.attemptId,
         upstream: attempt.grant.upstreamId,
         reason: end.reason,
@@ -226,34 +200,34 @@
   }
 
   async #relay(attempt: Attempt, answer: UpstreamAnswer): Promise<RelayEnd> {
-    const echo = answer.headers["x-request-id"];
-    const { clock, limits } = this.#context;
-    if (echo !== undefined && echo !== attempt.grant.attemptId) {
+    const { clock, limits } = this.context;
+    if (!this.isOwn(attempt, answer.headers)) {
       answer.body.destroy();
       return {
         type: "broken",
         reason: "the answer belongs to another attempt",
       };
     }
-    this.#check.begin(attempt.grant.attemptId, echo !== undefined);
-    return await relay(answer.body, this.#call.response, {
+    const echoed = answer.headers["x-request-id"] !== undefined;
+    this.#check.begin(attempt.grant.attemptId, echoed);
+    return await relay(answer.body, this.call.response, {
       clock,
       check: this.#check,
       upstreamStallMs: limits.upstreamStallMs,
       stalledCallerMs: limits.stalledCallerMs,
       onEvent: (atMs) => {
-        if (!this.#seen.begun) {
+        if (!this.seen.begun) {
           this.#beginStream(attempt);
           attempt.started(atMs);
         }
-        this.#seen.event(atMs);
+        this.seen.event(atMs);
       },
     });
   }
 
   #beginStream(attempt: Attempt): void {
-    const { response } = this.#call;
-    this.#seen.setServed(attempt);
+    const { response } = this.call;
+    this.seen.setServed(attempt);
     response.statusCode = 200;
     response.setHeader("content-type", "text/event-stream; charset=utf-8");
     response.setHeader("cache-control", "no-cache");
@@ -265,7 +239,7 @@
     body: Buffer,
     signal: AbortSignal,
   ): Promise<UpstreamAnswer | undefined> {
-    const row = this.#seen.upstreamRow(attempt);
+    const row = this.seen.upstreamRow(attempt);
     if (
       !row?.resumes || this.#check.lastPlace === undefined || signal.aborted
     ) return undefined;
@@ -278,33 +252,32 @@
 
   /** Nothing passed on yet: another engine may answer. Otherwise the caller is told in the stream itself. */
   #broken(attempt: Attempt, reason: string): Step {
-    this.#ran = "yes";
-    this.#last = failure("streamBroken", {
+    this.ran = "yes";
+    this.last = failure("streamBroken", {
       message: `the stream broke: ${reason}`,
     });
-    if (!this.#seen.begun) {
+    if (!this.seen.begun) {
       attempt.report("failed");
       return "retry";
     }
-    const { response } = this.#call;
-    response.write(`data: ${JSON.stringify(failureBody(this.#last))}\n\n`);
+    const { response } = this.call;
+    response.write(`data: ${JSON.stringify(failureBody(this.last))}\n\n`);
     response.end();
-    this.#end(attempt, "failed", 4004);
+    this.end(attempt, "failed", 4004);
     return "answered";
   }
 
   async #whole(attempt: Attempt, answer: UpstreamAnswer): Promise<Step> {
-    const echo = answer.headers["x-request-id"];
     const text = await readAnswer(answer.body);
-    const own = echo === undefined || echo === attempt.grant.attemptId;
+    const own = this.isOwn(attempt, answer.headers);
     if (text === undefined || !own || !isJson(text)) {
-      if (this.#call.signal.aborted) {
-        this.#end(attempt, "canceled", 4007);
+      if (this.call.signal.aborted) {
+        this.end(attempt, "canceled", 4007);
         return "answered";
       }
       attempt.report("failed");
-      this.#ran = "yes";
-      this.#last = failure("upstreamFailed", {
+      this.ran = "yes";
+      this.last = failure("upstreamFailed", {
         ran: "yes",
         message: own
           ? "the answer was cut short"
@@ -312,53 +285,19 @@
       });
       return "retry";
     }
-    const { response } = this.#call;
-    this.#seen.setServed(attempt);
-    this.#seen.event(this.#context.clock.nowMs());
+    const { response } = this.call;
+    this.seen.setServed(attempt);
+    this.seen.event(this.context.clock.nowMs());
     response.statusCode = answer.httpStatus;
     response.setHeader(
       "content-type",
       answer.headers["content-type"] ?? "application/json",
     );
     response.end(text);
-    this.#seen.usage(JSON.parse(text.toString("utf8")).usage);
-    this.#end(attempt, "done", 0);
+    this.seen.usage(JSON.parse(text.toString("utf8")).usage);
+    this.end(attempt, "done", 0);
     return "answered";
   }
-
-  #end(
-    attempt: Attempt,
-    outcome: "done" | "canceled" | "failed",
-    code: number,
-  ): void {
-    attempt.report(outcome, this.#seen);
-    this.#seen.finish(code);
-  }
-
-  /** A refusal after an attempt that may have run must not claim that nothing was run. */
-  #worst(refusal: Failure): Failure {
-    return this.#ran === "no" ? refusal : { ...refusal, ran: this.#ran };
-  }
-
-  #fail(failed: Failure): void {
-    sendFailure(this.#call.response, failed, this.#context.clock.nowMs());
-    this.#seen.fail(failed);
-  }
-}
-
-async function readAnswer(body: Readable): Promise<Buffer | undefined> {
-  const chunks: Buffer[] = [];
-  let size = 0;
-  try {
-    for await (const chunk of body) {
-      size += (chunk as Buffer).length;
-      if (size > ANSWER_BYTES) return undefined;
-      chunks.push(chunk as Buffer);
-    }
-  } catch {
-    return undefined;
-  }
-  return Buffer.concat(chunks);
 }
 
 function isJson(text: Buffer): boolean {
--- a/src/edge/plain_call.ts
+++ b/src/edge/plain_call.ts
@@ -6,16 +6,15 @@
 
 import { createHash } from "node:crypto";
 import { pipeline } from "node:stream/promises";
-import { type Failure, failure, type Ran } from "../base/mod.ts";
+import { type Failure, failure } from "../base/mod.ts";
 import type { UpstreamAnswer, UpstreamError } from "../adapters/mod.ts";
 import type { ClaimAnswer, ClaimKey, ServiceRow } from "../agreement/mod.ts";
-import { sendFailure } from "./answer.ts";
 import { type Attempt, Attempts } from "./attempts.ts";
-import { readBody } from "./body.ts";
+import { readAnswer, readBody } from "./body.ts";
 import { type Call, deadlineOf } from "./call.ts";
+import { CallRun, type Step } from "./call_run.ts";
 import type { EdgeContext } from "./context.ts";
 import { endToEnd } from "./headers.ts";
-import { Seen } from "./seen.ts";
 
 /** Methods that change nothing, by HTTP's own definition: they need no claim and may be sent again. */
 const SAFE_METHODS = new Set(["GET", "HEAD", "OPTIONS"]);
@@ -33,8 +32,6 @@
 /** Answers that mean "not run", but only where the service says so itself by `x-ran: no`. */
 const REFUSALS = new Set([429, 503]);
 
-type Step = "answered" | "retry";
-
 /** The claim a call runs under. */
 interface HeldClaim extends ClaimKey {
   readonly claimId: string;
@@ -42,17 +39,12 @@
 }
 
 /** See the module's comment; `run` once. */
-export class PlainCall {
-  readonly #context: EdgeContext;
-  readonly #call: Call;
+export class PlainCall extends CallRun {
   readonly #service: ServiceRow;
   readonly #path: string;
-  readonly #seen: Seen;
   readonly #atMostOnce: boolean;
   readonly #mayRepeat: boolean;
   #claim: HeldClaim | undefined;
-  #ran: Ran = "no";
-  #last: Failure = failure("noUpstream");
 
   /** `path` is what follows the service's name, with its query. */
   constructor(
@@ -61,41 +53,39 @@
     service: ServiceRow,
     path: string,
   ) {
-    this.#context = context;
-    this.#call = call;
+    super(context, call);
     this.#service = service;
     this.#path = path;
-    this.#seen = new Seen(context, call);
-    this.#seen.service = service.id;
+    this.seen.service = service.id;
     const method = call.request.method ?? "GET";
     this.#atMostOnce = service.atMostOnce && !SAFE_METHODS.has(method);
     this.#mayRepeat = !this.#atMostOnce && IDEMPOTENT_METHODS.has(method);
   }
 
   /** Answers the caller. */
-  async run(): Promise<void> {
-    if (this.#atMostOnce && this.#call.headers.idempotencyKey === undefined) {
-      return this.#fail(failure("keyRequired"));
+  override async run(): Promise<void> {
+    if (this.#atMostOnce && this.call.headers.idempotencyKey === undefined) {
+      return this.fail(failure("keyRequired"));
     }
     const body = await readBody(
-      this.#call.request,
-      this.#context.limits,
-      this.#context.clock,
+      this.call.request,
+      this.context.limits,
+      this.context.clock,
     );
-    if (body.isErr()) return this.#fail(body.error);
-    const deadlineMs = deadlineOf(this.#call, this.#service);
+    if (body.isErr()) return this.fail(body.error);
+    const deadlineMs = deadlineOf(this.call, this.#service);
     const demand = { ...PLAIN_WORK, service: this.#service.id, deadlineMs };
-    const attempts = new Attempts(this.#context, this.#call, demand);
+    const attempts = new Attempts(this.context, this.call, demand);
     while (attempts.left) {
       const attempt = await attempts.next();
       if (attempt.isErr()) {
-        return await this.#giveUp(this.#worst(attempt.error));
+        return await this.#giveUp(this.worst(attempt.error));
       }
-      this.#seen.granted(attempt.value);
+      this.seen.granted(attempt.value);
       const step = await this.#attempt(attempt.value, body.value, deadlineMs);
       if (step === "answered") return;
     }
-    await this.#giveUp(this.#last);
+    await this.#giveUp(this.last);
   }
 
   async #attempt(
@@ -114,10 +104,10 @@
     const stop = () => abort.abort();
     // A call under a claim goes on when its caller has gone: its answer is kept for the caller's next try.
     if (!this.#atMostOnce) {
-      this.#call.signal.addEventListener("abort", stop, { once: true });
+      this.call.signal.addEventListener("abort", stop, { once: true });
     }
-    const timer = this.#context.clock.after(
-      deadlineMs - this.#context.clock.nowMs(),
+    const timer = this.context.clock.after(
+      deadlineMs - this.context.clock.nowMs(),
       stop,
     );
     const answer = await this.#dispatch(attempt, body, abort.signal);
@@ -127,7 +117,7 @@
       if (answer.isErr()) return await this.#noAnswer(attempt, answer.error);
       return await this.#passOn(attempt, answer.value);
     } finally {
-      this.#call.signal.removeEventListener("abort", stop);
+      this.call.signal.removeEventListener("abort", stop);
     }
   }
 
@@ -138,19 +128,19 @@
   async #dispatch(attempt: Attempt, body: Buffer, signal: AbortSignal) {
     const { grant } = attempt;
     const claim = this.#claim;
-    const headers = endToEnd(this.#call.request.headers);
+    const headers = endToEnd(this.call.request.headers);
     headers["x-request-id"] = grant.attemptId;
-    if (claim && this.#context.clock.monoMs() >= claim.dispatchBeforeMonoMs) {
+    if (claim && this.context.clock.monoMs() >= claim.dispatchBeforeMonoMs) {
       attempt.cancel();
       await this.#giveUp(
         failure("claimUnavailable", {
-          retryAtMs: this.#context.clock.nowMs() + 1000,
+          retryAtMs: this.context.clock.nowMs() + 1000,
         }),
       );
       return undefined;
     }
-    const method = this.#call.request.method ?? "GET";
-    return await this.#context.upstreams.open({
+    const method = this.call.request.method ?? "GET";
+    return await this.context.upstreams.open({
       url: grant.url,
       path: this.#path,
       method,
@@ -163,18 +153,18 @@
   async #takeClaim(body: Buffer, deadlineMs: number): Promise<boolean> {
     const key: ClaimKey = {
       service: this.#service.id,
-      workspace: this.#call.workspace.id,
-      key: this.#call.headers.idempotencyKey!,
+      workspace: this.call.workspace.id,
+      key: this.call.headers.idempotencyKey!,
     };
     const digest = createHash("sha256");
-    digest.update(`${this.#call.request.method} ${this.#path}\n`);
+    digest.update(`${this.call.request.method} ${this.#path}\n`);
     const bodyDigest = digest.update(body).digest("hex");
-    const verdict = await this.#context.claims.ask("claim", {
+    const verdict = await this.context.claims.ask("claim", {
       ...key,
       bodyDigest,
       deadlineMs,
     });
-    const retryAtMs = this.#context.clock.nowMs() + 1000;
+    const retryAtMs = this.context.clock.nowMs() + 1000;
     switch (verdict.type) {
       case "granted":
         this.#claim = { ...key, ...verdict };
@@ -183,23 +173,23 @@
         this.#repeat(verdict.answer);
         return false;
       case "running":
-        this.#fail(failure("stillRunning", { retryAtMs }));
+        this.fail(failure("stillRunning", { retryAtMs }));
         return false;
       case "unknown":
-        this.#fail(failure("outcomeUnknown"));
+        this.fail(failure("outcomeUnknown"));
         return false;
       case "mismatch":
-        this.#fail(failure("keyReused"));
+        this.fail(failure("keyReused"));
         return false;
       case "refused":
-        this.#fail(verdict.failure);
+        this.fail(verdict.failure);
         return false;
     }
   }
 
   /** Gives a second arrival the first one's answer. */
   #repeat(answer: ClaimAnswer): void {
-    const { response } = this.#call;
+    const { response } = this.call;
     response.setHeader("x-ibisgap-repeated", "true");
     if (answer.truncated) {
       response.setHeader("x-ibisgap-answer-omitted", "true");
@@ -207,33 +197,26 @@
     response.statusCode = answer.httpStatus;
     response.setHeader("content-type", answer.contentType);
     response.end(Buffer.from(answer.bodyBase64, "base64"));
-    this.#seen.finish(0);
+    this.seen.finish(0);
   }
 
   async #noAnswer(attempt: Attempt, error: UpstreamError): Promise<Step> {
     if (error.kind === "unreachable") {
-      attempt.report("unreachable");
-      this.#last = this.#worst(
-        failure("upstreamUnreachable", {
-          retryAtMs: this.#context.clock.nowMs() + 1000,
-        }),
-      );
-      return "retry";
+      return this.notRun(attempt, "unreachable");
     }
     attempt.report(error.kind === "canceled" ? "canceled" : "failed");
-    this.#ran = "unknown";
-    this.#last = error.kind === "canceled"
+    this.ran = "unknown";
+    this.last = error.kind === "canceled"
       ? failure("upstreamTimeout")
       : failure("upstreamFailed", { message: error.message });
-    if (this.#mayRepeat && !this.#call.signal.aborted) return "retry";
-    await this.#giveUp(this.#last);
+    if (this.#mayRepeat && !this.call.signal.aborted) return "retry";
+    await this.#giveUp(this.last);
     return "answered";
   }
 
   async #passOn(attempt: Attempt, answer: UpstreamAnswer): Promise<Step> {
-    const { response } = this.#call;
-    const echo = answer.headers["x-request-id"];
-    if (echo !== undefined && echo !== attempt.grant.attemptId) {
+    const { response } = this.call;
+    if (!this.isOwn(attempt, answer.headers)) {
       answer.body.destroy();
       return await this.#noAnswer(attempt, {
         kind: "lost",
@@ -242,25 +225,19 @@
     }
     if (REFUSALS.has(answer.httpStatus) && answer.headers["x-ran"] === "no") {
       answer.body.destroy();
-      attempt.report("refused");
-      this.#last = this.#worst(
-        failure("upstreamRefused", {
-          retryAtMs: this.#context.clock.nowMs() + 1000,
-        }),
-      );
-      return "retry";
+      return this.notRun(attempt, "refused");
     }
     if (this.#claim) return await this.#passOnClaimed(attempt, answer);
     this.#begin(attempt, answer);
     try {
       await pipeline(answer.body, response);
-      this.#end(attempt, "done", 0);
+      this.end(attempt, "done", 0);
     } catch {
       // Its length or last chunk is missing, so the caller's client sees that the answer was cut.
       response.destroy();
-      this.#end(
+      this.end(
         attempt,
-        this.#call.signal.aborted ? "canceled" : "failed",
+        this.call.signal.aborted ? "canceled" : "failed",
         4004,
       );
     }
@@ -272,19 +249,14 @@
     attempt: Attempt,
     answer: UpstreamAnswer,
   ): Promise<Step> {
-    const chunks: Buffer[] = [];
-    try {
-      for await (const chunk of answer.body) chunks.push(chunk as Buffer);
-    } catch (error) {
-      return await this.#noAnswer(attempt, {
-        kind: "lost",
-        message: (error as Error).message,
-      });
+    const body = await readAnswer(answer.body);
+    if (body === undefined) {
+      const message = "the answer was cut short, or is too long";
+      return await this.#noAnswer(attempt, { kind: "lost", message });
     }
-    const body = Buffer.concat(chunks);
     const truncated = body.length > KEPT_ANSWER_BYTES;
     const claim = this.#claim!;
-    await this.#context.claims.ask("finish", {
+    await this.context.claims.ask("finish", {
       ...claim,
       answer: {
         httpStatus: answer.httpStatus,
@@ -295,15 +267,15 @@
       },
     });
     this.#begin(attempt, answer);
-    this.#call.response.end(body);
-    this.#end(attempt, "done", 0);
+    this.call.response.end(body);
+    this.end(attempt, "done", 0);
     return "answered";
   }
 
   #begin(attempt: Attempt, answer: UpstreamAnswer): void {
-    const { response } = this.#call;
-    this.#seen.setServed(attempt);
-    this.#seen.event(this.#context.clock.nowMs());
+    const { response } = this.call;
+    this.seen.setServed(attempt);
+    this.seen.event(this.context.clock.nowMs());
     response.statusCode = answer.httpStatus;
     for (const [name, value] of Object.entries(endToEnd(answer.headers))) {
       response.setHeader(name, value);
@@ -314,29 +286,11 @@
   async #giveUp(failed: Failure): Promise<void> {
     const claim = this.#claim;
     if (claim) {
-      await this.#context.claims.ask(
+      await this.context.claims.ask(
         failed.ran === "no" ? "release" : "abandon",
         claim,
       );
     }
-    this.#fail(failed);
-  }
-
-  #worst(refusal: Failure): Failure {
-    return this.#ran === "no" ? refusal : { ...refusal, ran: this.#ran };
-  }
-
-  #end(
-    attempt: Attempt,
-    outcome: "done" | "canceled" | "failed",
-    code: number,
-  ): void {
-    attempt.report(outcome, this.#seen);
-    this.#seen.finish(code);
-  }
-
-  #fail(failed: Failure): void {
-    sendFailure(this.#call.response, failed, this.#context.clock.nowMs());
-    this.#seen.fail(failed);
+    this.fail(failed);
   }
 }
--- a/test/edge_plain_test.ts
+++ b/test/edge_plain_test.ts
@@ -1,3 +1,5 @@
+import { createServer } from "node:http";
+import type { AddressInfo } from "node:net";
 import type { ExecutionContext } from "ava";
 import { describe, it } from "../src/base/describe.ts";
 import {
@@ -204,6 +206,40 @@
       t.is(runs(bench), 0);
     });
 
+    // The upstream sends its head and part of its answer, and hangs. The caller must hear "unknown" and the slot must come
+    // back; before, both waited for ever.
+    it("is given up when its answer stalls", async (t) => {
+      const hung = createServer((request, response) => {
+        request.resume();
+        response.writeHead(200, { "content-length": 100 });
+        response.write("half");
+      });
+      await new Promise<void>((resolve) =>
+        hung.listen(0, "127.0.0.1", resolve)
+      );
+      const { port } = hung.address() as AddressInfo;
+      const edge = await openEdge([
+        upstreamRow("l0", "ledger", `http://127.0.0.1:${port}`),
+      ]);
+      t.teardown(async () => {
+        await edge.close();
+        hung.closeAllConnections();
+        hung.close();
+      });
+      const answer = await post(
+        { ...edge, services: [] },
+        "/services/ledger/departures",
+        "d11",
+      );
+      t.deepEqual([answer.httpStatus, answer.code, answer.ran], [
+        502,
+        4003,
+        "unknown",
+      ]);
+      t.is(edge.slots.reports[0].outcome, "failed");
+      t.is(edge.claims.states.get("d11"), "unknown");
+    });
+
     it("is refused as not run where no claim can be recorded", async (t) => {
       const bench = await open(t, 1);
       bench.claims.refuse = true;
