Claims: the only other VM stays listed as witness through a short absence

Trials with two real VMs: a witness frozen for 4 s as the store went away was struck off in a write whose answer was lost; a record without a witness may stand then, and the owner rightly grants nothing for the whole outage (never served in 25 s, also when frozen just before). Ruled out: witnesses not yet listed at the start (listed at the first look, 4 of 4 starts under load). Change: the list keeps its last VM for 30 s; another live VM takes its place at once. Left: an owner that was frozen, replaced, and wakes in the outage keeps refusing (docs/PROOF.md).

--- a/src/services/claims.ts
+++ b/src/services/claims.ts
@@ -34,7 +34,7 @@
 import { type Handlers, type Kernel, type Port, Task } from "../kernel/mod.ts";
 import { ClaimsDriver, type Request } from "./claims_driver.ts";
 import { ClaimsRouter, type Routed } from "./claims_router.ts";
-import { asRef, chooseWitnesses } from "./claims_witnesses.ts";
+import { asRef, WitnessList } from "./claims_witnesses.ts";
 import {
   askMessage,
   changeMessage,
@@ -92,6 +92,7 @@
   readonly #limits: ShardLimits;
   readonly #random: Random;
   readonly #drivers: ClaimsDriver[] = [];
+  readonly #witnesses: WitnessList[] = [];
   readonly #timers: Timer[] = [];
   #router!: ClaimsRouter;
   #clock!: Clock;
@@ -123,6 +124,7 @@
     const { me, region, store, transport } = this.#options;
     this.#clock = kernel.clock;
     for (let shard = 0; shard < this.#limits.shardCount; shard++) {
+      this.#witnesses.push(new WitnessList());
       this.#drivers.push(
         new ClaimsDriver({
           me,
@@ -371,7 +373,8 @@
       driver.setView({
         region: this.#options.region,
         live: live.map(asRef),
-        witnesses: chooseWitnesses(me, order, this.#here),
+        witnesses: this.#witnesses[shard]
+          .choose(me, order, this.#here, this.#clock.monoMs()),
         rank: order.findIndex((vm) => sameVm(vm, me)),
         writesPerS,
       });
--- a/test/claims_vms_test.ts
+++ b/test/claims_vms_test.ts
@@ -6,11 +6,12 @@
   caller,
   Cluster,
   keyOf,
-  operator,
   refusal,
+  shardOf,
   sleep,
   standardRows,
   type StandIn,
+  untilWitnessed,
   upstream,
   type Vm,
 } from "./cluster.ts";
@@ -41,7 +42,7 @@
         (status) => status.tableVersion === 1 && status.region.length === vms,
       );
     }
-    await opened.untilWitnessed();
+    await untilWitnessed(opened.vms);
     return opened;
   }
 
@@ -81,7 +82,7 @@
     while (Date.now() < endMs) {
       for (const vm of this.vms) {
         if (vm.proc.exitCode !== undefined) continue;
-        if ((await this.shard(vm)).role === "owner") return vm;
+        if ((await shardOf(vm)).role === "owner") return vm;
       }
       await sleep(100);
     }
@@ -92,22 +93,6 @@
   other(vm: Vm): Vm {
     return this.vms.find((other) => other !== vm)!;
   }
-
-  async shard(vm: Vm): Promise<{ role: string; witnesses: unknown[] }> {
-    const answer = await operator(vm, "GET", "/admin/dump");
-    return JSON.parse(answer.body).claims.shards[0];
-  }
-
-  private async untilWitnessed(): Promise<void> {
-    const owner = await this.owner();
-    const wanted = Math.min(2, this.vms.length - 1);
-    const endMs = Date.now() + SETTLE_MS;
-    while (Date.now() < endMs) {
-      if ((await this.shard(owner)).witnesses.length === wanted) return;
-      await sleep(100);
-    }
-    throw new Error("the owner lists no witnesses");
-  }
 }
 
 const storeDown = [{ outage: "cut" }];
--- a/test/cluster.ts
+++ b/test/cluster.ts
@@ -214,6 +214,35 @@
   }
 }
 
+/** A VM's view of the first shard of its region's claims. */
+export interface ShardState {
+  readonly role: string;
+  readonly witnesses: readonly unknown[];
+}
+
+/** See {@link ShardState}. */
+export async function shardOf(vm: Vm): Promise<ShardState> {
+  const answer = await operator(vm, "GET", "/admin/dump");
+  return JSON.parse(answer.body).claims.shards[0];
+}
+
+/**
+ * Waits until an owner of the region's claims lists all other VMs, two at most, as witnesses. An outage of the store
+ * that begins before is answered with `claimUnavailable`, as docs/design/claims.md says.
+ */
+export async function untilWitnessed(vms: readonly Vm[]): Promise<void> {
+  const wanted = Math.min(2, vms.length - 1);
+  const endMs = Date.now() + READY_MS;
+  while (Date.now() < endMs) {
+    for (const vm of vms) {
+      const { role, witnesses } = await shardOf(vm);
+      if (role === "owner" && witnesses.length === wanted) return;
+    }
+    await sleep(100);
+  }
+  throw new Error("no owner lists its witnesses");
+}
+
 /** What `GET /admin/status` answers, as far as tests look at it. */
 export interface Status {
   readonly tableVersion: number | null;
--- a/test/promises_test.ts
+++ b/test/promises_test.ts
@@ -13,10 +13,11 @@
   keyOf,
   operator,
   refusal,
+  shardOf,
   sleep,
   standardRows,
   type StandIn,
-  TOKEN,
+  untilWitnessed,
   upstream,
   type Vm,
 } from "./cluster.ts";
@@ -163,6 +164,7 @@
   // home see nothing of it: plans are answered, and each departure runs once, also when it is sent to both VMs.
   it("an isolated region serves its own, without the store", async (t) => {
     const { cluster, ledgers, vm } = await open(t, 2);
+    await untilWitnessed([vm(`${HOME}-1`), vm(`${HOME}-2`)]);
     await depart(vm(`${HOME}-1`), keyOf(HOME), "before");
     for (const n of [1, 2]) {
       await cluster.setLinks(vm(`${HOME}-${n}`), {
@@ -190,6 +192,36 @@
     t.is(await runs(ledgers, "cut-off"), 1);
   });
 
+  // Double fault: the store goes away while the other VM of the region is frozen. Until it wakes, the clerk is told that
+  // the call was not run; afterwards departures are served through the outage, each once.
+  it("a region of two goes on in an outage that began with one of them frozen", async (t) => {
+    const { cluster, ledgers, vm } = await open(t, 2);
+    const vms = [vm(`${HOME}-1`), vm(`${HOME}-2`)];
+    await untilWitnessed(vms);
+    const roles = await Promise.all(vms.map(shardOf));
+    const owner = vms.find((_, i) => roles[i].role === "owner")!;
+    const other = vms.find((each) => each !== owner)!;
+    await cluster.setPlatformFaults([{ outage: "cut" }]);
+    other.proc.signal("SIGSTOP");
+    await sleep(4000);
+    const refused = await caller(
+      owner,
+      keyOf(HOME),
+      "/services/ledger/departures",
+      {
+        body: { id: "alone" },
+        headers: { "idempotency-key": "alone" },
+      },
+    );
+    t.deepEqual([refusal(refused).code, refusal(refused).ran], [3009, "no"]);
+    other.proc.signal("SIGCONT");
+    for (const id of ["alone", "woken"]) {
+      const answer = await depart(owner, keyOf(HOME), id);
+      t.is(answer.statusCode, 200, answer.body);
+      t.is(await runs(ledgers, id), 1);
+    }
+  });
+
   // Both regions are full, and each may send to the other. A request moves once at most, whatever it meets: no attempt
   // may come back, and no engine may see one caller's request twice.
   it("no request goes round between regions", async (t) => {
@@ -317,7 +349,6 @@
         200,
       );
     }
-    t.true(TOKEN.length > 0);
   });
 
   // A VM is killed in the middle of its streams: those end in a broken connection, never in a clean end. The other VM's
