Only a failed connect counts as not sent

Cause (read-through): a code such as EHOSTUNREACH also comes from read or write on an open connection, after bytes were sent; it was taken for 'not run', and a call that may not be repeated could go to a second upstream, or a store's write be taken for refused. Change: one rule for upstreams and the store: the code and the failed system call must both say that no connection was made. The syscall alone was tried and dropped: a reset while connecting then counted as not sent, which is less careful than before (edge_plain_test, 'is told unknown where a connection is reset'). Test: not_sent_test; its case 'while reading' is what the old rule got wrong. Also: two shapes that stood twice.

--- a/src/adapters/http_upstream.ts
+++ b/src/adapters/http_upstream.ts
@@ -9,6 +9,7 @@
 
 import { err, ok, type Result } from "neverthrow";
 import { Agent, type Dispatcher } from "undici";
+import { isNotSent } from "./not_sent.ts";
 import {
   type UpstreamAnswer,
   type UpstreamCall,
@@ -16,16 +17,6 @@
   type UpstreamError,
 } from "./upstream.ts";
 
-/** Errors that only arise before a connection stands, so that nothing was sent. */
-const CONNECT_ERRORS = new Set([
-  "ECONNREFUSED",
-  "EHOSTUNREACH",
-  "ENETUNREACH",
-  "ENOTFOUND",
-  "EAI_AGAIN",
-  "UND_ERR_CONNECT_TIMEOUT",
-]);
-
 const CONNECT_TIMEOUT_MS = 1000;
 const DEFAULT_STALL_MS = 15_000;
 
@@ -86,9 +77,8 @@
   signal: AbortSignal,
 ): UpstreamError {
   if (signal.aborted) return canceled();
-  const connecting = CONNECT_ERRORS.has(error.code ?? "");
   return {
-    kind: connecting ? "unreachable" : "lost",
+    kind: isNotSent(error) ? "unreachable" : "lost",
     message: `${error.code ?? error.name}: ${error.message}`,
   };
 }
--- a/src/adapters/platform_http.ts
+++ b/src/adapters/platform_http.ts
@@ -5,8 +5,9 @@
  */
 
 import { Agent } from "node:http";
-import { type Got, got, RequestError, TimeoutError } from "got";
+import { type Got, got, TimeoutError } from "got";
 import { err, ok, type Result } from "neverthrow";
+import { isNotSent } from "./not_sent.ts";
 import type { StoreError } from "./key_value.ts";
 
 /** How to reach the platform. */
@@ -28,15 +29,6 @@
   readonly body: unknown;
 }
 
-/** Codes of errors that occur before a byte of the request is sent. */
-const NOT_SENT = new Set([
-  "ECONNREFUSED",
-  "EHOSTUNREACH",
-  "ENETUNREACH",
-  "ENOTFOUND",
-  "EAI_AGAIN",
-]);
-
 /** An HTTP client of the platform that never repeats a call that may have been sent. */
 export class PlatformClient {
   readonly #urls: readonly string[];
@@ -117,8 +109,10 @@
   const message = error instanceof Error ? error.message : String(error);
   const connectTimeout = error instanceof TimeoutError &&
     (error.event === "connect" || error.event === "lookup");
-  const notSent = error instanceof RequestError && NOT_SENT.has(error.code);
-  return { kind: connectTimeout || notSent ? "unavailable" : "lost", message };
+  return {
+    kind: connectTimeout || isNotSent(error) ? "unavailable" : "lost",
+    message,
+  };
 }
 
 /** What an answer that is not a success says; 503 is given before a call takes effect, other 5xx may come after. */
--- a/src/standins/memory_key_value.ts
+++ b/src/standins/memory_key_value.ts
@@ -133,29 +133,25 @@
     leaseId: string,
     purpose: StorePurpose,
   ): Promise<Result<void, StoreError>> {
-    return this.#call(
-      "",
-      true,
-      purpose,
-      () =>
-        this.store.keepAlive(leaseId)
-          ? ok(undefined)
-          : err(storeError("leaseGone")),
-    );
+    return this.#lease(purpose, () => this.store.keepAlive(leaseId));
   }
 
   revoke(
     leaseId: string,
     purpose: StorePurpose,
+  ): Promise<Result<void, StoreError>> {
+    return this.#lease(purpose, () => this.store.revoke(leaseId));
+  }
+
+  #lease(
+    purpose: StorePurpose,
+    change: () => boolean,
   ): Promise<Result<void, StoreError>> {
     return this.#call(
       "",
       true,
       purpose,
-      () =>
-        this.store.revoke(leaseId)
-          ? ok(undefined)
-          : err(storeError("leaseGone")),
+      () => change() ? ok(undefined) : err(storeError("leaseGone")),
     );
   }
 
--- a/test/fuzz_claims_variants.ts
+++ b/test/fuzz_claims_variants.ts
@@ -93,56 +93,26 @@
   }
 }
 
+/** An owner whose group commit is of this class. */
+function withCommit(
+  Commit: typeof TakesLostAsWritten | typeof TakesLostAsNotWritten,
+): NonNullable<Variant["makeOwner"]> {
+  return (me, keys, limits, random, out, outage, owned) => {
+    const commit = new Commit(me, keys, limits, random, out, owned);
+    return new ClaimOwner(me, keys, limits, random, out, outage, owned, commit);
+  };
+}
+
 /** The variants by name. */
 export const brokenVariants: Readonly<Record<string, Variant>> = {
   "dispatch before the claim is committed": {
     makeOwner: (...args) => new GrantsBeforeCommit(...args),
   },
   "a lost answer taken for written": {
-    makeOwner: (...args) => {
-      const [me, keys, limits, random, out, , owned] = args;
-      const commit = new TakesLostAsWritten(
-        me,
-        keys,
-        limits,
-        random,
-        out,
-        owned,
-      );
-      return new ClaimOwner(
-        me,
-        keys,
-        limits,
-        random,
-        out,
-        args[5],
-        owned,
-        commit,
-      );
-    },
+    makeOwner: withCommit(TakesLostAsWritten),
   },
   "a lost answer taken for not written": {
-    makeOwner: (...args) => {
-      const [me, keys, limits, random, out, , owned] = args;
-      const commit = new TakesLostAsNotWritten(
-        me,
-        keys,
-        limits,
-        random,
-        out,
-        owned,
-      );
-      return new ClaimOwner(
-        me,
-        keys,
-        limits,
-        random,
-        out,
-        args[5],
-        owned,
-        commit,
-      );
-    },
+    makeOwner: withCommit(TakesLostAsNotWritten),
   },
   "grants from memory without the promise": {
     makeOwner: (...args) => new GrantsWithoutPromise(...args),
