--- a/src/adapters/ws_transport.ts
+++ b/src/adapters/ws_transport.ts
@@ -12,7 +12,7 @@
 import type { AddressInfo } from "node:net";
 import { JSONRPCServer } from "json-rpc-2.0";
 import { err, type Result } from "neverthrow";
-import type { Logger } from "winston";
+import type { Log } from "../kernel/mod.ts";
 import { type WebSocket, WebSocketServer } from "ws";
 import {
   type Clock,
@@ -53,7 +53,7 @@
   readonly port: number;
   readonly faults?: LinkFaults;
   readonly clock?: Clock;
-  readonly log?: Logger;
+  readonly log?: Log;
   readonly mostMessageBytes?: number;
   readonly mostBufferedBytes?: number;
   readonly handshakeTimeoutMs?: number;
--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -4,7 +4,6 @@
  * @module
  */
 
-import type { Logger } from "winston";
 import {
   EtcdKeyValue,
   HttpCallerDirectory,
@@ -21,7 +20,7 @@
 import { type Clock, hash32, Random, systemClock } from "../base/mod.ts";
 import type { LoadReport } from "../decisions/mod.ts";
 import { type CallerListener, Edge, openListener } from "../edge/mod.ts";
-import { Kernel, openLog } from "../kernel/mod.ts";
+import { Kernel, openLog, type Log } from "../kernel/mod.ts";
 import {
   ClaimsService,
   type DirectoryOptions,
@@ -189,7 +188,7 @@
 async function openTransport(
   settings: Settings,
   faults: LinkFaults,
-  log: Logger,
+  log: Log,
 ): Promise<WsTransport> {
   const { vm, listen, peers } = settings;
   const secret = readSecret(peers.credential);
--- a/src/edge/context.ts
+++ b/src/edge/context.ts
@@ -4,7 +4,7 @@
  * @module
  */
 
-import type { Logger } from "winston";
+import type { Log } from "../kernel/mod.ts";
 import type { UpstreamClient } from "../adapters/mod.ts";
 import type { Clock } from "../base/mod.ts";
 import type { Port } from "../kernel/mod.ts";
@@ -35,7 +35,7 @@
   readonly place: Place;
   readonly limits: EdgeLimits;
   readonly clock: Clock;
-  readonly log: Logger;
+  readonly log: Log;
   readonly upstreams: UpstreamClient;
   readonly table: Port<TableMessages>;
   readonly members: Port<MembersMessages>;
--- /dev/null
+++ b/src/gateway/beliefs.ts
@@ -0,0 +1,238 @@
+/**
+ * What this VM believes of the configuration, the evacuations and the upstreams, and where it learns it: from the store,
+ * or from another VM while the store does not serve this one.
+ *
+ * @module
+ */
+
+import type { Entry } from "../adapters/mod.ts";
+import type { Clock, Timer } from "../base/mod.ts";
+import { type Handlers, type Kernel, type Log, Task } from "../kernel/mod.ts";
+import {
+  CONFIG_KEY,
+  decodeConfig,
+  decodeUpstream,
+  evacuatedDomain,
+  OPERATOR_PREFIX,
+  UPSTREAM_PREFIX,
+  upstreamId,
+} from "../platform/mod.ts";
+import { Fleet, type GatewayConfig } from "../routing/mod.ts";
+import { type FollowedStore, Follower, type Snapshot } from "./follower.ts";
+
+/** What follows from the store's revisions, told in heartbeats: who is ahead can be asked. */
+export interface Revisions {
+  readonly operators: number;
+  readonly upstreams: number;
+}
+
+/** The two matters that are followed. */
+export type Matter = keyof Revisions;
+
+/** What the beliefs service answers; its name is `beliefs`. */
+export type BeliefMessages = {
+  /** All entries of one matter, for a VM that is behind. */
+  snapshot: { in: Matter; out: Snapshot };
+  /** Another VM's entries. */
+  adopt: { in: { readonly matter: Matter; readonly snapshot: Snapshot; readonly from: string }; out: void };
+};
+
+/** Options of {@link Beliefs}. */
+export interface BeliefOptions {
+  readonly store: FollowedStore;
+  /** Region of each failure domain. */
+  readonly failureDomains: Readonly<Record<string, string>>;
+}
+
+/** How long a question for changes of the configuration waits; a silent connection is found a little after that. */
+const OPERATOR_WAIT_MS = 2_000;
+/** The same for upstreams, which write about every second each, so that an answer comes at once. */
+const UPSTREAM_WAIT_MS = 1_500;
+/**
+ * Pause between questions about upstreams. Each upstream writes every 1.2 s; without a pause every write would cost every
+ * VM a call. What is learnt late by this much must be within the time that leaving upstreams still serve, seconds.
+ */
+const UPSTREAM_PAUSE_MS = 700;
+/**
+ * Entries that lapsed in an outage are back within two seconds of its end. Until then they are used on: without this
+ * the end of each outage would leave no upstream at all for a second.
+ */
+const RETURN_MS = 2_300;
+const SWEEP_MS = 250;
+
+/** See the module; {@link Beliefs.config} and {@link Beliefs.fleet} are read on each request. */
+export class Beliefs extends Task<BeliefMessages> {
+  readonly name = "beliefs";
+  readonly fleet: Fleet;
+  readonly #options: BeliefOptions;
+  readonly #evacuated = new Set<string>();
+  /** Upstreams whose entry is gone but may come back, with the time until which they are kept. */
+  readonly #lapsed = new Map<string, number>();
+  #config: GatewayConfig | undefined;
+  #followers!: Readonly<Record<Matter, Follower>>;
+  #clock!: Clock;
+  #log!: Log;
+  #timer: Timer | undefined;
+
+  protected readonly handlers: Handlers<BeliefMessages> = {
+    snapshot: (matter) => this.#followers[matter].snapshot(),
+    adopt: ({ matter, snapshot, from }) => this.#adopt(matter, snapshot, from),
+  };
+
+  constructor(options: BeliefOptions) {
+    super();
+    this.#options = options;
+    this.fleet = new Fleet((domain) => options.failureDomains[domain]);
+  }
+
+  /** The newest configuration; `undefined` until one is known. */
+  get config(): GatewayConfig | undefined {
+    return this.#config;
+  }
+
+  get revisions(): Revisions {
+    return {
+      operators: this.#followers.operators.rev,
+      upstreams: this.#followers.upstreams.rev,
+    };
+  }
+
+  /** Whether the store does not serve this VM at the moment. */
+  isCutOff(matter: Matter): boolean {
+    return this.#followers[matter].isFailing;
+  }
+
+  start(kernel: Kernel): Promise<void> {
+    this.#clock = kernel.clock;
+    this.#log = kernel.log;
+    const { store } = this.#options;
+    this.#followers = {
+      operators: new Follower({
+        store,
+        prefix: OPERATOR_PREFIX,
+        clock: this.#clock,
+        log: this.#log,
+        waitMs: OPERATOR_WAIT_MS,
+        pauseMs: 0,
+        onPut: (entry) => this.#operatorPut(entry),
+        onDelete: (key) => this.#operatorDelete(key),
+      }),
+      upstreams: new Follower({
+        store,
+        prefix: UPSTREAM_PREFIX,
+        clock: this.#clock,
+        log: this.#log,
+        waitMs: UPSTREAM_WAIT_MS,
+        pauseMs: UPSTREAM_PAUSE_MS,
+        onPut: (entry) => this.#upstreamPut(entry),
+        onDelete: (key) => this.#upstreamDelete(key),
+      }),
+    };
+    this.#followers.operators.start();
+    this.#followers.upstreams.start();
+    this.#timer = this.#clock.every(SWEEP_MS, () => this.#sweep());
+    return Promise.resolve();
+  }
+
+  close(_deadlineMs: number): Promise<void> {
+    this.#timer?.close();
+    this.#followers.operators.close();
+    this.#followers.upstreams.close();
+    return Promise.resolve();
+  }
+
+  dump(): unknown {
+    const nowMs = this.#clock.monoMs();
+    return {
+      configVersion: this.#config?.version,
+      revisions: this.revisions,
+      heardAgoMs: {
+        operators: nowMs - this.#followers.operators.heardMonoMs,
+        upstreams: nowMs - this.#followers.upstreams.heardMonoMs,
+      },
+      fleet: this.fleet.dump(),
+    };
+  }
+
+  #adopt(matter: Matter, snapshot: Snapshot, from: string): void {
+    if (!this.#followers[matter].adopt(snapshot)) return;
+    this.#log.info("learnt from a peer", { matter, from, rev: snapshot.rev });
+  }
+
+  #operatorPut(entry: Entry): void {
+    const domain = evacuatedDomain(entry.key);
+    if (domain !== undefined) return this.#setEvacuated(domain, true, entry.rev);
+    if (entry.key !== CONFIG_KEY) return;
+    try {
+      const config = decodeConfig(entry.value);
+      // Versions only go up within a process, whatever a late answer or a peer says.
+      if (this.#config && config.version <= this.#config.version) return;
+      this.#config = config;
+      this.#log.info("config in force", {
+        configVersion: config.version,
+        rev: entry.rev,
+        routes: config.routes.length,
+      });
+    } catch (error) {
+      this.#log.error("config unreadable", { rev: entry.rev, reason: String(error) });
+    }
+  }
+
+  #operatorDelete(key: string): void {
+    const domain = evacuatedDomain(key);
+    if (domain !== undefined) this.#setEvacuated(domain, false, 0);
+  }
+
+  #setEvacuated(domain: string, evacuated: boolean, rev: number): void {
+    if (evacuated) this.#evacuated.add(domain);
+    else this.#evacuated.delete(domain);
+    this.fleet.setEvacuated(new Set(this.#evacuated));
+    this.#log.info(evacuated ? "evacuated" : "evacuation over", { failureDomain: domain, rev });
+  }
+
+  #upstreamPut(entry: Entry): void {
+    const id = upstreamId(entry.key);
+    this.#lapsed.delete(id);
+    try {
+      const record = decodeUpstream(id, entry.value);
+      const before = this.fleet.put(record, this.#clock.monoMs());
+      if (before?.key === record.key && before.state === record.state) return;
+      this.#log.info("upstream known", {
+        upstream: record.key,
+        service: record.service,
+        failureDomain: record.failureDomain,
+        state: record.state,
+        coldLeftMs: record.coldLeftMs,
+        rev: entry.rev,
+      });
+    } catch (error) {
+      this.fleet.delete(id);
+      this.#log.warn("upstream entry unreadable", { upstream: id, rev: entry.rev, reason: String(error) });
+    }
+  }
+
+  #upstreamDelete(key: string): void {
+    const id = upstreamId(key);
+    const sinceReturnMs = this.#clock.monoMs() - this.#followers.upstreams.recoveredMonoMs;
+    // A leaving upstream whose entry goes has left; only a ready one may have lapsed.
+    if (sinceReturnMs < RETURN_MS && this.fleet.get(id)?.state === "ready") {
+      this.#lapsed.set(id, this.#clock.monoMs() + RETURN_MS - sinceReturnMs);
+      return;
+    }
+    this.#forget(id, "entry gone");
+  }
+
+  #forget(id: string, reason: string): void {
+    const before = this.fleet.delete(id);
+    if (before) this.#log.info("upstream gone", { upstream: before.key, service: before.service, reason });
+  }
+
+  #sweep(): void {
+    const nowMs = this.#clock.monoMs();
+    for (const [id, untilMs] of this.#lapsed) {
+      if (nowMs < untilMs) continue;
+      this.#lapsed.delete(id);
+      this.#forget(id, "lapsed in an outage and not back");
+    }
+  }
+}
--- /dev/null
+++ b/src/gateway/connections.ts
@@ -0,0 +1,62 @@
+/**
+ * Kept connections to one upstream or VM.
+ *
+ * @module
+ */
+
+import { Agent, type AgentOptions } from "node:http";
+import type { Duplex } from "node:stream";
+import type { Socket } from "node:net";
+
+/** Idle connections are used no longer than this before the other side's own limit: a request that crosses its close is lost. */
+const MARGIN_MS = 1_200;
+/** Idle time where the other side names no limit. */
+const DEFAULT_IDLE_MS = 4_000;
+
+interface Answered {
+  readonly _httpMessage?: { readonly res?: { readonly headers: Record<string, string | undefined> } };
+}
+
+/** How long the other side keeps an idle connection, as its last answer says. */
+function namedIdleMs(socket: Duplex): number | undefined {
+  const text = (socket as unknown as Answered)._httpMessage?.res?.headers["keep-alive"];
+  const seconds = /timeout=(\d+)/.exec(text ?? "")?.[1];
+  return seconds === undefined ? undefined : Number(seconds) * 1000;
+}
+
+/**
+ * Bytes that arrive on an idle connection belong to no request: a second answer, or more of the last. The connection is
+ * closed at once, so that they are never read as the answer to the next request.
+ */
+function closeOnSurplus(this: Socket): void {
+  this.destroy();
+}
+
+/** An agent that keeps connections with the safeguards above. */
+export class Connections extends Agent {
+  readonly #defaultIdleMs: number;
+
+  constructor(options: AgentOptions & { readonly defaultIdleMs?: number }) {
+    super({ keepAlive: true, noDelay: true, scheduling: "lifo", ...options });
+    this.#defaultIdleMs = options.defaultIdleMs ?? DEFAULT_IDLE_MS;
+  }
+
+  /** Called by Node when a request ends; `false` closes the connection. */
+  override keepSocketAlive(socket: Duplex): void {
+    const idleMs = (namedIdleMs(socket) ?? this.#defaultIdleMs + MARGIN_MS) - MARGIN_MS;
+    const kept = idleMs > 0 && socket.readableLength === 0 &&
+      (super.keepSocketAlive(socket) as unknown as boolean);
+    if (kept) {
+      (socket as Socket).setTimeout(idleMs);
+      socket.on("data", closeOnSurplus);
+    }
+    return kept as unknown as void;
+  }
+
+  /** Called by Node when an idle connection is taken for a request. */
+  override reuseSocket(socket: Duplex, request: Parameters<Agent["reuseSocket"]>[1]): void {
+    socket.off("data", closeOnSurplus);
+    (socket as Socket).setTimeout(0);
+    super.reuseSocket(socket, request);
+  }
+}
--- /dev/null
+++ b/src/gateway/directory.ts
@@ -0,0 +1,88 @@
+/**
+ * Tells callers which VMs to use, and the platform whether this one is ready; serves the metrics page.
+ *
+ * @module
+ */
+
+import type { IncomingMessage, Server, ServerResponse } from "node:http";
+import { type Handlers, type Kernel, type Messages, Task } from "../kernel/mod.ts";
+import { decodeLookup, encodeLookup, LOOKUP_PATH, READY_PATH } from "../platform/mod.ts";
+import type { GatewayContext } from "./context.ts";
+import { closeServer, hostPort, listen } from "./listen.ts";
+
+/** How long an answer may be kept: two of the platform's own questions, and far below the time that leaving VMs serve on. */
+const KEEP_S = 2;
+/** Most addresses that callers take from an answer. */
+const MOST_ADDRESSES = 64;
+const METRICS_PATH = "/metrics";
+const BASE = "http://directory";
+
+/** See the module. */
+export class Directory extends Task {
+  readonly name = "directory";
+  readonly #context: GatewayContext;
+  readonly #servers: Server[] = [];
+  protected readonly handlers: Handlers<Messages> = {};
+
+  constructor(context: GatewayContext) {
+    super();
+    this.#context = context;
+  }
+
+  async start(kernel: Kernel): Promise<void> {
+    const { listen: addresses, vm } = this.#context.settings;
+    const respond = (request: IncomingMessage, response: ServerResponse) => this.#respond(request, response);
+    for (const address of new Set([addresses.directory, addresses.ready])) {
+      this.#servers.push(await listen(address, {}, respond));
+    }
+    try {
+      this.#servers.push(await listen(`${vm.ip}:${addresses.metrics}`, {}, respond));
+    } catch (error) {
+      kernel.log.warn("no metrics listener", { port: addresses.metrics, reason: String(error) });
+    }
+  }
+
+  async close(_deadlineMs: number): Promise<void> {
+    await Promise.all(this.#servers.map(closeServer));
+  }
+
+  dump(): unknown {
+    return { addresses: this.addresses(this.#context.settings.vm.region) };
+  }
+
+  /** Whether this VM takes requests. */
+  get isReady(): boolean {
+    return this.#context.beliefs.config !== undefined && !this.#context.isLeaving;
+  }
+
+  /**
+   * The VMs that callers of a region should use: those of the region, since bodies bound to a home may not pass through
+   * other regions; all others only if none of the region is there.
+   */
+  addresses(region: string): string[] {
+    const { settings, members } = this.#context;
+    const { port } = hostPort(settings.listen.callers);
+    const vms = members.alive().filter(({ beat }) => beat.ready && !beat.leaving)
+      .map(({ ip, region: vmRegion }) => ({ ip, region: vmRegion }));
+    if (this.isReady) vms.push({ ip: settings.vm.ip, region: settings.vm.region });
+    const near = vms.filter((vm) => vm.region === region);
+    const named = near.length > 0 ? near : vms;
+    return named.slice(0, MOST_ADDRESSES).map(({ ip }) => `${ip}:${port}`);
+  }
+
+  #respond(request: IncomingMessage, response: ServerResponse): void {
+    const url = new URL(request.url ?? "/", BASE);
+    if (url.pathname === READY_PATH) {
+      response.writeHead(this.isReady ? 200 : 503).end();
+    } else if (url.pathname === LOOKUP_PATH) {
+      const addresses = this.addresses(decodeLookup(url).region);
+      response.writeHead(addresses.length > 0 ? 200 : 503, { "content-type": "application/json" });
+      response.end(encodeLookup(addresses, KEEP_S));
+    } else if (url.pathname === METRICS_PATH) {
+      response.writeHead(200, { "content-type": "text/plain; version=0.0.4" });
+      response.end(this.#context.metrics.page());
+    } else {
+      response.writeHead(404).end();
+    }
+  }
+}
--- /dev/null
+++ b/src/gateway/exchange.ts
@@ -0,0 +1,79 @@
+/**
+ * One HTTP request to an upstream or another VM, and proof of whether any of it was sent.
+ *
+ * @module
+ */
+
+import { type Agent, type ClientRequest, type IncomingMessage, request } from "node:http";
+import type { Socket } from "node:net";
+import { err, ok, type Result } from "neverthrow";
+
+/** A request to be sent. */
+export interface ExchangeRequest {
+  readonly agent: Agent;
+  readonly host: string;
+  readonly port: number;
+  readonly method: string;
+  readonly target: string;
+  /** Names and values in turn; holds no header of one connection only. */
+  readonly headers: readonly string[];
+  /** Empty if there is none. */
+  readonly body: Buffer;
+  /** Time for a new connection, in ms. */
+  readonly connectWaitMs: number;
+}
+
+/** Why no answer came. `sent` says whether the other side can have got any of the request. */
+export interface ExchangeFailure {
+  readonly sent: boolean;
+  readonly reason: string;
+}
+
+/** Methods whose requests carry a length even when the body is empty. */
+const WITH_BODY = new Set(["POST", "PUT", "PATCH"]);
+
+/** See the module. */
+export class Exchange {
+  /** The head of the answer, or why there is none. */
+  readonly head: Promise<Result<IncomingMessage, ExchangeFailure>>;
+  readonly #request: ClientRequest;
+  #connected = false;
+
+  constructor(options: ExchangeRequest) {
+    const { agent, host, port, method, target, body } = options;
+    const headers = [...options.headers];
+    if (body.length > 0 || WITH_BODY.has(method)) {
+      headers.push("Content-Length", String(body.length));
+    }
+    this.#request = request({ agent, host, port, method, path: target, headers });
+    this.head = new Promise((resolve) => {
+      this.#request.on("socket", (socket) => this.#watchConnect(socket, options.connectWaitMs));
+      this.#request.on("response", (answer) => resolve(ok(answer)));
+      this.#request.on("error", (error) => resolve(err({ sent: this.#connected, reason: error.message })));
+      this.#request.on("close", () => resolve(err({ sent: this.#connected, reason: "closed" })));
+    });
+    this.#request.end(body);
+  }
+
+  /** Gives the request up and closes its connection, so that the other side stops working. */
+  cancel(reason: string): void {
+    this.#request.destroy(new Error(reason));
+  }
+
+  /**
+   * Bytes are held until the connection is made, so an attempt to connect that fails or takes too long has sent
+   * nothing. A dark machine answers no attempt; without the time limit the request would wait for the kernel's.
+   */
+  #watchConnect(socket: Socket, connectWaitMs: number): void {
+    if (!socket.connecting) {
+      this.#connected = true;
+      return;
+    }
+    const timer = setTimeout(() => this.cancel("connect timed out"), connectWaitMs);
+    socket.once("connect", () => {
+      this.#connected = true;
+      clearTimeout(timer);
+    });
+    socket.once("close", () => clearTimeout(timer));
+  }
+}
--- /dev/null
+++ b/src/gateway/front.ts
@@ -0,0 +1,168 @@
+/**
+ * The callers' listener, and the one on which other VMs hand requests over.
+ *
+ * @module
+ */
+
+import type { IncomingMessage, Server, ServerResponse } from "node:http";
+import { type Failure, failure } from "../base/mod.ts";
+import { type Handlers, type Kernel, type Messages, Task } from "../kernel/mod.ts";
+import { type CallerHead, decodeHead } from "../platform/mod.ts";
+import type { GatewayConfig, Route } from "../routing/mod.ts";
+import { Call } from "./call.ts";
+import type { GatewayContext } from "./context.ts";
+import { closeServer, listen } from "./listen.ts";
+import { CallerReply, PeerReply, RELAY_HEADERS, type Reply } from "./reply.ts";
+
+/** When to return to a VM without a configuration: it asks the store and other VMs several times a second. */
+const NO_CONFIG_RETURN_MS = 500;
+/** When to return if this VM holds too much: as long as a usual answer takes. */
+const FULL_RETURN_MS = 400;
+/** Largest head that is parsed at all; the configured limit, usually lower, is applied to what was parsed. */
+const MOST_HEAD_BYTES = 65_536;
+/** Descriptors kept free for files, listeners, the store and other VMs. */
+const SPARE_DESCRIPTORS = 600;
+/** An open request holds up to three connections: the caller's, the upstream's, one that is being replaced. */
+const DESCRIPTORS_PER_REQUEST = 3;
+/** Links between VMs are kept longer than the other side uses them idle. */
+const PEER_IDLE_MS = 60_000;
+/** How often timeouts of the listener are looked at. */
+const CHECK_MS = 500;
+
+function headBytes(request: IncomingMessage): number {
+  return request.rawHeaders.reduce((sum, text) => sum + text.length + 2, request.url?.length ?? 0);
+}
+
+/** Answers questions of other VMs that are not requests of callers; see `peer_rpc.ts`. */
+export interface PeerQuestions {
+  readonly path: string;
+  answer(request: IncomingMessage, response: ServerResponse): void;
+}
+
+/** See the module. */
+export class Front extends Task {
+  readonly name = "front";
+  readonly #context: GatewayContext;
+  readonly #questions: PeerQuestions;
+  protected readonly handlers: Handlers<Messages> = {};
+  #callers!: Server;
+  #peers!: Server;
+
+  constructor(context: GatewayContext, questions: PeerQuestions) {
+    super();
+    this.#context = context;
+    this.#questions = questions;
+  }
+
+  async start(_kernel: Kernel): Promise<void> {
+    const { listen: addresses } = this.#context.settings;
+    this.#callers = await listen(addresses.callers, {
+      maxHeaderSize: MOST_HEAD_BYTES,
+      connectionsCheckingInterval: CHECK_MS,
+      requestTimeout: 0,
+    }, (request, response) => this.#fromCaller(request, response));
+    this.#peers = await listen(addresses.peers, {
+      keepAliveTimeout: PEER_IDLE_MS,
+      maxHeaderSize: 2 * MOST_HEAD_BYTES,
+      requestTimeout: 0,
+    }, (request, response) => this.#fromPeer(request, response));
+  }
+
+  async close(_deadlineMs: number): Promise<void> {
+    await Promise.all([closeServer(this.#callers), closeServer(this.#peers)]);
+  }
+
+  dump(): unknown {
+    return { open: this.#context.open, leaving: this.#context.isLeaving };
+  }
+
+  /** Closes connections on which nothing is under way. */
+  closeIdle(): void {
+    this.#callers.closeIdleConnections();
+  }
+
+  /** Connections of callers. */
+  connections(): Promise<number> {
+    return new Promise((resolve) => this.#callers.getConnections((_, count) => resolve(count ?? 0)));
+  }
+
+  #fromCaller(request: IncomingMessage, response: ServerResponse): void {
+    const { clock, beliefs, settings } = this.#context;
+    const arrivedMs = clock.monoMs();
+    const head = decodeHead(request);
+    let call: Call | undefined;
+    const reply = new CallerReply(response, () => call?.cancel(), () => this.#context.isLeaving);
+    const { config } = beliefs;
+    if (!config) return this.#refuse(head, request, reply, failure("noTable"), NO_CONFIG_RETURN_MS);
+    this.#applyLimits(config);
+    if (headBytes(request) > config.limits.headerBytes) {
+      return this.#refuse(head, request, reply, failure("headersTooLarge"), 0);
+    }
+    const route = config.match(head.host, head.target);
+    if (!route) return this.#refuse(head, request, reply, failure("notFound"), 0);
+    const most = (settings.vm.mostDescriptors - SPARE_DESCRIPTORS) / DESCRIPTORS_PER_REQUEST;
+    if (this.#context.open >= most) {
+      return this.#refuse(head, request, reply, failure("queueFull"), FULL_RETURN_MS);
+    }
+    const waitMs = Math.min(head.waitMs ?? route.timeoutMs, route.timeoutMs);
+    call = this.#open(request, head, route, config, arrivedMs + waitMs, false, reply);
+  }
+
+  #fromPeer(request: IncomingMessage, response: ServerResponse): void {
+    if (request.url === this.#questions.path) return this.#questions.answer(request, response);
+    const { clock, beliefs } = this.#context;
+    const head = decodeHead(request);
+    let call: Call | undefined;
+    const reply = new PeerReply(response, () => call?.cancel());
+    const { config } = beliefs;
+    const route = config?.match(head.host, head.target);
+    // A VM that does not know the sender's configuration yet must not decide on an older one.
+    const isBehind = Number(request.headers[RELAY_HEADERS.configVersion]) > (config?.version ?? 0);
+    if (!config || !route || isBehind) {
+      return this.#refuse(head, request, reply, failure("noTable"), NO_CONFIG_RETURN_MS);
+    }
+    const waitMs = Number(request.headers[RELAY_HEADERS.waitMs]) || route.timeoutMs;
+    call = this.#open(request, head, route, config, clock.monoMs() + waitMs, true, reply);
+  }
+
+  #open(
+    request: IncomingMessage,
+    head: CallerHead,
+    route: Route,
+    config: GatewayConfig,
+    deadlineMonoMs: number,
+    relayed: boolean,
+    reply: Reply,
+  ): Call {
+    const call = new Call(this.#context, { request, head, route, config, deadlineMonoMs, relayed }, reply);
+    void call.run();
+    return call;
+  }
+
+  #refuse(
+    head: CallerHead,
+    request: IncomingMessage,
+    reply: Reply,
+    cause: Failure,
+    comeBackMs: number,
+  ): void {
+    request.resume();
+    this.#context.metrics.count("refused", `code="${cause.code}"`);
+    this.#context.log.warn("request", {
+      attempt: head.attemptId,
+      host: head.host,
+      target: head.target,
+      outcome: cause.code,
+      reason: cause.message,
+      comeBackMs,
+      configVersion: this.#context.beliefs.config?.version,
+    });
+    reply.fail(cause, comeBackMs);
+  }
+
+  /** The configuration may change what callers are allowed; new connections and requests follow it. */
+  #applyLimits({ limits }: GatewayConfig): void {
+    this.#callers.keepAliveTimeout = limits.idleMs;
+    this.#callers.headersTimeout = limits.headerWaitMs;
+  }
+}
--- /dev/null
+++ b/src/gateway/listen.ts
@@ -0,0 +1,40 @@
+/**
+ * Opens and closes HTTP listeners.
+ *
+ * @module
+ */
+
+import { createServer, type RequestListener, type Server, type ServerOptions } from "node:http";
+
+/** Splits `IP:PORT`. */
+export function hostPort(address: string): { host: string; port: number } {
+  const colon = address.lastIndexOf(":");
+  return { host: address.slice(0, colon), port: Number(address.slice(colon + 1)) };
+}
+
+/** Opens a listener; fails if the address is taken. */
+export async function listen(
+  address: string,
+  options: ServerOptions,
+  onRequest: RequestListener,
+): Promise<Server> {
+  const server = createServer({ noDelay: true, ...options }, onRequest);
+  const { host, port } = hostPort(address);
+  await new Promise<void>((resolve, reject) => {
+    server.once("error", reject);
+    // A burst of new connections beyond the queue is dropped and comes back only seconds later.
+    server.listen({ host, port, backlog: 1024 }, () => {
+      server.off("error", reject);
+      resolve();
+    });
+  });
+  return server;
+}
+
+/** Closes a listener and whatever is still open on it. */
+export async function closeServer(server: Server): Promise<void> {
+  await new Promise<void>((resolve) => {
+    server.close(() => resolve());
+    server.closeAllConnections();
+  });
+}
--- /dev/null
+++ b/src/gateway/metrics.ts
@@ -0,0 +1,56 @@
+/**
+ * Counters and latency histograms, as a Prometheus text page.
+ *
+ * @module
+ */
+
+import { build, type Histogram } from "hdr-histogram-js";
+
+/** Longest time told apart, in ms. */
+const MOST_MS = 60_000;
+const QUANTILES = [0.5, 0.95, 0.99];
+
+/** What is timed. */
+export type Timed = "first_byte" | "between_chunks" | "total" | "relay_first_byte";
+
+/** See the module. Names and labels are listed in docs/OPERATIONS.md. */
+export class GatewayMetrics {
+  readonly #counters = new Map<string, number>();
+  readonly #histograms = new Map<string, Histogram>();
+
+  /** Adds one to a counter; `labels` are Prometheus labels. */
+  count(name: string, labels: string): void {
+    const key = `ibisgap_${name}_total{${labels}}`;
+    this.#counters.set(key, (this.#counters.get(key) ?? 0) + 1);
+  }
+
+  /** Records a time. */
+  time(what: Timed, labels: string, ms: number): void {
+    const key = `${what}|${labels}`;
+    let histogram = this.#histograms.get(key);
+    if (!histogram) {
+      histogram = build({
+        lowestDiscernibleValue: 1,
+        highestTrackableValue: MOST_MS,
+        numberOfSignificantValueDigits: 2,
+      });
+      this.#histograms.set(key, histogram);
+    }
+    histogram.recordValue(Math.min(MOST_MS, Math.max(0, Math.round(ms))));
+  }
+
+  /** The page. */
+  page(): string {
+    const lines = [...this.#counters].map(([key, value]) => `${key} ${value}`);
+    for (const [key, histogram] of this.#histograms) {
+      const [what, labels] = key.split("|");
+      for (const quantile of QUANTILES) {
+        lines.push(
+          `ibisgap_${what}_ms{${labels},quantile="${quantile}"} ${histogram.getValueAtPercentile(quantile * 100)}`,
+        );
+      }
+      lines.push(`ibisgap_${what}_ms_count{${labels}} ${histogram.totalCount}`);
+    }
+    return lines.sort().join("\n") + "\n";
+  }
+}
--- /dev/null
+++ b/src/gateway/reply.ts
@@ -0,0 +1,140 @@
+/**
+ * Where the answer to a request goes: to the caller, or to the VM that handed the request over.
+ *
+ * @module
+ */
+
+import type { ServerResponse } from "node:http";
+import { type CodeName, codes, type Failure } from "../base/mod.ts";
+import { encodeFailure } from "../platform/mod.ts";
+
+/** See the module. A reply ends once: with an answer, a failure, or a broken connection. */
+export abstract class Reply {
+  protected readonly response: ServerResponse;
+  #gone = false;
+
+  constructor(response: ServerResponse, onGone: () => void) {
+    this.response = response;
+    response.sendDate = false;
+    response.on("close", () => {
+      if (response.writableFinished) return;
+      this.#gone = true;
+      onGone();
+    });
+    response.on("error", () => {});
+  }
+
+  /** Whether the other side left before its answer was whole. */
+  get isGone(): boolean {
+    return this.#gone;
+  }
+
+  /** Whether part of an answer is out, so that no other can follow. */
+  get isBegun(): boolean {
+    return this.response.headersSent;
+  }
+
+  /** Passes on an upstream's status and headers; `bodyBytes` is its length, if known. */
+  begin(status: number, headers: readonly string[], bodyBytes: number | undefined): void {
+    const all = bodyBytes === undefined ? [...headers] : [...headers, "Content-Length", String(bodyBytes)];
+    if (this.closes) all.push("Connection", "close");
+    this.response.writeHead(status, all);
+  }
+
+  /** Passes bytes on; `false` means that the other side reads too slowly: wait for {@link Reply.onDrain}. */
+  write(chunk: Buffer): boolean {
+    return this.response.write(chunk);
+  }
+
+  onDrain(run: () => void): void {
+    this.response.once("drain", run);
+  }
+
+  /** The answer is whole. */
+  end(): void {
+    this.response.end();
+  }
+
+  /** The answer cannot become whole: the connection breaks, so that it does not look complete. */
+  breakOff(): void {
+    this.response.destroy();
+  }
+
+  /** Answers with a failure of our own. */
+  abstract fail(failure: Failure, comeBackMs: number): void;
+
+  /** Whether the connection is closed after this answer. */
+  protected abstract readonly closes: boolean;
+}
+
+/** A reply to a caller. */
+export class CallerReply extends Reply {
+  readonly #isLeaving: () => boolean;
+
+  constructor(response: ServerResponse, onGone: () => void, isLeaving: () => boolean) {
+    super(response, onGone);
+    this.#isLeaving = isLeaving;
+  }
+
+  protected get closes(): boolean {
+    return this.#isLeaving();
+  }
+
+  fail(failure: Failure, comeBackMs: number): void {
+    const { status, headers, body } = encodeFailure(failure, comeBackMs);
+    if (this.closes) headers.push("Connection", "close");
+    this.response.writeHead(status, headers);
+    this.response.end(body);
+  }
+}
+
+/** Our own headers between VMs; a caller's of these names are not read. */
+export const RELAY_HEADERS = {
+  /** How long the request may still take, in ms. */
+  waitMs: "ibisgap-wait-ms",
+  /** The configuration that the sender decided on. */
+  configVersion: "ibisgap-config",
+  /** Result code of a failure of the answering VM; absent on upstreams' answers. */
+  code: "ibisgap-code",
+  /** Whether the request can have run. */
+  ran: "ibisgap-ran",
+  /** When to come back, in ms. */
+  comeBackMs: "ibisgap-come-back-ms",
+} as const;
+
+/** A reply to another VM, which answers its caller. */
+export class PeerReply extends Reply {
+  protected readonly closes = false;
+
+  fail(failure: Failure, comeBackMs: number): void {
+    this.response.writeHead(codes[failure.code].httpStatus, [
+      RELAY_HEADERS.code,
+      failure.code,
+      RELAY_HEADERS.ran,
+      failure.ran,
+      RELAY_HEADERS.comeBackMs,
+      String(comeBackMs),
+      "Content-Length",
+      "0",
+    ]);
+    this.response.end();
+  }
+}
+
+/** Reads a failure that another VM answered with; `undefined` if it passed an upstream's answer on. */
+export function decodePeerFailure(
+  headers: Readonly<Record<string, string | string[] | undefined>>,
+): { readonly failure: Failure; readonly comeBackMs: number } | undefined {
+  const code = headers[RELAY_HEADERS.code];
+  if (typeof code !== "string") return undefined;
+  const known = code in codes ? code as CodeName : "internal";
+  const ran = headers[RELAY_HEADERS.ran];
+  return {
+    failure: {
+      code: known,
+      ran: ran === "no" || ran === "yes" ? ran : "unknown",
+      message: codes[known].text,
+    },
+    comeBackMs: Number(headers[RELAY_HEADERS.comeBackMs]) || 0,
+  };
+}
--- /dev/null
+++ b/src/gateway/settings.ts
@@ -0,0 +1,77 @@
+/**
+ * The gateway's settings: one JSON file, checked field by field.
+ *
+ * @module
+ */
+
+import { err, ok, type Result } from "neverthrow";
+import * as z from "zod/mini";
+
+const text = z.string().check(z.minLength(1));
+const address = z.string().check(z.regex(/^[0-9.]+:[0-9]{1,5}$/, "must be IP:PORT"));
+const port = z.int().check(z.minimum(1), z.maximum(65_535));
+const count = z.number().check(z.minimum(0));
+
+const schema = z.object({
+  vm: z.object({
+    id: text,
+    /** Where other VMs and callers reach this one. */
+    ip: text,
+    region: text,
+    failureDomain: text,
+    /** Memory that the process may take. */
+    memoryMb: count,
+    mostDescriptors: count,
+  }),
+  listen: z.object({
+    callers: address,
+    ready: address,
+    directory: address,
+    /** HTTP between VMs: relayed requests and questions. */
+    peers: address,
+    /** UDP between VMs: heartbeats. */
+    beats: port,
+    metrics: port,
+  }),
+  /** Addresses of some VMs' `peers` listeners; may be stale. */
+  seeds: z._default(z.array(address), []),
+  /** Region of each failure domain. */
+  failureDomains: z.record(z.string(), text),
+  store: z.object({ address, leastLeaseMs: count }),
+  bounds: z.object({
+    /** From the signal to stop until the process is killed. */
+    graceMs: count,
+    /** How long a fault may be over before a VM must be up to date again. */
+    contactMs: count,
+    repeatRatio: count,
+    repeatSlack: count,
+    repeatWindowMs: count,
+  }),
+});
+
+/** See the module. */
+export type GatewaySettings = z.infer<typeof schema>;
+
+/** What is wrong with one field. */
+export interface SettingsProblem {
+  readonly field: string;
+  readonly message: string;
+}
+
+/** Checks settings; unknown fields are ignored, since newer platforms may add some. */
+export function parseGatewaySettings(
+  json: string,
+): Result<GatewaySettings, SettingsProblem[]> {
+  let value: unknown;
+  try {
+    value = JSON.parse(json);
+  } catch (error) {
+    return err([{ field: "(file)", message: `not JSON: ${(error as Error).message}` }]);
+  }
+  const parsed = schema.safeParse(value);
+  if (parsed.success) return ok(parsed.data);
+  return err(parsed.error.issues.map((issue) => ({
+    field: issue.path.join(".") || "(file)",
+    message: issue.message,
+  })));
+}
--- a/src/kernel/kernel.ts
+++ b/src/kernel/kernel.ts
@@ -4,8 +4,8 @@
  * @module
  */
 
-import type { Logger } from "winston";
 import type { Clock } from "../base/mod.ts";
+import type { Log } from "./log.ts";
 import type { Messages, Port, Task } from "./task.ts";
 
 /** A {@link Task} whatever its messages are. */
@@ -14,10 +14,10 @@
 /** Holds the daemon's services; see {@link Task}. */
 export class Kernel {
   readonly clock: Clock;
-  readonly log: Logger;
+  readonly log: Log;
   readonly #tasks = new Map<string, AnyTask>();
 
-  constructor(clock: Clock, log: Logger) {
+  constructor(clock: Clock, log: Log) {
     this.clock = clock;
     this.log = log;
   }
--- /dev/null
+++ b/src/platform/config.ts
@@ -0,0 +1,114 @@
+/**
+ * The operators' configuration as the platform stores it, decoded into the rows that requests are routed by.
+ *
+ * @module
+ */
+
+import {
+  type CallerLimits,
+  type EngineShape,
+  GatewayConfig,
+  type Route,
+  type RouteKind,
+  type ServiceRow,
+} from "../routing/mod.ts";
+import { numberField, parseRecord, textField, UnreadableRecord } from "./keys.ts";
+
+type Fields = Record<string, unknown>;
+
+/** Applies where the configuration leaves a limit out; the platform's own first configuration holds the same. */
+const DEFAULT_LIMITS: CallerLimits = {
+  headerBytes: 16_384,
+  bodyBytes: 4_194_304,
+  headerWaitMs: 3_000,
+  idleMs: 15_000,
+};
+
+function objects(record: Fields, name: string): Fields[] {
+  const list = record[name];
+  if (!Array.isArray(list)) throw new UnreadableRecord(`${name} is not a list`);
+  return list.map((item) => {
+    if (typeof item !== "object" || item === null) {
+      throw new UnreadableRecord(`${name} holds something else than objects`);
+    }
+    return item as Fields;
+  });
+}
+
+function routeKind(route: Fields): RouteKind {
+  const { kind } = route;
+  if (kind === "safe") return "idempotent";
+  if (kind === "streaming") return "stream";
+  // An unknown kind gets the strictest treatment: it may run at most once.
+  return "atMostOnce";
+}
+
+function decodeTargets(route: Fields): Route["targets"] {
+  if (route.split === undefined) {
+    return [{ service: textField(route, "service"), weight: 1 }];
+  }
+  return objects(route, "split").map((part) => ({
+    service: textField(part, "service"),
+    weight: numberField(part, "weight", 1),
+  }));
+}
+
+function decodeRoute(route: Fields): Route {
+  const homes = route.home_regions;
+  return {
+    name: textField(route, "name"),
+    host: textField(route, "host").toLowerCase(),
+    pathPrefix: textField(route, "path_prefix"),
+    kind: routeKind(route),
+    resumable: route.resumable === true,
+    targets: decodeTargets(route),
+    timeoutMs: numberField(route, "timeout_ms", 10_000),
+    objectiveMs: numberField(route, "slo_ms", 1_000),
+    eventGapMs: numberField(route, "gap_target_ms", 0),
+    priority: numberField(route, "priority", 5),
+    mostUpstreams: Math.max(1, numberField(route, "max_attempts", 1)),
+    homeRegions: Array.isArray(homes)
+      ? homes.filter((home) => typeof home === "string")
+      : [],
+  };
+}
+
+function decodeEngine(service: Fields): EngineShape | undefined {
+  const { engine } = service;
+  if (typeof engine !== "object" || engine === null) return undefined;
+  return {
+    slots: numberField(engine as Fields, "slots", 1),
+    memoryTokens: numberField(engine as Fields, "kv_capacity", 0),
+  };
+}
+
+function decodeService(service: Fields): ServiceRow {
+  return {
+    name: textField(service, "name"),
+    mostConnections: numberField(service, "max_conns", 64),
+    coldMs: numberField(service, "cold_s", 0) * 1000,
+    coldPerS: numberField(service, "cold_rate_s", 0),
+    engine: decodeEngine(service),
+  };
+}
+
+function decodeLimits(record: Fields): CallerLimits {
+  const limits = (record.limits ?? {}) as Fields;
+  return {
+    headerBytes: numberField(limits, "max_header_bytes", DEFAULT_LIMITS.headerBytes),
+    bodyBytes: numberField(limits, "max_body_bytes", DEFAULT_LIMITS.bodyBytes),
+    headerWaitMs: numberField(limits, "header_timeout_ms", DEFAULT_LIMITS.headerWaitMs),
+    idleMs: numberField(limits, "idle_timeout_ms", DEFAULT_LIMITS.idleMs),
+  };
+}
+
+/** Decodes the stored configuration. Throws {@link UnreadableRecord}; unknown fields are ignored. */
+export function decodeConfig(text: string): GatewayConfig {
+  const record = parseRecord(text);
+  return new GatewayConfig(
+    numberField(record, "version"),
+    objects(record, "routes").map(decodeRoute),
+    objects(record, "services").map(decodeService),
+    decodeLimits(record),
+  );
+}
--- /dev/null
+++ b/src/platform/mod.ts
@@ -0,0 +1,12 @@
+/**
+ * The users' platform: its names, formats and calls. Nothing here decides.
+ *
+ * @module
+ */
+
+export * from "./callers.ts";
+export * from "./config.ts";
+export * from "./keys.ts";
+export * from "./store.ts";
+export * from "./upstream_entry.ts";
+export * from "./upstream_wire.ts";
--- /dev/null
+++ b/src/platform/store.ts
@@ -0,0 +1,325 @@
+/**
+ * The platform's key-value service over HTTP.
+ *
+ * @module
+ */
+
+import { Agent, type IncomingMessage, request } from "node:http";
+import { err, ok, type Result } from "neverthrow";
+import {
+  type Entry,
+  KeyValue,
+  type Listing,
+  type PutOptions,
+  type StoreError,
+  type StorePurpose,
+  type Watch,
+  type WatchEvent,
+  type Write,
+} from "../adapters/key_value.ts";
+import { isNotSent } from "../adapters/not_sent.ts";
+
+/** A call without an answer by then counts as lost: sixty times the store's usual 4 ms, eight times over. */
+const CALL_WAIT_MS = 2_000;
+/** How long one question for changes may wait at the store; short, so that a silent connection is found soon. */
+const WATCH_WAIT_MS = 3_000;
+/** Connections kept; more calls at once wait their turn. */
+const MOST_CONNECTIONS = 6;
+/** Pause after a failed question for changes. */
+const WATCH_RETRY_MS = 250;
+
+/** Changes after a revision. */
+export interface Changes {
+  readonly events: readonly WatchEvent[];
+  /** Ask on from here. */
+  readonly rev: number;
+}
+
+/** A failed question for changes; `compacted` means that the history is gone and all must be listed anew. */
+export type ChangesError = StoreError | {
+  readonly kind: "compacted";
+  readonly message: string;
+};
+
+interface Answer {
+  readonly status: number;
+  // deno-lint-ignore no-explicit-any -- the platform's JSON; each caller checks the fields that it takes.
+  readonly body: any;
+}
+
+type Method = "GET" | "POST" | "DELETE";
+
+function readBody(answer: IncomingMessage): Promise<string> {
+  return new Promise((resolve, reject) => {
+    const chunks: Buffer[] = [];
+    answer.on("data", (chunk: Buffer) => chunks.push(chunk));
+    answer.on("end", () => resolve(Buffer.concat(chunks).toString("utf8")));
+    answer.on("error", reject);
+    answer.on("aborted", () => reject(new Error("answer broke off")));
+  });
+}
+
+function encode(value: string): string {
+  return Buffer.from(value, "utf8").toString("base64");
+}
+
+// deno-lint-ignore no-explicit-any -- one item of the platform's JSON
+function decodeEntry(item: any): Entry | undefined {
+  if (typeof item?.key !== "string" || typeof item.value !== "string") return undefined;
+  return {
+    key: item.key,
+    value: Buffer.from(item.value, "base64").toString("utf8"),
+    rev: Number(item.revision),
+  };
+}
+
+// deno-lint-ignore no-explicit-any -- one event of the platform's JSON
+function decodeEvent(item: any): WatchEvent | undefined {
+  if (item?.deleted) {
+    return { type: "delete", key: String(item.key), rev: Number(item.revision) };
+  }
+  const entry = decodeEntry(item);
+  return entry && { type: "put", entry };
+}
+
+function failure(kind: "unavailable" | "lost" | "limited" | "leaseGone", message: string): StoreError {
+  return { kind, message };
+}
+
+/** The platform's store. `address` is `IP:PORT`. */
+export class PlatformKeyValue extends KeyValue {
+  readonly #host: string;
+  readonly #port: number;
+  readonly #agent = new Agent({ keepAlive: true, maxSockets: MOST_CONNECTIONS, scheduling: "lifo" });
+  readonly #counts: Record<StorePurpose, number> = {
+    table: 0,
+    claims: 0,
+    fencing: 0,
+    membership: 0,
+    other: 0,
+  };
+
+  constructor(address: string) {
+    super();
+    const colon = address.lastIndexOf(":");
+    this.#host = address.slice(0, colon);
+    this.#port = Number(address.slice(colon + 1));
+  }
+
+  async get(key: string, purpose: StorePurpose) {
+    const answer = await this.#call("GET", `/api/kv-key?key=${encodeURIComponent(key)}`, undefined, purpose);
+    if (answer.isErr()) return err(answer.error);
+    if (answer.value.status === 404) return ok(undefined);
+    return this.#expectOk(answer.value).map((body) => decodeEntry(body));
+  }
+
+  async list(
+    prefix: string,
+    options: { readonly fromKey?: string; readonly limit?: number },
+    purpose: StorePurpose,
+  ): Promise<Result<Listing, StoreError>> {
+    const entries: Entry[] = [];
+    const limit = options.limit ?? Infinity;
+    let rev: number | undefined;
+    let after: string | undefined;
+    for (;;) {
+      const page = await this.#page(prefix, after, purpose);
+      if (page.isErr()) return err(page.error);
+      // Pages are no snapshot: watching from the first page's revision repeats what changed between the pages.
+      rev ??= page.value.rev;
+      const fromKey = options.fromKey ?? "";
+      entries.push(...page.value.entries.filter(({ key }) => key >= fromKey));
+      after = page.value.lastKey;
+      if (entries.length > limit) {
+        return ok({ entries: entries.slice(0, limit), rev, more: true });
+      }
+      if (!page.value.more || after === undefined) {
+        return ok({ entries, rev, more: false });
+      }
+    }
+  }
+
+  /** Changes under `prefix` after `afterRev`; waits at the store until there are any, up to `waitMs`. */
+  async changes(
+    prefix: string,
+    afterRev: number,
+    waitMs: number,
+    purpose: StorePurpose,
+  ): Promise<Result<Changes, ChangesError>> {
+    const path = `/api/kv-watch?path_prefix=${encodeURIComponent(prefix)}` +
+      `&after=${afterRev}&wait_ms=${Math.round(waitMs)}`;
+    const answer = await this.#call("GET", path, undefined, purpose, waitMs);
+    if (answer.isErr()) return err(answer.error);
+    if (answer.value.status === 410) {
+      return err({ kind: "compacted", message: "history is gone" });
+    }
+    return this.#expectOk(answer.value).map((body) => ({
+      events: (Array.isArray(body.events) ? body.events : [])
+        .map(decodeEvent).filter((event: WatchEvent | undefined) => event !== undefined),
+      rev: Math.max(afterRev, Number(body.current_rev) || 0),
+    }));
+  }
+
+  async put(key: string, value: string, options: PutOptions, purpose: StorePurpose) {
+    return await this.#transact(
+      options.ifRev === undefined ? [] : [{ key, revision: options.ifRev }],
+      [{ key, value: encode(value), lease: Number(options.leaseId ?? 0) }],
+      [],
+      purpose,
+    );
+  }
+
+  async transact(writes: readonly Write[], purpose: StorePurpose) {
+    return await this.#transact(
+      writes.filter(({ ifRev }) => ifRev !== undefined)
+        .map(({ key, ifRev }) => ({ key, revision: ifRev! })),
+      writes.flatMap((write) =>
+        write.type === "put" ? [{ key: write.key, value: encode(write.value), lease: 0 }] : []
+      ),
+      writes.filter(({ type }) => type === "delete").map(({ key }) => key),
+      purpose,
+    );
+  }
+
+  async grant(ttlMs: number, purpose: StorePurpose) {
+    const answer = await this.#call("POST", "/api/kv-lease", { ttl_ms: Math.round(ttlMs) }, purpose);
+    if (answer.isErr()) return err(answer.error);
+    return this.#expectOk(answer.value).map((body) => String(body.lease));
+  }
+
+  async keepAlive(leaseId: string, purpose: StorePurpose): Promise<Result<void, StoreError>> {
+    const answer = await this.#call("POST", `/api/kv-keep/${leaseId}`, undefined, purpose);
+    if (answer.isErr()) return err(answer.error);
+    if (answer.value.status === 404) return err(failure("leaseGone", "the lease has ended"));
+    return this.#expectOk(answer.value).map(() => undefined);
+  }
+
+  async revoke(leaseId: string, purpose: StorePurpose): Promise<Result<void, StoreError>> {
+    const answer = await this.#call("DELETE", `/api/kv-lease-end/${leaseId}`, undefined, purpose);
+    if (answer.isErr()) return err(answer.error);
+    if (answer.value.status === 404) return ok(undefined);
+    return this.#expectOk(answer.value).map(() => undefined);
+  }
+
+  watch(
+    prefix: string,
+    fromRev: number,
+    onEvent: (event: WatchEvent) => void,
+    purpose: StorePurpose,
+  ): Watch {
+    let open = true;
+    const run = async () => {
+      let afterRev = fromRev - 1;
+      while (open) {
+        const changes = await this.changes(prefix, afterRev, WATCH_WAIT_MS, purpose);
+        if (!open) return;
+        if (changes.isOk()) {
+          afterRev = changes.value.rev;
+          for (const event of changes.value.events) onEvent(event);
+        } else if (changes.error.kind === "compacted") {
+          onEvent({ type: "lost", message: changes.error.message });
+          return;
+        } else {
+          await new Promise((resolve) => setTimeout(resolve, WATCH_RETRY_MS));
+        }
+      }
+    };
+    void run();
+    return { close: () => void (open = false) };
+  }
+
+  counts(): Readonly<Record<StorePurpose, number>> {
+    return { ...this.#counts };
+  }
+
+  close(): Promise<void> {
+    this.#agent.destroy();
+    return Promise.resolve();
+  }
+
+  async #page(prefix: string, after: string | undefined, purpose: StorePurpose) {
+    const path = `/api/kv-range?path_prefix=${encodeURIComponent(prefix)}` +
+      (after === undefined ? "" : `&after=${encodeURIComponent(after)}`);
+    const answer = await this.#call("GET", path, undefined, purpose);
+    if (answer.isErr()) return err(answer.error);
+    return this.#expectOk(answer.value).map((body) => {
+      const items: unknown[] = Array.isArray(body.items) ? body.items : [];
+      return {
+        entries: items.map(decodeEntry).filter((entry) => entry !== undefined),
+        lastKey: (items.at(-1) as { key?: string } | undefined)?.key,
+        more: body.more_pages === true,
+        rev: Number(body.current_rev) || 0,
+      };
+    });
+  }
+
+  async #transact(
+    precondition: readonly { key: string; revision: number }[],
+    writes: readonly { key: string; value: string; lease: number }[],
+    remove: readonly string[],
+    purpose: StorePurpose,
+  ): Promise<Result<number, StoreError>> {
+    const answer = await this.#call("POST", "/api/kv-txn", { precondition, writes, remove }, purpose);
+    if (answer.isErr()) return err(answer.error);
+    const { status, body } = answer.value;
+    if (status === 412) {
+      const items: unknown[] = Array.isArray(body?.items) ? body.items : [];
+      return err({
+        kind: "conflict",
+        message: "the precondition does not hold",
+        current: items.map(decodeEntry).find((entry) => entry !== undefined),
+      });
+    }
+    if (status === 404) return err(failure("leaseGone", "there is no such lease"));
+    return this.#expectOk(answer.value).map((value) => Number(value.revision));
+  }
+
+  // deno-lint-ignore no-explicit-any -- the platform's JSON
+  #expectOk({ status, body }: Answer): Result<any, StoreError> {
+    if (status === 200) return ok(body);
+    if (status === 429) return err(failure("limited", "the store's rate limit"));
+    if (status === 413) return err({ kind: "tooLarge", message: "the value is too large" });
+    return err(failure("unavailable", `the store answered ${status}`));
+  }
+
+  #call(
+    method: Method,
+    path: string,
+    body: unknown,
+    purpose: StorePurpose,
+    extraWaitMs = 0,
+  ): Promise<Result<Answer, StoreError>> {
+    this.#counts[purpose]++;
+    const payload = body === undefined ? undefined : JSON.stringify(body);
+    return new Promise((resolve) => {
+      const call = request({
+        host: this.#host,
+        port: this.#port,
+        method,
+        path,
+        agent: this.#agent,
+        headers: payload === undefined ? {} : {
+          "content-type": "application/json",
+          "content-length": Buffer.byteLength(payload),
+        },
+      });
+      // A connection may go silent for good; only this deadline shows it.
+      const timer = setTimeout(
+        () => call.destroy(new Error("no answer in time")),
+        CALL_WAIT_MS + extraWaitMs,
+      );
+      const fail = (error: unknown) => {
+        clearTimeout(timer);
+        resolve(err(failure(isNotSent(error) ? "unavailable" : "lost", String(error))));
+      };
+      call.on("error", fail);
+      call.on("response", (answer) => {
+        readBody(answer).then((text) => {
+          clearTimeout(timer);
+          resolve(ok({ status: answer.statusCode ?? 0, body: text ? JSON.parse(text) : {} }));
+        }).catch(fail);
+      });
+      call.end(payload);
+    });
+  }
+}
--- /dev/null
+++ b/src/routing/budget.ts
@@ -0,0 +1,75 @@
+/**
+ * The budget of repeated sends, which all VMs share.
+ *
+ * @module
+ */
+
+/** Bounds of the budget, for all VMs together. */
+export interface RepeatBounds {
+  /** Repeats per request of the service. */
+  readonly ratio: number;
+  /** Repeats beyond that in each window. */
+  readonly slack: number;
+  readonly windowMs: number;
+}
+
+/** Seconds are counted in one bucket each: a finer split costs memory and gains nothing at ten-second windows. */
+const BUCKET_MS = 1_000;
+/**
+ * The share of the bound that is used. VMs see each other come and go at different moments, so two may count the same
+ * part as theirs; a quarter is kept for that.
+ */
+const USED_SHARE = 0.75;
+
+interface Bucket {
+  readonly startMs: number;
+  requests: number;
+  repeats: number;
+}
+
+/**
+ * This VM's part of one service's budget. Without it, repeats of requests that fail for overload add load and keep the
+ * overload going. Each VM uses the ratio on its own requests and an equal part of the slack, so no message is needed
+ * and the sum over all VMs stays below the bound.
+ */
+export class RepeatBudget {
+  readonly #bounds: RepeatBounds;
+  readonly #buckets: Bucket[] = [];
+
+  constructor(bounds: RepeatBounds) {
+    this.#bounds = bounds;
+  }
+
+  /** Counts a request's first send. */
+  countRequest(nowMs: number): void {
+    this.#bucket(nowMs).requests++;
+  }
+
+  /** Takes one repeat if there is one left; `vms` is how many VMs share the slack. */
+  tryTake(nowMs: number, vms: number): boolean {
+    const bucket = this.#bucket(nowMs);
+    const { ratio, slack } = this.#bounds;
+    let requests = 0;
+    let repeats = 0;
+    for (const held of this.#buckets) {
+      requests += held.requests;
+      repeats += held.repeats;
+    }
+    const allowed = USED_SHARE * (ratio * requests + slack / Math.max(1, vms));
+    if (repeats + 1 > allowed) return false;
+    bucket.repeats++;
+    return true;
+  }
+
+  #bucket(nowMs: number): Bucket {
+    const startMs = Math.floor(nowMs / BUCKET_MS) * BUCKET_MS;
+    while (this.#buckets.length > 0 && this.#buckets[0].startMs <= startMs - this.#bounds.windowMs) {
+      this.#buckets.shift();
+    }
+    const last = this.#buckets.at(-1);
+    if (last && last.startMs >= startMs) return last;
+    const fresh = { startMs, requests: 0, repeats: 0 };
+    this.#buckets.push(fresh);
+    return fresh;
+  }
+}
--- /dev/null
+++ b/src/routing/mod.ts
@@ -0,0 +1,14 @@
+/**
+ * Decisions on a request at the gateway: its route, where it runs, when it is sent again. Free of I/O.
+ *
+ * @module
+ */
+
+export * from "./config.ts";
+export * from "./budget.ts";
+export * from "./cold.ts";
+export * from "./fleet.ts";
+export * from "./place.ts";
+export * from "./step.ts";
+export * from "./health.ts";
+export * from "./types.ts";
--- /dev/null
+++ b/src/routing/step.ts
@@ -0,0 +1,150 @@
+/**
+ * What to do next with a request: send it, hand it to another region, wait a moment, or refuse it.
+ *
+ * @module
+ */
+
+import { type Candidate, hasRoom, rank } from "./place.ts";
+
+/** An upstream that a request could be sent to now. */
+export interface StepCandidate extends Candidate {
+  /** Whether it may be sent a request in this very moment, as far as its cold start allows. */
+  readonly paced: boolean;
+  /** Whether a connection to it was lost a moment ago. */
+  readonly aside: boolean;
+}
+
+/** Another region that may serve the request, and can be reached. */
+export interface RegionRoom {
+  readonly region: string;
+  /** Places free for the request's service, as the region said last. */
+  readonly free: number;
+}
+
+/** What a step is decided on. */
+export interface StepInput<C extends StepCandidate> {
+  readonly nowMs: number;
+  readonly arrivedMs: number;
+  readonly deadlineMs: number;
+  readonly objectiveMs: number;
+  /** Upstreams of this region that were not tried yet; empty if this region may not serve the request. */
+  readonly candidates: readonly C[];
+  /** Other regions that may serve it; empty if it was handed over already. */
+  readonly regions: readonly RegionRoom[];
+  readonly affinity: string | undefined;
+  /** A number in [0, 1) that spreads hand-overs and returns. */
+  readonly draw: number;
+}
+
+/** See the module. */
+export type Step<C> =
+  | { readonly type: "send"; readonly candidate: C }
+  | { readonly type: "relay"; readonly region: string }
+  | { readonly type: "wait"; readonly untilMs: number }
+  | {
+    readonly type: "refuse";
+    readonly reason: "expired" | "noUpstream" | "overloaded";
+    readonly comeBackMs: number;
+  };
+
+/** Below this much time left nothing can still be answered: an engine's first step alone takes longer. */
+export const LEAST_WORK_MS = 25;
+/** A hand-over costs the link both ways and a new connection at worst: 80 ms each way, three ways. */
+export const RELAY_MS = 240;
+/**
+ * Share of the objective that a request may wait here for a place. Held longer, a refusal comes late: the caller
+ * could have come back elsewhere in that time.
+ */
+const WAIT_SHARE = 0.125;
+/** How often a waiting request looks again; an engine's busy step takes about as long. */
+const LOOK_AGAIN_MS = 15;
+/**
+ * Requests that an upstream may hold over its slots. Its own queue starts the next one in the step in which one ends,
+ * sooner than any message of ours; beyond twice its slots the wait exceeds the objective of the plain services.
+ */
+const OVERCOMMIT = 3;
+/** Prompt tokens waiting at an engine beyond which more would start after their objective: a second's reading. */
+const MOST_BACKLOG_TOKENS = 100_000;
+/** When to return to an overloaded service: about as long as its queue takes to run empty. */
+const OVERLOAD_RETURN_MS = 400;
+/** When to return to a service without upstreams: as long as a lost one needs to be found gone or to be back. */
+const ABSENT_RETURN_MS = 1_000;
+
+/** Whether a candidate may take a request although it must wait there. */
+function mayQueue(candidate: StepCandidate): boolean {
+  return candidate.running < candidate.slots * OVERCOMMIT &&
+    candidate.waitingTokens < MOST_BACKLOG_TOKENS;
+}
+
+/** Spreads returns over half to one and a half times `ms`, so that those refused together do not return together. */
+function spread(ms: number, draw: number): number {
+  return Math.round(ms * (0.5 + draw));
+}
+
+function pickRegion(regions: readonly RegionRoom[], draw: number): string | undefined {
+  const open = regions.filter(({ free }) => free > 0);
+  const total = open.reduce((sum, { free }) => sum + free, 0);
+  let at = draw * total;
+  for (const { region, free } of open) {
+    if (at < free) return region;
+    at -= free;
+  }
+  return open.at(-1)?.region;
+}
+
+/**
+ * The next step of a request. Made for a region at its peak while others sleep, or whose upstreams are gone: home places
+ * come first, as they know the prompts; then places that are free elsewhere, which beats queueing here while the link
+ * still leaves time; then the queues of the upstreams here, as far as they start in time. What fits nowhere is refused
+ * at once with a time to come back, so the caller loses nothing by waiting here.
+ */
+export function nextStep<C extends StepCandidate>(input: StepInput<C>): Step<C> {
+  const { nowMs, deadlineMs, arrivedMs, objectiveMs, draw } = input;
+  const leftMs = deadlineMs - nowMs;
+  if (leftMs < LEAST_WORK_MS) return { type: "refuse", reason: "expired", comeBackMs: 0 };
+  const usable = input.candidates.filter(({ aside, paced }) => !aside && paced);
+  const best = rank(usable, input.affinity);
+  if (best.length > 0 && hasRoom(best[0])) return { type: "send", candidate: best[0] };
+  const region = leftMs > RELAY_MS ? pickRegion(input.regions, draw) : undefined;
+  if (region !== undefined) return { type: "relay", region };
+  const queued = best.find(mayQueue);
+  if (queued) return { type: "send", candidate: queued };
+  // All that is left was lost a moment ago: a connection that fails has sent nothing, so trying costs little.
+  const lost = rank(input.candidates.filter(({ aside, paced }) => aside && paced), input.affinity);
+  if (best.length === 0 && lost.length > 0) return { type: "send", candidate: lost[0] };
+  const waitEndMs = Math.min(arrivedMs + objectiveMs * WAIT_SHARE, deadlineMs - LEAST_WORK_MS);
+  if (nowMs < waitEndMs) return { type: "wait", untilMs: Math.min(waitEndMs, nowMs + LOOK_AGAIN_MS) };
+  return input.candidates.length === 0
+    ? { type: "refuse", reason: "noUpstream", comeBackMs: spread(ABSENT_RETURN_MS, draw) }
+    : { type: "refuse", reason: "overloaded", comeBackMs: spread(OVERLOAD_RETURN_MS, draw) };
+}
+
+/** What is known after a send that brought no answer to pass on. */
+export interface SendAgain {
+  /** Whether the request may run more than once. */
+  readonly repeatable: boolean;
+  /** Whether the failed send can have run. */
+  readonly mayHaveRun: boolean;
+  /** Upstreams that got the request so far. */
+  readonly sends: number;
+  readonly mostUpstreams: number;
+}
+
+/** Whether a request may be sent to another upstream, budget aside. */
+export function maySendAgain({ repeatable, mayHaveRun, sends, mostUpstreams }: SendAgain): boolean {
+  if (mayHaveRun && !repeatable) return false;
+  return sends < mostUpstreams;
+}
+
+/** Share of a region's free places that others may count on; the rest is kept for its own callers. */
+const LENT_SHARE = 0.5;
+
+/** Places that a region offers to others, over all its upstreams of a service. */
+export function freePlaces(candidates: readonly StepCandidate[]): number {
+  let free = 0;
+  for (const candidate of candidates) {
+    if (candidate.aside || candidate.doubtful || !hasRoom(candidate)) continue;
+    free += (candidate.slots - candidate.running) * LENT_SHARE;
+  }
+  return Math.floor(free);
+}
--- a/src/services/claims_driver.ts
+++ b/src/services/claims_driver.ts
@@ -4,8 +4,8 @@
  * @module
  */
 
+import type { Log } from "../kernel/mod.ts";
 import { err, ok, type Result } from "neverthrow";
-import type { Logger } from "winston";
 import type { KeyValue, StoreError } from "../adapters/mod.ts";
 import {
   type ClaimAsk,
@@ -53,7 +53,7 @@
   readonly store: KeyValue;
   readonly clock: Clock;
   readonly random: Random;
-  readonly log: Logger;
+  readonly log: Log;
   /** Sends to a witness; resolves with whether it accepted. Never rejects. */
   readonly replicate: (to: VmRef, message: ReplicaMessage) => Promise<boolean>;
 }
--- a/src/services/directory.ts
+++ b/src/services/directory.ts
@@ -13,8 +13,7 @@
   Random,
   type Timer,
 } from "../base/mod.ts";
-import { type Handlers, type Kernel, type Port, Task } from "../kernel/mod.ts";
-import type { Logger } from "winston";
+import { type Handlers, type Kernel, type Port, Task, type Log } from "../kernel/mod.ts";
 import type {
   DirectoryAnswer,
   DirectoryMessages,
@@ -58,7 +57,7 @@
   readonly #random: Random;
   readonly #queue = new PublicationQueue();
   #clock!: Clock;
-  #log!: Logger;
+  #log!: Log;
   #members!: Port<MembersMessages>;
   #table!: Port<TableMessages>;
   #timer: Timer | undefined;
--- a/src/services/lead_client.ts
+++ b/src/services/lead_client.ts
@@ -4,7 +4,7 @@
  * @module
  */
 
-import type { Logger } from "winston";
+import type { Log } from "../kernel/mod.ts";
 import { heldDigest } from "../agreement/mod.ts";
 import { type Clock, failure, type Random } from "../base/mod.ts";
 import type {
@@ -35,7 +35,7 @@
 /** What a {@link LeadClient} needs of its task. */
 export interface LeadClientContext {
   readonly clock: Clock;
-  readonly log: Logger;
+  readonly log: Log;
   readonly random: Random;
   readonly view: LeadView;
   readonly router: LeadRouter;
--- a/src/services/lead_server.ts
+++ b/src/services/lead_server.ts
@@ -4,7 +4,7 @@
  * @module
  */
 
-import type { Logger } from "winston";
+import type { Log } from "../kernel/mod.ts";
 import type { PoolInfo } from "../agreement/mod.ts";
 import { type Clock, hash32 } from "../base/mod.ts";
 import type {
@@ -35,7 +35,7 @@
 /** What a {@link LeadServer} needs of its task. */
 export interface LeadServerContext {
   readonly clock: Clock;
-  readonly log: Logger;
+  readonly log: Log;
   readonly view: LeadView;
   readonly onOrder: OrderSink;
   /** Resolves when the table that a request was accepted on is in force here, or soon after anyway. */
--- a/src/services/members.ts
+++ b/src/services/members.ts
@@ -14,8 +14,7 @@
   type MembersTimes,
 } from "../agreement/mod.ts";
 import { type Clock, hash32, Random, type Timer } from "../base/mod.ts";
-import { type Handlers, type Kernel, Task } from "../kernel/mod.ts";
-import type { Logger } from "winston";
+import { type Handlers, type Kernel, Task, type Log } from "../kernel/mod.ts";
 import type {
   PingMessage,
   PingViaMessage,
@@ -75,7 +74,7 @@
   #machine!: Members;
   #digests!: MemberDigests;
   #clock!: Clock;
-  #log!: Logger;
+  #log!: Log;
   #kernel!: Kernel;
   #random!: Random;
   #statuses = new Map<string, string>();
