--- a/src/gateway/call.ts
+++ b/src/gateway/call.ts
@@ -11,6 +11,7 @@
   affinityOf,
   chooseService,
   type GatewayConfig,
+  hasRoom,
   maySendAgain,
   mayRepeat,
   nextStep,
@@ -51,6 +52,8 @@
   readonly deadlineMonoMs: number;
   /** Whether another VM handed it over; it then stays in this region. */
   readonly relayed: boolean;
+  /** Upstreams that this VM may send it to; fewer than the route's if another VM has sent it already. */
+  readonly mostUpstreams: number;
 }
 
 /** What became of one send. */
@@ -232,8 +235,9 @@
       }
       const failed = read.status >= 500;
       link.health.note(failed ? "failed" : "answered", nowMs);
-      if (failed && this.#mayRunAgain(true)) {
+      if (failed && this.#hasOtherHere() && this.#mayRunAgain(true)) {
         answer.resume();
+        this.#mayHaveRun = true;
         this.#context.log.warn("sent again", this.#fields({ reason: `upstream answered ${read.status}` }));
         return undefined;
       }
@@ -271,6 +275,8 @@
         String(Math.floor(deadlineMonoMs - clock.monoMs())),
         RELAY_HEADERS.configVersion,
         String(config.version),
+        RELAY_HEADERS.mostUpstreams,
+        String(Math.max(1, this.#input.mostUpstreams - this.#sends)),
       ],
       body: this.#body,
       connectWaitMs: RELAY_CONNECT_WAIT_MS,
@@ -312,6 +318,15 @@
     };
   }
 
+  /**
+   * Whether an upstream of this region has room for one more try. An upstream's own failure is passed on otherwise: a
+   * caller that comes back with a new attempt is served sooner than by a hand-over, and the answer is true.
+   */
+  #hasOtherHere(): boolean {
+    const step = this.#next();
+    return step.type === "send" && hasRoom(step.candidate);
+  }
+
   #mayRunAgain(mayHaveRun: boolean): boolean {
     const { route } = this.#input;
     const { clock, members } = this.#context;
@@ -319,7 +334,7 @@
       repeatable: mayRepeat(route),
       mayHaveRun,
       sends: this.#sends,
-      mostUpstreams: route.mostUpstreams,
+      mostUpstreams: this.#input.mostUpstreams,
     });
     if (!allowed) return false;
     // Until something was sent, another try is the first arrival anywhere and costs nothing of the budget.
--- a/src/gateway/front.ts
+++ b/src/gateway/front.ts
@@ -8,8 +8,8 @@
 import { type Failure, failure } from "../base/mod.ts";
 import { type Handlers, type Kernel, type Messages, Task } from "../kernel/mod.ts";
 import { type CallerHead, decodeHead } from "../platform/mod.ts";
-import type { GatewayConfig, Route } from "../routing/mod.ts";
-import { Call } from "./call.ts";
+import type { GatewayConfig } from "../routing/mod.ts";
+import { Call, type CallInput } from "./call.ts";
 import type { GatewayContext } from "./context.ts";
 import { closeServer, listen } from "./listen.ts";
 import { CallerReply, PeerReply, RELAY_HEADERS, type Reply } from "./reply.ts";
@@ -105,7 +105,8 @@
       return this.#refuse(head, request, reply, failure("queueFull"), FULL_RETURN_MS);
     }
     const waitMs = Math.min(head.waitMs ?? route.timeoutMs, route.timeoutMs);
-    call = this.#open(request, head, route, config, arrivedMs + waitMs, false, reply);
+    const input = { request, head, route, config, deadlineMonoMs: arrivedMs + waitMs };
+    call = this.#open({ ...input, relayed: false, mostUpstreams: route.mostUpstreams }, reply);
   }
 
   #fromPeer(request: IncomingMessage, response: ServerResponse): void {
@@ -122,19 +123,13 @@
       return this.#refuse(head, request, reply, failure("noTable"), NO_CONFIG_RETURN_MS);
     }
     const waitMs = Number(request.headers[RELAY_HEADERS.waitMs]) || route.timeoutMs;
-    call = this.#open(request, head, route, config, clock.monoMs() + waitMs, true, reply);
+    const input = { request, head, route, config, deadlineMonoMs: clock.monoMs() + waitMs };
+    const mostUpstreams = Number(request.headers[RELAY_HEADERS.mostUpstreams]) || 1;
+    call = this.#open({ ...input, relayed: true, mostUpstreams }, reply);
   }
 
-  #open(
-    request: IncomingMessage,
-    head: CallerHead,
-    route: Route,
-    config: GatewayConfig,
-    deadlineMonoMs: number,
-    relayed: boolean,
-    reply: Reply,
-  ): Call {
-    const call = new Call(this.#context, { request, head, route, config, deadlineMonoMs, relayed }, reply);
+  #open(input: CallInput, reply: Reply): Call {
+    const call = new Call(this.#context, input, reply);
     void call.run();
     return call;
   }
--- a/src/gateway/reply.ts
+++ b/src/gateway/reply.ts
@@ -94,6 +94,8 @@
   waitMs: "ibisgap-wait-ms",
   /** The configuration that the sender decided on. */
   configVersion: "ibisgap-config",
+  /** Upstreams that the request may still be sent to. */
+  mostUpstreams: "ibisgap-most-upstreams",
   /** Result code of a failure of the answering VM; absent on upstreams' answers. */
   code: "ibisgap-code",
   /** Whether the request can have run. */
