--- a/src/gateway/context.ts
+++ b/src/gateway/context.ts
@@ -33,6 +33,8 @@
   readonly bodies: BodyMemory;
   /** Whether this VM is being stopped. */
   isLeaving = false;
+  /** When the process ends, on the monotonic clock. */
+  endMonoMs = Infinity;
   /** Requests under way. */
   open = 0;
   readonly #budgets = new Map<string, RepeatBudget>();
--- a/src/gateway/directory.ts
+++ b/src/gateway/directory.ts
@@ -10,8 +10,11 @@
 import type { GatewayContext } from "./context.ts";
 import { closeServer, hostPort, listen } from "./listen.ts";
 
-/** How long an answer may be kept: two of the platform's own questions, and far below the time that leaving VMs serve on. */
-const KEEP_S = 2;
+/**
+ * How long an answer may be kept. Some callers keep it three times as long; with a second, all have left a VM three
+ * seconds after it began to leave, and half a stop's time remains for what they sent.
+ */
+const KEEP_S = 1;
 /** Most addresses that callers take from an answer. */
 const MOST_ADDRESSES = 64;
 const METRICS_PATH = "/metrics";
--- a/src/gateway/front.ts
+++ b/src/gateway/front.ts
@@ -8,7 +8,7 @@
 import { type Failure, failure } from "../base/mod.ts";
 import { type Handlers, type Kernel, type Messages, Task } from "../kernel/mod.ts";
 import { type CallerHead, decodeHead } from "../platform/mod.ts";
-import type { GatewayConfig } from "../routing/mod.ts";
+import { canFinish, type GatewayConfig } from "../routing/mod.ts";
 import { Call, type CallInput } from "./call.ts";
 import type { GatewayContext } from "./context.ts";
 import { closeServer, listen } from "./listen.ts";
@@ -18,6 +18,8 @@
 const NO_CONFIG_RETURN_MS = 500;
 /** When to return if this VM holds too much: as long as a usual answer takes. */
 const FULL_RETURN_MS = 400;
+/** When to return after meeting a VM that is about to stop: at once, elsewhere. */
+const LEAVING_RETURN_MS = 20;
 /** Largest head that is parsed at all; the configured limit, usually lower, is applied to what was parsed. */
 const MOST_HEAD_BYTES = 65_536;
 /** Descriptors kept free for files, listeners, the store and other VMs. */
@@ -104,6 +106,9 @@
     if (this.#context.open >= most) {
       return this.#refuse(head, request, reply, failure("queueFull"), FULL_RETURN_MS);
     }
+    if (!canFinish(route, head.outputTokens, this.#context.endMonoMs - arrivedMs)) {
+      return this.#refuse(head, request, reply, failure("draining"), LEAVING_RETURN_MS);
+    }
     const waitMs = Math.min(head.waitMs ?? route.timeoutMs, route.timeoutMs);
     const input = { request, head, route, config, deadlineMonoMs: arrivedMs + waitMs };
     call = this.#open({ ...input, relayed: false, mostUpstreams: route.mostUpstreams }, reply);
--- a/src/gateway/pass_on.ts
+++ b/src/gateway/pass_on.ts
@@ -34,7 +34,10 @@
       answer.pause();
       reply.onDrain(() => answer.resume());
     });
-    // An answer that was reset also ends; only `complete` tells that its last byte was there.
+    // For an answer without a length Node takes a reset for its end: the caller would get a part as if it were whole. The
+    // connection's own error comes before that end.
+    answer.socket.once("error", () => finish("broken"));
+    // An answer that was cut also ends; only `complete` tells that its last byte was there.
     answer.on("end", () => finish(answer.complete ? "whole" : "broken"));
     answer.on("error", () => finish("broken"));
     answer.on("close", () => finish(answer.complete ? "whole" : "broken"));
--- a/src/gateway/stop.ts
+++ b/src/gateway/stop.ts
@@ -9,10 +9,10 @@
 import type { GatewayContext } from "./context.ts";
 import type { Front } from "./front.ts";
 
-/** Callers use a directory's answer for up to three times its two seconds, and may open connections until then. */
-const CALLERS_GONE_MS = 6_200;
+/** Callers use a directory's answer for up to three times its one second, and may open connections until then. */
+const CALLERS_GONE_MS = 4_000;
 /** Kept free before the kill for the last answers to leave. */
-const LAST_MS = 500;
+const LAST_MS = 400;
 const LOOK_MS = 50;
 
 /**
@@ -28,6 +28,7 @@
   const startMs = clock.monoMs();
   const endMs = startMs + context.settings.bounds.graceMs - LAST_MS;
   context.isLeaving = true;
+  context.endMonoMs = endMs;
   context.members.beat();
   log.info("leaving", { open: context.open });
   for (;;) {
--- a/src/routing/mod.ts
+++ b/src/routing/mod.ts
@@ -8,6 +8,7 @@
 export * from "./budget.ts";
 export * from "./cold.ts";
 export * from "./fleet.ts";
+export * from "./leaving.ts";
 export * from "./place.ts";
 export * from "./step.ts";
 export * from "./health.ts";
