--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -20,7 +20,7 @@
 import { type Clock, hash32, Random, systemClock } from "../base/mod.ts";
 import type { LoadReport } from "../decisions/mod.ts";
 import { type CallerListener, Edge, openListener } from "../edge/mod.ts";
-import { Kernel, openLog, type Log } from "../kernel/mod.ts";
+import { Kernel, type Log, openLog } from "../kernel/mod.ts";
 import {
   ClaimsService,
   type DirectoryOptions,
--- a/src/gateway/beliefs.ts
+++ b/src/gateway/beliefs.ts
@@ -34,7 +34,14 @@
   /** All entries of one matter, for a VM that is behind. */
   snapshot: { in: Matter; out: Snapshot };
   /** Another VM's entries. */
-  adopt: { in: { readonly matter: Matter; readonly snapshot: Snapshot; readonly from: string }; out: void };
+  adopt: {
+    in: {
+      readonly matter: Matter;
+      readonly snapshot: Snapshot;
+      readonly from: string;
+    };
+    out: void;
+  };
 };
 
 /** Options of {@link Beliefs}. */
@@ -161,7 +168,9 @@
 
   #operatorPut(entry: Entry): void {
     const domain = evacuatedDomain(entry.key);
-    if (domain !== undefined) return this.#setEvacuated(domain, true, entry.rev);
+    if (domain !== undefined) {
+      return this.#setEvacuated(domain, true, entry.rev);
+    }
     if (entry.key !== CONFIG_KEY) return;
     try {
       const config = decodeConfig(entry.value);
@@ -174,7 +183,10 @@
         routes: config.routes.length,
       });
     } catch (error) {
-      this.#log.error("config unreadable", { rev: entry.rev, reason: String(error) });
+      this.#log.error("config unreadable", {
+        rev: entry.rev,
+        reason: String(error),
+      });
     }
   }
 
@@ -187,7 +199,10 @@
     if (evacuated) this.#evacuated.add(domain);
     else this.#evacuated.delete(domain);
     this.fleet.setEvacuated(new Set(this.#evacuated));
-    this.#log.info(evacuated ? "evacuated" : "evacuation over", { failureDomain: domain, rev });
+    this.#log.info(evacuated ? "evacuated" : "evacuation over", {
+      failureDomain: domain,
+      rev,
+    });
   }
 
   #upstreamPut(entry: Entry): void {
@@ -207,13 +222,18 @@
       });
     } catch (error) {
       this.fleet.delete(id);
-      this.#log.warn("upstream entry unreadable", { upstream: id, rev: entry.rev, reason: String(error) });
+      this.#log.warn("upstream entry unreadable", {
+        upstream: id,
+        rev: entry.rev,
+        reason: String(error),
+      });
     }
   }
 
   #upstreamDelete(key: string): void {
     const id = upstreamId(key);
-    const sinceReturnMs = this.#clock.monoMs() - this.#followers.upstreams.recoveredMonoMs;
+    const sinceReturnMs = this.#clock.monoMs() -
+      this.#followers.upstreams.recoveredMonoMs;
     // A leaving upstream whose entry goes has left; only a ready one may have lapsed.
     if (sinceReturnMs < RETURN_MS && this.fleet.get(id)?.state === "ready") {
       this.#lapsed.set(id, this.#clock.monoMs() + RETURN_MS - sinceReturnMs);
@@ -224,7 +244,13 @@
 
   #forget(id: string, reason: string): void {
     const before = this.fleet.delete(id);
-    if (before) this.#log.info("upstream gone", { upstream: before.key, service: before.service, reason });
+    if (before) {
+      this.#log.info("upstream gone", {
+        upstream: before.key,
+        service: before.service,
+        reason,
+      });
+    }
   }
 
   #sweep(): void {
--- a/src/gateway/body.ts
+++ b/src/gateway/body.ts
@@ -55,7 +55,11 @@
       bytes += chunk.length;
       chunks.push(chunk);
     });
-    request.on("end", () => resolve(ok(chunks.length === 1 ? chunks[0] : Buffer.concat(chunks))));
+    request.on(
+      "end",
+      () =>
+        resolve(ok(chunks.length === 1 ? chunks[0] : Buffer.concat(chunks))),
+    );
     request.on("error", () => stop("broken"));
     request.on("close", () => {
       if (!request.complete) stop("broken");
--- a/src/gateway/call.ts
+++ b/src/gateway/call.ts
@@ -6,14 +6,19 @@
 
 import type { IncomingMessage } from "node:http";
 import { type CodeName, type Failure, failure } from "../base/mod.ts";
-import { addressTo, type CallerHead, decodeAnswer, forwardedHeaders } from "../platform/mod.ts";
+import {
+  addressTo,
+  type CallerHead,
+  decodeAnswer,
+  forwardedHeaders,
+} from "../platform/mod.ts";
 import {
   affinityOf,
   chooseService,
   type GatewayConfig,
   hasRoom,
-  maySendAgain,
   mayRepeat,
+  maySendAgain,
   nextStep,
   type RegionRoom,
   type Route,
@@ -23,7 +28,7 @@
 import { type BodyProblem, readBody } from "./body.ts";
 import type { GatewayContext } from "./context.ts";
 import { Exchange } from "./exchange.ts";
-import { passOn, type Passed } from "./pass_on.ts";
+import { type Passed, passOn } from "./pass_on.ts";
 import { decodePeerFailure, RELAY_HEADERS, type Reply } from "./reply.ts";
 import type { LinkedCandidate } from "./upstreams.ts";
 
@@ -59,7 +64,13 @@
 /** What became of one send. */
 type Sent =
   | { readonly type: "done"; readonly passed: Passed }
-  | { readonly type: "again"; readonly mayHaveRun: boolean; readonly reason: string; readonly failure: Failure; readonly comeBackMs: number };
+  | {
+    readonly type: "again";
+    readonly mayHaveRun: boolean;
+    readonly reason: string;
+    readonly failure: Failure;
+    readonly comeBackMs: number;
+  };
 
 /** See the module. */
 export class Call {
@@ -103,7 +114,11 @@
     );
     this.#context.open++;
     try {
-      const body = await readBody(this.#input.request, this.#input.config.limits.bodyBytes, bodies);
+      const body = await readBody(
+        this.#input.request,
+        this.#input.config.limits.bodyBytes,
+        bodies,
+      );
       if (body.isErr()) this.#fail(failure(BODY_CODES[body.error]), 0);
       else {
         this.#body = body.value;
@@ -115,7 +130,10 @@
         attempt: this.#input.head.attemptId,
         reason: (error as Error).stack ?? String(error),
       });
-      this.#fail(failure("internal", { ran: this.#mayHaveRun ? "unknown" : "no" }), 0);
+      this.#fail(
+        failure("internal", { ran: this.#mayHaveRun ? "unknown" : "no" }),
+        0,
+      );
     } finally {
       timer.close();
       bodies.giveBack(this.#body.length);
@@ -154,14 +172,17 @@
     const { clock, upstreams, random, settings } = this.#context;
     const { route, head, relayed, deadlineMonoMs } = this.#input;
     const { region } = settings.vm;
-    const isHome = (name: string) => route.homeRegions.length === 0 || route.homeRegions.includes(name);
+    const isHome = (name: string) =>
+      route.homeRegions.length === 0 || route.homeRegions.includes(name);
     return nextStep({
       nowMs: clock.monoMs(),
       arrivedMs: this.#arrivedMs,
       deadlineMs: deadlineMonoMs,
       objectiveMs: route.objectiveMs,
       candidates: isHome(region)
-        ? upstreams.candidates(this.#service).filter(({ key }) => !this.#tried.has(key))
+        ? upstreams.candidates(this.#service).filter(({ key }) =>
+          !this.#tried.has(key)
+        )
         : [],
       regions: relayed ? [] : this.#regions(isHome),
       affinity: affinityOf(head.promptParts),
@@ -191,7 +212,11 @@
       port: upstream.port,
       method: request.method ?? "GET",
       target: head.target,
-      headers: addressTo(this.#headers, upstream.id, deadlineMonoMs - clock.monoMs()),
+      headers: addressTo(
+        this.#headers,
+        upstream.id,
+        deadlineMonoMs - clock.monoMs(),
+      ),
       body: this.#body,
       connectWaitMs: CONNECT_WAIT_MS,
     });
@@ -220,7 +245,10 @@
       if (!read.matches || (!read.signed && !read.notRun)) {
         exchange.cancel("answer of another attempt");
         link.health.note("failed", nowMs);
-        return this.#lost(true, read.matches ? "answer is not signed" : "answer of another attempt");
+        return this.#lost(
+          true,
+          read.matches ? "answer is not signed" : "answer of another attempt",
+        );
       }
       if (read.notRun) {
         answer.resume();
@@ -238,7 +266,10 @@
       if (failed && this.#hasOtherHere() && this.#mayRunAgain(true)) {
         answer.resume();
         this.#mayHaveRun = true;
-        this.#context.log.warn("sent again", this.#fields({ reason: `upstream answered ${read.status}` }));
+        this.#context.log.warn(
+          "sent again",
+          this.#fields({ reason: `upstream answered ${read.status}` }),
+        );
         return undefined;
       }
       this.#reply.begin(read.status, read.headers, read.bodyBytes);
@@ -305,7 +336,10 @@
     this.#sends++;
     const read = decodeAnswer(answer, head.attemptId);
     this.#reply.begin(read.status, read.headers, read.bodyBytes);
-    return { type: "done", passed: await passOn(answer, this.#reply, () => this.#noteFirstByte()) };
+    return {
+      type: "done",
+      passed: await passOn(answer, this.#reply, () => this.#noteFirstByte()),
+    };
   }
 
   #lost(sent: boolean, reason: string): Sent {
@@ -313,7 +347,9 @@
       type: "again",
       mayHaveRun: sent,
       reason,
-      failure: failure(sent ? "upstreamFailed" : "noUpstream", { ran: sent ? "unknown" : "no" }),
+      failure: failure(sent ? "upstreamFailed" : "noUpstream", {
+        ran: sent ? "unknown" : "no",
+      }),
       comeBackMs: sent ? 0 : REFUSED_RETURN_MS,
     };
   }
@@ -339,7 +375,10 @@
     if (!allowed) return false;
     // Until something was sent, another try is the first arrival anywhere and costs nothing of the budget.
     return this.#sends === 0 ||
-      this.#context.budget(this.#service.name).tryTake(clock.monoMs(), members.count());
+      this.#context.budget(this.#service.name).tryTake(
+        clock.monoMs(),
+        members.count(),
+      );
   }
 
   #again({ mayHaveRun, reason }: Sent & { type: "again" }): boolean {
@@ -350,7 +389,9 @@
 
   #refuse(step: Step<LinkedCandidate> & { type: "refuse" }): void {
     if (step.reason === "expired") return this.#expire();
-    if (this.#mayHaveRun) return this.#fail(this.#last ?? failure("upstreamFailed"), 0);
+    if (this.#mayHaveRun) {
+      return this.#fail(this.#last ?? failure("upstreamFailed"), 0);
+    }
     const code = step.reason === "noUpstream" ? "noUpstream" : "queueFull";
     this.#fail(failure(code), step.comeBackMs);
   }
@@ -358,7 +399,10 @@
   #expire(): void {
     if (this.#over) return;
     const sent = this.#exchange !== undefined || this.#mayHaveRun;
-    this.#fail(sent ? failure("upstreamTimeout") : failure("expiredInQueue"), 0);
+    this.#fail(
+      sent ? failure("upstreamTimeout") : failure("expiredInQueue"),
+      0,
+    );
     this.#exchange?.cancel("deadline passed");
     this.#wake?.();
   }
@@ -376,15 +420,25 @@
     else this.#reply.fail(cause, comeBackMs);
   }
 
-  #finish(outcome: CodeName | "ok", reason: string | undefined, comeBackMs?: number): void {
+  #finish(
+    outcome: CodeName | "ok",
+    reason: string | undefined,
+    comeBackMs?: number,
+  ): void {
     this.#over = true;
     const { log, metrics, clock } = this.#context;
     const { route, relayed } = this.#input;
     const totalMs = clock.monoMs() - this.#arrivedMs;
-    const labels = `service="${this.#service.name}",kind="${route.kind}",relayed="${relayed}"`;
+    const labels =
+      `service="${this.#service.name}",kind="${route.kind}",relayed="${relayed}"`;
     metrics.count("requests", `${labels},outcome="${outcome}"`);
     metrics.time("total", labels, totalMs);
-    const fields = this.#fields({ outcome, reason, comeBackMs, totalMs: Math.round(totalMs) });
+    const fields = this.#fields({
+      outcome,
+      reason,
+      comeBackMs,
+      totalMs: Math.round(totalMs),
+    });
     if (outcome === "ok") log.info("request", fields);
     else log.warn("request", fields);
   }
@@ -392,7 +446,11 @@
   #noteFirstByte(): void {
     const ms = this.#context.clock.monoMs() - this.#arrivedMs;
     this.#firstByteMs = Math.round(ms);
-    this.#context.metrics.time("first_byte", `service="${this.#service.name}"`, ms);
+    this.#context.metrics.time(
+      "first_byte",
+      `service="${this.#service.name}"`,
+      ms,
+    );
   }
 
   #fields(more: Record<string, unknown>): Record<string, unknown> {
--- a/src/gateway/connections.ts
+++ b/src/gateway/connections.ts
@@ -14,12 +14,15 @@
 const DEFAULT_IDLE_MS = 4_000;
 
 interface Answered {
-  readonly _httpMessage?: { readonly res?: { readonly headers: Record<string, string | undefined> } };
+  readonly _httpMessage?: {
+    readonly res?: { readonly headers: Record<string, string | undefined> };
+  };
 }
 
 /** How long the other side keeps an idle connection, as its last answer says. */
 function namedIdleMs(socket: Duplex): number | undefined {
-  const text = (socket as unknown as Answered)._httpMessage?.res?.headers["keep-alive"];
+  const text = (socket as unknown as Answered)._httpMessage?.res
+    ?.headers["keep-alive"];
   const seconds = /timeout=(\d+)/.exec(text ?? "")?.[1];
   return seconds === undefined ? undefined : Number(seconds) * 1000;
 }
@@ -43,7 +46,8 @@
 
   /** Called by Node when a request ends; `false` closes the connection. */
   override keepSocketAlive(socket: Duplex): void {
-    const idleMs = (namedIdleMs(socket) ?? this.#defaultIdleMs + MARGIN_MS) - MARGIN_MS;
+    const idleMs = (namedIdleMs(socket) ?? this.#defaultIdleMs + MARGIN_MS) -
+      MARGIN_MS;
     const kept = idleMs > 0 && socket.readableLength === 0 &&
       (super.keepSocketAlive(socket) as unknown as boolean);
     if (kept) {
@@ -54,7 +58,10 @@
   }
 
   /** Called by Node when an idle connection is taken for a request. */
-  override reuseSocket(socket: Duplex, request: Parameters<Agent["reuseSocket"]>[1]): void {
+  override reuseSocket(
+    socket: Duplex,
+    request: Parameters<Agent["reuseSocket"]>[1],
+  ): void {
     socket.off("data", closeOnSurplus);
     (socket as Socket).setTimeout(0);
     super.reuseSocket(socket, request);
--- a/src/gateway/context.ts
+++ b/src/gateway/context.ts
@@ -42,7 +42,14 @@
   constructor(
     parts: Pick<
       GatewayContext,
-      "settings" | "clock" | "log" | "beliefs" | "members" | "upstreams" | "relays" | "metrics"
+      | "settings"
+      | "clock"
+      | "log"
+      | "beliefs"
+      | "members"
+      | "upstreams"
+      | "relays"
+      | "metrics"
     >,
   ) {
     this.settings = parts.settings;
@@ -53,7 +60,9 @@
     this.upstreams = parts.upstreams;
     this.relays = parts.relays;
     this.metrics = parts.metrics;
-    this.bodies = new BodyMemory(parts.settings.vm.memoryMb * BYTES_PER_MB * BODY_MEMORY_SHARE);
+    this.bodies = new BodyMemory(
+      parts.settings.vm.memoryMb * BYTES_PER_MB * BODY_MEMORY_SHARE,
+    );
   }
 
   /** The budget of repeats of a service. */
@@ -61,7 +70,11 @@
     let budget = this.#budgets.get(service);
     if (!budget) {
       const { repeatRatio, repeatSlack, repeatWindowMs } = this.settings.bounds;
-      const bounds: RepeatBounds = { ratio: repeatRatio, slack: repeatSlack, windowMs: repeatWindowMs };
+      const bounds: RepeatBounds = {
+        ratio: repeatRatio,
+        slack: repeatSlack,
+        windowMs: repeatWindowMs,
+      };
       budget = new RepeatBudget(bounds);
       this.#budgets.set(service, budget);
     }
--- a/src/gateway/directory.ts
+++ b/src/gateway/directory.ts
@@ -5,8 +5,18 @@
  */
 
 import type { IncomingMessage, Server, ServerResponse } from "node:http";
-import { type Handlers, type Kernel, type Messages, Task } from "../kernel/mod.ts";
-import { decodeLookup, encodeLookup, LOOKUP_PATH, READY_PATH } from "../platform/mod.ts";
+import {
+  type Handlers,
+  type Kernel,
+  type Messages,
+  Task,
+} from "../kernel/mod.ts";
+import {
+  decodeLookup,
+  encodeLookup,
+  LOOKUP_PATH,
+  READY_PATH,
+} from "../platform/mod.ts";
 import type { GatewayContext } from "./context.ts";
 import { closeServer, hostPort, listen } from "./listen.ts";
 
@@ -34,14 +44,20 @@
 
   async start(kernel: Kernel): Promise<void> {
     const { listen: addresses, vm } = this.#context.settings;
-    const respond = (request: IncomingMessage, response: ServerResponse) => this.#respond(request, response);
+    const respond = (request: IncomingMessage, response: ServerResponse) =>
+      this.#respond(request, response);
     for (const address of new Set([addresses.directory, addresses.ready])) {
       this.#servers.push(await listen(address, {}, respond));
     }
     try {
-      this.#servers.push(await listen(`${vm.ip}:${addresses.metrics}`, {}, respond));
+      this.#servers.push(
+        await listen(`${vm.ip}:${addresses.metrics}`, {}, respond),
+      );
     } catch (error) {
-      kernel.log.warn("no metrics listener", { port: addresses.metrics, reason: String(error) });
+      kernel.log.warn("no metrics listener", {
+        port: addresses.metrics,
+        reason: String(error),
+      });
     }
   }
 
@@ -55,7 +71,8 @@
 
   /** Whether this VM takes requests. */
   get isReady(): boolean {
-    return this.#context.beliefs.config !== undefined && !this.#context.isLeaving;
+    return this.#context.beliefs.config !== undefined &&
+      !this.#context.isLeaving;
   }
 
   /**
@@ -65,9 +82,13 @@
   addresses(region: string): string[] {
     const { settings, members } = this.#context;
     const { port } = hostPort(settings.listen.callers);
-    const vms = members.alive().filter(({ beat }) => beat.ready && !beat.leaving)
+    const vms = members.alive().filter(({ beat }) =>
+      beat.ready && !beat.leaving
+    )
       .map(({ ip, region: vmRegion }) => ({ ip, region: vmRegion }));
-    if (this.isReady) vms.push({ ip: settings.vm.ip, region: settings.vm.region });
+    if (this.isReady) {
+      vms.push({ ip: settings.vm.ip, region: settings.vm.region });
+    }
     const near = vms.filter((vm) => vm.region === region);
     const named = near.length > 0 ? near : vms;
     return named.slice(0, MOST_ADDRESSES).map(({ ip }) => `${ip}:${port}`);
@@ -79,7 +100,9 @@
       response.writeHead(this.isReady ? 200 : 503).end();
     } else if (url.pathname === LOOKUP_PATH) {
       const addresses = this.addresses(decodeLookup(url).region);
-      response.writeHead(addresses.length > 0 ? 200 : 503, { "content-type": "application/json" });
+      response.writeHead(addresses.length > 0 ? 200 : 503, {
+        "content-type": "application/json",
+      });
       response.end(encodeLookup(addresses, KEEP_S));
     } else if (url.pathname === METRICS_PATH) {
       response.writeHead(200, { "content-type": "text/plain; version=0.0.4" });
--- a/src/gateway/exchange.ts
+++ b/src/gateway/exchange.ts
@@ -4,7 +4,12 @@
  * @module
  */
 
-import { type Agent, type ClientRequest, type IncomingMessage, request } from "node:http";
+import {
+  type Agent,
+  type ClientRequest,
+  type IncomingMessage,
+  request,
+} from "node:http";
 import type { Socket } from "node:net";
 import { err, ok, type Result } from "neverthrow";
 
@@ -45,12 +50,29 @@
     if (body.length > 0 || WITH_BODY.has(method)) {
       headers.push("Content-Length", String(body.length));
     }
-    this.#request = request({ agent, host, port, method, path: target, headers });
+    this.#request = request({
+      agent,
+      host,
+      port,
+      method,
+      path: target,
+      headers,
+    });
     this.head = new Promise((resolve) => {
-      this.#request.on("socket", (socket) => this.#watchConnect(socket, options.connectWaitMs));
+      this.#request.on(
+        "socket",
+        (socket) => this.#watchConnect(socket, options.connectWaitMs),
+      );
       this.#request.on("response", (answer) => resolve(ok(answer)));
-      this.#request.on("error", (error) => resolve(err({ sent: this.#connected, reason: error.message })));
-      this.#request.on("close", () => resolve(err({ sent: this.#connected, reason: "closed" })));
+      this.#request.on(
+        "error",
+        (error) =>
+          resolve(err({ sent: this.#connected, reason: error.message })),
+      );
+      this.#request.on(
+        "close",
+        () => resolve(err({ sent: this.#connected, reason: "closed" })),
+      );
     });
     this.#request.end(body);
   }
@@ -69,7 +91,10 @@
       this.#connected = true;
       return;
     }
-    const timer = setTimeout(() => this.cancel("connect timed out"), connectWaitMs);
+    const timer = setTimeout(
+      () => this.cancel("connect timed out"),
+      connectWaitMs,
+    );
     socket.once("connect", () => {
       this.#connected = true;
       clearTimeout(timer);
--- a/src/gateway/follower.ts
+++ b/src/gateway/follower.ts
@@ -5,7 +5,13 @@
  */
 
 import type { Result } from "neverthrow";
-import type { Entry, Listing, StoreError, StorePurpose, WatchEvent } from "../adapters/mod.ts";
+import type {
+  Entry,
+  Listing,
+  StoreError,
+  StorePurpose,
+  WatchEvent,
+} from "../adapters/mod.ts";
 import { backoffMs, type Clock, Random } from "../base/mod.ts";
 import type { Log } from "../kernel/mod.ts";
 
@@ -21,7 +27,12 @@
     afterRev: number,
     waitMs: number,
     purpose: StorePurpose,
-  ): Promise<Result<{ readonly events: readonly WatchEvent[]; readonly rev: number }, { readonly kind: string; readonly message: string }>>;
+  ): Promise<
+    Result<
+      { readonly events: readonly WatchEvent[]; readonly rev: number },
+      { readonly kind: string; readonly message: string }
+    >
+  >;
 }
 
 /** The keys under a prefix at a revision. */
@@ -108,7 +119,9 @@
     while (this.#open) {
       listed = listed ? await this.#follow() : await this.#list();
       if (listed) continue;
-      const waitMs = this.#failures === 0 ? 0 : backoffMs(this.#failures - 1, RETRY, this.#random);
+      const waitMs = this.#failures === 0
+        ? 0
+        : backoffMs(this.#failures - 1, RETRY, this.#random);
       await this.#options.clock.sleep(waitMs);
     }
   }
@@ -143,7 +156,10 @@
 
   #apply(event: WatchEvent): void {
     if (event.type === "put") this.#put(event.entry);
-    else if (event.type === "delete" && (this.#entries.get(event.key)?.rev ?? Infinity) < event.rev) {
+    else if (
+      event.type === "delete" &&
+      (this.#entries.get(event.key)?.rev ?? Infinity) < event.rev
+    ) {
       this.#entries.delete(event.key);
       this.#options.onDelete(event.key);
     }
--- a/src/gateway/front.ts
+++ b/src/gateway/front.ts
@@ -6,7 +6,12 @@
 
 import type { IncomingMessage, Server, ServerResponse } from "node:http";
 import { type Failure, failure } from "../base/mod.ts";
-import { type Handlers, type Kernel, type Messages, Task } from "../kernel/mod.ts";
+import {
+  type Handlers,
+  type Kernel,
+  type Messages,
+  Task,
+} from "../kernel/mod.ts";
 import { type CallerHead, decodeHead } from "../platform/mod.ts";
 import { canFinish, type GatewayConfig } from "../routing/mod.ts";
 import { Call, type CallInput } from "./call.ts";
@@ -32,7 +37,10 @@
 const CHECK_MS = 500;
 
 function headBytes(request: IncomingMessage): number {
-  return request.rawHeaders.reduce((sum, text) => sum + text.length + 2, request.url?.length ?? 0);
+  return request.rawHeaders.reduce(
+    (sum, text) => sum + text.length + 2,
+    request.url?.length ?? 0,
+  );
 }
 
 /** Answers questions of other VMs that are not requests of callers; see `peer_rpc.ts`. */
@@ -85,7 +93,9 @@
 
   /** Connections of callers. */
   connections(): Promise<number> {
-    return new Promise((resolve) => this.#callers.getConnections((_, count) => resolve(count ?? 0)));
+    return new Promise((resolve) =>
+      this.#callers.getConnections((_, count) => resolve(count ?? 0))
+    );
   }
 
   #fromCaller(request: IncomingMessage, response: ServerResponse): void {
@@ -93,29 +103,70 @@
     const arrivedMs = clock.monoMs();
     const head = decodeHead(request);
     let call: Call | undefined;
-    const reply = new CallerReply(response, () => call?.cancel(), () => this.#context.isLeaving);
+    const reply = new CallerReply(
+      response,
+      () => call?.cancel(),
+      () => this.#context.isLeaving,
+    );
     const { config } = beliefs;
-    if (!config) return this.#refuse(head, request, reply, failure("noTable"), NO_CONFIG_RETURN_MS);
+    if (!config) {
+      return this.#refuse(
+        head,
+        request,
+        reply,
+        failure("noTable"),
+        NO_CONFIG_RETURN_MS,
+      );
+    }
     this.#applyLimits(config);
     if (headBytes(request) > config.limits.headerBytes) {
       return this.#refuse(head, request, reply, failure("headersTooLarge"), 0);
     }
     const route = config.match(head.host, head.target);
-    if (!route) return this.#refuse(head, request, reply, failure("notFound"), 0);
-    const most = (settings.vm.mostDescriptors - SPARE_DESCRIPTORS) / DESCRIPTORS_PER_REQUEST;
+    if (!route) {
+      return this.#refuse(head, request, reply, failure("notFound"), 0);
+    }
+    const most = (settings.vm.mostDescriptors - SPARE_DESCRIPTORS) /
+      DESCRIPTORS_PER_REQUEST;
     if (this.#context.open >= most) {
-      return this.#refuse(head, request, reply, failure("queueFull"), FULL_RETURN_MS);
+      return this.#refuse(
+        head,
+        request,
+        reply,
+        failure("queueFull"),
+        FULL_RETURN_MS,
+      );
     }
-    if (!canFinish(route, head.outputTokens, this.#context.endMonoMs - arrivedMs)) {
-      return this.#refuse(head, request, reply, failure("draining"), LEAVING_RETURN_MS);
+    if (
+      !canFinish(route, head.outputTokens, this.#context.endMonoMs - arrivedMs)
+    ) {
+      return this.#refuse(
+        head,
+        request,
+        reply,
+        failure("draining"),
+        LEAVING_RETURN_MS,
+      );
     }
     const waitMs = Math.min(head.waitMs ?? route.timeoutMs, route.timeoutMs);
-    const input = { request, head, route, config, deadlineMonoMs: arrivedMs + waitMs };
-    call = this.#open({ ...input, relayed: false, mostUpstreams: route.mostUpstreams }, reply);
+    const input = {
+      request,
+      head,
+      route,
+      config,
+      deadlineMonoMs: arrivedMs + waitMs,
+    };
+    call = this.#open({
+      ...input,
+      relayed: false,
+      mostUpstreams: route.mostUpstreams,
+    }, reply);
   }
 
   #fromPeer(request: IncomingMessage, response: ServerResponse): void {
-    if (request.url === this.#questions.path) return this.#questions.answer(request, response);
+    if (request.url === this.#questions.path) {
+      return this.#questions.answer(request, response);
+    }
     const { clock, beliefs } = this.#context;
     const head = decodeHead(request);
     let call: Call | undefined;
@@ -123,13 +174,28 @@
     const { config } = beliefs;
     const route = config?.match(head.host, head.target);
     // A VM that does not know the sender's configuration yet must not decide on an older one.
-    const isBehind = Number(request.headers[RELAY_HEADERS.configVersion]) > (config?.version ?? 0);
+    const isBehind = Number(request.headers[RELAY_HEADERS.configVersion]) >
+      (config?.version ?? 0);
     if (!config || !route || isBehind) {
-      return this.#refuse(head, request, reply, failure("noTable"), NO_CONFIG_RETURN_MS);
+      return this.#refuse(
+        head,
+        request,
+        reply,
+        failure("noTable"),
+        NO_CONFIG_RETURN_MS,
+      );
     }
-    const waitMs = Number(request.headers[RELAY_HEADERS.waitMs]) || route.timeoutMs;
-    const input = { request, head, route, config, deadlineMonoMs: clock.monoMs() + waitMs };
-    const mostUpstreams = Number(request.headers[RELAY_HEADERS.mostUpstreams]) || 1;
+    const waitMs = Number(request.headers[RELAY_HEADERS.waitMs]) ||
+      route.timeoutMs;
+    const input = {
+      request,
+      head,
+      route,
+      config,
+      deadlineMonoMs: clock.monoMs() + waitMs,
+    };
+    const mostUpstreams =
+      Number(request.headers[RELAY_HEADERS.mostUpstreams]) || 1;
     call = this.#open({ ...input, relayed: true, mostUpstreams }, reply);
   }
 
--- a/src/gateway/line_log.ts
+++ b/src/gateway/line_log.ts
@@ -50,9 +50,15 @@
   #problems = 0;
   #leftOut = 0;
 
-  constructor(sink: LineSink, fields: Record<string, string>, nowMs: () => number) {
+  constructor(
+    sink: LineSink,
+    fields: Record<string, string>,
+    nowMs: () => number,
+  ) {
     this.#sink = sink;
-    this.#prefix = Object.entries(fields).map(([key, value]) => ` ${key}=${quote(value)}`).join("");
+    this.#prefix = Object.entries(fields).map(([key, value]) =>
+      ` ${key}=${quote(value)}`
+    ).join("");
     this.#nowMs = nowMs;
   }
 
@@ -70,12 +76,18 @@
     this.log("error", event, fields);
   }
 
-  log(level: string, event: string, fields: Record<string, unknown> = {}): void {
+  log(
+    level: string,
+    event: string,
+    fields: Record<string, unknown> = {},
+  ): void {
     if (!this.#takeBudget(level === "info")) {
       this.#leftOut++;
       return;
     }
-    let line = `time=${new Date(this.#nowMs()).toISOString()} level=${level} event=${quote(event)}${this.#prefix}`;
+    let line = `time=${
+      new Date(this.#nowMs()).toISOString()
+    } level=${level} event=${quote(event)}${this.#prefix}`;
     if (this.#leftOut > 0) {
       line += ` linesLeftOut=${this.#leftOut}`;
       this.#leftOut = 0;
@@ -88,7 +100,9 @@
 
   #takeBudget(ordinary: boolean): boolean {
     const nowMs = this.#nowMs();
-    if (nowMs - this.#secondStartMs >= SECOND_MS || nowMs < this.#secondStartMs) {
+    if (
+      nowMs - this.#secondStartMs >= SECOND_MS || nowMs < this.#secondStartMs
+    ) {
       this.#secondStartMs = nowMs;
       this.#lines = 0;
       this.#problems = 0;
--- a/src/gateway/listen.ts
+++ b/src/gateway/listen.ts
@@ -4,12 +4,20 @@
  * @module
  */
 
-import { createServer, type RequestListener, type Server, type ServerOptions } from "node:http";
+import {
+  createServer,
+  type RequestListener,
+  type Server,
+  type ServerOptions,
+} from "node:http";
 
 /** Splits `IP:PORT`. */
 export function hostPort(address: string): { host: string; port: number } {
   const colon = address.lastIndexOf(":");
-  return { host: address.slice(0, colon), port: Number(address.slice(colon + 1)) };
+  return {
+    host: address.slice(0, colon),
+    port: Number(address.slice(colon + 1)),
+  };
 }
 
 /** Opens a listener; fails if the address is taken. */
--- a/src/gateway/main.ts
+++ b/src/gateway/main.ts
@@ -36,7 +36,11 @@
   }
   const settings = parseGatewaySettings(text);
   if (settings.isErr()) {
-    refuse(settings.error.map(({ field, message }) => `${path}: ${field}: ${message}`));
+    refuse(
+      settings.error.map(({ field, message }) =>
+        `${path}: ${field}: ${message}`
+      ),
+    );
   }
   return settings.value;
 }
@@ -52,10 +56,17 @@
   const { vm } = settings;
   const clock = systemClock;
   const log = new LineLog(standardOutput(), { vm: vm.id }, () => clock.nowMs());
-  log.info("starting", { region: vm.region, failureDomain: vm.failureDomain, ip: vm.ip });
+  log.info("starting", {
+    region: vm.region,
+    failureDomain: vm.failureDomain,
+    ip: vm.ip,
+  });
   const kernel = new Kernel(clock, log);
   const store = new PlatformKeyValue(settings.store.address);
-  const beliefs = new Beliefs({ store, failureDomains: settings.failureDomains });
+  const beliefs = new Beliefs({
+    store,
+    failureDomains: settings.failureDomains,
+  });
   const members: Members = new Members({
     self: {
       id: vm.id,
@@ -73,13 +84,20 @@
       leaving: context.isLeaving,
       configVersion: beliefs.config?.version ?? 0,
       revisions: beliefs.revisions,
-      ...(sameRegion
-        ? { load: upstreams.load() }
-        : { room: regionRoom(beliefs.config, (service) => upstreams.candidates(service)) }),
+      ...(sameRegion ? { load: upstreams.load() } : {
+        room: regionRoom(
+          beliefs.config,
+          (service) => upstreams.candidates(service),
+        ),
+      }),
     }),
   });
   const upstreams = new Upstreams(beliefs.fleet, members, vm);
-  const relays = new Relays(members, vm.region, hostPort(settings.listen.peers).port);
+  const relays = new Relays(
+    members,
+    vm.region,
+    hostPort(settings.listen.peers).port,
+  );
   const context = new GatewayContext({
     settings,
     clock,
@@ -93,7 +111,17 @@
   const directory = new Directory(context);
   const peerRpc = new PeerRpc(beliefs, members, relays);
   const front = new Front(context, peerRpc);
-  for (const task of [beliefs, upstreams, members, relays, peerRpc, front, directory]) {
+  for (
+    const task of [
+      beliefs,
+      upstreams,
+      members,
+      relays,
+      peerRpc,
+      front,
+      directory,
+    ]
+  ) {
     await kernel.start(task);
   }
   log.info("started", { tookMs: Math.round(performance.now()) });
--- a/src/gateway/members.ts
+++ b/src/gateway/members.ts
@@ -7,7 +7,13 @@
 import { createSocket, type Socket } from "node:dgram";
 import type { KeyValue } from "../adapters/mod.ts";
 import { type Clock, Random, type Timer } from "../base/mod.ts";
-import { type Handlers, type Kernel, type Log, type Messages, Task } from "../kernel/mod.ts";
+import {
+  type Handlers,
+  type Kernel,
+  type Log,
+  type Messages,
+  Task,
+} from "../kernel/mod.ts";
 import { VM_PREFIX } from "../platform/mod.ts";
 import type { Revisions } from "./beliefs.ts";
 
@@ -57,7 +63,9 @@
   /** Addresses of some VMs. */
   readonly seedIps: readonly string[];
   /** What this VM says of itself. */
-  readonly describe: (sameRegion: boolean) => Omit<Beat, keyof VmRecord | "others">;
+  readonly describe: (
+    sameRegion: boolean,
+  ) => Omit<Beat, keyof VmRecord | "others">;
 }
 
 /** Heartbeats inside a region carry loads that placing reads; a tenth of a second is a few step times of an engine. */
@@ -78,14 +86,18 @@
 
 function isRecord(value: unknown): value is VmRecord {
   const vm = value as Partial<VmRecord> | null;
-  return typeof vm?.id === "string" && typeof vm.ip === "string" && typeof vm.region === "string" &&
+  return typeof vm?.id === "string" && typeof vm.ip === "string" &&
+    typeof vm.region === "string" &&
     typeof vm.failureDomain === "string" && typeof vm.bornMs === "number";
 }
 
 /** Reads a datagram; `undefined` if it is no heartbeat. */
 export function decodeBeat(datagram: Buffer): Beat | undefined {
   try {
-    const { method, params } = JSON.parse(datagram.toString("utf8")) as { method?: string; params?: unknown };
+    const { method, params } = JSON.parse(datagram.toString("utf8")) as {
+      method?: string;
+      params?: unknown;
+    };
     if (method !== "beat" || !isRecord(params)) return undefined;
     const beat = params as Beat;
     return typeof beat.revisions?.operators === "number" ? beat : undefined;
@@ -121,7 +133,11 @@
     this.#log = kernel.log;
     this.#socket = createSocket("udp4");
     this.#socket.on("message", (datagram) => this.#heard(datagram));
-    this.#socket.on("error", (error) => this.#log.warn("heartbeat socket failed", { reason: error.message }));
+    this.#socket.on(
+      "error",
+      (error) =>
+        this.#log.warn("heartbeat socket failed", { reason: error.message }),
+    );
     const { self, port } = this.#options;
     await new Promise<void>((resolve, reject) => {
       this.#socket.once("error", reject);
@@ -142,7 +158,9 @@
   async close(_deadlineMs: number): Promise<void> {
     this.#closing = true;
     for (const timer of this.#timers) timer.close();
-    if (this.#leaseId !== undefined) await this.#options.store.revoke(this.#leaseId, "membership");
+    if (this.#leaseId !== undefined) {
+      await this.#options.store.revoke(this.#leaseId, "membership");
+    }
     this.#socket.close();
   }
 
@@ -157,12 +175,16 @@
   /** VMs heard lately, without this one. */
   alive(): Member[] {
     const nowMs = this.#clock.monoMs();
-    return [...this.#members.values()].filter(({ heardMonoMs }) => nowMs - heardMonoMs < SILENT_MS);
+    return [...this.#members.values()].filter(({ heardMonoMs }) =>
+      nowMs - heardMonoMs < SILENT_MS
+    );
   }
 
   /** VMs of this region heard lately, without this one. */
   near(): Member[] {
-    return this.alive().filter(({ region }) => region === this.#options.self.region);
+    return this.alive().filter(({ region }) =>
+      region === this.#options.self.region
+    );
   }
 
   /** How many VMs there are, this one included; silent ones count until they are forgotten, as they may only be cut off. */
@@ -184,14 +206,18 @@
     if (!farText) return;
     for (const vm of this.#named.values()) this.#send(farText, vm.ip);
     if (this.#members.size === 0) {
-      for (const ip of this.#options.seedIps) if (ip !== self.ip) this.#send(farText, ip);
+      for (const ip of this.#options.seedIps) {
+        if (ip !== self.ip) this.#send(farText, ip);
+      }
     }
   }
 
   #encode(sameRegion: boolean, withOthers: boolean): Buffer {
     const { self, describe } = this.#options;
     const others = withOthers
-      ? this.#random.sample(this.alive(), MOST_OTHERS).map(({ id, ip, region, failureDomain, bornMs }) => ({
+      ? this.#random.sample(this.alive(), MOST_OTHERS).map((
+        { id, ip, region, failureDomain, bornMs },
+      ) => ({
         id,
         ip,
         region,
@@ -200,7 +226,9 @@
       }))
       : undefined;
     const params: Beat = { ...self, ...describe(sameRegion), others };
-    return Buffer.from(JSON.stringify({ jsonrpc: "2.0", method: "beat", params }));
+    return Buffer.from(
+      JSON.stringify({ jsonrpc: "2.0", method: "beat", params }),
+    );
   }
 
   #send(datagram: Buffer, ip: string): void {
@@ -224,7 +252,11 @@
     });
     this.#named.delete(beat.id);
     if (!before || before.bornMs !== beat.bornMs) {
-      this.#log.info("vm known", { peer: beat.id, region: beat.region, ip: beat.ip });
+      this.#log.info("vm known", {
+        peer: beat.id,
+        region: beat.region,
+        ip: beat.ip,
+      });
       this.#send(this.#encode(false, true), beat.ip);
     } else if (beat.leaving && !before.beat.leaving) {
       this.#log.info("vm leaves", { peer: beat.id });
@@ -244,7 +276,10 @@
     for (const [id, { heardMonoMs }] of this.#members) {
       if (nowMs - heardMonoMs < FORGET_MS) continue;
       this.#members.delete(id);
-      this.#log.info("vm forgotten", { peer: id, silentMs: Math.round(nowMs - heardMonoMs) });
+      this.#log.info("vm forgotten", {
+        peer: id,
+        silentMs: Math.round(nowMs - heardMonoMs),
+      });
     }
   }
 
@@ -256,9 +291,14 @@
       if (kept.isOk() || kept.error.kind !== "leaseGone") return;
       this.#leaseId = undefined;
     }
-    const lease = await store.grant(Math.max(leastLeaseMs, LEASE_MS), "membership");
+    const lease = await store.grant(
+      Math.max(leastLeaseMs, LEASE_MS),
+      "membership",
+    );
     if (lease.isErr() || this.#closing) return;
-    const put = await store.put(VM_PREFIX + self.id, JSON.stringify(self), { leaseId: lease.value }, "membership");
+    const put = await store.put(VM_PREFIX + self.id, JSON.stringify(self), {
+      leaseId: lease.value,
+    }, "membership");
     if (put.isOk()) this.#leaseId = lease.value;
     else void store.revoke(lease.value, "membership");
   }
@@ -271,7 +311,10 @@
       try {
         this.#name(JSON.parse(entry.value) as VmRecord);
       } catch {
-        this.#log.warn("vm entry unreadable", { key: entry.key, rev: entry.rev });
+        this.#log.warn("vm entry unreadable", {
+          key: entry.key,
+          rev: entry.rev,
+        });
       }
     }
   }
--- a/src/gateway/metrics.ts
+++ b/src/gateway/metrics.ts
@@ -11,7 +11,11 @@
 const QUANTILES = [0.5, 0.95, 0.99];
 
 /** What is timed. */
-export type Timed = "first_byte" | "between_chunks" | "total" | "relay_first_byte";
+export type Timed =
+  | "first_byte"
+  | "between_chunks"
+  | "total"
+  | "relay_first_byte";
 
 /** See the module. Names and labels are listed in docs/OPERATIONS.md. */
 export class GatewayMetrics {
@@ -46,7 +50,9 @@
       const [what, labels] = key.split("|");
       for (const quantile of QUANTILES) {
         lines.push(
-          `ibisgap_${what}_ms{${labels},quantile="${quantile}"} ${histogram.getValueAtPercentile(quantile * 100)}`,
+          `ibisgap_${what}_ms{${labels},quantile="${quantile}"} ${
+            histogram.getValueAtPercentile(quantile * 100)
+          }`,
         );
       }
       lines.push(`ibisgap_${what}_ms_count{${labels}} ${histogram.totalCount}`);
--- a/src/gateway/pass_on.ts
+++ b/src/gateway/pass_on.ts
@@ -5,11 +5,30 @@
  */
 
 import type { IncomingMessage } from "node:http";
+import type { Socket } from "node:net";
 import type { Reply } from "./reply.ts";
 
 /** Whether the answer came to its end. A broken one has broken the reply's connection too. */
 export type Passed = "whole" | "broken";
 
+/** Whether the answer says itself where it ends; otherwise it ends with its connection. */
+function isFramed({ headers }: IncomingMessage): boolean {
+  return headers["content-length"] !== undefined ||
+    headers["transfer-encoding"] !== undefined;
+}
+
+/**
+ * Tells a reset connection from one that was closed in order. Node shows a reset that follows its last bytes closely as
+ * an ordinary end, and an answer without a length would pass for whole. The kernel no longer knows the peer of a reset
+ * connection, and still knows that of a closed one; `remoteAddress` asks it the first time it is read.
+ */
+function watchReset(socket: Socket, onReset: () => void): void {
+  socket.once("error", onReset);
+  socket.prependOnceListener("end", () => {
+    if (socket.remoteAddress === undefined) onReset();
+  });
+}
+
 /** Passes the body on; `onFirst` is called before its first bytes. */
 export function passOn(
   answer: IncomingMessage,
@@ -34,9 +53,7 @@
       answer.pause();
       reply.onDrain(() => answer.resume());
     });
-    // For an answer without a length Node takes a reset for its end: the caller would get a part as if it were whole. The
-    // connection's own error comes before that end.
-    answer.socket.once("error", () => finish("broken"));
+    if (!isFramed(answer)) watchReset(answer.socket, () => finish("broken"));
     // An answer that was cut also ends; only `complete` tells that its last byte was there.
     answer.on("end", () => finish(answer.complete ? "whole" : "broken"));
     answer.on("error", () => finish("broken"));
--- a/src/gateway/peer_rpc.ts
+++ b/src/gateway/peer_rpc.ts
@@ -4,10 +4,21 @@
  * @module
  */
 
-import { type IncomingMessage, request as httpRequest, type ServerResponse } from "node:http";
+import {
+  type IncomingMessage,
+  request as httpRequest,
+  type ServerResponse,
+} from "node:http";
 import { JSONRPCClient, JSONRPCServer } from "json-rpc-2.0";
 import type { Clock, Timer } from "../base/mod.ts";
-import { type Handlers, type Kernel, type Log, type Messages, type Port, Task } from "../kernel/mod.ts";
+import {
+  type Handlers,
+  type Kernel,
+  type Log,
+  type Messages,
+  type Port,
+  Task,
+} from "../kernel/mod.ts";
 import type { BeliefMessages, Beliefs, Matter } from "./beliefs.ts";
 import type { Snapshot } from "./follower.ts";
 import type { PeerQuestions } from "./front.ts";
@@ -57,7 +68,10 @@
     this.#log = kernel.log;
     this.#clock = kernel.clock;
     this.#port = kernel.get<BeliefMessages>("beliefs");
-    this.#server.addMethod("snapshot", ({ matter }: { matter: Matter }) => this.#port.ask("snapshot", matter));
+    this.#server.addMethod(
+      "snapshot",
+      ({ matter }: { matter: Matter }) => this.#port.ask("snapshot", matter),
+    );
     this.#server.addMethod("dump", () => kernel.dump());
     this.#timer = this.#clock.every(PULL_MS, () => void this.#pull());
     return Promise.resolve();
@@ -101,7 +115,10 @@
   #furthestAhead(matter: Matter): Member | undefined {
     let best: Member | undefined;
     for (const member of this.#members.alive()) {
-      if (member.beat.revisions[matter] > (best?.beat.revisions[matter] ?? this.#beliefs.revisions[matter])) {
+      if (
+        member.beat.revisions[matter] >
+          (best?.beat.revisions[matter] ?? this.#beliefs.revisions[matter])
+      ) {
         best = member;
       }
     }
@@ -110,13 +127,19 @@
 
   async #ask(member: Member, matter: Matter): Promise<void> {
     const client = new JSONRPCClient(async (payload) => {
-      client.receive(JSON.parse(await this.#post(member.ip, JSON.stringify(payload))));
+      client.receive(
+        JSON.parse(await this.#post(member.ip, JSON.stringify(payload))),
+      );
     });
     try {
       const snapshot = await client.request("snapshot", { matter }) as Snapshot;
       await this.#port.ask("adopt", { matter, snapshot, from: member.id });
     } catch (error) {
-      this.#log.warn("peer did not answer", { peer: member.id, matter, reason: String(error) });
+      this.#log.warn("peer did not answer", {
+        peer: member.id,
+        matter,
+        reason: String(error),
+      });
     }
   }
 
@@ -128,9 +151,15 @@
         port: this.#relays.port,
         method: "POST",
         path: RPC_PATH,
-        headers: { "content-type": "application/json", "content-length": Buffer.byteLength(payload) },
+        headers: {
+          "content-type": "application/json",
+          "content-length": Buffer.byteLength(payload),
+        },
       });
-      const timer = this.#clock.after(ANSWER_WAIT_MS, () => call.destroy(new Error("no answer in time")));
+      const timer = this.#clock.after(
+        ANSWER_WAIT_MS,
+        () => call.destroy(new Error("no answer in time")),
+      );
       call.on("response", (answer) => {
         readText(answer).then(resolve, reject).finally(() => timer.close());
       });
--- a/src/gateway/relays.ts
+++ b/src/gateway/relays.ts
@@ -5,7 +5,12 @@
  */
 
 import type { Random } from "../base/mod.ts";
-import { type Handlers, type Kernel, type Messages, Task } from "../kernel/mod.ts";
+import {
+  type Handlers,
+  type Kernel,
+  type Messages,
+  Task,
+} from "../kernel/mod.ts";
 import type { RegionRoom } from "../routing/mod.ts";
 import { Connections } from "./connections.ts";
 import type { Member, Members } from "./members.ts";
@@ -47,14 +52,19 @@
     const free = new Map<string, number>();
     for (const { region, beat } of this.#targets()) {
       if (!allowed(region)) continue;
-      free.set(region, Math.max(free.get(region) ?? 0, beat.room?.[service] ?? 0));
+      free.set(
+        region,
+        Math.max(free.get(region) ?? 0, beat.room?.[service] ?? 0),
+      );
     }
     return [...free].map(([region, places]) => ({ region, free: places }));
   }
 
   /** A VM of a region to hand a request to, at random among those that take requests. */
   pick(region: string, random: Random): Member | undefined {
-    const targets = this.#targets().filter((member) => member.region === region);
+    const targets = this.#targets().filter((member) =>
+      member.region === region
+    );
     return targets.length === 0 ? undefined : random.pick(targets);
   }
 
@@ -74,6 +84,8 @@
   }
 
   #targets(): Member[] {
-    return this.#members.alive().filter(({ region, beat }) => region !== this.#region && beat.ready && !beat.leaving);
+    return this.#members.alive().filter(({ region, beat }) =>
+      region !== this.#region && beat.ready && !beat.leaving
+    );
   }
 }
--- a/src/gateway/reply.ts
+++ b/src/gateway/reply.ts
@@ -35,8 +35,14 @@
   }
 
   /** Passes on an upstream's status and headers; `bodyBytes` is its length, if known. */
-  begin(status: number, headers: readonly string[], bodyBytes: number | undefined): void {
-    const all = bodyBytes === undefined ? [...headers] : [...headers, "Content-Length", String(bodyBytes)];
+  begin(
+    status: number,
+    headers: readonly string[],
+    bodyBytes: number | undefined,
+  ): void {
+    const all = bodyBytes === undefined
+      ? [...headers]
+      : [...headers, "Content-Length", String(bodyBytes)];
     if (this.closes) all.push("Connection", "close");
     this.response.writeHead(status, all);
   }
@@ -71,7 +77,11 @@
 export class CallerReply extends Reply {
   readonly #isLeaving: () => boolean;
 
-  constructor(response: ServerResponse, onGone: () => void, isLeaving: () => boolean) {
+  constructor(
+    response: ServerResponse,
+    onGone: () => void,
+    isLeaving: () => boolean,
+  ) {
     super(response, onGone);
     this.#isLeaving = isLeaving;
   }
--- a/src/gateway/room.ts
+++ b/src/gateway/room.ts
@@ -4,7 +4,12 @@
  * @module
  */
 
-import { freePlaces, type GatewayConfig, type ServiceRow, type StepCandidate } from "../routing/mod.ts";
+import {
+  freePlaces,
+  type GatewayConfig,
+  type ServiceRow,
+  type StepCandidate,
+} from "../routing/mod.ts";
 
 /** Free places by service in this region. */
 export function regionRoom(
--- a/src/gateway/settings.ts
+++ b/src/gateway/settings.ts
@@ -8,7 +8,9 @@
 import * as z from "zod/mini";
 
 const text = z.string().check(z.minLength(1));
-const address = z.string().check(z.regex(/^[0-9.]+:[0-9]{1,5}$/, "must be IP:PORT"));
+const address = z.string().check(
+  z.regex(/^[0-9.]+:[0-9]{1,5}$/, "must be IP:PORT"),
+);
 const port = z.int().check(z.minimum(1), z.maximum(65_535));
 const count = z.number().check(z.minimum(0));
 
@@ -66,7 +68,10 @@
   try {
     value = JSON.parse(json);
   } catch (error) {
-    return err([{ field: "(file)", message: `not JSON: ${(error as Error).message}` }]);
+    return err([{
+      field: "(file)",
+      message: `not JSON: ${(error as Error).message}`,
+    }]);
   }
   const parsed = schema.safeParse(value);
   if (parsed.success) return ok(parsed.data);
--- a/src/gateway/stop.ts
+++ b/src/gateway/stop.ts
@@ -39,5 +39,8 @@
     front.closeIdle();
     if (context.open === 0) break;
   }
-  log.info("stopped", { open: context.open, tookMs: Math.round(clock.monoMs() - startMs) });
+  log.info("stopped", {
+    open: context.open,
+    tookMs: Math.round(clock.monoMs() - startMs),
+  });
 }
--- a/src/gateway/upstreams.ts
+++ b/src/gateway/upstreams.ts
@@ -5,10 +5,15 @@
  */
 
 import type { Clock, Timer } from "../base/mod.ts";
-import { type Handlers, type Kernel, type Messages, Task } from "../kernel/mod.ts";
 import {
-  ColdPace,
+  type Handlers,
+  type Kernel,
+  type Messages,
+  Task,
+} from "../kernel/mod.ts";
+import {
   coldOwner,
+  ColdPace,
   type Fleet,
   type KnownUpstream,
   type ServiceRow,
@@ -59,7 +64,11 @@
   #clock!: Clock;
   #timer: Timer | undefined;
 
-  constructor(fleet: Fleet, vms: NearVms, self: { readonly id: string; readonly region: string }) {
+  constructor(
+    fleet: Fleet,
+    vms: NearVms,
+    self: { readonly id: string; readonly region: string },
+  ) {
     super();
     this.#fleet = fleet;
     this.#vms = vms;
@@ -80,7 +89,9 @@
 
   dump(): unknown {
     return Object.fromEntries(
-      [...this.#links].map(([key, { running, waitingTokens, health }]) => [key, {
+      [...this.#links].map((
+        [key, { running, waitingTokens, health }],
+      ) => [key, {
         running,
         waitingTokens,
         health: health.dump(),
@@ -117,7 +128,9 @@
         slots: upstream.slots,
         doubtful: cold || link.health.isFailing(),
         aside: link.health.isAside(nowMs),
-        paced: !cold || (coldOwner(upstream.key, vmIds) === this.#self.id && link.coldPace.ready(nowMs)),
+        paced: !cold ||
+          (coldOwner(upstream.key, vmIds) === this.#self.id &&
+            link.coldPace.ready(nowMs)),
         upstream,
         link,
       };
--- a/src/platform/callers.ts
+++ b/src/platform/callers.ts
@@ -114,9 +114,21 @@
     ? (retryable && !promised ? 503 : httpStatus)
     : (promised ? 502 : httpStatus);
   const body = JSON.stringify({
-    error: { code, name: failure.code, ran: failure.ran, message: failure.message },
+    error: {
+      code,
+      name: failure.code,
+      ran: failure.ran,
+      message: failure.message,
+    },
   });
-  const headers = ["Content-Type", "application/json", "Content-Length", String(Buffer.byteLength(body))];
-  if (comeBackMs > 0) headers.push("Retry-After", (comeBackMs / 1000).toFixed(2));
+  const headers = [
+    "Content-Type",
+    "application/json",
+    "Content-Length",
+    String(Buffer.byteLength(body)),
+  ];
+  if (comeBackMs > 0) {
+    headers.push("Retry-After", (comeBackMs / 1000).toFixed(2));
+  }
   return { status, headers, body };
 }
--- a/src/platform/config.ts
+++ b/src/platform/config.ts
@@ -12,7 +12,12 @@
   type RouteKind,
   type ServiceRow,
 } from "../routing/mod.ts";
-import { numberField, parseRecord, textField, UnreadableRecord } from "./keys.ts";
+import {
+  numberField,
+  parseRecord,
+  textField,
+  UnreadableRecord,
+} from "./keys.ts";
 
 type Fields = Record<string, unknown>;
 
@@ -95,9 +100,17 @@
 function decodeLimits(record: Fields): CallerLimits {
   const limits = (record.limits ?? {}) as Fields;
   return {
-    headerBytes: numberField(limits, "max_header_bytes", DEFAULT_LIMITS.headerBytes),
+    headerBytes: numberField(
+      limits,
+      "max_header_bytes",
+      DEFAULT_LIMITS.headerBytes,
+    ),
     bodyBytes: numberField(limits, "max_body_bytes", DEFAULT_LIMITS.bodyBytes),
-    headerWaitMs: numberField(limits, "header_timeout_ms", DEFAULT_LIMITS.headerWaitMs),
+    headerWaitMs: numberField(
+      limits,
+      "header_timeout_ms",
+      DEFAULT_LIMITS.headerWaitMs,
+    ),
     idleMs: numberField(limits, "idle_timeout_ms", DEFAULT_LIMITS.idleMs),
   };
 }
--- a/src/platform/store.ts
+++ b/src/platform/store.ts
@@ -65,7 +65,9 @@
 
 // deno-lint-ignore no-explicit-any -- one item of the platform's JSON
 function decodeEntry(item: any): Entry | undefined {
-  if (typeof item?.key !== "string" || typeof item.value !== "string") return undefined;
+  if (typeof item?.key !== "string" || typeof item.value !== "string") {
+    return undefined;
+  }
   return {
     key: item.key,
     value: Buffer.from(item.value, "base64").toString("utf8"),
@@ -76,13 +78,20 @@
 // deno-lint-ignore no-explicit-any -- one event of the platform's JSON
 function decodeEvent(item: any): WatchEvent | undefined {
   if (item?.deleted) {
-    return { type: "delete", key: String(item.key), rev: Number(item.revision) };
+    return {
+      type: "delete",
+      key: String(item.key),
+      rev: Number(item.revision),
+    };
   }
   const entry = decodeEntry(item);
   return entry && { type: "put", entry };
 }
 
-function failure(kind: "unavailable" | "lost" | "limited" | "leaseGone", message: string): StoreError {
+function failure(
+  kind: "unavailable" | "lost" | "limited" | "leaseGone",
+  message: string,
+): StoreError {
   return { kind, message };
 }
 
@@ -90,7 +99,11 @@
 export class PlatformKeyValue extends KeyValue {
   readonly #host: string;
   readonly #port: number;
-  readonly #agent = new Agent({ keepAlive: true, maxSockets: MOST_CONNECTIONS, scheduling: "lifo" });
+  readonly #agent = new Agent({
+    keepAlive: true,
+    maxSockets: MOST_CONNECTIONS,
+    scheduling: "lifo",
+  });
   readonly #counts: Record<StorePurpose, number> = {
     table: 0,
     claims: 0,
@@ -107,7 +120,12 @@
   }
 
   async get(key: string, purpose: StorePurpose) {
-    const answer = await this.#call("GET", `/api/kv-key?key=${encodeURIComponent(key)}`, undefined, purpose);
+    const answer = await this.#call(
+      "GET",
+      `/api/kv-key?key=${encodeURIComponent(key)}`,
+      undefined,
+      purpose,
+    );
     if (answer.isErr()) return err(answer.error);
     if (answer.value.status === 404) return ok(undefined);
     return this.#expectOk(answer.value).map((body) => decodeEntry(body));
@@ -155,12 +173,19 @@
     }
     return this.#expectOk(answer.value).map((body) => ({
       events: (Array.isArray(body.events) ? body.events : [])
-        .map(decodeEvent).filter((event: WatchEvent | undefined) => event !== undefined),
+        .map(decodeEvent).filter((event: WatchEvent | undefined) =>
+          event !== undefined
+        ),
       rev: Math.max(afterRev, Number(body.current_rev) || 0),
     }));
   }
 
-  async put(key: string, value: string, options: PutOptions, purpose: StorePurpose) {
+  async put(
+    key: string,
+    value: string,
+    options: PutOptions,
+    purpose: StorePurpose,
+  ) {
     return await this.#transact(
       options.ifRev === undefined ? [] : [{ key, revision: options.ifRev }],
       [{ key, value: encode(value), lease: Number(options.leaseId ?? 0) }],
@@ -174,7 +199,9 @@
       writes.filter(({ ifRev }) => ifRev !== undefined)
         .map(({ key, ifRev }) => ({ key, revision: ifRev! })),
       writes.flatMap((write) =>
-        write.type === "put" ? [{ key: write.key, value: encode(write.value), lease: 0 }] : []
+        write.type === "put"
+          ? [{ key: write.key, value: encode(write.value), lease: 0 }]
+          : []
       ),
       writes.filter(({ type }) => type === "delete").map(({ key }) => key),
       purpose,
@@ -182,20 +209,40 @@
   }
 
   async grant(ttlMs: number, purpose: StorePurpose) {
-    const answer = await this.#call("POST", "/api/kv-lease", { ttl_ms: Math.round(ttlMs) }, purpose);
+    const answer = await this.#call("POST", "/api/kv-lease", {
+      ttl_ms: Math.round(ttlMs),
+    }, purpose);
     if (answer.isErr()) return err(answer.error);
     return this.#expectOk(answer.value).map((body) => String(body.lease));
   }
 
-  async keepAlive(leaseId: string, purpose: StorePurpose): Promise<Result<void, StoreError>> {
-    const answer = await this.#call("POST", `/api/kv-keep/${leaseId}`, undefined, purpose);
+  async keepAlive(
+    leaseId: string,
+    purpose: StorePurpose,
+  ): Promise<Result<void, StoreError>> {
+    const answer = await this.#call(
+      "POST",
+      `/api/kv-keep/${leaseId}`,
+      undefined,
+      purpose,
+    );
     if (answer.isErr()) return err(answer.error);
-    if (answer.value.status === 404) return err(failure("leaseGone", "the lease has ended"));
+    if (answer.value.status === 404) {
+      return err(failure("leaseGone", "the lease has ended"));
+    }
     return this.#expectOk(answer.value).map(() => undefined);
   }
 
-  async revoke(leaseId: string, purpose: StorePurpose): Promise<Result<void, StoreError>> {
-    const answer = await this.#call("DELETE", `/api/kv-lease-end/${leaseId}`, undefined, purpose);
+  async revoke(
+    leaseId: string,
+    purpose: StorePurpose,
+  ): Promise<Result<void, StoreError>> {
+    const answer = await this.#call(
+      "DELETE",
+      `/api/kv-lease-end/${leaseId}`,
+      undefined,
+      purpose,
+    );
     if (answer.isErr()) return err(answer.error);
     if (answer.value.status === 404) return ok(undefined);
     return this.#expectOk(answer.value).map(() => undefined);
@@ -211,7 +258,12 @@
     const run = async () => {
       let afterRev = fromRev - 1;
       while (open) {
-        const changes = await this.changes(prefix, afterRev, WATCH_WAIT_MS, purpose);
+        const changes = await this.changes(
+          prefix,
+          afterRev,
+          WATCH_WAIT_MS,
+          purpose,
+        );
         if (!open) return;
         if (changes.isOk()) {
           afterRev = changes.value.rev;
@@ -237,7 +289,11 @@
     return Promise.resolve();
   }
 
-  async #page(prefix: string, after: string | undefined, purpose: StorePurpose) {
+  async #page(
+    prefix: string,
+    after: string | undefined,
+    purpose: StorePurpose,
+  ) {
     const path = `/api/kv-range?path_prefix=${encodeURIComponent(prefix)}` +
       (after === undefined ? "" : `&after=${encodeURIComponent(after)}`);
     const answer = await this.#call("GET", path, undefined, purpose);
@@ -259,7 +315,11 @@
     remove: readonly string[],
     purpose: StorePurpose,
   ): Promise<Result<number, StoreError>> {
-    const answer = await this.#call("POST", "/api/kv-txn", { precondition, writes, remove }, purpose);
+    const answer = await this.#call("POST", "/api/kv-txn", {
+      precondition,
+      writes,
+      remove,
+    }, purpose);
     if (answer.isErr()) return err(answer.error);
     const { status, body } = answer.value;
     if (status === 412) {
@@ -270,15 +330,21 @@
         current: items.map(decodeEntry).find((entry) => entry !== undefined),
       });
     }
-    if (status === 404) return err(failure("leaseGone", "there is no such lease"));
+    if (status === 404) {
+      return err(failure("leaseGone", "there is no such lease"));
+    }
     return this.#expectOk(answer.value).map((value) => Number(value.revision));
   }
 
   // deno-lint-ignore no-explicit-any -- the platform's JSON
   #expectOk({ status, body }: Answer): Result<any, StoreError> {
     if (status === 200) return ok(body);
-    if (status === 429) return err(failure("limited", "the store's rate limit"));
-    if (status === 413) return err({ kind: "tooLarge", message: "the value is too large" });
+    if (status === 429) {
+      return err(failure("limited", "the store's rate limit"));
+    }
+    if (status === 413) {
+      return err({ kind: "tooLarge", message: "the value is too large" });
+    }
     return err(failure("unavailable", `the store answered ${status}`));
   }
 
@@ -310,13 +376,22 @@
       );
       const fail = (error: unknown) => {
         clearTimeout(timer);
-        resolve(err(failure(isNotSent(error) ? "unavailable" : "lost", String(error))));
+        resolve(
+          err(
+            failure(isNotSent(error) ? "unavailable" : "lost", String(error)),
+          ),
+        );
       };
       call.on("error", fail);
       call.on("response", (answer) => {
         readBody(answer).then((text) => {
           clearTimeout(timer);
-          resolve(ok({ status: answer.statusCode ?? 0, body: text ? JSON.parse(text) : {} }));
+          resolve(
+            ok({
+              status: answer.statusCode ?? 0,
+              body: text ? JSON.parse(text) : {},
+            }),
+          );
         }).catch(fail);
       });
       call.end(payload);
--- a/src/platform/upstream_entry.ts
+++ b/src/platform/upstream_entry.ts
@@ -5,7 +5,12 @@
  */
 
 import type { UpstreamRecord } from "../routing/mod.ts";
-import { numberField, parseRecord, textField, UnreadableRecord } from "./keys.ts";
+import {
+  numberField,
+  parseRecord,
+  textField,
+  UnreadableRecord,
+} from "./keys.ts";
 
 const ADDRESS = /^([0-9]{1,3}(?:\.[0-9]{1,3}){3}):([0-9]{1,5})$/;
 
--- a/src/platform/upstream_wire.ts
+++ b/src/platform/upstream_wire.ts
@@ -45,12 +45,16 @@
   const named = new Set<string>();
   for (let at = 0; at < raw.length; at += 2) {
     if (raw[at].toLowerCase() !== "connection") continue;
-    for (const name of raw[at + 1].split(",")) named.add(name.trim().toLowerCase());
+    for (const name of raw[at + 1].split(",")) {
+      named.add(name.trim().toLowerCase());
+    }
   }
   const kept: string[] = [];
   for (let at = 0; at < raw.length; at += 2) {
     const name = raw[at].toLowerCase();
-    if (HOP_HEADERS.has(name) || named.has(name) || without?.has(name)) continue;
+    if (HOP_HEADERS.has(name) || named.has(name) || without?.has(name)) {
+      continue;
+    }
     kept.push(raw[at], raw[at + 1]);
   }
   return kept;
@@ -110,8 +114,12 @@
     signed: headers["response-stamp"] !== undefined,
     notRun: headers["not-executed"] !== undefined || wrongUpstream,
     wrongUpstream,
-    matches: echoed === undefined ? !headers["response-stamp"] : echoed === attemptId,
+    matches: echoed === undefined
+      ? !headers["response-stamp"]
+      : echoed === attemptId,
     closes: headers.connection === "close",
-    bodyBytes: headers["content-length"] === undefined ? undefined : Number(headers["content-length"]),
+    bodyBytes: headers["content-length"] === undefined
+      ? undefined
+      : Number(headers["content-length"]),
   };
 }
--- a/src/routing/budget.ts
+++ b/src/routing/budget.ts
@@ -63,7 +63,10 @@
 
   #bucket(nowMs: number): Bucket {
     const startMs = Math.floor(nowMs / BUCKET_MS) * BUCKET_MS;
-    while (this.#buckets.length > 0 && this.#buckets[0].startMs <= startMs - this.#bounds.windowMs) {
+    while (
+      this.#buckets.length > 0 &&
+      this.#buckets[0].startMs <= startMs - this.#bounds.windowMs
+    ) {
       this.#buckets.shift();
     }
     const last = this.#buckets.at(-1);
--- a/src/routing/cold.ts
+++ b/src/routing/cold.ts
@@ -11,7 +11,10 @@
  * together; one owner keeps it without a message. While VMs disagree on who is there, two may send: the bound's own
  * margin (half as much again, and three) bears that.
  */
-export function coldOwner(upstreamKey: string, vmIds: readonly string[]): string | undefined {
+export function coldOwner(
+  upstreamKey: string,
+  vmIds: readonly string[],
+): string | undefined {
   return rendezvous(upstreamKey, vmIds, (id) => id)[0];
 }
 
--- a/src/routing/config.ts
+++ b/src/routing/config.ts
@@ -40,7 +40,9 @@
   /** The route with the longest prefix of the path; `target` may carry a query. */
   match(host: string, target: string): Route | undefined {
     const path = target.split("?", 1)[0];
-    return this.#byHost.get(host)?.find(({ pathPrefix }) => path.startsWith(pathPrefix));
+    return this.#byHost.get(host)?.find(({ pathPrefix }) =>
+      path.startsWith(pathPrefix)
+    );
   }
 
   service(name: string): ServiceRow | undefined {
--- a/src/routing/fleet.ts
+++ b/src/routing/fleet.ts
@@ -28,7 +28,11 @@
     const before = this.#byId.get(record.id);
     const region = this.#regionOf(record.failureDomain);
     if (region === undefined) this.#byId.delete(record.id);
-    else this.#byId.set(record.id, { ...record, region, coldUntilMs: nowMs + record.coldLeftMs });
+    else {this.#byId.set(record.id, {
+        ...record,
+        region,
+        coldUntilMs: nowMs + record.coldLeftMs,
+      });}
     this.#index();
     return before;
   }
@@ -69,7 +73,10 @@
   }
 
   dump(): unknown {
-    return { upstreams: [...this.#byId.values()], evacuated: [...this.#evacuated] };
+    return {
+      upstreams: [...this.#byId.values()],
+      evacuated: [...this.#evacuated],
+    };
   }
 
   #index(): void {
--- a/src/routing/health.ts
+++ b/src/routing/health.ts
@@ -56,6 +56,9 @@
   }
 
   dump(): unknown {
-    return { asideUntilMs: this.#asideUntilMs, failureShare: this.#failureShare };
+    return {
+      asideUntilMs: this.#asideUntilMs,
+      failureShare: this.#failureShare,
+    };
   }
 }
--- a/src/routing/leaving.ts
+++ b/src/routing/leaving.ts
@@ -17,7 +17,13 @@
  * Whether a request that arrives while the VM is being stopped can end before the process does. What cannot is refused
  * at once, not run: cut off in the middle it would be lost, and an at-most-once call could not even be repeated.
  */
-export function canFinish(route: Route, outputTokens: number, leftMs: number): boolean {
-  const wantedMs = route.kind === "stream" ? FIRST_EVENT_MS + outputTokens * TOKEN_MS : PLAIN_MS;
+export function canFinish(
+  route: Route,
+  outputTokens: number,
+  leftMs: number,
+): boolean {
+  const wantedMs = route.kind === "stream"
+    ? FIRST_EVENT_MS + outputTokens * TOKEN_MS
+    : PLAIN_MS;
   return leftMs > wantedMs;
 }
--- a/src/routing/place.ts
+++ b/src/routing/place.ts
@@ -58,7 +58,9 @@
     candidate,
     tier: (candidate.doubtful ? 2 : 0) + (hasRoom(candidate) ? 0 : 1),
     load: load(candidate),
-    weight: affinity === undefined ? 0 : hash32(`${affinity}\u0000${candidate.key}`),
+    weight: affinity === undefined
+      ? 0
+      : hash32(`${affinity}\u0000${candidate.key}`),
   }));
   scored.sort((a, b) =>
     a.tier - b.tier ||
--- a/src/routing/step.ts
+++ b/src/routing/step.ts
@@ -81,7 +81,10 @@
   return Math.round(ms * (0.5 + draw));
 }
 
-function pickRegion(regions: readonly RegionRoom[], draw: number): string | undefined {
+function pickRegion(
+  regions: readonly RegionRoom[],
+  draw: number,
+): string | undefined {
   const open = regions.filter(({ free }) => free > 0);
   const total = open.reduce((sum, { free }) => sum + free, 0);
   let at = draw * total;
@@ -98,25 +101,54 @@
  * still leaves time; then the queues of the upstreams here, as far as they start in time. What fits nowhere is refused
  * at once with a time to come back, so the caller loses nothing by waiting here.
  */
-export function nextStep<C extends StepCandidate>(input: StepInput<C>): Step<C> {
+export function nextStep<C extends StepCandidate>(
+  input: StepInput<C>,
+): Step<C> {
   const { nowMs, deadlineMs, arrivedMs, objectiveMs, draw } = input;
   const leftMs = deadlineMs - nowMs;
-  if (leftMs < LEAST_WORK_MS) return { type: "refuse", reason: "expired", comeBackMs: 0 };
+  if (leftMs < LEAST_WORK_MS) {
+    return { type: "refuse", reason: "expired", comeBackMs: 0 };
+  }
   const usable = input.candidates.filter(({ aside, paced }) => !aside && paced);
   const best = rank(usable, input.affinity);
-  if (best.length > 0 && hasRoom(best[0])) return { type: "send", candidate: best[0] };
-  const region = leftMs > RELAY_MS ? pickRegion(input.regions, draw) : undefined;
+  if (best.length > 0 && hasRoom(best[0])) {
+    return { type: "send", candidate: best[0] };
+  }
+  const region = leftMs > RELAY_MS
+    ? pickRegion(input.regions, draw)
+    : undefined;
   if (region !== undefined) return { type: "relay", region };
   const queued = best.find(mayQueue);
   if (queued) return { type: "send", candidate: queued };
   // All that is left was lost a moment ago: a connection that fails has sent nothing, so trying costs little.
-  const lost = rank(input.candidates.filter(({ aside, paced }) => aside && paced), input.affinity);
-  if (best.length === 0 && lost.length > 0) return { type: "send", candidate: lost[0] };
-  const waitEndMs = Math.min(arrivedMs + objectiveMs * WAIT_SHARE, deadlineMs - LEAST_WORK_MS);
-  if (nowMs < waitEndMs) return { type: "wait", untilMs: Math.min(waitEndMs, nowMs + LOOK_AGAIN_MS) };
+  const lost = rank(
+    input.candidates.filter(({ aside, paced }) => aside && paced),
+    input.affinity,
+  );
+  if (best.length === 0 && lost.length > 0) {
+    return { type: "send", candidate: lost[0] };
+  }
+  const waitEndMs = Math.min(
+    arrivedMs + objectiveMs * WAIT_SHARE,
+    deadlineMs - LEAST_WORK_MS,
+  );
+  if (nowMs < waitEndMs) {
+    return {
+      type: "wait",
+      untilMs: Math.min(waitEndMs, nowMs + LOOK_AGAIN_MS),
+    };
+  }
   return input.candidates.length === 0
-    ? { type: "refuse", reason: "noUpstream", comeBackMs: spread(ABSENT_RETURN_MS, draw) }
-    : { type: "refuse", reason: "overloaded", comeBackMs: spread(OVERLOAD_RETURN_MS, draw) };
+    ? {
+      type: "refuse",
+      reason: "noUpstream",
+      comeBackMs: spread(ABSENT_RETURN_MS, draw),
+    }
+    : {
+      type: "refuse",
+      reason: "overloaded",
+      comeBackMs: spread(OVERLOAD_RETURN_MS, draw),
+    };
 }
 
 /** What is known after a send that brought no answer to pass on. */
@@ -131,7 +163,9 @@
 }
 
 /** Whether a request may be sent to another upstream, budget aside. */
-export function maySendAgain({ repeatable, mayHaveRun, sends, mostUpstreams }: SendAgain): boolean {
+export function maySendAgain(
+  { repeatable, mayHaveRun, sends, mostUpstreams }: SendAgain,
+): boolean {
   if (mayHaveRun && !repeatable) return false;
   return sends < mostUpstreams;
 }
--- a/src/routing/types.ts
+++ b/src/routing/types.ts
@@ -92,5 +92,6 @@
 
 /** Whether a request on this route may run more than once. */
 export function mayRepeat(route: Route): boolean {
-  return route.kind === "idempotent" || (route.kind === "stream" && route.resumable);
+  return route.kind === "idempotent" ||
+    (route.kind === "stream" && route.resumable);
 }
--- a/src/services/directory.ts
+++ b/src/services/directory.ts
@@ -13,7 +13,13 @@
   Random,
   type Timer,
 } from "../base/mod.ts";
-import { type Handlers, type Kernel, type Port, Task, type Log } from "../kernel/mod.ts";
+import {
+  type Handlers,
+  type Kernel,
+  type Log,
+  type Port,
+  Task,
+} from "../kernel/mod.ts";
 import type {
   DirectoryAnswer,
   DirectoryMessages,
--- a/src/services/members.ts
+++ b/src/services/members.ts
@@ -14,7 +14,7 @@
   type MembersTimes,
 } from "../agreement/mod.ts";
 import { type Clock, hash32, Random, type Timer } from "../base/mod.ts";
-import { type Handlers, type Kernel, Task, type Log } from "../kernel/mod.ts";
+import { type Handlers, type Kernel, type Log, Task } from "../kernel/mod.ts";
 import type {
   PingMessage,
   PingViaMessage,
