Placing by waiting plus reading; silent upstreams set aside; broken resumable streams go on elsewhere

Ruled out: too little memory (no request preempted). Change: cost = waiting + 3 x reading + company, home engine by rendezvous; unread tokens counted in place of whole prompts; links that owe answers and are silent 0.6 s are set aside, one probe each 0.5 s; EventPass resumes; idempotent calls go elsewhere after 0.45 of their objective.

--- a/src/gateway/call.ts
+++ b/src/gateway/call.ts
@@ -7,10 +7,9 @@
 import type { IncomingMessage } from "node:http";
 import { type CodeName, type Failure, failure } from "../base/mod.ts";
 import {
-  addressTo,
   type CallerHead,
-  decodeAnswer,
   forwardedHeaders,
+  resumedAfter,
 } from "../platform/mod.ts";
 import {
   affinityOf,
@@ -20,26 +19,29 @@
   mayRepeat,
   maySendAgain,
   nextStep,
+  patienceMs,
   type RegionRoom,
   type Route,
   type ServiceRow,
   type Step,
 } from "../routing/mod.ts";
 import { type BodyProblem, readBody } from "./body.ts";
+import { CallRecord } from "./call_record.ts";
 import type { GatewayContext } from "./context.ts";
-import { Exchange } from "./exchange.ts";
-import { type Passed, passOn } from "./pass_on.ts";
-import { decodePeerFailure, RELAY_HEADERS, type Reply } from "./reply.ts";
-import type { LinkedCandidate } from "./upstreams.ts";
+import { type BodyPass, EventPass, type Passed, RawPass } from "./pass_on.ts";
+import type { Reply } from "./reply.ts";
+import {
+  type Answered,
+  RelaySend,
+  type Send,
+  type Sendable,
+  type Unanswered,
+  UpstreamSend,
+} from "./send.ts";
+import type { LinkedCandidate, PromptShape } from "./upstreams.ts";
 
-/** A connection inside a region takes a few ms; an upstream that took none in this time is dark. */
-const CONNECT_WAIT_MS = 250;
-/** The same to another region, 80 ms away each way. */
-const RELAY_CONNECT_WAIT_MS = 500;
-/** Tries of one request, connections that failed included: each costs up to {@link CONNECT_WAIT_MS}. */
+/** Tries of one request, connections that failed included: each costs up to a quarter of a second. */
 const MOST_TRIES = 4;
-/** When to return after the last upstream refused: another VM or upstream may have room at once. */
-const REFUSED_RETURN_MS = 300;
 
 const BODY_CODES: Record<BodyProblem, CodeName> = {
   tooLarge: "bodyTooLarge",
@@ -61,36 +63,24 @@
   readonly mostUpstreams: number;
 }
 
-/** What became of one send. */
-type Sent =
-  | { readonly type: "done"; readonly passed: Passed }
-  | {
-    readonly type: "again";
-    readonly mayHaveRun: boolean;
-    readonly reason: string;
-    readonly failure: Failure;
-    readonly comeBackMs: number;
-  };
-
 /** See the module. */
 export class Call {
   readonly #context: GatewayContext;
   readonly #input: CallInput;
   readonly #reply: Reply;
   readonly #service: ServiceRow;
+  readonly #prompt: PromptShape;
+  readonly #record: CallRecord;
   readonly #arrivedMs: number;
   readonly #tried = new Set<string>();
   readonly #triedRegions = new Set<string>();
   readonly #headers: readonly string[];
   #body: Buffer = Buffer.alloc(0);
-  #exchange: Exchange | undefined;
-  #sends = 0;
-  #tries = 0;
+  #send: Send | undefined;
+  #pass: BodyPass | undefined;
   #mayHaveRun = false;
   #over = false;
   #last: Failure | undefined;
-  #place = "";
-  #firstByteMs: number | undefined;
   #wake: (() => void) | undefined;
 
   constructor(context: GatewayContext, input: CallInput, reply: Reply) {
@@ -101,7 +91,9 @@
     const name = chooseService(route, head.attemptId);
     this.#service = config.service(name) ??
       { name, mostConnections: 64, coldMs: 0, coldPerS: 0, engine: undefined };
+    this.#prompt = { parts: head.promptParts, tokens: head.promptTokens };
     this.#arrivedMs = context.clock.monoMs();
+    this.#record = new CallRecord(context, input, name, this.#arrivedMs);
     this.#headers = forwardedHeaders(input.request.rawHeaders);
   }
 
@@ -126,10 +118,7 @@
         await this.#serve();
       }
     } catch (error) {
-      this.#context.log.error("request failed inside", {
-        attempt: this.#input.head.attemptId,
-        reason: (error as Error).stack ?? String(error),
-      });
+      this.#record.fault(error);
       this.#fail(
         failure("internal", { ran: this.#mayHaveRun ? "unknown" : "no" }),
         0,
@@ -145,7 +134,7 @@
   cancel(): void {
     if (this.#over) return;
     this.#finish("canceled", "caller left");
-    this.#exchange?.cancel("caller left");
+    this.#send?.cancel("caller left");
     this.#wake?.();
   }
 
@@ -157,15 +146,139 @@
         continue;
       }
       if (step.type === "refuse") return this.#refuse(step);
-      const sent = step.type === "send"
-        ? await this.#send(step.candidate)
-        : await this.#relay(step.region);
-      if (this.#over || sent === undefined) continue;
-      if (sent.type === "done") return this.#answered(sent.passed);
-      this.#last = sent.failure;
-      this.#mayHaveRun ||= sent.mayHaveRun;
-      if (!this.#again(sent)) return this.#fail(sent.failure, sent.comeBackMs);
+      const send = this.#open(step);
+      if (send) await this.#follow(send);
+    }
+  }
+
+  /** Sends, or finds that the place that was chosen is gone. */
+  #open(
+    step: Step<LinkedCandidate> & { type: "send" | "relay" },
+  ): Send | undefined {
+    const { upstreams, relays, random } = this.#context;
+    if (step.type === "send") {
+      const { candidate } = step;
+      if (!upstreams.take(candidate, this.#service, this.#prompt)) {
+        return undefined;
+      }
+      this.#tried.add(candidate.key);
+      this.#record.place = candidate.key;
+      return new UpstreamSend(
+        this.#context,
+        this.#sendable(this.#service.engine ? candidate.unreadTokens : 0),
+        candidate,
+      );
     }
+    this.#triedRegions.add(step.region);
+    const vm = relays.pick(step.region, random);
+    if (!vm) return undefined;
+    this.#record.place = vm.id;
+    return new RelaySend(this.#context, this.#sendable(0), vm, {
+      configVersion: this.#input.config.version,
+      mostUpstreams: Math.max(
+        1,
+        this.#input.mostUpstreams - this.#record.sends,
+      ),
+    });
+  }
+
+  #sendable(promptTokens: number): Sendable {
+    const { head, request, route, deadlineMonoMs } = this.#input;
+    const after = this.#pass instanceof EventPass
+      ? this.#pass.lastEventId
+      : undefined;
+    return {
+      method: request.method ?? "GET",
+      target: head.target,
+      attemptId: head.attemptId,
+      headers: after === undefined
+        ? this.#headers
+        : resumedAfter(this.#headers, after),
+      body: this.#body,
+      deadlineMonoMs,
+      promptTokens,
+      patienceMs: this.#record.tries === 0 ? patienceMs(route) : Infinity,
+    };
+  }
+
+  /** Follows one send to its end; returns with the call over, or ready for the next step. */
+  async #follow(send: Send): Promise<void> {
+    this.#record.tries++;
+    this.#send = send;
+    try {
+      const head = await send.head();
+      if (this.#over) return;
+      if (head.type === "unanswered") return this.#unanswered(head);
+      this.#record.sends++;
+      if (head.read.status >= 500 && this.#sendsFailedAgain(head)) {
+        return;
+      }
+      if (this.#reply.isBegun && head.read.status !== 200) {
+        return this.#broken(`resumed with ${head.read.status}`);
+      }
+      const passed = await this.#passOn(send, head);
+      if (this.#over) return;
+      if (passed === "whole") {
+        this.#reply.end();
+        return this.#finish("ok", undefined);
+      }
+      send.noteBroken();
+      this.#broken("upstream broke off");
+    } finally {
+      send.close();
+    }
+  }
+
+  #passOn(send: Send, { answer, read }: Answered): Promise<Passed> {
+    const { route, relayed } = this.#input;
+    if (!this.#pass) {
+      this.#reply.begin(read.status, read.headers, read.bodyBytes);
+      const onChunk = () => {
+        this.#send?.noteChunk();
+        this.#record.noteChunk();
+      };
+      // The VM that the caller is connected to resumes; a second one would count its sends from zero.
+      this.#pass = route.kind === "stream" && route.resumable && !relayed
+        ? new EventPass(this.#reply, onChunk)
+        : new RawPass(this.#reply, onChunk);
+    } else if (this.#pass instanceof EventPass) this.#pass.dropPart();
+    this.#send = send;
+    return this.#pass.run(answer);
+  }
+
+  /** Whether a failed answer is left aside for another send. */
+  #sendsFailedAgain({ answer, read }: Answered): boolean {
+    if (!this.#hasOtherHere() || !this.#mayRunAgain(true)) return false;
+    answer.resume();
+    this.#mayHaveRun = true;
+    this.#record.sentAgain(`upstream answered ${read.status}`);
+    return true;
+  }
+
+  #unanswered(head: Unanswered): void {
+    if (head.arrived) this.#record.sends++;
+    this.#last = head.failure;
+    this.#mayHaveRun ||= head.mayHaveRun;
+    if (this.#mayRunAgain(head.mayHaveRun)) {
+      return this.#record.sentAgain(head.reason);
+    }
+    this.#fail(
+      this.#mayHaveRun && head.failure.ran === "no"
+        ? failure("upstreamFailed")
+        : head.failure,
+      head.comeBackMs,
+      head.reason,
+    );
+  }
+
+  /** A stream broke in the middle: it goes on at another upstream, or the caller's connection breaks too. */
+  #broken(reason: string): void {
+    this.#mayHaveRun = true;
+    if (this.#pass instanceof EventPass && this.#mayRunAgain(true)) {
+      return this.#record.sentAgain(reason);
+    }
+    this.#finish("streamBroken", reason);
+    this.#reply.breakOff();
   }
 
   #next(): Step<LinkedCandidate> {
@@ -180,7 +293,7 @@
       deadlineMs: deadlineMonoMs,
       objectiveMs: route.objectiveMs,
       candidates: isHome(region)
-        ? upstreams.candidates(this.#service).filter(({ key }) =>
+        ? upstreams.candidates(this.#service, this.#prompt).filter(({ key }) =>
           !this.#tried.has(key)
         )
         : [],
@@ -197,163 +310,6 @@
     );
   }
 
-  /** Sends to an upstream; `undefined` if that upstream may not be used any more. */
-  async #send(candidate: LinkedCandidate): Promise<Sent | undefined> {
-    const { upstreams, clock } = this.#context;
-    const { head, request, deadlineMonoMs } = this.#input;
-    const { upstream, link } = candidate;
-    if (!upstreams.take(candidate, this.#service)) return undefined;
-    this.#tried.add(candidate.key);
-    this.#tries++;
-    this.#place = upstream.key;
-    const exchange = new Exchange({
-      agent: link.agent,
-      host: upstream.host,
-      port: upstream.port,
-      method: request.method ?? "GET",
-      target: head.target,
-      headers: addressTo(
-        this.#headers,
-        upstream.id,
-        deadlineMonoMs - clock.monoMs(),
-      ),
-      body: this.#body,
-      connectWaitMs: CONNECT_WAIT_MS,
-    });
-    this.#exchange = exchange;
-    const tokens = this.#service.engine ? head.promptTokens : 0;
-    let waiting = true;
-    const started = () => {
-      if (waiting) link.waitingTokens -= tokens;
-      waiting = false;
-    };
-    link.running++;
-    link.waitingTokens += tokens;
-    try {
-      const result = await exchange.head;
-      const nowMs = clock.monoMs();
-      if (result.isErr()) {
-        const { sent, reason } = result.error;
-        if (this.#over) return undefined;
-        if (sent) this.#sends++;
-        link.health.note("lost", nowMs);
-        return this.#lost(sent, reason);
-      }
-      const answer = result.value;
-      const read = decodeAnswer(answer, head.attemptId);
-      if (!read.wrongUpstream) this.#sends++;
-      if (!read.matches || (!read.signed && !read.notRun)) {
-        exchange.cancel("answer of another attempt");
-        link.health.note("failed", nowMs);
-        return this.#lost(
-          true,
-          read.matches ? "answer is not signed" : "answer of another attempt",
-        );
-      }
-      if (read.notRun) {
-        answer.resume();
-        link.health.note(read.wrongUpstream ? "lost" : "shed", nowMs);
-        return {
-          type: "again",
-          mayHaveRun: false,
-          reason: `upstream refused with ${read.status}`,
-          failure: failure("upstreamRefused"),
-          comeBackMs: REFUSED_RETURN_MS,
-        };
-      }
-      const failed = read.status >= 500;
-      link.health.note(failed ? "failed" : "answered", nowMs);
-      if (failed && this.#hasOtherHere() && this.#mayRunAgain(true)) {
-        answer.resume();
-        this.#mayHaveRun = true;
-        this.#context.log.warn(
-          "sent again",
-          this.#fields({ reason: `upstream answered ${read.status}` }),
-        );
-        return undefined;
-      }
-      this.#reply.begin(read.status, read.headers, read.bodyBytes);
-      const passed = await passOn(answer, this.#reply, () => {
-        started();
-        this.#noteFirstByte();
-      });
-      if (passed === "broken") link.health.note("lost", clock.monoMs());
-      return { type: "done", passed };
-    } finally {
-      started();
-      link.running--;
-    }
-  }
-
-  /** Hands the request to a VM of another region. */
-  async #relay(region: string): Promise<Sent | undefined> {
-    const { relays, random, clock } = this.#context;
-    const { head, request, deadlineMonoMs, config } = this.#input;
-    this.#triedRegions.add(region);
-    const vm = relays.pick(region, random);
-    if (!vm) return undefined;
-    this.#tries++;
-    this.#place = vm.id;
-    const exchange = new Exchange({
-      agent: relays.agent(vm.ip),
-      host: vm.ip,
-      port: relays.port,
-      method: request.method ?? "GET",
-      target: head.target,
-      headers: [
-        ...this.#headers,
-        RELAY_HEADERS.waitMs,
-        String(Math.floor(deadlineMonoMs - clock.monoMs())),
-        RELAY_HEADERS.configVersion,
-        String(config.version),
-        RELAY_HEADERS.mostUpstreams,
-        String(Math.max(1, this.#input.mostUpstreams - this.#sends)),
-      ],
-      body: this.#body,
-      connectWaitMs: RELAY_CONNECT_WAIT_MS,
-    });
-    this.#exchange = exchange;
-    const result = await exchange.head;
-    if (result.isErr()) {
-      if (this.#over) return undefined;
-      if (result.error.sent) this.#sends++;
-      return this.#lost(result.error.sent, result.error.reason);
-    }
-    const answer = result.value;
-    const refused = decodePeerFailure(answer.headers);
-    if (refused) {
-      answer.resume();
-      const mayHaveRun = refused.failure.ran !== "no";
-      if (mayHaveRun) this.#sends++;
-      return {
-        type: "again",
-        mayHaveRun,
-        reason: `${vm.id} answered ${refused.failure.code}`,
-        failure: refused.failure,
-        comeBackMs: refused.comeBackMs,
-      };
-    }
-    this.#sends++;
-    const read = decodeAnswer(answer, head.attemptId);
-    this.#reply.begin(read.status, read.headers, read.bodyBytes);
-    return {
-      type: "done",
-      passed: await passOn(answer, this.#reply, () => this.#noteFirstByte()),
-    };
-  }
-
-  #lost(sent: boolean, reason: string): Sent {
-    return {
-      type: "again",
-      mayHaveRun: sent,
-      reason,
-      failure: failure(sent ? "upstreamFailed" : "noUpstream", {
-        ran: sent ? "unknown" : "no",
-      }),
-      comeBackMs: sent ? 0 : REFUSED_RETURN_MS,
-    };
-  }
-
   /**
    * Whether an upstream of this region has room for one more try. An upstream's own failure is passed on otherwise: a
    * caller that comes back with a new attempt is served sooner than by a hand-over, and the answer is true.
@@ -366,27 +322,21 @@
   #mayRunAgain(mayHaveRun: boolean): boolean {
     const { route } = this.#input;
     const { clock, members } = this.#context;
-    const allowed = this.#tries < MOST_TRIES && maySendAgain({
+    const allowed = this.#record.tries < MOST_TRIES && maySendAgain({
       repeatable: mayRepeat(route),
       mayHaveRun,
-      sends: this.#sends,
+      sends: this.#record.sends,
       mostUpstreams: this.#input.mostUpstreams,
     });
     if (!allowed) return false;
     // Until something was sent, another try is the first arrival anywhere and costs nothing of the budget.
-    return this.#sends === 0 ||
+    return this.#record.sends === 0 ||
       this.#context.budget(this.#service.name).tryTake(
         clock.monoMs(),
         members.count(),
       );
   }
 
-  #again({ mayHaveRun, reason }: Sent & { type: "again" }): boolean {
-    if (!this.#mayRunAgain(mayHaveRun)) return false;
-    this.#context.log.warn("sent again", this.#fields({ reason }));
-    return true;
-  }
-
   #refuse(step: Step<LinkedCandidate> & { type: "refuse" }): void {
     if (step.reason === "expired") return this.#expire();
     if (this.#mayHaveRun) {
@@ -398,24 +348,18 @@
 
   #expire(): void {
     if (this.#over) return;
-    const sent = this.#exchange !== undefined || this.#mayHaveRun;
+    const sent = this.#send !== undefined || this.#mayHaveRun;
     this.#fail(
       sent ? failure("upstreamTimeout") : failure("expiredInQueue"),
       0,
     );
-    this.#exchange?.cancel("deadline passed");
+    this.#send?.cancel("deadline passed");
     this.#wake?.();
   }
 
-  #answered(passed: Passed): void {
-    if (this.#over) return;
-    if (passed === "whole") this.#finish("ok", undefined);
-    else this.#finish("streamBroken", "upstream broke off");
-  }
-
-  #fail(cause: Failure, comeBackMs: number): void {
+  #fail(cause: Failure, comeBackMs: number, reason = cause.message): void {
     if (this.#over) return;
-    this.#finish(cause.code, cause.message, comeBackMs);
+    this.#finish(cause.code, reason, comeBackMs);
     if (this.#reply.isBegun) this.#reply.breakOff();
     else this.#reply.fail(cause, comeBackMs);
   }
@@ -426,49 +370,7 @@
     comeBackMs?: number,
   ): void {
     this.#over = true;
-    const { log, metrics, clock } = this.#context;
-    const { route, relayed } = this.#input;
-    const totalMs = clock.monoMs() - this.#arrivedMs;
-    const labels =
-      `service="${this.#service.name}",kind="${route.kind}",relayed="${relayed}"`;
-    metrics.count("requests", `${labels},outcome="${outcome}"`);
-    metrics.time("total", labels, totalMs);
-    const fields = this.#fields({
-      outcome,
-      reason,
-      comeBackMs,
-      totalMs: Math.round(totalMs),
-    });
-    if (outcome === "ok") log.info("request", fields);
-    else log.warn("request", fields);
-  }
-
-  #noteFirstByte(): void {
-    const ms = this.#context.clock.monoMs() - this.#arrivedMs;
-    this.#firstByteMs = Math.round(ms);
-    this.#context.metrics.time(
-      "first_byte",
-      `service="${this.#service.name}"`,
-      ms,
-    );
-  }
-
-  #fields(more: Record<string, unknown>): Record<string, unknown> {
-    const { head, route, config, relayed, deadlineMonoMs } = this.#input;
-    return {
-      attempt: head.attemptId,
-      route: route.name,
-      kind: route.kind,
-      service: this.#service.name,
-      configVersion: config.version,
-      relayed,
-      place: this.#place,
-      sends: this.#sends,
-      tries: this.#tries,
-      leftMs: Math.round(deadlineMonoMs - this.#context.clock.monoMs()),
-      firstByteMs: this.#firstByteMs,
-      ...more,
-    };
+    this.#record.finish(outcome, reason, comeBackMs);
   }
 
   #sleep(untilMs: number): Promise<void> {
--- /dev/null
+++ b/src/gateway/call_record.ts
@@ -0,0 +1,97 @@
+/**
+ * What is told of one request: a log line for each decision, and its metrics.
+ *
+ * @module
+ */
+
+import type { CodeName } from "../base/mod.ts";
+import type { CallInput } from "./call.ts";
+import type { GatewayContext } from "./context.ts";
+
+/** See the module. */
+export class CallRecord {
+  /** The upstream or VM that it was sent to last. */
+  place = "";
+  /** Upstreams that got it. */
+  sends = 0;
+  /** Sends that were tried, connections that failed included. */
+  tries = 0;
+  readonly #context: GatewayContext;
+  readonly #input: CallInput;
+  readonly #service: string;
+  readonly #arrivedMonoMs: number;
+  #firstByteMs: number | undefined;
+
+  constructor(
+    context: GatewayContext,
+    input: CallInput,
+    service: string,
+    arrivedMonoMs: number,
+  ) {
+    this.#context = context;
+    this.#input = input;
+    this.#service = service;
+    this.#arrivedMonoMs = arrivedMonoMs;
+  }
+
+  /** Notes that bytes of an answer came. */
+  noteChunk(): void {
+    if (this.#firstByteMs !== undefined) return;
+    const ms = this.#context.clock.monoMs() - this.#arrivedMonoMs;
+    this.#firstByteMs = Math.round(ms);
+    this.#context.metrics.time("first_byte", `service="${this.#service}"`, ms);
+  }
+
+  /** The request is sent once more. */
+  sentAgain(reason: string): void {
+    this.#context.log.warn("sent again", this.#fields({ reason }));
+    this.#context.metrics.count("sent_again", `service="${this.#service}"`);
+  }
+
+  /** A fault of this program. */
+  fault(error: unknown): void {
+    const reason = (error as Error).stack ?? String(error);
+    this.#context.log.error("request failed inside", this.#fields({ reason }));
+  }
+
+  /** The request is over. */
+  finish(
+    outcome: CodeName | "ok",
+    reason: string | undefined,
+    comeBackMs: number | undefined,
+  ): void {
+    const { log, metrics, clock } = this.#context;
+    const { route, relayed } = this.#input;
+    const totalMs = clock.monoMs() - this.#arrivedMonoMs;
+    const labels =
+      `service="${this.#service}",kind="${route.kind}",relayed="${relayed}"`;
+    metrics.count("requests", `${labels},outcome="${outcome}"`);
+    metrics.time("total", labels, totalMs);
+    const fields = this.#fields({
+      outcome,
+      reason,
+      comeBackMs,
+      totalMs: Math.round(totalMs),
+    });
+    if (outcome === "ok") log.info("request", fields);
+    else log.warn("request", fields);
+  }
+
+  #fields(more: Record<string, unknown>): Record<string, unknown> {
+    const { head, route, config, relayed, deadlineMonoMs } = this.#input;
+    return {
+      attempt: head.attemptId,
+      route: route.name,
+      kind: route.kind,
+      service: this.#service,
+      configVersion: config.version,
+      relayed,
+      place: this.place,
+      sends: this.sends,
+      tries: this.tries,
+      leftMs: Math.round(deadlineMonoMs - this.#context.clock.monoMs()),
+      firstByteMs: this.#firstByteMs,
+      ...more,
+    };
+  }
+}
--- a/src/gateway/directory.ts
+++ b/src/gateway/directory.ts
@@ -69,10 +69,14 @@
     return { addresses: this.addresses(this.#context.settings.vm.region) };
   }
 
-  /** Whether this VM takes requests. */
+  /**
+   * Whether this VM takes requests: it knows where to send them. A VM that said so a moment earlier, after a restart,
+   * would refuse what the others can serve.
+   */
   get isReady(): boolean {
-    return this.#context.beliefs.config !== undefined &&
-      !this.#context.isLeaving;
+    const { beliefs, isLeaving } = this.#context;
+    return beliefs.config !== undefined && beliefs.revisions.upstreams > 0 &&
+      !isLeaving;
   }
 
   /**
--- a/src/gateway/front.ts
+++ b/src/gateway/front.ts
@@ -102,12 +102,7 @@
     const { clock, beliefs, settings } = this.#context;
     const arrivedMs = clock.monoMs();
     const head = decodeHead(request);
-    let call: Call | undefined;
-    const reply = new CallerReply(
-      response,
-      () => call?.cancel(),
-      () => this.#context.isLeaving,
-    );
+    const reply = new CallerReply(response, () => this.#context.isLeaving);
     const { config } = beliefs;
     if (!config) {
       return this.#refuse(
@@ -156,7 +151,7 @@
       config,
       deadlineMonoMs: arrivedMs + waitMs,
     };
-    call = this.#open({
+    this.#open({
       ...input,
       relayed: false,
       mostUpstreams: route.mostUpstreams,
@@ -169,8 +164,7 @@
     }
     const { clock, beliefs } = this.#context;
     const head = decodeHead(request);
-    let call: Call | undefined;
-    const reply = new PeerReply(response, () => call?.cancel());
+    const reply = new PeerReply(response);
     const { config } = beliefs;
     const route = config?.match(head.host, head.target);
     // A VM that does not know the sender's configuration yet must not decide on an older one.
@@ -196,13 +190,13 @@
     };
     const mostUpstreams =
       Number(request.headers[RELAY_HEADERS.mostUpstreams]) || 1;
-    call = this.#open({ ...input, relayed: true, mostUpstreams }, reply);
+    this.#open({ ...input, relayed: true, mostUpstreams }, reply);
   }
 
-  #open(input: CallInput, reply: Reply): Call {
+  #open(input: CallInput, reply: Reply): void {
     const call = new Call(this.#context, input, reply);
+    reply.onGone(() => call.cancel());
     void call.run();
-    return call;
   }
 
   #refuse(
--- a/src/gateway/pass_on.ts
+++ b/src/gateway/pass_on.ts
@@ -8,7 +8,7 @@
 import type { Socket } from "node:net";
 import type { Reply } from "./reply.ts";
 
-/** Whether the answer came to its end. A broken one has broken the reply's connection too. */
+/** Whether an answer came to its end. */
 export type Passed = "whole" | "broken";
 
 /** Whether the answer says itself where it ends; otherwise it ends with its connection. */
@@ -29,34 +29,107 @@
   });
 }
 
-/** Passes the body on; `onFirst` is called before its first bytes. */
-export function passOn(
-  answer: IncomingMessage,
-  reply: Reply,
-  onFirst: () => void,
-): Promise<Passed> {
-  return new Promise((resolve) => {
-    let first = true;
-    let over = false;
-    const finish = (passed: Passed) => {
-      if (over) return;
-      over = true;
-      if (passed === "whole") reply.end();
-      else reply.breakOff();
-      resolve(passed);
-    };
-    answer.on("data", (chunk: Buffer) => {
-      if (over) return;
-      if (first) onFirst();
-      first = false;
-      if (reply.write(chunk)) return;
-      answer.pause();
-      reply.onDrain(() => answer.resume());
+/** Passes one reply's bytes on, from one answer or, after a break, from several. It neither ends nor breaks the reply. */
+export abstract class BodyPass {
+  readonly #reply: Reply;
+  readonly #onChunk: () => void;
+
+  /** `onChunk` is called for each chunk that arrives, before it is passed on. */
+  constructor(reply: Reply, onChunk: () => void) {
+    this.#reply = reply;
+    this.#onChunk = onChunk;
+  }
+
+  /** What of the bytes so far can be passed on. */
+  protected abstract take(chunk: Buffer): Buffer | undefined;
+
+  /** What is left when the answer ended in order. */
+  protected abstract rest(): Buffer | undefined;
+
+  /** Passes an answer's body on until it ends or breaks. */
+  run(answer: IncomingMessage): Promise<Passed> {
+    return new Promise((resolve) => {
+      let over = false;
+      const finish = (passed: Passed) => {
+        if (over) return;
+        over = true;
+        if (passed === "whole") this.#write(answer, this.rest());
+        resolve(passed);
+      };
+      answer.on("data", (chunk: Buffer) => {
+        if (over) return;
+        this.#onChunk();
+        this.#write(answer, this.take(chunk));
+      });
+      if (!isFramed(answer)) {
+        watchReset(answer.socket, () => finish("broken"));
+      }
+      // An answer that was cut also ends; only `complete` tells that its last byte was there.
+      answer.on("end", () => finish(answer.complete ? "whole" : "broken"));
+      answer.on("error", () => finish("broken"));
+      answer.on("close", () => finish(answer.complete ? "whole" : "broken"));
     });
-    if (!isFramed(answer)) watchReset(answer.socket, () => finish("broken"));
-    // An answer that was cut also ends; only `complete` tells that its last byte was there.
-    answer.on("end", () => finish(answer.complete ? "whole" : "broken"));
-    answer.on("error", () => finish("broken"));
-    answer.on("close", () => finish(answer.complete ? "whole" : "broken"));
-  });
+  }
+
+  #write(answer: IncomingMessage, bytes: Buffer | undefined): void {
+    if (bytes === undefined || bytes.length === 0) return;
+    if (this.#reply.write(bytes)) return;
+    answer.pause();
+    this.#reply.onDrain(() => answer.resume());
+  }
+}
+
+/** Passes bytes on as they come. */
+export class RawPass extends BodyPass {
+  protected take(chunk: Buffer): Buffer {
+    return chunk;
+  }
+
+  protected rest(): undefined {
+    return undefined;
+  }
+}
+
+const EVENT_END = "\n\n";
+const EVENT_ID = /^id: ?(.*)$/gm;
+
+/**
+ * Passes whole events on and remembers the last one's id. An upstream may stop in the middle of an event; the part is
+ * dropped, so that another upstream can go on after the last whole one.
+ */
+export class EventPass extends BodyPass {
+  #held: Buffer = Buffer.alloc(0);
+  #lastEventId: string | undefined;
+
+  /** The id of the last event that was passed on. */
+  get lastEventId(): string | undefined {
+    return this.#lastEventId;
+  }
+
+  /** Drops a part of an event, before another answer goes on. */
+  dropPart(): void {
+    this.#held = Buffer.alloc(0);
+  }
+
+  protected take(chunk: Buffer): Buffer | undefined {
+    const bytes = this.#held.length === 0
+      ? chunk
+      : Buffer.concat([this.#held, chunk]);
+    const at = bytes.lastIndexOf(EVENT_END);
+    if (at < 0) {
+      this.#held = bytes;
+      return undefined;
+    }
+    const end = at + EVENT_END.length;
+    this.#held = bytes.subarray(end);
+    const whole = bytes.subarray(0, end);
+    for (const [, id] of whole.toString("latin1").matchAll(EVENT_ID)) {
+      this.#lastEventId = id.trim();
+    }
+    return whole;
+  }
+
+  protected rest(): Buffer {
+    return this.#held;
+  }
 }
--- a/src/gateway/reply.ts
+++ b/src/gateway/reply.ts
@@ -12,18 +12,24 @@
 export abstract class Reply {
   protected readonly response: ServerResponse;
   #gone = false;
+  #onGone: (() => void) | undefined;
 
-  constructor(response: ServerResponse, onGone: () => void) {
+  constructor(response: ServerResponse) {
     this.response = response;
     response.sendDate = false;
     response.on("close", () => {
       if (response.writableFinished) return;
       this.#gone = true;
-      onGone();
+      this.#onGone?.();
     });
     response.on("error", () => {});
   }
 
+  /** Sets what to do when the other side leaves before its answer is whole. */
+  onGone(run: () => void): void {
+    this.#onGone = run;
+  }
+
   /** Whether the other side left before its answer was whole. */
   get isGone(): boolean {
     return this.#gone;
@@ -77,12 +83,8 @@
 export class CallerReply extends Reply {
   readonly #isLeaving: () => boolean;
 
-  constructor(
-    response: ServerResponse,
-    onGone: () => void,
-    isLeaving: () => boolean,
-  ) {
-    super(response, onGone);
+  constructor(response: ServerResponse, isLeaving: () => boolean) {
+    super(response);
     this.#isLeaving = isLeaving;
   }
 
--- /dev/null
+++ b/src/gateway/send.ts
@@ -0,0 +1,270 @@
+/**
+ * One send of a request: to an upstream of this region, or to a VM of another.
+ *
+ * @module
+ */
+
+import type { IncomingMessage } from "node:http";
+import { type Failure, failure } from "../base/mod.ts";
+import {
+  addressTo,
+  decodeAnswer,
+  type UpstreamAnswer,
+} from "../platform/mod.ts";
+import type { GatewayContext } from "./context.ts";
+import { Exchange, type ExchangeFailure } from "./exchange.ts";
+import type { Member } from "./members.ts";
+import { decodePeerFailure, RELAY_HEADERS } from "./reply.ts";
+import type { LinkedCandidate, UpstreamLink } from "./upstreams.ts";
+
+/** A connection inside a region takes a few ms; an upstream that took none in this time is dark. */
+const CONNECT_WAIT_MS = 250;
+/** The same to another region, 80 ms away each way. */
+const RELAY_CONNECT_WAIT_MS = 500;
+/** When to return after the last upstream refused: another VM or upstream may have room at once. */
+const REFUSED_RETURN_MS = 300;
+
+/** What is sent. */
+export interface Sendable {
+  readonly method: string;
+  readonly target: string;
+  readonly attemptId: string;
+  /** Headers for any upstream. */
+  readonly headers: readonly string[];
+  readonly body: Buffer;
+  /** On the monotonic clock. */
+  readonly deadlineMonoMs: number;
+  /** Prompt tokens that the upstream will have to read, as far as known; 0 for plain services. */
+  readonly promptTokens: number;
+  /** Without any answer for this long, the send is given up; `Infinity` to wait until the deadline. */
+  readonly patienceMs: number;
+}
+
+/** What a VM of another region is told besides. */
+export interface RelayTerms {
+  readonly configVersion: number;
+  readonly mostUpstreams: number;
+}
+
+/** The head of an answer that may go to the caller. */
+export interface Answered {
+  readonly type: "answered";
+  readonly answer: IncomingMessage;
+  readonly read: UpstreamAnswer;
+}
+
+/** Why there is no answer to pass on. */
+export interface Unanswered {
+  readonly type: "unanswered";
+  /** Whether the request may have reached an upstream's work. */
+  readonly mayHaveRun: boolean;
+  /** Whether an upstream got it at all. */
+  readonly arrived: boolean;
+  readonly reason: string;
+  readonly failure: Failure;
+  readonly comeBackMs: number;
+}
+
+/** See the module. Must be closed when the answer's body has ended. */
+export abstract class Send {
+  protected readonly context: GatewayContext;
+  protected readonly sendable: Sendable;
+  protected abstract readonly exchange: Exchange;
+
+  constructor(context: GatewayContext, sendable: Sendable) {
+    this.context = context;
+    this.sendable = sendable;
+  }
+
+  /** Waits for the head of the answer. */
+  async head(): Promise<Answered | Unanswered> {
+    const { patienceMs } = this.sendable;
+    const timer = patienceMs < Infinity
+      ? this.context.clock.after(
+        patienceMs,
+        () => this.cancel("no answer in time"),
+      )
+      : undefined;
+    const head = await this.exchange.head;
+    timer?.close();
+    return head.isOk() ? this.read(head.value) : this.lost(head.error);
+  }
+
+  /** Gives the request up: its connection closes, and the other side stops working. */
+  cancel(reason: string): void {
+    this.exchange.cancel(reason);
+  }
+
+  /** Called for each chunk of the answer's body. */
+  abstract noteChunk(): void;
+
+  /** Called when the body broke. */
+  abstract noteBroken(): void;
+
+  /** Called once, when nothing more is expected of this send. */
+  abstract close(): void;
+
+  /** Decides whether an answer may go to the caller. */
+  protected abstract read(answer: IncomingMessage): Answered | Unanswered;
+
+  protected lost({ sent, reason }: ExchangeFailure): Unanswered {
+    return {
+      type: "unanswered",
+      mayHaveRun: sent,
+      arrived: sent,
+      reason,
+      failure: failure(sent ? "upstreamFailed" : "noUpstream", {
+        ran: sent ? "unknown" : "no",
+      }),
+      comeBackMs: sent ? 0 : REFUSED_RETURN_MS,
+    };
+  }
+}
+
+/** A send to an upstream; counts what this VM has under way there. */
+export class UpstreamSend extends Send {
+  protected readonly exchange: Exchange;
+  readonly #link: UpstreamLink;
+  #waitingTokens: number;
+  #open = true;
+
+  constructor(
+    context: GatewayContext,
+    sendable: Sendable,
+    { upstream, link }: LinkedCandidate,
+  ) {
+    super(context, sendable);
+    this.#link = link;
+    this.#waitingTokens = sendable.promptTokens;
+    const nowMs = context.clock.monoMs();
+    link.open(nowMs, this.#waitingTokens);
+    this.exchange = new Exchange({
+      agent: link.agent,
+      host: upstream.host,
+      port: upstream.port,
+      method: sendable.method,
+      target: sendable.target,
+      headers: addressTo(
+        sendable.headers,
+        upstream.id,
+        sendable.deadlineMonoMs - nowMs,
+      ),
+      body: sendable.body,
+      connectWaitMs: CONNECT_WAIT_MS,
+    });
+  }
+
+  noteChunk(): void {
+    this.#link.heard(this.context.clock.monoMs());
+    this.#started();
+  }
+
+  noteBroken(): void {
+    this.#link.health.note("lost", this.context.clock.monoMs());
+  }
+
+  close(): void {
+    if (!this.#open) return;
+    this.#open = false;
+    this.#started();
+    this.#link.running--;
+  }
+
+  protected override lost(cause: ExchangeFailure): Unanswered {
+    this.noteBroken();
+    return super.lost(cause);
+  }
+
+  protected read(answer: IncomingMessage): Answered | Unanswered {
+    const nowMs = this.context.clock.monoMs();
+    const { health } = this.#link;
+    this.#link.heard(nowMs);
+    const read = decodeAnswer(answer, this.sendable.attemptId);
+    if (!read.matches || (!read.signed && !read.notRun)) {
+      const reason = read.matches
+        ? "answer is not signed"
+        : "answer of another attempt";
+      this.cancel(reason);
+      health.note("failed", nowMs);
+      return super.lost({ sent: true, reason });
+    }
+    if (!read.notRun) {
+      health.note(read.status >= 500 ? "failed" : "answered", nowMs);
+      return { type: "answered", answer, read };
+    }
+    answer.resume();
+    health.note(read.wrongUpstream ? "lost" : "shed", nowMs);
+    return {
+      type: "unanswered",
+      mayHaveRun: false,
+      arrived: !read.wrongUpstream,
+      reason: `upstream refused with ${read.status}`,
+      failure: failure("upstreamRefused"),
+      comeBackMs: REFUSED_RETURN_MS,
+    };
+  }
+
+  #started(): void {
+    this.#link.waitingTokens -= this.#waitingTokens;
+    this.#waitingTokens = 0;
+  }
+}
+
+/** A send to a VM of another region. */
+export class RelaySend extends Send {
+  protected readonly exchange: Exchange;
+  readonly #vm: Member;
+
+  constructor(
+    context: GatewayContext,
+    sendable: Sendable,
+    vm: Member,
+    terms: RelayTerms,
+  ) {
+    super(context, sendable);
+    this.#vm = vm;
+    const leftMs = sendable.deadlineMonoMs - context.clock.monoMs();
+    this.exchange = new Exchange({
+      agent: context.relays.agent(vm.ip),
+      host: vm.ip,
+      port: context.relays.port,
+      method: sendable.method,
+      target: sendable.target,
+      headers: [
+        ...sendable.headers,
+        RELAY_HEADERS.waitMs,
+        String(Math.floor(leftMs)),
+        RELAY_HEADERS.configVersion,
+        String(terms.configVersion),
+        RELAY_HEADERS.mostUpstreams,
+        String(terms.mostUpstreams),
+      ],
+      body: sendable.body,
+      connectWaitMs: RELAY_CONNECT_WAIT_MS,
+    });
+  }
+
+  noteChunk(): void {}
+
+  noteBroken(): void {}
+
+  close(): void {}
+
+  protected read(answer: IncomingMessage): Answered | Unanswered {
+    const refused = decodePeerFailure(answer.headers);
+    if (!refused) {
+      const read = decodeAnswer(answer, this.sendable.attemptId);
+      return { type: "answered", answer, read };
+    }
+    answer.resume();
+    const mayHaveRun = refused.failure.ran !== "no";
+    return {
+      type: "unanswered",
+      mayHaveRun,
+      arrived: mayHaveRun,
+      reason: `${this.#vm.id} answered ${refused.failure.code}`,
+      failure: refused.failure,
+      comeBackMs: refused.comeBackMs,
+    };
+  }
+}
--- a/src/gateway/upstreams.ts
+++ b/src/gateway/upstreams.ts
@@ -8,6 +8,7 @@
 import {
   type Handlers,
   type Kernel,
+  type Log,
   type Messages,
   Task,
 } from "../kernel/mod.ts";
@@ -16,6 +17,7 @@
   ColdPace,
   type Fleet,
   type KnownUpstream,
+  type PromptPart,
   type ServiceRow,
   type StepCandidate,
   UpstreamHealth,
@@ -26,6 +28,16 @@
 /** Connections of an upstream that is known no more are kept this long, for the answers that are still under way. */
 const KEEP_MS = 60_000;
 const SWEEP_MS = 5_000;
+/**
+ * An upstream that owes answers and sends nothing for this long has gone dark or hangs: engines at work send events
+ * several times as often, and a plain service's slowest usual answer takes less.
+ */
+const SILENT_MS = 600;
+const SILENCE_CHECK_MS = 100;
+/** How long a part of a prompt is taken for kept: engines turn their cache over in ten seconds or more at their peak. */
+const PART_KEPT_MS = 10_000;
+/** Parts remembered for one upstream; more do not fit its memory. */
+const MOST_PARTS = 512;
 
 /** This VM's side of one upstream. */
 export class UpstreamLink {
@@ -36,9 +48,63 @@
   waitingTokens = 0;
   usedMonoMs: number;
 
+  #quietSinceMs: number;
+  /** Parts of prompts sent there, with the time of the last send. */
+  readonly #parts = new Map<string, number>();
+
   constructor(nowMs: number) {
     this.agent = new Connections({});
     this.usedMonoMs = nowMs;
+    this.#quietSinceMs = nowMs;
+  }
+
+  /** Counts a request that is sent. */
+  open(nowMs: number, promptTokens: number): void {
+    if (this.running === 0) this.#quietSinceMs = nowMs;
+    this.running++;
+    this.waitingTokens += promptTokens;
+    this.health.noteSend(nowMs);
+  }
+
+  /** Notes that bytes came. */
+  heard(nowMs: number): void {
+    this.#quietSinceMs = nowMs;
+  }
+
+  /** Sets the upstream aside if it owes answers and has sent nothing for long. */
+  checkSilence(nowMs: number): boolean {
+    if (this.running === 0 || nowMs - this.#quietSinceMs < SILENT_MS) {
+      return false;
+    }
+    this.#quietSinceMs = nowMs;
+    this.health.note("lost", nowMs);
+    return true;
+  }
+
+  /** Notes the parts of a prompt that is sent. */
+  notePrompt(parts: readonly PromptPart[], nowMs: number): void {
+    for (const { id } of parts) {
+      // A part that is used again moves to the end, so that the oldest come first.
+      this.#parts.delete(id);
+      this.#parts.set(id, nowMs);
+    }
+    for (const [id, usedMs] of this.#parts) {
+      if (this.#parts.size <= MOST_PARTS && nowMs - usedMs < PART_KEPT_MS) {
+        break;
+      }
+      this.#parts.delete(id);
+    }
+  }
+
+  /** Tokens at the start of a prompt that were sent there lately. */
+  warmTokens(parts: readonly PromptPart[], nowMs: number): number {
+    let tokens = 0;
+    for (const part of parts) {
+      const usedMs = this.#parts.get(part.id);
+      if (usedMs === undefined || nowMs - usedMs > PART_KEPT_MS) break;
+      tokens += part.tokens;
+    }
+    return tokens;
   }
 }
 
@@ -46,8 +112,19 @@
 export interface LinkedCandidate extends StepCandidate {
   readonly upstream: KnownUpstream;
   readonly link: UpstreamLink;
+  /** Prompt tokens that it will have to read. */
+  readonly unreadTokens: number;
 }
 
+/** What is known of a request's prompt. */
+export interface PromptShape {
+  readonly parts: readonly PromptPart[];
+  readonly tokens: number;
+}
+
+/** A request without a prompt. */
+export const NO_PROMPT: PromptShape = { parts: [], tokens: 0 };
+
 /** What placing reads of other VMs. */
 export interface NearVms {
   near(): readonly Member[];
@@ -62,7 +139,7 @@
   readonly #links = new Map<string, UpstreamLink>();
   protected readonly handlers: Handlers<Messages> = {};
   #clock!: Clock;
-  #timer: Timer | undefined;
+  readonly #timers: Timer[] = [];
 
   constructor(
     fleet: Fleet,
@@ -77,12 +154,15 @@
 
   start(kernel: Kernel): Promise<void> {
     this.#clock = kernel.clock;
-    this.#timer = this.#clock.every(SWEEP_MS, () => this.#sweep());
+    this.#timers.push(this.#clock.every(SWEEP_MS, () => this.#sweep()));
+    this.#timers.push(
+      this.#clock.every(SILENCE_CHECK_MS, () => this.#checkSilence(kernel.log)),
+    );
     return Promise.resolve();
   }
 
   close(_deadlineMs: number): Promise<void> {
-    this.#timer?.close();
+    for (const timer of this.#timers) timer.close();
     for (const link of this.#links.values()) link.agent.destroy();
     return Promise.resolve();
   }
@@ -109,8 +189,12 @@
   }
 
   /** The upstreams of a service in this region, with what all VMs of the region have under way there. */
-  candidates(service: ServiceRow): LinkedCandidate[] {
+  candidates(
+    service: ServiceRow,
+    { parts, tokens }: PromptShape = NO_PROMPT,
+  ): LinkedCandidate[] {
     const nowMs = this.#clock.monoMs();
+    const shared = parts.slice(0, -1);
     const near = this.#vms.near();
     const vmIds = [this.#self.id, ...near.map(({ id }) => id)];
     return this.#fleet.of(service.name, this.#self.region).map((upstream) => {
@@ -131,6 +215,7 @@
         paced: !cold ||
           (coldOwner(upstream.key, vmIds) === this.#self.id &&
             link.coldPace.ready(nowMs)),
+        unreadTokens: Math.max(0, tokens - link.warmTokens(shared, nowMs)),
         upstream,
         link,
       };
@@ -138,11 +223,19 @@
   }
 
   /** Looks again, in the step that sends, whether the upstream may be used, and counts a cold one's request. */
-  take({ upstream, link }: LinkedCandidate, service: ServiceRow): boolean {
+  take(
+    { upstream, link }: LinkedCandidate,
+    service: ServiceRow,
+    { parts }: PromptShape,
+  ): boolean {
     const nowMs = this.#clock.monoMs();
     if (!this.#fleet.mayUse(upstream)) return false;
-    if (upstream.coldUntilMs <= nowMs) return true;
-    return link.coldPace.tryTake(nowMs, service.coldPerS);
+    if (
+      upstream.coldUntilMs > nowMs &&
+      !link.coldPace.tryTake(nowMs, service.coldPerS)
+    ) return false;
+    link.notePrompt(parts.slice(0, -1), nowMs);
+    return true;
   }
 
   #link(key: string, nowMs: number): UpstreamLink {
@@ -155,6 +248,15 @@
     return link;
   }
 
+  #checkSilence(log: Log): void {
+    const nowMs = this.#clock.monoMs();
+    for (const [key, link] of this.#links) {
+      if (link.checkSilence(nowMs)) {
+        log.warn("upstream silent", { upstream: key, running: link.running });
+      }
+    }
+  }
+
   #sweep(): void {
     const nowMs = this.#clock.monoMs();
     for (const [key, link] of this.#links) {
--- a/src/platform/upstream_wire.ts
+++ b/src/platform/upstream_wire.ts
@@ -123,3 +123,16 @@
       : Number(headers["content-length"]),
   };
 }
+
+/** Headers that ask an upstream to go on with a stream after an event. */
+export function resumedAfter(
+  forwarded: readonly string[],
+  eventId: string,
+): string[] {
+  const kept: string[] = [];
+  for (let at = 0; at < forwarded.length; at += 2) {
+    if (forwarded[at].toLowerCase() === "last-event-id") continue;
+    kept.push(forwarded[at], forwarded[at + 1]);
+  }
+  return [...kept, "Last-Event-Id", eventId];
+}
--- a/src/routing/health.ts
+++ b/src/routing/health.ts
@@ -21,6 +21,8 @@
 const MOST_ASIDE_MS = 2_000;
 /** After a refusal for want of room, others are tried first for as long as a few requests take to finish. */
 const SHED_ASIDE_MS = 100;
+/** Time between single requests to an upstream that has answered nothing since it was set aside. */
+const PROBE_GAP_MS = 500;
 /** Weight of one outcome in the share of failures: the last ten or so decide. */
 const FAILURE_WEIGHT = 0.1;
 /** Above this share of failures an upstream is used only after the others. Plain services fail up to 0.14 when well. */
@@ -31,23 +33,34 @@
   #asideUntilMs = -Infinity;
   #asideMs = LOST_ASIDE_MS;
   #failureShare = 0;
+  /** Whether it has answered nothing since it was last set aside. */
+  #onProbation = false;
+  #sentMs = -Infinity;
+
+  /** Notes that a request was sent. */
+  noteSend(nowMs: number): void {
+    this.#sentMs = nowMs;
+  }
 
   /** Notes the outcome of a send. */
   note(outcome: SendOutcome, nowMs: number): void {
     if (outcome === "lost") {
       this.#asideUntilMs = nowMs + this.#asideMs;
       this.#asideMs = Math.min(MOST_ASIDE_MS, this.#asideMs * 2);
+      this.#onProbation = true;
       return;
     }
+    this.#onProbation = false;
     this.#asideMs = LOST_ASIDE_MS;
     if (outcome === "shed") this.#asideUntilMs = nowMs + SHED_ASIDE_MS;
     const failed = outcome === "failed" ? 1 : 0;
     this.#failureShare += FAILURE_WEIGHT * (failed - this.#failureShare);
   }
 
-  /** Whether it is set aside now. */
+  /** Whether it is set aside now. What comes back gets one request at a time until it has answered one. */
   isAside(nowMs: number): boolean {
-    return nowMs < this.#asideUntilMs;
+    return nowMs < this.#asideUntilMs ||
+      (this.#onProbation && nowMs - this.#sentMs < PROBE_GAP_MS);
   }
 
   /** Whether it fails so often that others come first. */
--- a/src/routing/place.ts
+++ b/src/routing/place.ts
@@ -15,22 +15,48 @@
   /** Prompt tokens sent to it whose first event has not come yet, by all VMs as far as known. */
   readonly waitingTokens: number;
   readonly slots: number;
+  /** Prompt tokens of this request that it would have to read. */
+  readonly unreadTokens: number;
   /** Whether it fails often or was lost a moment ago. */
   readonly doubtful: boolean;
 }
 
+/** Tokens that an engine reads in a millisecond, by the users' sheets (91.8), less what decoding takes meanwhile. */
+const TOKENS_PER_MS = 80;
 /**
- * Prompt tokens waiting at an engine above which a request leaves its warm engine for the next. 30,000 tokens are read
- * in a third of a second (91.8 a millisecond): with the step times of a busy batch that is half of the shortest
- * objective, 800 ms, and the other half covers a cold read of the longest prompts.
+ * Prompt tokens waiting at an engine above which a request is better off elsewhere. They are read in under 400 ms; with
+ * the step times of a busy batch that is half of the shortest objective, 800 ms, and the other half covers a cold read
+ * of the longest prompts.
  */
 const MOST_WAITING_TOKENS = 30_000;
 /** Above this share of its slots an engine's next requests wait; the rest is left for what other VMs send meanwhile. */
 const FULL_SHARE = 0.9;
+/**
+ * What reading a token costs against waiting for it: it delays this request, every later one, and each token of all
+ * that run there. At 1 a burst that spills makes every engine read every prompt, and the peak outlasts the burst.
+ */
+const READ_PRICE = 3;
+/**
+ * What one more running request costs the ones beside it and itself, in ms: 0.05 ms a step (users' sheet) over the 40
+ * steps or so until a usual answer's end.
+ */
+const RUNNING_MS = 2;
 
-/** The part whose cache decides the engine: the last one that requests share. */
-export function affinityOf(parts: readonly PromptPart[]): string | undefined {
-  return parts.length > 1 ? parts[parts.length - 2].id : undefined;
+/** What ties a request to an engine. */
+export interface Affinity {
+  /** The last part of the prompt that requests share; its cache decides. */
+  readonly id: string;
+  /** Tokens that no other request shares. */
+  readonly ownTokens: number;
+}
+
+/** See {@link Affinity}; `undefined` for prompts that share nothing. */
+export function affinityOf(
+  parts: readonly PromptPart[],
+): Affinity | undefined {
+  if (parts.length < 2) return undefined;
+  const [shared, own] = parts.slice(-2);
+  return { id: shared.id, ownTokens: own.tokens };
 }
 
 /** Whether a candidate can start a request about at once. */
@@ -39,33 +65,56 @@
     candidate.waitingTokens < MOST_WAITING_TOKENS;
 }
 
-function load(candidate: Candidate): number {
-  return candidate.running / Math.max(1, candidate.slots) +
-    candidate.waitingTokens / MOST_WAITING_TOKENS;
+/** What placing a request there costs, in ms of delay for it and those beside it. */
+function costMs(candidate: Candidate, unreadTokens: number): number {
+  const waitMs = candidate.waitingTokens / TOKENS_PER_MS;
+  const readMs = unreadTokens / TOKENS_PER_MS * READ_PRICE;
+  const overMs = Math.max(0, candidate.running - candidate.slots) * 10;
+  return waitMs + readMs + overMs + candidate.running * RUNNING_MS;
+}
+
+/** The candidate that a prompt belongs to on every VM, by rendezvous hashing. */
+function homeOf<C extends Candidate>(
+  candidates: readonly C[],
+  affinity: string,
+): C | undefined {
+  let home: C | undefined;
+  let most = -1;
+  for (const candidate of candidates) {
+    if (candidate.doubtful) continue;
+    const weight = hash32(`${affinity}\u0000${candidate.key}`);
+    if (weight <= most) continue;
+    most = weight;
+    home = candidate;
+  }
+  return home;
 }
 
 /**
- * Orders candidates, best first. Requests that share a long prompt go to the same engine on every VM, by rendezvous
- * hashing: each prompt is then read once in a region and not once an engine. An engine that has no room loses its turn
- * to the next in the hash order, so one popular prompt does not queue while others idle. Plain requests go to the least
- * loaded. Doubtful upstreams come last, and are still used if nothing else is there.
+ * Orders candidates, best first: by waiting, reading and company together. Requests that share a long prompt have one
+ * home engine on every VM; there the shared parts count as read, since other VMs have sent them too. So a popular prompt
+ * leaves its home only when the wait there exceeds what reading it again costs everybody. Doubtful upstreams come last,
+ * and are still used if nothing else is there.
  */
 export function rank<C extends Candidate>(
   candidates: readonly C[],
-  affinity: string | undefined,
+  affinity: Affinity | undefined,
 ): C[] {
-  const scored = candidates.map((candidate) => ({
-    candidate,
-    tier: (candidate.doubtful ? 2 : 0) + (hasRoom(candidate) ? 0 : 1),
-    load: load(candidate),
-    weight: affinity === undefined
-      ? 0
-      : hash32(`${affinity}\u0000${candidate.key}`),
-  }));
-  scored.sort((a, b) =>
-    a.tier - b.tier ||
-    (a.tier % 2 === 0 ? b.weight - a.weight : 0) ||
-    a.load - b.load
-  );
-  return scored.map(({ candidate }) => candidate);
+  const home = affinity && homeOf(candidates, affinity.id);
+  const homeTokens = affinity?.ownTokens ?? 0;
+  return candidates
+    .map((candidate) => ({
+      candidate,
+      cost: costMs(
+        candidate,
+        candidate === home
+          ? Math.min(homeTokens, candidate.unreadTokens)
+          : candidate.unreadTokens,
+      ),
+    }))
+    .sort((a, b) =>
+      Number(a.candidate.doubtful) - Number(b.candidate.doubtful) ||
+      a.cost - b.cost
+    )
+    .map(({ candidate }) => candidate);
 }
--- a/src/routing/step.ts
+++ b/src/routing/step.ts
@@ -4,7 +4,8 @@
  * @module
  */
 
-import { type Candidate, hasRoom, rank } from "./place.ts";
+import { type Affinity, type Candidate, hasRoom, rank } from "./place.ts";
+import type { Route } from "./types.ts";
 
 /** An upstream that a request could be sent to now. */
 export interface StepCandidate extends Candidate {
@@ -31,7 +32,7 @@
   readonly candidates: readonly C[];
   /** Other regions that may serve it; empty if it was handed over already. */
   readonly regions: readonly RegionRoom[];
-  readonly affinity: string | undefined;
+  readonly affinity: Affinity | undefined;
   /** A number in [0, 1) that spreads hand-overs and returns. */
   readonly draw: number;
 }
@@ -182,3 +183,17 @@
   }
   return Math.floor(free);
 }
+
+/** Share of the objective after which an idempotent call that has no answer goes elsewhere. */
+const PATIENCE_SHARE = 0.45;
+
+/**
+ * How long a send may stay without an answer before the request goes elsewhere. An upstream that lost an answer, or
+ * hangs, gives no sign; an idempotent call can still be answered in time by another. Streams wait: their engine reads
+ * the prompt, and giving up would read it twice. What may not be repeated waits for its deadline.
+ */
+export function patienceMs(route: Route): number {
+  return route.kind === "idempotent"
+    ? route.objectiveMs * PATIENCE_SHARE
+    : Infinity;
+}
