--- a/src/gateway/call.ts
+++ b/src/gateway/call.ts
@@ -198,6 +198,7 @@
       deadlineMonoMs,
       promptTokens,
       patienceMs: this.#record.tries === 0 ? patienceMs(route) : Infinity,
+      hasOther: () => this.#next().type === "relay" || this.#hasOtherHere(),
     };
   }
 
--- /dev/null
+++ b/src/gateway/gateway.ts
@@ -0,0 +1,132 @@
+/**
+ * The gateway of one VM: its services, in the order in which they start.
+ *
+ * @module
+ */
+
+import { type Clock, systemClock } from "../base/mod.ts";
+import { Kernel, type Log } from "../kernel/mod.ts";
+import { PlatformKeyValue } from "../platform/mod.ts";
+import { Beliefs } from "./beliefs.ts";
+import { GatewayContext } from "./context.ts";
+import { Directory } from "./directory.ts";
+import { Front } from "./front.ts";
+import { hostPort } from "./listen.ts";
+import { Members } from "./members.ts";
+import { GatewayMetrics } from "./metrics.ts";
+import { PeerRpc } from "./peer_rpc.ts";
+import { Relays } from "./relays.ts";
+import { regionRoom } from "./room.ts";
+import type { GatewaySettings } from "./settings.ts";
+import { drain } from "./stop.ts";
+import { Upstreams } from "./upstreams.ts";
+
+/** Time for the services to close after the last answer. */
+const CLOSE_MS = 200;
+
+/** An open gateway. */
+export class Gateway {
+  readonly #kernel: Kernel;
+  readonly #context: GatewayContext;
+  readonly #front: Front;
+  readonly #store: PlatformKeyValue;
+
+  private constructor(
+    kernel: Kernel,
+    context: GatewayContext,
+    front: Front,
+    store: PlatformKeyValue,
+  ) {
+    this.#kernel = kernel;
+    this.#context = context;
+    this.#front = front;
+    this.#store = store;
+  }
+
+  /** Starts all services; the listeners of callers come last. Fails if an address is taken. */
+  static async open(
+    settings: GatewaySettings,
+    log: Log,
+    clock: Clock = systemClock,
+  ): Promise<Gateway> {
+    const { vm } = settings;
+    const kernel = new Kernel(clock, log);
+    const store = new PlatformKeyValue(settings.store.address);
+    const beliefs = new Beliefs({
+      store,
+      failureDomains: settings.failureDomains,
+    });
+    const members: Members = new Members({
+      self: {
+        id: vm.id,
+        ip: vm.ip,
+        region: vm.region,
+        failureDomain: vm.failureDomain,
+        bornMs: clock.nowMs(),
+      },
+      store,
+      leastLeaseMs: settings.store.leastLeaseMs,
+      port: settings.listen.beats,
+      seedIps: settings.seeds.map((address) => hostPort(address).host),
+      describe: (sameRegion) => ({
+        ready: directory.isReady,
+        leaving: context.isLeaving,
+        configVersion: beliefs.config?.version ?? 0,
+        revisions: beliefs.revisions,
+        ...(sameRegion ? { load: upstreams.load() } : {
+          room: regionRoom(
+            beliefs.config,
+            (service) => upstreams.candidates(service),
+          ),
+        }),
+      }),
+    });
+    const upstreams = new Upstreams(beliefs.fleet, members, vm);
+    const relays = new Relays(
+      members,
+      vm.region,
+      hostPort(settings.listen.peers).port,
+    );
+    const context = new GatewayContext({
+      settings,
+      clock,
+      log,
+      beliefs,
+      members,
+      upstreams,
+      relays,
+      metrics: new GatewayMetrics(),
+    });
+    const directory = new Directory(context);
+    const peerRpc = new PeerRpc(beliefs, members, relays);
+    const front = new Front(context, peerRpc);
+    const tasks = [
+      beliefs,
+      upstreams,
+      members,
+      relays,
+      peerRpc,
+      front,
+      directory,
+    ];
+    for (const task of tasks) await kernel.start(task);
+    return new Gateway(kernel, context, front, store);
+  }
+
+  /** Each service's state by name. */
+  dump(): Record<string, unknown> {
+    return this.#kernel.dump();
+  }
+
+  /** A planned stop: serves on as long as callers may come, then closes. */
+  async drain(): Promise<void> {
+    await drain(this.#context, this.#front);
+    await Promise.race([this.close(), this.#context.clock.sleep(CLOSE_MS)]);
+  }
+
+  /** Stops at once; what is under way breaks. */
+  async close(): Promise<void> {
+    await this.#kernel.close(this.#context.clock.nowMs());
+    await this.#store.close();
+  }
+}
--- /dev/null
+++ b/src/gateway/mod.ts
@@ -0,0 +1,9 @@
+/**
+ * The gateway's services: I/O around the decisions of `routing`.
+ *
+ * @module
+ */
+
+export * from "./gateway.ts";
+export * from "./line_log.ts";
+export * from "./settings.ts";
--- a/src/gateway/send.ts
+++ b/src/gateway/send.ts
@@ -36,8 +36,10 @@
   readonly deadlineMonoMs: number;
   /** Prompt tokens that the upstream will have to read, as far as known; 0 for plain services. */
   readonly promptTokens: number;
-  /** Without any answer for this long, the send is given up; `Infinity` to wait until the deadline. */
+  /** Without any answer for this long, the send may be given up; `Infinity` to wait until the deadline. */
   readonly patienceMs: number;
+  /** Whether another place would serve the request now; without one, giving up gains nothing. */
+  readonly hasOther: () => boolean;
 }
 
 /** What a VM of another region is told besides. */
@@ -78,12 +80,12 @@
 
   /** Waits for the head of the answer. */
   async head(): Promise<Answered | Unanswered> {
-    const { patienceMs } = this.sendable;
+    const { patienceMs, hasOther } = this.sendable;
+    const giveUp = () => {
+      if (hasOther()) this.cancel("no answer in time");
+    };
     const timer = patienceMs < Infinity
-      ? this.context.clock.after(
-        patienceMs,
-        () => this.cancel("no answer in time"),
-      )
+      ? this.context.clock.after(patienceMs, giveUp)
       : undefined;
     const head = await this.exchange.head;
     timer?.close();
--- a/src/gateway/stop.ts
+++ b/src/gateway/stop.ts
@@ -4,8 +4,6 @@
  * @module
  */
 
-import type { Clock } from "../base/mod.ts";
-import type { Log } from "../kernel/mod.ts";
 import type { GatewayContext } from "./context.ts";
 import type { Front } from "./front.ts";
 
@@ -22,9 +20,8 @@
 export async function drain(
   context: GatewayContext,
   front: Front,
-  clock: Clock,
-  log: Log,
 ): Promise<void> {
+  const { clock, log } = context;
   const startMs = clock.monoMs();
   const endMs = startMs + context.settings.bounds.graceMs - LAST_MS;
   context.isLeaving = true;
--- a/src/platform/store.ts
+++ b/src/platform/store.ts
@@ -25,8 +25,6 @@
 const WATCH_WAIT_MS = 3_000;
 /** Connections kept; more calls at once wait their turn. */
 const MOST_CONNECTIONS = 6;
-/** Pause after a failed question for changes. */
-const WATCH_RETRY_MS = 250;
 
 /** Changes after a revision. */
 export interface Changes {
@@ -265,15 +263,12 @@
           purpose,
         );
         if (!open) return;
-        if (changes.isOk()) {
-          afterRev = changes.value.rev;
-          for (const event of changes.value.events) onEvent(event);
-        } else if (changes.error.kind === "compacted") {
+        if (changes.isErr()) {
           onEvent({ type: "lost", message: changes.error.message });
           return;
-        } else {
-          await new Promise((resolve) => setTimeout(resolve, WATCH_RETRY_MS));
         }
+        afterRev = changes.value.rev;
+        for (const event of changes.value.events) onEvent(event);
       }
     };
     void run();
--- /dev/null
+++ b/src/routing/routing_test.ts
@@ -0,0 +1,444 @@
+import { describe, it } from "../base/describe.ts";
+import { Random } from "../base/mod.ts";
+import {
+  affinityOf,
+  canFinish,
+  chooseService,
+  coldOwner,
+  ColdPace,
+  Fleet,
+  freePlaces,
+  GatewayConfig,
+  maySendAgain,
+  nextStep,
+  rank,
+  RepeatBudget,
+  type Route,
+  type StepCandidate,
+  type StepInput,
+  UpstreamHealth,
+  type UpstreamRecord,
+} from "./mod.ts";
+
+const LIMITS = {
+  headerBytes: 16_384,
+  bodyBytes: 1_000,
+  headerWaitMs: 3_000,
+  idleMs: 15_000,
+};
+
+function route(more: Partial<Route> = {}): Route {
+  return {
+    name: "r",
+    host: "h.example",
+    pathPrefix: "/a/",
+    kind: "stream",
+    resumable: false,
+    targets: [{ service: "s", weight: 1 }],
+    timeoutMs: 5_000,
+    objectiveMs: 800,
+    eventGapMs: 300,
+    priority: 1,
+    mostUpstreams: 2,
+    homeRegions: [],
+    ...more,
+  };
+}
+
+function candidate(more: Partial<StepCandidate> = {}): StepCandidate {
+  return {
+    key: "u1",
+    running: 0,
+    waitingTokens: 0,
+    slots: 10,
+    unreadTokens: 0,
+    doubtful: false,
+    aside: false,
+    paced: true,
+    ...more,
+  };
+}
+
+function step(more: Partial<StepInput<StepCandidate>> = {}) {
+  return nextStep({
+    nowMs: 1_000,
+    arrivedMs: 1_000,
+    deadlineMs: 6_000,
+    objectiveMs: 800,
+    candidates: [],
+    regions: [],
+    affinity: undefined,
+    draw: 0.5,
+    ...more,
+  });
+}
+
+describe("routing", () => {
+  describe("routes", () => {
+    it("the longest prefix of the host wins, without the query", (t) => {
+      const config = new GatewayConfig(
+        1,
+        [
+          route({ name: "short", pathPrefix: "/a/" }),
+          route({ name: "long", pathPrefix: "/a/b/" }),
+        ],
+        [],
+        LIMITS,
+      );
+      t.is(config.match("h.example", "/a/b/c")?.name, "long");
+      t.is(config.match("h.example", "/a/?x=/a/b/")?.name, "short");
+      t.is(config.match("other.example", "/a/b/c"), undefined);
+    });
+
+    it("shares of a split hold over many attempts, and an attempt stays with its service", (t) => {
+      const split = route({
+        targets: [{ service: "x", weight: 90 }, { service: "y", weight: 10 }],
+      });
+      let toY = 0;
+      for (let i = 0; i < 5_000; i++) {
+        if (chooseService(split, `attempt-${i}`) === "y") toY++;
+      }
+      t.true(toY > 400 && toY < 600, `${toY}`);
+      t.is(
+        chooseService(split, "attempt-7"),
+        chooseService(split, "attempt-7"),
+      );
+    });
+  });
+
+  describe("repeat budget", () => {
+    // All VMs repeat at once when an upstream fails; what counts is the sum over them in any window.
+    it("the sum over all VMs stays within ratio and slack", (t) => {
+      const bounds = { ratio: 0.2, slack: 54, windowMs: 10_000 };
+      const vms = Array.from({ length: 7 }, () => new RepeatBudget(bounds));
+      let taken = 0;
+      let requests = 0;
+      for (let ms = 0; ms < 10_000; ms += 10) {
+        const vm = vms[(ms / 10) % 7];
+        vm.countRequest(ms);
+        requests++;
+        for (let i = 0; i < 3; i++) if (vm.tryTake(ms, 7)) taken++;
+      }
+      t.true(taken <= 0.2 * requests + 54, `${taken} of ${requests}`);
+      t.true(taken > 0.1 * requests);
+    });
+
+    it("comes back when the window has passed", (t) => {
+      const budget = new RepeatBudget({ ratio: 0, slack: 4, windowMs: 10_000 });
+      while (budget.tryTake(0, 1));
+      t.false(budget.tryTake(9_000, 1));
+      t.true(budget.tryTake(11_000, 1));
+    });
+  });
+
+  describe("cold upstreams", () => {
+    it("one VM owns one, and they are spread", (t) => {
+      const vms = ["a", "b", "c"];
+      const owners = new Set(
+        Array.from({ length: 30 }, (_, i) => coldOwner(`u${i}`, vms)),
+      );
+      t.is(owners.size, 3);
+      t.is(coldOwner("u1", vms), coldOwner("u1", [...vms].reverse()));
+    });
+
+    it("never get more than their rate in any second", (t) => {
+      const pace = new ColdPace();
+      const sentMs: number[] = [];
+      for (let ms = 0; ms < 5_000; ms += 3) {
+        if (pace.tryTake(ms, 4.3)) sentMs.push(ms);
+      }
+      for (const startMs of sentMs) {
+        const inSecond = sentMs.filter((ms) =>
+          ms >= startMs && ms < startMs + 1_000
+        ).length;
+        t.true(inSecond <= 5, `${inSecond}`);
+      }
+      t.true(sentMs.length >= 20);
+    });
+  });
+
+  describe("health", () => {
+    // An upstream goes dark: connections to it hang. Without the probe's gap each look would send it one more request.
+    it("what was lost is set aside, then gets one request at a time until it answers", (t) => {
+      const health = new UpstreamHealth();
+      health.note("lost", 0);
+      t.true(health.isAside(100));
+      t.false(health.isAside(450));
+      health.noteSend(450);
+      t.true(health.isAside(460));
+      t.false(health.isAside(1_000));
+      health.note("answered", 1_000);
+      health.noteSend(1_000);
+      t.false(health.isAside(1_001));
+    });
+
+    it("one that fails often comes after the others, and recovers", (t) => {
+      const health = new UpstreamHealth();
+      for (let i = 0; i < 20; i++) {
+        health.note(i % 2 ? "failed" : "answered", i);
+      }
+      t.true(health.isFailing());
+      for (let i = 0; i < 20; i++) health.note("answered", i);
+      t.false(health.isFailing());
+    });
+  });
+
+  describe("fleet", () => {
+    const record: UpstreamRecord = {
+      id: "i-1",
+      key: "i-1@0",
+      service: "s",
+      host: "10.0.0.1",
+      port: 1,
+      failureDomain: "hall-a",
+      slots: 4,
+      state: "ready",
+      coldLeftMs: 0,
+    };
+    const open = () =>
+      new Fleet((domain) => domain === "hall-a" ? "north" : undefined);
+
+    it("lists what is ready, in its region and not evacuated", (t) => {
+      const fleet = open();
+      fleet.put(record, 0);
+      const [known] = fleet.of("s", "north");
+      t.is(known.id, "i-1");
+      t.is(fleet.of("s", "south").length, 0);
+      fleet.setEvacuated(new Set(["hall-a"]));
+      t.false(fleet.mayUse(known));
+      t.is(fleet.of("s", "north").length, 0);
+      fleet.setEvacuated(new Set());
+      fleet.put({ ...record, state: "draining" }, 0);
+      t.false(fleet.mayUse(known));
+    });
+
+    // A request was placed while the upstream ran, waits, and is sent to the address after a restart.
+    it("an upstream born again is not the one that was chosen", (t) => {
+      const fleet = open();
+      fleet.put(record, 0);
+      const [known] = fleet.of("s", "north");
+      fleet.put({ ...record, key: "i-1@5" }, 0);
+      t.false(fleet.mayUse(known));
+    });
+
+    it("an unknown failure domain names no upstream", (t) => {
+      const fleet = open();
+      fleet.put({ ...record, failureDomain: "nowhere" }, 0);
+      t.is(fleet.of("s", "north").length, 0);
+    });
+  });
+
+  describe("next step", () => {
+    const far = [{ region: "south", free: 5 }];
+    const cases: [string, Partial<StepInput<StepCandidate>>, string][] = [
+      ["a free upstream here is taken", {
+        candidates: [candidate()],
+        regions: far,
+      }, "send u1"],
+      ["a full region hands over", {
+        candidates: [candidate({ running: 10 })],
+        regions: far,
+      }, "relay south"],
+      ["without a region it queues", {
+        candidates: [candidate({ running: 10 })],
+      }, "send u1"],
+      ["a queue that is full makes it wait a moment", {
+        candidates: [candidate({ running: 40 })],
+      }, "wait"],
+      ["then it is refused", {
+        candidates: [candidate({ running: 40 })],
+        arrivedMs: 500,
+      }, "refuse overloaded"],
+      [
+        "no upstream at all is refused after the wait",
+        { arrivedMs: 500 },
+        "refuse noUpstream",
+      ],
+      ["a deadline that has passed", {
+        deadlineMs: 1_010,
+        candidates: [candidate()],
+      }, "refuse expired"],
+      ["no hand-over that the link outlasts", {
+        deadlineMs: 1_150,
+        arrivedMs: 500,
+        regions: far,
+      }, "refuse noUpstream"],
+      ["a region without room is not used", {
+        arrivedMs: 500,
+        regions: [{ region: "south", free: 0 }],
+      }, "refuse noUpstream"],
+      ["one set aside is tried if nothing else is left", {
+        candidates: [candidate({ aside: true })],
+      }, "send u1"],
+      ["one set aside comes after other regions", {
+        candidates: [candidate({ aside: true })],
+        regions: far,
+      }, "relay south"],
+      ["a cold one beyond its rate is left alone", {
+        candidates: [candidate({ paced: false })],
+        arrivedMs: 500,
+      }, "refuse overloaded"],
+    ];
+    for (const [title, input, wanted] of cases) {
+      it(title, (t) => {
+        const got = step(input);
+        const text = got.type === "send"
+          ? `send ${got.candidate.key}`
+          : got.type === "relay"
+          ? `relay ${got.region}`
+          : got.type === "refuse"
+          ? `refuse ${got.reason}`
+          : got.type;
+        t.is(text, wanted);
+      });
+    }
+
+    it("those refused together come back apart", (t) => {
+      const backs = [0, 0.25, 0.5, 0.99].map((draw) => {
+        const refused = step({ arrivedMs: 500, draw });
+        return refused.type === "refuse" ? refused.comeBackMs : 0;
+      });
+      t.is(new Set(backs).size, 4);
+      t.true(Math.min(...backs) >= 500 && Math.max(...backs) <= 1_500);
+    });
+
+    it("a region lends half of its free places, of sound upstreams only", (t) => {
+      t.is(
+        freePlaces([
+          candidate({ running: 2 }),
+          candidate({ doubtful: true }),
+          candidate({ aside: true }),
+        ]),
+        4,
+      );
+    });
+  });
+
+  it("what may have run is never sent again unless it may be repeated", (t) => {
+    const sends = { sends: 1, mostUpstreams: 3 };
+    t.false(maySendAgain({ ...sends, repeatable: false, mayHaveRun: true }));
+    t.true(maySendAgain({ ...sends, repeatable: false, mayHaveRun: false }));
+    t.true(maySendAgain({ ...sends, repeatable: true, mayHaveRun: true }));
+    t.false(
+      maySendAgain({
+        repeatable: true,
+        mayHaveRun: true,
+        sends: 3,
+        mostUpstreams: 3,
+      }),
+    );
+  });
+
+  it("a leaving VM takes what can end before it does", (t) => {
+    t.true(canFinish(route({ kind: "atMostOnce" }), 0, 2_000));
+    t.false(canFinish(route(), 900, 3_000));
+    t.true(canFinish(route(), 50, 3_000));
+    t.true(canFinish(route(), 5_000, Infinity));
+  });
+});
+
+/** One engine of the load below: reads prompts one after the other and keeps the parts that it read last. */
+class ModelEngine {
+  readonly kept = new Map<string, number>();
+  freeAtMs = 0;
+  waiting: { untilMs: number; tokens: number }[] = [];
+}
+
+const SHARED_TOKENS = 6_300;
+const OWN_TOKENS = 2_890;
+const KEPT_PROMPTS = 40;
+const READ_PER_MS = 91.8;
+
+/** Plays `perS` long prompts a second over 100 subjects on 6 engines for 30 s; answers with the share that starts in time. */
+function playPrompts(
+  perS: number,
+  choose: (engines: readonly StepCandidate[], subject: string) => string,
+): number {
+  const random = new Random(7);
+  const engines = new Map(
+    Array.from({ length: 6 }, (_, i) => [`e${i}`, new ModelEngine()]),
+  );
+  let inTime = 0;
+  let asked = 0;
+  for (
+    let nowMs = 0;
+    nowMs < 30_000;
+    nowMs += random.exponential(1000 / perS)
+  ) {
+    const subject = `subject-${random.int(100)}`;
+    const seen = [...engines].map(([key, engine]) => {
+      engine.waiting = engine.waiting.filter(({ untilMs }) => untilMs > nowMs);
+      const isWarm = engine.kept.has(subject);
+      return candidate({
+        key,
+        slots: 128,
+        running: engine.waiting.length,
+        waitingTokens: engine.waiting.reduce(
+          (sum, { tokens }) => sum + tokens,
+          0,
+        ),
+        unreadTokens: OWN_TOKENS + (isWarm ? 0 : SHARED_TOKENS),
+      });
+    });
+    const engine = engines.get(choose(seen, subject))!;
+    const tokens = OWN_TOKENS + (engine.kept.has(subject) ? 0 : SHARED_TOKENS);
+    engine.kept.delete(subject);
+    engine.kept.set(subject, nowMs);
+    if (engine.kept.size > KEPT_PROMPTS) {
+      engine.kept.delete(
+        engine.kept.keys().next().value!,
+      );
+    }
+    engine.freeAtMs = Math.max(engine.freeAtMs, nowMs) + tokens / READ_PER_MS;
+    engine.waiting.push({ untilMs: engine.freeAtMs, tokens });
+    asked++;
+    if (engine.freeAtMs - nowMs <= 700) inTime++;
+  }
+  return inTime / asked;
+}
+
+describe("placing under load", () => {
+  // The peak of one region: 100 long prompts a second, which six engines can serve if each subject is read in one place,
+  // and not if every engine reads every subject.
+  it("a peak is served in time that the least loaded engine would not serve", (t) => {
+    const leastLoaded = playPrompts(
+      100,
+      (engines) =>
+        [...engines].sort((a, b) => a.waitingTokens - b.waitingTokens)[0].key,
+    );
+    const placed = playPrompts(
+      100,
+      (engines, subject) =>
+        rank(
+          engines,
+          affinityOf([{ id: subject, tokens: SHARED_TOKENS }, {
+            id: "own",
+            tokens: OWN_TOKENS,
+          }]),
+        )[0].key,
+    );
+    t.log(
+      `in time: least loaded ${leastLoaded.toFixed(3)}, placed ${
+        placed.toFixed(3)
+      }`,
+    );
+    t.true(placed > 0.95);
+    t.true(leastLoaded < 0.7);
+  });
+
+  // One subject is asked for by everybody: its home engine alone could not serve it.
+  it("one popular prompt does not queue while others idle", (t) => {
+    const placed = playPrompts(
+      120,
+      (engines) =>
+        rank(
+          engines,
+          affinityOf([{ id: "same", tokens: SHARED_TOKENS }, {
+            id: "own",
+            tokens: OWN_TOKENS,
+          }]),
+        )[0].key,
+    );
+    t.true(placed > 0.5, placed.toFixed(3));
+  });
+});
--- a/src/standins/mod.ts
+++ b/src/standins/mod.ts
@@ -11,6 +11,8 @@
 export * from "./orders.ts";
 export * from "./plain.ts";
 export * from "./records.ts";
+export * from "./runner.ts";
+export * from "./kv_server.ts";
 export * from "./memory_key_value.ts";
 export * from "./platform.ts";
 export * from "./platform_faults.ts";
--- /dev/null
+++ b/src/standins/runner.ts
@@ -0,0 +1,196 @@
+/**
+ * A stand-in of the users' upstreams: plain calls and event streams over HTTP, with every way in which they fail.
+ *
+ * @module
+ */
+
+import { once } from "node:events";
+import {
+  createServer,
+  type IncomingMessage,
+  type Server,
+  type ServerResponse,
+} from "node:http";
+import type { AddressInfo } from "node:net";
+
+/** What a runner does with the requests that reach it. */
+export type RunnerMood =
+  /** Answers. */
+  | "well"
+  /** Says that it has no room; does not run the request. */
+  | "shed"
+  /** Runs the request and answers with its own failure. */
+  | "error"
+  /** Runs the request and never answers. */
+  | "silent"
+  /** Runs the request and resets the connection. */
+  | "reset"
+  /** Answers without a length and resets the connection in the middle. */
+  | "resetUnframed"
+  /** Answers, and sends a second answer after the first. */
+  | "surplus"
+  /** Answers another attempt. */
+  | "crossed"
+  /** Answers without its stamp. */
+  | "unsigned"
+  /** Streams half of its events, stops in the middle of one, and resets. */
+  | "halfStream";
+
+/** What a runner got. */
+export interface RunnerArrival {
+  readonly target: string;
+  readonly method: string;
+  readonly headers: Readonly<Record<string, string | string[] | undefined>>;
+  readonly body: string;
+  /** Whether the gateway's connection ended before the answer was whole. */
+  cut: boolean;
+}
+
+/** Events of a whole stream. */
+export const STREAM_EVENTS = 6;
+const EVENT_GAP_MS = 10;
+
+function eventText(id: number): string {
+  return `id: ${id}\ndata: piece ${id}\n\n`;
+}
+
+/** The body of a whole stream after event `after`. */
+export function streamText(after = 0): string {
+  let text = "";
+  for (let id = after + 1; id <= STREAM_EVENTS; id++) text += eventText(id);
+  return text;
+}
+
+/** See the module. */
+export class Runner {
+  readonly id: string;
+  readonly arrivals: RunnerArrival[] = [];
+  mood: RunnerMood = "well";
+  /** Time before an answer's head. */
+  workMs = 0;
+  readonly #server: Server;
+
+  private constructor(id: string) {
+    this.id = id;
+    this.#server = createServer((request, response) =>
+      void this.#answer(request, response)
+    );
+    this.#server.keepAliveTimeout = 10_000;
+  }
+
+  static async open(id: string): Promise<Runner> {
+    const runner = new Runner(id);
+    runner.#server.listen(0, "127.0.0.1");
+    await once(runner.#server, "listening");
+    return runner;
+  }
+
+  get address(): string {
+    return `127.0.0.1:${(this.#server.address() as AddressInfo).port}`;
+  }
+
+  /** How many connections are open to it. */
+  connections(): Promise<number> {
+    return new Promise((resolve) =>
+      this.#server.getConnections((_, count) => resolve(count ?? 0))
+    );
+  }
+
+  async close(): Promise<void> {
+    this.#server.closeAllConnections();
+    await new Promise((resolve) => this.#server.close(resolve));
+  }
+
+  async #answer(
+    request: IncomingMessage,
+    response: ServerResponse,
+  ): Promise<void> {
+    const chunks: Buffer[] = [];
+    for await (const chunk of request) chunks.push(chunk as Buffer);
+    const { headers } = request;
+    if (
+      headers["expect-instance"] !== undefined &&
+      headers["expect-instance"] !== this.id
+    ) {
+      return void response.writeHead(421, { "instance-id": this.id }).end();
+    }
+    if (this.mood === "shed") {
+      return void response.writeHead(503, { "not-executed": "1" }).end();
+    }
+    const arrival: RunnerArrival = {
+      target: request.url ?? "",
+      method: request.method ?? "",
+      headers,
+      body: Buffer.concat(chunks).toString("utf8"),
+      cut: false,
+    };
+    this.arrivals.push(arrival);
+    response.on("close", () => void (arrival.cut = !response.writableFinished));
+    if (this.workMs > 0) {
+      await new Promise((resolve) => setTimeout(resolve, this.workMs));
+    }
+    this.#act(request, response);
+  }
+
+  #act(request: IncomingMessage, response: ServerResponse): void {
+    const { socket, headers } = request;
+    const own = {
+      "attempt-id": this.mood === "crossed"
+        ? "another"
+        : String(headers["attempt-id"]),
+      ...(this.mood === "unsigned"
+        ? {}
+        : { "response-stamp": `stamp-${this.id}` }),
+    };
+    if (this.mood === "silent") return;
+    if (this.mood === "reset") return void socket.resetAndDestroy();
+    if (this.mood === "error") {
+      return void response.writeHead(500, own).end("failed");
+    }
+    if (this.mood === "resetUnframed") {
+      socket.write(
+        `HTTP/1.1 200 OK\r\nAttempt-Id: ${
+          own["attempt-id"]
+        }\r\nResponse-Stamp: x\r\n\r\npart`,
+        () => setImmediate(() => socket.resetAndDestroy()),
+      );
+      return;
+    }
+    if (this.#isStream(request)) {
+      return void this.#stream(request, response, own);
+    }
+    const body = `served by ${this.id}`;
+    response.writeHead(200, { ...own, "content-length": body.length }).end(
+      body,
+    );
+    if (this.mood === "surplus") {
+      socket.write("HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nextra");
+    }
+  }
+
+  #isStream(request: IncomingMessage): boolean {
+    return request.url?.startsWith("/stream") ?? false;
+  }
+
+  async #stream(
+    request: IncomingMessage,
+    response: ServerResponse,
+    own: Record<string, string>,
+  ): Promise<void> {
+    response.writeHead(200, { ...own, "content-type": "text/event-stream" });
+    const first = Number(request.headers["last-event-id"] ?? 0) + 1;
+    for (let id = first; id <= STREAM_EVENTS; id++) {
+      if (this.mood === "halfStream" && id > STREAM_EVENTS / 2) {
+        response.write(
+          eventText(id).slice(0, 8),
+          () => request.socket.resetAndDestroy(),
+        );
+        return;
+      }
+      if (response.destroyed) return;
+      response.write(eventText(id));
+      await new Promise((resolve) => setTimeout(resolve, EVENT_GAP_MS));
+    }
+    response.end();
+  }
+}
--- /dev/null
+++ b/test/gateway_lab.ts
@@ -0,0 +1,292 @@
+/**
+ * Gateways on loopback addresses of their own, with stand-ins of store and upstreams, for tests.
+ *
+ * @module
+ */
+
+import { Agent, type IncomingMessage, request } from "node:http";
+import { Gateway, type GatewaySettings } from "../src/gateway/mod.ts";
+import type { Log } from "../src/kernel/mod.ts";
+import { KvServer, Runner } from "../src/standins/mod.ts";
+
+/** What a caller got. */
+export interface CallerAnswer {
+  readonly status: number;
+  readonly headers: Readonly<Record<string, string | string[] | undefined>>;
+  readonly body: string;
+  /** Whether the body ended in order. */
+  readonly whole: boolean;
+}
+
+/** A caller's request. */
+export interface CallerRequest {
+  readonly path: string;
+  readonly method?: string;
+  readonly headers?: Readonly<Record<string, string>>;
+  readonly body?: string;
+  /** Leaves as soon as this holds. */
+  readonly leaveWhen?: () => boolean;
+}
+
+const HOST = "h.example";
+let nextBlock = Math.floor(process.pid % 200);
+
+/** One line of the log. */
+export interface LogLine {
+  readonly event: string;
+  readonly fields: Readonly<Record<string, unknown>>;
+}
+
+class MemoryLog implements Log {
+  readonly lines: LogLine[] = [];
+  debug(): void {}
+  info(event: string, fields = {}): void {
+    this.log("info", event, fields);
+  }
+  warn(event: string, fields = {}): void {
+    this.log("warn", event, fields);
+  }
+  error(event: string, fields = {}): void {
+    this.log("error", event, fields);
+  }
+  log(
+    _level: string,
+    event: string,
+    fields: Record<string, unknown> = {},
+  ): void {
+    this.lines.push({ event, fields });
+  }
+}
+
+/** A route as the operators' configuration has it. */
+export function routeRow(more: Record<string, unknown> = {}) {
+  return {
+    name: `r${more.path_prefix ?? "/safe/"}`,
+    host: HOST,
+    path_prefix: "/safe/",
+    kind: "safe",
+    timeout_ms: 2_000,
+    slo_ms: 400,
+    priority: 1,
+    service: "s",
+    max_attempts: 2,
+    resumable: false,
+    home_regions: [],
+    ...more,
+  };
+}
+
+/** The routes that most tests use. */
+export const ROUTES = [
+  routeRow(),
+  routeRow({ path_prefix: "/once/", kind: "unsafe", max_attempts: 2 }),
+  routeRow({ path_prefix: "/stream/", kind: "streaming", resumable: true }),
+  routeRow({ path_prefix: "/streamonce/", kind: "streaming", max_attempts: 1 }),
+  routeRow({ path_prefix: "/south/", kind: "unsafe", home_regions: ["south"] }),
+];
+
+/** One VM. */
+export interface LabVm {
+  readonly gateway: Gateway;
+  readonly log: MemoryLog;
+  readonly settings: GatewaySettings;
+}
+
+/** See the module. Addresses are 127.x.y.z, so that all VMs have the same ports, as on the platform. */
+export class GatewayLab {
+  readonly server = new KvServer({ readsPerS: 10_000, writesPerS: 10_000 });
+  readonly runners: Runner[] = [];
+  readonly vms: LabVm[] = [];
+  readonly #block = ++nextBlock;
+  readonly #agent = new Agent({ keepAlive: true });
+  #version = 0;
+
+  /** Writes a newer configuration. */
+  configure(
+    routes: readonly unknown[] = ROUTES,
+    more: Record<string, unknown> = {},
+  ): void {
+    this.#version += 3;
+    this.server.put("op/config", {
+      version: this.#version,
+      routes,
+      services: [{
+        name: "s",
+        max_conns: 100,
+        cold_s: 0,
+        cold_rate_s: 0,
+        ...more,
+      }],
+      limits: {
+        max_header_bytes: 4_096,
+        max_body_bytes: 10_000,
+        header_timeout_ms: 1_000,
+        idle_timeout_ms: 5_000,
+      },
+    });
+  }
+
+  /** Opens an upstream in a region and registers it. */
+  async addRunner(
+    region = "north",
+    more: Record<string, unknown> = {},
+  ): Promise<Runner> {
+    const runner = await Runner.open(`i-${this.#block}-${this.runners.length}`);
+    this.runners.push(runner);
+    this.register(runner, region, more);
+    return runner;
+  }
+
+  /** Writes an upstream's entry. */
+  register(
+    runner: Runner,
+    region = "north",
+    more: Record<string, unknown> = {},
+  ): void {
+    this.server.put(`servers/${runner.id}`, {
+      service: "s",
+      address: runner.address,
+      zone: `${region}-a`,
+      slots: 8,
+      state: "ready",
+      cold_left_ms: 0,
+      seq: 1,
+      ...more,
+    });
+  }
+
+  /** Opens a VM in a region. */
+  async addVm(region = "north"): Promise<LabVm> {
+    const index = this.vms.length + 1;
+    const ip = `127.${20 + (process.pid >> 8) % 100}.${
+      this.#block % 250
+    }.${index}`;
+    const settings: GatewaySettings = {
+      vm: {
+        id: `vm-${index}`,
+        ip,
+        region,
+        failureDomain: `${region}-a`,
+        memoryMb: 350,
+        mostDescriptors: 4_000,
+      },
+      listen: {
+        callers: `${ip}:18100`,
+        ready: `${ip}:18101`,
+        directory: `${ip}:18102`,
+        peers: `${ip}:18103`,
+        beats: 18104,
+        metrics: 18105,
+      },
+      seeds: this.vms.map((vm) => vm.settings.listen.peers),
+      failureDomains: { "north-a": "north", "south-a": "south" },
+      store: {
+        address: await this.server.addressFor(`vm-${index}`),
+        leastLeaseMs: 1_000,
+      },
+      bounds: {
+        graceMs: 3_000,
+        contactMs: 6_000,
+        repeatRatio: 0.2,
+        repeatSlack: 50,
+        repeatWindowMs: 10_000,
+      },
+    };
+    const log = new MemoryLog();
+    const gateway = await Gateway.open(settings, log);
+    const vm = { gateway, log, settings };
+    this.vms.push(vm);
+    return vm;
+  }
+
+  /** Waits until a VM says that it is ready. */
+  async ready(vm: LabVm): Promise<void> {
+    await until(async () =>
+      (await this.get(vm.settings.listen.ready, "/api/ready")).status === 200
+    );
+    await until(() => {
+      const { fleet } = vm.gateway.dump().beliefs as {
+        fleet: { upstreams: unknown[] };
+      };
+      return fleet.upstreams.length >= this.runners.length;
+    });
+  }
+
+  /** Asks one of a VM's listeners. */
+  get(address: string, path: string): Promise<CallerAnswer> {
+    return this.#ask(address, { path });
+  }
+
+  /** Sends a caller's request. */
+  call(vm: LabVm, input: CallerRequest): Promise<CallerAnswer> {
+    return this.#ask(vm.settings.listen.callers, input);
+  }
+
+  async close(): Promise<void> {
+    this.#agent.destroy();
+    for (const { gateway } of this.vms) await gateway.close();
+    for (const runner of this.runners) await runner.close();
+    await this.server.close();
+  }
+
+  #ask(
+    address: string,
+    { path, method = "GET", headers, body, leaveWhen }: CallerRequest,
+  ): Promise<CallerAnswer> {
+    const [host, port] = address.split(":");
+    return new Promise((resolve, reject) => {
+      const call = request({
+        agent: this.#agent,
+        host,
+        port,
+        path,
+        method,
+        headers: {
+          host: HOST,
+          "attempt-id": Math.random().toString(16).slice(2),
+          "deadline-ms": "1500",
+          ...headers,
+        },
+      });
+      call.on("response", (answer) => void readAnswer(answer).then(resolve));
+      call.on(
+        "error",
+        (error) =>
+          leaveWhen === undefined
+            ? reject(error)
+            : resolve({ status: 0, headers: {}, body: "", whole: false }),
+      );
+      if (leaveWhen !== undefined) {
+        void until(leaveWhen).then(() => call.destroy());
+      }
+      call.end(body);
+    });
+  }
+}
+
+function readAnswer(answer: IncomingMessage): Promise<CallerAnswer> {
+  return new Promise((resolve) => {
+    const chunks: Buffer[] = [];
+    const finish = () =>
+      resolve({
+        status: answer.statusCode ?? 0,
+        headers: answer.headers,
+        body: Buffer.concat(chunks).toString("utf8"),
+        whole: answer.complete,
+      });
+    answer.on("data", (chunk: Buffer) => chunks.push(chunk));
+    answer.on("error", finish);
+    answer.on("close", finish);
+  });
+}
+
+/** Waits for a condition; a hang guard only, no verdict depends on how long it takes. */
+export async function until(
+  done: () => boolean | Promise<boolean>,
+): Promise<void> {
+  for (let i = 0; i < 2_000; i++) {
+    if (await done()) return;
+    await new Promise((resolve) => setTimeout(resolve, 5));
+  }
+  throw new Error("waited in vain");
+}
--- /dev/null
+++ b/test/log_flood.ts
@@ -0,0 +1,25 @@
+/**
+ * Writes 20,000 log lines at once to a standard output that nobody reads, then says on standard error that it is done.
+ *
+ * @module
+ */
+
+import { LineLog, standardOutput } from "../src/gateway/mod.ts";
+
+const LINES = 20_000;
+/** Lines of one made-up second: below what a second may write, so that only the reader limits them. */
+const LINES_PER_S = 200;
+
+const sink = standardOutput();
+let nowMs = 0;
+const log = new LineLog(sink, { vm: "vm-1" }, () => nowMs);
+for (let i = 0; i < LINES; i++) {
+  if (i % LINES_PER_S === 0) nowMs += 1_000;
+  log.info("request", {
+    attempt: `a-${i}`,
+    outcome: "ok",
+    text: "x".repeat(200),
+  });
+}
+process.stderr.write(`written ${LINES}, waiting ${sink.waitingBytes()}\n`);
+setTimeout(() => process.exit(0), 60_000);
