--- a/src/cli/ibisgap.ts
+++ b/src/cli/ibisgap.ts
@@ -7,6 +7,7 @@
 
 import { defineCommand, runMain } from "citty";
 import { check } from "./check.ts";
+import { explain } from "./explain.ts";
 import { replayCommand } from "./replay.ts";
 import { table } from "./table.ts";
 import { traceCommand } from "./trace.ts";
@@ -25,6 +26,7 @@
     metrics,
     drain,
     check,
+    explain,
     replay: replayCommand,
     trace: traceCommand,
   },
--- /dev/null
+++ b/src/explain/mod.ts
@@ -0,0 +1,8 @@
+/**
+ * Reads the gateway's logs back: the story of one request over several VMs, and its cause.
+ *
+ * @module
+ */
+
+export * from "./log_line.ts";
+export * from "./story.ts";
--- /dev/null
+++ b/src/explain/story.ts
@@ -0,0 +1,113 @@
+/**
+ * The story of one request and its cause.
+ *
+ * @module
+ */
+
+import type { ParsedLine } from "./log_line.ts";
+
+/** See the module. */
+export interface Story {
+  readonly attempt: string;
+  /** Lines of the request, in order, with what its places did meanwhile. */
+  readonly lines: readonly ParsedLine[];
+  /** A sentence for people. */
+  readonly cause: string;
+}
+
+/** What an upstream or a VM did shortly before a request failed belongs to the request's story. */
+const CONTEXT_MS = 5_000;
+/** Events that tell what became of a place. */
+const PLACE_EVENTS = new Set([
+  "upstream silent",
+  "upstream gone",
+  "upstream known",
+  "vm leaves",
+  "vm forgotten",
+  "evacuated",
+  "store lost",
+]);
+
+const CAUSES: Readonly<Record<string, string>> = {
+  ok: "it was served",
+  noTable: "the VM had no configuration yet; nothing was run",
+  notFound: "no route of the configuration in force matches host and path",
+  queueFull:
+    "every place that may serve it was full, here and in the regions that may take it; nothing was run",
+  noUpstream:
+    "no upstream of the service was known, ready and reachable in any region that may serve it; nothing was run",
+  draining:
+    "the VM was being stopped and could not have ended it in time; nothing was run",
+  upstreamRefused: "the upstream said that it had no room; nothing was run",
+  upstreamFailed:
+    "the connection broke after the request was sent: it may have run, so it was not sent again",
+  upstreamTimeout: "the upstream had it and did not answer before the deadline",
+  expiredInQueue:
+    "its deadline passed before an upstream was free; nothing was run",
+  streamBroken: "the upstream broke off in the middle of the stream",
+  canceled: "the caller left before its answer was whole",
+  bodyTooLarge: "the body exceeds the configured limit",
+  headersTooLarge: "the headers exceed the configured limit",
+  internal: "a fault of the gateway itself; see the reason",
+};
+
+function causeOf(
+  last: ParsedLine | undefined,
+  lines: readonly ParsedLine[],
+): string {
+  if (!last) {
+    return "no VM logged its end: its line was left out, or the VM was lost";
+  }
+  const { outcome, reason, place, sends, leftMs, firstByteMs } = last.fields;
+  const parts = [CAUSES[outcome] ?? outcome];
+  if (reason && outcome !== "ok") parts.push(`reason: ${reason}`);
+  if (place) parts.push(`last place: ${place}`);
+  if (sends) parts.push(`upstreams that got it: ${sends}`);
+  if (firstByteMs) parts.push(`first byte after ${firstByteMs} ms`);
+  if (leftMs) parts.push(`time left: ${leftMs} ms`);
+  const onPlace = lines.filter(({ event }) => PLACE_EVENTS.has(event)).map((
+    { event, fields },
+  ) => fields.upstream ? `${event} (${fields.upstream})` : event);
+  if (onPlace.length > 0) {
+    parts.push(`meanwhile: ${[...new Set(onPlace)].join(", ")}`);
+  }
+  return parts.join("; ");
+}
+
+/** Puts the lines of a request together; `undefined` if no line names it. */
+export function tellStory(
+  attempt: string,
+  all: readonly ParsedLine[],
+): Story | undefined {
+  const own = all.filter(({ fields }) => fields.attempt === attempt);
+  if (own.length === 0) return undefined;
+  const places = new Set(own.map(({ fields }) => fields.place).filter(Boolean));
+  const vms = new Set(own.map(({ vm }) => vm));
+  const firstMs = Math.min(...own.map(({ timeMs }) => timeMs)) - CONTEXT_MS;
+  const lastMs = Math.max(...own.map(({ timeMs }) => timeMs));
+  const around = all.filter(({ timeMs, event, vm, fields }) =>
+    PLACE_EVENTS.has(event) && timeMs >= firstMs && timeMs <= lastMs &&
+    vms.has(vm) &&
+    (places.has(fields.upstream ?? fields.peer ?? "") ||
+      event === "store lost" || event === "evacuated")
+  );
+  const lines = [...own, ...around].sort((a, b) => a.timeMs - b.timeMs);
+  // The VM that the caller was connected to has the last word; the others answered to it.
+  const ends = own.filter(({ event }) => event === "request");
+  const last = ends.find(({ fields }) => fields.relayed !== "true") ??
+    ends.at(-1);
+  return { attempt, lines, cause: causeOf(last, lines) };
+}
+
+/** A story as text, times from its first line on. */
+export function storyText({ attempt, lines, cause }: Story): string {
+  const startMs = lines[0].timeMs;
+  const rows = lines.map(({ timeMs, vm, event, fields }) => {
+    const rest = Object.entries(fields).filter(([key]) => key !== "attempt")
+      .map(([key, value]) => `${key}=${value}`).join(" ");
+    return `  +${
+      String(timeMs - startMs).padStart(5)
+    } ms  ${vm}  ${event}  ${rest}`;
+  });
+  return [`request ${attempt}`, ...rows, `cause: ${cause}`].join("\n");
+}
--- a/src/gateway/directory.ts
+++ b/src/gateway/directory.ts
@@ -17,6 +17,7 @@
   LOOKUP_PATH,
   READY_PATH,
 } from "../platform/mod.ts";
+import { type NamedVm, nameVms } from "../routing/mod.ts";
 import type { GatewayContext } from "./context.ts";
 import { closeServer, hostPort, listen } from "./listen.ts";
 
@@ -79,23 +80,24 @@
       !isLeaving;
   }
 
-  /**
-   * The VMs that callers of a region should use: those of the region, since bodies bound to a home may not pass through
-   * other regions; all others only if none of the region is there.
-   */
+  /** The addresses that callers of a region should use; see {@link nameVms}. */
   addresses(region: string): string[] {
-    const { settings, members } = this.#context;
+    const { settings, members, isLeaving, endMonoMs, clock } = this.#context;
     const { port } = hostPort(settings.listen.callers);
-    const vms = members.alive().filter(({ beat }) =>
-      beat.ready && !beat.leaving
-    )
-      .map(({ ip, region: vmRegion }) => ({ ip, region: vmRegion }));
-    if (this.isReady) {
-      vms.push({ ip: settings.vm.ip, region: settings.vm.region });
-    }
-    const near = vms.filter((vm) => vm.region === region);
-    const named = near.length > 0 ? near : vms;
-    return named.slice(0, MOST_ADDRESSES).map(({ ip }) => `${ip}:${port}`);
+    const vms: NamedVm[] = members.alive().map(({ ip, region, beat }) => ({
+      ip,
+      region,
+      isReady: beat.ready && !beat.leaving,
+      servesMs: beat.leaving ? beat.servesMs ?? 0 : 0,
+    }));
+    vms.push({
+      ip: settings.vm.ip,
+      region: settings.vm.region,
+      isReady: this.isReady,
+      servesMs: isLeaving ? endMonoMs - clock.monoMs() : 0,
+    });
+    return nameVms(vms, region).slice(0, MOST_ADDRESSES)
+      .map(({ ip }) => `${ip}:${port}`);
   }
 
   #respond(request: IncomingMessage, response: ServerResponse): void {
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -71,6 +71,9 @@
       describe: (sameRegion) => ({
         ready: directory.isReady,
         leaving: context.isLeaving,
+        ...(context.isLeaving
+          ? { servesMs: Math.round(context.endMonoMs - clock.monoMs()) }
+          : {}),
         configVersion: beliefs.config?.version ?? 0,
         revisions: beliefs.revisions,
         ...(sameRegion ? { load: upstreams.load() } : {
--- a/src/gateway/members.ts
+++ b/src/gateway/members.ts
@@ -37,6 +37,8 @@
 export interface Beat extends VmRecord {
   readonly ready: boolean;
   readonly leaving: boolean;
+  /** While leaving: how long it still serves, in ms from the heartbeat on. */
+  readonly servesMs?: number;
   readonly configVersion: number;
   readonly revisions: Revisions;
   /** Load by upstream key; only to VMs of the same region. */
--- /dev/null
+++ b/src/routing/directory.ts
@@ -0,0 +1,35 @@
+/**
+ * Which VMs callers are told to use.
+ *
+ * @module
+ */
+
+/** A VM as the directory sees it. */
+export interface NamedVm {
+  readonly ip: string;
+  readonly region: string;
+  /** Whether it takes requests and is not being stopped. */
+  readonly isReady: boolean;
+  /** While it is being stopped: how long it still serves; else 0. */
+  readonly servesMs: number;
+}
+
+/** Callers keep an answer for a second, some for three; a request that they send then must still end. */
+const LEAST_SERVES_MS = 3_000;
+
+/**
+ * The VMs that callers of a region should use: those of the region, since bodies bound to a home may not pass through
+ * others. While all of them are being stopped in turn, those that still serve for some seconds are named before another
+ * region's; that comes only when nobody of the region is there.
+ */
+export function nameVms<V extends NamedVm>(
+  vms: readonly V[],
+  region: string,
+): V[] {
+  const near = vms.filter((vm) => vm.region === region);
+  const ready = near.filter(({ isReady }) => isReady);
+  if (ready.length > 0) return ready;
+  const leaving = near.filter(({ servesMs }) => servesMs >= LEAST_SERVES_MS);
+  if (leaving.length > 0) return leaving;
+  return vms.filter(({ isReady }) => isReady);
+}
--- a/src/routing/mod.ts
+++ b/src/routing/mod.ts
@@ -7,6 +7,7 @@
 export * from "./config.ts";
 export * from "./budget.ts";
 export * from "./cold.ts";
+export * from "./directory.ts";
 export * from "./fleet.ts";
 export * from "./leaving.ts";
 export * from "./place.ts";
--- /dev/null
+++ b/test/gateway_beliefs_test.ts
@@ -0,0 +1,120 @@
+import { describe, it } from "../src/base/describe.ts";
+import { GatewayLab, openLab, routeRow, ROUTES, until } from "./gateway_lab.ts";
+
+describe("gateway", () => {
+  describe("what the store says", () => {
+    it("of the routes is in force soon, and an older version never comes back", async (t) => {
+      const { lab, vm } = await openLab(t, 1);
+      lab.configure([...ROUTES, routeRow({ path_prefix: "/new/" })]);
+      await until(async () =>
+        (await lab.call(vm, { path: "/new/" })).status === 200
+      );
+      lab.server.put("op/config", {
+        version: 1,
+        routes: [],
+        services: [],
+        limits: {},
+      });
+      lab.server.put("op/config", "garbage");
+      await lab.call(vm, { path: "/safe/" });
+      t.is((await lab.call(vm, { path: "/new/" })).status, 200);
+    });
+
+    it("of a leaving or evacuated upstream keeps requests away from it", async (t) => {
+      const { lab, vm } = await openLab(t, 2);
+      lab.register(lab.runners[0], "north", { state: "draining" });
+      await until(() =>
+        vm.log.lines.some(({ fields }) => fields.state === "draining")
+      );
+      for (let i = 0; i < 4; i++) await lab.call(vm, { path: "/safe/" });
+      t.is(lab.runners[0].arrivals.length, 0);
+      lab.server.put("op/evacuate/north-a", {});
+      await until(() =>
+        vm.log.lines.some(({ event }) => event === "evacuated")
+      );
+      t.is((await lab.call(vm, { path: "/safe/" })).status, 503);
+      lab.server.remove("op/evacuate/north-a");
+      await until(async () =>
+        (await lab.call(vm, { path: "/safe/" })).status === 200
+      );
+    });
+
+    // All VMs start while the store is away: there is no configuration, and a 404 would tell callers that their route is
+    // gone.
+    it("is not there at a start: requests are refused for now, and the VM is not ready", async (t) => {
+      const lab = new GatewayLab();
+      t.teardown(() => lab.close());
+      lab.configure();
+      lab.server.faults.set([{ outage: "refuse" }]);
+      const vm = await lab.addVm();
+      const answer = await lab.call(vm, { path: "/safe/" });
+      t.is(answer.status, 503);
+      t.true(Number(answer.headers["retry-after"]) > 0);
+      t.is((await lab.get(vm.settings.listen.ready, "/api/ready")).status, 503);
+      lab.server.faults.clear();
+      await lab.addRunner();
+      await lab.ready(vm);
+      t.is((await lab.call(vm, { path: "/safe/" })).status, 200);
+    });
+
+    // The store turns one VM away and serves the others and the operator.
+    it("reaches a VM that the store turns away, through another VM", async (t) => {
+      const { lab, vm } = await openLab(t, 1);
+      const second = await lab.addVm();
+      await lab.ready(second);
+      lab.server.faults.set([{ vm: "^vm-1$", outage: "refuse" }]);
+      lab.configure([...ROUTES, routeRow({ path_prefix: "/new/" })]);
+      await until(async () =>
+        (await lab.call(vm, { path: "/new/" })).status === 200
+      );
+      lab.register(lab.runners[0], "north", { state: "draining" });
+      await until(async () =>
+        (await lab.call(vm, { path: "/safe/" })).status === 503
+      );
+      t.pass();
+    });
+
+    // All entries lapse in an outage. They are back two seconds after its end; until then their upstreams serve on.
+    it("of upstreams that lapsed in an outage is forgotten only when they stay away", async (t) => {
+      const { lab, vm } = await openLab(t, 1);
+      lab.server.faults.set([{ outage: "refuse" }]);
+      await until(() =>
+        vm.log.lines.some(({ event }) => event === "store lost")
+      );
+      lab.server.remove(`servers/${lab.runners[0].id}`);
+      lab.server.faults.clear();
+      await until(() =>
+        vm.log.lines.filter(({ event }) => event === "store regained").length >=
+          2
+      );
+      t.is((await lab.call(vm, { path: "/safe/" })).status, 200);
+      await until(() =>
+        vm.log.lines.some(({ event }) => event === "upstream gone")
+      );
+      t.is((await lab.call(vm, { path: "/safe/" })).status, 503);
+    });
+  });
+
+  describe("a VM that leaves", () => {
+    it("is not ready and not named at once, and serves on what still arrives", async (t) => {
+      const { lab, vm } = await openLab(t, 1);
+      const second = await lab.addVm();
+      await lab.ready(second);
+      const named = async () => {
+        const answer = await lab.get(
+          second.settings.listen.directory,
+          "/api/lookup?name=h&region=north&zone=north-a",
+        );
+        return (JSON.parse(answer.body) as { addresses: string[] }).addresses;
+      };
+      await until(async () => (await named()).length === 2);
+      const left = vm.gateway.drain();
+      t.is((await lab.get(vm.settings.listen.ready, "/api/ready")).status, 503);
+      await until(async () => (await named()).length === 1);
+      const late = await lab.call(vm, { path: "/safe/" });
+      t.is(late.status, 200);
+      t.is(late.headers.connection, "close");
+      await left;
+    });
+  });
+});
--- a/test/gateway_lab.ts
+++ b/test/gateway_lab.ts
@@ -5,6 +5,8 @@
  */
 
 import { Agent, type IncomingMessage, request } from "node:http";
+import { threadId } from "node:worker_threads";
+import type { ExecutionContext } from "ava";
 import { Gateway, type GatewaySettings } from "../src/gateway/mod.ts";
 import type { Log } from "../src/kernel/mod.ts";
 import { KvServer, Runner } from "../src/standins/mod.ts";
@@ -29,7 +31,9 @@
 }
 
 const HOST = "h.example";
-let nextBlock = Math.floor(process.pid % 200);
+/** VMs of one lab. */
+const MOST_VMS = 4;
+let labs = 0;
 
 /** One line of the log. */
 export interface LogLine {
@@ -97,7 +101,7 @@
   readonly server = new KvServer({ readsPerS: 10_000, writesPerS: 10_000 });
   readonly runners: Runner[] = [];
   readonly vms: LabVm[] = [];
-  readonly #block = ++nextBlock;
+  readonly #block = labs++;
   readonly #agent = new Agent({ keepAlive: true });
   #version = 0;
 
@@ -158,9 +162,10 @@
   /** Opens a VM in a region. */
   async addVm(region = "north"): Promise<LabVm> {
     const index = this.vms.length + 1;
-    const ip = `127.${20 + (process.pid >> 8) % 100}.${
-      this.#block % 250
-    }.${index}`;
+    // Test files run in threads of one process; each lab of each gets addresses of its own.
+    const ip = `127.${20 + threadId % 200}.${process.pid & 255}.${
+      this.#block * MOST_VMS + index
+    }`;
     const settings: GatewaySettings = {
       vm: {
         id: `vm-${index}`,
@@ -290,3 +295,29 @@
   }
   throw new Error("waited in vain");
 }
+
+/** One VM before some upstreams of its region. */
+export async function openLab(
+  t: ExecutionContext,
+  runners: number,
+): Promise<{ readonly lab: GatewayLab; readonly vm: LabVm }> {
+  const lab = new GatewayLab();
+  t.teardown(() => lab.close());
+  lab.configure();
+  for (let i = 0; i < runners; i++) await lab.addRunner();
+  const vm = await lab.addVm();
+  await lab.ready(vm);
+  return { lab, vm };
+}
+
+/** Calls until the other region has been found, and answers through it. */
+export async function reach(
+  lab: GatewayLab,
+  vm: LabVm,
+  runnerId: string,
+): Promise<void> {
+  await until(async () => {
+    const answer = await lab.call(vm, { path: "/south/", method: "POST" });
+    return answer.status === 200 && answer.body === `served by ${runnerId}`;
+  });
+}
--- a/test/gateway_test.ts
+++ b/test/gateway_test.ts
@@ -2,37 +2,14 @@
 import { once } from "node:events";
 import { connect } from "node:net";
 import { fileURLToPath } from "node:url";
-import type { ExecutionContext } from "ava";
 import { describe, it } from "../src/base/describe.ts";
 import { STREAM_EVENTS, streamText } from "../src/standins/mod.ts";
-import {
-  GatewayLab,
-  type LabVm,
-  routeRow,
-  ROUTES,
-  until,
-} from "./gateway_lab.ts";
-
-interface Opened {
-  readonly lab: GatewayLab;
-  readonly vm: LabVm;
-}
-
-/** One VM before some upstreams of its region. */
-async function open(t: ExecutionContext, runners: number): Promise<Opened> {
-  const lab = new GatewayLab();
-  t.teardown(() => lab.close());
-  lab.configure();
-  for (let i = 0; i < runners; i++) await lab.addRunner();
-  const vm = await lab.addVm();
-  await lab.ready(vm);
-  return { lab, vm };
-}
+import { openLab, reach, until } from "./gateway_lab.ts";
 
 describe("gateway", () => {
   describe("a request", () => {
     it("reaches its upstream as it was sent, and the answer its caller", async (t) => {
-      const { lab, vm } = await open(t, 1);
+      const { lab, vm } = await openLab(t, 1);
       const answer = await lab.call(vm, {
         path: "/once/x?y=%20z",
         method: "POST",
@@ -61,7 +38,7 @@
     });
 
     it("with a body in chunks arrives whole", async (t) => {
-      const { lab, vm } = await open(t, 1);
+      const { lab, vm } = await openLab(t, 1);
       const answer = await lab.call(vm, {
         path: "/once/",
         method: "POST",
@@ -73,12 +50,12 @@
     });
 
     it("to an unknown path is told so", async (t) => {
-      const { lab, vm } = await open(t, 1);
+      const { lab, vm } = await openLab(t, 1);
       t.is((await lab.call(vm, { path: "/nowhere/" })).status, 404);
     });
 
     it("too large in head or body is refused and not run", async (t) => {
-      const { lab, vm } = await open(t, 1);
+      const { lab, vm } = await openLab(t, 1);
       const large = await lab.call(vm, {
         path: "/once/",
         method: "POST",
@@ -95,7 +72,7 @@
 
     // A second request hides in the body of the first, by two lengths that contradict each other.
     it("smuggled inside another is refused", async (t) => {
-      const { lab, vm } = await open(t, 1);
+      const { lab, vm } = await openLab(t, 1);
       const [host, port] = vm.settings.listen.callers.split(":");
       const socket = connect(Number(port), host);
       socket.write(
@@ -111,7 +88,7 @@
 
   describe("an upstream that fails", () => {
     it("by refusing is replaced by another", async (t) => {
-      const { lab, vm } = await open(t, 2);
+      const { lab, vm } = await openLab(t, 2);
       lab.runners[0].mood = "shed";
       for (let i = 0; i < 6; i++) {
         t.is(
@@ -123,7 +100,7 @@
     });
 
     it("by refusing alone leaves a promise that nothing was run, with a time", async (t) => {
-      const { lab, vm } = await open(t, 1);
+      const { lab, vm } = await openLab(t, 1);
       lab.runners[0].mood = "shed";
       const answer = await lab.call(vm, { path: "/once/", method: "POST" });
       t.is(answer.status, 503);
@@ -133,7 +110,7 @@
     // The upstream runs the call and its answer is lost. Sent again, the convoy would depart twice; told "not run", its
     // caller would send it again.
     it("after it ran an at-most-once call is not replaced, and nothing is promised", async (t) => {
-      const { lab, vm } = await open(t, 2);
+      const { lab, vm } = await openLab(t, 2);
       for (const runner of lab.runners) runner.mood = "reset";
       const answer = await lab.call(vm, { path: "/once/", method: "POST" });
       t.is(answer.status, 502);
@@ -141,7 +118,7 @@
     });
 
     it("after it ran an idempotent call is replaced", async (t) => {
-      const { lab, vm } = await open(t, 2);
+      const { lab, vm } = await openLab(t, 2);
       lab.runners[0].mood = "reset";
       for (let i = 0; i < 4; i++) {
         t.is((await lab.call(vm, { path: "/safe/" })).status, 200);
@@ -149,7 +126,7 @@
     });
 
     it("by silence is replaced for an idempotent call", async (t) => {
-      const { lab, vm } = await open(t, 2);
+      const { lab, vm } = await openLab(t, 2);
       lab.runners[0].mood = "silent";
       for (let i = 0; i < 3; i++) {
         t.is((await lab.call(vm, { path: "/safe/" })).status, 200);
@@ -157,7 +134,7 @@
     });
 
     it("by silence ends an at-most-once call at its deadline, without a promise", async (t) => {
-      const { lab, vm } = await open(t, 1);
+      const { lab, vm } = await openLab(t, 1);
       lab.runners[0].mood = "silent";
       const answer = await lab.call(vm, {
         path: "/once/",
@@ -169,7 +146,7 @@
     });
 
     it("with an error of its own passes it on if nobody else is there", async (t) => {
-      const { lab, vm } = await open(t, 1);
+      const { lab, vm } = await openLab(t, 1);
       lab.runners[0].mood = "error";
       const answer = await lab.call(vm, { path: "/safe/" });
       t.is(answer.status, 500);
@@ -179,14 +156,14 @@
     // The answer has no length: it ends with its connection. A reset looks like that end, and half an answer would pass
     // for a whole one.
     it("in the middle of an answer without a length breaks the caller's connection", async (t) => {
-      const { lab, vm } = await open(t, 1);
+      const { lab, vm } = await openLab(t, 1);
       lab.runners[0].mood = "resetUnframed";
       const answer = await lab.call(vm, { path: "/once/", method: "POST" });
       t.false(answer.whole && answer.status === 200);
     });
 
     it("with an answer to another attempt, or unsigned, gives its caller none of it", async (t) => {
-      const { lab, vm } = await open(t, 1);
+      const { lab, vm } = await openLab(t, 1);
       for (const mood of ["crossed", "unsigned"] as const) {
         lab.runners[0].mood = mood;
         const answer = await lab.call(vm, { path: "/once/", method: "POST" });
@@ -198,7 +175,7 @@
     // A second answer follows the first on the kept connection; read as the answer to the next request, it would be
     // somebody else's.
     it("with a second answer loses its connection, and the next request gets its own", async (t) => {
-      const { lab, vm } = await open(t, 1);
+      const { lab, vm } = await openLab(t, 1);
       lab.runners[0].mood = "surplus";
       for (let i = 0; i < 4; i++) {
         const answer = await lab.call(vm, { path: "/once/", method: "POST" });
@@ -208,7 +185,7 @@
 
     // Its address was given to another upstream, which would run what is meant for the first.
     it("and whose address another has now is passed over", async (t) => {
-      const { lab, vm } = await open(t, 2);
+      const { lab, vm } = await openLab(t, 2);
       const [gone, next] = lab.runners;
       lab.server.put(`servers/${gone.id}`, {
         service: "s",
@@ -235,7 +212,7 @@
 
   describe("a stream", () => {
     it("is passed on whole", async (t) => {
-      const { lab, vm } = await open(t, 1);
+      const { lab, vm } = await openLab(t, 1);
       const answer = await lab.call(vm, {
         path: "/streamonce/",
         method: "POST",
@@ -247,7 +224,7 @@
     // Its engine stops in the middle of an event. The caller sees one stream, each event once, with the first engine's
     // head.
     it("that can be resumed goes on elsewhere after its last whole event", async (t) => {
-      const { lab, vm } = await open(t, 2);
+      const { lab, vm } = await openLab(t, 2);
       for (const runner of lab.runners) runner.mood = "halfStream";
       const call = lab.call(vm, { path: "/stream/", method: "POST" });
       await until(() =>
@@ -269,7 +246,7 @@
     });
 
     it("that cannot be resumed breaks visibly", async (t) => {
-      const { lab, vm } = await open(t, 2);
+      const { lab, vm } = await openLab(t, 2);
       for (const runner of lab.runners) runner.mood = "halfStream";
       const answer = await lab.call(vm, {
         path: "/streamonce/",
@@ -283,7 +260,7 @@
 
   describe("a caller that leaves", () => {
     it("ends its work at the upstream", async (t) => {
-      const { lab, vm } = await open(t, 1);
+      const { lab, vm } = await openLab(t, 1);
       lab.runners[0].mood = "silent";
       await lab.call(vm, {
         path: "/once/",
@@ -295,7 +272,7 @@
     });
 
     it("ends it through the other region too", async (t) => {
-      const { lab, vm } = await open(t, 1);
+      const { lab, vm } = await openLab(t, 1);
       const far = await lab.addRunner("south");
       const vmFar = await lab.addVm("south");
       await lab.ready(vmFar);
@@ -314,7 +291,7 @@
 
   describe("another region", () => {
     it("serves what is bound to it, and only that region runs it", async (t) => {
-      const { lab, vm } = await open(t, 1);
+      const { lab, vm } = await openLab(t, 1);
       const far = await lab.addRunner("south");
       const vmFar = await lab.addVm("south");
       await lab.ready(vmFar);
@@ -323,129 +300,13 @@
     });
 
     it("that is gone leaves a bound request refused, not run", async (t) => {
-      const { lab, vm } = await open(t, 1);
+      const { lab, vm } = await openLab(t, 1);
       const answer = await lab.call(vm, { path: "/south/", method: "POST" });
       t.is(answer.status, 503);
       t.is(lab.runners[0].arrivals.length, 0);
     });
   });
 
-  describe("what the store says", () => {
-    it("of the routes is in force soon, and an older version never comes back", async (t) => {
-      const { lab, vm } = await open(t, 1);
-      lab.configure([...ROUTES, routeRow({ path_prefix: "/new/" })]);
-      await until(async () =>
-        (await lab.call(vm, { path: "/new/" })).status === 200
-      );
-      lab.server.put("op/config", {
-        version: 1,
-        routes: [],
-        services: [],
-        limits: {},
-      });
-      lab.server.put("op/config", "garbage");
-      await lab.call(vm, { path: "/safe/" });
-      t.is((await lab.call(vm, { path: "/new/" })).status, 200);
-    });
-
-    it("of a leaving or evacuated upstream keeps requests away from it", async (t) => {
-      const { lab, vm } = await open(t, 2);
-      lab.register(lab.runners[0], "north", { state: "draining" });
-      await until(() =>
-        vm.log.lines.some(({ fields }) => fields.state === "draining")
-      );
-      for (let i = 0; i < 4; i++) await lab.call(vm, { path: "/safe/" });
-      t.is(lab.runners[0].arrivals.length, 0);
-      lab.server.put("op/evacuate/north-a", {});
-      await until(() =>
-        vm.log.lines.some(({ event }) => event === "evacuated")
-      );
-      t.is((await lab.call(vm, { path: "/safe/" })).status, 503);
-      lab.server.remove("op/evacuate/north-a");
-      await until(async () =>
-        (await lab.call(vm, { path: "/safe/" })).status === 200
-      );
-    });
-
-    // All VMs start while the store is away: there is no configuration, and a 404 would tell callers that their route is
-    // gone.
-    it("is not there at a start: requests are refused for now, and the VM is not ready", async (t) => {
-      const lab = new GatewayLab();
-      t.teardown(() => lab.close());
-      lab.configure();
-      lab.server.faults.set([{ outage: "refuse" }]);
-      const vm = await lab.addVm();
-      const answer = await lab.call(vm, { path: "/safe/" });
-      t.is(answer.status, 503);
-      t.true(Number(answer.headers["retry-after"]) > 0);
-      t.is((await lab.get(vm.settings.listen.ready, "/api/ready")).status, 503);
-      lab.server.faults.clear();
-      await lab.addRunner();
-      await lab.ready(vm);
-      t.is((await lab.call(vm, { path: "/safe/" })).status, 200);
-    });
-
-    // The store turns one VM away and serves the others and the operator.
-    it("reaches a VM that the store turns away, through another VM", async (t) => {
-      const { lab, vm } = await open(t, 1);
-      const second = await lab.addVm();
-      await lab.ready(second);
-      lab.server.faults.set([{ vm: "^vm-1$", outage: "refuse" }]);
-      lab.configure([...ROUTES, routeRow({ path_prefix: "/new/" })]);
-      await until(async () =>
-        (await lab.call(vm, { path: "/new/" })).status === 200
-      );
-      lab.register(lab.runners[0], "north", { state: "draining" });
-      await until(async () =>
-        (await lab.call(vm, { path: "/safe/" })).status === 503
-      );
-      t.pass();
-    });
-
-    // All entries lapse in an outage. They are back two seconds after its end; until then their upstreams serve on.
-    it("of upstreams that lapsed in an outage is forgotten only when they stay away", async (t) => {
-      const { lab, vm } = await open(t, 1);
-      lab.server.faults.set([{ outage: "refuse" }]);
-      await until(() =>
-        vm.log.lines.some(({ event }) => event === "store lost")
-      );
-      lab.server.remove(`servers/${lab.runners[0].id}`);
-      lab.server.faults.clear();
-      await until(() =>
-        vm.log.lines.filter(({ event }) => event === "store regained").length >=
-          2
-      );
-      t.is((await lab.call(vm, { path: "/safe/" })).status, 200);
-      await until(() =>
-        vm.log.lines.some(({ event }) => event === "upstream gone")
-      );
-      t.is((await lab.call(vm, { path: "/safe/" })).status, 503);
-    });
-  });
-
-  describe("a VM that leaves", () => {
-    it("is not ready and not named at once, and serves on what still arrives", async (t) => {
-      const { lab, vm } = await open(t, 1);
-      const second = await lab.addVm();
-      await lab.ready(second);
-      const named = async () => {
-        const answer = await lab.get(
-          second.settings.listen.directory,
-          "/api/lookup?name=h&region=north&zone=north-a",
-        );
-        return (JSON.parse(answer.body) as { addresses: string[] }).addresses;
-      };
-      await until(async () => (await named()).length === 2);
-      const left = vm.gateway.drain();
-      t.is((await lab.get(vm.settings.listen.ready, "/api/ready")).status, 503);
-      await until(async () => (await named()).length === 1);
-      const late = await lab.call(vm, { path: "/safe/" });
-      t.is(late.status, 200);
-      t.is(late.headers.connection, "close");
-      await left;
-    });
-  });
-
   // Whoever reads the log stalls: a pipe that nobody empties would stop a process that writes to it synchronously.
   it("a reader of the log that stalls costs lines and no service", async (t) => {
     const script = fileURLToPath(new URL("./log_flood.js", import.meta.url));
@@ -458,15 +319,3 @@
     t.true(Number(/waiting (\d+)/.exec(told.toString())?.[1]) < 400_000);
   });
 });
-
-/** Calls until the other region has been found, and answers through it. */
-async function reach(
-  lab: GatewayLab,
-  vm: LabVm,
-  runnerId: string,
-): Promise<void> {
-  await until(async () => {
-    const answer = await lab.call(vm, { path: "/south/", method: "POST" });
-    return answer.status === 200 && answer.body === `served by ${runnerId}`;
-  });
-}
--- a/test/house_test.ts
+++ b/test/house_test.ts
@@ -16,7 +16,7 @@
 ]);
 
 /** Folders whose modules decide and do no I/O. */
-const PURE = ["src/decisions/", "src/agreement/"];
+const PURE = ["src/decisions/", "src/agreement/", "src/routing/"];
 /** What pure modules may import from outside: parsers, data structures, hashing. */
 const PURE_PACKAGES = new Set([
   "neverthrow",
@@ -32,6 +32,10 @@
 /** The one module of `base` that reads the clocks, which decisions get as arguments. */
 const CLOCK = "src/base/clock.ts";
 
+/** Names that the users' platform gives to its calls, headers, keys and fields. */
+const WIRE_NAMES =
+  /Response-Stamp|Attempt-Id|Expect-Instance|Not-Executed|Deadline-Ms|Prompt-Prefix|Token-Counts|Kv-(?:From|Fetch|Backup)|Pin-Ms|kv-(?:key|range|watch|txn|lease|keep)|op\/config|op\/evacuate|"servers\/|cold_left_ms|path_prefix|home_regions|max_attempts|\/api\/(?:lookup|ready|report)/i;
+
 interface Source {
   readonly path: string;
   readonly text: string;
@@ -159,6 +163,14 @@
     );
   });
 
+  it("the platform's names stand in the adapter and the stand-ins alone", (t) => {
+    const apart = modules.filter(({ path }) =>
+      !path.startsWith("src/platform/") && !path.startsWith("src/standins/")
+    );
+    t.true(apart.length > 100);
+    for (const { path, text } of apart) t.notRegex(text, WIRE_NAMES, path);
+  });
+
   it("modules and exported items have doc comments", (t) => {
     const missing: string[] = [];
     for (const { path, text } of modules) {
