--- a/src/gateway/call.ts
+++ b/src/gateway/call.ts
@@ -14,6 +14,7 @@
 import {
   affinityOf,
   chooseService,
+  fetchSource,
   type GatewayConfig,
   hasRoom,
   isLongAnswer,
@@ -166,7 +167,10 @@
       this.#record.place = candidate.key;
       return new UpstreamSend(
         this.#context,
-        this.#sendable(this.#service.engine ? candidate.unreadTokens : 0),
+        this.#sendable(
+          this.#service.engine ? candidate.unreadTokens : 0,
+          this.#fetchFrom(candidate),
+        ),
         candidate,
       );
     }
@@ -183,7 +187,18 @@
     });
   }
 
-  #sendable(promptTokens: number): Sendable {
+  #fetchFrom(target: LinkedCandidate): string | undefined {
+    const { engine, name } = this.#service;
+    if (!engine) return undefined;
+    const everywhere = this.#context.beliefs.fleet.ofRegions(
+      name,
+      this.#isHome,
+    );
+    const source = fetchSource(target, everywhere, this.#prompt.parts);
+    return source && `${source.host}:${source.port}`;
+  }
+
+  #sendable(promptTokens: number, fetchFrom?: string): Sendable {
     const { head, request, route, deadlineMonoMs } = this.#input;
     const after = this.#pass instanceof EventPass
       ? this.#pass.lastEventId
@@ -198,6 +213,7 @@
       body: this.#body,
       deadlineMonoMs,
       promptTokens,
+      fetchFrom,
       patienceMs: this.#record.tries === 0 ? patienceMs(route) : Infinity,
       hasOther: () => this.#next().type === "relay" || this.#hasOtherHere(),
     };
@@ -287,8 +303,7 @@
     const { clock, upstreams, random, settings } = this.#context;
     const { route, head, relayed, deadlineMonoMs } = this.#input;
     const { region } = settings.vm;
-    const isHome = (name: string) =>
-      route.homeRegions.length === 0 || route.homeRegions.includes(name);
+    const isHome = this.#isHome;
     return nextStep({
       nowMs: clock.monoMs(),
       arrivedMs: this.#arrivedMs,
@@ -306,6 +321,12 @@
     });
   }
 
+  /** Whether a region may serve, cache and hold the request. */
+  readonly #isHome = (region: string): boolean => {
+    const { homeRegions } = this.#input.route;
+    return homeRegions.length === 0 || homeRegions.includes(region);
+  };
+
   #regions(isHome: (region: string) => boolean): RegionRoom[] {
     return this.#context.relays.regions(
       this.#service.name,
--- a/src/gateway/send.ts
+++ b/src/gateway/send.ts
@@ -36,6 +36,8 @@
   readonly deadlineMonoMs: number;
   /** Prompt tokens that the upstream will have to read, as far as known; 0 for plain services. */
   readonly promptTokens: number;
+  /** `IP:PORT` of an engine that keeps the prompt's shared parts. */
+  readonly fetchFrom: string | undefined;
   /** Without any answer for this long, the send may be given up; `Infinity` to wait until the deadline. */
   readonly patienceMs: number;
   /** Whether another place would serve the request now; without one, giving up gains nothing. */
@@ -150,6 +152,7 @@
         sendable.headers,
         upstream.id,
         sendable.deadlineMonoMs - nowMs,
+        sendable.fetchFrom,
       ),
       body: sendable.body,
       connectWaitMs: CONNECT_WAIT_MS,
--- a/src/platform/upstream_wire.ts
+++ b/src/platform/upstream_wire.ts
@@ -65,14 +65,19 @@
   return copyHeaders(raw, GATEWAY_HEADERS);
 }
 
-/** Headers of one send: which upstream it is meant for, and how long it may work, in ms from its arrival. */
+/**
+ * Headers of one send: which upstream it is meant for, how long it may work, in ms from its arrival, and the `IP:PORT`
+ * of an engine that it may copy the prompt's shared parts from.
+ */
 export function addressTo(
   forwarded: readonly string[],
   upstreamId: string,
   workMs: number,
+  fetchFrom?: string,
 ): string[] {
   return [
     ...forwarded,
+    ...(fetchFrom === undefined ? [] : ["Kv-Fetch", fetchFrom]),
     "Deadline-Ms",
     String(Math.max(1, Math.floor(workMs))),
     "Expect-Instance",
--- a/src/routing/directory.ts
+++ b/src/routing/directory.ts
@@ -19,8 +19,8 @@
 
 /**
  * The VMs that callers of a region should use: those of the region, since bodies bound to a home may not pass through
- * others. While all of them are being stopped in turn, those that still serve for some seconds are named before another
- * region's; that comes only when nobody of the region is there.
+ * others. While all of them are being stopped in turn, the one that serves longest is named before another region's; those
+ * come only when nobody of the region is there.
  */
 export function nameVms<V extends NamedVm>(
   vms: readonly V[],
@@ -29,7 +29,8 @@
   const near = vms.filter((vm) => vm.region === region);
   const ready = near.filter(({ isReady }) => isReady);
   if (ready.length > 0) return ready;
-  const leaving = near.filter(({ servesMs }) => servesMs >= LEAST_SERVES_MS);
-  if (leaving.length > 0) return leaving;
+  const leaving = near.filter(({ servesMs }) => servesMs >= LEAST_SERVES_MS)
+    .sort((a, b) => b.servesMs - a.servesMs);
+  if (leaving.length > 0) return leaving.slice(0, 1);
   return vms.filter(({ isReady }) => isReady);
 }
--- a/src/routing/fleet.ts
+++ b/src/routing/fleet.ts
@@ -60,8 +60,16 @@
 
   /** The upstreams of a service in a region that may be sent requests now: neither leaving nor evacuated. */
   of(service: string, region: string): KnownUpstream[] {
+    return this.ofRegions(service, (name) => name === region);
+  }
+
+  /** The upstreams of a service in some regions that may be sent requests now. */
+  ofRegions(
+    service: string,
+    isAllowed: (region: string) => boolean,
+  ): KnownUpstream[] {
     return (this.#byService.get(service) ?? []).filter((upstream) =>
-      upstream.region === region && this.mayUse(upstream)
+      isAllowed(upstream.region) && this.mayUse(upstream)
     );
   }
 
--- a/src/routing/place.ts
+++ b/src/routing/place.ts
@@ -95,15 +95,14 @@
   return waitMs + readMs + overMs + candidate.running * RUNNING_MS;
 }
 
-/** The candidate that a prompt belongs to on every VM, by rendezvous hashing. */
-function homeOf<C extends Candidate>(
+/** The upstream that a prompt belongs to on every VM, by rendezvous hashing. */
+export function homeOf<C extends Pick<Candidate, "key">>(
   candidates: readonly C[],
   affinity: string,
 ): C | undefined {
   let home: C | undefined;
   let most = -1;
   for (const candidate of candidates) {
-    if (candidate.doubtful) continue;
     const weight = hash32(`${affinity}\u0000${candidate.key}`);
     if (weight <= most) continue;
     most = weight;
@@ -122,7 +121,8 @@
   candidates: readonly C[],
   affinity: Affinity | undefined,
 ): C[] {
-  const home = affinity && homeOf(candidates, affinity.id);
+  const sound = candidates.filter(({ doubtful }) => !doubtful);
+  const home = affinity && homeOf(sound, affinity.id);
   const homeTokens = affinity?.ownTokens ?? 0;
   return candidates
     .map((candidate) => ({
@@ -140,3 +140,25 @@
     )
     .map(({ candidate }) => candidate);
 }
+
+/** Shared tokens of a prompt from which fetching them from another engine is worth the call. */
+const LEAST_FETCH_TOKENS = 1_000;
+
+/**
+ * The engine that a request's engine should fetch the shared parts of the prompt from: the prompt's home among all
+ * engines of the regions that may hold it. Each prompt is then read once in the whole system and copied from there, at
+ * a fifth of the price of reading it again and in a tenth of the time (users' prices: 0.31 a GB moved against 0.14 for
+ * 1,000 tokens read again, at 96 KB a token).
+ */
+export function fetchSource<C extends Pick<Candidate, "key">>(
+  target: Pick<Candidate, "key">,
+  everywhere: readonly C[],
+  parts: readonly PromptPart[],
+): C | undefined {
+  const affinity = affinityOf(parts);
+  const sharedTokens = parts.slice(0, -1)
+    .reduce((sum, { tokens }) => sum + tokens, 0);
+  if (!affinity || sharedTokens < LEAST_FETCH_TOKENS) return undefined;
+  const home = homeOf(everywhere, affinity.id);
+  return home?.key === target.key ? undefined : home;
+}
--- a/src/routing/step.ts
+++ b/src/routing/step.ts
@@ -132,7 +132,10 @@
   if (free !== undefined) return { type: "relay", region: free };
   const queued = best.find(mayQueue);
   if (queued) return { type: "send", candidate: queued };
-  const queue = pickRegion(regions, (room) => room.queue, draw);
+  // Only what has no upstream here waits elsewhere: a full region's queue would fill the others' and reach them late.
+  const queue = input.candidates.length === 0
+    ? pickRegion(regions, (room) => room.queue, draw)
+    : undefined;
   if (queue !== undefined) return { type: "relay", region: queue };
   // All that is left was lost a moment ago: a connection that fails has sent nothing, so trying costs little.
   const lost = rank(
@@ -186,6 +189,8 @@
 
 /** Share of a region's free places that others may count on; the rest is kept for its own callers. */
 const LENT_SHARE = 0.5;
+/** Prompt tokens waiting at an engine beyond which others' requests are better off refused: half a second's reading. */
+const MOST_LENT_BACKLOG_TOKENS = 50_000;
 /** Prompt tokens of a usual request, to count in requests what may still wait. */
 const USUAL_PROMPT_TOKENS = 4_000;
 
@@ -200,10 +205,13 @@
     if (hasRoom(candidate, true)) {
       free += comfortableSlots(candidate, true) - candidate.running;
     }
-    if (!mayQueue(candidate)) continue;
-    queue += Math.min(
-      candidate.slots * OVERCOMMIT - candidate.running,
-      (MOST_BACKLOG_TOKENS - candidate.waitingTokens) / USUAL_PROMPT_TOKENS,
+    queue += Math.max(
+      0,
+      Math.min(
+        candidate.slots * OVERCOMMIT - candidate.running,
+        (MOST_LENT_BACKLOG_TOKENS - candidate.waitingTokens) /
+          USUAL_PROMPT_TOKENS,
+      ),
     );
   }
   return {
