--- a/src/gateway/call.ts
+++ b/src/gateway/call.ts
@@ -16,7 +16,6 @@
   nextStep,
   patienceMs,
   type RegionRoom,
-  type Route,
   type ServiceRow,
   type Step,
 } from "../routing/mod.ts";
@@ -282,7 +281,7 @@
           !this.#tried.has(key)
         )
         : [],
-      regions: relayed ? [] : this.#regions(isHome),
+      regions: relayed ? [] : this.#regions(),
       affinity: affinityOf(head.promptParts),
       isLong: isLongAnswer(head.outputTokens),
       draw: random.next(),
@@ -295,10 +294,14 @@
     return homeRegions.length === 0 || homeRegions.includes(region);
   };
 
-  #regions(isHome: (region: string) => boolean): RegionRoom[] {
+  #regions(): RegionRoom[] {
+    const { route, config } = this.#input;
+    const { name } = this.#service;
+    const isFree = route.homeRegions.length === 0;
     return this.#context.relays.regions(
-      this.#service.name,
-      (region) => isHome(region) && !this.#triedRegions.has(region),
+      name,
+      (region) => this.#isHome(region) && !this.#triedRegions.has(region),
+      (region) => isFree && config.isHomeOf(name, region),
     );
   }
 
--- a/src/gateway/relays.ts
+++ b/src/gateway/relays.ts
@@ -50,16 +50,21 @@
   }
 
   /** Other regions with a VM that can be reached and takes requests, and their room for a service. */
-  regions(service: string, allowed: (region: string) => boolean): RegionRoom[] {
+  regions(
+    service: string,
+    allowed: (region: string) => boolean,
+    isScarce: (region: string) => boolean,
+  ): RegionRoom[] {
     const best = new Map<string, RegionRoom>();
     for (const { region, beat } of this.#targets()) {
       if (!allowed(region)) continue;
       const { free, queue } = beat.room?.[service] ?? NO_ROOM;
-      const known = best.get(region) ?? { region, ...NO_ROOM };
+      const known = best.get(region) ?? NO_ROOM;
       best.set(region, {
         region,
         free: Math.max(free, known.free),
         queue: Math.max(queue, known.queue),
+        isScarce: isScarce(region),
       });
     }
     return [...best.values()];
--- a/src/gateway/room.ts
+++ b/src/gateway/room.ts
@@ -6,21 +6,21 @@
 
 import {
   type GatewayConfig,
-  type RegionRoom,
+  type RegionPlaces,
   regionRoom,
   type ServiceRow,
   type StepCandidate,
 } from "../routing/mod.ts";
 
 /** Places by service. */
-export type Room = Readonly<Record<string, Omit<RegionRoom, "region">>>;
+export type Room = Readonly<Record<string, RegionPlaces>>;
 
 /** What this region offers to others, by service. */
 export function roomOf(
   config: GatewayConfig | undefined,
   candidates: (service: ServiceRow) => readonly StepCandidate[],
 ): Room {
-  const room: Record<string, Omit<RegionRoom, "region">> = {};
+  const room: Record<string, RegionPlaces> = {};
   for (const service of config?.services() ?? []) {
     const places = regionRoom(candidates(service));
     if (places.queue > 0) room[service.name] = places;
--- a/src/kernel/log.ts
+++ b/src/kernel/log.ts
@@ -1,11 +1,9 @@
 /**
- * Logs: one line of key=value pairs for each event, by `winston`.
+ * What services log to: one line of key=value pairs for each event.
  *
  * @module
  */
 
-import { createLogger, format, type Logger, transports } from "winston";
-
 /** How much is logged. */
 export type LogLevel = "error" | "warn" | "info" | "debug" | "silent";
 
@@ -29,24 +27,3 @@
     : String(value);
   return /^[\w.:/@+-]+$/.test(text) ? text : JSON.stringify(text);
 }
-
-const keyValue = format.printf(({ timestamp, level, message, ...pairs }) => {
-  const rest = Object.entries(pairs).map(([key, value]) =>
-    ` ${key}=${quote(value)}`
-  ).join("");
-  return `time=${timestamp} level=${level} event=${quote(message)}${rest}`;
-});
-
-/** A logger that writes to standard error, with `fields` on each line. */
-export function openLog(
-  level: LogLevel,
-  fields: Record<string, string> = {},
-): Logger {
-  return createLogger({
-    level: level === "silent" ? "error" : level,
-    silent: level === "silent",
-    defaultMeta: fields,
-    format: format.combine(format.timestamp(), keyValue),
-    transports: [new transports.Stream({ stream: process.stderr })],
-  });
-}
--- a/src/kernel/mod.ts
+++ b/src/kernel/mod.ts
@@ -7,3 +7,4 @@
 export * from "./kernel.ts";
 export * from "./log.ts";
 export * from "./task.ts";
+export * from "./winston_log.ts";
--- a/src/routing/config.ts
+++ b/src/routing/config.ts
@@ -15,6 +15,8 @@
   readonly limits: CallerLimits;
   readonly routes: readonly Route[];
   readonly #byHost = new Map<string, Route[]>();
+  /** Regions that some routes to a service are bound to. */
+  readonly #homes = new Map<string, Set<string>>();
   readonly #services = new Map<string, ServiceRow>();
 
   constructor(
@@ -30,6 +32,11 @@
       const list = this.#byHost.get(route.host) ?? [];
       list.push(route);
       this.#byHost.set(route.host, list);
+      for (const { service } of route.targets) {
+        const homes = this.#homes.get(service) ?? new Set();
+        for (const home of route.homeRegions) homes.add(home);
+        this.#homes.set(service, homes);
+      }
     }
     for (const list of this.#byHost.values()) {
       list.sort((a, b) => b.pathPrefix.length - a.pathPrefix.length);
@@ -45,6 +52,11 @@
     );
   }
 
+  /** Whether some requests of a service are bound to a region. */
+  isHomeOf(service: string, region: string): boolean {
+    return this.#homes.get(service)?.has(region) ?? false;
+  }
+
   service(name: string): ServiceRow | undefined {
     return this.#services.get(name);
   }
--- a/src/routing/step.ts
+++ b/src/routing/step.ts
@@ -28,8 +28,13 @@
   readonly free: number;
   /** Places where it would wait, and still be served. */
   readonly queue: number;
+  /** Whether other requests of the service are bound to it, and this one is not. */
+  readonly isScarce: boolean;
 }
 
+/** What a region says of its places. */
+export type RegionPlaces = Pick<RegionRoom, "free" | "queue">;
+
 /** What a step is decided on. */
 export interface StepInput<C extends StepCandidate> {
   readonly nowMs: number;
@@ -92,13 +97,18 @@
   return Math.round(ms * (0.5 + draw));
 }
 
-/** Draws a region, by the places that it has. */
+/**
+ * Draws a region, by the places that it has. Requests that may go anywhere leave the homes of others alone while there
+ * is another place: what is bound to a home has no other.
+ */
 function pickRegion(
   regions: readonly RegionRoom[],
   placesOf: (room: RegionRoom) => number,
   draw: number,
 ): string | undefined {
-  const open = regions.filter((room) => placesOf(room) > 0);
+  const withPlaces = regions.filter((room) => placesOf(room) > 0);
+  const plenty = withPlaces.filter(({ isScarce }) => !isScarce);
+  const open = plenty.length > 0 ? plenty : withPlaces;
   const total = open.reduce((sum, room) => sum + placesOf(room), 0);
   let at = draw * total;
   for (const room of open) {
@@ -197,7 +207,7 @@
 /** What a region offers to others, over all its upstreams of a service. */
 export function regionRoom(
   candidates: readonly StepCandidate[],
-): Omit<RegionRoom, "region"> {
+): RegionPlaces {
   let free = 0;
   let queue = 0;
   for (const candidate of candidates) {
--- a/src/routing/step_test.ts
+++ b/src/routing/step_test.ts
@@ -39,8 +39,8 @@
 
 describe("routing", () => {
   describe("next step", () => {
-    const far = [{ region: "south", free: 5, queue: 9 }];
-    const busy = [{ region: "south", free: 0, queue: 9 }];
+    const far = [{ region: "south", free: 5, queue: 9, isScarce: false }];
+    const busy = [{ region: "south", free: 0, queue: 9, isScarce: false }];
     const cases: [string, Partial<StepInput<StepCandidate>>, string][] = [
       ["a free upstream here is taken", {
         candidates: [candidate()],
@@ -76,7 +76,7 @@
       }, "refuse noUpstream"],
       ["a region without room is not used", {
         arrivedMs: 500,
-        regions: [{ region: "south", free: 0, queue: 0 }],
+        regions: [{ region: "south", free: 0, queue: 0, isScarce: false }],
       }, "refuse noUpstream"],
       ["one set aside is tried if nothing else is left", {
         candidates: [candidate({ aside: true })],
@@ -104,6 +104,16 @@
       });
     }
 
+    // One region's engines are gone, and one other region is the last home of requests that are bound.
+    it("what may go anywhere leaves the homes of others alone", (t) => {
+      const home = { region: "home", free: 90, queue: 90, isScarce: true };
+      t.deepEqual(step({ regions: [home, ...far] }), {
+        type: "relay",
+        region: "south",
+      });
+      t.deepEqual(step({ regions: [home] }), { type: "relay", region: "home" });
+    });
+
     it("those refused together come back apart", (t) => {
       const backs = [0, 0.25, 0.5, 0.99].map((draw) => {
         const refused = step({ arrivedMs: 500, draw });
