--- a/src/gateway/beliefs.ts
+++ b/src/gateway/beliefs.ts
@@ -75,6 +75,7 @@
   readonly #evacuated = new Set<string>();
   /** Upstreams whose entry is gone but may come back, with the time until which they are kept. */
   readonly #lapsed = new Map<string, number>();
+  #failureDomains: Readonly<Record<string, string>>;
   #config: GatewayConfig | undefined;
   #followers!: Readonly<Record<Matter, Follower>>;
   #clock!: Clock;
@@ -89,7 +90,8 @@
   constructor(options: BeliefOptions) {
     super();
     this.#options = options;
-    this.fleet = new Fleet((domain) => options.failureDomains[domain]);
+    this.#failureDomains = options.failureDomains;
+    this.fleet = new Fleet((domain) => this.#failureDomains[domain]);
   }
 
   /** The newest configuration; `undefined` until one is known. */
@@ -104,6 +106,11 @@
     };
   }
 
+  /** Takes in changed settings; upstreams of a new failure domain are used from their next entry on. */
+  setFailureDomains(failureDomains: Readonly<Record<string, string>>): void {
+    this.#failureDomains = failureDomains;
+  }
+
   /** Whether the store does not serve this VM at the moment. */
   isCutOff(matter: Matter): boolean {
     return this.#followers[matter].isFailing;
--- a/src/gateway/context.ts
+++ b/src/gateway/context.ts
@@ -21,7 +21,8 @@
 
 /** See the module. */
 export class GatewayContext {
-  readonly settings: GatewaySettings;
+  /** Replaced as a whole when the settings change. */
+  settings: GatewaySettings;
   readonly clock: Clock;
   readonly log: Log;
   readonly beliefs: Beliefs;
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -30,17 +30,20 @@
   readonly #context: GatewayContext;
   readonly #front: Front;
   readonly #store: PlatformKeyValue;
+  readonly #beliefs: Beliefs;
 
   private constructor(
     kernel: Kernel,
     context: GatewayContext,
     front: Front,
     store: PlatformKeyValue,
+    beliefs: Beliefs,
   ) {
     this.#kernel = kernel;
     this.#context = context;
     this.#front = front;
     this.#store = store;
+    this.#beliefs = beliefs;
   }
 
   /** Starts all services; the listeners of callers come last. Fails if an address is taken. */
@@ -113,7 +116,7 @@
       directory,
     ];
     for (const task of tasks) await kernel.start(task);
-    return new Gateway(kernel, context, front, store);
+    return new Gateway(kernel, context, front, store, beliefs);
   }
 
   /** Each service's state by name. */
@@ -121,6 +124,40 @@
     return this.#kernel.dump();
   }
 
+  /**
+   * Takes in changed settings. Bounds, memory and failure domains are in force at once; identity and addresses need a
+   * restart, and a change of them is logged and left aside.
+   */
+  reload(settings: GatewaySettings): void {
+    const { settings: before, log } = this.#context;
+    const needsRestart = JSON.stringify([
+      before.vm.id,
+      before.vm.ip,
+      before.listen,
+      before.store,
+    ]) !==
+      JSON.stringify([
+        settings.vm.id,
+        settings.vm.ip,
+        settings.listen,
+        settings.store,
+      ]);
+    const { vm, bounds, failureDomains, seeds } = settings;
+    this.#context.settings = {
+      ...before,
+      vm: {
+        ...before.vm,
+        memoryMb: vm.memoryMb,
+        mostDescriptors: vm.mostDescriptors,
+      },
+      bounds,
+      failureDomains,
+      seeds,
+    };
+    this.#beliefs.setFailureDomains(failureDomains);
+    log.info("settings in force", { needsRestart });
+  }
+
   /** A planned stop: serves on as long as callers may come, then closes. */
   async drain(): Promise<void> {
     await drain(this.#context, this.#front);
--- a/src/gateway/main.ts
+++ b/src/gateway/main.ts
@@ -5,12 +5,15 @@
  */
 
 import { readFileSync } from "node:fs";
+import { err, ok, type Result } from "neverthrow";
+import type { Log } from "../kernel/mod.ts";
 import { SETTINGS_VARIABLE } from "../platform/mod.ts";
 import { Gateway } from "./gateway.ts";
 import { LineLog, standardOutput } from "./line_log.ts";
-import { type GatewaySettings, parseGatewaySettings } from "./settings.ts";
+import { parseGatewaySettings, type SettingsProblem } from "./settings.ts";
 
 const USAGE_EXIT = 2;
+const SETTINGS_LOOK_MS = 1_000;
 
 function refuse(lines: readonly string[]): never {
   for (const line of lines) {
@@ -19,29 +22,56 @@
   process.exit(USAGE_EXIT);
 }
 
-function readSettings(): GatewaySettings {
+function settingsPath(): string {
   const path = process.argv[2] ?? process.env[SETTINGS_VARIABLE];
   if (!path) refuse([`name a settings file, or set ${SETTINGS_VARIABLE}`]);
-  let text: string;
+  return path;
+}
+
+function describe(
+  path: string,
+  problems: readonly SettingsProblem[],
+): string[] {
+  return problems.map(({ field, message }) => `${path}: ${field}: ${message}`);
+}
+
+function readText(path: string): Result<string, SettingsProblem[]> {
   try {
-    text = readFileSync(path, "utf8");
+    return ok(readFileSync(path, "utf8"));
   } catch (error) {
-    refuse([(error as Error).message]);
+    return err([{ field: "(file)", message: (error as Error).message }]);
   }
-  const settings = parseGatewaySettings(text);
-  if (settings.isErr()) {
-    refuse(
-      settings.error.map(({ field, message }) =>
-        `${path}: ${field}: ${message}`
-      ),
-    );
-  }
-  return settings.value;
+}
+
+/** Looks at the settings file each second, as it may change without a signal, and takes in what is valid. */
+function watchSettings(
+  path: string,
+  firstText: string,
+  gateway: Gateway,
+  log: Log,
+): void {
+  let lastText = firstText;
+  const look = () => {
+    const text = readText(path);
+    if (text.isErr() || text.value === lastText) return;
+    lastText = text.value;
+    const settings = parseGatewaySettings(text.value);
+    if (settings.isOk()) gateway.reload(settings.value);
+    else {log.error("settings refused", {
+        reason: describe(path, settings.error).join("; "),
+      });}
+  };
+  setInterval(look, SETTINGS_LOOK_MS).unref();
+  process.on("SIGHUP", look);
 }
 
 /** Serves until a planned stop, which ends with exit code 0. */
 async function main(): Promise<void> {
-  const settings = readSettings();
+  const path = settingsPath();
+  const text = readText(path);
+  const parsed = text.andThen(parseGatewaySettings);
+  if (parsed.isErr()) refuse(describe(path, parsed.error));
+  const settings = parsed.value;
   const { id, region, failureDomain, ip } = settings.vm;
   const log = new LineLog(standardOutput(), { vm: id }, Date.now);
   log.info("starting", { region, failureDomain, ip });
@@ -56,7 +86,7 @@
   };
   process.on("SIGTERM", () => void stop());
   process.on("SIGINT", () => void stop());
-  process.on("SIGHUP", () => log.info("settings changed"));
+  watchSettings(path, text._unsafeUnwrap(), gateway, log);
 }
 
 await main();
--- a/test/gateway_beliefs_test.ts
+++ b/test/gateway_beliefs_test.ts
@@ -1,4 +1,5 @@
 import { describe, it } from "../src/base/describe.ts";
+import { parseGatewaySettings } from "../src/gateway/mod.ts";
 import { GatewayLab, openLab, routeRow, ROUTES, until } from "./gateway_lab.ts";
 
 describe("gateway", () => {
@@ -117,4 +118,34 @@
       await left;
     });
   });
+
+  describe("settings that change", () => {
+    it("are taken in while requests are served; another address needs a restart", async (t) => {
+      const { lab, vm } = await openLab(t, 1);
+      vm.gateway.reload({
+        ...vm.settings,
+        bounds: { ...vm.settings.bounds, graceMs: 5_000 },
+      });
+      t.false(vm.log.lines.at(-1)!.fields.needsRestart);
+      vm.gateway.reload({
+        ...vm.settings,
+        vm: { ...vm.settings.vm, ip: "127.0.0.9" },
+      });
+      t.true(vm.log.lines.at(-1)!.fields.needsRestart);
+      t.is((await lab.call(vm, { path: "/safe/" })).status, 200);
+    });
+
+    it("and are wrong are told field by field", (t) => {
+      const wrong = parseGatewaySettings(
+        JSON.stringify({ vm: { id: "" }, listen: { callers: "here" } }),
+      );
+      const fields = wrong._unsafeUnwrapErr().map(({ field }) => field);
+      for (
+        const field of ["vm.id", "vm.ip", "listen.callers", "store", "bounds"]
+      ) {
+        t.true(fields.includes(field), field);
+      }
+      t.is(parseGatewaySettings("{").isErr(), true);
+    });
+  });
 });
