--- a/src/gateway/call.ts
+++ b/src/gateway/call.ts
@@ -158,10 +158,8 @@
     this.#record.place = vm.id;
     return new RelaySend(this.#context, this.#sendable(0), vm, {
       configVersion: this.#input.config.version,
-      mostUpstreams: Math.max(
-        1,
-        this.#input.mostUpstreams - this.#record.sends,
-      ),
+      // One, and no more: this VM cannot tell how many were used if it gives the hand-over up, and may send again itself.
+      mostUpstreams: 1,
     });
   }
 
--- a/src/gateway/stop.ts
+++ b/src/gateway/stop.ts
@@ -9,8 +9,8 @@
 
 /** Callers use a directory's answer for up to three times its one second, and may open connections until then. */
 const CALLERS_GONE_MS = 4_000;
-/** Kept free before the kill for the last answers to leave. */
-const LAST_MS = 400;
+/** Kept free before the kill for the last answers to leave and the services to close, also when timers fire late. */
+const LAST_MS = 700;
 const LOOK_MS = 50;
 
 /**
--- a/test/gateway_lab.ts
+++ b/test/gateway_lab.ts
@@ -85,6 +85,7 @@
   routeRow(),
   routeRow({ path_prefix: "/once/", kind: "unsafe", max_attempts: 2 }),
   routeRow({ path_prefix: "/stream/", kind: "streaming", resumable: true }),
+  routeRow({ path_prefix: "/southsafe/", home_regions: ["south"] }),
   routeRow({ path_prefix: "/streamonce/", kind: "streaming", max_attempts: 1 }),
   routeRow({ path_prefix: "/south/", kind: "unsafe", home_regions: ["south"] }),
 ];
--- a/test/gateway_test.ts
+++ b/test/gateway_test.ts
@@ -299,6 +299,21 @@
       t.is(lab.runners[0].arrivals.length, 0);
     });
 
+    // The VM that hands a request over may give up waiting and send it elsewhere itself. If the other VM used the rest of
+    // the route's upstreams meanwhile, the request would run on more than it may.
+    it("sends what it was handed to one upstream only", async (t) => {
+      const { lab, vm } = await openLab(t, 1);
+      const far = [await lab.addRunner("south"), await lab.addRunner("south")];
+      const vmFar = await lab.addVm("south");
+      await lab.ready(vmFar);
+      for (const runner of far) runner.mood = "error";
+      await until(async () => {
+        const answer = await lab.call(vm, { path: "/southsafe/" });
+        return answer.status === 500;
+      });
+      t.is(far[0].arrivals.length + far[1].arrivals.length, 1);
+    });
+
     it("that is gone leaves a bound request refused, not run", async (t) => {
       const { lab, vm } = await openLab(t, 1);
       const answer = await lab.call(vm, { path: "/south/", method: "POST" });
