--- a/src/adapters/mod.ts
+++ b/src/adapters/mod.ts
@@ -15,3 +15,4 @@
 export * from "./link_faults.ts";
 export * from "./ws_transport.ts";
 export * from "./engine_load.ts";
+export * from "./read_text.ts";
--- a/src/gateway/body.ts
+++ b/src/gateway/body.ts
@@ -30,11 +30,16 @@
   }
 }
 
-/** Reads the body; what it took of `memory` is given back by the caller when the request ends. */
+/**
+ * Reads the body; what it took of `memory` is given back by the caller when the request ends. `onClosed` registers what
+ * to do when the answer is over: a caller that was answered before it had sent its body sends no more of it, and Node
+ * tells that on the answer alone.
+ */
 export function readBody(
   request: IncomingMessage,
   mostBytes: number,
   memory: BodyMemory,
+  onClosed: (run: () => void) => void,
 ): Promise<Result<Buffer, BodyProblem>> {
   if (Number(request.headers["content-length"] ?? 0) > mostBytes) {
     return Promise.resolve(err("tooLarge"));
@@ -42,9 +47,11 @@
   return new Promise((resolve) => {
     const chunks: Buffer[] = [];
     let bytes = 0;
+    let isOver = false;
     const stop = (problem: BodyProblem) => {
+      if (isOver) return;
+      isOver = true;
       memory.giveBack(bytes);
-      bytes = 0;
       request.removeAllListeners("data");
       request.resume();
       resolve(err(problem));
@@ -55,14 +62,15 @@
       bytes += chunk.length;
       chunks.push(chunk);
     });
-    request.on(
-      "end",
-      () =>
-        resolve(ok(chunks.length === 1 ? chunks[0] : Buffer.concat(chunks))),
-    );
+    request.on("end", () => {
+      if (isOver) return;
+      isOver = true;
+      resolve(ok(chunks.length === 1 ? chunks[0] : Buffer.concat(chunks)));
+    });
     request.on("error", () => stop("broken"));
     request.on("close", () => {
       if (!request.complete) stop("broken");
     });
+    onClosed(() => stop("broken"));
   });
 }
--- a/src/gateway/call.ts
+++ b/src/gateway/call.ts
@@ -85,6 +85,7 @@
         this.#input.request,
         this.#input.config.limits.bodyBytes,
         bodies,
+        (run) => this.#reply.onClosed(run),
       );
       if (body.isErr()) this.#fail(failure(BODY_CODES[body.error]), 0);
       else {
--- a/src/gateway/peer_rpc.ts
+++ b/src/gateway/peer_rpc.ts
@@ -10,6 +10,7 @@
   type ServerResponse,
 } from "node:http";
 import { JSONRPCClient, JSONRPCServer } from "json-rpc-2.0";
+import { readText } from "../adapters/mod.ts";
 import type { Clock, Timer } from "../base/mod.ts";
 import {
   type Handlers,
@@ -33,15 +34,6 @@
 const ANSWER_WAIT_MS = 1_000;
 const MATTERS: readonly Matter[] = ["operators", "upstreams"];
 
-function readText(message: IncomingMessage): Promise<string> {
-  return new Promise((resolve, reject) => {
-    const chunks: Buffer[] = [];
-    message.on("data", (chunk: Buffer) => chunks.push(chunk));
-    message.on("end", () => resolve(Buffer.concat(chunks).toString("utf8")));
-    message.on("error", reject);
-  });
-}
-
 /** See the module. */
 export class PeerRpc extends Task implements PeerQuestions {
   readonly name = "peerRpc";
--- a/src/gateway/reply.ts
+++ b/src/gateway/reply.ts
@@ -30,6 +30,11 @@
     this.#onGone = run;
   }
 
+  /** Sets what to do when the answer is over, whole or not. */
+  onClosed(run: () => void): void {
+    this.response.on("close", run);
+  }
+
   /** Whether the other side left before its answer was whole. */
   get isGone(): boolean {
     return this.#gone;
@@ -94,7 +99,10 @@
 
   fail(failure: Failure, comeBackMs: number): void {
     const { status, headers, body } = encodeFailure(failure, comeBackMs);
-    if (this.closes) headers.push("Connection", "close");
+    // A caller that stopped in the middle of its body would hold its connection and its place for ever.
+    if (this.closes || !this.response.req.complete) {
+      headers.push("Connection", "close");
+    }
     this.response.writeHead(status, headers);
     this.response.end(body);
   }
--- a/src/platform/store.ts
+++ b/src/platform/store.ts
@@ -4,19 +4,20 @@
  * @module
  */
 
-import { Agent, type IncomingMessage, request } from "node:http";
+import { Agent, request } from "node:http";
 import { err, ok, type Result } from "neverthrow";
 import {
   type Entry,
   KeyValue,
   type Listing,
   type PutOptions,
+  readText,
   type StoreError,
   type StorePurpose,
   type Watch,
   type WatchEvent,
   type Write,
-} from "../adapters/key_value.ts";
+} from "../adapters/mod.ts";
 import { isNotSent } from "../adapters/not_sent.ts";
 
 /** A call without an answer by then counts as lost: sixty times the store's usual 4 ms, eight times over. */
@@ -47,16 +48,6 @@
 
 type Method = "GET" | "POST" | "DELETE";
 
-function readBody(answer: IncomingMessage): Promise<string> {
-  return new Promise((resolve, reject) => {
-    const chunks: Buffer[] = [];
-    answer.on("data", (chunk: Buffer) => chunks.push(chunk));
-    answer.on("end", () => resolve(Buffer.concat(chunks).toString("utf8")));
-    answer.on("error", reject);
-    answer.on("aborted", () => reject(new Error("answer broke off")));
-  });
-}
-
 function encode(value: string): string {
   return Buffer.from(value, "utf8").toString("base64");
 }
@@ -379,7 +370,7 @@
       };
       call.on("error", fail);
       call.on("response", (answer) => {
-        readBody(answer).then((text) => {
+        readText(answer).then((text) => {
           clearTimeout(timer);
           resolve(
             ok({
--- a/src/standins/runner.ts
+++ b/src/standins/runner.ts
@@ -49,6 +49,7 @@
 /** Events of a whole stream. */
 export const STREAM_EVENTS = 6;
 const EVENT_GAP_MS = 10;
+const COLD_WINDOW_MS = 1_000;
 
 function eventText(id: number): string {
   return `id: ${id}\ndata: piece ${id}\n\n`;
@@ -66,9 +67,19 @@
   readonly id: string;
   readonly arrivals: RunnerArrival[] = [];
   mood: RunnerMood = "well";
+  /** Requests a second that it bears while it is cold; well above that it crashes. Absent: it is warm. */
+  coldPerS: number | undefined;
+  /** Whether it crashed; it then resets every connection. */
+  isCrashed = false;
+  /** Whether it leaves: it serves on and ends each connection after its answer. */
+  isDraining = false;
+  /** Prompt tokens that it had to read; parts that it keeps are not read again. */
+  readTokens = 0;
   /** Time before an answer's head. */
   workMs = 0;
   readonly #server: Server;
+  readonly #keptParts = new Set<string>();
+  #coldArrivalsMs: number[] = [];
 
   private constructor(id: string) {
     this.id = id;
@@ -114,6 +125,11 @@
     ) {
       return void response.writeHead(421, { "instance-id": this.id }).end();
     }
+    if (this.isCrashed || this.#crashesCold()) {
+      return void request.socket.resetAndDestroy();
+    }
+    this.#readPrompt(String(headers["prompt-prefix"] ?? ""));
+    if (this.isDraining) response.setHeader("connection", "close");
     if (this.mood === "shed") {
       return void response.writeHead(503, { "not-executed": "1" }).end();
     }
@@ -132,6 +148,29 @@
     this.#act(request, response);
   }
 
+  /** Counts an arrival at a cold runner; it bears half as many again and three, as the users' rules have it. */
+  #crashesCold(): boolean {
+    if (this.coldPerS === undefined) return false;
+    const nowMs = performance.now();
+    this.#coldArrivalsMs = this.#coldArrivalsMs.filter((ms) =>
+      nowMs - ms < COLD_WINDOW_MS
+    );
+    this.#coldArrivalsMs.push(nowMs);
+    this.isCrashed = this.#coldArrivalsMs.length > this.coldPerS * 1.5 + 3;
+    return this.isCrashed;
+  }
+
+  /** Reads the parts of a prompt from the first one on that it does not keep. */
+  #readPrompt(text: string): void {
+    let isKept = true;
+    for (const part of text.split(",").filter(Boolean)) {
+      const [id, tokens] = part.split(":");
+      isKept &&= this.#keptParts.has(id);
+      if (!isKept) this.readTokens += Number(tokens);
+      this.#keptParts.add(id);
+    }
+  }
+
   #act(request: IncomingMessage, response: ServerResponse): void {
     const { socket, headers } = request;
     const own = {
