--- a/src/decisions/load_test.ts
+++ b/src/decisions/load_test.ts
@@ -6,8 +6,8 @@
   servedShare,
 } from "../../bench/scenario.ts";
 
-// These look at what callers get from the real decision modules in front of engines in virtual time; the bench
-// `decisions` has the same engines and more policies. One pool of 6 upstreams serves about 30 requests a second.
+// These look at what callers get from the real decision modules in front of engines in virtual time;
+// `npm run bench -- decisions` has the same engines and more policies. One pool of 6 upstreams serves about 30 requests a second.
 
 describe("under load", () => {
   it("a burst is over for the callers soon after it ends", (t) => {
