A fault soak: real gateway processes behind harmful proxies

npm run soak draws faults from a seed (processes killed, paused, stopped and sent SIGHUP; links of callers, peers, store and upstreams delayed, silenced one way or reset; the store cut, slow, forgetful; upstreams that lie, come back under their id, lose their address; clocks that jump), plays them against daemons of their own and checks sixteen promises from what callers and upstreams saw.

The stand-in store left a listener on the connection for each watch; it is taken off now.

--- /dev/null
+++ b/soak/faults.ts
@@ -0,0 +1,121 @@
+/**
+ * Puts a plan's faults into a world, and takes them back.
+ *
+ * @module
+ */
+
+import type { PlatformFault } from "../src/standins/mod.ts";
+import { sleep } from "../test/cluster.ts";
+import type { Fault } from "./plan.ts";
+import { domainOf, REGIONS, type World } from "./world.ts";
+
+/** How late the store answers while it is slow: longer than the gateways wait for some calls. */
+const SLOW_MS = 1_200;
+const LOST_ANSWERS = 20;
+/** A silent upstream holds its requests until their deadlines: its trouble outlasts the fault. */
+const AFTERMATH_MS = 2_500;
+
+const STORE_FAULTS: Readonly<Record<string, PlatformFault>> = {
+  cut: { outage: "cut" },
+  refuse: { outage: "refuse" },
+  slow: { slowMs: SLOW_MS },
+  loseAnswers: { loseAnswers: LOST_ANSWERS },
+};
+
+/** See the module. Faults overlap; what one takes back may end another early, as it does on a real day. */
+export class Injector {
+  readonly #world: World;
+
+  constructor(world: World) {
+    this.#world = world;
+  }
+
+  /** Plays the plan; returns when its last fault is over. */
+  async play(plan: readonly Fault[]): Promise<void> {
+    const startMs = this.#world.nowMs();
+    await Promise.all(plan.map(async (fault) => {
+      await sleep(Math.max(0, startMs + fault.atMs - this.#world.nowMs()));
+      await this.#inject(fault);
+    }));
+  }
+
+  async #inject(fault: Fault): Promise<void> {
+    switch (fault.kind) {
+      case "kill":
+        this.#world.trouble(`vm:${fault.vm}`, AFTERMATH_MS);
+        return this.#world.signal(fault.vm, "SIGKILL");
+      case "pause":
+        return await this.#pause(fault.vm, fault.forMs);
+      case "stop":
+        return await this.#world.stop(fault.vm);
+      case "hangUp":
+        return this.#world.signal(fault.vm, "SIGHUP");
+      case "link":
+        return await this.#link(fault);
+      case "store":
+        return await this.#store(fault);
+      case "mood":
+      case "runnerLink":
+      case "rebirth":
+      case "reuse":
+      case "drain":
+        return await this.#runner(fault);
+      case "config": {
+        const { plainService } = this.#world.configs.at(-1)!;
+        return this.#world.configure(plainService === "s" ? "t" : "s");
+      }
+      case "evacuate": {
+        const key = `op/evacuate/${domainOf(REGIONS[fault.domain])}`;
+        this.#world.store.put(key, {});
+        await sleep(fault.forMs);
+        return this.#world.store.remove(key);
+      }
+    }
+  }
+
+  async #pause(vm: number, forMs: number): Promise<void> {
+    this.#world.trouble(`vm:${vm}`, forMs + AFTERMATH_MS);
+    const { proc } = this.#world.vms[vm];
+    proc.signal("SIGSTOP");
+    await sleep(forMs);
+    proc.signal("SIGCONT");
+  }
+
+  async #link(
+    { vm, link, mode, forMs }: Extract<Fault, { kind: "link" }>,
+  ): Promise<void> {
+    this.#world.trouble(`vm:${vm}`, forMs + AFTERMATH_MS);
+    const proxy = this.#world.vms[vm].proxies[link];
+    proxy.setMode(mode);
+    await sleep(forMs);
+    proxy.setMode("pass");
+  }
+
+  async #store({ how, forMs }: Extract<Fault, { kind: "store" }>) {
+    const { store } = this.#world.store;
+    if (how === "forget") return store.compact(store.rev);
+    this.#world.trouble("store", forMs + AFTERMATH_MS);
+    this.#world.store.faults.set([STORE_FAULTS[how]]);
+    await sleep(forMs);
+    this.#world.store.faults.clear();
+  }
+
+  async #runner(fault: Extract<Fault, { runner: number }>): Promise<void> {
+    const place = this.#world.runners[fault.runner];
+    const { instance } = place;
+    if (!instance) return;
+    if (fault.kind === "drain") return await place.drain();
+    this.#world.trouble(instance.runner.id, fault.forMs + AFTERMATH_MS);
+    if (fault.kind === "rebirth") return await place.rebirth();
+    if (fault.kind === "reuse") return await place.reuse(fault.forMs);
+    if ("mood" in fault) {
+      instance.runner.mood = fault.mood;
+      await sleep(fault.forMs);
+      instance.runner.mood = "well";
+    } else if ("mode" in fault) {
+      place.proxy.setMode(fault.mode);
+      await sleep(fault.forMs);
+      place.proxy.setMode("pass");
+    }
+  }
+}
--- /dev/null
+++ b/soak/main.ts
@@ -0,0 +1,76 @@
+/**
+ * `npm run soak`: plays seeds and prints what they broke.
+ *
+ * @module
+ */
+
+import { defineCommand, runMain } from "citty";
+import { type RunResult, runSeed } from "./run.ts";
+
+const number = (description: string, value: number) => ({
+  type: "string" as const,
+  description,
+  default: String(value),
+});
+
+function told({ seed, attempts, served, faults, breaches }: RunResult): string {
+  const lines = breaches.slice(0, 12).map(({ rule, attempt, what }) =>
+    `  ${rule} ${attempt} ${what}`
+  );
+  const verdict = breaches.length === 0 ? "kept" : `BROKE ${breaches.length}`;
+  return [
+    `seed=${seed} faults=${faults} attempts=${attempts} served=${served} ${verdict}`,
+    ...lines,
+  ].join("\n");
+}
+
+const soak = defineCommand({
+  meta: {
+    name: "soak",
+    description:
+      "Play random faults against real gateway processes and check the promises",
+  },
+  args: {
+    first: number("first seed", 1),
+    seeds: number("how many seeds", 5),
+    jobs: number("runs side by side", 2),
+    vms: number("VMs of a run", 6),
+    runners: number("upstreams of a run", 8),
+    callers: number("callers of a run", 24),
+    seconds: number("seconds with faults", 10),
+    keep: {
+      type: "string",
+      description: "folder for the logs of runs that broke a promise",
+      default: "soak-logs",
+    },
+  },
+  async run({ args }) {
+    const first = Number(args.first);
+    const end = first + Number(args.seeds);
+    let next = first;
+    let broken = 0;
+    const work = async (block: number) => {
+      while (next < end) {
+        const seed = next++;
+        const result = await runSeed({
+          seed,
+          block,
+          vms: Number(args.vms),
+          runners: Number(args.runners),
+          callers: Number(args.callers),
+          faultsMs: Number(args.seconds) * 1_000,
+          keepIn: args.keep,
+        });
+        if (result.breaches.length > 0) broken++;
+        process.stdout.write(told(result) + "\n");
+      }
+    };
+    await Promise.all(
+      Array.from({ length: Number(args.jobs) }, (_, index) => work(index)),
+    );
+    process.stdout.write(`${end - first} seeds, ${broken} broke a promise\n`);
+    process.exitCode = broken > 0 ? 1 : 0;
+  },
+});
+
+await runMain(soak);
--- /dev/null
+++ b/soak/proxy.ts
@@ -0,0 +1,110 @@
+/**
+ * A TCP proxy on loopback that harms the connections through it.
+ *
+ * @module
+ */
+
+import { once } from "node:events";
+import { connect, createServer, type Server, type Socket } from "node:net";
+import type { LinkMode } from "./plan.ts";
+
+/** How late a chunk comes on a link with `delay`: about the way to another region and back. */
+const DELAY_MS = 120;
+
+/** `IP:PORT` in parts. */
+export interface Place {
+  readonly host: string;
+  readonly port: number;
+}
+
+/** Both ends of a connection through the proxy. */
+interface Pair {
+  readonly near: Socket;
+  readonly far: Socket;
+}
+
+/** See the module. Ends of half-open connections and resets are passed on as such. */
+export class FaultProxy {
+  /** Where connections go to; a change holds for new ones. */
+  target: Place;
+  readonly #server: Server;
+  readonly #pairs = new Set<Pair>();
+  #mode: LinkMode = "pass";
+
+  private constructor(target: Place) {
+    this.target = target;
+    this.#server = createServer(
+      { allowHalfOpen: true, noDelay: true },
+      (near) => this.#accept(near),
+    );
+  }
+
+  /** Listens at `listen`; port 0 takes any. */
+  static async open(listen: Place, target: Place): Promise<FaultProxy> {
+    const proxy = new FaultProxy(target);
+    proxy.#server.listen(listen.port, listen.host);
+    await once(proxy.#server, "listening");
+    return proxy;
+  }
+
+  /** The port it listens at. */
+  get port(): number {
+    return (this.#server.address() as { port: number }).port;
+  }
+
+  /** Treats open and new connections this way from now on. */
+  setMode(mode: LinkMode): void {
+    this.#mode = mode;
+    for (const pair of this.#pairs) {
+      if (mode === "reset") reset(pair);
+      else this.#hold(pair);
+    }
+  }
+
+  async close(): Promise<void> {
+    for (const pair of this.#pairs) reset(pair);
+    await new Promise((resolve) => this.#server.close(resolve));
+  }
+
+  #accept(near: Socket): void {
+    if (this.#mode === "reset") return void near.resetAndDestroy();
+    const far = connect({ ...this.target, allowHalfOpen: true, noDelay: true });
+    const pair = { near, far };
+    this.#pairs.add(pair);
+    this.#pass(pair, near, far);
+    this.#pass(pair, far, near);
+    this.#hold(pair);
+  }
+
+  #pass(pair: Pair, from: Socket, to: Socket): void {
+    from.on("data", (chunk: Buffer) => {
+      const write = () => void (to.destroyed || to.write(chunk));
+      if (this.#mode === "delay") setTimeout(write, DELAY_MS);
+      else write();
+    });
+    from.on("end", () => {
+      const end = () => void (to.destroyed || to.end());
+      if (this.#mode === "delay") setTimeout(end, DELAY_MS);
+      else end();
+    });
+    from.on("error", () => reset(pair));
+    from.on("close", () => {
+      if (to.destroyed) this.#pairs.delete(pair);
+      // A side that is gone altogether takes the other with it, once what it sent has left.
+      else to.destroySoon();
+    });
+  }
+
+  /** A silent direction is not read: its bytes wait, as behind a cut cable, and go on when it is mended. */
+  #hold({ near, far }: Pair): void {
+    if (this.#mode === "silentIn") near.pause();
+    else near.resume();
+    if (this.#mode === "silentOut") far.pause();
+    else far.resume();
+  }
+}
+
+function reset({ near, far }: Pair): void {
+  if (!near.destroyed) near.resetAndDestroy();
+  if (!far.destroyed) far.resetAndDestroy();
+}
--- /dev/null
+++ b/soak/run.ts
@@ -0,0 +1,121 @@
+/**
+ * One run of the soak: a world, callers, faults, and what they broke.
+ *
+ * @module
+ */
+
+import { mkdirSync, writeFileSync } from "node:fs";
+import { join } from "node:path";
+import { sleep } from "../test/cluster.ts";
+import { Caller } from "./callers.ts";
+import { Injector } from "./faults.ts";
+import { type Arrival, type Breach, type Evidence, Judge } from "./judge.ts";
+import { drawPlan, type Fault } from "./plan.ts";
+import { REGIONS, World } from "./world.ts";
+
+/** Settings of a run. */
+export interface RunOptions {
+  readonly seed: number;
+  readonly vms: number;
+  readonly runners: number;
+  readonly callers: number;
+  readonly faultsMs: number;
+  /** Tells runs that go on side by side apart. */
+  readonly block: number;
+  /** Where the logs of a run that broke a promise are kept; absent: nowhere. */
+  readonly keepIn?: string;
+  /** Changes the evidence before it is judged: a planted fault that the judge must find. */
+  readonly plant?: (evidence: Evidence) => Evidence;
+}
+
+/** What came of a run. */
+export interface RunResult {
+  readonly seed: number;
+  readonly attempts: number;
+  readonly served: number;
+  readonly faults: number;
+  readonly breaches: readonly Breach[];
+}
+
+/** From the last fault until all must be served again: entries return within 2.3 s, a stop takes 3 s. */
+const RECOVERY_MS = 6_000;
+const CALM_MS = 2_500;
+/** For what is under way at the end. */
+const SETTLE_MS = 300;
+
+function arrivalsOf(world: World): Arrival[] {
+  return world.instances.flatMap(({ runner, region, service, leftMs }) =>
+    runner.arrivals.map(({ headers, method, target, body, arrivedMonoMs }) => ({
+      attempt: String(headers["attempt-id"]),
+      method,
+      target,
+      body,
+      arrivedMs: arrivedMonoMs,
+      runner: runner.id,
+      region,
+      service,
+      leftMs,
+    }))
+  );
+}
+
+function keep(
+  folder: string,
+  world: World,
+  plan: readonly Fault[],
+  result: RunResult,
+): void {
+  mkdirSync(folder, { recursive: true });
+  world.saveLogs(folder);
+  writeFileSync(
+    join(folder, "run.json"),
+    JSON.stringify({ result, plan, troubles: world.troubles }, null, 2),
+  );
+}
+
+/** Plays one seed. Throws only if the world cannot be opened. */
+export async function runSeed(options: RunOptions): Promise<RunResult> {
+  const { seed, vms, runners, faultsMs } = options;
+  const domains = REGIONS.length;
+  const plan = drawPlan(seed, { vms, runners, domains, faultsMs });
+  const world = await World.open({ vms, runners, block: options.block, seed });
+  try {
+    const callers = Array.from(
+      { length: options.callers },
+      (_, index) =>
+        new Caller(world, REGIONS[index % REGIONS.length], index, seed),
+    );
+    const lastMs = Math.max(faultsMs, ...plan.map((f) => f.atMs + f.forMs));
+    const recoveredMs = world.nowMs() + lastMs + RECOVERY_MS;
+    const traffic = Promise.all(
+      callers.map((caller) => caller.run(recoveredMs + CALM_MS)),
+    );
+    await new Injector(world).play(plan);
+    await traffic;
+    await sleep(SETTLE_MS);
+    const attempts = callers.flatMap((caller) => caller.attempts);
+    const seen: Evidence = {
+      attempts,
+      arrivals: arrivalsOf(world),
+      troubles: world.troubles,
+      configs: world.configs,
+      processFaults: world.processFaults,
+      recoveredMs,
+    };
+    const evidence = options.plant?.(seen) ?? seen;
+    const result = {
+      seed,
+      attempts: attempts.length,
+      served: attempts.filter(({ status, whole }) => status === 200 && whole)
+        .length,
+      faults: plan.length,
+      breaches: new Judge(evidence).breaches(),
+    };
+    if (result.breaches.length > 0 && options.keepIn !== undefined) {
+      keep(join(options.keepIn, `seed-${seed}`), world, plan, result);
+    }
+    return result;
+  } finally {
+    await world.close();
+  }
+}
--- /dev/null
+++ b/soak/runner_place.ts
@@ -0,0 +1,161 @@
+/**
+ * A place where upstreams run one after the other: a proxy with a lasting address before whatever runs there.
+ *
+ * @module
+ */
+
+import { Runner } from "../src/standins/mod.ts";
+import { FaultProxy } from "./proxy.ts";
+import { domainOf, REGIONS, type World } from "./world.ts";
+
+/** One start of an upstream. */
+export interface Instance {
+  readonly runner: Runner;
+  readonly region: string;
+  readonly service: string;
+  /** When the store took the news that it leaves or is gone. */
+  leftMs: number;
+}
+
+/** How long an upstream that leaves serves on; the gateways' bound is 4 s. */
+const LEAVING_MS = 4_500;
+/** How long an address lies idle before another upstream takes it. */
+const IDLE_MS = 300;
+const SLOTS = 8;
+const LOOPBACK = "127.0.0.1";
+
+/** See the module. */
+export class RunnerPlace {
+  readonly proxy: FaultProxy;
+  readonly region: string;
+  readonly #world: World;
+  readonly #index: number;
+  /** The service whose upstreams belong here; `s` has three in four. */
+  readonly #service: string;
+  #instance: Instance | undefined;
+  #starts = 0;
+  #busy = false;
+
+  private constructor(world: World, index: number, proxy: FaultProxy) {
+    this.#world = world;
+    this.#index = index;
+    this.proxy = proxy;
+    this.region = REGIONS[index % REGIONS.length];
+    this.#service = index % 8 < 6 ? "s" : "t";
+  }
+
+  /** Opens the place with an upstream in it. */
+  static async open(world: World, index: number): Promise<RunnerPlace> {
+    const listen = { host: LOOPBACK, port: 0 };
+    const proxy = await FaultProxy.open(listen, listen);
+    const place = new RunnerPlace(world, index, proxy);
+    await place.#begin(place.#newId(), place.#service);
+    return place;
+  }
+
+  /** The upstream that runs now. */
+  get instance(): Instance | undefined {
+    return this.#instance;
+  }
+
+  /** It crashes and starts again under its id, knowing nothing. */
+  rebirth(): Promise<void> {
+    return this.#alone(async () => {
+      const id = this.#instance!.runner.id;
+      await this.#end();
+      await this.#begin(id, this.#service);
+    });
+  }
+
+  /** It is lost, and its address goes to an upstream of the other service for a time. */
+  reuse(forMs: number): Promise<void> {
+    return this.#alone(async () => {
+      for (
+        const service of [this.#service === "s" ? "t" : "s", this.#service]
+      ) {
+        this.#forget();
+        await this.#end();
+        await sleep(IDLE_MS);
+        await this.#begin(this.#newId(), service);
+        if (service !== this.#service) await sleep(forMs);
+      }
+    });
+  }
+
+  /** It says that it leaves, serves on for its time and goes; a new one comes. */
+  drain(): Promise<void> {
+    return this.#alone(async () => {
+      const { runner } = this.#instance!;
+      this.#register("draining");
+      this.#instance!.leftMs = this.#world.nowMs();
+      runner.isDraining = true;
+      await sleep(LEAVING_MS);
+      this.#forget();
+      await this.#end();
+      await this.#begin(this.#newId(), this.#service);
+    });
+  }
+
+  async close(): Promise<void> {
+    await this.proxy.close();
+    await this.#instance?.runner.close();
+  }
+
+  /** Runs one change at a time; a second one meanwhile is left out. */
+  async #alone(change: () => Promise<void>): Promise<void> {
+    if (this.#busy) return;
+    this.#busy = true;
+    await change();
+    this.#busy = false;
+  }
+
+  #newId(): string {
+    return `i-${this.#index}-${this.#starts}`;
+  }
+
+  async #begin(id: string, service: string): Promise<void> {
+    this.#starts++;
+    const runner = await Runner.open(id);
+    const [host, port] = runner.address.split(":");
+    this.proxy.target = { host, port: Number(port) };
+    this.#instance = {
+      runner,
+      region: this.region,
+      service,
+      leftMs: Infinity,
+    };
+    this.#world.instances.push(this.#instance);
+    this.#register("ready");
+  }
+
+  async #end(): Promise<void> {
+    const { runner } = this.#instance!;
+    this.#instance!.leftMs = Math.min(
+      this.#instance!.leftMs,
+      this.#world.nowMs(),
+    );
+    await runner.close();
+  }
+
+  #register(state: "ready" | "draining"): void {
+    const { runner, service } = this.#instance!;
+    this.#world.store.put(`servers/${runner.id}`, {
+      service,
+      address: `${LOOPBACK}:${this.proxy.port}`,
+      zone: domainOf(this.region),
+      slots: SLOTS,
+      state,
+      cold_left_ms: 0,
+      seq: this.#starts,
+      born: this.#starts,
+    });
+  }
+
+  #forget(): void {
+    this.#world.store.remove(`servers/${this.#instance!.runner.id}`);
+  }
+}
+
+function sleep(ms: number): Promise<void> {
+  return new Promise((resolve) => setTimeout(resolve, ms));
+}
--- /dev/null
+++ b/soak/world.ts
@@ -0,0 +1,307 @@
+/**
+ * The world of one run: gateways as processes of their own behind harmful proxies, with stand-ins of store and
+ * upstreams in this process.
+ *
+ * @module
+ */
+
+import { mkdtempSync, rmSync, writeFileSync } from "node:fs";
+import { tmpdir } from "node:os";
+import { join } from "node:path";
+import type { GatewaySettings } from "../src/gateway/mod.ts";
+import { KvServer } from "../src/standins/mod.ts";
+import { Proc, sleep } from "../test/cluster.ts";
+import { FaultProxy, type Place } from "./proxy.ts";
+import type { VmLink } from "./plan.ts";
+import { type Instance, RunnerPlace } from "./runner_place.ts";
+
+/** Ports of every VM, the same on each, as on the platform. */
+const PORTS = {
+  callers: 18100,
+  ready: 18101,
+  directory: 18102,
+  peers: 18103,
+  beats: 18104,
+  metrics: 18105,
+};
+const GRACE_MS = 3_000;
+/** A process that ended starts again after this long. */
+const RESTART_MS = 300;
+const LEASE_MS = 1_000;
+/** The regions, each of one failure domain. */
+export const REGIONS = ["north", "south"] as const;
+/** Name of a region's only failure domain. */
+export function domainOf(region: string): string {
+  return `${region}-a`;
+}
+
+/** Something unplanned that happened to a VM (`vm:0`), an upstream (its id) or the store (`store`). */
+export interface Trouble {
+  readonly who: string;
+  readonly fromMs: number;
+  toMs: number;
+}
+
+/** A version of the configuration: where plain requests go since then. */
+export interface ConfigInForce {
+  readonly version: number;
+  readonly sinceMs: number;
+  readonly plainService: string;
+}
+
+/** One VM: its process, and the proxies before its listeners and its way to the store. */
+export interface SoakVm {
+  readonly index: number;
+  readonly region: string;
+  readonly ip: string;
+  readonly settingsPath: string;
+  readonly proxies: Readonly<Record<VmLink, FaultProxy>>;
+  proc: Proc;
+  /** Output of earlier processes. */
+  earlier: string;
+}
+
+/** Size of a world. */
+export interface WorldSize {
+  readonly vms: number;
+  readonly runners: number;
+  /** Tells worlds that run side by side apart; 0 to 99. */
+  readonly block: number;
+  readonly seed: number;
+}
+
+/** A route of the configuration. */
+function route(path: string, kind: string, more: Record<string, unknown> = {}) {
+  return {
+    name: path,
+    host: "h.example",
+    path_prefix: path,
+    kind,
+    timeout_ms: 2_000,
+    slo_ms: 400,
+    priority: 1,
+    service: "s",
+    max_attempts: 2,
+    resumable: false,
+    home_regions: [],
+    ...more,
+  };
+}
+
+/** See the module. It ends only processes that it started. */
+export class World {
+  readonly store = new KvServer({ readsPerS: 10_000, writesPerS: 10_000 });
+  readonly vms: SoakVm[] = [];
+  readonly runners: RunnerPlace[] = [];
+  readonly instances: Instance[] = [];
+  readonly troubles: Trouble[] = [];
+  readonly configs: ConfigInForce[] = [];
+  /** What a process did that it must not: ended by itself, or did not stop in time. */
+  readonly processFaults: string[] = [];
+  readonly #size: WorldSize;
+  readonly #dir = mkdtempSync(join(tmpdir(), "ibisgap-soak-"));
+  #closing = false;
+
+  private constructor(size: WorldSize) {
+    this.#size = size;
+  }
+
+  /** Opens all and waits until every VM is ready. */
+  static async open(size: WorldSize): Promise<World> {
+    const world = new World(size);
+    try {
+      await world.#start();
+    } catch (error) {
+      await world.close();
+      throw error;
+    }
+    return world;
+  }
+
+  /** Milliseconds on the clock that all parts of a run share. */
+  nowMs(): number {
+    return performance.now();
+  }
+
+  /** Notes that something unplanned happens to `who`; the caller sets its end. */
+  trouble(who: string, forMs: number): Trouble {
+    const fromMs = this.nowMs();
+    const trouble = { who, fromMs, toMs: fromMs + forMs };
+    this.troubles.push(trouble);
+    return trouble;
+  }
+
+  /** Writes a newer configuration in which plain requests go to `plainService`. */
+  configure(plainService: string): void {
+    const version = (this.configs.at(-1)?.version ?? 0) + 3;
+    const service = { max_conns: 100, cold_s: 0, cold_rate_s: 0 };
+    this.store.put("op/config", {
+      version,
+      routes: [
+        route("/safe/", "safe", { service: plainService }),
+        route("/once/", "unsafe"),
+        route("/stream/", "streaming", { resumable: true }),
+        route("/streamonce/", "streaming", { max_attempts: 1 }),
+        route("/south/", "unsafe", { home_regions: ["south"] }),
+      ],
+      services: [{ ...service, name: "s" }, { ...service, name: "t" }],
+      limits: {
+        max_header_bytes: 4_096,
+        max_body_bytes: 10_000,
+        header_timeout_ms: 1_000,
+        idle_timeout_ms: 5_000,
+      },
+    });
+    this.configs.push({ version, sinceMs: this.nowMs(), plainService });
+  }
+
+  /** Sends a signal to a VM's process. */
+  signal(index: number, signal: NodeJS.Signals): void {
+    this.vms[index].proc.signal(signal);
+  }
+
+  /** A planned stop; the process is killed if it outlasts the time that it has. */
+  async stop(index: number): Promise<void> {
+    const { proc } = this.vms[index];
+    proc.signal("SIGTERM");
+    const ended = await Promise.race([
+      proc.exited.then(() => true),
+      sleep(GRACE_MS).then(() => false),
+    ]);
+    // A process that was frozen meanwhile could not end; that is no fault of its own.
+    if (ended || this.isTroubled(`vm:${index}`, this.nowMs() - GRACE_MS)) {
+      return;
+    }
+    this.processFaults.push(`vm ${index} did not stop in time`);
+    proc.signal("SIGKILL");
+  }
+
+  /** Whether something unplanned happened to `who` since then. */
+  isTroubled(who: string, sinceMs: number): boolean {
+    return this.troubles.some((trouble) =>
+      trouble.who === who && trouble.toMs >= sinceMs
+    );
+  }
+
+  /** Writes the logs of all processes to a folder. */
+  saveLogs(folder: string): void {
+    for (const { index, earlier, proc } of this.vms) {
+      writeFileSync(join(folder, `vm-${index}.log`), earlier + proc.output);
+    }
+  }
+
+  async close(): Promise<void> {
+    this.#closing = true;
+    for (const { proc } of this.vms) await proc.end();
+    for (const { proxies } of this.vms) {
+      for (const proxy of Object.values(proxies)) await proxy.close();
+    }
+    for (const place of this.runners) await place.close();
+    await this.store.close();
+    rmSync(this.#dir, { recursive: true, force: true });
+  }
+
+  async #start(): Promise<void> {
+    this.configure("s");
+    for (let index = 0; index < this.#size.runners; index++) {
+      this.runners.push(await RunnerPlace.open(this, index));
+    }
+    for (let index = 0; index < this.#size.vms; index++) {
+      this.vms.push(await this.#addVm(index));
+    }
+    for (const { proc } of this.vms) await proc.said(/event=started/);
+  }
+
+  async #addVm(index: number): Promise<SoakVm> {
+    const { block } = this.#size;
+    const ip = `127.77.${block}.${index + 1}`;
+    const ownIp = `127.78.${block}.${index + 1}`;
+    const at = (host: string, port: number): Place => ({ host, port });
+    const [storeHost, storePort] = (await this.store.addressFor(`vm-${index}`))
+      .split(":");
+    const proxies = {
+      callers: await FaultProxy.open(
+        at(ip, PORTS.callers),
+        at(ownIp, PORTS.callers),
+      ),
+      peers: await FaultProxy.open(at(ip, PORTS.peers), at(ownIp, PORTS.peers)),
+      store: await FaultProxy.open(
+        at(ownIp, 0),
+        at(storeHost, Number(storePort)),
+      ),
+    };
+    const settingsPath = join(this.#dir, `vm-${index}.json`);
+    const region = REGIONS[index % REGIONS.length];
+    const settings: GatewaySettings = {
+      vm: {
+        id: `vm-${index}`,
+        ip,
+        region,
+        failureDomain: domainOf(region),
+        memoryMb: 350,
+        mostDescriptors: 4_000,
+      },
+      listen: {
+        callers: `${ownIp}:${PORTS.callers}`,
+        ready: `${ownIp}:${PORTS.ready}`,
+        directory: `${ownIp}:${PORTS.directory}`,
+        peers: `${ownIp}:${PORTS.peers}`,
+        beats: PORTS.beats,
+        metrics: PORTS.metrics,
+      },
+      seeds: this.vms.map((vm) => `${vm.ip}:${PORTS.peers}`),
+      failureDomains: Object.fromEntries(
+        REGIONS.map((name) => [domainOf(name), name]),
+      ),
+      store: {
+        address: `${ownIp}:${proxies.store.port}`,
+        leastLeaseMs: LEASE_MS,
+      },
+      bounds: {
+        graceMs: GRACE_MS,
+        contactMs: 6_000,
+        repeatRatio: 0.2,
+        repeatSlack: 50,
+        repeatWindowMs: 10_000,
+      },
+    };
+    writeFileSync(settingsPath, JSON.stringify(settings));
+    const proc = this.#run(index, settingsPath, 0);
+    return { index, region, ip, settingsPath, proxies, proc, earlier: "" };
+  }
+
+  #run(index: number, settingsPath: string, start: number): Proc {
+    const clockSeed = this.#size.seed * 1_000 + index * 100 + start;
+    const proc = new Proc(
+      `vm-${index}`,
+      "src/gateway/main.js",
+      [settingsPath],
+      ["--import", new URL("./skewed_clock.js", import.meta.url).href],
+      { SOAK_CLOCK_SEED: String(clockSeed) },
+    );
+    void proc.exited.then((code) => this.#restart(index, start, code));
+    return proc;
+  }
+
+  async #restart(
+    index: number,
+    start: number,
+    code: number | null,
+  ): Promise<void> {
+    // A signal has no code, a planned stop has 0; anything else is a crash.
+    if (code !== null && code !== 0 && !this.#closing) {
+      this.processFaults.push(`vm ${index} ended by itself with code ${code}`);
+    }
+    await sleep(RESTART_MS);
+    if (this.#closing) return;
+    const vm = this.vms[index];
+    vm.earlier += vm.proc.output;
+    vm.proc = this.#run(index, vm.settingsPath, start + 1);
+  }
+
+  /** Where callers ask which VMs to use. */
+  directoryUrl(vm: SoakVm): string {
+    const ownIp = vm.ip.replace("127.77.", "127.78.");
+    return `http://${ownIp}:${PORTS.directory}/api/lookup?region=`;
+  }
+}
--- a/src/standins/kv_server.ts
+++ b/src/standins/kv_server.ts
@@ -224,10 +224,12 @@
       if (over) return;
       over = true;
       clearTimeout(timer);
+      request.socket.off("close", left);
       stop();
       stopFaults();
       run();
     };
+    const left = () => finish(() => {});
     const answer = () =>
       finish(() =>
         send(200, { events: changes.map(eventOf), current_rev: this.store.rev })
@@ -238,7 +240,7 @@
         finish(() => void request.socket.resetAndDestroy());
       }
     });
-    request.socket.once("close", () => finish(() => {}));
+    request.socket.once("close", left);
     stop = this.store.watch(
       prefix,
       after + 1,
--- a/src/standins/runner.ts
+++ b/src/standins/runner.ts
@@ -42,6 +42,8 @@
   readonly method: string;
   readonly headers: Readonly<Record<string, string | string[] | undefined>>;
   readonly body: string;
+  /** When its body was read whole, on the monotonic clock. */
+  readonly arrivedMonoMs: number;
   /** Whether the gateway's connection ended before the answer was whole. */
   cut: boolean;
 }
@@ -138,6 +140,7 @@
       method: request.method ?? "",
       headers,
       body: Buffer.concat(chunks).toString("utf8"),
+      arrivedMonoMs: performance.now(),
       cut: false,
     };
     this.arrivals.push(arrival);
--- a/test/cluster.ts
+++ b/test/cluster.ts
@@ -32,11 +32,20 @@
   exitCode: number | null | undefined;
   readonly exited: Promise<number | null>;
 
-  constructor(name: string, script: string, args: readonly string[]) {
+  /** `nodeOptions` go before the script; `env` adds to the environment. */
+  constructor(
+    name: string,
+    script: string,
+    args: readonly string[],
+    nodeOptions: readonly string[] = [],
+    env: Readonly<Record<string, string>> = {},
+  ) {
     this.name = name;
-    this.child = spawn(process.execPath, [join(DIST, script), ...args], {
-      stdio: ["ignore", "pipe", "pipe"],
-    });
+    this.child = spawn(
+      process.execPath,
+      [...nodeOptions, join(DIST, script), ...args],
+      { stdio: ["ignore", "pipe", "pipe"], env: { ...process.env, ...env } },
+    );
     const append = (chunk: Buffer) => void (this.output += chunk.toString());
     this.child.stdout!.on("data", append);
     this.child.stderr!.on("data", append);
--- a/test/house_test.ts
+++ b/test/house_test.ts
@@ -52,7 +52,7 @@
   });
 }
 
-const all = ["src", "test", "bench"].flatMap(sourcesOf);
+const all = ["src", "test", "bench", "soak"].flatMap(sourcesOf);
 const byPath = new Map(all.map((source) => [source.path, source]));
 const modules = all.filter(({ path }) =>
   path.startsWith("src/") && !path.endsWith("_test.ts")
