Logs: good outcomes are sampled by the attempt's id

Cause: beyond 300 lines a second the first ones won, so two VMs that shared a request kept different ones; and beliefs shared that budget, so a busy second could hide that an upstream had gone. Now the share that fits is kept by the hash of the id, beliefs and failures have budgets of their own, and a good outcome after a second send is told like a failure.

--- a/src/gateway/call_record.ts
+++ b/src/gateway/call_record.ts
@@ -73,7 +73,8 @@
       comeBackMs,
       totalMs: Math.round(totalMs),
     });
-    if (outcome === "ok") log.info("request", fields);
+    // What was sent again was warned of already: its end must not be sampled away.
+    if (outcome === "ok" && this.tries <= 1) log.info("request", fields);
     else log.warn("request", fields);
   }
 
--- a/src/gateway/line_log.ts
+++ b/src/gateway/line_log.ts
@@ -5,6 +5,7 @@
  */
 
 import { Socket } from "node:net";
+import { hash32 } from "../base/mod.ts";
 import { type Log, quote } from "../kernel/mod.ts";
 
 /** Where lines go. `write` must not block; `waitingBytes` is what the reader has not taken yet. */
@@ -34,20 +35,45 @@
 
 /** Bytes that may wait for a reader; some 1,000 lines. */
 const MOST_WAITING_BYTES = 256 * 1024;
-/** Lines a second of ordinary outcomes; a VM's busiest second has some 400 requests, and a line costs some 20 µs. */
-const MOST_LINES_PER_S = 300;
+/** Lines a second of plain good outcomes; a VM's busiest second has some 400 requests, and a line costs some 20 µs. */
+const MOST_OUTCOMES_PER_S = 300;
+/** Lines a second on what the VM believes: a region of 100 upstreams that all change at once is told in a second. */
+const MOST_BELIEFS_PER_S = 200;
 /** Warnings and errors have a budget of their own, so that good outcomes cannot crowd them out. */
 const MOST_PROBLEMS_PER_S = 600;
+/** The share that is kept aims below the budget: beyond it the order of lines would decide, which differs by VM. */
+const AIMED_SHARE = 0.85;
+const HASHES = 2 ** 32;
 const SECOND_MS = 1_000;
 
-/** See the module. What is left out is counted, and told with the next line that gets through. */
+/** What competes for the same budget: good outcomes of requests, other ordinary lines, warnings and errors. */
+type Kind = "outcome" | "belief" | "problem";
+
+const BUDGETS: Readonly<Record<Kind, number>> = {
+  outcome: MOST_OUTCOMES_PER_S,
+  belief: MOST_BELIEFS_PER_S,
+  problem: MOST_PROBLEMS_PER_S,
+};
+
+function kindOf(level: string, fields: Record<string, unknown>): Kind {
+  if (level !== "info") return "problem";
+  return fields.attempt === undefined ? "belief" : "outcome";
+}
+
+/**
+ * See the module. Good outcomes beyond their budget are sampled by the hash of the attempt's id, so that every VM that
+ * had a part in a request keeps or drops it alike. What is left out is counted, and told with the next line that gets
+ * through.
+ */
 export class LineLog implements Log {
   readonly #sink: LineSink;
   readonly #prefix: string;
   readonly #nowMs: () => number;
   #secondStartMs = -Infinity;
-  #lines = 0;
-  #problems = 0;
+  #seen: Record<Kind, number> = { outcome: 0, belief: 0, problem: 0 };
+  #written: Record<Kind, number> = { outcome: 0, belief: 0, problem: 0 };
+  /** Share of the good outcomes that is kept, from the second before. */
+  #keptShare = 1;
   #leftOut = 0;
 
   constructor(
@@ -81,7 +107,7 @@
     event: string,
     fields: Record<string, unknown> = {},
   ): void {
-    if (!this.#takeBudget(level === "info")) {
+    if (!this.#takeBudget(kindOf(level, fields), fields.attempt)) {
       this.#leftOut++;
       return;
     }
@@ -98,18 +124,27 @@
     this.#sink.write(line + "\n");
   }
 
-  #takeBudget(ordinary: boolean): boolean {
+  #takeBudget(kind: Kind, attempt: unknown): boolean {
     const nowMs = this.#nowMs();
     if (
       nowMs - this.#secondStartMs >= SECOND_MS || nowMs < this.#secondStartMs
-    ) {
-      this.#secondStartMs = nowMs;
-      this.#lines = 0;
-      this.#problems = 0;
-    }
+    ) this.#startSecond(nowMs);
+    this.#seen[kind]++;
     if (this.#sink.waitingBytes() > MOST_WAITING_BYTES) return false;
-    return ordinary
-      ? this.#lines++ < MOST_LINES_PER_S
-      : this.#problems++ < MOST_PROBLEMS_PER_S;
+    if (
+      kind === "outcome" &&
+      hash32(String(attempt)) >= this.#keptShare * HASHES
+    ) return false;
+    return this.#written[kind]++ < BUDGETS[kind];
+  }
+
+  #startSecond(nowMs: number): void {
+    this.#secondStartMs = nowMs;
+    this.#keptShare = Math.min(
+      1,
+      AIMED_SHARE * MOST_OUTCOMES_PER_S / Math.max(1, this.#seen.outcome),
+    );
+    this.#seen = { outcome: 0, belief: 0, problem: 0 };
+    this.#written = { outcome: 0, belief: 0, problem: 0 };
   }
 }
