--- a/src/cli/ibisgap.ts
+++ b/src/cli/ibisgap.ts
@@ -8,6 +8,7 @@
 import { defineCommand, runMain } from "citty";
 import { check } from "./check.ts";
 import { explain } from "./explain.ts";
+import { gatewayDump } from "./gateway_dump.ts";
 import { replayCommand } from "./replay.ts";
 import { table } from "./table.ts";
 import { traceCommand } from "./trace.ts";
@@ -27,6 +28,7 @@
     drain,
     check,
     explain,
+    "vm-dump": gatewayDump,
     replay: replayCommand,
     trace: traceCommand,
   },
--- a/src/gateway/peer_rpc.ts
+++ b/src/gateway/peer_rpc.ts
@@ -27,7 +27,7 @@
 import type { Relays } from "./relays.ts";
 
 /** Path of the questions on the peers' listener; no route of a caller is asked for there. */
-const RPC_PATH = "/ibisgap/rpc";
+export const RPC_PATH = "/ibisgap/rpc";
 /** How often a VM that the store does not serve looks whether another knows more. */
 const PULL_MS = 300;
 /** A question unanswered by then is asked elsewhere next time. */
