An arrival that was turned away counts against the budget of repeats

Ruled out: the parts of VMs (90 VMs share the slack, a quarter is kept). Change: every upstream that a request came to counts, a VM that refuses a hand-over tells how many.

--- a/src/gateway/call.ts
+++ b/src/gateway/call.ts
@@ -194,6 +194,7 @@
       if (this.#over) return;
       if (head.type === "unanswered") return this.#unanswered(send, head);
       this.#record.sends++;
+      this.#record.arrivals++;
       if (head.read.status >= 500 && this.#sendsFailedAgain(head)) {
         return;
       }
@@ -245,6 +246,7 @@
       this.#triedRegions.delete(send.region);
     }
     if (head.arrived) this.#record.sends++;
+    this.#record.arrivals += head.arrivals;
     this.#last = head.failure;
     this.#mayHaveRun ||= head.mayHaveRun;
     if (this.#mayRunAgain(head.mayHaveRun)) {
@@ -328,8 +330,8 @@
       mostUpstreams: this.#input.mostUpstreams,
     });
     if (!allowed) return false;
-    // Until something was sent, another try is the first arrival anywhere and costs nothing of the budget.
-    return this.#record.sends === 0 ||
+    // Until it came to an upstream, another try is the first arrival anywhere and costs nothing of the budget.
+    return this.#record.arrivals === 0 ||
       this.#context.budget(this.#service.name).tryTake(
         clock.monoMs(),
         members.count(),
@@ -360,7 +362,7 @@
     if (this.#over) return;
     this.#finish(cause.code, reason, comeBackMs);
     if (this.#reply.isBegun) this.#reply.breakOff();
-    else this.#reply.fail(cause, comeBackMs);
+    else this.#reply.fail(cause, comeBackMs, this.#record.arrivals);
   }
 
   #finish(
--- a/src/gateway/call_record.ts
+++ b/src/gateway/call_record.ts
@@ -12,8 +12,10 @@
 export class CallRecord {
   /** The upstream or VM that it was sent to last. */
   place = "";
-  /** Upstreams that got it. */
+  /** Upstreams that got it and took it for their own. */
   sends = 0;
+  /** Upstreams that it came to, those included that turned it away: each beyond the first is a repeat. */
+  arrivals = 0;
   /** Sends that were tried, connections that failed included. */
   tries = 0;
   readonly #context: GatewayContext;
--- a/src/gateway/reply.ts
+++ b/src/gateway/reply.ts
@@ -77,8 +77,8 @@
     this.response.destroy();
   }
 
-  /** Answers with a failure of our own. */
-  abstract fail(failure: Failure, comeBackMs: number): void;
+  /** Answers with a failure of our own; `arrivals` is how many upstreams the request came to. */
+  abstract fail(failure: Failure, comeBackMs: number, arrivals?: number): void;
 
   /** Whether the connection is closed after this answer. */
   protected abstract readonly closes: boolean;
@@ -122,13 +122,15 @@
   ran: "ibisgap-ran",
   /** When to come back, in ms. */
   comeBackMs: "ibisgap-come-back-ms",
+  /** How many upstreams the request came to before it failed. */
+  arrivals: "ibisgap-arrivals",
 } as const;
 
 /** A reply to another VM, which answers its caller. */
 export class PeerReply extends Reply {
   protected readonly closes = false;
 
-  fail(failure: Failure, comeBackMs: number): void {
+  fail(failure: Failure, comeBackMs: number, arrivals = 0): void {
     this.response.writeHead(codes[failure.code].httpStatus, [
       RELAY_HEADERS.code,
       failure.code,
@@ -136,6 +138,8 @@
       failure.ran,
       RELAY_HEADERS.comeBackMs,
       String(comeBackMs),
+      RELAY_HEADERS.arrivals,
+      String(arrivals),
       "Content-Length",
       "0",
     ]);
@@ -143,10 +147,18 @@
   }
 }
 
+/** A failure that another VM answered with. */
+export interface PeerFailure {
+  readonly failure: Failure;
+  readonly comeBackMs: number;
+  /** How many upstreams the request came to there. */
+  readonly arrivals: number;
+}
+
 /** Reads a failure that another VM answered with; `undefined` if it passed an upstream's answer on. */
 export function decodePeerFailure(
   headers: Readonly<Record<string, string | string[] | undefined>>,
-): { readonly failure: Failure; readonly comeBackMs: number } | undefined {
+): PeerFailure | undefined {
   const code = headers[RELAY_HEADERS.code];
   if (typeof code !== "string") return undefined;
   const known = code in codes ? code as CodeName : "internal";
@@ -158,5 +170,6 @@
       message: codes[known].text,
     },
     comeBackMs: Number(headers[RELAY_HEADERS.comeBackMs]) || 0,
+    arrivals: Number(headers[RELAY_HEADERS.arrivals]) || 0,
   };
 }
--- a/src/gateway/send.ts
+++ b/src/gateway/send.ts
@@ -64,8 +64,10 @@
   readonly reached: boolean;
   /** Whether the request may have reached an upstream's work. */
   readonly mayHaveRun: boolean;
-  /** Whether an upstream got it at all. */
+  /** Whether an upstream got it at all, and took it for its own. */
   readonly arrived: boolean;
+  /** How many upstreams it came to, those included that turned it away. */
+  readonly arrivals: number;
   readonly reason: string;
   readonly failure: Failure;
   readonly comeBackMs: number;
@@ -119,6 +121,7 @@
       reached: sent,
       mayHaveRun: sent,
       arrived: sent,
+      arrivals: sent ? 1 : 0,
       reason,
       failure: failure(sent ? "upstreamFailed" : "noUpstream", {
         ran: sent ? "unknown" : "no",
@@ -207,6 +210,7 @@
       reached: true,
       mayHaveRun: false,
       arrived: !read.wrongUpstream,
+      arrivals: 1,
       reason: `upstream refused with ${read.status}`,
       failure: failure("upstreamRefused"),
       comeBackMs: REFUSED_RETURN_MS,
@@ -287,6 +291,7 @@
       reached: true,
       mayHaveRun,
       arrived: mayHaveRun,
+      arrivals: refused.arrivals,
       reason: `${this.#vm.id} answered ${refused.failure.code}`,
       failure: refused.failure,
       comeBackMs: refused.comeBackMs,
