--- a/src/gateway/beliefs.ts
+++ b/src/gateway/beliefs.ts
@@ -17,10 +17,10 @@
   UPSTREAM_PREFIX,
   upstreamId,
 } from "../platform/mod.ts";
-import { Fleet, type GatewayConfig } from "../routing/mod.ts";
-import { type FollowedStore, Follower, type Snapshot } from "./follower.ts";
+import { Fleet, type GatewayConfig, isNewsOf } from "../routing/mod.ts";
+import { type FollowedStore, Follower, type News } from "./follower.ts";
 
-/** What follows from the store's revisions, told in heartbeats: who is ahead can be asked. */
+/** Revision of the last news of each matter, told in heartbeats: who is ahead can be asked. */
 export interface Revisions {
   readonly operators: number;
   readonly upstreams: number;
@@ -31,13 +31,16 @@
 
 /** What the beliefs service answers; its name is `beliefs`. */
 export type BeliefMessages = {
-  /** All entries of one matter, for a VM that is behind. */
-  snapshot: { in: Matter; out: Snapshot };
-  /** Another VM's entries. */
+  /** What a VM lacks that has got to the revision `since` of the matter's news. */
+  news: {
+    in: { readonly matter: Matter; readonly since: number };
+    out: News;
+  };
+  /** What another VM told. */
   adopt: {
     in: {
       readonly matter: Matter;
-      readonly snapshot: Snapshot;
+      readonly news: News;
       readonly from: string;
     };
     out: void;
@@ -49,12 +52,22 @@
   readonly store: FollowedStore;
   /** Region of each failure domain. */
   readonly failureDomains: Readonly<Record<string, string>>;
+  /** Whether this VM asks the store about upstreams, for others of its region too. */
+  readonly isReader: () => boolean;
 }
 
-/** How long a question for changes of the configuration waits; a silent connection is found a little after that. */
-const OPERATOR_WAIT_MS = 2_000;
+/**
+ * How long a question for changes of the configuration waits. A connection that has gone silent is found only after
+ * that, but another VM tells of a newer revision within a second.
+ */
+const OPERATOR_WAIT_MS = 4_000;
 /** The same for upstreams, which write about every second each, so that an answer comes at once. */
-const UPSTREAM_WAIT_MS = 1_500;
+const UPSTREAM_WAIT_MS = 1_000;
+/**
+ * A reader whose last answer is older than this is taken for cut off by the others. Usual are 1.2 s of pause and some
+ * tens of ms; its own call gives up only after three seconds.
+ */
+const SERVED_MS = 2_500;
 /**
  * Pause between questions about upstreams. Each upstream writes every 1.2 s; without a pause every write would cost every
  * VM a call. What is learnt late by this much must be within the time that leaving upstreams still serve, seconds.
@@ -66,6 +79,8 @@
  */
 const RETURN_MS = 2_300;
 const SWEEP_MS = 250;
+/** A cold time that ends later by more than this is a new one, and no delay of the news of the old. */
+const COLD_AGAIN_MS = 1_000;
 
 /** See the module; {@link Beliefs.config} and {@link Beliefs.fleet} are read on each request. */
 export class Beliefs extends Task<BeliefMessages> {
@@ -83,8 +98,8 @@
   #timer: Timer | undefined;
 
   protected readonly handlers: Handlers<BeliefMessages> = {
-    snapshot: (matter) => this.#followers[matter].snapshot(),
-    adopt: ({ matter, snapshot, from }) => this.#adopt(matter, snapshot, from),
+    news: ({ matter, since }) => this.#followers[matter].newsSince(since),
+    adopt: ({ matter, news, from }) => this.#adopt(matter, news, from),
   };
 
   constructor(options: BeliefOptions) {
@@ -99,21 +114,28 @@
     return this.#config;
   }
 
+  /** What this VM says of its news to others. */
   get revisions(): Revisions {
     return {
-      operators: this.#followers.operators.rev,
-      upstreams: this.#followers.upstreams.rev,
+      operators: this.#followers.operators.saidRev,
+      upstreams: this.#followers.upstreams.saidRev,
     };
   }
 
+  /** Revision up to which nothing of a matter's news is missing here. */
+  newsRev(matter: Matter): number {
+    return this.#followers[matter].newsRev;
+  }
+
   /** Takes in changed settings; upstreams of a new failure domain are used from their next entry on. */
   setFailureDomains(failureDomains: Readonly<Record<string, string>>): void {
     this.#failureDomains = failureDomains;
   }
 
-  /** Whether the store does not serve this VM at the moment. */
-  isCutOff(matter: Matter): boolean {
-    return this.#followers[matter].isFailing;
+  /** Whether the store answers this VM's questions about upstreams at the moment. */
+  get isServed(): boolean {
+    const { isFailing, heardMonoMs } = this.#followers.upstreams;
+    return !isFailing && this.#clock.monoMs() - heardMonoMs < SERVED_MS;
   }
 
   start(kernel: Kernel): Promise<void> {
@@ -128,6 +150,8 @@
         log: this.#log,
         waitMs: OPERATOR_WAIT_MS,
         pauseMs: 0,
+        isReader: () => true,
+        isNews: () => true,
         onPut: (entry) => this.#operatorPut(entry),
         onDelete: (key) => this.#operatorDelete(key),
       }),
@@ -138,6 +162,8 @@
         log: this.#log,
         waitMs: UPSTREAM_WAIT_MS,
         pauseMs: UPSTREAM_PAUSE_MS,
+        isReader: this.#options.isReader,
+        isNews: (entry) => this.#isUpstreamNews(entry),
         onPut: (entry) => this.#upstreamPut(entry),
         onDelete: (key) => this.#upstreamDelete(key),
       }),
@@ -160,6 +186,7 @@
     return {
       configVersion: this.#config?.version,
       revisions: this.revisions,
+      isServed: this.isServed,
       heardAgoMs: {
         operators: nowMs - this.#followers.operators.heardMonoMs,
         upstreams: nowMs - this.#followers.upstreams.heardMonoMs,
@@ -168,9 +195,28 @@
     };
   }
 
-  #adopt(matter: Matter, snapshot: Snapshot, from: string): void {
-    if (!this.#followers[matter].adopt(snapshot)) return;
-    this.#log.info("learnt from a peer", { matter, from, rev: snapshot.rev });
+  #adopt(matter: Matter, news: News, from: string): void {
+    if (!this.#followers[matter].adopt(news)) return;
+    this.#log.info("learnt from a peer", {
+      matter,
+      from,
+      rev: news.newsRev,
+      entries: news.entries.length,
+      deleted: news.deleted.length,
+    });
+  }
+
+  /** Upstreams write every second to show that they live; only a change of what they say is told on. */
+  #isUpstreamNews(entry: Entry): boolean {
+    const before = this.fleet.get(upstreamId(entry.key));
+    try {
+      const after = decodeUpstream(upstreamId(entry.key), entry.value);
+      return before === undefined || isNewsOf(before, after) ||
+        this.#clock.monoMs() + after.coldLeftMs >
+          before.coldUntilMs + COLD_AGAIN_MS;
+    } catch {
+      return true;
+    }
   }
 
   #operatorPut(entry: Entry): void {
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -7,6 +7,7 @@
 import { type Clock, systemClock } from "../base/mod.ts";
 import { Kernel, type Log } from "../kernel/mod.ts";
 import { PlatformKeyValue } from "../platform/mod.ts";
+import { isReader } from "../routing/mod.ts";
 import { Beliefs } from "./beliefs.ts";
 import { GatewayContext } from "./context.ts";
 import { Directory } from "./directory.ts";
@@ -58,6 +59,14 @@
     const beliefs = new Beliefs({
       store,
       failureDomains: settings.failureDomains,
+      isReader: () =>
+        isReader(
+          vm.id,
+          members.near().map(({ id, beat }) => ({
+            id,
+            isServed: beat.isServed,
+          })),
+        ),
     });
     const members: Members = new Members({
       self: {
@@ -79,6 +88,7 @@
           : {}),
         configVersion: beliefs.config?.version ?? 0,
         revisions: beliefs.revisions,
+        isServed: beliefs.isServed,
         ...(sameRegion ? { load: upstreams.load() } : {
           room: roomOf(
             beliefs.config,
--- a/src/gateway/members.ts
+++ b/src/gateway/members.ts
@@ -44,6 +44,8 @@
   readonly servesMs?: number;
   readonly configVersion: number;
   readonly revisions: Revisions;
+  /** Whether the store answers the sender's questions about upstreams. */
+  readonly isServed: boolean;
   /** Load by upstream key; only to VMs of the same region. */
   readonly load?: Readonly<Record<string, UpstreamLoad>>;
   /** Free places by service in the sender's region; only to other regions. */
@@ -90,7 +92,9 @@
 const LEASE_MS = 6_000;
 const RENEW_MS = 2_000;
 /** Others' entries are read this often; heartbeats spread news faster, so this only mends what they missed. */
-const LIST_MS = 10_000;
+const LIST_MS = 30_000;
+/** The same while the last reading failed. */
+const LIST_AGAIN_MS = 5_000;
 /** Most VMs named in one heartbeat: a datagram stays below 1,400 bytes. */
 const MOST_OTHERS = 4;
 
@@ -181,9 +185,8 @@
     });
     this.#timers.push(this.#clock.every(TICK_MS, () => this.#tick()));
     this.#timers.push(this.#clock.every(RENEW_MS, () => void this.#renew()));
-    this.#timers.push(this.#clock.every(LIST_MS, () => void this.#list()));
     void this.#renew();
-    void this.#list();
+    void this.#keepListing();
     this.beat();
   }
 
@@ -338,6 +341,8 @@
       const mostMs = Math.max(FORGET_MS, FORGET_SILENCES * silentMs(member));
       if (silenceMs < mostMs) continue;
       this.#members.delete(id);
+      // A region that was cut off is back sooner than the store's entries are read again.
+      this.#named.set(id, member);
       this.#log.info("vm forgotten", {
         peer: id,
         silentMs: Math.round(silenceMs),
@@ -365,9 +370,18 @@
     else void store.revoke(lease.value, "membership");
   }
 
-  async #list(): Promise<void> {
+  async #keepListing(): Promise<void> {
+    while (!this.#closing) {
+      const done = await this.#list();
+      await this.#clock.sleep(done ? LIST_MS : LIST_AGAIN_MS);
+    }
+  }
+
+  /** Reads others' entries; returns whether that worked. */
+  async #list(): Promise<boolean> {
     const listing = await this.#options.store.list(VM_PREFIX, {}, "membership");
-    if (listing.isErr() || this.#closing) return;
+    if (listing.isErr()) return false;
+    if (this.#closing) return true;
     this.#named.clear();
     for (const entry of listing.value.entries) {
       try {
@@ -379,5 +393,6 @@
         });
       }
     }
+    return true;
   }
 }
--- a/src/gateway/peer_rpc.ts
+++ b/src/gateway/peer_rpc.ts
@@ -1,5 +1,5 @@
 /**
- * Questions between VMs, as JSON-RPC 2.0 over HTTP: what is known of the store's matters, for a VM that it does not serve.
+ * Questions between VMs, as JSON-RPC 2.0 over HTTP: what is known of the store's matters, for a VM that is behind.
  *
  * @module
  */
@@ -11,7 +11,7 @@
 } from "node:http";
 import { JSONRPCClient, JSONRPCServer } from "json-rpc-2.0";
 import { readText } from "../adapters/mod.ts";
-import type { Clock, Timer } from "../base/mod.ts";
+import { type Clock, Random, type Timer } from "../base/mod.ts";
 import {
   type Handlers,
   type Kernel,
@@ -21,17 +21,19 @@
   Task,
 } from "../kernel/mod.ts";
 import type { BeliefMessages, Beliefs, Matter } from "./beliefs.ts";
-import type { Snapshot } from "./follower.ts";
+import type { News } from "./follower.ts";
 import type { PeerQuestions } from "./front.ts";
 import type { Member, Members } from "./members.ts";
 import type { Relays } from "./relays.ts";
 
 /** Path of the questions on the peers' listener; no route of a caller is asked for there. */
 export const RPC_PATH = "/ibisgap/rpc";
-/** How often a VM that the store does not serve looks whether another knows more. */
+/** How often a VM looks whether another knows more. */
 const PULL_MS = 300;
 /** A question unanswered by then is asked elsewhere next time. */
 const ANSWER_WAIT_MS = 1_000;
+type NewsQuestion = BeliefMessages["news"]["in"];
+
 const MATTERS: readonly Matter[] = ["operators", "upstreams"];
 
 /** See the module. */
@@ -42,6 +44,7 @@
   readonly #beliefs: Beliefs;
   readonly #members: Members;
   readonly #relays: Relays;
+  readonly #random = new Random(process.pid);
   protected readonly handlers: Handlers<Messages> = {};
   #port!: Port<BeliefMessages>;
   #log!: Log;
@@ -61,8 +64,8 @@
     this.#clock = kernel.clock;
     this.#port = kernel.get<BeliefMessages>("beliefs");
     this.#server.addMethod(
-      "snapshot",
-      ({ matter }: { matter: Matter }) => this.#port.ask("snapshot", matter),
+      "news",
+      (question: NewsQuestion) => this.#port.ask("news", question),
     );
     this.#server.addMethod("dump", () => kernel.dump());
     this.#timer = this.#clock.every(PULL_MS, () => void this.#pull());
@@ -89,14 +92,13 @@
     });
   }
 
-  /** Asks the VM that is furthest ahead, for each matter on which the store does not serve this VM. */
+  /** Asks a VM that is ahead, for each matter on which there is one. */
   async #pull(): Promise<void> {
     if (this.#asking) return;
     this.#asking = true;
     try {
       for (const matter of MATTERS) {
-        if (!this.#beliefs.isCutOff(matter)) continue;
-        const ahead = this.#furthestAhead(matter);
+        const ahead = this.#pickAhead(matter);
         if (ahead) await this.#ask(ahead, matter);
       }
     } finally {
@@ -104,17 +106,21 @@
     }
   }
 
-  #furthestAhead(matter: Matter): Member | undefined {
-    let best: Member | undefined;
-    for (const member of this.#members.alive()) {
-      if (
-        member.beat.revisions[matter] >
-          (best?.beat.revisions[matter] ?? this.#beliefs.revisions[matter])
-      ) {
-        best = member;
-      }
-    }
-    return best;
+  /**
+   * Some VM that knows more: one of this region, so that the news crosses to each region once; one of another only if
+   * nobody here could have read it.
+   */
+  #pickAhead(matter: Matter): Member | undefined {
+    const ownRev = this.#beliefs.newsRev(matter);
+    const isAhead = ({ beat }: Member) => beat.revisions[matter] > ownRev;
+    const near = this.#members.near();
+    const nearAhead = near.filter(isAhead);
+    if (nearAhead.length > 0) return this.#random.pick(nearAhead);
+    const isServed = this.#beliefs.isServed ||
+      near.some(({ beat }) => beat.isServed);
+    if (isServed && near.length > 0) return undefined;
+    const ahead = this.#members.alive().filter(isAhead);
+    return ahead.length > 0 ? this.#random.pick(ahead) : undefined;
   }
 
   async #ask(member: Member, matter: Matter): Promise<void> {
@@ -124,8 +130,10 @@
       );
     });
     try {
-      const snapshot = await client.request("snapshot", { matter }) as Snapshot;
-      await this.#port.ask("adopt", { matter, snapshot, from: member.id });
+      const since = this.#beliefs.newsRev(matter);
+      const question: NewsQuestion = { matter, since };
+      const news = await client.request("news", question) as News;
+      await this.#port.ask("adopt", { matter, news, from: member.id });
     } catch (error) {
       this.#log.warn("peer did not answer", {
         peer: member.id,
--- a/src/routing/fleet.ts
+++ b/src/routing/fleet.ts
@@ -12,6 +12,17 @@
   readonly coldUntilMs: number;
 }
 
+/** Whether an upstream's entry says anything else than the one before, its cold time aside. */
+export function isNewsOf(
+  before: UpstreamRecord,
+  after: UpstreamRecord,
+): boolean {
+  return before.key !== after.key || before.service !== after.service ||
+    before.host !== after.host || before.port !== after.port ||
+    before.failureDomain !== after.failureDomain ||
+    before.slots !== after.slots || before.state !== after.state;
+}
+
 /** See the module. Holds the entries as they were last read; {@link Fleet.of} lists what may be sent to. */
 export class Fleet {
   readonly #byId = new Map<string, KnownUpstream>();
--- a/src/routing/mod.ts
+++ b/src/routing/mod.ts
@@ -11,6 +11,7 @@
 export * from "./fleet.ts";
 export * from "./leaving.ts";
 export * from "./place.ts";
+export * from "./readers.ts";
 export * from "./step.ts";
 export * from "./health.ts";
 export * from "./types.ts";
--- a/test/gateway_beliefs_test.ts
+++ b/test/gateway_beliefs_test.ts
@@ -75,6 +75,30 @@
       t.pass();
     });
 
+    // A fourth VM of a region does not ask the store about upstreams; it must still stop sending to one that leaves.
+    it("reaches a VM that leaves the asking to others", async (t) => {
+      const { lab, vm } = await openLab(t, 1);
+      for (let i = 0; i < 3; i++) await lab.ready(await lab.addVm());
+      const served = () =>
+        lab.vms.filter(({ gateway }) =>
+          (gateway.dump().beliefs as { isServed: boolean }).isServed
+        );
+      await until(() => served().length === 3);
+      const asked = new Set(served());
+      const quiet = lab.vms.find((other) => !asked.has(other))!;
+      t.is((await lab.call(quiet, { path: "/safe/" })).status, 200);
+      lab.register(lab.runners[0], "north", { state: "draining" });
+      await until(async () =>
+        (await lab.call(quiet, { path: "/safe/" })).status === 503
+      );
+      t.true(
+        quiet.log.lines.some(({ event, fields }) =>
+          event === "learnt from a peer" && fields.matter === "upstreams"
+        ),
+      );
+      t.is((await lab.call(vm, { path: "/safe/" })).status, 503);
+    });
+
     // All entries lapse in an outage. They are back two seconds after its end; until then their upstreams serve on.
     it("of upstreams that lapsed in an outage is forgotten only when they stay away", async (t) => {
       const { lab, vm } = await openLab(t, 1);
