--- a/soak/callers.ts
+++ b/soak/callers.ts
@@ -6,6 +6,7 @@
 
 import { Agent, type IncomingMessage, request } from "node:http";
 import { Random } from "../src/base/mod.ts";
+import { ROUTE_HOST } from "../src/standins/mod.ts";
 import { sleep } from "../test/cluster.ts";
 import type { SoakVm, World } from "./world.ts";
 
@@ -150,7 +151,7 @@
         path: attempt.target,
         method: attempt.method,
         headers: {
-          host: "h.example",
+          host: ROUTE_HOST,
           "attempt-id": attempt.id,
           "deadline-ms": String(DEADLINE_MS),
         },
--- a/soak/runner_place.ts
+++ b/soak/runner_place.ts
@@ -5,6 +5,7 @@
  */
 
 import { Runner } from "../src/standins/mod.ts";
+import { sleep } from "../test/cluster.ts";
 import { FaultProxy } from "./proxy.ts";
 import { domainOf, REGIONS, type World } from "./world.ts";
 
@@ -155,7 +156,3 @@
     this.#world.store.remove(`servers/${this.#instance!.runner.id}`);
   }
 }
-
-function sleep(ms: number): Promise<void> {
-  return new Promise((resolve) => setTimeout(resolve, ms));
-}
--- a/soak/world.ts
+++ b/soak/world.ts
@@ -9,7 +9,7 @@
 import { tmpdir } from "node:os";
 import { join } from "node:path";
 import type { GatewaySettings } from "../src/gateway/mod.ts";
-import { KvServer } from "../src/standins/mod.ts";
+import { KvServer, routeRow } from "../src/standins/mod.ts";
 import { Proc, sleep } from "../test/cluster.ts";
 import { FaultProxy, type Place } from "./proxy.ts";
 import type { VmLink } from "./plan.ts";
@@ -70,24 +70,6 @@
   readonly seed: number;
 }
 
-/** A route of the configuration. */
-function route(path: string, kind: string, more: Record<string, unknown> = {}) {
-  return {
-    name: path,
-    host: "h.example",
-    path_prefix: path,
-    kind,
-    timeout_ms: 2_000,
-    slo_ms: 400,
-    priority: 1,
-    service: "s",
-    max_attempts: 2,
-    resumable: false,
-    home_regions: [],
-    ...more,
-  };
-}
-
 /** See the module. It ends only processes that it started. */
 export class World {
   readonly store = new KvServer({ readsPerS: 10_000, writesPerS: 10_000 });
@@ -138,11 +120,23 @@
     this.store.put("op/config", {
       version,
       routes: [
-        route("/safe/", "safe", { service: plainService }),
-        route("/once/", "unsafe"),
-        route("/stream/", "streaming", { resumable: true }),
-        route("/streamonce/", "streaming", { max_attempts: 1 }),
-        route("/south/", "unsafe", { home_regions: ["south"] }),
+        routeRow({ service: plainService }),
+        routeRow({ path_prefix: "/once/", kind: "unsafe" }),
+        routeRow({
+          path_prefix: "/stream/",
+          kind: "streaming",
+          resumable: true,
+        }),
+        routeRow({
+          path_prefix: "/streamonce/",
+          kind: "streaming",
+          max_attempts: 1,
+        }),
+        routeRow({
+          path_prefix: "/south/",
+          kind: "unsafe",
+          home_regions: ["south"],
+        }),
       ],
       services: [{ ...service, name: "s" }, { ...service, name: "t" }],
       limits: {
--- a/test/gateway_beliefs_test.ts
+++ b/test/gateway_beliefs_test.ts
@@ -1,6 +1,7 @@
 import { describe, it } from "../src/base/describe.ts";
 import { parseGatewaySettings } from "../src/gateway/mod.ts";
-import { GatewayLab, openLab, routeRow, ROUTES, until } from "./gateway_lab.ts";
+import { routeRow } from "../src/standins/mod.ts";
+import { GatewayLab, openLab, ROUTES, until } from "./gateway_lab.ts";
 
 describe("gateway", () => {
   describe("what the store says", () => {
--- a/test/gateway_lab.ts
+++ b/test/gateway_lab.ts
@@ -9,7 +9,7 @@
 import type { ExecutionContext } from "ava";
 import { Gateway, type GatewaySettings } from "../src/gateway/mod.ts";
 import type { Log } from "../src/kernel/mod.ts";
-import { KvServer, Runner } from "../src/standins/mod.ts";
+import { KvServer, ROUTE_HOST, routeRow, Runner } from "../src/standins/mod.ts";
 
 /** What a caller got. */
 export interface CallerAnswer {
@@ -32,7 +32,6 @@
   readonly leaveWhen?: () => boolean;
 }
 
-const HOST = "h.example";
 /** VMs of one lab. */
 const MOST_VMS = 4;
 let labs = 0;
@@ -64,24 +63,6 @@
   }
 }
 
-/** A route as the operators' configuration has it. */
-export function routeRow(more: Record<string, unknown> = {}) {
-  return {
-    name: `r${more.path_prefix ?? "/safe/"}`,
-    host: HOST,
-    path_prefix: "/safe/",
-    kind: "safe",
-    timeout_ms: 2_000,
-    slo_ms: 400,
-    priority: 1,
-    service: "s",
-    max_attempts: 2,
-    resumable: false,
-    home_regions: [],
-    ...more,
-  };
-}
-
 /** The routes that most tests use. */
 export const ROUTES = [
   routeRow(),
@@ -250,7 +231,7 @@
         path,
         method,
         headers: {
-          host: HOST,
+          host: ROUTE_HOST,
           "attempt-id": Math.random().toString(16).slice(2),
           "deadline-ms": "1500",
           ...headers,
