--- a/test/gateway_engines_test.ts
+++ b/test/gateway_engines_test.ts
@@ -1,5 +1,6 @@
 import { describe, it } from "../src/base/describe.ts";
-import { GatewayLab, openLab, routeRow, until } from "./gateway_lab.ts";
+import { routeRow } from "../src/standins/mod.ts";
+import { GatewayLab, openLab, until } from "./gateway_lab.ts";
 
 const CALLS = 40;
 
