--- a/src/cli/gateway_dump.ts
+++ b/src/cli/gateway_dump.ts
@@ -5,7 +5,7 @@
  */
 
 import { defineCommand } from "citty";
-import got, { RequestError } from "got";
+import got from "got";
 import { JSONRPCClient } from "json-rpc-2.0";
 import { RPC_PATH } from "../gateway/mod.ts";
 import { exitCodes, fail, print } from "./client.ts";
@@ -64,7 +64,7 @@
       const shown = args.task === undefined ? tasks : tasks[args.task];
       print(JSON.stringify(shown, null, 2));
     } catch (error) {
-      const reason = error instanceof RequestError ? error.code : String(error);
+      const reason = error instanceof Error ? error.message : String(error);
       fail({
         exitCode: exitCodes.unreachable,
         message: `cannot reach ${args.address}: ${reason}`,
--- a/test/gateway_beliefs_test.ts
+++ b/test/gateway_beliefs_test.ts
@@ -1,9 +1,58 @@
+import { spawn } from "node:child_process";
+import { fileURLToPath } from "node:url";
 import { describe, it } from "../src/base/describe.ts";
 import { parseGatewaySettings } from "../src/gateway/mod.ts";
 import { routeRow } from "../src/standins/mod.ts";
 import { GatewayLab, openLab, ROUTES, until } from "./gateway_lab.ts";
 
+const IBISGAP = fileURLToPath(
+  new URL("../src/cli/ibisgap.js", import.meta.url),
+);
+
+/** Runs the operators' tool. */
+async function ibisgap(
+  ...args: string[]
+): Promise<{ code: number; out: string; err: string }> {
+  const child = spawn(process.execPath, [IBISGAP, ...args]);
+  let out = "";
+  let err = "";
+  child.stdout.on("data", (chunk: Buffer) => void (out += chunk));
+  child.stderr.on("data", (chunk: Buffer) => void (err += chunk));
+  const code = await new Promise<number>((resolve) =>
+    child.once("close", resolve)
+  );
+  return { code, out, err };
+}
+
 describe("gateway", () => {
+  describe("an operator who asks a VM what it believes", () => {
+    it("is told its tasks, or one of them", async (t) => {
+      const { vm, lab } = await openLab(t, 1);
+      const { peers } = vm.settings.listen;
+      const all = await ibisgap("vm-dump", peers);
+      t.is(all.code, 0, all.err);
+      const beliefs = await ibisgap("vm-dump", peers, "beliefs");
+      t.regex(beliefs.out, /"configVersion": 3/);
+      t.true(beliefs.out.includes(lab.runners[0].id));
+      t.deepEqual(
+        Object.keys(JSON.parse(all.out)).includes("members"),
+        true,
+      );
+    });
+
+    it("is told what is wrong with the question", async (t) => {
+      const { vm } = await openLab(t, 1);
+      const { peers } = vm.settings.listen;
+      const unknown = await ibisgap("vm-dump", peers, "nothing");
+      t.is(unknown.code, 2);
+      t.regex(unknown.err, /there is no task "nothing"; tasks: .*beliefs/);
+      t.is((await ibisgap("vm-dump", "not an address")).code, 2);
+      const nobody = await ibisgap("vm-dump", "127.0.0.1:1");
+      t.is(nobody.code, 3);
+      t.regex(nobody.err, /cannot reach 127\.0\.0\.1:1: .*ECONNREFUSED/);
+    });
+  });
+
   describe("what the store says", () => {
     it("of the routes is in force soon, and an older version never comes back", async (t) => {
       const { lab, vm } = await openLab(t, 1);
