--- a/soak/main.ts
+++ b/soak/main.ts
@@ -55,6 +55,11 @@
       description: "plant a second run of one request, which must be found",
       default: false,
     },
+    planned: {
+      type: "boolean",
+      description: "only planned work: stops, SIGHUP, drains, configurations",
+      default: false,
+    },
     keep: {
       type: "string",
       description: "folder for the logs of runs that broke a promise",
@@ -76,6 +81,7 @@
           runners: Number(args.runners),
           callers: Number(args.callers),
           faultsMs: Number(args.seconds) * 1_000,
+          plannedOnly: args.planned,
           keepIn: args.keep,
           plant: args.plant ? plantSecondRun : undefined,
         });
--- a/soak/plan.ts
+++ b/soak/plan.ts
@@ -69,6 +69,8 @@
   readonly vms: number;
   readonly runners: number;
   readonly domains: number;
+  /** Whether only planned work is drawn. */
+  readonly plannedOnly?: boolean;
   /** How long there is traffic with faults; after that everything is mended and callers go on. */
   readonly faultsMs: number;
 }
@@ -109,6 +111,18 @@
   "evacuate",
 ];
 
+/**
+ * Work that operators and the platform plan. With nothing else wrong, nothing excuses an answer that is lost, late to
+ * leave an upstream, or sent for a caller that has gone.
+ */
+const PLANNED: readonly FaultKind[] = [
+  "stop",
+  "hangUp",
+  "drain",
+  "config",
+  "evacuate",
+];
+
 /** Faults begin this far apart on average, and last longer: several are always in force. */
 const GAP_MS = 550;
 const SHORTEST_MS = 300;
@@ -151,7 +165,7 @@
 }
 
 function drawFault(random: Random, size: PlanSize, atMs: number): Fault {
-  const kind = random.pick(KINDS);
+  const kind = random.pick(size.plannedOnly ? PLANNED : KINDS);
   const when = {
     atMs,
     forMs: SHORTEST_MS + random.int(LONGEST_MS - SHORTEST_MS),
--- a/soak/run.ts
+++ b/soak/run.ts
@@ -20,6 +20,8 @@
   readonly runners: number;
   readonly callers: number;
   readonly faultsMs: number;
+  /** Whether only planned work happens. */
+  readonly plannedOnly?: boolean;
   /** Tells runs that go on side by side apart. */
   readonly block: number;
   /** Where the logs of a run that broke a promise are kept; absent: nowhere. */
@@ -75,9 +77,15 @@
 
 /** Plays one seed. Throws only if the world cannot be opened. */
 export async function runSeed(options: RunOptions): Promise<RunResult> {
-  const { seed, vms, runners, faultsMs } = options;
+  const { seed, vms, runners, faultsMs, plannedOnly } = options;
   const domains = REGIONS.length;
-  const plan = drawPlan(seed, { vms, runners, domains, faultsMs });
+  const plan = drawPlan(seed, {
+    vms,
+    runners,
+    domains,
+    faultsMs,
+    plannedOnly,
+  });
   const world = await World.open({ vms, runners, block: options.block, seed });
   try {
     const callers = Array.from(
