Streams leave an engine that reads a long prompt, with their memory

Cause: an engine reads prompts in chunks between the steps of what it generates. Beside some 30,000 tokens of reading at a stretch an event of eight tokens takes longer than the pause that callers allow, so every stream there is late.

Change: EnginePace learns the rate of reading and the gaps of streams beside none and beside uninterrupted reading; moveTarget picks a calm engine for a stream whose next event is predicted near the allowed pause; StreamMove stops the run with its memory copied and goes on there. Streams are looked at every 25 ms. Longest pause, moves and what was read beside are in the request's log line.

--- a/src/gateway/call.ts
+++ b/src/gateway/call.ts
@@ -33,7 +33,12 @@
   type Unanswered,
   UpstreamSend,
 } from "./send.ts";
-import type { LinkedCandidate, PromptShape } from "./upstreams.ts";
+import { type MovedTo, StreamMove } from "./stream_move.ts";
+import {
+  type LinkedCandidate,
+  NO_PROMPT,
+  type PromptShape,
+} from "./upstreams.ts";
 
 /** Tries of one request, connections that failed included: each costs up to a quarter of a second. */
 const MOST_TRIES = 4;
@@ -53,6 +58,8 @@
   #body: Buffer = Buffer.alloc(0);
   #send: Send | undefined;
   #pass: BodyPass | undefined;
+  readonly #move: StreamMove;
+  #movedTo: MovedTo | undefined;
   #mayHaveRun = false;
   #over = false;
   #last: Failure | undefined;
@@ -70,6 +77,7 @@
     this.#arrivedMs = context.clock.monoMs();
     this.#record = new CallRecord(context, input, name, this.#arrivedMs);
     this.#headers = forwardedHeaders(input.request.rawHeaders);
+    this.#move = new StreamMove(context, input);
   }
 
   /** Runs the request to its end; never throws. */
@@ -116,6 +124,10 @@
 
   async #serve(): Promise<void> {
     while (!this.#over) {
+      if (this.#movedTo) {
+        await this.#goOn(this.#movedTo);
+        continue;
+      }
       const step = this.#next();
       if (step.type === "wait") {
         await this.#sleep(step.untilMs);
@@ -127,6 +139,20 @@
     }
   }
 
+  /** A stream that was stopped in order to move goes on at its new engine. */
+  async #goOn({ candidate, goesOnFrom }: MovedTo): Promise<void> {
+    this.#movedTo = undefined;
+    this.#mayHaveRun = true;
+    if (!this.#context.upstreams.take(candidate, this.#service, NO_PROMPT)) {
+      return this.#broken("the engine that it moved to is gone");
+    }
+    this.#tried.add(candidate.key);
+    this.#record.place = candidate.key;
+    this.#record.moves++;
+    const sendable = { ...this.#sendable(0), goesOnFrom };
+    await this.#follow(new UpstreamSend(this.#context, sendable, candidate));
+  }
+
   /** Sends, or finds that the place that was chosen is gone. */
   #open(
     step: Step<LinkedCandidate> & { type: "send" | "relay" },
@@ -180,6 +206,8 @@
       deadlineMonoMs,
       promptTokens,
       fetchFrom,
+      goesOnFrom: undefined,
+      onStreamCheck: this.#onStreamCheck,
       patienceMs: this.#record.tries === 0 ? patienceMs(route) : Infinity,
       hasOther: () => this.#next().type === "relay" || this.#hasOtherHere(),
     };
@@ -207,6 +235,8 @@
         this.#reply.end();
         return this.#finish("ok", undefined);
       }
+      this.#movedTo = await this.#move.outcome();
+      if (this.#over || this.#movedTo) return;
       send.noteBroken();
       this.#broken("upstream broke off");
     } finally {
@@ -223,7 +253,9 @@
         this.#record.noteChunk();
       };
       // The VM that the caller is connected to resumes; a second one would count its sends from zero.
-      this.#pass = route.kind === "stream" && route.resumable && !relayed
+      const needsEvents = this.#service.engine?.moves ||
+        (route.resumable && !relayed);
+      this.#pass = route.kind === "stream" && needsEvents
         ? new EventPass(this.#reply, onChunk)
         : new RawPass(this.#reply, onChunk);
     } else if (this.#pass instanceof EventPass) this.#pass.dropPart();
@@ -231,6 +263,26 @@
     return this.#pass.run(answer);
   }
 
+  /** Looks whether a stream is better off at another engine. */
+  readonly #onStreamCheck = (): void => {
+    const { engine } = this.#service;
+    const send = this.#send;
+    if (
+      !engine?.moves || !(send instanceof UpstreamSend) ||
+      !(this.#pass instanceof EventPass)
+    ) return;
+    const { expectedOutputTokens } = this.#input.head;
+    this.#move.consider({
+      candidate: send.candidate,
+      eventsLeft: expectedOutputTokens / engine.tokensPerEvent -
+        this.#pass.events,
+      others: () =>
+        this.#context.upstreams.candidates(this.#service).filter(({ key }) =>
+          key !== send.candidate.key
+        ),
+    });
+  };
+
   /** Whether a failed answer is left aside for another send. */
   #sendsFailedAgain({ answer, read }: Answered): boolean {
     if (!this.#hasOtherHere() || !this.#mayRunAgain(true)) return false;
@@ -248,8 +300,10 @@
     if (head.arrived) this.#record.sends++;
     this.#record.arrivals += head.arrivals;
     this.#last = head.failure;
-    this.#mayHaveRun ||= head.mayHaveRun;
-    if (this.#mayRunAgain(head.mayHaveRun)) {
+    // A moved stream that its new engine turns away has run all the same.
+    const mayHaveRun = head.mayHaveRun || this.#reply.isBegun;
+    this.#mayHaveRun ||= mayHaveRun;
+    if (this.#mayRunAgain(mayHaveRun)) {
       return this.#record.sentAgain(head.reason);
     }
     this.#fail(
@@ -264,7 +318,10 @@
   /** A stream broke in the middle: it goes on at another upstream, or the caller's connection breaks too. */
   #broken(reason: string): void {
     this.#mayHaveRun = true;
-    if (this.#pass instanceof EventPass && this.#mayRunAgain(true)) {
+    const { relayed } = this.#input;
+    if (
+      this.#pass instanceof EventPass && !relayed && this.#mayRunAgain(true)
+    ) {
       return this.#record.sentAgain(reason);
     }
     this.#finish("streamBroken", reason);
--- a/src/gateway/call_record.ts
+++ b/src/gateway/call_record.ts
@@ -9,6 +9,15 @@
 import type { CallInput } from "./call_input.ts";
 import type { GatewayContext } from "./context.ts";
 
+/** The longest time between two pieces of an answer. */
+interface LongestPause {
+  readonly ms: number;
+  /** Pieces that came before it. */
+  readonly afterChunks: number;
+  /** Prompt tokens that waited at the upstream at its end. */
+  readonly waitingTokens: number;
+}
+
 /** See the module. */
 export class CallRecord {
   /** The upstream or VM that it was sent to last. */
@@ -19,12 +28,17 @@
   arrivals = 0;
   /** Sends that were tried, connections that failed included. */
   tries = 0;
+  /** Times that the stream went on at another engine, with its memory. */
+  moves = 0;
   #refusal: Readonly<Record<string, unknown>> = {};
   readonly #context: GatewayContext;
   readonly #input: CallInput;
   readonly #service: string;
   readonly #arrivedMonoMs: number;
   #firstByteMs: number | undefined;
+  #lastChunkMonoMs = -Infinity;
+  #longestPause: LongestPause = { ms: 0, afterChunks: 0, waitingTokens: 0 };
+  #chunks = 0;
 
   constructor(
     context: GatewayContext,
@@ -40,10 +54,24 @@
 
   /** Notes that bytes of an answer came. */
   noteChunk(): void {
-    if (this.#firstByteMs !== undefined) return;
-    const ms = this.#context.clock.monoMs() - this.#arrivedMonoMs;
-    this.#firstByteMs = Math.round(ms);
-    this.#context.metrics.time("first_byte", `service="${this.#service}"`, ms);
+    const nowMs = this.#context.clock.monoMs();
+    if (this.#firstByteMs === undefined) {
+      const ms = nowMs - this.#arrivedMonoMs;
+      this.#firstByteMs = Math.round(ms);
+      const labels = `service="${this.#service}"`;
+      this.#context.metrics.time("first_byte", labels, ms);
+    } else this.#notePause(nowMs - this.#lastChunkMonoMs);
+    this.#lastChunkMonoMs = nowMs;
+    this.#chunks++;
+  }
+
+  #notePause(ms: number): void {
+    if (ms <= this.#longestPause.ms) return;
+    this.#longestPause = {
+      ms,
+      afterChunks: this.#chunks,
+      waitingTokens: this.#context.upstreams.waitingTokens(this.place),
+    };
   }
 
   /** It is refused; `here` and `elsewhere` are what that was decided on. */
@@ -94,6 +122,12 @@
 
   #fields(more: Record<string, unknown>): Record<string, unknown> {
     const { head, route, config, relayed, deadlineMonoMs } = this.#input;
+    const { ms, afterChunks, waitingTokens } = this.#longestPause;
+    const pause = ms === 0 ? {} : {
+      longestPauseMs: Math.round(ms),
+      pauseAfter: afterChunks,
+      pauseBeside: waitingTokens,
+    };
     return {
       attempt: head.attemptId,
       route: route.name,
@@ -106,6 +140,12 @@
       tries: this.tries,
       leftMs: Math.round(deadlineMonoMs - this.#context.clock.monoMs()),
       firstByteMs: this.#firstByteMs,
+      promptTokens: head.promptTokens,
+      outputTokens: head.expectedOutputTokens,
+      objectiveMs: route.objectiveMs,
+      gapMs: route.eventGapMs,
+      moves: this.moves,
+      ...pause,
       ...this.#refusal,
       ...more,
     };
--- a/src/gateway/pass_on.ts
+++ b/src/gateway/pass_on.ts
@@ -100,6 +100,8 @@
 export class EventPass extends BodyPass {
   #held: Buffer = Buffer.alloc(0);
   #lastEventId: string | undefined;
+  /** Whole events that were passed on. */
+  events = 0;
 
   /** The id of the last event that was passed on. */
   get lastEventId(): string | undefined {
@@ -125,6 +127,7 @@
     const whole = bytes.subarray(0, end);
     for (const [, id] of whole.toString("latin1").matchAll(EVENT_ID)) {
       this.#lastEventId = id.trim();
+      this.events++;
     }
     return whole;
   }
--- a/src/gateway/send.ts
+++ b/src/gateway/send.ts
@@ -38,6 +38,10 @@
   readonly promptTokens: number;
   /** `IP:PORT` of an engine that keeps the prompt's shared parts. */
   readonly fetchFrom: string | undefined;
+  /** `IP:PORT/HANDLE` of the memory that a moved stream goes on from. */
+  readonly goesOnFrom: string | undefined;
+  /** Called now and then while a stream runs at an upstream of this region. */
+  readonly onStreamCheck: () => void;
   /** Without any answer for this long, the send may be given up; `Infinity` to wait until the deadline. */
   readonly patienceMs: number;
   /** Whether another place would serve the request now; without one, giving up gains nothing. */
@@ -134,19 +138,25 @@
 /** A send to an upstream; counts what this VM has under way there. */
 export class UpstreamSend extends Send {
   protected readonly exchange: Exchange;
+  readonly #candidate: LinkedCandidate;
   readonly #link: UpstreamLink;
+  readonly #sentMonoMs: number;
   #waitingTokens: number;
+  #lastChunkMonoMs: number | undefined;
   #open = true;
 
   constructor(
     context: GatewayContext,
     sendable: Sendable,
-    { upstream, link }: LinkedCandidate,
+    candidate: LinkedCandidate,
   ) {
     super(context, sendable);
+    const { upstream, link } = candidate;
+    this.#candidate = candidate;
     this.#link = link;
     this.#waitingTokens = sendable.promptTokens;
     const nowMs = context.clock.monoMs();
+    this.#sentMonoMs = nowMs;
     link.open(nowMs, this.#waitingTokens);
     this.exchange = new Exchange({
       agent: link.agent,
@@ -154,22 +164,48 @@
       port: upstream.port,
       method: sendable.method,
       target: sendable.target,
-      headers: addressTo(
-        sendable.headers,
-        upstream.id,
-        sendable.deadlineMonoMs - nowMs,
-        sendable.fetchFrom,
-      ),
+      headers: addressTo(sendable.headers, {
+        upstreamId: upstream.id,
+        workMs: sendable.deadlineMonoMs - nowMs,
+        fetchFrom: sendable.fetchFrom,
+        goesOnFrom: sendable.goesOnFrom,
+      }),
       body: sendable.body,
       connectWaitMs: CONNECT_WAIT_MS,
     });
   }
 
+  /** Where it was sent. */
+  get candidate(): LinkedCandidate {
+    return this.#candidate;
+  }
+
   noteChunk(): void {
-    this.#link.heard(this.context.clock.monoMs());
+    const nowMs = this.context.clock.monoMs();
+    this.#link.heard(nowMs);
+    this.#learnPace(nowMs);
+    this.#lastChunkMonoMs = nowMs;
+    this.#link.streamChecks.add(this.sendable.onStreamCheck);
     this.#started();
   }
 
+  #learnPace(nowMs: number): void {
+    const { pace, upstream, waitingTokens } = this.#candidate;
+    if (!pace) return;
+    if (this.#lastChunkMonoMs !== undefined) {
+      const beside = this.context.upstreams.waitingTokens(upstream.key);
+      pace.noteGap(beside, nowMs - this.#lastChunkMonoMs);
+      return;
+    }
+    // A prompt behind as much again starts by the others' reading, which is known late.
+    if (this.#waitingTokens > waitingTokens) {
+      pace.noteFirstEvent(
+        this.#waitingTokens + waitingTokens,
+        nowMs - this.#sentMonoMs,
+      );
+    }
+  }
+
   noteBroken(): void {
     this.#link.health.note("lost", this.context.clock.monoMs());
   }
@@ -177,6 +213,7 @@
   close(): void {
     if (!this.#open) return;
     this.#open = false;
+    this.#link.streamChecks.delete(this.sendable.onStreamCheck);
     this.#started();
     this.#link.running--;
   }
--- /dev/null
+++ b/src/gateway/stream_move.ts
@@ -0,0 +1,134 @@
+/**
+ * Moves a stream that runs from one engine to another, with its memory; see `moveTarget` for when.
+ *
+ * @module
+ */
+
+import { readText } from "../adapters/mod.ts";
+import { decodeMove, encodeMove, MOVE_PATH } from "../platform/mod.ts";
+import { isPressed, moveTarget } from "../routing/mod.ts";
+import type { CallInput } from "./call_input.ts";
+import type { GatewayContext } from "./context.ts";
+import { Exchange } from "./exchange.ts";
+import type { LinkedCandidate } from "./upstreams.ts";
+
+/** A move that takes longer has failed: the copy takes some ten ms, behind a few others. */
+const MOVE_WAIT_MS = 1_000;
+const CONNECT_WAIT_MS = 250;
+
+/** Where a stream goes on. */
+export interface MovedTo {
+  readonly candidate: LinkedCandidate;
+  /** Names the memory that it goes on from. */
+  readonly goesOnFrom: string;
+}
+
+/** The state of a stream that may move. */
+export interface MovableStream {
+  readonly candidate: LinkedCandidate;
+  readonly eventsLeft: number;
+  /** Engines that it may go on at. */
+  readonly others: () => readonly LinkedCandidate[];
+}
+
+/** Moves of one stream: each costs it a pause, and who left this many engines would leave the next one too. */
+const MOST_MOVES = 4;
+
+/** See the module. One for each request. */
+export class StreamMove {
+  readonly #context: GatewayContext;
+  readonly #input: CallInput;
+  #moving: Promise<MovedTo | undefined> | undefined;
+  #moves = 0;
+
+  constructor(context: GatewayContext, input: CallInput) {
+    this.#context = context;
+    this.#input = input;
+  }
+
+  /** Looks whether the stream is better off elsewhere, and starts the move if so. */
+  consider({ candidate, eventsLeft, others }: MovableStream): void {
+    const { pace, key } = candidate;
+    if (this.#moving || !pace || this.#moves >= MOST_MOVES) return;
+    const stream = {
+      waitingTokens: this.#context.upstreams.waitingTokens(key),
+      eventsLeft,
+      eventGapMs: this.#input.route.eventGapMs,
+    };
+    if (!isPressed(stream, pace)) return;
+    const target = moveTarget(
+      stream,
+      others(),
+      pace,
+      this.#context.random.next(),
+    );
+    if (!target) return;
+    this.#context.log.info("stream moves", {
+      attempt: this.#input.head.attemptId,
+      from: key,
+      to: target.key,
+      fromTokens: stream.waitingTokens,
+      toTokens: target.waitingTokens,
+      toRunning: target.running,
+      eventsLeft: Math.round(eventsLeft),
+    });
+    this.#moves++;
+    this.#moving = this.#move(candidate, target);
+  }
+
+  /** Where the stream goes on after it stopped; `undefined` if it was not moved. */
+  async outcome(): Promise<MovedTo | undefined> {
+    const movedTo = await this.#moving;
+    this.#moving = undefined;
+    return movedTo;
+  }
+
+  async #move(
+    from: LinkedCandidate,
+    to: LinkedCandidate,
+  ): Promise<MovedTo | undefined> {
+    const { attemptId } = this.#input.head;
+    const { clock, metrics, log } = this.#context;
+    const exchange = new Exchange({
+      agent: from.link.agent,
+      host: from.upstream.host,
+      port: from.upstream.port,
+      method: "POST",
+      target: MOVE_PATH,
+      headers: ["Host", addressOf(from), "Content-Type", "application/json"],
+      body: Buffer.from(encodeMove(attemptId, addressOf(to))),
+      connectWaitMs: CONNECT_WAIT_MS,
+    });
+    const startedMs = clock.monoMs();
+    const timer = clock.after(MOVE_WAIT_MS, () => exchange.cancel("timed out"));
+    const moved = await readMove(exchange);
+    timer.close();
+    const outcome = moved ? "stopped" : "failed";
+    metrics.count("moves", `outcome="${outcome}"`);
+    log.info("stream moved", {
+      attempt: attemptId,
+      to: to.key,
+      tookMs: Math.round(clock.monoMs() - startedMs),
+      outcome,
+    });
+    return moved && {
+      candidate: moved.isAtTarget ? to : from,
+      goesOnFrom: `${addressOf(from)}/${moved.handle}`,
+    };
+  }
+}
+
+function addressOf({ upstream }: LinkedCandidate): string {
+  return `${upstream.host}:${upstream.port}`;
+}
+
+async function readMove(exchange: Exchange) {
+  const head = await exchange.head;
+  if (head.isErr()) return undefined;
+  try {
+    return decodeMove(head.value.statusCode ?? 0, await readText(head.value));
+  } catch {
+    // An answer that broke off names no handle; the stream's own end tells whether it was stopped.
+    return undefined;
+  }
+}
--- a/src/gateway/upstreams.ts
+++ b/src/gateway/upstreams.ts
@@ -15,6 +15,7 @@
 import {
   coldOwner,
   ColdPace,
+  EnginePace,
   fetchSource,
   type Fleet,
   type KnownUpstream,
@@ -36,6 +37,8 @@
  */
 const SILENT_MS = 600;
 const SILENCE_CHECK_MS = 100;
+/** Streams beside a prompt that is read pause from its start on; a tenth of the shortest pause allowed is lost by looking. */
+const STREAM_CHECK_MS = 25;
 /** How long a part of a prompt is taken for kept: engines turn their cache over in ten seconds or more at their peak. */
 const PART_KEPT_MS = 10_000;
 /** Parts remembered for one upstream; more do not fit its memory. */
@@ -46,6 +49,8 @@
   readonly agent: Connections;
   readonly health = new UpstreamHealth();
   readonly coldPace = new ColdPace();
+  /** Called now and then for each stream that runs there, so that it can leave an engine that reads. */
+  readonly streamChecks = new Set<() => void>();
   running = 0;
   waitingTokens = 0;
   usedMonoMs: number;
@@ -131,6 +136,8 @@
 export interface LinkedCandidate extends StepCandidate {
   readonly upstream: KnownUpstream;
   readonly link: UpstreamLink;
+  /** What is known of the engines' speed; absent for plain services. */
+  readonly pace: EnginePace | undefined;
   /** Prompt tokens that it will have to read. */
   readonly unreadTokens: number;
 }
@@ -156,6 +163,8 @@
   readonly #nearLoads: NearLoads;
   readonly #self: { readonly id: string; readonly region: string };
   readonly #links = new Map<string, UpstreamLink>();
+  /** By service. */
+  readonly #paces = new Map<string, EnginePace>();
   protected readonly handlers: Handlers<Messages> = {};
   #clock!: Clock;
   readonly #timers: Timer[] = [];
@@ -174,6 +183,9 @@
   start(kernel: Kernel): Promise<void> {
     this.#clock = kernel.clock;
     this.#timers.push(this.#clock.every(SWEEP_MS, () => this.#sweep()));
+    this.#timers.push(
+      this.#clock.every(STREAM_CHECK_MS, () => this.#checkStreams()),
+    );
     this.#timers.push(
       this.#clock.every(SILENCE_CHECK_MS, () => this.#checkSilence(kernel.log)),
     );
@@ -187,7 +199,7 @@
   }
 
   dump(): unknown {
-    return Object.fromEntries(
+    const links = Object.fromEntries(
       [...this.#links].map((
         [key, { running, waitingTokens, health }],
       ) => [key, {
@@ -196,6 +208,10 @@
         health: health.dump(),
       }]),
     );
+    const paces = Object.fromEntries(
+      [...this.#paces].map(([service, pace]) => [service, pace.dump()]),
+    );
+    return { links, paces };
   }
 
   /** What this VM has under way, by upstream key. */
@@ -215,6 +231,7 @@
     const nowMs = this.#clock.monoMs();
     const shared = parts.slice(0, -1);
     const vms = this.#nearLoads.vms(nowMs);
+    const pace = this.pace(service);
     return this.#fleet.of(service.name, this.#self.region).map((upstream) => {
       const link = this.#link(upstream.key, nowMs);
       const cold = service.coldPerS > 0 && upstream.coldUntilMs > nowMs;
@@ -233,10 +250,28 @@
         unreadTokens: Math.max(0, tokens - link.warmTokens(shared, nowMs)),
         upstream,
         link,
+        pace,
       };
     });
   }
 
+  /** What is known of the speed of a service's engines; `undefined` for plain services. */
+  pace({ name, engine }: ServiceRow): EnginePace | undefined {
+    if (!engine) return undefined;
+    let pace = this.#paces.get(name);
+    if (!pace) {
+      pace = new EnginePace();
+      this.#paces.set(name, pace);
+    }
+    return pace;
+  }
+
+  /** Prompt tokens that wait at an upstream, by all VMs of the region as far as known. */
+  waitingTokens(upstreamKey: string): number {
+    const [, near] = this.#nearLoads.at(upstreamKey, this.#clock.monoMs());
+    return near + (this.#links.get(upstreamKey)?.waitingTokens ?? 0);
+  }
+
   /** Looks again, in the step that sends, whether the upstream may be used, and counts a cold one's request. */
   take(
     { upstream, link }: LinkedCandidate,
@@ -276,6 +311,12 @@
     return link;
   }
 
+  #checkStreams(): void {
+    for (const { streamChecks } of this.#links.values()) {
+      for (const check of streamChecks) check();
+    }
+  }
+
   #checkSilence(log: Log): void {
     const nowMs = this.#clock.monoMs();
     for (const [key, link] of this.#links) {
--- a/src/platform/callers.ts
+++ b/src/platform/callers.ts
@@ -23,6 +23,8 @@
   readonly promptTokens: number;
   /** Most tokens of the answer. */
   readonly outputTokens: number;
+  /** Tokens that the answer will have, as the caller guesses; often far off, and never above the most. */
+  readonly expectedOutputTokens: number;
   /** Set if the caller continues a broken stream after this event. */
   readonly resumesAfter: string | undefined;
 }
@@ -93,6 +95,10 @@
     promptParts: decodePrompt(one(headers["prompt-prefix"])),
     promptTokens,
     outputTokens,
+    expectedOutputTokens: Math.min(
+      outputTokens,
+      Number(one(headers["length-hint"])) || outputTokens,
+    ),
     resumesAfter: one(headers["last-event-id"]),
   };
 }
--- a/src/platform/config.ts
+++ b/src/platform/config.ts
@@ -84,6 +84,8 @@
   return {
     slots: numberField(engine as Fields, "slots", 1),
     memoryTokens: numberField(engine as Fields, "kv_capacity", 0),
+    tokensPerEvent: Math.max(1, numberField(engine as Fields, "stride", 1)),
+    moves: (engine as Fields).moves === true,
   };
 }
 
--- a/src/platform/platform_test.ts
+++ b/src/platform/platform_test.ts
@@ -270,14 +270,17 @@
     });
 
     it("name the upstream and what is left of the time", (t) => {
-      t.deepEqual(addressTo(["Host", "h"], "i-1", 1234.9), [
-        "Host",
-        "h",
-        "Deadline-Ms",
-        "1234",
-        "Expect-Instance",
-        "i-1",
-      ]);
+      t.deepEqual(
+        addressTo(["Host", "h"], { upstreamId: "i-1", workMs: 1234.9 }),
+        [
+          "Host",
+          "h",
+          "Deadline-Ms",
+          "1234",
+          "Expect-Instance",
+          "i-1",
+        ],
+      );
     });
 
     it("ask to go on after the last event that was passed on", (t) => {
--- a/src/platform/upstream_wire.ts
+++ b/src/platform/upstream_wire.ts
@@ -65,19 +65,27 @@
   return copyHeaders(raw, GATEWAY_HEADERS);
 }
 
-/**
- * Headers of one send: which upstream it is meant for, how long it may work, in ms from its arrival, and the `IP:PORT`
- * of an engine that it may copy the prompt's shared parts from.
- */
+/** What one send tells its upstream besides the caller's own headers. */
+export interface SendAddress {
+  /** The upstream that is meant; any other one turns the request away. */
+  readonly upstreamId: string;
+  /** How long it may work, in ms from its arrival. */
+  readonly workMs: number;
+  /** `IP:PORT` of an engine that it may copy the prompt's shared parts from. */
+  readonly fetchFrom?: string;
+  /** `IP:PORT/HANDLE` of the memory that the stream goes on from; see {@link RunMoved}. */
+  readonly goesOnFrom?: string;
+}
+
+/** The headers of one send. */
 export function addressTo(
   forwarded: readonly string[],
-  upstreamId: string,
-  workMs: number,
-  fetchFrom?: string,
+  { upstreamId, workMs, fetchFrom, goesOnFrom }: SendAddress,
 ): string[] {
   return [
     ...forwarded,
     ...(fetchFrom === undefined ? [] : ["Kv-Fetch", fetchFrom]),
+    ...(goesOnFrom === undefined ? [] : ["Kv-From", goesOnFrom]),
     "Deadline-Ms",
     String(Math.max(1, Math.floor(workMs))),
     "Expect-Instance",
@@ -85,6 +93,38 @@
   ];
 }
 
+/** Path on which an engine moves the memory of a run. */
+export const MOVE_PATH = "/api/kv-move";
+
+/**
+ * Asks an engine to stop a run and to copy its memory to the engine at `target` (`IP:PORT`). The run's stream ends
+ * without its end.
+ */
+export function encodeMove(attemptId: string, target: string): string {
+  return JSON.stringify({ id: attemptId, target, last: true });
+}
+
+/** An engine stopped a run. */
+export interface RunMoved {
+  /** Names the copy, once. */
+  readonly handle: string;
+  /** Whether the memory is at the target; otherwise only the source still has it. */
+  readonly isAtTarget: boolean;
+}
+
+/** Decodes the answer to a move; `undefined` if the run was not stopped. */
+export function decodeMove(status: number, text: string): RunMoved | undefined {
+  if (status !== 200 && status !== 503) return undefined;
+  try {
+    const { handle } = JSON.parse(text) as { handle?: unknown };
+    return typeof handle === "string" || typeof handle === "number"
+      ? { handle: String(handle), isAtTarget: status === 200 }
+      : undefined;
+  } catch {
+    return undefined;
+  }
+}
+
 /** How an upstream's answer reads. */
 export interface UpstreamAnswer {
   readonly status: number;
--- /dev/null
+++ b/src/routing/engine_pace_test.ts
@@ -0,0 +1,74 @@
+import { describe, it } from "../base/describe.ts";
+import { Random } from "../base/mod.ts";
+import { EnginePace } from "./mod.ts";
+
+/** An engine's make: prompt tokens read in a ms, gaps of a stream beside no reading and beside uninterrupted reading. */
+interface Make {
+  readonly readPerMs: number;
+  readonly quietGapMs: number;
+  readonly busyGapMs: number;
+}
+
+const MAKES: readonly Make[] = [
+  { readPerMs: 92, quietGapMs: 30, busyGapMs: 290 },
+  { readPerMs: 62, quietGapMs: 45, busyGapMs: 560 },
+  { readPerMs: 15, quietGapMs: 200, busyGapMs: 1_500 },
+];
+
+/** Shows streams of one make, each time off by up to a fifth. */
+function show(pace: EnginePace, make: Make, streams: number): void {
+  const random = new Random(5);
+  const off = (ms: number) => ms * (0.8 + 0.4 * random.next());
+  for (let i = 0; i < streams; i++) {
+    pace.noteFirstEvent(12_000, off(12_000 / make.readPerMs));
+    pace.noteGap(0, off(make.quietGapMs));
+    pace.noteGap(500_000, off(make.busyGapMs));
+  }
+}
+
+describe("routing", () => {
+  describe("engine pace", () => {
+    for (const make of MAKES) {
+      it(`is learned of engines that read ${make.readPerMs} tokens a ms`, (t) => {
+        const pace = new EnginePace();
+        show(pace, make, 200);
+        const readMs = 12_000 / make.readPerMs;
+        t.true(Math.abs(pace.readMs(12_000) / readMs - 1) < 0.15);
+        t.true(Math.abs(pace.pauseMs(0) / make.quietGapMs - 1) < 0.15);
+        t.true(Math.abs(pace.pauseMs(1e6) / make.busyGapMs - 1) < 0.3);
+      });
+    }
+
+    it("follows engines that become half as fast", (t) => {
+      const pace = new EnginePace();
+      show(pace, MAKES[1], 200);
+      const half = { readPerMs: 31, quietGapMs: 90, busyGapMs: 1_100 };
+      show(pace, half, 200);
+      t.true(Math.abs(pace.readMs(31_000) / 1_000 - 1) < 0.15);
+      t.true(pace.pauseMs(1e6) > 900);
+    });
+
+    // One engine hangs, another says at once that it has read a prompt that it kept: neither tells the service's pace.
+    it("does not believe an engine that stops or lies", (t) => {
+      const pace = new EnginePace();
+      show(pace, MAKES[1], 200);
+      const before = pace.pauseMs(20_000);
+      for (let i = 0; i < 50; i++) {
+        pace.noteFirstEvent(12_000, 1);
+        pace.noteFirstEvent(12_000, 30_000);
+        pace.noteGap(0, 5_000);
+      }
+      t.is(pace.pauseMs(20_000), before);
+    });
+
+    it("predicts a pause that grows with what is read, up to that of an engine that reads on and on", (t) => {
+      const pace = new EnginePace();
+      show(pace, MAKES[1], 200);
+      const pauses = [0, 4_000, 12_000, 24_000, 100_000].map((tokens) =>
+        pace.pauseMs(tokens)
+      );
+      t.deepEqual(pauses, [...pauses].sort((a, b) => a - b));
+      t.is(pace.pauseMs(100_000), pace.pauseMs(1_000_000));
+    });
+  });
+});
--- /dev/null
+++ b/src/routing/move_test.ts
@@ -0,0 +1,66 @@
+import { describe, it } from "../base/describe.ts";
+import { hash32 } from "../base/mod.ts";
+import { EnginePace, moveTarget, type StepCandidate } from "./mod.ts";
+
+const pace = new EnginePace();
+
+function engine(key: string, more: Partial<StepCandidate> = {}): StepCandidate {
+  return {
+    key,
+    hash: hash32(key),
+    running: 10,
+    waitingTokens: 0,
+    slots: 64,
+    unreadTokens: 0,
+    doubtful: false,
+    aside: false,
+    paced: true,
+    ...more,
+  };
+}
+
+const beside = { waitingTokens: 60_000, eventsLeft: 30, eventGapMs: 600 };
+
+describe("routing", () => {
+  // A prompt of 60,000 tokens is read for a second. Every stream beside it pauses longer than is allowed, all along.
+  describe("move of a stream", () => {
+    it("leaves an engine that reads a long prompt for one that does not", (t) => {
+      t.is(moveTarget(beside, [engine("calm")], pace, 0)?.key, "calm");
+    });
+
+    const stays: [string, Partial<typeof beside>, StepCandidate[]][] = [
+      ["nothing is read", { waitingTokens: 0 }, [engine("calm")]],
+      ["a short prompt is read", { waitingTokens: 2_000 }, [engine("calm")]],
+      ["it is about to end", { eventsLeft: 2 }, [engine("calm")]],
+      ["no pause is asked for", { eventGapMs: 0 }, [engine("calm")]],
+      ["the others read as well", {}, [
+        engine("busy", { waitingTokens: 60_000 }),
+      ]],
+      ["the others are full", {}, [engine("full", { running: 60 })]],
+      ["the others fail or are cold", {}, [
+        engine("failing", { doubtful: true }),
+        engine("lost", { aside: true }),
+        engine("cold", { paced: false }),
+      ]],
+    ];
+    for (const [when, stream, others] of stays) {
+      it(`does not happen when ${when}`, (t) => {
+        t.is(moveTarget({ ...beside, ...stream }, others, pace, 0), undefined);
+      });
+    }
+
+    // Forty streams leave one engine in the same moment; no count shows yet where the first of them went.
+    it("spreads the streams of one engine over the calmer half of the others", (t) => {
+      const others = [3, 5, 8, 30, 40].map((running) =>
+        engine(`e${running}`, { running })
+      );
+      const used = new Set(
+        Array.from(
+          { length: 40 },
+          (_, i) => moveTarget(beside, [...others], pace, i / 40)?.key,
+        ),
+      );
+      t.deepEqual([...used].sort(), ["e3", "e5", "e8"]);
+    });
+  });
+});
--- a/src/routing/types.ts
+++ b/src/routing/types.ts
@@ -47,6 +47,10 @@
   readonly slots: number;
   /** Tokens that running requests and cached prompts share. */
   readonly memoryTokens: number;
+  /** Tokens that one event of a stream holds. */
+  readonly tokensPerEvent: number;
+  /** Whether the memory of a running request can be moved to another engine. */
+  readonly moves: boolean;
 }
 
 /** A service that upstreams run. */
--- a/src/standins/runner.ts
+++ b/src/standins/runner.ts
@@ -48,9 +48,8 @@
   cut: boolean;
 }
 
-/** Events of a whole stream. */
+/** Events of a whole stream, unless a runner is set otherwise. */
 export const STREAM_EVENTS = 6;
-const EVENT_GAP_MS = 10;
 const COLD_WINDOW_MS = 1_000;
 
 function eventText(id: number): string {
@@ -58,12 +57,21 @@
 }
 
 /** The body of a whole stream after event `after`. */
-export function streamText(after = 0): string {
+export function streamText(after = 0, events = STREAM_EVENTS): string {
   let text = "";
-  for (let id = after + 1; id <= STREAM_EVENTS; id++) text += eventText(id);
+  for (let id = after + 1; id <= events; id++) text += eventText(id);
   return text;
 }
 
+/** A stream under way at a runner. */
+interface StreamRun {
+  readonly response: ServerResponse;
+  isStopped: boolean;
+}
+
+/** Copies of runs' memory that were made and not used, as `IP:PORT/HANDLE` of their source, for all runners. */
+const copies = new Set<string>();
+
 /** See the module. */
 export class Runner {
   readonly id: string;
@@ -79,6 +87,12 @@
   readTokens = 0;
   /** Time before an answer's head. */
   workMs = 0;
+  /** Events of each stream. */
+  streamEvents = STREAM_EVENTS;
+  /** Time between two events of a stream. */
+  eventGapMs = 10;
+  /** Streams under way, by the attempt's id. */
+  readonly #runs = new Map<string, StreamRun>();
   readonly #server: Server;
   readonly #keptParts = new Set<string>();
   #coldArrivalsMs: number[] = [];
@@ -121,6 +135,9 @@
     const chunks: Buffer[] = [];
     for await (const chunk of request) chunks.push(chunk as Buffer);
     const { headers } = request;
+    if (request.url === "/api/kv-move") {
+      return this.#moveRun(Buffer.concat(chunks).toString("utf8"), response);
+    }
     if (
       headers["expect-instance"] !== undefined &&
       headers["expect-instance"] !== this.id
@@ -143,6 +160,10 @@
       arrivedMonoMs: performance.now(),
       cut: false,
     };
+    const goesOnFrom = headers["kv-from"];
+    if (goesOnFrom !== undefined && !copies.delete(String(goesOnFrom))) {
+      return void response.writeHead(503, { "not-executed": "1" }).end();
+    }
     this.arrivals.push(arrival);
     response.on("close", () => void (arrival.cut = !response.writableFinished));
     if (this.workMs > 0) {
@@ -151,6 +172,17 @@
     this.#act(request, response);
   }
 
+  /** Stops a stream without its end and copies its memory; the other runner of the copy is not asked. */
+  #moveRun(body: string, response: ServerResponse): void {
+    const { id, last } = JSON.parse(body) as { id: string; last: boolean };
+    const run = this.#runs.get(id);
+    if (!run || !last) return void response.writeHead(404).end();
+    run.isStopped = true;
+    run.response.destroy();
+    copies.add(`${this.address}/${id}`);
+    response.writeHead(200).end(JSON.stringify({ handle: id, created: 0 }));
+  }
+
   /** Counts an arrival at a cold runner; it bears half as many again and three, as the users' rules have it. */
   #crashesCold(): boolean {
     if (this.coldPerS === undefined) return false;
@@ -221,18 +253,21 @@
   ): Promise<void> {
     response.writeHead(200, { ...own, "content-type": "text/event-stream" });
     const first = Number(request.headers["last-event-id"] ?? 0) + 1;
-    for (let id = first; id <= STREAM_EVENTS; id++) {
-      if (this.mood === "halfStream" && id > STREAM_EVENTS / 2) {
+    const run: StreamRun = { response, isStopped: false };
+    this.#runs.set(own["attempt-id"], run);
+    for (let id = first; id <= this.streamEvents; id++) {
+      if (this.mood === "halfStream" && id > this.streamEvents / 2) {
         response.write(
           eventText(id).slice(0, 8),
           () => request.socket.resetAndDestroy(),
         );
         return;
       }
-      if (response.destroyed) return;
+      if (run.isStopped || response.destroyed) return;
       response.write(eventText(id));
-      await new Promise((resolve) => setTimeout(resolve, EVENT_GAP_MS));
+      await new Promise((resolve) => setTimeout(resolve, this.eventGapMs));
     }
+    this.#runs.delete(own["attempt-id"]);
     response.end();
   }
 }
--- a/test/gateway_engines_test.ts
+++ b/test/gateway_engines_test.ts
@@ -1,8 +1,10 @@
 import { describe, it } from "../src/base/describe.ts";
-import { routeRow } from "../src/standins/mod.ts";
+import { routeRow, streamText } from "../src/standins/mod.ts";
 import { GatewayLab, openLab, until } from "./gateway_lab.ts";
 
 const CALLS = 40;
+/** Events of a stream that lasts long enough to move. */
+const MOVED_EVENTS = 40;
 
 describe("gateway", () => {
   describe("engines", () => {
@@ -66,6 +68,48 @@
       t.is(readTokens, 6_000 + 12 * 100);
     });
 
+    // A stream that must run once is under way when a long prompt comes to its engine, the only one. Then another engine
+    // appears. The stream stops at the first, goes on at the second with its memory, and the caller gets each event once.
+    it("that read a long prompt lose their streams to calm ones, whole and run once", async (t) => {
+      const lab = new GatewayLab();
+      t.teardown(() => lab.close());
+      lab.configure(
+        [routeRow({
+          path_prefix: "/streamonce/",
+          kind: "streaming",
+          sticky: true,
+          gap_target_ms: 300,
+        })],
+        { engine: { slots: 64, kv_capacity: 300_000, stride: 8, moves: true } },
+      );
+      const reading = await lab.addRunner();
+      reading.streamEvents = MOVED_EVENTS;
+      reading.eventGapMs = 25;
+      const vm = await lab.addVm();
+      await lab.ready(vm);
+      const ask = (tokens: number) =>
+        lab.call(vm, {
+          path: "/streamonce/",
+          method: "POST",
+          headers: {
+            "token-counts": `${tokens},${8 * MOVED_EVENTS}`,
+            "prompt-prefix": `book:100,own${tokens}:${tokens - 100}`,
+          },
+        });
+      const answer = ask(600);
+      await until(() => reading.arrivals.length === 1);
+      reading.workMs = 1_000;
+      const long = ask(100_000);
+      const calm = await lab.addRunner();
+      calm.streamEvents = MOVED_EVENTS;
+      const { body, whole } = await answer;
+      t.true(whole);
+      t.is(body, streamText(0, MOVED_EVENTS));
+      t.is(calm.arrivals.length, 1);
+      t.true(calm.arrivals[0].headers["kv-from"] !== undefined);
+      t.is((await long).status, 200);
+    });
+
     // The upstream says on its answers that it leaves; its store entry comes later. A connection that it ends must not
     // carry the next request.
     it("that leave end their connections, and no request is lost on them", async (t) => {
