--- a/src/gateway/call.ts
+++ b/src/gateway/call.ts
@@ -7,23 +7,19 @@
 import { type CodeName, type Failure, failure } from "../base/mod.ts";
 import { forwardedHeaders, resumedAfter } from "../platform/mod.ts";
 import {
-  affinityOf,
   chooseService,
-  hasRoom,
-  isLongAnswer,
   mayRepeat,
   maySendAgain,
-  nextStep,
   patienceMs,
-  type RegionRoom,
   type ServiceRow,
   type Step,
 } from "../routing/mod.ts";
 import { readBody } from "./body.ts";
 import { BODY_CODES, type CallInput } from "./call_input.ts";
+import { CallPlaces } from "./call_places.ts";
 import { CallRecord } from "./call_record.ts";
 import type { GatewayContext } from "./context.ts";
-import { type BodyPass, EventPass, type Passed, RawPass } from "./pass_on.ts";
+import { type BodyPass, EventPass, type Passed, passOf } from "./pass_on.ts";
 import type { Reply } from "./reply.ts";
 import {
   type Answered,
@@ -33,12 +29,8 @@
   type Unanswered,
   UpstreamSend,
 } from "./send.ts";
-import { type MovedTo, StreamMove } from "./stream_move.ts";
-import {
-  type LinkedCandidate,
-  NO_PROMPT,
-  type PromptShape,
-} from "./upstreams.ts";
+import { type GoesOn, StreamMove } from "./stream_move.ts";
+import type { LinkedCandidate, PromptShape } from "./upstreams.ts";
 
 /** Tries of one request, connections that failed included: each costs up to a quarter of a second. */
 const MOST_TRIES = 4;
@@ -52,14 +44,13 @@
   readonly #prompt: PromptShape;
   readonly #record: CallRecord;
   readonly #arrivedMs: number;
-  readonly #tried = new Set<string>();
-  readonly #triedRegions = new Set<string>();
+  readonly #places: CallPlaces;
   readonly #headers: readonly string[];
   #body: Buffer = Buffer.alloc(0);
   #send: Send | undefined;
   #pass: BodyPass | undefined;
   readonly #move: StreamMove;
-  #movedTo: MovedTo | undefined;
+  #goesOn: GoesOn | undefined;
   #mayHaveRun = false;
   #over = false;
   #last: Failure | undefined;
@@ -77,7 +68,13 @@
     this.#arrivedMs = context.clock.monoMs();
     this.#record = new CallRecord(context, input, name, this.#arrivedMs);
     this.#headers = forwardedHeaders(input.request.rawHeaders);
-    this.#move = new StreamMove(context, input);
+    this.#move = new StreamMove(context, input, this.#service);
+    this.#places = new CallPlaces(
+      context,
+      input,
+      this.#service,
+      this.#arrivedMs,
+    );
   }
 
   /** Runs the request to its end; never throws. */
@@ -124,11 +121,11 @@
 
   async #serve(): Promise<void> {
     while (!this.#over) {
-      if (this.#movedTo) {
-        await this.#goOn(this.#movedTo);
+      if (this.#goesOn) {
+        await this.#goOn(this.#goesOn);
         continue;
       }
-      const step = this.#next();
+      const step = this.#places.next();
       if (step.type === "wait") {
         await this.#sleep(step.untilMs);
         continue;
@@ -140,16 +137,16 @@
   }
 
   /** A stream that was stopped in order to move goes on at its new engine. */
-  async #goOn({ candidate, goesOnFrom }: MovedTo): Promise<void> {
-    this.#movedTo = undefined;
+  async #goOn({ candidate, goesOnFrom }: GoesOn): Promise<void> {
+    this.#goesOn = undefined;
     this.#mayHaveRun = true;
-    if (!this.#context.upstreams.take(candidate, this.#service, NO_PROMPT)) {
+    if (!this.#context.upstreams.take(candidate, this.#service, this.#prompt)) {
       return this.#broken("the engine that it moved to is gone");
     }
-    this.#tried.add(candidate.key);
+    this.#places.noteTried(candidate);
     this.#record.place = candidate.key;
     this.#record.moves++;
-    const sendable = { ...this.#sendable(0), goesOnFrom };
+    const sendable = { ...this.#sendable(0), goesOnFrom, urgency: 0 };
     await this.#follow(new UpstreamSend(this.#context, sendable, candidate));
   }
 
@@ -163,7 +160,7 @@
       if (!upstreams.take(candidate, this.#service, this.#prompt)) {
         return undefined;
       }
-      this.#tried.add(candidate.key);
+      this.#places.noteTried(candidate);
       this.#record.place = candidate.key;
       return new UpstreamSend(
         this.#context,
@@ -173,13 +170,13 @@
             candidate,
             this.#service,
             this.#prompt,
-            this.#isHome,
+            this.#places.isHome,
           ),
         ),
         candidate,
       );
     }
-    this.#triedRegions.add(step.region);
+    this.#places.noteTriedRegion(step.region);
     const vm = relays.pick(step.region, random);
     if (!vm) return undefined;
     this.#record.place = vm.id;
@@ -205,14 +202,24 @@
       body: this.#body,
       deadlineMonoMs,
       promptTokens,
+      parts: this.#prompt.parts,
       fetchFrom,
       goesOnFrom: undefined,
+      urgency: this.#service.engine && this.#places.urgency(promptTokens),
       onStreamCheck: this.#onStreamCheck,
       patienceMs: this.#record.tries === 0 ? patienceMs(route) : Infinity,
-      hasOther: () => this.#next().type === "relay" || this.#hasOtherHere(),
+      hasOther: () => this.#hasOther(),
     };
   }
 
+  /** Whether giving up an answer that does not come gains anything: a place that is free, and a repeat that is left. */
+  #hasOther(): boolean {
+    const { clock, members } = this.#context;
+    const budget = this.#context.budget(this.#service.name);
+    return budget.hasOne(clock.monoMs(), members.count()) &&
+      (this.#places.next().type === "relay" || this.#places.hasOtherHere());
+  }
+
   /** Follows one send to its end; returns with the call over, or ready for the next step. */
   async #follow(send: Send): Promise<void> {
     this.#record.tries++;
@@ -221,8 +228,7 @@
       const head = await send.head();
       if (this.#over) return;
       if (head.type === "unanswered") return this.#unanswered(send, head);
-      this.#record.sends++;
-      this.#record.arrivals++;
+      if (!send.goesOn) this.#record.noteArrival();
       if (head.read.status >= 500 && this.#sendsFailedAgain(head)) {
         return;
       }
@@ -235,8 +241,8 @@
         this.#reply.end();
         return this.#finish("ok", undefined);
       }
-      this.#movedTo = await this.#move.outcome();
-      if (this.#over || this.#movedTo) return;
+      this.#goesOn = await this.#move.moved();
+      if (this.#over || this.#goesOn) return;
       send.noteBroken();
       this.#broken("upstream broke off");
     } finally {
@@ -245,47 +251,43 @@
   }
 
   #passOn(send: Send, { answer, read }: Answered): Promise<Passed> {
-    const { route, relayed } = this.#input;
     if (!this.#pass) {
       this.#reply.begin(read.status, read.headers, read.bodyBytes);
-      const onChunk = () => {
+      this.#pass = passOf(this.#reply, this.#needsEvents(), () => {
         this.#send?.noteChunk();
         this.#record.noteChunk();
-      };
-      // The VM that the caller is connected to resumes; a second one would count its sends from zero.
-      const needsEvents = this.#service.engine?.moves ||
-        (route.resumable && !relayed);
-      this.#pass = route.kind === "stream" && needsEvents
-        ? new EventPass(this.#reply, onChunk)
-        : new RawPass(this.#reply, onChunk);
+      });
     } else if (this.#pass instanceof EventPass) this.#pass.dropPart();
     this.#send = send;
     return this.#pass.run(answer);
   }
 
+  /** Whether the answer may go on from another upstream. */
+  #needsEvents(): boolean {
+    const { route, relayed } = this.#input;
+    const { engine } = this.#service;
+    // The VM that the caller is connected to resumes; a second one would count its sends from zero.
+    const resumes = route.resumable && !relayed;
+    return route.kind === "stream" &&
+      (engine?.moves === true || resumes);
+  }
+
   /** Looks whether a stream is better off at another engine. */
   readonly #onStreamCheck = (): void => {
-    const { engine } = this.#service;
     const send = this.#send;
-    if (
-      !engine?.moves || !(send instanceof UpstreamSend) ||
-      !(this.#pass instanceof EventPass)
-    ) return;
-    const { expectedOutputTokens } = this.#input.head;
-    this.#move.consider({
-      candidate: send.candidate,
-      eventsLeft: expectedOutputTokens / engine.tokensPerEvent -
-        this.#pass.events,
-      others: () =>
-        this.#context.upstreams.candidates(this.#service).filter(({ key }) =>
-          key !== send.candidate.key
-        ),
-    });
+    if (!(send instanceof UpstreamSend && this.#pass instanceof EventPass)) {
+      return;
+    }
+    this.#move.consider(
+      send.candidate,
+      this.#pass.events,
+      () => this.#places.othersThan(send.candidate),
+    );
   };
 
   /** Whether a failed answer is left aside for another send. */
   #sendsFailedAgain({ answer, read }: Answered): boolean {
-    if (!this.#hasOtherHere() || !this.#mayRunAgain(true)) return false;
+    if (!this.#places.hasOtherHere() || !this.#mayRunAgain(true)) return false;
     answer.resume();
     this.#mayHaveRun = true;
     this.#record.sentAgain(`upstream answered ${read.status}`);
@@ -295,7 +297,7 @@
   #unanswered(send: Send, head: Unanswered): void {
     // A VM that is gone says nothing of its region: another one there may take the request.
     if (send instanceof RelaySend && !head.reached) {
-      this.#triedRegions.delete(send.region);
+      this.#places.forgetTriedRegion(send.region);
     }
     if (head.arrived) this.#record.sends++;
     this.#record.arrivals += head.arrivals;
@@ -328,55 +330,6 @@
     this.#reply.breakOff();
   }
 
-  #next(): Step<LinkedCandidate> {
-    const { clock, upstreams, random, settings } = this.#context;
-    const { route, head, relayed, deadlineMonoMs } = this.#input;
-    const { region } = settings.vm;
-    const isHome = this.#isHome;
-    return nextStep({
-      nowMs: clock.monoMs(),
-      arrivedMs: this.#arrivedMs,
-      deadlineMs: deadlineMonoMs,
-      objectiveMs: route.objectiveMs,
-      candidates: isHome(region)
-        ? upstreams.candidates(this.#service, this.#prompt).filter(({ key }) =>
-          !this.#tried.has(key)
-        )
-        : [],
-      regions: relayed ? [] : this.#regions(),
-      affinity: affinityOf(head.promptParts),
-      isLong: isLongAnswer(head.outputTokens),
-      draw: random.next(),
-    });
-  }
-
-  /** Whether a region may serve, cache and hold the request. */
-  readonly #isHome = (region: string): boolean => {
-    const { homeRegions } = this.#input.route;
-    return homeRegions.length === 0 || homeRegions.includes(region);
-  };
-
-  #regions(): RegionRoom[] {
-    const { route, config } = this.#input;
-    const { name } = this.#service;
-    const isFree = route.homeRegions.length === 0;
-    return this.#context.relays.regions(
-      name,
-      (region) => this.#isHome(region) && !this.#triedRegions.has(region),
-      (region) => isFree && config.isHomeOf(name, region),
-    );
-  }
-
-  /**
-   * Whether an upstream of this region has room for one more try. An upstream's own failure is passed on otherwise: a
-   * caller that comes back with a new attempt is served sooner than by a hand-over, and the answer is true.
-   */
-  #hasOtherHere(): boolean {
-    const step = this.#next();
-    return step.type === "send" &&
-      hasRoom(step.candidate, isLongAnswer(this.#input.head.outputTokens));
-  }
-
   #mayRunAgain(mayHaveRun: boolean): boolean {
     const { route } = this.#input;
     const { clock, members } = this.#context;
--- a/src/gateway/call_record.ts
+++ b/src/gateway/call_record.ts
@@ -52,6 +52,12 @@
     this.#arrivedMonoMs = arrivedMonoMs;
   }
 
+  /** Notes that an upstream took the request for its own. */
+  noteArrival(): void {
+    this.sends++;
+    this.arrivals++;
+  }
+
   /** Notes that bytes of an answer came. */
   noteChunk(): void {
     const nowMs = this.#context.clock.monoMs();
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -80,7 +80,8 @@
       leastLeaseMs: settings.store.leastLeaseMs,
       port: settings.listen.beats,
       seedIps: settings.seeds.map((address) => hostPort(address).host),
-      describe: (sameRegion) => ({
+      onBeat: (beat) => upstreams.noteHeld(beat.held),
+      describe: (sameRegion, everyMs) => ({
         ready: directory.isReady,
         leaving: context.isLeaving,
         ...(context.isLeaving
@@ -89,10 +90,12 @@
         configVersion: beliefs.config?.version ?? 0,
         revisions: beliefs.revisions,
         isServed: beliefs.isServed,
+        held: upstreams.heldWithin(everyMs),
         ...(sameRegion ? { load: upstreams.load() } : {
           room: roomOf(
             beliefs.config,
             (service) => upstreams.candidates(service),
+            (service) => upstreams.pace(service),
           ),
         }),
       }),
--- a/src/gateway/members.ts
+++ b/src/gateway/members.ts
@@ -15,44 +15,7 @@
   Task,
 } from "../kernel/mod.ts";
 import { VM_PREFIX } from "../platform/mod.ts";
-import type { Revisions } from "./beliefs.ts";
-import type { Room } from "./room.ts";
-
-/** Who a VM is. */
-export interface VmRecord {
-  readonly id: string;
-  readonly ip: string;
-  readonly region: string;
-  readonly failureDomain: string;
-  /** Start of its process, Unix ms: tells one start from the next. */
-  readonly bornMs: number;
-}
-
-/**
- * What one VM has under way at one upstream: requests running, and prompt tokens that wait there. A pair and no record,
- * since a heartbeat carries one for each upstream that the VM uses.
- */
-export type UpstreamLoad = readonly [running: number, waitingTokens: number];
-
-/** What a VM tells the others with each heartbeat. */
-export interface Beat extends VmRecord {
-  /** The sender's time from one heartbeat to the next, in ms; silence is judged by it. */
-  readonly everyMs: number;
-  readonly ready: boolean;
-  readonly leaving: boolean;
-  /** While leaving: how long it still serves, in ms from the heartbeat on. */
-  readonly servesMs?: number;
-  readonly configVersion: number;
-  readonly revisions: Revisions;
-  /** Whether the store answers the sender's questions about upstreams. */
-  readonly isServed: boolean;
-  /** Load by upstream key; only to VMs of the same region. */
-  readonly load?: Readonly<Record<string, UpstreamLoad>>;
-  /** Free places by service in the sender's region; only to other regions. */
-  readonly room?: Room;
-  /** Some VMs that the sender sees. */
-  readonly others?: readonly VmRecord[];
-}
+import { type Beat, decodeBeat, isVmRecord, type VmRecord } from "./beat.ts";
 
 /** A VM as this one sees it. */
 export interface Member extends VmRecord {
@@ -69,10 +32,13 @@
   readonly port: number;
   /** Addresses of some VMs. */
   readonly seedIps: readonly string[];
-  /** What this VM says of itself. */
+  /** What this VM says of itself, to VMs of its region or of others, every `everyMs`. */
   readonly describe: (
     sameRegion: boolean,
+    everyMs: number,
   ) => Omit<Beat, keyof VmRecord | "everyMs" | "others">;
+  /** Called with each heartbeat of another VM. */
+  readonly onBeat: (beat: Beat) => void;
 }
 
 /** How often it is looked whether a heartbeat is due. */
@@ -117,31 +83,6 @@
   return Math.max(SILENT_MS, beat.everyMs * SILENT_BEATS);
 }
 
-function isRecord(value: unknown): value is VmRecord {
-  const vm = value as Partial<VmRecord> | null;
-  return typeof vm?.id === "string" && typeof vm.ip === "string" &&
-    typeof vm.region === "string" &&
-    typeof vm.failureDomain === "string" && typeof vm.bornMs === "number";
-}
-
-/** Reads a datagram; `undefined` if it is no heartbeat. */
-export function decodeBeat(datagram: Buffer): Beat | undefined {
-  try {
-    const { method, params } = JSON.parse(datagram.toString("utf8")) as {
-      method?: string;
-      params?: unknown;
-    };
-    if (method !== "beat" || !isRecord(params)) return undefined;
-    const beat = params as Beat;
-    return typeof beat.revisions?.operators === "number" &&
-        typeof beat.everyMs === "number"
-      ? beat
-      : undefined;
-  } catch {
-    return undefined;
-  }
-}
-
 /** See the module. */
 export class Members extends Task {
   readonly name = "members";
@@ -278,7 +219,12 @@
     const { self, describe } = this.#options;
     // Loads fill the heartbeats inside the region; the others have space for names.
     const others = sameRegion ? undefined : this.#someOthers();
-    const params: Beat = { ...self, everyMs, ...describe(sameRegion), others };
+    const params: Beat = {
+      ...self,
+      everyMs,
+      ...describe(sameRegion, everyMs),
+      others,
+    };
     return Buffer.from(
       JSON.stringify({ jsonrpc: "2.0", method: "beat", params }),
     );
@@ -310,6 +256,7 @@
       heardMonoMs: this.#clock.monoMs(),
     });
     this.#named.delete(beat.id);
+    this.#options.onBeat(beat);
     if (!before || before.bornMs !== beat.bornMs) {
       this.#log.info("vm known", {
         peer: beat.id,
@@ -328,7 +275,7 @@
   }
 
   #name(vm: VmRecord): void {
-    if (!isRecord(vm) || vm.id === this.#options.self.id) return;
+    if (!isVmRecord(vm) || vm.id === this.#options.self.id) return;
     const known = this.#members.get(vm.id);
     if (known && known.bornMs >= vm.bornMs) return;
     this.#named.set(vm.id, vm);
--- a/src/gateway/near_loads.ts
+++ b/src/gateway/near_loads.ts
@@ -4,7 +4,8 @@
  * @module
  */
 
-import type { Member, UpstreamLoad } from "./members.ts";
+import type { UpstreamLoad } from "./beat.ts";
+import type { Member } from "./members.ts";
 
 /**
  * How long a sum is used. Heartbeats of all neighbours together come some 70 times a second, and a request asks for the
--- a/src/gateway/pass_on.ts
+++ b/src/gateway/pass_on.ts
@@ -136,3 +136,14 @@
     return this.#held;
   }
 }
+
+/** Passes an answer on; `needsEvents` if it may go on from another upstream after a break. */
+export function passOf(
+  reply: Reply,
+  needsEvents: boolean,
+  onChunk: () => void,
+): BodyPass {
+  return needsEvents
+    ? new EventPass(reply, onChunk)
+    : new RawPass(reply, onChunk);
+}
--- a/src/gateway/room.ts
+++ b/src/gateway/room.ts
@@ -5,6 +5,7 @@
  */
 
 import {
+  type EnginePace,
   type GatewayConfig,
   type RegionPlaces,
   regionRoom,
@@ -19,10 +20,15 @@
 export function roomOf(
   config: GatewayConfig | undefined,
   candidates: (service: ServiceRow) => readonly StepCandidate[],
+  pace: (service: ServiceRow) => EnginePace,
 ): Room {
   const room: Record<string, RegionPlaces> = {};
   for (const service of config?.services() ?? []) {
-    const places = regionRoom(candidates(service));
+    const places = regionRoom(candidates(service), {
+      ...config!.boundsOf(service.name),
+      pace: pace(service),
+      isLong: service.engine !== undefined,
+    });
     if (places.queue > 0) room[service.name] = places;
   }
   return room;
--- a/src/gateway/send.ts
+++ b/src/gateway/send.ts
@@ -11,6 +11,7 @@
   decodeAnswer,
   type UpstreamAnswer,
 } from "../platform/mod.ts";
+import type { PromptPart } from "../routing/mod.ts";
 import type { GatewayContext } from "./context.ts";
 import { Exchange, type ExchangeFailure } from "./exchange.ts";
 import type { Member } from "./members.ts";
@@ -36,10 +37,14 @@
   readonly deadlineMonoMs: number;
   /** Prompt tokens that the upstream will have to read, as far as known; 0 for plain services. */
   readonly promptTokens: number;
+  /** Parts of the prompt. */
+  readonly parts: readonly PromptPart[];
   /** `IP:PORT` of an engine that keeps the prompt's shared parts. */
   readonly fetchFrom: string | undefined;
   /** `IP:PORT/HANDLE` of the memory that a moved stream goes on from. */
   readonly goesOnFrom: string | undefined;
+  /** Order of admission at an engine, 0 first; `undefined` for plain services. */
+  readonly urgency: number | undefined;
   /** Called now and then while a stream runs at an upstream of this region. */
   readonly onStreamCheck: () => void;
   /** Without any answer for this long, the send may be given up; `Infinity` to wait until the deadline. */
@@ -88,6 +93,11 @@
     this.sendable = sendable;
   }
 
+  /** Whether a stream goes on by it from its memory, as the same run. */
+  get goesOn(): boolean {
+    return this.sendable.goesOnFrom !== undefined;
+  }
+
   /** Waits for the head of the answer. */
   async head(): Promise<Answered | Unanswered> {
     const { patienceMs, hasOther } = this.sendable;
@@ -158,6 +168,7 @@
     const nowMs = context.clock.monoMs();
     this.#sentMonoMs = nowMs;
     link.open(nowMs, this.#waitingTokens);
+    candidate.pace.noteSend(this.#waitingTokens);
     this.exchange = new Exchange({
       agent: link.agent,
       host: upstream.host,
@@ -169,6 +180,7 @@
         workMs: sendable.deadlineMonoMs - nowMs,
         fetchFrom: sendable.fetchFrom,
         goesOnFrom: sendable.goesOnFrom,
+        urgency: sendable.urgency,
       }),
       body: sendable.body,
       connectWaitMs: CONNECT_WAIT_MS,
@@ -191,12 +203,17 @@
 
   #learnPace(nowMs: number): void {
     const { pace, upstream, waitingTokens } = this.#candidate;
-    if (!pace) return;
     if (this.#lastChunkMonoMs !== undefined) {
-      const beside = this.context.upstreams.waitingTokens(upstream.key);
-      pace.noteGap(beside, nowMs - this.#lastChunkMonoMs);
+      const { upstreams } = this.context;
+      pace.noteGap(
+        upstreams.waitingTokens(upstream.key),
+        upstreams.running(upstream.key),
+        nowMs - this.#lastChunkMonoMs,
+      );
       return;
     }
+    const shared = this.sendable.parts.slice(0, -1);
+    this.context.upstreams.holders.noteRead(shared, upstream.key, nowMs);
     // A prompt behind as much again starts by the others' reading, which is known late.
     if (this.#waitingTokens > waitingTokens) {
       pace.noteFirstEvent(
--- a/src/gateway/stream_move.ts
+++ b/src/gateway/stream_move.ts
@@ -6,7 +6,12 @@
 
 import { readText } from "../adapters/mod.ts";
 import { decodeMove, encodeMove, MOVE_PATH } from "../platform/mod.ts";
-import { isPressed, moveTarget } from "../routing/mod.ts";
+import {
+  type EngineShape,
+  isPressed,
+  moveTarget,
+  type ServiceRow,
+} from "../routing/mod.ts";
 import type { CallInput } from "./call_input.ts";
 import type { GatewayContext } from "./context.ts";
 import { Exchange } from "./exchange.ts";
@@ -17,20 +22,12 @@
 const CONNECT_WAIT_MS = 250;
 
 /** Where a stream goes on. */
-export interface MovedTo {
+export interface GoesOn {
   readonly candidate: LinkedCandidate;
   /** Names the memory that it goes on from. */
   readonly goesOnFrom: string;
 }
 
-/** The state of a stream that may move. */
-export interface MovableStream {
-  readonly candidate: LinkedCandidate;
-  readonly eventsLeft: number;
-  /** Engines that it may go on at. */
-  readonly others: () => readonly LinkedCandidate[];
-}
-
 /** Moves of one stream: each costs it a pause, and who left this many engines would leave the next one too. */
 const MOST_MOVES = 4;
 
@@ -38,22 +35,38 @@
 export class StreamMove {
   readonly #context: GatewayContext;
   readonly #input: CallInput;
-  #moving: Promise<MovedTo | undefined> | undefined;
+  readonly #engine: EngineShape | undefined;
+  #moving: Promise<GoesOn | undefined> | undefined;
   #moves = 0;
 
-  constructor(context: GatewayContext, input: CallInput) {
+  constructor(
+    context: GatewayContext,
+    input: CallInput,
+    { engine }: ServiceRow,
+  ) {
     this.#context = context;
     this.#input = input;
+    this.#engine = engine;
   }
 
-  /** Looks whether the stream is better off elsewhere, and starts the move if so. */
-  consider({ candidate, eventsLeft, others }: MovableStream): void {
+  /**
+   * Looks whether a stream that has brought `events` so far is better off at one of `others`, and starts the move if so.
+   */
+  consider(
+    candidate: LinkedCandidate,
+    events: number,
+    others: () => readonly LinkedCandidate[],
+  ): void {
     const { pace, key } = candidate;
-    if (this.#moving || !pace || this.#moves >= MOST_MOVES) return;
+    if (!this.#engine?.moves || this.#moving || this.#moves >= MOST_MOVES) {
+      return;
+    }
+    const { head, route } = this.#input;
     const stream = {
       waitingTokens: this.#context.upstreams.waitingTokens(key),
-      eventsLeft,
-      eventGapMs: this.#input.route.eventGapMs,
+      eventsLeft: head.expectedOutputTokens / this.#engine.tokensPerEvent -
+        events,
+      eventGapMs: route.eventGapMs,
     };
     if (!isPressed(stream, pace)) return;
     const target = moveTarget(
@@ -70,14 +83,14 @@
       fromTokens: stream.waitingTokens,
       toTokens: target.waitingTokens,
       toRunning: target.running,
-      eventsLeft: Math.round(eventsLeft),
+      eventsLeft: Math.round(stream.eventsLeft),
     });
     this.#moves++;
     this.#moving = this.#move(candidate, target);
   }
 
   /** Where the stream goes on after it stopped; `undefined` if it was not moved. */
-  async outcome(): Promise<MovedTo | undefined> {
+  async moved(): Promise<GoesOn | undefined> {
     const movedTo = await this.#moving;
     this.#moving = undefined;
     return movedTo;
@@ -86,7 +99,7 @@
   async #move(
     from: LinkedCandidate,
     to: LinkedCandidate,
-  ): Promise<MovedTo | undefined> {
+  ): Promise<GoesOn | undefined> {
     const { attemptId } = this.#input.head;
     const { clock, metrics, log } = this.#context;
     const exchange = new Exchange({
--- a/src/gateway/upstreams.ts
+++ b/src/gateway/upstreams.ts
@@ -18,14 +18,17 @@
   EnginePace,
   fetchSource,
   type Fleet,
+  type HeldPart,
   type KnownUpstream,
+  PartHolders,
   type PromptPart,
   type ServiceRow,
   type StepCandidate,
   UpstreamHealth,
 } from "../routing/mod.ts";
 import { Connections } from "./connections.ts";
-import type { Member, UpstreamLoad } from "./members.ts";
+import type { UpstreamLoad } from "./beat.ts";
+import type { Member } from "./members.ts";
 import { NearLoads } from "./near_loads.ts";
 
 /** Connections of an upstream that is known no more are kept this long, for the answers that are still under way. */
@@ -39,10 +42,6 @@
 const SILENCE_CHECK_MS = 100;
 /** Streams beside a prompt that is read pause from its start on; a tenth of the shortest pause allowed is lost by looking. */
 const STREAM_CHECK_MS = 25;
-/** How long a part of a prompt is taken for kept: engines turn their cache over in ten seconds or more at their peak. */
-const PART_KEPT_MS = 10_000;
-/** Parts remembered for one upstream; more do not fit its memory. */
-const MOST_PARTS = 512;
 
 /** This VM's side of one upstream. */
 export class UpstreamLink {
@@ -57,8 +56,6 @@
 
   #quietSinceMs: number;
   #owner: { readonly vms: readonly Member[]; readonly id: string } | undefined;
-  /** Parts of prompts sent there, with the time of the last send. */
-  readonly #parts = new Map<string, number>();
 
   constructor(nowMs: number) {
     this.agent = new Connections({});
@@ -104,40 +101,14 @@
     this.health.note("lost", nowMs);
     return true;
   }
-
-  /** Notes the parts of a prompt that is sent. */
-  notePrompt(parts: readonly PromptPart[], nowMs: number): void {
-    for (const { id } of parts) {
-      // A part that is used again moves to the end, so that the oldest come first.
-      this.#parts.delete(id);
-      this.#parts.set(id, nowMs);
-    }
-    for (const [id, usedMs] of this.#parts) {
-      if (this.#parts.size <= MOST_PARTS && nowMs - usedMs < PART_KEPT_MS) {
-        break;
-      }
-      this.#parts.delete(id);
-    }
-  }
-
-  /** Tokens at the start of a prompt that were sent there lately. */
-  warmTokens(parts: readonly PromptPart[], nowMs: number): number {
-    let tokens = 0;
-    for (const part of parts) {
-      const usedMs = this.#parts.get(part.id);
-      if (usedMs === undefined || nowMs - usedMs > PART_KEPT_MS) break;
-      tokens += part.tokens;
-    }
-    return tokens;
-  }
 }
 
 /** An upstream with the link to it. */
 export interface LinkedCandidate extends StepCandidate {
   readonly upstream: KnownUpstream;
   readonly link: UpstreamLink;
-  /** What is known of the engines' speed; absent for plain services. */
-  readonly pace: EnginePace | undefined;
+  /** What is known of the engines' speed. */
+  readonly pace: EnginePace;
   /** Prompt tokens that it will have to read. */
   readonly unreadTokens: number;
 }
@@ -159,6 +130,8 @@
 /** See the module. */
 export class Upstreams extends Task {
   readonly name = "upstreams";
+  /** Which engines hold which parts of prompts. */
+  readonly holders = new PartHolders();
   readonly #fleet: Fleet;
   readonly #nearLoads: NearLoads;
   readonly #self: { readonly id: string; readonly region: string };
@@ -214,6 +187,21 @@
     return { links, paces };
   }
 
+  /** Shared parts that engines read for this VM in the last `ms`. */
+  heldWithin(ms: number): HeldPart[] {
+    return this.holders.readWithin(ms, this.#clock.monoMs());
+  }
+
+  /** Takes in what another VM says that engines hold; anything else than pairs of texts is left out. */
+  noteHeld(held: readonly HeldPart[] | undefined): void {
+    if (!Array.isArray(held)) return;
+    const nowMs = this.#clock.monoMs();
+    for (const pair of held) {
+      if (!Array.isArray(pair)) continue;
+      this.holders.noteTold([String(pair[0]), String(pair[1])], nowMs);
+    }
+  }
+
   /** What this VM has under way, by upstream key. */
   load(): Record<string, UpstreamLoad> {
     const load: Record<string, UpstreamLoad> = {};
@@ -232,6 +220,7 @@
     const shared = parts.slice(0, -1);
     const vms = this.#nearLoads.vms(nowMs);
     const pace = this.pace(service);
+    const { holders } = this;
     return this.#fleet.of(service.name, this.#self.region).map((upstream) => {
       const link = this.#link(upstream.key, nowMs);
       const cold = service.coldPerS > 0 && upstream.coldUntilMs > nowMs;
@@ -247,7 +236,10 @@
         paced: !cold ||
           (link.coldOwner(upstream.key, this.#self.id, vms) ===
               this.#self.id && link.coldPace.ready(nowMs)),
-        unreadTokens: Math.max(0, tokens - link.warmTokens(shared, nowMs)),
+        unreadTokens: Math.max(
+          0,
+          tokens - holders.warmTokens(shared, upstream.key, nowMs),
+        ),
         upstream,
         link,
         pace,
@@ -255,9 +247,8 @@
     });
   }
 
-  /** What is known of the speed of a service's engines; `undefined` for plain services. */
-  pace({ name, engine }: ServiceRow): EnginePace | undefined {
-    if (!engine) return undefined;
+  /** What is known of the speed of a service's engines; plain services read nothing and keep the first figures. */
+  pace({ name }: ServiceRow): EnginePace {
     let pace = this.#paces.get(name);
     if (!pace) {
       pace = new EnginePace();
@@ -266,6 +257,12 @@
     return pace;
   }
 
+  /** Requests that run at an upstream, by all VMs of the region as far as known. */
+  running(upstreamKey: string): number {
+    const [near] = this.#nearLoads.at(upstreamKey, this.#clock.monoMs());
+    return near + (this.#links.get(upstreamKey)?.running ?? 0);
+  }
+
   /** Prompt tokens that wait at an upstream, by all VMs of the region as far as known. */
   waitingTokens(upstreamKey: string): number {
     const [, near] = this.#nearLoads.at(upstreamKey, this.#clock.monoMs());
@@ -284,7 +281,7 @@
       upstream.coldUntilMs > nowMs &&
       !link.coldPace.tryTake(nowMs, service.coldPerS)
     ) return false;
-    link.notePrompt(parts.slice(0, -1), nowMs);
+    this.holders.noteSent(parts.slice(0, -1), upstream.key, nowMs);
     return true;
   }
 
@@ -297,7 +294,12 @@
   ): string | undefined {
     if (!engine) return undefined;
     const everywhere = this.#fleet.ofRegions(name, isAllowed);
-    const source = fetchSource(upstream, everywhere, parts);
+    const source = fetchSource(
+      upstream,
+      everywhere,
+      parts,
+      (partId) => this.holders.holders(partId, this.#clock.monoMs()),
+    );
     return source && `${source.host}:${source.port}`;
   }
 
--- a/src/platform/upstream_wire.ts
+++ b/src/platform/upstream_wire.ts
@@ -75,17 +75,20 @@
   readonly fetchFrom?: string;
   /** `IP:PORT/HANDLE` of the memory that the stream goes on from; see {@link RunMoved}. */
   readonly goesOnFrom?: string;
+  /** From 0, which is admitted first, to 9. */
+  readonly urgency?: number;
 }
 
 /** The headers of one send. */
 export function addressTo(
   forwarded: readonly string[],
-  { upstreamId, workMs, fetchFrom, goesOnFrom }: SendAddress,
+  { upstreamId, workMs, fetchFrom, goesOnFrom, urgency }: SendAddress,
 ): string[] {
   return [
     ...forwarded,
     ...(fetchFrom === undefined ? [] : ["Kv-Fetch", fetchFrom]),
     ...(goesOnFrom === undefined ? [] : ["Kv-From", goesOnFrom]),
+    ...(urgency === undefined ? [] : ["Request-Urgency", String(urgency)]),
     "Deadline-Ms",
     String(Math.max(1, Math.floor(workMs))),
     "Expect-Instance",
--- a/src/routing/budget.ts
+++ b/src/routing/budget.ts
@@ -47,7 +47,14 @@
 
   /** Takes one repeat if there is one left; `vms` is how many VMs share the slack. */
   tryTake(nowMs: number, vms: number): boolean {
-    const bucket = this.#bucket(nowMs);
+    if (!this.hasOne(nowMs, vms)) return false;
+    this.#bucket(nowMs).repeats++;
+    return true;
+  }
+
+  /** Whether {@link RepeatBudget.tryTake} would succeed. */
+  hasOne(nowMs: number, vms: number): boolean {
+    this.#bucket(nowMs);
     const { ratio, slack } = this.#bounds;
     let requests = 0;
     let repeats = 0;
@@ -56,9 +63,7 @@
       repeats += held.repeats;
     }
     const allowed = USED_SHARE * (ratio * requests + slack / Math.max(1, vms));
-    if (repeats + 1 > allowed) return false;
-    bucket.repeats++;
-    return true;
+    return repeats + 1 <= allowed;
   }
 
   #bucket(nowMs: number): Bucket {
--- a/src/routing/config.ts
+++ b/src/routing/config.ts
@@ -9,6 +9,15 @@
 
 const HASH_RANGE = 0x1_0000_0000;
 
+/** What all routes to a service ask for together. */
+export type ServiceBounds = Pick<
+  Route,
+  "objectiveMs" | "eventGapMs" | "timeoutMs"
+>;
+
+/** Of a service that no route sends to. */
+const NO_BOUNDS = { objectiveMs: 1_000, eventGapMs: 0, timeoutMs: 10_000 };
+
 /** See the module. */
 export class GatewayConfig {
   readonly version: number;
@@ -17,6 +26,7 @@
   readonly #byHost = new Map<string, Route[]>();
   /** Regions that some routes to a service are bound to. */
   readonly #homes = new Map<string, Set<string>>();
+  readonly #bounds = new Map<string, ServiceBounds>();
   readonly #services = new Map<string, ServiceRow>();
 
   constructor(
@@ -36,6 +46,7 @@
         const homes = this.#homes.get(service) ?? new Set();
         for (const home of route.homeRegions) homes.add(home);
         this.#homes.set(service, homes);
+        this.#noteBounds(service, route);
       }
     }
     for (const list of this.#byHost.values()) {
@@ -44,6 +55,19 @@
     for (const service of services) this.#services.set(service.name, service);
   }
 
+  #noteBounds(
+    service: string,
+    { objectiveMs, eventGapMs, timeoutMs }: Route,
+  ): void {
+    const before = this.#bounds.get(service);
+    const gaps = [before?.eventGapMs ?? 0, eventGapMs].filter((ms) => ms > 0);
+    this.#bounds.set(service, {
+      objectiveMs: Math.min(before?.objectiveMs ?? Infinity, objectiveMs),
+      eventGapMs: gaps.length === 0 ? 0 : Math.min(...gaps),
+      timeoutMs: Math.max(before?.timeoutMs ?? 0, timeoutMs),
+    });
+  }
+
   /** The route with the longest prefix of the path; `target` may carry a query. */
   match(host: string, target: string): Route | undefined {
     const path = target.split("?", 1)[0];
@@ -57,6 +81,11 @@
     return this.#homes.get(service)?.has(region) ?? false;
   }
 
+  /** The shortest objective and pause, and the longest time, of the routes to a service. */
+  boundsOf(service: string): ServiceBounds {
+    return this.#bounds.get(service) ?? NO_BOUNDS;
+  }
+
   service(name: string): ServiceRow | undefined {
     return this.#services.get(name);
   }
--- a/src/routing/move.ts
+++ b/src/routing/move.ts
@@ -31,7 +31,7 @@
   { waitingTokens, eventsLeft, eventGapMs }: RunningStream,
   pace: EnginePace,
 ): boolean {
-  return eventGapMs > 0 && eventsLeft >= LEAST_EVENTS_LEFT &&
+  return pace.canExceed(eventGapMs) && eventsLeft >= LEAST_EVENTS_LEFT &&
     pace.pauseMs(waitingTokens) >= eventGapMs * PRESSED_SHARE;
 }
 
--- a/src/routing/move_test.ts
+++ b/src/routing/move_test.ts
@@ -3,6 +3,7 @@
 import { EnginePace, moveTarget, type StepCandidate } from "./mod.ts";
 
 const pace = new EnginePace();
+for (let i = 0; i < 50; i++) pace.noteGap(500_000, 20, 900);
 
 function engine(key: string, more: Partial<StepCandidate> = {}): StepCandidate {
   return {
@@ -49,6 +50,14 @@
       });
     }
 
+    // These engines read on and on and their streams still keep within the pause: a move would only cost.
+    it("does not happen at engines whose streams never pause too long", (t) => {
+      const quick = new EnginePace();
+      for (let i = 0; i < 50; i++) quick.noteGap(500_000, 20, 290);
+      const stream = { ...beside, eventGapMs: 300 };
+      t.is(moveTarget(stream, [engine("calm")], quick, 0), undefined);
+    });
+
     // Forty streams leave one engine in the same moment; no count shows yet where the first of them went.
     it("spreads the streams of one engine over the calmer half of the others", (t) => {
       const others = [3, 5, 8, 30, 40].map((running) =>
--- /dev/null
+++ b/src/routing/part_holders.ts
@@ -0,0 +1,120 @@
+/**
+ * Which engines hold which shared parts of prompts, from what was sent where.
+ *
+ * @module
+ */
+
+import type { PromptPart } from "./types.ts";
+
+/** How long a part is taken for kept: engines turn their cache over in ten seconds or more at their peak. */
+const KEPT_MS = 10_000;
+/** Parts remembered; a VM of the largest sites sees some hundred in ten seconds. */
+const MOST_PARTS = 4_096;
+/** Parts told to another VM at once; a heartbeat stays within one datagram. */
+const MOST_TOLD = 16;
+
+/** A part that an engine has read, as one VM tells another. A pair, since heartbeats carry several. */
+export type HeldPart = readonly [partId: string, upstreamKey: string];
+
+/** An engine that was sent a part. */
+interface Holding {
+  readonly upstreamKey: string;
+  readonly sentMonoMs: number;
+  /** Whether it has read the part, so that others can copy it. */
+  readonly isRead: boolean;
+}
+
+/** See the module. Holds what this VM sent and what others told. */
+export class PartHolders {
+  /** By part, the engines that were sent it, the latest last. Parts in the order of their last use. */
+  readonly #holdings = new Map<string, Holding[]>();
+  /** What engines read for this VM, the latest last. */
+  readonly #own: { readonly held: HeldPart; readonly readMonoMs: number }[] =
+    [];
+
+  /** Notes that an engine is sent a prompt with these parts, which others share. */
+  noteSent(
+    shared: readonly PromptPart[],
+    upstreamKey: string,
+    nowMs: number,
+  ): void {
+    for (const { id } of shared) {
+      const isRead = this.#live(id, nowMs).some((holding) =>
+        holding.upstreamKey === upstreamKey && holding.isRead
+      );
+      this.#put(id, { upstreamKey, sentMonoMs: nowMs, isRead });
+    }
+  }
+
+  /** Notes that an engine has read a prompt with these parts for this VM. */
+  noteRead(
+    shared: readonly PromptPart[],
+    upstreamKey: string,
+    nowMs: number,
+  ): void {
+    for (const { id } of shared) {
+      this.#put(id, { upstreamKey, sentMonoMs: nowMs, isRead: true });
+    }
+    const last = shared.at(-1);
+    if (!last) return;
+    this.#own.push({ held: [last.id, upstreamKey], readMonoMs: nowMs });
+    if (this.#own.length > MOST_TOLD) this.#own.shift();
+  }
+
+  /** Notes that an engine has read a part, as another VM told. */
+  noteTold([partId, upstreamKey]: HeldPart, nowMs: number): void {
+    this.#put(partId, { upstreamKey, sentMonoMs: nowMs, isRead: true });
+  }
+
+  /** What engines read for this VM in the last `ms`, to be told to others. */
+  readWithin(ms: number, nowMs: number): HeldPart[] {
+    return this.#own
+      .filter(({ readMonoMs }) => nowMs - readMonoMs <= ms)
+      .map(({ held }) => held);
+  }
+
+  /**
+   * Tokens at the start of a prompt that an engine holds, or will have read when a request that is sent now comes to
+   * its turn. A part is kept with all before it.
+   */
+  warmTokens(
+    shared: readonly PromptPart[],
+    upstreamKey: string,
+    nowMs: number,
+  ): number {
+    let tokens = 0;
+    let warm = 0;
+    for (const { id, tokens: ofPart } of shared) {
+      tokens += ofPart;
+      const isHeld = this.#live(id, nowMs)
+        .some((holding) => holding.upstreamKey === upstreamKey);
+      if (isHeld) warm = tokens;
+    }
+    return warm;
+  }
+
+  /** The engines that a part can be copied from, the latest first. */
+  holders(partId: string, nowMs: number): string[] {
+    return this.#live(partId, nowMs)
+      .filter(({ isRead }) => isRead)
+      .map(({ upstreamKey }) => upstreamKey)
+      .reverse();
+  }
+
+  #put(partId: string, holding: Holding): void {
+    const others = this.#live(partId, holding.sentMonoMs)
+      .filter(({ upstreamKey }) => upstreamKey !== holding.upstreamKey);
+    // A part that is used again moves to the end, so that the oldest come first.
+    this.#holdings.delete(partId);
+    this.#holdings.set(partId, [...others, holding]);
+    if (this.#holdings.size <= MOST_PARTS) return;
+    const [oldest] = this.#holdings.keys();
+    this.#holdings.delete(oldest);
+  }
+
+  #live(partId: string, nowMs: number): Holding[] {
+    return (this.#holdings.get(partId) ?? []).filter(({ sentMonoMs }) =>
+      nowMs - sentMonoMs <= KEPT_MS
+    );
+  }
+}
--- /dev/null
+++ b/src/routing/part_holders_test.ts
@@ -0,0 +1,59 @@
+import { describe, it } from "../base/describe.ts";
+import { PartHolders } from "./mod.ts";
+
+const BOOK = [{ id: "all", tokens: 500 }, { id: "book", tokens: 4_800 }];
+
+describe("routing", () => {
+  describe("holders of shared parts", () => {
+    it("are the engines that have read them, the latest first", (t) => {
+      const holders = new PartHolders();
+      holders.noteRead(BOOK, "a", 0);
+      holders.noteTold(["book", "b"], 100);
+      t.deepEqual(holders.holders("book", 200), ["b", "a"]);
+    });
+
+    // An engine that still reads has nothing to copy from: whoever copies from it reads the part again.
+    it("are not the engines that were only sent them", (t) => {
+      const holders = new PartHolders();
+      holders.noteSent(BOOK, "a", 0);
+      t.deepEqual(holders.holders("book", 100), []);
+      t.is(holders.warmTokens(BOOK, "a", 100), 5_300);
+      t.is(holders.warmTokens(BOOK, "c", 100), 0);
+      holders.noteRead(BOOK, "a", 200);
+      holders.noteSent(BOOK, "a", 300);
+      t.deepEqual(holders.holders("book", 400), ["a"]);
+    });
+
+    it("hold a part with all before it, and no other that begins like it", (t) => {
+      const holders = new PartHolders();
+      holders.noteTold(["book", "b"], 0);
+      holders.noteTold(["all", "c"], 0);
+      t.is(holders.warmTokens(BOOK, "b", 0), 5_300);
+      t.is(holders.warmTokens(BOOK, "c", 0), 500);
+    });
+
+    it("are forgotten after the time in which caches turn over", (t) => {
+      const holders = new PartHolders();
+      holders.noteRead(BOOK, "a", 0);
+      t.deepEqual(holders.holders("book", 20_000), []);
+    });
+
+    // What others told is not told on: it would go round for ever.
+    it("are told to others once, for what was read for this VM", (t) => {
+      const holders = new PartHolders();
+      holders.noteRead(BOOK, "a", 0);
+      holders.noteTold(["other", "b"], 0);
+      t.deepEqual(holders.readWithin(100, 50), [["book", "a"]]);
+      t.deepEqual(holders.readWithin(100, 150), []);
+    });
+
+    it("are bounded in number, in memory and in a message", (t) => {
+      const holders = new PartHolders();
+      for (let i = 0; i < 10_000; i++) {
+        holders.noteRead([{ id: `part${i}`, tokens: 10 }], "a", i / 1_000);
+      }
+      t.deepEqual(holders.holders("part0", 10), []);
+      t.is(holders.readWithin(1_000, 10).length, 16);
+    });
+  });
+});
--- a/src/routing/place.ts
+++ b/src/routing/place.ts
@@ -5,6 +5,7 @@
  */
 
 import { hash32, mix32 } from "../base/mod.ts";
+import type { EnginePace } from "./engine_pace.ts";
 import type { PromptPart } from "./types.ts";
 
 /** An upstream as placing sees it. */
@@ -23,22 +24,31 @@
   readonly doubtful: boolean;
 }
 
-/** Tokens that an engine reads in a millisecond, by the users' sheets (91.8), less what decoding takes meanwhile. */
-const TOKENS_PER_MS = 80;
+/** What a request is placed by, besides the candidates. */
+export interface PlaceTerms {
+  /** What is known of the engines' speed. */
+  readonly pace: EnginePace;
+  /** An answer, or a stream's first event, within this earns its full worth. */
+  readonly objectiveMs: number;
+  /** The longest that a caller is kept. */
+  readonly timeoutMs: number;
+  /** The longest pause between a stream's events that is on time; 0 if none is asked for. */
+  readonly eventGapMs: number;
+  /** Whether the answer is so long that the pace of its tokens decides. */
+  readonly isLong: boolean;
+}
+
 /**
- * Prompt tokens waiting at an engine above which a request is better off elsewhere. They are read in under 400 ms; with
- * the step times of a busy batch that is half of the shortest objective, 800 ms, and the other half covers a cold read
- * of the longest prompts.
+ * Share of the objective that reading what waits at an engine may take; above it a request is better off elsewhere. The
+ * rest is for reading the request itself and the steps of a busy batch up to its first event.
  */
-const MOST_WAITING_TOKENS = 30_000;
+const WAIT_SHARE = 0.4;
 /** Above this share of its slots an engine's next requests wait; the rest is left for what other VMs send meanwhile. */
 const FULL_SHARE = 0.9;
-/**
- * Requests side by side at an engine up to which a long answer still ends in time. A step takes 3.9 ms and 0.05 ms for
- * each request (users' sheet), and reading prompts takes up to half of the time: at 40 a token takes 11 ms, and the
- * longest answers, 950 tokens, just meet their 12 s.
- */
-const MOST_BESIDE_LONG = 40;
+/** Events of a long answer; longer ones are rare. */
+const LONG_ANSWER_EVENTS = 150;
+/** Share of a long answer's time in which its engine generates; in the rest it reads others' prompts. */
+const GENERATING_SHARE = 0.45;
 /** Answers above this many tokens depend on the pace of tokens; shorter ones on the first event alone. */
 const LONG_ANSWER_TOKENS = 150;
 /**
@@ -46,11 +56,15 @@
  * that run there. At 1 a burst that spills makes every engine read every prompt, and the peak outlasts the burst.
  */
 const READ_PRICE = 3;
+/** What one more running request costs the ones beside it and itself: this share of the gap between two events. */
+const COMPANY_SHARE = 0.05;
+/** Share of the allowed pause below which reading does a stream no harm. */
+const HARMLESS_SHARE = 0.4;
 /**
- * What one more running request costs the ones beside it and itself, in ms: 0.05 ms a step (users' sheet) over the 40
- * steps or so until a usual answer's end.
+ * What a stream that comes to pause too long costs, in ms of delay of the request that is placed. A long prompt passes
+ * by an engine with 15 streams if another one can read it within 0.3 s more.
  */
-const RUNNING_MS = 2;
+const HARM_MS = 20;
 
 /** What ties a request to an engine. */
 export interface Affinity {
@@ -77,24 +91,45 @@
 /** Requests that may run at a candidate beside one more, so that it is served as it should. */
 export function comfortableSlots(
   { slots }: Pick<Candidate, "slots">,
-  isLong: boolean,
+  { isLong, pace, timeoutMs }: PlaceTerms,
 ): number {
   const usable = Math.max(1, slots * FULL_SHARE);
-  return isLong ? Math.min(usable, MOST_BESIDE_LONG) : usable;
+  if (!isLong) return usable;
+  const gapMs = timeoutMs * GENERATING_SHARE / LONG_ANSWER_EVENTS;
+  return Math.min(usable, Math.max(1, pace.runningAt(gapMs)));
 }
 
 /** Whether a candidate can start a request about at once, and end it in time. */
-export function hasRoom(candidate: Candidate, isLong: boolean): boolean {
-  return candidate.running < comfortableSlots(candidate, isLong) &&
-    candidate.waitingTokens < MOST_WAITING_TOKENS;
+export function hasRoom(candidate: Candidate, terms: PlaceTerms): boolean {
+  return candidate.running < comfortableSlots(candidate, terms) &&
+    terms.pace.readMs(candidate.waitingTokens) <
+      terms.objectiveMs * WAIT_SHARE;
+}
+
+/** How far a stream beside that much reading is from being on time, from 0 for not at all to 1 for late. */
+function harm({ pace, eventGapMs }: PlaceTerms, waitingTokens: number): number {
+  if (!pace.canExceed(eventGapMs)) return 0;
+  const share = pace.pauseMs(waitingTokens) / eventGapMs;
+  return Math.min(
+    1,
+    Math.max(0, share - HARMLESS_SHARE) / (1 - HARMLESS_SHARE),
+  );
 }
 
 /** What placing a request there costs, in ms of delay for it and those beside it. */
-function costMs(candidate: Candidate, unreadTokens: number): number {
-  const waitMs = candidate.waitingTokens / TOKENS_PER_MS;
-  const readMs = unreadTokens / TOKENS_PER_MS * READ_PRICE;
-  const overMs = Math.max(0, candidate.running - candidate.slots) * 10;
-  return waitMs + readMs + overMs + candidate.running * RUNNING_MS;
+function costMs(
+  { running, slots, waitingTokens }: Candidate,
+  unreadTokens: number,
+  terms: PlaceTerms,
+): number {
+  const { pace } = terms;
+  const waitMs = pace.readMs(waitingTokens);
+  const readMs = pace.readMs(unreadTokens) * READ_PRICE;
+  const harmMs = HARM_MS * running *
+    (harm(terms, waitingTokens + unreadTokens) - harm(terms, waitingTokens));
+  const overMs = Math.max(0, running - slots) * 10;
+  const companyMs = running * pace.pauseMs(0) * COMPANY_SHARE;
+  return waitMs + readMs + harmMs + overMs + companyMs;
 }
 
 /** The upstream that a prompt belongs to on every VM, by rendezvous hashing. */
@@ -123,6 +158,7 @@
 export function rank<C extends Candidate>(
   candidates: readonly C[],
   affinity: Affinity | undefined,
+  terms: PlaceTerms,
 ): C[] {
   const sound = candidates.filter(({ doubtful }) => !doubtful);
   const home = affinity && homeOf(sound, affinity.id);
@@ -135,6 +171,7 @@
         candidate === home
           ? Math.min(homeTokens, candidate.unreadTokens)
           : candidate.unreadTokens,
+        terms,
       ),
     }))
     .sort((a, b) =>
@@ -148,17 +185,20 @@
 const LEAST_FETCH_TOKENS = 1_000;
 
 /**
- * The engine that a request's engine should copy the prompt's shared parts from: the prompt's home in the same region,
- * or for that one the home among all engines that may hold it. Each prompt is then read once in the whole system, at a
- * fifth of the price of reading it again and in a tenth of the time (users' prices: 0.31 a GB moved against 0.14 for
- * 1,000 tokens read again, at 96 KB a token).
+ * The engine that a request's engine should copy the prompt's shared parts from: the prompt's home in the region if it
+ * has read them, or who read them last, or, where nobody knows of one, the home in the region, and for that one the home
+ * among all engines that may hold it. An engine copies only what it lacks, so one that has them is named a source too:
+ * it may have given them up. Each prompt is then read once in the whole system, at a fifth of the price of reading it
+ * again and in a tenth of the time (users' prices: 0.31 a GB moved against 0.14 for 1,000 tokens read again, at 96 KB a
+ * token). `holdersOf` lists the engines that have read a part, the latest first.
  */
 export function fetchSource<
   C extends Pick<Candidate, "key" | "hash"> & { readonly region: string },
 >(
-  target: C,
+  target: Pick<C, "key" | "region">,
   everywhere: readonly C[],
   parts: readonly PromptPart[],
+  holdersOf: (partId: string) => readonly string[],
 ): C | undefined {
   const affinity = affinityOf(parts);
   const sharedTokens = parts.slice(0, -1)
@@ -166,6 +206,12 @@
   if (!affinity || sharedTokens < LEAST_FETCH_TOKENS) return undefined;
   const near = everywhere.filter(({ region }) => region === target.region);
   const nearHome = homeOf(near, affinity.id);
+  const keys = holdersOf(affinity.id).filter((key) => key !== target.key);
+  if (nearHome && keys.includes(nearHome.key)) return nearHome;
+  for (const key of keys) {
+    const holder = everywhere.find((engine) => engine.key === key);
+    if (holder) return holder;
+  }
   if (nearHome && nearHome.key !== target.key) return nearHome;
   const home = homeOf(everywhere, affinity.id);
   return home?.key === target.key ? undefined : home;
--- a/src/routing/place_load_test.ts
+++ b/src/routing/place_load_test.ts
@@ -1,6 +1,6 @@
 import { describe, it } from "../base/describe.ts";
 import { hash32, Random } from "../base/mod.ts";
-import { affinityOf, type Candidate, rank } from "./mod.ts";
+import { affinityOf, type Candidate, EnginePace, rank } from "./mod.ts";
 
 /** One engine of the load below: reads prompts one after the other and keeps the parts that it read last. */
 class ModelEngine {
@@ -14,6 +14,14 @@
 const KEPT_PROMPTS = 40;
 const READ_PER_MS = 91.8;
 
+const TERMS = {
+  pace: new EnginePace(),
+  objectiveMs: 800,
+  timeoutMs: 5_000,
+  eventGapMs: 300,
+  isLong: false,
+};
+
 /** Plays `perS` long prompts a second over 100 subjects on 6 engines for 30 s; answers with the share that starts in time. */
 function playPrompts(
   perS: number,
@@ -82,6 +90,7 @@
             id: "own",
             tokens: OWN_TOKENS,
           }]),
+          TERMS,
         )[0].key,
     );
     t.log(
@@ -104,6 +113,7 @@
             id: "own",
             tokens: OWN_TOKENS,
           }]),
+          TERMS,
         )[0].key,
     );
     t.true(placed > 0.5, placed.toFixed(3));
--- a/src/routing/step.ts
+++ b/src/routing/step.ts
@@ -9,6 +9,7 @@
   type Candidate,
   comfortableSlots,
   hasRoom,
+  type PlaceTerms,
   rank,
 } from "./place.ts";
 import type { Route } from "./types.ts";
@@ -40,14 +41,13 @@
   readonly nowMs: number;
   readonly arrivedMs: number;
   readonly deadlineMs: number;
-  readonly objectiveMs: number;
+  /** What the request is placed by. */
+  readonly terms: PlaceTerms;
   /** Upstreams of this region that were not tried yet; empty if this region may not serve the request. */
   readonly candidates: readonly C[];
   /** Other regions that may serve it; empty if it was handed over already. */
   readonly regions: readonly RegionRoom[];
   readonly affinity: Affinity | undefined;
-  /** Whether the answer is so long that the pace of its tokens decides. */
-  readonly isLong: boolean;
   /** A number in [0, 1) that spreads hand-overs and returns. */
   readonly draw: number;
 }
@@ -86,18 +86,21 @@
  * Requests that an upstream may hold over its slots. Its own queue starts the next one in the step in which one ends,
  * sooner than any message of ours; beyond twice its slots the wait exceeds the objective of the plain services.
  */
-const OVERCOMMIT = 3;
-/** Prompt tokens waiting at an engine beyond which more would start after their objective: a second's reading. */
-const MOST_BACKLOG_TOKENS = 100_000;
+const MOST_SLOTS_QUEUED = 3;
+/** Objectives of reading that may wait at an engine; beyond it what is added starts late, and delays all that follows. */
+const MOST_BACKLOG_OBJECTIVES = 1.4;
 /** When to return to an overloaded service: about as long as its queue takes to run empty. */
 const OVERLOAD_RETURN_MS = 400;
 /** When to return to a service without upstreams: as long as a lost one needs to be found gone or to be back. */
 const ABSENT_RETURN_MS = 1_000;
 
 /** Whether a candidate may take a request although it must wait there. */
-function mayQueue(candidate: StepCandidate): boolean {
-  return candidate.running < candidate.slots * OVERCOMMIT &&
-    candidate.waitingTokens < MOST_BACKLOG_TOKENS;
+function mayQueue(
+  { running, slots, waitingTokens }: StepCandidate,
+  { pace, objectiveMs }: PlaceTerms,
+): boolean {
+  return running < slots * MOST_SLOTS_QUEUED &&
+    pace.readMs(waitingTokens) < objectiveMs * MOST_BACKLOG_OBJECTIVES;
 }
 
 /** Spreads returns over half to one and a half times `ms`, so that those refused together do not return together. */
@@ -135,7 +138,7 @@
 export function nextStep<C extends StepCandidate>(
   input: StepInput<C>,
 ): Step<C> {
-  const { nowMs, deadlineMs, arrivedMs, objectiveMs, draw } = input;
+  const { nowMs, deadlineMs, arrivedMs, terms, draw } = input;
   const leftMs = deadlineMs - nowMs;
   const refusedOn = {
     here: input.candidates.length,
@@ -145,14 +148,14 @@
     return { type: "refuse", reason: "expired", comeBackMs: 0, ...refusedOn };
   }
   const usable = input.candidates.filter(({ aside, paced }) => !aside && paced);
-  const best = rank(usable, input.affinity);
-  if (best.length > 0 && hasRoom(best[0], input.isLong)) {
+  const best = rank(usable, input.affinity, terms);
+  if (best.length > 0 && hasRoom(best[0], terms)) {
     return { type: "send", candidate: best[0] };
   }
   const regions = leftMs > RELAY_MS ? input.regions : [];
   const free = pickRegion(regions, (room) => room.free, draw);
   if (free !== undefined) return { type: "relay", region: free };
-  const queued = best.find(mayQueue);
+  const queued = best.find((candidate) => mayQueue(candidate, terms));
   if (queued) return { type: "send", candidate: queued };
   // Only what has no upstream here waits elsewhere: a full region's queue would fill the others' and reach them late.
   const queue = input.candidates.length === 0
@@ -163,12 +166,13 @@
   const lost = rank(
     input.candidates.filter(({ aside, paced }) => aside && paced),
     input.affinity,
+    terms,
   );
   if (best.length === 0 && lost.length > 0) {
     return { type: "send", candidate: lost[0] };
   }
   const waitEndMs = Math.min(
-    arrivedMs + objectiveMs * WAIT_SHARE,
+    arrivedMs + terms.objectiveMs * WAIT_SHARE,
     deadlineMs - LEAST_WORK_MS,
   );
   if (nowMs < waitEndMs) {
@@ -213,28 +217,29 @@
 
 /** Share of a region's free places that others may count on; the rest is kept for its own callers. */
 const LENT_SHARE = 0.5;
-/** Prompt tokens waiting at an engine beyond which others' requests are better off refused: half a second's reading. */
-const MOST_LENT_BACKLOG_TOKENS = 50_000;
-/** Prompt tokens of a usual request, to count in requests what may still wait. */
-const USUAL_PROMPT_TOKENS = 4_000;
+/** Objectives of reading at an engine beyond which others' requests, which come a link later, are better off refused. */
+const LENT_BACKLOG_OBJECTIVES = 0.7;
 
 /** What a region offers to others, over all its upstreams of a service. */
 export function regionRoom(
   candidates: readonly StepCandidate[],
+  terms: PlaceTerms,
 ): RegionPlaces {
+  const { pace, objectiveMs } = terms;
   let free = 0;
   let queue = 0;
   for (const candidate of candidates) {
     if (candidate.aside || candidate.doubtful) continue;
-    if (hasRoom(candidate, true)) {
-      free += comfortableSlots(candidate, true) - candidate.running;
+    if (hasRoom(candidate, terms)) {
+      free += comfortableSlots(candidate, terms) - candidate.running;
     }
+    const waitMs = pace.readMs(candidate.waitingTokens);
     queue += Math.max(
       0,
       Math.min(
-        candidate.slots * OVERCOMMIT - candidate.running,
-        (MOST_LENT_BACKLOG_TOKENS - candidate.waitingTokens) /
-          USUAL_PROMPT_TOKENS,
+        candidate.slots * MOST_SLOTS_QUEUED - candidate.running,
+        (objectiveMs * LENT_BACKLOG_OBJECTIVES - waitMs) /
+          pace.readMs(pace.promptTokens),
       ),
     );
   }
--- a/test/gateway_test.ts
+++ b/test/gateway_test.ts
@@ -249,6 +249,21 @@
     });
   });
 
+  // An upstream takes longer for an idempotent call than is usual, and another one is free; but the repeats of this window
+  // are used up. Giving the answer up that is still on its way would leave the caller with none.
+  describe("an upstream that is slow", () => {
+    it("is waited for when no repeat is left", async (t) => {
+      const { lab, vm } = await openLab(t, 2);
+      const { bounds } = vm.settings;
+      vm.gateway.reload({
+        ...vm.settings,
+        bounds: { ...bounds, repeatRatio: 0, repeatSlack: 0 },
+      });
+      for (const runner of lab.runners) runner.workMs = 500;
+      t.is((await lab.call(vm, { path: "/safe/" })).status, 200);
+    });
+  });
+
   describe("a stream", () => {
     it("is passed on whole", async (t) => {
       const { lab, vm } = await openLab(t, 1);
