--- a/src/cli/explain.ts
+++ b/src/cli/explain.ts
@@ -1,17 +1,32 @@
 /**
- * `ibisgap explain`: what became of a request, from the logs of the VMs.
+ * `ibisgap explain`: what became of a request, or of all, from the logs of the VMs.
  *
  * @module
  */
 
 import { readFileSync } from "node:fs";
 import { defineCommand } from "citty";
-import { parseLine, storyText, tellStory } from "../explain/mod.ts";
+import {
+  type ParsedLine,
+  parseLine,
+  storyText,
+  summarize,
+  summaryText,
+  tellStory,
+} from "../explain/mod.ts";
 import { exitCodes, print } from "./client.ts";
 
 const STANDARD_INPUT = 0;
 
-/** `ibisgap explain ID FILE...` */
+function readLines(files: readonly string[]): ParsedLine[] {
+  const texts = files.length > 0
+    ? files.map((file) => readFileSync(file, "utf8"))
+    : [readFileSync(STANDARD_INPUT, "utf8")];
+  return texts.flatMap((text) => text.split("\n")).map(parseLine)
+    .filter((line) => line !== undefined);
+}
+
+/** `ibisgap explain ID FILE...`, `ibisgap explain --summary FILE...` */
 export const explain = defineCommand({
   meta: {
     name: "explain",
@@ -21,18 +36,28 @@
   args: {
     attempt: {
       type: "positional",
-      description: "the attempt's id",
-      required: true,
+      description: "the attempt's id (with --summary: a file)",
+      required: false,
+    },
+    summary: {
+      type: "boolean",
+      description:
+        "count all requests by route and by why they were late or lost",
+      default: false,
     },
     json: { type: "boolean", description: "print JSON", default: false },
   },
   run({ args }) {
-    const files = args._.slice(1);
-    const texts = files.length > 0
-      ? files.map((file) => readFileSync(file, "utf8"))
-      : [readFileSync(STANDARD_INPUT, "utf8")];
-    const lines = texts.flatMap((text) => text.split("\n")).map(parseLine)
-      .filter((line) => line !== undefined);
+    if (args.summary) {
+      const counts = summarize(readLines(args._));
+      return print(args.json ? JSON.stringify(counts) : summaryText(counts));
+    }
+    if (args.attempt === undefined) {
+      process.stderr.write("ibisgap: name a request, or ask for --summary\n");
+      process.exitCode = exitCodes.usage;
+      return;
+    }
+    const lines = readLines(args._.slice(1));
     const story = tellStory(args.attempt, lines);
     if (!story) {
       process.stderr.write(
--- a/src/explain/explain_test.ts
+++ b/src/explain/explain_test.ts
@@ -1,5 +1,5 @@
 import { describe, it } from "../base/describe.ts";
-import { parseLine, tellStory } from "./mod.ts";
+import { type Fate, fateOf, parseLine, summarize, tellStory } from "./mod.ts";
 
 const LINES = [
   'time=2026-01-01T00:00:01.000Z level=info event="upstream known" vm=a upstream=u1 state=ready',
@@ -33,4 +33,59 @@
   it("does not make up a story", (t) => {
     t.is(tellStory("nobody", LINES), undefined);
   });
+
+  it("tells a stream that was too slow from an upstream that said nothing", (t) => {
+    const of = (rest: string) =>
+      tellStory("a1", [
+        parseLine(
+          `time=2026-01-01T00:00:09.000Z level=warn event=request vm=a attempt=a1 outcome=upstreamTimeout ${rest}`,
+        )!,
+      ])!.cause;
+    t.regex(of("firstByteMs=288"), /too slow to end before the deadline/);
+    t.regex(of("sends=1"), /did not answer before the deadline/);
+  });
+
+  describe("summary", () => {
+    const line = (rest: string) =>
+      parseLine(
+        `time=2026-01-01T00:00:01.000Z level=info event=request vm=a route=r objectiveMs=800 gapMs=600 ${rest}`,
+      )!;
+    const cases: [string, Fate][] = [
+      ["kind=stream outcome=ok firstByteMs=700 longestPauseMs=90", "on time"],
+      [
+        "kind=stream outcome=ok firstByteMs=900 longestPauseMs=90",
+        "late start",
+      ],
+      [
+        "kind=stream outcome=ok firstByteMs=70 longestPauseMs=601",
+        "long pause",
+      ],
+      ["kind=idempotent outcome=ok firstByteMs=9 totalMs=810", "late start"],
+      ["kind=stream outcome=upstreamTimeout firstByteMs=70", "out of time"],
+      ["kind=stream outcome=streamBroken", "broken"],
+      ["kind=stream outcome=queueFull", "refused"],
+      ["kind=stream outcome=canceled", "caller left"],
+    ];
+    for (const [rest, fate] of cases) {
+      it(`says "${fate}" of ${rest}`, (t) => {
+        t.is(fateOf(line(rest)), fate);
+      });
+    }
+
+    it("counts by route and fate, a request that was handed over once", (t) => {
+      const ok = "kind=stream outcome=ok firstByteMs=1";
+      t.deepEqual(
+        summarize([
+          line(ok),
+          line(ok),
+          line(`${ok} relayed=true`),
+          line("kind=stream outcome=queueFull"),
+        ]),
+        [
+          { route: "r", fate: "on time", requests: 2 },
+          { route: "r", fate: "refused", requests: 1 },
+        ],
+      );
+    });
+  });
 });
--- a/src/explain/mod.ts
+++ b/src/explain/mod.ts
@@ -6,3 +6,4 @@
 
 export * from "./log_line.ts";
 export * from "./story.ts";
+export * from "./summary.ts";
--- a/src/explain/story.ts
+++ b/src/explain/story.ts
@@ -51,6 +51,10 @@
   internal: "a fault of the gateway itself; see the reason",
 };
 
+/** A stream that began, unlike one whose upstream said nothing. */
+const TOO_SLOW =
+  "the upstream began to answer and was too slow to end before the deadline";
+
 function causeOf(
   last: ParsedLine | undefined,
   lines: readonly ParsedLine[],
@@ -68,7 +72,8 @@
     here,
     elsewhere,
   } = last.fields;
-  const parts = [CAUSES[outcome] ?? outcome];
+  const wasSlow = outcome === "upstreamTimeout" && firstByteMs !== undefined;
+  const parts = [wasSlow ? TOO_SLOW : CAUSES[outcome] ?? outcome];
   if (reason && outcome !== "ok") parts.push(`reason: ${reason}`);
   if (place) parts.push(`last place: ${place}`);
   if (here) {
--- a/src/gateway/call_places.ts
+++ b/src/gateway/call_places.ts
@@ -6,8 +6,8 @@
 
 import {
   affinityOf,
+  endGapMs,
   hasRoom,
-  isLongAnswer,
   nextStep,
   type PlaceTerms,
   type RegionRoom,
@@ -83,12 +83,14 @@
 
   #terms(): PlaceTerms {
     const { route, head } = this.#input;
+    const { engine } = this.#service;
     return {
       pace: this.#context.upstreams.pace(this.#service),
       objectiveMs: route.objectiveMs,
-      timeoutMs: route.timeoutMs,
       eventGapMs: route.eventGapMs,
-      isLong: isLongAnswer(head.outputTokens),
+      endGapMs: engine
+        ? endGapMs(route.timeoutMs, head.outputTokens / engine.tokensPerEvent)
+        : Infinity,
     };
   }
 
--- a/src/gateway/room.ts
+++ b/src/gateway/room.ts
@@ -5,6 +5,7 @@
  */
 
 import {
+  endGapMs,
   type EnginePace,
   type GatewayConfig,
   type RegionPlaces,
@@ -16,6 +17,9 @@
 /** Places by service. */
 export type Room = Readonly<Record<string, RegionPlaces>>;
 
+/** Events of a long answer, which a place that is offered should bear; longer ones are rare. */
+const LONG_ANSWER_EVENTS = 150;
+
 /** What this region offers to others, by service. */
 export function roomOf(
   config: GatewayConfig | undefined,
@@ -24,10 +28,16 @@
 ): Room {
   const room: Record<string, RegionPlaces> = {};
   for (const service of config?.services() ?? []) {
+    const { objectiveMs, eventGapMs, timeoutMs } = config!.boundsOf(
+      service.name,
+    );
     const places = regionRoom(candidates(service), {
-      ...config!.boundsOf(service.name),
       pace: pace(service),
-      isLong: service.engine !== undefined,
+      objectiveMs,
+      eventGapMs,
+      endGapMs: service.engine
+        ? endGapMs(timeoutMs, LONG_ANSWER_EVENTS)
+        : Infinity,
     });
     if (places.queue > 0) room[service.name] = places;
   }
--- a/src/routing/engine_pace.ts
+++ b/src/routing/engine_pace.ts
@@ -28,6 +28,8 @@
 const LEAST_RATE_TOKENS = 4_000;
 /** The busy gap swings by some tenth about its quantile; an allowed pause must be exceeded by more. */
 const EXCESS_SHARE = 1.15;
+/** Reading for this long goes on through several steps of each stream beside it, so that its pauses show what it does. */
+const LONG_READING_MS = 250;
 /** A sample may be off by this factor at most; beyond it the engine was cold, lost or lying. */
 const MOST_OFF = 4;
 /** A gap of this length says that the engine stopped, not how fast it is. */
@@ -73,8 +75,7 @@
       this.#noteQuietGap(running, ms);
       return;
     }
-    // Only where reading outlasted the gap does it show the pace of an engine that reads without a break.
-    if (this.readMs(waitingTokens) < this.#busyGapMs) return;
+    if (this.readMs(waitingTokens) < LONG_READING_MS) return;
     const up = ms > this.#busyGapMs ? BUSY_QUANTILE : BUSY_QUANTILE - 1;
     this.#busyGapMs *= 1 + SAMPLE_WEIGHT * up;
   }
--- a/src/routing/move_test.ts
+++ b/src/routing/move_test.ts
@@ -53,7 +53,7 @@
     // These engines read on and on and their streams still keep within the pause: a move would only cost.
     it("does not happen at engines whose streams never pause too long", (t) => {
       const quick = new EnginePace();
-      for (let i = 0; i < 50; i++) quick.noteGap(500_000, 20, 290);
+      for (let i = 0; i < 500; i++) quick.noteGap(500_000, 20, 290);
       const stream = { ...beside, eventGapMs: 300 };
       t.is(moveTarget(stream, [engine("calm")], quick, 0), undefined);
     });
--- a/src/routing/place.ts
+++ b/src/routing/place.ts
@@ -30,12 +30,10 @@
   readonly pace: EnginePace;
   /** An answer, or a stream's first event, within this earns its full worth. */
   readonly objectiveMs: number;
-  /** The longest that a caller is kept. */
-  readonly timeoutMs: number;
   /** The longest pause between a stream's events that is on time; 0 if none is asked for. */
   readonly eventGapMs: number;
-  /** Whether the answer is so long that the pace of its tokens decides. */
-  readonly isLong: boolean;
+  /** Gap between events at which the answer still ends in time; see {@link endGapMs}. */
+  readonly endGapMs: number;
 }
 
 /**
@@ -45,17 +43,13 @@
 const WAIT_SHARE = 0.4;
 /** Above this share of its slots an engine's next requests wait; the rest is left for what other VMs send meanwhile. */
 const FULL_SHARE = 0.9;
-/** Events of a long answer; longer ones are rare. */
-const LONG_ANSWER_EVENTS = 150;
-/** Share of a long answer's time in which its engine generates; in the rest it reads others' prompts. */
+/** Share of an answer's time in which its engine generates; in the rest it reads others' prompts. */
 const GENERATING_SHARE = 0.45;
-/** Answers above this many tokens depend on the pace of tokens; shorter ones on the first event alone. */
-const LONG_ANSWER_TOKENS = 150;
 /**
- * What reading a token costs against waiting for it: it delays this request, every later one, and each token of all
+ * Weight of the time that reading takes against waiting for it: it delays this request, every later one, and each token of all
  * that run there. At 1 a burst that spills makes every engine read every prompt, and the peak outlasts the burst.
  */
-const READ_PRICE = 3;
+const READ_WEIGHT = 3;
 /** What one more running request costs the ones beside it and itself: this share of the gap between two events. */
 const COMPANY_SHARE = 0.05;
 /** Share of the allowed pause below which reading does a stream no harm. */
@@ -83,20 +77,21 @@
   return { id: shared.id, ownTokens: own.tokens };
 }
 
-/** Whether an answer of this many tokens depends on the pace of tokens. */
-export function isLongAnswer(outputTokens: number): boolean {
-  return outputTokens > LONG_ANSWER_TOKENS;
+/**
+ * The gap between events, while nothing is read, at which an answer of `events` ends within `timeoutMs`. Beside more
+ * requests than give this gap a long answer misses its deadline, and an engine elsewhere serves it better.
+ */
+export function endGapMs(timeoutMs: number, events: number): number {
+  return timeoutMs * GENERATING_SHARE / Math.max(1, events);
 }
 
 /** Requests that may run at a candidate beside one more, so that it is served as it should. */
 export function comfortableSlots(
   { slots }: Pick<Candidate, "slots">,
-  { isLong, pace, timeoutMs }: PlaceTerms,
+  { pace, endGapMs }: PlaceTerms,
 ): number {
   const usable = Math.max(1, slots * FULL_SHARE);
-  if (!isLong) return usable;
-  const gapMs = timeoutMs * GENERATING_SHARE / LONG_ANSWER_EVENTS;
-  return Math.min(usable, Math.max(1, pace.runningAt(gapMs)));
+  return Math.min(usable, Math.max(1, pace.runningAt(endGapMs)));
 }
 
 /** Whether a candidate can start a request about at once, and end it in time. */
@@ -124,7 +119,7 @@
 ): number {
   const { pace } = terms;
   const waitMs = pace.readMs(waitingTokens);
-  const readMs = pace.readMs(unreadTokens) * READ_PRICE;
+  const readMs = pace.readMs(unreadTokens) * READ_WEIGHT;
   const harmMs = HARM_MS * running *
     (harm(terms, waitingTokens + unreadTokens) - harm(terms, waitingTokens));
   const overMs = Math.max(0, running - slots) * 10;
--- a/src/routing/place_load_test.ts
+++ b/src/routing/place_load_test.ts
@@ -17,9 +17,8 @@
 const TERMS = {
   pace: new EnginePace(),
   objectiveMs: 800,
-  timeoutMs: 5_000,
   eventGapMs: 300,
-  isLong: false,
+  endGapMs: Infinity,
 };
 
 /** Plays `perS` long prompts a second over 100 subjects on 6 engines for 30 s; answers with the share that starts in time. */
--- a/src/routing/step_test.ts
+++ b/src/routing/step_test.ts
@@ -1,6 +1,7 @@
 import { describe, it } from "../base/describe.ts";
 import { hash32 } from "../base/mod.ts";
 import {
+  endGapMs,
   EnginePace,
   fetchSource,
   homeOf,
@@ -28,11 +29,10 @@
 const TERMS = {
   pace: new EnginePace(),
   objectiveMs: 800,
-  timeoutMs: 12_000,
   eventGapMs: 300,
-  isLong: false,
+  endGapMs: endGapMs(12_000, 10),
 };
-const LONG_TERMS = { ...TERMS, isLong: true };
+const LONG_TERMS = { ...TERMS, endGapMs: endGapMs(12_000, 150) };
 
 function step(more: Partial<StepInput<StepCandidate>> = {}) {
   return nextStep({
