--- /dev/null
+++ b/src/routing/reading_load_test.ts
@@ -0,0 +1,185 @@
+import { describe, it } from "../base/describe.ts";
+import { hash32, Random } from "../base/mod.ts";
+import { EnginePace, moveTarget, rank, type StepCandidate } from "./mod.ts";
+
+const ENGINES = 6;
+const SLOTS = 64;
+const READ_PER_MS = 62;
+const CHUNK_TOKENS = 4_096;
+/** Each token is read against all before it: ms for a million pairs. */
+const MS_PER_M_PAIRS = 0.37;
+const STEP_MS = 4;
+const TOKENS_PER_EVENT = 8;
+const GAP_MS = 600;
+const OBJECTIVE_MS = 800;
+const MOVE_MS = 40;
+const PLAYED_MS = 30_000;
+
+/** A stream of the load below. */
+interface Stream {
+  readonly arrivedMs: number;
+  /** Prompt tokens still to be read, and those that were. */
+  unread: number;
+  read: number;
+  tokensLeft: number;
+  /** Tokens of the event that is being made. */
+  madeOfEvent: number;
+  lastEventMs: number | undefined;
+  firstMs: number;
+  longestGapMs: number;
+  /** Until when it is under way to another engine. */
+  movingUntilMs: number;
+}
+
+/** Reads the prompts that wait, one after the other, a chunk in each step of what runs. */
+class SteppedEngine {
+  nextStepMs = 0;
+  waiting: Stream[] = [];
+  running: Stream[] = [];
+
+  constructor(readonly key: string) {}
+
+  get waitingTokens(): number {
+    return this.waiting.reduce((sum, { unread }) => sum + unread, 0);
+  }
+
+  candidate(unreadTokens: number): StepCandidate {
+    return {
+      key: this.key,
+      hash: hash32(this.key),
+      running: this.running.length + this.waiting.length,
+      waitingTokens: this.waitingTokens,
+      slots: SLOTS,
+      unreadTokens,
+      doubtful: false,
+      aside: false,
+      paced: true,
+    };
+  }
+
+  step(nowMs: number, pace: EnginePace): void {
+    if (nowMs < this.nextStepMs) return;
+    let toRead = CHUNK_TOKENS;
+    let pairs = 0;
+    while (toRead > 0 && this.waiting.length > 0) {
+      const [first] = this.waiting;
+      const read = Math.min(toRead, first.unread);
+      first.unread -= read;
+      pairs += read * first.read;
+      first.read += read;
+      toRead -= read;
+      if (first.unread > 0) break;
+      this.running.push(this.waiting.shift()!);
+    }
+    const endMs = nowMs + STEP_MS + (CHUNK_TOKENS - toRead) / READ_PER_MS +
+      pairs / 1e6 * MS_PER_M_PAIRS;
+    for (const stream of this.running) this.#generate(stream, endMs, pace);
+    this.running = this.running.filter(({ tokensLeft }) => tokensLeft > 0);
+    this.nextStepMs = endMs;
+  }
+
+  #generate(stream: Stream, nowMs: number, pace: EnginePace): void {
+    if (stream.movingUntilMs > nowMs) return;
+    stream.tokensLeft--;
+    if (++stream.madeOfEvent < TOKENS_PER_EVENT) return;
+    stream.madeOfEvent = 0;
+    if (stream.lastEventMs === undefined) {
+      stream.firstMs = nowMs - stream.arrivedMs;
+    } else {
+      const gapMs = nowMs - stream.lastEventMs;
+      stream.longestGapMs = Math.max(stream.longestGapMs, gapMs);
+      pace.noteGap(this.waitingTokens, this.running.length, gapMs);
+    }
+    stream.lastEventMs = nowMs;
+  }
+}
+
+/** Plays short questions with some prompts of 50,000 tokens among them; answers with the share of questions on time. */
+function playQuestions(moves: boolean): number {
+  const random = new Random(11);
+  const pace = new EnginePace();
+  const engines = Array.from(
+    { length: ENGINES },
+    (_, i) => new SteppedEngine(`e${i}`),
+  );
+  const questions: Stream[] = [];
+  let nextQuestionMs = 0;
+  let nextLongMs = 500;
+  const place = (nowMs: number, tokens: number, out: number) => {
+    const stream: Stream = {
+      arrivedMs: nowMs,
+      unread: tokens,
+      read: 0,
+      tokensLeft: out,
+      madeOfEvent: 0,
+      lastEventMs: undefined,
+      firstMs: Infinity,
+      longestGapMs: 0,
+      movingUntilMs: 0,
+    };
+    const [best] = rank(
+      engines.map((engine) => engine.candidate(tokens)),
+      undefined,
+      {
+        pace,
+        objectiveMs: OBJECTIVE_MS,
+        eventGapMs: GAP_MS,
+        endGapMs: Infinity,
+      },
+    );
+    engines.find(({ key }) => key === best.key)!.waiting.push(stream);
+    return stream;
+  };
+  const moveStreams = (engine: SteppedEngine, nowMs: number) => {
+    for (const stream of [...engine.running]) {
+      if (stream.movingUntilMs > nowMs) continue;
+      const target = moveTarget(
+        {
+          waitingTokens: engine.waitingTokens,
+          eventsLeft: stream.tokensLeft / TOKENS_PER_EVENT,
+          eventGapMs: GAP_MS,
+        },
+        engines.filter((other) => other !== engine).map((other) =>
+          other.candidate(0)
+        ),
+        pace,
+        random.next(),
+      );
+      if (!target) continue;
+      engine.running.splice(engine.running.indexOf(stream), 1);
+      stream.movingUntilMs = nowMs + MOVE_MS;
+      engines.find(({ key }) => key === target.key)!.running.push(stream);
+    }
+  };
+  for (let nowMs = 0; nowMs < PLAYED_MS; nowMs++) {
+    if (nowMs >= nextQuestionMs) {
+      questions.push(place(nowMs, 830, 290));
+      nextQuestionMs += random.exponential(10);
+    }
+    if (nowMs >= nextLongMs) {
+      place(nowMs, 50_000, 380);
+      nextLongMs += random.exponential(500);
+    }
+    for (const engine of engines) {
+      if (moves && nowMs % 25 === 0) moveStreams(engine, nowMs);
+      engine.step(nowMs, pace);
+    }
+  }
+  const ended = questions.filter(({ tokensLeft }) => tokensLeft <= 0);
+  const onTime = ended.filter(({ firstMs, longestGapMs }) =>
+    firstMs <= OBJECTIVE_MS && longestGapMs <= GAP_MS
+  );
+  return onTime.length / ended.length;
+}
+
+describe("routing under load", () => {
+  // A hundred short questions a second on six engines, and two prompts of 50,000 tokens a second beside them. Each of
+  // those is read for a second, and the streams of its engine pause for 0.6 s and more an event: those that stay are late.
+  it("streams that leave an engine that reads are late half as often as those that stay, or less", (t) => {
+    const stay = playQuestions(false);
+    const leave = playQuestions(true);
+    t.log(`on time: stay ${stay.toFixed(3)}, leave ${leave.toFixed(3)}`);
+    t.true(leave > 0.93);
+    t.true(1 - leave < (1 - stay) / 2);
+  });
+});
