The rate of reading is followed by its median, however far from the first guess

Cause, found by reading the change: a sample beyond four times the believed rate was taken for a lie, so engines that read under 15 or over 240 tokens a ms would never have been learned. Change: steps toward the median.

--- a/src/routing/engine_pace.ts
+++ b/src/routing/engine_pace.ts
@@ -30,15 +30,9 @@
 const EXCESS_SHARE = 1.15;
 /** Reading for this long goes on through several steps of each stream beside it, so that its pauses show what it does. */
 const LONG_READING_MS = 250;
-/** A sample may be off by this factor at most; beyond it the engine was cold, lost or lying. */
-const MOST_OFF = 4;
 /** A gap of this length says that the engine stopped, not how fast it is. */
 const MOST_GAP_MS = 2_000;
 
-function isCredible(sample: number, believed: number): boolean {
-  return sample > believed / MOST_OFF && sample < believed * MOST_OFF;
-}
-
 /** See the module. One for each service and VM. */
 export class EnginePace {
   #readPerMs = FIRST_READ_PER_MS;
@@ -63,9 +57,9 @@
   /** Notes a first event `ms` after the send; until then the engine read `tokens`, of this prompt and those before it. */
   noteFirstEvent(tokens: number, ms: number): void {
     if (tokens < LEAST_RATE_TOKENS || ms <= 0) return;
-    const sample = tokens / ms;
-    if (!isCredible(sample, this.#readPerMs)) return;
-    this.#readPerMs += SAMPLE_WEIGHT * (sample - this.#readPerMs);
+    // The median is followed by steps: a cold, lost or lying engine, however far off, moves it no more than a sound one.
+    if (tokens / ms > this.#readPerMs) this.#readPerMs *= 1 + SAMPLE_WEIGHT;
+    else this.#readPerMs /= 1 + SAMPLE_WEIGHT;
   }
 
   /** Notes a gap between two events of a stream that ran beside `waitingTokens` of prompts and `running` requests. */
