--- a/src/routing/place.ts
+++ b/src/routing/place.ts
@@ -46,8 +46,8 @@
 /** Share of an answer's time in which its engine generates; in the rest it reads others' prompts. */
 const GENERATING_SHARE = 0.45;
 /**
- * Weight of the time that reading takes against waiting for it: it delays this request, every later one, and each token of all
- * that run there. At 1 a burst that spills makes every engine read every prompt, and the peak outlasts the burst.
+ * Weight of the time that reading takes against waiting for it: it delays this request, every later one, and each token
+ * of all that run there. At 1 a burst that spills makes every engine read every prompt, and the peak outlasts the burst.
  */
 const READ_WEIGHT = 3;
 /** What one more running request costs the ones beside it and itself: this share of the gap between two events. */
