--- a/soak/world.ts
+++ b/soak/world.ts
@@ -234,6 +234,8 @@
         failureDomain: domainOf(region),
         memoryMb: 350,
         mostDescriptors: 4_000,
+        coreShare: 1,
+        coreSpeed: 1,
       },
       listen: {
         callers: `${ownIp}:${PORTS.callers}`,
--- a/src/gateway/beliefs.ts
+++ b/src/gateway/beliefs.ts
@@ -18,14 +18,9 @@
   upstreamId,
 } from "../platform/mod.ts";
 import { Fleet, type GatewayConfig, isNewsOf } from "../routing/mod.ts";
+import type { Revisions } from "../region/mod.ts";
 import { type FollowedStore, Follower, type News } from "./follower.ts";
 
-/** Revision of the last news of each matter, told in heartbeats: who is ahead can be asked. */
-export interface Revisions {
-  readonly operators: number;
-  readonly upstreams: number;
-}
-
 /** The two matters that are followed. */
 export type Matter = keyof Revisions;
 
@@ -52,7 +47,7 @@
   readonly store: FollowedStore;
   /** Region of each failure domain. */
   readonly failureDomains: Readonly<Record<string, string>>;
-  /** Whether this VM asks the store about upstreams, for others of its region too. */
+  /** Whether this VM asks the store what changes, for others of its region too. */
   readonly isReader: () => boolean;
 }
 
@@ -150,7 +145,7 @@
         log: this.#log,
         waitMs: OPERATOR_WAIT_MS,
         pauseMs: 0,
-        isReader: () => true,
+        isReader: this.#options.isReader,
         isNews: () => true,
         onPut: (entry) => this.#operatorPut(entry),
         onDelete: (key) => this.#operatorDelete(key),
--- a/src/gateway/call.ts
+++ b/src/gateway/call.ts
@@ -5,12 +5,10 @@
  */
 
 import { type CodeName, type Failure, failure } from "../base/mod.ts";
-import { forwardedHeaders, resumedAfter } from "../platform/mod.ts";
 import {
   chooseService,
   mayRepeat,
   maySendAgain,
-  patienceMs,
   type ServiceRow,
   type Step,
 } from "../routing/mod.ts";
@@ -18,6 +16,7 @@
 import { BODY_CODES, type CallInput } from "./call_input.ts";
 import { CallPlaces } from "./call_places.ts";
 import { CallRecord } from "./call_record.ts";
+import { CallSends, type SendState } from "./call_sends.ts";
 import type { GatewayContext } from "./context.ts";
 import { type BodyPass, EventPass, type Passed, passOf } from "./pass_on.ts";
 import type { Reply } from "./reply.ts";
@@ -25,12 +24,11 @@
   type Answered,
   RelaySend,
   type Send,
-  type Sendable,
   type Unanswered,
   UpstreamSend,
 } from "./send.ts";
 import { type GoesOn, StreamMove } from "./stream_move.ts";
-import type { LinkedCandidate, PromptShape } from "./upstreams.ts";
+import type { LinkedCandidate } from "./upstream_link.ts";
 
 /** Tries of one request, connections that failed included: each costs up to a quarter of a second. */
 const MOST_TRIES = 4;
@@ -41,11 +39,10 @@
   readonly #input: CallInput;
   readonly #reply: Reply;
   readonly #service: ServiceRow;
-  readonly #prompt: PromptShape;
   readonly #record: CallRecord;
   readonly #arrivedMs: number;
   readonly #places: CallPlaces;
-  readonly #headers: readonly string[];
+  readonly #sends: CallSends;
   #body: Buffer = Buffer.alloc(0);
   #send: Send | undefined;
   #pass: BodyPass | undefined;
@@ -64,10 +61,8 @@
     const name = chooseService(route, head.attemptId);
     this.#service = config.service(name) ??
       { name, mostConnections: 64, coldMs: 0, coldPerS: 0, engine: undefined };
-    this.#prompt = { parts: head.promptParts, tokens: head.promptTokens };
     this.#arrivedMs = context.clock.monoMs();
     this.#record = new CallRecord(context, input, name, this.#arrivedMs);
-    this.#headers = forwardedHeaders(input.request.rawHeaders);
     this.#move = new StreamMove(context, input, this.#service);
     this.#places = new CallPlaces(
       context,
@@ -75,6 +70,13 @@
       this.#service,
       this.#arrivedMs,
     );
+    this.#sends = new CallSends({
+      context,
+      input,
+      service: this.#service,
+      places: this.#places,
+      record: this.#record,
+    });
   }
 
   /** Runs the request to its end; never throws. */
@@ -125,101 +127,42 @@
         await this.#goOn(this.#goesOn);
         continue;
       }
-      const step = this.#places.next();
-      if (step.type === "wait") {
-        await this.#sleep(step.untilMs);
-        continue;
-      }
-      if (step.type === "refuse") return this.#refuse(step);
-      const send = this.#open(step);
+      const { step, settle } = await this.#places.place();
+      const send = this.#over ? undefined : this.#take(step);
+      settle();
       if (send) await this.#follow(send);
+      else if (step.type === "wait") await this.#sleep(step.untilMs);
     }
   }
 
+  /** Does a step; returns the send that it began. */
+  #take(step: Step<LinkedCandidate>): Send | undefined {
+    if (step.type === "wait") return undefined;
+    if (step.type !== "refuse") return this.#sends.open(step, this.#state());
+    this.#refuse(step);
+    return undefined;
+  }
+
   /** A stream that was stopped in order to move goes on at its new engine. */
   async #goOn({ candidate, goesOnFrom }: GoesOn): Promise<void> {
     this.#goesOn = undefined;
     this.#mayHaveRun = true;
-    if (!this.#context.upstreams.take(candidate, this.#service, this.#prompt)) {
-      return this.#broken("the engine that it moved to is gone");
-    }
-    this.#places.noteTried(candidate);
-    this.#record.place = candidate.key;
-    this.#record.moves++;
-    const sendable = { ...this.#sendable(0), goesOnFrom, urgency: 0 };
-    await this.#follow(new UpstreamSend(this.#context, sendable, candidate));
+    const send = this.#sends.goOn(candidate, goesOnFrom, this.#state());
+    if (!send) return this.#broken("the engine that it moved to is gone");
+    await this.#follow(send);
   }
 
-  /** Sends, or finds that the place that was chosen is gone. */
-  #open(
-    step: Step<LinkedCandidate> & { type: "send" | "relay" },
-  ): Send | undefined {
-    const { upstreams, relays, random } = this.#context;
-    if (step.type === "send") {
-      const { candidate } = step;
-      if (!upstreams.take(candidate, this.#service, this.#prompt)) {
-        return undefined;
-      }
-      this.#places.noteTried(candidate);
-      this.#record.place = candidate.key;
-      return new UpstreamSend(
-        this.#context,
-        this.#sendable(
-          this.#service.engine ? candidate.unreadTokens : 0,
-          upstreams.fetchFrom(
-            candidate,
-            this.#service,
-            this.#prompt,
-            this.#places.isHome,
-          ),
-        ),
-        candidate,
-      );
-    }
-    this.#places.noteTriedRegion(step.region);
-    const vm = relays.pick(step.region, random);
-    if (!vm) return undefined;
-    this.#record.place = vm.id;
-    return new RelaySend(this.#context, this.#sendable(0), vm, {
-      configVersion: this.#input.config.version,
-      // One, and no more: this VM cannot tell how many were used if it gives the hand-over up, and may send again itself.
-      mostUpstreams: 1,
-    });
-  }
-
-  #sendable(promptTokens: number, fetchFrom?: string): Sendable {
-    const { head, request, route, deadlineMonoMs } = this.#input;
-    const after = this.#pass instanceof EventPass
-      ? this.#pass.lastEventId
-      : undefined;
+  /** What the next send of the request carries. */
+  #state(): SendState {
     return {
-      method: request.method ?? "GET",
-      target: head.target,
-      attemptId: head.attemptId,
-      headers: after === undefined
-        ? this.#headers
-        : resumedAfter(this.#headers, after),
       body: this.#body,
-      deadlineMonoMs,
-      promptTokens,
-      parts: this.#prompt.parts,
-      fetchFrom,
-      goesOnFrom: undefined,
-      urgency: this.#service.engine && this.#places.urgency(promptTokens),
+      lastEventId: this.#pass instanceof EventPass
+        ? this.#pass.lastEventId
+        : undefined,
       onStreamCheck: this.#onStreamCheck,
-      patienceMs: this.#record.tries === 0 ? patienceMs(route) : Infinity,
-      hasOther: () => this.#hasOther(),
     };
   }
 
-  /** Whether giving up an answer that does not come gains anything: a place that is free, and a repeat that is left. */
-  #hasOther(): boolean {
-    const { clock, members } = this.#context;
-    const budget = this.#context.budget(this.#service.name);
-    return budget.hasOne(clock.monoMs(), members.count()) &&
-      (this.#places.next().type === "relay" || this.#places.hasOtherHere());
-  }
-
   /** Follows one send to its end; returns with the call over, or ready for the next step. */
   async #follow(send: Send): Promise<void> {
     this.#record.tries++;
@@ -387,6 +330,7 @@
 
   #sleep(untilMs: number): Promise<void> {
     const { clock } = this.#context;
+    if (this.#over) return Promise.resolve();
     return new Promise((resolve) => {
       const timer = clock.after(Math.max(1, untilMs - clock.monoMs()), resolve);
       this.#wake = () => {
--- a/src/gateway/call_places.ts
+++ b/src/gateway/call_places.ts
@@ -5,28 +5,25 @@
  */
 
 import {
-  affinityOf,
   endGapMs,
   hasRoom,
-  nextStep,
   type PlaceTerms,
-  type RegionRoom,
   type ServiceRow,
   type Step,
   urgencyRank,
 } from "../routing/mod.ts";
 import type { CallInput } from "./call_input.ts";
 import type { GatewayContext } from "./context.ts";
-import type { LinkedCandidate, PromptShape } from "./upstreams.ts";
+import { isHomeOf, type PlaceAsk } from "./place_here.ts";
+import type { Placed } from "./placing.ts";
+import type { LinkedCandidate } from "./upstream_link.ts";
 
 /** See the module. */
 export class CallPlaces {
   readonly #context: GatewayContext;
   readonly #input: CallInput;
   readonly #service: ServiceRow;
-  readonly #prompt: PromptShape;
-  readonly #arrivedMs: number;
-  /** Keys of upstreams that the request was sent to. */
+  readonly #ask: PlaceAsk;
   readonly #tried = new Set<string>();
   readonly #triedRegions = new Set<string>();
 
@@ -39,9 +36,24 @@
     this.#context = context;
     this.#input = input;
     this.#service = service;
-    this.#arrivedMs = arrivedMs;
-    const { promptParts, promptTokens } = input.head;
-    this.#prompt = { parts: promptParts, tokens: promptTokens };
+    const { route, head, config, deadlineMonoMs, relayed } = input;
+    const { engine } = service;
+    this.#ask = {
+      service,
+      config,
+      prompt: { parts: head.promptParts, tokens: head.promptTokens },
+      objectiveMs: route.objectiveMs,
+      eventGapMs: route.eventGapMs,
+      endGapMs: engine
+        ? endGapMs(route.timeoutMs, head.outputTokens / engine.tokensPerEvent)
+        : Infinity,
+      arrivedMs,
+      deadlineMs: deadlineMonoMs,
+      tried: this.#tried,
+      triedRegions: this.#triedRegions,
+      homeRegions: route.homeRegions,
+      isRelayed: relayed,
+    };
   }
 
   /** Notes that the request is sent to an upstream, which gets it no second time. */
@@ -60,37 +72,19 @@
   }
 
   /** What to do next with the request. */
+  place(): Promise<Placed> {
+    return this.#context.placing.place(this.#ask);
+  }
+
+  /** The same as far as this VM knows by itself, without doing it. */
   next(): Step<LinkedCandidate> {
-    const { clock, upstreams, random, settings } = this.#context;
-    const { head, relayed, deadlineMonoMs } = this.#input;
-    const { region } = settings.vm;
-    const isHome = this.isHome;
-    return nextStep({
-      nowMs: clock.monoMs(),
-      arrivedMs: this.#arrivedMs,
-      deadlineMs: deadlineMonoMs,
-      terms: this.#terms(),
-      candidates: isHome(region)
-        ? upstreams.candidates(this.#service, this.#prompt).filter(({ key }) =>
-          !this.#tried.has(key)
-        )
-        : [],
-      regions: relayed ? [] : this.#regions(),
-      affinity: affinityOf(head.promptParts),
-      draw: random.next(),
-    });
+    return this.#context.placing.here(this.#ask);
   }
 
   #terms(): PlaceTerms {
-    const { route, head } = this.#input;
-    const { engine } = this.#service;
     return {
+      ...this.#ask,
       pace: this.#context.upstreams.pace(this.#service),
-      objectiveMs: route.objectiveMs,
-      eventGapMs: route.eventGapMs,
-      endGapMs: engine
-        ? endGapMs(route.timeoutMs, head.outputTokens / engine.tokensPerEvent)
-        : Infinity,
     };
   }
 
@@ -98,28 +92,14 @@
   urgency(promptTokens: number): number {
     const { clock, upstreams } = this.#context;
     return urgencyRank({
-      waitedMs: clock.monoMs() - this.#arrivedMs,
+      waitedMs: clock.monoMs() - this.#ask.arrivedMs,
       objectiveMs: this.#input.route.objectiveMs,
       readMs: upstreams.pace(this.#service).readMs(promptTokens),
     });
   }
 
   /** Whether a region may serve, cache and hold the request. */
-  readonly isHome = (region: string): boolean => {
-    const { homeRegions } = this.#input.route;
-    return homeRegions.length === 0 || homeRegions.includes(region);
-  };
-
-  #regions(): RegionRoom[] {
-    const { route, config } = this.#input;
-    const { name } = this.#service;
-    const isFree = route.homeRegions.length === 0;
-    return this.#context.relays.regions(
-      name,
-      (region) => this.isHome(region) && !this.#triedRegions.has(region),
-      (region) => isFree && config.isHomeOf(name, region),
-    );
-  }
+  readonly isHome = (region: string): boolean => isHomeOf(this.#ask, region);
 
   /**
    * Whether an upstream of this region has room for one more try. An upstream's own failure is passed on otherwise: a
--- a/src/gateway/connections.ts
+++ b/src/gateway/connections.ts
@@ -44,6 +44,12 @@
     this.#defaultIdleMs = options.defaultIdleMs ?? DEFAULT_IDLE_MS;
   }
 
+  /** Connections that are kept for a next request. */
+  get idle(): number {
+    return Object.values(this.freeSockets)
+      .reduce((sum, sockets) => sum + (sockets?.length ?? 0), 0);
+  }
+
   /** Called by Node when a request ends; `false` closes the connection. */
   override keepSocketAlive(socket: Duplex): void {
     const idleMs = (namedIdleMs(socket) ?? this.#defaultIdleMs + MARGIN_MS) -
--- a/src/gateway/context.ts
+++ b/src/gateway/context.ts
@@ -10,6 +10,7 @@
 import type { Beliefs } from "./beliefs.ts";
 import { BodyMemory } from "./body.ts";
 import type { Members } from "./members.ts";
+import type { Placing } from "./placing.ts";
 import type { Relays } from "./relays.ts";
 import type { GatewayMetrics } from "./metrics.ts";
 import type { GatewaySettings } from "./settings.ts";
@@ -29,6 +30,7 @@
   readonly members: Members;
   readonly upstreams: Upstreams;
   readonly relays: Relays;
+  readonly placing: Placing;
   readonly metrics: GatewayMetrics;
   readonly random = new Random(process.pid ^ Date.now());
   readonly bodies: BodyMemory;
@@ -52,6 +54,7 @@
       | "members"
       | "upstreams"
       | "relays"
+      | "placing"
       | "metrics"
     >,
   ) {
@@ -62,6 +65,7 @@
     this.members = parts.members;
     this.upstreams = parts.upstreams;
     this.relays = parts.relays;
+    this.placing = parts.placing;
     this.metrics = parts.metrics;
     this.bodies = new BodyMemory(
       parts.settings.vm.memoryMb * BYTES_PER_MB * BODY_MEMORY_SHARE,
--- /dev/null
+++ b/src/gateway/datagrams.ts
@@ -0,0 +1,99 @@
+/**
+ * Datagrams between VMs: JSON-RPC 2.0 notifications over UDP. What is lost is made good by the next one of its kind.
+ *
+ * @module
+ */
+
+import { createSocket, type Socket } from "node:dgram";
+import {
+  type Handlers,
+  type Kernel,
+  type Log,
+  type Messages,
+  Task,
+} from "../kernel/mod.ts";
+
+/** Takes in the parameters of one method, from outside: they must be checked. */
+export type DatagramHandler = (params: unknown, fromIp: string) => void;
+
+/** See the module. */
+export class Datagrams extends Task {
+  readonly name = "datagrams";
+  readonly #ip: string;
+  readonly #port: number;
+  readonly #handlers = new Map<string, DatagramHandler>();
+  protected readonly handlers: Handlers<Messages> = {};
+  #socket!: Socket;
+  #log!: Log;
+  #open = true;
+  #received = 0;
+  #sent = 0;
+
+  /** `port` is the same on all VMs. */
+  constructor(ip: string, port: number) {
+    super();
+    this.#ip = ip;
+    this.#port = port;
+  }
+
+  /** Names who takes a method's datagrams; one handler a method. */
+  on(method: string, handler: DatagramHandler): void {
+    this.#handlers.set(method, handler);
+  }
+
+  async start(kernel: Kernel): Promise<void> {
+    this.#log = kernel.log;
+    this.#socket = createSocket("udp4");
+    this.#socket.on(
+      "message",
+      (datagram, { address }) => this.#receive(datagram, address),
+    );
+    this.#socket.on(
+      "error",
+      (error) =>
+        this.#log.warn("datagram socket failed", { reason: error.message }),
+    );
+    await new Promise<void>((resolve, reject) => {
+      this.#socket.once("error", reject);
+      this.#socket.bind(this.#port, this.#ip, () => {
+        this.#socket.off("error", reject);
+        resolve();
+      });
+    });
+  }
+
+  close(_deadlineMs: number): Promise<void> {
+    this.#open = false;
+    this.#socket.close();
+    return Promise.resolve();
+  }
+
+  dump(): unknown {
+    return { sent: this.#sent, received: this.#received };
+  }
+
+  /** Sends one message to some VMs; it is encoded once. */
+  send(method: string, params: unknown, ips: readonly string[]): void {
+    if (!this.#open || ips.length === 0) return;
+    const datagram = Buffer.from(
+      JSON.stringify({ jsonrpc: "2.0", method, params }),
+    );
+    for (const ip of ips) {
+      this.#sent++;
+      this.#socket.send(datagram, this.#port, ip, () => {});
+    }
+  }
+
+  #receive(datagram: Buffer, fromIp: string): void {
+    if (!this.#open) return;
+    this.#received++;
+    let message: { method?: unknown; params?: unknown } | null;
+    try {
+      message = JSON.parse(datagram.toString("utf8"));
+    } catch {
+      // The port is open to whoever finds it: what is no message of ours is not answered and not logged.
+      return;
+    }
+    this.#handlers.get(String(message?.method))?.(message?.params, fromIp);
+  }
+}
--- a/src/gateway/directory.ts
+++ b/src/gateway/directory.ts
@@ -84,12 +84,12 @@
   addresses(region: string): string[] {
     const { settings, members, isLeaving, endMonoMs, clock } = this.#context;
     const { port } = hostPort(settings.listen.callers);
-    const vms: NamedVm[] = members.alive().map(({ ip, region, beat }) => ({
-      ip,
+    const regions = new Set([
       region,
-      isReady: beat.ready && !beat.leaving,
-      servesMs: beat.leaving ? beat.servesMs ?? 0 : 0,
-    }));
+      settings.vm.region,
+      ...members.regions().map(({ digest }) => digest.from.region),
+    ]);
+    const vms: NamedVm[] = [...regions].flatMap((name) => members.named(name));
     vms.push({
       ip: settings.vm.ip,
       region: settings.vm.region,
--- a/src/gateway/follower.ts
+++ b/src/gateway/follower.ts
@@ -72,8 +72,8 @@
 /** First and longest wait after a failed call: an outage costs four calls a second and VM at most. */
 const RETRY = { firstMs: 150, mostMs: 500 };
 
-/** How often a VM that does not ask looks whether it should. */
-const LOOK_MS = 250;
+/** How often a VM that does not ask looks whether it should; a lead that is gone is found in twice this time. */
+const LOOK_MS = 500;
 /** Deletions that are remembered to be told; a VM that is further behind is told all entries. */
 const MOST_DELETED = 500;
 
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -7,15 +7,17 @@
 import { type Clock, systemClock } from "../base/mod.ts";
 import { Kernel, type Log } from "../kernel/mod.ts";
 import { PlatformKeyValue } from "../platform/mod.ts";
-import { isReader } from "../routing/mod.ts";
+import { isReader } from "../region/mod.ts";
 import { Beliefs } from "./beliefs.ts";
 import { GatewayContext } from "./context.ts";
+import { Datagrams } from "./datagrams.ts";
 import { Directory } from "./directory.ts";
 import { Front } from "./front.ts";
 import { hostPort } from "./listen.ts";
 import { Members } from "./members.ts";
 import { GatewayMetrics } from "./metrics.ts";
 import { PeerRpc } from "./peer_rpc.ts";
+import { Placing } from "./placing.ts";
 import { Relays } from "./relays.ts";
 import { roomOf } from "./room.ts";
 import type { GatewaySettings } from "./settings.ts";
@@ -59,15 +61,9 @@
     const beliefs = new Beliefs({
       store,
       failureDomains: settings.failureDomains,
-      isReader: () =>
-        isReader(
-          vm.id,
-          members.near().map(({ id, beat }) => ({
-            id,
-            isServed: beat.isServed,
-          })),
-        ),
+      isReader: () => isReader(vm.id, members.order),
     });
+    const datagrams = new Datagrams(vm.ip, settings.listen.beats);
     const members: Members = new Members({
       self: {
         id: vm.id,
@@ -75,37 +71,43 @@
         region: vm.region,
         failureDomain: vm.failureDomain,
         bornMs: clock.nowMs(),
+        cores: vm.coreShare * vm.coreSpeed,
       },
+      datagrams,
       store,
       leastLeaseMs: settings.store.leastLeaseMs,
-      port: settings.listen.beats,
       seedIps: settings.seeds.map((address) => hostPort(address).host),
-      onBeat: (beat) => upstreams.noteHeld(beat.held),
-      describe: (sameRegion, everyMs) => ({
+      state: () => ({
         ready: directory.isReady,
-        leaving: context.isLeaving,
         ...(context.isLeaving
           ? { servesMs: Math.round(context.endMonoMs - clock.monoMs()) }
           : {}),
-        configVersion: beliefs.config?.version ?? 0,
         revisions: beliefs.revisions,
         isServed: beliefs.isServed,
-        held: upstreams.heldWithin(everyMs),
-        ...(sameRegion ? { load: upstreams.load() } : {
-          room: roomOf(
-            beliefs.config,
-            (service) => upstreams.candidates(service),
-            (service) => upstreams.pace(service),
-          ),
-        }),
       }),
+      load: () => ({ load: upstreams.load(), asked: placing.asked }),
+      held: (ms) => upstreams.heldWithin(ms),
+      room: () =>
+        roomOf(
+          beliefs.config,
+          (service) => upstreams.candidates(service),
+          (service) => upstreams.pace(service),
+        ),
+      onHeld: (held) => upstreams.noteHeld(held),
+      onSeen: (seen) => upstreams.noteSeen(seen),
     });
     const upstreams = new Upstreams(beliefs.fleet, members, vm);
-    const relays = new Relays(
+    const relays = new Relays(members, hostPort(settings.listen.peers).port);
+    const metrics = new GatewayMetrics();
+    const placing = new Placing({
+      self: vm,
+      datagrams,
       members,
-      vm.region,
-      hostPort(settings.listen.peers).port,
-    );
+      beliefs,
+      upstreams,
+      relays,
+      metrics,
+    });
     const context = new GatewayContext({
       settings,
       clock,
@@ -114,16 +116,19 @@
       members,
       upstreams,
       relays,
-      metrics: new GatewayMetrics(),
+      placing,
+      metrics,
     });
     const directory = new Directory(context);
-    const peerRpc = new PeerRpc(beliefs, members, relays);
+    const peerRpc = new PeerRpc(beliefs, members, relays, vm.region);
     const front = new Front(context, peerRpc);
     const tasks = [
+      datagrams,
+      relays,
       beliefs,
       upstreams,
+      placing,
       members,
-      relays,
       peerRpc,
       front,
       directory,
--- a/src/gateway/members.ts
+++ b/src/gateway/members.ts
@@ -1,10 +1,9 @@
 /**
- * The VMs that are there: heartbeats over UDP, found through the store, the seeds and each other.
+ * The VMs that are there: sends and takes in what they tell each other; whom it tells what is decided in `region`.
  *
  * @module
  */
 
-import { createSocket, type Socket } from "node:dgram";
 import type { KeyValue } from "../adapters/mod.ts";
 import { type Clock, Random, type Timer } from "../base/mod.ts";
 import {
@@ -14,332 +13,367 @@
   type Messages,
   Task,
 } from "../kernel/mod.ts";
-import { VM_PREFIX } from "../platform/mod.ts";
-import { type Beat, decodeBeat, isVmRecord, type VmRecord } from "./beat.ts";
-
-/** A VM as this one sees it. */
-export interface Member extends VmRecord {
-  readonly beat: Beat;
-  readonly heardMonoMs: number;
-}
+import {
+  decodeDigest,
+  decodeLoadNote,
+  decodeReport,
+  decodeRoster,
+  type Due,
+  type FarRegion,
+  type LeadRecord,
+  type Load,
+  LoadBook,
+  type LoadNote,
+  RegionView,
+  type Report,
+  type Room,
+  type Roster,
+  type SeenOutcome,
+  type Teller,
+  type VmLoad,
+  type VmRecord,
+  type VmState,
+} from "../region/mod.ts";
+import type { HeldPart, NamedVm } from "../routing/mod.ts";
+import type { Datagrams } from "./datagrams.ts";
+import { OwnEntry } from "./own_entry.ts";
 
 /** Options of {@link Members}. */
 export interface MemberOptions {
   readonly self: VmRecord;
+  readonly datagrams: Datagrams;
   readonly store: KeyValue;
   readonly leastLeaseMs: number;
-  /** UDP port of heartbeats, the same on all VMs. */
-  readonly port: number;
   /** Addresses of some VMs. */
   readonly seedIps: readonly string[];
-  /** What this VM says of itself, to VMs of its region or of others, every `everyMs`. */
-  readonly describe: (
-    sameRegion: boolean,
-    everyMs: number,
-  ) => Omit<Beat, keyof VmRecord | "everyMs" | "others">;
-  /** Called with each heartbeat of another VM. */
-  readonly onBeat: (beat: Beat) => void;
+  /** What this VM says of itself. */
+  readonly state: () => VmState;
+  readonly load: () => VmLoad;
+  /** Shared parts of prompts that engines read for this VM in the last `ms`. */
+  readonly held: (ms: number) => readonly HeldPart[];
+  /** Places that the region offers to others. */
+  readonly room: () => Room;
+  readonly onHeld: (held: readonly HeldPart[] | undefined) => void;
+  /** Called with the outcomes of sends that another VM has seen. */
+  readonly onSeen: (seen: readonly SeenOutcome[]) => void;
 }
 
-/** How often it is looked whether a heartbeat is due. */
-const TICK_MS = 100;
-/** Heartbeats inside a region carry loads that placing reads; a tenth of a second is a few step times of an engine. */
-const NEAR_BEAT: BeatPace = { leastMs: 100, perVmMs: 25 };
-/** Heartbeats to other regions carry room and revisions; their links are 80 ms long and priced by the byte. */
-const FAR_BEAT: BeatPace = { leastMs: 500, perVmMs: 50 };
-/** Silence after which a VM is not named to callers or relayed to, at least: ten beats of a small region. */
-const SILENT_MS = 1_200;
-/** Heartbeats that must be missing: datagrams are lost one in forty on the worst links, so three in a row are not. */
-const SILENT_BEATS = 3.5;
-/** Silence after which a VM is forgotten, at least; three times the silence of a VM that beats slowly. */
-const FORGET_MS = 15_000;
-const FORGET_SILENCES = 3;
-/** The VM's own entry lives this long after its last renewal. */
-const LEASE_MS = 6_000;
-const RENEW_MS = 2_000;
-/** Others' entries are read this often; heartbeats spread news faster, so this only mends what they missed. */
-const LIST_MS = 30_000;
-/** The same while the last reading failed. */
-const LIST_AGAIN_MS = 5_000;
-/** Most VMs named in one heartbeat: a datagram stays below 1,400 bytes. */
-const MOST_OTHERS = 4;
+interface LeadsSeen {
+  readonly order: readonly LeadRecord[];
+  readonly leads: readonly LeadRecord[];
+  readonly hearsAll: boolean;
+  readonly isLead: boolean;
+}
 
+/** A lead looks this often who has fallen silent. */
+const LEAD_TICK_MS = 100;
+const TICK_MS = 250;
 /**
- * How often a VM beats. The time grows with the VMs that are told, so that a VM sends and gets a bounded number of
- * heartbeats a second, some 40 near and 20 far. With the least times alone 90 VMs sent most of the 540 MB between
- * regions of a played calm day, at a tenth of its worth.
+ * How long a change of load waits to be told to the first lead, together with others. Prompts wait some hundred ms at an
+ * engine, so their end must be known in less; at ten requests a second a VM then sends a dozen notes a second.
  */
-interface BeatPace {
-  readonly leastMs: number;
-  readonly perVmMs: number;
-}
-
-function beatEveryMs({ leastMs, perVmMs }: BeatPace, vms: number): number {
-  return Math.max(leastMs, perVmMs * vms);
-}
-
-/** Silence after which a member is left aside. */
-function silentMs({ beat }: Member): number {
-  return Math.max(SILENT_MS, beat.everyMs * SILENT_BEATS);
-}
+const LOAD_NOTE_MS = 40;
+/** Outcomes kept for the next note; more than a VM sees between two. */
+const MOST_SEEN = 64;
+/** Upstreams whose load a roster tells: those with the most, in about two kilobytes. */
+const MOST_LOADS = 64;
 
 /** See the module. */
 export class Members extends Task {
   readonly name = "members";
+  /** What the other VMs of the region have under way, as far as they report here. */
+  readonly book = new LoadBook();
   readonly #options: MemberOptions;
-  readonly #members = new Map<string, Member>();
-  /** VMs that are named somewhere but have not been heard. */
-  readonly #named = new Map<string, VmRecord>();
-  readonly #random = new Random(process.pid);
-  readonly #timers: Timer[] = [];
   protected readonly handlers: Handlers<Messages> = {};
-  #socket!: Socket;
+  #view!: RegionView;
+  #entry!: OwnEntry;
   #clock!: Clock;
   #log!: Log;
-  #nearDueMonoMs = -Infinity;
-  #farDueMonoMs = -Infinity;
-  #leaseId: string | undefined;
+  #timer: Timer | undefined;
+  #timerMs = Infinity;
+  #noteDueMs = Infinity;
+  #notedMs = -Infinity;
+  #seen: SeenOutcome[] = [];
+  #saidLoad: Load = {};
+  /** Who leads, as of the last message or tick: it is asked for on each request. */
+  #lookedAt: LeadsSeen = {
+    order: [],
+    leads: [],
+    hearsAll: true,
+    isLead: true,
+  };
   #closing = false;
+  #onNews: () => void = () => {};
 
   constructor(options: MemberOptions) {
     super();
     this.#options = options;
   }
 
-  async start(kernel: Kernel): Promise<void> {
+  start(kernel: Kernel): Promise<void> {
     this.#clock = kernel.clock;
     this.#log = kernel.log;
-    this.#socket = createSocket("udp4");
-    this.#socket.on("message", (datagram) => this.#heard(datagram));
-    this.#socket.on(
-      "error",
-      (error) =>
-        this.#log.warn("heartbeat socket failed", { reason: error.message }),
-    );
-    const { self, port } = this.#options;
-    await new Promise<void>((resolve, reject) => {
-      this.#socket.once("error", reject);
-      this.#socket.bind(port, self.ip, () => {
-        this.#socket.off("error", reject);
-        resolve();
-      });
+    const { self, datagrams, seedIps, state, store, leastLeaseMs } =
+      this.#options;
+    this.#view = new RegionView({
+      self,
+      seedIps,
+      state,
+      random: new Random(process.pid),
+    }, this.#clock.monoMs());
+    datagrams.on("report", (params) => this.#onReport(decodeReport(params)));
+    datagrams.on("load", (params) => this.#onNote(decodeLoadNote(params)));
+    datagrams.on("roster", (params) => this.#onRoster(decodeRoster(params)));
+    datagrams.on("digest", (params) => {
+      const digest = decodeDigest(params);
+      if (digest) this.#view.known.noteDigest(digest, this.#clock.monoMs());
     });
-    this.#timers.push(this.#clock.every(TICK_MS, () => this.#tick()));
-    this.#timers.push(this.#clock.every(RENEW_MS, () => void this.#renew()));
-    void this.#renew();
-    void this.#keepListing();
-    this.beat();
+    this.#entry = new OwnEntry({
+      self,
+      store,
+      leastLeaseMs,
+      clock: this.#clock,
+      log: this.#log,
+      hasSeeds: seedIps.some((ip) => ip !== self.ip),
+      isLead: () => this.#view.isLead,
+      isAlone: () => this.#view.isAlone(this.#clock.monoMs()),
+      onFound: (vms) => {
+        for (const vm of vms) this.#view.known.meet(vm);
+      },
+    });
+    this.#entry.start();
+    this.#tick();
+    return Promise.resolve();
   }
 
   /** Removes the VM's entry and stops; the VMs that were told of the leaving need not wait for silence. */
   async close(_deadlineMs: number): Promise<void> {
     this.#closing = true;
-    for (const timer of this.#timers) timer.close();
-    if (this.#leaseId !== undefined) {
-      await this.#options.store.revoke(this.#leaseId, "membership");
-    }
-    this.#socket.close();
+    this.#timer?.close();
+    await this.#entry.close();
   }
 
   dump(): unknown {
     const nowMs = this.#clock.monoMs();
-    return [...this.#members.values()].map(({ beat, heardMonoMs }) => ({
-      ...beat,
-      heardAgoMs: nowMs - heardMonoMs,
-    }));
+    return {
+      order: this.#view.order,
+      isLead: this.#view.isLead,
+      vms: this.#view.allVms,
+      reporters: this.#view.known.reporters(this.#options.self.region, nowMs),
+      regions: this.#view.known.far.fresh(nowMs),
+    };
   }
 
-  /** VMs heard lately, without this one. */
-  alive(): Member[] {
-    const nowMs = this.#clock.monoMs();
-    return [...this.#members.values()].filter((member) =>
-      nowMs - member.heardMonoMs < silentMs(member)
-    );
+  /** Calls `run` when another VM of the region has told something. */
+  onNews(run: () => void): void {
+    this.#onNews = run;
   }
 
-  /** VMs of this region heard lately, without this one. */
-  near(): Member[] {
-    return this.alive().filter(({ region }) =>
-      region === this.#options.self.region
-    );
+  /** VMs that callers of a region can be told of, without this one. */
+  named(region: string): NamedVm[] {
+    return this.#view.named(region, this.#clock.monoMs());
   }
 
-  /** How many VMs there are, this one included; silent ones count until they are forgotten, as they may only be cut off. */
-  count(): number {
-    return this.#members.size + 1;
+  /** VMs that may know more of the store. */
+  tellers(): Teller[] {
+    return this.#view.known.tellers(this.#clock.monoMs());
   }
 
-  /** Tells every VM at once, out of turn. */
-  beat(): void {
-    this.#beatNear();
-    this.#beatFar();
+  /** Other regions that were heard lately. */
+  regions(): FarRegion[] {
+    return this.#view.known.far.fresh(this.#clock.monoMs());
   }
 
-  #tick(): void {
-    const nowMs = this.#clock.monoMs();
-    this.#forgetSilent();
-    if (nowMs >= this.#nearDueMonoMs) this.#beatNear();
-    if (nowMs >= this.#farDueMonoMs) this.#beatFar();
+  /** The head of the region's order of leads. */
+  get order(): readonly LeadRecord[] {
+    return this.#lookedAt.order;
   }
 
-  #membersIn(sameRegion: boolean): Member[] {
-    return [...this.#members.values()].filter(({ region }) =>
-      (region === this.#options.self.region) === sameRegion
-    );
+  get leads(): readonly LeadRecord[] {
+    return this.#lookedAt.leads;
   }
 
-  #beatNear(): void {
-    const members = this.#membersIn(true);
-    const everyMs = beatEveryMs(NEAR_BEAT, members.length);
-    // Half a tick early: a timer that fires a little late would else make the next beat miss its tick.
-    this.#nearDueMonoMs = this.#clock.monoMs() + everyMs - TICK_MS / 2;
-    const datagram = this.#encode(true, everyMs);
-    for (const { ip } of members) this.#send(datagram, ip);
+  /** Whether all VMs of the region hear each other's loads; else its leads place the requests. */
+  get hearsAll(): boolean {
+    return this.#lookedAt.hearsAll;
   }
 
-  /** Heartbeats to other regions, and to VMs that have been named and not been heard. */
-  #beatFar(): void {
-    const members = this.#membersIn(false);
-    const everyMs = beatEveryMs(
-      FAR_BEAT,
-      members.length + this.#named.size,
-    );
-    this.#farDueMonoMs = this.#clock.monoMs() + everyMs - TICK_MS / 2;
-    const datagram = this.#encode(false, everyMs);
-    for (const { ip } of members) this.#send(datagram, ip);
-    for (const { ip } of this.#named.values()) this.#send(datagram, ip);
-    if (this.#members.size > 0) return;
-    const { seedIps, self } = this.#options;
-    for (const ip of seedIps) {
-      if (ip !== self.ip) this.#send(datagram, ip);
-    }
+  /** Whether every VM of the region reports to this one. */
+  get isLead(): boolean {
+    return this.#lookedAt.isLead;
   }
 
-  #encode(sameRegion: boolean, everyMs: number): Buffer {
-    const { self, describe } = this.#options;
-    // Loads fill the heartbeats inside the region; the others have space for names.
-    const others = sameRegion ? undefined : this.#someOthers();
-    const params: Beat = {
-      ...self,
-      everyMs,
-      ...describe(sameRegion, everyMs),
-      others,
-    };
-    return Buffer.from(
-      JSON.stringify({ jsonrpc: "2.0", method: "beat", params }),
+  /** VMs of the region that are alive and report to this one. */
+  reporters(): Report[] {
+    return this.#view.known.reporters(
+      this.#options.self.region,
+      this.#clock.monoMs(),
     );
   }
 
-  #someOthers(): VmRecord[] {
-    return this.#random.sample(this.alive(), MOST_OTHERS).map((
-      { id, ip, region, failureDomain, bornMs },
-    ) => ({ id, ip, region, failureDomain, bornMs }));
+  /** What a lead told last; `undefined` for a lead. */
+  roster(): Roster | undefined {
+    return this.#view.roster(this.#clock.monoMs());
   }
 
-  #send(datagram: Buffer, ip: string): void {
-    this.#socket.send(datagram, this.#options.port, ip, () => {});
+  /** What this VM said last of its own load. */
+  get saidLoad(): Load {
+    return this.#saidLoad;
   }
 
-  #heard(datagram: Buffer): void {
-    const beat = decodeBeat(datagram);
-    if (!beat || beat.id === this.#options.self.id || this.#closing) return;
-    const before = this.#members.get(beat.id);
-    // A datagram of an earlier start that came late.
-    if (before && before.bornMs > beat.bornMs) return;
-    this.#members.set(beat.id, {
-      id: beat.id,
-      ip: beat.ip,
-      region: beat.region,
-      failureDomain: beat.failureDomain,
-      bornMs: beat.bornMs,
-      beat,
-      heardMonoMs: this.#clock.monoMs(),
-    });
-    this.#named.delete(beat.id);
-    this.#options.onBeat(beat);
-    if (!before || before.bornMs !== beat.bornMs) {
-      this.#log.info("vm known", {
-        peer: beat.id,
-        region: beat.region,
-        ip: beat.ip,
-      });
-      const pace = beat.region === this.#options.self.region
-        ? NEAR_BEAT
-        : FAR_BEAT;
-      const everyMs = beatEveryMs(pace, this.#members.size);
-      this.#send(this.#encode(false, everyMs), beat.ip);
-    } else if (beat.leaving && !before.beat.leaving) {
-      this.#log.info("vm leaves", { peer: beat.id });
-    }
-    for (const other of beat.others ?? []) this.#name(other);
+  /** How many VMs there are, this one included; silent ones count until they are forgotten. */
+  count(): number {
+    return this.#view.allVms;
+  }
+
+  /** Tells every VM at once, out of turn. */
+  beat(): void {
+    this.#view.touch();
+    this.#tick();
   }
 
-  #name(vm: VmRecord): void {
-    if (!isVmRecord(vm) || vm.id === this.#options.self.id) return;
-    const known = this.#members.get(vm.id);
-    if (known && known.bornMs >= vm.bornMs) return;
-    this.#named.set(vm.id, vm);
+  /** The first lead is told of a change of this VM's load, and of what became of a send. */
+  noteLoad(seen?: SeenOutcome): void {
+    const { hearsAll, leads } = this.#lookedAt;
+    if (hearsAll || leads[0]?.id === this.#options.self.id) return;
+    if (seen && this.#seen.length < MOST_SEEN) this.#seen.push(seen);
+    if (this.#noteDueMs < Infinity) return;
+    this.#noteDueMs = this.#clock.monoMs() + LOAD_NOTE_MS;
+    this.#wakeAt(this.#noteDueMs);
   }
 
-  #forgetSilent(): void {
+  #tick(): void {
+    if (this.#closing) return;
     const nowMs = this.#clock.monoMs();
-    for (const [id, member] of this.#members) {
-      const silenceMs = nowMs - member.heardMonoMs;
-      const mostMs = Math.max(FORGET_MS, FORGET_SILENCES * silentMs(member));
-      if (silenceMs < mostMs) continue;
-      this.#members.delete(id);
-      // A region that was cut off is back sooner than the store's entries are read again.
-      this.#named.set(id, member);
-      this.#log.info("vm forgotten", {
-        peer: id,
-        silentMs: Math.round(silenceMs),
-      });
-    }
+    if (nowMs >= this.#noteDueMs) this.#sendNote();
+    for (const due of this.#view.tick(nowMs)) this.#send(due);
+    this.#noteLeads();
+    const everyMs = this.#view.isLead ? LEAD_TICK_MS : TICK_MS;
+    this.#wakeAt(
+      Math.min(nowMs + everyMs, this.#view.nextDueMs, this.#noteDueMs),
+    );
   }
 
-  async #renew(): Promise<void> {
+  /** A timer that is due sooner already stands. */
+  #wakeAt(dueMs: number): void {
     if (this.#closing) return;
-    const { store, self, leastLeaseMs } = this.#options;
-    if (this.#leaseId !== undefined) {
-      const kept = await store.keepAlive(this.#leaseId, "membership");
-      if (kept.isOk() || kept.error.kind !== "leaseGone") return;
-      this.#leaseId = undefined;
+    const nowMs = this.#clock.monoMs();
+    if (this.#timerMs <= dueMs && this.#timerMs > nowMs) return;
+    this.#timer?.close();
+    this.#timerMs = Math.max(nowMs + 1, dueMs);
+    this.#timer = this.#clock.after(this.#timerMs - nowMs, () => {
+      this.#timerMs = Infinity;
+      this.#tick();
+    });
+  }
+
+  #noteLeads(): void {
+    if (this.#view.isLead) {
+      const alive = new Set(this.reporters().map(({ id }) => id));
+      this.book.keep((id) => alive.has(id));
     }
-    const lease = await store.grant(
-      Math.max(leastLeaseMs, LEASE_MS),
-      "membership",
-    );
-    if (lease.isErr() || this.#closing) return;
-    const put = await store.put(VM_PREFIX + self.id, JSON.stringify(self), {
-      leaseId: lease.value,
-    }, "membership");
-    if (put.isOk()) this.#leaseId = lease.value;
-    else void store.revoke(lease.value, "membership");
+    const { leads, order, hearsAll, isLead } = this.#view;
+    const before = idsOf(this.#lookedAt.leads);
+    this.#lookedAt = { leads, order, hearsAll, isLead };
+    if (idsOf(leads) === before) return;
+    this.#log.info("leads", {
+      leads: idsOf(leads),
+      isLead,
+      vms: this.#view.known.regionCount,
+    });
   }
 
-  async #keepListing(): Promise<void> {
-    while (!this.#closing) {
-      const done = await this.#list();
-      await this.#clock.sleep(done ? LIST_MS : LIST_AGAIN_MS);
+  #send(due: Due): void {
+    const { datagrams } = this.#options;
+    const nowMs = this.#clock.monoMs();
+    if (due.type === "report") {
+      datagrams.send("report", this.#report(), due.ips);
+    } else if (due.type === "roster") {
+      const roster: Roster = {
+        ...this.#view.tellRegion(nowMs, due.withNames),
+        load: this.#regionLoad(),
+      };
+      datagrams.send("roster", roster, due.ips);
+    } else {
+      const digest = this.#view.tellRegions(nowMs, due.to);
+      datagrams.send("digest", {
+        ...digest,
+        room: this.#options.room(),
+      }, due.ips);
     }
   }
 
-  /** Reads others' entries; returns whether that worked. */
-  async #list(): Promise<boolean> {
-    const listing = await this.#options.store.list(VM_PREFIX, {}, "membership");
-    if (listing.isErr()) return false;
-    if (this.#closing) return true;
-    this.#named.clear();
-    for (const entry of listing.value.entries) {
-      try {
-        this.#name(JSON.parse(entry.value) as VmRecord);
-      } catch {
-        this.#log.warn("vm entry unreadable", {
-          key: entry.key,
-          rev: entry.rev,
-        });
+  #report(): Report {
+    const { self, state, load, held } = this.#options;
+    const everyMs = this.#view.reportEveryMs;
+    const said = load();
+    this.#saidLoad = said.load;
+    return { ...self, everyMs, ...state(), ...said, held: held(everyMs) };
+  }
+
+  #sendNote(): void {
+    this.#noteDueMs = Infinity;
+    const { self, datagrams, load } = this.#options;
+    const [first] = this.#view.leads;
+    const seen = this.#seen;
+    this.#seen = [];
+    if (!first || first.id === self.id) return;
+    const said = load();
+    this.#saidLoad = said.load;
+    const nowMs = this.#clock.monoMs();
+    const held = this.#options.held(nowMs - this.#notedMs);
+    this.#notedMs = nowMs;
+    const note: LoadNote = { id: self.id, ...said, seen, held };
+    datagrams.send("load", note, [first.ip]);
+  }
+
+  /** What all VMs of the region have under way, this one included. */
+  #regionLoad(): Load {
+    // Where all hear all, each adds up for itself.
+    if (this.#view.hearsAll) return {};
+    const sums = new Map<string, [number, number]>();
+    for (const load of [this.book.load, this.#options.load().load]) {
+      for (const [key, [running, waitingTokens]] of Object.entries(load)) {
+        const sum = sums.get(key) ?? [0, 0];
+        sums.set(key, [sum[0] + running, sum[1] + waitingTokens]);
       }
     }
-    return true;
+    const most = [...sums].sort(([, a], [, b]) => b[0] - a[0])
+      .slice(0, MOST_LOADS);
+    return Object.fromEntries(most);
+  }
+
+  #onReport(report: Report | undefined): void {
+    if (!report || report.id === this.#options.self.id || this.#closing) return;
+    const nowMs = this.#clock.monoMs();
+    const replies = this.#view.onReport(report, nowMs);
+    for (const due of replies) this.#send(due);
+    if (report.region === this.#options.self.region) {
+      this.book.note(report.id, report, nowMs);
+      this.#options.onHeld(report.held);
+      this.#onNews();
+    }
+    this.#wakeAt(this.#view.nextDueMs);
+  }
+
+  #onNote(note: LoadNote | undefined): void {
+    if (!note || this.#closing) return;
+    // Who does not report here takes this VM for a lead wrongly, and will learn who is.
+    if (!this.#view.isLead) return;
+    this.book.note(note.id, note, this.#clock.monoMs());
+    this.#options.onSeen(note.seen);
+    this.#options.onHeld(note.held);
   }
+
+  #onRoster(roster: Roster | undefined): void {
+    if (!roster || this.#closing) return;
+    this.#view.onRoster(roster, this.#clock.monoMs());
+    this.#noteLeads();
+    this.#onNews();
+    this.#wakeAt(this.#view.nextDueMs);
+  }
+}
+
+function idsOf(vms: readonly VmRecord[]): string {
+  return vms.map(({ id }) => id).join();
 }
--- a/src/gateway/metrics.ts
+++ b/src/gateway/metrics.ts
@@ -15,7 +15,8 @@
   | "first_byte"
   | "between_chunks"
   | "total"
-  | "relay_first_byte";
+  | "relay_first_byte"
+  | "place";
 
 /** See the module. Names and labels are listed in docs/OPERATIONS.md. */
 export class GatewayMetrics {
--- /dev/null
+++ b/src/gateway/other_loads.ts
@@ -0,0 +1,72 @@
+/**
+ * What the other VMs of the region have under way at each upstream.
+ *
+ * @module
+ */
+
+import type {
+  LeadRecord,
+  Load,
+  LoadBook,
+  Report,
+  Roster,
+  UpstreamLoad,
+} from "../region/mod.ts";
+
+/** What is known of the region's loads. */
+export interface RegionLoads {
+  readonly hearsAll: boolean;
+  readonly isLead: boolean;
+  readonly leads: readonly LeadRecord[];
+  readonly book: LoadBook;
+  readonly saidLoad: Load;
+  reporters(): readonly Report[];
+  roster(): Roster | undefined;
+}
+
+/** How long it is used who is there; a request asks several times for each upstream. */
+const KEPT_MS = 25;
+const NO_LOAD: UpstreamLoad = [0, 0];
+
+/** See the module. A lead adds up what VMs report to it; other VMs have what a lead told them last. */
+export class OtherLoads {
+  readonly #region: RegionLoads;
+  readonly #selfId: string;
+  #told: Load | undefined;
+  #coldVmIds: readonly string[] = [];
+  #lookedMonoMs = -Infinity;
+
+  constructor(region: RegionLoads, selfId: string) {
+    this.#region = region;
+    this.#selfId = selfId;
+  }
+
+  /** What the others have under way at an upstream, by its key. */
+  at(upstreamKey: string, nowMs: number): UpstreamLoad {
+    this.#look(nowMs);
+    if (!this.#told) return this.#region.book.at(upstreamKey);
+    const [running, waitingTokens] = this.#told[upstreamKey] ?? NO_LOAD;
+    const [own, ownTokens] = this.#region.saidLoad[upstreamKey] ?? NO_LOAD;
+    return [Math.max(0, running - own), Math.max(0, waitingTokens - ownTokens)];
+  }
+
+  /**
+   * The VMs among which the owner of a cold upstream's pace is found: the first lead, which places what all VMs send, or
+   * every VM where each places by itself.
+   */
+  coldVmIds(nowMs: number): readonly string[] {
+    this.#look(nowMs);
+    return this.#coldVmIds;
+  }
+
+  #look(nowMs: number): void {
+    if (nowMs - this.#lookedMonoMs < KEPT_MS) return;
+    this.#lookedMonoMs = nowMs;
+    const { hearsAll, isLead, leads } = this.#region;
+    this.#told = isLead ? undefined : this.#region.roster()?.load;
+    const ids = hearsAll
+      ? [this.#selfId, ...this.#region.reporters().map(({ id }) => id)]
+      : leads.slice(0, 1).map(({ id }) => id);
+    if (ids.join() !== this.#coldVmIds.join()) this.#coldVmIds = ids;
+  }
+}
--- /dev/null
+++ b/src/gateway/own_entry.ts
@@ -0,0 +1,133 @@
+/**
+ * The entries in the store by which VMs find each other where no seed answers. Only leads write one, so that neither
+ * the entries nor the calls grow with the fleet.
+ *
+ * @module
+ */
+
+import type { KeyValue } from "../adapters/mod.ts";
+import type { Clock } from "../base/mod.ts";
+import type { Log } from "../kernel/mod.ts";
+import { VM_PREFIX } from "../platform/mod.ts";
+import { isVmRecord, type VmRecord } from "../region/mod.ts";
+
+/** An entry lives this long after its last renewal; who finds an old one asks its VM in vain, and loses nothing. */
+const LEASE_MS = 20_000;
+const RENEW_MS = 5_000;
+/** A VM that starts leads until it has heard of others; it does not write for that. */
+const SETTLED_MS = 3_000;
+/** A lead reads the others' entries this often, so that parts of a region that don't know of each other are joined. */
+const LEAD_LIST_MS = 15_000;
+/** A VM without any other reads them this often: all may be starting, and the first leads are about to write theirs. */
+const ALONE_LIST_MS = 1_500;
+/** A seed answers in two ways through the longest link; only then is the store asked. */
+const SEED_WAIT_MS = 400;
+const LOOK_MS = 500;
+
+/** Options of {@link OwnEntry}. */
+export interface EntryOptions {
+  readonly self: VmRecord;
+  readonly store: KeyValue;
+  readonly leastLeaseMs: number;
+  readonly clock: Clock;
+  readonly log: Log;
+  /** Whether there are seeds that may answer before the store is asked. */
+  readonly hasSeeds: boolean;
+  readonly isLead: () => boolean;
+  /** Whether this VM hears no other of its region. */
+  readonly isAlone: () => boolean;
+  readonly onFound: (vms: readonly VmRecord[]) => void;
+}
+
+/** See the module. */
+export class OwnEntry {
+  readonly #options: EntryOptions;
+  #leaseId: string | undefined;
+  #leadSinceMs: number | undefined;
+  #renewedMs = -Infinity;
+  #listedMs = -Infinity;
+  #open = true;
+
+  constructor(options: EntryOptions) {
+    this.#options = options;
+  }
+
+  /** Starts to look after the entry; never throws. */
+  start(): void {
+    void this.#run();
+  }
+
+  /** Removes the entry. */
+  async close(): Promise<void> {
+    this.#open = false;
+    await this.#revoke();
+  }
+
+  async #run(): Promise<void> {
+    const { clock, hasSeeds } = this.#options;
+    if (hasSeeds) await clock.sleep(SEED_WAIT_MS);
+    while (this.#open) {
+      await this.#look(clock.monoMs());
+      await clock.sleep(LOOK_MS);
+    }
+  }
+
+  async #look(nowMs: number): Promise<void> {
+    const { isLead, isAlone } = this.#options;
+    if (!isLead()) {
+      this.#leadSinceMs = undefined;
+      await this.#revoke();
+      return;
+    }
+    this.#leadSinceMs ??= nowMs;
+    const listEveryMs = isAlone() ? ALONE_LIST_MS : LEAD_LIST_MS;
+    if (nowMs - this.#listedMs >= listEveryMs) await this.#list(nowMs);
+    if (nowMs - this.#leadSinceMs < SETTLED_MS) return;
+    if (nowMs - this.#renewedMs >= RENEW_MS) await this.#renew(nowMs);
+  }
+
+  async #list(nowMs: number): Promise<void> {
+    const { store, log, onFound } = this.#options;
+    const listing = await store.list(VM_PREFIX, {}, "membership");
+    // A failed reading is made good by the next one; the store's loss is logged by who follows it.
+    if (listing.isErr() || !this.#open) return;
+    this.#listedMs = nowMs;
+    const found: VmRecord[] = [];
+    for (const { key, rev, value } of listing.value.entries) {
+      try {
+        const vm: unknown = JSON.parse(value);
+        if (isVmRecord(vm)) found.push(vm);
+      } catch {
+        log.warn("vm entry unreadable", { key, rev });
+      }
+    }
+    onFound(found);
+  }
+
+  async #renew(nowMs: number): Promise<void> {
+    const { store, self, leastLeaseMs } = this.#options;
+    this.#renewedMs = nowMs;
+    if (this.#leaseId !== undefined) {
+      const kept = await store.keepAlive(this.#leaseId, "membership");
+      if (kept.isOk() || kept.error.kind !== "leaseGone") return;
+      this.#leaseId = undefined;
+    }
+    const lease = await store.grant(
+      Math.max(leastLeaseMs, LEASE_MS),
+      "membership",
+    );
+    if (lease.isErr() || !this.#open) return;
+    const put = await store.put(VM_PREFIX + self.id, JSON.stringify(self), {
+      leaseId: lease.value,
+    }, "membership");
+    if (put.isOk()) this.#leaseId = lease.value;
+    else void store.revoke(lease.value, "membership");
+  }
+
+  async #revoke(): Promise<void> {
+    const leaseId = this.#leaseId;
+    if (leaseId === undefined) return;
+    this.#leaseId = undefined;
+    await this.#options.store.revoke(leaseId, "membership");
+  }
+}
--- a/src/gateway/peer_rpc.ts
+++ b/src/gateway/peer_rpc.ts
@@ -21,15 +21,24 @@
   Task,
 } from "../kernel/mod.ts";
 import type { BeliefMessages, Beliefs, Matter } from "./beliefs.ts";
+import type { Teller } from "../region/mod.ts";
 import type { News } from "./follower.ts";
 import type { PeerQuestions } from "./front.ts";
-import type { Member, Members } from "./members.ts";
+import type { Members } from "./members.ts";
 import type { Relays } from "./relays.ts";
 
 /** Path of the questions on the peers' listener; no route of a caller is asked for there. */
 export const RPC_PATH = "/ibisgap/rpc";
-/** How often a VM looks whether another knows more. */
-const PULL_MS = 300;
+/** How often a VM looks whether another knows more, besides when it is told so. */
+const PULL_MS = 500;
+/**
+ * How long a lead is behind another region before it asks there. Its own readers bring the same news sooner, unless the
+ * store turns them all away; upstreams are read with a pause.
+ */
+const FAR_BEHIND_MS: Readonly<Record<Matter, number>> = {
+  operators: 600,
+  upstreams: 2_000,
+};
 /** A question unanswered by then is asked elsewhere next time. */
 const ANSWER_WAIT_MS = 1_000;
 type NewsQuestion = BeliefMessages["news"]["in"];
@@ -44,6 +53,7 @@
   readonly #beliefs: Beliefs;
   readonly #members: Members;
   readonly #relays: Relays;
+  readonly #region: string;
   readonly #random = new Random(process.pid);
   protected readonly handlers: Handlers<Messages> = {};
   #port!: Port<BeliefMessages>;
@@ -51,9 +61,17 @@
   #clock!: Clock;
   #timer: Timer | undefined;
   #asking = false;
+  /** Since when a VM of another region knows more. */
+  readonly #behindSinceMs = new Map<Matter, number>();
 
-  constructor(beliefs: Beliefs, members: Members, relays: Relays) {
+  constructor(
+    beliefs: Beliefs,
+    members: Members,
+    relays: Relays,
+    region: string,
+  ) {
     super();
+    this.#region = region;
     this.#beliefs = beliefs;
     this.#members = members;
     this.#relays = relays;
@@ -69,6 +87,7 @@
     );
     this.#server.addMethod("dump", () => kernel.dump());
     this.#timer = this.#clock.every(PULL_MS, () => void this.#pull());
+    this.#members.onNews(() => void this.#pull());
     return Promise.resolve();
   }
 
@@ -110,20 +129,25 @@
    * Some VM that knows more: one of this region, so that the news crosses to each region once; one of another only if
    * nobody here could have read it.
    */
-  #pickAhead(matter: Matter): Member | undefined {
+  #pickAhead(matter: Matter): Teller | undefined {
     const ownRev = this.#beliefs.newsRev(matter);
-    const isAhead = ({ beat }: Member) => beat.revisions[matter] > ownRev;
-    const near = this.#members.near();
-    const nearAhead = near.filter(isAhead);
-    if (nearAhead.length > 0) return this.#random.pick(nearAhead);
-    const isServed = this.#beliefs.isServed ||
-      near.some(({ beat }) => beat.isServed);
-    if (isServed && near.length > 0) return undefined;
-    const ahead = this.#members.alive().filter(isAhead);
-    return ahead.length > 0 ? this.#random.pick(ahead) : undefined;
+    const ahead = this.#members.tellers()
+      .filter(({ revisions }) => revisions[matter] > ownRev);
+    const near = ahead.filter(({ region }) => region === this.#region);
+    if (near.length > 0) return this.#random.pick(near);
+    if (ahead.length === 0 || !this.#members.isLead) {
+      this.#behindSinceMs.delete(matter);
+      return undefined;
+    }
+    const nowMs = this.#clock.monoMs();
+    const sinceMs = this.#behindSinceMs.get(matter) ?? nowMs;
+    this.#behindSinceMs.set(matter, sinceMs);
+    return nowMs - sinceMs >= FAR_BEHIND_MS[matter]
+      ? this.#random.pick(ahead)
+      : undefined;
   }
 
-  async #ask(member: Member, matter: Matter): Promise<void> {
+  async #ask(member: Teller, matter: Matter): Promise<void> {
     const client = new JSONRPCClient(async (payload) => {
       client.receive(
         JSON.parse(await this.#post(member.ip, JSON.stringify(payload))),
--- /dev/null
+++ b/src/gateway/placing.ts
@@ -0,0 +1,291 @@
+/**
+ * Asks the region's lead where a request goes, and answers as the lead.
+ *
+ * A VM alone chooses by counts that are some hundred ms old, and so do its neighbours: all fill the same gap at once. The
+ * lead counts what it has granted in the same step, knows who has read which prompt, keeps the pace of cold upstreams for
+ * the whole region, and leaves a failing one alone after one failure. A lead that does not answer costs a request
+ * {@link ANSWER_WAIT_MS}, and the VM then chooses by what it knows.
+ *
+ * @module
+ */
+
+import { type Clock, Random, type Timer } from "../base/mod.ts";
+import {
+  type Handlers,
+  type Kernel,
+  type Messages,
+  Task,
+} from "../kernel/mod.ts";
+import type { Step } from "../routing/mod.ts";
+import type { Beliefs } from "./beliefs.ts";
+import type { Datagrams } from "./datagrams.ts";
+import type { Members } from "./members.ts";
+import type { GatewayMetrics } from "./metrics.ts";
+import {
+  isHomeOf,
+  type PlaceAsk,
+  placeHere,
+  type PlaceWorld,
+} from "./place_here.ts";
+import {
+  askOf,
+  decodePlaceAnswer,
+  decodeQuestion,
+  encodeAsk,
+  type PlaceQuestion,
+  type PlaceVerdict,
+} from "./place_wire.ts";
+import type { Relays } from "./relays.ts";
+import type { LinkedCandidate } from "./upstream_link.ts";
+import type { Upstreams } from "./upstreams.ts";
+
+/** A lead answers in about a millisecond; this is a tenth of the shortest objectives. */
+const ANSWER_WAIT_MS = 50;
+/** Answers in a row that must be missing: datagrams are lost one in forty on the worst links. */
+const MUTE_MISSES = 2;
+/** A mute lead is asked again after this long; its region finds within it that it is gone. */
+const MUTE_MS = 1_000;
+/** A request without a place asks again after this long at the soonest, so that a full region's questions stay few. */
+const LEAST_WAIT_MS = 40;
+/** How long a place of another region counts as taken for a VM that says nothing of its end; a digest is soon there. */
+const LENT_MS = 300;
+/** Upstreams that a lead tries to take for one question; each but the last was leaving or cold in that very step. */
+const MOST_TAKES = 3;
+
+/** What was decided. `settle` is called when the step was taken or given up: it then shows in what this VM says it does. */
+export interface Placed {
+  readonly step: Step<LinkedCandidate>;
+  settle(): void;
+}
+
+/** Options of {@link Placing}. */
+export interface PlacingOptions {
+  readonly self: { readonly id: string; readonly region: string };
+  readonly datagrams: Datagrams;
+  readonly members: Members;
+  readonly beliefs: Beliefs;
+  readonly upstreams: Upstreams;
+  readonly relays: Relays;
+  readonly metrics: GatewayMetrics;
+}
+
+interface Open {
+  readonly answered: (verdict: PlaceVerdict) => void;
+}
+
+/** How well a lead answers. */
+interface Hearing {
+  misses: number;
+  muteUntilMs: number;
+}
+
+/** See the module. */
+export class Placing extends Task {
+  readonly name = "placing";
+  readonly #options: PlacingOptions;
+  readonly #random = new Random(process.pid ^ Date.now());
+  readonly #open = new Map<number, Open>();
+  /** Questions whose answer does not show yet in what this VM has under way. */
+  readonly #unsettled = new Set<number>();
+  readonly #hearings = new Map<string, Hearing>();
+  protected readonly handlers: Handlers<Messages> = {};
+  #world!: PlaceWorld;
+  #clock!: Clock;
+  #lastQuestion = 0;
+
+  constructor(options: PlacingOptions) {
+    super();
+    this.#options = options;
+  }
+
+  start(kernel: Kernel): Promise<void> {
+    this.#clock = kernel.clock;
+    const { self, upstreams, relays, datagrams } = this.#options;
+    this.#world = {
+      region: self.region,
+      clock: kernel.clock,
+      random: this.#random,
+      upstreams,
+      relays,
+    };
+    datagrams.on("place", (params, fromIp) => {
+      const question = decodeQuestion(params);
+      if (!question) return;
+      const verdict = this.#decide(question);
+      datagrams.send("placed", { question: question.question, verdict }, [
+        fromIp,
+      ]);
+    });
+    datagrams.on("placed", (params) => {
+      const answer = decodePlaceAnswer(params);
+      if (answer) this.#open.get(answer.question)?.answered(answer.verdict);
+    });
+    return Promise.resolve();
+  }
+
+  close(_deadlineMs: number): Promise<void> {
+    return Promise.resolve();
+  }
+
+  dump(): unknown {
+    return {
+      open: this.#open.size,
+      asked: this.asked,
+      leads: Object.fromEntries(this.#hearings),
+    };
+  }
+
+  /** All questions up to this number show in what this VM has under way, or came to nothing. */
+  get asked(): number {
+    let asked = this.#lastQuestion;
+    for (const question of this.#unsettled) {
+      asked = Math.min(asked, question - 1);
+    }
+    return asked;
+  }
+
+  /** The next step by what this VM knows. */
+  here(ask: PlaceAsk): Step<LinkedCandidate> {
+    return placeHere(this.#world, ask);
+  }
+
+  /** The next step of a request, by the lead if there is one that answers. Never fails. */
+  async place(ask: PlaceAsk): Promise<Placed> {
+    const lead = this.#lead();
+    if (!lead) return this.#placed("self", this.here(ask));
+    const question = ++this.#lastQuestion;
+    this.#unsettled.add(question);
+    const settle = () => void this.#unsettled.delete(question);
+    const askedMs = this.#clock.monoMs();
+    const verdict = await this.#ask(ask, question, lead);
+    if (verdict) {
+      this.#options.metrics.time("place", "", this.#clock.monoMs() - askedMs);
+    }
+    const step = verdict && this.#stepOf(verdict, ask);
+    if (step) return { ...this.#placed("lead", step), settle };
+    settle();
+    return this.#placed(verdict ? "behind" : "mute", this.here(ask));
+  }
+
+  #placed(by: string, step: Step<LinkedCandidate>): Placed {
+    this.#options.metrics.count("placed", `by="${by}"`);
+    return { step, settle: () => {} };
+  }
+
+  /** The lead to ask; `undefined` if this VM decides by itself. */
+  #lead(): { readonly id: string; readonly ip: string } | undefined {
+    const { members, self } = this.#options;
+    if (members.hearsAll) return undefined;
+    const nowMs = this.#clock.monoMs();
+    const lead = members.leads.find(({ id }) =>
+      (this.#hearings.get(id)?.muteUntilMs ?? 0) <= nowMs
+    );
+    return lead?.id === self.id ? undefined : lead;
+  }
+
+  #ask(
+    ask: PlaceAsk,
+    question: number,
+    lead: { readonly id: string; readonly ip: string },
+  ): Promise<PlaceVerdict | undefined> {
+    const { datagrams, self } = this.#options;
+    return new Promise((resolve) => {
+      const end = (verdict: PlaceVerdict | undefined) => {
+        timer.close();
+        this.#open.delete(question);
+        this.#noteHearing(lead.id, verdict !== undefined);
+        resolve(verdict);
+      };
+      const timer: Timer = this.#clock.after(
+        ANSWER_WAIT_MS,
+        () => end(undefined),
+      );
+      this.#open.set(question, { answered: end });
+      const nowMs = this.#clock.monoMs();
+      datagrams.send("place", encodeAsk(ask, question, self.id, nowMs), [
+        lead.ip,
+      ]);
+    });
+  }
+
+  #noteHearing(leadId: string, isHeard: boolean): void {
+    if (isHeard) {
+      this.#hearings.delete(leadId);
+      return;
+    }
+    const hearing = this.#hearings.get(leadId) ?? { misses: 0, muteUntilMs: 0 };
+    hearing.misses++;
+    if (hearing.misses >= MUTE_MISSES) {
+      hearing.muteUntilMs = this.#clock.monoMs() + MUTE_MS;
+    }
+    this.#hearings.set(leadId, hearing);
+  }
+
+  /** `undefined` if the lead chose an upstream that is not known here. */
+  #stepOf(
+    verdict: PlaceVerdict,
+    { service }: PlaceAsk,
+  ): Step<LinkedCandidate> | undefined {
+    switch (verdict.type) {
+      case "unknown":
+        return undefined;
+      case "send": {
+        const { upstreamKey, grant } = verdict;
+        const candidate = this.#options.upstreams
+          .granted(service, upstreamKey, grant);
+        return candidate && { type: "send", candidate };
+      }
+      case "wait":
+        return {
+          type: "wait",
+          untilMs: this.#clock.monoMs() + verdict.waitMs,
+        };
+      default:
+        return verdict;
+    }
+  }
+
+  /** Decides as the lead, and counts what it grants. */
+  #decide(question: PlaceQuestion): PlaceVerdict {
+    const { beliefs, upstreams, relays, members } = this.#options;
+    const nowMs = this.#clock.monoMs();
+    const ask = askOf(question, beliefs.config, nowMs);
+    if (!ask) return { type: "unknown" };
+    const { service, prompt } = ask;
+    for (let takes = 0; takes < MOST_TAKES; takes++) {
+      const step = this.here(ask);
+      if (step.type === "wait") {
+        const waitMs = Math.max(LEAST_WAIT_MS, step.untilMs - nowMs);
+        return { type: "wait", waitMs };
+      }
+      if (step.type === "relay") {
+        const giveBack = relays.lend(step.region, service.name);
+        this.#clock.after(LENT_MS, giveBack);
+      }
+      if (step.type !== "send") return step;
+      const { candidate } = step;
+      if (!upstreams.take(candidate, service, prompt)) continue;
+      const { key, running, waitingTokens } = candidate;
+      const unreadTokens = service.engine ? candidate.unreadTokens : 0;
+      members.book.grant(
+        question.from,
+        question.question,
+        key,
+        unreadTokens,
+        nowMs,
+      );
+      const fetchFrom = upstreams.fetchFrom(
+        candidate,
+        service,
+        prompt,
+        (region) => isHomeOf(ask, region),
+      );
+      return {
+        type: "send",
+        upstreamKey: key,
+        grant: { running, waitingTokens, unreadTokens, fetchFrom },
+      };
+    }
+    return { type: "wait", waitMs: LEAST_WAIT_MS };
+  }
+}
--- a/src/gateway/relays.ts
+++ b/src/gateway/relays.ts
@@ -4,41 +4,62 @@
  * @module
  */
 
-import type { Random } from "../base/mod.ts";
+import type { Clock, Random } from "../base/mod.ts";
 import {
   type Handlers,
   type Kernel,
   type Messages,
   Task,
 } from "../kernel/mod.ts";
-import type { RegionRoom } from "../routing/mod.ts";
+import type { FarRegion } from "../region/mod.ts";
+import type { RegionPlaces, RegionRoom } from "../routing/mod.ts";
 import { Connections } from "./connections.ts";
-import type { Member, Members } from "./members.ts";
 
 /** Idle time of links between VMs; the listener keeps them longer. */
 const IDLE_MS = 20_000;
+/** A VM to which a connection failed is left aside until its region no longer names it, if it is gone. */
+const LOST_MS = 3_000;
 
-const NO_ROOM = { free: 0, queue: 0 };
+const NO_ROOM: RegionPlaces = { free: 0, queue: 0 };
+
+/** A VM of another region that takes requests. */
+export interface RelayTarget {
+  readonly ip: string;
+  readonly region: string;
+}
+
+/** What is known of other regions. */
+export interface OtherRegions {
+  regions(): readonly FarRegion[];
+}
+
+/** Requests that were handed to a region since it told of its places, and are not over yet. */
+interface Lent {
+  readonly toldMs: number;
+  count: number;
+}
 
 /** See the module. */
 export class Relays extends Task {
   readonly name = "relays";
-  readonly #members: Members;
-  readonly #region: string;
+  readonly #known: OtherRegions;
   readonly #port: number;
   readonly #agents = new Map<string, Connections>();
-  /** VMs to which a connection failed, with the time of the failure. */
+  /** Addresses to which a connection failed, with the time of the failure. */
   readonly #lostMonoMs = new Map<string, number>();
+  /** By region and service. */
+  readonly #lent = new Map<string, Lent>();
   protected readonly handlers: Handlers<Messages> = {};
+  #clock!: Clock;
 
-  constructor(members: Members, region: string, port: number) {
+  constructor(known: OtherRegions, port: number) {
     super();
-    this.#members = members;
-    this.#region = region;
+    this.#known = known;
     this.#port = port;
   }
 
-  start(_kernel: Kernel): Promise<void> {
+  start(kernel: Kernel): Promise<void> {
+    this.#clock = kernel.clock;
     return Promise.resolve();
   }
 
@@ -48,44 +69,63 @@
   }
 
   dump(): unknown {
-    return { vms: [...this.#agents.keys()] };
+    const idle = [...this.#agents].map(([ip, agent]) => [ip, agent.idle]);
+    return { idleConnections: Object.fromEntries(idle) };
   }
 
-  /** A connection to a VM could not be made: nothing more is handed to it until it is heard again. */
-  noteLost(vmId: string, nowMs: number): void {
-    this.#lostMonoMs.set(vmId, nowMs);
+  /** A connection to a VM could not be made: nothing more is handed to it for a while. */
+  noteLost(ip: string): void {
+    this.#lostMonoMs.set(ip, this.#clock.monoMs());
   }
 
   /**
-   * Other regions with a VM that can be reached and takes requests, and their room for a service: what the VM that was
-   * heard last said, as each speaks for its region.
+   * A request is handed to a region; what is returned is called when it is over. Until the region tells of its places
+   * anew, they are fewer by it: without this all that arrives in half a second would be handed to the same few places.
    */
+  lend(region: string, service: string): () => void {
+    const far = this.#known.regions()
+      .find(({ digest }) => digest.from.region === region);
+    if (!far) return () => {};
+    const key = `${region} ${service}`;
+    let lent = this.#lent.get(key);
+    if (lent?.toldMs !== far.heardMs) {
+      lent = { toldMs: far.heardMs, count: 0 };
+      this.#lent.set(key, lent);
+    }
+    lent.count++;
+    const counted = lent;
+    return () => void counted.count--;
+  }
+
+  /** Other regions with a VM that can be reached and takes requests, and their room for a service. */
   regions(
     service: string,
     allowed: (region: string) => boolean,
     isScarce: (region: string) => boolean,
   ): RegionRoom[] {
-    const latest = new Map<string, Member>();
-    for (const member of this.#targets()) {
-      const { region, heardMonoMs } = member;
-      if (!allowed(region)) continue;
-      if (heardMonoMs > (latest.get(region)?.heardMonoMs ?? -Infinity)) {
-        latest.set(region, member);
-      }
+    const rooms: RegionRoom[] = [];
+    for (const far of this.#known.regions()) {
+      const { region } = far.digest.from;
+      if (!allowed(region) || this.#targets(far).length === 0) continue;
+      const { free, queue } = far.digest.room?.[service] ?? NO_ROOM;
+      const lent = this.#lent.get(`${region} ${service}`);
+      const taken = lent?.toldMs === far.heardMs ? lent.count : 0;
+      rooms.push({
+        region,
+        free: Math.max(0, free - taken),
+        queue: Math.max(0, queue - taken),
+        isScarce: isScarce(region),
+      });
     }
-    return [...latest.values()].map(({ region, beat }) => ({
-      region,
-      ...(beat.room?.[service] ?? NO_ROOM),
-      isScarce: isScarce(region),
-    }));
+    return rooms;
   }
 
   /** A VM of a region to hand a request to, at random among those that take requests. */
-  pick(region: string, random: Random): Member | undefined {
-    const targets = this.#targets().filter((member) =>
-      member.region === region
-    );
-    return targets.length === 0 ? undefined : random.pick(targets);
+  pick(region: string, random: Random): RelayTarget | undefined {
+    const far = this.#known.regions()
+      .find(({ digest }) => digest.from.region === region);
+    const ips = far ? this.#targets(far) : [];
+    return ips.length === 0 ? undefined : { ip: random.pick(ips), region };
   }
 
   /** The connections to a VM. */
@@ -103,10 +143,10 @@
     return this.#port;
   }
 
-  #targets(): Member[] {
-    return this.#members.alive().filter(({ id, region, beat, heardMonoMs }) =>
-      region !== this.#region && beat.ready && !beat.leaving &&
-      heardMonoMs > (this.#lostMonoMs.get(id) ?? -Infinity)
+  #targets({ digest }: FarRegion): string[] {
+    const nowMs = this.#clock.monoMs();
+    return digest.ready.filter((ip) =>
+      nowMs - (this.#lostMonoMs.get(ip) ?? -Infinity) >= LOST_MS
     );
   }
 }
--- a/src/gateway/room.ts
+++ b/src/gateway/room.ts
@@ -13,9 +13,7 @@
   type ServiceRow,
   type StepCandidate,
 } from "../routing/mod.ts";
-
-/** Places by service. */
-export type Room = Readonly<Record<string, RegionPlaces>>;
+import type { Room } from "../region/mod.ts";
 
 /** Events of a long answer, which a place that is offered should bear; longer ones are rare. */
 const LONG_ANSWER_EVENTS = 150;
--- a/src/gateway/send.ts
+++ b/src/gateway/send.ts
@@ -11,12 +11,12 @@
   decodeAnswer,
   type UpstreamAnswer,
 } from "../platform/mod.ts";
-import type { PromptPart } from "../routing/mod.ts";
+import type { PromptPart, SendOutcome } from "../routing/mod.ts";
 import type { GatewayContext } from "./context.ts";
 import { Exchange, type ExchangeFailure } from "./exchange.ts";
-import type { Member } from "./members.ts";
+import type { RelayTarget } from "./relays.ts";
 import { decodePeerFailure, RELAY_HEADERS } from "./reply.ts";
-import type { LinkedCandidate, UpstreamLink } from "./upstreams.ts";
+import type { LinkedCandidate, UpstreamLink } from "./upstream_link.ts";
 
 /** A connection inside a region takes a few ms; an upstream that took none in this time is dark. */
 const CONNECT_WAIT_MS = 250;
@@ -49,6 +49,8 @@
   readonly onStreamCheck: () => void;
   /** Without any answer for this long, the send may be given up; `Infinity` to wait until the deadline. */
   readonly patienceMs: number;
+  /** Whether the request may run more than once. */
+  readonly mayRepeat: boolean;
   /** Whether another place would serve the request now; without one, giving up gains nothing. */
   readonly hasOther: () => boolean;
 }
@@ -57,6 +59,8 @@
 export interface RelayTerms {
   readonly configVersion: number;
   readonly mostUpstreams: number;
+  /** Called when the send is over. */
+  readonly giveBack: () => void;
 }
 
 /** The head of an answer that may go to the caller. */
@@ -167,7 +171,9 @@
     this.#waitingTokens = sendable.promptTokens;
     const nowMs = context.clock.monoMs();
     this.#sentMonoMs = nowMs;
-    link.open(nowMs, this.#waitingTokens);
+    link.open(upstream, nowMs, this.#waitingTokens);
+    if (sendable.mayRepeat) link.onDark.add(this.#leaveDark);
+    context.members.noteLoad();
     candidate.pace.noteSend(this.#waitingTokens);
     this.exchange = new Exchange({
       agent: link.agent,
@@ -197,7 +203,10 @@
     this.#link.heard(nowMs);
     this.#learnPace(nowMs);
     this.#lastChunkMonoMs = nowMs;
-    this.#link.streamChecks.add(this.sendable.onStreamCheck);
+    this.context.upstreams.watchStream(
+      this.#link,
+      this.sendable.onStreamCheck,
+    );
     this.#started();
   }
 
@@ -224,15 +233,28 @@
   }
 
   noteBroken(): void {
-    this.#link.health.note("lost", this.context.clock.monoMs());
+    this.#noteOutcome("lost");
   }
 
+  /** What became of a send counts here, and at the lead for all VMs of the region. */
+  #noteOutcome(outcome: SendOutcome): void {
+    this.#link.health.note(outcome, this.context.clock.monoMs());
+    this.context.members.noteLoad([this.#candidate.key, outcome]);
+  }
+
+  /** The upstream can't be reached any more; what may be repeated goes elsewhere while a repeat is left. */
+  readonly #leaveDark = (): void => {
+    if (this.sendable.hasOther()) this.cancel("upstream went dark");
+  };
+
   close(): void {
     if (!this.#open) return;
     this.#open = false;
     this.#link.streamChecks.delete(this.sendable.onStreamCheck);
+    this.#link.onDark.delete(this.#leaveDark);
     this.#started();
     this.#link.running--;
+    this.context.members.noteLoad();
   }
 
   protected override lost(cause: ExchangeFailure): Unanswered {
@@ -241,24 +263,22 @@
   }
 
   protected read(answer: IncomingMessage): Answered | Unanswered {
-    const nowMs = this.context.clock.monoMs();
-    const { health } = this.#link;
-    this.#link.heard(nowMs);
+    this.#link.heard(this.context.clock.monoMs());
     const read = decodeAnswer(answer, this.sendable.attemptId);
     if (!read.matches || (!read.signed && !read.notRun)) {
       const reason = read.matches
         ? "answer is not signed"
         : "answer of another attempt";
       this.cancel(reason);
-      health.note("failed", nowMs);
+      this.#noteOutcome("failed");
       return super.lost({ sent: true, reason });
     }
     if (!read.notRun) {
-      health.note(read.status >= 500 ? "failed" : "answered", nowMs);
+      this.#noteOutcome(read.status >= 500 ? "failed" : "answered");
       return { type: "answered", answer, read };
     }
     answer.resume();
-    health.note(read.wrongUpstream ? "replaced" : "shed", nowMs);
+    this.#noteOutcome(read.wrongUpstream ? "replaced" : "shed");
     return {
       type: "unanswered",
       reached: true,
@@ -272,24 +292,28 @@
   }
 
   #started(): void {
+    if (this.#waitingTokens === 0) return;
     this.#link.waitingTokens -= this.#waitingTokens;
     this.#waitingTokens = 0;
+    this.context.members.noteLoad();
   }
 }
 
 /** A send to a VM of another region. */
 export class RelaySend extends Send {
   protected readonly exchange: Exchange;
-  readonly #vm: Member;
+  readonly #vm: RelayTarget;
+  readonly #giveBack: () => void;
 
   constructor(
     context: GatewayContext,
     sendable: Sendable,
-    vm: Member,
+    vm: RelayTarget,
     terms: RelayTerms,
   ) {
     super(context, sendable);
     this.#vm = vm;
+    this.#giveBack = terms.giveBack;
     const leftMs = sendable.deadlineMonoMs - context.clock.monoMs();
     this.exchange = new Exchange({
       agent: context.relays.agent(vm.ip),
@@ -320,14 +344,13 @@
 
   noteBroken(): void {}
 
-  close(): void {}
+  close(): void {
+    this.#giveBack();
+  }
 
   protected override lost(cause: ExchangeFailure): Unanswered {
     if (!cause.sent) {
-      this.context.relays.noteLost(
-        this.#vm.id,
-        this.context.clock.monoMs(),
-      );
+      this.context.relays.noteLost(this.#vm.ip);
     }
     return super.lost(cause);
   }
@@ -346,7 +369,7 @@
       mayHaveRun,
       arrived: mayHaveRun,
       arrivals: refused.arrivals,
-      reason: `${this.#vm.id} answered ${refused.failure.code}`,
+      reason: `${this.#vm.ip} answered ${refused.failure.code}`,
       failure: refused.failure,
       comeBackMs: refused.comeBackMs,
     };
--- a/src/gateway/settings.ts
+++ b/src/gateway/settings.ts
@@ -24,6 +24,9 @@
     /** Memory that the process may take. */
     memoryMb: count,
     mostDescriptors: count,
+    /** Share of a core that the process may take, and how fast the core is; strong VMs lead their region. */
+    coreShare: z._default(count, 1),
+    coreSpeed: z._default(count, 1),
   }),
   listen: z.object({
     callers: address,
@@ -31,7 +34,7 @@
     directory: address,
     /** HTTP between VMs: relayed requests and questions. */
     peers: address,
-    /** UDP between VMs: heartbeats. */
+    /** UDP between VMs: who is there, and where requests go. */
     beats: port,
     metrics: port,
   }),
--- a/src/gateway/stream_move.ts
+++ b/src/gateway/stream_move.ts
@@ -15,7 +15,7 @@
 import type { CallInput } from "./call_input.ts";
 import type { GatewayContext } from "./context.ts";
 import { Exchange } from "./exchange.ts";
-import type { LinkedCandidate } from "./upstreams.ts";
+import type { LinkedCandidate } from "./upstream_link.ts";
 
 /** A move that takes longer has failed: the copy takes some ten ms, behind a few others. */
 const MOVE_WAIT_MS = 1_000;
--- /dev/null
+++ b/src/gateway/upstream_link.ts
@@ -0,0 +1,114 @@
+/**
+ * This VM's side of one upstream, and an upstream as a request sees it.
+ *
+ * @module
+ */
+
+import {
+  coldOwner,
+  ColdPace,
+  type EnginePace,
+  type KnownUpstream,
+  type PromptPart,
+  type StepCandidate,
+  UpstreamHealth,
+} from "../routing/mod.ts";
+import { Connections } from "./connections.ts";
+
+/**
+ * An upstream that owes answers and sends nothing for this long has gone dark or hangs: engines at work send events
+ * several times as often, and a plain service's slowest usual answer takes less.
+ */
+const SILENT_MS = 600;
+
+/** This VM's side of one upstream. */
+export class UpstreamLink {
+  readonly agent: Connections;
+  readonly health = new UpstreamHealth();
+  readonly coldPace = new ColdPace();
+  /** Called now and then for each stream that runs there, so that it can leave an engine that reads. */
+  readonly streamChecks = new Set<() => void>();
+  /** Called for each request that is there when the upstream turns out to be dark. */
+  readonly onDark = new Set<() => void>();
+  running = 0;
+  waitingTokens = 0;
+  usedMonoMs: number;
+  /** Where the last request was sent. */
+  upstream: KnownUpstream | undefined;
+
+  #quietSinceMs: number;
+  #owner:
+    | { readonly vmIds: readonly string[]; readonly id: string }
+    | undefined;
+
+  constructor(nowMs: number) {
+    this.agent = new Connections({});
+    this.usedMonoMs = nowMs;
+    this.#quietSinceMs = nowMs;
+  }
+
+  /** Counts a request that is sent. */
+  open(upstream: KnownUpstream, nowMs: number, promptTokens: number): void {
+    this.upstream = upstream;
+    if (this.running === 0) this.#quietSinceMs = nowMs;
+    this.running++;
+    this.waitingTokens += promptTokens;
+    this.health.noteSend(nowMs);
+  }
+
+  /**
+   * Which VM alone may send there while it is cold. Kept as long as the list of VMs is the same one: with 30 neighbours
+   * and ten cold upstreams asking anew took 0.4 ms a request.
+   */
+  coldOwner(upstreamKey: string, vmIds: readonly string[]): string | undefined {
+    if (this.#owner?.vmIds !== vmIds) {
+      this.#owner = { vmIds, id: coldOwner(upstreamKey, vmIds) ?? "" };
+    }
+    return this.#owner.id;
+  }
+
+  /** Notes that bytes came. */
+  heard(nowMs: number): void {
+    this.#quietSinceMs = nowMs;
+  }
+
+  /** Sets the upstream aside if it owes answers and has sent nothing for long. */
+  checkSilence(nowMs: number): boolean {
+    if (this.running === 0 || nowMs - this.#quietSinceMs < SILENT_MS) {
+      return false;
+    }
+    this.#quietSinceMs = nowMs;
+    this.health.note("lost", nowMs);
+    return true;
+  }
+}
+
+/** An upstream with the link to it. */
+export interface LinkedCandidate extends StepCandidate {
+  readonly upstream: KnownUpstream;
+  readonly link: UpstreamLink;
+  /** What is known of the engines' speed. */
+  readonly pace: EnginePace;
+  /** Prompt tokens that it will have to read. */
+  readonly unreadTokens: number;
+  /** Set if a lead chose it: the lead has looked at its cold start, and knows who has read the prompt. */
+  readonly granted?: Grant;
+}
+
+/** What a lead says of an upstream that it chose. */
+export interface Grant {
+  readonly running: number;
+  readonly waitingTokens: number;
+  readonly unreadTokens: number;
+  /** `IP:PORT` of an engine to copy the prompt's shared parts from. */
+  readonly fetchFrom?: string;
+}
+
+/** What is known of a request's prompt. */
+export interface PromptShape {
+  readonly parts: readonly PromptPart[];
+  readonly tokens: number;
+}
+
+/** A request without a prompt. */
+export const NO_PROMPT: PromptShape = { parts: [], tokens: 0 };
--- a/src/gateway/upstreams.ts
+++ b/src/gateway/upstreams.ts
@@ -13,127 +13,46 @@
   Task,
 } from "../kernel/mod.ts";
 import {
-  coldOwner,
-  ColdPace,
   EnginePace,
   fetchSource,
   type Fleet,
   type HeldPart,
-  type KnownUpstream,
   PartHolders,
-  type PromptPart,
+  type SendOutcome,
   type ServiceRow,
-  type StepCandidate,
-  UpstreamHealth,
 } from "../routing/mod.ts";
-import { Connections } from "./connections.ts";
-import type { UpstreamLoad } from "./beat.ts";
-import type { Member } from "./members.ts";
-import { NearLoads } from "./near_loads.ts";
+import type { Load, SeenOutcome } from "../region/mod.ts";
+import { isDark } from "./dark.ts";
+import { OtherLoads, type RegionLoads } from "./other_loads.ts";
+import {
+  type Grant,
+  type LinkedCandidate,
+  NO_PROMPT,
+  type PromptShape,
+  UpstreamLink,
+} from "./upstream_link.ts";
 
 /** Connections of an upstream that is known no more are kept this long, for the answers that are still under way. */
 const KEEP_MS = 60_000;
 const SWEEP_MS = 5_000;
-/**
- * An upstream that owes answers and sends nothing for this long has gone dark or hangs: engines at work send events
- * several times as often, and a plain service's slowest usual answer takes less.
- */
-const SILENT_MS = 600;
 const SILENCE_CHECK_MS = 100;
+const OUTCOMES: ReadonlySet<string> = new Set<SendOutcome>([
+  "answered",
+  "failed",
+  "shed",
+  "lost",
+  "replaced",
+]);
 /** Streams beside a prompt that is read pause from its start on; a tenth of the shortest pause allowed is lost by looking. */
 const STREAM_CHECK_MS = 25;
 
-/** This VM's side of one upstream. */
-export class UpstreamLink {
-  readonly agent: Connections;
-  readonly health = new UpstreamHealth();
-  readonly coldPace = new ColdPace();
-  /** Called now and then for each stream that runs there, so that it can leave an engine that reads. */
-  readonly streamChecks = new Set<() => void>();
-  running = 0;
-  waitingTokens = 0;
-  usedMonoMs: number;
-
-  #quietSinceMs: number;
-  #owner: { readonly vms: readonly Member[]; readonly id: string } | undefined;
-
-  constructor(nowMs: number) {
-    this.agent = new Connections({});
-    this.usedMonoMs = nowMs;
-    this.#quietSinceMs = nowMs;
-  }
-
-  /** Counts a request that is sent. */
-  open(nowMs: number, promptTokens: number): void {
-    if (this.running === 0) this.#quietSinceMs = nowMs;
-    this.running++;
-    this.waitingTokens += promptTokens;
-    this.health.noteSend(nowMs);
-  }
-
-  /**
-   * Which VM alone may send there while it is cold. Kept as long as the list of neighbours is the same one: with 30
-   * neighbours and ten cold upstreams asking anew took 0.4 ms a request.
-   */
-  coldOwner(
-    upstreamKey: string,
-    selfId: string,
-    vms: readonly Member[],
-  ): string {
-    if (this.#owner?.vms !== vms) {
-      const ids = [selfId, ...vms.map(({ id }) => id)];
-      this.#owner = { vms, id: coldOwner(upstreamKey, ids) ?? selfId };
-    }
-    return this.#owner.id;
-  }
-
-  /** Notes that bytes came. */
-  heard(nowMs: number): void {
-    this.#quietSinceMs = nowMs;
-  }
-
-  /** Sets the upstream aside if it owes answers and has sent nothing for long. */
-  checkSilence(nowMs: number): boolean {
-    if (this.running === 0 || nowMs - this.#quietSinceMs < SILENT_MS) {
-      return false;
-    }
-    this.#quietSinceMs = nowMs;
-    this.health.note("lost", nowMs);
-    return true;
-  }
-}
-
-/** An upstream with the link to it. */
-export interface LinkedCandidate extends StepCandidate {
-  readonly upstream: KnownUpstream;
-  readonly link: UpstreamLink;
-  /** What is known of the engines' speed. */
-  readonly pace: EnginePace;
-  /** Prompt tokens that it will have to read. */
-  readonly unreadTokens: number;
-}
-
-/** What is known of a request's prompt. */
-export interface PromptShape {
-  readonly parts: readonly PromptPart[];
-  readonly tokens: number;
-}
-
-/** A request without a prompt. */
-export const NO_PROMPT: PromptShape = { parts: [], tokens: 0 };
-
-/** What placing reads of other VMs. */
-export interface NearVms {
-  near(): readonly Member[];
-}
-
 /** See the module. */
 export class Upstreams extends Task {
   readonly name = "upstreams";
   /** Which engines hold which parts of prompts. */
   readonly holders = new PartHolders();
   readonly #fleet: Fleet;
-  readonly #nearLoads: NearLoads;
+  readonly #others: OtherLoads;
   readonly #self: { readonly id: string; readonly region: string };
   readonly #links = new Map<string, UpstreamLink>();
   /** By service. */
@@ -141,24 +60,22 @@
   protected readonly handlers: Handlers<Messages> = {};
   #clock!: Clock;
   readonly #timers: Timer[] = [];
+  #streamTimer: Timer | undefined;
 
   constructor(
     fleet: Fleet,
-    vms: NearVms,
+    region: RegionLoads,
     self: { readonly id: string; readonly region: string },
   ) {
     super();
     this.#fleet = fleet;
-    this.#nearLoads = new NearLoads(() => vms.near());
+    this.#others = new OtherLoads(region, self.id);
     this.#self = self;
   }
 
   start(kernel: Kernel): Promise<void> {
     this.#clock = kernel.clock;
     this.#timers.push(this.#clock.every(SWEEP_MS, () => this.#sweep()));
-    this.#timers.push(
-      this.#clock.every(STREAM_CHECK_MS, () => this.#checkStreams()),
-    );
     this.#timers.push(
       this.#clock.every(SILENCE_CHECK_MS, () => this.#checkSilence(kernel.log)),
     );
@@ -167,6 +84,7 @@
 
   close(_deadlineMs: number): Promise<void> {
     for (const timer of this.#timers) timer.close();
+    this.#streamTimer?.close();
     for (const link of this.#links.values()) link.agent.destroy();
     return Promise.resolve();
   }
@@ -203,8 +121,8 @@
   }
 
   /** What this VM has under way, by upstream key. */
-  load(): Record<string, UpstreamLoad> {
-    const load: Record<string, UpstreamLoad> = {};
+  load(): Load {
+    const load: Record<string, [number, number]> = {};
     for (const [key, { running, waitingTokens }] of this.#links) {
       if (running > 0) load[key] = [running, waitingTokens];
     }
@@ -217,16 +135,16 @@
     { parts, tokens }: PromptShape = NO_PROMPT,
   ): LinkedCandidate[] {
     const nowMs = this.#clock.monoMs();
-    const shared = parts.slice(0, -1);
-    const vms = this.#nearLoads.vms(nowMs);
     const pace = this.pace(service);
-    const { holders } = this;
+    const warmTokens = this.holders.warmth(parts.slice(0, -1), nowMs);
+    const coldVmIds = this.#others.coldVmIds(nowMs);
     return this.#fleet.of(service.name, this.#self.region).map((upstream) => {
-      const link = this.#link(upstream.key, nowMs);
+      const { key } = upstream;
+      const link = this.#link(key, nowMs);
       const cold = service.coldPerS > 0 && upstream.coldUntilMs > nowMs;
-      const [running, waitingTokens] = this.#nearLoads.at(upstream.key, nowMs);
+      const [running, waitingTokens] = this.#others.at(key, nowMs);
       return {
-        key: upstream.key,
+        key,
         hash: upstream.hash,
         running: link.running + running,
         waitingTokens: link.waitingTokens + waitingTokens,
@@ -234,12 +152,9 @@
         doubtful: cold || link.health.isFailing(),
         aside: link.health.isAside(nowMs),
         paced: !cold ||
-          (link.coldOwner(upstream.key, this.#self.id, vms) ===
-              this.#self.id && link.coldPace.ready(nowMs)),
-        unreadTokens: Math.max(
-          0,
-          tokens - holders.warmTokens(shared, upstream.key, nowMs),
-        ),
+          (link.coldOwner(key, coldVmIds) === this.#self.id &&
+            link.coldPace.ready(nowMs)),
+        unreadTokens: Math.max(0, tokens - warmTokens(key)),
         upstream,
         link,
         pace,
@@ -247,6 +162,39 @@
     });
   }
 
+  /** The upstream that a lead chose; `undefined` if it is not known here or may not be used. */
+  granted(
+    service: ServiceRow,
+    key: string,
+    granted: Grant,
+  ): LinkedCandidate | undefined {
+    const upstream = this.#fleet.of(service.name, this.#self.region)
+      .find((known) => known.key === key);
+    if (!upstream) return undefined;
+    return {
+      key,
+      hash: upstream.hash,
+      slots: upstream.slots,
+      doubtful: false,
+      aside: false,
+      paced: true,
+      ...granted,
+      upstream,
+      link: this.#link(key, this.#clock.monoMs()),
+      pace: this.pace(service),
+      granted,
+    };
+  }
+
+  /** Takes in what became of other VMs' sends. */
+  noteSeen(seen: readonly SeenOutcome[]): void {
+    const nowMs = this.#clock.monoMs();
+    for (const pair of seen) {
+      if (!Array.isArray(pair) || !OUTCOMES.has(pair[1])) continue;
+      this.#links.get(String(pair[0]))?.health.note(pair[1], nowMs);
+    }
+  }
+
   /** What is known of the speed of a service's engines; plain services read nothing and keep the first figures. */
   pace({ name }: ServiceRow): EnginePace {
     let pace = this.#paces.get(name);
@@ -259,26 +207,26 @@
 
   /** Requests that run at an upstream, by all VMs of the region as far as known. */
   running(upstreamKey: string): number {
-    const [near] = this.#nearLoads.at(upstreamKey, this.#clock.monoMs());
-    return near + (this.#links.get(upstreamKey)?.running ?? 0);
+    const [others] = this.#others.at(upstreamKey, this.#clock.monoMs());
+    return others + (this.#links.get(upstreamKey)?.running ?? 0);
   }
 
   /** Prompt tokens that wait at an upstream, by all VMs of the region as far as known. */
   waitingTokens(upstreamKey: string): number {
-    const [, near] = this.#nearLoads.at(upstreamKey, this.#clock.monoMs());
-    return near + (this.#links.get(upstreamKey)?.waitingTokens ?? 0);
+    const [, others] = this.#others.at(upstreamKey, this.#clock.monoMs());
+    return others + (this.#links.get(upstreamKey)?.waitingTokens ?? 0);
   }
 
   /** Looks again, in the step that sends, whether the upstream may be used, and counts a cold one's request. */
   take(
-    { upstream, link }: LinkedCandidate,
+    { upstream, link, granted }: LinkedCandidate,
     service: ServiceRow,
     { parts }: PromptShape,
   ): boolean {
     const nowMs = this.#clock.monoMs();
     if (!this.#fleet.mayUse(upstream)) return false;
     if (
-      upstream.coldUntilMs > nowMs &&
+      !granted && upstream.coldUntilMs > nowMs &&
       !link.coldPace.tryTake(nowMs, service.coldPerS)
     ) return false;
     this.holders.noteSent(parts.slice(0, -1), upstream.key, nowMs);
@@ -287,12 +235,13 @@
 
   /** `IP:PORT` of an engine to copy a prompt's shared parts from, among regions that may hold them. */
   fetchFrom(
-    { upstream }: LinkedCandidate,
+    { upstream, granted }: LinkedCandidate,
     { engine, name }: ServiceRow,
     { parts }: PromptShape,
     isAllowed: (region: string) => boolean,
   ): string | undefined {
     if (!engine) return undefined;
+    if (granted) return granted.fetchFrom;
     const everywhere = this.#fleet.ofRegions(name, isAllowed);
     const source = fetchSource(
       upstream,
@@ -313,21 +262,51 @@
     return link;
   }
 
+  /** Calls `check` again and again while a stream runs at an upstream. */
+  watchStream({ streamChecks }: UpstreamLink, check: () => void): void {
+    streamChecks.add(check);
+    this.#streamTimer ??= this.#clock.every(
+      STREAM_CHECK_MS,
+      () => this.#checkStreams(),
+    );
+  }
+
   #checkStreams(): void {
+    let streams = 0;
     for (const { streamChecks } of this.#links.values()) {
       for (const check of streamChecks) check();
+      streams += streamChecks.size;
     }
+    if (streams > 0) return;
+    this.#streamTimer?.close();
+    this.#streamTimer = undefined;
   }
 
   #checkSilence(log: Log): void {
     const nowMs = this.#clock.monoMs();
     for (const [key, link] of this.#links) {
-      if (link.checkSilence(nowMs)) {
-        log.warn("upstream silent", { upstream: key, running: link.running });
-      }
+      if (!link.checkSilence(nowMs)) continue;
+      log.warn("upstream silent", { upstream: key, running: link.running });
+      void this.#askWhetherDark(log, key, link);
     }
   }
 
+  /**
+   * An engine that reads a long prompt is silent too, so silence alone ends no request. One that takes no connection
+   * either has lost its power or its link: whoever waits there would learn nothing until its deadline.
+   */
+  async #askWhetherDark(
+    log: Log,
+    key: string,
+    link: UpstreamLink,
+  ): Promise<void> {
+    const { upstream } = link;
+    if (!upstream || link.onDark.size === 0) return;
+    if (!(await isDark(upstream.host, upstream.port, this.#clock))) return;
+    log.warn("upstream dark", { upstream: key, running: link.running });
+    for (const leave of [...link.onDark]) leave();
+  }
+
   #sweep(): void {
     const nowMs = this.#clock.monoMs();
     for (const [key, link] of this.#links) {
--- /dev/null
+++ b/src/region/load_book.ts
@@ -0,0 +1,103 @@
+/**
+ * What the VMs of a region have under way at each upstream, as a lead counts it.
+ *
+ * @module
+ */
+
+import type { Load, UpstreamLoad, VmLoad } from "./messages.ts";
+
+/** A request that a VM was told to send, and that its load does not show yet. */
+interface Grant {
+  readonly question: number;
+  readonly upstreamKey: string;
+  readonly promptTokens: number;
+  readonly grantedMs: number;
+}
+
+/** A grant that its VM says nothing about for this long came to nothing, or its message was lost. */
+const GRANT_KEPT_MS = 1_000;
+const NO_LOAD: UpstreamLoad = [0, 0];
+
+/**
+ * See the module. VMs say what they have under way as a whole, so a lost message is made good by the next one; what was
+ * granted since is added until then. Without grants, the requests of the last tenths of a second would all be sent to
+ * the upstream that was the emptiest before them.
+ */
+export class LoadBook {
+  readonly #said = new Map<string, VmLoad>();
+  readonly #grants = new Map<string, Grant[]>();
+  readonly #sums = new Map<string, [running: number, waitingTokens: number]>();
+
+  /** Takes in what a VM says. */
+  note(vmId: string, said: VmLoad, nowMs: number): void {
+    const before = this.#said.get(vmId);
+    if (before) this.#add(before.load, -1);
+    this.#add(said.load, 1);
+    this.#said.set(vmId, said);
+    this.#settle(
+      vmId,
+      ({ question, grantedMs }) =>
+        question <= said.asked || nowMs - grantedMs >= GRANT_KEPT_MS,
+    );
+  }
+
+  /** Counts a request that a VM is told to send. */
+  grant(
+    vmId: string,
+    question: number,
+    upstreamKey: string,
+    promptTokens: number,
+    nowMs: number,
+  ): void {
+    const grants = this.#grants.get(vmId) ?? [];
+    grants.push({ question, upstreamKey, promptTokens, grantedMs: nowMs });
+    this.#grants.set(vmId, grants);
+    this.#addOne(upstreamKey, 1, promptTokens);
+  }
+
+  /** Forgets the VMs that `isThere` does not hold for: their requests ended with them. */
+  keep(isThere: (vmId: string) => boolean): void {
+    for (const [vmId, { load }] of this.#said) {
+      if (isThere(vmId)) continue;
+      this.#add(load, -1);
+      this.#said.delete(vmId);
+      this.#settle(vmId, () => true);
+    }
+  }
+
+  /** What is under way at an upstream. */
+  at(upstreamKey: string): UpstreamLoad {
+    return this.#sums.get(upstreamKey) ?? NO_LOAD;
+  }
+
+  /** The same for all upstreams where anything is. */
+  get load(): Load {
+    return Object.fromEntries(this.#sums);
+  }
+
+  #settle(vmId: string, isOver: (grant: Grant) => boolean): void {
+    const grants = this.#grants.get(vmId);
+    if (!grants) return;
+    const open: Grant[] = [];
+    for (const grant of grants) {
+      if (isOver(grant)) {
+        this.#addOne(grant.upstreamKey, -1, -grant.promptTokens);
+      } else open.push(grant);
+    }
+    this.#grants.set(vmId, open);
+  }
+
+  #add(load: Load, sign: 1 | -1): void {
+    for (const [key, [running, waitingTokens]] of Object.entries(load)) {
+      this.#addOne(key, sign * running, sign * waitingTokens);
+    }
+  }
+
+  #addOne(key: string, running: number, waitingTokens: number): void {
+    const sum = this.#sums.get(key) ?? [0, 0];
+    sum[0] += running;
+    sum[1] += waitingTokens;
+    if (sum[0] === 0 && sum[1] === 0) this.#sums.delete(key);
+    else this.#sums.set(key, sum);
+  }
+}
--- /dev/null
+++ b/src/region/mod.ts
@@ -0,0 +1,13 @@
+/**
+ * Who is there: the VMs of a region, its leads, and what regions tell each other. Free of I/O.
+ *
+ * @module
+ */
+
+export * from "./far_regions.ts";
+export * from "./known_vms.ts";
+export * from "./load_book.ts";
+export * from "./messages.ts";
+export * from "./order.ts";
+export * from "./record.ts";
+export * from "./view.ts";
--- /dev/null
+++ b/src/region/view_sim_test.ts
@@ -0,0 +1,351 @@
+import { Random } from "../base/mod.ts";
+import { describe, it } from "../base/describe.ts";
+import {
+  type Due,
+  LEADS,
+  type RegionDigest,
+  RegionView,
+  type Report,
+  type Roster,
+  type VmRecord,
+} from "./mod.ts";
+
+const STEP_MS = 10;
+const TICK_MS = 100;
+const NEAR_MS = STEP_MS;
+const FAR_MS = 80;
+const REGIONS = ["north", "south", "west"];
+
+type Sent =
+  | { readonly type: "report"; readonly said: Report }
+  | { readonly type: "roster"; readonly said: Roster }
+  | { readonly type: "digest"; readonly said: RegionDigest };
+
+interface Vm {
+  readonly record: VmRecord;
+  readonly view: RegionView;
+  isUp: boolean;
+  isFrozen: boolean;
+  nextTickMs: number;
+}
+
+/** VMs of three regions with a network that loses datagrams and can be cut; time is simulated. */
+class World {
+  nowMs = 0;
+  /** Whether a datagram passes. */
+  passes: (from: VmRecord, to: VmRecord) => boolean = () => true;
+  farBytes = 0;
+  sent = 0;
+  readonly vms = new Map<string, Vm>();
+  readonly #random: Random;
+  readonly #loss: number;
+  /** What arrives, by the time of its arrival. */
+  readonly #flying = new Map<number, { to: string; message: Sent }[]>();
+
+  constructor(perRegion: number, seed = 1, loss = 0.01) {
+    this.#random = new Random(seed);
+    this.#loss = loss;
+    for (let i = 0; i < REGIONS.length * perRegion; i++) this.start(i);
+  }
+
+  /** Starts a VM, or starts it again. */
+  start(index: number): Vm {
+    const region = REGIONS[index % REGIONS.length];
+    const record: VmRecord = {
+      id: `vm-${index}`,
+      ip: `10.0.0.${index}`,
+      region,
+      failureDomain: `${region}-${Math.floor(index / 3) % 2}`,
+      bornMs: 1 + this.nowMs,
+      cores: index % 7 === 0 ? 1.3 : 0.3,
+    };
+    const bornMs = this.nowMs;
+    const view = new RegionView({
+      self: record,
+      // One VM of each region.
+      seedIps: ["10.0.0.0", "10.0.0.1", "10.0.0.2"],
+      random: new Random(index),
+      state: () => ({
+        ready: this.nowMs - bornMs > 300,
+        revisions: { operators: 1, upstreams: 1 },
+        isServed: true,
+      }),
+    }, this.nowMs);
+    const vm = {
+      record,
+      view,
+      isUp: true,
+      isFrozen: false,
+      nextTickMs: this.nowMs + this.#random.int(300),
+    };
+    this.vms.set(record.ip, vm);
+    return vm;
+  }
+
+  get up(): Vm[] {
+    return [...this.vms.values()].filter(({ isUp }) => isUp);
+  }
+
+  in(region: string): Vm[] {
+    return this.up.filter(({ record }) => record.region === region);
+  }
+
+  leadsOf(region: string): Vm[] {
+    const [first] = this.in(region);
+    return first.view.leads.map(({ ip }) => this.vms.get(ip)!);
+  }
+
+  run(ms: number): void {
+    const endMs = this.nowMs + ms;
+    while (this.nowMs < endMs) {
+      this.nowMs += STEP_MS;
+      const due = this.#flying.get(this.nowMs) ?? [];
+      this.#flying.delete(this.nowMs);
+      for (const { to, message } of due) this.#deliver(to, message);
+      for (const vm of this.up) {
+        if (vm.isFrozen || this.nowMs < vm.nextTickMs) continue;
+        this.#send(vm, vm.view.tick(this.nowMs));
+        vm.nextTickMs = Math.max(
+          this.nowMs + STEP_MS,
+          Math.min(this.nowMs + TICK_MS, vm.view.nextDueMs),
+        );
+      }
+    }
+  }
+
+  /** Runs until something holds; returns how long that took. */
+  runUntil(done: () => boolean, mostMs: number): number {
+    const startMs = this.nowMs;
+    while (!done() && this.nowMs - startMs < mostMs) this.run(STEP_MS);
+    return this.nowMs - startMs;
+  }
+
+  /** Whether every VM of a region names exactly the VMs of it that are up, and VMs of the other regions. */
+  isSettledIn(region: string): boolean {
+    const vms = this.in(region);
+    return vms.every(({ view }) =>
+      view.named(region, this.nowMs).filter(({ isReady }) => isReady).length ===
+        vms.length - 1 &&
+      REGIONS.every((other) =>
+        view.named(other, this.nowMs).length > 0 ||
+        this.in(other).length === (other === region ? 1 : 0)
+      )
+    );
+  }
+
+  /** Whether that holds for all regions, and the VMs are counted. */
+  isSettled(): boolean {
+    return REGIONS.every((region) => this.isSettledIn(region)) &&
+      this.up.every(({ view }) => view.allVms === this.up.length);
+  }
+
+  #deliver(to: string, message: Sent): void {
+    const vm = this.vms.get(to);
+    if (!vm?.isUp || vm.isFrozen) return;
+    if (message.type === "report") {
+      this.#send(vm, vm.view.onReport(message.said, this.nowMs));
+    } else if (message.type === "roster") {
+      vm.view.onRoster(message.said, this.nowMs);
+    } else vm.view.known.noteDigest(message.said, this.nowMs);
+  }
+
+  #send(from: Vm, messages: readonly Due[]): void {
+    for (const due of messages) {
+      for (const ip of due.ips) {
+        const to = this.vms.get(ip);
+        if (!to) continue;
+        const message = this.#message(from, due);
+        this.sent++;
+        const isFar = to.record.region !== from.record.region;
+        if (isFar) this.farBytes += JSON.stringify(message.said).length;
+        const isLost = this.#random.next() < this.#loss;
+        if (isLost || !this.passes(from.record, to.record)) continue;
+        const atMs = this.nowMs + (isFar ? FAR_MS : NEAR_MS);
+        const arriving = this.#flying.get(atMs) ?? [];
+        arriving.push({ to: ip, message });
+        this.#flying.set(atMs, arriving);
+      }
+    }
+  }
+
+  #message({ record, view }: Vm, due: Due): Sent {
+    if (due.type === "report") {
+      const said = {
+        ...record,
+        everyMs: view.reportEveryMs,
+        ready: this.nowMs - record.bornMs > 300,
+        revisions: { operators: 1, upstreams: 1 },
+        isServed: true,
+        load: {},
+        asked: 0,
+      };
+      return { type: "report", said };
+    }
+    if (due.type === "roster") {
+      const said = { ...view.tellRegion(this.nowMs, due.withNames), load: {} };
+      return { type: "roster", said };
+    }
+    const said = {
+      ...view.tellRegions(this.nowMs, due.to),
+      room: { model: { free: 1, queue: 1 } },
+    };
+    return { type: "digest", said };
+  }
+}
+
+function settled(perRegion: number, seed = 1): World {
+  const world = new World(perRegion, seed);
+  world.runUntil(() => world.isSettled(), 10_000);
+  world.run(1_000);
+  return world;
+}
+
+/** Time until no VM of `region` names the address. */
+function goneAfter(world: World, ip: string, region: string): number {
+  return world.runUntil(
+    () =>
+      world.in(region).every(({ record, view }) =>
+        record.ip === ip ||
+        !view.named(world.vms.get(ip)!.record.region, world.nowMs)
+          .some((named) => named.ip === ip)
+      ),
+    30_000,
+  );
+}
+
+describe("a fleet of VMs", () => {
+  for (const perRegion of [1, 2, 3, 5, 24, 64]) {
+    it(`finds itself from one seed a region, with ${perRegion} VMs in each`, (t) => {
+      const world = new World(perRegion);
+      t.true(world.runUntil(() => world.isSettled(), 10_000) < 4_000);
+    });
+  }
+
+  // A caller is told of a VM that is dead: its connection hangs until it gives up, a second later.
+  for (const perRegion of [3, 24, 64]) {
+    it(`stops naming a dead VM soon, with ${perRegion} VMs a region`, (t) => {
+      for (const seed of [1, 2, 3]) {
+        const world = settled(perRegion, seed);
+        const dead = world.vms.get("10.0.0.3")!;
+        dead.isUp = false;
+        const nearMs = goneAfter(world, dead.record.ip, "north");
+        const farMs = nearMs + goneAfter(world, dead.record.ip, "south");
+        t.true(nearMs <= 1_500, `near: ${nearMs} ms`);
+        t.true(farMs <= 3_000, `far: ${farMs} ms`);
+      }
+    });
+  }
+
+  // All leads of a region are lost at once: its VMs must not stay without news, nor forget each other.
+  it("has new leads when all are lost at once", (t) => {
+    const world = settled(24);
+    const leads = world.leadsOf("north");
+    t.is(leads.length, LEADS);
+    for (const lead of leads) lead.isUp = false;
+    const tookMs = world.runUntil(() => world.isSettledIn("north"), 20_000);
+    t.true(tookMs < 4_000, `${tookMs} ms`);
+    const agreed = new Set(
+      world.in("north").map(({ view }) =>
+        view.leads.map(({ id }) => id).join()
+      ),
+    );
+    t.is(agreed.size, 1);
+  });
+
+  it("finds the region again when leads and standbys are lost at once", (t) => {
+    const world = settled(24);
+    const [first] = world.in("north");
+    for (const { ip } of first.view.order) world.vms.get(ip)!.isUp = false;
+    const tookMs = world.runUntil(() => world.isSettledIn("north"), 30_000);
+    t.true(tookMs < 8_000, `${tookMs} ms`);
+  });
+
+  // A lead freezes and wakes: it has heard nobody for seconds, which says nothing of them.
+  it("keeps its VMs through the freeze of a lead", (t) => {
+    const world = settled(24);
+    const [lead] = world.leadsOf("north");
+    lead.isFrozen = true;
+    world.run(4_000);
+    lead.isFrozen = false;
+    let least = Infinity;
+    for (let i = 0; i < 100; i++) {
+      world.run(STEP_MS);
+      for (const { record, view } of world.in("north")) {
+        least = Math.min(least, view.named(record.region, world.nowMs).length);
+      }
+    }
+    t.true(least >= 22, `${least} named`);
+    t.true(world.runUntil(() => world.isSettled(), 10_000) < 3_000);
+  });
+
+  // VMs hear nothing of a lead that hears them: they must take the next one, and not wait for it.
+  it("does without a lead that can be reached and not heard", (t) => {
+    const world = settled(24);
+    const [lead] = world.leadsOf("north");
+    world.passes = (from) => from.id !== lead.record.id;
+    world.run(3_000);
+    for (const vm of world.in("north")) {
+      if (vm === lead) continue;
+      t.false(vm.view.leads.some(({ id }) => id === lead.record.id));
+      t.is(vm.view.leads.length, LEADS);
+    }
+  });
+
+  // Two failure domains of a region can't reach each other: each half goes on, and they are one again afterwards.
+  it("goes on in both halves of a cut region, and joins them again", (t) => {
+    const world = settled(24);
+    world.passes = (from, to) =>
+      from.region !== "north" || to.region !== "north" ||
+      from.failureDomain === to.failureDomain;
+    world.run(20_000);
+    for (const { record, view } of world.in("north")) {
+      const named = view.named("north", world.nowMs).length;
+      t.is(named, 11, record.id);
+      t.true(view.leads.length > 0);
+    }
+    world.passes = () => true;
+    const tookMs = world.runUntil(() => world.isSettled(), 20_000);
+    t.true(tookMs < 6_000, `${tookMs} ms`);
+  });
+
+  it("goes on in a region that is cut off, and is whole again afterwards", (t) => {
+    const world = settled(24);
+    const isCut = (vm: VmRecord) => vm.region === "north";
+    world.passes = (from, to) => isCut(from) === isCut(to);
+    world.run(20_000);
+    for (const { view } of world.in("north")) {
+      t.is(view.named("north", world.nowMs).length, 23);
+      t.is(view.named("south", world.nowMs).length, 0);
+    }
+    world.passes = () => true;
+    t.true(world.runUntil(() => world.isSettled(), 20_000) < 6_000);
+  });
+
+  // All VMs are off and on again at once, the seeds among them.
+  it("finds itself after all were off", (t) => {
+    const world = settled(24);
+    for (const vm of world.up) vm.isUp = false;
+    world.run(1_300);
+    for (let i = 0; i < 72; i++) world.start(i);
+    t.true(world.runUntil(() => world.isSettled(), 10_000) < 4_000);
+  });
+
+  // Without this the control of a large fleet takes what its callers need.
+  it("costs a VM no more messages when it grows, and few bytes between regions", (t) => {
+    const cost = (perRegion: number) => {
+      const world = settled(perRegion);
+      world.sent = world.farBytes = 0;
+      world.run(10_000);
+      const vms = world.up.length;
+      return {
+        sent: world.sent / vms / 10,
+        farBytes: world.farBytes / vms / 10,
+      };
+    };
+    const small = cost(8);
+    const large = cost(64);
+    t.true(large.sent < 25, `${large.sent} messages a second`);
+    t.true(large.sent < small.sent * 1.2);
+    t.true(large.farBytes < 500, `${large.farBytes} bytes a second`);
+  });
+});
--- a/src/routing/mod.ts
+++ b/src/routing/mod.ts
@@ -14,7 +14,6 @@
 export * from "./move.ts";
 export * from "./part_holders.ts";
 export * from "./place.ts";
-export * from "./readers.ts";
 export * from "./step.ts";
 export * from "./health.ts";
 export * from "./types.ts";
--- a/src/routing/part_holders.ts
+++ b/src/routing/part_holders.ts
@@ -74,23 +74,22 @@
   }
 
   /**
-   * Tokens at the start of a prompt that an engine holds, or will have read when a request that is sent now comes to
-   * its turn. A part is kept with all before it.
+   * Tells of each engine how many tokens at the start of a prompt it holds, or will have read when a request that is
+   * sent now comes to its turn. A part is kept with all before it. Made once for a prompt and asked for each engine.
    */
-  warmTokens(
+  warmth(
     shared: readonly PromptPart[],
-    upstreamKey: string,
     nowMs: number,
-  ): number {
+  ): (upstreamKey: string) => number {
+    const warm = new Map<string, number>();
     let tokens = 0;
-    let warm = 0;
     for (const { id, tokens: ofPart } of shared) {
       tokens += ofPart;
-      const isHeld = this.#live(id, nowMs)
-        .some((holding) => holding.upstreamKey === upstreamKey);
-      if (isHeld) warm = tokens;
+      for (const { upstreamKey } of this.#live(id, nowMs)) {
+        warm.set(upstreamKey, tokens);
+      }
     }
-    return warm;
+    return (upstreamKey) => warm.get(upstreamKey) ?? 0;
   }
 
   /** The engines that a part can be copied from, the latest first. */
--- a/src/routing/part_holders_test.ts
+++ b/src/routing/part_holders_test.ts
@@ -17,8 +17,8 @@
       const holders = new PartHolders();
       holders.noteSent(BOOK, "a", 0);
       t.deepEqual(holders.holders("book", 100), []);
-      t.is(holders.warmTokens(BOOK, "a", 100), 5_300);
-      t.is(holders.warmTokens(BOOK, "c", 100), 0);
+      t.is(holders.warmth(BOOK, 100)("a"), 5_300);
+      t.is(holders.warmth(BOOK, 100)("c"), 0);
       holders.noteRead(BOOK, "a", 200);
       holders.noteSent(BOOK, "a", 300);
       t.deepEqual(holders.holders("book", 400), ["a"]);
@@ -28,8 +28,8 @@
       const holders = new PartHolders();
       holders.noteTold(["book", "b"], 0);
       holders.noteTold(["all", "c"], 0);
-      t.is(holders.warmTokens(BOOK, "b", 0), 5_300);
-      t.is(holders.warmTokens(BOOK, "c", 0), 500);
+      t.is(holders.warmth(BOOK, 0)("b"), 5_300);
+      t.is(holders.warmth(BOOK, 0)("c"), 500);
     });
 
     it("are forgotten after the time in which caches turn over", (t) => {
--- a/test/gateway_engines_test.ts
+++ b/test/gateway_engines_test.ts
@@ -39,7 +39,8 @@
       for (const vm of vms) await lab.ready(vm);
       for (const vm of vms) {
         await until(() =>
-          (vm.gateway.dump().members as unknown[]).length === 1
+          (vm.gateway.dump().members as { reporters: unknown[] }).reporters
+            .length === 1
         );
       }
       const answers = await Promise.all(
--- a/test/gateway_lab.ts
+++ b/test/gateway_lab.ts
@@ -158,6 +158,8 @@
         failureDomain: `${region}-a`,
         memoryMb: 350,
         mostDescriptors: 4_000,
+        coreShare: 1,
+        coreSpeed: 1,
       },
       listen: {
         callers: `${ip}:18100`,
--- a/test/gateway_test.ts
+++ b/test/gateway_test.ts
@@ -324,15 +324,21 @@
       const other = await lab.addVm("south");
       await lab.ready(other);
       await until(() => {
-        const members = vm.gateway.dump().members as {
-          region: string;
-          ready: boolean;
-        }[];
-        return members.filter(({ region, ready }) =>
-          region === "south" && ready
-        ).length === 2;
+        const { regions } = vm.gateway.dump().members as {
+          regions: { digest: { from: { region: string }; ready: string[] } }[];
+        };
+        return regions.some(({ digest }) =>
+          digest.from.region === "south" && digest.ready.length === 2
+        );
       });
       await lost.gateway.close();
+      // A request that crosses the close of a kept connection may have run; that is another case.
+      await until(() => {
+        const { idleConnections } = vm.gateway.dump().relays as {
+          idleConnections: Record<string, number>;
+        };
+        return idleConnections[lost.settings.vm.ip] === 0;
+      });
       for (let i = 0; i < 6; i++) {
         const answer = await lab.call(vm, { path: "/south/", method: "POST" });
         t.is(answer.status, 200);
--- a/test/house_test.ts
+++ b/test/house_test.ts
@@ -8,7 +8,12 @@
 const ROOT = fileURLToPath(new URL("../..", import.meta.url));
 const MOST_LINES = 400;
 /** Folders whose modules decide and do no I/O. */
-const PURE = ["src/decisions/", "src/agreement/", "src/routing/"];
+const PURE = [
+  "src/decisions/",
+  "src/agreement/",
+  "src/region/",
+  "src/routing/",
+];
 /** What pure modules may import from outside: parsers, data structures, hashing. */
 const PURE_PACKAGES = new Set([
   "neverthrow",
