Fewer wake-ups and notes a request; vm_cost bench

A VM looked at its streams forty times a second where no pause can be too long, at silences ten times, and told the lead of each change of its load by itself.

--- a/bench/bench.ts
+++ b/bench/bench.ts
@@ -16,6 +16,7 @@
   "decisions",
   "over_admission",
   "path",
+  "vm_cost",
 ];
 
 function print(rows: readonly Row[], json: boolean): void {
--- /dev/null
+++ b/bench/vm_cost.ts
@@ -0,0 +1,322 @@
+/**
+ * What one real VM costs in processor time among more and more others: a start, an idle second, a request.
+ *
+ * The VM is the bundle as it is deployed, in a process of its own; the others are stand-ins that say what VMs say.
+ *
+ * @module
+ */
+
+import { type ChildProcess, spawn, spawnSync } from "node:child_process";
+import { createSocket, type Socket } from "node:dgram";
+import { mkdtempSync, readFileSync, rmSync, writeFileSync } from "node:fs";
+import { Agent, get, request } from "node:http";
+import { tmpdir } from "node:os";
+import { join } from "node:path";
+import { Random } from "../src/base/mod.ts";
+import type { GatewaySettings } from "../src/gateway/mod.ts";
+import {
+  decodeDigest,
+  decodeReport,
+  decodeRoster,
+  type Due,
+  RegionView,
+  type VmRecord,
+} from "../src/region/mod.ts";
+import { KvServer, ROUTE_HOST, routeRow, Runner } from "../src/standins/mod.ts";
+import type { Row } from "./row.ts";
+
+const REGIONS = ["north", "south", "west"];
+const SIZES = [7, 30, 90, 195, 300];
+/** Upstreams of the VM's region by size of the fleet: about one for two VMs. */
+const upstreamsFor = (vms: number) => Math.max(4, Math.round(vms * 0.16));
+const PORT = 18_104;
+const IDLE_MS = 6_000;
+/** A VM that is replaced daily, among many, runs few requests before its code is compiled to its best. */
+const FIRST_REQUESTS = 150;
+const LATER_REQUESTS = 500;
+const AT_ONCE = 10;
+const TICK_MS = 50;
+/** Cores of the measured VM and of the others: more make it its region's first lead. */
+const CORES = { lead: 2, other: 0.1, peers: 1 };
+const SEED = 1;
+
+const sleep = (ms: number) =>
+  new Promise<void>((resolve) => setTimeout(resolve, ms));
+
+/** Processor time of a process so far, in ms. */
+function usedMs({ pid }: ChildProcess): number {
+  return Number(readFileSync(`/proc/${pid}/schedstat`, "utf8").split(" ")[0]) /
+    1e6;
+}
+
+/** VMs that say what VMs say, and do nothing. */
+class Peers {
+  readonly #sockets: Socket[] = [];
+  readonly #timers: NodeJS.Timeout[] = [];
+
+  constructor(count: number, seedIps: readonly string[]) {
+    for (let i = 0; i < count; i++) this.#add(i, seedIps);
+  }
+
+  close(): void {
+    for (const timer of this.#timers) clearInterval(timer);
+    for (const socket of this.#sockets) socket.close();
+  }
+
+  #add(index: number, seedIps: readonly string[]): void {
+    const region = REGIONS[(index + 1) % REGIONS.length];
+    const self: VmRecord = {
+      id: `peer-${index}`,
+      ip: `127.91.${1 + Math.floor(index / 200)}.${1 + index % 200}`,
+      region,
+      failureDomain: `${region}-${index % 2 ? "a" : "b"}`,
+      bornMs: Date.now(),
+      cores: CORES.peers,
+    };
+    const state = () => ({
+      ready: true,
+      revisions: { operators: 1, upstreams: 1 },
+      isServed: true,
+    });
+    const view = new RegionView(
+      { self, seedIps, random: new Random(index), state },
+      performance.now(),
+    );
+    const socket = createSocket("udp4");
+    const send = (method: string, params: unknown, ips: readonly string[]) => {
+      const text = JSON.stringify({ jsonrpc: "2.0", method, params });
+      for (const ip of ips) socket.send(text, PORT, ip);
+    };
+    const tell = (messages: readonly Due[]) => {
+      const nowMs = performance.now();
+      for (const due of messages) {
+        const said = due.type === "report"
+          ? {
+            ...self,
+            everyMs: view.reportEveryMs,
+            ...state(),
+            load: { "i-0@0": [2, 0], "i-1@0": [1, 900] },
+            asked: 0,
+          }
+          : due.type === "roster"
+          ? { ...view.tellRegion(nowMs, due.withNames), load: {} }
+          : { ...view.tellRegions(nowMs, due.to), room: {} };
+        send(due.type, said, due.ips);
+      }
+    };
+    socket.on("message", (datagram) => {
+      const { method, params } = JSON.parse(datagram.toString());
+      const nowMs = performance.now();
+      if (method === "report") {
+        const report = decodeReport(params);
+        if (report) tell(view.onReport(report, nowMs));
+      } else if (method === "roster") {
+        const roster = decodeRoster(params);
+        if (roster) view.onRoster(roster, nowMs);
+      } else if (method === "digest") {
+        const digest = decodeDigest(params);
+        if (digest) view.known.noteDigest(digest, nowMs);
+      }
+    });
+    socket.bind(PORT, self.ip);
+    this.#sockets.push(socket);
+    const tick = () => tell(view.tick(performance.now()));
+    this.#timers.push(setInterval(tick, TICK_MS));
+  }
+}
+
+function settingsOf(
+  ip: string,
+  storeAddress: string,
+  cores: number,
+): GatewaySettings {
+  return {
+    vm: {
+      id: "measured",
+      ip,
+      region: "north",
+      failureDomain: "north-a",
+      memoryMb: 350,
+      mostDescriptors: 4_000,
+      coreShare: cores,
+      coreSpeed: 1,
+    },
+    listen: {
+      callers: `${ip}:18100`,
+      ready: `${ip}:18101`,
+      directory: `${ip}:18102`,
+      peers: `${ip}:18103`,
+      beats: PORT,
+      metrics: 18_105,
+    },
+    seeds: ["127.91.1.3:18103"],
+    failureDomains: Object.fromEntries(
+      REGIONS.flatMap((name) => [[`${name}-a`, name], [`${name}-b`, name]]),
+    ),
+    store: { address: storeAddress, leastLeaseMs: 1_000 },
+    bounds: {
+      graceMs: 3_000,
+      contactMs: 6_000,
+      repeatRatio: 0.2,
+      repeatSlack: 50,
+      repeatWindowMs: 10_000,
+    },
+  };
+}
+
+function status(url: string): Promise<number> {
+  return new Promise((resolve) => {
+    get(url, { agent: false }, (answer) => {
+      answer.resume();
+      resolve(answer.statusCode ?? 0);
+    }).on("error", () => resolve(0));
+  });
+}
+
+function call(ip: string, agent: Agent, index: number): Promise<void> {
+  return new Promise((resolve, reject) => {
+    const sent = request({
+      agent,
+      host: ip,
+      port: 18_100,
+      path: "/stream/",
+      method: "POST",
+      headers: {
+        host: ROUTE_HOST,
+        "attempt-id": `bench-${index}`,
+        "deadline-ms": "1500",
+      },
+    }, (answer) => {
+      answer.resume();
+      answer.on("close", () => resolve());
+    });
+    sent.on("error", reject);
+    sent.end();
+  });
+}
+
+interface Cost {
+  readonly startMs: number;
+  readonly idleMsPerS: number;
+  readonly firstMs: number;
+  readonly laterMs: number;
+}
+
+/** Starts the VM among `vms` others in all, and measures it. */
+async function measure(
+  vms: number,
+  cores: number,
+  flags: readonly string[],
+): Promise<Cost> {
+  const server = new KvServer({ readsPerS: 10_000, writesPerS: 10_000 });
+  const runners: Runner[] = [];
+  const entry = (address: string) => ({
+    service: "s",
+    address,
+    zone: "north-a",
+    slots: 8,
+    state: "ready",
+    cold_left_ms: 0,
+    seq: 1,
+  });
+  for (let i = 0; i < upstreamsFor(vms); i++) {
+    const runner = await Runner.open(`i-${i}`);
+    runner.workMs = 0;
+    runners.push(runner);
+    server.put(`servers/${runner.id}`, entry(runner.address));
+  }
+  const limits = {
+    max_header_bytes: 4_096,
+    max_body_bytes: 10_000,
+    header_timeout_ms: 1_000,
+    idle_timeout_ms: 5_000,
+  };
+  const service = { name: "s", max_conns: 100, cold_s: 0, cold_rate_s: 0 };
+  server.put("op/config", {
+    version: 1,
+    routes: [routeRow({ path_prefix: "/stream/", kind: "streaming" })],
+    services: [service],
+    limits,
+  });
+  const ip = "127.92.0.1";
+  const peers = new Peers(vms - 1, ["127.91.1.1", "127.91.1.2", "127.91.1.3"]);
+  const dir = mkdtempSync(join(tmpdir(), "ibisgap-vm-cost-"));
+  const path = join(dir, "settings.json");
+  await sleep(3_000);
+  const address = await server.addressFor("measured");
+  writeFileSync(path, JSON.stringify(settingsOf(ip, address, cores)));
+  const vm = spawn(
+    process.execPath,
+    [...flags, "target/ibisgap-gateway.mjs", path],
+    { stdio: "ignore" },
+  );
+  try {
+    while (await status(`http://${ip}:18101/api/ready`) !== 200) await sleep(5);
+    const startMs = usedMs(vm);
+    await sleep(3_000);
+    const beforeMs = usedMs(vm);
+    await sleep(IDLE_MS);
+    const idleMsPerS = (usedMs(vm) - beforeMs) / (IDLE_MS / 1_000);
+    const agent = new Agent({ keepAlive: true });
+    const perRequest = async (count: number) => {
+      const fromMs = usedMs(vm);
+      const sinceMs = performance.now();
+      for (let i = 0; i < count; i += AT_ONCE) {
+        const calls = Array.from(
+          { length: AT_ONCE },
+          (_, at) => call(ip, agent, i + at),
+        );
+        await Promise.all(calls);
+      }
+      const tookS = (performance.now() - sinceMs) / 1_000;
+      return (usedMs(vm) - fromMs - tookS * idleMsPerS) / count;
+    };
+    const firstMs = await perRequest(FIRST_REQUESTS);
+    const laterMs = await perRequest(LATER_REQUESTS);
+    agent.destroy();
+    return { startMs, idleMsPerS, firstMs, laterMs };
+  } finally {
+    vm.kill("SIGKILL");
+    peers.close();
+    for (const runner of runners) await runner.close();
+    await server.close();
+    rmSync(dir, { recursive: true });
+  }
+}
+
+/** `--vms 7,195`: sizes of the fleet. `--role lead`: that one alone. `--node "FLAGS"`: options of Node.js. */
+export async function run(args: readonly string[]): Promise<readonly Row[]> {
+  const option = (name: string) => {
+    const at = args.indexOf(name);
+    return at < 0 ? undefined : args[at + 1];
+  };
+  const sizes = option("--vms")?.split(",").map(Number) ?? SIZES;
+  const roles = option("--role") === "lead"
+    ? ["lead"] as const
+    : ["lead", "other"] as const;
+  const flags = option("--node")?.split(" ").filter(Boolean) ?? [];
+  const built = spawnSync("npm", ["run", "--silent", "bundle"]);
+  if (built.status !== 0) throw new Error(String(built.stderr));
+  const rows: Row[] = [];
+  for (const vms of sizes) {
+    for (const role of roles) {
+      const cost = await measure(vms, CORES[role], flags);
+      const row = (measure: string, value: number): Row => ({
+        bench: "vm_cost",
+        case: `${vms} vms`,
+        policy: role,
+        measure,
+        value: Math.round(value * 1_000) / 1_000,
+        unit: "ms",
+        seed: SEED,
+      });
+      rows.push(
+        row("start until ready", cost.startMs),
+        row("idle second", cost.idleMsPerS),
+        row("one of the first requests", cost.firstMs),
+        row("a later request", cost.laterMs),
+      );
+    }
+  }
+  return rows;
+}
--- a/src/gateway/beliefs.ts
+++ b/src/gateway/beliefs.ts
@@ -73,7 +73,8 @@
  * the end of each outage would leave no upstream at all for a second.
  */
 const RETURN_MS = 2_300;
-const SWEEP_MS = 250;
+/** A lapsed entry is forgotten late by up to this much. */
+const SWEEP_MS = 500;
 /** A cold time that ends later by more than this is a new one, and no delay of the news of the old. */
 const COLD_AGAIN_MS = 1_000;
 
--- a/src/gateway/call_sends.ts
+++ b/src/gateway/call_sends.ts
@@ -138,6 +138,7 @@
       goesOnFrom: undefined,
       urgency: service.engine && places.urgency(promptTokens),
       onStreamCheck,
+      eventGapMs: route.eventGapMs,
       patienceMs: record.tries === 0 ? patienceMs(route) : Infinity,
       mayRepeat: mayRepeat(route),
       hasOther: () => this.#hasOther(),
--- a/src/gateway/members.ts
+++ b/src/gateway/members.ts
@@ -69,10 +69,11 @@
 const LEAD_TICK_MS = 100;
 const TICK_MS = 250;
 /**
- * How long a change of load waits to be told to the first lead, together with others. Prompts wait some hundred ms at an
- * engine, so their end must be known in less; at ten requests a second a VM then sends a dozen notes a second.
+ * How long a change of load waits to be told to the first lead, together with others. That a prompt has been read must be
+ * known soon, as prompts wait some hundred ms at an engine; that an answer is over changes less.
  */
-const LOAD_NOTE_MS = 40;
+const READ_NOTE_MS = 40;
+const OVER_NOTE_MS = 120;
 /** Outcomes kept for the next note; more than a VM sees between two. */
 const MOST_SEEN = 64;
 /** Upstreams whose load a roster tells: those with the most, in about two kilobytes. */
@@ -164,7 +165,7 @@
     };
   }
 
-  /** Calls `run` when another VM of the region has told something. */
+  /** Calls `run` when a lead has told something. */
   onNews(run: () => void): void {
     this.#onNews = run;
   }
@@ -232,14 +233,31 @@
     this.#tick();
   }
 
-  /** The first lead is told of a change of this VM's load, and of what became of a send. */
-  noteLoad(seen?: SeenOutcome): void {
+  /** A prompt that waited at an upstream has been read: the first lead is told soon. */
+  noteRead(): void {
+    this.#noteWithin(READ_NOTE_MS);
+  }
+
+  /** A send is over; `seen` is what became of it. */
+  noteOver(seen?: SeenOutcome): void {
+    if (seen && !this.#isFirst && this.#seen.length < MOST_SEEN) {
+      this.#seen.push(seen);
+    }
+    this.#noteWithin(OVER_NOTE_MS);
+  }
+
+  /** Whether nobody else has to know this VM's load sooner than by its reports. */
+  get #isFirst(): boolean {
     const { hearsAll, leads } = this.#lookedAt;
-    if (hearsAll || leads[0]?.id === this.#options.self.id) return;
-    if (seen && this.#seen.length < MOST_SEEN) this.#seen.push(seen);
-    if (this.#noteDueMs < Infinity) return;
-    this.#noteDueMs = this.#clock.monoMs() + LOAD_NOTE_MS;
-    this.#wakeAt(this.#noteDueMs);
+    return hearsAll || leads[0]?.id === this.#options.self.id;
+  }
+
+  #noteWithin(ms: number): void {
+    if (this.#isFirst) return;
+    const dueMs = this.#clock.monoMs() + ms;
+    if (this.#noteDueMs <= dueMs) return;
+    this.#noteDueMs = dueMs;
+    this.#wakeAt(dueMs);
   }
 
   #tick(): void {
@@ -351,7 +369,6 @@
     if (report.region === this.#options.self.region) {
       this.book.note(report.id, report, nowMs);
       this.#options.onHeld(report.held);
-      this.#onNews();
     }
     this.#wakeAt(this.#view.nextDueMs);
   }
--- a/src/gateway/send.ts
+++ b/src/gateway/send.ts
@@ -47,6 +47,8 @@
   readonly urgency: number | undefined;
   /** Called now and then while a stream runs at an upstream of this region. */
   readonly onStreamCheck: () => void;
+  /** The longest pause between a stream's events that is on time; 0 if none is asked for. */
+  readonly eventGapMs: number;
   /** Without any answer for this long, the send may be given up; `Infinity` to wait until the deadline. */
   readonly patienceMs: number;
   /** Whether the request may run more than once. */
@@ -173,7 +175,8 @@
     this.#sentMonoMs = nowMs;
     link.open(upstream, nowMs, this.#waitingTokens);
     if (sendable.mayRepeat) link.onDark.add(this.#leaveDark);
-    context.members.noteLoad();
+    // A lead has counted what it granted.
+    if (!candidate.granted) context.members.noteRead();
     candidate.pace.noteSend(this.#waitingTokens);
     this.exchange = new Exchange({
       agent: link.agent,
@@ -203,10 +206,11 @@
     this.#link.heard(nowMs);
     this.#learnPace(nowMs);
     this.#lastChunkMonoMs = nowMs;
-    this.context.upstreams.watchStream(
-      this.#link,
-      this.sendable.onStreamCheck,
-    );
+    const { eventGapMs, onStreamCheck } = this.sendable;
+    // Where no pause can be too long a stream never moves, and need not be looked at forty times a second.
+    if (this.#candidate.pace.canExceed(eventGapMs)) {
+      this.context.upstreams.watchStream(this.#link, onStreamCheck);
+    }
     this.#started();
   }
 
@@ -239,7 +243,7 @@
   /** What became of a send counts here, and at the lead for all VMs of the region. */
   #noteOutcome(outcome: SendOutcome): void {
     this.#link.health.note(outcome, this.context.clock.monoMs());
-    this.context.members.noteLoad([this.#candidate.key, outcome]);
+    this.context.members.noteOver([this.#candidate.key, outcome]);
   }
 
   /** The upstream can't be reached any more; what may be repeated goes elsewhere while a repeat is left. */
@@ -254,7 +258,7 @@
     this.#link.onDark.delete(this.#leaveDark);
     this.#started();
     this.#link.running--;
-    this.context.members.noteLoad();
+    this.context.members.noteOver();
   }
 
   protected override lost(cause: ExchangeFailure): Unanswered {
@@ -295,7 +299,7 @@
     if (this.#waitingTokens === 0) return;
     this.#link.waitingTokens -= this.#waitingTokens;
     this.#waitingTokens = 0;
-    this.context.members.noteLoad();
+    this.context.members.noteRead();
   }
 }
 
--- a/src/gateway/upstreams.ts
+++ b/src/gateway/upstreams.ts
@@ -35,7 +35,8 @@
 /** Connections of an upstream that is known no more are kept this long, for the answers that are still under way. */
 const KEEP_MS = 60_000;
 const SWEEP_MS = 5_000;
-const SILENCE_CHECK_MS = 100;
+/** An upstream's silence is found late by up to this much, a third of what is taken for silence. */
+const SILENCE_CHECK_MS = 200;
 const OUTCOMES: ReadonlySet<string> = new Set<SendOutcome>([
   "answered",
   "failed",
--- a/src/region/known_vms.ts
+++ b/src/region/known_vms.ts
@@ -58,6 +58,7 @@
   readonly #self: VmRecord;
   /** VMs that report to this one, of any region. */
   readonly #reporters = new Map<string, Reporter>();
+  #ownReporters = 0;
   readonly #told = new Map<string, Told>();
   /** VMs that are named somewhere and not heard. */
   readonly #strangers = new Map<string, VmRecord>();
@@ -70,6 +71,7 @@
   noteReport(report: Report, nowMs: number): Report | undefined {
     const before = this.#reporters.get(report.id)?.report;
     if (before && before.bornMs > report.bornMs) return report;
+    if (!before && report.region === this.#self.region) this.#ownReporters++;
     this.#reporters.set(report.id, { report, heardMs: nowMs });
     this.#strangers.delete(report.id);
     return before;
@@ -148,11 +150,7 @@
 
   /** VMs of this region that report to this one, this one included, and silent ones as they may only be cut off. */
   get ownCount(): number {
-    let count = 1;
-    for (const { report } of this.#reporters.values()) {
-      if (report.region === this.#self.region) count++;
-    }
-    return count;
+    return 1 + this.#ownReporters;
   }
 
   /** VMs of this region as far as any lead knows. */
@@ -254,6 +252,7 @@
     for (const [id, { report, heardMs }] of this.#reporters) {
       if (nowMs - heardMs < FORGET_MS) continue;
       this.#reporters.delete(id);
+      if (report.region === this.#self.region) this.#ownReporters--;
       // A region that was cut off is back sooner than the store is read again.
       this.meet(report);
     }
