--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -94,7 +94,7 @@
           (service) => upstreams.pace(service),
         ),
       onHeld: (held) => upstreams.noteHeld(held),
-      onSeen: (seen) => upstreams.noteSeen(seen),
+      onSeen: (vmId, seen) => upstreams.noteSeen(vmId, seen),
     });
     const upstreams = new Upstreams(beliefs.fleet, members, vm);
     const relays = new Relays(members, hostPort(settings.listen.peers).port);
--- a/src/gateway/members.ts
+++ b/src/gateway/members.ts
@@ -55,7 +55,7 @@
   readonly room: () => Room;
   readonly onHeld: (held: readonly HeldPart[] | undefined) => void;
   /** Called with the outcomes of sends that another VM has seen. */
-  readonly onSeen: (seen: readonly SeenOutcome[]) => void;
+  readonly onSeen: (vmId: string, seen: readonly SeenOutcome[]) => void;
 }
 
 interface LeadsSeen {
@@ -378,7 +378,7 @@
     // Who does not report here takes this VM for a lead wrongly, and will learn who is.
     if (!this.#view.isLead) return;
     this.book.note(note.id, note, this.#clock.monoMs());
-    this.#options.onSeen(note.seen);
+    this.#options.onSeen(note.id, note.seen);
     this.#options.onHeld(note.held);
   }
 
--- a/src/gateway/place_wire.ts
+++ b/src/gateway/place_wire.ts
@@ -24,6 +24,8 @@
   readonly waitedMs: number;
   readonly leftMs: number;
   readonly tried: readonly string[];
+  /** Left aside while there is another. */
+  readonly lost: readonly string[];
   readonly triedRegions: readonly string[];
   readonly homeRegions: readonly string[];
   readonly isRelayed: boolean;
@@ -53,12 +55,22 @@
   readonly verdict: PlaceVerdict;
 }
 
+/** What a question says besides the request. */
+export interface Asker {
+  readonly question: number;
+  readonly from: string;
+  /** Upstreams that the asking VM itself has lost a moment ago; the lead may reach them. */
+  readonly lost: readonly string[];
+  readonly nowMs: number;
+}
+
+/** Most lost upstreams that a question names: who has lost more has lost its own links. */
+const MOST_LOST = 8;
+
 /** The question about a request. */
 export function encodeAsk(
   ask: PlaceAsk,
-  question: number,
-  from: string,
-  nowMs: number,
+  { question, from, lost, nowMs }: Asker,
 ): PlaceQuestion {
   return {
     question,
@@ -72,6 +84,7 @@
     waitedMs: nowMs - ask.arrivedMs,
     leftMs: ask.deadlineMs - nowMs,
     tried: [...ask.tried],
+    lost: lost.length > MOST_LOST ? [] : lost,
     triedRegions: [...ask.triedRegions],
     homeRegions: ask.homeRegions,
     isRelayed: ask.isRelayed,
@@ -87,6 +100,7 @@
       [
         question.parts,
         question.tried,
+        question.lost,
         question.triedRegions,
         question.homeRegions,
       ].every(Array.isArray) &&
--- a/src/gateway/placing.ts
+++ b/src/gateway/placing.ts
@@ -188,7 +188,7 @@
     question: number,
     lead: { readonly id: string; readonly ip: string },
   ): Promise<PlaceVerdict | undefined> {
-    const { datagrams, self } = this.#options;
+    const { datagrams, self, upstreams } = this.#options;
     return new Promise((resolve) => {
       const end = (verdict: PlaceVerdict | undefined) => {
         timer.close();
@@ -201,10 +201,13 @@
         () => end(undefined),
       );
       this.#open.set(question, { answered: end });
-      const nowMs = this.#clock.monoMs();
-      datagrams.send("place", encodeAsk(ask, question, self.id, nowMs), [
-        lead.ip,
-      ]);
+      const asked = encodeAsk(ask, {
+        question,
+        from: self.id,
+        lost: upstreams.aside(),
+        nowMs: this.#clock.monoMs(),
+      });
+      datagrams.send("place", asked, [lead.ip]);
     });
   }
 
@@ -245,6 +248,13 @@
     }
   }
 
+  /** The next step without the upstreams that the asking VM has lost, unless there is nothing else. */
+  #besides(lost: readonly string[], ask: PlaceAsk): Step<LinkedCandidate> {
+    if (lost.length === 0) return this.here(ask);
+    const step = this.here({ ...ask, tried: new Set([...ask.tried, ...lost]) });
+    return step.type === "refuse" ? this.here(ask) : step;
+  }
+
   /** Decides as the lead, and counts what it grants. */
   #decide(question: PlaceQuestion): PlaceVerdict {
     const { beliefs, upstreams, relays, members } = this.#options;
@@ -253,7 +263,7 @@
     if (!ask) return { type: "unknown" };
     const { service, prompt } = ask;
     for (let takes = 0; takes < MOST_TAKES; takes++) {
-      const step = this.here(ask);
+      const step = this.#besides(question.lost, ask);
       if (step.type === "wait") {
         const waitMs = Math.max(LEAST_WAIT_MS, step.untilMs - nowMs);
         return { type: "wait", waitMs };
--- a/src/gateway/upstream_link.ts
+++ b/src/gateway/upstream_link.ts
@@ -21,6 +21,9 @@
  */
 const SILENT_MS = 600;
 
+/** Two VMs that lose an upstream within this time have lost the same one; at its usual rate it takes them a tenth of it. */
+const LOST_TOGETHER_MS = 1_000;
+
 /** This VM's side of one upstream. */
 export class UpstreamLink {
   readonly agent: Connections;
@@ -37,6 +40,7 @@
   upstream: KnownUpstream | undefined;
 
   #quietSinceMs: number;
+  #lostBy: { readonly vmId: string; readonly lostMs: number } | undefined;
   #owner:
     | { readonly vmIds: readonly string[]; readonly id: string }
     | undefined;
@@ -67,6 +71,17 @@
     return this.#owner.id;
   }
 
+  /**
+   * Notes that a VM lost its connection here; whether another one did so too, a moment ago. A VM whose own links fail
+   * loses every upstream, and must not have the whole region leave them.
+   */
+  isLostFor(vmId: string, nowMs: number): boolean {
+    const before = this.#lostBy;
+    this.#lostBy = { vmId, lostMs: nowMs };
+    return before !== undefined && before.vmId !== vmId &&
+      nowMs - before.lostMs < LOST_TOGETHER_MS;
+  }
+
   /** Notes that bytes came. */
   heard(nowMs: number): void {
     this.#quietSinceMs = nowMs;
--- a/src/gateway/upstreams.ts
+++ b/src/gateway/upstreams.ts
@@ -187,12 +187,22 @@
     };
   }
 
-  /** Takes in what became of other VMs' sends. */
-  noteSeen(seen: readonly SeenOutcome[]): void {
+  /** Upstreams that this VM itself has lost a moment ago. */
+  aside(): string[] {
+    const nowMs = this.#clock.monoMs();
+    return [...this.#links].filter(([, { health }]) => health.isAside(nowMs))
+      .map(([key]) => key);
+  }
+
+  /** Takes in what became of another VM's sends. */
+  noteSeen(vmId: string, seen: readonly SeenOutcome[]): void {
     const nowMs = this.#clock.monoMs();
     for (const pair of seen) {
       if (!Array.isArray(pair) || !OUTCOMES.has(pair[1])) continue;
-      this.#links.get(String(pair[0]))?.health.note(pair[1], nowMs);
+      const link = this.#links.get(String(pair[0]));
+      if (!link) continue;
+      if (pair[1] === "lost" && !link.isLostFor(vmId, nowMs)) continue;
+      link.health.note(pair[1], nowMs);
     }
   }
 
--- a/test/gateway_lab.ts
+++ b/test/gateway_lab.ts
@@ -32,8 +32,8 @@
   readonly leaveWhen?: () => boolean;
 }
 
-/** VMs of one lab. */
-const MOST_VMS = 4;
+/** VMs of one lab, at most; each lab has as many addresses. */
+const MOST_VMS = 6;
 let labs = 0;
 
 /** One line of the log. */
