Parts read are told between regions; rosters as fast as a small region bears; lending is not counted

Change: a digest names what the region's engines read lately; rosters come every 20 ms and VM of the region, 100 to 500 ms; counting what is lent is taken out again.

--- a/src/gateway/call_sends.ts
+++ b/src/gateway/call_sends.ts
@@ -102,7 +102,7 @@
   }
 
   #toRegion(region: string, state: SendState): Send | undefined {
-    const { context, service, places, record, input } = this.#options;
+    const { context, places, record, input } = this.#options;
     places.noteTriedRegion(region);
     const vm = context.relays.pick(region, context.random);
     if (!vm) return undefined;
@@ -112,7 +112,6 @@
       configVersion: input.config.version,
       // One, and no more: this VM cannot tell how many were used if it gives the hand-over up, and may send again itself.
       mostUpstreams: 1,
-      giveBack: context.relays.lend(region, service.name),
     });
   }
 
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -87,13 +87,14 @@
       }),
       load: () => ({ load: upstreams.load(), asked: placing.asked }),
       held: (ms) => upstreams.heldWithin(ms),
+      regionHeld: (ms) => upstreams.regionHeldWithin(ms),
       room: () =>
         roomOf(
           beliefs.config,
           (service) => upstreams.candidates(service),
           (service) => upstreams.pace(service),
         ),
-      onHeld: (held) => upstreams.noteHeld(held),
+      onHeld: (held, isNear) => upstreams.noteHeld(held, isNear),
       onSeen: (vmId, seen) => upstreams.noteSeen(vmId, seen),
     });
     const upstreams = new Upstreams(beliefs.fleet, members, vm);
--- a/src/gateway/members.ts
+++ b/src/gateway/members.ts
@@ -24,6 +24,7 @@
   type Load,
   LoadBook,
   type LoadNote,
+  type RegionDigest,
   RegionView,
   type Report,
   type Room,
@@ -51,9 +52,15 @@
   readonly load: () => VmLoad;
   /** Shared parts of prompts that engines read for this VM in the last `ms`. */
   readonly held: (ms: number) => readonly HeldPart[];
+  /** The same for all VMs of the region, as far as they told this one. */
+  readonly regionHeld: (ms: number) => readonly HeldPart[];
   /** Places that the region offers to others. */
   readonly room: () => Room;
-  readonly onHeld: (held: readonly HeldPart[] | undefined) => void;
+  /** Called with what another VM, of this region or not, says that engines have read. */
+  readonly onHeld: (
+    held: readonly HeldPart[] | undefined,
+    isNear: boolean,
+  ) => void;
   /** Called with the outcomes of sends that another VM has seen. */
   readonly onSeen: (vmId: string, seen: readonly SeenOutcome[]) => void;
 }
@@ -127,7 +134,9 @@
     datagrams.on("roster", (params) => this.#onRoster(decodeRoster(params)));
     datagrams.on("digest", (params) => {
       const digest = decodeDigest(params);
-      if (digest) this.#view.known.noteDigest(digest, this.#clock.monoMs());
+      if (!digest) return;
+      this.#view.known.noteDigest(digest, this.#clock.monoMs());
+      this.#options.onHeld(digest.held, false);
     });
     this.#entry = new OwnEntry({
       self,
@@ -314,10 +323,12 @@
       datagrams.send("roster", roster, due.ips);
     } else {
       const digest = this.#view.tellRegions(nowMs, due.to);
-      datagrams.send("digest", {
+      const said: RegionDigest = {
         ...digest,
         room: this.#options.room(),
-      }, due.ips);
+        held: this.#options.regionHeld(digest.everyMs),
+      };
+      datagrams.send("digest", said, due.ips);
     }
   }
 
@@ -368,7 +379,7 @@
     for (const due of replies) this.#send(due);
     if (report.region === this.#options.self.region) {
       this.book.note(report.id, report, nowMs);
-      this.#options.onHeld(report.held);
+      this.#options.onHeld(report.held, true);
     }
     this.#wakeAt(this.#view.nextDueMs);
   }
@@ -379,7 +390,7 @@
     if (!this.#view.isLead) return;
     this.book.note(note.id, note, this.#clock.monoMs());
     this.#options.onSeen(note.id, note.seen);
-    this.#options.onHeld(note.held);
+    this.#options.onHeld(note.held, true);
   }
 
   #onRoster(roster: Roster | undefined): void {
--- a/src/gateway/placing.ts
+++ b/src/gateway/placing.ts
@@ -47,8 +47,6 @@
 const MUTE_MS = 1_000;
 /** A request without a place asks again after this long at the soonest, so that a full region's questions stay few. */
 const LEAST_WAIT_MS = 40;
-/** How long a place of another region counts as taken for a VM that says nothing of its end; a digest is soon there. */
-const LENT_MS = 300;
 /** Upstreams that a lead tries to take for one question; each but the last was leaving or cold in that very step. */
 const MOST_TAKES = 3;
 
@@ -257,7 +255,7 @@
 
   /** Decides as the lead, and counts what it grants. */
   #decide(question: PlaceQuestion): PlaceVerdict {
-    const { beliefs, upstreams, relays, members } = this.#options;
+    const { beliefs, upstreams, members } = this.#options;
     const nowMs = this.#clock.monoMs();
     const ask = askOf(question, beliefs.config, nowMs);
     if (!ask) return { type: "unknown" };
@@ -268,10 +266,6 @@
         const waitMs = Math.max(LEAST_WAIT_MS, step.untilMs - nowMs);
         return { type: "wait", waitMs };
       }
-      if (step.type === "relay") {
-        const giveBack = relays.lend(step.region, service.name);
-        this.#clock.after(LENT_MS, giveBack);
-      }
       if (step.type !== "send") return step;
       const { candidate } = step;
       if (!upstreams.take(candidate, service, prompt)) continue;
--- a/src/gateway/relays.ts
+++ b/src/gateway/relays.ts
@@ -33,12 +33,6 @@
   regions(): readonly FarRegion[];
 }
 
-/** Requests that were handed to a region since it told of its places, and are not over yet. */
-interface Lent {
-  readonly toldMs: number;
-  count: number;
-}
-
 /** See the module. */
 export class Relays extends Task {
   readonly name = "relays";
@@ -47,8 +41,6 @@
   readonly #agents = new Map<string, Connections>();
   /** Addresses to which a connection failed, with the time of the failure. */
   readonly #lostMonoMs = new Map<string, number>();
-  /** By region and service. */
-  readonly #lent = new Map<string, Lent>();
   protected readonly handlers: Handlers<Messages> = {};
   #clock!: Clock;
 
@@ -78,25 +70,6 @@
     this.#lostMonoMs.set(ip, this.#clock.monoMs());
   }
 
-  /**
-   * A request is handed to a region; what is returned is called when it is over. Until the region tells of its places
-   * anew, they are fewer by it: without this all that arrives in half a second would be handed to the same few places.
-   */
-  lend(region: string, service: string): () => void {
-    const far = this.#known.regions()
-      .find(({ digest }) => digest.from.region === region);
-    if (!far) return () => {};
-    const key = `${region} ${service}`;
-    let lent = this.#lent.get(key);
-    if (lent?.toldMs !== far.heardMs) {
-      lent = { toldMs: far.heardMs, count: 0 };
-      this.#lent.set(key, lent);
-    }
-    lent.count++;
-    const counted = lent;
-    return () => void counted.count--;
-  }
-
   /** Other regions with a VM that can be reached and takes requests, and their room for a service. */
   regions(
     service: string,
@@ -107,13 +80,9 @@
     for (const far of this.#known.regions()) {
       const { region } = far.digest.from;
       if (!allowed(region) || this.#targets(far).length === 0) continue;
-      const { free, queue } = far.digest.room?.[service] ?? NO_ROOM;
-      const lent = this.#lent.get(`${region} ${service}`);
-      const taken = lent?.toldMs === far.heardMs ? lent.count : 0;
       rooms.push({
         region,
-        free: Math.max(0, free - taken),
-        queue: Math.max(0, queue - taken),
+        ...(far.digest.room?.[service] ?? NO_ROOM),
         isScarce: isScarce(region),
       });
     }
--- a/src/gateway/send.ts
+++ b/src/gateway/send.ts
@@ -61,8 +61,6 @@
 export interface RelayTerms {
   readonly configVersion: number;
   readonly mostUpstreams: number;
-  /** Called when the send is over. */
-  readonly giveBack: () => void;
 }
 
 /** The head of an answer that may go to the caller. */
@@ -307,7 +305,6 @@
 export class RelaySend extends Send {
   protected readonly exchange: Exchange;
   readonly #vm: RelayTarget;
-  readonly #giveBack: () => void;
 
   constructor(
     context: GatewayContext,
@@ -317,7 +314,6 @@
   ) {
     super(context, sendable);
     this.#vm = vm;
-    this.#giveBack = terms.giveBack;
     const leftMs = sendable.deadlineMonoMs - context.clock.monoMs();
     this.exchange = new Exchange({
       agent: context.relays.agent(vm.ip),
@@ -348,9 +344,7 @@
 
   noteBroken(): void {}
 
-  close(): void {
-    this.#giveBack();
-  }
+  close(): void {}
 
   protected override lost(cause: ExchangeFailure): Unanswered {
     if (!cause.sent) {
--- a/src/gateway/upstreams.ts
+++ b/src/gateway/upstreams.ts
@@ -111,13 +111,18 @@
     return this.holders.readWithin(ms, this.#clock.monoMs());
   }
 
+  /** The same for all VMs of the region. */
+  regionHeldWithin(ms: number): HeldPart[] {
+    return this.holders.readInRegion(ms, this.#clock.monoMs());
+  }
+
   /** Takes in what another VM says that engines hold; anything else than pairs of texts is left out. */
-  noteHeld(held: readonly HeldPart[] | undefined): void {
+  noteHeld(held: readonly HeldPart[] | undefined, isNear: boolean): void {
     if (!Array.isArray(held)) return;
     const nowMs = this.#clock.monoMs();
     for (const pair of held) {
       if (!Array.isArray(pair)) continue;
-      this.holders.noteTold([String(pair[0]), String(pair[1])], nowMs);
+      this.holders.noteTold([String(pair[0]), String(pair[1])], isNear, nowMs);
     }
   }
 
--- a/src/region/far_regions.ts
+++ b/src/region/far_regions.ts
@@ -64,6 +64,7 @@
     return this.fresh(nowMs).map(({ digest, heardMs }) => ({
       ...digest,
       yours: undefined,
+      held: undefined,
       ageMs: Math.round(nowMs - heardMs),
     }));
   }
--- a/src/region/messages.ts
+++ b/src/region/messages.ts
@@ -80,6 +80,8 @@
   readonly vms: number;
   readonly revisions: Revisions;
   readonly room: Room;
+  /** Shared parts of prompts that its engines have read lately: others copy them in place of reading them again. */
+  readonly held?: readonly HeldPart[];
   /** Leads of the receiver's region, for one that has found none. */
   readonly yours?: readonly VmRecord[];
 }
--- a/src/region/view.ts
+++ b/src/region/view.ts
@@ -22,10 +22,24 @@
 import { ALL_LEAD_VMS, leadCount, leadOrder, LEADS } from "./order.ts";
 import { recordOf, type VmRecord } from "./record.ts";
 
+/** A time that grows with the VMs of the region, in ms. */
+interface Pace {
+  readonly least: number;
+  readonly perVm: number;
+  readonly most: number;
+}
+
+function paced({ least, perVm, most }: Pace, vms: number): number {
+  return Math.min(most, Math.max(least, perVm * vms));
+}
+
 /** Time between reports: short in a small region, where loads are read from them, and bounded below for a large one. */
-const REPORT_MS = { least: 100, perVm: 25, most: 250 };
-/** Time between rosters; a change is told at once, but no two rosters are closer than the gap. */
-const ROSTER_MS = 500;
+const REPORT_MS: Pace = { least: 100, perVm: 25, most: 250 };
+/**
+ * Time between rosters, which bring the loads of all VMs: short in a small region, so that a lead sends some fifty a
+ * second at most, and bounded above. A change is told at once, but no two rosters are closer than the gap.
+ */
+const ROSTER_MS: Pace = { least: 100, perVm: 20, most: 500 };
 const ROSTER_GAP_MS = 100;
 /** After a change rosters come faster and with the lists of names, so that a lost one delays nobody; else now and then. */
 const CHANGED_ROSTER_MS = 200;
@@ -201,9 +215,12 @@
 
   /** Time between this VM's reports. */
   get reportEveryMs(): number {
-    const { least, perVm, most } = REPORT_MS;
-    const others = this.known.regionCount - 1;
-    return Math.min(most, Math.max(least, perVm * others));
+    return paced(REPORT_MS, this.known.regionCount - 1);
+  }
+
+  /** Time between this VM's rosters, as a lead. */
+  get rosterEveryMs(): number {
+    return paced(ROSTER_MS, this.known.regionCount - 1);
   }
 
   /** What is to be sent now. */
@@ -226,7 +243,7 @@
     const { revisions, isServed } = this.#options.state();
     return {
       from: recordOf(this.#self),
-      everyMs: ROSTER_MS,
+      everyMs: this.rosterEveryMs,
       leads: this.#order,
       vms: this.known.ownCount,
       revisions,
@@ -237,7 +254,7 @@
   }
 
   /** What this VM tells the leads of another region. */
-  tellRegions(nowMs: number, to?: string): Omit<RegionDigest, "room"> {
+  tellRegions(nowMs: number, to?: string): Omit<RegionDigest, "room" | "held"> {
     const { ready } = this.#names(nowMs);
     return {
       from: recordOf(this.#self),
@@ -258,7 +275,11 @@
       const isChanged = nowMs < this.#changedUntilMs;
       const withNames = isChanged || nowMs >= this.#namedDueMs;
       if (withNames) this.#namedDueMs = nowMs + NAMED_EVERY_MS;
-      this.#rosterDueMs = nowMs + (isChanged ? CHANGED_ROSTER_MS : ROSTER_MS);
+      const { rosterEveryMs } = this;
+      this.#rosterDueMs = nowMs +
+        (isChanged
+          ? Math.min(CHANGED_ROSTER_MS, rosterEveryMs)
+          : rosterEveryMs);
       this.#rosterSentMs = nowMs;
       const ips = this.#near(nowMs).map(({ ip }) => ip);
       due.push({ type: "roster", ips, withNames });
--- a/src/routing/part_holders.ts
+++ b/src/routing/part_holders.ts
@@ -11,7 +11,7 @@
 /** Parts remembered; a VM of the largest sites sees some hundred in ten seconds. */
 const MOST_PARTS = 4_096;
 /** Parts told to another VM at once; a heartbeat stays within one datagram. */
-const MOST_TOLD = 16;
+const MOST_TOLD = 24;
 
 /** A part that an engine has read, as one VM tells another. A pair, since heartbeats carry several. */
 export type HeldPart = readonly [partId: string, upstreamKey: string];
@@ -24,13 +24,30 @@
   readonly isRead: boolean;
 }
 
+/** A part that was read. */
+interface Read {
+  readonly held: HeldPart;
+  readonly readMonoMs: number;
+}
+
+function push(reads: Read[], held: HeldPart, readMonoMs: number): void {
+  reads.push({ held, readMonoMs });
+  if (reads.length > MOST_TOLD) reads.shift();
+}
+
+function within(reads: readonly Read[], ms: number, nowMs: number): HeldPart[] {
+  return reads.filter(({ readMonoMs }) => nowMs - readMonoMs <= ms)
+    .map(({ held }) => held);
+}
+
 /** See the module. Holds what this VM sent and what others told. */
 export class PartHolders {
   /** By part, the engines that were sent it, the latest last. Parts in the order of their last use. */
   readonly #holdings = new Map<string, Holding[]>();
   /** What engines read for this VM, the latest last. */
-  readonly #own: { readonly held: HeldPart; readonly readMonoMs: number }[] =
-    [];
+  readonly #own: Read[] = [];
+  /** The same for all VMs of the region, as far as they told. */
+  readonly #region: Read[] = [];
 
   /** Notes that an engine is sent a prompt with these parts, which others share. */
   noteSent(
@@ -57,20 +74,25 @@
     }
     const last = shared.at(-1);
     if (!last) return;
-    this.#own.push({ held: [last.id, upstreamKey], readMonoMs: nowMs });
-    if (this.#own.length > MOST_TOLD) this.#own.shift();
+    push(this.#own, [last.id, upstreamKey], nowMs);
+    push(this.#region, [last.id, upstreamKey], nowMs);
   }
 
-  /** Notes that an engine has read a part, as another VM told. */
-  noteTold([partId, upstreamKey]: HeldPart, nowMs: number): void {
+  /** Notes that an engine has read a part, as another VM told, of this region or another. */
+  noteTold(held: HeldPart, isNear: boolean, nowMs: number): void {
+    const [partId, upstreamKey] = held;
     this.#put(partId, { upstreamKey, sentMonoMs: nowMs, isRead: true });
+    if (isNear) push(this.#region, held, nowMs);
   }
 
   /** What engines read for this VM in the last `ms`, to be told to others. */
   readWithin(ms: number, nowMs: number): HeldPart[] {
-    return this.#own
-      .filter(({ readMonoMs }) => nowMs - readMonoMs <= ms)
-      .map(({ held }) => held);
+    return within(this.#own, ms, nowMs);
+  }
+
+  /** What engines of the region read in the last `ms`, to be told to other regions. */
+  readInRegion(ms: number, nowMs: number): HeldPart[] {
+    return within(this.#region, ms, nowMs);
   }
 
   /**
--- a/src/routing/part_holders_test.ts
+++ b/src/routing/part_holders_test.ts
@@ -8,7 +8,7 @@
     it("are the engines that have read them, the latest first", (t) => {
       const holders = new PartHolders();
       holders.noteRead(BOOK, "a", 0);
-      holders.noteTold(["book", "b"], 100);
+      holders.noteTold(["book", "b"], true, 100);
       t.deepEqual(holders.holders("book", 200), ["b", "a"]);
     });
 
@@ -26,8 +26,8 @@
 
     it("hold a part with all before it, and no other that begins like it", (t) => {
       const holders = new PartHolders();
-      holders.noteTold(["book", "b"], 0);
-      holders.noteTold(["all", "c"], 0);
+      holders.noteTold(["book", "b"], true, 0);
+      holders.noteTold(["all", "c"], true, 0);
       t.is(holders.warmth(BOOK, 0)("b"), 5_300);
       t.is(holders.warmth(BOOK, 0)("c"), 500);
     });
@@ -42,7 +42,7 @@
     it("are told to others once, for what was read for this VM", (t) => {
       const holders = new PartHolders();
       holders.noteRead(BOOK, "a", 0);
-      holders.noteTold(["other", "b"], 0);
+      holders.noteTold(["other", "b"], true, 0);
       t.deepEqual(holders.readWithin(100, 50), [["book", "a"]]);
       t.deepEqual(holders.readWithin(100, 150), []);
     });
