--- a/src/explain/story.ts
+++ b/src/explain/story.ts
@@ -21,9 +21,9 @@
 const PLACE_EVENTS = new Set([
   "upstream silent",
   "upstream gone",
+  "upstream dark",
   "upstream known",
-  "vm leaves",
-  "vm forgotten",
+  "leads",
   "evacuated",
   "store lost",
 ]);
