--- a/src/gateway/members.ts
+++ b/src/gateway/members.ts
@@ -37,6 +37,7 @@
 } from "../region/mod.ts";
 import type { HeldPart, NamedVm } from "../routing/mod.ts";
 import type { Datagrams } from "./datagrams.ts";
+import { DueNote } from "./due_note.ts";
 import { OwnEntry } from "./own_entry.ts";
 
 /** Options of {@link Members}. */
@@ -75,14 +76,6 @@
 /** A lead looks this often who has fallen silent. */
 const LEAD_TICK_MS = 100;
 const TICK_MS = 250;
-/**
- * How long a change of load waits to be told to the first lead, together with others. That a prompt has been read must be
- * known soon, as prompts wait some hundred ms at an engine; that an answer is over changes less.
- */
-const READ_NOTE_MS = 40;
-const OVER_NOTE_MS = 120;
-/** Outcomes kept for the next note; more than a VM sees between two. */
-const MOST_SEEN = 64;
 /** Upstreams whose load a roster tells: those with the most, in about two kilobytes. */
 const MOST_LOADS = 64;
 
@@ -92,6 +85,7 @@
   /** What the other VMs of the region have under way, as far as they report here. */
   readonly book = new LoadBook();
   readonly #options: MemberOptions;
+  readonly #notes = new DueNote();
   protected readonly handlers: Handlers<Messages> = {};
   #view!: RegionView;
   #entry!: OwnEntry;
@@ -99,9 +93,6 @@
   #log!: Log;
   #timer: Timer | undefined;
   #timerMs = Infinity;
-  #noteDueMs = Infinity;
-  #notedMs = -Infinity;
-  #seen: SeenOutcome[] = [];
   #saidLoad: Load = {};
   /** Who leads, as of the last message or tick: it is asked for on each request. */
   #lookedAt: LeadsSeen = {
@@ -244,15 +235,13 @@
 
   /** A prompt that waited at an upstream has been read: the first lead is told soon. */
   noteRead(): void {
-    this.#noteWithin(READ_NOTE_MS);
+    this.#wakeAt(this.#notes.noteRead(this.#isFirst, this.#clock.monoMs()));
   }
 
   /** A send is over; `seen` is what became of it. */
   noteOver(seen?: SeenOutcome): void {
-    if (seen && !this.#isFirst && this.#seen.length < MOST_SEEN) {
-      this.#seen.push(seen);
-    }
-    this.#noteWithin(OVER_NOTE_MS);
+    const nowMs = this.#clock.monoMs();
+    this.#wakeAt(this.#notes.noteOver(this.#isFirst, nowMs, seen));
   }
 
   /** Whether nobody else has to know this VM's load sooner than by its reports. */
@@ -261,29 +250,21 @@
     return hearsAll || leads[0]?.id === this.#options.self.id;
   }
 
-  #noteWithin(ms: number): void {
-    if (this.#isFirst) return;
-    const dueMs = this.#clock.monoMs() + ms;
-    if (this.#noteDueMs <= dueMs) return;
-    this.#noteDueMs = dueMs;
-    this.#wakeAt(dueMs);
-  }
-
   #tick(): void {
     if (this.#closing) return;
     const nowMs = this.#clock.monoMs();
-    if (nowMs >= this.#noteDueMs) this.#sendNote();
+    if (nowMs >= this.#notes.dueMs) this.#sendNote(nowMs);
     for (const due of this.#view.tick(nowMs)) this.#send(due);
     this.#noteLeads();
     const everyMs = this.#view.isLead ? LEAD_TICK_MS : TICK_MS;
     this.#wakeAt(
-      Math.min(nowMs + everyMs, this.#view.nextDueMs, this.#noteDueMs),
+      Math.min(nowMs + everyMs, this.#view.nextDueMs, this.#notes.dueMs),
     );
   }
 
   /** A timer that is due sooner already stands. */
   #wakeAt(dueMs: number): void {
-    if (this.#closing) return;
+    if (this.#closing || dueMs === Infinity) return;
     const nowMs = this.#clock.monoMs();
     if (this.#timerMs <= dueMs && this.#timerMs > nowMs) return;
     this.#timer?.close();
@@ -340,19 +321,14 @@
     return { ...self, everyMs, ...state(), ...said, held: held(everyMs) };
   }
 
-  #sendNote(): void {
-    this.#noteDueMs = Infinity;
-    const { self, datagrams, load } = this.#options;
+  #sendNote(nowMs: number): void {
+    const { self, datagrams, load, held } = this.#options;
+    const { seen, sinceMs } = this.#notes.take(nowMs);
     const [first] = this.#view.leads;
-    const seen = this.#seen;
-    this.#seen = [];
     if (!first || first.id === self.id) return;
     const said = load();
     this.#saidLoad = said.load;
-    const nowMs = this.#clock.monoMs();
-    const held = this.#options.held(nowMs - this.#notedMs);
-    this.#notedMs = nowMs;
-    const note: LoadNote = { id: self.id, ...said, seen, held };
+    const note: LoadNote = { id: self.id, ...said, seen, held: held(sinceMs) };
     datagrams.send("load", note, [first.ip]);
   }
 
--- a/src/region/view.ts
+++ b/src/region/view.ts
@@ -20,34 +20,15 @@
   type VmState,
 } from "./messages.ts";
 import { ALL_LEAD_VMS, leadCount, leadOrder, LEADS } from "./order.ts";
+import { digestEveryMs, reportEveryMs, rosterEveryMs } from "./pace.ts";
 import { recordOf, type VmRecord } from "./record.ts";
 
-/** A time that grows with the VMs of the region, in ms. */
-interface Pace {
-  readonly least: number;
-  readonly perVm: number;
-  readonly most: number;
-}
-
-function paced({ least, perVm, most }: Pace, vms: number): number {
-  return Math.min(most, Math.max(least, perVm * vms));
-}
-
-/** Time between reports: short in a small region, where loads are read from them, and bounded below for a large one. */
-const REPORT_MS: Pace = { least: 100, perVm: 25, most: 250 };
-/**
- * Time between rosters, which bring the loads of all VMs: short in a small region, so that a lead sends some fifty a
- * second at most, and bounded above. A change is told at once, but no two rosters are closer than the gap.
- */
-const ROSTER_MS: Pace = { least: 100, perVm: 20, most: 500 };
+/** A change is told at once, but no two rosters are closer than this. */
 const ROSTER_GAP_MS = 100;
 /** After a change rosters come faster and with the lists of names, so that a lost one delays nobody; else now and then. */
 const CHANGED_ROSTER_MS = 200;
 const AFTER_CHANGE_MS = 500;
 const NAMED_EVERY_MS = 2_000;
-/** Time between digests of the first lead and of the others, with up to {@link DIGEST_REGIONS} other regions. */
-const DIGEST_MS = { first: 500, others: 1_000 };
-const DIGEST_REGIONS = 8;
 /** VMs that a digest names: enough that what is handed over spreads, in a third of a kilobyte. */
 const DIGEST_READY = 24;
 /** How often a lead looks for VMs that it doesn't hear: cut halves of a region find each other again in this time. */
@@ -215,12 +196,12 @@
 
   /** Time between this VM's reports. */
   get reportEveryMs(): number {
-    return paced(REPORT_MS, this.known.regionCount - 1);
+    return reportEveryMs(this.known.regionCount);
   }
 
   /** Time between this VM's rosters, as a lead. */
   get rosterEveryMs(): number {
-    return paced(ROSTER_MS, this.known.regionCount - 1);
+    return rosterEveryMs(this.known.regionCount);
   }
 
   /** What is to be sent now. */
@@ -316,9 +297,7 @@
 
   #digestEveryMs(nowMs: number): number {
     const isFirst = this.#order[0]?.id === this.#self.id || this.hearsAll;
-    const regions = this.known.far.fresh(nowMs).length;
-    return (isFirst ? DIGEST_MS.first : DIGEST_MS.others) *
-      Math.max(1, regions / DIGEST_REGIONS);
+    return digestEveryMs(isFirst, this.known.far.fresh(nowMs).length);
   }
 
   #near(nowMs: number): Report[] {
--- a/src/routing/part_holders.ts
+++ b/src/routing/part_holders.ts
@@ -11,7 +11,9 @@
 /** Parts remembered; a VM of the largest sites sees some hundred in ten seconds. */
 const MOST_PARTS = 4_096;
 /** Parts told to another VM at once; a heartbeat stays within one datagram. */
-const MOST_TOLD = 24;
+const MOST_TOLD = 16;
+/** The same for what a region tells another: a digest brings what many VMs read in half a second. */
+const MOST_OF_REGION = 24;
 
 /** A part that an engine has read, as one VM tells another. A pair, since heartbeats carry several. */
 export type HeldPart = readonly [partId: string, upstreamKey: string];
@@ -30,9 +32,9 @@
   readonly readMonoMs: number;
 }
 
-function push(reads: Read[], held: HeldPart, readMonoMs: number): void {
-  reads.push({ held, readMonoMs });
-  if (reads.length > MOST_TOLD) reads.shift();
+function push(reads: Read[], read: Read, most: number): void {
+  reads.push(read);
+  if (reads.length > most) reads.shift();
 }
 
 function within(reads: readonly Read[], ms: number, nowMs: number): HeldPart[] {
@@ -74,15 +76,16 @@
     }
     const last = shared.at(-1);
     if (!last) return;
-    push(this.#own, [last.id, upstreamKey], nowMs);
-    push(this.#region, [last.id, upstreamKey], nowMs);
+    const read: Read = { held: [last.id, upstreamKey], readMonoMs: nowMs };
+    push(this.#own, read, MOST_TOLD);
+    push(this.#region, read, MOST_OF_REGION);
   }
 
   /** Notes that an engine has read a part, as another VM told, of this region or another. */
   noteTold(held: HeldPart, isNear: boolean, nowMs: number): void {
     const [partId, upstreamKey] = held;
     this.#put(partId, { upstreamKey, sentMonoMs: nowMs, isRead: true });
-    if (isNear) push(this.#region, held, nowMs);
+    if (isNear) push(this.#region, { held, readMonoMs: nowMs }, MOST_OF_REGION);
   }
 
   /** What engines read for this VM in the last `ms`, to be told to others. */
