--- a/bench/vm_cost.ts
+++ b/bench/vm_cost.ts
@@ -22,7 +22,15 @@
   RegionView,
   type VmRecord,
 } from "../src/region/mod.ts";
-import { KvServer, ROUTE_HOST, routeRow, Runner } from "../src/standins/mod.ts";
+import {
+  CONFIG_ROW_KEY,
+  configRow,
+  KvServer,
+  ROUTE_HOST,
+  routeRow,
+  Runner,
+  upstreamRow,
+} from "../src/standins/mod.ts";
 import type { Row } from "./row.ts";
 
 const REGIONS = ["north", "south", "west"];
@@ -210,34 +218,17 @@
 ): Promise<Cost> {
   const server = new KvServer({ readsPerS: 10_000, writesPerS: 10_000 });
   const runners: Runner[] = [];
-  const entry = (address: string) => ({
-    service: "s",
-    address,
-    zone: "north-a",
-    slots: 8,
-    state: "ready",
-    cold_left_ms: 0,
-    seq: 1,
-  });
   for (let i = 0; i < upstreamsFor(vms); i++) {
     const runner = await Runner.open(`i-${i}`);
     runner.workMs = 0;
     runners.push(runner);
-    server.put(`servers/${runner.id}`, entry(runner.address));
+    server.put(
+      `servers/${runner.id}`,
+      upstreamRow(runner.address, "north"),
+    );
   }
-  const limits = {
-    max_header_bytes: 4_096,
-    max_body_bytes: 10_000,
-    header_timeout_ms: 1_000,
-    idle_timeout_ms: 5_000,
-  };
-  const service = { name: "s", max_conns: 100, cold_s: 0, cold_rate_s: 0 };
-  server.put("op/config", {
-    version: 1,
-    routes: [routeRow({ path_prefix: "/stream/", kind: "streaming" })],
-    services: [service],
-    limits,
-  });
+  const route = routeRow({ path_prefix: "/stream/", kind: "streaming" });
+  server.put(CONFIG_ROW_KEY, configRow(1, [route]));
   const ip = "127.92.0.1";
   const peers = new Peers(vms - 1, ["127.91.1.1", "127.91.1.2", "127.91.1.3"]);
   const dir = mkdtempSync(join(tmpdir(), "ibisgap-vm-cost-"));
--- a/src/routing/leaving.ts
+++ b/src/routing/leaving.ts
@@ -6,9 +6,9 @@
 
 import type { Route } from "./types.ts";
 
-/** Twice the p99 of plain calls on played days without an outage of theirs (0.4 to 0.75 s). */
+/** Twice what the slowest one in a hundred of plain calls takes while its service is well. */
 const PLAIN_MS = 1_500;
-/** A short stream on an engine at its peak; the p99 on heavy played days lay between 1.9 and 3.6 s. */
+/** A short stream on an engine at its peak: the slowest one in a hundred takes two to four seconds there. */
 const FIRST_EVENT_MS = 2_500;
 /** Time of an output token on an engine at its peak, where reading prompts takes half of the time. */
 const TOKEN_MS = 12;
@@ -19,7 +19,7 @@
  * time. The rest is for the way and for clocks that differ.
  */
 const EARLY_MS = 2_700;
-/** What a usual stream takes on an engine that is not at its peak; played calm days had a p99 of 0.75 s to the first event. */
+/** What a stream takes at most on an engine that is not at its peak. */
 const USUAL_FIRST_EVENT_MS = 750;
 const USUAL_TOKEN_MS = 6;
 
@@ -35,7 +35,7 @@
  * Whether a request that arrives while the VM is being stopped can end before the process does. What cannot is refused
  * at once, not run: cut off in the middle it would be lost, and an at-most-once call could not even be repeated. Early in
  * the stop the usual time decides and not the longest: callers still hold this VM's address for seconds, and refusing
- * every stream then turned 4 in 100 requests away on days with stops in turn.
+ * every stream then would turn many away where VMs are stopped in turn.
  */
 export function canFinish(
   route: Route,
--- a/src/routing/place.ts
+++ b/src/routing/place.ts
@@ -183,9 +183,8 @@
  * The engine that a request's engine should copy the prompt's shared parts from: the prompt's home in the region if it
  * has read them, or who read them last, or, where nobody knows of one, the home in the region, and for that one the home
  * among all engines that may hold it. An engine copies only what it lacks, so one that has them is named a source too:
- * it may have given them up. Each prompt is then read once in the whole system, at a fifth of the price of reading it
- * again and in a tenth of the time (users' prices: 0.31 a GB moved against 0.14 for 1,000 tokens read again, at 96 KB a
- * token). `holdersOf` lists the engines that have read a part, the latest first.
+ * it may have given them up. Each prompt is then read once in the whole system; copying a token takes a tenth of the time
+ * of reading it, and holds up nobody's stream. `holdersOf` lists the engines that have read a part, the latest first.
  */
 export function fetchSource<
   C extends Pick<Candidate, "key" | "hash"> & { readonly region: string },
--- a/src/standins/config_rows.ts
+++ b/src/standins/config_rows.ts
@@ -24,3 +24,49 @@
     ...more,
   };
 }
+
+/** The key under which the operators' configuration stands. */
+export const CONFIG_ROW_KEY = "op/config";
+
+/** A configuration of one service, `s`; `service` replaces what it says of it. */
+export function configRow(
+  version: number,
+  routes: readonly unknown[],
+  service: Record<string, unknown> = {},
+) {
+  return {
+    version,
+    routes,
+    services: [{
+      name: "s",
+      max_conns: 100,
+      cold_s: 0,
+      cold_rate_s: 0,
+      ...service,
+    }],
+    limits: {
+      max_header_bytes: 4_096,
+      max_body_bytes: 10_000,
+      header_timeout_ms: 1_000,
+      idle_timeout_ms: 5_000,
+    },
+  };
+}
+
+/** An upstream's entry in the store, of the service `s` in a region's failure domain `a`, less what `more` replaces. */
+export function upstreamRow(
+  address: string,
+  region: string,
+  more: Record<string, unknown> = {},
+) {
+  return {
+    service: "s",
+    address,
+    zone: `${region}-a`,
+    slots: 8,
+    state: "ready",
+    cold_left_ms: 0,
+    seq: 1,
+    ...more,
+  };
+}
--- a/test/gateway_lab.ts
+++ b/test/gateway_lab.ts
@@ -9,7 +9,15 @@
 import type { ExecutionContext } from "ava";
 import { Gateway, type GatewaySettings } from "../src/gateway/mod.ts";
 import type { Log } from "../src/kernel/mod.ts";
-import { KvServer, ROUTE_HOST, routeRow, Runner } from "../src/standins/mod.ts";
+import {
+  CONFIG_ROW_KEY,
+  configRow,
+  KvServer,
+  ROUTE_HOST,
+  routeRow,
+  Runner,
+  upstreamRow,
+} from "../src/standins/mod.ts";
 
 /** What a caller got. */
 export interface CallerAnswer {
@@ -95,23 +103,10 @@
     more: Record<string, unknown> = {},
   ): void {
     this.#version += 3;
-    this.server.put("op/config", {
-      version: this.#version,
-      routes,
-      services: [{
-        name: "s",
-        max_conns: 100,
-        cold_s: 0,
-        cold_rate_s: 0,
-        ...more,
-      }],
-      limits: {
-        max_header_bytes: 4_096,
-        max_body_bytes: 10_000,
-        header_timeout_ms: 1_000,
-        idle_timeout_ms: 5_000,
-      },
-    });
+    this.server.put(
+      CONFIG_ROW_KEY,
+      configRow(this.#version, routes, more),
+    );
   }
 
   /** Opens an upstream in a region and registers it. */
@@ -131,16 +126,10 @@
     region = "north",
     more: Record<string, unknown> = {},
   ): void {
-    this.server.put(`servers/${runner.id}`, {
-      service: "s",
-      address: runner.address,
-      zone: `${region}-a`,
-      slots: 8,
-      state: "ready",
-      cold_left_ms: 0,
-      seq: 1,
-      ...more,
-    });
+    this.server.put(
+      `servers/${runner.id}`,
+      upstreamRow(runner.address, region, more),
+    );
   }
 
   /** Opens a VM in a region. */
