--- a/bench/vm_cost.ts
+++ b/bench/vm_cost.ts
@@ -168,6 +168,9 @@
       repeatRatio: 0.2,
       repeatSlack: 50,
       repeatWindowMs: 10_000,
+      quotaExcess: 0.1,
+      quotaSlack: 1_000,
+      quotaWindowMs: 8_000,
     },
   };
 }
--- a/soak/world.ts
+++ b/soak/world.ts
@@ -259,6 +259,9 @@
         repeatRatio: 0.2,
         repeatSlack: 50,
         repeatWindowMs: 10_000,
+        quotaExcess: 0.1,
+        quotaSlack: 1_000,
+        quotaWindowMs: 8_000,
       },
     };
     writeFileSync(settingsPath, JSON.stringify(settings));
--- a/src/decisions/bucket.ts
+++ b/src/decisions/bucket.ts
@@ -33,6 +33,12 @@
     return this.#level >= Math.min(amount, this.#most);
   }
 
+  /** What is left; below zero while takers wait. */
+  levelAt(nowMs: number): number {
+    this.#fill(nowMs);
+    return this.#level;
+  }
+
   /** Takes the amount; the level may fall below zero, and later takers wait for it. */
   take(amount: number, nowMs: number): void {
     this.#fill(nowMs);
--- a/src/explain/story.ts
+++ b/src/explain/story.ts
@@ -31,6 +31,11 @@
 const CAUSES: Readonly<Record<string, string>> = {
   ok: "it was served",
   noTable: "the VM had no configuration yet; nothing was run",
+  unauthenticated:
+    "no workspace of the configuration in force holds the caller's key; nothing was run",
+  forbidden:
+    "the homes of the caller's workspace and of the route share no region; nothing was run",
+  rateLimited: "its workspace was beyond its limit; nothing was run",
   notFound: "no route of the configuration in force matches host and path",
   queueFull:
     "every place that may serve it was full, here and in the regions that may take it; nothing was run",
@@ -71,10 +76,18 @@
     firstByteMs,
     here,
     elsewhere,
+    workspace,
+    quotaUnits,
+    countedBy,
+    configVersion,
   } = last.fields;
   const wasSlow = outcome === "upstreamTimeout" && firstByteMs !== undefined;
   const parts = [wasSlow ? TOO_SLOW : CAUSES[outcome] ?? outcome];
   if (reason && outcome !== "ok") parts.push(`reason: ${reason}`);
+  if (outcome === "rateLimited") {
+    parts.push(`workspace: ${workspace}, ${quotaUnits} units`);
+    parts.push(`refused by ${countedBy}, configuration ${configVersion}`);
+  }
   if (place) parts.push(`last place: ${place}`);
   if (here) {
     parts.push(`upstreams here: ${here}; free/queue elsewhere: ${elsewhere}`);
--- a/src/gateway/beliefs.ts
+++ b/src/gateway/beliefs.ts
@@ -14,6 +14,7 @@
   decodeUpstream,
   evacuatedDomain,
   OPERATOR_PREFIX,
+  sealEntry,
   UPSTREAM_PREFIX,
   upstreamId,
 } from "../platform/mod.ts";
@@ -49,10 +50,12 @@
   readonly failureDomains: Readonly<Record<string, string>>;
   /** Whether this VM asks the store what changes, for others of its region too. */
   readonly isReader: () => boolean;
+  /** How long a question for changes of the configuration waits; a usual time if left out. */
+  readonly operatorWaitMs?: number;
 }
 
 /**
- * How long a question for changes of the configuration waits. A connection that has gone silent is found only after
+ * How long a question for changes of the configuration waits, usually. A connection that has gone silent is found only after
  * that, but another VM tells of a newer revision within a second.
  */
 const OPERATOR_WAIT_MS = 4_000;
@@ -118,6 +121,11 @@
     };
   }
 
+  /** How long ago the store itself told this VM the newest configuration. */
+  get configAgeMs(): number {
+    return this.#clock.monoMs() - this.#followers.operators.heardMonoMs;
+  }
+
   /** Revision up to which nothing of a matter's news is missing here. */
   newsRev(matter: Matter): number {
     return this.#followers[matter].newsRev;
@@ -144,10 +152,11 @@
         prefix: OPERATOR_PREFIX,
         clock: this.#clock,
         log: this.#log,
-        waitMs: OPERATOR_WAIT_MS,
+        waitMs: this.#options.operatorWaitMs ?? OPERATOR_WAIT_MS,
         pauseMs: 0,
         isReader: this.#options.isReader,
         isNews: () => true,
+        seal: sealEntry,
         onPut: (entry) => this.#operatorPut(entry),
         onDelete: (key) => this.#operatorDelete(key),
       }),
@@ -230,6 +239,7 @@
         configVersion: config.version,
         rev: entry.rev,
         routes: config.routes.length,
+        workspaces: config.workspaces.count,
       });
     } catch (error) {
       this.#log.error("config unreadable", {
--- a/src/gateway/call.ts
+++ b/src/gateway/call.ts
@@ -33,6 +33,13 @@
 /** Tries of one request, connections that failed included: each costs up to a quarter of a second. */
 const MOST_TRIES = 4;
 
+/** What a caller is told of each reason to refuse. */
+const REFUSAL_CODES = {
+  noUpstream: "noUpstream",
+  overloaded: "queueFull",
+  overQuota: "rateLimited",
+} as const;
+
 /** See the module. */
 export class Call {
   readonly #context: GatewayContext;
@@ -69,6 +76,7 @@
       input,
       this.#service,
       this.#arrivedMs,
+      this.#record,
     );
     this.#sends = new CallSends({
       context,
@@ -297,8 +305,7 @@
     if (this.#mayHaveRun) {
       return this.#fail(this.#last ?? failure("upstreamFailed"), 0);
     }
-    const code = step.reason === "noUpstream" ? "noUpstream" : "queueFull";
-    this.#fail(failure(code), step.comeBackMs);
+    this.#fail(failure(REFUSAL_CODES[step.reason]), step.comeBackMs);
   }
 
   #expire(): void {
@@ -314,6 +321,7 @@
 
   #fail(cause: Failure, comeBackMs: number, reason = cause.message): void {
     if (this.#over) return;
+    if (cause.ran === "no") this.#places.giveBackUse();
     this.#finish(cause.code, reason, comeBackMs);
     if (this.#reply.isBegun) this.#reply.breakOff();
     else this.#reply.fail(cause, comeBackMs, this.#record.arrivals);
--- a/src/gateway/call_input.ts
+++ b/src/gateway/call_input.ts
@@ -8,6 +8,7 @@
 import type { CodeName } from "../base/mod.ts";
 import type { CallerHead } from "../platform/mod.ts";
 import type { GatewayConfig, Route } from "../routing/mod.ts";
+import type { KnownCaller } from "../workspaces/mod.ts";
 import type { BodyProblem } from "./body.ts";
 
 /** The result code of each {@link BodyProblem}. */
@@ -23,6 +24,8 @@
   readonly head: CallerHead;
   readonly route: Route;
   readonly config: GatewayConfig;
+  /** Who calls, and what its workspace changes of the route. */
+  readonly caller: KnownCaller;
   /** Deadline on the monotonic clock. */
   readonly deadlineMonoMs: number;
   /** Whether another VM handed it over; it then stays in this region. */
--- a/src/gateway/call_places.ts
+++ b/src/gateway/call_places.ts
@@ -12,18 +12,35 @@
   type Step,
   urgencyRank,
 } from "../routing/mod.ts";
+import type { QuotaUse } from "../quota/mod.ts";
+import { quotaUnits } from "../workspaces/mod.ts";
 import type { CallInput } from "./call_input.ts";
+import type { CallRecord } from "./call_record.ts";
 import type { GatewayContext } from "./context.ts";
 import { isHomeOf, type PlaceAsk } from "./place_here.ts";
 import type { Placed } from "./placing.ts";
+import type { CountedBy } from "./quotas.ts";
 import type { LinkedCandidate } from "./upstream_link.ts";
 
+/** What a request uses of its workspace's limit. */
+function useOf({ caller, head }: CallInput): QuotaUse | undefined {
+  const { workspace } = caller;
+  if (!workspace?.quota) return undefined;
+  const tokens = head.promptTokens + head.outputTokens;
+  return {
+    workspace: workspace.name,
+    units: quotaUnits(workspace.quota, tokens),
+  };
+}
+
 /** See the module. */
 export class CallPlaces {
   readonly #context: GatewayContext;
   readonly #input: CallInput;
   readonly #service: ServiceRow;
-  readonly #ask: PlaceAsk;
+  readonly #record: CallRecord;
+  #ask: PlaceAsk;
+  #counted: { readonly use: QuotaUse; readonly by: CountedBy } | undefined;
   readonly #tried = new Set<string>();
   readonly #triedRegions = new Set<string>();
 
@@ -32,11 +49,13 @@
     input: CallInput,
     service: ServiceRow,
     arrivedMs: number,
+    record: CallRecord,
   ) {
     this.#context = context;
     this.#input = input;
     this.#service = service;
-    const { route, head, config, deadlineMonoMs, relayed } = input;
+    this.#record = record;
+    const { route, head, config, caller, deadlineMonoMs, relayed } = input;
     const { engine } = service;
     this.#ask = {
       service,
@@ -51,8 +70,9 @@
       deadlineMs: deadlineMonoMs,
       tried: this.#tried,
       triedRegions: this.#triedRegions,
-      homeRegions: route.homeRegions,
+      homeRegions: caller.homeRegions,
       isRelayed: relayed,
+      quota: relayed ? undefined : useOf(input),
     };
   }
 
@@ -71,9 +91,24 @@
     this.#triedRegions.delete(region);
   }
 
-  /** What to do next with the request. */
-  place(): Promise<Placed> {
-    return this.#context.placing.place(this.#ask);
+  /** What to do next with the request. Its use of its workspace's limit is counted with its first send. */
+  async place(): Promise<Placed> {
+    const placed = await this.#context.placing.place(this.#ask);
+    const { quota: use } = this.#ask;
+    if (placed.countedBy && use) {
+      this.#record.noteQuota(use, placed.countedBy);
+      if (placed.step.type === "refuse") return placed;
+      this.#counted = { use, by: placed.countedBy };
+      this.#ask = { ...this.#ask, quota: undefined };
+    }
+    return placed;
+  }
+
+  /** The request has not run and never will: it uses nothing of the limit. */
+  giveBackUse(): void {
+    if (!this.#counted) return;
+    this.#context.quotas.giveBack(this.#counted.use, this.#counted.by);
+    this.#counted = undefined;
   }
 
   /** The same as far as this VM knows by itself, without doing it. */
--- a/src/gateway/call_record.ts
+++ b/src/gateway/call_record.ts
@@ -6,8 +6,10 @@
 
 import type { CodeName } from "../base/mod.ts";
 import type { RefusedOn } from "../routing/mod.ts";
+import type { QuotaUse } from "../quota/mod.ts";
 import type { CallInput } from "./call_input.ts";
 import type { GatewayContext } from "./context.ts";
+import type { CountedBy } from "./quotas.ts";
 
 /** The longest time between two pieces of an answer. */
 interface LongestPause {
@@ -31,6 +33,7 @@
   /** Times that the stream went on at another engine, with its memory. */
   moves = 0;
   #refusal: Readonly<Record<string, unknown>> = {};
+  #quota: Readonly<Record<string, unknown>> = {};
   readonly #context: GatewayContext;
   readonly #input: CallInput;
   readonly #service: string;
@@ -90,6 +93,11 @@
     };
   }
 
+  /** Its use of its workspace's limit was looked at, and counted or refused. */
+  noteQuota({ units }: QuotaUse, countedBy: CountedBy): void {
+    this.#quota = { quotaUnits: units, countedBy };
+  }
+
   /** The request is sent once more. */
   sentAgain(reason: string): void {
     this.#context.log.warn("sent again", this.#fields({ reason }));
@@ -127,7 +135,8 @@
   }
 
   #fields(more: Record<string, unknown>): Record<string, unknown> {
-    const { head, route, config, relayed, deadlineMonoMs } = this.#input;
+    const { head, route, config, caller, relayed, deadlineMonoMs } =
+      this.#input;
     const { ms, afterChunks, waitingTokens } = this.#longestPause;
     const pause = ms === 0 ? {} : {
       longestPauseMs: Math.round(ms),
@@ -138,6 +147,8 @@
       attempt: head.attemptId,
       route: route.name,
       kind: route.kind,
+      workspace: caller.workspace?.name,
+      priority: caller.priority,
       service: this.#service,
       configVersion: config.version,
       relayed,
@@ -152,6 +163,7 @@
       gapMs: route.eventGapMs,
       moves: this.moves,
       ...pause,
+      ...this.#quota,
       ...this.#refusal,
       ...more,
     };
--- a/src/gateway/call_sends.ts
+++ b/src/gateway/call_sends.ts
@@ -43,9 +43,14 @@
 
   constructor(options: CallSendsOptions) {
     this.#options = options;
-    const { head, request } = options.input;
+    const { head, request, config, caller } = options.input;
     this.#prompt = { parts: head.promptParts, tokens: head.promptTokens };
-    this.#headers = forwardedHeaders(request.rawHeaders);
+    this.#headers = forwardedHeaders(
+      request.rawHeaders,
+      config.workspaces.areRequired
+        ? { workspace: caller.workspace?.name }
+        : undefined,
+    );
   }
 
   /** Sends, or finds that the place that was chosen is gone. */
@@ -110,6 +115,7 @@
     const sendable = this.#sendable(0, undefined, state);
     return new RelaySend(context, sendable, vm, {
       configVersion: input.config.version,
+      keyDigest: input.head.keyDigest,
       // One, and no more: this VM cannot tell how many were used if it gives the hand-over up, and may send again itself.
       mostUpstreams: 1,
     });
--- a/src/gateway/context.ts
+++ b/src/gateway/context.ts
@@ -11,6 +11,7 @@
 import { BodyMemory } from "./body.ts";
 import type { Members } from "./members.ts";
 import type { Placing } from "./placing.ts";
+import type { Quotas } from "./quotas.ts";
 import type { Relays } from "./relays.ts";
 import type { GatewayMetrics } from "./metrics.ts";
 import type { GatewaySettings } from "./settings.ts";
@@ -31,6 +32,7 @@
   readonly upstreams: Upstreams;
   readonly relays: Relays;
   readonly placing: Placing;
+  readonly quotas: Quotas;
   readonly metrics: GatewayMetrics;
   readonly random = new Random(process.pid ^ Date.now());
   readonly bodies: BodyMemory;
@@ -55,6 +57,7 @@
       | "upstreams"
       | "relays"
       | "placing"
+      | "quotas"
       | "metrics"
     >,
   ) {
@@ -66,6 +69,7 @@
     this.upstreams = parts.upstreams;
     this.relays = parts.relays;
     this.placing = parts.placing;
+    this.quotas = parts.quotas;
     this.metrics = parts.metrics;
     this.bodies = new BodyMemory(
       parts.settings.vm.memoryMb * BYTES_PER_MB * BODY_MEMORY_SHARE,
--- a/src/gateway/follower.ts
+++ b/src/gateway/follower.ts
@@ -65,6 +65,8 @@
   readonly isReader: () => boolean;
   /** Whether an entry says anything that the one before did not; what does not is not told to other VMs. */
   readonly isNews: (entry: Entry) => boolean;
+  /** What is kept of an entry that the store tells, and told to other VMs. */
+  readonly seal?: (entry: Entry) => Entry;
   readonly onPut: (entry: Entry) => void;
   readonly onDelete: (key: string) => void;
 }
@@ -218,7 +220,10 @@
     }
     this.#heard();
     const isFirst = this.#rev === 0;
-    if (listing.value.rev >= this.#rev) this.#replace(listing.value);
+    if (listing.value.rev >= this.#rev) {
+      const { entries, rev } = listing.value;
+      this.#replace({ entries: entries.map((it) => this.#seal(it)), rev });
+    }
     // What was deleted before the first listing is not known: whoever is older must take all.
     if (isFirst) {
       this.#deletedFromRev = this.#newsRev;
@@ -242,8 +247,12 @@
     return true;
   }
 
+  #seal(entry: Entry): Entry {
+    return this.#options.seal?.(entry) ?? entry;
+  }
+
   #apply(event: WatchEvent): void {
-    if (event.type === "put") this.#put(event.entry);
+    if (event.type === "put") this.#put(this.#seal(event.entry));
     else if (
       event.type === "delete"
     ) this.#delete(event.key, event.rev);
--- a/src/gateway/front.ts
+++ b/src/gateway/front.ts
@@ -13,7 +13,8 @@
   Task,
 } from "../kernel/mod.ts";
 import { type CallerHead, decodeHead } from "../platform/mod.ts";
-import { canFinish, type GatewayConfig } from "../routing/mod.ts";
+import { canFinish, type GatewayConfig, type Route } from "../routing/mod.ts";
+import { callerOf, type KnownCaller } from "../workspaces/mod.ts";
 import { Call } from "./call.ts";
 import type { CallInput } from "./call_input.ts";
 import type { GatewayContext } from "./context.ts";
@@ -143,6 +144,8 @@
     if (!route) {
       return this.#refuse(head, request, reply, failure("notFound"), 0);
     }
+    const caller = this.#identify(config, route, head, request, reply);
+    if (!caller) return;
     const most = (settings.vm.mostDescriptors - SPARE_DESCRIPTORS) /
       DESCRIPTORS_PER_REQUEST;
     if (this.#context.open >= most) {
@@ -174,6 +177,7 @@
       head,
       route,
       config,
+      caller,
       deadlineMonoMs: arrivedMs + waitMs,
     };
     this.#open({
@@ -188,7 +192,11 @@
       return this.#questions.answer(request, response);
     }
     const { clock, beliefs } = this.#context;
-    const head = decodeHead(request);
+    const keyDigest = request.headers[RELAY_HEADERS.keyDigest];
+    const head = {
+      ...decodeHead(request),
+      keyDigest: typeof keyDigest === "string" ? keyDigest : undefined,
+    };
     const reply = new PeerReply(response);
     const { config } = beliefs;
     const route = config?.match(head.host, head.target);
@@ -204,6 +212,8 @@
         NO_CONFIG_RETURN_MS,
       );
     }
+    const caller = this.#identify(config, route, head, request, reply);
+    if (!caller) return;
     const waitMs = Number(request.headers[RELAY_HEADERS.waitMs]) ||
       route.timeoutMs;
     const input = {
@@ -211,6 +221,7 @@
       head,
       route,
       config,
+      caller,
       deadlineMonoMs: clock.monoMs() + waitMs,
     };
     const mostUpstreams =
@@ -218,6 +229,41 @@
     this.#open({ ...input, relayed: true, mostUpstreams }, reply);
   }
 
+  /** Finds out who calls, or refuses. */
+  #identify(
+    config: GatewayConfig,
+    route: Route,
+    head: CallerHead,
+    request: IncomingMessage,
+    reply: Reply,
+  ): KnownCaller | undefined {
+    const caller = callerOf(config.workspaces, route, head.keyDigest);
+    if (caller.type === "known") {
+      if (!caller.workspace || this.#knowsKeys()) return caller;
+      const cause = failure("noTable", {
+        message: "whether the key was taken away can't be known here",
+      });
+      this.#refuse(head, request, reply, cause, NO_CONFIG_RETURN_MS);
+      return undefined;
+    }
+    const cause = caller.type === "unknown"
+      ? failure("unauthenticated")
+      : failure("forbidden", {
+        message: "workspace and route share no home region",
+      });
+    this.#refuse(head, request, reply, cause, 0);
+    return undefined;
+  }
+
+  /** Whether operators would rather have a caller refused than one served whose key was taken away, and it may have been. */
+  #knowsKeys(): boolean {
+    const { settings, beliefs, members } = this.#context;
+    const { strictRevokeMs } = settings.bounds;
+    if (strictRevokeMs === undefined) return true;
+    return beliefs.configAgeMs < strictRevokeMs ||
+      members.configAgeMs(beliefs.revisions.operators) < strictRevokeMs;
+  }
+
   #open(input: CallInput, reply: Reply): void {
     const call = new Call(this.#context, input, reply);
     reply.onGone(() => call.cancel());
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -18,6 +18,7 @@
 import { GatewayMetrics } from "./metrics.ts";
 import { PeerRpc } from "./peer_rpc.ts";
 import { Placing } from "./placing.ts";
+import { Quotas } from "./quotas.ts";
 import { Relays } from "./relays.ts";
 import { roomOf } from "./room.ts";
 import type { GatewaySettings } from "./settings.ts";
@@ -27,6 +28,9 @@
 /** Time for the services to close after the last answer. */
 const CLOSE_MS = 200;
 
+/** Part of the time in which keys must be taken away that a quiet question to the store may wait; the rest is for telling. */
+const STRICT_WAIT_SHARE = 0.4;
+
 /** An open gateway. */
 export class Gateway {
   readonly #kernel: Kernel;
@@ -57,11 +61,13 @@
   ): Promise<Gateway> {
     const { vm } = settings;
     const kernel = new Kernel(clock, log);
+    const { strictRevokeMs } = settings.bounds;
     const store = new PlatformKeyValue(settings.store.address);
     const beliefs = new Beliefs({
       store,
       failureDomains: settings.failureDomains,
       isReader: () => isReader(vm.id, members.order),
+      operatorWaitMs: strictRevokeMs && strictRevokeMs * STRICT_WAIT_SHARE,
     });
     const datagrams = new Datagrams(vm.ip, settings.listen.beats);
     const members: Members = new Members({
@@ -84,6 +90,9 @@
           : {}),
         revisions: beliefs.revisions,
         isServed: beliefs.isServed,
+        ...(strictRevokeMs === undefined
+          ? {}
+          : { configAgeMs: Math.round(beliefs.configAgeMs) }),
       }),
       load: () => ({ load: upstreams.load(), asked: placing.asked }),
       held: (ms) => upstreams.heldWithin(ms),
@@ -100,6 +109,20 @@
     const upstreams = new Upstreams(beliefs.fleet, members, vm);
     const relays = new Relays(members, hostPort(settings.listen.peers).port);
     const metrics = new GatewayMetrics();
+    const { quotaExcess, quotaSlack, quotaWindowMs } = settings.bounds;
+    const quotas = new Quotas({
+      self: vm,
+      regions: Object.values(settings.failureDomains),
+      hasOthers: settings.seeds.some((seed) => hostPort(seed).host !== vm.ip),
+      slack: {
+        excess: quotaExcess,
+        slackUnits: quotaSlack,
+        windowMs: quotaWindowMs,
+      },
+      datagrams,
+      members,
+      beliefs,
+    });
     const placing = new Placing({
       self: vm,
       datagrams,
@@ -108,6 +131,7 @@
       upstreams,
       relays,
       metrics,
+      quotas,
     });
     const context = new GatewayContext({
       settings,
@@ -118,6 +142,7 @@
       upstreams,
       relays,
       placing,
+      quotas,
       metrics,
     });
     const directory = new Directory(context);
@@ -128,6 +153,7 @@
       relays,
       beliefs,
       upstreams,
+      quotas,
       placing,
       members,
       peerRpc,
--- a/src/gateway/members.ts
+++ b/src/gateway/members.ts
@@ -227,6 +227,16 @@
     return this.#view.allVms;
   }
 
+  /** How long ago a lead surely knew that no configuration is newer than revision `rev`. */
+  configAgeMs(rev: number): number {
+    return this.#view.known.configAgeMs(rev, this.#clock.monoMs());
+  }
+
+  /** VMs of the region as far as any lead knows, silent ones included. */
+  get regionCount(): number {
+    return this.#view.known.regionCount;
+  }
+
   /** Tells every VM at once, out of turn. */
   beat(): void {
     this.#view.touch();
--- a/src/gateway/place_here.ts
+++ b/src/gateway/place_here.ts
@@ -12,6 +12,7 @@
   type ServiceRow,
   type Step,
 } from "../routing/mod.ts";
+import type { QuotaUse } from "../quota/mod.ts";
 import type { Relays } from "./relays.ts";
 import type { LinkedCandidate, PromptShape } from "./upstream_link.ts";
 import type { Upstreams } from "./upstreams.ts";
@@ -36,6 +37,8 @@
   readonly homeRegions: readonly string[];
   /** Whether it was handed over already, and stays in this region. */
   readonly isRelayed: boolean;
+  /** What it uses of its workspace's limit; absent if that is counted, or there is none. */
+  readonly quota: QuotaUse | undefined;
 }
 
 /** What placing reads. */
--- a/src/gateway/place_wire.ts
+++ b/src/gateway/place_wire.ts
@@ -6,6 +6,8 @@
 
 import type { RegionRoom, Step } from "../routing/mod.ts";
 import type { GatewayConfig } from "../routing/mod.ts";
+import type { QuotaUse } from "../quota/mod.ts";
+import { decodeUse } from "./quota_wire.ts";
 import type { PlaceAsk } from "./place_here.ts";
 import type { Grant } from "./upstream_link.ts";
 
@@ -29,6 +31,7 @@
   readonly triedRegions: readonly string[];
   readonly homeRegions: readonly string[];
   readonly isRelayed: boolean;
+  readonly quota?: QuotaUse;
 }
 
 /** What a lead decided. `unknown` if it does not know the service: it may be behind with the configuration. */
@@ -38,8 +41,10 @@
     readonly type: "send";
     readonly upstreamKey: string;
     readonly grant: Grant;
+    /** Set if the lead has counted the request's use of its workspace's limit. */
+    readonly counted?: true;
   }
-  | { readonly type: "relay"; readonly region: string }
+  | { readonly type: "relay"; readonly region: string; readonly counted?: true }
   | { readonly type: "wait"; readonly waitMs: number }
   | {
     readonly type: "refuse";
@@ -47,6 +52,7 @@
     readonly comeBackMs: number;
     readonly here: number;
     readonly elsewhere: readonly RegionRoom[];
+    readonly counted?: true;
   };
 
 /** An answer. */
@@ -88,6 +94,7 @@
     triedRegions: [...ask.triedRegions],
     homeRegions: ask.homeRegions,
     isRelayed: ask.isRelayed,
+    quota: ask.quota,
   };
 }
 
@@ -135,6 +142,7 @@
     triedRegions: new Set(question.triedRegions),
     homeRegions: question.homeRegions,
     isRelayed: question.isRelayed,
+    quota: decodeUse(question.quota),
   };
 }
 
--- a/src/gateway/placing.ts
+++ b/src/gateway/placing.ts
@@ -35,6 +35,7 @@
   type PlaceQuestion,
   type PlaceVerdict,
 } from "./place_wire.ts";
+import type { CountedBy, Quotas } from "./quotas.ts";
 import type { Relays } from "./relays.ts";
 import type { LinkedCandidate } from "./upstream_link.ts";
 import type { Upstreams } from "./upstreams.ts";
@@ -50,12 +51,27 @@
 /** Upstreams that a lead tries to take for one question; each but the last was leaving or cold in that very step. */
 const MOST_TAKES = 3;
 
+/** A caller that came back sooner would spend most of the time on its new connection. */
+const LEAST_RETURN_MS = 50;
+/** A limit of next to nothing frees in hours; callers may look again after this long. */
+const MOST_RETURN_MS = 60_000;
+/** Spreads the return of callers beyond their limit over this much of the time that they wait. */
+const RETURN_SPREAD = 0.5;
+
 /** What was decided. `settle` is called when the step was taken or given up: it then shows in what this VM says it does. */
 export interface Placed {
   readonly step: Step<LinkedCandidate>;
+  /** Who counted the request's use of its workspace's limit, or found it beyond. Absent if it is not looked at now. */
+  readonly countedBy?: CountedBy;
   settle(): void;
 }
 
+type Refused = {
+  readonly step: Step<never> & { type: "refuse" };
+  readonly countedBy: CountedBy;
+};
+type Counted = Pick<Placed, "step" | "countedBy">;
+
 /** Options of {@link Placing}. */
 export interface PlacingOptions {
   readonly self: { readonly id: string; readonly region: string };
@@ -65,6 +81,7 @@
   readonly upstreams: Upstreams;
   readonly relays: Relays;
   readonly metrics: GatewayMetrics;
+  readonly quotas: Quotas;
 }
 
 interface Open {
@@ -149,8 +166,8 @@
 
   /** The next step of a request, by the lead if there is one that answers. Never fails. */
   async place(ask: PlaceAsk): Promise<Placed> {
-    const lead = this.#lead();
-    if (!lead) return this.#placed("self", this.here(ask));
+    const lead = this.#lead(ask);
+    if (!lead) return this.#decideAlone("self", ask);
     const question = ++this.#lastQuestion;
     this.#unsettled.add(question);
     const settle = () => void this.#unsettled.delete(question);
@@ -160,9 +177,52 @@
       this.#options.metrics.time("place", "", this.#clock.monoMs() - askedMs);
     }
     const step = verdict && this.#stepOf(verdict, ask);
-    if (step) return { ...this.#placed("lead", step), settle };
+    if (step) {
+      const isCounted = "counted" in verdict && verdict.counted === true;
+      const counted: Counted = isCounted
+        ? { step, countedBy: "lead" }
+        : this.#count(step, ask);
+      return { ...this.#placed("lead", counted.step), ...counted, settle };
+    }
     settle();
-    return this.#placed(verdict ? "behind" : "mute", this.here(ask));
+    return this.#decideAlone(verdict ? "behind" : "mute", ask);
+  }
+
+  #decideAlone(by: string, ask: PlaceAsk): Placed {
+    const counted = this.#refusalByQuota(ask) ??
+      this.#count(this.here(ask), ask);
+    return { ...this.#placed(by, counted.step), ...counted };
+  }
+
+  /** Counts the use of a request that is sent; one that does not fit is refused. */
+  #count(step: Step<LinkedCandidate>, ask: PlaceAsk): Counted {
+    const { quota } = ask;
+    if (!quota || (step.type !== "send" && step.type !== "relay")) {
+      return { step };
+    }
+    return this.#refusalByQuota(ask) ??
+      { step, countedBy: this.#options.quotas.take(quota) };
+  }
+
+  /** Refuses what is beyond its workspace's limit, before a place is looked for; nothing if it fits. */
+  #refusalByQuota({ quota }: PlaceAsk): Refused | undefined {
+    const waitMs = quota ? this.#options.quotas.waitMs(quota) : 0;
+    if (waitMs <= 0) return undefined;
+    const countedBy = this.#options.quotas.by;
+    this.#options.metrics.count("over_quota", `by="${countedBy}"`);
+    const spread = 1 + RETURN_SPREAD * this.#random.next();
+    return {
+      countedBy,
+      step: {
+        type: "refuse",
+        reason: "overQuota",
+        comeBackMs: Math.ceil(
+          Math.min(Math.max(waitMs, LEAST_RETURN_MS), MOST_RETURN_MS) * spread,
+        ),
+        here: 0,
+        elsewhere: [],
+      },
+    };
   }
 
   #placed(by: string, step: Step<LinkedCandidate>): Placed {
@@ -171,9 +231,12 @@
   }
 
   /** The lead to ask; `undefined` if this VM decides by itself. */
-  #lead(): { readonly id: string; readonly ip: string } | undefined {
+  #lead(
+    { quota }: PlaceAsk,
+  ): { readonly id: string; readonly ip: string } | undefined {
     const { members, self } = this.#options;
-    if (members.hearsAll) return undefined;
+    // Where all hear all each VM finds a place by itself, but a limit is counted in one place.
+    if (members.hearsAll && !quota) return undefined;
     const nowMs = this.#clock.monoMs();
     const lead = members.leads.find(({ id }) =>
       (this.#hearings.get(id)?.muteUntilMs ?? 0) <= nowMs
@@ -255,17 +318,26 @@
 
   /** Decides as the lead, and counts what it grants. */
   #decide(question: PlaceQuestion): PlaceVerdict {
-    const { beliefs, upstreams, members } = this.#options;
+    const { beliefs, upstreams, members, quotas } = this.#options;
     const nowMs = this.#clock.monoMs();
     const ask = askOf(question, beliefs.config, nowMs);
     if (!ask) return { type: "unknown" };
-    const { service, prompt } = ask;
+    const { service, prompt, quota } = ask;
+    const counts = quota !== undefined && quotas.isAuthority;
+    const refusal = counts ? this.#refusalByQuota(ask) : undefined;
+    if (refusal) return { ...refusal.step, counted: true };
+    const counted = () => {
+      if (!counts) return {};
+      quotas.take(quota);
+      return { counted: true } as const;
+    };
     for (let takes = 0; takes < MOST_TAKES; takes++) {
       const step = this.#besides(question.lost, ask);
       if (step.type === "wait") {
         const waitMs = Math.max(LEAST_WAIT_MS, step.untilMs - nowMs);
         return { type: "wait", waitMs };
       }
+      if (step.type === "relay") return { ...step, ...counted() };
       if (step.type !== "send") return step;
       const { candidate } = step;
       if (!upstreams.take(candidate, service, prompt)) continue;
@@ -288,6 +360,7 @@
         type: "send",
         upstreamKey: key,
         grant: { running, waitingTokens, unreadTokens, fetchFrom },
+        ...counted(),
       };
     }
     return { type: "wait", waitMs: LEAST_WAIT_MS };
--- /dev/null
+++ b/src/gateway/quotas.ts
@@ -0,0 +1,232 @@
+/**
+ * The limits of workspaces: counts what requests use, for the region as its first lead, or by this VM's own part.
+ *
+ * The first lead of a region counts exactly what all of its VMs send, in the question that asks it for a place anyhow. It
+ * tells the first leads of other regions what its callers want, and they move shares of the limits between them.
+ *
+ * @module
+ */
+
+import type { Clock, Timer } from "../base/mod.ts";
+import {
+  type Handlers,
+  type Kernel,
+  type Messages,
+  Task,
+} from "../kernel/mod.ts";
+import {
+  MovingShares,
+  OwnPart,
+  type QuotaSlack,
+  type QuotaUse,
+  RegionQuota,
+  type Shares,
+} from "../quota/mod.ts";
+import type { Beliefs } from "./beliefs.ts";
+import type { Datagrams } from "./datagrams.ts";
+import type { Members } from "./members.ts";
+import {
+  decodeShares,
+  decodeStandby,
+  decodeUse,
+  encodeShares,
+  encodeStandby,
+} from "./quota_wire.ts";
+
+/** Who counted a request's use. */
+export type CountedBy =
+  /** This VM, as the region's first lead. */
+  | "region"
+  /** Another VM that is the first lead. */
+  | "lead"
+  /** This VM, from its own part. */
+  | "own";
+
+/** Options of {@link Quotas}. */
+export interface QuotasOptions {
+  readonly self: { readonly id: string; readonly region: string };
+  /** All regions. */
+  readonly regions: readonly string[];
+  /** Whether there are other VMs, heard or not. */
+  readonly hasOthers: boolean;
+  readonly slack: QuotaSlack;
+  readonly datagrams: Datagrams;
+  readonly members: Members;
+  readonly beliefs: Beliefs;
+}
+
+/** How often shares move: a quarter of the time in which demand is averaged. */
+const TICK_MS = 250;
+/** A VM that has just become the first lead may only not have heard of another one; it counts for all after this long. */
+const OFFICE_MS = 750;
+/** VMs that a VM which has heard nobody since its start takes to share the limits. */
+const UNKNOWN_VMS = 128;
+/** A caller that this VM's own part has no room for is better off at another VM, soon. */
+const OWN_RETURN_MS = 200;
+
+/** See the module. */
+export class Quotas extends Task {
+  readonly name = "quotas";
+  readonly #options: QuotasOptions;
+  protected readonly handlers: Handlers<Messages> = {};
+  #shares!: Shares;
+  #region!: RegionQuota;
+  #own!: OwnPart;
+  #clock!: Clock;
+  #timer: Timer | undefined;
+  #firstSinceMs: number | undefined;
+  /** Part of the region's VMs that this one hears, itself included. */
+  #heard = 1;
+  #vms = UNKNOWN_VMS;
+
+  constructor(options: QuotasOptions) {
+    super();
+    this.#options = options;
+  }
+
+  start(kernel: Kernel): Promise<void> {
+    const { self, regions, slack, datagrams, beliefs, hasOthers } =
+      this.#options;
+    this.#clock = kernel.clock;
+    const nowMs = this.#clock.monoMs();
+    const limitOf = (workspace: string) =>
+      beliefs.config?.workspaces.get(workspace)?.quota;
+    this.#shares = new MovingShares(self.region, regions, nowMs);
+    this.#region = new RegionQuota(this.#shares, limitOf, slack, nowMs);
+    this.#own = new OwnPart(self.id, limitOf, slack, nowMs);
+    if (!hasOthers) this.#vms = 1;
+    datagrams.on("shares", (params) => {
+      const note = decodeShares(params);
+      if (note) this.#shares.noteTold(note, this.#clock.monoMs());
+    });
+    datagrams.on("standby", (params) => {
+      if (this.isAuthority) return;
+      for (const row of decodeStandby(params)) {
+        this.#region.noteStandby(row, this.#clock.monoMs());
+      }
+    });
+    datagrams.on("unused", (params) => {
+      const use = decodeUse(params);
+      if (use) this.#region.giveBack(use);
+    });
+    this.#timer = this.#clock.every(TICK_MS, () => this.#tick());
+    return Promise.resolve();
+  }
+
+  close(_deadlineMs: number): Promise<void> {
+    this.#timer?.close();
+    return Promise.resolve();
+  }
+
+  dump(): unknown {
+    const nowMs = this.#clock.monoMs();
+    return {
+      isAuthority: this.isAuthority,
+      heard: this.#heard,
+      vms: this.#vms,
+      workspaces: Object.fromEntries(
+        this.#region.standby(nowMs).map(({ workspace, level }) => [workspace, {
+          share: this.#shares.shareOf(workspace, nowMs),
+          level,
+        }]),
+      ),
+    };
+  }
+
+  /** Whether this VM counts for its whole region. */
+  get isAuthority(): boolean {
+    return this.#firstSinceMs !== undefined &&
+      this.#clock.monoMs() - this.#firstSinceMs >= OFFICE_MS;
+  }
+
+  /** Who counts here. */
+  get by(): Exclude<CountedBy, "lead"> {
+    return this.isAuthority ? "region" : "own";
+  }
+
+  /** When the use fits, in ms from now; 0 if it does. */
+  waitMs(use: QuotaUse): number {
+    const nowMs = this.#clock.monoMs();
+    if (!this.isAuthority) {
+      const waitMs = this.#own.waitMs(use, this.#vms, nowMs);
+      return Math.min(waitMs, OWN_RETURN_MS);
+    }
+    const waitMs = this.#region.waitMs(use, this.#heard, nowMs);
+    if (waitMs > 0) this.#region.noteDemand(use, nowMs);
+    return waitMs;
+  }
+
+  /** Counts a request that is sent. */
+  take(use: QuotaUse): CountedBy {
+    const nowMs = this.#clock.monoMs();
+    if (!this.isAuthority) {
+      this.#own.take(use, this.#vms, nowMs);
+      return "own";
+    }
+    this.#region.noteDemand(use, nowMs);
+    this.#region.take(use, this.#heard, nowMs);
+    return "region";
+  }
+
+  /** A request that was counted has not run, and never will. */
+  giveBack(use: QuotaUse, by: CountedBy): void {
+    if (by === "own") this.#own.giveBack(use);
+    else if (by === "region") this.#region.giveBack(use);
+    else {
+      const { datagrams, members } = this.#options;
+      const [first] = members.leads;
+      if (first) datagrams.send("unused", use, [first.ip]);
+    }
+  }
+
+  #tick(): void {
+    const { members, self, hasOthers } = this.#options;
+    const nowMs = this.#clock.monoMs();
+    const all = members.count();
+    if (all > 1) this.#vms = all;
+    const isFirst = members.leads[0]?.id === self.id && (all > 1 || !hasOthers);
+    if (!isFirst) {
+      this.#firstSinceMs = undefined;
+      return;
+    }
+    if (this.#firstSinceMs === undefined) {
+      this.#firstSinceMs = nowMs;
+      this.#region.begin(nowMs);
+    }
+    this.#heard = Math.min(
+      1,
+      (members.reporters().length + 1) / members.regionCount,
+    );
+    if (!this.#hasLimits()) return;
+    if (this.isAuthority) {
+      this.#shares.balance(nowMs);
+      this.#tellStandby(nowMs);
+    }
+    this.#tellRegions(nowMs);
+  }
+
+  #hasLimits(): boolean {
+    return (this.#options.beliefs.config?.workspaces.count ?? 0) > 0;
+  }
+
+  #tellRegions(nowMs: number): void {
+    const { datagrams, members } = this.#options;
+    for (const { digest } of members.regions()) {
+      const [first] = digest.leads;
+      const note = this.#shares.tell(digest.from.region, nowMs);
+      if (first && note) {
+        datagrams.send("shares", encodeShares(note), [first.ip]);
+      }
+    }
+  }
+
+  #tellStandby(nowMs: number): void {
+    const { datagrams, members, self } = this.#options;
+    const others = members.leads.filter(({ id }) => id !== self.id);
+    const rows = this.#region.standby(nowMs);
+    if (rows.length > 0 && others.length > 0) {
+      const ips = others.map(({ ip }) => ip);
+      datagrams.send("standby", encodeStandby(rows), ips);
+    }
+  }
+}
--- a/src/gateway/reply.ts
+++ b/src/gateway/reply.ts
@@ -116,6 +116,8 @@
   configVersion: "ibisgap-config",
   /** Upstreams that the request may still be sent to. */
   mostUpstreams: "ibisgap-most-upstreams",
+  /** Digest of the caller's key; the key itself is told to nobody. */
+  keyDigest: "ibisgap-key-digest",
   /** Result code of a failure of the answering VM; absent on upstreams' answers. */
   code: "ibisgap-code",
   /** Whether the request can have run. */
--- a/src/gateway/send.ts
+++ b/src/gateway/send.ts
@@ -61,6 +61,8 @@
 export interface RelayTerms {
   readonly configVersion: number;
   readonly mostUpstreams: number;
+  /** Tells which workspace calls; the other VM looks it up in its own configuration. */
+  readonly keyDigest: string | undefined;
 }
 
 /** The head of an answer that may go to the caller. */
@@ -329,6 +331,9 @@
         String(terms.configVersion),
         RELAY_HEADERS.mostUpstreams,
         String(terms.mostUpstreams),
+        ...(terms.keyDigest === undefined
+          ? []
+          : [RELAY_HEADERS.keyDigest, terms.keyDigest]),
       ],
       body: sendable.body,
       connectWaitMs: RELAY_CONNECT_WAIT_MS,
--- a/src/gateway/settings.ts
+++ b/src/gateway/settings.ts
@@ -51,6 +51,12 @@
     repeatRatio: count,
     repeatSlack: count,
     repeatWindowMs: count,
+    /** How far a workspace may pass its limit in each window, as a share of the limit, and in units beside that. */
+    quotaExcess: z._default(count, 0),
+    quotaSlack: z._default(count, 0),
+    quotaWindowMs: z._default(count, 1_000),
+    /** A VM that can't know whether a key was taken away for this long refuses; serves on if absent. */
+    strictRevokeMs: z.optional(count),
   }),
 });
 
--- a/src/platform/callers.ts
+++ b/src/platform/callers.ts
@@ -4,7 +4,7 @@
  * @module
  */
 
-import { codes, type Failure } from "../base/mod.ts";
+import { codes, type Failure, secretDigest } from "../base/mod.ts";
 import type { IncomingHttpHeaders, IncomingMessage } from "node:http";
 import type { PromptPart } from "../routing/mod.ts";
 
@@ -27,6 +27,8 @@
   readonly expectedOutputTokens: number;
   /** Set if the caller continues a broken stream after this event. */
   readonly resumesAfter: string | undefined;
+  /** SHA-256 digest of its key, in hex; the key itself is kept nowhere. `undefined` if it sends none that can be read. */
+  readonly keyDigest: string | undefined;
 }
 
 /** Paths that the gateway answers itself, by the listener they belong to. */
@@ -83,6 +85,17 @@
   return [Math.max(0, Number(prompt) || 0), Math.max(0, Number(output) || 0)];
 }
 
+/** A key goes in the one way that the platform names; whoever sends two, or two headers, has none. */
+const BEARER = /^Bearer +(\S+) *$/i;
+
+function decodeKey(request: IncomingMessage): string | undefined {
+  const sent = request.headers.authorization;
+  if (sent === undefined) return undefined;
+  const isOne = request.headersDistinct.authorization?.length === 1;
+  const key = isOne ? BEARER.exec(sent)?.[1] : undefined;
+  return key === undefined ? undefined : secretDigest(key);
+}
+
 /** Decodes a caller's head. A malformed prompt or count is forwarded as it is and only not used for placing. */
 export function decodeHead(request: IncomingMessage): CallerHead {
   const { headers } = request;
@@ -100,6 +113,7 @@
       Number(one(headers["length-hint"])) || outputTokens,
     ),
     resumesAfter: one(headers["last-event-id"]),
+    keyDigest: decodeKey(request),
   };
 }
 
--- a/src/platform/config.ts
+++ b/src/platform/config.ts
@@ -12,7 +12,15 @@
   type RouteKind,
   type ServiceRow,
 } from "../routing/mod.ts";
+import { secretDigest } from "../base/mod.ts";
+import type { Entry } from "../adapters/mod.ts";
 import {
+  type QuotaLimit,
+  type WorkspaceRow,
+  Workspaces,
+} from "../workspaces/mod.ts";
+import {
+  CONFIG_KEY,
   numberField,
   parseRecord,
   textField,
@@ -58,8 +66,13 @@
   }));
 }
 
+function texts(value: unknown): string[] {
+  return Array.isArray(value)
+    ? value.filter((item) => typeof item === "string")
+    : [];
+}
+
 function decodeRoute(route: Fields): Route {
-  const homes = route.home_regions;
   return {
     name: textField(route, "name"),
     host: textField(route, "host").toLowerCase(),
@@ -72,12 +85,64 @@
     eventGapMs: numberField(route, "gap_target_ms", 0),
     priority: numberField(route, "priority", 5),
     mostUpstreams: Math.max(1, numberField(route, "max_attempts", 1)),
-    homeRegions: Array.isArray(homes)
-      ? homes.filter((home) => typeof home === "string")
-      : [],
+    anonymous: route.anonymous === true,
+    homeRegions: texts(route.home_regions),
+  };
+}
+
+/** Stands in a sealed configuration in place of `api_keys`. */
+const KEY_DIGESTS = "ibisgap_key_digests";
+
+/**
+ * A configuration as this gateway keeps it and tells it to other VMs: with digests in place of the callers' keys. All
+ * other entries, and what can't be read, stay as they are.
+ */
+export function sealEntry(entry: Entry): Entry {
+  if (entry.key !== CONFIG_KEY) return entry;
+  try {
+    const record = parseRecord(entry.value);
+    if (!Array.isArray(record.tenants)) return entry;
+    const tenants = record.tenants.map((tenant: Fields) => {
+      const { api_keys: keys, ...rest } = tenant;
+      return { ...rest, [KEY_DIGESTS]: texts(keys).map(secretDigest) };
+    });
+    return { ...entry, value: JSON.stringify({ ...record, tenants }) };
+  } catch {
+    // Decoding it logs what is wrong, without its text.
+    return { ...entry, value: "" };
+  }
+}
+
+/** A rate of 0, or none, means that there is no limit. */
+function decodeQuota(tenant: Fields): QuotaLimit | undefined {
+  const unitsPerS = numberField(tenant, "rate_per_s", 0);
+  if (unitsPerS === 0) return undefined;
+  return {
+    unit: tenant.unit === "tokens" ? "tokens" : "requests",
+    unitsPerS,
+    burstUnits: numberField(tenant, "burst", 0),
+    plainTokens: numberField(tenant, "plain_tokens", 0),
+  };
+}
+
+function decodeWorkspace(tenant: Fields): WorkspaceRow {
+  return {
+    name: textField(tenant, "name"),
+    keyDigests: texts(tenant[KEY_DIGESTS]),
+    priority: typeof tenant.priority === "number" ? tenant.priority : undefined,
+    homeRegions: texts(tenant.home_regions),
+    quota: decodeQuota(tenant),
   };
 }
 
+function decodeWorkspaces(record: Fields): Workspaces {
+  return new Workspaces(
+    record.tenants === undefined || record.tenants === null
+      ? undefined
+      : objects(record, "tenants").map(decodeWorkspace),
+  );
+}
+
 function decodeEngine(service: Fields): EngineShape | undefined {
   const { engine } = service;
   if (typeof engine !== "object" || engine === null) return undefined;
@@ -117,7 +182,7 @@
   };
 }
 
-/** Decodes the stored configuration. Throws {@link UnreadableRecord}; unknown fields are ignored. */
+/** Decodes a configuration that {@link sealEntry} sealed. Throws {@link UnreadableRecord}; unknown fields are ignored. */
 export function decodeConfig(text: string): GatewayConfig {
   const record = parseRecord(text);
   return new GatewayConfig(
@@ -125,5 +190,6 @@
     objects(record, "routes").map(decodeRoute),
     objects(record, "services").map(decodeService),
     decodeLimits(record),
+    decodeWorkspaces(record),
   );
 }
--- a/src/platform/platform_test.ts
+++ b/src/platform/platform_test.ts
@@ -257,7 +257,7 @@
         ],
         ...["Model", "m", "Last-Event-Id", "3"],
       ];
-      t.deepEqual(forwardedHeaders(raw), [
+      t.deepEqual(forwardedHeaders(raw, undefined), [
         "Host",
         "h",
         "Attempt-Id",
--- a/src/platform/upstream_wire.ts
+++ b/src/platform/upstream_wire.ts
@@ -37,10 +37,16 @@
   "kv-fetch",
 ]);
 
-/** Copies raw headers, less those of one connection and those in `without`. */
+/** The caller's key, which no upstream may see, and the name of its workspace, which only the gateway may set. */
+const CALLER_HEADERS = new Set(["authorization", "tenant"]);
+
+/** Headers between VMs begin so, and go no further. */
+export const PEER_HEADER_PREFIX = "ibisgap-";
+
+/** Copies raw headers, less those of one connection and those that `isLeftOut` names, in lower case. */
 function copyHeaders(
   raw: readonly string[],
-  without: ReadonlySet<string> | undefined,
+  isLeftOut: (name: string) => boolean,
 ): string[] {
   const named = new Set<string>();
   for (let at = 0; at < raw.length; at += 2) {
@@ -52,17 +58,34 @@
   const kept: string[] = [];
   for (let at = 0; at < raw.length; at += 2) {
     const name = raw[at].toLowerCase();
-    if (HOP_HEADERS.has(name) || named.has(name) || without?.has(name)) {
-      continue;
-    }
+    if (HOP_HEADERS.has(name) || named.has(name) || isLeftOut(name)) continue;
     kept.push(raw[at], raw[at + 1]);
   }
   return kept;
 }
 
-/** A caller's headers as any upstream gets them; see {@link addressTo} for what each send adds. */
-export function forwardedHeaders(raw: readonly string[]): string[] {
-  return copyHeaders(raw, GATEWAY_HEADERS);
+/** Who calls, as an upstream is told. */
+export interface ToldCaller {
+  /** Absent if nobody's key was asked for. */
+  readonly workspace: string | undefined;
+}
+
+/**
+ * A caller's headers as any upstream gets them; see {@link addressTo} for what each send adds. `caller` is absent where
+ * the configuration has no workspaces: a key then means nothing here and is the upstream's own matter.
+ */
+export function forwardedHeaders(
+  raw: readonly string[],
+  caller: ToldCaller | undefined,
+): string[] {
+  const kept = copyHeaders(
+    raw,
+    (name) =>
+      GATEWAY_HEADERS.has(name) || name.startsWith(PEER_HEADER_PREFIX) ||
+      (caller !== undefined && CALLER_HEADERS.has(name)),
+  );
+  if (caller?.workspace !== undefined) kept.push("Tenant", caller.workspace);
+  return kept;
 }
 
 /** What one send tells its upstream besides the caller's own headers. */
@@ -158,7 +181,7 @@
   const wrongUpstream = status === 421;
   return {
     status,
-    headers: copyHeaders(answer.rawHeaders, undefined),
+    headers: copyHeaders(answer.rawHeaders, () => false),
     signed: headers["response-stamp"] !== undefined,
     notRun: headers["not-executed"] !== undefined || wrongUpstream,
     wrongUpstream,
--- /dev/null
+++ b/src/platform/workspaces_test.ts
@@ -0,0 +1,159 @@
+import type { IncomingMessage } from "node:http";
+import fc from "fast-check";
+import { describe, it } from "../base/describe.ts";
+import { secretDigest } from "../base/mod.ts";
+import {
+  CONFIG_KEY,
+  decodeConfig,
+  decodeHead,
+  forwardedHeaders,
+  sealEntry,
+} from "./mod.ts";
+
+const KEY = "k-1";
+
+function entryOf(tenants: unknown) {
+  return {
+    key: CONFIG_KEY,
+    value: JSON.stringify({
+      version: 3,
+      routes: [],
+      services: [],
+      limits: {},
+      tenants,
+    }),
+    rev: 9,
+    createdRev: 1,
+    leaseId: undefined,
+  };
+}
+
+function decodeTenants(tenants: unknown) {
+  return decodeConfig(sealEntry(entryOf(tenants) as never).value).workspaces;
+}
+
+function keyOf(sent: readonly string[]): string | undefined {
+  const headers = { authorization: sent[0] };
+  const headersDistinct = { authorization: sent };
+  return decodeHead(
+    { headers, headersDistinct, url: "/" } as unknown as IncomingMessage,
+  ).keyDigest;
+}
+
+describe("platform", () => {
+  describe("workspaces of a configuration", () => {
+    it("are decoded, with digests in place of their keys", (t) => {
+      const entry = entryOf([{
+        name: "convoys",
+        api_keys: [KEY, "k-2"],
+        priority: 1,
+        unit: "tokens",
+        plain_tokens: 200,
+        rate_per_s: 50,
+        burst: 70,
+        home_regions: ["north"],
+      }]);
+      const sealed = sealEntry(entry as never);
+      t.false(sealed.value.includes(`"${KEY}"`));
+      const row = decodeConfig(sealed.value).workspaces
+        .holderOf(secretDigest(KEY));
+      t.deepEqual(row, {
+        name: "convoys",
+        keyDigests: [secretDigest(KEY), secretDigest("k-2")],
+        priority: 1,
+        homeRegions: ["north"],
+        quota: {
+          unit: "tokens",
+          unitsPerS: 50,
+          burstUnits: 70,
+          plainTokens: 200,
+        },
+      });
+    });
+
+    it("without a rate have no limit", (t) => {
+      for (const rate of [{}, { rate_per_s: 0, burst: 9 }]) {
+        const workspaces = decodeTenants([{ name: "w", ...rate }]);
+        t.is(workspaces.get("w")?.quota, undefined);
+      }
+    });
+
+    it("ask nobody for a key if there are none, and everybody if the list is empty", (t) => {
+      t.false(decodeTenants(undefined).areRequired);
+      t.true(decodeTenants([]).areRequired);
+    });
+
+    it("that can't be read make the configuration unreadable, and are not told on", (t) => {
+      t.throws(() => decodeTenants([{ api_keys: [KEY] }]));
+      t.throws(() => decodeTenants("x"));
+      const broken = {
+        ...entryOf([]),
+        value: `{"tenants":[{"api_keys":["${KEY}`,
+      };
+      t.is(sealEntry(broken as never).value, "");
+    });
+
+    it("are only looked for in the configuration", (t) => {
+      const other = { ...entryOf([]), key: "op/evacuate/hall-a" };
+      t.is(sealEntry(other as never), other as never);
+    });
+  });
+
+  describe("a caller's key", () => {
+    it("is read in the one way that the platform names", (t) => {
+      t.is(keyOf([`Bearer ${KEY}`]), secretDigest(KEY));
+      t.is(keyOf([`bearer  ${KEY} `]), secretDigest(KEY));
+      for (const text of ["", "Bearer", "Bearer ", KEY, `Basic ${KEY}`]) {
+        t.is(keyOf([text]), undefined, text);
+      }
+      t.is(keyOf([`Bearer ${KEY}`, `Bearer ${KEY}`]), undefined);
+    });
+
+    it("has the digest of what was sent, or none, whatever that is", (t) => {
+      fc.assert(fc.property(fc.string({ unit: "binary" }), (text) => {
+        const digest = keyOf([`Bearer ${text}`]);
+        t.true(
+          digest === undefined ||
+            digest === secretDigest(/\S+/.exec(text)![0]),
+        );
+      }));
+    });
+  });
+
+  describe("headers to an upstream of a workspace's request", () => {
+    const raw = [
+      ...["Host", "h", "AUTHORIZATION", `Bearer ${KEY}`, "tenant", "forged"],
+      ...["Tenant", "forged", "Ibisgap-Key-Digest", "d", "Model", "m"],
+    ];
+
+    it("hold the workspace's name and no key, whatever the caller sent", (t) => {
+      t.deepEqual(forwardedHeaders(raw, { workspace: "convoys" }), [
+        ...["Host", "h", "Model", "m", "Tenant", "convoys"],
+      ]);
+      t.deepEqual(forwardedHeaders(raw, { workspace: undefined }), [
+        ...["Host", "h", "Model", "m"],
+      ]);
+    });
+
+    it("never hold a header of ours, in any spelling", (t) => {
+      const name = fc.constantFrom(
+        "authorization",
+        "Authorization",
+        "TENANT",
+        "Hold",
+        "kv-from",
+        "Model",
+        "X-Other",
+        "Connection",
+        "ibisgap-wait-ms",
+      );
+      const pairs = fc.array(fc.tuple(name, fc.string()));
+      fc.assert(fc.property(pairs, (sent) => {
+        const kept = forwardedHeaders(sent.flat(), { workspace: undefined });
+        for (let at = 0; at < kept.length; at += 2) {
+          t.regex(kept[at], /^(Model|X-Other)$/);
+        }
+      }));
+    });
+  });
+});
--- /dev/null
+++ b/src/quota/region_quota.ts
@@ -0,0 +1,121 @@
+/**
+ * A region's part of the limits, counted exactly by its first lead.
+ *
+ * @module
+ */
+
+import {
+  type LimitOf,
+  PartCount,
+  type QuotaSlack,
+  type QuotaUse,
+  SPARE_OF_SLACK,
+} from "./counts.ts";
+import type { Shares, StandbyRow } from "./shares.ts";
+
+/** What a predecessor said of its buckets is good for this long; after it a successor's start empty. */
+const STANDBY_MS = 3_000;
+
+interface ToldLevel {
+  readonly level: number;
+  readonly heardMs: number;
+}
+
+/** See the module. */
+export class RegionQuota {
+  readonly #shares: Shares;
+  readonly #limitOf: LimitOf;
+  readonly #spareUnits: number;
+  /** Since when this VM counts: buckets fill from then on, whenever their workspace is called first. */
+  #sinceMs: number;
+  readonly #counts = new Map<string, PartCount>();
+  readonly #toldLevels = new Map<string, ToldLevel>();
+
+  constructor(
+    shares: Shares,
+    limitOf: LimitOf,
+    { slackUnits }: Pick<QuotaSlack, "slackUnits">,
+    nowMs: number,
+  ) {
+    this.#sinceMs = nowMs;
+    this.#shares = shares;
+    this.#limitOf = limitOf;
+    this.#spareUnits = slackUnits * SPARE_OF_SLACK / shares.regionCount;
+  }
+
+  /**
+   * How long until the use fits, in ms; 0 if it does now. `heard` is the part of the region's VMs that can ask: the others
+   * use parts of their own.
+   */
+  waitMs(
+    { workspace, units }: QuotaUse,
+    heard: number,
+    nowMs: number,
+  ): number {
+    const bucket = this.#count(workspace, heard, nowMs)?.bucket;
+    return bucket ? bucket.readyAtMs(units, nowMs) - nowMs : 0;
+  }
+
+  /** Counts a request that is sent. */
+  take({ workspace, units }: QuotaUse, heard: number, nowMs: number): void {
+    this.#count(workspace, heard, nowMs)?.bucket.take(units, nowMs);
+  }
+
+  /** Counts what callers ask for, within the limit or not. */
+  noteDemand({ workspace, units }: QuotaUse, nowMs: number): void {
+    this.#shares.noteDemand(workspace, units, nowMs);
+  }
+
+  /** A request that was counted has not run. */
+  giveBack({ workspace, units }: QuotaUse): void {
+    this.#counts.get(workspace)?.bucket.refund(units);
+  }
+
+  /** What a successor has to know, of workspaces that were called. */
+  standby(nowMs: number): StandbyRow[] {
+    return [...this.#counts].map(([workspace, count]) => ({
+      workspace,
+      ...this.#shares.standby(workspace),
+      level: count.level(nowMs),
+    }));
+  }
+
+  /** Takes in what a predecessor said. */
+  noteStandby(row: StandbyRow, nowMs: number): void {
+    this.#shares.noteStandby(row, nowMs);
+    this.#toldLevels.set(row.workspace, { level: row.level, heardMs: nowMs });
+  }
+
+  /** This VM counts from now on; what it may have counted before is of the past. */
+  begin(nowMs: number): void {
+    this.#counts.clear();
+    this.#sinceMs = nowMs;
+  }
+
+  #count(
+    workspace: string,
+    heard: number,
+    nowMs: number,
+  ): PartCount | undefined {
+    const limit = this.#limitOf(workspace);
+    if (!limit) {
+      this.#counts.delete(workspace);
+      return undefined;
+    }
+    const part = {
+      share: this.#shares.shareOf(workspace, nowMs) * heard,
+      spareUnits: this.#spareUnits * heard,
+    };
+    let count = this.#counts.get(workspace);
+    if (count) count.fit(limit, part, nowMs);
+    else {
+      const told = this.#toldLevels.get(workspace);
+      const isFresh = told && this.#sinceMs - told.heardMs < STANDBY_MS;
+      count = isFresh
+        ? new PartCount(limit, part, told.level, told.heardMs)
+        : new PartCount(limit, part, 0, this.#sinceMs);
+      this.#counts.set(workspace, count);
+    }
+    return count;
+  }
+}
--- /dev/null
+++ b/src/quota/shares_sim_test.ts
@@ -0,0 +1,294 @@
+import { Random } from "../base/mod.ts";
+import { describe, it } from "../base/describe.ts";
+import { Bucket } from "../decisions/bucket.ts";
+import type { QuotaLimit } from "../workspaces/mod.ts";
+import {
+  EqualShares,
+  MovingShares,
+  RegionQuota,
+  type ShareNote,
+  type Shares,
+  type StandbyRow,
+} from "./mod.ts";
+
+const REGIONS = ["north", "south", "west"];
+const STEP_MS = 10;
+const TELL_MS = 250;
+const FAR_MS = 80;
+const WINDOW_MS = 8_000;
+const SECONDS = 40;
+const WORKSPACE = "convoys";
+const NO_LOSS = 0;
+const SLACK = { slackUnits: 72_000 };
+/** Share that operators let a workspace pass its limit by. */
+const EXCESS = 0.1;
+
+type Way = (region: string, nowMs: number) => Shares;
+const EQUAL: Way = (region) => new EqualShares(region, REGIONS);
+const MOVING: Way = (region, nowMs) => new MovingShares(region, REGIONS, nowMs);
+
+/** What happens to a region's first lead. */
+interface Script {
+  /** Units a second that callers of a region ask for. */
+  readonly demand: (region: string, nowMs: number) => number;
+  readonly unitsOf: (random: Random) => number;
+  /** Whether a note passes between two regions. */
+  readonly passes?: (from: string, to: string, nowMs: number) => boolean;
+  readonly loss?: number;
+  /** Times at which a region's first lead is replaced, and whether its successor was told of it. */
+  readonly successions?: readonly {
+    readonly region: string;
+    readonly atMs: number;
+    readonly isTold: boolean;
+  }[];
+  readonly limit: QuotaLimit;
+}
+
+interface Outcome {
+  /** Share of what an exact bucket would have passed that was refused. */
+  readonly refusedWithin: number;
+  /** The most units in any window, as a share of the most that operators bear. */
+  readonly mostInWindow: number;
+  readonly messages: number;
+}
+
+function quota(way: Way, region: string, limit: QuotaLimit, nowMs: number) {
+  const shares = way(region, nowMs);
+  return { shares, quota: new RegionQuota(shares, () => limit, SLACK, nowMs) };
+}
+
+/** Plays a script; every region counts by its own share, and an exact bucket beside it tells what was within the limit. */
+function play(way: Way, script: Script, seed = 1): Outcome {
+  const { limit, passes = () => true, loss = NO_LOSS } = script;
+  const random = new Random(seed);
+  const leads = new Map(
+    REGIONS.map((region) => [region, quota(way, region, limit, 0)]),
+  );
+  const exact = new Bucket(limit.unitsPerS / 1_000, limit.burstUnits, 0);
+  const flying: { atMs: number; to: string; note: ShareNote }[] = [];
+  const passed: { atMs: number; units: number }[] = [];
+  let within = 0;
+  let refused = 0;
+  let messages = 0;
+  const standby = new Map<string, StandbyRow[]>();
+  for (let nowMs = 0; nowMs < SECONDS * 1_000; nowMs += STEP_MS) {
+    for (const { region, atMs, isTold } of script.successions ?? []) {
+      if (atMs !== nowMs) continue;
+      const next = quota(way, region, limit, nowMs);
+      if (isTold) {
+        for (const row of standby.get(region) ?? []) {
+          next.quota.noteStandby(row, nowMs);
+        }
+      }
+      leads.set(region, next);
+    }
+    while (flying.length > 0 && flying[0].atMs <= nowMs) {
+      const { to, note } = flying.shift()!;
+      leads.get(to)!.shares.noteTold(note, nowMs);
+    }
+    if (nowMs % TELL_MS === 0) {
+      for (const [region, { shares, quota }] of leads) {
+        shares.balance(nowMs);
+        standby.set(region, quota.standby(nowMs));
+        for (const to of REGIONS) {
+          if (to === region) continue;
+          const note = shares.tell(to, nowMs);
+          if (!note) continue;
+          messages++;
+          if (passes(region, to, nowMs) && random.next() >= loss) {
+            flying.push({ atMs: nowMs + FAR_MS, to, note });
+          }
+        }
+      }
+    }
+    for (const [region, { quota }] of leads) {
+      const perStep = script.demand(region, nowMs) * STEP_MS / 1_000;
+      let asked = 0;
+      while (asked < perStep) {
+        const units = script.unitsOf(random);
+        // A step's last request comes as often as its part of the step says.
+        if (
+          asked + units > perStep && random.next() > (perStep - asked) / units
+        ) {
+          break;
+        }
+        asked += units;
+        const use = { workspace: WORKSPACE, units };
+        const isWithin = exact.has(units, nowMs);
+        if (isWithin) {
+          exact.take(units, nowMs);
+          within += units;
+        }
+        quota.noteDemand(use, nowMs);
+        if (quota.waitMs(use, 1, nowMs) <= 0) {
+          quota.take(use, 1, nowMs);
+          passed.push({ atMs: nowMs, units });
+        } else if (isWithin) refused += units;
+      }
+    }
+  }
+  return {
+    refusedWithin: refused / Math.max(1, within),
+    mostInWindow: most(passed) /
+      ((limit.unitsPerS * WINDOW_MS / 1_000 + limit.burstUnits) *
+          (1 + EXCESS) + SLACK.slackUnits),
+    messages,
+  };
+}
+
+function most(passed: readonly { atMs: number; units: number }[]): number {
+  let first = 0;
+  let sum = 0;
+  let best = 0;
+  for (const { atMs, units } of passed) {
+    sum += units;
+    while (passed[first].atMs <= atMs - WINDOW_MS) sum -= passed[first++].units;
+    best = Math.max(best, sum);
+  }
+  return best;
+}
+
+function limitOf(unitsPerS: number): QuotaLimit {
+  return { unit: "tokens", unitsPerS, burstUnits: unitsPerS, plainTokens: 200 };
+}
+
+const LARGE = limitOf(1_250_000);
+const SMALL = limitOf(18_000);
+
+/** Tokens of long prompts and short questions, as they come beside each other. */
+function unitsOf(random: Random): number {
+  return random.next() < 0.29 ? 4_000 + random.next() * 10_000 : 1_100;
+}
+
+/** One region after the other has its day; the whole is `mean` units a second. */
+function hours(mean: number): Script["demand"] {
+  const days: Record<string, [number, number, number]> = {
+    north: [0, 13_000, 0.39],
+    south: [10_500, 24_000, 0.33],
+    west: [22_000, 35_000, 0.28],
+  };
+  return (region, nowMs) => {
+    const [fromMs, toMs, share] = days[region];
+    const isDay = nowMs >= fromMs && nowMs < toMs;
+    return mean * share * (isDay ? 2.8 : 0.17);
+  };
+}
+
+const flood = (limit: QuotaLimit): Script => ({
+  limit,
+  unitsOf,
+  demand: () => limit.unitsPerS * 2,
+});
+
+describe("shares of a limit", () => {
+  describe("within the limit", () => {
+    // One region has nearly all callers, and the next one a few seconds later. An equal share refuses what the whole
+    // limit has room for.
+    it("follow the callers from region to region", (t) => {
+      for (const seed of [1, 2, 3]) {
+        const script = { limit: LARGE, unitsOf, demand: hours(693_000) };
+        const equal = play(EQUAL, script, seed);
+        const moving = play(MOVING, script, seed);
+        t.log("large workspace", { equal, moving });
+        t.true(moving.refusedWithin < 0.03);
+        t.true(moving.refusedWithin < equal.refusedWithin / 4);
+      }
+    });
+
+    it("serve a workspace whose burst is two prompts", (t) => {
+      for (const seed of [1, 2, 3]) {
+        const script = { limit: SMALL, unitsOf, demand: hours(8_000) };
+        const equal = play(EQUAL, script, seed);
+        const moving = play(MOVING, script, seed);
+        t.log("small workspace", { equal, moving });
+        t.true(moving.refusedWithin < 0.11);
+        t.true(moving.refusedWithin < equal.refusedWithin);
+      }
+    });
+
+    it("stay where they are while regions are cut, and serve the region that has the callers", (t) => {
+      const script: Script = {
+        limit: LARGE,
+        unitsOf,
+        demand: hours(693_000),
+        passes: (_from, _to, nowMs) => nowMs < 4_000 || nowMs > 10_000,
+      };
+      const moving = play(MOVING, script);
+      t.log({ equal: play(EQUAL, script), moving });
+      t.true(moving.refusedWithin < 0.06);
+    });
+  });
+
+  // Every region asks for twice the whole limit; whatever fails, the sum over all regions must stay below what the
+  // operators bear in any window: a tenth above the limit, and the slack.
+  describe("under a flood in all regions", () => {
+    const cases: Record<string, Partial<Script>> = {
+      "without trouble": {},
+      "with a third of the notes lost": { loss: 0.33 },
+      "while all regions are cut from each other": {
+        passes: (_from, _to, nowMs) => nowMs < 5_000 || nowMs > 20_000,
+      },
+      "while notes pass one way only": {
+        passes: (from, _to, nowMs) => from !== "north" || nowMs < 3_000,
+      },
+      "when a lead's successor was told": {
+        successions: [
+          { region: "north", atMs: 12_000, isTold: true },
+          { region: "south", atMs: 14_000, isTold: true },
+        ],
+      },
+      "when a region's leads all start again": {
+        successions: [
+          { region: "north", atMs: 12_000, isTold: false },
+          { region: "north", atMs: 15_000, isTold: false },
+        ],
+      },
+      "when a region starts again while it is cut off": {
+        successions: [{ region: "north", atMs: 12_000, isTold: false }],
+        passes: (from, to, nowMs) =>
+          (from !== "north" && to !== "north") || nowMs < 9_000 ||
+          nowMs > 25_000,
+      },
+      "when all start again": {
+        successions: REGIONS.map((region) => ({
+          region,
+          atMs: 12_000,
+          isTold: false,
+        })),
+      },
+    };
+    for (const [name, trouble] of Object.entries(cases)) {
+      for (const limit of [LARGE, SMALL]) {
+        it(`add up to the limit ${name}, at ${limit.unitsPerS} a second`, (t) => {
+          for (const seed of [1, 2, 3]) {
+            // The shares stand unevenly when the trouble begins.
+            const base = flood(limit);
+            const demand: Script["demand"] = (region, nowMs) =>
+              nowMs < 3_000
+                ? hours(limit.unitsPerS)(region, nowMs)
+                : base.demand(region, nowMs);
+            const { mostInWindow } = play(MOVING, {
+              ...base,
+              demand,
+              ...trouble,
+            }, seed);
+            t.true(mostInWindow <= 1, `${mostInWindow}`);
+          }
+        });
+      }
+    }
+
+    it("would not, if a region took what it was not given", (t) => {
+      class Greedy extends EqualShares {
+        override shareOf(): number {
+          return 0.6;
+        }
+      }
+      const { mostInWindow } = play(
+        (region) => new Greedy(region, REGIONS),
+        flood(LARGE),
+      );
+      t.true(mostInWindow > 1);
+    });
+  });
+});
--- a/src/region/known_vms.ts
+++ b/src/region/known_vms.ts
@@ -143,6 +143,19 @@
     return [...this.#told.values()];
   }
 
+  /** How long ago a lead surely knew that no configuration is newer than revision `rev`; `Infinity` if none says so. */
+  configAgeMs(rev: number, nowMs: number): number {
+    let least = Infinity;
+    for (const { roster, heardMs } of this.#told.values()) {
+      const { configAgeMs, revisions } = roster;
+      if (typeof configAgeMs !== "number" || revisions.operators > rev) {
+        continue;
+      }
+      least = Math.min(least, configAgeMs + nowMs - heardMs);
+    }
+    return least;
+  }
+
   /** When a VM's roster was heard last. */
   rosterHeardMs(id: string): number {
     return this.#told.get(id)?.heardMs ?? -Infinity;
--- a/src/region/messages.ts
+++ b/src/region/messages.ts
@@ -36,6 +36,8 @@
   readonly revisions: Revisions;
   /** Whether the store answers its questions. */
   readonly isServed: boolean;
+  /** How long ago it surely knew the newest configuration; only where operators ask for that. */
+  readonly configAgeMs?: number;
 }
 
 /** What a VM has under way. */
@@ -108,6 +110,8 @@
   readonly vms: number;
   readonly revisions: Revisions;
   readonly isServed: boolean;
+  /** As in {@link VmState}. */
+  readonly configAgeMs?: number;
   /** Absent in a short roster: the last list holds on. */
   readonly named?: NamedList;
   /** What all VMs of the region have under way. */
--- a/src/region/view.ts
+++ b/src/region/view.ts
@@ -221,7 +221,7 @@
 
   /** What this VM tells its region. */
   tellRegion(nowMs: number, withNames: boolean): Omit<Roster, "load"> {
-    const { revisions, isServed } = this.#options.state();
+    const { revisions, isServed, configAgeMs } = this.#options.state();
     return {
       from: recordOf(this.#self),
       everyMs: this.rosterEveryMs,
@@ -229,6 +229,7 @@
       vms: this.known.ownCount,
       revisions,
       isServed,
+      configAgeMs,
       named: withNames ? this.#names(nowMs) : undefined,
       regions: this.known.far.passOn(nowMs),
     };
--- a/src/routing/config.ts
+++ b/src/routing/config.ts
@@ -5,6 +5,7 @@
  */
 
 import { hash32 } from "../base/mod.ts";
+import { Workspaces } from "../workspaces/mod.ts";
 import type { CallerLimits, Route, ServiceRow } from "./types.ts";
 
 const HASH_RANGE = 0x1_0000_0000;
@@ -23,6 +24,7 @@
   readonly version: number;
   readonly limits: CallerLimits;
   readonly routes: readonly Route[];
+  readonly workspaces: Workspaces;
   readonly #byHost = new Map<string, Route[]>();
   /** Regions that some routes to a service are bound to. */
   readonly #homes = new Map<string, Set<string>>();
@@ -34,8 +36,10 @@
     routes: readonly Route[],
     services: readonly ServiceRow[],
     limits: CallerLimits,
+    workspaces: Workspaces = new Workspaces(undefined),
   ) {
     this.version = version;
+    this.workspaces = workspaces;
     this.limits = limits;
     this.routes = routes;
     for (const route of routes) {
--- a/src/routing/routing_test.ts
+++ b/src/routing/routing_test.ts
@@ -34,6 +34,7 @@
     eventGapMs: 300,
     priority: 1,
     mostUpstreams: 2,
+    anonymous: false,
     homeRegions: [],
     ...more,
   };
--- a/src/routing/step.ts
+++ b/src/routing/step.ts
@@ -67,7 +67,7 @@
   | { readonly type: "wait"; readonly untilMs: number }
   | RefusedOn & {
     readonly type: "refuse";
-    readonly reason: "expired" | "noUpstream" | "overloaded";
+    readonly reason: "expired" | "noUpstream" | "overloaded" | "overQuota";
     readonly comeBackMs: number;
   };
 
--- a/src/routing/types.ts
+++ b/src/routing/types.ts
@@ -33,8 +33,10 @@
   readonly objectiveMs: number;
   /** The longest pause between a stream's events; 0 if none is asked for. */
   readonly eventGapMs: number;
-  /** 0 is the most urgent. */
+  /** 0 is the most urgent; a workspace's own goes before it. */
   readonly priority: number;
+  /** Whether callers need no key. */
+  readonly anonymous: boolean;
   /** Most upstreams that one attempt of a caller may be sent to. */
   readonly mostUpstreams: number;
   /** Regions that may serve it; empty means all. */
--- a/src/standins/config_rows.ts
+++ b/src/standins/config_rows.ts
@@ -28,11 +28,33 @@
 /** The key under which the operators' configuration stands. */
 export const CONFIG_ROW_KEY = "op/config";
 
-/** A configuration of one service, `s`; `service` replaces what it says of it. */
+/** A workspace, less what `more` replaces. */
+export function workspaceRow(
+  name: string,
+  keys: readonly string[],
+  more: Record<string, unknown> = {},
+) {
+  return {
+    name,
+    api_keys: keys,
+    unit: "tokens",
+    plain_tokens: 200,
+    rate_per_s: 0,
+    burst: 0,
+    home_regions: [],
+    ...more,
+  };
+}
+
+/**
+ * A configuration of one service, `s`; `service` replaces what it says of it. Without `workspaces` nobody is asked for a
+ * key.
+ */
 export function configRow(
   version: number,
   routes: readonly unknown[],
   service: Record<string, unknown> = {},
+  workspaces?: readonly unknown[],
 ) {
   return {
     version,
@@ -50,6 +72,7 @@
       header_timeout_ms: 1_000,
       idle_timeout_ms: 5_000,
     },
+    ...(workspaces === undefined ? {} : { tenants: workspaces }),
   };
 }
 
--- a/test/gateway_lab.ts
+++ b/test/gateway_lab.ts
@@ -101,11 +101,12 @@
   configure(
     routes: readonly unknown[] = ROUTES,
     more: Record<string, unknown> = {},
+    workspaces?: readonly unknown[],
   ): void {
     this.#version += 3;
     this.server.put(
       CONFIG_ROW_KEY,
-      configRow(this.#version, routes, more),
+      configRow(this.#version, routes, more, workspaces),
     );
   }
 
@@ -133,7 +134,10 @@
   }
 
   /** Opens a VM in a region. */
-  async addVm(region = "north"): Promise<LabVm> {
+  async addVm(
+    region = "north",
+    bounds: Partial<GatewaySettings["bounds"]> = {},
+  ): Promise<LabVm> {
     const index = this.vms.length + 1;
     // Test files run in threads of one process; each lab of each gets addresses of its own.
     const ip = `127.${20 + threadId % 200}.${process.pid & 255}.${
@@ -170,6 +174,10 @@
         repeatRatio: 0.2,
         repeatSlack: 50,
         repeatWindowMs: 10_000,
+        quotaExcess: 0.1,
+        quotaSlack: 1_000,
+        quotaWindowMs: 8_000,
+        ...bounds,
       },
     };
     const log = new MemoryLog();
--- /dev/null
+++ b/test/gateway_quota_test.ts
@@ -0,0 +1,155 @@
+import { describe, it } from "../src/base/describe.ts";
+import { workspaceRow } from "../src/standins/mod.ts";
+import {
+  type CallerAnswer,
+  GatewayLab,
+  type LabVm,
+  ROUTES,
+  until,
+} from "./gateway_lab.ts";
+
+const KEYS = { convoys: "key-1", clinic: "key-2" } as const;
+type Workspace = keyof typeof KEYS;
+/** Tokens of each request. */
+const UNITS = 500;
+/** As the lab's settings have it. */
+const EXCESS = 0.1;
+const SLACK_UNITS = 1_000;
+
+function limits(unitsPerS: number) {
+  return [
+    workspaceRow("convoys", [KEYS.convoys], {
+      rate_per_s: unitsPerS,
+      burst: unitsPerS,
+    }),
+    workspaceRow("clinic", [KEYS.clinic], {
+      rate_per_s: 100_000,
+      burst: 100_000,
+    }),
+  ];
+}
+
+function call(
+  lab: GatewayLab,
+  vm: LabVm,
+  workspace: Workspace = "convoys",
+): Promise<CallerAnswer> {
+  return lab.call(vm, {
+    path: "/safe/",
+    headers: {
+      authorization: `Bearer ${KEYS[workspace]}`,
+      "token-counts": `${UNITS - 100},100`,
+    },
+  });
+}
+
+interface QuotasDump {
+  readonly isAuthority: boolean;
+  readonly vms: number;
+}
+
+/** Two VMs in the north and one in the south, whose leads count. */
+async function openLimited(
+  t: { teardown(run: () => Promise<void>): void },
+  unitsPerS: number,
+): Promise<GatewayLab> {
+  const lab = new GatewayLab();
+  t.teardown(() => lab.close());
+  lab.configure(ROUTES, {}, limits(unitsPerS));
+  await lab.addRunner("north", { slots: 64 });
+  await lab.addRunner("south");
+  for (const region of ["north", "north", "south"]) {
+    await lab.ready(await lab.addVm(region));
+  }
+  const quotas = () =>
+    lab.vms.map((vm) => vm.gateway.dump().quotas as QuotasDump);
+  await until(() =>
+    quotas().every(({ vms }) => vms === lab.vms.length) &&
+    quotas().filter(({ isAuthority }) => isAuthority).length === 2
+  );
+  return lab;
+}
+
+/** Calls from both northern VMs for some time; what passed and what was refused. */
+async function flood(lab: GatewayLab, forMs: number) {
+  const startMs = performance.now();
+  const answers: CallerAnswer[] = [];
+  while (performance.now() - startMs < forMs) {
+    const [first, second] = lab.vms;
+    answers.push(
+      ...await Promise.all([
+        call(lab, first),
+        call(lab, second),
+        call(lab, second),
+      ]),
+    );
+    await new Promise((resolve) => setTimeout(resolve, 10));
+  }
+  return {
+    tookMs: performance.now() - startMs,
+    passed: answers.filter(({ status }) => status === 200).length,
+    refused: answers.filter(({ status }) => status === 429),
+    answers,
+  };
+}
+
+describe("gateway", () => {
+  describe("a workspace beyond its limit", () => {
+    // A flood comes to both VMs of a region at once. Each alone would let the whole limit pass.
+    it("is refused over all VMs together, and told when to come back", async (t) => {
+      const unitsPerS = 5_000;
+      const lab = await openLimited(t, unitsPerS);
+      const { tookMs, passed, refused, answers } = await flood(lab, 2_000);
+      t.is(passed + refused.length, answers.length);
+      const most = unitsPerS * (tookMs / 1_000 + 1) * (1 + EXCESS) +
+        SLACK_UNITS;
+      t.true(passed * UNITS <= most, `${passed * UNITS} of ${most}`);
+      t.true(refused.length > 0);
+      for (const { headers } of refused) {
+        t.true(Number(headers["retry-after"]) > 0);
+      }
+      const waitMs = Number(refused.at(-1)!.headers["retry-after"]) * 1_000;
+      await new Promise((resolve) => setTimeout(resolve, waitMs + 20));
+      t.is((await call(lab, lab.vms[0])).status, 200);
+      t.is(lab.runners[0].arrivals.length, passed + 1);
+    });
+
+    it("leaves the others alone", async (t) => {
+      const lab = await openLimited(t, 1_000);
+      const [first] = lab.vms;
+      const flooding = flood(lab, 600);
+      for (let i = 0; i < 10; i++) {
+        t.is((await call(lab, first, "clinic")).status, 200);
+      }
+      t.true((await flooding).refused.length > 0);
+    });
+
+    it("is served again when operators raise the limit", async (t) => {
+      const lab = await openLimited(t, 1_000);
+      await flood(lab, 300);
+      lab.configure(ROUTES, {}, limits(1_000_000));
+      await until(() =>
+        lab.vms.every(({ log }) =>
+          log.lines.some(({ event, fields }) =>
+            event === "config in force" && fields.configVersion === 6
+          )
+        )
+      );
+      t.is((await flood(lab, 300)).refused.length, 0);
+    });
+  });
+
+  // The upstream refuses and runs nothing, and the caller is told so: a limit that counted it would refuse it twice.
+  it("counts nothing of a workspace's limit for what has not run", async (t) => {
+    const lab = await openLimited(t, 2_500);
+    const [first, second] = lab.vms;
+    await until(async () => (await call(lab, first)).status === 200);
+    for (const runner of lab.runners) runner.mood = "shed";
+    for (let i = 0; i < 20; i++) {
+      const { status } = await call(lab, i % 2 === 0 ? first : second);
+      t.is(status, 503);
+    }
+    for (const runner of lab.runners) runner.mood = "well";
+    t.is((await call(lab, second)).status, 200);
+  });
+});
--- a/test/house_test.ts
+++ b/test/house_test.ts
@@ -13,6 +13,8 @@
   "src/agreement/",
   "src/region/",
   "src/routing/",
+  "src/workspaces/",
+  "src/quota/",
 ];
 /** What pure modules may import from outside: parsers, data structures, hashing. */
 const PURE_PACKAGES = new Set([
