A caller's key costs less to read: its header is counted, not all headers sorted

Cause: a profile of 400 plain requests (--cpu-prof, one VM, stand-ins) showed 47 us a request for the key, most of it Node's headersDistinct, which makes a list of each header.

--- a/src/platform/callers.ts
+++ b/src/platform/callers.ts
@@ -86,13 +86,17 @@
 }
 
 /** A key goes in the one way that the platform names; whoever sends two, or two headers, has none. */
+const KEY_HEADER = /^authorization$/i;
 const BEARER = /^Bearer +(\S+) *$/i;
 
 function decodeKey(request: IncomingMessage): string | undefined {
   const sent = request.headers.authorization;
   if (sent === undefined) return undefined;
-  const isOne = request.headersDistinct.authorization?.length === 1;
-  const key = isOne ? BEARER.exec(sent)?.[1] : undefined;
+  let count = 0;
+  for (let at = 0; at < request.rawHeaders.length; at += 2) {
+    if (KEY_HEADER.test(request.rawHeaders[at])) count++;
+  }
+  const key = count === 1 ? BEARER.exec(sent)?.[1] : undefined;
   return key === undefined ? undefined : secretDigest(key);
 }
 
--- a/src/platform/workspaces_test.ts
+++ b/src/platform/workspaces_test.ts
@@ -34,9 +34,9 @@
 
 function keyOf(sent: readonly string[]): string | undefined {
   const headers = { authorization: sent[0] };
-  const headersDistinct = { authorization: sent };
+  const rawHeaders = sent.flatMap((text) => ["Authorization", text]);
   return decodeHead(
-    { headers, headersDistinct, url: "/" } as unknown as IncomingMessage,
+    { headers, rawHeaders, url: "/" } as unknown as IncomingMessage,
   ).keyDigest;
 }
 
