Messages between leads stay small with thousands of workspaces

Rows take turns, 64 a message, as notes between regions do (one class for both), and a workspace that was idle for 30 s with a full bucket is forgotten. A bucket in debt is kept: a small limit would else be passed every 30 s.

--- a/src/quota/moving_shares.ts
+++ b/src/quota/moving_shares.ts
@@ -14,6 +14,7 @@
   Shares,
   type StandbyRow,
 } from "./shares.ts";
+import { Turns } from "./turns.ts";
 
 /** Counters are whole numbers, so that no share is lost by rounding. */
 const MILLION = 1_000_000;
@@ -96,7 +97,8 @@
   readonly #kept: number;
   /** Regions that have said what they know since this lead started. */
   readonly #informedBy = new Set<string>();
-  #lastRow = "";
+  /** By the region that is told. */
+  readonly #turns = new Map<string, Turns>();
 
   constructor(self: string, regions: readonly string[], nowMs: number) {
     super(self, regions);
@@ -134,10 +136,7 @@
     );
     // Says that this region is there: a lead that starts may then use its share.
     if (busy.length === 0) return { region: this.self, rows: [] };
-    const from = busy.findIndex(([workspace]) => workspace === this.#lastRow);
-    const turn = [...busy.slice(from + 1), ...busy.slice(0, from + 1)]
-      .slice(0, MOST_ROWS);
-    if (busy.length > MOST_ROWS) this.#lastRow = turn[turn.length - 1][0];
+    const turn = this.#turnsFor(region).next(busy, MOST_ROWS, ([name]) => name);
     return {
       region: this.self,
       rows: turn.map(([workspace, ledger]) => ({
@@ -175,6 +174,15 @@
     }
   }
 
+  #turnsFor(region: string): Turns {
+    let turns = this.#turns.get(region);
+    if (!turns) {
+      turns = new Turns();
+      this.#turns.set(region, turns);
+    }
+    return turns;
+  }
+
   #noteRow(region: string, row: ShareRow, nowMs: number): void {
     const ledger = this.#ledger(row.workspace, nowMs);
     raise(ledger.taken, region, row.given);
--- a/src/quota/region_quota.ts
+++ b/src/quota/region_quota.ts
@@ -11,8 +11,13 @@
   type QuotaUse,
   SPARE_OF_SLACK,
 } from "./counts.ts";
+import { Turns } from "./turns.ts";
 import type { Shares, StandbyRow } from "./shares.ts";
 
+/** Rows of one standby message, some four kilobytes; with more called workspaces they take turns. */
+const MOST_ROWS = 64;
+/** A workspace that nobody called for this long, and whose bucket is full again, is forgotten. */
+const IDLE_MS = 30_000;
 /** What a predecessor said of its buckets is good for this long; after it a successor's start empty. */
 const STANDBY_MS = 3_000;
 
@@ -29,6 +34,9 @@
   /** Since when this VM counts: buckets fill from then on, whenever their workspace is called first. */
   #sinceMs: number;
   readonly #counts = new Map<string, PartCount>();
+  /** When each workspace was called last. */
+  readonly #calledMs = new Map<string, number>();
+  readonly #turns = new Turns();
   readonly #toldLevels = new Map<string, ToldLevel>();
 
   constructor(
@@ -71,9 +79,20 @@
     this.#counts.get(workspace)?.bucket.refund(units);
   }
 
-  /** What a successor has to know, of workspaces that were called. */
+  /** What a successor has to know next, of workspaces that were called. */
   standby(nowMs: number): StandbyRow[] {
-    return [...this.#counts].map(([workspace, count]) => ({
+    for (const [workspace, calledMs] of this.#calledMs) {
+      const level = this.#counts.get(workspace)?.level(nowMs) ?? 1;
+      if (nowMs - calledMs < IDLE_MS || level < 1) continue;
+      this.#calledMs.delete(workspace);
+      this.#counts.delete(workspace);
+    }
+    const turn = this.#turns.next(
+      [...this.#counts],
+      MOST_ROWS,
+      ([workspace]) => workspace,
+    );
+    return turn.map(([workspace, count]) => ({
       workspace,
       ...this.#shares.standby(workspace),
       level: count.level(nowMs),
@@ -97,6 +116,7 @@
     heard: number,
     nowMs: number,
   ): PartCount | undefined {
+    this.#calledMs.set(workspace, nowMs);
     const limit = this.#limitOf(workspace);
     if (!limit) {
       this.#counts.delete(workspace);
