A lead that leads again uses nothing that its successor may have given away

Now a VM that begins to lead without word from a predecessor in the last 3 s keeps to what no region gives away until each region has told it what it has. Test red before (share 0.5 beside 0.9 elsewhere). Also: a dump no longer takes a turn of the messages to standbys.

--- a/src/gateway/quotas.ts
+++ b/src/gateway/quotas.ts
@@ -125,7 +125,7 @@
       heard: this.#heard,
       vms: this.#vms,
       workspaces: Object.fromEntries(
-        this.#region.standby(nowMs).map(({ workspace, level }) => [workspace, {
+        this.#region.called(nowMs).map(({ workspace, level }) => [workspace, {
           share: this.#shares.shareOf(workspace, nowMs),
           level,
         }]),
--- a/src/quota/moving_shares.ts
+++ b/src/quota/moving_shares.ts
@@ -12,6 +12,7 @@
   type ShareNote,
   type ShareRow,
   Shares,
+  STANDBY_MS,
   type StandbyRow,
 } from "./shares.ts";
 import { Turns } from "./turns.ts";
@@ -33,7 +34,7 @@
 /** Demand of a region without callers, as a share of all, so that idle shares come to rest evenly. */
 const RESTING_DEMAND = 0.01;
 /**
- * A lead that has just started uses only what no region gives away, and more with each region that it hears from: its own
+ * A lead that has just begun uses only what no region gives away, and more with each region that it hears from: its own
  * region may have given the rest before. After this long without any word there is nobody who would know.
  */
 const UNKNOWN_MS = 30_000;
@@ -92,17 +93,18 @@
 /** See the module. */
 export class MovingShares extends Shares {
   readonly #ledgers = new Map<string, Ledger>();
-  readonly #startedMs: number;
+  #beganMs: number;
+  #standbyMs = -Infinity;
   readonly #equal: number;
   readonly #kept: number;
-  /** Regions that have said what they know since this lead started. */
+  /** Regions that have said what they know since this lead began. */
   readonly #informedBy = new Set<string>();
   /** By the region that is told. */
   readonly #turns = new Map<string, Turns>();
 
   constructor(self: string, regions: readonly string[], nowMs: number) {
     super(self, regions);
-    this.#startedMs = nowMs;
+    this.#beganMs = nowMs;
     this.#equal = Math.floor(MILLION / this.regions.length);
     this.#kept = Math.floor(this.#equal * KEPT_OF_EQUAL);
   }
@@ -117,10 +119,16 @@
   #mostKnown(nowMs: number): number {
     const others = this.regions.length - 1;
     const unheard = others - this.#informedBy.size;
-    if (unheard === 0 || nowMs - this.#startedMs >= UNKNOWN_MS) return MILLION;
+    if (unheard === 0 || nowMs - this.#beganMs >= UNKNOWN_MS) return MILLION;
     return this.#kept + (this.#equal - this.#kept) * (1 - unheard / others);
   }
 
+  /** What others led meanwhile is known only if a predecessor told it a moment ago. */
+  begin(nowMs: number): void {
+    this.#beganMs = nowMs;
+    if (nowMs - this.#standbyMs >= STANDBY_MS) this.#informedBy.clear();
+  }
+
   noteDemand(workspace: string, units: number, nowMs: number): void {
     this.#ledger(workspace, nowMs).noteDemand(units, nowMs);
   }
@@ -169,6 +177,7 @@
       raise(ledger.given, region, given[region]);
       raise(ledger.taken, region, taken[region]);
     }
+    this.#standbyMs = nowMs;
     for (const region of this.regions) {
       if (region !== this.self) this.#informedBy.add(region);
     }
--- a/src/quota/region_quota.ts
+++ b/src/quota/region_quota.ts
@@ -13,14 +13,12 @@
   USED_EXCESS,
 } from "./counts.ts";
 import { Turns } from "./turns.ts";
-import type { Shares, StandbyRow } from "./shares.ts";
+import { type Shares, STANDBY_MS, type StandbyRow } from "./shares.ts";
 
 /** Rows of one standby message, some four kilobytes; with more called workspaces they take turns. */
 const MOST_ROWS = 64;
 /** A workspace that nobody called for this long, and whose bucket is full again, is forgotten. */
 const IDLE_MS = 30_000;
-/** What a predecessor said of its buckets is good for this long; after it a successor's start empty. */
-const STANDBY_MS = 3_000;
 
 interface ToldLevel {
   readonly level: number;
@@ -85,22 +83,27 @@
 
   /** What a successor has to know next, of workspaces that were called. */
   standby(nowMs: number): StandbyRow[] {
+    this.#forget(nowMs);
+    const called = this.called(nowMs);
+    return [...this.#turns.next(called, MOST_ROWS, (row) => row.workspace)];
+  }
+
+  /** What is known of each workspace that was called. */
+  called(nowMs: number): StandbyRow[] {
+    return [...this.#counts].map(([workspace, count]) => ({
+      workspace,
+      ...this.#shares.standby(workspace),
+      level: count.level(nowMs),
+    }));
+  }
+
+  #forget(nowMs: number): void {
     for (const [workspace, calledMs] of this.#calledMs) {
       const level = this.#counts.get(workspace)?.level(nowMs) ?? 1;
       if (nowMs - calledMs < IDLE_MS || level < 1) continue;
       this.#calledMs.delete(workspace);
       this.#counts.delete(workspace);
     }
-    const turn = this.#turns.next(
-      [...this.#counts],
-      MOST_ROWS,
-      ([workspace]) => workspace,
-    );
-    return turn.map(([workspace, count]) => ({
-      workspace,
-      ...this.#shares.standby(workspace),
-      level: count.level(nowMs),
-    }));
   }
 
   /** Takes in what a predecessor said. */
@@ -113,6 +116,7 @@
   begin(nowMs: number): void {
     this.#counts.clear();
     this.#sinceMs = nowMs;
+    this.#shares.begin(nowMs);
   }
 
   #count(
--- a/src/quota/shares.ts
+++ b/src/quota/shares.ts
@@ -7,6 +7,9 @@
  * @module
  */
 
+/** What a predecessor said is good for this long. */
+export const STANDBY_MS = 3_000;
+
 /** One workspace in a note. */
 export interface ShareRow {
   readonly workspace: string;
@@ -53,6 +56,9 @@
   /** This region's share of a workspace's limit, from 0 to 1. The shares of all regions never add up to more than 1. */
   abstract shareOf(workspace: string, nowMs: number): number;
 
+  /** This VM becomes its region's first lead. */
+  abstract begin(nowMs: number): void;
+
   /** Counts what callers ask for, within the limit or not. */
   abstract noteDemand(workspace: string, units: number, nowMs: number): void;
 
@@ -80,6 +86,8 @@
     return 1 / this.regions.length;
   }
 
+  begin(): void {}
+
   noteDemand(): void {}
 
   balance(): void {}
--- a/src/quota/shares_sim_test.ts
+++ b/src/quota/shares_sim_test.ts
@@ -298,6 +298,33 @@
       }
     }
 
+    // A lead is cut off; its successor gives the region's share away; the first one leads again and knows nothing of it.
+    it("don't count twice what a successor gave away", (t) => {
+      const [first, next, south] = ["north", "north", "south"].map((region) =>
+        new MovingShares(region, ["north", "south"], 0)
+      );
+      const tell = (from: Shares, to: Shares, nowMs: number) =>
+        to.noteTold(from.tell(region(to), nowMs)!, nowMs);
+      const region = (shares: Shares) => shares === south ? "south" : "north";
+      tell(south, first, 0);
+      t.is(first.shareOf(WORKSPACE, 100), 0.5);
+      tell(south, next, 100);
+      for (let nowMs = 1_000; nowMs < 3_000; nowMs += TELL_MS) {
+        south.noteDemand(WORKSPACE, 100_000, nowMs);
+        tell(south, next, nowMs);
+        next.balance(nowMs);
+        tell(next, south, nowMs);
+      }
+      t.true(south.shareOf(WORKSPACE, 3_000) > 0.9);
+      first.begin(10_000);
+      t.true(first.shareOf(WORKSPACE, 10_000) < 0.1);
+      tell(south, first, 10_100);
+      t.true(
+        first.shareOf(WORKSPACE, 10_100) + south.shareOf(WORKSPACE, 10_100) <=
+          1,
+      );
+    });
+
     it("would not, if a region took what it was not given", (t) => {
       class Greedy extends EqualShares {
         override shareOf(): number {
