--- a/src/standins/runner.ts
+++ b/src/standins/runner.ts
@@ -11,7 +11,7 @@
   type Server,
   type ServerResponse,
 } from "node:http";
-import type { AddressInfo } from "node:net";
+import type { AddressInfo, Socket } from "node:net";
 
 /** What a runner does with the requests that reach it. */
 export type RunnerMood =
@@ -48,6 +48,9 @@
   cut: boolean;
 }
 
+/** How far into running a request an upstream ends that the request crashes. */
+const FATAL_MS = 50;
+
 /** Events of a whole stream, unless a runner is set otherwise. */
 export const STREAM_EVENTS = 6;
 const COLD_WINDOW_MS = 1_000;
@@ -91,11 +94,21 @@
   streamEvents = STREAM_EVENTS;
   /** Time between two events of a stream. */
   eventGapMs = 10;
+  /** Whether a request with this body ends the runner some ms after it begins to run. */
+  isFatal: (body: string) => boolean = () => false;
+  /** How long it stays ended. */
+  downMs = 200;
+  /** How many times it ended. */
+  ends = 0;
+  /** Called when it is back. Its address is another one if its port was taken meanwhile. */
+  onBack: () => void = () => {};
   /** Streams under way, by the attempt's id. */
   readonly #runs = new Map<string, StreamRun>();
   readonly #server: Server;
   readonly #keptParts = new Set<string>();
+  readonly #sockets = new Set<Socket>();
   #coldArrivalsMs: number[] = [];
+  #backTimer: NodeJS.Timeout | undefined;
 
   private constructor(id: string) {
     this.id = id;
@@ -103,6 +116,10 @@
       void this.#answer(request, response)
     );
     this.#server.keepAliveTimeout = 10_000;
+    this.#server.on("connection", (socket) => {
+      this.#sockets.add(socket);
+      socket.on("close", () => this.#sockets.delete(socket));
+    });
   }
 
   static async open(id: string): Promise<Runner> {
@@ -123,7 +140,30 @@
     );
   }
 
+  /** Its program ends: all connections break at once, and new ones are refused until it is back. */
+  end(): void {
+    if (this.#backTimer) return;
+    this.ends++;
+    const { port } = this.#server.address() as AddressInfo;
+    this.#server.close();
+    for (const socket of this.#sockets) socket.resetAndDestroy();
+    this.#backTimer = setTimeout(() => void this.#comeBack(port), this.downMs);
+  }
+
+  async #comeBack(port: number): Promise<void> {
+    const listens = (at: number) =>
+      new Promise<boolean>((resolve) => {
+        this.#server.once("error", () => resolve(false));
+        this.#server.listen(at, "127.0.0.1", () => resolve(true));
+      });
+    if (!await listens(port)) await listens(0);
+    this.#server.removeAllListeners("error");
+    this.#backTimer = undefined;
+    this.onBack();
+  }
+
   async close(): Promise<void> {
+    clearTimeout(this.#backTimer);
     this.#server.closeAllConnections();
     await new Promise((resolve) => this.#server.close(resolve));
   }
@@ -166,6 +206,16 @@
     }
     this.arrivals.push(arrival);
     response.on("close", () => void (arrival.cut = !response.writableFinished));
+    if (this.isFatal(arrival.body)) {
+      if (this.#isStream(request)) {
+        response.writeHead(200, {
+          "attempt-id": String(headers["attempt-id"]),
+          "response-stamp": `stamp-${this.id}`,
+          "content-type": "text/event-stream",
+        }).flushHeaders();
+      }
+      return void setTimeout(() => this.end(), FATAL_MS);
+    }
     if (this.workMs > 0) {
       await new Promise((resolve) => setTimeout(resolve, this.workMs));
     }
--- a/test/gateway_lab.ts
+++ b/test/gateway_lab.ts
@@ -118,6 +118,8 @@
     const runner = await Runner.open(`i-${this.#block}-${this.runners.length}`);
     this.runners.push(runner);
     this.register(runner, region, more);
+    runner.onBack = () =>
+      this.register(runner, region, { ...more, born: Date.now() });
     return runner;
   }
 
