Ends of upstreams count against the request that ran, over attempts and VMs

What callers saw: a third to a half of checkpoint-ask failed while one request came again and again and ended 11 and 13 engines, each with all the streams on it.

Cause: whatever is counted of a request is counted for one attempt at one VM (upstreams tried, budget of repeats), while the harm adds up over attempts, VMs and regions.

Change: - src/suspects (pure): a book of ends by request (hash of host, path, caller's key digest, body) and upstream start. Rows of it are a union, the same in any order; a request that runs and ends nothing voids its ends. 1 or 2 ends: suspected. 3: on trial. 4: rejected for half an hour (503, code 3014, come back then). - What is an end: the connection broke under the request before or within 0.5 s of its first bytes, this VM did not give it up, the upstream was not leaving, and a new connection is refused there. Cut links, resets, silence, planned stops, moves and slots given up are none. - A suspect goes to the upstream with fewest other suspects, then fewest requests; it isn't moved, and not sent to a second upstream for patience while its first run is unknown. - On trial it runs once more, with the store's leave (a key that one VM gets, 15 s), so that attempts at several VMs in the same moment don't each try. - Who knows: a VM tells its leads at once, these their region and the leads elsewhere; requests with two ends or more are told again each 2 s, at most 20 rows. A hand-over that fails names the upstream that ended. From the third end on it stands in the store for 10 min, and VMs read that when they start. - No request is hashed while nothing is suspected.

A request whose three upstreams ended for other causes is served by the fourth, as before.

Two holes that the test showed on the way, in a busy process (8 ends once): an idempotent suspect was given up for patience and its first upstream ended unseen; an upstream that was back before its entry said so counted once for two ends.

--- a/src/base/codes.ts
+++ b/src/base/codes.ts
@@ -137,6 +137,20 @@
     true,
     "the pool's lead cannot be reached",
   ),
+  endsUpstreams: row(
+    3014,
+    503,
+    "no",
+    false,
+    "upstreams ended each time that they ran this request; it is not run again",
+  ),
+  onTrialElsewhere: row(
+    3015,
+    503,
+    "no",
+    true,
+    "upstreams ended under this request; another VM runs it once more",
+  ),
   upstreamUnreachable: row(
     4001,
     502,
--- a/src/gateway/call.ts
+++ b/src/gateway/call.ts
@@ -12,12 +12,12 @@
   type ServiceRow,
   type Step,
 } from "../routing/mod.ts";
-import { requestDigest } from "../suspects/mod.ts";
 import { readBody } from "./body.ts";
 import { BODY_CODES, type CallInput } from "./call_input.ts";
 import { CallPlaces } from "./call_places.ts";
 import { CallRecord } from "./call_record.ts";
 import { CallSends, type SendState } from "./call_sends.ts";
+import { CallSuspicion } from "./call_suspicion.ts";
 import type { GatewayContext } from "./context.ts";
 import { nextPoll } from "./next_poll.ts";
 import { type BodyPass, EventPass, type Passed, passOf } from "./pass_on.ts";
@@ -53,6 +53,7 @@
   readonly #arrivedMs: number;
   readonly #places: CallPlaces;
   readonly #sends: CallSends;
+  readonly #suspicion: CallSuspicion;
   #body: Buffer = Buffer.alloc(0);
   #send: Send | undefined;
   #pass: BodyPass | undefined;
@@ -73,6 +74,7 @@
       { name, mostConnections: 64, coldMs: 0, coldPerS: 0, engine: undefined };
     this.#arrivedMs = context.clock.monoMs();
     this.#record = new CallRecord(context, input, name, this.#arrivedMs);
+    this.#suspicion = new CallSuspicion(context, input, this.#record);
     this.#move = new StreamMove(context, input, this.#service);
     this.#places = new CallPlaces(
       context,
@@ -108,6 +110,7 @@
       if (body.isErr()) this.#fail(failure(BODY_CODES[body.error]), 0);
       else {
         this.#body = body.value;
+        this.#suspicion.body = body.value;
         if (this.#context.members.lagMs > BEHIND_MS) await nextPoll();
         this.#context.budget(this.#service.name).countRequest(clock.monoMs());
         await this.#serve();
@@ -139,6 +142,17 @@
         await this.#goOn(this.#goesOn);
         continue;
       }
+      const refusal = await this.#suspicion.refusal();
+      if (this.#over) return;
+      if (refusal) {
+        return this.#fail(
+          this.#mayHaveRun
+            ? this.#last ?? failure("upstreamFailed")
+            : failure(refusal.code),
+          this.#mayHaveRun ? 0 : refusal.comeBackMs,
+        );
+      }
+      this.#places.isSuspect = this.#suspicion.isSuspect;
       const { step, settle } = await this.#places.place();
       const send = this.#over ? undefined : this.#take(step);
       settle();
@@ -172,6 +186,8 @@
         ? this.#pass.lastEventId
         : undefined,
       onStreamCheck: this.#onStreamCheck,
+      isSuspect: this.#suspicion.isSuspect,
+      isOnTrial: this.#suspicion.hasLeave,
     };
   }
 
@@ -179,12 +195,14 @@
   async #follow(send: Send): Promise<void> {
     this.#record.tries++;
     this.#send = send;
+    this.#suspicion.noteSend();
     try {
       const head = await send.head();
       if (this.#over) return;
       if (head.type === "unanswered") {
-        this.#noteLoss(send);
-        return this.#unanswered(send, head);
+        await this.#noteLoss(send);
+        if (!this.#over) this.#unanswered(send, head);
+        return;
       }
       if (!send.goesOn) this.#record.noteArrival();
       if (head.read.status >= 500 && this.#sendsFailedAgain(head)) {
@@ -197,23 +215,23 @@
       if (this.#over) return;
       if (passed === "whole") {
         this.#reply.end();
+        if (head.read.status < 500) this.#suspicion.noteServed();
         return this.#finish("ok", undefined);
       }
       this.#goesOn = await this.#move.moved();
       if (this.#over || this.#goesOn) return;
       send.noteBroken();
-      this.#noteLoss(send);
-      this.#broken("upstream broke off");
+      await this.#noteLoss(send);
+      if (!this.#over) this.#broken("upstream broke off");
     } finally {
       send.close();
     }
   }
 
-  #noteLoss({ loss }: Send): void {
-    if (!loss) return;
-    const { head } = this.#input;
-    this.#record.noteLoss(loss, requestDigest({ ...head, body: this.#body }));
-    void this.#context.losses.look(loss.candidate.upstream);
+  /** A send was lost; what may go on elsewhere waits until it is known whether it has ended its upstream. */
+  #noteLoss(send: Send): Promise<void> {
+    const { route, relayed } = this.#input;
+    return this.#suspicion.noteLoss(send, mayRepeat(route) || relayed);
   }
 
   #passOn(send: Send, { answer, read }: Answered): Promise<Passed> {
@@ -222,6 +240,7 @@
       this.#pass = passOf(this.#reply, this.#needsEvents(), () => {
         this.#send?.noteChunk();
         this.#record.noteChunk();
+        this.#suspicion.noteChunk();
       });
     } else if (this.#pass instanceof EventPass) this.#pass.dropPart();
     this.#send = send;
@@ -241,6 +260,7 @@
   /** Looks whether a stream is better off at another engine. */
   readonly #onStreamCheck = (): void => {
     const send = this.#send;
+    if (this.#suspicion.isSuspect) return;
     if (!(send instanceof UpstreamSend && this.#pass instanceof EventPass)) {
       return;
     }
@@ -265,6 +285,9 @@
     if (send instanceof RelaySend && !head.reached) {
       this.#places.forgetTriedRegion(send.region);
     }
+    if (head.endedUpstream !== undefined) {
+      this.#suspicion.noteEndElsewhere(head.endedUpstream);
+    }
     if (head.arrived) this.#record.sends++;
     this.#record.arrivals += head.arrivals;
     this.#last = head.failure;
@@ -339,7 +362,10 @@
     if (cause.ran === "no") this.#places.giveBackUse();
     this.#finish(cause.code, reason, comeBackMs);
     if (this.#reply.isBegun) this.#reply.breakOff();
-    else this.#reply.fail(cause, comeBackMs, this.#record.arrivals);
+    else {
+      const { arrivals, endedUpstream } = this.#record;
+      this.#reply.fail(cause, comeBackMs, { arrivals, endedUpstream });
+    }
   }
 
   #finish(
--- a/src/gateway/call_input.ts
+++ b/src/gateway/call_input.ts
@@ -30,6 +30,8 @@
   readonly deadlineMonoMs: number;
   /** Whether another VM handed it over; it then stays in this region. */
   readonly relayed: boolean;
+  /** Whether the other VM has the leave to run it although upstreams ended under it. */
+  readonly isOnTrial: boolean;
   /** Upstreams that this VM may send it to; fewer than the route's if another VM has sent it already. */
   readonly mostUpstreams: number;
 }
--- a/src/gateway/call_places.ts
+++ b/src/gateway/call_places.ts
@@ -39,6 +39,8 @@
   readonly #input: CallInput;
   readonly #service: ServiceRow;
   readonly #record: CallRecord;
+  /** Whether upstreams ended as the request began to run. */
+  isSuspect = false;
   #ask: PlaceAsk;
   #counted: { readonly use: QuotaUse; readonly by: CountedBy } | undefined;
   readonly #tried = new Set<string>();
@@ -72,6 +74,7 @@
       triedRegions: this.#triedRegions,
       homeRegions: caller.homeRegions,
       isRelayed: relayed,
+      isSuspect: false,
       quota: relayed ? undefined : useOf(input),
     };
   }
@@ -93,6 +96,7 @@
 
   /** What to do next with the request. Its use of its workspace's limit is counted with its first send. */
   async place(): Promise<Placed> {
+    this.#ask = { ...this.#ask, isSuspect: this.isSuspect };
     const placed = await this.#context.placing.place(this.#ask);
     const { quota: use } = this.#ask;
     if (placed.countedBy && use) {
--- a/src/gateway/call_record.ts
+++ b/src/gateway/call_record.ts
@@ -6,11 +6,12 @@
 
 import type { CodeName } from "../base/mod.ts";
 import type { RefusedOn } from "../routing/mod.ts";
+import type { Standing } from "../suspects/mod.ts";
 import type { QuotaUse } from "../quota/mod.ts";
 import type { CallInput } from "./call_input.ts";
 import type { GatewayContext } from "./context.ts";
 import type { CountedBy } from "./quotas.ts";
-import type { Loss } from "./send.ts";
+import type { Loss } from "./losses.ts";
 
 /** The longest time between two pieces of an answer. */
 interface LongestPause {
@@ -31,11 +32,14 @@
   arrivals = 0;
   /** Sends that were tried, connections that failed included. */
   tries = 0;
+  /** The upstream that ended as the request began to run there. */
+  endedUpstream: string | undefined;
   /** Times that the stream went on at another engine, with its memory. */
   moves = 0;
   #refusal: Readonly<Record<string, unknown>> = {};
   #quota: Readonly<Record<string, unknown>> = {};
   #loss: Readonly<Record<string, unknown>> = {};
+  #suspicion: Readonly<Record<string, unknown>> = {};
   readonly #context: GatewayContext;
   readonly #input: CallInput;
   readonly #service: string;
@@ -109,6 +113,15 @@
     };
   }
 
+  /** Upstreams ended under it before. */
+  noteSuspect(
+    standing: Standing,
+    digest: string,
+    ends: readonly string[],
+  ): void {
+    this.#suspicion = { request: digest, standing, ends: ends.join() };
+  }
+
   /** The request is sent once more. */
   sentAgain(reason: string): void {
     this.#context.log.warn("sent again", this.#fields({ reason }));
@@ -175,6 +188,7 @@
       moves: this.moves,
       ...pause,
       ...this.#quota,
+      ...this.#suspicion,
       ...this.#loss,
       ...this.#refusal,
       ...more,
--- a/src/gateway/call_sends.ts
+++ b/src/gateway/call_sends.ts
@@ -26,6 +26,10 @@
   /** The last event that the caller has, if its stream broke and goes on. */
   readonly lastEventId: string | undefined;
   readonly onStreamCheck: () => void;
+  /** Whether upstreams ended as the request began to run. */
+  readonly isSuspect: boolean;
+  /** Whether it has the leave to run once more. */
+  readonly isOnTrial: boolean;
 }
 
 /** Options of {@link CallSends}. */
@@ -118,6 +122,7 @@
     return new RelaySend(context, sendable, vm, {
       configVersion: input.config.version,
       keyDigest: input.head.keyDigest,
+      isOnTrial: state.isOnTrial,
       // One, and no more: this VM cannot tell how many were used if it gives the hand-over up, and may send again itself.
       mostUpstreams: 1,
     });
@@ -126,7 +131,7 @@
   #sendable(
     promptTokens: number,
     fetchFrom: string | undefined,
-    { body, lastEventId, onStreamCheck }: SendState,
+    { body, lastEventId, onStreamCheck, isSuspect }: SendState,
   ): Sendable {
     const { input, service, places, record } = this.#options;
     const { head, request, route, deadlineMonoMs } = input;
@@ -146,8 +151,12 @@
       urgency: service.engine && places.urgency(promptTokens),
       onStreamCheck,
       eventGapMs: route.eventGapMs,
-      patienceMs: record.tries === 0 ? patienceMs(route) : Infinity,
+      // What may have ended an upstream must not run at a second one while its first run is unknown.
+      patienceMs: record.tries === 0 && !isSuspect
+        ? patienceMs(route)
+        : Infinity,
       mayRepeat: mayRepeat(route),
+      isSuspect,
       hasOther: () => this.#hasOther(),
     };
   }
--- a/src/gateway/context.ts
+++ b/src/gateway/context.ts
@@ -9,13 +9,14 @@
 import { type RepeatBounds, RepeatBudget } from "../routing/mod.ts";
 import type { Beliefs } from "./beliefs.ts";
 import { BodyMemory } from "./body.ts";
-import { Losses } from "./losses.ts";
+import type { Losses } from "./losses.ts";
 import type { Members } from "./members.ts";
 import type { Placing } from "./placing.ts";
 import type { Quotas } from "./quotas.ts";
 import type { Relays } from "./relays.ts";
 import type { GatewayMetrics } from "./metrics.ts";
 import type { GatewaySettings } from "./settings.ts";
+import type { Suspects } from "./suspects.ts";
 import type { Upstreams } from "./upstreams.ts";
 
 /** Share of a VM's memory that bodies may take; the process itself needs about a third. */
@@ -35,9 +36,10 @@
   readonly placing: Placing;
   readonly quotas: Quotas;
   readonly metrics: GatewayMetrics;
+  readonly losses: Losses;
+  readonly suspects: Suspects;
   readonly random = new Random(process.pid ^ Date.now());
   readonly bodies: BodyMemory;
-  readonly losses: Losses;
   /** Whether this VM is being stopped. */
   isLeaving = false;
   /** When the signal to stop came, on the monotonic clock. */
@@ -61,6 +63,8 @@
       | "placing"
       | "quotas"
       | "metrics"
+      | "losses"
+      | "suspects"
     >,
   ) {
     this.settings = parts.settings;
@@ -73,7 +77,8 @@
     this.placing = parts.placing;
     this.quotas = parts.quotas;
     this.metrics = parts.metrics;
-    this.losses = new Losses(parts.clock, parts.log, parts.metrics);
+    this.losses = parts.losses;
+    this.suspects = parts.suspects;
     this.bodies = new BodyMemory(
       parts.settings.vm.memoryMb * BYTES_PER_MB * BODY_MEMORY_SHARE,
     );
--- a/src/gateway/front.ts
+++ b/src/gateway/front.ts
@@ -183,6 +183,7 @@
     this.#open({
       ...input,
       relayed: false,
+      isOnTrial: false,
       mostUpstreams: route.mostUpstreams,
     }, reply);
   }
@@ -226,7 +227,8 @@
     };
     const mostUpstreams =
       Number(request.headers[RELAY_HEADERS.mostUpstreams]) || 1;
-    this.#open({ ...input, relayed: true, mostUpstreams }, reply);
+    const isOnTrial = request.headers[RELAY_HEADERS.onTrial] !== undefined;
+    this.#open({ ...input, relayed: true, isOnTrial, mostUpstreams }, reply);
   }
 
   /** Finds out who calls, or refuses. */
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -14,6 +14,7 @@
 import { Directory } from "./directory.ts";
 import { Front } from "./front.ts";
 import { hostPort } from "./listen.ts";
+import { Losses } from "./losses.ts";
 import { Members } from "./members.ts";
 import { GatewayMetrics } from "./metrics.ts";
 import { PeerRpc } from "./peer_rpc.ts";
@@ -23,6 +24,7 @@
 import { roomOf } from "./room.ts";
 import type { GatewaySettings } from "./settings.ts";
 import { drain } from "./stop.ts";
+import { Suspects } from "./suspects.ts";
 import { Upstreams } from "./upstreams.ts";
 
 /** Time for the services to close after the last answer. */
@@ -109,6 +111,17 @@
     const upstreams = new Upstreams(beliefs.fleet, members, vm);
     const relays = new Relays(members, hostPort(settings.listen.peers).port);
     const metrics = new GatewayMetrics();
+    const losses = new Losses(clock, log, metrics);
+    const suspects = new Suspects({
+      self: vm,
+      datagrams,
+      members,
+      fleet: beliefs.fleet,
+      losses,
+      store,
+      leastLeaseMs: settings.store.leastLeaseMs,
+      metrics,
+    });
     const { quotaExcess, quotaSlack, quotaWindowMs } = settings.bounds;
     const quotas = new Quotas({
       self: vm,
@@ -144,6 +157,8 @@
       placing,
       quotas,
       metrics,
+      losses,
+      suspects,
     });
     const directory = new Directory(context);
     const peerRpc = new PeerRpc(beliefs, members, relays, vm.region);
@@ -154,6 +169,7 @@
       beliefs,
       upstreams,
       quotas,
+      suspects,
       placing,
       members,
       peerRpc,
--- a/src/gateway/losses.ts
+++ b/src/gateway/losses.ts
@@ -13,6 +13,15 @@
 /** Losses that come within this time have one cause; an upstream that ended needs longer to be back. */
 const TOGETHER_MS = 150;
 
+/** How an upstream's connection broke under a request that had reached it. */
+export interface Loss {
+  readonly upstream: KnownUpstream;
+  /** Time since the request was sent there. */
+  readonly sentAgoMs: number;
+  /** Time since the first bytes of its answer's body; absent if none came. */
+  readonly beganAgoMs?: number;
+}
+
 interface Look {
   readonly reach: Promise<Reach>;
   readonly untilMs: number;
--- a/src/gateway/place_here.ts
+++ b/src/gateway/place_here.ts
@@ -37,6 +37,8 @@
   readonly homeRegions: readonly string[];
   /** Whether it was handed over already, and stays in this region. */
   readonly isRelayed: boolean;
+  /** Whether upstreams ended as it began to run: it then goes where an end harms least. */
+  readonly isSuspect: boolean;
   /** What it uses of its workspace's limit; absent if that is counted, or there is none. */
   readonly quota: QuotaUse | undefined;
 }
@@ -85,6 +87,7 @@
       (name) => isFree && config.isHomeOf(service.name, name),
     ),
     affinity: affinityOf(prompt.parts),
+    isSuspect: ask.isSuspect,
     draw: random.next(),
   });
 }
--- a/src/gateway/place_wire.ts
+++ b/src/gateway/place_wire.ts
@@ -31,6 +31,8 @@
   readonly triedRegions: readonly string[];
   readonly homeRegions: readonly string[];
   readonly isRelayed: boolean;
+  /** Absent for requests of which nothing is known. */
+  readonly isSuspect?: true;
   readonly quota?: QuotaUse;
 }
 
@@ -94,6 +96,7 @@
     triedRegions: [...ask.triedRegions],
     homeRegions: ask.homeRegions,
     isRelayed: ask.isRelayed,
+    ...(ask.isSuspect ? { isSuspect: true } : {}),
     quota: ask.quota,
   };
 }
@@ -142,6 +145,7 @@
     triedRegions: new Set(question.triedRegions),
     homeRegions: question.homeRegions,
     isRelayed: question.isRelayed,
+    isSuspect: question.isSuspect === true,
     quota: decodeUse(question.quota),
   };
 }
--- a/src/gateway/placing_test.ts
+++ b/src/gateway/placing_test.ts
@@ -21,6 +21,7 @@
   triedRegions: new Set(),
   homeRegions: [],
   isRelayed: false,
+  isSuspect: false,
   quota: undefined,
 } as unknown as PlaceAsk;
 
--- a/src/gateway/relay_send.ts
+++ b/src/gateway/relay_send.ts
@@ -21,6 +21,8 @@
   readonly mostUpstreams: number;
   /** Tells which workspace calls; the other VM looks it up in its own configuration. */
   readonly keyDigest: string | undefined;
+  /** Whether the request has the leave to run once more. */
+  readonly isOnTrial: boolean;
 }
 
 /** A send to a VM of another region. */
@@ -54,6 +56,7 @@
         ...(terms.keyDigest === undefined
           ? []
           : [RELAY_HEADERS.keyDigest, terms.keyDigest]),
+        ...(terms.isOnTrial ? [RELAY_HEADERS.onTrial, "1"] : []),
       ],
       body: sendable.body,
       connectWaitMs: RELAY_CONNECT_WAIT_MS,
@@ -92,6 +95,7 @@
       mayHaveRun,
       arrived: mayHaveRun,
       arrivals: refused.arrivals,
+      endedUpstream: refused.endedUpstream,
       reason: `${this.#vm.ip} answered ${refused.failure.code}`,
       failure: refused.failure,
       comeBackMs: refused.comeBackMs,
--- a/src/gateway/reply.ts
+++ b/src/gateway/reply.ts
@@ -77,13 +77,25 @@
     this.response.destroy();
   }
 
-  /** Answers with a failure of our own; `arrivals` is how many upstreams the request came to. */
-  abstract fail(failure: Failure, comeBackMs: number, arrivals?: number): void;
+  /** Answers with a failure of our own. */
+  abstract fail(
+    failure: Failure,
+    comeBackMs: number,
+    toPeer?: FailedAt,
+  ): void;
 
   /** Whether the connection is closed after this answer. */
   protected abstract readonly closes: boolean;
 }
 
+/** What a VM that handed the request over is told besides. */
+export interface FailedAt {
+  /** How many upstreams the request came to. */
+  readonly arrivals: number;
+  /** The upstream that ended as it began to run there. */
+  readonly endedUpstream: string | undefined;
+}
+
 /** A reply to a caller. */
 export class CallerReply extends Reply {
   readonly #isLeaving: () => boolean;
@@ -126,13 +138,24 @@
   comeBackMs: "ibisgap-come-back-ms",
   /** How many upstreams the request came to before it failed. */
   arrivals: "ibisgap-arrivals",
+  /** The upstream that ended under the request. */
+  endedUpstream: "ibisgap-ended-upstream",
+  /** Set if the request has the leave to run although upstreams ended under it. */
+  onTrial: "ibisgap-on-trial",
 } as const;
 
 /** A reply to another VM, which answers its caller. */
 export class PeerReply extends Reply {
   protected readonly closes = false;
 
-  fail(failure: Failure, comeBackMs: number, arrivals = 0): void {
+  fail(
+    failure: Failure,
+    comeBackMs: number,
+    { arrivals, endedUpstream }: FailedAt = {
+      arrivals: 0,
+      endedUpstream: undefined,
+    },
+  ): void {
     this.response.writeHead(codes[failure.code].httpStatus, [
       RELAY_HEADERS.code,
       failure.code,
@@ -142,6 +165,9 @@
       String(comeBackMs),
       RELAY_HEADERS.arrivals,
       String(arrivals),
+      ...(endedUpstream === undefined
+        ? []
+        : [RELAY_HEADERS.endedUpstream, endedUpstream]),
       "Content-Length",
       "0",
     ]);
@@ -155,6 +181,8 @@
   readonly comeBackMs: number;
   /** How many upstreams the request came to there. */
   readonly arrivals: number;
+  /** The upstream that ended under it there. */
+  readonly endedUpstream: string | undefined;
 }
 
 /** Reads a failure that another VM answered with; `undefined` if it passed an upstream's answer on. */
@@ -165,6 +193,7 @@
   if (typeof code !== "string") return undefined;
   const known = code in codes ? code as CodeName : "internal";
   const ran = headers[RELAY_HEADERS.ran];
+  const ended = headers[RELAY_HEADERS.endedUpstream];
   return {
     failure: {
       code: known,
@@ -173,5 +202,6 @@
     },
     comeBackMs: Number(headers[RELAY_HEADERS.comeBackMs]) || 0,
     arrivals: Number(headers[RELAY_HEADERS.arrivals]) || 0,
+    endedUpstream: typeof ended === "string" ? ended : undefined,
   };
 }
--- a/src/gateway/send.ts
+++ b/src/gateway/send.ts
@@ -10,7 +10,7 @@
 import type { PromptPart } from "../routing/mod.ts";
 import type { GatewayContext } from "./context.ts";
 import type { Exchange, ExchangeFailure } from "./exchange.ts";
-import type { LinkedCandidate } from "./upstream_link.ts";
+import type { Loss } from "./losses.ts";
 
 /** When to return after the last upstream refused: another VM or upstream may have room at once. */
 export const REFUSED_RETURN_MS = 300;
@@ -43,6 +43,8 @@
   readonly patienceMs: number;
   /** Whether the request may run more than once. */
   readonly mayRepeat: boolean;
+  /** Whether upstreams ended as it began to run. */
+  readonly isSuspect: boolean;
   /** Whether another place would serve the request now; without one, giving up gains nothing. */
   readonly hasOther: () => boolean;
 }
@@ -65,20 +67,13 @@
   readonly arrived: boolean;
   /** How many upstreams it came to, those included that turned it away. */
   readonly arrivals: number;
+  /** The upstream that ended under it, by the VM that the request was handed to. */
+  readonly endedUpstream?: string | undefined;
   readonly reason: string;
   readonly failure: Failure;
   readonly comeBackMs: number;
 }
 
-/** How an upstream's connection broke under a request that had reached it. */
-export interface Loss {
-  readonly candidate: LinkedCandidate;
-  /** Time since the request was sent there. */
-  readonly sentAgoMs: number;
-  /** Time since the first bytes of its answer's body; absent if none came. */
-  readonly beganAgoMs?: number;
-}
-
 /** See the module. Must be closed when the answer's body has ended. */
 export abstract class Send {
   protected readonly context: GatewayContext;
--- a/src/gateway/upstream_link.ts
+++ b/src/gateway/upstream_link.ts
@@ -34,6 +34,8 @@
   /** Called for each request that is there when the upstream turns out to be dark. */
   readonly onDark = new Set<() => void>();
   running = 0;
+  /** Requests under way under which upstreams ended before. */
+  suspects = 0;
   waitingTokens = 0;
   usedMonoMs: number;
   /** Where the last request was sent. */
--- a/src/gateway/upstream_send.ts
+++ b/src/gateway/upstream_send.ts
@@ -10,9 +10,9 @@
 import type { SendOutcome } from "../routing/mod.ts";
 import type { GatewayContext } from "./context.ts";
 import { Exchange, type ExchangeFailure } from "./exchange.ts";
+import type { Loss } from "./losses.ts";
 import {
   type Answered,
-  type Loss,
   REFUSED_RETURN_MS,
   Send,
   type Sendable,
@@ -50,6 +50,7 @@
     this.#sentMonoMs = nowMs;
     link.open(upstream, nowMs, this.#waitingTokens);
     if (sendable.mayRepeat) link.onDark.add(this.#leaveDark);
+    if (sendable.isSuspect) link.suspects++;
     // A lead has counted what it granted.
     if (!candidate.granted) context.members.noteRead();
     candidate.pace.noteSend(this.#waitingTokens);
@@ -118,7 +119,7 @@
     const nowMs = this.context.clock.monoMs();
     const beganMs = this.#firstChunkMonoMs;
     this.#loss = {
-      candidate: this.#candidate,
+      upstream: this.#candidate.upstream,
       sentAgoMs: nowMs - this.#sentMonoMs,
       ...(beganMs === undefined ? {} : { beganAgoMs: nowMs - beganMs }),
     };
@@ -151,6 +152,7 @@
     this.#link.onDark.delete(this.#leaveDark);
     this.#started();
     this.#link.running--;
+    if (this.sendable.isSuspect) this.#link.suspects--;
     this.context.members.noteOver();
   }
 
--- a/src/gateway/upstreams.ts
+++ b/src/gateway/upstreams.ts
@@ -160,6 +160,7 @@
         waitingTokens: link.waitingTokens + waitingTokens,
         slots: upstream.slots,
         doubtful: cold || link.health.isFailing(),
+        suspects: link.suspects,
         aside: link.health.isAside(nowMs),
         paced: !cold ||
           (link.coldOwner(key, coldVmIds) === this.#self.id &&
@@ -187,6 +188,7 @@
       preference: 0,
       slots: upstream.slots,
       doubtful: false,
+      suspects: 0,
       aside: false,
       paced: true,
       ...granted,
--- a/src/platform/keys.ts
+++ b/src/platform/keys.ts
@@ -13,6 +13,11 @@
 /** Where the VMs find each other; the layout below it is our own. */
 export const VM_PREFIX = "ibisgap/vms/";
 
+/** Requests under which upstreams ended, by their digests; what stands there is our own. */
+export const SUSPECT_PREFIX = "ibisgap/suspects/";
+/** Who runs such a request once more, so that nobody else does. */
+export const TRIAL_PREFIX = "ibisgap/trials/";
+
 const EVACUATE_PREFIX = "op/evacuate/";
 
 /** The failure domain that a key says is evacuated, if it is such a key. */
--- a/src/routing/move_test.ts
+++ b/src/routing/move_test.ts
@@ -15,6 +15,7 @@
     slots: 64,
     unreadTokens: 0,
     doubtful: false,
+    suspects: 0,
     aside: false,
     paced: true,
     ...more,
--- a/src/routing/place.ts
+++ b/src/routing/place.ts
@@ -24,6 +24,8 @@
   readonly unreadTokens: number;
   /** Whether it fails often or was lost a moment ago. */
   readonly doubtful: boolean;
+  /** Requests under which upstreams ended before and that this VM has sent there. */
+  readonly suspects: number;
 }
 
 /** What a request is placed by, besides the candidates. */
@@ -190,6 +192,17 @@
     .map(({ candidate }) => candidate);
 }
 
+/**
+ * Orders candidates for a request under which upstreams ended: apart from other suspects, so that the next end tells them
+ * apart, then where fewest others would lose their streams.
+ */
+export function byHarm<C extends Candidate>(candidates: readonly C[]): C[] {
+  return [...candidates].sort((a, b) =>
+    Number(a.doubtful) - Number(b.doubtful) || a.suspects - b.suspects ||
+    a.running - b.running || a.preference - b.preference
+  );
+}
+
 /** Shared tokens of a prompt from which fetching them from another engine is worth the call. */
 const LEAST_FETCH_TOKENS = 1_000;
 
--- a/src/routing/place_load_test.ts
+++ b/src/routing/place_load_test.ts
@@ -59,6 +59,7 @@
         ),
         unreadTokens: OWN_TOKENS + (isWarm ? 0 : SHARED_TOKENS),
         doubtful: false,
+        suspects: 0,
       };
     });
     const engine = engines.get(choose(seen, subject))!;
@@ -102,6 +103,7 @@
         waitingTokens: (own.get(key) ?? 0) * promptTokens,
         unreadTokens: promptTokens,
         doubtful: false,
+        suspects: 0,
       }));
       const [{ key }] = rank(seen, undefined, TERMS);
       own.set(key, (own.get(key) ?? 0) + 1);
--- a/src/routing/reading_load_test.ts
+++ b/src/routing/reading_load_test.ts
@@ -53,6 +53,7 @@
       slots: SLOTS,
       unreadTokens,
       doubtful: false,
+      suspects: 0,
       aside: false,
       paced: true,
     };
--- a/src/routing/step.ts
+++ b/src/routing/step.ts
@@ -6,6 +6,7 @@
 
 import {
   type Affinity,
+  byHarm,
   type Candidate,
   comfortableSlots,
   hasRoom,
@@ -48,6 +49,8 @@
   /** Other regions that may serve it; empty if it was handed over already. */
   readonly regions: readonly RegionRoom[];
   readonly affinity: Affinity | undefined;
+  /** Whether upstreams ended as it began to run. */
+  readonly isSuspect: boolean;
   /** A number in [0, 1) that spreads hand-overs and returns. */
   readonly draw: number;
 }
@@ -148,7 +151,9 @@
     return { type: "refuse", reason: "expired", comeBackMs: 0, ...refusedOn };
   }
   const usable = input.candidates.filter(({ aside, paced }) => !aside && paced);
-  const best = rank(usable, input.affinity, terms);
+  const best = input.isSuspect
+    ? byHarm(usable)
+    : rank(usable, input.affinity, terms);
   if (best.length > 0 && hasRoom(best[0], terms)) {
     return { type: "send", candidate: best[0] };
   }
--- a/src/routing/step_test.ts
+++ b/src/routing/step_test.ts
@@ -21,6 +21,7 @@
     slots: 10,
     unreadTokens: 0,
     doubtful: false,
+    suspects: 0,
     aside: false,
     paced: true,
     ...more,
@@ -44,6 +45,7 @@
     candidates: [],
     regions: [],
     affinity: undefined,
+    isSuspect: false,
     draw: 0.5,
     ...more,
   });
--- a/src/suspects/mod.ts
+++ b/src/suspects/mod.ts
@@ -4,4 +4,6 @@
  * @module
  */
 
+export * from "./end_book.ts";
+export * from "./evidence.ts";
 export * from "./identity.ts";
--- a/test/gateway_crashing_test.ts
+++ b/test/gateway_crashing_test.ts
@@ -85,6 +85,7 @@
             await attempt(lab, vm, { ...request, body: FATAL });
             await pause(PAUSE_MS);
           }
+          t.log(`${endsOf(lab)} upstreams ended`);
           t.true(endsOf(lab) <= MOST_ENDS, `${endsOf(lab)} upstreams ended`);
         });
       }
