The own interface judges crashing requests by the same code

src/suspects gets a keeper (what is known, told, written down and judged), which the platform's gateway and a service of the daemon both use; each brings its own ways to the other VMs, the store and the log. Calls ask it before each attempt, say when a connection broke, and clear what was served. VMs tell each other by suspects.ends.

Not built there: suspects run where the pool's lead says, not apart.

--- a/src/adapters/mod.ts
+++ b/src/adapters/mod.ts
@@ -15,4 +15,6 @@
 export * from "./link_faults.ts";
 export * from "./ws_transport.ts";
 export * from "./engine_load.ts";
+export * from "./reach.ts";
 export * from "./read_text.ts";
+export * from "./suspect_store.ts";
--- a/src/gateway/suspect_store.ts
+++ b/src/adapters/suspect_store.ts
@@ -5,41 +5,42 @@
  * @module
  */
 
-import type { KeyValue } from "../adapters/mod.ts";
-import { SUSPECT_PREFIX, TRIAL_PREFIX } from "../platform/mod.ts";
+import type { StoredSuspect } from "../suspects/mod.ts";
+import type { KeyValue } from "./key_value.ts";
 
 /** The longest lease that the store gives; a restart of all VMs takes seconds. */
 const RECORD_MS = 10 * 60_000;
 /** A request that runs once more has ended its upstream or survived by then; a VM that was lost meanwhile holds it up so long. */
 const TRIAL_MS = 15_000;
 
-/** A suspect as it stands in the store. */
-export interface StoredSuspect {
-  readonly digest: string;
-  /** Keys of the upstreams that ended under it. */
-  readonly upstreams: readonly string[];
+/** Options of {@link SuspectStore}. */
+export interface SuspectStoreOptions {
+  readonly store: KeyValue;
+  readonly vmId: string;
+  /** The shortest lease that the store gives. */
+  readonly leastLeaseMs: number;
+  /** What stands before a request's digest in the keys. */
+  readonly suspectPrefix: string;
+  readonly trialPrefix: string;
 }
 
 /** See the module. What fails is told to the caller; nothing is tried again here. */
 export class SuspectStore {
-  readonly #store: KeyValue;
-  readonly #vmId: string;
-  readonly #leastLeaseMs: number;
+  readonly #options: SuspectStoreOptions;
 
-  constructor(store: KeyValue, vmId: string, leastLeaseMs: number) {
-    this.#store = store;
-    this.#vmId = vmId;
-    this.#leastLeaseMs = leastLeaseMs;
+  constructor(options: SuspectStoreOptions) {
+    this.#options = options;
   }
 
   /** All that stand there; `undefined` if the store did not say. */
   async list(): Promise<StoredSuspect[] | undefined> {
-    const listing = await this.#store.list(SUSPECT_PREFIX, {}, "other");
+    const { store, suspectPrefix } = this.#options;
+    const listing = await store.list(suspectPrefix, {}, "other");
     if (listing.isErr()) return undefined;
     return listing.value.entries.flatMap(({ key, value }) => {
       const upstreams = decode(value);
       return upstreams
-        ? [{ digest: key.slice(SUSPECT_PREFIX.length), upstreams }]
+        ? [{ digest: key.slice(suspectPrefix.length), upstreams }]
         : [];
     });
   }
@@ -47,7 +48,7 @@
   /** Writes a suspect down. */
   async put({ digest, upstreams }: StoredSuspect): Promise<boolean> {
     return await this.#putLeased(
-      SUSPECT_PREFIX + digest,
+      this.#options.suspectPrefix + digest,
       JSON.stringify(upstreams),
       RECORD_MS,
     );
@@ -56,8 +57,8 @@
   /** Takes the leave to run a suspect; `false` if another has it or the store does not answer. */
   async takeTrial(digest: string): Promise<boolean> {
     return await this.#putLeased(
-      TRIAL_PREFIX + digest,
-      this.#vmId,
+      this.#options.trialPrefix + digest,
+      this.#options.vmId,
       TRIAL_MS,
       0,
     );
@@ -65,9 +66,10 @@
 
   /** Strikes a suspect out: it ran and ended nothing. */
   async strike(digest: string): Promise<void> {
-    await this.#store.transact([
-      { type: "delete", key: SUSPECT_PREFIX + digest },
-      { type: "delete", key: TRIAL_PREFIX + digest },
+    const { store, suspectPrefix, trialPrefix } = this.#options;
+    await store.transact([
+      { type: "delete", key: suspectPrefix + digest },
+      { type: "delete", key: trialPrefix + digest },
     ], "other");
   }
 
@@ -77,19 +79,20 @@
     leaseMs: number,
     ifRev?: number,
   ): Promise<boolean> {
-    const lease = await this.#store.grant(
-      Math.max(this.#leastLeaseMs, leaseMs),
+    const { store, leastLeaseMs } = this.#options;
+    const lease = await store.grant(
+      Math.max(leastLeaseMs, leaseMs),
       "other",
     );
     if (lease.isErr()) return false;
-    const put = await this.#store.put(
+    const put = await store.put(
       key,
       value,
       { leaseId: lease.value, ...(ifRev === undefined ? {} : { ifRev }) },
       "other",
     );
     if (put.isOk()) return true;
-    void this.#store.revoke(lease.value, "other");
+    void store.revoke(lease.value, "other");
     return false;
   }
 }
--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -32,6 +32,7 @@
   MetricsService,
   type OrderSink,
   SlotsService,
+  SuspectsService,
   TableEditor,
   tableRoutes,
   TableService,
@@ -288,6 +289,9 @@
       onOrder: orderSink(kernel),
     }),
   );
+  await kernel.start(
+    new SuspectsService({ vmId: vm.id, region: vm.region, store, transport }),
+  );
   await kernel.start(
     new ClaimsService({
       me,
--- a/src/edge/call_run.ts
+++ b/src/edge/call_run.ts
@@ -10,6 +10,7 @@
 import type { Call } from "./call.ts";
 import type { EdgeContext } from "./context.ts";
 import { Seen } from "./seen.ts";
+import { Suspicion } from "./suspicion.ts";
 
 /** What to do after an attempt: the caller has its answer, or another attempt may follow. */
 export type Step = "answered" | "retry";
@@ -36,6 +37,11 @@
   /** Answers the caller. */
   abstract run(): Promise<void>;
 
+  /** Whether upstreams ended under this call; asked before each attempt. */
+  protected suspicionOf(body: Buffer): Suspicion {
+    return new Suspicion(this.context, this.call, this.seen, body);
+  }
+
   /** A refusal after an attempt that may have run must not claim that nothing was run. */
   protected worst(refusal: Failure): Failure {
     return this.ran === "no" ? refusal : { ...refusal, ran: this.ran };
--- a/src/edge/context.ts
+++ b/src/edge/context.ts
@@ -14,6 +14,7 @@
   MembersMessages,
   MetricsMessages,
   SlotsMessages,
+  SuspectsMessages,
   TableMessages,
 } from "../services/mod.ts";
 import type { Place } from "./answer.ts";
@@ -42,6 +43,7 @@
   readonly slots: Port<SlotsMessages>;
   readonly claims: Port<ClaimsMessages>;
   readonly directory: Port<DirectoryMessages>;
+  readonly suspects: Port<SuspectsMessages>;
   readonly metrics: Port<MetricsMessages>;
   /** A new id for an attempt, unlike any other's. */
   newAttemptId(): string;
--- a/src/edge/edge.ts
+++ b/src/edge/edge.ts
@@ -82,6 +82,7 @@
       slots: kernel.get("slots"),
       claims: kernel.get("claims"),
       directory: kernel.get("directory"),
+      suspects: kernel.get("suspects"),
       metrics: kernel.get("metrics"),
       newAttemptId: randomUUID,
     };
--- a/src/edge/model_call.ts
+++ b/src/edge/model_call.ts
@@ -21,6 +21,7 @@
 } from "./prompt.ts";
 import { relay, type RelayEnd } from "./relay.ts";
 import { StreamCheck } from "./stream_check.ts";
+import type { Suspicion } from "./suspicion.ts";
 
 /** Reconnections to one engine for one broken stream: an engine that cuts again and again is not waited for. */
 const RESUMES = 3;
@@ -31,6 +32,7 @@
 export class ModelCall extends CallRun {
   readonly #path: ModelPath;
   readonly #check = new StreamCheck();
+  #suspicion!: Suspicion;
 
   constructor(context: EdgeContext, call: Call, path: ModelPath) {
     super(context, call);
@@ -71,7 +73,10 @@
       service: service.id,
       deadlineMs,
     });
+    this.#suspicion = this.suspicionOf(body);
     while (attempts.left) {
+      const refused = await this.#suspicion.refusal();
+      if (refused) return this.fail(this.worst(refused));
       const attempt = await attempts.next();
       if (attempt.isErr()) return this.fail(this.worst(attempt.error));
       this.seen.granted(attempt.value);
@@ -103,7 +108,7 @@
     );
     try {
       const answer = await this.#open(attempt, body, abort.signal);
-      if (answer.isErr()) return this.#noAnswer(attempt, answer.error);
+      if (answer.isErr()) return await this.#noAnswer(attempt, answer.error);
       if (answer.value.httpStatus !== 200) {
         return await this.#notOk(attempt, answer.value);
       }
@@ -137,10 +142,11 @@
     );
   }
 
-  #noAnswer(attempt: Attempt, error: UpstreamError): Step {
+  async #noAnswer(attempt: Attempt, error: UpstreamError): Promise<Step> {
     if (error.kind === "unreachable") {
       return this.notRun(attempt, "unreachable");
     }
+    if (error.kind === "lost") await this.#suspicion.noteLost(attempt);
     this.ran = "unknown";
     this.last = failure("upstreamFailed", { message: error.message });
     attempt.report(
@@ -179,6 +185,7 @@
       const end = await this.#relay(attempt, answer);
       if (end.type === "whole") {
         this.call.response.end();
+        this.#suspicion.noteServed();
         this.end(attempt, "done", 0);
         return "answered";
       }
@@ -191,6 +198,7 @@
         upstream: attempt.grant.upstreamId,
         reason: end.reason,
       });
+      await this.#suspicion.noteLost(attempt);
       const again = resumes < RESUMES
         ? await this.#resume(attempt, body, signal)
         : undefined;
@@ -276,6 +284,7 @@
         return "answered";
       }
       attempt.report("failed");
+      if (text === undefined) await this.#suspicion.noteLost(attempt);
       this.ran = "yes";
       this.last = failure("upstreamFailed", {
         ran: "yes",
@@ -294,6 +303,7 @@
       answer.headers["content-type"] ?? "application/json",
     );
     response.end(text);
+    if (answer.httpStatus < 500) this.#suspicion.noteServed();
     this.seen.usage(JSON.parse(text.toString("utf8")).usage);
     this.end(attempt, "done", 0);
     return "answered";
--- a/src/edge/plain_call.ts
+++ b/src/edge/plain_call.ts
@@ -15,6 +15,7 @@
 import { CallRun, type Step } from "./call_run.ts";
 import type { EdgeContext } from "./context.ts";
 import { endToEnd } from "./headers.ts";
+import type { Suspicion } from "./suspicion.ts";
 
 /** Methods that change nothing, by HTTP's own definition: they need no claim and may be sent again. */
 const SAFE_METHODS = new Set(["GET", "HEAD", "OPTIONS"]);
@@ -45,6 +46,7 @@
   readonly #atMostOnce: boolean;
   readonly #mayRepeat: boolean;
   #claim: HeldClaim | undefined;
+  #suspicion!: Suspicion;
 
   /** `path` is what follows the service's name, with its query. */
   constructor(
@@ -76,7 +78,10 @@
     const deadlineMs = deadlineOf(this.call, this.#service);
     const demand = { ...PLAIN_WORK, service: this.#service.id, deadlineMs };
     const attempts = new Attempts(this.context, this.call, demand);
+    this.#suspicion = this.suspicionOf(body.value);
     while (attempts.left) {
+      const refused = await this.#suspicion.refusal();
+      if (refused) return await this.#giveUp(this.worst(refused));
       const attempt = await attempts.next();
       if (attempt.isErr()) {
         return await this.#giveUp(this.worst(attempt.error));
@@ -205,6 +210,7 @@
       return this.notRun(attempt, "unreachable");
     }
     attempt.report(error.kind === "canceled" ? "canceled" : "failed");
+    if (error.kind === "lost") await this.#suspicion.noteLost(attempt);
     this.ran = "unknown";
     this.last = error.kind === "canceled"
       ? failure("upstreamTimeout")
@@ -231,8 +237,10 @@
     this.#begin(attempt, answer);
     try {
       await pipeline(answer.body, response);
+      if (answer.httpStatus < 500) this.#suspicion.noteServed();
       this.end(attempt, "done", 0);
     } catch {
+      if (!this.call.signal.aborted) void this.#suspicion.noteLost(attempt);
       // Its length or last chunk is missing, so the caller's client sees that the answer was cut.
       response.destroy();
       this.end(
@@ -267,6 +275,7 @@
       },
     });
     this.#begin(attempt, answer);
+    if (answer.httpStatus < 500) this.#suspicion.noteServed();
     this.call.response.end(body);
     this.end(attempt, "done", 0);
     return "answered";
--- /dev/null
+++ b/src/edge/suspicion.ts
@@ -0,0 +1,65 @@
+/**
+ * How one call stands: whether upstreams ended under it, in this call or before, and whether it may run.
+ *
+ * @module
+ */
+
+import { type Failure, failure } from "../base/mod.ts";
+import { requestDigest } from "../suspects/mod.ts";
+import type { Attempt } from "./attempts.ts";
+import type { Call } from "./call.ts";
+import type { EdgeContext } from "./context.ts";
+import type { Seen } from "./seen.ts";
+
+/** See the module. */
+export class Suspicion {
+  readonly #context: EdgeContext;
+  readonly #seen: Seen;
+  readonly #digest: string;
+  #hasLeave = false;
+
+  constructor(context: EdgeContext, call: Call, seen: Seen, body: Buffer) {
+    this.#context = context;
+    this.#seen = seen;
+    this.#digest = requestDigest({
+      host: "",
+      target: call.request.url ?? "/",
+      keyDigest: call.workspace.id,
+      body,
+    });
+  }
+
+  /** Why the call may not run now; `undefined` if it may. */
+  async refusal(): Promise<Failure | undefined> {
+    const verdict = await this.#context.suspects.ask("judge", {
+      digest: this.#digest,
+      hasLeave: this.#hasLeave,
+    });
+    if (verdict.type === "runs") {
+      this.#hasLeave = verdict.hasLeave;
+      return undefined;
+    }
+    const retryAtMs = this.#context.clock.nowMs() + verdict.comeBackMs;
+    return failure(verdict.code, { retryAtMs });
+  }
+
+  /** An attempt's connection broke. Waits until it is known whether its upstream ended. */
+  async noteLost({ grant, startedAtMs }: Attempt): Promise<void> {
+    const nowMs = this.#context.clock.nowMs();
+    const { firstTokenAtMs } = this.#seen;
+    await this.#context.suspects.ask("lost", {
+      digest: this.#digest,
+      upstreamId: grant.upstreamId,
+      url: grant.url,
+      sentAgoMs: nowMs - startedAtMs,
+      ...(firstTokenAtMs === undefined
+        ? {}
+        : { beganAgoMs: nowMs - firstTokenAtMs }),
+    });
+  }
+
+  /** The call was answered. */
+  noteServed(): void {
+    void this.#context.suspects.ask("served", { digest: this.#digest });
+  }
+}
--- a/src/gateway/call.ts
+++ b/src/gateway/call.ts
@@ -142,15 +142,10 @@
         await this.#goOn(this.#goesOn);
         continue;
       }
-      const refusal = await this.#suspicion.refusal();
+      const verdict = await this.#suspicion.judge();
       if (this.#over) return;
-      if (refusal) {
-        return this.#fail(
-          this.#mayHaveRun
-            ? this.#last ?? failure("upstreamFailed")
-            : failure(refusal.code),
-          this.#mayHaveRun ? 0 : refusal.comeBackMs,
-        );
+      if (verdict.type === "refused") {
+        return this.#refuseRun(verdict.code, verdict.comeBackMs);
       }
       this.#places.isSuspect = this.#suspicion.isSuspect;
       const { step, settle } = await this.#places.place();
@@ -340,10 +335,13 @@
   #refuse(step: Step<LinkedCandidate> & { type: "refuse" }): void {
     if (step.reason === "expired") return this.#expire();
     this.#record.noteRefused(step);
-    if (this.#mayHaveRun) {
-      return this.#fail(this.#last ?? failure("upstreamFailed"), 0);
-    }
-    this.#fail(failure(REFUSAL_CODES[step.reason]), step.comeBackMs);
+    this.#refuseRun(REFUSAL_CODES[step.reason], step.comeBackMs);
+  }
+
+  /** Refuses to run the request; one that may have run already can't be told that it has not. */
+  #refuseRun(code: CodeName, comeBackMs: number): void {
+    if (!this.#mayHaveRun) return this.#fail(failure(code), comeBackMs);
+    this.#fail(this.#last ?? failure("upstreamFailed"), 0);
   }
 
   #expire(): void {
--- a/src/gateway/call_suspicion.ts
+++ b/src/gateway/call_suspicion.ts
@@ -9,13 +9,14 @@
   mayBeCause,
   requestDigest,
   type Standing,
+  type SuspectKeeper,
+  type SuspectVerdict,
 } from "../suspects/mod.ts";
 import type { CallInput } from "./call_input.ts";
 import type { CallRecord } from "./call_record.ts";
 import type { GatewayContext } from "./context.ts";
 import { RelaySend } from "./relay_send.ts";
 import type { Send } from "./send.ts";
-import type { SuspectRefusal } from "./suspects.ts";
 
 /** See the module. */
 export class CallSuspicion {
@@ -47,21 +48,18 @@
     return this.#hasLeave;
   }
 
-  /** Why it may not be placed now; `undefined` if it may. */
-  async refusal(): Promise<SuspectRefusal | undefined> {
-    const { suspects, metrics } = this.#context;
+  /** Whether it may be placed now. */
+  async judge(): Promise<SuspectVerdict> {
     const standing = this.#standing;
-    if (standing === "clear") return undefined;
-    this.#record.noteSuspect(standing, this.#named, suspects.ends(this.#named));
-    let refusal: SuspectRefusal | undefined;
-    if (standing === "rejected") refusal = suspects.refusal(this.#named);
-    else if (standing === "onTrial" && !this.#hasLeave) {
-      refusal = await suspects.takeTrial(this.#named);
-      this.#hasLeave = refusal === undefined;
-    }
-    const outcome = refusal?.code ?? "placed";
+    if (standing === "clear") return { type: "runs", hasLeave: this.#hasLeave };
+    const { metrics } = this.#context;
+    const ends = this.#keeper.ends(this.#named);
+    this.#record.noteSuspect(standing, this.#named, ends);
+    const verdict = await this.#keeper.judge(this.#named, this.#hasLeave);
+    if (verdict.type === "runs") this.#hasLeave = verdict.hasLeave;
+    const outcome = verdict.type === "runs" ? verdict.type : verdict.code;
     metrics.count("suspects", `standing="${standing}",outcome="${outcome}"`);
-    return refusal;
+    return verdict;
   }
 
   /** A send begins. */
@@ -73,16 +71,13 @@
   noteChunk(): void {
     const nowMs = this.#context.clock.monoMs();
     this.#beganMonoMs ??= nowMs;
-    const { suspects } = this.#context;
-    if (!suspects.isEmpty && hasSurvived(nowMs - this.#beganMonoMs)) {
-      suspects.clear(this.#named);
-    }
+    if (this.#keeper.isEmpty) return;
+    if (hasSurvived(nowMs - this.#beganMonoMs)) this.#keeper.clear(this.#named);
   }
 
   /** It was answered whole, by an upstream that is still there. */
   noteServed(): void {
-    const { suspects } = this.#context;
-    if (!suspects.isEmpty) suspects.clear(this.#named);
+    if (!this.#keeper.isEmpty) this.#keeper.clear(this.#named);
   }
 
   /** A send was lost. Waits until it is known whether its upstream ended, where the request may go on elsewhere. */
@@ -97,7 +92,7 @@
 
   /** The VM that the request was handed to says that an upstream ended under it. */
   noteEndElsewhere(upstreamKey: string): void {
-    this.#context.suspects.noteEndElsewhere(this.#named, upstreamKey);
+    this.#keeper.noteEndElsewhere(this.#named, upstreamKey);
   }
 
   get #isEarly(): boolean {
@@ -109,9 +104,12 @@
     );
   }
 
+  get #keeper(): SuspectKeeper {
+    return this.#context.suspects.keeper;
+  }
+
   get #standing(): Standing {
-    const { suspects } = this.#context;
-    return suspects.isEmpty ? "clear" : suspects.standing(this.#named);
+    return this.#keeper.isEmpty ? "clear" : this.#keeper.standing(this.#named);
   }
 
   /** Hashed when it is first asked for: usually nobody is suspected, and no request is. */
--- a/src/gateway/losses.ts
+++ b/src/gateway/losses.ts
@@ -4,10 +4,10 @@
  * @module
  */
 
+import { type Reach, reachOf } from "../adapters/mod.ts";
 import type { Clock } from "../base/mod.ts";
 import type { Log } from "../kernel/mod.ts";
 import type { KnownUpstream } from "../routing/mod.ts";
-import { type Reach, reachOf } from "./dark.ts";
 import type { GatewayMetrics } from "./metrics.ts";
 
 /** Losses that come within this time have one cause; an upstream that ended needs longer to be back. */
--- a/src/gateway/upstreams.ts
+++ b/src/gateway/upstreams.ts
@@ -4,6 +4,7 @@
  * @module
  */
 
+import { isDark } from "../adapters/mod.ts";
 import { type Clock, hash32, type Timer } from "../base/mod.ts";
 import {
   type Handlers,
@@ -23,7 +24,6 @@
   type ServiceRow,
 } from "../routing/mod.ts";
 import type { Load, SeenOutcome } from "../region/mod.ts";
-import { isDark } from "./dark.ts";
 import { OtherLoads, type RegionLoads } from "./other_loads.ts";
 import {
   type Grant,
--- a/src/services/messages.ts
+++ b/src/services/messages.ts
@@ -13,6 +13,7 @@
   Table,
   UpstreamRow,
 } from "../agreement/mod.ts";
+import type { SuspectVerdict } from "../suspects/mod.ts";
 import type { SlotAnswer, SlotReport, SlotRequest } from "../decisions/mod.ts";
 
 /** What the table service answers; its name is `table`. */
@@ -142,3 +143,27 @@
     out: Result<{ readonly fence: number }, Failure>;
   };
 };
+
+/** What the service of suspects answers; its name is `suspects`. Requests are named by their digests. */
+export type SuspectsMessages = {
+  /** Whether a request may run now. `hasLeave` if it was given the leave for its trial already. */
+  judge: {
+    in: { readonly digest: string; readonly hasLeave: boolean };
+    out: SuspectVerdict;
+  };
+  /** A connection broke under a request; answered when it is known whether the upstream has ended. */
+  lost: {
+    in: {
+      readonly digest: string;
+      readonly upstreamId: string;
+      /** Base URL of the upstream. */
+      readonly url: string;
+      readonly sentAgoMs: number;
+      /** Time since the first bytes of the answer; absent if none came. */
+      readonly beganAgoMs?: number;
+    };
+    out: void;
+  };
+  /** A request was answered by an upstream that is still there. */
+  served: { in: { readonly digest: string }; out: void };
+};
--- a/src/services/mod.ts
+++ b/src/services/mod.ts
@@ -18,3 +18,4 @@
 export * from "./table_routes.ts";
 export * from "./fencing.ts";
 export * from "./directory.ts";
+export * from "./suspects.ts";
--- a/src/suspects/end_book.ts
+++ b/src/suspects/end_book.ts
@@ -38,8 +38,9 @@
 const DROPPED_TOGETHER = 256;
 /** Upstreams an entry names; what is beyond changes nothing. */
 const MOST_UPSTREAMS = 16;
-/** Rows of one message, about a kilobyte. */
-export const MOST_ROWS = 20;
+
+/** Rows that are told again each time: those of one message. */
+const MOST_TOLD_AGAIN = 20;
 
 interface End {
   readonly atMs: number;
@@ -134,7 +135,7 @@
           Math.round(nowMs - atMs),
           isCleared,
         ])
-      ).slice(0, MOST_ROWS);
+      ).slice(0, MOST_TOLD_AGAIN);
   }
 
   /** Drops entries of which nothing counts any more. */
--- a/src/suspects/mod.ts
+++ b/src/suspects/mod.ts
@@ -7,3 +7,5 @@
 export * from "./end_book.ts";
 export * from "./evidence.ts";
 export * from "./identity.ts";
+export * from "./keeper.ts";
+export * from "./news.ts";
--- a/test/fakes.ts
+++ b/test/fakes.ts
@@ -20,6 +20,8 @@
   SlotRequest,
 } from "../src/decisions/mod.ts";
 import { Edge, type EdgeLimits, openListener } from "../src/edge/mod.ts";
+import { Transport } from "../src/adapters/mod.ts";
+import { MemoryKeyValue } from "../src/standins/mod.ts";
 import { Kernel, openLog, Task } from "../src/kernel/mod.ts";
 import {
   type ClaimsMessages,
@@ -27,6 +29,7 @@
   type MembersMessages,
   MetricsService,
   type SlotsMessages,
+  SuspectsService,
   type TableMessages,
   type VmInfo,
 } from "../src/services/mod.ts";
@@ -155,6 +158,21 @@
   };
 }
 
+/** Links of a VM that has no others. */
+class NoTransport extends Transport {
+  handle(): void {}
+  call(): Promise<never> {
+    return Promise.reject(new Error("there is no other VM"));
+  }
+  notify(): void {}
+  bytes() {
+    return { sent: 0, received: 0 };
+  }
+  close(): Promise<void> {
+    return Promise.resolve();
+  }
+}
+
 /** Limits short enough for tests; see {@link EdgeLimits}. */
 export const testLimits: EdgeLimits = {
   bodyBytes: 1 << 20,
@@ -258,6 +276,14 @@
   for (const task of [table, members, slots, claims, new FakeDirectory()]) {
     await kernel.start(task);
   }
+  await kernel.start(
+    new SuspectsService({
+      vmId: "vm-1",
+      region: "agadir",
+      store: new MemoryKeyValue(),
+      transport: new NoTransport(),
+    }),
+  );
   const allLimits = { ...testLimits, ...limits };
   const listener = await openListener({
     host: "127.0.0.1",
