The soak sends requests that crash upstreams, and judges how many they end

A fault of the soak of its own: a request that ends each upstream that begins to run it comes again every 250 ms on average, as one of four kinds, at any VM; the upstream's address refuses connections for 0.8 s and the program is back with a new start.

--- /dev/null
+++ b/soak/crashes.ts
@@ -0,0 +1,71 @@
+/**
+ * Requests that end every upstream that begins to run them, and come again.
+ *
+ * @module
+ */
+
+import { request } from "node:http";
+import type { Random } from "../src/base/mod.ts";
+import { ROUTE_HOST } from "../src/standins/mod.ts";
+import { sleep } from "../test/cluster.ts";
+import { DEADLINE_MS, type RequestKind } from "./callers.ts";
+import type { World } from "./world.ts";
+
+const FATAL = "fatal ";
+const MEAN_GAP_MS = 250;
+/** Such a request comes longer than other faults last: it is to meet VMs that have been told. */
+const LASTS_TIMES = 3;
+const KINDS: readonly RequestKind[] = ["safe", "once", "stream", "streamonce"];
+
+/** Whether a request with this body is one of them. */
+export function isFatal(body: string): boolean {
+  return body.startsWith(FATAL);
+}
+
+/** Sends one of them again and again, under new attempts and at any VM; returns when it comes no more. */
+export async function sendFatal(
+  world: World,
+  random: Random,
+  forMs: number,
+): Promise<void> {
+  const body = `${FATAL}${random.next()}`;
+  const kind = random.pick(KINDS);
+  const endMs = world.nowMs() + forMs * LASTS_TIMES;
+  const sent: Promise<void>[] = [];
+  for (let nth = 0; world.nowMs() < endMs; nth++) {
+    sent.push(sendOnce(world, random, kind, `${body}-${nth}`, body));
+    await sleep(random.exponential(MEAN_GAP_MS));
+  }
+  await Promise.all(sent);
+}
+
+function sendOnce(
+  world: World,
+  random: Random,
+  kind: RequestKind,
+  attemptId: string,
+  body: string,
+): Promise<void> {
+  const vm = random.pick(world.vms);
+  return new Promise((resolve) => {
+    const call = request({
+      host: vm.ip,
+      port: vm.proxies.callers.port,
+      path: `/${kind}/fatal`,
+      method: "POST",
+      headers: {
+        host: ROUTE_HOST,
+        "attempt-id": attemptId.replace(" ", "-"),
+        "deadline-ms": String(DEADLINE_MS),
+      },
+    });
+    const patience = setTimeout(() => call.destroy(), 2 * DEADLINE_MS);
+    call.on("response", (answer) => answer.on("error", () => {}).resume());
+    call.on("error", () => {});
+    call.on("close", () => {
+      clearTimeout(patience);
+      resolve();
+    });
+    call.end(body);
+  });
+}
--- a/soak/faults.ts
+++ b/soak/faults.ts
@@ -4,8 +4,10 @@
  * @module
  */
 
+import { Random } from "../src/base/mod.ts";
 import type { PlatformFault } from "../src/standins/mod.ts";
 import { sleep } from "../test/cluster.ts";
+import { sendFatal } from "./crashes.ts";
 import type { Fault } from "./plan.ts";
 import { domainOf, REGIONS, type World } from "./world.ts";
 
@@ -25,9 +27,11 @@
 /** See the module. Faults overlap; what one takes back may end another early, as it does on a real day. */
 export class Injector {
   readonly #world: World;
+  readonly #random: Random;
 
-  constructor(world: World) {
+  constructor(world: World, seed: number) {
     this.#world = world;
+    this.#random = new Random(seed);
   }
 
   /** Plays the plan; returns when its last fault is over. */
@@ -64,6 +68,8 @@
         const { plainService } = this.#world.configs.at(-1)!;
         return this.#world.configure(plainService === "s" ? "t" : "s");
       }
+      case "crash":
+        return await sendFatal(this.#world, this.#random, fault.forMs);
       case "evacuate": {
         const key = `op/evacuate/${domainOf(REGIONS[fault.domain])}`;
         this.#world.store.put(key, {});
--- a/soak/judge.ts
+++ b/soak/judge.ts
@@ -25,6 +25,8 @@
 export interface Evidence {
   readonly attempts: readonly Attempt[];
   readonly arrivals: readonly Arrival[];
+  /** Requests that end every upstream that runs them; the body names each. */
+  readonly fatalArrivals: readonly Arrival[];
   readonly troubles: readonly {
     readonly who: string;
     readonly fromMs: number;
@@ -55,6 +57,7 @@
   | "LOST"
   | "CONFIG"
   | "DRAIN"
+  | "CRASH"
   | "PROCESS"
   | "RECOVER";
 
@@ -78,6 +81,9 @@
 /** Bounds of the platform, half as long again: processes here share cores with the driver. */
 const CONFIG_MS = 6_000;
 const DRAIN_MS = 6_000;
+/** Upstreams that a request may end before all know of it, and later. */
+const ENDS_AT_ONCE = 3;
+const ENDS_LATER = 3;
 /** Share of requests that must be served when all is mended. */
 const RECOVERED_SHARE = 0.95;
 
@@ -113,6 +119,7 @@
     for (const what of this.#evidence.processFaults) {
       this.#note("PROCESS", "", what);
     }
+    this.#checkCrashes();
     this.#checkRecovery();
     return this.#breaches;
   }
@@ -243,6 +250,33 @@
     );
   }
 
+  /**
+   * A request that ends upstreams may end three, and three more later than the contact bound after that. Where VMs and
+   * store are well all the while, all of it is known within a second and six are the most.
+   */
+  #checkCrashes(): void {
+    const byRequest = new Map<string, number[]>();
+    for (const { body, arrivedMs } of this.#evidence.fatalArrivals) {
+      const timesMs = byRequest.get(body) ?? [];
+      timesMs.push(arrivedMs);
+      byRequest.set(body, timesMs);
+    }
+    for (const [body, timesMs] of byRequest) {
+      timesMs.sort((a, b) => a - b);
+      const boundMs = (timesMs.at(ENDS_AT_ONCE - 1) ?? Infinity) + CONTACT_MS;
+      const late = timesMs.filter((ms) => ms > boundMs).length;
+      const isCalm = !this.#evidence.troubles.some(({ who, fromMs, toMs }) =>
+        (who === "store" || who.startsWith("vm:")) &&
+        fromMs <= timesMs.at(-1)! && toMs >= timesMs[0]
+      );
+      const most = isCalm ? ENDS_AT_ONCE + ENDS_LATER : Infinity;
+      if (late > ENDS_LATER || timesMs.length > most) {
+        const what = `ended ${timesMs.length} upstreams, ${late} of them late`;
+        this.#note("CRASH", body, what);
+      }
+    }
+  }
+
   #checkRecovery(): void {
     const late = this.#evidence.attempts.filter(({ sentMs, leftMs }) =>
       sentMs >= this.#evidence.recoveredMs && leftMs === undefined
--- a/soak/judge_test.ts
+++ b/soak/judge_test.ts
@@ -50,6 +50,7 @@
   const breaches = new Judge({
     attempts,
     arrivals,
+    fatalArrivals: [],
     troubles: [],
     configs: [{ sinceMs: 0, plainService: "s" }],
     processFaults: [],
@@ -96,6 +97,27 @@
       t.deepEqual(rulesOfOne("stream", { text: cut }), ["ORDER"]);
     });
 
+    it("request that ends more upstreams than it may", (t) => {
+      const endsAt = (...timesMs: number[]) =>
+        timesMs.map((arrivedMs) => ({
+          ...exchange("once").arrival,
+          body: "fatal 1",
+          arrivedMs,
+        }));
+      const rules = (fatalArrivals: Arrival[], isTroubled = false) => {
+        const { attempt, arrival } = exchange("once");
+        const troubles = isTroubled
+          ? [{ who: "vm:0", fromMs: 0, toMs: 100 }]
+          : [];
+        return rulesOf([attempt], [arrival], { fatalArrivals, troubles });
+      };
+      t.deepEqual(rules(endsAt(1, 2, 3, 4, 5, 6)), []);
+      t.deepEqual(rules(endsAt(1, 2, 3, 4, 5, 6, 7)), ["CRASH"]);
+      t.deepEqual(rules(endsAt(1, 2, 3, 4, 5, 6, 7), true), []);
+      const late = [7_000, 8_000, 9_000, 9_500];
+      t.deepEqual(rules(endsAt(1, 2, 3, ...late), true), ["CRASH"]);
+    });
+
     it("request that nobody sent, or that was changed", (t) => {
       const { attempt, arrival } = exchange("once");
       const foreign = { ...arrival, attempt: "nobody" };
--- a/soak/main.ts
+++ b/soak/main.ts
@@ -60,6 +60,11 @@
       description: "only planned work: stops, SIGHUP, drains, configurations",
       default: false,
     },
+    crashes: {
+      type: "boolean",
+      description: "only requests that crash upstreams",
+      default: false,
+    },
     keep: {
       type: "string",
       description: "folder for the logs of runs that broke a promise",
@@ -81,7 +86,7 @@
           runners: Number(args.runners),
           callers: Number(args.callers),
           faultsMs: Number(args.seconds) * 1_000,
-          plannedOnly: args.planned,
+          only: args.planned ? "planned" : args.crashes ? "crashes" : undefined,
           keepIn: args.keep,
           plant: args.plant ? plantSecondRun : undefined,
         });
--- a/soak/plan.ts
+++ b/soak/plan.ts
@@ -57,7 +57,7 @@
       readonly mode: LinkMode;
     }
     | { readonly kind: "rebirth" | "reuse" | "drain"; readonly runner: number }
-    | { readonly kind: "config" }
+    | { readonly kind: "config" | "crash" }
     | { readonly kind: "evacuate"; readonly domain: number }
   );
 
@@ -69,8 +69,8 @@
   readonly vms: number;
   readonly runners: number;
   readonly domains: number;
-  /** Whether only planned work is drawn. */
-  readonly plannedOnly?: boolean;
+  /** Draws only planned work, or only requests that crash upstreams. */
+  readonly only?: "planned" | "crashes" | undefined;
   /** How long there is traffic with faults; after that everything is mended and callers go on. */
   readonly faultsMs: number;
 }
@@ -109,6 +109,7 @@
   "drain",
   "config",
   "evacuate",
+  "crash",
 ];
 
 /**
@@ -123,6 +124,8 @@
   "evacuate",
 ];
 
+const KINDS_OF = { planned: PLANNED, crashes: ["crash"] } as const;
+
 /** Faults begin this far apart on average, and last longer: several are always in force. */
 const GAP_MS = 550;
 const SHORTEST_MS = 300;
@@ -165,7 +168,9 @@
 }
 
 function drawFault(random: Random, size: PlanSize, atMs: number): Fault {
-  const kind = random.pick(size.plannedOnly ? PLANNED : KINDS);
+  const kind = random.pick<FaultKind>(
+    size.only ? KINDS_OF[size.only] : KINDS,
+  );
   const when = {
     atMs,
     forMs: SHORTEST_MS + random.int(LONGEST_MS - SHORTEST_MS),
@@ -192,6 +197,7 @@
     case "drain":
       return { ...when, kind, runner };
     case "config":
+    case "crash":
       return { ...when, kind };
     case "evacuate":
       return { ...when, kind, domain: random.int(size.domains) };
--- a/soak/proxy.ts
+++ b/soak/proxy.ts
@@ -29,9 +29,12 @@
   target: Place;
   readonly #server: Server;
   readonly #pairs = new Set<Pair>();
+  readonly #host: string;
+  #shutPort = 0;
   #mode: LinkMode = "pass";
 
-  private constructor(target: Place) {
+  private constructor(host: string, target: Place) {
+    this.#host = host;
     this.target = target;
     this.#server = createServer(
       { allowHalfOpen: true, noDelay: true },
@@ -41,7 +44,7 @@
 
   /** Listens at `listen`; port 0 takes any. */
   static async open(listen: Place, target: Place): Promise<FaultProxy> {
-    const proxy = new FaultProxy(target);
+    const proxy = new FaultProxy(listen.host, target);
     proxy.#server.listen(listen.port, listen.host);
     await once(proxy.#server, "listening");
     return proxy;
@@ -49,7 +52,8 @@
 
   /** The port it listens at. */
   get port(): number {
-    return (this.#server.address() as { port: number }).port;
+    const address = this.#server.address() as { port: number } | null;
+    return address?.port ?? this.#shutPort;
   }
 
   /** Treats open and new connections this way from now on. */
@@ -61,8 +65,24 @@
     }
   }
 
+  /** Refuses connections, as the address of a program that has ended. */
+  shut(): void {
+    if (!this.#server.listening) return;
+    this.#shutPort = this.port;
+    this.#server.close();
+    for (const pair of this.#pairs) reset(pair);
+  }
+
+  /** Takes connections again. */
+  async reopen(): Promise<void> {
+    if (this.#server.listening) return;
+    this.#server.listen(this.#shutPort, this.#host);
+    await once(this.#server, "listening");
+  }
+
   async close(): Promise<void> {
     for (const pair of this.#pairs) reset(pair);
+    if (!this.#server.listening) return;
     await new Promise((resolve) => this.#server.close(resolve));
   }
 
--- a/soak/run.ts
+++ b/soak/run.ts
@@ -8,6 +8,7 @@
 import { join } from "node:path";
 import { sleep } from "../test/cluster.ts";
 import { Caller } from "./callers.ts";
+import { isFatal } from "./crashes.ts";
 import { Injector } from "./faults.ts";
 import { type Arrival, type Breach, type Evidence, Judge } from "./judge.ts";
 import { drawPlan, type Fault } from "./plan.ts";
@@ -20,8 +21,8 @@
   readonly runners: number;
   readonly callers: number;
   readonly faultsMs: number;
-  /** Whether only planned work happens. */
-  readonly plannedOnly?: boolean;
+  /** Only planned work happens, or only requests that crash upstreams. */
+  readonly only?: "planned" | "crashes" | undefined;
   /** Tells runs that go on side by side apart. */
   readonly block: number;
   /** Where the logs of a run that broke a promise are kept; absent: nowhere. */
@@ -77,14 +78,14 @@
 
 /** Plays one seed. Throws only if the world cannot be opened. */
 export async function runSeed(options: RunOptions): Promise<RunResult> {
-  const { seed, vms, runners, faultsMs, plannedOnly } = options;
+  const { seed, vms, runners, faultsMs, only } = options;
   const domains = REGIONS.length;
   const plan = drawPlan(seed, {
     vms,
     runners,
     domains,
     faultsMs,
-    plannedOnly,
+    only,
   });
   const world = await World.open({ vms, runners, block: options.block, seed });
   try {
@@ -98,13 +99,15 @@
     const traffic = Promise.all(
       callers.map((caller) => caller.run(recoveredMs + CALM_MS)),
     );
-    await new Injector(world).play(plan);
+    await new Injector(world, seed).play(plan);
     await traffic;
     await sleep(SETTLE_MS);
     const attempts = callers.flatMap((caller) => caller.attempts);
+    const all = arrivalsOf(world);
     const seen: Evidence = {
       attempts,
-      arrivals: arrivalsOf(world),
+      arrivals: all.filter(({ body }) => !isFatal(body)),
+      fatalArrivals: all.filter(({ body }) => isFatal(body)),
       troubles: world.troubles,
       configs: world.configs,
       processFaults: world.processFaults,
--- a/soak/runner_place.ts
+++ b/soak/runner_place.ts
@@ -6,6 +6,7 @@
 
 import { Runner } from "../src/standins/mod.ts";
 import { sleep } from "../test/cluster.ts";
+import { isFatal } from "./crashes.ts";
 import { FaultProxy } from "./proxy.ts";
 import { domainOf, REGIONS, type World } from "./world.ts";
 
@@ -23,6 +24,9 @@
 /** How long an address lies idle before another upstream takes it. */
 const IDLE_MS = 300;
 const SLOTS = 8;
+/** How long an upstream is away that a request has ended, and how long that tells on others. */
+const DOWN_MS = 800;
+const AFTERMATH_MS = 2_500;
 const LOOPBACK = "127.0.0.1";
 
 /** See the module. */
@@ -117,6 +121,11 @@
   async #begin(id: string, service: string): Promise<void> {
     this.#starts++;
     const runner = await Runner.open(id);
+    runner.isFatal = isFatal;
+    runner.downMs = DOWN_MS;
+    runner.onEnd = () => this.#crashed(runner);
+    runner.onBack = () => void this.#cameBack(runner);
+    await this.proxy.reopen();
     const [host, port] = runner.address.split(":");
     this.proxy.target = { host, port: Number(port) };
     this.#instance = {
@@ -129,6 +138,21 @@
     this.#register("ready");
   }
 
+  /** A request ended the program: its address refuses connections until it is back. */
+  #crashed({ id }: Runner): void {
+    this.#world.trouble(id, DOWN_MS + AFTERMATH_MS);
+    this.proxy.shut();
+  }
+
+  async #cameBack(runner: Runner): Promise<void> {
+    if (this.#instance?.runner !== runner) return;
+    const [host, port] = runner.address.split(":");
+    this.proxy.target = { host, port: Number(port) };
+    this.#starts++;
+    await this.proxy.reopen();
+    this.#register(runner.isDraining ? "draining" : "ready");
+  }
+
   async #end(): Promise<void> {
     const { runner } = this.#instance!;
     this.#instance!.leftMs = Math.min(
--- a/soak/soak_test.ts
+++ b/soak/soak_test.ts
@@ -32,6 +32,19 @@
     t.is(code, 0, printed);
   });
 
+  it("keeps all promises beside requests that crash upstreams", async (t) => {
+    const { code, printed } = await soak(
+      "--first",
+      "3",
+      "--seeds",
+      "1",
+      "--seconds",
+      "4",
+      "--crashes",
+    );
+    t.is(code, 0, printed);
+  });
+
   // The gateway is honest, so a run alone cannot show that the judge reads its evidence right.
   it("finds a second run that was planted in a real run", async (t) => {
     const { code, printed } = await soak(
--- a/src/standins/runner.ts
+++ b/src/standins/runner.ts
@@ -100,6 +100,8 @@
   downMs = 200;
   /** How many times it ended. */
   ends = 0;
+  /** Called when it ends. */
+  onEnd: () => void = () => {};
   /** Called when it is back. Its address is another one if its port was taken meanwhile. */
   onBack: () => void = () => {};
   /** Streams under way, by the attempt's id. */
@@ -144,6 +146,7 @@
   end(): void {
     if (this.#backTimer) return;
     this.ends++;
+    this.onEnd();
     const { port } = this.#server.address() as AddressInfo;
     this.#server.close();
     for (const socket of this.#sockets) socket.resetAndDestroy();
