--- a/src/explain/explain_test.ts
+++ b/src/explain/explain_test.ts
@@ -30,6 +30,20 @@
     );
   });
 
+  it("tells which upstreams ended under a rejected request, when, and who saw it", (t) => {
+    const lines = [
+      'time=2026-01-01T00:00:01.000Z level=warn event="upstream ended under" vm=b request=d1 upstream=u7 ends=1 standing=suspected',
+      'time=2026-01-01T00:00:02.000Z level=warn event="upstream ended under" vm=b request=d2 upstream=u8 ends=1 standing=suspected',
+      "time=2026-01-01T00:00:03.000Z level=warn event=request vm=a attempt=a7 request=d1 standing=rejected ends=u7,u9 outcome=endsUpstreams",
+    ].map((line) => parseLine(line)!);
+    const story = tellStory("a7", lines)!;
+    t.deepEqual(
+      story.lines.map(({ vm, fields }) => [vm, fields.upstream]),
+      [["b", "u7"], ["a", undefined]],
+    );
+    t.regex(story.cause, /not run again; .*ended under it: u7,u9/);
+  });
+
   it("does not make up a story", (t) => {
     t.is(tellStory("nobody", LINES), undefined);
   });
--- a/src/explain/story.ts
+++ b/src/explain/story.ts
@@ -29,6 +29,13 @@
   "store lost",
 ]);
 
+/** Events that tell what is known against a request under any of its attempts. */
+const SUSPECT_EVENTS = new Set([
+  "upstream ended under",
+  "suspect cleared",
+  "suspect on trial",
+]);
+
 const CAUSES: Readonly<Record<string, string>> = {
   ok: "it was served",
   noTable: "the VM had no configuration yet; nothing was run",
@@ -51,6 +58,10 @@
   expiredInQueue:
     "its deadline passed before an upstream was free; nothing was run",
   streamBroken: "the upstream broke off in the middle of the stream",
+  endsUpstreams:
+    "upstreams ended each time that they ran it, so it is not run again",
+  onTrialElsewhere:
+    "three upstreams ended under it, and another VM runs it once more, or the store gave no leave; nothing was run",
   canceled: "the caller left before its answer was whole",
   bodyTooLarge: "the body exceeds the configured limit",
   headersTooLarge: "the headers exceed the configured limit",
@@ -81,6 +92,7 @@
     quotaUnits,
     countedBy,
     configVersion,
+    ends,
   } = last.fields;
   const wasSlow = outcome === "upstreamTimeout" && firstByteMs !== undefined;
   const parts = [wasSlow ? TOO_SLOW : CAUSES[outcome] ?? outcome];
@@ -94,6 +106,7 @@
     parts.push(`upstreams here: ${here}; free/queue elsewhere: ${elsewhere}`);
   }
   if (sends) parts.push(`upstreams that got it: ${sends}`);
+  if (ends) parts.push(`upstreams that ended under it: ${ends}`);
   if (firstByteMs) parts.push(`first byte after ${firstByteMs} ms`);
   if (leftMs) parts.push(`time left: ${leftMs} ms`);
   const onPlace = lines.filter(({ event }) => PLACE_EVENTS.has(event)).map((
@@ -122,7 +135,15 @@
     (places.has(fields.upstream ?? fields.peer ?? "") ||
       event === "store lost" || event === "evacuated")
   );
-  const lines = [...own, ...around].sort((a, b) => a.timeMs - b.timeMs);
+  const digests = new Set(
+    own.map(({ fields }) => fields.request).filter(Boolean),
+  );
+  const suspicion = all.filter(({ event, fields }) =>
+    SUSPECT_EVENTS.has(event) && digests.has(fields.request)
+  );
+  const lines = [...own, ...around, ...suspicion].sort((a, b) =>
+    a.timeMs - b.timeMs
+  );
   // The VM that the caller was connected to has the last word; the others answered to it.
   const ends = own.filter(({ event }) => event === "request");
   const last = ends.find(({ fields }) => fields.relayed !== "true") ??
