An upstream that is back before anybody looks counts by its new start

The sign of an end is a refused connection, tried within some ms.

Requests are hashed only while one is suspected, not for the half hour that a cleared one is remembered.

--- a/src/gateway/call_suspicion.ts
+++ b/src/gateway/call_suspicion.ts
@@ -71,13 +71,13 @@
   noteChunk(): void {
     const nowMs = this.#context.clock.monoMs();
     this.#beganMonoMs ??= nowMs;
-    if (this.#keeper.isEmpty) return;
+    if (!this.#keeper.hasSuspects) return;
     if (hasSurvived(nowMs - this.#beganMonoMs)) this.#keeper.clear(this.#named);
   }
 
   /** It was answered whole, by an upstream that is still there. */
   noteServed(): void {
-    if (!this.#keeper.isEmpty) this.#keeper.clear(this.#named);
+    if (this.#keeper.hasSuspects) this.#keeper.clear(this.#named);
   }
 
   /** A send was lost. Waits until it is known whether its upstream ended, where the request may go on elsewhere. */
@@ -109,7 +109,9 @@
   }
 
   get #standing(): Standing {
-    return this.#keeper.isEmpty ? "clear" : this.#keeper.standing(this.#named);
+    return this.#keeper.hasSuspects
+      ? this.#keeper.standing(this.#named)
+      : "clear";
   }
 
   /** Hashed when it is first asked for: usually nobody is suspected, and no request is. */
--- a/src/gateway/suspects.ts
+++ b/src/gateway/suspects.ts
@@ -26,6 +26,7 @@
 } from "../suspects/mod.ts";
 import type { Datagrams } from "./datagrams.ts";
 import { EndTeller } from "./end_teller.ts";
+import { LateSigns } from "./late_signs.ts";
 import type { Loss, Losses } from "./losses.ts";
 import type { Members } from "./members.ts";
 import type { GatewayMetrics } from "./metrics.ts";
@@ -55,6 +56,7 @@
   protected readonly handlers: Handlers<Messages> = {};
   #keeper!: SuspectKeeper;
   #teller!: EndTeller;
+  #lateSigns!: LateSigns;
   #clock!: Clock;
   #timer: Timer | undefined;
   #open = true;
@@ -77,6 +79,11 @@
     const { clock } = kernel;
     const { datagrams, members, metrics, self } = this.#options;
     this.#teller = new EndTeller(self.region, datagrams, members, clock);
+    this.#lateSigns = new LateSigns(
+      this.#options.fleet,
+      clock,
+      (digest, loss, lostMs) => void this.#noteEnd(digest, loss, lostMs),
+    );
     this.#keeper = new SuspectKeeper(
       new Links(this.#teller, this.#store, metrics, kernel.log),
       () => clock.monoMs(),
@@ -94,6 +101,7 @@
     this.#open = false;
     this.#timer?.close();
     this.#teller.close();
+    this.#lateSigns.close();
     return Promise.resolve();
   }
 
@@ -111,13 +119,23 @@
    * of the end if so.
    */
   async noteLoss(digest: string, loss: Loss): Promise<string | undefined> {
-    const { upstream, sentAgoMs } = loss;
+    const { upstream } = loss;
     const lostMs = this.#clock.monoMs();
     // An upstream that leaves ends by plan, whatever still runs there.
     const isLeaving = this.#options.fleet.get(upstream.id)?.state ===
       "draining";
     const reach = await this.#options.losses.look(upstream);
-    if (reach !== "refused" || isLeaving || !mayBeCause(loss)) return undefined;
+    if (isLeaving || !mayBeCause(loss)) return undefined;
+    if (reach === "refused") return this.#noteEnd(digest, loss, lostMs);
+    if (reach === "open") this.#lateSigns.add(digest, loss, lostMs);
+    return undefined;
+  }
+
+  #noteEnd(
+    digest: string,
+    { upstream, sentAgoMs }: Loss,
+    lostMs: number,
+  ): string {
     const sinceLostMs = this.#clock.monoMs() - lostMs;
     return this.#keeper.noteEnd(digest, upstream.key, sentAgoMs + sinceLostMs);
   }
--- a/src/suspects/end_book.ts
+++ b/src/suspects/end_book.ts
@@ -52,10 +52,11 @@
 /** See the module. Times are of the monotonic clock of this VM. */
 export class EndBook {
   readonly #entries = new Map<string, Ends>();
+  #hasSuspects = false;
 
-  /** Whether no request is suspected, so that none needs to be hashed. */
-  get isEmpty(): boolean {
-    return this.#entries.size === 0;
+  /** Whether any request is suspected; else none needs to be hashed. Ends that no longer count are seen by a sweep. */
+  get hasSuspects(): boolean {
+    return this.#hasSuspects;
   }
 
   get size(): number {
@@ -92,6 +93,7 @@
   adopt(rows: readonly EndNews[], nowMs: number): EndNews[] {
     const isNew = rows.filter((row) => this.#take(row, nowMs));
     if (this.#entries.size > MOST_ENTRIES) this.#dropLeast(nowMs);
+    if (isNew.length > 0) this.#lookForSuspects(nowMs);
     return isNew;
   }
 
@@ -145,6 +147,12 @@
         .every(({ atMs }) => nowMs - atMs >= COUNTS_MS);
       if (isOver) this.#entries.delete(digest);
     }
+    this.#lookForSuspects(nowMs);
+  }
+
+  #lookForSuspects(nowMs: number): void {
+    this.#hasSuspects = [...this.#entries.values()]
+      .some((ends) => count(ends, nowMs) > 0);
   }
 
   dump(nowMs: number): unknown {
--- a/src/suspects/end_book_test.ts
+++ b/src/suspects/end_book_test.ts
@@ -55,6 +55,18 @@
       t.is(book.standing("r", 1_200), "clear");
     });
 
+    it("has requests hashed only while one is suspected", (t) => {
+      const book = bookOf(0);
+      t.false(book.hasSuspects);
+      book.noteEnd("r", "u", 1_000, 1_000);
+      t.true(book.hasSuspects);
+      book.clear("r", 1_100);
+      t.false(book.hasSuspects);
+      book.noteEnd("r", "v", 1_200, 1_200);
+      book.sweep(1_200 + HOUR_MS);
+      t.false(book.hasSuspects);
+    });
+
     it("counts ends anew after it was cleared", (t) => {
       const book = bookOf(3);
       book.clear("r", 1_100);
@@ -72,9 +84,9 @@
     it("forgets, and takes no end that others forgot", (t) => {
       const book = bookOf(4);
       book.sweep(1_000 + HOUR_MS);
-      t.true(book.isEmpty);
+      t.is(book.size, 0);
       t.deepEqual(book.adopt([["r", "u0", HOUR_MS, false]], 5_000), []);
-      t.true(book.isEmpty);
+      t.is(book.size, 0);
     });
 
     it("keeps a request with several ends through a flood of others", (t) => {
--- a/src/suspects/keeper.ts
+++ b/src/suspects/keeper.ts
@@ -83,9 +83,9 @@
     this.#nowMs = nowMs;
   }
 
-  /** Whether nothing is suspected, and no request needs to be looked at. */
-  get isEmpty(): boolean {
-    return this.#book.isEmpty;
+  /** Whether any request is suspected; else none needs to be looked at. */
+  get hasSuspects(): boolean {
+    return this.#book.hasSuspects;
   }
 
   standing(digest: string): Standing {
--- a/test/gateway_crashing_test.ts
+++ b/test/gateway_crashing_test.ts
@@ -161,6 +161,29 @@
     });
   });
 
+  describe("an upstream that is back before anybody looks", () => {
+    // Its address takes connections again in the step in which it ended; only the born of its entry tells of the end.
+    it("counts against the request that ended it", async (t) => {
+      const lab = await open(t, ["north"]);
+      const request = { path: "/once/u", method: "POST", body: FATAL };
+      for (const runner of lab.runners) {
+        runner.mood = "reset";
+        runner.onBack();
+      }
+      await attempt(lab, lab.vms[0], request);
+      await pause(PAUSE_MS);
+      t.deepEqual(lab.vms[0].gateway.dump().suspects, []);
+      for (const runner of lab.runners) runner.onBack();
+      await until(() => {
+        const { suspects } = lab.vms[0].gateway.dump() as {
+          suspects: readonly { standing: string }[];
+        };
+        return suspects[0]?.standing === "suspected";
+      });
+      t.pass();
+    });
+  });
+
   describe("a request whose connections are reset", () => {
     // The upstream lives on, so that nothing speaks against the request.
     it("is served however often that was", async (t) => {
