--- a/src/gateway/suspects.ts
+++ b/src/gateway/suspects.ts
@@ -17,7 +17,6 @@
 import type { Fleet } from "../routing/mod.ts";
 import {
   decodeEnds,
-  encodeEnds,
   type EndNews,
   mayBeCause,
   type StoredSuspect,
@@ -26,6 +25,8 @@
   SuspectLinks,
 } from "../suspects/mod.ts";
 import type { Datagrams } from "./datagrams.ts";
+import { EndTeller } from "./end_teller.ts";
+import { LateSigns } from "./late_signs.ts";
 import type { Loss, Losses } from "./losses.ts";
 import type { Members } from "./members.ts";
 import type { GatewayMetrics } from "./metrics.ts";
@@ -54,6 +55,8 @@
   readonly #store: SuspectStore;
   protected readonly handlers: Handlers<Messages> = {};
   #keeper!: SuspectKeeper;
+  #teller!: EndTeller;
+  #lateSigns!: LateSigns;
   #clock!: Clock;
   #timer: Timer | undefined;
   #open = true;
@@ -74,11 +77,17 @@
   start(kernel: Kernel): Promise<void> {
     this.#clock = kernel.clock;
     const { clock } = kernel;
+    const { datagrams, members, metrics, self } = this.#options;
+    this.#teller = new EndTeller(self.region, datagrams, members, clock);
+    this.#lateSigns = new LateSigns(
+      this.#options.fleet,
+      clock,
+      (digest, loss, lostMs) => void this.#noteEnd(digest, loss, lostMs),
+    );
     this.#keeper = new SuspectKeeper(
-      new Links(this.#options, this.#store, kernel.log),
+      new Links(this.#teller, this.#store, metrics, kernel.log),
       () => clock.monoMs(),
     );
-    const { datagrams, members, self } = this.#options;
     datagrams.on("ends", (params) => this.#onTold(params));
     this.#timer = clock.every(
       TELL_AGAIN_MS,
@@ -91,6 +100,8 @@
   close(_deadlineMs: number): Promise<void> {
     this.#open = false;
     this.#timer?.close();
+    this.#teller.close();
+    this.#lateSigns.close();
     return Promise.resolve();
   }
 
@@ -108,13 +119,23 @@
    * of the end if so.
    */
   async noteLoss(digest: string, loss: Loss): Promise<string | undefined> {
-    const { upstream, sentAgoMs } = loss;
+    const { upstream } = loss;
     const lostMs = this.#clock.monoMs();
     // An upstream that leaves ends by plan, whatever still runs there.
     const isLeaving = this.#options.fleet.get(upstream.id)?.state ===
       "draining";
     const reach = await this.#options.losses.look(upstream);
-    if (reach !== "refused" || isLeaving || !mayBeCause(loss)) return undefined;
+    if (isLeaving || !mayBeCause(loss)) return undefined;
+    if (reach === "refused") return this.#noteEnd(digest, loss, lostMs);
+    if (reach === "open") this.#lateSigns.add(digest, loss, lostMs);
+    return undefined;
+  }
+
+  #noteEnd(
+    digest: string,
+    { upstream, sentAgoMs }: Loss,
+    lostMs: number,
+  ): string {
     const sinceLostMs = this.#clock.monoMs() - lostMs;
     return this.#keeper.noteEnd(digest, upstream.key, sentAgoMs + sinceLostMs);
   }
@@ -133,46 +154,32 @@
     const rows = this.#keeper.adopt(told.rows);
     const { members, self } = this.#options;
     if (rows.length === 0 || !members.isLead) return;
-    tell(this.#options, rows, told.region === self.region);
-  }
-}
-
-/**
- * Tells rows to who has to know: a VM tells the leads of its region, and a lead all VMs there, and the leads of other
- * regions if the rows are not from one.
- */
-function tell(
-  { members, datagrams, self }: SuspectOptions,
-  rows: readonly EndNews[],
-  isOwn: boolean,
-): void {
-  const far = isOwn ? members.regions() : [];
-  const ips = members.isLead
-    ? [
-      ...members.reporters().map(({ ip }) => ip),
-      ...far.flatMap(({ digest }) => digest.leads.map(({ ip }) => ip)),
-    ]
-    : members.leads.map(({ ip }) => ip);
-  for (const told of encodeEnds(self.region, rows)) {
-    datagrams.send("ends", told, ips);
+    this.#teller.tell(rows, told.region === self.region);
   }
 }
 
 /** This VM's ways to the others, the store and the log. */
 class Links extends SuspectLinks {
-  readonly #options: SuspectOptions;
+  readonly #teller: EndTeller;
   readonly #store: SuspectStore;
+  readonly #metrics: GatewayMetrics;
   readonly #log: Log;
 
-  constructor(options: SuspectOptions, store: SuspectStore, log: Log) {
+  constructor(
+    teller: EndTeller,
+    store: SuspectStore,
+    metrics: GatewayMetrics,
+    log: Log,
+  ) {
     super();
-    this.#options = options;
+    this.#teller = teller;
     this.#store = store;
+    this.#metrics = metrics;
     this.#log = log;
   }
 
   tell(rows: readonly EndNews[], isOwn: boolean): void {
-    tell(this.#options, rows, isOwn);
+    this.#teller.tell(rows, isOwn);
   }
 
   put(suspect: StoredSuspect): Promise<boolean> {
@@ -189,7 +196,7 @@
 
   note(event: SuspectEvent): void {
     const { type, ...fields } = event;
-    this.#options.metrics.count("suspect_events", `type="${type}"`);
+    this.#metrics.count("suspect_events", `type="${type}"`);
     this.#log.warn(SUSPECT_LINES[type], fields);
   }
 }
