--- a/soak/main.ts
+++ b/soak/main.ts
@@ -6,6 +6,7 @@
 
 import { defineCommand, runMain } from "citty";
 import type { Evidence } from "./judge.ts";
+import type { Crashes } from "./plan.ts";
 import { type RunResult, runSeed } from "./run.ts";
 
 const number = (description: string, value: number) => ({
@@ -61,9 +62,11 @@
       default: false,
     },
     crashes: {
-      type: "boolean",
-      description: "only requests that crash upstreams",
-      default: false,
+      type: "enum" as const,
+      options: ["none", "beside", "only"],
+      description:
+        "requests that crash upstreams: beside other faults, or alone",
+      default: "none",
     },
     keep: {
       type: "string",
@@ -86,7 +89,8 @@
           runners: Number(args.runners),
           callers: Number(args.callers),
           faultsMs: Number(args.seconds) * 1_000,
-          only: args.planned ? "planned" : args.crashes ? "crashes" : undefined,
+          plannedOnly: args.planned,
+          crashes: args.crashes as Crashes,
           keepIn: args.keep,
           plant: args.plant ? plantSecondRun : undefined,
         });
--- a/soak/plan.ts
+++ b/soak/plan.ts
@@ -61,6 +61,9 @@
     | { readonly kind: "evacuate"; readonly domain: number }
   );
 
+/** When requests that crash upstreams are drawn. */
+export type Crashes = "none" | "beside" | "only";
+
 /** The name of a kind of fault. */
 export type FaultKind = Fault["kind"];
 
@@ -69,8 +72,10 @@
   readonly vms: number;
   readonly runners: number;
   readonly domains: number;
-  /** Draws only planned work, or only requests that crash upstreams. */
-  readonly only?: "planned" | "crashes" | undefined;
+  /** Whether only planned work is drawn. */
+  readonly plannedOnly?: boolean | undefined;
+  /** Requests that crash upstreams: none, beside the other faults, or nothing else. */
+  readonly crashes?: Crashes | undefined;
   /** How long there is traffic with faults; after that everything is mended and callers go on. */
   readonly faultsMs: number;
 }
@@ -109,7 +114,6 @@
   "drain",
   "config",
   "evacuate",
-  "crash",
 ];
 
 /**
@@ -124,8 +128,6 @@
   "evacuate",
 ];
 
-const KINDS_OF = { planned: PLANNED, crashes: ["crash"] } as const;
-
 /** Faults begin this far apart on average, and last longer: several are always in force. */
 const GAP_MS = 550;
 const SHORTEST_MS = 300;
@@ -135,8 +137,20 @@
 const SERIES_GAP_MS = 400;
 const MOST_IN_SERIES = 3;
 
+/** Requests that crash upstreams begin this far apart on average; each comes for seconds. */
+const CRASH_GAP_MS = 2_000;
+/** They are drawn from a row of numbers of their own, so that a seed's other faults are the same with and without them. */
+const CRASH_SEED = 0x5eed;
+
 /** Draws the faults of a run, in the order of their begin. */
 export function drawPlan(seed: number, size: PlanSize): Fault[] {
+  const { crashes = "none" } = size;
+  const others = crashes === "only" ? [] : drawOthers(seed, size);
+  const fatal = crashes === "none" ? [] : drawCrashes(seed, size);
+  return [...others, ...fatal].sort((a, b) => a.atMs - b.atMs);
+}
+
+function drawOthers(seed: number, size: PlanSize): Fault[] {
   const random = new Random(seed);
   const faults: Fault[] = [];
   for (
@@ -152,7 +166,21 @@
       faults.push(again(first, nth, size));
     }
   }
-  return faults.sort((a, b) => a.atMs - b.atMs);
+  return faults;
+}
+
+function drawCrashes(seed: number, { faultsMs }: PlanSize): Fault[] {
+  const random = new Random(seed ^ CRASH_SEED);
+  const faults: Fault[] = [];
+  for (
+    let atMs = 200;
+    atMs < faultsMs;
+    atMs += random.next() * 2 * CRASH_GAP_MS
+  ) {
+    const forMs = SHORTEST_MS + random.int(LONGEST_MS - SHORTEST_MS);
+    faults.push({ kind: "crash", atMs: Math.round(atMs), forMs });
+  }
+  return faults;
 }
 
 /** The same fault a moment later, on the next VM or upstream. */
@@ -168,9 +196,7 @@
 }
 
 function drawFault(random: Random, size: PlanSize, atMs: number): Fault {
-  const kind = random.pick<FaultKind>(
-    size.only ? KINDS_OF[size.only] : KINDS,
-  );
+  const kind = random.pick(size.plannedOnly ? PLANNED : KINDS);
   const when = {
     atMs,
     forMs: SHORTEST_MS + random.int(LONGEST_MS - SHORTEST_MS),
@@ -197,7 +223,6 @@
     case "drain":
       return { ...when, kind, runner };
     case "config":
-    case "crash":
       return { ...when, kind };
     case "evacuate":
       return { ...when, kind, domain: random.int(size.domains) };
--- a/soak/run.ts
+++ b/soak/run.ts
@@ -11,7 +11,7 @@
 import { isFatal } from "./crashes.ts";
 import { Injector } from "./faults.ts";
 import { type Arrival, type Breach, type Evidence, Judge } from "./judge.ts";
-import { drawPlan, type Fault } from "./plan.ts";
+import { type Crashes, drawPlan, type Fault } from "./plan.ts";
 import { REGIONS, World } from "./world.ts";
 
 /** Settings of a run. */
@@ -21,8 +21,10 @@
   readonly runners: number;
   readonly callers: number;
   readonly faultsMs: number;
-  /** Only planned work happens, or only requests that crash upstreams. */
-  readonly only?: "planned" | "crashes" | undefined;
+  /** Whether only planned work happens. */
+  readonly plannedOnly?: boolean;
+  /** When requests that crash upstreams come. */
+  readonly crashes?: Crashes;
   /** Tells runs that go on side by side apart. */
   readonly block: number;
   /** Where the logs of a run that broke a promise are kept; absent: nowhere. */
@@ -78,14 +80,15 @@
 
 /** Plays one seed. Throws only if the world cannot be opened. */
 export async function runSeed(options: RunOptions): Promise<RunResult> {
-  const { seed, vms, runners, faultsMs, only } = options;
+  const { seed, vms, runners, faultsMs, plannedOnly, crashes } = options;
   const domains = REGIONS.length;
   const plan = drawPlan(seed, {
     vms,
     runners,
     domains,
     faultsMs,
-    only,
+    plannedOnly,
+    crashes,
   });
   const world = await World.open({ vms, runners, block: options.block, seed });
   try {
--- a/soak/soak_test.ts
+++ b/soak/soak_test.ts
@@ -41,6 +41,7 @@
       "--seconds",
       "4",
       "--crashes",
+      "only",
     );
     t.is(code, 0, printed);
   });
