What another VM knows against a request holds at the VM that handed it over

A VM that had not been told of a request's ends handed it to another region; the VM there rejected it, and the first one took that for an ordinary refusal: it tried elsewhere, its own upstreams included. A caller got 3005 (no upstream, come back in a second), or one more upstream ended. Codes 3014 and 3015 from another VM are final now. Its test was red before (3005), with the record of a rejected request in the store read by one of two VMs.

The leave for the last run is waited for 1 s at most: with a store that answers nothing a suspect's caller would have waited up to 4 s, past its deadline. Tested with a store 3 s slow.

--- a/src/adapters/suspect_store.ts
+++ b/src/adapters/suspect_store.ts
@@ -12,6 +12,8 @@
 const RECORD_MS = 10 * 60_000;
 /** A request that runs once more has ended its upstream or survived by then; a VM that was lost meanwhile holds it up so long. */
 const TRIAL_MS = 15_000;
+/** A caller is told sooner than by a store that is slow; twice two ways of 80 ms are usual from another region. */
+const TRIAL_WAIT_MS = 1_000;
 
 /** Options of {@link SuspectStore}. */
 export interface SuspectStoreOptions {
@@ -54,12 +56,19 @@
   }
 
   async takeTrial(digest: string): Promise<boolean> {
-    return await this.#putLeased(
+    const isTaken = this.#putLeased(
       this.#options.trialPrefix + digest,
       this.#options.vmId,
       TRIAL_MS,
       0,
     );
+    let timer: NodeJS.Timeout | undefined;
+    const isLate = new Promise<boolean>((resolve) => {
+      timer = setTimeout(() => resolve(false), TRIAL_WAIT_MS);
+    });
+    const isMine = await Promise.race([isTaken, isLate]);
+    clearTimeout(timer);
+    return isMine;
   }
 
   async strike(digest: string): Promise<void> {
--- a/src/gateway/call.ts
+++ b/src/gateway/call.ts
@@ -36,6 +36,12 @@
 /** Tries of one request, connections that failed included: each costs up to a quarter of a second. */
 const MOST_TRIES = 4;
 
+/** What another VM knows against a request holds here too, though this one was not told yet. */
+const FINAL_CODES: ReadonlySet<CodeName> = new Set<CodeName>([
+  "endsUpstreams",
+  "onTrialElsewhere",
+]);
+
 /** What a caller is told of each reason to refuse. */
 const REFUSAL_CODES = {
   noUpstream: "noUpstream",
@@ -289,7 +295,7 @@
     // A moved stream that its new engine turns away has run all the same.
     const mayHaveRun = head.mayHaveRun || this.#reply.isBegun;
     this.#mayHaveRun ||= mayHaveRun;
-    if (this.#mayRunAgain(mayHaveRun)) {
+    if (!FINAL_CODES.has(head.failure.code) && this.#mayRunAgain(mayHaveRun)) {
       return this.#record.sentAgain(head.reason);
     }
     this.#fail(
--- a/test/gateway_crashing_test.ts
+++ b/test/gateway_crashing_test.ts
@@ -1,6 +1,8 @@
 import type { ExecutionContext } from "ava";
 // One lab after the other: twelve at once in one process are slower than the times that they are about.
 import { describe, itAlone as it } from "../src/base/describe.ts";
+import { requestDigest } from "../src/suspects/mod.ts";
+import { ROUTE_HOST } from "../src/standins/mod.ts";
 import {
   type CallerAnswer,
   type CallerRequest,
@@ -150,6 +152,33 @@
       t.is(endsOf(lab), before);
     });
 
+    // The VM that takes it knows nothing yet, and the one that it hands it to rejects it.
+    it("is refused for good by the VM that it was handed to", async (t) => {
+      const lab = new GatewayLab();
+      t.teardown(() => lab.close());
+      lab.configure();
+      await lab.addRunner("south");
+      const north = await lab.addVm("north");
+      await lab.ready(north);
+      const digest = requestDigest({
+        host: ROUTE_HOST,
+        target: request.path,
+        keyDigest: undefined,
+        body: Buffer.from(FATAL),
+      });
+      lab.server.put(`ibisgap/suspects/${digest}`, ["u1", "u2", "u3", "u4"]);
+      const south = await lab.addVm("south");
+      await lab.ready(south);
+      await until(async () => {
+        const answer = await attempt(lab, north, { ...request, body: "good" });
+        return answer.status === 200;
+      });
+      const answer = await attempt(lab, north, request);
+      t.is(answer.status, 503);
+      t.is(JSON.parse(answer.body).error.code, 3014);
+      t.true(Number(answer.headers["retry-after"]) > 60);
+    });
+
     it("is known when all VMs were started again", async (t) => {
       const lab = await openRejecting(t);
       for (const { gateway } of lab.vms) await gateway.close();
@@ -258,6 +287,11 @@
       const refused = await attempt(lab, lab.vms[0], request);
       t.is(refused.status, 503);
       t.is(JSON.parse(refused.body).error.code, 3015);
+      lab.server.faults.set([{ slowMs: 3_000 }]);
+      const askedMs = performance.now();
+      const late = await attempt(lab, lab.vms[0], request);
+      t.is(JSON.parse(late.body).error.code, 3015);
+      t.true(performance.now() - askedMs < 1_400, "before its deadline");
       lab.server.faults.clear();
       t.is((await attempt(lab, lab.vms[0], request)).status, 200);
     });
