--- a/src/standins/runner.ts
+++ b/src/standins/runner.ts
@@ -146,7 +146,8 @@
 
   /** Its program ends: all connections break at once, and new ones are refused until it is back. */
   end(): void {
-    if (this.#backTimer) return;
+    // It may have been closed while a request that crashes it ran.
+    if (this.#backTimer || !this.#server.listening) return;
     this.ends++;
     this.onEnd();
     const { port } = this.#server.address() as AddressInfo;
--- a/src/suspects/end_book.ts
+++ b/src/suspects/end_book.ts
@@ -151,8 +151,12 @@
   }
 
   #lookForSuspects(nowMs: number): void {
-    this.#hasSuspects = [...this.#entries.values()]
-      .some((ends) => count(ends, nowMs) > 0);
+    this.#hasSuspects = false;
+    for (const ends of this.#entries.values()) {
+      if (count(ends, nowMs) === 0) continue;
+      this.#hasSuspects = true;
+      return;
+    }
   }
 
   dump(nowMs: number): unknown {
