--- a/src/suspects/end_book.ts
+++ b/src/suspects/end_book.ts
@@ -26,7 +26,7 @@
   isCleared: boolean,
 ];
 
-/** Ends that chance may bring about: a request beside the guilty one meets it again by then in one case of thousands. */
+/** Ends that other causes may bring about; one more run tells. */
 export const ENDS_BEFORE_TRIAL = 3;
 /** Ends with which a request is rejected. */
 export const ENDS_TO_REJECT = 4;
