--- a/soak/crashes.ts
+++ b/soak/crashes.ts
@@ -13,8 +13,6 @@
 
 const FATAL = "fatal ";
 const MEAN_GAP_MS = 250;
-/** Such a request comes longer than other faults last: it is to meet VMs that have been told. */
-const LASTS_TIMES = 3;
 const KINDS: readonly RequestKind[] = ["safe", "once", "stream", "streamonce"];
 
 /** Whether a request with this body is one of them. */
@@ -30,7 +28,7 @@
 ): Promise<void> {
   const body = `${FATAL}${random.next()}`;
   const kind = random.pick(KINDS);
-  const endMs = world.nowMs() + forMs * LASTS_TIMES;
+  const endMs = world.nowMs() + forMs;
   const sent: Promise<void>[] = [];
   for (let nth = 0; world.nowMs() < endMs; nth++) {
     sent.push(sendOnce(world, random, kind, `${body}-${nth}`, body));
--- a/soak/plan.ts
+++ b/soak/plan.ts
@@ -139,6 +139,8 @@
 
 /** Requests that crash upstreams begin this far apart on average; each comes for seconds. */
 const CRASH_GAP_MS = 2_000;
+/** They come longer than other faults last: they are to meet VMs that have been told. */
+const CRASH_TIMES = 3;
 /** They are drawn from a row of numbers of their own, so that a seed's other faults are the same with and without them. */
 const CRASH_SEED = 0x5eed;
 
@@ -177,7 +179,8 @@
     atMs < faultsMs;
     atMs += random.next() * 2 * CRASH_GAP_MS
   ) {
-    const forMs = SHORTEST_MS + random.int(LONGEST_MS - SHORTEST_MS);
+    const forMs = CRASH_TIMES *
+      (SHORTEST_MS + random.int(LONGEST_MS - SHORTEST_MS));
     faults.push({ kind: "crash", atMs: Math.round(atMs), forMs });
   }
   return faults;
