Older word, come late, brings back no key that is gone

Cause: the follower compared revisions only with the entry that it holds. Of a key that is gone nothing is held, so any put of it counted as new: an answer of the store that was asked for before a peer's news came (up to 20, a put at 18) brought back what the peer had said was gone (at 24, known up to 26). The follower is one code for configuration, evacuations and upstreams, so an upstream that had left could come back by the same way. The same for a peer that is behind this VM's own listing: its whole picture was taken, puts and ends, if only its last news had a higher revision.

Change: what is known under a prefix is a class of its own without I/O (replica.ts), whole up to a revision. Whatever holds no further than that is left out: single changes, listings, and other VMs' news. The other way, remembering ends and comparing each put with them, was weighed: its memory is bounded (500), and 2,000 ends between the two words defeat it. A revision can't be forgotten.

Logs: `old word left out` says by whom, at which revision, which keys; no line said so before. `store went back` if the store's revisions start anew: a VM can't tell that from old word and must be restarted.

News in whole names the keys there are in place of sending all entries again. The test of it said `whole`; it now compares the keys and the entries told, which is stricter.

--- a/src/gateway/beliefs.ts
+++ b/src/gateway/beliefs.ts
@@ -20,7 +20,8 @@
 } from "../platform/mod.ts";
 import { Fleet, type GatewayConfig, isNewsOf } from "../routing/mod.ts";
 import type { Revisions } from "../region/mod.ts";
-import { type FollowedStore, Follower, type News } from "./follower.ts";
+import { type FollowedStore, Follower } from "./follower.ts";
+import type { News } from "./replica.ts";
 
 /** The two matters that are followed. */
 export type Matter = keyof Revisions;
@@ -201,7 +202,7 @@
   }
 
   #adopt(matter: Matter, news: News, from: string): void {
-    if (!this.#followers[matter].adopt(news)) return;
+    if (!this.#followers[matter].adopt(news, from)) return;
     this.#log.info("learnt from a peer", {
       matter,
       from,
--- a/src/gateway/follower.ts
+++ b/src/gateway/follower.ts
@@ -15,6 +15,12 @@
 } from "../adapters/mod.ts";
 import { backoffMs, type Clock, Random } from "../base/mod.ts";
 import type { Log } from "../kernel/mod.ts";
+import {
+  type News,
+  Replica,
+  type ReplicaOptions,
+  type Taken,
+} from "./replica.ts";
 
 /** What a follower needs of the store. */
 export interface FollowedStore {
@@ -36,23 +42,8 @@
   >;
 }
 
-/** What changed under a prefix since a revision, as one VM tells another. */
-export interface News {
-  /** What must be taken in; whatever is missing here holds on, unless `whole`. */
-  readonly entries: readonly Entry[];
-  readonly deleted: readonly { readonly key: string; readonly rev: number }[];
-  /** Whether `entries` are all there are. */
-  readonly whole: boolean;
-  /** The store's revision that the teller had got to. */
-  readonly rev: number;
-  /** Revision of the teller's last news. */
-  readonly newsRev: number;
-  /** Since when the store answers the teller again after an outage, in ms before the telling; absent if it never failed. */
-  readonly recoveredAgoMs?: number;
-}
-
 /** Who is told of changes. */
-export interface FollowerOptions {
+export interface FollowerOptions extends ReplicaOptions {
   readonly store: FollowedStore;
   readonly prefix: string;
   readonly clock: Clock;
@@ -63,12 +54,8 @@
   readonly pauseMs: number;
   /** Whether this VM asks the store now; if not, it lives on what other VMs tell it. */
   readonly isReader: () => boolean;
-  /** Whether an entry says anything that the one before did not; what does not is not told to other VMs. */
-  readonly isNews: (entry: Entry) => boolean;
   /** What is kept of an entry that the store tells, and told to other VMs. */
   readonly seal?: (entry: Entry) => Entry;
-  readonly onPut: (entry: Entry) => void;
-  readonly onDelete: (key: string) => void;
 }
 
 /** First and longest wait after a failed call: an outage costs four calls a second and VM at most. */
@@ -76,28 +63,14 @@
 
 /** How often a VM that does not ask looks whether it should; a lead that is gone is found in twice this time. */
 const LOOK_MS = 500;
-/** Deletions that are remembered to be told; a VM that is further behind is told all entries. */
-const MOST_DELETED = 500;
-
-/** An entry with the revision at which it last said something new. */
-interface Held {
-  readonly entry: Entry;
-  readonly newsRev: number;
-}
+/** Keys that one log line names. */
+const MOST_KEYS_LOGGED = 8;
 
 /** See the module. */
 export class Follower {
   readonly #options: FollowerOptions;
-  readonly #entries = new Map<string, Held>();
-  /** Keys that are gone, with the revision of their end, oldest first. */
-  readonly #deleted = new Map<string, number>();
-  /** Deletions before this revision are not remembered. */
-  #deletedFromRev = 0;
-  /** Last news of the first listing, in which nothing tells what is new. */
-  #firstNewsRev = 0;
-  #newsRev = 0;
+  readonly #replica: Replica;
   readonly #random = new Random(process.pid);
-  #rev = 0;
   #open = true;
   #failures = 0;
   #heardMonoMs = -Infinity;
@@ -106,6 +79,7 @@
 
   constructor(options: FollowerOptions) {
     this.#options = options;
+    this.#replica = new Replica(options);
   }
 
   /** Starts to follow; never throws. */
@@ -117,14 +91,9 @@
     this.#open = false;
   }
 
-  /** The store's revision that the entries are known to hold at; 0 before the first listing. */
-  get rev(): number {
-    return this.#rev;
-  }
-
   /** Whether the last call failed. */
   get isFailing(): boolean {
-    return this.#failures > 0 || this.#rev === 0;
+    return this.#failures > 0 || this.#replica.rev === 0;
   }
 
   /** When the store answered last, on the monotonic clock. */
@@ -137,64 +106,45 @@
     return this.#recoveredMonoMs;
   }
 
-  /** Revision of the last change that said anything: whoever says a higher one knows more. */
+  /** See {@link Replica.newsRev}. */
   get newsRev(): number {
-    return this.#newsRev;
+    return this.#replica.newsRev;
   }
 
-  /**
-   * What this VM says of its news to others. After its first listing all looks new to it; saying so would make each VM
-   * of the region ask it for everything, so it says only that it knows something.
-   */
+  /** See {@link Replica.saidRev}. */
   get saidRev(): number {
-    return this.#newsRev > this.#firstNewsRev
-      ? this.#newsRev
-      : Math.min(1, this.#newsRev);
+    return this.#replica.saidRev;
   }
 
   /** What another VM that is at the news `sinceNewsRev` lacks. */
   newsSince(sinceNewsRev: number): News {
-    const whole = sinceNewsRev < this.#deletedFromRev;
-    const held = [...this.#entries.values()];
     const recoveredAgoMs = this.#options.clock.monoMs() -
       this.#recoveredMonoMs;
     return {
-      entries: held.filter(({ newsRev }) => whole || newsRev > sinceNewsRev)
-        .map(({ entry }) => entry),
-      deleted: [...this.#deleted].filter(([, rev]) => rev > sinceNewsRev)
-        .map(([key, rev]) => ({ key, rev })),
-      whole,
-      rev: this.#rev,
-      newsRev: this.#newsRev,
+      ...this.#replica.newsSince(sinceNewsRev),
       ...(recoveredAgoMs < Infinity ? { recoveredAgoMs } : {}),
     };
   }
 
-  /** Takes in what another VM told, if it is news. Returns whether it was. */
-  adopt(news: News): boolean {
-    if (news.newsRev <= this.#newsRev) return false;
-    if (news.recoveredAgoMs !== undefined) {
+  /** Takes in what the VM `from` told, if it is news. Returns whether it was. */
+  adopt(news: News, from: string): boolean {
+    // An outage has to be known of before the entries that lapsed in it are.
+    if (news.recoveredAgoMs !== undefined && news.rev > this.#replica.rev) {
       this.#recoveredMonoMs = Math.max(
         this.#recoveredMonoMs,
         this.#options.clock.monoMs() - news.recoveredAgoMs,
       );
     }
-    if (news.whole) this.#replace(news);
-    else {
-      for (const { key, rev } of news.deleted) this.#delete(key, rev);
-      for (const entry of news.entries) this.#put(entry);
-    }
-    // Another VM knows only what was news: from its revision on nothing is missing, before it nothing that matters.
-    this.#rev = Math.max(this.#rev, news.rev);
-    this.#newsRev = Math.max(this.#newsRev, news.newsRev);
-    return true;
+    const taken = this.#replica.adopt(news);
+    this.#logOld(taken, news.rev, from);
+    return taken.isNewer;
   }
 
   async #run(): Promise<void> {
     let listed = false;
     while (this.#open) {
       // The first listing is every VM's own: it must not wait for others to be found.
-      if (this.#rev > 0 && !this.#options.isReader()) {
+      if (this.#replica.rev > 0 && !this.#options.isReader()) {
         this.#failures = 0;
         this.#failingSinceMonoMs = undefined;
         listed = true;
@@ -212,6 +162,7 @@
 
   async #list(): Promise<boolean> {
     const { store, prefix } = this.#options;
+    const askedAtRev = this.#replica.rev;
     const listing = await store.list(prefix, {}, "table");
     if (!this.#open) return false;
     if (listing.isErr()) {
@@ -219,30 +170,32 @@
       return false;
     }
     this.#heard();
-    const isFirst = this.#rev === 0;
-    if (listing.value.rev >= this.#rev) {
-      const { entries, rev } = listing.value;
-      this.#replace({ entries: entries.map((it) => this.#seal(it)), rev });
-    }
-    // What was deleted before the first listing is not known: whoever is older must take all.
-    if (isFirst) {
-      this.#deletedFromRev = this.#newsRev;
-      this.#firstNewsRev = this.#newsRev;
-    }
+    const { entries, rev, more } = listing.value;
+    if (rev < askedAtRev) this.#wentBack(rev);
+    this.#replica.list({
+      entries: entries.map((entry) => this.#seal(entry)),
+      rev,
+      more,
+    });
     return true;
   }
 
   async #follow(): Promise<boolean> {
     const { store, prefix, waitMs, pauseMs, clock } = this.#options;
-    const changes = await store.changes(prefix, this.#rev, waitMs, "table");
+    const afterRev = this.#replica.rev;
+    const changes = await store.changes(prefix, afterRev, waitMs, "table");
     if (!this.#open) return false;
     if (changes.isErr()) {
       if (changes.error.kind !== "compacted") this.#failed(changes.error);
       return false;
     }
     this.#heard();
-    for (const event of changes.value.events) this.#apply(event);
-    this.#rev = Math.max(this.#rev, changes.value.rev);
+    const { events, rev } = changes.value;
+    const taken = this.#replica.change(
+      events.map((event) => this.#sealed(event)),
+      rev,
+    );
+    this.#logOld(taken, rev, "store");
     if (pauseMs > 0) await clock.sleep(pauseMs);
     return true;
   }
@@ -251,49 +204,32 @@
     return this.#options.seal?.(entry) ?? entry;
   }
 
-  #apply(event: WatchEvent): void {
-    if (event.type === "put") this.#put(this.#seal(event.entry));
-    else if (
-      event.type === "delete"
-    ) this.#delete(event.key, event.rev);
+  #sealed(event: WatchEvent): WatchEvent {
+    return event.type === "put"
+      ? { type: "put", entry: this.#seal(event.entry) }
+      : event;
   }
 
-  #delete(key: string, rev: number): void {
-    if ((this.#entries.get(key)?.entry.rev ?? Infinity) >= rev) return;
-    this.#entries.delete(key);
-    this.#deleted.delete(key);
-    this.#deleted.set(key, rev);
-    for (const [oldest, oldestRev] of this.#deleted) {
-      if (this.#deleted.size <= MOST_DELETED) break;
-      this.#deleted.delete(oldest);
-      this.#deletedFromRev = oldestRev;
-    }
-    this.#newsRev = Math.max(this.#newsRev, rev);
-    this.#options.onDelete(key);
-  }
-
-  #put(entry: Entry): void {
-    const before = this.#entries.get(entry.key);
-    if (before && before.entry.rev >= entry.rev) return;
-    const newsRev = before && !this.#options.isNews(entry)
-      ? before.newsRev
-      : entry.rev;
-    this.#entries.set(entry.key, { entry, newsRev });
-    this.#deleted.delete(entry.key);
-    this.#newsRev = Math.max(this.#newsRev, newsRev);
-    this.#options.onPut(entry);
+  /** Without this line nothing shows that a VM was told what is no longer so, nor by whom. */
+  #logOld({ oldKeys }: Taken, rev: number, from: string): void {
+    if (oldKeys.length === 0) return;
+    this.#options.log.info("old word left out", {
+      prefix: this.#options.prefix,
+      from,
+      rev,
+      knownRev: this.#replica.rev,
+      keys: oldKeys.slice(0, MOST_KEYS_LOGGED).join(),
+      count: oldKeys.length,
+    });
   }
 
-  #replace(
-    { entries, rev }: { entries: readonly Entry[]; rev: number },
-  ): void {
-    const present = new Set(entries.map(({ key }) => key));
-    for (const key of [...this.#entries.keys()]) {
-      if (!present.has(key)) this.#delete(key, rev);
-    }
-    for (const entry of entries) this.#put(entry);
-    this.#rev = Math.max(this.#rev, rev);
-    this.#newsRev = Math.max(this.#newsRev, 1);
+  /** Nothing of a store that starts its revisions anew can be told from old word: VMs have to start anew too. */
+  #wentBack(rev: number): void {
+    this.#options.log.error("store went back", {
+      prefix: this.#options.prefix,
+      rev,
+      knownRev: this.#replica.rev,
+    });
   }
 
   #heard(): void {
--- a/src/gateway/follower_test.ts
+++ b/src/gateway/follower_test.ts
@@ -2,7 +2,8 @@
 import type { Entry, Listing, WatchEvent } from "../adapters/mod.ts";
 import { describe, it } from "../base/describe.ts";
 import { systemClock } from "../base/mod.ts";
-import { Follower, type News } from "./follower.ts";
+import { Follower } from "./follower.ts";
+import type { News } from "./replica.ts";
 
 const SILENT_LOG = {
   debug() {},
@@ -40,8 +41,40 @@
   }
 }
 
+interface Answer {
+  readonly events: WatchEvent[];
+  readonly rev: number;
+}
+
+/** A store that lists once and answers questions for changes when the test says so. */
+class SlowStore {
+  readonly #listing: Listing;
+  readonly #waiting: ((answer: Answer) => void)[] = [];
+
+  constructor(entries: Entry[], rev: number) {
+    this.#listing = { entries, rev, more: false };
+  }
+
+  list() {
+    return Promise.resolve(ok(this.#listing));
+  }
+
+  async changes() {
+    const answer = await new Promise<Answer>((resolve) =>
+      this.#waiting.push(resolve)
+    );
+    return ok(answer);
+  }
+
+  /** Answers the oldest question. */
+  async answer(events: WatchEvent[], rev: number): Promise<void> {
+    this.#waiting.shift()!({ events, rev });
+    await settle();
+  }
+}
+
 /** A follower, and the keys that it believes in. */
-function follow(store: ScriptedStore) {
+function follow(store: ScriptedStore | SlowStore) {
   const believed = new Map<string, string>();
   const follower = new Follower({
     store,
@@ -84,10 +117,10 @@
       follower.start();
       await settle();
       t.is(follower.saidRev, 5);
-      const { entries, deleted, whole } = follower.newsSince(4);
+      const { entries, deleted, present } = follower.newsSince(4);
       t.deepEqual(entries, [entry("b", 5, "leaves")]);
       t.deepEqual(deleted, []);
-      t.false(whole);
+      t.is(present, undefined);
       follower.close();
     });
 
@@ -104,22 +137,27 @@
       listener.follower.start();
       await settle();
       const since = listener.follower.newsRev;
-      t.true(listener.follower.adopt(teller.follower.newsSince(since)));
+      t.true(
+        listener.follower.adopt(teller.follower.newsSince(since), "teller"),
+      );
       t.deepEqual([...listener.believed].sort(), [...teller.believed].sort());
-      t.false(listener.follower.adopt(teller.follower.newsSince(since)));
+      t.false(
+        listener.follower.adopt(teller.follower.newsSince(since), "teller"),
+      );
       teller.follower.close();
       listener.follower.close();
     });
 
-    it("that is further behind than the teller remembers is everything there is", async (t) => {
+    it("that is further behind than the teller remembers names all keys there are", async (t) => {
       const teller = follow(new ScriptedStore([entry("b", 8)], 9));
       const listener = follow(new ScriptedStore([entry("a", 1)], 2));
       teller.follower.start();
       listener.follower.start();
       await settle();
       const news = teller.follower.newsSince(listener.follower.newsRev);
-      t.true(news.whole);
-      listener.follower.adopt(news);
+      t.deepEqual(news.present, ["b"]);
+      t.deepEqual(news.entries, [entry("b", 8)]);
+      listener.follower.adopt(news, "teller");
       t.deepEqual([...listener.believed.keys()], ["b"]);
       teller.follower.close();
       listener.follower.close();
@@ -143,16 +181,119 @@
       const news: News = {
         entries: [],
         deleted: [{ key: "a", rev: 2 }],
-        whole: false,
         rev: 2,
         newsRev: 2,
         recoveredAgoMs: 100,
       };
-      listener.follower.adopt(news);
+      listener.follower.adopt(news, "teller");
       const sinceMs = systemClock.monoMs() -
         listener.follower.recoveredMonoMs;
       t.true(sinceMs >= 100 && sinceMs < 5_000);
       listener.follower.close();
     });
   });
+
+  // A VM used no upstream of its region for good: the store's answer about an evacuation came after its end.
+  describe("an answer of the store that comes later than a peer's newer news", () => {
+    const told = (news: Partial<News>): News => ({
+      entries: [],
+      deleted: [],
+      rev: 26,
+      newsRev: 26,
+      ...news,
+    });
+
+    async function behind(held: Entry[], news: News) {
+      const store = new SlowStore(held, 10);
+      const { follower, believed } = follow(store);
+      follower.start();
+      await settle();
+      follower.adopt(news, "peer");
+      return { store, follower, believed };
+    }
+
+    it("brings back no key that was never held", async (t) => {
+      const { store, follower, believed } = await behind(
+        [entry("other", 9)],
+        told({ deleted: [{ key: "a", rev: 24 }] }),
+      );
+      await store.answer([put(entry("a", 18))], 20);
+      t.deepEqual([...believed.keys()], ["other"]);
+      follower.close();
+    });
+
+    it("brings back no key that was held", async (t) => {
+      const { store, follower, believed } = await behind(
+        [entry("a", 9)],
+        told({ deleted: [{ key: "a", rev: 24 }] }),
+      );
+      await store.answer([put(entry("a", 18))], 20);
+      t.deepEqual([...believed.keys()], []);
+      follower.close();
+    });
+
+    it("brings back no key that is missing among all keys there are", async (t) => {
+      const { store, follower, believed } = await behind(
+        [entry("a", 9), entry("b", 10)],
+        told({ entries: [entry("b", 25)], present: ["b"] }),
+      );
+      await store.answer([put(entry("a", 18))], 20);
+      t.deepEqual([...believed.keys()], ["b"]);
+      follower.close();
+    });
+
+    it("brings back no key although thousands ended meanwhile", async (t) => {
+      const ended = Array.from(
+        { length: 2_000 },
+        (_, i) => ({ key: `k${i}`, rev: 100 + i }),
+      );
+      const { store, follower, believed } = await behind(
+        [entry("a", 9)],
+        told({
+          deleted: [{ key: "a", rev: 24 }, ...ended],
+          rev: 3_000,
+          newsRev: 2_999,
+        }),
+      );
+      await store.answer([put(entry("a", 18))], 20);
+      t.deepEqual([...believed.keys()], []);
+      follower.close();
+    });
+
+    it("ends no key that began anew since", async (t) => {
+      const { store, follower, believed } = await behind(
+        [entry("a", 9)],
+        told({ entries: [entry("a", 25)] }),
+      );
+      await store.answer([gone("a", 18)], 20);
+      t.deepEqual([...believed.keys()], ["a"]);
+      follower.close();
+    });
+
+    it("says what came after that news too", async (t) => {
+      const { store, follower, believed } = await behind(
+        [entry("a", 9)],
+        told({ deleted: [{ key: "a", rev: 24 }] }),
+      );
+      await store.answer([put(entry("a", 18)), put(entry("a", 30))], 31);
+      t.deepEqual([...believed.keys()], ["a"]);
+      follower.close();
+    });
+  });
+
+  it("takes no key back from a peer that is behind its own listing", async (t) => {
+    const { follower, believed } = follow(
+      new ScriptedStore([entry("b", 8)], 40),
+    );
+    follower.start();
+    await settle();
+    follower.adopt({
+      entries: [entry("a", 25)],
+      deleted: [],
+      rev: 26,
+      newsRev: 25,
+    }, "peer");
+    t.deepEqual([...believed.keys()], ["b"]);
+    follower.close();
+  });
 });
--- a/src/gateway/peer_rpc.ts
+++ b/src/gateway/peer_rpc.ts
@@ -22,7 +22,7 @@
 } from "../kernel/mod.ts";
 import type { BeliefMessages, Beliefs, Matter } from "./beliefs.ts";
 import type { Teller } from "../region/mod.ts";
-import type { News } from "./follower.ts";
+import type { News } from "./replica.ts";
 import type { PeerQuestions } from "./front.ts";
 import type { Members } from "./members.ts";
 import type { Relays } from "./relays.ts";
--- /dev/null
+++ b/src/gateway/replica.ts
@@ -0,0 +1,204 @@
+/**
+ * The entries under a prefix of the store as one VM knows them, whole up to a revision.
+ *
+ * Four ways bring word of a key: listings, changes, and other VMs' news, in full or in part. They overtake each other. Each
+ * says up to which revision it holds; whatever holds no further than what is known already is old word and changes nothing.
+ *
+ * @module
+ */
+
+import type { Entry, Listing, WatchEvent } from "../adapters/mod.ts";
+
+/** A key that is gone, and the revision at which it surely was. */
+export interface EndedKey {
+  readonly key: string;
+  readonly rev: number;
+}
+
+/** What changed under a prefix since a revision, as one VM tells another. */
+export interface News {
+  /** Entries that said something new since. */
+  readonly entries: readonly Entry[];
+  /** Keys that ended since, as far as the teller remembers. */
+  readonly deleted: readonly EndedKey[];
+  /** All keys there are, if the teller does not remember all that ended since. */
+  readonly present?: readonly string[];
+  /** The store's revision that the teller had got to. */
+  readonly rev: number;
+  /** Revision of the teller's last news. */
+  readonly newsRev: number;
+  /** Since when the store answers the teller again after an outage, in ms before the telling; absent if it never failed. */
+  readonly recoveredAgoMs?: number;
+}
+
+/** Options of {@link Replica}. */
+export interface ReplicaOptions {
+  /** Whether an entry says anything that the one before did not; what does not is not told to other VMs. */
+  readonly isNews: (entry: Entry) => boolean;
+  readonly onPut: (entry: Entry) => void;
+  readonly onDelete: (key: string) => void;
+}
+
+/** What came of taking something in. */
+export interface Taken {
+  /** Whether it was looked at; what holds no further than what is known is not. */
+  readonly isNewer: boolean;
+  /** Keys of which it said what is no longer so. */
+  readonly oldKeys: readonly string[];
+}
+
+/** Ends that are remembered to be told; a VM that is further behind is told which keys there are. */
+const MOST_ENDED = 500;
+
+/** An entry with the revision at which it last said something new. */
+interface Held {
+  readonly entry: Entry;
+  readonly newsRev: number;
+}
+
+/** See the module. */
+export class Replica {
+  readonly #options: ReplicaOptions;
+  readonly #held = new Map<string, Held>();
+  /** Keys that are gone, with the revision of their end. */
+  readonly #ended = new Map<string, number>();
+  /** Ends up to this revision may not be remembered. */
+  #forgottenRev = 0;
+  /** Last news of the first listing, in which nothing tells what is new. */
+  #firstNewsRev = 0;
+  #newsRev = 0;
+  #rev = 0;
+
+  constructor(options: ReplicaOptions) {
+    this.#options = options;
+  }
+
+  /** The store's revision up to which no change is missing here; 0 if nothing is known. */
+  get rev(): number {
+    return this.#rev;
+  }
+
+  /** Revision of the last change that said anything and is known for sure: whoever says a higher one knows more. */
+  get newsRev(): number {
+    return Math.min(this.#newsRev, this.#rev);
+  }
+
+  /**
+   * What this VM says of its news to others. After its first listing all looks new to it; saying so would make each VM
+   * of the region ask it for everything, so it says only that it knows something.
+   */
+  get saidRev(): number {
+    return this.newsRev > this.#firstNewsRev
+      ? this.newsRev
+      : Math.min(1, this.newsRev);
+  }
+
+  /** What another VM that is at the news `sinceNewsRev` lacks. */
+  newsSince(sinceNewsRev: number): News {
+    const held = [...this.#held.values()];
+    const isForgotten = sinceNewsRev < this.#forgottenRev;
+    return {
+      entries: held.filter(({ newsRev }) => newsRev > sinceNewsRev)
+        .map(({ entry }) => entry),
+      deleted: [...this.#ended].filter(([, rev]) => rev > sinceNewsRev)
+        .map(([key, rev]) => ({ key, rev })),
+      ...(isForgotten ? { present: [...this.#held.keys()] } : {}),
+      rev: this.#rev,
+      newsRev: this.newsRev,
+    };
+  }
+
+  /** Takes in a listing of all entries. */
+  list({ entries, rev }: Listing): Taken {
+    if (rev < this.#rev) return { isNewer: false, oldKeys: [] };
+    const isFirst = this.#rev === 0;
+    this.#keepOnly(entries.map(({ key }) => key), rev);
+    for (const entry of entries) this.#put(entry);
+    this.#rev = rev;
+    this.#newsRev = Math.max(this.#newsRev, 1);
+    if (isFirst) {
+      this.#forgottenRev = this.newsRev;
+      this.#firstNewsRev = this.newsRev;
+    }
+    return { isNewer: true, oldKeys: [] };
+  }
+
+  /** Takes in all changes up to a revision. */
+  change(events: readonly WatchEvent[], rev: number): Taken {
+    const oldKeys: string[] = [];
+    for (const event of events) {
+      if (event.type === "lost") continue;
+      const key = event.type === "put" ? event.entry.key : event.key;
+      const eventRev = event.type === "put" ? event.entry.rev : event.rev;
+      if (eventRev <= this.#rev) {
+        if (this.#contradicts(key, event)) oldKeys.push(key);
+      } else if (event.type === "put") this.#put(event.entry);
+      else this.#delete(key, eventRev);
+    }
+    const isNewer = rev > this.#rev;
+    this.#rev = Math.max(this.#rev, rev);
+    return { isNewer, oldKeys };
+  }
+
+  /** Takes in what another VM told. */
+  adopt(news: News): Taken {
+    if (news.rev <= this.#rev) return this.#leaveOut(news);
+    for (const { key, rev } of news.deleted) this.#delete(key, rev);
+    if (news.present) this.#keepOnly(news.present, news.rev);
+    for (const entry of news.entries) this.#put(entry);
+    this.#rev = news.rev;
+    this.#newsRev = Math.max(this.#newsRev, news.newsRev);
+    return { isNewer: true, oldKeys: [] };
+  }
+
+  #leaveOut({ entries, newsRev }: News): Taken {
+    const oldKeys = entries.filter(({ key, rev }) =>
+      rev <= this.#rev && !this.#held.has(key)
+    ).map(({ key }) => key);
+    this.#newsRev = Math.max(this.#newsRev, Math.min(newsRev, this.#rev));
+    return { isNewer: false, oldKeys };
+  }
+
+  #contradicts(key: string, event: WatchEvent): boolean {
+    return this.#held.has(key) !== (event.type === "put");
+  }
+
+  #keepOnly(keys: readonly string[], rev: number): void {
+    const present = new Set(keys);
+    for (const key of [...this.#held.keys()]) {
+      if (!present.has(key)) this.#delete(key, rev);
+    }
+  }
+
+  #delete(key: string, rev: number): void {
+    const before = this.#held.get(key);
+    if (!before || before.entry.rev >= rev) return;
+    this.#held.delete(key);
+    this.#remember(key, rev);
+    this.#newsRev = Math.max(this.#newsRev, rev);
+    this.#options.onDelete(key);
+  }
+
+  #remember(key: string, rev: number): void {
+    this.#ended.delete(key);
+    this.#ended.set(key, rev);
+    for (const [oldest, oldestRev] of this.#ended) {
+      if (this.#ended.size <= MOST_ENDED) break;
+      this.#ended.delete(oldest);
+      this.#forgottenRev = Math.max(this.#forgottenRev, oldestRev);
+    }
+  }
+
+  #put(entry: Entry): void {
+    const { key, rev } = entry;
+    const before = this.#held.get(key);
+    if (before && before.entry.rev >= rev) return;
+    const newsRev = before && !this.#options.isNews(entry)
+      ? before.newsRev
+      : rev;
+    this.#held.set(key, { entry, newsRev });
+    this.#ended.delete(key);
+    this.#newsRev = Math.max(this.#newsRev, newsRev);
+    this.#options.onPut(entry);
+  }
+}
