An end that the teller never saw reaches the VMs that hold the key

What callers see: a VM goes on believing in an evacuation, a route's key or an upstream that ended while the reader that tells it was not there: it had just started, had a gap in its history, or had been told of the end of a key that it never held. Refused or sent to what is gone, until a reader lists anew.

Cause: a reader told "these ended since" as if it remembered all ends after the last news of its first listing. It remembers only those that it saw: an end between that news and its listing, one between two listings, and one told of a key that it doesn't hold were in none of its answers, nor were those that a VM which told it had forgotten.

Change: the bound up to which ends may be forgotten moves with each listing and with each picture that named all keys; ends of keys never held are remembered. A bound that forgets now falls on the safe side.

--- a/src/gateway/replica.ts
+++ b/src/gateway/replica.ts
@@ -115,11 +115,10 @@
     this.#keepOnly(entries.map(({ key }) => key), rev);
     for (const entry of entries) this.#put(entry);
     this.#rev = rev;
+    // A key that came and went between two listings is in neither of them.
+    this.#forgottenRev = rev;
     this.#newsRev = Math.max(this.#newsRev, 1);
-    if (isFirst) {
-      this.#forgottenRev = this.newsRev;
-      this.#firstNewsRev = this.newsRev;
-    }
+    if (isFirst) this.#firstNewsRev = this.newsRev;
     return { isNewer: true, oldKeys: [] };
   }
 
@@ -146,6 +145,7 @@
     for (const { key, rev } of news.deleted) this.#delete(key, rev);
     if (news.present) this.#keepOnly(news.present, news.rev);
     for (const entry of news.entries) this.#put(entry);
+    if (news.present) this.#forgottenRev = news.rev;
     this.#rev = news.rev;
     this.#newsRev = Math.max(this.#newsRev, news.newsRev);
     return { isNewer: true, oldKeys: [] };
@@ -172,13 +172,15 @@
 
   #delete(key: string, rev: number): void {
     const before = this.#held.get(key);
-    if (!before || before.entry.rev >= rev) return;
+    if (before && before.entry.rev >= rev) return;
+    if ((this.#ended.get(key) ?? 0) >= rev) return;
     this.#held.delete(key);
     this.#remember(key, rev);
     this.#newsRev = Math.max(this.#newsRev, rev);
-    this.#options.onDelete(key);
+    if (before) this.#options.onDelete(key);
   }
 
+  /** Remembers an end also of a key that was never held: another VM may hold it. */
   #remember(key: string, rev: number): void {
     this.#ended.delete(key);
     this.#ended.set(key, rev);
