A VM that missed an end is corrected by the next one that hears of it

What callers see: all readers of a region that saw the end of an evacuation are killed before they told it. The others hold it for good; worse, the readers that are back find them ahead (their last news is newer than any entry that is left), ask them, and believe in the evacuation again.

Cause: a picture that is older than the own listing was news if its last news was; and what a started VM lists of the operators' keys was not announced.

Change: keys in an outdated picture that are not held have ended: their ends are told as news. The operators' keys are not renewed, so a first listing of them is announced as it is; upstreams' entries are renewed each second, all look new to a VM that starts, and it keeps silent about them as before.

What remains: readers that are killed after an end and back at once, when the others know later news than that key's begin and nothing newer than that: they say the same revision, so nobody asks until the next news of that matter.

--- a/src/gateway/follower_test.ts
+++ b/src/gateway/follower_test.ts
@@ -85,6 +85,7 @@
     pauseMs: 0,
     isReader: () => true,
     isNews: ({ key, value }) => believed.get(key) !== value,
+    isRenewed: true,
     onPut: ({ key, value }) => void believed.set(key, value),
     onDelete: (key) => void believed.delete(key),
   });
--- a/src/gateway/replica.ts
+++ b/src/gateway/replica.ts
@@ -35,6 +35,11 @@
 export interface ReplicaOptions {
   /** Whether an entry says anything that the one before did not; what does not is not told to other VMs. */
   readonly isNews: (entry: Entry) => boolean;
+  /**
+   * Whether entries are renewed again and again without news, so that all of a first listing looks new. Saying so would
+   * make each VM of the region ask this one for everything.
+   */
+  readonly isRenewed: boolean;
   readonly onPut: (entry: Entry) => void;
   readonly onDelete: (key: string) => void;
 }
@@ -64,7 +69,7 @@
   readonly #ended = new Map<string, number>();
   /** Ends up to this revision may not be remembered. */
   #forgottenRev = 0;
-  /** Last news of the first listing, in which nothing tells what is new. */
+  /** Last news of a first listing of renewed entries, in which nothing tells what is new. */
   #firstNewsRev = 0;
   #newsRev = 0;
   #rev = 0;
@@ -83,10 +88,7 @@
     return Math.min(this.#newsRev, this.#rev);
   }
 
-  /**
-   * What this VM says of its news to others. After its first listing all looks new to it; saying so would make each VM
-   * of the region ask it for everything, so it says only that it knows something.
-   */
+  /** What this VM says of its news to others. */
   get saidRev(): number {
     return this.newsRev > this.#firstNewsRev
       ? this.newsRev
@@ -118,7 +120,9 @@
     // A key that came and went between two listings is in neither of them.
     this.#forgottenRev = rev;
     this.#newsRev = Math.max(this.#newsRev, 1);
-    if (isFirst) this.#firstNewsRev = this.newsRev;
+    if (isFirst && this.#options.isRenewed) {
+      this.#firstNewsRev = this.newsRev;
+    }
     return { isNewer: true, oldKeys: [] };
   }
 
@@ -141,7 +145,7 @@
 
   /** Takes in what another VM told. */
   adopt(news: News): Taken {
-    if (news.rev <= this.#rev) return this.#leaveOut(news);
+    if (news.rev <= this.#rev) return this.#correct(news);
     for (const { key, rev } of news.deleted) this.#delete(key, rev);
     if (news.present) this.#keepOnly(news.present, news.rev);
     for (const entry of news.entries) this.#put(entry);
@@ -151,10 +155,12 @@
     return { isNewer: true, oldKeys: [] };
   }
 
-  #leaveOut({ entries, newsRev }: News): Taken {
+  /** A VM that tells of entries which are gone has missed their ends, and whoever told it may be gone too: say it anew. */
+  #correct({ entries, newsRev }: News): Taken {
     const oldKeys = entries.filter(({ key, rev }) =>
-      rev <= this.#rev && !this.#held.has(key)
+      rev <= this.#rev && !this.#held.has(key) && !this.#ended.has(key)
     ).map(({ key }) => key);
+    for (const key of oldKeys) this.#delete(key, this.#rev);
     this.#newsRev = Math.max(this.#newsRev, Math.min(newsRev, this.#rev));
     return { isNewer: false, oldKeys };
   }
--- a/src/gateway/replica_test.ts
+++ b/src/gateway/replica_test.ts
@@ -8,10 +8,11 @@
 }
 
 /** A replica, and the keys that it believes in with their values. */
-function open() {
+function open(isRenewed: boolean) {
   const believed = new Map<string, string>();
   const replica = new Replica({
     isNews: ({ key, value }) => believed.get(key) !== value,
+    isRenewed,
     onPut: ({ key, value }) => void believed.set(key, value),
     onDelete: (key) => void believed.delete(key),
   });
@@ -20,8 +21,8 @@
 
 type Vm = ReturnType<typeof open>;
 
-function listed(entries: Entry[], rev: number): Vm {
-  const vm = open();
+function listed(entries: Entry[], rev: number, isRenewed = false): Vm {
+  const vm = open(isRenewed);
   vm.replica.list({ entries, rev, more: false });
   return vm;
 }
@@ -94,6 +95,24 @@
     });
   });
 
+  // All that saw the end restart before they told it. Without a correction the others hold the key for good.
+  it("that restarts corrects a VM which still holds a key that ended", (t) => {
+    const behind = listed([entry("config", 90)], 95);
+    behind.replica.change([put(entry("a", 100))], 100);
+    const restarted = listed([entry("config", 90)], 160);
+    t.true(behind.replica.saidRev > restarted.replica.saidRev);
+    tell(behind, restarted);
+    t.deepEqual([...restarted.believed.keys()], ["config"]);
+    t.true(restarted.replica.saidRev > behind.replica.saidRev);
+    tell(restarted, behind);
+    t.deepEqual([...behind.believed.keys()], ["config"]);
+  });
+
+  it("says what it has listed, unless entries are renewed all the time", (t) => {
+    t.is(listed([entry("a", 70)], 80).replica.saidRev, 70);
+    t.is(listed([entry("a", 70)], 80, true).replica.saidRev, 1);
+  });
+
   describe("with answers and news in any order", () => {
     const KEYS = ["a", "b", "c"];
     const VMS = 4;
@@ -101,13 +120,15 @@
     /** A store, VMs that follow it, and answers that are still under way. */
     class World {
       readonly vms: Vm[];
+      readonly #isRenewed: boolean;
       readonly #events: WatchEvent[] = [];
       readonly #underWay: (() => void)[] = [];
       #rev = 1;
       #forgottenRev = 0;
 
-      constructor() {
-        this.vms = Array.from({ length: VMS }, () => open());
+      constructor(isRenewed: boolean) {
+        this.#isRenewed = isRenewed;
+        this.vms = Array.from({ length: VMS }, () => open(isRenewed));
       }
 
       write(key: string, value: string | undefined): void {
@@ -124,7 +145,7 @@
       }
 
       restart(vm: number): void {
-        this.vms[vm] = open();
+        this.vms[vm] = open(this.#isRenewed);
       }
 
       /** The entries as they were at a revision. */
@@ -219,12 +240,15 @@
       vm.map((i): Step => (w) => w.restart(i)),
       fc.constant<Step>((w) => w.forget()),
     );
-    const run = fc.array(step, { minLength: 1, maxLength: 60 });
+    const run = fc.record({
+      isRenewed: fc.boolean(),
+      steps: fc.array(step, { minLength: 1, maxLength: 60 }),
+    });
 
     it("holds what was so at its revision, and never goes back", (t) => {
       fc.assert(
-        fc.property(run, (steps) => {
-          const world = new World();
+        fc.property(run, ({ isRenewed, steps }) => {
+          const world = new World(isRenewed);
           for (const play of steps) {
             const before = world.vms.map(({ replica }) => ({
               replica,
@@ -245,8 +269,8 @@
 
     it("is the same everywhere after the next news", (t) => {
       fc.assert(
-        fc.property(run, (steps) => {
-          const world = new World();
+        fc.property(run, ({ isRenewed, steps }) => {
+          const world = new World(isRenewed);
           for (const play of steps) play(world);
           world.settle();
           world.write("news", "z");
