--- a/src/base/describe.ts
+++ b/src/base/describe.ts
@@ -4,10 +4,17 @@
  * @module
  */
 
+import { basename } from "node:path";
 import test, { type ExecutionContext } from "ava";
 
 const names: string[] = [];
 
+// Logs that are kept of a test's processes carry its file's name.
+process.env.IBISGAP_TEST_FILE = basename(
+  new URL(test.meta.file).pathname,
+  ".js",
+);
+
 /** Opens a block; tests declared by {@link it} inside `body` carry its name. */
 export function describe(name: string, body: () => void): void {
   names.push(name);
--- a/test/cluster.ts
+++ b/test/cluster.ts
@@ -14,6 +14,7 @@
 import { tableRow } from "../src/agreement/mod.ts";
 import { secretDigest } from "../src/base/mod.ts";
 import { seedTable } from "../src/daemon/embedded.ts";
+import { keepLog } from "./kept.ts";
 
 const DIST = fileURLToPath(new URL("..", import.meta.url));
 const READY_MS = 30_000;
@@ -46,7 +47,12 @@
       [...nodeOptions, join(DIST, script), ...args],
       { stdio: ["ignore", "pipe", "pipe"], env: { ...process.env, ...env } },
     );
-    const append = (chunk: Buffer) => void (this.output += chunk.toString());
+    const keep = keepLog(name);
+    const append = (chunk: Buffer) => {
+      const text = chunk.toString();
+      this.output += text;
+      keep(text);
+    };
     this.child.stdout!.on("data", append);
     this.child.stderr!.on("data", append);
     this.exited = new Promise((resolve) =>
--- a/test/gateway_lab.ts
+++ b/test/gateway_lab.ts
@@ -18,6 +18,7 @@
   Runner,
   upstreamRow,
 } from "../src/standins/mod.ts";
+import { keepLog } from "./kept.ts";
 
 /** What a caller got. */
 export interface CallerAnswer {
@@ -52,6 +53,12 @@
 
 class MemoryLog implements Log {
   readonly lines: LogLine[] = [];
+  readonly #keep: (text: string) => void;
+
+  constructor(vmId: string) {
+    this.#keep = keepLog(vmId);
+  }
+
   debug(): void {}
   info(event: string, fields = {}): void {
     this.log("info", event, fields);
@@ -63,11 +70,13 @@
     this.log("error", event, fields);
   }
   log(
-    _level: string,
+    level: string,
     event: string,
     fields: Record<string, unknown> = {},
   ): void {
     this.lines.push({ event, fields });
+    const timeMs = Math.round(performance.now());
+    this.#keep(`${JSON.stringify({ timeMs, level, event, ...fields })}\n`);
   }
 }
 
@@ -182,7 +191,7 @@
         ...bounds,
       },
     };
-    const log = new MemoryLog();
+    const log = new MemoryLog(settings.vm.id);
     const gateway = await Gateway.open(settings, log);
     const vm = { gateway, log, settings };
     this.vms.push(vm);
