Two soaks on one machine have addresses of their own

Cause: the addresses of a run were numbered by the job within one process, so two processes took the same. Evidence: the new test, two soaks side by side, fails on the code before with EADDRINUSE 127.77.0.1:18100.

Change: a run holds a block of addresses by listening at one of its own, the first that nobody on the machine holds; a run that is killed gives it back.

--- a/soak/main.ts
+++ b/soak/main.ts
@@ -79,12 +79,11 @@
     const end = first + Number(args.seeds);
     let next = first;
     let broken = 0;
-    const work = async (block: number) => {
+    const work = async () => {
       while (next < end) {
         const seed = next++;
         const result = await runSeed({
           seed,
-          block,
           vms: Number(args.vms),
           runners: Number(args.runners),
           callers: Number(args.callers),
@@ -99,7 +98,7 @@
       }
     };
     await Promise.all(
-      Array.from({ length: Number(args.jobs) }, (_, index) => work(index)),
+      Array.from({ length: Number(args.jobs) }, () => work()),
     );
     process.stdout.write(`${end - first} seeds, ${broken} broke a promise\n`);
     // Sockets that were reset with bytes waiting may keep the process alive for minutes.
--- a/soak/run.ts
+++ b/soak/run.ts
@@ -25,8 +25,6 @@
   readonly plannedOnly?: boolean;
   /** When requests that crash upstreams come. */
   readonly crashes?: Crashes;
-  /** Tells runs that go on side by side apart. */
-  readonly block: number;
   /** Where the logs of a run that broke a promise are kept; absent: nowhere. */
   readonly keepIn?: string;
   /** Changes the evidence before it is judged: a planted fault that the judge must find. */
@@ -90,7 +88,7 @@
     plannedOnly,
     crashes,
   });
-  const world = await World.open({ vms, runners, block: options.block, seed });
+  const world = await World.open({ vms, runners, seed });
   try {
     const callers = Array.from(
       { length: options.callers },
--- a/soak/soak_test.ts
+++ b/soak/soak_test.ts
@@ -46,6 +46,16 @@
     t.is(code, 0, printed);
   });
 
+  // Two soaks on one machine took each other's addresses.
+  it("keeps all promises beside a second soak", async (t) => {
+    const args = ["--seeds", "1", "--seconds", "1", "--planned"];
+    const runs = await Promise.all([
+      soak("--first", "1", ...args),
+      soak("--first", "2", ...args),
+    ]);
+    for (const { code, printed } of runs) t.is(code, 0, printed);
+  });
+
   // The gateway is honest, so a run alone cannot show that the judge reads its evidence right.
   it("finds a second run that was planted in a real run", async (t) => {
     const { code, printed } = await soak(
--- a/soak/world.ts
+++ b/soak/world.ts
@@ -11,6 +11,7 @@
 import type { GatewaySettings } from "../src/gateway/mod.ts";
 import { KvServer, routeRow } from "../src/standins/mod.ts";
 import { Proc, sleep } from "../test/cluster.ts";
+import { Block } from "./block.ts";
 import { FaultProxy, type Place } from "./proxy.ts";
 import type { VmLink } from "./plan.ts";
 import { type Instance, RunnerPlace } from "./runner_place.ts";
@@ -65,8 +66,6 @@
 export interface WorldSize {
   readonly vms: number;
   readonly runners: number;
-  /** Tells worlds that run side by side apart; 0 to 99. */
-  readonly block: number;
   readonly seed: number;
 }
 
@@ -82,6 +81,7 @@
   readonly processFaults: string[] = [];
   readonly #size: WorldSize;
   readonly #dir = mkdtempSync(join(tmpdir(), "ibisgap-soak-"));
+  #block!: Block;
   #closing = false;
 
   private constructor(size: WorldSize) {
@@ -192,10 +192,12 @@
     }
     for (const place of this.runners) await place.close();
     await this.store.close();
+    await this.#block?.close();
     rmSync(this.#dir, { recursive: true, force: true });
   }
 
   async #start(): Promise<void> {
+    this.#block = await Block.open();
     this.configure("s");
     for (let index = 0; index < this.#size.runners; index++) {
       this.runners.push(await RunnerPlace.open(this, index));
@@ -207,9 +209,8 @@
   }
 
   async #addVm(index: number): Promise<SoakVm> {
-    const { block } = this.#size;
-    const ip = `127.77.${block}.${index + 1}`;
-    const ownIp = `127.78.${block}.${index + 1}`;
+    const ip = this.#block.ip(index);
+    const ownIp = this.#block.ownIp(index);
     const at = (host: string, port: number): Place => ({ host, port });
     const [storeHost, storePort] = (await this.store.addressFor(`vm-${index}`))
       .split(":");
@@ -300,7 +301,8 @@
 
   /** Where callers ask which VMs to use. */
   directoryUrl(vm: SoakVm): string {
-    const ownIp = vm.ip.replace("127.77.", "127.78.");
-    return `http://${ownIp}:${PORTS.directory}/api/lookup?region=`;
+    return `http://${
+      this.#block.ownIp(vm.index)
+    }:${PORTS.directory}/api/lookup?region=`;
   }
 }
