A process that is late counts the upstreams that a request ends

What callers saw: on the own interface a chat that crashes whatever runs it went on to upstream after upstream, and the streams beside it broke (edge_crashing_test "a chat", once beside load).

Cause: an upstream counts as ended if a new connection to it is refused. The stand-in is back after 0.2 s; a process that sees the broken connection later than that finds it open, takes it for a broken link, and counts nothing. The gateway has the entry's new start as a second sign, the own interface none.

Change: a process knows that it was late (LateWatch), and then a broken connection at the begin of a run counts though the upstream is open again. That errs on the harmless side: a good request under which links broke while the process was late is cleared by its next answer, and is refused only after four such breaks. Asking engines for the start of their process was weighed: plain services and many engines publish none.

`upstream lost` is logged on the own interface too, with what was found and whether the process was late.

--- /dev/null
+++ b/src/base/late_watch_test.ts
@@ -0,0 +1,46 @@
+import { describe, it } from "./describe.ts";
+import { Clock, LateWatch, ManualClock, type Timer } from "./mod.ts";
+
+/** A clock whose time can pass without its timers running, as when the process has no processor. */
+class StallingClock extends Clock {
+  readonly inner = new ManualClock(0);
+  stalledMs = 0;
+  nowMs(): number {
+    return this.inner.nowMs() + this.stalledMs;
+  }
+  monoMs(): number {
+    return this.nowMs();
+  }
+  after(delayMs: number, run: () => void): Timer {
+    return this.inner.after(delayMs, run);
+  }
+  every(periodMs: number, run: () => void): Timer {
+    return this.inner.every(periodMs, run);
+  }
+}
+
+describe("late watch", () => {
+  it("sees nothing while timers run in time", async (t) => {
+    const clock = new StallingClock();
+    const watch = new LateWatch(clock);
+    await clock.inner.advance(5_000);
+    t.false(watch.wasLate);
+    watch.close();
+  });
+
+  for (const first of ["a message", "a timer"]) {
+    it(`says for a moment that the process was late: ${first} runs first`, async (t) => {
+      const clock = new StallingClock();
+      const watch = new LateWatch(clock);
+      await clock.inner.advance(1_000);
+      clock.stalledMs += 300;
+      if (first === "a timer") await clock.inner.advance(50);
+      t.true(watch.wasLate);
+      await clock.inner.advance(300);
+      t.true(watch.wasLate);
+      await clock.inner.advance(400);
+      t.false(watch.wasLate);
+      watch.close();
+    });
+  }
+});
--- a/src/services/suspects.ts
+++ b/src/services/suspects.ts
@@ -10,7 +10,7 @@
   SuspectStore,
   type Transport,
 } from "../adapters/mod.ts";
-import type { Clock, Timer } from "../base/mod.ts";
+import { type Clock, LateWatch, type Timer } from "../base/mod.ts";
 import {
   type Handlers,
   type Kernel,
@@ -54,6 +54,8 @@
   readonly #store: SuspectStore;
   #keeper!: SuspectKeeper;
   #clock!: Clock;
+  #log!: Log;
+  #lateWatch!: LateWatch;
   #timer: Timer | undefined;
   #open = true;
 
@@ -78,6 +80,8 @@
   start(kernel: Kernel): Promise<void> {
     const { clock } = kernel;
     this.#clock = clock;
+    this.#log = kernel.log;
+    this.#lateWatch = new LateWatch(clock);
     this.#keeper = new SuspectKeeper(
       new Links(this.#options, kernel.get("members"), kernel.log),
       this.#store,
@@ -98,6 +102,7 @@
   close(_deadlineMs: number): Promise<void> {
     this.#open = false;
     this.#timer?.close();
+    this.#lateWatch.close();
     return Promise.resolve();
   }
 
@@ -110,6 +115,7 @@
       SuspectsMessages["lost"]["in"],
   ): Promise<void> {
     const lostMs = this.#clock.monoMs();
+    const { wasLate } = this.#lateWatch;
     const { hostname, port, protocol } = new URL(url);
     const usualPort = protocol === "https:" ? 443 : 80;
     const reach = await reachOf(
@@ -117,8 +123,12 @@
       Number(port) || usualPort,
       this.#clock,
     );
+    this.#log.warn("upstream lost", { upstream: upstreamId, reach, wasLate });
     const isCause = mayBeCause(beganAgoMs === undefined ? {} : { beganAgoMs });
-    if (reach !== "refused" || !isCause) return;
+    // A process that is late may find an upstream back that had ended. Taken for an end, the next answer clears it; taken
+    // for a broken link, a request that ends whatever runs it would go on and on.
+    const hasEnded = reach === "refused" || (reach === "open" && wasLate);
+    if (!hasEnded || !isCause) return;
     const sinceLostMs = this.#clock.monoMs() - lostMs;
     this.#keeper.noteEnd(digest, upstreamId, sentAgoMs + sinceLostMs);
   }
--- a/test/edge_crashing_test.ts
+++ b/test/edge_crashing_test.ts
@@ -8,6 +8,8 @@
 /** Upstreams that one request may end: three, and three more while the VMs tell each other. */
 const MOST_ENDS = 6;
 const PAUSE_MS = 150;
+/** Longer than an upstream of these is away. */
+const LATE_MS = 300;
 
 interface Bench extends EdgeBench {
   readonly runners: readonly Runner[];
@@ -48,6 +50,18 @@
   }
 }
 
+/** Holds this process up after the runner's end, until it is back: only then the broken connection is seen. */
+function holdUpAfterEnd(runner: Runner): void {
+  const end = runner.end.bind(runner);
+  runner.end = () => {
+    setImmediate(() => {
+      end();
+      const untilMs = performance.now() + LATE_MS;
+      while (performance.now() < untilMs);
+    });
+  };
+}
+
 const FATAL_CALL = "ends whatever runs it";
 const FATAL_CHAT = JSON.stringify({
   model: "plan",
@@ -61,22 +75,29 @@
       ["a plain call", "/services/notes/x", FATAL_CALL],
       ["a chat", "/v1/chat/completions", FATAL_CHAT],
     ] as const;
+    const paces = [
+      ["", (_: Runner) => {}],
+      [", in a process that is late", holdUpAfterEnd],
+    ] as const;
     for (const [kind, path, body] of cases) {
-      it(`ends no more upstreams than allowed, and is refused then: ${kind}`, async (t) => {
-        const bench = await open(t);
-        for (const runner of bench.runners) {
-          runner.isFatal = (text) => text.includes(FATAL_CALL);
-        }
-        let status = 0;
-        for (let at = 0; at < ATTEMPTS; at++) {
-          status = await post(bench, path, body);
-          await new Promise((resolve) => setTimeout(resolve, PAUSE_MS));
-        }
-        const ends = bench.runners.reduce((sum, one) => sum + one.ends, 0);
-        t.true(ends <= MOST_ENDS, `${ends} upstreams ended`);
-        t.is(status, 503);
-        t.is(await post(bench, "/services/notes/x", "another"), 200);
-      });
+      for (const [pace, prepare] of paces) {
+        it(`ends no more upstreams than allowed, and is refused then: ${kind}${pace}`, async (t) => {
+          const bench = await open(t);
+          for (const runner of bench.runners) {
+            runner.isFatal = (text) => text.includes(FATAL_CALL);
+            prepare(runner);
+          }
+          let status = 0;
+          for (let at = 0; at < ATTEMPTS; at++) {
+            status = await post(bench, path, body);
+            await new Promise((resolve) => setTimeout(resolve, PAUSE_MS));
+          }
+          const ends = bench.runners.reduce((sum, one) => sum + one.ends, 0);
+          t.true(ends <= MOST_ENDS, `${ends} upstreams ended`);
+          t.is(status, 503);
+          t.is(await post(bench, "/services/notes/x", "another"), 200);
+        });
+      }
     }
   });
 });
