A call that is given up before its bytes leave is told as not run

What callers saw: "unknown" (504, code 4005, ran unknown) of a call that certainly had not run; for what may run at most once they had to look by hand.

Cause: when the deadline passed or the caller left while the call still waited for a connection to its upstream, the client said "canceled" in the same way as after its bytes had left.

Change: the HTTP client notes when a call is written to its connection (undici's onConnect); a call that is canceled before is `withdrawn`, says "no", and gives its claim back.

Test: http_upstream_test, red before (canceled).

--- a/src/adapters/http_upstream.ts
+++ b/src/adapters/http_upstream.ts
@@ -22,25 +22,39 @@
 
 /** The {@link UpstreamClient} for HTTP upstreams. */
 export class HttpUpstreamClient extends UpstreamClient {
-  readonly #agent: Agent;
+  readonly #agent: Dispatcher.ComposedDispatcher;
+  /** Signals of calls whose bytes have begun to leave. */
+  readonly #leaving = new WeakSet<AbortSignal>();
 
   /** A body of which nothing comes for `stallMs` breaks off, or the slot of a hung upstream would never come back. */
   constructor(stallMs = DEFAULT_STALL_MS) {
     super();
     // The wait for the head is the edge's to end; one request at a time on a connection keeps answers apart.
-    this.#agent = new Agent({
+    const agent = new Agent({
       connect: { timeout: CONNECT_TIMEOUT_MS },
       headersTimeout: 0,
       bodyTimeout: stallMs,
       pipelining: 1,
     });
+    this.#agent = agent.compose((dispatch) => (options, handler) => {
+      const { signal } = options as Dispatcher.RequestOptions;
+      const onConnect = handler.onConnect?.bind(handler);
+      // Called as the call is written to its connection; until then it waits for one.
+      handler.onConnect = (abort) => {
+        if (signal instanceof AbortSignal && !signal.aborted) {
+          this.#leaving.add(signal);
+        }
+        onConnect?.(abort);
+      };
+      return dispatch(options, handler);
+    });
   }
 
   async open(
     call: UpstreamCall,
     signal: AbortSignal,
   ): Promise<Result<UpstreamAnswer, UpstreamError>> {
-    if (signal.aborted) return err(canceled());
+    if (signal.aborted) return err(this.#canceled(signal));
     const { origin, pathname } = new URL(call.url);
     try {
       const answer = await this.#agent.request({
@@ -59,24 +73,23 @@
         body: answer.body,
       });
     } catch (error) {
-      return err(classify(error as Error & { code?: string }, signal));
+      if (signal.aborted) return err(this.#canceled(signal));
+      return err(classify(error as Error & { code?: string }));
     }
   }
 
   async close(): Promise<void> {
     await this.#agent.destroy();
   }
-}
 
-function canceled(): UpstreamError {
-  return { kind: "canceled", message: "canceled" };
+  #canceled(signal: AbortSignal): UpstreamError {
+    return this.#leaving.has(signal)
+      ? { kind: "canceled", message: "canceled" }
+      : { kind: "withdrawn", message: "canceled before it was sent" };
+  }
 }
 
-function classify(
-  error: Error & { code?: string },
-  signal: AbortSignal,
-): UpstreamError {
-  if (signal.aborted) return canceled();
+function classify(error: Error & { code?: string }): UpstreamError {
   return {
     kind: isNotSent(error) ? "unreachable" : "lost",
     message: `${error.code ?? error.name}: ${error.message}`,
--- /dev/null
+++ b/src/adapters/http_upstream_test.ts
@@ -0,0 +1,52 @@
+import { once } from "node:events";
+import { createServer } from "node:http";
+import type { AddressInfo } from "node:net";
+import type { ExecutionContext } from "ava";
+import { describe, it } from "../base/describe.ts";
+import { HttpUpstreamClient } from "./http_upstream.ts";
+
+/** A server that takes requests and never answers. */
+async function openSilent(t: ExecutionContext) {
+  const server = createServer();
+  server.listen(0, "127.0.0.1");
+  await once(server, "listening");
+  const { port } = server.address() as AddressInfo;
+  const client = new HttpUpstreamClient();
+  const call = {
+    url: `http://127.0.0.1:${port}`,
+    path: "/x",
+    method: "POST",
+    headers: {},
+    body: Buffer.from("hello"),
+  };
+  t.teardown(async () => {
+    await client.close();
+    server.closeAllConnections();
+    await new Promise((resolve) => server.close(resolve));
+  });
+  return { server, client, call };
+}
+
+describe("a call to an upstream", () => {
+  // Its caller was told that it may have run.
+  it("that is canceled before its bytes leave has not run", async (t) => {
+    const { server, client, call } = await openSilent(t);
+    let requests = 0;
+    server.on("request", () => requests++);
+    const abort = new AbortController();
+    const answer = client.open(call, abort.signal);
+    abort.abort();
+    t.is((await answer)._unsafeUnwrapErr().kind, "withdrawn");
+    await new Promise((resolve) => setTimeout(resolve, 100));
+    t.is(requests, 0);
+  });
+
+  it("that is canceled after its bytes left may have run", async (t) => {
+    const { server, client, call } = await openSilent(t);
+    const abort = new AbortController();
+    const answer = client.open(call, abort.signal);
+    await once(server, "request");
+    abort.abort();
+    t.is((await answer)._unsafeUnwrapErr().kind, "canceled");
+  });
+});
--- a/src/adapters/upstream.ts
+++ b/src/adapters/upstream.ts
@@ -20,10 +20,11 @@
 
 /**
  * Why there is no answer. `unreachable`: no connection was made, so no byte of the request left this VM. `lost`: bytes
- * may have left, so the call may have run. `canceled`: by {@link UpstreamCall}'s signal.
+ * may have left, so the call may have run. `canceled`: by {@link UpstreamCall}'s signal, and bytes may have left;
+ * `withdrawn`: by that signal before any byte left.
  */
 export interface UpstreamError {
-  readonly kind: "unreachable" | "lost" | "canceled";
+  readonly kind: "unreachable" | "lost" | "canceled" | "withdrawn";
   readonly message: string;
 }
 
--- a/src/edge/model_call.ts
+++ b/src/edge/model_call.ts
@@ -146,6 +146,10 @@
     if (error.kind === "unreachable") {
       return this.notRun(attempt, "unreachable");
     }
+    if (error.kind === "withdrawn") {
+      attempt.report("canceled");
+      return this.call.signal.aborted ? "answered" : "retry";
+    }
     if (error.kind === "lost") await this.#suspicion.noteLost(attempt);
     this.ran = "unknown";
     this.last = failure("upstreamFailed", { message: error.message });
--- a/src/edge/plain_call.ts
+++ b/src/edge/plain_call.ts
@@ -209,12 +209,13 @@
     if (error.kind === "unreachable") {
       return this.notRun(attempt, "unreachable");
     }
-    attempt.report(error.kind === "canceled" ? "canceled" : "failed");
-    if (error.kind === "lost") await this.#suspicion.noteLost(attempt);
-    this.ran = "unknown";
-    this.last = error.kind === "canceled"
-      ? failure("upstreamTimeout")
-      : failure("upstreamFailed", { message: error.message });
+    const isLost = error.kind === "lost";
+    attempt.report(isLost ? "failed" : "canceled");
+    if (isLost) await this.#suspicion.noteLost(attempt);
+    if (error.kind !== "withdrawn") this.ran = "unknown";
+    this.last = isLost
+      ? failure("upstreamFailed", { message: error.message })
+      : failure("upstreamTimeout", { ran: this.ran });
     if (this.#mayRepeat && !this.call.signal.aborted) return "retry";
     await this.#giveUp(this.last);
     return "answered";
