A stand-in engine's held answer keeps no process alive

What developers saw: test runs that "ended unfinished".

Cause: an answer that a fault holds (late, stall: 60 s) left its timer behind when its caller had gone.

--- a/src/standins/engine_answer.ts
+++ b/src/standins/engine_answer.ts
@@ -150,10 +150,12 @@
 
   #hold(holdMs: number): void {
     this.#held = true;
-    setTimeout(() => {
+    const timer = setTimeout(() => {
       this.#held = false;
       this.#pump();
     }, holdMs);
+    // A timer that outlives its answer keeps the process from ending.
+    this.#res.once("close", () => clearTimeout(timer));
   }
 
   #tokenEvent(): string {
