The soak's proxy keeps the order of bytes when a delay ends

Cause: a chunk that waits for the end of its delay was overtaken by the next one if the delay ended in between. No connection does that. Evidence: the test got "4 5 61 2 3 " on the code before.

--- a/soak/proxy.ts
+++ b/soak/proxy.ts
@@ -23,6 +23,27 @@
   readonly far: Socket;
 }
 
+/** One direction of a connection: what comes later never overtakes, also when the delay ends in between. */
+class DelayLine {
+  readonly #waiting: { readonly dueMs: number; readonly run: () => void }[] =
+    [];
+
+  add(delayMs: number, run: () => void): void {
+    if (delayMs === 0 && this.#waiting.length === 0) return run();
+    this.#waiting.push({ dueMs: performance.now() + delayMs, run });
+    if (this.#waiting.length === 1) setTimeout(this.#deliver, delayMs);
+  }
+
+  readonly #deliver = (): void => {
+    const nowMs = performance.now();
+    while (this.#waiting.length > 0 && this.#waiting[0].dueMs <= nowMs) {
+      this.#waiting.shift()!.run();
+    }
+    if (this.#waiting.length === 0) return;
+    setTimeout(this.#deliver, Math.max(1, this.#waiting[0].dueMs - nowMs));
+  };
+}
+
 /** See the module. Ends of half-open connections and resets are passed on as such. */
 export class FaultProxy {
   /** Where connections go to; a change holds for new ones. */
@@ -97,16 +118,14 @@
   }
 
   #pass(pair: Pair, from: Socket, to: Socket): void {
-    from.on("data", (chunk: Buffer) => {
-      const write = () => void (to.destroyed || to.write(chunk));
-      if (this.#mode === "delay") setTimeout(write, DELAY_MS);
-      else write();
-    });
-    from.on("end", () => {
-      const end = () => void (to.destroyed || to.end());
-      if (this.#mode === "delay") setTimeout(end, DELAY_MS);
-      else end();
-    });
+    const line = new DelayLine();
+    const later = (run: () => void) =>
+      line.add(this.#mode === "delay" ? DELAY_MS : 0, run);
+    from.on(
+      "data",
+      (chunk: Buffer) => later(() => void (to.destroyed || to.write(chunk))),
+    );
+    from.on("end", () => later(() => void (to.destroyed || to.end())));
     from.on("error", () => reset(pair));
     from.on("close", () => {
       if (to.destroyed) this.#pairs.delete(pair);
--- /dev/null
+++ b/soak/proxy_test.ts
@@ -0,0 +1,38 @@
+import { once } from "node:events";
+import { connect, createServer, type Socket } from "node:net";
+import type { AddressInfo } from "node:net";
+import { describe, it } from "../src/base/describe.ts";
+import { FaultProxy } from "./proxy.ts";
+
+const LOOPBACK = "127.0.0.1";
+
+describe("the soak's proxy", () => {
+  // A stream's event overtook the one before it, and the gateway was blamed.
+  it("keeps the order of bytes when a delay ends", async (t) => {
+    const server = createServer();
+    server.listen(0, LOOPBACK);
+    await once(server, "listening");
+    const { port } = server.address() as AddressInfo;
+    const proxy = await FaultProxy.open(
+      { host: LOOPBACK, port: 0 },
+      { host: LOOPBACK, port },
+    );
+    const caller = connect(proxy.port, LOOPBACK);
+    const [far] = await once(server, "connection") as [Socket];
+    t.teardown(async () => {
+      caller.destroy();
+      await proxy.close();
+      server.close();
+    });
+    for (const socket of [caller, far]) socket.on("error", () => {});
+    let got = "";
+    far.on("data", (chunk: Buffer) => void (got += chunk));
+    proxy.setMode("delay");
+    caller.write("1 2 3 ");
+    await new Promise((resolve) => setTimeout(resolve, 60));
+    proxy.setMode("pass");
+    caller.write("4 5 6");
+    await new Promise((resolve) => setTimeout(resolve, 300));
+    t.is(got, "1 2 3 4 5 6");
+  });
+});
