New failure domains in the settings are used at once, not from the next entry on

What callers saw: nothing yet, as renewals brought every entry each second. Since unchanged entries are not passed on any more, a VM that learns of a failure domain after an upstream's entry would not have used that upstream until it changed.

Change: applying settings looks at the held entries again. store_view_test was red without it.

--- a/src/gateway/store_view.ts
+++ b/src/gateway/store_view.ts
@@ -148,9 +148,13 @@
     return this.#clock.monoMs() - this.#followers[topic].agreedMonoMs;
   }
 
-  /** Applies changed settings. Upstreams of a new failure domain are used from their next entry on. */
+  /** Applies changed settings. Upstreams of a new failure domain are used from now on. */
   setFailureDomains(failureDomains: Readonly<Record<string, string>>): void {
     this.#failureDomains = failureDomains;
+    for (const entry of this.#followers.upstreams.entries) {
+      const isUsed = this.fleet.get(decodeUpstreamId(entry.key)) !== undefined;
+      if (!isUsed) this.#onUpstreamPut(entry);
+    }
   }
 
   /** Whether the store currently answers this VM's polls for upstreams. */
--- a/src/gateway/store_view_test.ts
+++ b/src/gateway/store_view_test.ts
@@ -233,4 +233,16 @@
     await world.clock.advance(60_000);
     t.true(other.view.agreedAgoMs("upstreams") >= 60_000);
   });
+
+  // Nothing but a change brings a VM an entry again, so it has to keep those that it can't use yet.
+  it("uses an upstream as soon as the settings name its failure domain", async (t) => {
+    const world = await openWorld();
+    world.write(3, { zone: "north-b" });
+    await world.run(5_000, [3]);
+    for (const { view } of world.vms) {
+      t.is(view.fleet.get("i-3"), undefined);
+      view.setFailureDomains({ ...DOMAINS, "north-b": "north" });
+      t.is(view.fleet.get("i-3")?.failureDomain, "north-b");
+    }
+  });
 });
