A VM goes on asking others after an answer that belongs to no question

What callers saw: nothing yet. Cause: a question to another VM waits for the answer with its number, and only the connection has a timeout. After a JSON answer without that number the question stayed open, and this VM asked nobody about anything any more, until its restart.

--- a/src/gateway/peer_rpc.ts
+++ b/src/gateway/peer_rpc.ts
@@ -173,7 +173,9 @@
       );
     });
     const request: NewsRequest = this.#storeView.newsRequest(topic);
-    return await client.request("news", { matter: topic, ...request });
+    // An answer that belongs to no question would otherwise keep this VM from ever asking again.
+    return await client.timeout(ANSWER_TIMEOUT_MS)
+      .request("news", { matter: topic, ...request });
   }
 
   #adopt(news: News, topic: NewsTopic, from: string): Promise<AdoptOutcome> {
