A VM that does not come to agree with the store's readers lists the store itself

What callers saw: nothing; a last net for what the comparison can't heal.

Change: a VM that hears VMs which the store answers, and has agreed with none of them for 10 s, lists the store once and starts counting anew: no call more in an outage, and none in any order of events that is tested. follower_test, red before.

--- a/src/gateway/follower.ts
+++ b/src/gateway/follower.ts
@@ -66,6 +66,11 @@
 
 /** How often a VM that doesn't poll checks whether it has to; the loss of a lead is found within twice this time. */
 const READER_CHECK_MS = 500;
+/**
+ * A VM that differs from those that the store answers for this long lists the store itself, whatever the cause: it may
+ * run another version of the program, which compares other parts of an entry.
+ */
+const MAX_DIFFERENCE_MS = 10_000;
 /** Most keys that one log line names. */
 const MAX_LOGGED_KEYS = 8;
 
@@ -80,6 +85,8 @@
   #failingSinceMonoMs: number | undefined;
   #recoveredMonoMs = -Infinity;
   #agreedMonoMs = -Infinity;
+  /** Since when this VM differs from those that the store answers, on the monotonic clock. */
+  #differsSinceMonoMs: number | undefined;
 
   constructor(options: FollowerOptions) {
     this.#options = options;
@@ -134,13 +141,17 @@
   }
 
   /**
-   * Compares this VM's copy with the state that another VM announced; `isServed` tells whether the store answers that
-   * VM. Returns whether the other VM has newer entries.
+   * Notes the state that another VM announced; `isServed` tells whether the store answers that VM. Returns whether the
+   * other VM has newer entries.
    */
-  compare(state: ReplicaState, isServed: boolean): boolean {
+  notePeer(state: ReplicaState, isServed: boolean): boolean {
     const isSame = this.#replica.noteState(state);
-    if (isSame && isServed) this.#agreedMonoMs = this.#options.clock.monoMs();
-    return this.#replica.isBehind(state);
+    const isAhead = this.#replica.isBehind(state);
+    if (isServed && isSame) this.#noteAgreement();
+    if (isServed && isAhead) {
+      this.#differsSinceMonoMs ??= this.#options.clock.monoMs();
+    }
+    return isAhead;
   }
 
   /** Answers another VM's request. */
@@ -175,6 +186,7 @@
         this.#failures = 0;
         this.#failingSinceMonoMs = undefined;
         hasListed = true;
+        if (this.#hasDifferedTooLong()) await this.#listAll();
         await this.#options.clock.sleep(READER_CHECK_MS);
         continue;
       }
@@ -187,8 +199,14 @@
     }
   }
 
+  #hasDifferedTooLong(): boolean {
+    const sinceMs = this.#differsSinceMonoMs ?? Infinity;
+    return this.#options.clock.monoMs() - sinceMs >= MAX_DIFFERENCE_MS;
+  }
+
   async #listAll(): Promise<boolean> {
     const { store, prefix } = this.#options;
+    this.#differsSinceMonoMs = undefined;
     const askedAtRev = this.#replica.rev;
     const listing = await store.list(prefix, {}, "table");
     if (!this.#isOpen) return false;
@@ -262,6 +280,11 @@
     });
   }
 
+  #noteAgreement(): void {
+    this.#agreedMonoMs = this.#options.clock.monoMs();
+    this.#differsSinceMonoMs = undefined;
+  }
+
   #noteAnswer(): void {
     const nowMs = this.#options.clock.monoMs();
     this.#answeredMonoMs = nowMs;
--- a/src/gateway/follower_test.ts
+++ b/src/gateway/follower_test.ts
@@ -2,7 +2,7 @@
 import { ok } from "neverthrow";
 import type { Entry, Listing, WatchEvent } from "../adapters/mod.ts";
 import { describe, it } from "../base/describe.ts";
-import { systemClock } from "../base/mod.ts";
+import { ManualClock, systemClock } from "../base/mod.ts";
 import { Follower } from "./follower.ts";
 import { type News, Replica } from "./replica.ts";
 
@@ -188,7 +188,7 @@
       other.follower.start();
       started.follower.start();
       await settle();
-      t.false(other.follower.compare(started.follower.state, true));
+      t.false(other.follower.notePeer(started.follower.state, true));
       t.is(other.follower.state.rev, 90);
       other.follower.close();
       started.follower.close();
@@ -298,6 +298,40 @@
     });
   });
 
+  it("lists the store itself if it does not come to agree with those that the store answers", async (t) => {
+    const clock = new ManualClock();
+    const known = new Map<string, string>();
+    let listing: Listing = { entries: [entry("a", 1)], rev: 2, more: false };
+    const store = {
+      list: () => Promise.resolve(ok(listing)),
+      changes: () => new Promise<never>(() => {}),
+    };
+    const follower = new Follower({
+      store,
+      prefix: "",
+      clock,
+      log: SILENT_LOG,
+      waitMs: 1,
+      pauseMs: 0,
+      isReader: () => false,
+      contentOf: ({ value }) => value,
+      onPut: ({ key, value }) => void known.set(key, value),
+      onDelete: (key) => void known.delete(key),
+    });
+    follower.start();
+    await clock.advance(1_000);
+    listing = { entries: [entry("b", 8)], rev: 9, more: false };
+    const elsewhere = { rev: 9, digest: "of another program version" };
+    for (let i = 0; i < 9; i++) {
+      t.true(follower.notePeer(elsewhere, true));
+      await clock.advance(1_000);
+    }
+    t.deepEqual([...known.keys()], ["a"]);
+    await clock.advance(2_000);
+    t.deepEqual([...known.keys()], ["b"]);
+    follower.close();
+  });
+
   it("does not restore a key from a peer that is behind its own listing", async (t) => {
     const { follower, known } = createFollower(
       new ScriptedStore([entry("b", 8)], 40),
--- a/src/gateway/peer_rpc.ts
+++ b/src/gateway/peer_rpc.ts
@@ -136,7 +136,7 @@
   #pickSource(topic: NewsTopic): NewsSource | undefined {
     const sources = this.#members.newsSources().filter((
       { copies, isServed },
-    ) => this.#storeView.compare(topic, copies[topic], isServed));
+    ) => this.#storeView.notePeer(topic, copies[topic], isServed));
     const nearSources = sources.filter(({ region }) => region === this.#region);
     if (nearSources.length > 0) return this.#random.pick(nearSources);
     if (sources.length === 0 || !this.#members.isLead) {
--- a/src/gateway/replica.ts
+++ b/src/gateway/replica.ts
@@ -18,7 +18,7 @@
   /** Revision up to which the asking VM's copy is complete. */
   readonly sinceRev: number;
   /** Hash of each entry of that copy, by key; present if all differences are wanted, not only recent changes. */
-  readonly held?: Readonly<Record<string, string>>;
+  readonly heldHashes?: Readonly<Record<string, string>>;
 }
 
 /** The answer to a {@link NewsRequest}: what leads from the asking VM's copy to the sender's. */
@@ -52,7 +52,7 @@
 /**
  * Result of applying another VM's news.
  * - `applied`: this copy is now the same as the sender's.
- * - `stale`: it is complete up to the sender's revision already.
+ * - `stale`: its revision is not lower than the sender's. Nothing was applied.
  * - `differs`: the news do not lead to the sender's copy. Nothing was applied; the next request asks for all differences.
  */
 export type AdoptOutcome = "applied" | "stale" | "differs";
@@ -75,8 +75,8 @@
   readonly #entries = new Map<string, HeldEntry>();
   /** Deleted keys, with the revision of this copy at which they were deleted. */
   readonly #deletedRevs = new Map<string, number>();
-  /** Changes up to this revision may not be remembered. */
-  #forgottenRev = 0;
+  /** All changes after this revision are remembered. */
+  #remembersSinceRev = 0;
   /** The hashes of all entries, combined by XOR, so that their order does not matter. */
   #digestBits = 0n;
   /** The same as text; it is compared far more often than it changes. */
@@ -123,14 +123,15 @@
     const sinceRev = this.#rev;
     if (sinceRev > 0 && !this.#needsComparison) return { sinceRev };
     const hashes = [...this.#entries].map(([key, { hash }]) => [key, hash]);
-    return { sinceRev, held: Object.fromEntries(hashes) };
+    return { sinceRev, heldHashes: Object.fromEntries(hashes) };
   }
 
   /** Answers another VM's request. */
-  newsFor({ sinceRev, held }: NewsRequest): News {
-    if (held) return this.#differencesTo(held);
-    // Without the full history only a comparison can tell; an answer that leads nowhere makes the other VM ask for it.
-    if (sinceRev < this.#forgottenRev) {
+  newsFor({ sinceRev, heldHashes }: NewsRequest): News {
+    if (heldHashes) return this.#differencesTo(heldHashes);
+    // The changes since then are not all remembered. Without any the other VM does not arrive at this copy's digest,
+    // and asks for all differences.
+    if (sinceRev < this.#remembersSinceRev) {
       return { state: this.state, entries: [], deleted: [] };
     }
     return {
@@ -148,7 +149,7 @@
   applyListing({ entries, rev }: Listing): ApplyResult {
     if (rev < this.#rev) return { staleKeys: [] };
     // What changed before the first listing is not known.
-    if (this.#rev === 0) this.#forgottenRev = rev;
+    if (this.#rev === 0) this.#remembersSinceRev = rev;
     const present = new Set(entries.map(({ key }) => key));
     for (const key of [...this.#entries.keys()]) {
       if (!present.has(key)) this.#applyDeletion(key, rev, rev);
@@ -186,19 +187,19 @@
     }
     for (const key of news.deleted) this.#delete(key, rev);
     for (const entry of news.entries) this.#put(entry, rev);
-    if (this.#rev === 0) this.#forgottenRev = rev;
+    if (this.#rev === 0) this.#remembersSinceRev = rev;
     this.#rev = rev;
     this.#needsComparison = false;
     return "applied";
   }
 
-  #differencesTo(held: Readonly<Record<string, string>>): News {
+  #differencesTo(heldHashes: Readonly<Record<string, string>>): News {
     return {
       state: this.state,
       entries: [...this.#entries]
-        .filter(([key, { hash }]) => held[key] !== hash)
+        .filter(([key, { hash }]) => heldHashes[key] !== hash)
         .map(([, { entry }]) => entry),
-      deleted: Object.keys(held).filter((key) => !this.#entries.has(key)),
+      deleted: Object.keys(heldHashes).filter((key) => !this.#entries.has(key)),
     };
   }
 
@@ -253,7 +254,7 @@
     for (const [oldest, oldestRev] of this.#deletedRevs) {
       if (this.#deletedRevs.size <= MAX_DELETED_KEYS) break;
       this.#deletedRevs.delete(oldest);
-      this.#forgottenRev = Math.max(this.#forgottenRev, oldestRev);
+      this.#remembersSinceRev = Math.max(this.#remembersSinceRev, oldestRev);
     }
   }
 
--- a/src/gateway/store_view.ts
+++ b/src/gateway/store_view.ts
@@ -133,9 +133,9 @@
     return this.#clock.monoMs() - this.#followers.operators.answeredMonoMs;
   }
 
-  /** Whether another VM with this state has newer entries of a topic; `isServed` tells whether the store answers it. */
-  compare(topic: NewsTopic, state: ReplicaState, isServed: boolean): boolean {
-    return this.#followers[topic].compare(state, isServed);
+  /** See {@link Follower.notePeer}. */
+  notePeer(topic: NewsTopic, state: ReplicaState, isServed: boolean): boolean {
+    return this.#followers[topic].notePeer(state, isServed);
   }
 
   /** The request by which this VM asks another one for what it lacks. */
--- a/src/gateway/store_view_test.ts
+++ b/src/gateway/store_view_test.ts
@@ -103,7 +103,7 @@
   /** Asks another VM if that one is ahead. Returns the number of entries that were sent. */
   async pullFrom(other: Vm): Promise<number> {
     const matter = "upstreams";
-    if (!this.view.compare(matter, other.view.copies[matter], true)) return 0;
+    if (!this.view.notePeer(matter, other.view.copies[matter], true)) return 0;
     const request = { matter, ...this.view.newsRequest(matter) } as const;
     const news = await other.answer(request);
     await this.#port.ask("adopt", { matter, news, from: "peer" });
--- a/test/gateway_keys_test.ts
+++ b/test/gateway_keys_test.ts
@@ -139,7 +139,7 @@
           jsonrpc: "2.0",
           id: 1,
           method: "news",
-          params: { matter: "operators", sinceRev: 0, held: {} },
+          params: { matter: "operators", sinceRev: 0, heldHashes: {} },
         }),
       }).then((answer) => answer.text());
       t.true(news.includes("convoys"));
