Cold times that stand still, and failure domains that move, without renewed entries

What callers saw: nothing yet; both used to hold because every entry came again each second. An upstream whose cold time stands still, or grows within a step, counted as warm after one cold time on VMs that do not read the store (three of six in the test), and would have been sent more than it bears. Settings that move a failure domain to another region reached an upstream there only with its next change.

Change: while a VM agrees with one that the store answers, an upstream stays cold for at least the shortest time of its step; changed settings are applied to all held entries, not only to those without a region. store_view_test: "stands still" and the second half of "as soon as the settings name its failure domain" were red before; "runs out on time" guards the other side.

--- a/src/gateway/follower.ts
+++ b/src/gateway/follower.ts
@@ -59,6 +59,8 @@
   readonly isReader: () => boolean;
   /** Returns the part of a store entry that is kept and sent to other VMs. */
   readonly redact?: (entry: Entry) => Entry;
+  /** Called when a VM that the store answers announces the same copy. */
+  readonly onAgreed?: () => void;
 }
 
 /** First and longest backoff after failed calls; an outage costs at most four calls per second and VM. */
@@ -283,6 +285,7 @@
   #noteAgreement(): void {
     this.#agreedMonoMs = this.#options.clock.monoMs();
     this.#differsSinceMonoMs = undefined;
+    this.#options.onAgreed?.();
   }
 
   #noteAnswer(): void {
--- a/src/gateway/store_view.ts
+++ b/src/gateway/store_view.ts
@@ -18,11 +18,7 @@
   OPERATOR_PREFIX,
   UPSTREAM_PREFIX,
 } from "../platform/mod.ts";
-import {
-  Fleet,
-  type GatewayConfig,
-  type UpstreamRecord,
-} from "../routing/mod.ts";
+import { Fleet, type GatewayConfig } from "../routing/mod.ts";
 import type { ReplicaState, ReplicaStates } from "../region/mod.ts";
 import { type FollowedStore, Follower } from "./follower.ts";
 import type { AdoptOutcome, News, NewsRequest } from "./replica.ts";
@@ -93,6 +89,8 @@
   readonly fleet: Fleet;
   readonly #options: StoreViewOptions;
   readonly #evacuated = new Set<string>();
+  /** The least time for which upstreams are cold by their entries, by id. */
+  readonly #leastColdMs = new Map<string, number>();
   /** Upstreams whose entry is gone but may come back, with the time until which they are kept. */
   readonly #lapsed = new Map<string, number>();
   #failureDomains: Readonly<Record<string, string>>;
@@ -148,12 +146,11 @@
     return this.#clock.monoMs() - this.#followers[topic].agreedMonoMs;
   }
 
-  /** Applies changed settings. Upstreams of a new failure domain are used from now on. */
+  /** Applies changed settings. Upstreams of a new or moved failure domain are used there from now on. */
   setFailureDomains(failureDomains: Readonly<Record<string, string>>): void {
     this.#failureDomains = failureDomains;
     for (const entry of this.#followers.upstreams.entries) {
-      const isUsed = this.fleet.get(decodeUpstreamId(entry.key)) !== undefined;
-      if (!isUsed) this.#onUpstreamPut(entry);
+      this.#onUpstreamPut(entry);
     }
   }
 
@@ -191,6 +188,7 @@
         pauseMs: UPSTREAM_POLL_PAUSE_MS,
         isReader: this.#options.isReader,
         contentOf: upstreamContentOf,
+        onAgreed: () => this.#keepCold(),
         onPut: (entry) => this.#onUpstreamPut(entry),
         onDelete: (key) => this.#onUpstreamDelete(key),
       }),
@@ -294,6 +292,7 @@
     try {
       const record = decodeUpstream(id, entry.value);
       const before = this.fleet.put(record, this.#clock.monoMs());
+      this.#leastColdMs.set(id, leastColdMs(coldStepOf(record.coldLeftMs)));
       if (before?.key === record.key && before.state === record.state) return;
       this.#log.info("upstream known", {
         upstream: record.key,
@@ -313,6 +312,17 @@
     }
   }
 
+  /**
+   * Keeps upstreams cold whose entries still say so. Entries whose cold time stands still or grows within a step are not
+   * sent again.
+   */
+  #keepCold(): void {
+    const nowMs = this.#clock.monoMs();
+    for (const [id, leastMs] of this.#leastColdMs) {
+      if (leastMs > 0) this.fleet.keepCold(id, nowMs + leastMs);
+    }
+  }
+
   #onUpstreamDelete(key: string): void {
     const id = decodeUpstreamId(key);
     const sinceRecoveryMs = this.#clock.monoMs() -
@@ -332,6 +342,7 @@
 
   #removeUpstream(id: string, reason: string): void {
     const before = this.fleet.delete(id);
+    this.#leastColdMs.delete(id);
     if (before) {
       this.#log.info("upstream gone", {
         upstream: before.key,
@@ -369,12 +380,16 @@
 }
 
 /**
- * How cold an upstream is, in steps that double: 0 if it is not. A VM counts its cold time down by itself, so this one
- * differs only a few times until the end. If the cold time grows within a step, it leaves that step later than expected,
- * but before the other VMs' count has ended.
+ * How cold an upstream is, in steps that double: 0 if it is not, 1 below 1 s, 2 below 2 s, 3 below 4 s and so on. Each
+ * VM counts a cold time down by itself, and is sent the entry again only when the step changes.
  */
-function coldStepOf(coldLeftMs: UpstreamRecord["coldLeftMs"]): number {
+function coldStepOf(coldLeftMs: number): number {
   if (coldLeftMs <= 0) return 0;
   const steps = Math.max(coldLeftMs, MIN_COLD_STEP_MS) / MIN_COLD_STEP_MS;
   return 1 + Math.floor(Math.log2(steps));
 }
+
+/** The shortest cold time of a step. */
+function leastColdMs(step: number): number {
+  return step > 1 ? MIN_COLD_STEP_MS * 2 ** (step - 1) : 0;
+}
--- a/src/gateway/store_view_test.ts
+++ b/src/gateway/store_view_test.ts
@@ -226,6 +226,34 @@
     );
   });
 
+  it("tells every VM of an upstream whose cold time stands still", async (t) => {
+    const world = await openWorld({ cold_left_ms: 3_000 });
+    await world.run(10_000);
+    const nowMs = world.clock.monoMs();
+    t.deepEqual(
+      world.vms.map(({ view }) => view.fleet.get("i-3")!.coldUntilMs > nowMs),
+      world.vms.map(() => true),
+    );
+  });
+
+  it("ends a cold time that runs out on time", async (t) => {
+    const world = await openWorld();
+    world.write(3, { cold_left_ms: 3_000 });
+    await world.run(1_200, [3]);
+    world.write(3, { cold_left_ms: 1_800 });
+    await world.run(1_200, [3]);
+    world.write(3, { cold_left_ms: 600 });
+    await world.run(1_200, [3]);
+    world.write(3);
+    await world.run(3_000);
+    const nowMs = world.clock.monoMs();
+    t.true(
+      world.vms.every(({ view }) =>
+        view.fleet.get("i-3")!.coldUntilMs <= nowMs
+      ),
+    );
+  });
+
   it("knows since when its copy may differ from the store's", async (t) => {
     const world = await openWorld();
     const [, , , other] = world.vms;
@@ -242,7 +270,9 @@
     for (const { view } of world.vms) {
       t.is(view.fleet.get("i-3"), undefined);
       view.setFailureDomains({ ...DOMAINS, "north-b": "north" });
-      t.is(view.fleet.get("i-3")?.failureDomain, "north-b");
+      t.is(view.fleet.get("i-3")?.region, "north");
+      view.setFailureDomains({ ...DOMAINS, "north-b": "south" });
+      t.is(view.fleet.get("i-3")?.region, "south");
     }
   });
 });
--- a/src/routing/fleet.ts
+++ b/src/routing/fleet.ts
@@ -52,6 +52,14 @@
     return before;
   }
 
+  /** Keeps an upstream cold until a time at least. */
+  keepCold(id: string, untilMs: number): void {
+    const known = this.#byId.get(id);
+    if (!known || known.coldUntilMs >= untilMs) return;
+    this.#byId.set(id, { ...known, coldUntilMs: untilMs });
+    this.#rebuildIndex();
+  }
+
   /** Sets the failure domains that get no requests until their evacuation ends. */
   setEvacuated(failureDomains: ReadonlySet<string>): void {
     this.#evacuated = failureDomains;
