Soak: what is down comes back to an address that nobody else takes

Cause: a host of upstreams and the program behind it listened on 127.0.0.1 at ports of the system's choosing and gave them up while the upstream was down. Another process took the port meanwhile: `proxy.reopen` threw EADDRINUSE, uncaught, and the whole command died; the program behind came back at another port, and until then the proxy could have forwarded to a stranger. Change: each upstream has an address in the run's block (127.79.BLOCK.N) with two fixed ports below the range that the system gives out. The address refuses connections while the upstream is down, as before. `Runner.open` takes an optional address; without one it does what it did. A runner with a fixed port that finds it taken fails loudly instead of going elsewhere. A host closes its program before its proxy, which a late restart could have opened again. plan.ts is not touched.

--- a/soak/address_block.ts
+++ b/soak/address_block.ts
@@ -47,6 +47,11 @@
     return `127.78.${this.#index}.${vmIndex + 1}`;
   }
 
+  /** Address of an upstream. The system picks no port there, so what is down can return to its port. */
+  runnerIp(runnerIndex: number): string {
+    return `127.79.${this.#index}.${runnerIndex + 1}`;
+  }
+
   async close(): Promise<void> {
     await new Promise((resolve) => this.#lock.close(resolve));
   }
--- a/soak/proxy.ts
+++ b/soak/proxy.ts
@@ -46,8 +46,8 @@
 
 /** A proxy with one fault mode. It forwards half-closes and resets of a connection to the other side. */
 export class FaultProxy {
-  /** Address to which connections are forwarded; a change applies to new connections. */
-  target: Endpoint;
+  /** Address to which connections are forwarded. */
+  readonly target: Endpoint;
   readonly #server: Server;
   readonly #connections = new Set<ProxiedConnection>();
   readonly #host: string;
--- a/soak/runner_host.ts
+++ b/soak/runner_host.ts
@@ -7,7 +7,7 @@
 import { Runner } from "../src/standins/mod.ts";
 import { sleep } from "../test/cluster.ts";
 import { isFatal } from "./fatal_requests.ts";
-import { FaultProxy } from "./proxy.ts";
+import { type Endpoint, FaultProxy } from "./proxy.ts";
 import { getFailureDomain, REGIONS, type World } from "./world.ts";
 
 /** One instance of an upstream, from its start to its stop. */
@@ -27,7 +27,9 @@
 /** How long an upstream is down after a fatal request, and how long the effects outlast that. */
 const DOWN_MS = 800;
 const AFTER_EFFECT_MS = 2_500;
-const LOOPBACK = "127.0.0.1";
+/** Ports of an upstream: the proxy, which is its address for others, and the program behind. */
+const PROXY_PORT = 18_106;
+const PROGRAM_PORT = 18_107;
 
 /** A host with one upstream at a time. */
 export class RunnerHost {
@@ -35,6 +37,8 @@
   readonly region: string;
   readonly #world: World;
   readonly #index: number;
+  /** Where the program listens. */
+  readonly #program: Endpoint;
   /** The service whose upstreams normally run here; three hosts in four belong to `s`. */
   readonly #service: string;
   #instance: RunnerInstance | undefined;
@@ -44,6 +48,7 @@
   private constructor(world: World, index: number, proxy: FaultProxy) {
     this.#world = world;
     this.#index = index;
+    this.#program = proxy.target;
     this.proxy = proxy;
     this.region = REGIONS[index % REGIONS.length];
     this.#service = index % 8 < 6 ? "s" : "t";
@@ -51,11 +56,14 @@
 
   /** Opens the host and starts an upstream on it. */
   static async open(world: World, index: number): Promise<RunnerHost> {
-    const listen = { host: LOOPBACK, port: 0 };
-    const proxy = await FaultProxy.open(listen, listen);
-    const host = new RunnerHost(world, index, proxy);
-    await host.#startRunner(host.#nextId(), host.#service);
-    return host;
+    const host = world.block.runnerIp(index);
+    const proxy = await FaultProxy.open(
+      { host, port: PROXY_PORT },
+      { host, port: PROGRAM_PORT },
+    );
+    const runnerHost = new RunnerHost(world, index, proxy);
+    await runnerHost.#startRunner(runnerHost.#nextId(), runnerHost.#service);
+    return runnerHost;
   }
 
   /** The current instance. */
@@ -102,8 +110,9 @@
   }
 
   async close(): Promise<void> {
-    await this.proxy.close();
+    // A crashed upstream that comes back later would open the proxy again.
     await this.#instance?.runner.close();
+    await this.proxy.close();
   }
 
   /** Runs one change at a time; a second change meanwhile is skipped. */
@@ -120,14 +129,12 @@
 
   async #startRunner(id: string, service: string): Promise<void> {
     this.#starts++;
-    const runner = await Runner.open(id);
+    const runner = await Runner.open(id, this.#program);
     runner.isFatal = isFatal;
     runner.downMs = DOWN_MS;
     runner.onCrash = () => this.#handleCrash(runner);
     runner.onRestart = () => void this.#handleRestart(runner);
     await this.proxy.reopen();
-    const [host, port] = runner.address.split(":");
-    this.proxy.target = { host, port: Number(port) };
     this.#instance = {
       runner,
       region: this.region,
@@ -146,8 +153,6 @@
 
   async #handleRestart(runner: Runner): Promise<void> {
     if (this.#instance?.runner !== runner) return;
-    const [host, port] = runner.address.split(":");
-    this.proxy.target = { host, port: Number(port) };
     this.#starts++;
     await this.proxy.reopen();
     this.#register(runner.isDraining ? "draining" : "ready");
@@ -166,7 +171,7 @@
     const { runner, service } = this.#instance!;
     this.#world.store.put(`servers/${runner.id}`, {
       service,
-      address: `${LOOPBACK}:${this.proxy.port}`,
+      address: `${this.#program.host}:${this.proxy.port}`,
       zone: getFailureDomain(this.region),
       slots: SLOTS,
       state,
--- a/soak/world.ts
+++ b/soak/world.ts
@@ -79,9 +79,10 @@
   readonly configs: ConfigVersion[] = [];
   /** Faults of gateway processes: a process exited by itself, or did not stop in time. */
   readonly processFaults: string[] = [];
+  /** The addresses of this run. */
+  block!: AddressBlock;
   readonly #options: WorldOptions;
   readonly #dir = mkdtempSync(join(tmpdir(), "ibisgap-soak-"));
-  #block!: AddressBlock;
   #isClosing = false;
 
   private constructor(options: WorldOptions) {
@@ -195,12 +196,12 @@
     }
     for (const host of this.runnerHosts) await host.close();
     await this.store.close();
-    await this.#block?.close();
+    await this.block?.close();
     rmSync(this.#dir, { recursive: true, force: true });
   }
 
   async #start(): Promise<void> {
-    this.#block = await AddressBlock.open();
+    this.block = await AddressBlock.open();
     this.writeConfig("s");
     for (let index = 0; index < this.#options.runners; index++) {
       this.runnerHosts.push(await RunnerHost.open(this, index));
@@ -212,8 +213,8 @@
   }
 
   async #startVm(index: number): Promise<SoakVm> {
-    const proxyIp = this.#block.proxyIp(index);
-    const vmIp = this.#block.vmIp(index);
+    const proxyIp = this.block.proxyIp(index);
+    const vmIp = this.block.vmIp(index);
     const endpoint = (host: string, port: number): Endpoint => ({ host, port });
     const [storeHost, storePort] =
       (await this.store.openAddressFor(`vm-${index}`))
@@ -321,7 +322,7 @@
   /** URL at which callers query the VMs to use; a region's name is appended to it. */
   directoryUrl(vm: SoakVm): string {
     return `http://${
-      this.#block.vmIp(vm.index)
+      this.block.vmIp(vm.index)
     }:${PORTS.directory}/api/lookup?region=`;
   }
 }
--- a/src/standins/runner.ts
+++ b/src/standins/runner.ts
@@ -49,6 +49,15 @@
   isCut: boolean;
 }
 
+/** Where a runner listens. */
+export interface RunnerListen {
+  readonly host: string;
+  /** 0: any free port, and another one after a crash if that port is taken. */
+  readonly port: number;
+}
+
+const ANY_LOOPBACK_PORT: RunnerListen = { host: "127.0.0.1", port: 0 };
+
 /** Default time between the start of a fatal request and the crash. */
 const DEFAULT_CRASH_DELAY_MS = 50;
 
@@ -108,18 +117,20 @@
   crashCount = 0;
   /** Called at a crash. */
   onCrash: () => void = () => {};
-  /** Called after the restart. The address has changed if another process took the port meanwhile. */
+  /** Called after the restart. The address has changed if any port was taken and another process has it now. */
   onRestart: () => void = () => {};
   /** Streams in progress, by attempt id. */
   readonly #streams = new Map<string, StreamRun>();
+  readonly #listen: RunnerListen;
   readonly #server: Server;
   readonly #cachedParts = new Set<string>();
   readonly #sockets = new Set<Socket>();
   #coldArrivalsMs: number[] = [];
   #restartTimer: NodeJS.Timeout | undefined;
 
-  private constructor(id: string) {
+  private constructor(id: string, listen: RunnerListen) {
     this.id = id;
+    this.#listen = listen;
     this.#server = createServer((request, response) =>
       void this.#handleRequest(request, response)
     );
@@ -130,15 +141,20 @@
     });
   }
 
-  static async open(id: string): Promise<Runner> {
-    const runner = new Runner(id);
-    runner.#server.listen(0, "127.0.0.1");
+  /** Opens a runner at `listen`. */
+  static async open(
+    id: string,
+    listen: RunnerListen = ANY_LOOPBACK_PORT,
+  ): Promise<Runner> {
+    const runner = new Runner(id, listen);
+    runner.#server.listen(listen.port, listen.host);
     await once(runner.#server, "listening");
     return runner;
   }
 
   get address(): string {
-    return `127.0.0.1:${(this.#server.address() as AddressInfo).port}`;
+    const { port } = this.#server.address() as AddressInfo;
+    return `${this.#listen.host}:${port}`;
   }
 
   /** Number of open connections. */
@@ -167,9 +183,10 @@
     const tryListen = (onPort: number) =>
       new Promise<boolean>((resolve) => {
         this.#server.once("error", () => resolve(false));
-        this.#server.listen(onPort, "127.0.0.1", () => resolve(true));
+        this.#server.listen(onPort, this.#listen.host, () => resolve(true));
       });
-    if (!await tryListen(port)) await tryListen(0);
+    const isBack = await tryListen(port) || await tryListen(this.#listen.port);
+    if (!isBack) throw new Error(`${this.id}: port ${port} has been taken`);
     this.#server.removeAllListeners("error");
     this.#restartTimer = undefined;
     this.onRestart();
