Soak: upstreams renew their entry at each heartbeat

Cause: an upstream of the soak registered once and never again, so no entry could lapse and come back, and the store's revision stood still between faults.

--- a/soak/runner_host.ts
+++ b/soak/runner_host.ts
@@ -8,6 +8,7 @@
 import { sleep } from "../test/cluster.ts";
 import { isFatal } from "./fatal_requests.ts";
 import { type Endpoint, FaultProxy } from "./proxy.ts";
+import { HEARTBEAT_MS, Registration } from "./registration.ts";
 import { getFailureDomain, REGIONS, type World } from "./world.ts";
 
 /** One instance of an upstream, from its start to its stop. */
@@ -24,6 +25,8 @@
 /** How long an address is unused before another upstream gets it. */
 const ADDRESS_IDLE_MS = 300;
 const SLOTS = 8;
+/** Hosts whose first heartbeats are spread over one interval. */
+const HEARTBEAT_PHASES = 8;
 /** How long an upstream is down after a fatal request, and how long the effects outlast that. */
 const DOWN_MS = 800;
 const AFTER_EFFECT_MS = 2_500;
@@ -35,6 +38,7 @@
 export class RunnerHost {
   readonly proxy: FaultProxy;
   readonly region: string;
+  readonly registration: Registration;
   readonly #world: World;
   readonly #index: number;
   /** Where the program listens. */
@@ -52,6 +56,9 @@
     this.proxy = proxy;
     this.region = REGIONS[index % REGIONS.length];
     this.#service = index % 8 < 6 ? "s" : "t";
+    const phase = index % HEARTBEAT_PHASES;
+    const phaseMs = (phase / HEARTBEAT_PHASES) * HEARTBEAT_MS;
+    this.registration = new Registration(world.store, phaseMs);
   }
 
   /** Opens the host and starts an upstream on it. */
@@ -86,7 +93,7 @@
       for (
         const service of [this.#service === "s" ? "t" : "s", this.#service]
       ) {
-        this.#unregister();
+        this.registration.remove();
         await this.#stopRunner();
         await sleep(ADDRESS_IDLE_MS);
         await this.#startRunner(this.#nextId(), service);
@@ -103,13 +110,14 @@
       this.#instance!.drainingSinceMs = this.#world.nowMs();
       runner.isDraining = true;
       await sleep(DRAIN_MS);
-      this.#unregister();
+      this.registration.remove();
       await this.#stopRunner();
       await this.#startRunner(this.#nextId(), this.#service);
     });
   }
 
   async close(): Promise<void> {
+    this.registration.close();
     // A crashed upstream that comes back later would open the proxy again.
     await this.#instance?.runner.close();
     await this.proxy.close();
@@ -169,7 +177,7 @@
 
   #register(state: "ready" | "draining"): void {
     const { runner, service } = this.#instance!;
-    this.#world.store.put(`servers/${runner.id}`, {
+    this.registration.write(runner.id, {
       service,
       address: `${this.#program.host}:${this.proxy.port}`,
       zone: getFailureDomain(this.region),
@@ -180,8 +188,4 @@
       born: this.#starts,
     });
   }
-
-  #unregister(): void {
-    this.#world.store.remove(`servers/${this.#instance!.runner.id}`);
-  }
 }
