Soak: lapsing entries, kills of a region, series of evacuations

Cause: no fault made an upstream's entry lapse, no kill hit all readers of the store in a region at one moment, and evacuations hardly ever ended near a kill.

--- a/soak/fault_injector.ts
+++ b/soak/fault_injector.ts
@@ -14,6 +14,10 @@
 /** Delay of the store's answers while it is slow: longer than the gateways' timeout of some calls. */
 const SLOW_STORE_MS = 1_200;
 const LOST_ANSWERS = 20;
+/** After an outage an upstream writes its entry again within this time and one heartbeat. */
+const MAX_RETURN_DELAY_MS = 1_000;
+/** Return delays use their own random stream, so that the other faults of a seed stay the same. */
+const RETURN_SEED = 0x7e70;
 /** How long a trouble outlasts its fault: requests at a silent upstream, for example, stay there until their deadlines. */
 const AFTER_EFFECT_MS = 2_500;
 
@@ -28,10 +32,12 @@
 export class FaultInjector {
   readonly #world: World;
   readonly #random: Random;
+  readonly #returnRandom: Random;
 
   constructor(world: World, seed: number) {
     this.#world = world;
     this.#random = new Random(seed);
+    this.#returnRandom = new Random(seed ^ RETURN_SEED);
   }
 
   /** Injects all faults of the plan at their times; returns when the last one is over. */
@@ -64,6 +70,14 @@
       case "reuse":
       case "drain":
         return await this.#faultRunner(fault);
+      case "silence":
+        return this.#world.runnerHosts[fault.runner].registration.silence(
+          fault.forMs,
+        );
+      case "killRegion":
+        return this.#killVms(fault.vms);
+      case "lapseOutage":
+        return await this.#lapseInOutage(fault);
       case "config": {
         const { plainService } = this.#world.configs.at(-1)!;
         return this.#world.writeConfig(plainService === "s" ? "t" : "s");
@@ -87,6 +101,32 @@
     proc.signal("SIGCONT");
   }
 
+  #killVms(vms: readonly number[]): void {
+    for (const vm of vms) {
+      this.#world.addTrouble(`vm:${vm}`, AFTER_EFFECT_MS);
+      this.#world.signal(vm, "SIGKILL");
+    }
+  }
+
+  /** All entries lapse, during the outage or at its end, and return one by one. */
+  async #lapseInOutage(
+    { how, forMs, lapsesWhileDown }: Extract<Fault, { kind: "lapseOutage" }>,
+  ): Promise<void> {
+    const registrations = this.#world.runnerHosts.map((host) =>
+      host.registration
+    );
+    this.#world.addTrouble("store", forMs + AFTER_EFFECT_MS);
+    this.#world.store.faults.set([STORE_FAULTS[how]]);
+    for (const each of registrations) each.lapsesWhileDown = lapsesWhileDown;
+    await sleep(forMs);
+    this.#world.store.faults.clear();
+    for (const registration of registrations) {
+      registration.lapsesWhileDown = false;
+      if (!lapsesWhileDown) registration.lapse();
+      registration.silence(this.#returnRandom.int(MAX_RETURN_DELAY_MS));
+    }
+  }
+
   async #faultLink(
     { vm, link, mode, forMs }: Extract<Fault, { kind: "link" }>,
   ): Promise<void> {
--- a/soak/main.ts
+++ b/soak/main.ts
@@ -6,7 +6,7 @@
 
 import { defineCommand, runMain } from "citty";
 import type { Evidence } from "./judge.ts";
-import type { CrashMode } from "./plan.ts";
+import type { ExtraMode } from "./plan.ts";
 import { type RunResult, runSeed } from "./run.ts";
 
 const numberOption = (description: string, value: number) => ({
@@ -72,6 +72,13 @@
         "requests that crash upstreams: beside other faults, or alone",
       default: "none",
     },
+    lapses: {
+      type: "enum" as const,
+      options: ["none", "beside", "only"],
+      description:
+        "lapsing entries, kills of a region, series of evacuations: beside other faults, or alone",
+      default: "none",
+    },
     keep: {
       type: "string",
       description: "folder for the logs of runs that broke a promise",
@@ -93,7 +100,8 @@
           callers: Number(args.callers),
           faultsMs: Number(args.seconds) * 1_000,
           plannedOnly: args.planned,
-          crashes: args.crashes as CrashMode,
+          crashes: args.crashes as ExtraMode,
+          lapses: args.lapses as ExtraMode,
           logFolder: args.keep,
           changeEvidence: args.plant ? plantSecondRun : undefined,
         });
--- a/soak/plan.ts
+++ b/soak/plan.ts
@@ -63,13 +63,26 @@
     | { readonly kind: "rebirth" | "reuse" | "drain"; readonly runner: number }
     | { readonly kind: "config" | "crash" }
     | { readonly kind: "evacuate"; readonly domain: number }
+    /** The upstream serves on, but the store removes its entry until it is written again. */
+    | { readonly kind: "silence"; readonly runner: number }
+    /** Most or all VMs of a region, killed at one moment. */
+    | { readonly kind: "killRegion"; readonly vms: readonly number[] }
+    | {
+      readonly kind: "lapseOutage";
+      readonly how: "cut" | "refuse";
+      /** Whether entries are removed during the outage; otherwise they are removed at its end. */
+      readonly lapsesWhileDown: boolean;
+    }
   );
 
-/** Whether a plan has requests that crash upstreams: none, beside the other faults, or nothing else. */
-export type CrashMode = "none" | "beside" | "only";
+/** Whether a plan has a class of faults that is drawn on its own: none, beside the other faults, or nothing else. */
+export type ExtraMode = "none" | "beside" | "only";
 
-/** Name of a kind of fault. */
-export type FaultKind = Fault["kind"];
+/** Name of a kind of fault that is drawn from a seed's main random stream. */
+export type FaultKind = Exclude<
+  Fault["kind"],
+  "crash" | "silence" | "killRegion" | "lapseOutage"
+>;
 
 /** Size and kind of a plan. */
 export interface PlanOptions {
@@ -79,7 +92,9 @@
   /** Whether the plan has only planned work. */
   readonly plannedOnly?: boolean | undefined;
   /** Requests that crash upstreams; `none` if absent. */
-  readonly crashes?: CrashMode | undefined;
+  readonly crashes?: ExtraMode | undefined;
+  /** Entries that lapse, regions whose VMs are killed at one moment, series of evacuations; `none` if absent. */
+  readonly lapses?: ExtraMode | undefined;
   /** Time during which faults begin; after the last fault, callers continue without faults. */
   readonly faultsMs: number;
 }
@@ -154,12 +169,38 @@
 /** Fatal requests use their own random stream, so that the other faults of a seed are the same with and without them. */
 const CRASH_SEED = 0x5eed;
 
+/** Mean time between the starts of lapses, kills of a region and series of evacuations. */
+const MEAN_LAPSE_GAP_MS = 1_200;
+/** Silence is longer than the three heartbeats after which the store removes an entry. */
+const MIN_SILENCE_MS = 3_200;
+const MAX_SILENCE_MS = 7_000;
+const MAX_SILENT_UPSTREAMS = 3;
+const MAX_EVACUATIONS = 4;
+const MIN_EVACUATION_MS = 150;
+const MAX_EVACUATION_MS = 900;
+const MAX_EVACUATION_GAP_MS = 400;
+/** The last evacuation of a series ends up to this much before or after a region's VMs are killed. */
+const MAX_KILL_OFFSET_MS = 600;
+/** These faults use their own random stream, like fatal requests. */
+const LAPSE_SEED = 0x1a95e;
+const LAPSE_KINDS = [
+  "silence",
+  "killRegion",
+  "evacuations",
+  "evacuationsAndKill",
+  "evacuationsAndKill",
+  "lapseOutage",
+] as const;
+
 /** Draws the faults of a run, sorted by their start. */
 export function drawPlan(seed: number, options: PlanOptions): Fault[] {
-  const { crashes = "none" } = options;
-  const otherFaults = crashes === "only" ? [] : drawOtherFaults(seed, options);
+  const { crashes = "none", lapses = "none" } = options;
+  const hasOthers = crashes !== "only" && lapses !== "only";
+  const otherFaults = hasOthers ? drawOtherFaults(seed, options) : [];
   const crashFaults = crashes === "none" ? [] : drawCrashes(seed, options);
-  return [...otherFaults, ...crashFaults].sort((a, b) => a.atMs - b.atMs);
+  const lapseFaults = lapses === "none" ? [] : drawLapses(seed, options);
+  return [...otherFaults, ...crashFaults, ...lapseFaults]
+    .sort((a, b) => a.atMs - b.atMs);
 }
 
 function drawOtherFaults(seed: number, options: PlanOptions): Fault[] {
@@ -196,6 +237,102 @@
   return faults;
 }
 
+function drawLapses(seed: number, options: PlanOptions): Fault[] {
+  const random = new Random(seed ^ LAPSE_SEED);
+  const faults: Fault[] = [];
+  for (
+    let atMs = 200;
+    atMs < options.faultsMs;
+    atMs += random.next() * 2 * MEAN_LAPSE_GAP_MS
+  ) {
+    faults.push(...drawLapse(random, options, Math.round(atMs)));
+  }
+  return faults;
+}
+
+function drawLapse(
+  random: Random,
+  options: PlanOptions,
+  atMs: number,
+): Fault[] {
+  switch (random.pick(LAPSE_KINDS)) {
+    case "silence":
+      return drawSilences(random, options, atMs);
+    case "killRegion":
+      return [drawRegionKill(random, options, atMs)];
+    case "evacuations":
+      return drawEvacuations(random, options, atMs);
+    case "evacuationsAndKill": {
+      const evacuations = drawEvacuations(random, options, atMs);
+      const last = evacuations.at(-1)!;
+      const offsetMs = random.int(2 * MAX_KILL_OFFSET_MS) - MAX_KILL_OFFSET_MS;
+      const killMs = Math.max(0, last.atMs + last.forMs + offsetMs);
+      return [...evacuations, drawRegionKill(random, options, killMs)];
+    }
+    case "lapseOutage":
+      return [{
+        kind: "lapseOutage",
+        atMs,
+        forMs: drawSilenceMs(random),
+        how: random.pick(["cut", "refuse"] as const),
+        lapsesWhileDown: random.next() < 0.5,
+      }];
+  }
+}
+
+function drawSilenceMs(random: Random): number {
+  return MIN_SILENCE_MS + random.int(MAX_SILENCE_MS - MIN_SILENCE_MS);
+}
+
+/** One or more upstreams that are silent at the same time. */
+function drawSilences(
+  random: Random,
+  { runners }: PlanOptions,
+  atMs: number,
+): Fault[] {
+  const first = random.int(runners);
+  const count = 1 + random.int(MAX_SILENT_UPSTREAMS);
+  return Array.from({ length: count }, (_, index) => ({
+    kind: "silence",
+    atMs,
+    forMs: drawSilenceMs(random),
+    runner: (first + index) % runners,
+  }));
+}
+
+/** Kills all VMs of a region, or all but one. VMs belong to the regions in turn, and each region has one domain. */
+function drawRegionKill(
+  random: Random,
+  { vms, domains }: PlanOptions,
+  atMs: number,
+): Fault {
+  const region = random.int(domains);
+  const inRegion = Array.from({ length: vms }, (_, vm) => vm)
+    .filter((vm) => vm % domains === region);
+  const spared = random.next() < 0.5 ? random.pick(inRegion) : undefined;
+  const killed = inRegion.filter((vm) => vm !== spared);
+  return { kind: "killRegion", atMs, forMs: 0, vms: killed };
+}
+
+/** Evacuations of one domain that follow each other. */
+function drawEvacuations(
+  random: Random,
+  { domains }: PlanOptions,
+  fromMs: number,
+): Fault[] {
+  const domain = random.int(domains);
+  const count = 1 + random.int(MAX_EVACUATIONS);
+  const evacuations: Fault[] = [];
+  let atMs = fromMs;
+  for (let index = 0; index < count; index++) {
+    const forMs = MIN_EVACUATION_MS +
+      random.int(MAX_EVACUATION_MS - MIN_EVACUATION_MS);
+    evacuations.push({ kind: "evacuate", atMs, forMs, domain });
+    atMs += forMs + 1 + random.int(MAX_EVACUATION_GAP_MS);
+  }
+  return evacuations;
+}
+
 /** Returns the same fault `index` gaps later and on the VM or upstream that many places further. */
 function repeatFault(fault: Fault, index: number, options: PlanOptions): Fault {
   const atMs = fault.atMs + index * SERIES_GAP_MS;
--- a/soak/run.ts
+++ b/soak/run.ts
@@ -11,7 +11,7 @@
 import { isFatal } from "./fatal_requests.ts";
 import { FaultInjector } from "./fault_injector.ts";
 import { type Arrival, type Breach, type Evidence, Judge } from "./judge.ts";
-import { type CrashMode, drawPlan, type Fault } from "./plan.ts";
+import { drawPlan, type ExtraMode, type Fault } from "./plan.ts";
 import { REGIONS, World } from "./world.ts";
 
 /** Settings of a run. */
@@ -24,7 +24,9 @@
   /** Whether the plan has only planned work. */
   readonly plannedOnly?: boolean;
   /** Whether the plan has requests that crash upstreams. */
-  readonly crashes?: CrashMode;
+  readonly crashes?: ExtraMode;
+  /** Whether the plan has lapsing entries, kills of a region and series of evacuations. */
+  readonly lapses?: ExtraMode;
   /** Folder for the logs of a run that broke a promise; absent or empty: they are not saved. */
   readonly logFolder?: string;
   /** Changes the evidence before it is checked, to plant a fault that the judge must find. */
@@ -80,7 +82,8 @@
 
 /** Runs one seed. Throws only if the world cannot be opened. */
 export async function runSeed(options: RunOptions): Promise<RunResult> {
-  const { seed, vms, runners, faultsMs, plannedOnly, crashes } = options;
+  const { seed, vms, runners, faultsMs, plannedOnly, crashes, lapses } =
+    options;
   const domains = REGIONS.length;
   const plan = drawPlan(seed, {
     vms,
@@ -89,6 +92,7 @@
     faultsMs,
     plannedOnly,
     crashes,
+    lapses,
   });
   const world = await World.open({ vms, runners, seed });
   try {
