Soak: each VM's share and view are judged

Cause: RECOVER looks at all requests together, so that one VM of several that serves little, or holds what the store no longer holds, stayed unseen.

Change: SERVE judges the share of each VM that got 20 requests or more since the recovery; VIEW asks each VM's dump at the end of a run and compares the configuration, the evacuated failure domains and the upstreams with the store's entries. RECOVER is what it was.

--- a/soak/judge.ts
+++ b/soak/judge.ts
@@ -6,6 +6,7 @@
 
 import { formatStream } from "../src/standins/mod.ts";
 import { type Attempt, DEADLINE_MS } from "./callers.ts";
+import { describeDifferences, type View, type VmView } from "./views.ts";
 
 /** A request that reached an upstream. Times are on the world's clock. */
 export interface Arrival {
@@ -39,6 +40,10 @@
   readonly processFaults: readonly string[];
   /** When all faults have been over for long enough that requests must be served again. */
   readonly recoveredMs: number;
+  /** What each VM holds after that. */
+  readonly vmViews: readonly VmView[];
+  /** What the store holds at the same time. */
+  readonly storeView: View;
 }
 
 /** The gateway's promises, which hold whatever fails. */
@@ -59,7 +64,9 @@
   | "DRAIN"
   | "CRASH"
   | "PROCESS"
-  | "RECOVER";
+  | "RECOVER"
+  | "SERVE"
+  | "VIEW";
 
 /** A broken promise. */
 export interface Breach {
@@ -86,6 +93,8 @@
 const MAX_LATE_CRASHES = 3;
 /** Share of requests that must be served once the run has recovered. */
 const MIN_SERVED_SHARE = 0.95;
+/** A VM that got fewer requests since the recovery is not judged by its share. */
+const MIN_VM_REQUESTS = 20;
 
 /** Finds the promises that a run broke. */
 export class Judge {
@@ -125,6 +134,7 @@
     }
     this.#checkCrashes();
     this.#checkRecovery();
+    this.#checkViews();
     return this.#breaches;
   }
 
@@ -319,13 +329,12 @@
     }
   }
 
+  /** Over all VMs, and at each VM by itself: one of many that serves little hardly changes the share over all. */
   #checkRecovery(): void {
     const recent = this.#evidence.attempts.filter(({ sentMs, canceledMs }) =>
       sentMs >= this.#evidence.recoveredMs && canceledMs === undefined
     );
-    const served = recent.filter(({ status, isComplete }) =>
-      status === 200 && isComplete
-    );
+    const served = recent.filter(isServed);
     if (
       served.length < recent.length * MIN_SERVED_SHARE || recent.length === 0
     ) {
@@ -335,5 +344,29 @@
         `${served.length} of ${recent.length} served`,
       );
     }
+    for (const vm of new Set(recent.map(({ vmIndex }) => vmIndex))) {
+      const brought = recent.filter(({ vmIndex }) => vmIndex === vm);
+      const count = brought.filter(isServed).length;
+      const isJudged = brought.length >= MIN_VM_REQUESTS;
+      if (isJudged && count < brought.length * MIN_SERVED_SHARE) {
+        const what = `vm ${vm}: ${count} of ${brought.length} served`;
+        this.#addBreach("SERVE", "", what);
+      }
+    }
+  }
+
+  /** Each VM must hold what the store holds. */
+  #checkViews(): void {
+    for (const { vm, view } of this.#evidence.vmViews) {
+      const differences = view
+        ? describeDifferences(view, this.#evidence.storeView)
+        : ["did not answer"];
+      if (differences.length === 0) continue;
+      this.#addBreach("VIEW", "", `vm ${vm}: ${differences.join(", ")}`);
+    }
   }
 }
+
+function isServed({ status, isComplete }: Attempt): boolean {
+  return status === 200 && isComplete;
+}
--- a/soak/judge_test.ts
+++ b/soak/judge_test.ts
@@ -2,6 +2,13 @@
 import { formatStream } from "../src/standins/mod.ts";
 import type { Attempt, RequestKind } from "./callers.ts";
 import { type Arrival, type Evidence, Judge, type Rule } from "./judge.ts";
+import type { View } from "./views.ts";
+
+const VIEW: View = {
+  configVersion: 3,
+  evacuated: ["north-a"],
+  upstreams: ["i-0@1", "i-1@1"],
+};
 
 /** Makes an attempt that breaks no promise and its arrival; the `changes` plant faults. */
 function exchange(
@@ -55,6 +62,8 @@
     configs: [{ sinceMs: 0, plainService: "s" }],
     processFaults: [],
     recoveredMs: 0,
+    vmViews: [{ vm: 0, view: VIEW }],
+    storeView: VIEW,
     ...more,
   }).breaches();
   return [...new Set(breaches.map(({ rule }) => rule))];
@@ -208,6 +217,47 @@
     it("service that does not recover", (t) => {
       t.deepEqual(findRules([], []), ["RECOVER"]);
     });
+
+    it("VM that serves too little while the others hide it", (t) => {
+      const sendTo = (vmIndex: number, count: number, refused: number) =>
+        Array.from({ length: count }, (_, index) =>
+          exchange("safe", {
+            id: `a${vmIndex}-${index}`,
+            answerAttemptId: `a${vmIndex}-${index}`,
+            vmIndex,
+            ...(index < refused ? { status: 503, stamp: undefined } : {}),
+          }, { attemptId: `a${vmIndex}-${index}` }));
+      const findServeRules = (refused: number) => {
+        const all = [...sendTo(0, 100, 0), ...sendTo(1, 20, refused)];
+        return findRules(
+          all.map(({ attempt }) => attempt),
+          all.map(({ arrival }) => arrival),
+        );
+      };
+      t.deepEqual(findServeRules(1), []);
+      t.deepEqual(findServeRules(2), ["SERVE"]);
+    });
+
+    // Guards against a VM that keeps what is over, or never learns what came back.
+    it("view that differs from the store's, in every field and both ways", (t) => {
+      const findViewRules = (view: View | undefined) => {
+        const { attempt, arrival } = exchange("once");
+        const vmViews = [{ vm: 0, view: VIEW }, { vm: 1, view }];
+        return findRules([attempt], [arrival], { vmViews });
+      };
+      const reordered = [...VIEW.upstreams].reverse();
+      t.deepEqual(findViewRules({ ...VIEW, upstreams: reordered }), []);
+      const breaches: (View | undefined)[] = [
+        undefined,
+        { ...VIEW, configVersion: 2 },
+        { ...VIEW, evacuated: [] },
+        { ...VIEW, evacuated: ["north-a", "south-a"] },
+        { ...VIEW, upstreams: ["i-0@1"] },
+        { ...VIEW, upstreams: [...VIEW.upstreams, "i-2@1"] },
+        { ...VIEW, upstreams: ["i-0@1", "i-1@2"] },
+      ];
+      for (const view of breaches) t.deepEqual(findViewRules(view), ["VIEW"]);
+    });
   });
 
   describe("excuses", () => {
--- a/soak/run.ts
+++ b/soak/run.ts
@@ -12,6 +12,7 @@
 import { FaultInjector } from "./fault_injector.ts";
 import { type Arrival, type Breach, type Evidence, Judge } from "./judge.ts";
 import { drawPlan, type ExtraMode, type Fault } from "./plan.ts";
+import { askVmViews, readStoreView } from "./views.ts";
 import { REGIONS, World } from "./world.ts";
 
 /** Settings of a run. */
@@ -119,6 +120,8 @@
       configs: world.configs,
       processFaults: world.processFaults,
       recoveredMs,
+      vmViews: await askVmViews(world),
+      storeView: readStoreView(world),
     };
     const evidence = options.changeEvidence?.(observed) ?? observed;
     const result = {
