Soak: in larger regions the kill hits the readers of the store

Cause: in a region of more than three VMs three read the store; a kill of all VMs leaves none that knows only what readers had told it.

Change: there the three VMs that the order of leads puts first are killed.

--- a/soak/plan.ts
+++ b/soak/plan.ts
@@ -4,7 +4,8 @@
  * @module
  */
 
-import { Random } from "../src/base/mod.ts";
+import { hash32, Random } from "../src/base/mod.ts";
+import { READER_COUNT } from "../src/region/mod.ts";
 
 /** How a link treats its connections. */
 export type LinkMode =
@@ -65,7 +66,7 @@
     | { readonly kind: "evacuate"; readonly domain: number }
     /** The upstream serves on, but the store removes its entry until it is written again. */
     | { readonly kind: "silence"; readonly runner: number }
-    /** Most or all VMs of a region, killed at one moment. */
+    /** All VMs of a region that read the store, or all but one, killed at one moment. */
     | { readonly kind: "killRegion"; readonly vms: readonly number[] }
     | {
       readonly kind: "lapseOutage";
@@ -300,20 +301,30 @@
   }));
 }
 
-/** Kills all VMs of a region, or all but one. VMs belong to the regions in turn, and each region has one domain. */
+/** Kills the readers of a region; if all its VMs read the store, all of them or all but one. */
 function drawRegionKill(
   random: Random,
   { vms, domains }: PlanOptions,
   atMs: number,
 ): Fault {
   const region = random.int(domains);
+  const spared = random.int(2 * READER_COUNT);
   const inRegion = Array.from({ length: vms }, (_, vm) => vm)
     .filter((vm) => vm % domains === region);
-  const spared = random.next() < 0.5 ? random.pick(inRegion) : undefined;
-  const killed = inRegion.filter((vm) => vm !== spared);
+  const killed = inRegion.length > READER_COUNT
+    ? findReaders(inRegion)
+    : inRegion.filter((_, place) => place !== spared);
   return { kind: "killRegion", atMs, forMs: 0, vms: killed };
 }
 
+/** The VMs that read the store while all VMs of their region run: those that the gateways' order of leads puts first. */
+function findReaders(vms: readonly number[]): number[] {
+  const byWeight = vms
+    .map((vm) => ({ vm, weight: hash32(`vm-${vm}`) }))
+    .sort((a, b) => b.weight - a.weight);
+  return byWeight.slice(0, READER_COUNT).map(({ vm }) => vm);
+}
+
 /** Evacuations of one domain that follow each other. */
 function drawEvacuations(
   random: Random,
--- a/soak/plan_test.ts
+++ b/soak/plan_test.ts
@@ -1,4 +1,5 @@
 import { describe, it } from "../src/base/describe.ts";
+import { isReader, orderLeads, type VmRecord } from "../src/region/mod.ts";
 import { drawPlan, type Fault } from "./plan.ts";
 
 const SEEDS = 50;
@@ -24,15 +25,35 @@
     }
   });
 
-  it("kills all VMs of one region, or all but one", (t) => {
+  const findKilled = (vms: number): string[] => {
+    const options = { ...OPTIONS, vms, lapses: "only" } as const;
     const killed = new Set<string>();
     for (let seed = 1; seed <= SEEDS; seed++) {
-      for (const fault of drawPlan(seed, { ...OPTIONS, lapses: "only" })) {
-        if (fault.kind === "killRegion") killed.add(fault.vms.join());
+      for (const fault of drawPlan(seed, options)) {
+        if (fault.kind === "killRegion") killed.add([...fault.vms].join());
       }
     }
+    return [...killed].sort();
+  };
+
+  it("kills all VMs of a small region, or all but one", (t) => {
     const north = ["0,2", "0,2,4", "0,4", "2,4"];
     const south = ["1,3", "1,3,5", "1,5", "3,5"];
-    t.deepEqual([...killed].sort(), [...north, ...south].sort());
+    t.deepEqual(findKilled(6), [...north, ...south].sort());
+  });
+
+  it("kills the readers of a larger region", (t) => {
+    const findReaders = (region: number) => {
+      const vms = [0, 1, 2, 3, 4].map((place) => ({
+        id: `vm-${2 * place + region}`,
+        failureDomain: "a",
+        cores: 1,
+      }));
+      const order = orderLeads(vms as unknown as VmRecord[])
+        .map((vm) => ({ ...vm, isServed: true }));
+      return order.filter(({ id }) => isReader(id, order))
+        .map(({ id }) => Number(id.slice("vm-".length))).join();
+    };
+    t.deepEqual(findKilled(10), [findReaders(0), findReaders(1)].sort());
   });
 });
