--- a/soak/soak_test.ts
+++ b/soak/soak_test.ts
@@ -59,7 +59,7 @@
   it("keeps all promises with entries that lapse and regions whose VMs are killed", async (t) => {
     const { code, printed } = await runSoak(
       "--first",
-      "31",
+      "5",
       "--seeds",
       "1",
       "--seconds",
