--- a/src/gateway/members.ts
+++ b/src/gateway/members.ts
@@ -27,7 +27,6 @@
   type RegionDigest,
   RegionView,
   type RemoteRegion,
-  type ReplicaState,
   type Report,
   type Room,
   type Roster,
@@ -230,7 +229,7 @@
   }
 
   /** Time since a lead could rule out that there is a configuration newer than that of `copy`. */
-  configAgeMs(copy: ReplicaState): number {
+  configAgeMs(copy: Report["copies"]["operators"]): number {
     return this.#view.known.configAgeMs(copy, this.#clock.monoMs());
   }
 
