Shares: a region goes on reporting shares that it holds of an idle workspace

What callers saw: nothing that is known. A workspace could use 1.44 of its limit. Cause: reports left out a workspace that had no callers in the region for 15 s, unless the region had given shares away. The region that had received them was silent about them, and a new lead of the giver took that for "nothing given" and used its full equal share.

Change: a workspace is reported for as long as shares of it were given or taken.

Evidence: "are not used twice by a new lead when the workspace is idle elsewhere": 1.441176 of the limit before, at most 1 since.

Why it works: the counter of what was taken is the only copy of the gift once the giver's lead is gone, so it is told as long as it stands. Costs one row of some 60 bytes a workspace whose shares moved, within the 48 rows of a report.

--- a/src/quota/moving_shares.ts
+++ b/src/quota/moving_shares.ts
@@ -28,7 +28,7 @@
 const DEMAND_AVERAGE_MS = 700;
 /** A region whose last report is older than this gets nothing, since its demand is unknown. */
 const REPORT_VALID_MS = 1_500;
-/** A workspace that was not used for this long is left out of reports. */
+/** A workspace that was not used for this long is left out of reports if its shares never moved. */
 const IDLE_MS = 15_000;
 /** Maximum rows of one report, about 2 KB. When more workspaces are active, reports send them in turn. */
 const MAX_ROWS = 48;
@@ -77,6 +77,11 @@
   }
 }
 
+/** Whether shares were given or taken. Such a ledger is reported even if it is idle, as a new lead elsewhere needs it. */
+function hasMoved({ given, taken }: Ledger): boolean {
+  return given.size > 0 || taken.size > 0;
+}
+
 /** Raises a counter that only grows to a received value. */
 function raiseCounter(
   counters: Map<string, number>,
@@ -148,7 +153,7 @@
 
   buildReport(region: string, nowMs: number): ShareReport | undefined {
     const active = [...this.#ledgers].filter(([, ledger]) =>
-      nowMs - ledger.lastUsedMs < IDLE_MS || ledger.given.size > 0
+      nowMs - ledger.lastUsedMs < IDLE_MS || hasMoved(ledger)
     );
     // Even an empty report shows that this region is reachable, so that a new lead there may use its share.
     if (active.length === 0) return { region: this.self, rows: [] };
--- a/src/quota/shares_sim_test.ts
+++ b/src/quota/shares_sim_test.ts
@@ -347,6 +347,45 @@
       );
     });
 
+    /** The last region's callers ask for all of these workspaces, and the others' leads give their shares away. */
+    function giveAway(
+      workspaces: readonly string[],
+      regions: readonly string[] = ["north", "south"],
+    ) {
+      const leads = regions.map((region) =>
+        new MovingShares(region, regions, 0)
+      );
+      const last = leads.at(-1)!;
+      for (let nowMs = 0; nowMs < 8_000; nowMs += REPORT_INTERVAL_MS) {
+        for (const name of workspaces) last.noteDemand(name, 100_000, nowMs);
+        for (const [at, lead] of leads.entries()) {
+          lead.rebalance(nowMs);
+          for (const [to, other] of leads.entries()) {
+            if (to === at) continue;
+            other.applyReport(lead.buildReport(regions[to], nowMs)!, nowMs);
+          }
+        }
+      }
+      return leads;
+    }
+
+    /** A lead of the north that was told nothing. */
+    function startLead(nowMs: number, regions = ["north", "south"]) {
+      const lead = new MovingShares("north", regions, nowMs);
+      lead.startLeading(nowMs);
+      return lead;
+    }
+
+    // The south has no callers any more; it still holds shares of a workspace that its reports leave out.
+    it("are not used twice by a new lead when the workspace is idle elsewhere", (t) => {
+      const [, south] = giveAway([WORKSPACE]);
+      const next = startLead(40_000);
+      next.applyReport(south.buildReport("north", 40_100)!, 40_100);
+      const sum = next.shareOf(WORKSPACE, 40_100) +
+        south.shareOf(WORKSPACE, 40_100);
+      t.true(sum <= 1, `${sum} of the limit`);
+    });
+
     it("exceed the limit if a region uses shares that it was not given", (t) => {
       class Greedy extends EqualShares {
         override shareOf(): number {
