Shares: a new lead uses a region's part of nothing before all regions have told

What callers saw: nothing that is known. With three regions a workspace could use 1.14 of its limit for up to 30 s, if a new lead without standby state heard one of the two others and the third, cut off, held what its region had given away. Cause: each region that was heard released an equal part of the share, as if a region could have got only its own part of the gifts.

Change: until all regions are known for a workspace, a new lead uses only the share that is never given away (a tenth of an equal share).

Weighed: what the reporting region knows of the third one's share is old by definition while the third one is cut off, so it proves nothing. The price: a lead that starts without standby state while a region is down has 0.033 of the limit in place of 0.183 for its first 30 s. After them it uses its full share as before; in a longer cut that may be used twice, which this change leaves.

--- a/src/quota/moving_shares.ts
+++ b/src/quota/moving_shares.ts
@@ -41,10 +41,10 @@
 /** A workspace with less demand than this is not asked about. */
 const MIN_ASK_DEMAND_PER_S = 1;
 /**
- * A new lead uses only the share of a workspace that a region always keeps, and more with each region that has reported
- * this workspace, because its own region may have given away the rest before. After this time it uses its full share even
- * without reports: a region that is down for good must not take its part of the limit with it. While regions are cut from
- * each other for longer than this, a lead without standby state may therefore use what its region gave away.
+ * A new lead uses only the share of a workspace that a region always keeps until every region has reported this workspace,
+ * because its own region may have given away the rest before. After this time it uses its full share even without reports:
+ * a region that is down for good must not take its part of the limit with it. While regions are cut from each other for
+ * longer than this, a lead without standby state may therefore use what its region gave away.
  */
 const UNKNOWN_MS = 30_000;
 
@@ -139,19 +139,12 @@
     return Math.min(share, this.#maxUsable(ledger, nowMs)) / MILLION;
   }
 
-  /**
-   * Maximum share of a workspace that this lead may use until every region has reported what it got of it from this one,
-   * in millionths.
-   */
+  /** Maximum share of a workspace that this lead may use, in millionths. */
   #maxUsable(ledger: Ledger | undefined, nowMs: number): number {
-    if (nowMs - this.#startedMs >= UNKNOWN_MS) return MILLION;
-    const unknown = this.#others.filter((region) =>
-      !this.#isKnown(ledger, region)
-    );
-    if (unknown.length === 0) return MILLION;
-    return this.#minShare +
-      (this.#equalShare - this.#minShare) *
-        (1 - unknown.length / this.#others.length);
+    const isSure = nowMs - this.#startedMs >= UNKNOWN_MS ||
+      this.#others.every((region) => this.#isKnown(ledger, region));
+    // One region alone may have got everything but the share that is never given away.
+    return isSure ? MILLION : this.#minShare;
   }
 
   /** Whether this lead knows what its region has given of a workspace to another region. */
--- a/src/quota/shares_sim_test.ts
+++ b/src/quota/shares_sim_test.ts
@@ -400,6 +400,18 @@
       }
     });
 
+    // The north has given all to the west, which is cut off; the south's report says nothing about that.
+    it("are not used twice by a new lead that has heard of some regions only", (t) => {
+      const [, south, west] = giveAway([WORKSPACE], REGIONS);
+      const next = startLead(8_000, REGIONS);
+      next.applyReport(south.buildReport("north", 8_100)!, 8_100);
+      const sum = [next, south, west].reduce(
+        (total, lead) => total + lead.shareOf(WORKSPACE, 8_100),
+        0,
+      );
+      t.true(sum <= 1, `${sum} of the limit`);
+    });
+
     it("exceed the limit if a region uses shares that it was not given", (t) => {
       class Greedy extends EqualShares {
         override shareOf(): number {
