Suspects: a VM that was cut off hears of what was cleared, and is heard

What callers saw: nothing reported yet. And what a VM saw while it was cut off the others never heard, so that a request that it rejects could crash as many upstreams again elsewhere.

Cause: rows that are sent again counted as all rows. The first lead left out cleared requests and those with one crash; a VM resent its own rows for 10 s, heard or not; a VM that knew better was silent; a VM that had led a cut-off part kept what it was told there.

Change: the first lead sends all rows in turn, in the same one message of 20 rows, the worst first (14 at most). A VM resends its rows until the first lead has sent them, 10 s at least and then 20 rows at a time; in the same way it answers an uncleared row that it knows to be cleared, and tells all when it is not the first lead any more. Rows are looked up when they are sent, so a resent one is never older than what the VM knows. The own interface does the same, with the VM of the first id of a region in place of the first lead.

Why it works: rows form a union, so it suffices that the first lead gets to know every row and sends every row. A row that it lacks is held by a VM that saw it, or that led and no longer does, and neither stops before the first lead sent it.

--- a/src/gateway/suspects.ts
+++ b/src/gateway/suspects.ts
@@ -91,7 +91,7 @@
       this.#store,
       () => clock.monoMs(),
     );
-    datagrams.on("ends", (params) => this.#onCrashes(params));
+    datagrams.on("ends", (params, ip) => this.#onCrashes(params, ip));
     this.#timer = clock.every(
       RESEND_INTERVAL_MS,
       () => this.#tracker.republish(members.leads[0]?.id === self.id),
@@ -155,11 +155,12 @@
     }
   }
 
-  #onCrashes(params: unknown): void {
+  #onCrashes(params: unknown, fromIp: string): void {
     const message = decodeCrashes(params);
     if (!message) return;
-    const rows = this.#tracker.merge(message.rows);
     const { members, self } = this.#options;
+    const isFromFirst = members.leads[0]?.ip === fromIp;
+    const rows = this.#tracker.merge(message.rows, isFromFirst);
     if (rows.length === 0 || !members.isLead) return;
     this.#notifier.notify(rows, message.region === self.region);
   }
--- a/src/services/suspects.ts
+++ b/src/services/suspects.ts
@@ -54,6 +54,7 @@
   readonly #options: SuspectsOptions;
   readonly #store: SuspectStore;
   #tracker!: SuspectTracker;
+  #peers!: PeerPublisher;
   #clock!: Clock;
   #log!: Log;
   #lagDetector!: LagDetector;
@@ -83,18 +84,25 @@
     this.#clock = clock;
     this.#log = kernel.log;
     this.#lagDetector = new LagDetector(clock);
+    this.#peers = new PeerPublisher(
+      this.#options,
+      kernel.get("members"),
+      kernel.log,
+    );
     this.#tracker = new SuspectTracker(
-      new PeerPublisher(this.#options, kernel.get("members"), kernel.log),
+      this.#peers,
       this.#store,
       () => clock.monoMs(),
     );
-    this.#options.transport.handle(CRASHES_METHOD, (params) => {
+    this.#options.transport.handle(CRASHES_METHOD, async (params, from) => {
       const message = decodeCrashes(params);
-      if (message) this.#tracker.merge(message.rows);
+      if (!message) return;
+      const firstId = await this.#peers.firstVmId();
+      this.#tracker.merge(message.rows, from.vmId === firstId);
     });
     this.#timer = clock.every(
       REPUBLISH_PERIOD_MS,
-      () => this.#tracker.republish(false),
+      () => void this.#republish(),
     );
     void this.#loadRecords();
     return Promise.resolve();
@@ -135,6 +143,11 @@
     this.#tracker.noteCrash(digest, upstreamId, sentAgoMs + sinceLostMs);
   }
 
+  async #republish(): Promise<void> {
+    const firstId = await this.#peers.firstVmId();
+    this.#tracker.republish(firstId === this.#options.vmId);
+  }
+
   async #loadRecords(): Promise<void> {
     while (this.#isOpen) {
       if (await this.#tracker.loadRecords()) return;
@@ -168,6 +181,13 @@
     this.#log.warn(`suspect ${type}`, fields);
   }
 
+  /** Returns the VM that sends the rows of all VMs: the one with the first id of this region. */
+  async firstVmId(): Promise<string> {
+    const regionVms = await this.#members.ask("region", undefined);
+    const ids = [this.#options.vmId, ...regionVms.map(({ id }) => id)];
+    return ids.reduce((first, id) => id < first ? id : first);
+  }
+
   /** Sends to every known VM directly, because a region has only a few VMs. */
   async #notifyPeers(rows: readonly CrashRow[]): Promise<void> {
     const { vmId, region, transport } = this.#options;
--- a/src/suspects/crash_history.ts
+++ b/src/suspects/crash_history.ts
@@ -47,6 +47,8 @@
 
 /** Maximum number of rows that are sent again each time: those of one message. */
 const MAX_RESENT_ROWS = 20;
+/** Maximum number of rows of the worst requests among them. The others take turns for the rest. */
+const MAX_WORST_ROWS = 14;
 
 interface Crash {
   readonly atMs: number;
@@ -54,11 +56,14 @@
 }
 
 type Crashes = Map<string, Crash>;
+type Entry = readonly [digest: string, crashes: Crashes];
 
 /** Records the crashes of upstreams for each request. Times are on the monotonic clock of this VM. */
 export class CrashHistory {
   readonly #entries = new Map<string, Crashes>();
   #hasSuspects = false;
+  /** Number of rows whose turn to be sent again is over. */
+  #turn = 0;
 
   /**
    * Whether any request is suspected; if not, no request needs to be hashed. The expiry of crashes shows here only
@@ -142,30 +147,56 @@
     return lastToExpire === undefined ? 0 : lastToExpire + CRASH_TTL_MS - nowMs;
   }
 
+  /** Returns a crash as it is known here; `undefined` if it is not, or has expired. */
+  rowOf(
+    digest: string,
+    upstreamKey: string,
+    nowMs: number,
+  ): CrashRow | undefined {
+    const crash = this.#entries.get(digest)?.get(upstreamKey);
+    if (!crash || isExpired(crash, nowMs)) return undefined;
+    return toRow(digest, upstreamKey, crash, nowMs);
+  }
+
+  /** Returns all crashes that have not expired, cleared ones included. */
+  rows(nowMs: number): CrashRow[] {
+    return rowsOf([...this.#entries], nowMs);
+  }
+
   /**
-   * Returns the rows that are sent again each time: those of the requests with the most crashes, among the requests
-   * with more than one.
+   * Returns the rows that are sent again this time: those of the requests with the most crashes, and some of all others.
+   * The others take turns, cleared ones included, so that a VM that was cut off learns of each after some time.
    */
-  worstRows(nowMs: number): CrashRow[] {
-    return [...this.#entries]
-      .filter(([, crashes]) => countActive(crashes, nowMs) > 1)
-      .sort(([, a], [, b]) => countActive(b, nowMs) - countActive(a, nowMs))
-      .flatMap(([digest, crashes]) =>
-        [...crashes].map(([key, { atMs, isCleared }]): CrashRow => [
-          digest,
-          key,
-          Math.round(nowMs - atMs),
-          isCleared,
-        ])
-      ).slice(0, MAX_RESENT_ROWS);
+  takeRowsToResend(nowMs: number): CrashRow[] {
+    const isWorst = ([, crashes]: Entry) => countActive(crashes, nowMs) > 1;
+    const entries = [...this.#entries];
+    const worst = entries.filter(isWorst).sort(([, a], [, b]) =>
+      countActive(b, nowMs) - countActive(a, nowMs)
+    );
+    const worstRows = rowsOf(worst, nowMs);
+    const first = worstRows.slice(0, MAX_WORST_ROWS);
+    const others = [
+      ...worstRows.slice(MAX_WORST_ROWS),
+      ...rowsOf(entries.filter((entry) => !isWorst(entry)), nowMs),
+    ];
+    return [...first, ...this.#takeTurns(others, first.length)];
+  }
+
+  /** Returns the next rows in turn, as many as there is room for beside `taken` ones. */
+  #takeTurns(rows: readonly CrashRow[], taken: number): CrashRow[] {
+    const room = MAX_RESENT_ROWS - taken;
+    if (rows.length <= room) return [...rows];
+    const start = this.#turn % rows.length;
+    this.#turn = start + room;
+    return [...rows.slice(start), ...rows.slice(0, start)].slice(0, room);
   }
 
   /** Removes entries in which all crashes have expired. */
   sweep(nowMs: number): void {
     for (const [digest, crashes] of this.#entries) {
-      const isExpired = [...crashes.values()]
-        .every(({ atMs }) => nowMs - atMs >= CRASH_TTL_MS);
-      if (isExpired) this.#entries.delete(digest);
+      const haveExpired = [...crashes.values()]
+        .every((crash) => isExpired(crash, nowMs));
+      if (haveExpired) this.#entries.delete(digest);
     }
     this.#updateHasSuspects(nowMs);
   }
@@ -223,8 +254,28 @@
   }
 }
 
-function isActive({ atMs, isCleared }: Crash, nowMs: number): boolean {
-  return !isCleared && nowMs - atMs < CRASH_TTL_MS;
+function isExpired({ atMs }: Crash, nowMs: number): boolean {
+  return nowMs - atMs >= CRASH_TTL_MS;
+}
+
+function isActive(crash: Crash, nowMs: number): boolean {
+  return !crash.isCleared && !isExpired(crash, nowMs);
+}
+
+function toRow(
+  digest: string,
+  upstreamKey: string,
+  { atMs, isCleared }: Crash,
+  nowMs: number,
+): CrashRow {
+  return [digest, upstreamKey, Math.round(nowMs - atMs), isCleared];
+}
+
+function rowsOf(entries: readonly Entry[], nowMs: number): CrashRow[] {
+  return entries.flatMap(([digest, crashes]) =>
+    [...crashes].filter(([, crash]) => !isExpired(crash, nowMs))
+      .map(([key, crash]) => toRow(digest, key, crash, nowMs))
+  );
 }
 
 function countActive(crashes: Crashes, nowMs: number): number {
--- a/src/suspects/crash_history_test.ts
+++ b/src/suspects/crash_history_test.ts
@@ -76,6 +76,14 @@
       t.is(history.crashCount("r", 1_300), 1);
     });
 
+    // What is sent again after ten seconds leaves out cleared requests, so a VM that was cut off keeps the suspicion.
+    it("tells a VM that was cut off of a request that was cleared meanwhile", (t) => {
+      const [lead, cutOff] = [historyOf(3), historyOf(3)];
+      lead.clear("r", 1_100);
+      cutOff.merge(lead.takeRowsToResend(20_000), 20_000);
+      t.is(cutOff.statusOf("r", 20_000), "clear");
+    });
+
     it("lets a rejected request run again after the time that it returns", (t) => {
       const history = historyOf(4);
       const againMs = 1_000 + history.rejectedForMs("r", 1_000);
@@ -109,7 +117,7 @@
           history.noteCrash(digest(at), upstream, 1_000, 1_000);
         }
       }
-      const rows = history.worstRows(61_000);
+      const rows = history.takeRowsToResend(61_000);
       t.is(rows.length, 20);
       t.true(rows.slice(0, 4).every(([name]) => name === digest(50)));
       const bytes = JSON.stringify(rows).length;
--- a/src/suspects/suspect_tracker.ts
+++ b/src/suspects/suspect_tracker.ts
@@ -12,9 +12,12 @@
 } from "./crash_history.ts";
 
 /**
- * How long this VM resends the crashes that it observed itself, in case the VMs that got them are cut off or replaced.
+ * How long this VM resends in any case the crashes that it observed itself, in case the VMs that got them are cut off or
+ * replaced.
  */
 const OWN_RESEND_MS = 10_000;
+/** Maximum number of rows that are resent each time after that, until the VM that sends those of all VMs knows them. */
+const MAX_UNHEARD_ROWS = 20;
 /**
  * When callers should retry while the request runs elsewhere for the last time. Within this time that run shows whether
  * it crashes its upstream.
@@ -84,16 +87,25 @@
   abstract noteEvent(event: SuspectEvent): void;
 }
 
+/** A crash that this VM has to tell others. Its row is looked up when it is sent, as it may be cleared by then. */
+interface Untold {
+  readonly digest: string;
+  readonly upstreamKey: string;
+  /** Until when it is resent in any case. */
+  readonly untilMs: number;
+  /** Whether the VM that sends the rows of all VMs has sent this one in the state in which it is known here. */
+  isHeard: boolean;
+}
+
 /** Tracks the suspects on one VM and decides whether a request may run. */
 export class SuspectTracker {
   readonly #publisher: SuspectPublisher;
   readonly #records: SuspectRecords;
   readonly #nowMs: () => number;
   readonly #history = new CrashHistory();
-  #ownCrashes: {
-    readonly rows: readonly CrashRow[];
-    readonly seenMs: number;
-  }[] = [];
+  /** By digest and upstream; those that were resent least recently come first. */
+  readonly #untold = new Map<string, Untold>();
+  #didSendAll = false;
 
   /** `nowMs` is the monotonic clock. */
   constructor(
@@ -187,9 +199,15 @@
     if (crashCount >= CRASHES_BEFORE_TRIAL) void this.#records.delete(digest);
   }
 
-  /** Merges rows from another VM. Returns the rows that were new here. */
-  merge(rows: readonly CrashRow[]): CrashRow[] {
-    return this.#history.merge(rows, this.#nowMs());
+  /**
+   * Merges rows from another VM; `isFromFirst` if that VM is the one that sends the rows of all VMs. Returns the rows
+   * that were new here. A row that the other VM does not know to be cleared is answered with the next resend.
+   */
+  merge(rows: readonly CrashRow[], isFromFirst: boolean): CrashRow[] {
+    const nowMs = this.#nowMs();
+    const newRows = this.#history.merge(rows, nowMs);
+    for (const row of rows) this.#compare(row, isFromFirst, nowMs);
+    return newRows;
   }
 
   /** Loads the suspects that were stored before a restart of all VMs. Resolves to whether the store answered. */
@@ -198,31 +216,87 @@
     const rows = stored?.flatMap(({ digest, upstreams }) =>
       upstreams.map((upstream): CrashRow => [digest, upstream, 0, false])
     );
-    this.merge(rows ?? []);
+    this.#history.merge(rows ?? [], this.#nowMs());
     return stored !== undefined;
   }
 
   /**
    * Sends rows again, because earlier messages may be lost; it is to be called every second or two. With
-   * `shouldSendAll` it sends the rows of all VMs, and otherwise those of this VM alone.
+   * `shouldSendAll` it sends rows of all VMs in turn; one VM of a region does so. The others send what they saw or know
+   * better, until that VM has sent it.
    */
   republish(shouldSendAll: boolean): void {
     const nowMs = this.#nowMs();
     this.#history.sweep(nowMs);
-    this.#ownCrashes = this.#ownCrashes.filter(({ seenMs }) =>
-      nowMs - seenMs < OWN_RESEND_MS
-    );
+    // What was reported to this VM alone while it sent to all may be unknown to the VM that does so now.
+    if (this.#didSendAll && !shouldSendAll) {
+      this.#tell(this.#history.rows(nowMs), nowMs);
+    }
+    this.#didSendAll = shouldSendAll;
+    this.#forgetTold(nowMs);
     const rows = shouldSendAll
-      ? this.#history.worstRows(nowMs)
-      : this.#ownCrashes.flatMap(({ rows }) => rows);
+      ? this.#history.takeRowsToResend(nowMs)
+      : this.#takeUntold(nowMs);
     if (rows.length > 0) this.#publisher.publish(rows);
   }
 
   #publishOwn(rows: readonly CrashRow[], nowMs: number): void {
-    this.#ownCrashes.push({ rows, seenMs: nowMs });
+    this.#tell(rows, nowMs + OWN_RESEND_MS);
     this.#publisher.publish(rows);
   }
 
+  /** Has rows resent until `untilMs`, and after that until the VM that sends those of all VMs has sent them. */
+  #tell(rows: readonly CrashRow[], untilMs: number): void {
+    for (const [digest, upstreamKey] of rows) {
+      const name = crashName(digest, upstreamKey);
+      const longestMs = Math.max(untilMs, this.#untold.get(name)?.untilMs ?? 0);
+      this.#untold.set(name, {
+        digest,
+        upstreamKey,
+        untilMs: longestMs,
+        isHeard: false,
+      });
+    }
+  }
+
+  /** Compares a row from another VM with what is known here after its merge. */
+  #compare(row: CrashRow, isFromFirst: boolean, nowMs: number): void {
+    const [digest, upstreamKey, , isCleared] = row;
+    const known = this.#history.rowOf(digest, upstreamKey, nowMs);
+    if (!known) return;
+    const untold = this.#untold.get(crashName(digest, upstreamKey));
+    const isAgreed = known[3] === isCleared;
+    if (!isAgreed) this.#tell([known], nowMs);
+    else if (untold && isFromFirst) untold.isHeard = true;
+  }
+
+  /** Forgets what others were told, and what has expired here. */
+  #forgetTold(nowMs: number): void {
+    for (const [name, untold] of this.#untold) {
+      const { digest, upstreamKey, untilMs, isHeard } = untold;
+      const isTold = isHeard && nowMs >= untilMs;
+      const isKnown = this.#history.rowOf(digest, upstreamKey, nowMs);
+      if (isTold || !isKnown) this.#untold.delete(name);
+    }
+  }
+
+  /** Returns the rows to tell others this time. */
+  #takeUntold(nowMs: number): CrashRow[] {
+    const untold = [...this.#untold];
+    const own = untold.filter(([, { untilMs }]) => nowMs < untilMs);
+    const unheard = untold.filter(([, { untilMs }]) => nowMs >= untilMs)
+      .slice(0, MAX_UNHEARD_ROWS);
+    // Moved to the end of the map, they come last next time.
+    for (const [name, row] of unheard) {
+      this.#untold.delete(name);
+      this.#untold.set(name, row);
+    }
+    return [...own, ...unheard]
+      .map(([, { digest, upstreamKey }]) =>
+        this.#history.rowOf(digest, upstreamKey, nowMs)
+      ).filter((row) => row !== undefined);
+  }
+
   #reject(digest: string): SuspectVerdict {
     const comeBackMs = this.#history.rejectedForMs(digest, this.#nowMs());
     return { type: "refused", code: "endsUpstreams", comeBackMs };
@@ -234,3 +308,7 @@
     this.#publisher.noteEvent({ type: "notStored", request: digest });
   }
 }
+
+function crashName(digest: string, upstreamKey: string): string {
+  return `${digest} ${upstreamKey}`;
+}
