A grant to a VM that never reports is dropped after its time

What callers saw: nothing reported. A VM that asks the lead for an upstream and is lost before its first report leaves its grant in the lead's count for as long as that VM leads; the upstream looks loaded by requests that nobody sends, and gets fewer.

Cause: grants were looked at only when their VM reported, or was lost after a report; a VM without a report counted as one with nothing to drop.

Change: the lead's regular look also drops the grants of VMs that are not known to be alive, after the second that is a grant's time anyway. Not at once: a VM that has just started asks before its first report arrives, and its grants must count. VMs without grants leave the table, which grew by an entry for each VM.

Evidence: load_tracker_test "drops the grants of a VM that was lost before it reported" was red on the code before ([1, 900] in place of [0, 0]).

Why it works: each grant now ends by a report, by the loss of its VM, or by its time, whether or not its VM has ever reported.

--- a/src/gateway/members.ts
+++ b/src/gateway/members.ts
@@ -295,7 +295,7 @@
   #updateLeads(): void {
     if (this.#view.isLead) {
       const alive = new Set(this.reporters().map(({ id }) => id));
-      this.loads.retain((id) => alive.has(id));
+      this.loads.retain((id) => alive.has(id), this.#clock.monoMs());
     }
     const { leads, order, hearsAll, isLead } = this.#view;
     const previousIds = joinIds(this.#leadState.leads);
--- a/src/region/load_tracker.ts
+++ b/src/region/load_tracker.ts
@@ -36,8 +36,7 @@
     this.#reported.set(vmId, reported);
     this.#dropGrants(
       vmId,
-      ({ question, grantedMs }) =>
-        question <= reported.asked || nowMs - grantedMs >= GRANT_TIMEOUT_MS,
+      (grant) => grant.question <= reported.asked || isOver(grant, nowMs),
     );
   }
 
@@ -55,14 +54,22 @@
     this.#addToSum(upstreamKey, 1, promptTokens);
   }
 
-  /** Drops the loads of VMs that are no longer alive; their requests ended with them. */
-  retain(isAlive: (vmId: string) => boolean): void {
+  /**
+   * Drops the loads of VMs that are no longer alive; their requests ended with them. A VM that has not reported yet may
+   * have just started, so its grants are kept until they time out.
+   */
+  retain(isAlive: (vmId: string) => boolean, nowMs: number): void {
     for (const [vmId, { load }] of this.#reported) {
       if (isAlive(vmId)) continue;
       this.#addLoad(load, -1);
       this.#reported.delete(vmId);
       this.#dropGrants(vmId, () => true);
     }
+    for (const vmId of [...this.#grants.keys()]) {
+      if (!isAlive(vmId)) {
+        this.#dropGrants(vmId, (grant) => isOver(grant, nowMs));
+      }
+    }
   }
 
   /** The load at one upstream. */
@@ -84,7 +91,8 @@
         this.#addToSum(grant.upstreamKey, -1, -grant.promptTokens);
       } else remaining.push(grant);
     }
-    this.#grants.set(vmId, remaining);
+    if (remaining.length > 0) this.#grants.set(vmId, remaining);
+    else this.#grants.delete(vmId);
   }
 
   #addLoad(load: Load, sign: 1 | -1): void {
@@ -101,3 +109,7 @@
     else this.#sums.set(key, sum);
   }
 }
+
+function isOver({ grantedMs }: Grant, nowMs: number): boolean {
+  return nowMs - grantedMs >= GRANT_TIMEOUT_MS;
+}
--- a/src/region/load_tracker_test.ts
+++ b/src/region/load_tracker_test.ts
@@ -30,6 +30,31 @@
     t.deepEqual(loads.load, {});
   });
 
+  // The VM started, asked and was lost before its first report, so nothing names it any more.
+  it("drops the grants of a VM that was lost before it reported", (t) => {
+    const loads = new LoadTracker();
+    loads.grant("vm-1", 1, "engine", 900, 0);
+    loads.retain(() => false, 1_000);
+    t.deepEqual(loads.at("engine"), [0, 0]);
+    t.deepEqual(loads.load, {});
+  });
+
+  // A VM asks as soon as it serves, which may be before its first report arrives.
+  it("includes grants to a VM that has just started", (t) => {
+    const loads = new LoadTracker();
+    loads.grant("vm-1", 1, "engine", 900, 0);
+    loads.retain(() => false, 999);
+    t.deepEqual(loads.at("engine"), [1, 900]);
+  });
+
+  it("drops the newest grants of a VM that was lost after it reported", (t) => {
+    const loads = new LoadTracker();
+    loads.update("vm-1", { load: {}, asked: 0 }, 0);
+    loads.grant("vm-1", 1, "engine", 900, 10);
+    loads.retain(() => false, 20);
+    t.deepEqual(loads.at("engine"), [0, 0]);
+  });
+
   it("is the sum over all VMs, without those that are gone", (t) => {
     const loads = new LoadTracker();
     loads.update("vm-1", { load: { a: [2, 10], b: [1, 0] }, asked: 0 }, 0);
@@ -37,7 +62,7 @@
     t.deepEqual(loads.at("a"), [5, 15]);
     loads.update("vm-2", { load: { b: [1, 1] }, asked: 0 }, 0);
     t.deepEqual(loads.load, { a: [2, 10], b: [2, 1] });
-    loads.retain((id) => id === "vm-1");
+    loads.retain((id) => id === "vm-1", 0);
     t.deepEqual(loads.load, { a: [2, 10], b: [1, 0] });
   });
 });
