Suspects in the store: failed writes are tried again, one at a time

What callers saw: nothing reported.

Cause: `delete` was sent once and its answer not read, `put` was sent once, and the two could overtake each other.

Change: a VM that saw the third crash, or the run that clears, keeps the request on a list until the store has taken what is then known of it: the crashes, or nothing. One write at a time for a request; failed ones are tried again every 2 s, five requests each time, for as long as the crashes count. So an outage brings at most five calls every 2 s a VM that saw such a request, and none at others.

Why it works: what is written is looked up as it is written, and nothing leaves the list before the store said yes.

--- a/src/adapters/suspect_store.ts
+++ b/src/adapters/suspect_store.ts
@@ -78,12 +78,13 @@
     return isAcquired;
   }
 
-  async delete(digest: string): Promise<void> {
+  async delete(digest: string): Promise<boolean> {
     const { store, suspectPrefix, trialPrefix } = this.#options;
-    await store.transact([
+    const deleted = await store.transact([
       { type: "delete", key: suspectPrefix + digest },
       { type: "delete", key: trialPrefix + digest },
     ], "other");
+    return deleted.isOk();
   }
 
   async #putLeased(
--- a/src/suspects/crash_history.ts
+++ b/src/suspects/crash_history.ts
@@ -119,6 +119,11 @@
     return newRows;
   }
 
+  /** Whether anything is known of a request, also if it is cleared. */
+  has(digest: string): boolean {
+    return this.#entries.has(digest);
+  }
+
   /** Number of crashes that count against a request. */
   crashCount(digest: string, nowMs: number): number {
     const crashes = this.#entries.get(digest);
--- a/src/suspects/suspect_tracker.ts
+++ b/src/suspects/suspect_tracker.ts
@@ -24,6 +24,9 @@
  */
 const TRIAL_RETRY_AFTER_MS = 2_000;
 
+/** Maximum number of records in the store whose failed writes are retried each time. */
+const MAX_RECORD_RETRIES = 5;
+
 /** A suspect as it is stored. */
 export interface StoredSuspect {
   readonly digest: string;
@@ -65,7 +68,7 @@
     readonly comeBackMs: number;
   };
 
-/** The suspects in the store. Failed operations are not retried here. */
+/** The suspects in the store. Failed operations are not retried here, but by the {@link SuspectTracker}. */
 export abstract class SuspectRecords {
   /** Lists all suspects in the store; `undefined` if the store did not answer. */
   abstract list(): Promise<readonly StoredSuspect[] | undefined>;
@@ -76,8 +79,8 @@
    * store is unavailable.
    */
   abstract acquireTrial(digest: string): Promise<boolean>;
-  /** Deletes a suspect and its trial. */
-  abstract delete(digest: string): Promise<void>;
+  /** Deletes a suspect and its trial. Resolves to whether they are deleted. */
+  abstract delete(digest: string): Promise<boolean>;
 }
 
 /** Sends the rows of a {@link SuspectTracker} to other VMs, and its events to logs and metrics. */
@@ -106,6 +109,10 @@
   /** By digest and upstream; those that were resent least recently come first. */
   readonly #untold = new Map<string, Untold>();
   #didSendAll = false;
+  /** Requests whose record in the store may differ from what is known here; those tried least recently come first. */
+  readonly #unstored = new Set<string>();
+  /** Requests whose record is being written, by one write at a time, so that a slow one does not undo a later one. */
+  readonly #storing = new Set<string>();
 
   /** `nowMs` is the monotonic clock. */
   constructor(
@@ -172,7 +179,7 @@
       standing: status,
     });
     this.#publishOwn(rows, nowMs);
-    if (crashCount >= CRASHES_BEFORE_TRIAL) void this.#storeSuspect(digest);
+    if (crashCount >= CRASHES_BEFORE_TRIAL) void this.#updateRecord(digest);
     return upstream;
   }
 
@@ -196,7 +203,7 @@
       ends: crashCount,
     });
     this.#publishOwn(rows, nowMs);
-    if (crashCount >= CRASHES_BEFORE_TRIAL) void this.#records.delete(digest);
+    if (crashCount >= CRASHES_BEFORE_TRIAL) void this.#updateRecord(digest);
   }
 
   /**
@@ -234,6 +241,7 @@
     }
     this.#didSendAll = shouldSendAll;
     this.#forgetTold(nowMs);
+    this.#retryRecords();
     const rows = shouldSendAll
       ? this.#history.takeRowsToResend(nowMs)
       : this.#takeUntold(nowMs);
@@ -302,10 +310,39 @@
     return { type: "refused", code: "endsUpstreams", comeBackMs };
   }
 
-  async #storeSuspect(digest: string): Promise<void> {
+  #retryRecords(): void {
+    for (const digest of [...this.#unstored].slice(0, MAX_RECORD_RETRIES)) {
+      // Moved to the end, it comes last next time.
+      this.#unstored.delete(digest);
+      if (this.#history.has(digest)) void this.#updateRecord(digest);
+    }
+  }
+
+  /** Makes the record of a request in the store agree with what is known here. */
+  async #updateRecord(digest: string): Promise<void> {
+    this.#unstored.add(digest);
+    if (this.#storing.has(digest)) return;
+    this.#storing.add(digest);
+    let isWritten = true;
+    while (isWritten && this.#unstored.delete(digest)) {
+      isWritten = await this.#writeRecord(digest);
+    }
+    if (!isWritten) this.#unstored.add(digest);
+    this.#storing.delete(digest);
+  }
+
+  /** Stores a suspect, or deletes it if it is cleared. Resolves to whether the store did so. */
+  async #writeRecord(digest: string): Promise<boolean> {
+    const crashCount = this.#history.crashCount(digest, this.#nowMs());
+    if (crashCount < CRASHES_BEFORE_TRIAL) {
+      return await this.#records.delete(digest);
+    }
     const upstreams = this.#history.crashedUpstreams(digest);
-    if (await this.#records.put({ digest, upstreams })) return;
-    this.#publisher.noteEvent({ type: "notStored", request: digest });
+    const isStored = await this.#records.put({ digest, upstreams });
+    if (!isStored) {
+      this.#publisher.noteEvent({ type: "notStored", request: digest });
+    }
+    return isStored;
   }
 }
 
--- a/src/suspects/suspects_cut_off_test.ts
+++ b/src/suspects/suspects_cut_off_test.ts
@@ -38,8 +38,8 @@
     return Promise.resolve(true);
   }
 
-  delete(): Promise<void> {
-    return Promise.resolve();
+  delete(): Promise<boolean> {
+    return Promise.resolve(true);
   }
 }
 
