A request with sixteen cleared crashes is suspected of new ones

What callers saw: nothing reported. A request that was cleared of sixteen crashes within half an hour ran whatever it crashed after that: no crash counted any more, on any VM, and it was never refused.

Cause: an entry takes sixteen crashes, since further ones would change nothing. That holds for those that count, but cleared ones took the room as well.

Change: in a full entry a crash that counts takes the place of the oldest one that is cleared. The bound stays sixteen.

Evidence: crash_history_test "rejects a request for new crashes, however many of it were cleared" was red on the code before (clear in place of rejected).

Why it works: four crashes that count suffice to refuse, and a cleared crash is only needed against a VM that has missed it; others that know it correct that VM.

--- a/src/suspects/crash_history.ts
+++ b/src/suspects/crash_history.ts
@@ -42,7 +42,7 @@
 const MAX_ENTRIES = 4_096;
 /** Number of entries that are evicted at once, so that a flood of entries does not sort all of them each time. */
 const EVICTION_BATCH = 256;
-/** Maximum number of upstreams in an entry. Further ones would change nothing. */
+/** Maximum number of upstreams in an entry. Those that are cleared make room for others; further ones change nothing. */
 const MAX_UPSTREAMS_PER_REQUEST = 16;
 
 /** Maximum number of rows that are sent again each time: those of one message. */
@@ -234,7 +234,8 @@
     if (!crashes) this.#entries.set(digest, crashes = new Map());
     const known = crashes.get(key);
     if (!known) {
-      if (crashes.size >= MAX_UPSTREAMS_PER_REQUEST) return false;
+      const isFull = crashes.size >= MAX_UPSTREAMS_PER_REQUEST;
+      if (isFull && (isCleared || !dropOldestCleared(crashes))) return false;
       crashes.set(key, { atMs: nowMs - agoMs, isCleared });
       return true;
     }
@@ -283,6 +284,14 @@
   );
 }
 
+/** Drops the oldest crash that is cleared. Returns whether there was one. */
+function dropOldestCleared(crashes: Crashes): boolean {
+  const [oldest] = [...crashes].filter(([, { isCleared }]) => isCleared)
+    .sort(([, a], [, b]) => a.atMs - b.atMs);
+  if (!oldest) return false;
+  return crashes.delete(oldest[0]);
+}
+
 function countActive(crashes: Crashes, nowMs: number): number {
   let sum = 0;
   for (const crash of crashes.values()) if (isActive(crash, nowMs)) sum++;
--- a/src/suspects/crash_history_test.ts
+++ b/src/suspects/crash_history_test.ts
@@ -76,6 +76,20 @@
       t.is(history.crashCount("r", 1_300), 1);
     });
 
+    it("rejects a request for new crashes, however many of it were cleared", (t) => {
+      const history = historyOf(40);
+      history.clear("r", 1_100);
+      for (let at = 0; at < 60; at++) {
+        history.noteCrash("r", `v${at}`, 1_200, 1_300);
+        history.clear("r", 1_400);
+      }
+      for (const key of ["w", "x", "y", "z"]) {
+        history.noteCrash("r", key, 1_500, 1_600);
+      }
+      t.is(history.statusOf("r", 1_600), "rejected");
+      t.true(history.rows(1_600).length <= 16);
+    });
+
     // What is sent again after ten seconds leaves out cleared requests, so a VM that was cut off keeps the suspicion.
     it("tells a VM that was cut off of a request that was cleared meanwhile", (t) => {
       const [lead, cutOff] = [historyOf(3), historyOf(3)];
--- a/src/suspects/suspects_cut_off_test.ts
+++ b/src/suspects/suspects_cut_off_test.ts
@@ -13,8 +13,8 @@
 const LEADS = 2;
 /** Requests were sent before all crashes, so a crash of an upstream has one name at all VMs. */
 const SENT_AGO_MS = 3_600_000;
-/** Upstreams of the random runs, no more than a request's entry holds. */
-const RANDOM_UPSTREAMS = 14;
+/** Upstreams of the random runs, more than a request's entry holds. */
+const RANDOM_UPSTREAMS = 30;
 /** Longer than any VM resends what it saw in any case. */
 const LONG_MS = 30_000;
 /** Time in which all VMs have to agree once they reach each other. */
