A suspect's record in the store keeps the crashes that other VMs stored

What callers saw: nothing reported. Two VMs that were cut off from each other store the same request; the one that knows fewer crashes writes last, and after a restart of all VMs a request that was rejected runs again.

Cause: a write replaced the whole list, whatever was stored: an incomplete list counted as complete.

Change: a record is written only if it is as the writer read it. On a conflict, whose answer brings the stored entry, both lists are joined, without the crashes that the writer knows to be cleared or expired; four tries, then again with the retry of records. At most 16 upstreams.

Cost: from the second write for a request on, a refused write and one lease more; the first write is as before.

--- a/src/adapters/suspect_store.ts
+++ b/src/adapters/suspect_store.ts
@@ -5,8 +5,12 @@
  * @module
  */
 
-import { type StoredSuspect, SuspectRecords } from "../suspects/mod.ts";
-import type { KeyValue } from "./key_value.ts";
+import {
+  type StoredSuspect,
+  SuspectRecords,
+  type SuspectUpdate,
+} from "../suspects/mod.ts";
+import type { Entry, KeyValue } from "./key_value.ts";
 
 /** The longest lease that the store grants. A restart of all VMs takes only seconds. */
 const RECORD_LEASE_MS = 10 * 60_000;
@@ -21,6 +25,11 @@
  */
 const TRIAL_TIMEOUT_MS = 1_000;
 
+/** Maximum number of upstreams in a record. Fewer suffice to reject a request. */
+const MAX_RECORD_UPSTREAMS = 16;
+/** How often a record is written anew that other VMs write at the same time. */
+const MAX_PUT_TRIES = 4;
+
 /** Options of {@link SuspectStore}. */
 export interface SuspectStoreOptions {
   readonly store: KeyValue;
@@ -54,12 +63,21 @@
     });
   }
 
-  async put({ digest, upstreams }: StoredSuspect): Promise<boolean> {
-    return await this.#putLeased(
-      this.#options.suspectPrefix + digest,
-      JSON.stringify(upstreams),
-      RECORD_LEASE_MS,
-    );
+  async put({ digest, upstreams, past }: SuspectUpdate): Promise<boolean> {
+    const key = this.#options.suspectPrefix + digest;
+    let current: Entry | undefined;
+    for (let tries = 0; tries < MAX_PUT_TRIES; tries++) {
+      const stored = current && decodeUpstreams(current.value) || [];
+      const merged = [...new Set([...stored, ...upstreams])]
+        .filter((upstream) => !past.includes(upstream))
+        .slice(-MAX_RECORD_UPSTREAMS);
+      const value = JSON.stringify(merged);
+      const rev = current?.rev ?? 0;
+      const outcome = await this.#putLeased(key, value, RECORD_LEASE_MS, rev);
+      if (outcome.type !== "conflict") return outcome.type === "stored";
+      current = outcome.current;
+    }
+    return false;
   }
 
   async acquireTrial(digest: string): Promise<boolean> {
@@ -68,7 +86,7 @@
       this.#options.vmId,
       TRIAL_LEASE_MS,
       0,
-    );
+    ).then(({ type }) => type === "stored");
     let timer: NodeJS.Timeout | undefined;
     const timeout = new Promise<boolean>((resolve) => {
       timer = setTimeout(() => resolve(false), TRIAL_TIMEOUT_MS);
@@ -91,26 +109,32 @@
     key: string,
     value: string,
     leaseMs: number,
-    ifRev?: number,
-  ): Promise<boolean> {
+    ifRev: number,
+  ): Promise<PutOutcome> {
     const { store, leastLeaseMs } = this.#options;
     const lease = await store.grant(
       Math.max(leastLeaseMs, leaseMs),
       "other",
     );
-    if (lease.isErr()) return false;
+    if (lease.isErr()) return { type: "failed" };
     const put = await store.put(
       key,
       value,
-      { leaseId: lease.value, ...(ifRev === undefined ? {} : { ifRev }) },
+      { leaseId: lease.value, ifRev },
       "other",
     );
-    if (put.isOk()) return true;
+    if (put.isOk()) return { type: "stored" };
     void store.revoke(lease.value, "other");
-    return false;
+    if (put.error.kind !== "conflict") return { type: "failed" };
+    return { type: "conflict", current: put.error.current };
   }
 }
 
+/** What came of a write that is made only if the key is as it was. */
+type PutOutcome =
+  | { readonly type: "stored" | "failed" }
+  | { readonly type: "conflict"; readonly current: Entry | undefined };
+
 /** Decodes a stored list of upstreams; gives `undefined` for a value that is not such a list. */
 function decodeUpstreams(value: string): string[] | undefined {
   try {
--- a/src/suspects/crash_history.ts
+++ b/src/suspects/crash_history.ts
@@ -136,6 +136,20 @@
       .filter(([, { isCleared }]) => !isCleared).map(([key]) => key);
   }
 
+  /** The upstreams of the crashes of a request: those that count, and those that are cleared or have expired. */
+  splitUpstreams(
+    digest: string,
+    nowMs: number,
+  ): { readonly counting: string[]; readonly past: string[] } {
+    const counting: string[] = [];
+    const past: string[] = [];
+    for (const [key, crash] of this.#entries.get(digest) ?? []) {
+      if (isActive(crash, nowMs)) counting.push(key);
+      else past.push(key);
+    }
+    return { counting, past };
+  }
+
   statusOf(digest: string, nowMs: number): SuspectStatus {
     const crashes = this.crashCount(digest, nowMs);
     if (crashes >= CRASHES_TO_REJECT) return "rejected";
--- a/src/suspects/suspect_tracker.ts
+++ b/src/suspects/suspect_tracker.ts
@@ -34,6 +34,12 @@
   readonly upstreams: readonly string[];
 }
 
+/** What a VM knows of a suspect as it stores it. */
+export interface SuspectUpdate extends StoredSuspect {
+  /** Upstreams whose crashes do not count any more. */
+  readonly past: readonly string[];
+}
+
 /** An event of a suspect, for logs and metrics. */
 export type SuspectEvent =
   | {
@@ -72,8 +78,11 @@
 export abstract class SuspectRecords {
   /** Lists all suspects in the store; `undefined` if the store did not answer. */
   abstract list(): Promise<readonly StoredSuspect[] | undefined>;
-  /** Stores a suspect, so that it survives a restart of all VMs. Resolves to whether it is stored. */
-  abstract put(suspect: StoredSuspect): Promise<boolean>;
+  /**
+   * Stores a suspect, so that it survives a restart of all VMs. Crashes that other VMs stored are kept, except for past
+   * ones. Resolves to whether it is stored.
+   */
+  abstract put(suspect: SuspectUpdate): Promise<boolean>;
   /**
    * Acquires the permission to run a suspect once more, which one VM has at a time. Resolves to `false` also if the
    * store is unavailable.
@@ -333,12 +342,13 @@
 
   /** Stores a suspect, or deletes it if it is cleared. Resolves to whether the store did so. */
   async #writeRecord(digest: string): Promise<boolean> {
-    const crashCount = this.#history.crashCount(digest, this.#nowMs());
-    if (crashCount < CRASHES_BEFORE_TRIAL) {
+    const { counting, past } = this.#history
+      .splitUpstreams(digest, this.#nowMs());
+    if (counting.length < CRASHES_BEFORE_TRIAL) {
       return await this.#records.delete(digest);
     }
-    const upstreams = this.#history.crashedUpstreams(digest);
-    const isStored = await this.#records.put({ digest, upstreams });
+    const isStored = await this.#records
+      .put({ digest, upstreams: counting, past });
     if (!isStored) {
       this.#publisher.noteEvent({ type: "notStored", request: digest });
     }
