Soak: nothing outlives what started it, and an uncaught error ends one seed only

Cause: all seeds shared the command's process, so that one uncaught error ended them all; its gateways, children that notice nothing of that, stayed on their addresses, and later soaks of the same block failed at `bind EADDRINUSE`. Change: each seed has a process of its own (seed_main.ts), which reports an uncaught error as `seed=N FAILED`; main.ts plays the others, counts the failed and ends with code 1. Gateways and seeds compare their parent's id every 250 ms (an unreferenced timer, no channel, no descriptor) and exit if it is another. A paused gateway can't look: during a pause a shell waits for the end of the seed's process and resumes it. After a failed seed the command waits 2 s for its gateways. plan.ts, judge.ts, run.ts and runner_host.ts are not touched. A failed seed's temporary folder stays.

--- a/soak/fault_injector.ts
+++ b/soak/fault_injector.ts
@@ -7,6 +7,7 @@
 import { Random } from "../src/base/mod.ts";
 import type { PlatformFault } from "../src/standins/mod.ts";
 import { sleep } from "../test/cluster.ts";
+import { guardPaused } from "./end_with_parent.ts";
 import { sendFatalRequests } from "./fatal_requests.ts";
 import type { Fault } from "./plan.ts";
 import { getFailureDomain, REGIONS, type World } from "./world.ts";
@@ -96,9 +97,11 @@
   async #pauseVm(vm: number, forMs: number): Promise<void> {
     this.#world.addTrouble(`vm:${vm}`, forMs + AFTER_EFFECT_MS);
     const { proc } = this.#world.vms[vm];
+    const endGuard = guardPaused(proc.child.pid!);
     proc.signal("SIGSTOP");
     await sleep(forMs);
     proc.signal("SIGCONT");
+    endGuard();
   }
 
   #killVms(vms: readonly number[]): void {
--- a/soak/main.ts
+++ b/soak/main.ts
@@ -5,9 +5,8 @@
  */
 
 import { defineCommand, runMain } from "citty";
-import type { Evidence } from "./judge.ts";
 import type { ExtraMode } from "./plan.ts";
-import { type RunResult, runSeed } from "./run.ts";
+import { playSeed, type SeedOutcome } from "./seed_process.ts";
 
 const numberOption = (description: string, value: number) => ({
   type: "string" as const,
@@ -15,32 +14,6 @@
   default: String(value),
 });
 
-function formatResult(
-  { seed, attempts, served, faults, breaches }: RunResult,
-): string {
-  const lines = breaches.slice(0, 12).map(({ rule, attempt, what }) =>
-    `  ${rule} ${attempt} ${what}`
-  );
-  const verdict = breaches.length === 0 ? "kept" : `BROKE ${breaches.length}`;
-  return [
-    `seed=${seed} faults=${faults} attempts=${attempts} served=${served} ${verdict}`,
-    ...lines,
-  ].join("\n");
-}
-
-/** Changes the evidence so that one request that ran once appears to have run twice. */
-function plantSecondRun(evidence: Evidence): Evidence {
-  const served = new Set(
-    evidence.attempts.filter(({ kind, status }) =>
-      kind === "once" && status === 200
-    ).map(({ id }) => id),
-  );
-  const ran = evidence.arrivals.filter(({ attemptId }) =>
-    served.has(attemptId)
-  );
-  return { ...evidence, arrivals: [...evidence.arrivals, ...ran.slice(0, 1)] };
-}
-
 const soak = defineCommand({
   meta: {
     name: "soak",
@@ -89,12 +62,15 @@
     const first = Number(args.first);
     const end = first + Number(args.seeds);
     let next = first;
-    let broken = 0;
+    const counts: Record<SeedOutcome, number> = {
+      kept: 0,
+      broken: 0,
+      failed: 0,
+    };
     const runNextSeeds = async () => {
       while (next < end) {
-        const seed = next++;
-        const result = await runSeed({
-          seed,
+        const outcome = await playSeed({
+          seed: next++,
           vms: Number(args.vms),
           runners: Number(args.runners),
           callers: Number(args.callers),
@@ -103,18 +79,19 @@
           crashes: args.crashes as ExtraMode,
           lapses: args.lapses as ExtraMode,
           logFolder: args.keep,
-          changeEvidence: args.plant ? plantSecondRun : undefined,
+          plant: args.plant,
         });
-        if (result.breaches.length > 0) broken++;
-        process.stdout.write(formatResult(result) + "\n");
+        counts[outcome]++;
       }
     };
     await Promise.all(
       Array.from({ length: Number(args.jobs) }, () => runNextSeeds()),
     );
-    process.stdout.write(`${end - first} seeds, ${broken} broke a promise\n`);
-    // Sockets that were reset with unsent data may keep the process alive for minutes.
-    process.exit(broken > 0 ? 1 : 0);
+    const { broken, failed } = counts;
+    process.stdout.write(
+      `${end - first} seeds, ${broken} broke a promise, ${failed} failed\n`,
+    );
+    process.exit(broken + failed > 0 ? 1 : 0);
   },
 });
 
--- a/soak/world.ts
+++ b/soak/world.ts
@@ -12,6 +12,7 @@
 import { KvServer, makeRoute } from "../src/standins/mod.ts";
 import { sleep, TestProcess } from "../test/cluster.ts";
 import { AddressBlock } from "./address_block.ts";
+import { parentVariables } from "./end_with_parent.ts";
 import { type Endpoint, FaultProxy } from "./proxy.ts";
 import type { VmLink } from "./plan.ts";
 import { RunnerHost, type RunnerInstance } from "./runner_host.ts";
@@ -305,7 +306,7 @@
       "src/gateway/main.js",
       [settingsPath],
       ["--import", new URL("./skewed_clock.js", import.meta.url).href],
-      { SOAK_CLOCK_SEED: String(clockSeed) },
+      { SOAK_CLOCK_SEED: String(clockSeed), ...parentVariables() },
     );
     void proc.exited.then((code) => this.#restartProcess(index, start, code));
     return proc;
