Topics do not go back to older values, and end on all VMs

What callers saw: nothing reported.

Cause: news was ordered by its publisher's time of day, and what was not updated for 5 s was replaced by any other value, also by an older copy, which counted as heard now and was queued anew. Topics, and by the same rule other regions' news and contacts, were affected.

Change: news carries the time since it was published, counted on by each VM that holds it. One VM's values of a topic are ordered by its own time, which it keeps above all that it knows of itself; values of two VMs by age. Copies are passed on for 30 s; a topic ends 15 s after the last copy came. Other regions' news is ordered as before within 5 s, by age beyond. A message without an age, from a VM of the version before, counts as published just now.

Why it works: the age of a copy does not depend on clocks, and a publisher never uses a time twice; so whatever comes late is known as old. What is passed on for 30 s at most and held for 15 s is gone 45 s after it was published.

--- a/src/agreement/member_news.ts
+++ b/src/agreement/member_news.ts
@@ -7,29 +7,36 @@
 
 import type { MemberRecord } from "./member_record.ts";
 
-/** A value that a VM published for its region. */
-export interface TopicNews {
+/**
+ * News that ages while it is passed on. The age does not depend on any VM's time of day, so that a copy that waited
+ * long is not taken for a new value.
+ */
+export interface AgingNews {
+  /** Wall-clock time at the publisher. */
+  readonly atMs: number;
+  /** The time since the publication, as counted by the VMs that held this item. Absent if it is published just now. */
+  readonly ageMs?: number;
+}
+
+/** A value that a VM published for its region. A newer value of the same VM has a higher `atMs`. */
+export interface TopicNews extends AgingNews {
   readonly type: "topic";
   readonly topic: string;
   readonly vmId: string;
-  /** Wall-clock time at the publisher. The newer value of a topic replaces the older. */
-  readonly atMs: number;
   readonly body: unknown;
 }
 
 /** A region's topics, as it sends them to another region. */
-export interface RegionNews {
+export interface RegionNews extends AgingNews {
   readonly type: "region";
   readonly region: string;
-  readonly atMs: number;
   readonly topics: readonly TopicNews[];
 }
 
 /** Some VMs by which a region can be reached. Separate from {@link RegionNews}, as it changes rarely and is larger. */
-export interface ContactNews {
+export interface ContactNews extends AgingNews {
   readonly type: "contacts";
   readonly region: string;
-  readonly atMs: number;
   readonly contacts: readonly RegionContact[];
 }
 
@@ -43,19 +50,36 @@
   readonly tableVersion: number;
 }
 
+/** A member record as an item. It has an order of its own and does not age. */
+export interface MemberNews {
+  readonly type: "member";
+  readonly record: MemberRecord;
+}
+
+/** Items that age while they are passed on. */
+export type AgingItem = TopicNews | RegionNews | ContactNews;
+
 /** Any item that VMs pass on. */
-export type NewsItem =
-  | { readonly type: "member"; readonly record: MemberRecord }
-  | TopicNews
-  | RegionNews
-  | ContactNews;
+export type NewsItem = MemberNews | AgingItem;
 
 interface QueuedItem {
   readonly item: NewsItem;
-  readonly bytes: number;
+  /** When the item was published, by this VM's clock. */
+  readonly publishedAtMs: number;
   sends: number;
 }
 
+/** Topics are passed on for this long. It must do for a large region with many topics, as the byte rate is bounded. */
+export const MAX_TOPIC_AGE_MS = 30_000;
+/** A region with no news for this long is considered unreachable. */
+export const REGION_TTL_MS = 60_000;
+/** Items older than this are not passed on. */
+const MAX_AGE_MS: Record<AgingItem["type"], number> = {
+  topic: MAX_TOPIC_AGE_MS,
+  region: REGION_TTL_MS,
+  contacts: REGION_TTL_MS,
+};
+
 /** Token bucket shared by topics, regions and contacts: refill rate and burst. */
 const RATE_BYTES_PER_S = 300;
 const BURST_BYTES = 2000;
@@ -71,12 +95,14 @@
   #availableBytes = BURST_BYTES;
   #refilledAtMs: number | undefined;
 
+  /** Queues a member record in place of an older one of the same VM. */
+  addMember(record: MemberRecord): void {
+    this.#put({ type: "member", record }, 0);
+  }
+
   /** Queues this item in place of an older one about the same subject. */
-  add(item: NewsItem): void {
-    const key = keyOf(item);
-    this.#queued.delete(key);
-    const bytes = JSON.stringify(item).length;
-    this.#queued.set(key, { item, bytes, sends: 0 });
+  add(item: AgingItem, nowMs: number): void {
+    this.#put(item, publishedAtMs(item, nowMs));
   }
 
   /** Returns the items for the next message in a region of `vmCount` VMs. */
@@ -87,12 +113,17 @@
     const items: NewsItem[] = [];
     let members = 0;
     for (const [key, entry] of queued) {
+      if (!canBeSent(entry, nowMs)) {
+        this.#queued.delete(key);
+        continue;
+      }
       const isMember = entry.item.type === "member";
       if (isMember && members >= MAX_MEMBER_ITEMS) continue;
       if (!isMember && this.#availableBytes <= 0) continue;
+      const item = itemToSend(entry, nowMs);
       if (isMember) members++;
-      else this.#availableBytes -= entry.bytes;
-      items.push(entry.item);
+      else this.#availableBytes -= JSON.stringify(item).length;
+      items.push(item);
       entry.sends++;
       if (entry.sends >= (isMember ? 2 * rounds : rounds + 1)) {
         this.#queued.delete(key);
@@ -110,6 +141,12 @@
     return { all: this.#queued.size, members };
   }
 
+  #put(item: NewsItem, publishedAtMs: number): void {
+    const key = keyOf(item);
+    this.#queued.delete(key);
+    this.#queued.set(key, { item, publishedAtMs, sends: 0 });
+  }
+
   #refill(nowMs: number): void {
     const elapsedMs = nowMs - (this.#refilledAtMs ?? nowMs);
     this.#refilledAtMs = nowMs;
@@ -121,6 +158,38 @@
   }
 }
 
+/** Returns when this item was published, by the clock of the VM that received it at `nowMs`. */
+export function publishedAtMs(news: AgingNews, nowMs: number): number {
+  return nowMs - (news.ageMs ?? 0);
+}
+
+/** Returns the item with the age that it has at `nowMs`. */
+export function withAge<T extends AgingNews>(
+  news: T,
+  publishedAtMs: number,
+  nowMs: number,
+): T {
+  const ageMs = Math.max(news.ageMs ?? 0, Math.round(nowMs - publishedAtMs));
+  return ageMs > 0 ? { ...news, ageMs } : news;
+}
+
+/** Whether the item is young enough. If this VM's clock went back, the age of older items is not known any more. */
+function canBeSent(
+  { item, publishedAtMs }: QueuedItem,
+  nowMs: number,
+): boolean {
+  if (item.type === "member") return true;
+  const ageMs = nowMs - publishedAtMs;
+  return ageMs >= 0 && ageMs <= MAX_AGE_MS[item.type];
+}
+
+function itemToSend(
+  { item, publishedAtMs }: QueuedItem,
+  nowMs: number,
+): NewsItem {
+  return item.type === "member" ? item : withAge(item, publishedAtMs, nowMs);
+}
+
 function keyOf(item: NewsItem): string {
   switch (item.type) {
     case "member":
--- a/src/agreement/members.ts
+++ b/src/agreement/members.ts
@@ -7,7 +7,7 @@
  */
 
 import { hash32, Random } from "../base/mod.ts";
-import { type NewsItem, NewsQueue } from "./member_news.ts";
+import { type AgingItem, type NewsItem, NewsQueue } from "./member_news.ts";
 import {
   DEFAULT_MEMBERSHIP_TIMES,
   type MemberEntry,
@@ -109,8 +109,8 @@
   }
 
   /** Queues an item for the next messages. */
-  queueNews(item: NewsItem): void {
-    this.#news.add(item);
+  queueNews(item: AgingItem, nowMs: number): void {
+    this.#news.add(item, nowMs);
   }
 
   /**
@@ -217,7 +217,7 @@
     const known = this.#list.get(record.id);
     if (known && !this.replaces(record, known.record)) return [];
     if (this.#list.put(record, nowMs)) {
-      this.#news.add({ type: "member", record });
+      this.#news.addMember(record);
     }
     return [];
   }
@@ -257,7 +257,7 @@
 
   #updateSelf(change: Partial<Pick<MemberRecord, "leaving" | "status">>): void {
     this.#self = { ...this.#self, beat: this.#self.beat + 1, ...change };
-    this.#news.add({ type: "member", record: this.#self });
+    this.#news.addMember(this.#self);
   }
 
   #tellUrgently(): MembershipOutput {
--- a/src/services/member_digests.ts
+++ b/src/services/member_digests.ts
@@ -70,8 +70,10 @@
   /** Handles a news item that came with a heartbeat. Member records are handled by {@link Membership}. */
   receive(item: NewsItem): void {
     const { clock, machine } = this.#context;
+    const nowMs = clock.nowMs();
     if (item.type === "topic") {
-      if (this.regions.mergeTopic(item, clock.nowMs())) machine.queueNews(item);
+      const isNewer = this.regions.mergeTopic(item, nowMs);
+      if (isNewer) machine.queueNews(item, nowMs);
     } else if (item.type === "region") this.receiveDigest({ news: item });
     else if (item.type === "contacts") this.receiveContacts(item);
   }
@@ -80,17 +82,15 @@
     const nowMs = this.#context.clock.nowMs();
     const isNewer = this.regions.mergeRegion(news, nowMs);
     if (isNewer && this.regions.recordSpreadIfDue(news.region, nowMs)) {
-      this.#context.machine.queueNews(news);
+      this.#context.machine.queueNews(news, nowMs);
     }
     if (contacts) this.receiveContacts(contacts);
   }
 
   receiveContacts(contacts: ContactNews): void {
-    const isNewer = this.regions.mergeContacts(
-      contacts,
-      this.#context.clock.nowMs(),
-    );
-    if (isNewer) this.#context.machine.queueNews(contacts);
+    const nowMs = this.#context.clock.nowMs();
+    const isNewer = this.regions.mergeContacts(contacts, nowMs);
+    if (isNewer) this.#context.machine.queueNews(contacts, nowMs);
   }
 
   /** Publishes a topic's value: to the VMs that send digests at once, and to all with the heartbeats. */
@@ -98,9 +98,10 @@
     const { clock, machine, transport } = this.#context;
     const nowMs = clock.nowMs();
     const vmId = machine.self.id;
-    const news = { type: "topic", topic, vmId, atMs: nowMs, body } as const;
+    const atMs = this.regions.nextAtMs(topic, vmId, nowMs);
+    const news = { type: "topic", topic, vmId, atMs, body } as const;
     if (!this.regions.mergeTopic(news, nowMs)) return;
-    machine.queueNews(news);
+    machine.queueNews(news, nowMs);
     const speakers = new Map<string, MemberRecord>();
     for (const region of this.#otherRegions()) {
       const speaker = this.#speakerFor(region);
--- a/src/services/member_regions.ts
+++ b/src/services/member_regions.ts
@@ -5,13 +5,20 @@
  */
 
 import type {
+  AgingNews,
   ContactNews,
   MemberRecord,
   RegionContact,
   RegionNews,
   TopicNews,
 } from "../agreement/mod.ts";
-import { leadOrder } from "../agreement/mod.ts";
+import {
+  leadOrder,
+  publishedAtMs,
+  REGION_TTL_MS,
+  withAge,
+} from "../agreement/mod.ts";
+import { TopicStore, topicToSend } from "./member_topics.ts";
 import type { TopicValue, VmInfo } from "./messages.ts";
 
 /** The number of VMs that a region names as contacts to another. */
@@ -20,31 +27,28 @@
 const MAX_TOPIC_BYTES = 1000;
 /** Unchanged contacts are sent again this often, for VMs that joined since and because they carry table versions. */
 const CONTACTS_REPEAT_MS = 10_000;
-/** A topic that was not published for this long is dropped: its publisher is gone. */
-const TOPIC_TTL_MS = 15_000;
 /**
  * The interval at which a region's news is gossiped to VMs that do not act on it. Each copy is traffic for every VM.
  */
 const SPREAD_INTERVAL_MS = 5000;
-/** A region with no news for this long is considered unreachable, and its VMs are not offered. */
-const REGION_TTL_MS = 60_000;
 /**
- * News is ordered by its publisher's wall clock. If that clock was ahead, all later news would be ignored; so an item
- * that was not updated for this long is replaced by any other.
+ * A region's news is ordered by the wall clock of the VM that sent it. If that clock was ahead, the news of the next
+ * sender would be ignored; so news that was published this much later is newer whatever the clocks say.
  */
 const MAX_CLOCK_SKEW_MS = 5000;
 
-interface Seen<T> {
+interface Held<T extends AgingNews> {
   readonly news: T;
-  readonly seenAtMs: number;
+  /** When it was published, by this VM's clock. */
+  readonly publishedAtMs: number;
 }
 
 /** Stores the topics of this region, and the news and contacts of other regions. */
 export class RegionStore {
   readonly #region: string;
-  readonly #topics = new Map<string, Seen<TopicNews>>();
-  readonly #regions = new Map<string, Seen<RegionNews>>();
-  readonly #contacts = new Map<string, Seen<ContactNews>>();
+  readonly #topics = new TopicStore();
+  readonly #regions = new Map<string, Held<RegionNews>>();
+  readonly #contacts = new Map<string, Held<ContactNews>>();
   readonly #spreadAtMs = new Map<string, number>();
   /** The contacts of this region that were last sent to each region. */
   readonly #sentContacts = new Map<string, { text: string; atMs: number }>();
@@ -55,17 +59,18 @@
 
   /** Stores a topic's value. Returns whether it is newer than the stored one. */
   mergeTopic(news: TopicNews, nowMs: number): boolean {
-    if (!isNewer(news, this.#topics.get(news.topic), nowMs)) return false;
-    this.#topics.set(news.topic, { news, seenAtMs: nowMs });
-    return true;
+    return this.#topics.merge(news, nowMs);
+  }
+
+  /** Returns the `atMs` of a value that `vmId` publishes now, see {@link TopicStore.nextAtMs}. */
+  nextAtMs(topic: string, vmId: string, nowMs: number): number {
+    return this.#topics.nextAtMs(topic, vmId, nowMs);
   }
 
   /** Stores another region's news. Returns whether it is newer than what is stored. */
   mergeRegion(news: RegionNews, nowMs: number): boolean {
     if (news.region === this.#region) return false;
-    if (!isNewer(news, this.#regions.get(news.region), nowMs)) return false;
-    this.#regions.set(news.region, { news, seenAtMs: nowMs });
-    return true;
+    return mergeNewer(this.#regions, news, nowMs);
   }
 
   /** Returns whether the region's news is due to be gossiped, see {@link SPREAD_INTERVAL_MS}, and records it if so. */
@@ -77,21 +82,15 @@
     return true;
   }
 
-  /** The VMs that published topics within {@link TOPIC_TTL_MS}. */
+  /** The VMs that publish topics. */
   publishers(nowMs: number): Set<string> {
-    const publishers = new Set<string>();
-    for (const { news, seenAtMs } of this.#topics.values()) {
-      if (nowMs - seenAtMs <= TOPIC_TTL_MS) publishers.add(news.vmId);
-    }
-    return publishers;
+    return new Set(this.#topics.current(nowMs).map(({ news }) => news.vmId));
   }
 
   /** Stores another region's contacts. Returns whether they are newer than the stored ones. */
   mergeContacts(news: ContactNews, nowMs: number): boolean {
     if (news.region === this.#region) return false;
-    if (!isNewer(news, this.#contacts.get(news.region), nowMs)) return false;
-    this.#contacts.set(news.region, { news, seenAtMs: nowMs });
-    return true;
+    return mergeNewer(this.#contacts, news, nowMs);
   }
 
   /** This region's news. */
@@ -146,8 +145,10 @@
   }
 
   /** The contacts of all other regions. */
-  allContacts(): ContactNews[] {
-    return [...this.#contacts.values()].map(({ news }) => news);
+  allContacts(nowMs: number): ContactNews[] {
+    return [...this.#contacts.values()].map(({ news, publishedAtMs }) =>
+      withAge(news, publishedAtMs, nowMs)
+    );
   }
 
   /** All known regions, reachable or not. */
@@ -164,9 +165,10 @@
   /** The contacts of the other regions that sent news within {@link REGION_TTL_MS}. */
   others(nowMs: number): Map<string, VmInfo[]> {
     const others = new Map<string, VmInfo[]>();
-    for (const [region, { news, seenAtMs }] of this.#contacts) {
-      const newsSeenAtMs = this.#regions.get(region)?.seenAtMs ?? seenAtMs;
-      if (nowMs - Math.max(newsSeenAtMs, seenAtMs) > REGION_TTL_MS) continue;
+    for (const [region, { news, publishedAtMs }] of this.#contacts) {
+      const newsAtMs = this.#regions.get(region)?.publishedAtMs ?? 0;
+      const lastAtMs = Math.max(newsAtMs, publishedAtMs);
+      if (nowMs - lastAtMs > REGION_TTL_MS) continue;
       others.set(region, news.contacts.map((c) => vmInfoOf(region, c)));
     }
     return others;
@@ -177,14 +179,14 @@
     const topics = new Map<string, TopicValue[]>();
     topics.set(
       this.#region,
-      [...this.#topics.values()]
-        .filter(({ seenAtMs }) => nowMs - seenAtMs <= TOPIC_TTL_MS)
-        .map(({ news, seenAtMs }) => topicValueOf(news, seenAtMs)),
+      this.#topics.current(nowMs).map(({ news, seenAtMs }) =>
+        topicValueOf(news, seenAtMs)
+      ),
     );
-    for (const [region, { news, seenAtMs }] of this.#regions) {
+    for (const [region, { news, publishedAtMs }] of this.#regions) {
       topics.set(
         region,
-        news.topics.map((topic) => topicValueOf(topic, seenAtMs)),
+        news.topics.map((topic) => topicValueOf(topic, publishedAtMs)),
       );
     }
     return topics;
@@ -192,41 +194,53 @@
 
   dump(nowMs: number): unknown {
     const regions: Record<string, unknown> = {};
-    for (const [region, { news, seenAtMs }] of this.#regions) {
+    for (const [region, { news, publishedAtMs }] of this.#regions) {
       const contacts = this.#contacts.get(region)?.news.contacts ?? [];
       regions[region] = {
-        ageMs: nowMs - seenAtMs,
+        ageMs: nowMs - publishedAtMs,
         contacts: contacts.map((contact) => contact.id),
         topics: news.topics.length,
       };
     }
-    return { topics: [...this.#topics.keys()], regions };
+    const topics = this.#topics.current(nowMs).map(({ news }) => news.topic);
+    return { topics, regions };
   }
 
   #boundedTopics(nowMs: number): TopicNews[] {
     const topics: TopicNews[] = [];
     let bytes = 0;
-    for (const [name, { news, seenAtMs }] of this.#topics) {
-      if (nowMs - seenAtMs > TOPIC_TTL_MS) {
-        this.#topics.delete(name);
-        continue;
-      }
-      bytes += JSON.stringify(news).length;
+    for (const held of this.#topics.current(nowMs)) {
+      const topic = topicToSend(held, nowMs);
+      bytes += JSON.stringify(topic).length;
       if (bytes > MAX_TOPIC_BYTES) break;
-      topics.push(news);
+      topics.push(topic);
     }
     return topics;
   }
 }
 
+/** Stores the news in place of older news of its region. Returns whether it is newer. */
+function mergeNewer<T extends RegionNews | ContactNews>(
+  held: Map<string, Held<T>>,
+  news: T,
+  nowMs: number,
+): boolean {
+  const received = { news, publishedAtMs: publishedAtMs(news, nowMs) };
+  const known = held.get(news.region);
+  if (known && !isNewer(received, known, nowMs)) return false;
+  held.set(news.region, received);
+  return true;
+}
+
 function isNewer(
-  news: { readonly atMs: number },
-  seen: Seen<{ readonly atMs: number }> | undefined,
+  a: Held<AgingNews>,
+  held: Held<AgingNews>,
   nowMs: number,
 ): boolean {
-  if (!seen || news.atMs > seen.news.atMs) return true;
-  return news.atMs < seen.news.atMs &&
-    nowMs - seen.seenAtMs > MAX_CLOCK_SKEW_MS;
+  // Nothing was published in the future, unless this VM's clock went back.
+  const laterMs = a.publishedAtMs - Math.min(held.publishedAtMs, nowMs);
+  if (Math.abs(laterMs) > MAX_CLOCK_SKEW_MS) return laterMs > 0;
+  return a.news.atMs > held.news.atMs;
 }
 
 function contactOf(record: MemberRecord, tableVersion: number): RegionContact {
--- a/src/services/members.ts
+++ b/src/services/members.ts
@@ -268,7 +268,7 @@
       region: this.#options.region,
       records: isSameRegion ? this.#machine.all() : [],
       digest: this.#digests.digestFor(message.region),
-      regions: this.#digests.regions.allContacts(),
+      regions: this.#digests.regions.allContacts(this.#clock.nowMs()),
     };
   }
 
--- a/src/services/messages.ts
+++ b/src/services/messages.ts
@@ -47,7 +47,7 @@
   readonly topic: string;
   readonly vmId: string;
   readonly body: unknown;
-  /** When it arrived here. */
+  /** When it arrived here or, for another region's, when that region sent the digest; by this VM's clock. */
   readonly seenAtMs: number;
 }
 
