All topics reach the other regions, each in its turn

They would see no request shifted to a region whose idle pools are not among the first nine of its topics, for good.

Cause: a digest took topics in the order in which they were first published, up to 1,000 bytes, and a receiver took each digest for the whole.

Change: topics go to each region in turn, within the same bytes; one that does not fit alone no longer keeps the others out. A receiver keeps the topics of several digests, each in the order of topics and for at most 45 s after its publication, and each counts as heard when the digest that held it was sent. A lead chooses among a region's pools that are fresh enough to send to, if there are any; else an idle pool whose turn is over would hide the others.

New test on daemons' tasks with real sockets (members_test): times out on the code before, 2.5 s now. 60 tests pass: member*_test of services, lead_view, slots, slots_vms, directory.

Why it works: the next digest begins after the last topic that was sent to that region, so 20 topics take three digests.

Not covered: the age of a topic now takes some bytes, so that a digest holds seven or eight.

--- a/src/decisions/mod.ts
+++ b/src/decisions/mod.ts
@@ -9,3 +9,4 @@
 export * from "./pool_messages.ts";
 export * from "./pool.ts";
 export { ATTEMPT_LIMIT, type FailedAttempt, mayRetry } from "./retry.ts";
+export { DIGEST_STALE_MS } from "./shift.ts";
--- a/src/services/lead_view.ts
+++ b/src/services/lead_view.ts
@@ -12,7 +12,12 @@
   type Table,
 } from "../agreement/mod.ts";
 import { rendezvous } from "../base/mod.ts";
-import type { PoolDigest, SlotRequest } from "../decisions/mod.ts";
+import {
+  DIGEST_STALE_MS,
+  type PoolDigest,
+  type RemoteRegion,
+  type SlotRequest,
+} from "../decisions/mod.ts";
 import type { TopicValue, VmInfo } from "./messages.ts";
 
 /** The prefix of the topics under which leads publish the digests of their pools. */
@@ -36,6 +41,32 @@
  */
 const MIN_SWITCH_GAIN_MS = 500;
 
+/** Leads look at other regions' pools this often. A choice must do until the next one. */
+const CHOICE_INTERVAL_MS = 1000;
+
+/**
+ * The pool of another region with the shortest wait among those that take requests in; if none does, the one with the
+ * shortest wait. A region's digests hold its pools in turn, so pools whose values are about to be too old for sending
+ * requests count only if all are.
+ */
+export function bestPool(
+  values: readonly TopicValue[],
+  nowMs: number,
+): Pick<RemoteRegion, "predictedWaitMs" | "takesIn" | "seenAtMs"> | undefined {
+  const minSeenAtMs = nowMs - DIGEST_STALE_MS + CHOICE_INTERVAL_MS;
+  const fresh = values.filter(({ seenAtMs }) => seenAtMs >= minSeenAtMs);
+  const candidates = fresh.length > 0 ? fresh : values;
+  const pools = candidates.map(({ body, seenAtMs }) => {
+    const { predictedWaitMs, takesIn } = body as PublishedLoad;
+    return { predictedWaitMs, takesIn, seenAtMs };
+  });
+  pools.sort((a, b) =>
+    Number(b.takesIn) - Number(a.takesIn) ||
+    a.predictedWaitMs - b.predictedWaitMs
+  );
+  return pools[0];
+}
+
 /** The table, VMs and pools of a region as one VM knows them. */
 export class LeadView {
   readonly self: VmInfo;
--- a/src/services/member_digests.ts
+++ b/src/services/member_digests.ts
@@ -127,7 +127,7 @@
       (vmId) => machine.tableVersionOf(vmId),
       nowMs,
     );
-    return { news: this.regions.news(nowMs), contacts };
+    return { news: this.regions.news(region, nowMs), contacts };
   }
 
   /** Sends digests, if they are due, to the regions for which this VM is the speaker. */
--- a/src/services/member_regions.ts
+++ b/src/services/member_regions.ts
@@ -18,12 +18,16 @@
   REGION_TTL_MS,
   withAge,
 } from "../agreement/mod.ts";
-import { TopicStore, topicToSend } from "./member_topics.ts";
+import {
+  MAX_REMEMBERED_MS,
+  TOPIC_TTL_MS,
+  TopicStore,
+} from "./member_topics.ts";
 import type { TopicValue, VmInfo } from "./messages.ts";
 
 /** The number of VMs that a region names as contacts to another. */
 const MAX_CONTACTS = 3;
-/** The largest size of the topics in a region's digest, in bytes of JSON. Further topics are left out. */
+/** The largest size of the topics in a region's digest, in bytes of JSON. Further topics wait for their turn. */
 const MAX_TOPIC_BYTES = 1000;
 /** Unchanged contacts are sent again this often, for VMs that joined since and because they carry table versions. */
 const CONTACTS_REPEAT_MS = 10_000;
@@ -46,7 +50,9 @@
 /** Stores the topics of this region, and the news and contacts of other regions. */
 export class RegionStore {
   readonly #region: string;
-  readonly #topics = new TopicStore();
+  readonly #topics = new TopicStore(TOPIC_TTL_MS);
+  /** The topics of the other regions. A digest holds a part of them. */
+  readonly #regionTopics = new Map<string, TopicStore>();
   readonly #regions = new Map<string, Held<RegionNews>>();
   readonly #contacts = new Map<string, Held<ContactNews>>();
   readonly #spreadAtMs = new Map<string, number>();
@@ -70,6 +76,7 @@
   /** Stores another region's news. Returns whether it is newer than what is stored. */
   mergeRegion(news: RegionNews, nowMs: number): boolean {
     if (news.region === this.#region) return false;
+    this.#mergeRegionTopics(news, nowMs);
     return mergeNewer(this.#regions, news, nowMs);
   }
 
@@ -93,13 +100,13 @@
     return mergeNewer(this.#contacts, news, nowMs);
   }
 
-  /** This region's news. */
-  news(nowMs: number): RegionNews {
+  /** This region's news for the region `to`. */
+  news(to: string, nowMs: number): RegionNews {
     return {
       type: "region",
       region: this.#region,
       atMs: nowMs,
-      topics: this.#boundedTopics(nowMs),
+      topics: this.#topics.nextTopics(to, MAX_TOPIC_BYTES, nowMs),
     };
   }
 
@@ -183,10 +190,12 @@
         topicValueOf(news, seenAtMs)
       ),
     );
-    for (const [region, { news, publishedAtMs }] of this.#regions) {
+    for (const [region, store] of this.#regionTopics) {
       topics.set(
         region,
-        news.topics.map((topic) => topicValueOf(topic, publishedAtMs)),
+        store.current(nowMs).map(({ news, seenAtMs }) =>
+          topicValueOf(news, seenAtMs)
+        ),
       );
     }
     return topics;
@@ -194,28 +203,28 @@
 
   dump(nowMs: number): unknown {
     const regions: Record<string, unknown> = {};
-    for (const [region, { news, publishedAtMs }] of this.#regions) {
+    for (const [region, { publishedAtMs }] of this.#regions) {
       const contacts = this.#contacts.get(region)?.news.contacts ?? [];
       regions[region] = {
         ageMs: nowMs - publishedAtMs,
         contacts: contacts.map((contact) => contact.id),
-        topics: news.topics.length,
+        topics: this.#regionTopics.get(region)?.current(nowMs).length,
       };
     }
     const topics = this.#topics.current(nowMs).map(({ news }) => news.topic);
     return { topics, regions };
   }
 
-  #boundedTopics(nowMs: number): TopicNews[] {
-    const topics: TopicNews[] = [];
-    let bytes = 0;
-    for (const held of this.#topics.current(nowMs)) {
-      const topic = topicToSend(held, nowMs);
-      bytes += JSON.stringify(topic).length;
-      if (bytes > MAX_TOPIC_BYTES) break;
-      topics.push(topic);
+  /** Stores the topics of another region's digest, which the next one may have overtaken. */
+  #mergeRegionTopics(news: RegionNews, nowMs: number): void {
+    const store = this.#regionTopics.get(news.region) ??
+      new TopicStore(MAX_REMEMBERED_MS);
+    this.#regionTopics.set(news.region, store);
+    const seenAtMs = publishedAtMs(news, nowMs);
+    for (const topic of news.topics) {
+      const ageMs = (topic.ageMs ?? 0) + (news.ageMs ?? 0);
+      store.merge({ ...topic, ageMs }, nowMs, seenAtMs);
     }
-    return topics;
   }
 }
 
--- a/src/services/member_regions_test.ts
+++ b/src/services/member_regions_test.ts
@@ -289,3 +289,92 @@
     t.false(isSent(0, -1));
   });
 });
+
+describe("the digest for another region", () => {
+  const topicNamed = (at: number, atMs: number): TopicNews => {
+    const body = { predictedWaitMs: 120, takesIn: true };
+    return { type: "topic", topic: `load/s${at}/0`, vmId: "vm-1", atMs, body };
+  };
+
+  /** Digests of 20 topics that are published each second, for each of `regions` in turn. */
+  function digestsOf(regions: readonly string[], seconds: number) {
+    const store = new RegionStore("north");
+    return Array.from({ length: seconds }, (_, second) => {
+      const nowMs = START_MS + second * 1_000;
+      for (let at = 0; at < 20; at++) {
+        store.mergeTopic(topicNamed(at, nowMs), nowMs);
+      }
+      return regions.map((region) => store.news(region, nowMs));
+    });
+  }
+
+  // The first ones to be published filled the digest for good.
+  it("holds all topics in turn if they do not fit into one", (t) => {
+    const regions = ["south", "east", "west"];
+    for (const at of regions.keys()) {
+      const topics = digestsOf(regions, 3).flatMap((news) => news[at].topics);
+      t.is(new Set(topics.map(({ topic }) => topic)).size, 20);
+    }
+  });
+
+  it("stays within its bytes, and uses them", (t) => {
+    for (const [{ topics }] of digestsOf(["south"], 60)) {
+      const texts = topics.map((topic) => JSON.stringify(topic));
+      const bytes = texts.reduce((sum, { length }) => sum + length, 0);
+      t.true(bytes <= 1_000);
+      t.true(topics.length >= 7);
+    }
+  });
+
+  it("holds the other topics if one does not fit", (t) => {
+    const store = new RegionStore("north");
+    const large = { ...topicNamed(0, START_MS), body: "x".repeat(1_000) };
+    store.mergeTopic(large, START_MS);
+    store.mergeTopic(topicNamed(1, START_MS), START_MS);
+    const { topics } = store.news("south", START_MS);
+    t.deepEqual(topics.map(({ topic }) => topic), ["load/s1/0"]);
+  });
+
+  it("does not end the topics for which it has no room", (t) => {
+    const store = new RegionStore("south");
+    for (const [news] of digestsOf(["south"], 3)) {
+      store.mergeRegion(news, news.atMs);
+    }
+    t.is(store.topics(START_MS + 2_000).get("north")?.length, 20);
+  });
+
+  it("does not replace a value by an older one, nor count what it leaves out as heard", (t) => {
+    const store = new RegionStore("south");
+    const digest = (atMs: number, ageMs: number, topics: TopicNews[]) =>
+      ({ type: "region", region: "north", atMs, ageMs, topics }) as const;
+    const [old, held] = [topicNamed(0, START_MS - 1), topicNamed(0, START_MS)];
+    store.mergeRegion(digest(START_MS, 0, [held]), START_MS);
+    const nowMs = START_MS + 9_000;
+    store.mergeRegion(digest(START_MS - 1, 9_001, [old]), nowMs);
+    store.mergeRegion(digest(nowMs, 0, [topicNamed(1, nowMs)]), nowMs);
+    const values = store.topics(nowMs).get("north")!;
+    t.deepEqual(values.map(({ seenAtMs }) => seenAtMs), [START_MS, nowMs]);
+  });
+
+  it("counts as heard when it was sent, not when a copy of it arrives", (t) => {
+    const store = new RegionStore("south");
+    const [[news]] = digestsOf(["south"], 1);
+    store.mergeRegion({ ...news, ageMs: 4_000 }, START_MS + 4_000);
+    const seenAtMs = () =>
+      store.topics(START_MS + 4_000).get("north")![0].seenAtMs;
+    t.is(seenAtMs(), START_MS);
+    store.mergeRegion({ ...news, ageMs: 8_000 }, START_MS + 4_000);
+    t.is(seenAtMs(), START_MS);
+  });
+
+  it("leaves its topics to end some time after their publication", (t) => {
+    const store = new RegionStore("north");
+    const topic = { ...topicNamed(0, START_MS - 10_000), ageMs: 10_000 };
+    const news = { ...regionNews(START_MS, 4_000), topics: [topic] };
+    store.mergeRegion(news, START_MS + 4_000);
+    const count = (atMs: number) => store.topics(atMs).get("south")!.length;
+    const endMs = topic.atMs + TOPIC_TTL_MS + PASSING_ON_MS;
+    t.is(count(endMs), 1);
+    t.is(count(endMs + 1), 0);
+  });
+});
--- a/src/services/member_topics.ts
+++ b/src/services/member_topics.ts
@@ -14,31 +14,39 @@
 /** A topic of which this or a newer value did not arrive for this long has ended: its publisher is gone or has stopped. */
 export const TOPIC_TTL_MS = 15_000;
 /** Ended topics are remembered until no copy is passed on any more, so that none brings them back. */
-const MAX_REMEMBERED_MS = MAX_TOPIC_AGE_MS + TOPIC_TTL_MS;
+export const MAX_REMEMBERED_MS = MAX_TOPIC_AGE_MS + TOPIC_TTL_MS;
 
 /** A topic's value. Times are by this VM's clock. */
 export interface HeldTopic {
   readonly news: TopicNews;
   readonly publishedAtMs: number;
-  /** When the value, or the latest copy of it, arrived. */
+  /** When the value, or the latest copy of it, arrived; of another region's topic, when that region sent it. */
   readonly seenAtMs: number;
 }
 
 /** Stores the newest value of each topic. */
 export class TopicStore {
   readonly #held = new Map<string, HeldTopic>();
+  readonly #ttlMs: number;
+  /** The last topic that was sent to each region. */
+  readonly #lastSent = new Map<string, string>();
 
-  /** Stores a topic's value. Returns whether it is newer than the stored one. */
-  merge(news: TopicNews, nowMs: number): boolean {
+  constructor(ttlMs: number) {
+    this.#ttlMs = ttlMs;
+  }
+
+  /** Stores a topic's value that was seen at `seenAtMs`. Returns whether it is newer than the stored one. */
+  merge(news: TopicNews, nowMs: number, seenAtMs = nowMs): boolean {
     if ((news.ageMs ?? 0) > MAX_TOPIC_AGE_MS) return false;
     const topic = {
       news,
       publishedAtMs: publishedAtMs(news, nowMs),
-      seenAtMs: nowMs,
+      seenAtMs,
     };
     const held = this.#get(news.topic, nowMs);
     if (held && isCopy(topic, held)) {
-      this.#held.set(news.topic, { ...held, seenAtMs: nowMs });
+      const lastSeenAtMs = Math.max(held.seenAtMs, seenAtMs);
+      this.#held.set(news.topic, { ...held, seenAtMs: lastSeenAtMs });
       return false;
     }
     if (held && !isNewer(topic, held)) return false;
@@ -59,7 +67,36 @@
   current(nowMs: number): HeldTopic[] {
     return [...this.#held.keys()]
       .flatMap((name) => this.#get(name, nowMs) ?? [])
-      .filter(({ seenAtMs }) => nowMs - seenAtMs <= TOPIC_TTL_MS);
+      .filter(({ seenAtMs }) => nowMs - seenAtMs <= this.#ttlMs);
+  }
+
+  /**
+   * Returns topics of at most `maxBytes` of JSON for the region `to`, each in its turn. One that does not fit alone is
+   * left out.
+   */
+  nextTopics(to: string, maxBytes: number, nowMs: number): TopicNews[] {
+    const topics: TopicNews[] = [];
+    let bytes = 0;
+    for (const held of this.#inTurn(to, nowMs)) {
+      const topic = topicToSend(held, nowMs);
+      const topicBytes = JSON.stringify(topic).length;
+      if (topicBytes > maxBytes) continue;
+      bytes += topicBytes;
+      if (bytes > maxBytes) break;
+      topics.push(topic);
+      this.#lastSent.set(to, topic.topic);
+    }
+    return topics;
+  }
+
+  /** The topics by name, from the one after the last that was sent to the region `to`. */
+  #inTurn(to: string, nowMs: number): HeldTopic[] {
+    const lastSent = this.#lastSent.get(to) ?? "";
+    const topics = this.current(nowMs)
+      .sort((a, b) => a.news.topic < b.news.topic ? -1 : 1);
+    const after = topics.filter(({ news }) => news.topic > lastSent);
+    const before = topics.filter(({ news }) => news.topic <= lastSent);
+    return [...after, ...before];
   }
 
   /** Returns the topic unless it is forgotten. If this VM's clock went back, its time is counted from now on. */
@@ -100,5 +137,5 @@
   if (a.news.vmId === held.news.vmId) {
     return a.news.atMs > held.news.atMs || laterMs > TOPIC_TTL_MS;
   }
-  return laterMs > 0 || a.publishedAtMs === a.seenAtMs;
+  return laterMs > 0 || (a.news.ageMs ?? 0) === 0;
 }
--- a/src/services/members_test.ts
+++ b/src/services/members_test.ts
@@ -159,4 +159,24 @@
     }
     t.pass();
   });
+
+  // Twenty topics do not fit into one digest.
+  it("sends all its topics to other regions in turn", async (t) => {
+    const agadir = await startRegion(t, 1);
+    const casa = await openRegion("casablanca", 2, {
+      table,
+      seeds: [agadir[0].address],
+    });
+    t.teardown(() => Promise.all(casa.map((vm) => vm.crash())));
+    for (let at = 0; at < 20; at++) {
+      const topic = `load/x/${at}`;
+      await casa[0].members.ask("publish", { topic, body: { n: at } });
+    }
+    await waitUntil("all topics of the other region", async () => {
+      const topics = await agadir[0].members.ask("topics", undefined);
+      const names = (topics.get("casablanca") ?? []).map((it) => it.topic);
+      return names.filter((it) => it.startsWith("load/x/")).length === 20;
+    });
+    t.pass();
+  });
 });
--- a/src/services/slots.ts
+++ b/src/services/slots.ts
@@ -35,9 +35,9 @@
 import { LeadRouter } from "./lead_router.ts";
 import { LeadServer, type OrderSink } from "./lead_server.ts";
 import {
+  bestPool,
   LeadView,
   LOAD_TOPIC_PREFIX,
-  type PublishedLoad,
   toPublishedLoad,
 } from "./lead_view.ts";
 import type {
@@ -350,7 +350,7 @@
         value.seenAtMs >= minSeenAtMs &&
         value.topic.startsWith(`${LOAD_TOPIC_PREFIX}${info.service}/`)
       );
-      const best = bestPool(digests);
+      const best = bestPool(digests, this.#clock.nowMs());
       if (best) {
         remoteRegions.push({ region, linkMs: links[region] ?? 0, ...best });
       }
@@ -359,21 +359,6 @@
   }
 }
 
-/** The pool with the shortest wait among those that take requests in; if none does, the one with the shortest wait. */
-function bestPool(
-  values: readonly TopicValue[],
-): Pick<RemoteRegion, "predictedWaitMs" | "takesIn" | "seenAtMs"> | undefined {
-  const pools = values.map(({ body, seenAtMs }) => {
-    const { predictedWaitMs, takesIn } = body as PublishedLoad;
-    return { predictedWaitMs, takesIn, seenAtMs };
-  });
-  pools.sort((a, b) =>
-    Number(b.takesIn) - Number(a.takesIn) ||
-    a.predictedWaitMs - b.predictedWaitMs
-  );
-  return pools[0];
-}
-
 function standaloneVm({ vmId, region }: SlotsOptions): VmInfo {
   return {
     id: vmId,
