--- a/test/gateway_lab.ts
+++ b/test/gateway_lab.ts
@@ -323,6 +323,56 @@
   return { lab, vm };
 }
 
+/** VMs of {@link openRegion}: so many that a lead places their requests. */
+export const REGION_VM_COUNT = 6;
+
+/** The part of a VM's dump that tells who leads its region. */
+export interface MembersDump {
+  readonly isLead: boolean;
+  readonly order: readonly { readonly id: string }[];
+  readonly vms: number;
+}
+
+/** What a VM knows of its region's other VMs. */
+export function dumpMembers(vm: LabVm): MembersDump {
+  return vm.gateway.dump().members as MembersDump;
+}
+
+/** Opens a region whose VMs know each other and agree on the lead. */
+export async function openRegion(
+  t: { teardown(run: () => Promise<void>): void },
+  runnerCount: number,
+): Promise<GatewayLab> {
+  const lab = new GatewayLab();
+  t.teardown(() => lab.close());
+  lab.configure();
+  for (let i = 0; i < runnerCount; i++) await lab.addRunner();
+  for (let i = 0; i < REGION_VM_COUNT; i++) {
+    await lab.waitUntilReady(await lab.addVm());
+  }
+  const haveSameMembers = () =>
+    new Set(lab.vms.map((vm) => dumpMembers(vm).order[0].id)).size === 1 &&
+    lab.vms.every((vm) => dumpMembers(vm).vms === REGION_VM_COUNT);
+  await waitUntil(haveSameMembers);
+  return lab;
+}
+
+/** Sends `perS` requests a second for `forMs`, to each VM in turn, and returns their answers. */
+export async function callSteadily(
+  lab: GatewayLab,
+  vms: readonly LabVm[],
+  input: CallerRequest,
+  { forMs, perS }: { readonly forMs: number; readonly perS: number },
+): Promise<CallerAnswer[]> {
+  const calls: Promise<CallerAnswer>[] = [];
+  const endMs = performance.now() + forMs;
+  while (performance.now() < endMs) {
+    calls.push(lab.call(vms[calls.length % vms.length], input));
+    await new Promise((resolve) => setTimeout(resolve, 1_000 / perS));
+  }
+  return await Promise.all(calls);
+}
+
 /** Sends requests bound to the other region until the VM has discovered that region and `runnerId` there answers. */
 export async function waitUntilServedBy(
   lab: GatewayLab,
--- a/test/gateway_leads_test.ts
+++ b/test/gateway_leads_test.ts
@@ -1,43 +1,19 @@
 import { createServer } from "node:net";
 import { describe, it } from "../src/base/describe.ts";
-import { GatewayLab, type LabVm, ROUTES, waitUntil } from "./gateway_lab.ts";
-
-const VM_COUNT = 6;
-
-interface MembersDump {
-  readonly isLead: boolean;
-  readonly order: readonly { readonly id: string }[];
-  readonly vms: number;
-}
-
-function dumpMembers(vm: LabVm): MembersDump {
-  return vm.gateway.dump().members as MembersDump;
-}
+import {
+  dumpMembers,
+  GatewayLab,
+  type LabVm,
+  openRegion,
+  ROUTES,
+  waitUntil,
+} from "./gateway_lab.ts";
 
 function findFirstLead(lab: GatewayLab): LabVm {
   const [first] = dumpMembers(lab.vms[0]).order;
   return lab.vms.find(({ settings }) => settings.vm.id === first.id)!;
 }
 
-/** Opens a region whose VMs know each other and agree on the lead. */
-async function openRegion(
-  t: { teardown(run: () => Promise<void>): void },
-  runnerCount: number,
-): Promise<GatewayLab> {
-  const lab = new GatewayLab();
-  t.teardown(() => lab.close());
-  lab.configure();
-  for (let i = 0; i < runnerCount; i++) await lab.addRunner();
-  for (let i = 0; i < VM_COUNT; i++) {
-    await lab.waitUntilReady(await lab.addVm());
-  }
-  const haveSameMembers = () =>
-    new Set(lab.vms.map((vm) => dumpMembers(vm).order[0].id)).size === 1 &&
-    lab.vms.every((vm) => dumpMembers(vm).vms === VM_COUNT);
-  await waitUntil(haveSameMembers);
-  return lab;
-}
-
 /** Reads from a VM's metrics how many of its requests were placed by `by`. */
 async function countPlaced(
   lab: GatewayLab,
