An upstream whose answers say that it leaves gets no further request

Cause: the state of an upstream came from its entry in the store alone. Its own answers state it too, and nobody read that; while the store is away no other word comes. Change: an answer that proves to be of that upstream and this attempt, of any status but 421, marks this start of it as leaving; the fleet then offers it to no request, grant, move or copy, and the step that sends looks again. VMs of a region tell each other (reports and rosters, at most four keys, only while the entry does not say so), so leads and VMs that start later know without an answer of their own. Neither an entry that says ready nor silence takes it back; a new start has another key. The content of an upstream's entry moves to a file of its own. Why this is enough: every path to an upstream asks the fleet in the step that sends.

--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -100,6 +100,7 @@
         ...(strictRevokeMs === undefined
           ? {}
           : { configAgeMs: Math.round(storeView.configAgeMs) }),
+        ...storeView.announcedLeaving,
       }),
       load: () => ({ load: upstreams.load(), asked: placer.settledQueryId }),
       held: (ms) => upstreams.partsReadWithin(ms),
@@ -126,6 +127,11 @@
         () => storeView.agreedAgoMs(topic) / 1_000,
       );
     }
+    metrics.gauge(
+      "upstreams_leaving",
+      "",
+      () => storeView.fleet.announcedLeaving.length,
+    );
     const losses = new LossProber(clock, log, metrics);
     const suspects = new Suspects({
       self: vm,
@@ -175,7 +181,7 @@
       quotas,
       metrics,
       losses,
-      notices: new UpstreamNotices(log, metrics),
+      notices: new UpstreamNotices(log, metrics, storeView),
       suspects,
     });
     const directory = new Directory(context);
--- a/src/gateway/peer_rpc.ts
+++ b/src/gateway/peer_rpc.ts
@@ -120,6 +120,7 @@
     if (this.#isPulling) return;
     this.#isPulling = true;
     try {
+      this.#noteLeavingUpstreams();
       for (const topic of NEWS_TOPICS) {
         const source = this.#pickSource(topic);
         if (source) await this.#pullFrom(source, topic);
@@ -129,6 +130,16 @@
     }
   }
 
+  /** Notes which upstreams other VMs know to leave. */
+  #noteLeavingUpstreams(): void {
+    for (const { id, leavingUpstreams } of this.#members.newsSources()) {
+      if (!Array.isArray(leavingUpstreams)) continue;
+      for (const key of leavingUpstreams) {
+        this.#storeView.noteLeaving(String(key), { from: id });
+      }
+    }
+  }
+
   /**
    * Picks a VM that is ahead: one of this region, so that news crosses to each region only once; one of another region
    * only if no VM here could have read the news from the store.
--- a/src/gateway/store_view.ts
+++ b/src/gateway/store_view.ts
@@ -19,9 +19,14 @@
   UPSTREAM_PREFIX,
 } from "../platform/mod.ts";
 import { Fleet, type GatewayConfig } from "../routing/mod.ts";
-import type { ReplicaState, ReplicaStates } from "../region/mod.ts";
+import type { ReplicaState, ReplicaStates, VmState } from "../region/mod.ts";
 import { type FollowedStore, Follower } from "./follower.ts";
 import type { AdoptOutcome, News, NewsRequest } from "./replica.ts";
+import {
+  coldStepOf,
+  leastColdMs,
+  upstreamContentOf,
+} from "./upstream_content.ts";
 
 /** The two sets of entries that are followed. */
 export type NewsTopic = keyof ReplicaStates;
@@ -80,8 +85,6 @@
 const LAPSED_GRACE_MS = 2_300;
 /** How often lapsed entries are checked; one is removed late by up to this much. */
 const SWEEP_INTERVAL_MS = 500;
-/** Cold times under twice this are not told apart. */
-const MIN_COLD_STEP_MS = 500;
 
 /** Follows the store's entries and holds their decoded state: `config` and `fleet` are read on each request. */
 export class StoreView extends Task<StoreViewMessages> {
@@ -136,11 +139,26 @@
     return this.#followers[topic].notePeer(state, isServed);
   }
 
+  /** Notes that an upstream said that it leaves, in an answer to this VM or, as `from` tells, to another one. */
+  noteLeaving(
+    key: string,
+    source: { readonly from: string } | { readonly attempt: string },
+  ): void {
+    if (!this.fleet.noteLeaving(key, this.#clock.monoMs())) return;
+    this.#log.info("upstream says it leaves", { upstream: key, ...source });
+  }
+
   /** The request by which this VM asks another one for what it lacks. */
   newsRequest(topic: NewsTopic): NewsRequest {
     return this.#followers[topic].newsRequest;
   }
 
+  /** What this VM tells others of upstreams that leave; nothing if none does. */
+  get announcedLeaving(): Pick<VmState, "leavingUpstreams"> {
+    const leavingUpstreams = this.fleet.announcedLeaving;
+    return leavingUpstreams.length > 0 ? { leavingUpstreams } : {};
+  }
+
   /** Time since this VM's copy of a topic was last known to be the store's; `Infinity` if it never was. */
   agreedAgoMs(topic: NewsTopic): number {
     return this.#clock.monoMs() - this.#followers[topic].agreedMonoMs;
@@ -354,6 +372,7 @@
 
   #removeLapsed(): void {
     const nowMs = this.#clock.monoMs();
+    this.fleet.forgetLeft(nowMs);
     for (const [id, untilMs] of this.#lapsed) {
       if (nowMs < untilMs) continue;
       this.#lapsed.delete(id);
@@ -364,32 +383,3 @@
     }
   }
 }
-
-/**
- * The part of an upstream's entry in which the copies of VMs must not differ. Upstreams write their entries about every
- * second as a heartbeat; most of these writes change nothing here.
- */
-function upstreamContentOf(entry: Entry): string {
-  try {
-    const id = decodeUpstreamId(entry.key);
-    const { coldLeftMs, ...record } = decodeUpstream(id, entry.value);
-    return JSON.stringify({ ...record, coldStep: coldStepOf(coldLeftMs) });
-  } catch {
-    return "unreadable";
-  }
-}
-
-/**
- * How cold an upstream is, in steps that double: 0 if it is not, 1 below 1 s, 2 below 2 s, 3 below 4 s and so on. Each
- * VM counts a cold time down by itself, and is sent the entry again only when the step changes.
- */
-function coldStepOf(coldLeftMs: number): number {
-  if (coldLeftMs <= 0) return 0;
-  const steps = Math.max(coldLeftMs, MIN_COLD_STEP_MS) / MIN_COLD_STEP_MS;
-  return 1 + Math.floor(Math.log2(steps));
-}
-
-/** The shortest cold time of a step. */
-function leastColdMs(step: number): number {
-  return step > 1 ? MIN_COLD_STEP_MS * 2 ** (step - 1) : 0;
-}
--- a/src/gateway/upstream_notices.ts
+++ b/src/gateway/upstream_notices.ts
@@ -7,6 +7,7 @@
 import type { Log } from "../kernel/mod.ts";
 import type { RestRequest, UpstreamAnswer } from "../platform/mod.ts";
 import type { GatewayMetrics } from "./metrics.ts";
+import type { StoreView } from "./store_view.ts";
 import type { LinkedCandidate } from "./upstream_link.ts";
 
 /** Most characters of an unreadable value that a log line repeats. */
@@ -16,11 +17,12 @@
 export class UpstreamNotices {
   readonly #log: Log;
   readonly #metrics: GatewayMetrics;
-  readonly #leavingKeys = new Set<string>();
+  readonly #storeView: StoreView;
 
-  constructor(log: Log, metrics: GatewayMetrics) {
+  constructor(log: Log, metrics: GatewayMetrics, storeView: StoreView) {
     this.#log = log;
     this.#metrics = metrics;
+    this.#storeView = storeView;
   }
 
   /** Notes an answer that is known to be of this upstream, to the attempt `attemptId`. */
@@ -29,22 +31,13 @@
     { isLeaving, rest }: UpstreamAnswer,
     attemptId: string,
   ): void {
-    if (isLeaving) this.#noteLeaving(candidate, attemptId);
+    if (isLeaving) {
+      const { key } = candidate.upstream;
+      this.#storeView.noteLeaving(key, { attempt: attemptId });
+    }
     if (rest) this.#noteRest(candidate, rest, attemptId);
   }
 
-  #noteLeaving({ upstream }: LinkedCandidate, attemptId: string): void {
-    if (this.#leavingKeys.has(upstream.key)) return;
-    this.#leavingKeys.add(upstream.key);
-    this.#metrics.count("upstreams_leaving", `service="${upstream.service}"`);
-    this.#log.info("upstream says it leaves", {
-      upstream: upstream.key,
-      service: upstream.service,
-      attempt: attemptId,
-      state: upstream.state,
-    });
-  }
-
   #noteRest(
     { upstream }: LinkedCandidate,
     { ms, text }: RestRequest,
--- a/src/region/known_vms.ts
+++ b/src/region/known_vms.ts
@@ -55,6 +55,8 @@
   readonly copies: ReplicaStates;
   /** Whether it said that the store answers it. */
   readonly isServed: boolean;
+  /** See {@link VmState.leavingUpstreams}; absent in other regions, whose upstreams this VM does not reach. */
+  readonly leavingUpstreams?: readonly string[];
 }
 
 const NO_NAMES: NamedList = { ready: [], leaving: [] };
@@ -267,8 +269,8 @@
   newsSources(nowMs: number): NewsSource[] {
     const local: NewsSource[] = this.reporters(this.#self.region, nowMs);
     const rosters = this.freshRosters(nowMs).map((
-      { roster: { from, copies, isServed } },
-    ) => ({ ...from, copies, isServed }));
+      { roster: { from, copies, isServed, leavingUpstreams } },
+    ) => ({ ...from, copies, isServed, leavingUpstreams }));
     const remote = this.remote.fresh(nowMs)
       .map(({ digest: { from, copies } }) => ({
         ...from,
--- a/src/region/messages.ts
+++ b/src/region/messages.ts
@@ -21,6 +21,13 @@
   readonly upstreams: ReplicaState;
 }
 
+/** Picks what a roster carries of a VM's state. */
+export function pickRosterState(
+  { copies, isServed, configAgeMs, leavingUpstreams }: VmState,
+): RosterState {
+  return { copies, isServed, configAgeMs, leavingUpstreams };
+}
+
 /**
  * The load at one upstream: running requests, and prompt tokens that wait there. It is a tuple rather than an object, since
  * a message carries one for each upstream.
@@ -46,8 +53,16 @@
   readonly isServed: boolean;
   /** How long ago it certainly had the newest configuration, in ms; set only if the operators' settings require it. */
   readonly configAgeMs?: number;
+  /** Upstreams of its region that said in answers that they leave while the store does not say so yet. */
+  readonly leavingUpstreams?: readonly string[];
 }
 
+/** The part of a VM's state that its rosters carry too. */
+export type RosterState = Pick<
+  VmState,
+  "copies" | "isServed" | "configAgeMs" | "leavingUpstreams"
+>;
+
 /** The load of one VM. */
 export interface VmLoad {
   readonly load: Load;
@@ -110,16 +125,12 @@
 }
 
 /** Sent by a lead to the VMs of its region. */
-export interface Roster {
+export interface Roster extends RosterState {
   readonly from: VmRecord;
   readonly everyMs: number;
   /** The head of the region's lead order: leads and standbys. */
   readonly leads: readonly LeadRecord[];
   readonly vms: number;
-  readonly copies: ReplicaStates;
-  readonly isServed: boolean;
-  /** As in {@link VmState}. */
-  readonly configAgeMs?: number;
   /** Absent in a short roster; the previous list stays valid then. */
   readonly named?: NamedList;
   /** The loads of all VMs of the region together. */
--- a/src/region/view.ts
+++ b/src/region/view.ts
@@ -14,6 +14,7 @@
   type LeadRecord,
   MAX_NAMED,
   type NamedList,
+  pickRosterState,
   type RegionDigest,
   type Report,
   type Roster,
@@ -226,15 +227,12 @@
 
   /** Builds a roster for the VMs of the own region. */
   buildRoster(nowMs: number, withNames: boolean): Omit<Roster, "load"> {
-    const { copies, isServed, configAgeMs } = this.#options.state();
     return {
+      ...pickRosterState(this.#options.state()),
       from: toVmRecord(this.#self),
       everyMs: this.rosterEveryMs,
       leads: this.#order,
       vms: this.known.reportingCount,
-      copies,
-      isServed,
-      configAgeMs,
       named: withNames ? this.#namedList(nowMs) : undefined,
       regions: this.known.remote.passedDigests(nowMs),
     };
--- a/src/routing/fleet.ts
+++ b/src/routing/fleet.ts
@@ -5,6 +5,7 @@
  */
 
 import { hash32 } from "../base/mod.ts";
+import { LeavingUpstreams } from "./leaving.ts";
 import type { UpstreamRecord } from "./types.ts";
 
 /** An upstream's registration, with its region and the time until which it is cold. */
@@ -23,6 +24,7 @@
   readonly #byId = new Map<string, KnownUpstream>();
   #byService = new Map<string, KnownUpstream[]>();
   #evacuated: ReadonlySet<string> = new Set();
+  readonly #leaving = new LeavingUpstreams();
   readonly #regionOf: (failureDomain: string) => string | undefined;
 
   constructor(regionOf: (failureDomain: string) => string | undefined) {
@@ -65,6 +67,23 @@
     this.#evacuated = failureDomains;
   }
 
+  /** Notes that an upstream said in an answer that it leaves. Returns whether that is news. */
+  noteLeaving(key: string, nowMs: number): boolean {
+    return this.#leaving.note(key, nowMs);
+  }
+
+  /** Upstreams that said that they leave while their entries still say that they are ready. */
+  get announcedLeaving(): string[] {
+    return this.#leaving.announced((key) =>
+      this.#getByKey(key)?.state === "ready"
+    );
+  }
+
+  /** Forgets what was said by upstreams that are long gone. */
+  forgetLeft(nowMs: number): void {
+    this.#leaving.forget((key) => this.#getByKey(key) !== undefined, nowMs);
+  }
+
   ids(): string[] {
     return [...this.#byId.keys()];
   }
@@ -74,8 +93,8 @@
   }
 
   /**
-   * Lists the upstreams of a service in a region that may be sent requests now: those that are neither draining nor
-   * evacuated.
+   * Lists the upstreams of a service in a region that may be sent requests now: those that neither drain, by their entry
+   * or their answers, nor are evacuated.
    */
   usableIn(service: string, region: string): KnownUpstream[] {
     return this.usableInRegions(service, (name) => name === region);
@@ -95,6 +114,7 @@
   canUse(upstream: KnownUpstream): boolean {
     return this.#byId.get(upstream.id)?.key === upstream.key &&
       this.#byId.get(upstream.id)?.state === "ready" &&
+      !this.#leaving.has(upstream.key) &&
       !this.#evacuated.has(upstream.failureDomain);
   }
 
@@ -102,9 +122,16 @@
     return {
       upstreams: [...this.#byId.values()],
       evacuated: [...this.#evacuated],
+      leaving: [...this.#byId.values()].map(({ key }) => key)
+        .filter((key) => this.#leaving.has(key)),
     };
   }
 
+  #getByKey(key: string): KnownUpstream | undefined {
+    const known = this.#byId.get(key.slice(0, key.lastIndexOf("@")));
+    return known?.key === key ? known : undefined;
+  }
+
   #rebuildIndex(): void {
     this.#byService = new Map();
     for (const upstream of this.#byId.values()) {
--- a/src/routing/mod.ts
+++ b/src/routing/mod.ts
@@ -12,6 +12,7 @@
 export * from "./engine_pace.ts";
 export * from "./fleet.ts";
 export * from "./drain.ts";
+export * from "./leaving.ts";
 export * from "./move.ts";
 export * from "./part_holders.ts";
 export * from "./place.ts";
--- a/test/gateway_leaving_test.ts
+++ b/test/gateway_leaving_test.ts
@@ -75,6 +75,20 @@
       t.true(lastAfterMs() < DRAIN_MS, `${lastAfterMs()} ms`);
     });
 
+    it("is known to a VM that starts later, before any answer to that VM", async (t) => {
+      const { lab, vm } = await openLab(t, 1);
+      lab.runners[0].isLeaving = true;
+      await lab.call(vm, { path: "/safe/" });
+      const late = await lab.addVm();
+      await waitUntil(() => {
+        const { fleet } = late.gateway.dump().beliefs as {
+          fleet: { leaving: string[] };
+        };
+        return fleet.leaving.length === 1;
+      });
+      t.is(lab.runners[0].arrivals.length, 1);
+    });
+
     it("is used again when a process with its id has started anew", async (t) => {
       const { lab, vm } = await openLab(t, 1);
       const [runner] = lab.runners;
