Red: an upstream that asks for rest gets request after request

Measured: 21 requests of one VM in 3 s of rest, 17 in 2.5 s, 7 from each of six VMs, 75 where all upstreams rest; two are allowed.

--- a/test/gateway_lab.ts
+++ b/test/gateway_lab.ts
@@ -357,7 +357,7 @@
   return lab;
 }
 
-/** Sends `perS` requests a second for `forMs`, to each VM in turn, and returns their answers. */
+/** Sends `perS` requests a second for `forMs`, to each VM in turn, with `VM-N` as ids. Returns their answers. */
 export async function callSteadily(
   lab: GatewayLab,
   vms: readonly LabVm[],
@@ -367,7 +367,10 @@
   const calls: Promise<CallerAnswer>[] = [];
   const endMs = performance.now() + forMs;
   while (performance.now() < endMs) {
-    calls.push(lab.call(vms[calls.length % vms.length], input));
+    const vm = vms[calls.length % vms.length];
+    const attemptId = `${vm.settings.vm.id}-${calls.length}`;
+    const headers = { ...input.headers, "attempt-id": attemptId };
+    calls.push(lab.call(vm, { ...input, headers }));
     await new Promise((resolve) => setTimeout(resolve, 1_000 / perS));
   }
   return await Promise.all(calls);
