An upstream that asks for rest gets none of this VM's requests until it is over

Cause: a refusal's Retry-After was read by nobody. A refusal set the upstream aside for 100 ms, and the last resort of the placement goes to upstreams that are set aside. Change: a refusal's time is kept for the link of this VM to this start of the upstream (a minute at most, up to a tenth longer by chance). Until then no request, repeat, relayed request or move of this VM goes there; a lead is told with each question which upstreams rest for the asking VM, and a grant of one is not used. A further refusal may extend the rest, and nothing shortens it; after it this VM's share of the slots grows over a second. A request whose upstreams all rest, and that no other region takes, is refused at once with the time until the first has rested. explain and the dump show it. The watch for silent upstreams moves to a file of its own, unchanged. Why this is enough: the rest is asked of one VM, and every send of that VM passes the check in the step that sends; runs that go on are no new requests. Two ways weighed: keeping the rest for the whole region spares one refusal a VM and takes from the others a server that may have room for them; it stays one VM's. Cost: some 30 bytes in a question to a lead for each resting upstream, nothing else between VMs.

--- a/src/explain/explain_test.ts
+++ b/src/explain/explain_test.ts
@@ -50,6 +50,17 @@
     t.regex(explanation.cause, /not run again; .*ended under it: u7,u9/);
   });
 
+  it("shows which upstreams asked for rest before a request that was sent to none", (t) => {
+    const lines = [
+      'time=2026-01-01T00:00:01.000Z level=warn event="upstream asks for rest" vm=a upstream=u7 restMs=3000 attempt=b1',
+      'time=2026-01-01T00:00:01.000Z level=warn event="upstream asks for rest" vm=b upstream=u8 restMs=3000 attempt=b2',
+      'time=2026-01-01T00:00:02.000Z level=warn event=request vm=a attempt=a8 place="" here=3 resting=3 elsewhere=nobody outcome=queueFull',
+    ].map((line) => parseLine(line)!);
+    const { cause } = explainRequest("a8", lines)!;
+    t.regex(cause, /of these, 3 had asked this VM for rest/);
+    t.regex(cause, /meanwhile: upstream asks for rest \(u7\)$/);
+  });
+
   it("explains nothing for a request that no line names", (t) => {
     t.is(explainRequest("nobody", LINES), undefined);
   });
--- a/src/explain/explanation.ts
+++ b/src/explain/explanation.ts
@@ -31,6 +31,12 @@
   "store lost",
 ]);
 
+/** What upstreams say of themselves; it explains a request that was sent to none. */
+const NOTICE_EVENTS = new Set([
+  "upstream says it leaves",
+  "upstream asks for rest",
+]);
+
 /** Events about a request that is suspected of crashing upstreams, in any of its attempts. */
 const SUSPECT_EVENTS = new Set([
   "upstream ended under",
@@ -89,6 +95,7 @@
     leftMs,
     firstByteMs,
     here,
+    resting,
     elsewhere,
     workspace,
     quotaUnits,
@@ -109,6 +116,9 @@
   if (here) {
     parts.push(`upstreams here: ${here}; free/queue elsewhere: ${elsewhere}`);
   }
+  if (resting) {
+    parts.push(`of these, ${resting} had asked this VM for rest`);
+  }
   if (sends) parts.push(`upstreams that got it: ${sends}`);
   if (ends) parts.push(`upstreams that ended under it: ${ends}`);
   if (firstByteMs) parts.push(`first byte after ${firstByteMs} ms`);
@@ -141,7 +151,8 @@
     CONTEXT_EVENTS.has(event) && timeMs >= firstMs && timeMs <= lastMs &&
     vms.has(vm) &&
     (places.has(fields.upstream ?? fields.peer ?? "") ||
-      event === "store lost" || event === "evacuated")
+      event === "store lost" || event === "evacuated" ||
+      (places.size === 0 && NOTICE_EVENTS.has(event)))
   );
   const digests = new Set(
     ownLines.map(({ fields }) => fields.request).filter(Boolean),
--- a/src/gateway/call_placement.ts
+++ b/src/gateway/call_placement.ts
@@ -158,8 +158,8 @@
 
   /** Returns the other upstreams of this region, for a stream that runs at one. */
   candidatesExcept(candidate: LinkedCandidate): LinkedCandidate[] {
-    return this.#context.upstreams.candidates(this.#service).filter(({ key }) =>
-      key !== candidate.key
-    );
+    return this.#context.upstreams.candidates(this.#service).filter((
+      { key, restLeftMs },
+    ) => key !== candidate.key && restLeftMs === 0);
   }
 }
--- a/src/gateway/call_record.ts
+++ b/src/gateway/call_record.ts
@@ -90,9 +90,10 @@
   }
 
   /** Notes that the request is refused; `here` and `elsewhere` are what the refusal was decided on. */
-  noteRefused({ here, elsewhere }: RefusalDetails): void {
+  noteRefused({ here, resting, elsewhere }: RefusalDetails): void {
     this.#refusalFields = {
       here,
+      ...(resting > 0 ? { resting } : {}),
       elsewhere:
         elsewhere.map(({ region, free, queue }) => `${region}:${free}/${queue}`)
           .join(",") || "nobody",
--- a/src/gateway/call_sends.ts
+++ b/src/gateway/call_sends.ts
@@ -75,23 +75,25 @@
     goesOnFrom: string,
     state: SendState,
   ): Send | undefined {
-    if (!this.#admit(candidate)) return undefined;
+    // A run that goes on is no new request: breaking it off would cost its caller the stream.
+    const { context, service } = this.#options;
+    const isAdmitted = context.upstreams.tryAdmit(
+      candidate,
+      service,
+      this.#prompt,
+    );
+    if (!this.#noteAdmission(candidate, isAdmitted)) return undefined;
     this.#options.record.moves++;
     const outbound = {
       ...this.#buildRequest(0, undefined, state),
       goesOnFrom,
       urgency: 0,
     };
-    return new UpstreamSend(this.#options.context, outbound, candidate);
+    return new UpstreamSend(context, outbound, candidate);
   }
 
-  #admit(candidate: LinkedCandidate): boolean {
-    const { context, service, placement, record } = this.#options;
-    const isAdmitted = context.upstreams.tryAdmit(
-      candidate,
-      service,
-      this.#prompt,
-    );
+  #noteAdmission(candidate: LinkedCandidate, isAdmitted: boolean): boolean {
+    const { placement, record } = this.#options;
     // The lead would choose the upstream again if the news that the upstream is draining has not reached it yet.
     if (isAdmitted || candidate.grant) placement.noteTried(candidate);
     if (!isAdmitted) return false;
@@ -103,8 +105,13 @@
     candidate: LinkedCandidate,
     state: SendState,
   ): Send | undefined {
-    if (!this.#admit(candidate)) return undefined;
     const { context, service, placement } = this.#options;
+    const isAdmitted = context.upstreams.trySend(
+      candidate,
+      service,
+      this.#prompt,
+    );
+    if (!this.#noteAdmission(candidate, isAdmitted)) return undefined;
     const fetchFrom = context.upstreams.pickFetchSource(
       candidate,
       service,
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -181,7 +181,7 @@
       quotas,
       metrics,
       losses,
-      notices: new UpstreamNotices(log, metrics, storeView),
+      notices: new UpstreamNotices(clock, log, metrics, storeView),
       suspects,
     });
     const directory = new Directory(context);
--- a/src/gateway/local_placement.ts
+++ b/src/gateway/local_placement.ts
@@ -32,6 +32,8 @@
   readonly deadlineMs: number;
   /** Keys of upstreams that the request was sent to. */
   readonly tried: ReadonlySet<string>;
+  /** For how long upstreams want no request from the asking VM, by key, in ms; absent for this VM's own requests. */
+  readonly restLeftMs?: ReadonlyMap<string, number>;
   /** Regions that it was relayed to. */
   readonly triedRegions: ReadonlySet<string>;
   /** Regions that may serve it; empty means all. */
@@ -61,12 +63,25 @@
   return homeRegions.length === 0 || homeRegions.includes(region);
 }
 
+/** Lists the upstreams of this region; a rest counts only if it was asked of the VM that sends the request. */
+function listCandidates(
+  upstreams: Upstreams,
+  { service, prompt, restLeftMs }: PlacementRequest,
+): LinkedCandidate[] {
+  const candidates = upstreams.candidates(service, prompt);
+  if (!restLeftMs) return candidates;
+  return candidates.map((candidate) => ({
+    ...candidate,
+    restLeftMs: restLeftMs.get(candidate.key) ?? 0,
+  }));
+}
+
 /** Returns the next step of a request, decided from this VM's own state. */
 export function placeLocally(
   { region, clock, random, upstreams, relays }: PlacementContext,
   request: PlacementRequest,
 ): Step<LinkedCandidate> {
-  const { service, prompt, tried, triedRegions, config } = request;
+  const { service, tried, triedRegions, config } = request;
   const mayRunAnywhere = request.homeRegions.length === 0;
   return nextStep({
     nowMs: clock.monoMs(),
@@ -79,15 +94,14 @@
       endGapMs: request.endGapMs,
     },
     candidates: isHomeRegion(request, region)
-      ? upstreams.candidates(service, prompt)
-        .filter(({ key }) => !tried.has(key))
+      ? listCandidates(upstreams, request).filter(({ key }) => !tried.has(key))
       : [],
     regions: request.isRelayed ? [] : relays.reachableRegions(
       service.name,
       (name) => isHomeRegion(request, name) && !triedRegions.has(name),
       (name) => mayRunAnywhere && config.isHomeOf(service.name, name),
     ),
-    affinity: affinityOf(prompt.parts),
+    affinity: affinityOf(request.prompt.parts),
     isSuspect: request.isSuspect,
     draw: random.next(),
   });
--- a/src/gateway/placement_wire.ts
+++ b/src/gateway/placement_wire.ts
@@ -9,7 +9,7 @@
 import type { QuotaUse } from "../quota/mod.ts";
 import { decodeUse } from "./quota_wire.ts";
 import type { PlacementRequest } from "./local_placement.ts";
-import type { Grant } from "./upstream_link.ts";
+import type { Grant, RestingUpstream } from "./upstream_link.ts";
 
 /** A query of a VM; see {@link PlacementRequest} for the fields that both have. */
 export interface PlacementQuery {
@@ -28,6 +28,8 @@
   readonly tried: readonly string[];
   /** Upstreams to avoid while there is another one; see {@link QueryContext.lost}. */
   readonly lost: readonly string[];
+  /** Upstreams that want no request from the asking VM, with the time left in ms; absent if there is none. */
+  readonly resting?: readonly RestingUpstream[];
   readonly triedRegions: readonly string[];
   readonly homeRegions: readonly string[];
   readonly isRelayed: boolean;
@@ -53,6 +55,7 @@
     readonly reason: Extract<Step<never>, { type: "refuse" }>["reason"];
     readonly comeBackMs: number;
     readonly here: number;
+    readonly resting: number;
     readonly elsewhere: readonly RegionCapacity[];
     readonly counted?: true;
   };
@@ -69,16 +72,21 @@
   readonly from: string;
   /** Upstreams to which the asking VM itself has just lost connections; the lead may reach them. */
   readonly lost: readonly string[];
+  /** Upstreams of the service that want no request from the asking VM. */
+  readonly resting: readonly RestingUpstream[];
   readonly nowMs: number;
 }
 
 /** A VM that has lost more upstreams than this has lost its own links, so that its query names none of them. */
 const MAX_LOST_UPSTREAMS = 8;
 
+/** Most resting upstreams that a query names; a grant of another one is not used. */
+const MAX_RESTING_UPSTREAMS = 32;
+
 /** Encodes the query about a request. */
 export function encodeQuery(
   request: PlacementRequest,
-  { question, from, lost, nowMs }: QueryContext,
+  { question, from, lost, resting, nowMs }: QueryContext,
 ): PlacementQuery {
   return {
     question,
@@ -93,6 +101,9 @@
     leftMs: request.deadlineMs - nowMs,
     tried: [...request.tried],
     lost: lost.length > MAX_LOST_UPSTREAMS ? [] : lost,
+    ...(resting.length > 0
+      ? { resting: resting.slice(0, MAX_RESTING_UPSTREAMS) }
+      : {}),
     triedRegions: [...request.triedRegions],
     homeRegions: request.homeRegions,
     isRelayed: request.isRelayed,
@@ -113,6 +124,7 @@
         query.lost,
         query.triedRegions,
         query.homeRegions,
+        query.resting ?? [],
       ].every(Array.isArray) &&
       [query.promptTokens, query.waitedMs, query.leftMs].every(
         Number.isFinite,
@@ -142,6 +154,7 @@
     arrivedMs: nowMs - query.waitedMs,
     deadlineMs: nowMs + query.leftMs,
     tried: new Set(query.tried),
+    restLeftMs: new Map(query.resting),
     triedRegions: new Set(query.triedRegions),
     homeRegions: query.homeRegions,
     isRelayed: query.isRelayed,
--- a/src/gateway/placer.ts
+++ b/src/gateway/placer.ts
@@ -235,6 +235,7 @@
           Math.min(Math.max(waitMs, MIN_RETRY_MS), MAX_RETRY_MS) * jitterFactor,
         ),
         here: 0,
+        resting: 0,
         elsewhere: [],
       },
     };
@@ -281,6 +282,7 @@
         question: queryId,
         from: self.id,
         lost: upstreams.asideKeys(),
+        resting: upstreams.resting(request.service.name),
         nowMs: this.#clock.monoMs(),
       });
       datagrams.send("place", query, [lead.ip]);
--- a/src/gateway/placer_test.ts
+++ b/src/gateway/placer_test.ts
@@ -50,7 +50,7 @@
         },
       },
       members: { hearsAll: false, leads: [{ id: "vm-2", ip: "10.0.0.2" }] },
-      upstreams: { asideKeys: () => [] },
+      upstreams: { asideKeys: () => [], resting: () => [] },
       metrics,
     } as unknown as PlacerOptions);
     await placer.start({ clock: systemClock } as unknown as Kernel);
--- a/src/gateway/stream_move.ts
+++ b/src/gateway/stream_move.ts
@@ -64,6 +64,7 @@
     if (!this.#engine?.moves || this.#pendingMove || this.#moves >= MAX_MOVES) {
       return;
     }
+    if (this.#context.upstreams.rests(candidate)) return;
     const { head, route } = this.#input;
     const stream = {
       waitingTokens: this.#context.upstreams.waitingTokens(key),
--- a/src/gateway/upstream_link.ts
+++ b/src/gateway/upstream_link.ts
@@ -12,6 +12,7 @@
   selectColdOwner,
   type StepCandidate,
   UpstreamHealth,
+  UpstreamRest,
 } from "../routing/mod.ts";
 import { KeepAliveAgent } from "./keep_alive_agent.ts";
 
@@ -32,6 +33,7 @@
   readonly agent: KeepAliveAgent;
   readonly health = new UpstreamHealth();
   readonly coldPace = new ColdRateLimiter();
+  readonly rest = new UpstreamRest();
   /** Called periodically for each stream that runs there, so that it can leave an engine that reads a prompt. */
   readonly streamChecks = new Set<() => void>();
   /** Called for each repeatable request in flight when the upstream turns out to be unreachable. */
@@ -123,6 +125,9 @@
   readonly grant?: Grant;
 }
 
+/** An upstream that wants no request from a VM, with the time left in ms. */
+export type RestingUpstream = readonly [key: string, leftMs: number];
+
 /** What a lead reports about an upstream that it chose. */
 export interface Grant {
   readonly running: number;
--- a/src/gateway/upstream_notices.ts
+++ b/src/gateway/upstream_notices.ts
@@ -4,6 +4,7 @@
  * @module
  */
 
+import { type Clock, Random } from "../base/mod.ts";
 import type { Log } from "../kernel/mod.ts";
 import type { RestRequest, UpstreamAnswer } from "../platform/mod.ts";
 import type { GatewayMetrics } from "./metrics.ts";
@@ -18,8 +19,16 @@
   readonly #log: Log;
   readonly #metrics: GatewayMetrics;
   readonly #storeView: StoreView;
+  readonly #clock: Clock;
+  readonly #random = new Random(process.pid);
 
-  constructor(log: Log, metrics: GatewayMetrics, storeView: StoreView) {
+  constructor(
+    clock: Clock,
+    log: Log,
+    metrics: GatewayMetrics,
+    storeView: StoreView,
+  ) {
+    this.#clock = clock;
     this.#log = log;
     this.#metrics = metrics;
     this.#storeView = storeView;
@@ -39,7 +48,7 @@
   }
 
   #noteRest(
-    { upstream }: LinkedCandidate,
+    { upstream, link }: LinkedCandidate,
     { ms, text }: RestRequest,
     attemptId: string,
   ): void {
@@ -52,7 +61,9 @@
       upstream: upstream.key,
       service: upstream.service,
       attempt: attemptId,
-      restMs: ms ?? "unreadable",
+      restMs: ms === undefined ? "unreadable" : Math.round(
+        link.rest.note(ms, this.#clock.monoMs(), this.#random.next()),
+      ),
       sent: text.slice(0, MAX_LOGGED_CHARS),
     });
   }
--- a/src/gateway/upstream_send.ts
+++ b/src/gateway/upstream_send.ts
@@ -201,7 +201,10 @@
       arrivals: 1,
       reason: `upstream refused with ${decoded.status}`,
       failure: failure("upstreamRefused"),
-      comeBackMs: REFUSED_RETRY_AFTER_MS,
+      comeBackMs: Math.max(
+        REFUSED_RETRY_AFTER_MS,
+        this.context.upstreams.leastRestMs(this.#candidate.upstream.service),
+      ),
     };
   }
 
--- a/src/gateway/upstreams.ts
+++ b/src/gateway/upstreams.ts
@@ -4,12 +4,10 @@
  * @module
  */
 
-import { isUnreachable } from "../adapters/mod.ts";
 import { type Clock, hash32, type Timer } from "../base/mod.ts";
 import {
   type Handlers,
   type Kernel,
-  type Log,
   type Messages,
   Task,
 } from "../kernel/mod.ts";
@@ -17,6 +15,7 @@
   EnginePace,
   type Fleet,
   type HeldPart,
+  type KnownUpstream,
   PartHolders,
   preferenceOf,
   selectFetchSource,
@@ -25,19 +24,19 @@
 } from "../routing/mod.ts";
 import type { Load, SeenOutcome } from "../region/mod.ts";
 import { OtherLoads, type RegionLoads } from "./other_loads.ts";
+import { watchSilence } from "./silence.ts";
 import {
   type Grant,
   type LinkedCandidate,
   NO_PROMPT,
   type PromptShape,
+  type RestingUpstream,
   UpstreamLink,
 } from "./upstream_link.ts";
 
 /** Connections of an upstream that is no longer known are kept this long, for answers that are still in flight. */
 const LINK_TTL_MS = 60_000;
 const SWEEP_INTERVAL_MS = 5_000;
-/** Interval of the silence check: silence is detected late by up to this much, a third of the silence timeout. */
-const SILENCE_CHECK_INTERVAL_MS = 200;
 const SEND_OUTCOMES: ReadonlySet<string> = new Set<SendOutcome>([
   "answered",
   "failed",
@@ -85,12 +84,7 @@
     this.#timers.push(
       this.#clock.every(SWEEP_INTERVAL_MS, () => this.#sweep()),
     );
-    this.#timers.push(
-      this.#clock.every(
-        SILENCE_CHECK_INTERVAL_MS,
-        () => this.#checkSilence(kernel.log),
-      ),
-    );
+    this.#timers.push(watchSilence(this.#links, this.#clock, kernel.log));
     return Promise.resolve();
   }
 
@@ -104,11 +98,12 @@
   dump(): unknown {
     const links = Object.fromEntries(
       [...this.#links].map((
-        [key, { running, waitingTokens, health }],
+        [key, { running, waitingTokens, health, rest }],
       ) => [key, {
         running,
         waitingTokens,
         health: health.dump(),
+        restLeftMs: rest.leftMs(running, running, this.#clock.monoMs()),
       }]),
     );
     const paces = Object.fromEntries(
@@ -187,6 +182,7 @@
           isWithinColdRate: !isCold ||
             (link.coldOwner(key, coldVmIds) === this.#self.id &&
               link.coldPace.canTake(nowMs)),
+          restLeftMs: link.rest.leftMs(link.running, upstream.slots, nowMs),
           unreadTokens: Math.max(0, tokens - warmTokens(key)),
           upstream,
           link,
@@ -204,7 +200,7 @@
   ): LinkedCandidate | undefined {
     const upstream = this.#fleet.usableIn(service.name, this.#self.region)
       .find((known) => known.key === key);
-    if (!upstream) return undefined;
+    if (!upstream || this.#restLeftMs(upstream) > 0) return undefined;
     return {
       key,
       hash: upstream.hash,
@@ -214,6 +210,7 @@
       suspectCount: 0,
       isAside: false,
       isWithinColdRate: true,
+      restLeftMs: 0,
       ...grant,
       upstream,
       link: this.#getLink(key, this.#clock.monoMs()),
@@ -229,6 +226,33 @@
       .map(([key]) => key);
   }
 
+  /** Returns the upstreams of a service that want no request from this VM for a while. */
+  resting(service: string): RestingUpstream[] {
+    return this.#fleet.usableIn(service, this.#self.region)
+      .map((upstream) =>
+        [upstream.key, Math.ceil(this.#restLeftMs(upstream))] as const
+      )
+      .filter(([, leftMs]) => leftMs > 0);
+  }
+
+  /** Time until the first upstream of a service has rested, in ms; 0 if one does not rest. */
+  leastRestMs(service: string): number {
+    const all = this.#fleet.usableIn(service, this.#self.region)
+      .map((upstream) => this.#restLeftMs(upstream));
+    return all.length === 0 ? 0 : Math.min(...all);
+  }
+
+  /** Whether an upstream wants no request from this VM now. */
+  rests({ upstream }: LinkedCandidate): boolean {
+    return this.#restLeftMs(upstream) > 0;
+  }
+
+  #restLeftMs({ key, slots }: KnownUpstream): number {
+    const link = this.#links.get(key);
+    if (!link) return 0;
+    return link.rest.leftMs(link.running, slots, this.#clock.monoMs());
+  }
+
   /** Records the outcomes of another VM's sends. */
   noteOutcomes(vmId: string, outcomes: readonly SeenOutcome[]): void {
     const nowMs = this.#clock.monoMs();
@@ -288,6 +312,16 @@
     return true;
   }
 
+  /** Like {@link tryAdmit}, for a request that this VM sends itself: the upstream must not want rest from it. */
+  trySend(
+    candidate: LinkedCandidate,
+    service: ServiceConfig,
+    prompt: PromptShape,
+  ): boolean {
+    return !this.rests(candidate) &&
+      this.tryAdmit(candidate, service, prompt);
+  }
+
   /** Returns the `IP:PORT` of an engine to copy a prompt's shared parts from, among the regions that may hold them. */
   pickFetchSource(
     { upstream, grant }: LinkedCandidate,
@@ -337,38 +371,11 @@
     this.#streamTimer = undefined;
   }
 
-  #checkSilence(log: Log): void {
-    const nowMs = this.#clock.monoMs();
-    for (const [key, link] of this.#links) {
-      if (!link.checkSilence(nowMs)) continue;
-      log.warn("upstream silent", { upstream: key, running: link.running });
-      void this.#probeSilent(log, key, link);
-    }
-  }
-
-  /**
-   * Probes a silent upstream, and cancels sends to it if it can't be reached. An engine that reads a long prompt is
-   * silent too, so silence alone cancels no request. An upstream that also accepts no connection has lost its power
-   * or its link, and requests there would get no answer before their deadline.
-   */
-  async #probeSilent(
-    log: Log,
-    key: string,
-    link: UpstreamLink,
-  ): Promise<void> {
-    const { upstream } = link;
-    if (!upstream || link.darkListeners.size === 0) return;
-    if (!(await isUnreachable(upstream.host, upstream.port, this.#clock))) {
-      return;
-    }
-    log.warn("upstream dark", { upstream: key, running: link.running });
-    for (const listener of [...link.darkListeners]) listener();
-  }
-
   #sweep(): void {
     const nowMs = this.#clock.monoMs();
     for (const [key, link] of this.#links) {
       if (link.running > 0 || nowMs - link.usedMonoMs < LINK_TTL_MS) continue;
+      if (link.rest.isOpen(nowMs)) continue;
       link.agent.destroy();
       this.#links.delete(key);
     }
--- a/src/routing/move_load_test.ts
+++ b/src/routing/move_load_test.ts
@@ -66,6 +66,7 @@
       suspectCount: 0,
       isAside: false,
       isWithinColdRate: true,
+      restLeftMs: 0,
     };
   }
 
--- a/src/routing/move_test.ts
+++ b/src/routing/move_test.ts
@@ -21,6 +21,7 @@
     suspectCount: 0,
     isAside: false,
     isWithinColdRate: true,
+    restLeftMs: 0,
     ...overrides,
   };
 }
--- a/src/routing/step.ts
+++ b/src/routing/step.ts
@@ -23,6 +23,8 @@
   readonly isWithinColdRate: boolean;
   /** Whether the upstream is set aside, as after a connection that was lost a moment ago. */
   readonly isAside: boolean;
+  /** Time for which the upstream wants no request from the sending VM, in ms; 0 if it rests not. */
+  readonly restLeftMs: number;
 }
 
 /** Capacity of another region that may serve the request and is reachable. */
@@ -61,6 +63,8 @@
 export interface RefusalDetails {
   /** Number of upstreams of this region that were left to try. */
   readonly here: number;
+  /** How many of these want no request from this VM for a while. */
+  readonly resting: number;
   /** Other regions that the request could have been relayed to, with their capacity. */
   readonly elsewhere: readonly RegionCapacity[];
 }
@@ -105,6 +109,8 @@
 const MAX_BACKLOG_OBJECTIVES = 1.4;
 /** When callers should retry at an overloaded service: after about the time that its queue takes to become empty. */
 const OVERLOAD_RETRY_AFTER_MS = 400;
+/** Callers whose upstreams all rest come back within this time after the first rest is over. */
+const REST_RETRY_SPREAD_MS = 400;
 /**
  * When callers should retry at a service without upstreams: after the time in which a lost upstream is found to be gone
  * or is back.
@@ -156,10 +162,12 @@
 export function nextStep<C extends StepCandidate>(
   input: StepInput<C>,
 ): Step<C> {
-  const { nowMs, deadlineMs, arrivedMs, criteria, draw } = input;
+  const { nowMs, deadlineMs, criteria, draw } = input;
   const leftMs = deadlineMs - nowMs;
+  const rested = input.candidates.filter(({ restLeftMs }) => restLeftMs <= 0);
   const refusalDetails = {
     here: input.candidates.length,
+    resting: input.candidates.length - rested.length,
     elsewhere: input.regions,
   };
   if (leftMs < MIN_WORK_MS) {
@@ -170,7 +178,7 @@
       ...refusalDetails,
     };
   }
-  const usable = input.candidates.filter(({ isAside, isWithinColdRate }) =>
+  const usable = rested.filter(({ isAside, isWithinColdRate }) =>
     !isAside && isWithinColdRate
   );
   const ranked = input.isSuspect
@@ -186,14 +194,14 @@
   if (queueable) return { type: "send", candidate: queueable };
   // Only a request without an upstream here waits in another region. Otherwise the requests that wait in a full region
   // would fill the queues of the others and arrive there late.
-  const queueRegion = input.candidates.length === 0
+  const queueRegion = rested.length === 0
     ? pickRegion(regions, (region) => region.queue, draw)
     : undefined;
   if (queueRegion !== undefined) return { type: "relay", region: queueRegion };
   // All remaining upstreams were lost a moment ago. A connection that fails has sent nothing, so trying one costs
   // little.
   const lastResort = rankCandidates(
-    input.candidates.filter(({ isAside, isWithinColdRate }) =>
+    rested.filter(({ isAside, isWithinColdRate }) =>
       isAside && isWithinColdRate
     ),
     input.affinity,
@@ -202,29 +210,54 @@
   if (ranked.length === 0 && lastResort.length > 0) {
     return { type: "send", candidate: lastResort[0] };
   }
+  return waitOrRefuse(input, refusalDetails);
+}
+
+/** Time until the first candidate has rested, in ms, if all of them rest; `undefined` otherwise. */
+function leastRestMs(
+  candidates: readonly StepCandidate[],
+): number | undefined {
+  const leftMs = candidates.map(({ restLeftMs }) => restLeftMs);
+  return leftMs.length > 0 && leftMs.every((ms) => ms > 0)
+    ? Math.min(...leftMs)
+    : undefined;
+}
+
+/**
+ * Decides for a request that no upstream or region can take now. It waits only if a place may become free in time; one
+ * whose upstreams all rest for longer is refused at once.
+ */
+function waitOrRefuse<C extends StepCandidate>(
+  { nowMs, arrivedMs, deadlineMs, criteria, draw, candidates }: StepInput<C>,
+  refusalDetails: RefusalDetails,
+): Step<C> {
+  const restMs = leastRestMs(candidates);
   const waitEndMs = Math.min(
     arrivedMs + criteria.objectiveMs * MAX_WAIT_SHARE,
     deadlineMs - MIN_WORK_MS,
   );
-  if (nowMs < waitEndMs) {
+  if (nowMs + (restMs ?? 0) < waitEndMs) {
     return {
       type: "wait",
       untilMs: Math.min(waitEndMs, nowMs + RECHECK_MS),
     };
   }
-  return input.candidates.length === 0
-    ? {
+  if (candidates.length === 0) {
+    return {
       type: "refuse",
       reason: "noUpstream",
       comeBackMs: jitter(NO_UPSTREAM_RETRY_AFTER_MS, draw),
       ...refusalDetails,
-    }
-    : {
-      type: "refuse",
-      reason: "overloaded",
-      comeBackMs: jitter(OVERLOAD_RETRY_AFTER_MS, draw),
-      ...refusalDetails,
     };
+  }
+  return {
+    type: "refuse",
+    reason: "overloaded",
+    comeBackMs: restMs === undefined
+      ? jitter(OVERLOAD_RETRY_AFTER_MS, draw)
+      : Math.ceil(restMs + REST_RETRY_SPREAD_MS * draw),
+    ...refusalDetails,
+  };
 }
 
 /** State of a request after a send that brought no answer to pass on. */
@@ -263,7 +296,9 @@
   let free = 0;
   let queue = 0;
   for (const candidate of candidates) {
-    if (candidate.isAside || candidate.isDoubtful) continue;
+    if (
+      candidate.isAside || candidate.isDoubtful || candidate.restLeftMs > 0
+    ) continue;
     if (hasRoom(candidate, criteria)) {
       free += usableSlots(candidate, criteria) - candidate.running;
     }
--- a/src/routing/step_test.ts
+++ b/src/routing/step_test.ts
@@ -24,6 +24,7 @@
     suspectCount: 0,
     isAside: false,
     isWithinColdRate: true,
+    restLeftMs: 0,
     ...overrides,
   };
 }
@@ -67,6 +68,35 @@
       ["a request queues if there is no other region", {
         candidates: [candidate({ running: 10 })],
       }, "send u1"],
+      ["an upstream that rests gets nothing while another has room", {
+        candidates: [
+          candidate({ restLeftMs: 2_000 }),
+          candidate({ key: "u2", running: 9 }),
+        ],
+      }, "send u2"],
+      ["an upstream that rests is no last resort", {
+        candidates: [
+          candidate({ restLeftMs: 2_000, isAside: true }),
+          candidate({ key: "u2", isAside: true }),
+        ],
+      }, "send u2"],
+      ["a request whose upstreams all rest goes to a region with a queue", {
+        candidates: [candidate({ restLeftMs: 2_000 })],
+        regions: busy,
+      }, "relay south"],
+      [
+        "a request whose upstreams all rest is refused at once, until one has rested",
+        {
+          candidates: [
+            candidate({ restLeftMs: 2_000 }),
+            candidate({ key: "u2", restLeftMs: 1_500 }),
+          ],
+        },
+        "refuse overloaded",
+      ],
+      ["a request waits for a rest that is over in time", {
+        candidates: [candidate({ restLeftMs: 20 })],
+      }, "wait"],
       ["a request waits if the queue is full", {
         candidates: [candidate({ running: 40 })],
       }, "wait"],
@@ -118,6 +148,18 @@
       });
     }
 
+    it("callers of upstreams that all rest come back when the first has rested", (t) => {
+      const candidates = [
+        candidate({ restLeftMs: 2_000 }),
+        candidate({ key: "u2", restLeftMs: 1_500 }),
+      ];
+      const delays = [0, 0.5].map((draw) => {
+        const refused = step({ candidates, draw });
+        return refused.type === "refuse" ? refused.comeBackMs : 0;
+      });
+      t.deepEqual(delays, [1_500, 1_700]);
+    });
+
     // One region's engines are gone, and one other region is the last home of bound requests.
     it("a request that may run anywhere avoids the home regions of others", (t) => {
       const home = { region: "home", free: 90, queue: 90, isScarce: true };
