The log of a store that went back names its generation, and once per state

Change: the adapter decodes how often the store came back, which all its answers state, for listings and polls; a listing whose pages are of two generations is none. The line names the generation and is written once per state. Nothing is decided by it yet. The stand-in store states it, comes back from a copy with its later leases gone, and refuses a poll after a revision that it does not have. Encoding and decoding of the store's calls have a file of their own.

--- a/src/adapters/key_value.ts
+++ b/src/adapters/key_value.ts
@@ -69,6 +69,11 @@
   readonly rev: number;
   /** Whether there are more keys beyond `limit`. */
   readonly more: boolean;
+  /**
+   * How often the store has come back from an older copy; absent if it does not say. Revisions of different generations
+   * can't be compared: the store gives them out again.
+   */
+  readonly generation?: number | undefined;
 }
 
 /** An open watch. */
--- a/src/gateway/follower.ts
+++ b/src/gateway/follower.ts
@@ -87,6 +87,8 @@
   #failingSinceMonoMs: number | undefined;
   #recoveredMonoMs = -Infinity;
   #agreedMonoMs = -Infinity;
+  /** What was logged last of a store that went back; it answers many calls with the same state. */
+  #loggedRegression = "";
   /** Since when this VM differs from those that the store answers, on the monotonic clock. */
   #differsSinceMonoMs: number | undefined;
 
@@ -218,7 +220,7 @@
     }
     this.#noteAnswer();
     const { entries, rev, more } = listing.value;
-    if (rev < askedAtRev) this.#logRegression(rev);
+    if (rev < askedAtRev) this.#logRegression(listing.value);
     this.#replica.applyListing({
       entries: entries.map((entry) => this.#redact(entry)),
       rev,
@@ -274,8 +276,12 @@
    * Logs a store whose revisions went back. Its answers can't be distinguished from stale ones, so VMs have to be
    * restarted too.
    */
-  #logRegression(rev: number): void {
+  #logRegression({ rev, generation }: Listing): void {
+    const regression = `${generation}/${rev}`;
+    if (regression === this.#loggedRegression) return;
+    this.#loggedRegression = regression;
     this.#options.log.error("store went back", {
+      generation,
       prefix: this.#options.prefix,
       rev,
       knownRev: this.#replica.rev,
--- a/src/platform/platform_test.ts
+++ b/src/platform/platform_test.ts
@@ -246,6 +246,46 @@
       t.is(JSON.parse(listing.entries[129].value).i, 129);
     });
 
+    it("tells with each listing and poll how often it came back from a copy", async (t) => {
+      const server = new KvServer();
+      const store = new PlatformKeyValue(await server.openAddressFor("a"));
+      t.teardown(async () => {
+        await store.close();
+        await server.close();
+      });
+      const copy = server.store.copy();
+      server.put("k/1", {});
+      const ask = async () => {
+        const { rev, generation } = (await store.list("k/", {}, "other"))
+          ._unsafeUnwrap();
+        const changes = await store.changes("k/", rev, 1, "other");
+        return [generation, changes._unsafeUnwrap().generation];
+      };
+      t.deepEqual(await ask(), [1, 1]);
+      server.restore(copy);
+      t.deepEqual(await ask(), [2, 2]);
+      server.era = undefined;
+      t.deepEqual(await ask(), [undefined, undefined]);
+    });
+
+    it("gives no listing whose pages are of before and after it came back", async (t) => {
+      const server = new KvServer();
+      const store = new PlatformKeyValue(await server.openAddressFor("a"));
+      t.teardown(async () => {
+        await store.close();
+        await server.close();
+      });
+      for (let i = 0; i < 130; i++) server.put(`k/${100 + i}`, {});
+      const copy = server.store.copy();
+      const listing = store.list("k/", {}, "other");
+      while (server.calls === 0) await new Promise(setImmediate);
+      server.restore(copy);
+      const { isErr } = await listing.then((result) => ({
+        isErr: result.isErr(),
+      }));
+      t.true(isErr);
+    });
+
     it("distinguishes a compacted history from the rate limit", async (t) => {
       const server = new KvServer({ readsPerS: 2 });
       const store = new PlatformKeyValue(await server.openAddressFor("a"));
--- a/src/platform/store.ts
+++ b/src/platform/store.ts
@@ -19,6 +19,12 @@
   type Write,
 } from "../adapters/mod.ts";
 import { isNotSent } from "../adapters/not_sent.ts";
+import {
+  decodeEntry,
+  decodeEvent,
+  decodeGeneration,
+  encodeValue,
+} from "./store_wire.ts";
 
 /**
  * A call without an answer after this time counts as lost. The store usually answers in 4 ms; the timeout allows for
@@ -35,6 +41,8 @@
   readonly events: readonly WatchEvent[];
   /** Revision after which to ask next. */
   readonly rev: number;
+  /** See {@link Listing.generation}. */
+  readonly generation?: number | undefined;
 }
 
 /** A failed poll for changes; `compacted` means that the history is gone and all keys must be listed again. */
@@ -47,39 +55,12 @@
   readonly status: number;
   // deno-lint-ignore no-explicit-any -- the platform's JSON; each caller checks the fields that it uses.
   readonly body: any;
+  /** `undefined` if the answer names none. */
+  readonly generation: number | undefined;
 }
 
 type Method = "GET" | "POST" | "DELETE";
 
-function encodeValue(value: string): string {
-  return Buffer.from(value, "utf8").toString("base64");
-}
-
-// deno-lint-ignore no-explicit-any -- one item of the platform's JSON
-function decodeEntry(item: any): Entry | undefined {
-  if (typeof item?.key !== "string" || typeof item.value !== "string") {
-    return undefined;
-  }
-  return {
-    key: item.key,
-    value: Buffer.from(item.value, "base64").toString("utf8"),
-    rev: Number(item.revision),
-  };
-}
-
-// deno-lint-ignore no-explicit-any -- one event of the platform's JSON
-function decodeEvent(item: any): WatchEvent | undefined {
-  if (item?.deleted) {
-    return {
-      type: "delete",
-      key: String(item.key),
-      rev: Number(item.revision),
-    };
-  }
-  const entry = decodeEntry(item);
-  return entry && { type: "put", entry };
-}
-
 function storeError(
   kind: "unavailable" | "lost" | "limited" | "leaseGone",
   message: string,
@@ -131,20 +112,30 @@
     const entries: Entry[] = [];
     const limit = options.limit ?? Infinity;
     let rev: number | undefined;
+    let generation: number | undefined;
     let after: string | undefined;
     for (;;) {
       const page = await this.#listPage(prefix, after, purpose);
       if (page.isErr()) return err(page.error);
+      if (rev !== undefined && page.value.generation !== generation) {
+        return err(storeError("unavailable", "restored between two pages"));
+      }
+      generation = page.value.generation;
       // Pages are not a snapshot. Watching from the first page's revision repeats what changed between the pages.
       rev ??= page.value.rev;
       const fromKey = options.fromKey ?? "";
       entries.push(...page.value.entries.filter(({ key }) => key >= fromKey));
       after = page.value.lastKey;
       if (entries.length > limit) {
-        return ok({ entries: entries.slice(0, limit), rev, more: true });
+        return ok({
+          entries: entries.slice(0, limit),
+          rev,
+          more: true,
+          generation,
+        });
       }
       if (!page.value.more || after === undefined) {
-        return ok({ entries, rev, more: false });
+        return ok({ entries, rev, more: false, generation });
       }
     }
   }
@@ -160,7 +151,8 @@
       `&after=${afterRev}&wait_ms=${Math.round(waitMs)}`;
     const answer = await this.#call("GET", path, undefined, purpose, waitMs);
     if (answer.isErr()) return err(answer.error);
-    if (answer.value.status === 410) {
+    const { status, generation } = answer.value;
+    if (status === 410) {
       return err({ kind: "compacted", message: "history is gone" });
     }
     return this.#expectOk(answer.value).map((body) => ({
@@ -169,6 +161,7 @@
           event !== undefined
         ),
       rev: Math.max(afterRev, Number(body.current_rev) || 0),
+      generation,
     }));
   }
 
@@ -287,6 +280,7 @@
       (after === undefined ? "" : `&after=${encodeURIComponent(after)}`);
     const answer = await this.#call("GET", path, undefined, purpose);
     if (answer.isErr()) return err(answer.error);
+    const { generation } = answer.value;
     return this.#expectOk(answer.value).map((body) => {
       const items: unknown[] = Array.isArray(body.items) ? body.items : [];
       return {
@@ -294,6 +288,7 @@
         lastKey: (items.at(-1) as { key?: string } | undefined)?.key,
         more: body.more_pages === true,
         rev: Number(body.current_rev) || 0,
+        generation,
       };
     });
   }
@@ -381,6 +376,7 @@
           resolve(
             ok({
               status: answer.statusCode ?? 0,
+              generation: decodeGeneration(answer),
               body: text ? JSON.parse(text) : {},
             }),
           );
--- a/src/standins/kv_server.ts
+++ b/src/standins/kv_server.ts
@@ -17,6 +17,7 @@
 import {
   PlatformStore,
   type StoreChange,
+  type StoreCopy,
   type StoredEntry,
 } from "./platform_store.ts";
 
@@ -68,6 +69,10 @@
   readonly #servers: Server[] = [];
   readonly #reads: RateLimit;
   readonly #writes: RateLimit;
+  /** Sent in every answer; one higher after each restore. `undefined`: the header is left out. */
+  era: number | undefined = 1;
+  /** Calls so far, refused ones included. */
+  calls = 0;
   readonly #timer = setInterval(() => this.store.expireLeases(), 20);
 
   constructor(options: KvServerOptions = {}) {
@@ -98,6 +103,12 @@
     this.store.transact([], [{ type: "delete", key }]);
   }
 
+  /** Comes back as of a copy: later changes and all leases are lost, and revisions are given out again. */
+  restore(copy: StoreCopy): void {
+    this.store.restore(copy);
+    if (this.era !== undefined) this.era++;
+  }
+
   async close(): Promise<void> {
     clearInterval(this.#timer);
     for (const server of this.#servers) {
@@ -111,6 +122,7 @@
     request: IncomingMessage,
     response: ServerResponse,
   ): Promise<void> {
+    this.calls++;
     const url = new URL(request.url ?? "/", "http://store");
     const isWrite = request.method !== "GET" &&
       !url.pathname.startsWith("/api/kv-keep/");
@@ -122,9 +134,10 @@
     if (outage === "cut") return void request.socket.resetAndDestroy();
     const send = (status: number, value: unknown = {}) => {
       if (loseAnswer) return void request.socket.resetAndDestroy();
-      response.writeHead(status, { "content-type": "application/json" }).end(
-        JSON.stringify(value),
-      );
+      response.writeHead(status, {
+        "content-type": "application/json",
+        ...(this.era === undefined ? {} : { "store-era": this.era }),
+      }).end(JSON.stringify(value));
     };
     if (outage === "refuse") return send(503);
     if (body === undefined) return send(400);
--- a/src/standins/platform_store.ts
+++ b/src/standins/platform_store.ts
@@ -45,6 +45,7 @@
 export interface StoreCopy {
   readonly rev: number;
   readonly entries: readonly StoredEntry[];
+  readonly nextLeaseId: number;
 }
 
 interface Lease {
@@ -182,8 +183,8 @@
     onChange: (change: StoreChange) => void,
     onLost: (message: string) => void,
   ): () => void {
-    if (fromRev <= this.#compactedRev) {
-      onLost(`compacted up to ${this.#compactedRev}`);
+    if (fromRev <= this.#compactedRev || fromRev > this.#rev + 1) {
+      onLost(`history from ${this.#compactedRev} to ${this.#rev}`);
       return () => {};
     }
     for (const change of this.#history) {
@@ -203,13 +204,28 @@
   }
 
   copy(): StoreCopy {
-    return { rev: this.#rev, entries: [...this.#entries.values()] };
+    return {
+      rev: this.#rev,
+      entries: [...this.#entries.values()],
+      nextLeaseId: this.#nextLeaseId,
+    };
   }
 
-  /** Replaces the state by an old copy, as a restore from a backup does: the revision goes back and watches break. */
+  /**
+   * Replaces the state by an old copy, as a restore from a backup does: the revision goes back, watches break, and leases
+   * that were granted since are gone. Their ids are given out again.
+   */
   restore(copy: StoreCopy): void {
+    this.#nextLeaseId = copy.nextLeaseId;
+    for (const id of this.#leases.keys()) {
+      if (Number(id) >= copy.nextLeaseId) this.#leases.delete(id);
+    }
     this.#rev = copy.rev;
-    this.#entries = new Map(copy.entries.map((entry) => [entry.key, entry]));
+    this.#entries = new Map(
+      copy.entries.filter(({ leaseId }) =>
+        leaseId === undefined || this.#leases.has(leaseId)
+      ).map((entry) => [entry.key, entry]),
+    );
     this.#sortedKeys = undefined;
     this.#history = [];
     this.#compactedRev = copy.rev;
--- a/test/gateway_lab.ts
+++ b/test/gateway_lab.ts
@@ -118,13 +118,19 @@
   readonly #agent = new Agent({ keepAlive: true });
   #configVersion = 0;
 
-  /** Writes a configuration with a higher version to the store. */
+  /** The version that was written last. */
+  get configVersion(): number {
+    return this.#configVersion;
+  }
+
+  /** Writes a configuration to the store, by default with a higher version. */
   configure(
     routes: readonly unknown[] = ROUTES,
     extraFields: Record<string, unknown> = {},
     workspaces?: readonly unknown[],
+    version = this.#configVersion + 3,
   ): void {
-    this.#configVersion += 3;
+    this.#configVersion = version;
     this.store.put(
       PLATFORM_CONFIG_KEY,
       makeConfig(this.#configVersion, routes, extraFields, workspaces),
