Copies follow a store that comes back as it was some seconds ago

Cause: a copy took the higher revision for the newer state. A store that comes back from an older copy gives revisions out again; its listings were left out until its count had passed the VMs'. A refused poll led to a listing and that to a poll, without a pause. Change: copies are ordered by the generation that the store's answers name, then by revision. A listing of a later generation replaces a copy, a poll of one leads to a listing, answers and copies of an earlier one are left out, also changes that were asked for before. The hash of an operators' entry is over its value, as the same revision names two. A store that goes back without a generation is asked at the pace of a failing one. What a VM believes of upstreams has a file of its own.

--- a/src/gateway/follower.ts
+++ b/src/gateway/follower.ts
@@ -15,7 +15,7 @@
 } from "../adapters/mod.ts";
 import { backoffMs, type Clock, Random } from "../base/mod.ts";
 import type { Log } from "../kernel/mod.ts";
-import type { ReplicaState } from "../region/mod.ts";
+import { compareReplicaStates, type ReplicaState } from "../region/mod.ts";
 import {
   type AdoptOutcome,
   type ApplyResult,
@@ -39,7 +39,11 @@
     purpose: StorePurpose,
   ): Promise<
     Result<
-      { readonly events: readonly WatchEvent[]; readonly rev: number },
+      {
+        readonly events: readonly WatchEvent[];
+        readonly rev: number;
+        readonly generation?: number | undefined;
+      },
       { readonly kind: string; readonly message: string }
     >
   >;
@@ -86,6 +90,7 @@
   #answeredMonoMs = -Infinity;
   #failingSinceMonoMs: number | undefined;
   #recoveredMonoMs = -Infinity;
+  #restoredMonoMs = -Infinity;
   #agreedMonoMs = -Infinity;
   /** What was logged last of a store that went back; it answers many calls with the same state. */
   #loggedRegression = "";
@@ -121,6 +126,11 @@
     return this.#recoveredMonoMs;
   }
 
+  /** When the store is known to have come back from an older copy, on the monotonic clock; `-Infinity` if it never did. */
+  get restoredMonoMs(): number {
+    return this.#restoredMonoMs;
+  }
+
   /**
    * When this VM's copy was last known to be the store's, on the monotonic clock: the store answered, or a VM that the
    * store answers announced the same copy.
@@ -160,20 +170,24 @@
 
   /** Answers another VM's request. */
   newsFor(request: NewsRequest): News {
-    const recoveredAgoMs = this.#options.clock.monoMs() -
-      this.#recoveredMonoMs;
+    const nowMs = this.#options.clock.monoMs();
+    const recoveredAgoMs = nowMs - this.#recoveredMonoMs;
+    const restoredAgoMs = nowMs - this.#restoredMonoMs;
     return {
       ...this.#replica.newsFor(request),
       ...(recoveredAgoMs < Infinity ? { recoveredAgoMs } : {}),
+      ...(restoredAgoMs < Infinity ? { restoredAgoMs } : {}),
     };
   }
 
   /** Applies another VM's news. */
   adopt(news: News): AdoptOutcome {
     // The outage has to be known before the deletion of entries that lapsed in it is applied.
-    if (
-      news.recoveredAgoMs !== undefined && news.state.rev > this.#replica.rev
-    ) {
+    const isNewer = compareReplicaStates(news.state, this.state) > 0;
+    if (isNewer && this.#replica.isRestoredBy(news.state)) {
+      this.#noteRestored(news.state, "peer", news.restoredAgoMs);
+    }
+    if (news.recoveredAgoMs !== undefined && isNewer) {
       this.#recoveredMonoMs = Math.max(
         this.#recoveredMonoMs,
         this.#options.clock.monoMs() - news.recoveredAgoMs,
@@ -219,19 +233,20 @@
       return false;
     }
     this.#noteAnswer();
-    const { entries, rev, more } = listing.value;
-    if (rev < askedAtRev) this.#logRegression(listing.value);
+    const { entries, rev, generation } = listing.value;
+    const isRestored = this.#replica.isRestoredBy(listing.value);
+    if (isRestored) this.#noteRestored({ rev, generation }, "store");
+    else if (rev < askedAtRev) return this.#noteRegression(listing.value);
     this.#replica.applyListing({
+      ...listing.value,
       entries: entries.map((entry) => this.#redact(entry)),
-      rev,
-      more,
     });
     return true;
   }
 
   async #pollChanges(): Promise<boolean> {
     const { store, prefix, waitMs, pauseMs, clock } = this.#options;
-    const afterRev = this.#replica.rev;
+    const { rev: afterRev, generation: askedInGeneration = 0 } = this.state;
     const changes = await store.changes(prefix, afterRev, waitMs, "table");
     if (!this.#isOpen) return false;
     if (changes.isErr()) {
@@ -239,10 +254,16 @@
       return false;
     }
     this.#noteAnswer();
-    const { events, rev } = changes.value;
+    const { events, rev, generation } = changes.value;
+    // The changes of a later generation don't say what was lost; a listing does.
+    if (this.#replica.isRestoredBy({ generation: generation ?? 0 })) {
+      return false;
+    }
     const result = this.#replica.applyChanges(
       events.map((event) => this.#redactEvent(event)),
       rev,
+      generation,
+      askedInGeneration,
     );
     this.#logStaleKeys(result, rev);
     if (pauseMs > 0) await clock.sleep(pauseMs);
@@ -272,13 +293,35 @@
     });
   }
 
+  /** Notes that the store came back from an older copy, as `from` says or has answered. */
+  #noteRestored(
+    { rev, generation }: { readonly rev: number; readonly generation?: number },
+    from: "store" | "peer",
+    agoMs = 0,
+  ): void {
+    this.#restoredMonoMs = Math.max(
+      this.#restoredMonoMs,
+      this.#options.clock.monoMs() - agoMs,
+    );
+    this.#options.log.warn("store restored", {
+      prefix: this.#options.prefix,
+      from,
+      generation,
+      rev,
+      knownGeneration: this.state.generation ?? 0,
+      knownRev: this.#replica.rev,
+      agoMs: Math.round(agoMs),
+    });
+  }
+
   /**
-   * Logs a store whose revisions went back. Its answers can't be distinguished from stale ones, so VMs have to be
-   * restarted too.
+   * Notes a store whose revisions went back without a later generation. Its answers can't be distinguished from stale
+   * ones, so they are not used, and it is asked at the pace of a failing store. Returns whether the copy is current.
    */
-  #logRegression({ rev, generation }: Listing): void {
+  #noteRegression({ rev, generation }: Listing): false {
+    this.#failures++;
     const regression = `${generation}/${rev}`;
-    if (regression === this.#loggedRegression) return;
+    if (regression === this.#loggedRegression) return false;
     this.#loggedRegression = regression;
     this.#options.log.error("store went back", {
       generation,
@@ -286,6 +329,7 @@
       rev,
       knownRev: this.#replica.rev,
     });
+    return false;
   }
 
   #noteAgreement(): void {
--- a/src/gateway/replica.ts
+++ b/src/gateway/replica.ts
@@ -6,16 +6,20 @@
  * since its revision. If that does not give it the sender's digest, it asks again with a hash of each entry that it
  * holds, and is sent the differences. So no copy stays different for good, whatever was missed before.
  *
+ * A store that comes back from an older copy of its own begins a new generation, in which it gives out revisions again.
+ * A state of a higher generation is newer, whatever the revisions say, and replaces all that was held of the one before.
+ *
  * @module
  */
 
 import type { Entry, Listing, WatchEvent } from "../adapters/mod.ts";
 import { digest64 } from "../base/mod.ts";
-import type { ReplicaState } from "../region/mod.ts";
+import { compareReplicaStates, type ReplicaState } from "../region/mod.ts";
 
 /** A question for the differences to another VM's copy. */
 export interface NewsRequest {
-  /** Revision up to which the asking VM's copy is complete. */
+  /** Generation and revision up to which the asking VM's copy is complete. */
+  readonly generation?: number;
   readonly sinceRev: number;
   /** Hash of each entry of that copy, by key; present if all differences are wanted, not only recent changes. */
   readonly heldHashes?: Readonly<Record<string, string>>;
@@ -30,6 +34,8 @@
   readonly deleted: readonly string[];
   /** Time since the store answered the sender again after an outage, as of the sending; absent if it never failed. */
   readonly recoveredAgoMs?: number;
+  /** Time since the sender learned that the store came back from an older copy; absent if it never did. */
+  readonly restoredAgoMs?: number;
 }
 
 /** Options of {@link Replica}. */
@@ -39,10 +45,16 @@
    * with the same content is not sent to other VMs.
    */
   readonly contentOf: (entry: Entry) => string;
-  readonly onPut: (entry: Entry) => void;
-  readonly onDelete: (key: string) => void;
+  readonly onPut: (entry: Entry, cause: ChangeCause) => void;
+  readonly onDelete: (key: string, cause: ChangeCause) => void;
 }
 
+/**
+ * Why an entry is reported: somebody wrote or deleted it, or the store came back from an older copy, which holds it or
+ * does not. What is missing from that copy may have been lost only, and what it holds may have been deleted since.
+ */
+export type ChangeCause = "written" | "restored";
+
 /** Result of applying an update from the store. */
 export interface ApplyResult {
   /** Keys for which the update held outdated state. */
@@ -81,8 +93,11 @@
   #digestBits = 0n;
   /** The same as text; it is compared far more often than it changes. */
   #digest = formatDigest(0n);
+  #generation = 0;
   #rev = 0;
   #needsComparison = false;
+  /** The cause of what is being reported. */
+  #cause: ChangeCause = "written";
 
   constructor(options: ReplicaOptions) {
     this.#options = options;
@@ -95,7 +110,11 @@
 
   /** What this VM announces of its copy. */
   get state(): ReplicaState {
-    return { rev: this.#rev, digest: this.#digest };
+    return {
+      ...(this.#generation > 0 ? { generation: this.#generation } : {}),
+      rev: this.#rev,
+      digest: this.#digest,
+    };
   }
 
   /** The entries that are held. */
@@ -104,34 +123,42 @@
   }
 
   /** Whether a copy with this state is newer than this one and differs from it. */
-  isBehind({ rev, digest }: ReplicaState): boolean {
-    return rev > this.#rev && digest !== this.#digest;
+  isBehind(state: ReplicaState): boolean {
+    return compareReplicaStates(state, this.state) > 0 &&
+      state.digest !== this.#digest;
+  }
+
+  /** Whether a state is of a later generation than what is held. */
+  isRestoredBy({ generation = 0 }: { readonly generation?: number }): boolean {
+    return this.#rev > 0 && generation > this.#generation;
   }
 
   /**
    * Notes the state of another VM's copy. If both hold the same, this one is complete up to the other's revision too.
    * Returns whether they hold the same.
    */
-  noteState({ rev, digest }: ReplicaState): boolean {
-    if (this.#rev === 0 || digest !== this.#digest) return false;
-    this.#rev = Math.max(this.#rev, rev);
+  noteState(state: ReplicaState): boolean {
+    if (this.#rev === 0 || state.digest !== this.#digest) return false;
+    if (compareReplicaStates(state, this.state) > 0) this.#moveTo(state);
     return true;
   }
 
   /** The request by which this VM asks for what it lacks. */
   get newsRequest(): NewsRequest {
+    const generation = this.#generation;
     const sinceRev = this.#rev;
-    if (sinceRev > 0 && !this.#needsComparison) return { sinceRev };
+    if (sinceRev > 0 && !this.#needsComparison) return { generation, sinceRev };
     const hashes = [...this.#entries].map(([key, { hash }]) => [key, hash]);
-    return { sinceRev, heldHashes: Object.fromEntries(hashes) };
+    return { generation, sinceRev, heldHashes: Object.fromEntries(hashes) };
   }
 
   /** Answers another VM's request. */
-  newsFor({ sinceRev, heldHashes }: NewsRequest): News {
+  newsFor({ generation = 0, sinceRev, heldHashes }: NewsRequest): News {
     if (heldHashes) return this.#differencesTo(heldHashes);
     // The changes since then are not all remembered. Without any the other VM does not arrive at this copy's digest,
     // and asks for all differences.
-    if (sinceRev < this.#remembersSinceRev) {
+    const isSame = generation === this.#generation;
+    if (!isSame || sinceRev < this.#remembersSinceRev) {
       return { state: this.state, entries: [], deleted: [] };
     }
     return {
@@ -146,8 +173,15 @@
   }
 
   /** Applies a listing of all entries. */
-  applyListing({ entries, rev }: Listing): ApplyResult {
-    if (rev < this.#rev) return { staleKeys: [] };
+  applyListing(listing: Listing): ApplyResult {
+    const { entries, rev, generation = this.#generation } = listing;
+    const state = { generation, rev };
+    if (compareReplicaStates(state, this.state) < 0) return { staleKeys: [] };
+    if (this.isRestoredBy(state)) {
+      this.#restore(state, () => this.#replaceAll(entries, rev));
+      return { staleKeys: [] };
+    }
+    this.#generation = generation;
     // What changed before the first listing is not known.
     if (this.#rev === 0) this.#remembersSinceRev = rev;
     const present = new Set(entries.map(({ key }) => key));
@@ -160,9 +194,21 @@
     return { staleKeys: [] };
   }
 
-  /** Applies all changes up to a revision. */
-  applyChanges(events: readonly WatchEvent[], rev: number): ApplyResult {
+  /**
+   * Applies all changes up to a revision. Those of an earlier generation are outdated; those of a later one don't say
+   * what else has changed, and the next listing does. If the question was asked in an earlier generation, the changes
+   * begin at a revision of that one.
+   */
+  applyChanges(
+    events: readonly WatchEvent[],
+    rev: number,
+    generation = this.#generation,
+    askedInGeneration = generation,
+  ): ApplyResult {
     const staleKeys: string[] = [];
+    const isComparable = generation === this.#generation &&
+      askedInGeneration === this.#generation;
+    if (!isComparable) return { staleKeys };
     const nextRev = Math.max(this.#rev, rev);
     for (const event of events) {
       if (event.type === "lost") continue;
@@ -180,19 +226,68 @@
   /** Applies news from another VM, if they lead to its copy. */
   adopt(news: News): AdoptOutcome {
     const { rev, digest } = news.state;
-    if (rev <= this.#rev) return "stale";
+    if (compareReplicaStates(news.state, this.state) <= 0) return "stale";
     if (formatDigest(this.#digestBitsWith(news)) !== digest) {
       this.#needsComparison = true;
       return "differs";
     }
-    for (const key of news.deleted) this.#delete(key, rev);
-    for (const entry of news.entries) this.#put(entry, rev);
-    if (this.#rev === 0) this.#remembersSinceRev = rev;
-    this.#rev = rev;
+    const apply = () => {
+      for (const key of news.deleted) this.#delete(key, rev);
+      for (const entry of news.entries) this.#put(entry, rev);
+    };
+    if (this.isRestoredBy(news.state)) this.#restore(news.state, apply);
+    else {
+      apply();
+      if (this.#rev === 0) this.#remembersSinceRev = rev;
+      this.#moveTo(news.state);
+    }
     this.#needsComparison = false;
     return "applied";
   }
 
+  /** Replaces all entries, whatever their revisions. */
+  #replaceAll(entries: readonly Entry[], rev: number): void {
+    const present = new Set(entries.map(({ key }) => key));
+    for (const key of [...this.#entries.keys()]) {
+      if (!present.has(key)) this.#delete(key, rev);
+    }
+    for (const entry of entries) this.#put(entry, rev);
+    this.#needsComparison = false;
+  }
+
+  /** Applies a state of a later generation, and reports its changes as such. */
+  #restore(
+    state: { readonly generation?: number; readonly rev: number },
+    apply: () => void,
+  ): void {
+    this.#cause = "restored";
+    try {
+      apply();
+    } finally {
+      this.#cause = "written";
+    }
+    this.#moveTo(state);
+  }
+
+  /** Notes that this copy is complete up to a state. Of another generation, no earlier change is remembered. */
+  #moveTo(
+    { generation = 0, rev }: {
+      readonly generation?: number;
+      readonly rev: number;
+    },
+  ): void {
+    this.#rev = rev;
+    if (generation === this.#generation) return;
+    this.#generation = generation;
+    this.#remembersSinceRev = rev;
+    this.#deletedRevs.clear();
+    for (const [key, held] of this.#entries) {
+      // An entry that was not sent again, as it is the same, has a revision of the generation before.
+      const entry = { ...held.entry, rev: Math.min(held.entry.rev, rev) };
+      this.#entries.set(key, { ...held, entry, changedRev: rev });
+    }
+  }
+
   #differencesTo(heldHashes: Readonly<Record<string, string>>): News {
     return {
       state: this.state,
@@ -245,7 +340,7 @@
     if (!existing) return;
     this.#entries.delete(key);
     this.#changeDigest(toBits(existing.hash));
-    this.#options.onDelete(key);
+    this.#options.onDelete(key, this.#cause);
   }
 
   #recordDeletion(key: string, copyRev: number): void {
@@ -270,7 +365,7 @@
       this.#entries.set(key, { entry, content, hash, changedRev: copyRev });
       this.#deletedRevs.delete(key);
     }
-    this.#options.onPut(entry);
+    this.#options.onPut(entry, this.#cause);
   }
 
   /** Adds or removes the hashes that are combined in `bits`. */
--- a/src/gateway/store_view.ts
+++ b/src/gateway/store_view.ts
@@ -12,8 +12,6 @@
   CONFIG_KEY,
   decodeConfig,
   decodeEvacuationKey,
-  decodeUpstream,
-  decodeUpstreamId,
   hashApiKeys,
   OPERATOR_PREFIX,
   UPSTREAM_PREFIX,
@@ -21,12 +19,15 @@
 import { Fleet, type GatewayConfig } from "../routing/mod.ts";
 import type { ReplicaState, ReplicaStates, VmState } from "../region/mod.ts";
 import { type FollowedStore, Follower } from "./follower.ts";
-import type { AdoptOutcome, News, NewsRequest } from "./replica.ts";
-import {
-  coldStepOf,
-  leastColdMs,
-  upstreamContentOf,
-} from "./upstream_content.ts";
+import { KeptEntries } from "./kept_entries.ts";
+import type {
+  AdoptOutcome,
+  ChangeCause,
+  News,
+  NewsRequest,
+} from "./replica.ts";
+import { upstreamContentOf } from "./upstream_content.ts";
+import { UpstreamView } from "./upstream_view.ts";
 
 /** The two sets of entries that are followed. */
 export type NewsTopic = keyof ReplicaStates;
@@ -78,12 +79,7 @@
  * serves.
  */
 const UPSTREAM_POLL_PAUSE_MS = 1_200;
-/**
- * How long lapsed entries stay in use after the end of a store outage. Upstreams write them again within 2 s; without
- * the grace time no upstream at all would be left for a second after each outage.
- */
-const LAPSED_GRACE_MS = 2_300;
-/** How often lapsed entries are checked; one is removed late by up to this much. */
+/** How often kept entries are checked; one is removed late by up to this much. */
 const SWEEP_INTERVAL_MS = 500;
 
 /** Follows the store's entries and holds their decoded state: `config` and `fleet` are read on each request. */
@@ -92,12 +88,11 @@
   readonly fleet: Fleet;
   readonly #options: StoreViewOptions;
   readonly #evacuated = new Set<string>();
-  /** The least time for which upstreams are cold by their entries, by id. */
-  readonly #leastColdMs = new Map<string, number>();
-  /** Upstreams whose entry is gone but may come back, with the time until which they are kept. */
-  readonly #lapsed = new Map<string, number>();
+  /** Evacuations that the store has lost, by their keys. */
+  readonly #kept = new KeptEntries();
   #failureDomains: Readonly<Record<string, string>>;
   #config: GatewayConfig | undefined;
+  #upstreams!: UpstreamView;
   #followers!: Readonly<Record<NewsTopic, Follower>>;
   #clock!: Clock;
   #log!: Log;
@@ -167,9 +162,7 @@
   /** Applies changed settings. Upstreams of a new or moved failure domain are used there from now on. */
   setFailureDomains(failureDomains: Readonly<Record<string, string>>): void {
     this.#failureDomains = failureDomains;
-    for (const entry of this.#followers.upstreams.entries) {
-      this.#onUpstreamPut(entry);
-    }
+    this.#upstreams.reapply();
   }
 
   /** Whether the store currently answers this VM's polls for upstreams. */
@@ -183,6 +176,13 @@
     this.#clock = kernel.clock;
     this.#log = kernel.log;
     const { store } = this.#options;
+    this.#upstreams = new UpstreamView({
+      fleet: this.fleet,
+      clock: this.#clock,
+      log: this.#log,
+      troubles: () => this.#followers.upstreams,
+      entries: () => this.#followers.upstreams.entries,
+    });
     this.#followers = {
       operators: new Follower({
         store,
@@ -192,10 +192,10 @@
         waitMs: this.#options.operatorPollWaitMs ?? OPERATOR_POLL_WAIT_MS,
         pauseMs: 0,
         isReader: this.#options.isReader,
-        contentOf: ({ rev }) => String(rev),
+        contentOf: ({ value }) => value,
         redact: hashApiKeys,
         onPut: (entry) => this.#onOperatorPut(entry),
-        onDelete: (key) => this.#onOperatorDelete(key),
+        onDelete: (key, cause) => this.#onOperatorDelete(key, cause),
       }),
       upstreams: new Follower({
         store,
@@ -206,16 +206,16 @@
         pauseMs: UPSTREAM_POLL_PAUSE_MS,
         isReader: this.#options.isReader,
         contentOf: upstreamContentOf,
-        onAgreed: () => this.#keepCold(),
-        onPut: (entry) => this.#onUpstreamPut(entry),
-        onDelete: (key) => this.#onUpstreamDelete(key),
+        onAgreed: () => this.#upstreams.keepCold(),
+        onPut: (entry, cause) => this.#upstreams.put(entry, cause),
+        onDelete: (key, cause) => this.#upstreams.delete(key, cause),
       }),
     };
     this.#followers.operators.start();
     this.#followers.upstreams.start();
     this.#timer = this.#clock.every(
       SWEEP_INTERVAL_MS,
-      () => this.#removeLapsed(),
+      () => this.#sweep(),
     );
     return Promise.resolve();
   }
@@ -241,6 +241,11 @@
         operators: nowMs - this.#followers.operators.answeredMonoMs,
         upstreams: nowMs - this.#followers.upstreams.answeredMonoMs,
       },
+      restoredAgoMs: nowMs - this.#followers.operators.restoredMonoMs,
+      kept: {
+        evacuations: this.#kept.dump(),
+        upstreams: this.#upstreams.dump(),
+      },
       fleet: this.fleet.dump(),
     };
   }
@@ -267,6 +272,7 @@
   #onOperatorPut(entry: Entry): void {
     const domain = decodeEvacuationKey(entry.key);
     if (domain !== undefined) {
+      this.#kept.noteWritten(entry.key);
       return this.#setEvacuated(domain, true, entry.rev);
     }
     if (entry.key !== CONFIG_KEY) return;
@@ -289,9 +295,14 @@
     }
   }
 
-  #onOperatorDelete(key: string): void {
+  #onOperatorDelete(key: string, cause: ChangeCause): void {
     const domain = decodeEvacuationKey(key);
-    if (domain !== undefined) this.#setEvacuated(domain, false, 0);
+    if (domain === undefined) return;
+    const { restoredMonoMs } = this.#followers.operators;
+    const nowMs = this.#clock.monoMs();
+    const isKept = cause === "restored" &&
+      this.#kept.noteLost(key, restoredMonoMs, nowMs);
+    if (!isKept) this.#setEvacuated(domain, false, 0);
   }
 
   #setEvacuated(domain: string, evacuated: boolean, rev: number): void {
@@ -304,82 +315,10 @@
     });
   }
 
-  #onUpstreamPut(entry: Entry): void {
-    const id = decodeUpstreamId(entry.key);
-    this.#lapsed.delete(id);
-    try {
-      const record = decodeUpstream(id, entry.value);
-      const before = this.fleet.put(record, this.#clock.monoMs());
-      this.#leastColdMs.set(id, leastColdMs(coldStepOf(record.coldLeftMs)));
-      if (before?.key === record.key && before.state === record.state) return;
-      this.#log.info("upstream known", {
-        upstream: record.key,
-        service: record.service,
-        failureDomain: record.failureDomain,
-        state: record.state,
-        coldLeftMs: record.coldLeftMs,
-        rev: entry.rev,
-      });
-    } catch (error) {
-      this.fleet.delete(id);
-      this.#log.warn("upstream entry unreadable", {
-        upstream: id,
-        rev: entry.rev,
-        reason: String(error),
-      });
-    }
-  }
-
-  /**
-   * Keeps upstreams cold whose entries still say so. Entries whose cold time stands still or grows within a step are not
-   * sent again.
-   */
-  #keepCold(): void {
-    const nowMs = this.#clock.monoMs();
-    for (const [id, leastMs] of this.#leastColdMs) {
-      if (leastMs > 0) this.fleet.keepCold(id, nowMs + leastMs);
-    }
-  }
-
-  #onUpstreamDelete(key: string): void {
-    const id = decodeUpstreamId(key);
-    const sinceRecoveryMs = this.#clock.monoMs() -
-      this.#followers.upstreams.recoveredMonoMs;
-    // A draining upstream whose entry is gone has stopped; only a ready one may have lapsed.
-    if (
-      sinceRecoveryMs < LAPSED_GRACE_MS && this.fleet.get(id)?.state === "ready"
-    ) {
-      this.#lapsed.set(
-        id,
-        this.#clock.monoMs() + LAPSED_GRACE_MS - sinceRecoveryMs,
-      );
-      return;
-    }
-    this.#removeUpstream(id, "entry gone");
-  }
-
-  #removeUpstream(id: string, reason: string): void {
-    const before = this.fleet.delete(id);
-    this.#leastColdMs.delete(id);
-    if (before) {
-      this.#log.info("upstream gone", {
-        upstream: before.key,
-        service: before.service,
-        reason,
-      });
-    }
-  }
-
-  #removeLapsed(): void {
-    const nowMs = this.#clock.monoMs();
-    this.fleet.forgetLeft(nowMs);
-    for (const [id, untilMs] of this.#lapsed) {
-      if (nowMs < untilMs) continue;
-      this.#lapsed.delete(id);
-      this.#removeUpstream(
-        id,
-        "entry lapsed in a store outage and did not return",
-      );
+  #sweep(): void {
+    this.#upstreams.sweep();
+    for (const key of this.#kept.takeDue(this.#clock.monoMs()).lost) {
+      this.#setEvacuated(decodeEvacuationKey(key)!, false, 0);
     }
   }
 }
--- a/src/region/known_vms.ts
+++ b/src/region/known_vms.ts
@@ -6,15 +6,16 @@
 
 import type { DirectoryVm } from "../routing/mod.ts";
 import { RemoteRegions } from "./remote_regions.ts";
-import type {
-  LeadRecord,
-  NamedList,
-  RegionDigest,
-  ReplicaState,
-  ReplicaStates,
-  Report,
-  Roster,
-  VmState,
+import {
+  compareReplicaStates,
+  type LeadRecord,
+  type NamedList,
+  type RegionDigest,
+  type ReplicaState,
+  type ReplicaStates,
+  type Report,
+  type Roster,
+  type VmState,
 } from "./messages.ts";
 import { LEAD_COUNT, orderLeads, STANDBY_COUNT } from "./lead_order.ts";
 import { toVmRecord, type VmRecord } from "./record.ts";
@@ -160,7 +161,7 @@
     let least = Infinity;
     for (const { roster, heardMs } of this.#rosters.values()) {
       const { configAgeMs, copies: { operators } } = roster;
-      const isNewer = operators.rev > copy.rev &&
+      const isNewer = compareReplicaStates(operators, copy) > 0 &&
         operators.digest !== copy.digest;
       if (typeof configAgeMs !== "number" || isNewer) continue;
       least = Math.min(least, configAgeMs + nowMs - heardMs);
--- a/src/region/messages.ts
+++ b/src/region/messages.ts
@@ -9,12 +9,22 @@
 
 /** What a VM announces of its copy of a part of the store. Copies with the same digest hold the same. */
 export interface ReplicaState {
+  /** How often the store has come back from an older copy; absent: 0, or the store does not say. */
+  readonly generation?: number;
   /** The store's revision up to which the copy is complete. */
   readonly rev: number;
   /** Digest of all that the copy holds. */
   readonly digest: string;
 }
 
+/** The order of two copies' states, positive if `a` is newer: revisions count only within a generation. */
+export function compareReplicaStates(
+  a: Omit<ReplicaState, "digest">,
+  b: Omit<ReplicaState, "digest">,
+): number {
+  return (a.generation ?? 0) - (b.generation ?? 0) || a.rev - b.rev;
+}
+
 /** The states of a VM's copies, by kind of entry. */
 export interface ReplicaStates {
   readonly operators: ReplicaState;
@@ -148,7 +158,8 @@
 
 function isReplicaState(value: unknown): value is ReplicaState {
   const state = value as Partial<ReplicaState> | null;
-  return typeof state?.rev === "number" && typeof state.digest === "string";
+  return typeof state?.rev === "number" && typeof state.digest === "string" &&
+    ["number", "undefined"].includes(typeof state.generation);
 }
 
 function areReplicaStates(value: unknown): value is ReplicaStates {
--- a/test/replica_world.ts
+++ b/test/replica_world.ts
@@ -20,8 +20,10 @@
 
 /** The store: its history, and how much of it is kept for polls. */
 class Store {
-  readonly #events: WatchEvent[] = [];
+  #events: WatchEvent[] = [];
   rev = 1;
+  /** How often it came back from an older copy. */
+  generation = 0;
   #forgottenRev = 0;
 
   put(key: string, value = "ready"): void {
@@ -35,6 +37,14 @@
     this.#events.push({ type: "delete", key, rev: this.rev });
   }
 
+  /** Comes back as it was some revisions ago, and gives these out again. */
+  restore(revisions: number): void {
+    this.generation++;
+    this.rev = Math.max(1, this.rev - revisions);
+    this.#events = this.#events.filter((event) => revOf(event) <= this.rev);
+    this.#forgottenRev = Math.min(this.#forgottenRev, this.rev);
+  }
+
   /** Drops the history, so that the next poll of each reader is refused and the reader lists. */
   compact(): void {
     this.#forgottenRev = this.rev;
@@ -51,7 +61,7 @@
 
   /** The changes after a revision; `undefined` if they are no longer kept. */
   changes(afterRev: number): WatchEvent[] | undefined {
-    if (afterRev < this.#forgottenRev) return undefined;
+    if (afterRev < this.#forgottenRev || afterRev > this.rev) return undefined;
     return this.#events.filter((event) => revOf(event) > afterRev);
   }
 
@@ -66,10 +76,12 @@
   return [...entries].map(([key, value]) => `${key}=${value}`).sort().join(" ");
 }
 
-/** A VM's replica, as store_view.ts configures that of the topic, and the entries that it reported. */
+/** A VM's replica, whose operators' entries are news with each write, and the entries that it reported. */
 class Vm {
   readonly known = new Map<string, string>();
   readonly replica: Replica;
+  /** Whether the last poll showed that only a listing tells what changed. */
+  mustList = false;
 
   constructor(topic: NewsTopic) {
     const { known } = this;
@@ -107,17 +119,21 @@
 
   /** Asks the store as a reader does; the answer is in flight. */
   ask(index: number, isAfterFailure = false): void {
-    const { replica } = this.vms[index];
-    const { rev } = this.store;
-    const events = replica.rev === 0 || isAfterFailure
+    const vm = this.vms[index];
+    const { replica } = vm;
+    const { rev, generation } = this.store;
+    const events = replica.rev === 0 || isAfterFailure || vm.mustList
       ? undefined
       : this.store.changes(replica.rev);
     const entries = this.store.entries();
-    this.#inFlight.push(() =>
-      events
-        ? replica.applyChanges(events, rev)
-        : replica.applyListing({ entries, rev, more: false })
-    );
+    const { generation: askedInGeneration = 0 } = replica.state;
+    this.#inFlight.push(() => {
+      if (!events) {
+        vm.mustList = false;
+        replica.applyListing({ entries, rev, more: false, generation });
+      } else if (replica.isRestoredBy({ generation })) vm.mustList = true;
+      else replica.applyChanges(events, rev, generation, askedInGeneration);
+    });
   }
 
   /** Asks another VM; the answer is in flight. */
