A VM writes its entry again after the store came back, and ends no other's lease

Cause: leases that the store forgot have ids that it gives out again. A VM renewed the lease with the id of its own, whoever had it, so its entry was gone for good; on a stop it ended that lease, and with it another's keys. Change: the client of the store tells the highest generation that an answer named. A lease of an earlier one counts as gone, and the entry is written again at the VM's next renewal, which VMs make at different times of each 5 s. A stop deletes the VM's own entry at the revision it was written, and no lease. No further call: a delete in place of the end of a lease.

--- a/src/adapters/key_value.ts
+++ b/src/adapters/key_value.ts
@@ -91,6 +91,14 @@
 
 /** A connection to the platform's key-value service. */
 export abstract class KeyValue {
+  /**
+   * The highest {@link Listing.generation} that any answer named; `undefined` if none did. A lease that was granted in an
+   * earlier one may be gone, and its id another VM's.
+   */
+  get generation(): number | undefined {
+    return undefined;
+  }
+
   /** Reads one entry; gives `undefined` if the key does not exist. */
   abstract get(
     key: string,
--- a/src/gateway/vm_registration.ts
+++ b/src/gateway/vm_registration.ts
@@ -27,6 +27,14 @@
 const SEED_WAIT_MS = 400;
 const CHECK_INTERVAL_MS = 500;
 
+/** This VM's entry as it was written. */
+interface WrittenEntry {
+  readonly leaseId: string;
+  readonly rev: number;
+  /** See {@link KeyValue.generation}. */
+  readonly generation: number | undefined;
+}
+
 /** Options of {@link VmRegistration}. */
 export interface VmRegistrationOptions {
   readonly self: VmRecord;
@@ -45,7 +53,7 @@
 /** Maintains this VM's entry while it leads, and lists the entries of other VMs. */
 export class VmRegistration {
   readonly #options: VmRegistrationOptions;
-  #leaseId: string | undefined;
+  #written: WrittenEntry | undefined;
   #leadSinceMs: number | undefined;
   #renewedMs = -Infinity;
   #listedMs = -Infinity;
@@ -63,7 +71,7 @@
   /** Removes the entry. */
   async close(): Promise<void> {
     this.#isOpen = false;
-    await this.#revoke();
+    await this.#delete();
   }
 
   async #run(): Promise<void> {
@@ -79,7 +87,7 @@
     const { isLead, isAlone } = this.#options;
     if (!isLead()) {
       this.#leadSinceMs = undefined;
-      await this.#revoke();
+      await this.#delete();
       return;
     }
     this.#leadSinceMs ??= nowMs;
@@ -112,27 +120,45 @@
   async #renew(nowMs: number): Promise<void> {
     const { store, self, leastLeaseMs } = this.#options;
     this.#renewedMs = nowMs;
-    if (this.#leaseId !== undefined) {
-      const renewed = await store.keepAlive(this.#leaseId, "membership");
-      if (renewed.isOk() || renewed.error.kind !== "leaseGone") return;
-      this.#leaseId = undefined;
-    }
+    if (await this.#keep()) return;
     const lease = await store.grant(
       Math.max(leastLeaseMs, LEASE_MS),
       "membership",
     );
     if (lease.isErr() || !this.#isOpen) return;
+    const leaseId = lease.value;
+    const { generation } = store;
     const put = await store.put(VM_PREFIX + self.id, JSON.stringify(self), {
-      leaseId: lease.value,
+      leaseId,
     }, "membership");
-    if (put.isOk()) this.#leaseId = lease.value;
-    else void store.revoke(lease.value, "membership");
+    if (put.isOk()) this.#written = { leaseId, rev: put.value, generation };
+    else void store.revoke(leaseId, "membership");
+  }
+
+  /** Renews the lease of the entry. Returns whether the entry is there, or the store did not answer. */
+  async #keep(): Promise<boolean> {
+    const { store } = this.#options;
+    if (!this.#written) return false;
+    const { leaseId, generation } = this.#written;
+    if (store.generation === generation) {
+      const renewed = await store.keepAlive(leaseId, "membership");
+      const isGone = renewed.isErr() && renewed.error.kind === "leaseGone";
+      if (!isGone && store.generation === generation) return true;
+    }
+    this.#written = undefined;
+    return false;
   }
 
-  async #revoke(): Promise<void> {
-    const leaseId = this.#leaseId;
-    if (leaseId === undefined) return;
-    this.#leaseId = undefined;
-    await this.#options.store.revoke(leaseId, "membership");
+  /** Deletes the entry. Its lease ends by itself: if the store came back from a copy, the id may be another lease's. */
+  async #delete(): Promise<void> {
+    const { store, self } = this.#options;
+    const written = this.#written;
+    if (!written) return;
+    this.#written = undefined;
+    await store.transact([{
+      type: "delete",
+      key: VM_PREFIX + self.id,
+      ifRev: written.rev,
+    }], "membership");
   }
 }
--- a/src/platform/store.ts
+++ b/src/platform/store.ts
@@ -85,6 +85,8 @@
     other: 0,
   };
 
+  #generation: number | undefined;
+
   constructor(address: string) {
     super();
     const colon = address.lastIndexOf(":");
@@ -92,6 +94,10 @@
     this.#port = Number(address.slice(colon + 1));
   }
 
+  override get generation(): number | undefined {
+    return this.#generation;
+  }
+
   async get(key: string, purpose: StorePurpose) {
     const answer = await this.#call(
       "GET",
@@ -371,12 +377,16 @@
       };
       call.on("error", fail);
       call.on("response", (answer) => {
+        const generation = decodeGeneration(answer);
+        if (generation !== undefined) {
+          this.#generation = Math.max(this.#generation ?? 0, generation);
+        }
         readText(answer).then((text) => {
           clearTimeout(timer);
           resolve(
             ok({
               status: answer.statusCode ?? 0,
-              generation: decodeGeneration(answer),
+              generation,
               body: text ? JSON.parse(text) : {},
             }),
           );
--- a/src/standins/memory_key_value.ts
+++ b/src/standins/memory_key_value.ts
@@ -51,6 +51,8 @@
     other: 0,
   };
 
+  #generation: number | undefined;
+
   constructor(options: MemoryKeyValueOptions = {}) {
     super();
     this.#clock = options.clock ?? systemClock;
@@ -60,6 +62,10 @@
     this.#vmId = options.vmId ?? "";
   }
 
+  override get generation(): number | undefined {
+    return this.#generation;
+  }
+
   get(
     key: string,
     purpose: StorePurpose,
@@ -225,6 +231,7 @@
     if (fault.outage === "cut") return err(makeStoreError("lost"));
     if (fault.outage === "refuse") return err(makeStoreError("unavailable"));
     const result = run();
+    this.#generation = this.store.generation;
     return fault.loseAnswer ? err(makeStoreError("lost")) : result;
   }
 }
--- a/src/standins/platform_store.ts
+++ b/src/standins/platform_store.ts
@@ -84,6 +84,8 @@
   #compactedRev = 0;
   #rev = 1;
   #nextLeaseId = 1;
+  /** How often it came back from an older copy. */
+  generation = 0;
 
   constructor(nowMs: () => number, limits: Partial<StoreLimits> = {}) {
     this.#nowMs = nowMs;
@@ -216,6 +218,7 @@
    * that were granted since are gone. Their ids are given out again.
    */
   restore(copy: StoreCopy): void {
+    this.generation++;
     this.#nextLeaseId = copy.nextLeaseId;
     for (const id of this.#leases.keys()) {
       if (Number(id) >= copy.nextLeaseId) this.#leases.delete(id);
