A permission for a trial run that the store forgot is not given twice, and lost records are stored again

A store that comes back from a copy has forgotten the key, and gives the permission to a second VM while the first run lasts; the records of suspects since the copy are gone. Change: a VM that learns of the change, at the latest from the answer to its own question, gets no permission for as long as an earlier one may hold, 15 s. The first lead of each region writes its records again, a few every 2 s. A VM that starts after the change can't know of it: open, in the design note. Result: three tests; the one of the permission fails without the check (true in place of false, shown by taking it out); 72 of suspects, crashing requests and house pass.

--- a/src/adapters/suspect_store.ts
+++ b/src/adapters/suspect_store.ts
@@ -34,6 +34,8 @@
 export interface SuspectStoreOptions {
   readonly store: KeyValue;
   readonly vmId: string;
+  /** The monotonic clock. */
+  readonly nowMs: () => number;
   /** The shortest lease that the store grants. */
   readonly leastLeaseMs: number;
   /** Key prefix of the suspect records; the request's digest follows it. */
@@ -45,12 +47,24 @@
 /** Reads and writes suspect records and acquires permissions for trial runs. */
 export class SuspectStore extends SuspectRecords {
   readonly #options: SuspectStoreOptions;
+  /** The store's generation as it was known last, and when it changed. */
+  #generation: number | undefined;
+  #restoredMs = -Infinity;
+  #hasLoss = false;
 
   constructor(options: SuspectStoreOptions) {
     super();
     this.#options = options;
   }
 
+  /** Whether the store came back from an older copy since the last call, so that records may be missing. */
+  takeLoss(): boolean {
+    this.#checkGeneration();
+    const hasLoss = this.#hasLoss;
+    this.#hasLoss = false;
+    return hasLoss;
+  }
+
   async list(): Promise<StoredSuspect[] | undefined> {
     const { store, suspectPrefix } = this.#options;
     const listing = await store.list(suspectPrefix, {}, "other");
@@ -80,7 +94,11 @@
     return false;
   }
 
+  /**
+   * Acquires the permission for a trial run. While one may be in use that the store has forgotten, nobody gets another.
+   */
   async acquireTrial(digest: string): Promise<boolean> {
+    if (this.#mayHaveForgottenTrial) return false;
     const acquiring = this.#putLeased(
       this.#options.trialPrefix + digest,
       this.#options.vmId,
@@ -93,7 +111,21 @@
     });
     const isAcquired = await Promise.race([acquiring, timeout]);
     clearTimeout(timer);
-    return isAcquired;
+    return isAcquired && !this.#mayHaveForgottenTrial;
+  }
+
+  get #mayHaveForgottenTrial(): boolean {
+    this.#checkGeneration();
+    return this.#options.nowMs() - this.#restoredMs < TRIAL_LEASE_MS;
+  }
+
+  #checkGeneration(): void {
+    const { store, nowMs } = this.#options;
+    const before = this.#generation;
+    this.#generation = store.generation;
+    if (before === undefined || before === this.#generation) return;
+    this.#restoredMs = nowMs();
+    this.#hasLoss = true;
   }
 
   async delete(digest: string): Promise<boolean> {
--- a/src/adapters/suspect_store_test.ts
+++ b/src/adapters/suspect_store_test.ts
@@ -2,10 +2,18 @@
 import { MemoryKeyValue } from "../standins/memory_key_value.ts";
 import { SuspectStore } from "./suspect_store.ts";
 
-function connect(store: MemoryKeyValue, vmId: string): SuspectStore {
+/** How long a permission holds. */
+const TRIAL_MS = 15_000;
+
+function connect(
+  store: MemoryKeyValue,
+  vmId: string,
+  nowMs = () => 0,
+): SuspectStore {
   return new SuspectStore({
     store: new MemoryKeyValue({ store: store.store }),
     vmId,
+    nowMs,
     leastLeaseMs: 1_000,
     suspectPrefix: "suspects/",
     trialPrefix: "trials/",
@@ -35,6 +43,34 @@
       t.deepEqual(stored, { digest: "r", upstreams: ["w", "x", "y"] });
     });
 
+    it("are tried by one VM only, though the store forgot who has the permission", async (t) => {
+      let nowMs = 0;
+      const store = new MemoryKeyValue();
+      const [a, b] = [
+        connect(store, "a", () => nowMs),
+        connect(store, "b", () => nowMs),
+      ];
+      const copy = store.store.copy();
+      await b.list();
+      t.true(await a.acquireTrial("r"));
+      store.store.restore(copy);
+      t.false(await b.acquireTrial("r"));
+      t.false(await b.acquireTrial("other"));
+      nowMs = TRIAL_MS;
+      t.true(await b.acquireTrial("later"));
+    });
+
+    it("tell once that the store came back from a copy and may lack records", async (t) => {
+      const store = new MemoryKeyValue();
+      const a = connect(store, "a");
+      const copy = store.store.copy();
+      await a.list();
+      t.false(a.takeLoss());
+      store.store.restore(copy);
+      await a.list();
+      t.deepEqual([a.takeLoss(), a.takeLoss()], [true, false]);
+    });
+
     it("keep all crashes that two VMs store at once", async (t) => {
       const store = new MemoryKeyValue();
       const [a, b] = [connect(store, "a"), connect(store, "b")];
--- a/src/gateway/suspects.ts
+++ b/src/gateway/suspects.ts
@@ -70,6 +70,7 @@
     this.#store = new SuspectStore({
       store,
       vmId: self.id,
+      nowMs: () => this.#clock.monoMs(),
       leastLeaseMs,
       suspectPrefix: SUSPECT_PREFIX,
       trialPrefix: TRIAL_PREFIX,
@@ -94,7 +95,7 @@
     datagrams.on("ends", (params, ip) => this.#onCrashes(params, ip));
     this.#timer = clock.every(
       RESEND_INTERVAL_MS,
-      () => this.#tracker.republish(members.leads[0]?.id === self.id),
+      () => this.#republish(members.leads[0]?.id === self.id),
     );
     void this.#loadRecords();
     return Promise.resolve();
@@ -148,6 +149,12 @@
     );
   }
 
+  #republish(isFirstLead: boolean): void {
+    // One VM of a region writes the records again that the store may have lost.
+    if (this.#store.takeLoss() && isFirstLead) this.#tracker.storeAgain();
+    this.#tracker.republish(isFirstLead);
+  }
+
   async #loadRecords(): Promise<void> {
     while (this.#isOpen) {
       if (await this.#tracker.loadRecords()) return;
--- a/src/services/suspects.ts
+++ b/src/services/suspects.ts
@@ -74,6 +74,7 @@
       store: options.store,
       vmId: options.vmId,
       leastLeaseMs: MIN_LEASE_MS,
+      nowMs: () => this.#clock.monoMs(),
       suspectPrefix: SUSPECT_PREFIX,
       trialPrefix: TRIAL_PREFIX,
     });
--- a/src/suspects/suspect_records_test.ts
+++ b/src/suspects/suspect_records_test.ts
@@ -97,6 +97,22 @@
       t.deepEqual(records.stored.get("r"), ["u", "v", "w"]);
     });
 
+    it("are stored again if the store has lost them, unless they are no longer suspected", async (t) => {
+      const records = new Records();
+      const vm = new Vm(records);
+      vm.crash("u", "v", "w");
+      await vm.tick();
+      records.stored.clear();
+      vm.tracker.storeAgain();
+      await vm.tick();
+      t.deepEqual(records.stored.get("r"), ["u", "v", "w"]);
+      vm.tracker.clear("r");
+      await vm.tick();
+      vm.tracker.storeAgain();
+      await vm.tick();
+      t.false(records.stored.has("r"));
+    });
+
     it("are deleted if they are cleared while a slow write stores them", async (t) => {
       const records = new Records();
       const vm = new Vm(records);
--- a/src/suspects/suspect_tracker.ts
+++ b/src/suspects/suspect_tracker.ts
@@ -236,6 +236,15 @@
     return stored !== undefined;
   }
 
+  /** Writes all records again, some with each call of {@link SuspectTracker.republish}: the store may have lost them. */
+  storeAgain(): void {
+    const nowMs = this.#nowMs();
+    for (const [digest] of this.#history.rows(nowMs)) {
+      const count = this.#history.crashCount(digest, nowMs);
+      if (count >= CRASHES_BEFORE_TRIAL) this.#unstored.add(digest);
+    }
+  }
+
   /**
    * Sends rows again, because earlier messages may be lost; it is to be called every second or two. With
    * `shouldSendAll` it sends rows of all VMs in turn; one VM of a region does so. The others send what they saw or know
