--- a/src/gateway/suspects.ts
+++ b/src/gateway/suspects.ts
@@ -125,12 +125,11 @@
   async noteLoss(digest: string, loss: Loss): Promise<string | undefined> {
     const { upstream } = loss;
     const lostMs = this.#clock.monoMs();
-    // A draining upstream stops as planned, whatever still runs there.
-    const isDraining = this.#options.fleet.get(upstream.id)?.state ===
-      "draining";
+    // An upstream that leaves stops as planned, whatever still runs there.
+    const isLeaving = this.#options.fleet.isLeaving(upstream.key);
     if (loss.isGivenUp) await this.#clock.sleep(CRASH_WAIT_MS);
     const reach = await this.#options.losses.probe(upstream);
-    if (isDraining || !canBeCause(loss)) return undefined;
+    if (isLeaving || !canBeCause(loss)) return undefined;
     if (reach === "refused") return this.#noteCrash(digest, loss, lostMs);
     if (reach === "open") this.#restartWatch.watch(digest, loss, lostMs);
     return undefined;
--- a/src/routing/fleet.ts
+++ b/src/routing/fleet.ts
@@ -72,6 +72,12 @@
     return this.#leaving.note(key, nowMs);
   }
 
+  /** Whether an upstream said that it leaves, in its entry or in an answer. */
+  isLeaving(key: string): boolean {
+    return this.#leaving.has(key) ||
+      this.#getByKey(key)?.state === "draining";
+  }
+
   /** Upstreams that said that they leave while their entries still say that they are ready. */
   get announcedLeaving(): string[] {
     return this.#leaving.announced((key) =>
@@ -112,9 +118,8 @@
 
   /** Whether an upstream is still registered with the same key and may be sent requests. */
   canUse(upstream: KnownUpstream): boolean {
-    return this.#byId.get(upstream.id)?.key === upstream.key &&
-      this.#byId.get(upstream.id)?.state === "ready" &&
-      !this.#leaving.has(upstream.key) &&
+    return this.#getByKey(upstream.key) !== undefined &&
+      !this.isLeaving(upstream.key) &&
       !this.#evacuated.has(upstream.failureDomain);
   }
 
--- a/test/gateway_leaving_test.ts
+++ b/test/gateway_leaving_test.ts
@@ -89,6 +89,22 @@
       t.is(lab.runners[0].arrivals.length, 1);
     });
 
+    it("is not held to have crashed under what it still ran when it ends", async (t) => {
+      const { lab, vm } = await openLab(t, 1);
+      lab.store.faults.set([{ outage: "cut" }]);
+      Object.assign(lab.runners[0], {
+        isLeaving: true,
+        isFatal: () => true,
+        downMs: DRAIN_MS,
+      });
+      const request = { path: "/streamonce/", method: "POST", body: "x" };
+      await t.throwsAsync(lab.call(vm, request));
+      const logged = () => vm.log.lines.map(({ event }) => event);
+      await waitUntil(() => logged().includes("upstream lost"));
+      await new Promise((resolve) => setTimeout(resolve, 100));
+      t.false(logged().includes("upstream ended under"));
+    });
+
     it("is used again when a process with its id has started anew", async (t) => {
       const { lab, vm } = await openLab(t, 1);
       const [runner] = lab.runners;
