Soak: upstreams that leave or want rest, and a store that comes back from a copy

Judged from outside: nothing reaches the one later than 6 s after its first such answer (1.5 times the bound, as for others), at most two requests of a VM in a rest; what each VM holds at the end, as before.

--- a/soak/fault_injector.ts
+++ b/soak/fault_injector.ts
@@ -15,6 +15,8 @@
 /** Delay of the store's answers while it is slow: longer than the gateways' timeout of some calls. */
 const SLOW_STORE_MS = 1_200;
 const LOST_ANSWERS = 20;
+/** When operators write again after the store came back from an older copy. */
+const REWRITE_DELAY_MS = 500;
 /** After an outage an upstream writes its entry again within this time and one heartbeat. */
 const MAX_RETURN_DELAY_MS = 1_000;
 /** Return delays use their own random stream, so that the other faults of a seed stay the same. */
@@ -87,13 +89,53 @@
         return await sendFatalRequests(this.#world, this.#random, fault.forMs);
       case "evacuate": {
         const key = `op/evacuate/${getFailureDomain(REGIONS[fault.domain])}`;
-        this.#world.store.put(key, {});
+        this.#world.setEvacuated(key, true);
         await sleep(fault.forMs);
-        return this.#world.store.remove(key);
+        return this.#world.setEvacuated(key, false);
       }
+      case "farewell":
+        return await this.#world.runnerHosts[fault.runner].farewell(
+          fault.forMs,
+        );
+      case "rest":
+        return await this.#askForRest(fault);
+      case "restore":
+        return await this.#restoreStore(fault);
     }
   }
 
+  async #askForRest(
+    { runner: index, retryAfter, forMs }: Extract<Fault, { kind: "rest" }>,
+  ): Promise<void> {
+    const { instance } = this.#world.runnerHosts[index];
+    if (!instance) return;
+    const { runner } = instance;
+    this.#world.addTrouble(runner.id, forMs + AFTER_EFFECT_MS);
+    runner.behavior = "shed";
+    runner.refusalRetryAfter = retryAfter;
+    await sleep(forMs);
+    runner.behavior = "well";
+    runner.refusalRetryAfter = undefined;
+  }
+
+  /** Operators write again soon after the store is back, upstreams with their heartbeats. */
+  async #restoreStore(
+    { ageMs, awayMs, forMs }: Extract<Fault, { kind: "restore" }>,
+  ): Promise<void> {
+    const { store } = this.#world;
+    const copy = store.store.copy();
+    await sleep(ageMs);
+    this.#world.addTrouble("restore", awayMs + AFTER_EFFECT_MS);
+    store.faults.set([STORE_FAULTS.cut]);
+    await sleep(awayMs);
+    store.restore(copy);
+    store.faults.clear();
+    await sleep(REWRITE_DELAY_MS);
+    this.#world.writeAgain();
+    await sleep(Math.max(0, forMs - ageMs - awayMs - REWRITE_DELAY_MS));
+    this.#world.expireEntries();
+  }
+
   async #pauseVm(vm: number, forMs: number): Promise<void> {
     this.#world.addTrouble(`vm:${vm}`, forMs + AFTER_EFFECT_MS);
     const { proc } = this.#world.vms[vm];
--- a/soak/judge.ts
+++ b/soak/judge.ts
@@ -6,6 +6,7 @@
 
 import { formatStream } from "../src/standins/mod.ts";
 import { type Attempt, DEADLINE_MS } from "./callers.ts";
+import { findNoticeBreaches } from "./judge_notices.ts";
 import { describeDifferences, type View, type VmView } from "./views.ts";
 
 /** A request that reached an upstream. Times are on the world's clock. */
@@ -20,6 +21,18 @@
   readonly service: string;
   /** When the store learned that the upstream is draining or gone. */
   readonly drainingSinceMs: number;
+  /** Since when the upstream's answers say that it leaves. */
+  readonly leavingSinceMs: number;
+}
+
+/** A request that an upstream turned away. */
+export interface Refusal {
+  readonly attemptId: string;
+  readonly refusedMs: number;
+  /** The rest that it asked for; 0 if it asked for none that can be read. */
+  readonly restMs: number;
+  readonly runnerId: string;
+  readonly region: string;
 }
 
 /** What was observed in a run. */
@@ -28,6 +41,7 @@
   readonly arrivals: readonly Arrival[];
   /** Requests that crash every upstream that runs them; the body identifies the request. */
   readonly fatalArrivals: readonly Arrival[];
+  readonly refusals: readonly Refusal[];
   readonly troubles: readonly {
     readonly who: string;
     readonly fromMs: number;
@@ -62,6 +76,7 @@
   | "LOST"
   | "CONFIG"
   | "DRAIN"
+  | "REST"
   | "CRASH"
   | "PROCESS"
   | "RECOVER"
@@ -133,6 +148,7 @@
       this.#addBreach("PROCESS", "", what);
     }
     this.#checkCrashes();
+    this.#breaches.push(...findNoticeBreaches(this.#evidence));
     this.#checkRecovery();
     this.#checkViews();
     return this.#breaches;
--- a/soak/judge_test.ts
+++ b/soak/judge_test.ts
@@ -44,6 +44,7 @@
     region: "south",
     service: "s",
     drainingSinceMs: Infinity,
+    leavingSinceMs: Infinity,
     ...arrivalChanges,
   };
   return { attempt, arrival };
@@ -58,6 +59,7 @@
     attempts,
     arrivals,
     fatalArrivals: [],
+    refusals: [],
     troubles: [],
     configs: [{ sinceMs: 0, plainService: "s" }],
     processFaults: [],
--- a/soak/main.ts
+++ b/soak/main.ts
@@ -52,6 +52,13 @@
         "lapsing entries, kills of a region, series of evacuations: beside other faults, or alone",
       default: "none",
     },
+    notices: {
+      type: "enum" as const,
+      options: ["none", "beside", "only"],
+      description:
+        "upstreams that say in answers that they leave or want rest, a store that comes back from a copy: beside other faults, or alone",
+      default: "none",
+    },
     keep: {
       type: "string",
       description: "folder for the logs of runs that broke a promise",
@@ -78,6 +85,7 @@
           plannedOnly: args.planned,
           crashes: args.crashes as ExtraMode,
           lapses: args.lapses as ExtraMode,
+          notices: args.notices as ExtraMode,
           logFolder: args.keep,
           plant: args.plant,
         });
--- a/soak/plan_test.ts
+++ b/soak/plan_test.ts
@@ -25,6 +25,18 @@
     }
   });
 
+  it("keeps a seed's other faults when notices come beside them", (t) => {
+    const kinds = new Set<string>();
+    for (let seed = 1; seed <= SEEDS; seed++) {
+      const others = drawPlan(seed, OPTIONS);
+      const notices = drawPlan(seed, { ...OPTIONS, notices: "only" });
+      const both = drawPlan(seed, { ...OPTIONS, notices: "beside" });
+      t.deepEqual(formatSorted(both), formatSorted([...others, ...notices]));
+      for (const { kind } of notices) kinds.add(kind);
+    }
+    t.deepEqual([...kinds].sort(), ["config", "farewell", "rest", "restore"]);
+  });
+
   const findKilled = (vms: number): string[] => {
     const options = { ...OPTIONS, vms, lapses: "only" } as const;
     const killed = new Set<string>();
--- a/soak/registration.ts
+++ b/soak/registration.ts
@@ -39,6 +39,11 @@
     this.#put();
   }
 
+  /** The key of the entry of the upstream that runs now. */
+  get key(): string | undefined {
+    return this.#entry?.key;
+  }
+
   /** Removes the entry of an upstream that leaves. */
   remove(): void {
     if (this.#entry) this.#store.remove(this.#entry.key);
--- a/soak/run.ts
+++ b/soak/run.ts
@@ -10,7 +10,13 @@
 import { Caller } from "./callers.ts";
 import { isFatal } from "./fatal_requests.ts";
 import { FaultInjector } from "./fault_injector.ts";
-import { type Arrival, type Breach, type Evidence, Judge } from "./judge.ts";
+import {
+  type Arrival,
+  type Breach,
+  type Evidence,
+  Judge,
+  type Refusal,
+} from "./judge.ts";
 import { drawPlan, type ExtraMode, type Fault } from "./plan.ts";
 import { askVmViews, readStoreView } from "./views.ts";
 import { REGIONS, World } from "./world.ts";
@@ -28,6 +34,8 @@
   readonly crashes?: ExtraMode;
   /** Whether the plan has lapsing entries, kills of a region and series of evacuations. */
   readonly lapses?: ExtraMode;
+  /** Whether upstreams say in answers that they leave or want rest, and the store comes back from older copies. */
+  readonly notices?: ExtraMode;
   /** Folder for the logs of a run that broke a promise; absent or empty: they are not saved. */
   readonly logFolder?: string;
   /** Changes the evidence before it is checked, to plant a fault that the judge must find. */
@@ -51,7 +59,7 @@
 
 function collectArrivals(world: World): Arrival[] {
   return world.instances.flatMap((
-    { runner, region, service, drainingSinceMs },
+    { runner, region, service, drainingSinceMs, leavingSinceMs },
   ) =>
     runner.arrivals.map(({ headers, method, target, body, arrivedMonoMs }) => ({
       attemptId: String(headers["attempt-id"]),
@@ -63,6 +71,19 @@
       region,
       service,
       drainingSinceMs,
+      leavingSinceMs,
+    }))
+  );
+}
+
+function collectRefusals(world: World): Refusal[] {
+  return world.instances.flatMap(({ runner, region }) =>
+    runner.refusals.map(({ attemptId, refusedMonoMs, retryAfter }) => ({
+      attemptId,
+      refusedMs: refusedMonoMs,
+      restMs: (Number(retryAfter) || 0) * 1_000,
+      runnerId: runner.id,
+      region,
     }))
   );
 }
@@ -83,17 +104,17 @@
 
 /** Runs one seed. Throws only if the world cannot be opened. */
 export async function runSeed(options: RunOptions): Promise<RunResult> {
-  const { seed, vms, runners, faultsMs, plannedOnly, crashes, lapses } =
-    options;
+  const { seed, vms, runners, faultsMs } = options;
   const domains = REGIONS.length;
   const plan = drawPlan(seed, {
     vms,
     runners,
     domains,
     faultsMs,
-    plannedOnly,
-    crashes,
-    lapses,
+    plannedOnly: options.plannedOnly,
+    crashes: options.crashes,
+    lapses: options.lapses,
+    notices: options.notices,
   });
   const world = await World.open({ vms, runners, seed });
   try {
@@ -116,6 +137,7 @@
       attempts,
       arrivals: allArrivals.filter(({ body }) => !isFatal(body)),
       fatalArrivals: allArrivals.filter(({ body }) => isFatal(body)),
+      refusals: collectRefusals(world),
       troubles: world.troubles,
       configs: world.configs,
       processFaults: world.processFaults,
--- a/soak/runner_host.ts
+++ b/soak/runner_host.ts
@@ -18,6 +18,8 @@
   readonly service: string;
   /** When the store learned that it is draining or gone. */
   drainingSinceMs: number;
+  /** Since when its answers say that it leaves. */
+  leavingSinceMs: number;
 }
 
 /** How long a draining upstream still serves requests; the gateways' bound is 4 s. */
@@ -116,6 +118,18 @@
     });
   }
 
+  /** Says in its answers that it leaves, and in its entry that it is ready; ends after `forMs`, and a new one starts. */
+  farewell(forMs: number): Promise<void> {
+    return this.#runExclusively(async () => {
+      this.#instance!.leavingSinceMs = this.#world.nowMs();
+      this.#instance!.runner.isLeaving = true;
+      await sleep(forMs);
+      this.registration.remove();
+      await this.#stopRunner();
+      await this.#startRunner(this.#nextId(), this.#service);
+    });
+  }
+
   async close(): Promise<void> {
     this.registration.close();
     // A crashed upstream that comes back later would open the proxy again.
@@ -148,6 +162,7 @@
       region: this.region,
       service,
       drainingSinceMs: Infinity,
+      leavingSinceMs: Infinity,
     };
     this.#world.instances.push(this.#instance);
     this.#register("ready");
--- a/soak/soak_test.ts
+++ b/soak/soak_test.ts
@@ -70,6 +70,21 @@
     t.is(code, 0, printed);
   });
 
+  // Guards against VMs that don't read what upstreams and the store say of themselves in their answers.
+  it("keeps all promises with upstreams that leave or want rest, and a store that comes back from a copy", async (t) => {
+    const { code, printed } = await runSoak(
+      "--first",
+      "11",
+      "--seeds",
+      "1",
+      "--seconds",
+      "4",
+      "--notices",
+      "only",
+    );
+    t.is(code, 0, printed);
+  });
+
   // Guards against two soaks on one machine that use the same addresses.
   it("keeps all promises while a second soak runs", async (t) => {
     const args = ["--seeds", "1", "--seconds", "1", "--planned"];
--- a/soak/world.ts
+++ b/soak/world.ts
@@ -117,11 +117,42 @@
     return trouble;
   }
 
+  /** Evacuations in force, by key. */
+  readonly evacuations = new Set<string>();
+  #config: object | undefined;
+
+  /** Starts an evacuation, or ends it. */
+  setEvacuated(key: string, isEvacuated: boolean): void {
+    if (isEvacuated) this.evacuations.add(key);
+    else this.evacuations.delete(key);
+    if (isEvacuated) this.store.put(key, {});
+    else this.store.remove(key);
+  }
+
+  /** Writes again what operators have in force, after the store came back from an older copy. */
+  writeAgain(): void {
+    this.store.put("op/config", this.#config);
+    for (const { key } of this.store.store.copy().entries) {
+      if (key.startsWith("op/evacuate/") && !this.evacuations.has(key)) {
+        this.store.remove(key);
+      }
+    }
+    for (const key of this.evacuations) this.store.put(key, {});
+  }
+
+  /** Removes the entries of upstreams that are gone and don't renew them. */
+  expireEntries(): void {
+    const keys = new Set(this.runnerHosts.map((host) => host.registration.key));
+    for (const { key } of this.store.store.copy().entries) {
+      if (key.startsWith("servers/") && !keys.has(key)) this.store.remove(key);
+    }
+  }
+
   /** Writes a new version of the configuration, in which plain requests go to `plainService`. */
   writeConfig(plainService: string): void {
     const version = (this.configs.at(-1)?.version ?? 0) + 3;
     const service = { max_conns: 100, cold_s: 0, cold_rate_s: 0 };
-    this.store.put("op/config", {
+    this.#config = {
       version,
       routes: [
         makeRoute({ service: plainService }),
@@ -149,7 +180,8 @@
         header_timeout_ms: 1_000,
         idle_timeout_ms: 5_000,
       },
-    });
+    };
+    this.store.put("op/config", this.#config);
     this.configs.push({ version, sinceMs: this.nowMs(), plainService });
   }
 
--- a/src/standins/runner.ts
+++ b/src/standins/runner.ts
@@ -55,6 +55,7 @@
   readonly attemptId: string;
   /** On the monotonic clock. */
   readonly refusedMonoMs: number;
+  readonly retryAfter: string | undefined;
 }
 
 /** Where a runner listens. */
@@ -272,6 +273,7 @@
     this.refusals.push({
       attemptId: String(headers["attempt-id"]),
       refusedMonoMs: performance.now(),
+      retryAfter: this.refusalRetryAfter,
     });
     if (this.refusalRetryAfter !== undefined) {
       response.setHeader("retry-after", this.refusalRetryAfter);
