An upstream stays cold though a store that came back from a copy says that it is warm

Found by reading: the copy may be older than the moment at which an upstream became cold, and a cold one crashes under a warm one's requests. Change: an entry of the copy does not shorten the cold time of the same start; the next entry that is written does. The check whether an upstream may be used, made for each candidate of each request, takes no key apart again.

--- a/src/gateway/upstream_view.ts
+++ b/src/gateway/upstream_view.ts
@@ -59,7 +59,13 @@
     this.#lapsed.delete(id);
     try {
       const record = decodeUpstream(id, entry.value);
-      if (this.#counts(record, cause)) this.#use(record, entry.rev);
+      if (!this.#counts(record, cause)) return;
+      const before = fleet.get(id);
+      this.#use(record, entry.rev);
+      // An older entry may not say yet that the upstream is cold.
+      if (cause === "restored" && before?.key === record.key) {
+        fleet.keepCold(id, before.coldUntilMs);
+      }
     } catch (error) {
       fleet.delete(id);
       log.warn("upstream entry unreadable", {
--- a/src/gateway/upstream_view_test.ts
+++ b/src/gateway/upstream_view_test.ts
@@ -48,6 +48,7 @@
   return {
     clock,
     view,
+    fleet,
     /** The store comes back and holds this entry, or none. */
     restore(entry: Entry | undefined) {
       troubles.restoredMonoMs = clock.monoMs();
@@ -113,6 +114,17 @@
       t.deepEqual(usableKeys(), ["i-1@8"]);
     });
 
+    it("keeps an upstream cold, though the copy says that it is warm", async (t) => {
+      const { clock, view, restore, fleet } = openView();
+      view.put(makeEntry({ cold_left_ms: 8_000 }), "written");
+      const coldUntilMs = clock.monoMs() + 8_000;
+      await clock.advance(1_000);
+      restore(makeEntry());
+      t.is(fleet.get("i-1")?.coldUntilMs, coldUntilMs);
+      view.put(makeEntry(), "written");
+      t.is(fleet.get("i-1")?.coldUntilMs, clock.monoMs());
+    });
+
     it("uses an upstream that it has not seen", (t) => {
       const { restore, usableKeys } = openView();
       restore(makeEntry({ born: 9 }));
--- a/src/routing/fleet.ts
+++ b/src/routing/fleet.ts
@@ -118,8 +118,9 @@
 
   /** Whether an upstream is still registered with the same key and may be sent requests. */
   canUse(upstream: KnownUpstream): boolean {
-    return this.#getByKey(upstream.key) !== undefined &&
-      !this.isLeaving(upstream.key) &&
+    const known = this.#byId.get(upstream.id);
+    return known?.key === upstream.key && known.state === "ready" &&
+      !this.#leaving.has(upstream.key) &&
       !this.#evacuated.has(upstream.failureDomain);
   }
 
