--- a/src/explain/explain_test.ts
+++ b/src/explain/explain_test.ts
@@ -61,6 +61,14 @@
     t.regex(cause, /meanwhile: upstream asks for rest \(u7\)$/);
   });
 
+  it("shows that the store came back from a copy before a request", (t) => {
+    const lines = [
+      'time=2026-01-01T00:00:01.000Z level=warn event="store restored" vm=a prefix=op/ from=store generation=2 rev=21 knownRev=25',
+      "time=2026-01-01T00:00:02.000Z level=info event=request vm=a attempt=a9 place=u1 outcome=ok",
+    ].map((line) => parseLine(line)!);
+    t.regex(explainRequest("a9", lines)!.cause, /meanwhile: store restored$/);
+  });
+
   it("explains nothing for a request that no line names", (t) => {
     t.is(explainRequest("nobody", LINES), undefined);
   });
--- a/src/explain/explanation.ts
+++ b/src/explain/explanation.ts
@@ -29,8 +29,12 @@
   "leads",
   "evacuated",
   "store lost",
+  "store restored",
 ]);
 
+/** Events that may explain a request wherever it was sent. */
+const WIDE_EVENTS = new Set(["store lost", "store restored", "evacuated"]);
+
 /** What upstreams say of themselves; it explains a request that was sent to none. */
 const NOTICE_EVENTS = new Set([
   "upstream says it leaves",
@@ -151,7 +155,7 @@
     CONTEXT_EVENTS.has(event) && timeMs >= firstMs && timeMs <= lastMs &&
     vms.has(vm) &&
     (places.has(fields.upstream ?? fields.peer ?? "") ||
-      event === "store lost" || event === "evacuated" ||
+      WIDE_EVENTS.has(event) ||
       (places.size === 0 && NOTICE_EVENTS.has(event)))
   );
   const digests = new Set(
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -126,6 +126,11 @@
         `copy="${topic}"`,
         () => storeView.agreedAgoMs(topic) / 1_000,
       );
+      metrics.gauge(
+        "store_copy_generation",
+        `copy="${topic}"`,
+        () => storeView.copies[topic].generation ?? 0,
+      );
     }
     metrics.gauge(
       "upstreams_leaving",
