--- a/src/gateway/follower_test.ts
+++ b/src/gateway/follower_test.ts
@@ -3,17 +3,10 @@
 import type { Entry, Listing, WatchEvent } from "../adapters/mod.ts";
 import { describe, it } from "../base/describe.ts";
 import { ManualClock, systemClock } from "../base/mod.ts";
+import { SILENT_LOG } from "../../test/silent_log.ts";
 import { Follower } from "./follower.ts";
 import { type News, Replica } from "./replica.ts";
 
-const SILENT_LOG = {
-  debug() {},
-  info() {},
-  warn() {},
-  error() {},
-  log() {},
-};
-
 function entry(key: string, rev: number, value = "state"): Entry {
   return { key, rev, value };
 }
--- a/src/gateway/peer_rpc_test.ts
+++ b/src/gateway/peer_rpc_test.ts
@@ -3,18 +3,12 @@
 import { describe, it } from "../base/describe.ts";
 import { systemClock } from "../base/mod.ts";
 import { Kernel } from "../kernel/mod.ts";
+import { SILENT_LOG } from "../../test/silent_log.ts";
 import type { Members } from "./members.ts";
 import { PeerRpc } from "./peer_rpc.ts";
 import type { Relays } from "./relays.ts";
 import { StoreView } from "./store_view.ts";
 
-const SILENT_LOG = {
-  debug() {},
-  info() {},
-  warn() {},
-  error() {},
-  log() {},
-};
 const HOST = "127.0.0.1";
 const WAIT_MS = 10_000;
 const POLL_MS = 20;
--- a/src/gateway/store_view_test.ts
+++ b/src/gateway/store_view_test.ts
@@ -4,17 +4,11 @@
 import { ManualClock } from "../base/mod.ts";
 import { Kernel, type TaskPort } from "../kernel/mod.ts";
 import { UPSTREAM_PREFIX } from "../platform/mod.ts";
+import { SILENT_LOG } from "../../test/silent_log.ts";
 import type { FollowedStore } from "./follower.ts";
 import type { News } from "./replica.ts";
 import { StoreView, type StoreViewMessages } from "./store_view.ts";
 
-const SILENT_LOG = {
-  debug() {},
-  info() {},
-  warn() {},
-  error() {},
-  log() {},
-};
 const VMS = 6;
 const READERS = 3;
 const UPSTREAMS = 20;
--- a/src/gateway/upstream_view_test.ts
+++ b/src/gateway/upstream_view_test.ts
@@ -1,22 +1,14 @@
 import { describe, it } from "../base/describe.ts";
 import { ManualClock } from "../base/mod.ts";
-import type { Log } from "../kernel/mod.ts";
 import { Fleet } from "../routing/mod.ts";
 import type { Entry } from "../adapters/mod.ts";
+import { SILENT_LOG } from "../../test/silent_log.ts";
 import { UpstreamView } from "./upstream_view.ts";
 
 const KEY = "servers/i-1";
 /** How long what the store has lost, or has again, does not count. */
 const KEEP_MS = 5_000;
 
-const SILENT_LOG: Log = {
-  debug() {},
-  info() {},
-  warn() {},
-  error() {},
-  log() {},
-};
-
 function makeEntry(fields: Record<string, unknown> = {}): Entry {
   const value = JSON.stringify({
     service: "s",
--- a/src/gateway/vm_registration_test.ts
+++ b/src/gateway/vm_registration_test.ts
@@ -1,21 +1,13 @@
 import { describe, it } from "../base/describe.ts";
 import { ManualClock } from "../base/mod.ts";
-import type { Log } from "../kernel/mod.ts";
 import { VM_PREFIX } from "../platform/mod.ts";
 import { MemoryKeyValue, PlatformStore } from "../standins/mod.ts";
+import { SILENT_LOG } from "../../test/silent_log.ts";
 import { VmRegistration } from "./vm_registration.ts";
 
 /** Longer than a VM has to lead, and than the pause between two renewals. */
 const REGISTERED_MS = 9_000;
 
-const SILENT_LOG: Log = {
-  debug() {},
-  info() {},
-  warn() {},
-  error() {},
-  log() {},
-};
-
 /** A lead that has written its entry, and the store as it was before. */
 async function openRegistered() {
   const clock = new ManualClock();
