--- a/test/gateway_restored_test.ts
+++ b/test/gateway_restored_test.ts
@@ -118,6 +118,40 @@
       });
     }
 
+    it("puts a new configuration in force in time if it comes back twice within seconds", async (t) => {
+      const lab = await openRestorable(t, 2);
+      const copy = lab.store.store.copy();
+      await restore(lab, 200);
+      lab.configure();
+      lab.store.restore(copy);
+      await writeAgain(lab);
+      lab.configure();
+      const startMs = performance.now();
+      await waitUntil(() =>
+        performance.now() - startMs > APPLY_MS ||
+        lab.vms.every((vm) => configVersionOf(vm) === lab.configVersion)
+      );
+      const versions = lab.vms.map(configVersionOf);
+      t.deepEqual(versions, lab.vms.map(() => lab.configVersion));
+    });
+
+    it("is followed as before if its answers do not say how often it came back", async (t) => {
+      const lab = new GatewayLab();
+      t.teardown(() => lab.close());
+      lab.store.era = undefined;
+      lab.configure();
+      await lab.addRunner();
+      const vm = await lab.addVm();
+      await lab.waitUntilReady(vm);
+      lab.configure();
+      lab.register(lab.runners[0], "north", { state: "draining" });
+      await waitUntil(() =>
+        configVersionOf(vm) === lab.configVersion &&
+        dumpStoreView(vm).fleet.upstreams[0].state === "draining"
+      );
+      t.pass();
+    });
+
     it("costs few calls until its revisions have caught up", async (t) => {
       const lab = await openRestorable(t, 1);
       await restore(lab, 200);
