--- a/src/gateway/peer_rpc.ts
+++ b/src/gateway/peer_rpc.ts
@@ -120,9 +120,10 @@
     if (this.#isPulling) return;
     this.#isPulling = true;
     try {
-      this.#noteLeavingUpstreams();
+      const sources = this.#members.newsSources();
+      this.#noteLeavingUpstreams(sources);
       for (const topic of NEWS_TOPICS) {
-        const source = this.#pickSource(topic);
+        const source = this.#pickSource(topic, sources);
         if (source) await this.#pullFrom(source, topic);
       }
     } finally {
@@ -131,8 +132,8 @@
   }
 
   /** Notes which upstreams other VMs know to leave. */
-  #noteLeavingUpstreams(): void {
-    for (const { id, leavingUpstreams } of this.#members.newsSources()) {
+  #noteLeavingUpstreams(sources: readonly NewsSource[]): void {
+    for (const { id, leavingUpstreams } of sources) {
       if (!Array.isArray(leavingUpstreams)) continue;
       for (const key of leavingUpstreams) {
         this.#storeView.noteLeaving(String(key), { from: id });
@@ -144,10 +145,13 @@
    * Picks a VM that is ahead: one of this region, so that news crosses to each region only once; one of another region
    * only if no VM here could have read the news from the store.
    */
-  #pickSource(topic: NewsTopic): NewsSource | undefined {
-    const sources = this.#members.newsSources().filter((
-      { copies, isServed },
-    ) => this.#storeView.notePeer(topic, copies[topic], isServed));
+  #pickSource(
+    topic: NewsTopic,
+    known: readonly NewsSource[],
+  ): NewsSource | undefined {
+    const sources = known.filter(({ copies, isServed }) =>
+      this.#storeView.notePeer(topic, copies[topic], isServed)
+    );
     const nearSources = sources.filter(({ region }) => region === this.#region);
     if (nearSources.length > 0) return this.#random.pick(nearSources);
     if (sources.length === 0 || !this.#members.isLead) {
--- a/src/gateway/replica.ts
+++ b/src/gateway/replica.ts
@@ -95,6 +95,8 @@
   #digest = formatDigest(0n);
   #generation = 0;
   #rev = 0;
+  /** See {@link Replica.state}; it is read hundreds of times a second and changes a few times. */
+  #state: ReplicaState = { rev: 0, digest: this.#digest };
   #needsComparison = false;
   /** The cause of what is being reported. */
   #cause: ChangeCause = "written";
@@ -110,11 +112,17 @@
 
   /** What this VM announces of its copy. */
   get state(): ReplicaState {
-    return {
-      ...(this.#generation > 0 ? { generation: this.#generation } : {}),
-      rev: this.#rev,
-      digest: this.#digest,
-    };
+    const { rev, digest, generation = 0 } = this.#state;
+    const isSame = rev === this.#rev && digest === this.#digest &&
+      generation === this.#generation;
+    if (!isSame) {
+      this.#state = {
+        ...(this.#generation > 0 ? { generation: this.#generation } : {}),
+        rev: this.#rev,
+        digest: this.#digest,
+      };
+    }
+    return this.#state;
   }
 
   /** The entries that are held. */
--- a/src/routing/leaving.ts
+++ b/src/routing/leaving.ts
@@ -29,6 +29,7 @@
 
   /** The upstreams to tell other VMs of, the latest first: those that `isUnknown` accepts. */
   announced(isUnknown: (key: string) => boolean): string[] {
+    if (this.#sinceMs.size === 0) return [];
     return [...this.#sinceMs.keys()].reverse().filter(isUnknown)
       .slice(0, MAX_ANNOUNCED);
   }
