Logs and explain tell from whom a VM has its configuration, and that it passed one over

Cause: 'config in force' named a revision only. A VM that stayed at a version logged nothing, whether it was told an older one or its reader got no answer, so the incident's hypotheses looked alike.

Change: the configuration in force, its source and the version that the store holds live in src/gateway/config_in_force.ts. 'config in force' states who sent it, who read it from the store and how long before, whether this VM reads the store and when the store last answered it; 'older config left out' and 'other config of one version left out' say what does not count; 'store listed first' has the generation of a VM that starts. Metric ibisgap_config_version of gateway and of store. 'ibisgap explain' names the version that handled a request and the newest one that any given log shows by then.

No decision changed.

--- a/src/explain/explain_test.ts
+++ b/src/explain/explain_test.ts
@@ -69,6 +69,28 @@
     t.regex(explainRequest("a9", lines)!.cause, /meanwhile: store restored$/);
   });
 
+  it("shows which newer configuration others had, and how each VM came by its own", (t) => {
+    const lines = [
+      'time=2026-01-01T00:00:01.000Z level=info event="config in force" vm=a configVersion=6 rev=5 from=store readBy=a readAgoMs=0 isReader=true storeAnsweredAgoMs=0',
+      'time=2026-01-01T00:00:02.000Z level=info event="config in force" vm=b configVersion=3 rev=2 from=c readBy=c readAgoMs=9 isReader=false storeAnsweredAgoMs=40',
+      "time=2026-01-01T00:00:08.000Z level=warn event=request vm=b attempt=a9 configVersion=3 outcome=notFound",
+    ].map((line) => parseLine(line)!);
+    const { cause, lines: shown } = explainRequest("a9", lines)!;
+    t.regex(
+      cause,
+      /by configuration 3 in force on b for 6000 ms, from c, read by c, revision 2, the store had answered this VM 40 ms before; newer: 6 in force on a for 7000 ms, from store, read by a, revision 5, the store had answered this VM 0 ms before, it reads the store for its region$/,
+    );
+    t.is(shown.length, 3);
+  });
+
+  it("says nothing of configurations where the newest one handled the request", (t) => {
+    const lines = [
+      'time=2026-01-01T00:00:01.000Z level=info event="config in force" vm=b configVersion=6 rev=5 from=store',
+      "time=2026-01-01T00:00:02.000Z level=warn event=request vm=a attempt=a9 configVersion=6 outcome=notFound",
+    ].map((line) => parseLine(line)!);
+    t.notRegex(explainRequest("a9", lines)!.cause, /configuration 6/);
+  });
+
   it("explains nothing for a request that no line names", (t) => {
     t.is(explainRequest("nobody", LINES), undefined);
   });
--- a/src/explain/explanation.ts
+++ b/src/explain/explanation.ts
@@ -4,6 +4,7 @@
  * @module
  */
 
+import { findConfigHistory } from "./config_history.ts";
 import type { ParsedLine } from "./log_line.ts";
 
 /** The log lines of a request and the cause of its outcome. */
@@ -164,14 +165,19 @@
   const suspectLines = allLines.filter(({ event, fields }) =>
     SUSPECT_EVENTS.has(event) && digests.has(fields.request)
   );
-  const lines = [...ownLines, ...contextLines, ...suspectLines].sort((a, b) =>
-    a.timeMs - b.timeMs
-  );
   // The outcome is taken from the VM that the caller was connected to, because the other VMs sent their answers there.
   const endLines = ownLines.filter(({ event }) => event === "request");
   const last = endLines.find(({ fields }) => fields.relayed !== "true") ??
     endLines.at(-1);
-  return { attempt, lines, cause: causeOf(last, lines) };
+  const history = last && findConfigHistory(last, allLines);
+  const lines = [
+    ...ownLines,
+    ...contextLines,
+    ...suspectLines,
+    ...(history?.lines ?? []),
+  ].sort((a, b) => a.timeMs - b.timeMs);
+  const cause = [causeOf(last, lines), ...(history?.parts ?? [])].join("; ");
+  return { attempt, lines, cause };
 }
 
 /** Formats an explanation as text, with times relative to its first line. */
--- /dev/null
+++ b/src/gateway/config_in_force.ts
@@ -0,0 +1,165 @@
+/**
+ * The configuration that is in force on this VM, and how it came here.
+ *
+ * @module
+ */
+
+import type { Entry } from "../adapters/mod.ts";
+import type { Clock } from "../base/mod.ts";
+import type { Log } from "../kernel/mod.ts";
+import { decodeConfig } from "../platform/mod.ts";
+import type { GatewayConfig } from "../routing/mod.ts";
+
+/** Who read a configuration from the store, and when. */
+export interface ConfigOrigin {
+  /** Id of the VM that read it. */
+  readonly readBy: string;
+  /** Time since then, as of the sending. */
+  readonly readAgoMs: number;
+}
+
+/** Where this VM has an entry from. */
+export interface ConfigSource {
+  /** `store`, or the id of the VM that sent it. */
+  readonly from: string;
+  /** Absent if it comes from the store, or if the sender does not know. */
+  readonly origin?: ConfigOrigin;
+}
+
+/** The source of what this VM reads itself. */
+export const FROM_STORE: ConfigSource = { from: "store" };
+
+/** Options of {@link ConfigInForce}. */
+export interface ConfigInForceOptions {
+  readonly vmId: string;
+  readonly clock: Clock;
+  readonly log: Log;
+  /** What else a log line states of this VM's way to the store. */
+  readonly describeStore: () => Readonly<Record<string, unknown>>;
+}
+
+/** A configuration as it came. */
+interface HeldConfig {
+  readonly config: GatewayConfig;
+  readonly value: string;
+  readonly from: string;
+  readonly readBy: string;
+  /** When it was read from the store, on this VM's monotonic clock. */
+  readonly readMonoMs: number;
+}
+
+/** Holds the configuration with the highest version that came. */
+export class ConfigInForce {
+  readonly #options: ConfigInForceOptions;
+  #held: HeldConfig | undefined;
+  /** Version of the store's entry in this VM's copy; `undefined` if there is none or it can't be read. */
+  #storedVersion: number | undefined;
+
+  constructor(options: ConfigInForceOptions) {
+    this.#options = options;
+  }
+
+  get config(): GatewayConfig | undefined {
+    return this.#held?.config;
+  }
+
+  /** The version that the store holds, as far as this VM knows; `undefined` if none can be read. */
+  get storedVersion(): number | undefined {
+    return this.#storedVersion;
+  }
+
+  /** Who read the store's entry first, if that entry is in force. */
+  get origin(): ConfigOrigin | undefined {
+    if (!this.#held || this.#held.config.version !== this.#storedVersion) {
+      return undefined;
+    }
+    const { readBy, readMonoMs } = this.#held;
+    const readAgoMs = this.#options.clock.monoMs() - readMonoMs;
+    return { readBy, readAgoMs: Math.round(readAgoMs) };
+  }
+
+  /** Applies the store's entry, as this VM read it or another one sent it. */
+  applyStored(entry: Entry, source: ConfigSource): void {
+    const before = this.#storedVersion;
+    this.#storedVersion = undefined;
+    const config = this.#decode(entry, source);
+    if (!config) return;
+    this.#storedVersion = config.version;
+    this.#offer(config, entry, source, before !== config.version);
+  }
+
+  /** Notes that the store holds no configuration any more. What is in force stays. */
+  noteDeleted(): void {
+    this.#storedVersion = undefined;
+  }
+
+  dump(): unknown {
+    if (!this.#held) return undefined;
+    const { config: { version }, from, readBy, readMonoMs } = this.#held;
+    return {
+      version,
+      storedVersion: this.#storedVersion,
+      from,
+      readBy,
+      readAgoMs: this.#options.clock.monoMs() - readMonoMs,
+    };
+  }
+
+  #decode({ value, rev }: Entry, { from }: ConfigSource) {
+    try {
+      return decodeConfig(value);
+    } catch (error) {
+      this.#options.log.error("config unreadable", {
+        rev,
+        from,
+        reason: String(error),
+      });
+      return undefined;
+    }
+  }
+
+  /** Puts a configuration in force if it is newer: a late answer or another VM may bring an older one. */
+  #offer(
+    config: GatewayConfig,
+    { value, rev }: Entry,
+    { from, origin }: ConfigSource,
+    isNews: boolean,
+  ): void {
+    const { vmId, clock, log, describeStore } = this.#options;
+    const { version } = config;
+    const inForce = this.#held?.config.version;
+    if (inForce !== undefined && version <= inForce) {
+      if (isNews) this.#logLeftOut(version, value, rev, from);
+      return;
+    }
+    const { readBy, readAgoMs } = origin ?? { readBy: vmId, readAgoMs: 0 };
+    const readMonoMs = clock.monoMs() - readAgoMs;
+    this.#held = { config, value, from, readBy, readMonoMs };
+    log.info("config in force", {
+      configVersion: version,
+      rev,
+      from,
+      readBy,
+      readAgoMs,
+      ...describeStore(),
+      routes: config.routes.length,
+      workspaces: config.workspaces.count,
+    });
+  }
+
+  #logLeftOut(version: number, value: string, rev: number, from: string) {
+    const held = this.#held!;
+    const inForce = held.config.version;
+    if (version === inForce && value === held.value) return;
+    const event = version < inForce
+      ? "older config left out"
+      : "other config of one version left out";
+    this.#options.log.warn(event, {
+      configVersion: version,
+      inForce,
+      rev,
+      from,
+      ...this.#options.describeStore(),
+    });
+  }
+}
--- a/src/gateway/follower.ts
+++ b/src/gateway/follower.ts
@@ -237,6 +237,9 @@
     const isRestored = this.#replica.isRestoredBy(listing.value);
     if (isRestored) this.#noteRestored({ rev, generation }, "store");
     else if (rev < askedAtRev) return this.#noteRegression(listing.value);
+    if (askedAtRev === 0) {
+      this.#options.log.info("store listed first", { prefix, rev, generation });
+    }
     this.#replica.applyListing({
       ...listing.value,
       entries: entries.map((entry) => this.#redact(entry)),
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -37,6 +37,9 @@
  */
 const STRICT_REVOKE_WAIT_SHARE = 0.4;
 
+/** Shown by the metrics where there is no configuration. */
+const NO_VERSION = -1;
+
 /** A running gateway. */
 export class Gateway {
   readonly #kernel: Kernel;
@@ -70,6 +73,7 @@
     const { strictRevokeMs } = settings.bounds;
     const store = new PlatformKeyValue(settings.store.address);
     const storeView = new StoreView({
+      vmId: vm.id,
       store,
       failureDomains: settings.failureDomains,
       isReader: () => isReader(vm.id, members.order),
@@ -132,6 +136,16 @@
         () => storeView.copies[topic].generation ?? 0,
       );
     }
+    metrics.gauge(
+      "config_version",
+      'of="gateway"',
+      () => storeView.config?.version ?? NO_VERSION,
+    );
+    metrics.gauge(
+      "config_version",
+      'of="store"',
+      () => storeView.storedConfigVersion ?? NO_VERSION,
+    );
     metrics.gauge(
       "upstreams_leaving",
       "",
--- a/src/gateway/peer_rpc_test.ts
+++ b/src/gateway/peer_rpc_test.ts
@@ -37,6 +37,7 @@
     } as unknown as Relays;
     const never = () => new Promise<never>(() => {});
     const view = new StoreView({
+      vmId: "vm",
       store: { list: never, changes: never },
       failureDomains: {},
       isReader: () => false,
--- a/src/gateway/replica.ts
+++ b/src/gateway/replica.ts
@@ -15,6 +15,7 @@
 import type { Entry, Listing, WatchEvent } from "../adapters/mod.ts";
 import { digest64 } from "../base/mod.ts";
 import { compareReplicaStates, type ReplicaState } from "../region/mod.ts";
+import type { ConfigOrigin } from "./config_in_force.ts";
 
 /** A question for the differences to another VM's copy. */
 export interface NewsRequest {
@@ -36,6 +37,8 @@
   readonly recoveredAgoMs?: number;
   /** Time since the sender learned that the store came back from an older copy; absent if it never did. */
   readonly restoredAgoMs?: number;
+  /** Who read the configuration that the sender's copy holds; absent if that one is not in force there. */
+  readonly configOrigin?: ConfigOrigin;
 }
 
 /** Options of {@link Replica}. */
--- a/src/gateway/store_view.ts
+++ b/src/gateway/store_view.ts
@@ -10,7 +10,6 @@
 import { type Handlers, type Kernel, type Log, Task } from "../kernel/mod.ts";
 import {
   CONFIG_KEY,
-  decodeConfig,
   decodeEvacuationKey,
   hashApiKeys,
   OPERATOR_PREFIX,
@@ -18,6 +17,11 @@
 } from "../platform/mod.ts";
 import { Fleet, type GatewayConfig } from "../routing/mod.ts";
 import type { ReplicaState, ReplicaStates, VmState } from "../region/mod.ts";
+import {
+  ConfigInForce,
+  type ConfigSource,
+  FROM_STORE,
+} from "./config_in_force.ts";
 import { type FollowedStore, Follower } from "./follower.ts";
 import { KeptEntries } from "./kept_entries.ts";
 import type {
@@ -52,6 +56,7 @@
 
 /** Options of {@link StoreView}. */
 export interface StoreViewOptions {
+  readonly vmId: string;
   readonly store: FollowedStore;
   /** Region of each failure domain. */
   readonly failureDomains: Readonly<Record<string, string>>;
@@ -91,7 +96,9 @@
   /** Evacuations that the store has lost, by their keys. */
   readonly #kept = new KeptEntries();
   #failureDomains: Readonly<Record<string, string>>;
-  #config: GatewayConfig | undefined;
+  #config!: ConfigInForce;
+  /** Where the entry that is being applied comes from. */
+  #source: ConfigSource = FROM_STORE;
   #upstreams!: UpstreamView;
   #followers!: Readonly<Record<NewsTopic, Follower>>;
   #clock!: Clock;
@@ -99,8 +106,7 @@
   #timer: Timer | undefined;
 
   protected readonly handlers: Handlers<StoreViewMessages> = {
-    news: ({ matter: topic, ...request }) =>
-      this.#followers[topic].newsFor(request),
+    news: ({ matter: topic, ...request }) => this.#newsFor(topic, request),
     adopt: ({ matter: topic, news, from }) => this.#adopt(topic, news, from),
   };
 
@@ -113,7 +119,12 @@
 
   /** The newest configuration; `undefined` until one is known. */
   get config(): GatewayConfig | undefined {
-    return this.#config;
+    return this.#config.config;
+  }
+
+  /** The version of the configuration that the store holds, as far as this VM knows; `undefined` if none can be read. */
+  get storedConfigVersion(): number | undefined {
+    return this.#config.storedVersion;
   }
 
   /** The state of this VM's copies, which it announces to others. */
@@ -175,7 +186,13 @@
   start(kernel: Kernel): Promise<void> {
     this.#clock = kernel.clock;
     this.#log = kernel.log;
-    const { store } = this.#options;
+    const { store, vmId } = this.#options;
+    this.#config = new ConfigInForce({
+      vmId,
+      clock: this.#clock,
+      log: this.#log,
+      describeStore: () => this.#describeStore(),
+    });
     this.#upstreams = new UpstreamView({
       fleet: this.fleet,
       clock: this.#clock,
@@ -230,7 +247,8 @@
   dump(): unknown {
     const nowMs = this.#clock.monoMs();
     return {
-      configVersion: this.#config?.version,
+      configVersion: this.config?.version,
+      config: this.#config.dump(),
       copies: this.copies,
       agreedAgoMs: {
         operators: this.agreedAgoMs("operators"),
@@ -250,9 +268,20 @@
     };
   }
 
+  #newsFor(topic: NewsTopic, request: NewsRequest): News {
+    const news = this.#followers[topic].newsFor(request);
+    const configOrigin = topic === "operators"
+      ? this.#config.origin
+      : undefined;
+    return configOrigin ? { ...news, configOrigin } : news;
+  }
+
   #adopt(topic: NewsTopic, news: News, from: string): AdoptOutcome {
     const knownRev = this.#followers[topic].state.rev;
-    const outcome = this.#followers[topic].adopt(news);
+    const outcome = this.#withSource(
+      { from, origin: news.configOrigin },
+      () => this.#followers[topic].adopt(news),
+    );
     if (outcome !== "stale") {
       const event = outcome === "applied"
         ? "learnt from a peer"
@@ -269,6 +298,25 @@
     return outcome;
   }
 
+  /** Applies entries of another VM; what is not from one is from the store. */
+  #withSource<T>(source: ConfigSource, apply: () => T): T {
+    this.#source = source;
+    try {
+      return apply();
+    } finally {
+      this.#source = FROM_STORE;
+    }
+  }
+
+  /** Tells whether this VM could have read the store itself. */
+  #describeStore(): Readonly<Record<string, unknown>> {
+    const ageMs = this.configAgeMs;
+    return {
+      isReader: this.#options.isReader(),
+      storeAnsweredAgoMs: ageMs < Infinity ? Math.round(ageMs) : undefined,
+    };
+  }
+
   #onOperatorPut(entry: Entry): void {
     const domain = decodeEvacuationKey(entry.key);
     if (domain !== undefined) {
@@ -276,26 +324,11 @@
       return this.#setEvacuated(domain, true, entry.rev);
     }
     if (entry.key !== CONFIG_KEY) return;
-    try {
-      const config = decodeConfig(entry.value);
-      // Within a process the version only goes up: a late answer or another VM may bring an older one.
-      if (this.#config && config.version <= this.#config.version) return;
-      this.#config = config;
-      this.#log.info("config in force", {
-        configVersion: config.version,
-        rev: entry.rev,
-        routes: config.routes.length,
-        workspaces: config.workspaces.count,
-      });
-    } catch (error) {
-      this.#log.error("config unreadable", {
-        rev: entry.rev,
-        reason: String(error),
-      });
-    }
+    this.#config.applyStored(entry, this.#source);
   }
 
   #onOperatorDelete(key: string, cause: ChangeCause): void {
+    if (key === CONFIG_KEY) return this.#config.noteDeleted();
     const domain = decodeEvacuationKey(key);
     if (domain === undefined) return;
     const { restoredMonoMs } = this.#followers.operators;
--- a/src/gateway/store_view_test.ts
+++ b/src/gateway/store_view_test.ts
@@ -75,6 +75,7 @@
 
   constructor(store: FollowedStore, clock: ManualClock, isReader: boolean) {
     this.view = new StoreView({
+      vmId: "vm",
       store,
       failureDomains: DOMAINS,
       isReader: () => isReader,
