--- a/test/gateway_lab.ts
+++ b/test/gateway_lab.ts
@@ -105,11 +105,7 @@
   readonly settings: GatewaySettings;
 }
 
-/**
- * Runs VMs, upstreams and a store for one test.
- *
- * Addresses are 127.x.y.z, so that all VMs have the same ports, as on the platform.
- */
+/** Runs VMs, upstreams and a store for one test. All VMs have the same ports, as on the platform, at 127.x.y.z. */
 export class GatewayLab {
   readonly store = new KvServer({ readsPerS: 10_000, writesPerS: 10_000 });
   readonly runners: Runner[] = [];
@@ -117,6 +113,7 @@
   readonly #addressBlock = labCount++;
   readonly #agent = new Agent({ keepAlive: true });
   #configVersion = 0;
+  #vmCount = 0;
 
   /** The version that was written last. */
   get configVersion(): number {
@@ -169,7 +166,7 @@
     region = "north",
     bounds: Partial<GatewaySettings["bounds"]> = {},
   ): Promise<LabVm> {
-    const index = this.vms.length + 1;
+    const index = ++this.#vmCount;
     // Test files run as threads of one process; each lab of each file gets its own addresses.
     const ip = `127.${20 + threadId % 200}.${process.pid & 255}.${
       this.#addressBlock * MAX_VMS + index
@@ -218,6 +215,12 @@
     return vm;
   }
 
+  /** Ends a VM for good. */
+  async closeVm(vm: LabVm): Promise<void> {
+    this.vms.splice(this.vms.indexOf(vm), 1);
+    await vm.gateway.close();
+  }
+
   /** Waits until a VM reports that it is ready, and knows all upstreams of the lab. */
   async waitUntilReady(vm: LabVm): Promise<void> {
     await waitUntil(async () =>
