VMs hand on the configuration in force by its version, whatever the store holds

What callers saw: 404 for a route that had been added and acknowledged, or answers of an earlier service, at VMs that had started while the store held an older configuration than the others had in force: after it came back from a copy, or after an older write took effect late. Where the store's entry could not be read, a VM that started answered 503 to all.

Cause: two records of one fact. What is in force lives in one process's memory and only goes up; what VMs tell each other is the copy of the store, which may hold an older version. A VM that starts got the second, and nobody told it of the first.

Change: a VM whose copy holds an older version than is in force adds that version to its heartbeats, rosters and digests; one that hears of a higher version asks for it, in its region at once, a lead in another region after 0.6 s. Copies stay what the store holds. Why it is enough: versions have one order that no return of the store changes, and each VM that has the newest either announces it or announces a copy that holds it. It costs 20 bytes a message while the store is behind, nothing otherwise, and no call of the store.

--- a/src/gateway/config_in_force.ts
+++ b/src/gateway/config_in_force.ts
@@ -8,6 +8,7 @@
 import type { Clock } from "../base/mod.ts";
 import type { Log } from "../kernel/mod.ts";
 import { decodeConfig } from "../platform/mod.ts";
+import type { VmState } from "../region/mod.ts";
 import type { GatewayConfig } from "../routing/mod.ts";
 
 /** Who read a configuration from the store, and when. */
@@ -18,6 +19,13 @@
   readonly readAgoMs: number;
 }
 
+/** A configuration as one VM hands it to another. */
+export interface ConfigNews {
+  /** The store's entry; API keys are hashed. */
+  readonly value: string;
+  readonly origin: ConfigOrigin;
+}
+
 /** Where this VM has an entry from. */
 export interface ConfigSource {
   /** `store`, or the id of the VM that sent it. */
@@ -38,6 +46,9 @@
   readonly describeStore: () => Readonly<Record<string, unknown>>;
 }
 
+/** An entry of the store, with its revision if it is the store's own. */
+type OfferedEntry = Pick<Entry, "value"> & Partial<Entry>;
+
 /** A configuration as it came. */
 interface HeldConfig {
   readonly config: GatewayConfig;
@@ -54,6 +65,8 @@
   #held: HeldConfig | undefined;
   /** Version of the store's entry in this VM's copy; `undefined` if there is none or it can't be read. */
   #storedVersion: number | undefined;
+  /** Version of another VM's configuration that this VM can't read, so that it does not ask again. */
+  #unreadableVersion: number | undefined;
 
   constructor(options: ConfigInForceOptions) {
     this.#options = options;
@@ -63,6 +76,26 @@
     return this.#held?.config;
   }
 
+  /** What other VMs have to be told, as the store does not tell them: a version that is newer than its entry. */
+  get announced(): Pick<VmState, "configVersion"> {
+    const configVersion = this.config?.version;
+    const isStored = configVersion === undefined ||
+      configVersion <= (this.#storedVersion ?? -Infinity);
+    return isStored ? {} : { configVersion };
+  }
+
+  /** Whether another VM's version, as that one announced it, has to be asked for. */
+  isNewer(version: unknown): boolean {
+    return typeof version === "number" &&
+      version > (this.config?.version ?? -Infinity) &&
+      version !== this.#unreadableVersion;
+  }
+
+  /** The configuration in force, for another VM; `undefined` if there is none. */
+  get news(): ConfigNews | undefined {
+    return this.#held && { value: this.#held.value, origin: this.#heldOrigin! };
+  }
+
   /** The version that the store holds, as far as this VM knows; `undefined` if none can be read. */
   get storedVersion(): number | undefined {
     return this.#storedVersion;
@@ -70,9 +103,12 @@
 
   /** Who read the store's entry first, if that entry is in force. */
   get origin(): ConfigOrigin | undefined {
-    if (!this.#held || this.#held.config.version !== this.#storedVersion) {
-      return undefined;
-    }
+    const isStored = this.config?.version === this.#storedVersion;
+    return isStored ? this.#heldOrigin : undefined;
+  }
+
+  get #heldOrigin(): ConfigOrigin | undefined {
+    if (!this.#held) return undefined;
     const { readBy, readMonoMs } = this.#held;
     const readAgoMs = this.#options.clock.monoMs() - readMonoMs;
     return { readBy, readAgoMs: Math.round(readAgoMs) };
@@ -88,6 +124,14 @@
     this.#offer(config, entry, source, before !== config.version);
   }
 
+  /** Applies the configuration in force on another VM, which announced it with `version`. */
+  adopt({ value, origin }: ConfigNews, version: number, from: string): void {
+    const source = { from, origin };
+    const config = this.#decode({ value }, source);
+    if (config) this.#offer(config, { value }, source, true);
+    else this.#unreadableVersion = version;
+  }
+
   /** Notes that the store holds no configuration any more. What is in force stays. */
   noteDeleted(): void {
     this.#storedVersion = undefined;
@@ -105,7 +149,7 @@
     };
   }
 
-  #decode({ value, rev }: Entry, { from }: ConfigSource) {
+  #decode({ value, rev }: OfferedEntry, { from }: ConfigSource) {
     try {
       return decodeConfig(value);
     } catch (error) {
@@ -121,7 +165,7 @@
   /** Puts a configuration in force if it is newer: a late answer or another VM may bring an older one. */
   #offer(
     config: GatewayConfig,
-    { value, rev }: Entry,
+    { value, rev }: OfferedEntry,
     { from, origin }: ConfigSource,
     isNews: boolean,
   ): void {
@@ -129,7 +173,7 @@
     const { version } = config;
     const inForce = this.#held?.config.version;
     if (inForce !== undefined && version <= inForce) {
-      if (isNews) this.#logLeftOut(version, value, rev, from);
+      if (isNews) this.#logLeftOut(version, { value, rev }, from);
       return;
     }
     const { readBy, readAgoMs } = origin ?? { readBy: vmId, readAgoMs: 0 };
@@ -147,7 +191,11 @@
     });
   }
 
-  #logLeftOut(version: number, value: string, rev: number, from: string) {
+  #logLeftOut(
+    version: number,
+    { value, rev }: OfferedEntry,
+    from: string,
+  ): void {
     const held = this.#held!;
     const inForce = held.config.version;
     if (version === inForce && value === held.value) return;
--- a/src/gateway/config_in_force_test.ts
+++ b/src/gateway/config_in_force_test.ts
@@ -70,4 +70,41 @@
       "config unreadable",
     ]);
   });
+
+  describe("on one VM and newer than the store's", () => {
+    it("is announced until the store holds it", (t) => {
+      const { held } = open();
+      t.deepEqual(held.announced, {});
+      held.applyStored(entryOf(6), FROM_STORE);
+      t.deepEqual(held.announced, {});
+      held.applyStored(entryOf(3), FROM_STORE);
+      t.deepEqual(held.announced, { configVersion: 6 });
+      held.applyStored({ ...entryOf(9), value: "{" }, FROM_STORE);
+      t.deepEqual(held.announced, { configVersion: 6 });
+      held.applyStored(entryOf(6), FROM_STORE);
+      t.deepEqual(held.announced, {});
+    });
+
+    it("is in force on another one too, which tells it on", (t) => {
+      const [a, b] = [open().held, open().held];
+      a.applyStored(entryOf(6), FROM_STORE);
+      b.applyStored(entryOf(3), FROM_STORE);
+      t.true(b.isNewer(6));
+      b.adopt(a.news!, 6, "a");
+      t.is(b.config?.version, 6);
+      t.deepEqual(b.announced, { configVersion: 6 });
+      t.false(b.isNewer(6));
+    });
+
+    it("is not asked for again by a VM that can't read it", (t) => {
+      const { held } = open();
+      held.applyStored(entryOf(3), FROM_STORE);
+      const origin = { readBy: "a", readAgoMs: 0 };
+      held.adopt({ value: "{", origin }, 6, "a");
+      t.is(held.config?.version, 3);
+      t.false(held.isNewer(6));
+      t.true(held.isNewer(9));
+      t.false(held.isNewer("12"));
+    });
+  });
 });
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -104,6 +104,7 @@
         ...(strictRevokeMs === undefined
           ? {}
           : { configAgeMs: Math.round(storeView.configAgeMs) }),
+        ...storeView.announcedConfig,
         ...storeView.announcedLeaving,
       }),
       load: () => ({ load: upstreams.load(), asked: placer.settledQueryId }),
--- a/src/gateway/peer_rpc.ts
+++ b/src/gateway/peer_rpc.ts
@@ -23,7 +23,8 @@
 } from "../kernel/mod.ts";
 import type { NewsTopic, StoreView, StoreViewMessages } from "./store_view.ts";
 import type { NewsSource } from "../region/mod.ts";
-import type { AdoptOutcome, News, NewsRequest } from "./replica.ts";
+import type { ConfigNews } from "./config_in_force.ts";
+import type { AdoptOutcome, News } from "./replica.ts";
 import type { PeerRpcHandler } from "./http_listeners.ts";
 import type { Members } from "./members.ts";
 import type { Relays } from "./relays.ts";
@@ -32,12 +33,16 @@
 export const RPC_PATH = "/ibisgap/rpc";
 /** How often a VM checks whether another one is ahead, besides the check after each roster. */
 const PULL_INTERVAL_MS = 500;
+/** What a VM asks others for: changes of its copies, or the configuration in force. */
+type PulledTopic = NewsTopic | "config";
+
 /**
  * How long a lead has to be behind another region before it asks there. The readers of its own region bring the same
  * news sooner unless the store refuses all of them; for upstreams the delay is longer since readers pause between
  * polls.
  */
-const OTHER_REGION_DELAY_MS: Readonly<Record<NewsTopic, number>> = {
+const OTHER_REGION_DELAY_MS: Readonly<Record<PulledTopic, number>> = {
+  config: 600,
   operators: 600,
   upstreams: 2_000,
 };
@@ -65,7 +70,7 @@
   #timer: Timer | undefined;
   #isPulling = false;
   /** Since when a VM of another region is ahead, by topic. */
-  readonly #behindSinceMs = new Map<NewsTopic, number>();
+  readonly #behindSinceMs = new Map<PulledTopic, number>();
 
   constructor(
     storeView: StoreView,
@@ -89,6 +94,10 @@
       (request: StoreViewMessages["news"]["in"]) =>
         this.#storeViewPort.ask("news", request),
     );
+    this.#server.addMethod(
+      "config",
+      () => this.#storeViewPort.ask("config", {}),
+    );
     this.#server.addMethod("dump", () => kernel.dump());
     this.#timer = this.#clock.every(PULL_INTERVAL_MS, () => void this.#pull());
     this.#members.onRosterReceived(() => void this.#pull());
@@ -115,7 +124,7 @@
     });
   }
 
-  /** Pulls each topic from a VM that is ahead, if there is one. */
+  /** Pulls each topic, and then a newer configuration in force, from a VM that is ahead, if there is one. */
   async #pull(): Promise<void> {
     if (this.#isPulling) return;
     this.#isPulling = true;
@@ -123,9 +132,17 @@
       const sources = this.#members.newsSources();
       this.#noteLeavingUpstreams(sources);
       for (const topic of NEWS_TOPICS) {
-        const source = this.#pickSource(topic, sources);
+        const ahead = sources.filter(({ copies, isServed }) =>
+          this.#storeView.notePeer(topic, copies[topic], isServed)
+        );
+        const source = this.#pickSource(topic, ahead);
         if (source) await this.#pullFrom(source, topic);
       }
+      const ahead = sources.filter(({ configVersion }) =>
+        this.#storeView.isNewerConfig(configVersion)
+      );
+      const source = this.#pickSource("config", ahead);
+      if (source) await this.#pullConfigFrom(source);
     } finally {
       this.#isPulling = false;
     }
@@ -142,16 +159,13 @@
   }
 
   /**
-   * Picks a VM that is ahead: one of this region, so that news crosses to each region only once; one of another region
-   * only if no VM here could have read the news from the store.
+   * Picks one of the VMs that are ahead: one of this region, so that news crosses to each region only once; one of another
+   * region only if no VM here could have read the news from the store.
    */
   #pickSource(
-    topic: NewsTopic,
-    known: readonly NewsSource[],
+    topic: PulledTopic,
+    sources: readonly NewsSource[],
   ): NewsSource | undefined {
-    const sources = known.filter(({ copies, isServed }) =>
-      this.#storeView.notePeer(topic, copies[topic], isServed)
-    );
     const nearSources = sources.filter(({ region }) => region === this.#region);
     if (nearSources.length > 0) return this.#random.pick(nearSources);
     if (sources.length === 0 || !this.#members.isLead) {
@@ -169,28 +183,59 @@
   async #pullFrom(source: NewsSource, topic: NewsTopic): Promise<void> {
     try {
       for (let i = 0; i < MAX_REQUESTS; i++) {
-        const news = await this.#ask(source.ip, topic);
+        const request = {
+          matter: topic,
+          ...this.#storeView.newsRequest(topic),
+        };
+        const news: News = await this.#ask(source.ip, "news", request);
         if (await this.#adopt(news, topic, source.id) !== "differs") return;
       }
     } catch (error) {
-      this.#log.warn("peer did not answer", {
-        peer: source.id,
-        matter: topic,
-        reason: String(error),
-      });
+      this.#noteUnanswered(source, topic, error);
     }
   }
 
-  async #ask(ip: string, topic: NewsTopic): Promise<News> {
+  async #pullConfigFrom({ id, ip, configVersion }: NewsSource): Promise<void> {
+    try {
+      const news: ConfigNews | null = await this.#ask(ip, "config", {});
+      const version = configVersion!;
+      if (news) {
+        await this.#storeViewPort.ask("adoptConfig", {
+          news,
+          version,
+          from: id,
+        });
+      }
+    } catch (error) {
+      this.#noteUnanswered({ id }, "config", error);
+    }
+  }
+
+  #noteUnanswered(
+    { id }: Pick<NewsSource, "id">,
+    topic: PulledTopic,
+    error: unknown,
+  ): void {
+    this.#log.warn("peer did not answer", {
+      peer: id,
+      matter: topic,
+      reason: String(error),
+    });
+  }
+
+  async #ask<Answer>(
+    ip: string,
+    method: "news" | "config",
+    params: object,
+  ): Promise<Answer> {
     const client = new JSONRPCClient(async (payload) => {
       client.receive(
         JSON.parse(await this.#post(ip, JSON.stringify(payload))),
       );
     });
-    const request: NewsRequest = this.#storeView.newsRequest(topic);
     // An answer that belongs to no question would otherwise keep this VM from ever asking again.
     return await client.timeout(ANSWER_TIMEOUT_MS)
-      .request("news", { matter: topic, ...request });
+      .request(method, params);
   }
 
   #adopt(news: News, topic: NewsTopic, from: string): Promise<AdoptOutcome> {
--- a/src/gateway/store_view.ts
+++ b/src/gateway/store_view.ts
@@ -19,6 +19,7 @@
 import type { ReplicaState, ReplicaStates, VmState } from "../region/mod.ts";
 import {
   ConfigInForce,
+  type ConfigNews,
   type ConfigSource,
   FROM_STORE,
 } from "./config_in_force.ts";
@@ -43,6 +44,17 @@
     in: NewsRequest & { readonly matter: NewsTopic };
     out: News;
   };
+  /** Returns the configuration in force here; `null` if there is none. */
+  config: { in: Record<string, never>; out: ConfigNews | null };
+  /** Applies the configuration in force on another VM, which announced it with `version`. */
+  adoptConfig: {
+    in: {
+      readonly news: ConfigNews;
+      readonly version: number;
+      readonly from: string;
+    };
+    out: void;
+  };
   /** Applies news from another VM. */
   adopt: {
     in: {
@@ -108,6 +120,9 @@
   protected readonly handlers: Handlers<StoreViewMessages> = {
     news: ({ matter: topic, ...request }) => this.#newsFor(topic, request),
     adopt: ({ matter: topic, news, from }) => this.#adopt(topic, news, from),
+    config: () => this.#config.news ?? null,
+    adoptConfig: ({ news, version, from }) =>
+      this.#config.adopt(news, version, from),
   };
 
   constructor(options: StoreViewOptions) {
@@ -159,6 +174,16 @@
     return this.#followers[topic].newsRequest;
   }
 
+  /** What this VM tells others of the configuration in force; nothing if the store's copy tells it. */
+  get announcedConfig(): Pick<VmState, "configVersion"> {
+    return this.#config.announced;
+  }
+
+  /** Whether another VM announced a version that this VM has to ask for. */
+  isNewerConfig(version: unknown): boolean {
+    return this.#config.isNewer(version);
+  }
+
   /** What this VM tells others of upstreams that leave; nothing if none does. */
   get announcedLeaving(): Pick<VmState, "leavingUpstreams"> {
     const leavingUpstreams = this.fleet.announcedLeaving;
--- a/src/region/known_vms.ts
+++ b/src/region/known_vms.ts
@@ -10,6 +10,7 @@
   compareReplicaStates,
   type LeadRecord,
   type NamedList,
+  pickRosterState,
   type RegionDigest,
   type ReplicaState,
   type ReplicaStates,
@@ -56,6 +57,8 @@
   readonly copies: ReplicaStates;
   /** Whether it said that the store answers it. */
   readonly isServed: boolean;
+  /** See {@link VmState.configVersion}. */
+  readonly configVersion?: number;
   /** See {@link VmState.leavingUpstreams}; absent in other regions, whose upstreams this VM does not reach. */
   readonly leavingUpstreams?: readonly string[];
 }
@@ -270,12 +273,13 @@
   newsSources(nowMs: number): NewsSource[] {
     const local: NewsSource[] = this.reporters(this.#self.region, nowMs);
     const rosters = this.freshRosters(nowMs).map((
-      { roster: { from, copies, isServed, leavingUpstreams } },
-    ) => ({ ...from, copies, isServed, leavingUpstreams }));
+      { roster: { from, ...state } },
+    ) => ({ ...from, ...pickRosterState(state) }));
     const remote = this.remote.fresh(nowMs)
-      .map(({ digest: { from, copies } }) => ({
+      .map(({ digest: { from, copies, configVersion } }) => ({
         ...from,
         copies,
+        configVersion,
         isServed: false,
       }));
     return [...local, ...rosters, ...remote];
--- a/src/region/messages.ts
+++ b/src/region/messages.ts
@@ -33,9 +33,10 @@
 
 /** Picks what a roster carries of a VM's state. */
 export function pickRosterState(
-  { copies, isServed, configAgeMs, leavingUpstreams }: VmState,
+  { copies, isServed, configVersion, configAgeMs, leavingUpstreams }:
+    RosterState,
 ): RosterState {
-  return { copies, isServed, configAgeMs, leavingUpstreams };
+  return { copies, isServed, configVersion, configAgeMs, leavingUpstreams };
 }
 
 /**
@@ -61,6 +62,8 @@
   readonly copies: ReplicaStates;
   /** Whether the store answers its requests. */
   readonly isServed: boolean;
+  /** Version of the configuration in force there; set only if its copy of the store holds an older one or none. */
+  readonly configVersion?: number;
   /** How long ago it certainly had the newest configuration, in ms; set only if the operators' settings require it. */
   readonly configAgeMs?: number;
   /** Upstreams of its region that said in answers that they leave while the store does not say so yet. */
@@ -70,7 +73,7 @@
 /** The part of a VM's state that its rosters carry too. */
 export type RosterState = Pick<
   VmState,
-  "copies" | "isServed" | "configAgeMs" | "leavingUpstreams"
+  "copies" | "isServed" | "configVersion" | "configAgeMs" | "leavingUpstreams"
 >;
 
 /** The load of one VM. */
@@ -114,6 +117,8 @@
   /** Number of VMs of the region. Silent ones count, as they may only be cut off. */
   readonly vms: number;
   readonly copies: ReplicaStates;
+  /** See {@link VmState.configVersion}. */
+  readonly configVersion?: number;
   readonly room: Room;
   /** Shared prompt parts that its engines cached recently. Engines elsewhere copy them instead of computing them again. */
   readonly held?: readonly HeldPart[];
--- a/src/region/view.ts
+++ b/src/region/view.ts
@@ -171,8 +171,8 @@
       this.#noteListChange(nowMs);
     }
     // A VM that wrongly takes this one for a lead learns who leads; a new VM need not wait for the next roster.
-    const shouldAnswer = isNew || !this.isLead;
-    return shouldAnswer ? [{ type: "roster", ips, withNames: true }] : [];
+    if (!isNew && this.isLead) return [];
+    return [{ type: "roster", ips, withNames: true }];
   }
 
   /** Handles a roster. A roster of another region is not meant for this VM and is ignored. */
@@ -241,13 +241,15 @@
   /** Builds a digest for another region; `to` is the region of a receiver that may know no lead of its own. */
   buildDigest(nowMs: number, to?: string): Omit<RegionDigest, "room" | "held"> {
     const { ready } = this.#namedList(nowMs);
+    const { copies, configVersion } = this.#options.state();
     return {
       from: toVmRecord(this.#self),
       everyMs: this.#digestEveryMs(nowMs),
       leads: this.#order.slice(0, LEAD_COUNT).map(toVmRecord),
       ready: this.#options.random.sample(ready, MAX_DIGEST_READY),
       vms: this.known.regionVmCount,
-      copies: this.#options.state().copies,
+      copies,
+      configVersion,
       yours: to === undefined ? [] : this.#leadsOf(to, nowMs),
     };
   }
@@ -260,11 +262,8 @@
       const isChanged = nowMs < this.#changedUntilMs;
       const withNames = isChanged || nowMs >= this.#namedDueMs;
       if (withNames) this.#namedDueMs = nowMs + NAMED_EVERY_MS;
-      const { rosterEveryMs } = this;
-      this.#rosterDueMs = nowMs +
-        (isChanged
-          ? Math.min(CHANGED_ROSTER_EVERY_MS, rosterEveryMs)
-          : rosterEveryMs);
+      const mostMs = isChanged ? CHANGED_ROSTER_EVERY_MS : Infinity;
+      this.#rosterDueMs = nowMs + Math.min(mostMs, this.rosterEveryMs);
       this.#rosterSentMs = nowMs;
       const ips = this.#reporters(nowMs).map(({ ip }) => ip);
       due.push({ type: "roster", ips, withNames });
@@ -280,10 +279,11 @@
 
   /** Makes a roster due at once if what it announces has changed. */
   #noteOwnChange(nowMs: number): void {
-    const { copies, isServed, ready } = this.#options.state();
+    const { copies, isServed, ready, configVersion } = this.#options.state();
     const announced = [
       copies.operators.digest,
       copies.upstreams.digest,
+      configVersion,
       isServed,
       ready,
       this.#reporters(nowMs).length,
