Known red: nobody steps in for readers whose calls for the configuration get no answer

The stand-in store can leave calls of some VMs for some keys without an answer, those that wait included.

--- a/src/standins/kv_server.ts
+++ b/src/standins/kv_server.ts
@@ -71,6 +71,11 @@
   readonly #writes: RateLimit;
   /** Sent in every answer; one higher after each restore. `undefined`: the header is left out. */
   era: number | undefined = 1;
+  /** VMs whose calls for keys with this prefix get no answer from now on, those that wait included. */
+  silence: { readonly vms: readonly string[]; readonly keyPrefix: string } = {
+    vms: [],
+    keyPrefix: "",
+  };
   /** Calls so far, refused ones included. */
   calls = 0;
   readonly #timer = setInterval(() => this.store.expireLeases(), 20);
@@ -133,6 +138,7 @@
     if (slowMs > 0) await new Promise((resolve) => setTimeout(resolve, slowMs));
     if (outage === "cut") return void request.socket.resetAndDestroy();
     const send = (status: number, value: unknown = {}) => {
+      if (this.#isSilent(vmId, key)) return;
       if (loseAnswer) return void request.socket.resetAndDestroy();
       response.writeHead(status, {
         "content-type": "application/json",
@@ -153,6 +159,11 @@
     send(status, value);
   }
 
+  #isSilent(vmId: string, key: string): boolean {
+    const { vms, keyPrefix } = this.silence;
+    return vms.includes(vmId) && key.startsWith(keyPrefix);
+  }
+
   #handleCall(
     method: string,
     url: URL,
