A VM that starts is told that the store came back, and gives no second permission for a trial run

What callers would see: a request that ends upstreams runs at two VMs at once after the store came back from a copy.

Cause: the same as of the configuration: what is known of the return lives in the memory of VMs that saw it. One that starts sees one generation only, and takes the store's word that nobody holds the permission.

Evidence: two lab tests ('is known to a VM of ... that starts after it') failed before, and suspect_store_test 'are not tried by a VM that started after the store forgot who has the permission, if others say so' fails on.

Change: for 15 s, as long as such a permission lasts, VMs add the time since the return to heartbeats, rosters and digests; a VM that hears of it gives no permission until the 15 s are over. A VM tells only what it saw, as hearsay would go in circles. Until the first roster, some 10 ms in a lab, a VM that starts knows nothing of it.

--- a/src/adapters/suspect_store.ts
+++ b/src/adapters/suspect_store.ts
@@ -18,7 +18,7 @@
  * Within this time a trial run has either crashed its upstream or succeeded. If the VM that holds the permission is lost,
  * the next trial run waits this long.
  */
-const TRIAL_LEASE_MS = 15_000;
+export const TRIAL_LEASE_MS = 15_000;
 /**
  * Limits how long a caller waits for a slow store. From another region the two store calls usually take two round trips
  * of 80 ms each way.
@@ -36,6 +36,8 @@
   readonly vmId: string;
   /** The monotonic clock. */
   readonly nowMs: () => number;
+  /** When the store came back from an older copy, as other VMs say; `-Infinity` if it didn't. */
+  readonly restoredMs: () => number;
   /** The shortest lease that the store grants. */
   readonly leastLeaseMs: number;
   /** Key prefix of the suspect records; the request's digest follows it. */
@@ -116,7 +118,9 @@
 
   get #mayHaveForgottenTrial(): boolean {
     this.#checkGeneration();
-    return this.#options.nowMs() - this.#restoredMs < TRIAL_LEASE_MS;
+    const { nowMs, restoredMs } = this.#options;
+    const latestMs = Math.max(this.#restoredMs, restoredMs());
+    return nowMs() - latestMs < TRIAL_LEASE_MS;
   }
 
   #checkGeneration(): void {
--- a/src/adapters/suspect_store_test.ts
+++ b/src/adapters/suspect_store_test.ts
@@ -9,11 +9,13 @@
   store: MemoryKeyValue,
   vmId: string,
   nowMs = () => 0,
+  restoredMs = () => -Infinity,
 ): SuspectStore {
   return new SuspectStore({
     store: new MemoryKeyValue({ store: store.store }),
     vmId,
     nowMs,
+    restoredMs,
     leastLeaseMs: 1_000,
     suspectPrefix: "suspects/",
     trialPrefix: "trials/",
@@ -60,6 +62,19 @@
       t.true(await b.acquireTrial("later"));
     });
 
+    it("are not tried by a VM that started after the store forgot who has the permission, if others say so", async (t) => {
+      let nowMs = 1_000;
+      const store = new MemoryKeyValue();
+      const a = connect(store, "a");
+      const copy = store.store.copy();
+      t.true(await a.acquireTrial("r"));
+      store.store.restore(copy);
+      const started = connect(store, "b", () => nowMs, () => 0);
+      t.false(await started.acquireTrial("r"));
+      nowMs = TRIAL_MS;
+      t.true(await started.acquireTrial("later"));
+    });
+
     it("tell once that the store came back from a copy and may lack records", async (t) => {
       const store = new MemoryKeyValue();
       const a = connect(store, "a");
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -105,6 +105,7 @@
           ? {}
           : { configAgeMs: Math.round(storeView.configAgeMs) }),
         ...storeView.announcedConfig,
+        ...storeView.restores.announced,
         ...storeView.announcedLeaving,
       }),
       load: () => ({ load: upstreams.load(), asked: placer.settledQueryId }),
@@ -162,6 +163,7 @@
       store,
       leastLeaseMs: settings.store.leastLeaseMs,
       metrics,
+      restoredMonoMs: () => storeView.restores.latestMonoMs,
     });
     const { quotaExcess, quotaSlack, quotaWindowMs } = settings.bounds;
     const quotas = new Quotas({
--- a/src/gateway/peer_rpc.ts
+++ b/src/gateway/peer_rpc.ts
@@ -131,6 +131,11 @@
     try {
       const sources = this.#members.newsSources();
       this.#noteLeavingUpstreams(sources);
+      for (const { restoredAgoMs } of sources) {
+        if (restoredAgoMs !== undefined) {
+          this.#storeView.restores.noteHeard(restoredAgoMs);
+        }
+      }
       for (const topic of NEWS_TOPICS) {
         const ahead = sources.filter(({ copies, isServed }) =>
           this.#storeView.notePeer(topic, copies[topic], isServed)
--- a/src/gateway/store_view.ts
+++ b/src/gateway/store_view.ts
@@ -31,6 +31,7 @@
   News,
   NewsRequest,
 } from "./replica.ts";
+import { RestoreTimes } from "./restore_times.ts";
 import { upstreamContentOf } from "./upstream_content.ts";
 import { UpstreamView } from "./upstream_view.ts";
 
@@ -102,6 +103,8 @@
 export class StoreView extends Task<StoreViewMessages> {
   readonly name = "beliefs";
   readonly fleet: Fleet;
+  /** When the store came back from an older copy. */
+  restores!: RestoreTimes;
   readonly #options: StoreViewOptions;
   readonly #evacuated = new Set<string>();
   /** Evacuations that the store has lost, by their keys. */
@@ -218,6 +221,10 @@
       log: this.#log,
       describeStore: () => this.#describeStore(),
     });
+    this.restores = new RestoreTimes(this.#clock, () => {
+      const { operators, upstreams } = this.#followers;
+      return Math.max(operators.restoredMonoMs, upstreams.restoredMonoMs);
+    });
     this.#upstreams = new UpstreamView({
       fleet: this.fleet,
       clock: this.#clock,
@@ -286,7 +293,7 @@
         operators: nowMs - this.#followers.operators.answeredMonoMs,
         upstreams: nowMs - this.#followers.upstreams.answeredMonoMs,
       },
-      restoredAgoMs: nowMs - this.#followers.operators.restoredMonoMs,
+      restoredAgoMs: nowMs - this.restores.latestMonoMs,
       kept: {
         evacuations: this.#kept.dump(),
         upstreams: this.#upstreams.dump(),
--- a/src/gateway/suspects.ts
+++ b/src/gateway/suspects.ts
@@ -48,6 +48,8 @@
   readonly store: KeyValue;
   readonly leastLeaseMs: number;
   readonly metrics: GatewayMetrics;
+  /** When the store came back from an older copy, on the monotonic clock; `-Infinity` if it didn't. */
+  readonly restoredMonoMs: () => number;
 }
 
 /** Records the crashes that this VM sees, and exchanges crashes with other VMs. */
@@ -66,11 +68,12 @@
   constructor(options: SuspectOptions) {
     super();
     this.#options = options;
-    const { store, self, leastLeaseMs } = options;
+    const { store, self, leastLeaseMs, restoredMonoMs } = options;
     this.#store = new SuspectStore({
       store,
       vmId: self.id,
       nowMs: () => this.#clock.monoMs(),
+      restoredMs: restoredMonoMs,
       leastLeaseMs,
       suspectPrefix: SUSPECT_PREFIX,
       trialPrefix: TRIAL_PREFIX,
--- a/src/region/known_vms.ts
+++ b/src/region/known_vms.ts
@@ -59,6 +59,8 @@
   readonly isServed: boolean;
   /** See {@link VmState.configVersion}. */
   readonly configVersion?: number;
+  /** See {@link VmState.restoredAgoMs}. */
+  readonly restoredAgoMs?: number;
   /** See {@link VmState.leavingUpstreams}; absent in other regions, whose upstreams this VM does not reach. */
   readonly leavingUpstreams?: readonly string[];
 }
@@ -276,10 +278,11 @@
       { roster: { from, ...state } },
     ) => ({ ...from, ...pickRosterState(state) }));
     const remote = this.remote.fresh(nowMs)
-      .map(({ digest: { from, copies, configVersion } }) => ({
+      .map(({ digest: { from, copies, configVersion, restoredAgoMs } }) => ({
         ...from,
         copies,
         configVersion,
+        restoredAgoMs,
         isServed: false,
       }));
     return [...local, ...rosters, ...remote];
--- a/src/region/messages.ts
+++ b/src/region/messages.ts
@@ -33,10 +33,23 @@
 
 /** Picks what a roster carries of a VM's state. */
 export function pickRosterState(
-  { copies, isServed, configVersion, configAgeMs, leavingUpstreams }:
-    RosterState,
+  {
+    copies,
+    isServed,
+    configVersion,
+    restoredAgoMs,
+    configAgeMs,
+    leavingUpstreams,
+  }: RosterState,
 ): RosterState {
-  return { copies, isServed, configVersion, configAgeMs, leavingUpstreams };
+  return {
+    copies,
+    isServed,
+    configVersion,
+    restoredAgoMs,
+    configAgeMs,
+    leavingUpstreams,
+  };
 }
 
 /**
@@ -64,6 +77,8 @@
   readonly isServed: boolean;
   /** Version of the configuration in force there; set only if its copy of the store holds an older one or none. */
   readonly configVersion?: number;
+  /** How long ago it learned that the store came back from an older copy; set only for some seconds after. */
+  readonly restoredAgoMs?: number;
   /** How long ago it certainly had the newest configuration, in ms; set only if the operators' settings require it. */
   readonly configAgeMs?: number;
   /** Upstreams of its region that said in answers that they leave while the store does not say so yet. */
@@ -73,7 +88,12 @@
 /** The part of a VM's state that its rosters carry too. */
 export type RosterState = Pick<
   VmState,
-  "copies" | "isServed" | "configVersion" | "configAgeMs" | "leavingUpstreams"
+  | "copies"
+  | "isServed"
+  | "configVersion"
+  | "restoredAgoMs"
+  | "configAgeMs"
+  | "leavingUpstreams"
 >;
 
 /** The load of one VM. */
@@ -119,6 +139,8 @@
   readonly copies: ReplicaStates;
   /** See {@link VmState.configVersion}. */
   readonly configVersion?: number;
+  /** See {@link VmState.restoredAgoMs}. */
+  readonly restoredAgoMs?: number;
   readonly room: Room;
   /** Shared prompt parts that its engines cached recently. Engines elsewhere copy them instead of computing them again. */
   readonly held?: readonly HeldPart[];
--- a/src/region/view.ts
+++ b/src/region/view.ts
@@ -241,7 +241,7 @@
   /** Builds a digest for another region; `to` is the region of a receiver that may know no lead of its own. */
   buildDigest(nowMs: number, to?: string): Omit<RegionDigest, "room" | "held"> {
     const { ready } = this.#namedList(nowMs);
-    const { copies, configVersion } = this.#options.state();
+    const { copies, configVersion, restoredAgoMs } = this.#options.state();
     return {
       from: toVmRecord(this.#self),
       everyMs: this.#digestEveryMs(nowMs),
@@ -250,6 +250,7 @@
       vms: this.known.regionVmCount,
       copies,
       configVersion,
+      restoredAgoMs,
       yours: to === undefined ? [] : this.#leadsOf(to, nowMs),
     };
   }
--- a/src/services/suspects.ts
+++ b/src/services/suspects.ts
@@ -75,6 +75,8 @@
       vmId: options.vmId,
       leastLeaseMs: MIN_LEASE_MS,
       nowMs: () => this.#clock.monoMs(),
+      // The stores of the own interface name no generation.
+      restoredMs: () => -Infinity,
       suspectPrefix: SUSPECT_PREFIX,
       trialPrefix: TRIAL_PREFIX,
     });
--- a/test/gateway_restored_test.ts
+++ b/test/gateway_restored_test.ts
@@ -16,6 +16,7 @@
 /** The part of a VM's dump that tells what it holds of the store. */
 interface StoreViewDump {
   readonly configVersion: number;
+  readonly restoredAgoMs: number;
   readonly copies: {
     readonly operators: { readonly rev: number };
     readonly upstreams: { readonly rev: number };
@@ -152,6 +153,24 @@
       t.pass();
     });
 
+    for (const region of ["north", "south"]) {
+      it(`is known to a VM of ${region} that starts after it`, async (t) => {
+        const lab = await openRestorable(t, 2);
+        lab.store.restore(lab.store.store.copy());
+        await waitUntil(() =>
+          lab.vms.every((vm) => dumpStoreView(vm).restoredAgoMs < Infinity)
+        );
+        const started = await lab.addVm(region);
+        await lab.waitUntilReady(started);
+        const startMs = performance.now();
+        await waitUntil(() =>
+          performance.now() - startMs > APPLY_MS ||
+          dumpStoreView(started).restoredAgoMs < Infinity
+        );
+        t.true(dumpStoreView(started).restoredAgoMs < Infinity);
+      });
+    }
+
     it("costs few calls until its revisions have caught up", async (t) => {
       const lab = await openRestorable(t, 1);
       await restore(lab, 200);
