--- a/soak/fault_injector.ts
+++ b/soak/fault_injector.ts
@@ -5,7 +5,7 @@
  */
 
 import { Random } from "../src/base/mod.ts";
-import type { PlatformFault } from "../src/standins/mod.ts";
+import type { PlatformFault, StoreCopy } from "../src/standins/mod.ts";
 import { sleep } from "../test/cluster.ts";
 import { guardPaused } from "./end_with_parent.ts";
 import { sendFatalRequests } from "./fatal_requests.ts";
@@ -81,10 +81,8 @@
         return this.#killVms(fault.vms);
       case "lapseOutage":
         return await this.#lapseInOutage(fault);
-      case "config": {
-        const { plainService } = this.#world.configs.at(-1)!;
-        return this.#world.writeConfig(plainService === "s" ? "t" : "s");
-      }
+      case "config":
+        return this.#changeConfig();
       case "crash":
         return await sendFatalRequests(this.#world, this.#random, fault.forMs);
       case "evacuate": {
@@ -101,6 +99,8 @@
         return await this.#askForRest(fault);
       case "restore":
         return await this.#restoreStore(fault);
+      case "lostConfig":
+        return await this.#loseConfig(fault);
     }
   }
 
@@ -122,18 +122,48 @@
   async #restoreStore(
     { ageMs, awayMs, forMs }: Extract<Fault, { kind: "restore" }>,
   ): Promise<void> {
-    const { store } = this.#world;
-    const copy = store.store.copy();
+    const copy = this.#world.store.store.copy();
     await sleep(ageMs);
+    await this.#bringBack(copy, awayMs);
+    await sleep(REWRITE_DELAY_MS);
+    this.#world.writeAgain();
+    await sleep(Math.max(0, forMs - ageMs - awayMs - REWRITE_DELAY_MS));
+    this.#world.expireEntries();
+  }
+
+  /** Upstreams write again with their heartbeats, operators only after VMs have started. */
+  async #loseConfig(
+    { ageMs, awayMs, forMs, vms, killDelayMs, rewriteDelayMs }: Extract<
+      Fault,
+      { kind: "lostConfig" }
+    >,
+  ): Promise<void> {
+    const copy = this.#world.store.store.copy();
+    this.#changeConfig();
+    await sleep(ageMs);
+    await this.#bringBack(copy, awayMs);
+    await sleep(killDelayMs);
+    this.#killVms(vms);
+    await sleep(rewriteDelayMs - killDelayMs);
+    this.#world.writeAgain();
+    await sleep(forMs - ageMs - awayMs - rewriteDelayMs);
+    this.#world.expireEntries();
+  }
+
+  /** Takes the store away for a moment; it comes back as of the copy. */
+  async #bringBack(copy: StoreCopy, awayMs: number): Promise<void> {
+    const { store } = this.#world;
     this.#world.addTrouble("restore", awayMs + AFTER_EFFECT_MS);
     store.faults.set([STORE_FAULTS.cut]);
     await sleep(awayMs);
     store.restore(copy);
     store.faults.clear();
-    await sleep(REWRITE_DELAY_MS);
-    this.#world.writeAgain();
-    await sleep(Math.max(0, forMs - ageMs - awayMs - REWRITE_DELAY_MS));
-    this.#world.expireEntries();
+  }
+
+  /** Writes a configuration that moves plain requests to the other service. */
+  #changeConfig(): void {
+    const { plainService } = this.#world.configs.at(-1)!;
+    this.#world.writeConfig(plainService === "s" ? "t" : "s");
   }
 
   async #pauseVm(vm: number, forMs: number): Promise<void> {
--- a/soak/main.ts
+++ b/soak/main.ts
@@ -59,6 +59,13 @@
         "upstreams that say in answers that they leave or want rest, a store that comes back from a copy: beside other faults, or alone",
       default: "none",
     },
+    returns: {
+      type: "enum" as const,
+      options: ["none", "beside", "only"],
+      description:
+        "a store that comes back without the newest configuration, and VMs that start before it is written again: beside other faults, or alone",
+      default: "none",
+    },
     keep: {
       type: "string",
       description: "folder for the logs of runs that broke a promise",
@@ -86,6 +93,7 @@
           crashes: args.crashes as ExtraMode,
           lapses: args.lapses as ExtraMode,
           notices: args.notices as ExtraMode,
+          returns: args.returns as ExtraMode,
           logFolder: args.keep,
           plant: args.plant,
         });
--- a/soak/plan.ts
+++ b/soak/plan.ts
@@ -7,6 +7,7 @@
 import { Random } from "../src/base/mod.ts";
 import { drawLapses } from "./plan_lapses.ts";
 import { drawNotices } from "./plan_notices.ts";
+import { drawReturns } from "./plan_returns.ts";
 
 /** How a link treats its connections. */
 export type LinkMode =
@@ -89,6 +90,15 @@
       readonly ageMs: number;
       readonly awayMs: number;
     }
+    /** The same without a configuration that was written in between; VMs are killed and start before it is written again. */
+    | {
+      readonly kind: "lostConfig";
+      readonly ageMs: number;
+      readonly awayMs: number;
+      readonly vms: readonly number[];
+      readonly killDelayMs: number;
+      readonly rewriteDelayMs: number;
+    }
   );
 
 /** Whether a plan has a class of faults that is drawn on its own: none, beside the other faults, or nothing else. */
@@ -104,6 +114,7 @@
   | "farewell"
   | "rest"
   | "restore"
+  | "lostConfig"
 >;
 
 /** Size and kind of a plan. */
@@ -119,6 +130,8 @@
   readonly lapses?: ExtraMode | undefined;
   /** What upstreams say of themselves in answers, and a store that comes back from a copy; `none` if absent. */
   readonly notices?: ExtraMode | undefined;
+  /** A store that comes back without the newest configuration while VMs start; `none` if absent. */
+  readonly returns?: ExtraMode | undefined;
   /** Time during which faults begin; after the last fault, callers continue without faults. */
   readonly faultsMs: number;
 }
@@ -195,14 +208,21 @@
 
 /** Draws the faults of a run, sorted by their start. */
 export function drawPlan(seed: number, options: PlanOptions): Fault[] {
-  const { crashes = "none", lapses = "none", notices = "none" } = options;
-  const hasOthers = ![crashes, lapses, notices].includes("only");
+  const { crashes = "none", lapses = "none" } = options;
+  const { notices = "none", returns = "none" } = options;
+  const hasOthers = ![crashes, lapses, notices, returns].includes("only");
   const otherFaults = hasOthers ? drawOtherFaults(seed, options) : [];
   const crashFaults = crashes === "none" ? [] : drawCrashes(seed, options);
   const lapseFaults = lapses === "none" ? [] : drawLapses(seed, options);
   const noticeFaults = notices === "none" ? [] : drawNotices(seed, options);
-  return [...otherFaults, ...crashFaults, ...lapseFaults, ...noticeFaults]
-    .sort((a, b) => a.atMs - b.atMs);
+  const returnFaults = returns === "none" ? [] : drawReturns(seed, options);
+  return [
+    ...otherFaults,
+    ...crashFaults,
+    ...lapseFaults,
+    ...noticeFaults,
+    ...returnFaults,
+  ].sort((a, b) => a.atMs - b.atMs);
 }
 
 function drawOtherFaults(seed: number, options: PlanOptions): Fault[] {
--- a/soak/plan_test.ts
+++ b/soak/plan_test.ts
@@ -37,6 +37,23 @@
     t.deepEqual([...kinds].sort(), ["config", "farewell", "rest", "restore"]);
   });
 
+  it("keeps a seed's other faults when a store that comes back without a configuration comes beside them", (t) => {
+    const victimCounts = new Set<number>();
+    for (let seed = 1; seed <= SEEDS; seed++) {
+      const others = drawPlan(seed, OPTIONS);
+      const returns = drawPlan(seed, { ...OPTIONS, returns: "only" });
+      const both = drawPlan(seed, { ...OPTIONS, returns: "beside" });
+      t.deepEqual(formatSorted(both), formatSorted([...others, ...returns]));
+      for (const fault of returns) {
+        if (fault.kind !== "lostConfig") return t.fail(fault.kind);
+        t.true(fault.killDelayMs < fault.rewriteDelayMs);
+        victimCounts.add(fault.vms.length);
+      }
+    }
+    t.false(victimCounts.has(OPTIONS.vms));
+    t.true(victimCounts.has(OPTIONS.vms / OPTIONS.domains));
+  });
+
   const findKilled = (vms: number): string[] => {
     const options = { ...OPTIONS, vms, lapses: "only" } as const;
     const killed = new Set<string>();
--- a/soak/run.ts
+++ b/soak/run.ts
@@ -36,6 +36,7 @@
   readonly lapses?: ExtraMode;
   /** Whether upstreams say in answers that they leave or want rest, and the store comes back from older copies. */
   readonly notices?: ExtraMode;
+  readonly returns?: ExtraMode;
   /** Folder for the logs of a run that broke a promise; absent or empty: they are not saved. */
   readonly logFolder?: string;
   /** Changes the evidence before it is checked, to plant a fault that the judge must find. */
@@ -115,6 +116,7 @@
     crashes: options.crashes,
     lapses: options.lapses,
     notices: options.notices,
+    returns: options.returns,
   });
   const world = await World.open({ vms, runners, seed });
   try {
--- a/soak/soak_test.ts
+++ b/soak/soak_test.ts
@@ -88,6 +88,23 @@
     t.is(code, 0, printed);
   });
 
+  // Guards against VMs that start with an older configuration than the others have in force.
+  it("keeps all promises with a store that comes back without the newest configuration while VMs start", async (t) => {
+    const { code, printed } = await runSoak(
+      "--first",
+      "2",
+      "--seeds",
+      "1",
+      "--seconds",
+      "1",
+      "--returns",
+      "only",
+      "--runners",
+      "8",
+    );
+    t.is(code, 0, printed);
+  });
+
   // Guards against two soaks on one machine that use the same addresses.
   it("keeps all promises while a second soak runs", async (t) => {
     const args = ["--seeds", "1", "--seconds", "1", "--planned"];
