--- a/test/gateway_newest_config_test.ts
+++ b/test/gateway_newest_config_test.ts
@@ -1,6 +1,13 @@
 import { describe, it } from "../src/base/describe.ts";
 import { makeRoute } from "../src/standins/mod.ts";
-import { GatewayLab, type LabVm, ROUTES, waitUntil } from "./gateway_lab.ts";
+import { sleep } from "./cluster.ts";
+import { GatewayLab, ROUTES, waitUntil } from "./gateway_lab.ts";
+import {
+  configVersionOf,
+  configVersions,
+  newestVersions,
+  waitForConfig,
+} from "./lab_config.ts";
 
 /** The users' bound for a configuration to be in force. */
 const APPLY_MS = 4_000;
@@ -12,13 +19,6 @@
 
 const REGIONS = ["north", "south"] as const;
 
-function configVersionOf(vm: LabVm): number | undefined {
-  return (vm.gateway.dump().beliefs as { configVersion?: number })
-    .configVersion;
-}
-
-const sleep = (ms: number) => new Promise((resolve) => setTimeout(resolve, ms));
-
 /** Opens VMs in two regions, each with an upstream. */
 async function openTwoRegions(
   t: { teardown(run: () => Promise<void>): void },
@@ -50,17 +50,6 @@
   lab.store.restore(copy);
 }
 
-async function waitForVersion(
-  lab: GatewayLab,
-  vms: readonly LabVm[],
-): Promise<void> {
-  const endMs = performance.now() + APPLY_MS;
-  await waitUntil(() =>
-    performance.now() > endMs ||
-    vms.every((vm) => configVersionOf(vm) === lab.configVersion)
-  );
-}
-
 describe("gateway", () => {
   describe("a VM that starts", () => {
     it("puts the configuration of the others in force, though the store came back with an older one", async (t) => {
@@ -68,11 +57,8 @@
       await loseRoute(lab);
       await sleep(START_DELAY_MS);
       const started = [await lab.addVm("north"), await lab.addVm("south")];
-      await waitForVersion(lab, started);
-      t.deepEqual(
-        lab.vms.map(configVersionOf),
-        lab.vms.map(() => lab.configVersion),
-      );
+      await waitForConfig(lab, started, APPLY_MS);
+      t.deepEqual(configVersions(lab), newestVersions(lab));
       for (const vm of started) {
         await lab.waitUntilReady(vm);
         t.is((await lab.call(vm, { path: ADDED_PATH })).status, 200);
@@ -88,7 +74,7 @@
       );
       for (const vm of south) await lab.closeVm(vm);
       const started = await lab.addVm("south");
-      await waitForVersion(lab, [started]);
+      await waitForConfig(lab, [started], APPLY_MS);
       t.is(configVersionOf(started), lab.configVersion);
     });
 
@@ -96,11 +82,11 @@
       const lab = await openTwoRegions(t, 1);
       await loseRoute(lab);
       const first = await lab.addVm("north");
-      await waitForVersion(lab, [first]);
+      await waitForConfig(lab, [first], APPLY_MS);
       const before = lab.vms.filter((vm) => vm !== first);
       for (const vm of before) await lab.closeVm(vm);
       const second = await lab.addVm("north");
-      await waitForVersion(lab, [second]);
+      await waitForConfig(lab, [second], APPLY_MS);
       t.is(configVersionOf(second), lab.configVersion);
     });
 
@@ -110,7 +96,7 @@
       await addRoute(lab);
       lab.store.put("op/config", older);
       const started = await lab.addVm("north");
-      await waitForVersion(lab, [started]);
+      await waitForConfig(lab, [started], APPLY_MS);
       t.is(configVersionOf(started), lab.configVersion);
     });
 
@@ -118,7 +104,7 @@
       const lab = await openTwoRegions(t, 2);
       lab.store.put("op/config", "{");
       const started = await lab.addVm("north");
-      await waitForVersion(lab, [started]);
+      await waitForConfig(lab, [started], APPLY_MS);
       t.is(configVersionOf(started), lab.configVersion);
     });
 
@@ -126,13 +112,10 @@
       const lab = await openTwoRegions(t, 2);
       await loseRoute(lab);
       const started = await lab.addVm("north");
-      await waitForVersion(lab, [started]);
+      await waitForConfig(lab, [started], APPLY_MS);
       lab.configure(ROUTES);
-      await waitForVersion(lab, lab.vms);
-      t.deepEqual(
-        lab.vms.map(configVersionOf),
-        lab.vms.map(() => lab.configVersion),
-      );
+      await waitForConfig(lab, lab.vms, APPLY_MS);
+      t.deepEqual(configVersions(lab), newestVersions(lab));
       t.is((await lab.call(started, { path: ADDED_PATH })).status, 404);
     });
   });
--- a/test/gateway_restored_test.ts
+++ b/test/gateway_restored_test.ts
@@ -6,6 +6,12 @@
   ROUTES,
   waitUntil,
 } from "./gateway_lab.ts";
+import {
+  configVersionOf,
+  configVersions,
+  newestVersions,
+  waitForConfig,
+} from "./lab_config.ts";
 
 /** The users' bounds: for a configuration to be in force, and for a draining upstream's last request. */
 const APPLY_MS = 4_000;
@@ -15,7 +21,6 @@
 
 /** The part of a VM's dump that tells what it holds of the store. */
 interface StoreViewDump {
-  readonly configVersion: number;
   readonly restoredAgoMs: number;
   readonly copies: {
     readonly operators: { readonly rev: number };
@@ -36,8 +41,6 @@
   return vm.gateway.dump().beliefs as StoreViewDump;
 }
 
-const configVersionOf = (vm: LabVm) => dumpStoreView(vm).configVersion;
-
 async function openRestorable(
   t: { teardown(run: () => Promise<void>): void },
   vmCount: number,
@@ -87,13 +90,8 @@
         await restore(lab, awayMs);
         await writeAgain(lab);
         lab.configure();
-        const startMs = performance.now();
-        await waitUntil(() =>
-          performance.now() - startMs > APPLY_MS ||
-          lab.vms.every((vm) => configVersionOf(vm) === lab.configVersion)
-        );
-        const versions = lab.vms.map(configVersionOf);
-        t.deepEqual(versions, lab.vms.map(() => lab.configVersion));
+        await waitForConfig(lab, lab.vms, APPLY_MS);
+        t.deepEqual(configVersions(lab), newestVersions(lab));
       });
 
       it(`takes a draining upstream away in time: ${what}`, async (t) => {
@@ -127,13 +125,8 @@
       lab.store.restore(copy);
       await writeAgain(lab);
       lab.configure();
-      const startMs = performance.now();
-      await waitUntil(() =>
-        performance.now() - startMs > APPLY_MS ||
-        lab.vms.every((vm) => configVersionOf(vm) === lab.configVersion)
-      );
-      const versions = lab.vms.map(configVersionOf);
-      t.deepEqual(versions, lab.vms.map(() => lab.configVersion));
+      await waitForConfig(lab, lab.vms, APPLY_MS);
+      t.deepEqual(configVersions(lab), newestVersions(lab));
     });
 
     it("is followed as before if its answers do not say how often it came back", async (t) => {
--- a/test/gateway_silent_reads_test.ts
+++ b/test/gateway_silent_reads_test.ts
@@ -1,32 +1,12 @@
 import { describe, it } from "../src/base/describe.ts";
-import {
-  dumpMembers,
-  GatewayLab,
-  type LabVm,
-  openRegion,
-  waitUntil,
-} from "./gateway_lab.ts";
+import { sleep } from "./cluster.ts";
+import { dumpMembers, GatewayLab, openRegion } from "./gateway_lab.ts";
+import { configVersions, newestVersions, waitForConfig } from "./lab_config.ts";
 
 /** The users' bound for a configuration to be in force. */
 const APPLY_MS = 5_000;
 const READER_COUNT = 3;
 const SILENT_BEFORE_MS = [50, 2_400];
-const sleep = (ms: number) => new Promise((resolve) => setTimeout(resolve, ms));
-
-function configVersionOf(vm: LabVm): number | undefined {
-  return (vm.gateway.dump().beliefs as { configVersion?: number })
-    .configVersion;
-}
-
-/** Writes a configuration, and waits until all VMs have it in force or the time is over. */
-async function configureInTime(lab: GatewayLab): Promise<void> {
-  lab.configure();
-  const endMs = performance.now() + APPLY_MS;
-  await waitUntil(() =>
-    performance.now() > endMs ||
-    lab.vms.every((vm) => configVersionOf(vm) === lab.configVersion)
-  );
-}
 
 describe("gateway", () => {
   describe("a new configuration is in force in time though no reader of the region gets an answer", () => {
@@ -39,11 +19,9 @@
             .map(({ id }) => id);
           lab.store.silence = { vms, keyPrefix };
           await sleep(beforeMs);
-          await configureInTime(lab);
-          t.deepEqual(
-            lab.vms.map(configVersionOf),
-            lab.vms.map(() => lab.configVersion),
-          );
+          lab.configure();
+          await waitForConfig(lab, lab.vms, APPLY_MS);
+          t.deepEqual(configVersions(lab), newestVersions(lab));
         });
       }
     }
@@ -61,11 +39,9 @@
         }
         lab.store.silence = { vms: ["vm-2", "vm-3", "vm-4"], keyPrefix: "" };
         await sleep(beforeMs);
-        await configureInTime(lab);
-        t.deepEqual(
-          lab.vms.map(configVersionOf),
-          lab.vms.map(() => lab.configVersion),
-        );
+        lab.configure();
+        await waitForConfig(lab, lab.vms, APPLY_MS);
+        t.deepEqual(configVersions(lab), newestVersions(lab));
       });
     }
   });
