Polls for the configuration wait 3 s, and a VM that starts makes no further call

Cause: a VM that starts has just listed, so its answer is known; and the bound of 5 s leaves more room than was used.

Change: only a VM that takes over without having asked the store polls without waiting; polls wait 3 s, with a margin of 0.7 s.

--- a/src/gateway/follower.ts
+++ b/src/gateway/follower.ts
@@ -88,8 +88,8 @@
   readonly #replica: Replica;
   readonly #random = new Random(process.pid);
   #isOpen = true;
-  /** Whether it has polled since it began to read. */
-  #hasPolled = false;
+  /** Whether the store has been asked since this VM began to read. */
+  #hasAsked = false;
   #failures = 0;
   #answeredMonoMs = -Infinity;
   #failingSinceMonoMs: number | undefined;
@@ -209,7 +209,7 @@
       if (this.#replica.rev > 0 && !this.#options.isReader()) {
         this.#failures = 0;
         this.#failingSinceMonoMs = undefined;
-        this.#hasPolled = false;
+        this.#hasAsked = false;
         hasListed = true;
         if (this.#hasDifferedTooLong()) await this.#listAll();
         await this.#options.clock.sleep(READER_CHECK_MS);
@@ -232,6 +232,7 @@
   async #listAll(): Promise<boolean> {
     const { store, prefix } = this.#options;
     this.#differsSinceMonoMs = undefined;
+    this.#hasAsked = true;
     const askedAtRev = this.#replica.rev;
     const listing = await store.list(prefix, {}, "table");
     if (!this.#isOpen) return false;
@@ -257,8 +258,8 @@
   async #pollChanges(): Promise<boolean> {
     const { store, prefix, pauseMs, clock } = this.#options;
     // The first answer shows other VMs that the store answers this one, so it does not wait for a change.
-    const waitMs = this.#hasPolled ? this.#options.waitMs : 0;
-    this.#hasPolled = true;
+    const waitMs = this.#hasAsked ? this.#options.waitMs : 0;
+    this.#hasAsked = true;
     const { rev: afterRev, generation: askedInGeneration = 0 } = this.state;
     const changes = await store.changes(prefix, afterRev, waitMs, "table");
     if (!this.#isOpen) return false;
--- a/src/gateway/store_view.ts
+++ b/src/gateway/store_view.ts
@@ -83,9 +83,9 @@
  * Default time that a poll for configuration changes waits. A connection that is dead is noticed only after it; with the
  * margin below and a second for another VM to step in, a change is in force within 5 s.
  */
-const OPERATOR_POLL_WAIT_MS = 2_000;
+const OPERATOR_POLL_WAIT_MS = 3_000;
 /** Margin for the way of an operators' poll, and for a process that is late. */
-const OPERATOR_ANSWER_MARGIN_MS = 1_000;
+const OPERATOR_ANSWER_MARGIN_MS = 700;
 /** The same for upstreams. Each writes about every second, so an answer comes at once. */
 const UPSTREAM_POLL_WAIT_MS = 1_000;
 /** Usually 1.2 s of pause and some tens of ms pass between answers; the reader's own call times out only after 3 s. */
