Explain names the first VM with the newest configuration, and a request that was handled without one

Cause: the logs of several VMs come one after the other, not in order of time, so the first line with the newest version was that of the first file. A request that a VM refused as it had no configuration yet names no version, and nothing was said of it.

Change: lines are sorted by time; no version counts below all.

--- a/src/explain/config_history.ts
+++ b/src/explain/config_history.ts
@@ -21,8 +21,11 @@
   "other config of one version left out",
 ]);
 
+/** Below all versions: a VM that has no configuration yet names none. */
+const NO_VERSION = -Infinity;
+
 function versionOf({ fields }: ParsedLine): number {
-  return Number(fields.configVersion);
+  return Number(fields.configVersion ?? NO_VERSION);
 }
 
 function describeLine(line: ParsedLine, requestMs: number): string {
@@ -50,10 +53,11 @@
 ): ConfigHistory {
   const version = versionOf(endLine);
   const arrivedMs = endLine.timeMs - Number(endLine.fields.totalMs ?? 0);
-  const earlier = allLines.filter(({ timeMs }) => timeMs <= arrivedMs);
+  const earlier = allLines.filter(({ timeMs }) => timeMs <= arrivedMs)
+    .sort((a, b) => a.timeMs - b.timeMs);
   const inForce = earlier.filter(({ event }) => event === IN_FORCE_EVENT);
   const newest = Math.max(...inForce.map(versionOf));
-  if (!(newest > version)) return { lines: [], parts: [] };
+  if (newest <= version) return { lines: [], parts: [] };
   const own = inForce.findLast((line) =>
     line.vm === endLine.vm && versionOf(line) === version
   );
@@ -64,9 +68,11 @@
   return {
     lines: [...(own ? [own] : []), first, ...leftOut],
     parts: [
-      `handled by configuration ${
-        own ? describeLine(own, arrivedMs) : version
-      }`,
+      version === NO_VERSION
+        ? "handled without a configuration"
+        : `handled by configuration ${
+          own ? describeLine(own, arrivedMs) : version
+        }`,
       `newer: ${describeLine(first, arrivedMs)}`,
     ],
   };
--- a/src/explain/explain_test.ts
+++ b/src/explain/explain_test.ts
@@ -83,6 +83,18 @@
     t.is(shown.length, 3);
   });
 
+  it("names the first VM that had the newest configuration, in whatever order the logs come", (t) => {
+    const lines = [
+      'time=2026-01-01T00:00:04.000Z level=info event="config in force" vm=c configVersion=6 from=a readBy=a',
+      'time=2026-01-01T00:00:03.000Z level=info event="config in force" vm=a configVersion=6 from=store readBy=a',
+      "time=2026-01-01T00:00:08.000Z level=warn event=request vm=b attempt=a9 outcome=noTable",
+    ].map((line) => parseLine(line)!);
+    t.regex(
+      explainRequest("a9", lines)!.cause,
+      /handled without a configuration; newer: 6 in force on a for 5000 ms, from store/,
+    );
+  });
+
   it("says nothing of configurations where the newest one handled the request", (t) => {
     const lines = [
       'time=2026-01-01T00:00:01.000Z level=info event="config in force" vm=b configVersion=6 rev=5 from=store',
