--- a/src/adapters/ws_transport_test.ts
+++ b/src/adapters/ws_transport_test.ts
@@ -3,6 +3,9 @@
 import { describe, it } from "../base/describe.ts";
 import { WsTransport, type WsTransportOptions } from "./ws_transport.ts";
 
+/** An address of this process: a port that is closed and opened again there goes to no other process meanwhile. */
+const HOST = `127.10.${process.pid >> 8 & 255}.${1 + process.pid % 254}`;
+
 async function open(
   t: ExecutionContext,
   vmId: string,
@@ -12,7 +15,7 @@
     vmId,
     region: "agadir",
     secret: "s3cret",
-    host: "127.0.0.1",
+    host: HOST,
     port: 0,
     handshakeTimeoutMs: 300,
     ...more,
