Lines on ended upstreams name the shared parts of each request's prompt

The logs of the incident show which requests an upstream ended under, and that each is another one; what they have in common could not be told from them. Each 'upstream ended under' line and the line of a request that lost its connection now have the hashes of the prompt's parts (all but the last), by service. No text goes into a log. No decision changes.

--- a/src/gateway/call.ts
+++ b/src/gateway/call.ts
@@ -75,7 +75,7 @@
       { name, mostConnections: 64, coldMs: 0, coldPerS: 0, engine: undefined };
     this.#arrivedMs = context.clock.monoMs();
     this.#record = new CallRecord(context, input, name, this.#arrivedMs);
-    this.#suspicion = new CallSuspicion(context, input, this.#record);
+    this.#suspicion = new CallSuspicion(context, input, name, this.#record);
     this.#mover = new StreamMover(context, input, this.#service);
     this.#placement = new CallPlacement(
       context,
--- a/src/gateway/call_record.ts
+++ b/src/gateway/call_record.ts
@@ -6,7 +6,7 @@
 
 import type { CodeName } from "../base/mod.ts";
 import type { RefusalDetails } from "../routing/mod.ts";
-import type { SuspectStatus } from "../suspects/mod.ts";
+import type { SuspectStatus, Traits } from "../suspects/mod.ts";
 import type { QuotaUse } from "../quota/mod.ts";
 import type { CallInput } from "./call_input.ts";
 import type { GatewayContext } from "./context.ts";
@@ -133,10 +133,11 @@
     this.#quotaFields = { quotaUnits: units, countedBy };
   }
 
-  /** Notes that the connection to the upstream broke. `digest` identifies the request across its attempts. */
-  noteLoss({ sentAgoMs, beganAgoMs }: Loss, digest: string): void {
+  /** Notes that the connection to the upstream broke. `traits` identify the request and the parts of its prompt. */
+  noteLoss({ sentAgoMs, beganAgoMs }: Loss, [digest, ...parts]: Traits): void {
     this.#lossFields = {
       request: digest,
+      parts: parts.join(),
       lostAfterMs: Math.round(sentAgoMs),
       lostAfterBeginMs: beganAgoMs && Math.round(beganAgoMs),
     };
--- a/src/gateway/call_suspicion.ts
+++ b/src/gateway/call_suspicion.ts
@@ -11,6 +11,8 @@
   type SuspectStatus,
   type SuspectTracker,
   type SuspectVerdict,
+  type Traits,
+  traitsOf,
 } from "../suspects/mod.ts";
 import type { CallInput } from "./call_input.ts";
 import type { CallRecord } from "./call_record.ts";
@@ -24,6 +26,7 @@
   body: Buffer = Buffer.alloc(0);
   readonly #context: GatewayContext;
   readonly #input: CallInput;
+  readonly #service: string;
   readonly #record: CallRecord;
   #cachedDigest: string | undefined;
   #isTrialRun: boolean;
@@ -31,9 +34,15 @@
   #hasEarlyRelayLoss = false;
   #beganMonoMs: number | undefined;
 
-  constructor(context: GatewayContext, input: CallInput, record: CallRecord) {
+  constructor(
+    context: GatewayContext,
+    input: CallInput,
+    service: string,
+    record: CallRecord,
+  ) {
     this.#context = context;
     this.#input = input;
+    this.#service = service;
     this.#record = record;
     this.#isTrialRun = input.isTrialRun;
   }
@@ -91,8 +100,8 @@
   async noteLoss(send: Send, canContinue: boolean): Promise<void> {
     const { loss } = send;
     if (loss) {
-      if (!loss.isGivenUp) this.#record.noteLoss(loss, this.#digest);
-      const noted = this.#context.suspects.noteLoss(this.#digest, loss);
+      if (!loss.isGivenUp) this.#record.noteLoss(loss, this.#traits);
+      const noted = this.#context.suspects.noteLoss(this.#traits, loss);
       // A request that was given up because its time is short must not wait longer to learn the cause.
       if (canContinue && !loss.isGivenUp) {
         this.#record.crashedUpstream = await noted;
@@ -126,6 +135,12 @@
       : "clear";
   }
 
+  get #traits(): Traits {
+    const { head } = this.#input;
+    const partIds = head.promptParts.map(({ id }) => id);
+    return traitsOf(this.#digest, this.#service, partIds);
+  }
+
   /** Computed when it is first used: usually no request is suspected, and none is hashed. */
   get #digest(): string {
     this.#cachedDigest ??= requestDigest({
--- a/src/gateway/restart_watch.ts
+++ b/src/gateway/restart_watch.ts
@@ -7,6 +7,7 @@
 
 import type { Clock, Timer } from "../base/mod.ts";
 import type { Fleet } from "../routing/mod.ts";
+import type { Traits } from "../suspects/mod.ts";
 import type { Loss } from "./losses.ts";
 
 /**
@@ -18,7 +19,7 @@
 const MAX_WATCHED_LOSSES = 1_024;
 
 interface WatchedLoss {
-  readonly digest: string;
+  readonly traits: Traits;
   readonly loss: Loss;
   readonly lostMs: number;
 }
@@ -27,7 +28,7 @@
 export class RestartWatch {
   readonly #fleet: Fleet;
   readonly #clock: Clock;
-  readonly #onRestart: (digest: string, loss: Loss, lostMs: number) => void;
+  readonly #onRestart: (traits: Traits, loss: Loss, lostMs: number) => void;
   #watched: WatchedLoss[] = [];
   #timer: Timer | undefined;
 
@@ -35,7 +36,7 @@
   constructor(
     fleet: Fleet,
     clock: Clock,
-    onRestart: (digest: string, loss: Loss, lostMs: number) => void,
+    onRestart: (traits: Traits, loss: Loss, lostMs: number) => void,
   ) {
     this.#fleet = fleet;
     this.#clock = clock;
@@ -43,9 +44,9 @@
   }
 
   /** Watches a loss until its upstream has started again, or {@link WATCH_MS} have passed. */
-  watch(digest: string, loss: Loss, lostMs: number): void {
+  watch(traits: Traits, loss: Loss, lostMs: number): void {
     if (this.#watched.length >= MAX_WATCHED_LOSSES) return;
-    this.#watched.push({ digest, loss, lostMs });
+    this.#watched.push({ traits, loss, lostMs });
     this.#timer ??= this.#clock.every(CHECK_INTERVAL_MS, () => this.#check());
   }
 
@@ -57,12 +58,12 @@
     const nowMs = this.#clock.monoMs();
     const watched = this.#watched;
     this.#watched = [];
-    for (const { digest, loss, lostMs } of watched) {
+    for (const { traits, loss, lostMs } of watched) {
       const current = this.#fleet.get(loss.upstream.id);
       if (current && current.key !== loss.upstream.key) {
-        this.#onRestart(digest, loss, lostMs);
+        this.#onRestart(traits, loss, lostMs);
       } else if (nowMs - lostMs < WATCH_MS) {
-        this.#watched.push({ digest, loss, lostMs });
+        this.#watched.push({ traits, loss, lostMs });
       }
     }
     if (this.#watched.length > 0) return;
--- a/src/gateway/suspects.ts
+++ b/src/gateway/suspects.ts
@@ -23,6 +23,7 @@
   type SuspectEvent,
   SuspectPublisher,
   SuspectTracker,
+  type Traits,
 } from "../suspects/mod.ts";
 import type { Datagrams } from "./datagrams.ts";
 import { CrashNotifier } from "./crash_notifier.ts";
@@ -88,7 +89,7 @@
     this.#restartWatch = new RestartWatch(
       this.#options.fleet,
       clock,
-      (digest, loss, lostMs) => void this.#noteCrash(digest, loss, lostMs),
+      (traits, loss, lostMs) => void this.#noteCrash(traits, loss, lostMs),
     );
     this.#tracker = new SuspectTracker(
       new SuspectNotifier(this.#notifier, metrics, kernel.log),
@@ -125,7 +126,7 @@
    * Checks whether an upstream crashed under a request that had just begun there, and notifies the other VMs if so.
    * Resolves to the key of that upstream, or to `undefined`.
    */
-  async noteLoss(digest: string, loss: Loss): Promise<string | undefined> {
+  async noteLoss(traits: Traits, loss: Loss): Promise<string | undefined> {
     const { upstream } = loss;
     const lostMs = this.#clock.monoMs();
     // An upstream that leaves stops as planned, whatever still runs there.
@@ -133,19 +134,19 @@
     if (loss.isGivenUp) await this.#clock.sleep(CRASH_WAIT_MS);
     const reach = await this.#options.losses.probe(upstream);
     if (isLeaving || !canBeCause(loss)) return undefined;
-    if (reach === "refused") return this.#noteCrash(digest, loss, lostMs);
-    if (reach === "open") this.#restartWatch.watch(digest, loss, lostMs);
+    if (reach === "refused") return this.#noteCrash(traits, loss, lostMs);
+    if (reach === "open") this.#restartWatch.watch(traits, loss, lostMs);
     return undefined;
   }
 
   #noteCrash(
-    digest: string,
+    traits: Traits,
     { upstream, sentAgoMs }: Loss,
     lostMs: number,
   ): string {
     const sinceLostMs = this.#clock.monoMs() - lostMs;
     return this.#tracker.noteCrash(
-      digest,
+      traits,
       upstream.key,
       sentAgoMs + sinceLostMs,
     );
--- a/src/services/suspects.ts
+++ b/src/services/suspects.ts
@@ -143,7 +143,7 @@
     const hasEnded = reach === "refused" || (reach === "open" && wasLate);
     if (!hasEnded || !isCause) return;
     const sinceLostMs = this.#clock.monoMs() - lostMs;
-    this.#tracker.noteCrash(digest, upstreamId, sentAgoMs + sinceLostMs);
+    this.#tracker.noteCrash([digest], upstreamId, sentAgoMs + sinceLostMs);
   }
 
   async #republish(): Promise<void> {
--- a/src/suspects/mod.ts
+++ b/src/suspects/mod.ts
@@ -7,5 +7,6 @@
 export * from "./crash_history.ts";
 export * from "./crash_cause.ts";
 export * from "./identity.ts";
+export * from "./traits.ts";
 export * from "./suspect_tracker.ts";
 export * from "./crash_messages.ts";
--- a/src/suspects/suspect_records_test.ts
+++ b/src/suspects/suspect_records_test.ts
@@ -59,7 +59,7 @@
 
   crash(...upstreams: string[]): void {
     for (const upstream of upstreams) {
-      this.tracker.noteCrash("r", upstream, SENT_AGO_MS);
+      this.tracker.noteCrash(["r"], upstream, SENT_AGO_MS);
     }
   }
 
--- a/src/suspects/suspect_tracker.ts
+++ b/src/suspects/suspect_tracker.ts
@@ -10,6 +10,7 @@
   type CrashRow,
   type SuspectStatus,
 } from "./crash_history.ts";
+import type { Traits } from "./traits.ts";
 
 /**
  * How long this VM resends in any case the crashes that it observed itself, in case the VMs that got them are cut off or
@@ -45,6 +46,8 @@
   | {
     readonly type: "ended";
     readonly request: string;
+    /** The hashes of the shared parts of its prompt. */
+    readonly parts: string;
     readonly upstream: string;
     readonly ends: number;
     readonly standing: SuspectStatus;
@@ -172,7 +175,8 @@
    * Notes that an upstream crashed as a request, sent there `sentAgoMs` ago, began to run, and reports it to other VMs.
    * Returns the name of the crash, for the VM that relayed the request.
    */
-  noteCrash(digest: string, upstreamKey: string, sentAgoMs: number): string {
+  noteCrash(traits: Traits, upstreamKey: string, sentAgoMs: number): string {
+    const [digest, ...parts] = traits;
     const nowMs = this.#nowMs();
     const sentMs = nowMs - sentAgoMs;
     const rows = this.#history.noteCrash(digest, upstreamKey, sentMs, nowMs);
@@ -183,6 +187,7 @@
     this.#publisher.noteEvent({
       type: "ended",
       request: digest,
+      parts: parts.join(),
       upstream,
       ends: crashCount,
       standing: status,
--- a/src/suspects/suspects_cut_off_test.ts
+++ b/src/suspects/suspects_cut_off_test.ts
@@ -160,7 +160,7 @@
 
 function crash(vm: Vm, digest: string, upstreams: readonly string[]): void {
   for (const upstream of upstreams) {
-    vm.tracker.noteCrash(digest, upstream, SENT_AGO_MS);
+    vm.tracker.noteCrash([digest], upstream, SENT_AGO_MS);
   }
 }
 
