--- a/src/standins/runner.ts
+++ b/src/standins/runner.ts
@@ -64,6 +64,14 @@
 /** KV cache copies that no runner has used yet, as `IP:PORT/HANDLE` of their source; shared by all runners. */
 const unusedKvCopies = new Set<string>();
 
+/** How much of its answer a fatal stream sends before it crashes its runner. */
+export type FatalStart = "nothing" | "head" | "firstBytes";
+
+function partIds(promptPrefix: string): string[] {
+  return promptPrefix.split(",").filter(Boolean)
+    .map((part) => part.slice(0, part.lastIndexOf(":")));
+}
+
 /** A stand-in upstream. */
 export class Runner implements AnswerSettings {
   readonly id: string;
@@ -98,8 +106,14 @@
   streamEvents = DEFAULT_STREAM_EVENTS;
   /** Time between two events of a stream. */
   eventGapMs = 10;
-  /** Whether a request with this body crashes the runner `crashDelayMs` after it begins to run. */
-  isFatal: (body: string) => boolean = () => false;
+  /**
+   * Whether a request with this body, and these parts of its prompt but for the last, crashes the runner `crashDelayMs`
+   * after it begins to run.
+   */
+  isFatal: (body: string, sharedParts: readonly string[]) => boolean = () =>
+    false;
+  /** How much of its answer a fatal stream sends before the crash. */
+  fatalStart: FatalStart = "head";
   /** Time between the start of a fatal request and the crash. */
   crashDelayMs = DEFAULT_CRASH_DELAY_MS;
   /** How long it stays down after a crash. */
@@ -238,14 +252,10 @@
       "close",
       () => void (arrival.isCut = !response.writableFinished),
     );
-    if (this.isFatal(arrival.body)) {
-      if (this.#isStream(request)) {
-        response.writeHead(200, {
-          "attempt-id": String(headers["attempt-id"]),
-          "response-stamp": `stamp-${this.id}`,
-          "content-type": "text/event-stream",
-        }).flushHeaders();
-      }
+    const sharedParts = partIds(String(headers["prompt-prefix"] ?? ""))
+      .slice(0, -1);
+    if (this.isFatal(arrival.body, sharedParts)) {
+      if (this.#isStream(request)) this.#startFatal(headers, response);
       return void setTimeout(() => this.crash(), this.crashDelayMs);
     }
     if (this.answerDelayMs > 0) {
@@ -254,6 +264,16 @@
     this.#respond(request, response);
   }
 
+  #startFatal(headers: IncomingHttpHeaders, response: ServerResponse): void {
+    if (this.fatalStart === "nothing") return;
+    response.writeHead(200, {
+      "attempt-id": String(headers["attempt-id"]),
+      "response-stamp": `stamp-${this.id}`,
+      "content-type": "text/event-stream",
+    }).flushHeaders();
+    if (this.fatalStart === "firstBytes") response.write("id: 1\ndata: ");
+  }
+
   #refuse(headers: IncomingHttpHeaders, response: ServerResponse): void {
     this.refusals.push({
       attemptId: String(headers["attempt-id"]),
