--- a/src/adapters/suspect_store.ts
+++ b/src/adapters/suspect_store.ts
@@ -132,6 +132,13 @@
     this.#hasLoss = true;
   }
 
+  async releaseTrial(digest: string): Promise<void> {
+    const { store, trialPrefix } = this.#options;
+    const key = trialPrefix + digest;
+    // If it fails, the permission lapses with its lease.
+    await store.transact([{ type: "delete", key }], "other");
+  }
+
   async delete(digest: string): Promise<boolean> {
     const { store, suspectPrefix, trialPrefix } = this.#options;
     const deleted = await store.transact([
--- a/src/base/codes.ts
+++ b/src/base/codes.ts
@@ -197,7 +197,7 @@
     503,
     "no",
     true,
-    "upstreams ended under this request; another VM runs it once more",
+    "upstreams ended under this request or a part of it; another run is the test",
   ),
   cannotResume: defineCode(
     3016,
@@ -206,6 +206,13 @@
     false,
     "no upstream can go on with this stream; a new one is served",
   ),
+  partEndsUpstreams: defineCode(
+    3017,
+    503,
+    "no",
+    true,
+    "upstreams ended each time that they ran a part of this prompt",
+  ),
   upstreamUnreachable: defineCode(
     4001,
     502,
--- a/src/edge/call_handler.ts
+++ b/src/edge/call_handler.ts
@@ -10,6 +10,7 @@
 import type { Call } from "./call.ts";
 import type { EdgeContext } from "./context.ts";
 import { RequestStats } from "./request_stats.ts";
+import { requestDigest, traitsOf } from "../suspects/mod.ts";
 import { SuspectCheck } from "./suspect_check.ts";
 
 /** Result of an attempt: the caller has its response, or another attempt may follow. */
@@ -25,6 +26,8 @@
   protected readonly stats: RequestStats;
   /** Whether an attempt so far has run the call. Failures report it to the caller. */
   protected ran: Ran = "no";
+  /** Present once the call's body has been read. */
+  protected suspectCheck: SuspectCheck | undefined;
   /** The failure that the caller gets if no further attempt is made. */
   protected lastFailure: Failure = failure("noUpstream");
 
@@ -34,12 +37,33 @@
     this.stats = new RequestStats(context, call);
   }
 
+  /** Runs the call and responds to the caller. It may be called once. */
+  async run(): Promise<void> {
+    try {
+      await this.handle();
+    } finally {
+      this.suspectCheck?.close();
+    }
+  }
+
   /** Runs the call and responds to the caller. */
-  abstract run(): Promise<void>;
+  protected abstract handle(): Promise<void>;
 
   /** Creates the check for upstreams that crashed under this call. It is made before each attempt. */
-  protected createSuspectCheck(body: Buffer): SuspectCheck {
-    return new SuspectCheck(this.context, this.call, this.stats, body);
+  protected createSuspectCheck(
+    body: Buffer,
+    service: string,
+    parts: readonly string[],
+  ): SuspectCheck {
+    const { context, call, stats } = this;
+    const request = requestDigest({
+      host: "",
+      target: call.request.url ?? "/",
+      keyDigest: call.workspace.id,
+      body,
+    });
+    const traits = traitsOf(request, service, parts);
+    return this.suspectCheck = new SuspectCheck(context, stats, traits);
   }
 
   /** Adds `ran` to a refusal: after an attempt that may have run, it must not say that nothing was run. */
--- a/src/edge/model_call.ts
+++ b/src/edge/model_call.ts
@@ -21,26 +21,23 @@
 } from "./model_request.ts";
 import { type RelayResult, relayStream } from "./relay.ts";
 import { StreamCheck } from "./stream_check.ts";
-import type { SuspectCheck } from "./suspect_check.ts";
 
 /** Maximum number of times that a broken stream is resumed at its engine, as an engine may break it again and again. */
 const MAX_RESUMES = 3;
 /** Statuses by which engines refuse more work. By their contract, they did not run the call. */
 const REFUSAL_STATUSES = new Set([429, 503]);
 
-/** Handles a call of a model. `run` may be called once. */
+/** Handles a call of a model. */
 export class ModelCallHandler extends CallHandler {
   readonly #path: ModelPath;
   readonly #streamCheck = new StreamCheck();
-  #suspectCheck!: SuspectCheck;
 
   constructor(context: EdgeContext, call: Call, path: ModelPath) {
     super(context, call);
     this.#path = path;
   }
 
-  /** Runs the call and responds to the caller. */
-  override async run(): Promise<void> {
+  protected override async handle(): Promise<void> {
     const { request, table } = this.call;
     const body = await readBody(
       request,
@@ -73,9 +70,13 @@
       service: service.id,
       deadlineMs,
     });
-    this.#suspectCheck = this.createSuspectCheck(body);
+    const suspectCheck = this.createSuspectCheck(
+      body,
+      service.id,
+      modelRequest.parts,
+    );
     while (attempts.hasNext) {
-      const refusal = await this.#suspectCheck.findRefusal();
+      const refusal = await suspectCheck.findRefusal();
       if (refusal) return this.fail(this.keepRan(refusal));
       const attempt = await attempts.next();
       if (attempt.isErr()) return this.fail(this.keepRan(attempt.error));
@@ -170,7 +171,7 @@
       return this.call.signal.aborted ? "answered" : "retry";
     }
     if (error.kind === "lost") {
-      await this.#suspectCheck.reportBrokenConnection(attempt);
+      await this.suspectCheck?.reportBrokenConnection(attempt);
     }
     this.ran = "unknown";
     this.lastFailure = failure("upstreamFailed", { message: error.message });
@@ -213,7 +214,7 @@
       const relayResult = await this.#relayAnswer(attempt, answer);
       if (relayResult.type === "whole") {
         this.call.response.end();
-        this.#suspectCheck.reportServed();
+        this.suspectCheck?.reportServed();
         this.finish(attempt, "done", 0);
         return "answered";
       }
@@ -226,7 +227,7 @@
         upstream: attempt.grant.upstreamId,
         reason: relayResult.reason,
       });
-      await this.#suspectCheck.reportBrokenConnection(attempt);
+      await this.suspectCheck?.reportBrokenConnection(attempt);
       const resumed = resumes < MAX_RESUMES
         ? await this.#resume(attempt, body, signal)
         : undefined;
@@ -262,6 +263,7 @@
           attempt.reportStarted(atMs);
         }
         this.stats.recordEvent(atMs);
+        this.suspectCheck?.noteEvent();
       },
     });
   }
@@ -324,7 +326,7 @@
       }
       attempt.report("failed");
       if (body === undefined) {
-        await this.#suspectCheck.reportBrokenConnection(attempt);
+        await this.suspectCheck?.reportBrokenConnection(attempt);
       }
       this.ran = "yes";
       this.lastFailure = failure("upstreamFailed", {
@@ -344,7 +346,7 @@
       answer.headers["content-type"] ?? "application/json",
     );
     response.end(body);
-    if (answer.httpStatus < 500) this.#suspectCheck.reportServed();
+    if (answer.httpStatus < 500) this.suspectCheck?.reportServed();
     this.stats.recordUsage(JSON.parse(body.toString("utf8")).usage);
     this.finish(attempt, "done", 0);
     return "answered";
--- a/src/edge/model_request.ts
+++ b/src/edge/model_request.ts
@@ -51,6 +51,8 @@
   readonly promptTokens: number;
   readonly expectedOutputTokens: number;
   readonly prefixHashes: readonly number[];
+  /** The texts of the prompt's parts in order: messages, and the items of those that have several. */
+  readonly parts: readonly string[];
   /** The parsed body, for {@link withPriority}. */
   readonly body: Readonly<Record<string, unknown>>;
 }
@@ -87,6 +89,7 @@
     promptTokens: Math.max(1, Math.ceil(text.length / CHARS_PER_TOKEN)),
     expectedOutputTokens: maxOutputTokens ?? DEFAULT_OUTPUT_TOKENS,
     prefixHashes: hashPrefixBlocks(text),
+    parts: extractParts(parsed.data),
     body: parsed.data,
   });
 }
@@ -116,6 +119,23 @@
   return toText((data as z.infer<typeof completionBodySchema>).prompt);
 }
 
+function extractParts(
+  data: z.infer<typeof chatBodySchema> | z.infer<typeof completionBodySchema>,
+): string[] {
+  if ("messages" in data && Array.isArray(data.messages)) {
+    const messages = data.messages as z.infer<
+      typeof chatBodySchema
+    >["messages"];
+    return messages.flatMap(({ role, content }) =>
+      Array.isArray(content)
+        ? content.map((item) => `${role}\n${toText(item)}`)
+        : [`${role}\n${toText(content)}`]
+    );
+  }
+  const { prompt } = data as z.infer<typeof completionBodySchema>;
+  return Array.isArray(prompt) ? prompt.map(toText) : [prompt];
+}
+
 function toText(value: unknown): string {
   return typeof value === "string" ? value : JSON.stringify(value ?? "");
 }
--- a/src/edge/plain_call.ts
+++ b/src/edge/plain_call.ts
@@ -18,7 +18,6 @@
 import type { EdgeContext } from "./context.ts";
 import { endsInsideEvent, EventEndCheck, isEventStream } from "./event_end.ts";
 import { selectForwardedHeaders } from "./headers.ts";
-import type { SuspectCheck } from "./suspect_check.ts";
 
 /** Methods that HTTP defines as safe: they change nothing, so they need no claim and may be retried. */
 const SAFE_METHODS = new Set(["GET", "HEAD", "OPTIONS"]);
@@ -45,14 +44,13 @@
   readonly dispatchBeforeMonoMs: number;
 }
 
-/** Handles a call of a plain service. `run` may be called once. */
+/** Handles a call of a plain service. */
 export class PlainCallHandler extends CallHandler {
   readonly #service: ServiceRow;
   readonly #path: string;
   readonly #needsClaim: boolean;
   readonly #isRepeatable: boolean;
   #claim: HeldClaim | undefined;
-  #suspectCheck!: SuspectCheck;
 
   /** `path` is the part of the URL after the service's name, including the query. */
   constructor(
@@ -70,8 +68,7 @@
     this.#isRepeatable = !this.#needsClaim && IDEMPOTENT_METHODS.has(method);
   }
 
-  /** Runs the call and responds to the caller. */
-  override async run(): Promise<void> {
+  protected override async handle(): Promise<void> {
     if (this.#needsClaim && this.call.headers.idempotencyKey === undefined) {
       return this.fail(failure("keyRequired"));
     }
@@ -84,9 +81,13 @@
     const deadlineMs = getDeadlineMs(this.call, this.#service);
     const demand = { ...PLAIN_DEMAND, service: this.#service.id, deadlineMs };
     const attempts = new AttemptIterator(this.context, this.call, demand);
-    this.#suspectCheck = this.createSuspectCheck(body.value);
+    const suspectCheck = this.createSuspectCheck(
+      body.value,
+      this.#service.id,
+      [],
+    );
     while (attempts.hasNext) {
-      const refusal = await this.#suspectCheck.findRefusal();
+      const refusal = await suspectCheck.findRefusal();
       if (refusal) return await this.#finishWithFailure(this.keepRan(refusal));
       const attempt = await attempts.next();
       if (attempt.isErr()) {
@@ -227,7 +228,7 @@
     }
     const isLost = error.kind === "lost";
     attempt.report(isLost ? "failed" : "canceled");
-    if (isLost) await this.#suspectCheck.reportBrokenConnection(attempt);
+    if (isLost) await this.suspectCheck?.reportBrokenConnection(attempt);
     if (error.kind !== "withdrawn") this.ran = "unknown";
     this.lastFailure = isLost
       ? failure("upstreamFailed", { message: error.message })
@@ -260,11 +261,11 @@
     this.#startResponse(attempt, answer);
     try {
       await forwardBody(answer, response);
-      if (answer.httpStatus < 500) this.#suspectCheck.reportServed();
+      if (answer.httpStatus < 500) this.suspectCheck?.reportServed();
       this.finish(attempt, "done", 0);
     } catch {
       if (!this.call.signal.aborted) {
-        void this.#suspectCheck.reportBrokenConnection(attempt);
+        void this.suspectCheck?.reportBrokenConnection(attempt);
       }
       // The rest of the content or the last chunk is missing, so the caller's client detects the incomplete answer.
       breakOffResponse(response);
@@ -306,7 +307,7 @@
       },
     });
     this.#startResponse(attempt, answer);
-    if (answer.httpStatus < 500) this.#suspectCheck.reportServed();
+    if (answer.httpStatus < 500) this.suspectCheck?.reportServed();
     this.call.response.end(body);
     this.finish(attempt, "done", 0);
     return "answered";
--- a/src/edge/suspect_check.ts
+++ b/src/edge/suspect_check.ts
@@ -1,13 +1,13 @@
 /**
- * Checks whether a call may run, given the upstreams that crashed under the same request, in this call or before.
+ * Checks whether a call may run, given the upstreams that crashed under the same request, in this call or before, or with
+ * parts of its prompt.
  *
  * @module
  */
 
 import { type Failure, failure } from "../base/mod.ts";
-import { requestDigest } from "../suspects/mod.ts";
+import { hasSurvived, type Traits } from "../suspects/mod.ts";
 import type { Attempt } from "./attempts.ts";
-import type { Call } from "./call.ts";
 import type { EdgeContext } from "./context.ts";
 import type { RequestStats } from "./request_stats.ts";
 
@@ -15,33 +15,28 @@
 export class SuspectCheck {
   readonly #context: EdgeContext;
   readonly #stats: RequestStats;
-  readonly #digest: string;
-  #isTrialRun = false;
+  readonly #traits: Traits;
+  #isTrial = false;
+  /** The trait whose trial this VM holds the permission for. */
+  #trialOf: string | undefined;
+  #hasCrashed = false;
+  #hasReportedSurvival = false;
 
-  constructor(
-    context: EdgeContext,
-    call: Call,
-    stats: RequestStats,
-    body: Buffer,
-  ) {
+  constructor(context: EdgeContext, stats: RequestStats, traits: Traits) {
     this.#context = context;
     this.#stats = stats;
-    this.#digest = requestDigest({
-      host: "",
-      target: call.request.url ?? "/",
-      keyDigest: call.workspace.id,
-      body,
-    });
+    this.#traits = traits;
   }
 
   /** Returns why the call may not run now; `undefined` if it may. */
   async findRefusal(): Promise<Failure | undefined> {
     const verdict = await this.#context.suspects.ask("judge", {
-      digest: this.#digest,
-      hasLeave: this.#isTrialRun,
+      traits: this.#traits,
+      hasLeave: this.#isTrial,
     });
     if (verdict.type === "runs") {
-      this.#isTrialRun = verdict.hasLeave;
+      this.#isTrial = verdict.hasLeave;
+      this.#trialOf ??= verdict.trialOf;
       return undefined;
     }
     const retryAtMs = this.#context.clock.nowMs() + verdict.comeBackMs;
@@ -52,8 +47,9 @@
   async reportBrokenConnection({ grant, startedAtMs }: Attempt): Promise<void> {
     const nowMs = this.#context.clock.nowMs();
     const { firstTokenAtMs } = this.#stats;
-    await this.#context.suspects.ask("lost", {
-      digest: this.#digest,
+    this.#hasCrashed = await this.#context.suspects.ask("lost", {
+      traits: this.#traits,
+      isTrial: this.#isTrial,
       upstreamId: grant.upstreamId,
       url: grant.url,
       sentAgoMs: nowMs - startedAtMs,
@@ -63,8 +59,32 @@
     });
   }
 
+  /** Notes that a part of the answer arrived. A call that has run for long enough is reported before its end. */
+  noteEvent(): void {
+    if (this.#hasReportedSurvival || !hasSurvived(this.#beganAgoMs)) return;
+    this.#hasReportedSurvival = true;
+    this.reportServed();
+  }
+
   /** Reports that the call was answered. */
   reportServed(): void {
-    void this.#context.suspects.ask("served", { digest: this.#digest });
+    void this.#context.suspects.ask("served", {
+      traits: this.#traits,
+      beganAgoMs: this.#beganAgoMs,
+    });
+  }
+
+  /** Reports that a trial is over, if this call is one. */
+  close(): void {
+    if (this.#trialOf === undefined) return;
+    void this.#context.suspects.ask("trialOver", {
+      trait: this.#trialOf,
+      hasCrashed: this.#hasCrashed,
+    });
+  }
+
+  get #beganAgoMs(): number {
+    const nowMs = this.#context.clock.nowMs();
+    return nowMs - (this.#stats.firstTokenAtMs ?? nowMs);
   }
 }
--- a/src/explain/explanation.ts
+++ b/src/explain/explanation.ts
@@ -73,8 +73,10 @@
   streamBroken: "the upstream broke off in the middle of the stream",
   endsUpstreams:
     "upstreams ended each time that they ran it, so it is not run again",
+  partEndsUpstreams:
+    "upstreams ended each time that they ran a request with the blamed part of its prompt; nothing was run",
   onTrialElsewhere:
-    "three upstreams ended under it, and another VM runs it once more, or the store gave no leave; nothing was run",
+    "upstreams ended under it or the blamed part, and another run shows whether they do again, or the store gave no leave; nothing was run",
   canceled: "the caller left before its answer was whole",
   bodyTooLarge: "the body exceeds the configured limit",
   headersTooLarge: "the headers exceed the configured limit",
@@ -166,6 +168,7 @@
     countedBy,
     configVersion,
     ends,
+    blamed,
   } = endLine.fields;
   const wasSlow = outcome === "upstreamTimeout" && firstByteMs !== undefined;
   const parts = [
@@ -185,7 +188,7 @@
   }
   parts.push(...versionParts(endLine));
   if (sends) parts.push(`upstreams that got it: ${sends}`);
-  if (ends) parts.push(`upstreams that ended under it: ${ends}`);
+  if (ends) parts.push(`upstreams that ended under ${blamed ?? "it"}: ${ends}`);
   parts.push(...bodyParts(endLine));
   if (firstByteMs) parts.push(`first byte after ${firstByteMs} ms`);
   if (leftMs) parts.push(`time left: ${leftMs} ms`);
@@ -199,6 +202,16 @@
   return parts.join("; ");
 }
 
+/** Returns the traits that a line about suspects names, without the counts behind them. */
+function traitsIn({ parts, traits, blamed }: ParsedLine["fields"]): string[] {
+  return [parts, traits, blamed].filter(Boolean)
+    .flatMap((list) => list.split(",")).map((item) => item.split(":", 1)[0]);
+}
+
+function isIn(set: ReadonlySet<string>): (item: string) => boolean {
+  return (item) => set.has(item);
+}
+
 /** Collects the lines of a request and finds its cause; gives `undefined` if no line names the request. */
 export function explainRequest(
   attempt: string,
@@ -223,8 +236,12 @@
   const digests = new Set(
     ownLines.map(({ fields }) => fields.request).filter(Boolean),
   );
+  const blamed = new Set(
+    ownLines.map(({ fields }) => fields.blamed).filter(Boolean),
+  );
   const suspectLines = allLines.filter(({ event, fields }) =>
-    SUSPECT_EVENTS.has(event) && digests.has(fields.request)
+    SUSPECT_EVENTS.has(event) &&
+    (digests.has(fields.request) || traitsIn(fields).some(isIn(blamed)))
   );
   // The outcome is taken from the VM that the caller was connected to, because the other VMs sent their answers there.
   const endLines = ownLines.filter(({ event }) => event === "request");
--- a/src/gateway/call.ts
+++ b/src/gateway/call.ts
@@ -134,6 +134,7 @@
       );
     } finally {
       timer.close();
+      void this.#suspicion.close();
       bodies.release(this.#body.length);
       this.#context.openRequests--;
     }
@@ -161,10 +162,11 @@
       this.#placement.isSuspect = this.#suspicion.isSuspect;
       const { step, settle } = await this.#placement.place();
       if (this.#isLagging) await waitForNextPoll();
-      const send = this.#isOver ? undefined : this.#startStep(step);
+      const mayStart = !this.#isOver && !this.#suspicion.isRejected;
+      const send = mayStart ? this.#startStep(step) : undefined;
       settle();
       if (send) await this.#runSend(send);
-      else if (step.type === "wait" && !this.#isOver) {
+      else if (step.type === "wait" && mayStart) {
         await this.#pause.wait(this.#context.clock, step.untilMs);
       }
     }
--- a/src/gateway/call_input.ts
+++ b/src/gateway/call_input.ts
@@ -30,6 +30,7 @@
 /** Final failures: another VM has recorded crashes under the request, even if this VM has not received them yet. */
 export const FINAL_CODES: ReadonlySet<CodeName> = new Set<CodeName>([
   "endsUpstreams",
+  "partEndsUpstreams",
   "onTrialElsewhere",
 ]);
 
--- a/src/gateway/call_record.ts
+++ b/src/gateway/call_record.ts
@@ -6,7 +6,7 @@
 
 import type { CodeName } from "../base/mod.ts";
 import type { RefusalDetails } from "../routing/mod.ts";
-import type { SuspectStatus, Traits } from "../suspects/mod.ts";
+import type { Blame, Traits } from "../suspects/mod.ts";
 import type { QuotaUse } from "../quota/mod.ts";
 import type { CallInput } from "./call_input.ts";
 import type { GatewayContext } from "./context.ts";
@@ -143,15 +143,14 @@
     };
   }
 
-  /** Notes that upstreams crashed under the request before. */
-  noteSuspect(
-    status: SuspectStatus,
-    digest: string,
-    crashes: readonly string[],
-  ): void {
+  /** Notes that upstreams crashed before under the request, or with parts of its prompt. */
+  noteBlame({ status, trait, crashes }: Blame, traits: Traits): void {
+    const [request, ...parts] = traits;
     this.#suspicionFields = {
-      request: digest,
+      request,
+      parts: parts.join(),
       standing: status,
+      blamed: trait,
       ends: crashes.join(),
     };
   }
--- a/src/gateway/call_suspicion.ts
+++ b/src/gateway/call_suspicion.ts
@@ -5,10 +5,10 @@
  */
 
 import {
+  type Blame,
   canBeCause,
   hasSurvived,
   requestDigest,
-  type SuspectStatus,
   type SuspectTracker,
   type SuspectVerdict,
   type Traits,
@@ -28,8 +28,12 @@
   readonly #input: CallInput;
   readonly #service: string;
   readonly #record: CallRecord;
-  #cachedDigest: string | undefined;
+  #cachedTraits: Traits | undefined;
   #isTrialRun: boolean;
+  /** The trait whose trial this VM holds the permission for. */
+  #trialOf: string | undefined;
+  /** Whether an upstream crashed under the last send; it may take a moment to know. */
+  #hasCrashed: Promise<boolean> = Promise.resolve(false);
   /** Whether a relayed send broke off as the request began to run: the other VM had no way left to report the cause. */
   #hasEarlyRelayLoss = false;
   #beganMonoMs: number | undefined;
@@ -49,7 +53,7 @@
 
   /** Whether the request is placed where a crash harms the fewest others. */
   get isSuspect(): boolean {
-    return this.#hasEarlyRelayLoss || this.#status !== "clear";
+    return this.#hasEarlyRelayLoss || this.#blame !== undefined;
   }
 
   /** Whether this VM, or the one that relayed the request, holds the permission for its trial run. */
@@ -59,20 +63,28 @@
 
   /** Decides whether the request may be placed now. */
   async checkMayRun(): Promise<SuspectVerdict> {
-    const status = this.#status;
-    if (status === "clear") {
-      return { type: "runs", hasLeave: this.#isTrialRun };
-    }
+    const blame = this.#blame;
+    if (!blame) return { type: "runs", hasLeave: this.#isTrialRun };
     const { metrics } = this.#context;
-    const crashes = this.#tracker.crashedUpstreams(this.#digest);
-    this.#record.noteSuspect(status, this.#digest, crashes);
-    const verdict = await this.#tracker.decide(this.#digest, this.#isTrialRun);
-    if (verdict.type === "runs") this.#isTrialRun = verdict.hasLeave;
+    this.#record.noteBlame(blame, this.#traits);
+    const verdict = await this.#tracker.decide(this.#traits, this.#isTrialRun);
+    if (verdict.type === "runs") {
+      this.#isTrialRun = verdict.hasLeave;
+      this.#trialOf ??= verdict.trialOf;
+    }
     const outcome = verdict.type === "runs" ? verdict.type : verdict.code;
-    metrics.count("suspects", `standing="${status}",outcome="${outcome}"`);
+    metrics.count(
+      "suspects",
+      `standing="${blame.status}",outcome="${outcome}"`,
+    );
     return verdict;
   }
 
+  /** Whether the request has to be refused by what became known while it waited for its place. */
+  get isRejected(): boolean {
+    return this.#blame?.status === "rejected";
+  }
+
   /** Notes that a send begins. */
   noteSend(): void {
     this.#beganMonoMs = undefined;
@@ -83,14 +95,30 @@
     const nowMs = this.#context.clock.monoMs();
     this.#beganMonoMs ??= nowMs;
     if (!this.#tracker.hasSuspects) return;
-    if (hasSurvived(nowMs - this.#beganMonoMs)) {
-      this.#tracker.clear(this.#digest);
-    }
+    if (hasSurvived(nowMs - this.#beganMonoMs)) this.#noteSurvived(nowMs);
   }
 
   /** Notes that the request was answered completely, by an upstream that still runs. */
   noteServed(): void {
-    if (this.#tracker.hasSuspects) this.#tracker.clear(this.#digest);
+    if (this.#tracker.hasSuspects) {
+      this.#noteSurvived(this.#context.clock.monoMs());
+    }
+  }
+
+  #noteSurvived(nowMs: number): void {
+    this.#tracker.clear(this.#traits, nowMs - (this.#beganMonoMs ?? nowMs));
+    this.#releaseTrial(false);
+  }
+
+  /** Ends the trial, if this request is one. */
+  async close(): Promise<void> {
+    if (this.#trialOf !== undefined) this.#releaseTrial(await this.#hasCrashed);
+  }
+
+  #releaseTrial(hasCrashed: boolean): void {
+    if (this.#trialOf === undefined) return;
+    this.#tracker.releaseTrial(this.#trialOf, hasCrashed);
+    this.#trialOf = undefined;
   }
 
   /**
@@ -101,19 +129,23 @@
     const { loss } = send;
     if (loss) {
       if (!loss.isGivenUp) this.#record.noteLoss(loss, this.#traits);
-      const noted = this.#context.suspects.noteLoss(this.#traits, loss);
+      const noted = this.#context.suspects
+        .noteLoss(this.#traits, loss, this.#isTrialRun);
+      this.#hasCrashed = noted.then((upstream) => upstream !== undefined);
       // A request that was given up because its time is short must not wait longer to learn the cause.
       if (canContinue && !loss.isGivenUp) {
         this.#record.crashedUpstream = await noted;
       }
     } else if (send instanceof RelaySend) {
       this.#hasEarlyRelayLoss ||= this.#mayBeCause;
+      this.#hasCrashed = Promise.resolve(this.#hasEarlyRelayLoss);
     }
   }
 
   /** Notes that the VM that the request was relayed to reports a crashed upstream. */
   noteRemoteCrash(upstreamKey: string): void {
-    this.#tracker.noteRemoteCrash(this.#digest, upstreamKey);
+    this.#tracker.noteRemoteCrash(this.#traits, upstreamKey);
+    this.#hasCrashed = Promise.resolve(true);
   }
 
   get #mayBeCause(): boolean {
@@ -129,24 +161,21 @@
     return this.#context.suspects.tracker;
   }
 
-  get #status(): SuspectStatus {
-    return this.#tracker.hasSuspects
-      ? this.#tracker.statusOf(this.#digest)
-      : "clear";
+  /** Why the request may not simply run; `undefined` if it may. */
+  get #blame(): Blame | undefined {
+    if (!this.#tracker.hasSuspects) return undefined;
+    const blame = this.#tracker.blame(this.#traits);
+    return blame.status === "clear" ? undefined : blame;
   }
 
+  /** Computed when it is first used: usually nothing is suspected, and no request is hashed. */
   get #traits(): Traits {
     const { head } = this.#input;
-    const partIds = head.promptParts.map(({ id }) => id);
-    return traitsOf(this.#digest, this.#service, partIds);
-  }
-
-  /** Computed when it is first used: usually no request is suspected, and none is hashed. */
-  get #digest(): string {
-    this.#cachedDigest ??= requestDigest({
-      ...this.#input.head,
-      body: this.body,
-    });
-    return this.#cachedDigest;
+    this.#cachedTraits ??= traitsOf(
+      requestDigest({ ...head, body: this.body }),
+      this.#service,
+      head.promptParts.map(({ id }) => id),
+    );
+    return this.#cachedTraits;
   }
 }
--- a/src/gateway/suspects.ts
+++ b/src/gateway/suspects.ts
@@ -95,6 +95,7 @@
       new SuspectNotifier(this.#notifier, metrics, kernel.log),
       this.#store,
       () => clock.monoMs(),
+      (ms) => clock.sleep(ms),
     );
     datagrams.on("ends", (params, ip) => this.#onCrashes(params, ip));
     this.#timer = clock.every(
@@ -124,9 +125,14 @@
 
   /**
    * Checks whether an upstream crashed under a request that had just begun there, and notifies the other VMs if so.
-   * Resolves to the key of that upstream, or to `undefined`.
+   * `isTrial` is set if no other request with its suspected traits ran meanwhile. Resolves to the key of that upstream,
+   * or to `undefined`.
    */
-  async noteLoss(traits: Traits, loss: Loss): Promise<string | undefined> {
+  async noteLoss(
+    traits: Traits,
+    loss: Loss,
+    isTrial: boolean,
+  ): Promise<string | undefined> {
     const { upstream } = loss;
     const lostMs = this.#clock.monoMs();
     // An upstream that leaves stops as planned, whatever still runs there.
@@ -134,7 +140,9 @@
     if (loss.isGivenUp) await this.#clock.sleep(CRASH_WAIT_MS);
     const reach = await this.#options.losses.probe(upstream);
     if (isLeaving || !canBeCause(loss)) return undefined;
-    if (reach === "refused") return this.#noteCrash(traits, loss, lostMs);
+    if (reach === "refused") {
+      return this.#noteCrash(traits, loss, lostMs, isTrial);
+    }
     if (reach === "open") this.#restartWatch.watch(traits, loss, lostMs);
     return undefined;
   }
@@ -143,12 +151,14 @@
     traits: Traits,
     { upstream, sentAgoMs }: Loss,
     lostMs: number,
+    isTrial = false,
   ): string {
     const sinceLostMs = this.#clock.monoMs() - lostMs;
     return this.#tracker.noteCrash(
       traits,
       upstream.key,
       sentAgoMs + sinceLostMs,
+      isTrial,
     );
   }
 
--- a/src/services/messages.ts
+++ b/src/services/messages.ts
@@ -13,7 +13,7 @@
   Table,
   UpstreamRow,
 } from "../agreement/mod.ts";
-import type { SuspectVerdict } from "../suspects/mod.ts";
+import type { SuspectVerdict, Traits } from "../suspects/mod.ts";
 import type { SlotAnswer, SlotReport, SlotRequest } from "../decisions/mod.ts";
 
 /** The messages of the table service, named `table`. */
@@ -147,17 +147,21 @@
   };
 };
 
-/** The messages of the suspects service, named `suspects`. Requests are identified by their digests. */
+/** The messages of the suspects service, named `suspects`. */
 export type SuspectsMessages = {
   /** Decides whether a request may run now. `hasLeave` is set if it already has permission for its trial. */
   judge: {
-    in: { readonly digest: string; readonly hasLeave: boolean };
+    in: { readonly traits: Traits; readonly hasLeave: boolean };
     out: SuspectVerdict;
   };
-  /** A connection broke during a request. Resolves when it is known whether the upstream has ended. */
+  /**
+   * A connection broke during a request. Resolves when it is known whether the upstream has crashed, and the request may
+   * be the cause.
+   */
   lost: {
     in: {
-      readonly digest: string;
+      readonly traits: Traits;
+      readonly isTrial: boolean;
       readonly upstreamId: string;
       /** Base URL of the upstream. */
       readonly url: string;
@@ -165,8 +169,20 @@
       /** The time since the first bytes of the answer, absent if none came. */
       readonly beganAgoMs?: number;
     };
+    out: boolean;
+  };
+  /** A request was answered, or has run for long enough, at an upstream that is still running. */
+  served: {
+    in: {
+      readonly traits: Traits;
+      /** The time since the first bytes of the answer. */
+      readonly beganAgoMs: number;
+    };
+    out: void;
+  };
+  /** The trial for which this VM had the permission is over. */
+  trialOver: {
+    in: { readonly trait: string; readonly hasCrashed: boolean };
     out: void;
   };
-  /** A request was answered by an upstream that is still running. */
-  served: { in: { readonly digest: string }; out: void };
 };
--- a/src/services/suspects.ts
+++ b/src/services/suspects.ts
@@ -62,9 +62,11 @@
   #isOpen = true;
 
   protected readonly handlers: Handlers<SuspectsMessages> = {
-    judge: ({ digest, hasLeave }) => this.#tracker.decide(digest, hasLeave),
+    judge: ({ traits, hasLeave }) => this.#tracker.decide(traits, hasLeave),
     lost: (loss) => this.#handleLoss(loss),
-    served: ({ digest }) => this.#tracker.clear(digest),
+    served: ({ traits, beganAgoMs }) => this.#tracker.clear(traits, beganAgoMs),
+    trialOver: ({ trait, hasCrashed }) =>
+      this.#tracker.releaseTrial(trait, hasCrashed),
   };
 
   constructor(options: SuspectsOptions) {
@@ -96,6 +98,7 @@
       this.#peers,
       this.#store,
       () => clock.monoMs(),
+      (ms) => clock.sleep(ms),
     );
     this.#options.transport.handle(CRASHES_METHOD, async (params, from) => {
       const message = decodeCrashes(params);
@@ -123,9 +126,9 @@
   }
 
   async #handleLoss(
-    { digest, upstreamId, url, sentAgoMs, beganAgoMs }:
+    { traits, isTrial, upstreamId, url, sentAgoMs, beganAgoMs }:
       SuspectsMessages["lost"]["in"],
-  ): Promise<void> {
+  ): Promise<boolean> {
     const lostMs = this.#clock.monoMs();
     const { wasLate } = this.#lagDetector;
     const { hostname, port, protocol } = new URL(url);
@@ -141,9 +144,10 @@
     // taken for a crash is cleared by the next answer. A crash that is taken for a broken link would let a request that
     // crashes every upstream be retried without end.
     const hasEnded = reach === "refused" || (reach === "open" && wasLate);
-    if (!hasEnded || !isCause) return;
-    const sinceLostMs = this.#clock.monoMs() - lostMs;
-    this.#tracker.noteCrash([digest], upstreamId, sentAgoMs + sinceLostMs);
+    if (!hasEnded || !isCause) return false;
+    const sentMs = sentAgoMs + this.#clock.monoMs() - lostMs;
+    this.#tracker.noteCrash(traits, upstreamId, sentMs, isTrial);
+    return true;
   }
 
   async #republish(): Promise<void> {
--- a/src/suspects/crash_history.ts
+++ b/src/suspects/crash_history.ts
@@ -38,6 +38,10 @@
 export const CRASHES_TO_REJECT = 4;
 /** How long a crash counts. By then operators have replaced a program that crashes. */
 const CRASH_TTL_MS = 30 * 60_000;
+/** How long the crash of a trial counts, which proves more than others. */
+export const TRIAL_CRASH_TTL_MS = 24 * 60 * 60_000;
+/** Stands between the upstream and the request in the name of a trial's crash. */
+const TRIAL_MARK = "!";
 /** Maximum number of entries. An entry has some 300 bytes, so all of them take a megabyte. */
 const MAX_ENTRIES = 4_096;
 /** Number of entries that are evicted at once, so that a flood of entries does not sort all of them each time. */
@@ -55,6 +59,20 @@
   isCleared: boolean;
 }
 
+/** Whether a crash is that of a trial: of a run that was the only one with its suspected traits. */
+export function isTrialCrash(name: string): boolean {
+  return name.includes(TRIAL_MARK);
+}
+
+/** Names the crash of a trial, so that it is told from other crashes of that upstream. */
+function trialCrashName(crashName: string, request: string): string {
+  return `${crashName}${TRIAL_MARK}${request}`;
+}
+
+function upstreamOf(crashName: string): string {
+  return crashName.split(TRIAL_MARK, 1)[0];
+}
+
 type Crashes = Map<string, Crash>;
 type Entry = readonly [digest: string, crashes: Crashes];
 
@@ -80,13 +98,15 @@
   /**
    * Notes that an upstream crashed as the request, sent there at `sentMs`, began to run. Returns the rows that are new
    * to other VMs. An upstream may be back before its entry has the key of its new start, so a crash from before the
-   * send is a different one and the new crash gets another name.
+   * send is a different one and the new crash gets another name. `trialRequest` is the request that ran as a trial, if it
+   * was one.
    */
   noteCrash(
     digest: string,
     upstreamKey: string,
     sentMs: number,
     nowMs: number,
+    trialRequest?: string,
   ): CrashRow[] {
     const crashes = this.#entries.get(digest);
     let crashName = upstreamKey;
@@ -97,16 +117,20 @@
     ) {
       crashName = `${upstreamKey}/${occurrence}`;
     }
-    return this.merge([[digest, crashName, 0, false]], nowMs);
+    const name = trialRequest === undefined
+      ? crashName
+      : trialCrashName(crashName, trialRequest);
+    return this.merge([[digest, name, 0, false]], nowMs);
   }
 
   /**
-   * Clears the request, which ran without crashing its upstream: none of its crashes so far counts against it. Returns
-   * the rows that are new to other VMs.
+   * Clears what ran without crashing its upstream: none of its crashes up to `beganMs`, the begin of that run, counts
+   * against it. Returns the rows that are new to other VMs.
    */
-  clear(digest: string, nowMs: number): CrashRow[] {
+  clear(digest: string, nowMs: number, beganMs = nowMs): CrashRow[] {
     const crashes = this.#entries.get(digest) ?? new Map<string, Crash>();
-    const rows = [...crashes].filter(([, { isCleared }]) => !isCleared)
+    const rows = [...crashes]
+      .filter(([, { isCleared, atMs }]) => !isCleared && atMs <= beganMs)
       .map(([key, { atMs }]): CrashRow => [digest, key, nowMs - atMs, true]);
     return this.merge(rows, nowMs);
   }
@@ -130,6 +154,43 @@
     return crashes ? countActive(crashes, nowMs) : 0;
   }
 
+  /** The names and times of the crashes that count against a trait. */
+  activeCrashes(
+    trait: string,
+    nowMs: number,
+  ): (readonly [name: string, atMs: number])[] {
+    return [...this.#entries.get(trait) ?? []]
+      .filter(([name, crash]) => isActive(name, crash, nowMs))
+      .map(([name, { atMs }]) => [name, atMs]);
+  }
+
+  /** The upstreams whose crashes count against a trait. */
+  activeUpstreams(trait: string, nowMs: number): string[] {
+    const names = this.activeCrashes(trait, nowMs).map(([name]) => name);
+    return [...new Set(names.map(upstreamOf))];
+  }
+
+  /** Whether the crash of an upstream counts against a trait. */
+  hasCrashed(trait: string, upstream: string, nowMs: number): boolean {
+    for (const [name, crash] of this.#entries.get(trait) ?? []) {
+      if (upstreamOf(name) === upstream && isActive(name, crash, nowMs)) {
+        return true;
+      }
+    }
+    return false;
+  }
+
+  /** Number of crashes of which a later run cleared a trait. */
+  clearedCount(trait: string): number {
+    return [...this.#entries.get(trait)?.values() ?? []]
+      .filter(({ isCleared }) => isCleared).length;
+  }
+
+  /** All traits of which anything is known. */
+  traits(): Iterable<string> {
+    return this.#entries.keys();
+  }
+
   /** Upstreams that crashed under a request. */
   crashedUpstreams(digest: string): string[] {
     return [...this.#entries.get(digest) ?? []]
@@ -144,7 +205,7 @@
     const counting: string[] = [];
     const past: string[] = [];
     for (const [key, crash] of this.#entries.get(digest) ?? []) {
-      if (isActive(crash, nowMs)) counting.push(key);
+      if (isActive(key, crash, nowMs)) counting.push(key);
       else past.push(key);
     }
     return { counting, past };
@@ -159,11 +220,11 @@
 
   /** Time until a rejected request may run again, when enough of its crashes have expired. */
   rejectedForMs(digest: string, nowMs: number): number {
-    const latestFirst = [...this.#entries.get(digest)?.values() ?? []]
-      .filter((crash) => isActive(crash, nowMs)).map(({ atMs }) => atMs)
+    const expiries = this.activeCrashes(digest, nowMs)
+      .map(([name, atMs]) => atMs + ttlMs(name))
       .sort((a, b) => b - a);
-    const lastToExpire = latestFirst.at(CRASHES_TO_REJECT - 1);
-    return lastToExpire === undefined ? 0 : lastToExpire + CRASH_TTL_MS - nowMs;
+    const expiryMs = expiries.at(CRASHES_TO_REJECT - 1);
+    return expiryMs === undefined ? 0 : expiryMs - nowMs;
   }
 
   /** Returns a crash as it is known here; `undefined` if it is not, or has expired. */
@@ -173,7 +234,7 @@
     nowMs: number,
   ): CrashRow | undefined {
     const crash = this.#entries.get(digest)?.get(upstreamKey);
-    if (!crash || isExpired(crash, nowMs)) return undefined;
+    if (!crash || isExpired(upstreamKey, crash, nowMs)) return undefined;
     return toRow(digest, upstreamKey, crash, nowMs);
   }
 
@@ -213,8 +274,8 @@
   /** Removes entries in which all crashes have expired. */
   sweep(nowMs: number): void {
     for (const [digest, crashes] of this.#entries) {
-      const haveExpired = [...crashes.values()]
-        .every((crash) => isExpired(crash, nowMs));
+      const haveExpired = [...crashes]
+        .every(([name, crash]) => isExpired(name, crash, nowMs));
       if (haveExpired) this.#entries.delete(digest);
     }
     this.#updateHasSuspects(nowMs);
@@ -243,7 +304,7 @@
   }
 
   #mergeRow([digest, key, agoMs, isCleared]: CrashRow, nowMs: number): boolean {
-    if (agoMs >= CRASH_TTL_MS) return false;
+    if (agoMs >= ttlMs(key)) return false;
     let crashes = this.#entries.get(digest);
     if (!crashes) this.#entries.set(digest, crashes = new Map());
     const known = crashes.get(key);
@@ -274,12 +335,16 @@
   }
 }
 
-function isExpired({ atMs }: Crash, nowMs: number): boolean {
-  return nowMs - atMs >= CRASH_TTL_MS;
+function ttlMs(name: string): number {
+  return isTrialCrash(name) ? TRIAL_CRASH_TTL_MS : CRASH_TTL_MS;
+}
+
+function isExpired(name: string, { atMs }: Crash, nowMs: number): boolean {
+  return nowMs - atMs >= ttlMs(name);
 }
 
-function isActive(crash: Crash, nowMs: number): boolean {
-  return !crash.isCleared && !isExpired(crash, nowMs);
+function isActive(name: string, crash: Crash, nowMs: number): boolean {
+  return !crash.isCleared && !isExpired(name, crash, nowMs);
 }
 
 function toRow(
@@ -293,7 +358,7 @@
 
 function rowsOf(entries: readonly Entry[], nowMs: number): CrashRow[] {
   return entries.flatMap(([digest, crashes]) =>
-    [...crashes].filter(([, crash]) => !isExpired(crash, nowMs))
+    [...crashes].filter(([key, crash]) => !isExpired(key, crash, nowMs))
       .map(([key, crash]) => toRow(digest, key, crash, nowMs))
   );
 }
@@ -308,6 +373,6 @@
 
 function countActive(crashes: Crashes, nowMs: number): number {
   let sum = 0;
-  for (const crash of crashes.values()) if (isActive(crash, nowMs)) sum++;
+  for (const [name, crash] of crashes) if (isActive(name, crash, nowMs)) sum++;
   return sum;
 }
--- a/src/suspects/mod.ts
+++ b/src/suspects/mod.ts
@@ -6,6 +6,8 @@
 
 export * from "./crash_history.ts";
 export * from "./crash_cause.ts";
+export * from "./blame.ts";
+export * from "./suspect_records.ts";
 export * from "./identity.ts";
 export * from "./traits.ts";
 export * from "./suspect_tracker.ts";
--- a/src/suspects/suspect_records_test.ts
+++ b/src/suspects/suspect_records_test.ts
@@ -39,6 +39,10 @@
     return Promise.resolve(true);
   }
 
+  releaseTrial(): Promise<void> {
+    return Promise.resolve();
+  }
+
   async delete(digest: string): Promise<boolean> {
     if (!this.isOut) this.stored.delete(digest);
     return await Promise.resolve(!this.isOut);
@@ -54,6 +58,7 @@
       new SilentPublisher(),
       records,
       () => this.nowMs,
+      () => Promise.resolve(),
     );
   }
 
@@ -79,7 +84,7 @@
       await vm.tick();
       t.deepEqual(records.stored.get("r"), ["u", "v", "w"]);
       records.isOut = true;
-      vm.tracker.clear("r");
+      vm.tracker.clear(["r"]);
       await vm.tick();
       records.isOut = false;
       await vm.tick();
@@ -106,7 +111,7 @@
       vm.tracker.storeAgain();
       await vm.tick();
       t.deepEqual(records.stored.get("r"), ["u", "v", "w"]);
-      vm.tracker.clear("r");
+      vm.tracker.clear(["r"]);
       await vm.tick();
       vm.tracker.storeAgain();
       await vm.tick();
@@ -119,7 +124,7 @@
       let finish = () => {};
       records.delay = new Promise((resolve) => finish = resolve);
       vm.crash("u", "v", "w");
-      vm.tracker.clear("r");
+      vm.tracker.clear(["r"]);
       await setImmediate();
       finish();
       await vm.tick();
--- a/src/suspects/suspect_tracker.ts
+++ b/src/suspects/suspect_tracker.ts
@@ -4,62 +4,69 @@
  * @module
  */
 
+import { type Blame, findBlame } from "./blame.ts";
 import {
   CRASHES_BEFORE_TRIAL,
   CrashHistory,
   type CrashRow,
+  isTrialCrash,
   type SuspectStatus,
 } from "./crash_history.ts";
-import type { Traits } from "./traits.ts";
+import type { SuspectRecords } from "./suspect_records.ts";
+import { isPartTrait, type Traits } from "./traits.ts";
+import { Trials } from "./trials.ts";
+import { UntoldCrashes } from "./untold_crashes.ts";
 
 /**
  * How long this VM resends in any case the crashes that it observed itself, in case the VMs that got them are cut off or
  * replaced.
  */
 const OWN_RESEND_MS = 10_000;
-/** Maximum number of rows that are resent each time after that, until the VM that sends those of all VMs knows them. */
-const MAX_UNHEARD_ROWS = 20;
 /**
  * When callers should retry while the request runs elsewhere for the last time. Within this time that run shows whether
  * it crashes its upstream.
  */
 const TRIAL_RETRY_AFTER_MS = 2_000;
 
+/**
+ * How long a request waits while another one shows whether a part that both have crashes upstreams. A sound run shows it
+ * within this time.
+ */
+const MAX_TRIAL_WAIT_MS = 1_000;
+const TRIAL_POLL_MS = 50;
+
 /** Maximum number of records in the store whose failed writes are retried each time. */
 const MAX_RECORD_RETRIES = 5;
 
-/** A suspect as it is stored. */
-export interface StoredSuspect {
-  readonly digest: string;
-  /** The upstreams that crashed under the request, as the rows of the history name them. */
-  readonly upstreams: readonly string[];
-}
-
-/** What a VM knows of a suspect as it stores it. */
-export interface SuspectUpdate extends StoredSuspect {
-  /** Upstreams whose crashes do not count any more. */
-  readonly past: readonly string[];
-}
-
 /** An event of a suspect, for logs and metrics. */
 export type SuspectEvent =
   | {
     readonly type: "ended";
     readonly request: string;
-    /** The hashes of the shared parts of its prompt. */
+    /**
+     * The hashes of the shared parts of its prompt, each with the crashes that count against it and those that are
+     * cleared.
+     */
     readonly parts: string;
     readonly upstream: string;
+    readonly isTrial: boolean;
     readonly ends: number;
     readonly standing: SuspectStatus;
+    /** The request or the part that may be the cause. */
+    readonly blamed: string;
   }
   | {
     readonly type: "cleared";
     readonly request: string;
+    /** The request and its parts, as far as they were suspected, each with the crashes of which it is cleared. */
+    readonly traits: string;
     readonly ends: number;
   }
   | {
     readonly type: "trial";
     readonly request: string;
+    /** The request or the part that may be the cause. */
+    readonly blamed: string;
     readonly isTaken: boolean;
   }
   | { readonly type: "notStored"; readonly request: string };
@@ -70,31 +77,15 @@
     readonly type: "runs";
     /** Whether the request runs with the permission that a trial needs. */
     readonly hasLeave: boolean;
+    /** Whose trial it is, if this VM has taken the permission just now. It is to be released after the run. */
+    readonly trialOf?: string;
   }
   | {
     readonly type: "refused";
-    readonly code: "endsUpstreams" | "onTrialElsewhere";
+    readonly code: "endsUpstreams" | "partEndsUpstreams" | "onTrialElsewhere";
     readonly comeBackMs: number;
   };
 
-/** The suspects in the store. Failed operations are not retried here, but by the {@link SuspectTracker}. */
-export abstract class SuspectRecords {
-  /** Lists all suspects in the store; `undefined` if the store did not answer. */
-  abstract list(): Promise<readonly StoredSuspect[] | undefined>;
-  /**
-   * Stores a suspect, so that it survives a restart of all VMs. Crashes that other VMs stored are kept, except for past
-   * ones. Resolves to whether it is stored.
-   */
-  abstract put(suspect: SuspectUpdate): Promise<boolean>;
-  /**
-   * Acquires the permission to run a suspect once more, which one VM has at a time. Resolves to `false` also if the
-   * store is unavailable.
-   */
-  abstract acquireTrial(digest: string): Promise<boolean>;
-  /** Deletes a suspect and its trial. Resolves to whether they are deleted. */
-  abstract delete(digest: string): Promise<boolean>;
-}
-
 /** Sends the rows of a {@link SuspectTracker} to other VMs, and its events to logs and metrics. */
 export abstract class SuspectPublisher {
   /** Sends rows to the VMs that need them. Lost rows are sent again. */
@@ -102,24 +93,15 @@
   abstract noteEvent(event: SuspectEvent): void;
 }
 
-/** A crash that this VM has to tell others. Its row is looked up when it is sent, as it may be cleared by then. */
-interface Untold {
-  readonly digest: string;
-  readonly upstreamKey: string;
-  /** Until when it is resent in any case. */
-  readonly untilMs: number;
-  /** Whether the VM that sends the rows of all VMs has sent this one in the state in which it is known here. */
-  isHeard: boolean;
-}
-
 /** Tracks the suspects on one VM and decides whether a request may run. */
 export class SuspectTracker {
   readonly #publisher: SuspectPublisher;
   readonly #records: SuspectRecords;
   readonly #nowMs: () => number;
+  readonly #sleep: (ms: number) => Promise<void>;
   readonly #history = new CrashHistory();
-  /** By digest and upstream; those that were resent least recently come first. */
-  readonly #untold = new Map<string, Untold>();
+  readonly #untold = new UntoldCrashes(this.#history);
+  readonly #trials: Trials;
   #didSendAll = false;
   /** Requests whose record in the store may differ from what is known here; those tried least recently come first. */
   readonly #unstored = new Set<string>();
@@ -131,10 +113,13 @@
     publisher: SuspectPublisher,
     records: SuspectRecords,
     nowMs: () => number,
+    sleep: (ms: number) => Promise<void>,
   ) {
     this.#publisher = publisher;
     this.#records = records;
     this.#nowMs = nowMs;
+    this.#sleep = sleep;
+    this.#trials = new Trials(records, nowMs, sleep);
   }
 
   /** Whether any request is suspected; if not, no request needs to be checked. */
@@ -142,82 +127,158 @@
     return this.#history.hasSuspects;
   }
 
-  statusOf(digest: string): SuspectStatus {
-    return this.#history.statusOf(digest, this.#nowMs());
+  /** The status of a request, or of a part by itself. */
+  statusOf(trait: string): SuspectStatus {
+    return this.#history.statusOf(trait, this.#nowMs());
   }
 
-  /** The upstreams that crashed under a request. */
-  crashedUpstreams(digest: string): readonly string[] {
-    return this.#history.crashedUpstreams(digest);
+  /** Judges a request by all that it may crash upstreams by. */
+  blame(traits: Traits): Blame {
+    return findBlame(this.#history, traits, this.#nowMs());
   }
 
   dump(): unknown {
     return this.#history.dump(this.#nowMs());
   }
 
-  /** Decides whether a request may run now. `hasLeave` is true if it already has the permission for its trial. */
-  async decide(digest: string, hasLeave: boolean): Promise<SuspectVerdict> {
-    const status = this.statusOf(digest);
-    if (status === "rejected") return this.#reject(digest);
-    if (status !== "onTrial" || hasLeave) return { type: "runs", hasLeave };
-    const isTaken = await this.#records.acquireTrial(digest);
-    this.#publisher.noteEvent({ type: "trial", request: digest, isTaken });
-    // Meanwhile the request's run on another VM may have crashed an upstream.
-    if (this.statusOf(digest) === "rejected") return this.#reject(digest);
-    return isTaken ? { type: "runs", hasLeave: true } : {
-      type: "refused",
-      code: "onTrialElsewhere",
-      comeBackMs: TRIAL_RETRY_AFTER_MS,
-    };
+  /**
+   * Decides whether a request may run now. `hasLeave` is true if it already has the permission for its trial. Where
+   * another request shows whether a part crashes upstreams, this one waits for the result for some time.
+   */
+  async decide(traits: Traits, hasLeave: boolean): Promise<SuspectVerdict> {
+    const startMs = this.#nowMs();
+    for (;;) {
+      const blame = this.blame(traits);
+      if (blame.status === "rejected") return rejectBy(blame);
+      if (blame.status !== "onTrial" || hasLeave) {
+        return { type: "runs", hasLeave };
+      }
+      const { trait } = blame;
+      const verdict = await this.#takeTrial(traits, trait);
+      if (verdict) return verdict;
+      const waitedMs = this.#nowMs() - startMs;
+      if (!isPartTrait(trait) || waitedMs >= MAX_TRIAL_WAIT_MS) {
+        return {
+          type: "refused",
+          code: "onTrialElsewhere",
+          comeBackMs: TRIAL_RETRY_AFTER_MS,
+        };
+      }
+      await this.#sleep(TRIAL_POLL_MS);
+    }
+  }
+
+  /** Tries to begin a trial; `undefined` if another one takes place, or the store is out of reach. */
+  async #takeTrial(
+    traits: Traits,
+    trait: string,
+  ): Promise<SuspectVerdict | undefined> {
+    const isTaken = await this.#trials.take(trait);
+    this.#publisher.noteEvent({
+      type: "trial",
+      request: traits[0],
+      blamed: trait,
+      isTaken,
+    });
+    if (!isTaken) return undefined;
+    // Meanwhile a run on another VM may have crashed an upstream.
+    const blame = this.blame(traits);
+    if (blame.status !== "rejected") {
+      return { type: "runs", hasLeave: true, trialOf: trait };
+    }
+    void this.#trials.release(trait, true);
+    return rejectBy(blame);
+  }
+
+  /** Releases the permission for a trial whose run is over. */
+  releaseTrial(trait: string, hasCrashed: boolean): void {
+    // Who ran a request as a whole keeps it until it lapses, in case a VM is not told of the crash.
+    if (hasCrashed && !isPartTrait(trait)) return;
+    void this.#trials.release(trait, hasCrashed);
   }
 
   /**
    * Notes that an upstream crashed as a request, sent there `sentAgoMs` ago, began to run, and reports it to other VMs.
    * Returns the name of the crash, for the VM that relayed the request.
    */
-  noteCrash(traits: Traits, upstreamKey: string, sentAgoMs: number): string {
-    const [digest, ...parts] = traits;
+  noteCrash(
+    traits: Traits,
+    upstreamKey: string,
+    sentAgoMs: number,
+    isTrial = false,
+  ): string {
+    const [request] = traits;
     const nowMs = this.#nowMs();
     const sentMs = nowMs - sentAgoMs;
-    const rows = this.#history.noteCrash(digest, upstreamKey, sentMs, nowMs);
+    const trialRequest = isTrial ? request : undefined;
+    const rows = traits.flatMap((trait) =>
+      this.#history.noteCrash(trait, upstreamKey, sentMs, nowMs, trialRequest)
+    );
+    const own = rows.find(([trait]) => trait === request);
     if (rows.length === 0) return upstreamKey;
-    const [[, upstream]] = rows;
-    const crashCount = this.#history.crashCount(digest, nowMs);
-    const status = this.statusOf(digest);
+    const blame = this.blame(traits);
     this.#publisher.noteEvent({
       type: "ended",
-      request: digest,
-      parts: parts.join(),
-      upstream,
-      ends: crashCount,
-      standing: status,
+      request,
+      parts: this.#describeParts(traits),
+      upstream: own?.[1] ?? upstreamKey,
+      isTrial,
+      ends: this.#history.crashCount(request, nowMs),
+      standing: blame.status,
+      blamed: blame.trait,
     });
     this.#publishOwn(rows, nowMs);
-    if (crashCount >= CRASHES_BEFORE_TRIAL) void this.#updateRecord(digest);
-    return upstream;
+    for (const [trait] of rows) {
+      if (this.#isRecorded(trait)) void this.#updateRecord(trait);
+    }
+    return own?.[1] ?? upstreamKey;
+  }
+
+  #describeParts([, ...parts]: Traits): string {
+    const nowMs = this.#nowMs();
+    return parts.map((part) => {
+      const counting = this.#history.crashCount(part, nowMs);
+      return `${part}:${counting}+${this.#history.clearedCount(part)}`;
+    }).join();
+  }
+
+  /** Whether a trait is kept in the store: the crashes prove so much that a restart of all VMs must not forget it. */
+  #isRecorded(trait: string): boolean {
+    const nowMs = this.#nowMs();
+    return isPartTrait(trait)
+      ? this.#history.activeCrashes(trait, nowMs)
+        .some(([name]) => isTrialCrash(name))
+      : this.#history.crashCount(trait, nowMs) >= CRASHES_BEFORE_TRIAL;
   }
 
   /**
    * Notes a crash under a request that was relayed, as the VM that it was relayed to reports it. That VM also informs
    * the others.
    */
-  noteRemoteCrash(digest: string, crashName: string): void {
-    this.#history.merge([[digest, crashName, 0, false]], this.#nowMs());
+  noteRemoteCrash(traits: Traits, crashName: string): void {
+    const rows = traits.map((trait): CrashRow => [trait, crashName, 0, false]);
+    this.#history.merge(rows, this.#nowMs());
   }
 
-  /** Clears a request that ran without a crash. It has no effect unless the request was suspected. */
-  clear(digest: string): void {
+  /**
+   * Clears a request and its parts: it ran without a crash. `beganAgoMs` is the time since it began to be answered; later
+   * crashes still count. It has no effect unless any of them was suspected.
+   */
+  clear(traits: Traits, beganAgoMs = 0): void {
     const nowMs = this.#nowMs();
-    const crashCount = this.#history.crashCount(digest, nowMs);
-    if (crashCount === 0) return;
-    const rows = this.#history.clear(digest, nowMs);
+    const recorded = traits.filter((trait) => this.#isRecorded(trait));
+    const rows = traits.flatMap((trait) =>
+      this.#history.clear(trait, nowMs, nowMs - beganAgoMs)
+    );
+    if (rows.length === 0) return;
     this.#publisher.noteEvent({
       type: "cleared",
-      request: digest,
-      ends: crashCount,
+      request: traits[0],
+      traits: countByTrait(rows),
+      ends: rows.length,
     });
     this.#publishOwn(rows, nowMs);
-    if (crashCount >= CRASHES_BEFORE_TRIAL) void this.#updateRecord(digest);
+    for (const trait of recorded) void this.#updateRecord(trait);
   }
 
   /**
@@ -227,7 +288,7 @@
   merge(rows: readonly CrashRow[], isFromFirst: boolean): CrashRow[] {
     const nowMs = this.#nowMs();
     const newRows = this.#history.merge(rows, nowMs);
-    for (const row of rows) this.#compare(row, isFromFirst, nowMs);
+    for (const row of rows) this.#untold.compare(row, isFromFirst, nowMs);
     return newRows;
   }
 
@@ -243,10 +304,8 @@
 
   /** Writes all records again, some with each call of {@link SuspectTracker.republish}: the store may have lost them. */
   storeAgain(): void {
-    const nowMs = this.#nowMs();
-    for (const [digest] of this.#history.rows(nowMs)) {
-      const count = this.#history.crashCount(digest, nowMs);
-      if (count >= CRASHES_BEFORE_TRIAL) this.#unstored.add(digest);
+    for (const trait of this.#history.traits()) {
+      if (this.#isRecorded(trait)) this.#unstored.add(trait);
     }
   }
 
@@ -260,79 +319,22 @@
     this.#history.sweep(nowMs);
     // What was reported to this VM alone while it sent to all may be unknown to the VM that does so now.
     if (this.#didSendAll && !shouldSendAll) {
-      this.#tell(this.#history.rows(nowMs), nowMs);
+      this.#untold.add(this.#history.rows(nowMs), nowMs);
     }
     this.#didSendAll = shouldSendAll;
-    this.#forgetTold(nowMs);
+    this.#untold.sweep(nowMs);
     this.#retryRecords();
     const rows = shouldSendAll
       ? this.#history.takeRowsToResend(nowMs)
-      : this.#takeUntold(nowMs);
+      : this.#untold.take(nowMs);
     if (rows.length > 0) this.#publisher.publish(rows);
   }
 
   #publishOwn(rows: readonly CrashRow[], nowMs: number): void {
-    this.#tell(rows, nowMs + OWN_RESEND_MS);
+    this.#untold.add(rows, nowMs + OWN_RESEND_MS);
     this.#publisher.publish(rows);
   }
 
-  /** Has rows resent until `untilMs`, and after that until the VM that sends those of all VMs has sent them. */
-  #tell(rows: readonly CrashRow[], untilMs: number): void {
-    for (const [digest, upstreamKey] of rows) {
-      const name = crashName(digest, upstreamKey);
-      const longestMs = Math.max(untilMs, this.#untold.get(name)?.untilMs ?? 0);
-      this.#untold.set(name, {
-        digest,
-        upstreamKey,
-        untilMs: longestMs,
-        isHeard: false,
-      });
-    }
-  }
-
-  /** Compares a row from another VM with what is known here after its merge. */
-  #compare(row: CrashRow, isFromFirst: boolean, nowMs: number): void {
-    const [digest, upstreamKey, , isCleared] = row;
-    const known = this.#history.rowOf(digest, upstreamKey, nowMs);
-    if (!known) return;
-    const untold = this.#untold.get(crashName(digest, upstreamKey));
-    const isAgreed = known[3] === isCleared;
-    if (!isAgreed) this.#tell([known], nowMs);
-    else if (untold && isFromFirst) untold.isHeard = true;
-  }
-
-  /** Forgets what others were told, and what has expired here. */
-  #forgetTold(nowMs: number): void {
-    for (const [name, untold] of this.#untold) {
-      const { digest, upstreamKey, untilMs, isHeard } = untold;
-      const isTold = isHeard && nowMs >= untilMs;
-      const isKnown = this.#history.rowOf(digest, upstreamKey, nowMs);
-      if (isTold || !isKnown) this.#untold.delete(name);
-    }
-  }
-
-  /** Returns the rows to tell others this time. */
-  #takeUntold(nowMs: number): CrashRow[] {
-    const untold = [...this.#untold];
-    const own = untold.filter(([, { untilMs }]) => nowMs < untilMs);
-    const unheard = untold.filter(([, { untilMs }]) => nowMs >= untilMs)
-      .slice(0, MAX_UNHEARD_ROWS);
-    // Moved to the end of the map, they come last next time.
-    for (const [name, row] of unheard) {
-      this.#untold.delete(name);
-      this.#untold.set(name, row);
-    }
-    return [...own, ...unheard]
-      .map(([, { digest, upstreamKey }]) =>
-        this.#history.rowOf(digest, upstreamKey, nowMs)
-      ).filter((row) => row !== undefined);
-  }
-
-  #reject(digest: string): SuspectVerdict {
-    const comeBackMs = this.#history.rejectedForMs(digest, this.#nowMs());
-    return { type: "refused", code: "endsUpstreams", comeBackMs };
-  }
-
   #retryRecords(): void {
     for (const digest of [...this.#unstored].slice(0, MAX_RECORD_RETRIES)) {
       // Moved to the end, it comes last next time.
@@ -358,7 +360,7 @@
   async #writeRecord(digest: string): Promise<boolean> {
     const { counting, past } = this.#history
       .splitUpstreams(digest, this.#nowMs());
-    if (counting.length < CRASHES_BEFORE_TRIAL) {
+    if (!this.#isRecorded(digest)) {
       return await this.#records.delete(digest);
     }
     const isStored = await this.#records
@@ -370,6 +372,17 @@
   }
 }
 
-function crashName(digest: string, upstreamKey: string): string {
-  return `${digest} ${upstreamKey}`;
+function rejectBy({ trait, retryAfterMs }: Blame): SuspectVerdict {
+  return {
+    type: "refused",
+    code: isPartTrait(trait) ? "partEndsUpstreams" : "endsUpstreams",
+    comeBackMs: retryAfterMs,
+  };
+}
+
+/** Lists the traits of rows with the number of their rows. */
+function countByTrait(rows: readonly CrashRow[]): string {
+  const counts = new Map<string, number>();
+  for (const [trait] of rows) counts.set(trait, (counts.get(trait) ?? 0) + 1);
+  return [...counts].map(([trait, count]) => `${trait}:${count}`).join();
 }
--- a/src/suspects/suspects_cut_off_test.ts
+++ b/src/suspects/suspects_cut_off_test.ts
@@ -38,6 +38,10 @@
     return Promise.resolve(true);
   }
 
+  releaseTrial(): Promise<void> {
+    return Promise.resolve();
+  }
+
   delete(): Promise<boolean> {
     return Promise.resolve(true);
   }
@@ -82,6 +86,7 @@
       publisher,
       new NoRecords(),
       () => this.nowMs,
+      () => Promise.resolve(),
     );
     const vm: Vm = { region, tracker, part: 0, isDeaf: false };
     this.vms.push(vm);
@@ -170,7 +175,7 @@
   const digest = random.pick(["r", "s"]);
   const [chance, part] = [random.next(), random.next() < 0.6 ? 0 : 1];
   if (chance < 0.3) crash(vm, digest, [`u${random.int(RANDOM_UPSTREAMS)}`]);
-  else if (chance < 0.45) vm.tracker.clear(digest);
+  else if (chance < 0.45) vm.tracker.clear([digest]);
   else if (chance < 0.75) vm.part = part;
   else network.run(random.int(8) * TICK_MS);
 }
@@ -189,7 +194,7 @@
           const network = new Network(ONE_REGION);
           crash(network.vms[3], "r", upstreams);
           network.vms[cutOff].part = 1;
-          network.vms[4].tracker.clear("r");
+          network.vms[4].tracker.clear(["r"]);
           network.run(LONG_MS);
           network.settle();
           t.deepEqual(network.statuses("r"), ["clear"]);
@@ -201,7 +206,7 @@
       const network = new Network(TWO_REGIONS);
       crash(network.vms[2], "r", ["u", "v", "w"]);
       for (const vm of network.vms) vm.part = vm.region === "a" ? 0 : 1;
-      network.vms[3].tracker.clear("r");
+      network.vms[3].tracker.clear(["r"]);
       network.run(LONG_MS);
       network.settle();
       t.deepEqual(network.statuses("r"), ["clear"]);
@@ -211,7 +216,7 @@
       const network = new Network(ONE_REGION);
       crash(network.vms[3], "r", ["u", "v", "w"]);
       network.vms[0].part = 1;
-      network.vms[4].tracker.clear("r");
+      network.vms[4].tracker.clear(["r"]);
       network.run(LONG_MS);
       network.restart(network.vms[2]);
       network.settle();
@@ -222,7 +227,7 @@
       const network = new Network(ONE_REGION);
       crash(network.vms[3], "r", ["u", "v", "w"]);
       network.vms[0].part = 1;
-      network.vms[4].tracker.clear("r");
+      network.vms[4].tracker.clear(["r"]);
       network.run(LONG_MS);
       network.restart(network.vms[1]);
       network.settle();
@@ -234,7 +239,7 @@
       const digests = Array.from({ length: 100 }, (_, at) => `good${at}`);
       for (const digest of digests) crash(network.vms[3], digest, ["u"]);
       network.vms[5].isDeaf = true;
-      for (const digest of digests) network.vms[3].tracker.clear(digest);
+      for (const digest of digests) network.vms[3].tracker.clear([digest]);
       network.run(LONG_MS);
       network.settle();
       for (const digest of digests) {
@@ -285,7 +290,7 @@
       const network = new Network(ONE_REGION);
       for (let at = 0; at < 500; at++) {
         crash(network.vms[at % 6], `good${at}`, ["u"]);
-        network.vms[at % 6].tracker.clear(`good${at}`);
+        network.vms[at % 6].tracker.clear([`good${at}`]);
       }
       network.run(LONG_MS * 4);
       network.mostReceived = 0;
