--- a/src/edge/suspect_check.ts
+++ b/src/edge/suspect_check.ts
@@ -11,6 +11,9 @@
 import type { EdgeContext } from "./context.ts";
 import type { RequestStats } from "./request_stats.ts";
 
+/** Callers of models wait longer than this for a first token. */
+const MAX_TRIAL_WAIT_MS = 2_000;
+
 /** Reports what happens to one call to the suspects service, and asks it whether the call may run. */
 export class SuspectCheck {
   readonly #context: EdgeContext;
@@ -33,6 +36,7 @@
     const verdict = await this.#context.suspects.ask("judge", {
       traits: this.#traits,
       hasLeave: this.#isTrial,
+      mostWaitMs: MAX_TRIAL_WAIT_MS,
     });
     if (verdict.type === "runs") {
       this.#isTrial = verdict.hasLeave;
--- a/src/gateway/call_suspicion.ts
+++ b/src/gateway/call_suspicion.ts
@@ -20,6 +20,9 @@
 import { RelaySend } from "./relay_send.ts";
 import type { Send } from "./send.ts";
 
+/** Share of the time left that a request waits at most for the trial of one of its parts. */
+const TRIAL_WAIT_SHARE = 0.5;
+
 /** Decides whether one request may run, and reports how its runs end. */
 export class CallSuspicion {
   /** The whole body; set before any other member is used. */
@@ -67,7 +70,9 @@
     if (!blame) return { type: "runs", hasLeave: this.#isTrialRun };
     const { metrics } = this.#context;
     this.#record.noteBlame(blame, this.#traits);
-    const verdict = await this.#tracker.decide(this.#traits, this.#isTrialRun);
+    const leftMs = this.#input.deadlineMonoMs - this.#context.clock.monoMs();
+    const verdict = await this.#tracker
+      .decide(this.#traits, this.#isTrialRun, leftMs * TRIAL_WAIT_SHARE);
     if (verdict.type === "runs") {
       this.#isTrialRun = verdict.hasLeave;
       this.#trialOf ??= verdict.trialOf;
--- a/src/services/messages.ts
+++ b/src/services/messages.ts
@@ -151,7 +151,12 @@
 export type SuspectsMessages = {
   /** Decides whether a request may run now. `hasLeave` is set if it already has permission for its trial. */
   judge: {
-    in: { readonly traits: Traits; readonly hasLeave: boolean };
+    in: {
+      readonly traits: Traits;
+      readonly hasLeave: boolean;
+      /** How long the request may wait for the trial of one of its parts. */
+      readonly mostWaitMs: number;
+    };
     out: SuspectVerdict;
   };
   /**
--- a/src/services/suspects.ts
+++ b/src/services/suspects.ts
@@ -62,7 +62,8 @@
   #isOpen = true;
 
   protected readonly handlers: Handlers<SuspectsMessages> = {
-    judge: ({ traits, hasLeave }) => this.#tracker.decide(traits, hasLeave),
+    judge: ({ traits, hasLeave, mostWaitMs }) =>
+      this.#tracker.decide(traits, hasLeave, mostWaitMs),
     lost: (loss) => this.#handleLoss(loss),
     served: ({ traits, beganAgoMs }) => this.#tracker.clear(traits, beganAgoMs),
     trialOver: ({ trait, hasCrashed }) =>
--- a/src/suspects/blame.ts
+++ b/src/suspects/blame.ts
@@ -9,12 +9,12 @@
   isTrialCrash,
   type SuspectStatus,
   TRIAL_CRASH_TTL_MS,
+  upstreamOf,
 } from "./crash_history.ts";
 import { isPartTrait, type Traits } from "./traits.ts";
 
 /** Number of crashes from which on a trait may be the cause of them all. */
 const CRASHES_TO_SUSPECT = 2;
-/** Number of crashes with a part from which on requests with it run one at a time. */
 const PART_CRASHES_BEFORE_TRIAL = 2;
 /**
  * Delays after each crash of a trial until the next trial; after the last one no trial takes place until the crashes
@@ -40,14 +40,18 @@
   rejected: 3,
 };
 
-/** Judges a request by all of its traits. */
+/**
+ * Judges a request by all of its traits. `crashesBeforeTrial` is the number of crashes with a part from which on requests
+ * with it run one at a time.
+ */
 export function findBlame(
   history: CrashHistory,
   traits: Traits,
   nowMs: number,
+  crashesBeforeTrial = PART_CRASHES_BEFORE_TRIAL,
 ): Blame {
   const whole = blameRequest(history, traits[0], nowMs);
-  const parts = blameParts(history, traits, nowMs);
+  const parts = blameParts(history, traits, nowMs, crashesBeforeTrial);
   return parts && SEVERITY[parts.status] > SEVERITY[whole.status]
     ? parts
     : whole;
@@ -73,6 +77,7 @@
   history: CrashHistory,
   traits: Traits,
   nowMs: number,
+  crashesBeforeTrial: number,
 ): Blame | undefined {
   const own = new Set<string>(traits);
   const suspected = traits.slice(1).filter((part) =>
@@ -94,7 +99,7 @@
     return { status: "rejected", trait, crashes, retryAfterMs };
   }
   const count = history.crashCount(trait, nowMs);
-  const status = proofsMs.length > 0 || count >= PART_CRASHES_BEFORE_TRIAL
+  const status = proofsMs.length > 0 || count >= crashesBeforeTrial
     ? "onTrial"
     : "suspected";
   return { status, trait, crashes, retryAfterMs: 0 };
@@ -122,7 +127,8 @@
 
 /**
  * Returns the times of those trials that crashed their upstream and whose suspected traits the request has all: it would
- * do the same. Any trait of a trial may be the cause; those that are cleared since are not.
+ * do the same. Any trait of a trial may be the cause; those that are cleared since are not. Nor does a trial prove
+ * anything if a trait that crashed as many upstreams had just come to the same one.
  */
 function findProofs(
   history: CrashHistory,
@@ -136,12 +142,16 @@
     }
   }
   if (proofs.size === 0) return [];
+  const counts = [...own].map((trait) => history.crashCount(trait, nowMs));
+  const ownCount = Math.max(...counts);
   for (const other of history.traits()) {
-    const isCandidate = isPartTrait(other) ||
-      history.crashCount(other, nowMs) >= CRASHES_TO_SUSPECT;
-    if (own.has(other) || !isCandidate) continue;
-    for (const [name] of history.activeCrashes(other, nowMs)) {
-      proofs.delete(name);
+    if (own.has(other)) continue;
+    const count = history.crashCount(other, nowMs);
+    if (!isPartTrait(other) && count < CRASHES_TO_SUSPECT) continue;
+    for (const name of proofs.keys()) {
+      const wasThere = count >= ownCount &&
+        history.hasCrashed(other, upstreamOf(name), nowMs);
+      if (wasThere || history.isActive(other, name, nowMs)) proofs.delete(name);
     }
   }
   return [...proofs.values()];
--- a/src/suspects/crash_history.ts
+++ b/src/suspects/crash_history.ts
@@ -69,7 +69,8 @@
   return `${crashName}${TRIAL_MARK}${request}`;
 }
 
-function upstreamOf(crashName: string): string {
+/** The upstream that crashed. */
+export function upstreamOf(crashName: string): string {
   return crashName.split(TRIAL_MARK, 1)[0];
 }
 
@@ -180,6 +181,12 @@
     return false;
   }
 
+  /** Whether a crash counts against a trait. */
+  isActive(trait: string, name: string, nowMs: number): boolean {
+    const crash = this.#entries.get(trait)?.get(name);
+    return crash !== undefined && isActive(name, crash, nowMs);
+  }
+
   /** Number of crashes of which a later run cleared a trait. */
   clearedCount(trait: string): number {
     return [...this.#entries.get(trait)?.values() ?? []]
--- a/src/suspects/suspect_tracker.ts
+++ b/src/suspects/suspect_tracker.ts
@@ -32,7 +32,7 @@
  * How long a request waits while another one shows whether a part that both have crashes upstreams. A sound run shows it
  * within this time.
  */
-const MAX_TRIAL_WAIT_MS = 1_000;
+const MAX_TRIAL_WAIT_MS = 2_000;
 const TRIAL_POLL_MS = 50;
 
 /** Maximum number of records in the store whose failed writes are retried each time. */
@@ -143,10 +143,14 @@
 
   /**
    * Decides whether a request may run now. `hasLeave` is true if it already has the permission for its trial. Where
-   * another request shows whether a part crashes upstreams, this one waits for the result for some time.
+   * another request shows whether a part crashes upstreams, this one waits for the result, but no longer than `mostWaitMs`.
    */
-  async decide(traits: Traits, hasLeave: boolean): Promise<SuspectVerdict> {
-    const startMs = this.#nowMs();
+  async decide(
+    traits: Traits,
+    hasLeave: boolean,
+    mostWaitMs: number,
+  ): Promise<SuspectVerdict> {
+    const untilMs = this.#nowMs() + Math.min(mostWaitMs, MAX_TRIAL_WAIT_MS);
     for (;;) {
       const blame = this.blame(traits);
       if (blame.status === "rejected") return rejectBy(blame);
@@ -156,8 +160,7 @@
       const { trait } = blame;
       const verdict = await this.#takeTrial(traits, trait);
       if (verdict) return verdict;
-      const waitedMs = this.#nowMs() - startMs;
-      if (!isPartTrait(trait) || waitedMs >= MAX_TRIAL_WAIT_MS) {
+      if (!isPartTrait(trait) || this.#nowMs() >= untilMs) {
         return {
           type: "refused",
           code: "onTrialElsewhere",
