A test of stream versions no longer depends on how soon VMs read an entry

Cause: the streams broke off 1.2 s after their begin by the stand-in's clock, and the check that none had broken before the VMs knew the new version failed where six VMs beside other work needed longer. With 1.3 s of waiting put in at that place it fails at the same line at once, at one VM and at six. The stand-in now breaks the streams off when the test says so, after the check; what is checked is the same.

--- a/src/standins/runner.ts
+++ b/src/standins/runner.ts
@@ -106,6 +106,8 @@
   streamEvents = DEFAULT_STREAM_EVENTS;
   /** Time between two events of a stream. */
   eventGapMs = 10;
+  /** What a stream that ends early waits for before it does. */
+  earlyEnd: Promise<void> = Promise.resolve();
   /**
    * Whether a request with this body, and these parts of its prompt but for the last, crashes the runner `crashDelayMs`
    * after it begins to run.
--- a/src/standins/runner_answer.ts
+++ b/src/standins/runner_answer.ts
@@ -93,6 +93,8 @@
   readonly streamEvents: number;
   /** Time between two events of a stream. */
   readonly eventGapMs: number;
+  /** What a stream that ends early waits for before it does. */
+  readonly earlyEnd: Promise<void>;
 }
 
 /** The headers that identify the runner of an answer and the attempt that it belongs to. */
@@ -176,7 +178,9 @@
       "content-type": "text/event-stream",
     });
     while (this.#nextId <= settings.streamEvents) {
-      if (this.#nextId > settings.streamEvents / 2 && this.#endEarly()) return;
+      if (
+        this.#nextId > settings.streamEvents / 2 && await this.#endEarly()
+      ) return;
       if (this.#isStopped || this.#response.destroyed) return;
       const event = formatEvent(this.#nextId++, settings.version);
       this.#response.write(event);
@@ -206,10 +210,11 @@
   }
 
   /** Ends the stream here if the runner's settings say so. */
-  #endEarly(): boolean {
+  async #endEarly(): Promise<boolean> {
     const { behavior, ending } = this.#settings;
     const current = behavior === "halfStream" ? "resetInEvent" : ending;
     if (current === "whole") return false;
+    await this.#settings.earlyEnd;
     const isInEvent = current === "closeInEvent" || current === "resetInEvent";
     const lastBytes = isInEvent ? this.#partialEvent() : "";
     endEarly(this.#request, this.#response, current, lastBytes);
--- a/test/gateway_versions_test.ts
+++ b/test/gateway_versions_test.ts
@@ -118,7 +118,8 @@
           const versions = await openVersions(t, vms);
           const changing = await versions.add("v1");
           changing.behavior = "halfStream";
-          changing.eventGapMs = 400;
+          let breakOff = () => {};
+          changing.earlyEnd = new Promise((resolve) => breakOff = resolve);
           await versions.waitUntilKnown();
           const streams = versions.begin(versions.lab.vms, 6);
           await waitUntil(() => changing.arrivals.length === 6);
@@ -126,6 +127,7 @@
           versions.lab.register(changing, "north", { version: "v1.2" });
           await waitUntilVersion(versions.lab, changing, "v1.2");
           t.true(changing.arrivals.every(({ isCut }) => !isCut));
+          breakOff();
           for (const { answer } of await Promise.all(streams)) {
             t.is(answer.body, HALF_STREAM);
             t.false(answer.isComplete);
