A region whose upstreams all lost connections still gets requests that others cannot serve

Cause: upstreams that have just lost connections are set aside for 0.4 s or more, and a region offers others no capacity while all of its upstreams are. It tells so once a second or so; the other region then refused on news that was old, while the region itself would have tried those upstreams as its last resort.

Change: a region tells that it is recovering: it has upstreams, but avoids all of them for a moment. A request that no upstream and no region has room for is then relayed there at the end of its wait, in place of the refusal.

--- a/src/gateway/room.ts
+++ b/src/gateway/room.ts
@@ -37,7 +37,9 @@
         ? computeEndGapMs(timeoutMs, LONG_ANSWER_EVENTS)
         : Infinity,
     });
-    if (capacity.queue > 0) room[service.name] = capacity;
+    if (capacity.queue > 0 || capacity.isRecovering) {
+      room[service.name] = capacity;
+    }
   }
   return room;
 }
--- a/src/routing/step.ts
+++ b/src/routing/step.ts
@@ -34,12 +34,20 @@
   readonly free: number;
   /** Number of requests that can wait in the region and still be served. */
   readonly queue: number;
+  /**
+   * Whether the region has upstreams that it avoids for a moment, as after lost connections, and no others that could
+   * take requests.
+   */
+  readonly isRecovering?: boolean;
   /** Whether other requests of the service are bound to the region, and this one is not. */
   readonly isScarce: boolean;
 }
 
 /** Capacity for one service that a region reports to others. */
-export type OfferedCapacity = Pick<RegionCapacity, "free" | "queue">;
+export type OfferedCapacity = Pick<
+  RegionCapacity,
+  "free" | "queue" | "isRecovering"
+>;
 
 /** Input of the decision on a request's next step. */
 export interface StepInput<C extends StepCandidate> {
@@ -253,6 +261,11 @@
     };
   }
   if (candidates.length === 0) {
+    // What is known of another region is some time old, and it decides for itself whether an upstream is worth a try.
+    const recovering = deadlineMs - nowMs > RELAY_MS
+      ? pickRegion(input.regions, ({ isRecovering }) => +!!isRecovering, draw)
+      : undefined;
+    if (recovering !== undefined) return { type: "relay", region: recovering };
     return {
       type: "refuse",
       reason: "noUpstream",
@@ -322,9 +335,12 @@
       ),
     );
   }
+  const isRecovering = queue === 0 &&
+    candidates.some(({ isAside, isDoubtful }) => isAside || isDoubtful);
   return {
     free: Math.floor(free * OFFERED_SHARE),
     queue: Math.floor(queue * OFFERED_SHARE),
+    ...(isRecovering ? { isRecovering } : {}),
   };
 }
 
--- a/src/suspects/parts_sim_test.ts
+++ b/src/suspects/parts_sim_test.ts
@@ -218,10 +218,14 @@
       if (run.isCleared || nowMs - run.beginMs < SURVIVED_MS) continue;
       run.isCleared = true;
       this.#endTrial(run);
-      this.#tell(run.vm, nowMs, (history) =>
-        run.traits.flatMap((trait) =>
-          history.clear(trait, nowMs, run.beginMs)
-        ));
+      this.#tell(
+        run.vm,
+        nowMs,
+        (history) =>
+          run.traits.flatMap((trait) =>
+            history.clear(trait, nowMs, run.beginMs)
+          ),
+      );
     }
     engine.runs = engine.runs.filter(({ beginMs }) =>
       nowMs - beginMs < SOUND_MS
@@ -238,16 +242,20 @@
       this.#endTrial(run);
       const begun = nowMs >= beginMs ? { beganAgoMs: nowMs - beginMs } : {};
       if (!canBeCause(begun)) continue;
-      this.#tell(vm, nowMs, (history) =>
-        traits.flatMap((trait) =>
-          history.noteCrash(
-            trait,
-            key,
-            beginMs - READ_MS,
-            nowMs,
-            trialOf === undefined ? undefined : traits[0],
-          )
-        ));
+      this.#tell(
+        vm,
+        nowMs,
+        (history) =>
+          traits.flatMap((trait) =>
+            history.noteCrash(
+              trait,
+              key,
+              beginMs - READ_MS,
+              nowMs,
+              trialOf === undefined ? undefined : traits[0],
+            )
+          ),
+      );
     }
   }
 
