--- a/src/cli/ibisgap.ts
+++ b/src/cli/ibisgap.ts
@@ -7,6 +7,7 @@
 
 import { defineCommand, runMain } from "citty";
 import { check } from "./check.ts";
+import { clearSuspect } from "./clear_suspect.ts";
 import { explain } from "./explain.ts";
 import { gatewayDump } from "./gateway_dump.ts";
 import { replayCommand } from "./replay.ts";
@@ -29,6 +30,7 @@
     check,
     explain,
     "vm-dump": gatewayDump,
+    "vm-clear": clearSuspect,
     replay: replayCommand,
     trace: traceCommand,
   },
--- a/src/gateway/peer_rpc.ts
+++ b/src/gateway/peer_rpc.ts
@@ -28,6 +28,7 @@
 import type { PeerRpcHandler } from "./http_listeners.ts";
 import type { Members } from "./members.ts";
 import type { Relays } from "./relays.ts";
+import type { SuspectsMessages } from "./suspects.ts";
 
 /** Path of the calls on the peers' listener; relayed requests of callers never use it. */
 export const RPC_PATH = "/ibisgap/rpc";
@@ -99,6 +100,12 @@
       () => this.#storeViewPort.ask("config", {}),
     );
     this.#server.addMethod("dump", () => kernel.dump());
+    const suspects = kernel.get<SuspectsMessages>("suspects");
+    this.#server.addMethod(
+      "clearSuspect",
+      (request: SuspectsMessages["clear"]["in"]) =>
+        suspects.ask("clear", request),
+    );
     this.#timer = this.#clock.every(PULL_INTERVAL_MS, () => void this.#pull());
     this.#members.onRosterReceived(() => void this.#pull());
     return Promise.resolve();
--- a/src/gateway/suspects.ts
+++ b/src/gateway/suspects.ts
@@ -7,13 +7,7 @@
 
 import { type KeyValue, SuspectStore } from "../adapters/mod.ts";
 import type { Clock, Timer } from "../base/mod.ts";
-import {
-  type Handlers,
-  type Kernel,
-  type Log,
-  type Messages,
-  Task,
-} from "../kernel/mod.ts";
+import { type Handlers, type Kernel, type Log, Task } from "../kernel/mod.ts";
 import { SUSPECT_PREFIX, TRIAL_PREFIX } from "../platform/mod.ts";
 import type { Fleet } from "../routing/mod.ts";
 import {
@@ -53,12 +47,20 @@
   readonly restoredMonoMs: () => number;
 }
 
+/** The messages of the task. */
+export type SuspectsMessages = {
+  /** Clears a request or a part of prompts on all VMs, by its hash. Resolves to the number of crashes it had. */
+  clear: { in: { readonly trait: string }; out: number };
+};
+
 /** Records the crashes that this VM sees, and exchanges crashes with other VMs. */
-export class Suspects extends Task {
+export class Suspects extends Task<SuspectsMessages> {
   readonly name = "suspects";
   readonly #options: SuspectOptions;
   readonly #store: SuspectStore;
-  protected readonly handlers: Handlers<Messages> = {};
+  protected readonly handlers: Handlers<SuspectsMessages> = {
+    clear: ({ trait }) => this.#tracker.clear([trait]),
+  };
   #tracker!: SuspectTracker;
   #notifier!: CrashNotifier;
   #restartWatch!: RestartWatch;
--- a/src/services/suspects.ts
+++ b/src/services/suspects.ts
@@ -65,7 +65,9 @@
     judge: ({ traits, hasLeave, mostWaitMs }) =>
       this.#tracker.decide(traits, hasLeave, mostWaitMs),
     lost: (loss) => this.#handleLoss(loss),
-    served: ({ traits, beganAgoMs }) => this.#tracker.clear(traits, beganAgoMs),
+    served: ({ traits, beganAgoMs }) => {
+      this.#tracker.clear(traits, beganAgoMs);
+    },
     trialOver: ({ trait, hasCrashed }) =>
       this.#tracker.releaseTrial(trait, hasCrashed),
   };
--- a/src/suspects/suspect_tracker.ts
+++ b/src/suspects/suspect_tracker.ts
@@ -265,15 +265,15 @@
 
   /**
    * Clears a request and its parts: it ran without a crash. `beganAgoMs` is the time since it began to be answered; later
-   * crashes still count. It has no effect unless any of them was suspected.
+   * crashes still count. Returns the number of crashes that don't count any more.
    */
-  clear(traits: Traits, beganAgoMs = 0): void {
+  clear(traits: Traits, beganAgoMs = 0): number {
     const nowMs = this.#nowMs();
     const recorded = traits.filter((trait) => this.#isRecorded(trait));
     const rows = traits.flatMap((trait) =>
       this.#history.clear(trait, nowMs, nowMs - beganAgoMs)
     );
-    if (rows.length === 0) return;
+    if (rows.length === 0) return 0;
     this.#publisher.noteEvent({
       type: "cleared",
       request: traits[0],
@@ -282,6 +282,7 @@
     });
     this.#publishOwn(rows, nowMs);
     for (const trait of recorded) void this.#updateRecord(trait);
+    return rows.length;
   }
 
   /**
--- a/test/gateway_beliefs_test.ts
+++ b/test/gateway_beliefs_test.ts
@@ -1,28 +1,8 @@
-import { spawn } from "node:child_process";
-import { fileURLToPath } from "node:url";
 import { describe, it } from "../src/base/describe.ts";
 import { parseGatewaySettings } from "../src/gateway/mod.ts";
 import { makeRoute } from "../src/standins/mod.ts";
 import { GatewayLab, openLab, ROUTES, waitUntil } from "./gateway_lab.ts";
-
-const IBISGAP_PATH = fileURLToPath(
-  new URL("../src/cli/ibisgap.js", import.meta.url),
-);
-
-/** Runs the operators' command-line tool. */
-async function runIbisgap(
-  ...args: string[]
-): Promise<{ code: number; out: string; err: string }> {
-  const child = spawn(process.execPath, [IBISGAP_PATH, ...args]);
-  let out = "";
-  let err = "";
-  child.stdout.on("data", (chunk: Buffer) => void (out += chunk));
-  child.stderr.on("data", (chunk: Buffer) => void (err += chunk));
-  const code = await new Promise<number>((resolve) =>
-    child.once("close", resolve)
-  );
-  return { code, out, err };
-}
+import { runIbisgap } from "./run_ibisgap.ts";
 
 describe("gateway", () => {
   describe("an operator who dumps a VM's state", () => {
