Soak: requests that share a part of their prompts which crashes upstreams

Series of such requests at random VMs, no two alike, beside sound ones with the same other parts; judged by BUDGET (three at most once all VMs must know of the fifth crash) and LOST (sound ones served half as often as before) from what callers and upstreams see.

--- a/soak/fault_injector.ts
+++ b/soak/fault_injector.ts
@@ -9,6 +9,7 @@
 import { sleep } from "../test/cluster.ts";
 import { guardPaused } from "./end_with_parent.ts";
 import { sendFatalRequests } from "./fatal_requests.ts";
+import { sendPartRequests } from "./part_requests.ts";
 import type { Fault } from "./plan.ts";
 import { getFailureDomain, REGIONS, type World } from "./world.ts";
 
@@ -85,6 +86,8 @@
         return this.#changeConfig();
       case "crash":
         return await sendFatalRequests(this.#world, this.#random, fault.forMs);
+      case "parts":
+        return await sendPartRequests(this.#world, this.#random, fault.forMs);
       case "evacuate": {
         const key = `op/evacuate/${getFailureDomain(REGIONS[fault.domain])}`;
         this.#world.setEvacuated(key, true);
--- a/soak/judge.ts
+++ b/soak/judge.ts
@@ -6,6 +6,8 @@
 
 import { DEFAULT_STREAM_EVENTS, formatStream } from "../src/standins/mod.ts";
 import { type Attempt, DEADLINE_MS } from "./callers.ts";
+import type { PartCall } from "./part_requests.ts";
+import { findCrashBreaches, findPartBreaches } from "./judge_crashes.ts";
 import { findNoticeBreaches } from "./judge_notices.ts";
 import { findVersionBreaches, type Upstream } from "./judge_versions.ts";
 import { ANY_VERSION, maskVersions } from "./stream_events.ts";
@@ -43,6 +45,9 @@
   readonly arrivals: readonly Arrival[];
   /** Requests that crash every upstream that runs them; the body identifies the request. */
   readonly fatalArrivals: readonly Arrival[];
+  /** Requests of series in which some share a part that crashes every upstream, and what their callers saw. */
+  readonly partArrivals: readonly Arrival[];
+  readonly partCalls: readonly PartCall[];
   readonly refusals: readonly Refusal[];
   /** All upstreams that ran, with their versions. */
   readonly upstreams: readonly Upstream[];
@@ -107,9 +112,6 @@
 /** 1.5 times the platform's bounds, because the gateways' processes share cores with the soak's own process. */
 const CONFIG_BOUND_MS = 6_000;
 const DRAIN_BOUND_MS = 6_000;
-/** Upstreams that a fatal request may crash before all VMs know of it, and after that. */
-const MAX_EARLY_CRASHES = 3;
-const MAX_LATE_CRASHES = 3;
 /** Share of requests that must be served once the run has recovered. */
 const MIN_SERVED_SHARE = 0.95;
 /** A VM that got fewer requests since the recovery is not judged by its share. */
@@ -151,7 +153,8 @@
     for (const what of this.#evidence.processFaults) {
       this.#addBreach("PROCESS", "", what);
     }
-    this.#checkCrashes();
+    this.#breaches.push(...findCrashBreaches(this.#evidence));
+    this.#breaches.push(...findPartBreaches(this.#evidence));
     this.#breaches.push(...findNoticeBreaches(this.#evidence));
     this.#breaches.push(...findVersionBreaches(this.#evidence));
     this.#checkRecovery();
@@ -317,42 +320,9 @@
     );
   }
 
-  /**
-   * A fatal request may crash three upstreams, and three more later than the contact bound after the third crash. If no
-   * VM and no store has trouble meanwhile, all VMs know of each crash within a second, and six crashes are the maximum.
-   */
-  #checkCrashes(): void {
-    const byRequest = new Map<string, number[]>();
-    for (const { body, arrivedMs } of this.#evidence.fatalArrivals) {
-      const timesMs = byRequest.get(body) ?? [];
-      timesMs.push(arrivedMs);
-      byRequest.set(body, timesMs);
-    }
-    for (const [body, timesMs] of byRequest) {
-      timesMs.sort((a, b) => a - b);
-      const boundMs = (timesMs.at(MAX_EARLY_CRASHES - 1) ?? Infinity) +
-        CONTACT_BOUND_MS;
-      const late = timesMs.filter((ms) => ms > boundMs).length;
-      const isTroubleFree = !this.#evidence.troubles.some((
-        { who, fromMs, toMs },
-      ) =>
-        (who === "store" || who.startsWith("vm:")) &&
-        fromMs <= timesMs.at(-1)! && toMs >= timesMs[0]
-      );
-      const maxCrashes = isTroubleFree
-        ? MAX_EARLY_CRASHES + MAX_LATE_CRASHES
-        : Infinity;
-      if (late > MAX_LATE_CRASHES || timesMs.length > maxCrashes) {
-        const what = `ended ${timesMs.length} upstreams, ${late} of them late`;
-        this.#addBreach("CRASH", body, what);
-      }
-    }
-  }
-
   /**
    * Streams that are taken up again have a bound of their own, as a VM may refuse to go on. The others are judged over all
-   * VMs, and at each VM by itself: one of many
-   * that serves little hardly changes the share over all.
+   * VMs, and at each VM by itself: one of many that serves little hardly changes the share over all.
    */
   #checkRecovery(): void {
     const recent = this.#evidence.attempts.filter((
--- a/soak/judge_test.ts
+++ b/soak/judge_test.ts
@@ -65,6 +65,8 @@
     attempts,
     arrivals,
     fatalArrivals: [],
+    partArrivals: [],
+    partCalls: [],
     refusals: [],
     upstreams: [],
     troubles: [],
--- a/soak/main.ts
+++ b/soak/main.ts
@@ -45,6 +45,13 @@
         "requests that crash upstreams: beside other faults, or alone",
       default: "none",
     },
+    parts: {
+      type: "enum" as const,
+      options: ["none", "beside", "only"],
+      description:
+        "requests with a part of their prompts that crashes upstreams: beside other faults, or alone",
+      default: "none",
+    },
     lapses: {
       type: "enum" as const,
       options: ["none", "beside", "only"],
@@ -105,6 +112,7 @@
           faultsMs: Number(args.seconds) * 1_000,
           plannedOnly: args.planned,
           crashes: args.crashes as ExtraMode,
+          parts: args.parts as ExtraMode,
           lapses: args.lapses as ExtraMode,
           notices: args.notices as ExtraMode,
           returns: args.returns as ExtraMode,
--- a/soak/plan.ts
+++ b/soak/plan.ts
@@ -13,6 +13,7 @@
 import { drawEndings } from "./plan_endings.ts";
 import { drawLapses } from "./plan_lapses.ts";
 import { drawNotices } from "./plan_notices.ts";
+import { drawParts } from "./plan_parts.ts";
 import { drawReturns } from "./plan_returns.ts";
 import { drawVersions } from "./plan_versions.ts";
 
@@ -71,7 +72,7 @@
       readonly mode: LinkMode;
     }
     | { readonly kind: "rebirth" | "reuse" | "drain"; readonly runner: number }
-    | { readonly kind: "config" | "crash" }
+    | { readonly kind: "config" | "crash" | "parts" }
     | { readonly kind: "evacuate"; readonly domain: number }
     /** The upstream serves on, but the store removes its entry until it is written again. */
     | { readonly kind: "silence"; readonly runner: number }
@@ -132,6 +133,7 @@
 export type FaultKind = Exclude<
   Fault["kind"],
   | "crash"
+  | "parts"
   | "silence"
   | "killRegion"
   | "lapseOutage"
@@ -152,6 +154,8 @@
   readonly plannedOnly?: boolean | undefined;
   /** Requests that crash upstreams; `none` if absent. */
   readonly crashes?: ExtraMode | undefined;
+  /** Requests with a part of their prompts that crashes upstreams; `none` if absent. */
+  readonly parts?: ExtraMode | undefined;
   /** Entries that lapse, regions whose VMs are killed at one moment, series of evacuations; `none` if absent. */
   readonly lapses?: ExtraMode | undefined;
   /** What upstreams say of themselves in answers, and a store that comes back from a copy; `none` if absent. */
@@ -239,6 +243,7 @@
 /** The classes of faults that are drawn on their own, and what draws each. */
 const EXTRA_FAULTS = [
   ["crashes", drawCrashes],
+  ["parts", drawParts],
   ["lapses", drawLapses],
   ["notices", drawNotices],
   ["returns", drawReturns],
--- a/soak/run.ts
+++ b/soak/run.ts
@@ -9,6 +9,7 @@
 import { sleep } from "../test/cluster.ts";
 import { Caller } from "./callers.ts";
 import { isFatal } from "./fatal_requests.ts";
+import { isPartRequest } from "./part_requests.ts";
 import { FaultInjector } from "./fault_injector.ts";
 import {
   type Arrival,
@@ -33,6 +34,8 @@
   readonly plannedOnly?: boolean;
   /** Whether the plan has requests that crash upstreams. */
   readonly crashes?: ExtraMode;
+  /** Whether the plan has requests with a part of their prompts that crashes upstreams. */
+  readonly parts?: ExtraMode;
   /** Whether the plan has lapsing entries, kills of a region and series of evacuations. */
   readonly lapses?: ExtraMode;
   /** Whether upstreams say in answers that they leave or want rest, and the store comes back from older copies. */
@@ -131,6 +134,7 @@
     faultsMs,
     plannedOnly: options.plannedOnly,
     crashes: options.crashes,
+    parts: options.parts,
     lapses: options.lapses,
     notices: options.notices,
     returns: options.returns,
@@ -163,7 +167,11 @@
     const allArrivals = collectArrivals(world);
     const observed: Evidence = {
       attempts,
-      arrivals: allArrivals.filter(({ body }) => !isFatal(body)),
+      arrivals: allArrivals.filter(({ body }) =>
+        !isFatal(body) && !isPartRequest(body)
+      ),
+      partArrivals: allArrivals.filter(({ body }) => isPartRequest(body)),
+      partCalls: world.partCalls,
       fatalArrivals: allArrivals.filter(({ body }) => isFatal(body)),
       refusals: collectRefusals(world),
       upstreams: collectUpstreams(world),
--- a/soak/runner_host.ts
+++ b/soak/runner_host.ts
@@ -7,6 +7,7 @@
 import { type CrashEnding, Runner } from "../src/standins/mod.ts";
 import { sleep } from "../test/cluster.ts";
 import { isFatal } from "./fatal_requests.ts";
+import { isDeadlyPart } from "./part_requests.ts";
 import { type Endpoint, FaultProxy } from "./proxy.ts";
 import { HEARTBEAT_MS, Registration } from "./registration.ts";
 import { getFailureDomain, REGIONS, type World } from "./world.ts";
@@ -177,7 +178,7 @@
     this.#starts++;
     const runner = await Runner.open(id, this.#program);
     runner.version = this.#version;
-    runner.isFatal = isFatal;
+    runner.isFatal = (body, parts) => isFatal(body) || parts.some(isDeadlyPart);
     runner.downMs = DOWN_MS;
     runner.onCrash = (ending) => this.#handleCrash(runner, ending);
     runner.onRestart = () => void this.#handleRestart(runner);
--- a/soak/soak_test.ts
+++ b/soak/soak_test.ts
@@ -55,6 +55,21 @@
     t.is(code, 0, printed);
   });
 
+  // Guards against crashes that are remembered of whole requests only, none of which comes again.
+  it("keeps all promises with requests that share a part of their prompts which crashes upstreams", async (t) => {
+    const { code, printed } = await runSoak(
+      "--first",
+      "1",
+      "--seeds",
+      "1",
+      "--seconds",
+      "1",
+      "--parts",
+      "only",
+    );
+    t.is(code, 0, printed);
+  });
+
   // Guards against VMs that keep an evacuation that is over, or no longer use an upstream whose entry came back.
   it("keeps all promises with entries that lapse and regions whose VMs are killed", async (t) => {
     const { code, printed } = await runSoak(
--- a/soak/world.ts
+++ b/soak/world.ts
@@ -15,6 +15,7 @@
 import { parentVariables } from "./end_with_parent.ts";
 import { type Endpoint, FaultProxy } from "./proxy.ts";
 import type { VmLink } from "./plan.ts";
+import type { PartCall } from "./part_requests.ts";
 import { RunnerHost, type RunnerInstance } from "./runner_host.ts";
 import { VERSIONS } from "./stream_events.ts";
 
@@ -82,6 +83,7 @@
   readonly runnerHosts: RunnerHost[] = [];
   readonly instances: RunnerInstance[] = [];
   readonly troubles: Trouble[] = [];
+  readonly partCalls: PartCall[] = [];
   readonly configs: ConfigVersion[] = [];
   /** Faults of gateway processes: a process exited by itself, or did not stop in time. */
   readonly processFaults: string[] = [];
