Suspects at scale: an index by upstream, few VMs ask for a trial, records outlive their leases

Ten VMs or so ask the store at once for the trial of a part, however many get requests with it. Records of suspects are written again every 5 minutes: their lease of 10 minutes lapsed before. A trial that is not taken is not logged at each try.

--- a/src/gateway/suspects.ts
+++ b/src/gateway/suspects.ts
@@ -6,7 +6,7 @@
  */
 
 import { type KeyValue, SuspectStore } from "../adapters/mod.ts";
-import type { Clock, Timer } from "../base/mod.ts";
+import { type Clock, Random, type Timer } from "../base/mod.ts";
 import { type Handlers, type Kernel, type Log, Task } from "../kernel/mod.ts";
 import { SUSPECT_PREFIX, TRIAL_PREFIX } from "../platform/mod.ts";
 import type { Fleet } from "../routing/mod.ts";
@@ -30,6 +30,10 @@
 const RESEND_INTERVAL_MS = 2_000;
 /** Wait after a request was given up: if it had begun and crashes its upstream, it has done so by then. */
 const CRASH_WAIT_MS = 200;
+/** Number of VMs that ask the store at once for the trial of a part, if requests with it come everywhere. */
+const MAX_ASKING_VMS = 10;
+/** How often suspects are stored again, so that their leases don't lapse. */
+const REWRITE_INTERVAL_MS = 5 * 60_000;
 /** How often the store is read after a start, until it answers. */
 const STORE_RETRY_MS = 1_000;
 
@@ -66,6 +70,7 @@
   #restartWatch!: RestartWatch;
   #clock!: Clock;
   #timer: Timer | undefined;
+  #rewrittenMs = -Infinity;
   #isOpen = true;
 
   constructor(options: SuspectOptions) {
@@ -93,11 +98,15 @@
       clock,
       (traits, loss, lostMs) => void this.#noteCrash(traits, loss, lostMs),
     );
+    const random = new Random(process.pid);
     this.#tracker = new SuspectTracker(
       new SuspectNotifier(this.#notifier, metrics, kernel.log),
       this.#store,
       () => clock.monoMs(),
-      (ms) => clock.sleep(ms),
+      {
+        sleep: (ms) => clock.sleep(ms),
+        mayAsk: () => random.next() * members.vmCount() < MAX_ASKING_VMS,
+      },
     );
     datagrams.on("ends", (params, ip) => this.#onCrashes(params, ip));
     this.#timer = clock.every(
@@ -166,7 +175,12 @@
 
   #republish(isFirstLead: boolean): void {
     // One VM of a region writes the records again that the store may have lost.
-    if (this.#store.takeLoss() && isFirstLead) this.#tracker.storeAgain();
+    const nowMs = this.#clock.monoMs();
+    const isDue = nowMs - this.#rewrittenMs >= REWRITE_INTERVAL_MS;
+    if (this.#store.takeLoss() || isDue) {
+      this.#rewrittenMs = nowMs;
+      if (isFirstLead) this.#tracker.storeAgain();
+    }
     this.#tracker.republish(isFirstLead);
   }
 
--- a/src/services/suspects.ts
+++ b/src/services/suspects.ts
@@ -101,7 +101,7 @@
       this.#peers,
       this.#store,
       () => clock.monoMs(),
-      (ms) => clock.sleep(ms),
+      { sleep: (ms) => clock.sleep(ms), mayAsk: () => true },
     );
     this.#options.transport.handle(CRASHES_METHOD, async (params, from) => {
       const message = decodeCrashes(params);
--- a/src/suspects/blame.ts
+++ b/src/suspects/blame.ts
@@ -4,13 +4,8 @@
  * @module
  */
 
-import {
-  type CrashHistory,
-  isTrialCrash,
-  type SuspectStatus,
-  TRIAL_CRASH_TTL_MS,
-  upstreamOf,
-} from "./crash_history.ts";
+import { isTrialCrash, TRIAL_CRASH_TTL_MS, upstreamOf } from "./crash.ts";
+import type { CrashHistory, SuspectStatus } from "./crash_history.ts";
 import { isPartTrait, type Traits } from "./traits.ts";
 
 /** Number of crashes from which on a trait may be the cause of them all. */
@@ -116,7 +111,7 @@
   nowMs: number,
 ): boolean {
   const upstreams = history.activeUpstreams(part, nowMs);
-  for (const other of history.traits()) {
+  for (const other of history.traitsAt(upstreams[0])) {
     if (own.has(other)) continue;
     const wasThere = (upstream: string) =>
       history.hasCrashed(other, upstream, nowMs);
@@ -144,17 +139,18 @@
   if (proofs.size === 0) return [];
   const counts = [...own].map((trait) => history.crashCount(trait, nowMs));
   const ownCount = Math.max(...counts);
-  for (const other of history.traits()) {
-    if (own.has(other)) continue;
-    const count = history.crashCount(other, nowMs);
-    if (!isPartTrait(other) && count < CRASHES_TO_SUSPECT) continue;
-    for (const name of proofs.keys()) {
-      const wasThere = count >= ownCount &&
-        history.hasCrashed(other, upstreamOf(name), nowMs);
-      if (wasThere || history.isActive(other, name, nowMs)) proofs.delete(name);
-    }
-  }
-  return [...proofs.values()];
+  const isDisputed = (name: string) => {
+    const upstream = upstreamOf(name);
+    return history.traitsAt(upstream).some((other) => {
+      if (own.has(other)) return false;
+      const count = history.crashCount(other, nowMs);
+      if (!isPartTrait(other) && count < CRASHES_TO_SUSPECT) return false;
+      return history.isActive(other, name, nowMs) ||
+        (count >= ownCount && history.hasCrashed(other, upstream, nowMs));
+    });
+  };
+  return [...proofs].filter(([name]) => !isDisputed(name))
+    .map(([, atMs]) => atMs);
 }
 
 function timeToNextTrial(proofsMs: readonly number[], nowMs: number): number {
--- a/src/suspects/crash_history.ts
+++ b/src/suspects/crash_history.ts
@@ -4,6 +4,17 @@
  * @module
  */
 
+import {
+  type Crash,
+  type CrashRow,
+  isActive,
+  isExpired,
+  toRow,
+  trialCrashName,
+  ttlMs,
+  upstreamOf,
+} from "./crash.ts";
+
 /** Status of a request, which decides how it is handled. */
 export type SuspectStatus =
   /** No crash counts against the request. */
@@ -21,27 +32,10 @@
   /** The request is not run. */
   | "rejected";
 
-/**
- * A crash, as VMs report it to each other. The union of such rows is the same in whatever order and however often they
- * arrive. A row with `isCleared` voids the crash, since the request ran elsewhere without one.
- */
-export type CrashRow = readonly [
-  digest: string,
-  upstreamKey: string,
-  agoMs: number,
-  isCleared: boolean,
-];
-
 /** Number of crashes that other causes may explain. One more run shows whether the request is the cause. */
 export const CRASHES_BEFORE_TRIAL = 3;
 /** Number of crashes with which a request is rejected. */
 export const CRASHES_TO_REJECT = 4;
-/** How long a crash counts. By then operators have replaced a program that crashes. */
-const CRASH_TTL_MS = 30 * 60_000;
-/** How long the crash of a trial counts, which proves more than others. */
-export const TRIAL_CRASH_TTL_MS = 24 * 60 * 60_000;
-/** Stands between the upstream and the request in the name of a trial's crash. */
-const TRIAL_MARK = "!";
 /** Maximum number of entries. An entry has some 300 bytes, so all of them take a megabyte. */
 const MAX_ENTRIES = 4_096;
 /** Number of entries that are evicted at once, so that a flood of entries does not sort all of them each time. */
@@ -54,32 +48,14 @@
 /** Maximum number of rows of the worst requests among them. The others take turns for the rest. */
 const MAX_WORST_ROWS = 14;
 
-interface Crash {
-  readonly atMs: number;
-  isCleared: boolean;
-}
-
-/** Whether a crash is that of a trial: of a run that was the only one with its suspected traits. */
-export function isTrialCrash(name: string): boolean {
-  return name.includes(TRIAL_MARK);
-}
-
-/** Names the crash of a trial, so that it is told from other crashes of that upstream. */
-function trialCrashName(crashName: string, request: string): string {
-  return `${crashName}${TRIAL_MARK}${request}`;
-}
-
-/** The upstream that crashed. */
-export function upstreamOf(crashName: string): string {
-  return crashName.split(TRIAL_MARK, 1)[0];
-}
-
 type Crashes = Map<string, Crash>;
 type Entry = readonly [digest: string, crashes: Crashes];
 
 /** Records the crashes of upstreams for each request. Times are on the monotonic clock of this VM. */
 export class CrashHistory {
   readonly #entries = new Map<string, Crashes>();
+  /** The traits of each upstream's crashes. */
+  readonly #traitsAt = new Map<string, Set<string>>();
   #hasSuspects = false;
   /** Number of rows whose turn to be sent again is over. */
   #turn = 0;
@@ -193,6 +169,11 @@
       .filter(({ isCleared }) => isCleared).length;
   }
 
+  /** The traits that had just come to an upstream as it crashed, those that are cleared of it included. */
+  traitsAt(upstream: string): readonly string[] {
+    return [...this.#traitsAt.get(upstream) ?? []];
+  }
+
   /** All traits of which anything is known. */
   traits(): Iterable<string> {
     return this.#entries.keys();
@@ -283,7 +264,7 @@
     for (const [digest, crashes] of this.#entries) {
       const haveExpired = [...crashes]
         .every(([name, crash]) => isExpired(name, crash, nowMs));
-      if (haveExpired) this.#entries.delete(digest);
+      if (haveExpired) this.#delete(digest);
     }
     this.#updateHasSuspects(nowMs);
   }
@@ -317,8 +298,13 @@
     const known = crashes.get(key);
     if (!known) {
       const isFull = crashes.size >= MAX_UPSTREAMS_PER_REQUEST;
-      if (isFull && (isCleared || !dropOldestCleared(crashes))) return false;
+      if (isFull && (isCleared || !this.#dropOldestCleared(digest))) {
+        return false;
+      }
       crashes.set(key, { atMs: nowMs - agoMs, isCleared });
+      const upstream = upstreamOf(key);
+      const traits = this.#traitsAt.get(upstream) ?? new Set();
+      this.#traitsAt.set(upstream, traits.add(digest));
       return true;
     }
     if (known.isCleared || !isCleared) return false;
@@ -337,30 +323,36 @@
       lastMs: Math.max(...[...crashes.values()].map(({ atMs }) => atMs)),
     })).sort((a, b) => a.count - b.count || a.lastMs - b.lastMs);
     for (const { digest } of entries.slice(0, EVICTION_BATCH)) {
-      this.#entries.delete(digest);
+      this.#delete(digest);
     }
   }
-}
-
-function ttlMs(name: string): number {
-  return isTrialCrash(name) ? TRIAL_CRASH_TTL_MS : CRASH_TTL_MS;
-}
 
-function isExpired(name: string, { atMs }: Crash, nowMs: number): boolean {
-  return nowMs - atMs >= ttlMs(name);
-}
+  #delete(digest: string): void {
+    for (const key of this.#entries.get(digest)?.keys() ?? []) {
+      this.#forgetAt(key, digest);
+    }
+    this.#entries.delete(digest);
+  }
 
-function isActive(name: string, crash: Crash, nowMs: number): boolean {
-  return !crash.isCleared && !isExpired(name, crash, nowMs);
-}
+  #forgetAt(key: string, digest: string): void {
+    const upstream = upstreamOf(key);
+    const traits = this.#traitsAt.get(upstream);
+    traits?.delete(digest);
+    if (traits?.size === 0) this.#traitsAt.delete(upstream);
+  }
 
-function toRow(
-  digest: string,
-  upstreamKey: string,
-  { atMs, isCleared }: Crash,
-  nowMs: number,
-): CrashRow {
-  return [digest, upstreamKey, Math.round(nowMs - atMs), isCleared];
+  /** Drops the oldest crash of which a trait is cleared. Returns whether there was one. */
+  #dropOldestCleared(digest: string): boolean {
+    const crashes = this.#entries.get(digest);
+    const [oldest] = [...crashes ?? []].filter(([, { isCleared }]) => isCleared)
+      .sort(([, a], [, b]) => a.atMs - b.atMs);
+    if (!crashes || !oldest) return false;
+    const [name] = oldest;
+    crashes.delete(name);
+    const isSame = (key: string) => upstreamOf(key) === upstreamOf(name);
+    if (![...crashes.keys()].some(isSame)) this.#forgetAt(name, digest);
+    return true;
+  }
 }
 
 function rowsOf(entries: readonly Entry[], nowMs: number): CrashRow[] {
@@ -370,14 +362,6 @@
   );
 }
 
-/** Drops the oldest crash that is cleared. Returns whether there was one. */
-function dropOldestCleared(crashes: Crashes): boolean {
-  const [oldest] = [...crashes].filter(([, { isCleared }]) => isCleared)
-    .sort(([, a], [, b]) => a.atMs - b.atMs);
-  if (!oldest) return false;
-  return crashes.delete(oldest[0]);
-}
-
 function countActive(crashes: Crashes, nowMs: number): number {
   let sum = 0;
   for (const [name, crash] of crashes) if (isActive(name, crash, nowMs)) sum++;
--- a/src/suspects/crash_messages.ts
+++ b/src/suspects/crash_messages.ts
@@ -4,7 +4,7 @@
  * @module
  */
 
-import type { CrashRow } from "./crash_history.ts";
+import type { CrashRow } from "./crash.ts";
 
 /** A message in which a VM reports crashes to another. */
 export interface CrashMessage {
--- a/src/suspects/suspect_records_test.ts
+++ b/src/suspects/suspect_records_test.ts
@@ -58,7 +58,7 @@
       new SilentPublisher(),
       records,
       () => this.nowMs,
-      () => Promise.resolve(),
+      { sleep: () => Promise.resolve(), mayAsk: () => true },
     );
   }
 
--- a/src/suspects/suspect_tracker.ts
+++ b/src/suspects/suspect_tracker.ts
@@ -5,16 +5,15 @@
  */
 
 import { type Blame, findBlame } from "./blame.ts";
+import { type CrashRow, isTrialCrash } from "./crash.ts";
 import {
   CRASHES_BEFORE_TRIAL,
   CrashHistory,
-  type CrashRow,
-  isTrialCrash,
   type SuspectStatus,
 } from "./crash_history.ts";
 import type { SuspectRecords } from "./suspect_records.ts";
 import { isPartTrait, type Traits } from "./traits.ts";
-import { Trials } from "./trials.ts";
+import { type TrialPacing, Trials } from "./trials.ts";
 import { UntoldCrashes } from "./untold_crashes.ts";
 
 /**
@@ -98,7 +97,7 @@
   readonly #publisher: SuspectPublisher;
   readonly #records: SuspectRecords;
   readonly #nowMs: () => number;
-  readonly #sleep: (ms: number) => Promise<void>;
+  readonly #pacing: TrialPacing;
   readonly #history = new CrashHistory();
   readonly #untold = new UntoldCrashes(this.#history);
   readonly #trials: Trials;
@@ -113,13 +112,13 @@
     publisher: SuspectPublisher,
     records: SuspectRecords,
     nowMs: () => number,
-    sleep: (ms: number) => Promise<void>,
+    pacing: TrialPacing,
   ) {
     this.#publisher = publisher;
     this.#records = records;
     this.#nowMs = nowMs;
-    this.#sleep = sleep;
-    this.#trials = new Trials(records, nowMs, sleep);
+    this.#pacing = pacing;
+    this.#trials = new Trials(records, nowMs, pacing);
   }
 
   /** Whether any request is suspected; if not, no request needs to be checked. */
@@ -167,7 +166,7 @@
           comeBackMs: TRIAL_RETRY_AFTER_MS,
         };
       }
-      await this.#sleep(TRIAL_POLL_MS);
+      await this.#pacing.sleep(TRIAL_POLL_MS);
     }
   }
 
@@ -177,12 +176,15 @@
     trait: string,
   ): Promise<SuspectVerdict | undefined> {
     const isTaken = await this.#trials.take(trait);
-    this.#publisher.noteEvent({
-      type: "trial",
-      request: traits[0],
-      blamed: trait,
-      isTaken,
-    });
+    // Requests with a part ask again and again while they wait.
+    if (isTaken || !isPartTrait(trait)) {
+      this.#publisher.noteEvent({
+        type: "trial",
+        request: traits[0],
+        blamed: trait,
+        isTaken,
+      });
+    }
     if (!isTaken) return undefined;
     // Meanwhile a run on another VM may have crashed an upstream.
     const blame = this.blame(traits);
--- a/src/suspects/suspects_cut_off_test.ts
+++ b/src/suspects/suspects_cut_off_test.ts
@@ -86,7 +86,7 @@
       publisher,
       new NoRecords(),
       () => this.nowMs,
-      () => Promise.resolve(),
+      { sleep: () => Promise.resolve(), mayAsk: () => true },
     );
     const vm: Vm = { region, tracker, part: 0, isDeaf: false };
     this.vms.push(vm);
--- a/src/suspects/untold_crashes.ts
+++ b/src/suspects/untold_crashes.ts
@@ -4,7 +4,8 @@
  * @module
  */
 
-import type { CrashHistory, CrashRow } from "./crash_history.ts";
+import type { CrashRow } from "./crash.ts";
+import type { CrashHistory } from "./crash_history.ts";
 
 /** Maximum number of rows that are resent each time until the VM that sends those of all VMs knows them. */
 const MAX_UNHEARD_ROWS = 20;
