A part that only one request had is judged as that request

Where the request itself was at each crash of a part, the part explains no more than the request does.

--- a/src/suspects/blame.ts
+++ b/src/suspects/blame.ts
@@ -82,7 +82,7 @@
   const proofsMs = findProofs(history, own, nowMs);
   const possible = proofsMs.length > 0
     ? suspected
-    : suspected.filter((part) => !isExplained(history, part, own, nowMs));
+    : suspected.filter((part) => !isExplained(history, part, traits, nowMs));
   if (possible.length === 0) return undefined;
   const [trait] = possible.sort((a, b) =>
     history.crashCount(b, nowMs) - history.crashCount(a, nowMs) ||
@@ -101,23 +101,21 @@
 }
 
 /**
- * Whether a trait that the request doesn't have was there at each crash of `part`. Then the request differs from those
- * that crashed upstreams, and its run shows which of the two is the cause.
+ * Whether something else explains the crashes of `part`. If a trait that the request doesn't have was there at each of
+ * them, the request differs from those that crashed upstreams, and its run shows which of the two is the cause. If it was
+ * the same request each time, nothing speaks against the part more than against that request.
  */
 function isExplained(
   history: CrashHistory,
   part: string,
-  own: ReadonlySet<string>,
+  [, ...parts]: Traits,
   nowMs: number,
 ): boolean {
   const upstreams = history.activeUpstreams(part, nowMs);
-  for (const other of history.traitsAt(upstreams[0])) {
-    if (own.has(other)) continue;
-    const wasThere = (upstream: string) =>
-      history.hasCrashed(other, upstream, nowMs);
-    if (upstreams.every(wasThere)) return true;
-  }
-  return false;
+  return history.traitsAt(upstreams[0]).some((other) =>
+    !parts.includes(other) &&
+    upstreams.every((upstream) => history.hasCrashed(other, upstream, nowMs))
+  );
 }
 
 /**
--- a/src/suspects/blame_test.ts
+++ b/src/suspects/blame_test.ts
@@ -113,6 +113,17 @@
       t.is(story.statusOf("pa", "pb"), "clear");
     });
 
+    it("does not fall on a part that only one request had, which crashed two upstreams", (t) => {
+      const { history } = new Story();
+      for (const upstream of ["u1", "u2"]) {
+        for (const trait of ["whole", "pa"]) {
+          history.noteCrash(trait, upstream, 0, 0);
+        }
+      }
+      t.is(findBlame(history, ["whole", "pa"], 0).status, "suspected");
+      t.is(findBlame(history, ["another", "pa"], 0).status, "clear");
+    });
+
     it("does not fall on a sound trial beside a request with the part", (t) => {
       const story = new Story().crash([["pa", "pd"]]).crash([["pa", "pd"]])
         .crash([["pa", "pb"], ["pd"]], true);
