--- a/soak/soak_test.ts
+++ b/soak/soak_test.ts
@@ -4,22 +4,14 @@
 import { describe, itAlone as it } from "../src/base/describe.ts";
 
 const SCRIPT = fileURLToPath(new URL("./main.js", import.meta.url));
-const SMALL_RUN = [
-  "--vms",
-  "4",
-  "--runners",
-  "6",
-  "--callers",
-  "8",
-  "--jobs",
-  "1",
-];
+const SMALL_RUN = "--vms 4 --runners 6 --callers 8 --jobs 1";
 
-/** Runs the soak; returns its exit code and its output. */
+/** Runs the soak with these options, separated by single spaces; returns its exit code and its output. */
 async function runSoak(
-  ...args: string[]
+  options: string,
 ): Promise<{ code: number; printed: string }> {
-  const child = spawn(process.execPath, [SCRIPT, ...SMALL_RUN, ...args], {
+  const args = `${SMALL_RUN} ${options}`.split(" ");
+  const child = spawn(process.execPath, [SCRIPT, ...args], {
     stdio: ["ignore", "pipe", "inherit"],
   });
   let printed = "";
@@ -31,26 +23,14 @@
 describe("soak", () => {
   it("keeps all promises on a short run", async (t) => {
     const { code, printed } = await runSoak(
-      "--first",
-      "7",
-      "--seeds",
-      "1",
-      "--seconds",
-      "4",
+      "--first 7 --seeds 1 --seconds 4",
     );
     t.is(code, 0, printed);
   });
 
   it("keeps all promises with requests that crash upstreams", async (t) => {
     const { code, printed } = await runSoak(
-      "--first",
-      "3",
-      "--seeds",
-      "1",
-      "--seconds",
-      "4",
-      "--crashes",
-      "only",
+      "--first 3 --seeds 1 --seconds 4 --crashes only",
     );
     t.is(code, 0, printed);
   });
@@ -58,14 +38,7 @@
   // Guards against crashes that are remembered of whole requests only, none of which comes again.
   it("keeps all promises with requests that share a part of their prompts which crashes upstreams", async (t) => {
     const { code, printed } = await runSoak(
-      "--first",
-      "1",
-      "--seeds",
-      "1",
-      "--seconds",
-      "1",
-      "--parts",
-      "only",
+      "--first 1 --seeds 1 --seconds 1 --parts only",
     );
     t.is(code, 0, printed);
   });
@@ -73,14 +46,7 @@
   // Guards against VMs that keep an evacuation that is over, or no longer use an upstream whose entry came back.
   it("keeps all promises with entries that lapse and regions whose VMs are killed", async (t) => {
     const { code, printed } = await runSoak(
-      "--first",
-      "5",
-      "--seeds",
-      "1",
-      "--seconds",
-      "4",
-      "--lapses",
-      "only",
+      "--first 5 --seeds 1 --seconds 4 --lapses only",
     );
     t.is(code, 0, printed);
   });
@@ -88,17 +54,8 @@
   // Guards against VMs that don't read what upstreams and the store say of themselves in their answers.
   it("keeps all promises with upstreams that leave or want rest, and a store that comes back from a copy", async (t) => {
     const { code, printed } = await runSoak(
-      "--first",
-      "11",
-      "--seeds",
-      "1",
-      "--seconds",
-      "4",
-      "--notices",
-      "only",
       // With fewer upstreams none runs the service to which a new configuration moves plain requests.
-      "--runners",
-      "8",
+      "--first 11 --seeds 1 --seconds 4 --notices only --runners 8",
     );
     t.is(code, 0, printed);
   });
@@ -106,14 +63,7 @@
   // Guards against answers that broke off and are passed on as whole.
   it("keeps all promises with upstreams whose answers end with their connection, or early", async (t) => {
     const { code, printed } = await runSoak(
-      "--first",
-      "1",
-      "--seeds",
-      "1",
-      "--seconds",
-      "4",
-      "--endings",
-      "only",
+      "--first 1 --seeds 1 --seconds 4 --endings only",
     );
     t.is(code, 0, printed);
   });
@@ -121,26 +71,17 @@
   // Guards against VMs that start with an older configuration than the others have in force.
   it("keeps all promises with a store that comes back without the newest configuration while VMs start", async (t) => {
     const { code, printed } = await runSoak(
-      "--first",
-      "2",
-      "--seeds",
-      "1",
-      "--seconds",
-      "1",
-      "--returns",
-      "only",
-      "--runners",
-      "8",
+      "--first 2 --seeds 1 --seconds 1 --returns only --runners 8",
     );
     t.is(code, 0, printed);
   });
 
   // Guards against two soaks on one machine that use the same addresses.
   it("keeps all promises while a second soak runs", async (t) => {
-    const args = ["--seeds", "1", "--seconds", "1", "--planned"];
+    const options = "--seeds 1 --seconds 1 --planned";
     const runs = await Promise.all([
-      runSoak("--first", "1", ...args),
-      runSoak("--first", "2", ...args),
+      runSoak(`--first 1 ${options}`),
+      runSoak(`--first 2 ${options}`),
     ]);
     for (const { code, printed } of runs) t.is(code, 0, printed);
   });
@@ -148,15 +89,7 @@
   // The gateway keeps its promises, so a run without a planted fault cannot show that the judge reads its evidence correctly.
   it("finds a second run that was planted into the evidence of a real run", async (t) => {
     const { code, printed } = await runSoak(
-      "--first",
-      "8",
-      "--seeds",
-      "1",
-      "--seconds",
-      "1",
-      "--plant",
-      "--keep",
-      "",
+      "--first 8 --seeds 1 --seconds 1 --plant --keep=",
     );
     t.is(code, 1, printed);
     t.regex(printed, /BROKE 1\n {2}TWICE /);
--- a/test/gateway_crashing_test.ts
+++ b/test/gateway_crashing_test.ts
@@ -52,12 +52,7 @@
   for (const region of regions) {
     await lab.waitUntilReady(await lab.addVm(region));
   }
-  await waitUntil(() =>
-    lab.vms.every((vm) => {
-      const { vms } = vm.gateway.dump().members as { vms: number };
-      return vms === regions.length;
-    })
-  );
+  await lab.waitUntilAllKnown();
   return lab;
 }
 
--- a/test/gateway_lab.ts
+++ b/test/gateway_lab.ts
@@ -234,6 +234,13 @@
     });
   }
 
+  /** Waits until all VMs of the lab know each other. */
+  async waitUntilAllKnown(): Promise<void> {
+    await waitUntil(() =>
+      this.vms.every((vm) => dumpMembers(vm).vms === this.vms.length)
+    );
+  }
+
   /** Sends a GET request to one of a VM's listeners. */
   get(address: string, path: string): Promise<CallerAnswer> {
     return this.#send(address, { path });
--- a/test/prompt_part_lab.ts
+++ b/test/prompt_part_lab.ts
@@ -7,7 +7,7 @@
 
 import type { ExecutionContext } from "ava";
 import type { FatalStart, Runner } from "../src/standins/mod.ts";
-import { GatewayLab, type LabVm, waitUntil } from "./gateway_lab.ts";
+import { GatewayLab, type LabVm } from "./gateway_lab.ts";
 
 /** The part that crashes upstreams. */
 export const DEADLY_PART = "deadly";
@@ -94,12 +94,7 @@
   for (const region of regions) {
     await lab.waitUntilReady(await lab.addVm(region));
   }
-  await waitUntil(() =>
-    lab.vms.every((vm) => {
-      const { vms } = vm.gateway.dump().members as { vms: number };
-      return vms === regions.length;
-    })
-  );
+  await lab.waitUntilAllKnown();
   return lab;
 }
 
--- a/test/resumption_lab.ts
+++ b/test/resumption_lab.ts
@@ -94,15 +94,6 @@
     return vm;
   }
 
-  /** Waits until the VMs know each other. */
-  async waitUntilAllKnown(): Promise<void> {
-    await waitUntil(() =>
-      this.vms.every(({ gateway }) =>
-        (gateway.dump().members as { vms: number }).vms === this.vms.length
-      )
-    );
-  }
-
   /** Makes the entry of an upstream name another version, and waits until the VMs know. */
   async rename(runner: Runner, version: string): Promise<void> {
     this.register(runner, "north", { slots: 64, version });
