--- a/src/gateway/peer_rpc.ts
+++ b/src/gateway/peer_rpc.ts
@@ -100,11 +100,10 @@
       () => this.#storeViewPort.ask("config", {}),
     );
     this.#server.addMethod("dump", () => kernel.dump());
-    const suspects = kernel.get<SuspectsMessages>("suspects");
     this.#server.addMethod(
       "clearSuspect",
       (request: SuspectsMessages["clear"]["in"]) =>
-        suspects.ask("clear", request),
+        kernel.get<SuspectsMessages>("suspects").ask("clear", request),
     );
     this.#timer = this.#clock.every(PULL_INTERVAL_MS, () => void this.#pull());
     this.#members.onRosterReceived(() => void this.#pull());
