Tests: runners of the own interface's crash tests keep their ports; the lab's log in a file of its own

No code of the gateway or the stand-in answers so there; the runners listened on ports that the system gives out, and such a port can go to a server of another test while its runner is down for 0.2 s. That this was the cause is suspected, not shown.

--- a/test/edge_crashing_test.ts
+++ b/test/edge_crashing_test.ts
@@ -1,9 +1,12 @@
+import { threadId } from "node:worker_threads";
 import type { ExecutionContext } from "ava";
 import { describe, itAlone as it } from "../src/base/describe.ts";
 import { Runner } from "../src/standins/mod.ts";
 import { DRIVERS_KEY, openEdge, type TestEdge, upstreamRow } from "./fakes.ts";
 
 const RUNNER_COUNT = 6;
+/** Below the ports that the system gives out. */
+const RUNNER_PORT = 18_107;
 const ATTEMPT_COUNT = 10;
 /** Maximum number of upstreams that one request may crash: three, and three more until all VMs are informed. */
 const MAX_CRASHES = 6;
@@ -15,9 +18,19 @@
   readonly runners: readonly Runner[];
 }
 
+/** A loopback address of this file's own: no other server takes the port of a runner that is down for a moment. */
+function runnerHost(index: number): string {
+  const place = (threadId % 40) * RUNNER_COUNT + index + 1;
+  return `127.19.${process.pid & 255}.${place}`;
+}
+
 async function openBench(t: ExecutionContext): Promise<Bench> {
   const runners = await Promise.all(
-    Array.from({ length: RUNNER_COUNT }, (_, i) => Runner.open(`r${i}`)),
+    Array.from(
+      { length: RUNNER_COUNT },
+      (_, i) =>
+        Runner.open(`r${i}`, { host: runnerHost(i), port: RUNNER_PORT }),
+    ),
   );
   const rows = runners.flatMap(({ address }, i) => [
     upstreamRow(`n${i}`, "notes", `http://${address}`),
--- a/test/gateway_lab.ts
+++ b/test/gateway_lab.ts
@@ -8,7 +8,6 @@
 import { threadId } from "node:worker_threads";
 import type { ExecutionContext } from "ava";
 import { Gateway, type GatewaySettings } from "../src/gateway/mod.ts";
-import type { Log } from "../src/kernel/mod.ts";
 import {
   KvServer,
   makeConfig,
@@ -18,7 +17,7 @@
   ROUTE_HOST,
   Runner,
 } from "../src/standins/mod.ts";
-import { openLogFile } from "./kept.ts";
+import { MemoryLog } from "./memory_log.ts";
 
 /** The answer that a caller got. */
 export interface CallerAnswer {
@@ -45,41 +44,6 @@
 const MAX_VMS = 6;
 let labCount = 0;
 
-/** One line of a VM's log. */
-export interface LogLine {
-  readonly event: string;
-  readonly fields: Readonly<Record<string, unknown>>;
-}
-
-class MemoryLog implements Log {
-  readonly lines: LogLine[] = [];
-  readonly #keep: (text: string) => void;
-
-  constructor(vmId: string) {
-    this.#keep = openLogFile(vmId);
-  }
-
-  debug(): void {}
-  info(event: string, fields = {}): void {
-    this.log("info", event, fields);
-  }
-  warn(event: string, fields = {}): void {
-    this.log("warn", event, fields);
-  }
-  error(event: string, fields = {}): void {
-    this.log("error", event, fields);
-  }
-  log(
-    level: string,
-    event: string,
-    fields: Record<string, unknown> = {},
-  ): void {
-    this.lines.push({ event, fields });
-    const timeMs = Math.round(performance.now());
-    this.#keep(`${JSON.stringify({ timeMs, level, event, ...fields })}\n`);
-  }
-}
-
 /** The routes that most tests use. */
 export const ROUTES = [
   makeRoute(),
