While something is suspected, a chunk of an answer costs no look at all traits

Suspected cause: as long as anything is suspected, each chunk of each stream went through all traits of its request to clear them, and each check for a move judged the request again. Both are done once for each change of what is known of crashes now.

--- a/src/gateway/call_suspicion.ts
+++ b/src/gateway/call_suspicion.ts
@@ -40,6 +40,12 @@
   /** Whether a relayed send broke off as the request began to run: the other VM had no way left to report the cause. */
   #hasEarlyRelayLoss = false;
   #beganMonoMs: number | undefined;
+  /** The tracker's revision for which the request was cleared last; each chunk of an answer asks for it. */
+  #clearedRevision: number | undefined;
+  /** Whether the request is suspected, and the tracker's revision for which that was judged. */
+  #suspicion:
+    | { readonly revision: number; readonly isSuspect: boolean }
+    | undefined;
 
   constructor(
     context: GatewayContext,
@@ -56,7 +62,13 @@
 
   /** Whether the request is placed where a crash harms the fewest others. */
   get isSuspect(): boolean {
-    return this.#hasEarlyRelayLoss || this.#blame !== undefined;
+    if (this.#hasEarlyRelayLoss) return true;
+    const { hasSuspects, revision } = this.#tracker;
+    if (!hasSuspects) return false;
+    if (this.#suspicion?.revision !== revision) {
+      this.#suspicion = { revision, isSuspect: this.#blame !== undefined };
+    }
+    return this.#suspicion.isSuspect;
   }
 
   /** Whether this VM, or the one that relayed the request, holds the permission for its trial run. */
@@ -93,6 +105,7 @@
   /** Notes that a send begins. */
   noteSend(): void {
     this.#beganMonoMs = undefined;
+    this.#clearedRevision = undefined;
   }
 
   /** Notes that a chunk of the answer arrived. A suspect that has run for long enough is cleared before its end. */
@@ -111,7 +124,9 @@
   }
 
   #noteSurvived(nowMs: number): void {
+    if (this.#clearedRevision === this.#tracker.revision) return;
     this.#tracker.clear(this.#traits, nowMs - (this.#beganMonoMs ?? nowMs));
+    this.#clearedRevision = this.#tracker.revision;
     this.#releaseTrial(false);
   }
 
--- a/src/suspects/crash_history.ts
+++ b/src/suspects/crash_history.ts
@@ -57,6 +57,7 @@
   /** The traits of each upstream's crashes. */
   readonly #traitsAt = new Map<string, Set<string>>();
   #hasSuspects = false;
+  #revision = 0;
   /** Number of rows whose turn to be sent again is over. */
   #turn = 0;
 
@@ -68,6 +69,11 @@
     return this.#hasSuspects;
   }
 
+  /** Changes whenever a crash is noted or cleared. */
+  get revision(): number {
+    return this.#revision;
+  }
+
   get size(): number {
     return this.#entries.size;
   }
@@ -116,7 +122,10 @@
   merge(rows: readonly CrashRow[], nowMs: number): CrashRow[] {
     const newRows = rows.filter((row) => this.#mergeRow(row, nowMs));
     if (this.#entries.size > MAX_ENTRIES) this.#evict(nowMs);
-    if (newRows.length > 0) this.#updateHasSuspects(nowMs);
+    if (newRows.length > 0) {
+      this.#revision++;
+      this.#updateHasSuspects(nowMs);
+    }
     return newRows;
   }
 
--- a/src/suspects/suspect_tracker.ts
+++ b/src/suspects/suspect_tracker.ts
@@ -126,6 +126,11 @@
     return this.#history.hasSuspects;
   }
 
+  /** Changes whenever a crash is noted or cleared; until then nothing is judged otherwise, but for the passing of time. */
+  get revision(): number {
+    return this.#history.revision;
+  }
+
   /** The status of a request, or of a part by itself. */
   statusOf(trait: string): SuspectStatus {
     return this.#history.statusOf(trait, this.#nowMs());
