Logs tell how large an answer of another VM is, how long it takes, and when a VM that refuses last had the newest configuration

Cause: hypotheses 1 and 2 of docs/incidents/configuration_too_large_for_its_time.md look alike in the logs: a VM stays at a version, and nothing is said of the answer that did not come in time. Change: 'peer answered' and 'peer did not answer' state bytes and time, ibisgap_peer_answer_ms; refusals by the configuration state configHeldMs and configAgreedAgoMs, and 'ibisgap explain' shows the latter. The call to another VM is a file of its own; its limits are unchanged.

--- a/src/explain/config_history.ts
+++ b/src/explain/config_history.ts
@@ -46,6 +46,13 @@
   return parts.join(", ");
 }
 
+/** Tells when the VM of a request last knew that the store had no newer configuration than its own. */
+function describeAgreement({ fields }: ParsedLine): string {
+  const { configAgreedAgoMs } = fields;
+  if (configAgreedAgoMs === undefined) return "";
+  return `, last known to be the newest ${configAgreedAgoMs} ms before`;
+}
+
 /** Compares the configuration that a request's last line names with those that all VMs had by then. */
 export function findConfigHistory(
   endLine: ParsedLine,
@@ -72,7 +79,7 @@
         ? "handled without a configuration"
         : `handled by configuration ${
           own ? describeLine(own, arrivedMs) : version
-        }`,
+        }${describeAgreement(endLine)}`,
       `newer: ${describeLine(first, arrivedMs)}`,
     ],
   };
--- a/src/explain/explain_test.ts
+++ b/src/explain/explain_test.ts
@@ -132,6 +132,18 @@
     t.is(shown.length, 3);
   });
 
+  it("tells when a VM that refused last knew that it had the newest configuration", (t) => {
+    const lines = [
+      'time=2026-01-01T00:00:01.000Z level=info event="config in force" vm=a configVersion=6 from=store',
+      'time=2026-01-01T00:00:02.000Z level=info event="config in force" vm=b configVersion=3 from=c',
+      "time=2026-01-01T00:00:08.000Z level=warn event=request vm=b attempt=a9 configVersion=3 configAgreedAgoMs=6900 outcome=notFound",
+    ].map((line) => parseLine(line)!);
+    t.regex(
+      explainRequest("a9", lines)!.cause,
+      /configuration 3 .*, last known to be the newest 6900 ms before; newer: 6 /,
+    );
+  });
+
   it("names the first VM that had the newest configuration, in whatever order the logs come", (t) => {
     const lines = [
       'time=2026-01-01T00:00:04.000Z level=info event="config in force" vm=c configVersion=6 from=a readBy=a',
--- a/src/gateway/config_in_force.ts
+++ b/src/gateway/config_in_force.ts
@@ -57,6 +57,8 @@
   readonly readBy: string;
   /** When it was read from the store, on this VM's monotonic clock. */
   readonly readMonoMs: number;
+  /** When it came into force here, on the same clock. */
+  readonly heldSinceMonoMs: number;
 }
 
 /** Holds the configuration with the highest version that came. */
@@ -76,6 +78,13 @@
     return this.#held?.config;
   }
 
+  /** How long the configuration has been in force here; `undefined` if there is none. */
+  get heldMs(): number | undefined {
+    if (!this.#held) return undefined;
+    const { clock } = this.#options;
+    return Math.round(clock.monoMs() - this.#held.heldSinceMonoMs);
+  }
+
   /** What other VMs have to be told, as the store does not tell them: a version that is newer than its entry. */
   get announced(): Pick<VmState, "configVersion"> {
     const configVersion = this.config?.version;
@@ -178,7 +187,8 @@
     }
     const { readBy, readAgoMs } = origin ?? { readBy: vmId, readAgoMs: 0 };
     const readMonoMs = clock.monoMs() - readAgoMs;
-    this.#held = { config, value, from, readBy, readMonoMs };
+    const heldSinceMonoMs = clock.monoMs();
+    this.#held = { config, value, from, readBy, readMonoMs, heldSinceMonoMs };
     log.info("config in force", {
       configVersion: version,
       rev,
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -217,7 +217,13 @@
       origins,
     });
     const directory = new Directory(context);
-    const peerRpc = new PeerRpc(storeView, members, relays, vm.region);
+    const peerRpc = new PeerRpc({
+      storeView,
+      members,
+      relays,
+      metrics,
+      region: vm.region,
+    });
     const listeners = new HttpListeners(context, peerRpc);
     const tasks = [
       datagrams,
--- a/src/gateway/http_listeners.ts
+++ b/src/gateway/http_listeners.ts
@@ -325,7 +325,7 @@
       outcome: cause.code,
       reason: cause.message,
       comeBackMs: retryAfterMs,
-      configVersion: this.#context.storeView.config?.version,
+      ...this.#context.storeView.configFields,
     });
     reply.fail(cause, retryAfterMs);
   }
--- a/src/gateway/metrics.ts
+++ b/src/gateway/metrics.ts
@@ -16,6 +16,7 @@
   | "between_chunks"
   | "total"
   | "relay_first_byte"
+  | "peer_answer"
   | "place";
 
 /** Collects the counters, gauges and histograms. Names and labels are listed in docs/OPERATIONS.md. */
--- a/src/gateway/peer_rpc.ts
+++ b/src/gateway/peer_rpc.ts
@@ -5,11 +5,7 @@
  * @module
  */
 
-import {
-  type IncomingMessage,
-  request as httpRequest,
-  type ServerResponse,
-} from "node:http";
+import type { IncomingMessage, ServerResponse } from "node:http";
 import { JSONRPCClient, JSONRPCServer } from "json-rpc-2.0";
 import { readText } from "../adapters/mod.ts";
 import { type Clock, Random, type Timer } from "../base/mod.ts";
@@ -27,6 +23,8 @@
 import type { AdoptOutcome, News } from "./replica.ts";
 import type { PeerRpcHandler } from "./http_listeners.ts";
 import type { Members } from "./members.ts";
+import type { GatewayMetrics } from "./metrics.ts";
+import { callPeer, type PeerCallProgress } from "./peer_call.ts";
 import type { Relays } from "./relays.ts";
 import type { SuspectsMessages } from "./suspects.ts";
 
@@ -47,13 +45,23 @@
   operators: 600,
   upstreams: 2_000,
 };
-/** Timeout of a call; the next one may go to another VM. */
-const ANSWER_TIMEOUT_MS = 1_000;
+/** Size of an answer from which on its time is logged, in bytes. */
+const LOGGED_ANSWER_BYTES = 20_000;
 /** Questions to one VM in a row: for recent changes, and for all differences if those do not suffice. */
 const MAX_REQUESTS = 2;
 
 const NEWS_TOPICS: readonly NewsTopic[] = ["operators", "upstreams"];
 
+/** Options of {@link PeerRpc}. */
+export interface PeerRpcOptions {
+  readonly storeView: StoreView;
+  readonly members: Members;
+  readonly relays: Relays;
+  readonly metrics: GatewayMetrics;
+  /** Region of this VM. */
+  readonly region: string;
+}
+
 /** Answers calls of other VMs, and pulls news from VMs that are ahead. */
 export class PeerRpc extends Task implements PeerRpcHandler {
   readonly name = "peerRpc";
@@ -62,6 +70,7 @@
   readonly #storeView: StoreView;
   readonly #members: Members;
   readonly #relays: Relays;
+  readonly #metrics: GatewayMetrics;
   readonly #region: string;
   readonly #random = new Random(process.pid);
   protected readonly handlers: Handlers<Messages> = {};
@@ -74,16 +83,14 @@
   readonly #behindSinceMs = new Map<PulledTopic, number>();
 
   constructor(
-    storeView: StoreView,
-    members: Members,
-    relays: Relays,
-    region: string,
+    { storeView, members, relays, metrics, region }: PeerRpcOptions,
   ) {
     super();
     this.#region = region;
     this.#storeView = storeView;
     this.#members = members;
     this.#relays = relays;
+    this.#metrics = metrics;
   }
 
   start(kernel: Kernel): Promise<void> {
@@ -192,23 +199,37 @@
   }
 
   async #pullFrom(source: NewsSource, topic: NewsTopic): Promise<void> {
+    const progress: PeerCallProgress = { bytes: 0, tookMs: 0 };
     try {
       for (let i = 0; i < MAX_REQUESTS; i++) {
         const request = {
           matter: topic,
           ...this.#storeView.newsRequest(topic),
         };
-        const news: News = await this.#ask(source.ip, "news", request);
+        const news: News = await this.#ask(
+          source.ip,
+          "news",
+          request,
+          progress,
+        );
+        this.#noteTransfer(topic, progress);
         if (await this.#adopt(news, topic, source.id) !== "differs") return;
       }
     } catch (error) {
-      this.#noteUnanswered(source, topic, error);
+      this.#noteUnanswered(source, topic, progress, error);
     }
   }
 
   async #pullConfigFrom({ id, ip, configVersion }: NewsSource): Promise<void> {
+    const progress: PeerCallProgress = { bytes: 0, tookMs: 0 };
     try {
-      const news: ConfigNews | null = await this.#ask(ip, "config", {});
+      const news: ConfigNews | null = await this.#ask(
+        ip,
+        "config",
+        {},
+        progress,
+      );
+      this.#noteTransfer("config", progress);
       const version = configVersion!;
       if (news) {
         await this.#storeViewPort.ask("adoptConfig", {
@@ -218,66 +239,55 @@
         });
       }
     } catch (error) {
-      this.#noteUnanswered({ id }, "config", error);
+      this.#noteUnanswered({ id }, "config", progress, error);
     }
   }
 
   #noteUnanswered(
     { id }: Pick<NewsSource, "id">,
     topic: PulledTopic,
+    { bytes, tookMs }: PeerCallProgress,
     error: unknown,
   ): void {
     this.#log.warn("peer did not answer", {
       peer: id,
       matter: topic,
       reason: String(error),
+      bytes,
+      tookMs,
     });
   }
 
+  /** Records how long an answer took; a few bytes tell nothing of the links. */
+  #noteTransfer(topic: PulledTopic, { bytes, tookMs }: PeerCallProgress): void {
+    this.#metrics.recordTime("peer_answer", `matter="${topic}"`, tookMs);
+    if (bytes < LOGGED_ANSWER_BYTES) return;
+    this.#log.info("peer answered", { matter: topic, bytes, tookMs });
+  }
+
   async #ask<Answer>(
     ip: string,
     method: "news" | "config",
     params: object,
+    progress: PeerCallProgress,
   ): Promise<Answer> {
     const client = new JSONRPCClient(async (payload) => {
-      client.receive(
-        JSON.parse(await this.#post(ip, JSON.stringify(payload))),
-      );
-    });
-    // An answer that belongs to no question would otherwise keep this VM from ever asking again.
-    return await client.timeout(ANSWER_TIMEOUT_MS)
-      .request(method, params);
-  }
-
-  #adopt(news: News, topic: NewsTopic, from: string): Promise<AdoptOutcome> {
-    return this.#storeViewPort.ask("adopt", { matter: topic, news, from });
-  }
-
-  #post(ip: string, payload: string): Promise<string> {
-    return new Promise((resolve, reject) => {
-      const call = httpRequest({
+      const text = await callPeer({
         agent: this.#relays.agent(ip),
         host: ip,
         port: this.#relays.port,
-        method: "POST",
         path: RPC_PATH,
-        headers: {
-          "content-type": "application/json",
-          "content-length": Buffer.byteLength(payload),
-        },
-      });
-      const timer = this.#clock.after(
-        ANSWER_TIMEOUT_MS,
-        () => call.destroy(new Error("no answer in time")),
-      );
-      call.on("response", (answer) => {
-        readText(answer).then(resolve, reject).finally(() => timer.close());
-      });
-      call.on("error", (error) => {
-        timer.close();
-        reject(error);
-      });
-      call.end(payload);
+        payload: JSON.stringify(payload),
+        clock: this.#clock,
+      }, progress);
+      client.receive(JSON.parse(text));
+      // An answer that belongs to no question would otherwise keep this VM from ever asking again.
+      client.rejectAllPendingRequests("the answer is to no question");
     });
+    return await client.request(method, params);
+  }
+
+  #adopt(news: News, topic: NewsTopic, from: string): Promise<AdoptOutcome> {
+    return this.#storeViewPort.ask("adopt", { matter: topic, news, from });
   }
 }
--- a/src/gateway/peer_rpc_test.ts
+++ b/src/gateway/peer_rpc_test.ts
@@ -7,6 +7,7 @@
 import type { ReplicaStates } from "../region/mod.ts";
 import { openUnframedServer } from "../../test/unframed_server.ts";
 import type { Members } from "./members.ts";
+import { GatewayMetrics } from "./metrics.ts";
 import { PeerRpc } from "./peer_rpc.ts";
 import type { Relays } from "./relays.ts";
 import { Replica } from "./replica.ts";
@@ -38,7 +39,10 @@
   });
   const kernel = new Kernel(systemClock, SILENT_LOG);
   await kernel.start(view);
-  await kernel.start(new PeerRpc(view, members, relays, "north"));
+  const metrics = new GatewayMetrics();
+  await kernel.start(
+    new PeerRpc({ storeView: view, members, relays, metrics, region: "north" }),
+  );
   return { view, kernel };
 }
 
