--- a/src/base/mod.ts
+++ b/src/base/mod.ts
@@ -7,6 +7,7 @@
 
 export * from "./codes.ts";
 export * from "./clock.ts";
+export * from "./progress_timer.ts";
 export * from "./random.ts";
 export * from "./hash.ts";
 export * from "./backoff.ts";
--- a/src/gateway/peer_call.ts
+++ b/src/gateway/peer_call.ts
@@ -6,10 +6,12 @@
 
 import { type Agent, request } from "node:http";
 import { readText } from "../adapters/mod.ts";
-import type { Clock } from "../base/mod.ts";
+import { type Clock, ProgressTimer } from "../base/mod.ts";
 
-/** Timeout of a call; the next one may go to another VM. */
-const ANSWER_TIMEOUT_MS = 1_000;
+/** A VM that sends nothing for this long is given up; the next call may go to another one. */
+const MAX_IDLE_MS = 1_000;
+/** Longest call: a VM that has not sent a configuration by then has a link that is worse than those of others. */
+const MAX_CALL_MS = 10_000;
 
 /** A call to another VM. */
 export interface PeerCallOptions {
@@ -48,17 +50,24 @@
         "content-length": Buffer.byteLength(payload),
       },
     });
-    const timer = clock.after(
-      ANSWER_TIMEOUT_MS,
-      () => call.destroy(new Error("no answer in time")),
-    );
+    const timer = new ProgressTimer({
+      clock,
+      mostIdleMs: MAX_IDLE_MS,
+      mostMs: MAX_CALL_MS,
+      onStuck: () => call.destroy(new Error("no answer in time")),
+    });
     const settle = (run: () => void) => {
       timer.close();
       progress.tookMs = Math.round(clock.monoMs() - startedMs);
       run();
     };
     call.on("response", (answer) => {
-      readText(answer, (bytes) => progress.bytes += bytes).then(
+      timer.noteProgress();
+      const onBytes = (bytes: number) => {
+        timer.noteProgress();
+        progress.bytes += bytes;
+      };
+      readText(answer, onBytes).then(
         (text) => settle(() => resolve(text)),
         (error) => settle(() => reject(error)),
       );
--- a/src/gateway/peer_rpc.ts
+++ b/src/gateway/peer_rpc.ts
@@ -78,7 +78,8 @@
   #log!: Log;
   #clock!: Clock;
   #timer: Timer | undefined;
-  #isPulling = false;
+  /** Topics that are being pulled. */
+  readonly #pulling = new Set<PulledTopic>();
   /** Since when a VM of another region is ahead, by topic. */
   readonly #behindSinceMs = new Map<PulledTopic, number>();
 
@@ -123,7 +124,7 @@
   }
 
   dump(): unknown {
-    return { asking: this.#isPulling };
+    return { asking: [...this.#pulling] };
   }
 
   handle(request: IncomingMessage, response: ServerResponse): void {
@@ -137,32 +138,60 @@
     });
   }
 
-  /** Pulls each topic, and then a newer configuration in force, from a VM that is ahead, if there is one. */
+  /** Pulls each topic, and a newer configuration in force, from a VM that is ahead, if there is one. */
   async #pull(): Promise<void> {
-    if (this.#isPulling) return;
-    this.#isPulling = true;
-    try {
-      const sources = this.#members.newsSources();
-      this.#noteLeavingUpstreams(sources);
-      for (const { restoredAgoMs } of sources) {
-        if (restoredAgoMs !== undefined) {
-          this.#storeView.restores.noteHeard(restoredAgoMs);
-        }
-      }
-      for (const topic of NEWS_TOPICS) {
-        const ahead = sources.filter(({ copies, isServed }) =>
-          this.#storeView.notePeer(topic, copies[topic], isServed)
-        );
-        const source = this.#pickSource(topic, ahead);
-        if (source) await this.#pullFrom(source, topic);
+    const sources = this.#members.newsSources();
+    this.#noteLeavingUpstreams(sources);
+    for (const { restoredAgoMs } of sources) {
+      if (restoredAgoMs !== undefined) {
+        this.#storeView.restores.noteHeard(restoredAgoMs);
       }
-      const ahead = sources.filter(({ configVersion }) =>
-        this.#storeView.isNewerConfig(configVersion)
-      );
-      const source = this.#pickSource("config", ahead);
-      if (source) await this.#pullConfigFrom(source);
+    }
+    await Promise.all([
+      ...NEWS_TOPICS.map((topic) => this.#pullTopic(topic, sources)),
+      this.#pullConfig(sources),
+    ]);
+  }
+
+  async #pullTopic(
+    topic: NewsTopic,
+    sources: readonly NewsSource[],
+  ): Promise<void> {
+    const ahead = sources.filter(({ copies, isServed }) =>
+      this.#storeView.notePeer(topic, copies[topic], isServed)
+    );
+    await this.#pullOnce(
+      topic,
+      ahead,
+      (source) => this.#pullFrom(source, topic),
+    );
+  }
+
+  async #pullConfig(sources: readonly NewsSource[]): Promise<void> {
+    const ahead = sources.filter(({ configVersion }) =>
+      this.#storeView.isNewerConfig(configVersion)
+    );
+    await this.#pullOnce(
+      "config",
+      ahead,
+      (source) => this.#pullConfigFrom(source),
+    );
+  }
+
+  /** Pulls a topic unless that is under way: a slow transfer of one topic must not delay another topic. */
+  async #pullOnce(
+    topic: PulledTopic,
+    ahead: readonly NewsSource[],
+    pullFrom: (source: NewsSource) => Promise<void>,
+  ): Promise<void> {
+    if (this.#pulling.has(topic)) return;
+    const source = this.#pickSource(topic, ahead);
+    if (!source) return;
+    this.#pulling.add(topic);
+    try {
+      await pullFrom(source);
     } finally {
-      this.#isPulling = false;
+      this.#pulling.delete(topic);
     }
   }
 
--- a/src/gateway/peer_rpc_test.ts
+++ b/src/gateway/peer_rpc_test.ts
@@ -1,5 +1,7 @@
-import { createServer } from "node:http";
+import { createServer, type Server, type ServerResponse } from "node:http";
 import type { AddressInfo } from "node:net";
+import type { ExecutionContext } from "ava";
+import { type Entry, readText } from "../adapters/mod.ts";
 import { describe, it } from "../base/describe.ts";
 import { systemClock } from "../base/mod.ts";
 import { Kernel } from "../kernel/mod.ts";
@@ -11,11 +13,60 @@
 import { PeerRpc } from "./peer_rpc.ts";
 import type { Relays } from "./relays.ts";
 import { Replica } from "./replica.ts";
+import { upstreamContentOf } from "./upstream_content.ts";
 import { StoreView } from "./store_view.ts";
 
 const HOST = "127.0.0.1";
 const WAIT_MS = 10_000;
 const POLL_MS = 20;
+/** A slow link: an answer comes in so many parts, one after each pause. */
+const SLOW_PARTS = 25;
+const SLOW_PAUSE_MS = 100;
+
+const NO_COPY = { rev: 0, digest: "0" };
+
+/** Another VM's copy of the store. */
+function makePeer(
+  entries: readonly Entry[],
+  rev: number,
+  contentOf = ({ value }: Entry) => value,
+): Replica {
+  const peer = new Replica({
+    contentOf,
+    onPut: () => {},
+    onDelete: () => {},
+  });
+  peer.applyListing({ entries, rev, more: false });
+  return peer;
+}
+
+/** The answer of a VM with this copy to the first question of one that has nothing. */
+function answerTo(peer: Replica): string {
+  const news = peer.newsFor({ sinceRev: 0, heldHashes: {} });
+  return JSON.stringify({ jsonrpc: "2.0", id: 1, result: news });
+}
+
+async function sendSlowly(
+  response: ServerResponse,
+  text: string,
+): Promise<void> {
+  const partLength = Math.ceil(text.length / SLOW_PARTS);
+  for (let sent = 0; sent < text.length; sent += partLength) {
+    response.write(text.slice(sent, sent + partLength));
+    await systemClock.sleep(SLOW_PAUSE_MS);
+  }
+  response.end();
+}
+
+/** Opens a server until the end of the test. Gives its address as `IP:PORT`. */
+async function listenOn(t: ExecutionContext, server: Server): Promise<string> {
+  await new Promise<void>((resolve) => server.listen(0, HOST, resolve));
+  t.teardown(() => {
+    server.closeAllConnections();
+    server.close();
+  });
+  return `${HOST}:${(server.address() as AddressInfo).port}`;
+}
 
 /** Opens a VM that can read no store, and knows one other VM, which is ahead. */
 async function openPeerRpc(address: string, copies: ReplicaStates) {
@@ -55,15 +106,8 @@
 
 describe("peer calls", () => {
   it("take nothing from a part of an answer", async (t) => {
-    const peer = new Replica({
-      contentOf: ({ value }) => value,
-      onPut: () => {},
-      onDelete: () => {},
-    });
-    const entries = [{ key: "k/1", value: "{}", rev: 9 }];
-    peer.applyListing({ entries, rev: 9, more: false });
-    const news = peer.newsFor({ sinceRev: 0, heldHashes: {} });
-    const whole = JSON.stringify({ jsonrpc: "2.0", id: 1, result: news });
+    const peer = makePeer([{ key: "k/1", value: "{}", rev: 9 }], 9);
+    const whole = answerTo(peer);
     const half = whole.slice(0, whole.length / 2);
     const answers = ["", half, whole.slice(0, -1), whole];
     const held: number[] = [];
@@ -71,10 +115,7 @@
       held.push(view.copies.operators.rev);
       return { body: answers[Math.min(held.length, answers.length) - 1] };
     });
-    const copies = {
-      operators: peer.state,
-      upstreams: { rev: 0, digest: "0" },
-    };
+    const copies = { operators: peer.state, upstreams: NO_COPY };
     const { view, kernel } = await openPeerRpc(address, copies);
     await waitUntil(() => view.copies.operators.rev === 9);
     await kernel.close(systemClock.nowMs());
@@ -82,23 +123,55 @@
     t.deepEqual(view.copies.operators, peer.state);
   });
 
+  it("get a configuration whose transfer takes longer than a call without an answer may", async (t) => {
+    const entries = [{ key: "k/1", value: "v".repeat(50_000), rev: 9 }];
+    const peer = makePeer(entries, 9);
+    const server = createServer((request, response) => {
+      request.resume();
+      void sendSlowly(response, answerTo(peer));
+    });
+    const address = await listenOn(t, server);
+    const copies = { operators: peer.state, upstreams: NO_COPY };
+    const { view, kernel } = await openPeerRpc(address, copies);
+    await waitUntil(() => view.copies.operators.rev === 9);
+    await kernel.close(systemClock.nowMs());
+    t.deepEqual(view.copies.operators, peer.state);
+  });
+
+  it("get news of upstreams while a slow transfer of a configuration goes on", async (t) => {
+    const entry = { key: "k/1", value: "v".repeat(50_000), rev: 9 };
+    const operators = makePeer([entry], 9);
+    const upstreams = makePeer([entry], 9, upstreamContentOf);
+    const server = createServer((request, response) => {
+      void readText(request).then((question) => {
+        if (question.includes("upstreams")) response.end(answerTo(upstreams));
+        else void sendSlowly(response, answerTo(operators));
+      });
+    });
+    const address = await listenOn(t, server);
+    const copies = { operators: operators.state, upstreams: upstreams.state };
+    const { view, kernel } = await openPeerRpc(address, copies);
+    await waitUntil(() => view.copies.upstreams.rev === 9);
+    const operatorsRev = view.copies.operators.rev;
+    await kernel.close(systemClock.nowMs());
+    t.is(view.copies.upstreams.rev, 9);
+    t.is(operatorsRev, 0);
+  });
+
   it("go on after an answer that belongs to no question", async (t) => {
     let questions = 0;
     const peer = createServer((_request, response) => {
       questions++;
       response.end('{"jsonrpc":"2.0","id":null,"result":{}}');
     });
-    await new Promise<void>((resolve) => peer.listen(0, HOST, resolve));
     const copies = {
       operators: { rev: 9, digest: "other" },
-      upstreams: { rev: 0, digest: "0" },
+      upstreams: NO_COPY,
     };
-    const address = `${HOST}:${(peer.address() as AddressInfo).port}`;
+    const address = await listenOn(t, peer);
     const { kernel } = await openPeerRpc(address, copies);
     await waitUntil(() => questions >= 2);
     t.true(questions >= 2);
     await kernel.close(systemClock.nowMs());
-    peer.closeAllConnections();
-    peer.close();
   });
 });
