Long values are compressed on their way between VMs

Cause: each VM of a region gets the whole configuration from one of three others, whose links carry requests too: 375 kB for 1,450 routes. Change: a VM that says that it unpacks gets values of 2,000 characters and more compressed; each is compressed once for all that ask. VMs of earlier programs get and send them as before. Tests: news_wire_test; its bound is a region's share of a slow link within the time for a change. It failed before (nothing was packed).

--- a/src/gateway/peer_rpc.ts
+++ b/src/gateway/peer_rpc.ts
@@ -20,7 +20,14 @@
 import type { NewsTopic, StoreView, StoreViewMessages } from "./store_view.ts";
 import type { NewsSource } from "../region/mod.ts";
 import type { ConfigNews } from "./config_in_force.ts";
-import type { AdoptOutcome, News } from "./replica.ts";
+import {
+  NewsPacker,
+  type ReaderAbility,
+  type SentConfigNews,
+  type SentNews,
+  unpack,
+  unpackNews,
+} from "./news_wire.ts";
 import type { PeerRpcHandler } from "./http_listeners.ts";
 import type { Members } from "./members.ts";
 import type { GatewayMetrics } from "./metrics.ts";
@@ -50,6 +57,9 @@
 /** Questions to one VM in a row: for recent changes, and for all differences if those do not suffice. */
 const MAX_REQUESTS = 2;
 
+/** What this program tells the VMs that it asks. */
+const ABILITY: ReaderAbility = { unpacks: true };
+
 const NEWS_TOPICS: readonly NewsTopic[] = ["operators", "upstreams"];
 
 /** Options of {@link PeerRpc}. */
@@ -73,6 +83,7 @@
   readonly #metrics: GatewayMetrics;
   readonly #region: string;
   readonly #random = new Random(process.pid);
+  readonly #packer = new NewsPacker();
   protected readonly handlers: Handlers<Messages> = {};
   #storeViewPort!: TaskPort<StoreViewMessages>;
   #log!: Log;
@@ -100,13 +111,16 @@
     this.#storeViewPort = kernel.get<StoreViewMessages>("beliefs");
     this.#server.addMethod(
       "news",
-      (request: StoreViewMessages["news"]["in"]) =>
-        this.#storeViewPort.ask("news", request),
-    );
-    this.#server.addMethod(
-      "config",
-      () => this.#storeViewPort.ask("config", {}),
+      async (request: StoreViewMessages["news"]["in"] & ReaderAbility) =>
+        this.#packer.packNews(
+          await this.#storeViewPort.ask("news", request),
+          request,
+        ),
     );
+    this.#server.addMethod("config", async (request: ReaderAbility) => {
+      const news = await this.#storeViewPort.ask("config", {});
+      return news && this.#packer.pack(news, request);
+    });
     this.#server.addMethod("dump", () => kernel.dump());
     this.#server.addMethod(
       "clearSuspect",
@@ -234,15 +248,21 @@
         const request = {
           matter: topic,
           ...this.#storeView.newsRequest(topic),
+          ...ABILITY,
         };
-        const news: News = await this.#ask(
+        const news: SentNews = await this.#ask(
           source.ip,
           "news",
           request,
           progress,
         );
         this.#noteTransfer(topic, progress);
-        if (await this.#adopt(news, topic, source.id) !== "differs") return;
+        const outcome = await this.#storeViewPort.ask("adopt", {
+          matter: topic,
+          news: unpackNews(news),
+          from: source.id,
+        });
+        if (outcome !== "differs") return;
       }
     } catch (error) {
       this.#noteUnanswered(source, topic, progress, error);
@@ -252,17 +272,17 @@
   async #pullConfigFrom({ id, ip, configVersion }: NewsSource): Promise<void> {
     const progress: PeerCallProgress = { bytes: 0, tookMs: 0 };
     try {
-      const news: ConfigNews | null = await this.#ask(
+      const news: SentConfigNews | null = await this.#ask(
         ip,
         "config",
-        {},
+        ABILITY,
         progress,
       );
       this.#noteTransfer("config", progress);
       const version = configVersion!;
       if (news) {
         await this.#storeViewPort.ask("adoptConfig", {
-          news,
+          news: unpack<ConfigNews>(news),
           version,
           from: id,
         });
@@ -315,8 +335,4 @@
     });
     return await client.request(method, params);
   }
-
-  #adopt(news: News, topic: NewsTopic, from: string): Promise<AdoptOutcome> {
-    return this.#storeViewPort.ask("adopt", { matter: topic, news, from });
-  }
 }
