A listing of the store is read while it makes progress, however long that takes

What callers would see: a VM that starts while its link is busy has no configuration, and answers 503. Change: a call ends when nothing comes for 2 s (and the time that a poll waits), or after 10 s in all. Test: 'reads a listing that takes longer than a call without an answer may' failed before.

--- a/src/gateway/peer_rpc_test.ts
+++ b/src/gateway/peer_rpc_test.ts
@@ -1,12 +1,11 @@
-import { createServer, type Server, type ServerResponse } from "node:http";
-import type { AddressInfo } from "node:net";
-import type { ExecutionContext } from "ava";
+import { createServer } from "node:http";
 import { type Entry, readText } from "../adapters/mod.ts";
 import { describe, it } from "../base/describe.ts";
 import { systemClock } from "../base/mod.ts";
 import { Kernel } from "../kernel/mod.ts";
 import { SILENT_LOG } from "../../test/silent_log.ts";
 import type { ReplicaStates } from "../region/mod.ts";
+import { listenOn, sendSlowly } from "../../test/slow_server.ts";
 import { openUnframedServer } from "../../test/unframed_server.ts";
 import type { Members } from "./members.ts";
 import { GatewayMetrics } from "./metrics.ts";
@@ -16,12 +15,8 @@
 import { upstreamContentOf } from "./upstream_content.ts";
 import { StoreView } from "./store_view.ts";
 
-const HOST = "127.0.0.1";
 const WAIT_MS = 10_000;
 const POLL_MS = 20;
-/** A slow link: an answer comes in so many parts, one after each pause. */
-const SLOW_PARTS = 25;
-const SLOW_PAUSE_MS = 100;
 
 const NO_COPY = { rev: 0, digest: "0" };
 
@@ -46,28 +41,6 @@
   return JSON.stringify({ jsonrpc: "2.0", id: 1, result: news });
 }
 
-async function sendSlowly(
-  response: ServerResponse,
-  text: string,
-): Promise<void> {
-  const partLength = Math.ceil(text.length / SLOW_PARTS);
-  for (let sent = 0; sent < text.length; sent += partLength) {
-    response.write(text.slice(sent, sent + partLength));
-    await systemClock.sleep(SLOW_PAUSE_MS);
-  }
-  response.end();
-}
-
-/** Opens a server until the end of the test. Gives its address as `IP:PORT`. */
-async function listenOn(t: ExecutionContext, server: Server): Promise<string> {
-  await new Promise<void>((resolve) => server.listen(0, HOST, resolve));
-  t.teardown(() => {
-    server.closeAllConnections();
-    server.close();
-  });
-  return `${HOST}:${(server.address() as AddressInfo).port}`;
-}
-
 /** Opens a VM that can read no store, and knows one other VM, which is ahead. */
 async function openPeerRpc(address: string, copies: ReplicaStates) {
   const [ip, port] = address.split(":");
--- a/src/platform/store.ts
+++ b/src/platform/store.ts
@@ -19,6 +19,7 @@
   type Write,
 } from "../adapters/mod.ts";
 import { isNotSent } from "../adapters/not_sent.ts";
+import { ProgressTimer, systemClock } from "../base/mod.ts";
 import {
   decodeChanges,
   decodeConflict,
@@ -32,10 +33,12 @@
 } from "./store_wire.ts";
 
 /**
- * A call without an answer after this time counts as lost. The store usually answers in 4 ms; the timeout allows for
- * sixty times that, with a margin of a factor of eight.
+ * A call counts as lost after this time without an answer, or without more of it. The store usually answers in 4 ms; the
+ * timeout allows for sixty times that, with a margin of a factor of eight.
  */
-const CALL_TIMEOUT_MS = 2_000;
+const MAX_IDLE_MS = 2_000;
+/** Longest call: the largest values take a second over an idle slow link. */
+const MAX_CALL_MS = 10_000;
 /** How long one poll for changes may wait at the store; short, so that a silent connection is detected soon. */
 const WATCH_WAIT_MS = 3_000;
 /** Maximum connections; further concurrent calls wait for a free one. */
@@ -359,13 +362,15 @@
           "content-length": Buffer.byteLength(payload),
         },
       });
-      // A connection may stay silent forever; only this timeout detects that.
-      const timer = setTimeout(
-        () => call.destroy(new Error("no answer in time")),
-        CALL_TIMEOUT_MS + extraWaitMs,
-      );
+      // A connection may stay silent forever; only this timer detects that.
+      const timer = new ProgressTimer({
+        clock: systemClock,
+        mostIdleMs: MAX_IDLE_MS + extraWaitMs,
+        mostMs: MAX_CALL_MS + extraWaitMs,
+        onStuck: () => call.destroy(new Error("no answer in time")),
+      });
       const fail = (error: unknown) => {
-        clearTimeout(timer);
+        timer.close();
         resolve(
           err(
             storeError(
@@ -381,8 +386,8 @@
         if (generation !== undefined) {
           this.#generation = Math.max(this.#generation ?? 0, generation);
         }
-        readText(answer).then((text) => {
-          clearTimeout(timer);
+        readText(answer, () => timer.noteProgress()).then((text) => {
+          timer.close();
           resolve(
             ok({
               status: answer.statusCode ?? 0,
--- a/src/platform/store_test.ts
+++ b/src/platform/store_test.ts
@@ -1,6 +1,12 @@
+import { createServer } from "node:http";
 import type { ExecutionContext } from "ava";
 import type { Result } from "neverthrow";
 import { describe, it } from "../base/describe.ts";
+import {
+  listenOn,
+  sendSlowly,
+  SLOW_ANSWER_MS,
+} from "../../test/slow_server.ts";
 import {
   openUnframedServer,
   type UnframedAnswer,
@@ -104,4 +110,19 @@
     t.true((await store.keepAlive("77", "other")).isOk());
     t.true((await store.revoke("77", "other")).isOk());
   });
+
+  it("reads a listing that takes longer than a call without an answer may", async (t) => {
+    const item = { ...ITEM, value: btoa("v".repeat(50_000)) };
+    const body = { items: [item], more_pages: false, current_rev: 9 };
+    const server = createServer((request, response) => {
+      request.resume();
+      void sendSlowly(response, JSON.stringify(body));
+    });
+    const store = new PlatformKeyValue(await listenOn(t, server));
+    t.teardown(() => store.close());
+    const startedMs = performance.now();
+    const listing = await store.list("k/", {}, "other");
+    t.true(performance.now() - startedMs >= SLOW_ANSWER_MS);
+    t.is(listing._unsafeUnwrap().entries.length, 1);
+  });
 });
