A VM that can't know of a newer configuration refuses for now, not for good

What callers saw: 404 (401, 403) by an older version, after which they don't come back, at a VM that was behind or cut off; another VM would have served them. A refusal asked for no proof that the version is the newest one; only serving with a key did ('strictRevokeMs'). Whatever keeps a VM behind thus ends requests. Change: a VM that has not known for 3.9 s that its version is the newest one answers 503, not run, with 0.5 s to come back. A poll that finds no change takes 3 s, so a sound VM is never in doubt. Cost: a request for a route that does not exist gets 503 in place of 404 while the VM is in doubt. In the tests sound VMs (alone, or refused by the store alone, for 5 and 10 s) refuse for good throughout. Tests: gateway_unsure_test; 'is refused for now, not for good, by a VM that can't know of a newer configuration' failed before.

--- a/src/gateway/http_listeners.ts
+++ b/src/gateway/http_listeners.ts
@@ -36,6 +36,11 @@
 const CONFIG_CHECK_MS = 20;
 /** Retry delay at a VM without a configuration, which asks the store and other VMs several times a second. */
 const NO_CONFIG_RETRY_MS = 500;
+/**
+ * For so long after a VM last knew its configuration to be the newest it refuses by it for good. A poll of the store that
+ * finds no change takes 3 s and some way, so a VM that is alone in its region is this far behind at most.
+ */
+const MAX_UNSURE_MS = 3_900;
 /** Retry delay at a VM with too many open requests: as long as a usual answer takes. */
 const OVERLOAD_RETRY_MS = 400;
 /**
@@ -165,7 +170,7 @@
     }
     const route = config.match(head.host, head.target);
     if (!route) {
-      return this.#refuse(head, request, reply, failure("notFound"), 0);
+      return this.#refuseByConfig(head, request, reply, failure("notFound"));
     }
     const caller = this.#authenticate(config, route, head, request, reply);
     if (!caller) return;
@@ -284,10 +289,29 @@
       : failure("forbidden", {
         message: "workspace and route share no home region",
       });
-    this.#refuse(head, request, reply, cause, 0);
+    this.#refuseByConfig(head, request, reply, cause);
     return undefined;
   }
 
+  /**
+   * Refuses for good what the configuration does not allow. Callers don't come back after that, so a VM that can't rule
+   * out a newer configuration refuses for now: another VM may have it.
+   */
+  #refuseByConfig(
+    head: CallerHead,
+    request: IncomingMessage,
+    reply: Reply,
+    cause: Failure,
+  ): void {
+    const isSure = this.#context.storeView.agreedAgoMs("operators") <
+      MAX_UNSURE_MS;
+    if (isSure) return this.#refuse(head, request, reply, cause, 0);
+    const unsure = failure("noTable", {
+      message: `${cause.code}, unless there is a newer configuration`,
+    });
+    this.#refuse(head, request, reply, unsure, NO_CONFIG_RETRY_MS);
+  }
+
   /**
    * Whether the configuration is recent enough to rule out that a key was revoked. Operators who set `strictRevokeMs`
    * prefer a refused caller to one that is served with a revoked key.
