One call to the store is a file of its own

Change: store_call.ts has the call, its times and its errors; the log fields of a refusal are made where the configuration is held. Nothing else changes.

--- a/src/gateway/config_in_force.ts
+++ b/src/gateway/config_in_force.ts
@@ -78,11 +78,17 @@
     return this.#held?.config;
   }
 
-  /** How long the configuration has been in force here; `undefined` if there is none. */
-  get heldMs(): number | undefined {
-    if (!this.#held) return undefined;
-    const { clock } = this.#options;
-    return Math.round(clock.monoMs() - this.#held.heldSinceMonoMs);
+  /** What a log line of a refusal states, if the version was known to be the newest one `agreedAgoMs` ago. */
+  refusalFields(agreedAgoMs: number): Readonly<Record<string, unknown>> {
+    const nowMs = this.#options.clock.monoMs();
+    const sinceMs = this.#held?.heldSinceMonoMs;
+    return {
+      configVersion: this.config?.version,
+      configHeldMs: sinceMs && Math.round(nowMs - sinceMs),
+      configAgreedAgoMs: agreedAgoMs < Infinity
+        ? Math.round(agreedAgoMs)
+        : undefined,
+    };
   }
 
   /** What other VMs have to be told, as the store does not tell them: a version that is newer than its entry. */
--- a/src/gateway/store_view.ts
+++ b/src/gateway/store_view.ts
@@ -141,14 +141,7 @@
 
   /** What a log line of a refusal states of the configuration that decided it. */
   get configFields(): Readonly<Record<string, unknown>> {
-    const agreedAgoMs = this.agreedAgoMs("operators");
-    return {
-      configVersion: this.config?.version,
-      configHeldMs: this.#config.heldMs,
-      configAgreedAgoMs: agreedAgoMs < Infinity
-        ? Math.round(agreedAgoMs)
-        : undefined,
-    };
+    return this.#config.refusalFields(this.agreedAgoMs("operators"));
   }
 
   /** The version of the configuration that the store holds, as far as this VM knows; `undefined` if none can be read. */
--- a/src/platform/store.ts
+++ b/src/platform/store.ts
@@ -4,27 +4,29 @@
  * @module
  */
 
-import { Agent, request } from "node:http";
+import { Agent } from "node:http";
 import { err, ok, type Result } from "neverthrow";
 import {
   type Entry,
   KeyValue,
   type Listing,
   type PutOptions,
-  readText,
   type StoreError,
   type StorePurpose,
   type Watch,
   type WatchEvent,
   type Write,
 } from "../adapters/mod.ts";
-import { isNotSent } from "../adapters/not_sent.ts";
-import { ProgressTimer, systemClock } from "../base/mod.ts";
+import {
+  callStore,
+  storeError,
+  type StoreMethod,
+  type StoreResponse,
+} from "./store_call.ts";
 import {
   decodeChanges,
   decodeConflict,
   decodeEntry,
-  decodeGeneration,
   decodeLease,
   decodePage,
   decodeRevision,
@@ -32,13 +34,6 @@
   encodeWrites,
 } from "./store_wire.ts";
 
-/**
- * A call counts as lost after this time without an answer, or without more of it. The store usually answers in 4 ms; the
- * timeout allows for sixty times that, with a margin of a factor of eight.
- */
-const MAX_IDLE_MS = 2_000;
-/** Longest call: the largest values take a second over an idle slow link. */
-const MAX_CALL_MS = 10_000;
 /** How long one poll for changes may wait at the store; short, so that a silent connection is detected soon. */
 const WATCH_WAIT_MS = 3_000;
 /** Maximum connections; further concurrent calls wait for a free one. */
@@ -59,23 +54,6 @@
   readonly message: string;
 };
 
-interface StoreResponse {
-  readonly status: number;
-  /** `undefined` if there is none, as in an answer without a length whose connection broke early. */
-  readonly body: unknown;
-  /** `undefined` if the answer names none. */
-  readonly generation: number | undefined;
-}
-
-type Method = "GET" | "POST" | "DELETE";
-
-function storeError(
-  kind: "unavailable" | "lost" | "limited" | "leaseGone",
-  message: string,
-): StoreError {
-  return { kind, message };
-}
-
 const SHORT_ANSWER = storeError("lost", "the answer broke off");
 
 /** Client of the platform's store. `address` is `IP:PORT`. */
@@ -342,62 +320,24 @@
   }
 
   #call(
-    method: Method,
+    method: StoreMethod,
     path: string,
     body: unknown,
     purpose: StorePurpose,
     extraWaitMs = 0,
   ): Promise<Result<StoreResponse, StoreError>> {
     this.#counts[purpose]++;
-    const payload = body === undefined ? undefined : JSON.stringify(body);
-    return new Promise((resolve) => {
-      const call = request({
-        host: this.#host,
-        port: this.#port,
-        method,
-        path,
-        agent: this.#agent,
-        headers: payload === undefined ? {} : {
-          "content-type": "application/json",
-          "content-length": Buffer.byteLength(payload),
-        },
-      });
-      // A connection may stay silent forever; only this timer detects that.
-      const timer = new ProgressTimer({
-        clock: systemClock,
-        mostIdleMs: MAX_IDLE_MS + extraWaitMs,
-        mostMs: MAX_CALL_MS + extraWaitMs,
-        onStuck: () => call.destroy(new Error("no answer in time")),
-      });
-      const fail = (error: unknown) => {
-        timer.close();
-        resolve(
-          err(
-            storeError(
-              isNotSent(error) ? "unavailable" : "lost",
-              String(error),
-            ),
-          ),
-        );
-      };
-      call.on("error", fail);
-      call.on("response", (answer) => {
-        const generation = decodeGeneration(answer);
-        if (generation !== undefined) {
-          this.#generation = Math.max(this.#generation ?? 0, generation);
-        }
-        readText(answer, () => timer.noteProgress()).then((text) => {
-          timer.close();
-          resolve(
-            ok({
-              status: answer.statusCode ?? 0,
-              generation,
-              body: text === "" ? undefined : JSON.parse(text),
-            }),
-          );
-        }).catch(fail);
-      });
-      call.end(payload);
+    return callStore({
+      agent: this.#agent,
+      host: this.#host,
+      port: this.#port,
+      method,
+      path,
+      body,
+      extraWaitMs,
+      onGeneration: (generation) => {
+        this.#generation = Math.max(this.#generation ?? 0, generation);
+      },
     });
   }
 }
