Logs and metrics tell the way of each retry, which arrival it is and what the budget said

Change: 'sent again' has way, arrival, budgetLeft, budgetSharers; the end of a request that the budget held has budgetRefused; ibisgap_sent_again_total by way, ibisgap_retries_refused_total. No decision changes. Result: gateway_repeats_test (its first test now asks for budgetRefused too) and gateway_test green.

--- a/src/gateway/call.ts
+++ b/src/gateway/call.ts
@@ -6,7 +6,6 @@
 
 import { type CodeName, type Failure, failure } from "../base/mod.ts";
 import {
-  canRetry,
   chooseService,
   isRepeatable,
   type ServiceConfig,
@@ -23,6 +22,7 @@
 import { CallAnswer } from "./call_answer.ts";
 import { CallPlacement } from "./call_placement.ts";
 import { CallRecord } from "./call_record.ts";
+import { CallRetries, retryWayOf } from "./call_retries.ts";
 import { CallSends, type SendState } from "./call_sends.ts";
 import { CallSuspicion } from "./call_suspicion.ts";
 import type { GatewayContext } from "./context.ts";
@@ -40,8 +40,6 @@
  * before it sends a request, so that no upstream works for a caller that has left.
  */
 const HIGH_LAG_MS = 50;
-/** Maximum sends of one request, failed connects included. A failed connect to an upstream costs up to 250 ms. */
-const MAX_TRIES = 4;
 
 /** Runs one request of a caller, or one that another VM relayed. */
 export class Call {
@@ -52,6 +50,7 @@
   readonly #record: CallRecord;
   readonly #arrivedMs: number;
   readonly #placement: CallPlacement;
+  readonly #retries: CallRetries;
   readonly #sends: CallSends;
   readonly #suspicion: CallSuspicion;
   #body: Buffer = Buffer.alloc(0);
@@ -84,12 +83,21 @@
       this.#arrivedMs,
       this.#record,
     );
+    this.#retries = new CallRetries({
+      context,
+      input,
+      service: name,
+      placement: this.#placement,
+      record: this.#record,
+      reply,
+    });
     this.#sends = new CallSends({
       context,
       input,
       service: this.#service,
       placement: this.#placement,
       record: this.#record,
+      retries: this.#retries,
     });
     this.#answer = new CallAnswer({
       input,
@@ -278,10 +286,12 @@
 
   /** Discards a failed answer if another send is allowed and likely to be served. Returns whether it did. */
   #retryFailedAnswer({ answer, decoded }: Answered): boolean {
-    if (!this.#placement.hasRoomHere() || !this.#takeRetry(true)) return false;
+    const reason = `upstream answered ${decoded.status}`;
+    const isRetried = this.#placement.hasRoomHere() &&
+      this.#retries.take("failedAnswer", true, reason);
+    if (!isRetried) return false;
     answer.resume();
     this.#mayHaveRun = true;
-    this.#record.noteRetry(`upstream answered ${decoded.status}`);
     return true;
   }
 
@@ -299,9 +309,9 @@
     // A moved stream has run, even if its new engine refuses it.
     const mayHaveRun = head.mayHaveRun || this.#reply.hasStarted;
     this.#mayHaveRun ||= mayHaveRun;
-    if (!FINAL_CODES.has(head.failure.code) && this.#takeRetry(mayHaveRun)) {
-      return this.#record.noteRetry(head.reason);
-    }
+    const isFinal = FINAL_CODES.has(head.failure.code);
+    const way = retryWayOf(send, head);
+    if (!isFinal && this.#retries.take(way, mayHaveRun, head.reason)) return;
     this.#fail(
       this.#mayHaveRun && head.failure.ran === "no"
         ? failure("upstreamFailed")
@@ -315,33 +325,12 @@
   #handleBreak(reason: string): void {
     this.#mayHaveRun = true;
     const { relayed } = this.#input;
-    if (this.#answer.continuable && !relayed && this.#takeRetry(true)) {
-      return this.#record.noteRetry(reason);
-    }
+    const mayContinue = this.#answer.continuable && !relayed;
+    if (mayContinue && this.#retries.take("resumption", true, reason)) return;
     this.#finish("streamBroken", reason);
     this.#reply.abort();
   }
 
-  #takeRetry(mayHaveRun: boolean): boolean {
-    const { route } = this.#input;
-    const { clock, members } = this.#context;
-    const isAllowed = this.#record.tries < MAX_TRIES && canRetry({
-      isRepeatable: isRepeatable(route),
-      mayHaveRun,
-      sends: this.#record.sends,
-      mostUpstreams: this.#input.mostUpstreams,
-    });
-    if (!isAllowed) return false;
-    if (this.#reply.hasBody && !this.#placement.keepVersion()) return false;
-    // Until an upstream has received the request, another send is the first to arrive and takes nothing from the retry
-    // budget.
-    return this.#record.arrivals === 0 ||
-      this.#context.retryBudget(this.#service.name).tryTake(
-        clock.monoMs(),
-        members.vmCount(),
-      );
-  }
-
   #refuse(step: Step<LinkedCandidate> & { type: "refuse" }): void {
     if (step.reason === "expired") return this.#expire();
     this.#record.noteRefused(step);
--- a/src/gateway/call_record.ts
+++ b/src/gateway/call_record.ts
@@ -24,6 +24,31 @@
   readonly waitingTokens: number;
 }
 
+/** How a request goes to another place than the one it was sent to. */
+export type RetryWay =
+  /** After a failed answer of an upstream. */
+  | "failedAnswer"
+  /** After a refusal of an upstream, which says that it did not run the request. */
+  | "refused"
+  /** After a connection that broke, or an answer that did not come. */
+  | "lost"
+  /** After a VM of another region did not get it served. */
+  | "relayFailed"
+  /** A stream goes on at another upstream after a break. */
+  | "resumption"
+  /** A running stream moves to another upstream. */
+  | "move";
+
+/** What the retry budget said to one more send. */
+export interface BudgetAnswer {
+  /** Whether the send took from the budget; the first arrival at an upstream does not. */
+  readonly isCounted: boolean;
+  /** Retries that were left before, as a fraction. */
+  readonly left: number;
+  /** Number of VMs that the budget was taken to be shared by. */
+  readonly sharers: number;
+}
+
 /** Collects what happens to one request, and writes its log lines and metrics. */
 export class CallRecord {
   /** The upstream or VM that the request was last sent to. */
@@ -45,6 +70,7 @@
   #bodyFields: Readonly<Record<string, unknown>> = {};
   #suspicionFields: Readonly<Record<string, unknown>> = {};
   #originFields: Readonly<Record<string, unknown>> = {};
+  #budgetFields: Readonly<Record<string, unknown>> = {};
   readonly #context: GatewayContext;
   readonly #input: CallInput;
   readonly #service: string;
@@ -161,9 +187,24 @@
   }
 
   /** Notes that the request is sent again. */
-  noteRetry(reason: string): void {
-    this.#context.log.warn("sent again", this.#logFields({ reason }));
-    this.#context.metrics.count("sent_again", `service="${this.#service}"`);
+  noteRetry(reason: string, way: RetryWay, budget: BudgetAnswer): void {
+    const fields = {
+      reason,
+      way,
+      arrival: this.arrivals + 1,
+      ...shown(budget),
+    };
+    this.#context.log.warn("sent again", this.#logFields(fields));
+    const labels =
+      `service="${this.#service}",way="${way}",counted="${budget.isCounted}"`;
+    this.#context.metrics.count("sent_again", labels);
+  }
+
+  /** Notes that the retry budget allows no other send. */
+  noteRetryRefused(way: RetryWay, budget: BudgetAnswer): void {
+    this.#budgetFields = { budgetRefused: way, ...shown(budget) };
+    const labels = `service="${this.#service}",way="${way}"`;
+    this.#context.metrics.count("retries_refused", labels);
   }
 
   /** Logs a fault of this program. */
@@ -235,7 +276,12 @@
       ...this.#lossFields,
       ...this.#bodyFields,
       ...this.#refusalFields,
+      ...this.#budgetFields,
       ...more,
     };
   }
 }
+
+function shown({ left, sharers }: BudgetAnswer): Record<string, unknown> {
+  return { budgetLeft: left.toFixed(1), budgetSharers: sharers };
+}
--- /dev/null
+++ b/src/gateway/call_retries.ts
@@ -0,0 +1,91 @@
+/**
+ * Whether one request may be sent once more, to another upstream or region.
+ *
+ * @module
+ */
+
+import { canRetry, isRepeatable } from "../routing/mod.ts";
+import type { CallInput } from "./call_input.ts";
+import type { CallPlacement } from "./call_placement.ts";
+import type { BudgetAnswer, CallRecord, RetryWay } from "./call_record.ts";
+import type { GatewayContext } from "./context.ts";
+import { RelaySend } from "./relay_send.ts";
+import type { Reply } from "./reply.ts";
+import type { Send, Unanswered } from "./send.ts";
+
+/** Maximum sends of one request, failed connects included. A failed connect to an upstream costs up to 250 ms. */
+const MAX_TRIES = 4;
+
+/** Options of {@link CallRetries}. */
+export interface CallRetriesOptions {
+  readonly context: GatewayContext;
+  readonly input: CallInput;
+  /** Name of the service that runs the request. */
+  readonly service: string;
+  readonly placement: CallPlacement;
+  readonly record: CallRecord;
+  readonly reply: Reply;
+}
+
+/** Decides on the retries of one request, and takes them from the service's budget. */
+export class CallRetries {
+  readonly #options: CallRetriesOptions;
+
+  constructor(options: CallRetriesOptions) {
+    this.#options = options;
+  }
+
+  /** Whether the budget has a retry left. */
+  get isBudgetLeft(): boolean {
+    return this.#askBudget().left >= 1;
+  }
+
+  /** Takes one more send, for `reason`. Returns whether it is allowed. */
+  take(way: RetryWay, mayHaveRun: boolean, reason: string): boolean {
+    const { input, record, reply, placement } = this.#options;
+    const isAllowed = record.tries < MAX_TRIES && canRetry({
+      isRepeatable: isRepeatable(input.route),
+      mayHaveRun,
+      sends: record.sends,
+      mostUpstreams: input.mostUpstreams,
+    });
+    if (!isAllowed) return false;
+    if (reply.hasBody && !placement.keepVersion()) return false;
+    return this.#takeFromBudget(way, reason);
+  }
+
+  #takeFromBudget(way: RetryWay, reason: string): boolean {
+    const { context, record } = this.#options;
+    const answer = this.#askBudget();
+    if (answer.isCounted) {
+      if (!this.#budget.tryTake(context.clock.monoMs(), answer.sharers)) {
+        record.noteRetryRefused(way, answer);
+        return false;
+      }
+    }
+    record.noteRetry(reason, way, answer);
+    return true;
+  }
+
+  get #budget() {
+    const { context, service } = this.#options;
+    return context.retryBudget(service);
+  }
+
+  /**
+   * What the budget says. Until an upstream has received the request, another send is the first to arrive and takes
+   * nothing.
+   */
+  #askBudget(): BudgetAnswer {
+    const { context: { clock, members }, record } = this.#options;
+    const sharers = members.vmCount();
+    const left = this.#budget.left(clock.monoMs(), sharers);
+    return { isCounted: record.arrivals > 0, left, sharers };
+  }
+}
+
+/** How a request goes on whose send got no answer. */
+export function retryWayOf(send: Send, { mayHaveRun }: Unanswered): RetryWay {
+  if (send instanceof RelaySend) return "relayFailed";
+  return mayHaveRun ? "lost" : "refused";
+}
--- a/src/gateway/call_sends.ts
+++ b/src/gateway/call_sends.ts
@@ -14,6 +14,7 @@
 import type { CallInput } from "./call_input.ts";
 import type { CallPlacement } from "./call_placement.ts";
 import type { CallRecord } from "./call_record.ts";
+import type { CallRetries } from "./call_retries.ts";
 import type { GatewayContext } from "./context.ts";
 import { RelaySend } from "./relay_send.ts";
 import type { OutboundRequest, Send } from "./send.ts";
@@ -39,6 +40,7 @@
   readonly service: ServiceConfig;
   readonly placement: CallPlacement;
   readonly record: CallRecord;
+  readonly retries: CallRetries;
 }
 
 /** Opens the sends of one request. */
@@ -179,10 +181,8 @@
    * Whether giving up on a missing answer gains anything: there must be a free place, and a retry left in the budget.
    */
   #hasAlternative(): boolean {
-    const { context, service, placement } = this.#options;
-    const { clock, members } = context;
-    return context.retryBudget(service.name)
-      .canTake(clock.monoMs(), members.vmCount()) &&
+    const { placement, retries } = this.#options;
+    return retries.isBudgetLeft &&
       (placement.nextLocally().type === "relay" || placement.hasRoomHere());
   }
 }
--- a/src/routing/retry_budget.ts
+++ b/src/routing/retry_budget.ts
@@ -57,6 +57,11 @@
 
   /** Whether {@link RetryBudget.tryTake} would succeed. */
   canTake(nowMs: number, vmCount: number): boolean {
+    return this.left(nowMs, vmCount) >= 1;
+  }
+
+  /** Retries that are left, as a fraction; negative if the budget has shrunk below what was used. */
+  left(nowMs: number, vmCount: number): number {
     this.#bucket(nowMs);
     const { ratio, slack } = this.#limits;
     let requests = 0;
@@ -67,7 +72,7 @@
     }
     const allowed = USED_SHARE *
       (ratio * requests + slack / Math.max(1, vmCount));
-    return retries + 1 <= allowed;
+    return allowed - retries;
   }
 
   #bucket(nowMs: number): Bucket {
--- a/test/gateway_repeats_test.ts
+++ b/test/gateway_repeats_test.ts
@@ -40,6 +40,10 @@
         vm.log.lines.filter(({ event }) => event === "sent again").length,
         0,
       );
+      const end = vm.log.lines.find(({ fields }) =>
+        fields.outcome === "upstreamRefused"
+      );
+      t.is(end?.fields.budgetRefused, "refused");
     });
 
     // An upstream takes longer than usual for an idempotent call, and another one is free, but the retries of this
