A process that begins, or hears nobody, takes no part of the retry budget that may be used already

A bound over all VMs was kept by each process's own memory and its own belief of how many share it: a new process took its part of the slack again at once, and the whole while it heard nobody; a retry left the count up to a second before it left the window. Change: a process uses a twentieth of its part of the slack in its first window and all of it after; the part is that of the largest number of VMs known in the last ten minutes, or of 128 before it has heard any (SharerCount); a retry counts until its whole bucket has left the window; requests count for a retry as far as they do in every window that contains it. The sum of loads and the leads of another region moved to files with room.

--- a/src/gateway/call_retries.ts
+++ b/src/gateway/call_retries.ts
@@ -78,7 +78,7 @@
    */
   #askBudget(): BudgetAnswer {
     const { context: { clock, members }, record } = this.#options;
-    const sharers = members.vmCount();
+    const sharers = members.sharerCount();
     const left = this.#budget.left(clock.monoMs(), sharers);
     return { isCounted: record.arrivals > 0, left, sharers };
   }
--- a/src/gateway/context.ts
+++ b/src/gateway/context.ts
@@ -54,6 +54,7 @@
   endMonoMs = Infinity;
   /** Number of requests in flight. */
   openRequests = 0;
+  readonly #startMonoMs: number;
   readonly #retryBudgets = new Map<string, RetryBudget>();
 
   constructor(
@@ -89,6 +90,7 @@
     this.notices = parts.notices;
     this.suspects = parts.suspects;
     this.origins = parts.origins;
+    this.#startMonoMs = parts.clock.monoMs();
     this.startQueue = new StartQueue(parts.clock);
     this.bodies = new BodyMemory(
       parts.settings.vm.memoryMb * BYTES_PER_MB * BODY_MEMORY_SHARE,
@@ -105,7 +107,7 @@
         slack: repeatSlack,
         windowMs: repeatWindowMs,
       };
-      budget = new RetryBudget(limits);
+      budget = new RetryBudget(limits, this.#startMonoMs);
       this.#retryBudgets.set(service, budget);
     }
     return budget;
--- a/src/gateway/members.ts
+++ b/src/gateway/members.ts
@@ -31,6 +31,7 @@
   type Room,
   type Roster,
   type SeenOutcome,
+  sumBusiest,
   type VmLoad,
   type VmRecord,
   type VmState,
@@ -161,6 +162,7 @@
       order: this.#view.order,
       isLead: this.#view.isLead,
       vms: this.#view.vmCount,
+      sharers: this.sharerCount(),
       reporters: this.#view.known.reporters(this.#options.self.region, nowMs),
       regions: this.#view.known.remote.fresh(nowMs),
     };
@@ -228,6 +230,11 @@
     return this.#view.vmCount;
   }
 
+  /** Number of VMs among which limits for all of them are divided; see {@link SharerCount}. */
+  sharerCount(): number {
+    return this.#view.sharers.count;
+  }
+
   /** Time since a lead could rule out that there is a configuration newer than that of `copy`. */
   configAgeMs(copy: Report["copies"]["operators"]): number {
     return this.#view.known.configAgeMs(copy, this.#clock.monoMs());
@@ -353,16 +360,8 @@
   #sumRegionLoad(): Load {
     // When all VMs receive each other's reports, each one sums them itself.
     if (this.#view.hearsAll) return {};
-    const sums = new Map<string, [number, number]>();
-    for (const load of [this.loads.load, this.#options.load().load]) {
-      for (const [key, [running, waitingTokens]] of Object.entries(load)) {
-        const sum = sums.get(key) ?? [0, 0];
-        sums.set(key, [sum[0] + running, sum[1] + waitingTokens]);
-      }
-    }
-    const largest = [...sums].sort(([, a], [, b]) => b[0] - a[0])
-      .slice(0, MAX_ROSTER_LOADS);
-    return Object.fromEntries(largest);
+    const loads = [this.loads.load, this.#options.load().load];
+    return sumBusiest(loads, MAX_ROSTER_LOADS);
   }
 
   #onReport(report: Report | undefined): void {
--- a/src/region/known_vms.ts
+++ b/src/region/known_vms.ts
@@ -271,6 +271,14 @@
       .slice(0, LEAD_COUNT + STANDBY_COUNT);
   }
 
+  /** The leads of another region, or those of its VMs that report here if it has not told its leads. */
+  leadsOf(region: string, nowMs: number): readonly VmRecord[] {
+    const leads = this.remote.leads(region);
+    if (leads.length > 0) return leads;
+    const reporting = this.reporters(region, nowMs).map(toVmRecord);
+    return orderLeads(reporting).slice(0, LEAD_COUNT);
+  }
+
   /** VMs that may have newer changes of the store than this one. */
   newsSources(nowMs: number): NewsSource[] {
     const local: NewsSource[] = this.reporters(this.#self.region, nowMs);
--- a/src/region/load_tracker.ts
+++ b/src/region/load_tracker.ts
@@ -113,3 +113,16 @@
 function isOver({ grantedMs }: Grant, nowMs: number): boolean {
   return nowMs - grantedMs >= GRANT_TIMEOUT_MS;
 }
+
+/** Sums loads by upstream, and keeps the `most` upstreams with the most running requests. */
+export function sumBusiest(loads: readonly Load[], most: number): Load {
+  const sums = new Map<string, [number, number]>();
+  for (const load of loads) {
+    for (const [key, [running, waitingTokens]] of Object.entries(load)) {
+      const sum = sums.get(key) ?? [0, 0];
+      sums.set(key, [sum[0] + running, sum[1] + waitingTokens]);
+    }
+  }
+  const busiest = [...sums].sort(([, a], [, b]) => b[0] - a[0]).slice(0, most);
+  return Object.fromEntries(busiest);
+}
--- a/src/region/mod.ts
+++ b/src/region/mod.ts
@@ -15,3 +15,4 @@
 export * from "./origin_holders.ts";
 export * from "./origin_messages.ts";
 export * from "./origin_outbox.ts";
+export * from "./sharer_count.ts";
--- a/src/region/view.ts
+++ b/src/region/view.ts
@@ -20,14 +20,10 @@
   type Roster,
   type VmState,
 } from "./messages.ts";
-import {
-  countLeads,
-  LEAD_COUNT,
-  MAX_ALL_LEAD_VMS,
-  orderLeads,
-} from "./lead_order.ts";
+import { countLeads, LEAD_COUNT, MAX_ALL_LEAD_VMS } from "./lead_order.ts";
 import { digestEveryMs, reportEveryMs, rosterEveryMs } from "./intervals.ts";
 import { toVmRecord, type VmRecord } from "./record.ts";
+import { SharerCount } from "./sharer_count.ts";
 
 /** A change makes a roster due at once, but two rosters are at least this far apart. */
 const MIN_ROSTER_GAP_MS = 100;
@@ -76,6 +72,8 @@
 /** Tracks who leads the region and decides which messages are due. Times are of a monotonic clock. */
 export class RegionView {
   readonly known: KnownVms;
+  /** Among how many VMs limits for all of them are divided. */
+  readonly sharers: SharerCount;
   readonly #options: RegionViewOptions;
   readonly #self: VmRecord;
   /** When this VM began to report to each lead. */
@@ -98,6 +96,8 @@
     this.#options = options;
     this.#self = options.self;
     this.known = new KnownVms(options.self);
+    const hasOthers = options.seedIps.some((ip) => ip !== options.self.ip);
+    this.sharers = new SharerCount(hasOthers, nowMs);
     this.#lastTickMs = nowMs;
     this.#aloneSinceMs = nowMs;
     this.#order = [{
@@ -213,6 +213,7 @@
   /** Returns the messages that are due now. */
   tick(nowMs: number): DueMessage[] {
     this.#skipPause(nowMs);
+    this.sharers.note(this.vmCount, nowMs);
     this.known.dropStale(nowMs);
     this.#refreshOrder(nowMs);
     const due: DueMessage[] = [];
@@ -251,7 +252,7 @@
       copies,
       configVersion,
       restoredAgoMs,
-      yours: to === undefined ? [] : this.#leadsOf(to, nowMs),
+      yours: to === undefined ? [] : this.known.leadsOf(to, nowMs),
     };
   }
 
@@ -370,14 +371,6 @@
     return { type: "report", ips: [...ips] };
   }
 
-  #leadsOf(region: string, nowMs: number): readonly VmRecord[] {
-    const leads = this.known.remote.leads(region);
-    return leads.length > 0
-      ? leads
-      : orderLeads(this.known.reporters(region, nowMs).map(toVmRecord))
-        .slice(0, LEAD_COUNT);
-  }
-
   #refreshOrder(nowMs: number): void {
     this.#order = this.known.leadOrder(
       this.#options.state(),
