A relayed request counts once for the retry budget, where its caller sent it

What upstreams would see: retries of relayed requests up to twice the ratio. The VM that relays a request and the one that gets it both counted it as a request of theirs, so the ratio allowed it twice, though the second one hardly ever repeats. Change: the second one doesn't count it. 'ibisgap dump' shows what each budget counts.

--- a/src/gateway/call.ts
+++ b/src/gateway/call.ts
@@ -129,9 +129,12 @@
         this.#body = body.value;
         this.#suspicion.body = body.value;
         if (this.#mayBeStale) await this.#context.startQueue.waitTurn();
-        this.#context.retryBudget(this.#service.name).countRequest(
-          clock.monoMs(),
-        );
+        // A relayed request is counted where its caller sent it, and repeated there.
+        if (!this.#input.relayed) {
+          this.#context.retryBudget(this.#service.name).countRequest(
+            clock.monoMs(),
+          );
+        }
         await this.#serve();
       }
     } catch (error) {
--- a/src/gateway/context.ts
+++ b/src/gateway/context.ts
@@ -112,4 +112,13 @@
     }
     return budget;
   }
+
+  /** What the retry budgets count, by service. */
+  dumpRetryBudgets(): Record<string, unknown> {
+    const nowMs = this.clock.monoMs();
+    const rows = [...this.#retryBudgets].map((
+      [service, budget],
+    ) => [service, budget.dump(nowMs)]);
+    return Object.fromEntries(rows);
+  }
 }
--- a/src/gateway/http_listeners.ts
+++ b/src/gateway/http_listeners.ts
@@ -119,6 +119,7 @@
     return {
       open: this.#context.openRequests,
       leaving: this.#context.isDraining,
+      retryBudgets: this.#context.dumpRetryBudgets(),
     };
   }
 
--- a/src/routing/retry_budget.ts
+++ b/src/routing/retry_budget.ts
@@ -89,6 +89,18 @@
     return allowed - retries;
   }
 
+  /** What counts now. */
+  dump(nowMs: number): unknown {
+    this.#bucket(nowMs);
+    const sum = (read: (bucket: Bucket) => number) =>
+      this.#buckets.reduce((total, bucket) => total + read(bucket), 0);
+    return {
+      requests: sum(({ requests }) => requests),
+      retries: sum(({ retries }) => retries),
+      hasFullSlack: nowMs >= this.#fullFromMs,
+    };
+  }
+
   /** A retry counts for one bucket longer than a window: until its whole bucket has left it. */
   #bucket(nowMs: number): Bucket {
     const index = Math.floor(nowMs / this.#bucketMs);
--- a/test/gateway_repeats_test.ts
+++ b/test/gateway_repeats_test.ts
@@ -1,5 +1,19 @@
 import { describe, it } from "../src/base/describe.ts";
-import { openLab, waitUntil } from "./gateway_lab.ts";
+import {
+  GatewayLab,
+  type LabVm,
+  openLab,
+  waitUntil,
+  waitUntilServedBy,
+} from "./gateway_lab.ts";
+
+/** The requests for the lab's service that a VM's retry budget counts. */
+function countedRequests(vm: LabVm): number {
+  const { retryBudgets } = vm.gateway.dump().front as {
+    retryBudgets: Record<string, { requests: number }>;
+  };
+  return retryBudgets.s?.requests ?? 0;
+}
 
 describe("gateway", () => {
   describe("the retry budget", () => {
@@ -58,5 +72,24 @@
       for (const runner of lab.runners) runner.answerDelayMs = 500;
       t.is((await lab.call(vm, { path: "/safe/" })).status, 200);
     });
+
+    it("counts a relayed request once, at the VM that its caller asked", async (t) => {
+      const lab = new GatewayLab();
+      t.teardown(() => lab.close());
+      lab.configure();
+      const runner = await lab.addRunner("south");
+      const north = await lab.addVm("north");
+      const south = await lab.addVm("south");
+      await lab.waitUntilReady(north);
+      await lab.waitUntilReady(south);
+      await waitUntilServedBy(lab, north, runner.id);
+      const before = countedRequests(north);
+      for (let i = 0; i < 10; i++) {
+        const answer = await lab.call(north, { path: "/southsafe/" });
+        t.is(answer.status, 200);
+      }
+      t.is(countedRequests(north) - before, 10);
+      t.is(countedRequests(south), 0);
+    });
   });
 });
