A stream that moves takes a retry from the budget, and stays where it is if none is left

What upstreams would see: arrivals beyond the first of their request that no budget counts. All ways to a further upstream ask the budget but this one. Change: a move takes a retry before the engine is asked for it. A stream that was stopped in order to move goes on in any case. Test: 'does not move where no retry is left' failed before (1 arrival at the other engine).

--- a/src/gateway/call.ts
+++ b/src/gateway/call.ts
@@ -284,6 +284,7 @@
       send.candidate,
       pipe.events,
       () => this.#placement.candidatesExcept(send.candidate),
+      () => this.#retries.takeMove(),
     );
   };
 
--- a/src/gateway/call_retries.ts
+++ b/src/gateway/call_retries.ts
@@ -54,6 +54,11 @@
     return this.#takeFromBudget(way, reason);
   }
 
+  /** Takes the arrival of a running stream at one more engine. Returns whether it is allowed. */
+  takeMove(): boolean {
+    return this.#takeFromBudget("move", "its engine has too much to read");
+  }
+
   #takeFromBudget(way: RetryWay, reason: string): boolean {
     const { context, record } = this.#options;
     const answer = this.#askBudget();
--- a/src/gateway/stream_move.ts
+++ b/src/gateway/stream_move.ts
@@ -61,12 +61,14 @@
   }
 
   /**
-   * Checks whether a stream that has sent `events` so far is better off at one of `others`, and starts the move if so.
+   * Checks whether a stream that has sent `events` so far is better off at one of `others`, and starts the move if so and
+   * if `takeRetry` allows it: the stream's request arrives at one more engine.
    */
   considerMove(
     candidate: LinkedCandidate,
     events: number,
     others: () => readonly LinkedCandidate[],
+    takeRetry: () => boolean,
   ): void {
     const { pace, key } = candidate;
     if (!this.#engine?.moves || this.#pendingMove || this.#moves >= MAX_MOVES) {
@@ -87,7 +89,7 @@
       pace,
       this.#context.random.next(),
     );
-    if (!target) return;
+    if (!target || !takeRetry()) return;
     this.#context.log.info("stream moves", {
       attempt: this.#input.head.attemptId,
       from: key,
--- a/test/gateway_moves_test.ts
+++ b/test/gateway_moves_test.ts
@@ -12,6 +12,15 @@
     t.is(answer.body, WHOLE);
   });
 
+  it("does not move where no retry is left", async (t) => {
+    const { answer, idle } = await playMove(t, "connection", "whole", {
+      bounds: { repeatRatio: 0, repeatSlack: 0 },
+      deadlineMs: 6_000,
+    });
+    t.is(idle.requests.length, 0);
+    t.is(answer.body, WHOLE);
+  });
+
   for (
     const [framing, move] of [
       ["connection", "cut"],
--- a/test/moving_lab.ts
+++ b/test/moving_lab.ts
@@ -5,6 +5,7 @@
  */
 
 import type { Socket } from "node:net";
+import type { GatewaySettings } from "../src/gateway/mod.ts";
 import { formatStream, makeRoute } from "../src/standins/mod.ts";
 import { type CallerAnswer, GatewayLab, waitUntil } from "./gateway_lab.ts";
 import {
@@ -62,11 +63,18 @@
   };
 }
 
+/** What may differ between plays. */
+export interface MoveConditions {
+  readonly bounds?: Partial<GatewaySettings["bounds"]>;
+  readonly deadlineMs?: number;
+}
+
 /** Plays a stream whose engine is told to move it. Returns the caller's answer and the engine that it was to move to. */
 export async function playMove(
   t: { teardown(run: () => Promise<void>): void },
   framing: ScriptedFraming,
   move: MoveAnswer,
+  { bounds, deadlineMs = 30_000 }: MoveConditions = {},
 ): Promise<{
   readonly answer: CallerAnswer;
   readonly idle: ScriptedUpstream;
@@ -90,7 +98,7 @@
       },
     },
   );
-  const vm = await lab.addVm();
+  const vm = await lab.addVm("north", bounds);
   await lab.waitUntilReady(vm);
   const engine = await addScripted(t, lab, vm, movingEngine(framing, move));
   const outputTokens = TOKENS_PER_EVENT * MOVED_STREAM_EVENTS;
@@ -101,7 +109,7 @@
       headers: {
         "token-counts": `${promptTokens},${outputTokens}`,
         "prompt-prefix": `own${promptTokens}:${promptTokens}`,
-        "deadline-ms": "30000",
+        "deadline-ms": String(deadlineMs),
       },
     });
   const answer = send(600);
