A VM that hears no other sends nothing to cold upstreams while there may be others

What upstreams would see: a cold one gets requests from each VM that has just started, or is cut off alone, as each takes itself for the only one that may send there (rule FAILBACK). A cold upstream is cold for some seconds and others serve meanwhile.

--- a/src/gateway/other_loads.ts
+++ b/src/gateway/other_loads.ts
@@ -20,12 +20,16 @@
   readonly leads: readonly LeadRecord[];
   readonly loads: LoadTracker;
   readonly announcedLoad: Load;
+  /** Number of VMs in the region, silent ones included. */
+  readonly regionVmCount: number;
   reporters(): readonly Report[];
   roster(): Roster | undefined;
 }
 
 /** How long the roster and the list of VMs are cached; a request reads them several times for each upstream. */
 const REFRESH_MS = 25;
+/** A VM that has just started may not have heard the others yet. */
+const SETTLE_MS = 1_300;
 const NO_LOAD: UpstreamLoad = [0, 0];
 
 /** The load of the other VMs. A lead adds up the reports that it receives; other VMs use the latest roster. */
@@ -35,6 +39,7 @@
   #rosterLoad: Load | undefined;
   #coldVmIds: readonly string[] = [];
   #refreshedMonoMs = -Infinity;
+  #startMonoMs: number | undefined;
 
   constructor(region: RegionLoads, selfId: string) {
     this.#region = region;
@@ -52,7 +57,8 @@
 
   /**
    * Returns the VMs among which the owner of a cold upstream's rate is chosen: the first lead, which places the
-   * requests of all VMs, or every VM where each places its own.
+   * requests of all VMs, or every VM where each places its own. There is none for a VM that hears no other though there
+   * may be some: each of those would take itself for the owner.
    */
   coldVmIds(nowMs: number): readonly string[] {
     this.#refresh(nowMs);
@@ -64,9 +70,19 @@
     this.#refreshedMonoMs = nowMs;
     const { hearsAll, isLead, leads } = this.#region;
     this.#rosterLoad = isLead ? undefined : this.#region.roster()?.load;
-    const ids = hearsAll
+    const all = hearsAll
       ? [this.#selfId, ...this.#region.reporters().map(({ id }) => id)]
       : leads.slice(0, 1).map(({ id }) => id);
+    const ids = this.#mayMissOthers(nowMs) ? [] : all;
     if (ids.join() !== this.#coldVmIds.join()) this.#coldVmIds = ids;
   }
+
+  #mayMissOthers(nowMs: number): boolean {
+    this.#startMonoMs ??= nowMs;
+    const { regionVmCount } = this.#region;
+    const isHeard = this.#region.reporters().length > 0 ||
+      this.#region.roster() !== undefined;
+    if (isHeard) return false;
+    return regionVmCount > 1 || nowMs - this.#startMonoMs < SETTLE_MS;
+  }
 }
