--- a/src/gateway/quotas.ts
+++ b/src/gateway/quotas.ts
@@ -64,8 +64,6 @@
  * not heard of another lead yet.
  */
 const AUTHORITY_DELAY_MS = 750;
-/** Number of VMs that are assumed to share the limits while this VM has heard of no other since its start. */
-const ASSUMED_VM_COUNT = 128;
 /** Longest retry delay if this VM's local quota is used up: the caller should soon try another VM. */
 const MAX_LOCAL_WAIT_MS = 200;
 
@@ -82,7 +80,6 @@
   #firstLeadSinceMs: number | undefined;
   /** Share of the region's VMs that report to this one, itself included. */
   #heardShare = 1;
-  #vmCount = ASSUMED_VM_COUNT;
 
   constructor(options: QuotasOptions) {
     super();
@@ -90,8 +87,7 @@
   }
 
   start(kernel: Kernel): Promise<void> {
-    const { self, regions, slack, datagrams, storeView, hasOthers } =
-      this.#options;
+    const { self, regions, slack, datagrams, storeView } = this.#options;
     this.#clock = kernel.clock;
     const nowMs = this.#clock.monoMs();
     const limitOf = (workspace: string) =>
@@ -99,7 +95,6 @@
     this.#shares = new MovingShares(self.region, regions, nowMs);
     this.#regionQuota = new RegionQuota(this.#shares, limitOf, slack, nowMs);
     this.#localQuota = new LocalQuota(self.id, limitOf, slack, nowMs);
-    if (!hasOthers) this.#vmCount = 1;
     datagrams.on("shares", (params) => {
       const report = decodeShares(params);
       if (report) this.#shares.applyReport(report, this.#clock.monoMs());
@@ -128,7 +123,7 @@
     return {
       isAuthority: this.isAuthority,
       heard: this.#heardShare,
-      vms: this.#vmCount,
+      vms: this.#options.members.sharerCount(),
       workspaces: Object.fromEntries(
         this.#regionQuota.standbyRows(nowMs).map((
           { workspace, level },
@@ -155,7 +150,8 @@
   waitMs(use: QuotaUse): number {
     const nowMs = this.#clock.monoMs();
     if (!this.isAuthority) {
-      const waitMs = this.#localQuota.waitMs(use, this.#vmCount, nowMs);
+      const sharers = this.#options.members.sharerCount();
+      const waitMs = this.#localQuota.waitMs(use, sharers, nowMs);
       return Math.min(waitMs, MAX_LOCAL_WAIT_MS);
     }
     const waitMs = this.#regionQuota.waitMs(use, this.#heardShare, nowMs);
@@ -167,7 +163,8 @@
   take(use: QuotaUse): CountedBy {
     const nowMs = this.#clock.monoMs();
     if (!this.isAuthority) {
-      this.#localQuota.take(use, this.#vmCount, nowMs);
+      const sharers = this.#options.members.sharerCount();
+      this.#localQuota.take(use, sharers, nowMs);
       return "own";
     }
     this.#regionQuota.noteDemand(use, nowMs);
@@ -190,7 +187,6 @@
     const { members, self, hasOthers } = this.#options;
     const nowMs = this.#clock.monoMs();
     const vmCount = members.vmCount();
-    if (vmCount > 1) this.#vmCount = vmCount;
     const isFirstLead = members.leads[0]?.id === self.id &&
       (vmCount > 1 || !hasOthers);
     if (!isFirstLead) {
