Soak: arrivals beyond the first of their request are judged against the retry budget, by service, over all VMs, in any window

Change: judge_budget.ts, from what upstreams saw, refusals included. Refusals by an older version are judged already: every route of the soak is always there, so a 404 breaks DENIED.

--- a/soak/judge.ts
+++ b/soak/judge.ts
@@ -7,6 +7,7 @@
 import { DEFAULT_STREAM_EVENTS, formatStream } from "../src/standins/mod.ts";
 import { type Attempt, DEADLINE_MS } from "./callers.ts";
 import type { PartCall } from "./part_requests.ts";
+import { findBudgetBreaches } from "./judge_budget.ts";
 import { findCrashBreaches, findPartBreaches } from "./judge_crashes.ts";
 import { findNoticeBreaches } from "./judge_notices.ts";
 import { findVersionBreaches, type Upstream } from "./judge_versions.ts";
@@ -157,6 +158,7 @@
     this.#breaches.push(...findPartBreaches(this.#evidence));
     this.#breaches.push(...findNoticeBreaches(this.#evidence));
     this.#breaches.push(...findVersionBreaches(this.#evidence));
+    this.#breaches.push(...findBudgetBreaches(this.#evidence));
     this.#checkRecovery();
     this.#checkViews();
     return this.#breaches;
--- a/soak/world.ts
+++ b/soak/world.ts
@@ -17,6 +17,7 @@
 import type { VmLink } from "./plan.ts";
 import type { PartCall } from "./part_requests.ts";
 import { RunnerHost, type RunnerInstance } from "./runner_host.ts";
+import { BUDGET } from "./judge_budget.ts";
 import { VERSIONS } from "./stream_events.ts";
 
 /** Ports of a VM; all VMs use the same ports, as on the platform. */
@@ -321,9 +322,9 @@
       bounds: {
         graceMs: GRACE_MS,
         contactMs: 6_000,
-        repeatRatio: 0.2,
-        repeatSlack: 50,
-        repeatWindowMs: 10_000,
+        repeatRatio: BUDGET.ratio,
+        repeatSlack: BUDGET.slack,
+        repeatWindowMs: BUDGET.windowMs,
         quotaExcess: 0.1,
         quotaSlack: 1_000,
         quotaWindowMs: 8_000,
