--- a/src/gateway/peer_call.ts
+++ b/src/gateway/peer_call.ts
@@ -38,6 +38,7 @@
   progress: PeerCallProgress,
 ): Promise<string> {
   const startedMs = clock.monoMs();
+  progress.bytes = 0;
   return new Promise((resolve, reject) => {
     const call = request({
       agent,
