--- a/test/gateway_prompt_parts_test.ts
+++ b/test/gateway_prompt_parts_test.ts
@@ -48,6 +48,12 @@
     crashDelayMs: 400,
     fatalStart: "firstBytes",
   }],
+  ["idempotent calls, crash before the head, after 40 ms, two regions", {
+    path: "/safe/",
+    crashDelayMs: 40,
+    fatalStart: "nothing",
+    regions: TWO_REGIONS,
+  }],
   ["ten a second, two regions", { deadlyPerS: 10, regions: TWO_REGIONS }],
   ["one a second", { deadlyPerS: 1, forMs: 12_000 }],
   ["one VM", { regions: ["north"] }],
