Tests of lag and of pauses share one clock that stalls

Cause: the same class stood in both files under two names. Change: test/stalling_clock.ts; no check changed.

--- a/src/base/lag_detector_test.ts
+++ b/src/base/lag_detector_test.ts
@@ -1,23 +1,6 @@
 import { describe, it } from "./describe.ts";
-import { Clock, LagDetector, ManualClock, type Timer } from "./mod.ts";
-
-/** A clock whose time can pass while its timers don't run, as in a process without a processor. */
-class StallingClock extends Clock {
-  readonly inner = new ManualClock(0);
-  stalledMs = 0;
-  nowMs(): number {
-    return this.inner.nowMs() + this.stalledMs;
-  }
-  monoMs(): number {
-    return this.nowMs();
-  }
-  after(delayMs: number, run: () => void): Timer {
-    return this.inner.after(delayMs, run);
-  }
-  every(periodMs: number, run: () => void): Timer {
-    return this.inner.every(periodMs, run);
-  }
-}
+import { LagDetector } from "./mod.ts";
+import { StallingClock } from "../../test/stalling_clock.ts";
 
 describe("lag detector", () => {
   it("reports no lag while timers run on time", async (t) => {
