--- a/src/routing/retry_budget.ts
+++ b/src/routing/retry_budget.ts
@@ -51,7 +51,7 @@
   /** `startMs` is when this process began, on the clock of all other times. */
   constructor(limits: RetryBudgetLimits, startMs: number) {
     this.#limits = limits;
-    this.#bucketMs = limits.windowMs / BUCKETS;
+    this.#bucketMs = Math.max(1, limits.windowMs / BUCKETS);
     this.#fullFromMs = startMs + limits.windowMs;
   }
 
