Own interface: a call to the store lasts while something of its answer comes

What operators would see: a daemon whose link is slow never lists a large table. Change: 2 s without progress (the socket's timeout), 10 s in all. Test: platform_client_test; its first test failed before.

--- a/src/adapters/platform_client.ts
+++ b/src/adapters/platform_client.ts
@@ -11,13 +11,16 @@
 import { isNotSent } from "./not_sent.ts";
 import type { StoreError } from "./key_value.ts";
 
+/** Longest call, in timeouts: a listing takes as long as its length and the link demand. */
+const MAX_CALL_TIMEOUTS = 5;
+
 /** Options of a {@link PlatformClient}. */
 export interface PlatformOptions {
   /** Base URLs; the next one is tried when no connection can be made. */
   readonly urls: readonly string[];
   /** The id of the calling VM, sent as `user-agent: ibisgapd/<vmId>`. */
   readonly vmId: string;
-  /** The maximum duration of one call; 2000 by default. */
+  /** The longest time in which nothing of an answer comes; 2000 by default. */
   readonly timeoutMs?: number;
 }
 
@@ -46,7 +49,11 @@
       retry: { limit: 0 },
       throwHttpErrors: false,
       followRedirect: false,
-      timeout: { connect: timeoutMs / 2, request: timeoutMs },
+      timeout: {
+        connect: timeoutMs / 2,
+        socket: timeoutMs,
+        request: MAX_CALL_TIMEOUTS * timeoutMs,
+      },
     });
   }
 
--- /dev/null
+++ b/src/adapters/platform_client_test.ts
@@ -0,0 +1,45 @@
+import { createServer } from "node:http";
+import { describe, it } from "../base/describe.ts";
+import {
+  listenOn,
+  sendSlowly,
+  SLOW_ANSWER_MS,
+} from "../../test/slow_server.ts";
+import { PlatformClient } from "./mod.ts";
+
+const TIMEOUT_MS = 1_000;
+
+describe("a call to the platform", () => {
+  it("gets an answer that takes longer than a call without an answer may", async (t) => {
+    const entries = Array.from({ length: 5_000 }, (_, i) => i);
+    const server = createServer((_request, response) => {
+      void sendSlowly(response, JSON.stringify(entries));
+    });
+    const url = `http://${await listenOn(t, server)}`;
+    const client = new PlatformClient({
+      urls: [url],
+      vmId: "vm",
+      timeoutMs: TIMEOUT_MS,
+    });
+    t.teardown(() => client.close());
+    const startedMs = performance.now();
+    const answer = await client.call("GET", "/list");
+    t.true(performance.now() - startedMs >= SLOW_ANSWER_MS);
+    t.deepEqual(answer._unsafeUnwrap().body, entries);
+  });
+
+  it("is given up where no answer comes", async (t) => {
+    const server = createServer(() => {});
+    const url = `http://${await listenOn(t, server)}`;
+    const client = new PlatformClient({
+      urls: [url],
+      vmId: "vm",
+      timeoutMs: TIMEOUT_MS,
+    });
+    t.teardown(() => client.close());
+    const startedMs = performance.now();
+    const answer = await client.call("GET", "/list");
+    t.is(answer._unsafeUnwrapErr().kind, "lost");
+    t.true(performance.now() - startedMs < 4 * TIMEOUT_MS);
+  });
+});
