--- a/src/gateway/call_record.ts
+++ b/src/gateway/call_record.ts
@@ -192,7 +192,7 @@
       reason,
       way,
       arrival: this.arrivals + 1,
-      ...shown(budget),
+      ...budgetLogFields(budget),
     };
     this.#context.log.warn("sent again", this.#logFields(fields));
     const labels =
@@ -202,7 +202,7 @@
 
   /** Notes that the retry budget allows no other send. */
   noteRetryRefused(way: RetryWay, budget: BudgetAnswer): void {
-    this.#budgetFields = { budgetRefused: way, ...shown(budget) };
+    this.#budgetFields = { budgetRefused: way, ...budgetLogFields(budget) };
     const labels = `service="${this.#service}",way="${way}"`;
     this.#context.metrics.count("retries_refused", labels);
   }
@@ -282,6 +282,9 @@
   }
 }
 
-function shown({ left, sharers }: BudgetAnswer): Record<string, unknown> {
+/** What a log line states of the retry budget. */
+function budgetLogFields(
+  { left, sharers }: BudgetAnswer,
+): Record<string, unknown> {
   return { budgetLeft: left.toFixed(1), budgetSharers: sharers };
 }
--- a/src/gateway/call_retries.ts
+++ b/src/gateway/call_retries.ts
@@ -62,14 +62,11 @@
   #takeFromBudget(way: RetryWay, reason: string): boolean {
     const { context, record } = this.#options;
     const answer = this.#askBudget();
-    if (answer.isCounted) {
-      if (!this.#budget.tryTake(context.clock.monoMs(), answer.sharers)) {
-        record.noteRetryRefused(way, answer);
-        return false;
-      }
-    }
-    record.noteRetry(reason, way, answer);
-    return true;
+    const isAllowed = !answer.isCounted ||
+      this.#budget.tryTake(context.clock.monoMs(), answer.sharers);
+    if (isAllowed) record.noteRetry(reason, way, answer);
+    else record.noteRetryRefused(way, answer);
+    return isAllowed;
   }
 
   get #budget() {
--- a/src/gateway/news_wire.ts
+++ b/src/gateway/news_wire.ts
@@ -13,7 +13,7 @@
 /** Shorter values gain nothing. */
 const MIN_PACKED_LENGTH = 2_000;
 /** Routes resemble each other so much that the fastest level gains most of what there is to gain. */
-const LEVEL = 1;
+const GZIP_LEVEL = 1;
 /** Largest value that is unpacked; the store's own limit is far lower. */
 const MAX_VALUE_BYTES = 64_000_000;
 
@@ -60,7 +60,9 @@
     const { value, ...rest } = held;
     if (!unpacks || value.length < MIN_PACKED_LENGTH) return held;
     if (value !== this.#lastValue) {
-      this.#lastPacked = gzipSync(value, { level: LEVEL }).toString("base64");
+      this.#lastPacked = gzipSync(value, { level: GZIP_LEVEL }).toString(
+        "base64",
+      );
       this.#lastValue = value;
     }
     return { ...rest, packed: this.#lastPacked };
