--- a/src/adapters/platform_client_test.ts
+++ b/src/adapters/platform_client_test.ts
@@ -1,4 +1,5 @@
-import { createServer } from "node:http";
+import { createServer, type Server } from "node:http";
+import type { ExecutionContext } from "ava";
 import { describe, it } from "../base/describe.ts";
 import {
   listenOn,
@@ -9,19 +10,28 @@
 
 const TIMEOUT_MS = 1_000;
 
+/** Opens a client of a server, until the end of the test. */
+async function openClient(
+  t: ExecutionContext,
+  server: Server,
+): Promise<PlatformClient> {
+  const url = `http://${await listenOn(t, server)}`;
+  const client = new PlatformClient({
+    urls: [url],
+    vmId: "vm",
+    timeoutMs: TIMEOUT_MS,
+  });
+  t.teardown(() => client.close());
+  return client;
+}
+
 describe("a call to the platform", () => {
   it("gets an answer that takes longer than a call without an answer may", async (t) => {
     const entries = Array.from({ length: 5_000 }, (_, i) => i);
     const server = createServer((_request, response) => {
       void sendSlowly(response, JSON.stringify(entries));
     });
-    const url = `http://${await listenOn(t, server)}`;
-    const client = new PlatformClient({
-      urls: [url],
-      vmId: "vm",
-      timeoutMs: TIMEOUT_MS,
-    });
-    t.teardown(() => client.close());
+    const client = await openClient(t, server);
     const startedMs = performance.now();
     const answer = await client.call("GET", "/list");
     t.true(performance.now() - startedMs >= SLOW_ANSWER_MS);
@@ -30,13 +40,7 @@
 
   it("is given up where no answer comes", async (t) => {
     const server = createServer(() => {});
-    const url = `http://${await listenOn(t, server)}`;
-    const client = new PlatformClient({
-      urls: [url],
-      vmId: "vm",
-      timeoutMs: TIMEOUT_MS,
-    });
-    t.teardown(() => client.close());
+    const client = await openClient(t, server);
     const startedMs = performance.now();
     const answer = await client.call("GET", "/list");
     t.is(answer._unsafeUnwrapErr().kind, "lost");
