Labs can see the retry budget break again: slack of 50, counted at upstreams through starts

Cause: raised the labs' slack to 1,000, as a VM that has just started uses a twentieth of it; since then no lab could see more retries than the budget allows. Change: the slack is 50 again; a lab's VMs have run for a window when they open, by an explicit option of the lab and of Gateway.open, which tests of starts set to 0. The judge takes only what it needs of the evidence, so two casts are gone.

--- a/soak/judge_budget.ts
+++ b/soak/judge_budget.ts
@@ -5,13 +5,28 @@
  */
 
 import type { Attempt } from "./callers.ts";
-import type { Breach, Evidence } from "./judge.ts";
+import type { Arrival, Breach, Evidence, Refusal } from "./judge.ts";
+import type { Upstream } from "./judge_versions.ts";
 
 /** The retry budget of each service in the world's settings, for all VMs together. */
 export const BUDGET = { ratio: 0.2, slack: 50, windowMs: 10_000 } as const;
 /** The service that runs all kinds of requests but idempotent calls. */
 const MAIN_SERVICE = "s";
 
+/** What this judge needs of the {@link Evidence} of a run. */
+export interface BudgetEvidence extends Pick<Evidence, "configs"> {
+  readonly attempts: readonly Pick<Attempt, "id" | "kind" | "sentMs">[];
+  readonly arrivals: readonly Pick<
+    Arrival,
+    "attemptId" | "arrivedMs" | "service"
+  >[];
+  readonly refusals: readonly Pick<
+    Refusal,
+    "attemptId" | "refusedMs" | "runnerId"
+  >[];
+  readonly upstreams: readonly Pick<Upstream, "id" | "service">[];
+}
+
 /** A request's arrival at an upstream, whether or not that ran it. */
 interface AnyArrival {
   readonly attemptId: string;
@@ -20,7 +35,7 @@
 }
 
 /** Finds windows in which a service got more arrivals beyond the first of their request than the budget allows. */
-export function findBudgetBreaches(evidence: Evidence): Breach[] {
+export function findBudgetBreaches(evidence: BudgetEvidence): Breach[] {
   const arrivals = allArrivals(evidence);
   const services = new Set(arrivals.map(({ service }) => service));
   return [...services].flatMap((service) =>
@@ -33,7 +48,7 @@
 }
 
 function allArrivals(
-  { arrivals, refusals, upstreams }: Evidence,
+  { arrivals, refusals, upstreams }: BudgetEvidence,
 ): AnyArrival[] {
   const serviceOf = new Map(upstreams.map(({ id, service }) => [id, service]));
   const run = arrivals.map(({ attemptId, arrivedMs, service }) => ({
@@ -51,10 +66,10 @@
 
 /** When the requests for a service were sent, whether or not they arrived. */
 function requestTimes(
-  { attempts, configs }: Evidence,
+  { attempts, configs }: BudgetEvidence,
   service: string,
 ): number[] {
-  const serviceOf = ({ kind, sentMs }: Attempt) =>
+  const serviceOf = ({ kind, sentMs }: Pick<Attempt, "kind" | "sentMs">) =>
     kind === "safe"
       ? configs.findLast(({ sinceMs }) => sinceMs <= sentMs)?.plainService
       : MAIN_SERVICE;
--- a/soak/judge_budget_test.ts
+++ b/soak/judge_budget_test.ts
@@ -1,17 +1,20 @@
 import { describe, it } from "../src/base/describe.ts";
-import { BUDGET, findBudgetBreaches } from "./judge_budget.ts";
-import type { Evidence } from "./judge.ts";
+import {
+  BUDGET,
+  type BudgetEvidence,
+  findBudgetBreaches,
+} from "./judge_budget.ts";
 
 const REQUESTS = 100;
 const EVERY_MS = 100;
 const ALLOWED = BUDGET.ratio * REQUESTS + BUDGET.slack;
 
 /** A run of 10 s in which so many requests arrive at a second upstream, refused there or not. */
-function evidenceOf(repeated: number, isRefused: boolean): Evidence {
+function evidenceOf(repeated: number, isRefused: boolean): BudgetEvidence {
   const times = Array.from({ length: REQUESTS }, (_, i) => i * EVERY_MS);
   const attempts = times.map((sentMs, i) => ({
     id: `a${i}`,
-    kind: "once",
+    kind: "once" as const,
     sentMs,
   }));
   const first = times.map((arrivedMs, i) => ({
@@ -32,7 +35,7 @@
       : [],
     upstreams: [{ id: "i-1", service: "s" }],
     configs: [{ sinceMs: 0, plainService: "s" }],
-  } as unknown as Evidence;
+  };
 }
 
 describe("the soak's judge of retries", () => {
--- a/src/gateway/context.ts
+++ b/src/gateway/context.ts
@@ -54,7 +54,8 @@
   endMonoMs = Infinity;
   /** Number of requests in flight. */
   openRequests = 0;
-  readonly #startMonoMs: number;
+  /** When the process began, on the monotonic clock. */
+  readonly startMonoMs: number;
   readonly #retryBudgets = new Map<string, RetryBudget>();
 
   constructor(
@@ -62,6 +63,7 @@
       GatewayContext,
       | "settings"
       | "clock"
+      | "startMonoMs"
       | "log"
       | "storeView"
       | "members"
@@ -90,7 +92,7 @@
     this.notices = parts.notices;
     this.suspects = parts.suspects;
     this.origins = parts.origins;
-    this.#startMonoMs = parts.clock.monoMs();
+    this.startMonoMs = parts.startMonoMs;
     this.startQueue = new StartQueue(parts.clock);
     this.bodies = new BodyMemory(
       parts.settings.vm.memoryMb * BYTES_PER_MB * BODY_MEMORY_SHARE,
@@ -107,7 +109,7 @@
         slack: repeatSlack,
         windowMs: repeatWindowMs,
       };
-      budget = new RetryBudget(limits, this.#startMonoMs);
+      budget = new RetryBudget(limits, this.startMonoMs);
       this.#retryBudgets.set(service, budget);
     }
     return budget;
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -41,6 +41,16 @@
 /** Shown by the metrics where there is no configuration. */
 const NO_VERSION = -1;
 
+/** Options of {@link Gateway.open}. */
+export interface GatewayOptions {
+  readonly clock?: Clock;
+  /**
+   * When the process began, on the monotonic clock; now if absent. What the process before it used of limits that all VMs
+   * share counts for a window from then on.
+   */
+  readonly startMonoMs?: number;
+}
+
 /** A running gateway. */
 export class Gateway {
   readonly #kernel: Kernel;
@@ -67,7 +77,7 @@
   static async open(
     settings: GatewaySettings,
     log: Log,
-    clock: Clock = systemClock,
+    { clock = systemClock, startMonoMs = clock.monoMs() }: GatewayOptions = {},
   ): Promise<Gateway> {
     const { vm } = settings;
     const kernel = new Kernel(clock, log);
@@ -203,6 +213,7 @@
     const context = new GatewayContext({
       settings,
       clock,
+      startMonoMs,
       log,
       storeView,
       members,
--- a/test/gateway_lab.ts
+++ b/test/gateway_lab.ts
@@ -42,6 +42,8 @@
 
 /** Maximum number of VMs in one lab; each lab reserves as many addresses. */
 const MAX_VMS = 6;
+/** Window in which retries are counted. */
+const REPEAT_WINDOW_MS = 10_000;
 let labCount = 0;
 
 /** The routes that most tests use. */
@@ -62,6 +64,12 @@
   }),
 ];
 
+/** Options of {@link GatewayLab}. */
+export interface LabOptions {
+  /** How long a VM has run when it opens: a window of the retry budget, if absent. Tests of starts set 0. */
+  readonly startedAgoMs?: number;
+}
+
 /** One VM of a lab. */
 export interface LabVm {
   readonly gateway: Gateway;
@@ -76,9 +84,14 @@
   readonly vms: LabVm[] = [];
   readonly #addressBlock = labCount++;
   readonly #agent = new Agent({ keepAlive: true });
+  readonly #startedAgoMs: number;
   #configVersion = 0;
   #vmCount = 0;
 
+  constructor({ startedAgoMs = REPEAT_WINDOW_MS }: LabOptions = {}) {
+    this.#startedAgoMs = startedAgoMs;
+  }
+
   /** The version that was written last. */
   get configVersion(): number {
     return this.#configVersion;
@@ -164,20 +177,21 @@
         graceMs: 3_000,
         contactMs: 6_000,
         repeatRatio: 0.2,
-        // Much, as a VM that has just started may use only a small part of it.
-        repeatSlack: 1_000,
-        repeatWindowMs: 10_000,
+        repeatSlack: 50,
+        repeatWindowMs: REPEAT_WINDOW_MS,
         quotaExcess: 0.1,
         quotaSlack: 1_000,
         quotaWindowMs: 8_000,
         ...bounds,
       },
     };
-    const log = new MemoryLog(settings.vm.id);
-    const gateway = await Gateway.open(settings, log);
-    const vm = { gateway, log, settings };
-    this.vms.push(vm);
-    return vm;
+    return await this.#open(settings);
+  }
+
+  /** Ends a VM's process and begins another one in its place, with the same identity and addresses. */
+  async restartVm(vm: LabVm): Promise<LabVm> {
+    await this.closeVm(vm);
+    return await this.#open(vm.settings);
   }
 
   /** Ends a VM for good. */
@@ -223,6 +237,15 @@
     await this.store.close();
   }
 
+  async #open(settings: GatewaySettings): Promise<LabVm> {
+    const log = new MemoryLog(settings.vm.id);
+    const startMonoMs = performance.now() - this.#startedAgoMs;
+    const gateway = await Gateway.open(settings, log, { startMonoMs });
+    const vm = { gateway, log, settings };
+    this.vms.push(vm);
+    return vm;
+  }
+
   #send(
     address: string,
     { path, method = "GET", headers, body, abortWhen, isHeadOnly }:
