413 and 431 by a limit that may be an older one are refusals for now

What callers saw: 413 or 431 by the limits of an older configuration, after which they don't come back, at a VM that was behind or cut off; another VM would have served them. Cause: made 401, 403 and 404 ask whether the configuration is the newest one; the two other refusals that end a request for good did not ask. Change: one function, refusalBy, decides for all five. Why it is enough: no other status by which callers don't come back is made from the configuration; 429 tells when to come back.

--- a/src/gateway/call.ts
+++ b/src/gateway/call.ts
@@ -11,7 +11,7 @@
   type ServiceConfig,
   type Step,
 } from "../routing/mod.ts";
-import { readBody } from "./body.ts";
+import { type BodyError, readBody } from "./body.ts";
 import {
   BODY_CODES,
   type CallInput,
@@ -25,6 +25,7 @@
 import { CallRetries, retryWayOf } from "./call_retries.ts";
 import { CallSends, type SendState } from "./call_sends.ts";
 import { CallSuspicion } from "./call_suspicion.ts";
+import { refusalBy } from "./config_refusal.ts";
 import type { GatewayContext } from "./context.ts";
 import { waitForNextPoll } from "./next_poll.ts";
 import { Pause } from "./pause.ts";
@@ -124,7 +125,7 @@
         bodies,
         (run) => this.#reply.onClosed(run),
       );
-      if (body.isErr()) this.#fail(failure(BODY_CODES[body.error]), 0);
+      if (body.isErr()) this.#failBody(body.error);
       else {
         this.#body = body.value;
         this.#suspicion.body = body.value;
@@ -347,6 +348,13 @@
     this.#fail(this.#lastFailure ?? failure("upstreamFailed"), 0);
   }
 
+  #failBody(error: BodyError): void {
+    const cause = failure(BODY_CODES[error]);
+    if (error !== "tooLarge") return this.#fail(cause, 0);
+    const refusal = refusalBy(this.#context.storeView, cause);
+    this.#fail(refusal.cause, refusal.comeBackMs);
+  }
+
   #expire(): void {
     if (this.#isOver) return;
     const wasSent = this.#send !== undefined || this.#mayHaveRun;
--- a/src/gateway/http_listeners.ts
+++ b/src/gateway/http_listeners.ts
@@ -18,6 +18,7 @@
 import { identifyCaller, type KnownCaller } from "../workspaces/mod.ts";
 import { Call } from "./call.ts";
 import type { CallInput } from "./call_input.ts";
+import { NO_CONFIG_RETRY_MS, refusalBy } from "./config_refusal.ts";
 import type { GatewayContext } from "./context.ts";
 import { closeServer, listen } from "./listen.ts";
 import {
@@ -34,13 +35,6 @@
  */
 const CONFIG_WAIT_MS = 250;
 const CONFIG_CHECK_MS = 20;
-/** Retry delay at a VM without a configuration, which asks the store and other VMs several times a second. */
-const NO_CONFIG_RETRY_MS = 500;
-/**
- * For so long after a VM last knew its configuration to be the newest it refuses by it for good. A poll of the store that
- * finds no change takes 3 s and some way, so a VM that is alone in its region is this far behind at most.
- */
-const MAX_UNSURE_MS = 3_900;
 /** Retry delay at a VM with too many open requests: as long as a usual answer takes. */
 const OVERLOAD_RETRY_MS = 400;
 /**
@@ -167,7 +161,8 @@
     }
     this.#applyLimits(config);
     if (countHeaderBytes(request) > config.limits.headerBytes) {
-      return this.#refuse(head, request, reply, failure("headersTooLarge"), 0);
+      const cause = failure("headersTooLarge");
+      return this.#refuseByConfig(head, request, reply, cause);
     }
     const route = config.match(head.host, head.target);
     if (!route) {
@@ -294,23 +289,18 @@
     return undefined;
   }
 
-  /**
-   * Refuses for good what the configuration does not allow. Callers don't come back after that, so a VM that can't rule
-   * out a newer configuration refuses for now: another VM may have it.
-   */
+  /** Refuses what the configuration does not allow: for good only if it is the newest one. */
   #refuseByConfig(
     head: CallerHead,
     request: IncomingMessage,
     reply: Reply,
     cause: Failure,
   ): void {
-    const isSure = this.#context.storeView.agreedAgoMs("operators") <
-      MAX_UNSURE_MS;
-    if (isSure) return this.#refuse(head, request, reply, cause, 0);
-    const unsure = failure("noTable", {
-      message: `${cause.code}, unless there is a newer configuration`,
-    });
-    this.#refuse(head, request, reply, unsure, NO_CONFIG_RETRY_MS);
+    const { cause: given, comeBackMs } = refusalBy(
+      this.#context.storeView,
+      cause,
+    );
+    this.#refuse(head, request, reply, given, comeBackMs);
   }
 
   /**
--- a/src/gateway/peer_rpc.ts
+++ b/src/gateway/peer_rpc.ts
@@ -17,7 +17,8 @@
   Task,
   type TaskPort,
 } from "../kernel/mod.ts";
-import type { NewsTopic, StoreView, StoreViewMessages } from "./store_view.ts";
+import type { StoreView } from "./store_view.ts";
+import type { NewsTopic, StoreViewMessages } from "./store_view_messages.ts";
 import type { NewsSource } from "../region/mod.ts";
 import type { ConfigNews } from "./config_in_force.ts";
 import {
--- a/src/gateway/store_view.ts
+++ b/src/gateway/store_view.ts
@@ -19,7 +19,6 @@
 import type { ReplicaState, ReplicaStates, VmState } from "../region/mod.ts";
 import {
   ConfigInForce,
-  type ConfigNews,
   type ConfigSource,
   FROM_STORE,
 } from "./config_in_force.ts";
@@ -33,40 +32,9 @@
 } from "./replica.ts";
 import { RestoreTimes } from "./restore_times.ts";
 import { upstreamContentOf } from "./upstream_content.ts";
+import type { NewsTopic, StoreViewMessages } from "./store_view_messages.ts";
 import { UpstreamView } from "./upstream_view.ts";
 
-/** The two sets of entries that are followed. */
-export type NewsTopic = keyof ReplicaStates;
-
-/** Messages of the service; its name is `beliefs`. */
-export type StoreViewMessages = {
-  /** Returns what another VM lacks. */
-  news: {
-    in: NewsRequest & { readonly matter: NewsTopic };
-    out: News;
-  };
-  /** Returns the configuration in force here; `null` if there is none. */
-  config: { in: Record<string, never>; out: ConfigNews | null };
-  /** Applies the configuration in force on another VM, which announced it with `version`. */
-  adoptConfig: {
-    in: {
-      readonly news: ConfigNews;
-      readonly version: number;
-      readonly from: string;
-    };
-    out: void;
-  };
-  /** Applies news from another VM. */
-  adopt: {
-    in: {
-      readonly matter: NewsTopic;
-      readonly news: News;
-      readonly from: string;
-    };
-    out: AdoptOutcome;
-  };
-};
-
 /** Options of {@link StoreView}. */
 export interface StoreViewOptions {
   readonly vmId: string;
@@ -86,6 +54,11 @@
 const OPERATOR_POLL_WAIT_MS = 3_000;
 /** Margin for the way of an operators' poll, and for a process that is late. */
 const OPERATOR_ANSWER_MARGIN_MS = 700;
+/**
+ * A VM that last agreed with the store longer ago does not know whether its configuration is the newest. A poll of the
+ * store that finds no change takes 3 s and some way, so a VM that is alone in its region is this far behind at most.
+ */
+const MAX_UNSURE_MS = 3_900;
 /** The same for upstreams. Each writes about every second, so an answer comes at once. */
 const UPSTREAM_POLL_WAIT_MS = 1_000;
 /** Usually 1.2 s of pause and some tens of ms pass between answers; the reader's own call times out only after 3 s. */
@@ -202,6 +175,14 @@
     return this.#clock.monoMs() - this.#followers[topic].agreedMonoMs;
   }
 
+  /**
+   * Whether this VM can rule out that the store holds a newer configuration than the one in force here. Callers don't come
+   * back after some refusals, so a VM that can't refuses for now: another VM may have the newer one.
+   */
+  get isConfigNewest(): boolean {
+    return this.agreedAgoMs("operators") < MAX_UNSURE_MS;
+  }
+
   /** Applies changed settings. Upstreams of a new or moved failure domain are used there from now on. */
   setFailureDomains(failureDomains: Readonly<Record<string, string>>): void {
     this.#failureDomains = failureDomains;
--- a/src/gateway/store_view_test.ts
+++ b/src/gateway/store_view_test.ts
@@ -7,7 +7,8 @@
 import { SILENT_LOG } from "../../test/silent_log.ts";
 import type { FollowedStore } from "./follower.ts";
 import type { News } from "./replica.ts";
-import { StoreView, type StoreViewMessages } from "./store_view.ts";
+import { StoreView } from "./store_view.ts";
+import type { StoreViewMessages } from "./store_view_messages.ts";
 
 const VMS = 6;
 const READERS = 3;
