A VM that has heard of a newer configuration refuses for now until it has it

What callers saw: 404 (401, 403, 413, 431) for a route that had been added, while the VM was still fetching the version that adds it, for up to 3.9 s after it last agreed with the store. Cause: whether a version is the newest one was told by the time since the last agreement alone, though the VM knew from others' reports that there is a newer one. Evidence: the test failed before: a view that had just been told of a newer state by a VM that the store answers still took its configuration for the newest one. Change: the follower keeps the newest state that such a VM announced; as long as it is behind that, its configuration is not the newest one. Why it is enough: what is heard is compared with what is held, so it ends by itself once the news has come, whatever brings it.

--- a/src/gateway/follower.ts
+++ b/src/gateway/follower.ts
@@ -96,6 +96,8 @@
   #recoveredMonoMs = -Infinity;
   #restoredMonoMs = -Infinity;
   #agreedMonoMs = -Infinity;
+  /** The newest state that a VM which the store answers announced. */
+  #heardState: ReplicaState | undefined;
   /** What was logged last of a store that went back; it answers many calls with the same state. */
   #loggedRegression = "";
   /** Since when this VM differs from those that the store answers, on the monotonic clock. */
@@ -168,12 +170,19 @@
     const isSame = this.#replica.noteState(state);
     const isAhead = this.#replica.isBehind(state);
     if (isServed && isSame) this.#noteAgreement();
+    if (isServed) this.#noteHeard(state);
     if (isServed && isAhead) {
       this.#differsSinceMonoMs ??= this.#options.clock.monoMs();
     }
     return isAhead;
   }
 
+  /** Whether a VM that the store answers is known to hold something newer than this one. */
+  get isBehind(): boolean {
+    return this.#heardState !== undefined &&
+      this.#replica.isBehind(this.#heardState);
+  }
+
   /** Answers another VM's request. */
   newsFor(request: NewsRequest): News {
     const nowMs = this.#options.clock.monoMs();
@@ -346,6 +355,12 @@
     return false;
   }
 
+  #noteHeard(state: ReplicaState): void {
+    const isNewest = !this.#heardState ||
+      compareReplicaStates(state, this.#heardState) > 0;
+    if (isNewest) this.#heardState = state;
+  }
+
   #noteAgreement(): void {
     this.#agreedMonoMs = this.#options.clock.monoMs();
     this.#differsSinceMonoMs = undefined;
--- a/src/gateway/store_view.ts
+++ b/src/gateway/store_view.ts
@@ -180,7 +180,8 @@
    * back after some refusals, so a VM that can't refuses for now: another VM may have the newer one.
    */
   get isConfigNewest(): boolean {
-    return this.agreedAgoMs("operators") < MAX_UNSURE_MS;
+    return this.agreedAgoMs("operators") < MAX_UNSURE_MS &&
+      !this.#followers.operators.isBehind;
   }
 
   /** Applies changed settings. Upstreams of a new or moved failure domain are used there from now on. */
--- a/src/gateway/store_view_test.ts
+++ b/src/gateway/store_view_test.ts
@@ -258,6 +258,15 @@
     t.true(other.view.agreedAgoMs("upstreams") >= 60_000);
   });
 
+  it("takes its configuration for the newest one only until it hears of a newer one", async (t) => {
+    const world = await openWorld();
+    const [{ view }] = world.vms;
+    t.true(view.isConfigNewest);
+    const newer = { rev: view.copies.operators.rev + 1, digest: "newer" };
+    view.notePeer("operators", newer, true);
+    t.false(view.isConfigNewest);
+  });
+
   // Nothing but a change brings a VM an entry again, so it has to keep those that it can't use yet.
   it("uses an upstream as soon as the settings name its failure domain", async (t) => {
     const world = await openWorld();
