Calls for news use connections of their own

Cause: a VM asked others for news over kept connections. One that has gone silent looks like any other until nothing has come for 1 s; a VM with kept connections to all three leads lost 1 s with each of them in turn. The test failed before: one question went over a kept connection and was not answered. Change: each call for news opens a connection. Why it is enough: a new connection can't have gone silent before; these calls are a few a minute for most VMs, one handshake in the region each.

--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -231,7 +231,7 @@
     const peerRpc = new PeerRpc({
       storeView,
       members,
-      relays,
+      port: splitAddress(settings.listen.peers).port,
       metrics,
       region: vm.region,
     });
--- a/src/gateway/peer_call.ts
+++ b/src/gateway/peer_call.ts
@@ -4,7 +4,7 @@
  * @module
  */
 
-import { type Agent, request } from "node:http";
+import { request } from "node:http";
 import { readText } from "../adapters/mod.ts";
 import { type Clock, ProgressTimer } from "../base/mod.ts";
 
@@ -15,7 +15,6 @@
 
 /** A call to another VM. */
 export interface PeerCallOptions {
-  readonly agent: Agent | undefined;
   readonly host: string;
   readonly port: number;
   readonly path: string;
@@ -34,14 +33,15 @@
 
 /** Posts a text. `progress` is kept current, so that it also tells how far a call came that fails. */
 export function callPeer(
-  { agent, host, port, path, payload, clock }: PeerCallOptions,
+  { host, port, path, payload, clock }: PeerCallOptions,
   progress: PeerCallProgress,
 ): Promise<string> {
   const startedMs = clock.monoMs();
   progress.bytes = 0;
   return new Promise((resolve, reject) => {
     const call = request({
-      agent,
+      // A kept connection may have gone silent, and each one that has would cost as long as a VM may send nothing.
+      agent: false,
       host,
       port,
       path,
--- a/src/gateway/peer_rpc.ts
+++ b/src/gateway/peer_rpc.ts
@@ -33,7 +33,6 @@
 import type { Members } from "./members.ts";
 import type { GatewayMetrics } from "./metrics.ts";
 import { callPeer, type PeerCallProgress } from "./peer_call.ts";
-import type { Relays } from "./relays.ts";
 import type { SuspectsMessages } from "./suspects.ts";
 
 /** Path of the calls on the peers' listener; relayed requests of callers never use it. */
@@ -67,7 +66,8 @@
 export interface PeerRpcOptions {
   readonly storeView: StoreView;
   readonly members: Members;
-  readonly relays: Relays;
+  /** The port on which VMs answer each other's calls. */
+  readonly port: number;
   readonly metrics: GatewayMetrics;
   /** Region of this VM. */
   readonly region: string;
@@ -80,7 +80,7 @@
   readonly #server = new JSONRPCServer();
   readonly #storeView: StoreView;
   readonly #members: Members;
-  readonly #relays: Relays;
+  readonly #port: number;
   readonly #metrics: GatewayMetrics;
   readonly #region: string;
   readonly #random = new Random(process.pid);
@@ -96,13 +96,13 @@
   readonly #behindSinceMs = new Map<PulledTopic, number>();
 
   constructor(
-    { storeView, members, relays, metrics, region }: PeerRpcOptions,
+    { storeView, members, port, metrics, region }: PeerRpcOptions,
   ) {
     super();
     this.#region = region;
     this.#storeView = storeView;
     this.#members = members;
-    this.#relays = relays;
+    this.#port = port;
     this.#metrics = metrics;
   }
 
@@ -323,9 +323,8 @@
   ): Promise<Answer> {
     const client = new JSONRPCClient(async (payload) => {
       const text = await callPeer({
-        agent: this.#relays.agent(ip),
         host: ip,
-        port: this.#relays.port,
+        port: this.#port,
         path: RPC_PATH,
         payload: JSON.stringify(payload),
         clock: this.#clock,
--- a/src/gateway/peer_rpc_test.ts
+++ b/src/gateway/peer_rpc_test.ts
@@ -10,7 +10,6 @@
 import type { Members } from "./members.ts";
 import { GatewayMetrics } from "./metrics.ts";
 import { PeerRpc } from "./peer_rpc.ts";
-import type { Relays } from "./relays.ts";
 import { Replica } from "./replica.ts";
 import { upstreamContentOf } from "./upstream_content.ts";
 import { StoreView } from "./store_view.ts";
@@ -50,10 +49,6 @@
     ],
     onRosterReceived: () => {},
   } as unknown as Members;
-  const relays = {
-    agent: () => undefined,
-    port: Number(port),
-  } as unknown as Relays;
   const never = () => new Promise<never>(() => {});
   const view = new StoreView({
     vmId: "vm",
@@ -65,7 +60,13 @@
   await kernel.start(view);
   const metrics = new GatewayMetrics();
   await kernel.start(
-    new PeerRpc({ storeView: view, members, relays, metrics, region: "north" }),
+    new PeerRpc({
+      storeView: view,
+      members,
+      port: Number(port),
+      metrics,
+      region: "north",
+    }),
   );
   return { view, kernel };
 }
@@ -131,6 +132,33 @@
     t.is(operatorsRev, 0);
   });
 
+  it("don't wait for answers on kept connections, which may have gone silent", async (t) => {
+    const peer = makePeer([{ key: "k/1", value: "1", rev: 9 }], 9);
+    const usedSockets = new WeakSet<object>();
+    let unanswered = 0;
+    const server = createServer(async (request, response) => {
+      await readText(request);
+      if (usedSockets.has(request.socket)) return unanswered++;
+      usedSockets.add(request.socket);
+      response.end(answerTo(peer));
+    });
+    const address = await listenOn(t, server);
+    const copies = {
+      get operators() {
+        return peer.state;
+      },
+      upstreams: NO_COPY,
+    };
+    const { view, kernel } = await openPeerRpc(address, copies);
+    await waitUntil(() => view.copies.operators.rev === 9);
+    const entries = [{ key: "k/1", value: "2", rev: 10 }];
+    peer.applyListing({ entries, rev: 10, more: false });
+    await waitUntil(() => view.copies.operators.rev === 10);
+    await kernel.close(systemClock.nowMs());
+    t.is(view.copies.operators.rev, 10);
+    t.is(unanswered, 0);
+  });
+
   it("go on after an answer that belongs to no question", async (t) => {
     let questions = 0;
     const peer = createServer((_request, response) => {
