Calls between VMs name what they need of other services

Cause: PeerRpc took the whole of Members, GatewayMetrics and the messages of Suspects, so it could not leave the folder of all services, and its test cast what it gave in. Change: it takes narrow interfaces, and calls that have nothing to do with news (clearSuspect) are given to it by name.

--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -25,7 +25,7 @@
 import { computeRoom } from "./room.ts";
 import type { GatewaySettings } from "./settings.ts";
 import { drain } from "./drain.ts";
-import { Suspects } from "./suspects.ts";
+import { Suspects, type SuspectsMessages } from "./suspects.ts";
 import { UpstreamNotices } from "./upstream_notices.ts";
 import { Upstreams } from "./upstreams.ts";
 
@@ -234,6 +234,10 @@
       port: splitAddress(settings.listen.peers).port,
       metrics,
       region: vm.region,
+      methods: {
+        clearSuspect: (request: SuspectsMessages["clear"]["in"]) =>
+          kernel.get<SuspectsMessages>("suspects").ask("clear", request),
+      },
     });
     const listeners = new HttpListeners(context, peerRpc);
     const tasks = [
--- a/src/gateway/peer_rpc.ts
+++ b/src/gateway/peer_rpc.ts
@@ -29,11 +29,7 @@
   unpack,
   unpackNews,
 } from "./news_wire.ts";
-import type { PeerRpcHandler } from "./http_listeners.ts";
-import type { Members } from "./members.ts";
-import type { GatewayMetrics } from "./metrics.ts";
 import { callPeer, type PeerCallProgress } from "./peer_call.ts";
-import type { SuspectsMessages } from "./suspects.ts";
 
 /** Path of the calls on the peers' listener; relayed requests of callers never use it. */
 export const RPC_PATH = "/ibisgap/rpc";
@@ -62,26 +58,46 @@
 
 const NEWS_TOPICS: readonly NewsTopic[] = ["operators", "upstreams"];
 
+/** What calls between VMs need of the membership. */
+export interface KnownPeers {
+  /** Whether this VM leads its region. */
+  readonly isLead: boolean;
+  /** VMs that may have newer store data than this one. */
+  newsSources(): readonly NewsSource[];
+  /** Calls `run` after each roster of a lead. */
+  onRosterReceived(run: () => void): void;
+}
+
+/** Where the times of transfers are recorded. */
+export interface TransferMetrics {
+  recordTime(name: "peer_answer", labels: string, ms: number): void;
+}
+
+/** A call that other VMs and operators may make; its parameters are whatever they send. */
+export type PeerMethod = (params: never) => unknown;
+
 /** Options of {@link PeerRpc}. */
 export interface PeerRpcOptions {
   readonly storeView: StoreView;
-  readonly members: Members;
+  readonly members: KnownPeers;
   /** The port on which VMs answer each other's calls. */
   readonly port: number;
-  readonly metrics: GatewayMetrics;
+  readonly metrics: TransferMetrics;
   /** Region of this VM. */
   readonly region: string;
+  /** Calls that are answered besides those for news, by name. */
+  readonly methods?: Readonly<Record<string, PeerMethod>>;
 }
 
 /** Answers calls of other VMs, and pulls news from VMs that are ahead. */
-export class PeerRpc extends Task implements PeerRpcHandler {
+export class PeerRpc extends Task {
   readonly name = "peerRpc";
   readonly path = RPC_PATH;
   readonly #server = new JSONRPCServer();
   readonly #storeView: StoreView;
-  readonly #members: Members;
+  readonly #members: KnownPeers;
   readonly #port: number;
-  readonly #metrics: GatewayMetrics;
+  readonly #metrics: TransferMetrics;
   readonly #region: string;
   readonly #random = new Random(process.pid);
   readonly #packer = new NewsPacker();
@@ -96,7 +112,7 @@
   readonly #behindSinceMs = new Map<PulledTopic, number>();
 
   constructor(
-    { storeView, members, port, metrics, region }: PeerRpcOptions,
+    { storeView, members, port, metrics, region, methods }: PeerRpcOptions,
   ) {
     super();
     this.#region = region;
@@ -104,6 +120,9 @@
     this.#members = members;
     this.#port = port;
     this.#metrics = metrics;
+    for (const [name, method] of Object.entries(methods ?? {})) {
+      this.#server.addMethod(name, (params) => method(params as never));
+    }
   }
 
   start(kernel: Kernel): Promise<void> {
@@ -123,11 +142,6 @@
       return news && this.#packer.pack(news, request);
     });
     this.#server.addMethod("dump", () => kernel.dump());
-    this.#server.addMethod(
-      "clearSuspect",
-      (request: SuspectsMessages["clear"]["in"]) =>
-        kernel.get<SuspectsMessages>("suspects").ask("clear", request),
-    );
     this.#timer = this.#clock.every(PULL_INTERVAL_MS, () => void this.#pull());
     this.#members.onRosterReceived(() => void this.#pull());
     return Promise.resolve();
--- a/src/gateway/peer_rpc_test.ts
+++ b/src/gateway/peer_rpc_test.ts
@@ -7,8 +7,6 @@
 import type { ReplicaStates } from "../region/mod.ts";
 import { listenOn, sendSlowly } from "../../test/slow_server.ts";
 import { openUnframedServer } from "../../test/unframed_server.ts";
-import type { Members } from "./members.ts";
-import { GatewayMetrics } from "./metrics.ts";
 import { PeerRpc } from "./peer_rpc.ts";
 import { Replica } from "./replica.ts";
 import { upstreamContentOf } from "./upstream_content.ts";
@@ -48,7 +46,8 @@
       { id: "peer", ip, region: "north", isServed: true, copies },
     ],
     onRosterReceived: () => {},
-  } as unknown as Members;
+    isLead: false,
+  };
   const never = () => new Promise<never>(() => {});
   const view = new StoreView({
     vmId: "vm",
@@ -58,13 +57,12 @@
   });
   const kernel = new Kernel(systemClock, SILENT_LOG);
   await kernel.start(view);
-  const metrics = new GatewayMetrics();
   await kernel.start(
     new PeerRpc({
       storeView: view,
       members,
       port: Number(port),
-      metrics,
+      metrics: { recordTime: () => {} },
       region: "north",
     }),
   );
