The view of the store has a folder of its own: replication

Cause: src/gateway had 66 modules; seven of them, and five that only these use, are one matter: what a VM knows of the store's entries, and how VMs hand them to each other. Change: these twelve modules and their tests move to src/replication, with one entry. Nothing in them changes but the paths of imports.

--- a/soak/views.ts
+++ b/soak/views.ts
@@ -4,7 +4,7 @@
  * @module
  */
 
-import { RPC_PATH } from "../src/gateway/mod.ts";
+import { RPC_PATH } from "../src/replication/mod.ts";
 import type { World } from "./world.ts";
 
 /** The configuration, the evacuations and the upstreams that a VM uses, or that the store holds. */
--- a/src/cli/vm_rpc.ts
+++ b/src/cli/vm_rpc.ts
@@ -6,7 +6,7 @@
 
 import got from "got";
 import { JSONRPCClient } from "json-rpc-2.0";
-import { RPC_PATH } from "../gateway/mod.ts";
+import { RPC_PATH } from "../replication/mod.ts";
 import { exitCodes, fail } from "./client.ts";
 
 /** About as long as an operator is willing to wait at a terminal. */
--- a/src/gateway/config_refusal.ts
+++ b/src/gateway/config_refusal.ts
@@ -5,7 +5,7 @@
  */
 
 import { type Failure, failure } from "../base/mod.ts";
-import type { StoreView } from "./store_view.ts";
+import type { StoreView } from "../replication/mod.ts";
 
 /** Retry delay at a VM without the newest configuration, which asks the store and other VMs several times a second. */
 export const NO_CONFIG_RETRY_MS = 500;
--- a/src/gateway/context.ts
+++ b/src/gateway/context.ts
@@ -6,8 +6,8 @@
 
 import { type Clock, Random } from "../base/mod.ts";
 import type { Log } from "../kernel/mod.ts";
+import type { StoreView } from "../replication/mod.ts";
 import { RetryBudget, type RetryBudgetLimits } from "../routing/mod.ts";
-import type { StoreView } from "./store_view.ts";
 import { BodyMemory } from "./body.ts";
 import type { LossProber } from "./losses.ts";
 import type { Members } from "./members.ts";
--- a/src/gateway/mod.ts
+++ b/src/gateway/mod.ts
@@ -6,5 +6,4 @@
 
 export * from "./gateway.ts";
 export * from "./line_log.ts";
-export { RPC_PATH } from "./peer_rpc.ts";
 export * from "./settings.ts";
--- a/src/gateway/placer.ts
+++ b/src/gateway/placer.ts
@@ -17,8 +17,8 @@
   type Messages,
   Task,
 } from "../kernel/mod.ts";
+import type { StoreView } from "../replication/mod.ts";
 import type { Step } from "../routing/mod.ts";
-import type { StoreView } from "./store_view.ts";
 import type { Datagrams } from "./datagrams.ts";
 import type { Members } from "./members.ts";
 import { waitForNextPoll } from "./next_poll.ts";
--- a/src/gateway/quotas.ts
+++ b/src/gateway/quotas.ts
@@ -24,7 +24,7 @@
   RegionQuota,
   type Shares,
 } from "../quota/mod.ts";
-import type { StoreView } from "./store_view.ts";
+import type { StoreView } from "../replication/mod.ts";
 import type { Datagrams } from "./datagrams.ts";
 import type { Members } from "./members.ts";
 import {
--- a/src/gateway/upstream_notices.ts
+++ b/src/gateway/upstream_notices.ts
@@ -7,8 +7,8 @@
 import { Random } from "../base/mod.ts";
 import type { Log } from "../kernel/mod.ts";
 import type { RestRequest, UpstreamAnswer } from "../platform/mod.ts";
+import type { StoreView } from "../replication/mod.ts";
 import type { GatewayMetrics } from "./metrics.ts";
-import type { StoreView } from "./store_view.ts";
 import type { LinkedCandidate } from "./upstream_link.ts";
 import type { Upstreams } from "./upstreams.ts";
 
--- a/test/replica_world.ts
+++ b/test/replica_world.ts
@@ -6,8 +6,7 @@
 
 import type { Entry, WatchEvent } from "../src/adapters/mod.ts";
 import { Random } from "../src/base/mod.ts";
-import { type News, Replica } from "../src/gateway/replica.ts";
-import type { NewsTopic } from "../src/gateway/store_view_messages.ts";
+import { type News, type NewsTopic, Replica } from "../src/replication/mod.ts";
 
 const SETTLE_ROUNDS = 30;
 
