A VM that starts anew with its clock set back is heard again

Other VMs left out all reports and rosters of such a VM until it was forgotten, 15 s later: it led nothing, was named to no caller and its load was not counted. Cause: messages of a process that seems to have started before the one that was heard last were taken for late ones, for as long as that one was remembered. Change: such a message is late only within 1 s of the last one of the process with the later start. Why it is enough: a dead process sends nothing, and should a message really be on its way for longer, the next one of the living process, which has the later start, replaces it.

--- a/src/region/known_vms.ts
+++ b/src/region/known_vms.ts
@@ -32,6 +32,8 @@
 export const ROSTER_TIMEOUT_MS = 1_300;
 /** A silent VM may be running but cut off, so it is counted and searched for until this time has passed. */
 const FORGET_MS = 15_000;
+/** Longest time for which a message is on its way, over a congested link. */
+const MAX_ON_ITS_WAY_MS = 1_000;
 /** Maximum VMs remembered that are named in messages and not heard. A few suffice for cut halves of a region to rejoin. */
 const MAX_UNHEARD_VMS = 256;
 
@@ -67,6 +69,14 @@
 
 const NO_NAMES: NamedList = { ready: [], leaving: [] };
 
+/**
+ * Whether a message is one of an earlier process of its VM that was on its way for long. A VM whose clock was set back
+ * seems to have started before itself: it is heard once the process with the later start is silent.
+ */
+function isLate(from: VmRecord, heard: VmRecord, heardAgoMs: number): boolean {
+  return from.bornMs < heard.bornMs && heardAgoMs < MAX_ON_ITS_WAY_MS;
+}
+
 /** Keeps what this VM heard of other VMs: reports, rosters and digests. */
 export class KnownVms {
   readonly remote = new RemoteRegions();
@@ -84,8 +94,11 @@
 
   /** Stores a report. Returns the VM's previous report, or the report itself if it is from an earlier start of the VM. */
   noteReport(report: Report, nowMs: number): Report | undefined {
-    const before = this.#reporters.get(report.id)?.report;
-    if (before && before.bornMs > report.bornMs) return report;
+    const heard = this.#reporters.get(report.id);
+    const before = heard?.report;
+    if (heard && isLate(report, heard.report, nowMs - heard.heardMs)) {
+      return report;
+    }
     if (!before && report.region === this.#self.region) this.#localCount++;
     this.#reporters.set(report.id, { report, heardMs: nowMs });
     this.#unheard.delete(report.id);
@@ -96,7 +109,9 @@
   noteRoster(roster: Roster, nowMs: number): void {
     const { from } = roster;
     const before = this.#rosters.get(from.id);
-    if (before && before.roster.from.bornMs > from.bornMs) return;
+    if (before && isLate(from, before.roster.from, nowMs - before.heardMs)) {
+      return;
+    }
     this.#rosters.set(from.id, {
       roster,
       named: roster.named ?? before?.named ?? NO_NAMES,
