A lead does not take back a slot whose end was reported before an older list came

Cause: a VM's list of the slots that it holds, made before an attempt ended and arriving after the report of its end, was believed: to the lead the slot looked like one that an earlier lead had granted.

--- a/src/services/lead_pool.ts
+++ b/src/services/lead_pool.ts
@@ -55,6 +55,8 @@
   readonly pool: Pool;
   readonly #holders = new GrantIndex();
   readonly #granted = new Map<string, GrantedSlot>();
+  /** Attempts whose end was reported, with the time until which a list that names them may be an older one. */
+  readonly #endedUntilMs = new Map<string, number>();
   readonly #waiting = new Map<
     string,
     { entry: string; request: SlotRequest }
@@ -129,7 +131,11 @@
   }
 
   report(report: SlotReport, nowMs: number): LeadOutput[] {
-    if (report.outcome !== "started") this.#removeGrant(report.attemptId);
+    if (report.outcome !== "started") {
+      this.#removeGrant(report.attemptId);
+      this.#endedUntilMs.delete(report.attemptId);
+      this.#endedUntilMs.set(report.attemptId, nowMs + GRANT_SETTLE_MS);
+    }
     return this.#applyOutputs(this.pool.report(report, nowMs), nowMs);
   }
 
@@ -166,9 +172,10 @@
   /** Replaces the record of the slots of `entry` with its own list, but keeps grants that may be in transit to it. */
   reconcile(
     entry: string,
-    held: readonly HeldSlot[],
+    listed: readonly HeldSlot[],
     nowMs: number,
   ): LeadOutput[] {
+    const held = listed.filter((slot) => !this.#hasEnded(slot));
     const ids = held.map((slot) => slot.attemptId);
     const { renew, free } = this.#holders.reconcile(entry, ids, nowMs);
     const outputs: LeadOutput[] = [];
@@ -195,6 +202,10 @@
     for (const [id, granted] of this.#granted) {
       if (granted.expiresAtMs <= nowMs) this.#removeGrant(id);
     }
+    for (const [id, untilMs] of this.#endedUntilMs) {
+      if (untilMs > nowMs) break;
+      this.#endedUntilMs.delete(id);
+    }
     return outputs;
   }
 
@@ -257,7 +268,13 @@
   }
 
   #notYetGranted(held: readonly HeldSlot[]): HeldSlot[] {
-    return held.filter((slot) => !this.#granted.has(slot.attemptId));
+    return held.filter((slot) =>
+      !this.#granted.has(slot.attemptId) && !this.#hasEnded(slot)
+    );
+  }
+
+  #hasEnded({ attemptId }: HeldSlot): boolean {
+    return this.#endedUntilMs.has(attemptId);
   }
 
   #adopt(
@@ -314,6 +331,7 @@
     grant: SlotGrant,
     nowMs: number,
   ): void {
+    this.#endedUntilMs.delete(grant.attemptId);
     this.#holders.add(waiting.entry, grant.attemptId, nowMs + GRANT_SETTLE_MS);
     this.#granted.set(grant.attemptId, {
       held: heldSlot(waiting.request, grant),
