--- a/review/lib/world.mjs
+++ b/review/lib/world.mjs
@@ -130,6 +130,8 @@
       env: { PATH: process.env.PATH, HOME: process.env.HOME, LANG: process.env.LANG },
     });
     vm.child = child;
+    children.add(child);
+    child.once("exit", () => children.delete(child));
     vm.exited = new Promise((resolve) => child.once("exit", (code, signal) => {
       this.record?.note(`process of ${vm.id} ended: code ${code}, signal ${signal}`);
       resolve({ code, signal });
@@ -168,8 +170,20 @@
   }
 }
 
+/** What the script has started; nothing of it may outlive the script, however that ends. */
+const children = new Set();
+process.on("exit", () => {
+  for (const child of children) child.kill("SIGKILL");
+});
+
 /** Runs a script: 1 if the rule was broken, 0 if it held, 2 if the case couldn't run. */
 export async function main(run, cleanups) {
+  const giveUp = (error) => {
+    console.error(error);
+    process.exit(2);
+  };
+  process.on("uncaughtException", giveUp);
+  for (const signal of ["SIGTERM", "SIGINT"]) process.on(signal, () => giveUp(signal));
   let code = 2;
   try {
     code = await run();
