--- a/review/1/case.mjs
+++ b/review/1/case.mjs
@@ -11,8 +11,13 @@
 const answers = new Map();
 const agent = new Agent({ keepAlive: true });
 
-/** The dose of `garble` in `fleetbench kinds`: share (.5) of the runners spoil x (.02) of their answers. */
+/** The dose of `garble` in `fleetbench kinds`: share (.5) of the runners spoil x (.02) of their answers, for_s (5). */
 const SPOILED_SHARE = 0.02;
+const SPOILED_MS = 5_000;
+/** When the disruption begins, after the first request. */
+const SPOILED_FROM_MS = 1_000;
+let spoiledFromMs = Infinity;
+const isGarbling = () => performance.now() >= spoiledFromMs && performance.now() < spoiledFromMs + SPOILED_MS;
 const CLIENTS = 40;
 const REQUESTS = 2_000;
 
@@ -55,7 +60,11 @@
   });
   const workMs = () => 60 + Math.random() * 50;
   for (const [at, zone] of ["n-a", "s-a", "s-a", "e-a", "e-a"].entries()) {
-    const spoils = (n) => hasTrouble && (at === 1 || at === 3) && n % (1 / SPOILED_SHARE) === 0;
+    let answers = 0;
+    const spoils = () => {
+      if (!hasTrouble || (at !== 1 && at !== 3) || !isGarbling()) return false;
+      return ++answers % (1 / SPOILED_SHARE) === 0;
+    };
     const runner = new PlainRunner({ id: `i-${zone}-${at}`, service: "ledger", zone, store, slots: 6, queue: 24, workMs, onRun, spoils, spoil });
     runners.push(runner);
     await runner.open();
@@ -64,6 +73,7 @@
   await gateways.open({ places: ["n-a", "n-a", "s-a", "s-a", "e-a", "e-a"], zones, storeOf: () => storeAddress, record });
   await gateways.waitUntilReady();
   await sleep(2_500);
+  spoiledFromMs = performance.now() + SPOILED_FROM_MS;
   let sent = 0;
   const client = async (vm) => {
     while (sent < REQUESTS) {
--- a/review/lib/engine.mjs
+++ b/review/lib/engine.mjs
@@ -1,6 +1,6 @@
 /**
  * A stand-in for a model runner, as PROTOCOL.md describes it, with short streams: `slots` requests at once, more wait;
- * cold for `coldMs` after a start during traffic; starts again under the id that it had, with a new `born`.
+ * cold for `coldMs` after a start during traffic; starts again under a new id, or under the id that it had, with a new `born`.
  */
 import { createServer } from "node:http";
 
@@ -24,8 +24,13 @@
     return Math.max(0, Math.round(this.#startedMs + this.coldMs - performance.now()));
   }
 
-  /** Starts the process of the runner, and registers it. */
-  async start() {
+  /** Starts the process of the runner, and registers it; the entry of an id that it gives up is removed after a while. */
+  async start(id = this.id) {
+    if (id !== this.id) {
+      const key = `servers/${this.id}`;
+      setTimeout(() => this.store.remove(key), 3 * 1_200).unref();
+      this.id = id;
+    }
     this.server = createServer((request, response) => this.#take(request, response));
     this.server.keepAliveTimeout = 30_000;
     this.server.on("connection", (socket) => {
