Requests: a send counts as run until it is proved that it hasn't

Cause: `Call` kept "has not run" as its default, and set `#mayHaveRun` only when a send had ended without an answer. Whatever threw while an answer was handled (here `writeHead` with a status of 0 to 99) was caught in `run()` and told as "not run"; the VM that had relayed the request believed it and sent it again.

Evidence: the log of the second VM, "request failed with an internal error" with `sends=1` and ERR_HTTP_INVALID_STATUS_CODE from `PeerReply.start`, for each attempt that the runners list twice.

Change: `RunEvidence` holds what is known. A send counts as run from before its first byte leaves; the only way back is `noteNotRun`, called where an unanswered send proves it (no connection, a refusal that says "not run", or the same from another VM) and where no send was opened. All failures pass through `checkFailure`, so that no exception, deadline or refusal can say "not run" of a request that may have run. It holds for what is thrown in the future too.

--- a/src/gateway/call.ts
+++ b/src/gateway/call.ts
@@ -31,6 +31,7 @@
 import { Pause } from "./pause.ts";
 import type { Reply } from "./reply.ts";
 import { RelaySend } from "./relay_send.ts";
+import { RunEvidence } from "./run_evidence.ts";
 import type { Answered, Send, Unanswered } from "./send.ts";
 import { UpstreamSend } from "./upstream_send.ts";
 import { type MoveResult, StreamMover } from "./stream_move.ts";
@@ -58,8 +59,8 @@
   #send: Send | undefined;
   readonly #answer: CallAnswer;
   readonly #mover: StreamMover;
+  readonly #evidence = new RunEvidence();
   #moveResult: MoveResult | undefined;
-  #mayHaveRun = false;
   #isOver = false;
   #lastFailure: Failure | undefined;
   readonly #pause = new Pause();
@@ -141,10 +142,8 @@
       }
     } catch (error) {
       this.#record.noteInternalError(error);
-      this.#fail(
-        failure("internal", { ran: this.#mayHaveRun ? "unknown" : "no" }),
-        0,
-      );
+      const ran = this.#evidence.mayHaveRun ? "unknown" : "no";
+      this.#fail(failure("internal", { ran }), 0);
     } finally {
       timer.close();
       void this.#suspicion.close();
@@ -178,7 +177,7 @@
       const mayStart = !this.#isOver && !this.#suspicion.isRejected;
       const send = mayStart ? this.#startStep(step) : undefined;
       settle();
-      if (this.#isOver && !send && !this.#mayHaveRun) {
+      if (this.#isOver && !send && !this.#evidence.mayHaveRun) {
         this.#placement.refundQuota();
       }
       if (send) await this.#runSend(send);
@@ -200,17 +199,29 @@
   /** Executes a step; returns the send that it started, if any. */
   #startStep(step: Step<LinkedCandidate>): Send | undefined {
     if (step.type === "wait") return undefined;
-    if (step.type !== "refuse") return this.#sends.open(step, this.#state());
+    if (step.type !== "refuse") {
+      return this.#open(() => this.#sends.open(step, this.#state()));
+    }
     this.#refuse(step);
     return undefined;
   }
 
+  /** Opens a send; `undefined` if its place is gone. One whose opening throws counts as begun. */
+  #open(openSend: () => Send | undefined): Send | undefined {
+    this.#evidence.noteSend();
+    const send = openSend();
+    if (!send) this.#evidence.noteNotRun();
+    return send;
+  }
+
   /** Continues a stream that was stopped in order to move, at its new engine. */
   async #continueMoved({ candidate, goesOnFrom }: MoveResult): Promise<void> {
     this.#moveResult = undefined;
-    this.#mayHaveRun = true;
+    this.#evidence.noteMayHaveRun();
     const send = this.#answer.continuable &&
-      this.#sends.continueAt(candidate, goesOnFrom, this.#state());
+      this.#open(() =>
+        this.#sends.continueAt(candidate, goesOnFrom, this.#state())
+      );
     if (!send) return this.#handleBreak("the engine that it moved to is gone");
     await this.#runSend(send);
   }
@@ -300,7 +311,7 @@
       this.#retries.take("failedAnswer", true, reason);
     if (!isRetried) return false;
     answer.resume();
-    this.#mayHaveRun = true;
+    this.#evidence.noteMayHaveRun();
     return true;
   }
 
@@ -317,22 +328,17 @@
     this.#lastFailure = head.failure;
     // A moved stream has run, even if its new engine refuses it.
     const mayHaveRun = head.mayHaveRun || this.#reply.hasStarted;
-    this.#mayHaveRun ||= mayHaveRun;
+    if (mayHaveRun) this.#evidence.noteMayHaveRun();
+    else this.#evidence.noteNotRun();
     const isFinal = FINAL_CODES.has(head.failure.code);
     const way = retryWayOf(send, head);
     if (!isFinal && this.#retries.take(way, mayHaveRun, head.reason)) return;
-    this.#fail(
-      this.#mayHaveRun && head.failure.ran === "no"
-        ? failure("upstreamFailed")
-        : head.failure,
-      head.comeBackMs,
-      head.reason,
-    );
+    this.#fail(head.failure, head.comeBackMs, head.reason);
   }
 
   /** Handles a stream that broke off: another upstream resumes it, or the caller's connection is aborted too. */
   #handleBreak(reason: string): void {
-    this.#mayHaveRun = true;
+    this.#evidence.noteMayHaveRun();
     const { relayed } = this.#input;
     const mayContinue = this.#answer.continuable && !relayed;
     if (mayContinue && this.#retries.take("resumption", true, reason)) return;
@@ -348,7 +354,9 @@
 
   /** Refuses the request. One that may have run fails instead, as a refusal would say that it has not run. */
   #refuseRun(code: CodeName, comeBackMs: number): void {
-    if (!this.#mayHaveRun) return this.#fail(failure(code), comeBackMs);
+    if (!this.#evidence.mayHaveRun) {
+      return this.#fail(failure(code), comeBackMs);
+    }
     this.#fail(this.#lastFailure ?? failure("upstreamFailed"), 0);
   }
 
@@ -361,7 +369,7 @@
 
   #expire(): void {
     if (this.#isOver) return;
-    const wasSent = this.#send !== undefined || this.#mayHaveRun;
+    const wasSent = this.#send !== undefined || this.#evidence.mayHaveRun;
     this.#fail(
       wasSent ? failure("upstreamTimeout") : failure("expiredInQueue"),
       0,
@@ -376,8 +384,9 @@
     this.#placement.leaveQueue();
   }
 
-  #fail(cause: Failure, comeBackMs: number, reason = cause.message): void {
+  #fail(failed: Failure, comeBackMs: number, reason = failed.message): void {
     if (this.#isOver) return;
+    const cause = this.#evidence.checkFailure(failed);
     if (cause.ran === "no") this.#placement.refundQuota();
     this.#finish(cause.code, reason, comeBackMs);
     if (this.#reply.hasStarted) this.#reply.abort();
