Answers: only a final status of HTTP, 200 to 599, makes one

What callers saw: `HTTP/1.1 101` in the place of an upstream's answer went to the client as the final status, over a relay and directly; 600 and 999 did too; 000 and 099 ended as an internal error (500).

Cause: Node's parser passes on any three digits, and emits 101 as a response where nothing asked to upgrade. `decodeAnswer` checked the stamp and the attempt, and took whatever status there was.

Change: `findAnswerFault` says at one place whether what came is an answer to the attempt: its status first, then attempt and stamp. What is none is given up like an answer without a stamp: its connection is closed, the request may have run (502), the upstream counts as failed. The reason stands in the request's log line, `ibisgap_rejected_answers_total` counts by cause.

--- a/src/gateway/send.ts
+++ b/src/gateway/send.ts
@@ -6,7 +6,7 @@
 
 import type { IncomingMessage } from "node:http";
 import { type Failure, failure } from "../base/mod.ts";
-import type { UpstreamAnswer } from "../platform/mod.ts";
+import type { AnswerFault, UpstreamAnswer } from "../platform/mod.ts";
 import type { KnownUpstream, PromptPart } from "../routing/mod.ts";
 import type { GatewayContext } from "./context.ts";
 import type { Exchange, ExchangeFailure } from "./exchange.ts";
@@ -74,6 +74,12 @@
   readonly comeBackMs: number;
 }
 
+const FAULT_REASONS: Record<AnswerFault, string> = {
+  status: "answer has no final status",
+  attempt: "answer of another attempt",
+  unsigned: "answer is not signed",
+};
+
 /** One send of a request. Must be closed when the answer's body has ended. */
 export abstract class Send {
   protected readonly context: GatewayContext;
@@ -146,7 +152,26 @@
     answer: IncomingMessage,
   ): Answered | Unanswered;
 
-  protected handleFailure({ sent, reason }: ExchangeFailure): Unanswered {
+  /** Gives up an answer that can't be used. The request may have run all the same. */
+  protected rejectAnswer(
+    fault: AnswerFault,
+    { status }: UpstreamAnswer,
+  ): Unanswered {
+    const { metrics } = this.context;
+    metrics.count("rejected_answers", `why="${fault}"`);
+    const reason = fault === "status"
+      ? `${FAULT_REASONS[fault]}: ${status}`
+      : FAULT_REASONS[fault];
+    this.cancel(reason);
+    return this.toUnanswered({ sent: true, reason });
+  }
+
+  /** Handles that no answer came. */
+  protected handleFailure(cause: ExchangeFailure): Unanswered {
+    return this.toUnanswered(cause);
+  }
+
+  protected toUnanswered({ sent, reason }: ExchangeFailure): Unanswered {
     return {
       type: "unanswered",
       wasSent: sent,
--- a/src/gateway/upstream_send.ts
+++ b/src/gateway/upstream_send.ts
@@ -6,7 +6,11 @@
 
 import type { IncomingMessage } from "node:http";
 import { failure } from "../base/mod.ts";
-import { addSendHeaders, decodeAnswer } from "../platform/mod.ts";
+import {
+  addSendHeaders,
+  decodeAnswer,
+  findAnswerFault,
+} from "../platform/mod.ts";
 import type { KnownUpstream, SendOutcome } from "../routing/mod.ts";
 import type { GatewayContext } from "./context.ts";
 import { Exchange, type ExchangeFailure } from "./exchange.ts";
@@ -206,13 +210,10 @@
   protected checkAnswer(answer: IncomingMessage): Answered | Unanswered {
     this.#link.noteReceived(this.context.clock.monoMs());
     const decoded = decodeAnswer(answer, this.outbound.attemptId);
-    if (!decoded.matches || (!decoded.signed && !decoded.notRun)) {
-      const reason = decoded.matches
-        ? "answer is not signed"
-        : "answer of another attempt";
-      this.cancel(reason);
+    const fault = findAnswerFault(decoded);
+    if (fault) {
       this.#noteOutcome("failed");
-      return super.handleFailure({ sent: true, reason });
+      return this.rejectAnswer(fault, decoded);
     }
     if (!decoded.wrongUpstream) {
       const { attemptId } = this.outbound;
--- a/src/platform/upstream_wire.ts
+++ b/src/platform/upstream_wire.ts
@@ -188,6 +188,22 @@
   readonly bodyBytes: number | undefined;
 }
 
+/** The statuses that an answer may end with; others are of no answer, or of one that something else follows. */
+const MIN_FINAL_STATUS = 200;
+const MAX_FINAL_STATUS = 599;
+
+/** Why what came in the place of an answer can't be used as one. */
+export type AnswerFault = "status" | "attempt" | "unsigned";
+
+/** Checks that an upstream made an answer, and for the attempt that it was asked for. */
+export function findAnswerFault(
+  { status, matches, signed, notRun }: UpstreamAnswer,
+): AnswerFault | undefined {
+  if (status < MIN_FINAL_STATUS || status > MAX_FINAL_STATUS) return "status";
+  if (!matches) return "attempt";
+  return signed || notRun ? undefined : "unsigned";
+}
+
 /** Seconds, whole or with a fraction; the platform does not send dates. */
 const SECONDS = /^\d+(?:\.\d+)?$/;
 
--- a/test/gateway_no_answer_test.ts
+++ b/test/gateway_no_answer_test.ts
@@ -36,11 +36,10 @@
 /** Opens an upstream that runs each request and spoils its answers, in the region of the callers' VM or another one. */
 async function openSpoiled(
   t: ExecutionContext,
-  status: string,
+  script: Script,
   isRelayed: boolean,
 ): Promise<Spoiled> {
   const { lab, vm } = await openLab(t, 0);
-  const script = spoilStatus(status);
   if (!isRelayed) {
     return { lab, vm, upstream: await addScripted(t, lab, vm, script) };
   }
@@ -61,7 +60,11 @@
   for (const status of ["000", "099"]) {
     for (const isRelayed of [false, true]) {
       it(`${status} is told as maybe run, ${isRelayed ? "relayed" : "directly"}`, async (t) => {
-        const { lab, vm, upstream } = await openSpoiled(t, status, isRelayed);
+        const { lab, vm, upstream } = await openSpoiled(
+          t,
+          spoilStatus(status),
+          isRelayed,
+        );
         const answer = await lab.call(vm, { path: "/once/", method: "POST" });
         t.true([500, 502].includes(answer.status), String(answer.status));
         t.is(ranOf(answer), "unknown");
@@ -70,3 +73,69 @@
     }
   }
 });
+
+/** Guards against bytes that are no answer of HTTP which reach a caller, or end its request as an internal error. */
+describe("gateway, a status that is not final", () => {
+  for (const status of ["000", "099", "101", "600", "999"]) {
+    for (const isRelayed of [false, true]) {
+      it(`${status} is answered by a failure of the gateway, ${isRelayed ? "relayed" : "directly"}`, async (t) => {
+        const { lab, vm, upstream } = await openSpoiled(
+          t,
+          spoilStatus(status),
+          isRelayed,
+        );
+        const answer = await lab.call(vm, { path: "/once/", method: "POST" });
+        t.is(answer.status, 502);
+        t.is(ranOf(answer), "unknown");
+        t.is(upstream.requests.length, 1);
+        const errors = lab.vms.flatMap(({ log }) =>
+          log.lines.filter(({ event }) => event.includes("internal error"))
+        );
+        t.deepEqual(errors, []);
+      });
+    }
+  }
+
+  it("is told in the request's log line", async (t) => {
+    const { lab, vm } = await openSpoiled(t, spoilStatus("099"), false);
+    await lab.call(vm, { path: "/once/", method: "POST" });
+    const line = vm.log.lines.find(({ event }) => event === "request");
+    t.is(line?.fields.reason, "answer has no final status: 99");
+  });
+});
+
+/** Guards against a relayed at-most-once request that runs again as its answer's head can't be read or passed on. */
+describe("gateway, an at-most-once request whose answer's head is broken", () => {
+  const BROKEN_HEADS: Readonly<Record<string, readonly string[]>> = {
+    "two lengths": ["Content-Length: 4", "Content-Length: 5"],
+    "a length that is no number": ["Content-Length: four"],
+    "a length and chunks": ["Content-Length: 4", "Transfer-Encoding: chunked"],
+    "a control character in a value": ["Content-Length: 4", "X-Note: a\x01b"],
+    "a name that is no token": ["Content-Length: 4", "X Note: a"],
+  };
+  for (const [name, headers] of Object.entries(BROKEN_HEADS)) {
+    it(`by ${name} runs once and is told as maybe run`, async (t) => {
+      const script: Script = (request, socket) =>
+        void socket.write(`${formatHead(request, "200 OK", headers)}done`);
+      const { lab, vm, upstream } = await openSpoiled(t, script, true);
+      const answer = await lab.call(vm, { path: "/once/", method: "POST" });
+      t.is(answer.status, 502);
+      t.is(ranOf(answer), "unknown");
+      t.is(upstream.requests.length, 1);
+    });
+  }
+
+  it("by a body behind 204 runs once, and gives none of it to the next request", async (t) => {
+    const script: Script = (request, socket) => {
+      const head = formatHead(request, "204 No Content", ["Content-Length: 4"]);
+      socket.write(`${head}done`);
+    };
+    const { lab, vm, upstream } = await openSpoiled(t, script, true);
+    for (let i = 1; i <= 3; i++) {
+      const answer = await lab.call(vm, { path: "/once/", method: "POST" });
+      t.is(answer.status, 204);
+      t.is(answer.body, "");
+      t.is(upstream.requests.length, i);
+    }
+  });
+});
