Relays: a caller's request is never taken for a call between VMs

Cause: relayed requests and calls between VMs share one listener and were told apart by the path, which is the caller's word.

Change: a request is relayed if it has `ibisgap-wait-ms`, which each VM sets on each relayed request and which no caller can set or take away (headers of that prefix aren't copied, `Connection` isn't either). It is looked at before the path. This holds for all that a caller can write.

Operators' commands use the same address as before; each call has a line now (`operator's call`).

--- a/src/gateway/http_listeners.ts
+++ b/src/gateway/http_listeners.ts
@@ -21,6 +21,7 @@
 import { NO_CONFIG_RETRY_MS, refusalBy } from "./config_refusal.ts";
 import type { GatewayContext } from "./context.ts";
 import { closeServer, listen } from "./listen.ts";
+import { decodeRelayTarget, isRelayed } from "./relay_target.ts";
 import {
   CallerReply,
   decodeVersion,
@@ -215,13 +216,15 @@
   }
 
   #onPeerRequest(request: IncomingMessage, response: ServerResponse): void {
-    if (request.url === this.#peerRpc.path) {
+    if (request.url === this.#peerRpc.path && !isRelayed(request)) {
       return this.#peerRpc.handle(request, response);
     }
     const { clock, storeView } = this.#context;
     const keyDigest = request.headers[RELAY_HEADERS.keyDigest];
+    const callerHead = decodeHead(request);
     const head = {
-      ...decodeHead(request),
+      ...callerHead,
+      target: decodeRelayTarget(callerHead.target),
       keyDigest: typeof keyDigest === "string" ? keyDigest : undefined,
     };
     const reply = new PeerReply(response);
--- a/src/gateway/relay_send.ts
+++ b/src/gateway/relay_send.ts
@@ -8,6 +8,7 @@
 import { decodeAnswer } from "../platform/mod.ts";
 import type { GatewayContext } from "./context.ts";
 import { Exchange, type ExchangeFailure } from "./exchange.ts";
+import { encodeRelayTarget } from "./relay_target.ts";
 import type { RelayTarget } from "./relays.ts";
 import {
   decodePeerFailure,
@@ -59,7 +60,7 @@
       host: target.ip,
       port: context.relays.port,
       method: outbound.method,
-      target: outbound.target,
+      target: encodeRelayTarget(outbound.target),
       headers: [
         ...outbound.headers,
         RELAY_HEADERS.waitMs,
--- a/src/replication/peer_rpc.ts
+++ b/src/replication/peer_rpc.ts
@@ -31,7 +31,7 @@
 } from "./news_wire.ts";
 import { callPeer, type PeerCallProgress } from "./peer_call.ts";
 
-/** Path of the calls on the peers' listener; relayed requests of callers never use it. */
+/** Path of the calls on the peers' listener. A relayed request may name it too; it is told apart by its headers. */
 export const RPC_PATH = "/ibisgap/rpc";
 /** How often a VM checks whether another one is ahead, besides the check after each roster. */
 const PULL_INTERVAL_MS = 500;
@@ -76,6 +76,15 @@
 /** A call that other VMs and operators may make; its parameters are whatever they send. */
 export type PeerMethod = (params: never) => unknown;
 
+/** Calls that VMs make of each other all the time. */
+const VM_METHODS: ReadonlySet<string> = new Set(["news", "config"]);
+
+/** Who made a call. */
+interface CallOrigin {
+  /** IP address; `undefined` if the connection is closed already. */
+  readonly from: string | undefined;
+}
+
 /** Options of {@link PeerRpc}. */
 export interface PeerRpcOptions {
   readonly storeView: StoreView;
@@ -93,7 +102,7 @@
 export class PeerRpc extends Task {
   readonly name = "peerRpc";
   readonly path = RPC_PATH;
-  readonly #server = new JSONRPCServer();
+  readonly #server = new JSONRPCServer<CallOrigin>();
   readonly #storeView: StoreView;
   readonly #members: KnownPeers;
   readonly #port: number;
@@ -142,6 +151,10 @@
       return news && this.#packer.pack(news, request);
     });
     this.#server.addMethod("dump", () => kernel.dump());
+    this.#server.applyMiddleware((next, call, origin) => {
+      this.#noteCall(call.method, origin);
+      return next(call, origin);
+    });
     this.#timer = this.#clock.every(PULL_INTERVAL_MS, () => void this.#pull());
     this.#members.onRosterReceived(() => void this.#pull());
     return Promise.resolve();
@@ -157,8 +170,9 @@
   }
 
   handle(request: IncomingMessage, response: ServerResponse): void {
+    const from = request.socket.remoteAddress;
     void readText(request).then(async (text) => {
-      const answer = await this.#server.receiveJSON(text);
+      const answer = await this.#server.receiveJSON(text, { from });
       response.setHeader("content-type", "application/json");
       response.end(answer === null ? "" : JSON.stringify(answer));
     }).catch((error) => {
@@ -167,6 +181,12 @@
     });
   }
 
+  /** Notes a call. Those of operators show or change what this VM knows, so that each has a line. */
+  #noteCall(method: string, { from }: CallOrigin): void {
+    if (VM_METHODS.has(method)) return;
+    this.#log.info("operator's call", { method, from });
+  }
+
   /** Pulls each topic, and a newer configuration in force, from a VM that is ahead, if there is one. */
   async #pull(): Promise<void> {
     const sources = this.#members.newsSources();
