Relays: another VM's answer is checked like an upstream's

Cause: `RelaySend.checkAnswer` took each answer that isn't a failure of the other VM for an upstream's, without the checks that `UpstreamSend` makes.

Change: `findAnswerFault` decides there too, and nothing unsigned is let pass: a VM passes on signed answers only, and tells refusals as failures of its own. What fails the check is given up, and the request may have run. It ends the class on this side, whatever answers at that address.

--- a/src/gateway/relay_send.ts
+++ b/src/gateway/relay_send.ts
@@ -5,7 +5,7 @@
  */
 
 import type { IncomingMessage } from "node:http";
-import { decodeAnswer } from "../platform/mod.ts";
+import { decodeAnswer, findAnswerFault } from "../platform/mod.ts";
 import type { GatewayContext } from "./context.ts";
 import { Exchange, type ExchangeFailure } from "./exchange.ts";
 import { encodeRelayTarget } from "./relay_target.ts";
@@ -113,6 +113,9 @@
     const peerFailure = decodePeerFailure(answer.headers);
     if (!peerFailure) {
       const decoded = decodeAnswer(answer, this.outbound.attemptId);
+      // A VM passes on no refusal of an upstream; it answers by a failure of its own.
+      const fault = findAnswerFault({ ...decoded, notRun: false });
+      if (fault) return this.rejectAnswer(fault, decoded);
       this.#version = decodeVersion(answer.headers);
       const { version } = this.#options;
       if (version !== undefined && this.#version !== version) {
