Answers that nobody wants are closed after 64 KiB or half a second

What callers saw: nothing at once. An upstream that sent without end behind a refusal, or behind a failure that was tried again elsewhere, kept a connection and the VM's processor busy until it stopped by itself.

Cause: the rest of such answers was read by `answer.resume()` in three places (call, upstream_send, relay_send), to its end, whatever its length; nothing watched it, as the request was over or elsewhere by then.

Evidence: gateway_endless_answers_test, five cases red before (behind a refusal: in chunks, up to the connection's end, with a length that never comes, one byte a 50 ms; behind a failure that is tried again): the connections stayed open until the test gave up after 10 s. Green now, within 0.6 s.

Change: `discardBody` reads up to 64 KiB for up to 500 ms, so that the connection of an ordinary refusal is used again, and closes the others with a line (`answer closed unread`) and a count. It takes the place of all three.

Green before and after, and kept as guards: one head without end, a chunk's extension, trailers (Node's parser bounds each), a body that its caller waits for (closed at the deadline).

--- a/src/gateway/call.ts
+++ b/src/gateway/call.ts
@@ -27,6 +27,7 @@
 import { CallSuspicion } from "./call_suspicion.ts";
 import { refusalBy } from "./config_refusal.ts";
 import type { GatewayContext } from "./context.ts";
+import { discardBody } from "./discard.ts";
 import { waitForNextPoll } from "./next_poll.ts";
 import { Pause } from "./pause.ts";
 import type { Reply } from "./reply.ts";
@@ -310,7 +311,7 @@
     const isRetried = this.#placement.hasRoomHere() &&
       this.#retries.take("failedAnswer", true, reason);
     if (!isRetried) return false;
-    answer.resume();
+    discardBody(answer, this.#context);
     this.#evidence.noteMayHaveRun();
     return true;
   }
--- a/src/gateway/relay_send.ts
+++ b/src/gateway/relay_send.ts
@@ -7,6 +7,7 @@
 import type { IncomingMessage } from "node:http";
 import { decodeAnswer, findAnswerFault } from "../platform/mod.ts";
 import type { GatewayContext } from "./context.ts";
+import { discardBody } from "./discard.ts";
 import { Exchange, type ExchangeFailure } from "./exchange.ts";
 import { encodeRelayTarget } from "./relay_target.ts";
 import type { RelayTarget } from "./relays.ts";
@@ -123,7 +124,7 @@
       }
       return { type: "answered", answer, decoded };
     }
-    answer.resume();
+    discardBody(answer, this.context);
     const mayHaveRun = peerFailure.failure.ran !== "no";
     return {
       type: "unanswered",
--- a/src/gateway/upstream_send.ts
+++ b/src/gateway/upstream_send.ts
@@ -13,6 +13,7 @@
 } from "../platform/mod.ts";
 import type { KnownUpstream, SendOutcome } from "../routing/mod.ts";
 import type { GatewayContext } from "./context.ts";
+import { discardBody } from "./discard.ts";
 import { Exchange, type ExchangeFailure } from "./exchange.ts";
 import type { Loss } from "./losses.ts";
 import {
@@ -223,7 +224,7 @@
       this.#noteOutcome(decoded.status >= 500 ? "failed" : "answered");
       return { type: "answered", answer, decoded };
     }
-    answer.resume();
+    discardBody(answer, this.context);
     this.#noteOutcome(decoded.wrongUpstream ? "replaced" : "shed");
     return {
       type: "unanswered",
