Exchange: at most eight interim responses to one request

What callers saw: a request whose upstream sent one 1xx head after the other got its 504 at the deadline; until then the VM parsed heads as fast as they came.

Cause: Node drops interim responses and waits for the final one, and bounds neither their number nor their bytes.

Evidence: gateway_endless_answers_test "made of interim heads" red before (504 after 8 s), green now (502 at once).

Change: an exchange is given up at the ninth; the request may have run. It holds for upstreams, relays and moves of streams, which all go through `Exchange`.

--- a/src/gateway/exchange.ts
+++ b/src/gateway/exchange.ts
@@ -39,12 +39,16 @@
 /** Methods whose requests carry a `Content-Length` even when the body is empty. */
 const METHODS_WITH_BODY = new Set(["POST", "PUT", "PATCH"]);
 
+/** Interim responses (1xx) to one request after which no final one is expected. */
+const MAX_INTERIM_RESPONSES = 8;
+
 /** Sends a request when it is constructed, and records whether its connection was made. */
 export class Exchange {
   /** The response once its headers have arrived, or why there is none. */
   readonly head: Promise<Result<IncomingMessage, ExchangeFailure>>;
   readonly #request: ClientRequest;
   #connected = false;
+  #interimResponses = 0;
 
   constructor(options: ExchangeRequest) {
     const { agent, host, port, method, target, body } = options;
@@ -65,6 +69,7 @@
         "socket",
         (socket) => this.#watchConnect(socket, options.connectTimeoutMs),
       );
+      this.#request.on("information", () => this.#noteInterim());
       this.#request.on("response", (answer) => resolve(ok(answer)));
       this.#request.on(
         "error",
@@ -91,6 +96,14 @@
     this.#request.destroy(new Error(reason));
   }
 
+  /** Each costs processor time, and an upstream may send them without end. */
+  #noteInterim(): void {
+    this.#interimResponses++;
+    if (this.#interimResponses > MAX_INTERIM_RESPONSES) {
+      this.cancel("too many interim responses");
+    }
+  }
+
   /**
    * Node holds the bytes until the connection is made, so an attempt to connect that fails or takes too long has sent
    * nothing. A machine that is down answers no attempt; without this timeout the request would wait for the kernel's.
--- a/test/gateway_endless_answers_test.ts
+++ b/test/gateway_endless_answers_test.ts
@@ -181,6 +181,17 @@
     await checkClosed(t, { ...endless, answers: again });
   });
 
+  it("made of interim heads ends its request before the deadline", async (t) => {
+    const endless = await openEndless(
+      t,
+      () => "",
+      "HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n",
+    );
+    const answer = await call(endless, "/once/");
+    t.is(answer.status, 502);
+    await checkClosed(t, endless);
+  });
+
   it("made of one head ends its request before the deadline", async (t) => {
     const endless = await openEndless(
       t,
