--- a/src/adapters/read_text_test.ts
+++ b/src/adapters/read_text_test.ts
@@ -1,3 +1,6 @@
+import { once } from "node:events";
+import { createServer, type IncomingMessage, request } from "node:http";
+import type { AddressInfo } from "node:net";
 import { describe, it } from "../base/describe.ts";
 import { sleep } from "../../test/cluster.ts";
 import {
@@ -5,7 +8,7 @@
   receiveAnswer,
   receiveRequest,
 } from "../../test/cut_messages.ts";
-import { readText } from "./mod.ts";
+import { MAX_TEXT_BYTES, readText } from "./mod.ts";
 
 /** Long enough for what was sent to arrive, and for the connection's end after it. */
 const ARRIVE_MS = 50;
@@ -29,4 +32,30 @@
       await t.throwsAsync(readText(answer));
     });
   }
+
+  /** Guards against an answer without end that fills the memory of the process that reads it. */
+  it("is given up, and its connection closed, once it is longer than the bound", async (t) => {
+    let sentBytes = 0;
+    const part = Buffer.alloc(65_536, "x");
+    const server = createServer((_, response) => {
+      const more = () => {
+        while (!response.destroyed && response.write(part)) {
+          sentBytes += part.length;
+        }
+      };
+      response.on("drain", more);
+      more();
+    });
+    server.listen(0, "127.0.0.1");
+    await once(server, "listening");
+    t.teardown(() => void server.close());
+    const call = request({ port: (server.address() as AddressInfo).port });
+    call.end();
+    const [answer] = await once(call, "response") as [IncomingMessage];
+    await t.throwsAsync(readText(answer), {
+      message: "the message is too long",
+    });
+    t.true(answer.socket.destroyed);
+    t.true(sentBytes < 2 * MAX_TEXT_BYTES, `${sentBytes} bytes`);
+  });
 });
