Streams: unfinished events of all streams share one bound of memory

What callers saw: nothing yet. Each resumable stream holds back up to 1 MiB of an unfinished event; 300 upstreams' streams with an event without end hold more than a VM's 350 MB, and the process is killed with all its callers.

Cause: the bound was one stream's (`MAX_HELD_BYTES`); nothing bounded their sum.

Evidence: pipe_test "holds back no more than all streams together may": four streams held 2,400,000 bytes before where 1,000,000 are allowed; green now.

Change: a twentieth of the VM's memory for all of them (`heldEvents`, 17 MB of 350). A stream that finds no more there passes its event on as it comes, as one over its own bound does: it isn't continued elsewhere, and nothing is lost otherwise. The pipe gives its share back when the request ends (`close`).

--- a/src/gateway/call.ts
+++ b/src/gateway/call.ts
@@ -104,6 +104,7 @@
     });
     this.#answer = new CallAnswer({
       clock: context.clock,
+      heldMemory: context.heldEvents,
       input,
       service: this.#service,
       reply,
@@ -148,6 +149,7 @@
     } finally {
       timer.close();
       void this.#suspicion.close();
+      this.#answer.close();
       bodies.release(this.#body.length);
       this.#context.openRequests--;
     }
--- a/src/gateway/call_answer.ts
+++ b/src/gateway/call_answer.ts
@@ -6,6 +6,7 @@
 
 import type { IncomingMessage } from "node:http";
 import type { Clock } from "../base/mod.ts";
+import type { BodyMemory } from "./body.ts";
 import type { ServiceConfig } from "../routing/mod.ts";
 import { type CallInput, pipeOptionsOf } from "./call_input.ts";
 import type { CallPlacement } from "./call_placement.ts";
@@ -24,6 +25,8 @@
 /** Options of {@link CallAnswer}. */
 export interface CallAnswerOptions {
   readonly clock: Clock;
+  /** Memory for unfinished events of all streams. */
+  readonly heldMemory: BodyMemory;
   readonly input: CallInput;
   readonly service: ServiceConfig;
   readonly reply: Reply;
@@ -81,17 +84,30 @@
     this.#options.record.noteBody(this.#pipe.report);
   }
 
+  /** Releases what is held of an answer. */
+  close(): void {
+    this.#pipe?.close();
+  }
+
   /** Whether nothing but the end of its connection told where the last answer ended. */
   get endedWithConnection(): boolean {
     return this.#pipe?.report?.framing === "connection";
   }
 
   #start(send: Send, { answer, decoded }: Answered): BodyPipe {
-    const { clock, reply, input, service, placement, record, suspicion } =
-      this.#options;
+    const {
+      clock,
+      heldMemory,
+      reply,
+      input,
+      service,
+      placement,
+      record,
+      suspicion,
+    } = this.#options;
     reply.version = send.version;
     reply.onBody(() => placement.origin.noteBegun());
-    const options = pipeOptionsOf(input, service);
+    const options = { ...pipeOptionsOf(input, service), heldMemory };
     const pipe = createPipe(reply, answer, options, () => {
       const nowMs = clock.monoMs();
       this.#send?.noteChunk(nowMs);
--- a/src/gateway/call_input.ts
+++ b/src/gateway/call_input.ts
@@ -63,7 +63,7 @@
 export function pipeOptionsOf(
   { route, relayed }: CallInput,
   { engine }: ServiceConfig,
-): PipeOptions {
+): Omit<PipeOptions, "heldMemory"> {
   const isStreamRoute = route.kind === "stream";
   const mayContinue = engine?.moves === true || (route.resumable && !relayed);
   return { isStreamRoute, isResumable: isStreamRoute && mayContinue };
--- a/src/gateway/context.ts
+++ b/src/gateway/context.ts
@@ -24,6 +24,8 @@
 
 /** Share of a VM's memory for request bodies; the process itself needs about a third. */
 const BODY_MEMORY_SHARE = 0.25;
+/** Share of a VM's memory for unfinished events of streams. */
+const HELD_EVENTS_SHARE = 0.05;
 const BYTES_PER_MB = 1_000_000;
 
 /** The services, settings and counters that each request uses. */
@@ -45,6 +47,8 @@
   readonly origins: StreamOrigins;
   readonly random = new Random(process.pid ^ Date.now());
   readonly bodies: BodyMemory;
+  /** Memory for unfinished events of streams. */
+  readonly heldEvents: BodyMemory;
   readonly startQueue: StartQueue;
   /** Whether this VM is being stopped. */
   isDraining = false;
@@ -94,9 +98,9 @@
     this.origins = parts.origins;
     this.startMonoMs = parts.startMonoMs;
     this.startQueue = new StartQueue(parts.clock);
-    this.bodies = new BodyMemory(
-      parts.settings.vm.memoryMb * BYTES_PER_MB * BODY_MEMORY_SHARE,
-    );
+    const memoryBytes = parts.settings.vm.memoryMb * BYTES_PER_MB;
+    this.bodies = new BodyMemory(memoryBytes * BODY_MEMORY_SHARE);
+    this.heldEvents = new BodyMemory(memoryBytes * HELD_EVENTS_SHARE);
   }
 
   /** The retry budget of a service. */
--- a/src/gateway/pipe.ts
+++ b/src/gateway/pipe.ts
@@ -11,6 +11,7 @@
   EventScanner,
   findLastEvent,
 } from "../base/mod.ts";
+import type { BodyMemory } from "./body.ts";
 import type { Reply } from "./reply.ts";
 
 /** Whether an answer arrived completely. */
@@ -116,6 +117,9 @@
   /** Bytes that are held back. */
   protected abstract get heldBytes(): number;
 
+  /** Releases what is held back. */
+  close(): void {}
+
   /** Forwards an answer's body until it ends or breaks off. */
   async run(answer: IncomingMessage): Promise<PipeEnd> {
     this.#isGivenUp = false;
@@ -212,12 +216,21 @@
   /** Events after which the stream can be whole: one that broke off inside an event lacks at least that one. */
   #leastEvents = 0;
   #heldBytes = 0;
+  readonly #memory: BodyMemory;
+  /** How much of what is held is counted in the memory that all streams share. */
+  #reservedBytes = 0;
   /** Whether part of the unfinished event has been passed on, so that nobody can begin it again. */
   #isPassingEvent = false;
 
-  constructor(reply: Reply, onChunk: () => void, scanner: EventScanner) {
+  constructor(
+    reply: Reply,
+    onChunk: () => void,
+    scanner: EventScanner,
+    memory: BodyMemory,
+  ) {
     super(reply, onChunk, scanner);
     this.#scanner = scanner;
+    this.#memory = memory;
   }
 
   /** Complete events that were forwarded. */
@@ -246,8 +259,11 @@
   }
 
   #hold(pieces: Buffer[]): void {
+    this.#memory.release(this.#reservedBytes);
     this.#partial = pieces;
     this.#heldBytes = pieces.reduce((sum, { length }) => sum + length, 0);
+    const isCounted = this.#memory.tryReserve(this.#heldBytes);
+    this.#reservedBytes = isCounted ? this.#heldBytes : 0;
   }
 
   protected override get lacksEvents(): boolean {
@@ -279,16 +295,27 @@
   }
 
   #takeUnfinished(chunk: Buffer): Buffer | undefined {
-    this.#partial.push(chunk);
-    this.#heldBytes += chunk.length;
-    if (!this.#isPassingEvent && this.#heldBytes <= MAX_HELD_BYTES) {
-      return undefined;
-    }
-    const held = Buffer.concat(this.#partial);
+    if (!this.#isPassingEvent && this.#tryHold(chunk)) return undefined;
+    const held = Buffer.concat([...this.#partial, chunk]);
     this.#hold([]);
     this.#isPassingEvent = true;
     return held;
   }
+
+  /** Holds one more chunk of the unfinished event; `false` if the event, or all streams' events together, get too large. */
+  #tryHold(chunk: Buffer): boolean {
+    const bytes = chunk.length;
+    if (this.#heldBytes + bytes > MAX_HELD_BYTES) return false;
+    if (!this.#memory.tryReserve(bytes)) return false;
+    this.#partial.push(chunk);
+    this.#heldBytes += bytes;
+    this.#reservedBytes += bytes;
+    return true;
+  }
+
+  override close(): void {
+    this.#hold([]);
+  }
 }
 
 /** Whether the body of an answer is a stream of events. */
@@ -309,19 +336,21 @@
   readonly isStreamRoute: boolean;
   /** Whether another upstream may continue the answer after a break. */
   readonly isResumable: boolean;
+  /** Memory for unfinished events of all streams. */
+  readonly heldMemory: BodyMemory;
 }
 
 /** Creates the pipe of a reply, by the first answer that is forwarded to it. */
 export function createPipe(
   reply: Reply,
   answer: IncomingMessage,
-  { isStreamRoute, isResumable }: PipeOptions,
+  { isStreamRoute, isResumable, heldMemory }: PipeOptions,
   onChunk: () => void,
 ): BodyPipe {
   const scanner = isEventStream(answer, isStreamRoute)
     ? new EventScanner()
     : undefined;
   return isResumable && scanner
-    ? new EventPipe(reply, onChunk, scanner)
+    ? new EventPipe(reply, onChunk, scanner, heldMemory)
     : new RawPipe(reply, onChunk, scanner);
 }
--- a/src/gateway/pipe_test.ts
+++ b/src/gateway/pipe_test.ts
@@ -3,11 +3,13 @@
 import { type AddressInfo, createServer, type Socket } from "node:net";
 import type { ExecutionContext } from "ava";
 import { describe, it } from "../base/describe.ts";
+import { BodyMemory } from "./body.ts";
 import { Exchange } from "./exchange.ts";
 import { createPipe, EventPipe } from "./pipe.ts";
 import { CallerReply } from "./reply.ts";
 
 const EVENT = "id: 1\ndata: a\n\n";
+const heldMemory = new BodyMemory(4_000_000);
 
 /** A reply that drops what it is given. */
 function dropReply(): CallerReply {
@@ -59,7 +61,7 @@
       `HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n${EVENT}id: 2\ndata: ${text}`,
     );
     const answer = (await exchange.head)._unsafeUnwrap();
-    const options = { isStreamRoute: true, isResumable: true };
+    const options = { isStreamRoute: true, isResumable: true, heldMemory };
     const pipe = createPipe(dropReply(), answer, options, () => {});
     if (!(pipe instanceof EventPipe)) return t.fail();
     const end = pipe.run(answer);
@@ -73,6 +75,38 @@
     t.true(pipe.report!.heldBytes <= 1_048_576);
     t.false(pipe.canContinue);
   });
+
+  /** Guards against many streams with an event without end, whose held bytes together exceed the process's memory. */
+  it("holds back no more than all streams together may, and gives it back", async (t) => {
+    const event = `${EVENT}id: 2\ndata: ${"x".repeat(600_000)}`;
+    const memory = new BodyMemory(1_000_000);
+    const options = {
+      isStreamRoute: true,
+      isResumable: true,
+      heldMemory: memory,
+    };
+    const pipes: EventPipe[] = [];
+    for (let i = 0; i < 4; i++) {
+      const exchange = await openExchange(
+        t,
+        `HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n${event}`,
+      );
+      const answer = (await exchange.head)._unsafeUnwrap();
+      const pipe = createPipe(dropReply(), answer, options, () => {});
+      let bytes = 0;
+      answer.on("data", ({ length }: Buffer) => {
+        bytes += length;
+        if (bytes === event.length) exchange.cancel("enough");
+      });
+      t.is(await pipe.run(answer), "broken");
+      pipes.push(pipe as EventPipe);
+    }
+    const held = pipes.reduce((sum, { report }) => sum + report!.heldBytes, 0);
+    t.true(held <= 1_000_000, `${held} bytes`);
+    t.true(held > 500_000);
+    for (const pipe of pipes) pipe.close();
+    t.true(memory.tryReserve(1_000_000));
+  });
 });
 
 describe("the pipe of an answer", () => {
@@ -88,7 +122,7 @@
             `HTTP/1.1 200 OK\r\nContent-Type: ${type}\r\n\r\n${EVENT}`,
           );
           const answer = (await exchange.head)._unsafeUnwrap();
-          const options = { isStreamRoute: true, isResumable };
+          const options = { isStreamRoute: true, isResumable, heldMemory };
           const pipe = createPipe(dropReply(), answer, options, () => {});
           const end = pipe.run(answer);
           answer.once("data", () => exchange.cancel("upstream unreachable"));
