Kept connections: an idle timeout of any size ends no process

Cause: `KeepAliveAgent` read the digits as `Infinity` and gave that to the socket's timer, which throws in an event of the agent; nothing catches that. 20 digits, or 3,000,000 s, raised a warning of Node for each answer.

Evidence: keep_alive_agent_test "outlive a Keep-Alive timeout of 310 characters": ended its process before (ERR_OUT_OF_RANGE, exit code 1), green now.

Change: no more than ten minutes are believed. Other numbers of upstreams that reach a timer were looked at: `Retry-After` of a refusal is capped already (`UpstreamRest`), the rest come from the configuration.

--- a/src/gateway/keep_alive_agent.ts
+++ b/src/gateway/keep_alive_agent.ts
@@ -16,6 +16,9 @@
 /** Idle timeout if the other side announces none. */
 const DEFAULT_IDLE_MS = 4_000;
 
+/** Longest idle timeout that is believed: a timer takes no number of any size. */
+const MAX_IDLE_MS = 600_000;
+
 interface SocketWithMessage {
   readonly _httpMessage?: {
     readonly res?: { readonly headers: Record<string, string | undefined> };
@@ -27,7 +30,8 @@
   const text = (socket as unknown as SocketWithMessage)._httpMessage?.res
     ?.headers["keep-alive"];
   const seconds = /timeout=(\d+)/.exec(text ?? "")?.[1];
-  return seconds === undefined ? undefined : Number(seconds) * 1000;
+  if (seconds === undefined) return undefined;
+  return Math.min(Number(seconds) * 1_000, MAX_IDLE_MS);
 }
 
 /**
