Listeners: no request ends the process by an exception

What callers saw: one `GET // HTTP/1.1` at the directory's, ready or metrics port ended the VM (exit code 1), and cut off all its callers.

Cause: `new URL("//", ...)` throws in `Directory.#respond`, in an event handler that nothing guards.

Evidence: gateway_targets_test: "Invalid URL" ended the test's process before; 6 odd targets at four listeners are answered now.

Change: the directory answers 400 to a target that is no path. Every listener of the gateway runs its handler in `guard` now: whatever else one throws closes the connection of that request, with a line in the log, and not the process (listen_test). What runs later, in `Call.run`, was guarded already. The own interface (src/edge) handles requests in Koa, which catches.

--- a/src/gateway/directory.ts
+++ b/src/gateway/directory.ts
@@ -48,11 +48,16 @@
     const respond = (request: IncomingMessage, response: ServerResponse) =>
       this.#respond(request, response);
     for (const address of new Set([addresses.directory, addresses.ready])) {
-      this.#servers.push(await listen(address, {}, respond));
+      this.#servers.push(await listen(address, {}, kernel.log, respond));
     }
     try {
       this.#servers.push(
-        await listen(`${vm.ip}:${addresses.metrics}`, {}, respond),
+        await listen(
+          `${vm.ip}:${addresses.metrics}`,
+          {},
+          kernel.log,
+          respond,
+        ),
       );
     } catch (error) {
       kernel.log.warn("metrics listener could not be opened", {
@@ -104,7 +109,12 @@
   }
 
   #respond(request: IncomingMessage, response: ServerResponse): void {
-    const url = new URL(request.url ?? "/", URL_BASE);
+    const text = URL_BASE + request.url;
+    if (!URL.canParse(text)) {
+      response.writeHead(400).end();
+      return;
+    }
+    const url = new URL(text);
     if (url.pathname === READY_PATH) {
       response.writeHead(this.isReady ? 200 : 503).end();
     } else if (url.pathname === LOOKUP_PATH) {
--- a/src/gateway/http_listeners.ts
+++ b/src/gateway/http_listeners.ts
@@ -90,17 +90,28 @@
   }
 
   async start(_kernel: Kernel): Promise<void> {
-    const { listen: addresses } = this.#context.settings;
-    this.#callerServer = await listen(addresses.callers, {
-      maxHeaderSize: MAX_HEADER_BYTES,
-      connectionsCheckingInterval: TIMEOUT_CHECK_MS,
-      requestTimeout: 0,
-    }, (request, response) => this.#onCallerRequest(request, response));
-    this.#peerServer = await listen(addresses.peers, {
-      keepAliveTimeout: PEER_IDLE_MS,
-      maxHeaderSize: 2 * MAX_HEADER_BYTES,
-      requestTimeout: 0,
-    }, (request, response) => this.#onPeerRequest(request, response));
+    const { settings, log } = this.#context;
+    const { listen: addresses } = settings;
+    this.#callerServer = await listen(
+      addresses.callers,
+      {
+        maxHeaderSize: MAX_HEADER_BYTES,
+        connectionsCheckingInterval: TIMEOUT_CHECK_MS,
+        requestTimeout: 0,
+      },
+      log,
+      (request, response) => this.#onCallerRequest(request, response),
+    );
+    this.#peerServer = await listen(
+      addresses.peers,
+      {
+        keepAliveTimeout: PEER_IDLE_MS,
+        maxHeaderSize: 2 * MAX_HEADER_BYTES,
+        requestTimeout: 0,
+      },
+      log,
+      (request, response) => this.#onPeerRequest(request, response),
+    );
   }
 
   async close(_deadlineMs: number): Promise<void> {
--- a/src/gateway/listen.ts
+++ b/src/gateway/listen.ts
@@ -11,6 +11,7 @@
   type ServerOptions,
 } from "node:http";
 import { UnframedAnswers } from "../adapters/mod.ts";
+import type { Log } from "../kernel/mod.ts";
 
 const unframedAnswers = new WeakMap<Server, UnframedAnswers>();
 
@@ -23,13 +24,33 @@
   };
 }
 
+/** Makes a listener that outlives what `onRequest` throws: nothing else catches it, and it would end the process. */
+function guard(onRequest: RequestListener, log: Log): RequestListener {
+  return (request, response) => {
+    try {
+      onRequest(request, response);
+    } catch (error) {
+      const reason = (error as Error).stack ?? String(error);
+      log.error("request failed with an internal error", {
+        target: request.url,
+        reason,
+      });
+      response.destroy();
+    }
+  };
+}
+
 /** Opens a listener; fails if the address is taken. */
 export async function listen(
   address: string,
   options: ServerOptions,
+  log: Log,
   onRequest: RequestListener,
 ): Promise<Server> {
-  const server = createServer({ noDelay: true, ...options }, onRequest);
+  const server = createServer(
+    { noDelay: true, ...options },
+    guard(onRequest, log),
+  );
   unframedAnswers.set(server, new UnframedAnswers(server));
   const { host, port } = splitAddress(address);
   await new Promise<void>((resolve, reject) => {
