--- /dev/null
+++ b/test/gateway_hangup_test.ts
@@ -0,0 +1,55 @@
+import { spawn } from "node:child_process";
+import { once } from "node:events";
+import { describe, it } from "../src/base/describe.ts";
+
+/** Returns the URL of a compiled module of the gateway. */
+function urlOf(name: string): string {
+  return new URL(`../src/gateway/${name}.js`, import.meta.url).href;
+}
+
+/** Runs a program that gets SIGHUP from itself; returns how it ended and what it wrote. */
+async function run(
+  ...args: string[]
+): Promise<{ readonly end: unknown; readonly out: string }> {
+  const child = spawn(process.execPath, args, {
+    stdio: ["ignore", "pipe", "ignore"],
+  });
+  let out = "";
+  child.stdout.on("data", (chunk: Buffer) => out += chunk);
+  const [code, signal] = await once(child, "close");
+  return { end: signal ?? code, out };
+}
+
+/** Guards against a change of the settings file right after the start that ends the process. */
+describe("SIGHUP while a gateway starts", () => {
+  it("is kept until there is something to do", async (t) => {
+    const { end, out } = await run(
+      "--input-type=module",
+      "-e",
+      `const { noteHangups, onHangup } = await import("${urlOf("hangup")}");
+       noteHangups();
+       process.kill(process.pid, "SIGHUP");
+       setTimeout(() => onHangup(() => console.log("handled")), 50);`,
+    );
+    t.is(end, 0);
+    t.is(out, "handled\n");
+  });
+
+  it("does not end the program while it loads the rest", async (t) => {
+    // Without a settings file the daemon ends by itself, with 2, once it is loaded.
+    const { end } = await run(
+      "--input-type=module",
+      "-e",
+      `process.argv.length = 1;
+       delete process.env.IBISGAP_NODE_FILE;
+       const loaded = import("${urlOf("main")}");
+       const until = setInterval(() => {
+         if (process.listenerCount("SIGHUP") === 0) return;
+         clearInterval(until);
+         process.kill(process.pid, "SIGHUP");
+       }, 1);
+       await loaded;`,
+    );
+    t.is(end, 2);
+  });
+});
