Cold starts: an upstream whose program had ended is cold until its entry is read

What callers saw: 502 and cut streams.

Cause: that it is a new start, and cold, stood in its entry alone, which VMs read up to 1.2 s later. Until then the first answer to a probe ended the probing (`UpstreamHealth`), and all VMs sent their usual share, though each knew that the program had ended: its connections were refused.

Change: a refused connection marks the link (`noteGone`); until two seconds after the upstream answers again (five, if it doesn't) it counts as cold: one VM alone sends, at the cold rate. The new entry has another key, and with it a link of its own, so that the mark ends there. Only a refusal counts, which the upstream's own machine sends; a reset or a silent link marks nothing. VMs report it to their lead as the outcome `gone`, one VM's word is enough there.

Not covered: a VM that had no request there while it was down learns nothing.

--- a/src/gateway/candidate_list.ts
+++ b/src/gateway/candidate_list.ts
@@ -78,7 +78,8 @@
     const limitsCold = service.coldPerS > 0;
     for (const candidate of candidates) {
       const { key, link, upstream } = candidate;
-      const isCold = limitsCold && upstream.coldUntilMs > nowMs;
+      const isCold = limitsCold &&
+        (upstream.coldUntilMs > nowMs || link.mayBeRestarted(nowMs));
       const load = otherLoads.loadAt(key, nowMs);
       link.usedMonoMs = nowMs;
       candidate.running = link.running + load[0];
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -167,6 +167,10 @@
       () => storeView.fleet.announcedLeaving.length,
     );
     const losses = new LossProber(clock, log, metrics);
+    losses.onGone = (key) => {
+      upstreams.noteGone(key);
+      members.noteSendEnd([key, "gone"]);
+    };
     const suspects = new Suspects({
       self: vm,
       datagrams,
--- a/src/gateway/losses.ts
+++ b/src/gateway/losses.ts
@@ -42,6 +42,8 @@
   readonly #log: Log;
   readonly #metrics: GatewayMetrics;
   readonly #probes = new Map<string, Probe>();
+  /** Called when an upstream turns out to be gone. */
+  onGone: (key: string) => void = () => {};
   /** Upstreams that refused a connection, by key, with the time. */
   readonly #goneMonoMs = new Map<string, number>();
 
@@ -69,6 +71,7 @@
   /** Notes that an upstream refused a connection, so its program has ended. */
   noteGone(key: string): void {
     this.#forgetGone();
+    this.onGone(key);
     this.#goneMonoMs.set(key, this.#clock.monoMs());
   }
 
--- a/src/gateway/upstream_link.ts
+++ b/src/gateway/upstream_link.ts
@@ -28,6 +28,11 @@
  */
 const SAME_LOSS_WINDOW_MS = 1_000;
 
+/** How long an upstream that was gone may be back as a new start, if it has not answered since. */
+const MAY_RESTART_MS = 5_000;
+/** How long an upstream that answers again may be a new start whose entry this VM has not read yet. */
+const RESTART_NEWS_MS = 2_000;
+
 /** This VM's connections, load and health of one upstream. */
 export class UpstreamLink {
   readonly agent: KeepAliveAgent;
@@ -45,6 +50,10 @@
   upstream: KnownUpstream | undefined;
 
   #silentSinceMs: number;
+  /** When its program was known to have ended; another start of it has another entry, and another link. */
+  #goneMonoMs = -Infinity;
+  /** When it answered again. */
+  #backMonoMs = -Infinity;
   #lastLoss: { readonly vmId: string; readonly lostMs: number } | undefined;
   #cachedOwner:
     | { readonly vmIds: readonly string[]; readonly id: string }
@@ -93,6 +102,22 @@
   /** Notes that bytes arrived. */
   noteReceived(nowMs: number): void {
     this.#silentSinceMs = nowMs;
+    if (this.#backMonoMs < this.#goneMonoMs) this.#backMonoMs = nowMs;
+  }
+
+  /** Notes that the upstream's program has ended. */
+  noteGone(nowMs: number): void {
+    this.#goneMonoMs = nowMs;
+  }
+
+  /**
+   * Whether what answers at its address may be a new start of it, which is cold. Its entry says so only a poll later;
+   * until then all VMs would send it as much as before, and it would crash again.
+   */
+  mayBeRestarted(nowMs: number): boolean {
+    return this.#backMonoMs < this.#goneMonoMs
+      ? nowMs < this.#goneMonoMs + MAY_RESTART_MS
+      : nowMs < this.#backMonoMs + RESTART_NEWS_MS;
   }
 
   /**
--- a/src/gateway/upstreams.ts
+++ b/src/gateway/upstreams.ts
@@ -45,6 +45,7 @@
   "failed",
   "shed",
   "lost",
+  "gone",
   "replaced",
 ]);
 
@@ -264,6 +265,11 @@
     return link.rest.leftMs(link.running, slots, this.#clock.monoMs());
   }
 
+  /** Notes that an upstream's program has ended. */
+  noteGone(key: string): void {
+    this.#links.get(key)?.noteGone(this.#clock.monoMs());
+  }
+
   /** Records the outcomes of another VM's sends. */
   noteOutcomes(vmId: string, outcomes: readonly SeenOutcome[]): void {
     const nowMs = this.#clock.monoMs();
@@ -272,6 +278,11 @@
       const link = this.#links.get(String(pair[0]));
       if (!link) continue;
       if (pair[1] === "lost" && !link.confirmLoss(vmId, nowMs)) continue;
+      if (pair[1] === "gone") {
+        // A refusal comes from the upstream's own machine, so that one VM's word is enough.
+        link.noteGone(nowMs);
+        if (link.health.isAside(nowMs)) continue;
+      }
       link.health.noteOutcome(pair[1], nowMs);
     }
   }
@@ -314,9 +325,9 @@
   ): boolean {
     const nowMs = this.#clock.monoMs();
     if (!this.fleet.canUse(upstream)) return false;
+    const isCold = upstream.coldUntilMs > nowMs || link.mayBeRestarted(nowMs);
     if (
-      !grant && upstream.coldUntilMs > nowMs &&
-      !link.coldPace.tryTake(nowMs, service.coldPerS)
+      !grant && isCold && !link.coldPace.tryTake(nowMs, service.coldPerS)
     ) return false;
     this.holders.noteSent(parts.slice(0, -1), upstream.key, nowMs);
     return true;
--- a/src/routing/health.ts
+++ b/src/routing/health.ts
@@ -14,6 +14,8 @@
   | "shed"
   /** The connection could not be made, or it broke. */
   | "lost"
+  /** The connection was refused, so that the upstream's program has ended. */
+  | "gone"
   /** Another upstream has its address, so this one is gone for good. */
   | "replaced";
 
@@ -63,7 +65,7 @@
       this.#asideUntilMs = nowMs + REPLACED_ASIDE_MS;
       return;
     }
-    if (outcome === "lost") {
+    if (outcome === "lost" || outcome === "gone") {
       this.#asideUntilMs = nowMs + this.#asideMs;
       this.#asideMs = Math.min(MAX_ASIDE_MS, this.#asideMs * 2);
       this.#isProbing = true;
