Answers: an empty stamp, or one that isn't passed on, proves nothing

What callers saw: a 200 whose `Response-Stamp` is empty, or with none at all where the upstream names that header in `Connection`, so that it isn't copied.

Cause: `signed` was read from the headers as they came, as present or not.

Evidence: three cases of gateway_no_answer_test, red before (200 passed on), green now (502, may have run).

Change: `signed` is read from the headers that go to the caller, and says that the stamp there isn't empty.

--- a/src/platform/upstream_wire.ts
+++ b/src/platform/upstream_wire.ts
@@ -215,6 +215,15 @@
   return { ms: SECONDS.test(text) ? Number(text) * 1_000 : undefined, text };
 }
 
+/** Whether headers that are passed on have a stamp that says something. */
+function hasStamp(headers: readonly string[]): boolean {
+  for (let at = 0; at < headers.length; at += 2) {
+    if (headers[at].toLowerCase() !== "response-stamp") continue;
+    if (headers[at + 1].trim() !== "") return true;
+  }
+  return false;
+}
+
 /** Decodes the head of an answer to the attempt `attemptId`. */
 export function decodeAnswer(
   answer: IncomingMessage,
@@ -224,13 +233,14 @@
   const { headers } = answer;
   const echoed = headers["attempt-id"];
   const wrongUpstream = status === 421;
+  const kept = copyHeaders(
+    answer.rawHeaders,
+    (name) => name.startsWith(PEER_HEADER_PREFIX),
+  );
   return {
     status,
-    headers: copyHeaders(
-      answer.rawHeaders,
-      (name) => name.startsWith(PEER_HEADER_PREFIX),
-    ),
-    signed: headers["response-stamp"] !== undefined,
+    headers: kept,
+    signed: hasStamp(kept),
     notRun: headers["not-executed"] !== undefined || wrongUpstream,
     wrongUpstream,
     matches: echoed === undefined
--- a/test/gateway_no_answer_test.ts
+++ b/test/gateway_no_answer_test.ts
@@ -104,6 +104,33 @@
   });
 });
 
+/** Guards against a success that reaches its caller without the stamp of an upstream. */
+describe("gateway, a success whose stamp is worth nothing", () => {
+  const HEADS: Readonly<Record<string, (attemptId: string) => string[]>> = {
+    "is empty, and no attempt is named": () => ["Response-Stamp:"],
+    "is empty": (id) => [`Attempt-Id: ${id}`, "Response-Stamp:"],
+    "concerns the connection alone": (id) => [
+      `Attempt-Id: ${id}`,
+      "Response-Stamp: s1",
+      "Connection: keep-alive, Response-Stamp",
+    ],
+  };
+  for (const [name, headersOf] of Object.entries(HEADS)) {
+    it(`that ${name} is not passed on`, async (t) => {
+      const script: Script = ({ attemptId }, socket) => {
+        const lines = ["HTTP/1.1 200 OK", ...headersOf(attemptId)];
+        const head = [...lines, "Content-Length: 4"].join("\r\n");
+        socket.write(`${head}\r\n\r\ndone`);
+      };
+      const { lab, vm, upstream } = await openSpoiled(t, script, false);
+      const answer = await lab.call(vm, { path: "/once/", method: "POST" });
+      t.is(answer.status, 502);
+      t.is(ranOf(answer), "unknown");
+      t.is(upstream.requests.length, 1);
+    });
+  }
+});
+
 /** Guards against a relayed at-most-once request that runs again as its answer's head can't be read or passed on. */
 describe("gateway, an at-most-once request whose answer's head is broken", () => {
   const BROKEN_HEADS: Readonly<Record<string, readonly string[]>> = {
