Trials: a VM gives up no permission but its own

What callers saw: nothing yet.

Cause: `releaseTrial` deleted the key, whoever's it was by then.

Evidence: suspect_store_test "are tried by nobody else after a VM whose permission had lapsed gives it up", red before, green now.

Change: the permission is deleted at the revision at which this VM took it. `delete`, which clears a suspect, still removes its trial: a request that is no suspect needs none.

--- a/src/adapters/suspect_store.ts
+++ b/src/adapters/suspect_store.ts
@@ -53,6 +53,8 @@
   #generation: number | undefined;
   #restoredMs = -Infinity;
   #hasLoss = false;
+  /** The revisions of this VM's own permissions, by digest. */
+  readonly #trialRevs = new Map<string, number>();
 
   constructor(options: SuspectStoreOptions) {
     super();
@@ -106,7 +108,11 @@
       this.#options.vmId,
       TRIAL_LEASE_MS,
       0,
-    ).then(({ type }) => type === "stored");
+    ).then((outcome) => {
+      if (outcome.type !== "stored") return false;
+      this.#trialRevs.set(digest, outcome.rev);
+      return true;
+    });
     let timer: NodeJS.Timeout | undefined;
     const timeout = new Promise<boolean>((resolve) => {
       timer = setTimeout(() => resolve(false), TRIAL_TIMEOUT_MS);
@@ -135,8 +141,11 @@
   async releaseTrial(digest: string): Promise<void> {
     const { store, trialPrefix } = this.#options;
     const key = trialPrefix + digest;
-    // If it fails, the permission lapses with its lease.
-    await store.transact([{ type: "delete", key }], "other");
+    const ifRev = this.#trialRevs.get(digest);
+    if (ifRev === undefined) return;
+    this.#trialRevs.delete(digest);
+    // If it fails, the permission lapses with its lease, or has lapsed and is another VM's by now.
+    await store.transact([{ type: "delete", key, ifRev }], "other");
   }
 
   async delete(digest: string): Promise<boolean> {
@@ -166,7 +175,7 @@
       { leaseId: lease.value, ifRev },
       "other",
     );
-    if (put.isOk()) return { type: "stored" };
+    if (put.isOk()) return { type: "stored", rev: put.value };
     void store.revoke(lease.value, "other");
     if (put.error.kind !== "conflict") return { type: "failed" };
     return { type: "conflict", current: put.error.current };
@@ -175,7 +184,8 @@
 
 /** What came of a write that is made only if the key is as it was. */
 type PutOutcome =
-  | { readonly type: "stored" | "failed" }
+  | { readonly type: "stored"; readonly rev: number }
+  | { readonly type: "failed" }
   | { readonly type: "conflict"; readonly current: Entry | undefined };
 
 /** Decodes a stored list of upstreams; gives `undefined` for a value that is not such a list. */
--- a/src/adapters/suspect_store_test.ts
+++ b/src/adapters/suspect_store_test.ts
@@ -75,6 +75,20 @@
       t.true(await started.acquireTrial("later"));
     });
 
+    /** Guards against two trial runs at once, as a VM whose own permission has lapsed ends that of another one. */
+    it("are tried by nobody else after a VM whose permission had lapsed gives it up", async (t) => {
+      const store = new MemoryKeyValue();
+      const [a, b, c] = ["a", "b", "c"].map((id) => connect(store, id));
+      t.true(await a.acquireTrial("r"));
+      // The lease of the first permission ends.
+      await store.transact([{ type: "delete", key: "trials/r" }], "other");
+      t.true(await b.acquireTrial("r"));
+      await a.releaseTrial("r");
+      t.false(await c.acquireTrial("r"));
+      await b.releaseTrial("r");
+      t.true(await c.acquireTrial("r"));
+    });
+
     it("tell once that the store came back from a copy and may lack records", async (t) => {
       const store = new MemoryKeyValue();
       const a = connect(store, "a");
