Sends: a workspace's name in any script, and nothing counted before a send is open

What callers saw: each request of a workspace whose name has a character beyond latin-1 failed with 500, and its upstream seemed busier with each, for good.

Cause: Node refuses such a header's value when the request is made, and `UpstreamSend` had counted the send by then, which nothing closed.

Evidence: upstream_wire_test "name the workspace in UTF-8" and upstream_send_test "that can't be opened is counted nowhere", both red before, green now.

Change: the name is sent as UTF-8. The exchange is opened before anything is counted, so that whatever can't be written counts nowhere.

--- a/src/gateway/upstream_send.ts
+++ b/src/gateway/upstream_send.ts
@@ -66,12 +66,7 @@
     const nowMs = context.clock.monoMs();
     this.#sentMonoMs = nowMs;
     this.#watched = watchedStreamOf(outbound, candidate);
-    context.upstreams.noteSend(candidate, this.#waitingTokens);
-    if (outbound.mayRepeat) link.darkListeners.add(this.#cancelWhenUnreachable);
-    if (outbound.isSuspect) link.suspectCount++;
-    // A lead has counted what it granted already; other sends have to be reported to it soon.
-    if (!candidate.grant) context.members.notePromptRead();
-    candidate.pace.noteSend(this.#waitingTokens);
+    // Before anything is counted: a request that can't be written throws here.
     this.exchange = new Exchange({
       agent: link.agent,
       host: upstream.host,
@@ -88,6 +83,12 @@
       body: outbound.body,
       connectTimeoutMs: CONNECT_TIMEOUT_MS,
     });
+    context.upstreams.noteSend(candidate, this.#waitingTokens);
+    if (outbound.mayRepeat) link.darkListeners.add(this.#cancelWhenUnreachable);
+    if (outbound.isSuspect) link.suspectCount++;
+    // A lead has counted what it granted already; other sends have to be reported to it soon.
+    if (!candidate.grant) context.members.notePromptRead();
+    candidate.pace.noteSend(this.#waitingTokens);
   }
 
   /** The upstream that it was sent to. */
--- /dev/null
+++ b/src/gateway/upstream_send_test.ts
@@ -0,0 +1,47 @@
+import { once } from "node:events";
+import { createServer } from "node:net";
+import type { AddressInfo } from "node:net";
+import { describe, it } from "../base/describe.ts";
+import { systemClock } from "../base/mod.ts";
+import type { GatewayContext } from "./context.ts";
+import type { OutboundRequest } from "./send.ts";
+import { type LinkedCandidate, UpstreamLink } from "./upstream_link.ts";
+import { UpstreamSend } from "./upstream_send.ts";
+
+describe("a send to an upstream", () => {
+  /** Guards against a request that can't be written, and counts as in flight at its upstream for good. */
+  it("that can't be opened is counted nowhere", async (t) => {
+    const server = createServer().listen(0, "127.0.0.1");
+    await once(server, "listening");
+    t.teardown(() => void server.close());
+    const link = new UpstreamLink(0);
+    const counted: string[] = [];
+    const context = {
+      clock: systemClock,
+      upstreams: { noteSend: () => void counted.push("upstreams") },
+      members: { notePromptRead: () => void counted.push("members") },
+    } as unknown as GatewayContext;
+    const outbound = {
+      method: "POST",
+      target: "/once/",
+      headers: ["Host", "h.example", "Tenant", "two\nlines"],
+      body: Buffer.alloc(0),
+      promptTokens: 5,
+      mayRepeat: true,
+      isSuspect: true,
+      deadlineMonoMs: systemClock.monoMs() + 1_000,
+      eventGapMs: 0,
+    } as unknown as OutboundRequest;
+    const { port } = server.address() as AddressInfo;
+    const candidate = {
+      key: "u@1",
+      upstream: { key: "u@1", id: "u", host: "127.0.0.1", port },
+      link,
+      pace: { noteSend: () => void counted.push("pace") },
+    } as unknown as LinkedCandidate;
+    t.throws(() => new UpstreamSend(context, outbound, candidate));
+    t.deepEqual(counted, []);
+    t.is(link.suspectCount, 0);
+    t.is(link.darkListeners.size, 0);
+  });
+});
--- a/src/platform/upstream_wire.ts
+++ b/src/platform/upstream_wire.ts
@@ -87,7 +87,11 @@
       GATEWAY_HEADERS.has(name) || name.startsWith(PEER_HEADER_PREFIX) ||
       (caller !== undefined && CALLER_HEADERS.has(name)),
   );
-  if (caller?.workspace !== undefined) kept.push("Tenant", caller.workspace);
+  if (caller?.workspace !== undefined) {
+    // Node writes headers as latin-1, and refuses any other character.
+    const bytes = Buffer.from(caller.workspace, "utf8");
+    kept.push("Tenant", bytes.toString("latin1"));
+  }
   return kept;
 }
 
--- a/src/platform/upstream_wire_test.ts
+++ b/src/platform/upstream_wire_test.ts
@@ -1,4 +1,4 @@
-import type { IncomingMessage } from "node:http";
+import { type IncomingMessage, validateHeaderValue } from "node:http";
 import { describe, it } from "../base/describe.ts";
 import {
   addResumeHeader,
@@ -12,6 +12,14 @@
   describe("headers to an upstream", () => {
     // A caller that could set the gateway's own headers could reserve, pin or copy an engine's memory on the gateway's
     // account, or name the upstream that may run the request.
+    /** Guards against a workspace whose name can't be written into a header, so that each of its requests fails. */
+    it("name the workspace in UTF-8", (t) => {
+      const kept = forwardedHeaders([], { workspace: "Қала 図" });
+      t.is(kept[0], "Tenant");
+      t.notThrows(() => validateHeaderValue(kept[0], kept[1]));
+      t.is(Buffer.from(kept[1], "latin1").toString("utf8"), "Қала 図");
+    });
+
     it("omit those of one connection and those that only the gateway may set", (t) => {
       const raw = [
         ...[
