Origins: a late reply to the process before answers no question of this one

A stream could go on at a version that another stream had begun at.

Cause: the questions of each process were numbered from 1, and a VM that starts again has the same address; a reply on its way fits by number and sender.

Evidence: origin_questions_test, red before (v1, the reply to the process before, was taken), green now.

Change: numbers begin at a random one below 2^47. Questions to a lead (`placer.ts`) are numbered from 1 as well and stay so: what a lead chose is used only if it is an upstream of the request's own service, so that an answer that is too late chooses a worse place at most.

--- a/src/gateway/origin_questions.ts
+++ b/src/gateway/origin_questions.ts
@@ -4,6 +4,7 @@
  * @module
  */
 
+import { randomInt } from "node:crypto";
 import type { Clock, Timer } from "../base/mod.ts";
 import type {
   AskedVms,
@@ -18,6 +19,8 @@
 const OWN_TIMEOUT_MS = 50;
 const ELSEWHERE_TIMEOUT_MS = 250;
 
+const MAX_FIRST_QUESTION = 2 ** 47;
+
 /** The result of a question. */
 export type QuestionResult = FoundOrigin | {
   readonly type: "unknown";
@@ -40,7 +43,8 @@
   readonly #datagrams: Pick<Datagrams, "send">;
   readonly #clock: Clock;
   readonly #open = new Map<number, OpenQuestion>();
-  #lastQuestion = 0;
+  /** Begins anywhere: a reply to the process before, at the same address, must not fit a question of this one. */
+  #lastQuestion = randomInt(MAX_FIRST_QUESTION);
 
   constructor(datagrams: Pick<Datagrams, "send">, clock: Clock) {
     this.#datagrams = datagrams;
