Own interface: a status above 599 is no answer

What callers saw: `HTTP/1.1 600` or 999 of an upstream as their final status.

Cause: undici takes any three digits of 200 and more; nothing checked them.

Evidence: edge_status_test 600 and 999 red before, green now. 000, 099 and 101 were told as maybe run before too, and no call ran twice.

Change: `HttpUpstreamClient` gives such an answer up as lost: the call may have run, and its body is closed.

--- a/src/adapters/http_upstream.ts
+++ b/src/adapters/http_upstream.ts
@@ -20,6 +20,8 @@
 
 const CONNECT_TIMEOUT_MS = 1000;
 const DEFAULT_STALL_TIMEOUT_MS = 15_000;
+/** HTTP has no status above; undici itself waits for a status of 200 at least. */
+const MAX_FINAL_STATUS = 599;
 
 /** The {@link UpstreamClient} for HTTP upstreams. */
 export class HttpUpstreamClient extends UpstreamClient {
@@ -74,6 +76,11 @@
       });
       // The reader of the body gets the error. When there is no reader, an unhandled error would end the process.
       answer.body.on("error", () => {});
+      if (answer.statusCode > MAX_FINAL_STATUS) {
+        answer.body.destroy();
+        const message = `the answer has no final status: ${answer.statusCode}`;
+        return err({ kind: "lost", message });
+      }
       return ok({
         httpStatus: answer.statusCode,
         headers: flattenHeaders(answer.headers),
