Gateway: sends note their own beginning, links the outcomes of other VMs' sends

`CallSends` opens each send inside the evidence, so that no caller of it can forget that; the lag that makes callers doubtful is the context's; `UpstreamLink` decides what another VM's outcome is worth.

--- a/src/gateway/call.ts
+++ b/src/gateway/call.ts
@@ -38,12 +38,6 @@
 import { type MoveResult, StreamMover } from "./stream_move.ts";
 import type { LinkedCandidate } from "./upstream_link.ts";
 
-/**
- * Event loop lag above which callers may have left before their requests are read. The process then checks for that
- * before it sends a request, so that no upstream works for a caller that has left.
- */
-const HIGH_LAG_MS = 50;
-
 /** Runs one request of a caller, or one that another VM relayed. */
 export class Call {
   readonly #context: GatewayContext;
@@ -101,6 +95,7 @@
       placement: this.#placement,
       record: this.#record,
       retries: this.#retries,
+      evidence: this.#evidence,
     });
     this.#answer = new CallAnswer({
       clock: context.clock,
@@ -176,7 +171,7 @@
       }
       this.#placement.isSuspect = this.#suspicion.isSuspect;
       const { step, settle } = await this.#placement.place();
-      if (this.#isLagging) await waitForNextPoll();
+      if (this.#context.isLagging) await waitForNextPoll();
       const mayStart = !this.#isOver && !this.#suspicion.isRejected;
       const send = mayStart ? this.#startStep(step) : undefined;
       settle();
@@ -192,39 +187,23 @@
 
   /** Whether the caller may have left before its request was read; see {@link CallInput.isFirst}. */
   get #mayBeStale(): boolean {
-    return this.#input.isFirst || this.#isLagging;
-  }
-
-  get #isLagging(): boolean {
-    return this.#context.members.lagMs > HIGH_LAG_MS;
+    return this.#input.isFirst || this.#context.isLagging;
   }
 
   /** Executes a step; returns the send that it started, if any. */
   #startStep(step: Step<LinkedCandidate>): Send | undefined {
     if (step.type === "wait") return undefined;
-    if (step.type !== "refuse") {
-      return this.#open(() => this.#sends.open(step, this.#state()));
-    }
+    if (step.type !== "refuse") return this.#sends.open(step, this.#state());
     this.#refuse(step);
     return undefined;
   }
 
-  /** Opens a send; `undefined` if its place is gone. One whose opening throws counts as begun. */
-  #open(openSend: () => Send | undefined): Send | undefined {
-    this.#evidence.noteSend();
-    const send = openSend();
-    if (!send) this.#evidence.noteNotRun();
-    return send;
-  }
-
   /** Continues a stream that was stopped in order to move, at its new engine. */
   async #continueMoved({ candidate, goesOnFrom }: MoveResult): Promise<void> {
     this.#moveResult = undefined;
     this.#evidence.noteMayHaveRun();
     const send = this.#answer.continuable &&
-      this.#open(() =>
-        this.#sends.continueAt(candidate, goesOnFrom, this.#state())
-      );
+      this.#sends.continueAt(candidate, goesOnFrom, this.#state());
     if (!send) return this.#handleBreak("the engine that it moved to is gone");
     await this.#runSend(send);
   }
--- a/src/gateway/call_sends.ts
+++ b/src/gateway/call_sends.ts
@@ -17,6 +17,7 @@
 import type { CallRetries } from "./call_retries.ts";
 import type { GatewayContext } from "./context.ts";
 import { RelaySend } from "./relay_send.ts";
+import type { RunEvidence } from "./run_evidence.ts";
 import type { OutboundRequest, Send } from "./send.ts";
 import { UpstreamSend } from "./upstream_send.ts";
 import type { LinkedCandidate, PromptShape } from "./upstream_link.ts";
@@ -41,6 +42,7 @@
   readonly placement: CallPlacement;
   readonly record: CallRecord;
   readonly retries: CallRetries;
+  readonly evidence: RunEvidence;
 }
 
 /** Opens the sends of one request. */
@@ -66,9 +68,20 @@
     step: Step<LinkedCandidate> & { type: "send" | "relay" },
     state: SendState,
   ): Send | undefined {
-    return step.type === "send"
-      ? this.#sendToUpstream(step.candidate, state)
-      : this.#sendToRegion(step.region, state);
+    return this.#begin(() =>
+      step.type === "send"
+        ? this.#sendToUpstream(step.candidate, state)
+        : this.#sendToRegion(step.region, state)
+    );
+  }
+
+  /** Opens a send. It counts as begun before its first byte leaves, also if its opening throws. */
+  #begin(openSend: () => Send | undefined): Send | undefined {
+    const { evidence } = this.#options;
+    evidence.noteSend();
+    const send = openSend();
+    if (!send) evidence.noteNotRun();
+    return send;
   }
 
   /** Continues a stream that was stopped in order to move; `undefined` if its new engine is gone. */
@@ -91,7 +104,7 @@
       goesOnFrom,
       urgency: 0,
     };
-    return new UpstreamSend(context, outbound, candidate);
+    return this.#begin(() => new UpstreamSend(context, outbound, candidate));
   }
 
   #noteAdmission(candidate: LinkedCandidate, isAdmitted: boolean): boolean {
--- a/src/gateway/context.ts
+++ b/src/gateway/context.ts
@@ -28,6 +28,12 @@
 const HELD_EVENTS_SHARE = 0.05;
 const BYTES_PER_MB = 1_000_000;
 
+/**
+ * Event loop lag above which callers may have left before their requests are read. The process then checks for that
+ * before it sends a request, so that no upstream works for a caller that has left.
+ */
+const HIGH_LAG_MS = 50;
+
 /** The services, settings and counters that each request uses. */
 export class GatewayContext {
   /** Replaced as a whole when the settings change. */
@@ -103,6 +109,11 @@
     this.heldEvents = new BodyMemory(memoryBytes * HELD_EVENTS_SHARE);
   }
 
+  /** Whether callers may have left before their requests are read. */
+  get isLagging(): boolean {
+    return this.members.lagMs > HIGH_LAG_MS;
+  }
+
   /** The retry budget of a service. */
   retryBudget(service: string): RetryBudget {
     let budget = this.#retryBudgets.get(service);
--- a/src/gateway/upstream_link.ts
+++ b/src/gateway/upstream_link.ts
@@ -10,6 +10,7 @@
   type KnownUpstream,
   type PromptPart,
   selectColdOwner,
+  type SendOutcome,
   type StepCandidate,
   UpstreamHealth,
   UpstreamRest,
@@ -88,11 +89,26 @@
     return this.#cachedOwner.id;
   }
 
+  /** Notes the outcome of another VM's send. */
+  noteOutcomeElsewhere(
+    vmId: string,
+    outcome: SendOutcome,
+    nowMs: number,
+  ): void {
+    if (outcome === "lost" && !this.#confirmLoss(vmId, nowMs)) return;
+    if (outcome === "gone") {
+      // A refusal comes from the upstream's own machine, so that one VM's word is enough.
+      this.noteGone(nowMs);
+      if (this.health.isAside(nowMs)) return;
+    }
+    this.health.noteOutcome(outcome, nowMs);
+  }
+
   /**
    * Notes that a VM lost its connection to the upstream. Returns whether another VM did so too shortly before: a VM
    * whose own links fail loses every upstream, and must not make the whole region avoid them.
    */
-  confirmLoss(vmId: string, nowMs: number): boolean {
+  #confirmLoss(vmId: string, nowMs: number): boolean {
     const previous = this.#lastLoss;
     this.#lastLoss = { vmId, lostMs: nowMs };
     return previous !== undefined && previous.vmId !== vmId &&
--- a/src/gateway/upstreams.ts
+++ b/src/gateway/upstreams.ts
@@ -20,7 +20,7 @@
   type KnownUpstream,
   PartHolders,
   selectFetchSource,
-  type SendOutcome,
+  SEND_OUTCOMES,
   type ServiceConfig,
 } from "../routing/mod.ts";
 import type { Load, SeenOutcome, UpstreamLoad } from "../region/mod.ts";
@@ -40,14 +40,6 @@
 /** Connections of an upstream that is no longer known are kept this long, for answers that are still in flight. */
 const LINK_TTL_MS = 60_000;
 const SWEEP_INTERVAL_MS = 5_000;
-const SEND_OUTCOMES: ReadonlySet<string> = new Set<SendOutcome>([
-  "answered",
-  "failed",
-  "shed",
-  "lost",
-  "gone",
-  "replaced",
-]);
 
 /** Tracks this VM's load and health of each upstream, and lists the candidates for a request. */
 export class Upstreams extends Task {
@@ -276,14 +268,7 @@
     for (const pair of outcomes) {
       if (!Array.isArray(pair) || !SEND_OUTCOMES.has(pair[1])) continue;
       const link = this.#links.get(String(pair[0]));
-      if (!link) continue;
-      if (pair[1] === "lost" && !link.confirmLoss(vmId, nowMs)) continue;
-      if (pair[1] === "gone") {
-        // A refusal comes from the upstream's own machine, so that one VM's word is enough.
-        link.noteGone(nowMs);
-        if (link.health.isAside(nowMs)) continue;
-      }
-      link.health.noteOutcome(pair[1], nowMs);
+      link?.noteOutcomeElsewhere(vmId, pair[1], nowMs);
     }
   }
 
--- a/src/routing/health.ts
+++ b/src/routing/health.ts
@@ -19,6 +19,16 @@
   /** Another upstream has its address, so this one is gone for good. */
   | "replaced";
 
+/** All outcomes. */
+export const SEND_OUTCOMES: ReadonlySet<string> = new Set<SendOutcome>([
+  "answered",
+  "failed",
+  "shed",
+  "lost",
+  "gone",
+  "replaced",
+]);
+
 /**
  * How long an upstream is set aside after its first lost connection. A restart takes about this long, and a probe costs
  * a single request.
