--- a/review/lib-2/lab.mjs
+++ b/review/lib-2/lab.mjs
@@ -65,8 +65,8 @@
     return ((unixMs - this.#startMs) / 1000).toFixed(3);
   }
 
-  #spawn(args, stdio) {
-    const child = spawn(process.execPath, args, { cwd: root, stdio });
+  #spawn(args, stdio, env = process.env) {
+    const child = spawn(process.execPath, args, { cwd: root, stdio, env });
     this.#children.add(child);
     child.once("exit", () => this.#children.delete(child));
     return child;
@@ -141,8 +141,7 @@
       "--max-old-space-size=96",
       "--max-semi-space-size=2",
       "target/ibisgap-gateway.mjs",
-      machine.settingsPath,
-    ], ["ignore", log, log]);
+    ], ["ignore", log, log], { PATH: process.env.PATH, HOME: process.env.HOME, IBISGAP_NODE_FILE: machine.settingsPath });
     this.note(`machine ${machine.id} started, process ${machine.child.pid}`);
   }
 
