--- a/src/explain/explain_test.ts
+++ b/src/explain/explain_test.ts
@@ -97,6 +97,12 @@
       explain("firstAttempt=a7 originRefused=gone outcome=cannotResume"),
       /could not go on after a7: the version that began it is gone/,
     );
+    t.regex(
+      explain(
+        'firstAttempt=a7 firstVersion=v2 originFrom="only version" originWatchedMs=900 originReplies=2 outcome=ok',
+      ),
+      /at version v2 \(known from: only version, by 900 ms of watching and 2 other VMs\)/,
+    );
   });
 
   it("shows which upstreams asked for rest before a request that was sent to none", (t) => {
--- a/src/explain/explanation.ts
+++ b/src/explain/explanation.ts
@@ -121,9 +121,14 @@
     firstVersion,
     originFrom,
     originAgeMs,
+    originWatchedMs,
+    originReplies,
     originRefused,
   } = fields;
   const parts: string[] = [];
+  const watched = originWatchedMs === undefined
+    ? ""
+    : `, by ${originWatchedMs} ms of watching and ${originReplies} other VMs`;
   if (version !== undefined) {
     parts.push(`began at version ${version || "none"}`);
   }
@@ -131,14 +136,14 @@
     parts.push(
       `could not go on after ${
         firstAttempt ?? "no attempt"
-      }: the version that began it is ${originRefused}`,
+      }: the version that began it is ${originRefused}${watched}`,
     );
   } else if (firstVersion !== undefined) {
     const age = originAgeMs ? `, ${originAgeMs} ms old` : "";
     parts.push(
       `goes on after ${firstAttempt ?? "no attempt"} at version ${
         firstVersion || "none"
-      } (known from: ${originFrom}${age})`,
+      } (known from: ${originFrom}${age}${watched})`,
     );
   }
   if (continuedBy) parts.push(`continued by ${continuedBy}`);
--- a/src/gateway/call_origin.ts
+++ b/src/gateway/call_origin.ts
@@ -68,10 +68,14 @@
         ? this.#goOn(version, source, fields)
         : this.#refuse("gone", { firstVersion: version, originFrom: source });
     }
-    const { seen, isIncomplete } = answer;
-    if (isIncomplete) return this.#refuse("unknown, nobody answers");
-    if (seen.length < 2) return this.#goOn(seen[0], "only version");
-    return this.#refuse(`unknown, one of ${seen.join(" ")}`);
+    const { seen, isIncomplete, watchedMs, replies } = answer;
+    const fields = {
+      originWatchedMs: Math.round(watchedMs),
+      originReplies: replies,
+    };
+    if (isIncomplete) return this.#refuse("unknown, nobody answers", fields);
+    if (seen.length < 2) return this.#goOn(seen[0], "only version", fields);
+    return this.#refuse(`unknown, one of ${seen.join(" ")}`, fields);
   }
 
   /** Notes that an upstream of a version brought the first event of the answer. */
--- a/src/gateway/origins.ts
+++ b/src/gateway/origins.ts
@@ -58,6 +58,10 @@
   readonly seen: readonly string[];
   /** Whether there may be others: this VM has neither heard another one nor the store. */
   readonly isIncomplete: boolean;
+  /** How long this VM has watched the versions of upstreams. */
+  readonly watchedMs: number;
+  /** How many other VMs told what they have seen. */
+  readonly replies: number;
 };
 
 /** A stream whose end is not known yet. */
@@ -184,8 +188,15 @@
     const seen = this.#noteVersions(service, nowMs);
     const isFresh = this.#options.entriesAgeMs() < FRESH_ENTRIES_MS;
     const isSure = isFresh && this.#seen.hasWatchedLongEnough(nowMs);
+    const watchedMs = this.#seen.watchedMs(nowMs);
     if (seen.length < 2 && isSure) {
-      return { type: "unknown", seen, isIncomplete: false };
+      return {
+        type: "unknown",
+        seen,
+        isIncomplete: false,
+        watchedMs,
+        replies: 0,
+      };
     }
     const answer = await this.#questions.askInTurn(
       { service, key },
@@ -196,6 +207,8 @@
         type: "unknown",
         seen: [...new Set([...seen, ...answer.seen])],
         isIncomplete: !isFresh && answer.replies === 0,
+        watchedMs,
+        replies: answer.replies,
       };
     }
     if (answer.type === "known") {
--- a/src/gateway/origins_test.ts
+++ b/src/gateway/origins_test.ts
@@ -170,7 +170,13 @@
     first.origins.noteBegun("a", SERVICE, "v1");
     await network.clock.advance(1_000);
     const found = await network.settle(first.origins.find("b", SERVICE));
-    t.deepEqual(found, { type: "unknown", seen: ["v1"], isIncomplete: false });
+    t.deepEqual(found, {
+      type: "unknown",
+      seen: ["v1"],
+      isIncomplete: false,
+      watchedMs: ORIGIN_TTL_MS + 1_000,
+      replies: 0,
+    });
     t.is(first.sent, 0);
   });
 
--- a/src/region/origins.ts
+++ b/src/region/origins.ts
@@ -125,9 +125,14 @@
     this.#seenMs.set(service, versions);
   }
 
+  /** How long this VM has watched. */
+  watchedMs(nowMs: number): number {
+    return nowMs - this.#sinceMs;
+  }
+
   /** Whether no upstream escaped this VM that may have begun a stream whose origin is still kept. */
   hasWatchedLongEnough(nowMs: number): boolean {
-    return nowMs - this.#sinceMs >= ORIGIN_TTL_MS;
+    return this.watchedMs(nowMs) >= ORIGIN_TTL_MS;
   }
 
   /** The versions of a service. */
