--- a/test/gateway_cold_restart_test.ts
+++ b/test/gateway_cold_restart_test.ts
@@ -2,7 +2,8 @@
 import type { ExecutionContext } from "ava";
 import { describe, it } from "../src/base/describe.ts";
 import type { Runner } from "../src/standins/mod.ts";
-import { callSteadily, GatewayLab, ROUTES } from "./gateway_lab.ts";
+import { GatewayLab, ROUTES } from "./gateway_lab.ts";
+import { callSteadily } from "./steady_calls.ts";
 
 const COLD_PER_S = 1.5;
 /** The most requests in a second that a cold upstream withstands. */
--- a/test/gateway_leaving_test.ts
+++ b/test/gateway_leaving_test.ts
@@ -1,12 +1,7 @@
 import { describe, it } from "../src/base/describe.ts";
 import { makeRoute } from "../src/standins/mod.ts";
-import {
-  callSteadily,
-  GatewayLab,
-  openLab,
-  openRegion,
-  waitUntil,
-} from "./gateway_lab.ts";
+import { GatewayLab, openLab, openRegion, waitUntil } from "./gateway_lab.ts";
+import { callSteadily } from "./steady_calls.ts";
 
 /** The users' bound: how long after its first answer that says so an upstream may still get requests. */
 const DRAIN_MS = 4_000;
--- a/test/gateway_rest_test.ts
+++ b/test/gateway_rest_test.ts
@@ -1,12 +1,7 @@
 import { describe, it } from "../src/base/describe.ts";
 import type { Runner } from "../src/standins/mod.ts";
-import {
-  callSteadily,
-  GatewayLab,
-  openLab,
-  openRegion,
-  waitUntil,
-} from "./gateway_lab.ts";
+import { GatewayLab, openLab, openRegion, waitUntil } from "./gateway_lab.ts";
+import { callSteadily } from "./steady_calls.ts";
 
 /** The users' bound: requests of one VM from half a second after a refusal until the end of the rest it asks for. */
 const MAX_IN_REST = 2;
--- a/test/gateway_restored_test.ts
+++ b/test/gateway_restored_test.ts
@@ -1,11 +1,6 @@
 import { describe, it } from "../src/base/describe.ts";
-import {
-  callSteadily,
-  GatewayLab,
-  type LabVm,
-  ROUTES,
-  waitUntil,
-} from "./gateway_lab.ts";
+import { GatewayLab, type LabVm, ROUTES, waitUntil } from "./gateway_lab.ts";
+import { callSteadily } from "./steady_calls.ts";
 import {
   configVersionOf,
   configVersions,
