Take-ups: a fleet that has just started knows which versions served before it

What callers saw: two versions in service, or the old one just gone; all VMs ended at once and came back; streams that were taken up again were answered 200 and whole, their text joined from two versions.

Cause: a VM that knew no origin asked others, and took the one version that it and they saw for the only one there had been, although all of them had started a moment ago. What served before lived in the memory of VMs only. Class: a process that has just started takes its own ignorance for knowledge.

The log lines have originFrom="only version" and originWatchedMs under 30 s.

Change: the versions of the last 30 s are kept in the store, in one record that VMs which lead write when a version comes or has been gone for 30 s, each only if nobody wrote meanwhile, and each VM reads at its start. A VM goes on at an only version if it, or one that answered, can know that there was no other: by the record, or by 30 s of watching without being held up. Replies say whether they know (knowsAll); a VM of the former program counts as before. A missing record is complete at the first start of the system only (setting firstStart).

Why this suffices: whoever decides has seen, or read, every version that any VM could have sent a new stream to, but for one that came some ms before all VMs ended and left before they were back.

--- a/soak/world.ts
+++ b/soak/world.ts
@@ -5,7 +5,7 @@
  * @module
  */
 
-import { mkdtempSync, rmSync, writeFileSync } from "node:fs";
+import { mkdtempSync, readFileSync, rmSync, writeFileSync } from "node:fs";
 import { tmpdir } from "node:os";
 import { join } from "node:path";
 import type { GatewaySettings } from "../src/gateway/mod.ts";
@@ -260,7 +260,12 @@
     for (let index = 0; index < this.#options.vms; index++) {
       this.vms.push(await this.#startVm(index));
     }
-    for (const { proc } of this.vms) await proc.waitForOutput(/event=started/);
+    for (const { proc, settingsPath } of this.vms) {
+      await proc.waitForOutput(/event=started/);
+      const settings = JSON.parse(readFileSync(settingsPath, "utf8"));
+      settings.firstStart = false;
+      writeFileSync(settingsPath, JSON.stringify(settings));
+    }
   }
 
   /** The version of the upstream on a host; each region's hosts get them in turn. */
@@ -311,6 +316,7 @@
         beats: PORTS.beats,
         metrics: PORTS.metrics,
       },
+      firstStart: true,
       seeds: this.vms.map((vm) => `${vm.ip}:${PORTS.peers}`),
       failureDomains: Object.fromEntries(
         REGIONS.map((name) => [getFailureDomain(name), name]),
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -187,6 +187,8 @@
       datagrams,
       members,
       fleet: storeView.fleet,
+      store,
+      isFirstStart: settings.firstStart ?? false,
       metrics,
       entriesAgeMs: () => storeView.agreedAgoMs("upstreams"),
     });
--- a/src/gateway/origin_questions.ts
+++ b/src/gateway/origin_questions.ts
@@ -28,6 +28,8 @@
   readonly seen: readonly string[];
   /** Number of VMs that answered. */
   readonly replies: number;
+  /** Number of those that know all versions which served lately. */
+  readonly sureReplies: number;
 };
 
 interface OpenQuestion {
@@ -35,6 +37,7 @@
   readonly waitingFor: Set<string>;
   readonly seen: Set<string>;
   replies: number;
+  sureReplies: number;
   readonly resolve: (result: QuestionResult) => void;
 }
 
@@ -63,13 +66,15 @@
   ): Promise<QuestionResult> {
     const seen = new Set<string>();
     let replies = 0;
+    let sureReplies = 0;
     for (const stage of stages) {
       const result = await this.#ask(query, stage);
       if (result.type !== "unknown") return result;
       for (const version of result.seen) seen.add(version);
       replies += result.replies;
+      sureReplies += result.sureReplies;
     }
-    return { type: "unknown", seen: [...seen], replies };
+    return { type: "unknown", seen: [...seen], replies, sureReplies };
   }
 
   /** Asks VMs; resolves when one knows, or when all have answered or are late. */
@@ -78,7 +83,9 @@
     { own, elsewhere }: AskedVms,
   ): Promise<QuestionResult> {
     const ips = [...own, ...elsewhere];
-    if (ips.length === 0) return { type: "unknown", seen: [], replies: 0 };
+    if (ips.length === 0) {
+      return { type: "unknown", seen: [], replies: 0, sureReplies: 0 };
+    }
     const question = ++this.#lastQuestion;
     const timers: Timer[] = [
       this.#giveUpAfter(OWN_TIMEOUT_MS, question, own),
@@ -87,7 +94,8 @@
     const result = await new Promise<QuestionResult>((resolve) => {
       const waitingFor = new Set(ips);
       const seen = new Set<string>();
-      this.#open.set(question, { waitingFor, seen, replies: 0, resolve });
+      const counts = { replies: 0, sureReplies: 0 };
+      this.#open.set(question, { waitingFor, seen, ...counts, resolve });
       this.#datagrams.send("whoBegan", { question, ...query }, ips);
     });
     this.#open.delete(question);
@@ -101,6 +109,7 @@
     if (!open?.waitingFor.has(fromIp)) return;
     const { version, ageMs = 0 } = reply;
     open.replies++;
+    if (reply.knowsAll ?? true) open.sureReplies++;
     for (const seen of reply.seen) open.seen.add(seen);
     if (reply.isAmbiguous) return open.resolve({ type: "ambiguous" });
     if (version === undefined) return this.#giveUp(reply.question, [fromIp]);
@@ -120,7 +129,7 @@
     if (!open) return;
     for (const ip of ips) open.waitingFor.delete(ip);
     if (open.waitingFor.size > 0) return;
-    const { seen, replies, resolve } = open;
-    resolve({ type: "unknown", seen: [...seen], replies });
+    const { seen, replies, sureReplies, resolve } = open;
+    resolve({ type: "unknown", seen: [...seen], replies, sureReplies });
   }
 }
--- a/src/gateway/origins.ts
+++ b/src/gateway/origins.ts
@@ -4,6 +4,7 @@
  * @module
  */
 
+import type { KeyValue } from "../adapters/mod.ts";
 import type { Clock, Timer } from "../base/mod.ts";
 import {
   type Handlers,
@@ -25,17 +26,18 @@
   type OriginQuery,
   type OriginReply,
   Origins,
-  SeenVersions,
   splitKeys,
   vmsToAsk,
   vmsToTell,
 } from "../region/mod.ts";
+import { VERSIONS_KEY } from "../platform/mod.ts";
 import type { Fleet } from "../routing/mod.ts";
 import type { Datagrams } from "./datagrams.ts";
 import type { Members } from "./members.ts";
 import type { GatewayMetrics } from "./metrics.ts";
 import { waitForNextPoll } from "./next_poll.ts";
 import { OriginQuestions } from "./origin_questions.ts";
+import { VersionWatch } from "./version_watch.ts";
 
 /** Options of {@link StreamOrigins}. */
 export interface StreamOriginsOptions {
@@ -43,9 +45,12 @@
   readonly datagrams: Pick<Datagrams, "on" | "send">;
   readonly members: Pick<
     Members,
-    "order" | "vmCount" | "vmsForCallers" | "otherRegions"
+    "isLead" | "order" | "vmCount" | "vmsForCallers" | "otherRegions"
   >;
   readonly fleet: Pick<Fleet, "services" | "versionsOf">;
+  readonly store: KeyValue;
+  /** See {@link VersionWatchOptions.isFirstStart}. */
+  readonly isFirstStart: boolean;
   readonly metrics: GatewayMetrics;
   /** Time since this VM's copy of the upstreams' entries was last known to be the store's. */
   readonly entriesAgeMs: () => number;
@@ -56,7 +61,7 @@
   readonly type: "unknown";
   /** The versions of the service that may have begun it. */
   readonly seen: readonly string[];
-  /** Whether there may be others: this VM has neither heard another one nor the store. */
+  /** Whether there may be others: neither this VM nor one that it asked can know all that served lately. */
   readonly isIncomplete: boolean;
   /** How long this VM has watched the versions of upstreams. */
   readonly watchedMs: number;
@@ -76,6 +81,8 @@
 const WATCH_INTERVAL_MS = 250;
 /** A version may have come since this VM's copy of the entries was last known to be the store's. */
 const FRESH_ENTRIES_MS = 2_000;
+/** How long a stream waits for the versions recorded in the store: a round trip to another region and some more. */
+const RECORD_TIMEOUT_MS = 500;
 /** Other VMs forget a stream that runs for longer than they keep its origin, so they are told again before. */
 const TELL_AGAIN_MS = ORIGIN_TTL_MS / 2;
 
@@ -90,7 +97,7 @@
   readonly #outbox = new OriginOutbox();
   readonly #openStreams = new Map<string, OpenStream>();
   protected readonly handlers: Handlers<Messages> = {};
-  #seen!: SeenVersions;
+  #versions!: VersionWatch;
   #questions!: OriginQuestions;
   #clock!: Clock;
   #watch: Timer | undefined;
@@ -103,8 +110,16 @@
 
   start(kernel: Kernel): Promise<void> {
     this.#clock = kernel.clock;
-    this.#seen = new SeenVersions(this.#clock.monoMs());
-    const { datagrams } = this.#options;
+    const { datagrams, fleet, store, isFirstStart, members } = this.#options;
+    this.#versions = new VersionWatch({
+      fleet,
+      store,
+      key: VERSIONS_KEY,
+      isFirstStart,
+      isWriter: () => members.isLead,
+      clock: this.#clock,
+      log: kernel.log,
+    });
     this.#questions = new OriginQuestions(datagrams, this.#clock);
     datagrams.on("began", (params) => this.#onTold(params));
     datagrams.on("whoBegan", (params, ip) => {
@@ -116,12 +131,14 @@
       if (reply) this.#questions.onReply(reply, ip);
     });
     this.#watch = this.#clock.every(WATCH_INTERVAL_MS, () => this.#tick());
+    this.#versions.tick();
     return Promise.resolve();
   }
 
   /** Tells the other VMs what they have not been told yet: callers will come back to them. */
   async close(_deadlineMs: number): Promise<void> {
     this.#watch?.close();
+    this.#versions.close();
     this.#sending?.close();
     if (this.#outbox.size === 0) return;
     this.#sendBatch();
@@ -135,6 +152,7 @@
       open: this.#openStreams.size,
       waiting: this.#outbox.size,
       asking: this.#questions.size,
+      versions: this.#versions.dump(),
     };
   }
 
@@ -145,8 +163,6 @@
     this.#origins.note(key, version, "self", nowMs);
     const stream = { service, version, toldMs: -Infinity };
     this.#openStreams.set(key, stream);
-    // The stream may break off before the next tick.
-    this.#noteVersions(service, nowMs);
     this.#tellIfDue(key, stream, nowMs);
     this.#scheduleSend();
   }
@@ -185,31 +201,18 @@
     const found = this.#origins.find(key, nowMs);
     this.#origins.renew(key, nowMs);
     if (found) return found;
-    const seen = this.#noteVersions(service, nowMs);
-    const isFresh = this.#options.entriesAgeMs() < FRESH_ENTRIES_MS;
-    const isSure = isFresh && this.#seen.hasWatchedLongEnough(nowMs);
-    const watchedMs = this.#seen.watchedMs(nowMs);
-    if (seen.length < 2 && isSure) {
-      return {
-        type: "unknown",
-        seen,
-        isIncomplete: false,
-        watchedMs,
-        replies: 0,
-      };
+    if (this.#isSure && this.#versions.recent(service).length < 2) {
+      return this.#describeUnknown(service, [], 0, true);
     }
     const answer = await this.#questions.askInTurn(
       { service, key },
       vmsToAsk(this.#peers()),
     );
     if (answer.type === "unknown") {
-      return {
-        type: "unknown",
-        seen: [...new Set([...seen, ...answer.seen])],
-        isIncomplete: !isFresh && answer.replies === 0,
-        watchedMs,
-        replies: answer.replies,
-      };
+      const isKnownThere = answer.sureReplies > 0;
+      if (!isKnownThere) await this.#versions.waitForRecord(RECORD_TIMEOUT_MS);
+      const { seen, replies } = answer;
+      return this.#describeUnknown(service, seen, replies, isKnownThere);
     }
     if (answer.type === "known") {
       const { version, ageMs } = answer;
@@ -218,22 +221,36 @@
     return answer;
   }
 
-  #noteVersions(service: string, nowMs: number): string[] {
-    for (const version of this.#options.fleet.versionsOf(service)) {
-      this.#seen.note(service, version, nowMs);
-    }
-    return this.#seen.recent(service, nowMs);
+  /** Whether this VM knows all versions that served lately, up to now. */
+  get #isSure(): boolean {
+    return this.#options.entriesAgeMs() < FRESH_ENTRIES_MS &&
+      this.#versions.knowsAll;
+  }
+
+  #describeUnknown(
+    service: string,
+    seenElsewhere: readonly string[],
+    replies: number,
+    isKnownThere: boolean,
+  ): OriginAnswer {
+    const seenHere = this.#versions.recent(service);
+    return {
+      type: "unknown",
+      seen: [...new Set([...seenHere, ...seenElsewhere])],
+      isIncomplete: !isKnownThere && !this.#isSure,
+      watchedMs: this.#versions.watchedMs,
+      replies,
+    };
   }
 
   #tick(): void {
     const nowMs = this.#clock.monoMs();
-    for (const service of this.#options.fleet.services()) {
-      this.#noteVersions(service, nowMs);
-    }
     for (const [key, stream] of this.#openStreams) {
       this.#origins.renew(key, nowMs);
+      this.#versions.noteRunning(stream.service, stream.version);
       this.#tellIfDue(key, stream, nowMs);
     }
+    this.#versions.tick();
     this.#scheduleSend();
   }
 
@@ -241,7 +258,8 @@
   #tellIfDue(key: string, stream: OpenStream, nowMs: number): void {
     const { service, version, toldMs } = stream;
     if (nowMs - toldMs < TELL_AGAIN_MS || !canTellVersion(version)) return;
-    const recent = this.#seen.recent(service, nowMs);
+    // The stream may break off before the next tick.
+    const recent = this.#versions.recent(service);
     if (recent.length === 1 && recent[0] === version) return;
     stream.toldMs = nowMs;
     this.#outbox.add(key, version, nowMs);
@@ -302,7 +320,8 @@
     this.#origins.renew(key, nowMs);
     const reply: OriginReply = {
       question,
-      seen: encodeSeen(this.#noteVersions(service, nowMs)),
+      seen: encodeSeen(this.#versions.recent(service)),
+      knowsAll: this.#versions.knowsAll,
       ...(found?.type === "known"
         ? { version: found.version, ageMs: Math.round(found.ageMs) }
         : {}),
--- a/src/gateway/origins_test.ts
+++ b/src/gateway/origins_test.ts
@@ -2,6 +2,7 @@
 import { describe, it } from "../base/describe.ts";
 import { Kernel } from "../kernel/mod.ts";
 import { type LeadRecord, ORIGIN_TTL_MS } from "../region/mod.ts";
+import { MemoryKeyValue } from "../standins/mod.ts";
 import { SILENT_LOG } from "../../test/silent_log.ts";
 import type { DatagramHandler } from "./datagrams.ts";
 import { GatewayMetrics } from "./metrics.ts";
@@ -16,15 +17,22 @@
   versions: string[];
   entriesAgeMs: number;
   isCutOff: boolean;
+  /** Whether it runs the former program, whose replies don't say whether it knows all versions. */
+  isFormer: boolean;
   sent: number;
 }
 
 /** VMs of one region that exchange datagrams at once. */
 class Network {
   readonly clock = new ManualClock();
+  readonly #store = new MemoryKeyValue();
   readonly #vms = new Map<string, NetworkVm>();
 
-  async add(ip: string, versions: string[]): Promise<NetworkVm> {
+  async add(
+    ip: string,
+    versions: string[],
+    isFirstStart = this.#vms.size === 0,
+  ): Promise<NetworkVm> {
     const handlers = new Map<string, DatagramHandler>();
     const origins = new StreamOrigins({
       self: { ip, region: "north" },
@@ -37,6 +45,8 @@
         services: () => [SERVICE],
         versionsOf: () => new Set(vm.versions),
       },
+      store: this.#store,
+      isFirstStart,
       metrics: new GatewayMetrics(),
       entriesAgeMs: () => vm.entriesAgeMs,
     });
@@ -46,6 +56,7 @@
       versions,
       entriesAgeMs: 0,
       isCutOff: false,
+      isFormer: false,
       sent: 0,
     };
     this.#vms.set(ip, vm);
@@ -56,6 +67,7 @@
   #members() {
     const vms = this.#vms;
     return {
+      isLead: true,
       get order(): LeadRecord[] {
         return [...vms.keys()].map((ip) => ({ ip }) as LeadRecord);
       },
@@ -78,6 +90,7 @@
       sender.sent++;
       if (sender.isCutOff || receiver.isCutOff) continue;
       const copy = JSON.parse(JSON.stringify(params));
+      if (sender.isFormer) delete copy.knowsAll;
       setImmediate(() => receiver.handlers.get(method)?.(copy, from));
     }
   }
@@ -162,6 +175,32 @@
     t.true(network.clock.monoMs() - startMs <= 300);
   });
 
+  it("are not guessed by a VM that hears only VMs which have just started too", async (t) => {
+    const network = new Network();
+    await network.add("10.0.0.1", ["v1"], false);
+    const asking = await network.add("10.0.0.2", ["v1"], false);
+    await network.clock.advance(1_000);
+    t.like(await network.settle(asking.origins.find("a", SERVICE)), {
+      type: "unknown",
+      seen: ["v1"],
+      isIncomplete: true,
+      replies: 1,
+    });
+  });
+
+  it("are taken from a VM of the former program as it tells them", async (t) => {
+    const network = new Network();
+    const former = await network.add("10.0.0.1", ["v1"], false);
+    former.isFormer = true;
+    const asking = await network.add("10.0.0.2", ["v1"], false);
+    await network.clock.advance(1_000);
+    t.like(await network.settle(asking.origins.find("a", SERVICE)), {
+      type: "unknown",
+      seen: ["v1"],
+      isIncomplete: false,
+    });
+  });
+
   it("cost no message where one version serves", async (t) => {
     const network = new Network();
     const first = await network.add("10.0.0.1", ["v1"]);
--- a/src/gateway/settings.ts
+++ b/src/gateway/settings.ts
@@ -38,6 +38,8 @@
     beats: port,
     metrics: port,
   }),
+  /** Whether the whole system starts for the first time, so that nothing ran before which the store could tell of. */
+  firstStart: z.optional(z.boolean()),
   /** Addresses of some VMs' `peers` listeners; may be stale. */
   seeds: z._default(z.array(address), []),
   /** Region of each failure domain. */
--- /dev/null
+++ b/src/gateway/version_watch.ts
@@ -0,0 +1,209 @@
+/**
+ * Watches which versions of its upstreams' software each service has, and keeps them in the store: all VMs may end at
+ * once, and those that start then see only what serves now.
+ *
+ * @module
+ */
+
+import type { Entry, KeyValue } from "../adapters/mod.ts";
+import type { Clock } from "../base/mod.ts";
+import type { Log } from "../kernel/mod.ts";
+import {
+  decodeVersionRecord,
+  encodeVersionRecord,
+  ServedVersions,
+  type VersionRecord,
+} from "../region/mod.ts";
+import type { Fleet } from "../routing/mod.ts";
+
+/**
+ * How often the record is read again while a stream runs whose version has left the store: other VMs don't know of the
+ * stream, and take its version out.
+ */
+const CHECK_AGAIN_MS = 5_000;
+/** Pause after a call that failed. */
+const RETRY_MS = 1_000;
+/** Size up to which the record is written; the store accepts some times as much. */
+const MAX_RECORD_CHARS = 256 * 1024;
+
+/** Options of {@link VersionWatch}. */
+export interface VersionWatchOptions {
+  readonly fleet: Pick<Fleet, "services" | "versionsOf">;
+  readonly store: KeyValue;
+  /** Key of the record. */
+  readonly key: string;
+  /** Whether nothing served before this process, so that a missing record is complete. */
+  readonly isFirstStart: boolean;
+  /** Whether this VM writes the record. Several may: a write is made only if nobody else wrote meanwhile. */
+  readonly isWriter: () => boolean;
+  readonly clock: Clock;
+  readonly log: Log;
+}
+
+/** The record as it was read or written last. */
+interface StoredRecord {
+  /** 0 if there is none. */
+  readonly rev: number;
+  readonly text: string;
+}
+
+/** Watches the versions in service. */
+export class VersionWatch {
+  readonly #options: VersionWatchOptions;
+  readonly #served: ServedVersions;
+  #stored: StoredRecord | undefined;
+  #generation: number | undefined;
+  /** The call to the store that is under way. */
+  #call: Promise<void> | undefined;
+  #nextCallMs = -Infinity;
+  #readMs = -Infinity;
+  /** Whether a missing record says that nothing served. Later it says that the store has lost it. */
+  #mayBeFirst: boolean;
+  /** Whether a stream runs whose version has left the store. */
+  #hasLeftRunning = false;
+  #isOpen = true;
+
+  constructor(options: VersionWatchOptions) {
+    const { clock, isFirstStart } = options;
+    this.#options = options;
+    this.#mayBeFirst = isFirstStart;
+    this.#served = new ServedVersions({
+      monoMs: clock.monoMs(),
+      wallMs: clock.nowMs(),
+    });
+  }
+
+  /** Notes what serves now, and reads or writes the record if that is due. */
+  tick(): void {
+    const { clock, fleet } = this.#options;
+    const nowMs = clock.monoMs();
+    const now = { monoMs: nowMs, wallMs: clock.nowMs() };
+    if (this.#served.noteWatching(now)) this.#stored = undefined;
+    for (const service of fleet.services()) this.recent(service);
+    this.#checkStore(nowMs);
+    this.#hasLeftRunning = false;
+  }
+
+  close(): void {
+    this.#isOpen = false;
+  }
+
+  /** Notes, before each tick, that a stream of a version runs. */
+  noteRunning(service: string, version: string): void {
+    const { clock, fleet } = this.#options;
+    this.#served.note(service, version, clock.monoMs());
+    this.#hasLeftRunning ||= !fleet.versionsOf(service).has(version);
+  }
+
+  /** The versions that a service has, or had lately. */
+  recent(service: string): string[] {
+    const { clock, fleet } = this.#options;
+    const nowMs = clock.monoMs();
+    for (const version of fleet.versionsOf(service)) {
+      this.#served.note(service, version, nowMs);
+    }
+    return this.#served.recent(service, nowMs);
+  }
+
+  /** Whether {@link VersionWatch.recent} lists all versions that may have begun a stream which still counts. */
+  get knowsAll(): boolean {
+    return this.#served.knowsAll(this.#options.clock.monoMs());
+  }
+
+  get watchedMs(): number {
+    return this.#served.watchedMs(this.#options.clock.monoMs());
+  }
+
+  /** Waits until the record is read, if that is under way, but not for long. */
+  async waitForRecord(timeoutMs: number): Promise<void> {
+    if (this.knowsAll || !this.#call) return;
+    await Promise.race([this.#call, this.#options.clock.sleep(timeoutMs)]);
+  }
+
+  dump(): unknown {
+    return {
+      watchedMs: this.watchedMs,
+      knowsAll: this.knowsAll,
+      recordRev: this.#stored?.rev,
+      served: [...this.#served.record(this.#options.clock.monoMs())],
+    };
+  }
+
+  #checkStore(nowMs: number): void {
+    const { store } = this.#options;
+    if (this.#call || nowMs < this.#nextCallMs) return;
+    const isRestored = this.#stored !== undefined &&
+      store.generation !== this.#generation;
+    const mayBeOutdated = this.#hasLeftRunning &&
+      nowMs - this.#readMs >= CHECK_AGAIN_MS;
+    if (isRestored || mayBeOutdated) this.#stored = undefined;
+    if (!this.#stored) this.#run(() => this.#read());
+    else if (this.knowsAll) this.#writeIfDue(nowMs);
+  }
+
+  #writeIfDue(nowMs: number): void {
+    if (!this.#options.isWriter()) return;
+    const text = encodeVersionRecord(this.#served.record(nowMs));
+    if (text === this.#stored?.text || text.length > MAX_RECORD_CHARS) return;
+    this.#run(() => this.#write(text));
+  }
+
+  #run(call: () => Promise<void>): void {
+    this.#call = call().finally(() => {
+      this.#call = undefined;
+      if (this.#isOpen) this.#checkStore(this.#options.clock.monoMs());
+    });
+  }
+
+  async #read(): Promise<void> {
+    const { store, key } = this.#options;
+    const found = await store.get(key, "other");
+    if (!this.#isOpen) return;
+    if (found.isErr()) return this.#noteFailure("read", found.error.message);
+    this.#take(found.value);
+  }
+
+  /** Takes over the record that the store has. */
+  #take(entry: Entry | undefined): void {
+    const { store, clock, log } = this.#options;
+    const record = this.#decode(entry);
+    this.#mayBeFirst = false;
+    this.#generation = store.generation;
+    this.#readMs = clock.monoMs();
+    this.#stored = { rev: entry?.rev ?? 0, text: entry?.value ?? "" };
+    // Without one, it is written as soon as this VM has watched for long enough by itself.
+    if (record) this.#served.noteRecord(record, clock.monoMs());
+    log.info("versions read", {
+      rev: this.#stored.rev,
+      record: record ? encodeVersionRecord(record) : "none that can be read",
+    });
+  }
+
+  #decode(entry: Entry | undefined): VersionRecord | undefined {
+    if (entry) return decodeVersionRecord(entry.value);
+    return this.#mayBeFirst ? new Map() : undefined;
+  }
+
+  async #write(text: string): Promise<void> {
+    const { store, key, log } = this.#options;
+    const ifRev = this.#stored?.rev ?? 0;
+    const put = await store.put(key, text, { ifRev }, "other");
+    if (!this.#isOpen) return;
+    if (put.isOk()) {
+      this.#stored = { rev: put.value, text };
+      log.info("versions recorded", { rev: put.value, record: text });
+      return;
+    }
+    const { error } = put;
+    if (error.kind === "conflict") return this.#take(error.current);
+    // It may have been written all the same.
+    this.#stored = undefined;
+    this.#noteFailure("write", error.message);
+  }
+
+  #noteFailure(call: "read" | "write", reason: string): void {
+    const { clock, log } = this.#options;
+    this.#nextCallMs = clock.monoMs() + RETRY_MS;
+    log.warn("versions not kept", { call, reason });
+  }
+}
--- /dev/null
+++ b/src/gateway/version_watch_test.ts
@@ -0,0 +1,161 @@
+import { ManualClock } from "../base/mod.ts";
+import { describe, it } from "../base/describe.ts";
+import { ORIGIN_TTL_MS } from "../region/mod.ts";
+import { MemoryKeyValue } from "../standins/mod.ts";
+import { SILENT_LOG } from "../../test/silent_log.ts";
+import { VersionWatch } from "./version_watch.ts";
+
+const KEY = "versions";
+const SERVICE = "s";
+const TICK_MS = 250;
+
+/** VMs that see versions, and a store that outlives them. */
+class Lab {
+  readonly clock = new ManualClock();
+  readonly #first = new MemoryKeyValue({ clock: this.clock });
+  readonly #watches = new Map<VersionWatch, Set<string>>();
+
+  start(
+    versions: readonly string[],
+    { isFirstStart = false, isWriter = true } = {},
+  ): VersionWatch {
+    const serving = new Set(versions);
+    const watch = new VersionWatch({
+      fleet: { services: () => [SERVICE], versionsOf: () => serving },
+      store: new MemoryKeyValue({
+        clock: this.clock,
+        store: this.#first.store,
+        faults: this.#first.faults,
+      }),
+      key: KEY,
+      isFirstStart,
+      isWriter: () => isWriter,
+      clock: this.clock,
+      log: SILENT_LOG,
+    });
+    this.#watches.set(watch, serving);
+    return watch;
+  }
+
+  end(watch: VersionWatch): void {
+    watch.close();
+    this.#watches.delete(watch);
+  }
+
+  serve(watch: VersionWatch, versions: readonly string[]): void {
+    const serving = this.#watches.get(watch)!;
+    serving.clear();
+    for (const version of versions) serving.add(version);
+  }
+
+  async run(ms: number, beforeTick: () => void = () => {}): Promise<void> {
+    for (let atMs = 0; atMs < ms; atMs += TICK_MS) {
+      beforeTick();
+      for (const watch of this.#watches.keys()) watch.tick();
+      await this.clock.advance(TICK_MS);
+    }
+  }
+
+  get faults() {
+    return this.#first.faults;
+  }
+
+  async record(): Promise<string | undefined> {
+    const found = await this.#first.get(KEY, "other");
+    return found.isOk() ? found.value?.value : undefined;
+  }
+
+  write(text: string) {
+    return this.#first.put(KEY, text, {}, "other");
+  }
+}
+
+const recorded = (...versions: string[]) =>
+  JSON.stringify([[SERVICE, versions]]);
+
+describe("the versions in service", () => {
+  it("are known to a process that starts after all others have ended", async (t) => {
+    const lab = new Lab();
+    const before = lab.start(["v1"], { isFirstStart: true });
+    await lab.run(1_000);
+    lab.end(before);
+    const after = lab.start(["v2"]);
+    await lab.run(TICK_MS);
+    t.true(after.knowsAll);
+    t.deepEqual(after.recent(SERVICE), ["v2", "v1"]);
+    await lab.run(ORIGIN_TTL_MS + 1_000);
+    t.is(await lab.record(), recorded("v2"));
+  });
+
+  it("are unknown to a process that starts while the store is away", async (t) => {
+    const lab = new Lab();
+    await lab.write(recorded("v1"));
+    lab.faults.set([{ outage: "refuse" }]);
+    const watch = lab.start(["v2"]);
+    await lab.run(2_000);
+    t.false(watch.knowsAll);
+    lab.faults.set([]);
+    await lab.run(2_000);
+    t.true(watch.knowsAll);
+    t.deepEqual(watch.recent(SERVICE), ["v2", "v1"]);
+  });
+
+  for (const [name, text] of [["missing", undefined], ["unreadable", "{}"]]) {
+    it(`are unknown where the record is ${name}, which is then made anew`, async (t) => {
+      const lab = new Lab();
+      if (text !== undefined) await lab.write(text);
+      const watch = lab.start(["v2"]);
+      await lab.run(2_000);
+      t.false(watch.knowsAll);
+      await lab.run(ORIGIN_TTL_MS);
+      t.true(watch.knowsAll);
+      t.is(await lab.record(), recorded("v2"));
+    });
+  }
+
+  it("are not taken for complete when the record is gone at a later start", async (t) => {
+    const lab = new Lab();
+    const watch = lab.start(["v1"], { isFirstStart: true });
+    await lab.run(TICK_MS);
+    t.true(watch.knowsAll);
+    lab.end(watch);
+    await lab.write("{}");
+    const later = lab.start(["v1"]);
+    await lab.run(TICK_MS);
+    t.false(later.knowsAll);
+  });
+
+  it("are recorded whole by VMs that see different ones", async (t) => {
+    const lab = new Lab();
+    lab.start(["v1"], { isFirstStart: true });
+    lab.start(["v2"], { isFirstStart: true });
+    await lab.run(1_000);
+    t.is(await lab.record(), recorded("v1", "v2"));
+  });
+
+  it("stay recorded while a stream runs whose version other VMs no longer see", async (t) => {
+    const lab = new Lab();
+    const running = lab.start(["v1", "v2"], { isFirstStart: true });
+    const other = lab.start(["v1", "v2"], { isFirstStart: true });
+    await lab.run(1_000);
+    for (const watch of [running, other]) lab.serve(watch, ["v2"]);
+    await lab.run(
+      3 * ORIGIN_TTL_MS,
+      () => running.noteRunning(SERVICE, "v1"),
+    );
+    t.is(await lab.record(), recorded("v1", "v2"));
+  });
+
+  it("are written by writers only, and once", async (t) => {
+    const lab = new Lab();
+    lab.start(["v1"], { isFirstStart: true, isWriter: false });
+    await lab.run(1_000);
+    t.is(await lab.record(), undefined);
+    lab.start(["v1"], { isFirstStart: true });
+    await lab.run(1_000);
+    t.is(await lab.record(), recorded("v1"));
+    const before = await lab.write(recorded("v1"));
+    await lab.run(5_000);
+    t.is((await lab.write(""))._unsafeUnwrap(), before._unsafeUnwrap() + 1);
+  });
+});
--- a/src/platform/keys.ts
+++ b/src/platform/keys.ts
@@ -18,6 +18,9 @@
 /** Prefix of the entries that name the VM which retries a suspect request, so that no other VM does. */
 export const TRIAL_PREFIX = "ibisgap/trials/";
 
+/** Key of the entry that names the versions lately in service; the gateway defines its format. */
+export const VERSIONS_KEY = "ibisgap/versions";
+
 const EVACUATE_PREFIX = "op/evacuate/";
 
 /** The failure domain that a key marks as evacuated; `undefined` if it is another kind of key. */
--- a/src/region/origins_test.ts
+++ b/src/region/origins_test.ts
@@ -9,7 +9,6 @@
   OriginOutbox,
   type OriginPeers,
   Origins,
-  SeenVersions,
   splitKeys,
   vmsToAsk,
   vmsToTell,
@@ -98,23 +97,6 @@
   });
 });
 
-describe("the versions of a service", () => {
-  it("count as long as a stream may be taken up again that one of them began", (t) => {
-    const seen = new SeenVersions(0);
-    seen.note("s", "v1", 0);
-    seen.note("s", "v1.2", 1);
-    t.deepEqual(seen.recent("s", ORIGIN_TTL_MS - 1), ["v1", "v1.2"]);
-    t.deepEqual(seen.recent("s", ORIGIN_TTL_MS), ["v1.2"]);
-    t.deepEqual(seen.recent("other", 0), []);
-  });
-
-  it("may have changed before a VM that has just started saw them", (t) => {
-    const seen = new SeenVersions(1_000);
-    t.false(seen.hasWatchedLongEnough(ORIGIN_TTL_MS));
-    t.true(seen.hasWatchedLongEnough(1_000 + ORIGIN_TTL_MS));
-  });
-});
-
 describe("the VMs that are told of origins", () => {
   for (const [vmCount, copies] of [[16, 2], [17, 3], [300, 3]]) {
     it(`are ${copies} leads of several regions in a fleet of ${vmCount}, all of them asked`, (t) => {
--- a/test/gateway_lab.ts
+++ b/test/gateway_lab.ts
@@ -171,6 +171,7 @@
         beats: 18104,
         metrics: 18105,
       },
+      firstStart: true,
       seeds: this.vms.map((vm) => vm.settings.listen.peers),
       failureDomains: { "north-a": "north", "south-a": "south" },
       store: {
@@ -196,7 +197,17 @@
   /** Ends a VM's process and begins another one in its place, with the same identity and addresses. */
   async restartVm(vm: LabVm): Promise<LabVm> {
     await this.closeVm(vm);
-    return await this.#open(vm.settings);
+    return await this.startAgain(vm);
+  }
+
+  /** Closes the connections that callers keep, as of VMs that have ended. */
+  dropConnections(): void {
+    this.#agent.destroy();
+  }
+
+  /** Begins a new process in place of a VM that was closed. */
+  startAgain({ settings }: LabVm): Promise<LabVm> {
+    return this.#open({ ...settings, firstStart: false });
   }
 
   /** Ends a VM for good. */
--- a/test/resumption_lab.ts
+++ b/test/resumption_lab.ts
@@ -129,6 +129,18 @@
     );
   }
 
+  /** Ends all VMs at once; returns what starts them again, with the same identities. */
+  async endAllVms(): Promise<() => Promise<void>> {
+    const ended = [...this.vms];
+    await Promise.all(ended.map((vm) => this.closeVm(vm)));
+    this.dropConnections();
+    return async () => {
+      await Promise.all(ended.map((vm) => this.startAgain(vm)));
+      for (const vm of this.vms) await this.waitUntilReady(vm);
+      await this.waitUntilAllKnown();
+    };
+  }
+
   /** Begins streams that break off after some events. Returns their ids. */
   async begin(
     vms: readonly LabVm[],
