Take-ups: streams go on after all VMs ended, where their version serves on

Cause: which version began which stream was known to the VM with the caller and to two more that it told, and all of them had ended. Class: what has to outlast any number of VMs lived in VMs.

Change: while a service has several versions, each process stores the origins of its streams that run or broke off, under a lease of 30 s, every 500 ms at most and, in large fleets, so that all together make about 100 writes a second; only if there is a new one. They are read when no VM knows a stream and several versions may have begun it; one read serves all streams that wait.

--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -4,6 +4,7 @@
  * @module
  */
 
+import { randomUUID } from "node:crypto";
 import { type Clock, systemClock } from "../base/mod.ts";
 import { Kernel, type Log } from "../kernel/mod.ts";
 import { PlatformKeyValue } from "../platform/mod.ts";
@@ -182,12 +183,14 @@
       metrics,
       restoredMonoMs: () => storeView.restores.latestMonoMs,
     });
+    const processId = `${vm.id}-${randomUUID()}`;
     const origins = new StreamOrigins({
-      self: vm,
+      self: { ...vm, processId },
       datagrams,
       members,
       fleet: storeView.fleet,
       store,
+      leastLeaseMs: settings.store.leastLeaseMs,
       isFirstStart: settings.firstStart ?? false,
       metrics,
       entriesAgeMs: () => storeView.agreedAgoMs("upstreams"),
--- a/src/gateway/origins.ts
+++ b/src/gateway/origins.ts
@@ -19,6 +19,7 @@
   decodeOriginRows,
   encodeSeen,
   type FoundOrigin,
+  type OpenStream,
   ORIGIN_TTL_MS,
   originKey,
   OriginOutbox,
@@ -26,22 +27,30 @@
   type OriginQuery,
   type OriginReply,
   Origins,
+  OwnStreams,
   splitKeys,
+  toOriginRows,
   vmsToAsk,
   vmsToTell,
 } from "../region/mod.ts";
-import { VERSIONS_KEY } from "../platform/mod.ts";
+import { ORIGIN_PREFIX, VERSIONS_KEY } from "../platform/mod.ts";
 import type { Fleet } from "../routing/mod.ts";
 import type { Datagrams } from "./datagrams.ts";
 import type { Members } from "./members.ts";
 import type { GatewayMetrics } from "./metrics.ts";
 import { waitForNextPoll } from "./next_poll.ts";
 import { OriginQuestions } from "./origin_questions.ts";
+import { StoredOrigins } from "./stored_origins.ts";
 import { VersionWatch } from "./version_watch.ts";
 
 /** Options of {@link StreamOrigins}. */
 export interface StreamOriginsOptions {
-  readonly self: { readonly ip: string; readonly region: string };
+  readonly self: {
+    readonly ip: string;
+    readonly region: string;
+    /** Distinguishes this process from all others, also from those of the same VM. */
+    readonly processId: string;
+  };
   readonly datagrams: Pick<Datagrams, "on" | "send">;
   readonly members: Pick<
     Members,
@@ -49,6 +58,7 @@
   >;
   readonly fleet: Pick<Fleet, "services" | "versionsOf">;
   readonly store: KeyValue;
+  readonly leastLeaseMs: number;
   /** See {@link VersionWatchOptions.isFirstStart}. */
   readonly isFirstStart: boolean;
   readonly metrics: GatewayMetrics;
@@ -57,7 +67,10 @@
 }
 
 /** What is known of the origin of a stream that a caller takes up again. */
-export type OriginAnswer = FoundOrigin | {
+export type OriginAnswer = FoundOrigin | UnknownOrigin;
+
+/** What is known instead of an origin. */
+interface UnknownOrigin {
   readonly type: "unknown";
   /** The versions of the service that may have begun it. */
   readonly seen: readonly string[];
@@ -67,14 +80,6 @@
   readonly watchedMs: number;
   /** How many other VMs told what they have seen. */
   readonly replies: number;
-};
-
-/** A stream whose end is not known yet. */
-interface OpenStream {
-  readonly service: string;
-  readonly version: string;
-  /** When other VMs were last told of it; `-Infinity` if never. */
-  toldMs: number;
 }
 
 /** How often versions are looked at, and other VMs are told again of streams that run for long. */
@@ -95,9 +100,10 @@
   readonly #options: StreamOriginsOptions;
   readonly #origins = new Origins();
   readonly #outbox = new OriginOutbox();
-  readonly #openStreams = new Map<string, OpenStream>();
+  readonly #ownStreams = new OwnStreams();
   protected readonly handlers: Handlers<Messages> = {};
   #versions!: VersionWatch;
+  #stored!: StoredOrigins;
   #questions!: OriginQuestions;
   #clock!: Clock;
   #watch: Timer | undefined;
@@ -120,6 +126,15 @@
       clock: this.#clock,
       log: kernel.log,
     });
+    this.#stored = new StoredOrigins({
+      store,
+      prefix: ORIGIN_PREFIX,
+      processId: this.#options.self.processId,
+      leastLeaseMs: this.#options.leastLeaseMs,
+      vmCount: () => members.vmCount(),
+      clock: this.#clock,
+      log: kernel.log,
+    });
     this.#questions = new OriginQuestions(datagrams, this.#clock);
     datagrams.on("began", (params) => this.#onTold(params));
     datagrams.on("whoBegan", (params, ip) => {
@@ -139,6 +154,7 @@
   async close(_deadlineMs: number): Promise<void> {
     this.#watch?.close();
     this.#versions.close();
+    this.#stored.close();
     this.#sending?.close();
     if (this.#outbox.size === 0) return;
     this.#sendBatch();
@@ -149,7 +165,8 @@
   dump(): unknown {
     return {
       origins: this.#origins.size,
-      open: this.#openStreams.size,
+      open: this.#ownStreams.open.size,
+      stored: this.#stored.dump(),
       waiting: this.#outbox.size,
       asking: this.#questions.size,
       versions: this.#versions.dump(),
@@ -161,8 +178,7 @@
     const nowMs = this.#clock.monoMs();
     const key = originKey(attemptId);
     this.#origins.note(key, version, "self", nowMs);
-    const stream = { service, version, toldMs: -Infinity };
-    this.#openStreams.set(key, stream);
+    const stream = this.#ownStreams.begin(key, service, version);
     this.#tellIfDue(key, stream, nowMs);
     this.#scheduleSend();
   }
@@ -175,6 +191,7 @@
     const nowMs = this.#clock.monoMs();
     const key = originKey(attemptId);
     this.#origins.note(key, undefined, "self", nowMs);
+    this.#ownStreams.doubt(key);
     this.#outbox.add(key, null, nowMs);
     this.#scheduleSend();
   }
@@ -182,9 +199,9 @@
   /** Notes that an answer ended, for its caller; nobody takes up one that is whole. */
   noteEnded(attemptId: string, isWhole: boolean): void {
     const key = originKey(attemptId);
-    if (!this.#openStreams.has(key)) return;
-    this.#origins.renew(key, this.#clock.monoMs());
-    this.#openStreams.delete(key);
+    const nowMs = this.#clock.monoMs();
+    if (!this.#ownStreams.end(key, isWhole, nowMs)) return;
+    this.#origins.renew(key, nowMs);
     if (isWhole) this.#outbox.drop(key);
   }
 
@@ -212,7 +229,14 @@
       const isKnownThere = answer.sureReplies > 0;
       if (!isKnownThere) await this.#versions.waitForRecord(RECORD_TIMEOUT_MS);
       const { seen, replies } = answer;
-      return this.#describeUnknown(service, seen, replies, isKnownThere);
+      const unknown = this.#describeUnknown(
+        service,
+        seen,
+        replies,
+        isKnownThere,
+      );
+      const isOnly = unknown.seen.length < 2 && !unknown.isIncomplete;
+      return isOnly ? unknown : await this.#stored.find(key) ?? unknown;
     }
     if (answer.type === "known") {
       const { version, ageMs } = answer;
@@ -232,7 +256,7 @@
     seenElsewhere: readonly string[],
     replies: number,
     isKnownThere: boolean,
-  ): OriginAnswer {
+  ): UnknownOrigin {
     const seenHere = this.#versions.recent(service);
     return {
       type: "unknown",
@@ -245,22 +269,35 @@
 
   #tick(): void {
     const nowMs = this.#clock.monoMs();
-    for (const [key, stream] of this.#openStreams) {
+    for (const [key, stream] of this.#ownStreams.open) {
       this.#origins.renew(key, nowMs);
       this.#versions.noteRunning(stream.service, stream.version);
       this.#tellIfDue(key, stream, nowMs);
     }
     this.#versions.tick();
+    this.#stored.tick(() => toOriginRows(this.#untoldStreams(nowMs)));
     this.#scheduleSend();
   }
 
+  /** The streams that may be taken up and whose version can't be known without being told. */
+  *#untoldStreams(
+    nowMs: number,
+  ): Iterable<readonly [key: string, version: string | null]> {
+    for (const [key, { service, version }] of this.#ownStreams.all(nowMs)) {
+      if (!this.#isOnlyVersion(service, version)) yield [key, version];
+    }
+  }
+
+  #isOnlyVersion(service: string, version: string | null): boolean {
+    const recent = this.#versions.recent(service);
+    return recent.length === 1 && recent[0] === version;
+  }
+
   /** Queues a stream that other VMs are to be told of. If its version is the service's only one, they know it anyway. */
   #tellIfDue(key: string, stream: OpenStream, nowMs: number): void {
     const { service, version, toldMs } = stream;
     if (nowMs - toldMs < TELL_AGAIN_MS || !canTellVersion(version)) return;
-    // The stream may break off before the next tick.
-    const recent = this.#versions.recent(service);
-    if (recent.length === 1 && recent[0] === version) return;
+    if (this.#isOnlyVersion(service, version)) return;
     stream.toldMs = nowMs;
     this.#outbox.add(key, version, nowMs);
   }
--- a/src/gateway/origins_test.ts
+++ b/src/gateway/origins_test.ts
@@ -25,7 +25,7 @@
 /** VMs of one region that exchange datagrams at once. */
 class Network {
   readonly clock = new ManualClock();
-  readonly #store = new MemoryKeyValue();
+  readonly #store = new MemoryKeyValue({ clock: this.clock });
   readonly #vms = new Map<string, NetworkVm>();
 
   async add(
@@ -35,7 +35,7 @@
   ): Promise<NetworkVm> {
     const handlers = new Map<string, DatagramHandler>();
     const origins = new StreamOrigins({
-      self: { ip, region: "north" },
+      self: { ip, region: "north", processId: ip },
       datagrams: {
         on: (method, handler) => void handlers.set(method, handler),
         send: (method, params, ips) => this.#send(ip, method, params, ips),
@@ -45,7 +45,13 @@
         services: () => [SERVICE],
         versionsOf: () => new Set(vm.versions),
       },
-      store: this.#store,
+      store: new MemoryKeyValue({
+        clock: this.clock,
+        store: this.#store.store,
+        faults: this.#store.faults,
+        vmId: ip,
+      }),
+      leastLeaseMs: 1_000,
       isFirstStart,
       metrics: new GatewayMetrics(),
       entriesAgeMs: () => vm.entriesAgeMs,
@@ -95,6 +101,13 @@
     }
   }
 
+  /** Cuts a VM off from all others and from the store. */
+  cutOff(vm: NetworkVm): void {
+    vm.isCutOff = true;
+    const [ip] = [...this.#vms].find(([, each]) => each === vm)!;
+    this.#store.faults.set([{ vm: `^${ip}$`, outage: "refuse" }]);
+  }
+
   /** Lets time pass until a promise is resolved. */
   async settle<T>(promise: Promise<T>): Promise<T> {
     let isOver = false;
@@ -111,7 +124,7 @@
     const second = await network.add("10.0.0.2", ["v1", "v1.2"]);
     first.origins.noteBegun("a", SERVICE, "v1");
     await network.clock.advance(3 * ORIGIN_TTL_MS);
-    first.isCutOff = true;
+    network.cutOff(first);
     t.like(await network.settle(second.origins.find("a", SERVICE)), {
       type: "known",
       version: "v1",
@@ -130,7 +143,7 @@
     t.is(first.sent, 0);
     first.versions = ["v1", "v1.2"];
     await network.clock.advance(1_000);
-    first.isCutOff = true;
+    network.cutOff(first);
     const found = await network.settle(second.origins.find("a", SERVICE));
     t.like(found, { type: "known", version: "v1", source: "told" });
   });
@@ -167,7 +180,7 @@
     await network.add("10.0.0.1", ["v1", "v1.2"]);
     const alone = await network.add("10.0.0.2", ["v1"]);
     await network.clock.advance(2 * ORIGIN_TTL_MS);
-    alone.isCutOff = true;
+    network.cutOff(alone);
     alone.entriesAgeMs = 10_000;
     const startMs = network.clock.monoMs();
     const found = await network.settle(alone.origins.find("a", SERVICE));
--- a/src/platform/keys.ts
+++ b/src/platform/keys.ts
@@ -18,6 +18,8 @@
 /** Prefix of the entries that name the VM which retries a suspect request, so that no other VM does. */
 export const TRIAL_PREFIX = "ibisgap/trials/";
 
+/** Prefix of the entries that say which versions began streams, one a process; the gateway defines their format. */
+export const ORIGIN_PREFIX = "ibisgap/origins/";
 /** Key of the entry that names the versions lately in service; the gateway defines its format. */
 export const VERSIONS_KEY = "ibisgap/versions";
 
--- a/src/region/mod.ts
+++ b/src/region/mod.ts
@@ -13,6 +13,7 @@
 export * from "./record.ts";
 export * from "./view.ts";
 export * from "./origins.ts";
+export * from "./own_streams.ts";
 export * from "./served_versions.ts";
 export * from "./origin_holders.ts";
 export * from "./origin_messages.ts";
--- a/src/region/origin_messages.ts
+++ b/src/region/origin_messages.ts
@@ -56,6 +56,19 @@
   );
 }
 
+/** Makes rows of the versions of streams, by their keys. */
+export function toOriginRows(
+  versions: Iterable<readonly [key: string, version: string | null]>,
+): OriginRow[] {
+  const keysOf = new Map<string | null, string[]>();
+  for (const [key, version] of versions) {
+    const keys = keysOf.get(version);
+    if (keys) keys.push(key);
+    else keysOf.set(version, [key]);
+  }
+  return [...keysOf].map(([version, keys]) => [version, keys.join("")]);
+}
+
 /** Splits the keys of a row. */
 export function splitKeys(keys: string): string[] {
   const split: string[] = [];
--- a/src/region/origin_outbox.ts
+++ b/src/region/origin_outbox.ts
@@ -4,7 +4,7 @@
  * @module
  */
 
-import type { OriginRow } from "./origin_messages.ts";
+import { type OriginRow, toOriginRows } from "./origin_messages.ts";
 
 /** Bytes a second that a VM spends on telling origins. With more to tell, batches are larger and rarer. */
 const BYTES_PER_S = 1_000;
@@ -61,15 +61,9 @@
 
   /** Takes the rows of the next batch, of the newest origins, which goes to `vmCount` VMs. */
   take(vmCount: number, nowMs: number): OriginRow[] {
-    const byVersion = new Map<string | null, string[]>();
-    for (const [key, version] of [...this.#waiting].slice(-MAX_BATCH)) {
-      this.#waiting.delete(key);
-      byVersion.set(version, [...byVersion.get(version) ?? [], key]);
-    }
-    const rows = [...byVersion].map(([version, keys]): OriginRow => [
-      version,
-      keys.join(""),
-    ]);
+    const batch = [...this.#waiting].slice(-MAX_BATCH);
+    for (const [key] of batch) this.#waiting.delete(key);
+    const rows = toOriginRows(batch);
     const bytes = vmCount * countBytes(rows);
     this.#firstMs = nowMs;
     this.#paidMs = Math.max(this.#paidMs, nowMs) + toMs(bytes);
--- a/src/region/origins.ts
+++ b/src/region/origins.ts
@@ -14,8 +14,11 @@
 /** Characters of an origin's key. 48 bits make it unlikely that two of the streams of a large fleet share a key. */
 export const ORIGIN_KEY_LENGTH = 8;
 
-/** How a VM learned of an origin: it forwarded the first event itself, or another VM told it, unasked or asked. */
-export type OriginSource = "self" | "told" | "asked";
+/**
+ * How a VM learned of an origin: it forwarded the first event itself, another VM told it, unasked or asked, or a VM that
+ * may have ended had stored it.
+ */
+export type OriginSource = "self" | "told" | "asked" | "stored";
 
 /** What is known of a stream's origin; `ambiguous` if it can't be told which version began it. */
 export type FoundOrigin =
--- a/test/gateway_fleet_restart_test.ts
+++ b/test/gateway_fleet_restart_test.ts
@@ -9,8 +9,8 @@
   STREAMS,
 } from "./resumption_lab.ts";
 
-/** Long enough for a VM that leads to write down a version that came. */
-const RECORD_MS = 600;
+/** Long enough for VMs to write down which versions serve, and which of them began which stream. */
+const RECORD_MS = 1_000;
 
 const asChains = (ids: readonly string[]) => ids.map((id) => [id]);
 
@@ -114,6 +114,48 @@
     },
   );
 
+  for (const [name, regions] of Object.entries(fleets)) {
+    itAlone(`go on at their versions if both serve on: ${name}`, async (t) => {
+      const lab = await ResumptionLab.open(t, regions);
+      const ids = await lab.begin(lab.vms);
+      await sleep(RECORD_MS);
+      await (await lab.endAllVms())();
+      const result = await lab.takeUp(lab.vms, asChains(ids));
+      checkNoneJoined(t, lab, result);
+      t.is(countWhole(result), STREAMS, "go on");
+    });
+  }
+
+  itAlone(
+    "go on where their version serves on, after two such ends",
+    async (t) => {
+      const lab = await ResumptionLab.open(t, ["north", "north"]);
+      const ids = await lab.begin(lab.vms);
+      await sleep(RECORD_MS);
+      await (await lab.endAllVms())();
+      await lab.endVersion("v1");
+      await (await lab.endAllVms())();
+      const served = findServed(lab, ids);
+      t.true(served.length > 0 && served.length < STREAMS);
+      const result = await lab.takeUp(lab.vms, asChains(ids));
+      checkNoneJoined(t, lab, result);
+      t.is(countWhole(result), served.length, "go on");
+    },
+  );
+
+  itAlone(
+    "go on where a VM ended together with those that it told",
+    async (t) => {
+      const lab = await ResumptionLab.open(t, ["north", "north", "north"]);
+      const ids = await lab.begin([lab.vms[0]]);
+      await sleep(RECORD_MS);
+      await (await lab.endAllVms())();
+      await sleep(RECORD_MS);
+      const result = await lab.takeUp([lab.vms[2]], asChains(ids));
+      t.is(countWhole(result), STREAMS, "go on");
+    },
+  );
+
   for (const version of ["v1", undefined]) {
     itAlone(
       `all go on where ${version ?? "no version"} is the only one`,
