Origins: the versions of a service are listed once a change of its entries

Each stream that began, and each look at those that run, made the set of the versions of all upstreams of its service anew: 99 of them in a grown region. Found by reading; no measurement of its own.

--- a/src/routing/fleet.ts
+++ b/src/routing/fleet.ts
@@ -53,6 +53,8 @@
   readonly #byId = new Map<string, KnownUpstream>();
   /** The upstreams by service; absent since the last change of an entry until the next read. */
   #byService: Map<string, KnownUpstream[]> | undefined;
+  /** Made when they are first read after a change of an entry. */
+  readonly #versions = new Map<string, ReadonlySet<string>>();
   /** Read for each request, and rebuilt only after a change of an entry, of the evacuation or of what leaves. */
   readonly #usable = new Map<string, UsableUpstreams>();
   #evacuated: ReadonlySet<string> = new Set();
@@ -156,8 +158,12 @@
 
   /** The versions of software that the upstreams of a service run, in all regions and states. */
   versionsOf(service: string): ReadonlySet<string> {
+    let versions = this.#versions.get(service);
+    if (versions) return versions;
     const upstreams = this.#index().get(service) ?? [];
-    return new Set(upstreams.map(({ version }) => version));
+    versions = new Set(upstreams.map(({ version }) => version));
+    this.#versions.set(service, versions);
+    return versions;
   }
 
   /** Whether a region has an upstream of a version that may be sent requests now. */
@@ -191,6 +197,7 @@
 
   #noteChange(): void {
     this.#byService = undefined;
+    this.#versions.clear();
     this.#usable.clear();
   }
 
