Streams go on only at the process that their upstream's entry describes

What callers saw: an upstream was replaced under its id, at its address, by a process of another version. Until a VM had read the new entry (some 2 s, or for as long as the store was away) it took the entry for the process that answers, and sent what goes on at a version there: callers got 200 with a text joined from two versions.

Cause: a name in an entry was taken for the process behind the address. An answer names the upstream's id, not its start.

Its stand-in tells `born` in its entry and its report now, as upstreams do, like those of all labs.

Why it works: a connection belongs to one process. A request that is bound to a version, or that continues a moved stream, opens a connection of its own, asks on it for the report, compares `born` with the entry's, and is sent on this same connection: the agent can open no other one. If that is not possible, it was not sent, and nothing has run.

Cost: one connection, one report and one round trip for each stream that goes on.

--- a/soak/runner_host.ts
+++ b/soak/runner_host.ts
@@ -178,6 +178,7 @@
     this.#starts++;
     const runner = await Runner.open(id, this.#program);
     runner.version = this.#version;
+    runner.bornMs = this.#starts;
     runner.isFatal = (body, parts) => isFatal(body) || parts.some(isDeadlyPart);
     runner.downMs = DOWN_MS;
     runner.onCrash = (ending) => this.#handleCrash(runner, ending);
@@ -204,7 +205,7 @@
 
   async #handleRestart(runner: Runner): Promise<void> {
     if (this.#instance?.runner !== runner) return;
-    this.#starts++;
+    runner.bornMs = ++this.#starts;
     await this.proxy.reopen();
     this.#register(runner.isDraining ? "draining" : "ready");
   }
--- a/src/gateway/call.ts
+++ b/src/gateway/call.ts
@@ -226,6 +226,7 @@
     this.#suspicion.noteSend();
     try {
       const head = await send.waitForHead();
+      this.#record.process = send.process;
       if (this.#isOver) return;
       if (head.type === "unanswered") {
         await this.#noteLoss(send);
--- a/src/gateway/call_placement.ts
+++ b/src/gateway/call_placement.ts
@@ -228,12 +228,14 @@
   }
 
   /**
-   * Keeps a request that is bound to a version from upstreams that may have restarted with another one, which no answer
-   * would tell.
+   * Keeps a request that is bound to a version from upstreams that have restarted or may have, possibly with another one.
+   * Some don't tell when they were started; those that do are asked before the request is sent.
    */
   #avoidRestarted(): void {
     if (this.version === undefined) return;
-    for (const key of this.#context.losses.recentlyGone()) this.#tried.add(key);
+    const { losses, upstreams } = this.#context;
+    for (const key of losses.recentlyGone()) this.#tried.add(key);
+    for (const key of upstreams.replacedKeys()) this.#tried.add(key);
   }
 
   #noteVersionGone(step: Step<LinkedCandidate>): void {
--- a/src/gateway/call_record.ts
+++ b/src/gateway/call_record.ts
@@ -13,6 +13,7 @@
 import type { CountedBy } from "./quotas.ts";
 import type { Loss } from "./losses.ts";
 import type { BodyReport } from "./pipe.ts";
+import type { ProcessVerdict } from "./process_question.ts";
 import { type AnswerSource, RunVersion } from "./run_version.ts";
 
 /** The longest time between two chunks of an answer. */
@@ -63,6 +64,8 @@
   crashedUpstream: string | undefined;
   /** Times that the stream moved to another engine together with its memory. */
   moves = 0;
+  /** Which process of its upstream the last send reached, if that was asked. */
+  process: ProcessVerdict | undefined;
   readonly run = new RunVersion();
   #refusalFields: Readonly<Record<string, unknown>> = {};
   #quotaFields: Readonly<Record<string, unknown>> = {};
@@ -275,6 +278,7 @@
       gapMs: route.eventGapMs,
       moves: this.moves,
       ...(this.#queuedMs > 0 ? { queuedMs: Math.round(this.#queuedMs) } : {}),
+      process: this.process,
       ...this.run.fields,
       ...pauseFields,
       ...this.#quotaFields,
--- a/src/gateway/call_sends.ts
+++ b/src/gateway/call_sends.ts
@@ -102,6 +102,7 @@
     const outbound = {
       ...this.#buildRequest(0, undefined, state),
       goesOnFrom,
+      mustBeProven: true,
       urgency: 0,
     };
     return this.#begin(() => new UpstreamSend(context, outbound, candidate));
@@ -186,6 +187,7 @@
         : Infinity,
       mayRepeat: isRepeatable(route),
       isSuspect,
+      mustBeProven: placement.version !== undefined,
       hasAlternative: () => this.#hasAlternative(),
     };
   }
--- a/src/gateway/exchange.ts
+++ b/src/gateway/exchange.ts
@@ -34,6 +34,16 @@
   readonly reason: string;
   /** Whether the connection was refused, so that no program listens there. */
   readonly isRefused?: boolean;
+  /** Whether the request was not sent although nothing is wrong with the connection. */
+  readonly isWithheld?: boolean;
+}
+
+/** A request that is under way. */
+export interface PendingExchange {
+  /** The response once its headers have arrived, or why there is none. */
+  readonly head: Promise<Result<IncomingMessage, ExchangeFailure>>;
+  /** Aborts the request and closes its connection, so that the other side stops working. */
+  cancel(reason: string): void;
 }
 
 /** Methods whose requests carry a `Content-Length` even when the body is empty. */
@@ -43,8 +53,7 @@
 const MAX_INTERIM_RESPONSES = 8;
 
 /** Sends a request when it is constructed, and records whether its connection was made. */
-export class Exchange {
-  /** The response once its headers have arrived, or why there is none. */
+export class Exchange implements PendingExchange {
   readonly head: Promise<Result<IncomingMessage, ExchangeFailure>>;
   readonly #request: ClientRequest;
   #connected = false;
@@ -91,7 +100,6 @@
     this.#request.end(body);
   }
 
-  /** Aborts the request and closes its connection, so that the other side stops working. */
   cancel(reason: string): void {
     this.#request.destroy(new Error(reason));
   }
--- a/src/gateway/send.ts
+++ b/src/gateway/send.ts
@@ -9,8 +9,9 @@
 import type { AnswerFault, UpstreamAnswer } from "../platform/mod.ts";
 import type { KnownUpstream, PromptPart } from "../routing/mod.ts";
 import type { GatewayContext } from "./context.ts";
-import type { Exchange, ExchangeFailure } from "./exchange.ts";
+import type { ExchangeFailure, PendingExchange } from "./exchange.ts";
 import type { Loss } from "./losses.ts";
+import type { ProcessVerdict } from "./process_question.ts";
 
 /** Retry delay for callers after the last upstream refused: another VM or upstream may have room at once. */
 export const REFUSED_RETRY_AFTER_MS = 300;
@@ -45,6 +46,11 @@
   readonly mayRepeat: boolean;
   /** Whether upstreams crashed as the request began to run. */
   readonly isSuspect: boolean;
+  /**
+   * Whether only the process that the upstream's entry describes may run the request, as it goes on after what another
+   * one of the same version wrote.
+   */
+  readonly mustBeProven: boolean;
   /** Whether another place would serve the request now; otherwise giving up gains nothing. */
   readonly hasAlternative: () => boolean;
 }
@@ -84,7 +90,7 @@
 export abstract class Send {
   protected readonly context: GatewayContext;
   protected readonly outbound: OutboundRequest;
-  protected abstract readonly exchange: Exchange;
+  protected abstract readonly exchange: PendingExchange;
 
   constructor(context: GatewayContext, outbound: OutboundRequest) {
     this.context = context;
@@ -104,6 +110,11 @@
     return undefined;
   }
 
+  /** Which process of the upstream runs it, once that is known. */
+  get process(): ProcessVerdict | undefined {
+    return undefined;
+  }
+
   /** Waits for the head of the answer. */
   async waitForHead(): Promise<Answered | Unanswered> {
     const { answerTimeoutMs, hasAlternative } = this.outbound;
--- a/src/gateway/upstream_link.ts
+++ b/src/gateway/upstream_link.ts
@@ -47,6 +47,8 @@
   suspectCount = 0;
   waitingTokens = 0;
   usedMonoMs: number;
+  /** Whether the process that its entry describes has ended, and another one has its address. */
+  isReplaced = false;
   /** The upstream, as of the last request. */
   upstream: KnownUpstream | undefined;
 
--- a/src/gateway/upstream_send.ts
+++ b/src/gateway/upstream_send.ts
@@ -14,8 +14,15 @@
 import type { KnownUpstream, SendOutcome } from "../routing/mod.ts";
 import type { GatewayContext } from "./context.ts";
 import { discardBody } from "./discard.ts";
-import { Exchange, type ExchangeFailure } from "./exchange.ts";
+import {
+  Exchange,
+  type ExchangeFailure,
+  type ExchangeRequest,
+  type PendingExchange,
+} from "./exchange.ts";
 import type { Loss } from "./losses.ts";
+import type { ProcessVerdict } from "./process_question.ts";
+import { ProvenExchange } from "./proven_exchange.ts";
 import {
   type Answered,
   type OutboundRequest,
@@ -40,7 +47,7 @@
 
 /** A send to an upstream, which counts as in flight there until it is closed. */
 export class UpstreamSend extends Send {
-  protected readonly exchange: Exchange;
+  protected readonly exchange: PendingExchange;
   readonly #candidate: LinkedCandidate;
   readonly #link: UpstreamLink;
   readonly #sentMonoMs: number;
@@ -49,6 +56,7 @@
   #firstChunkMonoMs: number | undefined;
   #lastChunkMonoMs: number | undefined;
   #loss: Loss | undefined;
+  #process: ProcessVerdict | undefined;
   #isCanceled = false;
   #isGivenUp = false;
   #isOpen = true;
@@ -59,7 +67,7 @@
     candidate: LinkedCandidate,
   ) {
     super(context, outbound);
-    const { upstream, link } = candidate;
+    const { link } = candidate;
     this.#candidate = candidate;
     this.#link = link;
     this.#waitingTokens = outbound.promptTokens;
@@ -67,28 +75,60 @@
     this.#sentMonoMs = nowMs;
     this.#watched = watchedStreamOf(outbound, candidate);
     // Before anything is counted: a request that can't be written throws here.
-    this.exchange = new Exchange({
-      agent: link.agent,
+    this.exchange = this.#openExchange();
+    context.upstreams.noteSend(candidate, this.#waitingTokens);
+    if (outbound.mayRepeat) link.darkListeners.add(this.#cancelWhenUnreachable);
+    if (outbound.isSuspect) link.suspectCount++;
+    // A lead has counted what it granted already; other sends have to be reported to it soon.
+    if (!candidate.grant) context.members.notePromptRead();
+    candidate.pace.noteSend(this.#waitingTokens);
+  }
+
+  #openExchange(): PendingExchange {
+    const { upstream, link } = this.#candidate;
+    if (!this.outbound.mustBeProven) {
+      return new Exchange({ ...this.#makeRequest(), agent: link.agent });
+    }
+    return new ProvenExchange({
+      upstream,
+      clock: this.context.clock,
+      makeRequest: () => this.#makeRequest(),
+      onVerdict: (verdict) => this.#noteProcess(verdict),
+    });
+  }
+
+  #makeRequest(): Omit<ExchangeRequest, "agent"> {
+    const { upstream } = this.#candidate;
+    const { outbound } = this;
+    return {
       host: upstream.host,
       port: upstream.port,
       method: outbound.method,
       target: outbound.target,
       headers: addSendHeaders(outbound.headers, {
         upstreamId: upstream.id,
-        workMs: outbound.deadlineMonoMs - nowMs,
+        workMs: outbound.deadlineMonoMs - this.context.clock.monoMs(),
         fetchFrom: outbound.fetchFrom,
         goesOnFrom: outbound.goesOnFrom,
         urgency: outbound.urgency,
       }),
       body: outbound.body,
       connectTimeoutMs: CONNECT_TIMEOUT_MS,
-    });
-    context.upstreams.noteSend(candidate, this.#waitingTokens);
-    if (outbound.mayRepeat) link.darkListeners.add(this.#cancelWhenUnreachable);
-    if (outbound.isSuspect) link.suspectCount++;
-    // A lead has counted what it granted already; other sends have to be reported to it soon.
-    if (!candidate.grant) context.members.notePromptRead();
-    candidate.pace.noteSend(this.#waitingTokens);
+    };
+  }
+
+  #noteProcess(verdict: ProcessVerdict): void {
+    this.#process = verdict;
+    if (verdict === "replaced") this.#link.isReplaced = true;
+    if (verdict !== "unproven") {
+      this.#link.noteReceived(this.context.clock.monoMs());
+    }
+    const labels = `outcome="${verdict}"`;
+    this.context.metrics.count("upstream_processes", labels);
+  }
+
+  override get process(): ProcessVerdict | undefined {
+    return this.#process;
   }
 
   /** The upstream that it was sent to. */
@@ -200,7 +240,7 @@
 
   protected override handleFailure(cause: ExchangeFailure): Unanswered {
     if (cause.sent) this.noteBroken();
-    else {
+    else if (!cause.isWithheld) {
       this.#noteOutcome("lost");
       if (cause.isRefused) {
         this.context.losses.noteGone(this.#candidate.key);
--- a/src/platform/mod.ts
+++ b/src/platform/mod.ts
@@ -9,4 +9,5 @@
 export * from "./keys.ts";
 export * from "./store.ts";
 export * from "./upstream_entry.ts";
+export * from "./upstream_report.ts";
 export * from "./upstream_wire.ts";
--- a/src/platform/upstream_entry.ts
+++ b/src/platform/upstream_entry.ts
@@ -35,6 +35,24 @@
   return Buffer.from(version, "utf8").toString("utf8");
 }
 
+/** Start time of upstreams whose entries tell none. */
+const UNTOLD_BORN_MS = 0;
+
+/**
+ * Returns the key of one start of the upstream `id`. An upstream may restart with the same id and without its former
+ * state; the start time distinguishes the two.
+ */
+export function upstreamKey(id: string, bornMs: number): string {
+  return `${id}@${bornMs}`;
+}
+
+/** Whether the entry behind a key tells when its upstream was started. */
+export function tellsBorn(
+  { id, key }: Pick<UpstreamRecord, "id" | "key">,
+): boolean {
+  return key !== upstreamKey(id, UNTOLD_BORN_MS);
+}
+
 /**
  * Decodes the entry of the upstream `id`. Throws {@link RecordError} if the entry does not describe an upstream, which
  * can happen because others may write such entries too.
@@ -42,11 +60,10 @@
 export function decodeUpstream(id: string, text: string): UpstreamRecord {
   const record = parseRecord(text);
   const { host, port } = splitAddress(stringField(record, "address"));
-  const bornMs = numberField(record, "born", 0);
+  const bornMs = numberField(record, "born", UNTOLD_BORN_MS);
   return {
     id,
-    // An upstream may restart with the same id and without its former state; the start time distinguishes the two.
-    key: `${id}@${bornMs}`,
+    key: upstreamKey(id, bornMs),
     service: stringField(record, "service"),
     host,
     port,
--- a/src/standins/runner.ts
+++ b/src/standins/runner.ts
@@ -78,6 +78,12 @@
   readonly arrivals: RunnerArrival[] = [];
   /** The version of its software; it doesn't check which version began a stream that it continues. */
   version: string | undefined;
+  /** When its process was started, as its entry and its report tell; absent: they don't tell. */
+  bornMs: number | undefined = Date.now();
+  /** Whether it serves a report about itself. */
+  hasReport = true;
+  /** Number of reports that it was asked for. */
+  reportCount = 0;
   behavior: RunnerBehavior = "well";
   /** How its answers tell where they end. */
   framing: AnswerFraming = "framed";
@@ -210,6 +216,10 @@
     if (!isBack) throw new Error(`${this.id}: port ${port} has been taken`);
     this.#server.removeAllListeners("error");
     this.#restartTimer = undefined;
+    // Two starts in the same millisecond must not look like one.
+    if (this.bornMs !== undefined) {
+      this.bornMs = Math.max(Date.now(), this.bornMs + 1);
+    }
     this.onRestart();
   }
 
@@ -229,6 +239,7 @@
     if (request.url === "/api/kv-move") {
       return this.#handleMove(Buffer.concat(chunks).toString("utf8"), response);
     }
+    if (request.url === "/api/report") return this.#sendReport(response);
     if (
       headers["expect-instance"] !== undefined &&
       headers["expect-instance"] !== this.id
@@ -271,6 +282,15 @@
     this.#respond(request, response);
   }
 
+  #sendReport(response: ServerResponse): void {
+    this.reportCount++;
+    if (!this.hasReport) return void response.writeHead(404).end();
+    response.writeHead(200, { "content-type": "application/json" });
+    response.end(
+      JSON.stringify({ seq: this.arrivals.length, born: this.bornMs }),
+    );
+  }
+
   #startFatal(headers: IncomingHttpHeaders, response: ServerResponse): void {
     if (this.fatalStart === "nothing") return;
     response.writeHead(200, {
--- a/test/gateway_lab.ts
+++ b/test/gateway_lab.ts
@@ -125,8 +125,10 @@
     );
     this.runners.push(runner);
     this.register(runner, region, entryFields);
-    runner.onRestart = () =>
-      this.register(runner, region, { ...entryFields, born: Date.now() });
+    runner.onRestart = () => {
+      runner.bornMs = Date.now();
+      this.register(runner, region, entryFields);
+    };
     return runner;
   }
 
@@ -138,7 +140,10 @@
   ): void {
     this.store.put(
       `servers/${runner.id}`,
-      makeUpstreamEntry(runner.address, region, entryFields),
+      makeUpstreamEntry(runner.address, region, {
+        born: runner.bornMs,
+        ...entryFields,
+      }),
     );
   }
 
--- a/test/version_lab.ts
+++ b/test/version_lab.ts
@@ -104,7 +104,7 @@
       this.#versionsOf.get(runner.id)!.push({ version, sinceMonoMs });
       this.lab.register(runner, "north", {
         version,
-        ...(hasBorn ? { born: Date.now() } : {}),
+        born: hasBorn ? runner.bornMs : undefined,
       });
     };
   }
