An answer canceled before its slow caller took all of it doesn't pass for whole

What callers see: the end of a stream, or of a plain body, is missing, and the answer is framed as complete.

If the answer has arrived whole meanwhile and the upstream then becomes unreachable, its send is canceled. Node drops the unread bytes of a canceled request's answer and reports an ordinary end; `complete` is true, since all bytes had arrived. The pipe took that for the whole answer.

Why this works: the answer is destroyed with the error before its request, so that its stream ends by that error and by nothing else. That holds for all cancellations, as all go through Exchange.

--- a/src/gateway/exchange.ts
+++ b/src/gateway/exchange.ts
@@ -47,6 +47,7 @@
   /** The response once its headers have arrived, or why there is none. */
   readonly head: Promise<Result<IncomingMessage, ExchangeFailure>>;
   readonly #request: ClientRequest;
+  #answer: IncomingMessage | undefined;
   #connected = false;
   #interimResponses = 0;
 
@@ -70,7 +71,10 @@
         (socket) => this.#watchConnect(socket, options.connectTimeoutMs),
       );
       this.#request.on("information", () => this.#noteInterim());
-      this.#request.on("response", (answer) => resolve(ok(answer)));
+      this.#request.on("response", (answer) => {
+        this.#answer = answer;
+        resolve(ok(answer));
+      });
       this.#request.on(
         "error",
         (error) =>
@@ -93,7 +97,10 @@
 
   /** Aborts the request and closes its connection, so that the other side stops working. */
   cancel(reason: string): void {
-    this.#request.destroy(new Error(reason));
+    const error = new Error(reason);
+    // Node drops what was not read of a canceled request's answer, and would report an ordinary end of one that has arrived.
+    this.#answer?.destroy(error);
+    this.#request.destroy(error);
   }
 
   /** Each costs processor time, and an upstream may send them without end. */
--- a/src/gateway/pipe_test.ts
+++ b/src/gateway/pipe_test.ts
@@ -1,5 +1,5 @@
 import { once } from "node:events";
-import { Agent, type ServerResponse } from "node:http";
+import { Agent, type IncomingMessage, type ServerResponse } from "node:http";
 import { type AddressInfo, createServer, type Socket } from "node:net";
 import type { ExecutionContext } from "ava";
 import { describe, it } from "../base/describe.ts";
@@ -11,28 +11,34 @@
 const EVENT = "id: 1\ndata: a\n\n";
 const heldMemory = new BodyMemory(4_000_000);
 
-/** A reply that drops what it is given. */
-function dropReply(): CallerReply {
+/** A reply that drops what it is given, and takes no more after each write unless `isFast`. */
+function dropReply(isFast = true): CallerReply {
   const socket = { once() {}, off() {} };
   const response = {
     req: { socket },
     on() {},
     once() {},
-    write: () => true,
+    write: () => isFast,
   } as unknown as ServerResponse;
   return new CallerReply(response, () => false);
 }
 
-/** Exchanges a request with a server that writes `text` and keeps its connection open. */
+const REST_DELAY_MS = 20;
+
+/** Exchanges a request with a server that writes `text`, then `rest`, and keeps its connection open. */
 async function openExchange(
   t: ExecutionContext,
   text: string,
+  rest = "",
 ): Promise<Exchange> {
   const sockets: Socket[] = [];
   const server = createServer((socket) => {
     sockets.push(socket);
     socket.on("error", () => {});
-    socket.once("data", () => socket.write(text));
+    socket.once("data", () => {
+      socket.write(text);
+      setTimeout(() => socket.write(rest), REST_DELAY_MS);
+    });
   }).listen(0, "127.0.0.1");
   await once(server, "listening");
   const agent = new Agent();
@@ -53,6 +59,12 @@
   });
 }
 
+async function waitUntilComplete(answer: IncomingMessage): Promise<void> {
+  while (!answer.complete) {
+    await new Promise((resolve) => setTimeout(resolve, 1));
+  }
+}
+
 describe("the pipe of a stream that can be resumed", () => {
   it("holds back no more of an unfinished event than its bound, and is not continued after part of it", async (t) => {
     const text = "x".repeat(3_000_000);
@@ -131,4 +143,24 @@
       );
     }
   }
+
+  for (const type of ["text/event-stream", "text/plain"]) {
+    it(`takes none for whole that was canceled before its slow caller took the last bytes: ${type}`, async (t) => {
+      const exchange = await openExchange(
+        t,
+        `HTTP/1.1 200 OK\r\nContent-Type: ${type}\r\nContent-Length: ${
+          2 * EVENT.length
+        }\r\n\r\n${EVENT}`,
+        EVENT,
+      );
+      const answer = (await exchange.head)._unsafeUnwrap();
+      const options = { isStreamRoute: true, isResumable: true, heldMemory };
+      const pipe = createPipe(dropReply(false), answer, options, () => {});
+      const end = pipe.run(answer);
+      await waitUntilComplete(answer);
+      exchange.cancel("upstream unreachable");
+      t.is(await end, "broken");
+      t.is(pipe.report!.forwardedBytes, EVENT.length);
+    });
+  }
 });
