A continuation that begins at the wrong event is not joined to a stream

What callers see: events twice, or some left out, in a stream that is complete by its framing.

Cause: after a break or a move the VM names the last event to the next upstream and joined whatever stream came back. An upstream that ignores the id begins anew, one that counts otherwise begins too early or too late, and an extra late answer to the same attempt on a kept connection begins at its start. The same holds for a caller that takes its stream up again itself.

Why this works: the first event of each answer that has to continue a stream is compared with the last one that the caller has, before any byte of it is passed on. One that isn't larger is a repeat. One that is larger by more than one left some out, if the numbers of the stream grew by one so far; otherwise gaps are usual and prove nothing. Such an answer is canceled, and the stream goes on elsewhere or ends openly. Ids that are no numbers are only compared for being the same.

--- a/src/base/event_scanner.ts
+++ b/src/base/event_scanner.ts
@@ -93,21 +93,21 @@
   readonly id: string | undefined;
 }
 
-/** The identity of the last event in `text`, which holds whole events; `undefined` if there are only comments. */
-export function findLastEvent(text: string): EventIdentity | undefined {
-  let last: EventIdentity | undefined;
+/** The identities of the events in `text`, which holds whole events and comments. */
+export function findEvents(text: string): EventIdentity[] {
+  const events: EventIdentity[] = [];
   let id: string | undefined;
   let hasData = false;
   const lines = text.split(text.includes("\r") ? /\r\n|\n|\r/ : "\n");
   for (const line of lines) {
     if (line === "") {
-      if (hasData || id !== undefined) last = { id };
+      if (hasData || id !== undefined) events.push({ id });
       id = undefined;
       hasData = false;
     } else if (isField(line, "id")) id = valueOf(line);
     else if (isField(line, "data")) hasData = true;
   }
-  return last;
+  return events;
 }
 
 /** Whether a line holds a field; one without a colon has an empty value. */
--- a/src/base/event_scanner_test.ts
+++ b/src/base/event_scanner_test.ts
@@ -1,6 +1,10 @@
 import fc from "fast-check";
 import { describe, it } from "./describe.ts";
-import { EventScanner, findLastEvent } from "./event_scanner.ts";
+import {
+  type EventIdentity,
+  EventScanner,
+  findEvents,
+} from "./event_scanner.ts";
 
 /** Scans bytes in pieces of `size`; returns the scanner and the place of the last boundary. */
 function scan(input: string | Buffer, size: number) {
@@ -82,7 +86,7 @@
 });
 
 describe("last event", () => {
-  const cases: [text: string, found: ReturnType<typeof findLastEvent>][] = [
+  const cases: [text: string, found: EventIdentity | undefined][] = [
     ["id: 1\ndata: a\n\nid:2\ndata: b\n\n", { id: "2" }],
     ["id: 1\r\ndata: a\r\n\r\n", { id: "1" }],
     ["id: 1\rdata: a\r\r", { id: "1" }],
@@ -97,7 +101,15 @@
   ];
   for (const [text, found] of cases) {
     it(`of ${JSON.stringify(text)} is ${JSON.stringify(found)}`, (t) => {
-      t.deepEqual(findLastEvent(text), found);
+      t.deepEqual(findEvents(text).at(-1), found);
     });
   }
 });
+
+describe("events of a text", () => {
+  it("are all that it holds, in order, without comments", (t) => {
+    const text = "id: 1\ndata: a\n\n: keep\n\ndata: b\n\nid:3\ndata: c\n\n";
+    const ids = ["1", undefined, "3"];
+    t.deepEqual(findEvents(text), ids.map((id) => ({ id })));
+  });
+});
--- a/src/gateway/call.ts
+++ b/src/gateway/call.ts
@@ -237,14 +237,13 @@
         return;
       }
       const mismatch = this.#answer.whyNotJoined(head);
-      if (mismatch !== undefined) {
-        send.cancel(mismatch);
-        return this.#handleBreak(mismatch);
-      }
+      if (mismatch !== undefined) return this.#dropAnswer(send, mismatch);
       const result = await this.#answer.forward(send, head);
       if (this.#isOver) return;
       const move = await this.#mover.waitForMove();
       if (this.#isOver) return;
+      const { misfit } = this.#answer;
+      if (misfit !== undefined) return this.#dropAnswer(send, misfit);
       if (typeof move === "object") {
         this.#moveResult = move;
         return;
@@ -265,6 +264,12 @@
     }
   }
 
+  /** Gives up an answer that doesn't continue what has been forwarded. */
+  #dropAnswer(send: Send, reason: string): void {
+    send.cancel(reason);
+    this.#handleBreak(reason);
+  }
+
   /** Notes a lost send. What may continue elsewhere waits until it is known whether the send crashed its upstream. */
   #noteLoss(send: Send): Promise<void> {
     const { route, relayed } = this.#input;
--- a/src/gateway/call_answer.ts
+++ b/src/gateway/call_answer.ts
@@ -62,6 +62,11 @@
       : "resumed with an answer that is no stream";
   }
 
+  /** Why the answer that was forwarded last doesn't continue those before it; `undefined` if it does. */
+  get misfit(): string | undefined {
+    return this.#pipe?.misfit;
+  }
+
   /** Forwards the body of an answer until it ends or breaks off. */
   async forward(send: Send, answered: Answered): Promise<PipeEnd> {
     const { reply, record } = this.#options;
--- a/src/gateway/call_input.ts
+++ b/src/gateway/call_input.ts
@@ -61,12 +61,16 @@
 
 /** How an answer is forwarded. Only the VM that the caller is connected to resumes; a second one counts from zero. */
 export function pipeOptionsOf(
-  { route, relayed }: CallInput,
+  { route, relayed, head }: CallInput,
   { engine }: ServiceConfig,
 ): Omit<PipeOptions, "heldMemory"> {
   const isStreamRoute = route.kind === "stream";
   const mayContinue = engine?.moves === true || (route.resumable && !relayed);
-  return { isStreamRoute, isResumable: isStreamRoute && mayContinue };
+  return {
+    isStreamRoute,
+    isResumable: isStreamRoute && mayContinue,
+    resumesAfter: (route.resumable && head.resumesAfter) || undefined,
+  };
 }
 
 /** Whether a request's answer is a stream that can move to another engine together with its memory. */
--- a/src/gateway/pipe.ts
+++ b/src/gateway/pipe.ts
@@ -6,13 +6,10 @@
 
 import type { IncomingMessage } from "node:http";
 import type { Socket } from "node:net";
-import {
-  type EventIdentity,
-  EventScanner,
-  findLastEvent,
-} from "../base/mod.ts";
+import { type EventIdentity, EventScanner, findEvents } from "../base/mod.ts";
 import type { BodyMemory } from "./body.ts";
 import type { Reply } from "./reply.ts";
+import { StreamPosition } from "./stream_position.ts";
 
 /** Whether an answer arrived completely. */
 export type PipeEnd = "whole" | "broken";
@@ -22,7 +19,7 @@
 
 /**
  * How the transfer of an answer ended. `cut`: before the end that its framing promises. `given up`: this side stopped
- * reading it, since its caller left or its deadline passed.
+ * reading it, since its caller left, its deadline passed, or it doesn't continue what was forwarded.
  */
 export type TransferEnd = "inOrder" | "reset" | "cut" | "given up";
 
@@ -117,6 +114,11 @@
   /** Bytes that are held back. */
   protected abstract get heldBytes(): number;
 
+  /** Why the last answer doesn't continue what was forwarded before it; `undefined` if it does, as far as known. */
+  get misfit(): string | undefined {
+    return undefined;
+  }
+
   /** Releases what is held back. */
   close(): void {}
 
@@ -163,7 +165,9 @@
       answer.on("data", (chunk: Buffer) => {
         if (isOver) return;
         this.#onChunk();
-        this.#write(answer, this.takeChunk(chunk));
+        const bytes = this.takeChunk(chunk);
+        if (this.misfit !== undefined) return finish("given up");
+        this.#write(answer, bytes);
       });
       if (framingOf(answer) === "connection") {
         watch = watchReset(answer.socket, () => finish("reset"));
@@ -221,16 +225,25 @@
   #reservedBytes = 0;
   /** Whether part of the unfinished event has been passed on, so that nobody can begin it again. */
   #isPassingEvent = false;
-
+  readonly #position: StreamPosition;
+  /** Whether the next event is the first one of an answer that has to continue the stream. */
+  #isJoining: boolean;
+  /** Events that were forwarded of earlier answers. */
+  #joinedEvents = 0;
+  #misfit: string | undefined;
+
+  /** `resumesAfter` is the id of the last event that the caller has from an earlier try. */
   constructor(
     reply: Reply,
     onChunk: () => void,
     scanner: EventScanner,
-    memory: BodyMemory,
+    { heldMemory, resumesAfter }: PipeOptions,
   ) {
     super(reply, onChunk, scanner);
     this.#scanner = scanner;
-    this.#memory = memory;
+    this.#memory = heldMemory;
+    this.#position = new StreamPosition(resumesAfter);
+    this.#isJoining = resumesAfter !== undefined;
   }
 
   /** Complete events that were forwarded. */
@@ -251,11 +264,25 @@
     return id !== undefined && HEADER_VALUE.test(id);
   }
 
+  override get misfit(): string | undefined {
+    return this.#misfit;
+  }
+
   /** Drops a partial event before another answer continues. */
   dropPartial(): void {
     if (this.#scanner.hasOpenEvent) this.#leastEvents = this.events + 1;
     this.#hold([]);
     this.#scanner.reset();
+    this.#misfit = undefined;
+    this.#isJoining = true;
+    this.#joinedEvents = this.events;
+  }
+
+  /** Forgets an answer of which nothing was forwarded. */
+  #dropAnswer(): void {
+    this.#hold([]);
+    this.#scanner.reset();
+    this.#scanner.events = this.#joinedEvents;
   }
 
   #hold(pieces: Buffer[]): void {
@@ -278,14 +305,26 @@
     const end = this.#scanner.scan(chunk);
     if (end === 0) return this.#takeUnfinished(chunk);
     const whole = this.#takeWhole(chunk, end);
-    const last = findLastEvent(whole.toString("latin1"));
+    const events = findEvents(whole.toString("latin1"));
+    if (!this.#joins(events)) return undefined;
+    for (const event of events) this.#position.note(event);
     // The id of an event whose beginning was passed on before isn't known here.
     const lastAfterLong = this.#isPassingEvent ? { id: undefined } : undefined;
-    this.#lastEvent = last ?? lastAfterLong ?? this.#lastEvent;
+    this.#lastEvent = events.at(-1) ?? lastAfterLong ?? this.#lastEvent;
     this.#isPassingEvent = false;
     return whole;
   }
 
+  /** Checks the first event of an answer that has to continue the stream. */
+  #joins(events: readonly EventIdentity[]): boolean {
+    if (!this.#isJoining || events.length === 0) return true;
+    this.#isJoining = false;
+    this.#misfit = this.#position.whyNotNext(events[0]);
+    if (this.#misfit === undefined) return true;
+    this.#dropAnswer();
+    return false;
+  }
+
   /** Takes what is held and the first `end` bytes of a chunk, and holds the rest; mostly the chunk is one event. */
   #takeWhole(chunk: Buffer, end: number): Buffer {
     const held = this.#partial;
@@ -336,6 +375,8 @@
   readonly isStreamRoute: boolean;
   /** Whether another upstream may continue the answer after a break. */
   readonly isResumable: boolean;
+  /** The last event that the caller has from an earlier try; `undefined` if the answer begins the stream. */
+  readonly resumesAfter: string | undefined;
   /** Memory for unfinished events of all streams. */
   readonly heldMemory: BodyMemory;
 }
@@ -344,13 +385,13 @@
 export function createPipe(
   reply: Reply,
   answer: IncomingMessage,
-  { isStreamRoute, isResumable, heldMemory }: PipeOptions,
+  options: PipeOptions,
   onChunk: () => void,
 ): BodyPipe {
-  const scanner = isEventStream(answer, isStreamRoute)
+  const scanner = isEventStream(answer, options.isStreamRoute)
     ? new EventScanner()
     : undefined;
-  return isResumable && scanner
-    ? new EventPipe(reply, onChunk, scanner, heldMemory)
+  return options.isResumable && scanner
+    ? new EventPipe(reply, onChunk, scanner, options)
     : new RawPipe(reply, onChunk, scanner);
 }
--- a/src/gateway/pipe_test.ts
+++ b/src/gateway/pipe_test.ts
@@ -10,6 +10,7 @@
 
 const EVENT = "id: 1\ndata: a\n\n";
 const heldMemory = new BodyMemory(4_000_000);
+const resumesAfter = undefined;
 
 /** A reply that drops what it is given, and takes no more after each write unless `isFast`. */
 function dropReply(isFast = true): CallerReply {
@@ -73,7 +74,12 @@
       `HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n${EVENT}id: 2\ndata: ${text}`,
     );
     const answer = (await exchange.head)._unsafeUnwrap();
-    const options = { isStreamRoute: true, isResumable: true, heldMemory };
+    const options = {
+      isStreamRoute: true,
+      isResumable: true,
+      resumesAfter,
+      heldMemory,
+    };
     const pipe = createPipe(dropReply(), answer, options, () => {});
     if (!(pipe instanceof EventPipe)) return t.fail();
     const end = pipe.run(answer);
@@ -95,6 +101,7 @@
     const options = {
       isStreamRoute: true,
       isResumable: true,
+      resumesAfter,
       heldMemory: memory,
     };
     const pipes: EventPipe[] = [];
@@ -134,7 +141,12 @@
             `HTTP/1.1 200 OK\r\nContent-Type: ${type}\r\n\r\n${EVENT}`,
           );
           const answer = (await exchange.head)._unsafeUnwrap();
-          const options = { isStreamRoute: true, isResumable, heldMemory };
+          const options = {
+            isStreamRoute: true,
+            isResumable,
+            resumesAfter,
+            heldMemory,
+          };
           const pipe = createPipe(dropReply(), answer, options, () => {});
           const end = pipe.run(answer);
           answer.once("data", () => exchange.cancel("upstream unreachable"));
@@ -154,7 +166,12 @@
         EVENT,
       );
       const answer = (await exchange.head)._unsafeUnwrap();
-      const options = { isStreamRoute: true, isResumable: true, heldMemory };
+      const options = {
+        isStreamRoute: true,
+        isResumable: true,
+        resumesAfter,
+        heldMemory,
+      };
       const pipe = createPipe(dropReply(false), answer, options, () => {});
       const end = pipe.run(answer);
       await waitUntilComplete(answer);
--- a/test/gateway_continued_streams_test.ts
+++ b/test/gateway_continued_streams_test.ts
@@ -1,5 +1,5 @@
 import { describe, it } from "../src/base/describe.ts";
-import { formatStream } from "../src/standins/mod.ts";
+import { formatStream, makeRoute } from "../src/standins/mod.ts";
 import { openLab } from "./gateway_lab.ts";
 import {
   addScripted,
@@ -61,3 +61,72 @@
     t.is(end.fields.outcome, "streamBroken");
   });
 });
+
+/** Continuations after event 2 of 6 that can't be joined to it, by where they begin. */
+const MISPLACED: Readonly<Record<string, string>> = {
+  "at its first event": formatStream(0, 6),
+  "at its last event": formatStream(1, 6),
+  "one event too late": formatStream(3, 6),
+};
+
+describe("gateway, a stream whose continuation begins elsewhere than it stopped", () => {
+  for (const [place, rest] of Object.entries(MISPLACED)) {
+    const misplace: Script = (request, socket) =>
+      streamScript(
+        request.lastEventId === undefined ? `${WHOLE}id: 3` : rest,
+      )(request, socket);
+
+    it(`ends openly, with no event twice or left out: ${place}`, async (t) => {
+      const { lab, vm } = await openLab(t, 0);
+      for (let i = 0; i < 2; i++) await addScripted(t, lab, vm, misplace);
+      const answer = await lab.call(vm, { path: "/stream/", method: "POST" });
+      t.is(answer.body, WHOLE);
+      t.false(answer.isComplete);
+    });
+
+    it(`goes on at another upstream: ${place}`, async (t) => {
+      const { lab, vm } = await openLab(t, 0);
+      lab.configure([
+        makeRoute({
+          path_prefix: "/stream/",
+          kind: "streaming",
+          resumable: true,
+          max_attempts: 4,
+        }),
+      ]);
+      let continuations = 0;
+      const script: Script = (request, socket) => {
+        const isRight = request.lastEventId !== undefined &&
+          ++continuations > 1;
+        const right = streamScript(
+          formatStream(Number(request.lastEventId), 6),
+        );
+        (isRight ? right : misplace)(request, socket);
+      };
+      for (let i = 0; i < 3; i++) await addScripted(t, lab, vm, script);
+      const answer = await lab.call(vm, { path: "/stream/", method: "POST" });
+      t.is(answer.body, formatStream(0, 6));
+      t.true(answer.isComplete);
+    });
+  }
+
+  for (const after of [0, 1]) {
+    it(
+      `is not passed on to a caller that has event 2 and gets it again, as event ${
+        2 - after
+      } of the answer`,
+      async (t) => {
+        const { lab, vm } = await openLab(t, 0);
+        const script = streamScript(formatStream(after, 6));
+        for (let i = 0; i < 2; i++) await addScripted(t, lab, vm, script);
+        const headers = { "last-event-id": "2" };
+        const call = lab.call(vm, {
+          path: "/stream/",
+          method: "POST",
+          headers,
+        });
+        t.is(await call.then(({ body }) => body, () => "closed"), "closed");
+      },
+    );
+  }
+});
--- a/test/gateway_moves_test.ts
+++ b/test/gateway_moves_test.ts
@@ -12,6 +12,18 @@
     t.is(answer.body, WHOLE);
   });
 
+  for (const skippedEvents of [-2, -1, 1]) {
+    it(`ends openly where its new engine goes on ${skippedEvents} events after the next one`, async (t) => {
+      const { answer, idle } = await playMove(t, "connection", "whole", {
+        skippedEvents,
+      });
+      t.is(idle.requests.length, 1);
+      t.false(answer.isComplete);
+      const last = Number(idle.requests[0].lastEventId);
+      t.is(answer.body, formatStream(0, last));
+    });
+  }
+
   it("does not move where no retry is left", async (t) => {
     const { answer, idle } = await playMove(t, "connection", "whole", {
       bounds: { repeatRatio: 0, repeatSlack: 0 },
--- a/test/moving_lab.ts
+++ b/test/moving_lab.ts
@@ -67,6 +67,8 @@
 export interface MoveConditions {
   readonly bounds?: Partial<GatewaySettings["bounds"]>;
   readonly deadlineMs?: number;
+  /** How many events too late the engine goes on that the stream moves to; negative if it repeats some. */
+  readonly skippedEvents?: number;
 }
 
 /** Plays a stream whose engine is told to move it. Returns the caller's answer and the engine that it was to move to. */
@@ -74,7 +76,7 @@
   t: { teardown(run: () => Promise<void>): void },
   framing: ScriptedFraming,
   move: MoveAnswer,
-  { bounds, deadlineMs = 30_000 }: MoveConditions = {},
+  { bounds, deadlineMs = 30_000, skippedEvents = 0 }: MoveConditions = {},
 ): Promise<{
   readonly answer: CallerAnswer;
   readonly idle: ScriptedUpstream;
@@ -118,7 +120,10 @@
   await waitUntil(() => engine.requests.length === 2);
   const idle = await addScripted(t, lab, vm, (request, socket) =>
     streamScript(
-      formatStream(Number(request.lastEventId), MOVED_STREAM_EVENTS),
+      formatStream(
+        Number(request.lastEventId) + skippedEvents,
+        MOVED_STREAM_EVENTS,
+      ),
     )(request, socket));
   return { answer: await answer, idle };
 }
