The id of an event is named to the next upstream with all of its bytes

An event whose id ends with a character like "à" was named without the last byte when its stream went on elsewhere, so that the next upstream couldn't know the event and would begin anew.

Cause: ids are read as latin-1, as headers are, and `trim` strips 0xa0, which is a space there and the end of a character in UTF-8.

Why this works: only spaces and tabs are stripped, which no UTF-8 character contains.

--- a/src/base/event_scanner.ts
+++ b/src/base/event_scanner.ts
@@ -116,8 +116,12 @@
     (line.length === name.length || line[name.length] === ":");
 }
 
+/** What surrounds a value. `trim` would also strip bytes that are part of a character. */
+const PADDING = /^[ \t]+|[ \t]+$/g;
+
 /** The value of a line's field; `undefined` if it is empty. */
 function valueOf(line: string): string | undefined {
   const colon = line.indexOf(":");
-  return (colon < 0 ? "" : line.slice(colon + 1).trim()) || undefined;
+  if (colon < 0) return undefined;
+  return line.slice(colon + 1).replaceAll(PADDING, "") || undefined;
 }
--- a/src/base/event_scanner_test.ts
+++ b/src/base/event_scanner_test.ts
@@ -96,6 +96,8 @@
     ["id\ndata: b\n\n", { id: undefined }],
     ["id:\ndata: b\n\n", { id: undefined }],
     ["data: id: 7\n\n", { id: undefined }],
+    // "à" in UTF-8, whose last byte is a space in other encodings.
+    ["id: \xc3\xa0\ndata: a\n\n", { id: "\xc3\xa0" }],
     [": keep\n\n", undefined],
     ["", undefined],
   ];
