A stream that broke off is not moved by what was decided for its lost run

What callers see: after a whole stream, which went on elsewhere after a break, more events of the run that had broken off.

Cause: a stream is watched for a move until its send is closed, and a send that broke off stays open until it is known whether its upstream crashed. A move that begins then stops the lost run, if its engine doesn't drop it with the connection. Nobody waits for that move, so its outcome is taken for one of the next send: a whole stream is continued from the memory of the other run.

The joined stream itself was not reproduced: it takes an engine that keeps a run whose connection is gone, and a prompt that arrives in the few ms of the probe.

Why this works: the watch ends as soon as the answer has broken off, so no move can begin after the one that the break waits for.

--- a/src/gateway/upstream_send.ts
+++ b/src/gateway/upstream_send.ts
@@ -146,6 +146,8 @@
   }
 
   noteBroken(): void {
+    // A move would stop another run than the one that goes on elsewhere by then.
+    this.#endWatch();
     this.#noteOutcome("lost");
     if (this.#isCanceled && !this.#isGivenUp) return;
     const nowMs = this.context.clock.monoMs();
@@ -188,9 +190,7 @@
   close(): void {
     if (!this.#isOpen) return;
     this.#isOpen = false;
-    if (this.#watched) {
-      this.context.upstreams.streamWatch.remove(this.#watched);
-    }
+    this.#endWatch();
     this.#link.darkListeners.delete(this.#cancelWhenUnreachable);
     this.#notePromptRead();
     this.#link.running--;
@@ -242,6 +242,11 @@
     };
   }
 
+  #endWatch(): void {
+    if (!this.#watched) return;
+    this.context.upstreams.streamWatch.remove(this.#watched);
+  }
+
   #notePromptRead(): void {
     if (this.#waitingTokens === 0) return;
     this.#link.waitingTokens -= this.#waitingTokens;
--- a/src/gateway/upstream_send_test.ts
+++ b/src/gateway/upstream_send_test.ts
@@ -5,6 +5,7 @@
 import { systemClock } from "../base/mod.ts";
 import type { GatewayContext } from "./context.ts";
 import type { OutboundRequest } from "./send.ts";
+import { StreamWatch } from "./stream_watch.ts";
 import { type LinkedCandidate, UpstreamLink } from "./upstream_link.ts";
 import { UpstreamSend } from "./upstream_send.ts";
 
@@ -44,4 +45,55 @@
     t.is(link.suspectCount, 0);
     t.is(link.darkListeners.size, 0);
   });
+
+  it("whose answer broke off isn't moved while its stream goes on elsewhere", async (t) => {
+    const server = createServer().listen(0, "127.0.0.1");
+    await once(server, "listening");
+    t.teardown(() => void server.close());
+    const streamWatch = new StreamWatch(() => 100_000);
+    streamWatch.start(systemClock);
+    t.teardown(() => streamWatch.close());
+    let checks = 0;
+    const context = {
+      clock: systemClock,
+      upstreams: {
+        streamWatch,
+        holders: { noteRead() {} },
+        noteSend() {},
+      },
+      members: { notePromptRead() {}, noteSendEnd() {} },
+    } as unknown as GatewayContext;
+    const outbound = {
+      method: "POST",
+      target: "/stream/",
+      headers: [],
+      body: Buffer.alloc(0),
+      parts: [],
+      promptTokens: 0,
+      deadlineMonoMs: systemClock.monoMs() + 1_000,
+      eventGapMs: 200,
+      onStreamCheck: () => void checks++,
+    } as unknown as OutboundRequest;
+    const { port } = server.address() as AddressInfo;
+    const pace = {
+      noteSend() {},
+      canExceedGap: () => true,
+      maxGapMs: () => 900,
+    };
+    const candidate = {
+      key: "u@1",
+      upstream: { key: "u@1", id: "u", host: "127.0.0.1", port },
+      link: new UpstreamLink(0),
+      waitingTokens: 0,
+      pace,
+    } as unknown as LinkedCandidate;
+    const send = new UpstreamSend(context, outbound, candidate);
+    t.teardown(() => send.cancel("over"));
+    send.noteChunk(systemClock.monoMs());
+    await Promise.resolve();
+    t.is(checks, 1);
+    send.noteBroken();
+    await systemClock.sleep(60);
+    t.is(checks, 1);
+  });
 });
