A stream is not continued after text that only looks like an event's id

Cause: what remains of an event that was passed on in part is read for the event's id. It may begin within a line of data, and text there such as "id: 9" was taken for the event's id, and named to the next upstream.

Why this works: the text is read as if another character stood before it, so that its first line is no field. Fields in whole lines after it still count; an event that has none there has no known id, and isn't continued.

--- a/src/gateway/pipe.ts
+++ b/src/gateway/pipe.ts
@@ -305,7 +305,9 @@
     const end = this.#scanner.scan(chunk);
     if (end === 0) return this.#takeUnfinished(chunk);
     const whole = this.#takeWhole(chunk, end);
-    const events = findEvents(whole.toString("latin1"));
+    const text = whole.toString("latin1");
+    // What remains of an event that was passed on in part may begin within a line, and look like a field there.
+    const events = findEvents(this.#isPassingEvent ? `-${text}` : text);
     if (!this.#joins(events)) return undefined;
     for (const event of events) this.#position.note(event);
     // The id of an event whose beginning was passed on before isn't known here.
--- a/src/gateway/pipe_test.ts
+++ b/src/gateway/pipe_test.ts
@@ -60,10 +60,12 @@
   });
 }
 
+function pause(): Promise<void> {
+  return new Promise((resolve) => setTimeout(resolve, 1));
+}
+
 async function waitUntilComplete(answer: IncomingMessage): Promise<void> {
-  while (!answer.complete) {
-    await new Promise((resolve) => setTimeout(resolve, 1));
-  }
+  while (!answer.complete) await pause();
 }
 
 describe("the pipe of a stream that can be resumed", () => {
@@ -94,6 +96,28 @@
     t.false(pipe.canContinue);
   });
 
+  it("is not continued after text that looks like an id, in an event that was passed on in part", async (t) => {
+    const exchange = await openExchange(
+      t,
+      "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\nid: 2\ndata: ",
+      "id: 9\n\n",
+    );
+    const answer = (await exchange.head)._unsafeUnwrap();
+    const options = {
+      isStreamRoute: true,
+      isResumable: true,
+      resumesAfter,
+      heldMemory: new BodyMemory(0),
+    };
+    const pipe = createPipe(dropReply(), answer, options, () => {});
+    if (!(pipe instanceof EventPipe)) return t.fail();
+    const end = pipe.run(answer);
+    while (pipe.events === 0) await pause();
+    exchange.cancel("enough");
+    t.is(await end, "broken");
+    t.false(pipe.canContinue);
+  });
+
   /** Guards against many streams with an event without end, whose held bytes together exceed the process's memory. */
   it("holds back no more than all streams together may, and gives it back", async (t) => {
     const event = `${EVENT}id: 2\ndata: ${"x".repeat(600_000)}`;
--- a/test/scripted_upstream.ts
+++ b/test/scripted_upstream.ts
@@ -143,7 +143,10 @@
   if (headEnd < 0) return undefined;
   const head = text.slice(0, headEnd);
   const header = (name: string) =>
-    new RegExp(`^${name}: *(.*)$`, "im").exec(head)?.[1].trim();
+    new RegExp(`^${name}: *(.*)$`, "im").exec(head)?.[1].replace(
+      /[ \t]+$/,
+      "",
+    );
   const bodyBytes = text.length - headEnd - HEAD_END.length;
   if (bodyBytes < Number(header("content-length") ?? 0)) return undefined;
   return {
--- a/test/stream_model.ts
+++ b/test/stream_model.ts
@@ -4,6 +4,7 @@
  * @module
  */
 
+import { createParser } from "eventsource-parser";
 import fc from "fast-check";
 
 /** How the ids of a stream's events grow. */
@@ -322,3 +323,12 @@
     if (!isNamed) this.state = "broken";
   }
 }
+
+/** Reads the data of events by a parser that the gateway doesn't use. */
+export function parseData(text: string): string[] {
+  const data: string[] = [];
+  const parser = createParser({ onEvent: (event) => data.push(event.data) });
+  // A CR at the end could be the first half of a line end.
+  parser.feed(`${text}\n`);
+  return data;
+}
--- a/test/stream_pipe_fuzz_test.ts
+++ b/test/stream_pipe_fuzz_test.ts
@@ -1,12 +1,12 @@
 import { EventEmitter } from "node:events";
 import type { IncomingMessage, ServerResponse } from "node:http";
-import { createParser } from "eventsource-parser";
 import fc from "fast-check";
 import { describe, it } from "../src/base/describe.ts";
 import { BodyMemory } from "../src/gateway/body.ts";
 import { createPipe, EventPipe, type PipeEnd } from "../src/gateway/pipe.ts";
 import { CallerReply } from "../src/gateway/reply.ts";
 import {
+  parseData,
   type SentAnswer,
   StreamModel,
   type StreamPlan,
@@ -75,19 +75,12 @@
     isOver = end === "whole" || !pipe.canContinue;
     if (isOver || model.state !== "open") break;
   }
+  const canContinue = pipe?.canContinue === true;
   const last = pipe?.lastEventId;
   pipe?.close();
   const lastId = last && Buffer.from(last, "latin1").toString();
-  return { model, end, isOver, written: Buffer.concat(written), lastId };
-}
-
-/** Reads the data of events by a parser that the gateway doesn't use. */
-function parseData(text: string): string[] {
-  const data: string[] = [];
-  const parser = createParser({ onEvent: (event) => data.push(event.data) });
-  // A CR at the end could be the first half of a line end.
-  parser.feed(`${text}\n`);
-  return data;
+  const text = Buffer.concat(written);
+  return { model, end, isOver, canContinue, written: text, lastId };
 }
 
 describe("the pipe of a stream that goes on after breaks", () => {
@@ -127,4 +120,28 @@
     );
     t.pass();
   });
+
+  it("goes on only after its last event where long events are passed on in part", async (t) => {
+    await fc.assert(
+      fc.asyncProperty(
+        streamPlan,
+        fc.integer({ min: 0, max: 60 }),
+        async (plan, heldBytes) => {
+          const answers = plan.answers.slice(0, 1).map((answer) => ({
+            ...answer,
+            placement: "right" as const,
+          }));
+          const { model, canContinue, lastId } = await playPipe(
+            { ...plan, had: 0, answers },
+            new BodyMemory(heldBytes),
+          );
+          if (canContinue && lastId !== model.lastId) {
+            throw new Error(`continues after ${lastId}, not ${model.lastId}`);
+          }
+        },
+      ),
+      { numRuns: RUNS, seed: SEED, includeErrorInReport: true },
+    );
+    t.pass();
+  });
 });
