--- a/src/gateway/exchange.ts
+++ b/src/gateway/exchange.ts
@@ -56,6 +56,7 @@
 export class Exchange implements PendingExchange {
   readonly head: Promise<Result<IncomingMessage, ExchangeFailure>>;
   readonly #request: ClientRequest;
+  #answer: IncomingMessage | undefined;
   #connected = false;
   #interimResponses = 0;
 
@@ -79,7 +80,10 @@
         (socket) => this.#watchConnect(socket, options.connectTimeoutMs),
       );
       this.#request.on("information", () => this.#noteInterim());
-      this.#request.on("response", (answer) => resolve(ok(answer)));
+      this.#request.on("response", (answer) => {
+        this.#answer = answer;
+        resolve(ok(answer));
+      });
       this.#request.on(
         "error",
         (error) =>
@@ -101,7 +105,10 @@
   }
 
   cancel(reason: string): void {
-    this.#request.destroy(new Error(reason));
+    const error = new Error(reason);
+    // Node drops what was not read of a canceled request's answer, and would report an ordinary end of one that has arrived.
+    this.#answer?.destroy(error);
+    this.#request.destroy(error);
   }
 
   /** Each costs processor time, and an upstream may send them without end. */
