The origin of a stream is known only if its process is the one that the entry describes

What callers saw: a stream that began at an upstream which had been replaced under its id by another version was noted (and told to other VMs) as begun at the version of the former entry. When it broke off, the VM went on with it, or other VMs took it up, at that former version: 200, whole, joined from two versions.

Why it works: a process listens from its start to its end, and a VM connects to an upstream once it has read the process's entry. So when a process has told its `born` on one connection, all connections that stood before this one was begun are its own. The question runs while the stream is forwarded, which it doesn't delay. Until it is answered the origin is open: whoever asks waits, or is told that nobody knows; so it stays if another process answers, or none. A VM that a stream was relayed to says with its answer whether the version is proven, and is asked by datagram if not. A move to another engine begins only from a process that is proven.

Log fields `process` and `firstProcess`, metrics `upstream_processes` and `upstream_reports`, and texts of explain tell it. Where upstreams don't tell their start, all is as before.

--- a/src/explain/explain_test.ts
+++ b/src/explain/explain_test.ts
@@ -103,6 +103,14 @@
       ),
       /at version v2 \(known from: only version, by 900 ms of watching and 2 other VMs\)/,
     );
+    t.regex(
+      explain("version=unknown firstProcess=replaced outcome=streamBroken"),
+      /the upstream that began it had been replaced by a process/,
+    );
+    t.regex(
+      explain("firstVersion=v1 process=unproven outcome=noUpstream"),
+      /its last upstream did not say which process it is/,
+    );
   });
 
   it("shows which upstreams asked for rest before a request that was sent to none", (t) => {
--- a/src/explain/explanation.ts
+++ b/src/explain/explanation.ts
@@ -111,10 +111,18 @@
   ];
 }
 
+/** Why the version of an upstream's entry does not hold. */
+const PROCESS_TEXTS: Readonly<Record<string, string>> = {
+  replaced: "had been replaced by a process that this VM has no entry of",
+  unproven: "did not say which process it is",
+};
+
 /** Describes at which version a stream began, where that is known from, and who continued it. */
 function versionParts({ fields }: ParsedLine): string[] {
   const {
     version,
+    firstProcess,
+    process,
     continuedBy,
     notContinued,
     firstAttempt,
@@ -132,6 +140,12 @@
   if (version !== undefined) {
     parts.push(`began at version ${version || "none"}`);
   }
+  if (firstProcess in PROCESS_TEXTS) {
+    parts.push(`the upstream that began it ${PROCESS_TEXTS[firstProcess]}`);
+  }
+  if (process in PROCESS_TEXTS) {
+    parts.push(`its last upstream ${PROCESS_TEXTS[process]}`);
+  }
   if (originRefused) {
     parts.push(
       `could not go on after ${
--- a/src/gateway/call.ts
+++ b/src/gateway/call.ts
@@ -272,9 +272,13 @@
   }
 
   /** Notes a lost send. What may continue elsewhere waits until it is known whether the send crashed its upstream. */
-  #noteLoss(send: Send): Promise<void> {
+  async #noteLoss(send: Send): Promise<void> {
     const { route, relayed } = this.#input;
-    this.#record.run.noteBreak(this.#context.storeView.fleet);
+    const { run } = this.#record;
+    run.noteBreak(this.#context.storeView.fleet);
+    if (this.#answer.continuable && !relayed) {
+      await run.waitForProcess(this.#context.clock);
+    }
     return this.#suspicion.noteLoss(send, isRepeatable(route) || relayed);
   }
 
@@ -289,6 +293,7 @@
       pipe.events,
       () => this.#placement.candidatesExcept(send.candidate),
       () => this.#retries.takeMove(),
+      send,
     );
   };
 
--- a/src/gateway/call_answer.ts
+++ b/src/gateway/call_answer.ts
@@ -111,7 +111,9 @@
       suspicion,
     } = this.#options;
     reply.version = send.version;
-    reply.onBody(() => placement.origin.noteBegun());
+    reply.isProcessOpen = send.process !== "confirmed" &&
+      send.process !== "unknown";
+    reply.onBody(() => placement.origin.noteBegun(send));
     const options = { ...pipeOptionsOf(input, service), heldMemory };
     const pipe = createPipe(reply, answer, options, () => {
       const nowMs = clock.monoMs();
--- a/src/gateway/call_origin.ts
+++ b/src/gateway/call_origin.ts
@@ -10,6 +10,7 @@
 import type { CallRecord } from "./call_record.ts";
 import type { GatewayContext } from "./context.ts";
 import { isHomeRegion } from "./local_placement.ts";
+import type { Send } from "./send.ts";
 
 /** Where a stream may go on; `version` is `undefined` if any version may serve it. */
 export type ResumeVerdict =
@@ -27,6 +28,10 @@
   readonly #service: ServiceConfig;
   readonly #record: CallRecord;
   #isNoted = false;
+  /** Whether its upstream is asked which process it is. */
+  #isOpen = false;
+  /** Whether the answer ended whole; `undefined` while it runs. */
+  #endedWhole: boolean | undefined;
 
   constructor(
     context: GatewayContext,
@@ -78,25 +83,49 @@
     return this.#refuse(`unknown, one of ${seen.join(" ")}`, fields);
   }
 
-  /** Notes that an upstream of a version brought the first event of the answer. */
-  noteBegun(): void {
-    const version = this.#record.run.began;
-    if (this.#isNoted || !this.#isTracked || version === undefined) return;
+  /**
+   * Notes that `send` brought the first event of the answer. Its version is that of an entry, which may be of another
+   * process; the stream doesn't wait until that is known.
+   */
+  noteBegun(send: Send): void {
+    const { route, relayed, head } = this.#input;
+    if (this.#isNoted || route.kind !== "stream" || !route.resumable) return;
     this.#isNoted = true;
+    const { run } = this.#record;
+    const process = send.findProcess();
+    run.noteProcess(process);
     // The origin of a resumed stream is that of its first try.
-    if (this.isResumed) return;
-    const { attemptId } = this.#input.head;
-    this.#context.origins.noteBegun(attemptId, this.#service.name, version);
+    if (head.resumesAfter) return;
+    if (typeof process === "string") return this.#noteOrigin();
+    this.#isOpen = true;
+    const noted = run.processKnown.then(() => this.#noteOrigin());
+    this.#context.origins.noteOpen(head.attemptId, relayed, noted);
+  }
+
+  #noteOrigin(): void {
+    this.#isOpen = false;
+    if (this.#endedWhole) return;
+    const { head: { attemptId }, relayed } = this.#input;
+    const { origins } = this.#context;
+    const { run } = this.#record;
+    if (relayed) return origins.noteRelayed(attemptId, run.began);
+    if (run.isDoubtful) return origins.noteDoubtful(attemptId);
+    if (run.began === undefined) return;
+    origins.noteBegun(attemptId, this.#service.name, run.began);
+    if (this.#endedWhole === false) origins.noteEnded(attemptId, false);
   }
 
   /** Notes the end of the answer. */
   noteEnded(isWhole: boolean): void {
-    if (!this.#isNoted || this.isResumed) return;
+    this.#endedWhole = isWhole;
+    if (!this.#isNoted || !this.#isTracked || this.isResumed) return;
+    if (this.#isOpen) return;
     const { attemptId } = this.#input.head;
     const { origins } = this.#context;
     origins.noteEnded(attemptId, isWhole);
-    const isDoubtful = this.#record.run.began === undefined;
-    if (isDoubtful && !isWhole) origins.noteDoubtful(attemptId);
+    if (this.#record.run.isDoubtful && !isWhole) {
+      origins.noteDoubtful(attemptId);
+    }
   }
 
   #isServed(version: string): boolean {
--- a/src/gateway/call_placement.ts
+++ b/src/gateway/call_placement.ts
@@ -233,9 +233,7 @@
    */
   #avoidRestarted(): void {
     if (this.version === undefined) return;
-    const { losses, upstreams } = this.#context;
-    for (const key of losses.recentlyGone()) this.#tried.add(key);
-    for (const key of upstreams.replacedKeys()) this.#tried.add(key);
+    for (const key of this.#context.losses.recentlyGone()) this.#tried.add(key);
   }
 
   #noteVersionGone(step: Step<LinkedCandidate>): void {
--- a/src/gateway/call_record.ts
+++ b/src/gateway/call_record.ts
@@ -13,7 +13,7 @@
 import type { CountedBy } from "./quotas.ts";
 import type { Loss } from "./losses.ts";
 import type { BodyReport } from "./pipe.ts";
-import type { ProcessVerdict } from "./process_question.ts";
+import type { ProcessVerdict } from "./process_proof.ts";
 import { type AnswerSource, RunVersion } from "./run_version.ts";
 
 /** The longest time between two chunks of an answer. */
--- a/src/gateway/exchange.ts
+++ b/src/gateway/exchange.ts
@@ -38,10 +38,22 @@
   readonly isWithheld?: boolean;
 }
 
+/** The places of open connections in the order in which they were opened. */
+const places = new WeakMap<Socket, number>();
+let openedCount = 0;
+
+function noteOpened(socket: Socket): void {
+  places.set(socket, ++openedCount);
+}
+
 /** A request that is under way. */
 export interface PendingExchange {
   /** The response once its headers have arrived, or why there is none. */
   readonly head: Promise<Result<IncomingMessage, ExchangeFailure>>;
+  /**
+   * The place of its connection in the order in which this process opened connections; `undefined` while there is none.
+   */
+  readonly connection: number | undefined;
   /** Aborts the request and closes its connection, so that the other side stops working. */
   cancel(reason: string): void;
 }
@@ -55,9 +67,12 @@
 /** Sends a request when it is constructed, and records whether its connection was made. */
 export class Exchange implements PendingExchange {
   readonly head: Promise<Result<IncomingMessage, ExchangeFailure>>;
+  /** The last connection that had been opened when this request was made; 0 if there was none. */
+  readonly lastBefore = openedCount;
   readonly #request: ClientRequest;
   #answer: IncomingMessage | undefined;
   #connected = false;
+  #socket: Socket | undefined;
   #interimResponses = 0;
 
   constructor(options: ExchangeRequest) {
@@ -104,6 +119,10 @@
     this.#request.end(body);
   }
 
+  get connection(): number | undefined {
+    return this.#socket && places.get(this.#socket);
+  }
+
   cancel(reason: string): void {
     const error = new Error(reason);
     // Node drops what was not read of a canceled request's answer, and would report an ordinary end of one that has arrived.
@@ -124,6 +143,7 @@
    * nothing. A machine that is down answers no attempt; without this timeout the request would wait for the kernel's.
    */
   #watchConnect(socket: Socket, connectTimeoutMs: number): void {
+    this.#socket = socket;
     if (!socket.connecting) {
       this.#connected = true;
       return;
@@ -134,6 +154,7 @@
     );
     socket.once("connect", () => {
       this.#connected = true;
+      noteOpened(socket);
       clearTimeout(timer);
     });
     socket.once("close", () => clearTimeout(timer));
--- a/src/gateway/losses.ts
+++ b/src/gateway/losses.ts
@@ -44,7 +44,7 @@
   readonly #probes = new Map<string, Probe>();
   /** Called when an upstream turns out to be gone. */
   onGone: (key: string) => void = () => {};
-  /** Upstreams that refused a connection, by key, with the time. */
+  /** Upstreams that refused a connection or were replaced, by key, with the time. */
   readonly #goneMonoMs = new Map<string, number>();
 
   constructor(clock: Clock, log: Log, metrics: GatewayMetrics) {
@@ -75,6 +75,11 @@
     this.#goneMonoMs.set(key, this.#clock.monoMs());
   }
 
+  /** Notes that another process answered at an upstream's address, which may serve new requests. */
+  noteReplaced(key: string): void {
+    this.#goneMonoMs.set(key, this.#clock.monoMs());
+  }
+
   /**
    * Returns the keys of upstreams that were gone a moment ago. Such a key may by now belong to a new start with another
    * version of the software, whose entry is not known here yet.
--- a/src/gateway/origins.ts
+++ b/src/gateway/origins.ts
@@ -13,24 +13,22 @@
   Task,
 } from "../kernel/mod.ts";
 import {
+  type AskedVms,
   canTellVersion,
   decodeOriginQuery,
   decodeOriginReply,
   decodeOriginRows,
   encodeSeen,
-  type FoundOrigin,
   type OpenStream,
   ORIGIN_TTL_MS,
   originKey,
   OriginOutbox,
-  type OriginPeers,
   type OriginQuery,
   type OriginReply,
   Origins,
   OwnStreams,
   splitKeys,
   toOriginRows,
-  vmsToAsk,
   vmsToTell,
 } from "../region/mod.ts";
 import { ORIGIN_PREFIX, VERSIONS_KEY } from "../platform/mod.ts";
@@ -39,7 +37,9 @@
 import type { Members } from "./members.ts";
 import type { GatewayMetrics } from "./metrics.ts";
 import { waitForNextPoll } from "./next_poll.ts";
-import { OriginQuestions } from "./origin_questions.ts";
+import { listOriginPeers } from "./origin_peers.ts";
+import { OriginQuestions, type QuestionResult } from "./origin_questions.ts";
+import { type OriginAnswer, OriginSearch } from "./origin_search.ts";
 import { StoredOrigins } from "./stored_origins.ts";
 import { VersionWatch } from "./version_watch.ts";
 
@@ -66,34 +66,32 @@
   readonly entriesAgeMs: () => number;
 }
 
-/** What is known of the origin of a stream that a caller takes up again. */
-export type OriginAnswer = FoundOrigin | UnknownOrigin;
-
-/** What is known instead of an origin. */
-interface UnknownOrigin {
-  readonly type: "unknown";
-  /** The versions of the service that may have begun it. */
-  readonly seen: readonly string[];
-  /** Whether there may be others: neither this VM nor one that it asked can know all that served lately. */
-  readonly isIncomplete: boolean;
-  /** How long this VM has watched the versions of upstreams. */
-  readonly watchedMs: number;
-  /** How many other VMs told what they have seen. */
-  readonly replies: number;
+/** A stream whose upstream is asked which of its processes began it. */
+interface UnprovenStream {
+  /** Resolves when its origin is noted. */
+  readonly noted: Promise<void>;
+  /** Whether another VM relayed it here, which waits longer. */
+  readonly isRelayed: boolean;
 }
 
+/** A late reply counts as none, and the asking VM may go on as if nobody knew of the stream. */
+const MAX_REPLY_DELAY_MS = 25;
 /** How often versions are looked at, and other VMs are told again of streams that run for long. */
 const WATCH_INTERVAL_MS = 250;
-/** A version may have come since this VM's copy of the entries was last known to be the store's. */
-const FRESH_ENTRIES_MS = 2_000;
-/** How long a stream waits for the versions recorded in the store: a round trip to another region and some more. */
-const RECORD_TIMEOUT_MS = 500;
 /** Other VMs forget a stream that runs for longer than they keep its origin, so they are told again before. */
 const TELL_AGAIN_MS = ORIGIN_TTL_MS / 2;
 
 /** The key of no stream: no digest is that short. */
 const NO_KEY = "";
 
+/** Datagrams may be lost, and the other VM may wait for its upstream. */
+const RELAY_QUESTIONS = 3;
+
+/** The id under which a VM keeps the origin of an attempt that was relayed to it. */
+function relayedId(attemptId: string): string {
+  return `relayed ${attemptId}`;
+}
+
 /** Keeps origins, and exchanges them with other VMs. */
 export class StreamOrigins extends Task {
   readonly name = "origins";
@@ -101,10 +99,12 @@
   readonly #origins = new Origins();
   readonly #outbox = new OriginOutbox();
   readonly #ownStreams = new OwnStreams();
+  readonly #unproven = new Map<string, UnprovenStream>();
   protected readonly handlers: Handlers<Messages> = {};
   #versions!: VersionWatch;
   #stored!: StoredOrigins;
   #questions!: OriginQuestions;
+  #search!: OriginSearch;
   #clock!: Clock;
   #watch: Timer | undefined;
   #sending: Timer | undefined;
@@ -136,10 +136,17 @@
       log: kernel.log,
     });
     this.#questions = new OriginQuestions(datagrams, this.#clock);
+    this.#search = new OriginSearch({
+      versions: this.#versions,
+      questions: this.#questions,
+      stored: this.#stored,
+      peers: () => listOriginPeers(this.#options),
+      entriesAgeMs: this.#options.entriesAgeMs,
+    });
     datagrams.on("began", (params) => this.#onTold(params));
     datagrams.on("whoBegan", (params, ip) => {
       const query = decodeOriginQuery(params);
-      if (query) this.#reply(query, ip);
+      if (query) void this.#replyWhenProven(query, ip);
     });
     datagrams.on("beganBy", (params, ip) => {
       const reply = decodeOriginReply(params);
@@ -183,6 +190,35 @@
     this.#scheduleSend();
   }
 
+  /**
+   * Notes that a stream has begun whose upstream is asked which of its processes did; `noted` resolves when the origin is
+   * noted. Nobody is told before.
+   */
+  noteOpen(attemptId: string, isRelayed: boolean, noted: Promise<void>): void {
+    const key = originKey(isRelayed ? relayedId(attemptId) : attemptId);
+    this.#unproven.set(key, { noted, isRelayed });
+    void noted.finally(() => this.#unproven.delete(key));
+  }
+
+  /**
+   * Notes which version began an attempt that another VM relayed here; `undefined` if it can't be told. Only that VM asks
+   * for it, and knows whether its caller got any of the answer.
+   */
+  noteRelayed(attemptId: string, version: string | undefined): void {
+    const key = originKey(relayedId(attemptId));
+    this.#origins.note(key, version, "self", this.#clock.monoMs());
+  }
+
+  /** Asks the VM that an attempt was relayed to which version began it there. */
+  async askRelay(ip: string, attemptId: string): Promise<QuestionResult> {
+    const query = { service: "", key: originKey(relayedId(attemptId)) };
+    const stage = { own: [], elsewhere: [ip] };
+    return await this.#questions.askInTurn(
+      query,
+      Array<AskedVms>(RELAY_QUESTIONS).fill(stage),
+    );
+  }
+
   /**
    * Notes that it can't be told which version began an attempt: the upstream's entry named another one when it broke off,
    * and the upstream may have been replaced before.
@@ -213,60 +249,20 @@
     attemptId: string | undefined,
     service: string,
   ): Promise<OriginAnswer> {
-    const nowMs = this.#clock.monoMs();
     const key = attemptId === undefined ? NO_KEY : originKey(attemptId);
+    await this.#unproven.get(key)?.noted;
+    const nowMs = this.#clock.monoMs();
     const found = this.#origins.find(key, nowMs);
     this.#origins.renew(key, nowMs);
     if (found) return found;
-    if (this.#isSure && this.#versions.recent(service).length < 2) {
-      return this.#describeUnknown(service, [], 0, true);
-    }
-    const answer = await this.#questions.askInTurn(
-      { service, key },
-      vmsToAsk(this.#peers()),
-    );
-    if (answer.type === "unknown") {
-      const isKnownThere = answer.sureReplies > 0;
-      if (!isKnownThere) await this.#versions.waitForRecord(RECORD_TIMEOUT_MS);
-      const { seen, replies } = answer;
-      const unknown = this.#describeUnknown(
-        service,
-        seen,
-        replies,
-        isKnownThere,
-      );
-      const isOnly = unknown.seen.length < 2 && !unknown.isIncomplete;
-      return isOnly ? unknown : await this.#stored.find(key) ?? unknown;
-    }
+    const answer = await this.#search.run(key, service);
     if (answer.type === "known") {
-      const { version, ageMs } = answer;
-      this.#origins.note(key, version, "asked", this.#clock.monoMs(), ageMs);
+      const { version, source, ageMs } = answer;
+      this.#origins.note(key, version, source, this.#clock.monoMs(), ageMs);
     }
     return answer;
   }
 
-  /** Whether this VM knows all versions that served lately, up to now. */
-  get #isSure(): boolean {
-    return this.#options.entriesAgeMs() < FRESH_ENTRIES_MS &&
-      this.#versions.knowsAll;
-  }
-
-  #describeUnknown(
-    service: string,
-    seenElsewhere: readonly string[],
-    replies: number,
-    isKnownThere: boolean,
-  ): UnknownOrigin {
-    const seenHere = this.#versions.recent(service);
-    return {
-      type: "unknown",
-      seen: [...new Set([...seenHere, ...seenElsewhere])],
-      isIncomplete: !isKnownThere && !this.#isSure,
-      watchedMs: this.#versions.watchedMs,
-      replies,
-    };
-  }
-
   #tick(): void {
     const nowMs = this.#clock.monoMs();
     for (const [key, stream] of this.#ownStreams.open) {
@@ -317,30 +313,12 @@
 
   #sendBatch(): void {
     const { datagrams, metrics } = this.#options;
-    const ips = vmsToTell(this.#peers());
+    const ips = vmsToTell(listOriginPeers(this.#options));
     const rows = this.#outbox.take(ips.length, this.#clock.monoMs());
     metrics.count("origins", 'event="told"');
     datagrams.send("began", rows, ips);
   }
 
-  #peers(): OriginPeers {
-    const { members, self } = this.#options;
-    return {
-      self: self.ip,
-      vmCount: members.vmCount(),
-      own: {
-        // Standbys too: with few holders, the loss of many VMs at once takes all copies or none.
-        leads: members.order.map(({ ip }) => ip).filter((ip) => ip !== self.ip),
-        others: members.vmsForCallers(self.region).map(({ ip }) => ip),
-      },
-      elsewhere: members.otherRegions().map(({ digest }) => ({
-        region: digest.from.region,
-        leads: digest.leads.map(({ ip }) => ip),
-        others: digest.ready,
-      })),
-    };
-  }
-
   #onTold(params: unknown): void {
     const nowMs = this.#clock.monoMs();
     for (const [version, keys] of decodeOriginRows(params)) {
@@ -350,11 +328,21 @@
     }
   }
 
+  async #replyWhenProven(query: OriginQuery, ip: string): Promise<void> {
+    const stream = this.#unproven.get(query.key);
+    if (stream?.isRelayed) await stream.noted;
+    else if (stream) {
+      await Promise.race([stream.noted, this.#clock.sleep(MAX_REPLY_DELAY_MS)]);
+    }
+    this.#reply(query, ip);
+  }
+
   #reply({ question, service, key }: OriginQuery, ip: string): void {
     const { datagrams, metrics } = this.#options;
     const nowMs = this.#clock.monoMs();
     const found = this.#origins.find(key, nowMs);
     this.#origins.renew(key, nowMs);
+    const isAmbiguous = found?.type === "ambiguous" || this.#unproven.has(key);
     const reply: OriginReply = {
       question,
       seen: encodeSeen(this.#versions.recent(service)),
@@ -362,7 +350,7 @@
       ...(found?.type === "known"
         ? { version: found.version, ageMs: Math.round(found.ageMs) }
         : {}),
-      ...(found?.type === "ambiguous" ? { isAmbiguous: true } : {}),
+      ...(isAmbiguous ? { isAmbiguous: true } : {}),
     };
     metrics.count("origins", `event="asked",known="${found !== undefined}"`);
     datagrams.send("beganBy", reply, [ip]);
--- a/src/gateway/process_question.ts
+++ b/src/gateway/process_question.ts
@@ -5,7 +5,7 @@
  * @module
  */
 
-import type { Agent } from "node:http";
+import { Agent } from "node:http";
 import { readText } from "../adapters/mod.ts";
 import type { Clock } from "../base/mod.ts";
 import {
@@ -16,17 +16,7 @@
 } from "../platform/mod.ts";
 import type { KnownUpstream } from "../routing/mod.ts";
 import { Exchange, type ExchangeFailure } from "./exchange.ts";
-
-/** Which process of an upstream is on a connection. */
-export type ProcessVerdict =
-  /** The one that the entry describes. */
-  | "confirmed"
-  /** Another one, of which nothing is known. */
-  | "replaced"
-  /** The entry or the upstream does not tell. */
-  | "unknown"
-  /** There was no answer in time. */
-  | "unproven";
+import type { ProcessAnswer, ProcessVerdict } from "./process_proof.ts";
 
 /** A report needs no place in the upstream's queue; processes that are late need some turns for it. */
 const REPORT_TIMEOUT_MS = 1_000;
@@ -69,6 +59,11 @@
     return this.#failure;
   }
 
+  /** See {@link ProcessAnswer.lastBefore}. */
+  get lastBefore(): number {
+    return this.#exchange?.lastBefore ?? 0;
+  }
+
   cancel(reason: string): void {
     this.#exchange?.cancel(reason);
   }
@@ -96,3 +91,13 @@
     return upstreamKey(id, born) === key ? "confirmed" : "replaced";
   }
 }
+
+/** Asks the process that listens at an upstream's address now, over a connection of its own. */
+export async function askProcess(
+  upstream: KnownUpstream,
+  clock: Clock,
+): Promise<ProcessAnswer> {
+  const question = new ProcessQuestion(new Agent(), upstream, clock);
+  const verdict = await question.verdict;
+  return { verdict, lastBefore: question.lastBefore };
+}
--- a/src/gateway/proven_exchange.ts
+++ b/src/gateway/proven_exchange.ts
@@ -15,7 +15,8 @@
   type ExchangeRequest,
   type PendingExchange,
 } from "./exchange.ts";
-import { ProcessQuestion, type ProcessVerdict } from "./process_question.ts";
+import type { ProcessAnswer } from "./process_proof.ts";
+import { ProcessQuestion } from "./process_question.ts";
 
 /**
  * An agent that opens one connection and uses it for two requests. A connection belongs to one process: what the first
@@ -56,7 +57,7 @@
   /** Makes the request when it is about to be sent. */
   readonly makeRequest: () => Omit<ExchangeRequest, "agent">;
   /** Called with the answer of the process. */
-  readonly onVerdict: (verdict: ProcessVerdict) => void;
+  readonly onAnswer: (answer: ProcessAnswer) => void;
 }
 
 /**
@@ -78,6 +79,10 @@
     this.head = this.#run();
   }
 
+  get connection(): number | undefined {
+    return this.#exchange?.connection;
+  }
+
   cancel(reason: string): void {
     this.#cancelReason ??= reason;
     this.#question.cancel(reason);
@@ -86,7 +91,8 @@
 
   async #run(): Promise<Result<IncomingMessage, ExchangeFailure>> {
     const verdict = await this.#question.verdict;
-    this.#options.onVerdict(verdict);
+    const { lastBefore } = this.#question;
+    this.#options.onAnswer({ verdict, lastBefore });
     const reason = this.#cancelReason ?? whyNotSent(verdict);
     if (reason !== undefined) {
       this.#agent.destroy();
@@ -106,7 +112,9 @@
   }
 }
 
-function whyNotSent(verdict: ProcessVerdict): string | undefined {
+function whyNotSent(
+  verdict: ProcessAnswer["verdict"],
+): string | undefined {
   if (verdict === "replaced") return "another process has its address";
   if (verdict === "unproven") return "it did not say which process it is";
   return undefined;
--- a/src/gateway/relay_send.ts
+++ b/src/gateway/relay_send.ts
@@ -10,6 +10,7 @@
 import { discardBody } from "./discard.ts";
 import { Exchange, type ExchangeFailure } from "./exchange.ts";
 import { encodeRelayTarget } from "./relay_target.ts";
+import type { ProcessVerdict } from "./process_proof.ts";
 import type { RelayTarget } from "./relays.ts";
 import {
   decodePeerFailure,
@@ -45,6 +46,7 @@
   readonly #target: RelayTarget;
   readonly #options: RelaySendOptions;
   #version: string | undefined;
+  #isProcessOpen = false;
 
   constructor(
     context: GatewayContext,
@@ -90,6 +92,25 @@
     return this.#version;
   }
 
+  override get process(): ProcessVerdict | undefined {
+    return this.#isProcessOpen ? undefined : "unknown";
+  }
+
+  override findProcess(): ProcessVerdict | Promise<ProcessVerdict> {
+    return this.process ?? this.#askOther();
+  }
+
+  /** Asks the other VM, which had to answer before it knew. */
+  async #askOther(): Promise<ProcessVerdict> {
+    const { origins, metrics } = this.context;
+    const { attemptId } = this.outbound;
+    const answer = await origins.askRelay(this.#target.ip, attemptId);
+    const isKnown = answer.type === "known" && answer.version === this.#version;
+    const verdict = isKnown ? "confirmed" : "unproven";
+    metrics.count("upstream_processes", `outcome="${verdict}",for="relay"`);
+    return verdict;
+  }
+
   noteChunk(): void {}
 
   noteBroken(): void {}
@@ -118,6 +139,8 @@
       const fault = findAnswerFault({ ...decoded, notRun: false });
       if (fault) return this.rejectAnswer(fault, decoded);
       this.#version = decodeVersion(answer.headers);
+      this.#isProcessOpen = answer.headers[RELAY_HEADERS.openProcess] !==
+        undefined;
       const { version } = this.#options;
       if (version !== undefined && this.#version !== version) {
         return this.#refuseVersion();
--- a/src/gateway/reply.ts
+++ b/src/gateway/reply.ts
@@ -21,6 +21,8 @@
   #onDisconnect: (() => void) | undefined;
   /** Version of the software of the upstream that answers, for the VM that relayed the request. */
   version: string | undefined;
+  /** Whether that upstream is still asked if it is the process that its entry describes, as the version holds only then. */
+  isProcessOpen = false;
 
   constructor(response: ServerResponse) {
     this.response = response;
@@ -205,6 +207,8 @@
    * the upstream that answers.
    */
   version: "ibisgap-version",
+  /** Set if it is not known yet whether the answering process has that version; the VM that answers may be asked. */
+  openProcess: "ibisgap-open-process",
 } as const;
 
 /** Encodes the header that names a version; none if `version` is `undefined`. */
@@ -239,7 +243,11 @@
   ): void {
     super.start(
       status,
-      [...headers, ...encodeVersion(this.version)],
+      [
+        ...headers,
+        ...encodeVersion(this.version),
+        ...(this.isProcessOpen ? [RELAY_HEADERS.openProcess, "1"] : []),
+      ],
       bodyBytes,
     );
   }
--- a/src/gateway/run_version.ts
+++ b/src/gateway/run_version.ts
@@ -4,11 +4,16 @@
  * @module
  */
 
+import type { Clock } from "../base/mod.ts";
 import type { Fleet, KnownUpstream } from "../routing/mod.ts";
+import type { ProcessVerdict } from "./process_proof.ts";
 
 /** Upstreams that continued an answer that a log line names; a stream that breaks off more often needs no longer line. */
 const MAX_LOGGED = 4;
 
+/** The caller of an answer that broke off waits no longer than this for a report, or for a VM of another region. */
+const MAX_PROCESS_WAIT_MS = 300;
+
 /** Where an answer comes from. */
 export interface AnswerSource {
   /** Version of the software of the upstream that answers; `undefined` if it is not known. */
@@ -23,6 +28,10 @@
   /** Whether the entry of the upstream that began the answer named another version when it broke off. */
   #isAmbiguous = false;
   #hasBroken = false;
+  /** Which process began the answer; `undefined` while it is asked. */
+  #process: ProcessVerdict | undefined = "unknown";
+  /** Resolves when the process is known that began the answer, or can't be known. */
+  processKnown: Promise<void> = Promise.resolve();
   readonly #continuedBy: string[] = [];
   #notContinued: string | undefined;
 
@@ -46,6 +55,35 @@
     }
   }
 
+  /** Notes which process began the answer, or that it is asked. */
+  noteProcess(process: ProcessVerdict | Promise<ProcessVerdict>): void {
+    if (typeof process === "string") {
+      this.#process = process;
+      return;
+    }
+    this.#process = undefined;
+    this.processKnown = process.then((verdict) => {
+      this.#process = verdict;
+    });
+  }
+
+  /** Waits until it is known which process began the answer, which decides whether the answer may go on. */
+  async waitForProcess(clock: Clock): Promise<void> {
+    if (this.#process !== undefined) return;
+    await Promise.race([this.processKnown, clock.sleep(MAX_PROCESS_WAIT_MS)]);
+  }
+
+  /** Whether the entry that named the version may be of another process than the one that began the answer. */
+  get #isOtherProcess(): boolean {
+    return this.#process !== "confirmed" && this.#process !== "unknown";
+  }
+
+  /** Whether there is an answer of which it can't be told which version began it. */
+  get isDoubtful(): boolean {
+    return this.#first !== undefined &&
+      (this.#isAmbiguous || this.#isOtherProcess);
+  }
+
   /**
    * Notes that the answer broke off. If the entry of its upstream names another version by now, the upstream may have
    * been replaced before the request was sent, or its entry is wrong. An upstream that is replaced after it broke off
@@ -62,7 +100,7 @@
 
   /** The version that began the answer; `undefined` if there is no answer yet, or its version is not known. */
   get began(): string | undefined {
-    return this.#isAmbiguous ? undefined : this.#first?.version;
+    return this.isDoubtful ? undefined : this.#first?.version;
   }
 
   /**
@@ -70,7 +108,7 @@
    * region may not tell; the version is known all the same while all upstreams of the service have the same one.
    */
   versionToGoOn(fleet: Fleet, service: string): string | undefined {
-    if (this.#isAmbiguous || this.began !== undefined) return this.began;
+    if (this.isDoubtful || this.began !== undefined) return this.began;
     const versions = [...fleet.versionsOf(service)];
     return versions.length === 1 ? versions[0] : undefined;
   }
@@ -81,6 +119,8 @@
       this.#notContinued = `no upstream of version "${version}" is left`;
     } else if (this.#isAmbiguous) {
       this.#notContinued = "the entry of its upstream names another version";
+    } else if (this.#isOtherProcess) {
+      this.#notContinued = "its upstream's entry may be of another process";
     } else this.#notContinued = "the other VM did not tell the version";
   }
 
@@ -89,6 +129,7 @@
     if (!this.#first) return {};
     return {
       version: this.began ?? "unknown",
+      firstProcess: this.#process,
       ...(this.#continuedBy.length > 0
         ? { continuedBy: this.#continuedBy.join() }
         : {}),
--- a/src/gateway/run_version_test.ts
+++ b/src/gateway/run_version_test.ts
@@ -69,4 +69,32 @@
     fleet.put(record("u2", "v1.2"), 1);
     t.is(run.versionToGoOn(fleet, SERVICE), undefined);
   });
+
+  /** Guards against a version that is taken from the entry of the process before. */
+  for (const process of ["replaced", "unproven"] as const) {
+    it(`is unknown if the process that began it is ${process}`, async (t) => {
+      const fleet = makeFleet(record("u1", "v1"), record("u2", "v1"));
+      const run = new RunVersion();
+      run.noteAnswer(
+        { version: "v1", upstream: fleet.get("u1") },
+        "u1",
+        false,
+      );
+      run.noteProcess(Promise.resolve(process));
+      await run.processKnown;
+      run.noteBreak(fleet);
+      t.is(run.versionToGoOn(fleet, SERVICE), undefined);
+      t.true(run.isDoubtful);
+    });
+  }
+
+  it("is unknown while the process that began it is asked", async (t) => {
+    const fleet = makeFleet(record("u1", "v1"));
+    const run = new RunVersion();
+    run.noteAnswer({ version: "v1", upstream: fleet.get("u1") }, "u1", false);
+    run.noteProcess(Promise.resolve("confirmed" as const));
+    t.is(run.versionToGoOn(fleet, SERVICE), undefined);
+    await run.processKnown;
+    t.is(run.versionToGoOn(fleet, SERVICE), "v1");
+  });
 });
--- a/src/gateway/send.ts
+++ b/src/gateway/send.ts
@@ -11,7 +11,7 @@
 import type { GatewayContext } from "./context.ts";
 import type { ExchangeFailure, PendingExchange } from "./exchange.ts";
 import type { Loss } from "./losses.ts";
-import type { ProcessVerdict } from "./process_question.ts";
+import type { ProcessVerdict } from "./process_proof.ts";
 
 /** Retry delay for callers after the last upstream refused: another VM or upstream may have room at once. */
 export const REFUSED_RETRY_AFTER_MS = 300;
@@ -110,10 +110,11 @@
     return undefined;
   }
 
-  /** Which process of the upstream runs it, once that is known. */
-  get process(): ProcessVerdict | undefined {
-    return undefined;
-  }
+  /** Which process of the upstream runs it; `undefined` if it has to be asked. */
+  abstract get process(): ProcessVerdict | undefined;
+
+  /** Finds out which process of the upstream runs it, by asking the upstream if need be. */
+  abstract findProcess(): ProcessVerdict | Promise<ProcessVerdict>;
 
   /** Waits for the head of the answer. */
   async waitForHead(): Promise<Answered | Unanswered> {
--- a/src/gateway/stream_move.ts
+++ b/src/gateway/stream_move.ts
@@ -20,6 +20,7 @@
 import type { CallInput } from "./call_input.ts";
 import type { GatewayContext } from "./context.ts";
 import { Exchange } from "./exchange.ts";
+import type { Send } from "./send.ts";
 import type { LinkedCandidate } from "./upstream_link.ts";
 
 /** A move that takes longer has failed: the copy takes some ten ms, and may queue behind a few others. */
@@ -69,6 +70,7 @@
     events: number,
     others: () => readonly LinkedCandidate[],
     takeRetry: () => boolean,
+    send: Pick<Send, "findProcess">,
   ): void {
     const { pace, key } = candidate;
     if (!this.#engine?.moves || this.#pendingMove || this.#moves >= MAX_MOVES) {
@@ -100,7 +102,7 @@
       eventsLeft: Math.round(stream.eventsLeft),
     });
     this.#moves++;
-    this.#pendingMove = this.#requestMove(candidate, target);
+    this.#pendingMove = this.#moveIfProven(candidate, target, send);
   }
 
   /** Waits for a move that was started, if any. */
@@ -110,6 +112,18 @@
     return outcome ?? "not moved";
   }
 
+  /** A process that its entry does not describe has a version that no other engine is known to have. */
+  async #moveIfProven(
+    from: LinkedCandidate,
+    to: LinkedCandidate,
+    send: Pick<Send, "findProcess">,
+  ): Promise<MoveOutcome> {
+    const process = await send.findProcess();
+    return process === "replaced" || process === "unproven"
+      ? "not moved"
+      : await this.#requestMove(from, to);
+  }
+
   async #requestMove(
     from: LinkedCandidate,
     to: LinkedCandidate,
--- a/src/gateway/upstream_link.ts
+++ b/src/gateway/upstream_link.ts
@@ -16,6 +16,7 @@
   UpstreamRest,
 } from "../routing/mod.ts";
 import { KeepAliveAgent } from "./keep_alive_agent.ts";
+import { ProcessProof } from "./process_proof.ts";
 
 /**
  * An upstream with requests in flight that sends nothing for this long is unreachable or hangs: busy engines send
@@ -47,8 +48,7 @@
   suspectCount = 0;
   waitingTokens = 0;
   usedMonoMs: number;
-  /** Whether the process that its entry describes has ended, and another one has its address. */
-  isReplaced = false;
+  readonly proof = new ProcessProof();
   /** The upstream, as of the last request. */
   upstream: KnownUpstream | undefined;
 
--- a/src/gateway/upstream_send.ts
+++ b/src/gateway/upstream_send.ts
@@ -10,6 +10,7 @@
   addSendHeaders,
   decodeAnswer,
   findAnswerFault,
+  tellsBorn,
 } from "../platform/mod.ts";
 import type { KnownUpstream, SendOutcome } from "../routing/mod.ts";
 import type { GatewayContext } from "./context.ts";
@@ -21,7 +22,8 @@
   type PendingExchange,
 } from "./exchange.ts";
 import type { Loss } from "./losses.ts";
-import type { ProcessVerdict } from "./process_question.ts";
+import type { ProcessAnswer, ProcessVerdict } from "./process_proof.ts";
+import { askProcess } from "./process_question.ts";
 import { ProvenExchange } from "./proven_exchange.ts";
 import {
   type Answered,
@@ -93,7 +95,7 @@
       upstream,
       clock: this.context.clock,
       makeRequest: () => this.#makeRequest(),
-      onVerdict: (verdict) => this.#noteProcess(verdict),
+      onAnswer: (answer) => this.#noteAnswered(answer),
     });
   }
 
@@ -117,18 +119,43 @@
     };
   }
 
-  #noteProcess(verdict: ProcessVerdict): void {
-    this.#process = verdict;
-    if (verdict === "replaced") this.#link.isReplaced = true;
-    if (verdict !== "unproven") {
+  #noteAnswered(answer: ProcessAnswer): void {
+    this.#link.proof.note(answer);
+    if (answer.verdict !== "unproven") {
       this.#link.noteReceived(this.context.clock.monoMs());
     }
-    const labels = `outcome="${verdict}"`;
-    this.context.metrics.count("upstream_processes", labels);
+    this.#noteVerdict(answer.verdict, "continuation");
+  }
+
+  #noteVerdict(verdict: ProcessVerdict, use: "continuation" | "origin"): void {
+    this.#process = verdict;
+    const { losses, metrics } = this.context;
+    if (verdict === "replaced") losses.noteReplaced(this.#candidate.key);
+    metrics.count("upstream_processes", `outcome="${verdict}",for="${use}"`);
   }
 
   override get process(): ProcessVerdict | undefined {
-    return this.#process;
+    if (!tellsBorn(this.#candidate.upstream)) return "unknown";
+    return this.#process ??
+      this.#link.proof.verdictOn(this.exchange.connection);
+  }
+
+  override findProcess(): ProcessVerdict | Promise<ProcessVerdict> {
+    return this.process ?? this.#askProcess();
+  }
+
+  async #askProcess(): Promise<ProcessVerdict> {
+    const { upstream } = this.#candidate;
+    const { clock, metrics } = this.context;
+    const verdict = await this.#link.proof.prove(
+      this.exchange.connection,
+      () => {
+        metrics.count("upstream_reports", `service="${upstream.service}"`);
+        return askProcess(upstream, clock);
+      },
+    );
+    this.#noteVerdict(verdict, "origin");
+    return verdict;
   }
 
   /** The upstream that it was sent to. */
--- a/src/gateway/upstreams.ts
+++ b/src/gateway/upstreams.ts
@@ -257,12 +257,6 @@
     return link.rest.leftMs(link.running, slots, this.#clock.monoMs());
   }
 
-  /** Returns the keys of upstreams that another process has replaced, whose entry this VM has not read. */
-  replacedKeys(): string[] {
-    return [...this.#links.keys()]
-      .filter((key) => this.#links.get(key)?.isReplaced);
-  }
-
   /** Notes that an upstream's program has ended. */
   noteGone(key: string): void {
     this.#links.get(key)?.noteGone(this.#clock.monoMs());
