--- a/src/edge/stream_check.ts
+++ b/src/edge/stream_check.ts
@@ -29,13 +29,21 @@
   reason: "an event belongs to another answer",
 };
 
+const BEGUN_ANEW: StreamVerdict = {
+  type: "broken",
+  reason: "the engine began the answer anew",
+};
+
 /** Checks the events of one call's stream across all its attempts. */
 export class StreamCheck {
   #attemptId = "";
   #answerId: string | undefined;
   #hasAttemptId = false;
   #mustHaveAttemptId = false;
+  #firstEventNumber: number | undefined;
   #lastEventNumber: number | undefined;
+  /** Whether the next event has to go on where an earlier answer broke off. */
+  #isResuming = false;
   #hasEnded = false;
 
   /** Whether the engine marked the answer as complete. */
@@ -56,6 +64,7 @@
     this.#mustHaveAttemptId = hasEchoedId;
     this.#answerId = undefined;
     this.#hasAttemptId = false;
+    this.#isResuming = this.#lastEventNumber !== undefined;
   }
 
   /** Checks the next event of the attempt. */
@@ -99,21 +108,28 @@
   }
 
   #checkOrder(id: string | undefined): StreamVerdict {
-    if (id === undefined || !/^\d+$/.test(id)) return PASS;
-    const eventNumber = Number(id);
-    if (
-      this.#lastEventNumber !== undefined &&
-      eventNumber <= this.#lastEventNumber
-    ) return SKIP;
-    if (
-      this.#lastEventNumber !== undefined &&
-      eventNumber !== this.#lastEventNumber + 1
-    ) {
-      return {
-        type: "broken",
-        reason: `event ${this.#lastEventNumber + 1} is missing`,
-      };
+    const eventNumber = id !== undefined && /^\d+$/.test(id)
+      ? Number(id)
+      : undefined;
+    if (this.#isResuming && this.#beginsAnew(eventNumber)) return BEGUN_ANEW;
+    this.#isResuming = false;
+    if (eventNumber === undefined) return PASS;
+    return this.#checkNumber(eventNumber);
+  }
+
+  /** Whether the first event of a resumed answer is not one of the run that broke off, as after a restart of its engine. */
+  #beginsAnew(eventNumber: number | undefined): boolean {
+    return eventNumber === undefined ||
+      eventNumber <= (this.#firstEventNumber ?? -Infinity);
+  }
+
+  #checkNumber(eventNumber: number): StreamVerdict {
+    const last = this.#lastEventNumber;
+    if (last !== undefined && eventNumber <= last) return SKIP;
+    if (last !== undefined && eventNumber !== last + 1) {
+      return { type: "broken", reason: `event ${last + 1} is missing` };
     }
+    this.#firstEventNumber ??= eventNumber;
     this.#lastEventNumber = eventNumber;
     return PASS;
   }
--- a/test/edge_stream_ends_test.ts
+++ b/test/edge_stream_ends_test.ts
@@ -192,3 +192,45 @@
     t.deepEqual([response.status, await response.text()], [200, text]);
   });
 });
+
+describe("a stream that broke off after two numbered events", () => {
+  const END_MARK = "data: [DONE]\n\n";
+  /** Answers of an engine that is asked to go on after event 1, by what is wrong with them. */
+  const misfits: Record<string, (attemptId: string) => readonly string[]> = {
+    "begins anew": (attemptId) =>
+      WORDS.map((_, i) => formatEvent(attemptId, i, "\n")),
+    "has no number": (attemptId) => [
+      formatEvent(attemptId, 2, "\n").replace(/^id: 2\n/, ""),
+    ],
+  };
+  for (const [name, formatEvents] of Object.entries(misfits)) {
+    it(`is not joined to an answer that ${name}`, async (t) => {
+      const edge = await openBench(t, (attemptId, request) => ({
+        head: STREAM_HEAD,
+        parts: /^last-event-id: 1\r$/mi.test(request)
+          ? [...formatEvents(attemptId), END_MARK]
+          : [0, 1].map((i) => formatEvent(attemptId, i, "\n")),
+        end: { type: "close" },
+      }), { resumes: true });
+      t.deepEqual(await stream(edge), {
+        words: WORDS.slice(0, 2),
+        isDone: false,
+        code: 4004,
+      });
+    });
+  }
+
+  it("goes on with each event once where its last one comes again", async (t) => {
+    const edge = await openBench(t, (attemptId, request) => {
+      const isFirst = !/^last-event-id/mi.test(request);
+      const numbers = isFirst ? [0, 1] : [1, 2];
+      const events = numbers.map((i) => formatEvent(attemptId, i, "\n"));
+      return {
+        head: STREAM_HEAD,
+        parts: isFirst ? events : [...events, END_MARK],
+        end: { type: "close" },
+      };
+    }, { resumes: true });
+    t.deepEqual(await stream(edge), WHOLE);
+  });
+});
