--- a/src/edge/stream_check.ts
+++ b/src/edge/stream_check.ts
@@ -42,6 +42,8 @@
   #mustHaveAttemptId = false;
   #firstEventNumber: number | undefined;
   #lastEventNumber: number | undefined;
+  /** Whether the last event that passed had a number, so that the engine can be told to go on after it. */
+  #isLastNumbered = false;
   /** Whether the next event has to go on where an earlier answer broke off. */
   #isResuming = false;
   #hasEnded = false;
@@ -50,9 +52,9 @@
   get hasEnded(): boolean {
     return this.#hasEnded;
   }
-  /** Number of the last event that passed, if the engine numbers them. A resumed stream continues after it. */
+  /** Number of the last event that passed, if it had one. A resumed stream continues after it. */
   get lastEventNumber(): number | undefined {
-    return this.#lastEventNumber;
+    return this.#isLastNumbered ? this.#lastEventNumber : undefined;
   }
 
   /**
@@ -113,7 +115,10 @@
       : undefined;
     if (this.#isResuming && this.#beginsAnew(eventNumber)) return BEGUN_ANEW;
     this.#isResuming = false;
-    if (eventNumber === undefined) return PASS;
+    if (eventNumber === undefined) {
+      this.#isLastNumbered = false;
+      return PASS;
+    }
     return this.#checkNumber(eventNumber);
   }
 
@@ -131,6 +136,7 @@
     }
     this.#firstEventNumber ??= eventNumber;
     this.#lastEventNumber = eventNumber;
+    this.#isLastNumbered = true;
     return PASS;
   }
 }
--- a/test/edge_stream_ends_test.ts
+++ b/test/edge_stream_ends_test.ts
@@ -233,4 +233,24 @@
     }, { resumes: true });
     t.deepEqual(await stream(edge), WHOLE);
   });
+
+  it("is not continued, and repeats nothing, if an event without a number followed", async (t) => {
+    let requests = 0;
+    const edge = await openBench(t, (attemptId) => {
+      requests++;
+      const events = WORDS.map((_, i) => formatEvent(attemptId, i, "\n"));
+      const last = events[2].replace(/^id: 2\n/, "");
+      return {
+        head: STREAM_HEAD,
+        parts: requests === 1 ? [events[0], events[1], last] : [last, END_MARK],
+        end: { type: "close" },
+      };
+    }, { resumes: true });
+    t.deepEqual(await stream(edge), {
+      words: WORDS,
+      isDone: false,
+      code: 4004,
+    });
+    t.is(requests, 1);
+  });
 });
