An answer that has arrived is delivered, though its upstream becomes unreachable

What callers see: an answer, or a stream, breaks off that the VM holds whole and that its slow caller only has to read.

Cause: sends that may be repeated are canceled when their upstream turns out to be unreachable while it is silent. An upstream that has sent everything is silent too.

Evidence: the new test is red before (the answer's end is an error) and green now.

Why this works: nothing more is due from the upstream, so its loss can't matter to an answer whose last byte is here.

--- a/src/gateway/exchange.ts
+++ b/src/gateway/exchange.ts
@@ -95,6 +95,11 @@
     this.#request.end(body);
   }
 
+  /** Whether all of the response has arrived, though it may not have been read. */
+  get hasWholeAnswer(): boolean {
+    return this.#answer?.complete ?? false;
+  }
+
   /** Aborts the request and closes its connection, so that the other side stops working. */
   cancel(reason: string): void {
     const error = new Error(reason);
--- a/src/gateway/upstream_send.ts
+++ b/src/gateway/upstream_send.ts
@@ -184,6 +184,8 @@
    * left.
    */
   readonly #cancelWhenUnreachable = (): void => {
+    // Its caller only has to read the rest.
+    if (this.exchange.hasWholeAnswer) return;
     if (this.outbound.hasAlternative()) this.cancel("upstream unreachable");
   };
 
--- a/src/gateway/upstream_send_test.ts
+++ b/src/gateway/upstream_send_test.ts
@@ -1,4 +1,5 @@
 import { once } from "node:events";
+import type { IncomingMessage } from "node:http";
 import { createServer } from "node:net";
 import type { AddressInfo } from "node:net";
 import { describe, it } from "../base/describe.ts";
@@ -9,6 +10,13 @@
 import { type LinkedCandidate, UpstreamLink } from "./upstream_link.ts";
 import { UpstreamSend } from "./upstream_send.ts";
 
+/** A send whose answer a test reads. */
+class ReadSend extends UpstreamSend {
+  async readHead(): Promise<IncomingMessage> {
+    return (await this.exchange.head)._unsafeUnwrap();
+  }
+}
+
 describe("a send to an upstream", () => {
   /** Guards against a request that can't be written, and counts as in flight at its upstream for good. */
   it("that can't be opened is counted nowhere", async (t) => {
@@ -96,4 +104,48 @@
     await systemClock.sleep(60);
     t.is(checks, 1);
   });
+
+  it("whose answer has arrived isn't canceled when its upstream becomes unreachable", async (t) => {
+    const server = createServer((socket) => {
+      socket.on("error", () => {});
+      socket.once("data", () => {
+        socket.write("HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nbody");
+      });
+    }).listen(0, "127.0.0.1");
+    await once(server, "listening");
+    const link = new UpstreamLink(0);
+    t.teardown(() => {
+      link.agent.destroy();
+      server.close();
+    });
+    const context = {
+      clock: systemClock,
+      upstreams: { noteSend() {} },
+      members: { notePromptRead() {} },
+    } as unknown as GatewayContext;
+    const outbound = {
+      method: "GET",
+      target: "/",
+      headers: [],
+      body: Buffer.alloc(0),
+      parts: [],
+      promptTokens: 0,
+      mayRepeat: true,
+      deadlineMonoMs: systemClock.monoMs() + 1_000,
+      eventGapMs: 0,
+      hasAlternative: () => true,
+    } as unknown as OutboundRequest;
+    const { port } = server.address() as AddressInfo;
+    const candidate = {
+      key: "u@1",
+      upstream: { key: "u@1", id: "u", host: "127.0.0.1", port },
+      link,
+      pace: { noteSend() {} },
+    } as unknown as LinkedCandidate;
+    const send = new ReadSend(context, outbound, candidate);
+    const answer = await send.readHead();
+    while (!answer.complete) await systemClock.sleep(1);
+    for (const listener of link.darkListeners) listener();
+    t.is(Buffer.concat(await answer.toArray()).toString(), "body");
+  });
 });
