A stream is not joined to an answer of another status

What callers see: an error status with the events of a run that succeeded.

Cause: an upstream's answer with an error status that is a stream of events and breaks off was continued like any stream, and the continuation has status 200.

Evidence: the new test is red before (status 400, whole, events 1 to 6), green now (what the upstream sent, broken off).

Why this works: only an answer of status 200 gets the pipe that can be continued; for continuations that status was required already.

--- a/src/gateway/pipe.ts
+++ b/src/gateway/pipe.ts
@@ -393,7 +393,7 @@
   const scanner = isEventStream(answer, options.isStreamRoute)
     ? new EventScanner()
     : undefined;
-  return options.isResumable && scanner
+  return options.isResumable && scanner && answer.statusCode === 200
     ? new EventPipe(reply, onChunk, scanner, options)
     : new RawPipe(reply, onChunk, scanner);
 }
--- a/test/gateway_continued_streams_test.ts
+++ b/test/gateway_continued_streams_test.ts
@@ -52,6 +52,22 @@
     t.false(answer.isComplete);
   });
 
+  it("is joined to no answer of another status", async (t) => {
+    const { lab, vm } = await openLab(t, 0);
+    const script: Script = (request, socket) => {
+      if (request.lastEventId !== undefined) {
+        return streamScript(formatStream(2, 6))(request, socket);
+      }
+      const type = ["Content-Type: text/event-stream"];
+      socket.end(`${formatHead(request, "400 Bad Request", type)}${WHOLE}id`);
+    };
+    for (let i = 0; i < 2; i++) await addScripted(t, lab, vm, script);
+    const answer = await lab.call(vm, { path: "/stream/", method: "POST" });
+    t.is(answer.status, 400);
+    t.is(answer.body, `${WHOLE}id`);
+    t.false(answer.isComplete);
+  });
+
   it("ends openly where the id of its last event can't be a header's value", async (t) => {
     const { lab, vm } = await openLab(t, 0);
     const script = streamScript("id: a\x01b\ndata: 1\n\nid: 3");
