--- a/test/gateway_continued_streams_test.ts
+++ b/test/gateway_continued_streams_test.ts
@@ -145,4 +145,27 @@
       },
     );
   }
+
+  const idsOfStreams = [
+    ["6", "12", "20", "21"],
+    ["0", "1", "2", "3"],
+    ["1", "3", "4", "6"],
+    ["a", "b", "c", "d"],
+    ["10000000000000000001", "10000000000000000002", "10000000000000000003"],
+  ];
+  for (const ids of idsOfStreams) {
+    it(`goes on where its ids are ${ids}`, async (t) => {
+      const { lab, vm } = await openLab(t, 0);
+      const events = ids.map((id) => `id: ${id}\ndata: x\n\n`);
+      const script: Script = (request, socket) => {
+        const at = ids.indexOf(request.lastEventId ?? "") + 1;
+        const part = events.slice(at, at === 0 ? 2 : undefined).join("");
+        streamScript(at === 0 ? `${part}id` : part)(request, socket);
+      };
+      for (let i = 0; i < 2; i++) await addScripted(t, lab, vm, script);
+      const answer = await lab.call(vm, { path: "/stream/", method: "POST" });
+      t.is(answer.body, events.join(""));
+      t.true(answer.isComplete);
+    });
+  }
 });
