A stream is not continued after ids that repeat or go back

What callers see: events twice, or left out, in a stream whose upstream doesn't number its events one after the other and breaks off.

Cause: the id of the last event was named to the next upstream, though an earlier event had the same id or a larger one, so that it doesn't say where the caller is.

Why this works: the protocol says that ids grow. Once they didn't, the stream ends openly where it breaks off, and nothing is asked for a second time.

--- a/src/gateway/pipe.ts
+++ b/src/gateway/pipe.ts
@@ -258,7 +258,7 @@
 
   /** Whether another upstream can be told where to continue; after an event without an id it would repeat that. */
   get canContinue(): boolean {
-    if (this.#isPassingEvent) return false;
+    if (this.#isPassingEvent || !this.#position.isGrowing) return false;
     if (this.#lastEvent === undefined) return true;
     const { id } = this.#lastEvent;
     return id !== undefined && HEADER_VALUE.test(id);
--- a/src/gateway/stream_position.ts
+++ b/src/gateway/stream_position.ts
@@ -13,21 +13,38 @@
   return Number.isSafeInteger(number) ? number : undefined;
 }
 
+/** Whether an id is no larger than another one, or the same. */
+function isRepeat(id: string, last: string): boolean {
+  const number = numberOf(id);
+  const lastNumber = numberOf(last);
+  const areNumbers = number !== undefined && lastNumber !== undefined;
+  return id === last || (areNumbers && number <= lastNumber);
+}
+
 /** The place in a stream that its caller has reached. */
 export class StreamPosition {
   #lastId: string | undefined;
   /** How the numbers of the events grew so far. */
   #steps: "unknown" | "by one" | "otherwise" = "unknown";
+  #isGrowing = true;
 
   /** `lastId` is that of the last event that the caller has from an earlier try. */
   constructor(lastId: string | undefined) {
     this.#lastId = lastId;
   }
 
+  /** Whether no id was repeated so far, and no number went back; otherwise the last id may name another event too. */
+  get isGrowing(): boolean {
+    return this.#isGrowing;
+  }
+
   /** Notes the next event that the caller gets. */
   note({ id }: EventIdentity): void {
     const last = numberOf(this.#lastId);
     if (this.#lastId !== undefined) {
+      if (id !== undefined && isRepeat(id, this.#lastId)) {
+        this.#isGrowing = false;
+      }
       const isByOne = last !== undefined && numberOf(id) === last + 1;
       if (!isByOne) this.#steps = "otherwise";
       else if (this.#steps === "unknown") this.#steps = "by one";
@@ -43,10 +60,9 @@
     if (id === undefined || this.#lastId === undefined) return undefined;
     const number = numberOf(id);
     const last = numberOf(this.#lastId);
-    const areNumbers = number !== undefined && last !== undefined;
-    const isRepeated = id === this.#lastId || (areNumbers && number <= last);
-    const isLate = areNumbers && this.#steps === "by one" && number > last + 1;
-    return isRepeated || isLate
+    const isLate = this.#steps === "by one" && number !== undefined &&
+      last !== undefined && number > last + 1;
+    return isRepeat(id, this.#lastId) || isLate
       ? `continued with event ${id} after ${this.#lastId}`
       : undefined;
   }
--- a/test/gateway_continued_streams_test.ts
+++ b/test/gateway_continued_streams_test.ts
@@ -146,6 +146,22 @@
     );
   }
 
+  for (const ids of [["1", "1"], ["2", "1"], ["a", "a"]]) {
+    it(`is not continued after ids that repeat or go back: ${ids}`, async (t) => {
+      const { lab, vm } = await openLab(t, 0);
+      const events = ids.map((id) => `id: ${id}\ndata: x\n\n`).join("");
+      const script = streamScript(`${events}id`);
+      const upstreams = [
+        await addScripted(t, lab, vm, script),
+        await addScripted(t, lab, vm, script),
+      ];
+      const answer = await lab.call(vm, { path: "/stream/", method: "POST" });
+      t.is(answer.body, events);
+      t.false(answer.isComplete);
+      t.is(upstreams[0].requests.length + upstreams[1].requests.length, 1);
+    });
+  }
+
   const idsOfStreams = [
     ["6", "12", "20", "21"],
     ["0", "1", "2", "3"],
