--- a/src/gateway/call_record.ts
+++ b/src/gateway/call_record.ts
@@ -195,6 +195,13 @@
     this.#originFields = { ...this.#originFields, ...fields };
   }
 
+  /** Notes that the answer broke off. One that may go on waits until it is known which process began it. */
+  async noteBreak(mayContinue: boolean): Promise<void> {
+    const { storeView, clock } = this.#context;
+    this.run.noteBreak(storeView.fleet);
+    if (mayContinue) await this.run.waitForProcess(clock);
+  }
+
   /** Notes that the request is sent again. */
   noteRetry(reason: string, way: RetryWay, budget: BudgetAnswer): void {
     const fields = {
