Origins: stored as streams begin, within a fifth of the store's writes

Of 97 refused streams in the last seconds none had been stored: they were written every 500 ms, at a tick of 250 ms.

Change: a stream's origin is written 20 ms after it began, at most every 100 ms and within a fifth of the writes that the store allows to all VMs (setting store.writesPerS), where it was every 500 ms and 10 ms for each VM. What begins during a write is written right after it.

--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -38,6 +38,9 @@
  */
 const STRICT_REVOKE_WAIT_SHARE = 0.4;
 
+/** What a store allows to all VMs together, unless the settings say so. */
+const DEFAULT_STORE_WRITES_PER_S = 400;
+
 /** Shown by the metrics where there is no configuration. */
 const NO_VERSION = -1;
 
@@ -191,6 +194,7 @@
       fleet: storeView.fleet,
       store,
       leastLeaseMs: settings.store.leastLeaseMs,
+      storeWritesPerS: settings.store.writesPerS ?? DEFAULT_STORE_WRITES_PER_S,
       isFirstStart: settings.firstStart ?? false,
       metrics,
       entriesAgeMs: () => storeView.agreedAgoMs("upstreams"),
--- a/src/gateway/origins.ts
+++ b/src/gateway/origins.ts
@@ -59,6 +59,8 @@
   readonly fleet: Pick<Fleet, "services" | "versionsOf">;
   readonly store: KeyValue;
   readonly leastLeaseMs: number;
+  /** See {@link StoredOriginsOptions.writesPerS}. */
+  readonly storeWritesPerS: number;
   /** See {@link VersionWatchOptions.isFirstStart}. */
   readonly isFirstStart: boolean;
   readonly metrics: GatewayMetrics;
@@ -78,6 +80,8 @@
 const MAX_REPLY_DELAY_MS = 25;
 /** How often versions are looked at, and other VMs are told again of streams that run for long. */
 const WATCH_INTERVAL_MS = 250;
+/** Streams that begin together are stored together. */
+const GATHER_MS = 20;
 /** Other VMs forget a stream that runs for longer than they keep its origin, so they are told again before. */
 const TELL_AGAIN_MS = ORIGIN_TTL_MS / 2;
 
@@ -108,6 +112,7 @@
   #clock!: Clock;
   #watch: Timer | undefined;
   #sending: Timer | undefined;
+  #storing: Timer | undefined;
 
   constructor(options: StreamOriginsOptions) {
     super();
@@ -131,7 +136,9 @@
       prefix: ORIGIN_PREFIX,
       processId: this.#options.self.processId,
       leastLeaseMs: this.#options.leastLeaseMs,
+      writesPerS: this.#options.storeWritesPerS,
       vmCount: () => members.vmCount(),
+      onWritten: () => this.#scheduleStore(),
       clock: this.#clock,
       log: kernel.log,
     });
@@ -163,6 +170,7 @@
     this.#versions.close();
     this.#stored.close();
     this.#sending?.close();
+    this.#storing?.close();
     if (this.#outbox.size === 0) return;
     this.#sendBatch();
     // Node sends a datagram in a later turn, by which the socket would be closed.
@@ -271,10 +279,23 @@
       this.#tellIfDue(key, stream, nowMs);
     }
     this.#versions.tick();
-    this.#stored.tick(() => toOriginRows(this.#untoldStreams(nowMs)));
+    this.#store();
     this.#scheduleSend();
   }
 
+  /** Stores the origins of streams soon, as this VM may end together with all that it tells. */
+  #scheduleStore(): void {
+    const delayMs = Math.max(GATHER_MS, this.#stored.dueInMs);
+    this.#storing ??= this.#clock.after(delayMs, () => this.#store());
+  }
+
+  #store(): void {
+    this.#storing?.close();
+    this.#storing = undefined;
+    const nowMs = this.#clock.monoMs();
+    this.#stored.tick(() => toOriginRows(this.#untoldStreams(nowMs)));
+  }
+
   /** The streams that may be taken up and whose version can't be known without being told. */
   *#untoldStreams(
     nowMs: number,
@@ -296,6 +317,7 @@
     if (this.#isOnlyVersion(service, version)) return;
     stream.toldMs = nowMs;
     this.#outbox.add(key, version, nowMs);
+    this.#scheduleStore();
   }
 
   #scheduleSend(): void {
--- a/src/gateway/origins_test.ts
+++ b/src/gateway/origins_test.ts
@@ -52,6 +52,7 @@
         vmId: ip,
       }),
       leastLeaseMs: 1_000,
+      storeWritesPerS: 400,
       isFirstStart,
       metrics: new GatewayMetrics(),
       entriesAgeMs: () => vm.entriesAgeMs,
--- a/src/gateway/settings.ts
+++ b/src/gateway/settings.ts
@@ -44,7 +44,12 @@
   seeds: z._default(z.array(address), []),
   /** Region of each failure domain. */
   failureDomains: z.record(z.string(), text),
-  store: z.object({ address, leastLeaseMs: nonNegative }),
+  store: z.object({
+    address,
+    leastLeaseMs: nonNegative,
+    /** Write calls a second that it allows to all VMs together. */
+    writesPerS: z.optional(z.number().check(z.minimum(1))),
+  }),
   /**
    * Whether requests without a place wait in order at their region's lead, where workspaces with limits compete for
    * engines; if absent, they wait in the queues of the engines.
--- a/src/gateway/stored_origins.ts
+++ b/src/gateway/stored_origins.ts
@@ -19,10 +19,10 @@
 /** Lease of what a process stored. */
 const LEASE_MS = ORIGIN_TTL_MS;
 const RENEW_INTERVAL_MS = LEASE_MS / 4;
-/** Least time between two writes, and between two reads. */
-const MIN_INTERVAL_MS = 500;
-/** The same for each VM of the fleet, so that all of them make some 100 calls a second at most. */
-const INTERVAL_PER_VM_MS = 10;
+/** Least time between two writes, and between two reads. A stream that began since the last write may be lost. */
+const MIN_INTERVAL_MS = 100;
+/** Share of the writes that the store allows to all VMs together. */
+const WRITE_SHARE = 0.2;
 /** How long a stream waits for what is stored: a round trip to another region and some more. */
 const READ_TIMEOUT_MS = 500;
 
@@ -34,7 +34,11 @@
   /** Identifies this process among all that stored something. */
   readonly processId: string;
   readonly leastLeaseMs: number;
+  /** Write calls a second that the store allows to all VMs together. */
+  readonly writesPerS: number;
   readonly vmCount: () => number;
+  /** Called after each write, as streams may have begun meanwhile. */
+  readonly onWritten: () => void;
   readonly clock: Clock;
   readonly log: Log;
 }
@@ -65,16 +69,15 @@
   }
 
   get #intervalMs(): number {
-    return Math.max(
-      MIN_INTERVAL_MS,
-      INTERVAL_PER_VM_MS * this.#options.vmCount(),
-    );
+    const { vmCount, writesPerS } = this.#options;
+    const fairMs = 1_000 * vmCount() / (WRITE_SHARE * writesPerS);
+    return Math.max(MIN_INTERVAL_MS, fairMs);
   }
 
   /** Writes the origins of the streams that may be taken up, if that is due and there is a new one. */
   tick(listOrigins: () => readonly OriginRow[]): void {
+    if (this.#isWriting || this.dueInMs > 0) return;
     const nowMs = this.#options.clock.monoMs();
-    if (this.#isWriting || nowMs - this.#wroteMs < this.#intervalMs) return;
     const rows = listOrigins();
     if (rows.length === 0) return;
     const entries = new Set(rows.flatMap(splitRow));
@@ -86,9 +89,16 @@
     void this.#write(rows, isNew).then((isStored) => {
       this.#isWriting = false;
       this.#written = isStored ? entries : new Set();
+      if (this.#isOpen) this.#options.onWritten();
     });
   }
 
+  /** Time until the next write may begin, in ms; 0 if it may now. */
+  get dueInMs(): number {
+    const sinceMs = this.#options.clock.monoMs() - this.#wroteMs;
+    return Math.max(0, this.#intervalMs - sinceMs);
+  }
+
   /** Finds the origin of a stream in what all processes stored, which is read again unless that was just done. */
   async find(key: string): Promise<FoundOrigin | undefined> {
     const { clock } = this.#options;
--- a/src/gateway/stored_origins_test.ts
+++ b/src/gateway/stored_origins_test.ts
@@ -21,7 +21,9 @@
       prefix: PREFIX,
       processId,
       leastLeaseMs: 1_000,
+      writesPerS: 400,
       vmCount: () => vmCount,
+      onWritten: () => {},
       clock: this.clock,
       log: SILENT_LOG,
     });
