--- a/src/gateway/pipe_test.ts
+++ b/src/gateway/pipe_test.ts
@@ -1,5 +1,5 @@
 import { once } from "node:events";
-import { Agent, type ServerResponse } from "node:http";
+import { Agent, type IncomingMessage, type ServerResponse } from "node:http";
 import { type AddressInfo, createServer, type Socket } from "node:net";
 import type { ExecutionContext } from "ava";
 import { describe, it } from "../base/describe.ts";
@@ -10,29 +10,36 @@
 
 const EVENT = "id: 1\ndata: a\n\n";
 const heldMemory = new BodyMemory(4_000_000);
+const resumesAfter = undefined;
 
-/** A reply that drops what it is given. */
-function dropReply(): CallerReply {
+/** A reply that drops what it is given, and takes no more after each write unless `isFast`. */
+function dropReply(isFast = true): CallerReply {
   const socket = { once() {}, off() {} };
   const response = {
     req: { socket },
     on() {},
     once() {},
-    write: () => true,
+    write: () => isFast,
   } as unknown as ServerResponse;
   return new CallerReply(response, () => false);
 }
 
-/** Exchanges a request with a server that writes `text` and keeps its connection open. */
+const REST_DELAY_MS = 20;
+
+/** Exchanges a request with a server that writes `text`, then `rest`, and keeps its connection open. */
 async function openExchange(
   t: ExecutionContext,
   text: string,
+  rest = "",
 ): Promise<Exchange> {
   const sockets: Socket[] = [];
   const server = createServer((socket) => {
     sockets.push(socket);
     socket.on("error", () => {});
-    socket.once("data", () => socket.write(text));
+    socket.once("data", () => {
+      socket.write(text);
+      setTimeout(() => socket.write(rest), REST_DELAY_MS);
+    });
   }).listen(0, "127.0.0.1");
   await once(server, "listening");
   const agent = new Agent();
@@ -53,6 +60,14 @@
   });
 }
 
+function pause(): Promise<void> {
+  return new Promise((resolve) => setTimeout(resolve, 1));
+}
+
+async function waitUntilComplete(answer: IncomingMessage): Promise<void> {
+  while (!answer.complete) await pause();
+}
+
 describe("the pipe of a stream that can be resumed", () => {
   it("holds back no more of an unfinished event than its bound, and is not continued after part of it", async (t) => {
     const text = "x".repeat(3_000_000);
@@ -61,7 +76,12 @@
       `HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n${EVENT}id: 2\ndata: ${text}`,
     );
     const answer = (await exchange.head)._unsafeUnwrap();
-    const options = { isStreamRoute: true, isResumable: true, heldMemory };
+    const options = {
+      isStreamRoute: true,
+      isResumable: true,
+      resumesAfter,
+      heldMemory,
+    };
     const pipe = createPipe(dropReply(), answer, options, () => {});
     if (!(pipe instanceof EventPipe)) return t.fail();
     const end = pipe.run(answer);
@@ -76,6 +96,28 @@
     t.false(pipe.canContinue);
   });
 
+  it("is not continued after text that looks like an id, in an event that was passed on in part", async (t) => {
+    const exchange = await openExchange(
+      t,
+      "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\nid: 2\ndata: ",
+      "id: 9\n\n",
+    );
+    const answer = (await exchange.head)._unsafeUnwrap();
+    const options = {
+      isStreamRoute: true,
+      isResumable: true,
+      resumesAfter,
+      heldMemory: new BodyMemory(0),
+    };
+    const pipe = createPipe(dropReply(), answer, options, () => {});
+    if (!(pipe instanceof EventPipe)) return t.fail();
+    const end = pipe.run(answer);
+    while (pipe.events === 0) await pause();
+    exchange.cancel("enough");
+    t.is(await end, "broken");
+    t.false(pipe.canContinue);
+  });
+
   /** Guards against many streams with an event without end, whose held bytes together exceed the process's memory. */
   it("holds back no more than all streams together may, and gives it back", async (t) => {
     const event = `${EVENT}id: 2\ndata: ${"x".repeat(600_000)}`;
@@ -83,6 +125,7 @@
     const options = {
       isStreamRoute: true,
       isResumable: true,
+      resumesAfter,
       heldMemory: memory,
     };
     const pipes: EventPipe[] = [];
@@ -122,7 +165,12 @@
             `HTTP/1.1 200 OK\r\nContent-Type: ${type}\r\n\r\n${EVENT}`,
           );
           const answer = (await exchange.head)._unsafeUnwrap();
-          const options = { isStreamRoute: true, isResumable, heldMemory };
+          const options = {
+            isStreamRoute: true,
+            isResumable,
+            resumesAfter,
+            heldMemory,
+          };
           const pipe = createPipe(dropReply(), answer, options, () => {});
           const end = pipe.run(answer);
           answer.once("data", () => exchange.cancel("upstream unreachable"));
@@ -131,4 +179,29 @@
       );
     }
   }
+
+  for (const type of ["text/event-stream", "text/plain"]) {
+    it(`takes none for whole that was canceled before its slow caller took the last bytes: ${type}`, async (t) => {
+      const exchange = await openExchange(
+        t,
+        `HTTP/1.1 200 OK\r\nContent-Type: ${type}\r\nContent-Length: ${
+          2 * EVENT.length
+        }\r\n\r\n${EVENT}`,
+        EVENT,
+      );
+      const answer = (await exchange.head)._unsafeUnwrap();
+      const options = {
+        isStreamRoute: true,
+        isResumable: true,
+        resumesAfter,
+        heldMemory,
+      };
+      const pipe = createPipe(dropReply(false), answer, options, () => {});
+      const end = pipe.run(answer);
+      await waitUntilComplete(answer);
+      exchange.cancel("upstream unreachable");
+      t.is(await end, "broken");
+      t.is(pipe.report!.forwardedBytes, EVENT.length);
+    });
+  }
 });
