A stream moves to another engine only if both are the processes that their entries describe

What callers saw: a stream that was better off elsewhere was stopped for an engine which had been replaced under its id. Since the check of continuations it was lost there; from an engine that had been replaced itself it went on at another version.

Why it works: both engines are asked before the first one is told to stop the run.

--- a/src/gateway/stream_move.ts
+++ b/src/gateway/stream_move.ts
@@ -20,6 +20,7 @@
 import type { CallInput } from "./call_input.ts";
 import type { GatewayContext } from "./context.ts";
 import { Exchange } from "./exchange.ts";
+import { askProcess } from "./process_question.ts";
 import type { Send } from "./send.ts";
 import type { LinkedCandidate } from "./upstream_link.ts";
 
@@ -112,16 +113,21 @@
     return outcome ?? "not moved";
   }
 
-  /** A process that its entry does not describe has a version that no other engine is known to have. */
+  /**
+   * Requests a move between processes that their entries describe. Others may have other versions, and a stream that was
+   * stopped for such a one is lost.
+   */
   async #moveIfProven(
     from: LinkedCandidate,
     to: LinkedCandidate,
     send: Pick<Send, "findProcess">,
   ): Promise<MoveOutcome> {
-    const process = await send.findProcess();
-    return process === "replaced" || process === "unproven"
-      ? "not moved"
-      : await this.#requestMove(from, to);
+    const target = askProcess(to.upstream, this.#context.clock);
+    const verdicts = [await send.findProcess(), (await target).verdict];
+    const isProven = verdicts.every((verdict) =>
+      verdict === "confirmed" || verdict === "unknown"
+    );
+    return isProven ? await this.#requestMove(from, to) : "not moved";
   }
 
   async #requestMove(
--- a/test/gateway_versions_elsewhere_test.ts
+++ b/test/gateway_versions_elsewhere_test.ts
@@ -129,52 +129,72 @@
   );
 });
 
+/** Engines at whose address another process answers than the one that their entry describes. */
+interface ReplacedEngines {
+  readonly source?: boolean;
+  readonly target?: boolean;
+}
+
+/** Plays a stream that is better off at another engine. Returns how often another engine of its version got it. */
+async function playMove(t: ExecutionContext, replaced: ReplacedEngines = {}) {
+  const versions = await openVersions(t, "one VM");
+  const { lab } = versions;
+  lab.configure([makeRoute({
+    path_prefix: "/streamon/",
+    kind: "streaming",
+    sticky: true,
+    gap_target_ms: 200,
+    timeout_ms: 30_000,
+  })], {
+    engine: { slots: 128, kv_capacity: 300_000, stride: 8, moves: true },
+  });
+  await waitUntilConfigured(lab);
+  const busy = await versions.add("v1");
+  busy.streamEvents = LONG_STREAM_EVENTS;
+  busy.eventGapMs = 25;
+  await versions.waitUntilKnown();
+  if (replaced.source) busy.bornMs!++;
+  const [stream] = versions.begin(lab.vms, 1, {
+    headers: {
+      "token-counts": `600,${8 * LONG_STREAM_EVENTS}`,
+      "prompt-prefix": "book:100,own:500",
+      "deadline-ms": "30000",
+    },
+  });
+  await waitUntil(() => busy.arrivals.length === 1);
+  const longAnswer = readLongPrompt(versions, busy);
+  await waitUntil(() => busy.arrivals.length === 2);
+  const other = await versions.add("v1.2");
+  other.streamEvents = LONG_STREAM_EVENTS;
+  await versions.waitUntilKnown();
+  await sleep(400);
+  const same = await versions.add("v1");
+  same.streamEvents = LONG_STREAM_EVENTS;
+  if (replaced.target) same.bornMs!++;
+  const { answer } = await stream;
+  busy.streamEvents = 1;
+  await longAnswer;
+  t.true(answer.isComplete);
+  t.is(answer.body, formatStream(0, LONG_STREAM_EVENTS));
+  t.is(other.arrivals.length, 0, "moved to another version");
+  return same.arrivals.length;
+}
+
 describe("the memory of engines", () => {
   itAlone(
     "moves with a stream to an engine of the same version only",
     async (t) => {
-      const versions = await openVersions(t, "one VM");
-      const { lab } = versions;
-      lab.configure([makeRoute({
-        path_prefix: "/streamon/",
-        kind: "streaming",
-        sticky: true,
-        gap_target_ms: 200,
-        timeout_ms: 30_000,
-      })], {
-        engine: { slots: 128, kv_capacity: 300_000, stride: 8, moves: true },
-      });
-      await waitUntilConfigured(lab);
-      const busy = await versions.add("v1");
-      busy.streamEvents = LONG_STREAM_EVENTS;
-      busy.eventGapMs = 25;
-      await versions.waitUntilKnown();
-      const [stream] = versions.begin(lab.vms, 1, {
-        headers: {
-          "token-counts": `600,${8 * LONG_STREAM_EVENTS}`,
-          "prompt-prefix": "book:100,own:500",
-          "deadline-ms": "30000",
-        },
-      });
-      await waitUntil(() => busy.arrivals.length === 1);
-      const longAnswer = readLongPrompt(versions, busy);
-      await waitUntil(() => busy.arrivals.length === 2);
-      const other = await versions.add("v1.2");
-      other.streamEvents = LONG_STREAM_EVENTS;
-      await versions.waitUntilKnown();
-      await sleep(400);
-      const same = await versions.add("v1");
-      same.streamEvents = LONG_STREAM_EVENTS;
-      const { answer } = await stream;
-      busy.streamEvents = 1;
-      await longAnswer;
-      t.true(answer.isComplete);
-      t.is(answer.body, formatStream(0, LONG_STREAM_EVENTS));
-      t.is(other.arrivals.length, 0, "moved to another version");
-      t.is(same.arrivals.length, 1, "moved to its version");
+      t.is(await playMove(t), 1, "moved to its version");
     },
   );
 
+  /** Guards against a stream that goes on at a process of another version than the entry of its engine says. */
+  for (const which of ["source", "target"] as const) {
+    itAlone(`does not move where the ${which} was replaced`, async (t) => {
+      t.is(await playMove(t, { [which]: true }), 0, "moved");
+    });
+  }
+
   itAlone("is copied from engines of the same version only", async (t) => {
     const versions = await openVersions(t, "one VM");
     const { lab } = versions;
