--- a/soak/fault_injector.ts
+++ b/soak/fault_injector.ts
@@ -11,6 +11,7 @@
 import { sendFatalRequests } from "./fatal_requests.ts";
 import { sendPartRequests } from "./part_requests.ts";
 import type { Fault } from "./plan.ts";
+import type { RunnerHost } from "./runner_host.ts";
 import { getFailureDomain, REGIONS, type World } from "./world.ts";
 
 /** Delay of the store's answers while it is slow: longer than the gateways' timeout of some calls. */
@@ -100,6 +101,10 @@
         );
       case "replace":
         return await this.#replaceRunner(fault);
+      case "killFleet":
+        return this.#killFleet(fault.forMs);
+      case "release":
+        return await this.#release(fault);
       case "ending":
         return await this.#endAnswers(fault);
       case "rest":
@@ -128,7 +133,26 @@
   async #replaceRunner(
     { runner, version, keepsId }: Extract<Fault, { kind: "replace" }>,
   ): Promise<void> {
-    const host = this.#world.runnerHosts[runner];
+    await this.#replaceOn(this.#world.runnerHosts[runner], version, keepsId);
+  }
+
+  async #release(
+    { forMs, from, version, keepsId }: Extract<Fault, { kind: "release" }>,
+  ): Promise<void> {
+    const hosts = this.#world.runnerHosts.filter(({ instance }) =>
+      from === undefined || instance?.runner.version === from
+    );
+    await Promise.all(hosts.map(async (host, place) => {
+      await sleep(place * forMs / hosts.length);
+      await this.#replaceOn(host, version, keepsId);
+    }));
+  }
+
+  async #replaceOn(
+    host: RunnerHost,
+    version: string,
+    keepsId: boolean,
+  ): Promise<void> {
     if (!host.instance) return;
     this.#world.addTrouble(host.instance.runner.id, AFTER_EFFECT_MS);
     await host.replace(version, keepsId);
@@ -218,6 +242,13 @@
     }
   }
 
+  #killFleet(awayMs: number): void {
+    for (const { index } of this.#world.vms) {
+      this.#world.addTrouble(`vm:${index}`, awayMs + AFTER_EFFECT_MS);
+      this.#world.killAndRestart(index, awayMs);
+    }
+  }
+
   /** All entries lapse, during the outage or at its end, and return one by one. */
   async #lapseInOutage(
     { how, forMs, lapsesWhileDown }: Extract<Fault, { kind: "lapseOutage" }>,
--- a/soak/main.ts
+++ b/soak/main.ts
@@ -87,6 +87,13 @@
         "upstreams of several software versions, some replaced, and callers that take streams up again: beside other faults, or alone",
       default: "none",
     },
+    fleetKills: {
+      type: "enum" as const,
+      options: ["none", "beside", "only"],
+      description:
+        "kills of all VMs at once amid upstreams of several versions, which callers take streams up after: beside other faults, or alone",
+      default: "none",
+    },
     keep: {
       type: "string",
       description: "folder for the logs of runs that broke a promise",
@@ -118,6 +125,7 @@
           returns: args.returns as ExtraMode,
           endings: args.endings as ExtraMode,
           versions: args.versions as ExtraMode,
+          fleetKills: args.fleetKills as ExtraMode,
           logFolder: args.keep,
           plant: args.plant,
         });
--- a/soak/plan.ts
+++ b/soak/plan.ts
@@ -11,6 +11,7 @@
   CrashEnding,
 } from "../src/standins/mod.ts";
 import { drawEndings } from "./plan_endings.ts";
+import { drawFleetKills } from "./plan_fleet_kills.ts";
 import { drawLapses } from "./plan_lapses.ts";
 import { drawNotices } from "./plan_notices.ts";
 import { drawParts } from "./plan_parts.ts";
@@ -109,6 +110,15 @@
       readonly version: string;
       readonly keepsId: boolean;
     }
+    /** All VMs are killed at one moment; they start again after `forMs`. */
+    | { readonly kind: "killFleet" }
+    /** All upstreams of the version `from`, or all if it is absent, are replaced one after the other within `forMs`. */
+    | {
+      readonly kind: "release";
+      readonly from: string | undefined;
+      readonly version: string;
+      readonly keepsId: boolean;
+    }
     /** The store goes away for a moment, and comes back from a copy that was made `ageMs` before. */
     | {
       readonly kind: "restore";
@@ -141,6 +151,8 @@
   | "rest"
   | "ending"
   | "replace"
+  | "killFleet"
+  | "release"
   | "restore"
   | "lostConfig"
 >;
@@ -166,6 +178,8 @@
   readonly endings?: ExtraMode | undefined;
   /** Upstreams of several software versions, some replaced by another one; `none` if absent. */
   readonly versions?: ExtraMode | undefined;
+  /** Kills of all VMs while upstreams' versions are replaced; `none` if absent. */
+  readonly fleetKills?: ExtraMode | undefined;
   /** Time during which faults begin; after the last fault, callers continue without faults. */
   readonly faultsMs: number;
 }
@@ -249,6 +263,7 @@
   ["returns", drawReturns],
   ["endings", drawEndings],
   ["versions", drawVersions],
+  ["fleetKills", drawFleetKills],
 ] as const;
 
 /** Draws the faults of a run, sorted by their start. */
--- a/soak/plan_lapses.ts
+++ b/soak/plan_lapses.ts
@@ -53,7 +53,8 @@
   return faults;
 }
 
-function drawLapse(
+/** Draws upstreams that are silent to the store, evacuations of one domain, or an outage in which all entries lapse. */
+export function drawLapse(
   random: Random,
   options: PlanOptions,
   atMs: number,
--- a/soak/plan_test.ts
+++ b/soak/plan_test.ts
@@ -11,6 +11,14 @@
   return faults.map((fault) => JSON.stringify(fault)).sort();
 }
 
+function placeAmongKills(atMs: number, kills: readonly Fault[]): string {
+  if (atMs < kills[0].atMs) return "before";
+  const isAway = kills.some((kill) =>
+    atMs >= kill.atMs && atMs <= kill.atMs + kill.forMs
+  );
+  return isAway ? "away" : "between";
+}
+
 describe("a soak's plan", () => {
   it("keeps a seed's other faults when lapses come beside them", (t) => {
     for (let seed = 1; seed <= SEEDS; seed++) {
@@ -97,6 +105,48 @@
     );
   });
 
+  it("keeps a seed's other faults when kills of all VMs come beside them", (t) => {
+    const drawn = new Set<string>();
+    for (let seed = 1; seed <= SEEDS; seed++) {
+      const others = drawPlan(seed, OPTIONS);
+      const kills = drawPlan(seed, { ...OPTIONS, fleetKills: "only" });
+      const both = drawPlan(seed, { ...OPTIONS, fleetKills: "beside" });
+      t.deepEqual(formatSorted(both), formatSorted([...others, ...kills]));
+      for (const { kind } of kills) drawn.add(kind);
+    }
+    t.deepEqual(
+      [...drawn].sort(),
+      [...OWN_KINDS, "killFleet", "release", "store"].filter((kind) =>
+        kind !== "killRegion"
+      ).sort(),
+    );
+  });
+
+  it("replaces upstreams before all VMs are killed, while they are away and between two kills", (t) => {
+    const places = new Set<string>();
+    for (let seed = 1; seed <= SEEDS; seed++) {
+      const faults = drawPlan(seed, {
+        ...OPTIONS,
+        faultsMs: 1,
+        fleetKills: "only",
+      });
+      const kills = faults.filter(({ kind }) => kind === "killFleet");
+      for (const fault of faults) {
+        if (fault.kind !== "release") continue;
+        places.add(`${fault.from} ${fault.keepsId}`);
+        places.add(placeAmongKills(fault.atMs, kills));
+      }
+      places.add(`${kills.length}`);
+    }
+    const versions = ["v1", "v2", "v3", "undefined"].flatMap((from) =>
+      [true, false].map((keepsId) => `${from} ${keepsId}`)
+    );
+    t.deepEqual(
+      [...places].sort(),
+      ["1", "2", "3", ...versions, "before", "away", "between"].sort(),
+    );
+  });
+
   const findKilled = (vms: number): string[] => {
     const options = { ...OPTIONS, vms, lapses: "only" } as const;
     const killed = new Set<string>();
--- a/soak/run.ts
+++ b/soak/run.ts
@@ -45,6 +45,8 @@
   readonly endings?: ExtraMode;
   /** Whether upstreams have several software versions, and callers take streams up again. */
   readonly versions?: ExtraMode;
+  /** Whether all VMs are killed at once; upstreams and callers do as with `versions`. */
+  readonly fleetKills?: ExtraMode;
   /** Folder for the logs of a run that broke a promise; absent or empty: they are not saved. */
   readonly logFolder?: string;
   /** Changes the evidence before it is checked, to plant a fault that the judge must find. */
@@ -140,8 +142,10 @@
     returns: options.returns,
     endings: options.endings,
     versions: options.versions,
+    fleetKills: options.fleetKills,
   });
-  const hasVersions = (options.versions ?? "none") !== "none";
+  const hasVersions = [options.versions, options.fleetKills]
+    .some((mode) => (mode ?? "none") !== "none");
   const world = await World.open({ vms, runners, seed, hasVersions });
   try {
     const callers = Array.from(
--- a/soak/world.ts
+++ b/soak/world.ts
@@ -92,8 +92,8 @@
   block!: AddressBlock;
   readonly #options: WorldOptions;
   readonly #dir = mkdtempSync(join(tmpdir(), "ibisgap-soak-"));
-  /** VMs whose next start has no delay. */
-  readonly #restartsAtOnce = new Set<number>();
+  /** Delay of a VM's next start, where it isn't {@link RESTART_DELAY_MS}. */
+  readonly #restartDelaysMs = new Map<number, number>();
   #isClosing = false;
 
   private constructor(options: WorldOptions) {
@@ -198,9 +198,10 @@
     this.vms[index].proc.signal(signal);
   }
 
-  /** Kills a VM's process; it is started again at once. */
-  killAndRestart(index: number): void {
-    this.#restartsAtOnce.add(index);
+  /** Kills a VM's process, if there is one; it is started again after `awayMs`. */
+  killAndRestart(index: number, awayMs = 0): void {
+    if (this.vms[index].proc.exitCode !== undefined) return;
+    this.#restartDelaysMs.set(index, awayMs);
     this.signal(index, "SIGKILL");
   }
 
@@ -369,8 +370,9 @@
     if (code !== null && code !== 0 && !this.#isClosing) {
       this.processFaults.push(`vm ${index} ended by itself with code ${code}`);
     }
-    const startsAtOnce = this.#restartsAtOnce.delete(index);
-    await sleep(startsAtOnce ? 0 : RESTART_DELAY_MS);
+    const delayMs = this.#restartDelaysMs.get(index) ?? RESTART_DELAY_MS;
+    this.#restartDelaysMs.delete(index);
+    await sleep(delayMs);
     if (this.#isClosing) return;
     const vm = this.vms[index];
     vm.earlierOutput += vm.proc.output;
