Soak: after a kill of all VMs callers try on until a VM answers

Change: in this mode a try that no VM answers doesn't count (two answered ones do, as before), the first kill comes after 3 s, and a release never replaces a version by itself.

--- a/soak/callers.ts
+++ b/soak/callers.ts
@@ -11,6 +11,9 @@
 import { readWholeEvents } from "./stream_events.ts";
 import { REGIONS, type SoakVm, type World } from "./world.ts";
 
+/** Whether callers take up streams that broke off: in at most two tries, or until two of their tries were answered. */
+export type TakeUps = "none" | "twoTries" | "twoAnswers";
+
 /** Kind of a caller's request; each has a route of its own. */
 export type RequestKind = "safe" | "once" | "stream" | "streamonce" | "south";
 
@@ -54,7 +57,7 @@
 
 /** Share of resumable streams whose connection the caller loses, where callers take streams up again. */
 const BREAK_SHARE = 0.4;
-const MAX_TRIES = 3;
+const MAX_TAKE_UPS = 2;
 /** Delays before a stream is taken up again; short and long ones are equally likely by their logarithm. */
 const MIN_RESUME_DELAY_MS = 50;
 const MAX_RESUME_DELAY_MS = 5_000;
@@ -83,25 +86,25 @@
   readonly #random: Random;
   readonly #name: string;
   readonly #agent = new Agent({ keepAlive: true });
-  readonly #resumesStreams: boolean;
+  readonly #takeUps: TakeUps;
   readonly #resumeRandom: Random;
   readonly #resumed: Promise<void>[] = [];
   #vms: SoakVm[] = [];
   #refreshedMs = -Infinity;
 
-  /** With `resumesStreams`, it loses the connections of some streams and takes up again all that broke off. */
+  /** Unless `takeUps` is `none`, it loses the connections of some streams and takes up again all that broke off. */
   constructor(
     world: World,
     region: string,
     index: number,
     seed: number,
-    resumesStreams: boolean,
+    takeUps: TakeUps,
   ) {
     this.#world = world;
     this.#region = region;
     this.#name = `${seed}-${index}`;
     this.#random = new Random(seed * 1_000 + index);
-    this.#resumesStreams = resumesStreams;
+    this.#takeUps = takeUps;
     this.#resumeRandom = new Random((seed * 1_000 + index) ^ RESUME_SEED);
   }
 
@@ -113,7 +116,7 @@
       if (!vm) continue;
       const attempt = this.#drawAttempt(vm);
       await this.#send(vm, attempt, this.#drawCancelDelayMs());
-      if (!this.#resumesStreams || attempt.kind !== "stream") continue;
+      if (this.#takeUps === "none" || attempt.kind !== "stream") continue;
       this.#resumed.push(this.#resume(attempt, untilMs));
     }
     await Promise.all(this.#resumed);
@@ -124,7 +127,8 @@
   async #resume(first: Attempt, untilMs: number): Promise<void> {
     let last = first;
     let lastEventId = 0;
-    for (let tries = 1; tries < MAX_TRIES; tries++) {
+    let counted = 0;
+    for (let tries = 1; counted < MAX_TAKE_UPS; tries++) {
       lastEventId = readWholeEvents(last.text).at(-1)?.id ?? lastEventId;
       if (lastEventId === 0 || lastEventId === DEFAULT_STREAM_EVENTS) return;
       const delayMs = MIN_RESUME_DELAY_MS *
@@ -133,7 +137,8 @@
       if (this.#world.nowMs() + delayMs > untilMs) return;
       await sleep(delayMs);
       const vm = await this.#pickResumingVm();
-      if (!vm) return;
+      if (!vm && this.#takeUps === "twoTries") return;
+      if (!vm) continue;
       last = {
         ...first,
         ...newAnswer(),
@@ -144,6 +149,7 @@
         sentMs: this.#world.nowMs(),
       };
       await this.#send(vm, last, undefined);
+      if (last.status > 0 || this.#takeUps === "twoTries") counted++;
     }
   }
 
@@ -214,7 +220,7 @@
 
   /** Number of events after which the caller loses the connection; `undefined` if it doesn't. */
   #drawBreak({ kind }: Attempt): number | undefined {
-    if (!this.#resumesStreams || kind !== "stream") return undefined;
+    if (this.#takeUps === "none" || kind !== "stream") return undefined;
     return this.#resumeRandom.next() < BREAK_SHARE
       ? 1 + this.#resumeRandom.int(DEFAULT_STREAM_EVENTS - 2)
       : undefined;
--- a/soak/plan_fleet_kills.ts
+++ b/soak/plan_fleet_kills.ts
@@ -10,7 +10,8 @@
 import { drawLapse } from "./plan_lapses.ts";
 import { VERSIONS } from "./stream_events.ts";
 
-const FIRST_SERIES_MS = 1_500;
+/** By then callers have streams to take up. */
+const FIRST_SERIES_MS = 3_000;
 const MEAN_SERIES_GAP_MS = 2_000;
 const MAX_KILLS = 3;
 const MAX_AWAY_MS = 2_500;
@@ -64,14 +65,17 @@
 function drawReleases(random: Random, startMs: number, endMs: number): Fault[] {
   if (random.next() >= RELEASE_SHARE) return [];
   const earliestMs = Math.max(0, startMs - MAX_RELEASE_LEAD_MS);
-  return Array.from({ length: 1 + random.int(MAX_RELEASES) }, () => ({
-    kind: "release",
-    atMs: earliestMs + random.int(endMs - earliestMs),
-    forMs: random.int(MAX_RELEASE_MS),
-    from: random.pick([...VERSIONS, undefined]),
-    version: random.pick(VERSIONS),
-    keepsId: random.next() < 0.5,
-  }));
+  return Array.from({ length: 1 + random.int(MAX_RELEASES) }, () => {
+    const from = random.pick([...VERSIONS, undefined, undefined]);
+    return {
+      kind: "release",
+      atMs: earliestMs + random.int(endMs - earliestMs),
+      forMs: random.int(MAX_RELEASE_MS),
+      from,
+      version: random.pick(VERSIONS.filter((version) => version !== from)),
+      keepsId: random.next() < 0.5,
+    };
+  });
 }
 
 function drawStoreTroubles(
--- a/soak/run.ts
+++ b/soak/run.ts
@@ -7,7 +7,7 @@
 import { mkdirSync, writeFileSync } from "node:fs";
 import { join } from "node:path";
 import { sleep } from "../test/cluster.ts";
-import { Caller } from "./callers.ts";
+import { Caller, type TakeUps } from "./callers.ts";
 import { isFatal } from "./fatal_requests.ts";
 import { isPartRequest } from "./part_requests.ts";
 import { FaultInjector } from "./fault_injector.ts";
@@ -125,6 +125,12 @@
   );
 }
 
+/** While all VMs are down no try is answered; one that has none doesn't count there. */
+function chooseTakeUps({ versions, fleetKills }: RunOptions): TakeUps {
+  if ((fleetKills ?? "none") !== "none") return "twoAnswers";
+  return (versions ?? "none") === "none" ? "none" : "twoTries";
+}
+
 /** Runs one seed. Throws only if the world cannot be opened. */
 export async function runSeed(options: RunOptions): Promise<RunResult> {
   const { seed, vms, runners, faultsMs } = options;
@@ -144,8 +150,8 @@
     versions: options.versions,
     fleetKills: options.fleetKills,
   });
-  const hasVersions = [options.versions, options.fleetKills]
-    .some((mode) => (mode ?? "none") !== "none");
+  const takeUps = chooseTakeUps(options);
+  const hasVersions = takeUps !== "none";
   const world = await World.open({ vms, runners, seed, hasVersions });
   try {
     const callers = Array.from(
@@ -156,7 +162,7 @@
           REGIONS[index % REGIONS.length],
           index,
           seed,
-          hasVersions,
+          takeUps,
         ),
     );
     const lastMs = Math.max(faultsMs, ...plan.map((f) => f.atMs + f.forMs));
