--- a/test/gateway_lab.ts
+++ b/test/gateway_lab.ts
@@ -171,6 +171,7 @@
         beats: 18104,
         metrics: 18105,
       },
+      firstStart: true,
       seeds: this.vms.map((vm) => vm.settings.listen.peers),
       failureDomains: { "north-a": "north", "south-a": "south" },
       store: {
@@ -196,7 +197,17 @@
   /** Ends a VM's process and begins another one in its place, with the same identity and addresses. */
   async restartVm(vm: LabVm): Promise<LabVm> {
     await this.closeVm(vm);
-    return await this.#open(vm.settings);
+    return await this.startAgain(vm);
+  }
+
+  /** Closes the connections that callers keep, as of VMs that have ended. */
+  dropConnections(): void {
+    this.#agent.destroy();
+  }
+
+  /** Begins a new process in place of a VM that was closed. */
+  startAgain({ settings }: LabVm): Promise<LabVm> {
+    return this.#open({ ...settings, firstStart: false });
   }
 
   /** Ends a VM for good. */
@@ -367,25 +378,6 @@
   return lab;
 }
 
-/** Sends `perS` requests a second for `forMs`, to each VM in turn, with `VM-N` as ids. Returns their answers. */
-export async function callSteadily(
-  lab: GatewayLab,
-  vms: readonly LabVm[],
-  input: CallerRequest,
-  { forMs, perS }: { readonly forMs: number; readonly perS: number },
-): Promise<CallerAnswer[]> {
-  const calls: Promise<CallerAnswer>[] = [];
-  const endMs = performance.now() + forMs;
-  while (performance.now() < endMs) {
-    const vm = vms[calls.length % vms.length];
-    const attemptId = `${vm.settings.vm.id}-${calls.length}`;
-    const headers = { ...input.headers, "attempt-id": attemptId };
-    calls.push(lab.call(vm, { ...input, headers }));
-    await new Promise((resolve) => setTimeout(resolve, 1_000 / perS));
-  }
-  return await Promise.all(calls);
-}
-
 /** Sends requests bound to the other region until the VM has discovered that region and `runnerId` there answers. */
 export async function waitUntilServedBy(
   lab: GatewayLab,
