--- a/src/gateway/exchange.ts
+++ b/src/gateway/exchange.ts
@@ -34,6 +34,16 @@
   readonly reason: string;
   /** Whether the connection was refused, so that no program listens there. */
   readonly isRefused?: boolean;
+  /** Whether the request was not sent although nothing is wrong with the connection. */
+  readonly isWithheld?: boolean;
+}
+
+/** A request that is under way. */
+export interface PendingExchange {
+  /** The response once its headers have arrived, or why there is none. */
+  readonly head: Promise<Result<IncomingMessage, ExchangeFailure>>;
+  /** Aborts the request and closes its connection, so that the other side stops working. */
+  cancel(reason: string): void;
 }
 
 /** Methods whose requests carry a `Content-Length` even when the body is empty. */
@@ -43,10 +53,10 @@
 const MAX_INTERIM_RESPONSES = 8;
 
 /** Sends a request when it is constructed, and records whether its connection was made. */
-export class Exchange {
-  /** The response once its headers have arrived, or why there is none. */
+export class Exchange implements PendingExchange {
   readonly head: Promise<Result<IncomingMessage, ExchangeFailure>>;
   readonly #request: ClientRequest;
+  #answer: IncomingMessage | undefined;
   #connected = false;
   #interimResponses = 0;
 
@@ -70,7 +80,10 @@
         (socket) => this.#watchConnect(socket, options.connectTimeoutMs),
       );
       this.#request.on("information", () => this.#noteInterim());
-      this.#request.on("response", (answer) => resolve(ok(answer)));
+      this.#request.on("response", (answer) => {
+        this.#answer = answer;
+        resolve(ok(answer));
+      });
       this.#request.on(
         "error",
         (error) =>
@@ -91,9 +104,11 @@
     this.#request.end(body);
   }
 
-  /** Aborts the request and closes its connection, so that the other side stops working. */
   cancel(reason: string): void {
-    this.#request.destroy(new Error(reason));
+    const error = new Error(reason);
+    // Node drops what was not read of a canceled request's answer, and would report an ordinary end of one that has arrived.
+    this.#answer?.destroy(error);
+    this.#request.destroy(error);
   }
 
   /** Each costs processor time, and an upstream may send them without end. */
