--- a/soak/soak_test.ts
+++ b/soak/soak_test.ts
@@ -6,6 +6,11 @@
 const SCRIPT = fileURLToPath(new URL("./main.js", import.meta.url));
 const SMALL_RUN = "--vms 4 --runners 6 --callers 8 --jobs 1";
 
+const VERSION_KILLS = [
+  { seed: 12, when: "upstreams are replaced and the store is away" },
+  { seed: 16, when: "twice, and the versions of all upstreams are replaced" },
+];
+
 /** Runs the soak with these options, separated by single spaces; returns its exit code and its output. */
 async function runSoak(
   options: string,
@@ -68,6 +73,15 @@
     t.is(code, 0, printed);
   });
 
+  for (const { seed, when } of VERSION_KILLS) {
+    it(`joins no streams of two versions after all VMs are killed at once, ${when}`, async (t) => {
+      const { code, printed } = await runSoak(
+        `--first ${seed} --seeds 1 --seconds 1 --fleetKills only --callers 24`,
+      );
+      t.is(code, 0, printed);
+    });
+  }
+
   // Guards against VMs that start with an older configuration than the others have in force.
   it("keeps all promises with a store that comes back without the newest configuration while VMs start", async (t) => {
     const { code, printed } = await runSoak(
