--- a/src/gateway/call.ts
+++ b/src/gateway/call.ts
@@ -274,11 +274,8 @@
   /** Notes a lost send. What may continue elsewhere waits until it is known whether the send crashed its upstream. */
   async #noteLoss(send: Send): Promise<void> {
     const { route, relayed } = this.#input;
-    const { run } = this.#record;
-    run.noteBreak(this.#context.storeView.fleet);
-    if (this.#answer.continuable && !relayed) {
-      await run.waitForProcess(this.#context.clock);
-    }
+    const mayContinue = this.#answer.continuable !== undefined && !relayed;
+    await this.#record.noteBreak(mayContinue);
     return this.#suspicion.noteLoss(send, isRepeatable(route) || relayed);
   }
 
--- a/src/gateway/exchange.ts
+++ b/src/gateway/exchange.ts
@@ -54,6 +54,8 @@
    * The place of its connection in the order in which this process opened connections; `undefined` while there is none.
    */
   readonly connection: number | undefined;
+  /** Whether all of the response has arrived, though it may not have been read. */
+  readonly hasWholeAnswer: boolean;
   /** Aborts the request and closes its connection, so that the other side stops working. */
   cancel(reason: string): void;
 }
@@ -123,6 +125,10 @@
     return this.#socket && places.get(this.#socket);
   }
 
+  get hasWholeAnswer(): boolean {
+    return this.#answer?.complete ?? false;
+  }
+
   cancel(reason: string): void {
     const error = new Error(reason);
     // Node drops what was not read of a canceled request's answer, and would report an ordinary end of one that has arrived.
--- a/src/gateway/pipe.ts
+++ b/src/gateway/pipe.ts
@@ -258,7 +258,7 @@
 
   /** Whether another upstream can be told where to continue; after an event without an id it would repeat that. */
   get canContinue(): boolean {
-    if (this.#isPassingEvent) return false;
+    if (this.#isPassingEvent || !this.#position.isGrowing) return false;
     if (this.#lastEvent === undefined) return true;
     const { id } = this.#lastEvent;
     return id !== undefined && HEADER_VALUE.test(id);
@@ -393,7 +393,7 @@
   const scanner = isEventStream(answer, options.isStreamRoute)
     ? new EventScanner()
     : undefined;
-  return options.isResumable && scanner
+  return options.isResumable && scanner && answer.statusCode === 200
     ? new EventPipe(reply, onChunk, scanner, options)
     : new RawPipe(reply, onChunk, scanner);
 }
--- a/src/gateway/proven_exchange.ts
+++ b/src/gateway/proven_exchange.ts
@@ -83,6 +83,10 @@
     return this.#exchange?.connection;
   }
 
+  get hasWholeAnswer(): boolean {
+    return this.#exchange?.hasWholeAnswer ?? false;
+  }
+
   cancel(reason: string): void {
     this.#cancelReason ??= reason;
     this.#question.cancel(reason);
