A stream is not joined to what another release of its engine writes, own interface

What callers see: an engine restarts as another release under the same address; a stream that broke off goes on there, 200 and complete by its end mark, its text joined from two releases.

Events name the software in system_fingerprint; nobody read it.

Why this works: the first event of an answer that goes on must name the fingerprint of the stream's first one, or none if that had none.

--- a/src/edge/stream_check.ts
+++ b/src/edge/stream_check.ts
@@ -34,12 +34,19 @@
   reason: "the engine began the answer anew",
 };
 
+const OTHER_SOFTWARE: StreamVerdict = {
+  type: "broken",
+  reason: "the engine's software has changed",
+};
+
 /** Checks the events of one call's stream across all its attempts. */
 export class StreamCheck {
   #attemptId = "";
   #answerId: string | undefined;
   #hasAttemptId = false;
   #mustHaveAttemptId = false;
+  /** Names the software that began the stream; absent if the engine doesn't name it. */
+  #fingerprint: string | undefined;
   #firstEventNumber: number | undefined;
   #lastEventNumber: number | undefined;
   /** Whether the last event that passed had a number, so that the engine can be told to go on after it. */
@@ -100,6 +107,9 @@
       return { type: "broken", reason: "an event names no answer" };
     }
     if (this.#answerId === undefined) {
+      if (!this.#isSoftwareSame(value.system_fingerprint)) {
+        return OTHER_SOFTWARE;
+      }
       this.#answerId = value.id;
       this.#hasAttemptId = value.id.includes(this.#attemptId);
       return this.#hasAttemptId || !this.#mustHaveAttemptId
@@ -109,6 +119,17 @@
     return value.id === this.#answerId ? undefined : FOREIGN_EVENT;
   }
 
+  /**
+   * Checks at the first event of an answer that the software is the one that began the stream: an engine may have come
+   * back as another release, whose text doesn't go on where that of the one before ended.
+   */
+  #isSoftwareSame(sent: unknown): boolean {
+    const fingerprint = typeof sent === "string" ? sent : undefined;
+    if (this.#isResuming) return fingerprint === this.#fingerprint;
+    this.#fingerprint = fingerprint;
+    return true;
+  }
+
   #checkOrder(id: string | undefined): StreamVerdict {
     const eventNumber = id !== undefined && /^\d+$/.test(id)
       ? Number(id)
@@ -141,7 +162,14 @@
   }
 }
 
-function parse(data: string): { id?: unknown; error?: unknown } | undefined {
+/** The fields of an event that are checked. */
+interface EventFields {
+  readonly id?: unknown;
+  readonly error?: unknown;
+  readonly system_fingerprint?: unknown;
+}
+
+function parse(data: string): EventFields | undefined {
   try {
     const value = JSON.parse(data);
     return typeof value === "object" && value !== null ? value : undefined;
--- a/test/edge_stream_ends_test.ts
+++ b/test/edge_stream_ends_test.ts
@@ -193,8 +193,32 @@
   });
 });
 
+const END_MARK = "data: [DONE]\n\n";
+
+/** Opens an engine whose answers break off after two events, and which goes on as another release of its software. */
+function openReleases(
+  t: ExecutionContext,
+  [first, then]: readonly (string | undefined)[],
+) {
+  return openBench(t, (attemptId, request) => {
+    const isFirst = !/^last-event-id/mi.test(request);
+    const fingerprint = isFirst ? first : then;
+    const field = fingerprint === undefined
+      ? ""
+      : `"system_fingerprint":"${fingerprint}",`;
+    const numbers = isFirst ? [0, 1] : WORDS.map((_, i) => i).slice(2);
+    const events = numbers.map((i) =>
+      formatEvent(attemptId, i, "\n").replace("{", `{${field}`)
+    );
+    return {
+      head: STREAM_HEAD,
+      parts: isFirst ? events : [...events, END_MARK],
+      end: { type: "close" },
+    };
+  }, { resumes: true });
+}
+
 describe("a stream that broke off after two numbered events", () => {
-  const END_MARK = "data: [DONE]\n\n";
   /** Answers of an engine that is asked to go on after event 1, by what is wrong with them. */
   const misfits: Record<string, (attemptId: string) => readonly string[]> = {
     "begins anew": (attemptId) =>
@@ -220,6 +244,26 @@
     });
   }
 
+  const releases: Record<string, readonly (string | undefined)[]> = {
+    "that another release of the engine wrote": ["fp_1", "fp_2"],
+    "that doesn't say which release wrote it": ["fp_1", undefined],
+  };
+  for (const [name, fingerprints] of Object.entries(releases)) {
+    it(`is not joined to events ${name}`, async (t) => {
+      const edge = await openReleases(t, fingerprints);
+      t.deepEqual(await stream(edge), {
+        words: WORDS.slice(0, 2),
+        isDone: false,
+        code: 4004,
+      });
+    });
+  }
+
+  it("goes on with events of the same release", async (t) => {
+    const edge = await openReleases(t, ["fp_1", "fp_1"]);
+    t.deepEqual(await stream(edge), WHOLE);
+  });
+
   it("goes on with each event once where its last one comes again", async (t) => {
     const edge = await openBench(t, (attemptId, request) => {
       const isFirst = !/^last-event-id/mi.test(request);
