Upstreams of a failure domain that is taken back count as cold until an entry was written since

Cause: the end of an evacuation is read at once, as its poll waits at the store. The upstreams' entries are read up to a heartbeat and a pause between polls later (1.2 s each). Until then VMs used the entries from before the end, which say that the upstreams are warm, and all VMs sent them their full load.

The store has one revision counter, so an entry with a higher revision than the end of the evacuation was written after it. Until one is applied, the upstream counts as cold: one VM sends there, within the cold rate. This ends with the first such entry. A VM that doesn't read the store hears nothing of an entry that was written again unchanged; there it ends after the time that such news can take, or that the upstream can be cold. Entries of a store that came back from an older copy don't count as new. The same holds for a VM that learns of the end late, from a listing or another VM, and for an evacuation that was kept after the store had lost it.

--- a/src/replication/replica.ts
+++ b/src/replication/replica.ts
@@ -41,7 +41,7 @@
   readonly configOrigin?: ConfigOrigin;
 }
 
-/** Options of {@link Replica}. */
+/** Options of {@link Replica}. The `rev` of a deletion is its revision, or a later one at which the key was gone. */
 export interface ReplicaOptions {
   /**
    * The part of an entry in which copies must not differ. It depends on the entry alone. An entry that is written again
@@ -49,7 +49,7 @@
    */
   readonly contentOf: (entry: Entry) => string;
   readonly onPut: (entry: Entry, cause: ChangeCause) => void;
-  readonly onDelete: (key: string, cause: ChangeCause) => void;
+  readonly onDelete: (key: string, cause: ChangeCause, rev: number) => void;
 }
 
 /**
@@ -334,7 +334,7 @@
   #applyDeletion(key: string, deletedRev: number, copyRev: number): void {
     const existing = this.#entries.get(key);
     if (existing && existing.entry.rev >= deletedRev) return;
-    this.#delete(key, copyRev);
+    this.#delete(key, copyRev, deletedRev);
   }
 
   /** Applies an entry that the store reports; the same holds as for a deletion. */
@@ -344,14 +344,14 @@
     this.#put(entry, copyRev);
   }
 
-  #delete(key: string, copyRev: number): void {
+  #delete(key: string, copyRev: number, deletedRev = copyRev): void {
     const existing = this.#entries.get(key);
     // Another VM may hold a key that was never held here.
     this.#recordDeletion(key, copyRev);
     if (!existing) return;
     this.#entries.delete(key);
     this.#changeDigest(toBits(existing.hash));
-    this.#options.onDelete(key, this.#cause);
+    this.#options.onDelete(key, this.#cause, deletedRev);
   }
 
   #recordDeletion(key: string, copyRev: number): void {
--- a/src/replication/store_view.ts
+++ b/src/replication/store_view.ts
@@ -218,6 +218,7 @@
       log: this.#log,
       troubles: () => this.#followers.upstreams,
       entries: () => this.#followers.upstreams.entries,
+      coldMsOf: (service) => this.config?.service(service)?.coldMs ?? 0,
     });
     this.#followers = {
       operators: new Follower({
@@ -232,7 +233,7 @@
         contentOf: ({ value }) => value,
         redact: hashApiKeys,
         onPut: (entry) => this.#onOperatorPut(entry),
-        onDelete: (key, cause) => this.#onOperatorDelete(key, cause),
+        onDelete: (...deletion) => this.#onOperatorDelete(...deletion),
       }),
       upstreams: new Follower({
         store,
@@ -348,7 +349,7 @@
     this.#config.applyStored(entry, this.#source);
   }
 
-  #onOperatorDelete(key: string, cause: ChangeCause): void {
+  #onOperatorDelete(key: string, cause: ChangeCause, rev: number): void {
     if (key === CONFIG_KEY) return this.#config.noteDeleted();
     const domain = decodeEvacuationKey(key);
     if (domain === undefined) return;
@@ -356,12 +357,14 @@
     const nowMs = this.#clock.monoMs();
     const isKept = cause === "restored" &&
       this.#kept.noteLost(key, restoredMonoMs, nowMs);
-    if (!isKept) this.#setEvacuated(domain, false, 0);
+    if (!isKept) this.#setEvacuated(domain, false, rev);
   }
 
   #setEvacuated(domain: string, evacuated: boolean, rev: number): void {
     if (evacuated) this.#evacuated.add(domain);
-    else this.#evacuated.delete(domain);
+    else if (this.#evacuated.delete(domain)) {
+      this.#upstreams.noteTakenBack(domain, rev);
+    }
     this.fleet.setEvacuated(new Set(this.#evacuated));
     this.#log.info(evacuated ? "evacuated" : "evacuation over", {
       failureDomain: domain,
@@ -371,8 +374,9 @@
 
   #sweep(): void {
     this.#upstreams.sweep();
+    const { rev } = this.#followers.upstreams.state;
     for (const key of this.#kept.takeDue(this.#clock.monoMs()).lost) {
-      this.#setEvacuated(decodeEvacuationKey(key)!, false, 0);
+      this.#setEvacuated(decodeEvacuationKey(key)!, false, rev);
     }
   }
 }
--- a/src/replication/upstream_view.ts
+++ b/src/replication/upstream_view.ts
@@ -20,6 +20,12 @@
  */
 const LAPSED_GRACE_MS = 2_300;
 
+/**
+ * How long after the end of an evacuation a VM may still not know what the upstreams wrote since: they write every 1.2 s,
+ * readers poll about every 1.3 s, and those whose copies agree with a reader's rely on an answer that is up to 1.2 s old.
+ */
+const MAX_NEWS_AGE_MS = 4_000;
+
 /** When the store's entries were not to be believed, on the monotonic clock; `-Infinity` if never. */
 export interface StoreTroubles {
   /** When the store answered again after failures. */
@@ -36,6 +42,8 @@
   readonly troubles: () => StoreTroubles;
   /** The entries that the store holds. */
   readonly entries: () => readonly Entry[];
+  /** How long the upstreams of a service are cold after a start, in ms. */
+  readonly coldMsOf: (service: string) => number;
 }
 
 /** Applies the entries of upstreams to the fleet. */
@@ -43,6 +51,11 @@
   readonly #options: UpstreamViewOptions;
   /** The least time for which upstreams are cold by their entries, by id. */
   readonly #leastColdMs = new Map<string, number>();
+  /** The revisions at which evacuations of failure domains had ended, and when this VM learned of it. */
+  readonly #takenBack = new Map<
+    string,
+    { readonly rev: number; readonly learnedMonoMs: number }
+  >();
   /** Upstreams whose entry is gone but may come back, with the time until which they are kept. */
   readonly #lapsed = new Map<string, number>();
   /** By the keys of upstreams, which tell one start from the next. */
@@ -61,7 +74,7 @@
       const record = decodeUpstream(id, entry.value);
       if (!this.#counts(record, cause)) return;
       const before = fleet.get(id);
-      this.#use(record, entry.rev);
+      this.#use(record, entry.rev, cause);
       // An older entry may not say yet that the upstream is cold.
       if (cause === "restored" && before?.key === record.key) {
         fleet.keepCold(id, before.coldUntilMs);
@@ -102,7 +115,9 @@
       const id = decodeUpstreamId(entry.key);
       try {
         const record = decodeUpstream(id, entry.value);
-        if (!this.#kept.isReturned(record.key)) this.#use(record, entry.rev);
+        if (!this.#kept.isReturned(record.key)) {
+          this.#use(record, entry.rev, "written");
+        }
       } catch {
         // It was logged when it came.
       }
@@ -121,6 +136,19 @@
     }
   }
 
+  /**
+   * Notes that a failure domain's evacuation had ended at a revision. Its upstreams may have become cold meanwhile, and
+   * the end may be known here before their entries are read again: entries from before it don't count as warm.
+   */
+  noteTakenBack(failureDomain: string, rev: number): void {
+    const { fleet, clock, entries } = this.#options;
+    this.#takenBack.set(failureDomain, { rev, learnedMonoMs: clock.monoMs() });
+    for (const entry of entries()) {
+      const known = fleet.get(decodeUpstreamId(entry.key));
+      if (known) this.#keepColdUnlessNew(known, entry.rev);
+    }
+  }
+
   /** Ends what was kept for long enough. */
   sweep(): void {
     const { fleet, clock, entries } = this.#options;
@@ -159,10 +187,27 @@
     return true;
   }
 
-  #use(record: UpstreamRecord, rev: number): void {
+  /**
+   * Keeps an upstream cold whose entry is older than the end of its failure domain's evacuation, until a newer one comes.
+   * If none does, it has been warm for as long as it could have been cold, or the entry was written again unchanged.
+   */
+  #keepColdUnlessNew(
+    { id, service, failureDomain }: UpstreamRecord,
+    rev: number,
+  ): void {
+    const end = this.#takenBack.get(failureDomain);
+    if (!end || rev > end.rev) return;
+    const { fleet, coldMsOf } = this.#options;
+    const keptMs = Math.max(coldMsOf(service), MAX_NEWS_AGE_MS);
+    fleet.keepCold(id, end.learnedMonoMs + keptMs);
+  }
+
+  #use(record: UpstreamRecord, rev: number, cause: ChangeCause): void {
     const { fleet, clock, log } = this.#options;
     const nowMs = clock.monoMs();
     const before = fleet.put(record, nowMs);
+    // What a store that came back from an older copy holds may be older than its revision tells.
+    this.#keepColdUnlessNew(record, cause === "restored" ? 0 : rev);
     this.#leastColdMs.set(
       record.id,
       leastColdMs(coldStepOf(record.coldLeftMs)),
--- a/src/replication/upstream_view_test.ts
+++ b/src/replication/upstream_view_test.ts
@@ -8,8 +8,9 @@
 const KEY = "servers/i-1";
 /** How long what the store has lost, or has again, does not count. */
 const KEEP_MS = 5_000;
+const COLD_MS = 6_000;
 
-function makeEntry(fields: Record<string, unknown> = {}): Entry {
+function makeEntry(fields: Record<string, unknown> = {}, rev = 1): Entry {
   const value = JSON.stringify({
     service: "s",
     address: "10.0.0.1:80",
@@ -20,7 +21,7 @@
     born: 7,
     ...fields,
   });
-  return { key: KEY, value, rev: 1 };
+  return { key: KEY, value, rev };
 }
 
 /** A view that knows one upstream, and a store that comes back when told. */
@@ -28,19 +29,25 @@
   const clock = new ManualClock();
   const fleet = new Fleet(() => "north");
   const troubles = { recoveredMonoMs: -Infinity, restoredMonoMs: -Infinity };
-  let stored: Entry[] = [];
+  let stored = [makeEntry()];
   const view = new UpstreamView({
     fleet,
     clock,
     log: SILENT_LOG,
     troubles: () => troubles,
     entries: () => stored,
+    coldMsOf: () => COLD_MS,
   });
   view.put(makeEntry(), "written");
   return {
     clock,
     view,
     fleet,
+    /** The store holds these entries, which the view has applied. */
+    apply(entries: Entry[]) {
+      stored = entries;
+      for (const entry of entries) view.put(entry, "written");
+    },
     /** The store comes back and holds this entry, or none. */
     restore(entry: Entry | undefined) {
       troubles.restoredMonoMs = clock.monoMs();
@@ -48,6 +55,7 @@
       if (entry) view.put(entry, "restored");
       else view.delete(KEY, "restored");
     },
+    isCold: () => fleet.get("i-1")!.coldUntilMs > clock.monoMs(),
     usableKeys: () => fleet.usableIn("s", "north").map(({ key }) => key),
   };
 }
@@ -123,4 +131,60 @@
       t.deepEqual(usableKeys(), ["i-1@9"]);
     });
   });
+
+  /** Guards against upstreams that became cold in an evacuation and get all their requests until their entries are read. */
+  describe("after an evacuation", () => {
+    it("keeps an upstream cold whose entry is older, until one comes that was written later", (t) => {
+      const { view, isCold } = openView();
+      view.noteTakenBack("north-a", 5);
+      t.true(isCold());
+      view.put(makeEntry({ seq: 2 }, 4), "written");
+      t.true(isCold());
+      view.put(makeEntry({ seq: 3 }, 6), "written");
+      t.false(isCold());
+    });
+
+    it("uses an upstream at once whose entry was written later", (t) => {
+      const { view, isCold, apply } = openView();
+      apply([makeEntry({ seq: 2 }, 6)]);
+      view.noteTakenBack("north-a", 5);
+      t.false(isCold());
+    });
+
+    it("uses upstreams of other failure domains as before", (t) => {
+      const { view, isCold } = openView();
+      view.noteTakenBack("north-b", 5);
+      t.false(isCold());
+    });
+
+    it("keeps an upstream cold that appears with an older entry", (t) => {
+      const { view, isCold } = openView();
+      view.noteTakenBack("north-a", 5);
+      view.put(makeEntry({ born: 8 }, 4), "written");
+      t.true(isCold());
+    });
+
+    it("keeps an upstream cold when all entries are applied again", (t) => {
+      const { view, isCold } = openView();
+      view.noteTakenBack("north-a", 5);
+      view.reapply();
+      t.true(isCold());
+    });
+
+    it("does not believe a store that came back from an older copy", (t) => {
+      const { view, isCold, restore } = openView();
+      view.noteTakenBack("north-a", 5);
+      restore(makeEntry({}, 9));
+      t.true(isCold());
+    });
+
+    it("keeps an upstream cold no longer than it can have been, if no entry comes", async (t) => {
+      const { clock, view, isCold } = openView();
+      view.noteTakenBack("north-a", 5);
+      await clock.advance(COLD_MS - 1);
+      t.true(isCold());
+      await clock.advance(1);
+      t.false(isCold());
+    });
+  });
 });
--- a/test/gateway_lab.ts
+++ b/test/gateway_lab.ts
@@ -173,7 +173,11 @@
       },
       firstStart: true,
       seeds: this.vms.map((vm) => vm.settings.listen.peers),
-      failureDomains: { "north-a": "north", "south-a": "south" },
+      failureDomains: {
+        "north-a": "north",
+        "north-b": "north",
+        "south-a": "south",
+      },
       store: {
         address: await this.store.openAddressFor(`vm-${index}`),
         leastLeaseMs: 1_000,
