A test that every VM takes upstreams back as cold, also those that don't read the store

Learning the end from another VM goes another way (news in place of a poll), and such a VM hears nothing of entries that were written again unchanged.

--- a/src/replication/store_view_test.ts
+++ b/src/replication/store_view_test.ts
@@ -16,6 +16,9 @@
 const HEARTBEAT_MS = 1_200;
 /** How often VMs compare their copies here. */
 const PULL_EVERY_MS = 250;
+/** The longest poll for what operators write. */
+const OPERATOR_POLL_MS = 3_000;
+const EVACUATION = "op/evacuate/north-a";
 const DOMAINS = { "north-a": "north" };
 
 type Value = Readonly<Record<string, unknown>>;
@@ -97,8 +100,10 @@
   }
 
   /** Asks another VM if that one is ahead. Returns the number of entries that were sent. */
-  async pullFrom(other: Vm): Promise<number> {
-    const matter = "upstreams";
+  async pullFrom(
+    other: Vm,
+    matter: "upstreams" | "operators" = "upstreams",
+  ): Promise<number> {
     if (!this.view.notePeer(matter, other.view.copies[matter], true)) return 0;
     const request = { matter, ...this.view.newsRequest(matter) } as const;
     const news = await other.answer(request);
@@ -144,6 +149,24 @@
     });
   }
 
+  evacuate(): void {
+    this.store.put(EVACUATION, {});
+  }
+
+  takeBack(): void {
+    this.store.delete(EVACUATION);
+  }
+
+  /** How many upstreams each VM may send requests to, and how many of them count as cold there. */
+  countUsable(): { readonly usable: number; readonly cold: number }[] {
+    const nowMs = this.clock.monoMs();
+    return this.vms.map(({ view: { fleet } }) => {
+      const upstreams = fleet.usableIn("model", "north");
+      const cold = upstreams.filter(({ coldUntilMs }) => coldUntilMs > nowMs);
+      return { usable: upstreams.length, cold: cold.length };
+    });
+  }
+
   lapse(index: number): void {
     this.store.delete(`${UPSTREAM_PREFIX}i-${index}`);
   }
@@ -164,7 +187,9 @@
   async #pullAll(): Promise<void> {
     for (const vm of this.vms) {
       for (const other of this.vms) {
-        if (vm !== other) this.sentEntries += await vm.pullFrom(other);
+        if (vm === other) continue;
+        await vm.pullFrom(other, "operators");
+        this.sentEntries += await vm.pullFrom(other);
       }
     }
   }
@@ -250,6 +275,23 @@
     );
   });
 
+  // Guards against upstreams that became cold in an evacuation and get all their requests until their entries are read.
+  it("takes upstreams back as cold, on every VM, until their entries tell that they are warm", async (t) => {
+    const world = await openWorld();
+    const all = [...Array(UPSTREAMS).keys()];
+    world.evacuate();
+    await world.run(OPERATOR_POLL_MS + HEARTBEAT_MS);
+    t.true(world.countUsable().every(({ usable }) => usable === 0));
+    world.takeBack();
+    await world.run(OPERATOR_POLL_MS + PULL_EVERY_MS, all);
+    t.deepEqual(
+      world.countUsable(),
+      world.vms.map(() => ({ usable: UPSTREAMS, cold: UPSTREAMS })),
+    );
+    await world.run(5_000);
+    t.true(world.countUsable().every(({ cold }) => cold === 0));
+  });
+
   it("knows since when its copy may differ from the store's", async (t) => {
     const world = await openWorld();
     const [, , , other] = world.vms;
