A stream's origin is checked at the upstream that brought its first event

What callers saw: an answer broke off before its first event, and a second upstream, which had been replaced under its id, brought it. The first one was asked which process it is, so that the stream went on at another version.

Why it works: the send is read when the first event comes, not when the first head does.

--- a/src/gateway/call_answer.ts
+++ b/src/gateway/call_answer.ts
@@ -113,7 +113,8 @@
     reply.version = send.version;
     reply.isProcessOpen = send.process !== "confirmed" &&
       send.process !== "unknown";
-    reply.onBody(() => placement.origin.noteBegun(send));
+    // The first answer may break off before its first event; then a later one brings it.
+    reply.onBody(() => placement.origin.noteBegun(this.#send ?? send));
     const options = { ...pipeOptionsOf(input, service), heldMemory };
     const pipe = createPipe(reply, answer, options, () => {
       const nowMs = clock.monoMs();
--- a/test/gateway_replaced_test.ts
+++ b/test/gateway_replaced_test.ts
@@ -5,6 +5,7 @@
 import {
   countJoined,
   countWhole,
+  EVENTS,
   ReplacedLab,
   STREAMS,
   type TriedStream,
@@ -177,6 +178,23 @@
     });
   }
 
+  itAlone("after an answer without an event does not go on", async (t) => {
+    const lab = await ReplacedLab.open(t);
+    const [first, second] = lab.runners;
+    await lab.replace(second, "v2");
+    lab.serveWhole(SLOW_GAP_MS);
+    first.behavior = "halfStream";
+    first.streamEvents = 1;
+    const running = lab.run(lab.vms);
+    await waitUntilBegun([second]);
+    t.true(first.arrivals.length > 0);
+    const third = await lab.addUpstream();
+    third.streamEvents = EVENTS;
+    await lab.waitUntilReady(lab.vms[0]);
+    second.crash();
+    checkStreams(t, await Promise.all(running), 0);
+  });
+
   itAlone("does not go on within its answer", async (t) => {
     const lab = await ReplacedLab.open(t);
     const [first] = lab.runners;
