The record of versions keeps one that still runs at a VM which is no lead

What callers see: a stream of a version that has left the store runs on at a VM that is no lead. 30 s later a lead takes the version out of the record. If all VMs end then, those that start read a record with the other version alone, take it for all there was, don't read the stored origins, and go on at it: the text is of two versions.

Cause: the VM with the stream reads the record again every 5 s in order to put its version back, but only leads may write. In large fleets most VMs are none.

Fix: the VM that alone knows of the version writes it itself, guarded by the revision as all writes are. As long as the record is as it wrote it, it also takes the version out once the stream is over; otherwise the record would name it for good. Between a lead's write and the next look (5 s) the version is still missing.

--- a/src/gateway/version_watch.ts
+++ b/src/gateway/version_watch.ts
@@ -34,7 +34,7 @@
   readonly key: string;
   /** Whether nothing served before this process, so that a missing record is complete. */
   readonly isFirstStart: boolean;
-  /** Whether this VM writes the record. Several may: a write is made only if nobody else wrote meanwhile. */
+  /** Whether this VM writes what all see. Several may: a write is made only if nobody else wrote meanwhile. */
   readonly isWriter: () => boolean;
   readonly clock: Clock;
   readonly log: Log;
@@ -61,6 +61,8 @@
   #mayBeFirst: boolean;
   /** Whether a stream runs whose version has left the store. */
   #hasLeftRunning = false;
+  /** Revision of the record that this VM wrote last. */
+  #writtenRev: number | undefined;
   #isOpen = true;
 
   constructor(options: VersionWatchOptions) {
@@ -141,8 +143,17 @@
     else if (this.knowsAll) this.#writeIfDue(nowMs);
   }
 
+  /**
+   * Only this VM knows that a version which has left the store still runs, so it writes that down itself, and takes it out
+   * again unless another VM wrote since.
+   */
+  get #mayWrite(): boolean {
+    return this.#options.isWriter() || this.#hasLeftRunning ||
+      this.#stored?.rev === this.#writtenRev;
+  }
+
   #writeIfDue(nowMs: number): void {
-    if (!this.#options.isWriter()) return;
+    if (!this.#mayWrite) return;
     const text = encodeVersionRecord(this.#served.record(nowMs));
     if (text === this.#stored?.text || text.length > MAX_RECORD_CHARS) return;
     this.#run(() => this.#write(text));
@@ -190,6 +201,7 @@
     const put = await store.put(key, text, { ifRev }, "other");
     if (!this.#isOpen) return;
     if (put.isOk()) {
+      this.#writtenRev = put.value;
       this.#stored = { rev: put.value, text };
       log.info("versions recorded", { rev: put.value, record: text });
       return;
--- a/src/gateway/version_watch_test.ts
+++ b/src/gateway/version_watch_test.ts
@@ -146,6 +146,20 @@
     t.is(await lab.record(), recorded("v1", "v2"));
   });
 
+  /** Guards against a stream whose version nobody but its own VM knows of, and that VM is no writer. */
+  it("stay recorded while a stream of a version that left runs at a VM that is no writer", async (t) => {
+    const lab = new Lab();
+    const running = lab.start(["v1", "v2"], { isWriter: false });
+    const lead = lab.start(["v1", "v2"], { isFirstStart: true });
+    await lab.run(1_000);
+    for (const watch of [running, lead]) lab.serve(watch, ["v2"]);
+    const runs = () => running.noteRunning(SERVICE, "v1");
+    await lab.run(ORIGIN_TTL_MS + 10_000, runs);
+    t.is(await lab.record(), recorded("v1", "v2"));
+    await lab.run(ORIGIN_TTL_MS + 10_000);
+    t.is(await lab.record(), recorded("v2"));
+  });
+
   it("are written by writers only, and once", async (t) => {
     const lab = new Lab();
     lab.start(["v1"], { isFirstStart: true, isWriter: false });
