The origin of a stream is kept while a resumed try runs

What callers see: a stream breaks off, is taken up, runs for over 30 s, breaks off again, and is taken up once more. If its version left meanwhile, it goes on at the other one (200, text of two versions). If both versions serve, it is refused although this very VM continued it.

Cause: the origin is that of the first try, and only streams that began here are renewed, told, stored and noted as running versions. A resumed try did none of that, so its origin was forgotten 30 s after it was taken up, and its version too.

Fix: a resumed try whose version is known counts as a stream of the first try that runs here, under the first try's id.

--- a/src/gateway/call_origin.ts
+++ b/src/gateway/call_origin.ts
@@ -28,6 +28,8 @@
   readonly #service: ServiceConfig;
   readonly #record: CallRecord;
   #isNoted = false;
+  /** The version at which a resumed stream goes on. */
+  #resumedAt: string | undefined;
   /** Whether its upstream is asked which process it is. */
   #isOpen = false;
   /** Whether the answer ended whole; `undefined` while it runs. */
@@ -94,14 +96,22 @@
     const { run } = this.#record;
     const process = send.findProcess();
     run.noteProcess(process);
-    // The origin of a resumed stream is that of its first try.
-    if (head.resumesAfter) return;
+    if (head.resumesAfter) return this.#noteResumed();
     if (typeof process === "string") return this.#noteOrigin();
     this.#isOpen = true;
     const noted = run.processKnown.then(() => this.#noteOrigin());
     this.#context.origins.noteOpen(head.attemptId, relayed, noted);
   }
 
+  /** Keeps the origin of a resumed stream, which is that of its first try, while it runs. */
+  #noteResumed(): void {
+    const { head: { firstAttemptId }, relayed } = this.#input;
+    if (relayed || firstAttemptId === undefined) return;
+    if (this.#resumedAt === undefined) return;
+    const { origins } = this.#context;
+    origins.noteBegun(firstAttemptId, this.#service.name, this.#resumedAt);
+  }
+
   #noteOrigin(): void {
     this.#isOpen = false;
     if (this.#endedWhole) return;
@@ -118,10 +128,16 @@
   /** Notes the end of the answer. */
   noteEnded(isWhole: boolean): void {
     this.#endedWhole = isWhole;
-    if (!this.#isNoted || !this.#isTracked || this.isResumed) return;
-    if (this.#isOpen) return;
-    const { attemptId } = this.#input.head;
+    if (!this.#isNoted || !this.#isTracked) return;
+    const { attemptId, firstAttemptId } = this.#input.head;
     const { origins } = this.#context;
+    if (this.isResumed) {
+      if (firstAttemptId !== undefined && this.#resumedAt !== undefined) {
+        origins.noteEnded(firstAttemptId, isWhole);
+      }
+      return;
+    }
+    if (this.#isOpen) return;
     origins.noteEnded(attemptId, isWhole);
     if (this.#record.run.isDoubtful && !isWhole) {
       origins.noteDoubtful(attemptId);
@@ -141,6 +157,7 @@
     from: OriginSource | "only version",
     fields: Fields = {},
   ): ResumeVerdict {
+    this.#resumedAt = version;
     this.#note(`went on, ${from}`, {
       firstVersion: version,
       originFrom: from,
