A VM that no longer hears the store doesn't vouch for the versions in service

What callers see: the store is away, or refuses a region, for over 2 s. A version comes meanwhile, and the VM that began a stream at it ends before the others hear of it. The stream is taken up at a VM that asks the others; all of them know the entries of before only, but answer that they know all versions. It goes on at the version of before.

Cause: a VM that asks trusts itself only while its entries are fresh (2 s); one that answers did not look at that. So two VMs that hear nothing made each other sure, where one alone refuses.

Fix: the same rule decides for the reply. What it costs: while the store is away, streams that no VM knows are refused at fleets of several VMs too, as they were at a single one.

--- a/src/gateway/origin_search.ts
+++ b/src/gateway/origin_search.ts
@@ -67,7 +67,7 @@
   }
 
   /** Whether this VM knows all versions that served lately, up to now. */
-  get #isSure(): boolean {
+  get isSure(): boolean {
     const { entriesAgeMs, versions } = this.#options;
     return entriesAgeMs() < FRESH_ENTRIES_MS && versions.knowsAll;
   }
@@ -83,7 +83,7 @@
     return {
       type: "unknown",
       seen: [...new Set([...seenHere, ...seenElsewhere])],
-      isIncomplete: !isKnownThere && !this.#isSure,
+      isIncomplete: !isKnownThere && !this.isSure,
       watchedMs: versions.watchedMs,
       replies,
     };
--- a/src/gateway/origins.ts
+++ b/src/gateway/origins.ts
@@ -368,7 +368,7 @@
     const reply: OriginReply = {
       question,
       seen: encodeSeen(this.#versions.recent(service)),
-      knowsAll: this.#versions.knowsAll,
+      knowsAll: this.#search.isSure,
       ...(found?.type === "known"
         ? { version: found.version, ageMs: Math.round(found.ageMs) }
         : {}),
--- a/src/gateway/origins_test.ts
+++ b/src/gateway/origins_test.ts
@@ -202,6 +202,21 @@
     });
   });
 
+  /** Guards against a VM that has lost the store and counts as knowing a version which came since. */
+  it("are not guessed by a VM that hears only VMs which hear the store no more, as it does", async (t) => {
+    const network = new Network();
+    const cutOff = await network.add("10.0.0.1", ["v1"]);
+    const asking = await network.add("10.0.0.2", ["v1"]);
+    await network.clock.advance(2 * ORIGIN_TTL_MS);
+    for (const vm of [cutOff, asking]) vm.entriesAgeMs = 10_000;
+    t.like(await network.settle(asking.origins.find("a", SERVICE)), {
+      type: "unknown",
+      seen: ["v1"],
+      isIncomplete: true,
+      replies: 1,
+    });
+  });
+
   it("are taken from a VM of the former program as it tells them", async (t) => {
     const network = new Network();
     const former = await network.add("10.0.0.1", ["v1"], false);
--- a/src/region/origin_messages.ts
+++ b/src/region/origin_messages.ts
@@ -32,8 +32,8 @@
   /** The versions of the service that were seen there within the time for which origins are kept. */
   readonly seen: readonly string[];
   /**
-   * Whether these are all: the VM has watched for that long, or has read what served before it. Absent from a VM of the
-   * former program, which told all that it had seen.
+   * Whether these are all: the VM has watched for that long, or has read what served before it, and hears the store.
+   * Absent from a VM of the former program, which told all that it had seen.
    */
   readonly knowsAll?: boolean;
 }
