A relayed answer of an untold version isn't continued by what serves now

What callers see: a stream is relayed to a VM that names no version (of a former program), breaks off, and its version has left meanwhile. It goes on within its answer at the only version that serves now: 200, text of two versions.

Cause: RunVersion.versionToGoOn took the versions of the entries at that moment for all there were.

One that ran for longer, after its version left, is not covered.

--- a/src/gateway/call_placement.ts
+++ b/src/gateway/call_placement.ts
@@ -139,8 +139,8 @@
    * known.
    */
   keepVersion(): boolean {
-    const { fleet } = this.#context.storeView;
-    this.version ??= this.#record.run.versionToGoOn(fleet, this.#service.name);
+    const onlyVersion = this.#context.origins.onlyVersion(this.#service.name);
+    this.version ??= this.#record.run.versionToGoOn(onlyVersion);
     if (this.version === undefined) {
       this.#record.run.noteNotContinued(undefined);
     }
--- a/src/gateway/origins.ts
+++ b/src/gateway/origins.ts
@@ -249,6 +249,12 @@
     if (isWhole) this.#outbox.drop(key);
   }
 
+  /** The only version of a service that served lately; `undefined` if there were others, or this VM can't know. */
+  onlyVersion(service: string): string | undefined {
+    const recent = this.#versions.recent(service);
+    return this.#search.isSure && recent.length === 1 ? recent[0] : undefined;
+  }
+
   /**
    * Finds the version that began an attempt, by asking other VMs if this one doesn't know it. Without an id it finds which
    * versions may have begun it.
--- a/src/gateway/origins_test.ts
+++ b/src/gateway/origins_test.ts
@@ -217,6 +217,20 @@
     });
   });
 
+  /** Guards against an answer of a version that has left, which goes on at the only one that is left. */
+  it("are not taken from what serves now", async (t) => {
+    const network = new Network();
+    const vm = await network.add("10.0.0.1", ["v1"]);
+    await network.clock.advance(1_000);
+    t.is(vm.origins.onlyVersion(SERVICE), "v1");
+    vm.versions = ["v2"];
+    t.is(vm.origins.onlyVersion(SERVICE), undefined);
+    await network.clock.advance(ORIGIN_TTL_MS + 1_000);
+    t.is(vm.origins.onlyVersion(SERVICE), "v2");
+    vm.entriesAgeMs = 10_000;
+    t.is(vm.origins.onlyVersion(SERVICE), undefined);
+  });
+
   it("are taken from a VM of the former program as it tells them", async (t) => {
     const network = new Network();
     const former = await network.add("10.0.0.1", ["v1"], false);
--- a/src/gateway/run_version.ts
+++ b/src/gateway/run_version.ts
@@ -105,12 +105,10 @@
 
   /**
    * The version at which the answer may go on; `undefined` if it is not known which version began it. A VM of another
-   * region may not tell; the version is known all the same while all upstreams of the service have the same one.
+   * region may not tell; the version is known all the same if `onlyVersion` is all that served lately.
    */
-  versionToGoOn(fleet: Fleet, service: string): string | undefined {
-    if (this.isDoubtful || this.began !== undefined) return this.began;
-    const versions = [...fleet.versionsOf(service)];
-    return versions.length === 1 ? versions[0] : undefined;
+  versionToGoOn(onlyVersion: string | undefined): string | undefined {
+    return this.isDoubtful ? undefined : this.began ?? onlyVersion;
   }
 
   /** Notes that the answer can't go on: the version that began it is not known, or has no upstream left to try. */
--- a/src/gateway/run_version_test.ts
+++ b/src/gateway/run_version_test.ts
@@ -3,6 +3,8 @@
 import { RunVersion } from "./run_version.ts";
 
 const SERVICE = "s";
+/** The only version that served lately, as far as the VM knows. */
+const ONLY_VERSION = "v1";
 
 function record(id: string, version: string, bornMs = 0): UpstreamRecord {
   return {
@@ -35,7 +37,7 @@
     run.noteBreak(fleet);
     run.noteAnswer({ version: "v1", upstream: fleet.get("u1") }, "u1", false);
     run.noteBreak(fleet);
-    t.is(run.versionToGoOn(fleet, SERVICE), "v1");
+    t.is(run.versionToGoOn(ONLY_VERSION), "v1");
   });
 
   it("stays the same when that upstream has another one later", (t) => {
@@ -46,7 +48,7 @@
     fleet.put(record("u1", "v1.2", 9), 1);
     run.noteAnswer({ version: "v1", upstream: fleet.get("u2") }, "u2", true);
     run.noteBreak(fleet);
-    t.is(run.versionToGoOn(fleet, SERVICE), "v1");
+    t.is(run.versionToGoOn(ONLY_VERSION), "v1");
   });
 
   // A VM that guesses one of the two would mix versions in half of the cases.
@@ -56,7 +58,7 @@
     run.noteAnswer({ version: "v1", upstream: fleet.get("u1") }, "u1", false);
     fleet.put(record("u1", "v1.2", 9), 1);
     run.noteBreak(fleet);
-    t.is(run.versionToGoOn(fleet, SERVICE), undefined);
+    t.is(run.versionToGoOn(ONLY_VERSION), undefined);
   });
 
   // VMs of the program before this one relay requests too, and tell no version.
@@ -65,9 +67,8 @@
     const run = new RunVersion();
     run.noteAnswer(RELAYED, "10.0.0.9", false);
     run.noteBreak(fleet);
-    t.is(run.versionToGoOn(fleet, SERVICE), "v1");
-    fleet.put(record("u2", "v1.2"), 1);
-    t.is(run.versionToGoOn(fleet, SERVICE), undefined);
+    t.is(run.versionToGoOn("v1"), "v1");
+    t.is(run.versionToGoOn(undefined), undefined);
   });
 
   /** Guards against a version that is taken from the entry of the process before. */
@@ -83,7 +84,7 @@
       run.noteProcess(Promise.resolve(process));
       await run.processKnown;
       run.noteBreak(fleet);
-      t.is(run.versionToGoOn(fleet, SERVICE), undefined);
+      t.is(run.versionToGoOn(ONLY_VERSION), undefined);
       t.true(run.isDoubtful);
     });
   }
@@ -93,8 +94,8 @@
     const run = new RunVersion();
     run.noteAnswer({ version: "v1", upstream: fleet.get("u1") }, "u1", false);
     run.noteProcess(Promise.resolve("confirmed" as const));
-    t.is(run.versionToGoOn(fleet, SERVICE), undefined);
+    t.is(run.versionToGoOn(ONLY_VERSION), undefined);
     await run.processKnown;
-    t.is(run.versionToGoOn(fleet, SERVICE), "v1");
+    t.is(run.versionToGoOn(ONLY_VERSION), "v1");
   });
 });
