--- a/src/gateway/origins_test.ts
+++ b/src/gateway/origins_test.ts
@@ -202,6 +202,35 @@
     });
   });
 
+  /** Guards against a VM that has lost the store and counts as knowing a version which came since. */
+  it("are not guessed by a VM that hears only VMs which hear the store no more, as it does", async (t) => {
+    const network = new Network();
+    const cutOff = await network.add("10.0.0.1", ["v1"]);
+    const asking = await network.add("10.0.0.2", ["v1"]);
+    await network.clock.advance(2 * ORIGIN_TTL_MS);
+    for (const vm of [cutOff, asking]) vm.entriesAgeMs = 10_000;
+    t.like(await network.settle(asking.origins.find("a", SERVICE)), {
+      type: "unknown",
+      seen: ["v1"],
+      isIncomplete: true,
+      replies: 1,
+    });
+  });
+
+  /** Guards against an answer of a version that has left, which goes on at the only one that is left. */
+  it("are not taken from what serves now", async (t) => {
+    const network = new Network();
+    const vm = await network.add("10.0.0.1", ["v1"]);
+    await network.clock.advance(1_000);
+    t.is(vm.origins.onlyVersion(SERVICE), "v1");
+    vm.versions = ["v2"];
+    t.is(vm.origins.onlyVersion(SERVICE), undefined);
+    await network.clock.advance(ORIGIN_TTL_MS + 1_000);
+    t.is(vm.origins.onlyVersion(SERVICE), "v2");
+    vm.entriesAgeMs = 10_000;
+    t.is(vm.origins.onlyVersion(SERVICE), undefined);
+  });
+
   it("are taken from a VM of the former program as it tells them", async (t) => {
     const network = new Network();
     const former = await network.add("10.0.0.1", ["v1"], false);
