Stored origins are read again for a stream that was found before

What callers see: a VM reads what all processes stored, also of streams that still run. One of them breaks off, and its process notes that its version can't be told (its upstream was replaced). The process ends; the VM takes the version that it read before, and the stream may go on at the wrong one.

Cause: a key that was found once was never read again, for as long as the VM served.

Fix: each search reads again, at most as often as before. Within that interval the older copy still decides.

--- a/src/gateway/stored_origins.ts
+++ b/src/gateway/stored_origins.ts
@@ -102,9 +102,7 @@
   /** Finds the origin of a stream in what all processes stored, which is read again unless that was just done. */
   async find(key: string): Promise<FoundOrigin | undefined> {
     const { clock } = this.#options;
-    if (!this.#found.has(key)) {
-      await Promise.race([this.#read(), clock.sleep(READ_TIMEOUT_MS)]);
-    }
+    await Promise.race([this.#read(), clock.sleep(READ_TIMEOUT_MS)]);
     const version = this.#found.get(key);
     if (version === undefined) return undefined;
     return version === null
--- a/src/gateway/stored_origins_test.ts
+++ b/src/gateway/stored_origins_test.ts
@@ -53,6 +53,18 @@
 }
 
 describe("stored origins", () => {
+  /** Guards against a version that was read before its upstream turned out to be another process. */
+  it("are read again where it can't be told any more which version began a stream", async (t) => {
+    const lab = new Lab();
+    const ended = lab.start("a");
+    await lab.run(ended, 1_000, [["v1", KEY]]);
+    const reading = lab.start("b");
+    t.like(await lab.find(reading, KEY), { type: "known", version: "v1" });
+    await lab.run(ended, 1_000, [[null, KEY]]);
+    ended.close();
+    t.deepEqual(await lab.find(reading, KEY), { type: "ambiguous" });
+  });
+
   it("are found by a process that starts after all others have ended", async (t) => {
     const lab = new Lab();
     const ended = lab.start("a");
