Quotas: what is granted while the count passes on is not granted again

Cause: at each hand-over several holders could grant the same seconds. VMs' own parts were full when the lead fell silent (half full in a new process); the next counter's bucket had filled since it began to lead, 0.75 s before it counts, or since its predecessor's last row; a VM that stopped told nobody what was left; and a part that grew because a VM was heard again, or a new lead learned its share, or a new VM learned of others, gained burst that nobody had lost.

A counter now begins at zero when it begins to count, own parts at zero at the last answer of a VM that counts, and only moves of shares between regions carry burst. A VM that is no longer first in the lead order stops counting in that step and sends what is left to the first lead, which counts on from there at once. What is sent is granted by nobody else, so a lost message loses units and doubles none; the next lead then counts after 0.75 s, from zero.

--- a/src/decisions/token_bucket.ts
+++ b/src/decisions/token_bucket.ts
@@ -27,6 +27,20 @@
     this.#capacity = capacity;
   }
 
+  /** Changes rate and capacity without giving or taking tokens, but for those that the capacity does not hold. */
+  restrict(perMs: number, capacity: number, nowMs: number): void {
+    this.#refill(nowMs);
+    this.#level = Math.min(this.#level, capacity);
+    this.#perMs = perMs;
+    this.#capacity = capacity;
+  }
+
+  /** Drops what was left when the bucket was last used; it refills from `nowMs` on. What was overdrawn stays owed. */
+  empty(nowMs: number): void {
+    this.#level = Math.min(0, this.#level);
+    this.#refilledAtMs = nowMs;
+  }
+
   has(amount: number, nowMs: number): boolean {
     this.#refill(nowMs);
     // An amount above the capacity could never pass otherwise; it passes when the bucket is full.
--- a/src/gateway/placer.ts
+++ b/src/gateway/placer.ts
@@ -206,9 +206,11 @@
         this.#clock.monoMs() - sentMs,
       );
     }
+    const isCounted = verdict !== undefined && "counted" in verdict &&
+      verdict.counted === true;
+    if (isCounted && lead) this.#options.quotas.noteCountedByLead();
     const step = verdict && this.#toStep(verdict, request);
     if (step) {
-      const isCounted = "counted" in verdict && verdict.counted === true;
       const counted: CountedStep = isCounted
         ? { step, countedBy: "lead" }
         : this.#quotaCheck.charge(step, request);
--- a/src/gateway/quota_wire.ts
+++ b/src/gateway/quota_wire.ts
@@ -5,6 +5,7 @@
  */
 
 import type {
+  Handover,
   QuotaUse,
   ShareReport,
   ShareRow,
@@ -25,6 +26,7 @@
   given: Readonly<Record<string, number>>,
   taken: Readonly<Record<string, number>>,
   level: number,
+  units?: number,
 ];
 
 /** Encodes the shares that another region is sent. */
@@ -75,11 +77,27 @@
 /** Encodes the state that the other leads of this region are sent. */
 export function encodeStandby(rows: readonly StandbyRow[]): unknown {
   const list: WireStandbyRow[] = rows.map((
-    { workspace, given, taken, level },
-  ) => [workspace, given, taken, level]);
+    { workspace, given, taken, level, units },
+  ) =>
+    units === undefined
+      ? [workspace, given, taken, level]
+      : [workspace, given, taken, level, units]
+  );
   return { rows: list };
 }
 
+/** Encodes what the next lead to count is told. */
+export function encodeHandover({ rows, unusedMs }: Handover): unknown {
+  return { ...encodeStandby(rows) as object, unusedMs };
+}
+
+/** Decodes a datagram; `undefined` if it is malformed. */
+export function decodeHandover(params: unknown): Handover | undefined {
+  const unusedMs = (params as { unusedMs?: unknown } | null)?.unusedMs;
+  if (!isCounter(unusedMs)) return undefined;
+  return { rows: decodeStandby(params), unusedMs };
+}
+
 function areCounters(value: unknown): value is Record<string, number> {
   return typeof value === "object" && value !== null &&
     Object.values(value).every(isCounter);
@@ -91,10 +109,17 @@
   if (!Array.isArray(rows)) return [];
   return rows.flatMap((row: unknown): StandbyRow[] => {
     if (!Array.isArray(row) || typeof row[0] !== "string") return [];
-    const [workspace, given, taken, level] = row;
-    return areCounters(given) && areCounters(taken) && Number.isFinite(level)
-      ? [{ workspace, given, taken, level }]
-      : [];
+    const [workspace, given, taken, level, units] = row;
+    const isValid = areCounters(given) && areCounters(taken) &&
+      Number.isFinite(level);
+    if (!isValid) return [];
+    return [{
+      workspace,
+      given,
+      taken,
+      level,
+      ...(Number.isFinite(units) ? { units } : {}),
+    }];
   });
 }
 
--- a/src/gateway/quota_wire_test.ts
+++ b/src/gateway/quota_wire_test.ts
@@ -1,6 +1,12 @@
 import { describe, it } from "../base/describe.ts";
 import type { ShareReport } from "../quota/mod.ts";
-import { decodeShares, encodeShares } from "./quota_wire.ts";
+import {
+  decodeHandover,
+  decodeShares,
+  decodeStandby,
+  encodeHandover,
+  encodeShares,
+} from "./quota_wire.ts";
 
 const ROW = {
   workspace: "convoys",
@@ -35,3 +41,31 @@
     t.is(report?.isComplete, false);
   });
 });
+
+describe("a handover of the count", () => {
+  const row = {
+    workspace: "convoys",
+    given: { south: 7 },
+    taken: {},
+    level: 0.5,
+    units: -120,
+  };
+
+  it("arrives as it was sent", (t) => {
+    const handover = { rows: [row], unusedMs: 1_500 };
+    const sent: unknown = JSON.parse(JSON.stringify(encodeHandover(handover)));
+    t.deepEqual(decodeHandover(sent), handover);
+  });
+
+  it("is ignored without the time in which nothing else was used", (t) => {
+    t.is(decodeHandover({ rows: [] }), undefined);
+    t.is(decodeHandover({ rows: [], unusedMs: -1 }), undefined);
+    t.is(decodeHandover(null), undefined);
+  });
+
+  it("is distinct from a standby row, which leaves open what is left", (t) => {
+    const rows = [["convoys", {}, {}, 0.5]];
+    const expected = { workspace: "convoys", given: {}, taken: {}, level: 0.5 };
+    t.deepEqual(decodeStandby({ rows }), [expected]);
+  });
+});
--- a/src/gateway/quotas.ts
+++ b/src/gateway/quotas.ts
@@ -3,8 +3,9 @@
  * local quota.
  *
  * The first lead of a region counts exactly what all of its VMs send, as part of the placement request that they send
- * to it anyway. It reports its callers' demand to the first leads of other regions, and they move shares of the limits
- * among themselves.
+ * to it anyway. Whoever counts next must not grant the same time again: a lead that begins to count, and a local quota
+ * that is used again, have nothing left but what was handed over. Leads report their callers' demand to the first leads of
+ * other regions, and they move shares of the limits among themselves.
  *
  * @module
  */
@@ -13,10 +14,12 @@
 import {
   type Handlers,
   type Kernel,
+  type Log,
   type Messages,
   Task,
 } from "../kernel/mod.ts";
 import {
+  type Handover,
   LocalQuota,
   MovingShares,
   type QuotaSlack,
@@ -28,9 +31,11 @@
 import type { Datagrams } from "./datagrams.ts";
 import type { Members } from "./members.ts";
 import {
+  decodeHandover,
   decodeShares,
   decodeStandby,
   decodeUse,
+  encodeHandover,
   encodeShares,
   encodeStandby,
 } from "./quota_wire.ts";
@@ -64,9 +69,19 @@
  * not heard of another lead yet.
  */
 const AUTHORITY_DELAY_MS = 750;
+/** How long a handover waits until this VM knows that it is the first lead. */
+const HANDOVER_VALID_MS = 1_000;
+/** A VM that does not use its local quota for this long while a lead is heard leaves the limit to that lead. */
+const LOCAL_IDLE_MS = 500;
 /** Longest retry delay if this VM's local quota is used up: the caller should soon try another VM. */
 const MAX_LOCAL_WAIT_MS = 200;
 
+/** What the previous lead handed over, in one or more parts. */
+interface ReceivedHandover {
+  readonly handover: Handover;
+  readonly atMs: number;
+}
+
 /** Counts the use of each workspace's limit and exchanges shares with other VMs. */
 export class Quotas extends Task {
   readonly name = "quotas";
@@ -76,8 +91,12 @@
   #regionQuota!: RegionQuota;
   #localQuota!: LocalQuota;
   #clock!: Clock;
+  #log!: Log;
   #timer: Timer | undefined;
   #firstLeadSinceMs: number | undefined;
+  #isCounting = false;
+  #handovers: readonly ReceivedHandover[] = [];
+  #lastLocalUseMs = -Infinity;
   /** Share of the region's VMs that report to this one, itself included. */
   #heardShare = 1;
 
@@ -89,6 +108,7 @@
   start(kernel: Kernel): Promise<void> {
     const { self, regions, slack, datagrams, storeView } = this.#options;
     this.#clock = kernel.clock;
+    this.#log = kernel.log;
     const nowMs = this.#clock.monoMs();
     const limitOf = (workspace: string) =>
       storeView.config?.workspaces.get(workspace)?.quota;
@@ -109,6 +129,10 @@
       const use = decodeUse(params);
       if (use) this.#regionQuota.refund(use);
     });
+    datagrams.on("handover", (params) => {
+      const handover = decodeHandover(params);
+      if (handover) this.#onHandover(handover);
+    });
     this.#timer = this.#clock.every(TICK_MS, () => this.#tick());
     return Promise.resolve();
   }
@@ -137,8 +161,8 @@
 
   /** Whether this VM counts for its whole region. */
   get isAuthority(): boolean {
-    return this.#firstLeadSinceMs !== undefined &&
-      this.#clock.monoMs() - this.#firstLeadSinceMs >= AUTHORITY_DELAY_MS;
+    this.#refresh();
+    return this.#isCounting;
   }
 
   /** Who counts the requests that this VM decides on. */
@@ -150,6 +174,7 @@
   waitMs(use: QuotaUse): number {
     const nowMs = this.#clock.monoMs();
     if (!this.isAuthority) {
+      this.#lastLocalUseMs = nowMs;
       const sharers = this.#options.members.sharerCount();
       const waitMs = this.#localQuota.waitMs(use, sharers, nowMs);
       return Math.min(waitMs, MAX_LOCAL_WAIT_MS);
@@ -163,6 +188,7 @@
   take(use: QuotaUse): CountedBy {
     const nowMs = this.#clock.monoMs();
     if (!this.isAuthority) {
+      this.#lastLocalUseMs = nowMs;
       const sharers = this.#options.members.sharerCount();
       this.#localQuota.take(use, sharers, nowMs);
       return "own";
@@ -183,32 +209,115 @@
     }
   }
 
-  #tick(): void {
-    const { members, self, hasOthers } = this.#options;
+  /** Notes that another VM, as the region's first lead, has just counted a request of this one. */
+  noteCountedByLead(): void {
+    this.#localQuota.restart(this.#clock.monoMs());
+  }
+
+  /** Handles what the VM that counted until now has left. */
+  #onHandover(handover: Handover): void {
+    this.#refresh();
     const nowMs = this.#clock.monoMs();
-    const vmCount = members.vmCount();
-    const isFirstLead = members.leads[0]?.id === self.id &&
-      (vmCount > 1 || !hasOthers);
-    if (!isFirstLead) {
+    const recent = this.#recentHandovers(nowMs);
+    // A VM that has begun with a handover may still get other parts of it.
+    if (this.#isCounting && recent.length === 0) return;
+    this.#handovers = [...recent, { handover, atMs: nowMs }];
+    if (this.#isCounting) this.#regionQuota.applyHandover(handover, nowMs);
+    else this.#refresh();
+  }
+
+  #recentHandovers(nowMs: number): readonly ReceivedHandover[] {
+    return this.#handovers
+      .filter(({ atMs }) => nowMs - atMs < HANDOVER_VALID_MS);
+  }
+
+  /** Brings up to date whether this VM counts, before anything is decided. */
+  #refresh(): void {
+    const nowMs = this.#clock.monoMs();
+    if (!this.#isFirstLead) {
       this.#firstLeadSinceMs = undefined;
+      if (this.#isCounting) this.#handOver(nowMs);
       return;
     }
     if (this.#firstLeadSinceMs === undefined) {
       this.#firstLeadSinceMs = nowMs;
       this.#regionQuota.startLeading(nowMs);
     }
+    if (!this.#isCounting) this.#tryStartCounting(nowMs);
+  }
+
+  get #isFirstLead(): boolean {
+    const { members, self, hasOthers } = this.#options;
+    return members.leads[0]?.id === self.id &&
+      (members.vmCount() > 1 || !hasOthers);
+  }
+
+  #tryStartCounting(nowMs: number): void {
+    const parts = this.#recentHandovers(nowMs).map(({ handover }) => handover);
+    const [first, ...rest] = parts;
+    const waitedMs = nowMs - this.#firstLeadSinceMs!;
+    if (!first && waitedMs < AUTHORITY_DELAY_MS) return;
+    this.#isCounting = true;
+    this.#noteHeardShare();
+    this.#regionQuota.startCounting(nowMs, first);
+    for (const part of rest) this.#regionQuota.applyHandover(part, nowMs);
+    this.#log.info("quota count begins", {
+      reason: first ? "handover" : "first lead",
+      workspaces: parts.flatMap(({ rows }) => rows).length,
+      waitedMs: Math.round(waitedMs),
+    });
+  }
+
+  #noteHeardShare(): void {
+    const { members } = this.#options;
     this.#heardShare = Math.min(
       1,
       (members.reporters().length + 1) / members.regionVmCount,
     );
+  }
+
+  /** Hands the count over to the first lead, and grants nothing for the region any more. */
+  #handOver(nowMs: number): void {
+    const { datagrams, members, self } = this.#options;
+    const next = members.leads.find(({ id }) => id !== self.id);
+    const parts = this.#regionQuota.handOver(nowMs);
+    this.#stopCounting("handover", { next: next?.id });
+    if (!next) return;
+    for (const part of parts) {
+      datagrams.send("handover", encodeHandover(part), [next.ip]);
+    }
+  }
+
+  #stopCounting(reason: string, fields: Record<string, unknown>): void {
+    this.#isCounting = false;
+    this.#handovers = [];
+    this.#localQuota.restart(this.#clock.monoMs());
+    this.#log.info("quota count ends", { reason, ...fields });
+  }
+
+  #tick(): void {
+    this.#refresh();
+    const nowMs = this.#clock.monoMs();
+    if (this.#firstLeadSinceMs === undefined) return this.#restartIdle(nowMs);
+    this.#noteHeardShare();
     if (!this.#hasLimits()) return;
-    if (this.isAuthority) {
+    if (this.#isCounting) {
       this.#shares.rebalance(nowMs);
       this.#sendStandby(nowMs);
     }
     this.#sendShares(nowMs);
   }
 
+  /** Without requests, no answer tells a VM that its lead counts. */
+  #restartIdle(nowMs: number): void {
+    const { members, self } = this.#options;
+    const [first] = members.leads;
+    const isIdle = nowMs - this.#lastLocalUseMs >= LOCAL_IDLE_MS;
+    if (isIdle && first && first.id !== self.id) {
+      this.#localQuota.restart(nowMs);
+    }
+  }
+
   #hasLimits(): boolean {
     return (this.#options.storeView.config?.workspaces.count ?? 0) > 0;
   }
--- a/src/quota/local_quota.ts
+++ b/src/quota/local_quota.ts
@@ -13,23 +13,30 @@
   SPARE_SLACK_SHARE,
 } from "./part_usage.ts";
 
-/** What a VM used before a restart is unknown, so half of the burst is available to its first callers. */
-const INITIAL_LEVEL = 0.5;
 const HASH_RANGE = 0x1_0000_0000;
 const MS_PER_S = 1_000;
 
+/** The usage of one workspace, and since when it refills. */
+interface OwnUsage {
+  readonly usage: PartUsage;
+  readonly sinceMs: number;
+}
+
 /**
  * Counts the requests that this VM admits by itself, against an equal part of each limit. Without such a part, a cut-off VM
  * would have to refuse all its callers or admit any flood. The lead does not use the parts of VMs that it doesn't hear. A
  * request that is larger than the part is admitted on some VMs only, so few that the total stays within the excess that
  * operators tolerate.
+ *
+ * While a lead counts, it grants the whole limit: a part holds nothing of that time.
  */
 export class LocalQuota {
   readonly #vmHash: number;
   readonly #limitOf: LimitLookup;
   readonly #slack: QuotaSlack;
-  readonly #startedMs: number;
-  readonly #usages = new Map<string, PartUsage>();
+  /** Since when this VM counts for itself. Parts are empty then. */
+  #sinceMs: number;
+  readonly #usages = new Map<string, OwnUsage>();
 
   constructor(
     vmId: string,
@@ -37,12 +44,17 @@
     slack: QuotaSlack,
     nowMs: number,
   ) {
-    this.#startedMs = nowMs;
+    this.#sinceMs = nowMs;
     this.#vmHash = hash32(vmId);
     this.#limitOf = limitOf;
     this.#slack = slack;
   }
 
+  /** Notes that somebody else counted until now. */
+  restart(nowMs: number): void {
+    this.#sinceMs = nowMs;
+  }
+
   /** How long until the use fits, in ms; 0 if it fits now. `vms` is the number of VMs that share the limit. */
   waitMs(
     { workspace, units }: QuotaUse,
@@ -66,7 +78,7 @@
 
   /** Refunds the units of a counted request that did not run. */
   refund({ workspace, units }: QuotaUse): void {
-    this.#usages.get(workspace)?.bucket.refund(units);
+    this.#usages.get(workspace)?.usage.bucket.refund(units);
   }
 
   /** Whether this VM is one of those that admit requests larger than their part. */
@@ -88,13 +100,14 @@
   ): PartUsage | undefined {
     const limit = this.#limitOf(workspace);
     if (!limit) return undefined;
-    let usage = this.#usages.get(workspace);
+    const sinceMs = this.#sinceMs;
     const part = { share: 1 / vmCount, spareUnits: 0 };
-    if (usage) usage.resize(limit, part, nowMs);
-    else {
-      usage = new PartUsage(limit, part, INITIAL_LEVEL, this.#startedMs);
-      this.#usages.set(workspace, usage);
-    }
+    const own = this.#usages.get(workspace);
+    const usage = own?.usage ?? new PartUsage(limit, part, 0, sinceMs);
+    if (own && own.sinceMs !== sinceMs) usage.bucket.empty(sinceMs);
+    this.#usages.set(workspace, { usage, sinceMs });
+    // A VM that learns of fewer or more others has got nothing from them.
+    usage.resize(limit, part, nowMs, false);
     return usage;
   }
 }
--- a/src/quota/moving_shares.ts
+++ b/src/quota/moving_shares.ts
@@ -144,12 +144,19 @@
     return Math.min(share, this.#maxUsable(ledger, nowMs)) / MILLION;
   }
 
+  override isKnown(workspace: string, nowMs: number): boolean {
+    return this.#isSure(this.#ledgers.get(workspace), nowMs);
+  }
+
+  #isSure(ledger: Ledger | undefined, nowMs: number): boolean {
+    return nowMs - this.#startedMs >= UNKNOWN_MS ||
+      this.#others.every((region) => this.#isKnown(ledger, region));
+  }
+
   /** Maximum share of a workspace that this lead may use, in millionths. */
   #maxUsable(ledger: Ledger | undefined, nowMs: number): number {
-    const isSure = nowMs - this.#startedMs >= UNKNOWN_MS ||
-      this.#others.every((region) => this.#isKnown(ledger, region));
     // One region alone may have got everything but the share that is never given away.
-    return isSure ? MILLION : this.#minShare;
+    return this.#isSure(ledger, nowMs) ? MILLION : this.#minShare;
   }
 
   /** Whether this lead knows what its region has given of a workspace to another region. */
--- a/src/quota/part_usage.ts
+++ b/src/quota/part_usage.ts
@@ -50,47 +50,58 @@
   readonly spareUnits: number;
 }
 
+/** The burst of a part of a limit, in units. */
+export function burstOfPart(
+  { burstUnits }: QuotaLimit,
+  { share, spareUnits }: LimitPart,
+): number {
+  return burstUnits * share + spareUnits;
+}
+
 /** Counts one workspace's usage against a part of its limit; the size of the part may change. */
 export class PartUsage {
   readonly bucket: TokenBucket;
   #unitsPerS: number;
   #burstUnits: number;
 
-  /** `initialLevel` is the share of the burst that is available at first. */
+  /** `initialUnits` are available at first, as far as the burst holds them. */
   constructor(
-    { unitsPerS, burstUnits }: QuotaLimit,
-    { share, spareUnits }: LimitPart,
-    initialLevel: number,
+    limit: QuotaLimit,
+    part: LimitPart,
+    initialUnits: number,
     nowMs: number,
   ) {
-    this.#unitsPerS = unitsPerS * share;
-    this.#burstUnits = burstUnits * share + spareUnits;
+    this.#unitsPerS = limit.unitsPerS * part.share;
+    this.#burstUnits = burstOfPart(limit, part);
     this.bucket = new TokenBucket(
       this.#unitsPerS / MS_PER_S,
       this.#burstUnits,
       nowMs,
     );
-    this.bucket.take(this.#burstUnits * (1 - initialLevel), nowMs);
+    this.bucket.take(Math.max(0, this.#burstUnits - initialUnits), nowMs);
   }
 
   /**
-   * Changes the size of the part. The bucket gains what the bucket of another holder loses, so moving a part does not grant
-   * a second burst.
+   * Changes the size of the part. If it has moved from another holder, the bucket gains what that one's bucket loses, so
+   * moving a part does not grant a second burst. Otherwise it gains nothing.
    */
   resize(
     limit: QuotaLimit,
-    { share, spareUnits }: LimitPart,
+    part: LimitPart,
     nowMs: number,
+    hasMoved = true,
   ): void {
-    const unitsPerS = limit.unitsPerS * share;
-    const burstUnits = limit.burstUnits * share + spareUnits;
+    const unitsPerS = limit.unitsPerS * part.share;
+    const burstUnits = burstOfPart(limit, part);
     if (
       isNearlyEqual(unitsPerS, this.#unitsPerS) &&
       isNearlyEqual(burstUnits, this.#burstUnits)
     ) return;
     this.#unitsPerS = unitsPerS;
     this.#burstUnits = burstUnits;
-    this.bucket.resize(unitsPerS / MS_PER_S, burstUnits, nowMs);
+    const perMs = unitsPerS / MS_PER_S;
+    if (hasMoved) this.bucket.resize(perMs, burstUnits, nowMs);
+    else this.bucket.restrict(perMs, burstUnits, nowMs);
   }
 
   /** The units left, as a share of the burst. */
--- a/src/quota/region_quota.ts
+++ b/src/quota/region_quota.ts
@@ -5,15 +5,23 @@
  */
 
 import {
+  burstOfPart,
   type LimitLookup,
+  type LimitPart,
   PartUsage,
   type QuotaSlack,
   type QuotaUse,
   SPARE_SLACK_SHARE,
   USED_EXCESS_SHARE,
 } from "./part_usage.ts";
+import type { QuotaLimit } from "../workspaces/mod.ts";
 import { RoundRobin } from "./round_robin.ts";
-import { type Shares, STANDBY_VALID_MS, type StandbyRow } from "./shares.ts";
+import {
+  type Handover,
+  type Shares,
+  STANDBY_VALID_MS,
+  type StandbyRow,
+} from "./shares.ts";
 
 /** Maximum rows of one standby message, about 4 KB. When there are more, messages send them in turn. */
 const MAX_ROWS = 64;
@@ -25,7 +33,18 @@
   readonly heardMs: number;
 }
 
-/** Counts the usage of all VMs of a region against the region's shares of the workspaces' limits. */
+/** The usage of one workspace, and what the size of its part rests on. */
+interface RegionUsage {
+  readonly usage: PartUsage;
+  readonly heardShare: number;
+  readonly isKnown: boolean;
+}
+
+/**
+ * Counts the usage of all VMs of a region against the region's shares of the workspaces' limits.
+ *
+ * Whoever begins to count has nothing to grant but what is proved to be left: others may have granted the rest.
+ */
 export class RegionQuota {
   readonly #shares: Shares;
   readonly #limitOf: LimitLookup;
@@ -34,11 +53,15 @@
   readonly #excessFactor: number;
   /** When this VM began to count. Buckets fill from then on, even if their workspace is first used later. */
   #startedMs: number;
-  readonly #usages = new Map<string, PartUsage>();
+  /** Since when nothing was used of the workspaces that are neither in use nor handed over. */
+  #unusedSinceMs: number;
+  readonly #usages = new Map<string, RegionUsage>();
   /** When each workspace was last used. */
   readonly #lastUsedMs = new Map<string, number>();
   readonly #roundRobin = new RoundRobin();
   readonly #standbyLevels = new Map<string, StandbyLevel>();
+  /** Units that the previous lead handed over, of workspaces that were not used since. */
+  readonly #handedUnits = new Map<string, number>();
 
   constructor(
     shares: Shares,
@@ -47,6 +70,7 @@
     nowMs: number,
   ) {
     this.#startedMs = nowMs;
+    this.#unusedSinceMs = nowMs;
     this.#shares = shares;
     this.#limitOf = limitOf;
     this.#excessFactor = 1 + excess * USED_EXCESS_SHARE;
@@ -82,7 +106,7 @@
 
   /** Refunds the units of a counted request that did not run. */
   refund({ workspace, units }: QuotaUse): void {
-    this.#usages.get(workspace)?.bucket.refund(units);
+    this.#usages.get(workspace)?.usage.bucket.refund(units);
   }
 
   /**
@@ -111,13 +135,31 @@
       workspace,
       ...this.#shares.standbyCounters(workspace),
       // What a workspace without callers has left is not counted; its bucket fills again from now on.
-      level: this.#usages.get(workspace)?.level(nowMs) ?? 0,
+      level: this.#usages.get(workspace)?.usage.level(nowMs) ?? 0,
     };
   }
 
+  /** What is left of each workspace, in parts of one message each. The caller grants nothing any more. */
+  handOver(nowMs: number): Handover[] {
+    const rows = [...this.#usages].map(([workspace, { usage }]) => ({
+      ...this.#standbyRow(workspace, nowMs),
+      units: usage.bucket.levelAt(nowMs),
+    }));
+    for (const [workspace, units] of this.#handedUnits) {
+      rows.push({ ...this.#standbyRow(workspace, nowMs), units });
+    }
+    // A receiver that got one part of several can't tell which workspaces are in none of them.
+    const unusedMs = rows.length <= MAX_ROWS ? nowMs - this.#unusedSinceMs : 0;
+    const parts: Handover[] = [];
+    for (let at = 0; at === 0 || at < rows.length; at += MAX_ROWS) {
+      parts.push({ rows: rows.slice(at, at + MAX_ROWS), unusedMs });
+    }
+    return parts;
+  }
+
   #dropIdle(nowMs: number): void {
     for (const [workspace, lastUsedMs] of this.#lastUsedMs) {
-      const level = this.#usages.get(workspace)?.level(nowMs) ?? 1;
+      const level = this.#usages.get(workspace)?.usage.level(nowMs) ?? 1;
       if (nowMs - lastUsedMs < IDLE_MS || level < 1) continue;
       this.#lastUsedMs.delete(workspace);
       this.#usages.delete(workspace);
@@ -133,11 +175,36 @@
     });
   }
 
-  /** Starts to count as the region's first lead; drops what this VM may have counted in an earlier term. */
+  /** Starts to lead the region; what this VM hears of shares from now on counts. */
   startLeading(nowMs: number): void {
+    this.#startEmpty(nowMs);
+    this.#shares.startLeading(nowMs);
+  }
+
+  /** Starts to count for the region, with what the previous lead handed over, and else with nothing. */
+  startCounting(nowMs: number, handover?: Handover): void {
+    this.#startEmpty(nowMs);
+    if (!handover) return;
+    this.#unusedSinceMs = nowMs - handover.unusedMs;
+    this.applyHandover(handover, nowMs);
+  }
+
+  /** Applies what the previous lead handed over, of workspaces that were not used here yet. */
+  applyHandover({ rows }: Handover, nowMs: number): void {
+    for (const row of rows) {
+      const { workspace, units } = row;
+      this.#shares.applyStandby(row, nowMs);
+      if (units === undefined || this.#usages.has(workspace)) continue;
+      this.#handedUnits.set(workspace, units);
+    }
+  }
+
+  /** Drops what this VM may have counted in an earlier term. */
+  #startEmpty(nowMs: number): void {
     this.#usages.clear();
+    this.#handedUnits.clear();
     this.#startedMs = nowMs;
-    this.#shares.startLeading(nowMs);
+    this.#unusedSinceMs = nowMs;
   }
 
   #usageOf(
@@ -156,17 +223,34 @@
         this.#excessFactor,
       spareUnits: this.#spareUnits * heardShare,
     };
-    let usage = this.#usages.get(workspace);
-    if (usage) usage.resize(limit, part, nowMs);
-    else {
-      const standbyLevel = this.#standbyLevels.get(workspace);
-      const isFresh = standbyLevel &&
-        this.#startedMs - standbyLevel.heardMs < STANDBY_VALID_MS;
-      usage = isFresh
-        ? new PartUsage(limit, part, standbyLevel.level, standbyLevel.heardMs)
-        : new PartUsage(limit, part, 0, this.#startedMs);
-      this.#usages.set(workspace, usage);
-    }
+    const isKnown = this.#shares.isKnown(workspace, nowMs);
+    const before = this.#usages.get(workspace);
+    // What VMs that fall silent may use, and shares of which this lead now learns, are no units that moved here.
+    const hasMoved = before?.heardShare === heardShare &&
+      before.isKnown === isKnown;
+    const usage = before?.usage ?? this.#createUsage(workspace, limit, part);
+    this.#usages.set(workspace, { usage, heardShare, isKnown });
+    usage.resize(limit, part, nowMs, hasMoved);
     return usage;
   }
+
+  #createUsage(
+    workspace: string,
+    limit: QuotaLimit,
+    part: LimitPart,
+  ): PartUsage {
+    const standby = this.#standbyLevels.get(workspace);
+    const handedUnits = this.#handedUnits.get(workspace);
+    this.#standbyLevels.delete(workspace);
+    this.#handedUnits.delete(workspace);
+    if (handedUnits !== undefined) {
+      return new PartUsage(limit, part, handedUnits, this.#startedMs);
+    }
+    const isFresh = standby &&
+      this.#startedMs - standby.heardMs < STANDBY_VALID_MS;
+    if (!isFresh) return new PartUsage(limit, part, 0, this.#unusedSinceMs);
+    // The previous lead may have granted what it had left; what it had overdrawn is still owed.
+    const owedUnits = Math.min(0, standby.level) * burstOfPart(limit, part);
+    return new PartUsage(limit, part, owedUnits, this.#startedMs);
+  }
 }
--- a/src/quota/shares.ts
+++ b/src/quota/shares.ts
@@ -41,6 +41,15 @@
   readonly taken: Readonly<Record<string, number>>;
   /** Units left in the workspace's bucket, as a share of the burst. */
   readonly level: number;
+  /** Units left, which the sender will not grant any more; only in a {@link Handover}. */
+  readonly units?: number;
+}
+
+/** What a lead that stops counting for its region tells the one that counts next. */
+export interface Handover {
+  readonly rows: readonly StandbyRow[];
+  /** How long nothing was used of the workspaces that have no row, in ms. */
+  readonly unusedMs: number;
 }
 
 /**
@@ -64,6 +73,11 @@
   /** This region's share of a workspace's limit, from 0 to 1. The shares of all regions never add up to more than 1. */
   abstract shareOf(workspace: string, nowMs: number): number;
 
+  /** Whether it is known what this region holds of a workspace; {@link Shares.shareOf} is less than that before. */
+  isKnown(_workspace: string, _nowMs: number): boolean {
+    return true;
+  }
+
   /** Called when this VM becomes its region's first lead. */
   abstract startLeading(nowMs: number): void;
 
