Quotas: a VM that stood still counts no more until the count is handed to it

Cause: a pause is left out of the lead order, so that the VM is first in it when it wakes, and it went on to count at once, with a bucket that had refilled through the pause, while others had counted in its place.

Quotas now looks for a pause before each decision, by the monotonic clock and by the time of day (the first stands still while a machine is suspended). Buckets don't refill for 0.4 s or more. After 0.75 s, which is less than the second for which others wait for a silent VM, it counts no more: it begins anew when the one that counted meanwhile hands the count over, or after 0.75 s, from zero.

--- a/src/base/mod.ts
+++ b/src/base/mod.ts
@@ -13,4 +13,5 @@
 export * from "./backoff.ts";
 export * from "./lag_detector.ts";
 export * from "./pause_detector.ts";
+export * from "./pause_watch.ts";
 export * from "./event_scanner.ts";
--- a/src/decisions/token_bucket.ts
+++ b/src/decisions/token_bucket.ts
@@ -35,6 +35,12 @@
     this.#capacity = capacity;
   }
 
+  /** Leaves out a time in which nothing refills. */
+  skip(fromMs: number, toMs: number): void {
+    this.#refill(fromMs);
+    this.#refilledAtMs = Math.max(this.#refilledAtMs, toMs);
+  }
+
   /** Drops what was left when the bucket was last used; it refills from `nowMs` on. What was overdrawn stays owed. */
   empty(nowMs: number): void {
     this.#level = Math.min(0, this.#level);
--- a/src/gateway/quotas.ts
+++ b/src/gateway/quotas.ts
@@ -10,7 +10,7 @@
  * @module
  */
 
-import type { Clock, Timer } from "../base/mod.ts";
+import { type Clock, PauseWatch, type Timer } from "../base/mod.ts";
 import {
   type Handlers,
   type Kernel,
@@ -71,6 +71,10 @@
 const AUTHORITY_DELAY_MS = 750;
 /** How long a handover waits until this VM knows that it is the first lead. */
 const HANDOVER_VALID_MS = 1_000;
+/** A pause of at least this length is noticed; there is a tick in between otherwise. */
+const MIN_PAUSE_MS = 400;
+/** After a pause of this length other VMs may soon have taken the count over: they wait for a second at least. */
+const MAX_COUNTER_PAUSE_MS = 750;
 /** A VM that does not use its local quota for this long while a lead is heard leaves the limit to that lead. */
 const LOCAL_IDLE_MS = 500;
 /** Longest retry delay if this VM's local quota is used up: the caller should soon try another VM. */
@@ -92,6 +96,7 @@
   #localQuota!: LocalQuota;
   #clock!: Clock;
   #log!: Log;
+  #pauses!: PauseWatch;
   #timer: Timer | undefined;
   #firstLeadSinceMs: number | undefined;
   #isCounting = false;
@@ -109,6 +114,7 @@
     const { self, regions, slack, datagrams, storeView } = this.#options;
     this.#clock = kernel.clock;
     this.#log = kernel.log;
+    this.#pauses = new PauseWatch(kernel.clock, MIN_PAUSE_MS);
     const nowMs = this.#clock.monoMs();
     const limitOf = (workspace: string) =>
       storeView.config?.workspaces.get(workspace)?.quota;
@@ -234,6 +240,7 @@
   /** Brings up to date whether this VM counts, before anything is decided. */
   #refresh(): void {
     const nowMs = this.#clock.monoMs();
+    this.#notePause();
     if (!this.#isFirstLead) {
       this.#firstLeadSinceMs = undefined;
       if (this.#isCounting) this.#handOver(nowMs);
@@ -252,6 +259,20 @@
       (members.vmCount() > 1 || !hasOthers);
   }
 
+  /** Others may have counted and granted during a pause, so that neither the count nor its refill is this VM's own. */
+  #notePause(): void {
+    const pause = this.#pauses.note();
+    if (!pause) return;
+    const { fromMs, toMs, lengthMs } = pause;
+    this.#localQuota.restart(toMs);
+    this.#regionQuota.skipPause(fromMs, toMs);
+    if (lengthMs < MAX_COUNTER_PAUSE_MS) return;
+    this.#firstLeadSinceMs = undefined;
+    this.#handovers = [];
+    if (!this.#isCounting) return;
+    this.#stopCounting("paused", { pauseMs: Math.round(lengthMs) });
+  }
+
   #tryStartCounting(nowMs: number): void {
     const parts = this.#recentHandovers(nowMs).map(({ handover }) => handover);
     const [first, ...rest] = parts;
--- a/src/quota/region_quota.ts
+++ b/src/quota/region_quota.ts
@@ -199,6 +199,14 @@
     }
   }
 
+  /** Leaves out a time in which this VM was held up and others granted in its place. */
+  skipPause(fromMs: number, toMs: number): void {
+    this.#unusedSinceMs += toMs - fromMs;
+    for (const { usage } of this.#usages.values()) {
+      usage.bucket.skip(fromMs, toMs);
+    }
+  }
+
   /** Drops what this VM may have counted in an earlier term. */
   #startEmpty(nowMs: number): void {
     this.#usages.clear();
--- a/test/quotas_sim_test.ts
+++ b/test/quotas_sim_test.ts
@@ -48,6 +48,20 @@
       }
       lab.run(4_000);
     },
+    "stands still twice": (lab, counter) => {
+      for (let i = 0; i < 2; i++) {
+        lab.freeze(counter, 2_000);
+        lab.run(3_200);
+      }
+      lab.run(4_000);
+    },
+    "stands still with its monotonic clock, twice": (lab, counter) => {
+      for (let i = 0; i < 2; i++) {
+        lab.freeze(counter, 2_000, true);
+        lab.run(3_200);
+      }
+      lab.run(4_000);
+    },
   };
   for (const site of Object.keys(SITES) as Site[]) {
     for (const [name, run] of Object.entries(troubles)) {
@@ -128,6 +142,9 @@
 
   it("is counted by one VM of a region again soon after each trouble", (t) => {
     const lab = openLab("one region");
+    lab.freeze(lab.counterOf("north")!, 2_000);
+    lab.run(4_000);
+    t.is(lab.countersIn("north"), 1);
     lab.kill(lab.counterOf("north")!, 500);
     lab.run(4_000);
     t.is(lab.countersIn("north"), 1);
