Quotas: a lead that was late to answer pays for what was granted in its place

After two unanswered questions a VM doesn't ask its lead for a second and counts alone. If the lead was only late, for 0.15 s say, it went on to count the whole limit, and VMs and lead granted the same second.

VMs tell the leads each 250 ms what they granted alone, and a lead that counts takes it from its own.

--- a/src/gateway/quota_wire.ts
+++ b/src/gateway/quota_wire.ts
@@ -130,3 +130,15 @@
     ? { workspace: use.workspace, units: use.units }
     : undefined;
 }
+
+/** Encodes what a VM has granted from its local quotas. */
+export function encodeUses(uses: readonly QuotaUse[]): unknown {
+  return { uses };
+}
+
+/** Decodes a datagram; malformed uses are skipped. */
+export function decodeUses(params: unknown): QuotaUse[] {
+  const uses = (params as { uses?: unknown } | null)?.uses;
+  if (!Array.isArray(uses)) return [];
+  return uses.flatMap((value: unknown) => decodeUse(value) ?? []);
+}
--- a/src/gateway/quota_wire_test.ts
+++ b/src/gateway/quota_wire_test.ts
@@ -4,8 +4,10 @@
   decodeHandover,
   decodeShares,
   decodeStandby,
+  decodeUses,
   encodeHandover,
   encodeShares,
+  encodeUses,
 } from "./quota_wire.ts";
 
 const ROW = {
@@ -69,3 +71,16 @@
     t.deepEqual(decodeStandby({ rows }), [expected]);
   });
 });
+
+describe("local use told to leads", () => {
+  it("arrives as it was sent", (t) => {
+    const uses = [{ workspace: "convoys", units: 9_240 }];
+    const sent: unknown = JSON.parse(JSON.stringify(encodeUses(uses)));
+    t.deepEqual(decodeUses(sent), uses);
+  });
+
+  it("leaves out what is malformed", (t) => {
+    t.deepEqual(decodeUses({ uses: [{ workspace: 1, units: 1 }, null] }), []);
+    t.deepEqual(decodeUses(undefined), []);
+  });
+});
--- a/src/gateway/quotas.ts
+++ b/src/gateway/quotas.ts
@@ -35,9 +35,11 @@
   decodeShares,
   decodeStandby,
   decodeUse,
+  decodeUses,
   encodeHandover,
   encodeShares,
   encodeStandby,
+  encodeUses,
 } from "./quota_wire.ts";
 
 /** Who counted a request's use. */
@@ -77,6 +79,8 @@
 const MAX_COUNTER_PAUSE_MS = 750;
 /** A VM that does not use its local quota for this long while a lead is heard leaves the limit to that lead. */
 const LOCAL_IDLE_MS = 500;
+/** Maximum workspaces in one message of local use, about 2 KB. */
+const MAX_TOLD_USES = 64;
 /** Longest retry delay if this VM's local quota is used up: the caller should soon try another VM. */
 const MAX_LOCAL_WAIT_MS = 200;
 
@@ -102,6 +106,8 @@
   #isCounting = false;
   #handovers: readonly ReceivedHandover[] = [];
   #lastLocalUseMs = -Infinity;
+  /** Units that the local quotas granted since the leads were last told, by workspace. */
+  readonly #untoldUnits = new Map<string, number>();
   /** Share of the region's VMs that report to this one, itself included. */
   #heardShare = 1;
 
@@ -135,6 +141,10 @@
       const use = decodeUse(params);
       if (use) this.#regionQuota.refund(use);
     });
+    datagrams.on("localUse", (params) => {
+      if (!this.isAuthority) return;
+      for (const use of decodeUses(params)) this.#takeOfRegion(use);
+    });
     datagrams.on("handover", (params) => {
       const handover = decodeHandover(params);
       if (handover) this.#onHandover(handover);
@@ -197,11 +207,19 @@
       this.#lastLocalUseMs = nowMs;
       const sharers = this.#options.members.sharerCount();
       this.#localQuota.take(use, sharers, nowMs);
+      const { workspace, units } = use;
+      const untoldUnits = this.#untoldUnits.get(workspace) ?? 0;
+      this.#untoldUnits.set(workspace, untoldUnits + units);
       return "own";
     }
+    this.#takeOfRegion(use);
+    return "region";
+  }
+
+  #takeOfRegion(use: QuotaUse): void {
+    const nowMs = this.#clock.monoMs();
     this.#regionQuota.noteDemand(use, nowMs);
     this.#regionQuota.take(use, this.#heardShare, nowMs);
-    return "region";
   }
 
   /** Refunds the use of a counted request that has not run and never will. */
@@ -318,6 +336,7 @@
 
   #tick(): void {
     this.#refresh();
+    this.#tellLocalUse();
     const nowMs = this.#clock.monoMs();
     if (this.#firstLeadSinceMs === undefined) return this.#restartIdle(nowMs);
     this.#noteHeardShare();
@@ -329,6 +348,17 @@
     this.#sendShares(nowMs);
   }
 
+  /** A lead that was late to answer, and counts all the same, must take what was granted in its place from its own. */
+  #tellLocalUse(): void {
+    if (this.#untoldUnits.size === 0) return;
+    const { datagrams, members, self } = this.#options;
+    const uses = [...this.#untoldUnits].slice(0, MAX_TOLD_USES)
+      .map(([workspace, units]) => ({ workspace, units }));
+    for (const { workspace } of uses) this.#untoldUnits.delete(workspace);
+    const leads = members.leads.filter(({ id }) => id !== self.id);
+    datagrams.send("localUse", encodeUses(uses), leads.map(({ ip }) => ip));
+  }
+
   /** Without requests, no answer tells a VM that its lead counts. */
   #restartIdle(nowMs: number): void {
     const { members, self } = this.#options;
--- a/test/quotas_sim_test.ts
+++ b/test/quotas_sim_test.ts
@@ -62,6 +62,12 @@
       }
       lab.run(4_000);
     },
+    "is late to answer again and again": (lab, counter) => {
+      for (let i = 0; i < 7; i++) {
+        lab.freeze(counter, 150);
+        lab.run(1_200);
+      }
+    },
   };
   for (const site of Object.keys(SITES) as Site[]) {
     for (const [name, run] of Object.entries(troubles)) {
@@ -76,11 +82,11 @@
     }
   }
 
-  /** Stops or kills VMs in series, mostly the one that counts. */
+  /** Stops, kills or pauses VMs in series, mostly the one that counts. */
   function disturb(
     lab: QuotaLab,
     seed: number,
-    kinds: readonly ("stop" | "kill")[],
+    kinds: readonly ("stop" | "kill" | "freeze" | "suspend")[],
   ): void {
     const random = new Random(seed);
     for (let i = 0; i < 12; i++) {
@@ -92,7 +98,8 @@
       if (ip === undefined) continue;
       const kind = kinds[random.int(kinds.length)];
       if (kind === "stop") lab.stop(ip);
-      else lab.kill(ip, 300 + random.int(1_500));
+      else if (kind === "kill") lab.kill(ip, 300 + random.int(1_500));
+      else lab.freeze(ip, 100 + random.int(4_000), kind === "suspend");
     }
     lab.run(8_000);
   }
@@ -106,6 +113,14 @@
         t.true(lab.mostInWindow <= 1, `${lab.mostInWindow} of it`);
       });
     }
+    for (let seed = 1; seed <= 30; seed++) {
+      it(`is not granted twice over stops, kills and pauses in series, ${site}, seed ${seed}`, (t) => {
+        const lab = openLab(site, seed, 0.02);
+        lab.demand = FLOOD;
+        disturb(lab, seed, ["stop", "kill", "suspend", "freeze"]);
+        t.true(lab.mostInWindow <= 1, `${lab.mostInWindow} of it`);
+      });
+    }
   }
 
   it("is used in full while nothing happens", (t) => {
