A VM that is no lead writes the record of versions only if that lacks one

What callers see: nothing; follows, found when reading it again. While streams of a version that left run at many VMs, each of them would have written any change of versions beside the leads: up to one write a VM at once.

Fix: such a VM writes only while the record lacks the version of a stream that runs there.

--- a/src/gateway/version_watch.ts
+++ b/src/gateway/version_watch.ts
@@ -59,8 +59,8 @@
   #readMs = -Infinity;
   /** Whether a missing record says that nothing served. Later it says that the store has lost it. */
   #mayBeFirst: boolean;
-  /** Whether a stream runs whose version has left the store. */
-  #hasLeftRunning = false;
+  /** Versions of streams that run, without those that are in the store's entries; by service, as texts. */
+  readonly #leftRunning = new Set<string>();
   /** Revision of the record that this VM wrote last. */
   #writtenRev: number | undefined;
   #isOpen = true;
@@ -83,7 +83,7 @@
     if (this.#served.noteWatching(now)) this.#stored = undefined;
     for (const service of fleet.services()) this.recent(service);
     this.#checkStore(nowMs);
-    this.#hasLeftRunning = false;
+    this.#leftRunning.clear();
   }
 
   close(): void {
@@ -94,7 +94,8 @@
   noteRunning(service: string, version: string): void {
     const { clock, fleet } = this.#options;
     this.#served.note(service, version, clock.monoMs());
-    this.#hasLeftRunning ||= !fleet.versionsOf(service).has(version);
+    if (fleet.versionsOf(service).has(version)) return;
+    this.#leftRunning.add(JSON.stringify([service, version]));
   }
 
   /** The versions that a service has, or had lately. */
@@ -136,7 +137,7 @@
     if (this.#call || nowMs < this.#nextCallMs) return;
     const isRestored = this.#stored !== undefined &&
       store.generation !== this.#generation;
-    const mayBeOutdated = this.#hasLeftRunning &&
+    const mayBeOutdated = this.#leftRunning.size > 0 &&
       nowMs - this.#readMs >= CHECK_AGAIN_MS;
     if (isRestored || mayBeOutdated) this.#stored = undefined;
     if (!this.#stored) this.#run(() => this.#read());
@@ -144,14 +145,24 @@
   }
 
   /**
-   * Only this VM knows that a version which has left the store still runs, so it writes that down itself, and takes it out
-   * again unless another VM wrote since.
+   * Only this VM may know that a version which has left the store's entries still runs, so it writes that down itself if
+   * the record lacks it, and takes it out again unless another VM wrote since.
    */
   get #mayWrite(): boolean {
-    return this.#options.isWriter() || this.#hasLeftRunning ||
+    return this.#options.isWriter() || this.#lacksRunning ||
       this.#stored?.rev === this.#writtenRev;
   }
 
+  /** Whether the record lacks the version of a stream that runs. */
+  get #lacksRunning(): boolean {
+    if (this.#leftRunning.size === 0) return false;
+    const record = decodeVersionRecord(this.#stored?.text ?? "");
+    return [...this.#leftRunning].some((text) => {
+      const [service, version] = JSON.parse(text) as [string, string];
+      return !record?.get(service)?.includes(version);
+    });
+  }
+
   #writeIfDue(nowMs: number): void {
     if (!this.#mayWrite) return;
     const text = encodeVersionRecord(this.#served.record(nowMs));
--- a/src/gateway/version_watch_test.ts
+++ b/src/gateway/version_watch_test.ts
@@ -160,6 +160,25 @@
     t.is(await lab.record(), recorded("v2"));
   });
 
+  /** Guards against a write by each VM of a large fleet when a version comes. */
+  it("are not written by VMs whose running streams are of versions that are recorded", async (t) => {
+    const lab = new Lab();
+    const watches = [
+      lab.start(["v1", "v2"], { isFirstStart: true }),
+      lab.start(["v1", "v2"], { isFirstStart: true, isWriter: false }),
+    ];
+    await lab.run(1_000);
+    const [lead, running] = watches;
+    const runs = () => running.noteRunning(SERVICE, "v1");
+    for (const watch of watches) lab.serve(watch, ["v2"]);
+    await lab.run(1_000, runs);
+    t.true(running.knowsAll);
+    lab.end(lead);
+    lab.serve(running, ["v2", "v3"]);
+    await lab.run(1_000, runs);
+    t.is(await lab.record(), recorded("v1", "v2"));
+  });
+
   it("are written by writers only, and once", async (t) => {
     const lab = new Lab();
     lab.start(["v1"], { isFirstStart: true, isWriter: false });
