An upstream that another process answers for may be cold

What callers see: an upstream starts again under its id. A VM finds out by asking the process, since a stream began or goes on there, but sends new requests at full rate to it until its new entry is read, some 2 s or as long as the store is away; a service whose cold start is limited may then fail again.

Cause: whether an upstream is cold is read from an entry that is known by then to be of another process; the answer only kept streams with a version away.

Fix: such an upstream counts as one that may have been restarted, as after a refused connection, at the VM that asked. Other VMs are not told.

--- a/src/gateway/upstream_send.ts
+++ b/src/gateway/upstream_send.ts
@@ -129,8 +129,11 @@
 
   #noteVerdict(verdict: ProcessVerdict, use: "continuation" | "origin"): void {
     this.#process = verdict;
-    const { losses, metrics } = this.context;
-    if (verdict === "replaced") losses.noteReplaced(this.#candidate.key);
+    const { clock, losses, metrics } = this.context;
+    if (verdict === "replaced") {
+      losses.noteReplaced(this.#candidate.key);
+      this.#link.noteGone(clock.monoMs());
+    }
     metrics.count("upstream_processes", `outcome="${verdict}",for="${use}"`);
   }
 
--- a/src/gateway/upstream_send_test.ts
+++ b/src/gateway/upstream_send_test.ts
@@ -105,6 +105,53 @@
     t.is(checks, 1);
   });
 
+  /** Guards against full load on an upstream that is known to have just started, as its former entry is not cold. */
+  it("to another process than the entry describes marks the upstream as one that may be cold", async (t) => {
+    const server = createServer((socket) => {
+      socket.on("error", () => {});
+      socket.on("data", () => {
+        const report = JSON.stringify({ born: 2 });
+        socket.write(
+          `HTTP/1.1 200 OK\r\nContent-Length: ${report.length}\r\n\r\n${report}`,
+        );
+      });
+    }).listen(0, "127.0.0.1");
+    await once(server, "listening");
+    const link = new UpstreamLink(0);
+    t.teardown(() => {
+      link.agent.destroy();
+      server.close();
+    });
+    const context = {
+      clock: systemClock,
+      upstreams: { noteSend() {} },
+      members: { notePromptRead() {} },
+      losses: { noteReplaced() {} },
+      metrics: { count() {} },
+    } as unknown as GatewayContext;
+    const outbound = {
+      method: "GET",
+      target: "/",
+      headers: [],
+      body: Buffer.alloc(0),
+      parts: [],
+      promptTokens: 0,
+      deadlineMonoMs: systemClock.monoMs() + 1_000,
+      eventGapMs: 0,
+    } as unknown as OutboundRequest;
+    const { port } = server.address() as AddressInfo;
+    const candidate = {
+      key: "u@1",
+      upstream: { key: "u@1", id: "u", host: "127.0.0.1", port },
+      link,
+      pace: { noteSend() {} },
+    } as unknown as LinkedCandidate;
+    const send = new ReadSend(context, outbound, candidate);
+    await send.readHead();
+    t.is(await send.findProcess(), "replaced");
+    t.true(link.mayBeRestarted(systemClock.monoMs()));
+  });
+
   it("whose answer has arrived isn't canceled when its upstream becomes unreachable", async (t) => {
     const server = createServer((socket) => {
       socket.on("error", () => {});
