A record of versions asked for before a pause isn't taken for a newer one

What callers see: a VM reads the record of versions and stands still for over 5 s, in which a version comes and begins streams that break off with its VMs. The VM goes on, takes the answer that has waited in its socket, counts as knowing all versions, and lets such a stream go on at another version.

Cause: a pause makes the VM forget that it had read the record, but not that a read was under way. The same for the answer to a write, which may bring the record.

Fix: what was asked for before a pause is not used; the record is read again.

--- a/src/gateway/version_watch.ts
+++ b/src/gateway/version_watch.ts
@@ -63,6 +63,8 @@
   readonly #leftRunning = new Set<string>();
   /** Revision of the record that this VM wrote last. */
   #writtenRev: number | undefined;
+  /** How often this process was held up; what was asked for before may be out of date. */
+  #pauses = 0;
   #isOpen = true;
 
   constructor(options: VersionWatchOptions) {
@@ -80,7 +82,10 @@
     const { clock, fleet } = this.#options;
     const nowMs = clock.monoMs();
     const now = { monoMs: nowMs, wallMs: clock.nowMs() };
-    if (this.#served.noteWatching(now)) this.#stored = undefined;
+    if (this.#served.noteWatching(now)) {
+      this.#pauses++;
+      this.#stored = undefined;
+    }
     for (const service of fleet.services()) this.recent(service);
     this.#checkStore(nowMs);
     this.#leftRunning.clear();
@@ -179,8 +184,9 @@
 
   async #read(): Promise<void> {
     const { store, key } = this.#options;
+    const pauses = this.#pauses;
     const found = await store.get(key, "other");
-    if (!this.#isOpen) return;
+    if (!this.#isOpen || pauses !== this.#pauses) return;
     if (found.isErr()) return this.#noteFailure("read", found.error.message);
     this.#take(found.value);
   }
@@ -209,8 +215,9 @@
   async #write(text: string): Promise<void> {
     const { store, key, log } = this.#options;
     const ifRev = this.#stored?.rev ?? 0;
+    const pauses = this.#pauses;
     const put = await store.put(key, text, { ifRev }, "other");
-    if (!this.#isOpen) return;
+    if (!this.#isOpen || pauses !== this.#pauses) return;
     if (put.isOk()) {
       this.#writtenRev = put.value;
       this.#stored = { rev: put.value, text };
--- a/src/gateway/version_watch_test.ts
+++ b/src/gateway/version_watch_test.ts
@@ -1,3 +1,5 @@
+import { ok } from "neverthrow";
+import type { KeyValue } from "../adapters/mod.ts";
 import { ManualClock } from "../base/mod.ts";
 import { describe, it } from "../base/describe.ts";
 import { ORIGIN_TTL_MS } from "../region/mod.ts";
@@ -179,6 +181,37 @@
     t.is(await lab.record(), recorded("v1", "v2"));
   });
 
+  /** Guards against a record that was read before a long pause and is taken for what served meanwhile. */
+  it("are not known from a record that was asked for before the process was held up", async (t) => {
+    const clock = new ManualClock();
+    const asked: ((found: unknown) => void)[] = [];
+    const store = {
+      generation: undefined,
+      get: () => new Promise((resolve) => asked.push(resolve)),
+    } as unknown as KeyValue;
+    const watch = new VersionWatch({
+      fleet: { services: () => [SERVICE], versionsOf: () => new Set(["v1"]) },
+      store,
+      key: KEY,
+      isFirstStart: false,
+      isWriter: () => false,
+      clock,
+      log: SILENT_LOG,
+    });
+    const record = ok({ key: KEY, value: recorded("v1"), rev: 1 });
+    watch.tick();
+    await clock.advance(10_000);
+    watch.tick();
+    asked[0](record);
+    await clock.advance(TICK_MS);
+    t.false(watch.knowsAll);
+    watch.tick();
+    t.is(asked.length, 2);
+    asked[1](record);
+    await clock.advance(TICK_MS);
+    t.true(watch.knowsAll);
+  });
+
   it("are written by writers only, and once", async (t) => {
     const lab = new Lab();
     lab.start(["v1"], { isFirstStart: true, isWriter: false });
