Take-ups: a VM that has just started looks at the stored origins, also if it knows one version

What callers see: a version comes, begins a stream, and all VMs end before one of them has recorded it (a tick of 250 ms and a call of the store). It is gone when they are back; the stream goes on at the only version that is left.

Cause: stored origins, which are written 20 ms after a stream begins, were only read where the record or the entries showed several versions. Change: a VM that has watched for less than 30 s reads them in any case. origins_test was red without the condition (unknown, one version), green with it.

--- a/src/gateway/origin_search.ts
+++ b/src/gateway/origin_search.ts
@@ -5,7 +5,12 @@
  * @module
  */
 
-import { type FoundOrigin, type OriginPeers, vmsToAsk } from "../region/mod.ts";
+import {
+  type FoundOrigin,
+  ORIGIN_TTL_MS,
+  type OriginPeers,
+  vmsToAsk,
+} from "../region/mod.ts";
 import type { OriginQuestions } from "./origin_questions.ts";
 import type { StoredOrigins } from "./stored_origins.ts";
 import type { VersionWatch } from "./version_watch.ts";
@@ -62,7 +67,9 @@
     const isKnownThere = sureReplies > 0;
     if (!isKnownThere) await versions.waitForRecord(RECORD_TIMEOUT_MS);
     const unknown = this.#describe(service, seen, replies, isKnownThere);
-    const isOnlyVersion = unknown.seen.length < 2 && !unknown.isIncomplete;
+    // A version may have come and gone with all VMs before one of them could record it.
+    const isOnlyVersion = unknown.seen.length < 2 && !unknown.isIncomplete &&
+      versions.watchedMs >= ORIGIN_TTL_MS;
     return isOnlyVersion ? unknown : await stored.find(key) ?? unknown;
   }
 
--- a/src/gateway/origins_test.ts
+++ b/src/gateway/origins_test.ts
@@ -2,6 +2,7 @@
 import { describe, it } from "../base/describe.ts";
 import { Kernel } from "../kernel/mod.ts";
 import { type LeadRecord, ORIGIN_TTL_MS } from "../region/mod.ts";
+import { VERSIONS_KEY } from "../platform/mod.ts";
 import { MemoryKeyValue } from "../standins/mod.ts";
 import { SILENT_LOG } from "../../test/silent_log.ts";
 import type { DatagramHandler } from "./datagrams.ts";
@@ -108,6 +109,12 @@
     }
   }
 
+  /** Lets the store hold a record of the versions in service that lacks the latest one. */
+  async writeRecord(versions: readonly string[]): Promise<void> {
+    const record = JSON.stringify([[SERVICE, versions]]);
+    await this.#store.put(VERSIONS_KEY, record, {}, "other");
+  }
+
   /** Calls to the store so far. */
   get storeCalls(): number {
     return this.#stores.reduce((sum, store) => sum + store.counts().other, 0);
@@ -228,6 +235,23 @@
     });
   });
 
+  /** Guards against a VM that goes by a record which was not written in time. */
+  it("are read from the store by a VM that has just started, though it knows of one version only", async (t) => {
+    const network = new Network();
+    const ended = await network.add("10.0.0.1", ["v1", "v2"]);
+    ended.origins.noteBegun("a", SERVICE, "v2");
+    await network.clock.advance(1_000);
+    network.cutOff(ended);
+    await network.writeRecord(["v1"]);
+    const started = await network.add("10.0.0.2", ["v1"]);
+    await network.clock.advance(100);
+    t.like(await network.settle(started.origins.find("a", SERVICE)), {
+      type: "known",
+      version: "v2",
+      source: "stored",
+    });
+  });
+
   /** Guards against a fleet that starts and takes the store's writes up, as each VM thinks that it is alone. */
   it("are stored rarely by a VM that has heard of few others, but knows that there may be many", async (t) => {
     const network = new Network();
