--- a/src/base/event_scanner.ts
+++ b/src/base/event_scanner.ts
@@ -93,21 +93,21 @@
   readonly id: string | undefined;
 }
 
-/** The identity of the last event in `text`, which holds whole events; `undefined` if there are only comments. */
-export function findLastEvent(text: string): EventIdentity | undefined {
-  let last: EventIdentity | undefined;
+/** The identities of the events in `text`, which holds whole events and comments. */
+export function findEvents(text: string): EventIdentity[] {
+  const events: EventIdentity[] = [];
   let id: string | undefined;
   let hasData = false;
   const lines = text.split(text.includes("\r") ? /\r\n|\n|\r/ : "\n");
   for (const line of lines) {
     if (line === "") {
-      if (hasData || id !== undefined) last = { id };
+      if (hasData || id !== undefined) events.push({ id });
       id = undefined;
       hasData = false;
     } else if (isField(line, "id")) id = valueOf(line);
     else if (isField(line, "data")) hasData = true;
   }
-  return last;
+  return events;
 }
 
 /** Whether a line holds a field; one without a colon has an empty value. */
@@ -116,8 +116,12 @@
     (line.length === name.length || line[name.length] === ":");
 }
 
+/** What surrounds a value. `trim` would also strip bytes that are part of a character. */
+const PADDING = /^[ \t]+|[ \t]+$/g;
+
 /** The value of a line's field; `undefined` if it is empty. */
 function valueOf(line: string): string | undefined {
   const colon = line.indexOf(":");
-  return (colon < 0 ? "" : line.slice(colon + 1).trim()) || undefined;
+  if (colon < 0) return undefined;
+  return line.slice(colon + 1).replaceAll(PADDING, "") || undefined;
 }
--- a/src/gateway/origins_test.ts
+++ b/src/gateway/origins_test.ts
@@ -2,6 +2,7 @@
 import { describe, it } from "../base/describe.ts";
 import { Kernel } from "../kernel/mod.ts";
 import { type LeadRecord, ORIGIN_TTL_MS } from "../region/mod.ts";
+import { MemoryKeyValue } from "../standins/mod.ts";
 import { SILENT_LOG } from "../../test/silent_log.ts";
 import type { DatagramHandler } from "./datagrams.ts";
 import { GatewayMetrics } from "./metrics.ts";
@@ -16,18 +17,25 @@
   versions: string[];
   entriesAgeMs: number;
   isCutOff: boolean;
+  /** Whether it runs the former program, whose replies don't say whether it knows all versions. */
+  isFormer: boolean;
   sent: number;
 }
 
 /** VMs of one region that exchange datagrams at once. */
 class Network {
   readonly clock = new ManualClock();
+  readonly #store = new MemoryKeyValue({ clock: this.clock });
   readonly #vms = new Map<string, NetworkVm>();
 
-  async add(ip: string, versions: string[]): Promise<NetworkVm> {
+  async add(
+    ip: string,
+    versions: string[],
+    isFirstStart = this.#vms.size === 0,
+  ): Promise<NetworkVm> {
     const handlers = new Map<string, DatagramHandler>();
     const origins = new StreamOrigins({
-      self: { ip, region: "north" },
+      self: { ip, region: "north", processId: ip },
       datagrams: {
         on: (method, handler) => void handlers.set(method, handler),
         send: (method, params, ips) => this.#send(ip, method, params, ips),
@@ -37,6 +45,14 @@
         services: () => [SERVICE],
         versionsOf: () => new Set(vm.versions),
       },
+      store: new MemoryKeyValue({
+        clock: this.clock,
+        store: this.#store.store,
+        faults: this.#store.faults,
+        vmId: ip,
+      }),
+      leastLeaseMs: 1_000,
+      isFirstStart,
       metrics: new GatewayMetrics(),
       entriesAgeMs: () => vm.entriesAgeMs,
     });
@@ -46,6 +62,7 @@
       versions,
       entriesAgeMs: 0,
       isCutOff: false,
+      isFormer: false,
       sent: 0,
     };
     this.#vms.set(ip, vm);
@@ -56,6 +73,7 @@
   #members() {
     const vms = this.#vms;
     return {
+      isLead: true,
       get order(): LeadRecord[] {
         return [...vms.keys()].map((ip) => ({ ip }) as LeadRecord);
       },
@@ -78,10 +96,18 @@
       sender.sent++;
       if (sender.isCutOff || receiver.isCutOff) continue;
       const copy = JSON.parse(JSON.stringify(params));
+      if (sender.isFormer) delete copy.knowsAll;
       setImmediate(() => receiver.handlers.get(method)?.(copy, from));
     }
   }
 
+  /** Cuts a VM off from all others and from the store. */
+  cutOff(vm: NetworkVm): void {
+    vm.isCutOff = true;
+    const [ip] = [...this.#vms].find(([, each]) => each === vm)!;
+    this.#store.faults.set([{ vm: `^${ip}$`, outage: "refuse" }]);
+  }
+
   /** Lets time pass until a promise is resolved. */
   async settle<T>(promise: Promise<T>): Promise<T> {
     let isOver = false;
@@ -98,7 +124,7 @@
     const second = await network.add("10.0.0.2", ["v1", "v1.2"]);
     first.origins.noteBegun("a", SERVICE, "v1");
     await network.clock.advance(3 * ORIGIN_TTL_MS);
-    first.isCutOff = true;
+    network.cutOff(first);
     t.like(await network.settle(second.origins.find("a", SERVICE)), {
       type: "known",
       version: "v1",
@@ -117,7 +143,7 @@
     t.is(first.sent, 0);
     first.versions = ["v1", "v1.2"];
     await network.clock.advance(1_000);
-    first.isCutOff = true;
+    network.cutOff(first);
     const found = await network.settle(second.origins.find("a", SERVICE));
     t.like(found, { type: "known", version: "v1", source: "told" });
   });
@@ -154,7 +180,7 @@
     await network.add("10.0.0.1", ["v1", "v1.2"]);
     const alone = await network.add("10.0.0.2", ["v1"]);
     await network.clock.advance(2 * ORIGIN_TTL_MS);
-    alone.isCutOff = true;
+    network.cutOff(alone);
     alone.entriesAgeMs = 10_000;
     const startMs = network.clock.monoMs();
     const found = await network.settle(alone.origins.find("a", SERVICE));
@@ -162,6 +188,32 @@
     t.true(network.clock.monoMs() - startMs <= 300);
   });
 
+  it("are not guessed by a VM that hears only VMs which have just started too", async (t) => {
+    const network = new Network();
+    await network.add("10.0.0.1", ["v1"], false);
+    const asking = await network.add("10.0.0.2", ["v1"], false);
+    await network.clock.advance(1_000);
+    t.like(await network.settle(asking.origins.find("a", SERVICE)), {
+      type: "unknown",
+      seen: ["v1"],
+      isIncomplete: true,
+      replies: 1,
+    });
+  });
+
+  it("are taken from a VM of the former program as it tells them", async (t) => {
+    const network = new Network();
+    const former = await network.add("10.0.0.1", ["v1"], false);
+    former.isFormer = true;
+    const asking = await network.add("10.0.0.2", ["v1"], false);
+    await network.clock.advance(1_000);
+    t.like(await network.settle(asking.origins.find("a", SERVICE)), {
+      type: "unknown",
+      seen: ["v1"],
+      isIncomplete: false,
+    });
+  });
+
   it("cost no message where one version serves", async (t) => {
     const network = new Network();
     const first = await network.add("10.0.0.1", ["v1"]);
@@ -170,7 +222,13 @@
     first.origins.noteBegun("a", SERVICE, "v1");
     await network.clock.advance(1_000);
     const found = await network.settle(first.origins.find("b", SERVICE));
-    t.deepEqual(found, { type: "unknown", seen: ["v1"], isIncomplete: false });
+    t.deepEqual(found, {
+      type: "unknown",
+      seen: ["v1"],
+      isIncomplete: false,
+      watchedMs: ORIGIN_TTL_MS + 1_000,
+      replies: 0,
+    });
     t.is(first.sent, 0);
   });
 
--- a/src/region/origin_messages.ts
+++ b/src/region/origin_messages.ts
@@ -31,6 +31,11 @@
   readonly isAmbiguous?: true;
   /** The versions of the service that were seen there within the time for which origins are kept. */
   readonly seen: readonly string[];
+  /**
+   * Whether these are all: the VM has watched for that long, or has read what served before it. Absent from a VM of the
+   * former program, which told all that it had seen.
+   */
+  readonly knowsAll?: boolean;
 }
 
 /** A longer text is no version, but comes from another program. */
@@ -51,6 +56,19 @@
   );
 }
 
+/** Makes rows of the versions of streams, by their keys. */
+export function toOriginRows(
+  versions: Iterable<readonly [key: string, version: string | null]>,
+): OriginRow[] {
+  const keysOf = new Map<string | null, string[]>();
+  for (const [key, version] of versions) {
+    const keys = keysOf.get(version);
+    if (keys) keys.push(key);
+    else keysOf.set(version, [key]);
+  }
+  return [...keysOf].map(([version, keys]) => [version, keys.join("")]);
+}
+
 /** Splits the keys of a row. */
 export function splitKeys(keys: string): string[] {
   const split: string[] = [];
--- a/src/region/origins.ts
+++ b/src/region/origins.ts
@@ -14,8 +14,11 @@
 /** Characters of an origin's key. 48 bits make it unlikely that two of the streams of a large fleet share a key. */
 export const ORIGIN_KEY_LENGTH = 8;
 
-/** How a VM learned of an origin: it forwarded the first event itself, or another VM told it, unasked or asked. */
-export type OriginSource = "self" | "told" | "asked";
+/**
+ * How a VM learned of an origin: it forwarded the first event itself, another VM told it, unasked or asked, or a VM that
+ * may have ended had stored it.
+ */
+export type OriginSource = "self" | "told" | "asked" | "stored";
 
 /** What is known of a stream's origin; `ambiguous` if it can't be told which version began it. */
 export type FoundOrigin =
@@ -107,35 +110,3 @@
     this.#entries.delete(oldest);
   }
 }
-
-/** The versions that upstreams of each service had within {@link ORIGIN_TTL_MS}. */
-export class SeenVersions {
-  readonly #seenMs = new Map<string, Map<string, number>>();
-  readonly #sinceMs: number;
-
-  /** `sinceMs`: when this VM began to watch. */
-  constructor(sinceMs: number) {
-    this.#sinceMs = sinceMs;
-  }
-
-  /** Notes that an upstream of a service has a version. */
-  note(service: string, version: string, nowMs: number): void {
-    const versions = this.#seenMs.get(service) ?? new Map();
-    versions.set(version, nowMs);
-    this.#seenMs.set(service, versions);
-  }
-
-  /** Whether no upstream escaped this VM that may have begun a stream whose origin is still kept. */
-  hasWatchedLongEnough(nowMs: number): boolean {
-    return nowMs - this.#sinceMs >= ORIGIN_TTL_MS;
-  }
-
-  /** The versions of a service. */
-  recent(service: string, nowMs: number): string[] {
-    const versions = this.#seenMs.get(service) ?? new Map<string, number>();
-    for (const [version, seenMs] of versions) {
-      if (nowMs - seenMs >= ORIGIN_TTL_MS) versions.delete(version);
-    }
-    return [...versions.keys()];
-  }
-}
