--- a/src/gateway/call.ts
+++ b/src/gateway/call.ts
@@ -226,6 +226,7 @@
     this.#suspicion.noteSend();
     try {
       const head = await send.waitForHead();
+      this.#record.process = send.process;
       if (this.#isOver) return;
       if (head.type === "unanswered") {
         await this.#noteLoss(send);
@@ -271,9 +272,10 @@
   }
 
   /** Notes a lost send. What may continue elsewhere waits until it is known whether the send crashed its upstream. */
-  #noteLoss(send: Send): Promise<void> {
+  async #noteLoss(send: Send): Promise<void> {
     const { route, relayed } = this.#input;
-    this.#record.run.noteBreak(this.#context.storeView.fleet);
+    const mayContinue = this.#answer.continuable !== undefined && !relayed;
+    await this.#record.noteBreak(mayContinue);
     return this.#suspicion.noteLoss(send, isRepeatable(route) || relayed);
   }
 
@@ -288,6 +290,7 @@
       pipe.events,
       () => this.#placement.candidatesExcept(send.candidate),
       () => this.#retries.takeMove(),
+      send,
     );
   };
 
--- a/src/gateway/call_placement.ts
+++ b/src/gateway/call_placement.ts
@@ -228,8 +228,8 @@
   }
 
   /**
-   * Keeps a request that is bound to a version from upstreams that may have restarted with another one, which no answer
-   * would tell.
+   * Keeps a request that is bound to a version from upstreams that have restarted or may have, possibly with another one.
+   * Some don't tell when they were started; those that do are asked before the request is sent.
    */
   #avoidRestarted(): void {
     if (this.version === undefined) return;
--- a/src/gateway/exchange.ts
+++ b/src/gateway/exchange.ts
@@ -34,6 +34,30 @@
   readonly reason: string;
   /** Whether the connection was refused, so that no program listens there. */
   readonly isRefused?: boolean;
+  /** Whether the request was not sent although nothing is wrong with the connection. */
+  readonly isWithheld?: boolean;
+}
+
+/** The places of open connections in the order in which they were opened. */
+const places = new WeakMap<Socket, number>();
+let openedCount = 0;
+
+function noteOpened(socket: Socket): void {
+  places.set(socket, ++openedCount);
+}
+
+/** A request that is under way. */
+export interface PendingExchange {
+  /** The response once its headers have arrived, or why there is none. */
+  readonly head: Promise<Result<IncomingMessage, ExchangeFailure>>;
+  /**
+   * The place of its connection in the order in which this process opened connections; `undefined` while there is none.
+   */
+  readonly connection: number | undefined;
+  /** Whether all of the response has arrived, though it may not have been read. */
+  readonly hasWholeAnswer: boolean;
+  /** Aborts the request and closes its connection, so that the other side stops working. */
+  cancel(reason: string): void;
 }
 
 /** Methods whose requests carry a `Content-Length` even when the body is empty. */
@@ -43,12 +67,14 @@
 const MAX_INTERIM_RESPONSES = 8;
 
 /** Sends a request when it is constructed, and records whether its connection was made. */
-export class Exchange {
-  /** The response once its headers have arrived, or why there is none. */
+export class Exchange implements PendingExchange {
   readonly head: Promise<Result<IncomingMessage, ExchangeFailure>>;
+  /** The last connection that had been opened when this request was made; 0 if there was none. */
+  readonly lastBefore = openedCount;
   readonly #request: ClientRequest;
   #answer: IncomingMessage | undefined;
   #connected = false;
+  #socket: Socket | undefined;
   #interimResponses = 0;
 
   constructor(options: ExchangeRequest) {
@@ -95,7 +121,14 @@
     this.#request.end(body);
   }
 
-  /** Aborts the request and closes its connection, so that the other side stops working. */
+  get connection(): number | undefined {
+    return this.#socket && places.get(this.#socket);
+  }
+
+  get hasWholeAnswer(): boolean {
+    return this.#answer?.complete ?? false;
+  }
+
   cancel(reason: string): void {
     const error = new Error(reason);
     // Node drops what was not read of a canceled request's answer, and would report an ordinary end of one that has arrived.
@@ -116,6 +149,7 @@
    * nothing. A machine that is down answers no attempt; without this timeout the request would wait for the kernel's.
    */
   #watchConnect(socket: Socket, connectTimeoutMs: number): void {
+    this.#socket = socket;
     if (!socket.connecting) {
       this.#connected = true;
       return;
@@ -126,6 +160,7 @@
     );
     socket.once("connect", () => {
       this.#connected = true;
+      noteOpened(socket);
       clearTimeout(timer);
     });
     socket.once("close", () => clearTimeout(timer));
--- a/src/gateway/stream_move.ts
+++ b/src/gateway/stream_move.ts
@@ -20,6 +20,8 @@
 import type { CallInput } from "./call_input.ts";
 import type { GatewayContext } from "./context.ts";
 import { Exchange } from "./exchange.ts";
+import { askProcess } from "./process_question.ts";
+import type { Send } from "./send.ts";
 import type { LinkedCandidate } from "./upstream_link.ts";
 
 /** A move that takes longer has failed: the copy takes some ten ms, and may queue behind a few others. */
@@ -69,6 +71,7 @@
     events: number,
     others: () => readonly LinkedCandidate[],
     takeRetry: () => boolean,
+    send: Pick<Send, "findProcess">,
   ): void {
     const { pace, key } = candidate;
     if (!this.#engine?.moves || this.#pendingMove || this.#moves >= MAX_MOVES) {
@@ -100,7 +103,7 @@
       eventsLeft: Math.round(stream.eventsLeft),
     });
     this.#moves++;
-    this.#pendingMove = this.#requestMove(candidate, target);
+    this.#pendingMove = this.#moveIfProven(candidate, target, send);
   }
 
   /** Waits for a move that was started, if any. */
@@ -110,6 +113,23 @@
     return outcome ?? "not moved";
   }
 
+  /**
+   * Requests a move between processes that their entries describe. Others may have other versions, and a stream that was
+   * stopped for such a one is lost.
+   */
+  async #moveIfProven(
+    from: LinkedCandidate,
+    to: LinkedCandidate,
+    send: Pick<Send, "findProcess">,
+  ): Promise<MoveOutcome> {
+    const target = askProcess(to.upstream, this.#context.clock);
+    const verdicts = [await send.findProcess(), (await target).verdict];
+    const isProven = verdicts.every((verdict) =>
+      verdict === "confirmed" || verdict === "unknown"
+    );
+    return isProven ? await this.#requestMove(from, to) : "not moved";
+  }
+
   async #requestMove(
     from: LinkedCandidate,
     to: LinkedCandidate,
--- a/src/gateway/upstream_send.ts
+++ b/src/gateway/upstream_send.ts
@@ -10,12 +10,21 @@
   addSendHeaders,
   decodeAnswer,
   findAnswerFault,
+  tellsBorn,
 } from "../platform/mod.ts";
 import type { KnownUpstream, SendOutcome } from "../routing/mod.ts";
 import type { GatewayContext } from "./context.ts";
 import { discardBody } from "./discard.ts";
-import { Exchange, type ExchangeFailure } from "./exchange.ts";
+import {
+  Exchange,
+  type ExchangeFailure,
+  type ExchangeRequest,
+  type PendingExchange,
+} from "./exchange.ts";
 import type { Loss } from "./losses.ts";
+import type { ProcessAnswer, ProcessVerdict } from "./process_proof.ts";
+import { askProcess } from "./process_question.ts";
+import { ProvenExchange } from "./proven_exchange.ts";
 import {
   type Answered,
   type OutboundRequest,
@@ -40,7 +49,7 @@
 
 /** A send to an upstream, which counts as in flight there until it is closed. */
 export class UpstreamSend extends Send {
-  protected readonly exchange: Exchange;
+  protected readonly exchange: PendingExchange;
   readonly #candidate: LinkedCandidate;
   readonly #link: UpstreamLink;
   readonly #sentMonoMs: number;
@@ -49,6 +58,7 @@
   #firstChunkMonoMs: number | undefined;
   #lastChunkMonoMs: number | undefined;
   #loss: Loss | undefined;
+  #process: ProcessVerdict | undefined;
   #isCanceled = false;
   #isGivenUp = false;
   #isOpen = true;
@@ -59,7 +69,7 @@
     candidate: LinkedCandidate,
   ) {
     super(context, outbound);
-    const { upstream, link } = candidate;
+    const { link } = candidate;
     this.#candidate = candidate;
     this.#link = link;
     this.#waitingTokens = outbound.promptTokens;
@@ -67,28 +77,85 @@
     this.#sentMonoMs = nowMs;
     this.#watched = watchedStreamOf(outbound, candidate);
     // Before anything is counted: a request that can't be written throws here.
-    this.exchange = new Exchange({
-      agent: link.agent,
+    this.exchange = this.#openExchange();
+    context.upstreams.noteSend(candidate, this.#waitingTokens);
+    if (outbound.mayRepeat) link.darkListeners.add(this.#cancelWhenUnreachable);
+    if (outbound.isSuspect) link.suspectCount++;
+    // A lead has counted what it granted already; other sends have to be reported to it soon.
+    if (!candidate.grant) context.members.notePromptRead();
+    candidate.pace.noteSend(this.#waitingTokens);
+  }
+
+  #openExchange(): PendingExchange {
+    const { upstream, link } = this.#candidate;
+    if (!this.outbound.mustBeProven) {
+      return new Exchange({ ...this.#makeRequest(), agent: link.agent });
+    }
+    return new ProvenExchange({
+      upstream,
+      clock: this.context.clock,
+      makeRequest: () => this.#makeRequest(),
+      onAnswer: (answer) => this.#noteAnswered(answer),
+    });
+  }
+
+  #makeRequest(): Omit<ExchangeRequest, "agent"> {
+    const { upstream } = this.#candidate;
+    const { outbound } = this;
+    return {
       host: upstream.host,
       port: upstream.port,
       method: outbound.method,
       target: outbound.target,
       headers: addSendHeaders(outbound.headers, {
         upstreamId: upstream.id,
-        workMs: outbound.deadlineMonoMs - nowMs,
+        workMs: outbound.deadlineMonoMs - this.context.clock.monoMs(),
         fetchFrom: outbound.fetchFrom,
         goesOnFrom: outbound.goesOnFrom,
         urgency: outbound.urgency,
       }),
       body: outbound.body,
       connectTimeoutMs: CONNECT_TIMEOUT_MS,
-    });
-    context.upstreams.noteSend(candidate, this.#waitingTokens);
-    if (outbound.mayRepeat) link.darkListeners.add(this.#cancelWhenUnreachable);
-    if (outbound.isSuspect) link.suspectCount++;
-    // A lead has counted what it granted already; other sends have to be reported to it soon.
-    if (!candidate.grant) context.members.notePromptRead();
-    candidate.pace.noteSend(this.#waitingTokens);
+    };
+  }
+
+  #noteAnswered(answer: ProcessAnswer): void {
+    this.#link.proof.note(answer);
+    if (answer.verdict !== "unproven") {
+      this.#link.noteReceived(this.context.clock.monoMs());
+    }
+    this.#noteVerdict(answer.verdict, "continuation");
+  }
+
+  #noteVerdict(verdict: ProcessVerdict, use: "continuation" | "origin"): void {
+    this.#process = verdict;
+    const { losses, metrics } = this.context;
+    if (verdict === "replaced") losses.noteReplaced(this.#candidate.key);
+    metrics.count("upstream_processes", `outcome="${verdict}",for="${use}"`);
+  }
+
+  override get process(): ProcessVerdict | undefined {
+    if (!tellsBorn(this.#candidate.upstream)) return "unknown";
+    return this.#process ??
+      this.#link.proof.verdictOn(this.exchange.connection);
+  }
+
+  override findProcess(): ProcessVerdict | Promise<ProcessVerdict> {
+    return this.process ?? this.#askProcess();
+  }
+
+  async #askProcess(): Promise<ProcessVerdict> {
+    const { upstream } = this.#candidate;
+    const { clock, metrics } = this.context;
+    const verdict = await this.#link.proof.prove(
+      this.exchange.connection,
+      () => {
+        metrics.count("upstream_reports", `service="${upstream.service}"`);
+        return askProcess(upstream, clock);
+      },
+    );
+    this.#noteVerdict(verdict, "origin");
+    return verdict;
   }
 
   /** The upstream that it was sent to. */
@@ -184,6 +251,8 @@
    * left.
    */
   readonly #cancelWhenUnreachable = (): void => {
+    // Its caller only has to read the rest.
+    if (this.exchange.hasWholeAnswer) return;
     if (this.outbound.hasAlternative()) this.cancel("upstream unreachable");
   };
 
@@ -200,7 +269,7 @@
 
   protected override handleFailure(cause: ExchangeFailure): Unanswered {
     if (cause.sent) this.noteBroken();
-    else {
+    else if (!cause.isWithheld) {
       this.#noteOutcome("lost");
       if (cause.isRefused) {
         this.context.losses.noteGone(this.#candidate.key);
--- a/test/gateway_continued_streams_test.ts
+++ b/test/gateway_continued_streams_test.ts
@@ -52,6 +52,22 @@
     t.false(answer.isComplete);
   });
 
+  it("is joined to no answer of another status", async (t) => {
+    const { lab, vm } = await openLab(t, 0);
+    const script: Script = (request, socket) => {
+      if (request.lastEventId !== undefined) {
+        return streamScript(formatStream(2, 6))(request, socket);
+      }
+      const type = ["Content-Type: text/event-stream"];
+      socket.end(`${formatHead(request, "400 Bad Request", type)}${WHOLE}id`);
+    };
+    for (let i = 0; i < 2; i++) await addScripted(t, lab, vm, script);
+    const answer = await lab.call(vm, { path: "/stream/", method: "POST" });
+    t.is(answer.status, 400);
+    t.is(answer.body, `${WHOLE}id`);
+    t.false(answer.isComplete);
+  });
+
   it("ends openly where the id of its last event can't be a header's value", async (t) => {
     const { lab, vm } = await openLab(t, 0);
     const script = streamScript("id: a\x01b\ndata: 1\n\nid: 3");
@@ -129,4 +145,43 @@
       },
     );
   }
+
+  for (const ids of [["1", "1"], ["2", "1"], ["a", "a"]]) {
+    it(`is not continued after ids that repeat or go back: ${ids}`, async (t) => {
+      const { lab, vm } = await openLab(t, 0);
+      const events = ids.map((id) => `id: ${id}\ndata: x\n\n`).join("");
+      const script = streamScript(`${events}id`);
+      const upstreams = [
+        await addScripted(t, lab, vm, script),
+        await addScripted(t, lab, vm, script),
+      ];
+      const answer = await lab.call(vm, { path: "/stream/", method: "POST" });
+      t.is(answer.body, events);
+      t.false(answer.isComplete);
+      t.is(upstreams[0].requests.length + upstreams[1].requests.length, 1);
+    });
+  }
+
+  const idsOfStreams = [
+    ["6", "12", "20", "21"],
+    ["0", "1", "2", "3"],
+    ["1", "3", "4", "6"],
+    ["a", "b", "c", "d"],
+    ["10000000000000000001", "10000000000000000002", "10000000000000000003"],
+  ];
+  for (const ids of idsOfStreams) {
+    it(`goes on where its ids are ${ids}`, async (t) => {
+      const { lab, vm } = await openLab(t, 0);
+      const events = ids.map((id) => `id: ${id}\ndata: x\n\n`);
+      const script: Script = (request, socket) => {
+        const at = ids.indexOf(request.lastEventId ?? "") + 1;
+        const part = events.slice(at, at === 0 ? 2 : undefined).join("");
+        streamScript(at === 0 ? `${part}id` : part)(request, socket);
+      };
+      for (let i = 0; i < 2; i++) await addScripted(t, lab, vm, script);
+      const answer = await lab.call(vm, { path: "/stream/", method: "POST" });
+      t.is(answer.body, events.join(""));
+      t.true(answer.isComplete);
+    });
+  }
 });
