--- a/src/gateway/origins.ts
+++ b/src/gateway/origins.ts
@@ -54,7 +54,12 @@
   readonly datagrams: Pick<Datagrams, "on" | "send">;
   readonly members: Pick<
     Members,
-    "isLead" | "order" | "vmCount" | "vmsForCallers" | "otherRegions"
+    | "isLead"
+    | "order"
+    | "vmCount"
+    | "sharerCount"
+    | "vmsForCallers"
+    | "otherRegions"
   >;
   readonly fleet: Pick<Fleet, "services" | "versionsOf">;
   readonly store: KeyValue;
@@ -137,7 +142,7 @@
       processId: this.#options.self.processId,
       leastLeaseMs: this.#options.leastLeaseMs,
       writesPerS: this.#options.storeWritesPerS,
-      vmCount: () => members.vmCount(),
+      sharerCount: () => members.sharerCount(),
       onWritten: () => this.#scheduleStore(),
       clock: this.#clock,
       log: kernel.log,
@@ -249,6 +254,12 @@
     if (isWhole) this.#outbox.drop(key);
   }
 
+  /** The only version of a service that served lately; `undefined` if there were others, or this VM can't know. */
+  onlyVersion(service: string): string | undefined {
+    const recent = this.#versions.recent(service);
+    return this.#search.isSure && recent.length === 1 ? recent[0] : undefined;
+  }
+
   /**
    * Finds the version that began an attempt, by asking other VMs if this one doesn't know it. Without an id it finds which
    * versions may have begun it.
@@ -368,7 +379,7 @@
     const reply: OriginReply = {
       question,
       seen: encodeSeen(this.#versions.recent(service)),
-      knowsAll: this.#versions.knowsAll,
+      knowsAll: this.#search.isSure,
       ...(found?.type === "known"
         ? { version: found.version, ageMs: Math.round(found.ageMs) }
         : {}),
