Origins: a store that refuses them is tried once a second

Cause: after a failed write nothing counts as written, so that the next one was due after 100 ms, with a lease each time: 20 calls a second of each VM at a store that is down or over its limit. Found by reading the diff. Change: a second of pause after a failure. stored_origins_test: 20 calls in 5 s before where 6 are allowed, green now.

--- a/src/gateway/stored_origins.ts
+++ b/src/gateway/stored_origins.ts
@@ -21,6 +21,8 @@
 const RENEW_INTERVAL_MS = LEASE_MS / 4;
 /** Least time between two writes, and between two reads. A stream that began since the last write may be lost. */
 const MIN_INTERVAL_MS = 100;
+/** Pause after a write that failed. */
+const RETRY_MS = 1_000;
 /** Share of the writes that the store allows to all VMs together. */
 const WRITE_SHARE = 0.2;
 /** How long a stream waits for what is stored: a round trip to another region and some more. */
@@ -58,6 +60,7 @@
   #lease: Lease | undefined;
   #renewedMs = -Infinity;
   #wroteMs = -Infinity;
+  #failedMs = -Infinity;
   #isWriting = false;
   /** What all processes had stored when it was read last; `null` if it can't be told. */
   #found: ReadonlyMap<string, string | null> = new Map();
@@ -90,14 +93,18 @@
     void this.#write(rows, isNew).then((isStored) => {
       this.#isWriting = false;
       this.#written = isStored ? entries : new Set();
+      if (!isStored) this.#failedMs = this.#options.clock.monoMs();
       if (this.#isOpen) this.#options.onWritten();
     });
   }
 
   /** Time until the next write may begin, in ms; 0 if it may now. */
   get dueInMs(): number {
-    const sinceMs = this.#options.clock.monoMs() - this.#wroteMs;
-    return Math.max(0, this.#intervalMs - sinceMs);
+    const dueMs = Math.max(
+      this.#wroteMs + this.#intervalMs,
+      this.#failedMs + RETRY_MS,
+    );
+    return Math.max(0, dueMs - this.#options.clock.monoMs());
   }
 
   /** Finds the origin of a stream in what all processes stored, which is read again unless that was just done. */
--- a/src/gateway/stored_origins_test.ts
+++ b/src/gateway/stored_origins_test.ts
@@ -123,6 +123,16 @@
     t.true(lab.calls - before <= 5, `${lab.calls - before} calls`);
   });
 
+  it("are tried once a second while the store refuses them", async (t) => {
+    const lab = new Lab();
+    const process = lab.start("a");
+    lab.store.faults.set([{ outage: "refuse" }]);
+    for (let second = 0; second < 5; second++) {
+      await lab.run(process, 1_000, [["v1", `aaaaaaa${second}`]]);
+    }
+    t.true(lab.calls <= 6, `${lab.calls} calls`);
+  });
+
   it("that can't be read name no stream", async (t) => {
     const lab = new Lab();
     for (const [index, text] of ["", "{}", "[1]", '[["v1"]]'].entries()) {
