--- a/src/gateway/call_origin.ts
+++ b/src/gateway/call_origin.ts
@@ -100,7 +100,7 @@
     if (typeof process === "string") return this.#noteOrigin();
     this.#isOpen = true;
     const noted = run.processKnown.then(() => this.#noteOrigin());
-    this.#context.origins.noteOpen(head.attemptId, relayed, noted);
+    this.#context.origins.noteUnproven(head.attemptId, relayed, noted);
   }
 
   /** Keeps the origin of a resumed stream, which is that of its first try, while it runs. */
--- a/src/gateway/origins.ts
+++ b/src/gateway/origins.ts
@@ -207,7 +207,11 @@
    * Notes that a stream has begun whose upstream is asked which of its processes did; `noted` resolves when the origin is
    * noted. Nobody is told before.
    */
-  noteOpen(attemptId: string, isRelayed: boolean, noted: Promise<void>): void {
+  noteUnproven(
+    attemptId: string,
+    isRelayed: boolean,
+    noted: Promise<void>,
+  ): void {
     const key = originKey(isRelayed ? relayedId(attemptId) : attemptId);
     this.#unproven.set(key, { noted, isRelayed });
     void noted.finally(() => this.#unproven.delete(key));
--- a/src/region/served_versions.ts
+++ b/src/region/served_versions.ts
@@ -47,11 +47,6 @@
     }
   }
 
-  /** Notes that the record may have changed without this VM, so that it has to be read again. */
-  forgetRecord(): void {
-    this.#hasRecord = false;
-  }
-
   /** Notes that this VM is watching. Returns whether it was held up for so long before that it begins anew. */
   noteWatching(now: Moment): boolean {
     const { monoMs, wallMs } = this.#watchedUntil;
