Requests cut off by the VM's own planned stop are told from callers that left

A request that was open when a planned stop was over was logged as canceled, "caller left": the VM had closed the connection itself.

They end as cutByStop (4008) now, and are counted by whether their answer had begun. "stopped" tells how many requests were open and how many answers were not written out. Nothing else changes: what is cut off stays cut off.

--- a/src/base/codes.ts
+++ b/src/base/codes.ts
@@ -262,6 +262,13 @@
     false,
     "the caller closed the connection",
   ),
+  cutByStop: defineCode(
+    4008,
+    502,
+    "unknown",
+    true,
+    "this VM stopped before the answer was complete",
+  ),
   editConflict: defineCode(
     5001,
     409,
--- a/src/explain/explanation.ts
+++ b/src/explain/explanation.ts
@@ -78,6 +78,8 @@
   onTrialElsewhere:
     "upstreams ended under it or the blamed part, and another run shows whether they do again, or the store gave no leave; nothing was run",
   canceled: "the caller left before its answer was whole",
+  cutByStop:
+    "the VM's planned stop was over before the answer was whole; unless it was never sent, it may have run",
   bodyTooLarge: "the body exceeds the configured limit",
   headersTooLarge: "the headers exceed the configured limit",
   internal: "a fault of the gateway itself; see the reason",
--- a/src/explain/summary.ts
+++ b/src/explain/summary.ts
@@ -52,6 +52,7 @@
   expiredInQueue: "out of time",
   streamBroken: "broken",
   upstreamFailed: "broken",
+  cutByStop: "broken",
   internal: "broken",
   queueFull: "no capacity",
   noUpstream: "no capacity",
--- a/src/gateway/call.ts
+++ b/src/gateway/call.ts
@@ -4,7 +4,7 @@
  * @module
  */
 
-import { type CodeName, type Failure, failure } from "../base/mod.ts";
+import { type CodeName, codes, type Failure, failure } from "../base/mod.ts";
 import {
   chooseService,
   isRepeatable,
@@ -153,7 +153,8 @@
   /** Cancels the request because the other side has left, so that no upstream keeps working for it. */
   cancel(): void {
     if (this.#isOver) return;
-    this.#finish("canceled", "caller left");
+    if (this.#context.isStopped) this.#finishByStop();
+    else this.#finish("canceled", "caller left");
     this.#send?.cancel("caller left");
     this.#endWait();
   }
@@ -386,6 +387,12 @@
     }
   }
 
+  /** Notes that this VM's own end closed the caller's connection. */
+  #finishByStop(): void {
+    this.#record.noteCutByStop(this.#reply.hasStarted);
+    this.#finish("cutByStop", codes.cutByStop.text);
+  }
+
   #finish(
     outcome: CodeName | "ok",
     reason: string | undefined,
--- a/src/gateway/call_record.ts
+++ b/src/gateway/call_record.ts
@@ -223,6 +223,15 @@
     this.#context.metrics.count("retries_refused", labels);
   }
 
+  /** Notes that this VM's planned stop ended the request, with an answer begun or not. */
+  noteCutByStop(hasBegun: boolean): void {
+    const { relayed } = this.#input;
+    const answer = hasBegun ? "begun" : "none";
+    const labels =
+      `service="${this.#service}",answer="${answer}",relayed="${relayed}"`;
+    this.#context.metrics.count("cut_by_stop", labels);
+  }
+
   /** Logs a fault of this program. */
   noteInternalError(error: unknown): void {
     const reason = (error as Error).stack ?? String(error);
--- a/src/gateway/context.ts
+++ b/src/gateway/context.ts
@@ -62,6 +62,8 @@
   drainStartMonoMs = Infinity;
   /** When the process ends, on the monotonic clock. */
   endMonoMs = Infinity;
+  /** Whether the planned stop is over: what is still open is cut off by this VM, not by its caller. */
+  isStopped = false;
   /** Number of requests in flight. */
   openRequests = 0;
   /** When the process began, on the monotonic clock. */
--- a/src/gateway/drain.ts
+++ b/src/gateway/drain.ts
@@ -39,8 +39,10 @@
     listeners.closeIdleConnections();
     if (context.openRequests === 0) break;
   }
+  context.isStopped = true;
   log.info("stopped", {
     open: context.openRequests,
+    openAnswers: listeners.openAnswers,
     tookMs: Math.round(clock.monoMs() - startMs),
   });
 }
--- a/src/gateway/http_listeners.ts
+++ b/src/gateway/http_listeners.ts
@@ -17,6 +17,7 @@
 import { canFinish, type GatewayConfig, type Route } from "../routing/mod.ts";
 import { identifyCaller, type KnownCaller } from "../workspaces/mod.ts";
 import { Call } from "./call.ts";
+import { CallerConnections } from "./caller_connections.ts";
 import type { CallInput } from "./call_input.ts";
 import { NO_CONFIG_RETRY_MS, refusalBy } from "./config_refusal.ts";
 import type { GatewayContext } from "./context.ts";
@@ -81,6 +82,7 @@
   /** Connections on which an earlier request arrived. */
   readonly #usedSockets = new WeakSet<Socket>();
   #callerServer!: Server;
+  #callerConnections!: CallerConnections;
   #peerServer!: Server;
 
   constructor(context: GatewayContext, peerRpc: PeerRpcHandler) {
@@ -102,6 +104,7 @@
       log,
       (request, response) => this.#onCallerRequest(request, response),
     );
+    this.#callerConnections = new CallerConnections(this.#callerServer);
     this.#peerServer = await listen(
       addresses.peers,
       {
@@ -134,11 +137,9 @@
     this.#callerServer.closeIdleConnections();
   }
 
-  /** Counts the connections of callers. */
-  countConnections(): Promise<number> {
-    return new Promise((resolve) =>
-      this.#callerServer.getConnections((_, count) => resolve(count ?? 0))
-    );
+  /** Number of callers' requests whose answers are not written out yet. */
+  get openAnswers(): number {
+    return this.#callerConnections.openAnswers;
   }
 
   #onCallerRequest(request: IncomingMessage, response: ServerResponse): void {
