--- /dev/null
+++ b/test/gateway_stop_test.ts
@@ -0,0 +1,137 @@
+import type { ExecutionContext } from "ava";
+import { describe, it } from "../src/base/describe.ts";
+import { makeRoute } from "../src/standins/mod.ts";
+import { sleep } from "./cluster.ts";
+import {
+  type CallerAnswer,
+  GatewayLab,
+  type LabVm,
+  waitUntil,
+} from "./gateway_lab.ts";
+
+/** Longer than the whole stop. */
+const LONG_MS = 20_000;
+const LONG_ROUTES = [
+  makeRoute(),
+  makeRoute({ path_prefix: "/longsafe/", timeout_ms: LONG_MS }),
+  makeRoute({
+    path_prefix: "/longonce/",
+    kind: "unsafe",
+    timeout_ms: LONG_MS,
+  }),
+  makeRoute({
+    path_prefix: "/streamlong/",
+    kind: "streaming",
+    resumable: true,
+    timeout_ms: LONG_MS,
+  }),
+  makeRoute({
+    path_prefix: "/longsouth/",
+    kind: "unsafe",
+    home_regions: ["south"],
+    timeout_ms: LONG_MS,
+  }),
+];
+const GRACE_MS = 3_000;
+/** Before the end of a stop by so much that a plain call is still accepted. */
+const EARLY_MS = 200;
+
+interface StopLab {
+  readonly lab: GatewayLab;
+  readonly vm: LabVm;
+}
+
+/** Opens a VM whose only upstream, in a region, accepts requests and answers none. */
+async function openSilent(
+  t: ExecutionContext,
+  region = "north",
+): Promise<StopLab> {
+  const lab = new GatewayLab();
+  t.teardown(() => lab.close());
+  lab.configure(LONG_ROUTES);
+  await lab.addRunner(region);
+  const vm = await lab.addVm("north", { graceMs: GRACE_MS });
+  await lab.waitUntilReady(vm);
+  return { lab, vm };
+}
+
+/** Opens a VM in the other region too, whose upstream falls silent as soon as a relayed request was served. */
+async function openSilentElsewhere(
+  t: ExecutionContext,
+): Promise<StopLab & { readonly farVm: LabVm }> {
+  const { lab, vm } = await openSilent(t, "south");
+  const farVm = await lab.addVm("south", { graceMs: GRACE_MS });
+  await lab.waitUntilReady(farVm);
+  const request = { path: "/longsouth/", method: "POST" };
+  await waitUntil(async () => (await lab.call(vm, request)).status === 200);
+  return { lab, vm, farVm };
+}
+
+/** Sends a request that its upstream never answers, waits until that has it, and stops a VM. */
+async function callAndStop(
+  { lab, vm }: StopLab,
+  stopped: LabVm,
+  path: string,
+): Promise<CallerAnswer> {
+  const [runner] = lab.runners;
+  runner.behavior = "silent";
+  const before = runner.arrivals.length;
+  const answer = lab.call(vm, {
+    path,
+    method: "POST",
+    headers: { "deadline-ms": String(LONG_MS) },
+  });
+  await waitUntil(() => runner.arrivals.length > before);
+  await sleep(EARLY_MS);
+  await stopped.gateway.drain();
+  return await answer;
+}
+
+function errorOf({ body }: CallerAnswer): { code: number; ran: string } {
+  return (JSON.parse(body) as { error: { code: number; ran: string } }).error;
+}
+
+/** Guards against requests that end without an answer when the VM's time to stop is over. */
+describe("gateway, a request that its upstream leaves unanswered over a planned stop", () => {
+  for (
+    const [kind, path] of [
+      ["an at-most-once request", "/longonce/"],
+      ["an idempotent request", "/longsafe/"],
+      ["a stream before its first event", "/streamlong/"],
+    ]
+  ) {
+    it(`is told that it may have run: ${kind}`, async (t) => {
+      const stop = await openSilent(t);
+      const answer = await callAndStop(stop, stop.vm, path);
+      t.is(answer.status, 502);
+      t.is(errorOf(answer).ran, "unknown");
+      t.true(answer.isComplete);
+      t.is(answer.headers.connection, "close");
+    });
+  }
+
+  it("is told that it may have run: a request relayed by the VM that stops", async (t) => {
+    const stop = await openSilentElsewhere(t);
+    const answer = await callAndStop(stop, stop.vm, "/longsouth/");
+    t.is(answer.status, 502);
+    t.is(errorOf(answer).ran, "unknown");
+  });
+
+  it("is told that it may have run: a request relayed to the VM that stops", async (t) => {
+    const stop = await openSilentElsewhere(t);
+    const answer = await callAndStop(stop, stop.farVm, "/longsouth/");
+    t.is(answer.status, 502);
+    t.is(errorOf(answer).ran, "unknown");
+    const line = stop.farVm.log.lines.find(({ fields }) =>
+      fields.relayed === true && fields.outcome !== "ok"
+    );
+    t.is(line?.fields.outcome, "cutByStop");
+  });
+
+  it("is told in the log and counted as cut by the stop", async (t) => {
+    const stop = await openSilent(t);
+    await callAndStop(stop, stop.vm, "/longonce/");
+    const line = stop.vm.log.lines.find(({ event }) => event === "request");
+    t.is(line?.fields.outcome, "cutByStop");
+  });
+});
