Drain: what is still open when the time to stop is over is answered

What callers saw: a request whose upstream stayed silent ended with a closed connection and no answer when its VM's planned stop was over, in 5 of 5 lab cases (at most once, idempotent, a stream before its first event, relayed). Cause: the drain waited until 0.7 s before the kill and then closed all connections, whatever was open on them. It took for granted that requests would have ended by then. Change: at that moment each open request is ended by its call: as not run if it was never sent, as cutByStop (502, may have run) if its answer hasn't begun; an answer that has begun is broken off, so that it doesn't look complete. Then the drain waits up to 0.3 s for the connections to take these answers. It waits for answers that are written out, and no longer for calls that have ended: a call is over as soon as its last bytes were given to the connection, and a request that waits for a first configuration is no call yet.

--- a/src/gateway/call.ts
+++ b/src/gateway/call.ts
@@ -4,7 +4,7 @@
  * @module
  */
 
-import { type CodeName, codes, type Failure, failure } from "../base/mod.ts";
+import { type CodeName, type Failure, failure } from "../base/mod.ts";
 import {
   chooseService,
   isRepeatable,
@@ -26,7 +26,7 @@
 import { CallSends, type SendState } from "./call_sends.ts";
 import { CallSuspicion } from "./call_suspicion.ts";
 import { refusalBy } from "./config_refusal.ts";
-import type { GatewayContext } from "./context.ts";
+import type { GatewayContext, OpenCall } from "./context.ts";
 import { discardBody } from "./discard.ts";
 import { waitForNextPoll } from "./next_poll.ts";
 import { Pause } from "./pause.ts";
@@ -38,8 +38,11 @@
 import { type MoveResult, StreamMover } from "./stream_move.ts";
 import type { LinkedCandidate } from "./upstream_link.ts";
 
+/** Retry delay of a request that a planned stop ended: the caller may go to another VM at once. */
+const STOPPED_RETRY_MS = 20;
+
 /** Runs one request of a caller, or one that another VM relayed. */
-export class Call {
+export class Call implements OpenCall {
   readonly #context: GatewayContext;
   readonly #input: CallInput;
   readonly #reply: Reply;
@@ -116,7 +119,7 @@
       Math.max(0, this.#input.deadlineMonoMs - clock.monoMs()),
       () => this.#expire(),
     );
-    this.#context.openRequests++;
+    this.#context.openCalls.add(this);
     try {
       const body = await readBody(
         this.#input.request,
@@ -146,19 +149,31 @@
       void this.#suspicion.close();
       this.#answer.close();
       bodies.release(this.#body.length);
-      this.#context.openRequests--;
+      this.#context.openCalls.delete(this);
     }
   }
 
   /** Cancels the request because the other side has left, so that no upstream keeps working for it. */
   cancel(): void {
     if (this.#isOver) return;
-    if (this.#context.isStopped) this.#finishByStop();
-    else this.#finish("canceled", "caller left");
+    this.#finish("canceled", "caller left");
     this.#send?.cancel("caller left");
     this.#endWait();
   }
 
+  /**
+   * Ends the request because this VM's planned stop is over. A request that may have run is told so: a connection that
+   * closes without an answer tells its caller nothing.
+   */
+  stop(): void {
+    if (this.#isOver) return;
+    this.#record.noteCutByStop(this.#reply.hasStarted);
+    const code = this.#evidence.mayHaveRun ? "cutByStop" : "draining";
+    this.#fail(failure(code), STOPPED_RETRY_MS);
+    this.#send?.cancel("this VM stopped");
+    this.#endWait();
+  }
+
   async #serve(): Promise<void> {
     while (!this.#isOver) {
       if (this.#moveResult) {
@@ -387,12 +402,6 @@
     }
   }
 
-  /** Notes that this VM's own end closed the caller's connection. */
-  #finishByStop(): void {
-    this.#record.noteCutByStop(this.#reply.hasStarted);
-    this.#finish("cutByStop", codes.cutByStop.text);
-  }
-
   #finish(
     outcome: CodeName | "ok",
     reason: string | undefined,
--- a/src/gateway/context.ts
+++ b/src/gateway/context.ts
@@ -34,6 +34,12 @@
  */
 const HIGH_LAG_MS = 50;
 
+/** A request in flight. */
+export interface OpenCall {
+  /** Ends it because this VM's planned stop is over: with a complete answer, unless part of one was sent. */
+  stop(): void;
+}
+
 /** The services, settings and counters that each request uses. */
 export class GatewayContext {
   /** Replaced as a whole when the settings change. */
@@ -60,12 +66,10 @@
   isDraining = false;
   /** When the stop signal arrived, on the monotonic clock. */
   drainStartMonoMs = Infinity;
-  /** When the process ends, on the monotonic clock. */
+  /** When the requests that are still open are ended, on the monotonic clock. */
   endMonoMs = Infinity;
-  /** Whether the planned stop is over: what is still open is cut off by this VM, not by its caller. */
-  isStopped = false;
-  /** Number of requests in flight. */
-  openRequests = 0;
+  /** The requests in flight. */
+  readonly openCalls = new Set<OpenCall>();
   /** When the process began, on the monotonic clock. */
   readonly startMonoMs: number;
   readonly #retryBudgets = new Map<string, RetryBudget>();
--- a/src/gateway/drain.ts
+++ b/src/gateway/drain.ts
@@ -13,36 +13,79 @@
 const MIN_DRAIN_MS = 4_000;
 /** Time reserved before the kill for sending the last answers and closing the services, also when timers fire late. */
 const CLOSE_RESERVE_MS = 700;
+/** How much of that reserve may pass until the connections have taken the last answers. */
+const MAX_FLUSH_MS = 300;
 const CHECK_INTERVAL_MS = 50;
+const FLUSH_CHECK_INTERVAL_MS = 10;
+
+/** The parts of a gateway's context that a planned stop uses. */
+export type DrainContext = Pick<
+  GatewayContext,
+  | "clock"
+  | "log"
+  | "settings"
+  | "members"
+  | "openCalls"
+  | "isDraining"
+  | "drainStartMonoMs"
+  | "endMonoMs"
+>;
+
+/** The parts of the listeners that a planned stop uses. */
+export type DrainListeners = Pick<
+  HttpListeners,
+  "openAnswers" | "closeIdleConnections"
+>;
 
 /**
- * Serves all requests until no caller is left, or until shortly before the process is killed. Ending by a timer alone
- * would cut off requests, since they arrive on keep-alive connections until the very end.
+ * Serves all requests until no caller is left, or until shortly before the process is killed. What is still open then
+ * is ended with an answer. Returns when the connections have taken all answers, as far as time allows.
  */
 export async function drain(
-  context: GatewayContext,
-  listeners: HttpListeners,
+  context: DrainContext,
+  listeners: DrainListeners,
 ): Promise<void> {
-  const { clock, log } = context;
+  const { clock, log, openCalls } = context;
   const startMs = clock.monoMs();
-  const endMs = startMs + context.settings.bounds.graceMs - CLOSE_RESERVE_MS;
   context.isDraining = true;
   context.drainStartMonoMs = startMs;
-  context.endMonoMs = endMs;
+  context.endMonoMs = startMs + context.settings.bounds.graceMs -
+    CLOSE_RESERVE_MS;
   context.members.reportNow();
-  log.info("leaving", { open: context.openRequests });
+  log.info("leaving", { open: openCalls.size });
+  await serveUntilEnd(context, listeners);
+  const open = openCalls.size;
+  for (const call of [...openCalls]) call.stop();
+  await waitForFlush(context, listeners);
+  log.info("stopped", {
+    open,
+    openAnswers: listeners.openAnswers,
+    tookMs: Math.round(clock.monoMs() - startMs),
+  });
+}
+
+/** Ending by a timer alone would cut off requests, since they arrive on keep-alive connections until the very end. */
+async function serveUntilEnd(
+  { clock, drainStartMonoMs, endMonoMs }: DrainContext,
+  listeners: DrainListeners,
+): Promise<void> {
   for (;;) {
     await clock.sleep(CHECK_INTERVAL_MS);
     const nowMs = clock.monoMs();
-    if (nowMs >= endMs) break;
-    if (nowMs - startMs < MIN_DRAIN_MS) continue;
+    if (nowMs >= endMonoMs) return;
+    if (nowMs - drainStartMonoMs < MIN_DRAIN_MS) continue;
     listeners.closeIdleConnections();
-    if (context.openRequests === 0) break;
+    if (listeners.openAnswers === 0) return;
   }
-  context.isStopped = true;
-  log.info("stopped", {
-    open: context.openRequests,
-    openAnswers: listeners.openAnswers,
-    tookMs: Math.round(clock.monoMs() - startMs),
-  });
+}
+
+/** Waits once in any case: also a process that is late has to hand its last answers to the connections. */
+async function waitForFlush(
+  { clock, endMonoMs }: DrainContext,
+  listeners: DrainListeners,
+): Promise<void> {
+  const flushEndMonoMs = endMonoMs + MAX_FLUSH_MS;
+  do await clock.sleep(FLUSH_CHECK_INTERVAL_MS); while (
+    listeners.openAnswers > 0 && clock.monoMs() < flushEndMonoMs
+  );
 }
--- a/src/gateway/http_listeners.ts
+++ b/src/gateway/http_listeners.ts
@@ -83,6 +83,7 @@
   readonly #usedSockets = new WeakSet<Socket>();
   #callerServer!: Server;
   #callerConnections!: CallerConnections;
+  #openRelayedAnswers = 0;
   #peerServer!: Server;
 
   constructor(context: GatewayContext, peerRpc: PeerRpcHandler) {
@@ -126,7 +127,7 @@
 
   dump(): unknown {
     return {
-      open: this.#context.openRequests,
+      open: this.#context.openCalls.size,
       leaving: this.#context.isDraining,
       retryBudgets: this.#context.dumpRetryBudgets(),
     };
@@ -137,9 +138,9 @@
     this.#callerServer.closeIdleConnections();
   }
 
-  /** Number of callers' requests whose answers are not written out yet. */
+  /** Number of requests, relayed ones among them, whose answers are not written out yet. */
   get openAnswers(): number {
-    return this.#callerConnections.openAnswers;
+    return this.#callerConnections.openAnswers + this.#openRelayedAnswers;
   }
 
   #onCallerRequest(request: IncomingMessage, response: ServerResponse): void {
@@ -185,7 +186,7 @@
     if (!caller) return;
     const maxOpen = (settings.vm.mostDescriptors - RESERVED_DESCRIPTORS) /
       DESCRIPTORS_PER_REQUEST;
-    const isFull = this.#context.openRequests >= maxOpen ||
+    const isFull = this.#context.openCalls.size >= maxOpen ||
       this.#context.startQueue.waitMs > MAX_START_WAIT_MS;
     if (isFull) {
       return this.#refuse(
@@ -231,6 +232,8 @@
     if (request.url === this.#peerRpc.path && !isRelayed(request)) {
       return this.#peerRpc.handle(request, response);
     }
+    this.#openRelayedAnswers++;
+    response.once("close", () => this.#openRelayedAnswers--);
     const { clock, storeView } = this.#context;
     const keyDigest = request.headers[RELAY_HEADERS.keyDigest];
     const callerHead = decodeHead(request);
