Drain: closing idle connections leaves answers that are not written out alone

What callers may see: the last bytes of a whole answer are missing when their VM is stopped, if they read slowly. Cause: Node's closeIdleConnections takes a connection for idle as soon as end() was called on its answer, and destroys it with up to 16 KB still unwritten; the drain calls it every 50 ms from 4 s on. Change: the listener's connections are followed from a request's arrival to the moment at which the connection has taken the answer's last byte; only those without an open answer and without the beginning of a next request are closed. Evidence: caller_connections_test, "keep one whose answer was ended and is not written out", red with Node's method (one run), green in five of five runs.

--- a/src/gateway/caller_connections.ts
+++ b/src/gateway/caller_connections.ts
@@ -7,36 +7,54 @@
 import type { Server } from "node:http";
 import type { Socket } from "node:net";
 
+/** What is known of a connection on which a request has arrived. */
+interface ConnectionState {
+  openAnswers: number;
+  /** Bytes that had been read when the last answer was written out. */
+  answeredAtBytes: number;
+}
+
 /** Follows a listener's answers until the connection has taken all their bytes, or is closed. */
 export class CallerConnections {
-  /** Number of open answers by connection; 0 for a connection that waits for its next request. */
-  readonly #openAnswers = new Map<Socket, number>();
+  readonly #states = new Map<Socket, ConnectionState>();
 
   constructor(server: Server) {
     server.on("request", ({ socket }, response) => {
-      this.#addAnswer(socket);
+      const state = this.#stateOf(socket);
+      state.openAnswers++;
       // Emitted when the connection has taken the last byte, or is closed; `end` may have been called long before.
-      response.once("close", () => this.#removeAnswer(socket));
+      response.once("close", () => {
+        state.openAnswers--;
+        state.answeredAtBytes = socket.bytesRead;
+      });
     });
   }
 
   /** Number of requests whose answers are not written out yet. */
   get openAnswers(): number {
     let sum = 0;
-    for (const count of this.#openAnswers.values()) sum += count;
+    for (const { openAnswers } of this.#states.values()) sum += openAnswers;
     return sum;
   }
 
-  #addAnswer(socket: Socket): void {
-    const count = this.#openAnswers.get(socket);
-    if (count === undefined) {
-      socket.once("close", () => this.#openAnswers.delete(socket));
+  /**
+   * Closes the connections that have been used and have neither an open answer nor the beginning of a request. Node's
+   * own method also closes those whose answer was ended and not written out, and its caller would lose the rest.
+   */
+  closeIdle(): void {
+    for (const [socket, { openAnswers, answeredAtBytes }] of this.#states) {
+      const isIdle = openAnswers === 0 && socket.bytesRead === answeredAtBytes;
+      if (isIdle) socket.destroy();
     }
-    this.#openAnswers.set(socket, (count ?? 0) + 1);
   }
 
-  #removeAnswer(socket: Socket): void {
-    const count = this.#openAnswers.get(socket);
-    if (count !== undefined) this.#openAnswers.set(socket, count - 1);
+  #stateOf(socket: Socket): ConnectionState {
+    let state = this.#states.get(socket);
+    if (!state) {
+      state = { openAnswers: 0, answeredAtBytes: 0 };
+      this.#states.set(socket, state);
+      socket.once("close", () => this.#states.delete(socket));
+    }
+    return state;
   }
 }
--- a/src/gateway/http_listeners.ts
+++ b/src/gateway/http_listeners.ts
@@ -135,7 +135,7 @@
 
   /** Closes callers' connections without a request in flight. */
   closeIdleConnections(): void {
-    this.#callerServer.closeIdleConnections();
+    this.#callerConnections.closeIdle();
   }
 
   /** Number of requests, relayed ones among them, whose answers are not written out yet. */
