Drain: a request that can't end before the stop does is refused at once

What callers saw: a plain call was accepted while 1.5 s of the stop were left, whatever its deadline and its service: at a silent upstream it was run and cut off. Requests that other VMs relayed were accepted until the very end. Change: a draining VM accepts what its deadline, or its route's timeout, ends in time; what may last longer only where an upstream of its service is not set aside, by its usual duration as before. The VM that is relayed to decides in the same way, and closes its connections after their answers; the VM that relayed tries another one of that region.

--- a/src/gateway/call.ts
+++ b/src/gateway/call.ts
@@ -5,37 +5,32 @@
  */
 
 import { type CodeName, type Failure, failure } from "../base/mod.ts";
-import {
-  chooseService,
-  isRepeatable,
-  type ServiceConfig,
-  type Step,
-} from "../routing/mod.ts";
+import { isRepeatable, type ServiceConfig, type Step } from "../routing/mod.ts";
 import { type BodyError, readBody } from "./body.ts";
 import {
   BODY_CODES,
   type CallInput,
   FINAL_CODES,
-  firstAttemptOf,
   REFUSAL_CODES,
 } from "./call_input.ts";
-import { CallAnswer } from "./call_answer.ts";
-import { CallPlacement } from "./call_placement.ts";
-import { CallRecord } from "./call_record.ts";
-import { CallRetries, retryWayOf } from "./call_retries.ts";
-import { CallSends, type SendState } from "./call_sends.ts";
-import { CallSuspicion } from "./call_suspicion.ts";
+import type { CallAnswer } from "./call_answer.ts";
+import { createCallParts } from "./call_parts.ts";
+import type { CallPlacement } from "./call_placement.ts";
+import type { CallRecord } from "./call_record.ts";
+import { type CallRetries, retryWayOf } from "./call_retries.ts";
+import type { CallSends, SendState } from "./call_sends.ts";
+import type { CallSuspicion } from "./call_suspicion.ts";
 import { refusalBy } from "./config_refusal.ts";
 import type { GatewayContext, OpenCall } from "./context.ts";
 import { discardBody } from "./discard.ts";
 import { waitForNextPoll } from "./next_poll.ts";
 import { Pause } from "./pause.ts";
 import type { Reply } from "./reply.ts";
-import { RelaySend } from "./relay_send.ts";
-import { RunEvidence } from "./run_evidence.ts";
+import { isRefusedByStop, RelaySend } from "./relay_send.ts";
+import type { RunEvidence } from "./run_evidence.ts";
 import type { Answered, Send, Unanswered } from "./send.ts";
 import { UpstreamSend } from "./upstream_send.ts";
-import { type MoveResult, StreamMover } from "./stream_move.ts";
+import type { MoveResult, StreamMover } from "./stream_move.ts";
 import type { LinkedCandidate } from "./upstream_link.ts";
 
 /** Retry delay of a request that a planned stop ended: the caller may go to another VM at once. */
@@ -48,68 +43,34 @@
   readonly #reply: Reply;
   readonly #service: ServiceConfig;
   readonly #record: CallRecord;
-  readonly #arrivedMs: number;
   readonly #placement: CallPlacement;
   readonly #retries: CallRetries;
   readonly #sends: CallSends;
   readonly #suspicion: CallSuspicion;
-  #body: Buffer = Buffer.alloc(0);
-  #send: Send | undefined;
   readonly #answer: CallAnswer;
   readonly #mover: StreamMover;
-  readonly #evidence = new RunEvidence();
+  readonly #evidence: RunEvidence;
+  readonly #pause = new Pause();
+  #body: Buffer = Buffer.alloc(0);
+  #send: Send | undefined;
   #moveResult: MoveResult | undefined;
   #isOver = false;
   #lastFailure: Failure | undefined;
-  readonly #pause = new Pause();
 
   constructor(context: GatewayContext, input: CallInput, reply: Reply) {
+    const parts = createCallParts(context, input, reply);
     this.#context = context;
     this.#input = input;
     this.#reply = reply;
-    const { route, head, config } = input;
-    // A stream that is taken up again goes on at the service that began it.
-    const name = chooseService(route, firstAttemptOf(head));
-    this.#service = config.service(name) ??
-      { name, mostConnections: 64, coldMs: 0, coldPerS: 0, engine: undefined };
-    this.#arrivedMs = context.clock.monoMs();
-    this.#record = new CallRecord(context, input, name, this.#arrivedMs);
-    this.#suspicion = new CallSuspicion(context, input, name, this.#record);
-    this.#mover = new StreamMover(context, input, this.#service);
-    this.#placement = new CallPlacement(
-      context,
-      input,
-      this.#service,
-      this.#arrivedMs,
-      this.#record,
-    );
-    this.#retries = new CallRetries({
-      context,
-      input,
-      service: name,
-      placement: this.#placement,
-      record: this.#record,
-      reply,
-    });
-    this.#sends = new CallSends({
-      context,
-      input,
-      service: this.#service,
-      placement: this.#placement,
-      record: this.#record,
-      retries: this.#retries,
-      evidence: this.#evidence,
-    });
-    this.#answer = new CallAnswer({
-      clock: context.clock,
-      heldMemory: context.heldEvents,
-      input,
-      service: this.#service,
-      reply,
-      placement: this.#placement,
-      record: this.#record,
-      suspicion: this.#suspicion,
-    });
+    this.#service = parts.service;
+    this.#record = parts.record;
+    this.#placement = parts.placement;
+    this.#retries = parts.retries;
+    this.#sends = parts.sends;
+    this.#suspicion = parts.suspicion;
+    this.#answer = parts.answer;
+    this.#mover = parts.mover;
+    this.#evidence = parts.evidence;
   }
 
   /** Runs the request to its end. Never rejects. */
@@ -322,8 +283,9 @@
   }
 
   #handleUnanswered(send: Send, head: Unanswered): void {
-    // One unreachable VM doesn't make its region unreachable: another VM there may take the request.
-    if (send instanceof RelaySend && !head.wasSent) {
+    // Another VM of the region may take what one is unreachable or too near its end for.
+    const mayTryRegionAgain = !head.wasSent || isRefusedByStop(head.failure);
+    if (send instanceof RelaySend && mayTryRegionAgain) {
       this.#placement.forgetTriedRegion(send.region);
     }
     if (head.crashedUpstream !== undefined) {
--- a/src/gateway/http_listeners.ts
+++ b/src/gateway/http_listeners.ts
@@ -14,13 +14,14 @@
   Task,
 } from "../kernel/mod.ts";
 import { type CallerHead, decodeHead } from "../platform/mod.ts";
-import { canFinish, type GatewayConfig, type Route } from "../routing/mod.ts";
+import type { GatewayConfig, Route } from "../routing/mod.ts";
 import { identifyCaller, type KnownCaller } from "../workspaces/mod.ts";
 import { Call } from "./call.ts";
 import { CallerConnections } from "./caller_connections.ts";
 import type { CallInput } from "./call_input.ts";
 import { NO_CONFIG_RETRY_MS, refusalBy } from "./config_refusal.ts";
 import type { GatewayContext } from "./context.ts";
+import { canFinishHere } from "./drain_admission.ts";
 import { closeServer, listen } from "./listen.ts";
 import { decodeRelayTarget, isRelayed } from "./relay_target.ts";
 import {
@@ -197,20 +198,6 @@
         OVERLOAD_RETRY_MS,
       );
     }
-    const { drainStartMonoMs, endMonoMs } = this.#context;
-    const times = {
-      sinceMs: arrivedMs - drainStartMonoMs,
-      leftMs: endMonoMs - arrivedMs,
-    };
-    if (!canFinish(route, head.outputTokens, times)) {
-      return this.#refuse(
-        head,
-        request,
-        reply,
-        failure("draining"),
-        DRAINING_RETRY_MS,
-      );
-    }
     const waitMs = Math.min(head.waitMs ?? route.timeoutMs, route.timeoutMs);
     const input = {
       request,
@@ -220,6 +207,9 @@
       caller,
       deadlineMonoMs: arrivedMs + waitMs,
     };
+    if (!canFinishHere(this.#context, input)) {
+      return this.#refuseAsDraining(head, request, reply);
+    }
     this.#startCall({
       ...input,
       relayed: false,
@@ -242,7 +232,7 @@
       target: decodeRelayTarget(callerHead.target),
       keyDigest: typeof keyDigest === "string" ? keyDigest : undefined,
     };
-    const reply = new PeerReply(response);
+    const reply = new PeerReply(response, () => this.#context.isDraining);
     const { config } = storeView;
     const route = config?.match(head.host, head.target);
     // A VM that doesn't have the sender's configuration yet must not decide by an older one.
@@ -269,6 +259,9 @@
       caller,
       deadlineMonoMs: clock.monoMs() + waitMs,
     };
+    if (!canFinishHere(this.#context, input)) {
+      return this.#refuseAsDraining(head, request, reply);
+    }
     const mostUpstreams =
       Number(request.headers[RELAY_HEADERS.mostUpstreams]) || 1;
     const isTrialRun = request.headers[RELAY_HEADERS.onTrial] !== undefined;
@@ -342,6 +335,20 @@
     void call.run();
   }
 
+  #refuseAsDraining(
+    head: CallerHead,
+    request: IncomingMessage,
+    reply: Reply,
+  ): void {
+    this.#refuse(
+      head,
+      request,
+      reply,
+      failure("draining"),
+      DRAINING_RETRY_MS,
+    );
+  }
+
   #refuse(
     head: CallerHead,
     request: IncomingMessage,
--- a/src/gateway/relay_send.ts
+++ b/src/gateway/relay_send.ts
@@ -5,6 +5,7 @@
  */
 
 import type { IncomingMessage } from "node:http";
+import type { Failure } from "../base/mod.ts";
 import { decodeAnswer, findAnswerFault } from "../platform/mod.ts";
 import type { GatewayContext } from "./context.ts";
 import { discardBody } from "./discard.ts";
@@ -28,6 +29,11 @@
 /** Time for a connection to another region, which is 80 ms away each way. */
 const RELAY_CONNECT_TIMEOUT_MS = 500;
 
+/** Whether a VM refused a request as it is draining; another VM of its region may take it. */
+export function isRefusedByStop({ code, ran }: Failure): boolean {
+  return code === "draining" && ran === "no";
+}
+
 /** What is sent to the VM of the other region besides the request. */
 export interface RelaySendOptions {
   readonly configVersion: number;
@@ -119,7 +125,7 @@
 
   protected override handleFailure(cause: ExchangeFailure): Unanswered {
     if (!cause.sent) {
-      this.context.relays.noteConnectFailure(this.#target.ip);
+      this.context.relays.avoid(this.#target.ip);
     }
     return super.handleFailure(cause);
   }
@@ -148,6 +154,9 @@
       return { type: "answered", answer, decoded };
     }
     discardBody(answer, this.context);
+    if (isRefusedByStop(peerFailure.failure)) {
+      this.context.relays.avoid(this.#target.ip);
+    }
     const mayHaveRun = peerFailure.failure.ran !== "no";
     return {
       type: "unanswered",
--- a/src/gateway/relays.ts
+++ b/src/gateway/relays.ts
@@ -17,8 +17,8 @@
 
 /** Idle timeout of connections between VMs; the listener keeps them longer. */
 const IDLE_MS = 20_000;
-/** How long a VM is avoided after a connection to it failed; by then its region no longer names it, if it is gone. */
-const CONNECT_FAILURE_PAUSE_MS = 3_000;
+/** How long a VM is avoided; by then its region no longer names it, if it is gone. */
+const AVOIDED_MS = 3_000;
 
 const NO_CAPACITY: OfferedCapacity = { free: 0, queue: 0 };
 
@@ -39,8 +39,8 @@
   readonly #regionSource: OtherRegions;
   readonly #port: number;
   readonly #agents = new Map<string, KeepAliveAgent>();
-  /** Addresses to which a connection failed, with the time of the failure. */
-  readonly #connectFailedMonoMs = new Map<string, number>();
+  /** Addresses to which a connection failed, or that refused as they are draining, with the time of that. */
+  readonly #avoidedSinceMonoMs = new Map<string, number>();
   protected readonly handlers: Handlers<Messages> = {};
   #clock!: Clock;
 
@@ -65,9 +65,9 @@
     return { idleConnections: Object.fromEntries(idle) };
   }
 
-  /** Records that a connection to a VM failed; nothing more is relayed to it for a while. */
-  noteConnectFailure(ip: string): void {
-    this.#connectFailedMonoMs.set(ip, this.#clock.monoMs());
+  /** Relays nothing more to a VM for a while: a connection to it failed, or it is draining. */
+  avoid(ip: string): void {
+    this.#avoidedSinceMonoMs.set(ip, this.#clock.monoMs());
   }
 
   /** Other regions with a reachable VM that accepts requests, and their free capacity for a service. */
@@ -115,8 +115,8 @@
   #readyIps({ digest }: RemoteRegion): string[] {
     const nowMs = this.#clock.monoMs();
     return digest.ready.filter((ip) =>
-      nowMs - (this.#connectFailedMonoMs.get(ip) ?? -Infinity) >=
-        CONNECT_FAILURE_PAUSE_MS
+      nowMs - (this.#avoidedSinceMonoMs.get(ip) ?? -Infinity) >=
+        AVOIDED_MS
     );
   }
 }
--- a/src/gateway/reply.ts
+++ b/src/gateway/reply.ts
@@ -14,6 +14,7 @@
 /** The reply to one request. It ends once: with an answer, a failure, or an aborted connection. */
 export abstract class Reply {
   protected readonly response: ServerResponse;
+  readonly #isDraining: () => boolean;
   #isDisconnected = false;
   #hasBody = false;
   #framesChunks = false;
@@ -24,8 +25,10 @@
   /** Whether that upstream is still asked if it is the process that its entry describes, as the version holds only then. */
   isProcessOpen = false;
 
-  constructor(response: ServerResponse) {
+  /** Once `isDraining` returns true, the connection is closed after the answer. */
+  constructor(response: ServerResponse, isDraining: () => boolean) {
     this.response = response;
+    this.#isDraining = isDraining;
     response.sendDate = false;
     const { socket } = response.req;
     // Node emits `close` on the response only when this side is closed too, some turns of a busy event loop after the
@@ -130,7 +133,9 @@
   ): void;
 
   /** Whether the connection is closed after this answer. */
-  protected abstract readonly closesConnection: boolean;
+  protected get closesConnection(): boolean {
+    return this.#isDraining();
+  }
 }
 
 const LINE_END_BYTES = 2;
@@ -157,17 +162,6 @@
 
 /** A reply to a caller. */
 export class CallerReply extends Reply {
-  readonly #isDraining: () => boolean;
-
-  constructor(response: ServerResponse, isDraining: () => boolean) {
-    super(response);
-    this.#isDraining = isDraining;
-  }
-
-  protected get closesConnection(): boolean {
-    return this.#isDraining();
-  }
-
   fail(failure: Failure, comeBackMs: number): void {
     const { status, headers, body } = encodeFailure(failure, comeBackMs);
     // A caller that stopped in the middle of its body would hold its connection and its place among open requests
@@ -234,8 +228,6 @@
 
 /** A reply to another VM, which answers the caller. */
 export class PeerReply extends Reply {
-  protected readonly closesConnection = false;
-
   override start(
     status: number,
     headers: readonly string[],
@@ -274,6 +266,7 @@
         : [RELAY_HEADERS.endedUpstream, crashedUpstream]),
       "Content-Length",
       "0",
+      ...(this.closesConnection ? ["Connection", "close"] : []),
     ]);
     this.response.end();
   }
--- a/src/routing/drain.ts
+++ b/src/routing/drain.ts
@@ -34,17 +34,28 @@
   readonly leftMs: number;
 }
 
+/** What is known of how long a request may take. */
+export interface DrainRequest {
+  readonly route: Route;
+  readonly outputTokens: number;
+  /** After this time its caller gets an answer in any case. */
+  readonly maxMs: number;
+  /** Whether an upstream of its service answers as usual, as far as known. */
+  readonly isUsual: boolean;
+}
+
 /**
  * Whether a request that arrives while the VM is draining can finish before the process ends. A request that cannot is
  * refused at once and not run: if it were cut off it would be lost, and an at-most-once call could not even be retried.
- * Early in the drain the usual duration decides and not the longest, because callers still use this VM's address for
+ * How long requests usually take says nothing where all upstreams are silent; then only the deadline does. Early in the drain the usual duration decides and not the longest, because callers still use this VM's address for
  * seconds. Refusing every stream then would turn many requests away while VMs are stopped one after another.
  */
 export function canFinish(
-  route: Route,
-  outputTokens: number,
+  { route, outputTokens, maxMs, isUsual }: DrainRequest,
   { sinceMs, leftMs }: DrainTimes,
 ): boolean {
+  if (leftMs > maxMs) return true;
+  if (!isUsual) return false;
   if (route.kind !== "stream") return leftMs > PLAIN_CALL_MS;
   const isEarly = sinceMs < EARLY_DRAIN_MS;
   const neededMs = isEarly
--- a/src/routing/routing_test.ts
+++ b/src/routing/routing_test.ts
@@ -266,24 +266,46 @@
     });
   });
 
+  const usual = (outputTokens: number, overrides: Partial<Route> = {}) => ({
+    route: route(overrides),
+    outputTokens,
+    maxMs: 10_000,
+    isUsual: true,
+  });
+
   it("a draining VM accepts requests that can finish before it stops", (t) => {
     // A short stream can take over 2.3 s on a busy engine. One that was accepted 5 s after the signal was cut off when
     // the process ended.
     const lateDrain = (leftMs: number) => ({ sinceMs: 5_000, leftMs });
-    t.false(canFinish(route(), 52, lateDrain(2_290)));
-    t.true(canFinish(route({ kind: "atMostOnce" }), 0, lateDrain(2_000)));
-    t.false(canFinish(route(), 900, lateDrain(3_000)));
-    t.true(canFinish(route(), 50, lateDrain(4_000)));
+    t.false(canFinish(usual(52), lateDrain(2_290)));
+    t.true(canFinish(usual(0, { kind: "atMostOnce" }), lateDrain(2_000)));
+    t.false(canFinish(usual(900), lateDrain(3_000)));
+    t.true(canFinish(usual(50), lateDrain(4_000)));
     const notDraining = { sinceMs: 0, leftMs: Infinity };
-    t.true(canFinish(route(), 5_000, notDraining));
+    t.true(canFinish(usual(5_000), notDraining));
   });
 
   // Callers keep an address for three seconds. Guards against refusing a stream of usual length from 1.3 s after the
   // signal on, and again at its second try, when its caller still has only this address.
   it("a draining VM accepts usual streams while callers still use its address", (t) => {
     const earlyDrain = { sinceMs: 2_500, leftMs: 4_800 };
-    t.true(canFinish(route(), 294, earlyDrain));
-    t.false(canFinish(route(), 294, { sinceMs: 2_800, leftMs: 4_500 }));
-    t.false(canFinish(route(), 900, earlyDrain));
+    t.true(canFinish(usual(294), earlyDrain));
+    t.false(canFinish(usual(294), { sinceMs: 2_800, leftMs: 4_500 }));
+    t.false(canFinish(usual(900), earlyDrain));
+  });
+
+  // Guards against requests that are accepted at a silent service and cut off when the process ends.
+  it("a draining VM accepts requests at a silent service only if their deadline comes first", (t) => {
+    const times = { sinceMs: 500, leftMs: 5_000 };
+    const silent = { ...usual(10), isUsual: false };
+    t.false(canFinish(silent, times));
+    t.false(canFinish({ ...silent, maxMs: 5_000 }, times));
+    t.true(canFinish({ ...silent, maxMs: 4_900 }, times));
+  });
+
+  it("a draining VM accepts requests whose deadline comes before it stops", (t) => {
+    const lateDrain = { sinceMs: 5_000, leftMs: 1_000 };
+    t.true(canFinish({ ...usual(900), maxMs: 900 }, lateDrain));
+    t.false(canFinish({ ...usual(900), maxMs: 1_100 }, lateDrain));
   });
 });
--- a/test/gateway_stop_test.ts
+++ b/test/gateway_stop_test.ts
@@ -4,6 +4,7 @@
 import { sleep } from "./cluster.ts";
 import {
   type CallerAnswer,
+  type CallerRequest,
   GatewayLab,
   type LabVm,
   waitUntil,
@@ -76,17 +77,28 @@
   const [runner] = lab.runners;
   runner.behavior = "silent";
   const before = runner.arrivals.length;
-  const answer = lab.call(vm, {
-    path,
-    method: "POST",
-    headers: { "deadline-ms": String(LONG_MS) },
-  });
+  const answer = lab.call(vm, longCall(path));
   await waitUntil(() => runner.arrivals.length > before);
   await sleep(EARLY_MS);
   await stopped.gateway.drain();
   return await answer;
 }
 
+/** Waits until the VM has set its only upstream aside, as that leaves a request unanswered. */
+async function waitUntilAside({ lab, vm }: StopLab): Promise<void> {
+  const [runner] = lab.runners;
+  runner.behavior = "silent";
+  void lab.call(vm, longCall("/longsafe/"));
+  await waitUntil(() =>
+    vm.log.lines.some(({ event }) => event === "upstream silent")
+  );
+}
+
+function longCall(path: string): CallerRequest {
+  const headers = { "deadline-ms": String(LONG_MS) };
+  return { path, method: "POST", headers };
+}
+
 function errorOf({ body }: CallerAnswer): { code: number; ran: string } {
   return (JSON.parse(body) as { error: { code: number; ran: string } }).error;
 }
@@ -135,3 +147,43 @@
     t.is(line?.fields.outcome, "cutByStop");
   });
 });
+
+/** Guards against requests that a VM accepts though it will have stopped before their answer. */
+describe("gateway, a request that arrives during a planned stop", () => {
+  it("is refused at once, and not run, if its service is silent and its deadline later", async (t) => {
+    const stop = await openSilent(t);
+    const { lab, vm } = stop;
+    await waitUntilAside(stop);
+    const arrivals = lab.runners[0].arrivals.length;
+    const drained = vm.gateway.drain();
+    const answer = await lab.call(vm, longCall("/longonce/"));
+    t.is(answer.status, 503);
+    t.is(errorOf(answer).ran, "no");
+    t.is(lab.runners[0].arrivals.length, arrivals);
+    await drained;
+  });
+
+  it("is served if its service answers as usual", async (t) => {
+    const { lab, vm } = await openSilent(t);
+    const drained = vm.gateway.drain();
+    const answer = await lab.call(vm, longCall("/longonce/"));
+    t.is(answer.status, 200);
+    await drained;
+  });
+
+  it("is served at another VM of the region that it was relayed to", async (t) => {
+    const { lab, vm, farVm } = await openSilentElsewhere(t);
+    const otherFarVm = await lab.addVm("south", { graceMs: GRACE_MS });
+    await lab.waitUntilReady(otherFarVm);
+    await lab.waitUntilAllKnown();
+    // So late that it refuses a plain call; the near VM may not have heard of the stop.
+    const bounds = { ...farVm.settings.bounds, graceMs: 1_000 };
+    farVm.gateway.reload({ ...farVm.settings, bounds });
+    const drained = farVm.gateway.drain();
+    const answers = await Promise.all(
+      Array.from({ length: 20 }, () => lab.call(vm, longCall("/longsouth/"))),
+    );
+    t.deepEqual(new Set(answers.map(({ status }) => status)), new Set([200]));
+    await drained;
+  });
+});
