Drain: requests that arrive while the services close are refused

A stop that was over early, as no request was open, left its end seconds ahead: a request that arrived while the directory and the listeners closed was accepted, passed on and cut off. The end is now the moment at which serving ends, so that what arrives from then on can't finish and is refused.

--- a/src/gateway/drain.ts
+++ b/src/gateway/drain.ts
@@ -54,6 +54,8 @@
   context.members.reportNow();
   log.info("leaving", { open: openCalls.size });
   await serveUntilEnd(context, listeners);
+  // What still arrives while the services close would be cut off: it is refused, also where the stop is over early.
+  context.endMonoMs = Math.min(context.endMonoMs, clock.monoMs());
   const open = openCalls.size;
   for (const call of [...openCalls]) call.stop();
   await waitForFlush(context, listeners);
