Listeners: a request whose handler throws gets an answer

It answers 500 now and closes the connection after it; an answer that has begun is cut off as before. listen_test asked for the closed connection; it asks for the answer as well as for the closing now (red before: the fetch was rejected).

--- a/src/gateway/listen.ts
+++ b/src/gateway/listen.ts
@@ -9,10 +9,14 @@
   type RequestListener,
   type Server,
   type ServerOptions,
+  type ServerResponse,
 } from "node:http";
 import { UnframedAnswers } from "../adapters/mod.ts";
+import { codes } from "../base/mod.ts";
 import type { Log } from "../kernel/mod.ts";
 
+const INTERNAL_ERROR_STATUS = codes.internal.httpStatus;
+
 const unframedAnswers = new WeakMap<Server, UnframedAnswers>();
 
 /** Splits `IP:PORT`. */
@@ -35,11 +39,21 @@
         target: request.url,
         reason,
       });
-      response.destroy();
+      failInternally(response);
     }
   };
 }
 
+/** Answers a request that nothing else will answer. */
+function failInternally(response: ServerResponse): void {
+  if (response.headersSent) return void response.destroy();
+  response.writeHead(INTERNAL_ERROR_STATUS, {
+    "connection": "close",
+    "content-length": 0,
+  });
+  response.end();
+}
+
 /** Opens a listener; fails if the address is taken. */
 export async function listen(
   address: string,
--- a/src/gateway/listen_test.ts
+++ b/src/gateway/listen_test.ts
@@ -14,8 +14,8 @@
 }
 
 describe("a listener", () => {
-  /** Guards against one request that ends the process by an exception that nothing catches. */
-  it("closes the connection of a request whose handler throws, and goes on", async (t) => {
+  /** Guards against an exception that ends the process, or leaves its request without an answer. */
+  it("answers a request whose handler throws, closes its connection, and goes on", async (t) => {
     const log = new MemoryLog("vm-1");
     const address = await findFreeAddress();
     const server = await listen(address, {}, log, (request, response) => {
@@ -23,7 +23,9 @@
       response.end("good");
     });
     t.teardown(() => closeServer(server));
-    await t.throwsAsync(fetch(`http://${address}/bad`));
+    const failed = await fetch(`http://${address}/bad`);
+    t.is(failed.status, 500);
+    t.is(failed.headers.get("connection"), "close");
     const answer = await fetch(`http://${address}/good`);
     t.is(await answer.text(), "good");
     t.is(log.lines[0].event, "request failed with an internal error");
