Drain: calls that usually take longer than the stop has left are refused

The drain took 1.5 s for what any plain call needs. Change: each VM follows the durations of its routes' calls (mean and mean deviation, as for a TCP retransmission timeout), and a draining VM accepts a plain call only if nearly all of its route's calls end in the time that is left. A refusal is not run, and its caller is served by another VM; one that is cut off may have run, and an at-most-once call can't be repeated.

--- a/src/gateway/call_record.ts
+++ b/src/gateway/call_record.ts
@@ -254,6 +254,7 @@
       `service="${this.#service}",kind="${route.kind}",relayed="${relayed}"`;
     metrics.count("requests", `${labels},outcome="${outcome}"`);
     metrics.recordTime("total", labels, totalMs);
+    if (route.kind !== "stream") this.#noteDuration(outcome, totalMs);
     const fields = this.#logFields({
       outcome,
       reason,
@@ -265,6 +266,13 @@
     else log.warn("request", fields);
   }
 
+  /** A call that timed out took at least as long; what was refused or canceled says nothing. */
+  #noteDuration(outcome: CodeName | "ok", totalMs: number): void {
+    if (outcome !== "ok" && outcome !== "upstreamTimeout") return;
+    const { route } = this.#input;
+    this.#context.callDurations.note(route.name, totalMs);
+  }
+
   #logFields(more: Record<string, unknown>): Record<string, unknown> {
     const { head, route, config, caller, relayed, deadlineMonoMs } =
       this.#input;
--- a/src/gateway/context.ts
+++ b/src/gateway/context.ts
@@ -7,7 +7,11 @@
 import { type Clock, Random } from "../base/mod.ts";
 import type { Log } from "../kernel/mod.ts";
 import type { StoreView } from "../replication/mod.ts";
-import { RetryBudget, type RetryBudgetLimits } from "../routing/mod.ts";
+import {
+  RetryBudget,
+  type RetryBudgetLimits,
+  UsualDurations,
+} from "../routing/mod.ts";
 import { BodyMemory } from "./body.ts";
 import type { LossProber } from "./losses.ts";
 import type { Members } from "./members.ts";
@@ -68,6 +72,8 @@
   drainStartMonoMs = Infinity;
   /** When the requests that are still open are ended, on the monotonic clock. */
   endMonoMs = Infinity;
+  /** How long plain calls take. */
+  readonly callDurations = new UsualDurations();
   /** The requests in flight. */
   readonly openCalls = new Set<OpenCall>();
   /** When the process began, on the monotonic clock. */
--- a/src/gateway/drain_admission.ts
+++ b/src/gateway/drain_admission.ts
@@ -26,6 +26,7 @@
     route,
     outputTokens: head.outputTokens,
     maxMs: deadlineMonoMs - nowMs,
+    usualMs: context.callDurations.usualMs(route.name),
     isUsual: answersAsUsual(context, request),
   }, {
     sinceMs: nowMs - context.drainStartMonoMs,
--- a/src/routing/drain.ts
+++ b/src/routing/drain.ts
@@ -6,7 +6,7 @@
 
 import type { Route } from "./types.ts";
 
-/** Twice the 99th percentile of the duration of plain calls to a healthy service. */
+/** Least time that a plain call is given: twice the 99th percentile of short calls to a healthy service. */
 const PLAIN_CALL_MS = 1_500;
 /**
  * Time to a stream's first event on an engine at peak load. The 99th percentile of a short stream there is two to four
@@ -40,6 +40,8 @@
   readonly outputTokens: number;
   /** After this time its caller gets an answer in any case. */
   readonly maxMs: number;
+  /** Time within which nearly all calls of its route end; 0 if that is not known. */
+  readonly usualMs: number;
   /** Whether an upstream of its service answers as usual, as far as known. */
   readonly isUsual: boolean;
 }
@@ -51,12 +53,14 @@
  * seconds. Refusing every stream then would turn many requests away while VMs are stopped one after another.
  */
 export function canFinish(
-  { route, outputTokens, maxMs, isUsual }: DrainRequest,
+  { route, outputTokens, maxMs, usualMs, isUsual }: DrainRequest,
   { sinceMs, leftMs }: DrainTimes,
 ): boolean {
   if (leftMs > maxMs) return true;
   if (!isUsual) return false;
-  if (route.kind !== "stream") return leftMs > PLAIN_CALL_MS;
+  if (route.kind !== "stream") {
+    return leftMs > Math.max(PLAIN_CALL_MS, usualMs);
+  }
   const isEarly = sinceMs < EARLY_DRAIN_MS;
   const neededMs = isEarly
     ? USUAL_FIRST_EVENT_MS + outputTokens * USUAL_TOKEN_MS
--- a/src/routing/mod.ts
+++ b/src/routing/mod.ts
@@ -23,3 +23,4 @@
 export * from "./types.ts";
 export * from "./urgency.ts";
 export * from "./usable.ts";
+export * from "./usual_duration.ts";
--- a/src/routing/routing_test.ts
+++ b/src/routing/routing_test.ts
@@ -270,6 +270,7 @@
     route: route(overrides),
     outputTokens,
     maxMs: 10_000,
+    usualMs: 0,
     isUsual: true,
   });
 
@@ -303,6 +304,14 @@
     t.true(canFinish({ ...silent, maxMs: 4_900 }, times));
   });
 
+  // Guards against calls of seconds that are accepted as if they were short, and cut off.
+  it("a draining VM accepts plain calls only if calls of their route usually end in time", (t) => {
+    const lateDrain = { sinceMs: 3_300, leftMs: 4_000 };
+    const call = { ...usual(0, { kind: "atMostOnce" }), usualMs: 5_000 };
+    t.false(canFinish(call, lateDrain));
+    t.true(canFinish({ ...call, usualMs: 3_900 }, lateDrain));
+  });
+
   it("a draining VM accepts requests whose deadline comes before it stops", (t) => {
     const lateDrain = { sinceMs: 5_000, leftMs: 1_000 };
     t.true(canFinish({ ...usual(900), maxMs: 900 }, lateDrain));
