Drain: what may be repeated leaves a silent upstream before the stop is over

What callers saw: an idempotent request, or a stream before its first event, that waits at a second silent upstream is not given up before its deadline, so that a planned stop ended it with a failure though another upstream was free. Change: 1.5 s before the end each such request whose answer hasn't begun is sent to another upstream, if there is a free one and a retry is left in the budget. What another VM relayed is left to that VM.

--- a/src/gateway/call.ts
+++ b/src/gateway/call.ts
@@ -122,6 +122,13 @@
     this.#endWait();
   }
 
+  leaveSilentUpstream(): void {
+    const { route, relayed } = this.#input;
+    // The VM that relayed the request decides on its repeats.
+    if (!isRepeatable(route) || relayed || this.#suspicion.isSuspect) return;
+    this.#send?.giveUp("this VM stops soon");
+  }
+
   /**
    * Ends the request because this VM's planned stop is over. A request that may have run is told so: a connection that
    * closes without an answer tells its caller nothing.
--- a/src/gateway/context.ts
+++ b/src/gateway/context.ts
@@ -40,6 +40,8 @@
 
 /** A request in flight. */
 export interface OpenCall {
+  /** Sends it elsewhere if it may be repeated and its upstream has not answered, as there is just time left for that. */
+  leaveSilentUpstream(): void;
   /** Ends it because this VM's planned stop is over: with a complete answer, unless part of one was sent. */
   stop(): void;
 }
--- a/src/gateway/drain.ts
+++ b/src/gateway/drain.ts
@@ -13,6 +13,8 @@
 const MIN_DRAIN_MS = 4_000;
 /** Time reserved before the kill for sending the last answers and closing the services, also when timers fire late. */
 const CLOSE_RESERVE_MS = 700;
+/** How long before the end requests leave upstreams that have not answered: enough for a usual answer of another one. */
+const LAST_RETRY_MS = 1_500;
 /** How much of that reserve may pass until the connections have taken the last answers. */
 const MAX_FLUSH_MS = 300;
 const CHECK_INTERVAL_MS = 50;
@@ -66,15 +68,23 @@
   });
 }
 
-/** Ending by a timer alone would cut off requests, since they arrive on keep-alive connections until the very end. */
+/**
+ * Returns when no answer is open, or the time is over. Ending by a timer alone would cut off requests, since they arrive
+ * on keep-alive connections until the very end.
+ */
 async function serveUntilEnd(
-  { clock, drainStartMonoMs, endMonoMs }: DrainContext,
+  { clock, openCalls, drainStartMonoMs, endMonoMs }: DrainContext,
   listeners: DrainListeners,
 ): Promise<void> {
+  let hasRetried = false;
   for (;;) {
     await clock.sleep(CHECK_INTERVAL_MS);
     const nowMs = clock.monoMs();
     if (nowMs >= endMonoMs) return;
+    if (!hasRetried && nowMs >= endMonoMs - LAST_RETRY_MS) {
+      hasRetried = true;
+      for (const call of openCalls) call.leaveSilentUpstream();
+    }
     if (nowMs - drainStartMonoMs < MIN_DRAIN_MS) continue;
     listeners.closeIdleConnections();
     if (listeners.openAnswers === 0) return;
@@ -87,7 +97,8 @@
   listeners: DrainListeners,
 ): Promise<void> {
   const flushEndMonoMs = endMonoMs + MAX_FLUSH_MS;
-  do await clock.sleep(FLUSH_CHECK_INTERVAL_MS); while (
-    listeners.openAnswers > 0 && clock.monoMs() < flushEndMonoMs
-  );
+  for (;;) {
+    await clock.sleep(FLUSH_CHECK_INTERVAL_MS);
+    if (listeners.openAnswers === 0 || clock.monoMs() >= flushEndMonoMs) return;
+  }
 }
--- a/src/gateway/drain_test.ts
+++ b/src/gateway/drain_test.ts
@@ -52,6 +52,7 @@
     let stoppedAtMs = Infinity;
     lab.listeners.openAnswers = 1;
     lab.context.openCalls.add({
+      leaveSilentUpstream: () => {},
       stop: () => void (stoppedAtMs = lab.clock.monoMs()),
     });
     const startMs = lab.clock.monoMs();
--- a/src/gateway/send.ts
+++ b/src/gateway/send.ts
@@ -91,6 +91,7 @@
   protected readonly context: GatewayContext;
   protected readonly outbound: OutboundRequest;
   protected abstract readonly exchange: PendingExchange;
+  #hasHead = false;
 
   constructor(context: GatewayContext, outbound: OutboundRequest) {
     this.context = context;
@@ -118,22 +119,28 @@
 
   /** Waits for the head of the answer. */
   async waitForHead(): Promise<Answered | Unanswered> {
-    const { answerTimeoutMs, hasAlternative } = this.outbound;
-    const giveUp = () => {
-      if (!hasAlternative()) return;
-      this.noteGivenUp();
-      this.cancel("no answer in time");
-    };
+    const { answerTimeoutMs } = this.outbound;
     const timer = answerTimeoutMs < Infinity
-      ? this.context.clock.after(answerTimeoutMs, giveUp)
+      ? this.context.clock.after(
+        answerTimeoutMs,
+        () => this.giveUp("no answer in time"),
+      )
       : undefined;
     const head = await this.exchange.head;
+    this.#hasHead = true;
     timer?.close();
     return head.isOk()
       ? this.checkAnswer(head.value)
       : this.handleFailure(head.error);
   }
 
+  /** Gives the send up if no answer has come and another place would serve the request now. */
+  giveUp(reason: string): void {
+    if (this.#hasHead || !this.outbound.hasAlternative()) return;
+    this.noteGivenUp();
+    this.cancel(reason);
+  }
+
   /** Cancels the send by closing its connection, so that the other side stops working. */
   cancel(reason: string): void {
     this.exchange.cancel(reason);
--- a/test/gateway_stop_test.ts
+++ b/test/gateway_stop_test.ts
@@ -14,7 +14,11 @@
 const LONG_MS = 20_000;
 const LONG_ROUTES = [
   makeRoute(),
-  makeRoute({ path_prefix: "/longsafe/", timeout_ms: LONG_MS }),
+  makeRoute({
+    path_prefix: "/longsafe/",
+    timeout_ms: LONG_MS,
+    max_attempts: 3,
+  }),
   makeRoute({
     path_prefix: "/longonce/",
     kind: "unsafe",
@@ -140,6 +144,26 @@
     t.is(line?.fields.outcome, "cutByStop");
   });
 
+  it("is served by another upstream before the end if it may be repeated", async (t) => {
+    const lab = new GatewayLab();
+    t.teardown(() => lab.close());
+    lab.configure(LONG_ROUTES);
+    for (let i = 0; i < 3; i++) {
+      (await lab.addRunner()).behavior = "silent";
+    }
+    const vm = await lab.addVm("north", { graceMs: GRACE_MS });
+    await lab.waitUntilReady(vm);
+    const answer = lab.call(vm, longCall("/longsafe/"));
+    const idle = () =>
+      lab.runners.filter(({ arrivals }) => arrivals.length === 0);
+    // The first upstream is given up by itself, the second one is not.
+    await waitUntil(() => idle().length === 1);
+    idle()[0].behavior = "well";
+    const drained = vm.gateway.drain();
+    t.is((await answer).status, 200);
+    await drained;
+  });
+
   it("is told in the log and counted as cut by the stop", async (t) => {
     const stop = await openSilent(t);
     await callAndStop(stop, stop.vm, "/longonce/");
