Gateway: a planned stop right after the start drains

What callers saw: a connection that closed without an answer, if SIGTERM or SIGINT came while a VM's process was still starting.

Cause: SIGTERM and SIGINT got their handler after `Gateway.open`, though the listeners are open before; until then a signal ends the process, with what it had read or passed on. SIGHUP was noted from the first line on, the two others were not.

Why it works: src/gateway/signals.ts (before: hangup.ts) notes all three signals before anything else is loaded; what is noted is done as soon as the gateway is open.

--- a/src/gateway/daemon.ts
+++ b/src/gateway/daemon.ts
@@ -9,9 +9,9 @@
 import type { Log } from "../kernel/mod.ts";
 import { SETTINGS_VARIABLE } from "../platform/mod.ts";
 import { Gateway } from "./gateway.ts";
-import { onHangup } from "./hangup.ts";
 import { LineLog, openStandardOutput } from "./line_log.ts";
 import { parseGatewaySettings, type SettingsProblem } from "./settings.ts";
+import { onHangup, onStop } from "./signals.ts";
 
 const USAGE_EXIT_CODE = 2;
 const SETTINGS_CHECK_MS = 1_000;
@@ -66,6 +66,11 @@
   onHangup(checkFile);
 }
 
+async function stop(gateway: Gateway): Promise<never> {
+  await gateway.drain();
+  process.exit(0);
+}
+
 /** Runs until a planned stop, which ends with exit code 0. */
 export async function runDaemon(): Promise<void> {
   const path = settingsPath();
@@ -78,14 +83,6 @@
   log.info("starting", { region, failureDomain, ip });
   const gateway = await Gateway.open(settings, log);
   log.info("started", { tookMs: Math.round(performance.now()) });
-  let isStopping = false;
-  const stop = async () => {
-    if (isStopping) return;
-    isStopping = true;
-    await gateway.drain();
-    process.exit(0);
-  };
-  process.on("SIGTERM", () => void stop());
-  process.on("SIGINT", () => void stop());
+  onStop(() => void stop(gateway));
   watchSettings(path, text._unsafeUnwrap(), gateway, log);
 }
--- a/src/gateway/main.ts
+++ b/src/gateway/main.ts
@@ -4,9 +4,9 @@
  * @module
  */
 
-import { noteHangups } from "./hangup.ts";
+import { noteSignals } from "./signals.ts";
 
-noteHangups();
+noteSignals();
 // Loading the rest takes longer than all else at the start.
 const { runDaemon } = await import("./daemon.ts");
 await runDaemon();
--- a/test/gateway_hangup_test.ts
+++ b/test/gateway_hangup_test.ts
@@ -26,8 +26,8 @@
     const { end, out } = await run(
       "--input-type=module",
       "-e",
-      `const { noteHangups, onHangup } = await import("${urlOf("hangup")}");
-       noteHangups();
+      `const { noteSignals, onHangup } = await import("${urlOf("signals")}");
+       noteSignals();
        process.kill(process.pid, "SIGHUP");
        setTimeout(() => onHangup(() => console.log("handled")), 50);`,
     );
