Gateway: a planned stop goes by settings that changed before it

Cause: signals that are sent together arrive in any order, and without SIGHUP the file is read once a second.

Why it works: the stop checks the file itself before it drains.

--- a/src/gateway/daemon.ts
+++ b/src/gateway/daemon.ts
@@ -44,13 +44,16 @@
   }
 }
 
-/** Checks the settings file every second, as it may change without a signal, and applies valid changes. */
+/**
+ * Checks the settings file every second, as it may change without a signal, and applies valid changes. Returns the
+ * check.
+ */
 function watchSettings(
   path: string,
   firstText: string,
   gateway: Gateway,
   log: Log,
-): void {
+): () => void {
   let lastText = firstText;
   const checkFile = () => {
     const text = readText(path);
@@ -64,6 +67,7 @@
   };
   setInterval(checkFile, SETTINGS_CHECK_MS).unref();
   onHangup(checkFile);
+  return checkFile;
 }
 
 async function stop(gateway: Gateway): Promise<never> {
@@ -83,6 +87,15 @@
   log.info("starting", { region, failureDomain, ip });
   const gateway = await Gateway.open(settings, log);
   log.info("started", { tookMs: Math.round(performance.now()) });
-  onStop(() => void stop(gateway));
-  watchSettings(path, text._unsafeUnwrap(), gateway, log);
+  const checkSettings = watchSettings(
+    path,
+    text._unsafeUnwrap(),
+    gateway,
+    log,
+  );
+  onStop(() => {
+    // They say how long the stop may take, and a SIGHUP that was sent before may arrive after this signal.
+    checkSettings();
+    void stop(gateway);
+  });
 }
--- a/test/gateway_early_stop_test.ts
+++ b/test/gateway_early_stop_test.ts
@@ -23,16 +23,18 @@
 
 let count = 0;
 
-/** A gateway's process and its settings. */
+/** A gateway's process and the settings file that it reads. */
 interface StartingVm {
   readonly proc: TestProcess;
   readonly settings: GatewaySettings;
+  writeSettings(settings: GatewaySettings): void;
 }
 
 /** Starts the program of a gateway on an address of its own. */
 async function startVm(
   t: ExecutionContext,
   nodeOptions: readonly string[] = [],
+  graceMs = GRACE_MS,
 ): Promise<StartingVm> {
   const store = new KvServer();
   const dir = mkdtempSync(join(tmpdir(), "ibisgap-stop-"));
@@ -65,7 +67,7 @@
       leastLeaseMs: 1_000,
     },
     bounds: {
-      graceMs: GRACE_MS,
+      graceMs,
       contactMs: 6_000,
       repeatRatio: 0.2,
       repeatSlack: 50,
@@ -75,7 +77,9 @@
       quotaWindowMs: 8_000,
     },
   };
-  writeFileSync(path, JSON.stringify(settings));
+  const writeSettings = (changed: GatewaySettings) =>
+    writeFileSync(path, JSON.stringify(changed));
+  writeSettings(settings);
   const proc = new TestProcess(
     "early-stop",
     "src/gateway/main.js",
@@ -87,7 +91,7 @@
     await store.close();
     rmSync(dir, { recursive: true });
   });
-  return { proc, settings };
+  return { proc, settings, writeSettings };
 }
 
 /** Sends a request on the first connection that is accepted; returns the answer. */
@@ -152,4 +156,21 @@
     t.is(await proc.exited, 0);
     t.is(proc.output.match(/event=leaving/g)?.length, 1);
   });
+
+  it("takes its time from settings that changed before it", async (t) => {
+    const { proc, settings, writeSettings } = await startVm(t, [], 30_000);
+    await proc.waitForOutput(/event=starting/);
+    writeSettings({
+      ...settings,
+      bounds: { ...settings.bounds, graceMs: GRACE_MS },
+    });
+    proc.signal("SIGHUP");
+    proc.signal("SIGTERM");
+    t.is(await proc.exited, 0);
+    const [, tookMs] =
+      /event="settings in force"[^]*event=leaving[^]* tookMs=(\d+)/.exec(
+        proc.output,
+      ) ?? [];
+    t.true(Number(tookMs) < GRACE_MS, proc.output);
+  });
 });
