Own interface: callers that left are counted as such

What operators saw: a caller that left before its answer began was counted as 4005 (upstream timeout) for a plain call, and not at all for a call of a model, so that the counters can't tell it from what an upstream or a stop did.

Cause: only the reading of a body and streams that had begun looked at who had ended the attempt.

--- a/src/edge/model_call.ts
+++ b/src/edge/model_call.ts
@@ -166,21 +166,23 @@
     if (error.kind === "unreachable") {
       return this.handleNotRun(attempt, "unreachable");
     }
+    if (error.kind !== "lost" && this.call.signal.aborted) {
+      this.finish(attempt, "canceled", 4007);
+      return "answered";
+    }
     if (error.kind === "withdrawn") {
       attempt.report("canceled");
-      return this.call.signal.aborted ? "answered" : "retry";
+      return "retry";
     }
     if (error.kind === "lost") {
       await this.suspectCheck?.reportBrokenConnection(attempt);
     }
     this.ran = "unknown";
     this.lastFailure = failure("upstreamFailed", { message: error.message });
-    attempt.report(
-      error.kind === "canceled" && this.call.signal.aborted
-        ? "canceled"
-        : "failed",
-    );
-    return this.call.signal.aborted ? "answered" : "retry";
+    attempt.report("failed");
+    if (!this.call.signal.aborted) return "retry";
+    this.stats.finish(4007);
+    return "answered";
   }
 
   async #handleErrorStatus(
--- a/src/edge/plain_call.ts
+++ b/src/edge/plain_call.ts
@@ -232,12 +232,19 @@
     if (error.kind !== "withdrawn") this.ran = "unknown";
     this.lastFailure = isLost
       ? failure("upstreamFailed", { message: error.message })
-      : failure("upstreamTimeout", { ran: this.ran });
+      : this.#createCancelFailure();
     if (this.#isRepeatable && !this.call.signal.aborted) return "retry";
     await this.#finishWithFailure(this.lastFailure);
     return "answered";
   }
 
+  /** An attempt under a claim outlives its caller, so that only its deadline cancels it. */
+  #createCancelFailure(): Failure {
+    const hasCallerLeft = this.call.signal.aborted && !this.#needsClaim;
+    const code = hasCallerLeft ? "canceled" : "upstreamTimeout";
+    return failure(code, { ran: this.ran });
+  }
+
   async #forwardAnswer(
     attempt: Attempt,
     answer: UpstreamAnswer,
--- a/test/fakes.ts
+++ b/test/fakes.ts
@@ -78,6 +78,9 @@
   /** Ids of attempts whose first token was reported. */
   readonly startedAttempts: string[] = [];
   readonly canceledAttempts: string[] = [];
+  /** Whether requests wait in the lead's queue until they are canceled. */
+  isQueueing = false;
+  readonly #waiting = new Map<string, (answer: SlotAnswer) => void>();
   #nextIndex = 0;
   readonly #table: FakeTable;
 
@@ -92,11 +95,19 @@
         this.startedAttempts.push(report.attemptId);
       } else this.reports.push(report);
     },
-    cancel: ({ attemptId }: { attemptId: string }) =>
-      void this.canceledAttempts.push(attemptId),
+    cancel: ({ attemptId }: { attemptId: string }) => {
+      this.canceledAttempts.push(attemptId);
+      const refusal = failure("canceled", { ran: "no" });
+      this.#waiting.get(attemptId)?.({ type: "refuse", failure: refusal });
+    },
   };
-  #acquire(request: SlotRequest): SlotAnswer {
+  #acquire(request: SlotRequest): SlotAnswer | Promise<SlotAnswer> {
     this.requests.push(request);
+    if (this.isQueueing) {
+      return new Promise((resolve) =>
+        this.#waiting.set(request.attemptId, resolve)
+      );
+    }
     const candidates =
       (this.#table.table?.upstreams(request.service, "agadir") ?? [])
         .filter((upstream) => !request.exclude.includes(upstream.id));
