Answers whose head can't be passed on are failures, and statuses without a body have none

Requests with such headers got 500 in place of 400. The edge closed connections without an answer for 204 and 304, too, and hung for 20 s on one of them.

Why it works: headers are checked where answers are decoded and requests are admitted, before anything is written; a status without a body ends with its head, whatever the parser waits for, and such a connection isn't used again.

--- a/src/adapters/http_upstream.ts
+++ b/src/adapters/http_upstream.ts
@@ -7,8 +7,10 @@
  * @module
  */
 
+import { Readable } from "node:stream";
 import { err, ok, type Result } from "neverthrow";
 import { Agent, type Client, type Dispatcher, Pool } from "undici";
+import { areHeaders, hasBody } from "../base/mod.ts";
 import { ConnectionClient } from "./connection_client.ts";
 import { isNotSent } from "./not_sent.ts";
 import {
@@ -76,16 +78,7 @@
       });
       // The reader of the body gets the error. When there is no reader, an unhandled error would end the process.
       answer.body.on("error", () => {});
-      if (answer.statusCode > MAX_FINAL_STATUS) {
-        answer.body.destroy();
-        const message = `the answer has no final status: ${answer.statusCode}`;
-        return err({ kind: "lost", message });
-      }
-      return ok({
-        httpStatus: answer.statusCode,
-        headers: flattenHeaders(answer.headers),
-        body: answer.body,
-      });
+      return readAnswer(answer);
     } catch (error) {
       if (signal.aborted) return err(this.#cancelError(signal));
       return err(classifyError(error as Error & { code?: string }));
@@ -107,6 +100,29 @@
   return new ConnectionClient(origin, options);
 }
 
+/** Turns what `undici` read into an answer; what can't be passed on counts as lost. */
+function readAnswer(
+  { statusCode, headers, body }: Dispatcher.ResponseData,
+): Result<UpstreamAnswer, UpstreamError> {
+  const flat = flattenHeaders(headers);
+  const fault = statusCode > MAX_FINAL_STATUS
+    ? `no final status: ${statusCode}`
+    : areHeaders(Object.entries(flat).flat())
+    ? undefined
+    : "malformed headers";
+  if (fault) {
+    body.destroy();
+    return err({ kind: "lost", message: `the answer has ${fault}` });
+  }
+  if (hasBody(statusCode)) {
+    return ok({ httpStatus: statusCode, headers: flat, body });
+  }
+  // `undici` waits for a body where the head promises one, though the status has none.
+  body.destroy();
+  delete flat["content-length"];
+  return ok({ httpStatus: statusCode, headers: flat, body: Readable.from([]) });
+}
+
 function classifyError(error: Error & { code?: string }): UpstreamError {
   return {
     kind: isNotSent(error) ? "unreachable" : "lost",
--- a/src/base/mod.ts
+++ b/src/base/mod.ts
@@ -1,6 +1,6 @@
 /**
  * Basics that every folder may use: result codes, time, random numbers, hashing, backoff, detection of lag and pauses,
- * the ends of events.
+ * the ends of events, the syntax of HTTP.
  *
  * @module
  */
@@ -10,6 +10,7 @@
 export * from "./progress_timer.ts";
 export * from "./random.ts";
 export * from "./hash.ts";
+export * from "./http_syntax.ts";
 export * from "./backoff.ts";
 export * from "./lag_detector.ts";
 export * from "./pause_detector.ts";
--- a/src/edge/listener.ts
+++ b/src/edge/listener.ts
@@ -9,7 +9,7 @@
 import type { AddressInfo } from "node:net";
 import type { Duplex } from "node:stream";
 import { UnframedAnswers } from "../adapters/mod.ts";
-import { failure } from "../base/mod.ts";
+import { areHeaders, failure } from "../base/mod.ts";
 import { sendFailure } from "./answer.ts";
 
 /** Time within which the headers must arrive completely; Node closes the connection otherwise. */
@@ -51,7 +51,10 @@
     };
     this.#server = createServer(
       settings,
-      (request, response) => this.#handler(request, response),
+      (request, response) => {
+        if (areHeaders(request.rawHeaders)) this.#handler(request, response);
+        else sendFailure(response, failure("badRequest"), Date.now());
+      },
     );
     this.#unframedAnswers = new UnframedAnswers(this.#server);
     this.#server.on("clientError", rejectUnreadableRequest);
--- a/src/gateway/http_listeners.ts
+++ b/src/gateway/http_listeners.ts
@@ -6,7 +6,7 @@
 
 import type { IncomingMessage, Server, ServerResponse } from "node:http";
 import type { Socket } from "node:net";
-import { type Failure, failure } from "../base/mod.ts";
+import { areHeaders, type Failure, failure } from "../base/mod.ts";
 import {
   type Handlers,
   type Kernel,
@@ -161,6 +161,9 @@
     const { storeView, settings } = this.#context;
     const head = decodeHead(request);
     const reply = new CallerReply(response, () => this.#context.isDraining);
+    if (!areHeaders(request.rawHeaders)) {
+      return this.#refuse(head, request, reply, failure("badRequest"), 0);
+    }
     const { config } = storeView;
     if (!config) {
       return this.#refuse(
--- a/src/gateway/pipe.ts
+++ b/src/gateway/pipe.ts
@@ -6,17 +6,20 @@
 
 import type { IncomingMessage } from "node:http";
 import type { Socket } from "node:net";
-import { type EventIdentity, EventScanner, findEvents } from "../base/mod.ts";
+import {
+  type EventIdentity,
+  EventScanner,
+  findEvents,
+  isHeaderValue,
+} from "../base/mod.ts";
 import type { BodyMemory } from "./body.ts";
+import { endBodiless, type Framing, framingOf } from "./framing.ts";
 import type { Reply } from "./reply.ts";
 import { StreamPosition } from "./stream_position.ts";
 
 /** Whether an answer arrived completely. */
 export type PipeEnd = "whole" | "broken";
 
-/** What tells where an answer ends; one with neither a length nor chunks ends with its connection. */
-export type Framing = "length" | "chunks" | "connection";
-
 /**
  * How the transfer of an answer ended. `cut`: before the end that its framing promises. `given up`: this side stopped
  * reading it, since its caller left, its deadline passed, or it doesn't continue what was forwarded.
@@ -38,15 +41,6 @@
   readonly conclusion: PipeEnd;
 }
 
-function framingOf({ headers }: IncomingMessage): Framing {
-  const coding = headers["transfer-encoding"];
-  if (coding !== undefined) {
-    // Other codings, without chunks behind them, have no end of their own.
-    return /\bchunked\s*$/i.test(coding) ? "chunks" : "connection";
-  }
-  return headers["content-length"] === undefined ? "connection" : "length";
-}
-
 /** Listens to a connection until it is closed. An answer without a body leaves its connection to the next one. */
 interface Watch {
   close(): void;
@@ -125,7 +119,7 @@
   /** Forwards an answer's body until it ends or breaks off. */
   async run(answer: IncomingMessage): Promise<PipeEnd> {
     this.#isGivenUp = false;
-    const end = await this.#forward(answer);
+    const end = await this.#forwardBody(answer);
     if (this.#isGivenUp) return "broken";
     return this.#conclude(answer, end);
   }
@@ -153,6 +147,14 @@
     return conclusion;
   }
 
+  #forwardBody(
+    answer: IncomingMessage,
+  ): TransferEnd | Promise<TransferEnd> {
+    if (framingOf(answer) !== "none") return this.#forward(answer);
+    endBodiless(answer);
+    return "inOrder";
+  }
+
   #forward(answer: IncomingMessage): Promise<TransferEnd> {
     return new Promise((resolve) => {
       let isOver = false;
@@ -206,9 +208,6 @@
  */
 const MAX_HELD_BYTES = 1_048_576;
 
-/** What Node accepts as a header's value. */
-const HEADER_VALUE = /^[\t\x20-\x7e\x80-\xff]*$/;
-
 /**
  * Forwards complete events and remembers the last one. An upstream may stop in the middle of an event; the
  * partial event is dropped, so that another upstream can resume after the last complete one.
@@ -261,7 +260,7 @@
     if (this.#isPassingEvent || !this.#position.isGrowing) return false;
     if (this.#lastEvent === undefined) return true;
     const { id } = this.#lastEvent;
-    return id !== undefined && HEADER_VALUE.test(id);
+    return id !== undefined && isHeaderValue(id);
   }
 
   override get misfit(): string | undefined {
--- a/src/gateway/send.ts
+++ b/src/gateway/send.ts
@@ -82,6 +82,7 @@
 
 const FAULT_REASONS: Record<AnswerFault, string> = {
   status: "answer has no final status",
+  headers: "answer has malformed headers",
   attempt: "answer of another attempt",
   unsigned: "answer is not signed",
 };
--- a/src/platform/upstream_wire.ts
+++ b/src/platform/upstream_wire.ts
@@ -5,6 +5,7 @@
  */
 
 import type { IncomingMessage } from "node:http";
+import { areHeaders, hasBody } from "../base/mod.ts";
 
 /** Headers that apply to one connection only and are not forwarded. */
 const HOP_BY_HOP_HEADERS = new Set([
@@ -174,6 +175,8 @@
   readonly status: number;
   /** Headers to pass on to the caller. */
   readonly headers: readonly string[];
+  /** Whether all headers are well-formed; Node.js lets some pass that are not. */
+  readonly isWellFormed: boolean;
   /** Whether the upstream proves that it made this answer. A success without proof is not passed on to the caller. */
   readonly signed: boolean;
   /** Whether the answer states that the request was not run and never will be. */
@@ -188,7 +191,7 @@
   readonly isLeaving: boolean;
   /** Set if it turned the request away and asks for rest. */
   readonly rest: RestRequest | undefined;
-  /** Length of the body, if the answer states it. */
+  /** Length of the body, if the answer states it and may have one. */
   readonly bodyBytes: number | undefined;
 }
 
@@ -197,13 +200,14 @@
 const MAX_FINAL_STATUS = 599;
 
 /** Why what came in the place of an answer can't be used as one. */
-export type AnswerFault = "status" | "attempt" | "unsigned";
+export type AnswerFault = "status" | "headers" | "attempt" | "unsigned";
 
 /** Checks that an upstream made an answer, and for the attempt that it was asked for. */
 export function findAnswerFault(
-  { status, matches, signed, notRun }: UpstreamAnswer,
+  { status, isWellFormed, matches, signed, notRun }: UpstreamAnswer,
 ): AnswerFault | undefined {
   if (status < MIN_FINAL_STATUS || status > MAX_FINAL_STATUS) return "status";
+  if (!isWellFormed) return "headers";
   if (!matches) return "attempt";
   return signed || notRun ? undefined : "unsigned";
 }
@@ -244,6 +248,7 @@
   return {
     status,
     headers: kept,
+    isWellFormed: areHeaders(answer.rawHeaders),
     signed: hasStamp(kept),
     notRun: headers["not-executed"] !== undefined || wrongUpstream,
     wrongUpstream,
@@ -253,12 +258,17 @@
     closes: headers.connection === "close",
     isLeaving: headers["server-leaving"] === "1",
     rest: decodeRest(status, headers["retry-after"]),
-    bodyBytes: headers["content-length"] === undefined
-      ? undefined
-      : Number(headers["content-length"]),
+    bodyBytes: decodeLength(status, headers["content-length"]),
   };
 }
 
+function decodeLength(
+  status: number,
+  text: string | undefined,
+): number | undefined {
+  return text === undefined || !hasBody(status) ? undefined : Number(text);
+}
+
 /** Adds the header that asks an upstream to continue a stream after an event, in place of any that the caller sent. */
 export function addResumeHeader(
   forwarded: readonly string[],
