--- a/src/adapters/etcd_key_value.ts
+++ b/src/adapters/etcd_key_value.ts
@@ -39,13 +39,6 @@
 export class EtcdKeyValue extends KeyValue {
   readonly #client: PlatformClient;
   readonly #watches = new Set<Watch>();
-  readonly #counts: Record<StorePurpose, number> = {
-    table: 0,
-    claims: 0,
-    fencing: 0,
-    membership: 0,
-    other: 0,
-  };
 
   constructor(options: PlatformOptions) {
     super();
@@ -143,7 +136,7 @@
     onEvent: (event: WatchEvent) => void,
     purpose: StorePurpose,
   ): Watch {
-    this.#counts[purpose]++;
+    this.countCall(purpose);
     const stream = this.#client.stream("/v3/watch", {
       create_request: {
         key: encodeBase64(prefix),
@@ -174,10 +167,6 @@
     return watch;
   }
 
-  counts(): Readonly<Record<StorePurpose, number>> {
-    return { ...this.#counts };
-  }
-
   close(): Promise<void> {
     for (const watch of [...this.#watches]) watch.close();
     this.#client.close();
@@ -206,7 +195,7 @@
     body: unknown,
     purpose: StorePurpose,
   ): Promise<Result<T, StoreError>> {
-    this.#counts[purpose]++;
+    this.countCall(purpose);
     const answer = await this.#client.call("POST", path, body);
     return answer.andThen((response: PlatformAnswer): Result<T, StoreError> => {
       if (response.status !== 200) return err(toPlatformError(response));
--- a/src/adapters/key_value.ts
+++ b/src/adapters/key_value.ts
@@ -91,6 +91,14 @@
 
 /** A connection to the platform's key-value service. */
 export abstract class KeyValue {
+  readonly #counts: Record<StorePurpose, number> = {
+    table: 0,
+    claims: 0,
+    fencing: 0,
+    membership: 0,
+    other: 0,
+  };
+
   /**
    * The highest {@link Listing.generation} that any answer named; `undefined` if none did. A lease that was granted in an
    * earlier one may be gone, and its id another VM's.
@@ -153,7 +161,14 @@
   ): Watch;
 
   /** Returns the number of calls made so far, by purpose. */
-  abstract counts(): Readonly<Record<StorePurpose, number>>;
+  counts(): Readonly<Record<StorePurpose, number>> {
+    return { ...this.#counts };
+  }
+
+  /** Counts a call. */
+  protected countCall(purpose: StorePurpose): void {
+    this.#counts[purpose]++;
+  }
 
   abstract close(): Promise<void>;
 }
--- a/src/platform/store.ts
+++ b/src/platform/store.ts
@@ -65,13 +65,6 @@
     maxSockets: MAX_CONNECTIONS,
     scheduling: "lifo",
   });
-  readonly #counts: Record<StorePurpose, number> = {
-    table: 0,
-    claims: 0,
-    fencing: 0,
-    membership: 0,
-    other: 0,
-  };
 
   #generation: number | undefined;
 
@@ -244,10 +237,6 @@
     return { close: () => void (isOpen = false) };
   }
 
-  counts(): Readonly<Record<StorePurpose, number>> {
-    return { ...this.#counts };
-  }
-
   close(): Promise<void> {
     this.#agent.destroy();
     return Promise.resolve();
@@ -326,7 +315,7 @@
     purpose: StorePurpose,
     extraWaitMs = 0,
   ): Promise<Result<StoreResponse, StoreError>> {
-    this.#counts[purpose]++;
+    this.countCall(purpose);
     return callStore({
       agent: this.#agent,
       host: this.#host,
--- a/src/standins/memory_key_value.ts
+++ b/src/standins/memory_key_value.ts
@@ -43,13 +43,6 @@
   readonly #clock: Clock;
   readonly #vmId: string;
   readonly #watches = new Set<Watch>();
-  readonly #counts: Record<StorePurpose, number> = {
-    table: 0,
-    claims: 0,
-    fencing: 0,
-    membership: 0,
-    other: 0,
-  };
 
   #generation: number | undefined;
 
@@ -168,7 +161,7 @@
     onEvent: (event: WatchEvent) => void,
     purpose: StorePurpose,
   ): Watch {
-    this.#counts[purpose]++;
+    this.countCall(purpose);
     const watch = new MemoryWatch(onEvent, () => this.#watches.delete(watch));
     this.#watches.add(watch);
     if (this.faults.isCutOff(this.#vmId, prefix)) {
@@ -187,10 +180,6 @@
     return watch;
   }
 
-  counts(): Readonly<Record<StorePurpose, number>> {
-    return { ...this.#counts };
-  }
-
   close(): Promise<void> {
     for (const watch of [...this.#watches]) watch.close();
     return Promise.resolve();
@@ -223,7 +212,7 @@
     purpose: StorePurpose,
     run: () => Result<T, StoreError>,
   ): Promise<Result<T, StoreError>> {
-    this.#counts[purpose]++;
+    this.countCall(purpose);
     const fault = this.faults.take(this.#vmId, key, isWrite);
     if (fault.slowMs > 0) await this.#clock.sleep(fault.slowMs);
     // Resolving in a later turn, as a socket would, keeps tests from relying on a result in the same turn.
