Answers that break off before their first byte are failures, or sent again

Requests that may be repeated weren't sent again.

Cause: a reply counted as begun with its upstream's head, though Node sends the head with the body's first bytes only.

Why it works: the head is held until the first bytes; until then the reply hasn't begun, and what happens is handled as if no answer had come.

--- a/src/gateway/call.ts
+++ b/src/gateway/call.ts
@@ -317,7 +317,7 @@
     this.#record.arrivals += head.arrivals;
     this.#lastFailure = head.failure;
     // A moved stream has run, even if its new engine refuses it.
-    const mayHaveRun = head.mayHaveRun || this.#reply.hasStarted;
+    const mayHaveRun = head.mayHaveRun || this.#answer.hasBegun;
     if (mayHaveRun) this.#evidence.noteMayHaveRun();
     else this.#evidence.noteNotRun();
     const isFinal = FINAL_CODES.has(head.failure.code);
@@ -326,14 +326,12 @@
     this.#fail(head.failure, head.comeBackMs, head.reason);
   }
 
-  /** Handles a stream that broke off: another upstream resumes it, or the caller's connection is aborted too. */
+  /** Handles an answer that broke off: another upstream takes it up, or the caller gets a failure or no end of it. */
   #handleBreak(reason: string): void {
     this.#evidence.noteMayHaveRun();
-    const { relayed } = this.#input;
-    const mayContinue = this.#answer.continuable && !relayed;
-    if (mayContinue && this.#retries.take("resumption", true, reason)) return;
-    this.#finish("streamBroken", reason);
-    this.#reply.abort();
+    if (this.#retries.takeAfterBreak(this.#answer, reason)) return;
+    const code = this.#reply.hasStarted ? "streamBroken" : "upstreamFailed";
+    this.#fail(failure(code), 0, reason);
   }
 
   #refuse(step: Step<LinkedCandidate> & { type: "refuse" }): void {
--- a/src/gateway/call_answer.ts
+++ b/src/gateway/call_answer.ts
@@ -53,9 +53,20 @@
     return pipe instanceof EventPipe && pipe.canContinue ? pipe : undefined;
   }
 
+  /** Whether an answer was taken for the reply, though none of it may have been sent. */
+  get hasBegun(): boolean {
+    return this.#pipe !== undefined;
+  }
+
+  /** Forgets an answer of which nothing was sent, so that another one takes its place. */
+  restart(): void {
+    this.#pipe?.close();
+    this.#pipe = undefined;
+  }
+
   /** Why an answer can't continue what has been forwarded; `undefined` if it can, or is the first one. */
   whyNotJoined({ answer, decoded }: Answered): string | undefined {
-    if (!this.#options.reply.hasStarted) return undefined;
+    if (!this.hasBegun) return undefined;
     if (decoded.status !== 200) return `resumed with status ${decoded.status}`;
     return isEventStream(answer, true)
       ? undefined
--- a/src/gateway/call_retries.ts
+++ b/src/gateway/call_retries.ts
@@ -5,6 +5,7 @@
  */
 
 import { canRetry, isRepeatable } from "../routing/mod.ts";
+import type { CallAnswer } from "./call_answer.ts";
 import type { CallInput } from "./call_input.ts";
 import type { CallPlacement } from "./call_placement.ts";
 import type { BudgetAnswer, CallRecord, RetryWay } from "./call_record.ts";
@@ -54,6 +55,17 @@
     return this.#takeFromBudget(way, reason);
   }
 
+  /** Takes a send that continues an answer which broke off, or begins anew one of which nothing was sent. */
+  takeAfterBreak(answer: CallAnswer, reason: string): boolean {
+    const { input, reply } = this.#options;
+    if (answer.continuable && !input.relayed) {
+      return this.take("resumption", true, reason);
+    }
+    if (reply.hasStarted || !this.take("lost", true, reason)) return false;
+    answer.restart();
+    return true;
+  }
+
   /** Takes the arrival of a running stream at one more engine. Returns whether it is allowed. */
   takeMove(): boolean {
     return this.#takeFromBudget("move", "its engine has too much to read");
--- a/src/gateway/reply.ts
+++ b/src/gateway/reply.ts
@@ -11,11 +11,18 @@
 const CR = 0x0d;
 const LF = 0x0a;
 
+/** The head of an answer, which is sent with the body's first bytes or its end. */
+interface PendingHead {
+  readonly status: number;
+  readonly headers: readonly string[];
+}
+
 /** The reply to one request. It ends once: with an answer, a failure, or an aborted connection. */
 export abstract class Reply {
   protected readonly response: ServerResponse;
   #isDisconnected = false;
   #hasBody = false;
+  #pendingHead: PendingHead | undefined;
   #framesChunks = false;
   #onBody: () => void = () => {};
   #onDisconnect: (() => void) | undefined;
@@ -75,17 +82,29 @@
     return this.response.headersSent;
   }
 
-  /** Sends an upstream's status and headers; `bodyBytes` is the body's length, if known. */
+  /**
+   * Takes an upstream's status and headers; `bodyBytes` is the body's length, if known. They are sent with the body's
+   * first bytes, or its end: until then another answer can take their place.
+   */
   start(
     status: number,
     headers: readonly string[],
     bodyBytes: number | undefined,
   ): void {
-    const allHeaders = bodyBytes === undefined
-      ? [...headers]
-      : [...headers, "Content-Length", String(bodyBytes)];
-    if (this.closesConnection) allHeaders.push("Connection", "close");
-    this.response.writeHead(status, allHeaders);
+    this.#pendingHead = {
+      status,
+      headers: bodyBytes === undefined
+        ? headers
+        : [...headers, "Content-Length", String(bodyBytes)],
+    };
+  }
+
+  #sendHead(): void {
+    if (!this.#pendingHead) return;
+    const { status, headers } = this.#pendingHead;
+    this.#pendingHead = undefined;
+    const closing = this.closesConnection ? ["Connection", "close"] : [];
+    this.response.writeHead(status, [...headers, ...closing]);
     // Node hands the size, the data and two line ends of a chunk to the socket one by one. Events are short, so that this
     // costs more than copying them into one buffer.
     this.#framesChunks = this.response.chunkedEncoding;
@@ -94,6 +113,7 @@
 
   /** Sends bytes; `false` means that the other side reads too slowly: wait for {@link Reply.onDrain}. */
   write(chunk: Buffer): boolean {
+    this.#sendHead();
     const isFirst = !this.#hasBody;
     this.#hasBody = true;
     const isTaken = this.response.write(
@@ -109,6 +129,7 @@
 
   /** Ends a complete answer. */
   end(): void {
+    this.#sendHead();
     // Node then sends the chunk that ends the body.
     if (this.#framesChunks) this.response.chunkedEncoding = true;
     this.response.end();
