Edge: a plain answer that breaks off before its first byte is a failure, or sent again

What callers saw: a connection closed without an answer where an upstream's answer broke off between its head and its first byte. Cause: the response was taken for begun with the upstream's head, and cut off with it. The edge waits for the first bytes before it begins; until then a call that may be repeated is, and another is told as failed.

--- a/src/edge/body.ts
+++ b/src/edge/body.ts
@@ -89,3 +89,12 @@
   }
   return Buffer.concat(chunks);
 }
+
+/** Waits until a body begins or ends in order; `false` if it breaks off before. */
+export function hasBegun(body: Readable): Promise<boolean> {
+  return new Promise((resolve) => {
+    body.once("readable", () => resolve(body.errored === null));
+    body.once("error", () => resolve(false));
+    body.once("close", () => resolve(body.errored === null));
+  });
+}
--- a/src/edge/plain_call.ts
+++ b/src/edge/plain_call.ts
@@ -12,7 +12,7 @@
 import type { ClaimAnswer, ClaimKey, ServiceRow } from "../agreement/mod.ts";
 import { breakOffResponse } from "./answer.ts";
 import { type Attempt, AttemptIterator } from "./attempts.ts";
-import { readAnswerBody, readBody } from "./body.ts";
+import { hasBegun, readAnswerBody, readBody } from "./body.ts";
 import { type Call, getDeadlineMs } from "./call.ts";
 import { type AttemptResult, CallHandler } from "./call_handler.ts";
 import type { EdgeContext } from "./context.ts";
@@ -258,6 +258,13 @@
       return this.handleNotRun(attempt, "refused");
     }
     if (this.#claim) return await this.#storeAndForwardAnswer(attempt, answer);
+    // Nothing is sent before the body's first bytes, so until then another answer may come in place of this one.
+    if (!await hasBegun(answer.body)) {
+      return await this.#handleUpstreamError(attempt, {
+        kind: this.call.signal.aborted ? "canceled" : "lost",
+        message: "the answer broke off before its body",
+      });
+    }
     this.#startResponse(attempt, answer);
     try {
       await forwardBody(answer, response);
--- a/test/raw_upstream.ts
+++ b/test/raw_upstream.ts
@@ -19,6 +19,8 @@
 export interface RawAnswer {
   /** Status line and headers without the empty line, for example `HTTP/1.1 200 OK`. */
   readonly head: string;
+  /** What is sent in place of the head, as it is. */
+  readonly bytes?: string;
   /** Parts of the body; each is written on its own, so that a reader may get it on its own. */
   readonly parts: readonly (string | Buffer)[];
   readonly end: ConnectionEnd;
@@ -82,7 +84,9 @@
 }
 
 async function send(socket: Socket, answer: RawAnswer): Promise<void> {
-  socket.write(`${answer.head}\r\n\r\n${answer.parts[0] ?? ""}`);
+  socket.write(
+    answer.bytes ?? `${answer.head}\r\n\r\n${answer.parts[0] ?? ""}`,
+  );
   for (const part of answer.parts.slice(1)) {
     await sleep(PART_GAP_MS);
     socket.write(part);
