--- a/test/gateway_cut_heads_test.ts
+++ b/test/gateway_cut_heads_test.ts
@@ -19,11 +19,15 @@
 
 const TEXT = "flour to Imilchil";
 const EVENTS = formatStream(0, 2);
+const FIRST_EVENT = formatStream(0, 1);
+const OTHER_EVENTS = formatStream(1, 2);
 const STREAM_TYPE = "Content-Type: text/event-stream";
 const CHUNKED = "Transfer-Encoding: chunked";
 /** Of the length of those that callers of the lab send. */
 const ATTEMPT_ID = "0123456789abc";
 const ENDS: readonly ConnectionEnd[] = ["close", "reset"];
+/** Time for the first event to reach its caller before the stream breaks off. */
+const CONTINUE_DELAY_MS = 5;
 /** Requests that are open at once. */
 const PARALLEL = 16;
 
@@ -212,6 +216,40 @@
   }
 });
 
+/** Makes a script that begins each stream with one event, and cuts the answers that continue it. */
+function cutContinuationScript(format: Format): Script {
+  const cut = cutScript(format);
+  return (request, socket) => {
+    if (request.lastEventId !== undefined) return cut(request, socket);
+    const head = formatHead(request, "200 OK", [STREAM_TYPE, CHUNKED]);
+    socket.write(
+      head + formatChunk(FIRST_EVENT),
+      () => endConnection(socket, "close", CONTINUE_DELAY_MS),
+    );
+  };
+}
+
+/** Guards against a stream that is framed as whole though what continues it was cut. */
+describe("gateway, the continuation of a stream that is cut", () => {
+  let count = 0;
+  const formats = formatsOf(OTHER_EVENTS, [STREAM_TYPE]);
+  for (const [name, format] of Object.entries(formats)) {
+    const first = count++;
+    it(`at any byte, ${name}, gives no false success`, async (t) => {
+      const script = cutContinuationScript(format);
+      const lab = await openCut(t, script, false);
+      await addScripted(t, lab.lab, lab.vm, script);
+      const whole: Format = (request) => ({ ...format(request), body: EVENTS });
+      const faults = await cutOften(lab, "/stream/", whole, first);
+      t.deepEqual(faults.filter((fault) => fault.includes("false")), []);
+      const continued = lab.upstream.requests.filter(({ lastEventId }) =>
+        lastEventId === "1"
+      );
+      t.true(continued.length > 0);
+    });
+  }
+});
+
 /** Guards against a caller that gets a failure where another upstream could have answered. */
 describe("gateway, an answer that breaks off behind its head", () => {
   for (const path of ["/safe/", "/stream/"]) {
