A VM out of step doesn't take the only version that it knows for what serves now

Callers whose streams had broken off took them up at a VM that was cut off from the others and the store for a moment, while upstreams of a second version joined: answered 200, whole, the first part from one version and the rest from the other (ORDER).

Cause: a copy of the upstreams' entries that was the store's within 2 s counted as what serves now; copies are up to 1.2 s behind at any VM. What came since is not in it, and the VMs that know of it may be out of reach.

Now a VM that goes by the only version asks the store first what changed, after the stream has come: the stream broke off before, so the entry of the upstream that began it is in that answer, or was taken out since. Without an answer within 500 ms the stream is refused as not run. A service of which no upstream is known is refused too (found by reading): the next one that comes may have another version.

--- a/src/gateway/call_origin.ts
+++ b/src/gateway/call_origin.ts
@@ -81,7 +81,7 @@
       originReplies: replies,
     };
     if (isIncomplete) return this.#refuse("unknown, nobody answers", fields);
-    if (seen.length < 2) return this.#goOn(seen[0], "only version", fields);
+    if (seen.length === 1) return this.#goOn(seen[0], "only version", fields);
     return this.#refuse(`unknown, one of ${seen.join(" ")}`, fields);
   }
 
--- a/src/gateway/call_origin_test.ts
+++ b/src/gateway/call_origin_test.ts
@@ -38,9 +38,11 @@
     store: new MemoryKeyValue({ clock: this.clock }),
     leastLeaseMs: 1_000,
     storeWritesPerS: 400,
+    storeReadsPerS: 2_000,
     isFirstStart: true,
     metrics: new GatewayMetrics(),
     entriesAgeMs: () => 0,
+    refreshEntries: () => Promise.resolve(true),
   });
 
   async start(): Promise<void> {
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -40,6 +40,7 @@
 
 /** What a store allows to all VMs together, unless the settings say so. */
 const DEFAULT_STORE_WRITES_PER_S = 400;
+const DEFAULT_STORE_READS_PER_S = 2_000;
 
 /** Shown by the metrics where there is no configuration. */
 const NO_VERSION = -1;
@@ -195,9 +196,11 @@
       store,
       leastLeaseMs: settings.store.leastLeaseMs,
       storeWritesPerS: settings.store.writesPerS ?? DEFAULT_STORE_WRITES_PER_S,
+      storeReadsPerS: settings.store.readsPerS ?? DEFAULT_STORE_READS_PER_S,
       isFirstStart: settings.firstStart ?? false,
       metrics,
       entriesAgeMs: () => storeView.agreedAgoMs("upstreams"),
+      refreshEntries: () => storeView.refresh("upstreams"),
     });
     const { quotaExcess, quotaSlack, quotaWindowMs } = settings.bounds;
     const quotas = new Quotas({
--- a/src/gateway/origin_questions.ts
+++ b/src/gateway/origin_questions.ts
@@ -21,8 +21,8 @@
 
 const MAX_FIRST_QUESTION = 2 ** 47;
 
-/** The result of a question. */
-export type QuestionResult = FoundOrigin | {
+/** The result of a question to VMs that don't know. */
+export interface UnknownResult {
   readonly type: "unknown";
   /** The versions that the VMs which answered saw. */
   readonly seen: readonly string[];
@@ -30,7 +30,10 @@
   readonly replies: number;
   /** Number of those that know all versions which served lately. */
   readonly sureReplies: number;
-};
+}
+
+/** The result of a question. */
+export type QuestionResult = FoundOrigin | UnknownResult;
 
 interface OpenQuestion {
   /** VMs that have not answered. */
--- a/src/gateway/origin_search.ts
+++ b/src/gateway/origin_search.ts
@@ -11,14 +11,15 @@
   type OriginPeers,
   vmsToAsk,
 } from "../region/mod.ts";
-import type { OriginQuestions } from "./origin_questions.ts";
+import type { EntryRefresh } from "./entry_refresh.ts";
+import type { OriginQuestions, UnknownResult } from "./origin_questions.ts";
 import type { StoredOrigins } from "./stored_origins.ts";
 import type { VersionWatch } from "./version_watch.ts";
 
 /** A version may have come since this VM's copy of the entries was last known to be the store's. */
 const FRESH_ENTRIES_MS = 2_000;
-/** How long a stream waits for the versions recorded in the store: a round trip to another region and some more. */
-const RECORD_TIMEOUT_MS = 500;
+/** How long a stream waits for what the store tells: a round trip to another region and some more. */
+const STORE_TIMEOUT_MS = 500;
 
 /** What is known of the origin of a stream that a caller takes up again. */
 export type OriginAnswer = FoundOrigin | UnknownOrigin;
@@ -28,7 +29,10 @@
   readonly type: "unknown";
   /** The versions of the service that may have begun it. */
   readonly seen: readonly string[];
-  /** Whether there may be others: neither this VM nor one that it asked can know all that served lately. */
+  /**
+   * Whether there may be others: neither this VM nor one that it asked can know all that served lately, or this VM can't
+   * tell which have come since.
+   */
   readonly isIncomplete: boolean;
   /** How long this VM has watched the versions of upstreams. */
   readonly watchedMs: number;
@@ -42,6 +46,7 @@
   readonly questions: OriginQuestions;
   readonly stored: StoredOrigins;
   readonly peers: () => OriginPeers;
+  readonly entries: EntryRefresh;
   /** Time since this VM's copy of the upstreams' entries was last known to be the store's. */
   readonly entriesAgeMs: () => number;
 }
@@ -63,10 +68,9 @@
       vmsToAsk(peers()),
     );
     if (answer.type !== "unknown") return answer;
-    const { seen, replies, sureReplies } = answer;
-    const isKnownThere = sureReplies > 0;
-    if (!isKnownThere) await versions.waitForRecord(RECORD_TIMEOUT_MS);
-    const unknown = this.#describe(service, seen, replies, isKnownThere);
+    const isKnownThere = answer.sureReplies > 0;
+    if (!isKnownThere) await versions.waitForRecord(STORE_TIMEOUT_MS);
+    const unknown = await this.#describe(service, answer, isKnownThere);
     // A version may have come and gone with all VMs before one of them could record it.
     const isOnlyVersion = unknown.seen.length < 2 && !unknown.isIncomplete &&
       versions.watchedMs >= ORIGIN_TTL_MS;
@@ -79,18 +83,22 @@
     return entriesAgeMs() < FRESH_ENTRIES_MS && versions.knowsAll;
   }
 
-  #describe(
+  async #describe(
     service: string,
-    seenElsewhere: readonly string[],
-    replies: number,
+    { seen: seenElsewhere, replies }: UnknownResult,
     isKnownThere: boolean,
-  ): UnknownOrigin {
-    const { versions } = this.#options;
-    const seenHere = versions.recent(service);
+  ): Promise<UnknownOrigin> {
+    const { versions, entries } = this.#options;
+    const listSeen = () => [
+      ...new Set([...versions.recent(service), ...seenElsewhere]),
+    ];
+    // A version may have come a moment ago, and the VMs that know of it may be out of reach.
+    const isCurrent = listSeen().length > 1 ||
+      await entries.run(STORE_TIMEOUT_MS);
     return {
       type: "unknown",
-      seen: [...new Set([...seenHere, ...seenElsewhere])],
-      isIncomplete: !isKnownThere && !this.isSure,
+      seen: listSeen(),
+      isIncomplete: !isCurrent || !(isKnownThere || versions.knowsAll),
       watchedMs: versions.watchedMs,
       replies,
     };
--- a/src/gateway/origins.ts
+++ b/src/gateway/origins.ts
@@ -4,7 +4,6 @@
  * @module
  */
 
-import type { KeyValue } from "../adapters/mod.ts";
 import type { Clock, Timer } from "../base/mod.ts";
 import {
   type Handlers,
@@ -32,47 +31,15 @@
   vmsToTell,
 } from "../region/mod.ts";
 import { ORIGIN_PREFIX, VERSIONS_KEY } from "../platform/mod.ts";
-import type { Fleet } from "../routing/mod.ts";
-import type { Datagrams } from "./datagrams.ts";
-import type { Members } from "./members.ts";
-import type { GatewayMetrics } from "./metrics.ts";
 import { waitForNextPoll } from "./next_poll.ts";
 import { listOriginPeers } from "./origin_peers.ts";
+import { EntryRefresh } from "./entry_refresh.ts";
 import { OriginQuestions, type QuestionResult } from "./origin_questions.ts";
 import { type OriginAnswer, OriginSearch } from "./origin_search.ts";
+import type { StreamOriginsOptions } from "./origins_options.ts";
 import { StoredOrigins } from "./stored_origins.ts";
 import { VersionWatch } from "./version_watch.ts";
 
-/** Options of {@link StreamOrigins}. */
-export interface StreamOriginsOptions {
-  readonly self: {
-    readonly ip: string;
-    readonly region: string;
-    /** Distinguishes this process from all others, also from those of the same VM. */
-    readonly processId: string;
-  };
-  readonly datagrams: Pick<Datagrams, "on" | "send">;
-  readonly members: Pick<
-    Members,
-    | "isLead"
-    | "order"
-    | "vmCount"
-    | "sharerCount"
-    | "vmsForCallers"
-    | "otherRegions"
-  >;
-  readonly fleet: Pick<Fleet, "services" | "versionsOf">;
-  readonly store: KeyValue;
-  readonly leastLeaseMs: number;
-  /** See {@link StoredOriginsOptions.writesPerS}. */
-  readonly storeWritesPerS: number;
-  /** See {@link VersionWatchOptions.isFirstStart}. */
-  readonly isFirstStart: boolean;
-  readonly metrics: GatewayMetrics;
-  /** Time since this VM's copy of the upstreams' entries was last known to be the store's. */
-  readonly entriesAgeMs: () => number;
-}
-
 /** A stream whose upstream is asked which of its processes began it. */
 interface UnprovenStream {
   /** Resolves when its origin is noted. */
@@ -153,6 +120,12 @@
       questions: this.#questions,
       stored: this.#stored,
       peers: () => listOriginPeers(this.#options),
+      entries: new EntryRefresh({
+        refresh: this.#options.refreshEntries,
+        readsPerS: this.#options.storeReadsPerS,
+        sharerCount: () => members.sharerCount(),
+        clock: this.#clock,
+      }),
       entriesAgeMs: this.#options.entriesAgeMs,
     });
     datagrams.on("began", (params) => this.#onTold(params));
--- a/src/gateway/origins_test.ts
+++ b/src/gateway/origins_test.ts
@@ -59,9 +59,12 @@
       store,
       leastLeaseMs: 1_000,
       storeWritesPerS: 400,
+      storeReadsPerS: 2_000,
       isFirstStart,
       metrics: new GatewayMetrics(),
       entriesAgeMs: () => vm.entriesAgeMs,
+      refreshEntries: () =>
+        Promise.resolve(!vm.isCutOff && vm.entriesAgeMs === 0),
     });
     const vm: NetworkVm = {
       origins,
--- a/src/gateway/settings.ts
+++ b/src/gateway/settings.ts
@@ -49,6 +49,8 @@
     leastLeaseMs: nonNegative,
     /** Write calls a second that it allows to all VMs together. */
     writesPerS: z.optional(z.number().check(z.minimum(1))),
+    /** Read calls a second that it allows to all VMs together. */
+    readsPerS: z.optional(z.number().check(z.minimum(1))),
   }),
   /**
    * Whether requests without a place wait in order at their region's lead, where workspaces with limits compete for
--- a/src/replication/follower.ts
+++ b/src/replication/follower.ts
@@ -5,16 +5,8 @@
  * @module
  */
 
-import type { Result } from "neverthrow";
-import type {
-  Entry,
-  Listing,
-  StoreError,
-  StorePurpose,
-  WatchEvent,
-} from "../adapters/mod.ts";
-import { backoffMs, type Clock, Random } from "../base/mod.ts";
-import type { Log } from "../kernel/mod.ts";
+import type { Entry, Listing, WatchEvent } from "../adapters/mod.ts";
+import { backoffMs, Random } from "../base/mod.ts";
 import { compareReplicaStates, type ReplicaState } from "../region/mod.ts";
 import {
   type AdoptOutcome,
@@ -22,52 +14,8 @@
   type News,
   type NewsRequest,
   Replica,
-  type ReplicaOptions,
 } from "./replica.ts";
-
-/** The calls to the store that a follower makes. */
-export interface FollowedStore {
-  list(
-    prefix: string,
-    options: Record<string, never>,
-    purpose: StorePurpose,
-  ): Promise<Result<Listing, StoreError>>;
-  changes(
-    prefix: string,
-    afterRev: number,
-    waitMs: number,
-    purpose: StorePurpose,
-  ): Promise<
-    Result<
-      {
-        readonly events: readonly WatchEvent[];
-        readonly rev: number;
-        readonly generation?: number | undefined;
-      },
-      { readonly kind: string; readonly message: string }
-    >
-  >;
-}
-
-/** Options of {@link Follower}. */
-export interface FollowerOptions extends ReplicaOptions {
-  readonly store: FollowedStore;
-  readonly prefix: string;
-  readonly clock: Clock;
-  readonly log: Log;
-  /** How long one poll for changes waits at the store. */
-  readonly waitMs: number;
-  /** Pause after a poll, so that many small changes are taken together and cost one call. */
-  readonly pauseMs: number;
-  /** Other VMs regard this one as cut off from the store if its last answer is older than this. */
-  readonly maxAnswerAgeMs: number;
-  /** Whether this VM polls the store now; otherwise it relies on other VMs' news. */
-  readonly isReader: () => boolean;
-  /** Returns the part of a store entry that is kept and sent to other VMs. */
-  readonly redact?: (entry: Entry) => Entry;
-  /** Called when a VM that the store answers announces the same copy. */
-  readonly onAgreed?: () => void;
-}
+import type { FollowerOptions } from "./follower_options.ts";
 
 /** First and longest backoff after failed calls; an outage costs at most four calls per second and VM. */
 const RETRY = { firstMs: 150, maxMs: 500 };
@@ -211,6 +159,13 @@
     return this.#replica.adopt(news);
   }
 
+  /** Asks the store now. Returns whether this copy was the store's at a moment since the call. */
+  async refresh(): Promise<boolean> {
+    if (this.#replica.rev === 0) return false;
+    const outcome = await this.#askChanges(0);
+    return outcome === "gap" ? await this.#listAll() : outcome === "applied";
+  }
+
   async #run(): Promise<void> {
     let hasListed = false;
     while (this.#isOpen) {
@@ -265,22 +220,31 @@
   }
 
   async #pollChanges(): Promise<boolean> {
-    const { store, prefix, pauseMs, clock } = this.#options;
+    const { pauseMs, clock } = this.#options;
     // The first answer shows other VMs that the store answers this one, so it does not wait for a change.
     const waitMs = this.#hasAsked ? this.#options.waitMs : 0;
     this.#hasAsked = true;
+    if (await this.#askChanges(waitMs) !== "applied") return false;
+    if (pauseMs > 0) await clock.sleep(pauseMs);
+    return true;
+  }
+
+  /** Asks for changes and applies them. After a `gap` all keys have to be listed. */
+  async #askChanges(waitMs: number): Promise<"applied" | "gap" | "failed"> {
+    const { store, prefix } = this.#options;
     const { rev: afterRev, generation: askedInGeneration = 0 } = this.state;
     const changes = await store.changes(prefix, afterRev, waitMs, "table");
-    if (!this.#isOpen) return false;
+    if (!this.#isOpen) return "failed";
     if (changes.isErr()) {
-      if (changes.error.kind !== "compacted") this.#noteFailure(changes.error);
-      return false;
+      if (changes.error.kind === "compacted") return "gap";
+      this.#noteFailure(changes.error);
+      return "failed";
     }
     this.#noteAnswer();
     const { events, rev, generation } = changes.value;
     // The changes of a later generation don't say what was lost; a listing does.
     if (this.#replica.isRestoredBy({ generation: generation ?? 0 })) {
-      return false;
+      return "gap";
     }
     const result = this.#replica.applyChanges(
       events.map((event) => this.#redactEvent(event)),
@@ -289,8 +253,7 @@
       askedInGeneration,
     );
     this.#logStaleKeys(result, rev);
-    if (pauseMs > 0) await clock.sleep(pauseMs);
-    return true;
+    return "applied";
   }
 
   #redact(entry: Entry): Entry {
--- a/src/replication/store_view.ts
+++ b/src/replication/store_view.ts
@@ -22,7 +22,8 @@
   type ConfigSource,
   FROM_STORE,
 } from "./config_in_force.ts";
-import { type FollowedStore, Follower } from "./follower.ts";
+import { Follower } from "./follower.ts";
+import type { FollowedStore } from "./follower_options.ts";
 import { KeptEntries } from "./kept_entries.ts";
 import type {
   AdoptOutcome,
@@ -175,6 +176,11 @@
     return this.#clock.monoMs() - this.#followers[topic].agreedMonoMs;
   }
 
+  /** See {@link Follower.refresh}. */
+  refresh(topic: NewsTopic): Promise<boolean> {
+    return this.#followers[topic].refresh();
+  }
+
   /**
    * Whether this VM can rule out that the store holds a newer configuration than the one in force here. Callers don't come
    * back after some refusals, so a VM that can't refuses for now: another VM may have the newer one.
--- a/src/replication/store_view_test.ts
+++ b/src/replication/store_view_test.ts
@@ -5,7 +5,7 @@
 import { Kernel, type TaskPort } from "../kernel/mod.ts";
 import { UPSTREAM_PREFIX } from "../platform/mod.ts";
 import { SILENT_LOG } from "../../test/silent_log.ts";
-import type { FollowedStore } from "./follower.ts";
+import type { FollowedStore } from "./follower_options.ts";
 import type { News } from "./replica.ts";
 import { StoreView } from "./store_view.ts";
 import type { StoreViewMessages } from "./store_view_messages.ts";
