Own interface: what is open when the time of a planned stop is over is answered

What callers saw: when `limits.drainMs` was over, each open request ended with a closed connection and no answer: an upstream that stays silent (whole answers, streams before their first event, safe calls, others, at most once), a request in a lead's queue, one whose body had not arrived, one that waited for its claim, and an answer that waited only for its record. A stream that had begun broke off without a word. The claim of an at-most-once call stayed "running". Nothing was logged or counted, or as a caller that left.

Cause: the drain waited until its deadline, took for granted that requests had ended by then, aborted them with the signal that means "the caller left", and closed all connections in the same step.

Why it works: each request is followed from its arrival until its handler has returned and its answer is written out (open_requests.ts). At the stored deadline each call ends itself with an answer that says what is known: 3006 and "not run" if nothing was sent, else 4008, which may have run; then what it waits for is canceled, so that claims are released or abandoned before the services close. Connections get up to a second to take these answers. The second drain inside `close` no longer adds three seconds of its own.

--- a/src/adapters/http_upstream.ts
+++ b/src/adapters/http_upstream.ts
@@ -92,12 +92,16 @@
     }
   }
 
+  hasSent(signal: AbortSignal): boolean {
+    return this.#startedSignals.has(signal);
+  }
+
   async close(): Promise<void> {
     await this.#agent.destroy();
   }
 
   #cancelError(signal: AbortSignal): UpstreamError {
-    return this.#startedSignals.has(signal)
+    return this.hasSent(signal)
       ? { kind: "canceled", message: "canceled" }
       : { kind: "withdrawn", message: "canceled before it was sent" };
   }
--- a/src/adapters/upstream.ts
+++ b/src/adapters/upstream.ts
@@ -47,5 +47,7 @@
     call: UpstreamCall,
     signal: AbortSignal,
   ): Promise<Result<UpstreamAnswer, UpstreamError>>;
+  /** Whether bytes of the call that was opened with `signal` may have been sent. */
+  abstract hasSent(signal: AbortSignal): boolean;
   abstract close(): Promise<void>;
 }
--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -19,7 +19,12 @@
 import type { UpstreamRow } from "../agreement/mod.ts";
 import { type Clock, hash32, Random, systemClock } from "../base/mod.ts";
 import type { LoadReport } from "../decisions/mod.ts";
-import { type CallerListener, Edge, openListener } from "../edge/mod.ts";
+import {
+  type CallerListener,
+  Edge,
+  type EdgeMessages,
+  openListener,
+} from "../edge/mod.ts";
 import { Kernel, type Log, openLog } from "../kernel/mod.ts";
 import {
   ClaimsService,
@@ -108,10 +113,14 @@
     kernel.log.info("stopping");
     await kernel.get("members").ask("leave", undefined);
     const deadlineMs = kernel.clock.nowMs() + this.#settings.limits.drainMs;
-    const cutOffCount = await kernel.get("edge").ask("drain", { deadlineMs });
-    if (cutOffCount) {
+    const edge = kernel.get<EdgeMessages>("edge");
+    const { cutRequests, unwrittenAnswers } = await edge.ask("drain", {
+      deadlineMs,
+    });
+    if (cutRequests > 0 || unwrittenAnswers > 0) {
       kernel.log.error("requests cut off", {
-        count: Number(cutOffCount),
+        count: cutRequests,
+        unwrittenAnswers,
         drainMs: this.#settings.limits.drainMs,
       });
     }
--- a/src/edge/answer.ts
+++ b/src/edge/answer.ts
@@ -40,15 +40,21 @@
   response.setHeader("x-ibisgap-vm", vm.vmId);
 }
 
-/** Sends a failure as the complete response. If the headers were already sent, the connection is closed instead. */
+/** Whether a response needs nothing more: it was ended, though it may not be written out yet, or its caller has left. */
+export function hasEnded(response: ServerResponse): boolean {
+  return response.writableEnded || response.destroyed;
+}
+
+/**
+ * Sends a failure as the complete response. If only a part of a response was sent, the connection is closed instead.
+ */
 export function sendFailure(
   response: ServerResponse,
   failure: Failure,
   nowMs: number,
 ): void {
-  if (response.headersSent || response.destroyed) {
-    return void response.destroy();
-  }
+  if (hasEnded(response)) return;
+  if (response.headersSent) return void response.destroy();
   const info = codes[failure.code];
   response.statusCode = info.httpStatus;
   response.setHeader("content-type", "application/json");
@@ -68,6 +74,7 @@
  * orderly close for the end of the answer.
  */
 export function breakOffResponse(response: ServerResponse): void {
+  if (hasEnded(response)) return;
   if (response.req.httpVersion === "1.0") response.socket?.resetAndDestroy();
   response.destroy();
 }
@@ -78,6 +85,7 @@
   httpStatus: number,
   value: unknown,
 ): void {
+  if (hasEnded(response)) return;
   response.statusCode = httpStatus;
   response.setHeader("content-type", "application/json");
   response.end(JSON.stringify(value));
--- a/src/edge/attempts.ts
+++ b/src/edge/attempts.ts
@@ -106,8 +106,11 @@
       this.#context.clock.nowMs() < this.#demand.deadlineMs;
   }
 
-  /** Waits for a slot. Fails with the lead's refusal, or with `canceled` if the caller has disconnected. */
+  /** Waits for a slot. Fails with the lead's refusal, or with `canceled` if the call is canceled. */
   async next(): Promise<Result<Attempt, Failure>> {
+    if (this.#call.signal.aborted) {
+      return err(failure("canceled", { ran: "no" }));
+    }
     const attemptId = this.#context.createAttemptId();
     const service = this.#demand.service;
     const cancelAcquire = () =>
--- a/src/edge/body.ts
+++ b/src/edge/body.ts
@@ -17,12 +17,13 @@
 
 /**
  * Reads the whole body of a caller's request. A caller that sends its body too slowly would hold memory and a
- * connection indefinitely, so the read fails after `bodyWaitMs`.
+ * connection indefinitely, so the read fails after `bodyWaitMs`; and at once when `signal` aborts.
  */
 export function readBody(
   request: IncomingMessage,
   limits: BodyLimits,
   clock: Clock,
+  signal?: AbortSignal,
 ): Promise<Result<Buffer, Failure>> {
   const declaredBytes = Number(request.headers["content-length"] ?? 0);
   if (declaredBytes > limits.bodyBytes) {
@@ -48,14 +49,10 @@
       chunks.push(chunk);
     });
     request.once("end", () => settle(ok(Buffer.concat(chunks))));
-    request.once(
-      "close",
-      () => settle(err(failure("canceled", { ran: "no" }))),
-    );
-    request.once(
-      "error",
-      () => settle(err(failure("canceled", { ran: "no" }))),
-    );
+    const cancel = () => settle(err(failure("canceled", { ran: "no" })));
+    request.once("close", cancel);
+    request.once("error", cancel);
+    signal?.addEventListener("abort", cancel, { once: true });
   });
 }
 
--- a/src/edge/call.ts
+++ b/src/edge/call.ts
@@ -12,6 +12,7 @@
 import { err, ok, type Result } from "neverthrow";
 import type { ServiceRow, Table, WorkspaceRow } from "../agreement/mod.ts";
 import { type Failure, failure } from "../base/mod.ts";
+import type { OpenRequest } from "./open_requests.ts";
 
 /** Minimum and maximum priority that a caller may request; 0 is the default. */
 const PRIORITY_LIMITS = { min: -10, max: 10 };
@@ -36,7 +37,9 @@
   readonly workspace: WorkspaceRow;
   readonly headers: CallHeaders;
   readonly arrivedAtMs: number;
-  /** Aborted when the caller disconnects or the edge shuts down. */
+  /** The request in the list of those that are open. */
+  readonly open: OpenRequest;
+  /** Aborted when the caller disconnects, or this VM's planned stop is over. */
   readonly signal: AbortSignal;
 }
 
--- a/src/edge/call_handler.ts
+++ b/src/edge/call_handler.ts
@@ -4,9 +4,16 @@
  * @module
  */
 
-import { type Failure, failure, type Ran } from "../base/mod.ts";
-import { sendFailure } from "./answer.ts";
+import type { Result } from "neverthrow";
+import type {
+  UpstreamAnswer,
+  UpstreamCall,
+  UpstreamError,
+} from "../adapters/mod.ts";
+import { codes, type Failure, failure, type Ran } from "../base/mod.ts";
+import { hasEnded, sendFailure, setVmHeaders } from "./answer.ts";
 import type { Attempt } from "./attempts.ts";
+import { readBody } from "./body.ts";
 import type { Call } from "./call.ts";
 import type { EdgeContext } from "./context.ts";
 import { RequestStats } from "./request_stats.ts";
@@ -30,6 +37,8 @@
   protected suspectCheck: SuspectCheck | undefined;
   /** The failure that the caller gets if no further attempt is made. */
   protected lastFailure: Failure = failure("noUpstream");
+  /** The signal of the attempt that an upstream may have received last; absent if that attempt was not run. */
+  #sendSignal: AbortSignal | undefined;
 
   constructor(context: EdgeContext, call: Call) {
     this.context = context;
@@ -39,6 +48,7 @@
 
   /** Runs the call and responds to the caller. It may be called once. */
   async run(): Promise<void> {
+    this.call.open.onStop = (goTo) => this.stop(goTo);
     try {
       await this.handle();
     } finally {
@@ -49,6 +59,62 @@
   /** Runs the call and responds to the caller. */
   protected abstract handle(): Promise<void>;
 
+  /**
+   * Ends the call because this VM's planned stop is over, with an answer: a connection that closes without one tells
+   * its caller nothing. What the call waits for is canceled afterwards.
+   */
+  protected stop(goTo: readonly string[]): void {
+    const { request, response, arrivedAtMs } = this.call;
+    if (hasEnded(response)) return;
+    const nowMs = this.context.clock.nowMs();
+    const ran = this.#ranSoFar;
+    const code = ran === "no" ? "draining" : "cutByStop";
+    const error = failure(code, { ran, goTo, retryAtMs: nowMs });
+    this.context.log.warn("request cut by the stop", {
+      path: request.url,
+      service: this.stats.service,
+      code: codes[code].code,
+      ran,
+      hasBegun: response.headersSent,
+      ageMs: Math.round(nowMs - arrivedAtMs),
+    });
+    if (response.headersSent) this.endBegunAnswer(error);
+    else {
+      // An upstream's headers may be set already; they would misdescribe this answer.
+      for (const name of response.getHeaderNames()) response.removeHeader(name);
+      setVmHeaders(response, this.context.vm);
+      response.setHeader("connection", "close");
+      sendFailure(response, error, nowMs);
+    }
+    this.stats.fail(error);
+  }
+
+  /** Ends an answer whose first part was sent, so that its caller can tell that the rest is missing, and why. */
+  protected abstract endBegunAnswer(error: Failure): void;
+
+  /** Reads the whole body of the request. */
+  protected readRequestBody(): Promise<Result<Buffer, Failure>> {
+    const { request, signal } = this.call;
+    const { limits, clock } = this.context;
+    return readBody(request, limits, clock, signal);
+  }
+
+  /** Sends an attempt to its upstream. */
+  protected openUpstream(
+    upstreamCall: UpstreamCall,
+    signal: AbortSignal,
+  ): Promise<Result<UpstreamAnswer, UpstreamError>> {
+    this.#sendSignal = signal;
+    return this.context.upstreams.open(upstreamCall, signal);
+  }
+
+  /** Whether the call has run, with the attempt that is not over yet. */
+  get #ranSoFar(): Ran {
+    if (this.stats.hasStarted) return "yes";
+    if (this.ran !== "no" || !this.#sendSignal) return this.ran;
+    return this.context.upstreams.hasSent(this.#sendSignal) ? "unknown" : "no";
+  }
+
   /** Creates the check for upstreams that crashed under this call. It is made before each attempt. */
   protected createSuspectCheck(
     body: Buffer,
@@ -77,6 +143,7 @@
     outcome: "unreachable" | "refused",
   ): AttemptResult {
     attempt.report(outcome);
+    this.#sendSignal = undefined;
     const code = outcome === "refused"
       ? "upstreamRefused"
       : "upstreamUnreachable";
--- a/src/edge/edge.ts
+++ b/src/edge/edge.ts
@@ -8,11 +8,11 @@
 import { randomUUID } from "node:crypto";
 import Router from "@koa/router";
 import Koa from "koa";
-import { type Failure, failure, secretMatches } from "../base/mod.ts";
+import { codes, type Failure, failure, secretMatches } from "../base/mod.ts";
 import { HttpUpstreamClient } from "../adapters/mod.ts";
 import { type Kernel, Task } from "../kernel/mod.ts";
 import type { VmInfo } from "../services/mod.ts";
-import { sendFailure, sendJson, setVmHeaders } from "./answer.ts";
+import { hasEnded, sendFailure, setVmHeaders } from "./answer.ts";
 import { type Call, isBound, parseCallHeaders } from "./call.ts";
 import type { EdgeContext, EdgeLimits } from "./context.ts";
 import { authenticate, readBearerToken } from "./identity.ts";
@@ -20,6 +20,8 @@
 import { ModelCallHandler } from "./model_call.ts";
 import { PlainCallHandler } from "./plain_call.ts";
 import type { ModelPath } from "./model_request.ts";
+import { type OpenRequest, OpenRequests } from "./open_requests.ts";
+import { findVms, listModels, lookUpRequest } from "./queries.ts";
 
 /** Options of the {@link Edge}. */
 export interface EdgeOptions {
@@ -36,23 +38,35 @@
 export type EdgeMessages = {
   address: { in: void; out: { readonly host: string; readonly port: number } };
   /**
-   * Refuses new requests from now on. Resolves when no request is open, or at the deadline, with the number still open.
+   * Refuses new requests from now on. Requests that are still open at the deadline are ended with an answer. Resolves
+   * when no request is open and all answers are written out, or shortly after the deadline.
    */
-  drain: { in: { readonly deadlineMs: number }; out: number };
+  drain: { in: { readonly deadlineMs: number }; out: DrainResult };
 };
 
+/** What a drain could not let end. */
+export interface DrainResult {
+  /** Number of requests that were ended at the deadline. */
+  readonly cutRequests: number;
+  /** Number of answers that their callers' connections have not taken. */
+  readonly unwrittenAnswers: number;
+}
+
 /** How often a drain checks whether all requests have ended. */
 const DRAIN_POLL_MS = 20;
+/** How long connections may take the last answers after a drain's deadline. */
+const MAX_FLUSH_MS = 1_000;
 
 /** Accepts callers' requests and passes them to their handlers; see {@link EdgeMessages}. */
 export class Edge extends Task<EdgeMessages> {
   readonly name = "edge";
   readonly #options: EdgeOptions;
   readonly #upstreams: HttpUpstreamClient;
-  readonly #openCalls = new Set<AbortController>();
+  readonly #requests = new OpenRequests();
+  #openCalls = 0;
   #kernel!: Kernel;
   #context!: EdgeContext;
-  #isDraining = false;
+  #draining: Promise<DrainResult> | undefined;
   #servedCount = 0;
 
   protected readonly handlers = {
@@ -94,28 +108,43 @@
 
   async close(deadlineMs: number): Promise<void> {
     await this.#drain(deadlineMs);
-    for (const controller of this.#openCalls) controller.abort();
     await this.#options.listener.close();
     await this.#upstreams.close();
   }
 
   dump(): unknown {
     return {
-      open: this.#openCalls.size,
+      open: this.#openCalls,
+      openAnswers: this.#requests.size,
       served: this.#servedCount,
       draining: this.#isDraining,
     };
   }
 
-  async #drain(deadlineMs: number): Promise<number> {
-    this.#isDraining = true;
+  get #isDraining(): boolean {
+    return this.#draining !== undefined;
+  }
+
+  /** A second drain has the deadline of the first. */
+  #drain(deadlineMs: number): Promise<DrainResult> {
+    this.#draining ??= this.#runDrain(deadlineMs);
+    return this.#draining;
+  }
+
+  async #runDrain(deadlineMs: number): Promise<DrainResult> {
     this.#options.listener.closeIdleConnections();
-    while (
-      this.#openCalls.size > 0 && this.#context.clock.nowMs() < deadlineMs
-    ) {
-      await this.#context.clock.sleep(DRAIN_POLL_MS);
+    await this.#waitUntilNoneOpen(deadlineMs);
+    const goTo = await this.#findOtherVmUrls(this.#options.region);
+    const cutRequests = this.#requests.stop(goTo);
+    await this.#waitUntilNoneOpen(deadlineMs + MAX_FLUSH_MS);
+    return { cutRequests, unwrittenAnswers: this.#requests.size };
+  }
+
+  async #waitUntilNoneOpen(deadlineMs: number): Promise<void> {
+    const { clock } = this.#context;
+    while (this.#requests.size > 0 && clock.nowMs() < deadlineMs) {
+      await clock.sleep(DRAIN_POLL_MS);
     }
-    return this.#openCalls.size;
   }
 
   #createApp(): Koa {
@@ -137,15 +166,19 @@
     }
     router.get(
       "/v1/models",
-      (ctx) => this.#handle(ctx, (call) => this.#listModels(call)),
+      (ctx) => this.#handle(ctx, (call) => listModels(call)),
     );
     router.get(
       "/v1/requests/:key",
-      (ctx) => this.#handle(ctx, (call) => this.#lookUp(call, ctx.params.key)),
+      (ctx) =>
+        this.#handle(
+          ctx,
+          (call) => lookUpRequest(this.#context, call, ctx.params.key),
+        ),
     );
     router.get(
       "/v1/directory",
-      (ctx) => this.#handle(ctx, (call) => this.#findVms(call)),
+      (ctx) => this.#handle(ctx, (call) => findVms(this.#context, call)),
     );
     router.all(
       "/services/:name{/*rest}",
@@ -164,10 +197,34 @@
 
   /** Sets the VM headers, checks the token on operators' paths, and responds to exceptions with `internal`. */
   async #runGuarded(ctx: Koa.Context, next: Koa.Next): Promise<void> {
+    const open = this.#requests.add(ctx.res);
+    open.onStop = (goTo) => this.#endByStop(ctx, goTo);
+    try {
+      await this.#runWithHeaders(ctx, next);
+    } finally {
+      open.noteHandled();
+    }
+  }
+
+  /** Ends a request that no call runs for, because the planned stop is over. */
+  #endByStop(ctx: Koa.Context, goTo: readonly string[]): void {
+    if (hasEnded(ctx.res)) return;
+    const mayHaveRun = isOperatorPath(ctx.path) && ctx.method !== "GET";
+    const code = mayHaveRun ? "cutByStop" : "draining";
+    const { log, clock } = this.#context;
+    log.warn("request cut by the stop", {
+      path: ctx.path,
+      code: codes[code].code,
+    });
+    const error = failure(code, { goTo, retryAtMs: clock.nowMs() });
+    this.#raw(ctx, (response) => this.#refuse(response, error));
+  }
+
+  async #runWithHeaders(ctx: Koa.Context, next: Koa.Next): Promise<void> {
     setVmHeaders(ctx.res, this.#context.vm);
     if (this.#isDraining) ctx.res.setHeader("connection", "close");
     try {
-      if (ctx.path === "/admin" || ctx.path.startsWith("/admin/")) {
+      if (isOperatorPath(ctx.path)) {
         const refusal = this.#checkOperator(ctx);
         if (refusal) {
           return this.#raw(ctx, (response) => this.#refuse(response, refusal));
@@ -207,27 +264,24 @@
     run: (call: Call) => Promise<void> | void,
   ): Promise<void> {
     ctx.respond = false;
-    const controller = new AbortController();
-    ctx.res.once("close", () => {
-      if (!ctx.res.writableFinished) controller.abort();
-    });
-    const call = await this.#admit(ctx.req, ctx.res, controller.signal);
-    if (!call) return;
-    this.#openCalls.add(controller);
+    const open = this.#requests.get(ctx.res);
+    const call = await this.#admit(ctx.req, open);
+    if (!call || open.signal.aborted) return;
+    this.#openCalls++;
     try {
       await run(call);
       this.#servedCount++;
     } finally {
-      this.#openCalls.delete(controller);
+      this.#openCalls--;
     }
   }
 
   /** Makes all checks that can refuse a request before its body is read. */
   async #admit(
     request: IncomingMessage,
-    response: ServerResponse,
-    signal: AbortSignal,
+    open: OpenRequest,
   ): Promise<Call | undefined> {
+    const { response, signal } = open;
     const nowMs = this.#context.clock.nowMs();
     if (this.#isDraining) {
       const goTo = await this.#findOtherVmUrls(this.#options.region);
@@ -236,7 +290,7 @@
         failure("draining", { goTo, retryAtMs: nowMs }),
       );
     }
-    if (this.#openCalls.size >= this.#context.limits.openRequests) {
+    if (this.#openCalls >= this.#context.limits.openRequests) {
       return this.#refuse(
         response,
         failure("queueFull", { retryAtMs: nowMs + 1000 }),
@@ -259,6 +313,7 @@
       table,
       workspace: workspace.value,
       headers: headers.value,
+      open,
       signal,
     };
     const refusal = await this.#checkHomeRegion({
@@ -301,7 +356,7 @@
   }
 
   #refuse(response: ServerResponse, refusal: Failure): undefined {
-    response.setHeader("connection", "close");
+    if (!response.headersSent) response.setHeader("connection", "close");
     sendFailure(response, refusal, this.#context.clock.nowMs());
     return undefined;
   }
@@ -310,18 +365,6 @@
     return new ModelCallHandler(this.#context, call, path).run();
   }
 
-  #listModels(call: Call): void {
-    const data = [];
-    for (const { row } of call.table.rows()) {
-      if (row.kind === "service" && row.type === "model") {
-        for (const id of new Set([row.id, ...row.models])) {
-          data.push({ id, object: "model", owned_by: row.id });
-        }
-      }
-    }
-    sendJson(call.response, 200, { object: "list", data });
-  }
-
   async #proxy(call: Call, name: string): Promise<void> {
     const service = call.table.service(name);
     if (service?.type !== "plain") {
@@ -340,58 +383,8 @@
       path.startsWith("/") ? path : `/${path}`,
     ).run();
   }
+}
 
-  /** Reports the state of an at-most-once request, by its idempotency key and `?service=NAME`. */
-  async #lookUp(call: Call, key: string): Promise<void> {
-    const service = new URL(call.request.url!, "http://vm").searchParams.get(
-      "service",
-    );
-    const nowMs = this.#context.clock.nowMs();
-    if (!service) {
-      return sendFailure(
-        call.response,
-        failure("badRequest", { message: "name the service: ?service=NAME" }),
-        nowMs,
-      );
-    }
-    const found = await this.#context.claims.ask("lookup", {
-      service,
-      workspace: call.workspace.id,
-      key,
-    });
-    if (found.isErr()) return sendFailure(call.response, found.error, nowMs);
-    if (found.value === "none") {
-      return sendFailure(call.response, failure("unknownRequest"), nowMs);
-    }
-    const state = typeof found.value === "string" ? found.value : "answered";
-    const answer = typeof found.value === "string"
-      ? undefined
-      : found.value.answer;
-    sendJson(call.response, 200, {
-      key,
-      service,
-      state,
-      ran: state === "unknown" ? "unknown" : "yes",
-      answer,
-    });
-  }
-
-  /** Lists the VMs that a caller may use. A `workspace` parameter other than the key's workspace is refused. */
-  async #findVms(call: Call): Promise<void> {
-    const namedWorkspaceId = new URL(call.request.url!, "http://vm")
-      .searchParams.get(
-        "workspace",
-      );
-    if (namedWorkspaceId !== null && namedWorkspaceId !== call.workspace.id) {
-      return sendFailure(
-        call.response,
-        failure("forbidden"),
-        this.#context.clock.nowMs(),
-      );
-    }
-    const answer = await this.#context.directory.ask("lookup", {
-      workspace: call.workspace.id,
-    });
-    sendJson(call.response, 200, answer);
-  }
+function isOperatorPath(path: string): boolean {
+  return path === "/admin" || path.startsWith("/admin/");
 }
--- a/src/edge/model_call.ts
+++ b/src/edge/model_call.ts
@@ -4,12 +4,12 @@
  * @module
  */
 
-import { failure } from "../base/mod.ts";
+import { type Failure, failure } from "../base/mod.ts";
 import type { UpstreamAnswer, UpstreamError } from "../adapters/mod.ts";
 import type { ServiceRow } from "../agreement/mod.ts";
-import { buildFailureBody } from "./answer.ts";
+import { buildFailureBody, hasEnded } from "./answer.ts";
 import { type Attempt, AttemptIterator } from "./attempts.ts";
-import { readAnswerBody, readBody } from "./body.ts";
+import { readAnswerBody } from "./body.ts";
 import { type Call, getDeadlineMs } from "./call.ts";
 import { type AttemptResult, CallHandler } from "./call_handler.ts";
 import type { EdgeContext } from "./context.ts";
@@ -38,12 +38,8 @@
   }
 
   protected override async handle(): Promise<void> {
-    const { request, table } = this.call;
-    const body = await readBody(
-      request,
-      this.context.limits,
-      this.context.clock,
-    );
+    const { table } = this.call;
+    const body = await this.readRequestBody();
     if (body.isErr()) return this.fail(body.error);
     const modelRequest = parseModelRequest(this.#path, body.value);
     if (modelRequest.isErr()) return this.fail(modelRequest.error);
@@ -117,7 +113,7 @@
       },
     );
     try {
-      const answer = await this.#openUpstream(attempt, body, controller.signal);
+      const answer = await this.#sendAttempt(attempt, body, controller.signal);
       if (answer.isErr()) {
         return await this.#handleUpstreamError(attempt, answer.error);
       }
@@ -138,7 +134,7 @@
     }
   }
 
-  #openUpstream(attempt: Attempt, body: Buffer, signal: AbortSignal) {
+  #sendAttempt(attempt: Attempt, body: Buffer, signal: AbortSignal) {
     const lastEventNumber = this.#streamCheck.lastEventNumber;
     const headers: Record<string, string> = {
       "content-type": "application/json",
@@ -147,7 +143,7 @@
     if (this.stats.hasStarted && lastEventNumber !== undefined) {
       headers["last-event-id"] = String(lastEventNumber);
     }
-    return this.context.upstreams.open(
+    return this.openUpstream(
       {
         url: attempt.grant.url,
         path: this.#path,
@@ -289,7 +285,7 @@
       !row?.resumes || this.#streamCheck.lastEventNumber === undefined ||
       signal.aborted
     ) return undefined;
-    const answer = await this.#openUpstream(attempt, body, signal);
+    const answer = await this.#sendAttempt(attempt, body, signal);
     if (answer.isErr()) return undefined;
     if (answer.value.httpStatus === 200) return answer.value;
     answer.value.body.destroy();
@@ -306,15 +302,17 @@
       attempt.report("failed");
       return "retry";
     }
-    const { response } = this.call;
-    response.write(
-      `data: ${JSON.stringify(buildFailureBody(this.lastFailure))}\n\n`,
-    );
-    response.end();
+    this.endBegunAnswer(this.lastFailure);
     this.finish(attempt, "failed", 4004);
     return "answered";
   }
 
+  protected override endBegunAnswer(error: Failure): void {
+    const { response } = this.call;
+    response.write(`data: ${JSON.stringify(buildFailureBody(error))}\n\n`);
+    response.end();
+  }
+
   async #sendWholeAnswer(
     attempt: Attempt,
     answer: UpstreamAnswer,
@@ -340,6 +338,10 @@
       return "retry";
     }
     const { response } = this.call;
+    if (hasEnded(response)) {
+      this.finish(attempt, "done", 4007);
+      return "answered";
+    }
     this.stats.setServingUpstream(attempt);
     this.stats.recordEvent(this.context.clock.nowMs());
     response.statusCode = answer.httpStatus;
--- a/src/edge/plain_call.ts
+++ b/src/edge/plain_call.ts
@@ -10,9 +10,9 @@
 import { type Failure, failure } from "../base/mod.ts";
 import type { UpstreamAnswer, UpstreamError } from "../adapters/mod.ts";
 import type { ClaimAnswer, ClaimKey, ServiceRow } from "../agreement/mod.ts";
-import { breakOffResponse } from "./answer.ts";
+import { breakOffResponse, hasEnded } from "./answer.ts";
 import { type Attempt, AttemptIterator } from "./attempts.ts";
-import { readAnswerBody, readBody } from "./body.ts";
+import { readAnswerBody } from "./body.ts";
 import { type Call, getDeadlineMs } from "./call.ts";
 import { type AttemptResult, CallHandler } from "./call_handler.ts";
 import type { EdgeContext } from "./context.ts";
@@ -51,6 +51,8 @@
   readonly #needsClaim: boolean;
   readonly #isRepeatable: boolean;
   #claim: HeldClaim | undefined;
+  /** Sends the answer of a call under a claim, while that answer waits only for its record. */
+  #sendReadyAnswer: (() => void) | undefined;
 
   /** `path` is the part of the URL after the service's name, including the query. */
   constructor(
@@ -72,11 +74,7 @@
     if (this.#needsClaim && this.call.headers.idempotencyKey === undefined) {
       return this.fail(failure("keyRequired"));
     }
-    const body = await readBody(
-      this.call.request,
-      this.context.limits,
-      this.context.clock,
-    );
+    const body = await this.readRequestBody();
     if (body.isErr()) return this.fail(body.error);
     const deadlineMs = getDeadlineMs(this.call, this.#service);
     const demand = { ...PLAIN_DEMAND, service: this.#service.id, deadlineMs };
@@ -119,9 +117,9 @@
     const controller = new AbortController();
     const abort = () => controller.abort();
     // A call under a claim continues after its caller disconnects: its answer is stored for the caller's retry.
-    if (!this.#needsClaim) {
-      this.call.signal.addEventListener("abort", abort, { once: true });
-    }
+    const canceled = this.#claim ? this.call.open.stopSignal : this.call.signal;
+    if (canceled.aborted) abort();
+    canceled.addEventListener("abort", abort, { once: true });
     const timer = this.context.clock.after(
       deadlineMs - this.context.clock.nowMs(),
       abort,
@@ -135,7 +133,7 @@
       }
       return await this.#forwardAnswer(attempt, answer.value);
     } finally {
-      this.call.signal.removeEventListener("abort", abort);
+      canceled.removeEventListener("abort", abort);
     }
   }
 
@@ -159,7 +157,7 @@
       return undefined;
     }
     const method = this.call.request.method ?? "GET";
-    return await this.context.upstreams.open({
+    return await this.openUpstream({
       url: grant.url,
       path: this.#path,
       method,
@@ -265,6 +263,11 @@
       return this.handleNotRun(attempt, "refused");
     }
     if (this.#claim) return await this.#storeAndForwardAnswer(attempt, answer);
+    if (hasEnded(response)) {
+      answer.body.destroy();
+      this.finish(attempt, "canceled", 4007);
+      return "answered";
+    }
     this.#startResponse(attempt, answer);
     try {
       await forwardBody(answer, response);
@@ -291,6 +294,13 @@
     answer: UpstreamAnswer,
   ): Promise<AttemptResult> {
     const body = await readAnswerBody(answer.body);
+    if (body === undefined && this.call.open.stopSignal.aborted) {
+      const message = "canceled";
+      return await this.#handleUpstreamError(attempt, {
+        kind: "canceled",
+        message,
+      });
+    }
     if (
       body === undefined ||
       (isEventStream(answer.headers) && endsInsideEvent(body))
@@ -303,6 +313,11 @@
     }
     const isTruncated = body.length > MAX_KEPT_ANSWER_BYTES;
     const claim = this.#claim!;
+    this.#sendReadyAnswer = () => {
+      this.#startResponse(attempt, answer);
+      this.call.response.end(body);
+      this.finish(attempt, "done", 0);
+    };
     await this.context.claims.ask("finish", {
       ...claim,
       answer: {
@@ -313,13 +328,21 @@
         truncated: isTruncated,
       },
     });
-    this.#startResponse(attempt, answer);
+    if (!hasEnded(this.call.response)) this.#sendReadyAnswer();
     if (answer.httpStatus < 500) this.suspectCheck?.reportServed();
-    this.call.response.end(body);
     this.finish(attempt, "done", 0);
     return "answered";
   }
 
+  protected override stop(goTo: readonly string[]): void {
+    if (!hasEnded(this.call.response)) this.#sendReadyAnswer?.();
+    super.stop(goTo);
+  }
+
+  protected override endBegunAnswer(): void {
+    breakOffResponse(this.call.response);
+  }
+
   #startResponse(attempt: Attempt, answer: UpstreamAnswer): void {
     const { response } = this.call;
     this.stats.setServingUpstream(attempt);
--- a/src/edge/relay.ts
+++ b/src/edge/relay.ts
@@ -8,6 +8,7 @@
 import type { Readable } from "node:stream";
 import { createParser } from "eventsource-parser";
 import type { Clock } from "../base/mod.ts";
+import { hasEnded } from "./answer.ts";
 import { LineFeeds } from "./line_feeds.ts";
 import type { StreamCheck, StreamEvent } from "./stream_check.ts";
 
@@ -52,7 +53,7 @@
       stallTimer.resume();
     }
   } catch (error) {
-    if (response.destroyed) return { type: "gone" };
+    if (hasEnded(response)) return { type: "gone" };
     return {
       type: "broken",
       reason: stallTimer.hasFired
@@ -64,7 +65,7 @@
     body.destroy();
   }
   // An engine that crashes may close its connection cleanly. Only the end mark shows that the answer is complete.
-  return response.destroyed
+  return hasEnded(response)
     ? { type: "gone" }
     : { type: "broken", reason: "the stream ended before its end mark" };
 }
@@ -77,6 +78,7 @@
   let text = "";
   let result: RelayResult | undefined;
   for (const event of events) {
+    if (hasEnded(response)) return { type: "gone" };
     const verdict = options.check.next(event);
     if (verdict.type === "skip") continue;
     if (verdict.type === "broken") {
@@ -102,7 +104,7 @@
   text: string,
   options: RelayOptions,
 ): Promise<boolean> {
-  if (response.destroyed) return Promise.resolve(false);
+  if (hasEnded(response)) return Promise.resolve(false);
   if (response.write(text)) return Promise.resolve(true);
   return new Promise((resolve) => {
     const timer = options.clock.after(
--- a/src/edge/request_stats.ts
+++ b/src/edge/request_stats.ts
@@ -26,6 +26,7 @@
   #lastAtMs = 0;
   #queuedMs?: number;
   #region: string;
+  #hasFinished = false;
 
   constructor(context: EdgeContext, call: Call) {
     this.#context = context;
@@ -87,8 +88,10 @@
     this.finish(codes[error.code].code);
   }
 
-  /** Reports the ended request to the metrics. `code` is 0 for success. */
+  /** Reports the ended request to the metrics, once: how it ended first counts. `code` is 0 for success. */
   finish(code: number): void {
+    if (this.#hasFinished) return;
+    this.#hasFinished = true;
     void this.#context.metrics.ask("request", {
       service: this.service || "none",
       region: this.#region,
--- a/src/services/fencing_test.ts
+++ b/src/services/fencing_test.ts
@@ -28,6 +28,9 @@
     const body = Readable.from([]);
     return Promise.resolve(ok({ httpStatus, headers: {}, body }));
   }
+  hasSent(): boolean {
+    return true;
+  }
   async close(): Promise<void> {}
 }
 
--- a/test/fakes.ts
+++ b/test/fakes.ts
@@ -22,7 +22,7 @@
 import { Edge, type EdgeLimits, openListener } from "../src/edge/mod.ts";
 import { Transport } from "../src/adapters/mod.ts";
 import { MemoryKeyValue } from "../src/standins/mod.ts";
-import { Kernel, openLog, Task } from "../src/kernel/mod.ts";
+import { Kernel, type Log, openLog, Task } from "../src/kernel/mod.ts";
 import {
   type ClaimsMessages,
   type DirectoryMessages,
@@ -137,10 +137,15 @@
     "running" | "unknown" | { answer: ClaimAnswer }
   >();
   shouldRefuse = false;
+  /** Resolves before a claim is answered. */
+  claimsAnswered: Promise<void> = Promise.resolve();
+  /** Resolves before an answer is recorded. */
+  finishesAnswered: Promise<void> = Promise.resolve();
   /** How long after the grant a claim may be dispatched. */
   dispatchMs = 5000;
   protected readonly handlers = {
-    claim: (claim: ClaimKey): ClaimVerdict => {
+    claim: async (claim: ClaimKey): Promise<ClaimVerdict> => {
+      await this.claimsAnswered;
       if (this.shouldRefuse) {
         return {
           type: "refused",
@@ -154,8 +159,10 @@
       const dispatchBeforeMonoMs = systemClock.monoMs() + this.dispatchMs;
       return { type: "granted", claimId: randomUUID(), dispatchBeforeMonoMs };
     },
-    finish: ({ key, answer }: ClaimKey & { answer: ClaimAnswer }) =>
-      void this.states.set(key, { answer }),
+    finish: async ({ key, answer }: ClaimKey & { answer: ClaimAnswer }) => {
+      await this.finishesAnswered;
+      this.states.set(key, { answer });
+    },
     release: ({ key }: ClaimKey) => void this.states.delete(key),
     abandon: ({ key }: ClaimKey) => void this.states.set(key, "unknown"),
     lookup: ({ key }: ClaimKey) => ok(this.states.get(key) ?? "none"),
@@ -274,8 +281,9 @@
 export async function openEdge(
   rows: readonly TableRow[],
   limits: Partial<EdgeLimits> = {},
+  log: Log = openLog("silent"),
 ): Promise<TestEdge> {
-  const kernel = new Kernel(systemClock, openLog("silent"));
+  const kernel = new Kernel(systemClock, log);
   const table = new FakeTable();
   table.table = Table.of(
     1,
