Own interface: a planned stop leaves answers that are not written out alone

What callers saw: a whole answer whose caller reads slowly was cut off, with the rest missing, at the very beginning of a planned stop, though `limits.drainMs` was far from over.

Cause: the drain begins by closing idle connections, and Node takes a connection for idle as soon as `end` was called on its answer.

Why it works: the listener follows answers until the connection has taken their last byte, by the same class as the platform's gateway, and closes only connections without any.

--- a/src/edge/listener.ts
+++ b/src/edge/listener.ts
@@ -10,6 +10,7 @@
 import type { Duplex } from "node:stream";
 import { UnframedAnswers } from "../adapters/mod.ts";
 import { failure } from "../base/mod.ts";
+import { CallerConnections } from "../gateway/caller_connections.ts";
 import { sendFailure } from "./answer.ts";
 
 /** Time within which the headers must arrive completely; Node closes the connection otherwise. */
@@ -32,6 +33,7 @@
 export class CallerListener {
   readonly #server: Server;
   readonly #unframedAnswers: UnframedAnswers;
+  readonly #connections: CallerConnections;
   #handler: RequestListener = (_request, response) => {
     response.setHeader("connection", "close");
     sendFailure(
@@ -54,6 +56,7 @@
       (request, response) => this.#handler(request, response),
     );
     this.#unframedAnswers = new UnframedAnswers(this.#server);
+    this.#connections = new CallerConnections(this.#server);
     this.#server.on("clientError", rejectUnreadableRequest);
   }
 
@@ -68,9 +71,9 @@
     this.#handler = handler;
   }
 
-  /** Closes connections on which no request is open. */
+  /** Closes connections on which no request is open and no answer is left to write. */
   closeIdleConnections(): void {
-    this.#server.closeIdleConnections();
+    this.#connections.closeIdle();
   }
 
   /** Starts to listen; use {@link openListener}. */
--- a/test/edge_stop_test.ts
+++ b/test/edge_stop_test.ts
@@ -24,6 +24,9 @@
   })
 }\n\n`;
 
+/** More than connections hold of an answer that nobody reads. */
+const LARGE_BYTES = 24_000_000;
+
 interface OpenCounts {
   readonly open: number;
 }
@@ -282,3 +285,42 @@
     t.like(answer, { status: 200, body: "departed", isComplete: true });
   });
 });
+
+/** Guards against answers whose last bytes are lost at a planned stop, as their callers read slowly. */
+describe("a planned stop of the own interface, with an answer that was ended and is not written out", () => {
+  const cases = [
+    { name: "before the end of the drain", readsAfterMs: 100, drainMs: 5_000 },
+    { name: "just after it", readsAfterMs: 300, drainMs: 100 },
+  ];
+  for (const { name, readsAfterMs, drainMs } of cases) {
+    it(`loses nothing if it is read ${name}`, async (t) => {
+      const { edge } = await openStopLab(
+        t,
+        (_, response) => void response.end(Buffer.alloc(LARGE_BYTES, "a")),
+      );
+      const answer = await send(edge, CALLS.once);
+      await waitUntil(() => (edge.kernel.dump().edge as OpenCounts).open === 0);
+      const stopping = stop(edge, drainMs);
+      await sleep(readsAfterMs);
+      const { body, isComplete } = await read(answer!);
+      t.true(isComplete);
+      t.is(body.length, LARGE_BYTES);
+      await stopping;
+    });
+  }
+
+  it("says how many answers were not read", async (t) => {
+    const { edge } = await openStopLab(
+      t,
+      (_, response) => void response.end(Buffer.alloc(LARGE_BYTES, "a")),
+    );
+    const answer = await send(edge, CALLS.once);
+    t.teardown(() => void answer!.destroy());
+    const deadlineMs = Date.now() + DRAIN_MS;
+    const port = edge.kernel.get<EdgeMessages>("edge");
+    t.deepEqual(await port.ask("drain", { deadlineMs }), {
+      cutRequests: 0,
+      unwrittenAnswers: 1,
+    });
+  });
+});
