--- a/src/edge/listener.ts
+++ b/src/edge/listener.ts
@@ -9,7 +9,7 @@
 import type { AddressInfo } from "node:net";
 import type { Duplex } from "node:stream";
 import { UnframedAnswers } from "../adapters/mod.ts";
-import { failure } from "../base/mod.ts";
+import { areHeaders, failure } from "../base/mod.ts";
 import { CallerConnections } from "../gateway/caller_connections.ts";
 import { sendFailure } from "./answer.ts";
 
@@ -53,7 +53,10 @@
     };
     this.#server = createServer(
       settings,
-      (request, response) => this.#handler(request, response),
+      (request, response) => {
+        if (areHeaders(request.rawHeaders)) this.#handler(request, response);
+        else sendFailure(response, failure("badRequest"), Date.now());
+      },
     );
     this.#unframedAnswers = new UnframedAnswers(this.#server);
     this.#connections = new CallerConnections(this.#server);
