Datagrams of VMs are checked whole: one odd field ended the process that read it

What would be seen: all VMs that get such a datagram end, with all their connections (LOST). Cause: decoders looked at the outer fields alone, nothing caught what a handler throws, and timers use later what a message left behind.

Why it works: a message is used only if each field that is used has its type; else it is dropped, as if lost. What a handler throws all the same costs its datagram alone.

--- a/src/base/mod.ts
+++ b/src/base/mod.ts
@@ -1,10 +1,12 @@
 /**
  * Basics that every folder may use: result codes, time, random numbers, hashing, backoff, detection of lag and pauses,
- * the ends of events, the syntax of HTTP.
+ * the ends of events, the syntax of HTTP, checks of
+ * received values.
  *
  * @module
  */
 
+export * from "./checks.ts";
 export * from "./codes.ts";
 export * from "./clock.ts";
 export * from "./progress_timer.ts";
--- a/src/gateway/datagrams.ts
+++ b/src/gateway/datagrams.ts
@@ -94,9 +94,21 @@
       // Anyone can send to this port: a malformed datagram is neither answered nor logged.
       return;
     }
-    this.#methodHandlers.get(String(message?.method))?.(
-      message?.params,
-      fromIp,
-    );
+    if (typeof message?.method !== "string") return;
+    this.#handle(message.method, message.params, fromIp);
+  }
+
+  /** Calls a method's handler. Nothing else catches what it throws, and that would end the process. */
+  #handle(method: string, params: unknown, fromIp: string): void {
+    try {
+      this.#methodHandlers.get(method)?.(params, fromIp);
+    } catch (error) {
+      const reason = (error as Error).stack ?? String(error);
+      this.#log.error("datagram failed with an internal error", {
+        method,
+        from: fromIp,
+        reason,
+      });
+    }
   }
 }
--- a/src/gateway/placement_wire.ts
+++ b/src/gateway/placement_wire.ts
@@ -5,9 +5,20 @@
  * @module
  */
 
+import {
+  isBoolean,
+  isNumber,
+  isText,
+  listOf,
+  nullable,
+  objectOf,
+  optional,
+  tupleOf,
+} from "../base/mod.ts";
 import type { RegionCapacity, Step } from "../routing/mod.ts";
 import type { GatewayConfig } from "../routing/mod.ts";
 import type { QuotaUse } from "../quota/mod.ts";
+import { REFUSAL_CODES } from "./call_input.ts";
 import { decodeUse } from "./quota_wire.ts";
 import type { PlacementRequest, QueueFields } from "./local_placement.ts";
 import type { Grant, RestingUpstream } from "./upstream_link.ts";
@@ -78,6 +89,8 @@
     readonly elsewhere: readonly RegionCapacity[];
   };
 
+type Refusal = Extract<PlacementVerdict, { type: "refuse" }>;
+
 /** The lead's answer to a query. */
 export interface PlacementAnswer {
   readonly question: number;
@@ -147,25 +160,32 @@
   };
 }
 
-/** Decodes a datagram; `undefined` if it is no query. */
+const areTexts = listOf(isText);
+
+const isQuery = objectOf<
+  Omit<PlacementQuery, "isSuspect" | "quota" | "version" | keyof QueueFields>
+>({
+  question: isNumber,
+  from: isText,
+  service: isText,
+  parts: listOf(tupleOf<readonly [string, number]>(isText, isNumber)),
+  promptTokens: isNumber,
+  objectiveMs: nullable(isNumber),
+  eventGapMs: nullable(isNumber),
+  endGapMs: optional(isNumber),
+  waitedMs: isNumber,
+  leftMs: isNumber,
+  tried: areTexts,
+  lost: areTexts,
+  resting: optional(listOf(tupleOf<RestingUpstream>(isText, isNumber))),
+  triedRegions: areTexts,
+  homeRegions: areTexts,
+  isRelayed: isBoolean,
+});
+
+/** Decodes a datagram; `undefined` if it is no query. Optional fields are checked as they are used. */
 export function decodeQuery(params: unknown): PlacementQuery | undefined {
-  const query = params as Partial<PlacementQuery> | null;
-  return typeof query?.question === "number" &&
-      typeof query.from === "string" &&
-      typeof query.service === "string" &&
-      [
-        query.parts,
-        query.tried,
-        query.lost,
-        query.triedRegions,
-        query.homeRegions,
-        query.resting ?? [],
-      ].every(Array.isArray) &&
-      [query.promptTokens, query.waitedMs, query.leftMs].every(
-        Number.isFinite,
-      )
-    ? query as PlacementQuery
-    : undefined;
+  return isQuery(params) ? params as PlacementQuery : undefined;
 }
 
 /** Converts a query to the request that it is about; `undefined` if the service is not known here. */
@@ -201,15 +221,69 @@
   };
 }
 
+const isQuotaVerdict = objectOf<QuotaVerdict>({
+  counted: (value): value is true | undefined =>
+    value === undefined || value === true,
+  quotaLeft: optional(nullable(isNumber)),
+});
+
+const isGrant = objectOf<Grant>({
+  running: isNumber,
+  waitingTokens: isNumber,
+  unreadTokens: isNumber,
+  fetchFrom: optional(isText),
+});
+
+const isCapacity = objectOf<RegionCapacity>({
+  region: isText,
+  free: nullable(isNumber),
+  queue: nullable(isNumber),
+  isRecovering: optional(isBoolean),
+  isScarce: isBoolean,
+});
+
+function isReason(value: unknown): value is Refusal["reason"] {
+  return isText(value) && (value === "expired" || value in REFUSAL_CODES);
+}
+
+/** What each type of verdict has to tell. */
+const VERDICT_CHECKS: Readonly<
+  Record<PlacementVerdict["type"], (verdict: unknown) => boolean>
+> = {
+  unknown: () => true,
+  queued: () => true,
+  send: objectOf<{ upstreamKey: string; grant: Grant }>({
+    upstreamKey: isText,
+    grant: isGrant,
+  }),
+  relay: objectOf<{ region: string }>({ region: isText }),
+  wait: objectOf<{ waitMs: number }>({ waitMs: isNumber }),
+  refuse: objectOf<Omit<Refusal, "type" | keyof QuotaVerdict>>({
+    reason: isReason,
+    comeBackMs: isNumber,
+    here: nullable(isNumber),
+    resting: nullable(isNumber),
+    elsewhere: listOf(isCapacity),
+  }),
+};
+
+function isVerdict(value: unknown): value is PlacementVerdict {
+  const type = (value as { type?: unknown } | null)?.type;
+  return isText(type) && Object.hasOwn(VERDICT_CHECKS, type) &&
+    isQuotaVerdict(value) &&
+    VERDICT_CHECKS[type as PlacementVerdict["type"]](value);
+}
+
+const isAnswer = objectOf<PlacementAnswer>({
+  question: isNumber,
+  verdict: isVerdict,
+});
+
 /** Decodes a datagram; `undefined` if it is no answer. */
 export function decodePlacementAnswer(
   params: unknown,
 ): PlacementAnswer | undefined {
-  const answer = params as Partial<PlacementAnswer> | null;
-  return typeof answer?.question === "number" &&
-      typeof answer.verdict?.type === "string"
-    ? answer as PlacementAnswer
-    : undefined;
+  return isAnswer(params) ? params : undefined;
 }
 
 /** Tells a lead that nobody waits for the answer to a query any more. */
--- a/src/region/messages.ts
+++ b/src/region/messages.ts
@@ -5,7 +5,7 @@
  */
 
 import type { HeldPart, OfferedCapacity, SendOutcome } from "../routing/mod.ts";
-import { isVmRecord, type VmRecord } from "./record.ts";
+import type { VmRecord } from "./record.ts";
 
 /** What a VM announces of its copy of a part of the store. Copies with the same digest hold the same. */
 export interface ReplicaState {
@@ -194,57 +194,3 @@
 
 /** Maximum addresses in one list: as many as callers take from an answer, which makes a datagram of about 1 KB. */
 export const MAX_NAMED = 64;
-
-function isList(value: unknown): value is unknown[] {
-  return Array.isArray(value);
-}
-
-function isReplicaState(value: unknown): value is ReplicaState {
-  const state = value as Partial<ReplicaState> | null;
-  return typeof state?.rev === "number" && typeof state.digest === "string" &&
-    ["number", "undefined"].includes(typeof state.generation);
-}
-
-function areReplicaStates(value: unknown): value is ReplicaStates {
-  const copies = value as Partial<ReplicaStates> | null;
-  return isReplicaState(copies?.operators) && isReplicaState(copies.upstreams);
-}
-
-/** Decodes a report; `undefined` if it is malformed. */
-export function decodeReport(params: unknown): Report | undefined {
-  if (!isVmRecord(params)) return undefined;
-  const report = params as Report;
-  return areReplicaStates(report.copies) &&
-      typeof report.everyMs === "number" && typeof report.load === "object"
-    ? report
-    : undefined;
-}
-
-/** Decodes a load note; `undefined` if it is malformed. */
-export function decodeLoadNote(params: unknown): LoadNote | undefined {
-  const note = params as Partial<LoadNote> | null;
-  return typeof note?.id === "string" && typeof note.load === "object" &&
-      typeof note.asked === "number" && isList(note.seen)
-    ? note as LoadNote
-    : undefined;
-}
-
-/** Decodes a digest; `undefined` if it is malformed. */
-export function decodeDigest(params: unknown): RegionDigest | undefined {
-  const digest = params as Partial<RegionDigest> | null;
-  return isVmRecord(digest?.from) && areReplicaStates(digest.copies) &&
-      isList(digest.leads) && isList(digest.ready) &&
-      typeof digest.everyMs === "number"
-    ? digest as RegionDigest
-    : undefined;
-}
-
-/** Decodes a roster; `undefined` if it is malformed. */
-export function decodeRoster(params: unknown): Roster | undefined {
-  const roster = params as Partial<Roster> | null;
-  return isVmRecord(roster?.from) && areReplicaStates(roster.copies) &&
-      isList(roster.leads) && isList(roster.regions) &&
-      typeof roster.everyMs === "number"
-    ? roster as Roster
-    : undefined;
-}
--- a/src/region/mod.ts
+++ b/src/region/mod.ts
@@ -9,6 +9,7 @@
 export * from "./known_vms.ts";
 export * from "./load_tracker.ts";
 export * from "./messages.ts";
+export * from "./message_checks.ts";
 export * from "./lead_order.ts";
 export * from "./record.ts";
 export * from "./view.ts";
--- a/src/region/record.ts
+++ b/src/region/record.ts
@@ -4,6 +4,9 @@
  * @module
  */
 
+import { isIP } from "node:net";
+import { type Check, isNumber, isText, objectOf } from "../base/mod.ts";
+
 /** One start of the daemon on one VM. */
 export interface VmRecord {
   readonly id: string;
@@ -16,15 +19,20 @@
   readonly cores: number;
 }
 
-/** Whether a received value is a VM record. */
-export function isVmRecord(value: unknown): value is VmRecord {
-  const vm = value as Partial<VmRecord> | null;
-  return typeof vm?.id === "string" && typeof vm.ip === "string" &&
-    typeof vm.region === "string" &&
-    typeof vm.failureDomain === "string" && typeof vm.bornMs === "number" &&
-    typeof vm.cores === "number";
+function isAddress(value: unknown): value is string {
+  return isText(value) && isIP(value) !== 0;
 }
 
+/** Whether a received value is a VM record. */
+export const isVmRecord: Check<VmRecord> = objectOf<VmRecord>({
+  id: isText,
+  ip: isAddress,
+  region: isText,
+  failureDomain: isText,
+  bornMs: isNumber,
+  cores: isNumber,
+});
+
 /** Copies only the record's own fields from a value that extends it. */
 export function toVmRecord(
   { id, ip, region, failureDomain, bornMs, cores }: VmRecord,
