Timers are bounded: a route with a timeout of 25 days or more refused all requests

What callers saw: 503 at once on a route whose timeout_ms is 3e9. Cause: Node takes a longer timer than 2^31 - 1 ms for one of 1 ms. The clock bounds all timers that it makes.

--- a/src/base/clock.ts
+++ b/src/base/clock.ts
@@ -26,6 +26,9 @@
   }
 }
 
+/** Longest time that Node.js waits; a timer for longer would be due at once. */
+const MAX_TIMER_MS = 2 ** 31 - 1;
+
 class SystemClock extends Clock {
   nowMs(): number {
     return Date.now();
@@ -34,11 +37,11 @@
     return performance.now();
   }
   after(delayMs: number, run: () => void): Timer {
-    const timer = setTimeout(run, delayMs);
+    const timer = setTimeout(run, Math.min(delayMs, MAX_TIMER_MS));
     return { close: () => clearTimeout(timer) };
   }
   every(periodMs: number, run: () => void): Timer {
-    const timer = setInterval(run, periodMs);
+    const timer = setInterval(run, Math.min(periodMs, MAX_TIMER_MS));
     return { close: () => clearInterval(timer) };
   }
 }
--- a/test/gateway_odd_datagrams_test.ts
+++ b/test/gateway_odd_datagrams_test.ts
@@ -4,6 +4,7 @@
 import { describe, it } from "../src/base/describe.ts";
 import { sleep } from "./cluster.ts";
 import { dumpMembers, type GatewayLab, openRegion } from "./gateway_lab.ts";
+import { encodeOdd, ODD_VALUES, spoil } from "./odd_values.ts";
 
 const SEED = 7_7;
 const RUNS = 3_000;
@@ -142,68 +143,6 @@
   ends: { region: "north", rows: [["d", "i-1@0", 10, false]] },
 };
 
-/** Stands for a number that JSON can hold and JavaScript can't. */
-const TOO_LARGE = "too large";
-
-function nest(depth: number): unknown {
-  let value: unknown = 1;
-  for (let i = 0; i < depth; i++) value = [value];
-  return value;
-}
-
-const ODD_VALUES: readonly unknown[] = [
-  null,
-  true,
-  0,
-  -1,
-  0.5,
-  1e308,
-  -1e308,
-  TOO_LARGE,
-  "",
-  "x",
-  "\0",
-  "\ud800\r\n",
-  "x".repeat(20_000),
-  [],
-  [null],
-  [[]],
-  [[null, null]],
-  {},
-  { a: null },
-  { toString: 1, valueOf: 1 },
-  JSON.parse('{"__proto__":{"length":9}}'),
-  nest(4_000),
-];
-
-/** Returns a copy of a message with another value at a place, or without it. */
-function spoil(
-  value: unknown,
-  path: readonly number[],
-  odd: unknown,
-  isRemoved: boolean,
-): unknown {
-  const [step, ...rest] = path;
-  if (step === undefined || typeof value !== "object" || value === null) {
-    return odd;
-  }
-  const entries = Object.entries(value);
-  if (entries.length === 0) return odd;
-  const at = step % entries.length;
-  const [key, inner] = entries[at];
-  const changed = isRemoved && rest.length === 0
-    ? entries.toSpliced(at, 1)
-    : entries.with(at, [key, spoil(inner, rest, odd, isRemoved)]);
-  return Array.isArray(value)
-    ? changed.map(([, item]) => item)
-    : Object.fromEntries(changed);
-}
-
-function encode(message: unknown): Buffer {
-  const text = JSON.stringify(message);
-  return Buffer.from(text.replaceAll(`"${TOO_LARGE}"`, "1e999"));
-}
-
 const spoiled = fc.record({
   method: fc.constantFrom(...Object.keys(SOUND)),
   path: fc.array(fc.nat(30), { maxLength: 5 }),
@@ -234,7 +173,7 @@
   t.teardown(() => void socket.close());
   const { beats: port } = lab.vms[0].settings.listen;
   for (const [i, message] of messages.entries()) {
-    const datagram = encode(message);
+    const datagram = Buffer.from(encodeOdd(message));
     for (const { settings } of lab.vms) {
       await new Promise((resolve) =>
         socket.send(datagram, port, settings.vm.ip, resolve)
