--- a/test/edge_stop_test.ts
+++ b/test/edge_stop_test.ts
@@ -269,6 +269,17 @@
     t.false(edge.claims.states.has("k1"));
   });
 
+  it("records that a claimed call may have run whose caller has left", async (t) => {
+    const { edge, requests } = await openStopLab(t);
+    const agent = new Agent({ keepAlive: true });
+    const answering = call(edge, { ...CALLS.once, agent });
+    await waitUntil(() => requests() > 0);
+    agent.destroy();
+    await answering;
+    await stop(edge);
+    t.is(edge.claims.states.get("k1"), "unknown");
+  });
+
   it("records that a claimed call may have run", async (t) => {
     const lab = await openStopLab(t);
     await callAcrossStop(lab, CALLS.once);
@@ -324,3 +335,36 @@
     });
   });
 });
+
+const CALLERS = 20;
+
+/** Guards against requests that ran and have no answer, where callers use open connections until the VM is gone. */
+describe("callers that send without pause over a planned stop of the own interface", () => {
+  for (const drainMs of [0, 20, 400]) {
+    it(`get an answer to all that ran: drain of ${drainMs} ms`, async (t) => {
+      const ran = new Set<string>();
+      const { edge } = await openStopLab(t, ({ url }, response) => {
+        ran.add(url!);
+        setTimeout(() => response.end("departed"), Math.random() * 40);
+      });
+      const agent = new Agent({ keepAlive: true });
+      t.teardown(() => agent.destroy());
+      const answered = new Set<string>();
+      let sent = 0;
+      const sendUntilGone = async () => {
+        for (let failures = 0; failures < 3;) {
+          const path = `/n${sent++}`;
+          const input = { path: `/services/notes${path}`, body: "a", agent };
+          const answer = await call(edge, input);
+          if (answer === "no answer") failures++;
+          else if (answer.isComplete) answered.add(path);
+        }
+      };
+      const callers = Array.from({ length: CALLERS }, sendUntilGone);
+      await waitUntil(() => ran.size > 3 * CALLERS);
+      await stop(edge, drainMs);
+      await Promise.all(callers);
+      t.deepEqual([...ran].filter((path) => !answered.has(path)), []);
+    });
+  }
+});
