A failure that another VM names by an inherited name is answered

What callers saw: no answer, past their deadline, for a relayed request whose failure's code was a name such as toString. Cause: 'in' found it among what all objects inherit; writing the answer then threw, and the call was over already.

Odd news of a VM showed no fault.

Why it works: codes are looked up among the table's own, numbers are bounded, and a call whose answer can't be written closes its connection.

--- a/src/gateway/call.ts
+++ b/src/gateway/call.ts
@@ -139,6 +139,8 @@
       }
     } catch (error) {
       this.#record.noteInternalError(error);
+      // What failed may be the answer itself; its caller would wait for ever.
+      if (this.#isOver && !this.#reply.hasStarted) this.#reply.abort();
       const ran = this.#evidence.mayHaveRun ? "unknown" : "no";
       this.#fail(failure("internal", { ran }), 0);
     } finally {
--- a/src/gateway/placement_wire.ts
+++ b/src/gateway/placement_wire.ts
@@ -243,7 +243,8 @@
 });
 
 function isReason(value: unknown): value is Refusal["reason"] {
-  return isText(value) && (value === "expired" || value in REFUSAL_CODES);
+  return isText(value) &&
+    (value === "expired" || Object.hasOwn(REFUSAL_CODES, value));
 }
 
 /** What each type of verdict has to tell. */
--- a/src/gateway/reply.ts
+++ b/src/gateway/reply.ts
@@ -5,7 +5,7 @@
  */
 
 import type { IncomingHttpHeaders, ServerResponse } from "node:http";
-import { type CodeName, codes, type Failure } from "../base/mod.ts";
+import { type CodeName, codes, type Failure, isNumber } from "../base/mod.ts";
 import { encodeFailure } from "../platform/mod.ts";
 
 const CR = 0x0d;
@@ -310,13 +310,19 @@
   readonly crashedUpstream: string | undefined;
 }
 
+/** Decodes a number that is not negative; 0 if it is none. */
+function decodeCount(text: unknown): number {
+  const count = Number(text);
+  return isNumber(count) && count > 0 ? count : 0;
+}
+
 /** Decodes a failure that another VM answered with; `undefined` if it forwarded an upstream's answer. */
 export function decodePeerFailure(
   headers: Readonly<Record<string, string | string[] | undefined>>,
 ): PeerFailure | undefined {
   const code = headers[RELAY_HEADERS.code];
   if (typeof code !== "string") return undefined;
-  const codeName = code in codes ? code as CodeName : "internal";
+  const codeName = Object.hasOwn(codes, code) ? code as CodeName : "internal";
   const ran = headers[RELAY_HEADERS.ran];
   const crashed = headers[RELAY_HEADERS.endedUpstream];
   return {
@@ -325,8 +331,8 @@
       ran: ran === "no" || ran === "yes" ? ran : "unknown",
       message: codes[codeName].text,
     },
-    comeBackMs: Number(headers[RELAY_HEADERS.comeBackMs]) || 0,
-    arrivals: Number(headers[RELAY_HEADERS.arrivals]) || 0,
+    comeBackMs: decodeCount(headers[RELAY_HEADERS.comeBackMs]),
+    arrivals: decodeCount(headers[RELAY_HEADERS.arrivals]),
     crashedUpstream: typeof crashed === "string" ? crashed : undefined,
   };
 }
