--- a/src/gateway/call.ts
+++ b/src/gateway/call.ts
@@ -103,6 +103,8 @@
       }
     } catch (error) {
       this.#record.noteInternalError(error);
+      // What failed may be the answer itself; its caller would wait for ever.
+      if (this.#isOver && !this.#reply.hasStarted) this.#reply.abort();
       const ran = this.#evidence.mayHaveRun ? "unknown" : "no";
       this.#fail(failure("internal", { ran }), 0);
     } finally {
