--- a/src/base/checks.ts
+++ b/src/base/checks.ts
@@ -64,3 +64,10 @@
       check((value as Record<string, unknown>)[name])
     );
 }
+
+const IPV4_ADDRESS = /^(?:(?:25[0-5]|2[0-4]\d|1?\d?\d)(?:\.(?!$)|$)){4}$/;
+
+/** Whether a value is an IPv4 address in dotted decimal. */
+export function isIpv4Address(value: unknown): value is string {
+  return isText(value) && IPV4_ADDRESS.test(value);
+}
--- a/src/base/mod.ts
+++ b/src/base/mod.ts
@@ -1,7 +1,6 @@
 /**
  * Basics that every folder may use: result codes, time, random numbers, hashing, backoff, detection of lag and pauses,
- * the ends of events, the syntax of HTTP, checks of
- * received values.
+ * the ends of events, the syntax of HTTP, checks of received values.
  *
  * @module
  */
