--- a/src/gateway/http_listeners.ts
+++ b/src/gateway/http_listeners.ts
@@ -17,6 +17,7 @@
 import { canFinish, type GatewayConfig, type Route } from "../routing/mod.ts";
 import { identifyCaller, type KnownCaller } from "../workspaces/mod.ts";
 import { Call } from "./call.ts";
+import { CallerConnections } from "./caller_connections.ts";
 import type { CallInput } from "./call_input.ts";
 import { NO_CONFIG_RETRY_MS, refusalBy } from "./config_refusal.ts";
 import type { GatewayContext } from "./context.ts";
@@ -81,6 +82,8 @@
   /** Connections on which an earlier request arrived. */
   readonly #usedSockets = new WeakSet<Socket>();
   #callerServer!: Server;
+  #callerConnections!: CallerConnections;
+  #openRelayedAnswers = 0;
   #peerServer!: Server;
 
   constructor(context: GatewayContext, peerRpc: PeerRpcHandler) {
@@ -102,6 +105,7 @@
       log,
       (request, response) => this.#onCallerRequest(request, response),
     );
+    this.#callerConnections = new CallerConnections(this.#callerServer);
     this.#peerServer = await listen(
       addresses.peers,
       {
@@ -123,7 +127,7 @@
 
   dump(): unknown {
     return {
-      open: this.#context.openRequests,
+      open: this.#context.openCalls.size,
       leaving: this.#context.isDraining,
       retryBudgets: this.#context.dumpRetryBudgets(),
     };
@@ -131,14 +135,12 @@
 
   /** Closes callers' connections without a request in flight. */
   closeIdleConnections(): void {
-    this.#callerServer.closeIdleConnections();
+    this.#callerConnections.closeIdle();
   }
 
-  /** Counts the connections of callers. */
-  countConnections(): Promise<number> {
-    return new Promise((resolve) =>
-      this.#callerServer.getConnections((_, count) => resolve(count ?? 0))
-    );
+  /** Number of requests, relayed ones among them, whose answers are not written out yet. */
+  get openAnswers(): number {
+    return this.#callerConnections.openAnswers + this.#openRelayedAnswers;
   }
 
   #onCallerRequest(request: IncomingMessage, response: ServerResponse): void {
@@ -184,7 +186,7 @@
     if (!caller) return;
     const maxOpen = (settings.vm.mostDescriptors - RESERVED_DESCRIPTORS) /
       DESCRIPTORS_PER_REQUEST;
-    const isFull = this.#context.openRequests >= maxOpen ||
+    const isFull = this.#context.openCalls.size >= maxOpen ||
       this.#context.startQueue.waitMs > MAX_START_WAIT_MS;
     if (isFull) {
       return this.#refuse(
@@ -230,6 +232,8 @@
     if (request.url === this.#peerRpc.path && !isRelayed(request)) {
       return this.#peerRpc.handle(request, response);
     }
+    this.#openRelayedAnswers++;
+    response.once("close", () => this.#openRelayedAnswers--);
     const { clock, storeView } = this.#context;
     const keyDigest = request.headers[RELAY_HEADERS.keyDigest];
     const callerHead = decodeHead(request);
