--- a/src/routing/drain.ts
+++ b/src/routing/drain.ts
@@ -6,7 +6,7 @@
 
 import type { Route } from "./types.ts";
 
-/** Twice the 99th percentile of the duration of plain calls to a healthy service. */
+/** Least time that a plain call is given: twice the 99th percentile of short calls to a healthy service. */
 const PLAIN_CALL_MS = 1_500;
 /**
  * Time to a stream's first event on an engine at peak load. The 99th percentile of a short stream there is two to four
@@ -34,18 +34,33 @@
   readonly leftMs: number;
 }
 
+/** What is known of how long a request may take. */
+export interface DrainRequest {
+  readonly route: Route;
+  readonly outputTokens: number;
+  /** After this time its caller gets an answer in any case. */
+  readonly maxMs: number;
+  /** Time within which nearly all calls of its route end; 0 if that is not known. */
+  readonly usualMs: number;
+  /** Whether an upstream of its service answers as usual, as far as known. */
+  readonly isUsual: boolean;
+}
+
 /**
  * Whether a request that arrives while the VM is draining can finish before the process ends. A request that cannot is
  * refused at once and not run: if it were cut off it would be lost, and an at-most-once call could not even be retried.
- * Early in the drain the usual duration decides and not the longest, because callers still use this VM's address for
+ * How long requests usually take says nothing where all upstreams are silent; then only the deadline does. Early in the drain the usual duration decides and not the longest, because callers still use this VM's address for
  * seconds. Refusing every stream then would turn many requests away while VMs are stopped one after another.
  */
 export function canFinish(
-  route: Route,
-  outputTokens: number,
+  { route, outputTokens, maxMs, usualMs, isUsual }: DrainRequest,
   { sinceMs, leftMs }: DrainTimes,
 ): boolean {
-  if (route.kind !== "stream") return leftMs > PLAIN_CALL_MS;
+  if (leftMs > maxMs) return true;
+  if (!isUsual) return false;
+  if (route.kind !== "stream") {
+    return leftMs > Math.max(PLAIN_CALL_MS, usualMs);
+  }
   const isEarly = sinceMs < EARLY_DRAIN_MS;
   const neededMs = isEarly
     ? USUAL_FIRST_EVENT_MS + outputTokens * USUAL_TOKEN_MS
