--- a/src/gateway/daemon.ts
+++ b/src/gateway/daemon.ts
@@ -9,9 +9,9 @@
 import type { Log } from "../kernel/mod.ts";
 import { SETTINGS_VARIABLE } from "../platform/mod.ts";
 import { Gateway } from "./gateway.ts";
-import { onHangup } from "./hangup.ts";
 import { LineLog, openStandardOutput } from "./line_log.ts";
 import { parseGatewaySettings, type SettingsProblem } from "./settings.ts";
+import { onHangup, onStop } from "./signals.ts";
 
 const USAGE_EXIT_CODE = 2;
 const SETTINGS_CHECK_MS = 1_000;
@@ -44,13 +44,16 @@
   }
 }
 
-/** Checks the settings file every second, as it may change without a signal, and applies valid changes. */
+/**
+ * Checks the settings file every second, as it may change without a signal, and applies valid changes. Returns the
+ * check.
+ */
 function watchSettings(
   path: string,
   firstText: string,
   gateway: Gateway,
   log: Log,
-): void {
+): () => void {
   let lastText = firstText;
   const checkFile = () => {
     const text = readText(path);
@@ -64,6 +67,12 @@
   };
   setInterval(checkFile, SETTINGS_CHECK_MS).unref();
   onHangup(checkFile);
+  return checkFile;
+}
+
+async function stop(gateway: Gateway): Promise<never> {
+  await gateway.drain();
+  process.exit(0);
 }
 
 /** Runs until a planned stop, which ends with exit code 0. */
@@ -78,14 +87,15 @@
   log.info("starting", { region, failureDomain, ip });
   const gateway = await Gateway.open(settings, log);
   log.info("started", { tookMs: Math.round(performance.now()) });
-  let isStopping = false;
-  const stop = async () => {
-    if (isStopping) return;
-    isStopping = true;
-    await gateway.drain();
-    process.exit(0);
-  };
-  process.on("SIGTERM", () => void stop());
-  process.on("SIGINT", () => void stop());
-  watchSettings(path, text._unsafeUnwrap(), gateway, log);
+  const checkSettings = watchSettings(
+    path,
+    text._unsafeUnwrap(),
+    gateway,
+    log,
+  );
+  onStop(() => {
+    // They say how long the stop may take, and a SIGHUP that was sent before may arrive after this signal.
+    checkSettings();
+    void stop(gateway);
+  });
 }
