--- a/soak/callers.ts
+++ b/soak/callers.ts
@@ -4,52 +4,26 @@
  * @module
  */
 
-import { Agent, type IncomingMessage, request } from "node:http";
+import { Agent } from "node:http";
 import { Random } from "../src/base/mod.ts";
-import { DEFAULT_STREAM_EVENTS, ROUTE_HOST } from "../src/standins/mod.ts";
+import { DEFAULT_STREAM_EVENTS } from "../src/standins/mod.ts";
 import { sleep } from "../test/cluster.ts";
+import {
+  type Attempt,
+  newAnswer,
+  newAttempt,
+  type RequestKind,
+  sendAttempt,
+} from "./attempts.ts";
 import { readWholeEvents } from "./stream_events.ts";
+import { VmDirectory } from "./vm_directory.ts";
 import { REGIONS, type SoakVm, type World } from "./world.ts";
 
 /** Whether callers take up streams that broke off: in at most two tries, or until two of their tries were answered. */
 export type TakeUps = "none" | "twoTries" | "twoAnswers";
 
-/** Kind of a caller's request; each has a route of its own. */
-export type RequestKind = "safe" | "once" | "stream" | "streamonce" | "south";
-
-/** One attempt, as its caller observed it. Times are on the world's clock. */
-export interface Attempt {
-  readonly id: string;
-  readonly kind: RequestKind;
-  readonly method: string;
-  readonly target: string;
-  readonly body: string;
-  /** The last event that the caller has of the stream that it takes up again; 0 if the request is new. */
-  readonly lastEventId: number;
-  /** Id of the attempt that brought the first event of that stream. */
-  readonly resumes: string | undefined;
-  /** Index of the VM whose address the caller used. */
-  readonly vmIndex: number;
-  readonly sentMs: number;
-  endMs: number;
-  /** HTTP status; 0 if the connection ended without an answer. */
-  status: number;
-  /** The attempt id in the answer's headers. */
-  answerAttemptId: string | undefined;
-  stamp: string | undefined;
-  text: string;
-  /** Whether the answer arrived completely. */
-  isComplete: boolean;
-  /** When the caller canceled the request, if it did. */
-  canceledMs: number | undefined;
-}
-
 /** Deadline that a caller sends with its request. */
 export const DEADLINE_MS = 1_500;
-/** Timeout of a caller that gets no final answer; it is much longer than the gateway may take. */
-const CALLER_TIMEOUT_MS = 5_000;
-const DIRECTORY_TTL_MS = 1_000;
-const DIRECTORY_TIMEOUT_MS = 500;
 const MEAN_PAUSE_MS = 60;
 /** Share of requests that the caller cancels. */
 const CANCEL_SHARE = 0.08;
@@ -82,15 +56,13 @@
 export class Caller {
   readonly attempts: Attempt[] = [];
   readonly #world: World;
-  readonly #region: string;
+  readonly #directory: VmDirectory;
   readonly #random: Random;
   readonly #name: string;
   readonly #agent = new Agent({ keepAlive: true });
   readonly #takeUps: TakeUps;
   readonly #resumeRandom: Random;
   readonly #resumed: Promise<void>[] = [];
-  #vms: SoakVm[] = [];
-  #refreshedMs = -Infinity;
 
   /** Unless `takeUps` is `none`, it loses the connections of some streams and takes up again all that broke off. */
   constructor(
@@ -101,7 +73,7 @@
     takeUps: TakeUps,
   ) {
     this.#world = world;
-    this.#region = region;
+    this.#directory = new VmDirectory(world, region);
     this.#name = `${seed}-${index}`;
     this.#random = new Random(seed * 1_000 + index);
     this.#takeUps = takeUps;
@@ -112,7 +84,7 @@
   async run(untilMs: number): Promise<void> {
     while (this.#world.nowMs() < untilMs) {
       await sleep(this.#random.exponential(MEAN_PAUSE_MS));
-      const vm = await this.#pickVm(this.#random);
+      const vm = await this.#directory.pick(this.#random);
       if (!vm) continue;
       const attempt = this.#drawAttempt(vm);
       await this.#send(vm, attempt, this.#drawCancelDelayMs());
@@ -146,7 +118,7 @@
         resumes: first.id,
         lastEventId,
         vmIndex: vm.index,
-        sentMs: this.#world.nowMs(),
+        ...this.#times(),
       };
       await this.#send(vm, last, undefined);
       if (last.status > 0 || this.#takeUps === "twoTries") counted++;
@@ -155,61 +127,25 @@
 
   async #pickResumingVm(): Promise<SoakVm | undefined> {
     const random = this.#resumeRandom;
-    if (random.next() >= ANY_REGION_SHARE) return this.#pickVm(random);
-    const listed = await this.#lookUp(random, random.pick(REGIONS));
+    if (random.next() >= ANY_REGION_SHARE) return this.#directory.pick(random);
+    const listed = await this.#directory.lookUp(random, random.pick(REGIONS));
     return listed.length > 0 ? random.pick(listed) : undefined;
   }
 
-  async #pickVm(random: Random): Promise<SoakVm | undefined> {
-    if (this.#world.nowMs() - this.#refreshedMs > DIRECTORY_TTL_MS) {
-      await this.#refreshVms(random);
-    }
-    return this.#vms.length > 0 ? random.pick(this.#vms) : undefined;
-  }
-
-  /** If the directory lists no VM, the last list stays in use. */
-  async #refreshVms(random: Random): Promise<void> {
-    const listed = await this.#lookUp(random, this.#region);
-    if (listed.length === 0) return;
-    this.#vms = listed;
-    this.#refreshedMs = this.#world.nowMs();
-  }
-
-  /** Queries the directory of a random VM; returns no VM if it doesn't answer. */
-  async #lookUp(random: Random, region: string): Promise<SoakVm[]> {
-    const vm = random.pick(this.#world.vms);
-    try {
-      const answer = await fetch(
-        this.#world.directoryUrl(vm) + region,
-        { signal: AbortSignal.timeout(DIRECTORY_TIMEOUT_MS) },
-      );
-      const { addresses } = await answer.json() as { addresses: string[] };
-      return this.#world.vms.filter(({ ip }) =>
-        addresses.some((address) => address.startsWith(`${ip}:`))
-      );
-    } catch {
-      // The queried VM is down or affected by a fault; the next try queries another VM.
-      return [];
-    }
-  }
-
   #drawAttempt(vm: SoakVm): Attempt {
     const kind = this.#random.pick(KINDS);
-    const id = `${this.#name}-${this.attempts.length}`;
-    const hasBody = kind !== "safe";
-    const nowMs = this.#world.nowMs();
-    return {
-      id,
+    return newAttempt({
+      id: `${this.#name}-${this.attempts.length}`,
       kind,
-      method: hasBody ? "POST" : "GET",
-      target: `/${kind}/${id}`,
-      body: hasBody ? `body of ${id}`.repeat(1 + this.#random.int(20)) : "",
-      lastEventId: 0,
-      resumes: undefined,
       vmIndex: vm.index,
-      sentMs: nowMs,
-      ...newAnswer(),
-    };
+      bodyParts: kind === "safe" ? 0 : 1 + this.#random.int(20),
+      ...this.#times(),
+    });
+  }
+
+  #times(): Pick<Attempt, "sentMs" | "deadlineMs"> {
+    const sentMs = this.#world.nowMs();
+    return { sentMs, deadlineMs: sentMs + DEADLINE_MS };
   }
 
   #drawCancelDelayMs(): number | undefined {
@@ -226,103 +162,28 @@
       : undefined;
   }
 
-  #send(
+  async #send(
     vm: SoakVm,
     attempt: Attempt,
     cancelDelayMs: number | undefined,
   ): Promise<void> {
     this.attempts.push(attempt);
     const eventsToBreak = this.#drawBreak(attempt) ?? Infinity;
-    return new Promise((resolve) => {
-      const call = request({
-        agent: this.#agent,
-        host: vm.ip,
-        port: vm.proxies.callers.port,
-        path: attempt.target,
-        method: attempt.method,
-        headers: {
-          host: ROUTE_HOST,
-          "attempt-id": attempt.id,
-          "deadline-ms": String(DEADLINE_MS),
-          ...resumeHeaders(attempt),
-        },
-      });
-      const finish = () => {
-        if (attempt.endMs < Infinity) return;
-        attempt.endMs = this.#world.nowMs();
-        clearTimeout(timeoutTimer);
-        clearTimeout(cancelTimer);
-        resolve();
-      };
-      const timeoutTimer = setTimeout(() => call.destroy(), CALLER_TIMEOUT_MS);
-      const cancelTimer = cancelDelayMs === undefined
-        ? undefined
-        : setTimeout(() => cancel(), cancelDelayMs);
-      const cancel = () => {
-        if (attempt.endMs < Infinity || attempt.canceledMs) return;
-        attempt.canceledMs = this.#world.nowMs();
-        call.destroy();
-      };
-      call.on("response", (answer) => {
-        readAnswer(attempt, answer, finish);
+    const open = sendAttempt(attempt, {
+      agent: this.#agent,
+      to: { host: vm.ip, port: vm.proxies.callers.port },
+      nowMs: () => this.#world.nowMs(),
+      onAnswer: (answer) =>
         answer.on("data", () => {
           const { length } = readWholeEvents(attempt.text);
           // The parser has passed on the rest of what it read by then; else the end could be seen without the bytes before it.
-          if (length >= eventsToBreak) setImmediate(cancel);
-        });
-      });
-      call.on("error", finish);
-      call.end(attempt.body);
+          if (length >= eventsToBreak) setImmediate(open.cancel);
+        }),
     });
+    const cancelTimer = cancelDelayMs === undefined
+      ? undefined
+      : setTimeout(open.cancel, cancelDelayMs);
+    await open.ended;
+    clearTimeout(cancelTimer);
   }
 }
-
-/** What is known of an answer before it arrives. */
-function newAnswer(): Pick<
-  Attempt,
-  | "endMs"
-  | "status"
-  | "answerAttemptId"
-  | "stamp"
-  | "text"
-  | "isComplete"
-  | "canceledMs"
-> {
-  return {
-    endMs: Infinity,
-    status: 0,
-    answerAttemptId: undefined,
-    stamp: undefined,
-    text: "",
-    isComplete: false,
-    canceledMs: undefined,
-  };
-}
-
-function resumeHeaders(
-  { lastEventId, resumes }: Attempt,
-): Record<string, string> {
-  return resumes === undefined
-    ? {}
-    : { "last-event-id": String(lastEventId), resumes };
-}
-
-function firstValue(value: string | string[] | undefined): string | undefined {
-  return Array.isArray(value) ? value[0] : value;
-}
-
-function readAnswer(
-  attempt: Attempt,
-  answer: IncomingMessage,
-  finish: () => void,
-): void {
-  attempt.status = answer.statusCode ?? 0;
-  attempt.answerAttemptId = firstValue(answer.headers["attempt-id"]);
-  attempt.stamp = firstValue(answer.headers["response-stamp"]);
-  answer.on("data", (chunk: Buffer) => void (attempt.text += chunk));
-  answer.on("error", () => {});
-  answer.on("close", () => {
-    attempt.isComplete = answer.complete;
-    finish();
-  });
-}
--- /dev/null
+++ b/soak/configuration.ts
@@ -0,0 +1,70 @@
+/**
+ * The configurations of a run's world.
+ *
+ * @module
+ */
+
+import { makeRoute } from "../src/standins/mod.ts";
+import { LONG_TIMEOUT_MS } from "./attempts.ts";
+
+const SERVICE = { max_conns: 100, cold_s: 0, cold_rate_s: 0 };
+
+/** One route for each kind of request. */
+function makeRoutes(plainService: string): object[] {
+  return [
+    makeRoute({ service: plainService }),
+    makeRoute({ path_prefix: "/once/", kind: "unsafe" }),
+    makeRoute({
+      path_prefix: "/stream/",
+      kind: "streaming",
+      resumable: true,
+    }),
+    makeRoute({
+      path_prefix: "/streamonce/",
+      kind: "streaming",
+      max_attempts: 1,
+    }),
+    makeRoute({
+      path_prefix: "/south/",
+      kind: "unsafe",
+      home_regions: ["south"],
+    }),
+  ];
+}
+
+/** The routes whose callers wait for longer than a VM may take to stop. */
+function makeLongRoutes(): object[] {
+  return [
+    { path_prefix: "/longsafe/", kind: "safe" },
+    { path_prefix: "/longonce/", kind: "unsafe" },
+    { path_prefix: "/longstream/", kind: "streaming", resumable: true },
+    {
+      path_prefix: "/longstreamonce/",
+      kind: "streaming",
+      max_attempts: 1,
+    },
+    { path_prefix: "/large/", kind: "safe" },
+  ].map((route) => makeRoute({ ...route, timeout_ms: LONG_TIMEOUT_MS }));
+}
+
+/** Makes a configuration in which plain requests go to `plainService`. */
+export function makeConfig(
+  version: number,
+  plainService: string,
+  hasLongRoutes: boolean,
+): object {
+  return {
+    version,
+    routes: [
+      ...makeRoutes(plainService),
+      ...(hasLongRoutes ? makeLongRoutes() : []),
+    ],
+    services: [{ ...SERVICE, name: "s" }, { ...SERVICE, name: "t" }],
+    limits: {
+      max_header_bytes: 4_096,
+      max_body_bytes: 10_000,
+      header_timeout_ms: 1_000,
+      idle_timeout_ms: 5_000,
+    },
+  };
+}
--- a/soak/fatal_requests.ts
+++ b/soak/fatal_requests.ts
@@ -8,7 +8,8 @@
 import type { Random } from "../src/base/mod.ts";
 import { ROUTE_HOST } from "../src/standins/mod.ts";
 import { sleep } from "../test/cluster.ts";
-import { DEADLINE_MS, type RequestKind } from "./callers.ts";
+import type { RequestKind } from "./attempts.ts";
+import { DEADLINE_MS } from "./callers.ts";
 import type { World } from "./world.ts";
 
 const FATAL_PREFIX = "fatal ";
--- a/soak/fault_injector.ts
+++ b/soak/fault_injector.ts
@@ -7,6 +7,7 @@
 import { Random } from "../src/base/mod.ts";
 import type { PlatformFault, StoreCopy } from "../src/standins/mod.ts";
 import { sleep } from "../test/cluster.ts";
+import { LONG_DEADLINE_MS } from "./attempts.ts";
 import { guardPaused } from "./end_with_parent.ts";
 import { sendFatalRequests } from "./fatal_requests.ts";
 import { sendPartRequests } from "./part_requests.ts";
@@ -25,6 +26,8 @@
 const RETURN_SEED = 0x7e70;
 /** How long a trouble outlasts its fault: requests at a silent upstream, for example, stay there until their deadlines. */
 const AFTER_EFFECT_MS = 2_500;
+/** The same at upstreams that keep callers waiting whose deadlines are long. */
+const LONG_AFTER_EFFECT_MS = LONG_DEADLINE_MS + 1_000;
 
 const STORE_FAULTS: Readonly<Record<string, PlatformFault>> = {
   cut: { outage: "cut" },
@@ -113,6 +116,8 @@
         return await this.#restoreStore(fault);
       case "lostConfig":
         return await this.#loseConfig(fault);
+      case "quiet":
+        return await this.#keepWaiting(fault);
     }
   }
 
@@ -177,6 +182,16 @@
     runner.plainEnding = "whole";
   }
 
+  async #keepWaiting(
+    { runner, how, forMs, lateMs }: Extract<Fault, { kind: "quiet" }>,
+  ): Promise<void> {
+    const host = this.#world.runnerHosts[runner];
+    if (!host.instance) return;
+    const { id } = host.instance.runner;
+    this.#world.addTrouble(id, forMs + LONG_AFTER_EFFECT_MS, true);
+    await host.keepWaiting(how, forMs, lateMs);
+  }
+
   /** Operators write again soon after the store is back, upstreams with their heartbeats. */
   async #restoreStore(
     { ageMs, awayMs, forMs }: Extract<Fault, { kind: "restore" }>,
@@ -292,7 +307,12 @@
     const { instance } = host;
     if (!instance) return;
     if (fault.kind === "drain") return await host.drain();
-    this.#world.addTrouble(instance.runner.id, fault.forMs + AFTER_EFFECT_MS);
+    const isQuiet = "mood" in fault && fault.mood === "silent";
+    this.#world.addTrouble(
+      instance.runner.id,
+      fault.forMs + AFTER_EFFECT_MS,
+      isQuiet,
+    );
     if (fault.kind === "rebirth") return await host.restart();
     if (fault.kind === "reuse") return await host.reuseAddress(fault.forMs);
     if ("mood" in fault) {
--- a/soak/judge.ts
+++ b/soak/judge.ts
@@ -5,11 +5,18 @@
  */
 
 import { DEFAULT_STREAM_EVENTS, formatStream } from "../src/standins/mod.ts";
-import { type Attempt, DEADLINE_MS } from "./callers.ts";
+import {
+  type Attempt,
+  isLongKind,
+  isRepeatableKind,
+  isStreamKind,
+  maxUpstreamsOf,
+} from "./attempts.ts";
 import type { PartCall } from "./part_requests.ts";
 import { findBudgetBreaches } from "./judge_budget.ts";
 import { findCrashBreaches, findPartBreaches } from "./judge_crashes.ts";
 import { findNoticeBreaches } from "./judge_notices.ts";
+import { findStopBreaches, isExcusedByStop, type Stop } from "./judge_stops.ts";
 import { findVersionBreaches, type Upstream } from "./judge_versions.ts";
 import { ANY_VERSION, maskVersions } from "./stream_events.ts";
 import { describeDifferences, type View, type VmView } from "./views.ts";
@@ -28,6 +35,10 @@
   readonly drainingSinceMs: number;
   /** Since when the upstream's answers say that it leaves. */
   readonly leavingSinceMs: number;
+  /** When the upstream stopped working on it: its answer or its connection ended, or at once if it ignored it. */
+  readonly workEndMs: number;
+  /** When the upstream's process ended. */
+  readonly goneMs: number;
 }
 
 /** A request that an upstream turned away. */
@@ -56,12 +67,17 @@
     readonly who: string;
     readonly fromMs: number;
     readonly toMs: number;
+    /** Whether an upstream only kept its callers waiting. */
+    readonly isQuiet?: boolean;
   }[];
   readonly configs: readonly {
     readonly sinceMs: number;
     readonly plainService: string;
   }[];
   readonly processFaults: readonly string[];
+  /** The planned stops of VMs, in their order, and the time that each has until it is killed. */
+  readonly stops: readonly Stop[];
+  readonly graceMs: number;
   /** When all faults have been over for long enough that requests must be served again. */
   readonly recoveredMs: number;
   /** What each VM holds after that. */
@@ -102,9 +118,6 @@
 
 /** Statuses by which the gateway promises that the request has not run and never will. */
 const NOT_RUN_STATUSES = new Set([408, 421, 429, 503]);
-/** Maximum number of upstreams that an attempt may reach, as the world's routes limit it. */
-const MAX_UPSTREAMS = { safe: 2, once: 2, stream: 2, streamonce: 1, south: 2 };
-const REPEATABLE_KINDS = new Set(["safe", "stream"]);
 /** How long a trouble still excuses a VM after its end: the platform's `contact` bound. */
 const CONTACT_BOUND_MS = 6_000;
 /** How late a final answer, and the end of work for a canceled request, may be; the machine is shared. */
@@ -159,6 +172,7 @@
     this.#breaches.push(...findNoticeBreaches(this.#evidence));
     this.#breaches.push(...findVersionBreaches(this.#evidence));
     this.#breaches.push(...findBudgetBreaches(this.#evidence));
+    this.#breaches.push(...findStopBreaches(this.#evidence));
     this.#checkRecovery();
     this.#checkViews();
     return this.#breaches;
@@ -189,7 +203,7 @@
       this.#addBreach("MIXED", id, `answer of ${answerAttemptId}`);
     }
     if (status !== 200 || !stamped) return;
-    const isStream = attempt.kind === "stream" || attempt.kind === "streamonce";
+    const isStream = isStreamKind(attempt.kind);
     const expected = isStream
       ? formatStream(attempt.lastEventId, DEFAULT_STREAM_EVENTS, ANY_VERSION)
       : `served by ${stamped.runnerId}`;
@@ -208,7 +222,7 @@
   #checkRuns(attempt: Attempt, arrivals: readonly Arrival[]): void {
     const { id, kind, status } = attempt;
     const runnerIds = new Set(arrivals.map(({ runnerId }) => runnerId));
-    if (!REPEATABLE_KINDS.has(kind)) {
+    if (!isRepeatableKind(kind)) {
       if (arrivals.length > 1) {
         this.#addBreach("TWICE", id, `ran at ${[...runnerIds].join(", ")}`);
       }
@@ -216,7 +230,7 @@
         this.#addBreach("REFUSED", id, `answered ${status} and ran`);
       }
     }
-    if (runnerIds.size > MAX_UPSTREAMS[kind]) {
+    if (runnerIds.size > maxUpstreamsOf(kind)) {
       this.#addBreach("BUDGET", id, `ran at ${[...runnerIds].join(", ")}`);
     }
     for (const arrival of arrivals) {
@@ -239,7 +253,8 @@
   }
 
   #checkTimes(attempt: Attempt, arrivals: readonly Arrival[]): void {
-    const { id, kind, sentMs, endMs, canceledMs, status, vmIndex } = attempt;
+    const { id, kind, sentMs, endMs, deadlineMs, canceledMs, vmIndex } =
+      attempt;
     const isTroubleFree = this.#isTroubleFree(
       `vm:${vmIndex}`,
       sentMs - CONTACT_BOUND_MS,
@@ -249,10 +264,10 @@
       sentMs - CONTACT_BOUND_MS,
       endMs,
     );
-    const plainService = this.#plainServiceAt(sentMs);
+    const plainService = this.#plainServiceFor(attempt);
     if (
       isTroubleFree && canceledMs === undefined &&
-      endMs - sentMs > DEADLINE_MS + ANSWER_SLACK_MS
+      endMs > deadlineMs + ANSWER_SLACK_MS
     ) {
       this.#addBreach(
         "LATE",
@@ -287,8 +302,8 @@
         );
       }
     }
-    const isLost = status === 0 && canceledMs === undefined &&
-      arrivals.length > 0;
+    const isLost = attempt.status === 0 && canceledMs === undefined &&
+      arrivals.length > 0 && !this.#isExcusedByStop(attempt, arrivals);
     if (isLost && isWorldTroubleFree) {
       this.#addBreach(
         "LOST",
@@ -298,13 +313,19 @@
     }
   }
 
-  /** The only service to which plain requests sent at `sentMs` may go; `undefined` while two versions may be in force. */
-  #plainServiceAt(sentMs: number): string | undefined {
+  /** Requests of other kinds are over before a stop may cut them. */
+  #isExcusedByStop(attempt: Attempt, arrivals: readonly Arrival[]): boolean {
+    return isLongKind(attempt.kind) &&
+      isExcusedByStop(this.#evidence, attempt, arrivals);
+  }
+
+  /** The only service to which a plain request may go; `undefined` while two versions may be in force. */
+  #plainServiceFor({ sentMs, deadlineMs }: Attempt): string | undefined {
     const { configs } = this.#evidence;
     const newest = configs.filter(({ sinceMs }) => sinceMs <= sentMs).at(-1);
     const isSettled = newest && sentMs - newest.sinceMs > CONFIG_BOUND_MS &&
       !configs.some(({ sinceMs }) =>
-        sinceMs > sentMs && sinceMs < sentMs + DEADLINE_MS + ANSWER_SLACK_MS
+        sinceMs > sentMs && sinceMs < deadlineMs + ANSWER_SLACK_MS
       );
     return isSettled ? newest.plainService : undefined;
   }
--- a/soak/judge_budget.ts
+++ b/soak/judge_budget.ts
@@ -4,7 +4,7 @@
  * @module
  */
 
-import type { Attempt } from "./callers.ts";
+import type { Attempt } from "./attempts.ts";
 import type { Arrival, Breach, Evidence, Refusal } from "./judge.ts";
 import type { Upstream } from "./judge_versions.ts";
 
--- a/soak/judge_notices.ts
+++ b/soak/judge_notices.ts
@@ -4,7 +4,7 @@
  * @module
  */
 
-import type { Attempt } from "./callers.ts";
+import type { Attempt } from "./attempts.ts";
 import type { Arrival, Breach, Evidence } from "./judge.ts";
 
 /** VMs of the soak run in turn in one of the two regions. */
--- a/soak/judge_notices_test.ts
+++ b/soak/judge_notices_test.ts
@@ -1,5 +1,5 @@
 import { describe, it } from "../src/base/describe.ts";
-import type { Attempt } from "./callers.ts";
+import type { Attempt } from "./attempts.ts";
 import type { Arrival, Evidence, Refusal } from "./judge.ts";
 import { findNoticeBreaches } from "./judge_notices.ts";
 
--- a/soak/judge_test.ts
+++ b/soak/judge_test.ts
@@ -1,6 +1,7 @@
 import { describe, it } from "../src/base/describe.ts";
 import { formatStream as formatAnyStream } from "../src/standins/mod.ts";
-import type { Attempt, RequestKind } from "./callers.ts";
+import type { Attempt, RequestKind } from "./attempts.ts";
+import { DEADLINE_MS } from "./callers.ts";
 import { type Arrival, type Evidence, Judge, type Rule } from "./judge.ts";
 import type { View } from "./views.ts";
 
@@ -31,6 +32,8 @@
     resumes: undefined,
     vmIndex: 0,
     sentMs: 20_000,
+    deadlineMs: (changes.sentMs ?? 20_000) + DEADLINE_MS,
+    connectedMs: Infinity,
     endMs: 20_050,
     status: 200,
     answerAttemptId: "a1",
@@ -51,6 +54,8 @@
     service: "s",
     drainingSinceMs: Infinity,
     leavingSinceMs: Infinity,
+    workEndMs: 20_040,
+    goneMs: Infinity,
     ...arrivalChanges,
   };
   return { attempt, arrival };
@@ -72,6 +77,8 @@
     troubles: [],
     configs: [{ sinceMs: 0, plainService: "s" }],
     processFaults: [],
+    stops: [],
+    graceMs: 6_000,
     recoveredMs: 0,
     vmViews: [{ vm: 0, view: VIEW }],
     storeView: VIEW,
--- a/soak/judge_versions.ts
+++ b/soak/judge_versions.ts
@@ -5,7 +5,7 @@
  * @module
  */
 
-import type { Attempt } from "./callers.ts";
+import type { Attempt } from "./attempts.ts";
 import type { Breach, Evidence } from "./judge.ts";
 import { readWholeEvents } from "./stream_events.ts";
 
--- a/soak/judge_versions_test.ts
+++ b/soak/judge_versions_test.ts
@@ -1,6 +1,6 @@
 import { describe, it } from "../src/base/describe.ts";
 import { formatStream } from "../src/standins/mod.ts";
-import type { Attempt } from "./callers.ts";
+import type { Attempt } from "./attempts.ts";
 import type { Evidence } from "./judge.ts";
 import { findVersionBreaches, type Upstream } from "./judge_versions.ts";
 
--- a/soak/main.ts
+++ b/soak/main.ts
@@ -94,6 +94,13 @@
         "kills of all VMs at once amid upstreams of several versions, which callers take streams up after: beside other faults, or alone",
       default: "none",
     },
+    stops: {
+      type: "enum" as const,
+      options: ["none", "beside", "only"],
+      description:
+        "planned stops while upstreams keep callers waiting for longer than a stop takes: beside other faults, or alone",
+      default: "none",
+    },
     keep: {
       type: "string",
       description: "folder for the logs of runs that broke a promise",
@@ -126,6 +133,7 @@
           endings: args.endings as ExtraMode,
           versions: args.versions as ExtraMode,
           fleetKills: args.fleetKills as ExtraMode,
+          stops: args.stops as ExtraMode,
           logFolder: args.keep,
           plant: args.plant,
         });
--- a/soak/plan.ts
+++ b/soak/plan.ts
@@ -16,7 +16,9 @@
 import { drawNotices } from "./plan_notices.ts";
 import { drawParts } from "./plan_parts.ts";
 import { drawReturns } from "./plan_returns.ts";
+import { drawStops } from "./plan_stops.ts";
 import { drawVersions } from "./plan_versions.ts";
+import type { QuietHow } from "./runner_host.ts";
 
 /** How a link treats its connections. */
 export type LinkMode =
@@ -27,6 +29,8 @@
   | "silentIn"
   /** No data passes back from the listener. */
   | "silentOut"
+  /** No data passes either way. */
+  | "silentBoth"
   /** Open and new connections are reset. */
   | "reset";
 
@@ -134,6 +138,13 @@
       readonly killDelayMs: number;
       readonly rewriteDelayMs: number;
     }
+    /** The upstream keeps its callers waiting; `lateMs` is by how much its answers are late, where they are. */
+    | {
+      readonly kind: "quiet";
+      readonly runner: number;
+      readonly how: QuietHow;
+      readonly lateMs: number;
+    }
   );
 
 /** Whether a plan has a class of faults that is drawn on its own: none, beside the other faults, or nothing else. */
@@ -155,6 +166,7 @@
   | "release"
   | "restore"
   | "lostConfig"
+  | "quiet"
 >;
 
 /** Size and kind of a plan. */
@@ -180,6 +192,8 @@
   readonly versions?: ExtraMode | undefined;
   /** Kills of all VMs while upstreams' versions are replaced; `none` if absent. */
   readonly fleetKills?: ExtraMode | undefined;
+  /** Series of planned stops while upstreams keep callers waiting; `none` if absent. */
+  readonly stops?: ExtraMode | undefined;
   /** Time during which faults begin; after the last fault, callers continue without faults. */
   readonly faultsMs: number;
 }
@@ -264,6 +278,7 @@
   ["endings", drawEndings],
   ["versions", drawVersions],
   ["fleetKills", drawFleetKills],
+  ["stops", drawStops],
 ] as const;
 
 /** Draws the faults of a run, sorted by their start. */
--- a/soak/plan_test.ts
+++ b/soak/plan_test.ts
@@ -147,6 +147,42 @@
     );
   });
 
+  it("keeps a seed's other faults when stops among silent upstreams come beside them", (t) => {
+    const drawn = new Set<string>();
+    for (let seed = 1; seed <= SEEDS; seed++) {
+      const others = drawPlan(seed, OPTIONS);
+      const stops = drawPlan(seed, { ...OPTIONS, stops: "only" });
+      const both = drawPlan(seed, { ...OPTIONS, stops: "beside" });
+      t.deepEqual(formatSorted(both), formatSorted([...others, ...stops]));
+      for (const fault of stops) {
+        drawn.add(fault.kind === "quiet" ? fault.how : fault.kind);
+      }
+    }
+    const quiet = ["silent", "headOnly", "paused", "slow", "slowEvents"];
+    const planned = ["stop", "hangUp", "config", "drain"];
+    t.deepEqual([...drawn].sort(), [...quiet, ...planned].sort());
+  });
+
+  it("stops VMs of both regions in turn, at one moment and overlapping, some twice while they stop", (t) => {
+    const rhythms = new Set<string>();
+    for (let seed = 1; seed <= SEEDS; seed++) {
+      const options = { ...OPTIONS, faultsMs: 1, stops: "only" } as const;
+      const stops = drawPlan(seed, options).flatMap((fault) =>
+        fault.kind === "stop" ? [fault] : []
+      );
+      const [first, second] = stops.filter(({ forMs }) => forMs > 0);
+      const gapMs = second.atMs - first.atMs;
+      t.not(first.vm % OPTIONS.domains, second.vm % OPTIONS.domains);
+      if (gapMs === 0) rhythms.add("at one moment");
+      else rhythms.add(gapMs > first.forMs ? "in turn" : "overlapping");
+      if (stops.some(({ forMs }) => forMs === 0)) rhythms.add("twice");
+    }
+    t.deepEqual(
+      [...rhythms].sort(),
+      ["at one moment", "in turn", "overlapping", "twice"],
+    );
+  });
+
   const findKilled = (vms: number): string[] => {
     const options = { ...OPTIONS, vms, lapses: "only" } as const;
     const killed = new Set<string>();
--- a/soak/proxy.ts
+++ b/soak/proxy.ts
@@ -149,9 +149,10 @@
 
   /** Pauses a silent direction: its data waits, as behind a cut cable, and is forwarded when the mode ends. */
   #applyMode({ client, server }: ProxiedConnection): void {
-    if (this.#mode === "silentIn") client.pause();
+    const isSilent = this.#mode === "silentBoth";
+    if (isSilent || this.#mode === "silentIn") client.pause();
     else client.resume();
-    if (this.#mode === "silentOut") server.pause();
+    if (isSilent || this.#mode === "silentOut") server.pause();
     else server.resume();
   }
 }
--- a/soak/proxy_test.ts
+++ b/soak/proxy_test.ts
@@ -66,4 +66,34 @@
       t.is(seen, ending);
     }
   });
+
+  it("holds back both directions while both are silent, and passes all on after it", async (t) => {
+    const server = createServer((far) => void far.write("to caller"));
+    server.listen(0, LOOPBACK);
+    await once(server, "listening");
+    const { port } = server.address() as AddressInfo;
+    const proxy = await FaultProxy.open(
+      { host: LOOPBACK, port: 0 },
+      { host: LOOPBACK, port },
+    );
+    proxy.setMode("silentBoth");
+    const caller = connect(proxy.port, LOOPBACK);
+    const [far] = await once(server, "connection") as [Socket];
+    t.teardown(async () => {
+      caller.destroy();
+      await proxy.close();
+      server.close();
+    });
+    let got = "";
+    for (const socket of [caller, far]) {
+      socket.on("error", () => {});
+      socket.on("data", (chunk: Buffer) => void (got += chunk));
+    }
+    caller.write("to far");
+    await new Promise((resolve) => setTimeout(resolve, 100));
+    t.is(got, "");
+    proxy.setMode("pass");
+    await new Promise((resolve) => setTimeout(resolve, 100));
+    t.is(got.length, "to far".length + "to caller".length);
+  });
 });
--- a/soak/run.ts
+++ b/soak/run.ts
@@ -9,6 +9,7 @@
 import { sleep } from "../test/cluster.ts";
 import { Caller, type TakeUps } from "./callers.ts";
 import { isFatal } from "./fatal_requests.ts";
+import { LongCaller } from "./long_callers.ts";
 import { isPartRequest } from "./part_requests.ts";
 import { FaultInjector } from "./fault_injector.ts";
 import {
@@ -47,6 +48,8 @@
   readonly versions?: ExtraMode;
   /** Whether all VMs are killed at once; upstreams and callers do as with `versions`. */
   readonly fleetKills?: ExtraMode;
+  /** Whether VMs are stopped while upstreams keep callers waiting; as many callers more wait longer than a stop takes. */
+  readonly stops?: ExtraMode;
   /** Folder for the logs of a run that broke a promise; absent or empty: they are not saved. */
   readonly logFolder?: string;
   /** Changes the evidence before it is checked, to plant a fault that the judge must find. */
@@ -70,19 +73,23 @@
 
 function collectArrivals(world: World): Arrival[] {
   return world.instances.flatMap((
-    { runner, region, service, drainingSinceMs, leavingSinceMs },
+    { runner, region, service, drainingSinceMs, leavingSinceMs, goneMs },
   ) =>
-    runner.arrivals.map(({ headers, method, target, body, arrivedMonoMs }) => ({
-      attemptId: String(headers["attempt-id"]),
-      method,
-      target,
-      body,
-      arrivedMs: arrivedMonoMs,
+    runner.arrivals.map((arrival) => ({
+      attemptId: String(arrival.headers["attempt-id"]),
+      method: arrival.method,
+      target: arrival.target,
+      body: arrival.body,
+      arrivedMs: arrival.arrivedMonoMs,
       runnerId: runner.id,
       region,
       service,
       drainingSinceMs,
       leavingSinceMs,
+      workEndMs: arrival.isIgnored
+        ? arrival.arrivedMonoMs
+        : arrival.endedMonoMs,
+      goneMs,
     }))
   );
 }
@@ -131,6 +138,29 @@
   return (versions ?? "none") === "none" ? "none" : "twoTries";
 }
 
+function openCallers(
+  world: World,
+  { callers, seed }: RunOptions,
+  takeUps: TakeUps,
+): Caller[] {
+  return Array.from({ length: callers }, (_, index) => {
+    const region = REGIONS[index % REGIONS.length];
+    return new Caller(world, region, index, seed, takeUps);
+  });
+}
+
+/** In each region every other one stays with its VM. */
+function openLongCallers(
+  world: World,
+  { callers, seed }: RunOptions,
+): LongCaller[] {
+  return Array.from({ length: callers }, (_, index) => {
+    const region = REGIONS[index % REGIONS.length];
+    const staysWithVm = Math.floor(index / REGIONS.length) % 2 === 0;
+    return new LongCaller({ world, region, index, seed, staysWithVm });
+  });
+}
+
 /** Runs one seed. Throws only if the world cannot be opened. */
 export async function runSeed(options: RunOptions): Promise<RunResult> {
   const { seed, vms, runners, faultsMs } = options;
@@ -149,22 +179,17 @@
     endings: options.endings,
     versions: options.versions,
     fleetKills: options.fleetKills,
+    stops: options.stops,
   });
   const takeUps = chooseTakeUps(options);
   const hasVersions = takeUps !== "none";
-  const world = await World.open({ vms, runners, seed, hasVersions });
+  const hasStops = (options.stops ?? "none") !== "none";
+  const world = await World.open({ vms, runners, seed, hasVersions, hasStops });
   try {
-    const callers = Array.from(
-      { length: options.callers },
-      (_, index) =>
-        new Caller(
-          world,
-          REGIONS[index % REGIONS.length],
-          index,
-          seed,
-          takeUps,
-        ),
-    );
+    const callers = [
+      ...openCallers(world, options, takeUps),
+      ...(hasStops ? openLongCallers(world, options) : []),
+    ];
     const lastMs = Math.max(faultsMs, ...plan.map((f) => f.atMs + f.forMs));
     const recoveredMs = world.nowMs() + lastMs + RECOVERY_MS;
     const traffic = Promise.all(
@@ -188,6 +213,8 @@
       troubles: world.troubles,
       configs: world.configs,
       processFaults: world.processFaults,
+      stops: world.stops,
+      graceMs: world.graceMs,
       recoveredMs,
       vmViews: await askVmViews(world),
       storeView: readStoreView(world),
--- a/soak/runner_host.ts
+++ b/soak/runner_host.ts
@@ -6,12 +6,26 @@
 
 import { type CrashEnding, Runner } from "../src/standins/mod.ts";
 import { sleep } from "../test/cluster.ts";
+import { LARGE_ANSWER_BYTES } from "./attempts.ts";
 import { isFatal } from "./fatal_requests.ts";
 import { isDeadlyPart } from "./part_requests.ts";
 import { type Endpoint, FaultProxy } from "./proxy.ts";
 import { HEARTBEAT_MS, Registration } from "./registration.ts";
 import { getFailureDomain, REGIONS, type World } from "./world.ts";
 
+/** How an upstream keeps its callers waiting. */
+export type QuietHow =
+  /** It accepts requests and never answers those of that time. */
+  | "silent"
+  /** The same, but it sends the heads of streams. */
+  | "headOnly"
+  /** It is not scheduled: nothing of it is read or sent until it goes on. */
+  | "paused"
+  /** Its answers, and the first events of its streams, come late. */
+  | "slow"
+  /** Its streams take seconds. */
+  | "slowEvents";
+
 /** One instance of an upstream, from its start to its stop. */
 export interface RunnerInstance {
   readonly runner: Runner;
@@ -22,6 +36,8 @@
   drainingSinceMs: number;
   /** Since when its answers say that it leaves. */
   leavingSinceMs: number;
+  /** When its process ended. */
+  goneMs: number;
 }
 
 /** How long a draining upstream still serves requests; the gateways' bound is 4 s. */
@@ -29,6 +45,8 @@
 /** How long an address is unused before another upstream gets it. */
 const ADDRESS_IDLE_MS = 300;
 const SLOTS = 8;
+/** Time between two events of a stream. */
+const EVENT_GAP_MS = 10;
 /** Hosts whose first heartbeats are spread over one interval. */
 const HEARTBEAT_PHASES = 8;
 /** How long an upstream is down after a fatal request, and how long the effects outlast that. */
@@ -155,6 +173,31 @@
     });
   }
 
+  /** Keeps callers waiting for `forMs`, in the other ways than by a pause for requests that arrive in that time. */
+  async keepWaiting(
+    how: QuietHow,
+    forMs: number,
+    lateMs: number,
+  ): Promise<void> {
+    const { runner } = this.#instance!;
+    if (how === "paused") return await this.#pause(forMs);
+    if (how === "slow") runner.answerDelayMs = lateMs;
+    else if (how === "slowEvents") {
+      runner.eventGapMs = lateMs / runner.streamEvents;
+    } else runner.behavior = how;
+    await sleep(forMs);
+    runner.answerDelayMs = 0;
+    runner.eventGapMs = EVENT_GAP_MS;
+    if (runner.behavior === how) runner.behavior = "well";
+  }
+
+  async #pause(forMs: number): Promise<void> {
+    this.registration.silence(forMs);
+    this.proxy.setMode("silentBoth");
+    await sleep(forMs);
+    this.proxy.setMode("pass");
+  }
+
   async close(): Promise<void> {
     this.registration.close();
     // A crashed upstream that comes back later would open the proxy again.
@@ -181,6 +224,9 @@
     runner.bornMs = this.#starts;
     runner.isFatal = (body, parts) => isFatal(body) || parts.some(isDeadlyPart);
     runner.downMs = DOWN_MS;
+    runner.eventGapMs = EVENT_GAP_MS;
+    runner.plainBytesOf = (target) =>
+      target.startsWith("/large/") ? LARGE_ANSWER_BYTES : 0;
     runner.onCrash = (ending) => this.#handleCrash(runner, ending);
     runner.onRestart = () => void this.#handleRestart(runner);
     await this.proxy.reopen();
@@ -191,6 +237,7 @@
       startedMs: this.#world.nowMs(),
       drainingSinceMs: Infinity,
       leavingSinceMs: Infinity,
+      goneMs: Infinity,
     };
     this.#world.instances.push(this.#instance);
     this.#register("ready");
@@ -216,6 +263,7 @@
       this.#instance!.drainingSinceMs,
       this.#world.nowMs(),
     );
+    this.#instance!.goneMs = this.#world.nowMs();
     await runner.close();
   }
 
--- a/soak/world.ts
+++ b/soak/world.ts
@@ -9,15 +9,17 @@
 import { tmpdir } from "node:os";
 import { join } from "node:path";
 import type { GatewaySettings } from "../src/gateway/mod.ts";
-import { KvServer, makeRoute } from "../src/standins/mod.ts";
+import { KvServer } from "../src/standins/mod.ts";
 import { sleep, TestProcess } from "../test/cluster.ts";
 import { AddressBlock } from "./address_block.ts";
 import { parentVariables } from "./end_with_parent.ts";
+import { makeConfig } from "./configuration.ts";
 import { type Endpoint, FaultProxy } from "./proxy.ts";
 import type { VmLink } from "./plan.ts";
 import type { PartCall } from "./part_requests.ts";
 import { RunnerHost, type RunnerInstance } from "./runner_host.ts";
 import { BUDGET } from "./judge_budget.ts";
+import type { Stop } from "./judge_stops.ts";
 import { VERSIONS } from "./stream_events.ts";
 
 /** Ports of a VM; all VMs use the same ports, as on the platform. */
@@ -30,6 +32,8 @@
   metrics: 18105,
 };
 const GRACE_MS = 3_000;
+/** The same where stops are played among silent upstreams: longer than a VM's shortest drain, as on the platform. */
+const STOPS_GRACE_MS = 6_000;
 /** Delay after which a process that exited is started again. */
 const RESTART_DELAY_MS = 300;
 const LEASE_MS = 1_000;
@@ -47,6 +51,8 @@
   readonly who: string;
   readonly fromMs: number;
   toMs: number;
+  /** Whether an upstream only kept callers waiting, which is no reason to end their requests without an answer. */
+  readonly isQuiet?: boolean;
 }
 
 /** A version of the configuration, and the service to which plain requests go since `sinceMs`. */
@@ -75,6 +81,8 @@
   readonly seed: number;
   /** Whether upstreams have several software versions from the start. */
   readonly hasVersions?: boolean;
+  /** Whether VMs are stopped while requests wait for longer than their stop may take. */
+  readonly hasStops?: boolean;
 }
 
 /** The gateways, proxies and stand-ins of a run. It ends only processes that it started. */
@@ -86,6 +94,10 @@
   readonly troubles: Trouble[] = [];
   readonly partCalls: PartCall[] = [];
   readonly configs: ConfigVersion[] = [];
+  /** The planned stops: the first SIGTERM that each process got. */
+  readonly stops: Stop[] = [];
+  /** Time from SIGTERM to SIGKILL. */
+  readonly graceMs: number;
   /** Faults of gateway processes: a process exited by itself, or did not stop in time. */
   readonly processFaults: string[] = [];
   /** The addresses of this run. */
@@ -94,10 +106,13 @@
   readonly #dir = mkdtempSync(join(tmpdir(), "ibisgap-soak-"));
   /** Delay of a VM's next start, where it isn't {@link RESTART_DELAY_MS}. */
   readonly #restartDelaysMs = new Map<number, number>();
+  /** Processes that got SIGTERM. */
+  readonly #stopping = new WeakSet<TestProcess>();
   #isClosing = false;
 
   private constructor(options: WorldOptions) {
     this.#options = options;
+    this.graceMs = options.hasStops ? STOPS_GRACE_MS : GRACE_MS;
   }
 
   /** Starts everything and waits until every VM is ready. */
@@ -118,9 +133,9 @@
   }
 
   /** Records a disturbance of `who` that lasts `forMs` from now. */
-  addTrouble(who: string, forMs: number): Trouble {
+  addTrouble(who: string, forMs: number, isQuiet = false): Trouble {
     const fromMs = this.nowMs();
-    const trouble = { who, fromMs, toMs: fromMs + forMs };
+    const trouble = { who, fromMs, toMs: fromMs + forMs, isQuiet };
     this.troubles.push(trouble);
     return trouble;
   }
@@ -159,36 +174,8 @@
   /** Writes a new version of the configuration, in which plain requests go to `plainService`. */
   writeConfig(plainService: string): void {
     const version = (this.configs.at(-1)?.version ?? 0) + 3;
-    const service = { max_conns: 100, cold_s: 0, cold_rate_s: 0 };
-    this.#config = {
-      version,
-      routes: [
-        makeRoute({ service: plainService }),
-        makeRoute({ path_prefix: "/once/", kind: "unsafe" }),
-        makeRoute({
-          path_prefix: "/stream/",
-          kind: "streaming",
-          resumable: true,
-        }),
-        makeRoute({
-          path_prefix: "/streamonce/",
-          kind: "streaming",
-          max_attempts: 1,
-        }),
-        makeRoute({
-          path_prefix: "/south/",
-          kind: "unsafe",
-          home_regions: ["south"],
-        }),
-      ],
-      services: [{ ...service, name: "s" }, { ...service, name: "t" }],
-      limits: {
-        max_header_bytes: 4_096,
-        max_body_bytes: 10_000,
-        header_timeout_ms: 1_000,
-        idle_timeout_ms: 5_000,
-      },
-    };
+    const hasLongRoutes = this.#options.hasStops ?? false;
+    this.#config = makeConfig(version, plainService, hasLongRoutes);
     this.store.put("op/config", this.#config);
     this.configs.push({ version, sinceMs: this.nowMs(), plainService });
   }
@@ -205,22 +192,32 @@
     this.signal(index, "SIGKILL");
   }
 
-  /** Stops a VM's process as planned; kills it if it does not exit within its grace time. */
+  /**
+   * Stops a VM's process as planned; kills it if it does not exit within its grace time. A process that is stopping gets
+   * one more SIGTERM.
+   */
   async stop(index: number): Promise<void> {
     const { proc } = this.vms[index];
     proc.signal("SIGTERM");
+    this.#noteStop(index);
     const ended = await Promise.race([
       proc.exited.then(() => true),
-      sleep(GRACE_MS).then(() => false),
+      sleep(this.graceMs).then(() => false),
     ]);
     // A process that was paused meanwhile could not exit, which is not a fault of the gateway.
-    if (ended || this.hasTroubleSince(`vm:${index}`, this.nowMs() - GRACE_MS)) {
-      return;
-    }
+    const sinceMs = this.nowMs() - this.graceMs;
+    if (ended || this.hasTroubleSince(`vm:${index}`, sinceMs)) return;
     this.processFaults.push(`vm ${index} did not stop in time`);
     proc.signal("SIGKILL");
   }
 
+  #noteStop(vm: number): void {
+    const { proc } = this.vms[vm];
+    if (this.#stopping.has(proc) || proc.exitCode !== undefined) return;
+    this.#stopping.add(proc);
+    this.stops.push({ vm, atMs: this.nowMs() });
+  }
+
   /** Whether a trouble of `who` lasted until `sinceMs` or longer. */
   hasTroubleSince(who: string, sinceMs: number): boolean {
     return this.troubles.some((trouble) =>
@@ -327,7 +324,7 @@
         leastLeaseMs: LEASE_MS,
       },
       bounds: {
-        graceMs: GRACE_MS,
+        graceMs: this.graceMs,
         contactMs: 6_000,
         repeatRatio: BUDGET.ratio,
         repeatSlack: BUDGET.slack,
@@ -385,6 +382,11 @@
     vm.proc = this.#startProcess(index, vm.settingsPath, start + 1);
   }
 
+  /** The address at which a VM itself listens for callers. */
+  callersEndpoint({ index }: SoakVm): Endpoint {
+    return { host: this.block.vmIp(index), port: PORTS.callers };
+  }
+
   /** URL at which callers query the VMs to use; a region's name is appended to it. */
   directoryUrl(vm: SoakVm): string {
     return `http://${
--- a/src/standins/runner.ts
+++ b/src/standins/runner.ts
@@ -21,31 +21,14 @@
   type CrashEnding,
   DEFAULT_PARTIAL_EVENT_BYTES,
   DEFAULT_STREAM_EVENTS,
+  isIgnoring,
   type RunnerBehavior,
   RunnerStream,
   sendPlain,
+  sendStreamHead,
   stampHeaders,
 } from "./runner_answer.ts";
-
-/** A request that reached a runner. */
-export interface RunnerArrival {
-  readonly target: string;
-  readonly method: string;
-  readonly headers: Readonly<Record<string, string | string[] | undefined>>;
-  readonly body: string;
-  /** When the body had been read completely, on the monotonic clock. */
-  readonly arrivedMonoMs: number;
-  /** Whether the gateway's connection closed before the answer was complete. */
-  isCut: boolean;
-}
-
-/** A request that a runner turned away. */
-export interface RunnerRefusal {
-  readonly attemptId: string;
-  /** On the monotonic clock. */
-  readonly refusedMonoMs: number;
-  readonly retryAfter: string | undefined;
-}
+import type { RunnerArrival, RunnerRefusal } from "./runner_records.ts";
 
 /** Where a runner listens. */
 export interface RunnerListen {
@@ -61,6 +44,9 @@
 
 const COLD_WINDOW_MS = 1_000;
 
+/** Targets whose answers are streams. */
+const STREAM_TARGET = /^\/(long)?stream/;
+
 /** KV cache copies that no runner has used yet, as `IP:PORT/HANDLE` of their source; shared by all runners. */
 const unusedKvCopies = new Set<string>();
 
@@ -108,6 +94,8 @@
   uncachedTokens = 0;
   /** Delay before the head of an answer. */
   answerDelayMs = 0;
+  /** Number of bytes of the plain answer to a target at least. */
+  plainBytesOf: (target: string) => number = () => 0;
   /** Number of events of each stream. */
   streamEvents = DEFAULT_STREAM_EVENTS;
   /** Time between two events of a stream. */
@@ -260,16 +248,18 @@
       body: Buffer.concat(chunks).toString("utf8"),
       arrivedMonoMs: performance.now(),
       isCut: false,
+      isIgnored: false,
+      endedMonoMs: Infinity,
     };
     const kvSource = headers["kv-from"];
     if (kvSource !== undefined && !unusedKvCopies.delete(String(kvSource))) {
       return this.#refuse(headers, response);
     }
     this.arrivals.push(arrival);
-    response.on(
-      "close",
-      () => void (arrival.isCut = !response.writableFinished),
-    );
+    response.on("close", () => {
+      arrival.isCut = !response.writableFinished;
+      arrival.endedMonoMs = performance.now();
+    });
     const sharedParts = partIds(String(headers["prompt-prefix"] ?? ""))
       .slice(0, -1);
     if (this.isFatal(arrival.body, sharedParts)) {
@@ -279,6 +269,7 @@
     if (this.answerDelayMs > 0) {
       await new Promise((resolve) => setTimeout(resolve, this.answerDelayMs));
     }
+    arrival.isIgnored = isIgnoring(this.behavior);
     this.#respond(request, response);
   }
 
@@ -349,7 +340,12 @@
 
   #respond(request: IncomingMessage, response: ServerResponse): void {
     const { socket } = request;
-    if (this.behavior === "silent") return;
+    if (isIgnoring(this.behavior)) {
+      const isHeadSent = this.behavior === "headOnly" &&
+        this.#isStream(request);
+      if (isHeadSent) sendStreamHead(this, request, response).flushHeaders();
+      return;
+    }
     if (this.behavior === "reset") return void socket.resetAndDestroy();
     const stamps = stampHeaders(this, request);
     if (this.behavior === "error") {
@@ -374,7 +370,7 @@
   }
 
   #isStream(request: IncomingMessage): boolean {
-    return request.url?.startsWith("/stream") ?? false;
+    return STREAM_TARGET.test(request.url ?? "");
   }
 
   async #sendStream(
--- a/src/standins/runner_answer.ts
+++ b/src/standins/runner_answer.ts
@@ -16,6 +16,8 @@
   | "error"
   /** Runs the request and never answers. */
   | "silent"
+  /** Runs the request and sends nothing but the head of a stream. */
+  | "headOnly"
   /** Runs the request and resets the connection. */
   | "reset"
   /** Answers without a content length and resets the connection in the middle of the body. */
@@ -58,6 +60,9 @@
 /** Default number of bytes that are sent of the event inside which a stream ends. */
 export const DEFAULT_PARTIAL_EVENT_BYTES = 8;
 
+/** Fills plain answers up to their size. */
+const FILLER = ".";
+
 function formatEvent(id: number, version: string | undefined): string {
   const by = version === undefined ? "" : ` by ${version}`;
   return `id: ${id}\ndata: piece ${id}${by}\n\n`;
@@ -89,6 +94,8 @@
   readonly plainEnding: AnswerEnding;
   /** Bytes that are sent of the event inside which a stream ends; at most all but its last byte. */
   readonly partialEventBytes: number;
+  /** Number of bytes of the plain answer to a target at least. */
+  plainBytesOf(target: string): number;
   /** Number of events of each stream. */
   readonly streamEvents: number;
   /** Time between two events of a stream. */
@@ -133,6 +140,11 @@
   response.write(lastBytes, () => request.socket.resetAndDestroy());
 }
 
+/** Whether a runner that behaves like this sends no answer, or nothing but a head. */
+export function isIgnoring(behavior: RunnerBehavior): boolean {
+  return behavior === "silent" || behavior === "headOnly";
+}
+
 /** Sends a plain answer. */
 export function sendPlain(
   settings: AnswerSettings,
@@ -140,7 +152,8 @@
   response: ServerResponse,
 ): void {
   const { framing, plainEnding: ending } = settings;
-  const body = `served by ${settings.id}`;
+  const body = `served by ${settings.id}`
+    .padEnd(settings.plainBytesOf(request.url ?? ""), FILLER);
   const length = framing === "framed" ? { "content-length": body.length } : {};
   applyFraming(response, framing);
   response.writeHead(200, { ...stampHeaders(settings, request), ...length });
@@ -150,6 +163,19 @@
   if (framing === "framed") request.socket.destroySoon();
 }
 
+/** Sends the head of a stream. */
+export function sendStreamHead(
+  settings: AnswerSettings,
+  request: IncomingMessage,
+  response: ServerResponse,
+): ServerResponse {
+  applyFraming(response, settings.framing);
+  return response.writeHead(200, {
+    ...stampHeaders(settings, request),
+    "content-type": "text/event-stream",
+  });
+}
+
 /** A stream that a runner is sending. */
 export class RunnerStream {
   readonly #settings: AnswerSettings;
@@ -172,11 +198,7 @@
   /** Sends the stream; returns when it has ended in one way or another. */
   async send(): Promise<void> {
     const settings = this.#settings;
-    applyFraming(this.#response, settings.framing);
-    this.#response.writeHead(200, {
-      ...stampHeaders(settings, this.#request),
-      "content-type": "text/event-stream",
-    });
+    sendStreamHead(settings, this.#request, this.#response);
     while (this.#nextId <= settings.streamEvents) {
       if (
         this.#nextId > settings.streamEvents / 2 && await this.#endEarly()
--- a/src/standins/runner_test.ts
+++ b/src/standins/runner_test.ts
@@ -145,6 +145,42 @@
     });
   });
 
+  it("fills a plain answer up to the size of its target", async (t) => {
+    const runner = await Runner.open("r1");
+    runner.plainBytesOf = (target) => target === "/large/x" ? 20 : 0;
+    const large = await fetchAnswer(runner.address, "/large/x");
+    const plain = await fetchAnswer(runner.address, "/x");
+    await runner.close();
+    t.is(large.text, "served by r1........");
+    t.is(large.headers["content-length"], "20");
+    t.is(plain.text, "served by r1");
+    t.deepEqual(runner.arrivals.map(({ isIgnored }) => isIgnored), [
+      false,
+      false,
+    ]);
+    t.true(runner.arrivals.every(({ endedMonoMs }) => endedMonoMs < Infinity));
+  });
+
+  it("sends nothing but the head of a stream, until its connection ends", async (t) => {
+    const runner = await Runner.open("r1");
+    runner.behavior = "headOnly";
+    const seen = fetchAnswer(runner.address, "/longstream/x");
+    while (runner.arrivals.length === 0) {
+      await new Promise((resolve) => setTimeout(resolve, 5));
+    }
+    await new Promise((resolve) => setTimeout(resolve, 50));
+    const [arrival] = runner.arrivals;
+    t.is(arrival.endedMonoMs, Infinity);
+    await runner.close();
+    const { headers, text, isComplete } = await seen;
+    t.is(headers["response-stamp"], "stamp-r1");
+    t.deepEqual([text, isComplete], ["", false]);
+    // The client's side of the connection may end first.
+    await new Promise((resolve) => setTimeout(resolve, 50));
+    t.true(arrival.isIgnored);
+    t.true(arrival.endedMonoMs < Infinity);
+  });
+
   it("goes on after the last event that its caller has", async (t) => {
     const { text } = await fetchFrom("unframed", "whole", "/stream/x", 4);
     t.is(text, formatStream(4));
