--- a/src/gateway/call_record.ts
+++ b/src/gateway/call_record.ts
@@ -223,6 +223,15 @@
     this.#context.metrics.count("retries_refused", labels);
   }
 
+  /** Notes that this VM's planned stop ended the request, with an answer begun or not. */
+  noteCutByStop(hasBegun: boolean): void {
+    const { relayed } = this.#input;
+    const answer = hasBegun ? "begun" : "none";
+    const labels =
+      `service="${this.#service}",answer="${answer}",relayed="${relayed}"`;
+    this.#context.metrics.count("cut_by_stop", labels);
+  }
+
   /** Logs a fault of this program. */
   noteInternalError(error: unknown): void {
     const reason = (error as Error).stack ?? String(error);
@@ -245,6 +254,7 @@
       `service="${this.#service}",kind="${route.kind}",relayed="${relayed}"`;
     metrics.count("requests", `${labels},outcome="${outcome}"`);
     metrics.recordTime("total", labels, totalMs);
+    if (route.kind !== "stream") this.#noteDuration(outcome, totalMs);
     const fields = this.#logFields({
       outcome,
       reason,
@@ -256,6 +266,13 @@
     else log.warn("request", fields);
   }
 
+  /** A call that timed out took at least as long; what was refused or canceled says nothing. */
+  #noteDuration(outcome: CodeName | "ok", totalMs: number): void {
+    if (outcome !== "ok" && outcome !== "upstreamTimeout") return;
+    const { route } = this.#input;
+    this.#context.callDurations.note(route.name, totalMs);
+  }
+
   #logFields(more: Record<string, unknown>): Record<string, unknown> {
     const { head, route, config, caller, relayed, deadlineMonoMs } =
       this.#input;
--- a/src/gateway/context.ts
+++ b/src/gateway/context.ts
@@ -7,7 +7,11 @@
 import { type Clock, Random } from "../base/mod.ts";
 import type { Log } from "../kernel/mod.ts";
 import type { StoreView } from "../replication/mod.ts";
-import { RetryBudget, type RetryBudgetLimits } from "../routing/mod.ts";
+import {
+  RetryBudget,
+  type RetryBudgetLimits,
+  UsualDurations,
+} from "../routing/mod.ts";
 import { BodyMemory } from "./body.ts";
 import type { LossProber } from "./losses.ts";
 import type { Members } from "./members.ts";
@@ -34,6 +38,12 @@
  */
 const HIGH_LAG_MS = 50;
 
+/** A request in flight. */
+export interface OpenCall {
+  /** Ends it because this VM's planned stop is over: with a complete answer, unless part of one was sent. */
+  stop(): void;
+}
+
 /** The services, settings and counters that each request uses. */
 export class GatewayContext {
   /** Replaced as a whole when the settings change. */
@@ -60,10 +70,12 @@
   isDraining = false;
   /** When the stop signal arrived, on the monotonic clock. */
   drainStartMonoMs = Infinity;
-  /** When the process ends, on the monotonic clock. */
+  /** When the requests that are still open are ended, on the monotonic clock. */
   endMonoMs = Infinity;
-  /** Number of requests in flight. */
-  openRequests = 0;
+  /** How long plain calls take. */
+  readonly callDurations = new UsualDurations();
+  /** The requests in flight. */
+  readonly openCalls = new Set<OpenCall>();
   /** When the process began, on the monotonic clock. */
   readonly startMonoMs: number;
   readonly #retryBudgets = new Map<string, RetryBudget>();
--- a/src/gateway/http_listeners.ts
+++ b/src/gateway/http_listeners.ts
@@ -14,12 +14,14 @@
   Task,
 } from "../kernel/mod.ts";
 import { type CallerHead, decodeHead } from "../platform/mod.ts";
-import { canFinish, type GatewayConfig, type Route } from "../routing/mod.ts";
+import type { GatewayConfig, Route } from "../routing/mod.ts";
 import { identifyCaller, type KnownCaller } from "../workspaces/mod.ts";
 import { Call } from "./call.ts";
+import { CallerConnections } from "./caller_connections.ts";
 import type { CallInput } from "./call_input.ts";
 import { NO_CONFIG_RETRY_MS, refusalBy } from "./config_refusal.ts";
 import type { GatewayContext } from "./context.ts";
+import { canFinishHere } from "./drain_admission.ts";
 import { closeServer, listen } from "./listen.ts";
 import { decodeRelayTarget, isRelayed } from "./relay_target.ts";
 import {
@@ -81,6 +83,8 @@
   /** Connections on which an earlier request arrived. */
   readonly #usedSockets = new WeakSet<Socket>();
   #callerServer!: Server;
+  #callerConnections!: CallerConnections;
+  #openRelayedAnswers = 0;
   #peerServer!: Server;
 
   constructor(context: GatewayContext, peerRpc: PeerRpcHandler) {
@@ -102,6 +106,7 @@
       log,
       (request, response) => this.#onCallerRequest(request, response),
     );
+    this.#callerConnections = new CallerConnections(this.#callerServer);
     this.#peerServer = await listen(
       addresses.peers,
       {
@@ -123,7 +128,7 @@
 
   dump(): unknown {
     return {
-      open: this.#context.openRequests,
+      open: this.#context.openCalls.size,
       leaving: this.#context.isDraining,
       retryBudgets: this.#context.dumpRetryBudgets(),
     };
@@ -131,14 +136,12 @@
 
   /** Closes callers' connections without a request in flight. */
   closeIdleConnections(): void {
-    this.#callerServer.closeIdleConnections();
+    this.#callerConnections.closeIdle();
   }
 
-  /** Counts the connections of callers. */
-  countConnections(): Promise<number> {
-    return new Promise((resolve) =>
-      this.#callerServer.getConnections((_, count) => resolve(count ?? 0))
-    );
+  /** Number of requests, relayed ones among them, whose answers are not written out yet. */
+  get openAnswers(): number {
+    return this.#callerConnections.openAnswers + this.#openRelayedAnswers;
   }
 
   #onCallerRequest(request: IncomingMessage, response: ServerResponse): void {
@@ -184,7 +187,7 @@
     if (!caller) return;
     const maxOpen = (settings.vm.mostDescriptors - RESERVED_DESCRIPTORS) /
       DESCRIPTORS_PER_REQUEST;
-    const isFull = this.#context.openRequests >= maxOpen ||
+    const isFull = this.#context.openCalls.size >= maxOpen ||
       this.#context.startQueue.waitMs > MAX_START_WAIT_MS;
     if (isFull) {
       return this.#refuse(
@@ -195,20 +198,6 @@
         OVERLOAD_RETRY_MS,
       );
     }
-    const { drainStartMonoMs, endMonoMs } = this.#context;
-    const times = {
-      sinceMs: arrivedMs - drainStartMonoMs,
-      leftMs: endMonoMs - arrivedMs,
-    };
-    if (!canFinish(route, head.outputTokens, times)) {
-      return this.#refuse(
-        head,
-        request,
-        reply,
-        failure("draining"),
-        DRAINING_RETRY_MS,
-      );
-    }
     const waitMs = Math.min(head.waitMs ?? route.timeoutMs, route.timeoutMs);
     const input = {
       request,
@@ -218,6 +207,9 @@
       caller,
       deadlineMonoMs: arrivedMs + waitMs,
     };
+    if (!canFinishHere(this.#context, input)) {
+      return this.#refuseAsDraining(head, request, reply);
+    }
     this.#startCall({
       ...input,
       relayed: false,
@@ -230,6 +222,8 @@
     if (request.url === this.#peerRpc.path && !isRelayed(request)) {
       return this.#peerRpc.handle(request, response);
     }
+    this.#openRelayedAnswers++;
+    response.once("close", () => this.#openRelayedAnswers--);
     const { clock, storeView } = this.#context;
     const keyDigest = request.headers[RELAY_HEADERS.keyDigest];
     const callerHead = decodeHead(request);
@@ -238,7 +232,7 @@
       target: decodeRelayTarget(callerHead.target),
       keyDigest: typeof keyDigest === "string" ? keyDigest : undefined,
     };
-    const reply = new PeerReply(response);
+    const reply = new PeerReply(response, () => this.#context.isDraining);
     const { config } = storeView;
     const route = config?.match(head.host, head.target);
     // A VM that doesn't have the sender's configuration yet must not decide by an older one.
@@ -265,6 +259,9 @@
       caller,
       deadlineMonoMs: clock.monoMs() + waitMs,
     };
+    if (!canFinishHere(this.#context, input)) {
+      return this.#refuseAsDraining(head, request, reply);
+    }
     const mostUpstreams =
       Number(request.headers[RELAY_HEADERS.mostUpstreams]) || 1;
     const isTrialRun = request.headers[RELAY_HEADERS.onTrial] !== undefined;
@@ -338,6 +335,20 @@
     void call.run();
   }
 
+  #refuseAsDraining(
+    head: CallerHead,
+    request: IncomingMessage,
+    reply: Reply,
+  ): void {
+    this.#refuse(
+      head,
+      request,
+      reply,
+      failure("draining"),
+      DRAINING_RETRY_MS,
+    );
+  }
+
   #refuse(
     head: CallerHead,
     request: IncomingMessage,
