Soak: long requests over a relay, readers that go on beyond 4 s, and when its own process stood still

Trials of the mode ended large answers before a VM closes idle connections (4 s after SIGTERM), and no long request was relayed.

--- a/soak/attempts.ts
+++ b/soak/attempts.ts
@@ -24,6 +24,8 @@
   | "longonce"
   | "longstream"
   | "longstreamonce"
+  /** Relayed to the south if it comes to another region. */
+  | "longsouth"
   /** An answer of {@link LARGE_ANSWER_BYTES}, which its caller reads slowly. */
   | "large";
 
--- a/soak/configuration.ts
+++ b/soak/configuration.ts
@@ -43,6 +43,7 @@
       kind: "streaming",
       max_attempts: 1,
     },
+    { path_prefix: "/longsouth/", kind: "unsafe", home_regions: ["south"] },
     { path_prefix: "/large/", kind: "safe" },
   ].map((route) => makeRoute({ ...route, timeout_ms: LONG_TIMEOUT_MS }));
 }
--- a/soak/judge.ts
+++ b/soak/judge.ts
@@ -243,7 +243,7 @@
           `changed on its way to ${arrival.runnerId}`,
         );
       }
-      if (kind === "south" && arrival.region !== "south") {
+      if (kind.endsWith("south") && arrival.region !== "south") {
         this.#addBreach("HOME", id, `ran in ${arrival.region}`);
       }
       if (kind !== "safe" && arrival.service !== "s") {
--- a/soak/judge_test.ts
+++ b/soak/judge_test.ts
@@ -5,6 +5,22 @@
 import { type Arrival, type Evidence, Judge, type Rule } from "./judge.ts";
 import type { View } from "./views.ts";
 
+const STREAM_KINDS = [
+  "stream",
+  "streamonce",
+  "longstream",
+  "longstreamonce",
+] as const;
+const PLAIN_KINDS = [
+  "safe",
+  "once",
+  "south",
+  "longsafe",
+  "longonce",
+  "longsouth",
+  "large",
+] as const;
+
 function formatStream(after = 0, events = 6): string {
   return formatAnyStream(after, events, "v1");
 }
@@ -21,7 +37,7 @@
   changes: Partial<Attempt> = {},
   arrivalChanges: Partial<Arrival> = {},
 ): { attempt: Attempt; arrival: Arrival } {
-  const isStream = kind === "stream" || kind === "streamonce";
+  const isStream = kind.includes("stream");
   const attempt: Attempt = {
     id: "a1",
     kind,
@@ -98,9 +114,7 @@
 
 describe("the soak's judge", () => {
   it("finds no breach in good requests of every kind", (t) => {
-    for (
-      const kind of ["safe", "once", "stream", "streamonce", "south"] as const
-    ) {
+    for (const kind of [...PLAIN_KINDS, ...STREAM_KINDS]) {
       t.deepEqual(findRulesOfOne(kind), []);
     }
   });
@@ -128,7 +142,7 @@
       const inEvent = formatStream(0, 3) + "id: 4\ndata: pie";
       const beforeEmptyLine = formatStream().slice(0, -1);
       for (const text of [inEvent, beforeEmptyLine, formatStream(0, 5)]) {
-        for (const kind of ["stream", "streamonce"] as const) {
+        for (const kind of STREAM_KINDS) {
           t.deepEqual(findRulesOfOne(kind, { text }), ["ORDER"]);
           const broken = { text, isComplete: false };
           t.false(findRulesOfOne(kind, broken).includes("ORDER"));
@@ -185,8 +199,16 @@
     });
 
     it("second run of a request that may run only once", (t) => {
-      const { attempt, arrival } = exchange("once");
-      t.deepEqual(findRules([attempt], [arrival, arrival]), ["TWICE"]);
+      const once = ["once", "south", "streamonce"] as const;
+      const long = ["longonce", "longsouth", "longstreamonce"] as const;
+      for (const kind of [...once, ...long]) {
+        const { attempt, arrival } = exchange(kind);
+        t.deepEqual(findRules([attempt], [arrival, arrival]), ["TWICE"]);
+      }
+      for (const kind of ["safe", "stream", "longsafe", "large"] as const) {
+        const { attempt, arrival } = exchange(kind);
+        t.deepEqual(findRules([attempt], [arrival, arrival]), []);
+      }
     });
 
     it("run of a refused request", (t) => {
@@ -199,7 +221,9 @@
     });
 
     it("run in a region that is not a home region", (t) => {
-      t.deepEqual(findRulesOfOne("south", {}, { region: "north" }), ["HOME"]);
+      for (const kind of ["south", "longsouth"] as const) {
+        t.deepEqual(findRulesOfOne(kind, {}, { region: "north" }), ["HOME"]);
+      }
     });
 
     it("run by a service that no configuration allows", (t) => {
@@ -253,6 +277,24 @@
     it("connection that ends without an answer after the request was passed on", (t) => {
       const lost = { status: 0, stamp: undefined, text: "", isComplete: false };
       t.true(findRulesOfOne("once", lost).includes("LOST"));
+      t.true(findRulesOfOne("longonce", lost).includes("LOST"));
+    });
+
+    it("connection that a stop ends without an answer, once, and long ones with their excuses only", (t) => {
+      const findStopped = (kind: RequestKind, deadlineMs: number) => {
+        const { attempt, arrival } = exchange(kind, {
+          deadlineMs,
+          status: 0,
+          stamp: undefined,
+          text: "",
+          isComplete: false,
+        });
+        const stops = [{ vm: 0, atMs: 19_000 }];
+        return findRules([attempt], [arrival], { stops }).includes("LOST");
+      };
+      t.true(findStopped("longonce", 28_000));
+      t.false(findStopped("longonce", 20_050));
+      t.true(findStopped("once", 20_050));
     });
 
     it("process that exited by itself", (t) => {
--- a/soak/long_callers.ts
+++ b/soak/long_callers.ts
@@ -24,12 +24,14 @@
 
 /** Requests of a caller that may be open at once. */
 const MAX_OPEN = 4;
+/** VMs that have just started are slow; these callers begin one after the other. */
+const MAX_START_DELAY_MS = 800;
 const MEAN_PAUSE_MS = 300;
 /** Pause of a caller that stays with one VM until its process is gone. */
 const STAYING_PAUSE_MS = 60;
-/** Time in which a large answer is read; a VM that leaves the directory has longer until it ends. */
+/** A large answer is read until so long after its request was sent: before its VM's end, if that VM leaves meanwhile. */
 const MIN_READ_MS = 300;
-const MAX_READ_MS = 3_000;
+const MAX_READ_MS = 4_000;
 /** Share of requests whose answers are large. */
 const LARGE_SHARE = 0.06;
 /** A caller whose VM is gone waits for so long, until others are in the directory. */
@@ -40,6 +42,7 @@
   "longonce",
   "longstream",
   "longstreamonce",
+  "longsouth",
 ];
 const STAYING_KINDS: readonly RequestKind[] = [
   "safe",
@@ -50,6 +53,7 @@
   "longsafe",
   "longonce",
   "longstream",
+  "longsouth",
 ];
 
 /** Who a long caller is. */
@@ -84,6 +88,7 @@
   async run(untilMs: number): Promise<void> {
     const { world, staysWithVm } = this.#options;
     const pauseMs = staysWithVm ? STAYING_PAUSE_MS : MEAN_PAUSE_MS;
+    await sleep(this.#random.int(MAX_START_DELAY_MS));
     while (world.nowMs() < untilMs) {
       await sleep(this.#random.exponential(pauseMs));
       if (this.#open.size >= MAX_OPEN) await Promise.race(this.#open);
@@ -134,7 +139,8 @@
       isDirect: true,
       nowMs: () => world.nowMs(),
       onAnswer: (answer) => {
-        if (attempt.kind === "large") readSlowly(answer, readMs);
+        if (attempt.kind !== "large") return;
+        readSlowly(answer, attempt.sentMs + readMs - world.nowMs());
       },
     });
     await open.ended;
@@ -143,7 +149,7 @@
   }
 }
 
-/** Reads a large answer at a pace by which it takes `readMs`. */
+/** Reads a large answer at a pace by which it takes `readMs`; at full pace if no time is left. */
 function readSlowly(answer: IncomingMessage, readMs: number): void {
   const startMs = performance.now();
   let bytes = 0;
--- a/soak/run.ts
+++ b/soak/run.ts
@@ -21,6 +21,7 @@
 } from "./judge.ts";
 import type { Upstream } from "./judge_versions.ts";
 import { drawPlan, type ExtraMode, type Fault } from "./plan.ts";
+import { type Stall, StallMeter } from "./stall_meter.ts";
 import { askVmViews, readStoreView } from "./views.ts";
 import { REGIONS, World } from "./world.ts";
 
@@ -123,12 +124,17 @@
   world: World,
   plan: readonly Fault[],
   result: RunResult,
+  stalls: readonly Stall[],
 ): void {
   mkdirSync(folder, { recursive: true });
   world.saveLogs(folder);
   writeFileSync(
     join(folder, "run.json"),
-    JSON.stringify({ result, plan, troubles: world.troubles }, null, 2),
+    JSON.stringify(
+      { result, plan, troubles: world.troubles, stops: world.stops, stalls },
+      null,
+      2,
+    ),
   );
 }
 
@@ -185,6 +191,7 @@
   const hasVersions = takeUps !== "none";
   const hasStops = (options.stops ?? "none") !== "none";
   const world = await World.open({ vms, runners, seed, hasVersions, hasStops });
+  const meter = new StallMeter();
   try {
     const callers = [
       ...openCallers(world, options, takeUps),
@@ -231,10 +238,12 @@
       breaches: new Judge(evidence).breaches(),
     };
     if (result.breaches.length > 0 && options.logFolder) {
-      saveRun(join(options.logFolder, `seed-${seed}`), world, plan, result);
+      const folder = join(options.logFolder, `seed-${seed}`);
+      saveRun(folder, world, plan, result, meter.stalls);
     }
     return result;
   } finally {
+    meter.close();
     await world.close();
   }
 }
