--- a/test/gateway_stop_test.ts
+++ b/test/gateway_stop_test.ts
@@ -77,9 +77,10 @@
   { lab, vm }: StopLab,
   stopped: LabVm,
   path: string,
+  behavior: "silent" | "headOnly" = "silent",
 ): Promise<CallerAnswer> {
   const [runner] = lab.runners;
-  runner.behavior = "silent";
+  runner.behavior = behavior;
   const before = runner.arrivals.length;
   const answer = lab.call(vm, longCall(path));
   await waitUntil(() => runner.arrivals.length > before);
@@ -126,6 +127,20 @@
     });
   }
 
+  // The caller has no byte of the answer then, although its upstream has begun one.
+  it("is told that it may have run: a stream of which only the head came", async (t) => {
+    const stop = await openSilent(t);
+    const answer = await callAndStop(
+      stop,
+      stop.vm,
+      "/streamlong/",
+      "headOnly",
+    );
+    t.is(answer.status, 502);
+    t.is(errorOf(answer).ran, "unknown");
+    t.true(answer.isComplete);
+  });
+
   it("is told that it may have run: a request relayed by the VM that stops", async (t) => {
     const stop = await openSilentElsewhere(t);
     const answer = await callAndStop(stop, stop.vm, "/longsouth/");
