--- a/soak/judge_test.ts
+++ b/soak/judge_test.ts
@@ -1,9 +1,26 @@
 import { describe, it } from "../src/base/describe.ts";
 import { formatStream as formatAnyStream } from "../src/standins/mod.ts";
-import type { Attempt, RequestKind } from "./callers.ts";
+import type { Attempt, RequestKind } from "./attempts.ts";
+import { DEADLINE_MS } from "./callers.ts";
 import { type Arrival, type Evidence, Judge, type Rule } from "./judge.ts";
 import type { View } from "./views.ts";
 
+const STREAM_KINDS = [
+  "stream",
+  "streamonce",
+  "longstream",
+  "longstreamonce",
+] as const;
+const PLAIN_KINDS = [
+  "safe",
+  "once",
+  "south",
+  "longsafe",
+  "longonce",
+  "longsouth",
+  "large",
+] as const;
+
 function formatStream(after = 0, events = 6): string {
   return formatAnyStream(after, events, "v1");
 }
@@ -20,7 +37,7 @@
   changes: Partial<Attempt> = {},
   arrivalChanges: Partial<Arrival> = {},
 ): { attempt: Attempt; arrival: Arrival } {
-  const isStream = kind === "stream" || kind === "streamonce";
+  const isStream = kind.includes("stream");
   const attempt: Attempt = {
     id: "a1",
     kind,
@@ -31,6 +48,8 @@
     resumes: undefined,
     vmIndex: 0,
     sentMs: 20_000,
+    deadlineMs: (changes.sentMs ?? 20_000) + DEADLINE_MS,
+    connectedMs: Infinity,
     endMs: 20_050,
     status: 200,
     answerAttemptId: "a1",
@@ -51,6 +70,8 @@
     service: "s",
     drainingSinceMs: Infinity,
     leavingSinceMs: Infinity,
+    workEndMs: 20_040,
+    goneMs: Infinity,
     ...arrivalChanges,
   };
   return { attempt, arrival };
@@ -72,6 +93,9 @@
     troubles: [],
     configs: [{ sinceMs: 0, plainService: "s" }],
     processFaults: [],
+    stops: [],
+    graceMs: 6_000,
+    loggedIds: new Set(),
     recoveredMs: 0,
     vmViews: [{ vm: 0, view: VIEW }],
     storeView: VIEW,
@@ -91,9 +115,7 @@
 
 describe("the soak's judge", () => {
   it("finds no breach in good requests of every kind", (t) => {
-    for (
-      const kind of ["safe", "once", "stream", "streamonce", "south"] as const
-    ) {
+    for (const kind of [...PLAIN_KINDS, ...STREAM_KINDS]) {
       t.deepEqual(findRulesOfOne(kind), []);
     }
   });
@@ -121,7 +143,7 @@
       const inEvent = formatStream(0, 3) + "id: 4\ndata: pie";
       const beforeEmptyLine = formatStream().slice(0, -1);
       for (const text of [inEvent, beforeEmptyLine, formatStream(0, 5)]) {
-        for (const kind of ["stream", "streamonce"] as const) {
+        for (const kind of STREAM_KINDS) {
           t.deepEqual(findRulesOfOne(kind, { text }), ["ORDER"]);
           const broken = { text, isComplete: false };
           t.false(findRulesOfOne(kind, broken).includes("ORDER"));
@@ -178,8 +200,16 @@
     });
 
     it("second run of a request that may run only once", (t) => {
-      const { attempt, arrival } = exchange("once");
-      t.deepEqual(findRules([attempt], [arrival, arrival]), ["TWICE"]);
+      const once = ["once", "south", "streamonce"] as const;
+      const long = ["longonce", "longsouth", "longstreamonce"] as const;
+      for (const kind of [...once, ...long]) {
+        const { attempt, arrival } = exchange(kind);
+        t.deepEqual(findRules([attempt], [arrival, arrival]), ["TWICE"]);
+      }
+      for (const kind of ["safe", "stream", "longsafe", "large"] as const) {
+        const { attempt, arrival } = exchange(kind);
+        t.deepEqual(findRules([attempt], [arrival, arrival]), []);
+      }
     });
 
     it("run of a refused request", (t) => {
@@ -192,7 +222,9 @@
     });
 
     it("run in a region that is not a home region", (t) => {
-      t.deepEqual(findRulesOfOne("south", {}, { region: "north" }), ["HOME"]);
+      for (const kind of ["south", "longsouth"] as const) {
+        t.deepEqual(findRulesOfOne(kind, {}, { region: "north" }), ["HOME"]);
+      }
     });
 
     it("run by a service that no configuration allows", (t) => {
@@ -246,6 +278,24 @@
     it("connection that ends without an answer after the request was passed on", (t) => {
       const lost = { status: 0, stamp: undefined, text: "", isComplete: false };
       t.true(findRulesOfOne("once", lost).includes("LOST"));
+      t.true(findRulesOfOne("longonce", lost).includes("LOST"));
+    });
+
+    it("connection that a stop ends without an answer, once, and long ones with their excuses only", (t) => {
+      const findStopped = (kind: RequestKind, deadlineMs: number) => {
+        const { attempt, arrival } = exchange(kind, {
+          deadlineMs,
+          status: 0,
+          stamp: undefined,
+          text: "",
+          isComplete: false,
+        });
+        const stops = [{ vm: 0, atMs: 19_000 }];
+        return findRules([attempt], [arrival], { stops }).includes("LOST");
+      };
+      t.true(findStopped("longonce", 28_000));
+      t.false(findStopped("longonce", 20_050));
+      t.true(findStopped("once", 20_050));
     });
 
     it("process that exited by itself", (t) => {
--- a/soak/plan_test.ts
+++ b/soak/plan_test.ts
@@ -147,6 +147,51 @@
     );
   });
 
+  it("keeps a seed's other faults when stops among silent upstreams come beside them", (t) => {
+    const drawn = new Set<string>();
+    for (let seed = 1; seed <= SEEDS; seed++) {
+      const others = drawPlan(seed, OPTIONS);
+      const stops = drawPlan(seed, { ...OPTIONS, stops: "only" });
+      const both = drawPlan(seed, { ...OPTIONS, stops: "beside" });
+      t.deepEqual(formatSorted(both), formatSorted([...others, ...stops]));
+      for (const fault of stops) {
+        drawn.add(fault.kind === "quiet" ? fault.how : fault.kind);
+      }
+    }
+    const quiet = ["silent", "headOnly", "paused", "slow", "slowEvents"];
+    const planned = ["stop", "hangUp", "config", "drain"];
+    t.deepEqual([...drawn].sort(), [...quiet, ...planned].sort());
+  });
+
+  it("stops VMs of both regions in turn, at one moment and overlapping, some again while they stop or start", (t) => {
+    const rhythms = new Set<string>();
+    for (let seed = 1; seed <= SEEDS; seed++) {
+      const options = { ...OPTIONS, faultsMs: 1, stops: "only" } as const;
+      const stops = drawPlan(seed, options).flatMap((fault) =>
+        fault.kind === "stop" ? [fault] : []
+      );
+      const firstOf = new Map<number, Fault>();
+      for (const stop of stops) {
+        const first = firstOf.get(stop.vm);
+        if (!first) firstOf.set(stop.vm, stop);
+        else if (stop.forMs === 0) rhythms.add("again while it stops");
+        else rhythms.add("again when it may start");
+      }
+      const [first, second] = [...firstOf];
+      const gapMs = second[1].atMs - first[1].atMs;
+      t.not(first[0] % OPTIONS.domains, second[0] % OPTIONS.domains);
+      if (gapMs === 0) rhythms.add("at one moment");
+      else rhythms.add(gapMs > first[1].forMs ? "in turn" : "overlapping");
+    }
+    t.deepEqual([...rhythms].sort(), [
+      "again when it may start",
+      "again while it stops",
+      "at one moment",
+      "in turn",
+      "overlapping",
+    ]);
+  });
+
   const findKilled = (vms: number): string[] => {
     const options = { ...OPTIONS, vms, lapses: "only" } as const;
     const killed = new Set<string>();
