--- a/src/base/checks.ts
+++ b/src/base/checks.ts
@@ -18,6 +18,13 @@
   return typeof value === "string";
 }
 
+const IP_ADDRESS = /^\d{1,3}(?:\.\d{1,3}){3}$/;
+
+/** Whether a value is an IPv4 address. */
+export function isAddress(value: unknown): value is string {
+  return isText(value) && IP_ADDRESS.test(value);
+}
+
 /** Whether a value is a boolean. */
 export function isBoolean(value: unknown): value is boolean {
   return typeof value === "boolean";
--- a/src/region/record.ts
+++ b/src/region/record.ts
@@ -4,8 +4,13 @@
  * @module
  */
 
-import { isIP } from "node:net";
-import { type Check, isNumber, isText, objectOf } from "../base/mod.ts";
+import {
+  type Check,
+  isAddress,
+  isNumber,
+  isText,
+  objectOf,
+} from "../base/mod.ts";
 
 /** One start of the daemon on one VM. */
 export interface VmRecord {
@@ -19,10 +24,6 @@
   readonly cores: number;
 }
 
-function isAddress(value: unknown): value is string {
-  return isText(value) && isIP(value) !== 0;
-}
-
 /** Whether a received value is a VM record. */
 export const isVmRecord: Check<VmRecord> = objectOf<VmRecord>({
   id: isText,
