--- a/src/base/checks.ts
+++ b/src/base/checks.ts
@@ -18,6 +18,13 @@
   return typeof value === "string";
 }
 
+const IP_ADDRESS = /^\d{1,3}(?:\.\d{1,3}){3}$/;
+
+/** Whether a value is an IPv4 address. */
+export function isAddress(value: unknown): value is string {
+  return isText(value) && IP_ADDRESS.test(value);
+}
+
 /** Whether a value is a boolean. */
 export function isBoolean(value: unknown): value is boolean {
   return typeof value === "boolean";
@@ -64,10 +71,3 @@
       check((value as Record<string, unknown>)[name])
     );
 }
-
-const IPV4_ADDRESS = /^(?:(?:25[0-5]|2[0-4]\d|1?\d?\d)(?:\.(?!$)|$)){4}$/;
-
-/** Whether a value is an IPv4 address in dotted decimal. */
-export function isIpv4Address(value: unknown): value is string {
-  return isText(value) && IPV4_ADDRESS.test(value);
-}
--- a/src/region/record.ts
+++ b/src/region/record.ts
@@ -6,7 +6,7 @@
 
 import {
   type Check,
-  isIpv4Address,
+  isAddress,
   isNumber,
   isText,
   objectOf,
@@ -27,7 +27,7 @@
 /** Whether a received value is a VM record. */
 export const isVmRecord: Check<VmRecord> = objectOf<VmRecord>({
   id: isText,
-  ip: isIpv4Address,
+  ip: isAddress,
   region: isText,
   failureDomain: isText,
   bornMs: isNumber,
