A stream that may be taken up begins at a version once that is recorded

Callers whose streams were cut when all VMs ended right after the very first streams of a first start took them up, and got the rest from another version: 200, whole, joined (ORDER).

Cause: the record of the versions in service, by which VMs go that start after all have ended, was written only some ms to 250 ms after streams had begun there: the first write listed no version or one. VMs that started took it for complete. The same holds for any version whose first streams begin just before all VMs end.

Now a VM that is about to send such a stream to an upstream waits until its version is on record, as it knows: it reads the record, and writes it where that lacks the version, lead or not. Later streams don't wait. The wait ends 500 ms after the first stream at the latest, as the store may be away, and there is none where no record can be read, from which nobody concludes anything.

--- a/src/gateway/call_origin.ts
+++ b/src/gateway/call_origin.ts
@@ -52,6 +52,15 @@
     return this.#isTracked && Boolean(this.#input.head.resumesAfter);
   }
 
+  /** Waits until VMs that start later know of the version at which a stream is about to begin. */
+  async waitUntilRecorded(version: string): Promise<void> {
+    const { route, head } = this.#input;
+    if (route.kind !== "stream" || !route.resumable) return;
+    if (head.resumesAfter) return;
+    const { origins } = this.#context;
+    await origins.waitUntilRecorded(this.#service.name, version);
+  }
+
   /** The VM that the caller is connected to tracks the streams that it may take up again. */
   get #isTracked(): boolean {
     const { route, relayed } = this.#input;
--- a/src/gateway/call_placement.ts
+++ b/src/gateway/call_placement.ts
@@ -170,7 +170,11 @@
     this.#request = { ...this.#request, isSuspect: this.isSuspect };
     this.#avoidRestarted();
     const placed = await this.#placeOrQueue();
-    this.#noteVersionGone(placed.step);
+    const { step } = placed;
+    if (step.type === "send") {
+      await this.origin.waitUntilRecorded(step.candidate.upstream.version);
+    }
+    this.#noteVersionGone(step);
     const { quota: use } = this.#request;
     if (placed.countedBy && use) {
       this.#record.noteQuota(use, placed.countedBy);
--- a/src/gateway/origins.ts
+++ b/src/gateway/origins.ts
@@ -166,6 +166,11 @@
     };
   }
 
+  /** See {@link VersionWatch.waitUntilRecorded}. */
+  waitUntilRecorded(service: string, version: string): Promise<void> {
+    return this.#versions.waitUntilRecorded(service, version);
+  }
+
   /** Notes that an upstream brought the first event of an attempt, whose caller is connected to this VM. */
   noteBegun(attemptId: string, service: string, version: string): void {
     const nowMs = this.#clock.monoMs();
--- a/src/gateway/version_watch.ts
+++ b/src/gateway/version_watch.ts
@@ -23,6 +23,10 @@
 const CHECK_AGAIN_MS = 5_000;
 /** Pause after a call that failed. */
 const RETRY_MS = 1_000;
+/** How long the first streams at a version wait until it is recorded: longer than a store that is near takes. */
+const RECORD_WAIT_MS = 500;
+/** Pause between two looks at a record that this VM can't ask for now. */
+const LOOK_AGAIN_MS = 20;
 /** Size up to which the record is written; the store accepts some times as much. */
 const MAX_RECORD_CHARS = 256 * 1024;
 
@@ -61,6 +65,10 @@
   #mayBeFirst: boolean;
   /** Versions of streams that run, without those that are in the store's entries; by service, as texts. */
   readonly #leftRunning = new Set<string>();
+  /** What the record is known to list; `none` if there is none that can be read, from which nobody concludes anything. */
+  #known: VersionRecord | "none" | undefined;
+  /** Versions at which streams are to begin and that the record lacks; they wait for it until then. By service, as texts. */
+  readonly #awaited = new Map<string, number>();
   /** Revision of the record that this VM wrote last. */
   #writtenRev: number | undefined;
   /** How often this process was held up; what was asked for before may be out of date. */
@@ -87,6 +95,7 @@
       this.#stored = undefined;
     }
     for (const service of fleet.services()) this.recent(service);
+    this.#forgetAwaited();
     this.#checkStore(nowMs);
     this.#leftRunning.clear();
   }
@@ -128,6 +137,28 @@
     await Promise.race([this.#call, this.#options.clock.sleep(timeoutMs)]);
   }
 
+  /**
+   * Waits until a version is recorded at which a stream is about to begin: if all VMs end, those that start go by the
+   * record. Not for long, as the store may be away.
+   */
+  async waitUntilRecorded(service: string, version: string): Promise<void> {
+    const { clock } = this.#options;
+    const name = JSON.stringify([service, version]);
+    while (this.#isOpen && !this.#isRecorded(service, version)) {
+      const nowMs = clock.monoMs();
+      this.#served.note(service, version, nowMs);
+      const untilMs = this.#awaited.get(name) ?? nowMs + RECORD_WAIT_MS;
+      this.#awaited.set(name, untilMs);
+      if (nowMs >= untilMs) return;
+      this.#checkStore(nowMs);
+      await Promise.race([
+        this.#call ?? clock.sleep(LOOK_AGAIN_MS),
+        clock.sleep(untilMs - nowMs),
+      ]);
+    }
+    this.#awaited.delete(name);
+  }
+
   dump(): unknown {
     return {
       watchedMs: this.watchedMs,
@@ -144,17 +175,46 @@
       store.generation !== this.#generation;
     const mayBeOutdated = this.#leftRunning.size > 0 &&
       nowMs - this.#readMs >= CHECK_AGAIN_MS;
-    if (isRestored || mayBeOutdated) this.#stored = undefined;
+    if (isRestored) this.#known = undefined;
+    if (isRestored || mayBeOutdated || this.#hasToLook) {
+      this.#stored = undefined;
+    }
     if (!this.#stored) this.#run(() => this.#read());
     else if (this.knowsAll) this.#writeIfDue(nowMs);
   }
 
+  #isRecorded(service: string, version: string): boolean {
+    if (this.#known === "none") return true;
+    return this.#known?.get(service)?.includes(version) ?? false;
+  }
+
+  /** Whether another VM may have recorded an awaited version, which costs the store less than an attempt to do it too. */
+  get #hasToLook(): boolean {
+    const { isWriter } = this.#options;
+    return !isWriter() &&
+      [...this.#awaited.values()].some((untilMs) =>
+        this.#readMs < untilMs - RECORD_WAIT_MS
+      );
+  }
+
+  /** Forgets versions that are recorded, or have gone: streams wait again when those are back. */
+  #forgetAwaited(): void {
+    for (const name of this.#awaited.keys()) {
+      const [service, version] = JSON.parse(name) as [string, string];
+      const isGone = !this.recent(service).includes(version);
+      if (isGone || this.#isRecorded(service, version)) {
+        this.#awaited.delete(name);
+      }
+    }
+  }
+
   /**
    * Only this VM may know that a version which has left the store's entries still runs, so it writes that down itself if
    * the record lacks it, and takes it out again unless another VM wrote since.
    */
   get #mayWrite(): boolean {
     return this.#options.isWriter() || this.#lacksRunning ||
+      this.#awaited.size > 0 ||
       this.#stored?.rev === this.#writtenRev;
   }
 
@@ -195,6 +255,7 @@
   #take(entry: Entry | undefined): void {
     const { store, clock, log } = this.#options;
     const record = this.#decode(entry);
+    this.#known = record ?? "none";
     this.#mayBeFirst = false;
     this.#generation = store.generation;
     this.#readMs = clock.monoMs();
@@ -221,6 +282,7 @@
     if (put.isOk()) {
       this.#writtenRev = put.value;
       this.#stored = { rev: put.value, text };
+      this.#known = decodeVersionRecord(text);
       log.info("versions recorded", { rev: put.value, record: text });
       return;
     }
--- a/src/gateway/version_watch_test.ts
+++ b/src/gateway/version_watch_test.ts
@@ -224,4 +224,63 @@
     await lab.run(5_000);
     t.is((await lab.write(""))._unsafeUnwrap(), before._unsafeUnwrap() + 1);
   });
+
+  describe("at which a stream is about to begin", () => {
+    /** Waits for a version; returns how long that took. */
+    async function measureWait(lab: Lab, watch: VersionWatch, version: string) {
+      const startMs = lab.clock.monoMs();
+      let endMs = Infinity;
+      void watch.waitUntilRecorded(SERVICE, version).then(() => {
+        endMs = lab.clock.monoMs();
+      });
+      while (endMs === Infinity) await lab.clock.advance(10);
+      return endMs - startMs;
+    }
+
+    /** Guards against a stream of a version that no VM knows of which starts after all have ended. */
+    for (const isWriter of [true, false]) {
+      it(`are recorded before it begins by a VM that is ${isWriter ? "a" : "no"} writer`, async (t) => {
+        const lab = new Lab();
+        const watch = lab.start(["v1"], { isFirstStart: true, isWriter });
+        t.true(await measureWait(lab, watch, "v1") < 100);
+        t.is(await lab.record(), recorded("v1"));
+        lab.serve(watch, ["v1", "v2"]);
+        t.true(await measureWait(lab, watch, "v2") < 100);
+        t.is(await lab.record(), recorded("v1", "v2"));
+        t.is(await measureWait(lab, watch, "v2"), 0);
+      });
+    }
+
+    it("are recorded anew once they have gone and are back", async (t) => {
+      const lab = new Lab();
+      const watch = lab.start(["v1", "v2"], { isFirstStart: true });
+      await measureWait(lab, watch, "v1");
+      lab.serve(watch, ["v2"]);
+      await lab.run(ORIGIN_TTL_MS + 1_000);
+      t.is(await lab.record(), recorded("v2"));
+      lab.serve(watch, ["v1", "v2"]);
+      await measureWait(lab, watch, "v1");
+      t.is(await lab.record(), recorded("v1", "v2"));
+    });
+
+    it("keep it waiting only for a moment while the store is away, and later ones not at all", async (t) => {
+      const lab = new Lab();
+      const watch = lab.start(["v1"], { isFirstStart: true });
+      await lab.run(1_000);
+      lab.faults.set([{ outage: "refuse" }]);
+      lab.serve(watch, ["v1", "v2"]);
+      t.true(await measureWait(lab, watch, "v2") <= 510);
+      t.is(await measureWait(lab, watch, "v2"), 0);
+      lab.faults.set([]);
+      await lab.run(2_000);
+      t.is(await lab.record(), recorded("v1", "v2"));
+    });
+
+    it("don't keep it waiting where there is no record, from which nobody concludes anything", async (t) => {
+      const lab = new Lab();
+      const watch = lab.start(["v1"]);
+      await lab.run(TICK_MS);
+      t.is(await measureWait(lab, watch, "v1"), 0);
+    });
+  });
 });
--- a/test/gateway_fleet_restart_test.ts
+++ b/test/gateway_fleet_restart_test.ts
@@ -12,6 +12,12 @@
 /** Long enough for VMs to write down which versions serve, and which of them began which stream. */
 const RECORD_MS = 1_000;
 
+/** The versions of a service, of which the first one leaves while no VM runs. */
+const FIRST_VERSIONS: readonly (readonly [string, readonly string[]])[] = [
+  ["one of two versions left", ["v1", "v2"]],
+  ["the only version was replaced", ["v1"]],
+];
+
 const asChains = (ids: readonly string[]) => ids.map((id) => [id]);
 
 /** The streams that an upstream which still runs began. */
@@ -99,6 +105,24 @@
     },
   );
 
+  /** Guards against a record of the versions in service that lacks one at which streams have begun already. */
+  for (const regions of [["north"], ["north", "north"]]) {
+    for (const [what, versions] of FIRST_VERSIONS) {
+      itAlone(
+        `are not joined from two versions if that was right after the very first ones and ${what}: ${regions}`,
+        async (t) => {
+          const lab = await ResumptionLab.open(t, regions, versions);
+          const ids = await lab.begin(lab.vms);
+          const start = await lab.endAllVms();
+          if (versions.length < 2) await lab.addVersion("north", "v2");
+          await lab.endVersion("v1");
+          await start();
+          checkNoneJoined(t, lab, await lab.takeUp(lab.vms, asChains(ids)));
+        },
+      );
+    }
+  }
+
   itAlone(
     "are not joined from two versions while the store can't tell what served",
     async (t) => {
