A stream doesn't go on at another service to which its route was given

Cause: the service is chosen anew at each try, and what VMs told, stored and answered of a stream named its version but not its service; a stream that nobody knew went on at the only version of whatever service the route had.

Now an origin is a service and a version. A stream that another service began is refused as not run: the old service may not serve the route any more. The targets of routes whose streams may be taken up are watched and recorded like versions; while a route had others within 30 s its streams are told and stored, and one that nobody knows is refused. Messages have a third element or one more field; a VM of the former program names no service, which counts as the route's unless that had others, and it ignores the new fields.

--- a/src/gateway/call_origin.ts
+++ b/src/gateway/call_origin.ts
@@ -4,7 +4,7 @@
  * @module
  */
 
-import type { OriginSource } from "../region/mod.ts";
+import { fitName, type OriginSource } from "../region/mod.ts";
 import type { ServiceConfig } from "../routing/mod.ts";
 import type { CallInput } from "./call_input.ts";
 import type { CallRecord } from "./call_record.ts";
@@ -58,7 +58,7 @@
     if (route.kind !== "stream" || !route.resumable) return;
     if (head.resumesAfter) return;
     const { origins } = this.#context;
-    await origins.waitUntilRecorded(this.#service.name, version);
+    await origins.waitUntilRecorded(this.#service.name, version, route);
   }
 
   /** The VM that the caller is connected to tracks the streams that it may take up again. */
@@ -75,10 +75,15 @@
     if (!this.isResumed) return ANY_VERSION;
     const { firstAttemptId } = this.#input.head;
     const { origins } = this.#context;
-    const answer = await origins.find(firstAttemptId, this.#service.name);
+    const { route } = this.#input;
+    const service = this.#service.name;
+    const answer = await origins.find(firstAttemptId, service, route);
     if (answer.type === "ambiguous") return this.#refuse("ambiguous");
     if (answer.type === "known") {
       const { version, source, ageMs } = answer;
+      if (this.#isElsewhere(answer)) {
+        return this.#refuse("moved", { firstService: answer.service });
+      }
       const fields = { originAgeMs: Math.round(ageMs) };
       return this.#isServed(version)
         ? this.#goOn(version, source, fields)
@@ -90,6 +95,9 @@
       originReplies: replies,
     };
     if (isIncomplete) return this.#refuse("unknown, nobody answers", fields);
+    if (answer.hasMoved) {
+      return this.#refuse("unknown, its route moved", fields);
+    }
     if (seen.length === 1) return this.#goOn(seen[0], "only version", fields);
     return this.#refuse(`unknown, one of ${seen.join(" ")}`, fields);
   }
@@ -114,23 +122,24 @@
 
   /** Keeps the origin of a resumed stream, which is that of its first try, while it runs. */
   #noteResumed(): void {
-    const { head: { firstAttemptId }, relayed } = this.#input;
+    const { head: { firstAttemptId }, relayed, route } = this.#input;
     if (relayed || firstAttemptId === undefined) return;
-    if (this.#resumedAt === undefined) return;
+    const version = this.#resumedAt;
+    if (version === undefined) return;
     const { origins } = this.#context;
-    origins.noteBegun(firstAttemptId, this.#service.name, this.#resumedAt);
+    origins.noteBegun(firstAttemptId, this.#service.name, version, route);
   }
 
   #noteOrigin(): void {
     this.#isOpen = false;
     if (this.#endedWhole) return;
-    const { head: { attemptId }, relayed } = this.#input;
+    const { head: { attemptId }, relayed, route } = this.#input;
     const { origins } = this.#context;
     const { run } = this.#record;
     if (relayed) return origins.noteRelayed(attemptId, run.began);
     if (run.isDoubtful) return origins.noteDoubtful(attemptId);
     if (run.began === undefined) return;
-    origins.noteBegun(attemptId, this.#service.name, run.began);
+    origins.noteBegun(attemptId, this.#service.name, run.began, route);
     if (this.#endedWhole === false) origins.noteEnded(attemptId, false);
   }
 
@@ -153,6 +162,14 @@
     }
   }
 
+  /** Whether another service than that of the route began the stream, or may have: a former program does not tell. */
+  #isElsewhere(
+    { service }: { readonly service?: string | undefined },
+  ): boolean {
+    if (service !== undefined) return service !== fitName(this.#service.name);
+    return this.#context.origins.hasMoved(this.#input.route);
+  }
+
   #isServed(version: string): boolean {
     const { homeRegions } = this.#input.caller;
     return this.#context.upstreams.fleet.usableInRegions(
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -193,6 +193,7 @@
       datagrams,
       members,
       fleet: storeView.fleet,
+      routes: () => storeView.config?.routes,
       store,
       leastLeaseMs: settings.store.leastLeaseMs,
       storeWritesPerS: settings.store.writesPerS ?? DEFAULT_STORE_WRITES_PER_S,
@@ -200,8 +201,9 @@
       isFirstStart: settings.firstStart ?? false,
       metrics,
       entriesAgeMs: () => storeView.agreedAgoMs("upstreams"),
-      refreshEntries: () => storeView.refresh("upstreams"),
+      refreshEntries: () => storeView.refresh(),
     });
+    storeView.onConfig = () => origins.noteRoutes();
     const { quotaExcess, quotaSlack, quotaWindowMs } = settings.bounds;
     const quotas = new Quotas({
       self: vm,
--- a/src/gateway/origin_questions.ts
+++ b/src/gateway/origin_questions.ts
@@ -26,6 +26,8 @@
   readonly type: "unknown";
   /** The versions that the VMs which answered saw. */
   readonly seen: readonly string[];
+  /** The targets of the route that they saw. */
+  readonly seenTargets: readonly string[];
   /** Number of VMs that answered. */
   readonly replies: number;
   /** Number of those that know all versions which served lately. */
@@ -35,12 +37,46 @@
 /** The result of a question. */
 export type QuestionResult = FoundOrigin | UnknownResult;
 
+/** What VMs that don't know have told. */
+class Heard {
+  readonly #seen = new Set<string>();
+  readonly #seenTargets = new Set<string>();
+  #replies = 0;
+  #sureReplies = 0;
+
+  /** Notes a VM's reply. */
+  note({ seen, seenTargets = [], knowsAll = true }: OriginReply): void {
+    this.add({
+      seen,
+      seenTargets,
+      replies: 1,
+      sureReplies: knowsAll ? 1 : 0,
+    });
+  }
+
+  /** Adds what other VMs have told. */
+  add(heard: Omit<UnknownResult, "type">): void {
+    for (const version of heard.seen) this.#seen.add(version);
+    for (const targets of heard.seenTargets) this.#seenTargets.add(targets);
+    this.#replies += heard.replies;
+    this.#sureReplies += heard.sureReplies;
+  }
+
+  get result(): UnknownResult {
+    return {
+      type: "unknown",
+      seen: [...this.#seen],
+      seenTargets: [...this.#seenTargets],
+      replies: this.#replies,
+      sureReplies: this.#sureReplies,
+    };
+  }
+}
+
 interface OpenQuestion {
   /** VMs that have not answered. */
   readonly waitingFor: Set<string>;
-  readonly seen: Set<string>;
-  replies: number;
-  sureReplies: number;
+  readonly heard: Heard;
   readonly resolve: (result: QuestionResult) => void;
 }
 
@@ -67,17 +103,13 @@
     query: Omit<OriginQuery, "question">,
     stages: readonly AskedVms[],
   ): Promise<QuestionResult> {
-    const seen = new Set<string>();
-    let replies = 0;
-    let sureReplies = 0;
+    const heard = new Heard();
     for (const stage of stages) {
       const result = await this.#ask(query, stage);
       if (result.type !== "unknown") return result;
-      for (const version of result.seen) seen.add(version);
-      replies += result.replies;
-      sureReplies += result.sureReplies;
+      heard.add(result);
     }
-    return { type: "unknown", seen: [...seen], replies, sureReplies };
+    return heard.result;
   }
 
   /** Asks VMs; resolves when one knows, or when all have answered or are late. */
@@ -86,9 +118,8 @@
     { own, elsewhere }: AskedVms,
   ): Promise<QuestionResult> {
     const ips = [...own, ...elsewhere];
-    if (ips.length === 0) {
-      return { type: "unknown", seen: [], replies: 0, sureReplies: 0 };
-    }
+    const heard = new Heard();
+    if (ips.length === 0) return heard.result;
     const question = ++this.#lastQuestion;
     const timers: Timer[] = [
       this.#giveUpAfter(OWN_TIMEOUT_MS, question, own),
@@ -96,9 +127,7 @@
     ];
     const result = await new Promise<QuestionResult>((resolve) => {
       const waitingFor = new Set(ips);
-      const seen = new Set<string>();
-      const counts = { replies: 0, sureReplies: 0 };
-      this.#open.set(question, { waitingFor, seen, ...counts, resolve });
+      this.#open.set(question, { waitingFor, heard, resolve });
       this.#datagrams.send("whoBegan", { question, ...query }, ips);
     });
     this.#open.delete(question);
@@ -110,13 +139,11 @@
   onReply(reply: OriginReply, fromIp: string): void {
     const open = this.#open.get(reply.question);
     if (!open?.waitingFor.has(fromIp)) return;
-    const { version, ageMs = 0 } = reply;
-    open.replies++;
-    if (reply.knowsAll ?? true) open.sureReplies++;
-    for (const seen of reply.seen) open.seen.add(seen);
+    const { version, service, ageMs = 0 } = reply;
+    open.heard.note(reply);
     if (reply.isAmbiguous) return open.resolve({ type: "ambiguous" });
     if (version === undefined) return this.#giveUp(reply.question, [fromIp]);
-    open.resolve({ type: "known", version, source: "asked", ageMs });
+    open.resolve({ type: "known", version, service, source: "asked", ageMs });
   }
 
   /** Gives VMs up after a time; replies that this process was too late to read count. */
@@ -132,7 +159,6 @@
     if (!open) return;
     for (const ip of ips) open.waitingFor.delete(ip);
     if (open.waitingFor.size > 0) return;
-    const { seen, replies, sureReplies, resolve } = open;
-    resolve({ type: "unknown", seen: [...seen], replies, sureReplies });
+    open.resolve(open.heard.result);
   }
 }
--- a/src/gateway/origin_search.ts
+++ b/src/gateway/origin_search.ts
@@ -29,6 +29,8 @@
   readonly type: "unknown";
   /** The versions of the service that may have begun it. */
   readonly seen: readonly string[];
+  /** Whether its route may have had other targets when it began. */
+  readonly hasMoved: boolean;
   /**
    * Whether there may be others: neither this VM nor one that it asked can know all that served lately, or this VM can't
    * tell which have come since.
@@ -59,20 +61,30 @@
     this.#options = options;
   }
 
-  /** Finds the version that began a stream of a service, by the stream's key. */
-  async run(key: string, service: string): Promise<OriginAnswer> {
+  /** Finds the version that began a stream of a service, by the stream's key. `route` is the name of its route. */
+  async run(
+    key: string,
+    service: string,
+    route: string | undefined,
+  ): Promise<OriginAnswer> {
     const { versions, questions, stored, peers } = this.#options;
     // Also where one version serves: the upstream may have been replaced by one that only the VM with the stream knows of.
     const answer = await questions.askInTurn(
-      { service, key },
+      { service, route, key },
       vmsToAsk(peers()),
     );
     if (answer.type !== "unknown") return answer;
     const isKnownThere = answer.sureReplies > 0;
     if (!isKnownThere) await versions.waitForRecord(STORE_TIMEOUT_MS);
-    const unknown = await this.#describe(service, answer, isKnownThere);
+    const unknown = await this.#describe(
+      service,
+      route,
+      answer,
+      isKnownThere,
+    );
     // A version may have come and gone with all VMs before one of them could record it.
-    const isOnlyVersion = unknown.seen.length < 2 && !unknown.isIncomplete &&
+    const isOnlyVersion = unknown.seen.length < 2 && !unknown.hasMoved &&
+      !unknown.isIncomplete &&
       versions.watchedMs >= ORIGIN_TTL_MS;
     return isOnlyVersion ? unknown : await stored.find(key) ?? unknown;
   }
@@ -85,7 +97,8 @@
 
   async #describe(
     service: string,
-    { seen: seenElsewhere, replies }: UnknownResult,
+    route: string | undefined,
+    { seen: seenElsewhere, seenTargets, replies }: UnknownResult,
     isKnownThere: boolean,
   ): Promise<UnknownOrigin> {
     const { versions, entries } = this.#options;
@@ -95,9 +108,11 @@
     // A version may have come a moment ago, and the VMs that know of it may be out of reach.
     const isCurrent = listSeen().length > 1 ||
       await entries.run(STORE_TIMEOUT_MS);
+    const targets = route === undefined ? [] : versions.recent(route);
     return {
       type: "unknown",
       seen: listSeen(),
+      hasMoved: new Set([...targets, ...seenTargets]).size > 1,
       isIncomplete: !isCurrent || !(isKnownThere || versions.knowsAll),
       watchedMs: versions.watchedMs,
       replies,
--- a/src/gateway/origins.ts
+++ b/src/gateway/origins.ts
@@ -17,7 +17,10 @@
   decodeOriginQuery,
   decodeOriginReply,
   decodeOriginRows,
+  encodeKnown,
   encodeSeen,
+  fitName,
+  type KeyedOrigin,
   type OpenStream,
   ORIGIN_TTL_MS,
   originKey,
@@ -26,27 +29,30 @@
   type OriginReply,
   Origins,
   OwnStreams,
+  relayedKey,
   splitKeys,
   toOriginRows,
   vmsToTell,
 } from "../region/mod.ts";
 import { ORIGIN_PREFIX, VERSIONS_KEY } from "../platform/mod.ts";
+import type { Route } from "../routing/mod.ts";
 import { waitForNextPoll } from "./next_poll.ts";
 import { listOriginPeers } from "./origin_peers.ts";
 import { EntryRefresh } from "./entry_refresh.ts";
 import { OriginQuestions, type QuestionResult } from "./origin_questions.ts";
 import { type OriginAnswer, OriginSearch } from "./origin_search.ts";
-import type { StreamOriginsOptions } from "./origins_options.ts";
+import type {
+  StreamOriginsOptions,
+  UnprovenStream,
+} from "./origins_options.ts";
 import { StoredOrigins } from "./stored_origins.ts";
 import { VersionWatch } from "./version_watch.ts";
-
-/** A stream whose upstream is asked which of its processes began it. */
-interface UnprovenStream {
-  /** Resolves when its origin is noted. */
-  readonly noted: Promise<void>;
-  /** Whether another VM relayed it here, which waits longer. */
-  readonly isRelayed: boolean;
-}
+import {
+  isOnlyOrigin,
+  waitUntilRecorded,
+  watchedName,
+  WatchedRoutes,
+} from "./watched_routes.ts";
 
 /** A late reply counts as none, and the asking VM may go on as if nobody knew of the stream. */
 const MAX_REPLY_DELAY_MS = 25;
@@ -63,11 +69,6 @@
 /** Datagrams may be lost, and the other VM may wait for its upstream. */
 const RELAY_QUESTIONS = 3;
 
-/** The id under which a VM keeps the origin of an attempt that was relayed to it. */
-function relayedId(attemptId: string): string {
-  return `relayed ${attemptId}`;
-}
-
 /** Keeps origins, and exchanges them with other VMs. */
 export class StreamOrigins extends Task {
   readonly name = "origins";
@@ -93,9 +94,10 @@
 
   start(kernel: Kernel): Promise<void> {
     this.#clock = kernel.clock;
-    const { datagrams, fleet, store, isFirstStart, members } = this.#options;
+    const { datagrams, store, isFirstStart, members } = this.#options;
+    const { fleet, routes } = this.#options;
     this.#versions = new VersionWatch({
-      fleet,
+      fleet: new WatchedRoutes(fleet, routes),
       store,
       key: VERSIONS_KEY,
       isFirstStart,
@@ -166,17 +168,37 @@
     };
   }
 
-  /** See {@link VersionWatch.waitUntilRecorded}. */
-  waitUntilRecorded(service: string, version: string): Promise<void> {
-    return this.#versions.waitUntilRecorded(service, version);
+  /** See {@link VersionWatch.waitUntilRecorded}; also of the targets of the stream's route. */
+  waitUntilRecorded(
+    service: string,
+    version: string,
+    route: Route,
+  ): Promise<void> {
+    return waitUntilRecorded(this.#versions, service, version, route);
+  }
+
+  /** Notes the targets of routes, which have changed. */
+  noteRoutes(): void {
+    this.#versions?.noteServed();
+  }
+
+  /** Whether a route had, or may have had, other targets when a stream began that still counts. */
+  hasMoved(route: Route): boolean {
+    return this.#versions.recent(watchedName(route)).length > 1;
   }
 
   /** Notes that an upstream brought the first event of an attempt, whose caller is connected to this VM. */
-  noteBegun(attemptId: string, service: string, version: string): void {
+  noteBegun(
+    attemptId: string,
+    service: string,
+    version: string,
+    route?: Route,
+  ): void {
     const nowMs = this.#clock.monoMs();
     const key = originKey(attemptId);
-    this.#origins.note(key, version, "self", nowMs);
-    const stream = this.#ownStreams.begin(key, service, version);
+    this.#origins.note(key, version, "self", nowMs, 0, fitName(service));
+    const routeName = route && watchedName(route);
+    const stream = this.#ownStreams.begin(key, service, version, routeName);
     this.#tellIfDue(key, stream, nowMs);
     this.#scheduleSend();
   }
@@ -190,7 +212,7 @@
     isRelayed: boolean,
     noted: Promise<void>,
   ): void {
-    const key = originKey(isRelayed ? relayedId(attemptId) : attemptId);
+    const key = isRelayed ? relayedKey(attemptId) : originKey(attemptId);
     this.#unproven.set(key, { noted, isRelayed });
     void noted.finally(() => this.#unproven.delete(key));
   }
@@ -200,13 +222,13 @@
    * for it, and knows whether its caller got any of the answer.
    */
   noteRelayed(attemptId: string, version: string | undefined): void {
-    const key = originKey(relayedId(attemptId));
+    const key = relayedKey(attemptId);
     this.#origins.note(key, version, "self", this.#clock.monoMs());
   }
 
   /** Asks the VM that an attempt was relayed to which version began it there. */
   async askRelay(ip: string, attemptId: string): Promise<QuestionResult> {
-    const query = { service: "", key: originKey(relayedId(attemptId)) };
+    const query = { service: "", key: relayedKey(attemptId) };
     const stage = { own: [], elsewhere: [ip] };
     return await this.#questions.askInTurn(
       query,
@@ -249,6 +271,7 @@
   async find(
     attemptId: string | undefined,
     service: string,
+    route?: Route,
   ): Promise<OriginAnswer> {
     const key = attemptId === undefined ? NO_KEY : originKey(attemptId);
     await this.#unproven.get(key)?.noted;
@@ -256,10 +279,12 @@
     const found = this.#origins.find(key, nowMs);
     this.#origins.renew(key, nowMs);
     if (found) return found;
-    const answer = await this.#search.run(key, service);
+    const routeName = route && watchedName(route);
+    const answer = await this.#search.run(key, service, routeName);
     if (answer.type === "known") {
-      const { version, source, ageMs } = answer;
-      this.#origins.note(key, version, source, this.#clock.monoMs(), ageMs);
+      const { version, source, ageMs, service: began } = answer;
+      const noteMs = this.#clock.monoMs();
+      this.#origins.note(key, version, source, noteMs, ageMs, began);
     }
     return answer;
   }
@@ -290,26 +315,22 @@
   }
 
   /** The streams that may be taken up and whose version can't be known without being told. */
-  *#untoldStreams(
-    nowMs: number,
-  ): Iterable<readonly [key: string, version: string | null]> {
-    for (const [key, { service, version }] of this.#ownStreams.all(nowMs)) {
-      if (!this.#isOnlyVersion(service, version)) yield [key, version];
+  *#untoldStreams(nowMs: number): Iterable<KeyedOrigin> {
+    for (const [key, stream] of this.#ownStreams.all(nowMs)) {
+      const { service, version } = stream;
+      if (!isOnlyOrigin(this.#versions, stream)) {
+        yield [key, version, fitName(service)];
+      }
     }
   }
 
-  #isOnlyVersion(service: string, version: string | null): boolean {
-    const recent = this.#versions.recent(service);
-    return recent.length === 1 && recent[0] === version;
-  }
-
   /** Queues a stream that other VMs are to be told of. If its version is the service's only one, they know it anyway. */
   #tellIfDue(key: string, stream: OpenStream, nowMs: number): void {
     const { service, version, toldMs } = stream;
     if (nowMs - toldMs < TELL_AGAIN_MS || !canTellVersion(version)) return;
-    if (this.#isOnlyVersion(service, version)) return;
+    if (isOnlyOrigin(this.#versions, stream)) return;
     stream.toldMs = nowMs;
-    this.#outbox.add(key, version, nowMs);
+    this.#outbox.add(key, version, nowMs, fitName(service));
     this.#scheduleStore();
   }
 
@@ -336,9 +357,10 @@
 
   #onTold(params: unknown): void {
     const nowMs = this.#clock.monoMs();
-    for (const [version, keys] of decodeOriginRows(params)) {
+    for (const [version, keys, service] of decodeOriginRows(params)) {
       for (const key of splitKeys(keys)) {
-        this.#origins.note(key, version ?? undefined, "told", nowMs);
+        const began = version ?? undefined;
+        this.#origins.note(key, began, "told", nowMs, 0, service);
       }
     }
   }
@@ -352,7 +374,7 @@
     this.#reply(query, ip);
   }
 
-  #reply({ question, service, key }: OriginQuery, ip: string): void {
+  #reply({ question, service, route, key }: OriginQuery, ip: string): void {
     const { datagrams, metrics } = this.#options;
     const nowMs = this.#clock.monoMs();
     const found = this.#origins.find(key, nowMs);
@@ -361,10 +383,9 @@
     const reply: OriginReply = {
       question,
       seen: encodeSeen(this.#versions.recent(service)),
+      seenTargets: encodeSeen(route ? this.#versions.recent(route) : []),
       knowsAll: this.#search.isSure,
-      ...(found?.type === "known"
-        ? { version: found.version, ageMs: Math.round(found.ageMs) }
-        : {}),
+      ...encodeKnown(found),
       ...(isAmbiguous ? { isAmbiguous: true } : {}),
     };
     metrics.count("origins", `event="asked",known="${found !== undefined}"`);
--- a/src/gateway/origins_test.ts
+++ b/src/gateway/origins_test.ts
@@ -57,6 +57,7 @@
         versionsOf: () => new Set(vm.versions),
       },
       store,
+      routes: () => [],
       leastLeaseMs: 1_000,
       storeWritesPerS: 400,
       storeReadsPerS: 2_000,
--- a/src/gateway/stored_origins.ts
+++ b/src/gateway/stored_origins.ts
@@ -62,8 +62,8 @@
   #wroteMs = -Infinity;
   #failedMs = -Infinity;
   #isWriting = false;
-  /** What all processes had stored when it was read last; `null` if it can't be told. */
-  #found: ReadonlyMap<string, string | null> = new Map();
+  /** What all processes had stored when it was read last. */
+  #found: ReadonlyMap<string, FoundOrigin> = new Map();
   #readMs = -Infinity;
   #reading: Promise<void> | undefined;
   #isOpen = true;
@@ -111,11 +111,7 @@
   async find(key: string): Promise<FoundOrigin | undefined> {
     const { clock } = this.#options;
     await Promise.race([this.#read(), clock.sleep(READ_TIMEOUT_MS)]);
-    const version = this.#found.get(key);
-    if (version === undefined) return undefined;
-    return version === null
-      ? { type: "ambiguous" }
-      : { type: "known", version, source: "stored", ageMs: 0 };
+    return this.#found.get(key);
   }
 
   close(): void {
@@ -187,12 +183,13 @@
       log.warn("origins not read", { reason: listing.error.message });
       return;
     }
-    const found = new Map<string, string | null>();
+    const found = new Map<string, FoundOrigin>();
     for (const { value } of listing.value.entries) {
-      for (const [version, keys] of decodeOriginRows(parse(value))) {
-        for (const key of splitKeys(keys)) {
-          const isSame = !found.has(key) || found.get(key) === version;
-          found.set(key, isSame ? version : null);
+      for (const row of decodeOriginRows(parse(value))) {
+        const origin = toOrigin(row);
+        for (const key of splitKeys(row[1])) {
+          const isSame = isSameOrigin(found.get(key) ?? origin, origin);
+          found.set(key, isSame ? origin : AMBIGUOUS);
         }
       }
     }
@@ -200,8 +197,20 @@
   }
 }
 
-function splitRow([version, keys]: OriginRow): string[] {
-  return splitKeys(keys).map((key) => `${key} ${version}`);
+const AMBIGUOUS: FoundOrigin = { type: "ambiguous" };
+
+function toOrigin([version, , service]: OriginRow): FoundOrigin {
+  if (version === null) return AMBIGUOUS;
+  return { type: "known", version, service, source: "stored", ageMs: 0 };
+}
+
+function isSameOrigin(one: FoundOrigin, other: FoundOrigin): boolean {
+  if (one.type !== "known" || other.type !== "known") return false;
+  return one.version === other.version && one.service === other.service;
+}
+
+function splitRow([version, keys, service]: OriginRow): string[] {
+  return splitKeys(keys).map((key) => `${key} ${version} ${service}`);
 }
 
 function parse(text: string): unknown {
--- a/src/gateway/version_watch.ts
+++ b/src/gateway/version_watch.ts
@@ -87,19 +87,24 @@
 
   /** Notes what serves now, and reads or writes the record if that is due. */
   tick(): void {
-    const { clock, fleet } = this.#options;
+    const { clock } = this.#options;
     const nowMs = clock.monoMs();
     const now = { monoMs: nowMs, wallMs: clock.nowMs() };
     if (this.#served.noteWatching(now)) {
       this.#pauses++;
       this.#stored = undefined;
     }
-    for (const service of fleet.services()) this.recent(service);
+    this.noteServed();
     this.#forgetAwaited();
     this.#checkStore(nowMs);
     this.#leftRunning.clear();
   }
 
+  /** Notes what serves now; it may have changed before the next tick. */
+  noteServed(): void {
+    for (const service of this.#options.fleet.services()) this.recent(service);
+  }
+
   close(): void {
     this.#isOpen = false;
   }
--- a/src/region/origin_outbox.ts
+++ b/src/region/origin_outbox.ts
@@ -4,7 +4,11 @@
  * @module
  */
 
-import { type OriginRow, toOriginRows } from "./origin_messages.ts";
+import {
+  type KeyedOrigin,
+  type OriginRow,
+  toOriginRows,
+} from "./origin_messages.ts";
 
 /** Bytes a second that a VM spends on telling origins. With more to tell, batches are larger and rarer. */
 const BYTES_PER_S = 1_000;
@@ -19,6 +23,7 @@
 /** Bytes of a datagram besides its rows, with the headers of IP and UDP. */
 const DATAGRAM_BYTES = 80;
 const ROW_BYTES = 7;
+const SERVICE_BYTES = 3;
 
 /** The time in which so many bytes may be sent. */
 function toMs(bytes: number): number {
@@ -27,8 +32,8 @@
 
 /** Collects origins to tell. Times are of a monotonic clock. */
 export class OriginOutbox {
-  /** Versions by key. */
-  readonly #waiting = new Map<string, string | null>();
+  /** By key. */
+  readonly #waiting = new Map<string, KeyedOrigin>();
   #firstMs = Infinity;
   /** When all that was sent is paid for, at {@link BYTES_PER_S}. */
   #paidMs = -Infinity;
@@ -45,10 +50,15 @@
   }
 
   /** Adds an origin; `null` if it can't be told which version began the stream. */
-  add(key: string, version: string | null, nowMs: number): void {
+  add(
+    key: string,
+    version: string | null,
+    nowMs: number,
+    service?: string,
+  ): void {
     if (this.#waiting.size === 0) this.#firstMs = nowMs;
     this.#waiting.delete(key);
-    this.#waiting.set(key, version);
+    this.#waiting.set(key, [key, version, service]);
     if (this.#waiting.size <= MAX_WAITING) return;
     const [oldest] = this.#waiting.keys();
     this.#waiting.delete(oldest);
@@ -61,7 +71,7 @@
 
   /** Takes the rows of the next batch, of the newest origins, which goes to `vmCount` VMs. */
   take(vmCount: number, nowMs: number): OriginRow[] {
-    const batch = [...this.#waiting].slice(-MAX_BATCH);
+    const batch = [...this.#waiting.values()].slice(-MAX_BATCH);
     for (const [key] of batch) this.#waiting.delete(key);
     const rows = toOriginRows(batch);
     const bytes = vmCount * countBytes(rows);
@@ -74,8 +84,9 @@
 /** Bytes of a datagram with these rows. */
 export function countBytes(rows: readonly OriginRow[]): number {
   return rows.reduce(
-    (sum, [version, keys]) =>
-      sum + ROW_BYTES + Buffer.byteLength(version ?? "") + keys.length,
+    (sum, [version, keys, service]) =>
+      sum + ROW_BYTES + Buffer.byteLength(version ?? "") + keys.length +
+      (service === undefined ? 0 : SERVICE_BYTES + Buffer.byteLength(service)),
     DATAGRAM_BYTES,
   );
 }
--- a/src/region/origins.ts
+++ b/src/region/origins.ts
@@ -25,6 +25,8 @@
   | {
     readonly type: "known";
     readonly version: string;
+    /** The service that began it, as {@link fitName} makes it; absent if a VM of the former program told of it. */
+    readonly service?: string | undefined;
     readonly source: OriginSource;
     /** Time since the stream began, as far as this VM knows. */
     readonly ageMs: number;
@@ -34,6 +36,7 @@
 interface OriginEntry {
   /** `undefined` if it is ambiguous. */
   readonly version: string | undefined;
+  readonly service: string | undefined;
   readonly source: OriginSource;
   readonly beganMs: number;
   readonly notedMs: number;
@@ -45,6 +48,11 @@
     .slice(0, ORIGIN_KEY_LENGTH);
 }
 
+/** The key under which a VM keeps the origin of an attempt that was relayed to it. */
+export function relayedKey(attemptId: string): string {
+  return originKey(`relayed ${attemptId}`);
+}
+
 /** Keeps the origins of streams for {@link ORIGIN_TTL_MS}. Times are of a monotonic clock. */
 export class Origins {
   /** The one that was noted longest ago comes first. */
@@ -59,19 +67,23 @@
     return this.#entries.size;
   }
 
-  /** Notes that a version began a stream `ageMs` ago; `undefined` if it can't be told which. */
+  /** Notes that a version of a service began a stream `ageMs` ago; `undefined` if it can't be told which version. */
   note(
     key: string,
     version: string | undefined,
     source: OriginSource,
     nowMs: number,
     ageMs = 0,
+    service?: string,
   ): void {
     this.#expire(nowMs);
     const before = this.#entries.get(key);
     this.#entries.delete(key);
+    const isSame = !before || before.version === version &&
+        (before.service ?? service) === (service ?? before.service);
     this.#entries.set(key, {
-      version: before && before.version !== version ? undefined : version,
+      version: isSame ? version : undefined,
+      service: service ?? before?.service,
       source: before?.source ?? source,
       beganMs: Math.min(before?.beganMs ?? Infinity, nowMs - ageMs),
       notedMs: nowMs,
@@ -92,10 +104,12 @@
     this.#expire(nowMs);
     const entry = this.#entries.get(key);
     if (!entry) return undefined;
-    const { version, source, beganMs } = entry;
-    return version === undefined
-      ? { type: "ambiguous" }
-      : { type: "known", version, source, ageMs: nowMs - beganMs };
+    const { version, service, source, beganMs } = entry;
+    if (version === undefined) return { type: "ambiguous" };
+    const ageMs = nowMs - beganMs;
+    return service === undefined
+      ? { type: "known", version, source, ageMs }
+      : { type: "known", version, service, source, ageMs };
   }
 
   #expire(nowMs: number): void {
--- a/src/region/origins_test.ts
+++ b/src/region/origins_test.ts
@@ -37,6 +37,17 @@
 );
 
 describe("the origin of a stream", () => {
+  /** Guards against a stream that goes on at another service, and against refusing what a former program told. */
+  it("is ambiguous if two services are named, but not if one VM names none", (t) => {
+    const origins = new Origins();
+    origins.note("k", "v1", "told", 0);
+    origins.note("k", "v1", "self", 0, 0, "s");
+    origins.note("k", "v1", "told", 0);
+    t.like(origins.find("k", 1), { type: "known", service: "s" });
+    origins.note("k", "v1", "told", 0, 0, "y");
+    t.deepEqual(origins.find("k", 1), { type: "ambiguous" });
+  });
+
   it("is known with its source and age until nobody takes the stream up again", (t) => {
     const origins = new Origins();
     origins.note("k", "v1", "self", 0);
--- a/src/region/own_streams.ts
+++ b/src/region/own_streams.ts
@@ -12,6 +12,8 @@
 /** A stream and the version that began it. */
 export interface OwnStream {
   readonly service: string;
+  /** The name under which the targets of its route are watched; absent if they are not. */
+  readonly route: string | undefined;
   /** `null` if it can't be told which version began it. */
   readonly version: string | null;
   /** When other VMs were last told of it; `-Infinity` if never. */
@@ -39,8 +41,13 @@
   }
 
   /** Notes that a stream began. */
-  begin(key: string, service: string, version: string): OpenStream {
-    const stream = { service, version, toldMs: -Infinity };
+  begin(
+    key: string,
+    service: string,
+    version: string,
+    route?: string,
+  ): OpenStream {
+    const stream = { service, route, version, toldMs: -Infinity };
     this.#open.set(key, stream);
     return stream;
   }
--- a/src/replication/config_in_force.ts
+++ b/src/replication/config_in_force.ts
@@ -44,6 +44,8 @@
   readonly log: Log;
   /** What else a log line states of this VM's way to the store. */
   readonly describeStore: () => Readonly<Record<string, unknown>>;
+  /** Called when a configuration has come in force. */
+  readonly onInForce?: () => void;
 }
 
 /** An entry of the store, with its revision if it is the store's own. */
@@ -195,6 +197,7 @@
     const readMonoMs = clock.monoMs() - readAgoMs;
     const heldSinceMonoMs = clock.monoMs();
     this.#held = { config, value, from, readBy, readMonoMs, heldSinceMonoMs };
+    this.#options.onInForce?.();
     log.info("config in force", {
       configVersion: version,
       rev,
--- a/src/replication/store_view.ts
+++ b/src/replication/store_view.ts
@@ -77,6 +77,8 @@
 export class StoreView extends Task<StoreViewMessages> {
   readonly name = "beliefs";
   readonly fleet: Fleet;
+  /** Called when a configuration has come in force. */
+  onConfig = () => {};
   /** When the store came back from an older copy. */
   restores!: RestoreTimes;
   readonly #options: StoreViewOptions;
@@ -176,9 +178,14 @@
     return this.#clock.monoMs() - this.#followers[topic].agreedMonoMs;
   }
 
-  /** See {@link Follower.refresh}. */
-  refresh(topic: NewsTopic): Promise<boolean> {
-    return this.#followers[topic].refresh();
+  /** Asks the store for all topics now. Returns whether the copies were the store's at moments since the call. */
+  async refresh(): Promise<boolean> {
+    const { operators, upstreams } = this.#followers;
+    const results = await Promise.all([
+      operators.refresh(),
+      upstreams.refresh(),
+    ]);
+    return results.every((isCurrent) => isCurrent);
   }
 
   /**
@@ -213,6 +220,7 @@
       clock: this.#clock,
       log: this.#log,
       describeStore: () => this.#describeStore(),
+      onInForce: () => this.onConfig(),
     });
     this.restores = new RestoreTimes(this.#clock, () => {
       const { operators, upstreams } = this.#followers;
