Drain: a VM that stops keeps no request waiting for a first configuration

VMs without a readable configuration kept each request waiting for one up to 250 ms, also after their time to stop was over, and their end cut off what waited. Change: a draining VM doesn't wait; the request is refused at once, not run, and its caller goes to another VM.

--- a/src/gateway/http_listeners.ts
+++ b/src/gateway/http_listeners.ts
@@ -154,10 +154,12 @@
   #onCallerRequest(request: IncomingMessage, response: ServerResponse): void {
     const { clock, storeView } = this.#context;
     const arrivedMs = clock.monoMs();
-    if (storeView.config) return this.#admit(request, response, arrivedMs);
+    // A VM that stops would end before a first configuration comes, and cut off what waits for it.
+    const mayWait = () => !storeView.config && !this.#context.isDraining;
+    if (!mayWait()) return this.#admit(request, response, arrivedMs);
     const poll = clock.every(CONFIG_CHECK_MS, () => {
       const isTimedOut = clock.monoMs() - arrivedMs >= CONFIG_WAIT_MS;
-      if (!storeView.config && !isTimedOut && !response.closed) return;
+      if (mayWait() && !isTimedOut && !response.closed) return;
       poll.close();
       if (!response.closed) this.#admit(request, response, arrivedMs);
     });
--- a/test/gateway_stop_test.ts
+++ b/test/gateway_stop_test.ts
@@ -38,6 +38,8 @@
   }),
 ];
 const GRACE_MS = 3_000;
+/** How long a request may wait for a VM's first configuration. */
+const CONFIG_WAIT_MS = 250;
 /** Before the end of a stop by so much that a plain call is still accepted. */
 const EARLY_MS = 200;
 
@@ -202,6 +204,18 @@
     await drained;
   });
 
+  it("is refused at once, and not run, by a VM that waits for its first configuration", async (t) => {
+    const lab = new GatewayLab();
+    t.teardown(() => lab.close());
+    const vm = await lab.addVm("north", { graceMs: GRACE_MS });
+    const drained = vm.gateway.drain();
+    const sentMs = performance.now();
+    const answer = await lab.call(vm, longCall("/longonce/"));
+    t.is(answer.status, 503);
+    t.true(performance.now() - sentMs < CONFIG_WAIT_MS);
+    await drained;
+  });
+
   it("is served if its service answers as usual", async (t) => {
     const { lab, vm } = await openSilent(t);
     const drained = vm.gateway.drain();
