--- a/src/gateway/reply.ts
+++ b/src/gateway/reply.ts
@@ -111,6 +111,11 @@
     this.response.chunkedEncoding = false;
   }
 
+  /** Forgets the head of an answer in whose place another one is sent; bytes that still come of it are dropped by Node. */
+  protected dropHead(): void {
+    this.#pendingHead = undefined;
+  }
+
   /** Sends bytes; `false` means that the other side reads too slowly: wait for {@link Reply.onDrain}. */
   write(chunk: Buffer): boolean {
     this.#sendHead();
@@ -190,6 +195,7 @@
   }
 
   fail(failure: Failure, comeBackMs: number): void {
+    this.dropHead();
     const { status, headers, body } = encodeFailure(failure, comeBackMs);
     // A caller that stopped in the middle of its body would hold its connection and its place among open requests
     // forever.
@@ -281,6 +287,7 @@
       crashedUpstream: undefined,
     },
   ): void {
+    this.dropHead();
     this.response.writeHead(codes[failure.code].httpStatus, [
       RELAY_HEADERS.code,
       failure.code,
--- a/src/gateway/reply_test.ts
+++ b/src/gateway/reply_test.ts
@@ -3,6 +3,7 @@
 import { type AddressInfo, connect } from "node:net";
 import type { ExecutionContext } from "ava";
 import { describe, it } from "../base/describe.ts";
+import { failure } from "../base/mod.ts";
 import { decodeUpstream } from "../platform/mod.ts";
 import {
   CallerReply,
@@ -67,6 +68,21 @@
   }
 });
 
+/** Guards against a process that ends as bytes of an answer come after a failure was sent in its place. */
+describe("a failure in place of an answer that has begun", () => {
+  it("is all that its caller gets", async (t) => {
+    const text = await readAnswer(t, "GET / HTTP/1.1", (response) => {
+      const reply = new CallerReply(response, () => false);
+      reply.start(200, ["Content-Type", "text/plain"], undefined);
+      t.false(reply.hasStarted);
+      reply.fail(failure("upstreamFailed"), 0);
+      t.notThrows(() => reply.write(Buffer.from("late")));
+    });
+    t.regex(text, /^HTTP\/1\.1 502 /);
+    t.false(text.includes("late"));
+  });
+});
+
 describe("the header that names a version", () => {
   for (
     const [name, version] of [
