--- a/test/edge_guard_test.ts
+++ b/test/edge_guard_test.ts
@@ -2,7 +2,7 @@
 import type { ExecutionContext } from "ava";
 import { describe, it } from "../src/base/describe.ts";
 import type { EdgeLimits } from "../src/edge/mod.ts";
-import { openEngine } from "../src/standins/mod.ts";
+import { openEngine, openPlainService } from "../src/standins/mod.ts";
 import type { VmInfo } from "../src/services/mod.ts";
 import {
   DRIVERS_KEY,
@@ -320,3 +320,38 @@
     socket.destroy();
   });
 });
+
+/** Sends a head on a connection, and after a while bytes that are no request; returns all that comes back. */
+async function sendWithGarbage(
+  edge: TestEdge,
+  head: string,
+): Promise<string> {
+  const socket = connect(Number(new URL(edge.url).port), "127.0.0.1");
+  socket.write(head);
+  setTimeout(() => socket.write("\0 no request\r\n\r\n"), 50);
+  let text = "";
+  for await (const chunk of socket) text += chunk.toString();
+  return text;
+}
+
+/** Guards against a request that runs and is told that it was not run. */
+describe("bytes that are no request, after a request on the same connection", () => {
+  const authorization = `authorization: Bearer ${DRIVERS_KEY}`;
+
+  it("do not become the answer of that request", async (t) => {
+    const service = await openPlainService({ runMs: 300 });
+    const edge = await openEdge([upstreamRow("n0", "notes", service.url)]);
+    t.teardown(async () => {
+      await edge.close();
+      await service.close();
+    });
+    const text = await sendWithGarbage(
+      edge,
+      `GET /services/notes/a HTTP/1.1\r\nhost: a\r\n${authorization}\r\n\r\n`,
+    );
+    t.is(service.records().length, 1);
+    t.regex(text, /^HTTP\/1.1 200 OK\r\n/);
+    t.regex(text, /\r\nconnection: close\r\n/i);
+    t.regex(text, /"service":"plain"/);
+  });
+});
