Own interface: a part of a stream doesn't look whole to a caller of HTTP/1.0

What callers saw: a caller of HTTP/1.0 that stopped reading for `limits.stalledCallerMs` and then went on reading got an orderly end in the middle of its stream. Such a caller knows no chunks and takes it for the end.

Cause: the relay, and a failure after an answer has begun, closed the response by `destroy`, which ends the connection in order; other places break it off by a reset.

Why it works: both use breakOffResponse, which resets the connection for HTTP/1.0.

--- a/src/edge/answer.ts
+++ b/src/edge/answer.ts
@@ -45,16 +45,14 @@
   return response.writableEnded || response.destroyed;
 }
 
-/**
- * Sends a failure as the complete response. If only a part of a response was sent, the connection is closed instead.
- */
+/** Sends a failure as the complete response. If a part of another one was sent, that is broken off. */
 export function sendFailure(
   response: ServerResponse,
   failure: Failure,
   nowMs: number,
 ): void {
   if (hasEnded(response)) return;
-  if (response.headersSent) return void response.destroy();
+  if (response.headersSent) return breakOffResponse(response);
   const info = codes[failure.code];
   response.statusCode = info.httpStatus;
   response.setHeader("content-type", "application/json");
--- a/src/edge/relay.ts
+++ b/src/edge/relay.ts
@@ -8,7 +8,7 @@
 import type { Readable } from "node:stream";
 import { createParser } from "eventsource-parser";
 import type { Clock } from "../base/mod.ts";
-import { hasEnded } from "./answer.ts";
+import { breakOffResponse, hasEnded } from "./answer.ts";
 import { LineFeeds } from "./line_feeds.ts";
 import type { StreamCheck, StreamEvent } from "./stream_check.ts";
 
@@ -115,7 +115,7 @@
       timer.close();
       response.off("drain", onDrain);
       response.off("close", onClose);
-      if (!isAlive) response.destroy();
+      if (!isAlive) breakOffResponse(response);
       resolve(isAlive);
     };
     const onDrain = () => settle(true);
--- a/test/edge_guard_test.ts
+++ b/test/edge_guard_test.ts
@@ -73,6 +73,7 @@
 }
 
 const AUTH = { authorization: `Bearer ${DRIVERS_KEY}` };
+const AUTH_LINE = `authorization: ${AUTH.authorization}`;
 
 describe("edge", () => {
   describe("keys and tokens", () => {
@@ -319,6 +320,44 @@
     t.is(edge.slots.reports[0].outcome, "canceled");
     socket.destroy();
   });
+
+  // Guards against a part of a stream that a caller of HTTP/1.0, which knows no chunks, takes for the whole.
+  it("resets the connection of a caller of HTTP/1.0 that stops reading", async (t) => {
+    const engine = await openEngine({
+      stepMs: 1,
+      streamTokensPerS: 1e6,
+      decodeTokensPerS: 1e7,
+    });
+    const edge = await openEdge([upstreamRow("e0", "plan", engine.url)], {
+      stalledCallerMs: 100,
+    });
+    t.teardown(async () => {
+      await edge.close();
+      await engine.close();
+    });
+    const body = JSON.stringify({
+      ...PROMPT,
+      max_tokens: 200_000,
+      stream: true,
+    });
+    const socket = connect(Number(new URL(edge.url).port), "127.0.0.1");
+    socket.pause();
+    socket.write(
+      `POST /v1/chat/completions HTTP/1.0\r\n${AUTH_LINE}\r\n` +
+        `content-length: ${body.length}\r\n\r\n${body}`,
+    );
+    while (edge.slots.reports.length === 0) {
+      await new Promise((resolve) => setTimeout(resolve, 10));
+    }
+    const end = new Promise((resolve) => {
+      socket.on("error", () => resolve("reset"));
+      socket.on("end", () => {
+        resolve(socket.remoteAddress === undefined ? "reset" : "end");
+      });
+    });
+    socket.resume();
+    t.is(await end, "reset");
+  });
 });
 
 /** Sends a head on a connection, and after a while bytes that are no request; returns all that comes back. */
@@ -336,8 +375,6 @@
 
 /** Guards against a request that runs and is told that it was not run. */
 describe("bytes that are no request, after a request on the same connection", () => {
-  const authorization = `authorization: Bearer ${DRIVERS_KEY}`;
-
   it("do not become the answer of that request", async (t) => {
     const service = await openPlainService({ runMs: 300 });
     const edge = await openEdge([upstreamRow("n0", "notes", service.url)]);
@@ -347,7 +384,7 @@
     });
     const text = await sendWithGarbage(
       edge,
-      `GET /services/notes/a HTTP/1.1\r\nhost: a\r\n${authorization}\r\n\r\n`,
+      `GET /services/notes/a HTTP/1.1\r\nhost: a\r\n${AUTH_LINE}\r\n\r\n`,
     );
     t.is(service.records().length, 1);
     t.regex(text, /^HTTP\/1.1 200 OK\r\n/);
