--- a/src/gateway/call.ts
+++ b/src/gateway/call.ts
@@ -103,6 +103,8 @@
       }
     } catch (error) {
       this.#record.noteInternalError(error);
+      // What failed may be the answer itself; its caller would wait for ever.
+      if (this.#isOver && !this.#reply.hasStarted) this.#reply.abort();
       const ran = this.#evidence.mayHaveRun ? "unknown" : "no";
       this.#fail(failure("internal", { ran }), 0);
     } finally {
@@ -302,7 +304,7 @@
     this.#record.arrivals += head.arrivals;
     this.#lastFailure = head.failure;
     // A moved stream has run, even if its new engine refuses it.
-    const mayHaveRun = head.mayHaveRun || this.#reply.hasStarted;
+    const mayHaveRun = head.mayHaveRun || this.#answer.hasBegun;
     if (mayHaveRun) this.#evidence.noteMayHaveRun();
     else this.#evidence.noteNotRun();
     const isFinal = FINAL_CODES.has(head.failure.code);
@@ -311,14 +313,12 @@
     this.#fail(head.failure, head.comeBackMs, head.reason);
   }
 
-  /** Handles a stream that broke off: another upstream resumes it, or the caller's connection is aborted too. */
+  /** Handles an answer that broke off: another upstream takes it up, or the caller gets a failure or no end of it. */
   #handleBreak(reason: string): void {
     this.#evidence.noteMayHaveRun();
-    const { relayed } = this.#input;
-    const mayContinue = this.#answer.continuable && !relayed;
-    if (mayContinue && this.#retries.take("resumption", true, reason)) return;
-    this.#finish("streamBroken", reason);
-    this.#reply.abort();
+    if (this.#retries.takeAfterBreak(this.#answer, reason)) return;
+    const code = this.#reply.hasStarted ? "streamBroken" : "upstreamFailed";
+    this.#fail(failure(code), 0, reason);
   }
 
   #refuse(step: Step<LinkedCandidate> & { type: "refuse" }): void {
--- a/src/gateway/call_origin_test.ts
+++ b/src/gateway/call_origin_test.ts
@@ -36,11 +36,14 @@
       versionsOf: () => new Set(this.versions),
     },
     store: new MemoryKeyValue({ clock: this.clock }),
+    routes: () => [],
     leastLeaseMs: 1_000,
     storeWritesPerS: 400,
+    storeReadsPerS: 2_000,
     isFirstStart: true,
     metrics: new GatewayMetrics(),
     entriesAgeMs: () => 0,
+    refreshEntries: () => Promise.resolve(true),
   });
 
   async start(): Promise<void> {
@@ -60,7 +63,13 @@
     };
     const resumed = { resumesAfter: lastEvent, firstAttemptId: "first" };
     const input = {
-      route: { kind: "stream", resumable: true },
+      route: {
+        kind: "stream",
+        resumable: true,
+        host: "h",
+        pathPrefix: "/",
+        targets: [{ service: SERVICE.name, weight: 1 }],
+      },
       relayed: false,
       head: lastEvent === undefined ? { attemptId } : { attemptId, ...resumed },
       caller: { homeRegions: undefined },
--- a/src/gateway/origins_test.ts
+++ b/src/gateway/origins_test.ts
@@ -57,11 +57,15 @@
         versionsOf: () => new Set(vm.versions),
       },
       store,
+      routes: () => [],
       leastLeaseMs: 1_000,
       storeWritesPerS: 400,
+      storeReadsPerS: 2_000,
       isFirstStart,
       metrics: new GatewayMetrics(),
       entriesAgeMs: () => vm.entriesAgeMs,
+      refreshEntries: () =>
+        Promise.resolve(!vm.isCutOff && vm.entriesAgeMs === 0),
     });
     const vm: NetworkVm = {
       origins,
--- a/src/gateway/reply.ts
+++ b/src/gateway/reply.ts
@@ -5,18 +5,25 @@
  */
 
 import type { IncomingHttpHeaders, ServerResponse } from "node:http";
-import { type CodeName, codes, type Failure } from "../base/mod.ts";
+import { type CodeName, codes, type Failure, isNumber } from "../base/mod.ts";
 import { encodeFailure } from "../platform/mod.ts";
 
 const CR = 0x0d;
 const LF = 0x0a;
 
+/** The head of an answer, which is sent with the body's first bytes or its end. */
+interface PendingHead {
+  readonly status: number;
+  readonly headers: readonly string[];
+}
+
 /** The reply to one request. It ends once: with an answer, a failure, or an aborted connection. */
 export abstract class Reply {
   protected readonly response: ServerResponse;
   readonly #isDraining: () => boolean;
   #isDisconnected = false;
   #hasBody = false;
+  #pendingHead: PendingHead | undefined;
   #framesChunks = false;
   #onBody: () => void = () => {};
   #onDisconnect: (() => void) | undefined;
@@ -78,17 +85,29 @@
     return this.response.headersSent;
   }
 
-  /** Sends an upstream's status and headers; `bodyBytes` is the body's length, if known. */
+  /**
+   * Takes an upstream's status and headers; `bodyBytes` is the body's length, if known. They are sent with the body's
+   * first bytes, or its end: until then another answer can take their place.
+   */
   start(
     status: number,
     headers: readonly string[],
     bodyBytes: number | undefined,
   ): void {
-    const allHeaders = bodyBytes === undefined
-      ? [...headers]
-      : [...headers, "Content-Length", String(bodyBytes)];
-    if (this.closesConnection) allHeaders.push("Connection", "close");
-    this.response.writeHead(status, allHeaders);
+    this.#pendingHead = {
+      status,
+      headers: bodyBytes === undefined
+        ? headers
+        : [...headers, "Content-Length", String(bodyBytes)],
+    };
+  }
+
+  #sendHead(): void {
+    if (!this.#pendingHead) return;
+    const { status, headers } = this.#pendingHead;
+    this.#pendingHead = undefined;
+    const closing = this.closesConnection ? ["Connection", "close"] : [];
+    this.response.writeHead(status, [...headers, ...closing]);
     // Node hands the size, the data and two line ends of a chunk to the socket one by one. Events are short, so that this
     // costs more than copying them into one buffer.
     this.#framesChunks = this.response.chunkedEncoding;
@@ -97,6 +116,7 @@
 
   /** Sends bytes; `false` means that the other side reads too slowly: wait for {@link Reply.onDrain}. */
   write(chunk: Buffer): boolean {
+    this.#sendHead();
     const isFirst = !this.#hasBody;
     this.#hasBody = true;
     const isTaken = this.response.write(
@@ -112,6 +132,7 @@
 
   /** Ends a complete answer. */
   end(): void {
+    this.#sendHead();
     // Node then sends the chunk that ends the body.
     if (this.#framesChunks) this.response.chunkedEncoding = true;
     this.response.end();
@@ -282,13 +303,19 @@
   readonly crashedUpstream: string | undefined;
 }
 
+/** Decodes a number that is not negative; 0 if it is none. */
+function decodeCount(text: unknown): number {
+  const count = Number(text);
+  return isNumber(count) && count > 0 ? count : 0;
+}
+
 /** Decodes a failure that another VM answered with; `undefined` if it forwarded an upstream's answer. */
 export function decodePeerFailure(
   headers: Readonly<Record<string, string | string[] | undefined>>,
 ): PeerFailure | undefined {
   const code = headers[RELAY_HEADERS.code];
   if (typeof code !== "string") return undefined;
-  const codeName = code in codes ? code as CodeName : "internal";
+  const codeName = Object.hasOwn(codes, code) ? code as CodeName : "internal";
   const ran = headers[RELAY_HEADERS.ran];
   const crashed = headers[RELAY_HEADERS.endedUpstream];
   return {
@@ -297,8 +324,8 @@
       ran: ran === "no" || ran === "yes" ? ran : "unknown",
       message: codes[codeName].text,
     },
-    comeBackMs: Number(headers[RELAY_HEADERS.comeBackMs]) || 0,
-    arrivals: Number(headers[RELAY_HEADERS.arrivals]) || 0,
+    comeBackMs: decodeCount(headers[RELAY_HEADERS.comeBackMs]),
+    arrivals: decodeCount(headers[RELAY_HEADERS.arrivals]),
     crashedUpstream: typeof crashed === "string" ? crashed : undefined,
   };
 }
--- a/src/replication/store_view.ts
+++ b/src/replication/store_view.ts
@@ -22,7 +22,8 @@
   type ConfigSource,
   FROM_STORE,
 } from "./config_in_force.ts";
-import { type FollowedStore, Follower } from "./follower.ts";
+import { Follower } from "./follower.ts";
+import type { FollowedStore } from "./follower_options.ts";
 import { KeptEntries } from "./kept_entries.ts";
 import type {
   AdoptOutcome,
@@ -76,6 +77,8 @@
 export class StoreView extends Task<StoreViewMessages> {
   readonly name = "beliefs";
   readonly fleet: Fleet;
+  /** Called when a configuration has come in force. */
+  onConfig = () => {};
   /** When the store came back from an older copy. */
   restores!: RestoreTimes;
   readonly #options: StoreViewOptions;
@@ -175,6 +178,16 @@
     return this.#clock.monoMs() - this.#followers[topic].agreedMonoMs;
   }
 
+  /** Asks the store for all topics now. Returns whether the copies were the store's at moments since the call. */
+  async refresh(): Promise<boolean> {
+    const { operators, upstreams } = this.#followers;
+    const results = await Promise.all([
+      operators.refresh(),
+      upstreams.refresh(),
+    ]);
+    return results.every((isCurrent) => isCurrent);
+  }
+
   /**
    * Whether this VM can rule out that the store holds a newer configuration than the one in force here. Callers don't come
    * back after some refusals, so a VM that can't refuses for now: another VM may have the newer one.
@@ -207,6 +220,7 @@
       clock: this.#clock,
       log: this.#log,
       describeStore: () => this.#describeStore(),
+      onInForce: () => this.onConfig(),
     });
     this.restores = new RestoreTimes(this.#clock, () => {
       const { operators, upstreams } = this.#followers;
