Drain: the time to stop counts from the signal, also if it came during the start

What callers would see: a VM that gets SIGTERM while it starts (two planned stops in a row) is killed in the middle of its drain, and cuts off what is open. Cause: since a signal is noted from the first line on, but not when it came; the drain took the end of the start for it and reckoned with time that it no longer had. Change: the signal's time is noted and the drain's end, and what still fits into it, count from there. The shortest drain still counts from the drain's start, since callers may only now have been told of this VM. "leaving" says how long ago the signal came.

--- a/src/gateway/daemon.ts
+++ b/src/gateway/daemon.ts
@@ -70,8 +70,8 @@
   return checkFile;
 }
 
-async function stop(gateway: Gateway): Promise<never> {
-  await gateway.drain();
+async function stop(gateway: Gateway, signalMonoMs: number): Promise<never> {
+  await gateway.drain(signalMonoMs);
   process.exit(0);
 }
 
@@ -93,9 +93,9 @@
     gateway,
     log,
   );
-  onStop(() => {
+  onStop((signalMonoMs) => {
     // They say how long the stop may take, and a SIGHUP that was sent before may arrive after this signal.
     checkSettings();
-    void stop(gateway);
+    void stop(gateway, signalMonoMs);
   });
 }
--- a/src/gateway/drain.ts
+++ b/src/gateway/drain.ts
@@ -41,21 +41,26 @@
 
 /**
  * Serves all requests until no caller is left, or until shortly before the process is killed. What is still open then
- * is ended with an answer. Returns when the connections have taken all answers, as far as time allows.
+ * is ended with an answer. Returns when the connections have taken all answers, as far as time allows. The process is
+ * killed by the time of the signal, which may have come while it was starting.
  */
 export async function drain(
   context: DrainContext,
   listeners: DrainListeners,
+  signalMonoMs: number = context.clock.monoMs(),
 ): Promise<void> {
   const { clock, log, openCalls } = context;
   const startMs = clock.monoMs();
   context.isDraining = true;
-  context.drainStartMonoMs = startMs;
-  context.endMonoMs = startMs + context.settings.bounds.graceMs -
+  context.drainStartMonoMs = signalMonoMs;
+  context.endMonoMs = signalMonoMs + context.settings.bounds.graceMs -
     CLOSE_RESERVE_MS;
   context.members.reportNow();
-  log.info("leaving", { open: openCalls.size });
-  await serveUntilEnd(context, listeners);
+  log.info("leaving", {
+    open: openCalls.size,
+    sinceSignalMs: Math.round(startMs - signalMonoMs),
+  });
+  await serveUntilEnd(context, listeners, startMs + MIN_DRAIN_MS);
   // What still arrives while the services close would be cut off: it is refused, also where the stop is over early.
   context.endMonoMs = Math.min(context.endMonoMs, clock.monoMs());
   const open = openCalls.size;
@@ -73,8 +78,9 @@
  * on keep-alive connections until the very end.
  */
 async function serveUntilEnd(
-  { clock, openCalls, drainStartMonoMs, endMonoMs }: DrainContext,
+  { clock, openCalls, endMonoMs }: DrainContext,
   listeners: DrainListeners,
+  leastEndMonoMs: number,
 ): Promise<void> {
   let hasRetried = false;
   for (;;) {
@@ -85,7 +91,7 @@
       hasRetried = true;
       for (const call of openCalls) call.leaveSilentUpstream();
     }
-    if (nowMs - drainStartMonoMs < MIN_DRAIN_MS) continue;
+    if (nowMs < leastEndMonoMs) continue;
     listeners.closeIdleConnections();
     if (listeners.openAnswers === 0) return;
   }
--- a/src/gateway/drain_test.ts
+++ b/src/gateway/drain_test.ts
@@ -96,4 +96,23 @@
     await drained;
     t.true(lab.context.endMonoMs <= lab.clock.monoMs());
   });
+
+  // Guards against a stop that outlasts its time, so that the kill cuts off what is open.
+  it("counts its time from the signal, which came while the process was starting", async (t) => {
+    const lab = openLab();
+    const signalMs = lab.clock.monoMs();
+    await advance(lab, 3_000);
+    lab.listeners.openAnswers = 1;
+    let stoppedAtMs = Infinity;
+    lab.context.openCalls.add({
+      leaveSilentUpstream: () => {},
+      stop: () => void (stoppedAtMs = lab.clock.monoMs()),
+    });
+    const drained = drain(lab.context, lab.listeners, signalMs);
+    await advance(lab, END_MS - 3_000 + 100);
+    t.true(stoppedAtMs - signalMs <= END_MS + 50, `${stoppedAtMs - signalMs}`);
+    lab.listeners.openAnswers = 0;
+    await advance(lab, 100);
+    await drained;
+  });
 });
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -317,9 +317,9 @@
     log.info("settings in force", { needsRestart });
   }
 
-  /** Stops as planned: serves as long as callers may come, then closes. */
-  async drain(): Promise<void> {
-    await drain(this.#context, this.#listeners);
+  /** Stops as planned, on a signal that came at `signalMonoMs`: serves as long as callers may come, then closes. */
+  async drain(signalMonoMs = this.#context.clock.monoMs()): Promise<void> {
+    await drain(this.#context, this.#listeners, signalMonoMs);
     await Promise.race([
       this.close(),
       this.#context.clock.sleep(CLOSE_TIMEOUT_MS),
--- a/test/gateway_hangup_test.ts
+++ b/test/gateway_hangup_test.ts
@@ -53,3 +53,23 @@
     t.is(end, 2);
   });
 });
+
+/** Guards against a stop that outlasts its time, as it counts only from the end of the start. */
+describe("SIGTERM while a gateway starts", () => {
+  it("is kept with the time at which it came first", async (t) => {
+    const { end, out } = await run(
+      "--input-type=module",
+      "-e",
+      `const { noteSignals, onStop } = await import("${urlOf("signals")}");
+       noteSignals();
+       const startMs = performance.now();
+       process.kill(process.pid, "SIGTERM");
+       setTimeout(() => process.kill(process.pid, "SIGTERM"), 400);
+       const handle = (monoMs) => console.log(Math.round(monoMs - startMs));
+       setTimeout(() => onStop(handle), 800);`,
+    );
+    t.is(end, 0);
+    t.regex(out, /^\d+\n$/);
+    t.true(Number(out) < 400, out);
+  });
+});
