Gateway: bytes that are no request don't become the answer of a request that runs

Change: the own interface's handling of such bytes moves to src/adapters and serves both: the answer of a request that was read whole comes first, and the connection ends after it; nothing is written into an answer that has begun. CallerConnections moves there too, as both use it. What can't be read at the gateway is answered as Node did by itself.

--- a/src/adapters/mod.ts
+++ b/src/adapters/mod.ts
@@ -18,4 +18,6 @@
 export * from "./reachability.ts";
 export * from "./read_text.ts";
 export * from "./suspect_store.ts";
+export * from "./caller_connections.ts";
 export * from "./unframed_answers.ts";
+export * from "./unreadable_bytes.ts";
--- a/src/edge/listener.ts
+++ b/src/edge/listener.ts
@@ -5,17 +5,15 @@
  * @module
  */
 
-import {
-  createServer,
-  type RequestListener,
-  type Server,
-  type ServerResponse,
-} from "node:http";
+import { createServer, type RequestListener, type Server } from "node:http";
 import type { AddressInfo } from "node:net";
 import type { Duplex } from "node:stream";
-import { UnframedAnswers } from "../adapters/mod.ts";
+import {
+  CallerConnections,
+  rejectUnreadableBytes,
+  UnframedAnswers,
+} from "../adapters/mod.ts";
 import { areHeaders, failure } from "../base/mod.ts";
-import { CallerConnections } from "../gateway/caller_connections.ts";
 import { sendFailure } from "./answer.ts";
 
 /** Time within which the headers must arrive completely; Node closes the connection otherwise. */
@@ -39,10 +37,6 @@
   readonly #server: Server;
   readonly #unframedAnswers: UnframedAnswers;
   readonly #connections: CallerConnections;
-  /** The last answer that each connection waits for or is writing. */
-  readonly #openResponses = new WeakMap<Duplex, ServerResponse>();
-  /** Answers after which their connections are closed. */
-  readonly #lastResponses = new WeakSet<ServerResponse>();
   #handler: RequestListener = (_request, response) => {
     response.setHeader("connection", "close");
     sendFailure(
@@ -69,17 +63,7 @@
     );
     this.#unframedAnswers = new UnframedAnswers(this.#server);
     this.#connections = new CallerConnections(this.#server);
-    this.#server.on("request", ({ socket }, response) => {
-      this.#openResponses.set(socket, response);
-      response.once("close", () => {
-        if (this.#openResponses.get(socket) !== response) return;
-        this.#openResponses.delete(socket);
-      });
-    });
-    this.#server.on(
-      "clientError",
-      (error, socket) => this.#onUnreadableBytes(error, socket),
-    );
+    rejectUnreadableBytes(this.#server, rejectUnreadableRequest);
   }
 
   /** The `host` and `port` that the server listens on. */
@@ -106,22 +90,6 @@
     });
   }
 
-  #onUnreadableBytes(error: Error, socket: Duplex): void {
-    const response = this.#openResponses.get(socket);
-    // A request that was read whole may run. A refusal of later bytes would be taken for its answer.
-    if (socket.writable && response?.req.complete) {
-      return this.#closeAfter(response, socket);
-    }
-    rejectUnreadableRequest(error, socket);
-  }
-
-  #closeAfter(response: ServerResponse, socket: Duplex): void {
-    if (this.#lastResponses.has(response)) return;
-    this.#lastResponses.add(response);
-    if (!response.headersSent) response.setHeader("connection", "close");
-    response.once("finish", () => socket.end());
-  }
-
   /** Closes all connections. */
   async close(): Promise<void> {
     if (!this.#server.listening) return;
--- a/src/gateway/http_listeners.ts
+++ b/src/gateway/http_listeners.ts
@@ -6,6 +6,7 @@
 
 import type { IncomingMessage, Server, ServerResponse } from "node:http";
 import type { Socket } from "node:net";
+import { CallerConnections } from "../adapters/mod.ts";
 import { areHeaders, type Failure, failure } from "../base/mod.ts";
 import {
   type Handlers,
@@ -17,7 +18,6 @@
 import type { GatewayConfig, Route } from "../routing/mod.ts";
 import { identifyCaller, type KnownCaller } from "../workspaces/mod.ts";
 import { Call } from "./call.ts";
-import { CallerConnections } from "./caller_connections.ts";
 import type { CallInput } from "./call_input.ts";
 import { NO_CONFIG_RETRY_MS, refusalBy } from "./config_refusal.ts";
 import type { GatewayContext } from "./context.ts";
--- a/src/gateway/listen.ts
+++ b/src/gateway/listen.ts
@@ -11,7 +11,8 @@
   type ServerOptions,
   type ServerResponse,
 } from "node:http";
-import { UnframedAnswers } from "../adapters/mod.ts";
+import type { Duplex } from "node:stream";
+import { rejectUnreadableBytes, UnframedAnswers } from "../adapters/mod.ts";
 import { codes } from "../base/mod.ts";
 import type { Log } from "../kernel/mod.ts";
 
@@ -44,6 +45,25 @@
   };
 }
 
+/** Statuses of requests that can't be read, by the code of the parser's error. */
+const UNREADABLE_STATUSES: Readonly<Record<string, string>> = {
+  HPE_HEADER_OVERFLOW: "431 Request Header Fields Too Large",
+  HPE_CHUNK_EXTENSIONS_OVERFLOW: "413 Payload Too Large",
+  ERR_HTTP_REQUEST_TIMEOUT: "408 Request Timeout",
+};
+
+/** Answers as Node.js does by itself, and closes the connection. */
+function rejectUnreadableRequest(
+  error: NodeJS.ErrnoException,
+  socket: Duplex,
+): void {
+  const status = UNREADABLE_STATUSES[error.code ?? ""] ?? "400 Bad Request";
+  if (socket.writable) {
+    socket.write(`HTTP/1.1 ${status}\r\nConnection: close\r\n\r\n`);
+  }
+  socket.destroy();
+}
+
 /** Answers a request that nothing else will answer. */
 function failInternally(response: ServerResponse): void {
   if (response.headersSent) return void response.destroy();
@@ -66,6 +86,7 @@
     guard(onRequest, log),
   );
   unframedAnswers.set(server, new UnframedAnswers(server));
+  rejectUnreadableBytes(server, rejectUnreadableRequest);
   const { host, port } = splitAddress(address);
   await new Promise<void>((resolve, reject) => {
     server.once("error", reject);
