--- a/src/gateway/call_origin.ts
+++ b/src/gateway/call_origin.ts
@@ -52,13 +52,18 @@
     return this.#isTracked && Boolean(this.#input.head.resumesAfter);
   }
 
-  /** Waits until VMs that start later know of the version at which a stream is about to begin. */
-  async waitUntilRecorded(version: string): Promise<void> {
+  /** Waits until VMs that start later know of the versions at which a stream is about to begin. */
+  async waitUntilRecorded(): Promise<void> {
     const { route, head } = this.#input;
     if (route.kind !== "stream" || !route.resumable) return;
     if (head.resumesAfter) return;
-    const { origins } = this.#context;
-    await origins.waitUntilRecorded(this.#service.name, version, route);
+    const { origins, upstreams } = this.#context;
+    const { name } = this.#service;
+    await Promise.all(
+      [...upstreams.fleet.versionsOf(name)].map((version) =>
+        origins.waitUntilRecorded(name, version, route)
+      ),
+    );
   }
 
   /** The VM that the caller is connected to tracks the streams that it may take up again. */
--- a/src/gateway/call_placement.ts
+++ b/src/gateway/call_placement.ts
@@ -169,12 +169,10 @@
     }
     this.#request = { ...this.#request, isSuspect: this.isSuspect };
     this.#avoidRestarted();
+    // Not once it is placed: requests that wait there count at no upstream, and all would get the same one.
+    await this.origin.waitUntilRecorded();
     const placed = await this.#placeOrQueue();
-    const { step } = placed;
-    if (step.type === "send") {
-      await this.origin.waitUntilRecorded(step.candidate.upstream.version);
-    }
-    this.#noteVersionGone(step);
+    this.#noteVersionGone(placed.step);
     const { quota: use } = this.#request;
     if (placed.countedBy && use) {
       this.#record.noteQuota(use, placed.countedBy);
