--- a/src/gateway/reply.ts
+++ b/src/gateway/reply.ts
@@ -5,7 +5,7 @@
  */
 
 import type { IncomingHttpHeaders, ServerResponse } from "node:http";
-import { type CodeName, codes, type Failure } from "../base/mod.ts";
+import { type CodeName, codes, type Failure, isNumber } from "../base/mod.ts";
 import { encodeFailure } from "../platform/mod.ts";
 
 const CR = 0x0d;
@@ -114,6 +114,11 @@
     this.response.chunkedEncoding = false;
   }
 
+  /** Forgets the head of an answer in whose place another one is sent; bytes that still come of it are dropped by Node. */
+  protected dropHead(): void {
+    this.#pendingHead = undefined;
+  }
+
   /** Sends bytes; `false` means that the other side reads too slowly: wait for {@link Reply.onDrain}. */
   write(chunk: Buffer): boolean {
     this.#sendHead();
@@ -184,6 +189,7 @@
 /** A reply to a caller. */
 export class CallerReply extends Reply {
   fail(failure: Failure, comeBackMs: number): void {
+    this.dropHead();
     const { status, headers, body } = encodeFailure(failure, comeBackMs);
     // A caller that stopped in the middle of its body would hold its connection and its place among open requests
     // forever.
@@ -273,6 +279,7 @@
       crashedUpstream: undefined,
     },
   ): void {
+    this.dropHead();
     this.response.writeHead(codes[failure.code].httpStatus, [
       RELAY_HEADERS.code,
       failure.code,
@@ -303,13 +310,19 @@
   readonly crashedUpstream: string | undefined;
 }
 
+/** Decodes a number that is not negative; 0 if it is none. */
+function decodeCount(text: unknown): number {
+  const count = Number(text);
+  return isNumber(count) && count > 0 ? count : 0;
+}
+
 /** Decodes a failure that another VM answered with; `undefined` if it forwarded an upstream's answer. */
 export function decodePeerFailure(
   headers: Readonly<Record<string, string | string[] | undefined>>,
 ): PeerFailure | undefined {
   const code = headers[RELAY_HEADERS.code];
   if (typeof code !== "string") return undefined;
-  const codeName = code in codes ? code as CodeName : "internal";
+  const codeName = Object.hasOwn(codes, code) ? code as CodeName : "internal";
   const ran = headers[RELAY_HEADERS.ran];
   const crashed = headers[RELAY_HEADERS.endedUpstream];
   return {
@@ -318,8 +331,8 @@
       ran: ran === "no" || ran === "yes" ? ran : "unknown",
       message: codes[codeName].text,
     },
-    comeBackMs: Number(headers[RELAY_HEADERS.comeBackMs]) || 0,
-    arrivals: Number(headers[RELAY_HEADERS.arrivals]) || 0,
+    comeBackMs: decodeCount(headers[RELAY_HEADERS.comeBackMs]),
+    arrivals: decodeCount(headers[RELAY_HEADERS.arrivals]),
     crashedUpstream: typeof crashed === "string" ? crashed : undefined,
   };
 }
--- a/test/gateway_stop_test.ts
+++ b/test/gateway_stop_test.ts
@@ -38,6 +38,8 @@
   }),
 ];
 const GRACE_MS = 3_000;
+/** How long a request may wait for a VM's first configuration. */
+const CONFIG_WAIT_MS = 250;
 /** Before the end of a stop by so much that a plain call is still accepted. */
 const EARLY_MS = 200;
 
@@ -77,9 +79,10 @@
   { lab, vm }: StopLab,
   stopped: LabVm,
   path: string,
+  behavior: "silent" | "headOnly" = "silent",
 ): Promise<CallerAnswer> {
   const [runner] = lab.runners;
-  runner.behavior = "silent";
+  runner.behavior = behavior;
   const before = runner.arrivals.length;
   const answer = lab.call(vm, longCall(path));
   await waitUntil(() => runner.arrivals.length > before);
@@ -126,6 +129,20 @@
     });
   }
 
+  // The caller has no byte of the answer then, although its upstream has begun one.
+  it("is told that it may have run: a stream of which only the head came", async (t) => {
+    const stop = await openSilent(t);
+    const answer = await callAndStop(
+      stop,
+      stop.vm,
+      "/streamlong/",
+      "headOnly",
+    );
+    t.is(answer.status, 502);
+    t.is(errorOf(answer).ran, "unknown");
+    t.true(answer.isComplete);
+  });
+
   it("is told that it may have run: a request relayed by the VM that stops", async (t) => {
     const stop = await openSilentElsewhere(t);
     const answer = await callAndStop(stop, stop.vm, "/longsouth/");
@@ -187,6 +204,18 @@
     await drained;
   });
 
+  it("is refused at once, and not run, by a VM that waits for its first configuration", async (t) => {
+    const lab = new GatewayLab();
+    t.teardown(() => lab.close());
+    const vm = await lab.addVm("north", { graceMs: GRACE_MS });
+    const drained = vm.gateway.drain();
+    const sentMs = performance.now();
+    const answer = await lab.call(vm, longCall("/longonce/"));
+    t.is(answer.status, 503);
+    t.true(performance.now() - sentMs < CONFIG_WAIT_MS);
+    await drained;
+  });
+
   it("is served if its service answers as usual", async (t) => {
     const { lab, vm } = await openSilent(t);
     const drained = vm.gateway.drain();
