Drain: pipelined requests are all answered, and canceled when their caller resets

Callers that send a request before the one ahead of it is answered saw the first answer, with `Connection: close`, and none to the second, though it had been read and passed on (LOST). With both open when the time of a stop is over, only the first one was told that it may have run.

Cause: a VM that stops marked each answer as the last of its connection, and Node.js closes the connection after the first one so marked. Besides, it emits no `close` on a response that still waits for the one before it: when a caller reset its connection, its second request ran on (GONE).

Now only the answer to the newest request of a connection is marked, and a reply follows its connection's `close` too.

--- a/src/gateway/reply.ts
+++ b/src/gateway/reply.ts
@@ -7,6 +7,7 @@
 import type { IncomingHttpHeaders, ServerResponse } from "node:http";
 import { type CodeName, codes, type Failure, isNumber } from "../base/mod.ts";
 import { encodeFailure } from "../platform/mod.ts";
+import { isLastAnswer, noteAnswer } from "./pipelined_answers.ts";
 
 const CR = 0x0d;
 const LF = 0x0a;
@@ -32,18 +33,21 @@
   /** Whether that upstream is still asked if it is the process that its entry describes, as the version holds only then. */
   isProcessOpen = false;
 
-  /** Once `isDraining` returns true, the connection is closed after the answer. */
+  /** Once `isDraining` returns true, the connection is closed after the last answer that is due on it. */
   constructor(response: ServerResponse, isDraining: () => boolean) {
     this.response = response;
     this.#isDraining = isDraining;
     response.sendDate = false;
+    noteAnswer(response);
     const { socket } = response.req;
     // Node emits `close` on the response only when this side is closed too, some turns of a busy event loop after the
     // socket's `end`.
     const onEnd = () => this.#noteDisconnect();
     socket.once("end", onEnd);
+    // Node emits nothing on a response that still waits for the one before it.
+    socket.once("close", onEnd);
     response.on("close", () => {
-      socket.off("end", onEnd);
+      socket.off("end", onEnd).off("close", onEnd);
       this.#noteDisconnect();
     });
     response.on("error", () => {});
@@ -153,9 +157,9 @@
     details?: FailureDetails,
   ): void;
 
-  /** Whether the connection is closed after this answer. */
+  /** Whether the connection is closed after this answer; a pipelined request that was read has to be answered too. */
   protected get closesConnection(): boolean {
-    return this.#isDraining();
+    return this.#isDraining() && isLastAnswer(this.response);
   }
 }
 
--- /dev/null
+++ b/test/gateway_stop_review_test.ts
@@ -0,0 +1,133 @@
+import { connect } from "node:net";
+import type { ExecutionContext } from "ava";
+import { describe, it } from "../src/base/describe.ts";
+import { makeRoute, ROUTE_HOST } from "../src/standins/mod.ts";
+import { GatewayLab, type LabVm, waitUntil } from "./gateway_lab.ts";
+
+/** Longer than the whole stop. */
+const LONG_MS = 20_000;
+const GRACE_MS = 3_000;
+const ROUTES = [
+  makeRoute(),
+  makeRoute({
+    path_prefix: "/longonce/",
+    kind: "unsafe",
+    timeout_ms: LONG_MS,
+    max_attempts: 2,
+  }),
+];
+
+async function openStop(
+  t: ExecutionContext,
+): Promise<{ readonly lab: GatewayLab; readonly vm: LabVm }> {
+  const lab = new GatewayLab();
+  t.teardown(() => lab.close());
+  lab.configure(ROUTES);
+  await lab.addRunner();
+  const vm = await lab.addVm("north", { graceMs: GRACE_MS });
+  await lab.waitUntilReady(vm);
+  return { lab, vm };
+}
+
+let requestCount = 0;
+
+function requestText(path: string, version = "1.1", method = "POST"): string {
+  const id = (0xabc000 + requestCount++).toString(16);
+  return `${method} ${path} HTTP/${version}\r\nhost: ${ROUTE_HOST}\r\n` +
+    `attempt-id: ${id}\r\ndeadline-ms: ${LONG_MS}\r\ncontent-length: 0\r\n\r\n`;
+}
+
+interface RawCaller {
+  text: string;
+  readonly closed: Promise<void>;
+  write(text: string): void;
+  reset(): void;
+}
+
+/** Opens a caller's connection and collects what arrives on it. */
+function openCaller(t: ExecutionContext, vm: LabVm): RawCaller {
+  const [host, port] = vm.settings.listen.callers.split(":");
+  const socket = connect(Number(port), host);
+  t.teardown(() => void socket.destroy());
+  const caller: RawCaller = {
+    text: "",
+    closed: new Promise((resolve) => socket.on("close", () => resolve())),
+    write: (text) => void socket.write(text),
+    reset: () => void socket.resetAndDestroy(),
+  };
+  socket.on("data", (chunk) => caller.text += chunk.toString());
+  socket.on("error", () => {});
+  return caller;
+}
+
+function statusesOf({ text }: RawCaller): string[] {
+  return [...text.matchAll(/HTTP\/1\.1 (\d+)/g)].map(([, status]) => status);
+}
+
+/** Guards against pipelined requests that are passed on, and closed off by the answer to the one before. */
+describe("gateway, pipelined requests over a planned stop", () => {
+  it("are both answered if both are open as the stop comes", async (t) => {
+    const { lab, vm } = await openStop(t);
+    const [runner] = lab.runners;
+    runner.answerDelayMs = 500;
+    const caller = openCaller(t, vm);
+    caller.write(requestText("/longonce/a") + requestText("/longonce/b"));
+    await waitUntil(() => runner.arrivals.length === 2);
+    const drained = vm.gateway.drain();
+    await caller.closed;
+    t.deepEqual(statusesOf(caller), ["200", "200"]);
+    await drained;
+  });
+
+  it("are both told that they may have run if both are open when it is over", async (t) => {
+    const { lab, vm } = await openStop(t);
+    const [runner] = lab.runners;
+    runner.behavior = "silent";
+    const caller = openCaller(t, vm);
+    caller.write(requestText("/longonce/a") + requestText("/longonce/b"));
+    await waitUntil(() => runner.arrivals.length === 2);
+    await vm.gateway.drain();
+    await caller.closed;
+    t.deepEqual(statusesOf(caller), ["502", "502"]);
+  });
+});
+
+/** Guards against upstreams that work on for pipelined requests whose caller has left. */
+describe("gateway, a pipelined request behind one that is open", () => {
+  it("is canceled when its caller resets the connection", async (t) => {
+    const { lab, vm } = await openStop(t);
+    const [runner] = lab.runners;
+    runner.behavior = "silent";
+    const caller = openCaller(t, vm);
+    caller.write(requestText("/longonce/a") + requestText("/longonce/b"));
+    await waitUntil(() => runner.arrivals.length === 2);
+    caller.reset();
+    await waitUntil(() =>
+      vm.log.lines.filter(({ fields }) => fields.outcome === "canceled")
+        .length === 2
+    );
+    t.pass();
+  });
+});
+
+describe("gateway, other callers when a planned stop is over", () => {
+  for (
+    const [name, version, method] of [["HTTP/1.0", "1.0", "POST"], [
+      "HEAD",
+      "1.1",
+      "HEAD",
+    ]]
+  ) {
+    it(`are answered: ${name}`, async (t) => {
+      const { lab, vm } = await openStop(t);
+      const [runner] = lab.runners;
+      runner.behavior = "silent";
+      const caller = openCaller(t, vm);
+      caller.write(requestText("/longonce/a", version, method));
+      await waitUntil(() => runner.arrivals.length === 1);
+      await vm.gateway.drain();
+      await caller.closed;
+      t.deepEqual(statusesOf(caller), ["502"]);
+    });
+  }
+});
