Drain: streams without a number of tokens are accepted by how long such streams take

How long a stream may take was estimated by its number of tokens; without one it counted as over 2.5 s after it began, and nothing was learnt from the streams before it.

Now durations of streams without a number of tokens are learnt by route, as those of calls are, and decide beside the fixed estimate once the early part of the stop is over. Streams that say their number of tokens are judged as before.

--- a/src/gateway/call_record.ts
+++ b/src/gateway/call_record.ts
@@ -248,13 +248,16 @@
     comeBackMs: number | undefined,
   ): void {
     const { log, metrics, clock } = this.#context;
-    const { route, relayed } = this.#input;
+    const { route, relayed, head } = this.#input;
     const totalMs = clock.monoMs() - this.#arrivedMonoMs;
     const labels =
       `service="${this.#service}",kind="${route.kind}",relayed="${relayed}"`;
     metrics.count("requests", `${labels},outcome="${outcome}"`);
     metrics.recordTime("total", labels, totalMs);
-    if (route.kind !== "stream") this.#noteDuration(outcome, totalMs);
+    // The number of tokens tells more of a stream's length than other streams do.
+    if (route.kind !== "stream" || head.outputTokens === 0) {
+      this.#noteDuration(outcome, totalMs);
+    }
     const fields = this.#logFields({
       outcome,
       reason,
--- a/src/routing/drain.ts
+++ b/src/routing/drain.ts
@@ -40,7 +40,7 @@
   readonly outputTokens: number;
   /** After this time its caller gets an answer in any case. */
   readonly maxMs: number;
-  /** Time within which nearly all calls of its route end; 0 if that is not known. */
+  /** Time within which nearly all calls of its route end, or streams without a number of tokens; 0 if not known. */
   readonly usualMs: number;
   /** Whether an upstream of its service answers as usual, as far as known. */
   readonly isUsual: boolean;
@@ -62,8 +62,9 @@
     return leftMs > Math.max(PLAIN_CALL_MS, usualMs);
   }
   const isEarly = sinceMs < EARLY_DRAIN_MS;
-  const neededMs = isEarly
-    ? USUAL_FIRST_EVENT_MS + outputTokens * USUAL_TOKEN_MS
-    : PEAK_FIRST_EVENT_MS + outputTokens * PEAK_TOKEN_MS;
-  return leftMs > neededMs;
+  if (isEarly) {
+    return leftMs > USUAL_FIRST_EVENT_MS + outputTokens * USUAL_TOKEN_MS;
+  }
+  const peakMs = PEAK_FIRST_EVENT_MS + outputTokens * PEAK_TOKEN_MS;
+  return leftMs > (outputTokens > 0 ? peakMs : Math.max(peakMs, usualMs));
 }
--- a/test/gateway_stop_review_test.ts
+++ b/test/gateway_stop_review_test.ts
@@ -2,11 +2,18 @@
 import type { ExecutionContext } from "ava";
 import { describe, it } from "../src/base/describe.ts";
 import { makeRoute, ROUTE_HOST } from "../src/standins/mod.ts";
+import { sleep } from "./cluster.ts";
 import { GatewayLab, type LabVm, waitUntil } from "./gateway_lab.ts";
 
 /** Longer than the whole stop. */
 const LONG_MS = 20_000;
 const GRACE_MS = 3_000;
+/** So long that streams arrive when estimates of unusually long ones decide, and end before the time is over. */
+const LONG_GRACE_MS = 9_000;
+/** After the signal by so much that a cut is no longer excused by the upstream's work. */
+const LATE_MS = 3_200;
+/** So many that their durations are known well. */
+const LEARNT_CALLS = 6;
 const ROUTES = [
   makeRoute(),
   makeRoute({
@@ -15,16 +22,23 @@
     timeout_ms: LONG_MS,
     max_attempts: 2,
   }),
+  makeRoute({
+    path_prefix: "/streamlong/",
+    kind: "streaming",
+    resumable: true,
+    timeout_ms: LONG_MS,
+  }),
 ];
 
 async function openStop(
   t: ExecutionContext,
+  graceMs = GRACE_MS,
 ): Promise<{ readonly lab: GatewayLab; readonly vm: LabVm }> {
   const lab = new GatewayLab();
   t.teardown(() => lab.close());
   lab.configure(ROUTES);
   await lab.addRunner();
-  const vm = await lab.addVm("north", { graceMs: GRACE_MS });
+  const vm = await lab.addVm("north", { graceMs });
   await lab.waitUntilReady(vm);
   return { lab, vm };
 }
@@ -131,3 +145,29 @@
     });
   }
 });
+
+/** Guards against streams that are accepted though such ones never end in the time that is left. */
+describe("gateway, a stream without a number of tokens that arrives late in a planned stop", () => {
+  for (const [length, events] of [["longer", 60], ["shorter", 20]] as const) {
+    it(`is not broken off if the streams of its route usually take ${length}`, async (t) => {
+      const { lab, vm } = await openStop(t, LONG_GRACE_MS);
+      const [runner] = lab.runners;
+      runner.streamEvents = events;
+      runner.eventGapMs = 100;
+      const headers = { "deadline-ms": String(LONG_MS) };
+      const call = () =>
+        lab.call(vm, { path: "/streamlong/", method: "POST", headers });
+      const usual = Array.from({ length: LEARNT_CALLS }, call);
+      for (const answer of usual) t.true((await answer).isComplete);
+      const drained = vm.gateway.drain();
+      // Callers stay until then.
+      const early = call();
+      await sleep(LATE_MS);
+      const late = await call();
+      t.true((await early).isComplete);
+      t.true(late.isComplete);
+      t.is(late.status, length === "longer" ? 503 : 200);
+      await drained;
+    });
+  }
+});
