--- a/src/gateway/drain.ts
+++ b/src/gateway/drain.ts
@@ -13,10 +13,10 @@
 const MIN_DRAIN_MS = 4_000;
 /** Time reserved before the kill for sending the last answers and closing the services, also when timers fire late. */
 const CLOSE_RESERVE_MS = 700;
-/** How long before the end requests leave upstreams that have not answered: enough for a usual answer of another one. */
-const LAST_RETRY_MS = 1_500;
 /** How much of that reserve may pass until the connections have taken the last answers. */
 const MAX_FLUSH_MS = 300;
+/** How long before the end requests leave upstreams that have not answered: enough for a usual answer of another one. */
+const LAST_RETRY_MS = 1_500;
 const CHECK_INTERVAL_MS = 50;
 const FLUSH_CHECK_INTERVAL_MS = 10;
 
@@ -80,7 +80,7 @@
 async function serveUntilEnd(
   { clock, openCalls, endMonoMs }: DrainContext,
   listeners: DrainListeners,
-  leastEndMonoMs: number,
+  minEndMonoMs: number,
 ): Promise<void> {
   let hasRetried = false;
   for (;;) {
@@ -91,7 +91,7 @@
       hasRetried = true;
       for (const call of openCalls) call.leaveSilentUpstream();
     }
-    if (nowMs < leastEndMonoMs) continue;
+    if (nowMs < minEndMonoMs) continue;
     listeners.closeIdleConnections();
     if (listeners.openAnswers === 0) return;
   }
--- a/src/gateway/entry_refresh.ts
+++ b/src/gateway/entry_refresh.ts
@@ -1,5 +1,6 @@
 /**
- * Brings this VM's copy of the upstreams' entries and of the configuration up to date for streams that can't wait for the next poll.
+ * Brings this VM's copy of the upstreams' entries and of the configuration up to date for streams that can't wait for
+ * the next poll.
  *
  * @module
  */
@@ -8,9 +9,10 @@
 
 /** Least time between two calls. */
 const MIN_INTERVAL_MS = 50;
-/** Share of the reads that the store allows to all VMs together. A refresh makes two. */
+/** Share of the reads that the store allows to all VMs together. */
 const READ_SHARE = 0.4;
-const READS = 2;
+/** Reads of one refresh. */
+const READS_PER_REFRESH = 2;
 
 /** Options of {@link EntryRefresh}. */
 export interface EntryRefreshOptions {
@@ -44,7 +46,8 @@
 
   get #intervalMs(): number {
     const { sharerCount, readsPerS } = this.#options;
-    const fairMs = 1_000 * READS * sharerCount() / (READ_SHARE * readsPerS);
+    const fairMs = 1_000 * READS_PER_REFRESH * sharerCount() /
+      (READ_SHARE * readsPerS);
     return Math.max(MIN_INTERVAL_MS, fairMs);
   }
 
