Drain: a request that has waited until it can't finish is refused, not sent

What callers saw: an at-most-once request that waited for a place was sent 0.6 s before a planned stop was over, and cut: 502, may have run. Its caller could have been told that it had not run and gone to another VM.

Cause: whether a request can finish was asked when it arrived, and not again when it found a place. The same holds for one that upstreams have refused until then.

Now a request that hasn't run is asked about again at each step, by the rule for requests that arrive; one that can't finish any more is refused as draining, also while it still waits. A request that may have run goes on as before.

Evidence: gateway_stop_review_test, "finds a place only when": red (502, one arrival) in 2 of 2 runs without the change, green in 3 of 3 with it.

--- a/src/gateway/call.ts
+++ b/src/gateway/call.ts
@@ -23,6 +23,7 @@
 import { refusalBy } from "./config_refusal.ts";
 import type { GatewayContext, OpenCall } from "./context.ts";
 import { discardBody } from "./discard.ts";
+import { canFinishHere } from "./drain_admission.ts";
 import { waitForNextPoll } from "./next_poll.ts";
 import { Pause } from "./pause.ts";
 import type { Reply } from "./reply.ts";
@@ -165,7 +166,7 @@
         this.#placement.refundQuota();
       }
       if (send) await this.#runSend(send);
-      else if (step.type === "wait" && mayStart) {
+      else if (step.type === "wait" && mayStart && !this.#isOver) {
         await this.#pause.wait(this.#context.clock, step.untilMs);
       }
     }
@@ -178,12 +179,21 @@
 
   /** Executes a step; returns the send that it started, if any. */
   #startStep(step: Step<LinkedCandidate>): Send | undefined {
-    if (step.type === "wait") return undefined;
-    if (step.type !== "refuse") return this.#sends.open(step, this.#state());
-    this.#refuse(step);
+    if (step.type === "refuse") this.#refuse(step);
+    else if (this.#isTooLate) {
+      this.#fail(failure("draining"), STOPPED_RETRY_MS);
+    } else if (step.type !== "wait") {
+      return this.#sends.open(step, this.#state());
+    }
     return undefined;
   }
 
+  /** Whether a request that has not run waited until it can't finish before this VM's planned stop is over. */
+  get #isTooLate(): boolean {
+    return !this.#evidence.mayHaveRun &&
+      !canFinishHere(this.#context, this.#input);
+  }
+
   /** Continues a stream that was stopped in order to move, at its new engine. */
   async #continueMoved({ candidate, goesOnFrom }: MoveResult): Promise<void> {
     this.#moveResult = undefined;
--- a/test/gateway_stop_review_test.ts
+++ b/test/gateway_stop_review_test.ts
@@ -12,6 +12,8 @@
 const LONG_GRACE_MS = 9_000;
 /** After the signal by so much that a cut is no longer excused by the upstream's work. */
 const LATE_MS = 3_200;
+/** After the signal, shortly before what is still open is answered. */
+const NEAR_END_MS = 1_700;
 /** So many that their durations are known well. */
 const LEARNT_CALLS = 6;
 const ROUTES = [
@@ -21,6 +23,7 @@
     kind: "unsafe",
     timeout_ms: LONG_MS,
     max_attempts: 2,
+    slo_ms: LONG_MS,
   }),
   makeRoute({
     path_prefix: "/streamlong/",
@@ -171,3 +174,29 @@
     });
   }
 });
+
+/** Guards against an at-most-once request that is sent when it can't be answered any more. */
+describe("gateway, a request that finds a place only when a planned stop is nearly over", () => {
+  it("is refused before that, and not run", async (t) => {
+    const { lab, vm } = await openStop(t);
+    const [runner] = lab.runners;
+    lab.store.remove(`servers/${runner.id}`);
+    const isKnown = () =>
+      (vm.gateway.dump().beliefs as { fleet: { upstreams: unknown[] } })
+        .fleet.upstreams.length > 0;
+    await waitUntil(() => !isKnown());
+    const headers = { "deadline-ms": String(LONG_MS) };
+    const answer = lab.call(vm, {
+      path: "/longonce/",
+      method: "POST",
+      headers,
+    });
+    const drained = vm.gateway.drain();
+    await sleep(NEAR_END_MS);
+    runner.behavior = "silent";
+    lab.register(runner);
+    t.is((await answer).status, 503);
+    await drained;
+    t.is(runner.arrivals.length, 0);
+  });
+});
