--- a/src/gateway/listen.ts
+++ b/src/gateway/listen.ts
@@ -14,7 +14,6 @@
 import { UnframedAnswers } from "../adapters/mod.ts";
 import { codes } from "../base/mod.ts";
 import type { Log } from "../kernel/mod.ts";
-import { ClientErrors } from "./client_errors.ts";
 
 const INTERNAL_ERROR_STATUS = codes.internal.httpStatus;
 
@@ -67,7 +66,6 @@
     guard(onRequest, log),
   );
   unframedAnswers.set(server, new UnframedAnswers(server));
-  new ClientErrors(server);
   const { host, port } = splitAddress(address);
   await new Promise<void>((resolve, reject) => {
     server.once("error", reject);
