--- a/src/edge/listener.ts
+++ b/src/edge/listener.ts
@@ -8,9 +8,12 @@
 import { createServer, type RequestListener, type Server } from "node:http";
 import type { AddressInfo } from "node:net";
 import type { Duplex } from "node:stream";
-import { UnframedAnswers } from "../adapters/mod.ts";
+import {
+  CallerConnections,
+  rejectUnreadableBytes,
+  UnframedAnswers,
+} from "../adapters/mod.ts";
 import { areHeaders, failure } from "../base/mod.ts";
-import { CallerConnections } from "../gateway/caller_connections.ts";
 import { sendFailure } from "./answer.ts";
 
 /** Time within which the headers must arrive completely; Node closes the connection otherwise. */
@@ -60,7 +63,7 @@
     );
     this.#unframedAnswers = new UnframedAnswers(this.#server);
     this.#connections = new CallerConnections(this.#server);
-    this.#server.on("clientError", rejectUnreadableRequest);
+    rejectUnreadableBytes(this.#server, rejectUnreadableRequest);
   }
 
   /** The `host` and `port` that the server listens on. */
