Drain: a request behind an answer that ends its connection isn't passed on

What callers saw: a caller that sent its next request while a stream of the VM that stops was being written, with Connection: close in its head, got no answer to that request, which had been read and passed on (LOST).

Cause: Node.js reads on and hands over such a request, and closes the connection after the answer before it.

Now such a request is dropped and not run, as RFC 9112 (9.6) asks of a server.

--- a/src/gateway/http_listeners.ts
+++ b/src/gateway/http_listeners.ts
@@ -23,6 +23,7 @@
 import type { GatewayContext } from "./context.ts";
 import { canFinishHere } from "./drain_admission.ts";
 import { closeServer, listen } from "./listen.ts";
+import { isAfterLastAnswer } from "./pipelined_answers.ts";
 import { decodeRelayTarget, isRelayed } from "./relay_target.ts";
 import {
   CallerReply,
@@ -152,6 +153,7 @@
   }
 
   #onCallerRequest(request: IncomingMessage, response: ServerResponse): void {
+    if (isAfterLastAnswer(request)) return void request.resume();
     const { clock, storeView } = this.#context;
     const arrivedMs = clock.monoMs();
     // A VM that stops would end before a first configuration comes, and cut off what waits for it.
--- a/src/gateway/pipelined_answers.ts
+++ b/src/gateway/pipelined_answers.ts
@@ -4,9 +4,14 @@
  * @module
  */
 
-import type { ServerResponse } from "node:http";
+import type { IncomingMessage, ServerResponse } from "node:http";
 import type { Socket } from "node:net";
 
+interface EndingAnswer {
+  /** Set by Node once the head that ends the connection is written. */
+  readonly _last?: boolean;
+}
+
 /** The answer to the newest request of each connection. */
 const lastAnswers = new WeakMap<Socket, ServerResponse>();
 
@@ -19,3 +24,9 @@
 export function isLastAnswer(response: ServerResponse): boolean {
   return lastAnswers.get(response.req.socket) === response;
 }
+
+/** Whether the answer before a request has said that it ends the connection, so that the request can't be answered. */
+export function isAfterLastAnswer({ socket }: IncomingMessage): boolean {
+  const before = lastAnswers.get(socket);
+  return (before as EndingAnswer | undefined)?._last === true;
+}
--- a/test/gateway_stop_review_test.ts
+++ b/test/gateway_stop_review_test.ts
@@ -109,6 +109,24 @@
   });
 });
 
+/** Guards against requests that are passed on though the answer before them ends the connection. */
+describe("gateway, a request on a connection whose last answer has begun", () => {
+  it("is not passed on", async (t) => {
+    const { lab, vm } = await openStop(t);
+    const [runner] = lab.runners;
+    runner.eventGapMs = 100;
+    const drained = vm.gateway.drain();
+    const caller = openCaller(t, vm);
+    caller.write(requestText("/streamlong/a"));
+    await waitUntil(() => caller.text.includes("data:"));
+    t.regex(caller.text, /connection: close/i);
+    caller.write(requestText("/longonce/b"));
+    await caller.closed;
+    t.deepEqual(runner.arrivals.map(({ target }) => target), ["/streamlong/a"]);
+    await drained;
+  });
+});
+
 /** Guards against upstreams that work on for pipelined requests whose caller has left. */
 describe("gateway, a pipelined request behind one that is open", () => {
   it("is canceled when its caller resets the connection", async (t) => {
