Own interface: pipelined requests are all answered when a planned stop is over

What callers saw: of two pipelined at-most-once requests that were open when the time of a stop was over, only the first one was told that it may have run; the second one's connection closed without an answer, as at the gateway (LOST). Any failure of the first one did that, also without a stop.

Cause: a failure marks its answer as the last of its connection, whatever was read behind it.

Now it does so only if no request has been read behind it. The order of answers moves to src/adapters, as both interfaces use it.

That a failure without a stop does the same was read, not run.

--- a/src/adapters/mod.ts
+++ b/src/adapters/mod.ts
@@ -19,5 +19,6 @@
 export * from "./read_text.ts";
 export * from "./suspect_store.ts";
 export * from "./caller_connections.ts";
+export * from "./pipelined_answers.ts";
 export * from "./unframed_answers.ts";
 export * from "./unreadable_bytes.ts";
--- a/src/edge/call_handler.ts
+++ b/src/edge/call_handler.ts
@@ -5,10 +5,11 @@
  */
 
 import type { Result } from "neverthrow";
-import type {
-  UpstreamAnswer,
-  UpstreamCall,
-  UpstreamError,
+import {
+  isLastAnswer,
+  type UpstreamAnswer,
+  type UpstreamCall,
+  type UpstreamError,
 } from "../adapters/mod.ts";
 import { codes, type Failure, failure, type Ran } from "../base/mod.ts";
 import { hasEnded, sendFailure, setVmHeaders } from "./answer.ts";
@@ -83,7 +84,7 @@
       // An upstream's headers may be set already; they would misdescribe this answer.
       for (const name of response.getHeaderNames()) response.removeHeader(name);
       setVmHeaders(response, this.context.vm);
-      response.setHeader("connection", "close");
+      if (isLastAnswer(response)) response.setHeader("connection", "close");
       sendFailure(response, error, nowMs);
     }
     this.stats.fail(error);
--- a/src/edge/edge.ts
+++ b/src/edge/edge.ts
@@ -9,7 +9,7 @@
 import Router from "@koa/router";
 import Koa from "koa";
 import { codes, type Failure, failure, secretMatches } from "../base/mod.ts";
-import { HttpUpstreamClient } from "../adapters/mod.ts";
+import { HttpUpstreamClient, isLastAnswer } from "../adapters/mod.ts";
 import { type Kernel, Task } from "../kernel/mod.ts";
 import type { VmInfo } from "../services/mod.ts";
 import { hasEnded, sendFailure, setVmHeaders } from "./answer.ts";
@@ -356,7 +356,9 @@
   }
 
   #refuse(response: ServerResponse, refusal: Failure): undefined {
-    if (!response.headersSent) response.setHeader("connection", "close");
+    if (!response.headersSent && isLastAnswer(response)) {
+      response.setHeader("connection", "close");
+    }
     sendFailure(response, refusal, this.#context.clock.nowMs());
     return undefined;
   }
--- a/src/edge/listener.ts
+++ b/src/edge/listener.ts
@@ -10,6 +10,7 @@
 import type { Duplex } from "node:stream";
 import {
   CallerConnections,
+  noteAnswer,
   rejectUnreadableBytes,
   UnframedAnswers,
 } from "../adapters/mod.ts";
@@ -64,6 +65,10 @@
     this.#unframedAnswers = new UnframedAnswers(this.#server);
     this.#connections = new CallerConnections(this.#server);
     rejectUnreadableBytes(this.#server, rejectUnreadableRequest);
+    this.#server.prependListener(
+      "request",
+      (_request, response) => noteAnswer(response),
+    );
   }
 
   /** The `host` and `port` that the server listens on. */
--- a/src/gateway/http_listeners.ts
+++ b/src/gateway/http_listeners.ts
@@ -6,7 +6,7 @@
 
 import type { IncomingMessage, Server, ServerResponse } from "node:http";
 import type { Socket } from "node:net";
-import { CallerConnections } from "../adapters/mod.ts";
+import { CallerConnections, isAfterLastAnswer } from "../adapters/mod.ts";
 import { areHeaders, type Failure, failure } from "../base/mod.ts";
 import {
   type Handlers,
@@ -23,7 +23,6 @@
 import type { GatewayContext } from "./context.ts";
 import { canFinishHere } from "./drain_admission.ts";
 import { closeServer, listen } from "./listen.ts";
-import { isAfterLastAnswer } from "./pipelined_answers.ts";
 import { decodeRelayTarget, isRelayed } from "./relay_target.ts";
 import {
   CallerReply,
--- a/src/gateway/reply.ts
+++ b/src/gateway/reply.ts
@@ -5,9 +5,9 @@
  */
 
 import type { IncomingHttpHeaders, ServerResponse } from "node:http";
+import { isLastAnswer, noteAnswer } from "../adapters/mod.ts";
 import { type CodeName, codes, type Failure, isNumber } from "../base/mod.ts";
 import { encodeFailure } from "../platform/mod.ts";
-import { isLastAnswer, noteAnswer } from "./pipelined_answers.ts";
 
 const CR = 0x0d;
 const LF = 0x0a;
