--- a/src/edge/listener.ts
+++ b/src/edge/listener.ts
@@ -10,6 +10,7 @@
 import {
   CallerConnections,
   ClientErrors,
+  noteAnswer,
   UnframedAnswers,
 } from "../adapters/mod.ts";
 import { areHeaders, failure } from "../base/mod.ts";
@@ -63,6 +64,10 @@
     this.#unframedAnswers = new UnframedAnswers(this.#server);
     this.#connections = new CallerConnections(this.#server);
     new ClientErrors(this.#server, formatRefusal);
+    this.#server.prependListener(
+      "request",
+      (_request, response) => noteAnswer(response),
+    );
   }
 
   /** The `host` and `port` that the server listens on. */
--- a/src/gateway/http_listeners.ts
+++ b/src/gateway/http_listeners.ts
@@ -6,7 +6,7 @@
 
 import type { IncomingMessage, Server, ServerResponse } from "node:http";
 import type { Socket } from "node:net";
-import { CallerConnections } from "../adapters/mod.ts";
+import { CallerConnections, isAfterLastAnswer } from "../adapters/mod.ts";
 import { areHeaders, type Failure, failure } from "../base/mod.ts";
 import {
   type Handlers,
@@ -152,6 +152,7 @@
   }
 
   #onCallerRequest(request: IncomingMessage, response: ServerResponse): void {
+    if (isAfterLastAnswer(request)) return void request.resume();
     const { clock, storeView } = this.#context;
     const arrivedMs = clock.monoMs();
     // A VM that stops would end before a first configuration comes, and cut off what waits for it.
--- a/test/gateway_unreadable_requests_test.ts
+++ b/test/gateway_unreadable_requests_test.ts
@@ -77,6 +77,18 @@
     });
   }
 
+  it("behind an at-most-once request that is running, leaves that its own answer: of which the body is malformed", async (t) => {
+    const { runner, open } = await openSlow(t);
+    const { socket, closed, statuses } = open();
+    socket.write(requestText("a1"));
+    await waitUntil(() => runner.arrivals.length === 1);
+    const chunked = requestText("a2")
+      .replace("content-length: 0", "transfer-encoding: chunked");
+    socket.write(chunked + "x\r\n");
+    await closed;
+    t.deepEqual(statuses(), ["200", "400"]);
+  });
+
   it("is served if the rest of its head comes while the one before it runs", async (t) => {
     const { runner, open } = await openSlow(t);
     const { socket, statuses } = open();
