--- a/src/routing/drain.ts
+++ b/src/routing/drain.ts
@@ -49,8 +49,9 @@
 /**
  * Whether a request that arrives while the VM is draining can finish before the process ends. A request that cannot is
  * refused at once and not run: if it were cut off it would be lost, and an at-most-once call could not even be retried.
- * How long requests usually take says nothing where all upstreams are silent; then only the deadline does. Early in the drain the usual duration decides and not the longest, because callers still use this VM's address for
- * seconds. Refusing every stream then would turn many requests away while VMs are stopped one after another.
+ * How long requests usually take says nothing where all upstreams are silent; then only the deadline does. Early in the
+ * drain the usual duration decides and not the longest, because callers still use this VM's address for seconds.
+ * Refusing every stream then would turn many requests away while VMs are stopped one after another.
  */
 export function canFinish(
   { route, outputTokens, maxMs, usualMs, isUsual }: DrainRequest,
